--- /dev/null
+++ b/crates/claims/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder of the claims crate.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder of the entry crate.
