Measure the encoded size of each record and frame

Cause: docs/CAPACITY.md needs bytes per peer, upstream, owner and key, and guesses would decide the mesh and the log streams wrongly. Ruled out: reading them off a running mesh only (it shows totals, no slopes). Change: an example of the wire crate that prints sizes at several counts. Before: no figure.

--- /dev/null
+++ b/crates/wire/examples/sizes.rs
@@ -0,0 +1,213 @@
+//! Prints the encoded size of each record and frame at the sizes that docs/CAPACITY.md works
+//! with, so that its slopes (bytes per peer, per upstream, per owner, per key) are measured and
+//! not guessed: `cargo run -p wire --example sizes`.
+
+use wire::Message;
+use wire::peer::{self, frame};
+use wire::record::{self, record::Body};
+
+/// An instance id of the length that operators use (`entry-north-012`).
+const INSTANCE: &str = "entry-north-012";
+/// An upstream id of the length that operators use.
+const UPSTREAM: &str = "engine-north-0123";
+/// An owner's name of ordinary length.
+const OWNER: &str = "organisation-0123";
+/// A catalogue entry in JSON, in its usual size.
+const ENTRY_JSON_BYTES: usize = 420;
+
+fn author() -> record::Author {
+    record::Author {
+        instance: INSTANCE.into(),
+        incarnation: 1_796_000_000_000,
+    }
+}
+
+fn record_size(body: Body) -> usize {
+    let record = record::Record {
+        nonce: vec![7; 16],
+        rules: 1,
+        author: Some(author()),
+        body: Some(body),
+    };
+    record.encoded_len()
+}
+
+fn frame_size(body: frame::Body) -> usize {
+    let frame = peer::Frame {
+        from: Some(author()),
+        sequence: 1_000_000,
+        body: Some(body),
+    };
+    frame.encoded_len()
+}
+
+fn edit(changes: usize) -> Body {
+    let change = record::Change {
+        kind: "entry".into(),
+        name: OWNER.into(),
+        json: "x".repeat(ENTRY_JSON_BYTES),
+    };
+    Body::Edit(record::Edit {
+        base_revision: 1_000_000,
+        operator: "operator".into(),
+        note: String::new(),
+        changes: vec![change; changes],
+    })
+}
+
+fn snapshot(entities: usize) -> Body {
+    let entity = record::Entity {
+        kind: "entry".into(),
+        name: OWNER.into(),
+        json: "x".repeat(ENTRY_JSON_BYTES),
+        revision: 1_000_000,
+        operator: "operator".into(),
+    };
+    Body::Snapshot(record::Snapshot {
+        upto: 1_000_000,
+        rules: 1,
+        revision: 1_000_000,
+        entities: vec![entity; entities],
+        scopes: Vec::new(),
+        orders: Vec::new(),
+        digest: vec![7; 32],
+    })
+}
+
+fn key_claims(keys: usize) -> Body {
+    let claim = record::KeyClaim {
+        key: vec![7; 16],
+        request: "0123456789abcdef0123456789abcdef".into(),
+        fingerprint: vec![7; 16],
+    };
+    Body::KeyClaims(record::KeyClaims {
+        claims: vec![claim; keys],
+    })
+}
+
+fn key_outcomes(keys: usize) -> Body {
+    let outcome = record::KeyOutcome {
+        key: vec![7; 16],
+        claim: 1_000_000,
+        end: record::KeyEnd::Answered as i32,
+    };
+    Body::KeyOutcomes(record::KeyOutcomes {
+        outcomes: vec![outcome; keys],
+    })
+}
+
+fn intent() -> Body {
+    Body::Intent(record::Intent {
+        scope: "llm-pool".into(),
+        fence: 1_000_000,
+        upstream: UPSTREAM.into(),
+        order: Some(record::Order {
+            kind: Some(record::order::Kind::SetRole(record::SetRole {
+                role: record::Role::Decode as i32,
+            })),
+        }),
+    })
+}
+
+fn outcome() -> Body {
+    Body::Outcome(record::Outcome {
+        scope: "llm-pool".into(),
+        fence: 1_000_000,
+        order: 1_000_100,
+        verdict: record::Verdict::Done as i32,
+        detail: String::new(),
+    })
+}
+
+fn heartbeat() -> frame::Body {
+    frame::Body::Heartbeat(peer::Heartbeat {
+        folded: 1_000_000,
+        revision: 1_000_000,
+        data_centre: "north-1".into(),
+        rules: 1,
+        ..Default::default()
+    })
+}
+
+fn load(upstreams: usize) -> frame::Body {
+    let outstanding = peer::Outstanding {
+        upstream: UPSTREAM.into(),
+        requests: 20,
+        prefill_tokens: 20_000,
+        decode_tokens: 5_000,
+    };
+    frame::Body::Load(peer::Load {
+        outstanding: vec![outstanding; upstreams],
+    })
+}
+
+fn shares(owners: usize) -> frame::Body {
+    let demand = peer::Demand {
+        owner: OWNER.into(),
+        requests: 1.5,
+        tokens: 1500.0,
+        open: 3,
+    };
+    frame::Body::Shares(peer::Shares {
+        demand: vec![demand; owners],
+    })
+}
+
+fn confirm() -> frame::Body {
+    frame::Body::Confirm(peer::Confirm {
+        order: 1_000_000,
+        upstream: UPSTREAM.into(),
+        open: 3,
+    })
+}
+
+fn burn(buckets: usize) -> frame::Body {
+    let bucket = peer::Bucket {
+        entry: OWNER.into(),
+        start: 1_796_000_000,
+        good: 10_000,
+        bad: 10,
+        refused: 5,
+        late: 5,
+        ..Default::default()
+    };
+    frame::Body::Burn(peer::Burn {
+        buckets: vec![bucket; buckets],
+    })
+}
+
+fn main() {
+    let renewal = Body::Renewal(record::Renewal {
+        scope: "llm-pool".into(),
+        fence: 1_000_000,
+    });
+    println!("kind                    count   bytes");
+    print("record renewal", 1, record_size(renewal));
+    print("record intent", 1, record_size(intent()));
+    print("record outcome", 1, record_size(outcome()));
+    for count in [1, 10, 100] {
+        print("record edit", count, record_size(edit(count)));
+        print("record key claims", count, record_size(key_claims(count)));
+        print(
+            "record key outcomes",
+            count,
+            record_size(key_outcomes(count)),
+        );
+    }
+    for count in [100, 1_000, 3_000] {
+        print("record snapshot", count, record_size(snapshot(count)));
+    }
+    print("frame heartbeat", 1, frame_size(heartbeat()));
+    print("frame confirm", 1, frame_size(confirm()));
+    for count in [1, 18, 67] {
+        print("frame load", count, frame_size(load(count)));
+    }
+    for count in [1, 10, 100] {
+        print("frame shares", count, frame_size(shares(count)));
+        print("frame burn", count, frame_size(burn(count)));
+    }
+}
+
+fn print(kind: &str, count: usize, bytes: usize) {
+    println!("{kind:<22} {count:>6} {bytes:>7}");
+}
