Read settings from YAML with every finding and its place

Cause: the daemons need addresses, limits and secrets before they open anything, and an operator who mends one finding at a time restarts once per fault. Ruled out: deserialising straight into structs stops at the first error and loses the place of a value that is valid YAML but wrong.

--- /dev/null
+++ b/crates/settings/examples/page.rs
@@ -0,0 +1,5 @@
+//! Prints `docs/SETTINGS.md`.
+
+fn main() {
+    print!("{}", settings::page::text());
+}
--- /dev/null
+++ b/crates/settings/src/page.rs
@@ -0,0 +1,49 @@
+//! The page of settings for operators, written from the table so that it cannot disagree with it.
+
+use std::fmt::Write as _;
+
+use crate::table::{ROWS, Row};
+
+const HEAD: &str = "# Settings
+
+One YAML file; `--set key=value` lays single values over it; secrets may come from the environment.
+Unknown keys are errors. `tarragon-entry check SETTINGS` prints every finding with its place. A key
+`a.b` is written as `b` under the mapping `a`. Durations carry their unit (`250ms`, `3s`, `2m`),
+sizes may (`64KiB`, `8MiB`). This page is written from `crates/settings/src/table.rs`; a test keeps
+the two alike.
+
+| key | type | default | environment | meaning |
+| --- | --- | --- | --- | --- |
+";
+
+const TAIL: &str = "
+Keys under `policy` override the routing policy of this instance for trials; `crates/routing` names
+and checks them.
+";
+
+/// The whole text of `docs/SETTINGS.md`.
+pub fn text() -> String {
+    let mut text = String::from(HEAD);
+    for row in ROWS {
+        let _ = writeln!(
+            text,
+            "| `{}` | {} | {} | {} | {} |",
+            row.key,
+            row.kind.words(),
+            default(row),
+            row.environment
+                .map_or(String::new(), |name| format!("`{name}`")),
+            row.meaning,
+        );
+    }
+    text.push_str(TAIL);
+    text
+}
+
+fn default(row: &Row) -> String {
+    match (row.default, row.required) {
+        (Some(default), _) => format!("`{default}`"),
+        (None, true) => "required".to_owned(),
+        (None, false) => "off".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/settings/src/reader.rs
@@ -0,0 +1,169 @@
+//! Typed reading of single settings; every failure becomes a finding and reading goes on with a
+//! neutral value, so that all findings come back together.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use crate::finding::{Finding, Place, Problem};
+use crate::source::{Given, Source};
+use crate::{duration, size, table};
+
+/// Reads settings by key from a [`Source`].
+#[derive(Debug)]
+pub struct Reader {
+    source: Source,
+}
+
+impl Reader {
+    /// A reader over what was given.
+    pub fn new(source: Source) -> Self {
+        Self { source }
+    }
+
+    /// The findings so far, in the order of their places.
+    pub fn finish(self) -> Vec<Finding> {
+        let mut findings = self.source.findings;
+        findings.sort_by(|a, b| a.place.cmp(&b.place));
+        findings
+    }
+
+    /// A text that must not be empty.
+    pub fn text(&mut self, key: &'static str) -> String {
+        self.value(key, "a text that is not empty", |text| {
+            (!text.is_empty()).then(|| text.to_owned())
+        })
+        .unwrap_or_default()
+    }
+
+    /// A text that may be left out.
+    pub fn optional_text(&mut self, key: &'static str) -> Option<String> {
+        self.optional(key, "a text that is not empty", |text| {
+            (!text.is_empty()).then(|| text.to_owned())
+        })
+    }
+
+    /// An address such as `127.0.0.1:8080`.
+    pub fn address(&mut self, key: &'static str) -> SocketAddr {
+        self.value(key, ADDRESS, |text| SocketAddr::from_str(text).ok())
+            .unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)))
+    }
+
+    /// An address that may be left out.
+    pub fn optional_address(&mut self, key: &'static str) -> Option<SocketAddr> {
+        self.optional(key, ADDRESS, |text| SocketAddr::from_str(text).ok())
+    }
+
+    /// A duration with its unit.
+    pub fn duration(&mut self, key: &'static str) -> Duration {
+        self.value(
+            key,
+            "a duration with its unit, for example 250ms or 3s",
+            duration::parse,
+        )
+        .unwrap_or_default()
+    }
+
+    /// A size in bytes.
+    pub fn size(&mut self, key: &'static str) -> usize {
+        self.value(
+            key,
+            "a size in bytes, for example 64KiB or 8MiB",
+            size::parse,
+        )
+        .unwrap_or_default()
+    }
+
+    /// A whole number of at least one.
+    pub fn count(&mut self, key: &'static str) -> usize {
+        self.value(key, "a whole number of at least 1", |text| {
+            text.parse().ok().filter(|count| *count > 0)
+        })
+        .unwrap_or(1)
+    }
+
+    /// A level of logging.
+    pub fn level(&mut self, key: &'static str) -> String {
+        self.value(key, "one of off, error, warn, info, debug, trace", |text| {
+            LEVELS.contains(&text).then(|| text.to_owned())
+        })
+        .unwrap_or_default()
+    }
+
+    /// Every value under a section whose keys belong to another crate.
+    pub fn section(&mut self, section: &str) -> Vec<(String, Given)> {
+        let prefix = format!("{section}.");
+        self.source
+            .values
+            .iter()
+            .filter_map(|(key, given)| Some((key.strip_prefix(&prefix)?.to_owned(), given.clone())))
+            .collect()
+    }
+
+    /// Tells that two settings contradict each other, at the place of the first.
+    pub fn contradiction(&mut self, key: &'static str, words: &str) {
+        let place = self.place(key);
+        self.report(place, key, Problem::Contradiction(words.to_owned()));
+    }
+
+    fn place(&self, key: &str) -> Place {
+        self.source
+            .values
+            .get(key)
+            .map_or(Place::Nowhere, |given| given.place.clone())
+    }
+
+    fn report(&mut self, place: Place, key: &str, problem: Problem) {
+        self.source.findings.push(Finding {
+            place,
+            key: key.to_owned(),
+            problem,
+        });
+    }
+
+    fn value<T>(
+        &mut self,
+        key: &'static str,
+        expected: &'static str,
+        read: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        let value = self.optional(key, expected, read);
+        if value.is_none() && !self.source.values.contains_key(key) {
+            self.report(Place::Nowhere, key, Problem::Missing);
+        }
+        value
+    }
+
+    fn optional<T>(
+        &mut self,
+        key: &'static str,
+        expected: &'static str,
+        read: impl Fn(&str) -> Option<T>,
+    ) -> Option<T> {
+        let row = table::row(key);
+        let Some(given) = self.source.values.get(key).cloned() else {
+            return row.and_then(|row| row.default).and_then(read);
+        };
+        let value = read(given.text.trim());
+        if value.is_none() {
+            let secret = row.is_some_and(|row| row.environment.is_some());
+            let given_text = if secret {
+                "(secret)".to_owned()
+            } else {
+                given.text
+            };
+            self.report(
+                given.place,
+                key,
+                Problem::Invalid {
+                    given: given_text,
+                    expected,
+                },
+            );
+        }
+        value
+    }
+}
+
+const ADDRESS: &str = "an address, for example 127.0.0.1:8080";
+const LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
--- /dev/null
+++ b/crates/settings/src/source.rs
@@ -0,0 +1,159 @@
+//! The given values by key path, each with its place: the file first, `--set` over it, and the
+//! environment for secrets.
+
+use std::collections::BTreeMap;
+
+use serde_saphyr::{Location, Spanned};
+
+use crate::finding::{Finding, Findings, Place, Problem};
+use crate::node::Node;
+use crate::table::{self, Row};
+
+/// A value as it was given.
+#[derive(Clone, Debug)]
+pub struct Given {
+    /// The text of the value; the items of a list are joined by commas.
+    pub text: String,
+    /// Where it was given.
+    pub place: Place,
+}
+
+/// All given values and the findings met on the way.
+#[derive(Clone, Debug, Default)]
+pub struct Source {
+    pub(crate) values: BTreeMap<String, Given>,
+    pub(crate) findings: Vec<Finding>,
+}
+
+impl Source {
+    /// Reads the text of a settings file. A file that is no YAML yields one finding, since nothing
+    /// after the break can be trusted.
+    pub fn from_yaml(text: &str) -> Self {
+        let mut source = Self::default();
+        match serde_saphyr::from_str::<Spanned<Node>>(text) {
+            Ok(root) => source.fold("", &root),
+            Err(error) => source.findings.push(Finding {
+                place: error.location().map_or(Place::Nowhere, file_place),
+                key: "settings".to_owned(),
+                problem: Problem::Syntax(error.without_snippet().to_string()),
+            }),
+        }
+        source
+    }
+
+    /// Lays the `key=value` of each `--set` over what was given before.
+    pub fn set(&mut self, assignments: &[String]) {
+        for (index, assignment) in assignments.iter().enumerate() {
+            let place = Place::Flag(index + 1);
+            match assignment.split_once('=') {
+                Some((key, value)) => self.put(key.trim(), value.trim().to_owned(), place),
+                None => self.findings.push(Finding {
+                    place,
+                    key: assignment.clone(),
+                    problem: Problem::Invalid {
+                        given: assignment.clone(),
+                        expected: "key=value",
+                    },
+                }),
+            }
+        }
+    }
+
+    /// Takes the settings that may come from the environment; `variable` looks one up by name.
+    pub fn environment(&mut self, variable: impl Fn(&str) -> Option<String>) {
+        for row in table::ROWS {
+            let Some(name) = row.environment else {
+                continue;
+            };
+            if let Some(value) = variable(name) {
+                self.put(row.key, value, Place::Environment(name));
+            }
+        }
+    }
+
+    /// Turns what was given into checked settings.
+    ///
+    /// # Errors
+    ///
+    /// All findings together, in the order of their places.
+    pub fn check(self) -> Result<crate::Settings, Findings> {
+        crate::Settings::try_from(self)
+    }
+
+    fn fold(&mut self, path: &str, node: &Spanned<Node>) {
+        match &node.value {
+            Node::Empty => {}
+            Node::Scalar(text) => self.put(path, text.clone(), file_place(node.referenced)),
+            Node::List(items) => {
+                let text = join(items);
+                self.put(path, text, file_place(node.referenced));
+            }
+            Node::Map(pairs) => {
+                for (key, value) in pairs {
+                    self.fold_pair(path, key, value);
+                }
+            }
+        }
+    }
+
+    fn fold_pair(&mut self, path: &str, key: &Spanned<String>, value: &Spanned<Node>) {
+        let path = if path.is_empty() {
+            key.value.clone()
+        } else {
+            format!("{path}.{}", key.value)
+        };
+        if !table::is_known(&path) && !table::is_section(&path) {
+            self.unknown(&path, file_place(key.referenced));
+            return;
+        }
+        self.fold(&path, value);
+    }
+
+    fn put(&mut self, key: &str, text: String, place: Place) {
+        if table::is_known(key) {
+            self.values.insert(key.to_owned(), Given { text, place });
+        } else {
+            self.unknown(key, place);
+        }
+    }
+
+    fn unknown(&mut self, key: &str, place: Place) {
+        self.findings.push(Finding {
+            place,
+            key: key.to_owned(),
+            problem: Problem::Unknown {
+                nearest: nearest(key),
+            },
+        });
+    }
+}
+
+fn file_place(location: Location) -> Place {
+    Place::File {
+        line: location.line(),
+        column: location.column(),
+    }
+}
+
+fn join(items: &[Spanned<Node>]) -> String {
+    let texts: Vec<&str> = items
+        .iter()
+        .map(|item| match &item.value {
+            Node::Scalar(text) => text.as_str(),
+            Node::Empty | Node::List(_) | Node::Map(_) => "",
+        })
+        .collect();
+    texts.join(",")
+}
+
+/// Similarity under which a suggestion would mislead more than help.
+const LEAST_SIMILARITY: f64 = 0.6;
+
+fn nearest(key: &str) -> Option<&'static str> {
+    table::ROWS
+        .iter()
+        .map(|row: &Row| (strsim::normalized_levenshtein(key, row.key), row.key))
+        .filter(|(similarity, _)| *similarity >= LEAST_SIMILARITY)
+        .max_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, known)| known)
+}
