--- a/crates/wire/examples/sizes.rs
+++ b/crates/wire/examples/sizes.rs
@@ -71,6 +71,7 @@
         scopes: Vec::new(),
         orders: Vec::new(),
         digest: vec![7; 32],
+        settled: Vec::new(),
     })
 }
 
@@ -106,6 +107,7 @@
                 role: record::Role::Decode as i32,
             })),
         }),
+        previous: 900_000,
     })
 }
 
