Add the platform's and the plain service's stand-ins

Everything that is tried end to end needs a log, an instance list, a weight store and a service that counts its executions. Both programs speak the interfaces of docs/PLATFORM.md and carry fault switches behind /fault.

A lost answer drops the connection by a body that fails at its first poll: the server then closes before the head is flushed, and a client sees no byte.

Not tested yet but by hand; tests follow with the engine.

--- /dev/null
+++ b/crates/standin/src/bin/standin-platform.rs
@@ -0,0 +1,16 @@
+//! Runs the platform's stand-in.
+
+use std::io;
+
+use clap::Parser;
+use standin::http;
+use standin::platform::{Options, Platform};
+
+#[actix_rt::main]
+async fn main() -> io::Result<()> {
+    http::start_log();
+    let options = Options::parse();
+    let listen = options.listen.clone();
+    let platform = Platform::new(options);
+    http::serve(&listen, move |call| platform.clone().answer(call)).await
+}
--- /dev/null
+++ b/crates/standin/src/engine/mod.rs
@@ -0,0 +1,1 @@
+//! The model engine.
--- /dev/null
+++ b/crates/standin/src/platform/api.rs
@@ -0,0 +1,212 @@
+//! The resources of `standin-platform`.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use actix_http::body::{BodyStream, BoxBody};
+use actix_http::{Method, Response, StatusCode};
+use actix_rt::time::{sleep, timeout};
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use serde::Serialize;
+use serde_json::json;
+use tokio::sync::watch;
+
+use super::instances::{Instance, List};
+use super::log::{Limits, Log, Moment, Offset, Page};
+use super::weights::Store;
+use super::{Options, Switches};
+use crate::answer;
+use crate::fault::{Panel, lock, take};
+use crate::http::{Answer, Call};
+
+/// Records of a page when the caller names no number.
+const PAGE: u64 = 1000;
+
+/// Longest wait of a read.
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
+
+/// All state of the process, shared by its connections.
+#[derive(Debug)]
+pub struct Platform {
+    options: Options,
+    start: Instant,
+    log: Mutex<Log>,
+    next: watch::Sender<Offset>,
+    instances: Mutex<List>,
+    weights: Arc<Store>,
+    panel: Panel<Switches>,
+}
+
+#[derive(Serialize)]
+struct Row {
+    offset: Offset,
+    data: String,
+}
+
+#[derive(Serialize)]
+struct Rows {
+    first: Offset,
+    next: Offset,
+    records: Vec<Row>,
+}
+
+impl Platform {
+    /// An empty platform.
+    pub fn new(options: Options) -> Arc<Self> {
+        let limits = Limits {
+            age: Duration::from_secs_f64(options.retention_s),
+            count: options.retention_count,
+            rate: options.append_rate,
+        };
+        Arc::new(Self {
+            start: Instant::now(),
+            log: Mutex::new(Log::new(limits)),
+            next: watch::Sender::new(1),
+            instances: Mutex::default(),
+            weights: Arc::new(Store::new(options.weight_rate, options.weight_transfers)),
+            panel: Panel::new(options.seed),
+            options,
+        })
+    }
+
+    /// Answers a request.
+    pub async fn answer(self: Arc<Self>, call: Call) -> Answer {
+        let segments = call.segments();
+        match (call.method.as_str(), segments.as_slice()) {
+            (_, ["fault"]) => self.panel.answer(&call),
+            ("POST", ["log", "append"]) => self.append(&call).await,
+            ("GET", ["log", "read"]) => self.read(&call).await,
+            (_, ["instances", ..]) => self.instances(&call, &segments[1..]).await,
+            ("GET", ["weights", _model, _version]) => self.weights(&call).await,
+            _ => answer::not_found(),
+        }
+    }
+
+    fn now(&self) -> Moment {
+        self.start.elapsed()
+    }
+
+    async fn append(&self, call: &Call) -> Answer {
+        let switches = self.panel.get();
+        if let Some(out) = switches.append.answer().await {
+            return out;
+        }
+        sleep_ms(self.options.append_ms + switches.append_delay_ms).await;
+        let appended = {
+            let mut log = lock(&self.log);
+            let appended = log.append(self.now(), call.body.clone());
+            self.next.send_replace(log.next());
+            appended
+        };
+        let Some(offset) = appended else {
+            return answer::too_many();
+        };
+        sleep_ms(switches.append_answer_delay_ms).await;
+        let counted = self
+            .panel
+            .update(|switches| take(&mut switches.lose_answers));
+        if counted || self.panel.chance(switches.lose_fraction) {
+            log::info!(offset; "fault: the answer to an append is lost");
+            return match switches.lose_silently {
+                true => answer::silence().await,
+                false => answer::drop_connection(),
+            };
+        }
+        answer::ok(&json!({ "offset": offset }))
+    }
+
+    async fn read(&self, call: &Call) -> Answer {
+        let switches = self.panel.get();
+        if let Some(out) = switches.read.answer().await {
+            return out;
+        }
+        sleep_ms(switches.read_delay_ms).await;
+        let from = call.number("from").unwrap_or(1);
+        let max = call.number("max").unwrap_or(PAGE) as usize;
+        let wait = Duration::from_millis(call.number("wait_ms").unwrap_or(0)).min(LONGEST_WAIT);
+        let mut next = self.next.subscribe();
+        // The outcome of the wait does not matter: a page without records tells that it timed out.
+        let _ = timeout(wait, next.wait_for(|next| *next > from)).await;
+        // An outage that began during the wait holds for this answer as well.
+        if let Some(out) = self.panel.get().read.answer().await {
+            return out;
+        }
+        let mut log = lock(&self.log);
+        let page = log.read(self.now(), from, max);
+        let (first, next) = (log.first(), log.next());
+        match page {
+            Page::Gone => answer::json(StatusCode::GONE, &json!({ "first": first, "next": next })),
+            Page::Records(records) => {
+                let records = records.into_iter().map(|record| Row {
+                    offset: record.offset,
+                    data: STANDARD.encode(&record.data),
+                });
+                let records = records.collect();
+                answer::ok(&Rows {
+                    first,
+                    next,
+                    records,
+                })
+            }
+        }
+    }
+
+    async fn instances(&self, call: &Call, path: &[&str]) -> Answer {
+        let switches = self.panel.get();
+        if call.method == Method::GET
+            && let Some(out) = switches.instances.answer().await
+        {
+            return out;
+        }
+        let now = self.now();
+        let mut list = lock(&self.instances);
+        let done = match (call.method.as_str(), path) {
+            ("GET", []) => {
+                let lag = switches
+                    .instance_lag_ms
+                    .unwrap_or(self.options.instance_lag_ms);
+                let lag = Duration::from_millis(lag);
+                return answer::ok(&list.seen(now, lag, switches.freeze_instances));
+            }
+            ("POST", []) => match serde_json::from_slice::<Instance>(&call.body) {
+                Ok(instance) => {
+                    list.register(now, instance);
+                    true
+                }
+                Err(error) => return answer::bad_request(&error.to_string()),
+            },
+            ("POST", [id, "leave"]) => list.leave(now, id),
+            ("DELETE", [id]) => list.remove(now, id),
+            _ => false,
+        };
+        match done {
+            true => answer::ok(&json!({})),
+            false => answer::not_found(),
+        }
+    }
+
+    async fn weights(&self, call: &Call) -> Answer {
+        let switches = self.panel.get();
+        if let Some(out) = switches.weights.answer().await {
+            return out;
+        }
+        let bytes = match call.parameter("adapter") {
+            Some(name) if !name.is_empty() => self.options.adapter_bytes,
+            _ => self.options.weight_bytes,
+        };
+        match self.weights.begin(bytes, switches.weight_slow) {
+            Some(transfer) => {
+                let body = BodyStream::new(Box::pin(transfer.body()));
+                Response::with_body(StatusCode::OK, BoxBody::new(body))
+            }
+            None => answer::too_many(),
+        }
+    }
+}
+
+async fn sleep_ms(ms: u64) {
+    if ms > 0 {
+        sleep(Duration::from_millis(ms)).await;
+    }
+}
