Fold the catalogue from the log by deterministic rules

Cause: every entry instance must end up with the same catalogue, whatever order it hears things in and whatever version its software has.

Change: checked types for owners, pools, models, entries and drains; an edit is judged against the state alone (conflicts by entity and base revision, then validity of what it touches and of what names that), put in place and taken back if anything is wrong. Tombstones keep a removal from being undone by an older edit; their number is bounded by a horizon below which edits are refused as stale. Rules have a version raised by a record; software that does not know it stops folding and says so.

Ruled out: a derived reader for the JSON (stops at its first fault), cloning the catalogue for each edit.

--- /dev/null
+++ b/crates/catalogue/examples/fold.rs
@@ -0,0 +1,2 @@
+//! Placeholder of the measurement of folding.
+fn main() {}
--- /dev/null
+++ b/crates/catalogue/src/entry.rs
@@ -0,0 +1,311 @@
+//! Entries, which say what callers may ask for and how it is served, and drains.
+
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::fields::Fields;
+use crate::owner::limits;
+use crate::{Findings, Key, Kind, Limits, Raw};
+
+/// What kind of work an entry is; it orders the work when not all fits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Class {
+    /// Somebody waits for a yes or no, and a late one is worthless.
+    Authorisation,
+    /// Short reports from devices.
+    Status,
+    /// Somebody reads along.
+    Interactive,
+    /// Somebody comes back for the result within the shift.
+    Dispatch,
+    /// Nobody waits.
+    Batch,
+}
+
+impl Class {
+    /// Priority for upstreams if the entry names none; 0 is the highest.
+    pub fn priority(self) -> u8 {
+        match self {
+            Self::Authorisation => 0,
+            Self::Status => 1,
+            Self::Interactive => 2,
+            Self::Dispatch => 3,
+            Self::Batch => 4,
+        }
+    }
+
+    /// The word that stands in the catalogue, in metrics and in reports.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Authorisation => "authorisation",
+            Self::Status => "status",
+            Self::Interactive => "interactive",
+            Self::Dispatch => "dispatch",
+            Self::Batch => "batch",
+        }
+    }
+}
+
+/// What a keyed call that may not be repeated meets while the log is out; see
+/// `docs/design/at-most-once.md`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outage {
+    /// It is refused as not run.
+    Refuse,
+    /// The caller's declared first attempt runs without a claim; later attempts never run.
+    FirstAttempt,
+}
+
+/// What an entry promises. Times that are `None` are not promised.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Contract {
+    /// Share of requests that must be within the times, above 0 and below 1.
+    pub objective: f64,
+    /// From the request to its first token.
+    pub first_token: Option<Duration>,
+    /// Mean time between two tokens of one answer.
+    pub between_tokens: Option<Duration>,
+    /// From the request to the end of its answer.
+    pub whole: Option<Duration>,
+    /// After this the answer is of no use; work on it is dropped.
+    pub deadline: Duration,
+}
+
+/// An HTTP method.
+pub type Method = String;
+
+/// What serves an entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Target {
+    /// A model on a pool of engines.
+    Model {
+        /// Name of the model in the catalogue.
+        model: String,
+        /// Version, one of the model's.
+        version: String,
+        /// Adapter, one of the model's, if any.
+        adapter: Option<String>,
+    },
+    /// A path on a pool of services.
+    Path {
+        /// Paths at and below it are served; begins with `/` and does not end with one.
+        prefix: String,
+        /// Methods that are served; empty for all.
+        methods: SmallVec<[Method; 2]>,
+    },
+}
+
+/// What callers of one owner may ask for.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// Name within the catalogue.
+    pub name: String,
+    /// Whose keys may call it.
+    pub owner: String,
+    /// What kind of work it is.
+    pub class: Class,
+    /// Priority at the upstream, 0 (highest) to 4.
+    pub priority: u8,
+    /// Bounds of this entry, within those of its owner.
+    pub limits: Limits,
+    /// Pool that serves it.
+    pub pool: String,
+    /// What serves it there.
+    pub target: Target,
+    /// What it promises.
+    pub contract: Contract,
+    /// True if running it twice does no harm.
+    pub repeatable: bool,
+    /// What happens to keyed calls while the log is out.
+    pub outage: Outage,
+    /// True if calls without an idempotency key are refused.
+    pub require_key: bool,
+    /// Most bytes of a request body.
+    pub max_body: u64,
+    /// How long a finished answer is kept for a repeat with the same key.
+    pub hold_answer: Duration,
+}
+
+impl Entry {
+    /// Entities that it names.
+    pub(crate) fn references(&self) -> SmallVec<[Key; 4]> {
+        let mut keys = SmallVec::new();
+        keys.push(Key::new(Kind::Owner, &self.owner));
+        keys.push(Key::new(Kind::Pool, &self.pool));
+        if let Target::Model { model, .. } = &self.target {
+            keys.push(Key::new(Kind::Model, model));
+        }
+        keys
+    }
+}
+
+const DEFAULT_MAX_BODY: u64 = 1 << 20;
+const DEFAULT_HOLD_ANSWER: Duration = Duration::from_secs(60);
+const LOWEST_PRIORITY: u8 = 4;
+const CLASSES: [(&str, Class); 5] = [
+    ("authorisation", Class::Authorisation),
+    ("status", Class::Status),
+    ("interactive", Class::Interactive),
+    ("dispatch", Class::Dispatch),
+    ("batch", Class::Batch),
+];
+const OUTAGES: [(&str, Outage); 2] = [
+    ("refuse", Outage::Refuse),
+    ("first-attempt", Outage::FirstAttempt),
+];
+
+impl TryFrom<&Raw<'_>> for Entry {
+    type Error = Findings;
+
+    fn try_from(raw: &Raw<'_>) -> Result<Self, Findings> {
+        let mut fields = Fields::open(raw)?;
+        let class = fields
+            .required_word("class", &CLASSES)
+            .unwrap_or(Class::Batch);
+        let target = target(&mut fields);
+        let entry = Self {
+            name: raw.name.to_owned(),
+            owner: fields.required("owner").unwrap_or_default(),
+            class,
+            priority: priority(&mut fields).unwrap_or(class.priority()),
+            limits: limits(&mut fields),
+            pool: fields.required("pool").unwrap_or_default(),
+            contract: contract(&mut fields, &target),
+            target,
+            repeatable: fields.required("repeatable").unwrap_or(false),
+            outage: fields.word("outage", &OUTAGES).unwrap_or(Outage::Refuse),
+            require_key: fields.optional("require_key").unwrap_or(false),
+            max_body: fields.optional("max_body").unwrap_or(DEFAULT_MAX_BODY),
+            hold_answer: fields
+                .duration("hold_answer")
+                .unwrap_or(DEFAULT_HOLD_ANSWER),
+        };
+        check_repeats(&mut fields, &entry);
+        fields.close(entry)
+    }
+}
+
+fn priority(fields: &mut Fields<'_>) -> Option<u8> {
+    let priority = fields.optional("priority")?;
+    if priority > LOWEST_PRIORITY {
+        fields.fault("priority", "must be from 0 (highest) to 4");
+        return None;
+    }
+    Some(priority)
+}
+
+fn target(fields: &mut Fields<'_>) -> Target {
+    if !fields.has("path") {
+        return Target::Model {
+            model: fields.required("model").unwrap_or_default(),
+            version: fields.required("version").unwrap_or_default(),
+            adapter: fields.optional("adapter"),
+        };
+    }
+    let prefix: String = fields.required("path").unwrap_or_default();
+    let whole = prefix.starts_with('/') && (prefix.len() == 1 || !prefix.ends_with('/'));
+    if !whole || prefix.contains("//") || prefix.contains(['?', '#', '%', ' ']) {
+        fields.fault(
+            "path",
+            "must be a plain path that begins with `/` and does not end with one",
+        );
+    }
+    let methods: SmallVec<[Method; 2]> = fields.optional("methods").unwrap_or_default();
+    for (position, method) in methods.iter().enumerate() {
+        let path = format!("methods[{position}]");
+        if method.is_empty() || !method.bytes().all(|b| b.is_ascii_uppercase()) {
+            fields.fault(&path, "must be an HTTP method in capitals");
+        } else if methods[..position].contains(method) {
+            fields.fault(&path, format!("`{method}` stands twice"));
+        }
+    }
+    Target::Path { prefix, methods }
+}
+
+fn contract(fields: &mut Fields<'_>, target: &Target) -> Contract {
+    let streams = matches!(target, Target::Model { .. });
+    let read = |inner: &mut Fields<'_>| {
+        let contract = Contract {
+            objective: inner.required("objective").unwrap_or(0.5),
+            first_token: inner.duration("first_token"),
+            between_tokens: inner.duration("between_tokens"),
+            whole: inner.duration("whole"),
+            deadline: inner.required_duration("deadline").unwrap_or(Duration::MAX),
+        };
+        check_contract(inner, &contract, streams);
+        contract
+    };
+    fields
+        .required_nested("contract", read)
+        .unwrap_or(Contract {
+            objective: 0.5,
+            first_token: None,
+            between_tokens: None,
+            whole: None,
+            deadline: Duration::MAX,
+        })
+}
+
+fn check_contract(fields: &mut Fields<'_>, contract: &Contract, streams: bool) {
+    if !(contract.objective > 0.0 && contract.objective < 1.0) {
+        fields.fault("objective", "must be above 0 and below 1");
+    }
+    for (field, time) in [
+        ("first_token", contract.first_token),
+        ("between_tokens", contract.between_tokens),
+    ] {
+        if time.is_some() && !streams {
+            fields.fault(field, "is for entries that name a model only");
+        }
+    }
+    for (field, time) in [
+        ("first_token", contract.first_token),
+        ("whole", contract.whole),
+    ] {
+        if time.is_some_and(|time| time > contract.deadline) {
+            fields.fault(field, "must not be above the deadline");
+        }
+    }
+}
+
+/// A caller that may attempt a call again without a key cannot be told apart from a new call, so
+/// running first attempts in an outage needs the key on every call.
+fn check_repeats(fields: &mut Fields<'_>, entry: &Entry) {
+    if entry.max_body == 0 {
+        fields.fault("max_body", "must be above 0");
+    }
+    if entry.outage == Outage::FirstAttempt {
+        if entry.repeatable {
+            fields.fault(
+                "outage",
+                "`first-attempt` is for calls that are not repeatable only",
+            );
+        }
+        if !entry.require_key {
+            fields.fault("outage", "`first-attempt` needs `require_key: true`");
+        }
+    }
+}
+
+/// An upstream that gets no new work while this stands; its name is the id of the upstream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Drain {
+    /// Id of the upstream in the instance list.
+    pub name: String,
+    /// Why, for the other operators.
+    pub reason: String,
+}
+
+impl TryFrom<&Raw<'_>> for Drain {
+    type Error = Findings;
+
+    fn try_from(raw: &Raw<'_>) -> Result<Self, Findings> {
+        let mut fields = Fields::open(raw)?;
+        let reason = fields.required("reason").unwrap_or_default();
+        fields.close(Self {
+            name: raw.name.to_owned(),
+            reason,
+        })
+    }
+}
--- /dev/null
+++ b/crates/catalogue/src/fields.rs
@@ -0,0 +1,253 @@
+//! Reads the JSON object of an entity field by field, so that all faults are found in one pass
+//! where a derived reader would stop at the first.
+
+use std::time::Duration;
+
+use serde::de::DeserializeOwned;
+use serde_json::{Map, Value};
+
+use crate::finding::nearest;
+use crate::{Finding, Findings, Kind, Raw};
+
+/// An object that is being read. Fields that nobody asked for are findings in the end.
+pub(crate) struct Fields<'r> {
+    kind: Kind,
+    name: &'r str,
+    /// Path of this object with its closing dot, empty for the outermost.
+    path: String,
+    rest: Map<String, Value>,
+    known: Vec<&'static str>,
+    findings: Findings,
+}
+
+impl<'r> Fields<'r> {
+    /// Opens an entity; fails if its JSON is no object at all.
+    pub(crate) fn open(raw: &Raw<'r>) -> Result<Self, Findings> {
+        let mut findings = Findings::new();
+        if let Some(problem) = name_fault(raw.name) {
+            findings.add(raw.kind, raw.name, "", problem);
+        }
+        match serde_json::from_str::<Value>(raw.json) {
+            Ok(Value::Object(rest)) => Ok(Self {
+                kind: raw.kind,
+                name: raw.name,
+                path: String::new(),
+                rest,
+                known: Vec::new(),
+                findings,
+            }),
+            Ok(_) => {
+                findings.add(raw.kind, raw.name, "", "must be an object");
+                Err(findings)
+            }
+            Err(error) => {
+                findings.add(raw.kind, raw.name, "", format!("is no JSON: {error}"));
+                Err(findings)
+            }
+        }
+    }
+
+    /// Gives the entity if nothing was found, else all findings.
+    pub(crate) fn close<T>(mut self, entity: T) -> Result<T, Findings> {
+        self.report_unknown();
+        if self.findings.is_empty() {
+            Ok(entity)
+        } else {
+            Err(self.findings)
+        }
+    }
+
+    /// Reports a fault of a field of this object.
+    pub(crate) fn fault(&mut self, field: &str, problem: impl Into<String>) {
+        let path = format!("{}{field}", self.path);
+        self.findings.add(self.kind, self.name, &path, problem);
+    }
+
+    /// True if the object still holds the field; for fields that exclude each other.
+    pub(crate) fn has(&self, field: &str) -> bool {
+        self.rest.contains_key(field)
+    }
+
+    /// Reads a field that may be missing; `null` counts as missing.
+    pub(crate) fn optional<T: DeserializeOwned>(&mut self, field: &'static str) -> Option<T> {
+        self.known.push(field);
+        let value = self.rest.remove(field).filter(|value| !value.is_null())?;
+        match serde_json::from_value(value) {
+            Ok(value) => Some(value),
+            Err(error) => {
+                self.fault(field, error.to_string());
+                None
+            }
+        }
+    }
+
+    /// Reads a field that must be there.
+    pub(crate) fn required<T: DeserializeOwned>(&mut self, field: &'static str) -> Option<T> {
+        if self.require(field) {
+            self.optional(field)
+        } else {
+            None
+        }
+    }
+
+    /// Reads a number above zero.
+    pub(crate) fn positive(&mut self, field: &'static str) -> Option<f64> {
+        let number: f64 = self.optional(field)?;
+        if number.is_finite() && number > 0.0 {
+            return Some(number);
+        }
+        self.fault(field, "must be above 0");
+        None
+    }
+
+    /// Reads a whole number above zero.
+    pub(crate) fn positive_whole(&mut self, field: &'static str) -> Option<u32> {
+        let number: u32 = self.optional(field)?;
+        if number == 0 {
+            self.fault(field, "must be above 0");
+            return None;
+        }
+        Some(number)
+    }
+
+    /// Reads a time span such as `250ms` or `2m`, longer than zero.
+    pub(crate) fn duration(&mut self, field: &'static str) -> Option<Duration> {
+        let text: String = self.optional(field)?;
+        match humantime::parse_duration(&text) {
+            Ok(duration) if !duration.is_zero() => Some(duration),
+            Ok(_) => {
+                self.fault(field, "must be longer than 0s");
+                None
+            }
+            Err(error) => {
+                self.fault(field, format!("is no time span such as 250ms: {error}"));
+                None
+            }
+        }
+    }
+
+    /// Reads a time span that must be there.
+    pub(crate) fn required_duration(&mut self, field: &'static str) -> Option<Duration> {
+        if self.require(field) {
+            self.duration(field)
+        } else {
+            None
+        }
+    }
+
+    /// Reads one of a list of words.
+    pub(crate) fn word<T: Copy>(
+        &mut self,
+        field: &'static str,
+        words: &[(&'static str, T)],
+    ) -> Option<T> {
+        let text: String = self.optional(field)?;
+        if let Some((_, value)) = words.iter().find(|(word, _)| *word == text) {
+            return Some(*value);
+        }
+        let known: Vec<&str> = words.iter().map(|(word, _)| *word).collect();
+        self.fault(field, unknown_word(&text, &known));
+        None
+    }
+
+    /// Reads one of a list of words that must be there.
+    pub(crate) fn required_word<T: Copy>(
+        &mut self,
+        field: &'static str,
+        words: &[(&'static str, T)],
+    ) -> Option<T> {
+        if self.require(field) {
+            self.word(field, words)
+        } else {
+            None
+        }
+    }
+
+    /// Reads an object within this one.
+    pub(crate) fn nested<T>(
+        &mut self,
+        field: &'static str,
+        read: impl FnOnce(&mut Fields<'r>) -> T,
+    ) -> Option<T> {
+        let rest = self.optional::<Map<String, Value>>(field)?;
+        let mut inner = Fields {
+            kind: self.kind,
+            name: self.name,
+            path: format!("{}{field}.", self.path),
+            rest,
+            known: Vec::new(),
+            findings: Findings::new(),
+        };
+        let value = read(&mut inner);
+        inner.report_unknown();
+        for finding in &inner.findings {
+            self.findings.push(finding.clone());
+        }
+        Some(value)
+    }
+
+    /// Reads an object within this one that must be there.
+    pub(crate) fn required_nested<T>(
+        &mut self,
+        field: &'static str,
+        read: impl FnOnce(&mut Fields<'r>) -> T,
+    ) -> Option<T> {
+        if self.require(field) {
+            self.nested(field, read)
+        } else {
+            None
+        }
+    }
+
+    fn require(&mut self, field: &'static str) -> bool {
+        let present = self.rest.get(field).is_some_and(|value| !value.is_null());
+        if !present {
+            self.known.push(field);
+            self.rest.remove(field);
+            self.fault(field, "is missing");
+        }
+        present
+    }
+
+    fn report_unknown(&mut self) {
+        let unknown: Vec<String> = self.rest.keys().cloned().collect();
+        for field in unknown {
+            let problem = match nearest(&field, &self.known) {
+                Some(known) => format!("is no known key, perhaps `{known}` was meant"),
+                None => format!("is no known key, the keys are {}", self.known.join(", ")),
+            };
+            let path = format!("{}{field}", self.path);
+            self.findings.push(Finding {
+                kind: self.kind.to_string(),
+                name: self.name.to_owned(),
+                path,
+                problem,
+            });
+        }
+    }
+}
+
+/// What is wrong with a name, if anything. Names stand in paths, log lines and metric names.
+pub(crate) fn name_fault(name: &str) -> Option<&'static str> {
+    const LONGEST: usize = 64;
+    let plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if name.is_empty() || name.len() > LONGEST {
+        return Some("its name must have 1 to 64 characters");
+    }
+    if !name.chars().all(plain) || !name.starts_with(|c: char| c.is_ascii_alphanumeric()) {
+        return Some(
+            "its name must be letters, digits, `-`, `_` and `.`, and begin with a letter or digit",
+        );
+    }
+    None
+}
+
+fn unknown_word(text: &str, known: &[&str]) -> String {
+    match nearest(text, known) {
+        Some(word) => format!("`{text}` is unknown, perhaps `{word}` was meant"),
+        None => format!(
+            "`{text}` is unknown, it must be one of {}",
+            known.join(", ")
+        ),
+    }
+}
--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -1,1 +1,40 @@
-//! Placeholder of the catalogue crate.
+//! The catalogue: owners, pools, models, entries and drains, folded from the edits in the
+//! platform's log. It stands between the log reader of `control` and everything that serves or
+//! plans: the data plane looks up entries and owners here, the planner reads the pools. Whether
+//! an edit is accepted is a pure function of the state, the offset and the edit, so that every
+//! process ends up with the same catalogue; see `docs/design/catalogue.md`.
+
+mod document;
+mod entity;
+mod entry;
+mod fields;
+mod finding;
+mod index;
+mod owner;
+mod pool;
+mod rules;
+mod serving;
+mod snapshot;
+mod state;
+mod table;
+mod verdict;
+
+pub use document::{Change, Document};
+pub use entity::{Entity, Key, Kind};
+pub use entry::{Class, Contract, Drain, Entry, Method, Outage, Target};
+pub use finding::{Finding, Findings};
+pub use owner::{Limits, Owner};
+pub use pool::{Choice, Model, Planner, Pool, PoolKind, Role, RoleChange, Span};
+pub use rules::{Raw, Rules, Set};
+pub use serving::{Found, digest};
+pub use snapshot::{Unfit, seal, verify};
+pub use state::{Applied, Frozen, State, check};
+pub use table::{Slot, View};
+pub use verdict::{Conflict, Judgement, Refusal, Verdict};
+
+/// Offset of a record in the platform's log; it starts at 1, and 0 stands for "none yet".
+pub type Offset = u64;
+/// Revision of the catalogue: the offset of the newest accepted edit.
+pub type Revision = Offset;
+/// Version of the acceptance rules.
+pub type Version = u32;
--- /dev/null
+++ b/crates/catalogue/src/pool.rs
@@ -0,0 +1,245 @@
+//! Pools of upstreams that are alike, and the models that engines may load.
+
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::fields::Fields;
+use crate::{Findings, Raw};
+
+/// What the upstreams of a pool are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PoolKind {
+    /// Model engines.
+    Engine,
+    /// Plain HTTP services.
+    Service,
+}
+
+/// What an engine does with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Role {
+    /// Prefill and decode in mixed batches.
+    Mixed,
+    /// Prefill only, the KV cache is exported.
+    Prefill,
+    /// Decode only, the KV cache is imported.
+    Decode,
+}
+
+/// How many engines may have a role.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Span {
+    /// Planned changes never go below.
+    pub min: u32,
+    /// Planned changes never go above.
+    pub max: u32,
+    /// The split to begin with.
+    pub initial: u32,
+}
+
+/// What the change of an engine's role costs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RoleChange {
+    /// Factor on the engine-seconds lost: a change is worth it only if the expected gain
+    /// exceeds the loss times this price. Low where goodput weighs more, high where each
+    /// absence of an engine hurts.
+    pub price: f64,
+    /// How long an engine is away.
+    pub takes: Duration,
+}
+
+/// How an upstream is chosen; `routing` implements them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Choice {
+    /// Sampled upstreams plus the best remembered one.
+    Drill,
+    /// The better of two sampled upstreams.
+    TwoChoices,
+    /// The least loaded of all.
+    Scan,
+    /// Fewest own requests outstanding.
+    LeastOutstanding,
+    /// Each in turn.
+    RoundRobin,
+    /// Any with equal chance.
+    Random,
+    /// Where the prefix is expected in the cache, with bounded load.
+    Affinity,
+}
+
+/// How roles are planned; `routing` implements them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Planner {
+    /// The initial split for ever.
+    Static,
+    /// Thresholds with hysteresis.
+    Threshold,
+    /// Expected gain against the price of a change.
+    Gain,
+}
+
+/// Upstreams that are alike. A pool is also the scope of authority.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pool {
+    /// Name within the catalogue.
+    pub name: String,
+    /// Engines or services.
+    pub kind: PoolKind,
+    /// How many engines may have each role; a role that is missing is not used.
+    pub roles: SmallVec<[(Role, Span); 3]>,
+    /// What a change of role costs; engines only.
+    pub role_change: RoleChange,
+    /// True if the engines refuse orders with an old fence; false also where it is not known.
+    pub checks_fence: bool,
+    /// How an upstream is chosen.
+    pub choice: Choice,
+    /// How roles are planned.
+    pub planner: Planner,
+    /// Most requests that one entry instance lets wait for the pool.
+    pub queue_limit: u32,
+    /// How long control of the pool lasts without renewal.
+    pub lease: Duration,
+}
+
+impl Pool {
+    /// The span of a role, if the pool uses it.
+    pub fn span(&self, role: Role) -> Option<Span> {
+        self.roles
+            .iter()
+            .find(|(used, _)| *used == role)
+            .map(|(_, span)| *span)
+    }
+}
+
+const DEFAULT_QUEUE_LIMIT: u32 = 256;
+const DEFAULT_LEASE: Duration = Duration::from_secs(6);
+const DEFAULT_ROLE_CHANGE: RoleChange = RoleChange {
+    price: 1.0,
+    takes: Duration::from_secs(5),
+};
+
+const KINDS: [(&str, PoolKind); 2] = [("engine", PoolKind::Engine), ("service", PoolKind::Service)];
+const ROLES: [(&str, Role); 3] = [
+    ("mixed", Role::Mixed),
+    ("prefill", Role::Prefill),
+    ("decode", Role::Decode),
+];
+const CHOICES: [(&str, Choice); 7] = [
+    ("drill", Choice::Drill),
+    ("two-choices", Choice::TwoChoices),
+    ("scan", Choice::Scan),
+    ("least-outstanding", Choice::LeastOutstanding),
+    ("round-robin", Choice::RoundRobin),
+    ("random", Choice::Random),
+    ("affinity", Choice::Affinity),
+];
+const PLANNERS: [(&str, Planner); 3] = [
+    ("static", Planner::Static),
+    ("threshold", Planner::Threshold),
+    ("gain", Planner::Gain),
+];
+
+impl TryFrom<&Raw<'_>> for Pool {
+    type Error = Findings;
+
+    fn try_from(raw: &Raw<'_>) -> Result<Self, Findings> {
+        let mut fields = Fields::open(raw)?;
+        let kind = fields.required_word("kind", &KINDS);
+        if kind == Some(PoolKind::Service) {
+            for field in ["roles", "role_change", "checks_fence", "planner"] {
+                if fields.has(field) {
+                    fields.fault(field, "is for pools of engines only");
+                }
+            }
+        }
+        let pool = Self {
+            name: raw.name.to_owned(),
+            kind: kind.unwrap_or(PoolKind::Service),
+            roles: roles(&mut fields),
+            role_change: role_change(&mut fields),
+            checks_fence: fields.optional("checks_fence").unwrap_or(false),
+            choice: fields.word("choice", &CHOICES).unwrap_or(Choice::Drill),
+            planner: fields.word("planner", &PLANNERS).unwrap_or(Planner::Gain),
+            queue_limit: fields
+                .positive_whole("queue_limit")
+                .unwrap_or(DEFAULT_QUEUE_LIMIT),
+            lease: fields.duration("lease").unwrap_or(DEFAULT_LEASE),
+        };
+        fields.close(pool)
+    }
+}
+
+fn roles(fields: &mut Fields<'_>) -> SmallVec<[(Role, Span); 3]> {
+    let read = |inner: &mut Fields<'_>| {
+        ROLES
+            .iter()
+            .filter_map(|(word, role)| Some((*role, inner.nested(word, span)?)))
+            .collect()
+    };
+    fields.nested("roles", read).unwrap_or_default()
+}
+
+fn span(fields: &mut Fields<'_>) -> Span {
+    let min = fields.optional("min").unwrap_or(0);
+    let max = fields.optional("max").unwrap_or(u32::MAX);
+    let initial = fields.optional("initial").unwrap_or(min);
+    if min > max {
+        fields.fault("min", "must not be above max");
+    } else if initial < min || initial > max {
+        fields.fault("initial", "must be from min to max");
+    }
+    Span { min, max, initial }
+}
+
+fn role_change(fields: &mut Fields<'_>) -> RoleChange {
+    let read = |inner: &mut Fields<'_>| RoleChange {
+        price: inner.positive("price").unwrap_or(DEFAULT_ROLE_CHANGE.price),
+        takes: inner.duration("takes").unwrap_or(DEFAULT_ROLE_CHANGE.takes),
+    };
+    fields
+        .nested("role_change", read)
+        .unwrap_or(DEFAULT_ROLE_CHANGE)
+}
+
+/// A model that engines may be told to load.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Model {
+    /// Name within the catalogue.
+    pub name: String,
+    /// Versions that entries may name; several while they move from one to the next.
+    pub versions: SmallVec<[String; 2]>,
+    /// Adapters that entries may name.
+    pub adapters: SmallVec<[String; 4]>,
+    /// Pools of engines that may serve it.
+    pub pools: SmallVec<[String; 2]>,
+}
+
+impl TryFrom<&Raw<'_>> for Model {
+    type Error = Findings;
+
+    fn try_from(raw: &Raw<'_>) -> Result<Self, Findings> {
+        let mut fields = Fields::open(raw)?;
+        let model = Self {
+            name: raw.name.to_owned(),
+            versions: fields.required("versions").unwrap_or_default(),
+            adapters: fields.optional("adapters").unwrap_or_default(),
+            pools: fields.required("pools").unwrap_or_default(),
+        };
+        distinct(&mut fields, "versions", &model.versions);
+        distinct(&mut fields, "adapters", &model.adapters);
+        distinct(&mut fields, "pools", &model.pools);
+        fields.close(model)
+    }
+}
+
+fn distinct(fields: &mut Fields<'_>, field: &str, words: &[String]) {
+    for (position, word) in words.iter().enumerate() {
+        let path = format!("{field}[{position}]");
+        if word.is_empty() {
+            fields.fault(&path, "must not be empty");
+        } else if words[..position].contains(word) {
+            fields.fault(&path, format!("`{word}` stands twice"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/catalogue/src/rules.rs
@@ -0,0 +1,242 @@
+//! The acceptance rules by version. All processes apply the version that the log says is in
+//! force, whatever newer version their own software knows, so that mixed software accepts alike;
+//! see `docs/design/catalogue.md`.
+
+use crate::fields::name_fault;
+use crate::finding::nearest;
+use crate::table::View;
+use crate::{Entity, Entry, Findings, Key, Kind, Limits, Model, Owner, PoolKind, Target, Version};
+
+/// An entity as a record gives it.
+#[derive(Clone, Copy, Debug)]
+pub struct Raw<'a> {
+    /// Kind of the entity.
+    pub kind: Kind,
+    /// Name of the entity.
+    pub name: &'a str,
+    /// JSON of its fields.
+    pub json: &'a str,
+}
+
+/// One version of the rules. A version that has ever been in force never changes; software that
+/// drops it can no longer read entities that were accepted under it.
+#[derive(Clone, Copy, Debug)]
+pub struct Set {
+    /// The version.
+    pub version: Version,
+    /// Reads one entity by itself.
+    pub read: fn(&Raw<'_>) -> Result<Entity, Findings>,
+    /// Checks an entity against the others, as they would be with the edit.
+    pub relate: fn(&View, &Entity, &mut Findings),
+}
+
+/// All versions that this software knows.
+#[derive(Clone, Debug)]
+pub struct Rules {
+    sets: Vec<Set>,
+}
+
+/// Version in force until a record raises it.
+pub(crate) const FIRST: Version = 1;
+
+impl Rules {
+    /// Rules of the given versions, for tests of mixed software.
+    pub fn new(sets: Vec<Set>) -> Self {
+        Self { sets }
+    }
+
+    /// The rules of a version, if this software knows them.
+    pub fn get(&self, version: Version) -> Option<&Set> {
+        self.sets.iter().find(|set| set.version == version)
+    }
+
+    /// The newest version that this software knows.
+    pub fn newest(&self) -> Version {
+        self.sets.iter().map(|set| set.version).max().unwrap_or(0)
+    }
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self::new(vec![Set {
+            version: FIRST,
+            read,
+            relate,
+        }])
+    }
+}
+
+fn read(raw: &Raw<'_>) -> Result<Entity, Findings> {
+    Ok(match raw.kind {
+        Kind::Owner => Entity::Owner(raw.try_into()?),
+        Kind::Pool => Entity::Pool(raw.try_into()?),
+        Kind::Model => Entity::Model(raw.try_into()?),
+        Kind::Entry => Entity::Entry(raw.try_into()?),
+        Kind::Drain => Entity::Drain(raw.try_into()?),
+    })
+}
+
+fn relate(view: &View, entity: &Entity, findings: &mut Findings) {
+    match entity {
+        Entity::Owner(owner) => relate_owner(view, owner, findings),
+        Entity::Model(model) => relate_model(view, model, findings),
+        Entity::Entry(entry) => relate_entry(view, entry, findings),
+        Entity::Pool(_) | Entity::Drain(_) => {}
+    }
+}
+
+fn relate_owner(view: &View, owner: &Owner, findings: &mut Findings) {
+    for (position, key) in owner.keys.iter().enumerate() {
+        for other in view.index().owners_of(key) {
+            if **other != *owner.name {
+                let path = format!("keys[{position}]");
+                let problem = format!("is also a key of owner {other}");
+                findings.add(Kind::Owner, &owner.name, &path, problem);
+            }
+        }
+    }
+}
+
+fn relate_model(view: &View, model: &Model, findings: &mut Findings) {
+    for (position, name) in model.pools.iter().enumerate() {
+        let path = format!("pools[{position}]");
+        engine_pool(
+            view,
+            &Key::new(Kind::Model, &model.name),
+            &path,
+            name,
+            findings,
+        );
+    }
+}
+
+fn relate_entry(view: &View, entry: &Entry, findings: &mut Findings) {
+    let key = Key::new(Kind::Entry, &entry.name);
+    match view.owner(&entry.owner) {
+        Some(owner) => within(entry, owner, findings),
+        None => missing(view, &key, "owner", Kind::Owner, &entry.owner, findings),
+    }
+    match &entry.target {
+        Target::Model { model, .. } => {
+            engine_pool(view, &key, "pool", &entry.pool, findings);
+            match view.model(model) {
+                Some(model) => relate_target(entry, model, findings),
+                None => missing(view, &key, "model", Kind::Model, model, findings),
+            }
+        }
+        Target::Path { .. } => {
+            match view.pool(&entry.pool).map(|pool| pool.kind) {
+                Some(PoolKind::Service) => {}
+                Some(PoolKind::Engine) => {
+                    let problem =
+                        format!("{} is a pool of engines, a path needs services", entry.pool);
+                    findings.add(Kind::Entry, &entry.name, "pool", problem);
+                }
+                None => missing(view, &key, "pool", Kind::Pool, &entry.pool, findings),
+            }
+            relate_path(view, entry, findings);
+        }
+    }
+}
+
+fn relate_target(entry: &Entry, model: &Model, findings: &mut Findings) {
+    let Target::Model {
+        version, adapter, ..
+    } = &entry.target
+    else {
+        return;
+    };
+    let mut fault = |path: &str, problem: String| {
+        findings.add(Kind::Entry, &entry.name, path, problem);
+    };
+    if !model.versions.contains(version) {
+        fault(
+            "version",
+            format!("model {} has no version `{version}`", model.name),
+        );
+    }
+    if let Some(adapter) = adapter
+        && !model.adapters.contains(adapter)
+    {
+        fault(
+            "adapter",
+            format!("model {} has no adapter `{adapter}`", model.name),
+        );
+    }
+    if !model.pools.contains(&entry.pool) {
+        fault(
+            "pool",
+            format!("model {} is not served by pool {}", model.name, entry.pool),
+        );
+    }
+}
+
+/// Two entries with the same path and method would leave it to chance which owner's limits and
+/// which rule on repeats hold for a call.
+fn relate_path(view: &View, entry: &Entry, findings: &mut Findings) {
+    let Target::Path { prefix, .. } = &entry.target else {
+        return;
+    };
+    for other in view.index().sharing_path(entry) {
+        let problem = format!("`{prefix}` is taken by entry {other} with the same method");
+        findings.add(Kind::Entry, &entry.name, "path", problem);
+    }
+}
+
+/// Limits above the owner's are a mistake: they could never be reached.
+fn within(entry: &Entry, owner: &Owner, findings: &mut Findings) {
+    let above = |ours: Option<f64>, bound: Option<f64>| match (ours, bound) {
+        (Some(ours), Some(bound)) => ours > bound,
+        _ => false,
+    };
+    let concurrent = |limits: &Limits| limits.concurrent.map(f64::from);
+    let (ours, bound) = (&entry.limits, &owner.limits);
+    for (field, ours, bound) in [
+        (
+            "requests_per_second",
+            ours.requests_per_second,
+            bound.requests_per_second,
+        ),
+        (
+            "tokens_per_second",
+            ours.tokens_per_second,
+            bound.tokens_per_second,
+        ),
+        ("concurrent", concurrent(ours), concurrent(bound)),
+    ] {
+        if above(ours, bound) {
+            let path = format!("limits.{field}");
+            let problem = format!("is above the limit of owner {}", owner.name);
+            findings.add(Kind::Entry, &entry.name, &path, problem);
+        }
+    }
+}
+
+fn engine_pool(view: &View, key: &Key, path: &str, name: &str, findings: &mut Findings) {
+    match view.pool(name).map(|pool| pool.kind) {
+        Some(PoolKind::Engine) => {}
+        Some(PoolKind::Service) => {
+            let problem = format!("{name} is a pool of services, a model needs engines");
+            findings.add(key.kind, &key.name, path, problem);
+        }
+        None => missing(view, key, path, Kind::Pool, name, findings),
+    }
+}
+
+fn missing(view: &View, key: &Key, path: &str, kind: Kind, name: &str, findings: &mut Findings) {
+    if name.is_empty() || name_fault(name).is_some() {
+        findings.add(
+            key.kind,
+            &key.name,
+            path,
+            format!("`{name}` is no name of a {kind}"),
+        );
+        return;
+    }
+    let known: Vec<&str> = view.names(kind).collect();
+    let problem = match nearest(name, &known) {
+        Some(near) => format!("there is no {kind} {name}, perhaps {near} was meant"),
+        None => format!("there is no {kind} {name}"),
+    };
+    findings.add(key.kind, &key.name, path, problem);
+}
--- /dev/null
+++ b/crates/catalogue/src/serving.rs
@@ -0,0 +1,70 @@
+//! How the data plane finds owners and entries.
+
+use crate::index::ANY;
+use crate::table::View;
+use crate::{Entry, Owner, Target};
+
+/// Digest under which the catalogue keeps a bearer key.
+pub fn digest(bearer_key: &str) -> [u8; 32] {
+    *blake3::hash(bearer_key.as_bytes()).as_bytes()
+}
+
+/// What a path leads to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Found<'v> {
+    /// The entry that serves it.
+    Entry(&'v Entry),
+    /// The longest prefix is served, but not with this method.
+    OtherMethod,
+    /// No entry has a prefix of it.
+    Nothing,
+}
+
+impl View {
+    /// The owner of a bearer key. Only digests are compared, so the time that it takes tells
+    /// nothing about the keys.
+    pub fn owner_of_key(&self, bearer_key: &str) -> Option<&Owner> {
+        let name = self.index().owners_of(&digest(bearer_key)).first()?;
+        self.owner(name)
+    }
+
+    /// The entry with the longest prefix of `path` in whole segments. The longest one decides
+    /// alone: a method that it does not serve never falls through to a shorter prefix, which
+    /// might allow repeats that the longer one forbids.
+    pub fn entry_at(&self, method: &str, path: &str) -> Found<'_> {
+        let mut prefix = path;
+        loop {
+            if let Some(methods) = self.index().at_path(prefix) {
+                let names = methods.get(method).or_else(|| methods.get(ANY));
+                let entry = names
+                    .and_then(|names| names.first())
+                    .and_then(|name| self.entry(name));
+                return entry.map_or(Found::OtherMethod, Found::Entry);
+            }
+            prefix = match prefix.rfind('/') {
+                Some(0) if prefix.len() > 1 => "/",
+                Some(cut) if cut > 0 => &prefix[..cut],
+                _ => return Found::Nothing,
+            };
+        }
+    }
+
+    /// The entry of an owner that a request's `model` means: the entry of that name, or else the
+    /// owner's first entry, by name, that serves the model of that name.
+    pub fn entry_for_model(&self, owner: &str, name: &str) -> Option<&Entry> {
+        let serves = |entry: &&Entry| matches!(&entry.target, Target::Model { .. });
+        let means =
+            |entry: &&Entry| matches!(&entry.target, Target::Model { model, .. } if model == name);
+        self.entry(name)
+            .filter(|entry| entry.owner == owner)
+            .filter(serves)
+            .or_else(|| self.entries_of(owner).find(means))
+    }
+
+    /// The entries of an owner by name.
+    pub fn entries_of(&self, owner: &str) -> impl Iterator<Item = &Entry> {
+        self.index()
+            .entries_of(owner)
+            .filter_map(|name| self.entry(name))
+    }
+}
--- /dev/null
+++ b/crates/catalogue/src/snapshot.rs
@@ -0,0 +1,166 @@
+//! Snapshots: the folded catalogue as a record, before the log forgets the edits.
+
+use std::fmt;
+use std::sync::Arc;
+
+use wire::Message;
+use wire::record::{Entity as Stored, Snapshot};
+
+use crate::table::{Slot, View};
+use crate::{Findings, Key, Kind, Raw, Rules, State, Version};
+
+/// Why a snapshot cannot be taken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Unfit {
+    /// Its digest is not that of its fields: it was damaged or written by faulty software.
+    Digest,
+    /// It needs a version of the rules that this software does not know.
+    Rules(Version),
+    /// Entities that the rules under which they were accepted cannot read.
+    Entities(Findings),
+}
+
+impl fmt::Display for Unfit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Digest => f.write_str("the digest of the snapshot is wrong"),
+            Self::Rules(version) => write!(f, "the snapshot needs rules version {version}"),
+            Self::Entities(findings) => write!(f, "the snapshot cannot be read: {findings}"),
+        }
+    }
+}
+
+impl std::error::Error for Unfit {}
+
+/// Sets the digest of a snapshot whose other fields are complete.
+pub fn seal(snapshot: &mut Snapshot) {
+    snapshot.digest = digest(snapshot).to_vec();
+}
+
+/// Checks the digest of a snapshot.
+pub fn verify(snapshot: &Snapshot) -> Result<(), Unfit> {
+    if snapshot.digest == digest(snapshot) {
+        Ok(())
+    } else {
+        Err(Unfit::Digest)
+    }
+}
+
+/// The encoding is canonical: fields in the order of their numbers, lists in a fixed order.
+fn digest(snapshot: &Snapshot) -> [u8; 32] {
+    let bare = Snapshot {
+        digest: Vec::new(),
+        ..snapshot.clone()
+    };
+    *blake3::hash(&bare.encode_to_vec()).as_bytes()
+}
+
+impl State {
+    /// The catalogue's part of a snapshot; the caller adds scopes and orders as of the same
+    /// offset and seals it. `None` while frozen: what is in force cannot be known then.
+    pub fn snapshot(&self) -> Option<Snapshot> {
+        if self.frozen().is_some() {
+            return None;
+        }
+        Some(Snapshot {
+            upto: self.folded(),
+            rules: self.version(),
+            revision: self.revision(),
+            entities: self.view().slots().map(stored).collect(),
+            horizon: self.horizon(),
+            ..Snapshot::default()
+        })
+    }
+
+    /// The catalogue as of a sealed snapshot.
+    ///
+    /// # Errors
+    ///
+    /// If the digest is wrong or this software does not know the rules that it needs.
+    pub fn restore(rules: Arc<Rules>, snapshot: &Snapshot) -> Result<Self, Unfit> {
+        verify(snapshot)?;
+        if rules.get(snapshot.rules).is_none() {
+            return Err(Unfit::Rules(snapshot.rules));
+        }
+        let view = read(&rules, snapshot)?;
+        let at = [snapshot.upto, snapshot.revision, snapshot.horizon];
+        Ok(Self::restored(rules, snapshot.rules, at, view))
+    }
+
+    /// Takes a sealed snapshot, from the log or from a peer, if it is newer than what was folded;
+    /// says whether it was. An instance that has a newer catalogue never goes back to an older
+    /// one, whoever offers it.
+    ///
+    /// # Errors
+    ///
+    /// As [`State::restore`]; the state is then as before.
+    pub fn adopt(&mut self, snapshot: &Snapshot) -> Result<bool, Unfit> {
+        if snapshot.upto <= self.folded() {
+            return Ok(false);
+        }
+        *self = Self::restore(Arc::clone(self.rules()), snapshot)?;
+        Ok(true)
+    }
+
+    /// True if a snapshot, met in the log, disagrees with what was folded here. It can be told
+    /// only while no newer edit was accepted.
+    pub(crate) fn contradicts(&self, snapshot: &Snapshot) -> bool {
+        let comparable = self.folded() >= snapshot.upto
+            && self.revision() <= snapshot.upto
+            && self.version() == snapshot.rules;
+        let same = || {
+            let ours = self.view().slots().map(stored);
+            snapshot.revision == self.revision()
+                && snapshot.horizon == self.horizon()
+                && ours.eq(snapshot.entities.iter().cloned())
+        };
+        verify(snapshot).is_err() || (comparable && !same())
+    }
+}
+
+fn stored((kind, name, slot): (Kind, &str, &Slot)) -> Stored {
+    Stored {
+        kind: kind.to_string(),
+        name: name.to_owned(),
+        json: slot.json.to_string(),
+        revision: slot.revision,
+        operator: slot.operator.to_string(),
+        rules: slot.rules,
+    }
+}
+
+fn read(rules: &Rules, snapshot: &Snapshot) -> Result<View, Unfit> {
+    let mut view = View::default();
+    let mut findings = Findings::new();
+    for stored in &snapshot.entities {
+        let Some(kind) = Kind::from_word(&stored.kind) else {
+            findings.add_edit("entities", format!("`{}` is no kind", stored.kind));
+            continue;
+        };
+        let mut slot = Slot {
+            revision: stored.revision,
+            operator: Box::from(stored.operator.as_str()),
+            rules: stored.rules,
+            json: Box::from(stored.json.as_str()),
+            entity: None,
+        };
+        if !stored.json.is_empty() {
+            let raw = Raw {
+                kind,
+                name: &stored.name,
+                json: &stored.json,
+            };
+            let set = rules.get(stored.rules).ok_or(Unfit::Rules(stored.rules))?;
+            match (set.read)(&raw) {
+                Ok(entity) => slot.entity = Some(entity),
+                Err(faults) => faults.iter().for_each(|fault| findings.push(fault.clone())),
+            }
+        }
+        view.put(&Key::new(kind, &stored.name), Some(&Arc::new(slot)));
+    }
+    if findings.is_empty() {
+        Ok(view)
+    } else {
+        Err(Unfit::Entities(findings))
+    }
+}
