--- /dev/null
+++ b/crates/routing/src/choice.rs
@@ -0,0 +1,445 @@
+//! Choice of an upstream among the members of a pool.
+
+use std::time::Duration;
+
+use clock::Moment;
+use rand::{RngExt, rngs::SmallRng};
+use smallvec::SmallVec;
+
+use crate::{
+    affinity::{self, History},
+    class::Class,
+    cost::{self, Cost},
+    load::Load,
+    member::{Member, Members},
+    pool::Config,
+    request::{Model, Prefix, Request},
+    upstream::{Id, Role},
+};
+
+/// Tries to draw a candidate that serves the model before all are walked.
+const DRAWS: usize = 4;
+
+/// Seconds by which the home of an unseen prefix may be worse than the best candidate: bounded
+/// load, so that a popular prefix spreads instead of filling its home.
+const HOME_SLACK: f64 = 0.05;
+
+/// How an upstream is chosen. All but [`Policy::Affinity`] are baselines to compare with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// One after the other.
+    RoundRobin,
+    /// Uniformly at random.
+    Random,
+    /// The fewest outstanding requests of this entry alone.
+    LeastOutstanding,
+    /// The better of two drawn at random.
+    TwoChoices,
+    /// The best of `samples` drawn at random and the `memory` best of the last decision (DRILL).
+    Drill {
+        /// Candidates drawn.
+        samples: usize,
+        /// Candidates remembered.
+        memory: usize,
+    },
+    /// The best of all by the view at hand.
+    FullScan,
+    /// The home of the prompt's first prefix, whatever its load.
+    PrefixHash,
+    /// Like `Drill`, with faded views of others and the holders of the prompt's prefix as further
+    /// candidates.
+    Affinity {
+        /// Candidates drawn.
+        samples: usize,
+        /// Candidates remembered.
+        memory: usize,
+    },
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self::Affinity {
+            samples: 2,
+            memory: 1,
+        }
+    }
+}
+
+/// What the choice is for.
+#[derive(Clone, Copy, Debug)]
+pub struct Work<'a> {
+    /// Model that must be loaded.
+    pub model: Option<&'a Model>,
+    /// Tokens to prefill there.
+    pub prompt: u32,
+    /// Tokens to generate there.
+    pub output: u32,
+    /// Prefixes of the prompt, shortest first.
+    pub prefixes: &'a [Prefix],
+    /// Roles that may do it, in no order.
+    pub roles: &'a [Role],
+    /// Upstreams that must not be chosen (tried before).
+    pub except: &'a [Id],
+}
+
+impl<'a> Work<'a> {
+    /// A whole request at one upstream.
+    pub fn whole(request: &'a Request, roles: &'a [Role], except: &'a [Id]) -> Self {
+        Self {
+            model: request.model.as_ref(),
+            prompt: request.prompt_tokens,
+            output: request.output_tokens,
+            prefixes: &request.prefixes,
+            roles,
+            except,
+        }
+    }
+}
+
+/// A chosen upstream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pick {
+    /// Position among the members.
+    pub position: usize,
+    /// Tokens of the prompt expected to be cached there.
+    pub cached: u32,
+    /// Estimated cost there.
+    pub cost: Cost,
+    /// Estimated work before it there.
+    pub load: Load,
+}
+
+/// A choice's own state: one decision engine, as DRILL calls it.
+#[derive(Clone, Debug)]
+pub struct Chooser {
+    rng: SmallRng,
+    turn: usize,
+    memory: SmallVec<[usize; 4]>,
+}
+
+/// Everything that a decision looks at, so that the steps need no long argument lists.
+struct Scene<'a> {
+    now: Moment,
+    config: &'a Config,
+    members: &'a Members,
+    history: &'a History,
+    work: &'a Work<'a>,
+    mean: Load,
+    staleness: Duration,
+}
+
+impl Chooser {
+    /// A chooser with its own random numbers.
+    pub fn new(rng: SmallRng) -> Self {
+        Self {
+            rng,
+            turn: 0,
+            memory: SmallVec::new(),
+        }
+    }
+
+    /// Forgets remembered candidates, whose positions are void once the members changed.
+    pub fn reset(&mut self) {
+        self.memory.clear();
+    }
+
+    /// Chooses an upstream, or none if no member may take the work.
+    pub fn choose(
+        &mut self,
+        now: Moment,
+        config: &Config,
+        members: &Members,
+        history: &History,
+        work: &Work<'_>,
+    ) -> Option<Pick> {
+        let scene = Scene::new(now, config, members, history, work);
+        let pick = self.by_policy(&scene)?;
+        Some(scene.with_cached(pick))
+    }
+
+    fn by_policy(&mut self, scene: &Scene<'_>) -> Option<Pick> {
+        match scene.config.policy {
+            Policy::RoundRobin => self.next(scene),
+            Policy::Random => self.draw(scene).map(|position| scene.pick(position)),
+            Policy::LeastOutstanding => self.least(scene, |member| member.ledger.own().requests),
+            Policy::TwoChoices => self.sampled(scene, 2, 0),
+            Policy::Drill { samples, memory } => self.sampled(scene, samples, memory),
+            Policy::FullScan => self.least(scene, |member| scene.cost(member, 0).busy),
+            Policy::PrefixHash => self.home(scene).or_else(|| self.next(scene)),
+            Policy::Affinity { samples, memory } => self.affine(scene, samples, memory),
+        }
+    }
+
+    /// Any member with room for the work, the first found from a random start: under load every
+    /// entry looks for room, and a common order would send all to the same one.
+    pub fn any_with_room(
+        &mut self,
+        now: Moment,
+        config: &Config,
+        members: &Members,
+        class: Class,
+        work: &Work<'_>,
+    ) -> Option<Pick> {
+        let history = History::new(1);
+        let scene = Scene::new(now, config, members, &history, work);
+        let count = scene.count();
+        if count == 0 {
+            return None;
+        }
+        let start = self.rng.random_range(0..count);
+        (0..count)
+            .map(|step| scene.candidate((start + step) % count))
+            .find(|position| scene.allows(*position) && scene.has_room(*position, class))
+            .map(|position| scene.pick(position))
+    }
+
+    fn next(&mut self, scene: &Scene<'_>) -> Option<Pick> {
+        let count = scene.count();
+        for _ in 0..count {
+            self.turn = (self.turn + 1) % count;
+            let position = scene.candidate(self.turn);
+            if scene.allows(position) {
+                return Some(scene.pick(position));
+            }
+        }
+        None
+    }
+
+    /// Draws one candidate that may take the work. After a few misses it walks on from the last
+    /// draw, so that a model that few engines have loaded is still found.
+    fn draw(&mut self, scene: &Scene<'_>) -> Option<usize> {
+        let count = scene.count();
+        if count == 0 {
+            return None;
+        }
+        let mut start = 0;
+        for _ in 0..DRAWS {
+            start = self.rng.random_range(0..count);
+            let position = scene.candidate(start);
+            if scene.allows(position) {
+                return Some(position);
+            }
+        }
+        (0..count)
+            .map(|step| scene.candidate((start + step) % count))
+            .find(|position| scene.allows(*position))
+    }
+
+    /// The least of all by a measure, ties broken at random: a fixed order among equals would send
+    /// every entry to the same one.
+    fn least(&mut self, scene: &Scene<'_>, measure: impl Fn(&Member) -> f64) -> Option<Pick> {
+        let count = scene.count();
+        if count == 0 {
+            return None;
+        }
+        let start = self.rng.random_range(0..count);
+        let mut best: Option<(f64, usize)> = None;
+        for step in 0..count {
+            let position = scene.candidate((start + step) % count);
+            if !scene.allows(position) {
+                continue;
+            }
+            let value = measure(scene.members.at(position));
+            if best.is_none_or(|(least, _)| value < least) {
+                best = Some((value, position));
+            }
+        }
+        best.map(|(_, position)| scene.pick(position))
+    }
+
+    fn sampled(&mut self, scene: &Scene<'_>, samples: usize, memory: usize) -> Option<Pick> {
+        let mut picks: SmallVec<[Pick; 8]> = SmallVec::new();
+        self.gather(scene, samples, &mut picks);
+        self.remember(&mut picks, memory);
+        picks.first().copied()
+    }
+
+    /// Draws candidates and adds the remembered ones that still may take work.
+    fn gather(&mut self, scene: &Scene<'_>, samples: usize, picks: &mut SmallVec<[Pick; 8]>) {
+        let remembered = std::mem::take(&mut self.memory);
+        for position in remembered {
+            if position < scene.members.list().len() && scene.ready(position) {
+                push(picks, scene, position);
+            }
+        }
+        for _ in 0..samples {
+            if let Some(position) = self.draw(scene) {
+                push(picks, scene, position);
+            }
+        }
+    }
+
+    /// Sorts the candidates, best first, and remembers the best.
+    fn remember(&mut self, picks: &mut SmallVec<[Pick; 8]>, memory: usize) {
+        picks.sort_by(|a, b| a.cost.busy.total_cmp(&b.cost.busy));
+        self.memory = picks
+            .iter()
+            .take(memory)
+            .map(|pick| pick.position)
+            .collect();
+    }
+
+    fn affine(&mut self, scene: &Scene<'_>, samples: usize, memory: usize) -> Option<Pick> {
+        let mut picks: SmallVec<[Pick; 8]> = SmallVec::new();
+        self.gather(scene, samples, &mut picks);
+        self.remember(&mut picks, memory);
+        let best = picks.first().copied()?;
+        let holder = scene.holder();
+        if let Some(holder) = holder
+            && holder.cost.busy <= best.cost.busy
+        {
+            return Some(holder);
+        }
+        if holder.is_some() || scene.work.prefixes.is_empty() {
+            return Some(best);
+        }
+        let home = self.home(scene);
+        let near = home.filter(|home| home.cost.busy <= best.cost.busy + HOME_SLACK);
+        Some(near.unwrap_or(best))
+    }
+
+    /// The home of the prompt's first prefix by rendezvous hashing.
+    fn home(&self, scene: &Scene<'_>) -> Option<Pick> {
+        let prefix = scene.work.prefixes.first()?;
+        let mut best: Option<(u64, usize)> = None;
+        for index in 0..scene.count() {
+            let position = scene.candidate(index);
+            if !scene.allows(position) {
+                continue;
+            }
+            let weight = affinity::rendezvous(prefix.hash, scene.members.at(position).seed);
+            if best.is_none_or(|(most, _)| weight > most) {
+                best = Some((weight, position));
+            }
+        }
+        best.map(|(_, position)| scene.pick(position))
+    }
+}
+
+fn push(picks: &mut SmallVec<[Pick; 8]>, scene: &Scene<'_>, position: usize) {
+    if !picks.iter().any(|pick| pick.position == position) {
+        picks.push(scene.pick(position));
+    }
+}
+
+impl<'a> Scene<'a> {
+    fn new(
+        now: Moment,
+        config: &'a Config,
+        members: &'a Members,
+        history: &'a History,
+        work: &'a Work<'a>,
+    ) -> Self {
+        let staleness = match config.policy {
+            Policy::Affinity { .. } => config.staleness,
+            _ => Duration::MAX,
+        };
+        Self {
+            now,
+            config,
+            members,
+            history,
+            work,
+            mean: members.mean(),
+            staleness,
+        }
+    }
+
+    /// Number of members that take work in one of the roles.
+    fn count(&self) -> usize {
+        let roles = self.work.roles.iter();
+        roles.map(|role| self.members.ready(*role).len()).sum()
+    }
+
+    /// The position of the `index`-th of these.
+    fn candidate(&self, mut index: usize) -> usize {
+        for role in self.work.roles {
+            let ready = self.members.ready(*role);
+            if index < ready.len() {
+                return ready[index];
+            }
+            index -= ready.len();
+        }
+        0
+    }
+
+    /// Whether a member that takes work may take this one.
+    fn allows(&self, position: usize) -> bool {
+        let member = self.members.at(position);
+        member.serves(self.work.model) && !self.work.except.contains(&member.view.id)
+    }
+
+    /// Whether any member may take this work: for positions that were not drawn from the ready ones.
+    fn ready(&self, position: usize) -> bool {
+        let member = self.members.at(position);
+        let ready = self.members.ready(member.view.role);
+        self.work.roles.contains(&member.view.role)
+            && ready.binary_search(&position).is_ok()
+            && self.allows(position)
+    }
+
+    fn load(&self, member: &Member) -> Load {
+        member.ledger.estimate(self.now, self.mean, self.staleness)
+    }
+
+    fn has_room(&self, position: usize, class: Class) -> bool {
+        let member = self.members.at(position);
+        member
+            .window
+            .has_room(class, &member.speed, self.load(member))
+    }
+
+    fn cost(&self, member: &Member, cached: u32) -> Cost {
+        let load = self.load(member);
+        let prompt = f64::from(self.work.prompt.saturating_sub(cached));
+        let mut cost = cost::cost(&member.pace(), load, prompt, f64::from(self.work.output));
+        let share = member.share(self.now, self.config.slow_start);
+        let distance = 2.0 * member.view.distance.as_secs_f64();
+        cost.first_token = cost.first_token / share + distance;
+        cost.busy = cost.busy / share + distance;
+        cost
+    }
+
+    fn pick(&self, position: usize) -> Pick {
+        self.pick_cached(position, 0)
+    }
+
+    fn pick_cached(&self, position: usize, cached: u32) -> Pick {
+        let member = self.members.at(position);
+        Pick {
+            position,
+            cached,
+            cost: self.cost(member, cached),
+            load: self.load(member),
+        }
+    }
+
+    /// Fills in what is expected to be cached at a pick that was made without regard to it.
+    fn with_cached(&self, pick: Pick) -> Pick {
+        if pick.cached > 0 || self.work.prefixes.is_empty() {
+            return pick;
+        }
+        let id = &self.members.at(pick.position).view.id;
+        let hits = self.history.find(self.work.prefixes);
+        let hit = hits.iter().find(|hit| hit.upstream == *id);
+        hit.map_or(pick, |hit| self.pick_cached(pick.position, hit.tokens))
+    }
+
+    /// The better of the upstreams that probably hold part of the prompt.
+    fn holder(&self) -> Option<Pick> {
+        let mut best: Option<Pick> = None;
+        for hit in self.history.find(self.work.prefixes) {
+            let Some(position) = self.members.position(&hit.upstream) else {
+                continue;
+            };
+            if !self.ready(position) {
+                continue;
+            }
+            let pick = self.pick_cached(position, hit.tokens);
+            if best.is_none_or(|best| pick.cost.busy < best.cost.busy) {
+                best = Some(pick);
+            }
+        }
+        best
+    }
+}
--- /dev/null
+++ b/crates/routing/src/load.rs
@@ -0,0 +1,81 @@
+//! Work that stands before an upstream, as three counters that add up.
+
+use std::ops::{Add, AddAssign, Mul, Sub};
+
+/// Outstanding work. The fields are real numbers because aged and averaged views are fractions.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Requests that were sent and are not finished.
+    pub requests: f64,
+    /// Prompt tokens still to be processed.
+    pub prefill: f64,
+    /// Answer tokens still to be generated.
+    pub decode: f64,
+}
+
+impl Load {
+    /// The load of one request.
+    pub fn of(prompt: u32, output: u32) -> Self {
+        Self {
+            requests: 1.0,
+            prefill: f64::from(prompt),
+            decode: f64::from(output),
+        }
+    }
+
+    /// The same with nothing below zero; differences of stale views may come out negative.
+    pub fn floor(self) -> Self {
+        Self {
+            requests: self.requests.max(0.0),
+            prefill: self.prefill.max(0.0),
+            decode: self.decode.max(0.0),
+        }
+    }
+
+    /// A point between `self` (0) and `other` (1).
+    pub fn toward(self, other: Self, share: f64) -> Self {
+        self + (other - self) * share
+    }
+}
+
+impl Add for Load {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            requests: self.requests + other.requests,
+            prefill: self.prefill + other.prefill,
+            decode: self.decode + other.decode,
+        }
+    }
+}
+
+impl AddAssign for Load {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl Sub for Load {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        Self {
+            requests: self.requests - other.requests,
+            prefill: self.prefill - other.prefill,
+            decode: self.decode - other.decode,
+        }
+    }
+}
+
+impl Mul<f64> for Load {
+    type Output = Self;
+
+    fn mul(self, factor: f64) -> Self {
+        Self {
+            requests: self.requests * factor,
+            prefill: self.prefill * factor,
+            decode: self.decode * factor,
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/src/member.rs
@@ -0,0 +1,243 @@
+//! The upstreams of one pool with what is believed about each.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use clock::Moment;
+
+use crate::{
+    affinity,
+    class::Class,
+    cost::CHUNK_SHARE,
+    ledger::Ledger,
+    load::Load,
+    pool::{Config, Speed},
+    request::Model,
+    upstream::{Health, Id, Report, Role, View},
+    window::Window,
+};
+
+/// Share of its speed at which a new upstream starts.
+const SLOW_START_FLOOR: f64 = 0.1;
+
+/// One upstream and the belief about it.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// What the entry says of it.
+    pub view: View,
+    /// Work before it.
+    pub ledger: Ledger,
+    /// Its speed, from its reports where there are any.
+    pub speed: Speed,
+    /// Seed of its rendezvous weights.
+    pub seed: u64,
+    /// How much work may stand before it.
+    pub window: Window,
+}
+
+impl Member {
+    fn new(view: View, speed: Speed) -> Self {
+        Self {
+            seed: affinity::seed(&view.id),
+            view,
+            ledger: Ledger::default(),
+            speed,
+            window: Window::new(speed.slots),
+        }
+    }
+
+    /// Whether new work may go there at all.
+    pub fn takes_work(&self) -> bool {
+        self.view.open
+            && self.view.health != Health::Down
+            && !self.ledger.report().is_some_and(|report| report.draining)
+    }
+
+    /// Whether the model is loaded.
+    pub fn serves(&self, model: Option<&Model>) -> bool {
+        match model {
+            None => true,
+            Some(model) => self.view.models.is_empty() || self.view.models.contains(model),
+        }
+    }
+
+    /// Its speed in its role: a decode engine prefills in the room beside its decodes only.
+    pub fn pace(&self) -> Speed {
+        let chunked = self.view.role == Role::Decode;
+        Speed {
+            prefill_rate: self.speed.prefill_rate * if chunked { CHUNK_SHARE } else { 1.0 },
+            ..self.speed
+        }
+    }
+
+    /// Whether a request of this class finds room beside the estimated load.
+    pub fn has_room(&self, class: Class, load: Load) -> bool {
+        self.window.has_room(class, &self.pace(), load)
+    }
+
+    /// Share of its speed that is counted on at this moment (slow start).
+    pub fn share(&self, now: Moment, slow_start: Duration) -> f64 {
+        let up = now.saturating_sub(self.view.up_since);
+        if up >= slow_start {
+            return 1.0;
+        }
+        let grown = up.as_secs_f64() / slow_start.as_secs_f64();
+        grown.max(SLOW_START_FLOOR)
+    }
+}
+
+/// All upstreams of a pool.
+#[derive(Clone, Debug)]
+pub struct Members {
+    list: Vec<Member>,
+    index: HashMap<Id, usize>,
+    /// Positions of those that take work, by role.
+    ready: [Vec<usize>; 3],
+    /// Mean of what others have before an upstream.
+    mean: Load,
+}
+
+impl Members {
+    /// No upstreams.
+    pub fn new() -> Self {
+        Self {
+            list: Vec::new(),
+            index: HashMap::new(),
+            ready: Default::default(),
+            mean: Load::default(),
+        }
+    }
+
+    /// Replaces the upstreams. Belief about those that stay is kept.
+    pub fn set(&mut self, config: &Config, views: Vec<View>) {
+        let mut old: HashMap<Id, Member> = self
+            .list
+            .drain(..)
+            .map(|member| (member.view.id.clone(), member))
+            .collect();
+        for view in views {
+            let member = match old.remove(&view.id) {
+                None => Member::new(view, config.speed),
+                Some(known) => Member { view, ..known },
+            };
+            self.list.push(member);
+        }
+        self.list.sort_by(|a, b| a.view.id.cmp(&b.view.id));
+        self.list.dedup_by(|a, b| a.view.id == b.view.id);
+        self.index = self
+            .list
+            .iter()
+            .enumerate()
+            .map(|(position, member)| (member.view.id.clone(), position))
+            .collect();
+        self.refresh();
+    }
+
+    /// All upstreams in the order of their ids.
+    pub fn list(&self) -> &[Member] {
+        &self.list
+    }
+
+    /// The upstream at a position.
+    pub fn at(&self, position: usize) -> &Member {
+        &self.list[position]
+    }
+
+    /// The position of an upstream.
+    pub fn position(&self, id: &str) -> Option<usize> {
+        self.index.get(id).copied()
+    }
+
+    /// Positions of those of a role that take new work.
+    pub fn ready(&self, role: Role) -> &[usize] {
+        &self.ready[role as usize]
+    }
+
+    /// Mean of what others have before an upstream, towards which stale views fade.
+    pub fn mean(&self) -> Load {
+        self.mean
+    }
+
+    /// The upstream of this id for changes, if it is still there.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Member> {
+        let position = self.position(id)?;
+        Some(&mut self.list[position])
+    }
+
+    /// Takes in a load report.
+    pub fn report(&mut self, id: &str, report: Report) {
+        let Some(position) = self.position(id) else {
+            return;
+        };
+        let member = &mut self.list[position];
+        let drained = member.ledger.report().is_some_and(|last| last.draining);
+        if !member.ledger.take_report(report) {
+            return;
+        }
+        member.window.adapt(&report);
+        if report.prefill_rate > 0.0 {
+            member.speed.prefill_rate = report.prefill_rate;
+        }
+        if report.decode_slots > 0 {
+            member.speed.slots = report.decode_slots;
+        }
+        if drained != report.draining {
+            self.refresh();
+        }
+    }
+
+    /// Takes in what the peers have before each upstream, true at `at`.
+    pub fn take_peers(&mut self, at: Moment, load: impl Fn(&str) -> Load) {
+        for member in &mut self.list {
+            let load = load(&member.view.id);
+            member.ledger.take_peers(at, load);
+        }
+    }
+
+    /// Recomputes the mean over all members' views of others; called from time to time and not per
+    /// report, because it walks over the pool.
+    pub fn average(&mut self, now: Moment) {
+        let mut sum = Load::default();
+        let mut known = 0.0;
+        for member in &self.list {
+            if let Some((load, _)) = member.ledger.others(now) {
+                sum += load;
+                known += 1.0;
+            }
+        }
+        self.mean = if known > 0.0 {
+            sum * (1.0 / known)
+        } else {
+            Load::default()
+        };
+    }
+
+    fn refresh(&mut self) {
+        for ready in &mut self.ready {
+            ready.clear();
+        }
+        for (position, member) in self.list.iter().enumerate() {
+            if member.takes_work() && member.view.health == Health::Up {
+                self.ready[member.view.role as usize].push(position);
+            }
+        }
+        if self.ready.iter().all(Vec::is_empty) {
+            self.admit_suspects();
+        }
+    }
+
+    /// Opens suspects when nothing else is left: a doubtful upstream is better than a sure refusal.
+    fn admit_suspects(&mut self) {
+        for (position, member) in self.list.iter().enumerate() {
+            if member.takes_work() {
+                self.ready[member.view.role as usize].push(position);
+            }
+        }
+    }
+}
+
+impl Default for Members {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/routing/src/peers.rs
@@ -0,0 +1,63 @@
+//! What the other entries have before each upstream.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+use clock::Moment;
+
+use crate::{load::Load, member::Members, upstream};
+
+/// Instance id of a peer.
+pub type Id = Arc<str>;
+
+/// Work of one entry before one upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outstanding {
+    /// Upstream.
+    pub upstream: upstream::Id,
+    /// Work there.
+    pub load: Load,
+}
+
+/// The newest frame of a peer.
+#[derive(Clone, Debug)]
+struct Frame {
+    at: Moment,
+    work: Vec<Outstanding>,
+}
+
+/// The newest frames of all peers.
+#[derive(Clone, Debug, Default)]
+pub struct Peers {
+    frames: BTreeMap<Id, Frame>,
+}
+
+impl Peers {
+    /// Takes in a frame; an older one than the last is dropped.
+    pub fn take(&mut self, peer: &str, at: Moment, work: Vec<Outstanding>) {
+        if self.frames.get(peer).is_some_and(|last| last.at > at) {
+            return;
+        }
+        self.frames.insert(peer.into(), Frame { at, work });
+    }
+
+    /// Forgets a peer that is gone; its work is counted no more.
+    pub fn forget(&mut self, peer: &str) {
+        self.frames.remove(peer);
+    }
+
+    /// Writes the sums into the ledgers. Their age is that of the oldest frame: a sum with a silent
+    /// peer in it is as stale as that peer, and reports take over.
+    pub fn apply(&self, now: Moment, members: &mut Members) {
+        let Some(oldest) = self.frames.values().map(|frame| frame.at).min() else {
+            return;
+        };
+        let mut sums: HashMap<&str, Load> = HashMap::new();
+        for work in self.frames.values().flat_map(|frame| &frame.work) {
+            *sums.entry(&work.upstream).or_default() += work.load;
+        }
+        members.take_peers(now.min(oldest), |id| {
+            sums.get(id).copied().unwrap_or_default()
+        });
+    }
+}
--- /dev/null
+++ b/crates/routing/src/rate.rs
@@ -0,0 +1,51 @@
+//! Events a second, smoothed.
+
+use std::time::Duration;
+
+use clock::Moment;
+
+/// An exponentially weighted rate. It needs no buckets: the sum decays with the time since the last
+/// event.
+#[derive(Clone, Copy, Debug)]
+pub struct Rate {
+    sum: f64,
+    at: Moment,
+    start: Moment,
+    window: Duration,
+}
+
+impl Rate {
+    /// A rate over about `window`.
+    pub fn new(now: Moment, window: Duration) -> Self {
+        Self {
+            sum: 0.0,
+            at: now,
+            start: now,
+            window,
+        }
+    }
+
+    /// Counts `amount` now.
+    pub fn note(&mut self, now: Moment, amount: f64) {
+        self.sum = self.decayed(now) + amount;
+        self.at = now.max(self.at);
+    }
+
+    /// Amount a second. In the first window the sum is divided by the time that it really covers, so
+    /// that a rate is not taken for low only because it is young.
+    pub fn per_second(&self, now: Moment) -> f64 {
+        let window = self.window.as_secs_f64();
+        let age = now.saturating_sub(self.start).as_secs_f64();
+        let covered = window * (1.0 - (-age / window).exp());
+        let least = window * YOUNG;
+        self.decayed(now) / covered.max(least)
+    }
+
+    fn decayed(&self, now: Moment) -> f64 {
+        let age = now.saturating_sub(self.at).as_secs_f64();
+        self.sum * (-age / self.window.as_secs_f64()).exp()
+    }
+}
+
+/// Share of the window below which a rate's age is not believed.
+const YOUNG: f64 = 0.1;
--- /dev/null
+++ b/crates/routing/src/router.rs
@@ -0,0 +1,486 @@
+//! All decisions of one process as one aggregate, to be kept behind one lock.
+//!
+//! Every call is short. Requests that waited and may go are told by [`Router::tick`] and by
+//! [`Router::finished`]; the entry calls `tick` every [`TICK`] and after [`Router::failed`],
+//! [`Router::report`] and [`Router::set_upstreams`], which may have made room.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use clock::Moment;
+use rand::{SeedableRng, rngs::SmallRng};
+use smallvec::SmallVec;
+
+use crate::{
+    admission::{Waiting, expected_wait},
+    class::Class,
+    decision::{Attempt, Decision, Next, Output, Progress, Ran, Reason, Refusal, Sending, Ticket},
+    holding::Holding,
+    peers::{Outstanding, Peers},
+    pool::{self, Config},
+    request::Request,
+    retry::{self, Budget},
+    scheduler::{Blocked, Scheduler},
+    split::Placement,
+    upstream::{Report, View},
+};
+
+/// How often the entry calls [`Router::tick`] at least.
+pub const TICK: Duration = Duration::from_millis(20);
+
+/// Time between two sweeps over the queue for requests whose deadline cannot be met any more.
+const SWEEP_EVERY: Duration = Duration::from_millis(100);
+
+/// Outputs of one call; mostly none or one.
+pub type Outputs = SmallVec<[Output; 2]>;
+
+/// Settings of a router that are not a pool's.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Settings {
+    /// Retries.
+    pub retry: retry::Config,
+}
+
+/// An attempt in hand.
+#[derive(Clone, Debug)]
+struct Running {
+    waiting: Waiting,
+    holding: Holding,
+}
+
+/// A retry that waits for its backoff.
+#[derive(Clone, Debug)]
+struct Backoff {
+    ticket: Ticket,
+    waiting: Waiting,
+}
+
+/// The decisions of one process.
+#[derive(Clone, Debug)]
+pub struct Router {
+    rng: SmallRng,
+    pools: BTreeMap<pool::Id, Scheduler>,
+    running: HashMap<Attempt, Running>,
+    backoffs: BTreeMap<(Moment, Ticket), Backoff>,
+    /// Pool of each waiting request.
+    tickets: HashMap<Ticket, pool::Id>,
+    peers: Peers,
+    budget: Budget,
+    last_number: u64,
+    last_sweep: Moment,
+}
+
+impl Router {
+    /// A router without pools. The seed makes its random choices; give each process another.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        Self {
+            rng: SmallRng::seed_from_u64(seed),
+            pools: BTreeMap::new(),
+            running: HashMap::new(),
+            backoffs: BTreeMap::new(),
+            tickets: HashMap::new(),
+            peers: Peers::default(),
+            budget: Budget::new(settings.retry),
+            last_number: 0,
+            last_sweep: Moment::ZERO,
+        }
+    }
+
+    /// Replaces the pools. What waits for a pool that is gone is refused by the next tick.
+    pub fn set_pools(&mut self, now: Moment, configs: Vec<Config>) {
+        let mut old = std::mem::take(&mut self.pools);
+        for config in configs {
+            let id = config.id.clone();
+            let pool = match old.remove(&id) {
+                None => Scheduler::new(now, config, &mut self.rng),
+                Some(mut pool) => {
+                    pool.configure(config);
+                    pool
+                }
+            };
+            self.pools.insert(id, pool);
+        }
+    }
+
+    /// Replaces the upstreams of a pool. An upstream that is missing gets no new work; attempts
+    /// there go on until the entry says otherwise.
+    pub fn set_upstreams(&mut self, now: Moment, pool: &str, views: Vec<View>) {
+        let Some(pool) = self.pools.get_mut(pool) else {
+            return;
+        };
+        pool.set_upstreams(views);
+        self.peers.apply(now, &mut pool.members);
+    }
+
+    /// Decides about a new request.
+    pub fn admit(&mut self, now: Moment, request: Request) -> Decision {
+        self.budget.earn();
+        if !self.pools.contains_key(&request.pool) {
+            return self.refuse(Reason::NoPool, Duration::ZERO);
+        }
+        self.enter(now, Waiting::new(request))
+    }
+
+    /// Takes back a waiting request because its caller is gone.
+    pub fn give_up(&mut self, ticket: Ticket) {
+        if let Some(pool) = self.tickets.remove(&ticket)
+            && let Some(pool) = self.pools.get_mut(&pool)
+            && pool.queue.remove(ticket).is_some()
+        {
+            return;
+        }
+        self.backoffs.retain(|_, backoff| backoff.ticket != ticket);
+    }
+
+    /// Takes in a sign of life of an attempt.
+    pub fn progress(&mut self, now: Moment, attempt: Attempt, progress: Progress) {
+        let Some(running) = self.running.get_mut(&attempt) else {
+            return;
+        };
+        let Some(pool) = self.pools.get_mut(&running.waiting.request.pool) else {
+            return;
+        };
+        match progress {
+            Progress::Prefilled => running.holding.prefilled(now, pool),
+            Progress::Tokens(count) => running.holding.generated(now, pool, count),
+        }
+    }
+
+    /// The KV transfer of an attempt failed: its answering upstream prefills as well. The entry
+    /// sends it there as a plain request.
+    pub fn together(&mut self, now: Moment, attempt: Attempt) {
+        let Some(running) = self.running.get_mut(&attempt) else {
+            return;
+        };
+        let request = &running.waiting.request;
+        if let Some(pool) = self.pools.get_mut(&request.pool) {
+            running.holding.rejoin(now, pool, request.prompt_tokens);
+        }
+    }
+
+    /// An attempt ended: answered, or cancelled because the caller is gone.
+    pub fn finished(&mut self, now: Moment, attempt: Attempt) -> Outputs {
+        let mut outputs = Outputs::new();
+        if let Some(running) = self.release(now, attempt) {
+            self.serve(now, &running.waiting.request.pool, &mut outputs);
+        }
+        outputs
+    }
+
+    /// An attempt failed before the caller got any of the answer.
+    pub fn failed(&mut self, now: Moment, attempt: Attempt, ran: Ran) -> Next {
+        let Some(mut running) = self.release(now, attempt) else {
+            return Next::Final;
+        };
+        let waiting = &mut running.waiting;
+        waiting.attempts += 1;
+        waiting.tried.push(running.holding.upstream);
+        let safe = ran == Ran::No || waiting.request.repeatable;
+        if !safe || !self.budget.take(waiting.attempts) {
+            return Next::Final;
+        }
+        let due = now + self.budget.backoff(&mut self.rng, waiting.attempts);
+        if due >= waiting.request.deadline {
+            return Next::Final;
+        }
+        let ticket = self.number();
+        let waiting = running.waiting;
+        self.backoffs
+            .insert((due, ticket), Backoff { ticket, waiting });
+        Next::Wait(ticket)
+    }
+
+    /// Takes in a load report of an engine.
+    pub fn report(&mut self, pool: &str, upstream: &str, report: Report) {
+        if let Some(pool) = self.pools.get_mut(pool) {
+            pool.members.report(upstream, report);
+        }
+    }
+
+    /// Takes in that an engine evicted a prefix.
+    pub fn evicted(&mut self, pool: &str, upstream: &str, prefix: u64) {
+        if let Some(pool) = self.pools.get_mut(pool) {
+            pool.evict(upstream, prefix);
+        }
+    }
+
+    /// Takes in a peer's outstanding work, true at `at` on this entry's clock.
+    pub fn peers(&mut self, now: Moment, peer: &str, at: Moment, work: Vec<Outstanding>) {
+        self.peers.take(peer, at, work);
+        for pool in self.pools.values_mut() {
+            self.peers.apply(now, &mut pool.members);
+        }
+    }
+
+    /// Forgets a peer that is known to be gone.
+    pub fn peer_gone(&mut self, peer: &str) {
+        self.peers.forget(peer);
+    }
+
+    /// Own outstanding work, for the peers.
+    pub fn outstanding(&self) -> Vec<Outstanding> {
+        let members = self.pools.values().flat_map(|pool| pool.members.list());
+        members
+            .filter(|member| member.ledger.own().requests > 0.0)
+            .map(|member| Outstanding {
+                upstream: member.view.id.clone(),
+                load: member.ledger.own(),
+            })
+            .collect()
+    }
+
+    /// Requests in hand at an upstream, to be confirmed before a planned change.
+    pub fn open(&self, upstream: &str) -> u32 {
+        let runs = |running: &&Running| running.holding.touches(upstream);
+        let count = self.running.values().filter(runs).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Requests that wait for a pool.
+    pub fn waiting(&self, pool: &str) -> usize {
+        self.pools.get(pool).map_or(0, |pool| pool.queue.len())
+    }
+
+    /// Lets time pass: backoffs that are over, room that came free, deadlines that cannot be met.
+    pub fn tick(&mut self, now: Moment) -> Outputs {
+        let mut outputs = Outputs::new();
+        self.resume(now, &mut outputs);
+        let sweep = now.saturating_sub(self.last_sweep) >= SWEEP_EVERY;
+        let pools: SmallVec<[pool::Id; 4]> = self.pools.keys().cloned().collect();
+        for pool in &pools {
+            if sweep {
+                self.sweep(now, pool, &mut outputs);
+            }
+            self.serve(now, pool, &mut outputs);
+        }
+        if sweep {
+            self.last_sweep = now;
+            self.refuse_orphans(&mut outputs);
+        }
+        outputs
+    }
+
+    /// Sends, queues or refuses.
+    fn enter(&mut self, now: Moment, waiting: Waiting) -> Decision {
+        let pool_id = waiting.request.pool.clone();
+        let Some(pool) = self.pools.get_mut(&pool_id) else {
+            return self.refuse(Reason::NoPool, Duration::ZERO);
+        };
+        let request = &waiting.request;
+        if now + pool.least_time(request) > request.deadline {
+            return self.refuse(Reason::Deadline, Duration::ZERO);
+        }
+        let blocked =
+            !request.class.is_urgent() && pool.queue.blocks(request.class, request.model.as_ref());
+        let placed = match blocked {
+            true => Err(Blocked::NoRoom),
+            false => pool.place(now, &waiting),
+        };
+        match placed {
+            Ok(placement) => match self.send(now, waiting, &placement) {
+                Some(sending) => Decision::Send(sending),
+                None => self.refuse(Reason::NoPool, Duration::ZERO),
+            },
+            Err(Blocked::NoUpstream) => self.refuse(Reason::NoUpstream, Duration::ZERO),
+            Err(Blocked::NoRoom) => self.queue(now, waiting),
+        }
+    }
+
+    fn queue(&mut self, now: Moment, waiting: Waiting) -> Decision {
+        let pool_id = waiting.request.pool.clone();
+        let class = waiting.request.class;
+        let Some(pool) = self.pools.get_mut(&pool_id) else {
+            return self.refuse(Reason::NoPool, Duration::ZERO);
+        };
+        let ahead = pool.queue.ahead(class) as f64;
+        let wait = expected_wait(ahead, pool.served.per_second(now));
+        if now + wait + pool.least_time(&waiting.request) > waiting.request.deadline {
+            return self.refuse(Reason::Deadline, wait);
+        }
+        if pool.queue.is_full() && pool.queue.victim(class).is_none() {
+            return self.refuse(Reason::Overload(class), wait);
+        }
+        let ticket = self.number();
+        self.hold_back(pool_id, ticket, waiting);
+        Decision::Wait(ticket)
+    }
+
+    /// Puts a request into its queue. One of a lower class that no longer fits is refused by the
+    /// next tick.
+    fn hold_back(&mut self, pool_id: pool::Id, ticket: Ticket, waiting: Waiting) {
+        if let Some(pool) = self.pools.get_mut(&pool_id) {
+            pool.queue.push(ticket, waiting);
+            self.tickets.insert(ticket, pool_id);
+        }
+    }
+
+    /// Sends waiting requests in order of service as long as there is room.
+    fn serve(&mut self, now: Moment, pool_id: &pool::Id, outputs: &mut Outputs) {
+        self.shed(now, pool_id, outputs);
+        while let Some((ticket, placement)) = self.next_to_send(now, pool_id) {
+            let Some(pool) = self.pools.get_mut(pool_id) else {
+                return;
+            };
+            let Some(waiting) = pool.queue.remove(ticket) else {
+                return;
+            };
+            self.tickets.remove(&ticket);
+            if let Some(sending) = self.send(now, waiting, &placement) {
+                outputs.push(Output::Send { ticket, sending });
+            }
+        }
+    }
+
+    fn next_to_send(&mut self, now: Moment, pool_id: &pool::Id) -> Option<(Ticket, Placement)> {
+        let pool = self.pools.get_mut(pool_id)?;
+        if pool.queue.is_empty() {
+            return None;
+        }
+        for (_, ticket) in pool.queue.heads() {
+            let Some(waiting) = pool.queue.get(ticket).cloned() else {
+                continue;
+            };
+            if let Ok(placement) = pool.place(now, &waiting) {
+                return Some((ticket, placement));
+            }
+        }
+        None
+    }
+
+    /// Refuses what is beyond the queue's bound, lowest class first.
+    fn shed(&mut self, now: Moment, pool_id: &pool::Id, outputs: &mut Outputs) {
+        loop {
+            let Some(pool) = self.pools.get_mut(pool_id) else {
+                return;
+            };
+            if !pool.queue.is_over() {
+                return;
+            }
+            let Some(ticket) = pool.queue.victim(Class::Authorisation) else {
+                return;
+            };
+            let class = pool.queue.get(ticket).map(|waiting| waiting.request.class);
+            let wait = expected_wait(pool.queue.len() as f64, pool.served.per_second(now));
+            let reason = class.map_or(Reason::NoPool, Reason::Overload);
+            self.refuse_waiting(ticket, reason, wait, outputs);
+        }
+    }
+
+    /// Refuses what cannot meet its deadline any more.
+    fn sweep(&mut self, now: Moment, pool_id: &pool::Id, outputs: &mut Outputs) {
+        let Some(pool) = self.pools.get_mut(pool_id) else {
+            return;
+        };
+        pool.members.average(now);
+        if pool.queue.is_empty() {
+            return;
+        }
+        let per_second = pool.served.per_second(now);
+        let gone = pool
+            .queue
+            .hopeless(now, per_second, |request| pool.least_time(request));
+        let wait = expected_wait(pool.queue.len() as f64, per_second);
+        for ticket in gone {
+            self.refuse_waiting(ticket, Reason::Deadline, wait, outputs);
+        }
+    }
+
+    /// Takes up retries whose backoff is over.
+    fn resume(&mut self, now: Moment, outputs: &mut Outputs) {
+        while let Some(entry) = self.backoffs.first_entry() {
+            if entry.key().0 > now {
+                return;
+            }
+            let Backoff { ticket, waiting } = entry.remove();
+            match self.enter(now, waiting) {
+                Decision::Send(sending) => outputs.push(Output::Send { ticket, sending }),
+                Decision::Refuse(refusal) => outputs.push(Output::Refuse { ticket, refusal }),
+                Decision::Wait(new) => self.rename(new, ticket),
+            }
+        }
+    }
+
+    /// Lets a request that was queued under a new number keep the one that the entry knows.
+    fn rename(&mut self, new: Ticket, known: Ticket) {
+        let Some(pool_id) = self.tickets.remove(&new) else {
+            return;
+        };
+        let Some(pool) = self.pools.get_mut(&pool_id) else {
+            return;
+        };
+        if let Some(waiting) = pool.queue.remove(new) {
+            self.hold_back(pool_id, known, waiting);
+        }
+    }
+
+    /// Refuses what waits for a pool that is gone.
+    fn refuse_orphans(&mut self, outputs: &mut Outputs) {
+        let gone = |(_, pool): &(&Ticket, &pool::Id)| !self.pools.contains_key(*pool);
+        let mut orphans: Vec<Ticket> = self
+            .tickets
+            .iter()
+            .filter(gone)
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        orphans.sort_unstable();
+        for ticket in orphans {
+            self.refuse_waiting(ticket, Reason::NoPool, Duration::ZERO, outputs);
+        }
+    }
+
+    fn refuse_waiting(
+        &mut self,
+        ticket: Ticket,
+        reason: Reason,
+        wait: Duration,
+        outputs: &mut Outputs,
+    ) {
+        if let Some(pool) = self.tickets.remove(&ticket)
+            && let Some(pool) = self.pools.get_mut(&pool)
+        {
+            pool.queue.remove(ticket);
+        }
+        let refusal = self.refusal(reason, wait);
+        outputs.push(Output::Refuse { ticket, refusal });
+    }
+
+    /// Enters an attempt. None only if the pool went since the placement.
+    fn send(&mut self, now: Moment, waiting: Waiting, placement: &Placement) -> Option<Sending> {
+        let attempt = self.number();
+        let request = &waiting.request;
+        let pool = self.pools.get_mut(&request.pool)?;
+        let holding = pool.commit(now, request, placement);
+        let sending = Sending {
+            attempt,
+            upstream: holding.upstream.clone(),
+            prefill: holding.prefill.as_ref().map(|(id, _)| id.clone()),
+            priority: request.priority,
+        };
+        self.running.insert(attempt, Running { waiting, holding });
+        Some(sending)
+    }
+
+    fn release(&mut self, now: Moment, attempt: Attempt) -> Option<Running> {
+        let running = self.running.remove(&attempt)?;
+        if let Some(pool) = self.pools.get_mut(&running.waiting.request.pool) {
+            running.holding.release(now, pool);
+        }
+        Some(running)
+    }
+
+    fn refuse(&mut self, reason: Reason, wait: Duration) -> Decision {
+        Decision::Refuse(self.refusal(reason, wait))
+    }
+
+    fn refusal(&mut self, reason: Reason, wait: Duration) -> Refusal {
+        Refusal {
+            reason,
+            retry_after: self.budget.stay_away(&mut self.rng, wait),
+        }
+    }
+
+    fn number(&mut self) -> u64 {
+        self.last_number += 1;
+        self.last_number
+    }
+}
--- /dev/null
+++ b/crates/routing/src/scheduler.rs
@@ -0,0 +1,228 @@
+//! One pool at this entry: its upstreams, its queue, and the placement of one request.
+
+use std::time::Duration;
+
+use clock::Moment;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+
+use crate::{
+    admission::{Queue, Waiting},
+    affinity::History,
+    choice::{Chooser, Pick, Work},
+    holding::Holding,
+    load::Load,
+    member::Members,
+    pool::Config,
+    rate::Rate,
+    request::Request,
+    split::{self, Placement},
+    upstream::{Id, Role, View},
+};
+
+/// Prefixes remembered per pool and generation.
+const HISTORY: usize = 32_768;
+
+/// Time over which the rate is smoothed at which requests are sent.
+const SERVED_WINDOW: Duration = Duration::from_secs(5);
+
+/// Roles that run a whole request. Decode engines do so in small chunks.
+const WHOLE: [Role; 2] = [Role::Mixed, Role::Decode];
+
+/// Why a request cannot be sent now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Blocked {
+    /// No upstream takes such work.
+    NoUpstream,
+    /// All that do have enough before them.
+    NoRoom,
+}
+
+/// State of one pool.
+#[derive(Clone, Debug)]
+pub struct Scheduler {
+    /// Settings.
+    pub config: Config,
+    /// Upstreams.
+    pub members: Members,
+    /// Waiting requests.
+    pub queue: Queue,
+    /// Requests sent a second.
+    pub served: Rate,
+    chooser: Chooser,
+    history: History,
+}
+
+impl Scheduler {
+    /// A pool without upstreams.
+    pub fn new(now: Moment, config: Config, rng: &mut SmallRng) -> Self {
+        Self {
+            members: Members::new(),
+            queue: Queue::new(config.queue),
+            served: Rate::new(now, SERVED_WINDOW),
+            chooser: Chooser::new(SmallRng::seed_from_u64(rng.random())),
+            history: History::new(HISTORY),
+            config,
+        }
+    }
+
+    /// Takes new settings.
+    pub fn configure(&mut self, config: Config) {
+        self.queue.set_bound(config.queue);
+        self.config = config;
+    }
+
+    /// Replaces the upstreams.
+    pub fn set_upstreams(&mut self, views: Vec<View>) {
+        self.members.set(&self.config, views);
+        self.chooser.reset();
+    }
+
+    /// Forgets that an upstream holds a prefix.
+    pub fn evict(&mut self, upstream: &str, prefix: u64) {
+        self.history.evict(prefix, upstream);
+    }
+
+    /// Where a request would go now.
+    pub fn place(&mut self, now: Moment, waiting: &Waiting) -> Result<Placement, Blocked> {
+        let request = &waiting.request;
+        let together = self.choose(now, &Work::whole(request, &WHOLE, &waiting.tried));
+        let apart = self.apart(now, waiting);
+        let placement = split::place(&self.config, request.prompt_tokens, together, apart)
+            .ok_or(Blocked::NoUpstream)?;
+        if self.has_room(request, &placement) {
+            return Ok(placement);
+        }
+        self.elsewhere(now, waiting).ok_or(Blocked::NoRoom)
+    }
+
+    /// Enters a placement as work in hand.
+    pub fn commit(&mut self, now: Moment, request: &Request, placement: &Placement) -> Holding {
+        self.served.note(now, 1.0);
+        let whole = Load::of(request.prompt_tokens, request.output_tokens);
+        match placement {
+            Placement::Together(pick) => {
+                let load = Load {
+                    prefill: whole.prefill - f64::from(pick.cached),
+                    ..whole
+                };
+                self.hold(now, request, pick, load, None)
+            }
+            Placement::Apart { prefill, decode } => {
+                let front = Load {
+                    prefill: whole.prefill - f64::from(prefill.cached),
+                    decode: 0.0,
+                    ..whole
+                };
+                let back = Load {
+                    prefill: 0.0,
+                    ..whole
+                };
+                let id = self.enter(now, prefill.position, front);
+                self.history.note(&request.prefixes, &id);
+                self.hold(now, request, decode, back, Some((id, front)))
+            }
+        }
+    }
+
+    /// Takes work out of an upstream's ledger.
+    pub fn release(&mut self, now: Moment, upstream: &str, load: Load) {
+        if let Some(member) = self.members.get_mut(upstream) {
+            member.ledger.remove(now, load);
+        }
+    }
+
+    /// Puts work into an upstream's ledger.
+    pub fn charge(&mut self, now: Moment, upstream: &str, load: Load) {
+        if let Some(member) = self.members.get_mut(upstream) {
+            member.ledger.add(now, load);
+        }
+    }
+
+    /// Least time to the first token of a request, with nothing before it.
+    pub fn least_time(&self, request: &Request) -> Duration {
+        let seconds = f64::from(request.prompt_tokens) / self.config.speed.prefill_rate;
+        // A cached prompt is faster still, so that half of it is all that may be taken for sure.
+        Duration::from_secs_f64((seconds / 2.0).max(0.0))
+    }
+
+    fn choose(&mut self, now: Moment, work: &Work<'_>) -> Option<Pick> {
+        self.chooser
+            .choose(now, &self.config, &self.members, &self.history, work)
+    }
+
+    fn apart(&mut self, now: Moment, waiting: &Waiting) -> Option<(Pick, Pick)> {
+        let request = &waiting.request;
+        if !split::is_possible(&self.config, request.prompt_tokens)
+            || self.members.ready(Role::Prefill).is_empty()
+        {
+            return None;
+        }
+        let whole = Work::whole(request, &[Role::Prefill], &waiting.tried);
+        let prefill = self.choose(now, &Work { output: 0, ..whole })?;
+        let decode = self.choose(now, &decode_work(request, &waiting.tried))?;
+        Some((prefill, decode))
+    }
+
+    fn has_room(&self, request: &Request, placement: &Placement) -> bool {
+        let fits = |pick: &Pick| {
+            let member = self.members.at(pick.position);
+            member.has_room(request.class, pick.load)
+        };
+        match placement {
+            Placement::Together(pick) => fits(pick),
+            Placement::Apart { prefill, decode } => fits(prefill) && fits(decode),
+        }
+    }
+
+    /// Looks for any place with room when the preferred one has none.
+    fn elsewhere(&mut self, now: Moment, waiting: &Waiting) -> Option<Placement> {
+        let request = &waiting.request;
+        let work = Work::whole(request, &WHOLE, &waiting.tried);
+        if let Some(pick) = self.room(now, request, &work) {
+            return Some(Placement::Together(pick));
+        }
+        if !split::is_possible(&self.config, request.prompt_tokens) {
+            return None;
+        }
+        let whole = Work::whole(request, &[Role::Prefill], &waiting.tried);
+        let prefill = self.room(now, request, &Work { output: 0, ..whole })?;
+        let decode = self.room(now, request, &decode_work(request, &waiting.tried))?;
+        Some(Placement::Apart { prefill, decode })
+    }
+
+    fn room(&mut self, now: Moment, request: &Request, work: &Work<'_>) -> Option<Pick> {
+        self.chooser
+            .any_with_room(now, &self.config, &self.members, request.class, work)
+    }
+
+    fn hold(
+        &mut self,
+        now: Moment,
+        request: &Request,
+        pick: &Pick,
+        load: Load,
+        prefill: Option<(Id, Load)>,
+    ) -> Holding {
+        let upstream = self.enter(now, pick.position, load);
+        self.history.note(&request.prefixes, &upstream);
+        Holding {
+            upstream,
+            load,
+            prefill,
+        }
+    }
+
+    fn enter(&mut self, now: Moment, position: usize, load: Load) -> Id {
+        let id = self.members.at(position).view.id.clone();
+        self.charge(now, &id, load);
+        id
+    }
+}
+
+fn decode_work<'a>(request: &'a Request, tried: &'a [Id]) -> Work<'a> {
+    Work {
+        prompt: 0,
+        prefixes: &[],
+        ..Work::whole(request, &WHOLE, tried)
+    }
+}
--- /dev/null
+++ b/crates/routing/src/split.rs
@@ -0,0 +1,68 @@
+//! Whether prefill and decode of a request run on one engine or apart, with the KV cache moved.
+
+use crate::{choice::Pick, pool::Config};
+
+/// Share by which running apart must be faster. Moving a cache loads both engines and can fail, and
+/// with equal estimates requests would swing between both ways.
+const ADVANTAGE: f64 = 0.9;
+
+/// Prompts below this are never worth a transfer.
+const SHORTEST: u32 = 64;
+
+/// Where a request runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Placement {
+    /// Prefill and decode at one upstream.
+    Together(Pick),
+    /// Prefill at one engine, then decode at another.
+    Apart {
+        /// Engine that prefills and exports.
+        prefill: Pick,
+        /// Engine that imports and decodes.
+        decode: Pick,
+    },
+}
+
+impl Placement {
+    /// Estimated seconds to the first token.
+    pub fn first_token(&self, config: &Config, prompt: u32) -> f64 {
+        match self {
+            Self::Together(pick) => pick.cost.first_token,
+            Self::Apart { prefill, decode } => {
+                let transfer = config.transfer * f64::from(prompt);
+                prefill.cost.first_token + transfer + decode.cost.first_token
+            }
+        }
+    }
+
+    /// The pick that answers.
+    pub fn answering(&self) -> &Pick {
+        match self {
+            Self::Together(pick) | Self::Apart { decode: pick, .. } => pick,
+        }
+    }
+}
+
+/// Whether it makes sense to look for two engines at all.
+pub fn is_possible(config: &Config, prompt: u32) -> bool {
+    config.transfer > 0.0 && prompt >= SHORTEST
+}
+
+/// Chooses between one engine and two. `decode` was estimated without prefill.
+pub fn place(
+    config: &Config,
+    prompt: u32,
+    together: Option<Pick>,
+    apart: Option<(Pick, Pick)>,
+) -> Option<Placement> {
+    let apart = apart.map(|(prefill, decode)| Placement::Apart { prefill, decode });
+    let together = together.map(Placement::Together);
+    match (together, apart) {
+        (Some(one), Some(two)) => {
+            let faster =
+                two.first_token(config, prompt) < ADVANTAGE * one.first_token(config, prompt);
+            Some(if faster { two } else { one })
+        }
+        (one, two) => one.or(two),
+    }
+}
--- /dev/null
+++ b/crates/routing/src/window.rs
@@ -0,0 +1,93 @@
+//! How much work may stand before one upstream, so that queues stay at the entries, where a later but
+//! more urgent request can still go first.
+
+use crate::{class::Class, load::Load, pool::Speed, upstream::Report};
+
+/// Requests beyond the slots that keep an engine busy while answers and new requests travel.
+const SURPLUS: f64 = 1.25;
+
+/// Waiting requests, as a share of the slots, above which the window shrinks.
+const WAITING_HIGH: f64 = 0.25;
+
+/// Bounds of the window, as shares of the slots.
+const LEAST: f64 = 0.5;
+const MOST: f64 = 2.0;
+
+/// Factor at each report of too many waiting.
+const SHRINK: f64 = 0.9;
+
+/// Growth, in requests, at each report without any waiting.
+const GROWTH: f64 = 1.0;
+
+/// Seconds of prefill that may stand before an engine at most.
+const PREFILL_SECONDS: f64 = 1.0;
+
+/// Share of the window that a class may fill. What is left to the higher classes lets them in at once
+/// while lower ones wait.
+fn share(class: Class) -> f64 {
+    match class {
+        Class::Authorisation | Class::Status => f64::INFINITY,
+        Class::Interactive => 1.0,
+        Class::Dispatch => 0.9,
+        Class::Batch => 0.7,
+    }
+}
+
+/// Window of one upstream, in requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Window {
+    limit: f64,
+    slots: f64,
+}
+
+impl Window {
+    /// A window for an upstream that works on `slots` requests at once.
+    pub fn new(slots: u32) -> Self {
+        let slots = f64::from(slots.max(1));
+        Self {
+            limit: slots * SURPLUS,
+            slots,
+        }
+    }
+
+    /// Requests that may stand before the upstream.
+    pub fn limit(&self) -> f64 {
+        self.limit
+    }
+
+    /// Adapts to a report: requests that wait at the engine are out of reach of the entries' order of
+    /// classes, so the window shrinks; an engine without any waiting may run dry, so it grows.
+    pub fn adapt(&mut self, report: &Report) {
+        if report.decode_slots > 0 {
+            self.rescale(f64::from(report.decode_slots));
+        }
+        let waiting = f64::from(report.waiting);
+        if waiting > self.slots * WAITING_HIGH {
+            self.limit *= SHRINK;
+        } else if report.waiting == 0 {
+            self.limit += GROWTH;
+        }
+        self.limit = self
+            .limit
+            .clamp((self.slots * LEAST).max(1.0), (self.slots * MOST).max(2.0));
+    }
+
+    /// Whether a request of this class finds room beside the estimated load.
+    pub fn has_room(&self, class: Class, speed: &Speed, load: Load) -> bool {
+        let share = share(class);
+        if share.is_infinite() {
+            return true;
+        }
+        // A small window must still let one request of the lowest class in.
+        let room = (self.limit * share).max(1.0);
+        let prefill = load.prefill / speed.prefill_rate.max(f64::MIN_POSITIVE);
+        load.requests + 1.0 <= room && prefill <= PREFILL_SECONDS * share
+    }
+
+    fn rescale(&mut self, slots: f64) {
+        if slots != self.slots {
+            self.limit *= slots / self.slots;
+            self.slots = slots;
+        }
+    }
+}
--- /dev/null
+++ b/crates/routing/tests/router.rs
@@ -0,0 +1,142 @@
+//! The aggregate, as the entry drives it.
+
+mod common;
+
+use assert_matches::assert_matches;
+use common::{POOL, config, engines, ms, request, router, view};
+use routing::{
+    class::Class,
+    decision::{Decision, Next, Output, Progress, Ran, Reason, Sending},
+    router::Router,
+    upstream::Role,
+};
+
+fn send(router: &mut Router, now: u64, class: Class) -> Sending {
+    let decision = router.admit(ms(now), request(class, ms(now + 60_000)));
+    match decision {
+        Decision::Send(sending) => sending,
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn a_finished_attempt_leaves_nothing_behind() {
+    let mut router = router(config(), engines(4));
+    let sending = send(&mut router, 0, Class::Interactive);
+    assert_eq!(router.open(&sending.upstream), 1);
+    router.progress(ms(10), sending.attempt, Progress::Prefilled);
+    router.progress(ms(20), sending.attempt, Progress::Tokens(40));
+    let outstanding = router.outstanding();
+    assert_eq!(outstanding.len(), 1);
+    assert_eq!(outstanding[0].load.decode, 60.0);
+    assert_eq!(outstanding[0].load.prefill, 0.0);
+    router.finished(ms(30), sending.attempt);
+    assert!(router.outstanding().is_empty());
+    assert_eq!(router.open(&sending.upstream), 0);
+}
+
+#[test]
+fn an_upstream_that_is_closed_gets_no_new_work() {
+    let mut views = engines(2);
+    views[0].open = false;
+    let mut router = router(config(), views);
+    for n in 0..20 {
+        let sending = send(&mut router, n, Class::Interactive);
+        assert_eq!(&*sending.upstream, "engine-0001");
+    }
+}
+
+#[test]
+fn without_upstreams_the_refusal_is_at_once() {
+    let mut router = router(config(), vec![]);
+    let decision = router.admit(ms(0), request(Class::Authorisation, ms(1_000)));
+    assert_matches!(decision, Decision::Refuse(refusal) => {
+        assert_eq!(refusal.reason, Reason::NoUpstream);
+    });
+}
+
+#[test]
+fn what_may_have_run_is_not_tried_again_unless_repeatable() {
+    let mut router = router(config(), engines(2));
+    let mut payment = request(Class::Authorisation, ms(60_000));
+    payment.repeatable = false;
+    let decision = router.admit(ms(0), payment.clone());
+    let first = assert_matches!(decision, Decision::Send(sending) => sending);
+    assert_eq!(
+        router.failed(ms(1), first.attempt, Ran::Unknown),
+        Next::Final
+    );
+
+    let decision = router.admit(ms(2), payment);
+    let second = assert_matches!(decision, Decision::Send(sending) => sending);
+    let next = router.failed(ms(3), second.attempt, Ran::No);
+    let ticket = assert_matches!(next, Next::Wait(ticket) => ticket);
+    let outputs = router.tick(ms(1_000));
+    assert_matches!(&outputs[..], [Output::Send { ticket: told, sending }] => {
+        assert_eq!(*told, ticket);
+        assert_ne!(sending.upstream, second.upstream);
+    });
+}
+
+#[test]
+fn a_decode_engine_imports_what_a_prefill_engine_computed() {
+    let mut pool = config();
+    pool.transfer = 1e-6;
+    let views = vec![view("a", Role::Prefill), view("b", Role::Decode)];
+    let mut router = router(pool, views);
+    let mut long = request(Class::Interactive, ms(60_000));
+    long.prompt_tokens = 5_000;
+    let sending = match router.admit(ms(0), long) {
+        Decision::Send(sending) => sending,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(sending.prefill.as_deref(), Some("a"));
+    assert_eq!(&*sending.upstream, "b");
+    router.progress(ms(100), sending.attempt, Progress::Prefilled);
+    assert_eq!(router.open("a"), 0);
+    assert_eq!(router.open("b"), 1);
+}
+
+#[test]
+fn a_failed_transfer_is_charged_to_the_decode_engine() {
+    // Symptom: a decode engine gets more prefill than it has room for after transfers fail.
+    // Sequence: the export fails, the entry sends the whole request to the decode engine.
+    // Cause: the ledger would still count the prefill at the other engine.
+    let mut pool = config();
+    pool.transfer = 1e-6;
+    let views = vec![view("a", Role::Prefill), view("b", Role::Decode)];
+    let mut router = router(pool, views);
+    let mut long = request(Class::Interactive, ms(60_000));
+    long.prompt_tokens = 5_000;
+    let sending = match router.admit(ms(0), long) {
+        Decision::Send(sending) => sending,
+        other => panic!("{other:?}"),
+    };
+    router.together(ms(10), sending.attempt);
+    let outstanding = router.outstanding();
+    assert_eq!(outstanding.len(), 1);
+    assert_eq!(&*outstanding[0].upstream, "b");
+    assert_eq!(outstanding[0].load.prefill, 5_000.0);
+    router.finished(ms(20), sending.attempt);
+    assert!(router.outstanding().is_empty());
+}
+
+#[test]
+fn a_pool_that_goes_refuses_what_waits_for_it() {
+    let mut router = router(config(), engines(1));
+    let mut waiting = None;
+    for n in 0..200 {
+        if let Decision::Wait(ticket) = router.admit(ms(n), request(Class::Batch, ms(3_600_000))) {
+            waiting = Some(ticket);
+            break;
+        }
+    }
+    let waiting = waiting.expect("one engine has room for few only");
+    assert_eq!(router.waiting(POOL), 1);
+    router.set_pools(ms(300), vec![]);
+    let outputs = router.tick(ms(500));
+    assert_matches!(&outputs[..], [Output::Refuse { ticket, refusal }] => {
+        assert_eq!(*ticket, waiting);
+        assert_eq!(refusal.reason, Reason::NoPool);
+    });
+}
