Claim, renew and hold a scope by lease

One process acts for a pool at a time, without a coordinator and with nothing assumed of clocks but a bound on their rate. The lease runs from before the sending of the newest renewal that was read back; an answer from the log extends nothing, a lost answer loses nothing.

--- /dev/null
+++ b/crates/authority/src/lease/message.rs
@@ -0,0 +1,56 @@
+//! What goes into a lease machine and what comes out.
+
+use crate::author::Author;
+use crate::nonce::Nonce;
+use crate::{Fence, InstanceId};
+use clock::Moment;
+use wire::record::record::Body;
+
+/// What a lease machine is told.
+#[derive(Clone, Debug)]
+pub enum Input<'a> {
+    /// Time has passed.
+    Tick,
+    /// A read that was sent at `asked` reached the end of the log, and its records are folded.
+    Read {
+        /// When the read was sent.
+        asked: Moment,
+    },
+    /// The live entries, this one among them.
+    Members(&'a [InstanceId]),
+    /// How many other scopes this process holds.
+    Burden(u32),
+    /// The log answered an append; it counts only when it is read back.
+    Answered(Nonce),
+    /// An append certainly did not and will not reach the log.
+    Failed(Nonce),
+    /// Nothing is known about an append: it may land at any later time.
+    Unknown(Nonce),
+    /// An engine knows a newer fence than ours although ours is in force, because it belonged to
+    /// another scope before: claim anew.
+    Reclaim,
+    /// The process shuts down: give the scope up and do not claim any more.
+    Leave,
+}
+
+/// What the owner of a lease machine has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Output {
+    /// Append a record, once, and tell how it went.
+    Append {
+        /// The nonce that the record must carry.
+        nonce: Nonce,
+        /// Its body.
+        body: Body,
+    },
+    /// This process holds the scope.
+    Acquired {
+        /// Its claim.
+        fence: Fence,
+    },
+    /// This process does not hold the scope any more.
+    Lost {
+        /// The new holder; `None` if this process released.
+        to: Option<Author>,
+    },
+}
--- a/crates/authority/src/lib.rs
+++ b/crates/authority/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod author;
 pub mod effect;
+pub mod lease;
 pub mod nonce;
 pub mod order;
 pub mod settled;
