Add the model engine's stand-in

The path towards engines needs one that batches continuously, resumes and cancels streams, moves KV between engines and takes orders with fences. The batch, the prefix cache, the orders, the cache events and the load history are pure and take emulated time as input; HTTP stands around them.

The text of an answer follows from the prompt alone, so a stream keeps no more than how far it is, any part of it can be sent again, and a checker can judge each answer with expected_text.

--- /dev/null
+++ b/crates/standin/src/bin/standin-engine.rs
@@ -0,0 +1,17 @@
+//! Runs the model engine's stand-in.
+
+use std::io;
+
+use clap::Parser;
+use standin::engine::{self, Engine, Options};
+use standin::http;
+
+#[actix_rt::main]
+async fn main() -> io::Result<()> {
+    http::start_log();
+    let options = Options::parse();
+    let listen = options.listen.clone();
+    let engine = Engine::new(options);
+    actix_rt::spawn(engine.clone().run());
+    http::serve(&listen, move |call| engine::answer(engine.clone(), call)).await
+}
--- /dev/null
+++ b/crates/standin/src/engine/api.rs
@@ -0,0 +1,58 @@
+//! The resources of `standin-engine`.
+
+use std::sync::Arc;
+
+use super::request::Kind;
+use super::state::Engine;
+use super::{completion, control, kv};
+use crate::answer as reply;
+use crate::http::{Answer, Call};
+
+/// Answers a request to an engine.
+pub async fn answer(engine: Arc<Engine>, call: Call) -> Answer {
+    let segments = call.segments();
+    let method = call.method.as_str();
+    match (method, segments.as_slice()) {
+        (_, ["fault"]) => {
+            let answer = engine.panel.answer(&call);
+            engine.pace();
+            answer
+        }
+        ("POST", ["engine", "orders"]) => control::order(&engine, &call).await,
+        ("POST", ["engine", "cancel-order"]) => control::cancel_order(&engine, &call),
+        ("GET", ["engine", "state"]) => control::state(&engine),
+        ("GET", ["engine", "report"]) => control::report(&engine).await,
+        ("GET", ["engine", "events"]) => control::events(&engine, &call).await,
+        ("DELETE", ["engine", "streams", id]) => completion::cancel(&engine, id),
+        (_, ["engine", "kv", ..]) => match engine.panel.get().kv.answer().await {
+            Some(out) => out,
+            None => answer_kv(&engine, &call, &segments[2..]).await,
+        },
+        _ => match engine.panel.get().out.answer().await {
+            Some(out) => out,
+            None => answer_work(&engine, &call, &segments).await,
+        },
+    }
+}
+
+async fn answer_kv(engine: &Arc<Engine>, call: &Call, path: &[&str]) -> Answer {
+    match (call.method.as_str(), path) {
+        ("POST", ["export"]) => kv::export(engine, call).await,
+        ("POST", ["import"]) => kv::import(engine, call).await,
+        ("GET", [handle]) => kv::fetch(engine, handle),
+        _ => reply::not_found(),
+    }
+}
+
+async fn answer_work(engine: &Arc<Engine>, call: &Call, path: &[&str]) -> Answer {
+    match (call.method.as_str(), path) {
+        ("POST", ["v1", "completions"]) => completion::create(engine, Kind::Text, call).await,
+        ("POST", ["v1", "chat", "completions"]) => {
+            completion::create(engine, Kind::Chat, call).await
+        }
+        ("GET", ["engine", "streams", id]) => {
+            completion::resume(engine, id, call.number("from").unwrap_or(0))
+        }
+        _ => reply::not_found(),
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/batch/job.rs
@@ -0,0 +1,93 @@
+//! A job and its course through the batch.
+
+use crate::engine::prefix::Hash;
+
+/// Name of a job, chosen by the caller and unique.
+pub type Id = u64;
+
+/// What is asked of the batch.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Job {
+    /// Its name.
+    pub id: Id,
+    /// 0 comes first.
+    pub priority: u8,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens to generate, at least 1.
+    pub output_tokens: u32,
+    /// The full blocks of the prompt.
+    pub blocks: Vec<Hash>,
+    /// Whether the KV of the prompt was imported, so that no prefill is needed.
+    pub prefilled: bool,
+}
+
+impl Job {
+    /// The KV memory that it needs in the end. It is reserved on admission, so that a running
+    /// sequence never has to stop for want of memory.
+    pub fn kv_tokens(&self) -> u32 {
+        self.prompt_tokens.saturating_add(self.output_tokens)
+    }
+}
+
+/// A job that was submitted: what was produced outlasts a pre-emption, its KV does not.
+#[derive(Clone, Debug)]
+pub(super) struct Sequence {
+    pub(super) job: Job,
+    /// Place among jobs of the same priority.
+    pub(super) arrival: u64,
+    /// Tokens still to prefill.
+    pub(super) prefill_left: u32,
+    /// Tokens of the prompt that the prefix cache held.
+    pub(super) cached: u32,
+    /// Tokens generated.
+    pub(super) produced: u32,
+    /// Tokens prefilled in the present iteration.
+    pub(super) chunk: u32,
+}
+
+impl Sequence {
+    pub(super) fn new(job: Job, arrival: u64) -> Self {
+        Self {
+            job,
+            arrival,
+            prefill_left: 0,
+            cached: 0,
+            produced: 0,
+            chunk: 0,
+        }
+    }
+
+    /// Its place in the queue.
+    pub(super) fn rank(&self) -> (u8, u64) {
+        (self.job.priority, self.arrival)
+    }
+
+    /// Sets what has to be prefilled on admission, given what the cache holds. The last token is
+    /// always computed, since the first token of the answer comes from it.
+    pub(super) fn admit(&mut self, cached: u32) {
+        if self.job.prefilled && self.produced == 0 {
+            self.cached = self.job.prompt_tokens;
+            self.prefill_left = 0;
+            return;
+        }
+        let tokens = self.job.prompt_tokens + self.produced;
+        self.cached = cached.min(self.job.prompt_tokens.saturating_sub(1));
+        self.prefill_left = tokens.saturating_sub(self.cached).max(1);
+    }
+
+    /// Ends an iteration; true if it generated a token.
+    pub(super) fn advance(&mut self) -> bool {
+        self.prefill_left -= self.chunk;
+        self.chunk = 0;
+        let generated = self.prefill_left == 0;
+        if generated {
+            self.produced += 1;
+        }
+        generated
+    }
+
+    pub(super) fn is_finished(&self) -> bool {
+        self.produced >= self.job.output_tokens
+    }
+}
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -1,1 +1,31 @@
-//! The model engine.
+//! The model engine's stand-in: an emulator of continuous batching with a prefix cache, behind the
+//! engine's HTTP interface. [`batch`], [`prefix`], [`orders`], [`events`] and [`report`] know no
+//! I/O and take the emulated time as input; the other modules join them to HTTP.
+
+mod api;
+pub mod batch;
+mod completion;
+mod control;
+pub mod events;
+mod kv;
+mod options;
+pub mod orders;
+pub mod prefix;
+pub mod report;
+mod request;
+mod state;
+mod stream;
+mod switches;
+mod time;
+pub mod tokens;
+
+pub use api::answer;
+pub use options::Options;
+pub use state::Engine;
+pub use switches::Switches;
+pub use tokens::{chat_prompt, expected_text, token};
+
+use std::time::Duration;
+
+/// Emulated time since the start of the process.
+pub type Moment = Duration;
--- /dev/null
+++ b/crates/standin/src/engine/orders.rs
@@ -0,0 +1,191 @@
+//! The orders of an engine as pure state: the fencing token, one order at a time, repeats that
+//! have no second effect, and orders cancelled before they came.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::batch::Role;
+
+/// Name of an order: the offset of its intent in the log.
+pub type Id = u64;
+
+/// Fencing token of who gives an order.
+pub type Fence = u64;
+
+/// Orders that are remembered for repeats.
+const KEPT: usize = 1024;
+
+/// A model as an engine runs it.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Model {
+    /// Its name.
+    pub model: String,
+    /// Its version.
+    #[serde(default)]
+    pub version: String,
+    /// Its adapter; empty for none.
+    #[serde(default)]
+    pub adapter: String,
+}
+
+/// What is ordered.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Kind {
+    /// Take another role.
+    SetRole {
+        /// The role.
+        role: Role,
+    },
+    /// Load a model.
+    LoadModel(Model),
+    /// Unload a model.
+    UnloadModel(Model),
+}
+
+/// An order.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+pub struct Order {
+    /// Its name.
+    pub order: Id,
+    /// The token of who gives it.
+    pub fence: Fence,
+    /// What is ordered.
+    #[serde(flatten)]
+    pub kind: Kind,
+}
+
+/// How far an order is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// The engine acts on it.
+    Running,
+    /// It was carried out.
+    Done,
+    /// It was given up; the engine is as it was before.
+    Failed,
+    /// It was cancelled before it came, and will not act.
+    Cancelled,
+}
+
+/// An order that the engine knows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct Known {
+    /// Its name.
+    pub order: Id,
+    /// The token that it came with.
+    pub fence: Fence,
+    /// How far it is.
+    pub state: State,
+}
+
+/// What the engine says to an order or to its cancellation.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// It begins now.
+    Begin,
+    /// It is known already.
+    Known(State),
+    /// It comes from a holder that was replaced; the newest token is told.
+    OldFence(Fence),
+    /// Another order runs.
+    Busy(Id),
+}
+
+/// The orders of an engine.
+#[derive(Clone, Debug)]
+pub struct Book {
+    checks_fence: bool,
+    fence: Fence,
+    orders: BTreeMap<Id, Known>,
+    last: Option<Id>,
+}
+
+impl Book {
+    /// No orders yet. `checks_fence` says whether an old token is refused.
+    pub fn new(checks_fence: bool) -> Self {
+        Self {
+            checks_fence,
+            fence: 0,
+            orders: BTreeMap::new(),
+            last: None,
+        }
+    }
+
+    /// The newest token seen.
+    pub fn fence(&self) -> Fence {
+        self.fence
+    }
+
+    /// Whether an old token is refused.
+    pub fn checks_fence(&self) -> bool {
+        self.checks_fence
+    }
+
+    /// The order that began last.
+    pub fn last(&self) -> Option<Known> {
+        self.orders.get(&self.last?).copied()
+    }
+
+    /// The order that runs.
+    pub fn running(&self) -> Option<Known> {
+        self.last().filter(|known| known.state == State::Running)
+    }
+
+    /// Judges an order, and begins it if nothing speaks against it.
+    pub fn submit(&mut self, order: Id, fence: Fence) -> Verdict {
+        if let Some(known) = self.orders.get(&order) {
+            return Verdict::Known(known.state);
+        }
+        if let Some(verdict) = self.refuse(fence) {
+            return verdict;
+        }
+        if let Some(running) = self.running() {
+            return Verdict::Busy(running.order);
+        }
+        self.record(order, fence, State::Running);
+        self.last = Some(order);
+        Verdict::Begin
+    }
+
+    /// Keeps an order from acting, unless it has begun; says how far it is.
+    pub fn cancel(&mut self, order: Id, fence: Fence) -> Verdict {
+        if let Some(verdict) = self.refuse(fence) {
+            return verdict;
+        }
+        if let Some(known) = self.orders.get(&order) {
+            return Verdict::Known(known.state);
+        }
+        self.record(order, fence, State::Cancelled);
+        Verdict::Known(State::Cancelled)
+    }
+
+    /// Ends the order that runs.
+    pub fn finish(&mut self, order: Id, state: State) {
+        if let Some(known) = self.orders.get_mut(&order) {
+            known.state = state;
+        }
+    }
+
+    fn refuse(&mut self, fence: Fence) -> Option<Verdict> {
+        if self.checks_fence && fence < self.fence {
+            return Some(Verdict::OldFence(self.fence));
+        }
+        self.fence = self.fence.max(fence);
+        None
+    }
+
+    fn record(&mut self, order: Id, fence: Fence, state: State) {
+        let known = Known {
+            order,
+            fence,
+            state,
+        };
+        self.orders.insert(order, known);
+        if self.orders.len() > KEPT {
+            self.orders.pop_first();
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/prefix.rs
@@ -0,0 +1,132 @@
+//! The prefix cache: blocks of a prompt, each named by a hash that chains over all blocks before
+//! it, kept in limited memory and evicted least recently used first.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::tokens::first_word;
+
+/// Name of a block: the hash of the whole prompt up to its end.
+pub type Hash = u64;
+
+/// The hashes of the full blocks of a prompt. The chain starts from the hash of the model's name,
+/// and each block adds its words joined by single spaces: `h = blake3(h' as 8 bytes || words)`, of
+/// which the first eight bytes count.
+pub fn chain(model: &str, prompt: &str, block_tokens: u32) -> Vec<Hash> {
+    let block_tokens = block_tokens.max(1) as usize;
+    let words = prompt.split_whitespace().collect::<Vec<_>>();
+    let mut hash = first_word(&blake3::hash(model.as_bytes()));
+    let blocks = words.chunks_exact(block_tokens).map(|block| {
+        let mut hasher = blake3::Hasher::new();
+        hasher.update(&hash.to_be_bytes());
+        hasher.update(block.join(" ").as_bytes());
+        hash = first_word(&hasher.finalize());
+        hash
+    });
+    blocks.collect()
+}
+
+/// A change of the cache.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// A block was stored; it ends the first `tokens` tokens of a prompt.
+    Stored {
+        /// Its name.
+        hash: Hash,
+        /// Tokens of the prefix that it ends.
+        tokens: u32,
+    },
+    /// A block was evicted.
+    Evicted {
+        /// Its name.
+        hash: Hash,
+        /// Tokens of the prefix that it ended.
+        tokens: u32,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Block {
+    used: u64,
+    tokens: u32,
+}
+
+/// The cached blocks.
+#[derive(Clone, Debug)]
+pub struct Cache {
+    block_tokens: u32,
+    capacity: usize,
+    blocks: HashMap<Hash, Block>,
+    by_use: BTreeMap<u64, Hash>,
+    uses: u64,
+}
+
+impl Cache {
+    /// An empty cache of at most so many tokens.
+    pub fn new(block_tokens: u32, capacity_tokens: u32) -> Self {
+        let block_tokens = block_tokens.max(1);
+        Self {
+            block_tokens,
+            capacity: (capacity_tokens / block_tokens) as usize,
+            blocks: HashMap::new(),
+            by_use: BTreeMap::new(),
+            uses: 0,
+        }
+    }
+
+    /// Tokens of the longest cached prefix; its blocks count as used now.
+    pub fn lookup(&mut self, chain: &[Hash]) -> u32 {
+        let known = |hash: &&Hash| self.blocks.contains_key(hash);
+        let hits = chain.iter().take_while(known).count();
+        self.touch(&chain[..hits]);
+        hits as u32 * self.block_tokens
+    }
+
+    /// Stores the blocks of a prompt and evicts what no longer fits.
+    pub fn store(&mut self, chain: &[Hash], changes: &mut Vec<Change>) {
+        for (index, hash) in chain.iter().enumerate() {
+            let tokens = (index as u32 + 1) * self.block_tokens;
+            self.blocks.entry(*hash).or_insert_with(|| {
+                changes.push(Change::Stored {
+                    hash: *hash,
+                    tokens,
+                });
+                Block { used: 0, tokens }
+            });
+        }
+        self.touch(chain);
+        while self.blocks.len() > self.capacity {
+            let Some((_, hash)) = self.by_use.pop_first() else {
+                break;
+            };
+            self.evict(hash, changes);
+        }
+    }
+
+    /// Evicts everything.
+    pub fn clear(&mut self, changes: &mut Vec<Change>) {
+        while let Some((_, hash)) = self.by_use.pop_first() {
+            self.evict(hash, changes);
+        }
+    }
+
+    fn evict(&mut self, hash: Hash, changes: &mut Vec<Change>) {
+        if let Some(block) = self.blocks.remove(&hash) {
+            let tokens = block.tokens;
+            changes.push(Change::Evicted { hash, tokens });
+        }
+    }
+
+    /// Marks blocks as used, the last one of a prompt first: a block is of no use once one before
+    /// it is gone, so the end of a prompt has to be evicted before its start.
+    fn touch(&mut self, chain: &[Hash]) {
+        for hash in chain.iter().rev() {
+            let Some(block) = self.blocks.get_mut(hash) else {
+                continue;
+            };
+            self.uses += 1;
+            self.by_use.remove(&block.used);
+            block.used = self.uses;
+            self.by_use.insert(self.uses, *hash);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/engine/switches.rs
@@ -0,0 +1,55 @@
+//! Fault switches of `standin-engine`.
+
+use serde::{Deserialize, Serialize};
+
+use crate::fault::{Outage, Times};
+
+/// What can go wrong with the engine. A countdown meets the next so many requests of its kind.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Switches {
+    /// Completions and resumes are out.
+    pub out: Outage,
+    /// Iterations take so many times as long; 0 and 1 leave them as they are.
+    pub slow: f64,
+    /// Completions are run and never answered.
+    pub never_answer: Times,
+    /// Completions are answered late, after they ran.
+    pub late: Times,
+    /// Milliseconds by which a late answer is late, in real time.
+    pub late_ms: u64,
+    /// Completions are answered with the id and the text of the request before.
+    pub crossed: Times,
+    /// Streams whose connection drops partway; the engine generates on and they can be resumed.
+    pub drop_streams: Times,
+    /// Streams that are lost partway, as in a crash that only they see: no resume finds them.
+    pub cut_streams: Times,
+    /// Streams at which the process exits partway.
+    pub exit_streams: Times,
+    /// How many events of such a stream are sent before.
+    pub after_events: u32,
+    /// Whole completions that are run, and then the connection drops.
+    pub drop_after: Times,
+    /// Orders that fail in the end and leave the engine as it was.
+    pub fail_orders: Times,
+    /// Orders that never end.
+    pub stuck_orders: Times,
+    /// Orders partway through which the process exits.
+    pub exit_orders: Times,
+    /// Orders whose answer is lost after they began.
+    pub lose_order_answers: Times,
+    /// Real milliseconds by which orders are late, before they are judged.
+    pub order_delay_ms: u64,
+    /// The load report is out.
+    pub report: Outage,
+    /// The load report stays as it is seen now.
+    pub freeze_report: bool,
+    /// Milliseconds by which load reports lag, in place of the option.
+    pub report_lag_ms: Option<u64>,
+    /// Cache events are out.
+    pub events: Outage,
+    /// Fraction of cache events that are lost, beside that of the option.
+    pub event_gap: f64,
+    /// KV exports, their transfer and imports are out.
+    pub kv: Outage,
+}
