Share owners' limits by demand without a coordinator

A limit binds over all entries, and there is no coordinator. Every entry computes all shares by the same function from the demand that the entries told each other; it lowers its own share at once and raises it only after the others had time to lower theirs. A silent peer's part stays reserved until it is known to be gone. The router now takes the entry's instance id.

Ruled out: equal shares (a skewed owner gets an eighth of its limit), and raising at once (all shares together exceed the limit until the others have heard). The error is not measured yet.

--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -144,6 +144,17 @@
         Some(waiting)
     }
 
+    /// All waiting requests in order of their tickets.
+    pub fn into_waiting(self) -> Vec<(Ticket, Waiting)> {
+        let lines = self.classes.into_iter().flat_map(BTreeMap::into_values);
+        let mut all: Vec<(Ticket, Waiting)> = lines
+            .flatten()
+            .map(|((_, ticket), waiting)| (ticket, waiting))
+            .collect();
+        all.sort_by_key(|(ticket, _)| *ticket);
+        all
+    }
+
     /// First of each line in order of service: by class, then by deadline.
     pub fn heads(&self) -> SmallVec<[(Class, Ticket); 8]> {
         let mut heads: SmallVec<[(Class, Place); 8]> = SmallVec::new();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod decision;
 pub mod holding;
 pub mod ledger;
+pub mod limit;
 pub mod load;
 pub mod member;
 pub mod peers;
--- /dev/null
+++ b/crates/routing/src/limit/bucket.rs
@@ -0,0 +1,68 @@
+//! A token bucket whose rate may change.
+
+use std::time::Duration;
+
+use clock::Moment;
+
+/// Seconds of its rate that a bucket holds.
+const BURST: f64 = 0.5;
+
+/// A bucket. Its level may go below zero: a request larger than the bucket is let in when the bucket
+/// is full and paid off afterwards, and a request that used more than expected is charged at its end.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Bucket {
+    rate: f64,
+    least: f64,
+    level: f64,
+    at: Moment,
+}
+
+impl Bucket {
+    /// A full bucket that holds `least` at least.
+    pub(super) fn new(now: Moment, rate: f64, least: f64) -> Self {
+        let mut bucket = Self {
+            rate,
+            least,
+            level: 0.0,
+            at: now,
+        };
+        bucket.level = bucket.capacity();
+        bucket
+    }
+
+    /// Changes the rate from now on.
+    pub(super) fn set_rate(&mut self, now: Moment, rate: f64) {
+        self.refill(now);
+        self.rate = rate;
+        self.level = self.level.min(self.capacity());
+    }
+
+    /// Time until `amount` may be taken; nothing if now.
+    pub(super) fn wait(&mut self, now: Moment, amount: f64) -> Duration {
+        self.refill(now);
+        let lacking = amount.min(self.capacity()) - self.level;
+        if lacking <= 0.0 {
+            return Duration::ZERO;
+        }
+        let seconds = lacking / self.rate.max(f64::MIN_POSITIVE);
+        Duration::from_secs_f64(seconds.min(LONGEST))
+    }
+
+    /// Takes an amount, or gives it back if it is below zero.
+    pub(super) fn charge(&mut self, amount: f64) {
+        self.level = (self.level - amount).min(self.capacity());
+    }
+
+    fn refill(&mut self, now: Moment) {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        self.level = (self.level + passed * self.rate).min(self.capacity());
+        self.at = self.at.max(now);
+    }
+
+    fn capacity(&self) -> f64 {
+        (self.rate * BURST).max(self.least)
+    }
+}
+
+/// Longest wait that is told, in seconds.
+const LONGEST: f64 = 3_600.0;
--- a/crates/routing/src/router.rs
+++ b/crates/routing/src/router.rs
@@ -16,7 +16,8 @@
     class::Class,
     decision::{Attempt, Decision, Next, Output, Progress, Ran, Reason, Refusal, Sending, Ticket},
     holding::Holding,
-    peers::{Outstanding, Peers},
+    limit::{self, Demand, Limits, Terms, Used},
+    peers::{self, Outstanding, Peers},
     pool::{self, Config},
     request::Request,
     retry::{self, Budget},
@@ -39,6 +40,8 @@
 pub struct Settings {
     /// Retries.
     pub retry: retry::Config,
+    /// Sharing of owners' limits.
+    pub limit: limit::Config,
 }
 
 /// An attempt in hand.
@@ -46,6 +49,8 @@
 struct Running {
     waiting: Waiting,
     holding: Holding,
+    /// Answer tokens so far.
+    generated: u64,
 }
 
 /// A retry that waits for its backoff.
@@ -66,13 +71,17 @@
     tickets: HashMap<Ticket, pool::Id>,
     peers: Peers,
     budget: Budget,
+    limits: Limits,
+    /// Requests that waited for a pool that is gone.
+    orphans: Vec<(Ticket, Waiting)>,
     last_number: u64,
     last_sweep: Moment,
 }
 
 impl Router {
-    /// A router without pools. The seed makes its random choices; give each process another.
-    pub fn new(settings: Settings, seed: u64) -> Self {
+    /// A router without pools. `own` is the instance id of this entry. The seed makes its random
+    /// choices; give each process another.
+    pub fn new(settings: Settings, own: &str, seed: u64) -> Self {
         Self {
             rng: SmallRng::seed_from_u64(seed),
             pools: BTreeMap::new(),
@@ -81,6 +90,8 @@
             tickets: HashMap::new(),
             peers: Peers::default(),
             budget: Budget::new(settings.retry),
+            limits: Limits::new(settings.limit, own),
+            orphans: Vec::new(),
             last_number: 0,
             last_sweep: Moment::ZERO,
         }
@@ -100,6 +111,9 @@
             };
             self.pools.insert(id, pool);
         }
+        for pool in old.into_values() {
+            self.orphans.extend(pool.queue.into_waiting());
+        }
     }
 
     /// Replaces the upstreams of a pool. An upstream that is missing gets no new work; attempts
@@ -118,18 +132,18 @@
         if !self.pools.contains_key(&request.pool) {
             return self.refuse(Reason::NoPool, Duration::ZERO);
         }
+        let checked = self.limits.check(now, &request.subjects, request.tokens());
+        if let Err(refused) = checked {
+            return self.refuse(refused.kind.into(), refused.wait);
+        }
         self.enter(now, Waiting::new(request))
     }
 
     /// Takes back a waiting request because its caller is gone.
     pub fn give_up(&mut self, ticket: Ticket) {
-        if let Some(pool) = self.tickets.remove(&ticket)
-            && let Some(pool) = self.pools.get_mut(&pool)
-            && pool.queue.remove(ticket).is_some()
-        {
-            return;
+        if let Some(waiting) = self.withdraw(ticket) {
+            self.release_unused(&waiting);
         }
-        self.backoffs.retain(|_, backoff| backoff.ticket != ticket);
     }
 
     /// Takes in a sign of life of an attempt.
@@ -142,7 +156,10 @@
         };
         match progress {
             Progress::Prefilled => running.holding.prefilled(now, pool),
-            Progress::Tokens(count) => running.holding.generated(now, pool, count),
+            Progress::Tokens(count) => {
+                running.generated += u64::from(count);
+                running.holding.generated(now, pool, count);
+            }
         }
     }
 
@@ -162,6 +179,7 @@
     pub fn finished(&mut self, now: Moment, attempt: Attempt) -> Outputs {
         let mut outputs = Outputs::new();
         if let Some(running) = self.release(now, attempt) {
+            self.settle(&running);
             self.serve(now, &running.waiting.request.pool, &mut outputs);
         }
         outputs
@@ -172,17 +190,12 @@
         let Some(mut running) = self.release(now, attempt) else {
             return Next::Final;
         };
-        let waiting = &mut running.waiting;
-        waiting.attempts += 1;
-        waiting.tried.push(running.holding.upstream);
-        let safe = ran == Ran::No || waiting.request.repeatable;
-        if !safe || !self.budget.take(waiting.attempts) {
+        running.waiting.attempts += 1;
+        running.waiting.tried.push(running.holding.upstream.clone());
+        let Some(due) = self.retry_at(now, &running.waiting, ran) else {
+            self.settle(&running);
             return Next::Final;
-        }
-        let due = now + self.budget.backoff(&mut self.rng, waiting.attempts);
-        if due >= waiting.request.deadline {
-            return Next::Final;
-        }
+        };
         let ticket = self.number();
         let waiting = running.waiting;
         self.backoffs
@@ -215,6 +228,27 @@
     /// Forgets a peer that is known to be gone.
     pub fn peer_gone(&mut self, peer: &str) {
         self.peers.forget(peer);
+        self.limits.peer_gone(peer);
+    }
+
+    /// Replaces the limits of owners and entries.
+    pub fn set_terms(&mut self, now: Moment, terms: Vec<Terms>) {
+        self.limits.set_terms(now, terms);
+    }
+
+    /// Says which peers live, this entry left out; see [`Limits::set_peers`].
+    pub fn set_peers(&mut self, peers: impl IntoIterator<Item = peers::Id>) {
+        self.limits.set_peers(peers);
+    }
+
+    /// Takes in the demand that a peer tells.
+    pub fn peer_demand(&mut self, now: Moment, peer: &peers::Id, demand: &[Demand]) {
+        self.limits.take(now, peer, demand);
+    }
+
+    /// Demand to tell the peers now.
+    pub fn demand(&mut self, now: Moment) -> Vec<Demand> {
+        self.limits.demand(now)
     }
 
     /// Own outstanding work, for the peers.
@@ -255,13 +289,24 @@
         }
         if sweep {
             self.last_sweep = now;
-            self.refuse_orphans(&mut outputs);
+            self.limits.refresh(now);
         }
+        self.refuse_orphans(&mut outputs);
         outputs
     }
 
-    /// Sends, queues or refuses.
+    /// Sends, queues or refuses. What is refused gives back what it took from the limits.
     fn enter(&mut self, now: Moment, waiting: Waiting) -> Decision {
+        let subjects = waiting.request.subjects.clone();
+        let tokens = waiting.request.tokens();
+        let decision = self.decide(now, waiting);
+        if matches!(decision, Decision::Refuse(_)) {
+            self.limits.release(&subjects, Used::nothing(tokens));
+        }
+        decision
+    }
+
+    fn decide(&mut self, now: Moment, waiting: Waiting) -> Decision {
         let pool_id = waiting.request.pool.clone();
         let Some(pool) = self.pools.get_mut(&pool_id) else {
             return self.refuse(Reason::NoPool, Duration::ZERO);
@@ -413,19 +458,51 @@
         }
     }
 
-    /// Refuses what waits for a pool that is gone.
+    /// When a request may be tried again, if at all.
+    fn retry_at(&mut self, now: Moment, waiting: &Waiting, ran: Ran) -> Option<Moment> {
+        let safe = ran == Ran::No || waiting.request.repeatable;
+        if !safe || !self.budget.take(waiting.attempts) {
+            return None;
+        }
+        let due = now + self.budget.backoff(&mut self.rng, waiting.attempts);
+        (due < waiting.request.deadline).then_some(due)
+    }
+
+    /// Books what an attempt used in truth.
+    fn settle(&mut self, running: &Running) {
+        let request = &running.waiting.request;
+        let actual = u64::from(request.prompt_tokens) + running.generated;
+        let used = Used {
+            expected: request.tokens(),
+            actual,
+        };
+        self.limits.release(&request.subjects, used);
+    }
+
+    /// Refuses what waited for a pool that is gone.
     fn refuse_orphans(&mut self, outputs: &mut Outputs) {
-        let gone = |(_, pool): &(&Ticket, &pool::Id)| !self.pools.contains_key(*pool);
-        let mut orphans: Vec<Ticket> = self
-            .tickets
-            .iter()
-            .filter(gone)
-            .map(|(ticket, _)| *ticket)
-            .collect();
-        orphans.sort_unstable();
-        for ticket in orphans {
-            self.refuse_waiting(ticket, Reason::NoPool, Duration::ZERO, outputs);
+        for (ticket, waiting) in std::mem::take(&mut self.orphans) {
+            self.tickets.remove(&ticket);
+            self.release_unused(&waiting);
+            let refusal = self.refusal(Reason::NoPool, Duration::ZERO);
+            outputs.push(Output::Refuse { ticket, refusal });
+        }
+    }
+
+    /// Takes a request out of its queue or its backoff.
+    fn withdraw(&mut self, ticket: Ticket) -> Option<Waiting> {
+        if let Some(pool) = self.tickets.remove(&ticket) {
+            return self.pools.get_mut(&pool)?.queue.remove(ticket);
         }
+        let mut backoffs = self.backoffs.keys();
+        let key = *backoffs.find(|(_, number)| *number == ticket)?;
+        self.backoffs.remove(&key).map(|backoff| backoff.waiting)
+    }
+
+    fn release_unused(&mut self, waiting: &Waiting) {
+        let request = &waiting.request;
+        self.limits
+            .release(&request.subjects, Used::nothing(request.tokens()));
     }
 
     fn refuse_waiting(
@@ -435,10 +512,8 @@
         wait: Duration,
         outputs: &mut Outputs,
     ) {
-        if let Some(pool) = self.tickets.remove(&ticket)
-            && let Some(pool) = self.pools.get_mut(&pool)
-        {
-            pool.queue.remove(ticket);
+        if let Some(waiting) = self.withdraw(ticket) {
+            self.release_unused(&waiting);
         }
         let refusal = self.refusal(reason, wait);
         outputs.push(Output::Refuse { ticket, refusal });
@@ -456,7 +531,14 @@
             prefill: holding.prefill.as_ref().map(|(id, _)| id.clone()),
             priority: request.priority,
         };
-        self.running.insert(attempt, Running { waiting, holding });
+        self.running.insert(
+            attempt,
+            Running {
+                waiting,
+                holding,
+                generated: 0,
+            },
+        );
         Some(sending)
     }
 
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -60,7 +60,7 @@
 }
 
 pub(crate) fn router(config: Config, views: Vec<View>) -> Router {
-    let mut router = Router::new(Settings::default(), 7);
+    let mut router = Router::new(Settings::default(), "entry-1", 7);
     router.set_pools(Moment::ZERO, vec![config]);
     router.set_upstreams(Moment::ZERO, POOL, views);
     router
