--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -207,6 +207,10 @@
     /// Brings every member's state and hearing up to date and reports what changed.
     fn judge(&mut self, now: Moment, outputs: &mut Outputs) {
         for member in self.members.values_mut() {
+            if member.listed.is_some() {
+                // The list is read rarely; until it says otherwise, its last word holds.
+                member.present_at = now;
+            }
             let state = member.judge(now, &self.settings);
             if state != member.state {
                 let was = Some(member.state);
--- /dev/null
+++ b/crates/fleet/tests/drain.rs
@@ -0,0 +1,126 @@
+//! An order acts only when every entry that could still send has confirmed and has nothing open.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by it")]
+
+mod support;
+
+use fleet::Drain;
+use fleet::drain::{Settings, Wait};
+use fleet::member::{Own, Sender};
+use support::{confirm, s};
+
+fn sender(id: &str, incarnation: Option<u64>) -> Sender {
+    Sender {
+        id: id.to_owned(),
+        incarnation,
+    }
+}
+
+fn drain() -> Drain {
+    let mut drain = Drain::new(Settings { settle: s(2) });
+    drain.begin(s(10), 31, "engine-1");
+    drain
+}
+
+fn waits(drain: &Drain, senders: &[Sender]) -> Vec<String> {
+    let waits = drain.waits(s(20), 31, senders).unwrap();
+    waits.iter().map(Wait::to_string).collect()
+}
+
+#[test]
+fn it_says_whom_and_what_it_waits_for() {
+    let mut drain = drain();
+    let senders = [
+        sender("a", Some(1)),
+        sender("b", None),
+        sender("c", Some(1)),
+    ];
+    drain.confirm(&confirm("a", 1, 1, 31, 3));
+    drain.confirm(&confirm("c", 1, 1, 31, 0));
+    assert_eq!(waits(&drain, &senders), ["a to finish 3", "b to confirm"]);
+    drain.confirm(&confirm("a", 1, 2, 31, 0));
+    drain.confirm(&confirm("b", 8, 1, 31, 0));
+    assert!(waits(&drain, &senders).is_empty());
+    let status = drain.status(s(20), &senders);
+    assert_eq!(status[0].confirmed.len(), 3);
+    assert!(status[0].waits.is_empty());
+}
+
+#[test]
+fn it_settles_before_it_acts() {
+    let drain = drain();
+    assert_eq!(
+        drain.waits(s(11), 31, &[]).unwrap(),
+        [Wait::Settle { left: s(1) }]
+    );
+    assert!(drain.waits(s(12), 31, &[]).unwrap().is_empty());
+    assert_eq!(drain.waits(s(12), 32, &[]), None);
+}
+
+// Symptom: an order acts while a process that never heard of it sends to the engine.
+// Sequence: a confirms, dies, and starts anew; its new process has not confirmed.
+// Cause: the confirmation was kept by instance, not by process.
+#[test]
+fn a_restarted_entry_confirms_anew() {
+    let mut drain = drain();
+    drain.confirm(&confirm("a", 1, 50, 31, 0));
+    assert_eq!(waits(&drain, &[sender("a", Some(2))]), ["a to confirm"]);
+    drain.confirm(&confirm("a", 2, 1, 31, 0));
+    // A late frame of the former process takes nothing back.
+    drain.confirm(&confirm("a", 1, 51, 31, 4));
+    assert!(waits(&drain, &[sender("a", Some(2))]).is_empty());
+}
+
+// Symptom: an order cuts a stream.
+// Sequence: a reports one open request, then none, and the frames arrive in the other order.
+// Cause: the last frame to arrive was believed rather than the last one sent.
+#[test]
+fn frames_out_of_order_don_t_hide_work_in_hand() {
+    let mut drain = drain();
+    drain.confirm(&confirm("a", 1, 9, 31, 2));
+    drain.confirm(&confirm("a", 1, 8, 31, 0));
+    assert_eq!(waits(&drain, &[sender("a", Some(1))]), ["a to finish 2"]);
+}
+
+#[test]
+fn an_entry_that_starts_meanwhile_must_confirm_as_well() {
+    let mut drain = drain();
+    drain.confirm(&confirm("a", 1, 1, 31, 0));
+    let mut senders = vec![sender("a", Some(1))];
+    assert!(waits(&drain, &senders).is_empty());
+    senders.push(sender("new", Some(1)));
+    assert_eq!(waits(&drain, &senders), ["new to confirm"]);
+}
+
+#[test]
+fn a_confirmation_for_another_order_or_upstream_does_not_count() {
+    let mut drain = drain();
+    drain.begin(s(10), 32, "engine-2");
+    drain.confirm(&confirm("a", 1, 1, 30, 0));
+    drain.confirm(&confirm("a", 1, 2, 32, 0));
+    assert_eq!(waits(&drain, &[sender("a", Some(1))]), ["a to confirm"]);
+    let other = drain.waits(s(20), 32, &[sender("a", Some(1))]).unwrap();
+    assert_eq!(other.len(), 1);
+}
+
+#[test]
+fn it_owes_a_confirmation_for_each_closing_until_it_ends() {
+    let mut drain = drain();
+    drain.begin(s(11), 32, "engine-2");
+    drain.begin(s(19), 31, "engine-1");
+    let owed = drain.owed(|upstream| u32::from(upstream == "engine-2"));
+    let owed: Vec<_> = owed.iter().map(|one| (one.order, one.open)).collect();
+    assert_eq!(owed, [(31, 0), (32, 1)]);
+    let own = Own {
+        id: "own".to_owned(),
+        incarnation: 4,
+        data_centre: String::new(),
+    };
+    for confirm in drain.owed(|_| 0) {
+        drain.confirm_own(&own, &confirm);
+    }
+    assert!(waits(&drain, &[sender("own", Some(4))]).is_empty());
+    drain.end(31);
+    assert_eq!(drain.orders("engine-1").count(), 0);
+    assert_eq!(drain.orders("engine-2").collect::<Vec<_>>(), [32]);
+}
--- /dev/null
+++ b/crates/fleet/tests/list.rs
@@ -0,0 +1,85 @@
+//! A frozen, empty or outdated list never empties the fleet.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by it")]
+
+mod support;
+
+use fleet::list::{Kind, Listing, Reading, Settings, View};
+use proptest::prelude::*;
+use support::{listing, s, view};
+
+// Symptom: all callers are refused while all engines run.
+// Sequence: the list's service restarts after an outage and answers with an empty list for an hour.
+// Cause: an answer was taken for the truth because it came.
+#[test]
+fn an_empty_list_is_never_believed() {
+    let mut view = view(Kind::Engine, &["a", "b"]);
+    for second in 1..3600 {
+        let empty = Listing {
+            version: 100 + second,
+            instances: Vec::new(),
+        };
+        assert_eq!(view.read(s(second), empty), Reading::Doubted);
+    }
+    assert_eq!(view.iter().count(), 2);
+    assert_eq!(view.read_at(), Some(s(0)));
+    let mut unread = View::default();
+    assert_eq!(
+        unread.read(s(0), listing(1, Kind::Engine, &[])),
+        Reading::Doubted
+    );
+    assert_eq!(unread.read_at(), None);
+}
+
+#[test]
+fn a_lagging_copy_does_not_bring_back_what_left() {
+    let mut view = view(Kind::Engine, &["a", "b", "c"]);
+    view.read(s(1), listing(3, Kind::Engine, &["a", "b"]));
+    let old = listing(2, Kind::Engine, &["a", "b", "c"]);
+    assert_eq!(view.read(s(2), old), Reading::Outdated);
+    assert!(view.get("c").is_none());
+}
+
+// Symptom: after a failure of the list's store the fleet stays as it was for ever.
+// Sequence: the service comes back counting versions from 1, with a true list.
+// Cause: a lower version was never believed.
+#[test]
+fn a_lower_version_is_believed_when_it_lasts() {
+    let mut view = View::default();
+    view.read(s(0), listing(50, Kind::Engine, &["a", "b"]));
+    let restarted = || listing(1, Kind::Engine, &["a", "b", "c"]);
+    assert_eq!(view.read(s(1), restarted()), Reading::Outdated);
+    let held = s(1) + Settings::default().hold;
+    view.read(held, restarted());
+    assert!(view.get("c").is_some());
+}
+
+#[test]
+fn losing_more_than_half_at_once_is_doubted_first() {
+    let mut view = view(Kind::Engine, &["a", "b", "c", "d"]);
+    let few = || listing(2, Kind::Engine, &["a"]);
+    assert_eq!(view.read(s(1), few()), Reading::Doubted);
+    assert_eq!(view.iter().count(), 4);
+    // One believable answer in between starts the doubt anew.
+    view.read(s(20), listing(2, Kind::Engine, &["a", "b", "c"]));
+    view.read(s(21), listing(3, Kind::Engine, &["a", "b", "c"]));
+    assert_eq!(
+        view.read(s(40), listing(4, Kind::Engine, &["a"])),
+        Reading::Doubted
+    );
+    view.read(s(70), listing(4, Kind::Engine, &["a"]));
+    assert_eq!(view.iter().count(), 1);
+}
+
+proptest! {
+    #[test]
+    fn once_filled_it_is_never_empty(readings in prop::collection::vec((0_u64..20, 0_usize..5), 1..60)) {
+        let names = ["a", "b", "c", "d", "e"];
+        let mut view = view(Kind::Engine, &names);
+        for (second, (version, count)) in readings.into_iter().enumerate() {
+            let now = s(second as u64 * 10);
+            view.read(now, listing(version, Kind::Engine, &names[..count]));
+            prop_assert!(view.iter().count() > 0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/members.rs
@@ -0,0 +1,227 @@
+//! Membership under pauses, restarts and partitions.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by it")]
+
+mod support;
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use fleet::Members;
+use fleet::list::{Kind, Mark, View};
+use fleet::member::{
+    Hearing, Input, Output, Outputs, Own, Progress, Refusal, Sender, Settings, State,
+};
+use support::{beat, echo, instance, listing, s, view};
+
+const OWN: u64 = 100;
+
+fn members() -> Members {
+    let own = Own {
+        id: "own".to_owned(),
+        incarnation: OWN,
+        data_centre: "callao".to_owned(),
+    };
+    Members::new(own, Settings::default(), s(0))
+}
+
+fn tick(members: &mut Members, now: Duration) -> Outputs {
+    members.step(now, Input::Tick(Progress::default()))
+}
+
+/// Ticks every second up to and including the last.
+fn run(members: &mut Members, seconds: std::ops::RangeInclusive<u64>) -> Vec<Output> {
+    seconds
+        .flat_map(|second| tick(members, s(second)))
+        .collect()
+}
+
+fn state(members: &Members, id: &str) -> State {
+    members.get(id).unwrap().state
+}
+
+fn ids(members: &Members) -> Vec<String> {
+    members.senders().into_iter().map(|one| one.id).collect()
+}
+
+#[test]
+fn a_silent_member_is_suspect_while_listed_and_gone_after_it_left() {
+    let mut members = members();
+    members.step(s(0), Input::List(&view(Kind::Entry, &["a", "own"])));
+    members.step(s(1), Input::Frame(&beat("a", 1, 1)));
+    assert_eq!(state(&members, "a"), State::Alive);
+    run(&mut members, 1..=100);
+    assert_eq!(state(&members, "a"), State::Suspect);
+    assert_eq!(ids(&members), ["a", "own"]);
+    // It stays a sender for the whole bound after the list let it go.
+    members.step(s(100), Input::List(&view(Kind::Entry, &["own"])));
+    run(&mut members, 101..=114);
+    assert_eq!(state(&members, "a"), State::Suspect);
+    run(&mut members, 115..=115);
+    assert_eq!(state(&members, "a"), State::Gone);
+    assert_eq!(ids(&members), ["own"]);
+}
+
+#[test]
+fn a_member_that_is_only_heard_is_a_sender() {
+    let mut members = members();
+    members.step(s(0), Input::List(&view(Kind::Entry, &["own"])));
+    members.step(s(0), Input::Frame(&beat("new", 7, 1)));
+    let sender = Sender {
+        id: "new".to_owned(),
+        incarnation: Some(7),
+    };
+    assert!(members.senders().contains(&sender));
+}
+
+// Symptom: a confirmation of a dead process counts for its successor.
+// Sequence: a restarts; a frame of its former process arrives late.
+// Cause: frames were told apart by instance only.
+#[test]
+fn frames_of_an_older_incarnation_are_refused() {
+    let mut members = members();
+    members.step(s(0), Input::Frame(&beat("a", 5, 90)));
+    let outputs = members.step(s(1), Input::Frame(&beat("a", 6, 1)));
+    assert_matches!(&outputs[..], [Output::Restarted { incarnation: 6, .. }]);
+    let late = members.step(s(1), Input::Frame(&beat("a", 5, 91)));
+    assert_eq!(
+        late.as_slice(),
+        [Output::Refused(Refusal::OlderIncarnation)]
+    );
+}
+
+#[test]
+fn an_older_frame_of_a_kind_and_a_frame_without_a_sender_are_refused() {
+    let mut members = members();
+    members.step(s(0), Input::Frame(&beat("a", 1, 2)));
+    let older = members.step(s(0), Input::Frame(&beat("a", 1, 1)));
+    assert_eq!(older.as_slice(), [Output::Refused(Refusal::OlderSequence)]);
+    let mut nobody = beat("a", 1, 3);
+    nobody.from = None;
+    for frame in [nobody, beat("own", OWN, 9)] {
+        let outputs = members.step(s(0), Input::Frame(&frame));
+        assert_eq!(outputs.as_slice(), [Output::Refused(Refusal::NoSender)]);
+    }
+}
+
+// Symptom: an entry that is continued after a minute goes on as if nothing had happened.
+// Sequence: a stops sending for a minute, leaves the list, is gone, and is heard again with the
+// same incarnation.
+// Cause: one that was written off was not taken back among those who may send.
+#[test]
+fn a_paused_member_that_returns_is_recognised() {
+    let mut members = members();
+    members.step(s(0), Input::List(&view(Kind::Entry, &["own"])));
+    members.step(s(0), Input::Frame(&beat("a", 1, 1)));
+    run(&mut members, 1..=60);
+    assert_eq!(state(&members, "a"), State::Gone);
+    let outputs = members.step(s(60), Input::Frame(&beat("a", 1, 2)));
+    assert_matches!(&outputs[0], Output::Returned { id, silent } if id == "a" && *silent == s(60));
+    assert_eq!(ids(&members), ["a", "own"]);
+}
+
+// Symptom: a continued process closes an upstream without asking anyone.
+// Sequence: this process is stopped for a minute. The list lost a meanwhile, and a's frames still
+// wait in the socket when the first tick comes.
+// Cause: the silence of the others was counted while this process could not listen.
+#[test]
+fn an_own_pause_is_noticed_and_makes_nobody_gone() {
+    let mut members = members();
+    members.step(s(0), Input::List(&view(Kind::Entry, &["own"])));
+    members.step(s(1), Input::Frame(&beat("a", 1, 1)));
+    let outputs = tick(&mut members, s(61));
+    assert_eq!(outputs[0], Output::Paused(s(60)));
+    assert_eq!(state(&members, "a"), State::Alive);
+    assert_eq!(ids(&members), ["a", "own"]);
+    // From then on silence counts.
+    run(&mut members, 62..=76);
+    assert_eq!(state(&members, "a"), State::Gone);
+}
+
+// Symptom: a peer that does not hear this process looks healthy from here.
+// Sequence: a's heartbeats arrive each second and echo nothing after second 10.
+// Cause: a partition in one direction; only the echo shows it.
+#[test]
+fn a_deaf_peer_is_noticed_and_heals() {
+    let mut members = members();
+    for second in 1..=10 {
+        members.step(s(second), Input::Frame(&echo("a", second, OWN, s(second))));
+        tick(&mut members, s(second));
+    }
+    assert_eq!(members.get("a").unwrap().hearing, Hearing::Hears);
+    for second in 11..=20 {
+        members.step(s(second), Input::Frame(&echo("a", second, OWN, s(10))));
+        tick(&mut members, s(second));
+    }
+    assert_eq!(members.get("a").unwrap().hearing, Hearing::Deaf);
+    assert_eq!(state(&members, "a"), State::Alive);
+    members.step(s(21), Input::Frame(&echo("a", 21, OWN, s(21))));
+    assert_eq!(members.get("a").unwrap().hearing, Hearing::Hears);
+}
+
+#[test]
+fn an_echo_of_a_newer_incarnation_tells_that_this_process_was_replaced() {
+    let mut members = members();
+    let outputs = members.step(s(1), Input::Frame(&echo("a", 1, OWN + 1, s(1))));
+    assert!(outputs.contains(&Output::Superseded(OWN + 1)));
+}
+
+#[test]
+fn a_new_process_serves_when_all_listed_hear_it_or_the_lag_is_over() {
+    let mut members = members();
+    assert!(!members.may_serve(s(0)));
+    members.step(s(0), Input::List(&view(Kind::Entry, &["a", "b", "own"])));
+    members.step(s(1), Input::Frame(&echo("a", 1, OWN, s(1))));
+    assert!(!members.may_serve(s(1)));
+    members.step(s(1), Input::Frame(&echo("b", 1, OWN, s(1))));
+    assert!(members.may_serve(s(1)));
+    assert!(self::members().may_serve(Settings::default().lag));
+}
+
+#[test]
+fn beats_go_to_all_but_the_gone_and_echo_what_was_heard() {
+    let mut members = members();
+    members.step(s(0), Input::List(&view(Kind::Entry, &["a", "own"])));
+    members.step(s(0), Input::Frame(&beat("b", 9, 44)));
+    let outputs = tick(&mut members, s(2));
+    let beats: Vec<_> = outputs
+        .iter()
+        .filter_map(|one| match one {
+            Output::Beat { to, heartbeat } => Some((to.as_str(), heartbeat.echo)),
+            _ => None,
+        })
+        .collect();
+    assert_matches!(
+        beats[..],
+        [
+            ("a", None),
+            (
+                "b",
+                Some(wire::peer::Echo {
+                    incarnation: 9,
+                    sent_ms: 44
+                })
+            )
+        ]
+    );
+}
+
+#[test]
+fn leaving_shows_from_the_list_and_from_the_heartbeat() {
+    let mut members = members();
+    let mut view = View::default();
+    let mut lines = listing(1, Kind::Entry, &["a", "own"]);
+    lines
+        .instances
+        .push(instance("b", Kind::Entry, Mark::Leaving));
+    view.read(s(0), lines);
+    members.step(s(0), Input::List(&view));
+    let mut frame = beat("a", 1, 1);
+    if let Some(wire::peer::frame::Body::Heartbeat(beat)) = &mut frame.body {
+        beat.leaving = true;
+    }
+    members.step(s(0), Input::Frame(&frame));
+    assert_eq!(state(&members, "a"), State::Leaving);
+    assert_eq!(state(&members, "b"), State::Leaving);
+    assert_eq!(ids(&members), ["a", "b", "own"]);
+}
