--- /dev/null
+++ b/crates/load/src/answer.rs
@@ -0,0 +1,105 @@
+//! Judging an answer by its content: every stand-in's answer follows from the request, so that an
+//! answer that belongs to another request, or has parts twice or missing, shows.
+
+use serde::Deserialize;
+
+use crate::verdict::Ran;
+
+/// How a piece of text fits to what is due next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fit {
+    /// It is what is due.
+    Due,
+    /// It is the caller's own, but not due now: a part came twice, too early or was left out.
+    Garbled,
+    /// It is no part of the caller's answer.
+    Crossed,
+}
+
+/// Holds what is due of the answer to one completion.
+#[derive(Clone, Debug)]
+pub struct Judge {
+    due: String,
+    at: usize,
+}
+
+impl Judge {
+    /// A judge that waits for this text.
+    pub fn new(due: String) -> Self {
+        Self { due, at: 0 }
+    }
+
+    /// Judges the next piece.
+    pub fn take(&mut self, piece: &str) -> Fit {
+        if self.due[self.at..].starts_with(piece) {
+            self.at += piece.len();
+            Fit::Due
+        } else if self.due.contains(piece) {
+            Fit::Garbled
+        } else {
+            Fit::Crossed
+        }
+    }
+
+    /// Whether the whole text has come.
+    pub fn is_complete(&self) -> bool {
+        self.at == self.due.len()
+    }
+}
+
+/// A problem document, as far as callers act on it.
+#[derive(Clone, Debug, Default, Deserialize)]
+struct Problem {
+    ran: Option<String>,
+}
+
+/// What an error answer says of the call; unknown if it does not say.
+pub fn ran(body: &[u8]) -> Ran {
+    let problem: Problem = serde_json::from_slice(body).unwrap_or_default();
+    match problem.ran.as_deref() {
+        Some("no") => Ran::No,
+        _ => Ran::Unknown,
+    }
+}
+
+/// Answer of a completion or an event of one, streamed or whole, as a chat or not.
+#[derive(Clone, Debug, Deserialize)]
+struct Completion {
+    #[serde(default)]
+    choices: Vec<Choice>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Choice {
+    text: Option<String>,
+    delta: Option<Message>,
+    message: Option<Message>,
+}
+
+#[derive(Clone, Debug, Deserialize)]
+struct Message {
+    content: Option<String>,
+}
+
+/// The text in an answer or event of a completion; nothing if it is no such thing.
+pub fn text(json: &[u8]) -> Option<String> {
+    let answer: Completion = serde_json::from_slice(json).ok()?;
+    let mut text = String::new();
+    for choice in answer.choices {
+        let message = choice.delta.or(choice.message);
+        let piece = choice.text.or(message.and_then(|message| message.content));
+        text.push_str(&piece.unwrap_or_default());
+    }
+    Some(text)
+}
+
+/// Answer of the plain stand-in, as far as it shows whose it is.
+#[derive(Clone, Debug, Deserialize)]
+struct Echo {
+    digest: String,
+}
+
+/// Whether the answer of the plain stand-in belongs to a request with this digest of its body.
+pub fn echoes(json: &[u8], digest: &str) -> bool {
+    serde_json::from_slice::<Echo>(json).is_ok_and(|echo| echo.digest == digest)
+}
--- /dev/null
+++ b/crates/load/src/arrival.rs
@@ -0,0 +1,61 @@
+//! Arrivals of one class as a Poisson process whose rate moves with the plan. Arrivals never wait
+//! for answers, since callers do not either: a load that slows down with the system hides the very
+//! queues that it should show.
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::plan::{Class, Plan};
+use crate::swing::{self, Quantity};
+
+/// The arrivals of one class at one worker, as times since the start of the run.
+///
+/// The process is thinned: candidates come at the highest rate that the swings allow, and each is
+/// kept with the probability that the rate at its time has of the highest.
+#[derive(Debug)]
+pub struct Process<'a> {
+    class: &'a Class,
+    end: Duration,
+    highest: f64,
+    share: f64,
+    at: f64,
+    random: StdRng,
+}
+
+impl<'a> Process<'a> {
+    /// The process of one of `workers` workers; their sum is the class's process.
+    pub fn new(plan: &Plan, class: &'a Class, seed: u64, workers: usize) -> Self {
+        let share = class.rate / workers as f64;
+        Self {
+            class,
+            end: plan.duration,
+            highest: share * swing::highest(&class.swings, Quantity::Rate),
+            share,
+            at: 0.0,
+            random: StdRng::seed_from_u64(seed),
+        }
+    }
+}
+
+impl Iterator for Process<'_> {
+    type Item = Duration;
+
+    fn next(&mut self) -> Option<Duration> {
+        if self.highest <= 0.0 {
+            return None;
+        }
+        loop {
+            self.at += -(1.0 - self.random.random::<f64>()).ln() / self.highest;
+            if self.at >= self.end.as_secs_f64() {
+                return None;
+            }
+            let at = Duration::from_secs_f64(self.at);
+            let rate = self.share * swing::factor(&self.class.swings, Quantity::Rate, at);
+            if self.random.random::<f64>() * self.highest < rate {
+                return Some(at);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/audit.rs
@@ -0,0 +1,120 @@
+//! What the plain services really executed, against what the callers were told. The services count
+//! by the digest of the body, and every body carries the id of its request.
+
+use std::collections::BTreeMap;
+
+use awc::Client;
+use error_stack::{Report, ResultExt};
+use serde::{Deserialize, Serialize};
+
+use crate::error::Error;
+use crate::verdict::Verdict;
+
+/// Most bytes of a service's list of executions.
+const LONGEST_LIST: usize = 1 << 30;
+
+/// A call of a plain service whose executions are to be looked up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Name of its class.
+    pub class: String,
+    /// Digest of its body, as the services count it.
+    pub digest: String,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// What its caller was told.
+    pub verdict: Verdict,
+    /// Whether every attempt was told not to have run or reached no entry.
+    pub never_ran: bool,
+}
+
+/// Executions by digest of the body.
+pub type Executions = BTreeMap<String, u64>;
+
+/// What the audit found.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+pub struct Audit {
+    /// Calls that were looked up.
+    pub calls: u64,
+    /// Calls that may not be repeated and ran more than once.
+    pub doubled: u64,
+    /// Calls of which every attempt was told not to have run, yet they ran.
+    pub wrongly_not_run: u64,
+    /// Calls that were answered as served and never ran.
+    pub never_run: u64,
+    /// Calls whose caller was told nothing certain, and that ran.
+    pub uncertain_run: u64,
+    /// Calls whose caller was told nothing certain, and that did not run.
+    pub uncertain_not_run: u64,
+    /// Digests of the doubled and wrongly denied calls, for a look into logs.
+    pub examples: Vec<String>,
+}
+
+/// Most examples that are kept.
+const EXAMPLES: usize = 20;
+
+impl Audit {
+    /// Compares what callers were told with what the services executed.
+    pub fn compare(entries: &[Entry], executions: &Executions) -> Self {
+        let mut audit = Self::default();
+        for entry in entries {
+            let runs = executions.get(&entry.digest).copied().unwrap_or(0);
+            audit.entry(entry, runs);
+        }
+        audit
+    }
+
+    /// Whether nothing was found that must never be.
+    pub fn is_clean(&self) -> bool {
+        self.doubled == 0 && self.wrongly_not_run == 0 && self.never_run == 0
+    }
+
+    fn entry(&mut self, entry: &Entry, runs: u64) {
+        self.calls += 1;
+        let doubled = runs > 1 && !entry.repeatable;
+        let denied = runs > 0 && entry.never_ran && entry.verdict != Verdict::Served;
+        let invented = runs == 0 && entry.verdict == Verdict::Served;
+        self.doubled += u64::from(doubled);
+        self.wrongly_not_run += u64::from(denied);
+        self.never_run += u64::from(invented);
+        let bad = doubled || denied || invented;
+        if bad && self.examples.len() < EXAMPLES {
+            self.examples
+                .push(format!("{} {}", entry.class, entry.digest));
+        }
+        let certain = entry.verdict == Verdict::Served || entry.never_ran;
+        match (certain, runs) {
+            (true, _) => {}
+            (false, 0) => self.uncertain_not_run += 1,
+            (false, _) => self.uncertain_run += 1,
+        }
+    }
+}
+
+/// The part of a service's list that the audit reads.
+#[derive(Debug, Deserialize)]
+struct List {
+    by_body: Executions,
+}
+
+/// Reads the executions of all services and adds them up.
+///
+/// # Errors
+/// A service that does not answer with its list; the audit would otherwise call lost what it merely
+/// did not see.
+pub async fn read(client: &Client, services: &[String]) -> Result<Executions, Report<Error>> {
+    let mut executions = Executions::new();
+    for service in services {
+        let url = format!("{}/standin/executions", service.trim_end_matches('/'));
+        let failed = || Error::Service(url.clone());
+        let sent = client.get(&url).no_decompress().send().await;
+        let mut answer = sent.map_err(|error| Report::new(failed()).attach(error.to_string()))?;
+        let body = answer.body().limit(LONGEST_LIST).await;
+        let body = body.map_err(|error| Report::new(failed()).attach(error.to_string()))?;
+        let list: List = serde_json::from_slice(&body).change_context_lazy(failed)?;
+        for (digest, count) in list.by_body {
+            *executions.entry(digest).or_default() += count;
+        }
+    }
+    Ok(executions)
+}
--- /dev/null
+++ b/crates/load/src/bench.rs
@@ -0,0 +1,122 @@
+//! What an entry adds and what it can carry: latency against calling the stand-in directly, its
+//! rate and relayed tokens for each second of processor time, its memory.
+
+mod latency;
+mod memory;
+mod saturation;
+mod side;
+
+use std::fmt;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use error_stack::Report;
+use serde::Serialize;
+
+use crate::args::Bench;
+use crate::command::{FAULT, to_json, write};
+use crate::error::Error;
+use crate::process::Process;
+use crate::worker;
+
+pub use latency::Latency;
+pub use memory::Memory;
+pub use saturation::Saturation;
+pub use side::{Side, Sides};
+
+/// All figures of a bench.
+#[derive(Clone, Debug, Serialize)]
+pub struct Figures {
+    /// Added latency by kind of call and rate.
+    pub latency: Vec<Latency>,
+    /// Whole requests at saturation.
+    pub whole: Option<Saturation>,
+    /// Relayed tokens at saturation.
+    pub streamed: Option<Saturation>,
+    /// Resident memory.
+    pub memory: Option<Memory>,
+}
+
+/// Runs the bench and tells its figures.
+///
+/// # Errors
+/// Unreadable process or files.
+pub fn run(options: &Bench) -> Result<ExitCode, Report<Error>> {
+    let figures = actix_rt::System::new().block_on(measure(options))?;
+    if let Some(path) = &options.json {
+        write(path, &to_json(&figures)?)?;
+    }
+    println!("{figures}");
+    let failed = figures.failed();
+    if failed > 0 {
+        eprintln!("{failed} calls were not served; the figures do not count them");
+        return Ok(ExitCode::from(FAULT));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn measure(options: &Bench) -> Result<Figures, Report<Error>> {
+    let client = worker::client();
+    let process = options.pid.map(|pid| Process { pid });
+    let idle = process.map(|process| process.resident()).transpose()?;
+    let mut latency = Vec::new();
+    for sides in Sides::all(options) {
+        for rate in &options.rates {
+            latency.push(latency::measure(&client, &sides, *rate, options.samples).await);
+        }
+    }
+    let length = Duration::from_secs(options.seconds);
+    let (mut whole, mut streamed, mut memory) = (None, None, None);
+    if let (Some(process), Some(idle)) = (process, idle) {
+        let side = Side::plain(&options.entry, &options.plain_path, &options.plain_key);
+        whole = Some(saturation::measure(
+            process,
+            &side,
+            options.connections,
+            length,
+        )?);
+        if options.engine.is_some() {
+            let side = Side::stream(options, options.relay_tokens);
+            streamed = Some(saturation::measure(
+                process,
+                &side,
+                options.streams,
+                length,
+            )?);
+            memory = Some(memory::measure(&client, process, idle, options).await?);
+        }
+    }
+    Ok(Figures {
+        latency,
+        whole,
+        streamed,
+        memory,
+    })
+}
+
+impl Figures {
+    fn failed(&self) -> u64 {
+        let latency: u64 = self.latency.iter().map(|latency| latency.failed).sum();
+        let saturation = self.whole.iter().chain(&self.streamed);
+        latency + saturation.map(|saturation| saturation.failed).sum::<u64>()
+    }
+}
+
+impl fmt::Display for Figures {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "{}", Latency::HEAD)?;
+        for latency in &self.latency {
+            writeln!(f, "{latency}")?;
+        }
+        if let Some(whole) = &self.whole {
+            writeln!(f, "whole requests at saturation: {whole}")?;
+        }
+        if let Some(streamed) = &self.streamed {
+            writeln!(f, "streams at saturation: {streamed}")?;
+        }
+        if let Some(memory) = &self.memory {
+            writeln!(f, "{memory}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/load/src/bench/latency.rs
@@ -0,0 +1,155 @@
+//! Added latency: calls go by turns straight to the stand-in and through the entry, at the same
+//! rate, in one run, so that the machine's noise meets both alike.
+
+use std::cell::RefCell;
+use std::fmt;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_rt::time::sleep_until;
+use awc::Client;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use serde::Serialize;
+
+use super::side::{Call, Side, Sides};
+use crate::request::Source;
+use crate::summary::Quantiles;
+use crate::tally::Times;
+use crate::verdict::End;
+
+/// Calls of each side that are not counted, until connections stand.
+const WARM_UP: u32 = 10;
+
+/// A rate is measured for at least as long as this many calls take, and at most this long.
+const LONGEST: Duration = Duration::from_secs(30);
+
+/// Added latency of one kind of call at one rate.
+#[derive(Clone, Debug, Serialize)]
+pub struct Latency {
+    /// Kind of call.
+    pub kind: &'static str,
+    /// Calls a second on each side.
+    pub rate: f64,
+    /// Whole answer, straight.
+    pub direct: Quantiles,
+    /// Whole answer, through the entry.
+    pub entry: Quantiles,
+    /// First token, straight.
+    pub direct_first: Quantiles,
+    /// First token, through the entry.
+    pub entry_first: Quantiles,
+    /// Calls that were not served whole.
+    pub failed: u64,
+}
+
+#[derive(Debug, Default)]
+struct Timing {
+    whole: Times,
+    first: Times,
+}
+
+/// Measures both sides at a rate, with about this many samples each.
+pub(super) async fn measure(client: &Client, sides: &Sides, rate: f64, samples: u32) -> Latency {
+    let timings = Rc::new(RefCell::new([Timing::default(), Timing::default()]));
+    let failed = Rc::new(RefCell::new(0));
+    let mut sources = [source(&sides.direct, "d"), source(&sides.entry, "e")];
+    let both = [&sides.direct, &sides.entry];
+    for _ in 0..WARM_UP {
+        for (side, source) in both.iter().zip(&mut sources) {
+            side.call(client, source).await;
+        }
+    }
+    let count = 2 * samples.min((rate * LONGEST.as_secs_f64()) as u32).max(1);
+    let mut random = StdRng::seed_from_u64(u64::from(samples));
+    let mut due = Instant::now();
+    let mut calls = Vec::new();
+    for number in 0..count {
+        due += Duration::from_secs_f64(-(1.0 - random.random::<f64>()).ln() / (2.0 * rate));
+        sleep_until(due.into()).await;
+        let turn = (number % 2) as usize;
+        let side = both[turn].clone();
+        let client = client.clone();
+        let (timings, failed) = (Rc::clone(&timings), Rc::clone(&failed));
+        calls.push(actix_rt::spawn(async move {
+            let mut source = source(&side, &format!("{number}"));
+            let call = side.call(&client, &mut source).await;
+            if call.end == End::Whole {
+                timings.borrow_mut()[turn].record(&call);
+            } else {
+                *failed.borrow_mut() += 1;
+            }
+        }));
+    }
+    for call in calls {
+        call.await.ok();
+    }
+    let [direct, entry] = timings.take();
+    Latency {
+        kind: sides.name,
+        rate,
+        direct: Quantiles::from(&direct.whole),
+        entry: Quantiles::from(&entry.whole),
+        direct_first: Quantiles::from(&direct.first),
+        entry_first: Quantiles::from(&entry.first),
+        failed: failed.take(),
+    }
+}
+
+/// A source whose ids no other source of any run has.
+pub(super) fn source<'a>(side: &'a Side, label: &str) -> Source<'a> {
+    let unique = uuid::Uuid::new_v4().simple().to_string();
+    Source::new(&side.class, 0, format!("{}-{label}", &unique[..8]), 0)
+}
+
+impl Timing {
+    fn record(&mut self, call: &Call) {
+        self.whole.record(call.whole);
+        if let Some(first) = call.first {
+            self.first.record(first);
+        }
+    }
+}
+
+impl Latency {
+    /// Head of the table of which each latency is a row.
+    pub const HEAD: &str = "kind       part  rate/s  samples  direct p50/p99 ms   entry p50/p99 ms  \
+                            added p50/p99 ms  ratio p50/p99  failed";
+
+    fn row(
+        &self,
+        f: &mut fmt::Formatter<'_>,
+        part: &str,
+        direct: &Quantiles,
+        entry: &Quantiles,
+    ) -> fmt::Result {
+        write!(
+            f,
+            "{:<10} {part:<5} {:>6} {:>8} {:>9.3}/{:>8.3} {:>9.3}/{:>8.3} {:>8.3}/{:>7.3} \
+             {:>7.2}/{:<6.2} {:>7}",
+            self.kind,
+            self.rate,
+            entry.count,
+            direct.p50_ms,
+            direct.p99_ms,
+            entry.p50_ms,
+            entry.p99_ms,
+            entry.p50_ms - direct.p50_ms,
+            entry.p99_ms - direct.p99_ms,
+            entry.p50_ms / direct.p50_ms,
+            entry.p99_ms / direct.p99_ms,
+            self.failed,
+        )
+    }
+}
+
+impl fmt::Display for Latency {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.row(f, "whole", &self.direct, &self.entry)?;
+        if self.entry_first.count > 0 {
+            writeln!(f)?;
+            self.row(f, "first", &self.direct_first, &self.entry_first)?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/load/src/bench/memory.rs
@@ -0,0 +1,82 @@
+//! Resident memory of an entry: idle, and with many streams open.
+
+use std::fmt;
+use std::time::Duration;
+
+use actix_rt::time::sleep;
+use awc::Client;
+use error_stack::Report;
+use serde::Serialize;
+
+use super::latency::source;
+use super::side::Side;
+use crate::args::Bench;
+use crate::error::Error;
+use crate::process::Process;
+
+/// Time for the streams to open.
+const OPENING: Duration = Duration::from_secs(5);
+
+/// Resident memory in bytes.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Memory {
+    /// Before the first call of the bench.
+    pub idle: u64,
+    /// After the other parts of the bench, with nothing open.
+    pub after_load: u64,
+    /// With the streams open.
+    pub open: u64,
+    /// Streams that were asked for.
+    pub streams: usize,
+    /// Of these, the ones that had already ended when the memory was read.
+    pub ended: usize,
+}
+
+/// Opens streams, reads the memory, closes them.
+pub(super) async fn measure(
+    client: &Client,
+    process: Process,
+    idle: u64,
+    options: &Bench,
+) -> Result<Memory, Report<Error>> {
+    let after_load = process.resident()?;
+    let side = Side::stream(options, options.open_tokens);
+    let streams: Vec<_> = (0..options.open_streams)
+        .map(|number| {
+            let (side, client) = (side.clone(), client.clone());
+            actix_rt::spawn(async move {
+                let mut source = source(&side, &number.to_string());
+                side.call(&client, &mut source).await
+            })
+        })
+        .collect();
+    sleep(OPENING).await;
+    let ended = streams.iter().filter(|stream| stream.is_finished()).count();
+    let open = process.resident()?;
+    for stream in &streams {
+        stream.abort();
+    }
+    Ok(Memory {
+        idle,
+        after_load,
+        open,
+        streams: streams.len(),
+        ended,
+    })
+}
+
+impl fmt::Display for Memory {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mega = |bytes: u64| bytes as f64 / f64::from(1 << 20);
+        write!(
+            f,
+            "resident: idle {:.1} MiB, after load {:.1} MiB, with {} streams open {:.1} MiB \
+             ({} of them had ended)",
+            mega(self.idle),
+            mega(self.after_load),
+            self.streams - self.ended,
+            mega(self.open),
+            self.ended
+        )
+    }
+}
--- /dev/null
+++ b/crates/load/src/command.rs
@@ -0,0 +1,123 @@
+//! What each subcommand does, from its files to its exit code.
+
+use std::fs;
+use std::path::Path;
+use std::process::ExitCode;
+
+use error_stack::{Report, ResultExt};
+
+use crate::args::{Action, Run};
+use crate::bench;
+use crate::compare;
+use crate::error::Error;
+use crate::plan::Plan;
+use crate::plot::{self, Curve};
+use crate::run;
+use crate::summary::Summary;
+
+/// A fault was seen: lost, cut, crossed, garbled, doubled or wrongly denied.
+pub(crate) const FAULT: u8 = 1;
+
+/// Bad usage or a bad plan.
+const USAGE: u8 = 2;
+
+/// The load could not be sent as planned, so the figures tell of the load generator.
+pub(crate) const NOT_AS_PLANNED: u8 = 3;
+
+/// There is no result.
+const NO_RESULT: u8 = 4;
+
+/// Does what the command line asks; errors are told on standard error.
+pub fn run(action: Action) -> ExitCode {
+    let done = match action {
+        Action::Check { plan } => check(&plan),
+        Action::Run(options) => run_plan(&options),
+        Action::Compare(options) => compare::run(&options),
+        Action::Bench(options) => bench::run(&options),
+    };
+    done.unwrap_or_else(|report| {
+        eprintln!("{report:?}");
+        match report.current_context() {
+            Error::Usage(_) => ExitCode::from(USAGE),
+            _ => ExitCode::from(NO_RESULT),
+        }
+    })
+}
+
+fn check(path: &Path) -> Result<ExitCode, Report<Error>> {
+    let plan = read_plan(path)?;
+    println!(
+        "{}: {} classes, no findings",
+        path.display(),
+        plan.classes.len()
+    );
+    Ok(ExitCode::SUCCESS)
+}
+
+fn run_plan(options: &Run) -> Result<ExitCode, Report<Error>> {
+    let mut plan = read_plan(&options.plan)?.at_rate(options.rate);
+    if let Some(seed) = options.seed {
+        plan = plan.with_seed(seed);
+    }
+    let run = run::Run {
+        plan,
+        targets: options.place.targets.clone(),
+        services: options.place.services.clone(),
+        engines: options.place.engines.clone(),
+        workers: options.place.workers,
+    };
+    let summary = Summary::from(&run.run()?);
+    tell(&summary, options)?;
+    let faults = summary.faults();
+    for fault in &faults {
+        eprintln!("fault: {fault}");
+    }
+    if !faults.is_empty() {
+        return Ok(ExitCode::from(FAULT));
+    }
+    if !summary.is_as_planned() {
+        eprintln!("the load was not sent as planned; its figures are not to be used");
+        return Ok(ExitCode::from(NOT_AS_PLANNED));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn tell(summary: &Summary, options: &Run) -> Result<(), Report<Error>> {
+    if let Some(path) = &options.plot {
+        let curves = [
+            Curve::offered(&summary.curve),
+            Curve::good("good", &summary.curve),
+        ];
+        plot::draw(path, "goodput by arrival", &curves)?;
+    }
+    match &options.json {
+        Some(path) if path.as_os_str() == "-" => {
+            println!("{}", to_json(summary)?);
+            return Ok(());
+        }
+        Some(path) => write(path, &to_json(summary)?)?,
+        None => {}
+    }
+    println!("{summary}");
+    Ok(())
+}
+
+/// Reads and checks a plan.
+pub(crate) fn read_plan(path: &Path) -> Result<Plan, Report<Error>> {
+    let failed = || Error::File(path.display().to_string());
+    let yaml = fs::read_to_string(path).change_context_lazy(failed)?;
+    Plan::parse(&yaml).map_err(|findings| {
+        let list = findings.current_context().to_string();
+        Report::new(Error::Usage(format!("{}:\n{list}", path.display())))
+    })
+}
+
+/// The result as JSON.
+pub(crate) fn to_json(value: &impl serde::Serialize) -> Result<String, Report<Error>> {
+    serde_json::to_string_pretty(value).change_context(Error::File("JSON".to_owned()))
+}
+
+/// Writes a file whole.
+pub(crate) fn write(path: &Path, text: &str) -> Result<(), Report<Error>> {
+    fs::write(path, text).change_context_lazy(|| Error::File(path.display().to_string()))
+}
--- /dev/null
+++ b/crates/load/src/contest.rs
@@ -0,0 +1,209 @@
+//! Variants compared in one run: their segments alternate, so that whatever drifts on the machine
+//! meets all of them alike, and each pair of segments has the same arrivals.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use error_stack::Report;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::finding;
+use crate::summary::Summary;
+
+/// The variants of a comparison, as written in YAML.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Contest {
+    /// Rounds; each variant runs once in each.
+    #[serde(default = "five")]
+    pub rounds: usize,
+    /// Wait after a variant was put in force.
+    #[serde(default = "three_seconds", with = "humantime_serde")]
+    pub settle: Duration,
+    /// The variants; ratios are told against the first.
+    pub variants: Vec<Variant>,
+}
+
+/// One variant.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Variant {
+    /// Its name in the result.
+    pub name: String,
+    /// Entries of its own, in place of the common ones.
+    #[serde(default)]
+    pub targets: Vec<String>,
+    /// Fields merged into pools of the catalogue before each of its segments.
+    #[serde(default)]
+    pub pools: BTreeMap<String, Value>,
+}
+
+impl Contest {
+    /// Reads and checks a comparison.
+    ///
+    /// # Errors
+    /// Every finding, with its place.
+    pub fn parse(yaml: &str) -> Result<Self, Report<finding::List>> {
+        let mut findings = finding::List::default();
+        let contest: Self = serde_saphyr::from_str(yaml).map_err(|error| {
+            let mut findings = finding::List::default();
+            findings.add("comparison", error.to_string());
+            Report::new(findings)
+        })?;
+        let rounds = contest.rounds;
+        findings.require(
+            (1..=100).contains(&rounds),
+            "rounds",
+            "must be from 1 to 100",
+        );
+        let enough = contest.variants.len() >= 2;
+        findings.require(enough, "variants", "must name at least two");
+        for (index, variant) in contest.variants.iter().enumerate() {
+            let earlier = &contest.variants[..index];
+            if earlier.iter().any(|other| other.name == variant.name) {
+                let detail = format!("`{}` stands twice", variant.name);
+                findings.add(format!("variants[{index}].name"), detail);
+            }
+        }
+        findings.conclude(|| contest).map_err(Report::new)
+    }
+
+    /// The order of the variants in a round. It turns by one each round, so that none always
+    /// follows the same one or always comes first.
+    pub fn order(&self, round: usize) -> impl Iterator<Item = usize> + use<> {
+        let count = self.variants.len();
+        let backwards = round % 2 == 1;
+        (0..count).map(move |step| {
+            let step = if backwards { count - 1 - step } else { step };
+            (step + round / 2) % count
+        })
+    }
+}
+
+/// One segment: one variant in one round.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Segment {
+    /// The variant.
+    pub variant: String,
+    /// The round.
+    pub round: usize,
+    /// Its result.
+    pub summary: Summary,
+}
+
+/// Mean and spread of a figure over the rounds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct Spread {
+    /// Mean.
+    pub mean: f64,
+    /// Standard deviation between rounds (of the sample).
+    pub deviation: f64,
+    /// Smallest.
+    pub least: f64,
+    /// Largest.
+    pub most: f64,
+}
+
+impl Spread {
+    /// Mean and spread of these figures; zeros if there are none.
+    pub fn of(figures: &[f64]) -> Self {
+        if figures.is_empty() {
+            return Self::default();
+        }
+        let count = figures.len() as f64;
+        let mean = figures.iter().sum::<f64>() / count;
+        let squares: f64 = figures.iter().map(|figure| (figure - mean).powi(2)).sum();
+        Self {
+            mean,
+            deviation: (squares / (count - 1.0).max(1.0)).sqrt(),
+            least: figures.iter().copied().fold(f64::INFINITY, f64::min),
+            most: figures.iter().copied().fold(f64::NEG_INFINITY, f64::max),
+        }
+    }
+}
+
+/// What the rounds showed of one variant.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Score {
+    /// The variant.
+    pub variant: String,
+    /// Part of the offered requests that was served within the contract.
+    pub goodput: Spread,
+    /// Its goodput divided by that of the first variant in the same round.
+    pub ratio: Spread,
+    /// Role changes in a segment.
+    pub role_changes: Spread,
+    /// Standard deviation of open requests over the engines.
+    pub spread_open: Spread,
+    /// Faults of all its segments: lost, cut, crossed, doubled and the like.
+    pub faults: Vec<String>,
+    /// Whether all its segments were sent as planned.
+    pub as_planned: bool,
+    /// Goodput of each class.
+    pub classes: BTreeMap<String, Spread>,
+}
+
+/// What the rounds showed, by variant in the order of the comparison.
+pub fn scores(contest: &Contest, segments: &[Segment]) -> Vec<Score> {
+    let of = |name: &str| -> Vec<&Segment> {
+        let own = segments.iter().filter(|segment| segment.variant == name);
+        own.collect()
+    };
+    let Some(first) = contest.variants.first() else {
+        return Vec::new();
+    };
+    let base = of(&first.name);
+    contest
+        .variants
+        .iter()
+        .map(|variant| score(&variant.name, &of(&variant.name), &base))
+        .collect()
+}
+
+fn score(name: &str, own: &[&Segment], base: &[&Segment]) -> Score {
+    let figures = |figure: fn(&Segment) -> f64| -> Spread {
+        let all: Vec<_> = own.iter().map(|segment| figure(segment)).collect();
+        Spread::of(&all)
+    };
+    let ratios: Vec<_> = own
+        .iter()
+        .filter_map(|segment| {
+            let other = base.iter().find(|other| other.round == segment.round)?;
+            Some(segment.summary.all.goodput / other.summary.all.goodput.max(f64::EPSILON))
+        })
+        .collect();
+    Score {
+        variant: name.to_owned(),
+        goodput: figures(|segment| segment.summary.all.goodput),
+        ratio: Spread::of(&ratios),
+        role_changes: figures(|segment| segment.summary.engines.role_changes as f64),
+        spread_open: figures(|segment| segment.summary.engines.spread_open),
+        faults: own
+            .iter()
+            .flat_map(|segment| segment.summary.faults())
+            .collect(),
+        as_planned: own.iter().all(|segment| segment.summary.is_as_planned()),
+        classes: class_goodput(own),
+    }
+}
+
+fn class_goodput(own: &[&Segment]) -> BTreeMap<String, Spread> {
+    let mut by_class: BTreeMap<String, Vec<f64>> = BTreeMap::new();
+    for class in own.iter().flat_map(|segment| &segment.summary.classes) {
+        by_class
+            .entry(class.name.clone())
+            .or_default()
+            .push(class.goodput);
+    }
+    let spread = |(name, figures): (String, Vec<f64>)| (name, Spread::of(&figures));
+    by_class.into_iter().map(spread).collect()
+}
+
+const fn five() -> usize {
+    5
+}
+
+const fn three_seconds() -> Duration {
+    Duration::from_secs(3)
+}
--- /dev/null
+++ b/crates/load/src/event.rs
@@ -0,0 +1,73 @@
+//! Server-sent events, read from a body in pieces of any size.
+
+use bytes::{Buf, BytesMut};
+
+/// An event longer than this is no event of ours; the stream is given up.
+const LONGEST: usize = 1 << 20;
+
+/// One event.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Event {
+    /// What a caller gives as `Last-Event-ID` to go on after it.
+    pub id: Option<String>,
+    /// Its data; several data lines are joined by line feeds.
+    pub data: String,
+}
+
+/// Cuts a byte stream into events.
+#[derive(Debug, Default)]
+pub struct Reader {
+    buffer: BytesMut,
+    open: Event,
+    has_data: bool,
+}
+
+impl Reader {
+    /// Takes bytes in; [`Reader::next_event`] gives the events that they complete.
+    pub fn feed(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Whether more was buffered for one line than any event of ours has.
+    pub fn is_overlong(&self) -> bool {
+        self.buffer.len() > LONGEST
+    }
+
+    /// The next complete event.
+    pub fn next_event(&mut self) -> Option<Event> {
+        while let Some(end) = self.buffer.iter().position(|byte| *byte == b'\n') {
+            let line = self.buffer.split_to(end);
+            self.buffer.advance(1);
+            let line = line.strip_suffix(b"\r").unwrap_or(&line);
+            if line.is_empty() {
+                if let Some(event) = self.take() {
+                    return Some(event);
+                }
+            } else {
+                self.line(&String::from_utf8_lossy(line));
+            }
+        }
+        None
+    }
+
+    fn take(&mut self) -> Option<Event> {
+        let event = std::mem::take(&mut self.open);
+        std::mem::take(&mut self.has_data).then_some(event)
+    }
+
+    fn line(&mut self, line: &str) {
+        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "id" => self.open.id = Some(value.to_owned()),
+            "data" => {
+                if self.has_data {
+                    self.open.data.push('\n');
+                }
+                self.open.data.push_str(value);
+                self.has_data = true;
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/run.rs
@@ -0,0 +1,114 @@
+//! A whole run: workers side by side, their findings added up, the audit at the end.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use error_stack::Report;
+
+use crate::audit::{self, Audit};
+use crate::error::Error;
+use crate::plan::Plan;
+use crate::tally::{Tally, Times};
+use crate::target;
+use crate::watch::Sight;
+use crate::worker::{self, Found, Job};
+
+/// Time for the workers to start before the first arrival.
+const START: Duration = Duration::from_millis(200);
+
+/// What to run and where.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// What is asked.
+    pub plan: Plan,
+    /// URL roots of the entries.
+    pub targets: Vec<String>,
+    /// URL roots of the plain services, for the audit.
+    pub services: Vec<String>,
+    /// URL roots of the engines to look at; none are needed.
+    pub engines: Vec<String>,
+    /// Threads that send.
+    pub workers: usize,
+}
+
+/// What a run has shown.
+#[derive(Debug)]
+pub struct Result {
+    /// The plan that was run.
+    pub plan: Plan,
+    /// By class, in the order of the plan.
+    pub tallies: Vec<Tally>,
+    /// By how much arrivals were sent late.
+    pub lag: Times,
+    /// Requests without an end when the run was over.
+    pub unfinished: u64,
+    /// What the services executed against what callers were told; none without services.
+    pub audit: Option<Audit>,
+    /// What was seen of the engines.
+    pub engines: Sight,
+}
+
+impl Run {
+    /// Runs the plan to its end.
+    ///
+    /// # Errors
+    /// A worker that ended early, or a service that does not tell its executions.
+    pub fn run(self) -> std::result::Result<Result, Report<Error>> {
+        let workers = self.workers.max(1);
+        let job = Job {
+            plan: Arc::new(self.plan.clone()),
+            targets: Arc::new(target::Set::new(&self.targets)),
+            label: uuid::Uuid::new_v4().simple().to_string()[..8].to_owned(),
+            engines: Arc::new(self.engines.clone()),
+            workers,
+            start: Instant::now() + START,
+        };
+        let threads: Vec<_> = (0..workers)
+            .map(|number| {
+                let job = job.clone();
+                thread::spawn(move || actix_rt::System::new().block_on(worker::run(job, number)))
+            })
+            .collect();
+        let mut sum = Found {
+            tallies: vec![Tally::default(); self.plan.classes.len()],
+            ..Found::default()
+        };
+        for thread in threads {
+            let found = thread.join().map_err(|_| Report::new(Error::Worker))?;
+            sum.add(found);
+        }
+        let audit = self.audit(&sum.calls)?;
+        Ok(Result {
+            plan: self.plan,
+            tallies: sum.tallies,
+            lag: sum.lag,
+            unfinished: sum.unfinished,
+            audit,
+            engines: sum.sight,
+        })
+    }
+
+    fn audit(&self, calls: &[audit::Entry]) -> std::result::Result<Option<Audit>, Report<Error>> {
+        if self.services.is_empty() {
+            return Ok(None);
+        }
+        let executions = actix_rt::System::new()
+            .block_on(async { audit::read(&worker::client(), &self.services).await })?;
+        Ok(Some(Audit::compare(calls, &executions)))
+    }
+}
+
+impl Found {
+    fn add(&mut self, other: Self) {
+        for (tally, more) in self.tallies.iter_mut().zip(&other.tallies) {
+            tally.add(more);
+        }
+        self.calls.extend(other.calls);
+        self.lag.add(&other.lag);
+        self.unfinished += other.unfinished;
+        if other.sight.looks > 0 {
+            self.sight = other.sight;
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/summary.rs
@@ -0,0 +1,213 @@
+//! The result of a run for people and for programs.
+
+mod table;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::audit::Audit;
+use crate::run;
+use crate::tally::{Step, Tally, Times};
+use crate::verdict::Verdict;
+use crate::watch::Sight;
+
+/// A run whose arrivals were sent later than this, at the 99th percentile, measured itself.
+const LAG_LIMIT_MS: f64 = 50.0;
+
+/// Three quantiles of a distribution, and its longest time, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct Quantiles {
+    /// How many times were counted.
+    pub count: u64,
+    /// Half are not longer.
+    pub p50_ms: f64,
+    /// 95 of 100 are not longer.
+    pub p95_ms: f64,
+    /// 99 of 100 are not longer.
+    pub p99_ms: f64,
+    /// The longest.
+    pub max_ms: f64,
+}
+
+impl From<&Times> for Quantiles {
+    fn from(times: &Times) -> Self {
+        Self {
+            count: times.count(),
+            p50_ms: millis(times.quantile(0.5)),
+            p95_ms: millis(times.quantile(0.95)),
+            p99_ms: millis(times.quantile(0.99)),
+            max_ms: millis(times.longest()),
+        }
+    }
+}
+
+/// The result of one class, or of all together.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// Requests that arrived.
+    pub offered: u64,
+    /// Served within the contract.
+    pub good: u64,
+    /// Part of the offered requests that was served within the contract.
+    pub goodput: f64,
+    /// Requests by how they ended.
+    pub ended: BTreeMap<String, u64>,
+    /// Requests that ended with an error answer, by status.
+    pub statuses: BTreeMap<u16, u64>,
+    /// Arrivals that were not sent, since too many requests were open.
+    pub unsent: u64,
+    /// Attempts after the first.
+    pub retries: u64,
+    /// Attempts that resumed a stream.
+    pub resumes: u64,
+    /// Tokens that came.
+    pub tokens: u64,
+    /// From arrival to the first token.
+    pub first_token: Quantiles,
+    /// Between events.
+    pub between_tokens: Quantiles,
+    /// From arrival to the whole answer.
+    pub whole: Quantiles,
+    /// From arrival to the final refusal.
+    pub refusal: Quantiles,
+}
+
+impl Class {
+    fn new(name: &str, tally: &Tally) -> Self {
+        let ended = Verdict::ALL
+            .iter()
+            .map(|verdict| (verdict.name().to_owned(), tally.ended(*verdict)))
+            .collect();
+        Self {
+            name: name.to_owned(),
+            offered: tally.offered,
+            good: tally.good,
+            goodput: tally.goodput(),
+            ended,
+            statuses: tally.statuses.clone(),
+            unsent: tally.unsent,
+            retries: tally.retries,
+            resumes: tally.resumes,
+            tokens: tally.tokens,
+            first_token: Quantiles::from(&tally.first),
+            between_tokens: Quantiles::from(&tally.between),
+            whole: Quantiles::from(&tally.whole),
+            refusal: Quantiles::from(&tally.refusal),
+        }
+    }
+
+    /// Requests that ended so.
+    pub fn ended(&self, verdict: Verdict) -> u64 {
+        self.ended.get(verdict.name()).copied().unwrap_or(0)
+    }
+}
+
+/// One step of the goodput curve.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Point {
+    /// Start of the step.
+    pub at_s: f64,
+    /// Requests that arrived in it.
+    pub offered: u64,
+    /// Those of them that were served within their contract.
+    pub good: u64,
+}
+
+/// The result of a run.
+#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+pub struct Summary {
+    /// Seed of the run.
+    pub seed: u64,
+    /// How long requests arrived.
+    pub seconds: f64,
+    /// All classes together.
+    pub all: Class,
+    /// Each class.
+    pub classes: Vec<Class>,
+    /// By how much arrivals were sent late.
+    pub lag: Quantiles,
+    /// Requests without an end when the run was over; they count as lost.
+    pub unfinished: u64,
+    /// What the services executed against what callers were told.
+    pub audit: Option<Audit>,
+    /// What was seen of the engines; no looks if none were given.
+    pub engines: Sight,
+    /// Goodput over time, by arrival.
+    pub curve: Vec<Point>,
+}
+
+impl From<&run::Result> for Summary {
+    fn from(result: &run::Result) -> Self {
+        let mut sum = Tally::default();
+        let mut classes = Vec::new();
+        for (class, tally) in result.plan.classes.iter().zip(&result.tallies) {
+            sum.add(tally);
+            classes.push(Class::new(&class.name, tally));
+        }
+        Self {
+            seed: result.plan.seed,
+            seconds: result.plan.duration.as_secs_f64(),
+            all: Class::new("all", &sum),
+            classes,
+            lag: Quantiles::from(&result.lag),
+            unfinished: result.unfinished,
+            audit: result.audit.clone(),
+            engines: result.engines,
+            curve: curve(&sum.steps, result.plan.bucket),
+        }
+    }
+}
+
+impl Summary {
+    /// What must never be and yet was, one line each.
+    pub fn faults(&self) -> Vec<String> {
+        let mut faults = Vec::new();
+        let bad = [
+            Verdict::Lost,
+            Verdict::Cut,
+            Verdict::Crossed,
+            Verdict::Garbled,
+        ];
+        for verdict in bad {
+            add_fault(&mut faults, verdict.name(), self.all.ended(verdict));
+        }
+        if let Some(audit) = &self.audit {
+            add_fault(&mut faults, "doubled", audit.doubled);
+            add_fault(&mut faults, "wrongly \"not run\"", audit.wrongly_not_run);
+            add_fault(&mut faults, "served but never run", audit.never_run);
+        }
+        faults
+    }
+
+    /// Whether the load was sent as planned; otherwise the figures tell of the load generator.
+    pub fn is_as_planned(&self) -> bool {
+        self.all.unsent == 0 && self.lag.p99_ms <= LAG_LIMIT_MS
+    }
+}
+
+fn add_fault(faults: &mut Vec<String>, name: &str, count: u64) {
+    if count > 0 {
+        faults.push(format!("{name}: {count}"));
+    }
+}
+
+fn curve(steps: &[Step], bucket: Duration) -> Vec<Point> {
+    steps
+        .iter()
+        .enumerate()
+        .map(|(index, step)| Point {
+            at_s: bucket.as_secs_f64() * index as f64,
+            offered: step.offered,
+            good: step.good,
+        })
+        .collect()
+}
+
+/// A time in milliseconds, for reports.
+pub(crate) fn millis(time: Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
+}
--- /dev/null
+++ b/crates/load/src/verdict.rs
@@ -0,0 +1,172 @@
+//! How a request ended for its caller, and what a caller does next when an attempt failed.
+//! Callers are honest here: they wait as long as they were told, they send a call again only if it
+//! may be repeated or carries a key, and they resume a stream instead of starting it over.
+
+use std::time::Duration;
+
+use crate::plan::Class;
+
+/// Wait before another entry is tried when one could not be reached.
+const RECONNECT: Duration = Duration::from_millis(20);
+
+/// First wait after a refusal that names no time; it doubles with each try.
+const BACKOFF: Duration = Duration::from_millis(200);
+
+/// What a refusal says of the call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ran {
+    /// The call has certainly not run.
+    No,
+    /// Nobody knows; also assumed where an answer does not say.
+    Unknown,
+}
+
+/// How one attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The whole answer, and it belongs to this request.
+    Whole,
+    /// An error answer.
+    Refused {
+        /// HTTP status.
+        status: u16,
+        /// What it says of the call.
+        ran: Ran,
+        /// When it asks the caller to come back.
+        retry_after: Option<Duration>,
+    },
+    /// No connection came about, so nothing was sent.
+    Unreached,
+    /// The connection broke before an answer began.
+    Broken,
+    /// The answer began and broke off.
+    Cut,
+    /// The answer, or a part of it, belongs to another request.
+    Crossed,
+    /// The answer is the caller's own but has parts twice, out of order or missing.
+    Garbled,
+    /// The caller went away after its patience.
+    TimedOut,
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Verdict {
+    /// Whole and own.
+    Served,
+    /// Told that it did not run, or that the request is not acceptable.
+    Refused,
+    /// Told that it may have run.
+    Unknown,
+    /// No answer at all.
+    Lost,
+    /// Only a part of the answer.
+    Cut,
+    /// Another request's answer.
+    Crossed,
+    /// Own parts twice, out of order or missing.
+    Garbled,
+}
+
+impl Verdict {
+    /// All verdicts in the order of reports.
+    pub const ALL: [Self; 7] = [
+        Self::Served,
+        Self::Refused,
+        Self::Unknown,
+        Self::Lost,
+        Self::Cut,
+        Self::Crossed,
+        Self::Garbled,
+    ];
+
+    /// The name in reports.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Served => "served",
+            Self::Refused => "refused",
+            Self::Unknown => "unknown",
+            Self::Lost => "lost",
+            Self::Cut => "cut",
+            Self::Crossed => "crossed",
+            Self::Garbled => "garbled",
+        }
+    }
+}
+
+/// What a caller does after an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Tries again at another entry after a wait; a stream that has begun is resumed.
+    Again(Duration),
+    /// Gives up or is content.
+    Finish(Verdict),
+}
+
+/// Where a request stands when an attempt has ended.
+#[derive(Clone, Copy, Debug)]
+pub struct Standing<'a> {
+    /// Its class, with its contract.
+    pub class: &'a Class,
+    /// Attempts made so far.
+    pub attempts: u32,
+    /// Time until the caller goes away.
+    pub left: Duration,
+    /// Whether a part of a stream has arrived that can be resumed.
+    pub begun: bool,
+}
+
+impl Standing<'_> {
+    /// What the caller does after this end of an attempt.
+    pub fn step(&self, end: &End) -> Step {
+        let verdict = self.verdict(end);
+        let Some(wait) = self.wait(end) else {
+            return Step::Finish(verdict);
+        };
+        if self.attempts > self.class.retries || wait >= self.left {
+            return Step::Finish(verdict);
+        }
+        Step::Again(wait)
+    }
+
+    /// What it amounts to if the caller stops here.
+    fn verdict(&self, end: &End) -> Verdict {
+        match end {
+            End::Whole => Verdict::Served,
+            End::Crossed => Verdict::Crossed,
+            End::Garbled => Verdict::Garbled,
+            End::Cut => Verdict::Cut,
+            _ if self.begun => Verdict::Cut,
+            End::Refused { ran: Ran::No, .. } => Verdict::Refused,
+            End::Refused { status, .. } if (400..500).contains(status) => Verdict::Refused,
+            End::Refused { .. } => Verdict::Unknown,
+            End::Unreached | End::Broken | End::TimedOut => Verdict::Lost,
+        }
+    }
+
+    /// How long to wait before the next attempt, or nothing if there must be none.
+    fn wait(&self, end: &End) -> Option<Duration> {
+        match *end {
+            End::Whole | End::Crossed | End::Garbled | End::TimedOut => None,
+            End::Unreached => Some(RECONNECT),
+            End::Broken | End::Cut => self.may_repeat().then_some(RECONNECT),
+            End::Refused {
+                status,
+                ran,
+                retry_after,
+            } => {
+                let temporary = matches!(status, 409 | 429 | 500 | 502 | 503);
+                let safe = ran == Ran::No || self.may_repeat();
+                (temporary && safe).then(|| retry_after.unwrap_or_else(|| self.backoff()))
+            }
+        }
+    }
+
+    fn may_repeat(&self) -> bool {
+        self.begun || self.class.repeatable || self.class.keyed
+    }
+
+    fn backoff(&self) -> Duration {
+        BACKOFF * 2_u32.saturating_pow(self.attempts.saturating_sub(1).min(6))
+    }
+}
--- /dev/null
+++ b/crates/load/src/watch.rs
@@ -0,0 +1,88 @@
+//! A look at the engines while a run goes on: how often roles changed, and how evenly the open
+//! requests lie on them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use awc::Client;
+use serde::{Deserialize, Serialize};
+
+/// How often the engines are asked. A role change takes an engine away for longer than that, even
+/// with scaled time, so none is missed.
+pub const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+/// An engine that does not answer within this time is left out of a look.
+const PATIENCE: Duration = Duration::from_millis(100);
+
+/// The part of an engine's state that is looked at.
+#[derive(Clone, Debug, Deserialize)]
+pub struct State {
+    /// Its role.
+    pub role: String,
+    /// Requests that it holds.
+    pub open: u64,
+}
+
+/// What was seen of the engines.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct Sight {
+    /// Role changes of all engines.
+    pub role_changes: u64,
+    /// Looks at the engines.
+    pub looks: u64,
+    /// Mean number of open requests on an engine.
+    pub mean_open: f64,
+    /// Standard deviation of the open requests over the engines, mean over the looks.
+    pub spread_open: f64,
+}
+
+/// Collects looks.
+#[derive(Clone, Debug, Default)]
+pub struct Watch {
+    roles: BTreeMap<usize, String>,
+    sight: Sight,
+}
+
+impl Watch {
+    /// Takes one look in: the states of the engines that answered, by their number.
+    pub fn take(&mut self, states: &[(usize, State)]) {
+        for (engine, state) in states {
+            let before = self.roles.insert(*engine, state.role.clone());
+            let changed = before.is_some_and(|role| role != state.role);
+            self.sight.role_changes += u64::from(changed);
+        }
+        if states.is_empty() {
+            return;
+        }
+        let count = states.len() as f64;
+        let open = || states.iter().map(|(_, state)| state.open as f64);
+        let mean = open().sum::<f64>() / count;
+        let variance = open().map(|open| (open - mean).powi(2)).sum::<f64>() / count;
+        self.sight.looks += 1;
+        let weight = 1.0 / self.sight.looks as f64;
+        self.sight.mean_open += (mean - self.sight.mean_open) * weight;
+        self.sight.spread_open += (variance.sqrt() - self.sight.spread_open) * weight;
+    }
+
+    /// What was seen so far.
+    pub fn sight(&self) -> Sight {
+        self.sight
+    }
+}
+
+/// One look: the states of the engines that answer, by their number.
+pub async fn look(client: &Client, engines: &[String]) -> Vec<(usize, State)> {
+    let mut states = Vec::with_capacity(engines.len());
+    for (number, engine) in engines.iter().enumerate() {
+        if let Some(state) = ask(client, engine).await {
+            states.push((number, state));
+        }
+    }
+    states
+}
+
+async fn ask(client: &Client, engine: &str) -> Option<State> {
+    let url = format!("{}/engine/state", engine.trim_end_matches('/'));
+    let mut answer = client.get(url).timeout(PATIENCE).send().await.ok()?;
+    answer.json().await.ok()
+}
--- /dev/null
+++ b/crates/load/tests/answer.rs
@@ -0,0 +1,66 @@
+//! Answers judged by their content, and events cut from a byte stream.
+
+use load::answer::{self, Fit, Judge};
+use load::event::{Event, Reader};
+use load::verdict::Ran;
+
+#[test]
+fn a_repeated_piece_is_told_from_a_foreign_one() {
+    let mut judge = Judge::new("one two three".to_owned());
+    assert_eq!(judge.take("one "), Fit::Due);
+    assert_eq!(judge.take("one "), Fit::Garbled);
+    assert_eq!(judge.take("three"), Fit::Garbled);
+    assert_eq!(judge.take("four"), Fit::Crossed);
+    assert!(!judge.is_complete());
+    assert_eq!(judge.take("two three"), Fit::Due);
+    assert!(judge.is_complete());
+}
+
+#[test]
+fn events_are_the_same_however_the_bytes_are_cut() {
+    let text = ": hello\r\nid: s:0\ndata: a\ndata: b\n\nid: s:1\r\ndata:c\r\n\r\ndata: [DONE]\n\n";
+    let expected = vec![
+        Event {
+            id: Some("s:0".to_owned()),
+            data: "a\nb".to_owned(),
+        },
+        Event {
+            id: Some("s:1".to_owned()),
+            data: "c".to_owned(),
+        },
+        Event {
+            id: None,
+            data: "[DONE]".to_owned(),
+        },
+    ];
+    for size in 1..text.len() {
+        let mut reader = Reader::default();
+        let mut events = Vec::new();
+        for piece in text.as_bytes().chunks(size) {
+            reader.feed(piece);
+            events.extend(std::iter::from_fn(|| reader.next_event()));
+        }
+        assert_eq!(events, expected, "pieces of {size} bytes");
+    }
+}
+
+#[test]
+fn an_answer_that_does_not_say_so_may_have_run() {
+    assert_eq!(answer::ran(br#"{"ran": "no"}"#), Ran::No);
+    assert_eq!(answer::ran(br#"{"ran": "unknown"}"#), Ran::Unknown);
+    assert_eq!(answer::ran(br#"{"status": 503}"#), Ran::Unknown);
+    assert_eq!(answer::ran(b"<html>"), Ran::Unknown);
+}
+
+#[test]
+fn text_is_read_from_every_form_of_a_completion() {
+    let forms = [
+        r#"{"choices": [{"text": "ab"}]}"#,
+        r#"{"choices": [{"delta": {"role": "assistant", "content": "ab"}}]}"#,
+        r#"{"choices": [{"message": {"content": "ab"}}]}"#,
+    ];
+    for form in forms {
+        assert_eq!(answer::text(form.as_bytes()).as_deref(), Some("ab"));
+    }
+    assert_eq!(answer::text(b"no"), None);
+}
--- /dev/null
+++ b/crates/load/tests/contest.rs
@@ -0,0 +1,67 @@
+//! Comparisons: the order of segments, the figures over rounds, and what is seen of engines.
+
+use load::admin::merge;
+use load::contest::{Contest, Spread};
+use load::watch::{State, Watch};
+use serde_json::json;
+
+#[test]
+fn no_variant_always_comes_first() {
+    let yaml = "{rounds: 4, variants: [{name: a}, {name: b}, {name: c}]}";
+    let contest = Contest::parse(yaml).unwrap();
+    let orders: Vec<Vec<usize>> = (0..4).map(|round| contest.order(round).collect()).collect();
+    assert_eq!(
+        orders,
+        [[0, 1, 2], [2, 1, 0], [1, 2, 0], [0, 2, 1]].map(Vec::from)
+    );
+}
+
+#[test]
+fn a_comparison_needs_two_variants_of_different_names() {
+    let findings = Contest::parse("{rounds: 0, variants: [{name: a}]}").unwrap_err();
+    assert_eq!(findings.current_context().all().len(), 2);
+    let findings = Contest::parse("{variants: [{name: a}, {name: a}]}").unwrap_err();
+    let place = &findings.current_context().all()[0].place;
+    assert_eq!(place, "variants[1].name");
+}
+
+#[test]
+fn spread_is_that_of_a_sample() {
+    let spread = Spread::of(&[1.0, 2.0, 3.0, 4.0]);
+    assert!((spread.mean - 2.5).abs() < 1e-12);
+    assert!((spread.deviation - 1.290_994).abs() < 1e-6);
+    assert!((spread.least - 1.0).abs() < 1e-12 && (spread.most - 4.0).abs() < 1e-12);
+}
+
+#[test]
+fn fields_are_laid_over_a_pool() {
+    let mut pool = json!({"kind": "engine", "role_change": {"price": 1.0, "takes": "5s"}});
+    merge(
+        &mut pool,
+        &json!({"planner": "static", "role_change": {"price": 4}}),
+    );
+    let expected = json!({
+        "kind": "engine", "planner": "static", "role_change": {"price": 4, "takes": "5s"},
+    });
+    assert_eq!(pool, expected);
+}
+
+#[test]
+fn role_changes_are_counted_also_over_a_missed_look() {
+    let look = |roles: &[(usize, &str, u64)]| -> Vec<(usize, State)> {
+        let state = |(engine, role, open): &(usize, &str, u64)| {
+            let role = (*role).to_owned();
+            (*engine, State { role, open: *open })
+        };
+        roles.iter().map(state).collect()
+    };
+    let mut watch = Watch::default();
+    watch.take(&look(&[(0, "mixed", 2), (1, "mixed", 4)]));
+    watch.take(&look(&[(1, "decode", 3)]));
+    watch.take(&[]);
+    watch.take(&look(&[(0, "prefill", 3), (1, "decode", 3)]));
+    let sight = watch.sight();
+    assert_eq!((sight.role_changes, sight.looks), (2, 3));
+    assert!((sight.mean_open - 3.0).abs() < 1e-12);
+    assert!((sight.spread_open - 1.0 / 3.0).abs() < 1e-12);
+}
--- /dev/null
+++ b/crates/load/tests/verdict.rs
@@ -0,0 +1,100 @@
+//! What callers do after each end of an attempt, and how it counts when they stop.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use load::plan::{Class, Plan};
+use load::verdict::{End, Ran, Standing, Step, Verdict};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn class(extra: &str) -> Class {
+    let yaml = format!(
+        "{{duration: 1s, classes: [{{name: a, key: k, rate: 1, retries: 2, plain: {{path: /a}}, \
+         contract: {{deadline: 5s}}{extra}}}]}}"
+    );
+    let plan = Plan::parse(&yaml).expect("the plan of the test is good");
+    plan.classes.into_iter().next().expect("it has a class")
+}
+
+fn step(class: &Class, attempts: u32, end: &End) -> Step {
+    let standing = Standing {
+        class,
+        attempts,
+        left: SECOND,
+        begun: false,
+    };
+    standing.step(end)
+}
+
+fn refused(status: u16, ran: Ran, retry_after: Option<Duration>) -> End {
+    End::Refused {
+        status,
+        ran,
+        retry_after,
+    }
+}
+
+#[test]
+fn a_call_that_may_have_run_is_not_sent_again_without_a_key() {
+    let once = class(", repeatable: false");
+    let keyed = class(", repeatable: false, keyed: true");
+    let unknown = refused(502, Ran::Unknown, None);
+    assert_eq!(step(&once, 1, &unknown), Step::Finish(Verdict::Unknown));
+    assert_eq!(step(&once, 1, &End::Broken), Step::Finish(Verdict::Lost));
+    assert_matches!(step(&keyed, 1, &unknown), Step::Again(_));
+    assert_matches!(step(&keyed, 1, &End::Broken), Step::Again(_));
+}
+
+#[test]
+fn a_call_that_has_certainly_not_run_is_sent_again() {
+    let once = class(", repeatable: false");
+    let wait = Duration::from_millis(300);
+    let refusal = refused(503, Ran::No, Some(wait));
+    assert_eq!(step(&once, 1, &refusal), Step::Again(wait));
+    assert_matches!(step(&once, 1, &End::Unreached), Step::Again(_));
+}
+
+#[test]
+fn a_caller_does_not_come_back_after_it_has_gone_away() {
+    let once = class("");
+    let refusal = refused(429, Ran::No, Some(2 * SECOND));
+    assert_eq!(step(&once, 1, &refusal), Step::Finish(Verdict::Refused));
+}
+
+#[test]
+fn tries_are_limited() {
+    let class = class("");
+    assert_matches!(step(&class, 2, &End::Unreached), Step::Again(_));
+    assert_eq!(
+        step(&class, 3, &End::Unreached),
+        Step::Finish(Verdict::Lost)
+    );
+}
+
+#[test]
+fn a_bad_request_is_final() {
+    let class = class("");
+    let refusal = refused(400, Ran::Unknown, None);
+    assert_eq!(step(&class, 1, &refusal), Step::Finish(Verdict::Refused));
+}
+
+#[test]
+fn a_stream_that_has_begun_is_resumed_and_counts_as_cut_when_that_fails() {
+    let class = class(", repeatable: false");
+    let begun = |attempts, end: &End| {
+        let standing = Standing {
+            class: &class,
+            attempts,
+            left: SECOND,
+            begun: true,
+        };
+        standing.step(end)
+    };
+    assert_matches!(begun(1, &End::Cut), Step::Again(_));
+    assert_eq!(begun(3, &End::Cut), Step::Finish(Verdict::Cut));
+    assert_eq!(begun(3, &End::Unreached), Step::Finish(Verdict::Cut));
+    assert_eq!(begun(1, &End::TimedOut), Step::Finish(Verdict::Cut));
+    let gone = refused(404, Ran::No, None);
+    assert_eq!(begun(1, &gone), Step::Finish(Verdict::Cut));
+}
