--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/http/common.rs
@@ -15,20 +15,20 @@
 const LAST_EVENT: &str = "data: [DONE]\n\n";
 
 /// A reply with its body as text.
-pub struct Reply {
-    pub status: u16,
-    pub request_id: String,
-    pub text: String,
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) request_id: String,
+    pub(crate) text: String,
 }
 
 impl Reply {
-    pub fn json(&self) -> Value {
+    pub(crate) fn json(&self) -> Value {
         serde_json::from_str(&self.text).unwrap()
     }
 }
 
 /// Starts a platform with the given options.
-pub fn platform(options: &[&str]) -> SocketAddr {
+pub(crate) fn platform(options: &[&str]) -> SocketAddr {
     let options = platform::Options::parse_from(["standin-platform"].iter().chain(options));
     let listen = options.listen.clone();
     let platform = Platform::new(options);
@@ -39,7 +39,7 @@
 }
 
 /// Starts a service.
-pub fn service() -> SocketAddr {
+pub(crate) fn service() -> SocketAddr {
     let options = service::Options::parse_from(["standin-service"]);
     let listen = options.listen.clone();
     let service = Service::new(options);
@@ -50,7 +50,7 @@
 }
 
 /// Starts an engine with the given options.
-pub fn engine(options: &[&str]) -> SocketAddr {
+pub(crate) fn engine(options: &[&str]) -> SocketAddr {
     let options = engine::Options::parse_from(["standin-engine"].iter().chain(options));
     let listen = options.listen.clone();
     let engine = Engine::new(options);
@@ -62,7 +62,7 @@
 }
 
 /// Sends a request; an error means that no whole answer came.
-pub async fn send(
+pub(crate) async fn send(
     method: Method,
     address: SocketAddr,
     path: &str,
@@ -100,18 +100,18 @@
 }
 
 /// Gets a resource.
-pub async fn get(address: SocketAddr, path: &str) -> Reply {
+pub(crate) async fn get(address: SocketAddr, path: &str) -> Reply {
     let reply = send(Method::GET, address, path, &[], String::new()).await;
     reply.unwrap()
 }
 
 /// Posts JSON.
-pub async fn post(address: SocketAddr, path: &str, body: Value) -> Reply {
+pub(crate) async fn post(address: SocketAddr, path: &str, body: Value) -> Reply {
     let reply = send(Method::POST, address, path, &[], body.to_string()).await;
     reply.unwrap()
 }
 
 /// Sets fault switches.
-pub async fn fault(address: SocketAddr, switches: Value) {
+pub(crate) async fn fault(address: SocketAddr, switches: Value) {
     assert_eq!(post(address, "/fault", switches).await.status, 200);
 }
--- a/crates/standin/tests/engine.rs
+++ b/crates/standin/tests/http/engine.rs
@@ -1,11 +1,9 @@
 //! `standin-engine` over HTTP.
 
-mod common;
-
 use std::net::SocketAddr;
 
+use crate::common::{Reply, engine, fault, get, platform, post, send};
 use actix_http::Method;
-use common::{Reply, engine, fault, get, platform, post, send};
 use serde_json::{Value, json};
 use standin::engine::{chat_prompt, expected_text};
 
--- a/crates/standin/tests/platform.rs
+++ b/crates/standin/tests/http/platform.rs
@@ -1,9 +1,7 @@
 //! `standin-platform` over HTTP.
 
-mod common;
-
+use crate::common::{fault, get, platform, post, send};
 use actix_http::Method;
-use common::{fault, get, platform, post, send};
 use futures_util::future::join;
 use serde_json::json;
 
--- a/crates/standin/tests/service.rs
+++ b/crates/standin/tests/http/service.rs
@@ -1,13 +1,11 @@
 //! `standin-service` over HTTP, and as a process.
 
-mod common;
-
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::process::{Child, Command, Stdio};
 
+use crate::common::{fault, get, send, service};
 use actix_http::Method;
-use common::{fault, get, send, service};
 use serde_json::json;
 
 #[actix_rt::test]
