Tell a cut whole answer from a crossed one

The client library takes the end of a connection for the end of the body, so a plain answer that broke off failed the check of whose it is and would have counted as crossed. A body that is no complete JSON now counts as cut.

--- a/crates/load/src/attempt.rs
+++ b/crates/load/src/attempt.rs
@@ -8,6 +8,7 @@
 use awc::{Client, ClientRequest};
 use bytes::Bytes;
 use futures_util::{Stream, StreamExt};
+use serde::de::IgnoredAny;
 
 use crate::answer::{self, Fit, Judge};
 use crate::event::{Event, Reader};
@@ -124,7 +125,12 @@
         head
     }
 
+    /// The client library takes the end of a connection for the end of the body, so a body that is
+    /// no complete JSON was cut; judged by its content alone it would count as another's.
     fn judge_whole(&self, body: &[u8], progress: &mut Progress) -> End {
+        if serde_json::from_slice::<IgnoredAny>(body).is_err() {
+            return End::Cut;
+        }
         let Some(judge) = &mut progress.judge else {
             let digest = blake3::hash(&self.request.body).to_hex();
             let own = answer::echoes(body, &digest);
