Add tarragonctl

Operators edit entities through the administration API of any one entry: catalogue check, apply, get and history, status, drains, orders, trial keys and shell completions, as text and as JSON, with an exit code for each kind of failure. `catalogue apply` sends only what differs from the catalogue in force on the revision that was read: an edit of what did not change would conflict with others' edits for no reason. `--prune` leaves drains alone, since files seldom hold them.

Not run yet against an entry.

--- /dev/null
+++ b/crates/cli/src/command.rs
@@ -0,0 +1,66 @@
+//! From the command line to the exit code.
+
+use std::io::{self, Write};
+use std::process::ExitCode;
+
+use clap::CommandFactory;
+use error_stack::Report;
+
+use crate::args::{Action, Command};
+use crate::client::Admin;
+use crate::edit::to_json;
+use crate::failure::Failure;
+use crate::told::Told;
+use crate::{burn, drain, entities, keys, order};
+
+/// Does what the command line asks; the result goes to standard output, a failure to standard
+/// error.
+pub fn run(command: &Command) -> ExitCode {
+    if let Action::Completions { shell } = command.action {
+        let mut described = Command::command();
+        clap_complete::generate(shell, &mut described, "tarragonctl", &mut io::stdout());
+        return ExitCode::SUCCESS;
+    }
+    match actix_rt::System::new().block_on(act(command)) {
+        Ok(told) => tell(command, &told),
+        Err(report) => {
+            let failure = report.current_context();
+            if command.json {
+                let code = failure.code();
+                let value = serde_json::json!({ "error": failure.to_string(), "code": code });
+                print(&to_json(&value));
+            }
+            eprintln!("{failure}");
+            log::debug!("{report:?}");
+            ExitCode::from(failure)
+        }
+    }
+}
+
+async fn act(command: &Command) -> Result<Told, Report<Failure>> {
+    let connection = &command.connection;
+    match &command.action {
+        Action::Catalogue(action) => entities::run(action, connection).await,
+        Action::Status => Ok(Told::tree(Admin::new(connection).get("status").await?)),
+        Action::Drain(action) => drain::run(action, connection).await,
+        Action::Report(action) => burn::run(action, connection).await,
+        Action::Order(action) => order::run(action, connection).await,
+        Action::Keys(action) => keys::run(action),
+        // Handled before a runtime is started, since it asks nobody.
+        Action::Completions { .. } => Ok(Told::new(serde_json::Value::Null, String::new())),
+    }
+}
+
+fn tell(command: &Command, told: &Told) -> ExitCode {
+    if command.json {
+        print(&to_json(&told.value));
+    } else {
+        print(&told.text);
+    }
+    ExitCode::SUCCESS
+}
+
+/// Prints; a reader that went away, such as `head`, is no failure of the command.
+fn print(text: &str) {
+    io::stdout().write_all(text.as_bytes()).ok();
+}
--- /dev/null
+++ b/crates/cli/src/keys.rs
@@ -0,0 +1,45 @@
+//! `tarragonctl keys`.
+
+use std::io::{self, Read};
+
+use error_stack::{Report, ResultExt};
+use serde_json::json;
+
+use crate::args::Keys;
+use crate::failure::Failure;
+use crate::told::Told;
+
+/// Does what was asked.
+///
+/// # Errors
+/// See [`Failure`].
+pub fn run(action: &Keys) -> Result<Told, Report<Failure>> {
+    match action {
+        Keys::Make { dir, instances } => {
+            let failed = || Failure::Usage(format!("cannot make keys in {}", dir.display()));
+            peer::issue::make(dir, instances).change_context_lazy(failed)?;
+            let text = format!("{} certificates in {}\n", instances.len(), dir.display());
+            Ok(Told::new(
+                json!({ "dir": dir, "instances": instances }),
+                text,
+            ))
+        }
+        Keys::Digest => {
+            let mut key = String::new();
+            let unreadable = Failure::Usage("cannot read the key".to_owned());
+            io::stdin()
+                .read_to_string(&mut key)
+                .change_context(unreadable)?;
+            Ok(digest(key.trim_end_matches(['\r', '\n'])))
+        }
+    }
+}
+
+/// The digest that an owner lists for a key.
+fn digest(key: &str) -> Told {
+    let hex: String = catalogue::digest(key)
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect();
+    Told::new(json!({ "digest": hex }), format!("{hex}\n"))
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,17 @@
-//! Placeholder of the cli crate.
+//! `tarragonctl`, the operators' program. It stands beside the pipeline, asks the administration
+//! API of any one entry and keeps nothing itself; see
+//! [`docs/OPERATORS.md`](../../../docs/OPERATORS.md), "tarragonctl".
+
+pub mod args;
+pub mod burn;
+pub mod client;
+pub mod command;
+pub mod difference;
+pub mod drain;
+pub mod edit;
+pub mod entities;
+pub mod failure;
+pub mod keys;
+pub mod order;
+pub mod text;
+pub mod told;
--- /dev/null
+++ b/crates/cli/src/order.rs
@@ -0,0 +1,42 @@
+//! `tarragonctl order`: planned changes of engines, which the holder of the pool carries out.
+
+use error_stack::Report;
+use serde_json::{Value, json};
+
+use crate::args::{Connection, Model, Order, Submit};
+use crate::client::Admin;
+use crate::failure::Failure;
+use crate::told::Told;
+
+/// Does what was asked.
+///
+/// # Errors
+/// See [`Failure`].
+pub async fn run(action: &Order, connection: &Connection) -> Result<Told, Report<Failure>> {
+    let admin = Admin::new(connection);
+    match action {
+        Order::List => Ok(Told::tree(admin.get("orders").await?)),
+        Order::Submit(change) => Ok(Told::tree(admin.post("orders", &body(change)).await?)),
+    }
+}
+
+/// The change as the administration API reads it.
+pub fn body(change: &Submit) -> Value {
+    match change {
+        Submit::SetRole { upstream, role } => {
+            json!({ "upstream": upstream, "kind": "set_role", "role": role })
+        }
+        Submit::LoadModel(model) => with_model("load_model", model),
+        Submit::UnloadModel(model) => with_model("unload_model", model),
+    }
+}
+
+fn with_model(kind: &str, model: &Model) -> Value {
+    json!({
+        "upstream": model.upstream,
+        "kind": kind,
+        "model": model.model,
+        "version": model.version,
+        "adapter": model.adapter,
+    })
+}
--- /dev/null
+++ b/crates/cli/src/told.rs
@@ -0,0 +1,27 @@
+//! A result in its two forms.
+
+use serde_json::Value;
+
+use crate::text;
+
+/// What a command tells.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Told {
+    /// For programs.
+    pub value: Value,
+    /// For people.
+    pub text: String,
+}
+
+impl Told {
+    /// A result whose text is written by hand.
+    pub fn new(value: Value, text: String) -> Self {
+        Self { value, text }
+    }
+
+    /// A result whose text follows from its value.
+    pub fn tree(value: Value) -> Self {
+        let text = text::tree(&value);
+        Self { value, text }
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/difference.rs
@@ -0,0 +1,68 @@
+//! What is sent so that the catalogue in force becomes that of a file.
+
+use catalogue::Document;
+use cli::difference::{Act, Catalogue, Difference, Entity, between};
+use serde_json::{Value, json};
+
+fn entity(kind: &str, name: &str, value: Value) -> Entity {
+    Entity {
+        kind: kind.to_owned(),
+        name: name.to_owned(),
+        value,
+        ..Entity::default()
+    }
+}
+
+fn in_force() -> Catalogue {
+    let pool = json!({"kind": "engine", "role_change": {"price": 1}});
+    Catalogue {
+        revision: 9,
+        entities: vec![
+            entity("owner", "lima", json!({"keys": ["a"]})),
+            entity("pool", "llm", pool),
+            entity("entry", "old", json!({"pool": "llm"})),
+            entity("drain", "engine-3", json!({"reason": "fan"})),
+        ],
+    }
+}
+
+fn acts(differences: &[Difference]) -> Vec<(Act, &str)> {
+    differences
+        .iter()
+        .map(|entry| (entry.act, entry.change.name.as_str()))
+        .collect()
+}
+
+#[test]
+fn only_what_differs_is_sent() {
+    let file = "changes:
+  - {kind: owner, name: lima, value: {keys: [a]}}
+  - {kind: pool, name: llm, value: {role_change: {price: 1.0}, kind: engine}}
+  - {kind: entry, name: old, value: {pool: kiosk}}
+  - {kind: entry, name: new, value: {pool: llm}}
+  - {kind: entry, name: never, value: null}
+";
+    let document = Document::parse(file).unwrap();
+    let differences = between(&document, &in_force(), false);
+    let expected = [(Act::Change, "old"), (Act::Add, "new")];
+    assert_eq!(acts(&differences), expected);
+}
+
+#[test]
+fn a_change_of_a_nested_field_is_seen() {
+    let file = "changes:
+  - {kind: pool, name: llm, value: {kind: engine, role_change: {price: 2}}}
+";
+    let document = Document::parse(file).unwrap();
+    let differences = between(&document, &in_force(), false);
+    assert_eq!(acts(&differences), [(Act::Change, "llm")]);
+}
+
+#[test]
+fn pruning_removes_dependents_first_and_leaves_drains() {
+    let document = Document::parse("changes: []").unwrap();
+    let differences = between(&document, &in_force(), true);
+    let expected = ["old", "llm", "lima"].map(|name| (Act::Remove, name));
+    assert_eq!(acts(&differences), expected);
+    assert!(between(&document, &in_force(), false).is_empty());
+}
--- /dev/null
+++ b/crates/cli/tests/text.rs
@@ -0,0 +1,31 @@
+//! JSON as text for people.
+
+use cli::text::tree;
+use serde_json::json;
+
+#[test]
+fn nested_names_are_indented_and_alike_objects_make_a_table() {
+    let value = json!({
+        "folded": 17,
+        "lease": {"holder": null, "words": ["a", "b"]},
+        "none": [],
+        "peers": [
+            {"id": "entry-1", "silent": false},
+            {"id": "entry-20", "silent": true},
+        ],
+    });
+    let expected = "\
+folded: 17
+lease:
+  holder: -
+  words:
+    - a
+    - b
+none: none
+peers:
+  id        silent
+  entry-1   false
+  entry-20  true
+";
+    assert_eq!(tree(&value), expected);
+}
