Carry planned changes from intent to outcome

A change of role or model closes the engine by its intent in the log, waits for the confirmed drain, sends the order, reads back and logs the outcome. A successor finishes what the engine has begun and undoes the rest. The fencing token grows with each order, not only with each claim: a delayed copy of an earlier order of the same holder would otherwise be taken for current. A cancellation carries a token above its order's, so that copies of the order are refused afterwards. The planner of a scope bounds what is closed at once; the weight store's limit over all scopes follows from the order of the intents in the log.

--- /dev/null
+++ b/crates/authority/src/change.rs
@@ -0,0 +1,309 @@
+//! One planned change of one upstream, from its intent in the log to its outcome: role change,
+//! model load and unload alike. The upstream is closed for new work while the intent is
+//! unresolved; the order is sent only after every entry that may still send has confirmed that and
+//! the work in hand is over; what came of it is read back. A change that a former holder left is
+//! finished if the engine had begun it, else undone. See `docs/design/orders.md`.
+
+use crate::OrderId;
+use crate::engine::{Progress, Reading};
+use crate::order::{Order, Verdict};
+use crate::state::Pending;
+use clock::Moment;
+use smallvec::SmallVec;
+
+pub use message::{Input, Output, Permit, Receipt, Ticket, Wait};
+pub use pace::Pace;
+
+mod act;
+pub mod message;
+pub mod pace;
+
+/// Whose intent it is.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Origin {
+    /// This process intended it and knows whether it was sent.
+    Own,
+    /// A former holder intended it and may have sent it.
+    Inherited,
+}
+
+/// Where a change stands.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Step {
+    /// The engine is read for the first time.
+    Survey,
+    /// Entries that may still send new work have not confirmed.
+    Closing,
+    /// Work in hand is not over.
+    Draining,
+    /// The order is being sent.
+    Sending,
+    /// The engine is carrying the order out, or nothing is known.
+    Running,
+    /// The engine has ended the order; the last reading is outstanding.
+    Verifying,
+    /// The engine is being told that the order must not begin any more.
+    Cancelling,
+    /// The engine was told so; the last reading is outstanding.
+    Barred,
+    /// The outcome is being logged.
+    Concluding(Verdict, &'static str),
+}
+
+/// A question that was not answered yet.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+struct Question {
+    ticket: Ticket,
+    until: Moment,
+}
+
+/// The machine.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Change {
+    order: OrderId,
+    what: Order,
+    origin: Origin,
+    pace: Pace,
+    step: Step,
+    /// When the upstream was closed, as far as this process knows.
+    began: Moment,
+    /// `None` until the first list came.
+    waiting: Option<SmallVec<[Wait; 4]>>,
+    question: Option<Question>,
+    tickets: Ticket,
+    /// When the next question is due.
+    next: Moment,
+    /// The engine's incarnation and whether it checks fences, at the newest reading.
+    incarnation: Option<u64>,
+    checks_fence: bool,
+    sends: u32,
+    last_send: Option<Moment>,
+}
+
+/// At most one thing is done a step.
+pub type Outputs = SmallVec<[Output; 1]>;
+
+impl Change {
+    /// A change whose intent was folded as valid.
+    pub fn new(now: Moment, pending: &Pending, origin: Origin, pace: Pace) -> Self {
+        Self {
+            order: pending.order,
+            what: pending.what.clone(),
+            origin,
+            pace,
+            step: Step::Survey,
+            began: now,
+            waiting: None,
+            question: None,
+            tickets: 0,
+            next: now,
+            incarnation: None,
+            checks_fence: false,
+            sends: 0,
+            last_send: None,
+        }
+    }
+
+    /// Where it stands.
+    pub fn at(&self) -> Step {
+        self.step
+    }
+
+    /// Since when it is known to this process.
+    pub fn began(&self) -> Moment {
+        self.began
+    }
+
+    /// What the closing waits for; empty before the first list.
+    pub fn waiting(&self) -> &[Wait] {
+        self.waiting.as_deref().unwrap_or(&[])
+    }
+
+    /// Takes in an answer or the passing of time and tells what is due.
+    pub fn step(&mut self, now: Moment, permit: &Permit, input: Input) -> Outputs {
+        self.take(now, permit, input);
+        self.act(now, permit).into_iter().collect()
+    }
+
+    fn take(&mut self, now: Moment, permit: &Permit, input: Input) {
+        match input {
+            Input::Tick => self.give_up_question(now),
+            Input::Waiting(waiting) => self.waiting = Some(waiting),
+            Input::Absent => self.conclude(now, Verdict::Gone, "not in the instance list"),
+            Input::Reading(ticket, reading) if self.answers(ticket) => {
+                self.read(now, permit, &reading);
+            }
+            Input::Unreachable(ticket) if self.answers(ticket) => {
+                self.next = now + self.pace.poll;
+            }
+            Input::Sent(ticket, receipt) if self.answers(ticket) => self.sent(now, receipt),
+            Input::Cancelled(ticket, receipt) if self.answers(ticket) => {
+                self.cancelled(now, receipt);
+            }
+            // The answer to an earlier question shows the engine as it was before the last act.
+            Input::Reading(..) | Input::Unreachable(_) | Input::Sent(..) | Input::Cancelled(..) => {
+            }
+        }
+        self.follow_waiting(now);
+    }
+
+    fn answers(&mut self, ticket: Ticket) -> bool {
+        let newest = self.question.is_some_and(|asked| asked.ticket == ticket);
+        if newest {
+            self.question = None;
+        }
+        newest
+    }
+
+    fn give_up_question(&mut self, now: Moment) {
+        if self.question.is_none_or(|asked| now < asked.until) {
+            return;
+        }
+        self.question = None;
+        self.next = now;
+        if self.step == Step::Sending {
+            self.step = Step::Running;
+        }
+    }
+
+    /// An entry that starts or returns while the engine is closed may still send until it has
+    /// folded the intent; an order sent before it confirmed could cut its stream.
+    fn follow_waiting(&mut self, now: Moment) {
+        let closed = self.waiting.as_ref().is_some_and(SmallVec::is_empty);
+        match self.step {
+            Step::Closing if closed => self.enter(now, Step::Draining),
+            Step::Draining | Step::Sending if !closed && self.question.is_none() => {
+                self.enter(now, Step::Closing);
+            }
+            _ => (),
+        }
+        let unsent = self.origin == Origin::Own && self.sends == 0;
+        let closing = matches!(
+            self.step,
+            Step::Survey | Step::Closing | Step::Draining | Step::Sending
+        );
+        if unsent && closing && now >= self.began + self.pace.closing {
+            self.conclude(now, Verdict::Undone, "not drained in time");
+        }
+    }
+
+    fn enter(&mut self, now: Moment, step: Step) {
+        self.step = step;
+        self.next = now;
+    }
+
+    fn conclude(&mut self, now: Moment, verdict: Verdict, detail: &'static str) {
+        if !matches!(self.step, Step::Concluding(..)) {
+            self.question = None;
+            self.enter(now, Step::Concluding(verdict, detail));
+        }
+    }
+
+    fn read(&mut self, now: Moment, permit: &Permit, reading: &Reading) {
+        let restarted = self
+            .incarnation
+            .is_some_and(|known| known != reading.incarnation);
+        self.incarnation = Some(reading.incarnation);
+        self.checks_fence = reading.checks_fence;
+        self.next = now + self.pace.poll;
+        match (self.step, reading.progress(self.order)) {
+            (Step::Concluding(..) | Step::Closing, _) => (),
+            (_, Some(Progress::Running)) => self.step = Step::Running,
+            (_, Some(Progress::Done | Progress::Failed)) => self.verify(now, permit, reading),
+            (Step::Survey, None) => self.survey(now, reading),
+            (Step::Draining, None) => {
+                if reading.open == 0 && !reading.is_running() {
+                    self.enter(now, Step::Sending);
+                }
+            }
+            (Step::Running, None) if !restarted && self.sends < self.pace.sends => {
+                self.resend(now);
+            }
+            (Step::Barred, None) if restarted => self.enter(now, Step::Cancelling),
+            (Step::Barred, None) => self.verify_barred(now, permit, reading),
+            (_, None) => self.enter(now, Step::Cancelling),
+        }
+    }
+
+    /// Not begun: an order of our own takes its course, an inherited one is undone. The former
+    /// holder knew what the engine had open and whether all had confirmed; its successor plans
+    /// anew instead.
+    fn survey(&mut self, now: Moment, reading: &Reading) {
+        match self.origin {
+            Origin::Own if reading.satisfies(&self.what) => {
+                self.conclude(now, Verdict::Done, "was so already");
+            }
+            Origin::Own => self.enter(now, Step::Closing),
+            Origin::Inherited => self.enter(now, Step::Cancelling),
+        }
+    }
+
+    /// The order did not arrive, or not yet. The same order is idempotent at the engine.
+    fn resend(&mut self, now: Moment) {
+        if self.origin == Origin::Own {
+            self.step = Step::Draining;
+        } else {
+            self.enter(now, Step::Cancelling);
+        }
+    }
+
+    fn verify(&mut self, now: Moment, permit: &Permit, reading: &Reading) {
+        self.step = Step::Verifying;
+        if self.is_final(now, permit, reading) {
+            self.judge(now, reading);
+        }
+    }
+
+    fn verify_barred(&mut self, now: Moment, permit: &Permit, reading: &Reading) {
+        if !reading.is_running() && self.is_final(now, permit, reading) {
+            self.judge(now, reading);
+        }
+    }
+
+    /// Whether nothing that was sent for this order can still change the engine. An engine that
+    /// checks fences refuses all copies once it has seen a token that is newer than the order's;
+    /// if it took the order itself last, a copy is idempotent and the token of the next order
+    /// refuses it. An engine that ignores fences, or has restarted and forgotten them, could
+    /// still be changed by a copy on its way: the outcome would open it for work and the copy
+    /// would cut that.
+    fn is_final(&self, now: Moment, permit: &Permit, reading: &Reading) -> bool {
+        let taken = reading.progress(self.order).is_some();
+        if reading.checks_fence && (taken || reading.fence > self.order) {
+            return true;
+        }
+        let delay = self.pace.order_delay;
+        let arrived = self.last_send.is_none_or(|sent| now >= sent + delay);
+        arrived && permit.grant.is_quiet(now, delay)
+    }
+
+    fn judge(&mut self, now: Moment, reading: &Reading) {
+        if reading.satisfies(&self.what) {
+            self.conclude(now, Verdict::Done, "read back");
+        } else {
+            self.conclude(now, Verdict::Undone, "read back in another state");
+        }
+    }
+
+    fn sent(&mut self, now: Moment, receipt: Receipt) {
+        if self.step != Step::Sending {
+            return;
+        }
+        self.next = now + self.pace.poll;
+        match receipt {
+            Receipt::Accepted => self.step = Step::Running,
+            Receipt::Unknown => self.enter(now, Step::Running),
+            Receipt::Busy { .. } | Receipt::Superseded { .. } => self.step = Step::Draining,
+            Receipt::Failed => (),
+        }
+    }
+
+    fn cancelled(&mut self, now: Moment, receipt: Receipt) {
+        if self.step != Step::Cancelling {
+            return;
+        }
+        match receipt {
+            Receipt::Accepted => self.enter(now, Step::Barred),
+            _ => self.next = now + self.pace.poll,
+        }
+    }
+}
--- a/crates/authority/src/lease.rs
+++ b/crates/authority/src/lease.rs
@@ -67,7 +67,6 @@
     since: Moment,
     /// When the next append is due at the earliest.
     next: Moment,
-    reclaim: bool,
     leaving: bool,
 }
 
@@ -88,7 +87,6 @@
             start: None,
             since: Moment::ZERO,
             next: Moment::ZERO,
-            reclaim: false,
             leaving: false,
         }
     }
@@ -157,9 +155,6 @@
             return outputs;
         }
         let held_before = self.holds();
-        if held.fence != self.view.fence {
-            self.reclaim = false;
-        }
         self.view = View {
             fence: held.fence,
             renewed: held.renewed,
@@ -204,8 +199,11 @@
             }
             // The attempt is kept: it may have landed, or land at any later time.
             Input::Unknown(_) => self.next = self.next.min(now + self.term.retry()),
-            Input::Reclaim => self.hasten(now, |lease| &mut lease.reclaim),
-            Input::Leave => self.hasten(now, |lease| &mut lease.leaving),
+            Input::Leave if self.leaving => (),
+            Input::Leave => {
+                self.leaving = true;
+                self.next = now;
+            }
         }
         let body = self.due(now);
         body.into_iter()
@@ -213,13 +211,6 @@
             .collect()
     }
 
-    /// Sets a flag; the first time, what follows from it is due at once.
-    fn hasten(&mut self, now: Moment, flag: fn(&mut Self) -> &mut bool) {
-        if !std::mem::replace(flag(self), true) {
-            self.next = now;
-        }
-    }
-
     fn due(&self, now: Moment) -> Option<Body> {
         if now < self.next {
             return None;
@@ -234,8 +225,6 @@
         let (scope, fence) = (self.scope.clone(), self.view.fence);
         if self.leaving {
             Body::Release(record::Release { scope, fence })
-        } else if self.reclaim {
-            self.claim()
         } else {
             Body::Renewal(record::Renewal { scope, fence })
         }
--- a/crates/authority/src/lease/grant.rs
+++ b/crates/authority/src/lease/grant.rs
@@ -12,8 +12,7 @@
     pub fence: Fence,
     /// End of the lease on this process's clock.
     pub until: Moment,
-    /// When this process read back that it holds the scope. Claims of its own that follow without
-    /// a gap do not change it.
+    /// When this process read back that it holds the scope.
     pub since: Moment,
     /// Until when a former holder that was paused between its check and its send is reckoned
     /// with, not counting the time that an order may take on its way.
--- a/crates/authority/src/lease/message.rs
+++ b/crates/authority/src/lease/message.rs
@@ -26,9 +26,6 @@
     Failed(Nonce),
     /// Nothing is known about an append: it may land at any later time.
     Unknown(Nonce),
-    /// An engine knows a newer fence than ours although ours is in force, because it belonged to
-    /// another scope before: claim anew.
-    Reclaim,
     /// The process shuts down: give the scope up and do not claim any more.
     Leave,
 }
--- a/crates/authority/src/lib.rs
+++ b/crates/authority/src/lib.rs
@@ -8,10 +8,13 @@
 //! `docs/design/authority.md` and `docs/design/orders.md`.
 
 pub mod author;
+pub mod change;
 pub mod effect;
+pub mod engine;
 pub mod lease;
 pub mod nonce;
 pub mod order;
+pub mod planner;
 pub mod settled;
 pub mod state;
 pub mod statement;
--- /dev/null
+++ b/crates/authority/tests/common/engine.rs
@@ -0,0 +1,94 @@
+//! An engine that keeps the interface of `docs/PLATFORM.md`.
+
+use authority::change::Receipt;
+use authority::engine::{Progress, Reading, Taken};
+use authority::order::{Order, Role};
+use authority::{Fence, OrderId};
+use smallvec::SmallVec;
+use std::collections::BTreeSet;
+
+pub(crate) struct Engine {
+    pub(crate) reading: Reading,
+    pub(crate) barred: BTreeSet<OrderId>,
+    what: Option<Order>,
+}
+
+impl Engine {
+    pub(crate) fn new(checks_fence: bool) -> Self {
+        let reading = Reading {
+            incarnation: 1,
+            role: Role::Mixed,
+            models: SmallVec::new(),
+            taken: None,
+            fence: 0,
+            checks_fence,
+            open: 0,
+        };
+        Self {
+            reading,
+            barred: BTreeSet::new(),
+            what: None,
+        }
+    }
+
+    fn refuses(&mut self, fence: Fence) -> Option<Receipt> {
+        let newest = self.reading.fence;
+        if self.reading.checks_fence && fence < newest {
+            return Some(Receipt::Superseded { fence: newest });
+        }
+        self.reading.fence = newest.max(fence);
+        None
+    }
+
+    pub(crate) fn order(&mut self, order: OrderId, fence: Fence, what: &Order) -> Receipt {
+        let known = self.reading.progress(order).is_some() || self.barred.contains(&order);
+        if known {
+            return Receipt::Accepted;
+        }
+        if let Some(refused) = self.refuses(fence) {
+            return refused;
+        }
+        if self.reading.is_running() {
+            let running = self.reading.taken.map_or(0, |taken| taken.order);
+            return Receipt::Busy { order: running };
+        }
+        let progress = Progress::Running;
+        self.reading.taken = Some(Taken { order, progress });
+        self.what = Some(what.clone());
+        Receipt::Accepted
+    }
+
+    pub(crate) fn cancel(&mut self, order: OrderId, fence: Fence) -> Receipt {
+        if let Some(refused) = self.refuses(fence) {
+            return refused;
+        }
+        if self.reading.progress(order).is_none() {
+            self.barred.insert(order);
+        }
+        Receipt::Accepted
+    }
+
+    /// Ends the order that runs.
+    pub(crate) fn end(&mut self, progress: Progress) {
+        if let Some(taken) = &mut self.reading.taken {
+            taken.progress = progress;
+        }
+        if progress == Progress::Done
+            && let Some(Order::SetRole(role)) = &self.what
+        {
+            self.reading.role = *role;
+        }
+        if progress == Progress::Done
+            && let Some(Order::LoadModel(model)) = &self.what
+        {
+            self.reading.models.push(model.clone());
+        }
+    }
+
+    /// The engine forgets everything but its settings.
+    pub(crate) fn restart(&mut self) {
+        let incarnation = self.reading.incarnation + 1;
+        *self = Self::new(self.reading.checks_fence);
+        self.reading.incarnation = incarnation;
+    }
+}
