--- a/crates/load/src/args.rs
+++ b/crates/load/src/args.rs
@@ -1,6 +1,7 @@
 //! The command line of `tarragon-load`.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use clap::{Args, Parser, Subcommand};
 
@@ -19,10 +20,7 @@
 #[derive(Clone, Debug, Subcommand)]
 pub enum Action {
     /// Checks a plan and tells every finding.
-    Check {
-        /// The plan, in YAML.
-        plan: PathBuf,
-    },
+    Check(Source),
     /// Runs a plan.
     Run(Run),
     /// Compares variants in one run, their segments interleaved.
@@ -31,6 +29,29 @@
     Bench(Bench),
 }
 
+/// A plan and what is changed of it.
+#[derive(Clone, Debug, Args)]
+pub struct Source {
+    /// The plan, in YAML.
+    pub plan: PathBuf,
+
+    /// A file of swings laid over the plan; may be repeated.
+    #[arg(long)]
+    pub swings: Vec<PathBuf>,
+
+    /// Seed in place of the plan's.
+    #[arg(long)]
+    pub seed: Option<u64>,
+
+    /// Multiplies every rate of the plan.
+    #[arg(long, default_value_t = 1.0)]
+    pub rate: f64,
+
+    /// How long requests arrive, in place of the plan's duration.
+    #[arg(long, value_parser = humantime::parse_duration)]
+    pub duration: Option<Duration>,
+}
+
 /// Where to send, and with how many threads.
 #[derive(Clone, Debug, Args)]
 pub struct Place {
@@ -54,21 +75,14 @@
 /// Options of a run.
 #[derive(Clone, Debug, Args)]
 pub struct Run {
-    /// The plan, in YAML.
-    pub plan: PathBuf,
+    /// The plan and what is changed of it.
+    #[command(flatten)]
+    pub source: Source,
 
     /// Where to send.
     #[command(flatten)]
     pub place: Place,
 
-    /// Seed in place of the plan's.
-    #[arg(long)]
-    pub seed: Option<u64>,
-
-    /// Multiplies every rate of the plan.
-    #[arg(long, default_value_t = 1.0)]
-    pub rate: f64,
-
     /// Writes the result as JSON into this file; `-` is standard output, in place of the text.
     #[arg(long)]
     pub json: Option<PathBuf>,
@@ -81,8 +95,9 @@
 /// Options of a comparison.
 #[derive(Clone, Debug, Args)]
 pub struct Compare {
-    /// The plan of each segment, in YAML.
-    pub plan: PathBuf,
+    /// The plan of each segment and what is changed of it.
+    #[command(flatten)]
+    pub source: Source,
 
     /// The variants, in YAML.
     pub variants: PathBuf,
@@ -104,10 +119,6 @@
     )]
     pub token: String,
 
-    /// Multiplies every rate of the plan.
-    #[arg(long, default_value_t = 1.0)]
-    pub rate: f64,
-
     /// Writes all segments and scores as JSON into this file.
     #[arg(long)]
     pub json: Option<PathBuf>,
--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -6,7 +6,7 @@
 
 use error_stack::{Report, ResultExt};
 
-use crate::args::{Action, Run};
+use crate::args::{Action, Run, Source};
 use crate::bench;
 use crate::compare;
 use crate::error::Error;
@@ -30,7 +30,7 @@
 /// Does what the command line asks; errors are told on standard error.
 pub fn run(action: Action) -> ExitCode {
     let done = match action {
-        Action::Check { plan } => check(&plan),
+        Action::Check(source) => check(&source),
         Action::Run(options) => run_plan(&options),
         Action::Compare(options) => compare::run(&options),
         Action::Bench(options) => bench::run(&options),
@@ -44,21 +44,18 @@
     })
 }
 
-fn check(path: &Path) -> Result<ExitCode, Report<Error>> {
-    let plan = read_plan(path)?;
+fn check(source: &Source) -> Result<ExitCode, Report<Error>> {
+    let plan = read_plan(source)?;
     println!(
         "{}: {} classes, no findings",
-        path.display(),
+        source.plan.display(),
         plan.classes.len()
     );
     Ok(ExitCode::SUCCESS)
 }
 
 fn run_plan(options: &Run) -> Result<ExitCode, Report<Error>> {
-    let mut plan = read_plan(&options.plan)?.at_rate(options.rate);
-    if let Some(seed) = options.seed {
-        plan = plan.with_seed(seed);
-    }
+    let plan = read_plan(&options.source)?;
     let run = run::Run {
         plan,
         targets: options.place.targets.clone(),
@@ -102,14 +99,23 @@
     Ok(())
 }
 
-/// Reads and checks a plan.
-pub(crate) fn read_plan(path: &Path) -> Result<Plan, Report<Error>> {
-    let failed = || Error::File(path.display().to_string());
-    let yaml = fs::read_to_string(path).change_context_lazy(failed)?;
-    Plan::parse(&yaml).map_err(|findings| {
+/// Reads and checks a plan and changes it as the command line says.
+pub(crate) fn read_plan(source: &Source) -> Result<Plan, Report<Error>> {
+    let yaml = read(&source.plan)?;
+    let swings: Result<Vec<_>, _> = source.swings.iter().map(|path| read(path)).collect();
+    let plan = Plan::parse_with(&yaml, &swings?).map_err(|findings| {
         let list = findings.current_context().to_string();
-        Report::new(Error::Usage(format!("{}:\n{list}", path.display())))
-    })
+        Report::new(Error::Usage(format!("{}:\n{list}", source.plan.display())))
+    })?;
+    let mut plan = plan.at_rate(source.rate);
+    plan.seed = source.seed.unwrap_or(plan.seed);
+    plan.duration = source.duration.unwrap_or(plan.duration);
+    Ok(plan)
+}
+
+/// Reads a file whole.
+pub(crate) fn read(path: &Path) -> Result<String, Report<Error>> {
+    fs::read_to_string(path).change_context_lazy(|| Error::File(path.display().to_string()))
 }
 
 /// The result as JSON.
--- a/crates/load/src/compare.rs
+++ b/crates/load/src/compare.rs
@@ -1,16 +1,15 @@
 //! Runs a comparison: puts a variant in force, runs its segment, goes on to the next.
 
 use std::fmt;
-use std::fs;
 use std::process::ExitCode;
 use std::thread;
 
-use error_stack::{Report, ResultExt};
+use error_stack::Report;
 use serde::{Deserialize, Serialize};
 
 use crate::admin::Admin;
 use crate::args::Compare;
-use crate::command::{FAULT, NOT_AS_PLANNED, read_plan, to_json, write};
+use crate::command::{FAULT, NOT_AS_PLANNED, read, read_plan, to_json, write};
 use crate::contest::{self, Contest, Score, Segment, Spread, Variant};
 use crate::error::Error;
 use crate::plan::Plan;
@@ -33,7 +32,7 @@
 /// # Errors
 /// Unreadable files, a refused edit, a worker that ended early.
 pub fn run(options: &Compare) -> Result<ExitCode, Report<Error>> {
-    let plan = read_plan(&options.plan)?.at_rate(options.rate);
+    let plan = read_plan(&options.source)?;
     let contest = read_contest(options)?;
     let mut segments = Vec::new();
     for round in 0..contest.rounds {
@@ -58,9 +57,7 @@
 
 fn read_contest(options: &Compare) -> Result<Contest, Report<Error>> {
     let path = &options.variants;
-    let failed = || Error::File(path.display().to_string());
-    let yaml = fs::read_to_string(path).change_context_lazy(failed)?;
-    Contest::parse(&yaml).map_err(|findings| {
+    Contest::parse(&read(path)?).map_err(|findings| {
         let list = findings.current_context().to_string();
         Report::new(Error::Usage(format!("{}:\n{list}", path.display())))
     })
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use error_stack::Report;
+use serde::de::DeserializeOwned;
 
 use crate::finding;
 use crate::swing::Swing;
@@ -71,14 +72,18 @@
     /// # Errors
     /// Every finding, with its place.
     pub fn parse(yaml: &str) -> Result<Self, Report<finding::List>> {
-        let raw: raw::Plan = serde_saphyr::from_str(yaml).map_err(|error| {
-            let detail = error.to_string();
-            let line = unknown_key_line(yaml, &detail);
-            let place = line.map_or_else(|| "plan".to_owned(), |line| format!("line {line}"));
-            let mut findings = finding::List::default();
-            findings.add(place, detail);
-            Report::new(findings)
-        })?;
+        Self::parse_with(yaml, &[])
+    }
+
+    /// Reads and checks a plan with the swings of other files behind its own.
+    ///
+    /// # Errors
+    /// Every finding, with its place; places of swings count on from those of the plan.
+    pub fn parse_with(yaml: &str, swings: &[String]) -> Result<Self, Report<finding::List>> {
+        let mut raw: raw::Plan = read(yaml)?;
+        for file in swings {
+            raw.swings.extend(read::<raw::Swings>(file)?.swings);
+        }
         Self::try_from(raw).map_err(Report::new)
     }
 
@@ -104,6 +109,17 @@
     }
 }
 
+fn read<T: DeserializeOwned>(yaml: &str) -> Result<T, Report<finding::List>> {
+    serde_saphyr::from_str(yaml).map_err(|error| {
+        let detail = error.to_string();
+        let line = unknown_key_line(yaml, &detail);
+        let place = line.map_or_else(|| "file".to_owned(), |line| format!("line {line}"));
+        let mut findings = finding::List::default();
+        findings.add(place, detail);
+        Report::new(findings)
+    })
+}
+
 /// The line of an unknown key. The YAML library tells the place of every other fault but not of
 /// this one, since the key is already consumed when its name is found to be wrong.
 fn unknown_key_line(yaml: &str, detail: &str) -> Option<usize> {
--- a/crates/load/src/plan/raw.rs
+++ b/crates/load/src/plan/raw.rs
@@ -35,6 +35,14 @@
     pub swings: Vec<Swing>,
 }
 
+/// A file of swings that is laid over a plan.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Swings {
+    /// Changes of the mix over the run.
+    pub swings: Vec<Swing>,
+}
+
 /// One kind of request.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
