Claim idempotency keys in the log, at most once

Cause: a caller's repeat may reach another entry after the first was killed; nothing but the log survives to stop it.

Change: the fold of claims (first wins; only its holder concludes it; a gap lets nothing run), a batcher that claims in groups, decides on reading its own claim back, forgets a given-up call before it answers, concludes claims that land too late, and claims again what is not read back. Outages by the entry's policy. "Not run" is said of the key: only for a declared first attempt or a first claim without a byte sent.

Ruled out: claims among entries by majority (a store of our own); running unclaimed without declared attempts (a repeat could run as well).

--- /dev/null
+++ b/crates/claims/src/holder.rs
@@ -0,0 +1,31 @@
+//! The process that holds a claim.
+
+use wire::record::Author;
+
+/// One run of one instance. A restarted instance is another holder: it does not know what its
+/// predecessor sent.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Holder {
+    /// Instance id from the settings.
+    pub instance: String,
+    /// Milliseconds since the Unix epoch at which the process started.
+    pub incarnation: u64,
+}
+
+impl From<&Author> for Holder {
+    fn from(author: &Author) -> Self {
+        Self {
+            instance: author.instance.clone(),
+            incarnation: author.incarnation,
+        }
+    }
+}
+
+impl From<&Holder> for Author {
+    fn from(holder: &Holder) -> Self {
+        Self {
+            instance: holder.instance.clone(),
+            incarnation: holder.incarnation,
+        }
+    }
+}
--- /dev/null
+++ b/crates/claims/tests/batcher.rs
@@ -0,0 +1,369 @@
+//! Decisions of one and of several entries over one log, under single faults.
+
+mod common;
+
+use assert_matches::assert_matches;
+use claims::{Decision, End, Input, Policy, Ran, Reach};
+use common::{Entry, Log, claims_in};
+
+fn not_run() -> Decision {
+    Decision::Refused { ran: Ran::No }
+}
+
+fn unknown() -> Decision {
+    Decision::Refused { ran: Ran::Unknown }
+}
+
+#[test]
+fn call_runs_once_its_claim_is_read_back() {
+    let (mut log, mut a) = (Log::default(), Entry::new("a", 1));
+    a.call(1, Some(1), Policy::Refuse);
+    a.append(&mut log);
+    assert_eq!(a.last(), None, "an answer of the log is not enough");
+    a.read(&log);
+    assert_eq!(a.last(), Some(&(1, Decision::Run { claim: 1 })));
+    a.ended(1, End::Answered);
+    a.settle(&mut log);
+    a.call(2, Some(2), Policy::Refuse);
+    assert_matches!(a.last(), Some((2, Decision::Answered { request, .. })) if &**request == "a-1");
+    assert_eq!(a.batcher.held(), 0);
+}
+
+#[test]
+fn of_two_entries_the_first_in_the_log_runs() {
+    let mut log = Log::default();
+    let (mut a, mut b) = (Entry::new("a", 1), Entry::new("b", 1));
+    a.call(1, Some(1), Policy::Refuse);
+    b.call(1, Some(2), Policy::Refuse);
+    b.append(&mut log);
+    a.append(&mut log);
+    a.read(&log);
+    b.read(&log);
+    assert_matches!(a.last(), Some((1, Decision::InProgress { holder, .. })) if holder.instance == "b");
+    assert_eq!(b.last(), Some(&(1, Decision::Run { claim: 1 })));
+}
+
+#[test]
+fn key_with_another_body_is_a_conflict() {
+    let (mut log, mut a) = (Log::default(), Entry::new("a", 1));
+    a.call(1, Some(1), Policy::Refuse);
+    let other = claims::Call {
+        ticket: 2,
+        key: claims::key("kiosks", "cards", "k"),
+        fingerprint: claims::fingerprint("POST", "/cards", b"13.00"),
+        request: "a-2".to_owned(),
+        attempt: Some(1),
+        policy: Policy::Refuse,
+        give_up: a.now + common::ms(3_000),
+    };
+    a.input(Input::Call(other.clone()));
+    assert_eq!(a.last(), Some(&(2, Decision::Conflict)));
+    a.append(&mut log);
+    a.read(&log);
+    a.input(Input::Call(claims::Call { ticket: 3, ..other }));
+    assert_eq!(a.last(), Some(&(3, Decision::Conflict)));
+}
+
+#[test]
+fn calls_are_claimed_in_groups() {
+    let mut a = Entry::new("a", 1);
+    for ticket in 0..40 {
+        let call = claims::Call {
+            ticket,
+            key: claims::key("kiosks", "cards", &ticket.to_string()),
+            fingerprint: [0; 16],
+            request: format!("a-{ticket}"),
+            attempt: Some(1),
+            policy: Policy::Refuse,
+            give_up: a.now + common::ms(3_000),
+        };
+        a.input(Input::Call(call));
+    }
+    assert_eq!(
+        a.appends.len(),
+        1,
+        "the first goes at once, the rest wait for the pace"
+    );
+    a.advance(20);
+    assert_eq!(a.appends.len(), 2);
+    assert_eq!(claims_in(&a.appends[1].record), 39);
+    assert_eq!(
+        a.batcher.next_wake(),
+        Some(common::ms(2_000)),
+        "nothing to do but wait"
+    );
+}
+
+/// Symptom: a caller is told that its call did not run, and it runs afterwards.
+/// Sequence: the claim is appended, the reader stalls, the deadline passes, the claim is read back.
+/// Cause: a claim that wins says nothing about whether its call is still wanted.
+#[test]
+fn call_that_was_given_up_never_runs_and_frees_its_key() {
+    let mut log = Log::default();
+    let (mut a, mut b) = (Entry::new("a", 1), Entry::new("b", 1));
+    a.call(1, Some(1), Policy::Refuse);
+    a.append(&mut log);
+    a.advance(3_000);
+    assert_eq!(a.decided, [(1, not_run())]);
+    a.read(&log);
+    a.settle(&mut log);
+    assert_eq!(a.decided.len(), 1);
+    b.read(&log);
+    b.call(1, Some(2), Policy::Refuse);
+    b.settle(&mut log);
+    assert_matches!(b.last(), Some((1, Decision::Run { .. })));
+}
+
+/// Symptom: as above.
+/// Sequence: the process is paused from the append until long after the deadline; when it wakes it
+/// reads its claim before any timer has fired.
+/// Cause: timers of a paused process do not fire.
+#[test]
+fn paused_process_does_not_run_a_call_past_its_deadline() {
+    let (mut log, mut a) = (Log::default(), Entry::new("a", 1));
+    a.call(1, Some(1), Policy::Refuse);
+    a.append(&mut log);
+    a.now += common::ms(60_000);
+    a.read(&log);
+    assert_eq!(a.decided, [(1, not_run())]);
+}
+
+/// Symptom: a call waits for its deadline although the log works.
+/// Sequence: the answer to the append is lost, and the append as well.
+/// Cause: nothing tells a lost append from one that comes late. Claiming again is safe, since
+/// both copies may stand.
+#[test]
+fn lost_append_is_claimed_again_and_both_copies_may_stand() {
+    let (mut log, mut a) = (Log::default(), Entry::new("a", 1));
+    a.call(1, Some(1), Policy::Refuse);
+    let first = a.appends.remove(0);
+    a.input(Input::Lost(first.nonce));
+    a.advance(1_000);
+    a.append(&mut log);
+    a.read(&log);
+    assert_eq!(a.decided, [(1, Decision::Run { claim: 1 })]);
+    log.take(&first);
+    a.read(&log);
+    assert!(a.contested.is_empty(), "its own copy is no other call");
+    a.ended(1, End::Answered);
+    a.settle(&mut log);
+    assert_eq!(a.decided.len(), 1);
+    assert!(
+        a.batcher
+            .book()
+            .claim(&claims::key("kiosks", "cards", "k"))
+            .is_some()
+    );
+}
+
+/// Symptom: a key stays blocked until the log forgets it, though its call never ran.
+/// Sequence: a claim whose answer was lost lands a second time, after the call was given up and
+/// concluded.
+/// Cause: the second copy wins the free key for a call that is gone.
+#[test]
+fn second_copy_of_a_concluded_claim_is_concluded_as_well() {
+    let mut log = Log::default();
+    let (mut a, mut b) = (Entry::new("a", 1), Entry::new("b", 1));
+    a.call(1, Some(1), Policy::Refuse);
+    let copy = a.appends.remove(0);
+    log.take(&copy);
+    a.advance(3_000);
+    a.settle(&mut log);
+    log.take(&copy);
+    a.settle(&mut log);
+    b.read(&log);
+    b.call(1, Some(2), Policy::Refuse);
+    b.settle(&mut log);
+    assert_matches!(b.last(), Some((1, Decision::Run { .. })));
+}
+
+/// Symptom: the caller waits for nothing.
+/// Sequence: the holder is killed after its claim, before or after it sent the call.
+/// Cause: nobody else can know which; the key stays claimed.
+#[test]
+fn claim_of_a_killed_process_stays() {
+    let mut log = Log::default();
+    let (mut a, mut b) = (Entry::new("a", 1), Entry::new("b", 1));
+    a.call(1, Some(1), Policy::Refuse);
+    a.append(&mut log);
+    drop(a);
+    let mut restarted = Entry::new("a", 2);
+    for entry in [&mut restarted, &mut b] {
+        entry.read(&log);
+        entry.call(1, Some(2), Policy::Refuse);
+        assert_matches!(entry.last(), Some((1, Decision::InProgress { holder, .. })) if holder.incarnation == 1);
+    }
+}
+
+/// Symptom: a restarted process runs a call whose claim its predecessor made.
+/// Sequence: the process is killed after its append, which lands late; the restarted one counts its
+/// requests from 1 again and has a call with the same key and request id waiting.
+/// Cause: the predecessor may have run the call; only instance and start together tell them apart.
+#[test]
+fn claim_of_the_predecessor_is_not_taken_for_ones_own() {
+    let mut log = Log::default();
+    let (mut old, mut new) = (Entry::new("a", 1), Entry::new("a", 2));
+    old.call(1, Some(1), Policy::Refuse);
+    new.call(1, Some(2), Policy::Refuse);
+    old.append(&mut log);
+    new.append(&mut log);
+    new.read(&log);
+    assert_matches!(&new.decided[..], [(1, Decision::InProgress { holder, .. })] if holder.incarnation == 1);
+}
+
+#[test]
+fn rejected_append_is_tried_again_later() {
+    let (mut log, mut a) = (Log::default(), Entry::new("a", 1));
+    a.call(1, Some(1), Policy::Refuse);
+    let first = a.appends.remove(0);
+    a.input(Input::Rejected(first.nonce));
+    assert!(a.appends.is_empty(), "not at once");
+    assert_eq!(a.batcher.next_wake(), Some(a.now + common::ms(100)));
+    a.advance(100);
+    a.append(&mut log);
+    a.read(&log);
+    assert_eq!(a.decided, [(1, Decision::Run { claim: 1 })]);
+}
+
+#[test]
+fn outage_refuses_by_policy() {
+    let mut a = Entry::new("a", 1);
+    a.call(1, Some(1), Policy::Refuse);
+    a.input(Input::Log(Reach::Out));
+    assert_eq!(a.last(), Some(&(1, not_run())), "also one that waits");
+    a.call(2, None, Policy::Refuse);
+    assert_eq!(
+        a.last(),
+        Some(&(2, unknown())),
+        "an earlier attempt may have run"
+    );
+    a.call(3, Some(2), Policy::Refuse);
+    assert_eq!(a.last(), Some(&(3, unknown())));
+}
+
+/// Symptom: a card is charged twice.
+/// Sequence: the first attempt runs without a claim while the log is out, its entry dies, the log
+/// comes back, the caller's second attempt claims the key at another entry and wins.
+/// Cause: a run without a claim leaves no trace that others could see.
+#[test]
+fn later_attempt_never_runs_where_first_attempts_run_unclaimed() {
+    let mut log = Log::default();
+    let (mut a, mut b) = (Entry::new("a", 1), Entry::new("b", 1));
+    a.input(Input::Log(Reach::Out));
+    a.call(1, Some(1), Policy::FirstAttempt);
+    assert_eq!(a.last(), Some(&(1, Decision::RunUnclaimed)));
+    drop(a);
+    b.call(1, Some(2), Policy::FirstAttempt);
+    b.settle(&mut log);
+    assert_eq!(b.decided, [(1, unknown())]);
+    b.call(2, None, Policy::FirstAttempt);
+    assert_eq!(b.last(), Some(&(2, Decision::AttemptRequired)));
+}
+
+/// Symptom: two first attempts with one key run at one entry.
+/// Sequence: the log is out, a caller sends its first attempt twice.
+/// Cause: neither finds a claim in the log.
+#[test]
+fn run_without_claim_is_remembered_here_and_claimed_once_the_log_is_back() {
+    let mut log = Log::default();
+    let (mut a, mut b) = (Entry::new("a", 1), Entry::new("b", 1));
+    a.input(Input::Log(Reach::Out));
+    a.call(1, Some(1), Policy::FirstAttempt);
+    a.call(2, Some(1), Policy::FirstAttempt);
+    assert_matches!(a.last(), Some((2, Decision::InProgress { .. })));
+    a.ended(1, End::Answered);
+    a.call(3, Some(2), Policy::FirstAttempt);
+    assert_matches!(a.last(), Some((3, Decision::Answered { request, .. })) if &**request == "a-1");
+    a.input(Input::Log(Reach::Up));
+    a.settle(&mut log);
+    assert_eq!(a.batcher.held(), 0);
+    b.read(&log);
+    b.call(1, Some(2), Policy::FirstAttempt);
+    assert_matches!(b.last(), Some((1, Decision::Answered { holder, .. })) if holder.instance == "a");
+}
+
+#[test]
+fn first_attempt_waits_only_a_while_for_its_claim() {
+    let (mut log, mut a) = (Log::default(), Entry::new("a", 1));
+    a.call(1, Some(1), Policy::FirstAttempt);
+    a.append(&mut log);
+    a.advance(249);
+    assert_eq!(a.last(), None);
+    a.advance(1);
+    assert_eq!(a.last(), Some(&(1, Decision::RunUnclaimed)));
+    a.read(&log);
+    a.ended(1, End::NotRun);
+    a.settle(&mut log);
+    assert!(a.batcher.book().is_empty(), "concluded as not run");
+    assert_eq!(a.decided.len(), 1);
+}
+
+/// Symptom: a call may have run twice and nobody hears of it.
+/// Sequence: a balancer sends one first attempt to two entries; one cannot reach the log.
+/// Cause: the caller's declaration is all that protects a run without a claim.
+#[test]
+fn run_that_met_another_claim_is_told_and_never_called_not_run() {
+    let mut log = Log::default();
+    let (mut a, mut b) = (Entry::new("a", 1), Entry::new("b", 1));
+    a.call(1, Some(1), Policy::FirstAttempt);
+    a.append(&mut log);
+    b.call(1, Some(1), Policy::FirstAttempt);
+    let copy = b.appends.remove(0);
+    b.advance(250);
+    b.ended(1, End::Answered);
+    log.take(&copy);
+    a.read(&log);
+    b.read(&log);
+    assert_eq!(b.contested, [1]);
+    // The other call did not run after all, and a second copy of this one's claim comes late.
+    a.ended(1, End::NotRun);
+    a.settle(&mut log);
+    log.take(&copy);
+    b.settle(&mut log);
+    a.settle(&mut log);
+    assert_eq!(a.batcher.book().len(), 1, "the key that ran stays claimed");
+}
+
+/// Symptom: a call runs although an earlier claim of its key stands in the log.
+/// Sequence: the reader starts behind the first retained record.
+/// Cause: an unread claim could be the first.
+#[test]
+fn nothing_runs_by_a_book_with_a_gap() {
+    let mut log = Log::default();
+    let (mut a, mut b) = (Entry::new("a", 1), Entry::new("b", 1));
+    a.call(1, Some(1), Policy::Refuse);
+    a.append(&mut log);
+    b.call(1, Some(2), Policy::Refuse);
+    let append = b.appends.remove(0);
+    let outputs = b.batcher.fold(b.now, 2, &append.record);
+    assert_matches!(&outputs[..], [claims::Output::Decide(1, decision), ..] => assert_eq!(*decision, unknown()));
+}
+
+#[test]
+fn calls_beyond_the_bound_are_refused() {
+    let mut a = Entry::new("a", 1);
+    let pace = claims::Pace {
+        max_held: 0,
+        ..claims::Pace::default()
+    };
+    a.batcher = claims::Batcher::new(claims::Holder::default(), 1, pace);
+    a.input(Input::Log(Reach::Up));
+    a.call(1, Some(1), Policy::FirstAttempt);
+    assert_eq!(a.last(), Some(&(1, not_run())));
+}
+
+#[test]
+fn caller_that_goes_frees_its_key() {
+    let (mut log, mut a) = (Log::default(), Entry::new("a", 1));
+    a.call(1, Some(1), Policy::Refuse);
+    a.input(Input::Gone(1));
+    a.settle(&mut log);
+    assert!(a.batcher.book().is_empty());
+    a.call(2, Some(2), Policy::Refuse);
+    a.settle(&mut log);
+    assert_matches!(a.last(), Some((2, Decision::Run { .. })));
+    a.input(Input::Gone(2));
+    a.ended(2, End::Unknown);
+    a.settle(&mut log);
+    assert_eq!(a.batcher.book().len(), 1, "it may have run");
+}
--- /dev/null
+++ b/crates/claims/tests/common/mod.rs
@@ -0,0 +1,149 @@
+//! A log in memory and entries that read it when told to.
+#![allow(dead_code, unreachable_pub)]
+
+use std::time::Duration;
+
+use claims::{
+    Batcher, Call, Decision, End, Holder, Input, Nonce, Offset, Output, Outputs, Pace, Policy,
+    Reach, Ticket,
+};
+use clock::Moment;
+use wire::record::Record;
+use wire::record::record::Body;
+
+pub fn ms(ms: u64) -> Moment {
+    Duration::from_millis(ms)
+}
+
+/// What an entry has sent and the log has not taken yet.
+pub struct Append {
+    pub nonce: Nonce,
+    pub record: Record,
+}
+
+#[derive(Default)]
+pub struct Log {
+    pub records: Vec<Record>,
+}
+
+impl Log {
+    pub fn take(&mut self, append: &Append) -> Offset {
+        self.records.push(append.record.clone());
+        self.records.len() as Offset
+    }
+}
+
+pub struct Entry {
+    pub batcher: Batcher,
+    pub appends: Vec<Append>,
+    pub decided: Vec<(Ticket, Decision)>,
+    pub contested: Vec<Ticket>,
+    pub now: Moment,
+    holder: Holder,
+    read: usize,
+}
+
+impl Entry {
+    /// An entry that finds the log up.
+    pub fn new(instance: &str, incarnation: u64) -> Self {
+        let holder = Holder {
+            instance: instance.to_owned(),
+            incarnation,
+        };
+        let seed = instance.bytes().map(u64::from).sum::<u64>() << 32 | incarnation;
+        let mut entry = Self {
+            batcher: Batcher::new(holder.clone(), seed, Pace::default()),
+            appends: Vec::new(),
+            decided: Vec::new(),
+            contested: Vec::new(),
+            now: ms(1_000),
+            holder,
+            read: 0,
+        };
+        entry.input(Input::Log(Reach::Up));
+        entry
+    }
+
+    pub fn input(&mut self, input: Input) {
+        let outputs = self.batcher.step(self.now, input);
+        self.keep(outputs);
+    }
+
+    pub fn advance(&mut self, by: u64) {
+        self.now += ms(by);
+        self.input(Input::Tick);
+    }
+
+    /// Reads the log to its end.
+    pub fn read(&mut self, log: &Log) {
+        for (position, record) in log.records.iter().enumerate().skip(self.read) {
+            let outputs = self.batcher.fold(self.now, position as Offset + 1, record);
+            self.keep(outputs);
+        }
+        self.read = log.records.len();
+    }
+
+    /// Hands all appends to the log; their answers come at once.
+    pub fn append(&mut self, log: &mut Log) {
+        for append in std::mem::take(&mut self.appends) {
+            let offset = log.take(&append);
+            self.input(Input::Appended(append.nonce, offset));
+        }
+    }
+
+    /// Claims, waits and reads until nothing is left to be appended.
+    pub fn settle(&mut self, log: &mut Log) {
+        for _ in 0..4 {
+            self.advance(300);
+            self.append(log);
+            self.read(log);
+        }
+    }
+
+    pub fn last(&self) -> Option<&(Ticket, Decision)> {
+        self.decided.last()
+    }
+
+    fn keep(&mut self, outputs: Outputs) {
+        for output in outputs {
+            match output {
+                Output::Append { nonce, body } => self.appends.push(Append {
+                    nonce,
+                    record: Record {
+                        nonce: nonce.to_vec(),
+                        author: Some((&self.holder).into()),
+                        body: Some(body),
+                        ..Record::default()
+                    },
+                }),
+                Output::Decide(ticket, decision) => self.decided.push((ticket, decision)),
+                Output::Contested { ticket, .. } => self.contested.push(ticket),
+            }
+        }
+    }
+
+    pub fn call(&mut self, ticket: Ticket, attempt: Option<u32>, policy: Policy) {
+        let call = Call {
+            ticket,
+            key: claims::key("kiosks", "cards", "k"),
+            fingerprint: claims::fingerprint("POST", "/cards", b"12.00"),
+            request: format!("{}-{ticket}", self.holder.instance),
+            attempt,
+            policy,
+            give_up: self.now + ms(3_000),
+        };
+        self.input(Input::Call(call));
+    }
+
+    pub fn ended(&mut self, ticket: Ticket, end: End) {
+        self.input(Input::Ended(ticket, end));
+    }
+}
+
+/// Number of claims in a record.
+pub fn claims_in(record: &Record) -> usize {
+    match &record.body {
+        Some(Body::KeyClaims(batch)) => batch.claims.len(),
+        _ => 0,
+    }
+}
