Add the client of the log and of the instance list

The control needs to know after each failed append whether the record certainly does not stand. awc reports a connection that closes after the request was written as ConnectError::Disconnected, so that its connect errors as a class can't be taken for 'not sent'; only those that arise before the first byte are. Redirects are off, as a followed one would send an append twice. Reads with a gap are thrown away whole.

Seen to fail first: with Disconnected counted as unsent, connection_closed_after_the_request_is_unknown fails; without the check of consecutive offsets, read_with_a_gap_is_thrown_away fails.

--- /dev/null
+++ b/crates/platform/src/instances.rs
@@ -0,0 +1,150 @@
+//! The instance list.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_rt::task::JoinHandle;
+use awc::Client;
+use awc::http::StatusCode;
+use error_stack::Report;
+use tokio::sync::watch;
+
+use crate::instance::RawListing;
+use crate::log::client;
+use crate::{Backoff, Jitter, ListError, Listing, Options, Registration};
+
+/// Largest list that is taken in, in bytes.
+const MAX_ANSWER: usize = 16 << 20;
+
+/// Longest time for one question.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A client of the instance list. Clones share connections.
+#[derive(Clone)]
+pub struct Instances {
+    client: Client,
+    url: String,
+}
+
+impl Instances {
+    /// A client that connects when first used. Call it on the arbiter that uses it.
+    pub fn new(options: &Options) -> Self {
+        let base = options.base.trim_end_matches('/');
+        Self {
+            client: client(options.connect_timeout),
+            url: format!("{base}/instances"),
+        }
+    }
+
+    /// Reads the list once.
+    ///
+    /// # Errors
+    /// [`ListError`]; the caller goes on with the list that it had.
+    pub async fn read(&self) -> Result<Listing, Report<ListError>> {
+        let mut answer = self
+            .client
+            .get(&self.url)
+            .timeout(TIMEOUT)
+            .send()
+            .await
+            .map_err(|error| unavailable(error.to_string()))?;
+        if answer.status() != StatusCode::OK {
+            return Err(unavailable(answer.status().to_string()));
+        }
+        let body = answer.body().limit(MAX_ANSWER).await;
+        let body = body.map_err(|error| unavailable(error.to_string()))?;
+        let raw: RawListing = serde_json::from_slice(&body)
+            .map_err(|error| Report::new(ListError::Malformed).attach(error.to_string()))?;
+        Ok(raw.into())
+    }
+
+    /// Puts this process into the list. It is idempotent.
+    ///
+    /// # Errors
+    /// [`ListError::Unavailable`] if the list did not say that it took it.
+    pub async fn register(&self, registration: &Registration) -> Result<(), Report<ListError>> {
+        let request = self.client.post(&self.url).timeout(TIMEOUT);
+        let answer = request.send_json(registration).await;
+        let answer = answer.map_err(|error| unavailable(error.to_string()))?;
+        accepted(answer.status())
+    }
+
+    /// Marks an instance as leaving. It is idempotent.
+    ///
+    /// # Errors
+    /// [`ListError::Unavailable`] if the list did not say that it took it.
+    pub async fn leave(&self, id: &str) -> Result<(), Report<ListError>> {
+        let url = format!("{}/{id}/leave", self.url);
+        let answer = self.client.post(url).timeout(TIMEOUT).send().await;
+        let answer = answer.map_err(|error| unavailable(error.to_string()))?;
+        accepted(answer.status())
+    }
+
+    /// Reads the list again and again, `period` apart.
+    pub fn poll(self, period: Duration, jitter: Jitter) -> Poll {
+        let (sender, listing) = watch::channel(None);
+        let backoff = Backoff::new(period, period.saturating_mul(8), jitter);
+        let task = actix_rt::spawn(follow(self, period, backoff, sender));
+        Poll { listing, task }
+    }
+}
+
+/// A task that keeps the newest list. It ends when this value is dropped.
+pub struct Poll {
+    listing: watch::Receiver<Option<Arc<Listing>>>,
+    task: JoinHandle<()>,
+}
+
+impl Poll {
+    /// The newest list, `None` before the first. It is a change only if its content changed.
+    pub fn listing(&self) -> watch::Receiver<Option<Arc<Listing>>> {
+        self.listing.clone()
+    }
+}
+
+impl Drop for Poll {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn follow(
+    instances: Instances,
+    period: Duration,
+    mut backoff: Backoff,
+    sender: watch::Sender<Option<Arc<Listing>>>,
+) {
+    while !sender.is_closed() {
+        let pause = match instances.read().await {
+            Ok(listing) => {
+                backoff.reset();
+                sender.send_if_modified(|held| replace(held, listing));
+                period
+            }
+            Err(report) => {
+                log::debug!(error:? = report; "the instance list was not read");
+                backoff.next(None)
+            }
+        };
+        actix_rt::time::sleep(pause).await;
+    }
+}
+
+fn replace(held: &mut Option<Arc<Listing>>, listing: Listing) -> bool {
+    if held.as_deref() == Some(&listing) {
+        return false;
+    }
+    *held = Some(Arc::new(listing));
+    true
+}
+
+fn accepted(status: StatusCode) -> Result<(), Report<ListError>> {
+    if status.is_success() {
+        return Ok(());
+    }
+    Err(unavailable(status.to_string()))
+}
+
+fn unavailable(detail: String) -> Report<ListError> {
+    Report::new(ListError::Unavailable).attach(detail)
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,27 @@
-//! Placeholder of the platform crate.
+//! Client of the outside platform: the log ([`Log`], [`Tail`]) and the instance list ([`Instances`]).
+//!
+//! Stands between the `control` crate and the network. It knows the wire form of
+//! [`docs/PLATFORM.md`](../../../docs/PLATFORM.md) and says of each failure what is certain about it;
+//! what a record means is none of its matters. All of it lives on one actix arbiter.
+
+mod backoff;
+mod chunk;
+mod failure;
+mod instance;
+mod instances;
+mod log;
+mod tail;
+
+pub use backoff::Backoff;
+pub use chunk::{Chunk, Entry};
+pub use failure::{AppendError, ListError, ReadError};
+pub use instance::{Instance, Kind, Listing, Registration, State};
+pub use instances::{Instances, Poll};
+pub use log::{Log, Options};
+pub use tail::{Event, Tail};
+
+/// Position of a record in the log. The log gives it; it is the record's identity.
+pub type Offset = u64;
+
+/// A source of numbers in `0.0..1.0` for jitter, passed in so that tests are repeatable.
+pub type Jitter = Box<dyn FnMut() -> f64>;
--- /dev/null
+++ b/crates/platform/tests/client/main.rs
@@ -0,0 +1,5 @@
+//! The client against a fake server on loopback.
+
+mod fake;
+mod instances;
+mod log;
