--- a/crates/load/src/args.rs
+++ b/crates/load/src/args.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use clap::{Args, Parser, Subcommand};
+use clap::{Args, Parser, Subcommand, ValueEnum};
 
 /// Open-loop load for trials: it ends by itself, and tells what was served, lost, doubled, crossed
 /// or cut. Exit codes: 0 clean, 1 a fault was seen, 2 usage or a bad plan, 3 the load could not be
@@ -128,6 +128,17 @@
     pub plot: Option<PathBuf>,
 }
 
+/// What a bench measures.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Part {
+    /// Added latency.
+    Latency,
+    /// Requests and tokens at saturation.
+    Saturation,
+    /// Resident memory.
+    Memory,
+}
+
 /// Options of a bench. Parts whose stand-in or process is not named are left out.
 #[derive(Clone, Debug, Args)]
 pub struct Bench {
@@ -135,6 +146,10 @@
     #[arg(long)]
     pub entry: String,
 
+    /// What to measure.
+    #[arg(long, value_delimiter = ',', default_values = ["latency", "saturation", "memory"])]
+    pub parts: Vec<Part>,
+
     /// Process id of the entry, for processor time and memory.
     #[arg(long)]
     pub pid: Option<u32>,
@@ -148,7 +163,7 @@
     pub plain_path: String,
 
     /// Caller's key for the plain call.
-    #[arg(long, default_value = "")]
+    #[arg(long, default_value = "bench-key")]
     pub plain_key: String,
 
     /// URL root of an engine behind the entry.
@@ -160,11 +175,11 @@
     pub entry_model: String,
 
     /// Caller's key for the completions.
-    #[arg(long, default_value = "")]
+    #[arg(long, default_value = "bench-key")]
     pub entry_key: String,
 
     /// Model as the engine knows it.
-    #[arg(long, default_value = "bench")]
+    #[arg(long, default_value = "bench-model")]
     pub engine_model: String,
 
     /// Calls a second at which latency is measured.
--- a/crates/load/src/bench.rs
+++ b/crates/load/src/bench.rs
@@ -13,7 +13,7 @@
 use error_stack::Report;
 use serde::Serialize;
 
-use crate::args::Bench;
+use crate::args::{Bench, Part};
 use crate::command::{FAULT, to_json, write};
 use crate::error::Error;
 use crate::process::Process;
@@ -58,40 +58,30 @@
 async fn measure(options: &Bench) -> Result<Figures, Report<Error>> {
     let client = worker::client();
     let process = options.pid.map(|pid| Process { pid });
+    // Read before the first call, as later there is no idle process any more.
     let idle = process.map(|process| process.resident()).transpose()?;
-    let mut latency = Vec::new();
-    for sides in Sides::all(options) {
-        for rate in &options.rates {
-            latency.push(latency::measure(&client, &sides, *rate, options.samples).await);
+    let wanted = |part| options.parts.contains(&part);
+    let mut figures = Figures::default();
+    if wanted(Part::Latency) {
+        for sides in Sides::all(options) {
+            for rate in &options.rates {
+                let latency = latency::measure(&client, &sides, *rate, options.samples).await;
+                figures.latency.push(latency);
+            }
         }
     }
-    let length = Duration::from_secs(options.seconds);
-    let (mut whole, mut streamed, mut memory) = (None, None, None);
-    if let (Some(process), Some(idle)) = (process, idle) {
-        let side = Side::plain(&options.entry, &options.plain_path, &options.plain_key);
-        whole = Some(saturation::measure(
-            process,
-            &side,
-            options.connections,
-            length,
-        )?);
-        if options.engine.is_some() {
-            let side = Side::stream(options, options.relay_tokens);
-            streamed = Some(saturation::measure(
-                process,
-                &side,
-                options.streams,
-                length,
-            )?);
-            memory = Some(memory::measure(&client, process, idle, options).await?);
-        }
+    if let (Some(process), true) = (process, wanted(Part::Saturation)) {
+        let length = Duration::from_secs(options.seconds);
+        let (at_once, streams) = (options.connections, options.streams);
+        let plain = Side::plain(&options.entry, &options.plain_path, &options.plain_key);
+        let stream = Side::stream(options, options.relay_tokens);
+        figures.whole = Some(saturation::measure(process, &plain, at_once, length)?);
+        figures.streamed = Some(saturation::measure(process, &stream, streams, length)?);
+    }
+    if let (Some(process), Some(idle), true) = (process, idle, wanted(Part::Memory)) {
+        figures.memory = Some(memory::measure(&client, process, idle, options).await?);
     }
-    Ok(Figures {
-        latency,
-        whole,
-        streamed,
-        memory,
-    })
+    Ok(figures)
 }
 
 impl Figures {
