--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -8,7 +8,8 @@
 
 /// Administration of tarragonswitch. Exit codes: 0 done, 1 refused or findings, 2 usage,
 /// 3 another operator's edit won, 4 no answer, 5 not allowed, 6 not understood.
-#[derive(Clone, Debug, Parser)]
+#[derive(Clone, Debug)]
+#[derive(Parser)]
 #[command(name = "tarragonctl", version)]
 pub struct Command {
     /// Where the administration API is.
@@ -25,7 +26,8 @@
 }
 
 /// Where the administration API is, and who asks.
-#[derive(Clone, Debug, Args)]
+#[derive(Clone, Debug)]
+#[derive(Args)]
 pub struct Connection {
     /// Address of the administration API of any entry.
     #[arg(
@@ -56,7 +58,8 @@
 }
 
 /// What the program can do.
-#[derive(Clone, Debug, Subcommand)]
+#[derive(Clone, Debug)]
+#[derive(Subcommand)]
 pub enum Action {
     /// The catalogue of owners, pools, models, entries and drains.
     #[command(subcommand)]
@@ -83,7 +86,8 @@
 }
 
 /// What can be done with the catalogue.
-#[derive(Clone, Debug, Subcommand)]
+#[derive(Clone, Debug)]
+#[derive(Subcommand)]
 pub enum Catalogue {
     /// Checks a file against the catalogue in force and keeps nothing.
     Check {
@@ -104,7 +108,8 @@
 }
 
 /// Options of `catalogue apply`.
-#[derive(Clone, Debug, Args)]
+#[derive(Clone, Debug)]
+#[derive(Args)]
 pub struct Apply {
     /// The file, in YAML or JSON.
     pub file: PathBuf,
@@ -123,7 +128,8 @@
 }
 
 /// What can be done with drains.
-#[derive(Clone, Debug, Subcommand)]
+#[derive(Clone, Debug)]
+#[derive(Subcommand)]
 pub enum Drain {
     /// Gives an upstream no new work; what it has in hand goes on.
     On {
@@ -143,7 +149,8 @@
 }
 
 /// Reports.
-#[derive(Clone, Debug, Subcommand)]
+#[derive(Clone, Debug)]
+#[derive(Subcommand)]
 pub enum Reports {
     /// How fast the error budgets burn.
     Burn {
@@ -157,7 +164,8 @@
 }
 
 /// What can be done with orders.
-#[derive(Clone, Debug, Subcommand)]
+#[derive(Clone, Debug)]
+#[derive(Subcommand)]
 pub enum Order {
     /// Lists unresolved and recent orders with the step that each waits at.
     List,
@@ -167,7 +175,8 @@
 }
 
 /// A planned change.
-#[derive(Clone, Debug, Subcommand)]
+#[derive(Clone, Debug)]
+#[derive(Subcommand)]
 pub enum Submit {
     /// Changes the role of an engine.
     SetRole {
@@ -183,7 +192,8 @@
 }
 
 /// A model on an engine.
-#[derive(Clone, Debug, Args)]
+#[derive(Clone, Debug)]
+#[derive(Args)]
 pub struct Model {
     /// Id of the engine.
     pub upstream: String,
@@ -197,7 +207,8 @@
 }
 
 /// What can be done with keys. None of it asks an entry.
-#[derive(Clone, Debug, Subcommand)]
+#[derive(Clone, Debug)]
+#[derive(Subcommand)]
 pub enum Keys {
     /// Makes certificates of instances for trials, under an authority of the same folder.
     Make {
--- a/crates/cli/src/difference.rs
+++ b/crates/cli/src/difference.rs
@@ -13,7 +13,8 @@
 const PRUNED: [&str; 4] = ["owner", "pool", "model", "entry"];
 
 /// The catalogue in force, as the administration API tells it.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Catalogue {
     /// Its revision.
     pub revision: u64,
@@ -23,7 +24,8 @@
 }
 
 /// One entity in force.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Entity {
     /// Its kind.
     pub kind: String,
@@ -40,7 +42,8 @@
 }
 
 /// What happens to one entity.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Act {
     /// It is new.
@@ -63,7 +66,8 @@
 }
 
 /// One entity that differs.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Difference {
     /// What happens to it.
     pub act: Act,
--- a/crates/cli/src/edit.rs
+++ b/crates/cli/src/edit.rs
@@ -10,7 +10,8 @@
 use crate::failure::Failure;
 
 /// The answer to an accepted edit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
 pub struct Accepted {
     /// The revision that it made.
     pub revision: u64,
--- a/crates/load/src/admin.rs
+++ b/crates/load/src/admin.rs
@@ -22,7 +22,8 @@
 }
 
 /// The catalogue in force.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 pub struct Catalogue {
     /// Its revision.
     pub revision: u64,
@@ -31,7 +32,8 @@
 }
 
 /// One entity of the catalogue.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 pub struct Entity {
     /// Kind, such as `pool`.
     pub kind: String,
@@ -42,7 +44,8 @@
 }
 
 /// The accepted edit.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize)]
 struct Accepted {
     revision: u64,
 }
--- a/crates/load/src/answer.rs
+++ b/crates/load/src/answer.rs
@@ -48,7 +48,8 @@
 }
 
 /// A problem document, as far as callers act on it.
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Deserialize)]
 struct Problem {
     ran: Option<String>,
 }
@@ -63,20 +64,23 @@
 }
 
 /// Answer of a completion or an event of one, streamed or whole, as a chat or not.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 struct Completion {
     #[serde(default)]
     choices: Vec<Choice>,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 struct Choice {
     text: Option<String>,
     delta: Option<Message>,
     message: Option<Message>,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 struct Message {
     content: Option<String>,
 }
@@ -94,7 +98,8 @@
 }
 
 /// Answer of the plain stand-in, as far as it shows whose it is.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 struct Echo {
     digest: String,
 }
--- a/crates/load/src/args.rs
+++ b/crates/load/src/args.rs
@@ -8,7 +8,8 @@
 /// Open-loop load for trials: it ends by itself, and tells what was served, lost, doubled, crossed
 /// or cut. Exit codes: 0 clean, 1 a fault was seen, 2 usage or a bad plan, 3 the load could not be
 /// sent as planned, 4 no result.
-#[derive(Clone, Debug, Parser)]
+#[derive(Clone, Debug)]
+#[derive(Parser)]
 #[command(name = "tarragon-load", version)]
 pub struct Command {
     /// What to do.
@@ -17,7 +18,8 @@
 }
 
 /// What the program can do.
-#[derive(Clone, Debug, Subcommand)]
+#[derive(Clone, Debug)]
+#[derive(Subcommand)]
 pub enum Action {
     /// Checks a plan and tells every finding.
     Check(Source),
@@ -30,7 +32,8 @@
 }
 
 /// A plan and what is changed of it.
-#[derive(Clone, Debug, Args)]
+#[derive(Clone, Debug)]
+#[derive(Args)]
 pub struct Source {
     /// The plan, in YAML.
     pub plan: PathBuf,
@@ -53,7 +56,8 @@
 }
 
 /// Where to send, and with how many threads.
-#[derive(Clone, Debug, Args)]
+#[derive(Clone, Debug)]
+#[derive(Args)]
 pub struct Place {
     /// URL root of an entry, such as `http://127.0.0.1:8080`; one each.
     #[arg(long = "target", required = true)]
@@ -73,7 +77,8 @@
 }
 
 /// Options of a run.
-#[derive(Clone, Debug, Args)]
+#[derive(Clone, Debug)]
+#[derive(Args)]
 pub struct Run {
     /// The plan and what is changed of it.
     #[command(flatten)]
@@ -93,7 +98,8 @@
 }
 
 /// Options of a comparison.
-#[derive(Clone, Debug, Args)]
+#[derive(Clone, Debug)]
+#[derive(Args)]
 pub struct Compare {
     /// The plan of each segment and what is changed of it.
     #[command(flatten)]
@@ -129,7 +135,8 @@
 }
 
 /// What a bench measures.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(ValueEnum)]
 pub enum Part {
     /// Added latency.
     Latency,
@@ -140,7 +147,8 @@
 }
 
 /// Options of a bench. Parts whose stand-in or process is not named are left out.
-#[derive(Clone, Debug, Args)]
+#[derive(Clone, Debug)]
+#[derive(Args)]
 pub struct Bench {
     /// URL root of the entry.
     #[arg(long)]
--- a/crates/load/src/audit.rs
+++ b/crates/load/src/audit.rs
@@ -32,7 +32,8 @@
 pub type Executions = BTreeMap<String, u64>;
 
 /// What the audit found.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
 pub struct Audit {
     /// Calls that were looked up.
     pub calls: u64,
@@ -92,7 +93,8 @@
 }
 
 /// The part of a service's list that the audit reads.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct List {
     by_body: Executions,
 }
--- a/crates/load/src/bench.rs
+++ b/crates/load/src/bench.rs
@@ -25,7 +25,8 @@
 pub use side::{Side, Sides};
 
 /// All figures of a bench.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct Figures {
     /// Added latency by kind of call and rate.
     pub latency: Vec<Latency>,
--- a/crates/load/src/bench/latency.rs
+++ b/crates/load/src/bench/latency.rs
@@ -25,7 +25,8 @@
 const LONGEST: Duration = Duration::from_secs(30);
 
 /// Added latency of one kind of call at one rate.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Latency {
     /// Kind of call.
     pub kind: &'static str,
--- a/crates/load/src/bench/memory.rs
+++ b/crates/load/src/bench/memory.rs
@@ -18,7 +18,8 @@
 const OPENING: Duration = Duration::from_secs(5);
 
 /// Resident memory in bytes.
-#[derive(Clone, Copy, Debug, Serialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Serialize)]
 pub struct Memory {
     /// Before the first call of the bench.
     pub idle: u64,
--- a/crates/load/src/bench/saturation.rs
+++ b/crates/load/src/bench/saturation.rs
@@ -21,7 +21,8 @@
 const THREADS: usize = 4;
 
 /// Figures at saturation.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Saturation {
     /// Calls that went on at once.
     pub at_once: usize,
--- a/crates/load/src/compare.rs
+++ b/crates/load/src/compare.rs
@@ -19,7 +19,8 @@
 use crate::worker;
 
 /// All that a comparison has shown.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct Comparison {
     /// By variant.
     pub scores: Vec<Score>,
--- a/crates/load/src/contest.rs
+++ b/crates/load/src/contest.rs
@@ -12,7 +12,8 @@
 use crate::summary::Summary;
 
 /// The variants of a comparison, as written in YAML.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Contest {
     /// Rounds; each variant runs once in each.
@@ -26,7 +27,8 @@
 }
 
 /// One variant.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Variant {
     /// Its name in the result.
@@ -82,7 +84,8 @@
 }
 
 /// One segment: one variant in one round.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 pub struct Segment {
     /// The variant.
     pub variant: String,
@@ -93,7 +96,8 @@
 }
 
 /// Mean and spread of a figure over the rounds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Spread {
     /// Mean.
     pub mean: f64,
@@ -124,7 +128,8 @@
 }
 
 /// What the rounds showed of one variant.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Score {
     /// The variant.
     pub variant: String,
--- a/crates/load/src/plan/raw.rs
+++ b/crates/load/src/plan/raw.rs
@@ -7,7 +7,8 @@
 use crate::swing;
 
 /// A plan file.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Plan {
     /// Seed of arrivals, sizes and noise; the same seed gives the same load.
@@ -36,7 +37,8 @@
 }
 
 /// A file of swings that is laid over a plan.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Swings {
     /// Changes of the mix over the run.
@@ -44,7 +46,8 @@
 }
 
 /// One kind of request.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Class {
     /// Name in the report.
@@ -74,7 +77,8 @@
 }
 
 /// A completion or chat completion.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Completion {
     /// Model or catalogue entry, as the caller names it.
@@ -94,7 +98,8 @@
 }
 
 /// A call of a plain service.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Plain {
     /// HTTP method.
@@ -108,7 +113,8 @@
 }
 
 /// A log-normal distribution of token counts.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Size {
     /// Half of the draws are below it.
@@ -121,7 +127,8 @@
 }
 
 /// Prefixes that requests of a class share, so that a prefix cache has something to hold.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Prefix {
     /// How many different ones there are.
@@ -134,7 +141,8 @@
 }
 
 /// What a caller was promised.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Contract {
     /// Until the whole answer is there.
@@ -149,7 +157,8 @@
 }
 
 /// A change of the mix over the run.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Swing {
     /// Classes that it changes.
--- a/crates/load/src/summary.rs
+++ b/crates/load/src/summary.rs
@@ -17,7 +17,8 @@
 const LAG_LIMIT_MS: f64 = 50.0;
 
 /// Three quantiles of a distribution, and its longest time, in milliseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Quantiles {
     /// How many times were counted.
     pub count: u64,
@@ -44,7 +45,8 @@
 }
 
 /// The result of one class, or of all together.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Class {
     /// Its name.
     pub name: String,
@@ -107,7 +109,8 @@
 }
 
 /// One step of the goodput curve.
-#[derive(Clone, Copy, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Point {
     /// Start of the step.
     pub at_s: f64,
@@ -118,7 +121,8 @@
 }
 
 /// The result of a run.
-#[derive(Clone, Debug, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Summary {
     /// Seed of the run.
     pub seed: u64,
--- a/crates/load/src/swing.rs
+++ b/crates/load/src/swing.rs
@@ -12,7 +12,8 @@
 const NOISE_LIMIT: f64 = 4.0;
 
 /// What a swing multiplies.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Quantity {
     /// Arrivals a second.
@@ -24,7 +25,8 @@
 }
 
 /// The curve of an oscillation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Wave {
     /// Moves smoothly.
@@ -34,7 +36,8 @@
 }
 
 /// How the factor moves with the time since the start of the run.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "snake_case", deny_unknown_fields)]
 pub enum Shape {
     /// From `at` on the factor holds, until `until` if that is given.
--- a/crates/load/src/watch.rs
+++ b/crates/load/src/watch.rs
@@ -15,7 +15,8 @@
 const PATIENCE: Duration = Duration::from_millis(100);
 
 /// The part of an engine's state that is looked at.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 pub struct State {
     /// Its role.
     pub role: String,
@@ -24,7 +25,8 @@
 }
 
 /// What was seen of the engines.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Sight {
     /// Role changes of all engines.
     pub role_changes: u64,
