--- /dev/null
+++ b/crates/peer/examples/mesh.rs
@@ -0,0 +1,210 @@
+//! Measures what heartbeats cost: a full mesh of endpoints on loopback in this process, one
+//! heartbeat a second to each peer. `docs/design/membership.md` gives the figures.
+//!
+//! `cargo run --release -p peer --example mesh [N...]`; without arguments 6, 12, 24 and 48. Each
+//! takes about ten seconds, so the program ends by itself within a minute.
+
+#![allow(clippy::print_stdout, reason = "a program that reports")]
+
+use std::error::Error;
+use std::fs;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_rt::time::{interval, sleep};
+use peer::issue::Authority;
+use peer::{Config, Mesh, Peer};
+use wire::peer::frame::Body;
+use wire::peer::{Echo, Heartbeat};
+use wire::record::Author;
+
+/// Age at which a connection counts as settled: its handshake and spare ones are over.
+const SETTLED: Duration = Duration::from_secs(2);
+/// Looks at the connections, a quarter of a second apart, before giving up.
+const LOOKS: u32 = 80;
+/// Heartbeats are measured for so many seconds.
+const SECONDS: u32 = 6;
+/// Bytes of UDP and IPv4 headers of a datagram.
+const HEADERS: u64 = 28;
+/// Clock ticks a second of the processor times in `/proc`.
+const TICKS: f64 = 100.0;
+
+/// Totals over all endpoints.
+#[derive(Clone, Copy, Default)]
+struct Sample {
+    frames: u64,
+    udp: u64,
+    datagrams: u64,
+    cpu: f64,
+    memory: u64,
+}
+
+#[actix_rt::main]
+async fn main() -> Result<(), Box<dyn Error>> {
+    let sizes: Vec<usize> = std::env::args()
+        .skip(1)
+        .map(|arg| arg.parse())
+        .collect::<Result<_, _>>()?;
+    let sizes = if sizes.is_empty() {
+        vec![6, 12, 24, 48]
+    } else {
+        sizes
+    };
+    println!(
+        "   N  links  frame B  on the wire B/s: a node  a peer  dgrams/s a peer  CPU % a node  us a peer a s  KB a link"
+    );
+    for size in sizes {
+        measure(size).await?;
+    }
+    Ok(())
+}
+
+async fn measure(size: usize) -> Result<(), Box<dyn Error>> {
+    let before = memory()?;
+    let meshes = start(size).await?;
+    let first = sample(&meshes)?;
+    let mut ticks = interval(Duration::from_secs(1));
+    for second in 0..SECONDS {
+        ticks.tick().await;
+        beat(&meshes, u64::from(second));
+    }
+    ticks.tick().await;
+    let last = sample(&meshes)?;
+    report(size, before, first, last, &meshes);
+    let closing: Vec<_> = meshes
+        .into_iter()
+        .map(|mesh| actix_rt::spawn(async move { mesh.close().await }))
+        .collect();
+    for task in closing {
+        task.await?;
+    }
+    Ok(())
+}
+
+async fn start(size: usize) -> Result<Vec<Mesh>, Box<dyn Error>> {
+    let authority = Authority::new("measurement").map_err(|error| format!("{error:?}"))?;
+    let mut meshes = Vec::new();
+    for n in 0..size {
+        let own = Author {
+            instance: name(n),
+            incarnation: 1_764_000_000_000,
+        };
+        let keys = authority
+            .issue(&own.instance)
+            .map_err(|error| format!("{error:?}"))?;
+        let config = Config::new(own, SocketAddr::from(([127, 0, 0, 1], 0)), keys);
+        meshes.push(Mesh::start(config, |_| {}).map_err(|error| format!("{error:?}"))?);
+    }
+    let mut peers = Vec::new();
+    for (n, mesh) in meshes.iter().enumerate() {
+        let address = mesh.address().map_err(|error| format!("{error:?}"))?;
+        peers.push(Peer {
+            id: name(n),
+            address,
+        });
+    }
+    for mesh in &meshes {
+        mesh.set_members(&peers);
+    }
+    for _ in 0..LOOKS {
+        sleep(Duration::from_millis(250)).await;
+        let settled = |mesh: &Mesh| {
+            let links = mesh.status();
+            links.len() + 1 == size && links.iter().all(|link| link.age > SETTLED)
+        };
+        if meshes.iter().all(settled) {
+            return Ok(meshes);
+        }
+    }
+    Err("the mesh did not settle".into())
+}
+
+/// What a membership sends: the same for all but the echo, which is for the addressee.
+fn beat(meshes: &[Mesh], second: u64) {
+    for mesh in meshes {
+        for peer in mesh.status() {
+            let heartbeat = Heartbeat {
+                folded: 1_000_000 + second,
+                revision: 990_000,
+                data_centre: "miraflores".to_owned(),
+                leaving: false,
+                rules: 1,
+                sent_ms: 86_400_000 + second * 1000,
+                echo: Some(Echo {
+                    incarnation: 1_764_000_000_000,
+                    sent_ms: 86_399_000 + second * 1000,
+                }),
+            };
+            // An unsent one shows in the figures.
+            let _unsent = mesh.send(&peer.id, Body::Heartbeat(heartbeat));
+        }
+    }
+}
+
+fn report(size: usize, before: u64, first: Sample, last: Sample, meshes: &[Mesh]) {
+    let seconds = f64::from(SECONDS);
+    let nodes = size as f64;
+    let links: usize = meshes.iter().map(|mesh| mesh.status().len()).sum();
+    let ends = links as f64;
+    let datagrams = (last.datagrams - first.datagrams) as f64;
+    let wire = (last.udp - first.udp) as f64 + datagrams * HEADERS as f64;
+    let frames = (last.frames - first.frames) as f64;
+    let cpu = last.cpu - first.cpu;
+    println!(
+        "{size:4}  {links:5}  {frame:7.1}  {node:23.0}  {peer:6.1}  {rate:15.2}  {share:12.3}  {micros:13.1}  {kilobytes:9.1}",
+        links = links / 2,
+        frame = frames / (ends * seconds),
+        node = wire / nodes / seconds,
+        peer = wire / ends / seconds,
+        rate = datagrams / ends / seconds,
+        share = cpu / seconds / nodes * 100.0,
+        micros = cpu / seconds / ends * 1e6,
+        kilobytes = last.memory.saturating_sub(before) as f64 / 1024.0 / ends,
+    );
+}
+
+fn sample(meshes: &[Mesh]) -> Result<Sample, Box<dyn Error>> {
+    let mut sample = Sample {
+        cpu: cpu()?,
+        memory: memory()?,
+        ..Sample::default()
+    };
+    for mesh in meshes {
+        let traffic = mesh.traffic();
+        sample.udp += traffic.udp.sent.bytes;
+        sample.datagrams += traffic.udp.sent.messages;
+        let sent = traffic.kinds.values().map(|flow| flow.sent.bytes);
+        sample.frames += sent.sum::<u64>();
+    }
+    Ok(sample)
+}
+
+/// Processor seconds of this process, user and system.
+fn cpu() -> Result<f64, Box<dyn Error>> {
+    let stat = fs::read_to_string("/proc/self/stat")?;
+    let fields: Vec<&str> = stat
+        .rsplit(')')
+        .next()
+        .unwrap_or_default()
+        .split_whitespace()
+        .collect();
+    let ticks = |index: usize| -> Result<f64, Box<dyn Error>> {
+        Ok(fields.get(index).ok_or("short stat")?.parse::<f64>()?)
+    };
+    Ok((ticks(11)? + ticks(12)?) / TICKS)
+}
+
+/// Resident bytes of this process.
+fn memory() -> Result<u64, Box<dyn Error>> {
+    let status = fs::read_to_string("/proc/self/status")?;
+    let line = status
+        .lines()
+        .find(|line| line.starts_with("VmRSS:"))
+        .ok_or("no VmRSS")?;
+    let kilobytes: u64 = line.split_whitespace().nth(1).ok_or("no figure")?.parse()?;
+    Ok(kilobytes * 1024)
+}
+
+fn name(n: usize) -> String {
+    format!("entry-{n}")
+}
--- a/crates/peer/src/traffic.rs
+++ b/crates/peer/src/traffic.rs
@@ -81,6 +81,14 @@
         self.bytes += bytes as u64;
     }
 
+    /// What was added since an earlier reading; over its age that is a rate.
+    pub fn since(self, earlier: Count) -> Count {
+        Count {
+            messages: self.messages.saturating_sub(earlier.messages),
+            bytes: self.bytes.saturating_sub(earlier.bytes),
+        }
+    }
+
     /// Adds another count.
     pub(crate) fn merge(&mut self, other: Count) {
         self.messages += other.messages;
--- a/crates/peer/tests/mesh.rs
+++ b/crates/peer/tests/mesh.rs
@@ -136,6 +136,10 @@
         received.kinds[&Kind::Confirm].received
     );
     assert_eq!(sent.unsent, 1);
+    let confirms = sent.kinds[&Kind::Confirm].sent;
+    a.mesh.send("b", confirm(5)).unwrap();
+    let later = a.mesh.traffic().kinds[&Kind::Confirm].sent;
+    assert_eq!(later.since(confirms).messages, 1);
     assert!(sent.udp.sent.bytes > sent.kinds[&Kind::Confirm].sent.bytes);
 }
 
