Split the derives that the formatter no longer merges

Long merged derive lines are wrapped now that merge_derives is off; standard and foreign derives stand apart there, as the house style asks.

--- a/crates/catalogue/src/entity.rs
+++ b/crates/catalogue/src/entity.rs
@@ -8,7 +8,8 @@
 use crate::{Drain, Entry, Model, Owner, Pool};
 
 /// Kind of an entity; the order is the one in which snapshots list them.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Kind {
     /// Who may call and within which limits.
@@ -57,7 +58,8 @@
 }
 
 /// What identifies an entity over its whole life, also across removal and renewed creation.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Key {
     /// Kind of the entity.
     pub kind: Kind,
--- a/crates/platform/src/instance.rs
+++ b/crates/platform/src/instance.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What an instance is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Kind {
     /// One of our own.
@@ -17,7 +18,8 @@
 }
 
 /// Whether an instance stays.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
     /// In use.
@@ -53,7 +55,8 @@
 }
 
 /// What an entry tells the list about itself.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Registration {
     /// Name that stays over restarts.
     pub id: String,
--- a/crates/standin/src/engine/batch/settings.rs
+++ b/crates/standin/src/engine/batch/settings.rs
@@ -6,7 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What an engine is set up for.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize, ValueEnum)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize, ValueEnum)]
 #[serde(rename_all = "lowercase")]
 pub enum Role {
     /// Prefill and decoding share its iterations.
