--- /dev/null
+++ b/crates/entry/src/account.rs
@@ -0,0 +1,195 @@
+//! The account of one request: what became of it, for metrics, logs and the report on burn.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use catalogue::Contract;
+use clock::{Clock as _, Moment};
+
+use crate::front::problem::{Kind, Problem, Ran};
+use crate::front::request_id::RequestId;
+use crate::metrics::Metric;
+use crate::shared::Shared;
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// The caller got the whole answer.
+    Served,
+    /// Refused for load, limits or deadline.
+    Refused,
+    /// An error of the caller's.
+    Rejected,
+    /// It failed and was certainly not run.
+    NotRun,
+    /// It failed and may have run.
+    Unknown,
+    /// The caller had a part of a stream when it ended.
+    Cut,
+    /// The caller went away.
+    CallerGone,
+}
+
+impl Outcome {
+    /// The word for logs.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Served => "served",
+            Self::Refused => "refused",
+            Self::Rejected => "rejected",
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+            Self::Cut => "cut",
+            Self::CallerGone => "caller_gone",
+        }
+    }
+
+    fn metric(self) -> Metric {
+        match self {
+            Self::Served => Metric::Served,
+            Self::Refused => Metric::Refused,
+            Self::Rejected => Metric::Rejected,
+            Self::NotRun => Metric::NotRun,
+            Self::Unknown => Metric::Unknown,
+            Self::Cut => Metric::Cut,
+            Self::CallerGone => Metric::CallerGone,
+        }
+    }
+
+    /// The outcome that an error means.
+    pub fn of(problem: &Problem) -> Self {
+        match (problem.kind, problem.ran) {
+            (Kind::Limited | Kind::Overloaded | Kind::Unavailable, Ran::No) => Self::Refused,
+            (Kind::BadGateway, Ran::No) => Self::NotRun,
+            (Kind::DeadlineExceeded, Ran::No) => Self::Refused,
+            (_, Ran::No) => Self::Rejected,
+            (_, Ran::Unknown) => Self::Unknown,
+        }
+    }
+}
+
+/// The account of one request. It is closed when it is dropped, so that no path can forget it; a
+/// request that nobody concluded is one whose caller went away.
+#[derive(Debug)]
+pub struct Account {
+    shared: Arc<Shared>,
+    request: RequestId,
+    entry: Option<Box<str>>,
+    contract: Option<Contract>,
+    upstream: Option<Arc<str>>,
+    started: Moment,
+    first_token: Option<Moment>,
+    tokens: u64,
+    outcome: Outcome,
+}
+
+impl Account {
+    /// Opens the account of a request whose head arrived.
+    pub fn open(shared: Arc<Shared>, request: RequestId) -> Self {
+        shared.metrics.add(Metric::Requests, 1);
+        shared.metrics.add(Metric::Open, 1);
+        let started = shared.clock.now();
+        Self {
+            shared,
+            request,
+            entry: None,
+            contract: None,
+            upstream: None,
+            started,
+            first_token: None,
+            tokens: 0,
+            outcome: Outcome::CallerGone,
+        }
+    }
+
+    /// Id of the request.
+    pub fn request(&self) -> &RequestId {
+        &self.request
+    }
+
+    /// When the head arrived.
+    pub fn started(&self) -> Moment {
+        self.started
+    }
+
+    /// The catalogue entry that serves it.
+    pub fn entry(&mut self, entry: &catalogue::Entry) {
+        self.entry = Some(entry.name.as_str().into());
+        self.contract = Some(entry.contract);
+    }
+
+    /// The upstream of the newest attempt.
+    pub fn upstream(&mut self, id: &Arc<str>) {
+        self.upstream = Some(Arc::clone(id));
+    }
+
+    /// So many tokens went to the caller.
+    pub fn tokens(&mut self, count: u32) {
+        if self.first_token.is_none() && count > 0 {
+            self.first_token = Some(self.shared.clock.now());
+        }
+        self.tokens += u64::from(count);
+        self.shared.metrics.add(Metric::Tokens, u64::from(count));
+    }
+
+    /// A whole answer of so many tokens came; there is no first token to time.
+    pub fn whole_tokens(&mut self, count: u32) {
+        self.shared.metrics.add(Metric::Tokens, u64::from(count));
+    }
+
+    /// States how it ended.
+    pub fn conclude(&mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+
+    /// Whether it was within its contract.
+    fn in_time(&self, now: Moment) -> bool {
+        let Some(contract) = &self.contract else {
+            return true;
+        };
+        let within =
+            |took: Duration, limit: Option<Duration>| limit.is_none_or(|limit| took <= limit);
+        let whole = now.saturating_sub(self.started);
+        let first = self.first_token.unwrap_or(now).saturating_sub(self.started);
+        let gaps = u32::try_from(self.tokens.saturating_sub(1)).unwrap_or(u32::MAX);
+        let between = match (self.first_token, gaps) {
+            (Some(first), 1..) => now.saturating_sub(first) / gaps,
+            _ => Duration::ZERO,
+        };
+        whole <= contract.deadline
+            && within(whole, contract.whole)
+            && within(first, contract.first_token)
+            && within(between, contract.between_tokens)
+    }
+
+    fn write(&self, now: Moment) {
+        let level = match self.outcome {
+            Outcome::Served | Outcome::CallerGone => log::Level::Debug,
+            Outcome::Refused | Outcome::Rejected => log::Level::Info,
+            Outcome::NotRun | Outcome::Unknown | Outcome::Cut => log::Level::Warn,
+        };
+        log::log!(
+            level,
+            request_id = self.request.as_str(),
+            entry = self.entry.as_deref().unwrap_or("-"),
+            upstream = self.upstream.as_deref().unwrap_or("-"),
+            outcome = self.outcome.word(),
+            took_ms = now.saturating_sub(self.started).as_millis() as u64,
+            tokens = self.tokens;
+            "request"
+        );
+    }
+}
+
+impl Drop for Account {
+    fn drop(&mut self) {
+        let now = self.shared.clock.now();
+        self.shared.metrics.take(Metric::Open, 1);
+        self.shared.metrics.add(self.outcome.metric(), 1);
+        self.write(now);
+        if let Some(entry) = &self.entry {
+            let late = self.outcome == Outcome::Served && !self.in_time(now);
+            self.shared.burn.note(entry, self.outcome, late);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/completion.rs
@@ -0,0 +1,379 @@
+//! Completions: from an OpenAI-compatible request to an engine and back, streamed or whole.
+
+use std::sync::Arc;
+
+use actix_http::StatusCode;
+use actix_http::header::HeaderValue;
+use bytes::{Bytes, BytesMut};
+use catalogue::Entry;
+use routing::request::{Prefix, Request};
+use serde::Deserialize;
+use smallvec::SmallVec;
+
+use crate::dispatch::Attempt;
+use crate::front::headers;
+use crate::front::problem::{Kind, Problem};
+use crate::front::prompt::Prompt;
+use crate::front::reply::{Reply, caller_headers};
+use crate::metrics::Metric;
+use crate::stream::relay::{End, Origin, Relay};
+use crate::stream::sse::Relayed;
+use crate::stream::token::Place;
+use crate::upstream::client::{Answer, Call, is_matched, read_whole};
+use crate::upstream::failure::Failure;
+use crate::upstream::kv::{Stage, Transfer};
+use crate::upstream::stream_guard::Guard;
+use crate::work::{Work, model_name};
+
+/// What of a prompt outlives the borrowed body.
+#[derive(Debug)]
+pub struct Asked {
+    /// The caller wants server-sent events.
+    pub stream: bool,
+    /// Estimated tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Expected tokens of the answer.
+    pub output_tokens: u32,
+    /// Leading parts of the prompt, shortest first.
+    pub prefixes: SmallVec<[Prefix; 8]>,
+    /// Model name as the engines know it.
+    pub model: Arc<str>,
+}
+
+impl Asked {
+    /// Reads what the decisions and attempts need.
+    pub fn new(prompt: &Prompt<'_>, entry: &Entry) -> Self {
+        let model = model_name(&entry.target).unwrap_or_default();
+        Self {
+            stream: prompt.stream,
+            prompt_tokens: prompt.tokens(),
+            output_tokens: prompt.output_tokens,
+            prefixes: prefixes(&model, prompt.text),
+            model: Arc::from(model),
+        }
+    }
+}
+
+/// The body for the engine: the caller names an entry or a model, the engine needs the model with
+/// its version and adapter. Only the name is replaced; everything else passes as it came.
+pub fn engine_body(body: &Bytes, prompt: &Prompt<'_>, model: &str) -> Bytes {
+    let name = serde_json::Value::from(model).to_string();
+    let range = prompt.model_range.clone();
+    if body.get(range.clone()) == Some(name.as_bytes()) {
+        return body.clone();
+    }
+    let mut out = BytesMut::with_capacity(body.len() + name.len());
+    out.extend_from_slice(&body[..range.start]);
+    out.extend_from_slice(name.as_bytes());
+    out.extend_from_slice(&body[range.end..]);
+    out.freeze()
+}
+
+/// Runs a completion over as many attempts as are allowed.
+///
+/// # Errors
+///
+/// The error for the caller.
+pub async fn run(work: &mut Work, entry: &Entry, asked: &Asked) -> Result<Reply, Problem> {
+    let mut attempt = work.admit(request(work, entry, asked)).await?;
+    loop {
+        work.account.upstream(&attempt.sending().upstream);
+        let failed = match once(work, entry, asked, attempt).await {
+            Ok(result) => return result,
+            Err(failed) => failed,
+        };
+        attempt = work.retry(failed.attempt, &failed.failure).await?;
+    }
+}
+
+/// An attempt that failed before the caller got any of the answer.
+struct Failed {
+    attempt: Attempt,
+    failure: Failure,
+}
+
+fn request(work: &Work, entry: &Entry, asked: &Asked) -> Request {
+    let mut request = work.routing_request(entry);
+    request.prompt_tokens = asked.prompt_tokens;
+    request.output_tokens = asked.output_tokens;
+    request.prefixes.clone_from(&asked.prefixes);
+    // An answer whose first token comes after the objective is a bad one already; capacity is
+    // better spent on those that can still be good.
+    if let Some(first) = entry.contract.first_token {
+        request.deadline = request.deadline.min(work.account.started() + first);
+    }
+    request
+}
+
+async fn once(
+    work: &mut Work,
+    entry: &Entry,
+    asked: &Asked,
+    attempt: Attempt,
+) -> Result<Result<Reply, Problem>, Failed> {
+    let handle = transfer(work, &attempt).await;
+    let place = Place {
+        engine: attempt.sending().upstream.to_string(),
+        stream: work.worker.shared.ids.text(),
+        entry: entry.name.clone(),
+        request: work.account.request().to_string(),
+    };
+    let result = match asked.stream {
+        true => streamed(work, place, &attempt, handle).await,
+        false => whole(work, &place.stream, &attempt, handle).await,
+    };
+    match result {
+        Ok(Got::Whole(reply)) => Ok(Ok(reply)),
+        Ok(Got::Events(relay, first)) => Ok(Ok(Reply::Events {
+            relay,
+            first,
+            attempt: Some(attempt),
+        })),
+        Ok(Got::Wrong(problem)) => Ok(Err(work.covering(problem))),
+        Err(failure) => Err(Failed { attempt, failure }),
+    }
+}
+
+enum Got {
+    Whole(Reply),
+    Events(Box<Relay>, Relayed),
+    Wrong(Problem),
+}
+
+async fn streamed(
+    work: &mut Work,
+    place: Place,
+    attempt: &Attempt,
+    handle: Option<HeaderValue>,
+) -> Result<Got, Failure> {
+    let address = work.address(&place.engine)?;
+    let origin = Origin {
+        address,
+        next: 0,
+        owner: work.owner.to_string(),
+        request: work.request_header(),
+        deadline: work.deadline,
+        place,
+    };
+    let mut guard = guard(work, &origin);
+    let answer = send(work, address, &origin.place.stream, attempt, handle).await?;
+    let answer = match accepted(work, answer).await? {
+        Accepted::Answer(answer) => answer,
+        Accepted::Wrong(problem) => {
+            guard.release();
+            return Ok(Got::Wrong(problem));
+        }
+    };
+    let mut relay = Box::new(Relay::new(work.worker.clone(), origin, Some(answer)));
+    guard.release();
+    match relay.first().await {
+        Ok(first) => {
+            attempt.prefilled();
+            Ok(Got::Events(relay, first))
+        }
+        Err(End::Deadline) => Err(Failure::TimedOut),
+        Err(End::Gone) => Err(Failure::Lost("the engine lost the stream".to_owned())),
+        Err(End::Unreachable(failure)) => Err(Failure::Lost(failure.to_string())),
+    }
+}
+
+async fn whole(
+    work: &mut Work,
+    stream: &str,
+    attempt: &Attempt,
+    handle: Option<HeaderValue>,
+) -> Result<Got, Failure> {
+    let address = work.address(&attempt.sending().upstream)?;
+    let mut guard = Guard::new(
+        work.worker.guard_context(),
+        address,
+        stream.to_owned(),
+        work.request_header(),
+    );
+    let answer = send(work, address, stream, attempt, handle).await?;
+    let mut answer = match accepted(work, answer).await? {
+        Accepted::Answer(answer) => answer,
+        Accepted::Wrong(problem) => {
+            guard.release();
+            return Ok(Got::Wrong(problem));
+        }
+    };
+    let limit = work.worker.shared.settings.limits.answer;
+    let body = actix_rt::time::timeout(work.left(), read_whole(&mut answer, limit))
+        .await
+        .map_err(|_| Failure::TimedOut)??;
+    guard.release();
+    count_tokens(work, attempt, &body);
+    Ok(Got::Whole(Reply::Whole {
+        status: answer.status(),
+        headers: caller_headers(answer.headers()),
+        body,
+    }))
+}
+
+#[derive(Deserialize)]
+struct Answered {
+    usage: Option<Usage>,
+}
+
+#[derive(Deserialize)]
+struct Usage {
+    completion_tokens: u32,
+}
+
+fn count_tokens(work: &mut Work, attempt: &Attempt, body: &[u8]) {
+    let answered: Option<Answered> = serde_json::from_slice(body).ok();
+    if let Some(usage) = answered.and_then(|answered| answered.usage) {
+        attempt.tokens(usage.completion_tokens);
+        work.account.whole_tokens(usage.completion_tokens);
+    }
+}
+
+fn guard(work: &Work, origin: &Origin) -> Guard {
+    Guard::new(
+        work.worker.guard_context(),
+        origin.address,
+        origin.place.stream.clone(),
+        origin.request.clone(),
+    )
+}
+
+async fn send(
+    work: &Work,
+    address: std::net::SocketAddr,
+    stream: &str,
+    attempt: &Attempt,
+    handle: Option<HeaderValue>,
+) -> Result<Answer, Failure> {
+    let mut map = work.upstream_headers(attempt.sending());
+    if let Ok(stream) = HeaderValue::try_from(stream) {
+        map.insert(headers::STREAM_ID, stream);
+    }
+    if let Some(handle) = handle {
+        map.insert(headers::KV_HANDLE, handle);
+    }
+    let call = Call {
+        address,
+        method: work.method.clone(),
+        target: &work.target,
+        headers: map,
+        request: work.request_header(),
+        timeout: work.left(),
+    };
+    work.worker.client.send(call, work.body.clone()).await
+}
+
+/// Runs the KV transfer that the router asked for. If it fails, the answering engine prefills too,
+/// which costs time and nothing else.
+async fn transfer(work: &Work, attempt: &Attempt) -> Option<HeaderValue> {
+    let prefill = attempt.sending().prefill.clone()?;
+    let result = try_transfer(work, attempt, &prefill).await;
+    match result {
+        Ok(handle) => {
+            attempt.prefilled();
+            Some(handle)
+        }
+        Err(stage) => {
+            log::info!(
+                request_id = work.account.request().as_str(),
+                upstream = &*prefill,
+                stage:? = stage;
+                "a KV transfer failed"
+            );
+            work.worker.shared.metrics.add(Metric::KvFallbacks, 1);
+            attempt.together();
+            None
+        }
+    }
+}
+
+async fn try_transfer(work: &Work, attempt: &Attempt, prefill: &str) -> Result<HeaderValue, Stage> {
+    let request = work.request_header();
+    let transfer = Transfer {
+        prefill: work.address(prefill).map_err(Stage::Export)?,
+        decode: work
+            .address(&attempt.sending().upstream)
+            .map_err(Stage::Import)?,
+        body: work.body.clone(),
+        request: &request,
+        priority: attempt.sending().priority,
+        left: work.left(),
+    };
+    transfer.run(&work.worker.client).await
+}
+
+/// Largest error of an engine that is read, in bytes.
+const ERROR_BODY: usize = 64 << 10;
+
+#[derive(Deserialize)]
+struct Declined {
+    ran: String,
+    error: Option<String>,
+}
+
+/// What an engine's answer means before its body.
+enum Accepted {
+    /// It answers the request.
+    Answer(Answer),
+    /// The request itself is wrong; no other engine would take it either.
+    Wrong(Problem),
+}
+
+/// Tells an engine's answer from its refusals. "Not run" is believed only when the engine says so
+/// itself and under the request's id; any other error may come from work that was begun.
+async fn accepted(work: &Work, mut answer: Answer) -> Result<Accepted, Failure> {
+    let status = answer.status();
+    let matched = is_matched(&answer, &work.request_header());
+    if status == StatusCode::OK {
+        return match matched {
+            true => Ok(Accepted::Answer(answer)),
+            false => Err(Failure::Crossed),
+        };
+    }
+    let body = read_whole(&mut answer, ERROR_BODY).await?;
+    let declined: Option<Declined> = serde_json::from_slice(&body).ok();
+    let Some(declined) = declined.filter(|declined| declined.ran == "no") else {
+        return Err(Failure::Lost(format!("the engine answered {status}")));
+    };
+    let detail = declined.error.unwrap_or_default();
+    match status {
+        StatusCode::BAD_REQUEST => Ok(Accepted::Wrong(Problem::not_run(Kind::BadRequest, detail))),
+        StatusCode::PAYLOAD_TOO_LARGE => {
+            Ok(Accepted::Wrong(Problem::not_run(Kind::TooLarge, detail)))
+        }
+        _ if matched => Err(Failure::Declined(status.as_u16())),
+        _ => Err(Failure::Lost(format!(
+            "the engine declined with {status}, without the request's id"
+        ))),
+    }
+}
+
+/// Bytes of the shortest prefix that is worth remembering; each next one is twice as long.
+const SHORTEST_PREFIX: usize = 256;
+
+/// Most prefixes of one prompt.
+const PREFIXES: usize = 8;
+
+/// Bytes of a prompt per token.
+const BYTES_PER_TOKEN: usize = 4;
+
+fn prefixes(model: &str, text: &str) -> SmallVec<[Prefix; 8]> {
+    let mut prefixes = SmallVec::new();
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(model.as_bytes());
+    let mut done = 0;
+    let mut end = SHORTEST_PREFIX;
+    while end <= text.len() && prefixes.len() < PREFIXES {
+        hasher.update(&text.as_bytes()[done..end]);
+        let hash = hasher.finalize();
+        let mut word = [0; 8];
+        word.copy_from_slice(&hash.as_bytes()[..8]);
+        prefixes.push(Prefix {
+            hash: u64::from_le_bytes(word),
+            tokens: u32::try_from(end / BYTES_PER_TOKEN).unwrap_or(u32::MAX),
+        });
+        done = end;
+        end *= 2;
+    }
+    prefixes
+}
--- /dev/null
+++ b/crates/entry/src/daemon.rs
@@ -0,0 +1,196 @@
+//! Starts everything, serves, and stops in order.
+
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, SystemTime};
+
+use actix_rt::System;
+use actix_rt::time::{interval, sleep, timeout};
+use clock::Clock as _;
+use error_stack::{Report, ResultExt as _};
+use rand::RngExt as _;
+use routing::router::{self, Router};
+use settings::Settings;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use crate::burn::Burn;
+use crate::dispatch::Dispatch;
+use crate::feed;
+use crate::front::{request_id, server};
+use crate::hold::Answers;
+use crate::metrics::{self, Metric, Metrics};
+use crate::once::Keys;
+use crate::process::phase::{Life, Phase};
+use crate::process::pulse::{BEAT, Pulse};
+use crate::scene::Scene;
+use crate::shared::Shared;
+use crate::stream::token;
+
+/// Why the daemon ended with an error.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// An address could not be bound.
+    Bind,
+    /// Signals cannot be received.
+    Signals,
+    /// A server failed while it ran.
+    Server,
+    /// The time for the stop was over before all work in hand was done.
+    Overdue,
+}
+
+impl std::fmt::Display for Failure {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Bind => "an address could not be bound",
+            Self::Signals => "signals cannot be received",
+            Self::Server => "a server failed",
+            Self::Overdue => "work in hand was left when the time for the stop was over",
+        })
+    }
+}
+
+impl std::error::Error for Failure {}
+
+/// Serves until a signal asks to stop.
+///
+/// # Errors
+///
+/// The process could not start, or did not come to an orderly end.
+pub fn run(settings: Settings) -> Result<(), Report<Failure>> {
+    System::new().block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<(), Report<Failure>> {
+    let (scene, watch) = watch::channel(Arc::new(Scene::default()));
+    let shared = Arc::new(shared(settings, watch));
+    let mut front = server::start(&shared).change_context(Failure::Bind)?;
+    println!("listening {}", front.address);
+    log::info!(address:% = front.address, instance = shared.settings.instance.id.as_str(); "serving callers");
+    actix_rt::spawn(feed::run(Arc::clone(&shared), scene));
+    actix_rt::spawn(beat(Arc::clone(&shared)));
+    actix_rt::spawn(tick(Arc::clone(&shared)));
+    actix_rt::spawn(send_metrics(Arc::clone(&shared)));
+    let mut stop = Signals::new()?;
+    tokio::select! {
+        result = &mut front.server => return result.change_context(Failure::Server),
+        () = stop.received() => {}
+    }
+    actix_rt::spawn(front.server);
+    stop_within(&shared, front.handle).await
+}
+
+fn shared(settings: Settings, scene: watch::Receiver<Arc<Scene>>) -> Shared {
+    let clock = clock::System::new();
+    let mut random = rand::rng();
+    let secret = match &settings.resume.secret {
+        Some(secret) => secret.expose().to_vec(),
+        None => random.random::<[u8; 32]>().to_vec(),
+    };
+    let router = Router::new(
+        router::Settings::default(),
+        &settings.instance.id,
+        random.random(),
+    );
+    Shared {
+        scene,
+        dispatch: Dispatch::new(router, clock),
+        ids: request_id::Mint::new(random.random()),
+        tokens: token::Mint::new(&secret, settings.resume.time),
+        keys: Keys,
+        held: Mutex::new(Answers::new(settings.hold.bytes)),
+        metrics: Metrics::new(),
+        burn: Burn::default(),
+        life: Life::new(),
+        pulse: Pulse::new(clock.now()),
+        clock,
+        settings,
+    }
+}
+
+/// Stops in order: tell the balancer, wait for it to notice, take nothing new, finish what is in
+/// hand. The balancer learns by `/readyz` only, so that stopping at once would refuse what it still
+/// sends.
+async fn stop_within(
+    shared: &Shared,
+    handle: actix_server::ServerHandle,
+) -> Result<(), Report<Failure>> {
+    let times = &shared.settings.shutdown;
+    log::info!(balancer:? = times.balancer, limit:? = times.limit; "stopping");
+    shared.life.advance(Phase::Leaving);
+    sleep(times.balancer).await;
+    shared.life.advance(Phase::Finishing);
+    let rest = times.limit.saturating_sub(times.balancer);
+    let finished = timeout(rest, async {
+        handle.stop(true).await;
+        shared.life.idle().await;
+    })
+    .await;
+    shared.life.advance(Phase::Abandoning);
+    log::info!(in_time = finished.is_ok(), open = shared.metrics.get(Metric::Open); "stopped");
+    finished.change_context(Failure::Overdue)
+}
+
+async fn beat(shared: Arc<Shared>) {
+    let mut interval = interval(BEAT);
+    loop {
+        interval.tick().await;
+        if shared.pulse.beat(shared.clock.now()) {
+            shared.metrics.add(Metric::Pauses, 1);
+            log::warn!("the process was paused");
+        }
+    }
+}
+
+async fn tick(shared: Arc<Shared>) {
+    let mut interval = interval(router::TICK);
+    loop {
+        interval.tick().await;
+        shared.dispatch.tick();
+    }
+}
+
+async fn send_metrics(shared: Arc<Shared>) {
+    let statsd = &shared.settings.statsd;
+    let client = metrics::client(&statsd.prefix, statsd.address);
+    let mut interval = interval(metrics::PERIOD);
+    loop {
+        interval.tick().await;
+        if let Ok(mut held) = shared.held.lock() {
+            held.expire(shared.clock.now());
+            shared.metrics.set(Metric::HeldBytes, held.size() as u64);
+        }
+        shared.metrics.send(&client);
+    }
+}
+
+/// SIGTERM and SIGINT, which both ask for an orderly stop.
+struct Signals {
+    terminate: tokio::signal::unix::Signal,
+    interrupt: tokio::signal::unix::Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Self, Report<Failure>> {
+        let open = |kind| signal(kind).change_context(Failure::Signals);
+        Ok(Self {
+            terminate: open(SignalKind::terminate())?,
+            interrupt: open(SignalKind::interrupt())?,
+        })
+    }
+
+    async fn received(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+/// Milliseconds since the Unix epoch, which tell two starts of one instance apart.
+pub fn incarnation() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or(Duration::ZERO);
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/entry/src/front/body.rs
@@ -0,0 +1,80 @@
+//! Bodies of requests, within bounds of size and silence.
+
+use std::time::Duration;
+
+use actix_http::{Payload, header::HeaderMap};
+use actix_rt::time::timeout;
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt as _;
+
+use crate::front::problem::{Kind, Problem};
+
+/// Bounds of a body.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Most bytes.
+    pub size: usize,
+    /// Longest silence between two parts. Without it a caller that sends a byte a minute would
+    /// hold a connection and its memory for as long as it likes.
+    pub silence: Duration,
+}
+
+/// Reads a body into memory.
+///
+/// # Errors
+///
+/// It is too large, too slow, or broke off; it was not run in any case.
+pub async fn read(
+    headers: &HeaderMap,
+    payload: &mut Payload,
+    bounds: Bounds,
+) -> Result<Bytes, Problem> {
+    if stated_length(headers).is_some_and(|length| length > bounds.size as u64) {
+        return Err(too_large(bounds));
+    }
+    let mut first = Bytes::new();
+    let mut whole = BytesMut::new();
+    while let Some(chunk) = next(payload, bounds).await? {
+        if first.len() + whole.len() + chunk.len() > bounds.size {
+            return Err(too_large(bounds));
+        }
+        if first.is_empty() && whole.is_empty() {
+            first = chunk;
+            continue;
+        }
+        if whole.is_empty() {
+            whole.extend_from_slice(&std::mem::take(&mut first));
+        }
+        whole.extend_from_slice(&chunk);
+    }
+    Ok(if whole.is_empty() {
+        first
+    } else {
+        whole.freeze()
+    })
+}
+
+async fn next(payload: &mut Payload, bounds: Bounds) -> Result<Option<Bytes>, Problem> {
+    match timeout(bounds.silence, payload.next()).await {
+        Err(_) => Err(Problem::not_run(
+            Kind::TooSlow,
+            format!("nothing of the body came for {:?}", bounds.silence),
+        )),
+        Ok(None) => Ok(None),
+        Ok(Some(Ok(chunk))) => Ok(Some(chunk)),
+        Ok(Some(Err(error))) => Err(Problem::not_run(Kind::BadRequest, error.to_string())),
+    }
+}
+
+/// The length that the caller states, if it does.
+pub fn stated_length(headers: &HeaderMap) -> Option<u64> {
+    let value = headers.get(actix_http::header::CONTENT_LENGTH)?;
+    value.to_str().ok()?.parse().ok()
+}
+
+fn too_large(bounds: Bounds) -> Problem {
+    Problem::not_run(
+        Kind::TooLarge,
+        format!("at most {} bytes are taken", bounds.size),
+    )
+}
--- /dev/null
+++ b/crates/entry/src/front/handler.rs
@@ -0,0 +1,326 @@
+//! One request of a caller, from its head to its answer.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use actix_http::body::BoxBody;
+use actix_http::header::{self, HeaderMap, HeaderValue};
+use actix_http::{
+    ConnectionType, HttpMessage as _, Method, Payload, Request, Response, StatusCode,
+};
+use bytes::Bytes;
+use catalogue::{Entry, Found, Owner, View};
+use routing::decision::Ran;
+
+use crate::account::{Account, Outcome};
+use crate::completion::{Asked, engine_body};
+use crate::front::body::{self, Bounds};
+use crate::front::problem::{Kind, Problem};
+use crate::front::prompt::Prompt;
+use crate::front::reply::Reply;
+use crate::front::request_id::RequestId;
+use crate::front::{caller, deadline, headers, models, path};
+use crate::once;
+use crate::process::phase::Phase;
+use crate::resume::{self, Resumption};
+use crate::scene::Scene;
+use crate::shared::Worker;
+use crate::work::Work;
+
+/// Answers one request.
+pub async fn handle(worker: Rc<Worker>, request: Request) -> Response<BoxBody> {
+    let mut response = match request.path() {
+        "/livez" => Response::new(StatusCode::OK).set_body(BoxBody::new("live\n")),
+        "/readyz" => ready(&worker),
+        _ => serve(&worker, request).await,
+    };
+    if worker.shared.life.is_leaving() {
+        // The balancer keeps connections; closing them one by one moves its traffic elsewhere
+        // without cutting a request.
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+    }
+    response
+}
+
+fn ready(worker: &Worker) -> Response<BoxBody> {
+    let refusal = if worker.shared.life.is_leaving() {
+        Some("leaving\n")
+    } else if worker.scene().catalogue.is_none() {
+        Some("no catalogue yet\n")
+    } else {
+        None
+    };
+    match refusal {
+        None => Response::new(StatusCode::OK).set_body(BoxBody::new("ready\n")),
+        Some(why) => Response::new(StatusCode::SERVICE_UNAVAILABLE).set_body(BoxBody::new(why)),
+    }
+}
+
+async fn serve(worker: &Rc<Worker>, request: Request) -> Response<BoxBody> {
+    let id = RequestId::of_caller(request.headers()).unwrap_or_else(|| worker.shared.ids.request());
+    let account = Account::open(Arc::clone(&worker.shared), id.clone());
+    let exchange = Exchange::new(worker, request, account);
+    let answer = match exchange.check() {
+        Ok(()) => exchange.route().await,
+        Err(problem) => exchange.refuse(problem),
+    };
+    match answer {
+        Answer::Reply(reply, account) => reply.into_response(account),
+        Answer::Problem(problem, mut account) => {
+            account.conclude(Outcome::of(&problem));
+            problem.response(&id)
+        }
+    }
+}
+
+/// How the entry's part ended, with the account that is still open.
+enum Answer {
+    Reply(Reply, Account),
+    Problem(Problem, Account),
+}
+
+/// A request before it is known what serves it.
+struct Exchange {
+    worker: Rc<Worker>,
+    scene: Arc<Scene>,
+    method: Method,
+    target: String,
+    headers: HeaderMap,
+    payload: Payload,
+    account: Account,
+}
+
+impl Exchange {
+    fn new(worker: &Rc<Worker>, mut request: Request, account: Account) -> Self {
+        let payload = request.take_payload();
+        let target = request
+            .uri()
+            .path_and_query()
+            .map_or("/", |target| target.as_str())
+            .to_owned();
+        let head = request.head_mut();
+        Self {
+            scene: worker.scene(),
+            worker: Rc::clone(worker),
+            method: head.method.clone(),
+            target,
+            headers: std::mem::take(&mut head.headers),
+            payload,
+            account,
+        }
+    }
+
+    fn path(&self) -> &str {
+        self.target.split('?').next().unwrap_or_default()
+    }
+
+    /// What is checked of every request before its body is looked at.
+    fn check(&self) -> Result<(), Problem> {
+        let limit = self.worker.shared.settings.limits.head;
+        if headers::size(&self.headers) > limit {
+            let detail = format!("at most {limit} bytes of headers are taken");
+            return Err(Problem::not_run(Kind::HeadTooLarge, detail));
+        }
+        if self.worker.shared.life.phase() >= Phase::Finishing {
+            return Err(Problem::not_run(Kind::Unavailable, "the entry stops"));
+        }
+        path::check(self.path())
+    }
+
+    fn refuse(self, problem: Problem) -> Answer {
+        Answer::Problem(problem, self.account)
+    }
+
+    async fn route(self) -> Answer {
+        let Some(catalogue) = self.scene.catalogue.clone() else {
+            let problem = Problem::not_run(Kind::Unavailable, "no catalogue is known yet")
+                .retry_after(NO_CATALOGUE);
+            return self.refuse(problem);
+        };
+        let owner = match caller::identify(&catalogue, &self.headers) {
+            Ok(owner) => owner,
+            Err(problem) => return self.refuse(problem),
+        };
+        match self.path() {
+            "/v1/models" => self.models(&catalogue, owner),
+            "/v1/completions" | "/v1/chat/completions" => self.completion(&catalogue, owner).await,
+            _ => self.plain(&catalogue, owner).await,
+        }
+    }
+
+    fn models(self, catalogue: &View, owner: &Owner) -> Answer {
+        if self.method != Method::GET {
+            return self.refuse(wrong_method("GET"));
+        }
+        let mut map = HeaderMap::with_capacity(1);
+        map.insert(
+            header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
+        let reply = Reply::Whole {
+            status: StatusCode::OK,
+            headers: map,
+            body: models::list(catalogue, owner).into(),
+        };
+        Answer::Reply(reply, self.account)
+    }
+
+    async fn completion(mut self, catalogue: &View, owner: &Owner) -> Answer {
+        if let Some(last) = self.headers.get(headers::LAST_EVENT_ID).cloned() {
+            return self.resume(owner, &last).await;
+        }
+        if self.method != Method::POST {
+            return self.refuse(wrong_method("POST"));
+        }
+        let body = match self.body(self.worker.shared.settings.limits.body).await {
+            Ok(body) => body,
+            Err(problem) => return self.refuse(problem),
+        };
+        let prepared = prepare(catalogue, owner, &body);
+        let (entry, asked, engine) = match prepared {
+            Ok(prepared) => prepared,
+            Err(problem) => return self.refuse(problem),
+        };
+        match self.into_work(owner, entry, engine) {
+            Ok(work) => once::completion(work, entry, asked).await.into(),
+            Err(refused) => *refused,
+        }
+    }
+
+    async fn resume(mut self, owner: &Owner, last: &HeaderValue) -> Answer {
+        let limits = &self.worker.shared.settings.limits;
+        let deadline = deadline::of(
+            &self.headers,
+            self.account.started(),
+            limits.deadline,
+            limits.deadline,
+        );
+        let deadline = match deadline {
+            Ok(deadline) => deadline,
+            Err(problem) => return self.refuse(problem),
+        };
+        let resumption = Resumption {
+            owner: &owner.name,
+            last: last.to_str().unwrap_or_default(),
+            deadline,
+        };
+        let result = resume::run(&self.worker, &self.scene, &resumption, &mut self.account).await;
+        match result {
+            Ok(reply) => Answer::Reply(reply, self.account),
+            Err(problem) => self.refuse(problem),
+        }
+    }
+
+    async fn plain(mut self, catalogue: &View, owner: &Owner) -> Answer {
+        let entry = match entry_at(catalogue, owner, &self.method, self.path()) {
+            Ok(entry) => entry,
+            Err(problem) => return self.refuse(problem),
+        };
+        self.account.entry(entry);
+        let limit = self.worker.shared.settings.limits.body;
+        let limit = limit.min(usize::try_from(entry.max_body).unwrap_or(usize::MAX));
+        let body = match self.body(limit).await {
+            Ok(body) => body,
+            Err(problem) => return self.refuse(problem),
+        };
+        match self.into_work(owner, entry, body) {
+            Ok(work) => once::plain(work, entry).await.into(),
+            Err(refused) => *refused,
+        }
+    }
+
+    async fn body(&mut self, limit: usize) -> Result<Bytes, Problem> {
+        let bounds = Bounds {
+            size: limit,
+            silence: self.worker.shared.settings.limits.body_time,
+        };
+        body::read(&self.headers, &mut self.payload, bounds).await
+    }
+
+    fn into_work(mut self, owner: &Owner, entry: &Entry, body: Bytes) -> Result<Work, Box<Answer>> {
+        self.account.entry(entry);
+        let cap = self.worker.shared.settings.limits.deadline;
+        let contract = entry.contract.deadline;
+        let deadline = deadline::of(&self.headers, self.account.started(), contract, cap);
+        match deadline {
+            Ok(deadline) => Ok(Work {
+                worker: Worker::clone(&self.worker),
+                scene: self.scene,
+                owner: Arc::from(owner.name.as_str()),
+                method: self.method,
+                target: self.target,
+                headers: self.headers,
+                body,
+                deadline,
+                account: self.account,
+                ran: Ran::No,
+            }),
+            Err(problem) => Err(Box::new(self.refuse(problem))),
+        }
+    }
+}
+
+impl From<once::Ended> for Answer {
+    fn from(ended: once::Ended) -> Self {
+        match ended.result {
+            Ok(reply) => Self::Reply(reply, ended.account),
+            Err(problem) => Self::Problem(problem, ended.account),
+        }
+    }
+}
+
+/// When to come back if the process has no catalogue yet.
+const NO_CATALOGUE: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// Reads a completion's body as far as decisions need it, and finds its entry.
+fn prepare<'v>(
+    catalogue: &'v View,
+    owner: &Owner,
+    body: &Bytes,
+) -> Result<(&'v Entry, Asked, Bytes), Problem> {
+    let prompt = Prompt::read(body).map_err(|words| Problem::not_run(Kind::BadRequest, words))?;
+    let entry = catalogue
+        .entry_for_model(&owner.name, &prompt.model)
+        .ok_or_else(|| {
+            let detail = format!("no entry of {} serves {:?}", owner.name, prompt.model);
+            Problem::not_run(Kind::UnknownModel, detail)
+        })?;
+    if body.len() as u64 > entry.max_body {
+        let detail = format!("at most {} bytes are taken", entry.max_body);
+        return Err(Problem::not_run(Kind::TooLarge, detail));
+    }
+    let asked = Asked::new(&prompt, entry);
+    let engine = engine_body(body, &prompt, &asked.model);
+    Ok((entry, asked, engine))
+}
+
+/// The plain entry at a path. One of another owner is told as forbidden and not as missing, so that
+/// a caller with a wrong key does not look for a wrong path.
+fn entry_at<'v>(
+    catalogue: &'v View,
+    owner: &Owner,
+    method: &Method,
+    path: &str,
+) -> Result<&'v Entry, Problem> {
+    match catalogue.entry_at(method.as_str(), path) {
+        Found::Entry(entry) if entry.owner == owner.name => Ok(entry),
+        Found::Entry(_) => Err(Problem::not_run(
+            Kind::Forbidden,
+            "the path belongs to another owner",
+        )),
+        Found::OtherMethod => Err(wrong_method("another method")),
+        Found::Nothing => Err(Problem::not_run(
+            Kind::NotFound,
+            "no entry serves this path",
+        )),
+    }
+}
+
+fn wrong_method(served: &str) -> Problem {
+    Problem::not_run(
+        Kind::MethodNotAllowed,
+        format!("the path is served with {served}"),
+    )
+}
--- /dev/null
+++ b/crates/entry/src/front/prompt.rs
@@ -0,0 +1,79 @@
+//! What the entry reads of an OpenAI-compatible body; the rest passes through as it is.
+
+use std::borrow::Cow;
+use std::ops::Range;
+
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+/// Bytes of prompt text per token, for estimates before an engine has counted.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Tokens of an answer that is expected where the caller states no bound.
+const DEFAULT_OUTPUT: u32 = 256;
+
+#[derive(Deserialize)]
+struct Body<'a> {
+    #[serde(borrow)]
+    model: &'a RawValue,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+    #[serde(borrow)]
+    prompt: Option<&'a RawValue>,
+    #[serde(borrow)]
+    messages: Option<&'a RawValue>,
+}
+
+/// A body as far as decisions need it.
+#[derive(Debug)]
+pub struct Prompt<'a> {
+    /// Name of a catalogue entry or of a model.
+    pub model: Cow<'a, str>,
+    /// Where the JSON of that name stands in the body.
+    pub model_range: Range<usize>,
+    /// The caller wants server-sent events.
+    pub stream: bool,
+    /// Bytes of the prompt, as JSON.
+    pub text: &'a str,
+    /// Expected tokens of the answer.
+    pub output_tokens: u32,
+}
+
+impl<'a> Prompt<'a> {
+    /// Reads a body.
+    ///
+    /// # Errors
+    ///
+    /// The body is no JSON object with a model and a prompt or messages; in words for the caller.
+    pub fn read(body: &'a [u8]) -> Result<Self, String> {
+        let text = std::str::from_utf8(body).map_err(|error| error.to_string())?;
+        let raw: Body<'a> = serde_json::from_str(text).map_err(|error| error.to_string())?;
+        let model: Cow<'a, str> =
+            serde_json::from_str(raw.model.get()).map_err(|error| format!("model: {error}"))?;
+        let prompt = raw
+            .prompt
+            .or(raw.messages)
+            .ok_or("prompt or messages is missing")?;
+        let max = raw.max_completion_tokens.or(raw.max_tokens);
+        Ok(Self {
+            model,
+            model_range: range_within(text, raw.model.get()),
+            stream: raw.stream,
+            text: prompt.get(),
+            output_tokens: max.unwrap_or(DEFAULT_OUTPUT),
+        })
+    }
+
+    /// Estimated tokens of the prompt.
+    pub fn tokens(&self) -> u32 {
+        u32::try_from(self.text.len().div_ceil(BYTES_PER_TOKEN)).unwrap_or(u32::MAX)
+    }
+}
+
+/// The range of `part` in `whole`, of which it is a slice.
+fn range_within(whole: &str, part: &str) -> Range<usize> {
+    let start = part.as_ptr() as usize - whole.as_ptr() as usize;
+    start..start + part.len()
+}
--- /dev/null
+++ b/crates/entry/src/front/reply.rs
@@ -0,0 +1,147 @@
+//! What a request leads to, as the body and head of an answer.
+
+use std::io;
+
+use actix_http::body::{BodyStream, BoxBody, SizedStream};
+use actix_http::header::{self, HeaderMap, HeaderValue};
+use actix_http::{Response, StatusCode};
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt as _, stream};
+
+use crate::account::{Account, Outcome};
+use crate::dispatch::Attempt;
+use crate::front::headers;
+use crate::stream::relay::Relay;
+use crate::stream::sse::Relayed;
+use crate::upstream::client::Answer;
+
+/// A successful end of the entry's part.
+#[derive(Debug)]
+pub enum Reply {
+    /// A whole answer.
+    Whole {
+        /// Status.
+        status: StatusCode,
+        /// Headers that go to the caller.
+        headers: HeaderMap,
+        /// Body.
+        body: Bytes,
+    },
+    /// Server-sent events.
+    Events {
+        /// What carries them.
+        relay: Box<Relay>,
+        /// The events that are there already.
+        first: Relayed,
+        /// The attempt at the engine; none for a resumption.
+        attempt: Option<Attempt>,
+    },
+    /// An answer that is too large to wait for its end.
+    Body {
+        /// The upstream's answer.
+        answer: Box<Answer>,
+        /// Its length, if the upstream stated it.
+        length: Option<u64>,
+        /// The attempt.
+        attempt: Attempt,
+    },
+}
+
+impl Reply {
+    /// The answer towards the caller.
+    pub fn into_response(self, mut account: Account) -> Response<BoxBody> {
+        let request = account.request().header();
+        let mut response = match self {
+            Self::Whole {
+                status,
+                headers: map,
+                body,
+            } => {
+                account.conclude(Outcome::Served);
+                with_head(Response::new(status).set_body(BoxBody::new(body)), map)
+            }
+            Self::Events {
+                relay,
+                first,
+                attempt,
+            } => {
+                let events = relay.into_body(first, attempt, account);
+                let body = BoxBody::new(BodyStream::new(Box::pin(events)));
+                with_head(
+                    Response::new(StatusCode::OK).set_body(body),
+                    event_headers(),
+                )
+            }
+            Self::Body {
+                answer,
+                length,
+                attempt,
+            } => body_response(*answer, length, attempt, account),
+        };
+        response.headers_mut().insert(headers::REQUEST_ID, request);
+        response
+    }
+}
+
+/// The headers of an upstream's answer that the caller gets.
+pub fn caller_headers(map: &HeaderMap) -> HeaderMap {
+    let mut kept = HeaderMap::with_capacity(map.len());
+    for (name, value) in headers::to_caller(map) {
+        kept.append(name.clone(), value.clone());
+    }
+    kept
+}
+
+fn body_response(
+    answer: Answer,
+    length: Option<u64>,
+    attempt: Attempt,
+    account: Account,
+) -> Response<BoxBody> {
+    let status = answer.status();
+    let map = caller_headers(answer.headers());
+    let body = pass(answer, attempt, account);
+    let body = match length {
+        Some(length) => BoxBody::new(SizedStream::new(length, Box::pin(body))),
+        None => BoxBody::new(BodyStream::new(Box::pin(body))),
+    };
+    with_head(Response::new(status).set_body(body), map)
+}
+
+/// Passes a body through. If the upstream breaks off, the caller's connection is broken off too: an
+/// orderly end would tell it that the part is the whole.
+fn pass(
+    answer: Answer,
+    attempt: Attempt,
+    account: Account,
+) -> impl Stream<Item = io::Result<Bytes>> {
+    stream::unfold(Some((answer, attempt, account)), |state| async move {
+        let (mut answer, attempt, mut account) = state?;
+        match answer.next().await {
+            Some(Ok(chunk)) => Some((Ok(chunk), Some((answer, attempt, account)))),
+            Some(Err(error)) => {
+                account.conclude(Outcome::Cut);
+                Some((Err(io::Error::other(error.to_string())), None))
+            }
+            None => {
+                account.conclude(Outcome::Served);
+                None
+            }
+        }
+    })
+}
+
+fn with_head(mut response: Response<BoxBody>, map: HeaderMap) -> Response<BoxBody> {
+    *response.headers_mut() = map;
+    response
+}
+
+fn event_headers() -> HeaderMap {
+    let mut map = HeaderMap::with_capacity(4);
+    map.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("text/event-stream"),
+    );
+    map.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    map
+}
--- /dev/null
+++ b/crates/entry/src/front/request_id.rs
@@ -0,0 +1,72 @@
+//! Ids of requests: the caller's own where it gives a usable one, else one of ours.
+
+use std::fmt;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use actix_http::header::{HeaderMap, HeaderValue};
+
+/// Name of the header.
+pub const HEADER: &str = "x-request-id";
+
+/// Longest id of a caller that is taken over.
+const LONGEST: usize = 128;
+
+/// Id of one request of a caller.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct RequestId(HeaderValue);
+
+impl RequestId {
+    /// The id as text.
+    pub fn as_str(&self) -> &str {
+        self.0.to_str().unwrap_or_default()
+    }
+
+    /// The id as the value of its header.
+    pub fn header(&self) -> HeaderValue {
+        self.0.clone()
+    }
+
+    /// The caller's id, if it gave one that is short, visible text.
+    pub fn of_caller(headers: &HeaderMap) -> Option<Self> {
+        let value = headers.get(HEADER)?;
+        let usable = !value.is_empty()
+            && value.len() <= LONGEST
+            && value.as_bytes().iter().all(u8::is_ascii_graphic);
+        usable.then(|| Self(value.clone()))
+    }
+}
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// Makes ids that no other process and no other start of this one makes.
+#[derive(Debug)]
+pub struct Mint {
+    prefix: String,
+    next: AtomicU64,
+}
+
+impl Mint {
+    /// A mint whose ids begin with `prefix`, which has to differ from start to start.
+    pub fn new(prefix: u64) -> Self {
+        Self {
+            prefix: format!("{prefix:016x}"),
+            next: AtomicU64::new(1),
+        }
+    }
+
+    /// A new id as text.
+    pub fn text(&self) -> String {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        format!("{}-{number:x}", self.prefix)
+    }
+
+    /// A new id of a request.
+    pub fn request(&self) -> RequestId {
+        let value = HeaderValue::try_from(self.text());
+        RequestId(value.unwrap_or_else(|_| HeaderValue::from_static("none")))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/plain.rs
@@ -0,0 +1,80 @@
+//! Calls to plain services.
+
+use std::sync::Arc;
+
+use catalogue::Entry;
+
+use crate::dispatch::Attempt;
+use crate::front::body::stated_length;
+use crate::front::problem::Problem;
+use crate::front::reply::{Reply, caller_headers};
+use crate::upstream::client::{Answer, Call, is_matched, read_whole};
+use crate::upstream::failure::Failure;
+use crate::work::Work;
+
+/// Answers up to this size are read whole before the caller gets any of them, so that one that
+/// breaks off can still be answered as an error or tried elsewhere.
+const WHOLE: u64 = 64 << 10;
+
+/// Runs a call over as many attempts as are allowed. `whole` asks for the whole answer, because it
+/// is to be held.
+///
+/// # Errors
+///
+/// The error for the caller.
+pub async fn run(work: &mut Work, entry: &Entry, whole: bool) -> Result<Reply, Problem> {
+    let mut attempt = work.admit(work.routing_request(entry)).await?;
+    loop {
+        let upstream = Arc::clone(&attempt.sending().upstream);
+        work.account.upstream(&upstream);
+        let failure = match once(work, &attempt, whole).await {
+            Ok(Got::Whole(reply)) => return Ok(reply),
+            Ok(Got::Body { answer, length }) => {
+                return Ok(Reply::Body {
+                    answer: Box::new(answer),
+                    length,
+                    attempt,
+                });
+            }
+            Err(failure) => failure,
+        };
+        attempt = work.retry(attempt, &failure).await?;
+    }
+}
+
+enum Got {
+    Whole(Reply),
+    Body { answer: Answer, length: Option<u64> },
+}
+
+async fn once(work: &Work, attempt: &Attempt, whole: bool) -> Result<Got, Failure> {
+    let address = work.address(&attempt.sending().upstream)?;
+    let call = Call {
+        address,
+        method: work.method.clone(),
+        target: &work.target,
+        headers: work.upstream_headers(attempt.sending()),
+        request: work.request_header(),
+        timeout: work.left(),
+    };
+    let mut answer = work.worker.client.send(call, work.body.clone()).await?;
+    // A service that answers nothing of the id may be one that a proxy before it stands in for;
+    // its answer cannot be told from another caller's.
+    if answer.status().is_success() && !is_matched(&answer, &work.request_header()) {
+        return Err(Failure::Crossed);
+    }
+    let length = stated_length(answer.headers());
+    let small = length.is_some_and(|length| length <= WHOLE);
+    if !whole && !small {
+        return Ok(Got::Body { answer, length });
+    }
+    let limit = work.worker.shared.settings.limits.answer;
+    let body = actix_rt::time::timeout(work.left(), read_whole(&mut answer, limit))
+        .await
+        .map_err(|_| Failure::TimedOut)??;
+    Ok(Got::Whole(Reply::Whole {
+        status: answer.status(),
+        headers: caller_headers(answer.headers()),
+        body,
+    }))
+}
--- /dev/null
+++ b/crates/entry/src/stream/relay.rs
@@ -0,0 +1,350 @@
+//! Carries the events of one stream from its engine to one caller.
+//!
+//! The relay survives broken connections to the engine: it asks the engine for the rest by the
+//! number of the next event. It never asks another engine for the rest, because generation is not
+//! deterministic and the caller would get parts of two answers.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::time::Duration;
+
+use actix_http::header::{HeaderMap, HeaderValue};
+use actix_http::{Method, StatusCode};
+use actix_rt::time::{Instant, Sleep, sleep, sleep_until};
+use bytes::{Bytes, BytesMut};
+use clock::{Clock as _, Moment};
+use futures_util::{FutureExt as _, Stream, StreamExt as _, stream};
+
+use crate::account::{Account, Outcome};
+use crate::dispatch::Attempt;
+use crate::front::problem::{Kind, Problem};
+use crate::metrics::Metric;
+use crate::shared::Worker;
+use crate::stream::sse::{Broken, Follower, Relayed};
+use crate::stream::token::{Number, Place};
+use crate::upstream::client::{Answer, Call};
+use crate::upstream::failure::Failure;
+use crate::upstream::stream_guard::Guard;
+
+/// Most bytes that are put together before they go to the caller.
+const COALESCE: usize = 64 << 10;
+
+/// Pause between two tries to reach the engine again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Connections in a row that may end without an event. A caller that asks for what comes after the
+/// last event gets such an answer each time, and would otherwise keep the entry asking.
+const MOST_BARREN: u32 = 4;
+
+/// Why a stream ends before its last event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The deadline passed.
+    Deadline,
+    /// The engine does not know the stream any more.
+    Gone,
+    /// The engine is not reached any more.
+    Unreachable(Failure),
+}
+
+/// Where a relay begins.
+#[derive(Debug)]
+pub struct Origin {
+    /// Engine, stream and catalogue entry.
+    pub place: Place,
+    /// Address of the engine.
+    pub address: SocketAddr,
+    /// Number of the first event that the caller needs.
+    pub next: Number,
+    /// Owner of the stream.
+    pub owner: String,
+    /// Id of the request, as the engine must echo it.
+    pub request: HeaderValue,
+    /// When the answer is of no use any more.
+    pub deadline: Moment,
+}
+
+/// The relay of one stream.
+#[derive(Debug)]
+pub struct Relay {
+    worker: Worker,
+    origin: Origin,
+    follower: Follower,
+    answer: Option<Answer>,
+    deadline: Pin<Box<Sleep>>,
+    place_text: String,
+    place_renewal: Moment,
+    guard: Guard,
+    attempt: Option<Attempt>,
+    account: Option<Account>,
+    ended: bool,
+    /// Connections in a row that ended without an event.
+    barren: u32,
+}
+
+impl Relay {
+    /// A relay over an engine's open answer; without one it asks for the stream itself.
+    pub fn new(worker: Worker, origin: Origin, answer: Option<Answer>) -> Self {
+        let now = worker.shared.clock.now();
+        let left = origin.deadline.saturating_sub(now);
+        let guard = Guard::new(
+            worker.guard_context(),
+            origin.address,
+            origin.place.stream.clone(),
+            origin.request.clone(),
+        );
+        let follower = Follower::new(&origin.place.stream, origin.next);
+        Self {
+            follower,
+            answer,
+            deadline: Box::pin(sleep_until(Instant::now() + left)),
+            place_text: String::new(),
+            place_renewal: Moment::ZERO,
+            guard,
+            attempt: None,
+            account: None,
+            ended: false,
+            barren: 0,
+            worker,
+            origin,
+        }
+    }
+
+    /// Waits for the first events. Nothing has gone to the caller before, so that a failure may
+    /// still be answered as an error or tried elsewhere.
+    ///
+    /// # Errors
+    ///
+    /// Why no event came.
+    pub async fn first(&mut self) -> Result<Relayed, End> {
+        self.step().await
+    }
+
+    /// Goes on towards the caller as the body of its answer, from the events that came first.
+    pub fn into_body(
+        mut self,
+        first: Relayed,
+        attempt: Option<Attempt>,
+        account: Account,
+    ) -> impl Stream<Item = Result<Bytes, std::io::Error>> {
+        self.attempt = attempt;
+        self.account = Some(account);
+        let opening = self.note(first);
+        let rest = stream::unfold(Box::new(self), |mut relay| async move {
+            let bytes = relay.next().await?;
+            Some((Ok(bytes), relay))
+        });
+        stream::once(std::future::ready(Ok(opening))).chain(rest)
+    }
+
+    async fn next(&mut self) -> Option<Bytes> {
+        if self.ended {
+            return None;
+        }
+        match self.step().await {
+            Ok(relayed) => Some(self.note(relayed)),
+            Err(end) => Some(self.fail(&end)),
+        }
+    }
+
+    /// Accounts for events that are about to go to the caller.
+    fn note(&mut self, relayed: Relayed) -> Bytes {
+        if let Some(attempt) = &self.attempt {
+            attempt.tokens(relayed.tokens);
+        }
+        if let Some(account) = &mut self.account {
+            account.tokens(relayed.tokens);
+        }
+        if relayed.done {
+            self.finish(Outcome::Served);
+        }
+        relayed.bytes
+    }
+
+    /// Ends a stream of which the caller has a part. It gets an event that says so, and neither
+    /// `[DONE]` nor an id, so that it cannot take the part for the whole.
+    fn fail(&mut self, end: &End) -> Bytes {
+        let problem = end.problem();
+        let body = self
+            .account
+            .as_ref()
+            .map(|account| problem.body(account.request()))
+            .unwrap_or_default();
+        self.finish(Outcome::Cut);
+        let mut event = BytesMut::from(&b"event: error\ndata: {\"error\":"[..]);
+        event.extend_from_slice(&body);
+        event.extend_from_slice(b"}\n\n");
+        event.freeze()
+    }
+
+    fn finish(&mut self, outcome: Outcome) {
+        self.ended = true;
+        self.answer = None;
+        if outcome == Outcome::Served {
+            self.guard.release();
+        }
+        self.attempt = None;
+        if let Some(mut account) = self.account.take() {
+            account.conclude(outcome);
+        }
+    }
+
+    /// The next events, whatever connections it takes.
+    async fn step(&mut self) -> Result<Relayed, End> {
+        loop {
+            let Some(answer) = &mut self.answer else {
+                self.reconnect().await?;
+                continue;
+            };
+            let chunk = tokio::select! {
+                biased;
+                chunk = answer.next() => chunk,
+                () = self.deadline.as_mut() => return Err(End::Deadline),
+            };
+            let Some(Ok(chunk)) = chunk else {
+                self.broke();
+                continue;
+            };
+            let (chunk, ended) = coalesce(answer, chunk);
+            if ended {
+                self.answer = None;
+            }
+            self.renew_place();
+            match self.follower.take(&chunk, &self.place_text) {
+                Ok(relayed) if relayed.bytes.is_empty() && !relayed.done => {}
+                Ok(relayed) => {
+                    self.barren = 0;
+                    return Ok(relayed);
+                }
+                Err(broken) => self.distrust(broken),
+            }
+        }
+    }
+
+    /// The connection to the engine ended before the stream did.
+    fn broke(&mut self) {
+        self.answer = None;
+        self.barren += 1;
+        self.follower.reconnect();
+    }
+
+    /// What came cannot be the stream, or skips a part of it: the connection is given up, and the
+    /// engine is asked again for what is next.
+    fn distrust(&mut self, broken: Broken) {
+        if broken == Broken::Crossed {
+            self.worker.shared.metrics.add(Metric::Crossed, 1);
+        }
+        log::warn!(
+            stream = self.origin.place.stream.as_str(),
+            upstream = self.origin.place.engine.as_str(),
+            broken:? = broken;
+            "an engine's events were dropped"
+        );
+        self.broke();
+    }
+
+    /// Asks the engine for the rest of the stream until it answers or the time for it is over.
+    ///
+    /// While the caller has nothing yet, one failure is enough: another engine may take the request
+    /// from its beginning, which is quicker than waiting for this one.
+    async fn reconnect(&mut self) -> Result<(), End> {
+        if self.barren > MOST_BARREN {
+            return Err(End::Gone);
+        }
+        self.worker.shared.metrics.add(Metric::Reconnects, 1);
+        let patience = match self.follower.next() {
+            0 => Duration::ZERO,
+            _ => self.worker.shared.settings.upstream.resume,
+        };
+        let until = Instant::now() + patience;
+        loop {
+            let failure = match self.resume().await {
+                Ok(answer) if answer.status() == StatusCode::OK => {
+                    self.answer = Some(answer);
+                    return Ok(());
+                }
+                Ok(answer) if answer.status() == StatusCode::NOT_FOUND => return Err(End::Gone),
+                Ok(answer) => Failure::Declined(answer.status().as_u16()),
+                Err(failure) => failure,
+            };
+            if self.deadline.is_elapsed() {
+                return Err(End::Deadline);
+            }
+            if Instant::now() >= until {
+                return Err(End::Unreachable(failure));
+            }
+            sleep(RECONNECT_PAUSE).await;
+        }
+    }
+
+    async fn resume(&self) -> Result<Answer, Failure> {
+        let place = &self.origin.place;
+        let target = format!(
+            "/engine/streams/{}?from={}",
+            place.stream,
+            self.follower.next()
+        );
+        let call = Call {
+            address: self.origin.address,
+            method: Method::GET,
+            target: &target,
+            headers: HeaderMap::new(),
+            request: self.origin.request.clone(),
+            timeout: self.worker.shared.settings.upstream.resume,
+        };
+        self.worker.client.send(call, Bytes::new()).await
+    }
+
+    /// Event ids expire; a stream that is longer than their time needs new ones on the way.
+    fn renew_place(&mut self) {
+        let shared = &self.worker.shared;
+        let now = shared.clock.now();
+        if now < self.place_renewal {
+            return;
+        }
+        self.place_renewal = now + shared.tokens.time() / 2;
+        let wall = crate::shared::wall(&shared.clock);
+        self.place_text = shared
+            .tokens
+            .place(&self.origin.place, &self.origin.owner, wall);
+    }
+}
+
+impl End {
+    /// The error that the caller gets.
+    pub fn problem(&self) -> Problem {
+        match self {
+            Self::Deadline => Problem::unknown(Kind::DeadlineExceeded, "the deadline passed"),
+            Self::Gone => Problem::unknown(
+                Kind::BadGateway,
+                "the engine does not know the stream any more",
+            ),
+            Self::Unreachable(failure) => Problem::unknown(Kind::BadGateway, failure.to_string()),
+        }
+    }
+}
+
+/// Puts together what the engine has already sent, so that one write carries it. Says too whether
+/// the answer ended with it; an answer that ended must not be polled again.
+fn coalesce(answer: &mut Answer, first: Bytes) -> (Bytes, bool) {
+    let second = match answer.next().now_or_never() {
+        None => return (first, false),
+        Some(Some(Ok(second))) => second,
+        Some(_) => return (first, true),
+    };
+    let mut all = BytesMut::with_capacity(first.len() + second.len());
+    all.extend_from_slice(&first);
+    all.extend_from_slice(&second);
+    let mut ended = false;
+    while all.len() < COALESCE {
+        match answer.next().now_or_never() {
+            None => break,
+            Some(Some(Ok(chunk))) => all.extend_from_slice(&chunk),
+            Some(_) => {
+                ended = true;
+                break;
+            }
+        }
+    }
+    (all.freeze(), ended)
+}
--- /dev/null
+++ b/crates/entry/src/upstream.rs
@@ -0,0 +1,6 @@
+//! Calls to engines and plain services.
+
+pub mod client;
+pub mod failure;
+pub mod kv;
+pub mod stream_guard;
--- /dev/null
+++ b/crates/entry/src/upstream/kv.rs
@@ -0,0 +1,114 @@
+//! Prefill at one engine and decode at another: the KV cache is exported by the first and fetched
+//! by the second.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::header::{self, HeaderMap, HeaderValue};
+use actix_http::{Method, StatusCode};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::front::headers;
+use crate::upstream::client::{Call, Client, map, number};
+use crate::upstream::failure::Failure;
+
+/// Largest answer to an export or import, in bytes; the cache itself goes between the engines.
+const ANSWER: usize = 64 << 10;
+
+/// A transfer that is asked for.
+#[derive(Debug)]
+pub struct Transfer<'a> {
+    /// Engine that prefills.
+    pub prefill: SocketAddr,
+    /// Engine that decodes.
+    pub decode: SocketAddr,
+    /// Body of the completion; engines take the model and the prompt or messages out of it.
+    pub body: Bytes,
+    /// Request id.
+    pub request: &'a HeaderValue,
+    /// Priority at both engines.
+    pub priority: u8,
+    /// Time until the caller's deadline.
+    pub left: Duration,
+}
+
+#[derive(Serialize)]
+struct Import<'a> {
+    from: SocketAddr,
+    handle: &'a str,
+}
+
+#[derive(Deserialize)]
+struct Handle {
+    handle: String,
+}
+
+/// Which side of a transfer failed, so that the right engine is blamed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// The engine that prefills.
+    Export(Failure),
+    /// The engine that decodes, or the way between the two.
+    Import(Failure),
+}
+
+impl Transfer<'_> {
+    /// Runs the transfer and gives the handle for the completion at the decoding engine.
+    ///
+    /// # Errors
+    ///
+    /// Where it failed. The completion itself was not run, so it may go to one engine as a whole.
+    pub async fn run(&self, client: &Client) -> Result<HeaderValue, Stage> {
+        let exported = self
+            .ask(client, self.prefill, "/engine/kv/export", self.body.clone())
+            .await
+            .map_err(Stage::Export)?;
+        let import = Import {
+            from: self.prefill,
+            handle: &exported.handle,
+        };
+        let import = serde_json::to_vec(&import)
+            .map_err(|error| Stage::Import(Failure::NotSent(error.to_string())))?;
+        let imported = self
+            .ask(client, self.decode, "/engine/kv/import", import.into())
+            .await
+            .map_err(Stage::Import)?;
+        HeaderValue::try_from(imported.handle)
+            .map_err(|error| Stage::Import(Failure::Lost(error.to_string())))
+    }
+
+    async fn ask(
+        &self,
+        client: &Client,
+        address: SocketAddr,
+        target: &str,
+        body: Bytes,
+    ) -> Result<Handle, Failure> {
+        let call = Call {
+            address,
+            method: Method::POST,
+            target,
+            headers: self.headers(),
+            request: self.request.clone(),
+            timeout: self.left,
+        };
+        let (status, answer) = client.ask(call, body, ANSWER).await?;
+        if status != StatusCode::OK {
+            return Err(Failure::Declined(status.as_u16()));
+        }
+        serde_json::from_slice(&answer).map_err(|error| Failure::Lost(error.to_string()))
+    }
+
+    fn headers(&self) -> HeaderMap {
+        let left = u64::try_from(self.left.as_millis()).unwrap_or(u64::MAX);
+        map([
+            (
+                header::CONTENT_TYPE,
+                HeaderValue::from_static("application/json"),
+            ),
+            (headers::PRIORITY, number(u64::from(self.priority))),
+            (headers::DEADLINE, number(left)),
+        ])
+    }
+}
--- /dev/null
+++ b/crates/entry/src/work.rs
@@ -0,0 +1,201 @@
+//! One request on its way to an upstream.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_http::Method;
+use actix_http::header::{HeaderMap, HeaderValue};
+use bytes::Bytes;
+use catalogue::{Entry, Target};
+use clock::{Clock as _, Moment};
+use routing::class::Class;
+use routing::decision::{Ran, Sending};
+use routing::request::Request;
+use smallvec::SmallVec;
+
+use crate::account::Account;
+use crate::dispatch::{Attempt, Retry};
+use crate::front::headers;
+use crate::front::problem::{self, Kind, Problem};
+use crate::front::refusal;
+use crate::metrics::Metric;
+use crate::scene::Scene;
+use crate::shared::Worker;
+use crate::upstream::client::number;
+use crate::upstream::failure::Failure;
+use crate::world::entry_subject;
+
+/// A request with all that its attempts need.
+#[derive(Debug)]
+pub struct Work {
+    /// The thread that serves it.
+    pub worker: Worker,
+    /// State of the world that it sees.
+    pub scene: Arc<Scene>,
+    /// The owner who calls.
+    pub owner: Arc<str>,
+    /// Method.
+    pub method: Method,
+    /// Path with its query, as the upstream gets it.
+    pub target: String,
+    /// Headers of the caller.
+    pub headers: HeaderMap,
+    /// Whole body, as the upstream gets it.
+    pub body: Bytes,
+    /// When the answer is of no use any more.
+    pub deadline: Moment,
+    /// Its account.
+    pub account: Account,
+    /// Whether an attempt before may have run.
+    pub ran: Ran,
+}
+
+impl Work {
+    /// Time until the deadline.
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_sub(self.worker.shared.clock.now())
+    }
+
+    /// The id that the upstream must echo.
+    pub fn request_header(&self) -> HeaderValue {
+        self.account.request().header()
+    }
+
+    /// Admits the request and waits until it may be sent.
+    ///
+    /// # Errors
+    ///
+    /// It is refused; it was not run.
+    pub async fn admit(&mut self, request: Request) -> Result<Attempt, Problem> {
+        let dispatch = self.worker.shared.dispatch.clone();
+        dispatch
+            .admit(request)
+            .await
+            .map_err(|refused| refusal::problem(&refused))
+    }
+
+    /// Takes an attempt that failed before the caller got any of the answer, and gives the next one.
+    ///
+    /// # Errors
+    ///
+    /// No further attempt is made. What is certain then covers all attempts: one that may have run
+    /// is not undone by a later one that did not.
+    pub async fn retry(&mut self, attempt: Attempt, failure: &Failure) -> Result<Attempt, Problem> {
+        let ran = failure.ran();
+        log::info!(
+            request_id = self.account.request().as_str(),
+            upstream = &*attempt.sending().upstream,
+            failure:% = failure;
+            "an attempt failed"
+        );
+        if *failure == Failure::Crossed {
+            self.worker.shared.metrics.add(Metric::Crossed, 1);
+        }
+        if ran == Ran::Unknown {
+            self.ran = Ran::Unknown;
+        }
+        let problem = match attempt.failed(ran).await {
+            Retry::Again(next) => {
+                self.worker.shared.metrics.add(Metric::Retries, 1);
+                return Ok(next);
+            }
+            Retry::Refused(refused) if self.ran == Ran::No => refusal::problem(&refused),
+            Retry::Refused(refused) => final_problem(failure).retry_after(refused.retry_after),
+            Retry::Final => final_problem(failure),
+        };
+        Err(self.covering(problem))
+    }
+
+    /// The problem with what is certain over all attempts.
+    pub fn covering(&self, mut problem: Problem) -> Problem {
+        if self.ran == Ran::Unknown {
+            problem.ran = problem::Ran::Unknown;
+        }
+        problem
+    }
+
+    /// Address of the upstream that was chosen.
+    ///
+    /// # Errors
+    ///
+    /// It is not known here; nothing was sent.
+    pub fn address(&self, id: &str) -> Result<SocketAddr, Failure> {
+        // The list may have changed since the request began, so the newest one counts.
+        self.worker
+            .scene()
+            .upstreams
+            .get(id)
+            .map(|upstream| upstream.address)
+            .ok_or_else(|| Failure::NotSent(format!("upstream {id} is not listed any more")))
+    }
+
+    /// Headers for the upstream.
+    pub fn upstream_headers(&self, sending: &Sending) -> HeaderMap {
+        let mut map = HeaderMap::with_capacity(self.headers.len() + 4);
+        for (name, value) in headers::to_upstream(&self.headers) {
+            map.append(name.clone(), value.clone());
+        }
+        let left = u64::try_from(self.left().as_millis()).unwrap_or(u64::MAX);
+        map.insert(headers::DEADLINE, number(left));
+        map.insert(headers::PRIORITY, number(u64::from(sending.priority)));
+        map
+    }
+
+    /// What the router has to know, without what only engines have.
+    pub fn routing_request(&self, entry: &Entry) -> Request {
+        let mut subjects = SmallVec::new();
+        subjects.push(Arc::clone(&self.owner));
+        subjects.push(entry_subject(&entry.name));
+        Request {
+            pool: Arc::from(entry.pool.as_str()),
+            subjects,
+            class: class(entry.class),
+            priority: entry.priority,
+            model: model_name(&entry.target).map(Arc::from),
+            prompt_tokens: 0,
+            output_tokens: 0,
+            prefixes: SmallVec::new(),
+            deadline: self.deadline,
+            repeatable: entry.repeatable,
+        }
+    }
+}
+
+/// The name under which engines know a model with its version and adapter.
+pub fn model_name(target: &Target) -> Option<String> {
+    match target {
+        Target::Model {
+            model,
+            version,
+            adapter,
+        } => Some(match adapter {
+            Some(adapter) => format!("{model}@{version}+{adapter}"),
+            None => format!("{model}@{version}"),
+        }),
+        Target::Path { .. } => None,
+    }
+}
+
+fn class(class: catalogue::Class) -> Class {
+    match class {
+        catalogue::Class::Authorisation => Class::Authorisation,
+        catalogue::Class::Status => Class::Status,
+        catalogue::Class::Interactive => Class::Interactive,
+        catalogue::Class::Dispatch => Class::Dispatch,
+        catalogue::Class::Batch => Class::Batch,
+    }
+}
+
+/// The error of a call whose last attempt failed like this.
+fn final_problem(failure: &Failure) -> Problem {
+    let kind = match failure {
+        Failure::TimedOut => Kind::DeadlineExceeded,
+        Failure::CallerGone(_) => Kind::BadRequest,
+        _ => Kind::BadGateway,
+    };
+    match failure.ran() {
+        Ran::No => Problem::not_run(kind, failure.to_string()),
+        Ran::Unknown => Problem::unknown(kind, failure.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/stopping.rs
@@ -0,0 +1,60 @@
+//! Planned stops cut nothing.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by it")]
+
+mod fleet;
+
+use std::time::Duration;
+
+use fleet::{Fleet, LIMA, eventually};
+use standin::engine::expected_text;
+
+// Symptom: callers see cut streams or refused connections when an entry is replaced.
+// Sequence: SIGTERM while streams and calls are in hand and new ones keep coming.
+// Cause: the entry stopped listening before the balancer knew, or ended before its work did.
+#[actix_rt::test]
+async fn sigterm_under_load_cuts_nothing() {
+    for signal in ["TERM", "INT"] {
+        let mut fleet = Fleet::start(2, 1, 1).await;
+        let caller = fleet.caller(0, LIMA);
+        let streams: Vec<_> = (0..20)
+            .map(|n| {
+                let caller = caller.clone();
+                actix_rt::spawn(async move {
+                    let prompt = format!("stopping {n}");
+                    let streamed = caller.stream("kiosk", &prompt, 150, usize::MAX).await;
+                    (prompt, streamed)
+                })
+            })
+            .collect();
+        // A balancer: new calls as long as the entry says that it is ready.
+        let calls = actix_rt::spawn({
+            let caller = caller.clone();
+            async move {
+                let mut sent = 0;
+                while caller.get("/readyz").await.is_ok_and(|a| a.status == 200) {
+                    let body = format!("charge {sent}");
+                    let answer = caller.post("/kiosk/pay", body).await;
+                    assert_eq!(answer.expect("a cut call").status, 200);
+                    sent += 1;
+                }
+                sent
+            }
+        });
+        actix_rt::time::sleep(Duration::from_millis(150)).await;
+        fleet.entries[0].signal(signal);
+        assert!(calls.await.unwrap() > 0);
+        for stream in streams {
+            let (prompt, streamed) = stream.await.unwrap();
+            assert!(streamed.done, "{streamed:?}");
+            assert_eq!(streamed.text, expected_text(&prompt, 150));
+        }
+        let mut ended = None;
+        eventually("the entry ends", async || {
+            ended = fleet.entries[0].ended();
+            ended.is_some()
+        })
+        .await;
+        assert_eq!(ended.unwrap().code(), Some(0));
+    }
+}
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -223,6 +223,10 @@
     }
 }
 
+/// Shortest time limit towards callers. The HTTP library counts such times from a clock that moves
+/// in steps of half a second, so that a shorter limit may be over when a connection begins.
+const LEAST_HTTP_TIME: Duration = Duration::from_secs(1);
+
 /// Shortest secret that authenticates event ids, in bytes.
 const LEAST_SECRET: usize = 16;
 
@@ -372,6 +376,12 @@
             "shutdown.balancer is shorter than shutdown.limit, or no time is left for work in hand",
         );
     }
+    if settings.limits.head_time < LEAST_HTTP_TIME {
+        reader.contradiction("limits.head_time", "limits.head_time is at least 1s");
+    }
+    if settings.listen.keep_alive < LEAST_HTTP_TIME {
+        reader.contradiction("listen.keep_alive", "listen.keep_alive is at least 1s");
+    }
     let short = |secret: &Secret| secret.expose().len() < LEAST_SECRET;
     if settings.resume.secret.as_ref().is_some_and(short) {
         reader.contradiction("resume.secret", "resume.secret has at least 16 bytes");
