Read engines and order them, and tell when a read of the log was sent

Leases need the moment before a read that reached the log's end, so a chunk carries it. Counts of appends and bytes feed the status.

--- a/crates/platform/src/failure.rs
+++ b/crates/platform/src/failure.rs
@@ -84,6 +84,26 @@
 
 impl Error for ListError {}
 
+/// Why an engine told nothing that can be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EngineError {
+    /// It could not be asked or had no answer to give.
+    Unreachable,
+    /// The answer broke the interface.
+    Malformed,
+}
+
+impl fmt::Display for EngineError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unreachable => f.write_str("the engine can't be asked"),
+            Self::Malformed => f.write_str("the engine's answer breaks its interface"),
+        }
+    }
+}
+
+impl Error for EngineError {}
+
 /// Whether a failed request certainly sent no byte.
 ///
 /// `ConnectError::Disconnected` is left out on purpose: awc also gives it when the connection
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,4 +1,5 @@
-//! Client of the outside platform: the log ([`Log`], [`Tail`]) and the instance list ([`Instances`]).
+//! Client of the outside platform: the log ([`Log`], [`Tail`]) and the instance list ([`Instances`]),
+//! and of the engines' control calls ([`Engines`]).
 //!
 //! Stands between the `control` crate and the network. It knows the wire form of
 //! [`docs/PLATFORM.md`](../../../docs/PLATFORM.md) and says of each failure what is certain about it;
@@ -6,6 +7,8 @@
 
 mod backoff;
 mod chunk;
+mod engine;
+mod engines;
 mod failure;
 mod instance;
 mod instances;
@@ -14,11 +17,13 @@
 
 pub use backoff::Backoff;
 pub use chunk::{Chunk, Entry};
-pub use failure::{AppendError, ListError, ReadError};
+pub use engine::{EngineReport, EngineState, Model, Order, Progress, Role, Taken, What};
+pub use engines::{Engines, Receipt};
+pub use failure::{AppendError, EngineError, ListError, ReadError};
 pub use instance::{Instance, Kind, Listing, Registration, State};
 pub use instances::{Instances, Poll};
-pub use log::{Log, Options};
-pub use tail::{Event, Tail};
+pub use log::{Log, Options, Traffic};
+pub use tail::{Event, Now, Tail};
 
 /// Position of a record in the log. The log gives it; it is the record's identity.
 pub type Offset = u64;
--- a/crates/platform/src/log.rs
+++ b/crates/platform/src/log.rs
@@ -1,5 +1,7 @@
 //! The append-only log.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use awc::Client;
@@ -18,7 +20,7 @@
 const MAX_ANSWER: usize = 64 << 20;
 
 /// What a read may take beyond the time that the log was asked to wait.
-const READ_GRACE: Duration = Duration::from_secs(3);
+const READ_GRACE: Duration = Duration::from_millis(1500);
 
 /// How to reach the log.
 #[derive(Clone, Debug)]
@@ -42,9 +44,23 @@
     }
 }
 
-/// A client of the log. Clones share connections.
+/// What went to and from the log since the start, bodies only.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Appends that were sent, whatever became of them.
+    pub appends: u64,
+    /// Their bytes.
+    pub appended_bytes: u64,
+    /// Answers to reads.
+    pub reads: u64,
+    /// Their bytes.
+    pub read_bytes: u64,
+}
+
+/// A client of the log. Clones share connections and counts.
 #[derive(Clone)]
 pub struct Log {
+    traffic: Rc<Cell<Traffic>>,
     client: Client,
     append_url: String,
     read_url: String,
@@ -61,6 +77,7 @@
     pub fn new(options: &Options) -> Self {
         let base = options.base.trim_end_matches('/');
         Self {
+            traffic: Rc::default(),
             client: client(options.connect_timeout),
             append_url: format!("{base}/log/append"),
             read_url: format!("{base}/log/read"),
@@ -68,11 +85,20 @@
         }
     }
 
+    /// Counts since the start.
+    pub fn traffic(&self) -> Traffic {
+        self.traffic.get()
+    }
+
     /// Appends a record and gives its offset.
     ///
     /// # Errors
     /// [`AppendError::Refused`] only if the record certainly does not stand.
     pub async fn append(&self, data: Bytes) -> Result<Offset, Report<AppendError>> {
+        self.count(|traffic| {
+            traffic.appends += 1;
+            traffic.appended_bytes += data.len() as u64;
+        });
         let request = self
             .client
             .post(&self.append_url)
@@ -118,6 +144,10 @@
             StatusCode::OK => {
                 let body = answer.body().limit(MAX_ANSWER).await;
                 let body = body.map_err(|error| unavailable(None).attach(error.to_string()))?;
+                self.count(|traffic| {
+                    traffic.reads += 1;
+                    traffic.read_bytes += body.len() as u64;
+                });
                 parse(&body, from)
             }
             StatusCode::GONE => {
@@ -136,6 +166,12 @@
             }
         }
     }
+
+    fn count(&self, change: impl FnOnce(&mut Traffic)) {
+        let mut traffic = self.traffic.get();
+        change(&mut traffic);
+        self.traffic.set(traffic);
+    }
 }
 
 /// A client without redirects: a followed redirect would send an append twice.
--- a/crates/platform/src/tail.rs
+++ b/crates/platform/src/tail.rs
@@ -3,11 +3,15 @@
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
+use clock::Moment;
 use error_stack::Report;
 use tokio::sync::mpsc;
 
 use crate::{Backoff, Chunk, Jitter, Log, Offset, ReadError};
 
+/// Gives the time of the process's clock, passed in.
+pub type Now = Box<dyn Fn() -> Moment>;
+
 /// Most records asked for at once.
 const MAX_RECORDS: usize = 1000;
 
@@ -24,7 +28,13 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
     /// The log answered. The records, if any, follow the ones told before without a gap.
-    Chunk(Chunk),
+    Chunk {
+        /// When the read was sent: what the log held by then is in here, or was told before, if
+        /// the chunk reaches up to `next`.
+        asked: Moment,
+        /// What it answered.
+        chunk: Chunk,
+    },
     /// The log could not be read; reading goes on by itself. Told for each failed try.
     Down,
     /// The records asked for are past retention. The reader has stopped.
@@ -44,10 +54,16 @@
 
 impl Tail {
     /// Follows the log from `from` on. Each poll waits up to `wait` for records.
-    pub fn spawn(log: Log, from: Offset, wait: Duration, jitter: Jitter) -> Self {
+    pub fn spawn(log: Log, from: Offset, wait: Duration, jitter: Jitter, now: Now) -> Self {
         let (sender, events) = mpsc::channel(QUEUE);
-        let backoff = Backoff::new(FIRST_PAUSE, LONGEST_PAUSE, jitter);
-        let task = actix_rt::spawn(follow(log, from, wait, backoff, sender));
+        let reader = Reader {
+            log,
+            from,
+            wait,
+            backoff: Backoff::new(FIRST_PAUSE, LONGEST_PAUSE, jitter),
+            now,
+        };
+        let task = actix_rt::spawn(follow(reader, sender));
         Self { events, task }
     }
 
@@ -63,24 +79,32 @@
     }
 }
 
-async fn follow(
+struct Reader {
     log: Log,
-    mut from: Offset,
+    from: Offset,
     wait: Duration,
-    mut backoff: Backoff,
-    sender: mpsc::Sender<Event>,
-) {
-    loop {
-        let read = log.read(from, MAX_RECORDS, wait).await;
-        let pause = read.as_ref().err().map(|error| pause(error, &mut backoff));
-        let event = match read {
+    backoff: Backoff,
+    now: Now,
+}
+
+impl Reader {
+    async fn read(&mut self) -> (Event, Option<Duration>) {
+        let asked = (self.now)();
+        match self.log.read(self.from, MAX_RECORDS, self.wait).await {
             Ok(chunk) => {
-                backoff.reset();
-                from = chunk.records.last().map_or(from, |last| last.offset + 1);
-                Event::Chunk(chunk)
+                self.backoff.reset();
+                let last = chunk.records.last();
+                self.from = last.map_or(self.from, |last| last.offset + 1);
+                (Event::Chunk { asked, chunk }, None)
             }
-            Err(report) => failed(&report),
-        };
+            Err(report) => (failed(&report), Some(pause(&report, &mut self.backoff))),
+        }
+    }
+}
+
+async fn follow(mut reader: Reader, sender: mpsc::Sender<Event>) {
+    loop {
+        let (event, pause) = reader.read().await;
         let ends = matches!(event, Event::Gone { .. });
         if sender.send(event).await.is_err() || ends {
             return;
--- a/crates/platform/tests/client/main.rs
+++ b/crates/platform/tests/client/main.rs
@@ -1,5 +1,6 @@
 //! The client against a fake server on loopback.
 
+mod engines;
 mod fake;
 mod instances;
 mod log;
