--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -23,6 +23,7 @@
         1,
         Duration::from_millis(500),
         Box::new(|| 0.5),
+        Box::new(|| Moment::ZERO),
     );
     let poll = Instances::new(&options).poll(shared.settings.platform.poll, Box::new(|| 0.5));
     let mut listing = poll.listing();
@@ -30,7 +31,7 @@
     loop {
         tokio::select! {
             event = tail.next() => match event {
-                Some(Event::Chunk(chunk)) => {
+                Some(Event::Chunk { chunk, .. }) => {
                     for entry in chunk.records {
                         if let Ok(record) = wire::record::Record::decode(entry.data) {
                             state.apply(entry.offset, &record);
