--- /dev/null
+++ b/crates/routing/examples/herd.rs
@@ -0,0 +1,446 @@
+//! Compares the policies of choice under views of different age.
+//!
+//! Several routers, each with its own choices, send to the same engines. An engine is two counters: a
+//! line of prompt tokens that are processed one after the other, and requests that decode side by
+//! side. It is a fake at the interface of the choice and no simulator of a cluster: no failures, no
+//! network. Printed per policy: the standard deviation over the engines of the requests and of
+//! the waiting prefill seconds, averaged over time, and the wait for the first token.
+//!
+//! `cargo run --release -p routing --example herd`
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use clock::Moment;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use routing::{
+    affinity::History,
+    choice::{Chooser, Policy, Work},
+    ledger::NEVER,
+    load::Load,
+    member::Members,
+    pool::Config,
+    upstream::{Health, Report, Role, View},
+};
+use smallvec::smallvec;
+
+const ROUTERS: usize = 8;
+const STEP: Duration = Duration::from_millis(5);
+const SECONDS: u64 = 120;
+const WARM_UP: u64 = 20;
+const UTILISATION: f64 = 0.85;
+
+/// How the routers learn of each other's work.
+#[derive(Clone, Copy, Debug)]
+struct Views {
+    name: &'static str,
+    /// Age of the reports.
+    report_age: Option<Duration>,
+    /// Time between two reports.
+    report_every: Duration,
+    /// Time between two frames of a peer.
+    peers_every: Option<Duration>,
+}
+
+const VIEWS: [Views; 5] = [
+    Views {
+        name: "fresh",
+        report_age: Some(Duration::ZERO),
+        report_every: STEP,
+        peers_every: None,
+    },
+    Views {
+        name: "2s",
+        report_age: Some(Duration::from_secs(2)),
+        report_every: Duration::from_secs(1),
+        peers_every: None,
+    },
+    Views {
+        name: "2s+peers",
+        report_age: Some(Duration::from_secs(2)),
+        report_every: Duration::from_secs(1),
+        peers_every: Some(Duration::from_millis(500)),
+    },
+    Views {
+        name: "2s+peers/5",
+        report_age: Some(Duration::from_secs(2)),
+        report_every: Duration::from_secs(1),
+        peers_every: Some(Duration::from_millis(100)),
+    },
+    Views {
+        name: "none",
+        report_age: None,
+        report_every: Duration::from_secs(1),
+        peers_every: None,
+    },
+];
+
+struct Job {
+    router: usize,
+    prompt: f64,
+    prompt_left: f64,
+    output: f64,
+    output_left: f64,
+    sent: Moment,
+}
+
+#[derive(Default)]
+struct Engine {
+    line: VecDeque<Job>,
+    decoding: Vec<Job>,
+    past: VecDeque<(Moment, Load)>,
+}
+
+impl Engine {
+    fn load(&self) -> Load {
+        let jobs = self.line.iter().chain(&self.decoding);
+        jobs.fold(Load::default(), |sum, job| sum + left(job))
+    }
+
+    fn of_router(&self, router: usize) -> Load {
+        let jobs = self.line.iter().chain(&self.decoding);
+        jobs.filter(|job| job.router == router)
+            .fold(Load::default(), |sum, job| sum + left(job))
+    }
+}
+
+fn left(job: &Job) -> Load {
+    Load {
+        requests: 1.0,
+        prefill: job.prompt_left,
+        decode: job.output_left,
+    }
+}
+
+struct Entry {
+    chooser: Chooser,
+    members: Members,
+}
+
+#[derive(Default)]
+struct Figures {
+    requests: f64,
+    prefill: f64,
+    samples: f64,
+    waits: Vec<f64>,
+}
+
+struct Trial {
+    config: Config,
+    views: Views,
+    rng: SmallRng,
+    now: Moment,
+    engines: Vec<Engine>,
+    entries: Vec<Entry>,
+    history: History,
+    figures: Figures,
+}
+
+impl Trial {
+    fn new(policy: Policy, views: Views, engines: usize, staleness: Duration) -> Self {
+        let config = Config {
+            policy,
+            staleness,
+            slow_start: Duration::ZERO,
+            ..Config::new("pool")
+        };
+        let mut rng = SmallRng::seed_from_u64(42);
+        let entries = (0..ROUTERS)
+            .map(|_| {
+                let mut members = Members::new();
+                members.set(&config, (0..engines).map(view).collect());
+                Entry {
+                    chooser: Chooser::new(SmallRng::seed_from_u64(rng.random())),
+                    members,
+                }
+            })
+            .collect();
+        Self {
+            config,
+            views,
+            rng,
+            now: Moment::ZERO,
+            engines: (0..engines).map(|_| Engine::default()).collect(),
+            entries,
+            history: History::new(1),
+            figures: Figures::default(),
+        }
+    }
+
+    fn run(mut self) -> Figures {
+        let steps = SECONDS * 1_000 / STEP.as_millis() as u64;
+        for _ in 0..steps {
+            self.inform();
+            self.arrive();
+            self.work();
+            self.measure();
+            self.now += STEP;
+        }
+        self.figures
+    }
+
+    fn due(&self, every: Duration) -> bool {
+        self.now.as_millis().is_multiple_of(every.as_millis())
+    }
+
+    /// Reports and frames. All routers get the same report at the same moment, which is the worst
+    /// case for herding.
+    fn inform(&mut self) {
+        let now = self.now;
+        if let Some(age) = self.views.report_age {
+            let due = self.due(self.views.report_every);
+            for (number, engine) in self.engines.iter_mut().enumerate() {
+                engine.past.push_back((now, engine.load()));
+                while engine.past.len() > 1 && engine.past[1].0 + age <= now {
+                    engine.past.pop_front();
+                }
+                if !due || now < age {
+                    continue;
+                }
+                let (at, load) = engine.past[0];
+                for entry in &mut self.entries {
+                    entry.members.report(&id(number), report(at, load));
+                }
+            }
+        }
+        if self.views.peers_every.is_some_and(|every| self.due(every)) {
+            for (own, entry) in self.entries.iter_mut().enumerate() {
+                let loads: Vec<Load> = self
+                    .engines
+                    .iter()
+                    .map(|engine| engine.load() - engine.of_router(own))
+                    .collect();
+                let by_id = |wanted: &str| {
+                    let number: usize = wanted[7..].parse().expect("ids end in a number");
+                    loads[number]
+                };
+                entry.members.take_peers(now, by_id);
+            }
+        }
+        if self.due(Duration::from_millis(100)) {
+            for entry in &mut self.entries {
+                entry.members.average(now);
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        let per_second = UTILISATION * self.engines.len() as f64 * self.config.speed.prefill_rate
+            / mean_prompt();
+        let mut expected = per_second * STEP.as_secs_f64();
+        while expected > 0.0 {
+            if self.rng.random_bool(expected.min(1.0) * 0.5)
+                || self.rng.random_bool(expected.min(1.0) * 0.5)
+            {
+                self.send();
+            }
+            expected -= 1.0;
+        }
+    }
+
+    fn send(&mut self) {
+        let router = self.rng.random_range(0..ROUTERS);
+        let prompt = prompt(&mut self.rng).round();
+        let output = self.rng.random_range(20.0_f64..300.0).round();
+        let work = Work {
+            model: None,
+            prompt: prompt as u32,
+            output: output as u32,
+            prefixes: &[],
+            roles: &[Role::Mixed],
+            except: &[],
+        };
+        let entry = &mut self.entries[router];
+        let pick = entry
+            .chooser
+            .choose(self.now, &self.config, &entry.members, &self.history, &work)
+            .expect("all engines take work");
+        let load = Load::of(prompt as u32, output as u32);
+        self.change(router, pick.position, |now, ledger| ledger.add(now, load));
+        self.engines[pick.position].line.push_back(Job {
+            router,
+            prompt,
+            prompt_left: prompt,
+            output,
+            output_left: output,
+            sent: self.now,
+        });
+    }
+
+    fn change(
+        &mut self,
+        router: usize,
+        position: usize,
+        change: impl FnOnce(Moment, &mut routing::ledger::Ledger),
+    ) {
+        let members = &mut self.entries[router].members;
+        let member = members.get_mut(&id(position)).expect("it is a member");
+        change(self.now, &mut member.ledger);
+    }
+
+    fn work(&mut self) {
+        let speed = self.config.speed;
+        let mut done: Vec<(usize, usize, Load)> = Vec::new();
+        for (number, engine) in self.engines.iter_mut().enumerate() {
+            let mut budget = speed.prefill_rate * STEP.as_secs_f64();
+            while budget > 0.0 {
+                let Some(job) = engine.line.front_mut() else {
+                    break;
+                };
+                let part = budget.min(job.prompt_left);
+                job.prompt_left -= part;
+                budget -= part;
+                if job.prompt_left > 0.0 {
+                    break;
+                }
+                let Some(job) = engine.line.pop_front() else {
+                    break;
+                };
+                let prefill = Load {
+                    prefill: job.prompt,
+                    ..Load::default()
+                };
+                done.push((job.router, number, prefill));
+                if self.now.as_secs() >= WARM_UP {
+                    let wait = (self.now - job.sent).as_secs_f64();
+                    self.figures
+                        .waits
+                        .push((wait - job.prompt / speed.prefill_rate).max(0.0));
+                }
+                engine.decoding.push(job);
+            }
+            let step = speed.decode_rate * STEP.as_secs_f64();
+            for job in &mut engine.decoding {
+                job.output_left -= step;
+            }
+            engine.decoding.retain(|job| {
+                let over = job.output_left <= 0.0;
+                if over {
+                    let rest = Load {
+                        requests: 1.0,
+                        prefill: 0.0,
+                        decode: job.output,
+                    };
+                    done.push((job.router, number, rest));
+                }
+                !over
+            });
+        }
+        for (router, position, load) in done {
+            self.change(router, position, |now, ledger| ledger.remove(now, load));
+        }
+    }
+
+    fn measure(&mut self) {
+        if self.now.as_secs() < WARM_UP {
+            return;
+        }
+        let loads: Vec<Load> = self.engines.iter().map(Engine::load).collect();
+        let rate = self.config.speed.prefill_rate;
+        self.figures.requests += deviation(loads.iter().map(|load| load.requests));
+        self.figures.prefill += deviation(loads.iter().map(|load| load.prefill / rate));
+        self.figures.samples += 1.0;
+    }
+}
+
+fn id(number: usize) -> String {
+    format!("engine-{number:04}")
+}
+
+fn view(number: usize) -> View {
+    View {
+        id: id(number).into(),
+        distance: Duration::from_micros(500),
+        role: Role::Mixed,
+        models: smallvec![],
+        open: true,
+        health: Health::Up,
+        up_since: Moment::ZERO,
+    }
+}
+
+fn report(at: Moment, load: Load) -> Report {
+    Report {
+        at,
+        load,
+        waiting: 0,
+        kv_used: 0.0,
+        prefill_rate: 0.0,
+        decode_slots: 0,
+        draining: false,
+    }
+}
+
+/// Prompts from 100 to 8,000 tokens, short ones more often.
+fn prompt(rng: &mut SmallRng) -> f64 {
+    100.0 * 80.0_f64.powf(rng.random())
+}
+
+fn mean_prompt() -> f64 {
+    7_900.0 / 80.0_f64.ln()
+}
+
+fn deviation(values: impl Iterator<Item = f64> + Clone) -> f64 {
+    let count = values.clone().count() as f64;
+    let mean = values.clone().sum::<f64>() / count;
+    (values.map(|value| (value - mean).powi(2)).sum::<f64>() / count).sqrt()
+}
+
+fn percentile(waits: &mut [f64], share: f64) -> f64 {
+    waits.sort_by(f64::total_cmp);
+    let last = waits.len() - 1;
+    waits[(last as f64 * share) as usize]
+}
+
+fn policies() -> Vec<(&'static str, Policy, Duration)> {
+    let drill = |samples, memory| Policy::Drill { samples, memory };
+    let ours = |samples, memory| Policy::Affinity { samples, memory };
+    let usual = Config::new("pool").staleness;
+    let second = Duration::from_secs(1);
+    vec![
+        ("round-robin", Policy::RoundRobin, usual),
+        ("random", Policy::Random, usual),
+        ("least-outstanding", Policy::LeastOutstanding, usual),
+        ("two-choices", Policy::TwoChoices, usual),
+        ("drill(2,1)", drill(2, 1), usual),
+        ("drill(4,1)", drill(4, 1), usual),
+        ("full-scan", Policy::FullScan, usual),
+        ("affinity(2,1)", ours(2, 1), usual),
+        ("affinity(4,1)", ours(4, 1), usual),
+        ("affinity(4,0)", ours(4, 0), usual),
+        ("affinity(8,0)", ours(8, 0), usual),
+        ("affinity(4,0) 1 s", ours(4, 0), second),
+        ("affinity(4,0) never", ours(4, 0), NEVER),
+    ]
+}
+
+fn main() {
+    for engines in [18, 67] {
+        println!("{engines} engines, {ROUTERS} routers, load {UTILISATION}");
+        println!(
+            "{:<21} {:>10} {:>12} {:>12} {:>10} {:>10} {:>8}",
+            "policy", "views", "sd requests", "sd prefill s", "p50 s", "p99 s", "/fresh"
+        );
+        for (name, policy, staleness) in policies() {
+            let mut fresh = 0.0;
+            for views in VIEWS {
+                let mut figures = Trial::new(policy, views, engines, staleness).run();
+                let requests = figures.requests / figures.samples;
+                let prefill = figures.prefill / figures.samples;
+                if views.name == "fresh" {
+                    fresh = requests;
+                }
+                println!(
+                    "{:<21} {:>10} {:>12.2} {:>12.3} {:>10.3} {:>10.3} {:>8.2}",
+                    name,
+                    views.name,
+                    requests,
+                    prefill,
+                    percentile(&mut figures.waits, 0.5),
+                    percentile(&mut figures.waits, 0.99),
+                    requests / fresh,
+                );
+            }
+        }
+    }
+}
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -10,6 +10,7 @@
     affinity::{self, History},
     class::Class,
     cost::{self, Cost},
+    ledger::NEVER,
     load::Load,
     member::{Member, Members},
     pool::Config,
@@ -59,8 +60,8 @@
 impl Default for Policy {
     fn default() -> Self {
         Self::Affinity {
-            samples: 2,
-            memory: 1,
+            samples: 4,
+            memory: 0,
         }
     }
 }
@@ -304,11 +305,8 @@
         let mut best: Option<(u64, usize)> = None;
         for index in 0..scene.count() {
             let position = scene.candidate(index);
-            if !scene.allows(position) {
-                continue;
-            }
             let weight = affinity::rendezvous(prefix.hash, scene.members.at(position).seed);
-            if best.is_none_or(|(most, _)| weight > most) {
+            if best.is_none_or(|(most, _)| weight > most) && scene.allows(position) {
                 best = Some((weight, position));
             }
         }
@@ -332,7 +330,7 @@
     ) -> Self {
         let staleness = match config.policy {
             Policy::Affinity { .. } => config.staleness,
-            _ => Duration::MAX,
+            _ => NEVER,
         };
         Self {
             now,
--- a/crates/routing/src/ledger.rs
+++ b/crates/routing/src/ledger.rs
@@ -19,6 +19,9 @@
 /// report is worth nothing.
 const SAMPLES: usize = 32;
 
+/// The staleness with which views are taken as they are, however old; what the baselines do.
+pub const NEVER: Duration = Duration::MAX;
+
 /// Own load at a moment, to be taken out of a report of that moment.
 #[derive(Clone, Copy, Debug)]
 struct Sample {
@@ -137,8 +140,9 @@
 
 /// Share of a view's meaning that is lost at an age: 0 when fresh, 0.63 after `staleness`.
 fn faded(age: Duration, staleness: Duration) -> f64 {
-    if staleness.is_zero() {
-        return 1.0;
+    if staleness == NEVER {
+        return 0.0;
     }
-    1.0 - (-age.as_secs_f64() / staleness.as_secs_f64()).exp()
+    let ratio = age.as_secs_f64() / staleness.as_secs_f64().max(f64::MIN_POSITIVE);
+    1.0 - (-ratio).exp()
 }
--- a/crates/routing/src/pool.rs
+++ b/crates/routing/src/pool.rs
@@ -30,8 +30,8 @@
     pub speed: Speed,
     /// Time over which a new or recovered upstream grows to its full share.
     pub slow_start: Duration,
-    /// Time after which a peer's or a report's view of an upstream has lost about two thirds of its
-    /// meaning; about the time that a request stays at an engine.
+    /// Time after which a view of others' work has lost two thirds of its meaning. Short enough that
+    /// entries with one stale view do not act on it in step; see docs/design/choice.md.
     pub staleness: Duration,
     /// Requests that may wait at this entry, all classes together.
     pub queue: usize,
@@ -52,7 +52,7 @@
                 slots: 32,
             },
             slow_start: Duration::from_secs(10),
-            staleness: Duration::from_secs(2),
+            staleness: Duration::from_millis(200),
             queue: 256,
             transfer: 0.0,
         }
