Claim idempotency keys in the log before a call is sent

Cause: a caller's repeat reaches another entry after the first one died, and only the log survives it. Change: a call that may not be repeated is admitted first, so that refusals for load cost the log nothing, then its key is claimed through crates/claims; only a claim that was read back sends it. Its answer is held within a bound of memory and given to repeats. The task of such a call outlives its caller's connection.

--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -69,13 +69,17 @@
     out.freeze()
 }
 
-/// Runs a completion over as many attempts as are allowed.
+/// Runs an admitted completion over as many attempts as are allowed.
 ///
 /// # Errors
 ///
 /// The error for the caller.
-pub async fn run(work: &mut Work, entry: &Entry, asked: &Asked) -> Result<Reply, Problem> {
-    let mut attempt = work.admit(request(work, entry, asked)).await?;
+pub async fn run(
+    work: &mut Work,
+    entry: &Entry,
+    asked: &Asked,
+    mut attempt: Attempt,
+) -> Result<Reply, Problem> {
     loop {
         work.account.upstream(&attempt.sending().upstream);
         let failed = match once(work, entry, asked, attempt).await {
@@ -92,7 +96,8 @@
     failure: Failure,
 }
 
-fn request(work: &Work, entry: &Entry, asked: &Asked) -> Request {
+/// What the router has to know of a completion.
+pub fn request(work: &Work, entry: &Entry, asked: &Asked) -> Request {
     let mut request = work.routing_request(entry);
     request.prompt_tokens = asked.prompt_tokens;
     request.output_tokens = asked.output_tokens;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -18,8 +18,8 @@
 use crate::feed;
 use crate::front::{request_id, server};
 use crate::hold::Answers;
+use crate::keys::Keys;
 use crate::metrics::{self, Metric, Metrics};
-use crate::once::Keys;
 use crate::process::phase::{Life, Phase};
 use crate::process::pulse::{BEAT, Pulse};
 use crate::scene::Scene;
@@ -63,11 +63,12 @@
 
 async fn serve(settings: Settings) -> Result<(), Report<Failure>> {
     let (scene, watch) = watch::channel(Arc::new(Scene::default()));
-    let shared = Arc::new(shared(settings, watch));
+    let (keys, questions) = Keys::new();
+    let shared = Arc::new(shared(settings, watch, keys));
     let mut front = server::start(&shared).change_context(Failure::Bind)?;
     println!("listening {}", front.address);
     log::info!(address:% = front.address, instance = shared.settings.instance.id.as_str(); "serving callers");
-    actix_rt::spawn(feed::run(Arc::clone(&shared), scene));
+    actix_rt::spawn(feed::run(Arc::clone(&shared), scene, questions));
     actix_rt::spawn(beat(Arc::clone(&shared)));
     actix_rt::spawn(tick(Arc::clone(&shared)));
     actix_rt::spawn(send_metrics(Arc::clone(&shared)));
@@ -80,7 +81,7 @@
     stop_within(&shared, front.handle).await
 }
 
-fn shared(settings: Settings, scene: watch::Receiver<Arc<Scene>>) -> Shared {
+fn shared(settings: Settings, scene: watch::Receiver<Arc<Scene>>, keys: Keys) -> Shared {
     let clock = clock::System::new();
     let mut random = rand::rng();
     let secret = match &settings.resume.secret {
@@ -97,7 +98,7 @@
         dispatch: Dispatch::new(router, clock),
         ids: request_id::Mint::new(random.random()),
         tokens: token::Mint::new(&secret, settings.resume.time),
-        keys: Keys,
+        keys,
         held: Mutex::new(Answers::new(settings.hold.bytes)),
         metrics: Metrics::new(),
         burn: Burn::default(),
--- a/crates/entry/src/front/headers.rs
+++ b/crates/entry/src/front/headers.rs
@@ -14,6 +14,8 @@
 pub const KV_HANDLE: HeaderName = HeaderName::from_static("x-kv-handle");
 /// Key that makes a call that may not be repeated safe to ask for again.
 pub const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+/// Which attempt under its `Idempotency-Key` a call is, from 1, as far as its caller knows.
+pub const IDEMPOTENCY_ATTEMPT: HeaderName = HeaderName::from_static("idempotency-attempt");
 /// Last event that a caller saw.
 pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
 /// Id of the request.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod account;
 pub mod burn;
+pub mod claiming;
 pub mod command;
 pub mod completion;
 pub mod daemon;
@@ -12,6 +13,7 @@
 pub mod feed;
 pub mod front;
 pub mod hold;
+pub mod keys;
 pub mod metrics;
 pub mod once;
 pub mod plain;
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -4,18 +4,28 @@
 //! Such a call runs in a task of its own, so that it comes to its end and its answer is held when
 //! the caller's connection is gone.
 
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use catalogue::Entry;
+use claims::{Call, Decision, End, Holder, Ran};
+use clock::Clock as _;
 
 use crate::account::Account;
 use crate::completion::{self, Asked};
-use crate::front::problem::{Kind, Problem};
+use crate::dispatch::Attempt;
+use crate::front::problem::{self, Kind, Problem};
 use crate::front::reply::Reply;
+use crate::hold::{Answer, Found};
+use crate::keys;
+use crate::metrics::Metric;
 use crate::plain;
 use crate::work::Work;
 
-/// Claims of `Idempotency-Key`s.
-#[derive(Debug, Default)]
-pub struct Keys;
+/// When to come back if an earlier attempt is still in progress, or the log is out.
+const COME_BACK: Duration = Duration::from_secs(1);
 
 /// How a request ended, with its account still open.
 #[derive(Debug)]
@@ -31,7 +41,10 @@
     if !entry.repeatable {
         return detached(work, entry.clone(), Some(asked)).await;
     }
-    let result = completion::run(&mut work, entry, &asked).await;
+    let result = match work.admit(completion::request(&work, entry, &asked)).await {
+        Ok(attempt) => completion::run(&mut work, entry, &asked, attempt).await,
+        Err(refused) => Err(refused),
+    };
     ended(work, result)
 }
 
@@ -40,7 +53,10 @@
     if !entry.repeatable {
         return detached(work, entry.clone(), None).await;
     }
-    let result = plain::run(&mut work, entry, false).await;
+    let result = match work.admit(work.routing_request(entry)).await {
+        Ok(attempt) => plain::run(&mut work, attempt, false).await,
+        Err(refused) => Err(refused),
+    };
     ended(work, result)
 }
 
@@ -59,10 +75,7 @@
     let task = actix_rt::spawn(async move {
         let _counted = counted;
         let mut work = work;
-        let result = match &asked {
-            Some(asked) => completion::run(&mut work, &entry, asked).await,
-            None => plain::run(&mut work, &entry, true).await,
-        };
+        let result = once(&mut work, &entry, asked.as_ref()).await;
         ended(work, result)
     });
     task.await.unwrap_or_else(|_| Ended {
@@ -73,3 +86,199 @@
         account: Account::open(shared, request),
     })
 }
+
+async fn once(work: &mut Work, entry: &Entry, asked: Option<&Asked>) -> Result<Reply, Problem> {
+    let Some(call) = keys::call(work, entry)? else {
+        let attempt = admit(work, entry, asked).await?;
+        return run(work, entry, asked, attempt).await;
+    };
+    if let Some(found) = held_here(work, &call) {
+        return found;
+    }
+    // Refusals for load come before the claim, so that they cost the log nothing. They speak of the
+    // key: this call did not run, but one before it may have.
+    let attempt = admit(work, entry, asked)
+        .await
+        .map_err(|refused| speaking_of_the_key(refused, &call))?;
+    let decision = work.worker.shared.keys.claim(call.clone()).await;
+    match decision {
+        Decision::Run { .. } | Decision::RunUnclaimed => {
+            run_claimed(work, entry, asked, attempt, &call).await
+        }
+        decided => {
+            drop(attempt);
+            repeated(work, &call, decided).await
+        }
+    }
+}
+
+async fn admit(work: &mut Work, entry: &Entry, asked: Option<&Asked>) -> Result<Attempt, Problem> {
+    let request = match asked {
+        Some(asked) => completion::request(work, entry, asked),
+        None => work.routing_request(entry),
+    };
+    work.admit(request).await
+}
+
+async fn run(
+    work: &mut Work,
+    entry: &Entry,
+    asked: Option<&Asked>,
+    attempt: Attempt,
+) -> Result<Reply, Problem> {
+    match asked {
+        Some(asked) => completion::run(work, entry, asked, attempt).await,
+        None => plain::run(work, attempt, true).await,
+    }
+}
+
+/// Runs a call whose key is ours, holds its answer and tells how it ended.
+async fn run_claimed(
+    work: &mut Work,
+    entry: &Entry,
+    asked: Option<&Asked>,
+    attempt: Attempt,
+    call: &Call,
+) -> Result<Reply, Problem> {
+    let keys = work.worker.shared.keys.clone();
+    // The process may have been paused since the decision; an attempt that the caller has given up
+    // must not begin now.
+    if work.left().is_zero() {
+        keys.ended(call.ticket, End::NotRun);
+        return Err(Problem::not_run(
+            Kind::DeadlineExceeded,
+            "the deadline passed",
+        ));
+    }
+    let result = run(work, entry, asked, attempt).await;
+    let end = match &result {
+        Ok(reply) => {
+            hold(work, entry, call, reply);
+            End::Answered
+        }
+        Err(problem) if problem.ran == problem::Ran::No => End::NotRun,
+        Err(_) => End::Unknown,
+    };
+    keys.ended(call.ticket, end);
+    result
+}
+
+/// What a call gets whose key belongs to another one.
+async fn repeated(work: &mut Work, call: &Call, decided: Decision) -> Result<Reply, Problem> {
+    match decided {
+        Decision::Answered { holder, .. } => match held_there(work, call, &holder).await {
+            Some(answer) => Ok(again(work, answer)),
+            None => Err(Problem::unknown(
+                Kind::Repeated,
+                "the call was executed before, and its answer is held no more",
+            )),
+        },
+        Decision::InProgress { holder, request } => match held_there(work, call, &holder).await {
+            Some(answer) => Ok(again(work, answer)),
+            None => Err(Problem::unknown(
+                Kind::Repeated,
+                format!("the call was begun before as {request} and may have run"),
+            )
+            .retry_after(COME_BACK)),
+        },
+        Decision::Conflict => Err(key_reused()),
+        Decision::AttemptRequired => Err(Problem::unknown(
+            Kind::KeyRequired,
+            "calls of this entry need an Idempotency-Attempt",
+        )),
+        Decision::Refused { ran } => {
+            Err(
+                keys::refusal(Kind::Unavailable, "the key could not be claimed", ran)
+                    .retry_after(COME_BACK),
+            )
+        }
+        Decision::Run { .. } | Decision::RunUnclaimed => Err(Problem::unknown(
+            Kind::Unavailable,
+            "the call was not begun",
+        )),
+    }
+}
+
+fn key_reused() -> Problem {
+    Problem::unknown(
+        Kind::KeyReused,
+        "the Idempotency-Key was used for another request",
+    )
+}
+
+/// The end of a call whose answer is held by this process.
+fn held_here(work: &Work, call: &Call) -> Option<Result<Reply, Problem>> {
+    let shared = &work.worker.shared;
+    let now = shared.clock.now();
+    let held = shared.held.lock().unwrap_or_else(PoisonError::into_inner);
+    let found = held.get(now, &call.key, Some(&call.fingerprint))?;
+    drop(held);
+    Some(match found {
+        Found::Answer(answer) => Ok(again(work, answer)),
+        Found::OtherRequest => Err(key_reused()),
+    })
+}
+
+async fn held_there(work: &Work, call: &Call, holder: &Holder) -> Option<Answer> {
+    let shared = &work.worker.shared;
+    if holder.instance == shared.settings.instance.id {
+        let now = shared.clock.now();
+        let held = shared.held.lock().unwrap_or_else(PoisonError::into_inner);
+        return match held.get(now, &call.key, Some(&call.fingerprint)) {
+            Some(Found::Answer(answer)) => Some(answer),
+            _ => None,
+        };
+    }
+    shared.keys.held(holder.clone(), call.key).await
+}
+
+fn again(work: &Work, answer: Answer) -> Reply {
+    work.worker.shared.metrics.add(Metric::Repeats, 1);
+    let mut map = HeaderMap::with_capacity(answer.headers.len());
+    for (name, value) in &answer.headers {
+        let name = HeaderName::try_from(name.as_str());
+        let value = HeaderValue::from_bytes(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            map.append(name, value);
+        }
+    }
+    Reply::Whole {
+        status: StatusCode::from_u16(answer.status).unwrap_or(StatusCode::OK),
+        headers: map,
+        body: answer.body,
+    }
+}
+
+fn hold(work: &Work, entry: &Entry, call: &Call, reply: &Reply) {
+    let Reply::Whole {
+        status,
+        headers,
+        body,
+    } = reply
+    else {
+        return;
+    };
+    let shared = &work.worker.shared;
+    let answer = Answer {
+        status: status.as_u16(),
+        headers: headers
+            .iter()
+            .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
+            .collect(),
+        body: body.clone(),
+    };
+    let time = entry.hold_answer.min(shared.settings.hold.time);
+    let now = shared.clock.now();
+    let mut held = shared.held.lock().unwrap_or_else(PoisonError::into_inner);
+    held.put(now, time, call.key, call.fingerprint, answer);
+}
+
+fn speaking_of_the_key(refused: Problem, call: &Call) -> Problem {
+    Problem {
+        ran: match call.ran() {
+            Ran::No => refused.ran,
+            Ran::Unknown => problem::Ran::Unknown,
+        },
+        ..refused
+    }
+}
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -2,8 +2,6 @@
 
 use std::sync::Arc;
 
-use catalogue::Entry;
-
 use crate::dispatch::Attempt;
 use crate::front::body::stated_length;
 use crate::front::problem::Problem;
@@ -16,14 +14,13 @@
 /// breaks off can still be answered as an error or tried elsewhere.
 const WHOLE: u64 = 64 << 10;
 
-/// Runs a call over as many attempts as are allowed. `whole` asks for the whole answer, because it
-/// is to be held.
+/// Runs an admitted call over as many attempts as are allowed. `whole` asks for the whole answer,
+/// because it is to be held.
 ///
 /// # Errors
 ///
 /// The error for the caller.
-pub async fn run(work: &mut Work, entry: &Entry, whole: bool) -> Result<Reply, Problem> {
-    let mut attempt = work.admit(work.routing_request(entry)).await?;
+pub async fn run(work: &mut Work, mut attempt: Attempt, whole: bool) -> Result<Reply, Problem> {
     loop {
         let upstream = Arc::clone(&attempt.sending().upstream);
         work.account.upstream(&upstream);
--- a/crates/entry/tests/fleet/caller.rs
+++ b/crates/entry/tests/fleet/caller.rs
@@ -145,16 +145,20 @@
         self.send(self.request("POST", path), body.into()).await
     }
 
-    /// A call with an idempotency key.
+    /// A call with an idempotency key, and perhaps the number of its attempt.
     pub(crate) async fn keyed(
         &self,
         path: &str,
         key: &str,
+        attempt: Option<u32>,
         body: &str,
     ) -> Result<Answer, SendRequestError> {
-        let request = self
+        let mut request = self
             .request("POST", path)
             .insert_header(("idempotency-key", key));
+        if let Some(attempt) = attempt {
+            request = request.insert_header(("idempotency-attempt", attempt.to_string()));
+        }
         self.send(request, body.as_bytes().to_vec()).await
     }
 
--- a/crates/entry/tests/fleet/catalogue.rs
+++ b/crates/entry/tests/fleet/catalogue.rs
@@ -28,6 +28,7 @@
         ("entry", "verdicts", completion("texas", true)),
         ("entry", "status", plain("/kiosk/status", true)),
         ("entry", "payments", plain("/kiosk/pay", false)),
+        ("entry", "cards", cards()),
     ]
 }
 
@@ -47,6 +48,14 @@
     })
 }
 
+/// Calls that run in an outage of the log if their caller declares the first attempt.
+fn cards() -> Value {
+    let mut entry = plain("/kiosk/card", false);
+    entry["outage"] = json!("first-attempt");
+    entry["require_key"] = json!(true);
+    entry
+}
+
 fn digest(key: &str) -> String {
     blake3::hash(key.as_bytes()).to_hex().to_string()
 }
--- a/crates/entry/tests/plain_calls.rs
+++ b/crates/entry/tests/plain_calls.rs
@@ -96,11 +96,16 @@
     let fleet = Fleet::start(0, 1, 1).await;
     fault(&fleet.services[0], json!({ "delay_ms": 300 })).await;
     let caller = fleet.caller(0, LIMA);
-    let request = caller.request("POST", "/kiosk/pay").send_body("left alone");
+    let request = caller
+        .request("POST", "/kiosk/pay")
+        .insert_header(("idempotency-key", "k-1"))
+        .send_body("left alone");
     let gone = actix_rt::time::timeout(std::time::Duration::from_millis(100), request).await;
     assert!(gone.is_err());
-    fleet::eventually("the entry finished the call", async || {
-        fleet.executions().await.of("left alone") == 1
+    fleet::eventually("the entry holds the answer", async || {
+        let again = caller.keyed("/kiosk/pay", "k-1", None, "left alone").await;
+        again.unwrap().status == 200
     })
     .await;
+    assert_eq!(fleet.executions().await.of("left alone"), 1);
 }
