--- a/crates/entry/src/feed.rs
+++ b/crates/entry/src/feed.rs
@@ -66,43 +66,28 @@
         let now = feed.shared.clock.now();
         let pause = wake.map_or(LONG, |wake| wake.saturating_sub(now));
         tokio::select! {
-        <<<<<<< HEAD
-                    event = tail.next() => match event {
-                        Some(Event::Chunk { chunk, .. }) => {
-                            for entry in chunk.records {
-                                if let Ok(record) = wire::record::Record::decode(entry.data) {
-                                    state.apply(entry.offset, &record);
-                                }
-                            }
-                        }
-                        Some(_) => continue,
-                        None => return,
-                    },
-                    changed = listing.changed() => if changed.is_err() { return },
-        =======
-                    event = tail.next() => {
-                        let Some(event) = event else { return };
-                        feed.event(event);
-                        feed.publish(&listing.borrow().clone().unwrap_or_default());
-                    }
-                    changed = listing.changed() => {
-                        if changed.is_err() { return }
-                        feed.publish(&listing.borrow().clone().unwrap_or_default());
-                    }
-                    Some(question) = questions.recv() => {
-                        let now = feed.shared.clock.now();
-                        feed.claiming.ask(now, &feed.log, question);
-                    }
-                    Some(landed) = landed.recv() => {
-                        let now = feed.shared.clock.now();
-                        feed.claiming.landed(now, &feed.log, &landed);
-                    }
-                    () = sleep_until(Instant::now() + pause) => {
-                        let now = feed.shared.clock.now();
-                        feed.claiming.step(now, &feed.log, Input::Tick);
-                    }
-        >>>>>>> 9f07d0e (Claim idempotency keys in the log before a call is sent)
-                }
+            event = tail.next() => {
+                let Some(event) = event else { return };
+                feed.event(event);
+                feed.publish(&listing.borrow().clone().unwrap_or_default());
+            }
+            changed = listing.changed() => {
+                if changed.is_err() { return }
+                feed.publish(&listing.borrow().clone().unwrap_or_default());
+            }
+            Some(question) = questions.recv() => {
+                let now = feed.shared.clock.now();
+                feed.claiming.ask(now, &feed.log, question);
+            }
+            Some(landed) = landed.recv() => {
+                let now = feed.shared.clock.now();
+                feed.claiming.landed(now, &feed.log, &landed);
+            }
+            () = sleep_until(Instant::now() + pause) => {
+                let now = feed.shared.clock.now();
+                feed.claiming.step(now, &feed.log, Input::Tick);
+            }
+        }
     }
 }
 
