Plan roles by expected gain against the price of a change

A role change takes an engine away for seconds, while the mix turns within minutes. The planner proposes a move only if what it gains, over the time for which past episodes of such a mix lasted, exceeds the engine-seconds lost times the pool's price, the loss while the engine is away, and the loss until the move is undone when the mix turns back. Static roles and thresholds with hysteresis are the baselines; a bound by dynamic programming knows the demand in advance.

--- a/crates/routing/benches/decisions.rs
+++ b/crates/routing/benches/decisions.rs
@@ -15,6 +15,10 @@
     limit::{Config as LimitConfig, Limits, Terms, Used},
     load::Load,
     member::Members,
+    plan::{
+        Config as PlanConfig, Engine, Input, Kind, Planner, Span,
+        capacity::{Demand, Frontier, Frontiers},
+    },
     pool::Config,
     request::{Prefix, Request, Subject},
     router::{Router, Settings},
@@ -196,3 +200,56 @@
         limits.release(&subjects, Used::nothing(1_300));
     });
 }
+
+/// A plan for 18 engines with a quarter of an hour of past demand.
+#[divan::bench]
+fn plan(bencher: Bencher<'_, '_>) {
+    let engines: Vec<Engine> = (0..18)
+        .map(|number| Engine {
+            id: format!("engine-{number:02}").into(),
+            role: if number < 9 {
+                Role::Prefill
+            } else {
+                Role::Decode
+            },
+            changing: false,
+            free: true,
+            open: number,
+        })
+        .collect();
+    let frontier = |prefill, decode| Frontier {
+        prefill,
+        decode,
+        overlap: 0.57,
+    };
+    let span = Span { min: 0, max: 18 };
+    let mut planner = Planner::new(PlanConfig {
+        kind: Kind::Gain,
+        price: 1e9,
+        takes: Duration::from_secs(5),
+        parallel: 1,
+        spans: [span, span, span],
+        frontiers: Frontiers {
+            mixed: frontier(15_200.0, 4_440.0),
+            prefill: frontier(19_200.0, 900.0),
+            decode: frontier(10_900.0, 4_440.0),
+        },
+    });
+    let mut second = 0;
+    let mut step = || {
+        second += 1;
+        let swing = 0.5 + 0.3 * (second as f64 / 20.0).sin();
+        let input = Input {
+            demand: Demand {
+                prefill: swing * 300_000.0,
+                decode: (1.0 - swing) * 80_000.0,
+            },
+            engines: &engines,
+        };
+        planner.step(Duration::from_secs(second), &input)
+    };
+    for _ in 0..900 {
+        step();
+    }
+    bencher.bench_local(step);
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod load;
 pub mod member;
 pub mod peers;
+pub mod plan;
 pub mod pool;
 pub mod rate;
 pub mod request;
--- a/crates/routing/src/member.rs
+++ b/crates/routing/src/member.rs
@@ -61,9 +61,14 @@
         }
     }
 
-    /// Its speed in its role: a decode engine prefills in the room beside its decodes only.
+    /// Its speed in its role. Reports tell the rate of the role; without one, a decode engine is
+    /// taken to prefill in the room beside its decodes only.
     pub fn pace(&self) -> Speed {
-        let chunked = self.view.role == Role::Decode;
+        let told = self
+            .ledger
+            .report()
+            .is_some_and(|report| report.prefill_rate > 0.0);
+        let chunked = self.view.role == Role::Decode && !told;
         Speed {
             prefill_rate: self.speed.prefill_rate * if chunked { CHUNK_SHARE } else { 1.0 },
             ..self.speed
--- /dev/null
+++ b/crates/routing/src/plan/bound.rs
@@ -0,0 +1,115 @@
+//! What the best planner could reach that knows the whole demand in advance.
+//!
+//! It bounds the chosen planner from above under the same model of capacity: any number of engines may
+//! change at once, and each change still takes its time.
+
+use std::collections::BTreeMap;
+
+use super::capacity::{self, Counts, Demand, served};
+use super::{Config, history};
+
+/// The best course.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Best {
+    /// Demand served in time, as a share of all demand.
+    pub served: f64,
+    /// Changes of single engines.
+    pub changes: u32,
+}
+
+/// Value of a state from a step on.
+#[derive(Clone, Copy, Debug, Default)]
+struct Value {
+    /// Served share, summed over steps, less the price of the changes.
+    net: f64,
+    served: f64,
+    changes: u32,
+}
+
+/// Computes the best course for demand sampled every second, by dynamic programming from the end.
+/// The price of a change counts as in the planner; a price of 0 gives the most that can be served.
+pub fn best(config: &Config, start: Counts, trace: &[Demand]) -> Best {
+    let takes = config.takes.as_secs_f64() / history::EVERY.as_secs_f64();
+    let takes = (takes.round() as usize).max(1);
+    let states = states(config, start.total());
+    let mut later: Vec<BTreeMap<Counts, Value>> = vec![BTreeMap::new(); trace.len() + 1];
+    for at in (0..trace.len()).rev() {
+        let column: BTreeMap<Counts, Value> = states
+            .iter()
+            .map(|state| (*state, step(config, *state, at, takes, trace, &later)))
+            .collect();
+        later[at] = column;
+    }
+    let value = later[0].get(&start).copied().unwrap_or_default();
+    Best {
+        served: value.served / trace.len().max(1) as f64,
+        changes: value.changes,
+    }
+}
+
+fn step(
+    config: &Config,
+    state: Counts,
+    at: usize,
+    takes: usize,
+    trace: &[Demand],
+    later: &[BTreeMap<Counts, Value>],
+) -> Value {
+    let now = served(&config.frontiers, state, trace[at]);
+    let mut best = plus(value(later, at + 1, state), now, 0.0, 0);
+    let end = (at + takes).min(trace.len());
+    for from in capacity::ROLES {
+        for to in capacity::ROLES {
+            for engines in 1..=state.get(from) {
+                let after = state.without(from, engines).with(to, engines);
+                if from == to || !allowed(config, after) {
+                    continue;
+                }
+                let during = state.without(from, engines);
+                let meanwhile: f64 = trace[at..end]
+                    .iter()
+                    .map(|demand| served(&config.frontiers, during, *demand))
+                    .sum();
+                let lost = f64::from(engines) * takes as f64 / f64::from(state.total());
+                let price = config.price * lost;
+                let other = plus(value(later, end, after), meanwhile, price, engines);
+                if other.net > best.net {
+                    best = other;
+                }
+            }
+        }
+    }
+    best
+}
+
+fn value(later: &[BTreeMap<Counts, Value>], at: usize, state: Counts) -> Value {
+    later[at].get(&state).copied().unwrap_or_default()
+}
+
+fn plus(value: Value, served: f64, price: f64, changes: u32) -> Value {
+    Value {
+        net: value.net + served - price,
+        served: value.served + served,
+        changes: value.changes + changes,
+    }
+}
+
+fn states(config: &Config, total: u32) -> Vec<Counts> {
+    let mut states = Vec::new();
+    for mixed in 0..=total {
+        for prefill in 0..=total - mixed {
+            let counts = Counts::new([mixed, prefill, total - mixed - prefill]);
+            if allowed(config, counts) {
+                states.push(counts);
+            }
+        }
+    }
+    states
+}
+
+fn allowed(config: &Config, counts: Counts) -> bool {
+    capacity::ROLES.iter().all(|role| {
+        let span = config.spans[*role as usize];
+        (span.min..=span.max).contains(&counts.get(*role))
+    })
+}
--- /dev/null
+++ b/crates/routing/src/plan/history.rs
@@ -0,0 +1,100 @@
+//! Past demand, from which the planner learns how long a mix lasts.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use clock::Moment;
+
+use super::capacity::Demand;
+
+/// Time between two samples.
+pub(super) const EVERY: Duration = Duration::from_secs(1);
+
+/// Samples kept: a quarter of an hour, some periods of the swings that matter for a change of
+/// seconds.
+const KEPT: usize = 900;
+
+/// Demand at equal distances of time.
+#[derive(Clone, Debug, Default)]
+pub(super) struct History {
+    samples: VecDeque<Demand>,
+    last: Option<Moment>,
+}
+
+/// A time without interruption during which a change would have paid.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct Episode {
+    /// Samples.
+    pub(super) length: usize,
+}
+
+impl History {
+    /// Takes a sample when one is due. A planner that was not called for a while repeats the last
+    /// value, so that samples stay at equal distances.
+    pub(super) fn note(&mut self, now: Moment, demand: Demand) {
+        let Some(last) = self.last else {
+            self.push(demand);
+            self.last = Some(now);
+            return;
+        };
+        let due = now.saturating_sub(last).as_millis() / EVERY.as_millis();
+        let due = usize::try_from(due).unwrap_or(KEPT).min(KEPT);
+        for _ in 0..due {
+            self.push(demand);
+        }
+        if due > 0 {
+            self.last = Some(now);
+        }
+    }
+
+    fn push(&mut self, demand: Demand) {
+        if self.samples.len() == KEPT {
+            self.samples.pop_front();
+        }
+        self.samples.push_back(demand);
+    }
+
+    /// Mean of a measure over the samples at which it is above zero, 0 if there are none.
+    pub(super) fn mean(&self, measure: impl Fn(Demand) -> f64) -> f64 {
+        let (mut sum, mut count) = (0.0, 0.0);
+        for sample in &self.samples {
+            let value = measure(*sample);
+            if value > 0.0 {
+                sum += value;
+                count += 1.0;
+            }
+        }
+        if count > 0.0 { sum / count } else { 0.0 }
+    }
+
+    /// Past episodes in which `pays` held, without the one that still lasts, and the length of that.
+    pub(super) fn episodes(&self, pays: impl Fn(Demand) -> bool) -> (Vec<Episode>, usize) {
+        let mut ended = Vec::new();
+        let mut length = 0;
+        for sample in &self.samples {
+            if pays(*sample) {
+                length += 1;
+                continue;
+            }
+            if length > 0 {
+                ended.push(Episode { length });
+            }
+            length = 0;
+        }
+        (ended, length)
+    }
+}
+
+/// Samples that an episode of `elapsed` samples is expected to go on. Past episodes that lasted as
+/// long tell; beside them stands one that doubles its age, which is all that is known without any
+/// past.
+pub(super) fn remaining(past: &[Episode], elapsed: usize) -> f64 {
+    let longer = past.iter().filter(|episode| episode.length > elapsed);
+    let mut sum = elapsed as f64;
+    let mut count = 1.0;
+    for episode in longer {
+        sum += (episode.length - elapsed) as f64;
+        count += 1.0;
+    }
+    sum / count
+}
--- a/crates/routing/src/upstream.rs
+++ b/crates/routing/src/upstream.rs
@@ -66,9 +66,10 @@
     pub waiting: u32,
     /// KV cache in use, 0 to 1.
     pub kv_used: f64,
-    /// Prompt tokens a second that the engine processes when it does nothing else.
+    /// Prompt tokens a second that the engine processes in its role when it does nothing else; 0 if
+    /// it does not tell.
     pub prefill_rate: f64,
-    /// Requests that it decodes at once.
+    /// Requests that it runs at once in its role; 0 if it does not tell.
     pub decode_slots: u32,
     /// The engine itself takes no new work.
     pub draining: bool,
--- /dev/null
+++ b/crates/routing/tests/plan.rs
@@ -0,0 +1,222 @@
+//! Planning of roles.
+
+use std::time::Duration;
+
+use clock::Moment;
+use proptest::prelude::*;
+use routing::{
+    plan::{
+        Change, Config, Engine, Input, Kind, Planner, Span, bound,
+        capacity::{Counts, Demand, Frontier, Frontiers, headroom, served},
+    },
+    upstream::Role,
+};
+
+const TAKES: usize = 5;
+
+fn frontiers() -> Frontiers {
+    let frontier = |prefill, decode, overlap| Frontier {
+        prefill,
+        decode,
+        overlap,
+    };
+    Frontiers {
+        mixed: frontier(15_000.0, 4_400.0, 0.57),
+        prefill: frontier(19_000.0, 0.0, 0.5),
+        decode: frontier(3_000.0, 4_400.0, 0.5),
+    }
+}
+
+fn config(kind: Kind, price: f64) -> Config {
+    Config {
+        kind,
+        price,
+        takes: Duration::from_secs(TAKES as u64),
+        parallel: 1,
+        spans: [
+            Span { min: 0, max: 0 },
+            Span { min: 1, max: 9 },
+            Span { min: 1, max: 9 },
+        ],
+        frontiers: frontiers(),
+    }
+}
+
+fn engines(prefill: usize, decode: usize) -> Vec<Engine> {
+    (0..prefill + decode)
+        .map(|number| Engine {
+            id: format!("engine-{number:02}").into(),
+            role: if number < prefill {
+                Role::Prefill
+            } else {
+                Role::Decode
+            },
+            changing: false,
+            free: true,
+            open: 10 + number as u32,
+        })
+        .collect()
+}
+
+/// Demand with this share of prefill that takes up nine tenths of ten engines.
+fn demand(share: f64) -> Demand {
+    Demand {
+        prefill: share * 9.0 * 19_000.0,
+        decode: (1.0 - share) * 9.0 * 4_400.0,
+    }
+}
+
+/// Lets a planner see a trace, carries out what it proposes, and gives the served share and changes.
+fn run(config: &Config, engines: &mut [Engine], trace: &[Demand]) -> (f64, Vec<Change>) {
+    let mut planner = Planner::new(config.clone());
+    let mut work: Vec<(usize, Change)> = Vec::new();
+    let (mut sum, mut changes) = (0.0, Vec::new());
+    for (at, demand) in trace.iter().enumerate() {
+        work.retain(|(end, change)| {
+            set(engines, change, *end > at);
+            *end > at
+        });
+        let now: Moment = Duration::from_secs(at as u64);
+        let input = Input {
+            demand: *demand,
+            engines,
+        };
+        for change in planner.step(now, &input) {
+            set(engines, &change, true);
+            work.push((at + TAKES, change.clone()));
+            changes.push(change);
+        }
+        let able = engines.iter().filter(|engine| engine.free);
+        let counts = Counts::of(able.map(|engine| engine.role));
+        sum += served(&config.frontiers, counts, *demand);
+    }
+    (sum / trace.len() as f64, changes)
+}
+
+fn set(engines: &mut [Engine], change: &Change, in_work: bool) {
+    let engine = engines.iter_mut().find(|engine| engine.id == change.engine);
+    let engine = engine.expect("planners name engines that they were given");
+    engine.role = change.role;
+    engine.changing = in_work;
+    engine.free = !in_work;
+}
+
+fn step(seconds: usize) -> Vec<Demand> {
+    let share = |at| if at < seconds / 3 { 0.5 } else { 0.75 };
+    (0..seconds).map(|at| demand(share(at))).collect()
+}
+
+fn swings(seconds: usize, period: usize) -> Vec<Demand> {
+    let share = |at: usize| {
+        if (at / (period / 2)).is_multiple_of(2) {
+            0.3
+        } else {
+            0.7
+        }
+    };
+    (0..seconds).map(|at| demand(share(at))).collect()
+}
+
+#[test]
+fn nothing_changes_while_the_roles_fit() {
+    let trace = vec![demand(0.5); 300];
+    for kind in [Kind::Static, Kind::Threshold, Kind::Gain] {
+        let (served, changes) = run(&config(kind, 0.0), &mut engines(5, 5), &trace);
+        assert!(changes.is_empty(), "{kind:?}: {changes:?}");
+        assert!(served > 0.9);
+    }
+}
+
+#[test]
+fn a_lasting_shift_is_followed() {
+    let mut fleet = engines(5, 5);
+    let (served, changes) = run(&config(Kind::Gain, 0.2), &mut fleet, &step(300));
+    let (fixed, _) = run(&config(Kind::Static, 0.2), &mut engines(5, 5), &step(300));
+    assert!(served > fixed + 0.1, "{served} against {fixed}");
+    assert!((1..=4).contains(&changes.len()), "{changes:?}");
+    assert!(changes.iter().all(|change| change.role == Role::Prefill));
+    // The decode engine with the fewest requests in hand goes first.
+    assert_eq!(&*changes[0].engine, "engine-05");
+}
+
+#[test]
+fn swings_faster_than_a_change_are_sat_out() {
+    // Symptom: engines are away all the time and goodput is below that of fixed roles.
+    // Sequence: the mix turns every four seconds, a change takes five.
+    // Cause: each change is right when it is ordered and wrong when it is done.
+    let trace = swings(600, 8);
+    let (served, changes) = run(&config(Kind::Gain, 0.2), &mut engines(5, 5), &trace);
+    let (fixed, _) = run(&config(Kind::Static, 0.2), &mut engines(5, 5), &trace);
+    assert!(changes.len() <= 3, "{}", changes.len());
+    assert!(served > fixed - 0.01, "{served} against {fixed}");
+}
+
+#[test]
+fn a_higher_price_buys_fewer_changes() {
+    let trace = swings(900, 120);
+    let count = |price| {
+        let config = config(Kind::Gain, price);
+        run(&config, &mut engines(5, 5), &trace).1.len()
+    };
+    let counts = [count(0.0), count(2.0), count(10.0), count(1_000.0)];
+    assert!(counts.is_sorted_by(|a, b| a >= b), "{counts:?}");
+    assert_eq!(counts[3], 0);
+}
+
+#[test]
+fn bounds_and_engines_in_work_are_respected() {
+    let mut config = config(Kind::Gain, 0.0);
+    config.spans[Role::Decode as usize].min = 4;
+    let trace = vec![demand(0.95); 120];
+    let mut fleet = engines(5, 5);
+    fleet[6].free = false;
+    let (_, changes) = run(&config, &mut fleet, &trace);
+    assert_eq!(changes.len(), 1);
+    assert_ne!(&*changes[0].engine, "engine-06");
+}
+
+#[test]
+fn nobody_does_better_than_the_bound() {
+    for trace in [step(200), swings(200, 60), swings(200, 20)] {
+        let start = Counts::new([0, 5, 5]);
+        let best = bound::best(&config(Kind::Gain, 0.0), start, &trace);
+        for (kind, price) in [
+            (Kind::Static, 0.0),
+            (Kind::Threshold, 0.0),
+            (Kind::Gain, 0.0),
+        ] {
+            let (served, _) = run(&config(kind, price), &mut engines(5, 5), &trace);
+            assert!(served <= best.served + 1e-9, "{kind:?}: {served} {best:?}");
+        }
+    }
+}
+
+proptest! {
+    #[test]
+    fn headroom_is_inverse_to_demand(
+        counts in prop::array::uniform3(0_u32..20),
+        prefill in 1.0_f64..1e6,
+        decode in 1.0_f64..1e6,
+        factor in 0.1_f64..10.0,
+    ) {
+        let counts = Counts::new(counts);
+        let one = headroom(&frontiers(), counts, Demand { prefill, decode });
+        let scaled = Demand { prefill: prefill * factor, decode: decode * factor };
+        let other = headroom(&frontiers(), counts, scaled);
+        prop_assert!((one - other * factor).abs() <= 1e-9 * one.max(1.0));
+    }
+
+    #[test]
+    fn another_engine_never_lowers_the_headroom(
+        counts in prop::array::uniform3(0_u32..20),
+        prefill in 0.0_f64..1e6,
+        decode in 1.0_f64..1e6,
+        role in 0_usize..3,
+    ) {
+        let demand = Demand { prefill, decode };
+        let role = [Role::Mixed, Role::Prefill, Role::Decode][role];
+        let before = headroom(&frontiers(), Counts::new(counts), demand);
+        let after = headroom(&frontiers(), Counts::new(counts).with(role, 1), demand);
+        prop_assert!(after >= before - 1e-9);
+    }
+}
