Judge what comes before a break, and push-back among equals

Two went unnoticed: the pause that lets a stream's events out before its break, and the rule that only lower priorities are pushed back. The tests now judge both: without the first the events before the break are missing, without the second the batch never ends its admission.

--- a/crates/standin/tests/batch.rs
+++ b/crates/standin/tests/batch.rs
@@ -130,6 +130,23 @@
     assert_eq!(tokens[2].0 - tokens[1].0, (10 + 12) * MS);
 }
 
+#[test]
+fn equal_priorities_do_not_push_each_other_back() {
+    let settings = Settings {
+        preempt: true,
+        max_running: 1,
+        ..settings()
+    };
+    let mut batch = Batch::new(settings, Role::Mixed);
+    for id in [1, 2] {
+        batch.step(Moment::ZERO, Input::Submit(job(id, 5, 10, 2)));
+    }
+    // A push back would show as a second prefill of the first prompt.
+    let times = run(&mut batch).into_iter().map(|(at, id, _)| (at, id));
+    let expected = [(20 * MS, 1), (32 * MS, 1), (52 * MS, 2), (64 * MS, 2)];
+    assert_eq!(times.collect::<Vec<_>>(), expected);
+}
+
 #[test]
 fn kv_memory_bounds_admission() {
     let mut batch = Batch::new(settings(), Role::Mixed);
--- a/crates/standin/tests/http/common.rs
+++ b/crates/standin/tests/http/common.rs
@@ -61,7 +61,7 @@
     address
 }
 
-/// Sends a request; an error means that no whole answer came.
+/// Sends a request; an error means that no whole answer came, and tells why or what came.
 pub(crate) async fn send(
     method: Method,
     address: SocketAddr,
@@ -87,7 +87,7 @@
     // of the connection for the end of a body, so only the last event tells that all of it came.
     let kind = reply.headers().get("content-type");
     if kind.is_some_and(|kind| kind == "text/event-stream") && !text.ends_with(LAST_EVENT) {
-        return Err("the stream ended early".to_owned());
+        return Err(text);
     }
     let request_id = reply.headers().get("x-request-id");
     Ok(Reply {
--- a/crates/standin/tests/http/engine.rs
+++ b/crates/standin/tests/http/engine.rs
@@ -73,7 +73,9 @@
     let headers = [("x-stream-id", "s1")];
     let body = json!({ "prompt": "p", "max_tokens": 30, "stream": true });
     let broken = complete(address, "/v1/completions", &headers, body).await;
-    assert!(broken.is_err());
+    // What was sent before the break has come: the rest alone makes the answer whole.
+    let before = broken.err().unwrap();
+    assert!(events(&before).0.into_iter().eq(0..7));
     let all = get(address, "/engine/streams/s1?from=0").await.text;
     let (numbers, text) = events(&all);
     assert!(numbers.into_iter().eq(0..32));
