--- /dev/null
+++ b/crates/report/src/objective.rs
@@ -0,0 +1,47 @@
+//! The objective of a catalogue entry.
+
+use std::fmt;
+
+/// Share of outcomes that should be good, above 0 and below 1.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct Objective(f64);
+
+/// An objective that leaves no error budget, or nothing but it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BadObjective(pub f64);
+
+impl fmt::Display for BadObjective {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "an objective must be above 0 and below 1, not {}",
+            self.0
+        )
+    }
+}
+
+impl std::error::Error for BadObjective {}
+
+impl TryFrom<f64> for Objective {
+    type Error = BadObjective;
+
+    fn try_from(share: f64) -> Result<Self, BadObjective> {
+        if share > 0.0 && share < 1.0 {
+            Ok(Self(share))
+        } else {
+            Err(BadObjective(share))
+        }
+    }
+}
+
+impl Objective {
+    /// The share that should be good.
+    pub fn share(self) -> f64 {
+        self.0
+    }
+
+    /// The share that may be bad: the error budget.
+    pub fn budget(self) -> f64 {
+        1.0 - self.0
+    }
+}
