Tell a broken transfer between stand-ins from a whole one

An engine that loads weights or imports KV read until the connection ended, which its client takes for the end of the body: half of a transfer passed for all of it. The weight store now announces the length, and one function reads every transfer and compares.

--- a/crates/standin/src/engine/completion.rs
+++ b/crates/standin/src/engine/completion.rs
@@ -19,12 +19,9 @@
 use super::stream::{End, Progress, Stream};
 use super::switches::Switches;
 use crate::answer;
-use crate::fault::{Times, lock, take};
+use crate::fault::{self, Times, lock, take};
 use crate::http::{Answer, Call};
 
-/// Status of a process that a fault ended.
-pub(super) const EXIT_STATUS: i32 = 70;
-
 /// Priority of a request that names none.
 const DEFAULT_PRIORITY: u8 = 4;
 
@@ -72,7 +69,7 @@
 pub(super) async fn create(engine: &Arc<Engine>, kind: Kind, call: &Call) -> Answer {
     let completion = match Completion::parse(&call.body) {
         Ok(completion) => completion,
-        Err(text) => return not_run(StatusCode::BAD_REQUEST, &text),
+        Err(error) => return not_run(StatusCode::BAD_REQUEST, &error.to_string()),
     };
     if let Some(refusal) = refusal(engine, &completion) {
         return refusal;
@@ -281,10 +278,7 @@
                 lock(&self.engine.table).remove(&self.stream.id);
                 self.engine.cancel(&self.stream);
             }
-            Break::Exit => {
-                log::info!("fault: exit in the middle of a stream");
-                std::process::exit(EXIT_STATUS);
-            }
+            Break::Exit => fault::exit("within a stream"),
         }
         io::Error::other("fault: the stream broke")
     }
--- a/crates/standin/src/engine/control.rs
+++ b/crates/standin/src/engine/control.rs
@@ -5,17 +5,15 @@
 
 use actix_http::StatusCode;
 use actix_rt::time::{sleep, timeout};
-use futures_util::StreamExt;
 use serde::Deserialize;
 use serde_json::json;
 
 use super::batch::Load;
-use super::completion::EXIT_STATUS;
 use super::orders::{Fence, Id, Kind, Model, Order, State, Verdict};
 use super::state::Engine;
-use crate::answer;
-use crate::fault::{lock, take};
+use crate::fault::{self, lock, take};
 use crate::http::{Answer, Call};
+use crate::{answer, client};
 
 /// Real time between looks for new cache events while a reader waits.
 const LOOK_EVERY: Duration = Duration::from_millis(20);
@@ -26,9 +24,6 @@
 /// Real time before a load asks the weight store again that was busy.
 const WEIGHTS_AGAIN: Duration = Duration::from_millis(200);
 
-/// Timeout of each request to the weight store.
-const WEIGHTS_TIMEOUT: Duration = Duration::from_secs(60);
-
 /// Takes an order.
 pub(super) async fn order(engine: &Arc<Engine>, call: &Call) -> Answer {
     let order: Order = match serde_json::from_slice(&call.body) {
@@ -175,8 +170,7 @@
         .panel
         .update(|switches| take(&mut switches.exit_orders))
     {
-        log::info!(order = order.order; "fault: exit partway through an order");
-        std::process::exit(EXIT_STATUS);
+        fault::exit("partway through an order");
     }
     if engine
         .panel
@@ -225,28 +219,12 @@
         "http://{store}/weights/{name}/{version}?adapter={}",
         model.adapter
     );
-    while let Err(text) = fetch(&url).await {
-        log::info!(url, text; "weights not loaded yet");
+    while let Err(error) = client::get(&url).await {
+        log::info!(url, error:?; "weights not loaded yet");
         sleep(WEIGHTS_AGAIN).await;
     }
 }
 
-async fn fetch(url: &str) -> Result<(), String> {
-    let client = awc::Client::builder().timeout(WEIGHTS_TIMEOUT).finish();
-    let mut reply = client
-        .get(url)
-        .send()
-        .await
-        .map_err(|error| error.to_string())?;
-    if reply.status() != StatusCode::OK {
-        return Err(reply.status().to_string());
-    }
-    while let Some(chunk) = reply.next().await {
-        chunk.map_err(|error| error.to_string())?;
-    }
-    Ok(())
-}
-
 fn state_of(status: StatusCode, order: Id, state: State) -> Answer {
     answer::json(status, &json!({ "order": order, "state": state }))
 }
--- a/crates/standin/src/engine/kv.rs
+++ b/crates/standin/src/engine/kv.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use actix_http::StatusCode;
+use error_stack::{Report, bail};
 use serde::Deserialize;
 use serde_json::json;
 
@@ -16,6 +17,7 @@
 use super::tokens::{self, Digest};
 use super::{completion, prefix};
 use crate::answer;
+use crate::client::{self, Failure};
 use crate::fault::lock;
 use crate::http::{Answer, Call};
 
@@ -28,9 +30,6 @@
 /// How long KV is held that nobody fetches or uses, in real time.
 const HELD_FOR: Duration = Duration::from_secs(30);
 
-/// Timeout of a transfer, in real time.
-const TRANSFER_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// The KV of a prompt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) struct Prompt {
@@ -87,7 +86,7 @@
             max_tokens: 1,
             ..completion
         },
-        Err(text) => return answer::bad_request(&text),
+        Err(error) => return answer::bad_request(&error.to_string()),
     };
     if let Some(refusal) = completion::refusal(engine, &completion) {
         return refusal;
@@ -150,7 +149,7 @@
     };
     let prompt = match transfer(&import).await {
         Ok(prompt) => prompt,
-        Err(text) => return answer::error(StatusCode::BAD_GATEWAY, &text),
+        Err(error) => return answer::error(StatusCode::BAD_GATEWAY, &error.to_string()),
     };
     let bytes = u64::from(prompt.tokens) * engine.options.kv_token_bytes;
     let duration = Duration::from_secs_f64(bytes as f64 / engine.options.kv_bandwidth as f64);
@@ -164,22 +163,12 @@
     answer::ok(&json!({ "handle": handle, "tokens": prompt.tokens, "bytes": bytes }))
 }
 
-async fn transfer(import: &Import) -> Result<Prompt, String> {
+async fn transfer(import: &Import) -> Result<Prompt, Report<Failure>> {
     let url = format!("http://{}/engine/kv/{}", import.from, import.handle);
-    let client = awc::Client::builder().timeout(TRANSFER_TIMEOUT).finish();
-    let mut reply = client
-        .get(url)
-        .send()
-        .await
-        .map_err(|error| error.to_string())?;
-    if reply.status() != StatusCode::OK {
-        return Err(format!("the other engine answered {}", reply.status()));
-    }
-    let body = reply.body().limit(usize::MAX).await;
-    let body = body.map_err(|error| error.to_string())?;
-    let (digest, _) = body
-        .split_first_chunk::<SMALL_BYTES>()
-        .ok_or("no KV came")?;
+    let body = client::get(&url).await?;
+    let Some((digest, _)) = body.split_first_chunk::<SMALL_BYTES>() else {
+        bail!(Failure::Broken);
+    };
     Ok(Prompt {
         digest: Digest::from_be_bytes(*digest),
         tokens: u32::try_from(body.len() / SMALL_BYTES).unwrap_or(u32::MAX),
--- a/crates/standin/src/engine/request.rs
+++ b/crates/standin/src/engine/request.rs
@@ -47,12 +47,12 @@
 
 impl Completion {
     /// Reads a body that has either a `prompt` or `messages`.
-    pub(super) fn parse(body: &[u8]) -> Result<Self, String> {
-        let raw: Raw = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+    pub(super) fn parse(body: &[u8]) -> serde_json::Result<Self> {
+        let raw: Raw = serde_json::from_slice(body)?;
         let prompt = match (raw.prompt, raw.messages) {
             (Some(prompt), _) => flatten(&prompt),
             (None, Some(messages)) => chat(&messages),
-            (None, None) => return Err("neither prompt nor messages".to_owned()),
+            (None, None) => return Err(serde::de::Error::missing_field("prompt")),
         };
         let max_tokens = raw.max_completion_tokens.or(raw.max_tokens);
         Ok(Self {
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use serde_json::Value;
+use serde_json::{Map, Value};
 
 use crate::answer;
 use crate::http::{Answer, Call};
@@ -31,6 +31,15 @@
     due
 }
 
+/// Status of a process that a fault ended.
+const EXIT_STATUS: i32 = 70;
+
+/// Ends the process at once, as a crash would.
+pub fn exit(place: &str) -> ! {
+    log::info!(place; "fault: the process exits");
+    std::process::exit(EXIT_STATUS)
+}
+
 /// How something that is out answers.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -95,8 +104,8 @@
         match call.method {
             Method::GET => {}
             Method::POST => {
-                if let Err(text) = self.merge(&call.body) {
-                    return answer::bad_request(&text);
+                if let Err(error) = self.merge(&call.body) {
+                    return answer::bad_request(&error.to_string());
                 }
             }
             Method::DELETE => *lock(&self.switches) = T::default(),
@@ -105,17 +114,14 @@
         answer::ok(&self.get())
     }
 
-    fn merge(&self, body: &[u8]) -> Result<(), String> {
-        let change: Value = serde_json::from_slice(body).map_err(|error| error.to_string())?;
-        let Value::Object(change) = change else {
-            return Err("a JSON object is needed".to_owned());
-        };
+    fn merge(&self, body: &[u8]) -> serde_json::Result<()> {
+        let change: Map<String, Value> = serde_json::from_slice(body)?;
         let mut switches = lock(&self.switches);
-        let mut merged = serde_json::to_value(&*switches).map_err(|error| error.to_string())?;
+        let mut merged = serde_json::to_value(&*switches)?;
         if let Value::Object(present) = &mut merged {
             present.extend(change);
         }
-        *switches = serde_json::from_value(merged).map_err(|error| error.to_string())?;
+        *switches = serde_json::from_value(merged)?;
         Ok(())
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! where their options and faults are listed as well.
 
 pub mod answer;
+mod client;
 pub mod engine;
 pub mod fault;
 pub mod http;
--- a/crates/standin/src/platform/api.rs
+++ b/crates/standin/src/platform/api.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use actix_http::body::{BodyStream, BoxBody};
+use actix_http::body::{BoxBody, SizedStream};
 use actix_http::{Method, Response, StatusCode};
 use actix_rt::time::{sleep, timeout};
 use base64::Engine as _;
@@ -197,7 +197,7 @@
         };
         match self.weights.begin(bytes, switches.weight_slow) {
             Some(transfer) => {
-                let body = BodyStream::new(Box::pin(transfer.body()));
+                let body = SizedStream::new(bytes, Box::pin(transfer.body()));
                 Response::with_body(StatusCode::OK, BoxBody::new(body))
             }
             None => answer::too_many(),
--- a/crates/standin/src/service/api.rs
+++ b/crates/standin/src/service/api.rs
@@ -10,12 +10,9 @@
 use super::executions::{Executions, Names};
 use super::{Options, Switches};
 use crate::answer;
-use crate::fault::{Panel, lock, take};
+use crate::fault::{self, Panel, lock, take};
 use crate::http::{Answer, Call};
 
-/// Status of a process that a fault ended.
-const EXIT_STATUS: i32 = 70;
-
 /// All state of the process, shared by its connections.
 #[derive(Debug)]
 pub struct Service {
@@ -95,8 +92,7 @@
             sleep(wait).await;
         }
         if self.panel.update(|switches| take(&mut switches.exit_after)) {
-            log::info!("fault: exit after an execution");
-            std::process::exit(EXIT_STATUS);
+            fault::exit("after an execution");
         }
         if self
             .panel
