--- /dev/null
+++ b/crates/control/src/appends.rs
@@ -0,0 +1,83 @@
+//! Appends, each sent once. Whoever wants a record appended tells its nonce, and finds the record
+//! by it again when it is read back; the answer alone decides nothing.
+
+use platform::{AppendError, Log};
+use wire::Message as _;
+use wire::record::record::Body;
+use wire::record::{Author, Record};
+
+use crate::Offset;
+use crate::message::{Message, Sender, send};
+
+/// Number by which an append is found again.
+pub(crate) type Nonce = [u8; 16];
+
+/// Who wants to know how an append ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// The lease of this scope.
+    Lease(String),
+    /// A planner, which asks the log and not the answer.
+    Planner,
+    /// The claims of idempotency keys.
+    Calls,
+    /// An operator's edit.
+    Edit,
+    /// A snapshot.
+    Snapshot,
+}
+
+/// An append that ended.
+#[derive(Debug)]
+pub(crate) struct Ended {
+    pub(crate) source: Source,
+    pub(crate) nonce: Nonce,
+    pub(crate) result: Result<Offset, AppendError>,
+}
+
+/// Sends appends.
+pub(crate) struct Appends {
+    log: Log,
+    author: Author,
+    rules: u32,
+    sender: Sender,
+}
+
+impl Appends {
+    pub(crate) fn new(log: Log, author: Author, rules: u32, sender: Sender) -> Self {
+        Self {
+            log,
+            author,
+            rules,
+            sender,
+        }
+    }
+
+    pub(crate) fn log(&self) -> &Log {
+        &self.log
+    }
+
+    /// Appends a record and reports how it ended.
+    pub(crate) fn send(&self, source: Source, nonce: Nonce, body: Body) {
+        let record = Record {
+            nonce: nonce.to_vec(),
+            rules: self.rules,
+            author: Some(self.author.clone()),
+            body: Some(body),
+        };
+        let (log, sender) = (self.log.clone(), self.sender.clone());
+        actix_rt::spawn(async move {
+            let result = log.append(record.encode_to_vec().into()).await;
+            if let Err(report) = &result {
+                log::debug!(source:?, error:? = report; "an append was not answered by an offset");
+            }
+            let result = result.map_err(|report| *report.current_context());
+            let ended = Ended {
+                source,
+                nonce,
+                result,
+            };
+            send(&sender, Message::Appended(ended));
+        });
+    }
+}
--- /dev/null
+++ b/crates/control/src/calls.rs
@@ -0,0 +1,115 @@
+//! Calls that wait for the claim of their key.
+
+use std::collections::BTreeMap;
+
+use claims::{Batcher, Call, Decision, End, Holder, Input, Output, Outputs, Pace, Reach, Ticket};
+use clock::Moment;
+use tokio::sync::oneshot;
+use wire::record::Record;
+
+use crate::Offset;
+use crate::appends::{Appends, Ended, Source};
+
+/// Drives the batcher and carries out what it wants.
+pub(crate) struct Calls {
+    batcher: Batcher,
+    waiting: BTreeMap<Ticket, oneshot::Sender<Decision>>,
+    contested: u64,
+}
+
+impl Calls {
+    pub(crate) fn new(holder: Holder, seed: u64, pace: Pace) -> Self {
+        Self {
+            batcher: Batcher::new(holder, seed, pace),
+            waiting: BTreeMap::new(),
+            contested: 0,
+        }
+    }
+
+    pub(crate) fn claims_in_force(&self) -> usize {
+        self.batcher.book().len()
+    }
+
+    pub(crate) fn held(&self) -> usize {
+        self.batcher.held()
+    }
+
+    pub(crate) fn contested(&self) -> u64 {
+        self.contested
+    }
+
+    pub(crate) fn next_wake(&self) -> Option<Moment> {
+        self.batcher.next_wake()
+    }
+
+    /// Claims the key of a call; the decision goes to `reply`.
+    pub(crate) fn claim(
+        &mut self,
+        now: Moment,
+        call: Call,
+        reply: oneshot::Sender<Decision>,
+        appends: &Appends,
+    ) {
+        self.waiting.insert(call.ticket, reply);
+        self.step(now, Input::Call(call), appends);
+    }
+
+    pub(crate) fn gone(&mut self, now: Moment, ticket: Ticket, appends: &Appends) {
+        self.waiting.remove(&ticket);
+        self.step(now, Input::Gone(ticket), appends);
+    }
+
+    pub(crate) fn ended(&mut self, now: Moment, ticket: Ticket, end: End, appends: &Appends) {
+        self.step(now, Input::Ended(ticket, end), appends);
+    }
+
+    pub(crate) fn reach(&mut self, now: Moment, reach: Reach, appends: &Appends) {
+        self.step(now, Input::Log(reach), appends);
+    }
+
+    pub(crate) fn tick(&mut self, now: Moment, appends: &Appends) {
+        self.step(now, Input::Tick, appends);
+    }
+
+    pub(crate) fn appended(&mut self, now: Moment, ended: &Ended, appends: &Appends) {
+        let nonce = ended.nonce;
+        let input = match ended.result {
+            Ok(offset) => Input::Appended(nonce, offset),
+            Err(platform::AppendError::Refused { .. }) => Input::Rejected(nonce),
+            Err(platform::AppendError::Unknown) => Input::Lost(nonce),
+        };
+        self.step(now, input, appends);
+    }
+
+    pub(crate) fn forget(&mut self, first: Offset) {
+        self.batcher.forget(first);
+    }
+
+    pub(crate) fn fold(&mut self, now: Moment, offset: Offset, record: &Record, appends: &Appends) {
+        let outputs = self.batcher.fold(now, offset, record);
+        self.carry_out(outputs, appends);
+    }
+
+    fn step(&mut self, now: Moment, input: Input, appends: &Appends) {
+        let outputs = self.batcher.step(now, input);
+        self.carry_out(outputs, appends);
+    }
+
+    fn carry_out(&mut self, outputs: Outputs, appends: &Appends) {
+        for output in outputs {
+            match output {
+                Output::Append { nonce, body } => appends.send(Source::Calls, nonce, body),
+                Output::Decide(ticket, decision) => {
+                    if let Some(reply) = self.waiting.remove(&ticket) {
+                        // The caller has just gone; its `Claimed` tells the batcher so.
+                        let _gone = reply.send(decision);
+                    }
+                }
+                Output::Contested { ticket, holder } => {
+                    self.contested += 1;
+                    log::error!(ticket, holder:? = holder; "a call may have run twice: two first attempts of one key");
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/census.rs
@@ -0,0 +1,281 @@
+//! Who takes part: the instance list, the other entries, the upstreams and their reports.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use catalogue::Kind as EntityKind;
+use clock::Moment;
+use fleet::list::{self, Instance, Kind, Listing, Mark, Reading};
+use fleet::member::{self, Progress, Sender};
+use fleet::upstream::{self, Observation};
+use fleet::{Drain, Members, Upstreams};
+use platform::EngineReport;
+use smallvec::SmallVec;
+use wire::peer::{Confirm, Frame};
+
+use crate::Offset;
+use crate::options::Options;
+use crate::view::Report;
+
+/// A closing as the data plane must have seen it before this process may confirm it.
+#[derive(Clone, Copy, Debug)]
+struct Shown {
+    /// The first view in which the upstream is closed.
+    sequence: Option<u64>,
+}
+
+/// What is known of the fleet.
+pub(crate) struct Census {
+    pub(crate) list: list::View,
+    pub(crate) members: Members,
+    pub(crate) upstreams: Upstreams,
+    pub(crate) drain: Drain,
+    reports: BTreeMap<String, Report>,
+    up_since: BTreeMap<String, Moment>,
+    closings: BTreeMap<Offset, String>,
+    shown: BTreeMap<Offset, Shown>,
+    doubted: u64,
+}
+
+impl Census {
+    pub(crate) fn new(now: Moment, options: &Options) -> Self {
+        Self {
+            list: list::View::new(options.list),
+            members: Members::new(options.own.clone(), options.members, now),
+            upstreams: Upstreams::new(options.health),
+            drain: Drain::new(options.drain),
+            reports: BTreeMap::new(),
+            up_since: BTreeMap::new(),
+            closings: BTreeMap::new(),
+            shown: BTreeMap::new(),
+            doubted: 0,
+        }
+    }
+
+    pub(crate) fn report(&self, upstream: &str) -> Option<&Report> {
+        self.reports.get(upstream)
+    }
+
+    pub(crate) fn up_since(&self, upstream: &str) -> Moment {
+        self.up_since.get(upstream).copied().unwrap_or_default()
+    }
+
+    /// Readings of the list that were not believed.
+    pub(crate) fn doubted(&self) -> u64 {
+        self.doubted
+    }
+
+    /// Takes a reading of the list in.
+    pub(crate) fn read_list(
+        &mut self,
+        now: Moment,
+        listing: &platform::Listing,
+    ) -> (member::Outputs, upstream::Outputs) {
+        let reading = self.list.read(now, checked(listing));
+        if matches!(reading, Reading::Doubted | Reading::Outdated) {
+            self.doubted += 1;
+            log::warn!(reading:?, version = listing.version; "a reading of the instance list is not believed");
+        }
+        let members = self.members.step(now, member::Input::List(&self.list));
+        let upstreams = self.upstreams.step(now, upstream::Input::List(&self.list));
+        self.note(now, &upstreams);
+        (members, upstreams)
+    }
+
+    /// Closes and opens upstreams as the fold says: unresolved orders and operators' drains.
+    pub(crate) fn follow(
+        &mut self,
+        now: Moment,
+        authority: &authority::state::State,
+        catalogue: &catalogue::View,
+    ) {
+        let orders = authority.all_pending();
+        let mut closings: BTreeMap<Offset, String> = orders
+            .map(|(upstream, pending)| (pending.order, upstream.clone()))
+            .collect();
+        for (order, upstream) in &closings {
+            if !self.closings.contains_key(order) {
+                let input = upstream::Input::Close {
+                    order: *order,
+                    upstream,
+                };
+                let outputs = self.upstreams.step(now, input);
+                self.note(now, &outputs);
+            }
+        }
+        let drains: Vec<String> = catalogue
+            .names(EntityKind::Drain)
+            .map(str::to_owned)
+            .collect();
+        let outputs = self.upstreams.step(now, upstream::Input::Drains(&drains));
+        self.note(now, &outputs);
+        for upstream in drains {
+            if let Some(slot) = catalogue.slot(EntityKind::Drain, &upstream) {
+                closings.insert(slot.revision, upstream);
+            }
+        }
+        for (order, upstream) in &closings {
+            self.drain.begin(now, *order, upstream);
+            self.shown.entry(*order).or_insert(Shown { sequence: None });
+        }
+        let ended: Vec<Offset> = self.closings.keys().copied().collect();
+        for order in ended.iter().filter(|order| !closings.contains_key(order)) {
+            self.drain.end(*order);
+            self.shown.remove(order);
+            let input = upstream::Input::Open { order: *order };
+            let outputs = self.upstreams.step(now, input);
+            self.note(now, &outputs);
+        }
+        self.closings = closings;
+    }
+
+    /// Notes that the view of this sequence shows all closings that are in force.
+    pub(crate) fn published(&mut self, sequence: u64) {
+        for shown in self.shown.values_mut() {
+            shown.sequence.get_or_insert(sequence);
+        }
+    }
+
+    /// The confirmations that this process may give: only for closings that the whole data plane
+    /// has seen. One that came earlier would be given while a worker still chooses by the old
+    /// view, and the order would cut its request.
+    pub(crate) fn owed(&self, applied: u64, open: impl FnMut(&str) -> u32) -> Vec<Confirm> {
+        let seen = |order: Offset| {
+            let shown = self.shown.get(&order).and_then(|shown| shown.sequence);
+            shown.is_some_and(|sequence| applied >= sequence)
+        };
+        let mut owed = self.drain.owed(open);
+        owed.retain(|confirm| seen(confirm.order));
+        owed
+    }
+
+    pub(crate) fn confirm_own(&mut self, confirms: &[Confirm]) {
+        let own = self.members.own().clone();
+        for confirm in confirms {
+            self.drain.confirm_own(&own, confirm);
+        }
+    }
+
+    pub(crate) fn frame(&mut self, now: Moment, frame: &Frame) -> member::Outputs {
+        self.members.step(now, member::Input::Frame(frame))
+    }
+
+    pub(crate) fn tick(
+        &mut self,
+        now: Moment,
+        progress: Progress,
+    ) -> (member::Outputs, upstream::Outputs) {
+        let members = self.members.step(now, member::Input::Tick(progress));
+        let upstreams = self.upstreams.step(now, upstream::Input::Tick);
+        self.note(now, &upstreams);
+        (members, upstreams)
+    }
+
+    pub(crate) fn observe(&mut self, now: Moment, id: &str, observation: Observation) {
+        let input = upstream::Input::Attempt {
+            upstream: id,
+            observation,
+        };
+        let outputs = self.upstreams.step(now, input);
+        self.note(now, &outputs);
+    }
+
+    pub(crate) fn probed(&mut self, now: Moment, id: &str, observation: Observation) {
+        let input = upstream::Input::Probe {
+            upstream: id,
+            observation,
+        };
+        let outputs = self.upstreams.step(now, input);
+        self.note(now, &outputs);
+    }
+
+    pub(crate) fn reported(&mut self, now: Moment, id: &str, said: EngineReport) {
+        if self.upstreams.get(id).is_none() {
+            return;
+        }
+        let at = now.saturating_sub(said.age());
+        // An answer that was long under way must not replace a newer one.
+        if self.reports.get(id).is_none_or(|known| known.at <= at) {
+            let said = Arc::new(said);
+            self.reports.insert(id.to_owned(), Report { at, said });
+        }
+    }
+
+    /// The entries that may still send to an upstream, this one among them.
+    pub(crate) fn senders(&self) -> Vec<Sender> {
+        self.members.senders()
+    }
+
+    /// The entries that are alive, this one among them, sorted.
+    pub(crate) fn alive(&self) -> Vec<String> {
+        let alive = self.members.iter();
+        let alive = alive.filter(|member| member.state == member::State::Alive);
+        let mut ids: Vec<String> = alive.map(|member| member.id.clone()).collect();
+        ids.push(self.members.own().id.clone());
+        ids.sort();
+        ids
+    }
+
+    /// Whether an upstream is off the list, which was read.
+    pub(crate) fn is_absent(&self, upstream: &str) -> bool {
+        self.list.read_at().is_some() && self.list.get(upstream).is_none()
+    }
+
+    /// Upstreams of a pool that could take new work if no order closed them.
+    pub(crate) fn serving(&self, pool: &str) -> std::collections::BTreeSet<String> {
+        let could = |upstream: &&upstream::Upstream| {
+            upstream.pool == pool
+                && matches!(
+                    upstream.state,
+                    upstream::State::Live | upstream::State::Closed
+                )
+        };
+        let serving = self.upstreams.iter().filter(could);
+        serving.map(|upstream| upstream.id.clone()).collect()
+    }
+
+    fn note(&mut self, now: Moment, outputs: &SmallVec<[upstream::Output; 4]>) {
+        for output in outputs {
+            match output {
+                upstream::Output::Changed { id, was, state } => {
+                    log::info!(upstream = id.as_str(), was:?, state:?; "upstream changed");
+                    if *state == upstream::State::Live {
+                        // At the first listing none is cold; its slow start is over.
+                        let since = if was.is_some() { now } else { Moment::ZERO };
+                        self.up_since.insert(id.clone(), since);
+                    }
+                }
+                upstream::Output::Forgotten { id } => {
+                    self.reports.remove(id);
+                    self.up_since.remove(id);
+                }
+                upstream::Output::Withheld { id } => {
+                    log::warn!(upstream = id.as_str(); "not ejected: too many of its pool are");
+                }
+                upstream::Output::Probe { .. } => (),
+            }
+        }
+    }
+}
+
+fn checked(listing: &platform::Listing) -> Listing {
+    let instances = listing.instances.iter().map(|instance| Instance {
+        id: instance.id.clone(),
+        kind: match instance.kind {
+            platform::Kind::Entry => Kind::Entry,
+            platform::Kind::Engine => Kind::Engine,
+            platform::Kind::Service => Kind::Service,
+        },
+        pool: instance.pool.clone(),
+        data_centre: instance.data_centre.clone(),
+        address: instance.address.to_string(),
+        mark: match instance.state {
+            platform::State::Live => Mark::Live,
+            platform::State::Leaving => Mark::Leaving,
+        },
+    });
+    Listing {
+        version: listing.version,
+        instances: instances.collect(),
+    }
+}
--- /dev/null
+++ b/crates/control/src/core/hands.rs
@@ -0,0 +1,50 @@
+//! Handing over at the end of the process.
+
+use std::time::Duration;
+
+use clock::{Clock as _, Moment};
+use tokio::sync::oneshot;
+
+use crate::core::{Core, Stop};
+
+/// How long a leaving process carries on with changes under way before it gives its scopes up;
+/// the successor resolves what is left then.
+const HANDOVER: Duration = Duration::from_secs(5);
+
+impl Core {
+    pub(crate) fn leave(&mut self) {
+        let now = self.clock.now();
+        if self.flags.leaving_since.is_none() {
+            log::info!("leaving");
+            self.flags.leaving_since = Some(now);
+            self.flags.urgent = true;
+        }
+    }
+
+    pub(crate) fn stop(&mut self, limit: Duration, reply: oneshot::Sender<()>) {
+        self.leave();
+        let until = self.clock.now() + limit;
+        self.stop = Some(Stop { until, reply });
+    }
+
+    pub(super) fn hand_over(&mut self, now: Moment) {
+        let Some(since) = self.flags.leaving_since else {
+            return;
+        };
+        let overdue = now >= since + HANDOVER || self.stop.is_some();
+        if !self.flags.left && (self.scopes.is_idle() || overdue) {
+            self.flags.left = true;
+            let (scopes, around) = self.split(now);
+            scopes.leave(&around);
+        }
+    }
+
+    /// Whether nothing is left to be handed over, or the time for it is over.
+    pub(super) fn is_done(&self) -> bool {
+        let Some(stop) = &self.stop else {
+            return false;
+        };
+        let handed = self.flags.left && self.scopes.is_released() && self.calls.held() == 0;
+        handed || self.clock.now() >= stop.until
+    }
+}
--- /dev/null
+++ b/crates/control/src/core/tick.rs
@@ -0,0 +1,147 @@
+//! What time alone moves.
+
+use std::time::Duration;
+
+use clock::Moment;
+use fleet::list::Kind;
+use fleet::member::Progress;
+use fleet::upstream;
+use wire::peer::frame::Body;
+use wire::peer::{Empty, Load, Query, Shares, query, reply};
+use wire::record::record::Body as RecordBody;
+
+use crate::appends::Source;
+use crate::core::Core;
+use crate::keeper::Window;
+use crate::mesh::most_advanced;
+use crate::message::{Message, send};
+use crate::view;
+
+/// Least time between two questions for a peer's state.
+const STATE_PERIOD: Duration = Duration::from_secs(1);
+
+impl Core {
+    pub(super) fn tick(&mut self, now: Moment) {
+        for (upstream, observation) in self.shared.take_observations() {
+            self.census.observe(now, &upstream, observation);
+        }
+        let (members, upstreams) = self.census.tick(now, self.progress());
+        self.member_outputs(now, members);
+        self.probe(&upstreams);
+        self.edits.tick(now);
+        self.calls.tick(now, &self.appends);
+        self.reach(now);
+        self.ask_reports(now);
+        self.send_work(now);
+        self.ask_state(now);
+        self.clear_pause();
+        self.keep_snapshots(now);
+        if self.flags.caught_up {
+            let (scopes, around) = self.split(now);
+            scopes.tick(&around);
+        }
+        self.hand_over(now);
+        self.publish(now);
+    }
+
+    fn progress(&self) -> Progress {
+        let catalogue = self.ledger.catalogue();
+        Progress {
+            folded: self.ledger.folded(),
+            revision: catalogue.revision(),
+            leaving: self.flags.leaving_since.is_some(),
+            rules: catalogue.rules().newest(),
+        }
+    }
+
+    pub(super) fn probe(&self, outputs: &upstream::Outputs) {
+        for output in outputs {
+            if let upstream::Output::Probe { id, address } = output
+                && let Some(known) = self.census.upstreams.get(id)
+            {
+                self.engines.probe(id.clone(), known.kind, address.clone());
+            }
+        }
+    }
+
+    /// Reads the engines' reports. Every entry reads every engine today; at the target size it
+    /// would read those of its own data centre only.
+    fn ask_reports(&mut self, now: Moment) {
+        let upstreams = self.census.upstreams.iter();
+        let engines = upstreams.filter(|one| one.kind == Kind::Engine && one.listed.is_some());
+        let due = self.reports.due(now, engines.map(|one| one.id.as_str()));
+        for id in due {
+            if let Some(known) = self.census.upstreams.get(&id) {
+                self.engines.report(id, known.address.clone());
+            }
+        }
+    }
+
+    /// Tells the peers the own outstanding work and the demand by owner.
+    fn send_work(&mut self, now: Moment) {
+        if now < self.load_sent + self.options.load_period {
+            return;
+        }
+        self.load_sent = now;
+        let census = &self.census;
+        self.frames.retain(|id| census.members.get(id).is_some());
+        let hooks = self.shared.hooks();
+        let outstanding = (hooks.outstanding)();
+        self.mesh.broadcast(Body::Load(Load { outstanding }));
+        let demand = (hooks.demand)();
+        self.mesh.broadcast(Body::Shares(Shares { demand }));
+    }
+
+    /// While the log is out the state comes from the peer that has folded most. This is how an
+    /// entry that starts in an outage gets a catalogue, and how one that alone has lost the log
+    /// learns of closings.
+    fn ask_state(&mut self, now: Moment) {
+        let up = self.log_state(now) == view::Log::Up;
+        let recently = self.state_asked.is_some_and(|at| now < at + STATE_PERIOD);
+        if (up && !self.ledger.has_gap()) || recently {
+            return;
+        }
+        let Some(peer) = most_advanced(&self.census.members, self.ledger.folded()) else {
+            return;
+        };
+        self.state_asked = Some(now);
+        let kind = Some(query::Kind::State(Empty {}));
+        let reply = self.mesh.query(&peer, Query { kind });
+        let sender = self.sender.clone();
+        actix_rt::spawn(async move {
+            if let Some(reply::Kind::State(snapshot)) = reply.await.and_then(|reply| reply.kind) {
+                send(&sender, Message::State(Box::new(snapshot)));
+            }
+        });
+    }
+
+    /// An entry that has nobody to hear from takes its own view for good after a pause.
+    fn clear_pause(&mut self) {
+        let others = self.census.members.iter();
+        let mut others = others.filter(|one| one.state != fleet::member::State::Gone);
+        if self.flags.paused_at.is_some() && others.next().is_none() {
+            self.flags.paused_at = None;
+        }
+    }
+
+    fn keep_snapshots(&mut self, now: Moment) {
+        if !self.ledger.is_whole() || self.log_state(now) != view::Log::Up {
+            return;
+        }
+        let (first, next) = self.ledger.bounds();
+        let window = Window {
+            first,
+            next,
+            covered: self.ledger.covered(),
+        };
+        if !self.keeper.is_due(now, window) {
+            return;
+        }
+        if let Some(snapshot) = self.ledger.snapshot() {
+            log::info!(upto = snapshot.upto; "writing a snapshot");
+            let nonce = self.nonces.draw();
+            let body = RecordBody::Snapshot(snapshot);
+            self.appends.send(Source::Snapshot, nonce, body);
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/engines.rs
@@ -0,0 +1,266 @@
+//! Calls to engines, each in a task of its own that reports back.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use authority::change::{Input, Output, Receipt, Ticket};
+use authority::engine::{Progress, Reading, Taken};
+use authority::{Fence, OrderId, UpstreamId};
+use clock::Moment;
+use error_stack::Report;
+use fleet::list::Kind;
+use fleet::upstream::Observation;
+use platform::{EngineError, EngineReport, EngineState};
+use tokio::net::TcpStream;
+
+use crate::message::{Message, Sender, send};
+use crate::order::{from_model, from_role, to_what};
+
+/// What an engine, or a plain service that was probed, answered.
+#[derive(Debug)]
+pub(crate) enum Answer {
+    /// For the change of an order.
+    Change {
+        scope: String,
+        order: OrderId,
+        input: Input,
+    },
+    /// The state of an idle engine.
+    Checked {
+        scope: String,
+        upstream: UpstreamId,
+        settled: OrderId,
+        reading: Reading,
+    },
+    /// A probe of an ejected upstream ended.
+    Probed {
+        upstream: UpstreamId,
+        observation: Observation,
+    },
+    /// A load report.
+    Reported {
+        upstream: UpstreamId,
+        report: Option<EngineReport>,
+    },
+}
+
+/// Gives the time of the process's clock.
+pub(crate) type Now = Rc<dyn Fn() -> Moment>;
+
+/// Asks and orders engines.
+#[derive(Clone)]
+pub(crate) struct Engines {
+    client: platform::Engines,
+    timeout: Duration,
+    now: Now,
+    sender: Sender,
+}
+
+impl Engines {
+    pub(crate) fn new(timeout: Duration, now: Now, sender: Sender) -> Self {
+        Self {
+            client: platform::Engines::new(timeout),
+            timeout,
+            now,
+            sender,
+        }
+    }
+
+    /// Carries out what a change wants from the engine at `address`; `None` if nobody knows where
+    /// it is, which ends as an engine that can't be reached.
+    pub(crate) fn change(
+        &self,
+        scope: &str,
+        order: OrderId,
+        address: Option<String>,
+        output: Output,
+    ) {
+        let (engines, scope) = (self.clone(), scope.to_owned());
+        actix_rt::spawn(async move {
+            let input = match output {
+                Output::Read { ticket } => engines.read(ticket, address).await,
+                Output::Send {
+                    ticket,
+                    order,
+                    fence,
+                    what,
+                    not_after,
+                } => {
+                    let order = platform::Order {
+                        order,
+                        fence,
+                        what: to_what(&what),
+                    };
+                    Input::Sent(ticket, engines.order(address, &order, not_after).await)
+                }
+                Output::Cancel {
+                    ticket,
+                    order,
+                    fence,
+                    not_after,
+                } => {
+                    let receipt = engines.cancel(address, order, fence, not_after).await;
+                    Input::Cancelled(ticket, receipt)
+                }
+                // The planner turns it into an append before it gets here.
+                Output::Conclude { .. } => return,
+            };
+            engines.tell(Answer::Change {
+                scope,
+                order,
+                input,
+            });
+        });
+    }
+
+    /// Reads an idle engine.
+    pub(crate) fn check(
+        &self,
+        scope: &str,
+        upstream: UpstreamId,
+        settled: OrderId,
+        address: String,
+    ) {
+        let (engines, scope) = (self.clone(), scope.to_owned());
+        actix_rt::spawn(async move {
+            if let Ok(state) = engines.client.state(&address, engines.timeout).await {
+                engines.tell(Answer::Checked {
+                    scope,
+                    upstream,
+                    settled,
+                    reading: reading(&state),
+                });
+            }
+        });
+    }
+
+    /// Asks an ejected upstream for a sign of life.
+    pub(crate) fn probe(&self, upstream: UpstreamId, kind: Kind, address: String) {
+        let engines = self.clone();
+        actix_rt::spawn(async move {
+            let begun = (engines.now)();
+            let alive = match kind {
+                Kind::Engine => engines
+                    .client
+                    .state(&address, engines.timeout)
+                    .await
+                    .is_ok(),
+                _ => engines.connects(&address).await,
+            };
+            let observation = match alive {
+                true => Observation::Answered((engines.now)().saturating_sub(begun)),
+                false => Observation::Failed,
+            };
+            engines.tell(Answer::Probed {
+                upstream,
+                observation,
+            });
+        });
+    }
+
+    /// Reads the load report of an engine.
+    pub(crate) fn report(&self, upstream: UpstreamId, address: String) {
+        let engines = self.clone();
+        actix_rt::spawn(async move {
+            let report = engines.client.report(&address, engines.timeout).await;
+            engines.tell(Answer::Reported {
+                upstream,
+                report: report.ok(),
+            });
+        });
+    }
+
+    async fn connects(&self, address: &str) -> bool {
+        let connection = actix_rt::time::timeout(self.timeout, TcpStream::connect(address)).await;
+        matches!(connection, Ok(Ok(_)))
+    }
+
+    async fn read(&self, ticket: Ticket, address: Option<String>) -> Input {
+        let Some(address) = address else {
+            return Input::Unreachable(ticket);
+        };
+        let state: Result<EngineState, Report<EngineError>> =
+            self.client.state(&address, self.timeout).await;
+        match state {
+            Ok(state) => Input::Reading(ticket, reading(&state)),
+            Err(report) => {
+                log::debug!(address, error:? = report; "an engine was not read");
+                Input::Unreachable(ticket)
+            }
+        }
+    }
+
+    async fn order(
+        &self,
+        address: Option<String>,
+        order: &platform::Order,
+        not_after: Moment,
+    ) -> Receipt {
+        let Some((address, left)) = self.begin(address, not_after) else {
+            return Receipt::Failed;
+        };
+        log::info!(order = order.order, fence = order.fence, address; "order sent");
+        receipt(self.client.order(&address, order, left).await)
+    }
+
+    async fn cancel(
+        &self,
+        address: Option<String>,
+        order: OrderId,
+        fence: Fence,
+        not_after: Moment,
+    ) -> Receipt {
+        let Some((address, left)) = self.begin(address, not_after) else {
+            return Receipt::Failed;
+        };
+        log::info!(order, fence, address; "order cancelled");
+        receipt(self.client.cancel(&address, order, fence, left).await)
+    }
+
+    /// The last look at the clock before bytes leave: a process that was paused since its lease was
+    /// checked must not act on it. What is left of the time bounds the call, so that nothing is
+    /// sent after the lease.
+    fn begin(&self, address: Option<String>, not_after: Moment) -> Option<(String, Duration)> {
+        let left = not_after.checked_sub((self.now)())?;
+        let address = address.filter(|_| !left.is_zero())?;
+        Some((address, left))
+    }
+
+    fn tell(&self, answer: Answer) {
+        send(&self.sender, Message::Engine(answer));
+    }
+}
+
+fn receipt(receipt: platform::Receipt) -> Receipt {
+    match receipt {
+        platform::Receipt::Accepted => Receipt::Accepted,
+        platform::Receipt::Superseded(fence) => Receipt::Superseded { fence },
+        platform::Receipt::Busy(order) => Receipt::Busy { order },
+        platform::Receipt::Unsent => Receipt::Failed,
+        platform::Receipt::Unknown => Receipt::Unknown,
+    }
+}
+
+fn reading(state: &EngineState) -> Reading {
+    let progress = |progress| match progress {
+        platform::Progress::Running => Some(Progress::Running),
+        platform::Progress::Done => Some(Progress::Done),
+        platform::Progress::Failed => Some(Progress::Failed),
+        // It never began, so the engine did not take it.
+        platform::Progress::Cancelled => None,
+    };
+    Reading {
+        incarnation: state.incarnation,
+        role: from_role(state.role),
+        models: state.models.iter().map(from_model).collect(),
+        taken: state.order.and_then(|taken| {
+            Some(Taken {
+                order: taken.order,
+                progress: progress(taken.state)?,
+            })
+        }),
+        fence: state.fence,
+        checks_fence: state.checks_fence,
+        open: state.open,
+    }
+}
--- /dev/null
+++ b/crates/control/src/handle.rs
@@ -0,0 +1,266 @@
+//! The handle of a running control, for all threads of the daemon.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use authority::order::Order;
+use catalogue::{Document, Findings, Judgement, Revision};
+use claims::{Call, Decision, Digest, End, Policy, Ticket};
+use clock::Moment;
+use fleet::upstream::Observation;
+use tokio::sync::{oneshot, watch};
+use wire::peer::Answer;
+
+use crate::core::Core;
+use crate::edits::EditError;
+use crate::hooks::{Hooks, Key};
+use crate::message::{Message, Sender};
+use crate::order::{OrderError, Wish};
+use crate::status::{Burn, Entities, Orders, Status};
+use crate::view::View;
+
+/// Observations that wait for the control's next look. Beyond, a fleet is either very busy, and a
+/// few lost answers change nothing, or the control stands still.
+const OBSERVATIONS: usize = 4096;
+
+/// What handles and the control share.
+#[derive(Debug, Default)]
+pub(crate) struct Shared {
+    hooks: RwLock<Arc<Hooks>>,
+    observations: Mutex<Vec<(Arc<str>, Observation)>>,
+    tickets: AtomicU64,
+}
+
+impl Shared {
+    pub(crate) fn hooks(&self) -> Arc<Hooks> {
+        Arc::clone(&self.hooks.read().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    pub(crate) fn take_observations(&self) -> Vec<(Arc<str>, Observation)> {
+        let mut held = self
+            .observations
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *held)
+    }
+}
+
+/// A call whose key is to be claimed; see [`claims::Call`].
+#[derive(Clone, Debug)]
+pub struct Claim {
+    /// Digest of its key.
+    pub key: Digest,
+    /// Digest of what it asks for.
+    pub fingerprint: Digest,
+    /// Request id.
+    pub request: String,
+    /// The caller's `Idempotency-Attempt`.
+    pub attempt: Option<u32>,
+    /// What its entry says on outages.
+    pub policy: Policy,
+    /// When it is no longer worth running.
+    pub give_up: Moment,
+}
+
+/// What was decided for a call.
+#[derive(Clone, Debug)]
+pub struct Claimed {
+    /// Its name for [`Handle::conclude`].
+    pub ticket: Ticket,
+    /// What to do with it.
+    pub decision: Decision,
+}
+
+/// Tells the control that a caller has gone before its call was decided.
+struct Pending {
+    sender: Sender,
+    ticket: Ticket,
+    decided: bool,
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        let ticket = self.ticket;
+        if !self.decided {
+            let job = Box::new(move |core: &mut Core| core.gone(ticket));
+            crate::message::send(&self.sender, Message::Run(job));
+        }
+    }
+}
+
+/// A running control. Clones are handles of the same one; it stops by [`Handle::stop`].
+#[derive(Clone, Debug)]
+pub struct Handle {
+    pub(crate) sender: Sender,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) view: watch::Receiver<Arc<View>>,
+}
+
+impl Handle {
+    /// The newest view.
+    pub fn view(&self) -> Arc<View> {
+        Arc::clone(&self.view.borrow())
+    }
+
+    /// Follows the views.
+    pub fn watch(&self) -> watch::Receiver<Arc<View>> {
+        self.view.clone()
+    }
+
+    /// Registers what the data plane tells when asked, in place of what was registered before.
+    pub fn set_hooks(&self, hooks: Hooks) {
+        let mut held = self
+            .shared
+            .hooks
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        *held = Arc::new(hooks);
+    }
+
+    /// Claims the key of a call and waits for the decision. If the future is dropped the call
+    /// counts as one whose caller has gone; it does not run then.
+    pub async fn claim(&self, claim: Claim) -> Claimed {
+        let ticket = self.shared.tickets.fetch_add(1, Ordering::Relaxed) + 1;
+        let call = Call {
+            ticket,
+            key: claim.key,
+            fingerprint: claim.fingerprint,
+            request: claim.request,
+            attempt: claim.attempt,
+            policy: claim.policy,
+            give_up: claim.give_up,
+        };
+        let ran = call.ran();
+        let (reply, decision) = oneshot::channel();
+        self.run(move |core| core.claim(call, reply));
+        let mut pending = Pending {
+            sender: self.sender.clone(),
+            ticket,
+            decided: false,
+        };
+        let decision = decision.await;
+        pending.decided = true;
+        // The control has stopped: the call was never told to run.
+        let decision = decision.unwrap_or(Decision::Refused { ran });
+        Claimed { ticket, decision }
+    }
+
+    /// Tells how a call ended that was to run.
+    pub fn conclude(&self, ticket: Ticket, end: End) {
+        self.run(move |core| core.conclude(ticket, end));
+    }
+
+    /// Tells how an attempt at an upstream ended. It costs a short lock and no wake-up of the
+    /// control, which looks at the observations a few times a second.
+    pub fn observe(&self, upstream: &Arc<str>, observation: Observation) {
+        let shared = &self.shared.observations;
+        let mut held = shared.lock().unwrap_or_else(PoisonError::into_inner);
+        if held.len() < OBSERVATIONS {
+            held.push((Arc::clone(upstream), observation));
+        }
+    }
+
+    /// Makes an edit and waits until it is judged.
+    ///
+    /// # Errors
+    ///
+    /// [`EditError`], which tells what is known about it.
+    pub async fn submit_edit(&self, document: &Document) -> Result<Revision, EditError> {
+        let (reply, answer) = oneshot::channel();
+        let edit = wire::record::Edit::from(document);
+        self.run(move |core| core.edit(edit, reply));
+        answer.await.unwrap_or(Err(EditError::Unknown))
+    }
+
+    /// Says what would be wrong with changes that were made now.
+    pub async fn check(&self, document: &Document) -> Findings {
+        let changes = document.changes();
+        let checked = self.ask(move |core| core.check(&changes)).await;
+        checked.unwrap_or_else(|| {
+            let mut findings = Findings::new();
+            findings.add_edit("", "the control has stopped");
+            findings
+        })
+    }
+
+    /// Judgements on edits, newest first.
+    pub async fn history(&self) -> Vec<Judgement> {
+        self.ask(|core| core.history()).await.unwrap_or_default()
+    }
+
+    /// The catalogue in force, entity by entity.
+    pub async fn entities(&self) -> Entities {
+        self.ask(|core| core.entities()).await.unwrap_or_default()
+    }
+
+    /// The state of this entry's control; `None` once it has stopped.
+    pub async fn status(&self) -> Option<Status> {
+        self.ask(|core| core.status()).await
+    }
+
+    /// Unresolved and recent orders; `None` once the control has stopped.
+    pub async fn orders(&self) -> Option<Orders> {
+        self.ask(|core| core.orders()).await
+    }
+
+    /// Hands a planned change to the holder of the pool. That it was taken does not say that it is
+    /// done: [`Handle::orders`] tells.
+    ///
+    /// # Errors
+    ///
+    /// [`OrderError`].
+    pub async fn submit_order(&self, wish: &Wish, operator: &str) -> Result<(), OrderError> {
+        let (reply, answer) = oneshot::channel();
+        let (upstream, operator) = (wish.upstream.clone(), operator.to_owned());
+        let what = Order::from(&wish.what);
+        self.run(move |core| core.wish(upstream, &what, operator, reply));
+        answer.await.unwrap_or(Err(OrderError::Stopped))
+    }
+
+    /// Asks a peer for the held answer of a key.
+    pub async fn held_answer(&self, instance: &str, key: Key) -> Option<Answer> {
+        let (reply, answer) = oneshot::channel();
+        let instance = instance.to_owned();
+        self.run(move |core| core.ask_answer(&instance, key, reply));
+        answer.await.ok().flatten()
+    }
+
+    /// The burn counters of all entries that can be asked, this one among them.
+    pub async fn merged_burn(&self) -> Burn {
+        let (reply, answer) = oneshot::channel();
+        self.run(move |core| core.ask_burn(reply));
+        answer.await.unwrap_or_default()
+    }
+
+    /// Tells the other entries that this one takes no new work, and hands its scopes over.
+    pub fn leave(&self) {
+        self.run(Core::leave);
+    }
+
+    /// Stops after the data plane has ended: hands over what is left within `limit`.
+    pub async fn stop(&self, limit: Duration) {
+        let (reply, stopped) = oneshot::channel();
+        self.run(move |core| core.stop(limit, reply));
+        // It is the end either way.
+        let _stopped = stopped.await;
+    }
+
+    fn run(&self, job: impl FnOnce(&mut Core) + Send + 'static) {
+        crate::message::send(&self.sender, Message::Run(Box::new(job)));
+    }
+
+    async fn ask<T: Send + 'static>(
+        &self,
+        job: impl FnOnce(&mut Core) -> T + Send + 'static,
+    ) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.run(move |core| {
+            let _gone = reply.send(job(core));
+        });
+        answer.await.ok()
+    }
+}
--- /dev/null
+++ b/crates/control/src/options.rs
@@ -0,0 +1,151 @@
+//! What a control is started with.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use authority::change::Pace;
+use authority::lease::term::{Figures, Finding, Term};
+use fleet::{drain, health, list, member};
+use peer::keys::{Pem, Source};
+
+/// Renewals of a lease in its term, as `authority` makes them.
+const RENEWALS: u32 = 3;
+
+/// Largest pause before an append is made anew.
+const LONGEST_RETRY: Duration = Duration::from_millis(500);
+
+/// By how much the challengers of one scope differ in their waits.
+const STAGGER: Duration = Duration::from_millis(200);
+
+/// Towards the other entries.
+#[derive(Clone, Debug)]
+pub struct Mesh {
+    /// UDP address to listen on.
+    pub listen: SocketAddr,
+    /// Where the keys come from.
+    pub keys: Source,
+    /// Time between two looks at the keys.
+    pub reload: Duration,
+}
+
+/// All that a control needs to know at its start.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Instance id, start and data centre of this process.
+    pub own: member::Own,
+    /// The log.
+    pub log: platform::Options,
+    /// The instance list.
+    pub instances: platform::Options,
+    /// Towards the other entries; `None` if this entry stands alone.
+    pub mesh: Option<Mesh>,
+    /// The lease on a scope. All processes of a fleet use the same.
+    pub term: Term,
+    /// Membership of entries.
+    pub members: member::Settings,
+    /// The guard of the instance list.
+    pub list: list::Settings,
+    /// Health of upstreams.
+    pub health: health::Settings,
+    /// Closing of upstreams.
+    pub drain: drain::Settings,
+    /// Planned changes.
+    pub pace: Pace,
+    /// Claims of idempotency keys.
+    pub claims: claims::Pace,
+    /// How long the log keeps records.
+    pub retention: Duration,
+    /// How long a read of the log waits for records. An outage that swallows requests is noticed
+    /// this much later.
+    pub log_wait: Duration,
+    /// Silence of the log after which it counts as out.
+    pub log_patience: Duration,
+    /// Time between two readings of the instance list.
+    pub list_period: Duration,
+    /// Time between two readings of an engine's load report.
+    pub report_period: Duration,
+    /// Time between two frames with own work and demand.
+    pub load_period: Duration,
+    /// How long the answer to an edit may take.
+    pub edit_patience: Duration,
+}
+
+impl Options {
+    /// The usual options of an instance whose platform is at `platform`.
+    pub fn new(own: member::Own, platform: SocketAddr, term: Term) -> Self {
+        let platform = platform::Options::new(format!("http://{platform}"));
+        Self {
+            own,
+            log: platform.clone(),
+            instances: platform,
+            mesh: None,
+            term,
+            members: member::Settings::default(),
+            list: list::Settings::default(),
+            health: health::Settings::default(),
+            drain: drain::Settings::default(),
+            pace: Pace::default(),
+            claims: claims::Pace::default(),
+            retention: Duration::from_secs(3600),
+            log_wait: Duration::from_secs(1),
+            log_patience: Duration::from_secs(1),
+            list_period: Duration::from_secs(1),
+            report_period: Duration::from_secs(1),
+            load_period: Duration::from_millis(300),
+            edit_patience: Duration::from_secs(10),
+        }
+    }
+
+    /// The options that the settings of a daemon mean.
+    ///
+    /// # Errors
+    ///
+    /// All findings about the lease together.
+    pub fn from_settings(
+        settings: &settings::Settings,
+        incarnation: u64,
+    ) -> Result<Self, Vec<Finding>> {
+        let own = member::Own {
+            id: settings.instance.id.clone(),
+            incarnation,
+            data_centre: settings.instance.data_centre.clone(),
+        };
+        let mut options = Self::new(own, settings.platform.log, term(&settings.lease)?);
+        options.log.append_timeout = settings.platform.timeout;
+        options.instances =
+            platform::Options::new(format!("http://{}", settings.platform.instances));
+        options.mesh = settings.peer.tls.as_ref().map(|tls| Mesh {
+            listen: settings.peer.address,
+            keys: Source {
+                ca: pem(&tls.authority),
+                cert: pem(&tls.certificate),
+                key: pem(&tls.key),
+            },
+            reload: settings.peer.reload,
+        });
+        options.members.beat = settings.peer.heartbeat;
+        options.members.suspect_after = settings.peer.silence;
+        options.retention = settings.platform.retention;
+        options.list_period = settings.platform.poll;
+        Ok(options)
+    }
+}
+
+fn pem(path: &Path) -> Pem {
+    Pem::Path(path.to_owned())
+}
+
+/// The term of the settings. The catalogue's `lease` of a pool is not used: a challenger must wait
+/// for the longest lease that any holder may still count on, and a holder that has not read a change
+/// of the catalogue yet would count on the old one.
+fn term(lease: &settings::sections::Lease) -> Result<Term, Vec<Finding>> {
+    let figures = Figures {
+        lease: lease.term,
+        margin: lease.margin,
+        stagger: STAGGER,
+        retry: (lease.term / RENEWALS / 2).min(LONGEST_RETRY),
+        ..Figures::default()
+    };
+    Term::try_from(figures)
+}
--- /dev/null
+++ b/crates/control/src/order.rs
@@ -0,0 +1,130 @@
+//! Planned changes that operators ask for.
+
+use std::error::Error;
+use std::fmt;
+
+use authority::order::{Model, Order, Role};
+use serde::{Deserialize, Serialize};
+
+/// A planned change as an operator asks for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+pub struct Wish {
+    /// Instance id of the engine.
+    pub upstream: String,
+    /// What it is to do.
+    #[serde(flatten)]
+    pub what: What,
+}
+
+/// What an engine is to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize, Serialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum What {
+    /// Take a role.
+    SetRole {
+        /// The role.
+        role: platform::Role,
+    },
+    /// Load a model.
+    LoadModel(platform::Model),
+    /// Forget a model.
+    UnloadModel(platform::Model),
+}
+
+impl From<&What> for Order {
+    fn from(what: &What) -> Self {
+        match what {
+            What::SetRole { role } => Self::SetRole(from_role(*role)),
+            What::LoadModel(model) => Self::LoadModel(from_model(model)),
+            What::UnloadModel(model) => Self::UnloadModel(from_model(model)),
+        }
+    }
+}
+
+/// Why a wish was not taken.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderError {
+    /// No engine of this id is listed.
+    UnknownEngine,
+    /// Nobody holds control of its pool at the moment.
+    NoHolder,
+    /// The holder can't be asked.
+    HolderAway(String),
+    /// The holder refused, and why.
+    Refused(String),
+    /// The control of this process has stopped.
+    Stopped,
+}
+
+impl fmt::Display for OrderError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::UnknownEngine => f.write_str("no engine of this id is listed"),
+            Self::NoHolder => f.write_str("nobody holds control of its pool"),
+            Self::HolderAway(holder) => write!(f, "{holder} holds control and can't be asked"),
+            Self::Refused(why) => write!(f, "the holder refused: {why}"),
+            Self::Stopped => f.write_str("the control has stopped"),
+        }
+    }
+}
+
+impl Error for OrderError {}
+
+pub(crate) fn from_role(role: platform::Role) -> Role {
+    match role {
+        platform::Role::Mixed => Role::Mixed,
+        platform::Role::Prefill => Role::Prefill,
+        platform::Role::Decode => Role::Decode,
+    }
+}
+
+pub(crate) fn to_role(role: Role) -> platform::Role {
+    match role {
+        Role::Mixed => platform::Role::Mixed,
+        Role::Prefill => platform::Role::Prefill,
+        Role::Decode => platform::Role::Decode,
+    }
+}
+
+pub(crate) fn from_model(model: &platform::Model) -> Model {
+    Model {
+        model: model.model.clone(),
+        adapter: model.adapter.clone(),
+        version: model.version.clone(),
+    }
+}
+
+pub(crate) fn to_what(order: &Order) -> platform::What {
+    let model = |model: &Model| platform::Model {
+        model: model.model.clone(),
+        version: model.version.clone(),
+        adapter: model.adapter.clone(),
+    };
+    match order {
+        Order::SetRole(role) => platform::What::SetRole {
+            role: to_role(*role),
+        },
+        Order::LoadModel(load) => platform::What::LoadModel(model(load)),
+        Order::UnloadModel(unload) => platform::What::UnloadModel(model(unload)),
+    }
+}
+
+/// An order as operators read it.
+pub(crate) fn describe(order: &Order) -> String {
+    let model = |model: &Model| {
+        let adapter = match model.adapter.as_str() {
+            "" => String::new(),
+            adapter => format!("+{adapter}"),
+        };
+        format!("{}@{}{adapter}", model.model, model.version)
+    };
+    match order {
+        Order::SetRole(role) => format!("set_role {role:?}").to_lowercase(),
+        Order::LoadModel(load) => format!("load_model {}", model(load)),
+        Order::UnloadModel(unload) => format!("unload_model {}", model(unload)),
+    }
+}
--- /dev/null
+++ b/crates/control/tests/control/fleet.rs
@@ -0,0 +1,203 @@
+//! A fleet for the tests: the platform's stand-in, controls and engines' stand-ins.
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use authority::lease::term::{Figures, Term};
+use catalogue::Document;
+use clap::Parser as _;
+use control::options::Mesh;
+use control::{Handle, Options, View};
+use fleet::member::Own;
+use peer::issue::Authority;
+use platform::{Instances, Kind, Registration};
+use standin::engine::{self, Engine};
+use standin::http;
+use standin::platform::{Options as PlatformOptions, Platform};
+
+/// Far longer than anything awaited here takes; a test that gets here has failed.
+const BOUND: Duration = Duration::from_secs(30);
+
+/// Time between two looks at a state that is waited for.
+const POLL: Duration = Duration::from_millis(10);
+
+/// The catalogue with which tests begin.
+pub(crate) const CATALOGUE: &str = "
+operator: ana
+changes:
+  - {kind: owner, name: desk, value: {keys: [4db41d43b2d0d87dcf5270f0e53a543e18232ad5c7be79a53430ccc9649be70e]}}
+  - kind: pool
+    name: llm
+    value: {kind: engine, roles: {mixed: {min: 1, max: 3, initial: 2}, decode: {min: 0, max: 2, initial: 0}}, planner: static}
+  - {kind: model, name: talk, value: {versions: ['1', '2'], pools: [llm]}}
+";
+
+pub(crate) fn document(text: &str) -> Document {
+    Document::parse(text).expect("the test's document is well-formed")
+}
+
+/// The platform, and what the controls of one fleet share.
+pub(crate) struct Fleet {
+    pub(crate) platform: SocketAddr,
+    authority: Authority,
+    clock: clock::System,
+}
+
+impl Fleet {
+    pub(crate) async fn start(options: &[&str]) -> Self {
+        let options = PlatformOptions::parse_from(["standin-platform"].iter().chain(options));
+        let listen = options.listen.clone();
+        let platform = Platform::new(options);
+        let handler = move |call| platform.clone().answer(call);
+        let (server, address) = http::start(&listen, handler).expect("a port is free");
+        actix_rt::spawn(server);
+        let fleet = Self {
+            platform: address,
+            authority: Authority::new("test").expect("keys can be made"),
+            clock: clock::System::new(),
+        };
+        // The list is never empty, as it is believed only then.
+        fleet
+            .register("service-0", Kind::Service, "kiosk", address)
+            .await;
+        fleet
+    }
+
+    /// Short times, so that tests end soon. Bounds that proofs rest on keep their order.
+    pub(crate) fn options(&self, id: &str) -> Options {
+        let figures = Figures {
+            lease: Duration::from_millis(900),
+            margin: Duration::from_millis(300),
+            stagger: Duration::from_millis(50),
+            retry: Duration::from_millis(100),
+            ..Figures::default()
+        };
+        let own = Own {
+            id: id.to_owned(),
+            incarnation: 1,
+            data_centre: "ate".to_owned(),
+        };
+        let term = Term::try_from(figures).expect("the figures are sound");
+        let mut options = Options::new(own, self.platform, term);
+        options.log_wait = Duration::from_millis(200);
+        options.log_patience = Duration::from_millis(300);
+        options.list_period = Duration::from_millis(50);
+        options.report_period = Duration::from_millis(200);
+        options.members.beat = Duration::from_millis(100);
+        options.members.suspect_after = Duration::from_millis(600);
+        options.members.gone_after = Duration::from_millis(1500);
+        options.members.lag = Duration::from_millis(500);
+        options.members.pause = Duration::from_secs(5);
+        options.drain.settle = Duration::from_millis(100);
+        options.pace.poll = Duration::from_millis(50);
+        options.pace.timeout = Duration::from_millis(200);
+        options.pace.order_delay = Duration::from_millis(200);
+        options
+    }
+
+    /// Options of an entry with a mesh.
+    pub(crate) fn member(&self, id: &str) -> Options {
+        let mut options = self.options(id);
+        options.mesh = Some(Mesh {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            keys: self.authority.issue(id).expect("keys can be made"),
+            reload: Duration::ZERO,
+        });
+        options
+    }
+
+    pub(crate) fn control(&self, options: Options) -> Handle {
+        control::start(options, self.clock).expect("the control starts")
+    }
+
+    /// An entry in the mesh, registered with the platform.
+    pub(crate) async fn entry(&self, options: Options) -> Handle {
+        let id = options.own.id.clone();
+        let handle = self.control(options);
+        let status = handle.status().await.expect("it runs");
+        let address = status.peer_address.parse().expect("it has a mesh");
+        self.register(&id, Kind::Entry, "", address).await;
+        handle
+    }
+
+    pub(crate) async fn register(&self, id: &str, kind: Kind, pool: &str, address: SocketAddr) {
+        let registration = Registration {
+            id: id.to_owned(),
+            kind,
+            pool: pool.to_owned(),
+            data_centre: "ate".to_owned(),
+            address,
+        };
+        let registered = self.instances().register(&registration).await;
+        registered.expect("the list takes it");
+    }
+
+    pub(crate) fn instances(&self) -> Instances {
+        let base = format!("http://{}", self.platform);
+        Instances::new(&platform::Options::new(base))
+    }
+
+    /// Starts an engine and registers it.
+    pub(crate) async fn engine(&self, id: &str, options: &[&str]) -> SocketAddr {
+        let fixed = [
+            "standin-engine",
+            "--engine",
+            id,
+            "--time-scale",
+            "50",
+            "--model",
+            "talk@1",
+        ];
+        let options = engine::Options::parse_from(fixed.iter().chain(options));
+        let listen = options.listen.clone();
+        let engine = Engine::new(options);
+        actix_rt::spawn(Arc::clone(&engine).run());
+        let handler = move |call| engine::answer(engine.clone(), call);
+        let (server, address) = http::start(&listen, handler).expect("a port is free");
+        actix_rt::spawn(server);
+        self.register(id, Kind::Engine, "llm", address).await;
+        address
+    }
+
+    /// Sets fault switches of the platform.
+    pub(crate) async fn fault(&self, switches: &str) {
+        fault(self.platform, switches).await;
+    }
+}
+
+/// Sets fault switches of a stand-in.
+pub(crate) async fn fault(address: SocketAddr, switches: &str) {
+    let url = format!("http://{address}/fault");
+    let request = awc::Client::default().post(url);
+    let answer = request.send_body(switches.to_owned()).await;
+    let answer = answer.expect("the stand-in answers");
+    assert!(answer.status().is_success(), "{switches}");
+}
+
+/// Waits until the view is as wanted.
+pub(crate) async fn view(handle: &Handle, mut wanted: impl FnMut(&View) -> bool) -> Arc<View> {
+    let mut watch = handle.watch();
+    let waited = actix_rt::time::timeout(BOUND, watch.wait_for(|view| wanted(view))).await;
+    match waited {
+        Ok(view) => Arc::clone(&view.expect("the control runs")),
+        Err(_) => panic!("waited in vain, last view {:?}", handle.view()),
+    }
+}
+
+/// Waits until the status is as wanted.
+pub(crate) async fn status(
+    handle: &Handle,
+    mut wanted: impl FnMut(&control::Status) -> bool,
+) -> control::Status {
+    let begun = std::time::Instant::now();
+    loop {
+        let status = handle.status().await.expect("the control runs");
+        if wanted(&status) {
+            return status;
+        }
+        assert!(begun.elapsed() < BOUND, "waited in vain, last {status:#?}");
+        actix_rt::time::sleep(POLL).await;
+    }
+}
