Split the mesh and the members, and test lost packets

Added: packets lost by a relay in one direction, the other and both end the connection on both sides, which is made again by itself; a random history against a plain model of who may still send; which of two connections dialed at once is kept, on both sides. With that rule replaced by "the newer" or "the older" the last test fails.

Cause of a change: a connection whose handshake ran during a reload was not renewed, because the reload did not see it yet. It is renewed when it joins. This has no test of its own.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod list;
 pub mod member;
 mod members;
+mod presence;
 pub mod upstream;
 mod upstreams;
 
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -7,6 +7,7 @@
 use wire::peer::{Frame, Heartbeat};
 
 use crate::list::{Mark, View};
+use crate::presence::KINDS;
 use crate::{Id, Incarnation, Offset};
 
 /// What this process knows of another entry.
@@ -134,51 +135,6 @@
     pub(crate) sequences: [u64; KINDS],
 }
 
-/// Kinds of frames of which only the newest counts; see `kind` in [`crate::Members`].
-pub(crate) const KINDS: usize = 4;
-
-impl Member {
-    pub(crate) fn new(id: &str, now: Moment) -> Self {
-        Self {
-            id: id.to_owned(),
-            incarnation: None,
-            state: State::Suspect,
-            hearing: Hearing::Unknown,
-            listed: None,
-            address: String::new(),
-            data_centre: String::new(),
-            known_since: now,
-            heard_at: None,
-            incarnation_since: None,
-            progress: Progress::default(),
-            present_at: now,
-            sent_ms: 0,
-            echoed_at: None,
-            sequences: [0; KINDS],
-        }
-    }
-
-    /// For how long nothing was heard of it.
-    pub fn silence(&self, now: Moment) -> Duration {
-        now.saturating_sub(self.heard_at.unwrap_or(self.known_since))
-    }
-
-    /// The state that its marks and its silence mean.
-    pub(crate) fn judge(&self, now: Moment, settings: &Settings) -> State {
-        let absent = now.saturating_sub(self.present_at);
-        if self.listed.is_none() && absent >= settings.gone_after {
-            return State::Gone;
-        }
-        if self.progress.leaving || self.listed == Some(Mark::Leaving) {
-            return State::Leaving;
-        }
-        match self.heard_at {
-            Some(at) if now.saturating_sub(at) < settings.suspect_after => State::Alive,
-            _ => State::Suspect,
-        }
-    }
-}
-
 /// An entry that may still send to an upstream.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Sender {
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -1,17 +1,16 @@
 //! The rules of the membership of entries.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use clock::Moment;
 use smallvec::smallvec;
 use wire::peer::{Echo, Frame, Heartbeat, frame};
 
+use crate::Id;
 use crate::list::{self, Mark, View};
 use crate::member::{
     Hearing, Input, Member, Output, Outputs, Own, Progress, Refusal, Sender, Settings, State,
 };
-use crate::{Id, Incarnation};
 
 /// The entries that this process knows through the instance list and through their frames.
 ///
@@ -152,16 +151,16 @@
             .members
             .entry(from.instance.clone())
             .or_insert_with(|| Member::new(&from.instance, now));
-        adopt(member, now, from.incarnation, outputs)?;
+        member.adopt(now, from.incarnation, outputs)?;
         if let Some(kind) = frame.body.as_ref().and_then(kind) {
             if frame.sequence <= member.sequences[kind] {
                 return Err(Refusal::OlderSequence);
             }
             member.sequences[kind] = frame.sequence;
         }
-        notice_return(member, now, &self.settings, outputs);
+        member.hear(now, &self.settings, outputs);
         if let Some(frame::Body::Heartbeat(beat)) = &frame.body {
-            take_beat(member, &self.own, beat, outputs);
+            member.take_beat(&self.own, beat, outputs);
         }
         self.judge(now, outputs);
         Ok(())
@@ -221,7 +220,7 @@
                     state,
                 });
             }
-            let hearing = judge_hearing(member, now, self.listening_since, &self.settings);
+            let hearing = member.judge_hearing(now, self.listening_since, &self.settings);
             if hearing != member.hearing {
                 member.hearing = hearing;
                 outputs.push(Output::Hearing {
@@ -233,87 +232,6 @@
     }
 }
 
-/// Takes the sender's incarnation over if it is newer, and refuses an older one.
-///
-/// Symptom without the refusal: a delayed confirmation of a process that died counts for its
-/// successor, which still sends to the upstream that is being closed.
-fn adopt(
-    member: &mut Member,
-    now: Moment,
-    incarnation: Incarnation,
-    outputs: &mut Outputs,
-) -> Result<(), Refusal> {
-    match member.incarnation {
-        Some(known) if incarnation < known => return Err(Refusal::OlderIncarnation),
-        Some(known) if incarnation == known => return Ok(()),
-        Some(_) => outputs.push(Output::Restarted {
-            id: member.id.clone(),
-            incarnation,
-        }),
-        None => {}
-    }
-    member.incarnation = Some(incarnation);
-    member.incarnation_since = Some(now);
-    // The silence before belongs to the former process; it is no return.
-    member.heard_at = Some(now);
-    member.present_at = now;
-    member.progress = Progress::default();
-    member.sent_ms = 0;
-    member.echoed_at = None;
-    member.hearing = Hearing::Unknown;
-    member.sequences = Default::default();
-    Ok(())
-}
-
-fn notice_return(member: &mut Member, now: Moment, settings: &Settings, outputs: &mut Outputs) {
-    let silent = member.silence(now);
-    if silent >= settings.suspect_after {
-        outputs.push(Output::Returned {
-            id: member.id.clone(),
-            silent,
-        });
-    }
-    member.heard_at = Some(now);
-    member.present_at = now;
-}
-
-fn take_beat(member: &mut Member, own: &Own, beat: &Heartbeat, outputs: &mut Outputs) {
-    member.progress = Progress::from(beat);
-    member.sent_ms = beat.sent_ms;
-    member.data_centre.clone_from(&beat.data_centre);
-    let Some(echo) = beat.echo else { return };
-    if echo.incarnation > own.incarnation {
-        outputs.push(Output::Superseded(echo.incarnation));
-    }
-    if echo.incarnation == own.incarnation && echo.sent_ms > 0 {
-        member.echoed_at = Some(Duration::from_millis(echo.sent_ms));
-    }
-}
-
-/// A peer is deaf if it is heard, and had the time to hear this process, and yet echoes nothing
-/// recent. A partition in one direction would otherwise look like health from this side.
-fn judge_hearing(
-    member: &Member,
-    now: Moment,
-    listening_since: Moment,
-    settings: &Settings,
-) -> Hearing {
-    let (Some(heard_at), Some(since)) = (member.heard_at, member.incarnation_since) else {
-        return Hearing::Unknown;
-    };
-    if now.saturating_sub(heard_at) >= settings.suspect_after {
-        return Hearing::Unknown;
-    }
-    let recent = |at: Moment| now.saturating_sub(at) < settings.suspect_after;
-    if member.echoed_at.is_some_and(recent) {
-        return Hearing::Hears;
-    }
-    if recent(since) || recent(listening_since) {
-        return member.hearing;
-    }
-    Hearing::Deaf
-}
-
 /// Slot of a kind of which only the newest frame counts. Queries and replies are paired by their
 /// stream, and confirmations are ordered by [`crate::Drain`] for each order.
 fn kind(body: &frame::Body) -> Option<usize> {
--- /dev/null
+++ b/crates/fleet/src/presence.rs
@@ -0,0 +1,137 @@
+//! What the marks, the silence and the heartbeats of one entry say of it.
+
+use std::time::Duration;
+
+use clock::Moment;
+use wire::peer::Heartbeat;
+
+use crate::Incarnation;
+use crate::list::Mark;
+use crate::member::{Hearing, Member, Output, Outputs, Own, Progress, Refusal, Settings, State};
+
+/// Kinds of frames of which only the newest counts; see `kind` in [`crate::Members`].
+pub(crate) const KINDS: usize = 4;
+
+impl Member {
+    pub(crate) fn new(id: &str, now: Moment) -> Self {
+        Self {
+            id: id.to_owned(),
+            incarnation: None,
+            state: State::Suspect,
+            hearing: Hearing::Unknown,
+            listed: None,
+            address: String::new(),
+            data_centre: String::new(),
+            known_since: now,
+            heard_at: None,
+            incarnation_since: None,
+            progress: Progress::default(),
+            present_at: now,
+            sent_ms: 0,
+            echoed_at: None,
+            sequences: [0; KINDS],
+        }
+    }
+
+    /// For how long nothing was heard of it.
+    pub fn silence(&self, now: Moment) -> Duration {
+        now.saturating_sub(self.heard_at.unwrap_or(self.known_since))
+    }
+
+    /// The state that its marks and its silence mean.
+    pub(crate) fn judge(&self, now: Moment, settings: &Settings) -> State {
+        let absent = now.saturating_sub(self.present_at);
+        if self.listed.is_none() && absent >= settings.gone_after {
+            return State::Gone;
+        }
+        if self.progress.leaving || self.listed == Some(Mark::Leaving) {
+            return State::Leaving;
+        }
+        match self.heard_at {
+            Some(at) if now.saturating_sub(at) < settings.suspect_after => State::Alive,
+            _ => State::Suspect,
+        }
+    }
+
+    /// Takes the sender's incarnation over if it is newer, and refuses an older one.
+    ///
+    /// Symptom without the refusal: a delayed confirmation of a process that died counts for its
+    /// successor, which still sends to the upstream that is being closed.
+    pub(crate) fn adopt(
+        &mut self,
+        now: Moment,
+        incarnation: Incarnation,
+        outputs: &mut Outputs,
+    ) -> Result<(), Refusal> {
+        match self.incarnation {
+            Some(known) if incarnation < known => return Err(Refusal::OlderIncarnation),
+            Some(known) if incarnation == known => return Ok(()),
+            Some(_) => outputs.push(Output::Restarted {
+                id: self.id.clone(),
+                incarnation,
+            }),
+            None => {}
+        }
+        self.incarnation = Some(incarnation);
+        self.incarnation_since = Some(now);
+        // The silence before belongs to the former process; it is no return.
+        self.heard_at = Some(now);
+        self.present_at = now;
+        self.progress = Progress::default();
+        self.sent_ms = 0;
+        self.echoed_at = None;
+        self.hearing = Hearing::Unknown;
+        self.sequences = Default::default();
+        Ok(())
+    }
+
+    /// Takes notice that a frame of the newest incarnation arrived, and of a return.
+    pub(crate) fn hear(&mut self, now: Moment, settings: &Settings, outputs: &mut Outputs) {
+        let silent = self.silence(now);
+        if silent >= settings.suspect_after {
+            outputs.push(Output::Returned {
+                id: self.id.clone(),
+                silent,
+            });
+        }
+        self.heard_at = Some(now);
+        self.present_at = now;
+    }
+
+    pub(crate) fn take_beat(&mut self, own: &Own, beat: &Heartbeat, outputs: &mut Outputs) {
+        self.progress = Progress::from(beat);
+        self.sent_ms = beat.sent_ms;
+        self.data_centre.clone_from(&beat.data_centre);
+        let Some(echo) = beat.echo else { return };
+        if echo.incarnation > own.incarnation {
+            outputs.push(Output::Superseded(echo.incarnation));
+        }
+        if echo.incarnation == own.incarnation && echo.sent_ms > 0 {
+            self.echoed_at = Some(Duration::from_millis(echo.sent_ms));
+        }
+    }
+
+    /// A peer is deaf if it is heard, and had the time to hear this process, and yet echoes nothing
+    /// recent. A partition in one direction would otherwise look like health from this side.
+    pub(crate) fn judge_hearing(
+        &self,
+        now: Moment,
+        listening_since: Moment,
+        settings: &Settings,
+    ) -> Hearing {
+        let (Some(heard_at), Some(since)) = (self.heard_at, self.incarnation_since) else {
+            return Hearing::Unknown;
+        };
+        if now.saturating_sub(heard_at) >= settings.suspect_after {
+            return Hearing::Unknown;
+        }
+        let recent = |at: Moment| now.saturating_sub(at) < settings.suspect_after;
+        if self.echoed_at.is_some_and(recent) {
+            return Hearing::Hears;
+        }
+        if recent(since) || recent(listening_since) {
+            return self.hearing;
+        }
+        Hearing::Deaf
+    }
+}
--- a/crates/fleet/tests/list.rs
+++ b/crates/fleet/tests/list.rs
@@ -6,6 +6,7 @@
 
 use fleet::list::{Kind, Listing, Reading, Settings, View};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use support::{listing, s, view};
 
 // Symptom: all callers are refused while all engines run.
@@ -71,7 +72,16 @@
     assert_eq!(view.iter().count(), 1);
 }
 
+/// Seed of the random cases, so that every run tries the same.
+const SEED: u64 = 1;
+
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     #[test]
     fn once_filled_it_is_never_empty(readings in prop::collection::vec((0_u64..20, 0_usize..5), 1..60)) {
         let names = ["a", "b", "c", "d", "e"];
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -12,6 +12,8 @@
 use fleet::member::{
     Hearing, Input, Output, Outputs, Own, Progress, Refusal, Sender, Settings, State,
 };
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use support::{beat, echo, instance, listing, s, view};
 
 const OWN: u64 = 100;
@@ -225,3 +227,76 @@
     assert_eq!(state(&members, "b"), State::Leaving);
     assert_eq!(ids(&members), ["a", "b", "own"]);
 }
+
+/// One step of a random history of entry a.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Listed(bool),
+    Heard(u64),
+    Nothing,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        any::<bool>().prop_map(Step::Listed),
+        (1_u64..4).prop_map(Step::Heard),
+        Just(Step::Nothing),
+    ]
+}
+
+/// Seed of the random cases, so that every run tries the same.
+const SEED: u64 = 1;
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // Whoever is listed, or was listed or heard within the bound, is among the senders, in the
+    // newest incarnation heard, whatever came before; and nobody is for ever.
+    #[test]
+    fn who_may_still_send_is_never_left_out(
+        history in prop::collection::vec((step(), 1_u64..3, 0_u64..20), 1..80)
+    ) {
+        let mut members = members();
+        let (mut now, mut sequence) = (0, 0);
+        let (mut listed, mut present, mut newest) = (false, None, None);
+        for (step, count, rest) in history {
+            match step {
+                Step::Listed(names_a) => {
+                    listed = names_a;
+                    let ids: &[&str] = if listed { &["a", "own"] } else { &["own"] };
+                    members.step(s(now), Input::List(&view(Kind::Entry, ids)));
+                }
+                Step::Heard(incarnation) => {
+                    sequence += count;
+                    members.step(s(now), Input::Frame(&beat("a", incarnation, sequence)));
+                    if Some(incarnation) >= newest {
+                        newest = Some(incarnation);
+                        present = Some(now);
+                    }
+                }
+                Step::Nothing => {}
+            }
+            for _ in 0..rest {
+                now += 1;
+                tick(&mut members, s(now));
+                if listed {
+                    present = Some(now);
+                }
+            }
+            if listed {
+                present = Some(now);
+            }
+            let bound = Settings::default().gone_after.as_secs();
+            let may_send = present.is_some_and(|at| now < at + bound);
+            let sender = members.senders().into_iter().find(|one| one.id == "a");
+            prop_assert_eq!(sender.is_some(), may_send);
+            if let Some(sender) = sender {
+                prop_assert_eq!(sender.incarnation, newest);
+            }
+        }
+    }
+}
--- a/crates/peer/src/dial.rs
+++ b/crates/peer/src/dial.rs
@@ -8,8 +8,9 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::Id;
+use crate::inner::Inner;
 use crate::link::OLD_KEYS;
-use crate::mesh::{Inner, Peer};
+use crate::mesh::Peer;
 
 /// How long the higher id of a pair leaves the dialing to the lower, so that rarely both dial.
 const HEAD_START: Duration = Duration::from_millis(300);
@@ -61,7 +62,11 @@
 /// Makes a connection anew that was made with older keys, and closes the old one if that fails.
 pub(crate) async fn renew(inner: Rc<Inner>, id: Id, generation: u64) {
     sleep(inner.config.limits.rotation.mul_f64(rand::random())).await;
-    let is_old = |inner: &Inner| inner.link(&id).filter(|link| link.generation < generation);
+    let is_old = |inner: &Inner| {
+        inner
+            .link(&id)
+            .filter(|link| link.origin.generation < generation)
+    };
     let Some(old) = is_old(&inner) else { return };
     dial(&inner, &id, old.address()).await;
     if let Some(old) = is_old(&inner) {
--- /dev/null
+++ b/crates/peer/src/inner.rs
@@ -0,0 +1,213 @@
+//! The state of a mesh, shared by its tasks.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use quinn::{Connection, Endpoint};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep};
+use wire::peer::frame::Body;
+
+use crate::codec::{self, Encoded};
+use crate::config::{Config, Direction};
+use crate::event::Event;
+use crate::link::{Link, NO_NAME, Origin, REPLACED};
+use crate::mesh::Unsent;
+use crate::traffic::{Flow, Kind, Traffic};
+use crate::{Id, dial, keys, receive};
+
+/// What all tasks of a mesh share.
+pub(crate) struct Inner {
+    pub(crate) config: Config,
+    pub(crate) endpoint: Endpoint,
+    pub(crate) handler: Box<dyn Fn(Event)>,
+    pub(crate) state: RefCell<State>,
+}
+
+/// What changes while a mesh runs. It is never borrowed over a wait or a call of the handler.
+pub(crate) struct State {
+    pub(crate) client: quinn::ClientConfig,
+    /// Grows with each change of keys.
+    pub(crate) generation: u64,
+    sequence: u64,
+    serial: u64,
+    /// The connection of each pair that is kept.
+    pub(crate) current: BTreeMap<Id, Rc<Link>>,
+    /// All connections, also those replaced that are still read.
+    pub(crate) all: BTreeMap<u64, Rc<Link>>,
+    pub(crate) dialers: BTreeMap<Id, Dialer>,
+    pub(crate) handshakes: usize,
+    pub(crate) traffic: Traffic,
+}
+
+/// The task that keeps a connection to one peer.
+pub(crate) struct Dialer {
+    pub(crate) address: SocketAddr,
+    pub(crate) task: JoinHandle<()>,
+}
+
+impl State {
+    pub(crate) fn new(client: quinn::ClientConfig) -> Self {
+        Self {
+            client,
+            generation: 0,
+            sequence: 0,
+            serial: 0,
+            current: BTreeMap::new(),
+            all: BTreeMap::new(),
+            dialers: BTreeMap::new(),
+            handshakes: 0,
+            traffic: Traffic::default(),
+        }
+    }
+}
+
+impl Inner {
+    pub(crate) fn encode(&self, body: Body) -> Encoded {
+        let mut state = self.state.borrow_mut();
+        state.sequence += 1;
+        codec::encode(&self.config.own, state.sequence, body)
+    }
+
+    pub(crate) fn count(&self, kind: Kind, direction: Direction, bytes: usize) {
+        let mut state = self.state.borrow_mut();
+        state.traffic.count(kind, direction, bytes);
+    }
+
+    pub(crate) fn refuse(&self) {
+        self.state.borrow_mut().traffic.refused += 1;
+    }
+
+    pub(crate) fn fail_handshake(&self) {
+        self.state.borrow_mut().traffic.failed_handshakes += 1;
+    }
+
+    pub(crate) fn unsent(&self) {
+        self.state.borrow_mut().traffic.unsent += 1;
+    }
+
+    pub(crate) fn link(&self, id: &str) -> Option<Rc<Link>> {
+        self.state.borrow().current.get(id).cloned()
+    }
+
+    pub(crate) fn send(&self, to: &str, encoded: Encoded) -> Result<(), Unsent> {
+        let sent = self.try_send(to, encoded);
+        if sent.is_err() {
+            self.unsent();
+        }
+        sent
+    }
+
+    fn try_send(&self, to: &str, encoded: Encoded) -> Result<(), Unsent> {
+        let link = self.link(to).ok_or(Unsent::NotConnected)?;
+        let (kind, size) = (encoded.kind, encoded.bytes.len());
+        if size > self.config.limits.frame {
+            return Err(Unsent::TooLarge);
+        }
+        if self.config.drops(Direction::Out, &link.id) {
+            return Ok(());
+        }
+        if !link.send(encoded) {
+            return Err(Unsent::Slow);
+        }
+        self.count(kind, Direction::Out, size);
+        Ok(())
+    }
+
+    /// Takes a connection whose handshake is done into the mesh, unless the pair has a better one.
+    pub(crate) fn adopt(self: &Rc<Self>, connection: Connection, dialed: bool, generation: u64) {
+        let name = keys::identity(&connection);
+        let Some(id) = name.filter(|id| *id != self.config.own.instance) else {
+            self.fail_handshake();
+            connection.close(NO_NAME, b"no usable name");
+            return;
+        };
+        let (queue, queued) = mpsc::channel(self.config.limits.queue);
+        let link = {
+            let mut state = self.state.borrow_mut();
+            state.serial += 1;
+            let link = Rc::new(Link {
+                id,
+                connection,
+                origin: Origin {
+                    dialed,
+                    generation,
+                    since: Instant::now(),
+                },
+                serial: state.serial,
+                queue,
+            });
+            state.all.insert(link.serial, Rc::clone(&link));
+            link
+        };
+        self.choose(&link);
+        actix_rt::spawn(serve(Rc::clone(self), link, queued));
+    }
+
+    /// Keeps one connection of the pair, and closes the other a little later.
+    fn choose(self: &Rc<Self>, link: &Rc<Link>) {
+        let own = &self.config.own.instance;
+        let former = self.link(&link.id);
+        let kept = former
+            .as_ref()
+            .is_none_or(|former| link.origin.replaces(&former.origin, own, &link.id));
+        let generation = {
+            let mut state = self.state.borrow_mut();
+            if kept {
+                state.current.insert(link.id.clone(), Rc::clone(link));
+            }
+            state.generation
+        };
+        let first = former.is_none();
+        let spare = if kept { former } else { Some(Rc::clone(link)) };
+        if let Some(spare) = spare {
+            actix_rt::spawn(close_later(spare, self.config.limits.linger));
+        }
+        // Keys that were reloaded during the handshake did not see this connection.
+        if kept && link.origin.generation < generation {
+            let id = link.id.clone();
+            actix_rt::spawn(dial::renew(Rc::clone(self), id, generation));
+        }
+        if first {
+            (self.handler)(Event::Up(link.id.clone()));
+        }
+    }
+
+    fn forget(&self, link: &Rc<Link>) {
+        let down = {
+            let mut state = self.state.borrow_mut();
+            state.all.remove(&link.serial);
+            merge(&mut state.traffic.udp, link.udp());
+            let current = state.current.get(&link.id);
+            let was_current = current.is_some_and(|current| current.serial == link.serial);
+            if was_current {
+                state.current.remove(&link.id);
+            }
+            was_current
+        };
+        if down {
+            (self.handler)(Event::Down(link.id.clone()));
+        }
+    }
+}
+
+async fn serve(inner: Rc<Inner>, link: Rc<Link>, queued: mpsc::Receiver<Encoded>) {
+    receive::run(Rc::clone(&inner), Rc::clone(&link), queued).await;
+    inner.forget(&link);
+}
+
+/// Leaves frames under way the time to arrive before a spare connection is closed.
+async fn close_later(link: Rc<Link>, linger: Duration) {
+    sleep(linger).await;
+    link.connection.close(REPLACED, b"replaced");
+}
+
+/// Adds the counts of one connection.
+pub(crate) fn merge(total: &mut Flow, part: Flow) {
+    total.sent.merge(part.sent);
+    total.received.merge(part.received);
+}
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 mod dial;
 pub mod event;
+mod inner;
 pub mod issue;
 pub mod keys;
 mod link;
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -25,18 +25,39 @@
 /// Time within which two connections of a pair count as dialed by both sides at once.
 const SIMULTANEOUS: Duration = Duration::from_secs(1);
 
+/// How a connection came about.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Origin {
+    /// Whether this process dialed.
+    pub(crate) dialed: bool,
+    /// Which keys of this process it was made with.
+    pub(crate) generation: u64,
+    /// When its handshake was done.
+    pub(crate) since: Instant,
+}
+
+impl Origin {
+    /// Whether this new connection is kept rather than the one that stands.
+    ///
+    /// Normally the newer one is: its dialer knows that the older is dead, or has new keys. But
+    /// if both sides dialed at once, each would keep the one that the other closes. Then both
+    /// keep the one that the lower id dialed.
+    pub(crate) fn replaces(&self, standing: &Origin, own: &str, peer: &str) -> bool {
+        let simultaneous = self.dialed != standing.dialed
+            && self.generation == standing.generation
+            && self.since.duration_since(standing.since) < SIMULTANEOUS;
+        !simultaneous || self.dialed == (own < peer)
+    }
+}
+
 /// One connection to a peer.
 #[derive(Debug)]
 pub(crate) struct Link {
     pub(crate) id: Id,
     pub(crate) connection: Connection,
-    /// Whether this process dialed.
-    pub(crate) dialed: bool,
-    /// Which keys of this process it was made with.
-    pub(crate) generation: u64,
+    pub(crate) origin: Origin,
     /// Unique in this process.
     pub(crate) serial: u64,
-    pub(crate) since: Instant,
     pub(crate) queue: mpsc::Sender<Encoded>,
 }
 
@@ -53,18 +74,6 @@
         }
     }
 
-    /// Whether this new connection is kept rather than the one that stands.
-    ///
-    /// Normally the newer one is: its dialer knows that the older is dead, or has new keys. But
-    /// if both sides dialed at once, each would keep the one that the other closes. Then both
-    /// keep the one that the lower id dialed.
-    pub(crate) fn replaces(&self, standing: &Link, own: &str) -> bool {
-        let simultaneous = self.dialed != standing.dialed
-            && self.generation == standing.generation
-            && self.since.duration_since(standing.since) < SIMULTANEOUS;
-        !simultaneous || self.dialed == (own < self.id.as_str())
-    }
-
     pub(crate) fn address(&self) -> SocketAddr {
         self.connection.remote_address()
     }
@@ -84,3 +93,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/peer/src/mesh.rs
+++ b/crates/peer/src/mesh.rs
@@ -1,26 +1,24 @@
 //! The mesh: which connections stand, and the calls of its user.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use error_stack::{Report, ResultExt};
-use quinn::{Connection, Endpoint, EndpointConfig, TokioRuntime};
-use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
-use tokio::time::{Instant, sleep, timeout};
+use quinn::{Endpoint, EndpointConfig, TokioRuntime};
+use tokio::time::{sleep, timeout};
 use wire::peer::frame::Body;
 use wire::peer::{Query, Reply};
 
-use crate::codec::{self, Encoded};
 use crate::config::{Config, Direction};
 use crate::event::Event;
-use crate::link::{Link, NO_NAME, REPLACED, STOPPING};
+use crate::inner::{Dialer, Inner, State, merge};
+use crate::link::{Link, STOPPING};
 use crate::receive::{self, Exchange};
-use crate::traffic::{Flow, Kind, Traffic};
+use crate::traffic::{Flow, Traffic};
 use crate::{Error, Id, dial, keys};
 
 /// A peer to be connected to.
@@ -67,33 +65,6 @@
     pub(crate) inner: Rc<Inner>,
 }
 
-pub(crate) struct Inner {
-    pub(crate) config: Config,
-    pub(crate) endpoint: Endpoint,
-    pub(crate) handler: Box<dyn Fn(Event)>,
-    pub(crate) state: RefCell<State>,
-}
-
-pub(crate) struct State {
-    pub(crate) client: quinn::ClientConfig,
-    /// Grows with each change of keys.
-    pub(crate) generation: u64,
-    sequence: u64,
-    serial: u64,
-    /// The connection of each pair that is kept.
-    pub(crate) current: BTreeMap<Id, Rc<Link>>,
-    /// All connections, also those replaced that are still read.
-    all: BTreeMap<u64, Rc<Link>>,
-    dialers: BTreeMap<Id, Dialer>,
-    pub(crate) handshakes: usize,
-    traffic: Traffic,
-}
-
-struct Dialer {
-    address: SocketAddr,
-    task: JoinHandle<()>,
-}
-
 impl Mesh {
     /// Listens, and calls `handler` for all that happens. The handler runs on the mesh's own
     /// tasks and must not block.
@@ -106,17 +77,7 @@
         let keys = keys::load(&config.keys, own, &config.limits)
             .map_err(|findings| Report::new(Error::Keys(findings)))?;
         let endpoint = listen(&config, keys.server)?;
-        let state = State {
-            client: keys.client,
-            generation: 0,
-            sequence: 0,
-            serial: 0,
-            current: BTreeMap::new(),
-            all: BTreeMap::new(),
-            dialers: BTreeMap::new(),
-            handshakes: 0,
-            traffic: Traffic::default(),
-        };
+        let state = State::new(keys.client);
         let inner = Rc::new(Inner {
             config,
             endpoint,
@@ -257,8 +218,8 @@
         let status = |link: &Rc<Link>| Status {
             id: link.id.clone(),
             address: link.address(),
-            dialed: link.dialed,
-            age: link.since.elapsed(),
+            dialed: link.origin.dialed,
+            age: link.origin.since.elapsed(),
             round_trip: link.connection.rtt(),
             udp: link.udp(),
         };
@@ -281,130 +242,6 @@
     }
 }
 
-impl Inner {
-    pub(crate) fn encode(&self, body: Body) -> Encoded {
-        let mut state = self.state.borrow_mut();
-        state.sequence += 1;
-        codec::encode(&self.config.own, state.sequence, body)
-    }
-
-    pub(crate) fn count(&self, kind: Kind, direction: Direction, bytes: usize) {
-        let mut state = self.state.borrow_mut();
-        state.traffic.count(kind, direction, bytes);
-    }
-
-    pub(crate) fn refuse(&self) {
-        self.state.borrow_mut().traffic.refused += 1;
-    }
-
-    pub(crate) fn fail_handshake(&self) {
-        self.state.borrow_mut().traffic.failed_handshakes += 1;
-    }
-
-    pub(crate) fn unsent(&self) {
-        self.state.borrow_mut().traffic.unsent += 1;
-    }
-
-    pub(crate) fn link(&self, id: &str) -> Option<Rc<Link>> {
-        self.state.borrow().current.get(id).cloned()
-    }
-
-    fn send(&self, to: &str, encoded: Encoded) -> Result<(), Unsent> {
-        let sent = self.try_send(to, encoded);
-        if sent.is_err() {
-            self.unsent();
-        }
-        sent
-    }
-
-    fn try_send(&self, to: &str, encoded: Encoded) -> Result<(), Unsent> {
-        let link = self.link(to).ok_or(Unsent::NotConnected)?;
-        let (kind, size) = (encoded.kind, encoded.bytes.len());
-        if size > self.config.limits.frame {
-            return Err(Unsent::TooLarge);
-        }
-        if self.config.drops(Direction::Out, &link.id) {
-            return Ok(());
-        }
-        if !link.send(encoded) {
-            return Err(Unsent::Slow);
-        }
-        self.count(kind, Direction::Out, size);
-        Ok(())
-    }
-
-    /// Takes a connection whose handshake is done into the mesh, unless the pair has a better one.
-    pub(crate) fn adopt(self: &Rc<Self>, connection: Connection, dialed: bool, generation: u64) {
-        let name = keys::identity(&connection);
-        let Some(id) = name.filter(|id| *id != self.config.own.instance) else {
-            self.fail_handshake();
-            connection.close(NO_NAME, b"no usable name");
-            return;
-        };
-        let (queue, queued) = mpsc::channel(self.config.limits.queue);
-        let link = {
-            let mut state = self.state.borrow_mut();
-            state.serial += 1;
-            let link = Rc::new(Link {
-                id,
-                connection,
-                dialed,
-                generation,
-                serial: state.serial,
-                since: Instant::now(),
-                queue,
-            });
-            state.all.insert(link.serial, Rc::clone(&link));
-            link
-        };
-        let former = self.link(&link.id);
-        let spare = match &former {
-            Some(former) if !link.replaces(former, &self.config.own.instance) => {
-                Some(Rc::clone(&link))
-            }
-            _ => {
-                let mut state = self.state.borrow_mut();
-                state.current.insert(link.id.clone(), Rc::clone(&link))
-            }
-        };
-        if let Some(spare) = spare {
-            actix_rt::spawn(close_later(spare, self.config.limits.linger));
-        }
-        if former.is_none() {
-            (self.handler)(Event::Up(link.id.clone()));
-        }
-        actix_rt::spawn(serve(Rc::clone(self), link, queued));
-    }
-
-    fn forget(&self, link: &Rc<Link>) {
-        let down = {
-            let mut state = self.state.borrow_mut();
-            state.all.remove(&link.serial);
-            merge(&mut state.traffic.udp, link.udp());
-            let current = state.current.get(&link.id);
-            let was_current = current.is_some_and(|current| current.serial == link.serial);
-            if was_current {
-                state.current.remove(&link.id);
-            }
-            was_current
-        };
-        if down {
-            (self.handler)(Event::Down(link.id.clone()));
-        }
-    }
-}
-
-async fn serve(inner: Rc<Inner>, link: Rc<Link>, queued: mpsc::Receiver<Encoded>) {
-    receive::run(Rc::clone(&inner), Rc::clone(&link), queued).await;
-    inner.forget(&link);
-}
-
-/// Leaves frames under way the time to arrive before a spare connection is closed.
-async fn close_later(link: Rc<Link>, linger: Duration) {
-    sleep(linger).await;
-    link.connection.close(REPLACED, b"replaced");
-}
-
 fn listen(config: &Config, server: quinn::ServerConfig) -> Result<Endpoint, Report<Error>> {
     let socket =
         std::net::UdpSocket::bind(config.listen).change_context(Error::Listen(config.listen))?;
@@ -416,8 +253,3 @@
     )
     .change_context(Error::Listen(config.listen))
 }
-
-fn merge(total: &mut Flow, part: Flow) {
-    total.sent.merge(part.sent);
-    total.received.merge(part.received);
-}
--- a/crates/peer/src/receive.rs
+++ b/crates/peer/src/receive.rs
@@ -12,8 +12,8 @@
 use crate::codec::{self, Encoded};
 use crate::config::Direction;
 use crate::event::{Answer, Event};
+use crate::inner::Inner;
 use crate::link::{FALSE_NAME, Link};
-use crate::mesh::Inner;
 use crate::traffic::Kind;
 
 /// Serves a connection until it ends.
--- /dev/null
+++ b/crates/peer/tests/packets.rs
@@ -0,0 +1,124 @@
+//! Partitions of the network itself: packets between two meshes pass a relay that loses them in
+//! one or both directions.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by it")]
+
+mod support;
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use peer::Peer;
+use peer::issue::Authority;
+use support::{Node, config, confirm, loopback};
+use tokio::net::UdpSocket;
+
+/// Largest packet that is relayed.
+const PACKET: usize = 2048;
+
+/// Which directions lose their packets.
+#[derive(Clone, Copy, Default)]
+struct Loss {
+    to_b: bool,
+    to_a: bool,
+}
+
+/// Passes packets between whoever dials its address and b.
+struct Relay {
+    address: SocketAddr,
+    loss: Rc<Cell<Loss>>,
+}
+
+impl Relay {
+    async fn start(b: SocketAddr) -> Self {
+        let front = UdpSocket::bind(loopback()).await.unwrap();
+        let back = UdpSocket::bind(loopback()).await.unwrap();
+        let address = front.local_addr().unwrap();
+        let loss = Rc::new(Cell::new(Loss::default()));
+        actix_rt::spawn(relay(front, back, b, Rc::clone(&loss)));
+        Self { address, loss }
+    }
+}
+
+async fn relay(front: UdpSocket, back: UdpSocket, b: SocketAddr, loss: Rc<Cell<Loss>>) {
+    let mut a = None;
+    let (mut to_b, mut to_a) = ([0; PACKET], [0; PACKET]);
+    loop {
+        tokio::select! {
+            received = front.recv_from(&mut to_b) => {
+                let (size, from) = received.unwrap();
+                a = Some(from);
+                if !loss.get().to_b {
+                    back.send_to(&to_b[..size], b).await.unwrap();
+                }
+            }
+            received = back.recv_from(&mut to_a) => {
+                let (size, _) = received.unwrap();
+                if let (Some(a), false) = (a, loss.get().to_a) {
+                    front.send_to(&to_a[..size], a).await.unwrap();
+                }
+            }
+        }
+    }
+}
+
+// Symptom: an entry waits for ever on a connection that carries nothing.
+// Sequence: the network loses the packets of one direction, or of both, and heals later.
+// Cause: QUIC needs both directions; a connection that gets nothing acknowledged has to end on
+// both sides, and be made again by itself.
+async fn partition(lossy: Loss) {
+    let authority = Authority::new("test").unwrap();
+    let mut nodes = ["a", "b"].map(|id| {
+        let mut config = config(id, 1, authority.issue(id).unwrap());
+        config.limits.idle = Duration::from_millis(300);
+        config.limits.dial = Duration::from_millis(300);
+        Node::with(config)
+    });
+    let [a, b] = &mut nodes;
+    let relay = Relay::start(b.peer().address).await;
+    a.mesh.set_members(&[Peer {
+        id: "b".to_owned(),
+        address: relay.address,
+    }]);
+    a.up("b").await;
+    b.up("a").await;
+    relay.loss.set(lossy);
+    a.down("b").await;
+    b.down("a").await;
+    relay.loss.set(Loss::default());
+    a.up("b").await;
+    b.up("a").await;
+    a.mesh.send("b", confirm(3)).unwrap();
+    assert_eq!(b.confirmed(3).await, "a");
+    b.mesh.send("a", confirm(4)).unwrap();
+    assert_eq!(a.confirmed(4).await, "b");
+}
+
+#[actix_rt::test]
+async fn loss_in_one_direction_ends_both_and_heals() {
+    let to_b = Loss {
+        to_b: true,
+        to_a: false,
+    };
+    partition(to_b).await;
+}
+
+#[actix_rt::test]
+async fn loss_in_the_other_direction_ends_both_and_heals() {
+    let to_a = Loss {
+        to_b: false,
+        to_a: true,
+    };
+    partition(to_a).await;
+}
+
+#[actix_rt::test]
+async fn loss_in_both_directions_ends_both_and_heals() {
+    let both = Loss {
+        to_b: true,
+        to_a: true,
+    };
+    partition(both).await;
+}
--- a/crates/report/tests/burn.rs
+++ b/crates/report/tests/burn.rs
@@ -6,6 +6,7 @@
 
 use assert_matches::assert_matches;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use report::{BadObjective, Counters, Line, Objective, Outcome, Report, Speed};
 use wire::record::Author;
 
@@ -197,7 +198,16 @@
     }
 }
 
+/// Seed of the random cases, so that every run tries the same.
+const SEED: u64 = 1;
+
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
     // Merging any split of the same outcomes gives the same counters, in any order.
     #[test]
     fn merging_does_not_depend_on_who_counted(
