Test the batch over random schedules, and crashes and failing orders

Over 50 seeds of arrivals, priorities and push-back each job gets each of its tokens once and the KV memory is never overbooked; seen to fail with a job that forgets its text when it is pushed back. A process that exits within a stream leaves what it sent before; a failed or stuck order leaves the role alone.

--- a/crates/standin/tests/batch.rs
+++ b/crates/standin/tests/batch.rs
@@ -1,8 +1,11 @@
 //! Steps of the pure batching core.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use assert_matches::assert_matches;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 use standin::engine::Moment;
 use standin::engine::batch::{Batch, Id, Input, Job, Output, Role, Settings};
 use standin::engine::prefix::chain;
@@ -213,3 +216,61 @@
     batch.step(MS, Input::Pace(3000));
     assert_eq!(run(&mut batch), [(20 * MS, 1, 1), (56 * MS, 1, 2)]);
 }
+
+#[test]
+fn every_job_gets_each_of_its_tokens_once_whatever_the_schedule() {
+    for seed in 0..50 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let settings = Settings {
+            preempt: random.random_bool(0.5),
+            max_running: random.random_range(1..5),
+            ..settings()
+        };
+        let mut batch = Batch::new(settings, Role::Mixed);
+        let mut produced = BTreeMap::<Id, u32>::new();
+        let mut complete = 0;
+        let jobs = (1..=40).map(|id| {
+            let (prompt, output) = (random.random_range(0..300), random.random_range(1..20));
+            job(id, random.random_range(0..4), prompt, output)
+        });
+        let jobs = jobs.collect::<Vec<_>>();
+        let mut now = Moment::ZERO;
+        for input in jobs
+            .iter()
+            .cloned()
+            .map(Input::Submit)
+            .chain([Input::Advance])
+        {
+            let outputs = batch.step(now, input.clone());
+            now += random.random_range(0..200) * MS;
+            if input == Input::Advance {
+                now += Duration::from_secs(600);
+            }
+            let load = batch.load();
+            assert!(load.running <= settings.max_running, "seed {seed}");
+            assert!(load.kv_used <= settings.kv_tokens, "seed {seed}");
+            for output in outputs.into_iter().chain(batch.step(now, Input::Advance)) {
+                match output {
+                    Output::Progress {
+                        id,
+                        produced: count,
+                    } => {
+                        let before = produced.insert(id, count).unwrap_or(0);
+                        assert_eq!(count, before + 1, "seed {seed} job {id}");
+                    }
+                    Output::Finished { id, .. } => {
+                        let wanted = jobs[id as usize - 1].output_tokens;
+                        assert_eq!(produced[&id], wanted, "seed {seed} job {id}");
+                        complete += 1;
+                    }
+                    Output::Cache(_) => {}
+                }
+            }
+        }
+        assert_eq!(
+            (complete, batch.load()),
+            (40, Default::default()),
+            "seed {seed}"
+        );
+    }
+}
--- a/crates/standin/tests/http/common.rs
+++ b/crates/standin/tests/http/common.rs
@@ -1,6 +1,8 @@
 //! Starts stand-ins within the test's process and asks them.
 
+use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 
 use actix_http::Method;
@@ -61,6 +63,20 @@
     address
 }
 
+/// Starts a program as a process of its own and reads its address.
+pub(crate) fn spawn(program: &str) -> (Child, SocketAddr) {
+    let mut child = Command::new(program)
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    let out = child.stdout.take().unwrap();
+    BufReader::new(out).read_line(&mut line).unwrap();
+    let address = line.trim().strip_prefix("listening ").unwrap();
+    (child, address.parse().unwrap())
+}
+
 /// Sends a request; an error means that no whole answer came, and tells why or what came.
 pub(crate) async fn send(
     method: Method,
--- a/crates/standin/tests/http/engine.rs
+++ b/crates/standin/tests/http/engine.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::common::{Reply, engine, fault, get, platform, post, send};
+use crate::common::{Reply, engine, fault, get, platform, post, send, spawn};
 use actix_http::Method;
 use serde_json::{Value, json};
 use standin::engine::{chat_prompt, expected_text};
@@ -104,6 +104,42 @@
     assert_eq!(get(address, "/engine/streams/s1?from=2").await.status, 404);
 }
 
+#[actix_rt::test]
+async fn a_crash_within_a_stream_leaves_what_was_sent() {
+    // Symptom: the stream breaks off and nobody listens at the engine's address any more.
+    // Sequence: three events are sent, the process exits.
+    // Cause: the fault switch, as a crash of the engine.
+    let (mut child, address) = spawn(env!("CARGO_BIN_EXE_standin-engine"));
+    fault(address, json!({ "exit_streams": 1, "after_events": 3 })).await;
+    let body = json!({ "prompt": "p", "max_tokens": 30, "stream": true });
+    let before = complete(address, "/v1/completions", &[], body).await.err();
+    assert!(events(&before.unwrap()).0.into_iter().eq(0..3));
+    assert_eq!(child.wait().unwrap().code(), Some(70));
+}
+
+#[actix_rt::test]
+async fn an_order_that_fails_or_is_stuck_leaves_the_engine_as_it_was() {
+    let address = engine(&["--time-scale", "500"]);
+    fault(address, json!({ "fail_orders": 1 })).await;
+    let order = |id: u64| json!({ "order": id, "fence": 1, "kind": "set_role", "role": "decode" });
+    assert_eq!(post(address, "/engine/orders", order(7)).await.status, 202);
+    while get(address, "/engine/state").await.json()["order"]["state"] != "failed" {}
+    assert_eq!(get(address, "/engine/state").await.json()["role"], "mixed");
+    fault(
+        address,
+        json!({ "stuck_orders": 1, "lose_order_answers": 1 }),
+    )
+    .await;
+    let lost = complete(address, "/engine/orders", &[], order(8)).await;
+    assert!(lost.is_err());
+    // The answer was lost, the order was not: a repeat tells that it runs.
+    let repeat = post(address, "/engine/orders", order(8)).await;
+    assert_eq!(
+        (repeat.status, &repeat.json()["state"]),
+        (202, &json!("running"))
+    );
+}
+
 #[actix_rt::test]
 async fn cancel_ends_the_work_and_is_idempotent() {
     let address = engine(&["--time-scale", "0.001"]);
--- a/crates/standin/tests/http/service.rs
+++ b/crates/standin/tests/http/service.rs
@@ -1,10 +1,8 @@
 //! `standin-service` over HTTP, and as a process.
 
-use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
-use std::process::{Child, Command, Stdio};
+use std::process::Command;
 
-use crate::common::{fault, get, send, service};
+use crate::common::{fault, get, send, service, spawn};
 use actix_http::Method;
 use serde_json::json;
 
@@ -50,22 +48,9 @@
     assert_eq!(call("r3").await, "r3");
 }
 
-fn spawn() -> (Child, SocketAddr) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_standin-service"))
-        .stdout(Stdio::piped())
-        .stderr(Stdio::null())
-        .spawn()
-        .unwrap();
-    let mut line = String::new();
-    let out = child.stdout.take().unwrap();
-    BufReader::new(out).read_line(&mut line).unwrap();
-    let address = line.trim().strip_prefix("listening ").unwrap();
-    (child, address.parse().unwrap())
-}
-
 #[actix_rt::test]
 async fn the_process_exits_between_execution_and_answer() {
-    let (mut child, address) = spawn();
+    let (mut child, address) = spawn(env!("CARGO_BIN_EXE_standin-service"));
     fault(address, json!({ "exit_after": 1 })).await;
     let call = send(Method::POST, address, "/pay", &[], "ten".to_owned()).await;
     assert!(call.is_err());
@@ -74,7 +59,7 @@
 
 #[actix_rt::test]
 async fn the_process_ends_cleanly_on_sigterm() {
-    let (mut child, address) = spawn();
+    let (mut child, address) = spawn(env!("CARGO_BIN_EXE_standin-service"));
     assert_eq!(get(address, "/x").await.status, 200);
     let killed = Command::new("kill").arg(child.id().to_string()).status();
     assert!(killed.unwrap().success());
