Tell which heartbeats are news after a pause

Cause: the note on Output::Paused let any heartbeat read after a pause stand for news. Frames that were sent before or during the pause wait in the socket, so one of them could clear the pause while an order had closed an upstream meanwhile. Ruled out: the order of arrival, and the sender's time, which is on another clock.

Change: Members::fresh gives the members whose newest heartbeat echoes one that this process sent since its start or its last pause. With the comparison removed, or the end of the pause not noted, the test fails. Two conditions that another line made superfluous are gone; they survived their removal.

--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -199,7 +199,7 @@
     /// The frame must not be handled further.
     Refused(Refusal),
     /// This process was paused for so long. Its view is old: it must not send new work until it
-    /// has folded the log up to its end, or has heard a peer's heartbeat after this moment.
+    /// has folded the log up to its end, or knows of nothing newer from [`crate::Members::fresh`].
     Paused(Duration),
     /// A peer knows a newer incarnation of this instance: this process was replaced and must stop.
     Superseded(Incarnation),
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -106,6 +106,20 @@
         (known && heard_by_all) || now.saturating_sub(self.started) >= self.settings.lag
     }
 
+    /// The members whose newest heartbeat was certainly sent after this process started, or was
+    /// continued after its last pause: it echoes one that this process sent since.
+    ///
+    /// Symptom when any heartbeat is taken for news: a process that is continued after a minute
+    /// reads one that waited in its socket since the pause began, finds nothing newer in it than
+    /// what it knows, and sends work to an upstream that was closed meanwhile.
+    pub fn fresh(&self) -> impl Iterator<Item = &Member> {
+        let since = millis(self.listening_since);
+        self.members.values().filter(move |member| {
+            let echoed = member.echoed_at.map(millis);
+            echoed.is_some_and(|echoed| echoed >= since)
+        })
+    }
+
     /// Notices that this process was paused, and takes the pause out of everyone's silence.
     ///
     /// Symptom without it: a process that is continued after a minute takes all its peers for
--- a/crates/fleet/src/presence.rs
+++ b/crates/fleet/src/presence.rs
@@ -40,8 +40,8 @@
 
     /// The state that its marks and its silence mean.
     pub(crate) fn judge(&self, now: Moment, settings: &Settings) -> State {
-        let absent = now.saturating_sub(self.present_at);
-        if self.listed.is_none() && absent >= settings.gone_after {
+        // While it is listed it counts as present; see `Members::judge`.
+        if now.saturating_sub(self.present_at) >= settings.gone_after {
             return State::Gone;
         }
         if self.progress.leaving || self.listed == Some(Mark::Leaving) {
@@ -76,7 +76,6 @@
         self.incarnation_since = Some(now);
         // The silence before belongs to the former process; it is no return.
         self.heard_at = Some(now);
-        self.present_at = now;
         self.progress = Progress::default();
         self.sent_ms = 0;
         self.echoed_at = None;
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -140,6 +140,25 @@
     assert_eq!(state(&members, "a"), State::Gone);
 }
 
+// Symptom: a continued process trusts its old view and sends work to a closed upstream.
+// Sequence: this process is stopped for a minute. The first frame that it reads was sent at the
+// beginning of that minute and tells of nothing new.
+// Cause: a frame was taken for news because it was read after the pause.
+#[test]
+fn only_an_echo_of_a_later_heartbeat_proves_that_news_is_fresh() {
+    let mut members = members();
+    let fresh = |members: &Members| members.fresh().count();
+    members.step(s(1), Input::Frame(&echo("a", 1, OWN, s(1))));
+    assert_eq!(fresh(&members), 1);
+    let outputs = tick(&mut members, s(61));
+    assert_eq!(outputs[0], Output::Paused(s(60)));
+    assert_eq!(fresh(&members), 0);
+    members.step(s(61), Input::Frame(&echo("a", 2, OWN, s(1))));
+    assert_eq!(fresh(&members), 0);
+    members.step(s(62), Input::Frame(&echo("a", 3, OWN, s(61))));
+    assert_eq!(fresh(&members), 1);
+}
+
 // Symptom: a peer that does not hear this process looks healthy from here.
 // Sequence: a's heartbeats arrive each second and echo nothing after second 10.
 // Cause: a partition in one direction; only the echo shows it.
