Let each entry fill its part of an upstream's window only

At twice the capacity, requests were late that should have been first. Cause: when an upstream has room, all eight entries fill it before any knows of the others' sends; some engines had 4 s of prefill before them and others none, while hundreds of requests waited. Views of a busy engine also faded to the mean although a backlog of seconds cannot be gone in half of one.

Now an entry fills its part of the window, twice its share of all outstanding requests; a faded view never falls below what the engine cannot have worked off; windows end at the slots; a request that would be late at its place, or waits too long by the usual delay, is refused in place of being sent.

A test of the router sent 20 requests without end to one engine, more than its window now holds; it ends each of them.

--- a/crates/routing/examples/herd.rs
+++ b/crates/routing/examples/herd.rs
@@ -8,10 +8,13 @@
 //!
 //! `cargo run --release -p routing --example herd`
 
+mod counters;
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use clock::Moment;
+use counters::{Engine, Event, Job};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use routing::{
     affinity::History,
@@ -19,7 +22,7 @@
     ledger::NEVER,
     load::Load,
     member::Members,
-    pool::Config,
+    pool::{Config, Speed},
     upstream::{Health, Report, Role, View},
 };
 use smallvec::smallvec;
@@ -75,43 +78,13 @@
     },
 ];
 
-struct Job {
-    router: usize,
-    prompt: f64,
-    prompt_left: f64,
-    output: f64,
-    output_left: f64,
-    sent: Moment,
-}
-
+/// An engine with its past loads, from which old reports come.
 #[derive(Default)]
-struct Engine {
-    line: VecDeque<Job>,
-    decoding: Vec<Job>,
+struct Reported {
+    engine: Engine,
     past: VecDeque<(Moment, Load)>,
 }
 
-impl Engine {
-    fn load(&self) -> Load {
-        let jobs = self.line.iter().chain(&self.decoding);
-        jobs.fold(Load::default(), |sum, job| sum + left(job))
-    }
-
-    fn of_router(&self, router: usize) -> Load {
-        let jobs = self.line.iter().chain(&self.decoding);
-        jobs.filter(|job| job.router == router)
-            .fold(Load::default(), |sum, job| sum + left(job))
-    }
-}
-
-fn left(job: &Job) -> Load {
-    Load {
-        requests: 1.0,
-        prefill: job.prompt_left,
-        decode: job.output_left,
-    }
-}
-
 struct Entry {
     chooser: Chooser,
     members: Members,
@@ -130,7 +103,7 @@
     views: Views,
     rng: SmallRng,
     now: Moment,
-    engines: Vec<Engine>,
+    engines: Vec<Reported>,
     entries: Vec<Entry>,
     history: History,
     figures: Figures,
@@ -160,7 +133,7 @@
             views,
             rng,
             now: Moment::ZERO,
-            engines: (0..engines).map(|_| Engine::default()).collect(),
+            engines: (0..engines).map(|_| Reported::default()).collect(),
             entries,
             history: History::new(1),
             figures: Figures::default(),
@@ -190,7 +163,7 @@
         if let Some(age) = self.views.report_age {
             let due = self.due(self.views.report_every);
             for (number, engine) in self.engines.iter_mut().enumerate() {
-                engine.past.push_back((now, engine.load()));
+                engine.past.push_back((now, engine.engine.load()));
                 while engine.past.len() > 1 && engine.past[1].0 + age <= now {
                     engine.past.pop_front();
                 }
@@ -208,7 +181,7 @@
                 let loads: Vec<Load> = self
                     .engines
                     .iter()
-                    .map(|engine| engine.load() - engine.of_router(own))
+                    .map(|engine| engine.engine.load() - engine.engine.load_of(own))
                     .collect();
                 let by_id = |wanted: &str| {
                     let number: usize = wanted[7..].parse().expect("ids end in a number");
@@ -257,14 +230,8 @@
             .expect("all engines take work");
         let load = Load::of(prompt as u32, output as u32);
         self.change(router, pick.position, |now, ledger| ledger.add(now, load));
-        self.engines[pick.position].line.push_back(Job {
-            router,
-            prompt,
-            prompt_left: prompt,
-            output,
-            output_left: output,
-            sent: self.now,
-        });
+        let job = Job::new(0, router, 0, load, self.now);
+        self.engines[pick.position].engine.push(job);
     }
 
     fn change(
@@ -279,55 +246,45 @@
     }
 
     fn work(&mut self) {
-        let speed = self.config.speed;
-        let mut done: Vec<(usize, usize, Load)> = Vec::new();
-        for (number, engine) in self.engines.iter_mut().enumerate() {
-            let mut budget = speed.prefill_rate * STEP.as_secs_f64();
-            while budget > 0.0 {
-                let Some(job) = engine.line.front_mut() else {
-                    break;
-                };
-                let part = budget.min(job.prompt_left);
-                job.prompt_left -= part;
-                budget -= part;
-                if job.prompt_left > 0.0 {
-                    break;
-                }
-                let Some(job) = engine.line.pop_front() else {
-                    break;
-                };
+        // The slots are not what is compared here.
+        let speed = Speed {
+            slots: u32::MAX,
+            ..self.config.speed
+        };
+        for number in 0..self.engines.len() {
+            for event in self.engines[number].engine.step(speed, STEP) {
+                self.event(number, &event);
+            }
+        }
+    }
+
+    fn event(&mut self, number: usize, event: &Event) {
+        let (job, load) = match event {
+            Event::Prefilled(job) => {
+                self.note_wait(job);
                 let prefill = Load {
                     prefill: job.prompt,
                     ..Load::default()
                 };
-                done.push((job.router, number, prefill));
-                if self.now.as_secs() >= WARM_UP {
-                    let wait = (self.now - job.sent).as_secs_f64();
-                    self.figures
-                        .waits
-                        .push((wait - job.prompt / speed.prefill_rate).max(0.0));
-                }
-                engine.decoding.push(job);
+                (job, prefill)
             }
-            let step = speed.decode_rate * STEP.as_secs_f64();
-            for job in &mut engine.decoding {
-                job.output_left -= step;
+            Event::Finished(job) => {
+                let rest = Load {
+                    requests: 1.0,
+                    prefill: 0.0,
+                    decode: job.output,
+                };
+                (job, rest)
             }
-            engine.decoding.retain(|job| {
-                let over = job.output_left <= 0.0;
-                if over {
-                    let rest = Load {
-                        requests: 1.0,
-                        prefill: 0.0,
-                        decode: job.output,
-                    };
-                    done.push((job.router, number, rest));
-                }
-                !over
-            });
-        }
-        for (router, position, load) in done {
-            self.change(router, position, |now, ledger| ledger.remove(now, load));
+        };
+        self.change(job.router, number, |now, ledger| ledger.remove(now, load));
+    }
+
+    fn note_wait(&mut self, job: &Job) {
+        if self.now.as_secs() >= WARM_UP {
+            let wait = (self.now - job.sent).as_secs_f64();
+            let own = job.prompt / self.config.speed.prefill_rate;
+            self.figures.waits.push((wait - own).max(0.0));
         }
     }
 
@@ -335,7 +292,11 @@
         if self.now.as_secs() < WARM_UP {
             return;
         }
-        let loads: Vec<Load> = self.engines.iter().map(Engine::load).collect();
+        let loads: Vec<Load> = self
+            .engines
+            .iter()
+            .map(|engine| engine.engine.load())
+            .collect();
         let rate = self.config.speed.prefill_rate;
         self.figures.requests += deviation(loads.iter().map(|load| load.requests));
         self.figures.prefill += deviation(loads.iter().map(|load| load.prefill / rate));
--- a/crates/routing/src/choice.rs
+++ b/crates/routing/src/choice.rs
@@ -377,14 +377,14 @@
     }
 
     fn load(&self, member: &Member) -> Load {
-        member.ledger.estimate(self.now, self.mean, self.staleness)
+        member
+            .ledger
+            .estimate(self.now, self.mean, self.staleness, &member.speed)
     }
 
     fn has_room(&self, position: usize, class: Class) -> bool {
-        let member = self.members.at(position);
-        member
-            .window
-            .has_room(class, &member.speed, self.load(member))
+        let load = self.load(self.members.at(position));
+        self.members.has_room(position, class, load)
     }
 
     fn cost(&self, member: &Member, cached: u32) -> Cost {
--- a/crates/routing/src/ledger.rs
+++ b/crates/routing/src/ledger.rs
@@ -10,7 +10,7 @@
 
 use clock::Moment;
 
-use crate::{load::Load, upstream::Report};
+use crate::{load::Load, pool::Speed, upstream::Report};
 
 /// Spacing of the remembered own loads.
 const SAMPLE_EVERY: Duration = Duration::from_millis(200);
@@ -107,12 +107,17 @@
         Some((newest.load, now.saturating_sub(newest.at)))
     }
 
-    /// The belief: own work, and that of others faded towards `mean` over `staleness`.
-    pub fn estimate(&self, now: Moment, mean: Load, staleness: Duration) -> Load {
-        match self.others(now) {
-            None => self.own + mean,
-            Some((load, age)) => self.own + load.toward(mean, faded(age, staleness)),
+    /// The belief: own work, and that of others faded towards `mean` over `staleness`, but never
+    /// less than what the upstream cannot have worked off since at its `speed`.
+    pub fn estimate(&self, now: Moment, mean: Load, staleness: Duration, speed: &Speed) -> Load {
+        let Some((load, age)) = self.others(now) else {
+            return self.own + mean;
+        };
+        if staleness == NEVER {
+            return self.own + load;
         }
+        let faded = load.toward(mean, faded(age, staleness));
+        self.own + faded.most(remainder(load, age, speed))
     }
 
     fn sample(&mut self, now: Moment) {
@@ -140,9 +145,23 @@
 
 /// Share of a view's meaning that is lost at an age: 0 when fresh, 0.63 after `staleness`.
 fn faded(age: Duration, staleness: Duration) -> f64 {
-    if staleness == NEVER {
-        return 0.0;
-    }
     let ratio = age.as_secs_f64() / staleness.as_secs_f64().max(f64::MIN_POSITIVE);
     1.0 - (-ratio).exp()
 }
+
+/// What is left of a load at least after some time of full work on nothing else.
+fn remainder(load: Load, age: Duration, speed: &Speed) -> Load {
+    let seconds = age.as_secs_f64();
+    let prefill = load.prefill - speed.prefill_rate * seconds;
+    let decode = load.decode - f64::from(speed.slots) * speed.decode_rate * seconds;
+    let share = if load.decode > 0.0 {
+        decode / load.decode
+    } else {
+        0.0
+    };
+    Load {
+        requests: load.requests * share,
+        prefill,
+        decode,
+    }
+}
--- a/crates/routing/src/load.rs
+++ b/crates/routing/src/load.rs
@@ -32,6 +32,15 @@
         }
     }
 
+    /// The larger of both, field by field.
+    pub fn most(self, other: Self) -> Self {
+        Self {
+            requests: self.requests.max(other.requests),
+            prefill: self.prefill.max(other.prefill),
+            decode: self.decode.max(other.decode),
+        }
+    }
+
     /// A point between `self` (0) and `other` (1).
     pub fn toward(self, other: Self, share: f64) -> Self {
         self + (other - self) * share
--- a/crates/routing/src/member.rs
+++ b/crates/routing/src/member.rs
@@ -20,6 +20,11 @@
 /// Share of its speed at which a new upstream starts.
 const SLOW_START_FLOOR: f64 = 0.1;
 
+/// Part of the windows that an entry may fill, as a multiple of its share of all outstanding
+/// requests, and the part of an entry without any. The multiple lets shares move.
+const PART_OF_SHARE: f64 = 2.0;
+const LEAST_PART: f64 = 0.05;
+
 /// One upstream and the belief about it.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -75,11 +80,6 @@
         }
     }
 
-    /// Whether a request of this class finds room beside the estimated load.
-    pub fn has_room(&self, class: Class, load: Load) -> bool {
-        self.window.has_room(class, &self.pace(), load)
-    }
-
     /// Share of its speed that is counted on at this moment (slow start).
     pub fn share(&self, now: Moment, slow_start: Duration) -> f64 {
         let up = now.saturating_sub(self.view.up_since);
@@ -100,6 +100,8 @@
     ready: [Vec<usize>; 3],
     /// Mean of what others have before an upstream.
     mean: Load,
+    /// Part of the windows that this entry may fill.
+    part: f64,
 }
 
 impl Members {
@@ -110,6 +112,7 @@
             index: HashMap::new(),
             ready: Default::default(),
             mean: Load::default(),
+            part: 1.0,
         }
     }
 
@@ -199,22 +202,35 @@
         }
     }
 
+    /// Whether a request of this class finds room at a position beside the estimated load.
+    pub fn has_room(&self, position: usize, class: Class, load: Load) -> bool {
+        let member = &self.list[position];
+        let own = member.ledger.own();
+        member
+            .window
+            .has_room(class, &member.pace(), load, own, self.part)
+    }
+
     /// Recomputes the mean over all members' views of others; called from time to time and not per
     /// report, because it walks over the pool.
     pub fn average(&mut self, now: Moment) {
-        let mut sum = Load::default();
+        let (mut own, mut others) = (Load::default(), Load::default());
         let mut known = 0.0;
         for member in &self.list {
+            own += member.ledger.own();
             if let Some((load, _)) = member.ledger.others(now) {
-                sum += load;
+                others += load;
                 known += 1.0;
             }
         }
         self.mean = if known > 0.0 {
-            sum * (1.0 / known)
+            others * (1.0 / known)
         } else {
             Load::default()
         };
+        let all = own.requests + others.requests;
+        let share = if all > 0.0 { own.requests / all } else { 1.0 };
+        self.part = (share * PART_OF_SHARE + LEAST_PART).min(1.0);
     }
 
     fn refresh(&mut self) {
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -31,7 +31,7 @@
 pub const TICK: Duration = Duration::from_millis(20);
 
 /// Time between two sweeps over the queue for requests whose deadline cannot be met any more.
-const SWEEP_EVERY: Duration = Duration::from_millis(100);
+const SWEEP_EVERY: Duration = Duration::from_millis(50);
 
 /// Outputs of one call; mostly none or one.
 pub type Outputs = SmallVec<[Output; 2]>;
@@ -328,6 +328,7 @@
                 None => self.refuse(Reason::NoPool, Duration::ZERO),
             },
             Err(Blocked::NoUpstream) => self.refuse(Reason::NoUpstream, Duration::ZERO),
+            Err(Blocked::TooLate) => self.refuse(Reason::Deadline, Duration::ZERO),
             Err(Blocked::NoRoom) => self.queue(now, waiting),
         }
     }
@@ -340,7 +341,7 @@
         };
         let ahead = pool.queue.ahead(class) as f64;
         let wait = expected_wait(ahead, pool.served.per_second(now));
-        if now + wait + pool.least_time(&waiting.request) > waiting.request.deadline {
+        if now + wait + pool.usual_time(&waiting.request) > waiting.request.deadline {
             return self.refuse(Reason::Deadline, wait);
         }
         if pool.queue.is_full() && pool.queue.victim(class).is_none() {
--- a/crates/routing/src/router/waiting.rs
+++ b/crates/routing/src/router/waiting.rs
@@ -5,13 +5,14 @@
 
 use clock::Moment;
 
-use super::{Backoff, Outputs, Router};
+use super::{Backoff, Outputs, Router, SWEEP_EVERY};
 use crate::{
     admission::{Waiting, expected_wait},
     class::Class,
     decision::{Decision, Output, Reason, Ticket},
     limit::Used,
     pool,
+    scheduler::Blocked,
     split::Placement,
 };
 
@@ -19,25 +20,17 @@
     /// Sends waiting requests in order of service as long as there is room.
     pub(super) fn serve(&mut self, now: Moment, pool_id: &pool::Id, outputs: &mut Outputs) {
         self.shed(now, pool_id, outputs);
-        while let Some((ticket, placement)) = self.next_to_send(now, pool_id) {
-            let Some(pool) = self.pools.get_mut(pool_id) else {
-                return;
-            };
-            let Some(waiting) = pool.queue.remove(ticket) else {
-                return;
-            };
-            self.tickets.remove(&ticket);
-            if let Some(sending) = self.send(now, waiting, &placement) {
-                outputs.push(Output::Send { ticket, sending });
+        while let Some((ticket, placement)) = self.next(now, pool_id) {
+            match placement {
+                Some(placement) => self.send_waiting(now, ticket, &placement, outputs),
+                None => self.refuse_waiting(ticket, Reason::Deadline, Duration::ZERO, outputs),
             }
         }
     }
 
-    pub(super) fn next_to_send(
-        &mut self,
-        now: Moment,
-        pool_id: &pool::Id,
-    ) -> Option<(Ticket, Placement)> {
+    /// The next waiting request that leaves the queue: with its place, or without one because it
+    /// would be late anywhere.
+    fn next(&mut self, now: Moment, pool_id: &pool::Id) -> Option<(Ticket, Option<Placement>)> {
         let pool = self.pools.get_mut(pool_id)?;
         if pool.queue.is_empty() {
             return None;
@@ -46,13 +39,30 @@
             let Some(waiting) = pool.queue.get(ticket).cloned() else {
                 continue;
             };
-            if let Ok(placement) = pool.place(now, &waiting) {
-                return Some((ticket, placement));
+            match pool.place(now, &waiting) {
+                Ok(placement) => return Some((ticket, Some(placement))),
+                Err(Blocked::TooLate) => return Some((ticket, None)),
+                Err(Blocked::NoRoom | Blocked::NoUpstream) => {}
             }
         }
         None
     }
 
+    fn send_waiting(
+        &mut self,
+        now: Moment,
+        ticket: Ticket,
+        placement: &Placement,
+        outputs: &mut Outputs,
+    ) {
+        let Some(waiting) = self.withdraw(ticket) else {
+            return;
+        };
+        if let Some(sending) = self.send(now, waiting, placement) {
+            outputs.push(Output::Send { ticket, sending });
+        }
+    }
+
     /// Refuses what is beyond the queue's bound, lowest class first.
     pub(super) fn shed(&mut self, now: Moment, pool_id: &pool::Id, outputs: &mut Outputs) {
         loop {
@@ -72,7 +82,7 @@
         }
     }
 
-    /// Refuses what cannot meet its deadline any more.
+    /// Refuses what cannot meet its deadline any more, or could not when the next sweep comes.
     pub(super) fn sweep(&mut self, now: Moment, pool_id: &pool::Id, outputs: &mut Outputs) {
         let Some(pool) = self.pools.get_mut(pool_id) else {
             return;
@@ -84,7 +94,9 @@
         let per_second = pool.served.per_second(now);
         let gone = pool
             .queue
-            .hopeless(now, per_second, |request| pool.least_time(request));
+            .hopeless(now + SWEEP_EVERY, per_second, |request| {
+                pool.usual_time(request)
+            });
         let wait = expected_wait(pool.queue.len() as f64, per_second);
         for ticket in gone {
             self.refuse_waiting(ticket, Reason::Deadline, wait, outputs);
--- a/crates/routing/src/scheduler.rs
+++ b/crates/routing/src/scheduler.rs
@@ -25,6 +25,9 @@
 /// Time over which the rate is smoothed at which requests are sent.
 const SERVED_WINDOW: Duration = Duration::from_secs(5);
 
+/// Weight of the newest request in the usual delay at upstreams.
+const DELAY_WEIGHT: f64 = 0.05;
+
 /// Roles that run a whole request. Decode engines do so in small chunks.
 const WHOLE: [Role; 2] = [Role::Mixed, Role::Decode];
 
@@ -35,6 +38,8 @@
     NoUpstream,
     /// All that do have enough before them.
     NoRoom,
+    /// Even the best would answer after the deadline.
+    TooLate,
 }
 
 /// State of one pool.
@@ -50,6 +55,8 @@
     pub served: Rate,
     chooser: Chooser,
     history: History,
+    /// Seconds that requests lately stood at an upstream before their prefill began.
+    delay: f64,
 }
 
 impl Scheduler {
@@ -61,6 +68,7 @@
             served: Rate::new(now, SERVED_WINDOW),
             chooser: Chooser::new(SmallRng::seed_from_u64(rng.random())),
             history: History::new(HISTORY),
+            delay: 0.0,
             config,
         }
     }
@@ -82,22 +90,30 @@
         self.history.evict(prefix, upstream);
     }
 
-    /// Where a request would go now.
+    /// Where a request would go now. Urgent work goes in any case: a late answer to it is worth a
+    /// try, since its estimate leaves out that engines serve it first.
     pub fn place(&mut self, now: Moment, waiting: &Waiting) -> Result<Placement, Blocked> {
         let request = &waiting.request;
         let together = self.choose(now, &Work::whole(request, &WHOLE, &waiting.tried));
         let apart = self.apart(now, waiting);
-        let placement = split::place(&self.config, request.prompt_tokens, together, apart)
+        let preferred = split::place(&self.config, request.prompt_tokens, together, apart)
             .ok_or(Blocked::NoUpstream)?;
-        if self.has_room(request, &placement) {
-            return Ok(placement);
+        let placement = match self.has_room(request, &preferred) {
+            true => preferred,
+            false => self.elsewhere(now, waiting).ok_or(Blocked::NoRoom)?,
+        };
+        let seconds = placement.first_token(&self.config, request.prompt_tokens);
+        let left = request.deadline.saturating_sub(now).as_secs_f64();
+        if seconds > left && !request.class.is_urgent() {
+            return Err(Blocked::TooLate);
         }
-        self.elsewhere(now, waiting).ok_or(Blocked::NoRoom)
+        Ok(placement)
     }
 
     /// Enters a placement as work in hand.
     pub fn commit(&mut self, now: Moment, request: &Request, placement: &Placement) -> Holding {
         self.served.note(now, 1.0);
+        self.note_delay(request, placement);
         let whole = Load::of(request.prompt_tokens, request.output_tokens);
         match placement {
             Placement::Together(pick) => {
@@ -145,6 +161,19 @@
         Duration::from_secs_f64((seconds / 2.0).max(0.0))
     }
 
+    /// Time to the first token of a request as it is at present, without the wait at this entry.
+    pub fn usual_time(&self, request: &Request) -> Duration {
+        let own = f64::from(request.prompt_tokens) / self.config.speed.prefill_rate;
+        Duration::from_secs_f64((own + self.delay).max(0.0))
+    }
+
+    fn note_delay(&mut self, request: &Request, placement: &Placement) {
+        let prompt = request.prompt_tokens;
+        let own = f64::from(prompt) / self.config.speed.prefill_rate;
+        let delay = placement.first_token(&self.config, prompt) - own;
+        self.delay += DELAY_WEIGHT * (delay.max(0.0) - self.delay);
+    }
+
     fn choose(&mut self, now: Moment, work: &Work<'_>) -> Option<Pick> {
         self.chooser
             .choose(now, &self.config, &self.members, &self.history, work)
@@ -165,8 +194,8 @@
 
     fn has_room(&self, request: &Request, placement: &Placement) -> bool {
         let fits = |pick: &Pick| {
-            let member = self.members.at(pick.position);
-            member.has_room(request.class, pick.load)
+            self.members
+                .has_room(pick.position, request.class, pick.load)
         };
         match placement {
             Placement::Together(pick) => fits(pick),
--- a/crates/routing/src/window.rs
+++ b/crates/routing/src/window.rs
@@ -3,32 +3,30 @@
 
 use crate::{class::Class, load::Load, pool::Speed, upstream::Report};
 
-/// Requests beyond the slots that keep an engine busy while answers and new requests travel.
-const SURPLUS: f64 = 1.25;
-
 /// Waiting requests, as a share of the slots, above which the window shrinks.
-const WAITING_HIGH: f64 = 0.25;
+const WAITING_HIGH: f64 = 0.05;
 
-/// Bounds of the window, as shares of the slots.
+/// Bounds of the window, as shares of the slots. More than the slots is of use only as far as answers
+/// and new requests travel.
 const LEAST: f64 = 0.5;
-const MOST: f64 = 2.0;
+const MOST: f64 = 1.1;
 
 /// Factor at each report of too many waiting.
 const SHRINK: f64 = 0.9;
 
 /// Growth, in requests, at each report without any waiting.
-const GROWTH: f64 = 1.0;
+const GROWTH: f64 = 0.5;
 
 /// Seconds of prefill that may stand before an engine at most.
-const PREFILL_SECONDS: f64 = 1.0;
+const PREFILL_SECONDS: f64 = 0.5;
 
 /// Share of the window that a class may fill. What is left to the higher classes lets them in at once
 /// while lower ones wait.
 fn share(class: Class) -> f64 {
     match class {
         Class::Authorisation | Class::Status => f64::INFINITY,
-        Class::Interactive => 1.0,
-        Class::Dispatch => 0.9,
+        Class::Interactive => 0.95,
+        Class::Dispatch => 0.85,
         Class::Batch => 0.7,
     }
 }
@@ -45,7 +43,7 @@
     pub fn new(slots: u32) -> Self {
         let slots = f64::from(slots.max(1));
         Self {
-            limit: slots * SURPLUS,
+            limit: slots,
             slots,
         }
     }
@@ -69,19 +67,27 @@
         }
         self.limit = self
             .limit
-            .clamp((self.slots * LEAST).max(1.0), (self.slots * MOST).max(2.0));
+            .clamp((self.slots * LEAST).max(1.0), self.slots * MOST);
     }
 
-    /// Whether a request of this class finds room beside the estimated load.
-    pub fn has_room(&self, class: Class, speed: &Speed, load: Load) -> bool {
+    /// Whether a request of this class finds room beside the estimated load, of which `own` is this
+    /// entry's. `part` is the part of the window that this entry may fill.
+    ///
+    /// When an upstream has room, all entries learn of it and each fills it, because none knows yet
+    /// what the others sent. One notices it under overload by seconds of prefill before some
+    /// upstreams while others are idle. Here each entry fills its part only.
+    pub fn has_room(&self, class: Class, speed: &Speed, load: Load, own: Load, part: f64) -> bool {
         let share = share(class);
         if share.is_infinite() {
             return true;
         }
         // A small window must still let one request of the lowest class in.
-        let room = (self.limit * share).max(1.0);
-        let prefill = load.prefill / speed.prefill_rate.max(f64::MIN_POSITIVE);
-        load.requests + 1.0 <= room && prefill <= PREFILL_SECONDS * share
+        let requests = (self.limit * share).max(1.0);
+        let rate = speed.prefill_rate.max(f64::MIN_POSITIVE);
+        let seconds = PREFILL_SECONDS * share;
+        let fits = load.requests + 1.0 <= requests && load.prefill / rate <= seconds;
+        let fits_own = own.requests < (requests * part).max(1.0);
+        fits && fits_own && own.prefill / rate <= seconds * part
     }
 
     fn rescale(&mut self, slots: f64) {
--- /dev/null
+++ b/crates/routing/tests/admission.rs
@@ -0,0 +1,240 @@
+//! Queueing, shedding, deadlines and retries at one entry.
+
+mod common;
+
+use assert_matches::assert_matches;
+use clock::Moment;
+use common::{config, engines, ms, request, router};
+use routing::{
+    class::Class,
+    decision::{Attempt, Decision, Next, Output, Ran, Reason, Ticket},
+    pool::Config,
+    router::{Outputs, Router},
+};
+use smallvec::smallvec;
+
+/// A deadline that no test reaches.
+const LATE: u64 = 10_000_000;
+
+/// Fills a pool of one engine with dispatch work; gives the attempts.
+fn full(router: &mut Router) -> Vec<Attempt> {
+    let mut attempts = Vec::new();
+    loop {
+        match router.admit(ms(0), request(Class::Interactive, ms(LATE))) {
+            Decision::Send(sending) => attempts.push(sending.attempt),
+            Decision::Wait(ticket) => {
+                router.give_up(ticket);
+                return attempts;
+            }
+            Decision::Refuse(refusal) => panic!("{refusal:?}"),
+        }
+    }
+}
+
+fn wait(router: &mut Router, now: u64, class: Class, deadline: u64) -> Ticket {
+    let decision = router.admit(ms(now), request(class, ms(deadline)));
+    assert_matches!(decision, Decision::Wait(ticket) => ticket)
+}
+
+fn sent(outputs: &Outputs) -> Vec<Ticket> {
+    let sends = outputs.iter().filter_map(|output| match output {
+        Output::Send { ticket, .. } => Some(*ticket),
+        Output::Refuse { .. } => None,
+    });
+    sends.collect()
+}
+
+fn refused(outputs: &Outputs) -> Vec<(Ticket, Reason)> {
+    let refusals = outputs.iter().filter_map(|output| match output {
+        Output::Refuse { ticket, refusal } => Some((*ticket, refusal.reason)),
+        Output::Send { .. } => None,
+    });
+    refusals.collect()
+}
+
+#[test]
+fn waiting_work_goes_by_class_and_then_by_deadline() {
+    let mut router = router(config(), engines(1));
+    let attempts = full(&mut router);
+    let batch = wait(&mut router, 1, Class::Batch, LATE);
+    let late = wait(&mut router, 2, Class::Interactive, LATE);
+    let soon = wait(&mut router, 3, Class::Interactive, LATE - 1_000);
+    let dispatch = wait(&mut router, 4, Class::Dispatch, 5_000_000);
+    let mut order = Vec::new();
+    for (n, attempt) in attempts.iter().enumerate() {
+        order.extend(sent(&router.finished(ms(10 + n as u64), *attempt)));
+    }
+    assert_eq!(order, [soon, late, dispatch, batch]);
+}
+
+#[test]
+fn authorisations_and_pings_never_wait_behind_other_work() {
+    // Symptom: a late authorisation leaves a customer at a dead kiosk.
+    // Sequence: the pool is full and the queue as well, then an authorisation comes.
+    // Cause: it would stand in the same queue as summaries.
+    let mut router = router(config(), engines(1));
+    full(&mut router);
+    for n in 0..256 {
+        wait(&mut router, n, Class::Batch, LATE);
+    }
+    for class in [Class::Authorisation, Class::Status] {
+        let decision = router.admit(ms(300), request(class, ms(1_300)));
+        assert_matches!(decision, Decision::Send(_), "{class:?}");
+    }
+}
+
+#[test]
+fn a_full_queue_sheds_the_lowest_class_first() {
+    let pool = Config {
+        queue: 3,
+        ..config()
+    };
+    let mut router = router(pool, engines(1));
+    full(&mut router);
+    let batch: Vec<Ticket> = (0..3)
+        .map(|n| wait(&mut router, n, Class::Batch, LATE + n))
+        .collect();
+    let decision = router.admit(ms(5), request(Class::Batch, ms(LATE)));
+    assert_matches!(decision, Decision::Refuse(refusal) => {
+        assert_eq!(refusal.reason, Reason::Overload(Class::Batch));
+    });
+    for n in 0..3 {
+        wait(&mut router, 10 + n, Class::Interactive, LATE);
+    }
+    let mut shed = refused(&router.tick(ms(20)));
+    shed.sort_by_key(|(ticket, _)| *ticket);
+    let expected: Vec<(Ticket, Reason)> = batch
+        .iter()
+        .map(|ticket| (*ticket, Reason::Overload(Class::Batch)))
+        .collect();
+    assert_eq!(shed, expected);
+    let decision = router.admit(ms(30), request(Class::Dispatch, ms(LATE)));
+    assert_matches!(decision, Decision::Refuse(refusal) => {
+        assert_eq!(refusal.reason, Reason::Overload(Class::Dispatch));
+    });
+}
+
+#[test]
+fn what_cannot_be_in_time_is_refused_at_once() {
+    let mut router = router(config(), engines(1));
+    full(&mut router);
+    // The rate at which requests are sent is known: 40 in the first second.
+    for n in 0..30 {
+        wait(&mut router, 1_000 + n, Class::Interactive, LATE);
+    }
+    let decision = router.admit(ms(1_100), request(Class::Interactive, ms(1_200)));
+    assert_matches!(decision, Decision::Refuse(refusal) => {
+        assert_eq!(refusal.reason, Reason::Deadline);
+        assert!(refusal.retry_after >= ms(1_000));
+    });
+}
+
+#[test]
+fn a_waiting_request_is_told_before_its_deadline_has_passed() {
+    // Symptom: callers learn only at their deadline that their request was not run.
+    // Sequence: a request waits, and nothing leaves the queue any more.
+    // Cause: the queue would be looked at only when something is sent.
+    let mut router = router(config(), engines(1));
+    full(&mut router);
+    let ticket = wait(&mut router, 10, Class::Interactive, 3_000);
+    let mut told = None;
+    for now in (20..3_000).step_by(20) {
+        let refusals = refused(&router.tick(ms(now)));
+        if refusals.contains(&(ticket, Reason::Deadline)) {
+            told = Some(now);
+            break;
+        }
+    }
+    assert!(told.is_some_and(|told| told < 3_000), "{told:?}");
+    assert_eq!(router.waiting(common::POOL), 0);
+}
+
+#[test]
+fn a_model_whose_engines_are_full_does_not_hold_up_others() {
+    let mut views = engines(2);
+    views[0].models = smallvec!["a@1".into()];
+    views[1].models = smallvec!["b@1".into()];
+    let mut router = router(config(), views);
+    let of = |model: &str| {
+        let mut request = request(Class::Interactive, ms(LATE));
+        request.model = Some(model.into());
+        request
+    };
+    while let Decision::Send(_) = router.admit(ms(0), of("a@1")) {}
+    assert_eq!(router.waiting(common::POOL), 1);
+    assert_matches!(router.admit(ms(1), of("b@1")), Decision::Send(_));
+}
+
+#[test]
+fn a_caller_that_goes_leaves_no_trace_in_the_queue() {
+    let mut router = router(config(), engines(1));
+    let attempts = full(&mut router);
+    let ticket = wait(&mut router, 1, Class::Interactive, LATE);
+    router.give_up(ticket);
+    assert_eq!(router.waiting(common::POOL), 0);
+    assert!(router.finished(ms(2), attempts[0]).is_empty());
+}
+
+#[test]
+fn refused_callers_are_told_different_times() {
+    // Symptom: after an overload all refused callers come back in the same second.
+    // Sequence: many are refused at the same moment and told the same time.
+    // Cause: the time to come back would depend on the queue alone.
+    let mut router = router(config(), vec![]);
+    let mut seconds = [0_usize; 10];
+    for _ in 0..1_000 {
+        let decision = router.admit(ms(0), request(Class::Interactive, ms(LATE)));
+        let refusal = assert_matches!(decision, Decision::Refuse(refusal) => refusal);
+        let tenth = (refusal.retry_after.as_millis() - 1_000) / 100;
+        seconds[(tenth as usize).min(9)] += 1;
+    }
+    assert!(seconds.iter().all(|count| *count < 150), "{seconds:?}");
+}
+
+#[test]
+fn retries_stay_a_share_of_first_attempts() {
+    // Symptom: a pool that fails gets three times its load and does not recover.
+    // Sequence: every attempt fails; each is retried.
+    // Cause: retries without a budget multiply the load just when it is too high.
+    let mut router = router(config(), engines(8));
+    let mut attempts = 0;
+    for n in 0..1_000_u64 {
+        let now = n * 10;
+        let mut sent: Vec<Attempt> = Vec::new();
+        if let Decision::Send(sending) =
+            router.admit(ms(now), request(Class::Interactive, ms(LATE)))
+        {
+            sent.push(sending.attempt);
+        }
+        for output in router.tick(ms(now)) {
+            if let Output::Send { sending, .. } = output {
+                sent.push(sending.attempt);
+            }
+        }
+        for attempt in sent {
+            attempts += 1;
+            router.failed(ms(now), attempt, Ran::No);
+        }
+    }
+    assert!(attempts <= 1_000 + 100 + 20, "{attempts}");
+    assert!(attempts >= 1_100, "{attempts}");
+}
+
+#[test]
+fn retries_of_one_moment_are_spread() {
+    let mut router = router(config(), engines(8));
+    let mut due: Vec<Moment> = Vec::new();
+    for _ in 0..20 {
+        let decision = router.admit(ms(0), request(Class::Interactive, ms(LATE)));
+        let sending = assert_matches!(decision, Decision::Send(sending) => sending);
+        let next = router.failed(ms(0), sending.attempt, Ran::No);
+        assert_matches!(next, Next::Wait(_));
+    }
+    for now in 0..=10 {
+        let count = sent(&router.tick(ms(now))).len();
+        due.extend(std::iter::repeat_n(ms(now), count));
+    }
+    assert_eq!(due.len(), 20);
+    let most = due.chunk_by(|a, b| a == b).map(<[Moment]>::len).max();
+    assert!(most.is_some_and(|most| most <= 8), "{due:?}");
+}
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -173,7 +173,7 @@
     let member = side.members.get_mut(&id).expect("it is there");
     let load = member
         .ledger
-        .estimate(ms(500), Load::default(), Duration::MAX);
+        .estimate(ms(500), Load::default(), Duration::MAX, &side.config.speed);
     assert_eq!(load, Load::of(8_000, 100));
 }
 
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -43,6 +43,7 @@
     for n in 0..20 {
         let sending = send(&mut router, n, Class::Interactive);
         assert_eq!(&*sending.upstream, "engine-0001");
+        router.finished(ms(n), sending.attempt);
     }
 }
 
