Follow the grown records in the size example

Cause: two fields were added to the record types while the example stood; the lint of all targets failed on it. Ruled out: functional update with defaults (a new field that carries bytes would go uncounted unseen). Change: the two fields are named. Before: the example did not compile. After: it compiles and prints the sizes. Conclusion: none about sizes.

--- a/crates/wire/examples/sizes.rs
+++ b/crates/wire/examples/sizes.rs
@@ -62,6 +62,7 @@
         json: "x".repeat(ENTRY_JSON_BYTES),
         revision: 1_000_000,
         operator: "operator".into(),
+        rules: 1,
     };
     Body::Snapshot(record::Snapshot {
         upto: 1_000_000,
@@ -72,6 +73,7 @@
         orders: Vec::new(),
         digest: vec![7; 32],
         settled: Vec::new(),
+        horizon: 0,
     })
 }
 
