Report an answer that breaks off as an error

Cause: the HTTP client takes the end of a connection for the end of a body, so a service that dies while it answers gave its caller half an answer with status 200. Found by a trial with an answer of 3 of 10 announced bytes. Ruled out: counting bytes at the entry (a chunked answer has no length) and a client of our own (a further transport). Change: the crate dial puts a stream under the client's own connector for which the end of the connection is an error; the entry's upstream client uses it. Before: with the guard removed two of the three tests fail (an answer without its last chunk and one without its last bytes read as whole). After: all three pass; the entry's tests pass. Conclusion: a broken answer shows as a failure; one that is delimited only by its connection's end counts as broken.

--- a/crates/entry/src/upstream/client.rs
+++ b/crates/entry/src/upstream/client.rs
@@ -190,7 +190,7 @@
 /// Redirects are off because a followed one sends a call twice, decompression because bodies pass
 /// through as they are, and the limit of connections because admission is the router's matter.
 fn connections(options: &Options) -> Http {
-    let connector = awc::Connector::new()
+    let connector = dial::connector()
         .timeout(options.connect)
         .handshake_timeout(options.connect)
         .conn_keep_alive(options.idle)
