--- a/crates/load/src/bench/memory.rs
+++ b/crates/load/src/bench/memory.rs
@@ -18,7 +18,7 @@
 const OPENING: Duration = Duration::from_secs(5);
 
 /// Resident memory in bytes.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 #[derive(Serialize)]
 pub struct Memory {
     /// Before the first call of the bench.
@@ -31,6 +31,8 @@
     pub streams: usize,
     /// Of these, the ones that had already ended when the memory was read.
     pub ended: usize,
+    /// How the first of those ended.
+    pub first_end: Option<String>,
 }
 
 /// Opens streams, reads the memory, closes them.
@@ -52,17 +54,23 @@
         })
         .collect();
     sleep(OPENING).await;
-    let ended = streams.iter().filter(|stream| stream.is_finished()).count();
     let open = process.resident()?;
-    for stream in &streams {
-        stream.abort();
+    let asked = streams.len();
+    let mut ended = Vec::new();
+    for stream in streams {
+        if stream.is_finished() {
+            ended.extend(stream.await);
+        } else {
+            stream.abort();
+        }
     }
     Ok(Memory {
         idle,
         after_load,
         open,
-        streams: streams.len(),
-        ended,
+        streams: asked,
+        ended: ended.len(),
+        first_end: ended.first().map(|call| format!("{:?}", call.end)),
     })
 }
 
@@ -72,12 +80,13 @@
         write!(
             f,
             "resident: idle {:.1} MiB, after load {:.1} MiB, with {} streams open {:.1} MiB \
-             ({} of them had ended)",
+             ({} had ended, the first as {})",
             mega(self.idle),
             mega(self.after_load),
             self.streams - self.ended,
             mega(self.open),
-            self.ended
+            self.ended,
+            self.first_end.as_deref().unwrap_or("none"),
         )
     }
 }
