Show the service-level burn as a table and as one HTML page

report burn reads the report of the administration API into the types of the report crate and lets it draw text and page. Not run against an entry yet.

--- a/crates/cli/src/burn.rs
+++ b/crates/cli/src/burn.rs
@@ -1,8 +1,8 @@
-//! `tarragonctl report burn`.
+//! `tarragonctl report burn`; see `docs/BURN.md`.
 
 use std::path::Path;
 
-use error_stack::Report;
+use error_stack::{Report, ResultExt};
 use serde_json::Value;
 
 use crate::args::{Connection, Reports};
@@ -19,13 +19,15 @@
     let Reports::Burn { html, local } = action;
     let path = if *local { "burn" } else { "burn?merged=1" };
     let value: Value = admin.get(path).await?;
+    let burn: report::Report = serde_json::from_value(value.clone())
+        .map_err(|error| Report::new(Failure::Misunderstood(error.to_string())))?;
     if let Some(file) = html {
-        write_page(file, &value)?;
+        write_page(file, &burn)?;
     }
-    Ok(Told::tree(value))
+    Ok(Told::new(value, burn.text()))
 }
 
-fn write_page(_file: &Path, _value: &Value) -> Result<(), Report<Failure>> {
-    let detail = "the HTML page is not there yet";
-    Err(Report::new(Failure::Usage(detail.to_owned())))
+fn write_page(file: &Path, burn: &report::Report) -> Result<(), Report<Failure>> {
+    let failed = || Failure::Usage(format!("cannot write {}", file.display()));
+    std::fs::write(file, burn.html()).change_context_lazy(failed)
 }
