Let the streams of the tests outlast what they wait for

Cause: three mutants survived. Streams ended before the balancer's wait was over, before a missing cancellation could show, and an owner's name of another length changed the MAC without the name. Change: longer streams, and an owner's name of the same length.

--- a/crates/entry/tests/events.rs
+++ b/crates/entry/tests/events.rs
@@ -118,7 +118,7 @@
 fn an_event_id_is_of_no_use_to_others_or_later() {
     let mint = Mint::new(b"0123456789abcdef", Duration::from_secs(60));
     let id = format!("{}.7", mint.place(&place(), "lima", WALL));
-    assert_eq!(mint.read(&id, "texas", WALL), Err(Refused::Forged));
+    assert_eq!(mint.read(&id, "cali", WALL), Err(Refused::Forged));
     let foreign = Mint::new(b"another secret!!", Duration::from_secs(60));
     assert_eq!(foreign.read(&id, "lima", WALL), Err(Refused::Forged));
     let late = WALL + Duration::from_secs(61);
--- a/crates/entry/tests/stopping.rs
+++ b/crates/entry/tests/stopping.rs
@@ -9,6 +9,10 @@
 use fleet::{Fleet, LIMA, eventually};
 use standin::engine::expected_text;
 
+/// Tokens of a stream that is in hand when the entry stops; it takes longer than the wait for the
+/// balancer.
+const TOKENS: u32 = 1_500;
+
 // Symptom: callers see cut streams or refused connections when an entry is replaced.
 // Sequence: SIGTERM while streams and calls are in hand and new ones keep coming.
 // Cause: the entry stopped listening before the balancer knew, or ended before its work did.
@@ -22,7 +26,7 @@
                 let caller = caller.clone();
                 actix_rt::spawn(async move {
                     let prompt = format!("stopping {n}");
-                    let streamed = caller.stream("kiosk", &prompt, 150, usize::MAX).await;
+                    let streamed = caller.stream("kiosk", &prompt, TOKENS, usize::MAX).await;
                     (prompt, streamed)
                 })
             })
@@ -47,7 +51,7 @@
         for stream in streams {
             let (prompt, streamed) = stream.await.unwrap();
             assert!(streamed.done, "{streamed:?}");
-            assert_eq!(streamed.text, expected_text(&prompt, 150));
+            assert_eq!(streamed.text, expected_text(&prompt, TOKENS));
         }
         let mut ended = None;
         eventually("the entry ends", async || {
--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -151,7 +151,7 @@
 async fn a_caller_that_goes_away_cancels_at_the_engine() {
     let fleet = Fleet::start(1, 0, 1).await;
     let caller = fleet.caller(0, LIMA);
-    let streamed = caller.stream("kiosk", "going", 20_000, 3).await;
+    let streamed = caller.stream("kiosk", "going", 150_000, 3).await;
     assert_eq!(streamed.ids.len(), 3);
     drop(caller);
     let engine = fleet::Caller::new(&fleet.engines[0].address, "");
