Set aside upstreams that are silent, fail or are slow by own observation

Reports and the instance list are late: an engine that accepts and never answers looks idle in both. The router now counts what it sent without any sign of an answer, failures in a row, and the rate at which answers come. The usual rate also replaces the pool's set one.

The only upstream of a pool is tried again in place of a refusal. A burst after a quiet time is no longer refused by the rate of the quiet time.

--- a/crates/routing/benches/decisions.rs
+++ b/crates/routing/benches/decisions.rs
@@ -66,7 +66,7 @@
         };
         members.report(&format!("engine-{number:04}"), report);
     }
-    members.average(NOW);
+    members.survey(NOW);
     members
 }
 
--- a/crates/routing/examples/herd.rs
+++ b/crates/routing/examples/herd.rs
@@ -192,7 +192,7 @@
         }
         if self.due(Duration::from_millis(100)) {
             for entry in &mut self.entries {
-                entry.members.average(now);
+                entry.members.survey(now);
             }
         }
     }
--- a/crates/routing/src/holding.rs
+++ b/crates/routing/src/holding.rs
@@ -17,6 +17,11 @@
 }
 
 impl Holding {
+    /// Upstream that works on it at present.
+    pub fn working(&self) -> &Id {
+        self.prefill.as_ref().map_or(&self.upstream, |(id, _)| id)
+    }
+
     /// Whether any of it is at an upstream.
     pub fn touches(&self, upstream: &str) -> bool {
         *self.upstream == *upstream
--- a/crates/routing/src/member.rs
+++ b/crates/routing/src/member.rs
@@ -11,6 +11,7 @@
     cost::CHUNK_SHARE,
     ledger::Ledger,
     load::Load,
+    observed::Observed,
     pool::{Config, Speed},
     request::Model,
     upstream::{Health, Id, Report, Role, View},
@@ -25,6 +26,9 @@
 const PART_OF_SHARE: f64 = 2.0;
 const LEAST_PART: f64 = 0.05;
 
+/// All roles.
+const ROLES: [Role; 3] = [Role::Mixed, Role::Prefill, Role::Decode];
+
 /// One upstream and the belief about it.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -38,6 +42,12 @@
     pub seed: u64,
     /// How much work may stand before it.
     pub window: Window,
+    /// What this entry itself sees of it.
+    pub observed: Observed,
+    /// Share of its speed that it is taken to have; below 1 for one that is slower than its like.
+    quickness: f64,
+    /// Whether it is set aside because of what was observed.
+    aside: bool,
 }
 
 impl Member {
@@ -48,6 +58,9 @@
             ledger: Ledger::default(),
             speed,
             window: Window::new(speed.slots),
+            observed: Observed::default(),
+            quickness: 1.0,
+            aside: false,
         }
     }
 
@@ -74,15 +87,18 @@
             .report()
             .is_some_and(|report| report.prefill_rate > 0.0);
         let chunked = self.view.role == Role::Decode && !told;
+        let chunk = if chunked { CHUNK_SHARE } else { 1.0 };
         Speed {
-            prefill_rate: self.speed.prefill_rate * if chunked { CHUNK_SHARE } else { 1.0 },
+            prefill_rate: self.speed.prefill_rate * chunk * self.quickness,
+            decode_rate: self.speed.decode_rate * self.quickness,
             ..self.speed
         }
     }
 
     /// Share of its speed that is counted on at this moment (slow start).
     pub fn share(&self, now: Moment, slow_start: Duration) -> f64 {
-        let up = now.saturating_sub(self.view.up_since);
+        let since = self.view.up_since.max(self.observed.back_since());
+        let up = now.saturating_sub(since);
         if up >= slow_start {
             return 1.0;
         }
@@ -211,9 +227,58 @@
             .has_room(class, &member.pace(), load, own, self.part)
     }
 
-    /// Recomputes the mean over all members' views of others; called from time to time and not per
-    /// report, because it walks over the pool.
-    pub fn average(&mut self, now: Moment) {
+    /// Takes stock of the pool: the mean load, the part of the windows that this entry may fill, who
+    /// is slow and who is set aside. Called from time to time and not per request, because it walks
+    /// over the pool.
+    pub fn survey(&mut self, now: Moment) {
+        self.average(now);
+        self.compare(now);
+        let mut changed = false;
+        for member in &mut self.list {
+            let requests = member.ledger.own().requests;
+            member.observed.check(now, requests);
+            let aside = member.observed.is_aside(now);
+            changed |= aside != member.aside;
+            member.aside = aside;
+        }
+        if changed {
+            self.refresh();
+        }
+    }
+
+    /// Requests of this kind a second that all upstreams together can do for this entry.
+    pub fn capacity(&self, usual: Load) -> f64 {
+        let ready = self.ready.iter().flatten();
+        let rates = ready.map(|position| {
+            let pace = self.list[*position].pace();
+            let prefill = pace.prefill_rate / usual.prefill.max(f64::MIN_POSITIVE);
+            let decode = f64::from(pace.slots) * pace.decode_rate;
+            prefill.min(decode / usual.decode.max(f64::MIN_POSITIVE))
+        });
+        rates.sum::<f64>() * self.part
+    }
+
+    /// Compares the rates of answers of upstreams of one role.
+    fn compare(&mut self, now: Moment) {
+        for role in ROLES {
+            let rates = self.list.iter().filter(|member| member.view.role == role);
+            let rates = rates.filter_map(|member| member.observed.rate(now));
+            let (sum, count) =
+                rates.fold((0.0, 0.0), |(sum, count), rate| (sum + rate, count + 1.0));
+            if count == 0.0 {
+                continue;
+            }
+            let usual = sum / count;
+            for member in &mut self.list {
+                if member.view.role == role {
+                    member.speed.decode_rate = usual;
+                    member.quickness = member.observed.share(now, usual);
+                }
+            }
+        }
+    }
+
+    fn average(&mut self, now: Moment) {
         let (mut own, mut others) = (Load::default(), Load::default());
         let mut known = 0.0;
         for member in &self.list {
@@ -238,7 +303,7 @@
             ready.clear();
         }
         for (position, member) in self.list.iter().enumerate() {
-            if member.takes_work() && member.view.health == Health::Up {
+            if member.takes_work() && member.view.health == Health::Up && !member.aside {
                 self.ready[member.view.role as usize].push(position);
             }
         }
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -50,6 +50,8 @@
 struct Running {
     waiting: Waiting,
     holding: Holding,
+    /// When the answer began, if it comes as a stream.
+    first_token: Option<Moment>,
     /// Answer tokens so far.
     generated: u64,
 }
@@ -130,8 +132,9 @@
     /// Decides about a new request.
     pub fn admit(&mut self, now: Moment, request: Request) -> Decision {
         self.budget.earn();
-        if !self.pools.contains_key(&request.pool) {
-            return self.refuse(Reason::NoPool, Duration::ZERO);
+        match self.pools.get_mut(&request.pool) {
+            None => return self.refuse(Reason::NoPool, Duration::ZERO),
+            Some(pool) => pool.note(&request),
         }
         let checked = self.limits.check(now, &request.subjects, request.tokens());
         if let Err(refused) = checked {
@@ -155,8 +158,16 @@
         let Some(pool) = self.pools.get_mut(&running.waiting.request.pool) else {
             return;
         };
+        if let Some(member) = pool.members.get_mut(running.holding.working()) {
+            member.observed.sign(now);
+        }
         match progress {
-            Progress::Prefilled => running.holding.prefilled(now, pool),
+            Progress::Prefilled => {
+                if running.holding.prefill.is_none() {
+                    running.first_token.get_or_insert(now);
+                }
+                running.holding.prefilled(now, pool);
+            }
             Progress::Tokens(count) => {
                 running.generated += u64::from(count);
                 running.holding.generated(now, pool, count);
@@ -181,6 +192,7 @@
         let mut outputs = Outputs::new();
         if let Some(running) = self.release(now, attempt) {
             self.settle(&running);
+            self.observe(now, &running);
             self.serve(now, &running.waiting.request.pool, &mut outputs);
         }
         outputs
@@ -191,6 +203,12 @@
         let Some(mut running) = self.release(now, attempt) else {
             return Next::Final;
         };
+        let request = &running.waiting.request;
+        if let Some(pool) = self.pools.get_mut(&request.pool)
+            && let Some(member) = pool.members.get_mut(running.holding.working())
+        {
+            member.observed.failed(now);
+        }
         running.waiting.attempts += 1;
         running.waiting.tried.push(running.holding.upstream.clone());
         let Some(due) = self.retry_at(now, &running.waiting, ran) else {
@@ -340,7 +358,7 @@
             return self.refuse(Reason::NoPool, Duration::ZERO);
         };
         let ahead = pool.queue.ahead(class) as f64;
-        let wait = expected_wait(ahead, pool.served.per_second(now));
+        let wait = expected_wait(ahead, pool.drain_rate(now));
         if now + wait + pool.usual_time(&waiting.request) > waiting.request.deadline {
             return self.refuse(Reason::Deadline, wait);
         }
@@ -348,15 +366,15 @@
             return self.refuse(Reason::Overload(class), wait);
         }
         let ticket = self.number();
-        self.hold_back(pool_id, ticket, waiting);
+        self.hold_back(now, pool_id, ticket, waiting);
         Decision::Wait(ticket)
     }
 
     /// Puts a request into its queue. One of a lower class that no longer fits is refused by the
     /// next tick.
-    fn hold_back(&mut self, pool_id: pool::Id, ticket: Ticket, waiting: Waiting) {
+    fn hold_back(&mut self, now: Moment, pool_id: pool::Id, ticket: Ticket, waiting: Waiting) {
         if let Some(pool) = self.pools.get_mut(&pool_id) {
-            pool.queue.push(ticket, waiting);
+            pool.push(now, ticket, waiting);
             self.tickets.insert(ticket, pool_id);
         }
     }
@@ -371,6 +389,28 @@
         (due < waiting.request.deadline).then_some(due)
     }
 
+    /// Learns the speed of an upstream from a finished attempt. One that gave nothing at all was
+    /// cancelled and tells nothing.
+    fn observe(&mut self, now: Moment, running: &Running) {
+        let request = &running.waiting.request;
+        let silent = running.generated == 0 && running.first_token.is_none();
+        if silent && request.output_tokens > 0 {
+            return;
+        }
+        let Some(pool) = self.pools.get_mut(&request.pool) else {
+            return;
+        };
+        if let Some(member) = pool.members.get_mut(&running.holding.upstream) {
+            let streamed = running.first_token.is_some();
+            let time = running
+                .first_token
+                .map_or(Duration::ZERO, |first| now.saturating_sub(first));
+            member
+                .observed
+                .answered(now, streamed, running.generated, time);
+        }
+    }
+
     /// Books what an attempt used in truth.
     fn settle(&mut self, running: &Running) {
         let request = &running.waiting.request;
@@ -399,6 +439,7 @@
             Running {
                 waiting,
                 holding,
+                first_token: None,
                 generated: 0,
             },
         );
--- a/crates/routing/src/router/waiting.rs
+++ b/crates/routing/src/router/waiting.rs
@@ -76,7 +76,7 @@
                 return;
             };
             let class = pool.queue.get(ticket).map(|waiting| waiting.request.class);
-            let wait = expected_wait(pool.queue.len() as f64, pool.served.per_second(now));
+            let wait = expected_wait(pool.queue.len() as f64, pool.drain_rate(now));
             let reason = class.map_or(Reason::NoPool, Reason::Overload);
             self.refuse_waiting(ticket, reason, wait, outputs);
         }
@@ -87,11 +87,11 @@
         let Some(pool) = self.pools.get_mut(pool_id) else {
             return;
         };
-        pool.members.average(now);
+        pool.members.survey(now);
         if pool.queue.is_empty() {
             return;
         }
-        let per_second = pool.served.per_second(now);
+        let per_second = pool.drain_rate(now);
         let gone = pool
             .queue
             .hopeless(now + SWEEP_EVERY, per_second, |request| {
@@ -113,21 +113,21 @@
             match self.enter(now, waiting) {
                 Decision::Send(sending) => outputs.push(Output::Send { ticket, sending }),
                 Decision::Refuse(refusal) => outputs.push(Output::Refuse { ticket, refusal }),
-                Decision::Wait(new) => self.rename(new, ticket),
+                Decision::Wait(new) => self.rename(now, new, ticket),
             }
         }
     }
 
     /// Lets a request that was queued under a new number keep the one that the entry knows.
-    pub(super) fn rename(&mut self, new: Ticket, known: Ticket) {
+    pub(super) fn rename(&mut self, now: Moment, new: Ticket, known: Ticket) {
         let Some(pool_id) = self.tickets.remove(&new) else {
             return;
         };
         let Some(pool) = self.pools.get_mut(&pool_id) else {
             return;
         };
-        if let Some(waiting) = pool.queue.remove(new) {
-            self.hold_back(pool_id, known, waiting);
+        if let Some(waiting) = pool.remove(new) {
+            self.hold_back(now, pool_id, known, waiting);
         }
     }
 
@@ -144,7 +144,7 @@
     /// Takes a request out of its queue or its backoff.
     pub(super) fn withdraw(&mut self, ticket: Ticket) -> Option<Waiting> {
         if let Some(pool) = self.tickets.remove(&ticket) {
-            return self.pools.get_mut(&pool)?.queue.remove(ticket);
+            return self.pools.get_mut(&pool)?.remove(ticket);
         }
         let mut backoffs = self.backoffs.keys();
         let key = *backoffs.find(|(_, number)| *number == ticket)?;
--- a/crates/routing/src/scheduler.rs
+++ b/crates/routing/src/scheduler.rs
@@ -4,11 +4,13 @@
 
 use clock::Moment;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use smallvec::SmallVec;
 
 use crate::{
     admission::{Queue, Waiting},
     affinity::History,
     choice::{Chooser, Pick, Work},
+    decision::Ticket,
     holding::Holding,
     load::Load,
     member::Members,
@@ -25,6 +27,12 @@
 /// Time over which the rate is smoothed at which requests are sent.
 const SERVED_WINDOW: Duration = Duration::from_secs(5);
 
+/// Time after which the rate of the requests sent tells what the pool can do.
+const BACKLOG: Duration = Duration::from_secs(2);
+
+/// Weight of the newest request in the usual request.
+const USUAL_WEIGHT: f64 = 0.02;
+
 /// Weight of the newest request in the usual delay at upstreams.
 const DELAY_WEIGHT: f64 = 0.05;
 
@@ -51,8 +59,11 @@
     pub members: Members,
     /// Waiting requests.
     pub queue: Queue,
-    /// Requests sent a second.
-    pub served: Rate,
+    served: Rate,
+    /// Since when requests have been waiting.
+    backlog: Option<Moment>,
+    /// Mean of the requests that came lately.
+    usual: Load,
     chooser: Chooser,
     history: History,
     /// Seconds that requests lately stood at an upstream before their prefill began.
@@ -66,6 +77,8 @@
             members: Members::new(),
             queue: Queue::new(config.queue),
             served: Rate::new(now, SERVED_WINDOW),
+            backlog: None,
+            usual: Load::default(),
             chooser: Chooser::new(SmallRng::seed_from_u64(rng.random())),
             history: History::new(HISTORY),
             delay: 0.0,
@@ -93,6 +106,20 @@
     /// Where a request would go now. Urgent work goes in any case: a late answer to it is worth a
     /// try, since its estimate leaves out that engines serve it first.
     pub fn place(&mut self, now: Moment, waiting: &Waiting) -> Result<Placement, Blocked> {
+        match self.place_untried(now, waiting) {
+            // Trying the same upstream again is better than not trying at all.
+            Err(Blocked::NoUpstream) if !waiting.tried.is_empty() => {
+                let again = Waiting {
+                    tried: SmallVec::new(),
+                    ..waiting.clone()
+                };
+                self.place_untried(now, &again)
+            }
+            placed => placed,
+        }
+    }
+
+    fn place_untried(&mut self, now: Moment, waiting: &Waiting) -> Result<Placement, Blocked> {
         let request = &waiting.request;
         let together = self.choose(now, &Work::whole(request, &WHOLE, &waiting.tried));
         let apart = self.apart(now, waiting);
@@ -133,7 +160,7 @@
                     prefill: 0.0,
                     ..whole
                 };
-                let id = self.enter(now, prefill.position, front);
+                let id = self.enter(now, prefill, front);
                 self.history.note(&request.prefixes, &id);
                 self.hold(now, request, decode, back, Some((id, front)))
             }
@@ -167,6 +194,46 @@
         Duration::from_secs_f64((own + self.delay).max(0.0))
     }
 
+    /// Requests a second that leave the queue. While it has not been there for long, the rate of
+    /// the last seconds tells what came and not what the pool can do; then the larger of both counts,
+    /// because a burst after a quiet time must not be refused for the quiet.
+    pub fn drain_rate(&self, now: Moment) -> f64 {
+        let served = self.served.per_second(now);
+        let lasts = self
+            .backlog
+            .is_some_and(|since| now.saturating_sub(since) >= BACKLOG);
+        if lasts {
+            return served;
+        }
+        served.max(self.members.capacity(self.usual))
+    }
+
+    /// Lets a request wait.
+    pub fn push(&mut self, now: Moment, ticket: Ticket, waiting: Waiting) {
+        self.backlog.get_or_insert(now);
+        self.queue.push(ticket, waiting);
+    }
+
+    /// Takes a waiting request out.
+    pub fn remove(&mut self, ticket: Ticket) -> Option<Waiting> {
+        let waiting = self.queue.remove(ticket);
+        if self.queue.is_empty() {
+            self.backlog = None;
+        }
+        waiting
+    }
+
+    /// Counts a request that came.
+    pub fn note(&mut self, request: &Request) {
+        let load = Load::of(request.prompt_tokens, request.output_tokens);
+        let weight = if self.usual.requests > 0.0 {
+            USUAL_WEIGHT
+        } else {
+            1.0
+        };
+        self.usual = self.usual.toward(load, weight);
+    }
+
     fn note_delay(&mut self, request: &Request, placement: &Placement) {
         let prompt = request.prompt_tokens;
         let own = f64::from(prompt) / self.config.speed.prefill_rate;
@@ -232,7 +299,7 @@
         load: Load,
         prefill: Option<(Id, Load)>,
     ) -> Holding {
-        let upstream = self.enter(now, pick.position, load);
+        let upstream = self.enter(now, pick, load);
         self.history.note(&request.prefixes, &upstream);
         Holding {
             upstream,
@@ -241,13 +308,27 @@
         }
     }
 
-    fn enter(&mut self, now: Moment, position: usize, load: Load) -> Id {
-        let id = self.members.at(position).view.id.clone();
-        self.charge(now, &id, load);
+    fn enter(&mut self, now: Moment, pick: &Pick, load: Load) -> Id {
+        let id = self.members.at(pick.position).view.id.clone();
+        if let Some(member) = self.members.get_mut(&id) {
+            let answer = load.decode / member.speed.decode_rate.max(f64::MIN_POSITIVE);
+            let first_token = seconds(pick.cost.first_token);
+            member
+                .observed
+                .sent(now, first_token, first_token + seconds(answer));
+            member.ledger.add(now, load);
+        }
         id
     }
 }
 
+/// Longest expected time that is reckoned with.
+const LONGEST: f64 = 3_600.0;
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds.clamp(0.0, LONGEST))
+}
+
 fn decode_work<'a>(request: &'a Request, tried: &'a [Id]) -> Work<'a> {
     Work {
         prompt: 0,
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -238,3 +238,26 @@
     let most = due.chunk_by(|a, b| a == b).map(<[Moment]>::len).max();
     assert!(most.is_some_and(|most| most <= 8), "{due:?}");
 }
+
+#[test]
+fn a_burst_after_a_quiet_time_is_not_refused() {
+    // Symptom: the first requests after a pause are refused although the pool is idle.
+    // Sequence: nothing comes for a minute, then more than fits into the windows.
+    // Cause: the rate at which requests were sent is taken for the rate at which they can be.
+    let mut router = router(config(), engines(4));
+    for _ in 0..60 {
+        let decision = router.admit(ms(60_000), request(Class::Interactive, ms(61_500)));
+        assert!(!matches!(decision, Decision::Refuse(_)), "{decision:?}");
+    }
+    assert!(router.waiting(common::POOL) > 0);
+}
+
+#[test]
+fn the_only_upstream_is_tried_again() {
+    let mut router = router(config(), engines(1));
+    let decision = router.admit(ms(0), request(Class::Interactive, ms(LATE)));
+    let first = assert_matches!(decision, Decision::Send(sending) => sending);
+    let next = router.failed(ms(1), first.attempt, Ran::No);
+    let ticket = assert_matches!(next, Next::Wait(ticket) => ticket);
+    assert_eq!(sent(&router.tick(ms(100))), [ticket]);
+}
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -140,7 +140,7 @@
             let id = format!("engine-{engine:04}");
             side.members.report(&id, report(ms(10_000), prompt));
         }
-        side.members.average(ms(12_000));
+        side.members.survey(ms(12_000));
         for _ in 0..18 {
             let pick = side.choose(ms(12_000), &work(&[])).expect("all are open");
             on_idle += u32::from(pick.position == 4);
--- /dev/null
+++ b/crates/routing/tests/observed.rs
@@ -0,0 +1,123 @@
+//! What an entry learns of upstreams by itself.
+
+mod common;
+
+use std::{collections::VecDeque, time::Duration};
+
+use common::{config, engines, ms, request, router};
+use routing::{
+    class::Class,
+    decision::{Attempt, Decision, Progress, Ran},
+    observed::Observed,
+    pool::Config,
+    router::Router,
+};
+
+const SILENT: &str = "engine-0000";
+
+/// Sends a request each 50 ms; all engines but the silent one answer within that time, and callers
+/// of the silent one go after a second. Gives how many it got in each ten seconds.
+fn drive(router: &mut Router, seconds: u64) -> Vec<usize> {
+    let mut counts = Vec::new();
+    let mut answering: Vec<Attempt> = Vec::new();
+    let mut hanging: VecDeque<(u64, Attempt)> = VecDeque::new();
+    for step in 0..seconds * 20 {
+        if step % 200 == 0 {
+            counts.push(0);
+        }
+        let now = ms(step * 50);
+        for attempt in answering.drain(..) {
+            router.progress(now, attempt, Progress::Prefilled);
+            router.progress(now, attempt, Progress::Tokens(100));
+            router.finished(now, attempt);
+        }
+        while let Some((_, attempt)) = hanging.pop_front_if(|(due, _)| *due <= step) {
+            router.finished(now, attempt);
+        }
+        router.tick(now);
+        let asked = request(Class::Authorisation, now + ms(600_000));
+        let Decision::Send(sending) = router.admit(now, asked) else {
+            panic!("authorisations are sent at once");
+        };
+        if &*sending.upstream == SILENT {
+            hanging.push_back((step + 20, sending.attempt));
+            *counts.last_mut().expect("ten seconds are open") += 1;
+        } else {
+            answering.push(sending.attempt);
+        }
+    }
+    counts
+}
+
+#[test]
+fn an_engine_that_accepts_and_never_answers_is_set_aside() {
+    // Symptom: a share of the callers waits until their deadline, again and again.
+    // Sequence: an engine hangs; its connections stay open, and its reports stay as they were.
+    // Cause: nothing but the missing answers tells that it hangs.
+    let pool = Config {
+        slow_start: Duration::from_secs(10),
+        ..config()
+    };
+    let mut router = router(pool, engines(4));
+    let counts = drive(&mut router, 60);
+    println!("requests to the silent engine in each 10 s of 200: {counts:?}");
+    assert!(counts[0] >= 5);
+    assert!(counts[1..].iter().sum::<usize>() <= 15, "{counts:?}");
+}
+
+#[test]
+fn an_upstream_that_fails_each_time_is_set_aside_for_longer_and_longer() {
+    let mut router = router(config(), engines(4));
+    let mut counts = [0; 6];
+    for step in 0..1_200_u64 {
+        let now = ms(step * 50);
+        router.tick(now);
+        let asked = request(Class::Authorisation, now + ms(600_000));
+        let Decision::Send(sending) = router.admit(now, asked) else {
+            panic!("authorisations are sent at once");
+        };
+        if &*sending.upstream == SILENT {
+            counts[(step / 200) as usize] += 1;
+            router.failed(now, sending.attempt, Ran::Unknown);
+        } else {
+            router.progress(now, sending.attempt, Progress::Prefilled);
+            router.finished(now, sending.attempt);
+        }
+    }
+    println!("attempts that fail in each 10 s of 200: {counts:?}");
+    assert!(counts.iter().sum::<usize>() <= 24, "{counts:?}");
+    assert!(counts[5] <= 3, "{counts:?}");
+}
+
+#[test]
+fn a_slow_upstream_is_known_by_its_answers_until_they_are_old() {
+    let mut slow = Observed::default();
+    for n in 1..=30 {
+        slow.answered(ms(n * 100), true, 100, Duration::from_secs(10));
+    }
+    let share = slow.share(ms(3_000), 50.0);
+    assert!((share - 0.2).abs() < 0.01, "{share}");
+    assert_eq!(slow.share(ms(60_000), 50.0), 1.0);
+}
+
+#[test]
+fn short_answers_and_small_differences_say_nothing() {
+    let mut upstream = Observed::default();
+    upstream.answered(ms(100), true, 2, Duration::from_secs(10));
+    assert_eq!(upstream.rate(ms(100)), None);
+    upstream.answered(ms(200), true, 100, Duration::from_secs(3));
+    assert_eq!(upstream.share(ms(200), 45.0), 1.0);
+}
+
+#[test]
+fn an_upstream_that_works_on_long_answers_is_not_taken_for_silent() {
+    let mut upstream = Observed::default();
+    let first = Duration::from_millis(500);
+    upstream.sent(ms(0), first, Duration::from_secs(20));
+    upstream.check(ms(30_000), 1.0);
+    assert!(!upstream.is_aside(ms(30_000)));
+    upstream.check(ms(63_000), 1.0);
+    assert!(upstream.is_aside(ms(63_000)));
+    upstream.sign(ms(63_100));
+    assert!(!upstream.is_aside(ms(65_100)));
+}
