Test the control under lost answers, outages, races and dead holders

Controls run in one process over the platform's and the engines' stand-ins and a real mesh on loopback. Covered: a lost answer to an edit and to a claim, the log out at start with and without peers, an outage in the middle (serving goes on, leases lapse, no orders), two racing edits, a release at a stop, a change that waits for every entry, a holder that dies while the engine acts and one that dies before it sent, a log that forgot its beginning.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -75,6 +75,7 @@
     superseded: bool,
     leaving_since: Option<Moment>,
     left: bool,
+    aborted: bool,
     /// The view must be published without waiting for the tick.
     urgent: bool,
 }
@@ -198,6 +199,9 @@
             }
             self.settle();
         }
+        if self.flags.aborted {
+            return;
+        }
         self.mesh.close().await;
         if let Some(stop) = self.stop {
             let _gone = stop.reply.send(());
--- a/crates/control/src/core/hands.rs
+++ b/crates/control/src/core/hands.rs
@@ -27,6 +27,10 @@
         self.stop = Some(Stop { until, reply });
     }
 
+    pub(crate) fn abort(&mut self) {
+        self.flags.aborted = true;
+    }
+
     pub(super) fn hand_over(&mut self, now: Moment) {
         let Some(since) = self.flags.leaving_since else {
             return;
@@ -42,7 +46,7 @@
     /// Whether nothing is left to be handed over, or the time for it is over.
     pub(super) fn is_done(&self) -> bool {
         let Some(stop) = &self.stop else {
-            return false;
+            return self.flags.aborted;
         };
         let handed = self.flags.left && self.scopes.is_released() && self.calls.held() == 0;
         handed || self.clock.now() >= stop.until
--- a/crates/control/src/handle.rs
+++ b/crates/control/src/handle.rs
@@ -249,6 +249,11 @@
         let _stopped = stopped.await;
     }
 
+    /// Ends at once and hands nothing over, as a crash would. For tests.
+    pub fn abort(&self) {
+        self.run(Core::abort);
+    }
+
     fn run(&self, job: impl FnOnce(&mut Core) + Send + 'static) {
         crate::message::send(&self.sender, Message::Run(Box::new(job)));
     }
--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -13,6 +13,9 @@
 /// Part of the retention over which the processes spread their snapshots.
 const SPREAD: u32 = 12;
 
+/// Time over which they spread them when the log forgets faster than its retention says.
+const SHORT_SPREAD: Duration = Duration::from_secs(1);
+
 /// Records below which the log's window tells nothing of its retention.
 const SMALL_WINDOW: Offset = 64;
 
@@ -32,8 +35,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Keeper {
     retention: Duration,
-    /// What this process waits after a snapshot is due, so that usually one process writes it.
-    delay: Duration,
+    /// The part of a spread that this process waits after a snapshot is due, from 0 to 1, so that
+    /// usually one process writes it.
+    share: f64,
     covered: Offset,
     /// When a newer snapshot was met last.
     since: Moment,
@@ -49,7 +53,7 @@
         let share = f64::from(hash.as_bytes()[0]) / f64::from(u8::MAX);
         Self {
             retention,
-            delay: (retention / SPREAD).mul_f64(share),
+            share,
             covered: 0,
             since: now.saturating_sub(retention / AGED / 2),
             due_since: None,
@@ -62,13 +66,18 @@
         if window.covered > self.covered {
             self.covered = window.covered;
             self.since = now;
+            self.tried = None;
         }
-        if !self.has_aged(now, window) {
-            self.due_since = None;
-            return false;
-        }
+        let spread = match (Self::is_crowded(window), self.has_aged(now)) {
+            (true, _) => SHORT_SPREAD.min(self.retention / SPREAD),
+            (false, true) => self.retention / SPREAD,
+            (false, false) => {
+                self.due_since = None;
+                return false;
+            }
+        };
         let due_since = *self.due_since.get_or_insert(now);
-        let delayed = now >= due_since + self.delay.min(self.retention / SPREAD);
+        let delayed = now >= due_since + spread.mul_f64(self.share);
         let retried = self.tried.is_none_or(|tried| now >= tried + RETRY);
         if delayed && retried {
             self.tried = Some(now);
@@ -76,13 +85,15 @@
         delayed && retried
     }
 
-    /// By time, or by the place of the newest snapshot in what the log retains: a log that keeps a
-    /// number of records forgets faster than its retention by time says.
-    fn has_aged(&self, now: Moment, window: Window) -> bool {
-        let by_time = now.saturating_sub(self.since) >= self.retention / AGED;
+    fn has_aged(&self, now: Moment) -> bool {
+        now.saturating_sub(self.since) >= self.retention / AGED
+    }
+
+    /// Whether the newest snapshot lies in the older part of what the log retains: a log that keeps
+    /// a number of records forgets faster than its retention by time says.
+    fn is_crowded(window: Window) -> bool {
         let width = window.next.saturating_sub(window.first);
         let behind = window.next.saturating_sub(window.covered);
-        let by_place = window.first > 1 && behind > (width / u64::from(AGED)).max(SMALL_WINDOW);
-        by_time || by_place
+        window.first > 1 && behind > (width / u64::from(AGED)).max(SMALL_WINDOW)
     }
 }
--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -126,7 +126,7 @@
     /// Offers a peer's state; [`Ledger::step`] takes it if it is newer.
     pub(crate) fn offer(&mut self, snapshot: Box<Snapshot>) {
         let best = self.untried.as_ref().map_or(0, |known| known.upto);
-        if snapshot.upto > best.max(self.folded()) {
+        if snapshot.upto > best {
             self.untried = Some(snapshot);
         }
     }
@@ -215,7 +215,8 @@
     }
 
     /// Takes a whole state if it is newer than what is folded, whoever offers it: the state of this
-    /// process never goes back.
+    /// process never goes back. The catalogue looks by itself, but one whose rules are unknown has
+    /// folded less than the authority, which would go back to a former holder.
     fn adopt(&mut self, snapshot: &Snapshot) -> bool {
         if snapshot.upto <= self.folded() {
             return false;
@@ -243,3 +244,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/control/tests/control/fleet.rs
+++ b/crates/control/tests/control/fleet.rs
@@ -1,5 +1,4 @@
 //! A fleet for the tests: the platform's stand-in, controls and engines' stand-ins.
-#![allow(dead_code)]
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,6 +15,9 @@
 use standin::engine::{self, Engine};
 use standin::http;
 use standin::platform::{Options as PlatformOptions, Platform};
+use wire::Message as _;
+use wire::record::Record;
+use wire::record::record::Body;
 
 /// Far longer than anything awaited here takes; a test that gets here has failed.
 const BOUND: Duration = Duration::from_secs(30);
@@ -161,6 +163,20 @@
         address
     }
 
+    /// All records of the log.
+    pub(crate) async fn log(&self) -> Vec<Body> {
+        let log = platform::Log::new(&platform::Options::new(format!("http://{}", self.platform)));
+        let chunk = log
+            .read(1, 1000, Duration::ZERO)
+            .await
+            .expect("the log answers");
+        let bodies = chunk.records.into_iter().filter_map(|entry| {
+            let record = Record::decode(entry.data).expect("only records are in it");
+            record.body
+        });
+        bodies.collect()
+    }
+
     /// Sets fault switches of the platform.
     pub(crate) async fn fault(&self, switches: &str) {
         fault(self.platform, switches).await;
--- /dev/null
+++ b/crates/control/tests/control/orders.rs
@@ -0,0 +1,170 @@
+//! Planned changes: confirmed drains, and holders that die in the middle.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::time::Duration;
+
+use control::order::{What, Wish};
+use control::{Handle, Hooks};
+
+use crate::fleet::{CATALOGUE, Fleet, document, status, view};
+
+/// A data plane whose open requests and applied view the test moves.
+#[derive(Clone, Default)]
+struct Plane {
+    open: Arc<AtomicU32>,
+    applied: Arc<AtomicU64>,
+}
+
+impl Plane {
+    fn attach(&self, control: &Handle) {
+        let (open, applied) = (self.open.clone(), self.applied.clone());
+        control.set_hooks(Hooks {
+            open: Box::new(move |_| open.load(Ordering::SeqCst)),
+            applied: Box::new(move || applied.load(Ordering::SeqCst)),
+            ..Hooks::default()
+        });
+    }
+}
+
+fn wish() -> Wish {
+    Wish {
+        upstream: "engine-0".to_owned(),
+        what: What::SetRole {
+            role: platform::Role::Decode,
+        },
+    }
+}
+
+fn step(status: &control::Status) -> &str {
+    status
+        .orders
+        .first()
+        .map_or("", |order| order.step.as_str())
+}
+
+async fn holds(control: &Handle) {
+    status(control, |status| {
+        status.scopes.iter().any(|scope| scope.lease_ms > 0)
+    })
+    .await;
+}
+
+/// Two entries that know each other, the first of them holding control, and two engines.
+async fn start(options: &[&str]) -> (Fleet, Handle, Handle) {
+    let fleet = Fleet::start(&[]).await;
+    fleet.engine("engine-0", options).await;
+    fleet.engine("engine-1", &[]).await;
+    let one = fleet.entry(fleet.member("entry-0")).await;
+    one.submit_edit(&document(CATALOGUE))
+        .await
+        .expect("it is valid");
+    holds(&one).await;
+    let two = fleet.entry(fleet.member("entry-1")).await;
+    for control in [&one, &two] {
+        status(control, |status| {
+            status.ready && status.peers.iter().any(|peer| peer.hearing == "hears")
+        })
+        .await;
+    }
+    view(&two, |view| {
+        view.upstream("engine-0").is_some_and(|one| one.open)
+    })
+    .await;
+    (fleet, one, two)
+}
+
+// Symptom: a stream is cut by a planned change of role.
+// Sequence: one entry is slow to take the view in which the engine is closed, then still has a
+// stream there.
+// Cause: an order that is sent before all entries have confirmed that nothing is open.
+#[actix_rt::test]
+async fn a_change_waits_for_every_entry() {
+    let (_fleet, one, two) = start(&[]).await;
+    let plane = Plane::default();
+    plane.open.store(1, Ordering::SeqCst);
+    plane.attach(&two);
+    // Asked at the entry that does not hold control: it hands the wish over.
+    two.submit_order(&wish(), "ana")
+        .await
+        .expect("the holder takes it");
+    let waits = |status: &control::Status, what: &str| {
+        status.orders.iter().any(|order| order.waits == what)
+    };
+    status(&one, |status| waits(status, "entry-1 to confirm")).await;
+    plane.applied.store(u64::MAX, Ordering::SeqCst);
+    status(&one, |status| waits(status, "entry-1 to finish 1")).await;
+    for control in [&one, &two] {
+        let seen = control.view();
+        assert!(seen.upstream("engine-0").is_some_and(|engine| !engine.open));
+        assert!(seen.upstream("engine-1").is_some_and(|engine| engine.open));
+    }
+    plane.open.store(0, Ordering::SeqCst);
+    for control in [&one, &two] {
+        view(control, |view| {
+            let engine = view.upstream("engine-0");
+            engine.is_some_and(|one| one.open && one.role == Some(platform::Role::Decode))
+        })
+        .await;
+    }
+    let orders = one.orders().await.expect("it runs");
+    assert!(orders.unresolved.is_empty());
+    assert_eq!(orders.recent[0].step, "done");
+}
+
+// Symptom: an engine stays out of routing for ever, or gets two orders.
+// Sequence: the holder dies while the engine carries its order out.
+// Cause: a successor that does not resolve what its predecessor left.
+#[actix_rt::test]
+async fn a_successor_finishes_a_half_done_change() {
+    let (_fleet, one, two) = start(&["--role-change-ms", "60000"]).await;
+    one.submit_order(&wish(), "ana")
+        .await
+        .expect("it holds control");
+    status(&one, |status| step(status) == "running").await;
+    one.abort();
+    holds(&two).await;
+    view(&two, |view| {
+        let engine = view.upstream("engine-0");
+        engine.is_some_and(|one| one.open && one.role == Some(platform::Role::Decode))
+    })
+    .await;
+    let orders = two.orders().await.expect("it runs");
+    assert!(orders.unresolved.is_empty());
+    let ends: Vec<_> = orders
+        .recent
+        .iter()
+        .map(|order| order.step.as_str())
+        .collect();
+    assert_eq!(ends, ["done"]);
+}
+
+// Symptom: a stream is cut after a change of holder.
+// Sequence: the holder dies before its order was sent, while an entry has a stream open.
+// Cause: a successor that sends an order for which it has not seen the confirmations.
+#[actix_rt::test]
+async fn a_successor_undoes_a_change_that_was_not_begun() {
+    let (_fleet, one, two) = start(&[]).await;
+    let plane = Plane::default();
+    plane.open.store(1, Ordering::SeqCst);
+    plane.applied.store(u64::MAX, Ordering::SeqCst);
+    plane.attach(&two);
+    one.submit_order(&wish(), "ana")
+        .await
+        .expect("it holds control");
+    status(&one, |status| step(status) == "closing").await;
+    one.abort();
+    holds(&two).await;
+    view(&two, |view| {
+        view.upstream("engine-0").is_some_and(|one| one.open)
+    })
+    .await;
+    let orders = two.orders().await.expect("it runs");
+    assert_eq!(orders.recent[0].step, "undone");
+    let seen = two.view();
+    assert_ne!(
+        seen.upstream("engine-0").and_then(|one| one.role),
+        Some(platform::Role::Decode)
+    );
+    two.stop(Duration::from_secs(2)).await;
+}
--- /dev/null
+++ b/crates/control/tests/control/outage.rs
@@ -0,0 +1,115 @@
+//! Outages of the log and lost answers.
+
+use std::time::Duration;
+
+use control::order::{OrderError, What, Wish};
+use control::view::{Log, Reason};
+
+use crate::fleet::{CATALOGUE, Fleet, document, status, view};
+
+const OUT: &str = r#"{"append": "refuse", "read": "refuse"}"#;
+const HANGS: &str = r#"{"append": "hang", "read": "hang"}"#;
+const BACK: &str = r#"{"append": "none", "read": "none"}"#;
+
+// Symptom: an operator is told that an edit failed, makes it again and meets a conflict with
+// herself.
+// Sequence: the log appends the edit, and the connection closes before the answer.
+// Cause: a client that takes a lost answer for a lost record.
+#[actix_rt::test]
+async fn a_lost_answer_is_resolved_by_reading_on() {
+    let fleet = Fleet::start(&[]).await;
+    let control = fleet.control(fleet.options("entry-0"));
+    view(&control, |view| view.log == Log::Up).await;
+    fleet.fault(r#"{"lose_answers": 1}"#).await;
+    let revision = control.submit_edit(&document(CATALOGUE)).await;
+    let revision = revision.expect("it stands in the log");
+    let view = view(&control, |view| view.ready).await;
+    assert_eq!(view.revision, revision);
+    assert_eq!(control.history().await.len(), 1, "it was appended once");
+}
+
+// Symptom: an entry refuses everything as unknown after a restart in an outage.
+// Sequence: the log is out, an entry starts and has no disk.
+// Cause: an empty catalogue that is served as if it were the accepted one.
+#[actix_rt::test]
+async fn without_log_and_peers_nothing_is_served() {
+    let fleet = Fleet::start(&[]).await;
+    let first = fleet.control(fleet.options("entry-0"));
+    first
+        .submit_edit(&document(CATALOGUE))
+        .await
+        .expect("it is valid");
+    fleet.fault(OUT).await;
+    let late = fleet.control(fleet.options("entry-1"));
+    let seen = view(&late, |view| !view.upstreams.is_empty()).await;
+    assert!(!seen.ready && seen.catalogue.is_none());
+    assert!(seen.reasons.contains(&Reason::NoCatalogue));
+    let refused = late.submit_edit(&document(CATALOGUE)).await;
+    assert_eq!(refused, Err(control::EditError::Unavailable));
+    fleet.fault(BACK).await;
+    let seen = view(&late, |view| view.ready).await;
+    assert_eq!(seen.revision, first.view().revision);
+}
+
+// Symptom: an entry that starts in an outage serves nothing although all others do.
+// Sequence: the log is out, an entry starts; its peers are there.
+// Cause: a state that only the log can give.
+#[actix_rt::test]
+async fn without_log_the_state_comes_from_peers() {
+    let fleet = Fleet::start(&[]).await;
+    let first = fleet.entry(fleet.member("entry-0")).await;
+    let revision = first
+        .submit_edit(&document(CATALOGUE))
+        .await
+        .expect("it is valid");
+    fleet.fault(OUT).await;
+    let late = fleet.entry(fleet.member("entry-1")).await;
+    let seen = view(&late, |view| view.ready).await;
+    assert_eq!(seen.revision, revision);
+    assert!(matches!(seen.log, Log::DownSince(_)));
+    fleet.fault(BACK).await;
+    let seen = view(&late, |view| view.log == Log::Up).await;
+    assert!(seen.ready && seen.revision >= revision);
+}
+
+// Symptom: during an outage two processes order one engine, or nothing is served.
+// Sequence: the log goes out under a holder, which goes on.
+// Cause: a lease that does not lapse, or a view that depends on the log.
+#[actix_rt::test]
+async fn an_outage_freezes_control_and_leaves_serving() {
+    let fleet = Fleet::start(&[]).await;
+    fleet.engine("engine-0", &[]).await;
+    let control = fleet.control(fleet.options("entry-0"));
+    control
+        .submit_edit(&document(CATALOGUE))
+        .await
+        .expect("it is valid");
+    let wish = Wish {
+        upstream: "engine-0".to_owned(),
+        what: What::SetRole {
+            role: platform::Role::Decode,
+        },
+    };
+    status(&control, |status| {
+        status.scopes.iter().any(|scope| scope.lease_ms > 0)
+    })
+    .await;
+    fleet.fault(HANGS).await;
+    view(&control, |view| view.log != Log::Up).await;
+    status(&control, |status| {
+        status.scopes.iter().all(|scope| scope.lease_ms == 0)
+    })
+    .await;
+    let refused = control.submit_order(&wish, "ana").await;
+    assert_eq!(refused, Err(OrderError::NoHolder));
+    let seen = control.view();
+    assert!(seen.ready && seen.catalogue.is_some());
+    assert!(seen.upstream("engine-0").is_some_and(|one| one.open));
+    fleet.fault(BACK).await;
+    view(&control, |view| view.log == Log::Up).await;
+    status(&control, |status| {
+        status.scopes.iter().any(|scope| scope.lease_ms > 0)
+    })
+    .await;
+    control.stop(Duration::from_secs(2)).await;
+}
--- /dev/null
+++ b/crates/control/tests/control/race.rs
@@ -0,0 +1,86 @@
+//! Operators and holders that race each other.
+
+use std::time::Duration;
+
+use catalogue::Refusal;
+use control::EditError;
+use wire::record::record::Body;
+
+use crate::fleet::{CATALOGUE, Fleet, document, status, view};
+
+// Symptom: two entries serve two catalogues, or an operator's edit vanishes without a word.
+// Sequence: two operators edit one pool at two entries on the same base.
+// Cause: acceptance by arrival instead of by the log's order.
+#[actix_rt::test]
+async fn racing_edits_end_alike_and_the_loser_is_told() {
+    let fleet = Fleet::start(&[]).await;
+    let (one, two) = (
+        fleet.control(fleet.options("entry-0")),
+        fleet.control(fleet.options("entry-1")),
+    );
+    let base = one
+        .submit_edit(&document(CATALOGUE))
+        .await
+        .expect("it is valid");
+    view(&two, |view| view.revision == base).await;
+    let edit = |operator: &str, versions: &str| {
+        let mut edit = document(&format!(
+            "changes: [{{kind: model, name: talk, value: {{versions: {versions}, pools: [llm]}}}}]"
+        ));
+        edit.operator = operator.to_owned();
+        edit.base_revision = base;
+        edit
+    };
+    let (ana, luz) = (edit("ana", "['3']"), edit("luz", "['4']"));
+    let (first, second) = futures_util::join!(one.submit_edit(&ana), two.submit_edit(&luz));
+    let (winner, won, lost) = match (first, second) {
+        (Ok(won), Err(lost)) => ("ana", won, lost),
+        (Err(lost), Ok(won)) => ("luz", won, lost),
+        other => panic!("exactly one must win: {other:?}"),
+    };
+    let EditError::Refused(Refusal::Conflict(conflicts)) = lost else {
+        panic!("the loser is told of the conflict: {lost:?}");
+    };
+    assert_eq!(
+        (conflicts[0].operator.as_str(), conflicts[0].revision),
+        (winner, won)
+    );
+    let views = [
+        view(&one, |view| view.revision == won).await,
+        view(&two, |view| view.revision == won).await,
+    ];
+    assert_eq!(views[0].catalogue, views[1].catalogue);
+}
+
+// Symptom: a pool has no holder for a lease and a margin at each planned restart.
+// Sequence: the holder is told to stop.
+// Cause: a scope that is left to lapse instead of being released.
+#[actix_rt::test]
+async fn a_holder_that_stops_releases() {
+    let fleet = Fleet::start(&[]).await;
+    let one = fleet.control(fleet.options("entry-0"));
+    one.submit_edit(&document(CATALOGUE))
+        .await
+        .expect("it is valid");
+    status(&one, |status| {
+        status.scopes.iter().any(|scope| scope.lease_ms > 0)
+    })
+    .await;
+    let two = fleet.control(fleet.options("entry-1"));
+    let fence = one.status().await.expect("it runs").scopes[0].fence;
+    one.stop(Duration::from_secs(5)).await;
+    assert!(
+        fleet
+            .log()
+            .await
+            .iter()
+            .any(|body| matches!(body, Body::Release(_)))
+    );
+    assert!(one.status().await.is_none(), "it has stopped");
+    let taken = status(&two, |status| {
+        status.scopes.iter().any(|scope| scope.lease_ms > 0)
+    })
+    .await;
+    assert_eq!(taken.scopes[0].holder, "entry-1");
+    assert!(taken.scopes[0].fence > fence);
+}
--- /dev/null
+++ b/crates/control/tests/control/retention.rs
@@ -0,0 +1,35 @@
+//! The log forgets; what is in force must not be forgotten with it.
+
+use crate::fleet::{CATALOGUE, Fleet, document, status, view};
+
+// Symptom: an entry that starts after an hour has an empty or an older catalogue.
+// Sequence: more records follow than the log retains; a new entry starts.
+// Cause: nobody wrote a snapshot in time, or a reader that takes a log without its beginning for
+// the whole.
+#[actix_rt::test]
+async fn a_late_entry_starts_from_a_snapshot() {
+    let fleet = Fleet::start(&["--retention-count", "200", "--append-rate", "0"]).await;
+    let one = fleet.control(fleet.options("entry-0"));
+    let two = fleet.control(fleet.options("entry-1"));
+    let mut base = one
+        .submit_edit(&document(CATALOGUE))
+        .await
+        .expect("it is valid");
+    let mut edit = document(
+        "{operator: luz, changes: [{kind: drain, name: service-0, value: {reason: trial}}]}",
+    );
+    // The first catalogue is long forgotten, and so are the first snapshots.
+    while one.status().await.expect("it runs").log.first < 500 {
+        edit.base_revision = base;
+        base = one.submit_edit(&edit).await.expect("nobody else edits");
+        // The stand-in forgets within a second what a platform keeps for an hour.
+        status(&one, |status| status.log.folded < status.log.snapshot + 150).await;
+    }
+    let late = fleet.control(fleet.options("entry-2"));
+    let seen = view(&late, |view| view.ready).await;
+    assert_eq!(seen.revision, base);
+    let held = view(&two, |view| view.revision == base).await;
+    assert_eq!(seen.catalogue, held.catalogue);
+    let shown = two.status().await.expect("it runs").log;
+    assert_eq!(shown.snapshots_different, 0);
+}
