--- a/crates/load/src/attempt.rs
+++ b/crates/load/src/attempt.rs
@@ -73,6 +73,8 @@
     pub class: &'a Class,
     /// The request.
     pub request: &'a Request,
+    /// Which attempt of the request this is, from 1.
+    pub number: u32,
     /// Time until the caller goes away.
     pub left: Duration,
 }
@@ -117,7 +119,9 @@
             .insert_header(("x-request-id", request.id.as_str()))
             .insert_header(("x-deadline-ms", self.left.as_millis().to_string()));
         if self.class.keyed {
-            head = head.insert_header(("idempotency-key", request.id.as_str()));
+            head = head
+                .insert_header(("idempotency-key", request.id.as_str()))
+                .insert_header(("idempotency-attempt", self.number.to_string()));
         }
         if let Some(id) = &progress.last_id {
             head = head.insert_header(("last-event-id", id.as_str()));
--- a/crates/load/src/bench/side.rs
+++ b/crates/load/src/bench/side.rs
@@ -150,6 +150,7 @@
             url: &self.url,
             class: &self.class,
             request: &request,
+            number: 1,
             left: DEADLINE,
         };
         let sent = Instant::now();
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -81,6 +81,7 @@
             url: self.targets.url(target),
             class: self.class,
             request,
+            number: course.attempts,
             left,
         };
         let end = timeout(left, attempt.run(client, progress)).await;
