--- a/crates/entry/src/account.rs
+++ b/crates/entry/src/account.rs
@@ -9,7 +9,7 @@
 use crate::front::problem::{Kind, Problem, Ran};
 use crate::front::request_id::RequestId;
 use crate::metrics::Metric;
-use crate::shared::Shared;
+use crate::shared::{Shared, wall};
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,6 +18,8 @@
     Served,
     /// Refused for load, limits or deadline.
     Refused,
+    /// Refused by a limit of the owner's own.
+    Limited,
     /// An error of the caller's.
     Rejected,
     /// It failed and was certainly not run.
@@ -36,6 +38,7 @@
         match self {
             Self::Served => "served",
             Self::Refused => "refused",
+            Self::Limited => "limited",
             Self::Rejected => "rejected",
             Self::NotRun => "not_run",
             Self::Unknown => "unknown",
@@ -47,7 +50,7 @@
     fn metric(self) -> Metric {
         match self {
             Self::Served => Metric::Served,
-            Self::Refused => Metric::Refused,
+            Self::Refused | Self::Limited => Metric::Refused,
             Self::Rejected => Metric::Rejected,
             Self::NotRun => Metric::NotRun,
             Self::Unknown => Metric::Unknown,
@@ -56,10 +59,24 @@
         }
     }
 
+    /// How the service level sees it. A caller's own errors, its limits and its going away say
+    /// nothing about the service.
+    fn burn(self, late: bool) -> Option<report::Outcome> {
+        match self {
+            Self::Served if late => Some(report::Outcome::Late),
+            Self::Served => Some(report::Outcome::Good),
+            Self::Refused => Some(report::Outcome::Refused),
+            Self::NotRun | Self::Cut => Some(report::Outcome::Failed),
+            Self::Unknown => Some(report::Outcome::Unknown),
+            Self::Limited | Self::Rejected | Self::CallerGone => None,
+        }
+    }
+
     /// The outcome that an error means.
     pub fn of(problem: &Problem) -> Self {
         match (problem.kind, problem.ran) {
-            (Kind::Limited | Kind::Overloaded | Kind::Unavailable, Ran::No) => Self::Refused,
+            (Kind::Limited, Ran::No) => Self::Limited,
+            (Kind::Overloaded | Kind::Unavailable, Ran::No) => Self::Refused,
             (Kind::BadGateway, Ran::No) => Self::NotRun,
             (Kind::DeadlineExceeded, Ran::No) => Self::Refused,
             (_, Ran::No) => Self::Rejected,
@@ -165,7 +182,7 @@
     fn write(&self, now: Moment) {
         let level = match self.outcome {
             Outcome::Served | Outcome::CallerGone => log::Level::Debug,
-            Outcome::Refused | Outcome::Rejected => log::Level::Info,
+            Outcome::Refused | Outcome::Limited | Outcome::Rejected => log::Level::Info,
             Outcome::NotRun | Outcome::Unknown | Outcome::Cut => log::Level::Warn,
         };
         log::log!(
@@ -189,7 +206,10 @@
         self.write(now);
         if let Some(entry) = &self.entry {
             let late = self.outcome == Outcome::Served && !self.in_time(now);
-            self.shared.burn.note(entry, self.outcome, late);
+            if let Some(outcome) = self.outcome.burn(late) {
+                let epoch = wall(&self.shared.clock).as_secs();
+                self.shared.burn().record(epoch, entry, outcome);
+            }
         }
     }
 }
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -81,7 +81,7 @@
     mut attempt: Attempt,
 ) -> Result<Reply, Problem> {
     loop {
-        work.account.upstream(&attempt.sending().upstream);
+        work.begin(&attempt);
         let failed = match once(work, entry, asked, attempt).await {
             Ok(result) => return result,
             Err(failed) => failed,
@@ -127,6 +127,9 @@
         true => streamed(work, place, &attempt, handle).await,
         false => whole(work, &place.stream, &attempt, handle).await,
     };
+    if result.is_ok() {
+        work.observe_answer(&attempt.sending().upstream);
+    }
     match result {
         Ok(Got::Whole(reply)) => Ok(Ok(reply)),
         Ok(Got::Events(relay, first)) => Ok(Ok(Reply::Events {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,34 +1,39 @@
 //! Starts everything, serves, and stops in order.
 
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime};
 
 use actix_rt::System;
 use actix_rt::time::{interval, sleep, timeout};
 use clock::Clock as _;
+use control::{Handle, Options};
 use error_stack::{Report, ResultExt as _};
 use rand::RngExt as _;
 use routing::router::{self, Router};
 use settings::Settings;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
 
-use crate::burn::Burn;
 use crate::dispatch::Dispatch;
-use crate::feed;
 use crate::front::{request_id, server};
 use crate::hold::Answers;
-use crate::keys::Keys;
+use crate::hooks::hooks;
 use crate::metrics::{self, Metric, Metrics};
 use crate::process::phase::{Life, Phase};
 use crate::process::pulse::{BEAT, Pulse};
-use crate::scene::Scene;
 use crate::shared::Shared;
+use crate::stream::resumed::Resumed;
 use crate::stream::token;
+use crate::world;
+
+/// Least time for handing over what the control holds.
+const HANDOVER: Duration = Duration::from_millis(500);
 
 /// Why the daemon ended with an error.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
+    /// The control did not start.
+    Control,
     /// An address could not be bound.
     Bind,
     /// Signals cannot be received.
@@ -42,6 +47,7 @@
 impl std::fmt::Display for Failure {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str(match self {
+            Self::Control => "the control did not start",
             Self::Bind => "an address could not be bound",
             Self::Signals => "signals cannot be received",
             Self::Server => "a server failed",
@@ -62,13 +68,15 @@
 }
 
 async fn serve(settings: Settings) -> Result<(), Report<Failure>> {
-    let (scene, watch) = watch::channel(Arc::new(Scene::default()));
-    let (keys, questions) = Keys::new();
-    let shared = Arc::new(shared(settings, watch, keys));
+    let shared = Arc::new(shared(settings)?);
+    shared.control.set_hooks(hooks(&shared));
     let mut front = server::start(&shared).change_context(Failure::Bind)?;
+    if let Some(admin) = front.admin {
+        println!("admin {admin}");
+    }
     println!("listening {}", front.address);
     log::info!(address:% = front.address, instance = shared.settings.instance.id.as_str(); "serving callers");
-    actix_rt::spawn(feed::run(Arc::clone(&shared), scene, questions));
+    actix_rt::spawn(world::follow(Arc::clone(&shared)));
     actix_rt::spawn(beat(Arc::clone(&shared)));
     actix_rt::spawn(tick(Arc::clone(&shared)));
     actix_rt::spawn(send_metrics(Arc::clone(&shared)));
@@ -81,8 +89,9 @@
     stop_within(&shared, front.handle).await
 }
 
-fn shared(settings: Settings, scene: watch::Receiver<Arc<Scene>>, keys: Keys) -> Shared {
+fn shared(settings: Settings) -> Result<Shared, Report<Failure>> {
     let clock = clock::System::new();
+    let control = start_control(&settings, clock)?;
     let mut random = rand::rng();
     let secret = match &settings.resume.secret {
         Some(secret) => secret.expose().to_vec(),
@@ -93,20 +102,29 @@
         &settings.instance.id,
         random.random(),
     );
-    Shared {
-        scene,
+    Ok(Shared {
+        control,
+        applied: AtomicU64::new(0),
+        resumed: Resumed::default(),
         dispatch: Dispatch::new(router, clock),
         ids: request_id::Mint::new(random.random()),
         tokens: token::Mint::new(&secret, settings.resume.time),
-        keys,
         held: Mutex::new(Answers::new(settings.hold.bytes)),
         metrics: Metrics::new(),
-        burn: Burn::default(),
+        burn: Mutex::default(),
         life: Life::new(),
         pulse: Pulse::new(clock.now()),
         clock,
         settings,
-    }
+    })
+}
+
+fn start_control(settings: &Settings, clock: clock::System) -> Result<Handle, Report<Failure>> {
+    let options = Options::from_settings(settings, incarnation()).map_err(|findings| {
+        let findings = findings.iter().map(|finding| format!("{finding:?}"));
+        Report::new(Failure::Control).attach(findings.collect::<Vec<_>>().join("\n"))
+    })?;
+    control::start(options, clock).change_context(Failure::Control)
 }
 
 /// Stops in order: tell the balancer, wait for it to notice, take nothing new, finish what is in
@@ -121,13 +139,17 @@
     shared.life.advance(Phase::Leaving);
     sleep(times.balancer).await;
     shared.life.advance(Phase::Finishing);
+    shared.control.leave();
     let rest = times.limit.saturating_sub(times.balancer);
+    let until = shared.clock.now() + rest;
     let finished = timeout(rest, async {
         handle.stop(true).await;
         shared.life.idle().await;
     })
     .await;
     shared.life.advance(Phase::Abandoning);
+    let left = until.saturating_sub(shared.clock.now()).max(HANDOVER);
+    shared.control.stop(left).await;
     log::info!(in_time = finished.is_ok(), open = shared.metrics.get(Metric::Open); "stopped");
     finished.change_context(Failure::Overdue)
 }
@@ -189,7 +211,7 @@
 }
 
 /// Milliseconds since the Unix epoch, which tell two starts of one instance apart.
-pub fn incarnation() -> u64 {
+fn incarnation() -> u64 {
     let since = SystemTime::now()
         .duration_since(SystemTime::UNIX_EPOCH)
         .unwrap_or(Duration::ZERO);
--- a/crates/entry/src/front/handler.rs
+++ b/crates/entry/src/front/handler.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use actix_http::body::BoxBody;
 use actix_http::header::{self, HeaderMap, HeaderValue};
@@ -9,7 +10,8 @@
     ConnectionType, HttpMessage as _, Method, Payload, Request, Response, StatusCode,
 };
 use bytes::Bytes;
-use catalogue::{Entry, Found, Owner, View};
+use catalogue::{Entry, Found, Owner, View as Catalogue};
+use control::View;
 use routing::decision::Ran;
 
 use crate::account::{Account, Outcome};
@@ -23,7 +25,6 @@
 use crate::once;
 use crate::process::phase::Phase;
 use crate::resume::{self, Resumption};
-use crate::scene::Scene;
 use crate::shared::Worker;
 use crate::work::Work;
 
@@ -47,8 +48,8 @@
 fn ready(worker: &Worker) -> Response<BoxBody> {
     let refusal = if worker.shared.life.is_leaving() {
         Some("leaving\n")
-    } else if worker.scene().catalogue.is_none() {
-        Some("no catalogue yet\n")
+    } else if !worker.shared.view().ready {
+        Some("not ready\n")
     } else {
         None
     };
@@ -84,7 +85,7 @@
 /// A request before it is known what serves it.
 struct Exchange {
     worker: Rc<Worker>,
-    scene: Arc<Scene>,
+    view: Arc<View>,
     method: Method,
     target: String,
     headers: HeaderMap,
@@ -102,7 +103,7 @@
             .to_owned();
         let head = request.head_mut();
         Self {
-            scene: worker.scene(),
+            view: worker.shared.view(),
             worker: Rc::clone(worker),
             method: head.method.clone(),
             target,
@@ -134,10 +135,9 @@
     }
 
     async fn route(self) -> Answer {
-        let Some(catalogue) = self.scene.catalogue.clone() else {
-            let problem = Problem::not_run(Kind::Unavailable, "no catalogue is known yet")
-                .retry_after(NO_CATALOGUE);
-            return self.refuse(problem);
+        let catalogue = match in_force(&self.view) {
+            Ok(catalogue) => catalogue,
+            Err(problem) => return self.refuse(problem),
         };
         let owner = match caller::identify(&catalogue, &self.headers) {
             Ok(owner) => owner,
@@ -150,7 +150,7 @@
         }
     }
 
-    fn models(self, catalogue: &View, owner: &Owner) -> Answer {
+    fn models(self, catalogue: &Catalogue, owner: &Owner) -> Answer {
         if self.method != Method::GET {
             return self.refuse(wrong_method("GET"));
         }
@@ -167,7 +167,7 @@
         Answer::Reply(reply, self.account)
     }
 
-    async fn completion(mut self, catalogue: &View, owner: &Owner) -> Answer {
+    async fn completion(mut self, catalogue: &Catalogue, owner: &Owner) -> Answer {
         if let Some(last) = self.headers.get(headers::LAST_EVENT_ID).cloned() {
             return self.resume(owner, &last).await;
         }
@@ -206,14 +206,14 @@
             last: last.to_str().unwrap_or_default(),
             deadline,
         };
-        let result = resume::run(&self.worker, &self.scene, &resumption, &mut self.account).await;
+        let result = resume::run(&self.worker, &self.view, &resumption, &mut self.account).await;
         match result {
             Ok(reply) => Answer::Reply(reply, self.account),
             Err(problem) => self.refuse(problem),
         }
     }
 
-    async fn plain(mut self, catalogue: &View, owner: &Owner) -> Answer {
+    async fn plain(mut self, catalogue: &Catalogue, owner: &Owner) -> Answer {
         let entry = match entry_at(catalogue, owner, &self.method, self.path()) {
             Ok(entry) => entry,
             Err(problem) => return self.refuse(problem),
@@ -247,7 +247,6 @@
         match deadline {
             Ok(deadline) => Ok(Work {
                 worker: Worker::clone(&self.worker),
-                scene: self.scene,
                 owner: Arc::from(owner.name.as_str()),
                 method: self.method,
                 target: self.target,
@@ -256,6 +255,7 @@
                 deadline,
                 account: self.account,
                 ran: Ran::No,
+                began: Instant::now(),
             }),
             Err(problem) => Err(Box::new(self.refuse(problem))),
         }
@@ -271,12 +271,26 @@
     }
 }
 
-/// When to come back if the process has no catalogue yet.
-const NO_CATALOGUE: std::time::Duration = std::time::Duration::from_secs(1);
+/// When to come back if this entry takes no new work.
+const NOT_READY: Duration = Duration::from_secs(1);
+
+/// The catalogue, if new work may be taken by it.
+fn in_force(view: &View) -> Result<Arc<Catalogue>, Problem> {
+    let refusal =
+        |detail: String| Problem::not_run(Kind::Unavailable, detail).retry_after(NOT_READY);
+    if !view.ready {
+        let reasons = &view.reasons;
+        return Err(refusal(format!(
+            "this entry takes no new work: {reasons:?}"
+        )));
+    }
+    let catalogue = view.catalogue.as_ref().map(Arc::clone);
+    catalogue.ok_or_else(|| refusal("no catalogue is known yet".to_owned()))
+}
 
 /// Reads a completion's body as far as decisions need it, and finds its entry.
 fn prepare<'v>(
-    catalogue: &'v View,
+    catalogue: &'v Catalogue,
     owner: &Owner,
     body: &Bytes,
 ) -> Result<(&'v Entry, Asked, Bytes), Problem> {
@@ -299,7 +313,7 @@
 /// The plain entry at a path. One of another owner is told as forbidden and not as missing, so that
 /// a caller with a wrong key does not look for a wrong path.
 fn entry_at<'v>(
-    catalogue: &'v View,
+    catalogue: &'v Catalogue,
     owner: &Owner,
     method: &Method,
     path: &str,
--- a/crates/entry/src/front/server.rs
+++ b/crates/entry/src/front/server.rs
@@ -1,4 +1,4 @@
-//! The HTTP server towards callers.
+//! The HTTP servers towards callers and operators.
 
 use std::convert::Infallible;
 use std::io;
@@ -7,31 +7,32 @@
 use std::sync::Arc;
 
 use actix_http::{HttpService, KeepAlive, Request};
-use actix_server::{Server, ServerHandle};
+use actix_server::{GracefulShutdownSignal, Server, ServerBuilder, ServerHandle};
 use actix_service::{fn_factory, fn_service};
 
+use crate::admin;
 use crate::front::handler::handle;
 use crate::shared::{Shared, Worker};
 
-/// A server that listens, to be polled until it has stopped.
+/// The servers, which listen, to be polled until they have stopped.
 pub struct Front {
-    /// The address that it listens on.
+    /// The address for callers.
     pub address: SocketAddr,
-    /// Stops it.
+    /// The address for operators; `None` without a token.
+    pub admin: Option<SocketAddr>,
+    /// Stops the servers.
     pub handle: ServerHandle,
-    /// Runs it.
+    /// Runs the servers.
     pub server: Server,
 }
 
-/// Binds and starts the server.
+/// Binds and starts the servers.
 ///
 /// # Errors
 ///
-/// The address cannot be bound.
+/// An address cannot be bound.
 pub fn start(shared: &Arc<Shared>) -> io::Result<Front> {
     let settings = &shared.settings;
-    let listener = TcpListener::bind(settings.listen.address)?;
-    let address = listener.local_addr()?;
     let limit = settings
         .shutdown
         .limit
@@ -42,40 +43,80 @@
         .shutdown_timeout(limit.as_secs().max(1))
         .disable_signals();
     let stopping = builder.graceful_shutdown_signal();
-    let shared = Arc::clone(shared);
-    let server = builder
-        .listen("callers", listener, move || {
-            let limits = &shared.settings.limits;
-            let listen = &shared.settings.listen;
-            let worker = Worker::new(Arc::clone(&shared));
-            let stopping = stopping.clone();
-            HttpService::build()
-                .keep_alive(KeepAlive::Timeout(listen.keep_alive))
-                .client_request_timeout(limits.head_time)
-                .client_disconnect_timeout(limits.head_time)
-                .tcp_nodelay(true)
-                // A caller that closes its side is gone; without this its request would run on and
-                // its stream would never be cancelled.
-                .h1_allow_half_closed(false)
-                .graceful_shutdown_signal(move || {
-                    let stopping = stopping.clone();
-                    async move { stopping.notified().await }
-                })
-                .h1(fn_factory(move || {
-                    let worker = Rc::clone(&worker);
-                    async move {
-                        Ok::<_, ()>(fn_service(move |request: Request| {
-                            let worker = Rc::clone(&worker);
-                            async move { Ok::<_, Infallible>(handle(worker, request).await) }
-                        }))
-                    }
-                }))
-                .tcp()
-        })?
-        .run();
+    let listener = TcpListener::bind(settings.listen.address)?;
+    let address = listener.local_addr()?;
+    let builder = callers(builder, listener, Arc::clone(shared), stopping)?;
+    let (builder, admin) = match settings.admin.token {
+        Some(_) => {
+            let listener = TcpListener::bind(settings.admin.address)?;
+            let address = listener.local_addr()?;
+            (
+                operators(builder, listener, Arc::clone(shared))?,
+                Some(address),
+            )
+        }
+        None => (builder, None),
+    };
+    let server = builder.run();
     Ok(Front {
         address,
+        admin,
         handle: server.handle(),
         server,
     })
 }
+
+fn callers(
+    builder: ServerBuilder,
+    listener: TcpListener,
+    shared: Arc<Shared>,
+    stopping: GracefulShutdownSignal,
+) -> io::Result<ServerBuilder> {
+    builder.listen("callers", listener, move || {
+        let limits = &shared.settings.limits;
+        let worker = Worker::new(Arc::clone(&shared));
+        let stopping = stopping.clone();
+        HttpService::build()
+            .keep_alive(KeepAlive::Timeout(shared.settings.listen.keep_alive))
+            .client_request_timeout(limits.head_time)
+            .client_disconnect_timeout(limits.head_time)
+            .tcp_nodelay(true)
+            // A caller that closes its side is gone; without this its request would run on and its
+            // stream would never be cancelled.
+            .h1_allow_half_closed(false)
+            .graceful_shutdown_signal(move || {
+                let stopping = stopping.clone();
+                async move { stopping.notified().await }
+            })
+            .h1(fn_factory(move || {
+                let worker = Rc::clone(&worker);
+                async move {
+                    Ok::<_, ()>(fn_service(move |request: Request| {
+                        let worker = Rc::clone(&worker);
+                        async move { Ok::<_, Infallible>(handle(worker, request).await) }
+                    }))
+                }
+            }))
+            .tcp()
+    })
+}
+
+fn operators(
+    builder: ServerBuilder,
+    listener: TcpListener,
+    shared: Arc<Shared>,
+) -> io::Result<ServerBuilder> {
+    builder.listen("operators", listener, move || {
+        let limits = &shared.settings.limits;
+        let shared = Arc::clone(&shared);
+        HttpService::build()
+            .client_request_timeout(limits.head_time)
+            .client_disconnect_timeout(limits.head_time)
+            .h1_allow_half_closed(false)
+            .h1(fn_service(move |request: Request| {
+                let shared = Arc::clone(&shared);
+                async move { Ok::<_, Infallible>(admin::handler::handle(shared, request).await) }
+            }))
+            .tcp()
+    })
+}
--- a/crates/entry/src/keys.rs
+++ b/crates/entry/src/keys.rs
@@ -1,83 +1,23 @@
-//! Claims of `Idempotency-Key`s, as the data plane asks for them.
-
-use std::sync::atomic::{AtomicU64, Ordering};
+//! What a request with an `Idempotency-Key` asks of the claims.
 
 use actix_http::header::HeaderMap;
 use catalogue::{Entry, Outage};
-use claims::{Call, Decision, Digest, End, Holder, Policy, Ran, Ticket};
-use clock::Moment;
-use tokio::sync::{mpsc, oneshot};
+use claims::{Policy, Ran};
+use control::Claim;
 
 use crate::front::headers;
 use crate::front::problem::{Kind, Problem};
-use crate::hold::Answer;
 use crate::work::Work;
 
 /// Longest `Idempotency-Key` that is taken, in bytes.
 const LONGEST_KEY: usize = 255;
 
-/// What is asked of the claims.
-#[derive(Debug)]
-pub enum Question {
-    /// May this call run?
-    Claim(Call, oneshot::Sender<Decision>),
-    /// A call that was told to run has ended.
-    Ended(Ticket, End),
-    /// The answer that a process holds under a key.
-    Held(Holder, Digest, oneshot::Sender<Option<Answer>>),
-}
-
-/// Asks for claims. Clones share the way.
-#[derive(Clone, Debug)]
-pub struct Keys {
-    sender: mpsc::UnboundedSender<Question>,
-    next: std::sync::Arc<AtomicU64>,
-}
-
-impl Keys {
-    /// The data plane's end and the end that answers.
-    pub fn new() -> (Self, mpsc::UnboundedReceiver<Question>) {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        let keys = Self {
-            sender,
-            next: std::sync::Arc::default(),
-        };
-        (keys, receiver)
-    }
-
-    /// Asks whether a call may run, and waits until the log has decided.
-    pub async fn claim(&self, call: Call) -> Decision {
-        let ran = call.ran();
-        let (sender, receiver) = oneshot::channel();
-        let _ = self.sender.send(Question::Claim(call, sender));
-        // Nobody answers only while the process stops; then nothing new may run.
-        receiver.await.unwrap_or(Decision::Refused { ran })
-    }
-
-    /// Tells how a call ended that was told to run.
-    pub fn ended(&self, ticket: Ticket, end: End) {
-        let _ = self.sender.send(Question::Ended(ticket, end));
-    }
-
-    /// The answer that another process holds.
-    pub async fn held(&self, holder: Holder, key: Digest) -> Option<Answer> {
-        let (sender, receiver) = oneshot::channel();
-        let _ = self.sender.send(Question::Held(holder, key, sender));
-        receiver.await.ok().flatten()
-    }
-
-    /// A ticket that was not used before.
-    pub fn ticket(&self) -> Ticket {
-        self.next.fetch_add(1, Ordering::Relaxed) + 1
-    }
-}
-
-/// The call that a request with an `Idempotency-Key` makes; `None` without a key.
+/// The claim that a request makes; `None` without a key.
 ///
 /// # Errors
 ///
 /// The headers are not good, or the entry requires a key.
-pub fn call(work: &Work, entry: &Entry) -> Result<Option<Call>, Problem> {
+pub fn claim(work: &Work, entry: &Entry) -> Result<Option<Claim>, Problem> {
     let Some(key) = work.headers.get(headers::IDEMPOTENCY_KEY) else {
         return match entry.require_key {
             true => Err(Problem::not_run(
@@ -95,8 +35,7 @@
             let detail = format!("Idempotency-Key must be text of up to {LONGEST_KEY} bytes");
             Problem::not_run(Kind::BadRequest, detail)
         })?;
-    Ok(Some(Call {
-        ticket: work.worker.shared.keys.ticket(),
+    Ok(Some(Claim {
         key: claims::key(&work.owner, &entry.name, key),
         fingerprint: claims::fingerprint(work.method.as_str(), &work.target, &work.body),
         request: work.account.request().to_string(),
@@ -105,14 +44,10 @@
             Outage::Refuse => Policy::Refuse,
             Outage::FirstAttempt => Policy::FirstAttempt,
         },
-        give_up: give_up(work),
+        give_up: work.deadline,
     }))
 }
 
-fn give_up(work: &Work) -> Moment {
-    work.deadline
-}
-
 fn attempt(map: &HeaderMap) -> Result<Option<u32>, Problem> {
     let Some(value) = map.get(headers::IDEMPOTENCY_ATTEMPT) else {
         return Ok(None);
@@ -127,6 +62,15 @@
     }
 }
 
+/// What may be said of the key when a call is refused before it has a claim. This call did not run,
+/// but one before it may have; only a declared first attempt has none before it.
+pub fn ran_before_claim(claim: &Claim) -> Ran {
+    match claim.attempt {
+        Some(1) => Ran::No,
+        _ => Ran::Unknown,
+    }
+}
+
 /// A refusal with what may be said of the key.
 pub fn refusal(kind: Kind, detail: &str, ran: Ran) -> Problem {
     match ran {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,22 +4,20 @@
 //! the modules here carry the bytes between callers and upstreams.
 
 pub mod account;
-pub mod burn;
-pub mod claiming;
+pub mod admin;
 pub mod command;
 pub mod completion;
 pub mod daemon;
 pub mod dispatch;
-pub mod feed;
 pub mod front;
 pub mod hold;
+pub mod hooks;
 pub mod keys;
 pub mod metrics;
 pub mod once;
 pub mod plain;
 pub mod process;
 pub mod resume;
-pub mod scene;
 pub mod shared;
 pub mod stream;
 pub mod upstream;
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -10,8 +10,9 @@
 use actix_http::StatusCode;
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use catalogue::Entry;
-use claims::{Call, Decision, End, Holder, Ran};
+use claims::{Decision, End, Holder, Ran, Ticket};
 use clock::Clock as _;
+use control::Claim;
 
 use crate::account::Account;
 use crate::completion::{self, Asked};
@@ -88,26 +89,30 @@
 }
 
 async fn once(work: &mut Work, entry: &Entry, asked: Option<&Asked>) -> Result<Reply, Problem> {
-    let Some(call) = keys::call(work, entry)? else {
+    let Some(claim) = keys::claim(work, entry)? else {
         let attempt = admit(work, entry, asked).await?;
         return run(work, entry, asked, attempt).await;
     };
-    if let Some(found) = held_here(work, &call) {
+    if let Some(found) = held_here(work, &claim) {
         return found;
     }
     // Refusals for load come before the claim, so that they cost the log nothing. They speak of the
     // key: this call did not run, but one before it may have.
     let attempt = admit(work, entry, asked)
         .await
-        .map_err(|refused| speaking_of_the_key(refused, &call))?;
-    let decision = work.worker.shared.keys.claim(call.clone()).await;
-    match decision {
+        .map_err(|refused| speaking_of_the_key(refused, &claim))?;
+    let claimed = work.worker.shared.control.claim(claim.clone()).await;
+    match claimed.decision {
         Decision::Run { .. } | Decision::RunUnclaimed => {
-            run_claimed(work, entry, asked, attempt, &call).await
+            let own = Own {
+                claim: &claim,
+                ticket: claimed.ticket,
+            };
+            run_claimed(work, entry, asked, attempt, &own).await
         }
         decided => {
             drop(attempt);
-            repeated(work, &call, decided).await
+            repeated(work, &claim, decided).await
         }
     }
 }
@@ -132,19 +137,25 @@
     }
 }
 
+/// A key that is claimed for a call of this process.
+struct Own<'a> {
+    claim: &'a Claim,
+    ticket: Ticket,
+}
+
 /// Runs a call whose key is ours, holds its answer and tells how it ended.
 async fn run_claimed(
     work: &mut Work,
     entry: &Entry,
     asked: Option<&Asked>,
     attempt: Attempt,
-    call: &Call,
+    own: &Own<'_>,
 ) -> Result<Reply, Problem> {
-    let keys = work.worker.shared.keys.clone();
+    let control = work.worker.shared.control.clone();
     // The process may have been paused since the decision; an attempt that the caller has given up
     // must not begin now.
     if work.left().is_zero() {
-        keys.ended(call.ticket, End::NotRun);
+        control.conclude(own.ticket, End::NotRun);
         return Err(Problem::not_run(
             Kind::DeadlineExceeded,
             "the deadline passed",
@@ -153,27 +164,27 @@
     let result = run(work, entry, asked, attempt).await;
     let end = match &result {
         Ok(reply) => {
-            hold(work, entry, call, reply);
+            hold(work, entry, own.claim, reply);
             End::Answered
         }
         Err(problem) if problem.ran == problem::Ran::No => End::NotRun,
         Err(_) => End::Unknown,
     };
-    keys.ended(call.ticket, end);
+    control.conclude(own.ticket, end);
     result
 }
 
 /// What a call gets whose key belongs to another one.
-async fn repeated(work: &mut Work, call: &Call, decided: Decision) -> Result<Reply, Problem> {
+async fn repeated(work: &mut Work, claim: &Claim, decided: Decision) -> Result<Reply, Problem> {
     match decided {
-        Decision::Answered { holder, .. } => match held_there(work, call, &holder).await {
+        Decision::Answered { holder, .. } => match held_there(work, claim, &holder).await {
             Some(answer) => Ok(again(work, answer)),
             None => Err(Problem::unknown(
                 Kind::Repeated,
                 "the call was executed before, and its answer is held no more",
             )),
         },
-        Decision::InProgress { holder, request } => match held_there(work, call, &holder).await {
+        Decision::InProgress { holder, request } => match held_there(work, claim, &holder).await {
             Some(answer) => Ok(again(work, answer)),
             None => Err(Problem::unknown(
                 Kind::Repeated,
@@ -207,11 +218,11 @@
 }
 
 /// The end of a call whose answer is held by this process.
-fn held_here(work: &Work, call: &Call) -> Option<Result<Reply, Problem>> {
+fn held_here(work: &Work, claim: &Claim) -> Option<Result<Reply, Problem>> {
     let shared = &work.worker.shared;
     let now = shared.clock.now();
     let held = shared.held.lock().unwrap_or_else(PoisonError::into_inner);
-    let found = held.get(now, &call.key, Some(&call.fingerprint))?;
+    let found = held.get(now, &claim.key, Some(&claim.fingerprint))?;
     drop(held);
     Some(match found {
         Found::Answer(answer) => Ok(again(work, answer)),
@@ -219,17 +230,18 @@
     })
 }
 
-async fn held_there(work: &Work, call: &Call, holder: &Holder) -> Option<Answer> {
+async fn held_there(work: &Work, claim: &Claim, holder: &Holder) -> Option<Answer> {
     let shared = &work.worker.shared;
     if holder.instance == shared.settings.instance.id {
         let now = shared.clock.now();
         let held = shared.held.lock().unwrap_or_else(PoisonError::into_inner);
-        return match held.get(now, &call.key, Some(&call.fingerprint)) {
+        return match held.get(now, &claim.key, Some(&claim.fingerprint)) {
             Some(Found::Answer(answer)) => Some(answer),
             _ => None,
         };
     }
-    shared.keys.held(holder.clone(), call.key).await
+    let asked = shared.control.held_answer(&holder.instance, claim.key);
+    asked.await.and_then(|answer| Answer::try_from(answer).ok())
 }
 
 fn again(work: &Work, answer: Answer) -> Reply {
@@ -249,7 +261,7 @@
     }
 }
 
-fn hold(work: &Work, entry: &Entry, call: &Call, reply: &Reply) {
+fn hold(work: &Work, entry: &Entry, claim: &Claim, reply: &Reply) {
     let Reply::Whole {
         status,
         headers,
@@ -270,12 +282,12 @@
     let time = entry.hold_answer.min(shared.settings.hold.time);
     let now = shared.clock.now();
     let mut held = shared.held.lock().unwrap_or_else(PoisonError::into_inner);
-    held.put(now, time, call.key, call.fingerprint, answer);
+    held.put(now, time, claim.key, claim.fingerprint, answer);
 }
 
-fn speaking_of_the_key(refused: Problem, call: &Call) -> Problem {
+fn speaking_of_the_key(refused: Problem, claim: &Claim) -> Problem {
     Problem {
-        ran: match call.ran() {
+        ran: match keys::ran_before_claim(claim) {
             Ran::No => refused.ran,
             Ran::Unknown => problem::Ran::Unknown,
         },
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -1,9 +1,9 @@
 //! Calls to plain services.
 
-use std::sync::Arc;
-
 use tokio::time::Instant;
 
+use fleet::upstream::Observation;
+
 use crate::dispatch::Attempt;
 use crate::front::body::stated_length;
 use crate::front::problem::Problem;
@@ -24,8 +24,7 @@
 /// The error for the caller.
 pub async fn run(work: &mut Work, mut attempt: Attempt, whole: bool) -> Result<Reply, Problem> {
     loop {
-        let upstream = Arc::clone(&attempt.sending().upstream);
-        work.account.upstream(&upstream);
+        work.begin(&attempt);
         let failure = match once(work, &attempt, whole).await {
             Ok(Got::Whole(reply)) => return Ok(reply),
             Ok(Got::Body { answer, length }) => {
@@ -58,6 +57,11 @@
         timeout: work.left(),
     };
     let mut answer = work.worker.client.send(call, work.body.clone()).await?;
+    let upstream = &attempt.sending().upstream;
+    match answer.status().is_server_error() {
+        true => work.observe(upstream, Observation::Failed),
+        false => work.observe_answer(upstream),
+    }
     // A service that answers nothing of the id may be one that a proxy before it stands in for;
     // its answer cannot be told from another caller's.
     if answer.status().is_success() && !answer.is_matched(&work.request_header()) {
--- a/crates/entry/src/resume.rs
+++ b/crates/entry/src/resume.rs
@@ -2,12 +2,12 @@
 
 use actix_http::header::HeaderValue;
 use clock::{Clock as _, Moment};
+use control::View;
 
 use crate::account::Account;
 use crate::front::problem::{Kind, Problem};
 use crate::front::reply::Reply;
 use crate::metrics::Metric;
-use crate::scene::Scene;
 use crate::shared::{Worker, wall};
 use crate::stream::relay::{Origin, Relay};
 use crate::stream::token::Refused;
@@ -31,7 +31,7 @@
 /// The id is not good, or the engine has the stream no more.
 pub async fn run(
     worker: &Worker,
-    scene: &Scene,
+    view: &View,
     resumption: &Resumption<'_>,
     account: &mut Account,
 ) -> Result<Reply, Problem> {
@@ -40,19 +40,19 @@
         .tokens
         .read(resumption.last, resumption.owner, wall(&shared.clock))
         .map_err(refused)?;
-    let catalogue = scene.catalogue.as_deref();
+    let catalogue = view.catalogue.as_deref();
     if let Some(entry) = catalogue.and_then(|catalogue| catalogue.entry(&place.entry)) {
         account.entry(entry);
     }
-    let upstream = scene
-        .upstreams
-        .get(&place.engine)
+    let address = view
+        .upstream(&place.engine)
+        .and_then(|upstream| upstream.address.parse().ok())
         .ok_or_else(|| gone("its engine is gone"))?;
     account.upstream(&place.engine.as_str().into());
     let request = HeaderValue::try_from(place.request.as_str())
         .map_err(|_| gone("its request id cannot be sent"))?;
     let origin = Origin {
-        address: upstream.address,
+        address,
         next: number + 1,
         owner: resumption.owner.to_owned(),
         request,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,21 +1,22 @@
 //! What all threads of the data plane share, and what each has for itself.
 
 use std::rc::Rc;
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, SystemTime};
 
 use clock::{Clock as _, System};
+use control::{Handle, View};
+use report::Counters;
 use settings::Settings;
 
-use crate::burn::Burn;
 use crate::dispatch::Dispatch;
 use crate::front::request_id;
 use crate::hold::Answers;
-use crate::keys::Keys;
 use crate::metrics::Metrics;
 use crate::process::phase::Life;
 use crate::process::pulse::Pulse;
-use crate::scene;
+use crate::stream::resumed::Resumed;
 use crate::stream::token;
 use crate::upstream::client::Client;
 use crate::upstream::stream_guard;
@@ -27,28 +28,49 @@
     pub settings: Settings,
     /// Clock of all moments.
     pub clock: System,
-    /// The newest state of the world.
-    pub scene: scene::Watch,
+    /// The control of this process.
+    pub control: Handle,
+    /// Sequence of the oldest view by which an upstream may still be chosen.
+    pub applied: AtomicU64,
     /// Decisions.
     pub dispatch: Dispatch,
     /// Ids of requests and streams.
     pub ids: request_id::Mint,
     /// Event ids.
     pub tokens: token::Mint,
-    /// Claims of `Idempotency-Key`s.
-    pub keys: Keys,
+    /// Streams that were begun at other entries.
+    pub resumed: Resumed,
     /// Held answers.
     pub held: Mutex<Answers>,
     /// Metrics.
     pub metrics: Metrics,
-    /// Counts for the report on burn.
-    pub burn: Burn,
+    /// Counters of the report on burn.
+    pub burn: Mutex<Counters>,
     /// Phase of the process.
     pub life: Life,
     /// Whether the process was paused.
     pub pulse: Pulse,
 }
 
+impl Shared {
+    /// The newest view of the world.
+    pub fn view(&self) -> Arc<View> {
+        self.control.view()
+    }
+
+    /// The counters of the report on burn.
+    pub fn burn(&self) -> MutexGuard<'_, Counters> {
+        self.burn.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Forgets the counters of entries that the catalogue has no more.
+    pub fn retain_burn(&self, view: &View) {
+        if let Some(catalogue) = view.catalogue.as_deref() {
+            self.burn().retain(|entry| catalogue.entry(entry).is_some());
+        }
+    }
+}
+
 /// What one thread has.
 #[derive(Clone, Debug)]
 pub struct Worker {
@@ -65,11 +87,6 @@
         Rc::new(Self { shared, client })
     }
 
-    /// The newest state of the world.
-    pub fn scene(&self) -> Arc<scene::Scene> {
-        Arc::clone(&self.shared.scene.borrow())
-    }
-
     /// What guards of streams need.
     pub fn guard_context(&self) -> stream_guard::Context {
         stream_guard::Context {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -2,5 +2,6 @@
 //! between them.
 
 pub mod relay;
+pub mod resumed;
 pub mod sse;
 pub mod token;
--- a/crates/entry/src/stream/relay.rs
+++ b/crates/entry/src/stream/relay.rs
@@ -20,6 +20,7 @@
 use crate::front::problem::{Kind, Problem};
 use crate::metrics::Metric;
 use crate::shared::Worker;
+use crate::stream::resumed::Open;
 use crate::stream::sse::{Broken, Follower, Relayed};
 use crate::stream::token::{Number, Place};
 use crate::upstream::client::{Answer, Call};
@@ -80,6 +81,8 @@
     ended: bool,
     /// Connections in a row that ended without an event.
     barren: u32,
+    /// Counts the stream as open at its engine, if no attempt does.
+    _open: Option<Open>,
 }
 
 impl Relay {
@@ -94,6 +97,10 @@
             origin.request.clone(),
         );
         let follower = Follower::new(&origin.place.stream, origin.next);
+        let open = answer.is_none().then(|| {
+            let resumed = &worker.shared.resumed;
+            resumed.open(&origin.place.engine)
+        });
         Self {
             follower,
             answer,
@@ -105,6 +112,7 @@
             account: None,
             ended: false,
             barren: 0,
+            _open: open,
             worker,
             origin,
         }
--- a/crates/entry/src/upstream/failure.rs
+++ b/crates/entry/src/upstream/failure.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use awc::error::{ConnectError, SendRequestError};
+use fleet::upstream::Observation;
 use routing::decision::Ran;
 
 /// Why there is no answer that may be used.
@@ -37,6 +38,15 @@
         }
     }
 
+    /// What it says of the upstream's health; nothing if the upstream is not to blame.
+    pub fn observation(&self) -> Option<Observation> {
+        match self {
+            Self::NotSent(_) | Self::Lost(_) | Self::Crossed => Some(Observation::Failed),
+            Self::TimedOut => Some(Observation::TimedOut),
+            Self::Declined(_) | Self::TooLarge | Self::CallerGone(_) => None,
+        }
+    }
+
     /// A short word for metrics and logs.
     pub fn word(&self) -> &'static str {
         match self {
--- a/crates/entry/src/work.rs
+++ b/crates/entry/src/work.rs
@@ -2,13 +2,14 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::Method;
 use actix_http::header::{HeaderMap, HeaderValue};
 use bytes::Bytes;
 use catalogue::{Entry, Target};
 use clock::{Clock as _, Moment};
+use fleet::upstream::Observation;
 use routing::class::Class;
 use routing::decision::{Ran, Sending};
 use routing::request::Request;
@@ -20,19 +21,19 @@
 use crate::front::problem::{self, Kind, Problem};
 use crate::front::refusal;
 use crate::metrics::Metric;
-use crate::scene::Scene;
 use crate::shared::Worker;
 use crate::upstream::client::number;
 use crate::upstream::failure::Failure;
 use crate::world::entry_subject;
 
+/// Time that an upstream must have had before its silence counts against it.
+const FAIR_WAIT: Duration = Duration::from_millis(500);
+
 /// A request with all that its attempts need.
 #[derive(Debug)]
 pub struct Work {
     /// The thread that serves it.
     pub worker: Worker,
-    /// State of the world that it sees.
-    pub scene: Arc<Scene>,
     /// The owner who calls.
     pub owner: Arc<str>,
     /// Method.
@@ -49,6 +50,8 @@
     pub account: Account,
     /// Whether an attempt before may have run.
     pub ran: Ran,
+    /// When the newest attempt began.
+    pub began: Instant,
 }
 
 impl Work {
@@ -89,6 +92,7 @@
             failure:% = failure;
             "an attempt failed"
         );
+        self.observe_failure(&attempt.sending().upstream, failure);
         if *failure == Failure::Crossed {
             self.worker.shared.metrics.add(Metric::Crossed, 1);
         }
@@ -122,14 +126,39 @@
     /// It is not known here; nothing was sent.
     pub fn address(&self, id: &str) -> Result<SocketAddr, Failure> {
         // The list may have changed since the request began, so the newest one counts.
-        self.worker
-            .scene()
-            .upstreams
-            .get(id)
-            .map(|upstream| upstream.address)
+        let view = self.worker.shared.view();
+        view.upstream(id)
+            .and_then(|upstream| upstream.address.parse().ok())
             .ok_or_else(|| Failure::NotSent(format!("upstream {id} is not listed any more")))
     }
 
+    /// Notes that an attempt begins.
+    pub fn begin(&mut self, attempt: &Attempt) {
+        self.account.upstream(&attempt.sending().upstream);
+        self.began = Instant::now();
+    }
+
+    /// Tells the control that an upstream answered the newest attempt.
+    pub fn observe_answer(&self, upstream: &Arc<str>) {
+        self.observe(upstream, Observation::Answered(self.began.elapsed()));
+    }
+
+    /// A caller that leaves an upstream no time says nothing about the upstream when that time is
+    /// over; taken for a failure, a few such callers would take healthy upstreams out.
+    fn observe_failure(&self, upstream: &Arc<str>, failure: &Failure) {
+        let hasty = *failure == Failure::TimedOut && self.began.elapsed() < FAIR_WAIT;
+        if let Some(observation) = failure.observation()
+            && !hasty
+        {
+            self.observe(upstream, observation);
+        }
+    }
+
+    /// Tells the control how an attempt at an upstream went.
+    pub fn observe(&self, upstream: &Arc<str>, observation: Observation) {
+        self.worker.shared.control.observe(upstream, observation);
+    }
+
     /// Headers for the upstream.
     pub fn upstream_headers(&self, sending: &Sending) -> HeaderMap {
         let mut map = HeaderMap::with_capacity(self.headers.len() + 4);
--- a/crates/entry/src/world.rs
+++ b/crates/entry/src/world.rs
@@ -1,17 +1,24 @@
-//! Turns what is known of the catalogue and the fleet into what the router and the data plane use.
+//! Follows the control's views and turns them into what the router decides by.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use catalogue::{Choice, Kind, Limits, Pool, PoolKind, Role, View};
+use catalogue::{Choice, Kind, Limits, Pool, PoolKind, Role};
 use clock::Moment;
+use control::View;
+use control::view::Upstream;
 use routing::choice::Policy;
-use routing::limit::Terms;
+use routing::limit::{Demand, Terms};
+use routing::load::Load;
+use routing::peers::Outstanding;
 use routing::pool::Config;
 use routing::router::Router;
 use routing::upstream;
 
+use crate::shared::Shared;
+
 /// One-way time to an upstream in the same data centre.
 const NEAR: Duration = Duration::from_micros(100);
 
@@ -22,50 +29,150 @@
 /// pool's own figure is not known: 128 KiB a token over 100 Gbit/s.
 const TRANSFER: f64 = 131_072.0 / 12.5e9;
 
-/// An upstream as the entry knows it.
-#[derive(Clone, Debug)]
-pub struct Known {
-    /// Pool that it serves.
-    pub pool: String,
-    /// Data centre in which it stands.
-    pub data_centre: String,
-    /// What the router sees of it but for the distance.
-    pub view: upstream::View,
+/// Follows the views until the control stops.
+pub async fn follow(shared: Arc<Shared>) {
+    let mut views = shared.control.watch();
+    let mut before = Arc::new(View::empty());
+    loop {
+        let view = Arc::clone(&views.borrow_and_update());
+        let data_centre = shared.settings.instance.data_centre.as_str();
+        shared.dispatch.with(|now, router| {
+            let step = Step {
+                now,
+                data_centre,
+                before: &before,
+                view: &view,
+            };
+            step.apply(router);
+        });
+        // Only now does no request choose by an older view any more; the control may then confirm
+        // that a closed upstream gets no new work from here.
+        shared.applied.store(view.sequence, Ordering::Release);
+        if view.revision != before.revision {
+            shared.retain_burn(&view);
+        }
+        before = view;
+        if views.changed().await.is_err() {
+            return;
+        }
+    }
 }
 
-/// Gives the router the pools, limits and upstreams that are in force.
-pub fn apply(
+/// The step from one view to the next.
+struct Step<'a> {
     now: Moment,
-    router: &mut Router,
-    catalogue: &View,
-    known: &[Known],
-    data_centre: &str,
-) {
-    let pools: Vec<Config> = catalogue
-        .names(Kind::Pool)
-        .filter_map(|name| catalogue.pool(name))
-        .map(config)
-        .collect();
-    let mut by_pool: BTreeMap<Arc<str>, Vec<upstream::View>> = pools
-        .iter()
-        .map(|pool| (Arc::clone(&pool.id), Vec::new()))
-        .collect();
-    for upstream in known {
-        if let Some(views) = by_pool.get_mut(upstream.pool.as_str()) {
-            let mut view = upstream.view.clone();
-            view.distance = if upstream.data_centre == data_centre {
+    data_centre: &'a str,
+    before: &'a View,
+    view: &'a View,
+}
+
+impl Step<'_> {
+    fn apply(&self, router: &mut Router) {
+        if self.view.revision != self.before.revision {
+            self.catalogue(router);
+        }
+        let pools_changed = self.view.revision != self.before.revision;
+        if pools_changed || self.view.upstreams != self.before.upstreams {
+            self.upstreams(router);
+            self.reports(router);
+        }
+        if self.view.peers != self.before.peers {
+            self.peers(router);
+        }
+    }
+
+    fn catalogue(&self, router: &mut Router) {
+        let Some(catalogue) = self.view.catalogue.as_deref() else {
+            return;
+        };
+        let pools = catalogue
+            .names(Kind::Pool)
+            .filter_map(|name| catalogue.pool(name));
+        router.set_pools(self.now, pools.map(config).collect());
+        router.set_terms(self.now, terms(catalogue));
+    }
+
+    fn upstreams(&self, router: &mut Router) {
+        let Some(catalogue) = self.view.catalogue.as_deref() else {
+            return;
+        };
+        let mut by_pool: BTreeMap<&str, Vec<upstream::View>> = catalogue
+            .names(Kind::Pool)
+            .map(|pool| (pool, Vec::new()))
+            .collect();
+        for upstream in self.view.upstreams.iter() {
+            if let Some(views) = by_pool.get_mut(&*upstream.pool) {
+                views.push(self.upstream(upstream));
+            }
+        }
+        for (pool, views) in by_pool {
+            router.set_upstreams(self.now, pool, views);
+        }
+    }
+
+    fn upstream(&self, upstream: &Upstream) -> upstream::View {
+        let models = upstream.models.iter();
+        upstream::View {
+            id: Arc::clone(&upstream.id),
+            distance: if *upstream.data_centre == *self.data_centre {
                 NEAR
             } else {
                 FAR
+            },
+            role: upstream.role.map_or_else(Default::default, role),
+            models: models.map(|model| Arc::from(model_name(model))).collect(),
+            open: upstream.open,
+            health: upstream::Health::Up,
+            up_since: upstream.up_since,
+        }
+    }
+
+    fn reports(&self, router: &mut Router) {
+        for upstream in self.view.upstreams.iter() {
+            let Some(report) = &upstream.report else {
+                continue;
             };
-            views.push(view);
+            let known = self.before.upstream(&upstream.id);
+            let known = known.and_then(|known| known.report.as_ref());
+            if known.is_none_or(|known| known.at != report.at) {
+                router.report(&upstream.pool, &upstream.id, routing_report(report));
+            }
         }
     }
-    router.set_pools(now, pools);
-    for (pool, views) in by_pool {
-        router.set_upstreams(now, &pool, views);
+
+    fn peers(&self, router: &mut Router) {
+        let ids: BTreeSet<&str> = self
+            .view
+            .peers
+            .iter()
+            .map(|peer| peer.id.as_str())
+            .collect();
+        router.set_peers(ids.iter().map(|id| Arc::from(*id)));
+        for gone in self.before.peers.iter() {
+            if !ids.contains(gone.id.as_str()) {
+                router.peer_gone(&gone.id);
+            }
+        }
+        for peer in self.view.peers.iter() {
+            let known = self.before.peers.iter().find(|known| known.id == peer.id);
+            if let Some((at, load)) = &peer.load
+                && known.is_none_or(|known| known.load != peer.load)
+            {
+                router.peers(
+                    self.now,
+                    &peer.id,
+                    *at,
+                    load.iter().map(outstanding).collect(),
+                );
+            }
+            if let Some((_, demands)) = &peer.demand
+                && known.is_none_or(|known| known.demand != peer.demand)
+            {
+                let demands: Vec<Demand> = demands.iter().map(demand).collect();
+                router.peer_demand(self.now, &Arc::from(peer.id.as_str()), &demands);
+            }
+        }
     }
-    router.set_terms(now, terms(catalogue));
 }
 
 /// The subject under which an entry's own limits are counted; owners stand under their names.
@@ -74,6 +181,59 @@
     Arc::from(format!("entry:{entry}"))
 }
 
+fn outstanding(said: &wire::peer::Outstanding) -> Outstanding {
+    Outstanding {
+        upstream: Arc::from(said.upstream.as_str()),
+        load: Load {
+            requests: f64::from(said.requests),
+            prefill: said.prefill_tokens as f64,
+            decode: said.decode_tokens as f64,
+        },
+    }
+}
+
+fn demand(said: &wire::peer::Demand) -> Demand {
+    Demand {
+        subject: Arc::from(said.owner.as_str()),
+        requests: f64::from(said.requests),
+        tokens: f64::from(said.tokens),
+        open: said.open,
+    }
+}
+
+fn routing_report(report: &control::view::Report) -> upstream::Report {
+    let said = &report.said;
+    let kv_total = (said.kv_total as f64).max(1.0);
+    upstream::Report {
+        at: report.at,
+        load: Load {
+            requests: f64::from(said.running) + f64::from(said.waiting),
+            prefill: said.prefill_tokens_waiting as f64,
+            decode: said.decode_tokens_left as f64,
+        },
+        waiting: said.waiting,
+        kv_used: said.kv_used as f64 / kv_total,
+        prefill_rate: said.prefill_rate,
+        decode_slots: said.decode_slots,
+        draining: said.draining,
+    }
+}
+
+fn role(role: control::view::Role) -> upstream::Role {
+    match role {
+        control::view::Role::Mixed => upstream::Role::Mixed,
+        control::view::Role::Prefill => upstream::Role::Prefill,
+        control::view::Role::Decode => upstream::Role::Decode,
+    }
+}
+
+fn model_name(model: &control::view::Model) -> String {
+    match model.adapter.as_str() {
+        "" => format!("{}@{}", model.model, model.version),
+        adapter => format!("{}@{}+{adapter}", model.model, model.version),
+    }
+}
+
 fn config(pool: &Pool) -> Config {
     let apart = pool.span(Role::Prefill).is_some() && pool.span(Role::Decode).is_some();
     let mut config = Config::new(pool.name.as_str());
@@ -100,7 +260,7 @@
     }
 }
 
-fn terms(catalogue: &View) -> Vec<Terms> {
+fn terms(catalogue: &catalogue::View) -> Vec<Terms> {
     let owners = catalogue
         .names(Kind::Owner)
         .filter_map(|name| catalogue.owner(name))
--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -155,6 +155,11 @@
         assert_eq!(answer.status, 200, "{answer:?}");
     }
 
+    /// An operator at an entry.
+    pub(crate) fn operator(&self, entry: usize) -> Caller {
+        Caller::new(self.entries[entry].other("admin"), "admin-token")
+    }
+
     /// A caller of one owner at an entry.
     pub(crate) fn caller(&self, entry: usize, key: &str) -> Caller {
         Caller::new(&self.entries[entry].address, key)
--- a/crates/entry/tests/fleet/process.rs
+++ b/crates/entry/tests/fleet/process.rs
@@ -54,6 +54,12 @@
         }
     }
 
+    /// A further address by its name.
+    pub(crate) fn other(&self, name: &str) -> &str {
+        let found = self.others.iter().find(|(other, _)| other == name);
+        &found.unwrap().1
+    }
+
     /// Sends a signal by its name, for example `KILL`.
     pub(crate) fn signal(&self, name: &str) {
         let status = Command::new("kill")
@@ -63,6 +69,21 @@
         assert!(status.success());
     }
 
+    /// Stops it and waits until all of its threads stand still: the signal reaches one of them, and
+    /// the others run on until that one is scheduled.
+    pub(crate) fn stop(&self) {
+        self.signal("STOP");
+        let tasks = format!("/proc/{}/task", self.child.id());
+        let stands = |task: std::fs::DirEntry| {
+            let stat = std::fs::read_to_string(task.path().join("stat")).unwrap_or_default();
+            let state = stat.rsplit(')').next().unwrap_or_default();
+            state.trim_start().starts_with('T')
+        };
+        while !std::fs::read_dir(&tasks).unwrap().flatten().all(stands) {
+            std::thread::yield_now();
+        }
+    }
+
     /// Waits for the end.
     pub(crate) fn wait(&mut self) -> ExitStatus {
         self.child.wait().unwrap()
--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -172,7 +172,7 @@
     let prompt = "paused in the middle";
     let caller = fleet.caller(0, LIMA);
     let (mut streamed, held) = caller.begin(prompt, 3_000, 5).await;
-    fleet.entries[0].signal("STOP");
+    fleet.entries[0].stop();
     drop(held);
     let last = streamed.ids.last().unwrap().clone();
     let other = fleet.caller(1, LIMA);
