Weigh role changes for the demand at their end

A change takes five seconds and smoothed demand is three late, so in a swing each change came a twelfth of a two-minute period too late. The planner now weighs moves for the demand that the trend of the last eight seconds gives for the end of the change.

--- a/crates/routing/examples/roles.rs
+++ b/crates/routing/examples/roles.rs
@@ -30,7 +30,7 @@
 /// A trace gives the share of prefill in the work at a second.
 type Trace = fn(usize, &mut SmallRng) -> f64;
 
-const TRACES: [(&str, Trace); 8] = [
+const TRACES: [(&str, Trace); 9] = [
     ("constant", |_, _| 0.5),
     ("step", |at, _| if at < 300 { 0.3 } else { 0.7 }),
     ("ramp", |at, _| 0.25 + 0.5 * at as f64 / SECONDS as f64),
@@ -38,6 +38,9 @@
     ("period 120 s", |at, _| wave(at, 120.0)),
     ("period 30 s", |at, _| wave(at, 30.0)),
     ("period 8 s", |at, _| wave(at, 8.0)),
+    ("120 s + noise", |at, rng| {
+        wave(at, 120.0) + rng.random_range(-0.15..0.15)
+    }),
     ("noise", |_, rng| 0.5 + rng.random_range(-0.25..0.25)),
 ];
 
--- a/crates/routing/src/plan/gain.rs
+++ b/crates/routing/src/plan/gain.rs
@@ -39,6 +39,8 @@
         if settling {
             return None;
         }
+        let ahead = config.takes.as_secs_f64() + LAG;
+        let demand = self.history.ahead(ahead).unwrap_or(demand);
         let best = moves(config, counts)
             .into_iter()
             .map(|wanted| (self.surplus(config, counts, demand, wanted), wanted))
--- a/crates/routing/src/plan/history.rs
+++ b/crates/routing/src/plan/history.rs
@@ -14,6 +14,9 @@
 /// seconds.
 const KEPT: usize = 900;
 
+/// Samples over which a trend is taken, twice.
+const TREND: usize = 4;
+
 /// Demand at equal distances of time.
 #[derive(Clone, Debug, Default)]
 pub(super) struct History {
@@ -54,6 +57,34 @@
         self.samples.push_back(demand);
     }
 
+    /// Demand to be expected in some seconds, if it goes on as it went in the last ones.
+    pub(super) fn ahead(&self, seconds: f64) -> Option<Demand> {
+        let newest = self.mean_of(0)?;
+        let older = self.mean_of(TREND)?;
+        let steps = TREND as f64 * EVERY.as_secs_f64();
+        let share = seconds / steps;
+        Some(Demand {
+            prefill: (newest.prefill + share * (newest.prefill - older.prefill)).max(0.0),
+            decode: (newest.decode + share * (newest.decode - older.decode)).max(0.0),
+        })
+    }
+
+    /// Mean of some samples that end `back` samples ago.
+    fn mean_of(&self, back: usize) -> Option<Demand> {
+        if self.samples.len() < back + TREND {
+            return None;
+        }
+        let samples = self.samples.iter().rev().skip(back).take(TREND);
+        let sum = samples.fold(Demand::default(), |sum, sample| Demand {
+            prefill: sum.prefill + sample.prefill,
+            decode: sum.decode + sample.decode,
+        });
+        Some(Demand {
+            prefill: sum.prefill / TREND as f64,
+            decode: sum.decode / TREND as f64,
+        })
+    }
+
     /// Mean of a measure over the samples at which it is above zero, 0 if there are none.
     pub(super) fn mean(&self, measure: impl Fn(Demand) -> f64) -> f64 {
         let (mut sum, mut count) = (0.0, 0.0);
