Count the delay of an order from the end of its send

The model checker found a trace in which an engine that ignores fences is opened and then takes an order: the holder is paused between its check and its send, wakes, gives the answer up, cancels, reads back and concludes, while the order has only just left. The longest delay was counted from the check. It now counts from the answer, or from giving it up.

--- a/crates/authority/src/change.rs
+++ b/crates/authority/src/change.rs
@@ -77,6 +77,8 @@
     incarnation: Option<u64>,
     checks_fence: bool,
     sends: u32,
+    /// When the newest send was over. Counted from its beginning, the longest delay would have
+    /// passed too early if this process was paused between its check and its send.
     last_send: Option<Moment>,
 }
 
@@ -162,6 +164,7 @@
         self.question = None;
         self.next = now;
         if self.step == Step::Sending {
+            self.last_send = Some(now);
             self.step = Step::Running;
         }
     }
@@ -289,6 +292,7 @@
             return;
         }
         self.next = now + self.pace.poll;
+        self.last_send = Some(now);
         match receipt {
             Receipt::Accepted => self.step = Step::Running,
             Receipt::Unknown => self.enter(now, Step::Running),
--- a/crates/authority/tests/change.rs
+++ b/crates/authority/tests/change.rs
@@ -7,11 +7,12 @@
 mod engine;
 
 use assert_matches::assert_matches;
-use authority::change::{Change, Input as Told, Origin, Output, Permit, Receipt, Step};
+use authority::change::{Change, Input as Told, Origin, Output, Pace, Permit, Receipt, Step};
 use authority::engine::Progress;
 use authority::order::{Order, Role, Verdict};
 use authority::planner::Input;
 use bench::{Bench, PACE, Path};
+use smallvec::SmallVec;
 use std::time::Duration;
 
 const ENGINE: &str = "engine-1";
@@ -230,6 +231,39 @@
     assert_eq!(bench.at(ENGINE), Some(Step::Verifying));
 }
 
+#[test]
+fn delay_of_an_order_counts_from_the_end_of_its_send() {
+    // Symptom: an engine that ignores fences is opened, then an order cuts its streams.
+    // Sequence: the process is paused between its check and its send; it wakes, the order leaves;
+    //   the process gives the answer up, cancels, reads back and concludes; the engine restarts
+    //   and forgets the cancellation; the order arrives within the longest delay.
+    // Cause: the delay was counted from the check. Found by the model checker.
+    let mut bench = Bench::new(false);
+    bench.fold(&common::intent("a", 1, ENGINE, 0));
+    let pending = bench.state.pending(ENGINE).expect("an order");
+    let pace = Pace { sends: 1, ..PACE };
+    let mut now = Duration::from_secs(100);
+    let mut change = Change::new(now, pending, Origin::Own, pace);
+    let (grant, admitted) = (bench.grant.expect("a grant"), true);
+    let permit = Permit { grant, admitted };
+    let reading = bench.engine(ENGINE).reading.clone();
+    change.step(now, &permit, Told::Tick);
+    change.step(now, &permit, Told::Reading(1, reading.clone()));
+    change.step(now, &permit, Told::Waiting(SmallVec::new()));
+    let sent = change.step(now, &permit, Told::Reading(2, reading.clone()));
+    assert_matches!(sent[..], [Output::Send { ticket: 3, .. }]);
+    now += Duration::from_secs(10);
+    change.step(now, &permit, Told::Tick);
+    change.step(now, &permit, Told::Reading(4, reading.clone()));
+    change.step(now, &permit, Told::Cancelled(5, Receipt::Accepted));
+    change.step(now, &permit, Told::Reading(6, reading.clone()));
+    assert_eq!(change.at(), Step::Barred);
+    now += PACE.order_delay;
+    change.step(now, &permit, Told::Tick);
+    change.step(now, &permit, Told::Reading(7, reading));
+    assert_matches!(change.at(), Step::Concluding(Verdict::Undone, _));
+}
+
 #[test]
 fn copy_of_an_earlier_order_of_the_same_holder_is_refused() {
     // Symptom: an engine goes back to a role that was replaced since.
