Let callers of the load give a silent entry up

Three authorisations counted as lost when an entry was stopped for 4 s: their callers waited 3.2 s at it and went away, where a kiosk would ask another entry under the same key. A class may now have an attempt_timeout; an attempt without the beginning of an answer by then may have run and goes again with its key. The test fails when the timeout is taken out.

A conflict that may have run counts as unknown, no longer as refused.

--- a/crates/load/src/attempt.rs
+++ b/crates/load/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use actix_rt::time::timeout;
 use awc::error::{ConnectError, PayloadError, SendRequestError};
 use awc::http::header::{self, HeaderMap};
 use awc::http::{Method, StatusCode};
@@ -86,9 +87,12 @@
         let sent = self
             .head(client, progress)
             .send_body(self.request.body.clone());
-        let mut answer = match sent.await {
-            Ok(answer) => answer,
-            Err(error) => return unanswered(&error),
+        let patience = self.class.attempt_timeout.unwrap_or(self.left);
+        let mut answer = match timeout(patience, sent).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(error)) => return unanswered(&error),
+            // Nobody knows what became of it, as with a connection that broke.
+            Err(_) => return End::Broken,
         };
         if is_foreign(answer.headers(), &self.request.id) {
             return End::Crossed;
--- a/crates/load/src/bench/side.rs
+++ b/crates/load/src/bench/side.rs
@@ -129,6 +129,7 @@
             repeatable: true,
             keyed: false,
             retries: 0,
+            attempt_timeout: None,
             patience: DEADLINE,
             swings: Vec::new(),
         };
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -48,6 +48,8 @@
     pub keyed: bool,
     /// How often the caller tries again.
     pub retries: u32,
+    /// The caller tries again if no answer has begun after this.
+    pub attempt_timeout: Option<Duration>,
     /// When the caller goes away, after its arrival.
     pub patience: Duration,
     /// Changes of its rate and sizes.
--- a/crates/load/src/plan/check.rs
+++ b/crates/load/src/plan/check.rs
@@ -193,6 +193,7 @@
     raw.bucket = raw.bucket.div_f64(by);
     for class in &mut raw.classes {
         class.rate *= by;
+        class.attempt_timeout = class.attempt_timeout.map(|time| time.div_f64(by));
         let contract = &mut class.contract;
         contract.deadline = contract.deadline.div_f64(by);
         contract.first_token = contract.first_token.map(|time| time.div_f64(by));
@@ -246,6 +247,7 @@
         repeatable: class.repeatable,
         keyed: class.keyed,
         retries: class.retries,
+        attempt_timeout: class.attempt_timeout,
         swings,
     })
 }
--- a/crates/load/src/plan/raw.rs
+++ b/crates/load/src/plan/raw.rs
@@ -71,6 +71,10 @@
     /// How often the caller tries again.
     #[serde(default = "two")]
     pub retries: u32,
+    /// The caller tries again at another entry if no answer has begun after this; never, if left
+    /// out.
+    #[serde(default, with = "humantime_serde")]
+    pub attempt_timeout: Option<Duration>,
     /// The caller goes away after its deadline times this.
     #[serde(default = "two_times")]
     pub patience: f64,
--- a/crates/load/src/verdict.rs
+++ b/crates/load/src/verdict.rs
@@ -12,6 +12,9 @@
 /// First wait after a refusal that names no time; it doubles with each try.
 const BACKOFF: Duration = Duration::from_millis(200);
 
+/// Status of a conflict with an earlier attempt under the same key.
+const CONFLICT: u16 = 409;
+
 /// What a refusal says of the call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ran {
@@ -37,7 +40,7 @@
     },
     /// No connection came about, so nothing was sent.
     Unreached,
-    /// The connection broke before an answer began.
+    /// The connection broke before an answer began, or none began in the time for an attempt.
     Broken,
     /// The answer began and broke off.
     Cut,
@@ -138,7 +141,7 @@
             End::Cut => Verdict::Cut,
             _ if self.begun => Verdict::Cut,
             End::Refused { ran: Ran::No, .. } => Verdict::Refused,
-            End::Refused { status, .. } if (400..500).contains(status) => Verdict::Refused,
+            End::Refused { status, .. } if is_refusal(*status) => Verdict::Refused,
             End::Refused { .. } => Verdict::Unknown,
             End::Unreached | End::Broken | End::TimedOut => Verdict::Lost,
         }
@@ -155,7 +158,7 @@
                 ran,
                 retry_after,
             } => {
-                let temporary = matches!(status, 409 | 429 | 500 | 502 | 503);
+                let temporary = matches!(status, CONFLICT | 429 | 500 | 502 | 503);
                 let safe = ran == Ran::No || self.may_repeat();
                 (temporary && safe).then(|| retry_after.unwrap_or_else(|| self.backoff()))
             }
@@ -170,3 +173,9 @@
         BACKOFF * 2_u32.saturating_pow(self.attempts.saturating_sub(1).min(6))
     }
 }
+
+/// Statuses that tell that the request was not acceptable, whatever they say of its execution. A
+/// conflict is none: it may be about an earlier attempt that ran.
+fn is_refusal(status: u16) -> bool {
+    (400..500).contains(&status) && status != CONFLICT
+}
--- a/crates/load/tests/caller.rs
+++ b/crates/load/tests/caller.rs
@@ -38,6 +38,16 @@
 fn send<F>(class: &Class, script: F) -> (Done, Seen)
 where
     F: Fn(usize, &Request) -> Answer + Clone + Send + 'static,
+{
+    send_slowly(class, move |number, request| {
+        (Duration::ZERO, script(number, request))
+    })
+}
+
+/// The same with the time that each answer takes.
+fn send_slowly<F>(class: &Class, script: F) -> (Done, Seen)
+where
+    F: Fn(usize, &Request) -> (Duration, Answer) + Clone + Send + 'static,
 {
     let seen = Seen::default();
     let request = Source::new(class, 0, "t".to_owned(), 1).draw(Duration::ZERO);
@@ -46,8 +56,11 @@
         let text = |name| call.header(name).map(str::to_owned);
         let mut log = log.lock().expect("no test panics while it holds the lock");
         log.push((text("idempotency-key"), text("last-event-id")));
-        let answer = script(log.len() - 1, &sent);
-        async move { answer }
+        let (wait, answer) = script(log.len() - 1, &sent);
+        async move {
+            actix_rt::time::sleep(wait).await;
+            answer
+        }
     };
     let done = actix_rt::System::new().block_on(async {
         let listen = Listen {
@@ -110,6 +123,20 @@
     assert!(seen.iter().all(|(key, _)| key.as_deref() == Some("t-0-1")));
 }
 
+#[test]
+fn a_silent_entry_is_given_up_for_another_attempt() {
+    let impatient = class(
+        "repeatable: false, keyed: true, attempt_timeout: 100ms, retries: 1, plain: {path: /a}",
+    );
+    let (done, seen) = send_slowly(&impatient, |number, request| {
+        let wait = if number == 0 { 3 } else { 0 };
+        (Duration::from_secs(wait), echo(request))
+    });
+    assert_eq!(done.outcome.verdict, Verdict::Served);
+    assert!(!done.never_ran, "the silent one may have run");
+    assert_eq!(seen.lock().unwrap().len(), 2);
+}
+
 #[test]
 fn a_stream_is_resumed_after_its_newest_event() {
     let (done, seen) = send(&stream(), |number, request| match number {
--- a/crates/load/tests/verdict.rs
+++ b/crates/load/tests/verdict.rs
@@ -79,6 +79,14 @@
     assert_eq!(step(&class, 1, &refusal), Step::Finish(Verdict::Refused));
 }
 
+#[test]
+fn a_conflict_that_may_have_run_is_no_refusal() {
+    let keyed = class(", repeatable: false, keyed: true");
+    let conflict = refused(409, Ran::Unknown, None);
+    assert_matches!(step(&keyed, 1, &conflict), Step::Again(_));
+    assert_eq!(step(&keyed, 3, &conflict), Step::Finish(Verdict::Unknown));
+}
+
 #[test]
 fn a_stream_that_has_begun_is_resumed_and_counts_as_cut_when_that_fails() {
     let class = class(", repeatable: false");
