--- a/crates/routing/benches/decisions.rs
+++ b/crates/routing/benches/decisions.rs
@@ -14,7 +14,7 @@
     decision::{Decision, Progress},
     limit::{Config as LimitConfig, Limits, Terms, Used},
     load::Load,
-    member::Members,
+    members::Members,
     plan::{
         Config as PlanConfig, Engine, Input, Kind, Planner, Span,
         capacity::{Demand, Frontier, Frontiers},
--- a/crates/routing/examples/herd.rs
+++ b/crates/routing/examples/herd.rs
@@ -21,7 +21,7 @@
     choice::{Chooser, Policy, Work},
     ledger::NEVER,
     load::Load,
-    member::Members,
+    members::Members,
     pool::{Config, Speed},
     upstream::{Health, Report, Role, View},
 };
--- /dev/null
+++ b/crates/routing/examples/trial/mod.rs
@@ -0,0 +1,406 @@
+//! A loop of entries with the whole router before engines that are counters, with callers that come
+//! back when they are told to. It is a fake at the interface and no simulator of a cluster.
+
+#[path = "../counters/mod.rs"]
+mod counters;
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use clock::Moment;
+use counters::{Engine, Event, Job};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use routing::{
+    class::Class,
+    decision::{Decision, Output, Progress, Refusal, Sending},
+    load::Load,
+    peers::Outstanding,
+    pool::{Config, Speed},
+    request::Request,
+    router::{Router, Settings},
+    upstream::{Health, Report, Role, View},
+};
+use smallvec::smallvec;
+
+const ENTRIES: usize = 8;
+const ENGINES: usize = 18;
+const STEP: Duration = Duration::from_millis(5);
+
+/// A time with the same load.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Phase {
+    pub(crate) name: &'static str,
+    /// Prefill that is asked for, as a share of what all engines can do.
+    pub(crate) load: f64,
+    pub(crate) seconds: u64,
+}
+
+/// What is tried.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Setup {
+    pub(crate) phases: &'static [Phase],
+    /// Share of its speed at which an engine works at a moment.
+    pub(crate) pace: fn(usize, Moment) -> f64,
+    /// Whether load reports arrive.
+    pub(crate) reports: bool,
+    /// Whether frames of peers arrive.
+    pub(crate) frames: bool,
+}
+
+/// Times that a caller comes back after a refusal.
+const RETURNS: u32 = 3;
+
+const SPEED: Speed = Speed {
+    prefill_rate: 10_000.0,
+    decode_rate: 40.0,
+    slots: 32,
+};
+
+/// Class, share of the requests, time to the first token, mean prompt and answer.
+const MIX: [(Class, f64, Duration, f64, f64); 5] = [
+    (
+        Class::Authorisation,
+        0.05,
+        Duration::from_secs(1),
+        100.0,
+        5.0,
+    ),
+    (Class::Status, 0.05, Duration::from_secs(1), 50.0, 5.0),
+    (
+        Class::Interactive,
+        0.5,
+        Duration::from_secs(2),
+        1_000.0,
+        100.0,
+    ),
+    (
+        Class::Dispatch,
+        0.2,
+        Duration::from_secs(10),
+        2_000.0,
+        150.0,
+    ),
+    (Class::Batch, 0.2, Duration::from_secs(600), 4_000.0, 200.0),
+];
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Figures {
+    offered: u32,
+    in_time: u32,
+    late: u32,
+    refused: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    kind: usize,
+    phase: usize,
+    deadline: Moment,
+    returns: u32,
+    load: Load,
+}
+
+/// The loop.
+pub(crate) struct Trial {
+    setup: Setup,
+    now: Moment,
+    rng: SmallRng,
+    routers: Vec<Router>,
+    engines: Vec<Engine>,
+    waiting: HashMap<(usize, u64), Call>,
+    running: HashMap<(usize, u64), Call>,
+    returning: BTreeMap<(Moment, u64), Call>,
+    numbers: u64,
+    figures: Vec<[Figures; MIX.len()]>,
+    /// Prompt tokens processed per phase.
+    processed: Vec<f64>,
+    phase: usize,
+}
+
+impl Trial {
+    pub(crate) fn new(setup: Setup) -> Self {
+        let routers = (0..ENTRIES)
+            .map(|entry| {
+                let name = format!("entry-{entry}");
+                let mut router = Router::new(Settings::default(), &name, entry as u64);
+                let config = Config {
+                    speed: SPEED,
+                    slow_start: Duration::ZERO,
+                    ..Config::new("pool")
+                };
+                router.set_pools(Moment::ZERO, vec![config]);
+                let views = (0..ENGINES).map(view).collect();
+                router.set_upstreams(Moment::ZERO, "pool", views);
+                router
+            })
+            .collect();
+        Self {
+            now: Moment::ZERO,
+            rng: SmallRng::seed_from_u64(3),
+            routers,
+            engines: (0..ENGINES).map(|_| Engine::default()).collect(),
+            waiting: HashMap::new(),
+            running: HashMap::new(),
+            returning: BTreeMap::new(),
+            numbers: 0,
+            figures: vec![Default::default(); setup.phases.len()],
+            processed: vec![0.0; setup.phases.len()],
+            setup,
+            phase: 0,
+        }
+    }
+
+    /// Runs all phases.
+    pub(crate) fn run(&mut self) {
+        for (phase, Phase { load, seconds, .. }) in self.setup.phases.iter().enumerate() {
+            let steps = seconds * 1_000 / STEP.as_millis() as u64;
+            self.phase = phase;
+            for _ in 0..steps {
+                self.arrive(phase, *load);
+                self.work();
+                self.inform();
+                for entry in 0..ENTRIES {
+                    let outputs = self.routers[entry].tick(self.now);
+                    self.take(entry, outputs);
+                }
+                self.now += STEP;
+            }
+        }
+    }
+
+    /// Prints a table.
+    pub(crate) fn print(&self, title: &str) {
+        println!("{title}");
+        println!(
+            "{:<12} {:<15} {:>8} {:>8} {:>8} {:>8} {:>10}",
+            "phase", "class", "offered", "in time", "late", "refused", "in time/s"
+        );
+        for (phase, Phase { name, seconds, .. }) in self.setup.phases.iter().enumerate() {
+            let mut sum = Figures::default();
+            for (kind, (class, ..)) in MIX.into_iter().enumerate() {
+                let figures = self.figures[phase][kind];
+                print_row(name, &format!("{class:?}"), figures, *seconds);
+                sum.offered += figures.offered;
+                sum.in_time += figures.in_time;
+                sum.late += figures.late;
+                sum.refused += figures.refused;
+            }
+            print_row(name, "all", sum, *seconds);
+            let able = SPEED.prefill_rate * ENGINES as f64 * *seconds as f64;
+            println!(
+                "{name:<12} prefill used    {:.3}",
+                self.processed[phase] / able
+            );
+        }
+        println!("of the rest the fate was open when the trial ended");
+    }
+
+    fn arrive(&mut self, phase: usize, load: f64) {
+        let work: f64 = MIX
+            .iter()
+            .map(|kind| kind.1 * kind.3 / SPEED.prefill_rate)
+            .sum();
+        let expected = load * ENGINES as f64 / work * STEP.as_secs_f64();
+        for _ in 0..8 {
+            if self.rng.random_bool(expected / 8.0) {
+                let call = self.call(phase);
+                self.figures[phase][call.kind].offered += 1;
+                self.admit(call);
+            }
+        }
+        while let Some(entry) = self.returning.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let mut call = entry.remove();
+            call.deadline = self.now + MIX[call.kind].2;
+            self.admit(call);
+        }
+    }
+
+    fn call(&mut self, phase: usize) -> Call {
+        let mut draw: f64 = self.rng.random();
+        let mut kind = 0;
+        while kind + 1 < MIX.len() && draw >= MIX[kind].1 {
+            draw -= MIX[kind].1;
+            kind += 1;
+        }
+        let scale = self.rng.random_range(0.2..1.8);
+        Call {
+            kind,
+            phase,
+            deadline: self.now + MIX[kind].2,
+            returns: 0,
+            load: Load {
+                requests: 1.0,
+                prefill: (MIX[kind].3 * scale).round(),
+                decode: (MIX[kind].4 * self.rng.random_range(0.2..1.8)).round(),
+            },
+        }
+    }
+
+    fn admit(&mut self, call: Call) {
+        let entry = self.rng.random_range(0..ENTRIES);
+        let class = MIX[call.kind].0;
+        let request = Request {
+            pool: "pool".into(),
+            subjects: smallvec![],
+            class,
+            priority: class.rank() as u8,
+            model: None,
+            prompt_tokens: call.load.prefill as u32,
+            output_tokens: MIX[call.kind].4 as u32,
+            prefixes: smallvec![],
+            deadline: call.deadline,
+            repeatable: false,
+        };
+        match self.routers[entry].admit(self.now, request) {
+            Decision::Send(sending) => self.send(entry, call, &sending),
+            Decision::Wait(ticket) => {
+                self.waiting.insert((entry, ticket), call);
+            }
+            Decision::Refuse(refusal) => self.refuse(call, refusal),
+        }
+    }
+
+    fn send(&mut self, entry: usize, call: Call, sending: &Sending) {
+        let number: usize = sending.upstream[7..].parse().expect("ids end in a number");
+        let job = Job::new(
+            sending.attempt,
+            entry,
+            sending.priority,
+            call.load,
+            self.now,
+        );
+        self.engines[number].push(job);
+        self.running.insert((entry, sending.attempt), call);
+    }
+
+    fn refuse(&mut self, mut call: Call, refusal: Refusal) {
+        if call.returns == RETURNS {
+            self.figures[call.phase][call.kind].refused += 1;
+            return;
+        }
+        call.returns += 1;
+        self.numbers += 1;
+        let due = self.now + refusal.retry_after;
+        self.returning.insert((due, self.numbers), call);
+    }
+
+    fn take(&mut self, entry: usize, outputs: impl IntoIterator<Item = Output>) {
+        for output in outputs {
+            match output {
+                Output::Send { ticket, sending } => {
+                    if let Some(call) = self.waiting.remove(&(entry, ticket)) {
+                        self.send(entry, call, &sending);
+                    }
+                }
+                Output::Refuse { ticket, refusal } => {
+                    if let Some(call) = self.waiting.remove(&(entry, ticket)) {
+                        self.refuse(call, refusal);
+                    }
+                }
+            }
+        }
+    }
+
+    fn work(&mut self) {
+        for number in 0..ENGINES {
+            let pace = (self.setup.pace)(number, self.now);
+            let speed = Speed {
+                prefill_rate: SPEED.prefill_rate * pace,
+                decode_rate: SPEED.decode_rate * pace,
+                ..SPEED
+            };
+            for event in self.engines[number].step(speed, STEP) {
+                self.event(event);
+            }
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        match event {
+            Event::Prefilled(job) => {
+                self.processed[self.phase] += job.prompt;
+                let router = &mut self.routers[job.router];
+                router.progress(self.now, job.number, Progress::Prefilled);
+                let Some(call) = self.running.get(&(job.router, job.number)) else {
+                    return;
+                };
+                let figures = &mut self.figures[call.phase][call.kind];
+                if self.now <= call.deadline {
+                    figures.in_time += 1;
+                } else {
+                    figures.late += 1;
+                }
+            }
+            Event::Finished(job) => {
+                let router = &mut self.routers[job.router];
+                let tokens = Progress::Tokens(job.output as u32);
+                router.progress(self.now, job.number, tokens);
+                let outputs = router.finished(self.now, job.number);
+                self.running.remove(&(job.router, job.number));
+                self.take(job.router, outputs);
+            }
+        }
+    }
+
+    /// Reports two seconds old every second, frames of peers every half.
+    fn inform(&mut self) {
+        let ms = self.now.as_millis();
+        if self.setup.reports && ms.is_multiple_of(1_000) && ms >= 2_000 {
+            for (number, engine) in self.engines.iter().enumerate() {
+                let report = Report {
+                    at: self.now - Duration::from_secs(2),
+                    load: engine.load(),
+                    waiting: engine.waiting(SPEED.slots) as u32,
+                    kv_used: 0.0,
+                    prefill_rate: SPEED.prefill_rate,
+                    decode_slots: SPEED.slots,
+                    draining: false,
+                };
+                for router in &mut self.routers {
+                    router.report("pool", &id(number), report);
+                }
+            }
+        }
+        if self.setup.frames && ms.is_multiple_of(500) {
+            let frames: Vec<Vec<Outstanding>> =
+                self.routers.iter().map(Router::outstanding).collect();
+            for (entry, router) in self.routers.iter_mut().enumerate() {
+                for (peer, frame) in frames.iter().enumerate() {
+                    if peer != entry {
+                        router.peers(self.now, &format!("entry-{peer}"), self.now, frame.clone());
+                    }
+                }
+            }
+        }
+    }
+}
+
+fn id(number: usize) -> String {
+    format!("engine-{number:04}")
+}
+
+fn view(number: usize) -> View {
+    View {
+        id: id(number).into(),
+        distance: Duration::from_micros(500),
+        role: Role::Mixed,
+        models: smallvec![],
+        open: true,
+        health: Health::Up,
+        up_since: Moment::ZERO,
+    }
+}
+
+fn print_row(phase: &str, class: &str, figures: Figures, seconds: u64) {
+    println!(
+        "{phase:<12} {class:<15} {:>8} {:>8} {:>8} {:>8} {:>10.1}",
+        figures.offered,
+        figures.in_time,
+        figures.late,
+        figures.refused,
+        f64::from(figures.in_time) / seconds as f64,
+    );
+}
--- /dev/null
+++ b/crates/routing/src/choice/scene.rs
@@ -0,0 +1,150 @@
+//! What one decision looks at.
+
+use std::time::Duration;
+
+use clock::Moment;
+
+use super::{Pick, Policy, Work};
+use crate::{
+    affinity::History,
+    class::Class,
+    cost::{self, Cost},
+    ledger::NEVER,
+    load::Load,
+    member::Member,
+    members::Members,
+    pool::Config,
+};
+
+/// Everything that a decision looks at, so that the steps need no long argument lists.
+pub(super) struct Scene<'a> {
+    pub(super) now: Moment,
+    pub(super) config: &'a Config,
+    pub(super) members: &'a Members,
+    pub(super) history: &'a History,
+    pub(super) work: &'a Work<'a>,
+    pub(super) mean: Load,
+    pub(super) staleness: Duration,
+}
+
+impl<'a> Scene<'a> {
+    pub(super) fn new(
+        now: Moment,
+        config: &'a Config,
+        members: &'a Members,
+        history: &'a History,
+        work: &'a Work<'a>,
+    ) -> Self {
+        let staleness = match config.policy {
+            Policy::Affinity { .. } => config.staleness,
+            _ => NEVER,
+        };
+        Self {
+            now,
+            config,
+            members,
+            history,
+            work,
+            mean: members.mean(),
+            staleness,
+        }
+    }
+
+    /// Number of members that take work in one of the roles.
+    pub(super) fn count(&self) -> usize {
+        let roles = self.work.roles.iter();
+        roles.map(|role| self.members.ready(*role).len()).sum()
+    }
+
+    /// The position of the `index`-th of these.
+    pub(super) fn candidate(&self, mut index: usize) -> usize {
+        for role in self.work.roles {
+            let ready = self.members.ready(*role);
+            if index < ready.len() {
+                return ready[index];
+            }
+            index -= ready.len();
+        }
+        0
+    }
+
+    /// Whether a member that takes work may take this one.
+    pub(super) fn allows(&self, position: usize) -> bool {
+        let member = self.members.at(position);
+        member.serves(self.work.model) && !self.work.except.contains(&member.view.id)
+    }
+
+    /// Whether any member may take this work: for positions that were not drawn from the ready ones.
+    pub(super) fn ready(&self, position: usize) -> bool {
+        let member = self.members.at(position);
+        let ready = self.members.ready(member.view.role);
+        self.work.roles.contains(&member.view.role)
+            && ready.binary_search(&position).is_ok()
+            && self.allows(position)
+    }
+
+    pub(super) fn load(&self, member: &Member) -> Load {
+        member
+            .ledger
+            .estimate(self.now, self.mean, self.staleness, &member.speed)
+    }
+
+    pub(super) fn has_room(&self, position: usize, class: Class) -> bool {
+        let load = self.load(self.members.at(position));
+        self.members.has_room(position, class, load)
+    }
+
+    pub(super) fn cost(&self, member: &Member, cached: u32) -> Cost {
+        let load = self.load(member);
+        let prompt = f64::from(self.work.prompt.saturating_sub(cached));
+        let mut cost = cost::cost(&member.pace(), load, prompt, f64::from(self.work.output));
+        let share = member.share(self.now, self.config.slow_start);
+        let distance = 2.0 * member.view.distance.as_secs_f64();
+        cost.first_token = cost.first_token / share + distance;
+        cost.busy = cost.busy / share + distance;
+        cost
+    }
+
+    pub(super) fn pick(&self, position: usize) -> Pick {
+        self.pick_cached(position, 0)
+    }
+
+    pub(super) fn pick_cached(&self, position: usize, cached: u32) -> Pick {
+        let member = self.members.at(position);
+        Pick {
+            position,
+            cached,
+            cost: self.cost(member, cached),
+            load: self.load(member),
+        }
+    }
+
+    /// Fills in what is expected to be cached at a pick that was made without regard to it.
+    pub(super) fn with_cached(&self, pick: Pick) -> Pick {
+        if pick.cached > 0 || self.work.prefixes.is_empty() {
+            return pick;
+        }
+        let id = &self.members.at(pick.position).view.id;
+        let hits = self.history.find(self.work.prefixes);
+        let hit = hits.iter().find(|hit| hit.upstream == *id);
+        hit.map_or(pick, |hit| self.pick_cached(pick.position, hit.tokens))
+    }
+
+    /// The better of the upstreams that probably hold part of the prompt.
+    pub(super) fn holder(&self) -> Option<Pick> {
+        let mut best: Option<Pick> = None;
+        for hit in self.history.find(self.work.prefixes) {
+            let Some(position) = self.members.position(&hit.upstream) else {
+                continue;
+            };
+            if !self.ready(position) {
+                continue;
+            }
+            let pick = self.pick_cached(position, hit.tokens);
+            if best.is_none_or(|best| pick.cost.busy < best.cost.busy) {
+                best = Some(pick);
+            }
+        }
+        best
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod limit;
 pub mod load;
 pub mod member;
+pub mod members;
 pub mod observed;
 pub mod peers;
 pub mod plan;
--- a/crates/routing/src/limit/account.rs
+++ b/crates/routing/src/limit/account.rs
@@ -4,11 +4,11 @@
 use std::time::Duration;
 
 use clock::Moment;
-use smallvec::SmallVec;
 
 use super::bucket::Bucket;
+use super::group::{Group, Pair, Parts, Peaks, ROUNDING, Split, Told};
 use super::share::{self, Peak, Share};
-use super::{Config, Demand, Terms};
+use super::{Demand, Terms};
 use crate::{peers, rate::Rate, request::Subject};
 
 /// Time over which demand is smoothed.
@@ -66,69 +66,6 @@
     }
 }
 
-/// The entries that divide a limit, as one of them sees them.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Group<'a> {
-    pub(super) now: Moment,
-    pub(super) own: &'a peers::Id,
-    pub(super) peers: Option<&'a BTreeSet<peers::Id>>,
-    pub(super) config: &'a Config,
-}
-
-/// Amounts of the two divided rates.
-#[derive(Clone, Copy, Debug, Default)]
-struct Pair {
-    requests: f64,
-    tokens: f64,
-}
-
-/// Parts of the whole, 0 to 1, in each limit.
-#[derive(Clone, Copy, Debug, Default)]
-struct Parts {
-    requests: f64,
-    tokens: f64,
-    places: f64,
-}
-
-/// The most that these parts were lately.
-#[derive(Clone, Copy, Debug, Default)]
-struct Peaks {
-    requests: Peak,
-    tokens: Peak,
-    places: Peak,
-}
-
-impl Peaks {
-    fn most(&self) -> Parts {
-        Parts {
-            requests: self.requests.most(),
-            tokens: self.tokens.most(),
-            places: self.places.most(),
-        }
-    }
-}
-
-impl Parts {
-    fn all(part: f64) -> Self {
-        Self {
-            requests: part,
-            tokens: part,
-            places: part,
-        }
-    }
-}
-
-/// What a peer told last, and the parts of the limit that it had by it.
-#[derive(Clone, Copy, Debug)]
-struct Told {
-    at: Moment,
-    demand: Pair,
-    open: u32,
-    /// Parts while it was heard, to be reserved should it fall silent: it may not have heard what
-    /// made its part smaller.
-    peaks: Peaks,
-}
-
 /// A limited rate.
 #[derive(Clone, Debug)]
 struct Meter {
@@ -342,48 +279,6 @@
     }
 }
 
-/// Slack for sums of fractions.
-const ROUNDING: f64 = 1e-6;
-
-/// The entries, sorted for one computation.
-#[derive(Clone, Debug, Default)]
-struct Split {
-    /// Entries whose demand counts, by id, this one among them.
-    active: SmallVec<[(peers::Id, Pair); 8]>,
-    /// Position of this entry among them.
-    own: usize,
-    /// Entries that are silent or were never heard, with the parts reserved for them.
-    frozen: SmallVec<[(peers::Id, Parts); 8]>,
-}
-
-impl Split {
-    fn divide(
-        &self,
-        demand: impl Fn(&Pair) -> f64,
-        frozen: impl Fn(&Parts) -> f64,
-    ) -> share::Shares {
-        let reserved: f64 = self.frozen.iter().map(|(_, parts)| frozen(parts)).sum();
-        let demands: share::Shares = self.active.iter().map(|(_, told)| demand(told)).collect();
-        share::divide((1.0 - reserved).max(0.0), &demands)
-    }
-
-    /// Places that the other entries have or may have in use.
-    fn used_by_others(&self, places: &[u32], limit: u32, peers: &BTreeMap<peers::Id, Told>) -> u32 {
-        let open = |peer: &peers::Id| peers.get(peer).map_or(0, |told| told.open);
-        let active = self.active.iter().zip(places).enumerate();
-        let active: u32 = active
-            .filter(|(position, _)| *position != self.own)
-            .map(|(_, ((peer, _), places))| (*places).max(open(peer)))
-            .sum();
-        let frozen: u32 = self
-            .frozen
-            .iter()
-            .map(|(peer, parts)| ((parts.places * f64::from(limit)) as u32).max(open(peer)))
-            .sum();
-        active + frozen
-    }
-}
-
 /// The meter of a limit that may have changed; what was used so far stays used.
 fn renew(
     now: Moment,
--- /dev/null
+++ b/crates/routing/src/limit/group.rs
@@ -0,0 +1,120 @@
+//! The entries that divide a limit, as one of them sees them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use clock::Moment;
+use smallvec::SmallVec;
+
+use super::Config;
+use super::share::{self, Peak};
+use crate::peers;
+
+/// The entries that divide a limit, as one of them sees them.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Group<'a> {
+    pub(super) now: Moment,
+    pub(super) own: &'a peers::Id,
+    pub(super) peers: Option<&'a BTreeSet<peers::Id>>,
+    pub(super) config: &'a Config,
+}
+
+/// Amounts of the two divided rates.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Pair {
+    pub(super) requests: f64,
+    pub(super) tokens: f64,
+}
+
+/// Parts of the whole, 0 to 1, in each limit.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Parts {
+    pub(super) requests: f64,
+    pub(super) tokens: f64,
+    pub(super) places: f64,
+}
+
+/// The most that these parts were lately.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Peaks {
+    pub(super) requests: Peak,
+    pub(super) tokens: Peak,
+    pub(super) places: Peak,
+}
+
+impl Peaks {
+    pub(super) fn most(&self) -> Parts {
+        Parts {
+            requests: self.requests.most(),
+            tokens: self.tokens.most(),
+            places: self.places.most(),
+        }
+    }
+}
+
+impl Parts {
+    pub(super) fn all(part: f64) -> Self {
+        Self {
+            requests: part,
+            tokens: part,
+            places: part,
+        }
+    }
+}
+
+/// What a peer told last, and the parts of the limit that it had by it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Told {
+    pub(super) at: Moment,
+    pub(super) demand: Pair,
+    pub(super) open: u32,
+    /// Parts while it was heard, to be reserved should it fall silent: it may not have heard what
+    /// made its part smaller.
+    pub(super) peaks: Peaks,
+}
+
+/// Slack for sums of fractions.
+pub(super) const ROUNDING: f64 = 1e-6;
+
+/// The entries, sorted for one computation.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Split {
+    /// Entries whose demand counts, by id, this one among them.
+    pub(super) active: SmallVec<[(peers::Id, Pair); 8]>,
+    /// Position of this entry among them.
+    pub(super) own: usize,
+    /// Entries that are silent or were never heard, with the parts reserved for them.
+    pub(super) frozen: SmallVec<[(peers::Id, Parts); 8]>,
+}
+
+impl Split {
+    pub(super) fn divide(
+        &self,
+        demand: impl Fn(&Pair) -> f64,
+        frozen: impl Fn(&Parts) -> f64,
+    ) -> share::Shares {
+        let reserved: f64 = self.frozen.iter().map(|(_, parts)| frozen(parts)).sum();
+        let demands: share::Shares = self.active.iter().map(|(_, told)| demand(told)).collect();
+        share::divide((1.0 - reserved).max(0.0), &demands)
+    }
+
+    /// Places that the other entries have or may have in use.
+    pub(super) fn used_by_others(
+        &self,
+        places: &[u32],
+        limit: u32,
+        peers: &BTreeMap<peers::Id, Told>,
+    ) -> u32 {
+        let open = |peer: &peers::Id| peers.get(peer).map_or(0, |told| told.open);
+        let active = self.active.iter().zip(places).enumerate();
+        let active: u32 = active
+            .filter(|(position, _)| *position != self.own)
+            .map(|(_, ((peer, _), places))| (*places).max(open(peer)))
+            .sum();
+        let frozen: u32 = self
+            .frozen
+            .iter()
+            .map(|(peer, parts)| ((parts.places * f64::from(limit)) as u32).max(open(peer)))
+            .sum();
+        active + frozen
+    }
+}
--- a/crates/routing/src/limit/mod.rs
+++ b/crates/routing/src/limit/mod.rs
@@ -7,6 +7,7 @@
 
 mod account;
 mod bucket;
+mod group;
 mod share;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,8 +15,9 @@
 
 use clock::Moment;
 
-use self::account::{Account, Group};
+use self::account::Account;
 pub use self::account::{Kind, Refused, Used};
+use self::group::Group;
 use crate::{decision::Reason, peers, request::Subject};
 
 /// What an owner or an entry of the catalogue may use, over all entries of the fleet together.
--- a/crates/routing/src/peers.rs
+++ b/crates/routing/src/peers.rs
@@ -5,7 +5,7 @@
 
 use clock::Moment;
 
-use crate::{load::Load, member::Members, upstream};
+use crate::{load::Load, members::Members, upstream};
 
 /// Instance id of a peer.
 pub type Id = Arc<str>;
--- a/crates/routing/src/plan/bound.rs
+++ b/crates/routing/src/plan/bound.rs
@@ -5,8 +5,9 @@
 
 use std::collections::BTreeMap;
 
-use super::capacity::{self, Counts, Demand, served};
+use super::capacity::{Counts, Demand, served};
 use super::{Config, history};
+use crate::upstream::Role;
 
 /// The best course.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -58,8 +59,8 @@
     let now = served(&config.frontiers, state, trace[at]);
     let mut best = plus(value(later, at + 1, state), now, 0.0, 0);
     let end = (at + takes).min(trace.len());
-    for from in capacity::ROLES {
-        for to in capacity::ROLES {
+    for from in Role::ALL {
+        for to in Role::ALL {
             for engines in 1..=state.get(from) {
                 let after = state.without(from, engines).with(to, engines);
                 if from == to || !allowed(config, after) {
@@ -108,7 +109,7 @@
 }
 
 fn allowed(config: &Config, counts: Counts) -> bool {
-    capacity::ROLES.iter().all(|role| {
+    Role::ALL.iter().all(|role| {
         let span = config.spans[*role as usize];
         (span.min..=span.max).contains(&counts.get(*role))
     })
--- a/crates/routing/src/plan/capacity.rs
+++ b/crates/routing/src/plan/capacity.rs
@@ -8,9 +8,6 @@
 
 use crate::upstream::Role;
 
-/// All roles in their order.
-pub const ROLES: [Role; 3] = [Role::Mixed, Role::Prefill, Role::Decode];
-
 /// Tokens a second.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Demand {
@@ -115,7 +112,7 @@
 pub fn headroom(frontiers: &Frontiers, counts: Counts, demand: Demand) -> f64 {
     let mut segments: SmallVec<[Segment; 6]> = SmallVec::new();
     let mut at = Demand::default();
-    for role in ROLES {
+    for role in Role::ALL {
         let engines = f64::from(counts.get(role));
         if engines > 0.0 {
             let frontier = frontiers.get(role);
--- a/crates/routing/src/plan/mod.rs
+++ b/crates/routing/src/plan/mod.rs
@@ -163,8 +163,8 @@
 /// All moves of one engine that the bounds allow.
 fn moves(config: &Config, counts: Counts) -> SmallVec<[Move; 6]> {
     let mut moves = SmallVec::new();
-    for from in capacity::ROLES {
-        for to in capacity::ROLES {
+    for from in Role::ALL {
+        for to in Role::ALL {
             let allowed = from != to
                 && counts.get(from) > config.spans[from as usize].min
                 && counts.get(to) < config.spans[to as usize].max;
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -4,6 +4,7 @@
 //! [`Router::finished`]; the entry calls `tick` every [`TICK`] and after [`Router::failed`],
 //! [`Router::report`] and [`Router::set_upstreams`], which may have made room.
 
+mod attempts;
 mod waiting;
 
 use std::collections::{BTreeMap, HashMap};
@@ -15,7 +16,7 @@
 
 use crate::{
     admission::{Waiting, expected_wait},
-    decision::{Attempt, Decision, Next, Output, Progress, Ran, Reason, Refusal, Sending, Ticket},
+    decision::{Attempt, Decision, Output, Reason, Refusal, Ticket},
     holding::Holding,
     limit::{self, Demand, Limits, Terms, Used},
     peers::{self, Outstanding, Peers},
@@ -23,7 +24,6 @@
     request::Request,
     retry::{self, Budget},
     scheduler::{Blocked, Scheduler},
-    split::Placement,
     upstream::{Report, View},
 };
 
@@ -150,78 +150,6 @@
         }
     }
 
-    /// Takes in a sign of life of an attempt.
-    pub fn progress(&mut self, now: Moment, attempt: Attempt, progress: Progress) {
-        let Some(running) = self.running.get_mut(&attempt) else {
-            return;
-        };
-        let Some(pool) = self.pools.get_mut(&running.waiting.request.pool) else {
-            return;
-        };
-        if let Some(member) = pool.members.get_mut(running.holding.working()) {
-            member.observed.sign(now);
-        }
-        match progress {
-            Progress::Prefilled => {
-                if running.holding.prefill.is_none() {
-                    running.first_token.get_or_insert(now);
-                }
-                running.holding.prefilled(now, pool);
-            }
-            Progress::Tokens(count) => {
-                running.generated += u64::from(count);
-                running.holding.generated(now, pool, count);
-            }
-        }
-    }
-
-    /// The KV transfer of an attempt failed: its answering upstream prefills as well. The entry
-    /// sends it there as a plain request.
-    pub fn together(&mut self, now: Moment, attempt: Attempt) {
-        let Some(running) = self.running.get_mut(&attempt) else {
-            return;
-        };
-        let request = &running.waiting.request;
-        if let Some(pool) = self.pools.get_mut(&request.pool) {
-            running.holding.rejoin(now, pool, request.prompt_tokens);
-        }
-    }
-
-    /// An attempt ended: answered, or cancelled because the caller is gone.
-    pub fn finished(&mut self, now: Moment, attempt: Attempt) -> Outputs {
-        let mut outputs = Outputs::new();
-        if let Some(running) = self.release(now, attempt) {
-            self.settle(&running);
-            self.observe(now, &running);
-            self.serve(now, &running.waiting.request.pool, &mut outputs);
-        }
-        outputs
-    }
-
-    /// An attempt failed before the caller got any of the answer.
-    pub fn failed(&mut self, now: Moment, attempt: Attempt, ran: Ran) -> Next {
-        let Some(mut running) = self.release(now, attempt) else {
-            return Next::Final;
-        };
-        let request = &running.waiting.request;
-        if let Some(pool) = self.pools.get_mut(&request.pool)
-            && let Some(member) = pool.members.get_mut(running.holding.working())
-        {
-            member.observed.failed(now);
-        }
-        running.waiting.attempts += 1;
-        running.waiting.tried.push(running.holding.upstream.clone());
-        let Some(due) = self.retry_at(now, &running.waiting, ran) else {
-            self.settle(&running);
-            return Next::Final;
-        };
-        let ticket = self.number();
-        let waiting = running.waiting;
-        self.backoffs
-            .insert((due, ticket), Backoff { ticket, waiting });
-        Next::Wait(ticket)
-    }
-
     /// Takes in a load report of an engine.
     pub fn report(&mut self, pool: &str, upstream: &str, report: Report) {
         if let Some(pool) = self.pools.get_mut(pool) {
@@ -379,81 +307,6 @@
         }
     }
 
-    /// When a request may be tried again, if at all.
-    fn retry_at(&mut self, now: Moment, waiting: &Waiting, ran: Ran) -> Option<Moment> {
-        let safe = ran == Ran::No || waiting.request.repeatable;
-        if !safe || !self.budget.take(waiting.attempts) {
-            return None;
-        }
-        let due = now + self.budget.backoff(&mut self.rng, waiting.attempts);
-        (due < waiting.request.deadline).then_some(due)
-    }
-
-    /// Learns the speed of an upstream from a finished attempt. One that gave nothing at all was
-    /// cancelled and tells nothing.
-    fn observe(&mut self, now: Moment, running: &Running) {
-        let request = &running.waiting.request;
-        let silent = running.generated == 0 && running.first_token.is_none();
-        if silent && request.output_tokens > 0 {
-            return;
-        }
-        let Some(pool) = self.pools.get_mut(&request.pool) else {
-            return;
-        };
-        if let Some(member) = pool.members.get_mut(&running.holding.upstream) {
-            let streamed = running.first_token.is_some();
-            let time = running
-                .first_token
-                .map_or(Duration::ZERO, |first| now.saturating_sub(first));
-            member
-                .observed
-                .answered(now, streamed, running.generated, time);
-        }
-    }
-
-    /// Books what an attempt used in truth.
-    fn settle(&mut self, running: &Running) {
-        let request = &running.waiting.request;
-        let actual = u64::from(request.prompt_tokens) + running.generated;
-        let used = Used {
-            expected: request.tokens(),
-            actual,
-        };
-        self.limits.release(&request.subjects, used);
-    }
-
-    /// Enters an attempt. None only if the pool went since the placement.
-    fn send(&mut self, now: Moment, waiting: Waiting, placement: &Placement) -> Option<Sending> {
-        let attempt = self.number();
-        let request = &waiting.request;
-        let pool = self.pools.get_mut(&request.pool)?;
-        let holding = pool.commit(now, request, placement);
-        let sending = Sending {
-            attempt,
-            upstream: holding.upstream.clone(),
-            prefill: holding.prefill.as_ref().map(|(id, _)| id.clone()),
-            priority: request.priority,
-        };
-        self.running.insert(
-            attempt,
-            Running {
-                waiting,
-                holding,
-                first_token: None,
-                generated: 0,
-            },
-        );
-        Some(sending)
-    }
-
-    fn release(&mut self, now: Moment, attempt: Attempt) -> Option<Running> {
-        let running = self.running.remove(&attempt)?;
-        if let Some(pool) = self.pools.get_mut(&running.waiting.request.pool) {
-            running.holding.release(now, pool);
-        }
-        Some(running)
-    }
-
     fn refuse(&mut self, reason: Reason, wait: Duration) -> Decision {
         Decision::Refuse(self.refusal(reason, wait))
     }
--- a/crates/routing/src/router/waiting.rs
+++ b/crates/routing/src/router/waiting.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use clock::Moment;
+use smallvec::SmallVec;
 
 use super::{Backoff, Outputs, Router, SWEEP_EVERY};
 use crate::{
@@ -12,6 +13,7 @@
     decision::{Decision, Output, Reason, Ticket},
     limit::Used,
     pool,
+    request::Model,
     scheduler::Blocked,
     split::Placement,
 };
@@ -35,14 +37,19 @@
         if pool.queue.is_empty() {
             return None;
         }
+        // A class finds no room where a higher one found none.
+        let mut full: SmallVec<[Option<Model>; 4]> = SmallVec::new();
         for (_, ticket) in pool.queue.heads() {
             let Some(waiting) = pool.queue.get(ticket).cloned() else {
                 continue;
             };
+            if full.contains(&waiting.request.model) {
+                continue;
+            }
             match pool.place(now, &waiting) {
                 Ok(placement) => return Some((ticket, Some(placement))),
                 Err(Blocked::TooLate) => return Some((ticket, None)),
-                Err(Blocked::NoRoom | Blocked::NoUpstream) => {}
+                Err(Blocked::NoRoom | Blocked::NoUpstream) => full.push(waiting.request.model),
             }
         }
         None
--- a/crates/routing/src/scheduler.rs
+++ b/crates/routing/src/scheduler.rs
@@ -13,7 +13,7 @@
     decision::Ticket,
     holding::Holding,
     load::Load,
-    member::Members,
+    members::Members,
     pool::Config,
     rate::Rate,
     request::Request,
@@ -148,7 +148,13 @@
                     prefill: whole.prefill - f64::from(pick.cached),
                     ..whole
                 };
-                self.hold(now, request, pick, load, None)
+                let upstream = self.enter(now, pick, load);
+                self.history.note(&request.prefixes, &upstream);
+                Holding {
+                    upstream,
+                    load,
+                    prefill: None,
+                }
             }
             Placement::Apart { prefill, decode } => {
                 let front = Load {
@@ -161,8 +167,14 @@
                     ..whole
                 };
                 let id = self.enter(now, prefill, front);
+                // An imported cache serves its request only; it is the prefilling engine that keeps
+                // the prefix.
                 self.history.note(&request.prefixes, &id);
-                self.hold(now, request, decode, back, Some((id, front)))
+                Holding {
+                    upstream: self.enter(now, decode, back),
+                    load: back,
+                    prefill: Some((id, front)),
+                }
             }
         }
     }
@@ -291,23 +303,6 @@
             .any_with_room(now, &self.config, &self.members, request.class, work)
     }
 
-    fn hold(
-        &mut self,
-        now: Moment,
-        request: &Request,
-        pick: &Pick,
-        load: Load,
-        prefill: Option<(Id, Load)>,
-    ) -> Holding {
-        let upstream = self.enter(now, pick, load);
-        self.history.note(&request.prefixes, &upstream);
-        Holding {
-            upstream,
-            load,
-            prefill,
-        }
-    }
-
     fn enter(&mut self, now: Moment, pick: &Pick, load: Load) -> Id {
         let id = self.members.at(pick.position).view.id.clone();
         if let Some(member) = self.members.get_mut(&id) {
--- a/crates/routing/src/upstream.rs
+++ b/crates/routing/src/upstream.rs
@@ -23,6 +23,11 @@
     Decode,
 }
 
+impl Role {
+    /// All roles in their order.
+    pub const ALL: [Self; 3] = [Self::Mixed, Self::Prefill, Self::Decode];
+}
+
 /// Whether an upstream answers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Health {
--- a/crates/routing/tests/choice.rs
+++ b/crates/routing/tests/choice.rs
@@ -11,7 +11,7 @@
     affinity::History,
     choice::{Chooser, Pick, Policy, Work},
     load::Load,
-    member::Members,
+    members::Members,
     pool::Config,
     request::Prefix,
     upstream::{Health, Report, Role, View},
