--- a/crates/load/src/answer.rs
+++ b/crates/load/src/answer.rs
@@ -52,6 +52,7 @@
 #[derive(Deserialize)]
 struct Problem {
     ran: Option<String>,
+    detail: Option<String>,
 }
 
 /// What an error answer says of the call; unknown if it does not say.
@@ -63,6 +64,11 @@
     }
 }
 
+/// What an error answer gives as its cause, if it does.
+pub fn detail(body: &[u8]) -> Option<String> {
+    serde_json::from_slice::<Problem>(body).ok()?.detail
+}
+
 /// Answer of a completion or an event of one, streamed or whole, as a chat or not.
 #[derive(Clone, Debug)]
 #[derive(Deserialize)]
--- a/crates/load/src/attempt.rs
+++ b/crates/load/src/attempt.rs
@@ -40,6 +40,8 @@
     pub tokens: u64,
     /// Status of the newest error answer.
     pub status: Option<u16>,
+    /// Cause that the newest error answer gave.
+    pub detail: Option<String>,
 }
 
 impl Progress {
@@ -53,6 +55,7 @@
             gaps: Vec::new(),
             tokens: 0,
             status: None,
+            detail: None,
         }
     }
 
@@ -101,7 +104,9 @@
             let (status, headers) = (answer.status(), answer.headers().clone());
             progress.status = Some(status.as_u16());
             let body = answer.body().limit(LONGEST_ANSWER).await;
-            return refused(status, &headers, &body.unwrap_or_default());
+            let body = body.unwrap_or_default();
+            progress.detail = answer::detail(&body);
+            return refused(status, &headers, &body);
         }
         match &self.request.prompt {
             Some(prompt) if prompt.stream => read_stream(answer, progress).await,
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -112,6 +112,7 @@
                 at,
                 verdict,
                 status: progress.status,
+                detail: progress.detail,
                 whole: arrived.elapsed(),
                 first: progress
                     .first
--- a/crates/load/src/summary.rs
+++ b/crates/load/src/summary.rs
@@ -60,6 +60,8 @@
     pub ended: BTreeMap<String, u64>,
     /// Requests that ended with an error answer, by status.
     pub statuses: BTreeMap<u16, u64>,
+    /// The same by the cause that the answer gave.
+    pub causes: BTreeMap<String, u64>,
     /// Arrivals that were not sent, since too many requests were open.
     pub unsent: u64,
     /// Attempts after the first.
@@ -91,6 +93,7 @@
             goodput: tally.goodput(),
             ended,
             statuses: tally.statuses.clone(),
+            causes: tally.causes.clone(),
             unsent: tally.unsent,
             retries: tally.retries,
             resumes: tally.resumes,
--- a/crates/load/src/summary/table.rs
+++ b/crates/load/src/summary/table.rs
@@ -15,6 +15,11 @@
         )?;
         write_counts(f, &self.classes, &self.all)?;
         write_times(f, &self.classes)?;
+        for class in &self.classes {
+            for (cause, count) in &class.causes {
+                writeln!(f, "{:<16} {count} ended with: {cause}", class.name)?;
+            }
+        }
         if let Some(audit) = &self.audit {
             writeln!(
                 f,
--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -15,6 +15,9 @@
 /// Significant digits of the distributions.
 const DIGITS: u8 = 3;
 
+/// Causes of error answers that are told apart in one class.
+const MOST_CAUSES: usize = 50;
+
 /// A distribution of times.
 #[derive(Clone, Debug)]
 pub struct Times {
@@ -68,6 +71,8 @@
     pub verdict: Verdict,
     /// Status of the last error answer.
     pub status: Option<u16>,
+    /// Cause that the last error answer gave.
+    pub detail: Option<String>,
     /// From its arrival to its end.
     pub whole: Duration,
     /// From its arrival to its first token.
@@ -123,6 +128,8 @@
     pub verdicts: BTreeMap<Verdict, u64>,
     /// Requests that ended with an error answer, by status.
     pub statuses: BTreeMap<u16, u64>,
+    /// The same by the cause that the answer gave.
+    pub causes: BTreeMap<String, u64>,
     /// Attempts after the first.
     pub retries: u64,
     /// Attempts that resumed a stream.
@@ -157,8 +164,8 @@
             Verdict::Refused => self.refusal.record(outcome.whole),
             _ => {}
         }
-        if let (true, Some(status)) = (outcome.verdict != Verdict::Served, outcome.status) {
-            *self.statuses.entry(status).or_default() += 1;
+        if outcome.verdict != Verdict::Served {
+            self.record_error(outcome);
         }
     }
 
@@ -196,6 +203,9 @@
         for (status, count) in &other.statuses {
             *self.statuses.entry(*status).or_default() += count;
         }
+        for (cause, count) in &other.causes {
+            *self.causes.entry(cause.clone()).or_default() += count;
+        }
         self.first.add(&other.first);
         self.between.add(&other.between);
         self.whole.add(&other.whole);
@@ -218,6 +228,18 @@
         }
     }
 
+    fn record_error(&mut self, outcome: &Outcome) {
+        if let Some(status) = outcome.status {
+            *self.statuses.entry(status).or_default() += 1;
+        }
+        if let Some(detail) = &outcome.detail {
+            // Causes may name single requests, and a run has many.
+            if self.causes.len() < MOST_CAUSES || self.causes.contains_key(detail) {
+                *self.causes.entry(detail.clone()).or_default() += 1;
+            }
+        }
+    }
+
     fn step_at(&mut self, at: Duration, bucket: Duration, good: bool) {
         let index = (at.as_secs_f64() / bucket.as_secs_f64()) as usize;
         if self.steps.len() <= index {
--- a/crates/load/src/worker.rs
+++ b/crates/load/src/worker.rs
@@ -205,6 +205,7 @@
                 at: open.at,
                 verdict: Verdict::Lost,
                 status: None,
+                detail: None,
                 whole: self.job.start.elapsed().saturating_sub(open.at),
                 first: None,
                 gaps: Vec::new(),
--- a/crates/load/tests/tally.rs
+++ b/crates/load/tests/tally.rs
@@ -19,6 +19,7 @@
         at: 1_500 * MS,
         verdict: Verdict::Served,
         status: None,
+        detail: None,
         whole: 900 * MS,
         first: Some(100 * MS),
         gaps: vec![5 * MS, 15 * MS],
@@ -61,6 +62,7 @@
         at: 3 * second,
         verdict: Verdict::Refused,
         status: Some(503),
+        detail: Some("full".to_owned()),
         ..outcome()
     };
     two.record(&refused, &CONTRACT, second);
@@ -69,6 +71,7 @@
     assert_eq!((one.offered, one.good, one.unsent), (3, 1, 1));
     assert_eq!(one.ended(Verdict::Refused), 1);
     assert_eq!(one.statuses.get(&503), Some(&1));
+    assert_eq!(one.causes.get("full"), Some(&1));
     assert_eq!(
         (one.whole.count(), one.between.count(), one.refusal.count()),
         (1, 2, 1)
