Plan roles from the demand of all entries, and look again for an overdue holder

The data plane counts what callers ask of a pool (Handle::asked); entries tell each other with their shares, and the holder's planner of roles turns it into changes. All entries plan, so that a successor knows the past; only the holder's proposals count.

A challenger needs a read that was sent after its wait. The long poll that stood at that moment was sent before it and added up to its length, and the next one its own. A read without a wait is sent instead.

Seen to fail first: with the peers' demand left out, demand_at_another_entry_changes_roles fails.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -30,6 +30,7 @@
 use crate::options::Options;
 use crate::publisher::{Frames, Parts, Publisher};
 use crate::reports::Reports;
+use crate::roles::Roles;
 use crate::scopes::{Around, Scopes};
 use crate::view;
 
@@ -76,6 +77,8 @@
     leaving_since: Option<Moment>,
     left: bool,
     aborted: bool,
+    /// A read without a wait is under way.
+    looking: bool,
     /// The view must be published without waiting for the tick.
     urgent: bool,
 }
@@ -102,6 +105,8 @@
     keeper: Keeper,
     frames: Frames,
     reports: Reports,
+    roles: Roles,
+    planned: Moment,
     appends: Appends,
     engines: Engines,
     mesh: Mesh,
@@ -149,6 +154,8 @@
             keeper: Keeper::new(now, options.retention, &options.own.id),
             frames: Frames::default(),
             reports: Reports::new(options.report_period),
+            roles: Roles::default(),
+            planned: now,
             appends: Appends::new(log, author, rules, sender.clone()),
             engines: Engines::new(options.pace.timeout, current, sender.clone()),
             mesh,
@@ -231,6 +238,7 @@
             Message::Peer(event) => self.peer(now, event),
             Message::Appended(ended) => self.appended(now, &ended),
             Message::Engine(answer) => self.engine(now, answer),
+            Message::Looked { asked, next } => self.looked(now, asked, next),
             Message::State(snapshot) => self.offered(now, snapshot),
             Message::Run(job) => job(self),
         }
--- a/crates/control/src/core/peers.rs
+++ b/crates/control/src/core/peers.rs
@@ -47,7 +47,8 @@
             }
             Some(Body::Shares(shares)) => {
                 let demand = (now, Arc::from(shares.demand));
-                self.frames.demands.insert(from, demand);
+                self.frames.demands.insert(from.clone(), demand);
+                self.frames.pools.insert(from, (now, shares.pools));
             }
             Some(Body::Burn(_) | Body::Query(_) | Body::Reply(_)) | None => (),
         }
--- a/crates/control/src/core/tick.rs
+++ b/crates/control/src/core/tick.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use authority::planner::Reason;
 use clock::Moment;
 use fleet::list::Kind;
 use fleet::member::Progress;
@@ -10,16 +11,21 @@
 use wire::peer::{Empty, Load, Query, Shares, query, reply};
 use wire::record::record::Body as RecordBody;
 
+use crate::Offset;
 use crate::appends::Source;
 use crate::core::Core;
 use crate::keeper::Window;
 use crate::mesh::most_advanced;
 use crate::message::{Message, send};
+use crate::roles;
 use crate::view;
 
 /// Least time between two questions for a peer's state.
 const STATE_PERIOD: Duration = Duration::from_secs(1);
 
+/// Time between two steps of the planners of roles.
+const PLAN_PERIOD: Duration = Duration::from_secs(1);
+
 impl Core {
     pub(super) fn tick(&mut self, now: Moment) {
         for (upstream, observation) in self.shared.take_observations() {
@@ -40,6 +46,8 @@
             let (scopes, around) = self.split(now);
             scopes.tick(&around);
         }
+        self.look_again(now);
+        self.plan_roles(now);
         self.hand_over(now);
         self.publish(now);
     }
@@ -89,7 +97,8 @@
         let outstanding = (hooks.outstanding)();
         self.mesh.broadcast(Body::Load(Load { outstanding }));
         let demand = (hooks.demand)();
-        self.mesh.broadcast(Body::Shares(Shares { demand }));
+        let pools = self.shared.pool_demand(now);
+        self.mesh.broadcast(Body::Shares(Shares { demand, pools }));
     }
 
     /// While the log is out the state comes from the peer that has folded most. This is how an
@@ -124,6 +133,60 @@
         }
     }
 
+    /// Reads the log without waiting for records when a holder is overdue. A challenge needs a read
+    /// that was sent after the wait; the long poll that stands at that moment was sent before it,
+    /// and would add its length to the time without a holder.
+    fn look_again(&mut self, now: Moment) {
+        let whole = self.flags.caught_up && self.ledger.is_whole();
+        let overdue = self.scopes.is_overdue(now, self.ledger.authority());
+        if !overdue || !whole || std::mem::replace(&mut self.flags.looking, true) {
+            return;
+        }
+        let (log, sender) = (self.appends.log().clone(), self.sender.clone());
+        let from = self.ledger.folded() + 1;
+        actix_rt::spawn(async move {
+            let read = log.read(from, 1, Duration::ZERO).await;
+            let next = read.ok().map(|chunk| chunk.next);
+            send(&sender, Message::Looked { asked: now, next });
+        });
+    }
+
+    /// A read without a wait ended. If it found no record beyond what is folded, it was as good as
+    /// one that brought all of them.
+    pub(super) fn looked(&mut self, now: Moment, asked: Moment, next: Option<Offset>) {
+        self.flags.looking = false;
+        if next.is_some_and(|next| next <= self.ledger.folded() + 1) {
+            let (scopes, around) = self.split(now);
+            scopes.read(&around, asked);
+        }
+    }
+
+    /// Lets each pool's planner of roles see the demand of all entries. Every process plans, so that
+    /// a successor knows the past; only the holder's proposals become changes.
+    fn plan_roles(&mut self, now: Moment) {
+        if !self.flags.caught_up || now < self.planned + PLAN_PERIOD {
+            return;
+        }
+        self.planned = now;
+        let hooks = self.shared.hooks();
+        let outside = roles::Outside {
+            now,
+            catalogue: self.ledger.catalogue().view(),
+            authority: self.ledger.authority(),
+            census: &self.census,
+            frames: &self.frames,
+            own: &self.shared.pool_demand(now),
+            open: &|id| (hooks.open)(id),
+        };
+        for (pool, wanted) in self.roles.step(&outside) {
+            let upstream = wanted.0.clone();
+            let (scopes, around) = self.split(now);
+            if scopes.want(&around, &pool, wanted, Reason::Plan) {
+                log::info!(pool, upstream; "a change of role is planned");
+            }
+        }
+    }
+
     fn keep_snapshots(&mut self, now: Moment) {
         if !self.ledger.is_whole() || self.log_state(now) != view::Log::Up {
             return;
--- a/crates/control/src/handle.rs
+++ b/crates/control/src/handle.rs
@@ -1,10 +1,8 @@
 //! The handle of a running control, for all threads of the daemon.
 
-use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::PoisonError;
-use std::sync::RwLock;
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
 
 use authority::order::Order;
@@ -12,8 +10,9 @@
 use claims::{Call, Decision, Digest, End, Policy, Ticket};
 use clock::Moment;
 use fleet::upstream::Observation;
+use routing::rate::Rate;
 use tokio::sync::{oneshot, watch};
-use wire::peer::Answer;
+use wire::peer::{Answer, PoolDemand};
 
 use crate::core::Core;
 use crate::edits::EditError;
@@ -27,12 +26,23 @@
 /// few lost answers change nothing, or the control stands still.
 const OBSERVATIONS: usize = 4096;
 
+/// Time over which demand is smoothed; the planner of roles reckons with about as much delay.
+const SMOOTHING: Duration = Duration::from_secs(3);
+
 /// What handles and the control share.
 #[derive(Debug, Default)]
 pub(crate) struct Shared {
     hooks: RwLock<Arc<Hooks>>,
     observations: Mutex<Vec<(Arc<str>, Observation)>>,
     tickets: AtomicU64,
+    asked: Mutex<BTreeMap<Arc<str>, Asked>>,
+}
+
+/// Tokens that callers ask of a pool.
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    prefill: Rate,
+    decode: Rate,
 }
 
 impl Shared {
@@ -47,6 +57,27 @@
             .unwrap_or_else(PoisonError::into_inner);
         std::mem::take(&mut *held)
     }
+
+    fn note(&self, now: Moment, pool: &Arc<str>, prefill: f64, decode: f64) {
+        let mut held = self.asked.lock().unwrap_or_else(PoisonError::into_inner);
+        let asked = held.entry(Arc::clone(pool)).or_insert_with(|| Asked {
+            prefill: Rate::new(now, SMOOTHING),
+            decode: Rate::new(now, SMOOTHING),
+        });
+        asked.prefill.note(now, prefill);
+        asked.decode.note(now, decode);
+    }
+
+    /// What callers ask here of each pool.
+    pub(crate) fn pool_demand(&self, now: Moment) -> Vec<PoolDemand> {
+        let held = self.asked.lock().unwrap_or_else(PoisonError::into_inner);
+        let demand = held.iter().map(|(pool, asked)| PoolDemand {
+            pool: pool.to_string(),
+            prefill: asked.prefill.per_second(now) as f32,
+            decode: asked.decode.per_second(now) as f32,
+        });
+        demand.collect()
+    }
 }
 
 /// A call whose key is to be claimed; see [`claims::Call`].
@@ -164,6 +195,14 @@
         }
     }
 
+    /// Counts a request that a caller asks of a pool of engines, whether it is admitted or not:
+    /// prompt tokens that are not expected in a cache, and expected tokens of the answer. Roles are
+    /// planned by it.
+    pub fn asked(&self, now: Moment, pool: &Arc<str>, prefill: u32, decode: u32) {
+        let shared = &self.shared;
+        shared.note(now, pool, f64::from(prefill), f64::from(decode));
+    }
+
     /// Makes an edit and waits until it is judged.
     ///
     /// # Errors
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod order;
 mod publisher;
 mod reports;
+mod roles;
 mod scopes;
 mod start;
 pub mod status;
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -2,8 +2,10 @@
 
 use std::sync::Arc;
 
+use clock::Moment;
 use wire::record::Snapshot;
 
+use crate::Offset;
 use crate::appends::Ended;
 use crate::core::Core;
 use crate::engines::Answer;
@@ -21,6 +23,13 @@
     Appended(Ended),
     /// An engine answered, or did not.
     Engine(Answer),
+    /// A read of the log without a wait ended.
+    Looked {
+        /// When it was sent.
+        asked: Moment,
+        /// The offset of the next append, if it was answered.
+        next: Option<Offset>,
+    },
     /// A peer gave its state.
     State(Box<Snapshot>),
     /// A handle wants something.
--- a/crates/control/src/publisher.rs
+++ b/crates/control/src/publisher.rs
@@ -9,7 +9,7 @@
 use fleet::upstream;
 use smallvec::SmallVec;
 use tokio::sync::watch;
-use wire::peer::{Demand, Outstanding};
+use wire::peer::{Demand, Outstanding, PoolDemand};
 
 use crate::Offset;
 use crate::census::Census;
@@ -22,6 +22,7 @@
 pub(crate) struct Frames {
     pub(crate) loads: BTreeMap<String, (Moment, Arc<[Outstanding]>)>,
     pub(crate) demands: BTreeMap<String, (Moment, Arc<[Demand]>)>,
+    pub(crate) pools: BTreeMap<String, (Moment, Vec<PoolDemand>)>,
 }
 
 impl Frames {
@@ -29,6 +30,7 @@
     pub(crate) fn retain(&mut self, known: impl Fn(&str) -> bool) {
         self.loads.retain(|id, _| known(id));
         self.demands.retain(|id, _| known(id));
+        self.pools.retain(|id, _| known(id));
     }
 }
 
--- a/crates/control/src/scopes.rs
+++ b/crates/control/src/scopes.rs
@@ -41,6 +41,8 @@
     pace: Pace,
     scopes: BTreeMap<String, Scope>,
     seed: Box<dyn FnMut() -> u64>,
+    /// The newest renewal of each scope with the moment at which it was seen first.
+    renewed: BTreeMap<String, (Offset, Moment)>,
     leaving: bool,
     mismatches: u64,
 }
@@ -53,6 +55,7 @@
             pace,
             scopes: BTreeMap::new(),
             seed,
+            renewed: BTreeMap::new(),
             leaving: false,
             mismatches: 0,
         }
@@ -236,6 +239,24 @@
         }
     }
 
+    /// Whether a scope's holder has been silent for the wait of a challenger, so that this process
+    /// claims it as soon as a read that is sent now finds nothing newer.
+    pub(crate) fn is_overdue(&mut self, now: Moment, state: &State) -> bool {
+        let wait = self.term.wait();
+        let mut overdue = false;
+        for (name, scope) in &self.scopes {
+            let Some(held) = state.holding(name) else {
+                continue;
+            };
+            let newest = self.renewed.entry(name.clone()).or_insert((0, now));
+            if newest.0 != held.renewed {
+                *newest = (held.renewed, now);
+            }
+            overdue |= !scope.lease.holds() && !held.released && now >= newest.1 + wait;
+        }
+        overdue
+    }
+
     /// What this process may do in a scope.
     pub(crate) fn grant(&self, scope: &str) -> Option<Grant> {
         self.scopes.get(scope)?.lease.grant()
--- a/crates/control/tests/control/fleet.rs
+++ b/crates/control/tests/control/fleet.rs
@@ -163,6 +163,11 @@
         address
     }
 
+    /// The clock of the controls.
+    pub(crate) fn clock(&self) -> clock::System {
+        self.clock
+    }
+
     /// All records of the log.
     pub(crate) async fn log(&self) -> Vec<Body> {
         let log = platform::Log::new(&platform::Options::new(format!("http://{}", self.platform)));
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -7,3 +7,4 @@
 mod outage;
 mod race;
 mod retention;
+mod roles;
--- /dev/null
+++ b/crates/control/tests/control/roles.rs
@@ -0,0 +1,65 @@
+//! Planning of roles by the holder.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use clock::Clock as _;
+
+use crate::fleet::{Fleet, document, view};
+
+const CATALOGUE: &str = "
+operator: ana
+changes:
+  - kind: pool
+    name: llm
+    value:
+      kind: engine
+      roles: {mixed: {min: 1, max: 3, initial: 3}, prefill: {min: 0, max: 2, initial: 0}}
+      role_change: {price: 0.1, takes: 200ms}
+      planner: gain
+";
+
+// Symptom: a pool keeps its roles although another split would serve far more.
+// Sequence: callers of an entry that holds no control ask for prompts beyond what the pool can
+// prefill.
+// Cause: a planner that sees the demand at its own entry only.
+#[actix_rt::test]
+async fn demand_at_another_entry_changes_roles() {
+    let fleet = Fleet::start(&[]).await;
+    for engine in ["engine-0", "engine-1", "engine-2"] {
+        let options = ["--instant", "--role-change-ms", "500"];
+        fleet.engine(engine, &options).await;
+    }
+    let one = fleet.entry(fleet.member("entry-0")).await;
+    one.submit_edit(&document(CATALOGUE))
+        .await
+        .expect("it is valid");
+    let two = fleet.entry(fleet.member("entry-1")).await;
+    view(&two, |view| view.ready).await;
+    let (caller, pool) = (two.clone(), Arc::from("llm"));
+    let calls = actix_rt::spawn(async move {
+        let clock = fleet.clock();
+        loop {
+            // Somewhat more than three mixed engines prefill in time at their reported rates, and
+            // less than two of them and a prefill engine.
+            caller.asked(clock.now(), &pool, 250_000, 100);
+            actix_rt::time::sleep(Duration::from_millis(100)).await;
+        }
+    });
+    let changed = |view: &control::View| {
+        let roles = view.upstreams.iter().map(|one| one.role);
+        roles
+            .filter(|role| *role == Some(platform::Role::Prefill))
+            .count()
+            > 0
+    };
+    view(&one, changed).await;
+    calls.abort();
+    let orders = one.orders().await.expect("it runs");
+    assert!(
+        orders
+            .recent
+            .iter()
+            .any(|order| order.what == "set_role prefill")
+    );
+}
