--- a/crates/filetests/src/world/calls.rs
+++ b/crates/filetests/src/world/calls.rs
@@ -21,10 +21,21 @@
     /// For each key the number of the newest call that was told "not run". It is said of that
     /// attempt and of all before it; an attempt that the caller made meanwhile has its own answer.
     not_run: BTreeMap<String, u64>,
+    /// For each key the attempts that its caller has to count: those that may have run.
+    counted: BTreeMap<String, u32>,
     /// For each key the numbers of the calls that ran.
     ran: BTreeMap<String, Vec<u64>>,
 }
 
+impl Calls {
+    /// The number that a caller declares who counts the attempts that may have run.
+    fn next_attempt(&mut self, key: &str) -> u32 {
+        let counted = self.counted.entry(key.to_owned()).or_default();
+        *counted += 1;
+        *counted
+    }
+}
+
 impl World {
     pub(super) fn call(&mut self, command: &Command) -> Result<(), Fault> {
         let deadline = self.now + command.span("deadline", Duration::from_secs(3))?;
@@ -34,10 +45,11 @@
             "first-attempt" => Policy::FirstAttempt,
             other => return Err(format!("`{other}` is no policy")),
         };
-        let attempt = command.arg("attempt").map(|_| command.number("attempt"));
-        let attempt = attempt
-            .transpose()?
-            .and_then(|attempt| attempt.try_into().ok());
+        let attempt = match command.arg("attempt") {
+            None => None,
+            Some("next") => Some(self.calls.next_attempt(&key)),
+            Some(_) => command.number("attempt")?.try_into().ok(),
+        };
         let body = command.arg("body").unwrap_or("body").to_owned();
         let name = command.name()?.to_owned();
         let process = self.process(&name)?;
@@ -158,6 +170,9 @@
                 "VIOLATION {key} ran, and a caller is told that it did not"
             ));
         }
+        if let Some(counted) = self.calls.counted.get_mut(key) {
+            *counted = counted.saturating_sub(1);
+        }
         let told = self.calls.not_run.entry(key.to_owned()).or_default();
         *told = number.max(*told);
     }
--- a/crates/filetests/tests/random.rs
+++ b/crates/filetests/tests/random.rs
@@ -53,8 +53,11 @@
 }
 
 fn calls() -> impl Strategy<Value = Vec<String>> {
-    let call = (entry(), 0..3_u8, word(&["1s", "3s", "9s"]))
-        .prop_map(|(a, key, deadline)| format!("call {a} key=k{key} deadline={deadline}"));
+    let call = (entry(), 0..3_u8, word(&["1s", "3s", "9s"])).prop_map(|(a, key, deadline)| {
+        // Each key belongs to an entry with one policy.
+        let policy = if key == 0 { "refuse" } else { "first-attempt" };
+        format!("call {a} key=k{key} deadline={deadline} policy={policy} attempt=next")
+    });
     let one = prop_oneof![
         3 => call,
         3 => fault(),
@@ -62,22 +65,7 @@
         1 => word(&["good", "lost", "unreachable"]).prop_map(|answer| format!("service {answer}")),
         1 => (entry(), 1..4_u8).prop_map(|(a, call)| format!("gone {a} call={call}")),
     ];
-    prop::collection::vec(one, 10..60).prop_map(honest)
-}
-
-/// Callers count their attempts truly, and each key belongs to an entry with one policy.
-fn honest(mut commands: Vec<String>) -> Vec<String> {
-    let mut attempts = [0; 3];
-    for command in &mut commands {
-        for (key, attempt) in attempts.iter_mut().enumerate() {
-            if command.starts_with("call ") && command.contains(&format!("key=k{key}")) {
-                *attempt += 1;
-                let policy = if key == 0 { "refuse" } else { "first-attempt" };
-                let _ = write!(command, " policy={policy} attempt={attempt}");
-            }
-        }
-    }
-    commands
+    prop::collection::vec(one, 10..60)
 }
 
 fn changes() -> impl Strategy<Value = Vec<String>> {
