--- /dev/null
+++ b/crates/spec/src/suite.rs
@@ -0,0 +1,189 @@
+//! All explorations: for each case the real protocol, which must hold, and the mutants, each of
+//! which must not.
+
+use crate::explore::Report;
+use crate::{lease, orders};
+
+/// States after which an exploration gives up; none of the cases comes near it.
+pub const LIMIT: usize = 1_000_000;
+
+/// One exploration.
+pub struct Case {
+    /// Its name.
+    pub name: &'static str,
+    /// The removed guard, if any.
+    pub mutant: Option<&'static str>,
+    /// What the exploration must have seen, or it proves nothing.
+    pub must_show: &'static [&'static str],
+    /// Explores.
+    pub explore: Box<dyn Fn() -> Report>,
+}
+
+impl Case {
+    /// What is wrong with the report, if anything: a violation of the real protocol, states left
+    /// out, something not seen; or a mutant without a violation.
+    pub fn judge(&self, report: &Report) -> Result<(), String> {
+        match (self.mutant, &report.violation) {
+            (Some(_), Some(_)) => return Ok(()),
+            (Some(mutant), None) => return Err(format!("{}: nothing shows {mutant}", self.name)),
+            (None, Some(trace)) => return Err(format!("{}: {}", self.name, trace.property)),
+            (None, None) => (),
+        }
+        if !report.complete {
+            return Err(format!("{}: states were left out", self.name));
+        }
+        let missing = self
+            .must_show
+            .iter()
+            .find(|shown| !report.seen.contains(*shown));
+        match missing {
+            Some(missing) => Err(format!("{}: never seen: {missing}", self.name)),
+            None => Ok(()),
+        }
+    }
+}
+
+const ACTS: &str = "a holder acts";
+const SECOND_CLAIM: &str = "a second claim acts";
+const CARRIED_OUT: &str = "an engine carries out an order";
+const TAKEN_OVER: &str = "a successor concludes an order";
+const SECOND_ORDER: &str = "a second order is concluded";
+const RESIDUE: &str = "what remains possible";
+
+/// All cases.
+pub fn cases() -> Vec<Case> {
+    let mut cases = lease_cases();
+    cases.extend(order_cases());
+    cases
+}
+
+fn lease_cases() -> Vec<Case> {
+    use lease::{Config, Mutant};
+    let handover = Config::default();
+    let race = Config {
+        held: false,
+        horizon: 2,
+        ..Config::default()
+    };
+    let long = Config {
+        horizon: 7,
+        records: 4,
+        faults: 0,
+        ..Config::default()
+    };
+    let three = Config {
+        rates: vec![900, 1000, 1100],
+        horizon: 5,
+        records: 3,
+        faults: 0,
+        ..Config::default()
+    };
+    let mutants = [
+        (Mutant::ClaimUnseen, "claim-unseen"),
+        (Mutant::ShortWait, "short-wait"),
+        (Mutant::NoDrift, "no-drift"),
+        (Mutant::FromReadBack, "from-read-back"),
+        (Mutant::ActAfterRelease, "act-after-release"),
+    ];
+    let mut cases = vec![
+        lease_case(
+            "lease-handover",
+            &[ACTS, SECOND_CLAIM],
+            handover.clone(),
+            None,
+        ),
+        lease_case("lease-long", &[ACTS, SECOND_CLAIM], long, None),
+        lease_case("lease-race", &[ACTS], race.clone(), None),
+        lease_case("lease-three", &[ACTS, SECOND_CLAIM], three, None),
+        lease_case(
+            "lease-race",
+            &[],
+            race,
+            Some((Mutant::AnyClaim, "any-claim")),
+        ),
+    ];
+    let mutants =
+        mutants.map(|mutant| lease_case("lease-handover", &[], handover.clone(), Some(mutant)));
+    cases.extend(mutants);
+    cases
+}
+
+fn lease_case(
+    name: &'static str,
+    must_show: &'static [&'static str],
+    mut config: lease::Config,
+    mutant: Option<(lease::Mutant, &'static str)>,
+) -> Case {
+    config.mutant = mutant.map(|(mutant, _)| mutant);
+    Case {
+        name,
+        mutant: mutant.map(|(_, name)| name),
+        must_show,
+        explore: Box::new(move || lease::model(config.clone()).check(LIMIT)),
+    }
+}
+
+fn order_cases() -> Vec<Case> {
+    use orders::{Config, Mutant};
+    let takeover = Config::takeover();
+    let sequence = Config::sequence();
+    let unfenced = Config::unfenced_takeover();
+    let takeovers: &[&str] = &[CARRIED_OUT, TAKEN_OVER];
+    let sequences: &[&str] = &[CARRIED_OUT, SECOND_ORDER];
+    let mut cases = vec![
+        order_case("order-takeover", takeovers, takeover.clone(), None),
+        order_case("order-sequence", sequences, sequence.clone(), None),
+        order_case("order-unfenced-takeover", takeovers, unfenced.clone(), None),
+        order_case(
+            "order-unfenced-sequence",
+            sequences,
+            Config::unfenced_sequence(),
+            None,
+        ),
+        order_case("order-residue", &[RESIDUE], Config::residue(), None),
+    ];
+    let mutants = [
+        ("order-takeover", &takeover, Mutant::NoClosing, "no-closing"),
+        ("order-takeover", &takeover, Mutant::NoDrain, "no-drain"),
+        ("order-takeover", &takeover, Mutant::NoFence, "no-fence"),
+        ("order-takeover", &takeover, Mutant::NoCancel, "no-cancel"),
+        (
+            "order-sequence",
+            &sequence,
+            Mutant::ClaimToken,
+            "claim-token",
+        ),
+        (
+            "order-unfenced-takeover",
+            &unfenced,
+            Mutant::NoQuarantine,
+            "no-quarantine",
+        ),
+        (
+            "order-unfenced-takeover",
+            &unfenced,
+            Mutant::NoLease,
+            "no-lease",
+        ),
+    ];
+    let mutants = mutants.map(|(name, config, mutant, called)| {
+        order_case(name, &[], config.clone(), Some((mutant, called)))
+    });
+    cases.extend(mutants);
+    cases
+}
+
+fn order_case(
+    name: &'static str,
+    must_show: &'static [&'static str],
+    mut config: orders::Config,
+    mutant: Option<(orders::Mutant, &'static str)>,
+) -> Case {
+    config.mutant = mutant.map(|(mutant, _)| mutant);
+    Case {
+        name,
+        mutant: mutant.map(|(_, name)| name),
+        must_show,
+        explore: Box::new(move || orders::model(config.clone()).check(LIMIT)),
+    }
+}
