Leave places to entries that were not asked yet

In a run of six entries, 32 of 738 requests of the first 8 s, card authorisations among them, were refused with 429 for the owner's requests at once, told to come back after 2 s, and so missed their contracts, with hundreds of places free.

Cause: places are divided by demand in shares of itself, which adds up to the whole. Once one entry had told of requests, an entry that had not been asked yet got a part of zero and refused its first request. Requests and tokens a second are not concerned: there demand below the limit leaves a rest that is divided equally. Ruled out: the instance list's lag (no answer named a missing upstream), the claims (their refusals name one second), and the shares of a starting entry (half an equal part, above zero).

A quarter of the places is now divided equally. An entry that gets all demand has 0.78 of the places among eight in place of all of them.

The new test failed before: entry 1 refused its first request.

--- a/crates/routing/src/limit/account.rs
+++ b/crates/routing/src/limit/account.rs
@@ -20,6 +20,9 @@
 const DEAD_BAND: f64 = 0.2;
 const DEAD_ERRORS: f64 = 2.0;
 
+/// Part of the places that is divided equally, whatever the demand.
+const EQUAL_PLACES: f64 = 0.25;
+
 /// Demand a second below which a subject is not mentioned.
 const NEGLIGIBLE: f64 = 0.01;
 
@@ -227,12 +230,15 @@
 
     /// Divides the places of concurrent requests by the demand for requests. A place that another
     /// entry still has in use beyond its part is not given out.
+    ///
+    /// Demand for places is known as shares only, and shares of all that is asked add up to the
+    /// whole: an entry that was not asked yet would get no place, and refuse its first request with
+    /// hundreds of places free. So a part is divided equally.
     fn share_places(&mut self, group: &Group<'_>, split: &Split, limit: u32) {
         let total: f64 = split.active.iter().map(|(_, told)| told.requests).sum();
-        let parts = split.divide(
-            |told| told.requests / total.max(f64::MIN_POSITIVE),
-            |parts| parts.places,
-        );
+        let available = split.available(|parts| parts.places);
+        let by_demand = available * (1.0 - EQUAL_PLACES) / total.max(f64::MIN_POSITIVE);
+        let parts = split.divide(|told| told.requests * by_demand, |parts| parts.places);
         let shares: share::Shares = parts.iter().map(|part| part * f64::from(limit)).collect();
         let sum: f64 = shares.iter().sum();
         // A sum of shares that is a whole number but for rounding must not lose a place.
--- a/crates/routing/src/limit/group.rs
+++ b/crates/routing/src/limit/group.rs
@@ -92,9 +92,14 @@
         demand: impl Fn(&Pair) -> f64,
         frozen: impl Fn(&Parts) -> f64,
     ) -> share::Shares {
-        let reserved: f64 = self.frozen.iter().map(|(_, parts)| frozen(parts)).sum();
         let demands: share::Shares = self.active.iter().map(|(_, told)| demand(told)).collect();
-        share::divide((1.0 - reserved).max(0.0), &demands)
+        share::divide(self.available(frozen), &demands)
+    }
+
+    /// What is not reserved for the frozen ones.
+    pub(super) fn available(&self, frozen: impl Fn(&Parts) -> f64) -> f64 {
+        let reserved: f64 = self.frozen.iter().map(|(_, parts)| frozen(parts)).sum();
+        (1.0 - reserved).max(0.0)
     }
 
     /// Places that the other entries have or may have in use.
--- a/crates/routing/tests/limit.rs
+++ b/crates/routing/tests/limit.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use assert_matches::assert_matches;
 use clock::Moment;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use routing::{
@@ -309,3 +310,23 @@
     let refused = group.entries[0].check(group.now, &[subject()], 0);
     assert_eq!(refused.expect_err("it is full").kind, Kind::Concurrent);
 }
+
+#[test]
+fn an_entry_that_was_not_asked_yet_has_places() {
+    // Symptom: in the first seconds of a fleet a card authorisation is refused for the owner's
+    // concurrent requests, with hundreds of places free.
+    // Sequence: all entries know each other; the first requests come to one entry and it tells so;
+    // then one comes to another entry.
+    // Cause: demand in shares of itself adds up to the whole, so that entries without any got none.
+    let mut group = Group::new(&terms(None, Some(200)));
+    let mut one = [0.0; ENTRIES];
+    one[0] = 20.0;
+    group.run(3, one);
+    for entry in 1..ENTRIES {
+        let first = group.entries[entry].check(group.now, &[subject()], 0);
+        assert_matches!(first, Ok(()), "entry {entry}");
+    }
+    let busy = &mut group.entries[0];
+    let places = (0..200).take_while(|_| busy.check(group.now, &[subject()], 0).is_ok());
+    assert!(places.count() >= 150, "the busy entry keeps most places");
+}
