--- a/crates/entry/src/work.rs
+++ b/crates/entry/src/work.rs
@@ -71,7 +71,13 @@
     ///
     /// It is refused; it was not run.
     pub async fn admit(&mut self, request: Request) -> Result<Attempt, Problem> {
-        let dispatch = self.worker.shared.dispatch.clone();
+        let shared = &self.worker.shared;
+        if request.model.is_some() {
+            let (prompt, answer) = (request.prompt_tokens, request.output_tokens);
+            let now = shared.clock.now();
+            shared.control.asked(now, &request.pool, prompt, answer);
+        }
+        let dispatch = shared.dispatch.clone();
         dispatch
             .admit(request)
             .await
