Decide by class whether a request can be in time

With deadlines of 480 ms and 1.5 s, half of the dispatch requests sent in an overload were late, and 778 interactive ones were refused that a high priority would have served: the estimate counted all of a place's backlog for every class, and nothing that comes later and passes. Now a backlog counts as far as it is of the class or a higher one, the usual excess of first tokens over their estimate is learnt by class, another place is looked for before a refusal, speeds come from reports, and an entry fills 1.1 times its share of the slots.

--- a/crates/routing/examples/faults.rs
+++ b/crates/routing/examples/faults.rs
@@ -6,7 +6,7 @@
 mod trial;
 
 use clock::Moment;
-use trial::{Phase, Setup, Trial};
+use trial::{LONG_PROMPTS, Phase, SHORT_DEADLINES, Setup, Trial};
 
 const PHASES: [Phase; 2] = [
     Phase {
@@ -23,6 +23,7 @@
 
 const HEALTHY: Setup = Setup {
     phases: &PHASES,
+    kinds: &LONG_PROMPTS,
     pace: |_, _| 1.0,
     reports: true,
     frames: true,
@@ -79,6 +80,21 @@
                 ..HEALTHY
             },
         ),
+        (
+            "no fault, short deadlines",
+            Setup {
+                kinds: &SHORT_DEADLINES,
+                ..HEALTHY
+            },
+        ),
+        (
+            "one engine of 18 at a fifth of its speed, short deadlines",
+            Setup {
+                kinds: &SHORT_DEADLINES,
+                pace: slow,
+                ..HEALTHY
+            },
+        ),
         (
             "no reports",
             Setup {
--- a/crates/routing/examples/overload.rs
+++ b/crates/routing/examples/overload.rs
@@ -4,7 +4,7 @@
 
 mod trial;
 
-use trial::{Phase, Setup, Trial};
+use trial::{LONG_PROMPTS, Phase, SHORT_DEADLINES, Setup, Trial};
 
 const PHASES: [Phase; 5] = [
     phase("warm-up", 0.9, 30),
@@ -23,12 +23,18 @@
 }
 
 fn main() {
-    let mut trial = Trial::new(Setup {
-        phases: &PHASES,
-        pace: |_, _| 1.0,
-        reports: true,
-        frames: true,
-    });
-    trial.run();
-    trial.print("overload");
+    for (name, kinds) in [
+        ("long prompts", &LONG_PROMPTS),
+        ("short deadlines", &SHORT_DEADLINES),
+    ] {
+        let mut trial = Trial::new(Setup {
+            phases: &PHASES,
+            kinds,
+            pace: |_, _| 1.0,
+            reports: true,
+            frames: true,
+        });
+        trial.run();
+        trial.print(name);
+    }
 }
--- a/crates/routing/examples/trial/mod.rs
+++ b/crates/routing/examples/trial/mod.rs
@@ -39,6 +39,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Setup {
     pub(crate) phases: &'static [Phase],
+    pub(crate) kinds: &'static [Kind; KINDS],
     /// Share of its speed at which an engine works at a moment.
     pub(crate) pace: fn(usize, Moment) -> f64,
     /// Whether load reports arrive.
@@ -56,31 +57,48 @@
     slots: 32,
 };
 
-/// Class, share of the requests, time to the first token, mean prompt and answer.
-const MIX: [(Class, f64, Duration, f64, f64); 5] = [
-    (
-        Class::Authorisation,
-        0.05,
-        Duration::from_secs(1),
-        100.0,
-        5.0,
-    ),
-    (Class::Status, 0.05, Duration::from_secs(1), 50.0, 5.0),
-    (
-        Class::Interactive,
-        0.5,
-        Duration::from_secs(2),
-        1_000.0,
-        100.0,
-    ),
-    (
-        Class::Dispatch,
-        0.2,
-        Duration::from_secs(10),
-        2_000.0,
-        150.0,
-    ),
-    (Class::Batch, 0.2, Duration::from_secs(600), 4_000.0, 200.0),
+/// A kind of request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Kind {
+    class: Class,
+    /// Share of the requests.
+    share: f64,
+    /// Time to the first token.
+    deadline: Duration,
+    /// Means of the tokens.
+    prompt: f64,
+    output: f64,
+}
+
+const fn kind(class: Class, share: f64, deadline_ms: u64, prompt: f64, output: f64) -> Kind {
+    Kind {
+        class,
+        share,
+        deadline: Duration::from_millis(deadline_ms),
+        prompt,
+        output,
+    }
+}
+
+/// Kinds of request.
+const KINDS: usize = 5;
+
+/// Prompts are what fills the engines.
+pub(crate) const LONG_PROMPTS: [Kind; KINDS] = [
+    kind(Class::Authorisation, 0.05, 1_000, 100.0, 5.0),
+    kind(Class::Status, 0.05, 1_000, 50.0, 5.0),
+    kind(Class::Interactive, 0.5, 2_000, 1_000.0, 100.0),
+    kind(Class::Dispatch, 0.2, 10_000, 2_000.0, 150.0),
+    kind(Class::Batch, 0.2, 600_000, 4_000.0, 200.0),
+];
+
+/// Slots are what fills them, and deadlines are short.
+pub(crate) const SHORT_DEADLINES: [Kind; KINDS] = [
+    kind(Class::Authorisation, 0.05, 1_000, 100.0, 5.0),
+    kind(Class::Status, 0.05, 1_000, 50.0, 5.0),
+    kind(Class::Interactive, 0.5, 480, 300.0, 100.0),
+    kind(Class::Dispatch, 0.2, 1_500, 2_000.0, 150.0),
+    kind(Class::Batch, 0.2, 600_000, 4_000.0, 200.0),
 ];
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -111,7 +129,7 @@
     running: HashMap<(usize, u64), Call>,
     returning: BTreeMap<(Moment, u64), Call>,
     numbers: u64,
-    figures: Vec<[Figures; MIX.len()]>,
+    figures: Vec<[Figures; KINDS]>,
     /// Prompt tokens processed per phase.
     processed: Vec<f64>,
     phase: usize,
@@ -177,7 +195,7 @@
         );
         for (phase, Phase { name, seconds, .. }) in self.setup.phases.iter().enumerate() {
             let mut sum = Figures::default();
-            for (kind, (class, ..)) in MIX.into_iter().enumerate() {
+            for (kind, Kind { class, .. }) in self.setup.kinds.iter().enumerate() {
                 let figures = self.figures[phase][kind];
                 print_row(name, &format!("{class:?}"), figures, *seconds);
                 sum.offered += figures.offered;
@@ -196,9 +214,9 @@
     }
 
     fn arrive(&mut self, phase: usize, load: f64) {
-        let work: f64 = MIX
-            .iter()
-            .map(|kind| kind.1 * kind.3 / SPEED.prefill_rate)
+        let kinds = self.setup.kinds.iter();
+        let work: f64 = kinds
+            .map(|kind| kind.share * kind.prompt / SPEED.prefill_rate)
             .sum();
         let expected = load * ENGINES as f64 / work * STEP.as_secs_f64();
         for _ in 0..8 {
@@ -213,7 +231,7 @@
                 break;
             }
             let mut call = entry.remove();
-            call.deadline = self.now + MIX[call.kind].2;
+            call.deadline = self.now + self.setup.kinds[call.kind].deadline;
             self.admit(call);
         }
     }
@@ -221,27 +239,27 @@
     fn call(&mut self, phase: usize) -> Call {
         let mut draw: f64 = self.rng.random();
         let mut kind = 0;
-        while kind + 1 < MIX.len() && draw >= MIX[kind].1 {
-            draw -= MIX[kind].1;
+        while kind + 1 < KINDS && draw >= self.setup.kinds[kind].share {
+            draw -= self.setup.kinds[kind].share;
             kind += 1;
         }
         let scale = self.rng.random_range(0.2..1.8);
         Call {
             kind,
             phase,
-            deadline: self.now + MIX[kind].2,
+            deadline: self.now + self.setup.kinds[kind].deadline,
             returns: 0,
             load: Load {
                 requests: 1.0,
-                prefill: (MIX[kind].3 * scale).round(),
-                decode: (MIX[kind].4 * self.rng.random_range(0.2..1.8)).round(),
+                prefill: (self.setup.kinds[kind].prompt * scale).round(),
+                decode: (self.setup.kinds[kind].output * self.rng.random_range(0.2..1.8)).round(),
             },
         }
     }
 
     fn admit(&mut self, call: Call) {
         let entry = self.rng.random_range(0..ENTRIES);
-        let class = MIX[call.kind].0;
+        let class = self.setup.kinds[call.kind].class;
         let request = Request {
             pool: "pool".into(),
             subjects: smallvec![],
@@ -249,7 +267,7 @@
             priority: class.rank() as u8,
             model: None,
             prompt_tokens: call.load.prefill as u32,
-            output_tokens: MIX[call.kind].4 as u32,
+            output_tokens: self.setup.kinds[call.kind].output as u32,
             prefixes: smallvec![],
             deadline: call.deadline,
             repeatable: false,
--- a/crates/routing/src/choice/mod.rs
+++ b/crates/routing/src/choice/mod.rs
@@ -184,6 +184,24 @@
             .map(|position| scene.pick(position))
     }
 
+    /// The member where the first token comes soonest, of those with room for the work.
+    pub fn soonest(
+        &mut self,
+        now: Moment,
+        config: &Config,
+        members: &Members,
+        class: Class,
+        work: &Work<'_>,
+    ) -> Option<Pick> {
+        let history = History::new(1);
+        let scene = Scene::new(now, config, members, &history, work);
+        let positions = (0..scene.count()).map(|index| scene.candidate(index));
+        positions
+            .filter(|position| scene.allows(*position) && scene.has_room(*position, class))
+            .map(|position| scene.pick(position))
+            .min_by(|a, b| a.cost.first_token.total_cmp(&b.cost.first_token))
+    }
+
     fn next(&mut self, scene: &Scene<'_>) -> Option<Pick> {
         let count = scene.count();
         for _ in 0..count {
--- a/crates/routing/src/choice/scene.rs
+++ b/crates/routing/src/choice/scene.rs
@@ -101,6 +101,7 @@
         let share = member.share(self.now, self.config.slow_start);
         let distance = 2.0 * member.view.distance.as_secs_f64();
         cost.first_token = cost.first_token / share + distance;
+        cost.wait /= share;
         cost.busy = cost.busy / share + distance;
         cost
     }
--- a/crates/routing/src/cost.rs
+++ b/crates/routing/src/cost.rs
@@ -10,6 +10,8 @@
 pub struct Cost {
     /// Until the first token of the request in question.
     pub first_token: f64,
+    /// Of that, the wait for work that stands before it.
+    pub wait: f64,
     /// Of all work outstanding, the request in question included.
     pub busy: f64,
 }
@@ -19,11 +21,13 @@
 pub fn cost(speed: &Speed, load: Load, prompt: f64, output: f64) -> Cost {
     let slots = f64::from(speed.slots.max(1));
     let decode_capacity = slots * speed.decode_rate.max(f64::MIN_POSITIVE);
-    let prefill = (load.prefill + prompt) / speed.prefill_rate.max(f64::MIN_POSITIVE);
+    let rate = speed.prefill_rate.max(f64::MIN_POSITIVE);
+    let prefill = (load.prefill + prompt) / rate;
     let decode = load.decode / decode_capacity;
     let slot = slot_wait(load, slots, decode_capacity);
     Cost {
         first_token: prefill + slot,
+        wait: load.prefill / rate + slot,
         busy: prefill + decode + output / decode_capacity + load.requests * SMALL,
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod load;
 pub mod member;
 pub mod members;
+pub mod mix;
 pub mod observed;
 pub mod peers;
 pub mod plan;
--- a/crates/routing/src/members.rs
+++ b/crates/routing/src/members.rs
@@ -12,11 +12,6 @@
     upstream::{Health, Id, Report, Role, View},
 };
 
-/// Part of the windows that an entry may fill, as a multiple of its share of all outstanding
-/// requests, and the part of an entry without any. The multiple lets shares move.
-const PART_OF_SHARE: f64 = 2.0;
-const LEAST_PART: f64 = 0.05;
-
 /// All upstreams of a pool.
 #[derive(Clone, Debug)]
 pub struct Members {
@@ -26,8 +21,8 @@
     ready: [Vec<usize>; 3],
     /// Mean of what others have before an upstream.
     mean: Load,
-    /// Part of the windows that this entry may fill.
-    part: f64,
+    /// This entry's share of all outstanding requests.
+    share: f64,
 }
 
 impl Members {
@@ -38,7 +33,7 @@
             index: HashMap::new(),
             ready: Default::default(),
             mean: Load::default(),
-            part: 1.0,
+            share: 1.0,
         }
     }
 
@@ -134,10 +129,10 @@
         let own = member.ledger.own();
         member
             .window
-            .has_room(class, &member.pace(), load, own, self.part)
+            .has_room(class, &member.pace(), load, own, self.share)
     }
 
-    /// Takes stock of the pool: the mean load, the part of the windows that this entry may fill, who
+    /// Takes stock of the pool: the mean load, this entry's share of the requests, who
     /// is slow and who is set aside. Called from time to time and not per request, because it walks
     /// over the pool.
     pub fn survey(&mut self, now: Moment) {
@@ -156,6 +151,14 @@
         }
     }
 
+    /// Mean of the prompt tokens a second of an upstream that takes work, if there is one.
+    pub fn prefill_rate(&self) -> Option<f64> {
+        let ready = self.ready.iter().flatten();
+        let rates = ready.map(|position| self.list[*position].pace().prefill_rate);
+        let (sum, count) = rates.fold((0.0, 0.0), |(sum, count), rate| (sum + rate, count + 1.0));
+        (count > 0.0).then(|| sum / count)
+    }
+
     /// Requests of this kind a second that all upstreams together can do for this entry.
     pub fn capacity(&self, usual: Load) -> f64 {
         let ready = self.ready.iter().flatten();
@@ -165,7 +168,7 @@
             let decode = f64::from(pace.slots) * pace.decode_rate;
             prefill.min(decode / usual.decode.max(f64::MIN_POSITIVE))
         });
-        rates.sum::<f64>() * self.part
+        rates.sum::<f64>() * self.share
     }
 
     /// Compares the rates of answers of upstreams of one role.
@@ -204,8 +207,7 @@
             Load::default()
         };
         let all = own.requests + others.requests;
-        let share = if all > 0.0 { own.requests / all } else { 1.0 };
-        self.part = (share * PART_OF_SHARE + LEAST_PART).min(1.0);
+        self.share = if all > 0.0 { own.requests / all } else { 1.0 };
     }
 
     fn refresh(&mut self) {
--- a/crates/routing/src/router/attempts.rs
+++ b/crates/routing/src/router/attempts.rs
@@ -26,8 +26,11 @@
         }
         match progress {
             Progress::Prefilled => {
-                if running.holding.prefill.is_none() {
-                    running.first_token.get_or_insert(now);
+                if running.holding.prefill.is_none() && running.first_token.is_none() {
+                    running.first_token = Some(now);
+                    let took = now.saturating_sub(running.sent).as_secs_f64();
+                    let class = running.waiting.request.class;
+                    pool.note_first_token(class, running.expected, took);
                 }
                 running.holding.prefilled(now, pool);
             }
@@ -138,6 +141,7 @@
         let attempt = self.number();
         let request = &waiting.request;
         let pool = self.pools.get_mut(&request.pool)?;
+        let expected = pool.expected(now, request, placement);
         let holding = pool.commit(now, request, placement);
         let sending = Sending {
             attempt,
@@ -150,6 +154,8 @@
             Running {
                 waiting,
                 holding,
+                sent: now,
+                expected,
                 first_token: None,
                 generated: 0,
             },
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -50,6 +50,9 @@
 struct Running {
     waiting: Waiting,
     holding: Holding,
+    sent: Moment,
+    /// Seconds in which the first token was expected.
+    expected: f64,
     /// When the answer began, if it comes as a stream.
     first_token: Option<Moment>,
     /// Answer tokens so far.
@@ -287,7 +290,7 @@
         };
         let ahead = pool.queue.ahead(class) as f64;
         let wait = expected_wait(ahead, pool.drain_rate(now));
-        if now + wait + pool.usual_time(&waiting.request) > waiting.request.deadline {
+        if now + wait + pool.usual_time(now, &waiting.request) > waiting.request.deadline {
             return self.refuse(Reason::Deadline, wait);
         }
         if pool.queue.is_full() && pool.queue.victim(class).is_none() {
--- a/crates/routing/src/router/waiting.rs
+++ b/crates/routing/src/router/waiting.rs
@@ -94,7 +94,7 @@
         let Some(pool) = self.pools.get_mut(pool_id) else {
             return;
         };
-        pool.members.survey(now);
+        pool.survey(now);
         if pool.queue.is_empty() {
             return;
         }
@@ -102,7 +102,7 @@
         let gone = pool
             .queue
             .hopeless(now + SWEEP_EVERY, per_second, |request| {
-                pool.usual_time(request)
+                pool.usual_time(now, request)
             });
         let wait = expected_wait(pool.queue.len() as f64, per_second);
         for ticket in gone {
--- a/crates/routing/src/scheduler.rs
+++ b/crates/routing/src/scheduler.rs
@@ -10,10 +10,12 @@
     admission::{Queue, Waiting},
     affinity::History,
     choice::{Chooser, Pick, Work},
+    class::Class,
     decision::Ticket,
     holding::Holding,
     load::Load,
     members::Members,
+    mix::Mix,
     pool::Config,
     rate::Rate,
     request::Request,
@@ -36,6 +38,12 @@
 /// Weight of the newest request in the usual delay at upstreams.
 const DELAY_WEIGHT: f64 = 0.05;
 
+/// Weight of the newest first token in the usual excess.
+const EXCESS_WEIGHT: f64 = 0.05;
+
+/// Factor on the usual excess in the decision whether a request can be in time.
+const EXCESS_DOUBT: f64 = 1.5;
+
 /// Roles that run a whole request. Decode engines do so in small chunks.
 const WHOLE: [Role; 2] = [Role::Mixed, Role::Decode];
 
@@ -68,6 +76,11 @@
     history: History,
     /// Seconds that requests lately stood at an upstream before their prefill began.
     delay: f64,
+    /// Prompt tokens a second of one upstream.
+    prefill_rate: f64,
+    mix: Mix,
+    /// Seconds by which first tokens lately came later than expected, by class.
+    excess: [f64; Class::COUNT],
 }
 
 impl Scheduler {
@@ -82,6 +95,9 @@
             chooser: Chooser::new(SmallRng::seed_from_u64(rng.random())),
             history: History::new(HISTORY),
             delay: 0.0,
+            prefill_rate: config.speed.prefill_rate,
+            mix: Mix::new(now),
+            excess: [0.0; Class::COUNT],
             config,
         }
     }
@@ -129,18 +145,43 @@
             true => preferred,
             false => self.elsewhere(now, waiting).ok_or(Blocked::NoRoom)?,
         };
-        let seconds = placement.first_token(&self.config, request.prompt_tokens);
-        let left = request.deadline.saturating_sub(now).as_secs_f64();
-        if seconds > left && !request.class.is_urgent() {
-            return Err(Blocked::TooLate);
+        if request.class.is_urgent() || self.is_in_time(now, request, &placement) {
+            return Ok(placement);
+        }
+        let work = Work::whole(request, &WHOLE, &waiting.tried);
+        let soonest = self
+            .chooser
+            .soonest(now, &self.config, &self.members, request.class, &work);
+        match soonest.map(Placement::Together) {
+            Some(placement) if self.is_in_time(now, request, &placement) => Ok(placement),
+            _ => Err(Blocked::TooLate),
         }
-        Ok(placement)
+    }
+
+    /// Whether the first token is expected before the deadline. Of the work that stands before it
+    /// only that of its class and of higher ones counts.
+    fn is_in_time(&self, now: Moment, request: &Request, placement: &Placement) -> bool {
+        let excess = self.excess[request.class.rank()];
+        let expected = self.expected(now, request, placement) + EXCESS_DOUBT * excess;
+        expected <= request.deadline.saturating_sub(now).as_secs_f64()
+    }
+
+    /// Seconds to the first token at a place.
+    pub fn expected(&self, now: Moment, request: &Request, placement: &Placement) -> f64 {
+        let all = placement.first_token(&self.config, request.prompt_tokens);
+        all - placement.wait() * (1.0 - self.mix.before(now, request.class))
+    }
+
+    /// Learns by how much first tokens come later than expected. The others' sends, and requests of
+    /// higher classes that come later and pass, are in no estimate.
+    pub fn note_first_token(&mut self, class: Class, expected: f64, took: f64) {
+        let excess = &mut self.excess[class.rank()];
+        *excess += EXCESS_WEIGHT * ((took - expected).max(0.0) - *excess);
     }
 
     /// Enters a placement as work in hand.
     pub fn commit(&mut self, now: Moment, request: &Request, placement: &Placement) -> Holding {
-        self.served.note(now, 1.0);
-        self.note_delay(request, placement);
+        self.note_sent(now, request, placement);
         let whole = Load::of(request.prompt_tokens, request.output_tokens);
         match placement {
             Placement::Together(pick) => {
@@ -195,15 +236,26 @@
 
     /// Least time to the first token of a request, with nothing before it.
     pub fn least_time(&self, request: &Request) -> Duration {
-        let seconds = f64::from(request.prompt_tokens) / self.config.speed.prefill_rate;
         // A cached prompt is faster still, so that half of it is all that may be taken for sure.
-        Duration::from_secs_f64((seconds / 2.0).max(0.0))
+        seconds(self.own_time(request) / 2.0)
     }
 
     /// Time to the first token of a request as it is at present, without the wait at this entry.
-    pub fn usual_time(&self, request: &Request) -> Duration {
-        let own = f64::from(request.prompt_tokens) / self.config.speed.prefill_rate;
-        Duration::from_secs_f64((own + self.delay).max(0.0))
+    pub fn usual_time(&self, now: Moment, request: &Request) -> Duration {
+        let wait = self.delay * self.mix.before(now, request.class);
+        seconds(self.own_time(request) + wait + self.excess[request.class.rank()])
+    }
+
+    fn own_time(&self, request: &Request) -> f64 {
+        f64::from(request.prompt_tokens) / self.prefill_rate.max(f64::MIN_POSITIVE)
+    }
+
+    /// Takes stock; to be called some times a second.
+    pub fn survey(&mut self, now: Moment) {
+        self.members.survey(now);
+        if let Some(rate) = self.members.prefill_rate() {
+            self.prefill_rate = rate;
+        }
     }
 
     /// Requests a second that leave the queue. While it has not been there for long, the rate of
@@ -246,11 +298,11 @@
         self.usual = self.usual.toward(load, weight);
     }
 
-    fn note_delay(&mut self, request: &Request, placement: &Placement) {
-        let prompt = request.prompt_tokens;
-        let own = f64::from(prompt) / self.config.speed.prefill_rate;
-        let delay = placement.first_token(&self.config, prompt) - own;
-        self.delay += DELAY_WEIGHT * (delay.max(0.0) - self.delay);
+    fn note_sent(&mut self, now: Moment, request: &Request, placement: &Placement) {
+        self.served.note(now, 1.0);
+        self.mix
+            .note(now, request.class, f64::from(request.prompt_tokens));
+        self.delay += DELAY_WEIGHT * (placement.wait() - self.delay);
     }
 
     fn choose(&mut self, now: Moment, work: &Work<'_>) -> Option<Pick> {
--- a/crates/routing/src/split.rs
+++ b/crates/routing/src/split.rs
@@ -35,6 +35,14 @@
         }
     }
 
+    /// Of these, the wait for work that stands before it.
+    pub fn wait(&self) -> f64 {
+        match self {
+            Self::Together(pick) => pick.cost.wait,
+            Self::Apart { prefill, decode } => prefill.cost.wait + decode.cost.wait,
+        }
+    }
+
     /// The pick that answers.
     pub fn answering(&self) -> &Pick {
         match self {
--- a/crates/routing/src/window.rs
+++ b/crates/routing/src/window.rs
@@ -22,7 +22,7 @@
 
 /// Share of the window that a class may fill. What is left to the higher classes lets them in at once
 /// while lower ones wait.
-fn share(class: Class) -> f64 {
+fn open_to(class: Class) -> f64 {
     match class {
         Class::Authorisation | Class::Status => f64::INFINITY,
         Class::Interactive => 0.95,
@@ -31,6 +31,17 @@
     }
 }
 
+/// Part of the window that an entry may fill, as a multiple of its share of all outstanding
+/// requests, and the part of an entry without any. The multiples let shares move; that of prefill is
+/// larger because a few prompts make up all of it.
+const REQUESTS_PART: f64 = 1.1;
+const PREFILL_PART: f64 = 2.0;
+const LEAST_PART: f64 = 0.05;
+
+fn part(share: f64, multiple: f64) -> f64 {
+    (share * multiple + LEAST_PART).min(1.0)
+}
+
 /// Window of one upstream, in requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Window {
@@ -71,23 +82,24 @@
     }
 
     /// Whether a request of this class finds room beside the estimated load, of which `own` is this
-    /// entry's. `part` is the part of the window that this entry may fill.
+    /// entry's. `share` is this entry's share of all outstanding requests.
     ///
     /// When an upstream has room, all entries learn of it and each fills it, because none knows yet
     /// what the others sent. One notices it under overload by seconds of prefill before some
     /// upstreams while others are idle. Here each entry fills its part only.
-    pub fn has_room(&self, class: Class, speed: &Speed, load: Load, own: Load, part: f64) -> bool {
-        let share = share(class);
-        if share.is_infinite() {
+    pub fn has_room(&self, class: Class, speed: &Speed, load: Load, own: Load, share: f64) -> bool {
+        let open = open_to(class);
+        if open.is_infinite() {
             return true;
         }
         // A small window must still let one request of the lowest class in.
-        let requests = (self.limit * share).max(1.0);
+        let requests = (self.limit * open).max(1.0);
         let rate = speed.prefill_rate.max(f64::MIN_POSITIVE);
-        let seconds = PREFILL_SECONDS * share;
+        let seconds = PREFILL_SECONDS * open;
         let fits = load.requests + 1.0 <= requests && load.prefill / rate <= seconds;
-        let fits_own = own.requests < (requests * part).max(1.0);
-        fits && fits_own && own.prefill / rate <= seconds * part
+        let own_requests = (requests * part(share, REQUESTS_PART)).max(1.0);
+        let own_seconds = seconds * part(share, PREFILL_PART);
+        fits && own.requests < own_requests && own.prefill / rate <= own_seconds
     }
 
     fn rescale(&mut self, slots: f64) {
