Let an entry serve on when another falls silent after its start

Cause: whether a newly started entry may take work was asked with each request for its first ten seconds, and the answer was no as soon as one listed entry no longer heard it. When that one was stopped or killed, an entry that was serving already refused all callers with 503 until the ten seconds were over. Found by a process test that stops the holder of a pool seconds after the start.

Ruled out: to keep the first yes for good; a holder that starts meanwhile and has not heard of the entry would not wait for it.

Change: the newest incarnation of every listed entry must have echoed this process once. That one counts it from then on.

Seen to fail first with the former comparison: a_process_that_serves_goes_on_when_another_falls_silent.

--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -9,7 +9,7 @@
 use crate::Id;
 use crate::list::{self, Mark, View};
 use crate::member::{
-    Hearing, Input, Member, Output, Outputs, Own, Progress, Refusal, Sender, Settings, State,
+    Input, Member, Output, Outputs, Own, Progress, Refusal, Sender, Settings, State,
 };
 
 /// The entries that this process knows through the instance list and through their frames.
@@ -96,12 +96,16 @@
     ///
     /// Without this a holder that has not heard of the process would close an upstream while the
     /// process, cut off from the log, sends there.
+    ///
+    /// It is enough that each one's newest incarnation heard it once: that one counts it from
+    /// then on. If all had to go on hearing it, an entry that serves since seconds would refuse
+    /// its callers as soon as another is paused or killed.
     pub fn may_serve(&self, now: Moment) -> bool {
         let heard_by_all = self
             .members
             .values()
             .filter(|member| member.listed == Some(Mark::Live))
-            .all(|member| member.hearing == Hearing::Hears);
+            .all(|member| member.echoed_at.is_some());
         let known = self.members.values().any(|member| member.listed.is_some());
         (known && heard_by_all) || now.saturating_sub(self.started) >= self.settings.lag
     }
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -199,6 +199,23 @@
     assert!(self::members().may_serve(Settings::default().lag));
 }
 
+// Symptom: of two entries one is stopped, and the other refuses all callers.
+// Sequence: an entry starts, is heard by all and serves; seconds later another falls silent. Then
+// that one is replaced by a process that has not heard of the entry.
+// Cause: the start's question was asked again and again.
+#[test]
+fn a_process_that_serves_goes_on_when_another_falls_silent() {
+    let mut members = members();
+    members.step(s(0), Input::List(&view(Kind::Entry, &["a", "own"])));
+    members.step(s(1), Input::Frame(&echo("a", 1, OWN, s(1))));
+    for second in 2..9 {
+        tick(&mut members, s(second));
+        assert!(members.may_serve(s(second)), "{second}");
+    }
+    members.step(s(9), Input::Frame(&beat("a", 2, 44)));
+    assert!(!members.may_serve(s(9)));
+}
+
 #[test]
 fn beats_go_to_all_but_the_gone_and_echo_what_was_heard() {
     let mut members = members();
