Prove changes of role, takeovers and late orders with real processes

Cause: that no planned change cuts a stream and that orders of a process without authority have no effect was shown in the pure crates and for controls in one process, not for daemons that carry load.

Change: tests/changes.rs changes roles and loads models under streams, several at once with one that fails, and replaces the holder with SIGTERM in the middle. tests/takeover.rs kills the holder while an engine is closed, while its order is on its way, while the engine acts and before the outcome, and stops it past its lease with its order on its way, at engines that check fences and at one that ignores them; there the late order that the documents leave open is noticed and mended. The engine's stand-in tells at /standin/orders what orders began, were refused and cut.

--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -5,6 +5,8 @@
 
 pub(crate) mod caller;
 pub(crate) mod catalogue;
+pub(crate) mod changes;
+pub(crate) mod load;
 pub(crate) mod process;
 
 use std::time::Duration;
@@ -100,6 +102,17 @@
         id
     }
 
+    /// Starts an engine's process again at its address; it remembers nothing.
+    pub(crate) fn restart_engine(&mut self, index: usize, options: &[&str]) {
+        self.engines[index].kill();
+        let address = self.engines[index].address.clone();
+        let id = format!("engine-{}", index + 1);
+        let mut all = vec!["--listen", &address, "--engine", &id];
+        all.extend(["--report-lag-ms", "100"]);
+        all.extend(options);
+        self.engines[index] = Process::standin("standin-engine", &all);
+    }
+
     /// Starts a service and lists it.
     pub(crate) async fn add_service(&mut self, options: &[&str]) -> String {
         let id = format!("service-{}", self.services.len() + 1);
--- a/crates/standin/src/engine/api.rs
+++ b/crates/standin/src/engine/api.rs
@@ -20,6 +20,7 @@
         }
         ("POST", ["engine", "orders"]) => control::order(&engine, &call).await,
         ("POST", ["engine", "cancel-order"]) => control::cancel_order(&engine, &call),
+        ("GET", ["standin", "orders"]) => control::orders(&engine),
         ("GET", ["engine", "state"]) => control::state(&engine),
         ("GET", ["engine", "report"]) => control::report(&engine).await,
         ("GET", ["engine", "events"]) => control::events(&engine, &call).await,
--- a/crates/standin/src/engine/control.rs
+++ b/crates/standin/src/engine/control.rs
@@ -1,6 +1,7 @@
 //! What those who control engines ask: orders, state, load reports and cache events.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use actix_http::StatusCode;
@@ -91,6 +92,17 @@
     }))
 }
 
+/// What orders did since the start of the process, for tests that judge it.
+pub(super) fn orders(engine: &Engine) -> Answer {
+    let book = lock(&engine.book);
+    let begun: Vec<_> = book.begun().collect();
+    answer::ok(&json!({
+        "begun": begun,
+        "refused": book.refused(),
+        "cut": engine.cut.load(Ordering::Relaxed),
+    }))
+}
+
 /// The load report, as old as the lag makes it.
 pub(super) async fn report(engine: &Engine) -> Answer {
     let switches = engine.panel.get();
--- a/crates/standin/src/engine/orders.rs
+++ b/crates/standin/src/engine/orders.rs
@@ -101,6 +101,7 @@
     fence: Fence,
     orders: BTreeMap<Id, Known>,
     last: Option<Id>,
+    refused: u64,
 }
 
 impl Book {
@@ -111,6 +112,7 @@
             fence: 0,
             orders: BTreeMap::new(),
             last: None,
+            refused: 0,
         }
     }
 
@@ -129,6 +131,17 @@
         self.orders.get(&self.last?).copied()
     }
 
+    /// The orders that began, by name.
+    pub fn begun(&self) -> impl Iterator<Item = &Known> {
+        let orders = self.orders.values();
+        orders.filter(|known| known.state != State::Cancelled)
+    }
+
+    /// How many orders and cancellations were refused for an old token.
+    pub fn refused(&self) -> u64 {
+        self.refused
+    }
+
     /// The order that runs.
     pub fn running(&self) -> Option<Known> {
         self.last().filter(|known| known.state == State::Running)
@@ -171,6 +184,7 @@
 
     fn refuse(&mut self, fence: Fence) -> Option<Verdict> {
         if self.checks_fence && fence < self.fence {
+            self.refused += 1;
             return Some(Verdict::OldFence(self.fence));
         }
         self.fence = self.fence.max(fence);
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -47,6 +47,8 @@
     pub(super) previous: Mutex<Option<Arc<Stream>>>,
     /// The report that is seen while reports are frozen, with the moment of its sample.
     pub(super) frozen: Mutex<Option<(Moment, Load)>>,
+    /// Streams that orders cut.
+    pub(super) cut: AtomicU64,
     jobs: AtomicU64,
     wake: Notify,
 }
@@ -72,6 +74,7 @@
             kv: Mutex::default(),
             previous: Mutex::default(),
             frozen: Mutex::default(),
+            cut: AtomicU64::new(0),
             jobs: AtomicU64::new(1),
             wake: Notify::new(),
             options,
@@ -134,6 +137,7 @@
         let streams = std::mem::take(&mut lock(&self.core).streams);
         lock(&self.core).role = role;
         self.step(Input::Reset(role));
+        self.cut.fetch_add(streams.len() as u64, Ordering::Relaxed);
         for stream in streams.into_values() {
             lock(&self.table).remove(&stream.id);
             stream.cut();
