Let more connections wait, and give an upstream half a second to connect

Cause: with 2,000 streams opened at once an entry served 872; 834 callers were never accepted and 294 calls ran into the time limit of a connection. The standard library lets 128 connections wait, and the limit of 1 s is the time after which a lost first packet is sent again. Change: listeners let 4,096 connections wait; a call that found no connection within 500 ms was not run and goes elsewhere.

--- a/crates/entry/src/front/server.rs
+++ b/crates/entry/src/front/server.rs
@@ -10,10 +10,15 @@
 use actix_server::{GracefulShutdownSignal, Server, ServerBuilder, ServerHandle};
 use actix_service::{fn_factory, fn_service};
 
+use tokio::net::TcpSocket;
+
 use crate::admin;
 use crate::front::handler::handle;
 use crate::shared::{Shared, Worker};
 
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 4096;
+
 /// The servers, which listen, to be polled until they have stopped.
 pub struct Front {
     /// The address for callers.
@@ -43,12 +48,12 @@
         .shutdown_timeout(limit.as_secs().max(1))
         .disable_signals();
     let stopping = builder.graceful_shutdown_signal();
-    let listener = TcpListener::bind(settings.listen.address)?;
+    let listener = listen(settings.listen.address)?;
     let address = listener.local_addr()?;
     let builder = callers(builder, listener, Arc::clone(shared), stopping)?;
     let (builder, admin) = match settings.admin.token {
         Some(_) => {
-            let listener = TcpListener::bind(settings.admin.address)?;
+            let listener = listen(settings.admin.address)?;
             let address = listener.local_addr()?;
             (
                 operators(builder, listener, Arc::clone(shared))?,
@@ -66,6 +71,18 @@
     })
 }
 
+/// Binds a listener. The standard library lets 128 connections wait; when a stopped entry's callers
+/// all come to this one, more do, and each of them would wait a second for its next try.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)?.into_std()
+}
+
 fn callers(
     builder: ServerBuilder,
     listener: TcpListener,
--- a/crates/settings/src/table.rs
+++ b/crates/settings/src/table.rs
@@ -272,8 +272,8 @@
     given(
         "upstream.connect",
         Kind::Duration,
-        "1s",
-        "Time limit of a connection to an upstream.",
+        "500ms",
+        "Time limit of a connection to an upstream; a call that waited for one was not run and goes to another.",
     ),
     given(
         "upstream.idle",
