Leave views of others' work out of the mean once they are old

Views fade towards the mean of all views. When reports ceased, that mean stayed as it was at the last report: a pool that was full at that moment refused all but urgent work for good. Views older than 5 s now count as unknown. The test of it fails without the bound.

Also a test that engines of a lost data centre get nothing more, and the observed rate of answers for the planner's frontiers.

--- a/crates/routing/src/members.rs
+++ b/crates/routing/src/members.rs
@@ -1,6 +1,7 @@
 //! The upstreams of one pool with what is believed about each.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use clock::Moment;
 
@@ -13,6 +14,12 @@
     upstream::{Health, Id, Report, Role, View},
 };
 
+/// Age beyond which a view of others' work counts no more.
+///
+/// Views fade towards the mean of all views. If all are as old as the last report before reports
+/// ceased, that mean is too, and a pool that was full at that moment would stay full for good.
+const OLDEST: Duration = Duration::from_secs(5);
+
 /// All upstreams of a pool.
 #[derive(Clone, Debug)]
 pub struct Members {
@@ -209,7 +216,8 @@
         let mut known = 0.0;
         for member in &self.list {
             own += member.ledger.own();
-            if let Some((load, _)) = member.ledger.others(now) {
+            let view = member.ledger.others(now);
+            if let Some((load, _)) = view.filter(|(_, age)| *age <= OLDEST) {
                 others += load;
                 known += 1.0;
             }
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -220,6 +220,16 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
+    /// Answer tokens a second and request, as observed lately over a pool's upstreams; the default of
+    /// the pool's settings until answers came.
+    pub fn answer_rate(&self, pool: &str) -> Option<f64> {
+        let pool = self.pools.get(pool)?;
+        pool.members
+            .list()
+            .first()
+            .map(|member| member.speed.decode_rate)
+    }
+
     /// Requests that wait for a pool.
     pub fn waiting(&self, pool: &str) -> usize {
         self.pools.get(pool).map_or(0, |pool| pool.queue.len())
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -8,8 +8,10 @@
 use routing::{
     class::Class,
     decision::{Attempt, Decision, Next, Output, Progress, Ran, Reason, Ticket},
+    load::Load,
     pool::Config,
     router::{Outputs, Router},
+    upstream::Report,
 };
 use smallvec::smallvec;
 
@@ -302,3 +304,33 @@
     let decision = router.admit(ms(now), request(Class::Interactive, ms(now + 500)));
     assert_matches!(decision, Decision::Send(_));
 }
+
+#[test]
+fn reports_that_cease_do_not_close_the_pool() {
+    // Symptom: after the engines' reports ceased, all but urgent work is refused for good.
+    // Sequence: the last reports show full engines; then none come any more.
+    // Cause: old views fade towards a mean that is made of old views.
+    let mut router = router(config(), engines(4));
+    for view in engines(4) {
+        let report = Report {
+            at: ms(0),
+            load: Load::of(50_000, 100),
+            waiting: 0,
+            kv_used: 0.5,
+            prefill_rate: 10_000.0,
+            decode_slots: 32,
+            draining: false,
+        };
+        router.report(common::POOL, &view.id, report);
+    }
+    router.tick(ms(100));
+    let decision = router.admit(ms(100), request(Class::Interactive, ms(60_000)));
+    assert_matches!(decision, Decision::Wait(_));
+    let mut late = Vec::new();
+    for now in (200..20_000).step_by(20) {
+        late.extend(sent(&router.tick(ms(now))));
+    }
+    assert_eq!(late.len(), 1);
+    let decision = router.admit(ms(20_000), request(Class::Interactive, ms(60_000)));
+    assert_matches!(decision, Decision::Send(_));
+}
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -175,3 +175,31 @@
     assert_matches!(router.admit(ms(50), prompt), Decision::Send(_));
     assert_eq!(router.outstanding()[0].load.prefill, 4_000.0);
 }
+
+#[test]
+fn when_the_engines_of_a_data_centre_go_the_others_take_over() {
+    // Symptom: after a data centre is lost a third of the requests fails at first.
+    // Sequence: six of eighteen engines leave the list at once, with requests in hand.
+    // Cause: the choice would still draw among all eighteen.
+    let mut router = router(config(), engines(18));
+    let lost: Vec<Sending> = (0..60)
+        .map(|n| send(&mut router, n, Class::Interactive))
+        .filter(|sending| *sending.upstream < *"engine-0006")
+        .collect();
+    assert!(!lost.is_empty());
+    let left: Vec<_> = engines(18).into_iter().skip(6).collect();
+    router.set_upstreams(ms(100), POOL, left);
+    for sending in &lost {
+        let next = router.failed(ms(200), sending.attempt, Ran::Unknown);
+        assert_matches!(next, Next::Wait(_) | Next::Final);
+    }
+    for output in router.tick(ms(1_000)) {
+        let again = assert_matches!(output, Output::Send { sending, .. } => sending);
+        assert!(*again.upstream >= *"engine-0006");
+    }
+    for n in 0..100 {
+        let sending = send(&mut router, 1_000 + n, Class::Interactive);
+        assert!(*sending.upstream >= *"engine-0006");
+        router.finished(ms(1_000 + n), sending.attempt);
+    }
+}
