Explore calls that may not be repeated, with a mutant for each guard

A caller that is told "not run" and repeats at once under the same number can make an entry report Contested although nothing ran twice: a false alarm, no violation.

--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -3,6 +3,7 @@
 //! must yield a counterexample, so that a property that holds holds because of the guards. Bounds,
 //! counts and what is not covered stand in `docs/PROOFS.md`.
 
+pub mod calls;
 pub mod explore;
 pub mod lease;
 pub mod log;
--- a/crates/spec/src/log.rs
+++ b/crates/spec/src/log.rs
@@ -32,6 +32,15 @@
     pub fn record(&self) -> &Record {
         &self.record
     }
+
+    /// What the record is, in a word.
+    pub fn kind(&self) -> &'static str {
+        match &self.record.body {
+            Some(Body::KeyClaims(_)) => "a claim",
+            Some(Body::KeyOutcomes(_)) => "an outcome",
+            _ => "a record",
+        }
+    }
 }
 
 impl From<Record> for Parcel {
--- a/crates/spec/src/suite.rs
+++ b/crates/spec/src/suite.rs
@@ -2,7 +2,7 @@
 //! which must not.
 
 use crate::explore::Report;
-use crate::{lease, orders};
+use crate::{calls, lease, orders};
 
 /// States after which an exploration gives up; none of the cases comes near it.
 pub const LIMIT: usize = 1_000_000;
@@ -48,12 +48,16 @@
 const CARRIED_OUT: &str = "an engine carries out an order";
 const TAKEN_OVER: &str = "a successor concludes an order";
 const SECOND_ORDER: &str = "a second order is concluded";
+const EXECUTED: &str = "a call is executed";
+const LATER: &str = "a later call is executed";
+const REPEAT: &str = "a repeat is answered";
 const RESIDUE: &str = "what remains possible";
 
 /// All cases.
 pub fn cases() -> Vec<Case> {
     let mut cases = lease_cases();
     cases.extend(order_cases());
+    cases.extend(call_cases());
     cases
 }
 
@@ -187,3 +191,102 @@
         explore: Box::new(move || orders::model(config.clone()).check(LIMIT)),
     }
 }
+
+fn call_cases() -> Vec<Case> {
+    use calls::{Config, Mutant};
+    use claims::Policy::{FirstAttempt, Refuse};
+    let seen: &[&str] = &[EXECUTED, LATER, REPEAT];
+    let mut cases = vec![
+        call_case("call-refuse", seen, Config::new(Refuse), None),
+        call_case("call-refuse-faulty", seen, Config::faulty(Refuse), None),
+        call_case("call-refuse-long", seen, Config::long(Refuse), None),
+        call_case("call-first-attempt", seen, Config::new(FirstAttempt), None),
+        call_case(
+            "call-first-attempt-faulty",
+            seen,
+            Config::faulty(FirstAttempt),
+            None,
+        ),
+        call_case(
+            "call-first-attempt-long",
+            seen,
+            Config::long(FirstAttempt),
+            None,
+        ),
+    ];
+    let mutants = [
+        (
+            "call-refuse-faulty",
+            Refuse,
+            false,
+            Mutant::OwnClaimsOnly,
+            "own-claims-only",
+        ),
+        (
+            "call-refuse-faulty",
+            Refuse,
+            true,
+            Mutant::OwnClaimsOnly,
+            "own-claims-only-twice",
+        ),
+        (
+            "call-refuse-faulty",
+            Refuse,
+            false,
+            Mutant::RunOnAppend,
+            "run-on-append",
+        ),
+        (
+            "call-refuse-faulty",
+            Refuse,
+            true,
+            Mutant::RunOnAppend,
+            "run-on-append-twice",
+        ),
+        (
+            "call-refuse-faulty",
+            Refuse,
+            true,
+            Mutant::SameIncarnation,
+            "same-incarnation",
+        ),
+        (
+            "call-first-attempt-faulty",
+            FirstAttempt,
+            false,
+            Mutant::AlwaysFirst,
+            "always-first",
+        ),
+        (
+            "call-first-attempt-faulty",
+            FirstAttempt,
+            true,
+            Mutant::AlwaysFirst,
+            "always-first-twice",
+        ),
+    ];
+    let mutants = mutants.map(|(name, policy, twice_only, mutant, called)| {
+        let config = Config {
+            twice_only,
+            ..Config::faulty(policy)
+        };
+        call_case(name, &[], config, Some((mutant, called)))
+    });
+    cases.extend(mutants);
+    cases
+}
+
+fn call_case(
+    name: &'static str,
+    must_show: &'static [&'static str],
+    mut config: calls::Config,
+    mutant: Option<(calls::Mutant, &'static str)>,
+) -> Case {
+    config.mutant = mutant.map(|(mutant, _)| mutant);
+    Case {
+        name,
+        mutant: mutant.map(|(_, name)| name),
+        must_show,
+        explore: Box::new(move || calls::model(config.clone()).check(LIMIT)),
+    }
+}
--- a/crates/spec/tests/suite.rs
+++ b/crates/spec/tests/suite.rs
@@ -31,3 +31,13 @@
 fn each_mutant_of_the_orders_has_a_counterexample() {
     judge(|case| case.mutant.is_some() && case.name.starts_with("order"));
 }
+
+#[test]
+fn calls_have_no_counterexample() {
+    judge(|case| case.mutant.is_none() && case.name.starts_with("call"));
+}
+
+#[test]
+fn each_mutant_of_the_calls_has_a_counterexample() {
+    judge(|case| case.mutant.is_some() && case.name.starts_with("call"));
+}
