--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -19,6 +19,7 @@
     decision::{Attempt, Decision, Output, Reason, Refusal, Ticket},
     holding::Holding,
     limit::{self, Demand, Limits, Terms, Used},
+    load::Load,
     peers::{self, Outstanding, Peers},
     pool::{self, Config},
     request::Request,
@@ -205,7 +206,7 @@
     pub fn outstanding(&self) -> Vec<Outstanding> {
         let members = self.pools.values().flat_map(|pool| pool.members.list());
         members
-            .filter(|member| member.ledger.own().requests > 0.0)
+            .filter(|member| member.ledger.own() != Load::default())
             .map(|member| Outstanding {
                 upstream: member.view.id.clone(),
                 load: member.ledger.own(),
