Count what callers ask of a pool of engines

The planner of roles looks at the tokens a second that callers ask for; nothing told it. Each completion is now counted before it is known whether it is admitted, so that roles follow the work that is wanted and not the work that they let in. Prompt tokens that an engine has cached are not left out yet, since the cache is known only after the choice: the planner sees more prefill than there is.

--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -4,7 +4,7 @@
 //! Such a call runs in a task of its own, so that it comes to its end and its answer is held when
 //! the caller's connection is gone.
 
-use std::sync::PoisonError;
+use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 use actix_http::StatusCode;
@@ -39,6 +39,7 @@
 
 /// Runs a completion.
 pub async fn completion(mut work: Work, entry: &Entry, asked: Asked) -> Ended {
+    count_demand(&work, entry, &asked);
     if !entry.repeatable {
         return detached(work, entry.clone(), Some(asked)).await;
     }
@@ -49,6 +50,19 @@
     ended(work, result)
 }
 
+/// Counts what the caller asks of the pool, before it is known whether it is admitted: roles are
+/// planned for the work that is wanted and not for the work that they let in.
+fn count_demand(work: &Work, entry: &Entry, asked: &Asked) {
+    let shared = &work.worker.shared;
+    let pool = Arc::from(entry.pool.as_str());
+    shared.control.asked(
+        shared.clock.now(),
+        &pool,
+        asked.prompt_tokens,
+        asked.output_tokens,
+    );
+}
+
 /// Runs a call to a plain service.
 pub async fn plain(mut work: Work, entry: &Entry) -> Ended {
     if !entry.repeatable {
