Tell peers what changed only, and end a pause by fresh heartbeats

Cause: an idle entry among eight sent 4.2 KB/s to its peers, more than all of control may cost at the target size, most of it the same empty frames. And a pause of the process was ended by any heartbeat, also by one that had waited in the socket since before it (found by reading). Ruled out: a longer period for all frames (fresher frames are what helps the choice most, docs/design/choice.md). Change: load and share frames that say the same go out about once a second; a pause ends once a heartbeat is certainly newer than it and none such tells of more than is folded. The pause has a test in fleet; one of control that waits in a socket is not written.

--- a/crates/control/src/core.rs
+++ b/crates/control/src/core.rs
@@ -32,6 +32,7 @@
 use crate::reports::Reports;
 use crate::roles::Roles;
 use crate::scopes::{Around, Scopes};
+use crate::told::Told;
 use crate::view;
 
 mod ask;
@@ -115,6 +116,7 @@
     flags: Flags,
     next_tick: Moment,
     load_sent: Moment,
+    told: Told,
     confirms: (Moment, Vec<Confirm>),
     state_asked: Option<Moment>,
     stop: Option<Stop>,
@@ -169,6 +171,7 @@
             flags: Flags::default(),
             next_tick: now,
             load_sent: now,
+            told: Told::default(),
             confirms: (now, Vec::new()),
             state_asked: None,
             stop: None,
--- a/crates/control/src/core/peers.rs
+++ b/crates/control/src/core/peers.rs
@@ -39,7 +39,7 @@
         };
         let from: Id = from.instance.clone();
         match frame.body {
-            Some(Body::Heartbeat(beat)) => self.heard(now, beat.folded),
+            Some(Body::Heartbeat(_)) => self.heard(),
             Some(Body::Confirm(_)) => self.census.drain.confirm(&frame),
             Some(Body::Load(load)) => {
                 let load = (now, Arc::from(load.outstanding));
@@ -54,11 +54,18 @@
         }
     }
 
-    /// A heartbeat that came after a pause of this process and tells of nothing newer shows that
-    /// its view still holds, also while the log is out.
-    fn heard(&mut self, now: Moment, folded: crate::Offset) {
-        let paused = self.flags.paused_at.is_some_and(|at| now > at);
-        if paused && folded <= self.ledger.folded() {
+    /// Ends a pause of this process, also while the log is out, once peers show that its view still
+    /// holds: at least one heartbeat is certainly newer than the pause, and none of those tells of
+    /// more than is folded here. Any heartbeat would not do: one that waited in the socket since
+    /// the pause began tells of nothing newer, and work would go to an upstream closed meanwhile.
+    fn heard(&mut self) {
+        if self.flags.paused_at.is_none() {
+            return;
+        }
+        let folded = self.ledger.folded();
+        let mut fresh = self.census.members.fresh().peekable();
+        let heard = fresh.peek().is_some();
+        if heard && fresh.all(|member| member.progress.folded <= folded) {
             self.flags.paused_at = None;
             self.flags.urgent = true;
         }
--- a/crates/control/src/core/tick.rs
+++ b/crates/control/src/core/tick.rs
@@ -85,7 +85,8 @@
         }
     }
 
-    /// Tells the peers the own outstanding work and the demand by owner.
+    /// Tells the peers the own outstanding work and the demand by owner. What has not changed is
+    /// told about once a second only: an idle entry would fill the bytes that control may cost.
     fn send_work(&mut self, now: Moment) {
         if now < self.load_sent + self.options.load_period {
             return;
@@ -95,10 +96,16 @@
         self.frames.retain(|id| census.members.get(id).is_some());
         let hooks = self.shared.hooks();
         let outstanding = (hooks.outstanding)();
-        self.mesh.broadcast(Body::Load(Load { outstanding }));
         let demand = (hooks.demand)();
         let pools = self.shared.pool_demand(now);
-        self.mesh.broadcast(Body::Shares(Shares { demand, pools }));
+        let load = Load { outstanding };
+        let shares = Shares { demand, pools };
+        if self.told.load.is_due(now, &load) {
+            self.mesh.broadcast(Body::Load(load));
+        }
+        if self.told.shares.is_due(now, &shares) {
+            self.mesh.broadcast(Body::Shares(shares));
+        }
     }
 
     /// While the log is out the state comes from the peer that has folded most. This is how an
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -27,6 +27,7 @@
 mod scopes;
 mod start;
 pub mod status;
+mod told;
 pub mod view;
 
 pub use edits::EditError;
