Make the request ids towards upstreams unique

Cause: a caller's x-request-id went on as it came, so that two callers with the same id, or two attempts of one call, could get each other's answers unnoticed. Change: each attempt carries the caller's id with a part of the entry's own; the caller gets back its own. Seen to fail: without the entry's part the second of two calls with equal ids gets the first one's answer with status 200. Conclusion: the test passes with it; all others pass unchanged.

--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -121,7 +121,11 @@
         engine: attempt.sending().upstream.to_string(),
         stream: work.worker.shared.ids.text(),
         entry: entry.name.clone(),
-        request: work.account.request().to_string(),
+        request: work
+            .request_header()
+            .to_str()
+            .unwrap_or_default()
+            .to_owned(),
     };
     let result = match asked.stream {
         true => streamed(work, place, &attempt, handle).await,
--- a/crates/entry/src/front/handler.rs
+++ b/crates/entry/src/front/handler.rs
@@ -253,6 +253,7 @@
                 headers: self.headers,
                 body,
                 deadline,
+                attempt_id: self.account.request().header(),
                 account: self.account,
                 ran: Ran::No,
                 began: Instant::now(),
--- a/crates/entry/src/work.rs
+++ b/crates/entry/src/work.rs
@@ -52,6 +52,8 @@
     pub ran: Ran,
     /// When the newest attempt began.
     pub began: Instant,
+    /// Id of the newest attempt.
+    pub attempt_id: HeaderValue,
 }
 
 impl Work {
@@ -60,9 +62,9 @@
         self.deadline.saturating_sub(self.worker.shared.clock.now())
     }
 
-    /// The id that the upstream must echo.
+    /// The id of the newest attempt, which the upstream must echo.
     pub fn request_header(&self) -> HeaderValue {
-        self.account.request().header()
+        self.attempt_id.clone()
     }
 
     /// Admits the request and waits until it may be sent.
@@ -142,6 +144,16 @@
     pub fn begin(&mut self, attempt: &Attempt) {
         self.account.upstream(&attempt.sending().upstream);
         self.began = Instant::now();
+        self.attempt_id = self.new_attempt_id();
+    }
+
+    /// The caller's id alone would not do: two callers may choose the same one, and then the answer
+    /// of one would pass for the other's; and a late answer to the first attempt must not pass for
+    /// that to the second.
+    fn new_attempt_id(&self) -> HeaderValue {
+        let request = self.account.request();
+        let id = format!("{request}~{}", self.worker.shared.ids.text());
+        HeaderValue::try_from(id).unwrap_or_else(|_| request.header())
     }
 
     /// Tells the control that an upstream answered the newest attempt.
--- a/crates/entry/tests/plain_calls.rs
+++ b/crates/entry/tests/plain_calls.rs
@@ -88,6 +88,30 @@
     );
 }
 
+// Symptom: a caller reads the answer to another caller's call, and the ids match.
+// Sequence: two callers give their calls the same id; the service answers the second with the id of
+// the first.
+// Cause: the callers' ids were taken for unique.
+#[actix_rt::test]
+async fn equal_ids_of_callers_do_not_hide_a_crossed_answer() {
+    let fleet = Fleet::start(0, 1, 1).await;
+    let caller = fleet.caller(0, LIMA);
+    let call = async |body: &str| {
+        let request = caller
+            .request("POST", "/kiosk/pay")
+            .insert_header(("x-request-id", "1"));
+        caller
+            .send(request, body.as_bytes().to_vec())
+            .await
+            .unwrap()
+    };
+    let first = call("mine").await;
+    assert_eq!((first.status, first.header("x-request-id")), (200, "1"));
+    fault(&fleet.services[0], json!({ "crossed": 1 })).await;
+    let crossed = call("yours").await;
+    assert_eq!((crossed.status, crossed.ran().as_str()), (502, "unknown"));
+}
+
 // Symptom: a charge is lost, or run twice by the caller's second try, because its connection broke.
 // Sequence: the caller goes away while the service works on the call.
 // Cause: the call was dropped with the caller's connection.
