Name the demand of pools in the size example

Cause: the frame of shares grew by the demand of pools; the lint of all targets failed on the example. Change: the field is named, empty as before. Before: it did not compile. After: the workspace's lint passes. Conclusion: run the lint of the whole workspace before a wire change lands.

--- a/crates/wire/examples/sizes.rs
+++ b/crates/wire/examples/sizes.rs
@@ -154,6 +154,7 @@
     };
     frame::Body::Shares(peer::Shares {
         demand: vec![demand; owners],
+        pools: Vec::new(),
     })
 }
 
