Let an owner's flood push out its own waiting requests

When the queue was full of one owner's requests, those of all others of the same class were refused. Now the owner with most waiting in the lowest class gives way, and a newcomer is refused only if its owner would be that one. The test fails with the rule removed on a scratch copy.

--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -9,7 +9,7 @@
 use crate::{
     class::Class,
     decision::Ticket,
-    request::{Model, Request},
+    request::{Model, Request, Subject},
     upstream,
 };
 
@@ -61,6 +61,8 @@
     bound: usize,
     classes: [Lines; Class::COUNT],
     counts: [usize; Class::COUNT],
+    /// Waiting requests by class and owner.
+    owners: [BTreeMap<Subject, usize>; Class::COUNT],
     tickets: HashMap<Ticket, Address>,
 }
 
@@ -71,6 +73,7 @@
             bound,
             classes: Default::default(),
             counts: [0; Class::COUNT],
+            owners: Default::default(),
             tickets: HashMap::new(),
         }
     }
@@ -124,6 +127,10 @@
             place: (request.deadline, ticket),
         };
         self.counts[address.class.rank()] += 1;
+        if let Some(owner) = request.owner() {
+            let owners = &mut self.owners[address.class.rank()];
+            *owners.entry(owner.clone()).or_default() += 1;
+        }
         self.classes[address.class.rank()]
             .entry(address.model.clone())
             .or_default()
@@ -141,6 +148,7 @@
             lines.remove(&address.model);
         }
         self.counts[address.class.rank()] -= 1;
+        self.leave(address.class, waiting.request.owner());
         Some(waiting)
     }
 
@@ -155,6 +163,19 @@
         all
     }
 
+    fn leave(&mut self, class: Class, owner: Option<&Subject>) {
+        let owners = &mut self.owners[class.rank()];
+        let Some(owner) = owner else {
+            return;
+        };
+        if let Some(count) = owners.get_mut(owner) {
+            *count -= 1;
+            if *count == 0 {
+                owners.remove(owner);
+            }
+        }
+    }
+
     /// First of each line in order of service: by class, then by deadline.
     pub fn heads(&self) -> SmallVec<[(Class, Ticket); 8]> {
         let mut heads: SmallVec<[(Class, Place); 8]> = SmallVec::new();
@@ -178,15 +199,31 @@
             .get(&address.place)
     }
 
-    /// Who has to go so that a request of this class fits into a full queue: the one of the lowest
-    /// class below it that has the most time left. None if nobody is below it.
-    pub fn victim(&self, class: Class) -> Option<Ticket> {
-        let below = Class::ALL[class.rank() + 1..].iter().rev();
-        let lines = below
-            .map(|lower| &self.classes[lower.rank()])
-            .find(|lines| !lines.is_empty())?;
-        let last = lines.values().filter_map(|line| line.keys().next_back());
-        last.max().map(|place| place.1)
+    /// Whether a request may push out another when the queue is full: one of a lower class, or one of
+    /// its class whose owner has more waiting than this one's would.
+    pub fn gives_way(&self, class: Class, owner: Option<&Subject>) -> bool {
+        let below = &self.counts[class.rank() + 1..];
+        if below.iter().any(|count| *count > 0) {
+            return true;
+        }
+        let owners = &self.owners[class.rank()];
+        let own = owner.and_then(|owner| owners.get(owner)).copied();
+        let own = own.unwrap_or(0) + 1;
+        owners.values().any(|count| *count > own)
+    }
+
+    /// Who has to go first: of the lowest class, and there of the owner who has most waiting, the
+    /// request that has the most time left. One owner's flood so pushes out its own requests and not
+    /// those of others.
+    pub fn victim(&self) -> Option<Ticket> {
+        let rank = self.counts.iter().rposition(|count| *count > 0)?;
+        let owners = self.owners[rank].iter();
+        let crowd = owners
+            .max_by_key(|(_, count)| **count)
+            .map(|(owner, _)| owner);
+        let lines = self.classes[rank].values().flatten();
+        let theirs = lines.filter(|(_, waiting)| waiting.request.owner() == crowd);
+        theirs.map(|(place, _)| *place).max().map(|place| place.1)
     }
 
     /// Waiting requests whose deadline cannot be met any more, given the requests a second that
--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -28,7 +28,7 @@
 pub struct Request {
     /// Pool that the catalogue's entry names.
     pub pool: pool::Id,
-    /// Whose limits apply: the owner's, and the catalogue entry's own where it has some.
+    /// Whose limits apply: the owner's first, then the catalogue entry's own where it has some.
     pub subjects: SmallVec<[Subject; 2]>,
     /// Class of the catalogue's entry.
     pub class: Class,
@@ -49,6 +49,11 @@
 }
 
 impl Request {
+    /// Whose request it is: the first of those whose limits apply.
+    pub fn owner(&self) -> Option<&Subject> {
+        self.subjects.first()
+    }
+
     /// All tokens that the request is expected to use, for owners' limits.
     pub fn tokens(&self) -> u64 {
         u64::from(self.prompt_tokens) + u64::from(self.output_tokens)
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -304,7 +304,8 @@
         if now + wait + pool.usual_time(now, &waiting.request) > waiting.request.deadline {
             return self.refuse(Reason::Deadline, wait);
         }
-        if pool.queue.is_full() && pool.queue.victim(class).is_none() {
+        let owner = waiting.request.owner();
+        if pool.queue.is_full() && !pool.queue.gives_way(class, owner) {
             return self.refuse(Reason::Overload(class), wait);
         }
         let ticket = self.number();
--- a/crates/routing/src/router/waiting.rs
+++ b/crates/routing/src/router/waiting.rs
@@ -9,7 +9,6 @@
 use super::{Backoff, Outputs, Router, SWEEP_EVERY};
 use crate::{
     admission::{Waiting, expected_wait},
-    class::Class,
     decision::{Decision, Output, Reason, Ticket},
     limit::Used,
     pool,
@@ -79,7 +78,7 @@
             if !pool.queue.is_over() {
                 return;
             }
-            let Some(ticket) = pool.queue.victim(Class::Authorisation) else {
+            let Some(ticket) = pool.queue.victim() else {
                 return;
             };
             let class = pool.queue.get(ticket).map(|waiting| waiting.request.class);
--- a/crates/routing/tests/admission.rs
+++ b/crates/routing/tests/admission.rs
@@ -116,6 +116,38 @@
     });
 }
 
+#[test]
+fn an_owner_that_floods_the_queue_pushes_out_its_own_requests() {
+    // Symptom: while one owner sends far too much, others of the same class are refused.
+    // Sequence: an owner fills the queue; a request of another owner of the same class comes.
+    // Cause: whoever comes when the queue is full is refused.
+    let pool = Config {
+        queue: 8,
+        ..config()
+    };
+    let mut router = router(pool, engines(1));
+    full(&mut router);
+    let flood: Vec<Ticket> = (0..8)
+        .map(|n| wait(&mut router, n, Class::Interactive, LATE + n))
+        .collect();
+    let of = |owner: &str| {
+        let mut request = request(Class::Interactive, ms(LATE));
+        request.subjects = smallvec![owner.into()];
+        request
+    };
+    for n in 0..4 {
+        let decision = router.admit(ms(20), of("brazos"));
+        assert_matches!(decision, Decision::Wait(_));
+        let shed = refused(&router.tick(ms(20)));
+        let expected = Reason::Overload(Class::Interactive);
+        assert_eq!(shed, [(flood[7 - n], expected)]);
+    }
+    for owner in ["brazos", "lima"] {
+        let decision = router.admit(ms(30), of(owner));
+        assert_matches!(decision, Decision::Refuse(_), "{owner}");
+    }
+}
+
 #[test]
 fn what_cannot_be_in_time_is_refused_at_once() {
     let mut router = router(config(), engines(1));
