--- a/crates/spec/src/lib.rs
+++ b/crates/spec/src/lib.rs
@@ -4,6 +4,7 @@
 //! counts and what is not covered stand in `docs/PROOFS.md`.
 
 pub mod calls;
+pub mod edits;
 pub mod explore;
 pub mod lease;
 pub mod log;
--- a/crates/spec/src/suite.rs
+++ b/crates/spec/src/suite.rs
@@ -2,7 +2,7 @@
 //! which must not.
 
 use crate::explore::Report;
-use crate::{calls, lease, orders};
+use crate::{calls, edits, lease, orders};
 
 /// States after which an exploration gives up; none of the cases comes near it.
 pub const LIMIT: usize = 1_000_000;
@@ -51,6 +51,8 @@
 const EXECUTED: &str = "a call is executed";
 const LATER: &str = "a later call is executed";
 const REPEAT: &str = "a repeat is answered";
+const EVERYWHERE: &str = "a second edit is in force everywhere";
+const AFTER_FORGETTING: &str = "an edit is in force after the log forgot it";
 const RESIDUE: &str = "what remains possible";
 
 /// All cases.
@@ -58,6 +60,7 @@
     let mut cases = lease_cases();
     cases.extend(order_cases());
     cases.extend(call_cases());
+    cases.extend(edit_cases());
     cases
 }
 
@@ -130,12 +133,18 @@
 fn order_cases() -> Vec<Case> {
     use orders::{Config, Mutant};
     let takeover = Config::takeover();
+    let faulty = Config {
+        horizon: 2,
+        faults: 2,
+        ..Config::takeover()
+    };
     let sequence = Config::sequence();
     let unfenced = Config::unfenced_takeover();
     let takeovers: &[&str] = &[CARRIED_OUT, TAKEN_OVER];
     let sequences: &[&str] = &[CARRIED_OUT, SECOND_ORDER];
     let mut cases = vec![
         order_case("order-takeover", takeovers, takeover.clone(), None),
+        order_case("order-takeover-faulty", takeovers, faulty, None),
         order_case("order-sequence", sequences, sequence.clone(), None),
         order_case("order-unfenced-takeover", takeovers, unfenced.clone(), None),
         order_case(
@@ -290,3 +299,40 @@
         explore: Box::new(move || calls::model(config.clone()).check(LIMIT)),
     }
 }
+
+fn edit_cases() -> Vec<Case> {
+    use edits::{Config, Mutant};
+    let seen: &[&str] = &[EVERYWHERE, AFTER_FORGETTING];
+    let mutants = [
+        (Mutant::AdoptAny, "adopt-any"),
+        (Mutant::AnyBase, "any-base"),
+        (Mutant::NoSnapshot, "no-snapshot"),
+    ];
+    let faulty = Config {
+        faults: 2,
+        ..Config::default()
+    };
+    let mut cases = vec![
+        edit_case("edit-race", seen, Config::default(), None),
+        edit_case("edit-race-faulty", seen, faulty, None),
+    ];
+    let mutants =
+        mutants.map(|mutant| edit_case("edit-race", &[], Config::default(), Some(mutant)));
+    cases.extend(mutants);
+    return cases;
+
+    fn edit_case(
+        name: &'static str,
+        must_show: &'static [&'static str],
+        mut config: Config,
+        mutant: Option<(Mutant, &'static str)>,
+    ) -> Case {
+        config.mutant = mutant.map(|(mutant, _)| mutant);
+        Case {
+            name,
+            mutant: mutant.map(|(_, name)| name),
+            must_show,
+            explore: Box::new(move || edits::model(config.clone()).check(LIMIT)),
+        }
+    }
+}
--- a/crates/spec/tests/suite.rs
+++ b/crates/spec/tests/suite.rs
@@ -41,3 +41,8 @@
 fn each_mutant_of_the_calls_has_a_counterexample() {
     judge(|case| case.mutant.is_some() && case.name.starts_with("call"));
 }
+
+#[test]
+fn edits_have_no_counterexample_and_their_mutants_have() {
+    judge(|case| case.name.starts_with("edit"));
+}
