--- a/crates/spec/src/edits.rs
+++ b/crates/spec/src/edits.rs
@@ -17,7 +17,7 @@
     AdoptAny,
     /// An edit is not compared with the revision that it is based on.
     AnyBase,
-    /// An entry that the log has left behind reads on without a snapshot.
+    /// An entry that the log has left behind reads on as if nothing had been forgotten.
     NoSnapshot,
 }
 
@@ -338,6 +338,11 @@
     if !behind {
         read_at(world, which, folded + 1);
     } else if config.mutant == Some(Mutant::NoSnapshot) {
+        // The fold refuses a hole, so the entry hands in nothing in place of what is missing.
+        for missing in folded + 1..=world.forgotten as u64 {
+            let (folded, _) = world.entries[which].after(missing, &Record::default());
+            world.entries[which] = Rc::new(folded);
+        }
         read_at(world, which, world.forgotten as u64 + 1);
     } else {
         let retained = world.log[world.forgotten..].iter();
