--- a/crates/filetests/tests/random.rs
+++ b/crates/filetests/tests/random.rs
@@ -88,6 +88,8 @@
         1 => entry().prop_map(|a| format!("leave {a}")),
         1 => engine().prop_map(|e| format!("engine {e} restart=1")),
         1 => Just("arrive".to_owned()),
+        1 => entry().prop_map(|a| format!("snapshot {a}")),
+        1 => Just("forget before=snapshot".to_owned()),
         4 => fault(),
         6 => time(),
         6 => Just("run for=12s".to_owned()),
@@ -211,7 +213,8 @@
     let start = [
         "start a b c",
         "list a b c as=entry",
-        "engine engine-1 engine-2 engine-3",
+        "engine engine-1 engine-2",
+        "engine engine-3 fences=ignored",
         "run for=2s",
     ];
     let begun = explore(changes(), &start, ": begins order");
