Spend less on views of many upstreams, and read far engines' reports no more

Entries read the reports of all engines up to 64, beyond that those of their own data centre. Frames of work and demand go out every 500 ms, the spacing for which choice and limits were measured.

--- a/crates/control/examples/fleet.rs
+++ b/crates/control/examples/fleet.rs
@@ -51,6 +51,9 @@
     /// Seconds over which the idle fleet is observed.
     #[arg(long, default_value_t = 20)]
     seconds: u64,
+    /// Engines that are listed besides, in other data centres, all at one address.
+    #[arg(long, default_value_t = 0)]
+    listed: usize,
     /// Term of the lease in milliseconds.
     #[arg(long, default_value_t = 3000)]
     lease_ms: u64,
@@ -80,11 +83,22 @@
     }
 
     async fn register(&self, id: &str, kind: Kind, pool: &str, address: SocketAddr) {
+        self.register_in("ate", id, kind, pool, address).await;
+    }
+
+    async fn register_in(
+        &self,
+        data_centre: &str,
+        id: &str,
+        kind: Kind,
+        pool: &str,
+        address: SocketAddr,
+    ) {
         let registration = Registration {
             id: id.to_owned(),
             kind,
             pool: pool.to_owned(),
-            data_centre: "ate".to_owned(),
+            data_centre: data_centre.to_owned(),
             address,
         };
         let base = format!("http://{}", self.platform);
@@ -307,6 +321,11 @@
     for engine in 0..arguments.engines {
         fleet.engine(&format!("engine-{engine}")).await;
     }
+    for number in 0..arguments.listed {
+        let (centre, id) = (format!("centre-{}", number % 20), format!("far-{number}"));
+        let (kind, address) = (Kind::Engine, fleet.platform);
+        fleet.register_in(&centre, &id, kind, "llm", address).await;
+    }
     let mut entries = BTreeMap::new();
     for entry in 0..count {
         let id = format!("entry-{entry:02}");
@@ -323,8 +342,8 @@
     })
     .await;
     println!(
-        "{count} entries, {} engines, lease {} ms",
-        arguments.engines, arguments.lease_ms
+        "{count} entries, {} engines and {} more listed, lease {} ms",
+        arguments.engines, arguments.listed, arguments.lease_ms
     );
     idle(&entries, arguments.seconds).await;
     let (each, last) = edits(&entries, arguments.edits).await;
--- a/crates/control/src/census.rs
+++ b/crates/control/src/census.rs
@@ -35,6 +35,8 @@
     closings: BTreeMap<Offset, String>,
     shown: BTreeMap<Offset, Shown>,
     doubted: u64,
+    /// Grows whenever the state of any upstream changes.
+    changes: u64,
 }
 
 impl Census {
@@ -49,6 +51,7 @@
             closings: BTreeMap::new(),
             shown: BTreeMap::new(),
             doubted: 0,
+            changes: 0,
         }
     }
 
@@ -60,6 +63,11 @@
         self.up_since.get(upstream).copied().unwrap_or_default()
     }
 
+    /// How often the state of an upstream changed.
+    pub(crate) fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Readings of the list that were not believed.
     pub(crate) fn doubted(&self) -> u64 {
         self.doubted
@@ -238,6 +246,7 @@
         for output in outputs {
             match output {
                 upstream::Output::Changed { id, was, state } => {
+                    self.changes += 1;
                     log::info!(upstream = id.as_str(), was:?, state:?; "upstream changed");
                     if *state == upstream::State::Live {
                         // At the first listing none is cold; its slow start is over.
--- a/crates/control/src/core/tick.rs
+++ b/crates/control/src/core/tick.rs
@@ -23,6 +23,9 @@
 /// Least time between two questions for a peer's state.
 const STATE_PERIOD: Duration = Duration::from_secs(1);
 
+/// Most engines of a fleet in which each entry reads the reports of all.
+const REPORTS_EVERYWHERE: usize = 64;
+
 /// Time between two steps of the planners of roles.
 const PLAN_PERIOD: Duration = Duration::from_secs(1);
 
@@ -72,12 +75,19 @@
         }
     }
 
-    /// Reads the engines' reports. Every entry reads every engine today; at the target size it
-    /// would read those of its own data centre only.
+    /// Reads the engines' reports: of all engines in a small fleet, else of those in the own data
+    /// centre, as hundreds of entries that each ask more than a thousand engines would be load of
+    /// their own.
     fn ask_reports(&mut self, now: Moment) {
         let upstreams = self.census.upstreams.iter();
-        let engines = upstreams.filter(|one| one.kind == Kind::Engine && one.listed.is_some());
-        let due = self.reports.due(now, engines.map(|one| one.id.as_str()));
+        let listed = upstreams.filter(|one| one.kind == Kind::Engine && one.listed.is_some());
+        let engines: Vec<&upstream::Upstream> = listed.collect();
+        let everywhere = engines.len() <= REPORTS_EVERYWHERE;
+        let own = &self.options.own.data_centre;
+        let near = engines
+            .into_iter()
+            .filter(|one| everywhere || one.data_centre == *own);
+        let due = self.reports.due(now, near.map(|one| one.id.as_str()));
         for id in due {
             if let Some(known) = self.census.upstreams.get(&id) {
                 self.engines.report(id, known.address.clone());
--- a/crates/control/src/options.rs
+++ b/crates/control/src/options.rs
@@ -92,7 +92,7 @@
             log_patience: Duration::from_secs(1),
             list_period: Duration::from_secs(1),
             report_period: Duration::from_secs(1),
-            load_period: Duration::from_millis(300),
+            load_period: Duration::from_millis(500),
             edit_patience: Duration::from_secs(10),
         }
     }
--- a/crates/control/src/publisher.rs
+++ b/crates/control/src/publisher.rs
@@ -81,7 +81,8 @@
     fn view(&mut self, parts: &Parts<'_>) -> View {
         let catalogue = self.catalogue(parts.ledger);
         let upstreams = parts.census.upstreams.iter();
-        let upstreams = upstreams.map(|one| upstream(parts, one));
+        let current = self.current();
+        let upstreams = upstreams.map(|one| upstream(parts, one, current.upstream(&one.id)));
         let peers = parts.census.members.iter().map(|one| peer(parts, one));
         View {
             sequence: 0,
@@ -113,16 +114,25 @@
     }
 }
 
-fn upstream(parts: &Parts<'_>, one: &upstream::Upstream) -> Upstream {
+/// The same text as in the view before where it did not change, so that a view of a thousand
+/// upstreams costs few allocations.
+fn text(known: Option<&Arc<str>>, text: &str) -> Arc<str> {
+    match known {
+        Some(known) if **known == *text => Arc::clone(known),
+        _ => Arc::from(text),
+    }
+}
+
+fn upstream(parts: &Parts<'_>, one: &upstream::Upstream, known: Option<&Upstream>) -> Upstream {
     let report = parts.census.report(&one.id);
     let settled = parts.ledger.authority().settled(&one.id);
     let settled_role = settled.and_then(|known| known.role).map(to_role);
     Upstream {
-        id: Arc::from(one.id.as_str()),
-        pool: Arc::from(one.pool.as_str()),
+        id: text(known.map(|known| &known.id), &one.id),
+        pool: text(known.map(|known| &known.pool), &one.pool),
         kind: one.kind,
-        data_centre: Arc::from(one.data_centre.as_str()),
-        address: Arc::from(one.address.as_str()),
+        data_centre: text(known.map(|known| &known.data_centre), &one.data_centre),
+        address: text(known.map(|known| &known.address), &one.address),
         state: one.state,
         role: match one.kind {
             Kind::Engine => report.map(|report| report.said.role).or(settled_role),
--- a/crates/control/src/scopes.rs
+++ b/crates/control/src/scopes.rs
@@ -43,6 +43,8 @@
     seed: Box<dyn FnMut() -> u64>,
     /// The newest renewal of each scope with the moment at which it was seen first.
     renewed: BTreeMap<String, (Offset, Moment)>,
+    /// The planners were told who serves as of this count of changes.
+    served: Option<u64>,
     leaving: bool,
     mismatches: u64,
 }
@@ -56,6 +58,7 @@
             scopes: BTreeMap::new(),
             seed,
             renewed: BTreeMap::new(),
+            served: None,
             leaving: false,
             mismatches: 0,
         }
@@ -105,6 +108,7 @@
             lease.restore(now, state);
             let planner = Planner::new(scope.clone(), Bounds::default(), self.pace, (self.seed)());
             self.scopes.insert(scope, Scope { lease, planner });
+            self.served = None;
         }
     }
 
@@ -208,10 +212,15 @@
                 carry_out(name, outputs, around);
             }
         }
+        let changes = around.census.changes();
+        let changed = self.served.replace(changes) != Some(changes);
         let names: Vec<String> = self.scopes.keys().cloned().collect();
         for name in names {
-            let serving = around.census.serving(&name);
-            self.plan(around, &name, planner::Input::Serving(serving));
+            let input = match changed {
+                true => planner::Input::Serving(around.census.serving(&name)),
+                false => planner::Input::Tick,
+            };
+            self.plan(around, &name, input);
             self.show_waits(around, &name);
         }
     }
