Conclude an order that the engine refuses for its token

Cause: an engine that knows a newer token than the order's refuses the order and its cancellation. The first sent the change back to Draining and from there to another send, the second was asked again, neither with an end: the engine stayed closed for new work for good. Found by a process test whose engine knows a token that is ahead of the fleet's.

Ruled out: a bound on the sends alone; the cancellation that follows is refused as well.

Change: the newer token bars the order as a cancellation would, so the change goes on at Barred, where the reading must show the token (or, at an engine that does not check, the delay must be over) before the outcome.

--- a/crates/authority/src/change.rs
+++ b/crates/authority/src/change.rs
@@ -296,7 +296,10 @@
         match receipt {
             Receipt::Accepted => self.step = Step::Running,
             Receipt::Unknown => self.enter(now, Step::Running),
-            Receipt::Busy { .. } | Receipt::Superseded { .. } => self.step = Step::Draining,
+            Receipt::Busy { .. } => self.step = Step::Draining,
+            // The newer token bars the order as a cancellation would. An order that is sent again
+            // and again is refused each time, and the engine would stay closed for good.
+            Receipt::Superseded { .. } => self.enter(now, Step::Barred),
             Receipt::Failed => (),
         }
     }
@@ -306,7 +309,7 @@
             return;
         }
         match receipt {
-            Receipt::Accepted => self.enter(now, Step::Barred),
+            Receipt::Accepted | Receipt::Superseded { .. } => self.enter(now, Step::Barred),
             _ => self.next = now + self.pace.poll,
         }
     }
--- a/crates/authority/tests/change.rs
+++ b/crates/authority/tests/change.rs
@@ -122,6 +122,20 @@
     assert!(!bench.engine(ENGINE).reading.is_running());
 }
 
+#[test]
+fn order_that_is_refused_for_its_token_is_undone() {
+    // Symptom: an engine stays closed for good, with its order being sent again and again.
+    // Sequence: the engine knows a token that is newer than any of this fleet.
+    // Cause: a refusal was taken for a reason to send once more, and so was that of the cancellation.
+    let mut bench = Bench::new(true);
+    bench.engine(ENGINE).reading.fence = 1_000_000;
+    bench.want_role(ENGINE);
+    bench.waiting(ENGINE, &[]);
+    bench.pass(8);
+    assert_eq!(bench.concluded, [(2, Verdict::Undone)]);
+    assert_eq!(bench.sends.len(), 1);
+}
+
 #[test]
 fn engine_that_restarts_partway_is_judged_by_its_state() {
     // Symptom: an engine is taken for changed although its restart undid the change.
