--- a/crates/entry/tests/fleet/mod.rs
+++ b/crates/entry/tests/fleet/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod changes;
 pub(crate) mod load;
 pub(crate) mod process;
+pub(crate) mod relay;
 
 use std::time::Duration;
 
@@ -40,8 +41,13 @@
 impl Fleet {
     /// A platform alone, without a catalogue.
     pub(crate) fn platform() -> Self {
+        Self::platform_with(&["--append-rate", "0"])
+    }
+
+    /// A platform with these options, without a catalogue.
+    pub(crate) fn platform_with(options: &[&str]) -> Self {
         Self {
-            platform: Process::standin("standin-platform", &["--append-rate", "0"]),
+            platform: Process::standin("standin-platform", options),
             engines: Vec::new(),
             services: Vec::new(),
             entries: Vec::new(),
@@ -54,9 +60,7 @@
     /// As [`Self::start`], with entries that know each other.
     pub(crate) async fn meshed(engines: usize, services: usize, entries: usize) -> Self {
         let mut fleet = Self::start(engines, services, 0).await;
-        fleet.meshed = true;
-        let ids: Vec<String> = (0..9).map(|index| format!("entry-{index}")).collect();
-        peer::issue::make(&fleet.directory.path().join("keys"), &ids).unwrap();
+        fleet.mesh();
         for _ in 0..entries {
             let index = fleet.add_entry();
             fleet.list_entry(index).await;
@@ -65,10 +69,16 @@
         fleet
     }
 
+    /// Makes the keys by which entries that start from now on know each other.
+    pub(crate) fn mesh(&mut self) {
+        self.meshed = true;
+        let ids: Vec<String> = (0..9).map(|index| format!("entry-{index}")).collect();
+        peer::issue::make(&self.directory.path().join("keys"), &ids).unwrap();
+    }
+
     /// Lists an entry under the address of its mesh.
     pub(crate) async fn list_entry(&self, index: usize) {
-        let operator = self.operator(index);
-        let status = operator.get("/admin/v1/status").await.unwrap().json();
+        let status = self.status(index).await;
         let address = status["peer_address"].as_str().unwrap();
         self.list(&format!("entry-{index}"), "entry", "", address)
             .await;
@@ -237,7 +247,7 @@
         all
     }
 
-    async fn list(&self, id: &str, kind: &str, pool: &str, address: &str) {
+    pub(crate) async fn list(&self, id: &str, kind: &str, pool: &str, address: &str) {
         let instance = json!({
             "id": id, "kind": kind, "pool": pool, "data_centre": "callao", "address": address,
         });
--- a/crates/standin/src/engine/control.rs
+++ b/crates/standin/src/engine/control.rs
@@ -92,7 +92,7 @@
     }))
 }
 
-/// What orders did since the start of the process, for tests that judge it.
+/// What orders did and what work came since the start of the process, for tests that judge it.
 pub(super) fn orders(engine: &Engine) -> Answer {
     let book = lock(&engine.book);
     let begun: Vec<_> = book.begun().collect();
@@ -100,6 +100,7 @@
         "begun": begun,
         "refused": book.refused(),
         "cut": engine.cut.load(Ordering::Relaxed),
+        "jobs": engine.jobs(),
     }))
 }
 
--- a/crates/standin/src/engine/state.rs
+++ b/crates/standin/src/engine/state.rs
@@ -108,6 +108,11 @@
         self.jobs.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Work that was taken since the start of the process.
+    pub(super) fn jobs(&self) -> u64 {
+        self.jobs.load(Ordering::Relaxed) - 1
+    }
+
     /// Whether the batch can ever run a job.
     pub(super) fn fits(&self, job: &Job) -> bool {
         lock(&self.core).batch.fits(job)
