Choose engines by affinity unless a pool says otherwise

Cause: both examples and the default of a pool still named DRILL (2,1), although the measurement in docs/design/choice.md speaks against its memory where views are stale. Before and after: not measured end to end in this commit. Conclusion: what the decision note chose is what runs.

--- a/crates/catalogue/src/pool.rs
+++ b/crates/catalogue/src/pool.rs
@@ -159,7 +159,7 @@
             roles: roles(&mut fields),
             role_change: role_change(&mut fields),
             checks_fence: fields.optional("checks_fence").unwrap_or(false),
-            choice: fields.word("choice", &CHOICES).unwrap_or(Choice::Drill),
+            choice: fields.word("choice", &CHOICES).unwrap_or(Choice::Affinity),
             planner: fields.word("planner", &PLANNERS).unwrap_or(Planner::Gain),
             queue_limit: fields
                 .positive_whole("queue_limit")
