Tell each reading of the list, give up control under unknown rules, flush claims at a stop

A doubted reading of the instance list is believed only when it is repeated, and the reader told changes only, so that a list whose service had started anew would never have been believed. A stop waits for outcomes of claims that are not written yet. Views are compared by revision in place of the entities.

Seen to fail first: with changes told only, a_list_that_stays_the_same_is_told_again fails; with the holder going on, a_holder_that_does_not_know_the_rules_gives_up fails.

--- a/crates/control/src/core/hands.rs
+++ b/crates/control/src/core/hands.rs
@@ -31,12 +31,16 @@
         self.flags.aborted = true;
     }
 
+    /// Gives the scopes up when the process leaves, or when the rules in force are unknown to it:
+    /// it would plan by pools that others see changed.
     pub(super) fn hand_over(&mut self, now: Moment) {
-        let Some(since) = self.flags.leaving_since else {
+        let frozen = self.ledger.catalogue().frozen().is_some();
+        let since = self.flags.leaving_since;
+        if self.flags.left || !(frozen || since.is_some()) {
             return;
-        };
-        let overdue = now >= since + HANDOVER || self.stop.is_some();
-        if !self.flags.left && (self.scopes.is_idle() || overdue) {
+        }
+        let overdue = since.is_some_and(|since| now >= since + HANDOVER);
+        if self.scopes.is_idle() || overdue || self.stop.is_some() || frozen {
             self.flags.left = true;
             let (scopes, around) = self.split(now);
             scopes.leave(&around);
@@ -48,7 +52,9 @@
         let Some(stop) = &self.stop else {
             return self.flags.aborted;
         };
-        let handed = self.flags.left && self.scopes.is_released() && self.calls.held() == 0;
+        // A wake-up is due as long as claims or outcomes are to be written or read back.
+        let told = self.calls.held() == 0 && self.calls.next_wake().is_none();
+        let handed = self.flags.left && self.scopes.is_released() && told;
         handed || self.clock.now() >= stop.until
     }
 }
--- a/crates/control/src/view.rs
+++ b/crates/control/src/view.rs
@@ -114,7 +114,7 @@
 }
 
 /// One state of the world.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug)]
 pub struct View {
     /// Grows with each view of this process.
     pub sequence: u64,
@@ -136,6 +136,30 @@
     pub peers: Arc<[Peer]>,
 }
 
+impl PartialEq for View {
+    /// The revision stands for the catalogue: comparing thousands of entities ten times a second
+    /// would cost more than all else.
+    fn eq(&self, other: &Self) -> bool {
+        let known = |view: &Self| view.catalogue.is_some();
+        (
+            self.sequence,
+            self.ready,
+            self.revision,
+            self.folded,
+            self.log,
+        ) == (
+            other.sequence,
+            other.ready,
+            other.revision,
+            other.folded,
+            other.log,
+        ) && known(self) == known(other)
+            && self.reasons == other.reasons
+            && self.upstreams == other.upstreams
+            && self.peers == other.peers
+    }
+}
+
 impl View {
     /// The view before anything is known.
     pub fn empty() -> Self {
--- a/crates/control/tests/control/fleet.rs
+++ b/crates/control/tests/control/fleet.rs
@@ -168,6 +168,17 @@
         self.clock
     }
 
+    /// Appends a record of somebody else.
+    pub(crate) async fn append(&self, body: Body) {
+        let log = platform::Log::new(&platform::Options::new(format!("http://{}", self.platform)));
+        let record = Record {
+            body: Some(body),
+            ..Record::default()
+        };
+        let appended = log.append(record.encode_to_vec().into()).await;
+        appended.expect("the log takes it");
+    }
+
     /// All records of the log.
     pub(crate) async fn log(&self) -> Vec<Body> {
         let log = platform::Log::new(&platform::Options::new(format!("http://{}", self.platform)));
--- a/crates/control/tests/control/race.rs
+++ b/crates/control/tests/control/race.rs
@@ -4,6 +4,8 @@
 
 use catalogue::Refusal;
 use control::EditError;
+use control::view::Reason;
+use wire::record::RulesRaise;
 use wire::record::record::Body;
 
 use crate::fleet::{CATALOGUE, Fleet, document, status, view};
@@ -84,3 +86,31 @@
     assert_eq!(taken.scopes[0].holder, "entry-1");
     assert!(taken.scopes[0].fence > fence);
 }
+
+// Symptom: roles change against the bounds that operators have set.
+// Sequence: the rules are raised beyond the software of the holder, which goes on planning.
+// Cause: authority that does not ask whether the catalogue is still followed.
+#[actix_rt::test]
+async fn a_holder_that_does_not_know_the_rules_gives_up() {
+    let fleet = Fleet::start(&[]).await;
+    let control = fleet.control(fleet.options("entry-0"));
+    let revision = control
+        .submit_edit(&document(CATALOGUE))
+        .await
+        .expect("it is valid");
+    status(&control, |status| {
+        status.scopes.iter().any(|scope| scope.lease_ms > 0)
+    })
+    .await;
+    fleet
+        .append(Body::RulesRaise(RulesRaise { rules: 99 }))
+        .await;
+    let frozen = status(&control, |status| {
+        status.scopes.iter().all(|scope| scope.released)
+    })
+    .await;
+    assert!(frozen.ready && frozen.catalogue.revision == revision);
+    assert!(frozen.reasons.contains(&Reason::FrozenRules));
+    let late = control.submit_edit(&document(CATALOGUE)).await;
+    assert_eq!(late, Err(EditError::Undecided(99)));
+}
--- a/crates/platform/src/instances.rs
+++ b/crates/platform/src/instances.rs
@@ -96,7 +96,7 @@
 }
 
 impl Poll {
-    /// The newest list, `None` before the first. It is a change only if its content changed.
+    /// The newest list, `None` before the first. Each reading is told, also one that is the same.
     pub fn listing(&self) -> watch::Receiver<Option<Arc<Listing>>> {
         self.listing.clone()
     }
@@ -118,7 +118,9 @@
         let pause = match instances.read().await {
             Ok(listing) => {
                 backoff.reset();
-                sender.send_if_modified(|held| replace(held, listing));
+                // Also one that did not change: whoever doubts a reading believes it only when it
+                // is read again and again.
+                sender.send_replace(Some(Arc::new(listing)));
                 period
             }
             Err(report) => {
@@ -130,14 +132,6 @@
     }
 }
 
-fn replace(held: &mut Option<Arc<Listing>>, listing: Listing) -> bool {
-    if held.as_deref() == Some(&listing) {
-        return false;
-    }
-    *held = Some(Arc::new(listing));
-    true
-}
-
 fn accepted(status: StatusCode) -> Result<(), Report<ListError>> {
     if status.is_success() {
         return Ok(());
--- a/crates/platform/tests/client/instances.rs
+++ b/crates/platform/tests/client/instances.rs
@@ -39,3 +39,19 @@
     listing.changed().await.unwrap();
     assert_eq!(listing.borrow_and_update().as_ref().unwrap().version, 8);
 }
+
+// Symptom: an entry goes on with an old list for ever after the list's service lost its state.
+// Sequence: the new list is doubted, and must be repeated to be believed; it does not change.
+// Cause: a reader that tells changes only.
+#[actix_rt::test]
+async fn a_list_that_stays_the_same_is_told_again() {
+    let fake = Fake::start(vec![ok(LISTING), ok(LISTING)]).await;
+    let instances = Instances::new(&Options::new(fake.base()));
+    let poll = instances.poll(Duration::from_millis(1), Box::new(|| 0.0));
+    let mut listing = poll.listing();
+    for _ in 0..2 {
+        let changed = actix_rt::time::timeout(Duration::from_secs(10), listing.changed()).await;
+        changed.expect("each reading is told").unwrap();
+        assert_eq!(listing.borrow_and_update().as_ref().unwrap().version, 7);
+    }
+}
