Say what a restart of a fence-checking engine leaves open, and explore it

The exploration shows that a copy which arrives after such a restart acts whatever its delay, because the outcome does not wait there. Ruled out for now: the quarantine and the delay before each outcome at all engines, which would keep an engine 5 s longer out of routing at every change.

--- a/crates/spec/src/orders/config.rs
+++ b/crates/spec/src/orders/config.rs
@@ -125,6 +125,16 @@
         }
     }
 
+    /// A holder and its successor before an engine that checks fences and may restart: what remains
+    /// possible.
+    pub fn restart_residue() -> Self {
+        Self {
+            restarts: true,
+            forgets: false,
+            ..Self::takeover()
+        }
+    }
+
     /// The lease in ticks. Renewals are left out of this model; without a challenger they would be
     /// read back each time, so the lease is long.
     pub(super) fn lease(&self) -> u32 {
--- a/crates/spec/src/orders/world.rs
+++ b/crates/spec/src/orders/world.rs
@@ -79,6 +79,8 @@
     pub(super) faults: u32,
     /// Whether the engine does not know its cancellations any more.
     pub(super) forgot: bool,
+    /// Whether the engine has restarted.
+    pub(super) restarted: bool,
     /// Whether an order began later than the procedure for engines that ignore fences assumes.
     pub(super) late: bool,
     pub(super) broken: Option<&'static str>,
--- a/crates/spec/src/suite.rs
+++ b/crates/spec/src/suite.rs
@@ -154,6 +154,12 @@
             None,
         ),
         order_case("order-residue", &[RESIDUE], Config::residue(), None),
+        order_case(
+            "order-restart-residue",
+            &[RESIDUE],
+            Config::restart_residue(),
+            None,
+        ),
     ];
     let mutants = [
         ("order-takeover", &takeover, Mutant::NoClosing, "no-closing"),
