--- a/crates/spec/src/edits.rs
+++ b/crates/spec/src/edits.rs
@@ -4,11 +4,13 @@
 
 use crate::explore::Model;
 use catalogue::{Applied, State, Verdict};
-use std::hash::{Hash, Hasher};
+use kept::{Folded, Letter};
 use std::rc::Rc;
-use wire::Message;
 use wire::record::record::Body;
-use wire::record::{Change, Edit, Record, Snapshot};
+use wire::record::{Change, Edit, Record};
+
+mod describe;
+mod kept;
 
 /// A guard that is taken away.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
@@ -48,59 +50,6 @@
     }
 }
 
-/// A folded catalogue, compared by what a snapshot of it holds.
-#[derive(Clone, Debug)]
-struct Folded {
-    state: State,
-    snapshot: Snapshot,
-}
-
-impl Folded {
-    fn new(state: State) -> Self {
-        let snapshot = state.snapshot().unwrap_or_default();
-        Self { state, snapshot }
-    }
-
-    /// After one more record.
-    fn after(&self, offset: u64, record: &Record) -> (Self, Applied) {
-        let mut state = self.state.clone();
-        let applied = state.apply(offset, record);
-        (Self::new(state), applied)
-    }
-
-    fn sealed(&self) -> Snapshot {
-        let mut snapshot = self.snapshot.clone();
-        catalogue::seal(&mut snapshot);
-        snapshot
-    }
-}
-
-impl PartialEq for Folded {
-    fn eq(&self, other: &Self) -> bool {
-        self.snapshot == other.snapshot
-    }
-}
-
-impl Eq for Folded {}
-
-impl Hash for Folded {
-    fn hash<H: Hasher>(&self, hasher: &mut H) {
-        self.snapshot.encode_to_vec().hash(hasher);
-    }
-}
-
-/// A record on its way or in the log.
-#[derive(Clone, Debug, PartialEq)]
-struct Letter(Rc<Record>);
-
-impl Eq for Letter {}
-
-impl Hash for Letter {
-    fn hash<H: Hasher>(&self, hasher: &mut H) {
-        self.0.encode_to_vec().hash(hasher);
-    }
-}
-
 /// A state of the model.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct World {
@@ -149,7 +98,6 @@
 }
 
 const ENTRIES: usize = 2;
-const NAMES: [&str; ENTRIES] = ["a", "b"];
 
 /// The model within these bounds.
 pub fn model(config: Config) -> Model<Config, World, Event> {
@@ -170,7 +118,7 @@
         config,
         start,
         next,
-        describe,
+        describe: describe::describe,
         violation: |_, world| world.broken,
         shows,
     }
@@ -393,35 +341,6 @@
     }
 }
 
-fn describe(_: &Config, world: &World, event: &Event) -> String {
-    let record = |letter: &Letter| match &letter.0.body {
-        Some(Body::Edit(edit)) => {
-            format!("the edit of {} based on {}", edit.operator, edit.note)
-        }
-        Some(Body::Snapshot(snapshot)) => format!("the snapshot up to {}", snapshot.upto),
-        _ => "a record".to_owned(),
-    };
-    let append = |index: usize| record(&world.appends[index]);
-    let offer = |index: usize| {
-        let (to, letter) = &world.offers[index];
-        format!("{} is offered to {}", record(letter), NAMES[*to])
-    };
-    match *event {
-        Event::Edit(which) => format!("an operator edits at {}", NAMES[which]),
-        Event::WriteSnapshot(which) => format!("{} appends a snapshot", NAMES[which]),
-        Event::Offer(which) => format!("{} offers its catalogue", NAMES[which]),
-        Event::Take(index) => offer(index),
-        Event::TakeTwice(index) => format!("{}, a copy stays", offer(index)),
-        Event::Land(index) => format!("{} lands", append(index)),
-        Event::LandTwice(index) => format!("{} lands, a copy stays", append(index)),
-        Event::Lose(index) => format!("{} is lost", append(index)),
-        Event::Read(which) => format!("{} reads on", NAMES[which]),
-        Event::ReadAgain(which) => format!("{} reads its last record again", NAMES[which]),
-        Event::Forget => "the log forgets what is before its newest snapshot".to_owned(),
-        Event::Crash(which) => format!("{} crashes and starts again", NAMES[which]),
-    }
-}
-
 fn shows(_: &Config, world: &World) -> Vec<&'static str> {
     let mut shown = Vec::new();
     let in_force = |entry: &Rc<Folded>| entry.state.revision();
--- a/crates/spec/src/lease.rs
+++ b/crates/spec/src/lease.rs
@@ -13,6 +13,8 @@
 use std::time::Duration;
 use wire::record::record::Body;
 
+mod describe;
+
 /// A guard that is taken away.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Mutant {
@@ -177,7 +179,7 @@
         config,
         start,
         next,
-        describe,
+        describe: describe::describe,
         violation,
         shows,
     }
@@ -357,28 +359,6 @@
     }
 }
 
-fn describe(config: &Config, world: &World, event: &Event) -> String {
-    let parcel = |index: usize| &world.flight[index].1;
-    let name = |which: usize| NAMES[which];
-    match *event {
-        Event::Tick => format!("time passes, {} ticks in all", world.now + 1),
-        Event::Act(which) => format!("{} does what is due", name(which)),
-        Event::ReadOne(which) => format!("{} reads one record", name(which)),
-        Event::ReadAll(which) => {
-            let read = apply(config, world, event);
-            let sent = read.flight.iter().filter(|(from, _)| *from == which);
-            let sent: Vec<_> = sent.map(|(_, parcel)| format!("{parcel:?}")).collect();
-            let sent = sent.join(", ");
-            format!("{} reads to the end; on its way: [{sent}]", name(which))
-        }
-        Event::Land(index) => format!("{:?} lands", parcel(index)),
-        Event::LandTwice(index) => format!("{:?} lands, a copy stays", parcel(index)),
-        Event::Lose(index) => format!("{:?} is lost", parcel(index)),
-        Event::Crash(which) => format!("{} crashes and starts again", name(which)),
-        Event::Leave(which) => format!("{} shuts down", name(which)),
-    }
-}
-
 fn violation(config: &Config, world: &World) -> Option<&'static str> {
     let acting = 0..world.processes.len();
     let acting = acting.filter(|which| may_act(config, world, *which));
