Test an entry that alone loses the log, and the end of an operator's drain

Seen to fail first: with peers asked until the start is over only, an_entry_cut_off_from_the_log_follows_its_peers fails; with operators' drains not gathered, a_drain_is_done_when_every_entry_has_nothing_open fails.

--- a/crates/control/tests/control/orders.rs
+++ b/crates/control/tests/control/orders.rs
@@ -168,3 +168,45 @@
     );
     two.stop(Duration::from_secs(2)).await;
 }
+
+// Symptom: an operator takes an upstream away that still has streams.
+// Sequence: a drain is made while an entry has one open there.
+// Cause: a drain that is called done when it is in force.
+#[actix_rt::test]
+async fn a_drain_is_done_when_every_entry_has_nothing_open() {
+    let (_fleet, one, two) = start(&[]).await;
+    let plane = Plane::default();
+    plane.open.store(2, Ordering::SeqCst);
+    plane.applied.store(u64::MAX, Ordering::SeqCst);
+    plane.attach(&two);
+    let mut drain = document(
+        "{operator: luz, changes: [{kind: drain, name: engine-0, value: {reason: trial}}]}",
+    );
+    drain.base_revision = one.view().revision;
+    one.submit_edit(&drain).await.expect("it is valid");
+    let waits = |status: &control::Status, what: &str| {
+        status
+            .drains
+            .iter()
+            .any(|drain| drain.upstream == "engine-0" && drain.waits == what)
+    };
+    status(&one, |status| waits(status, "entry-1 to finish 2")).await;
+    for control in [&one, &two] {
+        view(control, |view| {
+            view.upstream("engine-0").is_some_and(|one| !one.open)
+        })
+        .await;
+    }
+    plane.open.store(0, Ordering::SeqCst);
+    status(&one, |status| waits(status, "")).await;
+    let mut lifted = document("{operator: luz, changes: [{kind: drain, name: engine-0}]}");
+    lifted.base_revision = one.view().revision;
+    one.submit_edit(&lifted).await.expect("it is valid");
+    for control in [&one, &two] {
+        view(control, |view| {
+            view.upstream("engine-0").is_some_and(|one| one.open)
+        })
+        .await;
+    }
+    assert!(one.status().await.expect("it runs").drains.is_empty());
+}
--- a/crates/control/tests/control/outage.rs
+++ b/crates/control/tests/control/outage.rs
@@ -113,3 +113,29 @@
     .await;
     control.stop(Duration::from_secs(2)).await;
 }
+
+// Symptom: an entry goes on with a catalogue that all others have replaced, and sends work to
+// upstreams that they have closed.
+// Sequence: one entry alone loses the log; edits are made at the others.
+// Cause: peers that are asked at the start only.
+#[actix_rt::test]
+async fn an_entry_cut_off_from_the_log_follows_its_peers() {
+    let fleet = Fleet::start(&[]).await;
+    let first = fleet.entry(fleet.member("entry-0")).await;
+    first
+        .submit_edit(&document(CATALOGUE))
+        .await
+        .expect("it is valid");
+    let mut options = fleet.member("entry-1");
+    options.log = platform::Options::new("http://127.0.0.1:1");
+    let cut_off = fleet.entry(options).await;
+    view(&cut_off, |view| view.ready).await;
+    let mut drain = document(
+        "{operator: luz, changes: [{kind: drain, name: service-0, value: {reason: trial}}]}",
+    );
+    drain.base_revision = first.view().revision;
+    let revision = first.submit_edit(&drain).await.expect("it is valid");
+    let seen = view(&cut_off, |view| view.revision == revision).await;
+    assert_ne!(seen.log, Log::Up);
+    assert!(seen.upstream("service-0").is_some_and(|one| !one.open));
+}
