Check the overrides of the policy, list the metrics, and test a failed transfer

Cause: policy.* of the settings was read by nobody; the metrics stood on no page; the fall-back of a KV transfer was not tested. Change: policy.choice and policy.transfer override the catalogue's pools on one instance, and check finds bad ones; docs/OPERATORS.md lists the metrics from their one table, which a test keeps fresh; a test lets engines refuse exports and imports and sees the fall-back in the metrics it receives. Found by the test: with one engine that can answer, the router sets it aside as slow and then refuses everything as if there were none; told to the owner of the routing, not mended here.

--- a/crates/entry/src/command.rs
+++ b/crates/entry/src/command.rs
@@ -8,6 +8,7 @@
 use settings::{Settings, Source};
 
 use crate::daemon;
+use crate::policy::Overrides;
 
 /// Exit code when the settings have findings.
 const BAD_SETTINGS: u8 = 2;
@@ -106,10 +107,12 @@
     let mut source = Source::from_yaml(&text);
     source.set(set);
     source.environment(|name| std::env::var(name).ok());
-    source
+    let settings = source
         .check()
         .change_context(Failure::Settings)
-        .attach_with(|| path.display().to_string())
+        .attach_with(|| path.display().to_string())?;
+    Overrides::try_from(&settings.policy).change_context(Failure::Settings)?;
+    Ok(settings)
 }
 
 /// `RUST_LOG` goes before the settings, for a look at one module.
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -19,6 +19,7 @@
 use crate::hold::Answers;
 use crate::hooks::hooks;
 use crate::metrics::{self, Metric, Metrics};
+use crate::policy::Overrides;
 use crate::process::phase::{Life, Phase};
 use crate::process::pulse::{BEAT, Pulse};
 use crate::shared::Shared;
@@ -32,6 +33,8 @@
 /// Why the daemon ended with an error.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
+    /// The overrides of the policy are not good.
+    Policy,
     /// The control did not start.
     Control,
     /// An address could not be bound.
@@ -47,6 +50,7 @@
 impl std::fmt::Display for Failure {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str(match self {
+            Self::Policy => "the overrides of the policy are not good",
             Self::Control => "the control did not start",
             Self::Bind => "an address could not be bound",
             Self::Signals => "signals cannot be received",
@@ -103,6 +107,7 @@
         random.random(),
     );
     Ok(Shared {
+        policy: Overrides::try_from(&settings.policy).change_context(Failure::Policy)?,
         control,
         applied: AtomicU64::new(0),
         resumed: Resumed::default(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod metrics;
 pub mod once;
 pub mod plain;
+pub mod policy;
 pub mod process;
 pub mod resume;
 pub mod shared;
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -14,6 +14,7 @@
 use crate::front::request_id;
 use crate::hold::Answers;
 use crate::metrics::Metrics;
+use crate::policy::Overrides;
 use crate::process::phase::Life;
 use crate::process::pulse::Pulse;
 use crate::stream::resumed::Resumed;
@@ -26,6 +27,8 @@
 pub struct Shared {
     /// Settings of the process.
     pub settings: Settings,
+    /// Overrides of the routing policy.
+    pub policy: Overrides,
     /// Clock of all moments.
     pub clock: System,
     /// The control of this process.
--- a/crates/entry/src/world.rs
+++ b/crates/entry/src/world.rs
@@ -17,6 +17,7 @@
 use routing::router::Router;
 use routing::upstream;
 
+use crate::policy::Overrides;
 use crate::shared::Shared;
 
 /// One-way time to an upstream in the same data centre.
@@ -40,6 +41,7 @@
             let step = Step {
                 now,
                 data_centre,
+                policy: &shared.policy,
                 before: &before,
                 view: &view,
             };
@@ -62,6 +64,7 @@
 struct Step<'a> {
     now: Moment,
     data_centre: &'a str,
+    policy: &'a Overrides,
     before: &'a View,
     view: &'a View,
 }
@@ -88,7 +91,8 @@
         let pools = catalogue
             .names(Kind::Pool)
             .filter_map(|name| catalogue.pool(name));
-        router.set_pools(self.now, pools.map(config).collect());
+        let configs = pools.map(|pool| config(pool, self.policy));
+        router.set_pools(self.now, configs.collect());
         router.set_terms(self.now, terms(catalogue));
     }
 
@@ -234,12 +238,12 @@
     }
 }
 
-fn config(pool: &Pool) -> Config {
+fn config(pool: &Pool, overrides: &Overrides) -> Config {
     let apart = pool.span(Role::Prefill).is_some() && pool.span(Role::Decode).is_some();
     let mut config = Config::new(pool.name.as_str());
-    config.policy = policy(pool.choice);
+    config.policy = overrides.choice.unwrap_or_else(|| policy(pool.choice));
     config.queue = pool.queue_limit as usize;
-    if pool.kind == PoolKind::Engine && apart {
+    if pool.kind == PoolKind::Engine && apart && overrides.transfer != Some(false) {
         config.transfer = TRANSFER;
     }
     config
--- a/crates/entry/tests/guards.rs
+++ b/crates/entry/tests/guards.rs
@@ -9,6 +9,7 @@
 use entry::front::prompt::Prompt;
 use entry::front::{deadline, headers, path};
 use entry::metrics::TABLE;
+use entry::policy::Overrides;
 use entry::process::phase::{Life, Phase};
 use entry::process::pulse::Pulse;
 use entry::upstream::failure::Failure;
@@ -133,6 +134,23 @@
     }
 }
 
+#[test]
+fn the_operators_page_lists_all_metrics() {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/OPERATORS.md");
+    let page = std::fs::read_to_string(path).unwrap();
+    let table = entry::metrics::page("tarragon");
+    assert!(page.contains(&table), "the section Metrics wants:\n{table}");
+}
+
+#[test]
+fn overrides_of_the_policy_are_checked() {
+    let given = |key: &str, value: &str| [(key.to_owned(), value.to_owned())].into();
+    assert!(Overrides::try_from(&given("choice", "drill")).is_ok());
+    assert!(Overrides::try_from(&given("choice", "best")).is_err());
+    assert!(Overrides::try_from(&given("transfer", "false")).is_ok());
+    assert!(Overrides::try_from(&given("choise", "drill")).is_err());
+}
+
 #[test]
 fn the_table_of_metrics_is_in_the_order_of_its_enum() {
     for (index, (metric, _, _, _)) in TABLE.iter().enumerate() {
--- a/crates/entry/tests/streams.rs
+++ b/crates/entry/tests/streams.rs
@@ -190,3 +190,66 @@
     assert_eq!(streamed.text, expected_text(prompt, 3_000));
     each_once(&streamed.ids);
 }
+
+// Symptom: requests fail, or wait for ever, while engines cannot hand their caches over.
+// Sequence: prefill and decode run on two engines; then the engines refuse exports and imports.
+// Cause: the transfer was taken for a part of the request that must succeed.
+#[actix_rt::test]
+async fn a_failed_transfer_of_the_cache_falls_back_to_one_engine() {
+    let mut fleet = Fleet::platform();
+    let mut catalogue = fleet::catalogue::usual();
+    let pool = catalogue
+        .iter_mut()
+        .find(|(_, name, _)| *name == "llm-pool");
+    let pool = &mut pool.unwrap().2;
+    pool["planner"] = json!("static");
+    pool["roles"] = json!({
+        "prefill": { "min": 1, "max": 4, "initial": 1 },
+        "decode": { "min": 1, "max": 4, "initial": 1 },
+    });
+    fleet.publish(&catalogue).await;
+    // The decoding engine prefills so slowly that two engines are worth the transfer.
+    for (role, prefill) in [("prefill", "50"), ("decode", "5000")] {
+        // With its model, so that no order to load it takes the engine away.
+        let options = [
+            "--role",
+            role,
+            "--time-scale",
+            "10",
+            "--prefill-token-us",
+            prefill,
+            "--model",
+            "llm@1",
+        ];
+        fleet.add_engine(&options).await;
+    }
+    let collector = std::net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    collector.set_nonblocking(true).unwrap();
+    let address = collector.local_addr().unwrap();
+    fleet.settings = vec![format!("statsd.address={address}")];
+    fleet.add_entry();
+    fleet.ready().await;
+    let caller = fleet.caller(0, LIMA);
+    let prompt = |n: u32| format!("question {n}: {}", "word ".repeat(400));
+    for engine in &fleet.engines {
+        fault(engine, json!({ "kv": "refuse" })).await;
+    }
+    let mut n = 0;
+    // Until a transfer is tried, which the router does once it knows the engines' speeds.
+    eventually("a fall-back is counted", async || {
+        n += 1;
+        let streamed = caller.stream("kiosk", &prompt(n), 20, usize::MAX).await;
+        // The router may find the one decoding engine too slow for a while, and says so at once.
+        if streamed.status != 503 {
+            assert!(streamed.done, "{streamed:?}");
+            assert_eq!(streamed.text, expected_text(&prompt(n), 20));
+        }
+        let mut buffer = [0; 2048];
+        let mut counted = false;
+        while let Ok(read) = collector.recv(&mut buffer) {
+            counted |= String::from_utf8_lossy(&buffer[..read]).contains("kv.fallbacks:");
+        }
+        counted
+    })
+    .await;
+}
--- a/crates/settings/src/page.rs
+++ b/crates/settings/src/page.rs
@@ -17,8 +17,9 @@
 ";
 
 const TAIL: &str = "
-Keys under `policy` override the routing policy of this instance for trials; `crates/routing` names
-and checks them.
+Keys under `policy` override, on this instance and for trials only, what the catalogue's pools say:
+`policy.choice` (`round-robin`, `random`, `least-outstanding`, `two-choices`, `drill`, `scan`, `prefix-hash`,
+`affinity`) for all pools, and `policy.transfer` (`false` keeps prefill and decode on one engine).
 ";
 
 /// The whole text of `docs/SETTINGS.md`.
