Let the authority refuse a record behind a gap, as the catalogue does

Cause: the catalogue refuses a record whose predecessor was not folded and the book of claims notes the hole, but the state of the authority folded on. Only the ledger of the control plane kept it from doing so; any other reader that lost a record would have taken a former holder for the present one.

Ruled out: to note the hole and fold on, as the book of claims does.

Change: State::apply answers Effect::Gap with the first missing offset and changes nothing.

Seen to fail first without the guard: record_behind_a_gap_changes_nothing got the former holder's intent as Intended. With it the tests of authority, filetests and spec and the unit tests of control pass.

--- a/crates/authority/src/effect.rs
+++ b/crates/authority/src/effect.rs
@@ -12,6 +12,12 @@
     Other,
     /// The offset was folded before.
     Repeated,
+    /// Records before it were left out, so that it can't be judged; nothing changed. A snapshot
+    /// must be adopted that covers them.
+    Gap {
+        /// The first offset that is missing.
+        missing: Offset,
+    },
     /// The scope has a new holder.
     Claimed {
         /// The scope.
--- a/crates/authority/src/state.rs
+++ b/crates/authority/src/state.rs
@@ -133,12 +133,21 @@
             .count()
     }
 
-    /// Takes in the record at `offset`. Records come in the order of their offsets; one that was
-    /// folded before is passed over, so a record that is delivered twice does no harm.
+    /// Takes in the record at `offset`. All records are handed in, whatever they hold; one that was
+    /// folded before is passed over, so a record that is delivered twice does no harm, but none may
+    /// be left out.
     pub fn apply(&mut self, offset: Offset, record: &Record) -> Effect {
         if offset <= self.folded {
             return Effect::Repeated;
         }
+        // A record that was left out may hold the claim in force or an intent. Folding on without
+        // it would show as a former holder whose orders count, or as an upstream that gets work
+        // while another process reconfigures it.
+        if offset > self.folded + 1 {
+            return Effect::Gap {
+                missing: self.folded + 1,
+            };
+        }
         self.folded = offset;
         match Statement::read(record) {
             Ok(None) => Effect::Other,
--- a/crates/authority/tests/state.rs
+++ b/crates/authority/tests/state.rs
@@ -157,6 +157,26 @@
     assert_eq!(state.folded(), 3);
 }
 
+#[test]
+fn record_behind_a_gap_changes_nothing() {
+    // Symptom: a former holder's order counts after another instance has claimed the scope.
+    // Sequence: a holds; a reader loses the record with b's claim and gets the next one.
+    // Cause: the fold would go on from a claim that is no longer in force.
+    let (mut state, _) = fold(&[claim("a", 0, 0)]);
+    let before = state.clone();
+    let behind = intent("a", 1, "engine-1", 0);
+    assert_eq!(state.apply(3, &behind), Effect::Gap { missing: 2 });
+    assert_eq!(state, before);
+    assert_matches!(
+        state.apply(2, &claim("b", 1, 1)),
+        Effect::Claimed { fence: 2, .. }
+    );
+    assert_eq!(
+        state.apply(3, &behind),
+        Effect::Refused(Refusal::Unauthorised { in_force: 2 })
+    );
+}
+
 #[test]
 fn malformed_records_change_nothing() {
     let mut nameless = claim("a", 0, 0);
