Put derives of other crates on lines of their own

Ruled out: nothing; the order of derives has no effect here.

Change: two lines each. Nothing else differs, and the tests of both crates pass as before.

--- a/crates/catalogue/src/document.rs
+++ b/crates/catalogue/src/document.rs
@@ -8,7 +8,8 @@
 use crate::{Findings, Kind, Revision};
 
 /// One change as operators write it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Change {
     /// Kind of the entity.
@@ -21,7 +22,8 @@
 }
 
 /// An edit as operators write it. In files all but the changes may be missing.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Document {
     /// The revision that it is based on.
--- a/crates/catalogue/src/finding.rs
+++ b/crates/catalogue/src/finding.rs
@@ -7,7 +7,8 @@
 use crate::Kind;
 
 /// One fault of an edit and where it is.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Finding {
     /// Kind of the entity as the operator wrote it; empty if the fault is in the edit itself.
     pub kind: String,
@@ -35,7 +36,8 @@
 }
 
 /// All faults of one edit in the order in which they were met.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(transparent)]
 pub struct Findings {
     list: Vec<Finding>,
--- a/crates/catalogue/src/verdict.rs
+++ b/crates/catalogue/src/verdict.rs
@@ -7,7 +7,8 @@
 use crate::{Findings, Key, Offset, Revision, Version};
 
 /// An entity of a refused edit that somebody else changed after the edit's base revision.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Conflict {
     /// The entity.
     pub entity: Key,
@@ -18,7 +19,8 @@
 }
 
 /// Why an edit was refused. Every process refuses it for the same reason.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Refusal {
     /// Others changed entities that it touches; they are told all together.
@@ -62,7 +64,8 @@
 }
 
 /// What this process makes of an edit.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Verdict {
     /// In force from here on.
@@ -80,7 +83,8 @@
 }
 
 /// A verdict with the edit that it is on, for the history that operators read.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Judgement {
     /// Offset of the edit.
     pub offset: Offset,
--- a/crates/standin/src/engine/events.rs
+++ b/crates/standin/src/engine/events.rs
@@ -15,7 +15,8 @@
 const KEPT: usize = 20_000;
 
 /// What happened to a block.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Kind {
     /// It was stored.
@@ -25,7 +26,8 @@
 }
 
 /// An event.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Event {
     /// Its number.
     pub n: Number,
--- a/crates/standin/src/engine/options.rs
+++ b/crates/standin/src/engine/options.rs
@@ -10,7 +10,8 @@
 use crate::http::Listen;
 
 /// An emulated model engine, for trials and tests.
-#[derive(Clone, Debug, Parser)]
+#[derive(Clone, Debug)]
+#[derive(Parser)]
 #[command(name = "standin-engine", version)]
 pub struct Options {
     /// Where to listen.
--- a/crates/standin/src/engine/orders.rs
+++ b/crates/standin/src/engine/orders.rs
@@ -17,7 +17,8 @@
 const KEPT: usize = 1024;
 
 /// A model as an engine runs it.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Model {
     /// Its name.
     pub model: String,
@@ -30,7 +31,8 @@
 }
 
 /// What is ordered.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(tag = "kind", rename_all = "snake_case")]
 pub enum Kind {
     /// Take another role.
@@ -45,7 +47,8 @@
 }
 
 /// An order.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 pub struct Order {
     /// Its name.
     pub order: Id,
@@ -57,7 +60,8 @@
 }
 
 /// How far an order is.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
     /// The engine acts on it.
@@ -71,7 +75,8 @@
 }
 
 /// An order that the engine knows.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Serialize)]
 pub struct Known {
     /// Its name.
     pub order: Id,
--- a/crates/standin/src/engine/request.rs
+++ b/crates/standin/src/engine/request.rs
@@ -17,7 +17,8 @@
     Chat,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Raw {
     #[serde(default)]
     model: String,
@@ -29,7 +30,8 @@
     stream: bool,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Message {
     role: String,
     #[serde(default)]
--- a/crates/standin/src/engine/switches.rs
+++ b/crates/standin/src/engine/switches.rs
@@ -5,7 +5,8 @@
 use crate::fault::{Outage, Times};
 
 /// What can go wrong with the engine. A countdown meets the next so many requests of its kind.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Switches {
     /// Completions and resumes are out.
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -41,7 +41,8 @@
 }
 
 /// How something that is out answers.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outage {
     /// It works.
--- a/crates/standin/src/http.rs
+++ b/crates/standin/src/http.rs
@@ -28,7 +28,8 @@
 const KEEP_ALIVE: Duration = Duration::from_secs(75);
 
 /// Where and how a stand-in listens.
-#[derive(Clone, Debug, Args)]
+#[derive(Clone, Debug)]
+#[derive(Args)]
 pub struct Listen {
     /// Address to listen on; port 0 takes a free one. It is told as `listening ADDRESS`.
     #[arg(long, default_value = "127.0.0.1:0")]
--- a/crates/standin/src/platform/instances.rs
+++ b/crates/standin/src/platform/instances.rs
@@ -12,7 +12,8 @@
 pub type Id = String;
 
 /// What an instance is.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Kind {
     /// A `tarragon-entry`.
@@ -24,7 +25,8 @@
 }
 
 /// Whether an instance stays.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
     /// It is in use.
@@ -35,7 +37,8 @@
 }
 
 /// An instance of the list.
-#[derive(Clone, Debug, Eq, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Instance {
     /// Its name.
@@ -55,7 +58,8 @@
 }
 
 /// A version of the list.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub struct Version {
     /// Grows by one with each change.
     pub version: u64,
--- a/crates/standin/src/platform/options.rs
+++ b/crates/standin/src/platform/options.rs
@@ -5,7 +5,8 @@
 use crate::http::Listen;
 
 /// The platform's log, instance list and weight store, for trials and tests.
-#[derive(Clone, Debug, Parser)]
+#[derive(Clone, Debug)]
+#[derive(Parser)]
 #[command(name = "standin-platform", version)]
 pub struct Options {
     /// Where to listen.
--- a/crates/standin/src/service/executions.rs
+++ b/crates/standin/src/service/executions.rs
@@ -8,7 +8,8 @@
 pub type Counts = BTreeMap<String, u64>;
 
 /// All executions since the start or since they were forgotten.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Serialize)]
 pub struct Executions {
     /// All of them.
     pub total: u64,
--- a/crates/standin/src/service/options.rs
+++ b/crates/standin/src/service/options.rs
@@ -5,7 +5,8 @@
 use crate::http::Listen;
 
 /// A plain service that counts its executions, for trials and tests.
-#[derive(Clone, Debug, Parser)]
+#[derive(Clone, Debug)]
+#[derive(Parser)]
 #[command(name = "standin-service", version)]
 pub struct Options {
     /// Where to listen.
--- a/crates/standin/src/service/switches.rs
+++ b/crates/standin/src/service/switches.rs
@@ -5,7 +5,8 @@
 use crate::fault::{Outage, Times};
 
 /// What can go wrong with the service. A countdown meets the next so many requests.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Switches {
     /// It is out and executes nothing.
