Say instance and process where node and machine stood

The nodes of the settings are those of a YAML tree and keep the field's word.

Change: names and comments only; the columns of the mesh example keep their width. The tests of peer, authority and filetests pass with the same assertions. The example was compiled, not run.

--- a/crates/authority/src/engine.rs
+++ b/crates/authority/src/engine.rs
@@ -1,5 +1,5 @@
 //! An engine as it was read back. A reading is never stale at the engine, but an answer may be
-//! late; the machines accept it only for the question that they asked last.
+//! late; one counts only for the question that was asked last.
 
 use crate::order::{Model, Order, Role};
 use crate::settled::Settled;
--- a/crates/authority/src/lease.rs
+++ b/crates/authority/src/lease.rs
@@ -46,7 +46,7 @@
     read: Moment,
 }
 
-/// The machine.
+/// The state machine of one process and one scope.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Lease {
     scope: ScopeId,
@@ -71,7 +71,7 @@
 }
 
 impl Lease {
-    /// A machine that has read nothing. `seed` is drawn at random for each machine.
+    /// A lease that has read nothing. `seed` is drawn at random for each process.
     pub fn new(scope: ScopeId, me: Author, term: Term, seed: u64) -> Self {
         Self {
             scope,
@@ -119,7 +119,7 @@
         self.grant().is_some_and(|grant| grant.may_act(now, need))
     }
 
-    /// Takes in a record after `state` has folded it at `offset`. A machine whose state comes from
+    /// Takes in a record after `state` has folded it at `offset`. One whose state comes from
     /// a snapshot is shown it by [`Lease::restore`].
     pub fn apply(
         &mut self,
@@ -280,7 +280,7 @@
         Output::Append { nonce, body }
     }
 
-    /// The moment before the record was sent, if it is one of this machine's.
+    /// The moment before the record was sent, if it is one of this process's.
     fn read_back(&mut self, record: &Record) -> Option<Moment> {
         let mut attempts = self.attempts.iter();
         let found = attempts.position(|attempt| record.nonce == attempt.nonce)?;
--- a/crates/authority/src/lease/message.rs
+++ b/crates/authority/src/lease/message.rs
@@ -1,4 +1,4 @@
-//! What goes into a lease machine and what comes out.
+//! What goes into a lease and what comes out.
 
 use crate::author::Author;
 use crate::nonce::Nonce;
@@ -6,7 +6,7 @@
 use clock::Moment;
 use wire::record::record::Body;
 
-/// What a lease machine is told.
+/// What a lease is told.
 #[derive(Clone, Debug)]
 pub enum Input<'a> {
     /// Time has passed.
@@ -30,7 +30,7 @@
     Leave,
 }
 
-/// What the owner of a lease machine has to do.
+/// What the owner of a lease has to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
     /// Append a record, once, and tell how it went.
--- a/crates/filetests/src/process/control.rs
+++ b/crates/filetests/src/process/control.rs
@@ -1,4 +1,4 @@
-//! What a process does with the outputs of its machines.
+//! What a process does with the outputs of its state machines.
 
 use std::sync::Arc;
 
--- a/crates/filetests/src/process/mod.rs
+++ b/crates/filetests/src/process/mod.rs
@@ -26,7 +26,7 @@
 /// The scope that all processes contend for, and the pool of the engines.
 pub(crate) const SCOPE: &str = "llm-pool";
 
-/// Which machine wants an append.
+/// Which state machine wants an append.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Source {
     Claims,
--- a/crates/filetests/src/world/mod.rs
+++ b/crates/filetests/src/world/mod.rs
@@ -23,7 +23,7 @@
 mod run;
 mod show;
 
-/// Time between two looks of each process at its machines.
+/// Time between two ticks of each process.
 const STEP: Duration = Duration::from_millis(250);
 
 /// An order or a cancellation that is on its way to an engine.
--- a/crates/peer/examples/mesh.rs
+++ b/crates/peer/examples/mesh.rs
@@ -51,7 +51,7 @@
         sizes
     };
     println!(
-        "   N  links  frame B  on the wire B/s: a node  a peer  dgrams/s a peer  CPU % a node  us a peer a s  KB a link"
+        "   N  links  frame B  wire B/s: each instance  a peer  dgrams/s a peer    CPU % each  us a peer a s  KB a link"
     );
     for size in sizes {
         measure(size).await?;
@@ -143,7 +143,7 @@
 
 fn report(size: usize, before: u64, first: Sample, last: Sample, meshes: &[Mesh]) {
     let seconds = f64::from(SECONDS);
-    let nodes = size as f64;
+    let instances = size as f64;
     let links: usize = meshes.iter().map(|mesh| mesh.status().len()).sum();
     let ends = links as f64;
     let datagrams = (last.datagrams - first.datagrams) as f64;
@@ -151,13 +151,13 @@
     let frames = (last.frames - first.frames) as f64;
     let cpu = last.cpu - first.cpu;
     println!(
-        "{size:4}  {links:5}  {frame:7.1}  {node:23.0}  {peer:6.1}  {rate:15.2}  {share:12.3}  {micros:13.1}  {kilobytes:9.1}",
+        "{size:4}  {links:5}  {frame:7.1}  {each:23.0}  {peer:6.1}  {rate:15.2}  {share:12.3}  {micros:13.1}  {kilobytes:9.1}",
         links = links / 2,
         frame = frames / (ends * seconds),
-        node = wire / nodes / seconds,
+        each = wire / instances / seconds,
         peer = wire / ends / seconds,
         rate = datagrams / ends / seconds,
-        share = cpu / seconds / nodes * 100.0,
+        share = cpu / seconds / instances * 100.0,
         micros = cpu / seconds / ends * 1e6,
         kilobytes = last.memory.saturating_sub(before) as f64 / 1024.0 / ends,
     );
--- a/crates/peer/tests/keys.rs
+++ b/crates/peer/tests/keys.rs
@@ -12,7 +12,7 @@
 use peer::{Error, Event, Mesh, Peer};
 use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer};
-use support::{Node, config, confirm, connect, loopback};
+use support::{Process, config, confirm, connect, loopback};
 use wire::Message;
 use wire::peer::Frame;
 use wire::record::Author;
@@ -62,7 +62,7 @@
 #[actix_rt::test]
 async fn a_frame_under_another_name_closes_the_connection() {
     let authority = Authority::new("test").unwrap();
-    let mut a = Node::start(&authority, "a");
+    let mut a = Process::start(&authority, "a");
     let connection = connect_by_hand(&authority.issue("c").unwrap(), &a.peer()).await;
     a.up("c").await;
     let frame = Frame {
@@ -93,9 +93,9 @@
 #[actix_rt::test]
 async fn a_certificate_for_another_name_is_refused() {
     let authority = Authority::new("test").unwrap();
-    let mut a = Node::start(&authority, "a");
-    let c = Node::start(&authority, "c");
-    let mut b = Node::start(&authority, "b");
+    let mut a = Process::start(&authority, "a");
+    let c = Process::start(&authority, "c");
+    let mut b = Process::start(&authority, "b");
     let impostor = Peer {
         id: "b".to_owned(),
         address: c.peer().address,
@@ -115,10 +115,10 @@
         Authority::new("test").unwrap(),
         Authority::new("test").unwrap(),
     );
-    let mut a = Node::start(&ours, "a");
+    let mut a = Process::start(&ours, "a");
     // It trusts ours, so that only a's check of its certificate can refuse it.
     let stranger = trusting(&theirs.issue("b").unwrap(), &[&ours]);
-    let b = Node::with(config("b", 1, stranger));
+    let b = Process::with(config("b", 1, stranger));
     b.mesh.set_members(&[a.peer()]);
     let told = a.handshake_failed().await;
     assert!(told.is_empty(), "{told:?}");
@@ -151,8 +151,8 @@
         Authority::new("old").unwrap(),
         Authority::new("new").unwrap(),
     );
-    let mut a = Node::start(&old, "a");
-    let mut b = Node::start(&old, "b");
+    let mut a = Process::start(&old, "a");
+    let mut b = Process::start(&old, "b");
     connect(&mut [&mut a, &mut b]).await;
     let mut order = 0;
     for step in ["trust both", "bear new", "trust new"] {
@@ -184,7 +184,7 @@
         }
     }
     while a.events.try_recv().is_ok() {}
-    let late = Node::with(config("c", 1, trusting(&old.issue("c").unwrap(), &[&new])));
+    let late = Process::with(config("c", 1, trusting(&old.issue("c").unwrap(), &[&new])));
     late.mesh.set_members(&[a.peer()]);
     let told = a.handshake_failed().await;
     assert!(told.is_empty(), "{told:?}");
@@ -199,8 +199,8 @@
         Authority::new("old").unwrap(),
         Authority::new("new").unwrap(),
     );
-    let mut a = Node::start(&old, "a");
-    let mut b = Node::start(&old, "b");
+    let mut a = Process::start(&old, "a");
+    let mut b = Process::start(&old, "b");
     connect(&mut [&mut a, &mut b]).await;
     a.mesh.reload(&new.issue("a").unwrap()).unwrap();
     a.down("b").await;
@@ -210,8 +210,8 @@
 #[actix_rt::test]
 async fn a_bad_reload_keeps_the_keys_in_use() {
     let authority = Authority::new("test").unwrap();
-    let mut a = Node::start(&authority, "a");
-    let mut b = Node::start(&authority, "b");
+    let mut a = Process::start(&authority, "a");
+    let mut b = Process::start(&authority, "b");
     connect(&mut [&mut a, &mut b]).await;
     let wrong = authority.issue("c").unwrap();
     assert_matches!(
@@ -227,7 +227,7 @@
     let dir = tempfile::tempdir().unwrap();
     let first = issue::make(dir.path(), &["a".to_owned()]).unwrap();
     let second = issue::make(dir.path(), &["b".to_owned()]).unwrap();
-    let mut a = Node::with(config("a", 1, first[0].clone()));
-    let mut b = Node::with(config("b", 1, second[0].clone()));
+    let mut a = Process::with(config("a", 1, first[0].clone()));
+    let mut b = Process::with(config("b", 1, second[0].clone()));
     connect(&mut [&mut a, &mut b]).await;
 }
--- a/crates/peer/tests/mesh.rs
+++ b/crates/peer/tests/mesh.rs
@@ -10,7 +10,7 @@
 use peer::issue::Authority;
 use peer::traffic::Kind;
 use peer::{Error, Event, Unsent};
-use support::{Node, config, confirm, connect};
+use support::{Process, config, confirm, connect};
 use wire::peer::{Empty, Load, Outstanding, Query, Reply, frame::Body, query, reply};
 
 const WITHIN: Duration = Duration::from_secs(10);
@@ -30,9 +30,9 @@
 #[actix_rt::test]
 async fn frames_reach_all_over_one_connection_a_pair() {
     let authority = Authority::new("test").unwrap();
-    let mut a = Node::start(&authority, "a");
-    let mut b = Node::start(&authority, "b");
-    let mut c = Node::start(&authority, "c");
+    let mut a = Process::start(&authority, "a");
+    let mut b = Process::start(&authority, "b");
+    let mut c = Process::start(&authority, "c");
     connect(&mut [&mut a, &mut b, &mut c]).await;
     assert_eq!(a.mesh.broadcast(confirm(7)), 2);
     assert_eq!(b.confirmed(7).await, "a");
@@ -44,7 +44,10 @@
 #[actix_rt::test]
 async fn a_frame_too_large_for_a_datagram_goes_as_a_stream() {
     let authority = Authority::new("test").unwrap();
-    let (mut a, mut b) = (Node::start(&authority, "a"), Node::start(&authority, "b"));
+    let (mut a, mut b) = (
+        Process::start(&authority, "a"),
+        Process::start(&authority, "b"),
+    );
     connect(&mut [&mut a, &mut b]).await;
     let outstanding = (0..200)
         .map(|n| Outstanding {
@@ -66,7 +69,10 @@
 #[actix_rt::test]
 async fn a_query_gets_its_own_reply() {
     let authority = Authority::new("test").unwrap();
-    let (mut a, mut b) = (Node::start(&authority, "a"), Node::start(&authority, "b"));
+    let (mut a, mut b) = (
+        Process::start(&authority, "a"),
+        Process::start(&authority, "b"),
+    );
     connect(&mut [&mut a, &mut b]).await;
     // The first two are answered in the wrong order.
     let serve = async {
@@ -91,11 +97,11 @@
 #[actix_rt::test]
 async fn a_query_fails_when_unanswered_silent_or_too_large() {
     let authority = Authority::new("test").unwrap();
-    let mut a = Node::start(&authority, "a");
+    let mut a = Process::start(&authority, "a");
     let keys = authority.issue("b").unwrap();
     let mut small = config("b", 1, keys);
     small.limits.reply = 8;
-    let mut b = Node::with(small);
+    let mut b = Process::with(small);
     connect(&mut [&mut a, &mut b]).await;
 
     let dropped = async { drop(b.until(answer).await) };
@@ -121,7 +127,10 @@
 #[actix_rt::test]
 async fn traffic_is_counted_by_kind_and_direction() {
     let authority = Authority::new("test").unwrap();
-    let (mut a, mut b) = (Node::start(&authority, "a"), Node::start(&authority, "b"));
+    let (mut a, mut b) = (
+        Process::start(&authority, "a"),
+        Process::start(&authority, "b"),
+    );
     connect(&mut [&mut a, &mut b]).await;
     for order in 1..=3 {
         a.mesh.send("b", confirm(order)).unwrap();
@@ -150,10 +159,13 @@
 #[actix_rt::test]
 async fn a_restarted_peer_replaces_its_dead_connection() {
     let authority = Authority::new("test").unwrap();
-    let (mut a, mut b) = (Node::start(&authority, "a"), Node::start(&authority, "b"));
+    let (mut a, mut b) = (
+        Process::start(&authority, "a"),
+        Process::start(&authority, "b"),
+    );
     connect(&mut [&mut a, &mut b]).await;
     // The former b is kept in memory and never closes, so its connection stands at a.
-    let mut successor = Node::with(config("b", 2, authority.issue("b").unwrap()));
+    let mut successor = Process::with(config("b", 2, authority.issue("b").unwrap()));
     successor.mesh.set_members(&[a.peer()]);
     successor.up("a").await;
     let wait = async {
--- a/crates/peer/tests/packets.rs
+++ b/crates/peer/tests/packets.rs
@@ -12,7 +12,7 @@
 
 use peer::Peer;
 use peer::issue::Authority;
-use support::{Node, config, confirm, loopback};
+use support::{Process, config, confirm, loopback};
 use tokio::net::UdpSocket;
 
 /// Largest packet that is relayed.
@@ -74,7 +74,7 @@
         let mut config = config(id, 1, authority.issue(id).unwrap());
         config.limits.idle = Duration::from_millis(300);
         config.limits.dial = Duration::from_millis(300);
-        Node::with(config)
+        Process::with(config)
     });
     let [a, b] = &mut nodes;
     let relay = Relay::start(b.peer().address).await;
--- a/crates/peer/tests/partition.rs
+++ b/crates/peer/tests/partition.rs
@@ -15,7 +15,7 @@
 use peer::Event;
 use peer::config::{Direction, Fault};
 use peer::issue::Authority;
-use support::{Node, connect};
+use support::{Process, connect};
 use wire::peer::frame::Body;
 
 /// Which frames are lost; shared by all meshes of a test.
@@ -29,7 +29,7 @@
 }
 
 struct Entry {
-    node: Node,
+    node: Process,
     members: Members,
     outputs: Vec<Output>,
 }
@@ -54,7 +54,7 @@
         let mut members = Members::new(own, Settings::default(), Duration::ZERO);
         members.step(Duration::ZERO, Input::List(&listed()));
         Self {
-            node: Node::faulty(authority, id, fault),
+            node: Process::faulty(authority, id, fault),
             members,
             outputs: Vec::new(),
         }
--- a/crates/peer/tests/support/mod.rs
+++ b/crates/peer/tests/support/mod.rs
@@ -20,7 +20,7 @@
 const POLL: Duration = Duration::from_millis(5);
 
 /// A mesh and what it tells.
-pub struct Node {
+pub struct Process {
     pub id: String,
     pub mesh: Mesh,
     pub events: UnboundedReceiver<Event>,
@@ -52,7 +52,7 @@
     }
 }
 
-impl Node {
+impl Process {
     pub fn start(authority: &Authority, id: &str) -> Self {
         Self::with(config(id, 1, authority.issue(id).expect("id is a name")))
     }
@@ -138,7 +138,7 @@
 }
 
 /// Connects all of them with each other.
-pub async fn connect(nodes: &mut [&mut Node]) {
+pub async fn connect(nodes: &mut [&mut Process]) {
     let peers: Vec<Peer> = nodes.iter().map(|node| node.peer()).collect();
     for node in nodes.iter() {
         node.mesh.set_members(&peers);
