--- a/crates/catalogue/src/entry.rs
+++ b/crates/catalogue/src/entry.rs
@@ -1,4 +1,4 @@
-//! Entries, which say what callers may ask for and how it is served, and drains.
+//! Entries, which say what callers may ask for and how it is served.
 
 use std::time::Duration;
 
@@ -287,25 +287,3 @@
         }
     }
 }
-
-/// An upstream that gets no new work while this stands; its name is the id of the upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Drain {
-    /// Id of the upstream in the instance list.
-    pub name: String,
-    /// Why, for the other operators.
-    pub reason: String,
-}
-
-impl TryFrom<&Raw<'_>> for Drain {
-    type Error = Findings;
-
-    fn try_from(raw: &Raw<'_>) -> Result<Self, Findings> {
-        let mut fields = Fields::open(raw)?;
-        let reason = fields.required("reason").unwrap_or_default();
-        fields.close(Self {
-            name: raw.name.to_owned(),
-            reason,
-        })
-    }
-}
--- a/crates/catalogue/src/lib.rs
+++ b/crates/catalogue/src/lib.rs
@@ -5,6 +5,7 @@
 //! process ends up with the same catalogue; see `docs/design/catalogue.md`.
 
 mod document;
+mod drain;
 mod entity;
 mod entry;
 mod fields;
@@ -20,8 +21,9 @@
 mod verdict;
 
 pub use document::{Change, Document};
+pub use drain::Drain;
 pub use entity::{Entity, Key, Kind};
-pub use entry::{Class, Contract, Drain, Entry, Method, Outage, Target};
+pub use entry::{Class, Contract, Entry, Method, Outage, Target};
 pub use finding::{Finding, Findings};
 pub use owner::{Limits, Owner};
 pub use pool::{Choice, Model, Planner, Pool, PoolKind, Role, RoleChange, Span};
--- a/crates/catalogue/src/state.rs
+++ b/crates/catalogue/src/state.rs
@@ -3,23 +3,14 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 
-use smallvec::SmallVec;
 use wire::record::record::Body;
 use wire::record::{Change, Edit, Record, RulesRaise};
 
-use crate::finding::nearest;
 use crate::rules::FIRST;
-use crate::table::{Slot, View};
-use crate::{
-    Conflict, Findings, Judgement, Key, Kind, Offset, Raw, Refusal, Revision, Rules, Verdict,
-    Version,
-};
+use crate::table::View;
+use crate::{Findings, Judgement, Key, Offset, Refusal, Revision, Rules, Verdict, Version};
 
-/// Judgements that are kept for operators.
-const HISTORY: usize = 256;
-/// Tombstones that are kept. An edit that is based on a revision before the oldest dropped one is
-/// refused as stale.
-const TOMBSTONES: usize = 1024;
+mod judge;
 
 /// Where and why the fold stopped. What was in force stays in force.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -171,156 +162,6 @@
         applied
     }
 
-    fn judge(&mut self, offset: Offset, edit: &Edit) -> Verdict {
-        let verdict = match self.accept(offset, edit) {
-            Ok(()) => Verdict::Accepted { revision: offset },
-            Err(refusal) => Verdict::Refused(refusal),
-        };
-        self.keep(offset, edit, &verdict);
-        verdict
-    }
-
-    fn accept(&mut self, offset: Offset, edit: &Edit) -> Result<(), Refusal> {
-        let touched = touched(offset, edit).map_err(Refusal::Invalid)?;
-        if edit.base_revision < self.horizon {
-            let horizon = self.horizon;
-            return Err(Refusal::Stale { horizon });
-        }
-        let conflicts = self.conflicts(edit.base_revision, &touched);
-        if !conflicts.is_empty() {
-            return Err(Refusal::Conflict(conflicts));
-        }
-        self.replace(offset, edit, &touched)
-            .map_err(Refusal::Invalid)
-    }
-
-    fn conflicts(&self, base: Revision, touched: &[Key]) -> Vec<Conflict> {
-        let changed = |key: &Key| {
-            let slot = self.view.slot(key.kind, &key.name)?;
-            (slot.revision > base).then(|| Conflict {
-                entity: key.clone(),
-                operator: slot.operator.to_string(),
-                revision: slot.revision,
-            })
-        };
-        touched.iter().filter_map(changed).collect()
-    }
-
-    /// Puts the changes in place, checks what they concern and takes them back if anything is
-    /// wrong, so that an edit costs what it touches and not the size of the catalogue.
-    fn replace(&mut self, offset: Offset, edit: &Edit, touched: &[Key]) -> Result<(), Findings> {
-        let mut findings = Findings::new();
-        let slots = self.read(offset, edit, touched, &mut findings);
-        let mut replaced: SmallVec<[Option<Arc<Slot>>; 4]> = SmallVec::new();
-        for (key, slot) in touched.iter().zip(&slots) {
-            replaced.push(match slot {
-                Some(slot) => self.view.put(key, Some(slot)),
-                None => self.view.slot(key.kind, &key.name).cloned(),
-            });
-        }
-        let faulty: SmallVec<[&Key; 4]> = touched
-            .iter()
-            .zip(&slots)
-            .filter(|(_, slot)| slot.is_none())
-            .map(|(key, _)| key)
-            .collect();
-        self.relate(touched, &faulty, &mut findings);
-        if !findings.is_empty() {
-            for (key, old) in touched.iter().zip(replaced).rev() {
-                self.view.put(key, old.as_ref());
-            }
-            return Err(findings);
-        }
-        for (key, old) in touched.iter().zip(&replaced) {
-            self.bury(offset, key, old.as_deref());
-        }
-        self.revision = offset;
-        Ok(())
-    }
-
-    /// Reads the changed entities; one with findings gives `None` and is left as it was.
-    fn read(
-        &self,
-        offset: Offset,
-        edit: &Edit,
-        touched: &[Key],
-        findings: &mut Findings,
-    ) -> SmallVec<[Option<Arc<Slot>>; 4]> {
-        let read = |(change, key): (&Change, &Key)| {
-            let entity = if change.json.is_empty() {
-                if self.view.entity(key.kind, &key.name).is_none() {
-                    findings.add(key.kind, &key.name, "", "cannot be removed, there is none");
-                    return None;
-                }
-                None
-            } else {
-                let raw = Raw {
-                    kind: key.kind,
-                    name: &key.name,
-                    json: &change.json,
-                };
-                // `frozen` is set where the version is unknown, and then nothing is judged.
-                let set = self.rules.get(self.version)?;
-                match (set.read)(&raw) {
-                    Ok(entity) => Some(entity),
-                    Err(faults) => {
-                        for fault in &faults {
-                            findings.push(fault.clone());
-                        }
-                        return None;
-                    }
-                }
-            };
-            Some(Arc::new(Slot {
-                revision: offset,
-                operator: Box::from(edit.operator.as_str()),
-                rules: self.version,
-                json: Box::from(change.json.as_str()),
-                entity,
-            }))
-        };
-        edit.changes.iter().zip(touched).map(read).collect()
-    }
-
-    /// Checks the changed entities against all others, and those that name them. Nothing else
-    /// can have become invalid. What names a faulty entity is left out: that a new pool is
-    /// missing is no news where the pool itself was found faulty.
-    fn relate(&self, touched: &[Key], faulty: &[&Key], findings: &mut Findings) {
-        let Some(set) = self.rules.get(self.version) else {
-            return;
-        };
-        let mut relate = |kind: Kind, name: &str| {
-            if let Some(entity) = self.view.entity(kind, name)
-                && !entity.references().iter().any(|key| faulty.contains(&key))
-            {
-                (set.relate)(&self.view, entity, findings);
-            }
-        };
-        for key in touched {
-            relate(key.kind, &key.name);
-            for (kind, name) in self.view.index().dependents(key) {
-                relate(*kind, name);
-            }
-        }
-    }
-
-    /// Keeps count of tombstones. A removed entity must be remembered: otherwise an edit that was
-    /// made before the removal would be accepted after it and silently bring the entity back.
-    fn bury(&mut self, offset: Offset, key: &Key, old: Option<&Slot>) {
-        if let Some(old) = old.filter(|old| old.entity.is_none()) {
-            self.tombstones.remove(&(old.revision, key.clone()));
-        }
-        if self.view.entity(key.kind, &key.name).is_none() {
-            self.tombstones.insert((offset, key.clone()));
-        }
-        while self.tombstones.len() > TOMBSTONES {
-            if let Some((revision, key)) = self.tombstones.pop_first() {
-                self.view.put(&key, None);
-                self.horizon = revision;
-            }
-        }
-    }
-
     fn raise(&mut self, offset: Offset, raise: RulesRaise) -> Applied {
         if raise.rules <= self.version {
             return Applied::Nothing;
@@ -337,21 +178,6 @@
         Applied::Frozen(frozen)
     }
 
-    fn keep(&mut self, offset: Offset, edit: &Edit, verdict: &Verdict) {
-        if self.history.len() == HISTORY {
-            self.history.pop_front();
-        }
-        let name = |change: &Change| format!("{} {}", change.kind, change.name);
-        self.history.push_back(Judgement {
-            offset,
-            operator: edit.operator.clone(),
-            note: edit.note.clone(),
-            base_revision: edit.base_revision,
-            touched: edit.changes.iter().map(name).collect(),
-            verdict: verdict.clone(),
-        });
-    }
-
     pub(crate) fn restored(
         rules: Arc<Rules>,
         version: Version,
@@ -373,48 +199,6 @@
     }
 }
 
-/// The entities that an edit touches, if its form is right. This much is the same under all
-/// versions of the rules.
-fn touched(offset: Offset, edit: &Edit) -> Result<SmallVec<[Key; 4]>, Findings> {
-    let mut findings = Findings::new();
-    let mut keys: SmallVec<[Key; 4]> = SmallVec::new();
-    if edit.operator.is_empty() {
-        findings.add_edit("operator", "is missing");
-    }
-    if edit.base_revision >= offset {
-        findings.add_edit("base_revision", "lies in the future");
-    }
-    if edit.changes.is_empty() {
-        findings.add_edit("changes", "are missing");
-    }
-    let mut seen = BTreeSet::new();
-    for (position, change) in edit.changes.iter().enumerate() {
-        let Some(kind) = Kind::from_word(&change.kind) else {
-            let problem = unknown_kind(&change.kind);
-            findings.add_edit(&format!("changes[{position}].kind"), problem);
-            continue;
-        };
-        let key = Key::new(kind, &change.name);
-        if !seen.insert(key.clone()) {
-            findings.add(kind, &change.name, "", "stands twice in the edit");
-        }
-        keys.push(key);
-    }
-    if findings.is_empty() {
-        Ok(keys)
-    } else {
-        Err(findings)
-    }
-}
-
-fn unknown_kind(word: &str) -> String {
-    let known = Kind::ALL.map(Kind::word);
-    match nearest(word, &known) {
-        Some(near) => format!("`{word}` is no kind, perhaps `{near}` was meant"),
-        None => format!("`{word}` is no kind, the kinds are {}", known.join(", ")),
-    }
-}
-
 /// Says what would be wrong with an edit that is made now, without making it.
 pub fn check(state: &State, changes: &[Change]) -> Findings {
     let mut trial = state.clone();
--- a/crates/claims/src/batcher.rs
+++ b/crates/claims/src/batcher.rs
@@ -4,9 +4,8 @@
 use std::sync::Arc;
 
 use clock::Moment;
-use smallvec::SmallVec;
 use wire::record::record::Body;
-use wire::record::{KeyClaim, KeyClaims, KeyEnd, KeyOutcomes, Record};
+use wire::record::{KeyEnd, Record};
 
 use crate::ledger::{Ledger, Phase};
 use crate::outcomes::Outcomes;
@@ -14,13 +13,10 @@
     Book, Call, Decision, Digest, End, Folded, Holder, Input, Nonce, Offset, Output, Outputs, Pace,
     Policy, Ran, Reach, Ticket,
 };
+use append::Flight;
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Flight {
-    tickets: SmallVec<[Ticket; 8]>,
-    sent: Moment,
-    landed: Option<Offset>,
-}
+mod append;
+mod read_back;
 
 /// The claims of one process.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
@@ -227,15 +223,6 @@
         }
     }
 
-    fn requeue(&mut self, nonce: &Nonce) {
-        self.outcomes.failed(nonce);
-        if let Some(flight) = self.flights.remove(nonce) {
-            for ticket in flight.tickets {
-                self.ledger.queue(ticket);
-            }
-        }
-    }
-
     fn log(&mut self, reach: Reach, outputs: &mut Outputs) {
         self.reach = reach;
         if reach == Reach::Up {
@@ -283,178 +270,9 @@
         self.expire_flights(now);
     }
 
-    /// Claims calls again whose append was not read back in time. Both claims may come to stand:
-    /// the first of them decides the call, and the second is that of a call which is decided.
-    fn expire_flights(&mut self, now: Moment) {
-        let (patience, folded) = (self.pace.patience, self.book.folded());
-        let overdue = |flight: &Flight| match flight.landed {
-            Some(offset) => offset <= folded,
-            None => flight.sent + patience <= now,
-        };
-        let expired: SmallVec<[Nonce; 2]> = self
-            .flights
-            .iter()
-            .filter(|(_, flight)| overdue(flight))
-            .map(|(nonce, _)| *nonce)
-            .collect();
-        for nonce in expired {
-            self.requeue(&nonce);
-        }
-    }
-
-    fn appends(&mut self, now: Moment, outputs: &mut Outputs) {
-        if self.reach == Reach::Out {
-            return;
-        }
-        if self.flights.len() < self.pace.in_flight && self.next <= now && self.ledger.has_queued()
-        {
-            self.append_claims(now, outputs);
-        }
-        let due = self.outcomes.due(self.pace.outcome_interval);
-        if due.is_some_and(|due| due <= now) {
-            let nonce = self.draw();
-            let outcomes = self.outcomes.take(now, nonce, self.pace.max_batch);
-            let body = Body::KeyOutcomes(KeyOutcomes { outcomes });
-            outputs.push(Output::Append { nonce, body });
-        }
-    }
-
-    fn append_claims(&mut self, now: Moment, outputs: &mut Outputs) {
-        let tickets = self.ledger.take_queued(self.pace.max_batch);
-        if tickets.is_empty() {
-            return;
-        }
-        let claim = |ticket: &Ticket| {
-            let call = &self.ledger.get(*ticket)?.call;
-            Some(KeyClaim {
-                key: call.key.to_vec(),
-                request: call.request.clone(),
-                fingerprint: call.fingerprint.to_vec(),
-            })
-        };
-        let claims = tickets.iter().filter_map(claim).collect();
-        let nonce = self.draw();
-        let flight = Flight {
-            tickets,
-            sent: now,
-            landed: None,
-        };
-        self.flights.insert(nonce, flight);
-        self.next = now + self.pace.interval;
-        let body = Body::KeyClaims(KeyClaims { claims });
-        outputs.push(Output::Append { nonce, body });
-    }
-
-    /// Takes up a claim of another process that is now in force. A call here with its key has lost,
-    /// though its own claim is not read back yet: if it waited for that it could meanwhile run
-    /// unclaimed, or be refused as not run, beside the other.
-    fn forestalled(&mut self, claim: &KeyClaim, outputs: &mut Outputs) {
-        let key = Digest::try_from(claim.key.as_slice());
-        let held = key.ok().and_then(|key| self.ledger.by_key(&key));
-        if let Some(held) = held.filter(|held| held.unclaimed) {
-            let ticket = held.call.ticket;
-            self.lost(ticket, outputs);
-        }
-    }
-
-    /// Takes up a claim of this process that the log shows.
-    fn read_back(
-        &mut self,
-        now: Moment,
-        offset: Offset,
-        claim: &KeyClaim,
-        won: bool,
-        outputs: &mut Outputs,
-    ) {
-        let Ok(key) = Digest::try_from(claim.key.as_slice()) else {
-            return;
-        };
-        let held = self.ledger.by_key(&key);
-        let Some(held) = held.filter(|held| held.call.request == claim.request) else {
-            // The call was given up, or it was concluded as not run and this is a second copy of
-            // its claim. It will never run, and unless this is said the key stays blocked.
-            if won && !self.contested.contains(&key) {
-                self.outcomes.add(&key, offset, KeyEnd::NotRun);
-            }
-            return;
-        };
-        let ticket = held.call.ticket;
-        if won {
-            self.won(now, offset, ticket, outputs);
-        } else if held.unclaimed {
-            self.lost(ticket, outputs);
-        }
-    }
-
-    fn won(&mut self, now: Moment, offset: Offset, ticket: Ticket, outputs: &mut Outputs) {
-        let gap = self.book.has_gap();
-        let Some(held) = self.ledger.get_mut(ticket) else {
-            return;
-        };
-        held.claim = Some(offset);
-        held.unclaimed = false;
-        let (key, phase, give_up) = (held.call.key, held.phase, held.call.give_up);
-        match phase {
-            Phase::Running => {}
-            Phase::Ended(end) => {
-                self.ledger.remove(ticket);
-                if end == End::Answered {
-                    self.outcomes.add(&key, offset, KeyEnd::Answered);
-                }
-            }
-            // A process that was paused wakes up long after its caller has gone, and perhaps after
-            // an answer that it did not run.
-            Phase::Waiting if gap || give_up <= now => {
-                let ran = if gap { Ran::Unknown } else { Ran::No };
-                self.ledger.remove(ticket);
-                self.outcomes.add(&key, offset, KeyEnd::NotRun);
-                outputs.push(Output::Decide(ticket, Decision::Refused { ran }));
-            }
-            Phase::Waiting => {
-                self.ledger.run(ticket);
-                let decision = Decision::Run { claim: offset };
-                outputs.push(Output::Decide(ticket, decision));
-            }
-        }
-    }
-
-    fn lost(&mut self, ticket: Ticket, outputs: &mut Outputs) {
-        let Some(held) = self.ledger.get_mut(ticket) else {
-            return;
-        };
-        held.unclaimed = false;
-        let (key, phase) = (held.call.key, held.phase);
-        if phase == Phase::Waiting {
-            let decision = Decision::lost(&self.book, &key, &held.call.fingerprint);
-            self.ledger.remove(ticket);
-            outputs.push(Output::Decide(ticket, decision));
-            return;
-        }
-        if let Some(claim) = self.book.claim(&key) {
-            let holder = Arc::clone(&claim.holder);
-            // If the other call is concluded as not run, a second copy of this call's claim could
-            // win, and would be concluded as not run as well, although it ran.
-            self.contested.insert(key);
-            outputs.push(Output::Contested { ticket, holder });
-        }
-        if phase != Phase::Running {
-            self.ledger.remove(ticket);
-        }
-    }
-
     /// True if this run of this instance wrote the record.
     fn wrote(&self, record: &Record) -> bool {
         let author = record.author.as_ref().map(Holder::from);
         author.as_ref() == Some(&*self.holder)
     }
-
-    /// A nonce that this process has not used.
-    fn draw(&mut self) -> Nonce {
-        self.drawn += 1;
-        let mut nonce = Nonce::default();
-        let (seed, drawn) = nonce.split_at_mut(8);
-        seed.copy_from_slice(&self.seed.to_be_bytes());
-        drawn.copy_from_slice(&self.drawn.to_be_bytes());
-        nonce
-    }
 }
--- /dev/null
+++ b/crates/settings/src/sections/read.rs
@@ -0,0 +1,177 @@
+//! Reads the sections from their source and checks those that are fine alone and wrong together.
+
+use std::time::Duration;
+
+use super::{
+    Admin, Hold, Instance, Lease, Limits, Listen, Log, Peer, Platform, Resume, Secret, Settings,
+    Shutdown, Statsd, Tls, Upstream,
+};
+use crate::finding::Findings;
+use crate::reader::Reader;
+use crate::source::Source;
+use crate::table;
+
+/// Shortest time limit towards callers. The HTTP library counts such times from a clock that moves
+/// in steps of half a second, so that a shorter limit may be over when a connection begins.
+const LEAST_HTTP_TIME: Duration = Duration::from_secs(1);
+
+/// Shortest secret that authenticates event ids, in bytes.
+const LEAST_SECRET: usize = 16;
+
+impl TryFrom<Source> for Settings {
+    type Error = Findings;
+
+    fn try_from(source: Source) -> Result<Self, Findings> {
+        let mut reader = Reader::new(source);
+        let settings = read(&mut reader);
+        relate(&settings, &mut reader);
+        let findings = reader.finish();
+        if findings.is_empty() {
+            Ok(settings)
+        } else {
+            Err(Findings(findings))
+        }
+    }
+}
+
+fn read(reader: &mut Reader) -> Settings {
+    Settings {
+        instance: Instance {
+            id: reader.text("instance.id"),
+            data_centre: reader.text("instance.data_centre"),
+        },
+        listen: Listen {
+            address: reader.address("listen.address"),
+            workers: reader.count("listen.workers"),
+            connections: reader.count("listen.connections"),
+            keep_alive: reader.duration("listen.keep_alive"),
+        },
+        admin: Admin {
+            address: reader.address("admin.address"),
+            token: reader.optional_text("admin.token").map(Secret),
+        },
+        peer: read_peer(reader),
+        platform: read_platform(reader),
+        lease: Lease {
+            term: reader.duration("lease.term"),
+            renewal: reader.duration("lease.renewal"),
+            margin: reader.duration("lease.margin"),
+        },
+        limits: read_limits(reader),
+        upstream: Upstream {
+            connect: reader.duration("upstream.connect"),
+            idle: reader.duration("upstream.idle"),
+            resume: reader.duration("upstream.resume"),
+        },
+        hold: Hold {
+            bytes: reader.size("hold.bytes"),
+            time: reader.duration("hold.time"),
+        },
+        resume: Resume {
+            secret: reader.optional_text("resume.secret").map(Secret),
+            time: reader.duration("resume.time"),
+        },
+        shutdown: Shutdown {
+            balancer: reader.duration("shutdown.balancer"),
+            limit: reader.duration("shutdown.limit"),
+        },
+        log: Log {
+            level: reader.level("log.level"),
+        },
+        statsd: Statsd {
+            address: reader.optional_address("statsd.address"),
+            prefix: reader.text("statsd.prefix"),
+        },
+        policy: reader
+            .section(table::POLICY)
+            .into_iter()
+            .map(|(key, given)| (key, given.text))
+            .collect(),
+    }
+}
+
+fn read_peer(reader: &mut Reader) -> Peer {
+    Peer {
+        address: reader.address("peer.address"),
+        advertise: reader.optional_address("peer.advertise"),
+        tls: read_tls(reader),
+        reload: reader.duration("peer.reload"),
+        heartbeat: reader.duration("peer.heartbeat"),
+        silence: reader.duration("peer.silence"),
+    }
+}
+
+fn read_tls(reader: &mut Reader) -> Option<Tls> {
+    let certificate = reader.optional_text("peer.certificate");
+    let key = reader.optional_text("peer.key");
+    let authority = reader.optional_text("peer.authority");
+    match (certificate, key, authority) {
+        (Some(certificate), Some(key), Some(authority)) => Some(Tls {
+            certificate: certificate.into(),
+            key: key.into(),
+            authority: authority.into(),
+        }),
+        (None, None, None) => None,
+        _ => {
+            reader.contradiction(
+                "peer.certificate",
+                "peer.certificate, peer.key and peer.authority are given all three or not at all",
+            );
+            None
+        }
+    }
+}
+
+fn read_platform(reader: &mut Reader) -> Platform {
+    let log = reader.address("platform.log");
+    Platform {
+        log,
+        instances: reader.optional_address("platform.instances").unwrap_or(log),
+        timeout: reader.duration("platform.timeout"),
+        poll: reader.duration("platform.poll"),
+        retention: reader.duration("platform.retention"),
+    }
+}
+
+fn read_limits(reader: &mut Reader) -> Limits {
+    Limits {
+        deadline: reader.duration("limits.deadline"),
+        body: reader.size("limits.body"),
+        answer: reader.size("limits.answer"),
+        head: reader.size("limits.head"),
+        head_time: reader.duration("limits.head_time"),
+        body_time: reader.duration("limits.body_time"),
+    }
+}
+
+/// Settings that are fine alone and wrong together.
+fn relate(settings: &Settings, reader: &mut Reader) {
+    if settings.lease.renewal * 2 > settings.lease.term {
+        reader.contradiction(
+            "lease.renewal",
+            "lease.renewal is at most half of lease.term, or one lost renewal ends the lease",
+        );
+    }
+    if settings.peer.heartbeat * 3 > settings.peer.silence {
+        reader.contradiction(
+            "peer.heartbeat",
+            "peer.heartbeat is at most a third of peer.silence, or one lost datagram looks like silence",
+        );
+    }
+    if settings.shutdown.balancer >= settings.shutdown.limit {
+        reader.contradiction(
+            "shutdown.balancer",
+            "shutdown.balancer is shorter than shutdown.limit, or no time is left for work in hand",
+        );
+    }
+    if settings.limits.head_time < LEAST_HTTP_TIME {
+        reader.contradiction("limits.head_time", "limits.head_time is at least 1s");
+    }
+    if settings.listen.keep_alive < LEAST_HTTP_TIME {
+        reader.contradiction("listen.keep_alive", "listen.keep_alive is at least 1s");
+    }
+    let short = |secret: &Secret| secret.expose().len() < LEAST_SECRET;
+    if settings.resume.secret.as_ref().is_some_and(short) {
+        reader.contradiction("resume.secret", "resume.secret has at least 16 bytes");
+    }
+}
