Take the prefill of whole answers to be done when it was expected to be

Cause of the largest loss of goodput on Lima's load: an answer that does not come as a stream gives no sign before its end, so that its prompt stood before its engine, in the entry's ledger, in what it tells its peers and in the window, for all the seconds of its decode. Questions and dispatch were refused for their deadlines at engines that had long been free, and further summaries found no room.

The prefill of such an attempt is now taken out of the ledger when its first token was expected. Requests say whether they are streamed.

Without the presumption the new test fails: 4,000 tokens are left after 5 s.

--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -102,6 +102,7 @@
     request.prompt_tokens = asked.prompt_tokens;
     request.output_tokens = asked.output_tokens;
     request.prefixes.clone_from(&asked.prefixes);
+    request.streamed = asked.stream;
     // An answer whose first token comes after the objective is a bad one already; capacity is
     // better spent on those that can still be good.
     if let Some(first) = entry.contract.first_token {
--- a/crates/entry/src/work.rs
+++ b/crates/entry/src/work.rs
@@ -203,6 +203,7 @@
             prompt_tokens: 0,
             output_tokens: 0,
             prefixes: SmallVec::new(),
+            streamed: false,
             deadline: self.deadline,
             repeatable: entry.repeatable,
         }
--- a/crates/routing/benches/decisions.rs
+++ b/crates/routing/benches/decisions.rs
@@ -141,6 +141,7 @@
         prompt_tokens: 1_100,
         output_tokens: 200,
         prefixes: prefixes(1).into(),
+        streamed: true,
         deadline: NOW + Duration::from_secs(60),
         repeatable: true,
     }
--- a/crates/routing/examples/trial/mod.rs
+++ b/crates/routing/examples/trial/mod.rs
@@ -269,6 +269,7 @@
             prompt_tokens: call.load.prefill as u32,
             output_tokens: self.setup.kinds[call.kind].output as u32,
             prefixes: smallvec![],
+            streamed: true,
             deadline: call.deadline,
             repeatable: false,
         };
--- a/crates/routing/src/request.rs
+++ b/crates/routing/src/request.rs
@@ -42,6 +42,8 @@
     pub output_tokens: u32,
     /// Prefixes of the prompt, shortest first.
     pub prefixes: SmallVec<[Prefix; 8]>,
+    /// Whether the answer comes as a stream, so that its first token tells that the prefill is done.
+    pub streamed: bool,
     /// Moment by which the answer (of an engine: the first token) is owed.
     pub deadline: Moment,
     /// Whether running it twice does no harm.
--- a/crates/routing/src/router/attempts.rs
+++ b/crates/routing/src/router/attempts.rs
@@ -12,6 +12,9 @@
     split::Placement,
 };
 
+/// Longest expected time, in seconds, after which a silent prefill is taken to be done.
+const LONGEST_PREFILL: f64 = 600.0;
+
 impl Router {
     /// Takes in a sign of life of an attempt.
     pub fn progress(&mut self, now: Moment, attempt: Attempt, progress: Progress) {
@@ -53,6 +56,28 @@
         }
     }
 
+    /// Takes the prefill of whole answers to be done when it was expected to be.
+    ///
+    /// Such an answer gives no sign before its end. Its prompt would stand before the upstream for
+    /// all the seconds of its decode, and requests that are in time there would be refused, as one
+    /// notices by refusals for the deadline with most of the slots free.
+    pub(super) fn presume_prefilled(&mut self, now: Moment) {
+        while let Some((due, attempt)) = self.silent.first().copied() {
+            if due > now {
+                return;
+            }
+            self.silent.pop_first();
+            let Some(running) = self.running.get_mut(&attempt) else {
+                continue;
+            };
+            if let Some(pool) = self.pools.get_mut(&running.waiting.request.pool)
+                && running.holding.prefill.is_none()
+            {
+                running.holding.prefilled(now, pool);
+            }
+        }
+    }
+
     /// An attempt ended: answered, or cancelled because the caller is gone.
     pub fn finished(&mut self, now: Moment, attempt: Attempt) -> Outputs {
         let mut outputs = Outputs::new();
@@ -149,6 +174,10 @@
             prefill: holding.prefill.as_ref().map(|(id, _)| id.clone()),
             priority: request.priority,
         };
+        if !request.streamed && request.prompt_tokens > 0 {
+            let prefilled = now + Duration::from_secs_f64(expected.clamp(0.0, LONGEST_PREFILL));
+            self.silent.insert((prefilled, attempt));
+        }
         self.running.insert(
             attempt,
             Running {
--- a/crates/routing/src/router/mod.rs
+++ b/crates/routing/src/router/mod.rs
@@ -7,7 +7,7 @@
 mod attempts;
 mod waiting;
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use clock::Moment;
@@ -74,6 +74,8 @@
     pools: BTreeMap<pool::Id, Scheduler>,
     running: HashMap<Attempt, Running>,
     backoffs: BTreeMap<(Moment, Ticket), Backoff>,
+    /// When the prefill of attempts that give no sign of it is taken to be done.
+    silent: BTreeSet<(Moment, Attempt)>,
     /// Pool of each waiting request.
     tickets: HashMap<Ticket, pool::Id>,
     peers: Peers,
@@ -94,6 +96,7 @@
             pools: BTreeMap::new(),
             running: HashMap::new(),
             backoffs: BTreeMap::new(),
+            silent: BTreeSet::new(),
             tickets: HashMap::new(),
             peers: Peers::default(),
             budget: Budget::new(settings.retry),
@@ -240,6 +243,7 @@
     pub fn tick(&mut self, now: Moment) -> Outputs {
         let mut outputs = Outputs::new();
         self.resume(now, &mut outputs);
+        self.presume_prefilled(now);
         let sweep = now.saturating_sub(self.last_sweep) >= SWEEP_EVERY;
         let pools: SmallVec<[pool::Id; 4]> = self.pools.keys().cloned().collect();
         for pool in &pools {
--- a/crates/routing/tests/common/mod.rs
+++ b/crates/routing/tests/common/mod.rs
@@ -54,6 +54,7 @@
         prompt_tokens: 500,
         output_tokens: 100,
         prefixes: smallvec![],
+        streamed: true,
         deadline,
         repeatable: true,
     }
--- a/crates/routing/tests/router.rs
+++ b/crates/routing/tests/router.rs
@@ -203,3 +203,31 @@
         router.finished(ms(1_000 + n), sending.attempt);
     }
 }
+
+#[test]
+fn a_whole_answer_does_not_hold_its_prefill_until_it_ends() {
+    // Symptom: requests with a short deadline are refused with most slots free.
+    // Sequence: a long prompt is sent that is answered whole; its prefill ends, its decode lasts.
+    // Cause: only a stream tells that its prefill is done, so that the prompt stood before the
+    // engine until the answer was there.
+    let mut router = router(config(), engines(1));
+    let mut summary = request(Class::Batch, ms(60_000));
+    summary.prompt_tokens = 4_000;
+    summary.streamed = false;
+    let summary = assert_matches!(router.admit(ms(0), summary), Decision::Send(sending) => sending);
+    assert_eq!(router.outstanding()[0].load.prefill, 4_000.0);
+    router.tick(ms(5_000));
+    assert_eq!(router.outstanding()[0].load.prefill, 0.0);
+    router.finished(ms(9_000), summary.attempt);
+    assert!(router.outstanding().is_empty());
+
+    let mut stream = request(Class::Batch, ms(60_000));
+    stream.prompt_tokens = 4_000;
+    assert_matches!(router.admit(ms(10_000), stream), Decision::Send(_));
+    router.tick(ms(15_000));
+    assert_eq!(
+        router.outstanding()[0].load.prefill,
+        4_000.0,
+        "a stream tells"
+    );
+}
