Learn how many bytes a token of a prompt has

Ruled out: the queue (no request waited), the fleet's capacity, stale reports.

Each entry now learns bytes per token by catalogue entry from the prompt_tokens that engines count, in whole answers and in the last events of a stream.

--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use smallvec::SmallVec;
 
+use crate::density::Densities;
 use crate::dispatch::Attempt;
 use crate::front::headers;
 use crate::front::problem::{Kind, Problem};
@@ -30,6 +31,8 @@
 pub struct Asked {
     /// The caller wants server-sent events.
     pub stream: bool,
+    /// Bytes of the prompt.
+    pub prompt_bytes: usize,
     /// Estimated tokens of the prompt.
     pub prompt_tokens: u32,
     /// Expected tokens of the answer.
@@ -42,13 +45,15 @@
 
 impl Asked {
     /// Reads what the decisions and attempts need.
-    pub fn new(prompt: &Prompt<'_>, entry: &Entry) -> Self {
+    pub fn new(prompt: &Prompt<'_>, entry: &Entry, densities: &Densities) -> Self {
+        let bytes_per_token = densities.bytes_per_token(&entry.name);
         let model = model_name(&entry.target).unwrap_or_default();
         Self {
             stream: prompt.stream,
-            prompt_tokens: prompt.tokens(),
+            prompt_bytes: prompt.text.len(),
+            prompt_tokens: prompt.tokens(bytes_per_token),
             output_tokens: prompt.output_tokens,
-            prefixes: prefixes(&model, prompt.text),
+            prefixes: prefixes(&model, prompt.text, bytes_per_token),
             model: Arc::from(model),
         }
     }
@@ -129,8 +134,8 @@
             .to_owned(),
     };
     let result = match asked.stream {
-        true => streamed(work, place, &attempt, handle).await,
-        false => whole(work, &place.stream, &attempt, handle).await,
+        true => streamed(work, asked, place, &attempt, handle).await,
+        false => whole(work, asked, &place, &attempt, handle).await,
     };
     if result.is_ok() {
         work.observe_answer(&attempt.sending().upstream);
@@ -155,6 +160,7 @@
 
 async fn streamed(
     work: &mut Work,
+    asked: &Asked,
     place: Place,
     attempt: &Attempt,
     handle: Option<HeaderValue>,
@@ -166,6 +172,7 @@
         owner: work.owner.to_string(),
         request: work.request_header(),
         deadline: work.deadline,
+        prompt_bytes: asked.prompt_bytes,
         place,
     };
     let mut guard = guard(work, &origin);
@@ -192,7 +199,8 @@
 
 async fn whole(
     work: &mut Work,
-    stream: &str,
+    asked: &Asked,
+    place: &Place,
     attempt: &Attempt,
     handle: Option<HeaderValue>,
 ) -> Result<Got, Failure> {
@@ -200,10 +208,10 @@
     let mut guard = Guard::new(
         work.worker.guard_context(),
         address,
-        stream.to_owned(),
+        place.stream.clone(),
         work.request_header(),
     );
-    let answer = send(work, address, stream, attempt, handle).await?;
+    let answer = send(work, address, &place.stream, attempt, handle).await?;
     let mut answer = match accepted(work, answer).await? {
         Accepted::Answer(answer) => answer,
         Accepted::Wrong(problem) => {
@@ -216,7 +224,10 @@
         .await
         .map_err(|_| Failure::TimedOut)??;
     guard.release();
-    count_tokens(work, attempt, &body);
+    if let Some(usage) = count_tokens(work, attempt, &body) {
+        let densities = &work.worker.shared.densities;
+        densities.note(&place.entry, asked.prompt_bytes, usage.prompt_tokens);
+    }
     Ok(Got::Whole(Reply::Whole {
         status: answer.status(),
         headers: caller_headers(answer.headers()),
@@ -231,15 +242,17 @@
 
 #[derive(Deserialize)]
 struct Usage {
+    #[serde(default)]
+    prompt_tokens: u32,
     completion_tokens: u32,
 }
 
-fn count_tokens(work: &mut Work, attempt: &Attempt, body: &[u8]) {
-    let answered: Option<Answered> = serde_json::from_slice(body).ok();
-    if let Some(usage) = answered.and_then(|answered| answered.usage) {
-        attempt.tokens(usage.completion_tokens);
-        work.account.whole_tokens(usage.completion_tokens);
-    }
+fn count_tokens(work: &mut Work, attempt: &Attempt, body: &[u8]) -> Option<Usage> {
+    let answered: Answered = serde_json::from_slice(body).ok()?;
+    let usage = answered.usage?;
+    attempt.tokens(usage.completion_tokens);
+    work.account.whole_tokens(usage.completion_tokens);
+    Some(usage)
 }
 
 fn guard(work: &Work, origin: &Origin) -> Guard {
@@ -367,10 +380,7 @@
 /// Most prefixes of one prompt.
 const PREFIXES: usize = 8;
 
-/// Bytes of a prompt per token.
-const BYTES_PER_TOKEN: usize = 4;
-
-fn prefixes(model: &str, text: &str) -> SmallVec<[Prefix; 8]> {
+fn prefixes(model: &str, text: &str, bytes_per_token: f64) -> SmallVec<[Prefix; 8]> {
     let mut prefixes = SmallVec::new();
     let mut hasher = blake3::Hasher::new();
     hasher.update(model.as_bytes());
@@ -383,7 +393,7 @@
         word.copy_from_slice(&hash.as_bytes()[..8]);
         prefixes.push(Prefix {
             hash: u64::from_le_bytes(word),
-            tokens: u32::try_from(end / BYTES_PER_TOKEN).unwrap_or(u32::MAX),
+            tokens: (end as f64 / bytes_per_token) as u32,
         });
         done = end;
         end *= 2;
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -14,6 +14,7 @@
 use settings::Settings;
 use tokio::signal::unix::{SignalKind, signal};
 
+use crate::density::Densities;
 use crate::dispatch::Dispatch;
 use crate::front::{request_id, server};
 use crate::hold::Answers;
@@ -115,6 +116,7 @@
         ids: request_id::Mint::new(random.random()),
         tokens: token::Mint::new(&secret, settings.resume.time),
         held: Mutex::new(Answers::new(settings.hold.bytes)),
+        densities: Densities::default(),
         metrics: Metrics::new(),
         burn: Mutex::default(),
         life: Life::new(),
--- a/crates/entry/src/front/handler.rs
+++ b/crates/entry/src/front/handler.rs
@@ -16,6 +16,7 @@
 
 use crate::account::{Account, Outcome};
 use crate::completion::{Asked, engine_body};
+use crate::density::Densities;
 use crate::front::body::{self, Bounds};
 use crate::front::problem::{Kind, Problem};
 use crate::front::prompt::Prompt;
@@ -178,7 +179,8 @@
             Ok(body) => body,
             Err(problem) => return self.refuse(problem),
         };
-        let prepared = prepare(catalogue, owner, &body);
+        let densities = &self.worker.shared.densities;
+        let prepared = prepare(catalogue, owner, &body, densities);
         let (entry, asked, engine) = match prepared {
             Ok(prepared) => prepared,
             Err(problem) => return self.refuse(problem),
@@ -294,6 +296,7 @@
     catalogue: &'v Catalogue,
     owner: &Owner,
     body: &Bytes,
+    densities: &Densities,
 ) -> Result<(&'v Entry, Asked, Bytes), Problem> {
     let prompt = Prompt::read(body).map_err(|words| Problem::not_run(Kind::BadRequest, words))?;
     let entry = catalogue
@@ -306,7 +309,7 @@
         let detail = format!("at most {} bytes are taken", entry.max_body);
         return Err(Problem::not_run(Kind::TooLarge, detail));
     }
-    let asked = Asked::new(&prompt, entry);
+    let asked = Asked::new(&prompt, entry, densities);
     let engine = engine_body(body, &prompt, &asked.model);
     Ok((entry, asked, engine))
 }
--- a/crates/entry/src/front/prompt.rs
+++ b/crates/entry/src/front/prompt.rs
@@ -6,9 +6,6 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
-/// Bytes of prompt text per token, for estimates before an engine has counted.
-const BYTES_PER_TOKEN: usize = 4;
-
 /// Tokens of an answer that is expected where the caller states no bound.
 const DEFAULT_OUTPUT: u32 = 256;
 
@@ -66,9 +63,9 @@
         })
     }
 
-    /// Estimated tokens of the prompt.
-    pub fn tokens(&self) -> u32 {
-        u32::try_from(self.text.len().div_ceil(BYTES_PER_TOKEN)).unwrap_or(u32::MAX)
+    /// Estimated tokens of the prompt, with so many bytes each.
+    pub fn tokens(&self, bytes_per_token: f64) -> u32 {
+        (self.text.len() as f64 / bytes_per_token).ceil() as u32
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod command;
 pub mod completion;
 pub mod daemon;
+pub mod density;
 pub mod dispatch;
 pub mod front;
 pub mod hold;
--- a/crates/entry/src/resume.rs
+++ b/crates/entry/src/resume.rs
@@ -57,6 +57,7 @@
         owner: resumption.owner.to_owned(),
         request,
         deadline: resumption.deadline.max(shared.clock.now()),
+        prompt_bytes: 0,
         place,
     };
     shared.metrics.add(Metric::Resumptions, 1);
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -10,6 +10,7 @@
 use report::Counters;
 use settings::Settings;
 
+use crate::density::Densities;
 use crate::dispatch::Dispatch;
 use crate::front::request_id;
 use crate::hold::Answers;
@@ -45,6 +46,8 @@
     pub resumed: Resumed,
     /// Held answers.
     pub held: Mutex<Answers>,
+    /// Bytes of prompts per token.
+    pub densities: Densities,
     /// Metrics.
     pub metrics: Metrics,
     /// Counters of the report on burn.
@@ -70,6 +73,8 @@
     pub fn retain_burn(&self, view: &View) {
         if let Some(catalogue) = view.catalogue.as_deref() {
             self.burn().retain(|entry| catalogue.entry(entry).is_some());
+            self.densities
+                .retain(|entry| catalogue.entry(entry).is_some());
         }
     }
 }
--- a/crates/entry/src/stream/relay.rs
+++ b/crates/entry/src/stream/relay.rs
@@ -16,6 +16,7 @@
 use futures_util::{Stream, StreamExt as _, stream};
 
 use crate::account::{Account, Outcome};
+use crate::density;
 use crate::dispatch::Attempt;
 use crate::front::problem::{Kind, Problem};
 use crate::metrics::Metric;
@@ -63,6 +64,8 @@
     pub request: HeaderValue,
     /// When the answer is of no use any more.
     pub deadline: Moment,
+    /// Bytes of the prompt, 0 if they are not known here.
+    pub prompt_bytes: usize,
 }
 
 /// The relay of one stream.
@@ -164,11 +167,20 @@
             account.tokens(relayed.tokens);
         }
         if relayed.done {
+            self.learn(&relayed.bytes);
             self.finish(Outcome::Served);
         }
         relayed.bytes
     }
 
+    /// Learns from the engine's count how many bytes a token of the prompt has.
+    fn learn(&self, events: &[u8]) {
+        if let Some(tokens) = density::counted(events) {
+            let densities = &self.worker.shared.densities;
+            densities.note(&self.origin.place.entry, self.origin.prompt_bytes, tokens);
+        }
+    }
+
     /// Ends a stream of which the caller has a part. It gets an event that says so, and neither
     /// `[DONE]` nor an id, so that it cannot take the part for the whole.
     fn fail(&mut self, end: &End) -> Bytes {
