--- a/crates/catalogue/src/state/judge.rs
+++ b/crates/catalogue/src/state/judge.rs
@@ -9,7 +9,9 @@
 use super::State;
 use crate::finding::nearest;
 use crate::table::Slot;
-use crate::{Conflict, Findings, Judgement, Key, Kind, Offset, Raw, Refusal, Revision, Verdict};
+use crate::{
+    Conflict, Entity, Findings, Judgement, Key, Kind, Offset, Raw, Refusal, Revision, Verdict,
+};
 
 /// Judgements that are kept for operators.
 const HISTORY: usize = 256;
@@ -95,28 +97,10 @@
     ) -> SmallVec<[Option<Arc<Slot>>; 4]> {
         let read = |(change, key): (&Change, &Key)| {
             let entity = if change.json.is_empty() {
-                if self.view.entity(key.kind, &key.name).is_none() {
-                    findings.add(key.kind, &key.name, "", "cannot be removed, there is none");
-                    return None;
-                }
+                self.read_removal(key, findings)?;
                 None
             } else {
-                let raw = Raw {
-                    kind: key.kind,
-                    name: &key.name,
-                    json: &change.json,
-                };
-                // `frozen` is set where the version is unknown, and then nothing is judged.
-                let set = self.rules.get(self.version)?;
-                match (set.read)(&raw) {
-                    Ok(entity) => Some(entity),
-                    Err(faults) => {
-                        for fault in &faults {
-                            findings.push(fault.clone());
-                        }
-                        return None;
-                    }
-                }
+                Some(self.read_entity(change, key, findings)?)
             };
             Some(Arc::new(Slot {
                 revision: offset,
@@ -129,6 +113,28 @@
         edit.changes.iter().zip(touched).map(read).collect()
     }
 
+    /// `None` if there is nothing to remove.
+    fn read_removal(&self, key: &Key, findings: &mut Findings) -> Option<()> {
+        if self.view.entity(key.kind, &key.name).is_none() {
+            findings.add(key.kind, &key.name, "", "cannot be removed, there is none");
+            return None;
+        }
+        Some(())
+    }
+
+    fn read_entity(&self, change: &Change, key: &Key, findings: &mut Findings) -> Option<Entity> {
+        let raw = Raw {
+            kind: key.kind,
+            name: &key.name,
+            json: &change.json,
+        };
+        // `frozen` is set where the version is unknown, and then nothing is judged.
+        let set = self.rules.get(self.version)?;
+        let read = (set.read)(&raw);
+        let note = |faults: &Findings| faults.iter().cloned().for_each(|one| findings.push(one));
+        read.inspect_err(note).ok()
+    }
+
     /// Checks the changed entities against all others, and those that name them. Nothing else
     /// can have become invalid. What names a faulty entity is left out: that a new pool is
     /// missing is no news where the pool itself was found faulty.
--- a/crates/report/src/plot.rs
+++ b/crates/report/src/plot.rs
@@ -32,7 +32,7 @@
 /// Draws the worst entries, or an empty plot if drawing fails.
 pub(crate) fn render(report: &Report) -> String {
     let mut svg = String::new();
-    // The backend writes to a string, which can't fail; a page without its plot is still of use.
+    // The drawing library writes to a string, which can't fail; a page without its plot is still of use.
     if let Err(error) = draw(report, &mut svg) {
         return format!("<!-- no plot: {error} -->");
     }
@@ -66,11 +66,7 @@
         .draw()
         .map_err(text)?;
     for (line, colour) in worst.iter().zip(COLOURS) {
-        let points: Vec<(f64, f64)> = line
-            .points
-            .iter()
-            .map(|point| (hours(report.at, point.start), point.burn))
-            .collect();
+        let points = points(report, line);
         let style = colour.stroke_width(2);
         let dots = points
             .iter()
@@ -96,6 +92,13 @@
         .map_err(text)
 }
 
+fn points(report: &Report, line: &Line) -> Vec<(f64, f64)> {
+    let points = line.points.iter();
+    points
+        .map(|point| (hours(report.at, point.start), point.burn))
+        .collect()
+}
+
 /// Start of ten minutes, in hours before the report.
 fn hours(at: Epoch, start: Epoch) -> f64 {
     let back = at.saturating_sub(start).min(SPAN);
--- a/crates/settings/src/sections/read.rs
+++ b/crates/settings/src/sections/read.rs
@@ -40,29 +40,16 @@
             id: reader.text("instance.id"),
             data_centre: reader.text("instance.data_centre"),
         },
-        listen: Listen {
-            address: reader.address("listen.address"),
-            workers: reader.count("listen.workers"),
-            connections: reader.count("listen.connections"),
-            keep_alive: reader.duration("listen.keep_alive"),
-        },
+        listen: read_listen(reader),
         admin: Admin {
             address: reader.address("admin.address"),
             token: reader.optional_text("admin.token").map(Secret),
         },
         peer: read_peer(reader),
         platform: read_platform(reader),
-        lease: Lease {
-            term: reader.duration("lease.term"),
-            renewal: reader.duration("lease.renewal"),
-            margin: reader.duration("lease.margin"),
-        },
+        lease: read_lease(reader),
         limits: read_limits(reader),
-        upstream: Upstream {
-            connect: reader.duration("upstream.connect"),
-            idle: reader.duration("upstream.idle"),
-            resume: reader.duration("upstream.resume"),
-        },
+        upstream: read_upstream(reader),
         hold: Hold {
             bytes: reader.size("hold.bytes"),
             time: reader.duration("hold.time"),
@@ -90,6 +77,31 @@
     }
 }
 
+fn read_listen(reader: &mut Reader) -> Listen {
+    Listen {
+        address: reader.address("listen.address"),
+        workers: reader.count("listen.workers"),
+        connections: reader.count("listen.connections"),
+        keep_alive: reader.duration("listen.keep_alive"),
+    }
+}
+
+fn read_lease(reader: &mut Reader) -> Lease {
+    Lease {
+        term: reader.duration("lease.term"),
+        renewal: reader.duration("lease.renewal"),
+        margin: reader.duration("lease.margin"),
+    }
+}
+
+fn read_upstream(reader: &mut Reader) -> Upstream {
+    Upstream {
+        connect: reader.duration("upstream.connect"),
+        idle: reader.duration("upstream.idle"),
+        resume: reader.duration("upstream.resume"),
+    }
+}
+
 fn read_peer(reader: &mut Reader) -> Peer {
     Peer {
         address: reader.address("peer.address"),
--- a/crates/standin/src/engine/control.rs
+++ b/crates/standin/src/engine/control.rs
@@ -201,7 +201,12 @@
     {
         return end(&engine, order.order, State::Failed);
     }
-    match order.kind {
+    take_effect(&engine, order.kind);
+    end(&engine, order.order, State::Done);
+}
+
+fn take_effect(engine: &Engine, kind: Kind) {
+    match kind {
         Kind::SetRole { role } => engine.reset(role),
         Kind::LoadModel(model) => {
             let mut models = lock(&engine.models);
@@ -210,7 +215,6 @@
         }
         Kind::UnloadModel(model) => lock(&engine.models).retain(|one| *one != model),
     }
-    end(&engine, order.order, State::Done);
 }
 
 fn end(engine: &Engine, order: Id, state: State) {
--- a/crates/standin/src/engine/kv.rs
+++ b/crates/standin/src/engine/kv.rs
@@ -95,18 +95,7 @@
         digest: tokens::digest(&completion.prompt),
         tokens: tokens::count(&completion.prompt),
     };
-    let job = Job {
-        id: engine.new_job(),
-        priority: completion::priority(call),
-        prompt_tokens: prompt.tokens,
-        output_tokens: completion.max_tokens,
-        blocks: prefix::chain(
-            &completion.model,
-            &completion.prompt,
-            engine.options.block_tokens,
-        ),
-        prefilled: false,
-    };
+    let job = prefill(engine, call, &completion, &prompt);
     if !engine.fits(&job) {
         return completion::not_run(StatusCode::PAYLOAD_TOO_LARGE, "prompt too long");
     }
@@ -125,6 +114,21 @@
     }))
 }
 
+fn prefill(engine: &Engine, call: &Call, completion: &Completion, prompt: &Prompt) -> Job {
+    Job {
+        id: engine.new_job(),
+        priority: completion::priority(call),
+        prompt_tokens: prompt.tokens,
+        output_tokens: completion.max_tokens,
+        blocks: prefix::chain(
+            &completion.model,
+            &completion.prompt,
+            engine.options.block_tokens,
+        ),
+        prefilled: false,
+    }
+}
+
 /// Gives the KV to another engine and lets go of it.
 pub(super) fn fetch(engine: &Engine, handle: &str) -> Answer {
     let Some(prompt) = lock(&engine.kv).take(handle) else {
