Write alarms, timed sends and test pairs once, and name sizes' figures

Cause: the two renderings of the burn picked the raised alarms each for itself, the engines' link of filetests checked the end of a send and of a cancellation apart, three key tests of peer connected the same pair, and the sizes example repeated an offset and a scope as bare literals. Fleet called a faulty pool ill.

Ruled out: one engine for the tests of authority and filetests. They share the fence rule only; one counts streams and time, the other does not.

Change: one function or constant each; the tests keep their assertions. The sizes example prints the same lines as before.

--- a/crates/filetests/src/world/errands.rs
+++ b/crates/filetests/src/world/errands.rs
@@ -4,6 +4,7 @@
 
 use authority::change::{self, Output, Receipt};
 use authority::planner::Input;
+use clock::Moment;
 
 use super::{Travelling, World};
 use crate::Name;
@@ -57,19 +58,13 @@
             Output::Send {
                 ticket, not_after, ..
             } => {
-                if self.now > not_after {
-                    return Some(change::Input::Sent(ticket, Receipt::Failed));
-                }
-                let receipt = self.pass_on(&pair, reaches, output);
+                let receipt = self.send_until(&pair, reaches, not_after, output);
                 Some(change::Input::Sent(ticket, receipt))
             }
             Output::Cancel {
                 ticket, not_after, ..
             } => {
-                if self.now > not_after {
-                    return Some(change::Input::Cancelled(ticket, Receipt::Failed));
-                }
-                let receipt = self.pass_on(&pair, reaches, output);
+                let receipt = self.send_until(&pair, reaches, not_after, output);
                 Some(change::Input::Cancelled(ticket, receipt))
             }
             // The planner makes an append of it.
@@ -77,6 +72,20 @@
         }
     }
 
+    /// Nothing goes out after `not_after`.
+    fn send_until(
+        &mut self,
+        pair: &(Name, Name),
+        reaches: bool,
+        not_after: Moment,
+        output: Output,
+    ) -> Receipt {
+        if self.now > not_after {
+            return Receipt::Failed;
+        }
+        self.pass_on(pair, reaches, output)
+    }
+
     fn pass_on(&mut self, pair: &(Name, Name), reaches: bool, output: Output) -> Receipt {
         let (from, to) = pair.clone();
         if !reaches {
--- a/crates/fleet/src/health.rs
+++ b/crates/fleet/src/health.rs
@@ -158,7 +158,7 @@
         (pace > limit).then_some(Cause::Slow)
     }
 
-    /// Ejects it for a period that doubles while the illness comes back.
+    /// Ejects it for a period that doubles while the fault comes back.
     pub(crate) fn eject(&mut self, now: Moment, cause: Cause, settings: &Settings) {
         let forgiven = self
             .returned_at
--- a/crates/fleet/src/upstream.rs
+++ b/crates/fleet/src/upstream.rs
@@ -142,7 +142,7 @@
         address: String,
     },
     /// Health would eject the upstream, but too many of its pool are ejected already. Operators
-    /// see it as a warning: the pool as a whole is ill.
+    /// see it as a warning: the pool as a whole is at fault.
     Withheld {
         /// The upstream.
         id: Id,
--- a/crates/fleet/src/upstreams.rs
+++ b/crates/fleet/src/upstreams.rs
@@ -174,7 +174,7 @@
     /// Ejects the upstream unless the pool would lose more than its fraction.
     ///
     /// Symptom without the bound: a fault behind all upstreams, such as a broken store, ejects
-    /// the whole pool and turns an illness into an outage.
+    /// the whole pool and turns slow answers or errors into an outage.
     fn eject(&mut self, now: Moment, id: &str, cause: health::Cause, outputs: &mut Outputs) {
         let Some(pool) = self.upstreams.get(id).map(|upstream| upstream.pool.clone()) else {
             return;
--- a/crates/peer/tests/keys.rs
+++ b/crates/peer/tests/keys.rs
@@ -12,7 +12,7 @@
 use peer::{Error, Event, Mesh, Peer};
 use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer};
-use support::{Process, config, confirm, connect, loopback};
+use support::{Process, config, confirm, connect, connected, loopback};
 use wire::Message;
 use wire::peer::Frame;
 use wire::record::Author;
@@ -151,25 +151,23 @@
         Authority::new("old").unwrap(),
         Authority::new("new").unwrap(),
     );
-    let mut a = Process::start(&old, "a");
-    let mut b = Process::start(&old, "b");
-    connect(&mut [&mut a, &mut b]).await;
+    let (mut a, mut b) = connected(&old).await;
     let mut order = 0;
     for step in ["trust both", "bear new", "trust new"] {
-        for node in [&a, &b] {
+        for process in [&a, &b] {
             let bearer = if step == "trust both" { &old } else { &new };
             let trusted: &[&Authority] = match step {
                 "trust new" => &[&new],
                 _ => &[&old, &new],
             };
-            let keys = trusting(&bearer.issue(&node.id).unwrap(), trusted);
-            node.mesh.reload(&keys).unwrap();
+            let keys = trusting(&bearer.issue(&process.id).unwrap(), trusted);
+            process.mesh.reload(&keys).unwrap();
         }
         // Both connections were renewed when each side has one that is younger than the reload.
         let reloaded = tokio::time::Instant::now();
         while [&a, &b]
             .iter()
-            .any(|node| node.mesh.status()[0].age > reloaded.elapsed())
+            .any(|process| process.mesh.status()[0].age > reloaded.elapsed())
         {
             order += 1;
             a.mesh.send("b", confirm(order)).unwrap();
@@ -199,9 +197,7 @@
         Authority::new("old").unwrap(),
         Authority::new("new").unwrap(),
     );
-    let mut a = Process::start(&old, "a");
-    let mut b = Process::start(&old, "b");
-    connect(&mut [&mut a, &mut b]).await;
+    let (mut a, mut b) = connected(&old).await;
     a.mesh.reload(&new.issue("a").unwrap()).unwrap();
     a.down("b").await;
     b.down("a").await;
@@ -210,9 +206,7 @@
 #[actix_rt::test]
 async fn a_bad_reload_keeps_the_keys_in_use() {
     let authority = Authority::new("test").unwrap();
-    let mut a = Process::start(&authority, "a");
-    let mut b = Process::start(&authority, "b");
-    connect(&mut [&mut a, &mut b]).await;
+    let (a, mut b) = connected(&authority).await;
     let wrong = authority.issue("c").unwrap();
     assert_matches!(
         a.mesh.reload(&wrong).unwrap_err().current_context(),
--- a/crates/peer/tests/partition.rs
+++ b/crates/peer/tests/partition.rs
@@ -29,7 +29,7 @@
 }
 
 struct Entry {
-    node: Process,
+    process: Process,
     members: Members,
     outputs: Vec<Output>,
 }
@@ -54,7 +54,7 @@
         let mut members = Members::new(own, Settings::default(), Duration::ZERO);
         members.step(Duration::ZERO, Input::List(&listed()));
         Self {
-            node: Process::faulty(authority, id, fault),
+            process: Process::faulty(authority, id, fault),
             members,
             outputs: Vec::new(),
         }
@@ -65,7 +65,7 @@
         for output in self.members.step(now, Input::Tick(Progress::default())) {
             match output {
                 Output::Beat { to, heartbeat } => {
-                    self.node
+                    self.process
                         .mesh
                         .send(&to, Body::Heartbeat(heartbeat))
                         .unwrap();
@@ -77,7 +77,7 @@
 
     async fn receive(&mut self, now: Duration) {
         let frame = self
-            .node
+            .process
             .until(|event| match event {
                 Event::Frame(frame) => Some(frame),
                 _ => None,
@@ -120,7 +120,7 @@
         let cut: Cut = Rc::new(Cell::new(Lost::Nothing));
         let mut a = Entry::start(&authority, "a", &cut);
         let mut b = Entry::start(&authority, "b", &cut);
-        connect(&mut [&mut a.node, &mut b.node]).await;
+        connect(&mut [&mut a.process, &mut b.process]).await;
         Self {
             a,
             b,
--- a/crates/peer/tests/support/mod.rs
+++ b/crates/peer/tests/support/mod.rs
@@ -95,7 +95,7 @@
             .unwrap_or_else(|_| panic!("{} waited in vain", self.id))
     }
 
-    /// Waits until a handshake of this node has failed, and gives back what it told before.
+    /// Waits until a handshake of this process has failed, and gives back what it told before.
     pub async fn handshake_failed(&mut self) -> Vec<Event> {
         let mut told = Vec::new();
         let wait = async {
@@ -138,19 +138,28 @@
 }
 
 /// Connects all of them with each other.
-pub async fn connect(nodes: &mut [&mut Process]) {
-    let peers: Vec<Peer> = nodes.iter().map(|node| node.peer()).collect();
-    for node in nodes.iter() {
-        node.mesh.set_members(&peers);
+pub async fn connect(processes: &mut [&mut Process]) {
+    let peers: Vec<Peer> = processes.iter().map(|process| process.peer()).collect();
+    for process in processes.iter() {
+        process.mesh.set_members(&peers);
     }
-    for node in nodes.iter_mut() {
+    for process in processes.iter_mut() {
         for _ in 1..peers.len() {
-            node.until(|event| matches!(event, Event::Up(_)).then_some(()))
+            process
+                .until(|event| matches!(event, Event::Up(_)).then_some(()))
                 .await;
         }
     }
 }
 
+/// Two processes, `a` and `b`, that are connected with each other.
+pub async fn connected(authority: &Authority) -> (Process, Process) {
+    let mut a = Process::start(authority, "a");
+    let mut b = Process::start(authority, "b");
+    connect(&mut [&mut a, &mut b]).await;
+    (a, b)
+}
+
 pub fn confirm(order: u64) -> Body {
     Body::Confirm(Confirm {
         order,
--- a/crates/report/src/html.rs
+++ b/crates/report/src/html.rs
@@ -96,9 +96,8 @@
         let (short, long) = (pair.short.burn, pair.long.burn);
         let _never = write!(page, "<td>{short:.1}</td><td>{long:.1}</td>");
     }
-    let alarms = line.pairs.iter().filter(|pair| pair.alarm);
-    let alarms: Vec<&str> = alarms.map(text::alarm).collect();
-    let _never = writeln!(page, "<td>{}</td></tr>", alarms.join(" "));
+    let alarms = text::alarms(line).join(" ");
+    let _never = writeln!(page, "<td>{alarms}</td></tr>");
 }
 
 /// Names come from operators; none may end up as markup in a page that others open.
--- a/crates/report/src/text.rs
+++ b/crates/report/src/text.rs
@@ -37,12 +37,7 @@
     for pair in &line.pairs {
         let _never = write!(text, " {:5.1} {:5.1}", pair.short.burn, pair.long.burn);
     }
-    let alarms: Vec<&str> = line
-        .pairs
-        .iter()
-        .filter(|pair| pair.alarm)
-        .map(alarm)
-        .collect();
+    let alarms = alarms(line);
     let alarms = match alarms.is_empty() {
         true => "-".to_owned(),
         false => alarms.join(","),
@@ -57,9 +52,12 @@
     }
 }
 
-pub(crate) fn alarm(pair: &Pair) -> &'static str {
-    match pair.speed {
+/// The words for the alarms of a line that are raised.
+pub(crate) fn alarms(line: &Line) -> Vec<&'static str> {
+    let raised = line.pairs.iter().filter(|pair| pair.alarm);
+    let word = |pair: &Pair| match pair.speed {
         Speed::Fast => "FAST",
         Speed::Slow => "SLOW",
-    }
+    };
+    raised.map(word).collect()
 }
--- a/crates/wire/examples/sizes.rs
+++ b/crates/wire/examples/sizes.rs
@@ -12,6 +12,10 @@
 const UPSTREAM: &str = "engine-north-0123";
 /// An owner's name of ordinary length.
 const OWNER: &str = "organisation-0123";
+/// A scope's name of ordinary length.
+const SCOPE: &str = "llm-pool";
+/// An offset after some months; the log of a young fleet encodes shorter.
+const OFFSET: u64 = 1_000_000;
 /// A catalogue entry in JSON, in its usual size.
 const ENTRY_JSON_BYTES: usize = 420;
 
@@ -35,7 +39,7 @@
 fn frame_size(body: frame::Body) -> usize {
     let frame = peer::Frame {
         from: Some(author()),
-        sequence: 1_000_000,
+        sequence: OFFSET,
         body: Some(body),
     };
     frame.encoded_len()
@@ -48,7 +52,7 @@
         json: "x".repeat(ENTRY_JSON_BYTES),
     };
     Body::Edit(record::Edit {
-        base_revision: 1_000_000,
+        base_revision: OFFSET,
         operator: "operator".into(),
         note: String::new(),
         changes: vec![change; changes],
@@ -60,14 +64,14 @@
         kind: "entry".into(),
         name: OWNER.into(),
         json: "x".repeat(ENTRY_JSON_BYTES),
-        revision: 1_000_000,
+        revision: OFFSET,
         operator: "operator".into(),
         rules: 1,
     };
     Body::Snapshot(record::Snapshot {
-        upto: 1_000_000,
+        upto: OFFSET,
         rules: 1,
-        revision: 1_000_000,
+        revision: OFFSET,
         entities: vec![entity; entities],
         scopes: Vec::new(),
         orders: Vec::new(),
@@ -91,7 +95,7 @@
 fn key_outcomes(keys: usize) -> Body {
     let outcome = record::KeyOutcome {
         key: vec![7; 16],
-        claim: 1_000_000,
+        claim: OFFSET,
         end: record::KeyEnd::Answered as i32,
     };
     Body::KeyOutcomes(record::KeyOutcomes {
@@ -101,8 +105,8 @@
 
 fn intent() -> Body {
     Body::Intent(record::Intent {
-        scope: "llm-pool".into(),
-        fence: 1_000_000,
+        scope: SCOPE.into(),
+        fence: OFFSET,
         upstream: UPSTREAM.into(),
         order: Some(record::Order {
             kind: Some(record::order::Kind::SetRole(record::SetRole {
@@ -115,8 +119,8 @@
 
 fn outcome() -> Body {
     Body::Outcome(record::Outcome {
-        scope: "llm-pool".into(),
-        fence: 1_000_000,
+        scope: SCOPE.into(),
+        fence: OFFSET,
         order: 1_000_100,
         verdict: record::Verdict::Done as i32,
         detail: String::new(),
@@ -125,8 +129,8 @@
 
 fn heartbeat() -> frame::Body {
     frame::Body::Heartbeat(peer::Heartbeat {
-        folded: 1_000_000,
-        revision: 1_000_000,
+        folded: OFFSET,
+        revision: OFFSET,
         data_centre: "north-1".into(),
         rules: 1,
         ..Default::default()
@@ -160,7 +164,7 @@
 
 fn confirm() -> frame::Body {
     frame::Body::Confirm(peer::Confirm {
-        order: 1_000_000,
+        order: OFFSET,
         upstream: UPSTREAM.into(),
         open: 3,
     })
@@ -183,8 +187,8 @@
 
 fn main() {
     let renewal = Body::Renewal(record::Renewal {
-        scope: "llm-pool".into(),
-        fence: 1_000_000,
+        scope: SCOPE.into(),
+        fence: OFFSET,
     });
     println!("kind                    count   bytes");
     print("record renewal", 1, record_size(renewal));
