--- a/crates/load/src/bench/latency.rs
+++ b/crates/load/src/bench/latency.rs
@@ -42,6 +42,8 @@
     pub entry_first: Quantiles,
     /// Calls that were not served whole.
     pub failed: u64,
+    /// What went wrong with the first of them.
+    pub failure: Option<String>,
 }
 
 #[derive(Debug, Default)]
@@ -53,7 +55,7 @@
 /// Measures both sides at a rate, with about this many samples each.
 pub(super) async fn measure(client: &Client, sides: &Sides, rate: f64, samples: u32) -> Latency {
     let timings = Rc::new(RefCell::new([Timing::default(), Timing::default()]));
-    let failed = Rc::new(RefCell::new(0));
+    let failures = Rc::new(RefCell::new(Vec::new()));
     let mut sources = [source(&sides.direct, "d"), source(&sides.entry, "e")];
     let both = [&sides.direct, &sides.entry];
     for _ in 0..WARM_UP {
@@ -71,14 +73,14 @@
         let turn = (number % 2) as usize;
         let side = both[turn].clone();
         let client = client.clone();
-        let (timings, failed) = (Rc::clone(&timings), Rc::clone(&failed));
+        let (timings, failures) = (Rc::clone(&timings), Rc::clone(&failures));
         calls.push(actix_rt::spawn(async move {
             let mut source = source(&side, &format!("{number}"));
             let call = side.call(&client, &mut source).await;
             if call.end == End::Whole {
                 timings.borrow_mut()[turn].record(&call);
             } else {
-                *failed.borrow_mut() += 1;
+                failures.borrow_mut().push(call.failure());
             }
         }));
     }
@@ -93,7 +95,8 @@
         entry: Quantiles::from(&entry.whole),
         direct_first: Quantiles::from(&direct.first),
         entry_first: Quantiles::from(&entry.first),
-        failed: failed.take(),
+        failed: failures.borrow().len() as u64,
+        failure: failures.take().into_iter().next(),
     }
 }
 
@@ -151,6 +154,9 @@
             writeln!(f)?;
             self.row(f, "first", &self.direct_first, &self.entry_first)?;
         }
+        if let Some(failure) = &self.failure {
+            write!(f, "\n{} failed, the first as {failure}", self.failed)?;
+        }
         Ok(())
     }
 }
--- a/crates/load/src/bench/memory.rs
+++ b/crates/load/src/bench/memory.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 
 use super::latency::source;
-use super::side::Side;
+use super::side::{Call, Side};
 use crate::args::Bench;
 use crate::error::Error;
 use crate::process::Process;
@@ -70,7 +70,7 @@
         open,
         streams: asked,
         ended: ended.len(),
-        first_end: ended.first().map(|call| format!("{:?}", call.end)),
+        first_end: ended.first().map(Call::failure),
     })
 }
 
--- a/crates/load/src/bench/side.rs
+++ b/crates/load/src/bench/side.rs
@@ -48,6 +48,16 @@
     pub whole: Duration,
     /// Tokens that came.
     pub tokens: u64,
+    /// Cause that an error answer gave.
+    pub detail: Option<String>,
+}
+
+impl Call {
+    /// What went wrong, for a look.
+    pub fn failure(&self) -> String {
+        let detail = self.detail.as_deref().unwrap_or("no detail");
+        format!("{:?}: {detail}", self.end)
+    }
 }
 
 impl Sides {
@@ -161,6 +171,7 @@
             first: progress.first.map(|first| first - sent),
             whole: sent.elapsed(),
             tokens: progress.tokens,
+            detail: progress.detail,
         }
     }
 }
