--- a/crates/load/src/bench/latency.rs
+++ b/crates/load/src/bench/latency.rs
@@ -88,6 +88,7 @@
         call.await.ok();
     }
     let [direct, entry] = timings.take();
+    let failures = failures.take();
     Latency {
         kind: sides.name,
         rate,
@@ -95,8 +96,8 @@
         entry: Quantiles::from(&entry.whole),
         direct_first: Quantiles::from(&direct.first),
         entry_first: Quantiles::from(&entry.first),
-        failed: failures.borrow().len() as u64,
-        failure: failures.take().into_iter().next(),
+        failed: failures.len() as u64,
+        failure: failures.into_iter().next(),
     }
 }
 
