Say why the first yes of may_serve is not kept

Cause: an entry that serves turns not ready again when a listed peer is replaced within ten seconds of the entry's start, which reads like a missing latch. That a peer falls silent no longer does it; the test a_process_that_serves_goes_on_when_another_falls_silent holds both cases.

Ruled out: to keep the first yes. A holder that starts meanwhile and has not heard of the entry would close an upstream without its confirmation.

--- a/crates/filetests/src/process/mod.rs
+++ b/crates/filetests/src/process/mod.rs
@@ -82,7 +82,8 @@
     /// Whether its view is good enough to send new work: set once it has folded the log to its
     /// end, and unset when it notices that it was paused.
     pub(crate) current: bool,
-    /// Whether it has begun to serve; a start is over once and for all.
+    /// Whether it has begun to serve. The control plane asks again and again during the start; here
+    /// the first yes is kept, so that more runs send than would there.
     pub(crate) serves: bool,
     frames: u64,
 }
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -100,6 +100,10 @@
     /// It is enough that each one's newest incarnation heard it once: that one counts it from
     /// then on. If all had to go on hearing it, an entry that serves since seconds would refuse
     /// its callers as soon as another is paused or killed.
+    ///
+    /// The first yes is not kept for good. A holder that starts meanwhile and has not heard of
+    /// this process would not wait for it, so the answer is no again until that one has, or until
+    /// the lag is over.
     pub fn may_serve(&self, now: Moment) -> bool {
         let heard_by_all = self
             .members
