Put the outage tests of claims in a file, and connect test pairs once

Change: the five tests without a log are in outage.rs, the two answers that both files expect in the common module; the pairs come from connected.

--- a/crates/claims/tests/batcher.rs
+++ b/crates/claims/tests/batcher.rs
@@ -1,18 +1,11 @@
-//! Decisions of one and of several entries over one log, under single faults.
+//! Decisions of one and of several entries over one log, under single faults. What happens without
+//! the log is in `outage.rs`.
 
 mod common;
 
 use assert_matches::assert_matches;
-use claims::{Decision, End, Input, Policy, Ran, Reach};
-use common::{Entry, Log, claims_in};
-
-fn not_run() -> Decision {
-    Decision::Refused { ran: Ran::No }
-}
-
-fn unknown() -> Decision {
-    Decision::Refused { ran: Ran::Unknown }
-}
+use claims::{Decision, End, Input, Policy, Reach};
+use common::{Entry, Log, claims_in, not_run, unknown};
 
 #[test]
 fn call_runs_once_its_claim_is_read_back() {
@@ -252,105 +245,6 @@
     assert_eq!(a.decided, [(1, Decision::Run { claim: 1 })]);
 }
 
-#[test]
-fn outage_refuses_by_policy() {
-    let mut a = Entry::new("a", 1);
-    a.call(1, Some(1), Policy::Refuse);
-    a.input(Input::Log(Reach::Out));
-    assert_eq!(a.last(), Some(&(1, not_run())), "also one that waits");
-    a.call(2, None, Policy::Refuse);
-    assert_eq!(
-        a.last(),
-        Some(&(2, unknown())),
-        "an earlier attempt may have run"
-    );
-    a.call(3, Some(2), Policy::Refuse);
-    assert_eq!(a.last(), Some(&(3, unknown())));
-}
-
-/// Symptom: a card is charged twice.
-/// Sequence: the first attempt runs without a claim while the log is out, its entry dies, the log
-/// comes back, the caller's second attempt claims the key at another entry and wins.
-/// Cause: a run without a claim leaves no trace that others could see.
-#[test]
-fn later_attempt_never_runs_where_first_attempts_run_unclaimed() {
-    let mut log = Log::default();
-    let (mut a, mut b) = (Entry::new("a", 1), Entry::new("b", 1));
-    a.input(Input::Log(Reach::Out));
-    a.call(1, Some(1), Policy::FirstAttempt);
-    assert_eq!(a.last(), Some(&(1, Decision::RunUnclaimed)));
-    drop(a);
-    b.call(1, Some(2), Policy::FirstAttempt);
-    b.settle(&mut log);
-    assert_eq!(b.decided, [(1, unknown())]);
-    b.call(2, None, Policy::FirstAttempt);
-    assert_eq!(b.last(), Some(&(2, Decision::AttemptRequired)));
-}
-
-/// Symptom: two first attempts with one key run at one entry.
-/// Sequence: the log is out, a caller sends its first attempt twice.
-/// Cause: neither finds a claim in the log.
-#[test]
-fn run_without_claim_is_remembered_here_and_claimed_once_the_log_is_back() {
-    let mut log = Log::default();
-    let (mut a, mut b) = (Entry::new("a", 1), Entry::new("b", 1));
-    a.input(Input::Log(Reach::Out));
-    a.call(1, Some(1), Policy::FirstAttempt);
-    a.call(2, Some(1), Policy::FirstAttempt);
-    assert_matches!(a.last(), Some((2, Decision::InProgress { .. })));
-    a.ended(1, End::Answered);
-    a.call(3, Some(2), Policy::FirstAttempt);
-    assert_matches!(a.last(), Some((3, Decision::Answered { request, .. })) if &**request == "a-1");
-    a.input(Input::Log(Reach::Up));
-    a.settle(&mut log);
-    assert_eq!(a.batcher.held(), 0);
-    b.read(&log);
-    b.call(1, Some(2), Policy::FirstAttempt);
-    assert_matches!(b.last(), Some((1, Decision::Answered { holder, .. })) if holder.instance == "a");
-}
-
-#[test]
-fn first_attempt_waits_only_a_while_for_its_claim() {
-    let (mut log, mut a) = (Log::default(), Entry::new("a", 1));
-    a.call(1, Some(1), Policy::FirstAttempt);
-    a.append(&mut log);
-    a.advance(249);
-    assert_eq!(a.last(), None);
-    a.advance(1);
-    assert_eq!(a.last(), Some(&(1, Decision::RunUnclaimed)));
-    a.read(&log);
-    a.ended(1, End::NotRun);
-    a.settle(&mut log);
-    assert!(a.batcher.book().is_empty(), "concluded as not run");
-    assert_eq!(a.decided.len(), 1);
-}
-
-/// Symptom: a call may have run twice and nobody hears of it.
-/// Sequence: a balancer sends one first attempt to two entries; one cannot reach the log.
-/// Cause: the caller's declaration is all that protects a run without a claim.
-#[test]
-fn run_that_met_another_claim_is_told_and_never_called_not_run() {
-    let mut log = Log::default();
-    let (mut a, mut b) = (Entry::new("a", 1), Entry::new("b", 1));
-    a.call(1, Some(1), Policy::FirstAttempt);
-    a.append(&mut log);
-    b.call(1, Some(1), Policy::FirstAttempt);
-    let copy = b.appends.remove(0);
-    b.advance(250);
-    b.ended(1, End::Answered);
-    log.take(&copy);
-    a.read(&log);
-    b.read(&log);
-    assert_eq!(b.contested, [1]);
-    // The other call did not run after all, and a second copy of this one's claim comes late.
-    a.ended(1, End::NotRun);
-    a.settle(&mut log);
-    log.take(&copy);
-    b.settle(&mut log);
-    a.settle(&mut log);
-    assert_eq!(a.batcher.book().len(), 1, "the key that ran stays claimed");
-}
-
 /// Symptom: a call runs although an earlier claim of its key stands in the log.
 /// Sequence: the reader starts behind the first retained record.
 /// Cause: an unread claim could be the first.
--- a/crates/claims/tests/common/mod.rs
+++ b/crates/claims/tests/common/mod.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use claims::{
-    Batcher, Call, Decision, End, Holder, Input, Nonce, Offset, Output, Outputs, Pace, Policy,
+    Batcher, Call, Decision, End, Holder, Input, Nonce, Offset, Output, Outputs, Pace, Policy, Ran,
     Reach, Ticket,
 };
 use clock::Moment;
@@ -147,3 +147,11 @@
         _ => 0,
     }
 }
+
+pub fn not_run() -> Decision {
+    Decision::Refused { ran: Ran::No }
+}
+
+pub fn unknown() -> Decision {
+    Decision::Refused { ran: Ran::Unknown }
+}
--- a/crates/peer/tests/mesh.rs
+++ b/crates/peer/tests/mesh.rs
@@ -10,7 +10,7 @@
 use peer::issue::Authority;
 use peer::traffic::Kind;
 use peer::{Error, Event, Unsent};
-use support::{Process, config, confirm, connect};
+use support::{Process, config, confirm, connect, connected};
 use wire::peer::{Empty, Load, Outstanding, Query, Reply, frame::Body, query, reply};
 
 const WITHIN: Duration = Duration::from_secs(10);
@@ -44,11 +44,7 @@
 #[actix_rt::test]
 async fn a_frame_too_large_for_a_datagram_goes_as_a_stream() {
     let authority = Authority::new("test").unwrap();
-    let (mut a, mut b) = (
-        Process::start(&authority, "a"),
-        Process::start(&authority, "b"),
-    );
-    connect(&mut [&mut a, &mut b]).await;
+    let (a, mut b) = connected(&authority).await;
     let outstanding = (0..200)
         .map(|n| Outstanding {
             upstream: format!("engine-{n}"),
@@ -69,11 +65,7 @@
 #[actix_rt::test]
 async fn a_query_gets_its_own_reply() {
     let authority = Authority::new("test").unwrap();
-    let (mut a, mut b) = (
-        Process::start(&authority, "a"),
-        Process::start(&authority, "b"),
-    );
-    connect(&mut [&mut a, &mut b]).await;
+    let (a, mut b) = connected(&authority).await;
     // The first two are answered in the wrong order.
     let serve = async {
         let first = b.until(answer).await;
@@ -127,11 +119,7 @@
 #[actix_rt::test]
 async fn traffic_is_counted_by_kind_and_direction() {
     let authority = Authority::new("test").unwrap();
-    let (mut a, mut b) = (
-        Process::start(&authority, "a"),
-        Process::start(&authority, "b"),
-    );
-    connect(&mut [&mut a, &mut b]).await;
+    let (a, mut b) = connected(&authority).await;
     for order in 1..=3 {
         a.mesh.send("b", confirm(order)).unwrap();
         b.confirmed(order).await;
@@ -159,11 +147,7 @@
 #[actix_rt::test]
 async fn a_restarted_peer_replaces_its_dead_connection() {
     let authority = Authority::new("test").unwrap();
-    let (mut a, mut b) = (
-        Process::start(&authority, "a"),
-        Process::start(&authority, "b"),
-    );
-    connect(&mut [&mut a, &mut b]).await;
+    let (a, _former) = connected(&authority).await;
     // The former b is kept in memory and never closes, so its connection stands at a.
     let mut successor = Process::with(config("b", 2, authority.issue("b").unwrap()));
     successor.mesh.set_members(&[a.peer()]);
