--- a/crates/catalogue/src/snapshot.rs
+++ b/crates/catalogue/src/snapshot.rs
@@ -83,8 +83,7 @@
             return Err(Unfit::Rules(snapshot.rules));
         }
         let view = read(&rules, snapshot)?;
-        let at = [snapshot.upto, snapshot.revision, snapshot.horizon];
-        Ok(Self::restored(rules, snapshot.rules, at, view))
+        Ok(Self::restored(rules, snapshot, view))
     }
 
     /// Takes a sealed snapshot, from the log or from a peer, if it is newer than what was folded;
--- a/crates/catalogue/src/state.rs
+++ b/crates/catalogue/src/state.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use wire::record::record::Body;
-use wire::record::{Change, Edit, Record, RulesRaise};
+use wire::record::{Change, Edit, Record, RulesRaise, Snapshot};
 
 use crate::rules::FIRST;
 use crate::table::View;
@@ -178,22 +178,18 @@
         Applied::Frozen(frozen)
     }
 
-    pub(crate) fn restored(
-        rules: Arc<Rules>,
-        version: Version,
-        [folded, revision, horizon]: [Offset; 3],
-        view: View,
-    ) -> Self {
+    /// The state as of a snapshot whose entities were read into `view`.
+    pub(crate) fn restored(rules: Arc<Rules>, snapshot: &Snapshot, view: View) -> Self {
         let mut state = Self::new(rules);
         state.tombstones = view
             .slots()
             .filter(|(_, _, slot)| slot.entity.is_none())
             .map(|(kind, name, slot)| (slot.revision, Key::new(kind, name)))
             .collect();
-        state.version = version;
-        state.folded = folded;
-        state.revision = revision;
-        state.horizon = horizon;
+        state.version = snapshot.rules;
+        state.folded = snapshot.upto;
+        state.revision = snapshot.revision;
+        state.horizon = snapshot.horizon;
         state.view = view;
         state
     }
--- a/crates/filetests/src/process/control.rs
+++ b/crates/filetests/src/process/control.rs
@@ -15,7 +15,7 @@
 
 /// Something that a process wants to ask or tell an engine.
 #[derive(Clone, Debug)]
-pub(crate) enum Errand {
+pub(crate) enum EngineCall {
     /// For a planned change.
     Change(Name, OrderId, change::Output),
     /// A reading of an idle engine.
@@ -68,10 +68,11 @@
                     order,
                     output,
                 } => self
-                    .errands
-                    .push_back(Errand::Change(upstream, order, output)),
+                    .engine_calls
+                    .push_back(EngineCall::Change(upstream, order, output)),
                 planner::Output::Check { upstream, settled } => {
-                    self.errands.push_back(Errand::Check(upstream, settled));
+                    self.engine_calls
+                        .push_back(EngineCall::Check(upstream, settled));
                 }
                 planner::Output::Mismatch { upstream, .. } => {
                     lines.push(self.say(format!("{upstream} is not as it was settled")));
--- a/crates/filetests/src/process/mod.rs
+++ b/crates/filetests/src/process/mod.rs
@@ -21,7 +21,7 @@
 mod fold;
 mod membership;
 
-pub(crate) use control::Errand;
+pub(crate) use control::EngineCall;
 
 /// The scope that all processes contend for, and the pool of the engines.
 pub(crate) const SCOPE: &str = "llm-pool";
@@ -65,7 +65,7 @@
     pub(crate) drain: Drain,
     pub(crate) listing: list::View,
     pub(crate) outbox: VecDeque<Append>,
-    pub(crate) errands: VecDeque<Errand>,
+    pub(crate) engine_calls: VecDeque<EngineCall>,
     pub(crate) fates: VecDeque<Fate>,
     /// Fates of the appends of the lease.
     pub(crate) lease_fates: VecDeque<Fate>,
@@ -119,7 +119,7 @@
             drain: Drain::new(fleet::drain::Settings::default()),
             listing: list::View::default(),
             outbox: VecDeque::new(),
-            errands: VecDeque::new(),
+            engine_calls: VecDeque::new(),
             fates: VecDeque::new(),
             lease_fates: VecDeque::new(),
             asked: BTreeMap::new(),
--- a/crates/filetests/src/world/errands.rs
+++ b/crates/filetests/src/world/engine_calls.rs
@@ -9,21 +9,21 @@
 use super::{Travelling, World};
 use crate::Name;
 use crate::command::Fault;
-use crate::process::Errand;
+use crate::process::EngineCall;
 
 /// Just below the longest delay of orders in `authority::change::Pace`.
 const LONGEST: Duration = Duration::from_millis(4_750);
 
 impl World {
-    pub(super) fn run_errands(&mut self, name: &Name) {
-        while let Some(errand) = self
+    pub(super) fn run_engine_calls(&mut self, name: &Name) {
+        while let Some(call) = self
             .processes
             .get_mut(name)
-            .and_then(|process| process.errands.pop_front())
+            .and_then(|process| process.engine_calls.pop_front())
         {
-            let input = match errand {
-                Errand::Check(upstream, settled) => self.check(name, upstream, settled),
-                Errand::Change(upstream, order, output) => {
+            let input = match call {
+                EngineCall::Check(upstream, settled) => self.check(name, upstream, settled),
+                EngineCall::Change(upstream, order, output) => {
                     let input = self.tell_engine(name, &upstream, output);
                     input.map(|input| Input::Change(order, input))
                 }
--- a/crates/filetests/src/world/mod.rs
+++ b/crates/filetests/src/world/mod.rs
@@ -17,7 +17,7 @@
 mod appends;
 mod calls;
 mod catalogue;
-mod errands;
+mod engine_calls;
 mod faults;
 mod fleet_commands;
 mod run;
--- a/crates/filetests/src/world/run.rs
+++ b/crates/filetests/src/world/run.rs
@@ -78,7 +78,7 @@
         {
             return;
         }
-        self.run_errands(name);
+        self.run_engine_calls(name);
         self.send_calls(name);
         self.notice_log(name);
         if self.list_up && self.reaches(name, "list") {
