Describe the catalogue's classes by their deadlines

Cause: the classes of entries were explained by pictures of who waits where, which tell an operator little about which class to choose.

Change: each says how soon its result is wanted, as docs/CLASSES.md orders them.

--- a/crates/catalogue/src/entry.rs
+++ b/crates/catalogue/src/entry.rs
@@ -11,15 +11,15 @@
 /// What kind of work an entry is; it orders the work when not all fits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Class {
-    /// Somebody waits for a yes or no, and a late one is worthless.
+    /// Short, with a hard deadline: a late answer is worthless.
     Authorisation,
-    /// Short reports from devices.
+    /// Short reports from devices, with a hard deadline.
     Status,
-    /// Somebody reads along.
+    /// A person waits for the answer or reads its tokens as they come.
     Interactive,
-    /// Somebody comes back for the result within the shift.
+    /// The result is wanted within hours.
     Dispatch,
-    /// Nobody waits.
+    /// The result has no deadline of note; such work may wait long.
     Batch,
 }
 
