Describe the classes by their deadlines

Cause: the comments of the router's classes used the users' wording. Ruled out: renaming the variants (they are the catalogue's words). Change: comments only. Before and after: nothing measured, no code changed.

--- a/crates/routing/src/class.rs
+++ b/crates/routing/src/class.rs
@@ -4,15 +4,15 @@
 /// variants is the order of service; see docs/CLASSES.md.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Class {
-    /// Card authorisations and consent notices: short, with a hard deadline, never shed for others.
+    /// Short calls with a hard deadline, never shed for others.
     Authorisation,
-    /// Status pings: short, with a hard deadline, right after authorisations.
+    /// Short reports with a hard deadline, served right after authorisations.
     Status,
-    /// Somebody waits at a screen or a desk.
+    /// A person waits for the first token.
     Interactive,
-    /// Somebody comes back for the result within the shift.
+    /// The result is fetched within minutes to hours.
     Dispatch,
-    /// Overnight work: it may wait long and is shed first.
+    /// It may wait long and is shed first.
     Batch,
 }
 
