--- a/crates/entry/src/front/handler.rs
+++ b/crates/entry/src/front/handler.rs
@@ -15,7 +15,7 @@
 use routing::decision::Ran;
 
 use crate::account::{Account, Outcome};
-use crate::completion::{Asked, engine_body};
+use crate::asked::{Asked, engine_body};
 use crate::density::Densities;
 use crate::front::body::{self, Bounds};
 use crate::front::problem::{Kind, Problem};
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod account;
 pub mod admin;
+pub mod asked;
 pub mod command;
 pub mod completion;
 pub mod daemon;
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -15,7 +15,8 @@
 use control::Claim;
 
 use crate::account::Account;
-use crate::completion::{self, Asked};
+use crate::asked::Asked;
+use crate::completion;
 use crate::dispatch::Attempt;
 use crate::front::problem::{self, Kind, Problem};
 use crate::front::reply::Reply;
--- a/crates/entry/src/stream/relay.rs
+++ b/crates/entry/src/stream/relay.rs
@@ -6,6 +6,7 @@
 
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::header::{HeaderMap, HeaderValue};
@@ -13,6 +14,7 @@
 use actix_rt::time::{Instant, Sleep, sleep, sleep_until};
 use bytes::{Bytes, BytesMut};
 use clock::{Clock as _, Moment};
+use fleet::upstream::Observation;
 use futures_util::{Stream, StreamExt as _, stream};
 
 use crate::account::{Account, Outcome};
@@ -184,6 +186,11 @@
     /// Ends a stream of which the caller has a part. It gets an event that says so, and neither
     /// `[DONE]` nor an id, so that it cannot take the part for the whole.
     fn fail(&mut self, end: &End) -> Bytes {
+        if matches!(end, End::Gone | End::Unreachable(_)) {
+            let engine = Arc::from(self.origin.place.engine.as_str());
+            let control = &self.worker.shared.control;
+            control.observe(&engine, Observation::Failed);
+        }
         let problem = end.problem();
         let body = self
             .account
--- a/crates/entry/tests/guards.rs
+++ b/crates/entry/tests/guards.rs
@@ -5,7 +5,7 @@
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use awc::error::{ConnectError, SendRequestError};
 use bytes::Bytes;
-use entry::completion::engine_body;
+use entry::asked::engine_body;
 use entry::front::prompt::Prompt;
 use entry::front::{deadline, headers, path};
 use entry::metrics::TABLE;
