Space frames by what they say, and measure a busy mesh

Frames that repeat went out on the grid of those that differ: with a spacing of 500 ms a share that stayed the same was told each second or later, close to the 1.2 s after which peers take it for silent. No test covers the spacing.

--- a/crates/control/examples/fleet.rs
+++ b/crates/control/examples/fleet.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 use authority::lease::term::{Figures, Term};
@@ -154,22 +155,25 @@
     }
 }
 
-/// A data plane with some work at each engine and some demand of each owner.
+/// A data plane with some work at each engine and some demand of each owner, never twice the same.
 fn hooks(engines: usize) -> Hooks {
+    let (work, demand) = (AtomicU32::new(0), AtomicU32::new(0));
     Hooks {
         outstanding: Box::new(move || {
+            let changed = work.fetch_add(1, Ordering::Relaxed) % 100;
             let work = (0..engines).map(|engine| Outstanding {
                 upstream: format!("engine-{engine}"),
-                requests: 3,
+                requests: 3 + changed % 2,
                 prefill_tokens: 2000,
                 decode_tokens: 700,
             });
             work.collect()
         }),
-        demand: Box::new(|| {
+        demand: Box::new(move || {
+            let changed = demand.fetch_add(1, Ordering::Relaxed) % 100;
             let demand = (0..OWNERS).map(|owner| Demand {
                 owner: format!("owner-{owner}"),
-                requests: 7.5,
+                requests: 7.5 + changed as f32 / 10.0,
                 tokens: 900.0,
                 open: 12,
             });
--- a/crates/control/src/core/tick.rs
+++ b/crates/control/src/core/tick.rs
@@ -98,22 +98,19 @@
     /// Tells the peers the own outstanding work and the demand by owner. What has not changed is
     /// told about once a second only: an idle entry would fill the bytes that control may cost.
     fn send_work(&mut self, now: Moment) {
-        if now < self.load_sent + self.options.load_period {
-            return;
-        }
-        self.load_sent = now;
         let census = &self.census;
         self.frames.retain(|id| census.members.get(id).is_some());
         let hooks = self.shared.hooks();
         let outstanding = (hooks.outstanding)();
         let demand = (hooks.demand)();
         let pools = self.shared.pool_demand(now);
+        let spacing = self.options.load_period;
         let load = Load { outstanding };
         let shares = Shares { demand, pools };
-        if self.told.load.is_due(now, &load) {
+        if self.told.load.is_due(now, spacing, &load) {
             self.mesh.broadcast(Body::Load(load));
         }
-        if self.told.shares.is_due(now, &shares) {
+        if self.told.shares.is_due(now, spacing, &shares) {
             self.mesh.broadcast(Body::Shares(shares));
         }
     }
--- a/crates/control/src/options.rs
+++ b/crates/control/src/options.rs
@@ -65,7 +65,7 @@
     pub list_period: Duration,
     /// Time between two readings of an engine's load report.
     pub report_period: Duration,
-    /// Time between two frames with own work and demand.
+    /// Least time between two frames with own work, or demand, that differ.
     pub load_period: Duration,
     /// How long the answer to an edit may take.
     pub edit_patience: Duration,
--- a/crates/control/src/told.rs
+++ b/crates/control/src/told.rs
@@ -6,7 +6,7 @@
 use wire::peer::{Load, Shares};
 
 /// Time after which a frame goes out again although it says the same. Peers take an entry's share
-/// of a limit for silent after 1.2 s (docs/design/limits.md), and frames are weighed every 300 ms, so it has to stay well below that.
+/// of a limit for silent after 1.2 s (docs/design/limits.md), so it has to stay well below that.
 const SAME_PERIOD: Duration = Duration::from_millis(800);
 
 /// The newest frames of each kind.
@@ -23,15 +23,17 @@
 }
 
 impl<T: Clone + PartialEq> Last<T> {
-    /// Whether this frame has to go out; if so it counts as the newest.
-    pub(crate) fn is_due(&mut self, now: Moment, frame: &T) -> bool {
-        let same = self
-            .newest
-            .as_ref()
-            .is_some_and(|(at, newest)| now < *at + SAME_PERIOD && newest == frame);
-        if !same {
+    /// Whether this frame has to go out, given the least time between two that differ; if so it
+    /// counts as the newest.
+    pub(crate) fn is_due(&mut self, now: Moment, spacing: Duration, frame: &T) -> bool {
+        let due = match &self.newest {
+            Some((at, newest)) if newest == frame => now >= *at + SAME_PERIOD.max(spacing),
+            Some((at, _)) => now >= *at + spacing,
+            None => true,
+        };
+        if due {
             self.newest = Some((now, frame.clone()));
         }
-        !same
+        due
     }
 }
