--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,289 @@
+//! One call and its attempts at engines, common to plain calls and generations.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::{RequestHead, ResponseHead, StatusCode};
+use adapter::ingress::{self, Call};
+use adapter::upstream::{self, Reply, Sending};
+use bytes::Bytes;
+use http1::{Arrival, Client, Failure, Framing};
+use serving::engine::Record;
+use serving::fleet::Sent;
+use serving::health::Outcome;
+use serving::place::{Demand, Target};
+use serving::{Choice, EngineId, Route, Service, Table};
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use crate::front::NO_ROUTE;
+use crate::instance::Instance;
+use crate::reply::Refusal;
+
+/// A caller's request with all that was looked up for it.
+pub(crate) struct Asked {
+    pub head: RequestHead,
+    pub body: Bytes,
+    pub call: Call,
+    pub route: Rc<Route>,
+    pub service: Service,
+    /// When its caller, or the operator, no longer waits.
+    pub until: Instant,
+    pub begun: Instant,
+}
+
+/// Why a request is answered at once.
+pub(crate) struct Unserved {
+    status: StatusCode,
+    id: Option<String>,
+    after: Option<Duration>,
+    detail: &'static str,
+}
+
+impl Unserved {
+    pub(crate) fn as_refusal(&self) -> Refusal<'_> {
+        Refusal {
+            status: self.status,
+            id: self.id.as_deref(),
+            after: self.after,
+            detail: self.detail,
+            ran: false,
+        }
+    }
+}
+
+/// When a caller may come back to an instance that knows no configuration yet. Another instance is
+/// likely to know one.
+const UNKNOWING_AFTER: Duration = Duration::from_millis(200);
+
+impl Asked {
+    pub(crate) fn new(instance: &Instance, arrival: Arrival) -> Result<Self, Unserved> {
+        let call = ingress::call(&arrival.head).map_err(|finding| Unserved {
+            status: StatusCode::BAD_REQUEST,
+            id: None,
+            after: None,
+            detail: finding.text(),
+        })?;
+        let unserved = |status, after, detail| Unserved {
+            status,
+            id: Some(call.id.clone()),
+            after,
+            detail,
+        };
+        let table = instance.table().ok_or_else(|| {
+            let detail = "No configuration is known yet.";
+            unserved(
+                StatusCode::SERVICE_UNAVAILABLE,
+                Some(UNKNOWING_AFTER),
+                detail,
+            )
+        })?;
+        let path = arrival.head.uri.path();
+        let route = table
+            .find(&call.host, path)
+            .ok_or_else(|| unserved(NO_ROUTE, None, "No route matches."))?;
+        let service = service(&table, route, &call);
+        let patience = call
+            .deadline
+            .map_or(route.timeout, |d| d.min(route.timeout));
+        Ok(Self {
+            until: arrival.begun + patience,
+            begun: arrival.begun,
+            route: route.clone(),
+            service,
+            head: arrival.head,
+            body: arrival.body,
+            call,
+        })
+    }
+
+    pub(crate) fn left(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+
+    pub(crate) fn waited(&self) -> Duration {
+        self.begun.elapsed()
+    }
+}
+
+/// The service of a call on a route with several: by the request's id, so that the same request
+/// goes the same way at every instance.
+fn service(table: &Table, route: &Route, call: &Call) -> Service {
+    let drawn = serving::parts::chain(0, &call.id) >> 32;
+    let drawn = u32::try_from(drawn).unwrap_or(u32::MAX);
+    let name = route.service(f64::from(drawn) / (f64::from(u32::MAX) + 1.0));
+    table.service(name).cloned().unwrap_or_else(|| Service {
+        name: name.clone(),
+        connections: 1,
+        model: None,
+    })
+}
+
+/// Engines that a call must not go to again.
+pub(crate) type Avoid = SmallVec<[EngineId; 4]>;
+
+/// A call that is in an engine's books until this is dropped.
+pub(crate) struct Held<'a> {
+    instance: &'a Instance,
+    sent: Sent,
+    outcome: Option<Outcome>,
+}
+
+impl<'a> Held<'a> {
+    pub(crate) fn new(instance: &'a Instance, target: &Target, priority: u8) -> Self {
+        let now = instance.now();
+        let mut fleet = instance.fleet.borrow_mut();
+        let sent = fleet.begin(
+            &target.engine,
+            target.unread,
+            priority,
+            target.expected,
+            now,
+        );
+        Self {
+            instance,
+            sent,
+            outcome: None,
+        }
+    }
+
+    /// The first answer is there.
+    pub(crate) fn first(&self) {
+        let now = self.instance.now();
+        self.instance.fleet.borrow_mut().first(&self.sent, now);
+    }
+
+    /// How the call ended, for the engine's health.
+    pub(crate) fn note(&mut self, outcome: Outcome) {
+        self.outcome = Some(outcome);
+    }
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        let now = self.instance.now();
+        let mut fleet = self.instance.fleet.borrow_mut();
+        fleet.end(&self.sent, self.outcome, now);
+    }
+}
+
+/// What one attempt came to.
+pub(crate) enum Tried {
+    /// An answer to this request, up to its head.
+    Answer(Box<Answered>),
+    /// The engine certainly did not run it.
+    NotRun {
+        /// Whether the request reached the engine at all.
+        arrived: bool,
+    },
+    /// It may have run.
+    Lost(Failure),
+}
+
+/// An engine's answer whose body is still to come.
+pub(crate) struct Answered {
+    pub head: ResponseHead,
+    pub reply: Reply,
+    pub framing: Framing,
+    pub client: Client,
+}
+
+/// Answers to other requests that are read past on one connection before it is given up.
+const FOREIGN: usize = 3;
+/// Largest body of an answer that is held in memory, in bytes.
+pub(crate) const MOST: usize = 8 * 1024 * 1024;
+
+/// Sends a call to an engine and waits for the head of its answer.
+pub(crate) async fn send(
+    instance: &Instance,
+    asked: &Asked,
+    engine: &Record,
+    sending: &Sending<'_>,
+) -> Tried {
+    let client = match instance.pool.take(instance, engine).await {
+        Ok(client) => client,
+        Err(failure) => {
+            log::debug!(engine = &*engine.id, failure:% = failure; "no connection");
+            return Tried::NotRun { arrived: false };
+        }
+    };
+    let head = upstream::request(&asked.head, sending);
+    match exchange(client, head, asked).await {
+        Ok(answered) if answered.reply.was_not_run() => {
+            keep(instance, engine, answered).await;
+            Tried::NotRun { arrived: true }
+        }
+        Ok(answered) => Tried::Answer(Box::new(answered)),
+        Err(failure) if failure.not_sent() => Tried::NotRun { arrived: false },
+        Err(failure) => Tried::Lost(failure),
+    }
+}
+
+/// Reads answers until one belongs to this request.
+///
+/// An engine may send an answer twice, or late, where the next one is expected. The caller of the
+/// next request would get it as its own; one would notice it by a foreign id in the answer. The id
+/// is compared before anything else is looked at.
+async fn exchange(
+    mut client: Client,
+    head: RequestHead,
+    asked: &Asked,
+) -> Result<Answered, Failure> {
+    let mut answer = client.send(head, &asked.body).await?;
+    for _ in 0..FOREIGN {
+        let reply = upstream::reply(&answer.head, &asked.call.id);
+        if !reply.other {
+            return Ok(Answered {
+                head: answer.head,
+                reply,
+                framing: answer.framing,
+                client,
+            });
+        }
+        log::info!(id = asked.call.id.as_str(); "an answer to another request is read past");
+        client.body(MOST).await?;
+        answer = client.next_answer().await?;
+    }
+    Err(Failure::Broken("answers of other requests only"))
+}
+
+/// Reads an answer that is not passed on, so that its connection can be used again.
+async fn keep(instance: &Instance, engine: &Record, mut answered: Answered) {
+    if answered.framing != Framing::UntilClose && answered.client.body(MOST).await.is_ok() {
+        give(instance, &engine.id, answered.client, &answered.reply);
+    }
+}
+
+/// Keeps a connection for the next call.
+pub(crate) fn give(instance: &Instance, engine: &EngineId, client: Client, reply: &Reply) {
+    let now = instance.now();
+    instance.pool.give(engine, client, reply.keep_alive, now);
+}
+
+/// Finds a place for a call.
+pub(crate) fn place(instance: &Instance, asked: &Asked, avoid: &Avoid) -> Choice {
+    let generation = asked.call.generation.as_ref();
+    let model = asked.service.model.as_ref();
+    let generation = generation
+        .zip(model)
+        .map(|(sizes, model)| serving::place::Generation {
+            model,
+            prompt: &sizes.prompt,
+            tokens: sizes.tokens,
+        });
+    let demand = Demand {
+        service: &asked.service.name,
+        generation,
+        priority: asked.route.priority,
+        zone: &instance.zone,
+        avoid,
+        left: asked.left(),
+    };
+    serving::place::choose(&instance.fleet.borrow(), &demand, instance.now())
+}
+
+/// The record of a chosen engine.
+pub(crate) fn record(instance: &Instance, id: &EngineId) -> Option<Record> {
+    let fleet = instance.fleet.borrow();
+    fleet.get(id).map(|engine| engine.record.clone())
+}
--- /dev/null
+++ b/crates/gateway/src/command.rs
@@ -0,0 +1,79 @@
+//! The command line of `tarragon-gateway`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use adapter::settings::{self, Settings};
+use clap::{Parser, Subcommand};
+
+use crate::{daemon, journal};
+
+/// Exit code when the settings have findings.
+const BAD_SETTINGS: u8 = 2;
+
+/// One of the instances between callers and engines, on the users' platform.
+#[derive(Debug, Parser)]
+#[command(name = "tarragon-gateway", version)]
+pub struct Command {
+    #[command(subcommand)]
+    action: Action,
+}
+
+#[derive(Debug, Subcommand)]
+enum Action {
+    /// Serves until SIGTERM.
+    Serve {
+        /// Settings file; without it the platform's environment variable names it.
+        #[arg(long)]
+        settings: Option<PathBuf>,
+    },
+    /// Checks settings and prints every finding with its place.
+    Check {
+        /// Settings file.
+        settings: PathBuf,
+    },
+}
+
+impl Command {
+    /// Carries the command out.
+    pub fn run(self) -> ExitCode {
+        match self.action {
+            Action::Serve { settings } => serve(settings),
+            Action::Check { settings } => match load(Some(settings)) {
+                Ok(_) => ExitCode::SUCCESS,
+                Err(code) => code,
+            },
+        }
+    }
+}
+
+fn load(path: Option<PathBuf>) -> Result<(PathBuf, Settings), ExitCode> {
+    let Some(path) = path.or_else(settings::path) else {
+        eprintln!("no settings file is named");
+        return Err(ExitCode::from(BAD_SETTINGS));
+    };
+    match settings::load(&path) {
+        Ok(settings) => Ok((path, settings)),
+        Err(findings) => {
+            for finding in findings {
+                eprintln!("{finding}");
+            }
+            Err(ExitCode::from(BAD_SETTINGS))
+        }
+    }
+}
+
+fn serve(path: Option<PathBuf>) -> ExitCode {
+    journal::init();
+    let (path, settings) = match load(path) {
+        Ok(loaded) => loaded,
+        Err(code) => return code,
+    };
+    match daemon::run(path, settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!(error:% = error; "the daemon failed");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/daemon.rs
@@ -0,0 +1,82 @@
+//! Starts the tasks of a process and ends them.
+
+use std::path::PathBuf;
+use std::rc::Rc;
+
+use adapter::settings::{self, Settings};
+use error_stack::{Report, ResultExt as _};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::instance::Instance;
+use crate::{follow, front, mesh, ready};
+
+/// Why the process cannot serve.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Failure {
+    Signals,
+    Listen,
+}
+
+impl std::fmt::Display for Failure {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Signals => "signals cannot be received",
+            Self::Listen => "an address cannot be listened on",
+        })
+    }
+}
+
+impl std::error::Error for Failure {}
+
+/// Serves until SIGTERM.
+pub(crate) fn run(path: PathBuf, settings: Settings) -> Result<(), Report<Failure>> {
+    actix_rt::System::new().block_on(serve(path, settings))
+}
+
+async fn serve(path: PathBuf, settings: Settings) -> Result<(), Report<Failure>> {
+    let mut terminate = signal(SignalKind::terminate()).change_context(Failure::Signals)?;
+    let mut reload = signal(SignalKind::hangup()).change_context(Failure::Signals)?;
+    let instance = Rc::new(Instance::new(settings));
+    let listen = instance.settings.borrow().listen;
+    log::info!(
+        instance = instance.settings.borrow().instance.as_str(),
+        incarnation = instance.incarnation,
+        front:% = listen.front;
+        "started"
+    );
+    let front = http1::listen(listen.front).change_context(Failure::Listen)?;
+    let ready = http1::listen(listen.ready).change_context(Failure::Listen)?;
+    actix_rt::spawn(front::accept(instance.clone(), front));
+    actix_rt::spawn(ready::accept(instance.clone(), ready));
+    follow::start(&instance);
+    mesh::start(&instance)
+        .await
+        .change_context(Failure::Listen)?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = reload.recv() => load_again(&instance, &path),
+        }
+    }
+    log::info!("asked to end");
+    let grace = instance.settings.borrow().bounds.grace;
+    mesh::leave(&instance);
+    instance.phase.leave(grace).await;
+    Ok(())
+}
+
+/// Takes changed settings over. Addresses are bound already and stay; a file with findings leaves
+/// the settings in force.
+fn load_again(instance: &Instance, path: &std::path::Path) {
+    match settings::load(path) {
+        Ok(settings) => {
+            *instance.settings.borrow_mut() = settings;
+            log::info!("settings reloaded");
+        }
+        Err(findings) => {
+            for finding in findings {
+                log::error!(finding:% = finding; "the settings are not good; the old ones stay");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/events.rs
@@ -0,0 +1,73 @@
+//! Whole events out of a stream that may break off anywhere.
+
+use bytes::{Bytes, BytesMut};
+use memchr::memmem;
+
+/// Id of an event.
+pub(crate) type EventId = u64;
+
+/// Splits a stream of server-sent events.
+///
+/// An engine may stop in the middle of an event. A piece of one that had been passed on could
+/// not be taken back when another engine goes on, and the caller would see half an event joined to
+/// the next; so only whole events leave here.
+#[derive(Debug, Default)]
+pub(crate) struct Splitter {
+    partial: BytesMut,
+    last: Option<EventId>,
+}
+
+/// Ends an event.
+const END: &[u8] = b"\n\n";
+/// Begins the line with an event's id.
+const ID: &[u8] = b"id:";
+
+impl Splitter {
+    /// A splitter of a stream that begins after this event.
+    pub(crate) fn after(last: Option<EventId>) -> Self {
+        Self {
+            partial: BytesMut::new(),
+            last,
+        }
+    }
+
+    /// Id of the last whole event.
+    pub(crate) fn last(&self) -> Option<EventId> {
+        self.last
+    }
+
+    /// Takes bytes and gives the whole events that they complete.
+    pub(crate) fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
+        if self.partial.is_empty() {
+            let end = memmem::rfind(&bytes, END)? + END.len();
+            self.partial.extend_from_slice(&bytes[end..]);
+            let whole = bytes.slice(..end);
+            self.note(&whole);
+            return Some(whole);
+        }
+        self.partial.extend_from_slice(&bytes);
+        let end = memmem::rfind(&self.partial, END)? + END.len();
+        let whole = self.partial.split_to(end).freeze();
+        self.note(&whole);
+        Some(whole)
+    }
+
+    /// Bytes behind the last whole event.
+    pub(crate) fn rest(&mut self) -> Bytes {
+        self.partial.split().freeze()
+    }
+
+    fn note(&mut self, events: &[u8]) {
+        for line in events.split(|&byte| byte == b'\n').rev() {
+            if let Some(id) = id(line) {
+                self.last = Some(id);
+                return;
+            }
+        }
+    }
+}
+
+fn id(line: &[u8]) -> Option<EventId> {
+    let value = line.strip_prefix(ID)?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/gateway/src/front.rs
@@ -0,0 +1,130 @@
+//! Connections of callers: one request after the other, each watched for its caller's leaving.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use http1::{Bad, Limits, Patience, Server};
+use serving::route;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::instance::Instance;
+use crate::reply::{Refusal, refuse};
+use crate::{attempt::Asked, generate, plain};
+
+/// A caller's connection counts as dead after about six seconds of silence of its machine, which is
+/// longer than callers wait for most answers.
+pub(crate) const CALLER: Patience = Patience {
+    connect: Duration::from_secs(1),
+    acknowledge: Duration::from_secs(5),
+    probe: Duration::from_secs(2),
+    probes: 2,
+};
+
+/// Limits until a configuration names others.
+pub(crate) const LIMITS: Limits = Limits {
+    head: 16 * 1024,
+    body: 4 * 1024 * 1024,
+    head_time: Duration::from_secs(3),
+    idle: Duration::from_secs(15),
+};
+
+/// Pause after a failed accept. Descriptors may have run out, and a loop without a pause would
+/// take the processor from the calls that free them.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+pub(crate) async fn accept_failed(error: &io::Error) {
+    log::warn!(error:% = error; "a connection could not be accepted");
+    tokio::time::sleep(ACCEPT_PAUSE).await;
+}
+
+/// Accepts callers until the process ends.
+pub(crate) async fn accept(instance: Rc<Instance>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(actix_rt::spawn(serve(instance.clone(), stream))),
+            Err(error) => accept_failed(&error).await,
+        }
+    }
+}
+
+async fn serve(instance: Rc<Instance>, stream: TcpStream) {
+    let Ok(mut server) = Server::new(stream, &CALLER, &instance.codec) else {
+        return;
+    };
+    loop {
+        let limits = limits(&instance);
+        tokio::select! {
+            biased;
+            begun = server.wait(&limits) => if begun.is_err() { return },
+            () = instance.phase.closing(), if !server.has_more() => return,
+        }
+        if !one(&instance, &mut server, &limits).await {
+            return;
+        }
+    }
+}
+
+fn limits(instance: &Instance) -> Limits {
+    let table = instance.table.borrow();
+    let limits: Option<route::Limits> = table.as_ref().map(|table| table.limits);
+    limits.map_or(LIMITS, |limits| Limits {
+        head: limits.head_bytes,
+        body: limits.body_bytes,
+        head_time: limits.head_time,
+        idle: limits.idle,
+    })
+}
+
+/// Serves one request. Says whether another may follow on the connection.
+async fn one(instance: &Rc<Instance>, server: &mut Server, limits: &Limits) -> bool {
+    let _in_hand = instance.phase.begin();
+    let arrival = match server.request(limits).await {
+        Ok(arrival) => arrival,
+        Err(bad) => {
+            answer_bad(server, bad).await;
+            return false;
+        }
+    };
+    let (reader, writer) = server.sides();
+    tokio::select! {
+        biased;
+        done = respond(instance, arrival, writer) => done && writer.keeps_open(),
+        () = reader.gone() => false,
+    }
+}
+
+async fn answer_bad(server: &mut Server, bad: Bad) {
+    let Some(status) = bad.status() else { return };
+    log::info!(status = status.as_u16(), why:? = bad; "a request cannot be read");
+    let (_, writer) = server.sides();
+    let refusal = Refusal {
+        status,
+        id: None,
+        after: None,
+        detail: "The request cannot be read.",
+        ran: false,
+    };
+    // The caller may have gone, and the connection is closed either way.
+    drop(refuse(writer, refusal, true).await);
+}
+
+/// Answers a request. Says whether the answer is whole.
+async fn respond(
+    instance: &Rc<Instance>,
+    arrival: http1::Arrival,
+    writer: &mut http1::Writer,
+) -> bool {
+    let leaving = instance.phase.is_leaving();
+    match Asked::new(instance, arrival) {
+        Ok(asked) if asked.route.kind.is_stream() => {
+            generate::answer(instance, &asked, writer).await
+        }
+        Ok(asked) => plain::answer(instance, &asked, writer).await,
+        Err(refusal) => refuse(writer, refusal.as_refusal(), leaving).await.is_ok(),
+    }
+}
+
+/// Status of a request that no route matches.
+pub(crate) const NO_ROUTE: StatusCode = StatusCode::NOT_FOUND;
--- /dev/null
+++ b/crates/gateway/src/generate.rs
@@ -0,0 +1,417 @@
+//! Calls that are answered in events by model engines: where they are placed, read and generated,
+//! and how they go on when an engine fails.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::upstream::{self, Memory, Sending};
+use bytes::Bytes;
+use http1::{Client, Patience, Writer};
+use serving::health::Outcome;
+use serving::place::{Refusal, Target};
+use serving::{Choice, EngineId};
+use tokio::time::{timeout, timeout_at};
+
+use crate::attempt::{self, Answered, Asked, Avoid, Held, MOST, Tried};
+use crate::instance::Instance;
+use crate::plain::{End, Finished, refuse_end, take_repeat};
+use crate::relay::{self, Relay};
+
+/// How a call ended, as far as the connection to its caller goes on.
+enum Done {
+    Whole,
+    Broken,
+    Unserved(End),
+}
+
+/// Sends to engines that did not run the call, of one call.
+const REJECTIONS: u32 = 2;
+/// When a caller may come back after engines refused.
+const FULL_AFTER: Duration = Duration::from_millis(300);
+/// Time in which memory that nobody takes is freed.
+const FREE: Duration = Duration::from_millis(500);
+
+/// Answers a call. Says whether the connection may be used on.
+pub(crate) async fn answer(instance: &Rc<Instance>, asked: &Asked, writer: &mut Writer) -> bool {
+    let close = instance.phase.is_leaving();
+    let sent = Cell::new(false);
+    let run = async {
+        let relay = Relay::new(writer, asked.call.resume_after, close);
+        Run::new(instance, asked, relay, &sent).run().await
+    };
+    let done = timeout_at(asked.until, run).await;
+    let done = match done {
+        Ok(done) => done,
+        Err(_) if writer.has_begun() => Done::Broken,
+        Err(_) if sent.get() => Done::Unserved(End::Late),
+        Err(_) => Done::Unserved(End::NotRun {
+            after: FULL_AFTER,
+            why: "No engine began in time.",
+        }),
+    };
+    tell(asked, &done);
+    match done {
+        Done::Whole => true,
+        Done::Broken => false,
+        Done::Unserved(End::Answer(finished, body)) => {
+            let head = adapter::ingress::answer(&finished.head, close);
+            writer.whole(head, body).await.is_ok()
+        }
+        Done::Unserved(end) => refuse_end(asked, &end, writer, close).await,
+    }
+}
+
+fn tell(asked: &Asked, done: &Done) {
+    let id = asked.call.id.as_str();
+    let route = asked.route.name.as_str();
+    let ms = asked.waited().as_millis();
+    match done {
+        Done::Whole => log::debug!(id = id, route = route, ms:% = ms; "streamed"),
+        Done::Broken => log::info!(id = id, route = route, ms:% = ms; "stream broken off"),
+        Done::Unserved(End::NotRun { after, why }) => {
+            log::info!(id = id, route = route, ms:% = ms, after_ms:% = after.as_millis(), why = *why; "refused");
+        }
+        Done::Unserved(_) => log::info!(id = id, route = route, ms:% = ms; "failed"),
+    }
+}
+
+struct Run<'a> {
+    instance: &'a Rc<Instance>,
+    asked: &'a Asked,
+    relay: Relay<'a>,
+    /// Whether an engine may have begun to run the call.
+    sent: &'a Cell<bool>,
+    avoid: Avoid,
+    runs: u32,
+    rejections: u32,
+    weights: Option<u64>,
+}
+
+/// What the next step is after an attempt.
+enum Next {
+    Again,
+    Done(Done),
+}
+
+impl<'a> Run<'a> {
+    fn new(
+        instance: &'a Rc<Instance>,
+        asked: &'a Asked,
+        relay: Relay<'a>,
+        sent: &'a Cell<bool>,
+    ) -> Self {
+        Self {
+            instance,
+            asked,
+            relay,
+            sent,
+            avoid: Avoid::new(),
+            runs: 0,
+            rejections: 0,
+            weights: None,
+        }
+    }
+
+    async fn run(mut self) -> Done {
+        let service = &self.asked.service.name;
+        self.instance.budgets.borrow_mut().earn(service);
+        loop {
+            let next = match attempt::place(self.instance, self.asked, &self.avoid) {
+                Choice::Direct(target) => self.generate(&target, None).await,
+                Choice::Split { prefill, decode } => self.split(&prefill, &decode).await,
+                Choice::Refuse { after, why } => Next::Done(self.refused(after, why)),
+            };
+            if let Next::Done(done) = next {
+                return done;
+            }
+        }
+    }
+
+    fn refused(&self, after: Duration, why: Refusal) -> Done {
+        if self.relay.has_begun() {
+            return Done::Broken;
+        }
+        if self.runs > 0 {
+            return Done::Unserved(End::Unknown("No further engine takes the call."));
+        }
+        let why = match why {
+            Refusal::NoEngine => "No engine takes the call.",
+            Refusal::TooMuchWork => "There is too much work before this call.",
+        };
+        Done::Unserved(End::NotRun { after, why })
+    }
+
+    /// Has the prompt read at one engine and generates at another.
+    async fn split(&mut self, prefill: &Target, decode: &Target) -> Next {
+        match self.read_prompt(prefill).await {
+            Prompt::Read(memory) => {
+                let memory = Guard::new(self.instance, memory);
+                self.generate(decode, Some(memory)).await
+            }
+            Prompt::Rejected => {
+                self.avoid.push(prefill.engine.clone());
+                self.rejected(true)
+            }
+            Prompt::Lost => {
+                self.avoid.push(prefill.engine.clone());
+                Next::Again
+            }
+        }
+    }
+
+    async fn read_prompt(&mut self, target: &Target) -> Prompt {
+        let Some(engine) = attempt::record(self.instance, &target.engine) else {
+            return Prompt::Lost;
+        };
+        self.note_parts(&target.engine);
+        let mut held = Held::new(self.instance, target, self.asked.route.priority);
+        let sending = Sending {
+            instance: &engine.id,
+            left: self.asked.left(),
+            priority: Some(self.asked.route.priority),
+            prefill: true,
+            ..Sending::default()
+        };
+        let answered = match attempt::send(self.instance, self.asked, &engine, &sending).await {
+            Tried::Answer(answered) => answered,
+            Tried::NotRun { arrived } => {
+                held.note(if arrived {
+                    Outcome::Full
+                } else {
+                    Outcome::Unreachable
+                });
+                return if arrived {
+                    Prompt::Rejected
+                } else {
+                    Prompt::Lost
+                };
+            }
+            Tried::Lost(failure) => {
+                log::info!(id = self.asked.call.id.as_str(), engine = &*engine.id, failure:% = failure; "the prompt's reading was lost");
+                held.note(Outcome::Failed);
+                return Prompt::Lost;
+            }
+        };
+        let Answered {
+            reply, mut client, ..
+        } = *answered;
+        let body = client.body(MOST).await;
+        let read = body.ok().filter(|_| reply.is_success());
+        let Some(read) = read.and_then(|body| upstream::prompt_read(&body)) else {
+            held.note(Outcome::Failed);
+            return Prompt::Lost;
+        };
+        held.first();
+        held.note(Outcome::Good);
+        attempt::give(self.instance, &engine.id, client, &reply);
+        self.weights = self.weights.or(read.weights);
+        Prompt::Read(Memory {
+            address: engine.address,
+            handle: read.handle,
+        })
+    }
+
+    fn note_parts(&self, engine: &EngineId) {
+        let sizes = self.asked.call.generation.as_ref();
+        let Some((sizes, model)) = sizes.zip(self.asked.service.model.as_ref()) else {
+            return;
+        };
+        let now = self.instance.now();
+        let mut fleet = self.instance.fleet.borrow_mut();
+        self.instance
+            .peers
+            .borrow_mut()
+            .reads(&fleet, engine, &sizes.prompt);
+        fleet.reads(engine, &sizes.prompt, model.memory_tokens, now);
+    }
+
+    async fn generate(&mut self, target: &Target, memory: Option<Guard>) -> Next {
+        let Some(engine) = attempt::record(self.instance, &target.engine) else {
+            self.avoid.push(target.engine.clone());
+            return Next::Again;
+        };
+        self.note_parts(&target.engine);
+        let mut held = Held::new(self.instance, target, self.asked.route.priority);
+        let sending = Sending {
+            instance: &engine.id,
+            left: self.asked.left(),
+            priority: Some(self.asked.route.priority),
+            memory: memory.as_ref().map(|guard| &guard.memory),
+            resume_after: self.relay.last(),
+            weights: self.weights,
+            ..Sending::default()
+        };
+        self.sent.set(true);
+        let tried = attempt::send(self.instance, self.asked, &engine, &sending).await;
+        match tried {
+            Tried::Answer(answered) => {
+                if let Some(memory) = memory {
+                    memory.taken();
+                }
+                self.pass(answered, &mut held, &engine.id).await
+            }
+            Tried::NotRun { arrived } => {
+                self.sent.set(self.runs > 0);
+                held.note(if arrived {
+                    Outcome::Full
+                } else {
+                    Outcome::Unreachable
+                });
+                self.avoid.push(target.engine.clone());
+                self.rejected(arrived)
+            }
+            Tried::Lost(failure) => {
+                log::info!(id = self.asked.call.id.as_str(), engine = &*engine.id, failure:% = failure; "the engine's answer was lost");
+                held.note(Outcome::Failed);
+                self.avoid.push(target.engine.clone());
+                self.lost("The engine's answer was lost.")
+            }
+        }
+    }
+
+    async fn pass(
+        &mut self,
+        mut answered: Box<Answered>,
+        held: &mut Held<'_>,
+        engine: &EngineId,
+    ) -> Next {
+        let reply = &answered.reply;
+        if !reply.is_success() {
+            held.note(if reply.status >= 500 {
+                Outcome::Failed
+            } else {
+                Outcome::Good
+            });
+            self.avoid.push(engine.clone());
+            return self.failure(*answered, engine).await;
+        }
+        if !(reply.signed && reply.named && !reply.encoded) {
+            held.note(Outcome::Failed);
+            self.avoid.push(engine.clone());
+            return self.lost("The engine's answer is not its own.");
+        }
+        self.weights = self.weights.or(reply.weights);
+        match self.relay.pass(&mut answered, held).await {
+            relay::End::Whole => {
+                held.note(Outcome::Good);
+                let Answered { client, reply, .. } = *answered;
+                attempt::give(self.instance, engine, client, &reply);
+                Next::Done(Done::Whole)
+            }
+            relay::End::Gone(error) => {
+                log::debug!(id = self.asked.call.id.as_str(), error:% = error; "the caller has gone");
+                Next::Done(Done::Broken)
+            }
+            relay::End::Broken(failure) => {
+                log::info!(id = self.asked.call.id.as_str(), engine = &**engine, failure:% = failure, last:? = self.relay.last(); "the engine broke off");
+                held.note(Outcome::Failed);
+                self.avoid.push(engine.clone());
+                self.lost("The engine broke off.")
+            }
+        }
+    }
+
+    /// An engine's own failure: another engine is tried where the call may be repeated, else the
+    /// caller gets it as it is.
+    async fn failure(&mut self, mut answered: Answered, engine: &EngineId) -> Next {
+        let body = answered.client.body(MOST).await;
+        let reply = answered.reply;
+        let Ok(body) = body else {
+            return self.lost("The engine's failure is broken.");
+        };
+        attempt::give(self.instance, engine, answered.client, &reply);
+        self.runs += 1;
+        if self.may_repeat() {
+            return Next::Again;
+        }
+        if self.relay.has_begun() {
+            return Next::Done(Done::Broken);
+        }
+        let end = if matches!(reply.status, 408 | 421 | 429 | 503) {
+            End::Unknown("The engine failed.")
+        } else {
+            let head = answered.head;
+            End::Answer(Box::new(Finished { head, reply }), body)
+        };
+        Next::Done(Done::Unserved(end))
+    }
+
+    fn rejected(&mut self, arrived: bool) -> Next {
+        self.rejections += 1;
+        let few = self.rejections <= REJECTIONS;
+        if few && (!arrived || take_repeat(self.instance, self.asked)) {
+            return Next::Again;
+        }
+        Next::Done(self.refused(FULL_AFTER, Refusal::TooMuchWork))
+    }
+
+    fn lost(&mut self, why: &'static str) -> Next {
+        self.runs += 1;
+        if self.may_repeat() {
+            return Next::Again;
+        }
+        if self.relay.has_begun() {
+            return Next::Done(Done::Broken);
+        }
+        Next::Done(Done::Unserved(End::Unknown(why)))
+    }
+
+    fn may_repeat(&self) -> bool {
+        let route = &self.asked.route;
+        route.kind.is_idempotent()
+            && self.runs < route.attempts
+            && take_repeat(self.instance, self.asked)
+    }
+}
+
+enum Prompt {
+    Read(Memory),
+    Rejected,
+    Lost,
+}
+
+/// Memory that is freed unless it was taken.
+struct Guard {
+    instance: Rc<Instance>,
+    memory: Memory,
+    taken: Cell<bool>,
+}
+
+impl Guard {
+    fn new(instance: &Rc<Instance>, memory: Memory) -> Self {
+        Self {
+            instance: instance.clone(),
+            memory,
+            taken: Cell::new(false),
+        }
+    }
+
+    fn taken(&self) {
+        self.taken.set(true);
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if !self.taken.get() {
+            actix_rt::spawn(free(self.instance.clone(), self.memory.clone()));
+        }
+    }
+}
+
+async fn free(instance: Rc<Instance>, memory: Memory) {
+    let patience = Patience {
+        connect: FREE,
+        acknowledge: FREE,
+        probe: FREE,
+        probes: 1,
+    };
+    let freeing = async {
+        let mut client = Client::open(memory.address, &patience, &instance.codec).await?;
+        client.send(upstream::free(&memory), &Bytes::new()).await
+    };
+    if !matches!(timeout(FREE, freeing).await, Ok(Ok(_))) {
+        log::debug!(handle = memory.handle.as_str(); "memory that nobody takes could not be freed, it lapses");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/instance.rs
@@ -0,0 +1,79 @@
+//! What all tasks of a process share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use adapter::settings::Settings;
+use clock::{Clock as _, Moment, System};
+use serving::budget::Budgets;
+use serving::{Fleet, Table, Zone};
+
+use crate::mesh::Peers;
+use crate::phase::Phase;
+use crate::pool::Pool;
+
+/// One process.
+pub(crate) struct Instance {
+    pub settings: RefCell<Settings>,
+    pub zone: Zone,
+    pub incarnation: u64,
+    pub clock: System,
+    pub codec: http1::Config,
+    pub table: RefCell<Option<Rc<Table>>>,
+    pub fleet: RefCell<Fleet>,
+    /// Whether the engines have been read once.
+    pub engines_known: Cell<bool>,
+    pub budgets: RefCell<Budgets>,
+    pub pool: Pool,
+    pub peers: RefCell<Peers>,
+    pub phase: Phase,
+}
+
+/// Instances assumed until the others have been heard of.
+const INSTANCES: u32 = 6;
+
+impl Instance {
+    pub(crate) fn new(settings: Settings) -> Self {
+        let incarnation = rand::random();
+        Self {
+            zone: Zone::from(settings.zone.as_str()),
+            incarnation,
+            clock: System::new(),
+            codec: http1::config(),
+            table: RefCell::default(),
+            fleet: RefCell::default(),
+            engines_known: Cell::new(false),
+            budgets: RefCell::new(Budgets::new(settings.bounds.repeats, INSTANCES)),
+            pool: Pool::default(),
+            peers: RefCell::default(),
+            phase: Phase::default(),
+            settings: RefCell::new(settings),
+        }
+    }
+
+    pub(crate) fn now(&self) -> Moment {
+        self.clock.now()
+    }
+
+    pub(crate) fn table(&self) -> Option<Rc<Table>> {
+        self.table.borrow().clone()
+    }
+
+    /// Puts a configuration in force if it is newer than the one in force.
+    ///
+    /// Reads that overtake each other, a store that lags and peers that are behind all bring older
+    /// versions. One would notice it by requests on new routes that get 404 after they were served.
+    /// The comparison makes the order of arrival irrelevant.
+    pub(crate) fn configure(&self, table: Table, source: &str) {
+        let mut present = self.table.borrow_mut();
+        let before = present.as_ref().map(|table| table.version);
+        if before.is_some_and(|before| before >= table.version) {
+            return;
+        }
+        log::info!(
+            version = table.version, before = before.unwrap_or_default(), source = source;
+            "configuration in force"
+        );
+        *present = Some(Rc::new(table));
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,21 @@
+//! The daemon `tarragon-gateway`: callers' requests in, engines' answers out, on the users'
+//! platform. It stands at the end of the dependencies: the platform's adapter translates what comes
+//! and goes, `serving` decides, `http1` carries, and the modules here connect them on one thread.
+//! See [`docs/design/platform.md`](../../../docs/design/platform.md).
+
+mod attempt;
+pub mod command;
+mod daemon;
+mod events;
+mod follow;
+mod front;
+mod generate;
+mod instance;
+mod journal;
+mod mesh;
+mod phase;
+mod plain;
+mod pool;
+mod ready;
+mod relay;
+mod reply;
--- /dev/null
+++ b/crates/gateway/src/mesh.rs
@@ -0,0 +1,294 @@
+//! What instances tell each other: their calls at engines, the parts that engines read, and the
+//! version of their configuration. Frames are datagrams that replace each other, so that a lost
+//! one needs no repair; instances find each other through the store.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::store::{Offset, Store};
+use clock::Moment;
+use serving::engine::{LEVELS, Work};
+use serving::parts::Part;
+use serving::{EngineId, Fleet};
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+use wire::Message as _;
+use wire::gateway::{Frame, Read};
+
+use crate::instance::Instance;
+
+/// Topic in which instances register.
+const INSTANCES: &str = "keyed.instances";
+/// Pause between two frames while there is work to tell of.
+const PACE: Duration = Duration::from_millis(100);
+/// Frames without work are this many times rarer.
+const QUIET: u32 = 5;
+/// Pause between two reads of the other instances.
+const DISCOVERY: Duration = Duration::from_secs(5);
+/// Pause after a read that failed.
+const RETRY: Duration = Duration::from_millis(500);
+/// An instance that was silent for this long is told of work only now and then.
+const SILENT: Duration = Duration::from_secs(3);
+/// Frames between two that go to silent instances.
+const SILENT_PACE: u64 = 20;
+/// Largest datagram.
+const LARGEST: usize = 16 * 1024;
+/// Times that a read part is told, since datagrams are lost.
+const TELLINGS: u8 = 2;
+/// Most parts in one frame.
+const READS: usize = 64;
+
+/// Another instance.
+#[derive(Clone, Debug)]
+struct Peer {
+    incarnation: u64,
+    heard: Moment,
+}
+
+/// What is known of the other instances, and what is to be told.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    by_address: BTreeMap<SocketAddr, Option<Peer>>,
+    reads: Vec<(EngineId, Part, u8)>,
+    number: u64,
+}
+
+impl Peers {
+    /// Notes parts that an engine is about to read and that the others do not know of.
+    pub(crate) fn reads(&mut self, fleet: &Fleet, engine: &EngineId, prompt: &[Part]) {
+        // The last part belongs to this call alone or to its session.
+        let shared = prompt.split_last().map_or(prompt, |(_, shared)| shared);
+        for (at, part) in shared.iter().enumerate() {
+            let through: u32 = shared[..=at].iter().map(|part| part.tokens).sum();
+            if fleet.parts.kept(engine, &shared[..=at]) < through {
+                self.reads.push((engine.clone(), *part, TELLINGS));
+            }
+        }
+    }
+
+    fn take_reads(&mut self) -> Vec<Read> {
+        let most = self.reads.len().min(READS);
+        let told = self.reads[..most].iter().map(|(engine, part, _)| Read {
+            engine: engine.to_string(),
+            chain: part.chain,
+            tokens: part.tokens,
+        });
+        let told = told.collect();
+        for read in &mut self.reads[..most] {
+            read.2 -= 1;
+        }
+        self.reads.retain(|read| read.2 > 0);
+        told
+    }
+
+    /// Addresses that the next frame goes to.
+    fn addressees(&self, now: Moment) -> Vec<SocketAddr> {
+        let also_silent = self.number.is_multiple_of(SILENT_PACE);
+        let is_due = |peer: &Option<Peer>| {
+            let heard = peer.as_ref().map(|peer| peer.heard);
+            also_silent || heard.is_some_and(|heard| now.saturating_sub(heard) < SILENT)
+        };
+        let due = self.by_address.iter().filter(|(_, peer)| is_due(peer));
+        due.map(|(address, _)| *address).collect()
+    }
+
+    /// Takes in who sent a frame. Gives the incarnation that it replaces.
+    fn heard(&mut self, from: SocketAddr, incarnation: u64, now: Moment) -> Option<u64> {
+        let peer = Peer {
+            incarnation,
+            heard: now,
+        };
+        let before = self.by_address.insert(from, Some(peer)).flatten()?;
+        (before.incarnation != incarnation).then_some(before.incarnation)
+    }
+}
+
+/// Starts telling and listening.
+pub(crate) async fn start(instance: &Rc<Instance>) -> io::Result<()> {
+    let own = {
+        let settings = instance.settings.borrow();
+        SocketAddr::new(settings.ip, settings.ports.0)
+    };
+    let socket = Rc::new(UdpSocket::bind(own).await?);
+    actix_rt::spawn(listen(instance.clone(), socket.clone()));
+    actix_rt::spawn(tell(instance.clone(), socket));
+    actix_rt::spawn(discover(instance.clone(), own));
+    Ok(())
+}
+
+/// Tells the others that this instance is about to end.
+pub(crate) fn leave(instance: &Instance) {
+    log::debug!(incarnation = instance.incarnation; "telling the others of the end");
+}
+
+async fn listen(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; LARGEST];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((size, from)) => match Frame::decode(&buffer[..size]) {
+                Ok(frame) => take(&instance, from, &frame),
+                Err(error) => log::debug!(error:% = error; "a datagram is no frame"),
+            },
+            Err(error) => {
+                log::debug!(error:% = error; "a datagram could not be received");
+                sleep(PACE).await;
+            }
+        }
+    }
+}
+
+fn take(instance: &Instance, from: SocketAddr, frame: &Frame) {
+    let now = instance.now();
+    let replaced = instance
+        .peers
+        .borrow_mut()
+        .heard(from, frame.incarnation, now);
+    let mut fleet = instance.fleet.borrow_mut();
+    if let Some(replaced) = replaced {
+        fleet.hear(replaced, &[], now);
+    }
+    let works: Vec<(EngineId, Work)> = frame.works.iter().map(work).collect();
+    fleet.hear(frame.incarnation, &works, now);
+    let table = instance.table();
+    for read in &frame.reads {
+        let id = EngineId::from(read.engine.as_str());
+        let service = fleet.get(&id).map(|engine| engine.record.service.clone());
+        let service = service
+            .zip(table.as_ref())
+            .and_then(|(name, table)| table.service(&name));
+        let Some(model) = service.and_then(|service| service.model) else {
+            continue;
+        };
+        let part = Part {
+            chain: read.chain,
+            tokens: read.tokens,
+        };
+        fleet.reads(&id, &[part], model.memory_tokens, now);
+    }
+}
+
+fn work(work: &wire::gateway::Work) -> (EngineId, Work) {
+    let mut unread = [0; LEVELS];
+    for (level, tokens) in unread.iter_mut().zip(&work.unread) {
+        *level = *tokens;
+    }
+    let taken = Work {
+        calls: work.calls,
+        unread,
+    };
+    (EngineId::from(work.engine.as_str()), taken)
+}
+
+async fn tell(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
+    let mut quiet = 0;
+    let mut had_work = false;
+    loop {
+        sleep(PACE).await;
+        let now = instance.now();
+        instance.fleet.borrow_mut().fade(now);
+        let frame = frame(&instance);
+        let has_work = !frame.works.is_empty() || !frame.reads.is_empty();
+        quiet += 1;
+        if !has_work && !had_work && quiet < QUIET {
+            continue;
+        }
+        quiet = 0;
+        had_work = has_work;
+        let bytes = frame.encode_to_vec();
+        let addressees = instance.peers.borrow().addressees(now);
+        for address in addressees {
+            if let Err(error) = socket.try_send_to(&bytes, address) {
+                log::debug!(to:% = address, error:% = error; "a frame could not be sent");
+            }
+        }
+    }
+}
+
+fn frame(instance: &Instance) -> Frame {
+    let mut peers = instance.peers.borrow_mut();
+    peers.number += 1;
+    let works = instance.fleet.borrow().own();
+    let works = works.into_iter().map(|(engine, work)| wire::gateway::Work {
+        engine: engine.to_string(),
+        calls: work.calls,
+        unread: work.unread.to_vec(),
+    });
+    Frame {
+        instance: instance.settings.borrow().instance.clone(),
+        incarnation: instance.incarnation,
+        configuration: instance.table().map_or(0, |table| table.version),
+        works: works.collect(),
+        reads: peers.take_reads(),
+        leaving: instance.phase.is_leaving(),
+        number: peers.number,
+    }
+}
+
+/// Registers this instance and reads the others, now and then.
+async fn discover(instance: Rc<Instance>, own: SocketAddr) {
+    let address = instance.settings.borrow().store;
+    let mut store = Store::new(address, instance.codec.clone());
+    let key = own.ip().to_string();
+    let value = own.to_string();
+    let mut next: Option<Offset> = None;
+    loop {
+        let read = match next {
+            None => register_and_read(&mut store, &key, &value).await,
+            Some(from) => store
+                .read(INSTANCES, from, Duration::ZERO)
+                .await
+                .map(|batch| (batch.records, batch.next)),
+        };
+        match read {
+            Ok((records, end)) => {
+                next = Some(end);
+                let mut peers = instance.peers.borrow_mut();
+                let values = records.iter().filter_map(|record| record.value.as_ref());
+                let texts = values.filter_map(|value| std::str::from_utf8(value).ok());
+                for address in texts.filter_map(|text| text.parse().ok()) {
+                    if address != own {
+                        peers.by_address.entry(address).or_default();
+                    }
+                }
+            }
+            Err(trouble) => {
+                log::debug!(trouble:% = trouble; "the other instances cannot be read");
+                if matches!(trouble, adapter::store::Trouble::Dropped(_)) {
+                    next = None;
+                }
+                sleep(RETRY).await;
+                continue;
+            }
+        }
+        sleep(DISCOVERY).await;
+    }
+}
+
+async fn register_and_read(
+    store: &mut Store,
+    key: &str,
+    value: &str,
+) -> Result<(Vec<adapter::store::Keyed>, Offset), adapter::store::Trouble> {
+    let newest = store
+        .newest(INSTANCES)
+        .await
+        .or_else(|trouble| match trouble {
+            // The topic does not exist before its first record.
+            adapter::store::Trouble::Refused(_) => Ok(adapter::store::Newest {
+                records: Vec::new(),
+                end: 0,
+            }),
+            other => Err(other),
+        })?;
+    let known = newest
+        .records
+        .iter()
+        .any(|record| record.key == key && record.value.as_deref() == Some(value.as_bytes()));
+    if !known {
+        store.append(INSTANCES, key, value.as_bytes(), None).await?;
+    }
+    Ok((newest.records, newest.end))
+}
--- /dev/null
+++ b/crates/gateway/src/plain.rs
@@ -0,0 +1,250 @@
+//! Calls that are answered as a whole.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::{ResponseHead, StatusCode};
+use adapter::ingress;
+use adapter::upstream::{Reply, Sending};
+use bytes::Bytes;
+use http1::Writer;
+use serving::health::Outcome;
+use serving::place::Target;
+use serving::{Choice, Kind};
+use tokio::time::{Instant, timeout_at};
+
+use crate::attempt::{self, Answered, Asked, Avoid, Held, MOST, Tried};
+use crate::instance::Instance;
+use crate::reply::{Refusal, refuse};
+
+/// How a call ended.
+pub(crate) enum End {
+    /// An engine's whole answer.
+    Answer(Box<Finished>, Bytes),
+    /// It has not run and will not.
+    NotRun { after: Duration, why: &'static str },
+    /// It may have run.
+    Unknown(&'static str),
+    /// Nobody waits any more; it may have run.
+    Late,
+}
+
+/// The head of an answer whose body is there.
+pub(crate) struct Finished {
+    pub head: ResponseHead,
+    pub reply: Reply,
+}
+
+/// When a caller may come back after all engines refused. One of them is likely to have room after
+/// the time of some calls.
+const FULL_AFTER: Duration = Duration::from_millis(100);
+/// Sends to engines that did not run the call, of one call.
+const REJECTIONS: u32 = 2;
+/// Share of the target after which a call that may be repeated is taken to be stuck, where another
+/// attempt is left.
+const STUCK: f64 = 0.8;
+
+/// Answers a call. Says whether the connection may be used on.
+pub(crate) async fn answer(instance: &Rc<Instance>, asked: &Asked, writer: &mut Writer) -> bool {
+    let end = timeout_at(asked.until, attempts(instance, asked)).await;
+    let end = end.unwrap_or(End::Late);
+    tell(asked, &end);
+    let close = instance.phase.is_leaving();
+    match end {
+        End::Answer(answered, body) => {
+            let head = ingress::answer(&answered.head, close);
+            writer.whole(head, body).await.is_ok()
+        }
+        other => refuse_end(asked, &other, writer, close).await,
+    }
+}
+
+/// Answers a call that no engine answered.
+pub(crate) async fn refuse_end(asked: &Asked, end: &End, writer: &mut Writer, close: bool) -> bool {
+    let (status, after, detail, ran) = match end {
+        End::NotRun { after, why } => (StatusCode::SERVICE_UNAVAILABLE, Some(*after), *why, false),
+        End::Unknown(why) => (StatusCode::BAD_GATEWAY, None, *why, true),
+        End::Late | End::Answer(..) => (
+            StatusCode::GATEWAY_TIMEOUT,
+            None,
+            "No engine answered in time.",
+            true,
+        ),
+    };
+    let refusal = Refusal {
+        status,
+        id: Some(&asked.call.id),
+        after,
+        detail,
+        ran,
+    };
+    refuse(writer, refusal, close).await.is_ok()
+}
+
+fn tell(asked: &Asked, end: &End) {
+    let id = asked.call.id.as_str();
+    let route = asked.route.name.as_str();
+    let ms = asked.waited().as_millis();
+    match end {
+        End::Answer(answered, _) => {
+            log::debug!(id = id, route = route, ms:% = ms, status = answered.reply.status; "answered");
+        }
+        End::NotRun { after, why } => {
+            log::info!(id = id, route = route, ms:% = ms, after_ms:% = after.as_millis(), why = *why; "refused");
+        }
+        End::Unknown(why) => {
+            log::info!(id = id, route = route, ms:% = ms, why = *why; "failed, may have run");
+        }
+        End::Late => {
+            log::info!(id = id, route = route, ms:% = ms; "out of time");
+        }
+    }
+}
+
+async fn attempts(instance: &Rc<Instance>, asked: &Asked) -> End {
+    let mut avoid = Avoid::new();
+    let mut runs = 0;
+    let mut rejections = 0;
+    instance.budgets.borrow_mut().earn(&asked.service.name);
+    loop {
+        let target = match attempt::place(instance, asked, &avoid) {
+            Choice::Direct(target) => target,
+            Choice::Split { decode, .. } => decode,
+            Choice::Refuse { after, .. } => {
+                return if runs > 0 {
+                    End::Unknown("No further engine takes the call.")
+                } else {
+                    End::NotRun {
+                        after,
+                        why: "No engine takes the call.",
+                    }
+                };
+            }
+        };
+        let more = runs + 1 < asked.route.attempts && asked.route.kind.is_idempotent();
+        let tried = one(instance, asked, &target, more).await;
+        avoid.push(target.engine);
+        match tried {
+            One::Whole(answered, body) if more && is_failure(&answered) => {
+                runs += 1;
+                if !take_repeat(instance, asked) {
+                    return End::Answer(answered, body);
+                }
+            }
+            One::Whole(answered, body) => return judge(asked, answered, body),
+            One::NotRun { arrived } => {
+                rejections += 1;
+                let may = rejections <= REJECTIONS && (!arrived || take_repeat(instance, asked));
+                if !may && runs == 0 {
+                    return End::NotRun {
+                        after: FULL_AFTER,
+                        why: "The engines are full.",
+                    };
+                } else if !may {
+                    return End::Unknown("The engines are full.");
+                }
+            }
+            One::Lost => {
+                runs += 1;
+                if !more || !take_repeat(instance, asked) {
+                    return End::Unknown("The engine's answer was lost.");
+                }
+            }
+        }
+    }
+}
+
+pub(crate) fn take_repeat(instance: &Instance, asked: &Asked) -> bool {
+    instance.budgets.borrow_mut().take(&asked.service.name)
+}
+
+fn is_failure(answered: &Finished) -> bool {
+    answered.reply.status >= 500
+}
+
+/// An engine's 429, 503, 408 or 421 tells the caller that its request has not run. Where the
+/// engine does not say so itself, it may have run, and a caller that trusts the status would have
+/// it run twice.
+fn judge(asked: &Asked, answered: Box<Finished>, body: Bytes) -> End {
+    let promises = matches!(answered.reply.status, 408 | 421 | 429 | 503);
+    if promises && asked.route.kind != Kind::Safe {
+        return End::Unknown("The engine failed.");
+    }
+    End::Answer(answered, body)
+}
+
+enum One {
+    Whole(Box<Finished>, Bytes),
+    NotRun { arrived: bool },
+    Lost,
+}
+
+async fn one(instance: &Rc<Instance>, asked: &Asked, target: &Target, more: bool) -> One {
+    let Some(engine) = attempt::record(instance, &target.engine) else {
+        return One::NotRun { arrived: false };
+    };
+    let mut held = Held::new(instance, target, asked.route.priority);
+    let sending = Sending {
+        instance: &engine.id,
+        left: asked.left(),
+        ..Sending::default()
+    };
+    let stuck = Instant::now() + asked.route.target.mul_f64(STUCK);
+    let until = if more {
+        stuck.min(asked.until)
+    } else {
+        asked.until
+    };
+    let whole = async {
+        match attempt::send(instance, asked, &engine, &sending).await {
+            Tried::Answer(answered) => whole(instance, asked, &engine.id, answered).await,
+            Tried::NotRun { arrived } => One::NotRun { arrived },
+            Tried::Lost(failure) => {
+                log::info!(id = asked.call.id.as_str(), engine = &*engine.id, failure = failure.name(); "answer lost");
+                One::Lost
+            }
+        }
+    };
+    let result = timeout_at(until, whole).await.unwrap_or(One::Lost);
+    held.note(outcome(&result));
+    result
+}
+
+fn outcome(one: &One) -> Outcome {
+    match one {
+        One::Whole(answered, _) if answered.reply.status >= 500 => Outcome::Failed,
+        One::Whole(..) => Outcome::Good,
+        One::NotRun { arrived: true } => Outcome::Full,
+        One::NotRun { arrived: false } => Outcome::Unreachable,
+        One::Lost => Outcome::Failed,
+    }
+}
+
+async fn whole(
+    instance: &Instance,
+    asked: &Asked,
+    engine: &serving::EngineId,
+    answered: Box<Answered>,
+) -> One {
+    let reply = &answered.reply;
+    if reply.is_success() && !(reply.signed && reply.named && !reply.encoded) {
+        log::info!(id = asked.call.id.as_str(), engine = &**engine; "a success that the engine did not sign");
+        return One::Lost;
+    }
+    let Answered {
+        head,
+        reply,
+        mut client,
+        ..
+    } = *answered;
+    match client.body(MOST).await {
+        Ok(body) => {
+            attempt::give(instance, engine, client, &reply);
+            One::Whole(Box::new(Finished { head, reply }), body)
+        }
+        Err(failure) => {
+            log::info!(id = asked.call.id.as_str(), engine = &**engine, failure:% = failure; "broken answer");
+            One::Lost
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,103 @@
+//! One answer in events, from however many engines, as one stream to the caller.
+
+use std::io;
+
+use actix_http::body::BodySize;
+use adapter::ingress;
+use bytes::Bytes;
+use http1::{Failure, Writer};
+
+use crate::attempt::{Answered, Held};
+use crate::events::{EventId, Splitter};
+
+/// How a stream from one engine ended.
+#[derive(Debug)]
+pub(crate) enum End {
+    /// The answer is whole.
+    Whole,
+    /// The engine broke off.
+    Broken(Failure),
+    /// The caller has gone.
+    Gone(io::Error),
+}
+
+/// The stream to the caller.
+pub(crate) struct Relay<'a> {
+    writer: &'a mut Writer,
+    splitter: Splitter,
+    close: bool,
+}
+
+impl<'a> Relay<'a> {
+    /// A stream that begins after an event, or at the beginning.
+    pub(crate) fn new(writer: &'a mut Writer, after: Option<EventId>, close: bool) -> Self {
+        Self {
+            writer,
+            splitter: Splitter::after(after),
+            close,
+        }
+    }
+
+    /// Whether the caller has received something.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.writer.has_begun()
+    }
+
+    /// Id of the last event that the caller was sent.
+    pub(crate) fn last(&self) -> Option<EventId> {
+        self.splitter.last()
+    }
+
+    /// Passes an engine's events on as they arrive. The head of the first engine's answer goes out
+    /// with its first event, so that an engine which ends before it can still be replaced.
+    pub(crate) async fn pass(&mut self, answered: &mut Answered, held: &Held<'_>) -> End {
+        // What an engine before left of an event is sent again by this one.
+        drop(self.splitter.rest());
+        let mut first = true;
+        loop {
+            let piece = match answered.client.chunk().await {
+                Ok(Some(piece)) => piece,
+                Ok(None) => return self.finish(answered).await,
+                Err(failure) => return End::Broken(failure),
+            };
+            if std::mem::take(&mut first) {
+                held.first();
+            }
+            let Some(events) = self.splitter.push(piece) else {
+                continue;
+            };
+            if let Err(error) = self.write(answered, events).await {
+                return End::Gone(error);
+            }
+        }
+    }
+
+    async fn write(&mut self, answered: &Answered, events: Bytes) -> io::Result<()> {
+        self.begin(answered).await?;
+        self.writer.piece(events).await
+    }
+
+    async fn begin(&mut self, answered: &Answered) -> io::Result<()> {
+        if self.writer.has_begun() {
+            return Ok(());
+        }
+        let head = ingress::answer(&answered.head, self.close);
+        self.writer.head(head, BodySize::Stream).await
+    }
+
+    async fn finish(&mut self, answered: &Answered) -> End {
+        let rest = self.splitter.rest();
+        match self.end(answered, rest).await {
+            Ok(()) => End::Whole,
+            Err(error) => End::Gone(error),
+        }
+    }
+
+    async fn end(&mut self, answered: &Answered, rest: Bytes) -> io::Result<()> {
+        self.begin(answered).await?;
+        if !rest.is_empty() {
+            self.writer.piece(rest).await?;
+        }
+        self.writer.end().await
+    }
+}
--- /dev/null
+++ b/crates/serving/src/budget.rs
@@ -0,0 +1,63 @@
+//! How often a service may be sent a call again, over all instances together.
+
+use std::collections::HashMap;
+
+use routing::retry::{Budget, Config};
+
+use crate::ServiceName;
+
+/// What all instances together may send beyond the first attempts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bound {
+    /// Repeats per call.
+    pub ratio: f64,
+    /// Repeats beyond that, for all instances together.
+    pub slack: f64,
+}
+
+/// Part of the ratio that is used. Instances do not see each other's calls in the same window.
+const RATIO_USED: f64 = 0.7;
+/// Part of the slack that is used, for the same reason and because an instance that was replaced
+/// starts with a full share again.
+const SLACK_USED: f64 = 0.5;
+
+/// Repeats left to this instance, by service.
+#[derive(Debug)]
+pub struct Budgets {
+    bound: Bound,
+    instances: u32,
+    services: HashMap<ServiceName, Budget>,
+}
+
+impl Budgets {
+    /// Budgets of one of `instances` instances.
+    pub fn new(bound: Bound, instances: u32) -> Self {
+        Self {
+            bound,
+            instances: instances.max(1),
+            services: HashMap::new(),
+        }
+    }
+
+    /// Counts a call's first attempt.
+    pub fn earn(&mut self, service: &ServiceName) {
+        self.budget(service).earn();
+    }
+
+    /// Takes one repeat, if one is left.
+    pub fn take(&mut self, service: &ServiceName) -> bool {
+        self.budget(service).take(1)
+    }
+
+    fn budget(&mut self, service: &ServiceName) -> &mut Budget {
+        let config = Config {
+            ratio: self.bound.ratio * RATIO_USED,
+            burst: (self.bound.slack * SLACK_USED / f64::from(self.instances)).max(1.0),
+            attempts: u32::MAX,
+            ..Config::default()
+        };
+        self.services
+            .entry(service.clone())
+            .or_insert_with(|| Budget::new(config))
+    }
+}
--- /dev/null
+++ b/crates/serving/src/health.rs
@@ -0,0 +1,91 @@
+//! Engines judged by the outcomes of calls, because what they say of themselves may be false.
+
+use std::time::Duration;
+
+use clock::Moment;
+
+/// How a call ended, as far as it tells something of the engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// An answer of its own, also one that refuses.
+    Good,
+    /// A refusal for want of room.
+    Full,
+    /// No connection opened.
+    Unreachable,
+    /// No answer, a broken one, or a failure of the engine's own.
+    Failed,
+}
+
+/// Share of failures that closes an engine, and the calls that must have been seen.
+///
+/// An engine that fails part of its calls while its record says that it is well costs each of
+/// these calls its benefit. One notices it by failures that all name one engine. At two failures
+/// within the last five or so calls it rests; a service whose every engine fails a seventh of its
+/// calls stays below that.
+const CLOSE_AT: f64 = 0.35;
+/// Weight of one outcome.
+const WEIGHT: f64 = 0.2;
+/// First rest after failures; doubles with each further one in a row.
+const REST: Duration = Duration::from_millis(1_000);
+/// Longest rest.
+const LONGEST_REST: Duration = Duration::from_millis(4_000);
+/// Rest after a connection that did not open: the engine is gone, or its queue of connections is
+/// full for a moment.
+const UNREACHABLE_REST: Duration = Duration::from_millis(700);
+
+/// Recent outcomes at one engine.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Health {
+    failures: f64,
+    rests: u32,
+    until: Moment,
+    probing: bool,
+}
+
+impl Health {
+    /// Takes in an outcome.
+    pub fn note(&mut self, outcome: Outcome, now: Moment) {
+        match outcome {
+            Outcome::Good => self.good(),
+            Outcome::Full => {}
+            Outcome::Unreachable => self.rest(UNREACHABLE_REST, now),
+            Outcome::Failed => self.failed(now),
+        }
+    }
+
+    /// Whether a call may be sent here.
+    pub fn is_open(&self, now: Moment) -> bool {
+        now >= self.until
+    }
+
+    /// Share of recent calls that failed, from 0 to 1.
+    pub fn failures(&self) -> f64 {
+        self.failures
+    }
+
+    fn good(&mut self) {
+        self.failures *= 1.0 - WEIGHT;
+        self.probing = false;
+        if self.failures < CLOSE_AT / 4.0 {
+            self.rests = 0;
+        }
+    }
+
+    fn failed(&mut self, now: Moment) {
+        self.failures = self.failures * (1.0 - WEIGHT) + WEIGHT;
+        if self.failures >= CLOSE_AT || self.probing {
+            let rest = REST * 2_u32.saturating_pow(self.rests.min(4));
+            self.rest(rest.min(LONGEST_REST), now);
+        }
+    }
+
+    fn rest(&mut self, rest: Duration, now: Moment) {
+        if now < self.until {
+            return;
+        }
+        self.rests += 1;
+        self.probing = true;
+        self.until = now + rest;
+    }
+}
--- /dev/null
+++ b/crates/serving/src/lib.rs
@@ -0,0 +1,29 @@
+//! Decisions about calls on a fleet whose engines are told by records: which route a call takes
+//! ([`route`]), what is known of each engine and of the work before it ([`engine`]), which engine has
+//! read which part of a prompt ([`parts`]), where a call goes or why it is refused ([`place`]), and
+//! how often a service may be sent a call again ([`budget`]). It stands between the `gateway`
+//! daemon, which carries the bytes, and the platform's adapter, which fills in these types. No I/O
+//! is done here; the moment is an argument. See `docs/design/placement.md`.
+
+pub mod budget;
+pub mod engine;
+pub mod fleet;
+pub mod health;
+pub mod parts;
+pub mod place;
+pub mod registry;
+pub mod route;
+
+pub use engine::{Record, Stage, State};
+pub use fleet::Fleet;
+pub use place::{Choice, Demand};
+pub use route::{Kind, Route, Service, Table};
+
+/// Id of one incarnation of an engine.
+pub type EngineId = std::rc::Rc<str>;
+
+/// Name of a service.
+pub type ServiceName = std::rc::Rc<str>;
+
+/// Name of a data centre.
+pub type Zone = std::rc::Rc<str>;
--- a/crates/wiregen/src/main.rs
+++ b/crates/wiregen/src/main.rs
@@ -9,7 +9,7 @@
 use std::{env, fs, io};
 
 /// The protocol files, in the order in which they import each other.
-const PROTOS: [&str; 2] = ["record.proto", "peer.proto"];
+const PROTOS: [&str; 3] = ["record.proto", "peer.proto", "gateway.proto"];
 
 fn main() -> ExitCode {
     let check = env::args().any(|arg| arg == "--check");
