--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -39,15 +39,21 @@
     /// Takes bytes and gives the whole events that they complete.
     pub(crate) fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
         if self.partial.is_empty() {
-            let end = memmem::rfind(&bytes, END)? + END.len();
-            self.partial.extend_from_slice(&bytes[end..]);
-            let whole = bytes.slice(..end);
-            self.note(&whole);
-            return Some(whole);
+            return self.split(bytes);
         }
         self.partial.extend_from_slice(&bytes);
-        let end = memmem::rfind(&self.partial, END)? + END.len();
-        let whole = self.partial.split_to(end).freeze();
+        let joined = self.partial.split().freeze();
+        self.split(joined)
+    }
+
+    fn split(&mut self, bytes: Bytes) -> Option<Bytes> {
+        let Some(at) = memmem::rfind(&bytes, END) else {
+            self.partial.extend_from_slice(&bytes);
+            return None;
+        };
+        let end = at + END.len();
+        self.partial.extend_from_slice(&bytes[end..]);
+        let whole = bytes.slice(..end);
         self.note(&whole);
         Some(whole)
     }
