Choose the engine that generates once the prompt is read

Ruled out: a late read of the registry, records are read every 0.6 s. Change: place::decode is asked after the read.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -11,8 +11,8 @@
 use serving::engine::Record;
 use serving::fleet::Sent;
 use serving::health::Outcome;
-use serving::place::{Demand, Target};
-use serving::{Choice, EngineId, Route, Service, Table};
+use serving::place::{Demand, Generation, Target};
+use serving::{Choice, EngineId, Route, Service, Table, Zone};
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
@@ -262,24 +262,37 @@
 
 /// Finds a place for a call.
 pub(crate) fn place(instance: &Instance, asked: &Asked, avoid: &Avoid) -> Choice {
+    let demand = demand(instance, asked, avoid);
+    serving::place::choose(&instance.fleet.borrow(), &demand, instance.now())
+}
+
+/// Finds the engine that takes over a prompt that was read in a data centre.
+pub(crate) fn place_decode(
+    instance: &Instance,
+    asked: &Asked,
+    avoid: &Avoid,
+    source: &Zone,
+) -> Option<Target> {
+    let demand = demand(instance, asked, avoid);
+    serving::place::decode(&instance.fleet.borrow(), &demand, source, instance.now())
+}
+
+fn demand<'a>(instance: &'a Instance, asked: &'a Asked, avoid: &'a Avoid) -> Demand<'a> {
     let generation = asked.call.generation.as_ref();
     let model = asked.service.model.as_ref();
-    let generation = generation
-        .zip(model)
-        .map(|(sizes, model)| serving::place::Generation {
-            model,
-            prompt: &sizes.prompt,
-            tokens: sizes.tokens,
-        });
-    let demand = Demand {
+    let generation = generation.zip(model).map(|(sizes, model)| Generation {
+        model,
+        prompt: &sizes.prompt,
+        tokens: sizes.tokens,
+    });
+    Demand {
         service: &asked.service.name,
         generation,
         priority: asked.route.priority,
         zone: &instance.zone,
         avoid,
         left: asked.left(),
-    };
-    serving::place::choose(&instance.fleet.borrow(), &demand, instance.now())
+    }
 }
 
 /// The record of a chosen engine.
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -10,7 +10,7 @@
 use http1::{Client, Patience, Writer};
 use serving::health::Outcome;
 use serving::place::{Refusal, Target};
-use serving::{Choice, EngineId};
+use serving::{Choice, EngineId, Zone};
 use tokio::time::{timeout, timeout_at};
 
 use crate::attempt::{self, Answered, Asked, Avoid, Held, MOST, Tried};
@@ -119,7 +119,7 @@
         loop {
             let next = match attempt::place(self.instance, self.asked, &self.avoid) {
                 Choice::Direct(target) => self.generate(&target, None).await,
-                Choice::Split { prefill, decode } => self.split(&prefill, &decode).await,
+                Choice::Split { prefill, .. } => self.split(&prefill).await,
                 Choice::Refuse { after, why } => Next::Done(self.refused(after, why)),
             };
             if let Next::Done(done) = next {
@@ -143,11 +143,14 @@
     }
 
     /// Has the prompt read at one engine and generates at another.
-    async fn split(&mut self, prefill: &Target, decode: &Target) -> Next {
+    async fn split(&mut self, prefill: &Target) -> Next {
         match self.read_prompt(prefill).await {
-            Prompt::Read(memory) => {
+            Prompt::Read(memory, zone) => {
                 let memory = Guard::new(self.instance, memory);
-                self.generate(decode, Some(memory)).await
+                match attempt::place_decode(self.instance, self.asked, &self.avoid, &zone) {
+                    Some(decode) => self.generate(&decode, Some(memory)).await,
+                    None => Next::Again,
+                }
             }
             Prompt::Rejected => {
                 self.avoid.push(prefill.engine.clone());
@@ -206,10 +209,11 @@
         held.note(Outcome::Good);
         attempt::give(self.instance, &engine.id, client, &reply);
         self.weights = self.weights.or(read.weights);
-        Prompt::Read(Memory {
+        let memory = Memory {
             address: engine.address,
             handle: read.handle,
-        })
+        };
+        Prompt::Read(memory, engine.zone)
     }
 
     fn note_parts(&self, engine: &EngineId) {
@@ -366,7 +370,7 @@
 }
 
 enum Prompt {
-    Read(Memory),
+    Read(Memory, Zone),
     Rejected,
     Lost,
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -109,7 +109,7 @@
     loop {
         let target = match attempt::place(instance, asked, &avoid) {
             Choice::Direct(target) => target,
-            Choice::Split { decode, .. } => decode,
+            Choice::Split { prefill, .. } => prefill,
             Choice::Refuse { after, .. } => {
                 return if runs > 0 {
                     End::Unknown("No further engine takes the call.")
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -45,11 +45,14 @@
     /// It goes to one engine.
     Direct(Target),
     /// One engine reads its prompt, another one generates.
+    ///
+    /// The engine that generates is chosen by [`decode`] once the prompt is read: one that is
+    /// chosen before may have said meanwhile that it leaves.
     Split {
         /// Reads the prompt.
         prefill: Target,
-        /// Takes the memory over.
-        decode: Target,
+        /// Time to the first answer, with the second engine's part.
+        expected: Duration,
     },
     /// No engine can serve it in time.
     Refuse {
@@ -170,7 +173,7 @@
         engines
             .iter()
             .filter(|e| !is_prefill(e))
-            .map(|e| read_cost(fleet, e, demand, size, now)),
+            .map(|e| read_cost(fleet, e, demand, size)),
     );
     let Some(direct) = direct else {
         return Choice::Refuse {
@@ -182,16 +185,33 @@
         engines
             .iter()
             .filter(|e| is_prefill(e))
-            .map(|e| read_cost(fleet, e, demand, size, now)),
+            .map(|e| read_cost(fleet, e, demand, size)),
     );
-    let split = prefill.and_then(|prefill| split(fleet, demand, size, &engines, prefill));
+    let split = prefill.and_then(|prefill| {
+        let source = fleet.get(&prefill.target.engine)?;
+        let decode = taker(&engines, size, &source.record.zone)?;
+        Some((prefill, decode))
+    });
     let choice = match split {
-        Some((total, prefill, decode)) if total < direct.total => Choice::Split { prefill, decode },
+        Some((prefill, decode)) if prefill.total + decode.total < direct.total => Choice::Split {
+            expected: prefill.target.expected + decode.target.expected,
+            prefill: prefill.target,
+        },
         _ => Choice::Direct(direct.target),
     };
     refuse_if_late(choice, demand)
 }
 
+/// Finds the engine that takes over the memory of a prompt that was read in a data centre.
+pub fn decode(fleet: &Fleet, demand: &Demand, source: &Zone, now: Moment) -> Option<Target> {
+    let size = demand.generation.as_ref()?;
+    let mut engines: Vec<&Engine> = open(fleet, demand, now).collect();
+    if engines.iter().all(|engine| is_prefill(engine)) {
+        engines = any(fleet, demand).collect();
+    }
+    taker(&engines, size, source).map(|cost| cost.target)
+}
+
 fn is_prefill(engine: &Engine) -> bool {
     engine.record.stage == Some(Stage::Prefill)
 }
@@ -201,13 +221,7 @@
 }
 
 /// What it costs to have the prompt read at an engine, in milliseconds.
-fn read_cost(
-    fleet: &Fleet,
-    engine: &Engine,
-    demand: &Demand,
-    size: &Generation,
-    _now: Moment,
-) -> Cost {
+fn read_cost(fleet: &Fleet, engine: &Engine, demand: &Demand, size: &Generation) -> Cost {
     let kept = fleet
         .parts
         .kept(&engine.record.id, size.prompt)
@@ -264,33 +278,24 @@
     f64::from(u32::from_le_bytes([a, b, c, d])) / f64::from(u32::MAX)
 }
 
-fn split(
-    fleet: &Fleet,
-    demand: &Demand,
-    size: &Generation,
-    engines: &[&Engine],
-    prefill: Cost,
-) -> Option<(f64, Target, Target)> {
-    let source = fleet.get(&prefill.target.engine)?;
+/// The engine to which a prompt's memory is handed at least cost.
+fn taker(engines: &[&Engine], size: &Generation, source: &Zone) -> Option<Cost> {
     let moved = transfer(size);
-    let cost = |engine: &Engine| {
-        let far = engine.record.zone != source.record.zone;
-        let way = if far { 2.0 } else { 1.0 } * moved;
+    let takers = engines.iter().filter(|engine| !is_prefill(engine));
+    best(takers.map(|engine| {
+        let far = engine.record.zone != *source;
+        let way = if far { 2.0 * moved } else { moved };
         let batch = f64::from(engine.running()) + slot_wait(engine);
-        way + batch * engine.pace
-    };
-    let decode = engines
-        .iter()
-        .filter(|engine| !is_prefill(engine))
-        .min_by(|a, b| cost(a).total_cmp(&cost(b)))?;
-    let more = cost(decode) + millis(HANDOVER);
-    let target = Target {
-        engine: decode.record.id.clone(),
-        unread: 0,
-        expected: from_millis(more),
-    };
-    let _ = demand;
-    Some((prefill.total + more, prefill.target, target))
+        let total = way + batch * engine.pace + millis(HANDOVER);
+        Cost {
+            total,
+            target: Target {
+                engine: engine.record.id.clone(),
+                unread: 0,
+                expected: from_millis(total),
+            },
+        }
+    }))
 }
 
 /// Time that a prompt's memory takes over the link, in milliseconds.
@@ -303,7 +308,7 @@
 fn refuse_if_late(choice: Choice, demand: &Demand) -> Choice {
     let expected = match &choice {
         Choice::Direct(target) => target.expected,
-        Choice::Split { prefill, decode } => prefill.expected + decode.expected,
+        Choice::Split { expected, .. } => *expected,
         Choice::Refuse { .. } => return choice,
     };
     let bound = demand.left.mul_f64(IN_TIME);
