Play the line of prompts at each engine forward

Cause: calls with a target of 500 ms waited half a second at engines that seemed idle. Their logs show that an engine reads prompts one after the other, takes the most urgent next, and never puts back one that it has begun; so a short urgent prompt waits for a long one of any rank. The sum of tokens of the same urgency said nothing of that. Also each prompt has 80 to 100 ms of its own that nobody else waits for, and reading costs more with the context. Change: speed.rs learns setup and rate of each stage, line.rs plays the line, instances tell each other of single prompts, at once after placing; a term for how long a prompt blocks others.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -125,32 +125,46 @@
 /// A call that is in an engine's books until this is dropped.
 pub(crate) struct Held<'a> {
     instance: &'a Instance,
+    asked: &'a Asked,
     sent: Sent,
+    expected: Duration,
+    work: u32,
+    begun: Instant,
     outcome: Option<Outcome>,
 }
 
 impl<'a> Held<'a> {
-    pub(crate) fn new(instance: &'a Instance, target: &Target, priority: u8) -> Self {
+    pub(crate) fn new(instance: &'a Instance, asked: &'a Asked, target: &Target) -> Self {
         let now = instance.now();
         let mut fleet = instance.fleet.borrow_mut();
-        let sent = fleet.begin(
-            &target.engine,
-            target.unread,
-            priority,
-            target.expected,
-            now,
-        );
+        let sent = fleet.begin(&target.engine, target.work, asked.route.priority, now);
+        if target.work > 0 {
+            instance.placed.notify_one();
+        }
         Self {
             instance,
+            asked,
             sent,
+            expected: target.expected,
+            work: target.work,
+            begun: Instant::now(),
             outcome: None,
         }
     }
 
     /// The first answer is there.
-    pub(crate) fn first(&self) {
+    pub(crate) fn first(&self, step: &str) {
         let now = self.instance.now();
-        self.instance.fleet.borrow_mut().first(&self.sent, now);
+        let mut fleet = self.instance.fleet.borrow_mut();
+        fleet.first(&self.sent, now);
+        let engine = fleet.get(&self.sent.engine);
+        log::info!(
+            id = self.asked.call.id.as_str(), engine = &*self.sent.engine, step = step,
+            ms:% = self.begun.elapsed().as_millis(), expected_ms:% = self.expected.as_millis(),
+            unread = self.work, pace:? = engine.map(|engine| engine.pace),
+            stage:? = engine.map(|engine| engine.record.stage), running = engine.map_or(0, |e| e.running());
+            "engine began"
+        );
     }
 
     /// How the call ended, for the engine's health.
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -16,11 +16,11 @@
 use crate::attempt::{self, Answered, Asked, Avoid, Held, MOST, Tried};
 use crate::instance::Instance;
 use crate::plain::{End, Finished, refuse_end, take_repeat};
-use crate::relay::{self, Relay};
+use crate::relay::{self, Relay, Times};
 
 /// How a call ended, as far as the connection to its caller goes on.
 enum Done {
-    Whole,
+    Whole(Times),
     Broken,
     Unserved(End),
 }
@@ -52,7 +52,7 @@
     };
     tell(asked, &done);
     match done {
-        Done::Whole => true,
+        Done::Whole(_) => true,
         Done::Broken => false,
         Done::Unserved(End::Answer(finished, body)) => {
             let head = adapter::ingress::answer(&finished.head, close);
@@ -67,7 +67,16 @@
     let route = asked.route.name.as_str();
     let ms = asked.waited().as_millis();
     match done {
-        Done::Whole => log::debug!(id = id, route = route, ms:% = ms; "streamed"),
+        Done::Whole(times) => {
+            let first = times.first.map(|first| first - asked.begun);
+            log::info!(
+                id = id, route = route, ms:% = ms,
+                first_ms:% = first.unwrap_or_default().as_millis(),
+                target_ms:% = asked.route.target.as_millis(), gap_ms:% = times.gap.as_millis(),
+                rank = asked.route.priority;
+                "streamed"
+            );
+        }
         Done::Broken => log::info!(id = id, route = route, ms:% = ms; "stream broken off"),
         Done::Unserved(End::NotRun { after, why }) => {
             log::info!(id = id, route = route, ms:% = ms, after_ms:% = after.as_millis(), why = *why; "refused");
@@ -168,7 +177,7 @@
             return Prompt::Lost;
         };
         self.note_parts(&target.engine);
-        let mut held = Held::new(self.instance, target, self.asked.route.priority);
+        let mut held = Held::new(self.instance, self.asked, target);
         let sending = Sending {
             instance: &engine.id,
             left: self.asked.left(),
@@ -205,7 +214,7 @@
             held.note(Outcome::Failed);
             return Prompt::Lost;
         };
-        held.first();
+        held.first("read");
         held.note(Outcome::Good);
         attempt::give(self.instance, &engine.id, client, &reply);
         self.weights = self.weights.or(read.weights);
@@ -236,7 +245,7 @@
             return Next::Again;
         };
         self.note_parts(&target.engine);
-        let mut held = Held::new(self.instance, target, self.asked.route.priority);
+        let mut held = Held::new(self.instance, self.asked, target);
         let sending = Sending {
             instance: &engine.id,
             left: self.asked.left(),
@@ -301,7 +310,7 @@
                 held.note(Outcome::Good);
                 let Answered { client, reply, .. } = *answered;
                 attempt::give(self.instance, engine, client, &reply);
-                Next::Done(Done::Whole)
+                Next::Done(Done::Whole(self.relay.times()))
             }
             relay::End::Gone(error) => {
                 log::debug!(id = self.asked.call.id.as_str(), error:% = error; "the caller has gone");
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -7,6 +7,7 @@
 use clock::{Clock as _, Moment, System};
 use serving::budget::Budgets;
 use serving::{Fleet, Table, Zone};
+use tokio::sync::Notify;
 
 use crate::mesh::Peers;
 use crate::phase::Phase;
@@ -27,6 +28,8 @@
     pub pool: Pool,
     pub peers: RefCell<Peers>,
     pub phase: Phase,
+    /// A call was placed of which the others should hear.
+    pub placed: Notify,
 }
 
 /// Instances assumed until the others have been heard of.
@@ -47,6 +50,7 @@
             pool: Pool::default(),
             peers: RefCell::default(),
             phase: Phase::default(),
+            placed: Notify::new(),
             settings: RefCell::new(settings),
         }
     }
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -10,11 +10,11 @@
 
 use adapter::store::{Offset, Store};
 use clock::Moment;
-use serving::engine::{LEVELS, Work};
+use serving::engine::{Job, Rank, Work};
 use serving::parts::Part;
 use serving::{EngineId, Fleet};
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use wire::Message as _;
 use wire::gateway::{Frame, Read};
 
@@ -22,8 +22,15 @@
 
 /// Topic in which instances register.
 const INSTANCES: &str = "keyed.instances";
-/// Pause between two frames while there is work to tell of.
+/// Pause between two frames while nothing is placed.
 const PACE: Duration = Duration::from_millis(100);
+/// Time for which placed calls are gathered into one frame.
+///
+/// Two instances that place calls within the same moment choose the same engine, and the second
+/// call waits for the first one's prompt. One notices it by calls that wait although their engine
+/// looked idle. The shorter this time, the fewer they are; each frame costs some bytes between
+/// data centres.
+const GATHER: Duration = Duration::from_millis(10);
 /// Frames without work are this many times rarer.
 const QUIET: u32 = 5;
 /// Pause between two reads of the other instances.
@@ -150,7 +157,7 @@
     if let Some(replaced) = replaced {
         fleet.hear(replaced, &[], now);
     }
-    let works: Vec<(EngineId, Work)> = frame.works.iter().map(work).collect();
+    let works: Vec<(EngineId, Work)> = frame.works.iter().map(|told| work(told, now)).collect();
     fleet.hear(frame.incarnation, &works, now);
     let table = instance.table();
     for read in &frame.reads {
@@ -170,23 +177,39 @@
     }
 }
 
-fn work(work: &wire::gateway::Work) -> (EngineId, Work) {
-    let mut unread = [0; LEVELS];
-    for (level, tokens) in unread.iter_mut().zip(&work.unread) {
-        *level = *tokens;
-    }
+fn work(work: &wire::gateway::Work, now: Moment) -> (EngineId, Work) {
+    let jobs = work.jobs.iter().map(|job| Job {
+        sent: now.saturating_sub(Duration::from_millis(u64::from(job.age_ms))),
+        rank: Rank::try_from(job.rank).unwrap_or(Rank::MAX),
+        work: job.work,
+    });
     let taken = Work {
         calls: work.calls,
-        unread,
+        jobs: jobs.collect(),
     };
     (EngineId::from(work.engine.as_str()), taken)
 }
 
+fn told(engine: &EngineId, work: &Work, now: Moment) -> wire::gateway::Work {
+    let jobs = work.jobs.iter().map(|job| wire::gateway::Job {
+        work: job.work,
+        rank: u32::from(job.rank),
+        age_ms: u32::try_from(now.saturating_sub(job.sent).as_millis()).unwrap_or(u32::MAX),
+    });
+    wire::gateway::Work {
+        engine: engine.to_string(),
+        calls: work.calls,
+        jobs: jobs.collect(),
+    }
+}
+
 async fn tell(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
     let mut quiet = 0;
     let mut had_work = false;
     loop {
-        sleep(PACE).await;
+        if timeout(PACE, instance.placed.notified()).await.is_ok() {
+            sleep(GATHER).await;
+        }
         let now = instance.now();
         instance.fleet.borrow_mut().fade(now);
         let frame = frame(&instance);
@@ -211,11 +234,8 @@
     let mut peers = instance.peers.borrow_mut();
     peers.number += 1;
     let works = instance.fleet.borrow().own();
-    let works = works.into_iter().map(|(engine, work)| wire::gateway::Work {
-        engine: engine.to_string(),
-        calls: work.calls,
-        unread: work.unread.to_vec(),
-    });
+    let now = instance.now();
+    let works = works.iter().map(|(engine, work)| told(engine, work, now));
     Frame {
         instance: instance.settings.borrow().instance.clone(),
         incarnation: instance.incarnation,
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -183,7 +183,7 @@
     let Some(engine) = attempt::record(instance, &target.engine) else {
         return One::NotRun { arrived: false };
     };
-    let mut held = Held::new(instance, target, asked.route.priority);
+    let mut held = Held::new(instance, asked, target);
     let sending = Sending {
         instance: &engine.id,
         left: asked.left(),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,11 +1,13 @@
 //! One answer in events, from however many engines, as one stream to the caller.
 
 use std::io;
+use std::time::Duration;
 
 use actix_http::body::BodySize;
 use adapter::ingress;
 use bytes::Bytes;
 use http1::{Failure, Writer};
+use tokio::time::Instant;
 
 use crate::attempt::{Answered, Held};
 use crate::events::{EventId, Splitter};
@@ -26,6 +28,27 @@
     writer: &'a mut Writer,
     splitter: Splitter,
     close: bool,
+    times: Times,
+}
+
+/// When events went to the caller.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Times {
+    /// The first one.
+    pub first: Option<Instant>,
+    last: Option<Instant>,
+    /// The longest pause between two.
+    pub gap: Duration,
+}
+
+impl Times {
+    fn note(&mut self, now: Instant) {
+        self.first.get_or_insert(now);
+        if let Some(last) = self.last {
+            self.gap = self.gap.max(now - last);
+        }
+        self.last = Some(now);
+    }
 }
 
 impl<'a> Relay<'a> {
@@ -35,9 +58,15 @@
             writer,
             splitter: Splitter::after(after),
             close,
+            times: Times::default(),
         }
     }
 
+    /// When events went to the caller.
+    pub(crate) fn times(&self) -> Times {
+        self.times
+    }
+
     /// Whether the caller has received something.
     pub(crate) fn has_begun(&self) -> bool {
         self.writer.has_begun()
@@ -61,7 +90,7 @@
                 Err(failure) => return End::Broken(failure),
             };
             if std::mem::take(&mut first) {
-                held.first();
+                held.first("generate");
             }
             let Some(events) = self.splitter.push(piece) else {
                 continue;
@@ -74,6 +103,7 @@
 
     async fn write(&mut self, answered: &Answered, events: Bytes) -> io::Result<()> {
         self.begin(answered).await?;
+        self.times.note(Instant::now());
         self.writer.piece(events).await
     }
 
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -2,15 +2,17 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use clock::Moment;
 use smallvec::SmallVec;
 
 use crate::health::Health;
+use crate::line;
 use crate::{EngineId, ServiceName, Zone};
 
 /// Which half of a generation an engine does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Stage {
     /// Reads prompts for others.
     Prefill,
@@ -48,28 +50,27 @@
     pub weights: Option<u64>,
 }
 
-/// Levels of urgency that are told apart; less urgent ones count as the last.
-pub const LEVELS: usize = 4;
+/// Urgency at an engine; 0 is first.
+pub type Rank = u8;
 
-/// Work that one instance has at an engine.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+/// A prompt that an engine has been sent and has not read yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Job {
+    /// When it was sent, on this instance's clock.
+    pub sent: Moment,
+    /// Its urgency.
+    pub rank: Rank,
+    /// Work that it is, in tokens of [`crate::speed::work`].
+    pub work: u32,
+}
+
+/// What one instance has at an engine.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Work {
     /// Calls sent and not ended.
     pub calls: u32,
-    /// Prompt tokens sent and not yet read, by urgency.
-    pub unread: [u32; LEVELS],
-}
-
-impl Work {
-    /// Prompt tokens that are read before a new call of this urgency.
-    pub fn ahead(&self, level: usize) -> u64 {
-        self.unread[..=level].iter().map(|&n| u64::from(n)).sum()
-    }
-}
-
-/// The level of a route's rank.
-pub fn level(priority: u8) -> usize {
-    usize::from(priority).min(LEVELS - 1)
+    /// Prompts that are not read yet.
+    pub jobs: SmallVec<[Job; 4]>,
 }
 
 /// Id of a call in the books of one engine.
@@ -78,10 +79,11 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Pending {
     pub ticket: Ticket,
-    pub tokens: u32,
-    pub level: usize,
-    pub expected: Moment,
-    pub sent: Moment,
+    pub job: Job,
+    /// When it was expected to be read, at the speed of its stage.
+    pub expected: Duration,
+    /// Whether nothing was known to be before it.
+    pub alone: bool,
 }
 
 /// An engine as this instance sees it.
@@ -98,8 +100,8 @@
     pub(crate) calls: u32,
     pub(crate) pending: SmallVec<[Pending; 8]>,
     pub(crate) others: BTreeMap<u64, (Moment, Work)>,
-    /// When the present head of the line began to be read, as far as this instance knows.
-    pub(crate) progress: Moment,
+    /// When the last prompt that is known to be read was read.
+    pub(crate) freed: Moment,
 }
 
 /// Weight of one observation in [`Engine::pace`].
@@ -107,7 +109,7 @@
 /// Bounds of [`Engine::pace`], so that one odd call does not close an engine.
 const PACE_RANGE: (f64, f64) = (0.25, 12.0);
 /// Bounds of a single observation of the pace, for the same reason.
-const PACE_STEP: (f64, f64) = (0.3, 4.0);
+const PACE_STEP: (f64, f64) = (0.3, 8.0);
 
 impl Engine {
     /// An engine without work.
@@ -120,20 +122,16 @@
             calls: 0,
             pending: SmallVec::new(),
             others: BTreeMap::new(),
-            progress: Moment::ZERO,
+            freed: Moment::ZERO,
         }
     }
 
     /// This instance's work here.
     pub fn own(&self) -> Work {
-        let mut work = Work {
+        Work {
             calls: self.calls,
-            ..Work::default()
-        };
-        for pending in &self.pending {
-            work.unread[pending.level] = work.unread[pending.level].saturating_add(pending.tokens);
+            jobs: self.pending.iter().map(|pending| pending.job).collect(),
         }
-        work
     }
 
     /// Calls of all instances here.
@@ -146,23 +144,30 @@
                 .sum::<u32>()
     }
 
-    /// Prompt tokens of all instances that are read before a new call of this urgency.
-    pub fn ahead(&self, level: usize) -> u64 {
-        let others: u64 = self
+    /// Prompts of all instances that are not read yet, the oldest first.
+    pub fn jobs(&self) -> SmallVec<[Job; 16]> {
+        let own = self.pending.iter().map(|pending| pending.job);
+        let others = self
             .others
             .values()
-            .map(|(_, work)| work.ahead(level))
-            .sum();
-        self.own().ahead(level) + others
+            .flat_map(|(_, work)| work.jobs.iter().copied());
+        let mut jobs: SmallVec<[Job; 16]> = own.chain(others).collect();
+        jobs.sort_by_key(|job| job.sent);
+        jobs
+    }
+
+    /// Time from now until a new job has been read, if a millisecond reads `rate` tokens of work.
+    pub fn read_in(&self, new: Job, rate: f64) -> Duration {
+        line::read_in(&self.jobs(), self.freed, new, rate / self.pace)
     }
 
-    pub(crate) fn observe(&mut self, expected: Moment, actual: Moment) {
-        if expected.is_zero() {
+    /// Takes in that work took `took` milliseconds where `expected` were expected.
+    pub(crate) fn observe(&mut self, expected: f64, took: f64) {
+        if expected <= 0.0 {
             return;
         }
-        let ratio = actual.as_secs_f64() / expected.as_secs_f64();
-        let ratio = ratio.clamp(PACE_STEP.0, PACE_STEP.1);
-        let next = self.pace * ratio.powf(PACE_WEIGHT);
+        let ratio = (took / expected).clamp(PACE_STEP.0, PACE_STEP.1);
+        let next = self.pace * (ratio / self.pace).powf(PACE_WEIGHT);
         self.pace = next.clamp(PACE_RANGE.0, PACE_RANGE.1);
     }
 }
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -1,13 +1,14 @@
 //! All engines, the work at each, and the parts that each has read.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use clock::Moment;
 
-use crate::engine::{self, Engine, Pending, Record, Stage, State, Ticket, Work};
+use crate::engine::{Engine, Job, Pending, Rank, Record, Stage, State, Ticket, Work};
 use crate::health::Outcome;
 use crate::parts::{Part, Parts};
+use crate::speed::Speed;
 use crate::{EngineId, ServiceName};
 
 /// Id of another instance.
@@ -31,9 +32,18 @@
     /// Which engine has read what.
     pub parts: Parts,
     next_ticket: Ticket,
+    speeds: HashMap<(ServiceName, Stage), Speed>,
 }
 
 impl Fleet {
+    /// How fast engines of a stage read, as far as is known.
+    pub fn speed(&self, engine: &Engine) -> Speed {
+        let stage = engine.record.stage.unwrap_or(Stage::Decode);
+        let key = (engine.record.service.clone(), stage);
+        let known = self.speeds.get(&key).copied();
+        known.unwrap_or_else(|| Speed::new(stage))
+    }
+
     /// Takes in an engine's record. Says whether it changed something.
     pub fn put(&mut self, record: Record) -> bool {
         match self.engines.get_mut(&record.id) {
@@ -84,29 +94,27 @@
         self.engines.values()
     }
 
-    /// Enters a call that is about to be sent, with the prompt tokens that the engine must read
-    /// and the time in which its first answer is expected.
-    pub fn begin(
-        &mut self,
-        id: &EngineId,
-        unread: u32,
-        priority: u8,
-        expected: Duration,
-        now: Moment,
-    ) -> Sent {
+    /// Enters a call that is about to be sent, with the work that its prompt is there.
+    pub fn begin(&mut self, id: &EngineId, work: u32, rank: Rank, now: Moment) -> Sent {
         self.next_ticket += 1;
         let ticket = self.next_ticket;
+        let job = Job {
+            sent: now,
+            rank,
+            work,
+        };
+        let rate = self.engines.get(id).map_or(1.0, |e| self.speed(e).rate);
         if let Some(engine) = self.engines.get_mut(id) {
+            let pace = std::mem::replace(&mut engine.pace, 1.0);
+            let expected = engine.read_in(job, rate);
+            engine.pace = pace;
+            let alone = engine.jobs().is_empty();
             engine.calls += 1;
-            if engine.pending.is_empty() {
-                engine.progress = now;
-            }
             engine.pending.push(Pending {
                 ticket,
-                tokens: unread,
-                level: engine::level(priority),
+                job,
                 expected,
-                sent: now,
+                alone,
             });
         }
         Sent {
@@ -117,16 +125,27 @@
 
     /// Takes in that the first answer of a call is there, so that its prompt has been read.
     pub fn first(&mut self, sent: &Sent, now: Moment) {
-        if let Some(engine) = self.engines.get_mut(&sent.engine) {
-            let at = engine.pending.iter().position(|p| p.ticket == sent.ticket);
-            if let Some(at) = at {
-                let pending = engine.pending.remove(at);
-                engine.progress = now;
-                if pending.tokens > 0 {
-                    engine.observe(pending.expected, now.saturating_sub(pending.sent));
-                }
-            }
+        let Some(engine) = self.engines.get_mut(&sent.engine) else {
+            return;
+        };
+        let at = engine.pending.iter().position(|p| p.ticket == sent.ticket);
+        let Some(pending) = at.map(|at| engine.pending.remove(at)) else {
+            return;
+        };
+        if pending.job.work == 0 {
+            return;
+        }
+        let took = now.saturating_sub(pending.job.sent);
+        let stage = engine.record.stage.unwrap_or(Stage::Decode);
+        let key = (engine.record.service.clone(), stage);
+        let speed = self.speeds.entry(key).or_insert_with(|| Speed::new(stage));
+        if pending.alone {
+            speed.observe(pending.job.work, took);
         }
+        let setup = Duration::from_secs_f64(speed.setup / 1_000.0);
+        engine.freed = engine.freed.max(now.saturating_sub(setup));
+        let expected = pending.expected + setup;
+        engine.observe(expected.as_secs_f64(), took.as_secs_f64());
     }
 
     /// Takes in that a call has ended.
@@ -144,12 +163,26 @@
     /// Takes in what another instance has at the engines. Engines that it does not name have none
     /// of its work.
     pub fn hear(&mut self, peer: PeerId, works: &[(EngineId, Work)], now: Moment) {
-        for engine in self.engines.values_mut() {
-            engine.others.remove(&peer);
+        let mut before: BTreeMap<EngineId, Work> = BTreeMap::new();
+        for (id, engine) in &mut self.engines {
+            if let Some((_, work)) = engine.others.remove(&peer) {
+                before.insert(id.clone(), work);
+            }
         }
         for (id, work) in works {
+            let Some(setup) = self.engines.get(id).map(|e| self.speed(e).setup) else {
+                continue;
+            };
             if let Some(engine) = self.engines.get_mut(id) {
-                engine.others.insert(peer, (now, *work));
+                // One prompt less means that one was read, a setup's time ago.
+                if before
+                    .get(id)
+                    .is_some_and(|before| before.jobs.len() > work.jobs.len())
+                {
+                    let setup = Duration::from_secs_f64(setup / 1_000.0);
+                    engine.freed = engine.freed.max(now.saturating_sub(setup));
+                }
+                engine.others.insert(peer, (now, work.clone()));
             }
         }
     }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -9,10 +9,12 @@
 pub mod engine;
 pub mod fleet;
 pub mod health;
+pub mod line;
 pub mod parts;
 pub mod place;
 pub mod registry;
 pub mod route;
+pub mod speed;
 
 pub use engine::{Record, Stage, State};
 pub use fleet::Fleet;
--- /dev/null
+++ b/crates/serving/src/line.rs
@@ -0,0 +1,46 @@
+//! The line of prompts at one engine, played forward.
+//!
+//! An engine reads one prompt after the other and takes the most urgent one next, but it does not
+//! put a prompt back that it has begun. So a short urgent prompt waits for all the rest of a long one
+//! of any rank that was begun before it, and the sum of the work of its own urgency says nothing of
+//! that. One notices it by calls that wait half a second at an engine that seemed nearly idle. Playing the
+//! line forward gives the wait.
+
+use std::time::Duration;
+
+use clock::Moment;
+use smallvec::SmallVec;
+
+use crate::engine::Job;
+
+/// Time from the sending of a new job until it has been read. `jobs` are the others, the oldest
+/// first; `freed` is when the engine was last known to have finished one; `rate` is in tokens of work a
+/// millisecond.
+pub fn read_in(jobs: &[Job], freed: Moment, new: Job, rate: f64) -> Duration {
+    let mut waiting: SmallVec<[Job; 16]> = SmallVec::from_slice(jobs);
+    waiting.push(new);
+    let mut at = freed;
+    loop {
+        let Some(next) = next(&waiting, at) else {
+            return Duration::ZERO;
+        };
+        let job = waiting.remove(next);
+        at = at.max(job.sent) + time(job.work, rate);
+        if job == new && next == waiting.len() {
+            return at.saturating_sub(new.sent);
+        }
+    }
+}
+
+/// The job that the engine begins at a moment: the most urgent one that is there, the oldest of
+/// these; if none is there, the one that comes first.
+fn next(waiting: &[Job], at: Moment) -> Option<usize> {
+    let there = waiting.iter().enumerate().filter(|(_, job)| job.sent <= at);
+    let most_urgent = there.min_by_key(|(_, job)| (job.rank, job.sent));
+    let first = || waiting.iter().enumerate().min_by_key(|(_, job)| job.sent);
+    most_urgent.or_else(first).map(|(index, _)| index)
+}
+
+fn time(work: u32, rate: f64) -> Duration {
+    Duration::from_secs_f64(f64::from(work) / rate.max(0.1) / 1_000.0)
+}
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -6,10 +6,10 @@
 
 use clock::Moment;
 
-use crate::engine::{Engine, Stage, level};
+use crate::engine::{Engine, Job, Stage};
 use crate::parts::{Chain, Part};
 use crate::route::Model;
-use crate::{EngineId, Fleet, ServiceName, Zone};
+use crate::{EngineId, Fleet, ServiceName, Zone, speed};
 
 /// A call that needs a place.
 #[derive(Clone, Copy, Debug)]
@@ -77,24 +77,20 @@
 pub struct Target {
     /// The engine.
     pub engine: EngineId,
-    /// Prompt tokens that it must read.
-    pub unread: u32,
+    /// Work that the prompt is there, in tokens of [`speed::work`].
+    pub work: u32,
     /// Time to its first answer.
     pub expected: Duration,
 }
 
-/// Prompt tokens that an engine of stage prefill reads in a millisecond, until its pace is known.
-/// Origin: between the two speeds that deployments have named, 61 and 93.
-const PREFILL_RATE: f64 = 60.0;
-/// An engine of stage decode reads at half the speed, between the tokens of other calls.
-const DECODE_RATE: f64 = 25.0;
-/// Time before any prompt is read, of which a call's way to the engine is most.
-const SETUP: Duration = Duration::from_millis(8);
 /// Fixed time that handing a prompt's memory over takes, besides the bytes.
 const HANDOVER: Duration = Duration::from_millis(15);
 /// How much a token that must be read counts beyond the time that this call waits for it: reading
 /// takes engine time from later calls. 1 means as much again.
 const READ_WEIGHT: f64 = 1.5;
+/// What reading counts beyond that by its square, a millisecond: a prompt that is being read holds
+/// up all calls that come meanwhile, of which a few come a second to each engine.
+const BLOCKING: f64 = 0.001;
 /// Disadvantage of an engine in another data centre: the way there and back, and bytes between
 /// data centres that are paid for.
 const FAR: Duration = Duration::from_millis(6);
@@ -135,7 +131,7 @@
     match best {
         Some(engine) => Choice::Direct(Target {
             engine: engine.record.id.clone(),
-            unread: 0,
+            work: 0,
             expected: Duration::ZERO,
         }),
         None => Choice::Refuse {
@@ -173,7 +169,7 @@
         engines
             .iter()
             .filter(|e| !is_prefill(e))
-            .map(|e| read_cost(fleet, e, demand, size)),
+            .map(|e| read_cost(fleet, e, demand, size, now)),
     );
     let Some(direct) = direct else {
         return Choice::Refuse {
@@ -185,11 +181,11 @@
         engines
             .iter()
             .filter(|e| is_prefill(e))
-            .map(|e| read_cost(fleet, e, demand, size)),
+            .map(|e| read_cost(fleet, e, demand, size, now)),
     );
     let split = prefill.and_then(|prefill| {
         let source = fleet.get(&prefill.target.engine)?;
-        let decode = taker(&engines, size, &source.record.zone)?;
+        let decode = taker(fleet, &engines, demand, size, &source.record.zone, now)?;
         Some((prefill, decode))
     });
     let choice = match split {
@@ -209,7 +205,7 @@
     if engines.iter().all(|engine| is_prefill(engine)) {
         engines = any(fleet, demand).collect();
     }
-    taker(&engines, size, source).map(|cost| cost.target)
+    taker(fleet, &engines, demand, size, source, now).map(|cost| cost.target)
 }
 
 fn is_prefill(engine: &Engine) -> bool {
@@ -221,41 +217,51 @@
 }
 
 /// What it costs to have the prompt read at an engine, in milliseconds.
-fn read_cost(fleet: &Fleet, engine: &Engine, demand: &Demand, size: &Generation) -> Cost {
-    let kept = fleet
-        .parts
-        .kept(&engine.record.id, size.prompt)
-        .min(size.tokens);
-    let unread = size.tokens - kept;
-    let rate = rate(engine);
-    let reading = f64::from(unread) / rate;
-    let ahead = engine.ahead(level(demand.priority));
-    #[allow(clippy::cast_precision_loss)]
-    let waiting = ahead as f64 / rate + slot_wait(engine);
-    let far = if engine.record.zone == *demand.zone {
-        0.0
-    } else {
-        millis(FAR)
-    };
-    let expected = millis(SETUP) + waiting + reading;
-    let total = expected + READ_WEIGHT * reading + far + spread(engine, size.prompt);
+fn read_cost(
+    fleet: &Fleet,
+    engine: &Engine,
+    demand: &Demand,
+    size: &Generation,
+    now: Moment,
+) -> Cost {
+    let kept = fleet.parts.kept(&engine.record.id, size.prompt);
+    let unread = size.tokens - kept.min(size.tokens);
+    let work = speed::work(unread, size.tokens);
+    let speed = fleet.speed(engine);
+    let reading = speed.time(u64::from(work)) * engine.pace;
+    let read = wait(fleet, engine, demand, work, now);
+    let expected = speed.setup + slot_wait(engine) * engine.pace + read;
+    let total = expected
+        + READ_WEIGHT * reading
+        + BLOCKING * reading * reading
+        + far(engine, demand)
+        + spread(engine, size.prompt);
     Cost {
         total,
         target: Target {
             engine: engine.record.id.clone(),
-            unread,
+            work,
             expected: from_millis(expected),
         },
     }
 }
 
-fn rate(engine: &Engine) -> f64 {
-    let rate = if is_prefill(engine) {
-        PREFILL_RATE
-    } else {
-        DECODE_RATE
+/// Time until work that is sent now is done, in milliseconds.
+fn wait(fleet: &Fleet, engine: &Engine, demand: &Demand, work: u32, now: Moment) -> f64 {
+    let new = Job {
+        sent: now,
+        rank: demand.priority,
+        work,
     };
-    rate / engine.pace
+    millis(engine.read_in(new, fleet.speed(engine).rate))
+}
+
+fn far(engine: &Engine, demand: &Demand) -> f64 {
+    if engine.record.zone == *demand.zone {
+        0.0
+    } else {
+        millis(FAR)
+    }
 }
 
 /// Calls beyond the slots wait for one to end; each is taken to need a tenth of a second.
@@ -279,19 +285,27 @@
 }
 
 /// The engine to which a prompt's memory is handed at least cost.
-fn taker(engines: &[&Engine], size: &Generation, source: &Zone) -> Option<Cost> {
+fn taker(
+    fleet: &Fleet,
+    engines: &[&Engine],
+    demand: &Demand,
+    size: &Generation,
+    source: &Zone,
+    now: Moment,
+) -> Option<Cost> {
     let moved = transfer(size);
     let takers = engines.iter().filter(|engine| !is_prefill(engine));
     best(takers.map(|engine| {
         let far = engine.record.zone != *source;
         let way = if far { 2.0 * moved } else { moved };
         let batch = f64::from(engine.running()) + slot_wait(engine);
-        let total = way + batch * engine.pace + millis(HANDOVER);
+        let total =
+            way + batch * engine.pace + wait(fleet, engine, demand, 0, now) + millis(HANDOVER);
         Cost {
             total,
             target: Target {
                 engine: engine.record.id.clone(),
-                unread: 0,
+                work: 0,
                 expected: from_millis(total),
             },
         }
