Know that an engine chooses its next prompt a step ahead

Cause: calls were sent to engines whose next, long prompt the line said had not begun, while the engine had filled the rest of its last step with it; such calls waited up to a second. And a wait behind work of others that was not yet known counted as the engine's slowness. Change: the line takes the next job a step (2,048 tokens) before the end of the present one; the pace learns little from calls that had others before them.

--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -104,8 +104,11 @@
     pub(crate) freed: Moment,
 }
 
-/// Weight of one observation in [`Engine::pace`].
+/// Weight of one observation in [`Engine::pace`], where nothing was before the call.
 const PACE_WEIGHT: f64 = 0.15;
+/// Weight where something was: what others sent just before is not known yet, and a wait for it says
+/// little of the engine's pace.
+const PACE_WEIGHT_BEHIND: f64 = 0.04;
 /// Bounds of [`Engine::pace`], so that one odd call does not close an engine.
 const PACE_RANGE: (f64, f64) = (0.25, 12.0);
 /// Bounds of a single observation of the pace, for the same reason.
@@ -162,12 +165,17 @@
     }
 
     /// Takes in that work took `took` milliseconds where `expected` were expected.
-    pub(crate) fn observe(&mut self, expected: f64, took: f64) {
+    pub(crate) fn observe(&mut self, expected: f64, took: f64, alone: bool) {
         if expected <= 0.0 {
             return;
         }
+        let weight = if alone {
+            PACE_WEIGHT
+        } else {
+            PACE_WEIGHT_BEHIND
+        };
         let ratio = (took / expected).clamp(PACE_STEP.0, PACE_STEP.1);
-        let next = self.pace * (ratio / self.pace).powf(PACE_WEIGHT);
+        let next = self.pace * (ratio / self.pace).powf(weight);
         self.pace = next.clamp(PACE_RANGE.0, PACE_RANGE.1);
     }
 }
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -145,7 +145,7 @@
         let setup = Duration::from_secs_f64(speed.setup / 1_000.0);
         engine.freed = engine.freed.max(now.saturating_sub(setup));
         let expected = pending.expected + setup;
-        engine.observe(expected.as_secs_f64(), took.as_secs_f64());
+        engine.observe(expected.as_secs_f64(), took.as_secs_f64(), pending.alone);
     }
 
     /// Takes in that a call has ended.
--- a/crates/serving/src/line.rs
+++ b/crates/serving/src/line.rs
@@ -13,6 +13,11 @@
 
 use crate::engine::Job;
 
+/// Work that an engine reads in one step. It chooses the next prompt while it reads the last step of
+/// the present one, so a job that comes later than this before the end finds the choice made.
+/// Origin: the size of a step that engines with chunked prefill are usually run with.
+const STEP: u32 = 2_048;
+
 /// Time from the sending of a new job until it has been read. `jobs` are the others, the oldest
 /// first; `freed` is when the engine was last known to have finished one; `rate` is in tokens of work a
 /// millisecond.
@@ -21,7 +26,7 @@
     waiting.push(new);
     let mut at = freed;
     loop {
-        let Some(next) = next(&waiting, at) else {
+        let Some(next) = next(&waiting, at.saturating_sub(time(STEP, rate))) else {
             return Duration::ZERO;
         };
         let job = waiting.remove(next);
