Let calls that cannot be on time yield to those that can

Cause: prompts of 20,000 tokens and more take longer than their target by themselves, and each makes some short calls late that would have been on time. Change: where the best place is not on time, the call is placed and queued four ranks lower.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -137,7 +137,7 @@
     pub(crate) fn new(instance: &'a Instance, asked: &'a Asked, target: &Target) -> Self {
         let now = instance.now();
         let mut fleet = instance.fleet.borrow_mut();
-        let sent = fleet.begin(&target.engine, target.work, asked.route.priority, now);
+        let sent = fleet.begin(&target.engine, target.work, target.rank, now);
         if target.work > 0 {
             instance.placed.notify_one();
         }
@@ -303,6 +303,7 @@
         service: &asked.service.name,
         generation,
         priority: asked.route.priority,
+        target: asked.route.target.saturating_sub(asked.waited()),
         zone: &instance.zone,
         avoid,
         left: asked.left(),
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -181,7 +181,7 @@
         let sending = Sending {
             instance: &engine.id,
             left: self.asked.left(),
-            priority: Some(self.asked.route.priority),
+            priority: Some(target.rank),
             prefill: true,
             ..Sending::default()
         };
@@ -249,7 +249,7 @@
         let sending = Sending {
             instance: &engine.id,
             left: self.asked.left(),
-            priority: Some(self.asked.route.priority),
+            priority: Some(target.rank),
             memory: memory.as_ref().map(|guard| &guard.memory),
             resume_after: self.relay.last(),
             weights: self.weights,
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -6,7 +6,7 @@
 
 use clock::Moment;
 
-use crate::engine::{Engine, Job, Stage};
+use crate::engine::{Engine, Job, Rank, Stage};
 use crate::parts::{Chain, Part};
 use crate::route::Model;
 use crate::{EngineId, Fleet, ServiceName, Zone, speed};
@@ -19,7 +19,9 @@
     /// Set for calls to model engines.
     pub generation: Option<Generation<'a>>,
     /// Its rank; 0 is the most urgent.
-    pub priority: u8,
+    pub priority: Rank,
+    /// Time within which its first answer is on time.
+    pub target: Duration,
     /// This instance's data centre.
     pub zone: &'a Zone,
     /// Engines that it must not go to again.
@@ -79,6 +81,8 @@
     pub engine: EngineId,
     /// Work that the prompt is there, in tokens of [`speed::work`].
     pub work: u32,
+    /// Its urgency there.
+    pub rank: Rank,
     /// Time to its first answer.
     pub expected: Duration,
 }
@@ -94,6 +98,9 @@
 /// Disadvantage of an engine in another data centre: the way there and back, and bytes between
 /// data centres that are paid for.
 const FAR: Duration = Duration::from_millis(6);
+/// A call that cannot be on time yields to this many ranks of calls that can: its answer is worth the
+/// same a second later, and a long prompt that cannot be on time would make ten short ones late.
+const LATE: Rank = 4;
 /// Share of a caller's time within which the first answer must be expected.
 const IN_TIME: f64 = 0.9;
 /// Time told to a caller when no engine is known at all.
@@ -132,6 +139,7 @@
         Some(engine) => Choice::Direct(Target {
             engine: engine.record.id.clone(),
             work: 0,
+            rank: demand.priority,
             expected: Duration::ZERO,
         }),
         None => Choice::Refuse {
@@ -158,6 +166,29 @@
 }
 
 fn generate(fleet: &Fleet, demand: &Demand, size: &Generation, now: Moment) -> Choice {
+    let choice = at_rank(fleet, demand, size, now);
+    let choice = match expected(&choice) {
+        Some(expected) if expected > demand.target => {
+            let late = Demand {
+                priority: demand.priority.saturating_add(LATE),
+                ..*demand
+            };
+            at_rank(fleet, &late, size, now)
+        }
+        _ => choice,
+    };
+    refuse_if_late(choice, demand)
+}
+
+fn expected(choice: &Choice) -> Option<Duration> {
+    match choice {
+        Choice::Direct(target) => Some(target.expected),
+        Choice::Split { expected, .. } => Some(*expected),
+        Choice::Refuse { .. } => None,
+    }
+}
+
+fn at_rank(fleet: &Fleet, demand: &Demand, size: &Generation, now: Moment) -> Choice {
     let mut engines: Vec<&Engine> = open(fleet, demand, now).collect();
     if engines
         .iter()
@@ -188,14 +219,13 @@
         let decode = taker(fleet, &engines, demand, size, &source.record.zone, now)?;
         Some((prefill, decode))
     });
-    let choice = match split {
+    match split {
         Some((prefill, decode)) if prefill.total + decode.total < direct.total => Choice::Split {
             expected: prefill.target.expected + decode.target.expected,
             prefill: prefill.target,
         },
         _ => Choice::Direct(direct.target),
-    };
-    refuse_if_late(choice, demand)
+    }
 }
 
 /// Finds the engine that takes over the memory of a prompt that was read in a data centre.
@@ -241,6 +271,7 @@
         target: Target {
             engine: engine.record.id.clone(),
             work,
+            rank: demand.priority,
             expected: from_millis(expected),
         },
     }
@@ -306,6 +337,7 @@
             target: Target {
                 engine: engine.record.id.clone(),
                 work: 0,
+                rank: demand.priority,
                 expected: from_millis(total),
             },
         }
@@ -320,10 +352,8 @@
 }
 
 fn refuse_if_late(choice: Choice, demand: &Demand) -> Choice {
-    let expected = match &choice {
-        Choice::Direct(target) => target.expected,
-        Choice::Split { expected, .. } => *expected,
-        Choice::Refuse { .. } => return choice,
+    let Some(expected) = expected(&choice) else {
+        return choice;
     };
     let bound = demand.left.mul_f64(IN_TIME);
     if expected <= bound {
