--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -186,14 +186,37 @@
     /// An answer to this request, up to its head.
     Answer(Box<Answered>),
     /// The engine certainly did not run it.
-    NotRun {
-        /// Whether the request reached the engine at all.
-        arrived: bool,
-    },
+    NotRun(NotRun),
     /// It may have run.
     Lost(Failure),
 }
 
+/// Why an engine did not run a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NotRun {
+    /// The request never reached it.
+    Unreachable,
+    /// It refused for want of room.
+    Full,
+    /// It has ended, and another one has its address.
+    Ended,
+}
+
+impl NotRun {
+    /// Whether the request arrived at some engine, which the budget of repeats counts.
+    pub(crate) fn arrived(self) -> bool {
+        self != Self::Unreachable
+    }
+
+    pub(crate) fn outcome(self) -> Outcome {
+        match self {
+            Self::Unreachable => Outcome::Unreachable,
+            Self::Full => Outcome::Full,
+            Self::Ended => Outcome::Ended,
+        }
+    }
+}
+
 /// An engine's answer whose body is still to come.
 pub(crate) struct Answered {
     pub head: ResponseHead,
@@ -218,17 +241,18 @@
         Ok(client) => client,
         Err(failure) => {
             log::debug!(engine = &*engine.id, failure:% = failure; "no connection");
-            return Tried::NotRun { arrived: false };
+            return Tried::NotRun(NotRun::Unreachable);
         }
     };
     let head = upstream::request(&asked.head, sending);
-    match exchange(client, head, asked).await {
+    match exchange(client, head, asked, &engine.id).await {
         Ok(answered) if answered.reply.was_not_run() => {
+            let ended = answered.reply.is_misdirected();
             keep(instance, engine, answered).await;
-            Tried::NotRun { arrived: true }
+            Tried::NotRun(if ended { NotRun::Ended } else { NotRun::Full })
         }
         Ok(answered) => Tried::Answer(Box::new(answered)),
-        Err(failure) if failure.not_sent() => Tried::NotRun { arrived: false },
+        Err(failure) if failure.not_sent() => Tried::NotRun(NotRun::Unreachable),
         Err(failure) => Tried::Lost(failure),
     }
 }
@@ -242,10 +266,11 @@
     mut client: Client,
     head: RequestHead,
     asked: &Asked,
+    instance: &str,
 ) -> Result<Answered, Failure> {
     let mut answer = client.send(head, &asked.body).await?;
     for _ in 0..FOREIGN {
-        let reply = upstream::reply(&answer.head, &asked.call.id);
+        let reply = upstream::reply(&answer.head, &asked.call.id, instance);
         if !reply.other {
             return Ok(Answered {
                 head: answer.head,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -9,7 +9,7 @@
 use adapter::store::{Keyed, Offset, Store, Trouble};
 use serving::Record;
 use serving::registry::{Change, Registry};
-use tokio::time::{Instant, sleep, sleep_until};
+use tokio::time::{Instant, sleep_until};
 
 use crate::instance::Instance;
 
@@ -36,6 +36,7 @@
     wait: Duration,
     pace: Duration,
     next: Option<Offset>,
+    due: Instant,
     lost: bool,
 }
 
@@ -54,6 +55,7 @@
             wait,
             pace,
             next: None,
+            due: Instant::now(),
             lost: false,
         }
     }
@@ -61,18 +63,18 @@
     /// The next records, however long it takes.
     async fn read(&mut self) -> Read {
         loop {
-            let begun = Instant::now();
+            sleep_until(self.due).await;
+            self.due = Instant::now() + self.pace;
             match self.once().await {
                 Ok(read) => {
                     self.regained();
-                    sleep_until(begun + self.pace).await;
                     return read;
                 }
                 Err(Trouble::Dropped(first)) => {
                     log::info!(topic = self.topic, first = first; "records were dropped, reading all");
                     self.next = None;
                 }
-                Err(trouble) => self.failed(&trouble).await,
+                Err(trouble) => self.failed(&trouble),
             }
         }
     }
@@ -95,12 +97,12 @@
         }
     }
 
-    async fn failed(&mut self, trouble: &Trouble) {
+    fn failed(&mut self, trouble: &Trouble) {
         if !self.lost {
             self.lost = true;
             log::warn!(topic = self.topic, trouble:% = trouble; "the store does not answer");
         }
-        sleep(RETRY).await;
+        self.due = Instant::now() + RETRY;
     }
 }
 
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -39,10 +39,15 @@
     tokio::time::sleep(ACCEPT_PAUSE).await;
 }
 
-/// Accepts callers until the process ends.
+/// Accepts callers until the process is about to end. Then the listener is closed: a caller that is
+/// refused goes to another instance at once, also where the balancer still names this one.
 pub(crate) async fn accept(instance: Rc<Instance>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = instance.phase.closing() => return,
+        };
+        match accepted {
             Ok((stream, _)) => drop(actix_rt::spawn(serve(instance.clone(), stream))),
             Err(error) => accept_failed(&error).await,
         }
@@ -117,6 +122,17 @@
     writer: &mut http1::Writer,
 ) -> bool {
     let leaving = instance.phase.is_leaving();
+    if instance.phase.is_closing() {
+        // What is begun now may not be finished in the time that is left.
+        let refusal = Refusal {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            id: arrival_id(&arrival),
+            after: Some(CLOSING_AFTER),
+            detail: "The instance is about to end.",
+            ran: false,
+        };
+        return refuse(writer, refusal, true).await.is_ok();
+    }
     match Asked::new(instance, arrival) {
         Ok(asked) if asked.route.kind.is_stream() => {
             generate::answer(instance, &asked, writer).await
@@ -126,5 +142,12 @@
     }
 }
 
+fn arrival_id(arrival: &http1::Arrival) -> Option<&str> {
+    adapter::ingress::id(&arrival.head)
+}
+
+/// When a caller may come back after an instance that ends refused it: at once, elsewhere.
+const CLOSING_AFTER: Duration = Duration::from_millis(10);
+
 /// Status of a request that no route matches.
 pub(crate) const NO_ROUTE: StatusCode = StatusCode::NOT_FOUND;
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -187,13 +187,9 @@
         };
         let answered = match attempt::send(self.instance, self.asked, &engine, &sending).await {
             Tried::Answer(answered) => answered,
-            Tried::NotRun { arrived } => {
-                held.note(if arrived {
-                    Outcome::Full
-                } else {
-                    Outcome::Unreachable
-                });
-                return if arrived {
+            Tried::NotRun(why) => {
+                held.note(why.outcome());
+                return if why.arrived() {
                     Prompt::Rejected
                 } else {
                     Prompt::Lost
@@ -264,15 +260,11 @@
                 }
                 self.pass(answered, &mut held, &engine.id).await
             }
-            Tried::NotRun { arrived } => {
+            Tried::NotRun(why) => {
                 self.sent.set(self.runs > 0);
-                held.note(if arrived {
-                    Outcome::Full
-                } else {
-                    Outcome::Unreachable
-                });
+                held.note(why.outcome());
                 self.avoid.push(target.engine.clone());
-                self.rejected(arrived)
+                self.rejected(why.arrived())
             }
             Tried::Lost(failure) => {
                 log::info!(id = self.asked.call.id.as_str(), engine = &*engine.id, failure:% = failure; "the engine's answer was lost");
--- a/crates/gateway/src/phase.rs
+++ b/crates/gateway/src/phase.rs
@@ -31,6 +31,11 @@
         self.leaving.get()
     }
 
+    /// Whether new calls are refused, since the end is near.
+    pub(crate) fn is_closing(&self) -> bool {
+        self.closing.get()
+    }
+
     /// Enters a call.
     pub(crate) fn begin(&self) -> InHand<'_> {
         self.calls.set(self.calls.get() + 1);
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -13,7 +13,7 @@
 use serving::{Choice, Kind};
 use tokio::time::{Instant, timeout_at};
 
-use crate::attempt::{self, Answered, Asked, Avoid, Held, MOST, Tried};
+use crate::attempt::{self, Answered, Asked, Avoid, Held, MOST, NotRun, Tried};
 use crate::instance::Instance;
 use crate::reply::{Refusal, refuse};
 
@@ -132,9 +132,10 @@
                 }
             }
             One::Whole(answered, body) => return judge(asked, answered, body),
-            One::NotRun { arrived } => {
+            One::NotRun(reason) => {
                 rejections += 1;
-                let may = rejections <= REJECTIONS && (!arrived || take_repeat(instance, asked));
+                let may =
+                    rejections <= REJECTIONS && (!reason.arrived() || take_repeat(instance, asked));
                 if !may && runs == 0 {
                     return End::NotRun {
                         after: FULL_AFTER,
@@ -175,13 +176,13 @@
 
 enum One {
     Whole(Box<Finished>, Bytes),
-    NotRun { arrived: bool },
+    NotRun(NotRun),
     Lost,
 }
 
 async fn one(instance: &Rc<Instance>, asked: &Asked, target: &Target, more: bool) -> One {
     let Some(engine) = attempt::record(instance, &target.engine) else {
-        return One::NotRun { arrived: false };
+        return One::NotRun(NotRun::Unreachable);
     };
     let mut held = Held::new(instance, asked, target);
     let sending = Sending {
@@ -198,7 +199,7 @@
     let whole = async {
         match attempt::send(instance, asked, &engine, &sending).await {
             Tried::Answer(answered) => whole(instance, asked, &engine.id, answered).await,
-            Tried::NotRun { arrived } => One::NotRun { arrived },
+            Tried::NotRun(why) => One::NotRun(why),
             Tried::Lost(failure) => {
                 log::info!(id = asked.call.id.as_str(), engine = &*engine.id, failure = failure.name(); "answer lost");
                 One::Lost
@@ -214,8 +215,7 @@
     match one {
         One::Whole(answered, _) if answered.reply.status >= 500 => Outcome::Failed,
         One::Whole(..) => Outcome::Good,
-        One::NotRun { arrived: true } => Outcome::Full,
-        One::NotRun { arrived: false } => Outcome::Unreachable,
+        One::NotRun(why) => why.outcome(),
         One::Lost => Outcome::Failed,
     }
 }
--- a/crates/serving/src/health.rs
+++ b/crates/serving/src/health.rs
@@ -13,6 +13,8 @@
     Full,
     /// No connection opened.
     Unreachable,
+    /// Another incarnation answered at its address, so this one has ended.
+    Ended,
     /// No answer, a broken one, or a failure of the engine's own.
     Failed,
 }
@@ -32,7 +34,7 @@
 const LONGEST_REST: Duration = Duration::from_millis(4_000);
 /// Rest after a connection that did not open: the engine is gone, or its queue of connections is
 /// full for a moment.
-const UNREACHABLE_REST: Duration = Duration::from_millis(700);
+const UNREACHABLE_REST: Duration = Duration::from_millis(1_000);
 
 /// Recent outcomes at one engine.
 #[derive(Clone, Copy, Debug, Default)]
@@ -41,6 +43,7 @@
     rests: u32,
     until: Moment,
     probing: bool,
+    ended: bool,
 }
 
 impl Health {
@@ -50,13 +53,19 @@
             Outcome::Good => self.good(),
             Outcome::Full => {}
             Outcome::Unreachable => self.rest(UNREACHABLE_REST, now),
+            Outcome::Ended => self.ended = true,
             Outcome::Failed => self.failed(now),
         }
     }
 
     /// Whether a call may be sent here.
     pub fn is_open(&self, now: Moment) -> bool {
-        now >= self.until
+        now >= self.until && !self.ended
+    }
+
+    /// Whether the engine is known to have ended, although its record stands.
+    pub fn has_ended(&self) -> bool {
+        self.ended
     }
 
     /// Share of recent calls that failed, from 0 to 1.
