Look parts up by their own ids, and know how long callers wait for a first event

Cause: callers leave a stream after four targets, eight pauses or two seconds without an event, whichever is longest; calls were placed and queued as if they waited to their deadline, and engines read prompts for nobody. Parts were known by their whole chain, which no other source can tell. Change: the place must be in time for that patience; a part has its own id, and counts as kept if all before it are.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -101,6 +101,15 @@
         self.until.saturating_duration_since(Instant::now())
     }
 
+    /// Time that the caller still waits for a first answer.
+    fn first_left(&self) -> Duration {
+        if !self.route.kind.is_stream() {
+            return self.left();
+        }
+        let patience = self.route.patience().saturating_sub(self.waited());
+        patience.min(self.left())
+    }
+
     pub(crate) fn waited(&self) -> Duration {
         self.begun.elapsed()
     }
@@ -109,7 +118,7 @@
 /// The service of a call on a route with several: by the request's id, so that the same request
 /// goes the same way at every instance.
 fn service(table: &Table, route: &Route, call: &Call) -> Service {
-    let drawn = serving::parts::chain(0, &call.id) >> 32;
+    let drawn = serving::parts::number(&call.id) >> 32;
     let drawn = u32::try_from(drawn).unwrap_or(u32::MAX);
     let name = route.service(f64::from(drawn) / (f64::from(u32::MAX) + 1.0));
     table.service(name).cloned().unwrap_or_else(|| Service {
@@ -331,7 +340,7 @@
         target: asked.route.target.saturating_sub(asked.waited()),
         zone: &instance.zone,
         avoid,
-        left: asked.left(),
+        left: asked.first_left(),
     }
 }
 
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -80,7 +80,7 @@
         let most = self.reads.len().min(READS);
         let told = self.reads[..most].iter().map(|(engine, part, _)| Read {
             engine: engine.to_string(),
-            chain: part.chain,
+            part: part.id,
             tokens: part.tokens,
         });
         let told = told.collect();
@@ -170,7 +170,7 @@
             continue;
         };
         let part = Part {
-            chain: read.chain,
+            id: read.part,
             tokens: read.tokens,
         };
         fleet.reads(&id, &[part], model.memory_tokens, now);
--- a/crates/serving/src/parts.rs
+++ b/crates/serving/src/parts.rs
@@ -8,26 +8,37 @@
 
 use crate::EngineId;
 
-/// Identity of a part together with all parts before it. A part that was read behind other parts
-/// is of no use, so only the chain says whether it can be used again.
-pub type Chain = u64;
+/// Identity of a part of a model's prompts.
+pub type PartId = u64;
 
-/// The chain of a part, given the chain before it. The first part follows the name of its model,
-/// since another model's memory is of no use either.
-pub fn chain(before: Chain, part: &str) -> Chain {
+/// The id of a part of a model's prompts. The model counts, since another model's memory is of no
+/// use.
+pub fn id(model: &str, part: &str) -> PartId {
     let mut hasher = blake3::Hasher::new();
-    hasher.update(&before.to_le_bytes());
+    hasher.update(model.as_bytes());
+    hasher.update(&[0]);
     hasher.update(part.as_bytes());
+    first_eight(&hasher)
+}
+
+/// A number that every instance computes alike for a text.
+pub fn number(text: &str) -> u64 {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(text.as_bytes());
+    first_eight(&hasher)
+}
+
+fn first_eight(hasher: &blake3::Hasher) -> u64 {
     let mut first = [0; 8];
     first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    Chain::from_le_bytes(first)
+    u64::from_le_bytes(first)
 }
 
 /// One part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Part {
-    /// Identity of the chain up to and with this part.
-    pub chain: Chain,
+    /// Which part.
+    pub id: PartId,
     /// Tokens of this part.
     pub tokens: u32,
 }
@@ -38,7 +49,7 @@
 /// Parts that one engine holds, as far as is known.
 #[derive(Clone, Debug, Default)]
 struct Memory {
-    held: HashMap<Chain, (Moment, u32)>,
+    held: HashMap<PartId, (Moment, u32)>,
     tokens: u64,
 }
 
@@ -47,7 +58,7 @@
 
 impl Memory {
     fn touch(&mut self, part: Part, now: Moment, room: u64) {
-        let before = self.held.insert(part.chain, (now, part.tokens));
+        let before = self.held.insert(part.id, (now, part.tokens));
         let old = before.map_or(0, |(_, tokens)| u64::from(tokens));
         self.tokens = self.tokens + u64::from(part.tokens) - old;
         if self.tokens > room {
@@ -58,17 +69,17 @@
     /// Drops what was used longest ago until a tenth of the room is free, so that the search for
     /// the oldest is not made for each part.
     fn evict(&mut self, room: u64) {
-        let mut by_age: Vec<(Moment, Chain, u32)> = self
+        let mut by_age: Vec<(Moment, PartId, u32)> = self
             .held
             .iter()
-            .map(|(&chain, &(used, tokens))| (used, chain, tokens))
+            .map(|(&id, &(used, tokens))| (used, id, tokens))
             .collect();
         by_age.sort_unstable();
-        for (_, chain, tokens) in by_age {
+        for (_, id, tokens) in by_age {
             if self.tokens <= room - room / 10 {
                 break;
             }
-            self.held.remove(&chain);
+            self.held.remove(&id);
             self.tokens -= u64::from(tokens);
         }
     }
@@ -95,14 +106,15 @@
         }
     }
 
-    /// Tokens at the beginning of the prompt that the engine need not read again.
+    /// Tokens at the beginning of the prompt that the engine need not read again. A part is of use
+    /// only behind all parts before it.
     pub fn kept(&self, engine: &EngineId, prompt: &[Part]) -> u32 {
         let Some(memory) = self.memories.get(engine) else {
             return 0;
         };
         prompt
             .iter()
-            .take_while(|part| memory.held.contains_key(&part.chain))
+            .take_while(|part| memory.held.contains_key(&part.id))
             .map(|part| part.tokens)
             .sum()
     }
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -7,7 +7,7 @@
 use clock::Moment;
 
 use crate::engine::{Engine, Job, Rank, Stage};
-use crate::parts::{Chain, Part};
+use crate::parts::{Part, PartId};
 use crate::route::Model;
 use crate::{EngineId, Fleet, ServiceName, Zone, speed};
 
@@ -302,14 +302,14 @@
 }
 
 fn spread(engine: &Engine, prompt: &[Part]) -> f64 {
-    let chain = prompt.first().map_or(0, |part| part.chain);
-    millis(SPREAD) * share(chain, &engine.record.id)
+    let first = prompt.first().map_or(0, |part| part.id);
+    millis(SPREAD) * share(first, &engine.record.id)
 }
 
-/// A number from 0 to 1 that every instance computes alike for a chain and an engine.
-fn share(chain: Chain, engine: &str) -> f64 {
+/// A number from 0 to 1 that every instance computes alike for a part and an engine.
+fn share(part: PartId, engine: &str) -> f64 {
     let mut hasher = blake3::Hasher::new();
-    hasher.update(&chain.to_le_bytes());
+    hasher.update(&part.to_le_bytes());
     hasher.update(engine.as_bytes());
     let [a, b, c, d, ..] = *hasher.finalize().as_bytes();
     f64::from(u32::from_le_bytes([a, b, c, d])) / f64::from(u32::MAX)
