--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -137,7 +137,7 @@
     asked: &'a Asked,
     sent: Sent,
     expected: Duration,
-    work: u32,
+    unread: u32,
     begun: Instant,
     outcome: Option<Outcome>,
 }
@@ -155,7 +155,7 @@
             asked,
             sent,
             expected: target.expected,
-            work: target.work,
+            unread: target.unread,
             begun: Instant::now(),
             outcome: None,
         }
@@ -170,7 +170,7 @@
         log::info!(
             id = self.asked.call.id.as_str(), engine = &*self.sent.engine, step = step,
             ms:% = self.begun.elapsed().as_millis(), expected_ms:% = self.expected.as_millis(),
-            unread = self.work, pace:? = engine.map(|engine| engine.pace),
+            unread = self.unread, pace:? = engine.map(|engine| engine.pace),
             stage:? = engine.map(|engine| engine.record.stage), running = engine.map_or(0, |e| e.running());
             "engine began"
         );
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -231,7 +231,7 @@
         self.instance
             .peers
             .borrow_mut()
-            .reads(&fleet, engine, &sizes.prompt);
+            .reads(engine, &sizes.prompt);
         fleet.reads(engine, &sizes.prompt, model.memory_tokens, now);
     }
 
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -10,9 +10,9 @@
 
 use adapter::store::{Offset, Store};
 use clock::Moment;
+use serving::EngineId;
 use serving::engine::{Job, Rank, Work};
 use serving::parts::Part;
-use serving::{EngineId, Fleet};
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
 use wire::Message as _;
@@ -46,7 +46,7 @@
 /// Times that a read part is told, since datagrams are lost.
 const TELLINGS: u8 = 2;
 /// Most parts in one frame.
-const READS: usize = 64;
+const READS: usize = 128;
 
 /// Another instance.
 #[derive(Clone, Debug)]
@@ -64,16 +64,11 @@
 }
 
 impl Peers {
-    /// Notes parts that an engine is about to read and that the others do not know of.
-    pub(crate) fn reads(&mut self, fleet: &Fleet, engine: &EngineId, prompt: &[Part]) {
-        // The last part belongs to this call alone or to its session.
-        let shared = prompt.split_last().map_or(prompt, |(_, shared)| shared);
-        for (at, part) in shared.iter().enumerate() {
-            let through: u32 = shared[..=at].iter().map(|part| part.tokens).sum();
-            if fleet.parts.kept(engine, &shared[..=at]) < through {
-                self.reads.push((engine.clone(), *part, TELLINGS));
-            }
-        }
+    /// Notes the parts of a prompt that an engine is about to use. Those that it has read before
+    /// count as well: others must know what was used last to know what yields next.
+    pub(crate) fn reads(&mut self, engine: &EngineId, prompt: &[Part]) {
+        let reads = prompt.iter().map(|part| (engine.clone(), *part, TELLINGS));
+        self.reads.extend(reads);
     }
 
     fn take_reads(&mut self) -> Vec<Read> {
--- a/crates/serving/src/parts.rs
+++ b/crates/serving/src/parts.rs
@@ -54,7 +54,7 @@
 }
 
 /// Share of an engine's memory that is taken to be there for parts; the rest is in running calls.
-const KEPT: f64 = 0.75;
+const KEPT: f64 = 0.9;
 
 impl Memory {
     fn touch(&mut self, part: Part, now: Moment, room: u64) {
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -79,6 +79,8 @@
 pub struct Target {
     /// The engine.
     pub engine: EngineId,
+    /// Prompt tokens that it must read.
+    pub unread: u32,
     /// Work that the prompt is there, in tokens of [`speed::work`].
     pub work: u32,
     /// Its urgency there.
@@ -138,6 +140,7 @@
     match best {
         Some(engine) => Choice::Direct(Target {
             engine: engine.record.id.clone(),
+            unread: 0,
             work: 0,
             rank: demand.priority,
             expected: Duration::ZERO,
@@ -270,6 +273,7 @@
         total,
         target: Target {
             engine: engine.record.id.clone(),
+            unread,
             work,
             rank: demand.priority,
             expected: from_millis(expected),
@@ -336,6 +340,7 @@
             total,
             target: Target {
                 engine: engine.record.id.clone(),
+                unread: 0,
                 work: 0,
                 rank: demand.priority,
                 expected: from_millis(total),
