Let a new instance learn what engines hold

Change: an instance that lived on tells newcomers its share of what it knows; where none did, each asks its share of the engines once.

--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -222,17 +222,11 @@
     }
 
     fn note_parts(&self, engine: &EngineId) {
-        let sizes = self.asked.call.generation.as_ref();
-        let Some((sizes, model)) = sizes.zip(self.asked.service.model.as_ref()) else {
-            return;
-        };
-        let now = self.instance.now();
-        let mut fleet = self.instance.fleet.borrow_mut();
-        self.instance
-            .peers
-            .borrow_mut()
-            .reads(engine, &sizes.prompt);
-        fleet.reads(engine, &sizes.prompt, model.memory_tokens, now);
+        if let Some(sizes) = &self.asked.call.generation {
+            self.instance.note_parts(engine, &sizes.prompt);
+            let mut peers = self.instance.peers.borrow_mut();
+            peers.reads(engine, &sizes.prompt);
+        }
     }
 
     async fn generate(&mut self, target: &Target, memory: Option<Guard>) -> Next {
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -6,7 +6,8 @@
 use adapter::settings::Settings;
 use clock::{Clock as _, Moment, System};
 use serving::budget::Budgets;
-use serving::{Fleet, Table, Zone};
+use serving::parts::Part;
+use serving::{EngineId, Fleet, Table, Zone};
 use tokio::sync::Notify;
 
 use crate::mesh::Peers;
@@ -63,6 +64,22 @@
         self.table.borrow().clone()
     }
 
+    /// Takes in that an engine uses these parts.
+    pub(crate) fn note_parts(&self, engine: &EngineId, parts: &[Part]) {
+        let now = self.now();
+        let mut fleet = self.fleet.borrow_mut();
+        let service = fleet
+            .get(engine)
+            .map(|engine| engine.record.service.clone());
+        let table = self.table.borrow();
+        let service = service
+            .zip(table.as_ref())
+            .and_then(|(name, table)| table.service(&name));
+        if let Some(model) = service.and_then(|service| service.model) {
+            fleet.reads(engine, parts, model.memory_tokens, now);
+        }
+    }
+
     /// Puts a configuration in force if it is newer than the one in force.
     ///
     /// Reads that overtake each other, a store that lags and peers that are behind all bring older
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,5 +17,6 @@
 mod plain;
 mod pool;
 mod ready;
+mod recall;
 mod relay;
 mod reply;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -12,13 +12,14 @@
 use clock::Moment;
 use serving::EngineId;
 use serving::engine::{Job, Rank, Work};
-use serving::parts::Part;
+use serving::parts::{self, Part};
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
 use wire::Message as _;
 use wire::gateway::{Frame, Read};
 
 use crate::instance::Instance;
+use crate::recall;
 
 /// Topic in which instances register.
 const INSTANCES: &str = "keyed.instances";
@@ -61,6 +62,12 @@
     by_address: BTreeMap<SocketAddr, Option<Peer>>,
     reads: Vec<(EngineId, Part, u8)>,
     number: u64,
+    /// Whether this instance knows what engines hold.
+    knows: bool,
+    /// Whether another instance that knew has been heard of.
+    told: bool,
+    /// Instances that have just started, to be told what engines hold.
+    newcomers: Vec<SocketAddr>,
 }
 
 impl Peers {
@@ -98,13 +105,40 @@
     }
 
     /// Takes in who sent a frame. Gives the incarnation that it replaces.
-    fn heard(&mut self, from: SocketAddr, incarnation: u64, now: Moment) -> Option<u64> {
+    fn heard(&mut self, from: SocketAddr, frame: &Frame, now: Moment) -> Option<u64> {
+        let incarnation = frame.incarnation;
         let peer = Peer {
             incarnation,
             heard: now,
         };
-        let before = self.by_address.insert(from, Some(peer)).flatten()?;
-        (before.incarnation != incarnation).then_some(before.incarnation)
+        let before = self.by_address.insert(from, Some(peer)).flatten();
+        let is_new = before
+            .as_ref()
+            .is_none_or(|before| before.incarnation != incarnation);
+        self.told |= frame.knows;
+        if is_new && !frame.knows && self.knows {
+            self.newcomers.push(from);
+        }
+        let before = before.filter(|before| before.incarnation != incarnation)?;
+        Some(before.incarnation)
+    }
+
+    /// Whether an instance that knows what engines hold has been heard of.
+    pub(crate) fn is_told(&self) -> bool {
+        self.told
+    }
+
+    /// Notes that this instance knows what engines hold.
+    pub(crate) fn now_knows(&mut self) {
+        self.knows = true;
+    }
+
+    /// Whether an engine is in the share of the instance at `own`. Each engine is in the share of one
+    /// instance, which all compute alike from the instances that they know.
+    pub(crate) fn is_share(&self, own: SocketAddr, engine: &EngineId) -> bool {
+        let weight = |address: SocketAddr| parts::number(&format!("{address} {engine}"));
+        let mut others = self.by_address.keys();
+        others.all(|other| weight(*other) <= weight(own))
     }
 }
 
@@ -116,7 +150,8 @@
     };
     let socket = Rc::new(UdpSocket::bind(own).await?);
     actix_rt::spawn(listen(instance.clone(), socket.clone()));
-    actix_rt::spawn(tell(instance.clone(), socket));
+    actix_rt::spawn(tell(instance.clone(), socket, own));
+    actix_rt::spawn(recall::run(instance.clone(), own));
     actix_rt::spawn(discover(instance.clone(), own));
     Ok(())
 }
@@ -144,31 +179,22 @@
 
 fn take(instance: &Instance, from: SocketAddr, frame: &Frame) {
     let now = instance.now();
-    let replaced = instance
-        .peers
-        .borrow_mut()
-        .heard(from, frame.incarnation, now);
+    let replaced = instance.peers.borrow_mut().heard(from, frame, now);
     let mut fleet = instance.fleet.borrow_mut();
     if let Some(replaced) = replaced {
         fleet.hear(replaced, &[], now);
     }
-    let works: Vec<(EngineId, Work)> = frame.works.iter().map(|told| work(told, now)).collect();
-    fleet.hear(frame.incarnation, &works, now);
-    let table = instance.table();
+    if !frame.only_reads {
+        let works: Vec<(EngineId, Work)> = frame.works.iter().map(|told| work(told, now)).collect();
+        fleet.hear(frame.incarnation, &works, now);
+    }
+    drop(fleet);
     for read in &frame.reads {
-        let id = EngineId::from(read.engine.as_str());
-        let service = fleet.get(&id).map(|engine| engine.record.service.clone());
-        let service = service
-            .zip(table.as_ref())
-            .and_then(|(name, table)| table.service(&name));
-        let Some(model) = service.and_then(|service| service.model) else {
-            continue;
-        };
         let part = Part {
             id: read.part,
             tokens: read.tokens,
         };
-        fleet.reads(&id, &[part], model.memory_tokens, now);
+        instance.note_parts(&EngineId::from(read.engine.as_str()), &[part]);
     }
 }
 
@@ -198,7 +224,7 @@
     }
 }
 
-async fn tell(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
+async fn tell(instance: Rc<Instance>, socket: Rc<UdpSocket>, own: SocketAddr) {
     let mut quiet = 0;
     let mut had_work = false;
     loop {
@@ -218,10 +244,9 @@
         let bytes = frame.encode_to_vec();
         let addressees = instance.peers.borrow().addressees(now);
         for address in addressees {
-            if let Err(error) = socket.try_send_to(&bytes, address) {
-                log::debug!(to:% = address, error:% = error; "a frame could not be sent");
-            }
+            send(&socket, &bytes, address);
         }
+        greet(&instance, &socket, own);
     }
 }
 
@@ -239,6 +264,54 @@
         reads: peers.take_reads(),
         leaving: instance.phase.is_leaving(),
         number: peers.number,
+        knows: peers.knows,
+        only_reads: false,
+    }
+}
+
+/// Tells instances that have just started what the engines of this instance's share hold.
+fn greet(instance: &Instance, socket: &UdpSocket, own: SocketAddr) {
+    let newcomers = std::mem::take(&mut instance.peers.borrow_mut().newcomers);
+    if newcomers.is_empty() {
+        return;
+    }
+    let reads = share_of_parts(instance, own);
+    for some in reads.chunks(READS) {
+        let frame = Frame {
+            instance: instance.settings.borrow().instance.clone(),
+            incarnation: instance.incarnation,
+            reads: some.to_vec(),
+            only_reads: true,
+            knows: true,
+            ..Frame::default()
+        };
+        let bytes = frame.encode_to_vec();
+        for address in &newcomers {
+            send(socket, &bytes, *address);
+        }
+    }
+    log::info!(newcomers = newcomers.len(), parts = reads.len(); "told new instances what engines hold");
+}
+
+fn share_of_parts(instance: &Instance, own: SocketAddr) -> Vec<Read> {
+    let fleet = instance.fleet.borrow();
+    let peers = instance.peers.borrow();
+    let ids = fleet.ids().into_iter().filter(|id| peers.is_share(own, id));
+    let reads = ids.flat_map(|id| {
+        let engine = id.to_string();
+        let held = fleet.parts.held(&id);
+        held.into_iter().map(move |part| Read {
+            engine: engine.clone(),
+            part: part.id,
+            tokens: part.tokens,
+        })
+    });
+    reads.collect()
+}
+
+fn send(socket: &UdpSocket, bytes: &[u8], address: SocketAddr) {
+    if let Err(error) = socket.try_send_to(bytes, address) {
+        log::debug!(to:% = address, error:% = error; "a frame could not be sent");
     }
 }
 
--- a/crates/serving/src/parts.rs
+++ b/crates/serving/src/parts.rs
@@ -119,6 +119,20 @@
             .sum()
     }
 
+    /// All parts that an engine holds, the one used longest ago first.
+    pub fn held(&self, engine: &EngineId) -> Vec<Part> {
+        let Some(memory) = self.memories.get(engine) else {
+            return Vec::new();
+        };
+        let mut held: Vec<(Moment, Part)> = memory
+            .held
+            .iter()
+            .map(|(&id, &(used, tokens))| (used, Part { id, tokens }))
+            .collect();
+        held.sort_unstable_by_key(|(used, part)| (*used, part.id));
+        held.into_iter().map(|(_, part)| part).collect()
+    }
+
     /// Forgets an engine that has ended.
     pub fn forget(&mut self, engine: &EngineId) {
         self.memories.remove(engine);
