Let two instances read the store and tell the others

Ruled out: a slower pace for all, since a leaving engine must be known within two seconds. Change: instances are in one order that all share; whoever hears of fewer than two fresh readers before itself reads; news are told as they lie in the store; version and digest show lost news, which is then read. Frames name engines and parts by short numbers.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -118,9 +118,8 @@
 /// The service of a call on a route with several: by the request's id, so that the same request
 /// goes the same way at every instance.
 fn service(table: &Table, route: &Route, call: &Call) -> Service {
-    let drawn = serving::parts::number(&call.id) >> 32;
-    let drawn = u32::try_from(drawn).unwrap_or(u32::MAX);
-    let name = route.service(f64::from(drawn) / (f64::from(u32::MAX) + 1.0));
+    let drawn = serving::hash::share(&call.id).min(1.0 - f64::EPSILON);
+    let name = route.service(drawn);
     table.service(name).cloned().unwrap_or_else(|| Service {
         name: name.clone(),
         connections: 1,
@@ -148,7 +147,7 @@
         let mut fleet = instance.fleet.borrow_mut();
         let sent = fleet.begin(&target.engine, target.work, target.rank, now);
         if target.work > 0 {
-            instance.placed.notify_one();
+            instance.stirred.notify_one();
         }
         Self {
             instance,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -49,6 +49,7 @@
     actix_rt::spawn(front::accept(instance.clone(), front));
     actix_rt::spawn(ready::accept(instance.clone(), ready));
     follow::start(&instance);
+    actix_rt::spawn(follow::sweep(instance.clone()));
     mesh::start(&instance)
         .await
         .change_context(Failure::Listen)?;
@@ -60,7 +61,6 @@
     }
     log::info!("asked to end");
     let grace = instance.settings.borrow().bounds.grace;
-    mesh::leave(&instance);
     instance.phase.leave(grace).await;
     Ok(())
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -1,7 +1,7 @@
 //! Follows the store: the configuration and the engines. Each has a task and a connection of its
-//! own, so that a slow read of one does not age the other.
+//! own, so that a slow read of one does not age the other. Where enough other instances read and
+//! tell, this one does not read.
 
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,19 +9,29 @@
 use adapter::store::{Keyed, Offset, Store, Trouble};
 use serving::Record;
 use serving::registry::{Change, Registry};
-use tokio::time::{Instant, sleep_until};
+use serving::watch::Watch;
+use tokio::time::{Instant, sleep, sleep_until};
+use wire::gateway::News;
 
 use crate::instance::Instance;
+use crate::peers::{self, Topic};
 
-/// Longest wait of one read for a new configuration. Each call is paid for, and a connection that
-/// has fallen silent is noticed only when a call is due.
+/// Longest wait of one read for a new configuration. Each call is paid for, and others take a
+/// reader for stale that has not had an answer for somewhat longer.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_000);
 /// Pause between two reads of the engines' records. Every engine writes about once a second, so a
 /// read that waited for the next record would return at once; work may go to a leaving engine for
 /// two seconds, of which this takes a part.
-const ENGINES_PACE: Duration = Duration::from_millis(600);
-/// Pause after a call that failed.
+const ENGINES_PACE: Duration = Duration::from_millis(400);
+/// Pause after a call that failed; doubles up to [`LONGEST_RETRY`] while calls fail.
 const RETRY: Duration = Duration::from_millis(200);
+/// Longest pause after calls that failed.
+const LONGEST_RETRY: Duration = Duration::from_millis(800);
+/// Pause between two looks whether a read is due.
+const LOOK: Duration = Duration::from_millis(100);
+/// A reader that has not read for this long reads the newest records instead of all since: nearly
+/// all of them are heartbeats.
+const BACKLOG: Duration = Duration::from_secs(2);
 
 /// Starts following.
 pub(crate) fn start(instance: &Rc<Instance>) {
@@ -31,13 +41,15 @@
 
 /// Reads of one topic: how it is paced and where it stands.
 struct Reader {
+    instance: Rc<Instance>,
+    topic: Topic,
     store: Store,
-    topic: &'static str,
+    watch: Watch,
     wait: Duration,
     pace: Duration,
     next: Option<Offset>,
     due: Instant,
-    lost: bool,
+    failures: u32,
 }
 
 /// What one read gave.
@@ -47,16 +59,25 @@
 }
 
 impl Reader {
-    fn new(instance: &Instance, topic: &'static str, wait: Duration, pace: Duration) -> Self {
+    fn new(instance: Rc<Instance>, topic: Topic, wait: Duration, pace: Duration) -> Self {
         let address = instance.settings.borrow().store;
         Self {
-            store: Store::new(address, instance.codec.clone()),
             topic,
+            store: Store::new(address, instance.codec.clone()),
+            watch: Watch::default(),
             wait,
             pace,
             next: None,
             due: Instant::now(),
-            lost: false,
+            failures: 0,
+            instance,
+        }
+    }
+
+    fn name(&self) -> &'static str {
+        match self.topic {
+            Topic::Configuration => records::OPERATOR,
+            Topic::Engines => records::ENGINES,
         }
     }
 
@@ -64,14 +85,15 @@
     async fn read(&mut self) -> Read {
         loop {
             sleep_until(self.due).await;
+            self.wait_until_due().await;
             self.due = Instant::now() + self.pace;
             match self.once().await {
                 Ok(read) => {
-                    self.regained();
+                    self.succeeded();
                     return read;
                 }
                 Err(Trouble::Dropped(first)) => {
-                    log::info!(topic = self.topic, first = first; "records were dropped, reading all");
+                    log::info!(topic = self.name(), first = first; "records were dropped, reading all");
                     self.next = None;
                 }
                 Err(trouble) => self.failed(&trouble),
@@ -79,85 +101,141 @@
         }
     }
 
+    async fn wait_until_due(&mut self) {
+        while self.next.is_some() && !self.is_due() {
+            sleep(LOOK).await;
+        }
+        let now = self.instance.now();
+        let last = self.instance.last_read(self.topic).get();
+        if last.is_some_and(|last| now.saturating_sub(last) > BACKLOG) {
+            self.next = None;
+        }
+    }
+
+    fn is_due(&mut self) -> bool {
+        let instance = &self.instance;
+        let own = instance.knows(self.topic);
+        let differs = |theirs: u64| match self.topic {
+            Topic::Configuration => theirs > own,
+            Topic::Engines => theirs != own,
+        };
+        let peers = instance.peers.borrow();
+        let others = peers.said(self.topic);
+        let order = peers::order(instance.address);
+        self.watch.is_due(order, others, differs, instance.now())
+    }
+
     async fn once(&mut self) -> Result<Read, Trouble> {
+        let name = self.name();
         let Some(from) = self.next else {
-            let newest = self.store.newest(self.topic).await?;
+            let newest = self.store.newest(name).await?;
             self.next = Some(newest.end);
             return Ok(Read::All(newest.records));
         };
-        let batch = self.store.read(self.topic, from, self.wait).await?;
+        let batch = self.store.read(name, from, self.wait).await?;
         self.next = Some(batch.next);
         Ok(Read::More(batch.records))
     }
 
-    fn regained(&mut self) {
-        if self.lost {
-            self.lost = false;
-            log::info!(topic = self.topic; "the store answers again");
+    fn succeeded(&mut self) {
+        let now = self.instance.now();
+        self.instance.last_read(self.topic).set(Some(now));
+        if std::mem::take(&mut self.failures) > 0 {
+            log::info!(topic = self.name(); "the store answers again");
         }
     }
 
     fn failed(&mut self, trouble: &Trouble) {
-        if !self.lost {
-            self.lost = true;
-            log::warn!(topic = self.topic, trouble:% = trouble; "the store does not answer");
+        if self.failures == 0 {
+            log::warn!(topic = self.name(), trouble:% = trouble; "the store does not answer");
         }
-        self.due = Instant::now() + RETRY;
+        let pause = RETRY * 2_u32.saturating_pow(self.failures.min(4));
+        self.failures += 1;
+        self.due = Instant::now() + pause.min(LONGEST_RETRY);
     }
 }
 
 async fn follow_configuration(instance: Rc<Instance>) {
-    let pace = Duration::ZERO;
-    let mut reader = Reader::new(&instance, records::OPERATOR, CONFIGURATION_WAIT, pace);
+    let topic = Topic::Configuration;
+    let mut reader = Reader::new(instance.clone(), topic, CONFIGURATION_WAIT, Duration::ZERO);
     loop {
         let (Read::All(records) | Read::More(records)) = reader.read().await;
         for record in records {
-            take_configuration(&instance, &record);
+            if take_configuration(&instance, &record, "store") {
+                tell(&instance, topic, &record);
+            }
+        }
+    }
+}
+
+/// Takes in a record that another instance read.
+pub(crate) fn hear(instance: &Instance, topic: Topic, record: &Keyed) {
+    match topic {
+        Topic::Configuration => {
+            take_configuration(instance, record, "instance");
+        }
+        Topic::Engines => {
+            let mut registry = instance.registry.borrow_mut();
+            registry.heard(instance.now());
+            take_engine(instance, &mut registry, record);
         }
     }
 }
 
-fn take_configuration(instance: &Instance, record: &Keyed) {
+/// Tells the other instances of a record that changed something.
+fn tell(instance: &Instance, topic: Topic, record: &Keyed) {
+    instance.peers.borrow_mut().add_news(News {
+        configuration: topic == Topic::Configuration,
+        offset: record.offset,
+        key: record.key.clone(),
+        value: record.value.as_ref().map(|value| value.to_vec()),
+    });
+    instance.stirred.notify_one();
+}
+
+fn take_configuration(instance: &Instance, record: &Keyed, source: &str) -> bool {
     if record.key != records::CONFIGURATION {
-        return;
+        return false;
     }
     let Some(value) = &record.value else {
         log::error!(offset = record.offset; "the configuration was dropped, the one in force stays");
-        return;
+        return false;
     };
     match records::table(value) {
-        Ok(table) => instance.configure(table, "store"),
+        Ok(table) => instance.configure(table, source),
         Err(error) => {
             log::error!(offset = record.offset, error:% = error; "the configuration in force stays");
+            false
         }
     }
 }
 
 async fn follow_engines(instance: Rc<Instance>) {
-    let registry = RefCell::new(Registry::default());
-    let mut reader = Reader::new(&instance, records::ENGINES, Duration::ZERO, ENGINES_PACE);
+    let topic = Topic::Engines;
+    let mut reader = Reader::new(instance.clone(), topic, Duration::ZERO, ENGINES_PACE);
     loop {
         let read = reader.read().await;
-        let now = instance.now();
-        let mut registry = registry.borrow_mut();
-        registry.heard(now);
+        let mut registry = instance.registry.borrow_mut();
+        registry.heard(instance.now());
         match read {
             Read::All(records) => take_all(&instance, &mut registry, &records),
-            Read::More(records) => {
-                for record in &records {
-                    take_one(&instance, &mut registry, record);
-                }
-            }
+            Read::More(records) => take_more(&instance, &mut registry, &records),
         }
-        let mut fleet = instance.fleet.borrow_mut();
-        for engine in registry.expire(&mut fleet, now) {
-            log::info!(engine = &*engine; "engine has not come back, removed");
+    }
+}
+
+fn take_more(instance: &Instance, registry: &mut Registry, records: &[Keyed]) {
+    for record in records {
+        if take_engine(instance, registry, record) {
+            tell(instance, Topic::Engines, record);
         }
-        instance.pool.sweep(now, |id| fleet.get(id).is_some());
     }
 }
 
 fn take_all(instance: &Instance, registry: &mut Registry, records: &[Keyed]) {
+    for record in records {
+        registry.is_news(&record.key, record.offset);
+    }
     let engines: Vec<Record> = records.iter().filter_map(engine).collect();
     let count = engines.len();
     let mut fleet = instance.fleet.borrow_mut();
@@ -166,21 +244,29 @@
     log::info!(engines = count, changes = changes; "all engines read");
 }
 
-fn take_one(instance: &Instance, registry: &mut Registry, record: &Keyed) {
+/// Takes in an engine's record. Says whether it changed something.
+fn take_engine(instance: &Instance, registry: &mut Registry, record: &Keyed) -> bool {
+    if !registry.is_news(&record.key, record.offset) {
+        return false;
+    }
     let mut fleet = instance.fleet.borrow_mut();
     if record.value.is_none() {
         let change = registry.remove(&mut fleet, &record.key, instance.now());
         if change != Change::None {
             log::info!(engine = record.key.as_str(), change:? = change; "engine's record is gone");
         }
-        return;
+        return change != Change::None;
     }
-    let Some(engine) = engine(record) else { return };
+    let Some(engine) = engine(record) else {
+        return false;
+    };
     let state = engine.state;
     let stage = engine.stage;
-    if registry.put(&mut fleet, engine) == Change::Put {
+    let changed = registry.put(&mut fleet, engine) == Change::Put;
+    if changed {
         log::info!(engine = record.key.as_str(), state:? = state, stage:? = stage; "engine changed");
     }
+    changed
 }
 
 fn engine(record: &Keyed) -> Option<Record> {
@@ -193,3 +279,22 @@
         }
     }
 }
+
+/// Pause between two sweeps of engines that have not come back, and of idle connections.
+const SWEEP: Duration = Duration::from_millis(200);
+
+/// Removes what has lapsed, until the process ends.
+pub(crate) async fn sweep(instance: Rc<Instance>) {
+    loop {
+        sleep(SWEEP).await;
+        let now = instance.now();
+        let mut fleet = instance.fleet.borrow_mut();
+        for engine in instance.registry.borrow_mut().expire(&mut fleet, now) {
+            log::info!(engine = &*engine; "engine has not come back, removed");
+        }
+        instance.pool.sweep(now, |id| fleet.get(id).is_some());
+        let instances = instance.peers.borrow().count(now);
+        let instances = u32::try_from(instances).unwrap_or(u32::MAX);
+        instance.budgets.borrow_mut().shared_by(instances);
+    }
+}
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -1,16 +1,18 @@
 //! What all tasks of a process share.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use adapter::settings::Settings;
 use clock::{Clock as _, Moment, System};
 use serving::budget::Budgets;
 use serving::parts::Part;
+use serving::registry::Registry;
 use serving::{EngineId, Fleet, Table, Zone};
 use tokio::sync::Notify;
 
-use crate::mesh::Peers;
+use crate::peers::{Peers, Topic};
 use crate::phase::Phase;
 use crate::pool::Pool;
 
@@ -19,18 +21,24 @@
     pub settings: RefCell<Settings>,
     pub zone: Zone,
     pub incarnation: u64,
+    /// Where other instances send their frames.
+    pub address: SocketAddr,
     pub clock: System,
     pub codec: http1::Config,
     pub table: RefCell<Option<Rc<Table>>>,
     pub fleet: RefCell<Fleet>,
+    pub registry: RefCell<Registry>,
+    /// When this instance last read each topic itself.
+    pub configuration_read: Cell<Option<Moment>>,
+    pub engines_read: Cell<Option<Moment>>,
     /// Whether the engines have been read once.
     pub engines_known: Cell<bool>,
     pub budgets: RefCell<Budgets>,
     pub pool: Pool,
     pub peers: RefCell<Peers>,
     pub phase: Phase,
-    /// A call was placed of which the others should hear.
-    pub placed: Notify,
+    /// Something happened of which the others should hear at once.
+    pub stirred: Notify,
 }
 
 /// Instances assumed until the others have been heard of.
@@ -46,12 +54,16 @@
             codec: http1::config(),
             table: RefCell::default(),
             fleet: RefCell::default(),
+            registry: RefCell::default(),
+            configuration_read: Cell::new(None),
+            engines_read: Cell::new(None),
+            address: SocketAddr::new(settings.ip, settings.ports.0),
             engines_known: Cell::new(false),
             budgets: RefCell::new(Budgets::new(settings.bounds.repeats, INSTANCES)),
             pool: Pool::default(),
             peers: RefCell::default(),
             phase: Phase::default(),
-            placed: Notify::new(),
+            stirred: Notify::new(),
             settings: RefCell::new(settings),
         }
     }
@@ -64,6 +76,22 @@
         self.table.borrow().clone()
     }
 
+    /// When this instance last read a topic itself.
+    pub(crate) fn last_read(&self, topic: Topic) -> &Cell<Option<Moment>> {
+        match topic {
+            Topic::Configuration => &self.configuration_read,
+            Topic::Engines => &self.engines_read,
+        }
+    }
+
+    /// What this instance knows of a topic, as instances compare it.
+    pub(crate) fn knows(&self, topic: Topic) -> u64 {
+        match topic {
+            Topic::Configuration => self.table().map_or(0, |table| table.version),
+            Topic::Engines => self.registry.borrow().digest(),
+        }
+    }
+
     /// Takes in that an engine uses these parts.
     pub(crate) fn note_parts(&self, engine: &EngineId, parts: &[Part]) {
         let now = self.now();
@@ -84,17 +112,18 @@
     ///
     /// Reads that overtake each other, a store that lags and peers that are behind all bring older
     /// versions. One would notice it by requests on new routes that get 404 after they were served.
-    /// The comparison makes the order of arrival irrelevant.
-    pub(crate) fn configure(&self, table: Table, source: &str) {
+    /// The comparison makes the order of arrival irrelevant. Says whether it was newer.
+    pub(crate) fn configure(&self, table: Table, source: &str) -> bool {
         let mut present = self.table.borrow_mut();
         let before = present.as_ref().map(|table| table.version);
         if before.is_some_and(|before| before >= table.version) {
-            return;
+            return false;
         }
         log::info!(
             version = table.version, before = before.unwrap_or_default(), source = source;
             "configuration in force"
         );
         *present = Some(Rc::new(table));
+        true
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod instance;
 mod journal;
 mod mesh;
+mod peers;
 mod phase;
 mod plain;
 mod pool;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -1,25 +1,27 @@
-//! What instances tell each other: their calls at engines, the parts that engines read, and the
-//! version of their configuration. Frames are datagrams that replace each other, so that a lost
-//! one needs no repair; instances find each other through the store.
+//! What instances tell each other: their calls at engines, the parts that engines use, and what
+//! changed in the store. Frames are datagrams that replace each other, so that a lost one needs no
+//! repair; instances find each other through the store.
 
-use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use adapter::store::{Offset, Store};
+use adapter::store::{Keyed, Newest, Offset, Store, Trouble};
+use bytes::Bytes;
 use clock::Moment;
 use serving::EngineId;
 use serving::engine::{Job, Rank, Work};
-use serving::parts::{self, Part};
+use serving::hash;
+use serving::parts::Part;
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
 use wire::Message as _;
-use wire::gateway::{Frame, Read};
+use wire::gateway::{Frame, News, Read};
 
 use crate::instance::Instance;
-use crate::recall;
+use crate::peers::{self, READS, Topic};
+use crate::{follow, recall};
 
 /// Topic in which instances register.
 const INSTANCES: &str = "keyed.instances";
@@ -32,141 +34,32 @@
 /// looked idle. The shorter this time, the fewer they are; each frame costs some bytes between
 /// data centres.
 const GATHER: Duration = Duration::from_millis(10);
-/// Frames without work are this many times rarer.
-const QUIET: u32 = 5;
+/// Frames without prompts in hand are this many times rarer.
+const QUIET: u32 = 3;
 /// Pause between two reads of the other instances.
-const DISCOVERY: Duration = Duration::from_secs(5);
+const DISCOVERY: Duration = Duration::from_secs(10);
 /// Pause after a read that failed.
 const RETRY: Duration = Duration::from_millis(500);
-/// An instance that was silent for this long is told of work only now and then.
-const SILENT: Duration = Duration::from_secs(3);
-/// Frames between two that go to silent instances.
-const SILENT_PACE: u64 = 20;
 /// Largest datagram.
-const LARGEST: usize = 16 * 1024;
-/// Times that a read part is told, since datagrams are lost.
-const TELLINGS: u8 = 2;
-/// Most parts in one frame.
-const READS: usize = 128;
-
-/// Another instance.
-#[derive(Clone, Debug)]
-struct Peer {
-    incarnation: u64,
-    heard: Moment,
-}
-
-/// What is known of the other instances, and what is to be told.
-#[derive(Debug, Default)]
-pub(crate) struct Peers {
-    by_address: BTreeMap<SocketAddr, Option<Peer>>,
-    reads: Vec<(EngineId, Part, u8)>,
-    number: u64,
-    /// Whether this instance knows what engines hold.
-    knows: bool,
-    /// Whether another instance that knew has been heard of.
-    told: bool,
-    /// Instances that have just started, to be told what engines hold.
-    newcomers: Vec<SocketAddr>,
-}
-
-impl Peers {
-    /// Notes the parts of a prompt that an engine is about to use. Those that it has read before
-    /// count as well: others must know what was used last to know what yields next.
-    pub(crate) fn reads(&mut self, engine: &EngineId, prompt: &[Part]) {
-        let reads = prompt.iter().map(|part| (engine.clone(), *part, TELLINGS));
-        self.reads.extend(reads);
-    }
-
-    fn take_reads(&mut self) -> Vec<Read> {
-        let most = self.reads.len().min(READS);
-        let told = self.reads[..most].iter().map(|(engine, part, _)| Read {
-            engine: engine.to_string(),
-            part: part.id,
-            tokens: part.tokens,
-        });
-        let told = told.collect();
-        for read in &mut self.reads[..most] {
-            read.2 -= 1;
-        }
-        self.reads.retain(|read| read.2 > 0);
-        told
-    }
-
-    /// Addresses that the next frame goes to.
-    fn addressees(&self, now: Moment) -> Vec<SocketAddr> {
-        let also_silent = self.number.is_multiple_of(SILENT_PACE);
-        let is_due = |peer: &Option<Peer>| {
-            let heard = peer.as_ref().map(|peer| peer.heard);
-            also_silent || heard.is_some_and(|heard| now.saturating_sub(heard) < SILENT)
-        };
-        let due = self.by_address.iter().filter(|(_, peer)| is_due(peer));
-        due.map(|(address, _)| *address).collect()
-    }
-
-    /// Takes in who sent a frame. Gives the incarnation that it replaces.
-    fn heard(&mut self, from: SocketAddr, frame: &Frame, now: Moment) -> Option<u64> {
-        let incarnation = frame.incarnation;
-        let peer = Peer {
-            incarnation,
-            heard: now,
-        };
-        let before = self.by_address.insert(from, Some(peer)).flatten();
-        let is_new = before
-            .as_ref()
-            .is_none_or(|before| before.incarnation != incarnation);
-        self.told |= frame.knows;
-        if is_new && !frame.knows && self.knows {
-            self.newcomers.push(from);
-        }
-        let before = before.filter(|before| before.incarnation != incarnation)?;
-        Some(before.incarnation)
-    }
-
-    /// Whether an instance that knows what engines hold has been heard of.
-    pub(crate) fn is_told(&self) -> bool {
-        self.told
-    }
-
-    /// Notes that this instance knows what engines hold.
-    pub(crate) fn now_knows(&mut self) {
-        self.knows = true;
-    }
-
-    /// Whether an engine is in the share of the instance at `own`. Each engine is in the share of one
-    /// instance, which all compute alike from the instances that they know.
-    pub(crate) fn is_share(&self, own: SocketAddr, engine: &EngineId) -> bool {
-        let weight = |address: SocketAddr| parts::number(&format!("{address} {engine}"));
-        let mut others = self.by_address.keys();
-        others.all(|other| weight(*other) <= weight(own))
-    }
-}
+const LARGEST: usize = 48 * 1024;
 
 /// Starts telling and listening.
 pub(crate) async fn start(instance: &Rc<Instance>) -> io::Result<()> {
-    let own = {
-        let settings = instance.settings.borrow();
-        SocketAddr::new(settings.ip, settings.ports.0)
-    };
+    let own = instance.address;
     let socket = Rc::new(UdpSocket::bind(own).await?);
     actix_rt::spawn(listen(instance.clone(), socket.clone()));
-    actix_rt::spawn(tell(instance.clone(), socket, own));
-    actix_rt::spawn(recall::run(instance.clone(), own));
-    actix_rt::spawn(discover(instance.clone(), own));
+    actix_rt::spawn(tell(instance.clone(), socket));
+    actix_rt::spawn(recall::run(instance.clone()));
+    actix_rt::spawn(discover(instance.clone()));
     Ok(())
 }
 
-/// Tells the others that this instance is about to end.
-pub(crate) fn leave(instance: &Instance) {
-    log::debug!(incarnation = instance.incarnation; "telling the others of the end");
-}
-
 async fn listen(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; LARGEST];
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((size, from)) => match Frame::decode(&buffer[..size]) {
-                Ok(frame) => take(&instance, from, &frame),
+                Ok(frame) => take(&instance, from, frame),
                 Err(error) => log::debug!(error:% = error; "a datagram is no frame"),
             },
             Err(error) => {
@@ -177,38 +70,61 @@
     }
 }
 
-fn take(instance: &Instance, from: SocketAddr, frame: &Frame) {
+fn take(instance: &Instance, from: SocketAddr, frame: Frame) {
     let now = instance.now();
-    let replaced = instance.peers.borrow_mut().heard(from, frame, now);
+    let replaced = instance.peers.borrow_mut().heard(from, &frame, now);
     let mut fleet = instance.fleet.borrow_mut();
     if let Some(replaced) = replaced {
         fleet.hear(replaced, &[], now);
     }
-    if !frame.only_reads {
-        let works: Vec<(EngineId, Work)> = frame.works.iter().map(|told| work(told, now)).collect();
+    if let Some(read) = peers::moment(frame.engines_age_ms, now) {
+        instance.registry.borrow_mut().heard(read);
+    }
+    if !frame.partial {
+        let works = frame.works.iter();
+        let works = works.filter_map(|told| Some((fleet.by_short(told.engine)?, work(told, now))));
+        let works: Vec<(EngineId, Work)> = works.collect();
         fleet.hear(frame.incarnation, &works, now);
     }
+    let reads = frame.reads.iter();
+    let reads = reads.filter_map(|read| Some((fleet.by_short(read.engine)?, part(read))));
+    let reads: Vec<(EngineId, Part)> = reads.collect();
     drop(fleet);
-    for read in &frame.reads {
-        let part = Part {
-            id: read.part,
-            tokens: read.tokens,
+    for (engine, part) in reads {
+        instance.note_parts(&engine, &[part]);
+    }
+    for news in frame.news {
+        let topic = if news.configuration {
+            Topic::Configuration
+        } else {
+            Topic::Engines
+        };
+        let record = Keyed {
+            offset: news.offset,
+            key: news.key,
+            value: news.value.map(Bytes::from),
         };
-        instance.note_parts(&EngineId::from(read.engine.as_str()), &[part]);
+        follow::hear(instance, topic, &record);
+    }
+}
+
+fn part(read: &Read) -> Part {
+    Part {
+        id: read.part,
+        tokens: read.tokens,
     }
 }
 
-fn work(work: &wire::gateway::Work, now: Moment) -> (EngineId, Work) {
+fn work(work: &wire::gateway::Work, now: Moment) -> Work {
     let jobs = work.jobs.iter().map(|job| Job {
         sent: now.saturating_sub(Duration::from_millis(u64::from(job.age_ms))),
         rank: Rank::try_from(job.rank).unwrap_or(Rank::MAX),
         work: job.work,
     });
-    let taken = Work {
+    Work {
         calls: work.calls,
         jobs: jobs.collect(),
-    };
-    (EngineId::from(work.engine.as_str()), taken)
+    }
 }
 
 fn told(engine: &EngineId, work: &Work, now: Moment) -> wire::gateway::Work {
@@ -218,113 +134,118 @@
         age_ms: u32::try_from(now.saturating_sub(job.sent).as_millis()).unwrap_or(u32::MAX),
     });
     wire::gateway::Work {
-        engine: engine.to_string(),
+        engine: hash::short(engine),
         calls: work.calls,
         jobs: jobs.collect(),
     }
 }
 
-async fn tell(instance: Rc<Instance>, socket: Rc<UdpSocket>, own: SocketAddr) {
+async fn tell(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
     let mut quiet = 0;
-    let mut had_work = false;
+    let mut had_jobs = false;
     loop {
-        if timeout(PACE, instance.placed.notified()).await.is_ok() {
+        let stirred = timeout(PACE, instance.stirred.notified()).await.is_ok();
+        if stirred {
             sleep(GATHER).await;
         }
         let now = instance.now();
         instance.fleet.borrow_mut().fade(now);
-        let frame = frame(&instance);
-        let has_work = !frame.works.is_empty() || !frame.reads.is_empty();
+        let frame = frame(&instance, now);
+        let has_jobs = frame.works.iter().any(|work| !work.jobs.is_empty());
         quiet += 1;
-        if !has_work && !had_work && quiet < QUIET {
+        if !stirred && !has_jobs && !had_jobs && quiet < QUIET {
             continue;
         }
         quiet = 0;
-        had_work = has_work;
-        let bytes = frame.encode_to_vec();
+        had_jobs = has_jobs;
         let addressees = instance.peers.borrow().addressees(now);
-        for address in addressees {
-            send(&socket, &bytes, address);
+        broadcast(&socket, &frame, &addressees);
+        loop {
+            let news = instance.peers.borrow_mut().take_news();
+            if news.is_empty() {
+                break;
+            }
+            broadcast(&socket, &partial(&instance, Vec::new(), news), &addressees);
+        }
+        greet(&instance, &socket);
+    }
+}
+
+fn broadcast(socket: &UdpSocket, frame: &Frame, addressees: &[SocketAddr]) {
+    let bytes = frame.encode_to_vec();
+    for address in addressees {
+        if let Err(error) = socket.try_send_to(&bytes, *address) {
+            log::debug!(to:% = address, error:% = error; "a frame could not be sent");
         }
-        greet(&instance, &socket, own);
     }
 }
 
-fn frame(instance: &Instance) -> Frame {
+fn frame(instance: &Instance, now: Moment) -> Frame {
     let mut peers = instance.peers.borrow_mut();
     peers.number += 1;
     let works = instance.fleet.borrow().own();
-    let now = instance.now();
     let works = works.iter().map(|(engine, work)| told(engine, work, now));
     Frame {
-        instance: instance.settings.borrow().instance.clone(),
         incarnation: instance.incarnation,
         configuration: instance.table().map_or(0, |table| table.version),
         works: works.collect(),
         reads: peers.take_reads(),
-        leaving: instance.phase.is_leaving(),
         number: peers.number,
         knows: peers.knows,
-        only_reads: false,
+        partial: false,
+        configuration_age_ms: peers::age(instance.configuration_read.get(), now),
+        engines_age_ms: peers::age(instance.engines_read.get(), now),
+        engines_digest: instance.registry.borrow().digest(),
+        news: Vec::new(),
+    }
+}
+
+fn partial(instance: &Instance, reads: Vec<Read>, news: Vec<News>) -> Frame {
+    Frame {
+        incarnation: instance.incarnation,
+        reads,
+        news,
+        knows: true,
+        partial: true,
+        ..Frame::default()
     }
 }
 
 /// Tells instances that have just started what the engines of this instance's share hold.
-fn greet(instance: &Instance, socket: &UdpSocket, own: SocketAddr) {
-    let newcomers = std::mem::take(&mut instance.peers.borrow_mut().newcomers);
+fn greet(instance: &Instance, socket: &UdpSocket) {
+    let newcomers = instance.peers.borrow_mut().take_newcomers();
     if newcomers.is_empty() {
         return;
     }
-    let reads = share_of_parts(instance, own);
+    let reads = share_of_parts(instance);
     for some in reads.chunks(READS) {
-        let frame = Frame {
-            instance: instance.settings.borrow().instance.clone(),
-            incarnation: instance.incarnation,
-            reads: some.to_vec(),
-            only_reads: true,
-            knows: true,
-            ..Frame::default()
-        };
-        let bytes = frame.encode_to_vec();
-        for address in &newcomers {
-            send(socket, &bytes, *address);
-        }
+        let frame = partial(instance, some.to_vec(), Vec::new());
+        broadcast(socket, &frame, &newcomers);
     }
     log::info!(newcomers = newcomers.len(), parts = reads.len(); "told new instances what engines hold");
 }
 
-fn share_of_parts(instance: &Instance, own: SocketAddr) -> Vec<Read> {
+fn share_of_parts(instance: &Instance) -> Vec<Read> {
     let fleet = instance.fleet.borrow();
     let peers = instance.peers.borrow();
-    let ids = fleet.ids().into_iter().filter(|id| peers.is_share(own, id));
-    let reads = ids.flat_map(|id| {
-        let engine = id.to_string();
+    let ids = fleet.ids().into_iter();
+    let share = ids.filter(|id| peers.is_share(instance.address, id));
+    let reads = share.flat_map(|id| {
         let held = fleet.parts.held(&id);
-        held.into_iter().map(move |part| Read {
-            engine: engine.clone(),
-            part: part.id,
-            tokens: part.tokens,
-        })
+        held.into_iter().map(move |part| peers::read(&id, part))
     });
     reads.collect()
 }
 
-fn send(socket: &UdpSocket, bytes: &[u8], address: SocketAddr) {
-    if let Err(error) = socket.try_send_to(bytes, address) {
-        log::debug!(to:% = address, error:% = error; "a frame could not be sent");
-    }
-}
-
 /// Registers this instance and reads the others, now and then.
-async fn discover(instance: Rc<Instance>, own: SocketAddr) {
+async fn discover(instance: Rc<Instance>) {
     let address = instance.settings.borrow().store;
     let mut store = Store::new(address, instance.codec.clone());
-    let key = own.ip().to_string();
-    let value = own.to_string();
+    let own = instance.address;
     let mut next: Option<Offset> = None;
     loop {
         let read = match next {
-            None => register_and_read(&mut store, &key, &value).await,
+            None => register_and_read(&mut store, own).await,
             Some(from) => store
                 .read(INSTANCES, from, Duration::ZERO)
                 .await
@@ -333,50 +254,54 @@
         match read {
             Ok((records, end)) => {
                 next = Some(end);
-                let mut peers = instance.peers.borrow_mut();
-                let values = records.iter().filter_map(|record| record.value.as_ref());
-                let texts = values.filter_map(|value| std::str::from_utf8(value).ok());
-                for address in texts.filter_map(|text| text.parse().ok()) {
-                    if address != own {
-                        peers.by_address.entry(address).or_default();
-                    }
-                }
+                add_all(&instance, &records);
+                sleep(DISCOVERY).await;
             }
             Err(trouble) => {
                 log::debug!(trouble:% = trouble; "the other instances cannot be read");
-                if matches!(trouble, adapter::store::Trouble::Dropped(_)) {
+                if matches!(trouble, Trouble::Dropped(_)) {
                     next = None;
                 }
                 sleep(RETRY).await;
-                continue;
             }
         }
-        sleep(DISCOVERY).await;
+    }
+}
+
+fn add_all(instance: &Instance, records: &[Keyed]) {
+    let mut peers = instance.peers.borrow_mut();
+    let values = records.iter().filter_map(|record| record.value.as_ref());
+    let texts = values.filter_map(|value| std::str::from_utf8(value).ok());
+    for address in texts.filter_map(|text| text.parse().ok()) {
+        if address != instance.address {
+            peers.add(address);
+        }
     }
 }
 
 async fn register_and_read(
     store: &mut Store,
-    key: &str,
-    value: &str,
-) -> Result<(Vec<adapter::store::Keyed>, Offset), adapter::store::Trouble> {
+    own: SocketAddr,
+) -> Result<(Vec<Keyed>, Offset), Trouble> {
     let newest = store
         .newest(INSTANCES)
         .await
         .or_else(|trouble| match trouble {
             // The topic does not exist before its first record.
-            adapter::store::Trouble::Refused(_) => Ok(adapter::store::Newest {
+            Trouble::Refused(_) => Ok(Newest {
                 records: Vec::new(),
                 end: 0,
             }),
             other => Err(other),
         })?;
-    let known = newest
-        .records
-        .iter()
-        .any(|record| record.key == key && record.value.as_deref() == Some(value.as_bytes()));
-    if !known {
-        store.append(INSTANCES, key, value.as_bytes(), None).await?;
+    let key = own.ip().to_string();
+    let value = own.to_string();
+    let is_own =
+        |record: &Keyed| record.key == key && record.value.as_deref() == Some(value.as_bytes());
+    if !newest.records.iter().any(is_own) {
+        store
+            .append(INSTANCES, &key, value.as_bytes(), None)
+            .await?;
     }
     Ok((newest.records, newest.end))
 }
--- a/crates/gateway/src/recall.rs
+++ b/crates/gateway/src/recall.rs
@@ -5,7 +5,6 @@
 //! instances were restarted, while engines are as they were. Where another instance has lived
 //! on, it tells what it knows; else each instance asks its share of the engines once.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -35,23 +34,23 @@
 };
 
 /// Learns what engines hold, once.
-pub(crate) async fn run(instance: Rc<Instance>, own: SocketAddr) {
+pub(crate) async fn run(instance: Rc<Instance>) {
     while !(instance.engines_known.get() && instance.table().is_some()) {
         sleep(LOOK).await;
     }
     sleep(HEARSAY).await;
     if !instance.peers.borrow().is_told() {
-        ask_share(&instance, own).await;
+        ask_share(&instance).await;
     }
-    instance.peers.borrow_mut().now_knows();
+    instance.peers.borrow_mut().knows = true;
 }
 
-async fn ask_share(instance: &Rc<Instance>, own: SocketAddr) {
+async fn ask_share(instance: &Rc<Instance>) {
     let engines: Vec<Record> = {
         let fleet = instance.fleet.borrow();
         let peers = instance.peers.borrow();
         let with_model = fleet.all().filter(|engine| engine.record.stage.is_some());
-        let share = with_model.filter(|engine| peers.is_share(own, &engine.record.id));
+        let share = with_model.filter(|engine| peers.is_share(instance.address, &engine.record.id));
         share.map(|engine| engine.record.clone()).collect()
     };
     let mut known = 0;
--- a/crates/serving/src/budget.rs
+++ b/crates/serving/src/budget.rs
@@ -39,6 +39,15 @@
         }
     }
 
+    /// Takes in how many instances share the budgets. The share only ever shrinks: an instance that
+    /// is not heard of may still send.
+    pub fn shared_by(&mut self, instances: u32) {
+        if instances > self.instances {
+            self.instances = instances;
+            self.services.clear();
+        }
+    }
+
     /// Counts a call's first attempt.
     pub fn earn(&mut self, service: &ServiceName) {
         self.budget(service).earn();
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -9,7 +9,7 @@
 use crate::health::Outcome;
 use crate::parts::{Part, Parts};
 use crate::speed::Speed;
-use crate::{EngineId, ServiceName};
+use crate::{EngineId, ServiceName, hash};
 
 /// Id of another instance.
 pub type PeerId = u64;
@@ -29,6 +29,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     engines: BTreeMap<EngineId, Engine>,
+    by_short: HashMap<u32, EngineId>,
     /// Which engine has read what.
     pub parts: Parts,
     next_ticket: Ticket,
@@ -54,6 +55,8 @@
                 changed
             }
             None => {
+                self.by_short
+                    .insert(hash::short(&record.id), record.id.clone());
                 self.engines.insert(record.id.clone(), Engine::new(record));
                 true
             }
@@ -82,6 +85,11 @@
         self.engines.get(id)
     }
 
+    /// The engine whose id has this short number.
+    pub fn by_short(&self, short: u32) -> Option<EngineId> {
+        self.by_short.get(&short).cloned()
+    }
+
     /// Engines of a service that take new calls by their record.
     pub fn ready<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Engine> {
         self.engines.values().filter(move |engine| {
@@ -220,10 +228,12 @@
 
     fn sweep(&mut self) {
         let parts = &mut self.parts;
+        let by_short = &mut self.by_short;
         self.engines.retain(|id, engine| {
             let keep = !engine.gone || engine.calls > 0;
             if !keep {
                 parts.forget(id);
+                by_short.remove(&hash::short(id));
             }
             keep
         });
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod budget;
 pub mod engine;
 pub mod fleet;
+pub mod hash;
 pub mod health;
 pub mod line;
 pub mod parts;
@@ -15,6 +16,7 @@
 pub mod registry;
 pub mod route;
 pub mod speed;
+pub mod watch;
 
 pub use engine::{Record, Stage, State};
 pub use fleet::Fleet;
--- a/crates/serving/src/parts.rs
+++ b/crates/serving/src/parts.rs
@@ -6,32 +6,16 @@
 use clock::Moment;
 use smallvec::SmallVec;
 
-use crate::EngineId;
+use crate::{EngineId, hash};
 
 /// Identity of a part of a model's prompts.
-pub type PartId = u64;
+pub type PartId = u32;
 
 /// The id of a part of a model's prompts. The model counts, since another model's memory is of no
-/// use.
+/// use. Short, because instances tell each other of every part of every prompt; two parts that
+/// share an id cost one wrong estimate.
 pub fn id(model: &str, part: &str) -> PartId {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(model.as_bytes());
-    hasher.update(&[0]);
-    hasher.update(part.as_bytes());
-    first_eight(&hasher)
-}
-
-/// A number that every instance computes alike for a text.
-pub fn number(text: &str) -> u64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(text.as_bytes());
-    first_eight(&hasher)
-}
-
-fn first_eight(hasher: &blake3::Hasher) -> u64 {
-    let mut first = [0; 8];
-    first.copy_from_slice(&hasher.finalize().as_bytes()[..8]);
-    u64::from_le_bytes(first)
+    hash::short(&format!("{model}\n{part}"))
 }
 
 /// One part of a prompt.
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -7,9 +7,9 @@
 use clock::Moment;
 
 use crate::engine::{Engine, Job, Rank, Stage};
-use crate::parts::{Part, PartId};
+use crate::parts::Part;
 use crate::route::Model;
-use crate::{EngineId, Fleet, ServiceName, Zone, speed};
+use crate::{EngineId, Fleet, ServiceName, Zone, hash, speed};
 
 /// A call that needs a place.
 #[derive(Clone, Copy, Debug)]
@@ -307,16 +307,7 @@
 
 fn spread(engine: &Engine, prompt: &[Part]) -> f64 {
     let first = prompt.first().map_or(0, |part| part.id);
-    millis(SPREAD) * share(first, &engine.record.id)
-}
-
-/// A number from 0 to 1 that every instance computes alike for a part and an engine.
-fn share(part: PartId, engine: &str) -> f64 {
-    let mut hasher = blake3::Hasher::new();
-    hasher.update(&part.to_le_bytes());
-    hasher.update(engine.as_bytes());
-    let [a, b, c, d, ..] = *hasher.finalize().as_bytes();
-    f64::from(u32::from_le_bytes([a, b, c, d])) / f64::from(u32::MAX)
+    millis(SPREAD) * hash::share(&format!("{first}{}", engine.record.id))
 }
 
 /// The engine to which a prompt's memory is handed at least cost.
--- a/crates/serving/src/registry.rs
+++ b/crates/serving/src/registry.rs
@@ -6,7 +6,7 @@
 use clock::Moment;
 
 use crate::engine::{Record, State};
-use crate::{EngineId, Fleet};
+use crate::{EngineId, Fleet, hash};
 
 /// Silence of the store after which lapsed records are doubted.
 const OUTAGE: Duration = Duration::from_millis(1_200);
@@ -25,6 +25,8 @@
     heard: Moment,
     doubt_until: Moment,
     doubted: BTreeMap<EngineId, Moment>,
+    known: BTreeMap<EngineId, u64>,
+    offsets: BTreeMap<EngineId, u64>,
 }
 
 /// What a change of the registry was.
@@ -41,16 +43,43 @@
 }
 
 impl Registry {
-    /// Takes in that the store answered.
+    /// Takes in that the store answered this instance, or another one that tells of it.
     pub fn heard(&mut self, now: Moment) {
+        if now <= self.heard {
+            return;
+        }
         if now.saturating_sub(self.heard) > OUTAGE && !self.heard.is_zero() {
             self.doubt_until = now + RETURN;
         }
         self.heard = now;
     }
 
+    /// Whether news of a key are newer than what is known. The same record comes from the store
+    /// and from several instances, in any order.
+    pub fn is_news(&mut self, id: &str, offset: u64) -> bool {
+        match self.offsets.get_mut(id) {
+            Some(known) if *known >= offset => false,
+            Some(known) => {
+                *known = offset;
+                true
+            }
+            None => {
+                self.offsets.insert(EngineId::from(id), offset);
+                true
+            }
+        }
+    }
+
+    /// A number that two instances share if they know the same records.
+    pub fn digest(&self) -> u64 {
+        self.known
+            .values()
+            .fold(0, |digest, record| digest ^ record)
+    }
+
     /// Takes in a record.
     pub fn put(&mut self, fleet: &mut Fleet, record: Record) -> Change {
+        self.known.insert(record.id.clone(), digest(&record));
         self.doubted.remove(&record.id);
         if fleet.put(record) {
             Change::Put
@@ -61,6 +90,7 @@
 
     /// Takes in that a record is gone.
     pub fn remove(&mut self, fleet: &mut Fleet, id: &str, now: Moment) -> Change {
+        self.known.remove(id);
         let leaving = fleet
             .get(id)
             .is_some_and(|engine| engine.record.state == State::Draining);
@@ -84,6 +114,7 @@
         for record in records {
             changes += usize::from(self.put(fleet, record) != Change::None);
         }
+        self.offsets.retain(|id, _| listed.contains(id));
         for id in fleet.ids() {
             if !listed.contains(&id) {
                 changes += usize::from(self.remove(fleet, &id, now) != Change::None);
@@ -107,3 +138,10 @@
         over
     }
 }
+
+fn digest(record: &Record) -> u64 {
+    hash::number(&format!(
+        "{} {} {} {:?} {:?}",
+        record.id, record.service, record.address, record.state, record.stage
+    ))
+}
--- /dev/null
+++ b/crates/serving/src/watch.rs
@@ -0,0 +1,95 @@
+//! Who reads the store: a few instances do and tell the others, all others only if too few do.
+//!
+//! Calls to the store are paid for, and all instances read the same. But an instance that trusted
+//! another one blindly would keep an old configuration when that one is cut off. One would notice it
+//! by requests that are handled by a version that was replaced seconds ago. So each instance
+//! that reads says how long ago it last did so itself; whoever does not hear of two that are fresh and
+//! come before itself in one order that all share, reads. What two instances know is
+//! compared by version and digest, so that lost news is noticed.
+
+use std::time::Duration;
+
+use clock::Moment;
+
+/// Instances that read although all is well. Two, so that the end of one leaves no gap.
+const WATCHERS: usize = 2;
+/// A reader that has read within this time is fresh. Reads take up to half a second where the store
+/// is slow.
+const FRESH: Duration = Duration::from_millis(1_300);
+/// What an instance said longer ago than this says nothing of now. It spans a few frames.
+const HEARD: Duration = Duration::from_millis(900);
+/// A difference in what is known that lasts for this long is not on its way to be told.
+const DIFFERENCE: Duration = Duration::from_millis(250);
+/// Pause between two reads for a difference.
+const CORRECTION: Duration = Duration::from_millis(1_000);
+
+/// What another instance said of its reading of one topic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Said {
+    /// Its place in the order; lower ones read first.
+    pub order: u64,
+    /// When it was heard.
+    pub heard: Moment,
+    /// When it last read the topic itself, on this instance's clock.
+    pub read: Option<Moment>,
+    /// What it knows: a version or a digest.
+    pub knows: u64,
+}
+
+impl Said {
+    fn is_fresh(&self, now: Moment) -> bool {
+        let is_recent = |at: Moment, age| now.saturating_sub(at) <= age;
+        is_recent(self.heard, HEARD) && self.read.is_some_and(|read| is_recent(read, FRESH))
+    }
+}
+
+/// Whether this instance reads one topic itself.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Watch {
+    differs_since: Option<Moment>,
+    corrected: Option<Moment>,
+}
+
+impl Watch {
+    /// Whether the topic is to be read now. `differs` says whether what a fresh reader knows means
+    /// that something is missing here.
+    pub fn is_due(
+        &mut self,
+        own_order: u64,
+        others: impl Iterator<Item = Said>,
+        differs: impl Fn(u64) -> bool,
+        now: Moment,
+    ) -> bool {
+        let fresh = others.filter(|said| said.is_fresh(now) && said.order < own_order);
+        let mut covered = 0;
+        let mut difference = false;
+        for said in fresh {
+            covered += 1;
+            difference |= differs(said.knows);
+        }
+        self.note(difference, now);
+        covered < WATCHERS || self.is_correction_due(now)
+    }
+
+    fn note(&mut self, difference: bool, now: Moment) {
+        if difference {
+            self.differs_since.get_or_insert(now);
+        } else {
+            self.differs_since = None;
+        }
+    }
+
+    fn is_correction_due(&mut self, now: Moment) -> bool {
+        let lasts = self
+            .differs_since
+            .is_some_and(|since| now.saturating_sub(since) >= DIFFERENCE);
+        let rested = self
+            .corrected
+            .is_none_or(|at| now.saturating_sub(at) >= CORRECTION);
+        if lasts && rested {
+            self.corrected = Some(now);
+            return true;
+        }
+        false
+    }
+}
