Tell changes between instances, and all once in 0.7 s

Change: frames tell started, read and ended calls; recent prompts are told in every frame; all once in 0.7 s; frames take at most 0.15 of the link.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -338,6 +338,8 @@
         priority: asked.route.priority,
         target: asked.route.target.saturating_sub(asked.waited()),
         zone: &instance.zone,
+        own_cell: instance.own_cell.get(),
+        sending: instance.sending(asked.body.len()),
         avoid,
         left: asked.first_left(),
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -293,7 +293,11 @@
             log::info!(engine = &*engine; "engine has not come back, removed");
         }
         instance.pool.sweep(now, |id| fleet.get(id).is_some());
-        let instances = instance.peers.borrow().count(now);
+        let instances = instance.peers.borrow().count();
+        let own_cell = serving::cell::is_own(&fleet, &instance.zone, instances);
+        if instance.own_cell.replace(own_cell) != own_cell {
+            log::info!(own_cell = own_cell, instances = instances; "engines of this data centre go first or not");
+        }
         let instances = u32::try_from(instances).unwrap_or(u32::MAX);
         instance.budgets.borrow_mut().shared_by(instances);
     }
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -225,7 +225,7 @@
         if let Some(sizes) = &self.asked.call.generation {
             self.instance.note_parts(engine, &sizes.prompt);
             let mut peers = self.instance.peers.borrow_mut();
-            peers.reads(engine, &sizes.prompt);
+            peers.uses(engine, &sizes.prompt);
         }
     }
 
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -3,13 +3,14 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use adapter::settings::Settings;
 use clock::{Clock as _, Moment, System};
 use serving::budget::Budgets;
 use serving::parts::Part;
 use serving::registry::Registry;
-use serving::{EngineId, Fleet, Table, Zone};
+use serving::{EngineId, Fleet, Record, Table, Zone, hash};
 use tokio::sync::Notify;
 
 use crate::peers::{Peers, Topic};
@@ -28,6 +29,8 @@
     pub table: RefCell<Option<Rc<Table>>>,
     pub fleet: RefCell<Fleet>,
     pub registry: RefCell<Registry>,
+    /// Whether engines of this data centre go first.
+    pub own_cell: Cell<bool>,
     /// When this instance last read each topic itself.
     pub configuration_read: Cell<Option<Moment>>,
     pub engines_read: Cell<Option<Moment>>,
@@ -55,6 +58,7 @@
             table: RefCell::default(),
             fleet: RefCell::default(),
             registry: RefCell::default(),
+            own_cell: Cell::new(false),
             configuration_read: Cell::new(None),
             engines_read: Cell::new(None),
             address: SocketAddr::new(settings.ip, settings.ports.0),
@@ -72,6 +76,24 @@
         self.clock.now()
     }
 
+    /// Whether an engine is in this instance's share of those that the instances of its cell tell
+    /// newcomers of.
+    pub(crate) fn has_share(&self, engine: &Record) -> bool {
+        if self.own_cell.get() && engine.zone != self.zone {
+            return false;
+        }
+        let zone = self.own_cell.get().then(|| hash::short(&self.zone));
+        let peers = self.peers.borrow();
+        peers.is_share(self.address, zone, &engine.id)
+    }
+
+    /// Time that some bytes take this instance's link.
+    pub(crate) fn sending(&self, bytes: usize) -> Duration {
+        #[allow(clippy::cast_precision_loss)]
+        let bits = bytes as f64 * 8.0;
+        Duration::from_secs_f64(bits / (self.settings.borrow().link_mbps * 1e6))
+    }
+
     pub(crate) fn table(&self) -> Option<Rc<Table>> {
         self.table.borrow().clone()
     }
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -10,17 +10,18 @@
 use adapter::store::{Keyed, Newest, Offset, Store, Trouble};
 use bytes::Bytes;
 use clock::Moment;
-use serving::EngineId;
-use serving::engine::{Job, Rank, Work};
+use serving::engine::{Job, Rank, Ticket, Work};
+use serving::fleet::Change;
 use serving::hash;
 use serving::parts::Part;
+use serving::{EngineId, Fleet};
 use tokio::net::UdpSocket;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 use wire::Message as _;
-use wire::gateway::{Frame, News, Read};
+use wire::gateway::{Frame, News, Started, State};
 
 use crate::instance::Instance;
-use crate::peers::{self, READS, Topic};
+use crate::peers::{self, PARTS, Topic};
 use crate::{follow, recall};
 
 /// Topic in which instances register.
@@ -34,12 +35,23 @@
 /// looked idle. The shorter this time, the fewer they are; each frame costs some bytes between
 /// data centres.
 const GATHER: Duration = Duration::from_millis(10);
-/// Frames without prompts in hand are this many times rarer.
-const QUIET: u32 = 3;
+/// Pause between two frames that tell all. What a lost frame would have told is wrong for this long.
+const STATE_PACE: Duration = Duration::from_millis(700);
 /// Pause between two reads of the other instances.
 const DISCOVERY: Duration = Duration::from_secs(10);
 /// Pause after a read that failed.
 const RETRY: Duration = Duration::from_millis(500);
+/// Share of the instance's link that frames may take; what is beyond it waits and is gathered.
+const LINK_SHARE: f64 = 0.15;
+/// Bytes of a datagram's headers on the link.
+const HEADERS: usize = 46;
+/// An instance whose last read of the store is younger, in milliseconds, reads it for the others.
+const READER_AGE: u32 = 2_000;
+/// Of this many states of any instance, one goes to all instances, so that all know who lives.
+const GREETING_PACE: u32 = 5;
+/// A prompt that was sent less than this long ago is told in every frame, so that the loss of one
+/// does not hide it.
+const RECENT: Duration = Duration::from_millis(250);
 /// Largest datagram.
 const LARGEST: usize = 48 * 1024;
 
@@ -72,143 +84,262 @@
 
 fn take(instance: &Instance, from: SocketAddr, frame: Frame) {
     let now = instance.now();
-    let replaced = instance.peers.borrow_mut().heard(from, &frame, now);
-    let mut fleet = instance.fleet.borrow_mut();
-    if let Some(replaced) = replaced {
-        fleet.hear(replaced, &[], now);
+    let peer = frame.incarnation;
+    if let Some(state) = &frame.state {
+        take_state(instance, from, peer, state, now);
     }
-    if let Some(read) = peers::moment(frame.engines_age_ms, now) {
-        instance.registry.borrow_mut().heard(read);
+    take_changes(instance, &frame, now);
+    for part in &frame.parts {
+        let engine = instance.fleet.borrow().by_short(part.engine);
+        if let Some(engine) = engine {
+            let part = Part {
+                id: part.part,
+                tokens: part.tokens,
+            };
+            instance.note_parts(&engine, &[part]);
+        }
     }
-    if !frame.partial {
-        let works = frame.works.iter();
-        let works = works.filter_map(|told| Some((fleet.by_short(told.engine)?, work(told, now))));
-        let works: Vec<(EngineId, Work)> = works.collect();
-        fleet.hear(frame.incarnation, &works, now);
+    for news in frame.news {
+        take_news(instance, news);
     }
-    let reads = frame.reads.iter();
-    let reads = reads.filter_map(|read| Some((fleet.by_short(read.engine)?, part(read))));
-    let reads: Vec<(EngineId, Part)> = reads.collect();
-    drop(fleet);
-    for (engine, part) in reads {
-        instance.note_parts(&engine, &[part]);
+}
+
+fn take_state(instance: &Instance, from: SocketAddr, peer: u64, state: &State, now: Moment) {
+    let mut peers = instance.peers.borrow_mut();
+    let replaced = peers.heard(from, peer, state, now);
+    drop(peers);
+    if let Some(read) = peers::moment(state.engines_age_ms, now) {
+        instance.registry.borrow_mut().heard(read);
     }
-    for news in frame.news {
-        let topic = if news.configuration {
-            Topic::Configuration
-        } else {
-            Topic::Engines
-        };
-        let record = Keyed {
-            offset: news.offset,
-            key: news.key,
-            value: news.value.map(Bytes::from),
-        };
-        follow::hear(instance, topic, &record);
+    let mut fleet = instance.fleet.borrow_mut();
+    if let Some(replaced) = replaced {
+        fleet.forget_peer(replaced);
     }
+    let works = state.works.iter();
+    let works = works.filter_map(|told| Some((fleet.by_short(told.engine)?, work(told, now))));
+    let works = works.collect();
+    fleet.hear(peer, works, now);
 }
 
-fn part(read: &Read) -> Part {
-    Part {
-        id: read.part,
-        tokens: read.tokens,
+fn take_changes(instance: &Instance, frame: &Frame, now: Moment) {
+    let mut fleet = instance.fleet.borrow_mut();
+    let started = frame.started.iter().filter_map(|started| {
+        let engine = fleet.by_short(started.engine)?;
+        Some(Change::Started(engine, job(started.job.as_ref()?, now)))
+    });
+    let read = frame.read.iter().filter_map(|read| {
+        let engine = fleet.by_short(read.engine)?;
+        Some(Change::Read(engine, read.ticket, before(now, read.age_ms)))
+    });
+    let ended = frame.ended.iter().filter_map(|ended| {
+        let engine = fleet.by_short(ended.engine)?;
+        Some(Change::Ended(engine, ended.ticket))
+    });
+    let changes: Vec<Change> = started.chain(read).chain(ended).collect();
+    for change in changes {
+        fleet.hear_change(frame.incarnation, change, now);
     }
 }
 
-fn work(work: &wire::gateway::Work, now: Moment) -> Work {
-    let jobs = work.jobs.iter().map(|job| Job {
-        sent: now.saturating_sub(Duration::from_millis(u64::from(job.age_ms))),
+fn take_news(instance: &Instance, news: News) {
+    let topic = if news.configuration {
+        Topic::Configuration
+    } else {
+        Topic::Engines
+    };
+    let record = Keyed {
+        offset: news.offset,
+        key: news.key,
+        value: news.value.map(Bytes::from),
+    };
+    follow::hear(instance, topic, &record);
+}
+
+fn before(now: Moment, age_ms: u32) -> Moment {
+    now.saturating_sub(Duration::from_millis(u64::from(age_ms)))
+}
+
+fn job(job: &wire::gateway::Job, now: Moment) -> Job {
+    Job {
+        ticket: job.ticket,
+        sent: before(now, job.age_ms),
         rank: Rank::try_from(job.rank).unwrap_or(Rank::MAX),
         work: job.work,
-    });
-    Work {
-        calls: work.calls,
-        jobs: jobs.collect(),
     }
 }
 
-fn told(engine: &EngineId, work: &Work, now: Moment) -> wire::gateway::Work {
-    let jobs = work.jobs.iter().map(|job| wire::gateway::Job {
+fn told_job(job: &Job, now: Moment) -> wire::gateway::Job {
+    wire::gateway::Job {
+        ticket: job.ticket,
         work: job.work,
         rank: u32::from(job.rank),
-        age_ms: u32::try_from(now.saturating_sub(job.sent).as_millis()).unwrap_or(u32::MAX),
-    });
+        age_ms: peers::millis(job.sent, now),
+    }
+}
+
+fn work(work: &wire::gateway::Work, now: Moment) -> Work {
+    Work {
+        calls: work.calls,
+        jobs: work.jobs.iter().map(|told| job(told, now)).collect(),
+    }
+}
+
+fn told_work(engine: &EngineId, work: &Work, now: Moment) -> wire::gateway::Work {
     wire::gateway::Work {
         engine: hash::short(engine),
         calls: work.calls,
-        jobs: jobs.collect(),
+        jobs: work.jobs.iter().map(|job| told_job(job, now)).collect(),
+    }
+}
+
+fn ticket(engine: &EngineId, ticket: Ticket) -> wire::gateway::Ticket {
+    wire::gateway::Ticket {
+        engine: hash::short(engine),
+        ticket,
+        age_ms: 0,
     }
 }
 
 async fn tell(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
-    let mut quiet = 0;
-    let mut had_jobs = false;
+    let mut earliest = Instant::now();
+    let mut state_due = Instant::now();
+    let mut states = 0;
     loop {
-        let stirred = timeout(PACE, instance.stirred.notified()).await.is_ok();
-        if stirred {
+        if timeout(PACE, instance.stirred.notified()).await.is_ok() {
             sleep(GATHER).await;
         }
+        sleep_until(earliest).await;
         let now = instance.now();
         instance.fleet.borrow_mut().fade(now);
-        let frame = frame(&instance, now);
-        let has_jobs = frame.works.iter().any(|work| !work.jobs.is_empty());
-        quiet += 1;
-        if !stirred && !has_jobs && !had_jobs && quiet < QUIET {
+        tell_news(&instance, &socket);
+        let is_state_due = Instant::now() >= state_due;
+        let Some(frame) = next_frame(&instance, is_state_due, now) else {
             continue;
+        };
+        if is_state_due {
+            state_due = Instant::now() + STATE_PACE;
+            states += 1;
         }
-        quiet = 0;
-        had_jobs = has_jobs;
-        let addressees = instance.peers.borrow().addressees(now);
-        broadcast(&socket, &frame, &addressees);
-        loop {
-            let news = instance.peers.borrow_mut().take_news();
-            if news.is_empty() {
-                break;
-            }
-            broadcast(&socket, &partial(&instance, Vec::new(), news), &addressees);
-        }
+        let addressees = addressees(&instance, &frame, states, now);
+        let bytes = broadcast(&socket, &frame, &addressees);
+        earliest = Instant::now() + instance.sending(bytes).mul_f64(1.0 / LINK_SHARE);
         greet(&instance, &socket);
     }
 }
 
-fn broadcast(socket: &UdpSocket, frame: &Frame, addressees: &[SocketAddr]) {
-    let bytes = frame.encode_to_vec();
-    for address in addressees {
-        if let Err(error) = socket.try_send_to(&bytes, *address) {
-            log::debug!(to:% = address, error:% = error; "a frame could not be sent");
+/// What is to be told now, if anything.
+fn next_frame(instance: &Instance, is_state_due: bool, now: Moment) -> Option<Frame> {
+    let mut fleet = instance.fleet.borrow_mut();
+    let mut peers = instance.peers.borrow_mut();
+    let mut frame = Frame {
+        incarnation: instance.incarnation,
+        ..Frame::default()
+    };
+    let changes = fleet.take_changes();
+    let mut reads = Vec::new();
+    if is_state_due {
+        frame.state = Some(state(instance, &fleet, peers.knows, now));
+    } else {
+        let recent = fleet.recent(RECENT, now);
+        let recent = recent.iter().map(|(engine, job)| started(engine, job, now));
+        frame.started = recent.collect();
+        reads = add_changes(&mut frame, changes, now);
+    }
+    frame.read = peers.take_read(reads, now);
+    frame.parts = peers.take_parts();
+    let is_empty = frame.state.is_none()
+        && frame.started.is_empty()
+        && frame.read.is_empty()
+        && frame.ended.is_empty()
+        && frame.parts.is_empty();
+    (!is_empty).then_some(frame)
+}
+
+/// Adds changes to a frame. Gives the prompts that were read, with their moments.
+fn add_changes(
+    frame: &mut Frame,
+    changes: Vec<Change>,
+    now: Moment,
+) -> Vec<(wire::gateway::Ticket, Moment)> {
+    let mut reads = Vec::new();
+    for change in changes {
+        match change {
+            // Prompts are told as long as they are recent.
+            Change::Started(_, job) if job.work > 0 => {}
+            Change::Started(engine, job) => frame.started.push(started(&engine, &job, now)),
+            Change::Read(engine, number, at) => reads.push((ticket(&engine, number), at)),
+            Change::Ended(engine, number) => frame.ended.push(ticket(&engine, number)),
         }
     }
+    reads
 }
 
-fn frame(instance: &Instance, now: Moment) -> Frame {
-    let mut peers = instance.peers.borrow_mut();
-    peers.number += 1;
-    let works = instance.fleet.borrow().own();
-    let works = works.iter().map(|(engine, work)| told(engine, work, now));
-    Frame {
-        incarnation: instance.incarnation,
-        configuration: instance.table().map_or(0, |table| table.version),
+fn started(engine: &EngineId, job: &Job, now: Moment) -> Started {
+    Started {
+        engine: hash::short(engine),
+        job: Some(told_job(job, now)),
+    }
+}
+
+fn state(instance: &Instance, fleet: &Fleet, knows: bool, now: Moment) -> State {
+    let works = fleet.own();
+    let works = works
+        .iter()
+        .map(|(engine, work)| told_work(engine, work, now));
+    State {
         works: works.collect(),
-        reads: peers.take_reads(),
-        number: peers.number,
-        knows: peers.knows,
-        partial: false,
+        configuration: instance.table().map_or(0, |table| table.version),
+        engines_digest: instance.registry.borrow().digest(),
         configuration_age_ms: peers::age(instance.configuration_read.get(), now),
         engines_age_ms: peers::age(instance.engines_read.get(), now),
-        engines_digest: instance.registry.borrow().digest(),
-        news: Vec::new(),
+        knows,
+        zone: hash::short(&instance.zone),
     }
 }
 
-fn partial(instance: &Instance, reads: Vec<Read>, news: Vec<News>) -> Frame {
-    Frame {
-        incarnation: instance.incarnation,
-        reads,
-        news,
-        knows: true,
-        partial: true,
-        ..Frame::default()
+/// Who gets a frame: the instances that use the same engines. States go to all now and then, and
+/// always where the sender reads the store for the others, also to instances that are silent: that is
+/// how instances hear of each other.
+fn addressees(instance: &Instance, frame: &Frame, states: u32, now: Moment) -> Vec<SocketAddr> {
+    let peers = instance.peers.borrow();
+    let own_cell = instance.own_cell.get();
+    let zone = own_cell.then(|| hash::short(&instance.zone));
+    let Some(state) = &frame.state else {
+        return peers.heard_of(zone, now);
+    };
+    let is_recent = |age: u32| age > 0 && age < READER_AGE;
+    let reads_store = is_recent(state.configuration_age_ms) || is_recent(state.engines_age_ms);
+    if !own_cell || reads_store || states.is_multiple_of(GREETING_PACE) {
+        return peers.all();
     }
+    peers.heard_of(zone, now)
+}
+
+fn tell_news(instance: &Instance, socket: &UdpSocket) {
+    loop {
+        let news = instance.peers.borrow_mut().take_news();
+        if news.is_empty() {
+            return;
+        }
+        let all = instance.peers.borrow().all();
+        let frame = Frame {
+            incarnation: instance.incarnation,
+            news,
+            ..Frame::default()
+        };
+        broadcast(socket, &frame, &all);
+    }
+}
+
+/// Sends a frame to several instances. Gives the bytes that this put on the link.
+fn broadcast(socket: &UdpSocket, frame: &Frame, addressees: &[SocketAddr]) -> usize {
+    let bytes = frame.encode_to_vec();
+    for address in addressees {
+        if let Err(error) = socket.try_send_to(&bytes, *address) {
+            log::debug!(to:% = address, error:% = error; "a frame could not be sent");
+        }
+    }
+    (bytes.len() + HEADERS) * addressees.len()
 }
 
 /// Tells instances that have just started what the engines of this instance's share hold.
@@ -218,21 +349,26 @@
         return;
     }
     let reads = share_of_parts(instance);
-    for some in reads.chunks(READS) {
-        let frame = partial(instance, some.to_vec(), Vec::new());
+    for some in reads.chunks(PARTS) {
+        let frame = Frame {
+            incarnation: instance.incarnation,
+            parts: some.to_vec(),
+            ..Frame::default()
+        };
         broadcast(socket, &frame, &newcomers);
     }
     log::info!(newcomers = newcomers.len(), parts = reads.len(); "told new instances what engines hold");
 }
 
-fn share_of_parts(instance: &Instance) -> Vec<Read> {
+fn share_of_parts(instance: &Instance) -> Vec<wire::gateway::Part> {
     let fleet = instance.fleet.borrow();
-    let peers = instance.peers.borrow();
-    let ids = fleet.ids().into_iter();
-    let share = ids.filter(|id| peers.is_share(instance.address, id));
-    let reads = share.flat_map(|id| {
-        let held = fleet.parts.held(&id);
-        held.into_iter().map(move |part| peers::read(&id, part))
+    let share = fleet
+        .all()
+        .filter(|engine| instance.has_share(&engine.record));
+    let reads = share.flat_map(|engine| {
+        let id = &engine.record.id;
+        let held = fleet.parts.held(id);
+        held.into_iter().map(move |part| peers::told_part(id, part))
     });
     reads.collect()
 }
@@ -241,11 +377,10 @@
 async fn discover(instance: Rc<Instance>) {
     let address = instance.settings.borrow().store;
     let mut store = Store::new(address, instance.codec.clone());
-    let own = instance.address;
     let mut next: Option<Offset> = None;
     loop {
         let read = match next {
-            None => register_and_read(&mut store, own).await,
+            None => register_and_read(&mut store, &instance).await,
             Some(from) => store
                 .read(INSTANCES, from, Duration::ZERO)
                 .await
@@ -272,16 +407,21 @@
     let mut peers = instance.peers.borrow_mut();
     let values = records.iter().filter_map(|record| record.value.as_ref());
     let texts = values.filter_map(|value| std::str::from_utf8(value).ok());
-    for address in texts.filter_map(|text| text.parse().ok()) {
+    let entries = texts.filter_map(|text| text.split_once(' '));
+    for (address, zone) in entries {
+        let Ok(address) = address.parse() else {
+            log::debug!(address = address; "a registered instance has no address");
+            continue;
+        };
         if address != instance.address {
-            peers.add(address);
+            peers.add(address, hash::short(zone));
         }
     }
 }
 
 async fn register_and_read(
     store: &mut Store,
-    own: SocketAddr,
+    instance: &Instance,
 ) -> Result<(Vec<Keyed>, Offset), Trouble> {
     let newest = store
         .newest(INSTANCES)
@@ -294,8 +434,8 @@
             }),
             other => Err(other),
         })?;
-    let key = own.ip().to_string();
-    let value = own.to_string();
+    let key = instance.address.ip().to_string();
+    let value = format!("{} {}", instance.address, instance.zone);
     let is_own =
         |record: &Keyed| record.key == key && record.value.as_deref() == Some(value.as_bytes());
     if !newest.records.iter().any(is_own) {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -8,16 +8,14 @@
 use serving::parts::Part;
 use serving::watch::Said;
 use serving::{EngineId, hash};
-use wire::gateway::{Frame, News, Read};
+use wire::gateway::{News, State, Ticket};
 
-/// An instance that was silent for this long is told of work only now and then.
+/// An instance that was silent for this long is told of no changes, only of states.
 const SILENT: Duration = Duration::from_secs(3);
-/// Frames between two that go to silent instances.
-const SILENT_PACE: u64 = 20;
 /// Times that news are told, since datagrams are lost.
 const TELLINGS: u8 = 2;
 /// Most parts in one frame.
-pub(crate) const READS: usize = 128;
+pub(crate) const PARTS: usize = 128;
 /// Most bytes of news in one frame, unless a single record is larger.
 const NEWS_BYTES: usize = 8 * 1024;
 
@@ -58,11 +56,10 @@
 /// All other instances.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
-    by_address: BTreeMap<SocketAddr, Option<Peer>>,
-    reads: Vec<(EngineId, Part)>,
+    by_address: BTreeMap<SocketAddr, (u32, Option<Peer>)>,
+    parts: Vec<(EngineId, Part)>,
+    read_before: Vec<(Ticket, Moment)>,
     news: Vec<(News, u8)>,
-    /// Frames that this instance has sent.
-    pub number: u64,
     /// Whether this instance knows what engines hold.
     pub knows: bool,
     /// Whether another instance that knew has been heard of.
@@ -78,16 +75,29 @@
 impl Peers {
     /// Notes the parts of a prompt that an engine is about to use. Those that it has read before
     /// count as well: others must know what was used last to know what yields next.
-    pub(crate) fn reads(&mut self, engine: &EngineId, prompt: &[Part]) {
-        let reads = prompt.iter().map(|part| (engine.clone(), *part));
-        self.reads.extend(reads);
+    pub(crate) fn uses(&mut self, engine: &EngineId, prompt: &[Part]) {
+        let parts = prompt.iter().map(|part| (engine.clone(), *part));
+        self.parts.extend(parts);
     }
 
     /// Parts for the next frame.
-    pub(crate) fn take_reads(&mut self) -> Vec<Read> {
-        let most = self.reads.len().min(READS);
-        let told = self.reads.drain(..most);
-        told.map(|(engine, part)| read(&engine, part)).collect()
+    pub(crate) fn take_parts(&mut self) -> Vec<wire::gateway::Part> {
+        let most = self.parts.len().min(PARTS);
+        let told = self.parts.drain(..most);
+        told.map(|(engine, part)| told_part(&engine, part))
+            .collect()
+    }
+
+    /// Prompts that were read, for the next frame: the new ones, and once more those of the frame
+    /// before.
+    pub(crate) fn take_read(&mut self, new: Vec<(Ticket, Moment)>, now: Moment) -> Vec<Ticket> {
+        let before = std::mem::replace(&mut self.read_before, new.clone());
+        let told = before.into_iter().chain(new);
+        let told = told.map(|(ticket, at)| Ticket {
+            age_ms: millis(at, now),
+            ..ticket
+        });
+        told.collect()
     }
 
     /// Notes a record that changed, to be told.
@@ -116,52 +126,61 @@
         told
     }
 
-    /// Adds an instance that is registered.
-    pub(crate) fn add(&mut self, address: SocketAddr) {
-        self.by_address.entry(address).or_default();
+    /// Adds an instance that is registered, with the hash of its data centre.
+    pub(crate) fn add(&mut self, address: SocketAddr, zone: u32) {
+        self.by_address.entry(address).or_insert((zone, None));
     }
 
-    /// Addresses that the next frame goes to.
-    pub(crate) fn addressees(&self, now: Moment) -> Vec<SocketAddr> {
-        let also_silent = self.number.is_multiple_of(SILENT_PACE);
-        let is_due = |peer: &Option<Peer>| {
-            let heard = peer.as_ref().map(|peer| peer.heard);
-            also_silent || heard.is_some_and(|heard| now.saturating_sub(heard) < SILENT)
-        };
-        let due = self.by_address.iter().filter(|(_, peer)| is_due(peer));
-        due.map(|(address, _)| *address).collect()
+    /// Addresses of the instances, or of those of a data centre, that have been heard of lately.
+    pub(crate) fn heard_of(&self, zone: Option<u32>, now: Moment) -> Vec<SocketAddr> {
+        let in_zone = |other: u32| zone.is_none_or(|zone| zone == other);
+        let is_heard = |peer: &Peer| now.saturating_sub(peer.heard) < SILENT;
+        let heard = self
+            .by_address
+            .iter()
+            .filter(|(_, (other, peer))| in_zone(*other) && peer.as_ref().is_some_and(is_heard));
+        heard.map(|(address, _)| *address).collect()
+    }
+
+    /// Addresses of all registered instances.
+    pub(crate) fn all(&self) -> Vec<SocketAddr> {
+        self.by_address.keys().copied().collect()
     }
 
-    /// Takes in who sent a frame. Gives the incarnation that it replaces.
-    pub(crate) fn heard(&mut self, from: SocketAddr, frame: &Frame, now: Moment) -> Option<u64> {
-        let before = self.by_address.get(&from).cloned().flatten();
+    /// Takes in the state of another instance. Gives the incarnation that it replaces.
+    pub(crate) fn heard(
+        &mut self,
+        from: SocketAddr,
+        incarnation: u64,
+        state: &State,
+        now: Moment,
+    ) -> Option<u64> {
+        let peer = peer(from, incarnation, state, now);
+        let entry = self.by_address.insert(from, (state.zone, Some(peer)));
+        let before = entry.and_then(|(_, peer)| peer);
         let is_new = before
             .as_ref()
-            .is_none_or(|before| before.incarnation != frame.incarnation);
-        self.told |= frame.knows;
-        if is_new && !frame.knows && self.knows {
+            .is_none_or(|before| before.incarnation != incarnation);
+        self.told |= state.knows;
+        if is_new && !state.knows && self.knows {
             self.newcomers.push(from);
         }
-        if !frame.partial {
-            let peer = peer(from, frame, now);
-            self.by_address.insert(from, Some(peer));
-        }
-        let before = before.filter(|before| before.incarnation != frame.incarnation)?;
+        let before = before.filter(|before| before.incarnation != incarnation)?;
         Some(before.incarnation)
     }
 
     /// What the others said of their reading of a topic.
     pub(crate) fn said(&self, topic: Topic) -> impl Iterator<Item = Said> {
-        let peers = self.by_address.values().flatten();
+        let peers = self
+            .by_address
+            .values()
+            .filter_map(|(_, peer)| peer.as_ref());
         peers.map(move |peer| peer.said(topic))
     }
 
-    /// Instances heard of within a time, this one included.
-    pub(crate) fn count(&self, now: Moment) -> usize {
-        let peers = self.by_address.values().flatten();
-        1 + peers
-            .filter(|peer| now.saturating_sub(peer.heard) < SILENT)
-            .count()
+    /// Registered instances, this one included.
+    pub(crate) fn count(&self) -> usize {
+        1 + self.by_address.len()
     }
 
     /// Whether an instance that knows what engines hold has been heard of.
@@ -174,41 +193,47 @@
         std::mem::take(&mut self.newcomers)
     }
 
-    /// Whether an engine is in the share of the instance at `own`. Each engine is in the share of one
-    /// instance, which all compute alike from the instances that they know.
-    pub(crate) fn is_share(&self, own: SocketAddr, engine: &EngineId) -> bool {
+    /// Whether an engine is in the share of the instance at `own`, among all instances or those of
+    /// its data centre. Each engine is in the share of one, which all compute alike from the
+    /// instances that they know.
+    pub(crate) fn is_share(&self, own: SocketAddr, zone: Option<u32>, engine: &EngineId) -> bool {
         let weight = |address: SocketAddr| hash::number(&format!("{address} {engine}"));
-        let mut others = self.by_address.keys();
-        others.all(|other| weight(*other) <= weight(own))
+        let others = self.by_address.iter();
+        let mut others = others.filter(|(_, (other, _))| zone.is_none_or(|zone| zone == *other));
+        others.all(|(other, _)| weight(*other) <= weight(own))
     }
 }
 
 /// A part at an engine, as it is told.
-pub(crate) fn read(engine: &EngineId, part: Part) -> Read {
-    Read {
+pub(crate) fn told_part(engine: &EngineId, part: Part) -> wire::gateway::Part {
+    wire::gateway::Part {
         engine: hash::short(engine),
         part: part.id,
         tokens: part.tokens,
     }
 }
 
-fn peer(from: SocketAddr, frame: &Frame, now: Moment) -> Peer {
+fn peer(from: SocketAddr, incarnation: u64, state: &State, now: Moment) -> Peer {
     Peer {
-        incarnation: frame.incarnation,
+        incarnation,
         order: order(from),
         heard: now,
-        configuration: frame.configuration,
-        configuration_read: moment(frame.configuration_age_ms, now),
-        engines: frame.engines_digest,
-        engines_read: moment(frame.engines_age_ms, now),
+        configuration: state.configuration,
+        configuration_read: moment(state.configuration_age_ms, now),
+        engines: state.engines_digest,
+        engines_read: moment(state.engines_age_ms, now),
     }
 }
 
 /// An age as it is told: plus one, so that nothing is told apart from now.
 pub(crate) fn age(moment: Option<Moment>, now: Moment) -> u32 {
-    let Some(moment) = moment else { return 0 };
+    moment.map_or(0, |moment| millis(moment, now).saturating_add(1))
+}
+
+/// Milliseconds since a moment.
+pub(crate) fn millis(moment: Moment, now: Moment) -> u32 {
     let age = now.saturating_sub(moment).as_millis();
-    u32::try_from(age).unwrap_or(u32::MAX - 1) + 1
+    u32::try_from(age).unwrap_or(u32::MAX)
 }
 
 /// The moment of which an age tells, on this instance's clock.
--- a/crates/gateway/src/recall.rs
+++ b/crates/gateway/src/recall.rs
@@ -48,9 +48,8 @@
 async fn ask_share(instance: &Rc<Instance>) {
     let engines: Vec<Record> = {
         let fleet = instance.fleet.borrow();
-        let peers = instance.peers.borrow();
         let with_model = fleet.all().filter(|engine| engine.record.stage.is_some());
-        let share = with_model.filter(|engine| peers.is_share(instance.address, &engine.record.id));
+        let share = with_model.filter(|engine| instance.has_share(&engine.record));
         share.map(|engine| engine.record.clone()).collect()
     };
     let mut known = 0;
@@ -77,5 +76,5 @@
 
 fn learn(instance: &Instance, engine: &EngineId, parts: &[Part]) {
     instance.note_parts(engine, parts);
-    instance.peers.borrow_mut().reads(engine, parts);
+    instance.peers.borrow_mut().uses(engine, parts);
 }
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -7,6 +7,7 @@
 use clock::Moment;
 use smallvec::SmallVec;
 
+use crate::fleet::PeerId;
 use crate::health::Health;
 use crate::line;
 use crate::{EngineId, ServiceName, Zone};
@@ -53,9 +54,14 @@
 /// Urgency at an engine; 0 is first.
 pub type Rank = u8;
 
+/// Number of a call in the books of the instance that sent it.
+pub type Ticket = u32;
+
 /// A prompt that an engine has been sent and has not read yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Job {
+    /// Number of the call.
+    pub ticket: Ticket,
     /// When it was sent, on this instance's clock.
     pub sent: Moment,
     /// Its urgency.
@@ -73,12 +79,8 @@
     pub jobs: SmallVec<[Job; 4]>,
 }
 
-/// Id of a call in the books of one engine.
-pub type Ticket = u64;
-
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Pending {
-    pub ticket: Ticket,
     pub job: Job,
     /// When it was expected to be read, at the speed of its stage.
     pub expected: Duration,
@@ -99,7 +101,7 @@
     pub pace: f64,
     pub(crate) calls: u32,
     pub(crate) pending: SmallVec<[Pending; 8]>,
-    pub(crate) others: BTreeMap<u64, (Moment, Work)>,
+    pub(crate) others: BTreeMap<PeerId, Work>,
     /// When the last prompt that is known to be read was read.
     pub(crate) freed: Moment,
 }
@@ -139,12 +141,8 @@
 
     /// Calls of all instances here.
     pub fn running(&self) -> u32 {
-        self.calls
-            + self
-                .others
-                .values()
-                .map(|(_, work)| work.calls)
-                .sum::<u32>()
+        let others = self.others.values().map(|work| work.calls);
+        self.calls + others.sum::<u32>()
     }
 
     /// Prompts of all instances that are not read yet, the oldest first.
@@ -153,7 +151,7 @@
         let others = self
             .others
             .values()
-            .flat_map(|(_, work)| work.jobs.iter().copied());
+            .flat_map(|work| work.jobs.iter().copied());
         let mut jobs: SmallVec<[Job; 16]> = own.chain(others).collect();
         jobs.sort_by_key(|job| job.sent);
         jobs
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -14,8 +14,9 @@
 /// Id of another instance.
 pub type PeerId = u64;
 
-/// What other instances said longer ago than this no longer counts. Three frames may be lost.
-const PEER_WORK_AGE: Duration = Duration::from_millis(1_000);
+/// What other instances said longer ago than this no longer counts. Each tells all once a second,
+/// and two of these may be lost.
+const PEER_WORK_AGE: Duration = Duration::from_millis(3_200);
 
 /// A call that was sent to an engine, in the books.
 #[derive(Clone, Debug)]
@@ -34,6 +35,20 @@
     pub parts: Parts,
     next_ticket: Ticket,
     speeds: HashMap<(ServiceName, Stage), Speed>,
+    /// When each other instance was last heard of.
+    heard: BTreeMap<PeerId, Moment>,
+    changes: Vec<Change>,
+}
+
+/// Something that changed in this instance's work at the engines.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A prompt was sent.
+    Started(EngineId, Job),
+    /// A prompt was read, at this moment.
+    Read(EngineId, Ticket, Moment),
+    /// A call ended.
+    Ended(EngineId, Ticket),
 }
 
 impl Fleet {
@@ -104,9 +119,10 @@
 
     /// Enters a call that is about to be sent, with the work that its prompt is there.
     pub fn begin(&mut self, id: &EngineId, work: u32, rank: Rank, now: Moment) -> Sent {
-        self.next_ticket += 1;
+        self.next_ticket = self.next_ticket.wrapping_add(1);
         let ticket = self.next_ticket;
         let job = Job {
+            ticket,
             sent: now,
             rank,
             work,
@@ -119,11 +135,13 @@
             let alone = engine.jobs().is_empty();
             engine.calls += 1;
             engine.pending.push(Pending {
-                ticket,
                 job,
                 expected,
                 alone,
             });
+            if engine.record.stage.is_some() {
+                self.changes.push(Change::Started(id.clone(), job));
+            }
         }
         Sent {
             engine: id.clone(),
@@ -136,13 +154,16 @@
         let Some(engine) = self.engines.get_mut(&sent.engine) else {
             return;
         };
-        let at = engine.pending.iter().position(|p| p.ticket == sent.ticket);
+        let mut pending = engine.pending.iter();
+        let at = pending.position(|p| p.job.ticket == sent.ticket);
         let Some(pending) = at.map(|at| engine.pending.remove(at)) else {
             return;
         };
         if pending.job.work == 0 {
             return;
         }
+        self.changes
+            .push(Change::Read(sent.engine.clone(), sent.ticket, now));
         let took = now.saturating_sub(pending.job.sent);
         let stage = engine.record.stage.unwrap_or(Stage::Decode);
         let key = (engine.record.service.clone(), stage);
@@ -159,48 +180,102 @@
     /// Takes in that a call has ended.
     pub fn end(&mut self, sent: &Sent, outcome: Option<Outcome>, now: Moment) {
         if let Some(engine) = self.engines.get_mut(&sent.engine) {
-            engine.pending.retain(|p| p.ticket != sent.ticket);
+            engine.pending.retain(|p| p.job.ticket != sent.ticket);
             engine.calls = engine.calls.saturating_sub(1);
             if let Some(outcome) = outcome {
                 engine.health.note(outcome, now);
             }
+            if engine.record.stage.is_some() {
+                self.changes
+                    .push(Change::Ended(sent.engine.clone(), sent.ticket));
+            }
         }
         self.sweep();
     }
 
-    /// Takes in what another instance has at the engines. Engines that it does not name have none
-    /// of its work.
-    pub fn hear(&mut self, peer: PeerId, works: &[(EngineId, Work)], now: Moment) {
-        let mut before: BTreeMap<EngineId, Work> = BTreeMap::new();
-        for (id, engine) in &mut self.engines {
-            if let Some((_, work)) = engine.others.remove(&peer) {
-                before.insert(id.clone(), work);
-            }
+    /// What changed since the last question.
+    pub fn take_changes(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// This instance's prompts that are not read yet and were sent less than `age` ago.
+    pub fn recent(&self, age: Duration, now: Moment) -> Vec<(EngineId, Job)> {
+        let jobs = self.engines.values().flat_map(|engine| {
+            let id = &engine.record.id;
+            engine.pending.iter().map(move |p| (id.clone(), p.job))
+        });
+        jobs.filter(|(_, job)| job.work > 0 && now.saturating_sub(job.sent) < age)
+            .collect()
+    }
+
+    /// Whether something changed since then.
+    pub fn has_changes(&self) -> bool {
+        !self.changes.is_empty()
+    }
+
+    /// Takes in all that another instance has at the engines. Engines that it does not name have
+    /// none of its work.
+    pub fn hear(&mut self, peer: PeerId, works: Vec<(EngineId, Work)>, now: Moment) {
+        self.heard.insert(peer, now);
+        for engine in self.engines.values_mut() {
+            engine.others.remove(&peer);
         }
         for (id, work) in works {
-            let Some(setup) = self.engines.get(id).map(|e| self.speed(e).setup) else {
-                continue;
-            };
-            if let Some(engine) = self.engines.get_mut(id) {
-                // One prompt less means that one was read, a setup's time ago.
-                if before
-                    .get(id)
-                    .is_some_and(|before| before.jobs.len() > work.jobs.len())
-                {
-                    let setup = Duration::from_secs_f64(setup / 1_000.0);
-                    engine.freed = engine.freed.max(now.saturating_sub(setup));
+            if let Some(engine) = self.engines.get_mut(&id) {
+                engine.others.insert(peer, work);
+            }
+        }
+    }
+
+    /// Takes in one change of another instance's work.
+    pub fn hear_change(&mut self, peer: PeerId, change: Change, now: Moment) {
+        self.heard.insert(peer, now);
+        let (Change::Started(id, _) | Change::Read(id, _, _) | Change::Ended(id, _)) = &change;
+        let Some(setup) = self.engines.get(id).map(|e| self.speed(e).setup) else {
+            return;
+        };
+        let Some(engine) = self.engines.get_mut(id) else {
+            return;
+        };
+        let work = engine.others.entry(peer).or_default();
+        match change {
+            Change::Started(_, job) => {
+                // Starts are told more than once.
+                if work.jobs.iter().any(|known| known.ticket == job.ticket) {
+                    return;
                 }
-                engine.others.insert(peer, (now, work.clone()));
+                work.calls += 1;
+                if job.work > 0 {
+                    work.jobs.push(job);
+                }
+            }
+            Change::Read(_, ticket, at) => {
+                work.jobs.retain(|job| job.ticket != ticket);
+                let setup = Duration::from_secs_f64(setup / 1_000.0);
+                engine.freed = engine.freed.max(at.saturating_sub(setup));
             }
+            Change::Ended(_, ticket) => {
+                work.calls = work.calls.saturating_sub(1);
+                work.jobs.retain(|job| job.ticket != ticket);
+            }
+        }
+    }
+
+    /// Drops what another instance said, because it has ended.
+    pub fn forget_peer(&mut self, peer: PeerId) {
+        self.heard.remove(&peer);
+        for engine in self.engines.values_mut() {
+            engine.others.remove(&peer);
         }
     }
 
     /// Drops what silent instances said.
     pub fn fade(&mut self, now: Moment) {
-        for engine in self.engines.values_mut() {
-            engine
-                .others
-                .retain(|_, (heard, _)| now.saturating_sub(*heard) <= PEER_WORK_AGE);
+        let heard = self.heard.iter();
+        let silent = heard.filter(|(_, heard)| now.saturating_sub(**heard) > PEER_WORK_AGE);
+        let silent: Vec<PeerId> = silent.map(|(peer, _)| *peer).collect();
+        for peer in silent {
+            self.forget_peer(peer);
         }
     }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,6 +6,7 @@
 //! is done here; the moment is an argument. See `docs/design/placement.md`.
 
 pub mod budget;
+pub mod cell;
 pub mod engine;
 pub mod fleet;
 pub mod hash;
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -24,6 +24,10 @@
     pub target: Duration,
     /// This instance's data centre.
     pub zone: &'a Zone,
+    /// Whether engines of its own data centre go first; see [`crate::cell`].
+    pub own_cell: bool,
+    /// Time that sending the prompt to one engine takes this instance's link.
+    pub sending: Duration,
     /// Engines that it must not go to again.
     pub avoid: &'a [EngineId],
     /// Time that its caller still waits.
@@ -121,7 +125,9 @@
 
 fn open<'a>(fleet: &'a Fleet, demand: &'a Demand, now: Moment) -> impl Iterator<Item = &'a Engine> {
     fleet.ready(demand.service).filter(move |engine| {
-        engine.health.is_open(now) && !demand.avoid.contains(&engine.record.id)
+        let in_reach = !demand.own_cell || engine.record.zone == *demand.zone;
+        let open = engine.health.is_open(now) && !demand.avoid.contains(&engine.record.id);
+        in_reach && open
     })
 }
 
@@ -169,6 +175,22 @@
 }
 
 fn generate(fleet: &Fleet, demand: &Demand, size: &Generation, now: Moment) -> Choice {
+    if demand.own_cell {
+        // Of the work at engines elsewhere nothing is known, so that they always look idle: they are
+        // for calls that would be refused here.
+        let choice = in_reach(fleet, demand, size, now);
+        if !matches!(choice, Choice::Refuse { .. }) {
+            return choice;
+        }
+    }
+    let all = Demand {
+        own_cell: false,
+        ..*demand
+    };
+    in_reach(fleet, &all, size, now)
+}
+
+fn in_reach(fleet: &Fleet, demand: &Demand, size: &Generation, now: Moment) -> Choice {
     let choice = at_rank(fleet, demand, size, now);
     let choice = match expected(&choice) {
         Some(expected) if expected > demand.target => {
@@ -223,10 +245,14 @@
         Some((prefill, decode))
     });
     match split {
-        Some((prefill, decode)) if prefill.total + decode.total < direct.total => Choice::Split {
-            expected: prefill.target.expected + decode.target.expected,
-            prefill: prefill.target,
-        },
+        Some((prefill, decode))
+            if prefill.total + decode.total + millis(demand.sending) < direct.total =>
+        {
+            Choice::Split {
+                expected: prefill.target.expected + decode.target.expected,
+                prefill: prefill.target,
+            }
+        }
         _ => Choice::Direct(direct.target),
     }
 }
@@ -284,6 +310,7 @@
 /// Time until work that is sent now is done, in milliseconds.
 fn wait(fleet: &Fleet, engine: &Engine, demand: &Demand, work: u32, now: Moment) -> f64 {
     let new = Job {
+        ticket: 0,
         sent: now,
         rank: demand.priority,
         work,
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -17,7 +17,7 @@
 /// is slow.
 const FRESH: Duration = Duration::from_millis(1_300);
 /// What an instance said longer ago than this says nothing of now. It spans a few frames.
-const HEARD: Duration = Duration::from_millis(900);
+const HEARD: Duration = Duration::from_millis(1_500);
 /// A difference in what is known that lasts for this long is not on its way to be told.
 const DIFFERENCE: Duration = Duration::from_millis(250);
 /// Pause between two reads for a difference.
