Read the store by two instances with fast links, and pass news on in groups

Change: an instance registers before it reads the others, and hears them out before its second read; news go to the first of each of nine groups, which passes them on; readers are those with the fastest links, say at once when they cannot read, and tell of themselves twice a second.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -14,11 +14,11 @@
 use wire::gateway::News;
 
 use crate::instance::Instance;
-use crate::peers::{self, Topic};
+use crate::peers::Topic;
 
 /// Longest wait of one read for a new configuration. Each call is paid for, and others take a
 /// reader for stale that has not had an answer for somewhat longer.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(1_000);
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(700);
 /// Pause between two reads of the engines' records. Every engine writes about once a second, so a
 /// read that waited for the next record would return at once; work may go to a leaving engine for
 /// two seconds, of which this takes a part.
@@ -29,6 +29,8 @@
 const LONGEST_RETRY: Duration = Duration::from_millis(800);
 /// Pause between two looks whether a read is due.
 const LOOK: Duration = Duration::from_millis(100);
+/// Time after the first read in which the others tell that they read.
+const HEAR_OUT: Duration = Duration::from_millis(1_500);
 /// A reader that has not read for this long reads the newest records instead of all since: nearly
 /// all of them are heartbeats.
 const BACKLOG: Duration = Duration::from_secs(2);
@@ -49,6 +51,8 @@
     pace: Duration,
     next: Option<Offset>,
     due: Instant,
+    /// Whether the others have had time to tell that they read.
+    heard_out: bool,
     failures: u32,
 }
 
@@ -69,6 +73,7 @@
             pace,
             next: None,
             due: Instant::now(),
+            heard_out: false,
             failures: 0,
             instance,
         }
@@ -102,6 +107,9 @@
     }
 
     async fn wait_until_due(&mut self) {
+        if self.next.is_some() && !std::mem::replace(&mut self.heard_out, true) {
+            sleep(HEAR_OUT).await;
+        }
         while self.next.is_some() && !self.is_due() {
             sleep(LOOK).await;
         }
@@ -121,7 +129,7 @@
         };
         let peers = instance.peers.borrow();
         let others = peers.said(self.topic);
-        let order = peers::order(instance.address);
+        let order = instance.order();
         self.watch.is_due(order, others, differs, instance.now())
     }
 
@@ -146,6 +154,8 @@
     }
 
     fn failed(&mut self, trouble: &Trouble) {
+        // Others must not rely on this instance while it cannot read.
+        self.instance.last_read(self.topic).set(None);
         if self.failures == 0 {
             log::warn!(topic = self.name(), trouble:% = trouble; "the store does not answer");
         }
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -13,7 +13,7 @@
 use serving::{EngineId, Fleet, Record, Table, Zone, hash};
 use tokio::sync::Notify;
 
-use crate::peers::{Peers, Topic};
+use crate::peers::{self, Peers, Topic};
 use crate::phase::Phase;
 use crate::pool::Pool;
 
@@ -87,6 +87,11 @@
         peers.is_share(self.address, zone, &engine.id)
     }
 
+    /// This instance's place in the order in which instances read the store.
+    pub(crate) fn order(&self) -> u64 {
+        peers::order(self.address, self.settings.borrow().link_mbps)
+    }
+
     /// Time that some bytes take this instance's link.
     pub(crate) fn sending(&self, bytes: usize) -> Duration {
         #[allow(clippy::cast_precision_loss)]
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -3,11 +3,11 @@
 //! repair; instances find each other through the store.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
-use adapter::store::{Keyed, Newest, Offset, Store, Trouble};
+use adapter::store::{Keyed, Offset, Store, Trouble};
 use bytes::Bytes;
 use clock::Moment;
 use serving::engine::{Job, Rank, Ticket, Work};
@@ -37,10 +37,13 @@
 const GATHER: Duration = Duration::from_millis(10);
 /// Pause between two frames that tell all. What a lost frame would have told is wrong for this long.
 const STATE_PACE: Duration = Duration::from_millis(700);
-/// Pause between two reads of the other instances.
-const DISCOVERY: Duration = Duration::from_secs(10);
+/// Pause between two reads of the other instances. Each one that starts tells all that are registered
+/// of itself, so that a read finds only what was lost.
+const DISCOVERY: Duration = Duration::from_secs(60);
 /// Pause after a read that failed.
 const RETRY: Duration = Duration::from_millis(500);
+/// The same where the sender reads the store for the others, which rely on news of it.
+const READER_PACE: Duration = Duration::from_millis(450);
 /// Share of the instance's link that frames may take; what is beyond it waits and is gathered.
 const LINK_SHARE: f64 = 0.15;
 /// Bytes of a datagram's headers on the link.
@@ -71,7 +74,12 @@
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((size, from)) => match Frame::decode(&buffer[..size]) {
-                Ok(frame) => take(&instance, from, frame),
+                Ok(frame) => {
+                    if !frame.pass_to.is_empty() {
+                        pass_on(&socket, &frame);
+                    }
+                    take(&instance, from, frame);
+                }
                 Err(error) => log::debug!(error:% = error; "a datagram is no frame"),
             },
             Err(error) => {
@@ -217,7 +225,8 @@
             continue;
         };
         if is_state_due {
-            state_due = Instant::now() + STATE_PACE;
+            let reads = frame.state.as_ref().is_some_and(reads_store);
+            state_due = Instant::now() + if reads { READER_PACE } else { STATE_PACE };
             states += 1;
         }
         let addressees = addressees(&instance, &frame, states, now);
@@ -294,6 +303,7 @@
         engines_age_ms: peers::age(instance.engines_read.get(), now),
         knows,
         zone: hash::short(&instance.zone),
+        order: instance.order(),
     }
 }
 
@@ -307,14 +317,18 @@
     let Some(state) = &frame.state else {
         return peers.heard_of(zone, now);
     };
-    let is_recent = |age: u32| age > 0 && age < READER_AGE;
-    let reads_store = is_recent(state.configuration_age_ms) || is_recent(state.engines_age_ms);
-    if !own_cell || reads_store || states.is_multiple_of(GREETING_PACE) {
+    if !own_cell || reads_store(state) || states.is_multiple_of(GREETING_PACE) {
         return peers.all();
     }
     peers.heard_of(zone, now)
 }
 
+/// Whether an instance reads the store for the others.
+fn reads_store(state: &State) -> bool {
+    let is_recent = |age: u32| age > 0 && age < READER_AGE;
+    is_recent(state.configuration_age_ms) || is_recent(state.engines_age_ms)
+}
+
 fn tell_news(instance: &Instance, socket: &UdpSocket) {
     loop {
         let news = instance.peers.borrow_mut().take_news();
@@ -322,15 +336,47 @@
             return;
         }
         let all = instance.peers.borrow().all();
-        let frame = Frame {
-            incarnation: instance.incarnation,
-            news,
-            ..Frame::default()
-        };
-        broadcast(socket, &frame, &all);
+        for (first, rest) in peers::groups(&all) {
+            let pass_to = rest.iter().filter_map(|address| packed(*address));
+            let frame = Frame {
+                incarnation: instance.incarnation,
+                news: news.clone(),
+                pass_to: pass_to.collect(),
+                ..Frame::default()
+            };
+            broadcast(socket, &frame, &[first]);
+        }
     }
 }
 
+/// Passes news on to the rest of this instance's group.
+fn pass_on(socket: &UdpSocket, frame: &Frame) {
+    let rest: Vec<SocketAddr> = frame
+        .pass_to
+        .iter()
+        .map(|packed| unpacked(*packed))
+        .collect();
+    let frame = Frame {
+        incarnation: frame.incarnation,
+        news: frame.news.clone(),
+        ..Frame::default()
+    };
+    broadcast(socket, &frame, &rest);
+}
+
+fn packed(address: SocketAddr) -> Option<u64> {
+    match address {
+        SocketAddr::V4(v4) => Some(u64::from(u32::from(*v4.ip())) << 16 | u64::from(v4.port())),
+        SocketAddr::V6(_) => None,
+    }
+}
+
+fn unpacked(packed: u64) -> SocketAddr {
+    #[allow(clippy::cast_possible_truncation)]
+    let (ip, port) = ((packed >> 16) as u32, packed as u16);
+    SocketAddr::from((Ipv4Addr::from(ip), port))
+}
+
 /// Sends a frame to several instances. Gives the bytes that this put on the link.
 fn broadcast(socket: &UdpSocket, frame: &Frame, addressees: &[SocketAddr]) -> usize {
     let bytes = frame.encode_to_vec();
@@ -419,29 +465,17 @@
     }
 }
 
+/// Registers first and reads then: of two instances that start at the same time, the one that
+/// registers last reads of the other one.
 async fn register_and_read(
     store: &mut Store,
     instance: &Instance,
 ) -> Result<(Vec<Keyed>, Offset), Trouble> {
-    let newest = store
-        .newest(INSTANCES)
-        .await
-        .or_else(|trouble| match trouble {
-            // The topic does not exist before its first record.
-            Trouble::Refused(_) => Ok(Newest {
-                records: Vec::new(),
-                end: 0,
-            }),
-            other => Err(other),
-        })?;
     let key = instance.address.ip().to_string();
     let value = format!("{} {}", instance.address, instance.zone);
-    let is_own =
-        |record: &Keyed| record.key == key && record.value.as_deref() == Some(value.as_bytes());
-    if !newest.records.iter().any(is_own) {
-        store
-            .append(INSTANCES, &key, value.as_bytes(), None)
-            .await?;
-    }
+    store
+        .append(INSTANCES, &key, value.as_bytes(), None)
+        .await?;
+    let newest = store.newest(INSTANCES).await?;
     Ok((newest.records, newest.end))
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -16,6 +16,8 @@
 const TELLINGS: u8 = 2;
 /// Most parts in one frame.
 pub(crate) const PARTS: usize = 128;
+/// Instances up to which news are sent to each directly.
+const DIRECT: usize = 12;
 /// Most bytes of news in one frame, unless a single record is larger.
 const NEWS_BYTES: usize = 8 * 1024;
 
@@ -67,9 +69,26 @@
     newcomers: Vec<SocketAddr>,
 }
 
-/// The place of an instance in the order in which instances read the store.
-pub(crate) fn order(address: SocketAddr) -> u64 {
-    hash::number(&address.to_string())
+/// The place of an instance in the order in which instances read the store: those with the fastest
+/// links first, since they tell all others, and else by chance.
+pub(crate) fn order(address: SocketAddr, link_mbps: f64) -> u64 {
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let slow = u64::from(u16::MAX) - (link_mbps.clamp(0.0, f64::from(u16::MAX)) as u64);
+    slow << 48 | hash::number(&address.to_string()) >> 16
+}
+
+/// Groups of instances that pass news on: the first of each group gets them and passes them to the
+/// rest, so that one slow link does not carry them to all.
+pub(crate) fn groups(
+    addresses: &[SocketAddr],
+) -> impl Iterator<Item = (SocketAddr, &[SocketAddr])> {
+    let size = if addresses.len() <= DIRECT {
+        1
+    } else {
+        addresses.len().isqrt() + 1
+    };
+    let groups = addresses.chunks(size);
+    groups.filter_map(|group| group.split_first().map(|(first, rest)| (*first, rest)))
 }
 
 impl Peers {
@@ -155,7 +174,7 @@
         state: &State,
         now: Moment,
     ) -> Option<u64> {
-        let peer = peer(from, incarnation, state, now);
+        let peer = peer(incarnation, state, now);
         let entry = self.by_address.insert(from, (state.zone, Some(peer)));
         let before = entry.and_then(|(_, peer)| peer);
         let is_new = before
@@ -213,10 +232,10 @@
     }
 }
 
-fn peer(from: SocketAddr, incarnation: u64, state: &State, now: Moment) -> Peer {
+fn peer(incarnation: u64, state: &State, now: Moment) -> Peer {
     Peer {
         incarnation,
-        order: order(from),
+        order: state.order,
         heard: now,
         configuration: state.configuration,
         configuration_read: moment(state.configuration_age_ms, now),
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -13,13 +13,13 @@
 
 /// Instances that read although all is well. Two, so that the end of one leaves no gap.
 const WATCHERS: usize = 2;
-/// A reader that has read within this time is fresh. Reads take up to half a second where the store
-/// is slow.
-const FRESH: Duration = Duration::from_millis(1_300);
+/// A reader that has read within this time is fresh. It is the longest time from one answer of the
+/// store to the next and on to the frame that tells of it.
+const FRESH: Duration = Duration::from_millis(1_600);
 /// What an instance said longer ago than this says nothing of now. It spans a few frames.
-const HEARD: Duration = Duration::from_millis(1_500);
+const HEARD: Duration = Duration::from_millis(1_300);
 /// A difference in what is known that lasts for this long is not on its way to be told.
-const DIFFERENCE: Duration = Duration::from_millis(250);
+const DIFFERENCE: Duration = Duration::from_millis(700);
 /// Pause between two reads for a difference.
 const CORRECTION: Duration = Duration::from_millis(1_000);
 
