Read a prompt apart once, and keep news of the store off small links

Change: memory that was read is offered to further engines, and the prompt is read apart once a call; an engine that has ended is told to all; only the first reader tells news, of configurations the newest, at most three times a second; failures halve in 2 s; a full engine rests 50 ms.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -308,8 +308,11 @@
 }
 
 /// Finds a place for a call.
-pub(crate) fn place(instance: &Instance, asked: &Asked, avoid: &Avoid) -> Choice {
-    let demand = demand(instance, asked, avoid);
+pub(crate) fn place(instance: &Instance, asked: &Asked, avoid: &Avoid, may_split: bool) -> Choice {
+    let demand = Demand {
+        may_split,
+        ..demand(instance, asked, avoid)
+    };
     serving::place::choose(&instance.fleet.borrow(), &demand, instance.now())
 }
 
@@ -339,6 +342,7 @@
         target: asked.route.target.saturating_sub(asked.waited()),
         zone: &instance.zone,
         own_cell: instance.own_cell.get(),
+        may_split: true,
         sending: instance.sending(asked.body.len()),
         avoid,
         left: asked.first_left(),
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -193,7 +193,17 @@
 }
 
 /// Tells the other instances of a record that changed something.
+///
+/// Where another reader comes before this one, that one tells; what is lost of its news shows in the
+/// versions and digests of both.
 fn tell(instance: &Instance, topic: Topic, record: &Keyed) {
+    if instance
+        .peers
+        .borrow()
+        .has_reader_before(instance.order(), topic, instance.now())
+    {
+        return;
+    }
     instance.peers.borrow_mut().add_news(News {
         configuration: topic == Topic::Configuration,
         offset: record.offset,
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -13,7 +13,7 @@
 use serving::{Choice, EngineId, Zone};
 use tokio::time::{timeout, timeout_at};
 
-use crate::attempt::{self, Answered, Asked, Avoid, Held, MOST, Tried};
+use crate::attempt::{self, Answered, Asked, Avoid, Held, MOST, NotRun, Tried};
 use crate::instance::Instance;
 use crate::plain::{End, Finished, refuse_end, take_repeat};
 use crate::relay::{self, Relay, Times};
@@ -95,6 +95,8 @@
     runs: u32,
     rejections: u32,
     weights: Option<u64>,
+    /// Whether the prompt may still be read at one engine for another.
+    may_split: bool,
 }
 
 /// What the next step is after an attempt.
@@ -103,6 +105,13 @@
     Done(Done),
 }
 
+/// What an attempt to generate came to.
+enum Generated {
+    /// The engine did not run it.
+    NotRun(NotRun),
+    Next(Next),
+}
+
 impl<'a> Run<'a> {
     fn new(
         instance: &'a Rc<Instance>,
@@ -119,6 +128,7 @@
             runs: 0,
             rejections: 0,
             weights: None,
+            may_split: true,
         }
     }
 
@@ -126,8 +136,9 @@
         let service = &self.asked.service.name;
         self.instance.budgets.borrow_mut().earn(service);
         loop {
-            let next = match attempt::place(self.instance, self.asked, &self.avoid) {
-                Choice::Direct(target) => self.generate(&target, None).await,
+            let next = match attempt::place(self.instance, self.asked, &self.avoid, self.may_split)
+            {
+                Choice::Direct(target) => self.direct(&target).await,
                 Choice::Split { prefill, .. } => self.split(&prefill).await,
                 Choice::Refuse { after, why } => Next::Done(self.refused(after, why)),
             };
@@ -151,16 +162,12 @@
         Done::Unserved(End::NotRun { after, why })
     }
 
-    /// Has the prompt read at one engine and generates at another.
+    /// Has the prompt read at one engine and generates at another. Whatever comes of it, the prompt is
+    /// read for another engine only once.
     async fn split(&mut self, prefill: &Target) -> Next {
+        self.may_split = false;
         match self.read_prompt(prefill).await {
-            Prompt::Read(memory, zone) => {
-                let memory = Guard::new(self.instance, memory);
-                match attempt::place_decode(self.instance, self.asked, &self.avoid, &zone) {
-                    Some(decode) => self.generate(&decode, Some(memory)).await,
-                    None => Next::Again,
-                }
-            }
+            Prompt::Read(memory, zone) => self.take_over(memory, &zone).await,
             Prompt::Rejected => {
                 self.avoid.push(prefill.engine.clone());
                 self.rejected(true)
@@ -172,6 +179,34 @@
         }
     }
 
+    /// Generates from memory that another engine holds, at the first engine that takes it over.
+    async fn take_over(&mut self, memory: Memory, zone: &Zone) -> Next {
+        let memory = Guard::new(self.instance, memory);
+        loop {
+            let decode = attempt::place_decode(self.instance, self.asked, &self.avoid, zone);
+            let Some(decode) = decode else {
+                return Next::Again;
+            };
+            match self.generate(&decode, Some(&memory)).await {
+                Generated::Next(next) => return next,
+                Generated::NotRun(why) => match self.rejected(why.arrived()) {
+                    // A refusal for want of room may have used the memory up.
+                    Next::Again if why == NotRun::Full => return Next::Again,
+                    Next::Again => {}
+                    done @ Next::Done(_) => return done,
+                },
+            }
+        }
+    }
+
+    /// Generates at an engine that reads the prompt itself.
+    async fn direct(&mut self, target: &Target) -> Next {
+        match self.generate(target, None).await {
+            Generated::Next(next) => next,
+            Generated::NotRun(why) => self.rejected(why.arrived()),
+        }
+    }
+
     async fn read_prompt(&mut self, target: &Target) -> Prompt {
         let Some(engine) = attempt::record(self.instance, &target.engine) else {
             return Prompt::Lost;
@@ -229,10 +264,10 @@
         }
     }
 
-    async fn generate(&mut self, target: &Target, memory: Option<Guard>) -> Next {
+    async fn generate(&mut self, target: &Target, memory: Option<&Guard>) -> Generated {
         let Some(engine) = attempt::record(self.instance, &target.engine) else {
             self.avoid.push(target.engine.clone());
-            return Next::Again;
+            return Generated::NotRun(NotRun::Unreachable);
         };
         self.note_parts(&target.engine);
         let mut held = Held::new(self.instance, self.asked, target);
@@ -240,7 +275,7 @@
             instance: &engine.id,
             left: self.asked.left(),
             priority: Some(target.rank),
-            memory: memory.as_ref().map(|guard| &guard.memory),
+            memory: memory.map(|guard| &guard.memory),
             resume_after: self.relay.last(),
             weights: self.weights,
             ..Sending::default()
@@ -252,19 +287,19 @@
                 if let Some(memory) = memory {
                     memory.taken();
                 }
-                self.pass(answered, &mut held, &engine.id).await
+                Generated::Next(self.pass(answered, &mut held, &engine.id).await)
             }
             Tried::NotRun(why) => {
                 self.sent.set(self.runs > 0);
                 held.note(why.outcome());
                 self.avoid.push(target.engine.clone());
-                self.rejected(why.arrived())
+                Generated::NotRun(why)
             }
             Tried::Lost(failure) => {
                 log::info!(id = self.asked.call.id.as_str(), engine = &*engine.id, failure:% = failure; "the engine's answer was lost");
                 held.note(Outcome::Failed);
                 self.avoid.push(target.engine.clone());
-                self.lost("The engine's answer was lost.")
+                Generated::Next(self.lost("The engine's answer was lost."))
             }
         }
     }
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -143,7 +143,9 @@
         let engine = fleet.by_short(ended.engine)?;
         Some(Change::Ended(engine, ended.ticket))
     });
-    let changes: Vec<Change> = started.chain(read).chain(ended).collect();
+    let gone = frame.gone.iter();
+    let gone = gone.filter_map(|gone| Some(Change::Gone(fleet.by_short(*gone)?)));
+    let changes: Vec<Change> = started.chain(read).chain(ended).chain(gone).collect();
     for change in changes {
         fleet.hear_change(frame.incarnation, &change, now);
     }
@@ -219,7 +221,7 @@
         sleep_until(earliest).await;
         let now = instance.now();
         instance.fleet.borrow_mut().fade(now);
-        tell_news(&instance, &socket);
+        tell_news(&instance, &socket, now);
         let is_state_due = Instant::now() >= state_due;
         let Some(frame) = next_frame(&instance, is_state_due, now) else {
             continue;
@@ -247,6 +249,11 @@
     let changes = fleet.take_changes();
     let mut reads = Vec::new();
     if is_state_due {
+        // A state says all but this.
+        let gone = changes
+            .into_iter()
+            .filter(|change| matches!(change, Change::Gone(_)));
+        add_changes(&mut frame, gone.collect(), now);
         frame.state = Some(state(instance, &fleet, peers.knows, now));
     } else {
         let recent = fleet.recent(RECENT, now);
@@ -260,6 +267,7 @@
         && frame.started.is_empty()
         && frame.read.is_empty()
         && frame.ended.is_empty()
+        && frame.gone.is_empty()
         && frame.parts.is_empty();
     (!is_empty).then_some(frame)
 }
@@ -278,6 +286,7 @@
             Change::Started(engine, job) => frame.started.push(started(&engine, &job, now)),
             Change::Read(engine, number, at) => reads.push((ticket(&engine, number), at)),
             Change::Ended(engine, number) => frame.ended.push(ticket(&engine, number)),
+            Change::Gone(engine) => frame.gone.push(hash::short(&engine)),
         }
     }
     reads
@@ -329,23 +338,21 @@
     is_recent(state.configuration_age_ms) || is_recent(state.engines_age_ms)
 }
 
-fn tell_news(instance: &Instance, socket: &UdpSocket) {
-    loop {
-        let news = instance.peers.borrow_mut().take_news();
-        if news.is_empty() {
-            return;
-        }
-        let all = instance.peers.borrow().all();
-        for (first, rest) in peers::groups(&all) {
-            let pass_to = rest.iter().filter_map(|address| packed(*address));
-            let frame = Frame {
-                incarnation: instance.incarnation,
-                news: news.clone(),
-                pass_to: pass_to.collect(),
-                ..Frame::default()
-            };
-            broadcast(socket, &frame, &[first]);
-        }
+fn tell_news(instance: &Instance, socket: &UdpSocket, now: Moment) {
+    let news = instance.peers.borrow_mut().take_news(now);
+    if news.is_empty() {
+        return;
+    }
+    let all = instance.peers.borrow().all();
+    for (first, rest) in peers::groups(&all) {
+        let pass_to = rest.iter().filter_map(|address| packed(*address));
+        let frame = Frame {
+            incarnation: instance.incarnation,
+            news: news.clone(),
+            pass_to: pass_to.collect(),
+            ..Frame::default()
+        };
+        broadcast(socket, &frame, &[first]);
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,12 +12,14 @@
 
 /// An instance that was silent for this long is told of no changes, only of states.
 const SILENT: Duration = Duration::from_secs(3);
-/// Times that news are told, since datagrams are lost.
+/// Times that news of engines are told, since datagrams are lost.
 const TELLINGS: u8 = 2;
 /// Most parts in one frame.
 pub(crate) const PARTS: usize = 128;
 /// Instances up to which news are sent to each directly.
 const DIRECT: usize = 12;
+/// Pause between two frames of news, which is gathered meanwhile.
+const NEWS_PACE: Duration = Duration::from_millis(350);
 /// Most bytes of news in one frame, unless a single record is larger.
 const NEWS_BYTES: usize = 8 * 1024;
 
@@ -62,6 +64,7 @@
     parts: Vec<(EngineId, Part)>,
     read_before: Vec<(Ticket, Moment)>,
     news: Vec<(News, u8)>,
+    news_told: Option<Moment>,
     /// Whether this instance knows what engines hold.
     pub knows: bool,
     /// Whether another instance that knew has been heard of.
@@ -120,12 +123,25 @@
     }
 
     /// Notes a record that changed, to be told.
+    ///
+    /// Of configurations only the newest is told, and not more often than [`NEWS_PACE`]: operators
+    /// that edit in quick succession would else take the links of small instances from calls.
     pub(crate) fn add_news(&mut self, news: News) {
-        self.news.push((news, TELLINGS));
+        if news.configuration {
+            self.news.retain(|(known, _)| !known.configuration);
+        }
+        // A lost configuration shows in the versions that all tell, and is large to tell twice.
+        let tellings = if news.configuration { 1 } else { TELLINGS };
+        self.news.push((news, tellings));
     }
 
     /// News for the next frame.
-    pub(crate) fn take_news(&mut self) -> Vec<News> {
+    pub(crate) fn take_news(&mut self, now: Moment) -> Vec<News> {
+        let told = self.news_told;
+        if told.is_some_and(|told| now.saturating_sub(told) < NEWS_PACE) || self.news.is_empty() {
+            return Vec::new();
+        }
+        self.news_told = Some(now);
         let mut bytes = 0;
         let mut most = 0;
         for (news, _) in &self.news {
@@ -197,6 +213,12 @@
         peers.map(move |peer| peer.said(topic))
     }
 
+    /// Whether a fresh reader of a topic comes before `order`.
+    pub(crate) fn has_reader_before(&self, order: u64, topic: Topic, now: Moment) -> bool {
+        let mut said = self.said(topic);
+        said.any(|said| said.order < order && said.is_fresh(now))
+    }
+
     /// Registered instances, this one included.
     pub(crate) fn count(&self) -> usize {
         1 + self.by_address.len()
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -107,7 +107,7 @@
     let mut rejections = 0;
     instance.budgets.borrow_mut().earn(&asked.service.name);
     loop {
-        let target = match attempt::place(instance, asked, &avoid) {
+        let target = match attempt::place(instance, asked, &avoid, false) {
             Choice::Direct(target) => target,
             Choice::Split { prefill, .. } => prefill,
             Choice::Refuse { after, .. } => {
--- /dev/null
+++ b/crates/gateway/tests/beliefs.rs
@@ -0,0 +1,179 @@
+//! What a real gateway process believes of configuration and engines, while the store misbehaves, and
+//! how it ends.
+
+mod world;
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use floor::Engine;
+use floor::engine::Act;
+use floor::store::Fault;
+use world::{GENERATION, World, ask, until};
+
+/// The status of a plain call with an id of its own.
+async fn status(world: &World, path: &str) -> u16 {
+    world.call(path, "w", &[]).await.status
+}
+
+#[actix_rt::test]
+async fn a_newer_configuration_is_in_force_and_an_older_one_never_comes_back() {
+    let (world, app, _pool) = World::start().await;
+    let other = Engine::start("new-1").await;
+    other.register(&world.store, "new", "ready", None);
+    world.configure(5, "new");
+    until(async || {
+        world.call("/safe/a", "w", &[]).await;
+        other.runs("w") > 0
+    })
+    .await;
+    world.configure(4, "app");
+    world.store.compact("keyed.op");
+    world.configure(3, "app");
+    let before = app.got().len();
+    for _ in 0..20 {
+        assert_eq!(status(&world, "/safe/a").await, 200);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(app.got().len(), before);
+}
+
+#[actix_rt::test]
+async fn a_leaving_engine_gets_nothing_new_and_finishes_what_it_has() {
+    let (world, _app, pool) = World::start().await;
+    let other = Engine::start("pool-2").await;
+    pool.streams(30, Duration::from_millis(50));
+    other.streams(30, Duration::from_millis(50));
+    let mut caller = world.caller().await;
+    let streaming = ask(&mut caller, "/stream/a", "long", &GENERATION);
+    let leaving = async {
+        until(async || pool.runs("long") == 1).await;
+        other.register(&world.store, "pool", "ready", Some("decode"));
+        pool.register(&world.store, "pool", "draining", Some("decode"));
+        other.streams(1, Duration::ZERO);
+        // The last engine that is asked is the new one, from some call on.
+        until(async || {
+            let id = world.fresh_id();
+            world.generate("/stream/a", &id).await;
+            other.runs(&id) == 1
+        })
+        .await;
+        let before = pool.got().len();
+        for n in 0..10 {
+            world.generate("/stream/a", &format!("n{n}")).await;
+        }
+        assert_eq!(pool.got().len(), before);
+    };
+    let (answer, ()) = tokio::join!(streaming, leaving);
+    assert_eq!(answer.text().matches("data: ").count(), 30);
+}
+
+#[actix_rt::test]
+async fn an_engine_whose_record_is_gone_gets_nothing() {
+    let (world, app, _pool) = World::start().await;
+    world.store.put("keyed.servers", &app.id, None);
+    until(async || status(&world, "/safe/a").await == 503).await;
+    app.register(&world.store, "app", "ready", None);
+    until(async || status(&world, "/safe/a").await == 200).await;
+}
+
+/// Symptom: a service refuses calls, or charges one twice, after one of its engines was started again.
+/// Sequence: an engine ends and another incarnation listens at its address; its record stands for
+/// seconds. Cause: the address was trusted, or its refusal counted as want of room.
+#[actix_rt::test]
+async fn an_address_that_another_engine_has_is_not_used_for_the_old_one() {
+    let (world, app, _pool) = World::start().await;
+    let other = Engine::start("app-2").await;
+    app.act(Act::Moved);
+    other.register(&world.store, "app", "ready", None);
+    until(async || status(&world, "/once/a").await == 200).await;
+    let before = app.got().len();
+    for _ in 0..5 {
+        assert_eq!(status(&world, "/once/a").await, 200);
+    }
+    assert!(app.got().len() <= before + 1);
+    assert_eq!(app.runs("w"), 0);
+}
+
+#[actix_rt::test]
+async fn calls_are_served_while_the_store_is_away() {
+    let (world, _app, _pool) = World::start().await;
+    for fault in [Fault::Busy, Fault::Reset, Fault::Silent] {
+        world.store.fault(fault);
+        for _ in 0..10 {
+            assert_eq!(status(&world, "/once/a").await, 200);
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        world.store.fault(Fault::None);
+    }
+    let other = Engine::start("new-1").await;
+    other.register(&world.store, "new", "ready", None);
+    world.configure(9, "new");
+    until(async || {
+        world.call("/safe/a", "w", &[]).await;
+        other.runs("w") > 0
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn dropped_history_is_made_good_from_the_newest_records() {
+    let (world, app, _pool) = World::start().await;
+    world.store.fault(Fault::Busy);
+    let other = Engine::start("new-1").await;
+    other.register(&world.store, "new", "ready", None);
+    world.configure(6, "new");
+    world.store.put("keyed.servers", &app.id, None);
+    world.store.compact("keyed.op");
+    world.store.compact("keyed.servers");
+    world.store.fault(Fault::None);
+    until(async || {
+        world.call("/safe/a", "w", &[]).await;
+        other.runs("w") > 0
+    })
+    .await;
+}
+
+/// Symptom: callers' streams are cut by a planned restart. Sequence: an instance is asked to end while
+/// it streams. Cause: it ended at once, or closed its connections first.
+#[actix_rt::test]
+async fn an_instance_that_is_asked_to_end_finishes_what_it_has() {
+    let (mut world, _app, pool) = World::start().await;
+    pool.streams(40, Duration::from_millis(50));
+    let mut caller = world.caller().await;
+    let streaming = ask(&mut caller, "/stream/a", "long", &GENERATION);
+    let ending = async {
+        until(async || pool.runs("long") == 1).await;
+        world.signal("-TERM");
+        world.until_ready(false).await;
+    };
+    let (answer, ()) = tokio::join!(streaming, ending);
+    assert_eq!(answer.text().matches("data: ").count(), 40);
+    assert!(world.until_ended().await);
+}
+
+#[actix_rt::test]
+async fn settings_that_are_not_good_leave_the_old_ones_in_force() {
+    let (world, _app, _pool) = World::start().await;
+    std::fs::write(world.settings.path(), "node = 1").unwrap();
+    world.signal("-HUP");
+    for _ in 0..5 {
+        assert_eq!(status(&world, "/safe/a").await, 200);
+    }
+    world.until_ready(true).await;
+}
+
+#[actix_rt::test]
+async fn bytes_that_are_no_request_disturb_nobody_else() {
+    use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+    let (world, app, _pool) = World::start().await;
+    let smuggled = b"POST /safe/a HTTP/1.1\r\nhost: h\r\nrequest-id: a\r\ncontent-length: 3\r\n\
+        transfer-encoding: chunked\r\n\r\n0\r\n\r\nGET /safe/a HTTP/1.1\r\nhost: h\r\nrequest-id: b\r\n\r\n";
+    let mut stream = tokio::net::TcpStream::connect(world.front).await.unwrap();
+    stream.write_all(smuggled).await.unwrap();
+    let mut answer = Vec::new();
+    assert_matches!(stream.read_to_end(&mut answer).await, Ok(_));
+    assert!(answer.starts_with(b"HTTP/1.1 400"));
+    assert_eq!(app.got().len(), 0);
+    assert_eq!(status(&world, "/safe/a").await, 200);
+}
--- /dev/null
+++ b/crates/gateway/tests/calls.rs
@@ -0,0 +1,255 @@
+//! Calls through a real gateway process, with engines that fail in their ways.
+
+mod world;
+
+use std::time::Duration;
+
+use floor::Engine;
+use floor::engine::Act;
+use world::{GENERATION, World, ask, until};
+
+#[actix_rt::test]
+async fn calls_of_every_kind_are_served() {
+    let (world, app, pool) = World::start().await;
+    assert_eq!(
+        world.call("/safe/a", "s1", &[]).await.text(),
+        "answer to s1"
+    );
+    assert_eq!(
+        world.call("/once/a", "u1", &[]).await.text(),
+        "answer to u1"
+    );
+    let answer = world.generate("/stream/a", "g1").await;
+    assert_eq!(answer.text().matches("data: g1").count(), 4);
+    assert!(answer.signed);
+    assert_eq!(app.runs("u1"), 1);
+    assert_eq!(pool.runs("g1"), 1);
+}
+
+#[actix_rt::test]
+async fn a_connection_serves_one_call_after_the_other() {
+    let (world, _app, _pool) = World::start().await;
+    let mut caller = world.caller().await;
+    for id in ["a", "b", "c"] {
+        assert_eq!(
+            ask(&mut caller, "/safe/x", id, &[]).await.text(),
+            format!("answer to {id}")
+        );
+        assert_eq!(
+            ask(&mut caller, "/stream/x", id, &GENERATION).await.status,
+            200
+        );
+    }
+}
+
+#[actix_rt::test]
+async fn what_no_route_allows_is_not_found() {
+    let (world, _app, _pool) = World::start().await;
+    assert_eq!(world.call("/other/a", "a", &[]).await.status, 404);
+    assert_eq!(world.call("/safe", "a", &[]).await.status, 404);
+}
+
+/// Symptom: proper calls get 404 in the first moments of an instance. Sequence: an instance starts
+/// while the store is away; a call comes. Cause: no configuration looked like an empty one.
+#[actix_rt::test]
+async fn without_a_configuration_a_call_is_told_to_come_back() {
+    let world = World::bare().await;
+    let answer = world.call("/safe/a", "a", &[]).await;
+    assert_eq!(answer.status, 503);
+    assert!(answer.retry_after.is_some());
+    world.until_ready(false).await;
+}
+
+/// Symptom: a card is charged twice. Sequence: an engine charges it and its answer is lost. Cause: a
+/// call without an answer was taken for one that had not run.
+#[actix_rt::test]
+async fn a_call_that_may_run_once_is_not_sent_again_after_a_lost_answer() {
+    let (world, app, _pool) = World::start().await;
+    let other = Engine::start("app-2").await;
+    other.register(&world.store, "app", "ready", None);
+    app.act(Act::LoseAnswer);
+    other.act(Act::LoseAnswer);
+    for id in ["u1", "u2", "u3"] {
+        let answer = world.call("/once/a", id, &[]).await;
+        assert_eq!(answer.status, 502);
+        assert_eq!(app.runs(id) + other.runs(id), 1, "{id}");
+    }
+}
+
+#[actix_rt::test]
+async fn a_call_that_was_not_run_goes_to_another_engine() {
+    let (world, app, _pool) = World::start().await;
+    let other = Engine::start("app-2").await;
+    other.register(&world.store, "app", "ready", None);
+    app.act(Act::Full);
+    until(async || {
+        let id = world.fresh_id();
+        world.call("/once/a", &id, &[]).await.status == 200
+    })
+    .await;
+    let answer = world.call("/once/a", "u1", &[]).await;
+    assert_eq!(answer.text(), "answer to u1");
+    assert_eq!((app.runs("u1"), other.runs("u1")), (0, 1));
+}
+
+#[actix_rt::test]
+async fn a_call_that_may_be_repeated_survives_a_lost_answer() {
+    let (world, app, _pool) = World::start().await;
+    let other = Engine::start("app-2").await;
+    other.register(&world.store, "app", "ready", None);
+    app.act(Act::Full);
+    until(async || {
+        let id = world.fresh_id();
+        world.call("/safe/a", &id, &[]).await;
+        other.runs(&id) == 1
+    })
+    .await;
+    app.act(Act::LoseAnswer);
+    until(async || {
+        let id = world.fresh_id();
+        let answer = world.call("/safe/a", &id, &[]).await;
+        answer.status == 200 && app.runs(&id) == 1 && other.runs(&id) == 1
+    })
+    .await;
+}
+
+/// Symptom: a caller repeats a call that has run. Sequence: an engine runs it and answers 503 without
+/// saying that it did not. Cause: the status, which promises that it has not run, was passed on.
+#[actix_rt::test]
+async fn an_engines_failure_never_promises_that_a_call_has_not_run() {
+    let (world, app, pool) = World::start().await;
+    for status in [429, 503, 408] {
+        app.act(Act::Fail(status));
+        pool.act(Act::Fail(status));
+        assert_eq!(world.call("/once/a", "u1", &[]).await.status, 502);
+        assert_eq!(world.generate("/stream/a", "g1").await.status, 502);
+    }
+    app.act(Act::Fail(500));
+    let answer = world.call("/once/a", "u2", &[]).await;
+    assert_eq!(answer.status, 500);
+    assert!(answer.signed);
+}
+
+#[actix_rt::test]
+async fn when_all_engines_are_full_the_refusal_is_true_and_says_when() {
+    let (world, app, pool) = World::start().await;
+    app.act(Act::Full);
+    pool.act(Act::Full);
+    for answer in [
+        world.call("/once/a", "u1", &[]).await,
+        world.generate("/stream/a", "g1").await,
+    ] {
+        assert_eq!(answer.status, 503);
+        assert!(answer.retry_after.is_some());
+    }
+    assert_eq!(app.runs("u1") + pool.runs("g1"), 0);
+}
+
+/// Symptom: a caller gets the answer to another call. Sequence: an engine sends an answer that
+/// belongs to an earlier request. Cause: the first bytes that came were taken for the answer.
+#[actix_rt::test]
+async fn an_answer_to_another_call_never_reaches_a_caller() {
+    let (world, app, pool) = World::start().await;
+    app.act(Act::Crossed);
+    pool.act(Act::Crossed);
+    // The engine sends nothing else, so the callers run out of time or get a failure.
+    let short = [("request-deadline", "300")];
+    let answer = world.call("/once/a", "u1", &short).await;
+    assert_ne!(answer.status, 200);
+    assert!(!answer.text().contains("of another"));
+}
+
+/// Symptom: a stream has an event twice, lacks one, or joins halves of two. Sequence: an engine ends
+/// in the middle of an event; another one goes on. Cause: the half was passed on, or the place to go
+/// on was not the last whole event.
+#[actix_rt::test]
+async fn a_stream_goes_on_at_another_engine_without_a_seam() {
+    let (world, _app, pool) = World::start().await;
+    let other = Engine::start("pool-2").await;
+    other.register(&world.store, "pool", "ready", Some("decode"));
+    pool.act(Act::CutAfter(2));
+    until(async || {
+        let id = world.fresh_id();
+        let answer = world.generate("/resume/a", &id).await;
+        let Ok(body) = &answer.body else { return false };
+        let text = std::str::from_utf8(body).unwrap();
+        let ids: Vec<&str> = text
+            .lines()
+            .filter_map(|line| line.strip_prefix("id: "))
+            .collect();
+        assert_eq!(ids, ["1", "2", "3", "4"]);
+        pool.runs(&id) == 1 && other.runs(&id) == 1
+    })
+    .await;
+    let resumed = other.got();
+    assert!(
+        resumed
+            .iter()
+            .any(|got| got.header("last-event-id") == Some("2"))
+    );
+}
+
+#[actix_rt::test]
+async fn a_stream_that_may_not_go_on_ends_without_looking_complete() {
+    let (world, _app, pool) = World::start().await;
+    let other = Engine::start("pool-2").await;
+    other.register(&world.store, "pool", "ready", Some("decode"));
+    pool.act(Act::CutAfter(2));
+    other.act(Act::CutAfter(2));
+    let answer = world.generate("/stream/a", "g1").await;
+    assert_eq!(answer.status, 200);
+    assert!(answer.body.is_err());
+    assert_eq!(pool.runs("g1") + other.runs("g1"), 1);
+}
+
+/// Symptom: engines work for callers that have left. Sequence: a caller closes while its call is at
+/// an engine. Cause: nobody looked at the caller's connection until the answer came.
+#[actix_rt::test]
+async fn a_callers_leaving_ends_its_call_at_the_engine() {
+    let (world, app, _pool) = World::start().await;
+    app.act(Act::Hang);
+    let caller = world.caller().await;
+    let asking = async {
+        let mut caller = caller;
+        ask(&mut caller, "/once/a", "u1", &[]).await;
+    };
+    drop(tokio::time::timeout(Duration::from_millis(300), asking).await);
+    app.act(Act::Run);
+    until(async || world.call("/once/a", "u2", &[]).await.status == 200).await;
+    assert_eq!(app.runs("u1"), 1);
+}
+
+#[actix_rt::test]
+async fn a_prompt_is_read_at_one_engine_and_generated_at_another() {
+    let world = World::bare().await;
+    let prefill = Engine::start("prefill-1").await;
+    prefill.register(&world.store, "pool", "ready", Some("prefill"));
+    let (world, _app, pool) = world.begin().await;
+    let forged = "127.0.0.1:1/forged";
+    until(async || {
+        // Parts that no engine has read, so that there is something to read.
+        let id = world.fresh_id();
+        let prefix = format!("aa{id}:40000,bb{id}:10000");
+        let headers = [
+            ("model-name", "m"),
+            ("token-count", "50000,20"),
+            ("prompt-prefix", prefix.as_str()),
+            ("kv-source", forged),
+            ("serving-stage", "prefill"),
+        ];
+        world.call("/stream/a", &id, &headers).await;
+        !prefill.got().is_empty()
+    })
+    .await;
+    let read = &prefill.got()[0];
+    let generated = pool.got().into_iter().find(|got| got.id == read.id);
+    let source = format!("{}/h{}", prefill.address, read.id);
+    let generated = generated.expect("the call was generated");
+    assert_eq!(generated.header("kv-source"), Some(source.as_str()));
+    assert_eq!(generated.header("serving-stage"), None);
+    let got = pool.got();
+    assert!(
+        got.iter()
+            .all(|got| got.header("kv-source") != Some(forged))
+    );
+}
--- /dev/null
+++ b/crates/gateway/tests/world/mod.rs
@@ -0,0 +1,304 @@
+//! One gateway process between stand-ins of the platform.
+#![allow(dead_code)]
+
+use std::cell::Cell;
+use std::io::Write as _;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use actix_http::RequestHead;
+use actix_http::header::{HeaderName, HeaderValue};
+use bytes::Bytes;
+use floor::{Engine, Store};
+use http1::{Client, Failure, Patience};
+use serde_json::{Value, json};
+use tempfile::NamedTempFile;
+
+/// Long, since these tests judge states and counts and no times.
+const PATIENCE: Patience = Patience {
+    connect: Duration::from_secs(20),
+    acknowledge: Duration::from_secs(20),
+    probe: Duration::from_secs(20),
+    probes: 3,
+};
+
+/// Looks at a state before a test gives up on it, a pause apart.
+const LOOKS: usize = 600;
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// A gateway, its store and its engines.
+pub(crate) struct World {
+    pub(crate) store: Store,
+    pub(crate) front: SocketAddr,
+    pub(crate) ready: SocketAddr,
+    pub(crate) settings: NamedTempFile,
+    child: Child,
+    ids: Cell<usize>,
+}
+
+/// An answer as a caller sees it.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) body: Result<Bytes, Failure>,
+    pub(crate) retry_after: Option<String>,
+    pub(crate) signed: bool,
+}
+
+impl Answer {
+    pub(crate) fn text(&self) -> &str {
+        let body = self.body.as_ref().expect("the body is whole");
+        std::str::from_utf8(body).expect("bodies are text")
+    }
+}
+
+fn free_port() -> u16 {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+    listener
+        .local_addr()
+        .expect("a bound socket has an address")
+        .port()
+}
+
+fn free_udp_port() -> u16 {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("loopback has a free port");
+    socket
+        .local_addr()
+        .expect("a bound socket has an address")
+        .port()
+}
+
+fn settings(store: SocketAddr, front: SocketAddr, ready: SocketAddr, port: u16) -> String {
+    format!(
+        r#"
+node = "front-a-1"
+ip = "127.0.0.1"
+zone = "a"
+port_range = [{port}, {port}]
+[listen]
+front = "{front}"
+ready = "{ready}"
+[bounds]
+drain_ms = 2000
+grace_s = 8
+config_apply_ms = 2000
+retry_budget_ratio = 0.2
+retry_budget_slack = 60000
+[platform]
+address = "{store}"
+"#
+    )
+}
+
+/// A configuration with a route of each kind; `app` is the service of plain calls.
+pub(crate) fn configuration(version: u64, app: &str) -> Value {
+    let route = |prefix: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
+        json!({
+            "name": prefix, "host": "h", "path_prefix": prefix, "kind": kind, "timeout_ms": 20_000,
+            "target_latency_ms": 5_000, "priority": 1, "service": service, "max_attempts": attempts,
+            "resumable": resumable, "gap_target_ms": 3_000,
+        })
+    };
+    json!({
+        "version": version,
+        "routes": [
+            route("/safe/", "safe", app, 2, false),
+            route("/once/", "unsafe", app, 1, false),
+            route("/stream/", "streaming", "pool", 1, false),
+            route("/resume/", "streaming", "pool", 2, true),
+        ],
+        "services": [
+            { "name": app, "max_conns": 50 },
+            { "name": "pool", "max_conns": 50, "engine": {
+                "slots": 8, "kv_capacity": 100_000, "kv_token_bytes": 1_000, "link_mbps": 100_000.0,
+                "handle_ttl_s": 5.0 } },
+        ],
+        "limits": { "max_header_bytes": 16_384, "max_body_bytes": 1_000_000,
+            "header_timeout_ms": 20_000, "idle_timeout_ms": 60_000 },
+    })
+}
+
+impl World {
+    /// Starts a store and a gateway that knows nothing yet.
+    pub(crate) async fn bare() -> Self {
+        let store = Store::start().await;
+        let front = SocketAddr::from(([127, 0, 0, 1], free_port()));
+        let ready = SocketAddr::from(([127, 0, 0, 1], free_port()));
+        let text = settings(store.address, front, ready, free_udp_port());
+        let mut file = NamedTempFile::new().expect("a scratch file can be made");
+        file.write_all(text.as_bytes())
+            .expect("a scratch file can be written");
+        let child = Command::new(env!("CARGO_BIN_EXE_tarragon-gateway"))
+            .args(["serve", "--settings"])
+            .arg(file.path())
+            .env("RUST_LOG", "warn")
+            .stdout(Stdio::null())
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("the gateway starts");
+        Self {
+            store,
+            front,
+            ready,
+            settings: file,
+            child,
+            ids: Cell::new(0),
+        }
+    }
+
+    /// Starts a store, a gateway, an engine of plain calls and one that generates, and waits until the
+    /// gateway is ready.
+    pub(crate) async fn start() -> (Self, Engine, Engine) {
+        Self::bare().await.begin().await
+    }
+
+    /// As [`World::start`], with what is in the store already.
+    pub(crate) async fn begin(self) -> (Self, Engine, Engine) {
+        let world = self;
+        let app = Engine::start("app-1").await;
+        let pool = Engine::start("pool-1").await;
+        app.register(&world.store, "app", "ready", None);
+        pool.register(&world.store, "pool", "ready", Some("decode"));
+        world.configure(1, "app");
+        world.until_ready(true).await;
+        (world, app, pool)
+    }
+
+    pub(crate) fn configure(&self, version: u64, app: &str) {
+        let configuration = configuration(version, app);
+        self.store.put("keyed.op", "config", Some(&configuration));
+    }
+
+    pub(crate) async fn until_ready(&self, ready: bool) {
+        until(async || self.is_ready().await == ready).await;
+    }
+
+    async fn is_ready(&self) -> bool {
+        let Ok(mut client) = Client::open(self.ready, &PATIENCE, &http1::config()).await else {
+            return false;
+        };
+        let answer = client.send(head("/readiness", &[]), &Bytes::new()).await;
+        answer.is_ok_and(|answer| answer.head.status.as_u16() == 200)
+    }
+
+    /// A connection of a caller.
+    pub(crate) async fn caller(&self) -> Client {
+        let mut caller = Client::open(self.front, &PATIENCE, &http1::config()).await;
+        for _ in 0..LOOKS {
+            if caller.is_ok() {
+                break;
+            }
+            tokio::time::sleep(PAUSE).await;
+            caller = Client::open(self.front, &PATIENCE, &http1::config()).await;
+        }
+        caller.expect("the gateway listens")
+    }
+
+    /// Sends a call and reads its answer.
+    pub(crate) async fn call(
+        &self,
+        path: &str,
+        id: &str,
+        headers: &[(&'static str, &str)],
+    ) -> Answer {
+        let mut caller = self.caller().await;
+        ask(&mut caller, path, id, headers).await
+    }
+
+    /// Sends a generation of 100 tokens, whose parts no engine has read.
+    pub(crate) async fn generate(&self, path: &str, id: &str) -> Answer {
+        let prefix = format!("a{id}:80,b{id}:20");
+        let mut headers = GENERATION;
+        headers[2].1 = &prefix;
+        self.call(path, id, &headers).await
+    }
+
+    /// An id that no call has had.
+    pub(crate) fn fresh_id(&self) -> String {
+        self.ids.set(self.ids.get() + 1);
+        format!("f{}", self.ids.get())
+    }
+
+    pub(crate) fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args([name, &pid]).status();
+        assert!(status.expect("signals can be sent").success());
+    }
+
+    /// Waits for the process to end. Says whether it ended well.
+    pub(crate) async fn until_ended(&mut self) -> bool {
+        for _ in 0..LOOKS {
+            if let Some(status) = self
+                .child
+                .try_wait()
+                .expect("the process can be waited for")
+            {
+                return status.success();
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        panic!("the gateway does not end");
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        drop(self.child.kill());
+        drop(self.child.wait());
+    }
+}
+
+/// Headers of a generation.
+pub(crate) const GENERATION: [(&'static str, &str); 3] = [
+    ("model-name", "m"),
+    ("token-count", "100,20"),
+    ("prompt-prefix", "aa:80,bb:20"),
+];
+
+pub(crate) fn head(path: &str, headers: &[(&'static str, &str)]) -> RequestHead {
+    let mut head = RequestHead::default();
+    head.uri = path.parse().expect("a path");
+    head.headers.insert(
+        HeaderName::from_static("host"),
+        HeaderValue::from_static("h"),
+    );
+    for (name, value) in headers {
+        let value = HeaderValue::from_str(value).expect("a header's value");
+        head.headers.append(HeaderName::from_static(name), value);
+    }
+    head
+}
+
+/// Sends a call on an open connection and reads its answer.
+pub(crate) async fn ask(
+    caller: &mut Client,
+    path: &str,
+    id: &str,
+    headers: &[(&'static str, &str)],
+) -> Answer {
+    let mut all = vec![("request-id", id), ("request-deadline", "20000")];
+    all.extend_from_slice(headers);
+    let answer = caller.send(head(path, &all), &Bytes::new()).await;
+    let answer = answer.expect("every call gets an answer");
+    let header = |name: &str| answer.head.headers.get(name);
+    let retry_after = header("retry-after").and_then(|value| value.to_str().ok());
+    Answer {
+        status: answer.head.status.as_u16(),
+        retry_after: retry_after.map(str::to_owned),
+        signed: header("response-signature").is_some(),
+        body: caller.body(1 << 20).await,
+    }
+}
+
+/// Waits for a state.
+pub(crate) async fn until(state: impl AsyncFn() -> bool) {
+    for _ in 0..LOOKS {
+        if state().await {
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    panic!("the state does not come");
+}
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -49,6 +49,8 @@
     Read(EngineId, Ticket, Moment),
     /// A call ended.
     Ended(EngineId, Ticket),
+    /// An engine has ended although its record stands.
+    Gone(EngineId),
 }
 
 impl Fleet {
@@ -186,6 +188,9 @@
             engine.pending.retain(|p| p.job.ticket != sent.ticket);
             engine.calls = engine.calls.saturating_sub(1);
             if let Some(outcome) = outcome {
+                if outcome == Outcome::Ended && !engine.health.has_ended() {
+                    self.changes.push(Change::Gone(sent.engine.clone()));
+                }
                 engine.health.note(outcome, now);
             }
             if engine.record.stage.is_some() {
@@ -233,7 +238,10 @@
     /// Takes in one change of another instance's work.
     pub fn hear_change(&mut self, peer: PeerId, change: &Change, now: Moment) {
         self.heard.insert(peer, now);
-        let (Change::Started(id, _) | Change::Read(id, _, _) | Change::Ended(id, _)) = change;
+        let (Change::Started(id, _)
+        | Change::Read(id, _, _)
+        | Change::Ended(id, _)
+        | Change::Gone(id)) = change;
         let Some(setup) = self.engines.get(id).map(|e| self.speed(e).setup) else {
             return;
         };
@@ -242,6 +250,7 @@
         };
         let work = engine.others.entry(peer).or_default();
         match change {
+            Change::Gone(_) => engine.health.note(Outcome::Ended, now),
             Change::Started(_, job) => {
                 // Starts are told more than once.
                 let ticket = job.ticket;
--- a/crates/serving/src/health.rs
+++ b/crates/serving/src/health.rs
@@ -28,6 +28,13 @@
 const CLOSE_AT: f64 = 0.35;
 /// Weight of one outcome.
 const WEIGHT: f64 = 0.2;
+/// Rest after a refusal for want of room, about as long as a call takes.
+///
+/// An engine that refuses looks idle to whoever counts only the calls that it has taken. One
+/// notices it by calls that all try it first, each at the price of a repeat.
+const FULL_REST: Duration = Duration::from_millis(50);
+/// Time in which the share of failures halves without any call.
+const HALF_LIFE: Duration = Duration::from_secs(2);
 /// First rest after failures; doubles with each further one in a row.
 const REST: Duration = Duration::from_millis(1_000);
 /// Longest rest.
@@ -40,6 +47,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Health {
     failures: f64,
+    noted: Moment,
     rests: u32,
     until: Moment,
     probing: bool,
@@ -49,9 +57,11 @@
 impl Health {
     /// Takes in an outcome.
     pub fn note(&mut self, outcome: Outcome, now: Moment) {
+        self.failures = self.failures(now);
+        self.noted = now;
         match outcome {
             Outcome::Good => self.good(),
-            Outcome::Full => {}
+            Outcome::Full => self.until = self.until.max(now + FULL_REST),
             Outcome::Unreachable => self.rest(UNREACHABLE_REST, now),
             Outcome::Ended => self.ended = true,
             Outcome::Failed => self.failed(now),
@@ -68,9 +78,11 @@
         self.ended
     }
 
-    /// Share of recent calls that failed, from 0 to 1.
-    pub fn failures(&self) -> f64 {
-        self.failures
+    /// Share of recent calls that failed, from 0 to 1. It fades with time: an engine that gets no calls
+    /// because it failed would never be seen to have recovered.
+    pub fn failures(&self, now: Moment) -> f64 {
+        let halvings = now.saturating_sub(self.noted).as_secs_f64() / HALF_LIFE.as_secs_f64();
+        self.failures * 0.5_f64.powf(halvings)
     }
 
     fn good(&mut self) {
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -26,6 +26,9 @@
     pub zone: &'a Zone,
     /// Whether engines of its own data centre go first; see [`crate::cell`].
     pub own_cell: bool,
+    /// Whether its prompt may be read at one engine for another one. A call whose prompt was read and
+    /// then found no engine is not read once more: each further read counts as a repeat.
+    pub may_split: bool,
     /// Time that sending the prompt to one engine takes this instance's link.
     pub sending: Duration,
     /// Engines that it must not go to again.
@@ -139,7 +142,7 @@
 }
 
 fn plain(fleet: &Fleet, demand: &Demand, now: Moment) -> Choice {
-    let cost = |engine: &&Engine| plain_cost(engine, demand);
+    let cost = |engine: &&Engine| plain_cost(engine, demand, now);
     let best = open(fleet, demand, now)
         .min_by(|a, b| cost(a).total_cmp(&cost(b)))
         .or_else(|| any(fleet, demand).min_by(|a, b| cost(a).total_cmp(&cost(b))));
@@ -159,14 +162,14 @@
 }
 
 /// Calls before this one, in units of the engine's slots, and what speaks against the engine.
-fn plain_cost(engine: &Engine, demand: &Demand) -> f64 {
+fn plain_cost(engine: &Engine, demand: &Demand, now: Moment) -> f64 {
     let load = f64::from(engine.running() + 1) / f64::from(engine.record.slots.max(1));
     let far = if engine.record.zone == *demand.zone {
         0.0
     } else {
         0.1
     };
-    load + far + 4.0 * engine.health.failures()
+    load + far + 4.0 * engine.health.failures(now)
 }
 
 struct Cost {
@@ -236,7 +239,7 @@
     let prefill = best(
         engines
             .iter()
-            .filter(|e| is_prefill(e))
+            .filter(|e| demand.may_split && is_prefill(e))
             .map(|e| read_cost(fleet, e, demand, size, now)),
     );
     let split = prefill.and_then(|prefill| {
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -37,7 +37,8 @@
 }
 
 impl Said {
-    fn is_fresh(&self, now: Moment) -> bool {
+    /// Whether it lives and has read the topic just now.
+    pub fn is_fresh(&self, now: Moment) -> bool {
         let is_recent = |at: Moment, age| now.saturating_sub(at) <= age;
         is_recent(self.heard, HEARD) && self.read.is_some_and(|read| is_recent(read, FRESH))
     }
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -82,6 +82,7 @@
         target: ms(600),
         zone,
         own_cell: false,
+        may_split: true,
         sending: Duration::ZERO,
         avoid: &[],
         left: ms(4_000),
--- a/crates/serving/tests/place.rs
+++ b/crates/serving/tests/place.rs
@@ -200,3 +200,40 @@
     let choice = choose(&fleet, &demand(&service, &zone, None), NOW);
     assert_matches!(choice, Choice::Direct(t) if &*t.engine == "b");
 }
+
+/// Symptom: an engine that recovered minutes ago still gets no calls, and the others carry its part.
+/// Sequence: it fails some calls, and all later calls go to others. Cause: its share of failures changed
+/// only with calls, and it got none.
+#[test]
+fn an_engine_that_failed_long_ago_is_as_good_as_others() {
+    let mut fleet = Fleet::default();
+    for name in ["a", "b"] {
+        fleet.put(record(name, None));
+    }
+    for _ in 0..3 {
+        let sent = fleet.begin(&id("a"), 0, 0, NOW);
+        fleet.end(&sent, Some(Outcome::Failed), NOW);
+    }
+    fleet.begin(&id("b"), 0, 0, NOW);
+    let (service, zone) = (service(), zone());
+    let demand = demand(&service, &zone, None);
+    let soon = choose(&fleet, &demand, NOW + ms(100));
+    assert_matches!(soon, Choice::Direct(t) if &*t.engine == "b");
+    let later = choose(&fleet, &demand, NOW + ms(20_000));
+    assert_matches!(later, Choice::Direct(t) if &*t.engine == "a");
+}
+
+#[test]
+fn an_engine_that_is_full_is_passed_over_for_a_moment() {
+    let mut fleet = Fleet::default();
+    for name in ["a", "b"] {
+        fleet.put(record(name, None));
+    }
+    fleet.begin(&id("b"), 0, 0, NOW);
+    let sent = fleet.begin(&id("a"), 0, 0, NOW);
+    fleet.end(&sent, Some(Outcome::Full), NOW);
+    let (service, zone) = (service(), zone());
+    let demand = demand(&service, &zone, None);
+    assert_matches!(choose(&fleet, &demand, NOW + ms(10)), Choice::Direct(t) if &*t.engine == "b");
+    assert_matches!(choose(&fleet, &demand, NOW + ms(60)), Choice::Direct(t) if &*t.engine == "a");
+}
