Give each test process its own ports, and mend what the linter found

Cause: the test of an engine whose record is gone failed once in six runs of the file, in the wait for readiness. A port was taken from the kernel and given back before the gateway bound it, so another test or connection could get it. Change: ports from below the range of connections, each given out once.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -37,18 +37,18 @@
     }
 
     /// Takes bytes and gives the whole events that they complete.
-    pub(crate) fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
+    pub(crate) fn push(&mut self, bytes: &Bytes) -> Option<Bytes> {
         if self.partial.is_empty() {
             return self.split(bytes);
         }
-        self.partial.extend_from_slice(&bytes);
+        self.partial.extend_from_slice(bytes);
         let joined = self.partial.split().freeze();
-        self.split(joined)
+        self.split(&joined)
     }
 
-    fn split(&mut self, bytes: Bytes) -> Option<Bytes> {
-        let Some(at) = memmem::rfind(&bytes, END) else {
-            self.partial.extend_from_slice(&bytes);
+    fn split(&mut self, bytes: &Bytes) -> Option<Bytes> {
+        let Some(at) = memmem::rfind(bytes, END) else {
+            self.partial.extend_from_slice(bytes);
             return None;
         };
         let end = at + END.len();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -92,7 +92,7 @@
             if std::mem::take(&mut first) {
                 held.first("generate");
             }
-            let Some(events) = self.splitter.push(piece) else {
+            let Some(events) = self.splitter.push(&piece) else {
                 continue;
             };
             if let Err(error) = self.write(answered, events).await {
--- a/crates/gateway/tests/beliefs.rs
+++ b/crates/gateway/tests/beliefs.rs
@@ -138,7 +138,7 @@
 /// it streams. Cause: it ended at once, or closed its connections first.
 #[actix_rt::test]
 async fn an_instance_that_is_asked_to_end_finishes_what_it_has() {
-    let (mut world, _app, pool) = World::start().await;
+    let (world, _app, pool) = World::start().await;
     pool.streams(40, Duration::from_millis(50));
     let mut caller = world.caller().await;
     let streaming = ask(&mut caller, "/stream/a", "long", &GENERATION);
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -1,10 +1,11 @@
 //! One gateway process between stand-ins of the platform.
 #![allow(dead_code)]
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::Write as _;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use actix_http::RequestHead;
@@ -33,7 +34,7 @@
     pub(crate) front: SocketAddr,
     pub(crate) ready: SocketAddr,
     pub(crate) settings: NamedTempFile,
-    child: Child,
+    child: RefCell<Child>,
     ids: Cell<usize>,
 }
 
@@ -53,20 +54,23 @@
     }
 }
 
-fn free_port() -> u16 {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
-    listener
-        .local_addr()
-        .expect("a bound socket has an address")
-        .port()
-}
+/// First port that tests use; the kernel gives connections none below 32,768.
+const FIRST_PORT: u16 = 21_000;
 
-fn free_udp_port() -> u16 {
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("loopback has a free port");
-    socket
-        .local_addr()
-        .expect("a bound socket has an address")
-        .port()
+/// A port that nothing listens on and that no other test of this process gets.
+///
+/// A port that the kernel chooses and gives back may be given to another test or connection before the
+/// gateway binds it; the gateway then ends, and the test waits for its readiness in vain.
+fn free_port() -> u16 {
+    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    loop {
+        let port = NEXT.fetch_add(1, Ordering::Relaxed);
+        let tcp = TcpListener::bind(("127.0.0.1", port));
+        let udp = UdpSocket::bind(("127.0.0.1", port));
+        if tcp.is_ok() && udp.is_ok() {
+            return port;
+        }
+    }
 }
 
 fn settings(store: SocketAddr, front: SocketAddr, ready: SocketAddr, port: u16) -> String {
@@ -125,7 +129,7 @@
         let store = Store::start().await;
         let front = SocketAddr::from(([127, 0, 0, 1], free_port()));
         let ready = SocketAddr::from(([127, 0, 0, 1], free_port()));
-        let text = settings(store.address, front, ready, free_udp_port());
+        let text = settings(store.address, front, ready, free_port());
         let mut file = NamedTempFile::new().expect("a scratch file can be made");
         file.write_all(text.as_bytes())
             .expect("a scratch file can be written");
@@ -142,7 +146,7 @@
             front,
             ready,
             settings: file,
-            child,
+            child: RefCell::new(child),
             ids: Cell::new(0),
         }
     }
@@ -171,7 +175,15 @@
     }
 
     pub(crate) async fn until_ready(&self, ready: bool) {
-        until(async || self.is_ready().await == ready).await;
+        until(async || {
+            let ended = self.child.borrow_mut().try_wait();
+            assert!(
+                matches!(ended, Ok(None)),
+                "the gateway has ended: {ended:?}"
+            );
+            self.is_ready().await == ready
+        })
+        .await;
     }
 
     async fn is_ready(&self) -> bool {
@@ -221,19 +233,16 @@
     }
 
     pub(crate) fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
+        let pid = self.child.borrow().id().to_string();
         let status = Command::new("kill").args([name, &pid]).status();
         assert!(status.expect("signals can be sent").success());
     }
 
     /// Waits for the process to end. Says whether it ended well.
-    pub(crate) async fn until_ended(&mut self) -> bool {
+    pub(crate) async fn until_ended(&self) -> bool {
         for _ in 0..LOOKS {
-            if let Some(status) = self
-                .child
-                .try_wait()
-                .expect("the process can be waited for")
-            {
+            let ended = self.child.borrow_mut().try_wait();
+            if let Some(status) = ended.expect("the process can be waited for") {
                 return status.success();
             }
             tokio::time::sleep(PAUSE).await;
@@ -245,8 +254,9 @@
 impl Drop for World {
     fn drop(&mut self) {
         // It may have ended by itself.
-        drop(self.child.kill());
-        drop(self.child.wait());
+        let mut child = self.child.borrow_mut();
+        drop(child.kill());
+        drop(child.wait());
     }
 }
 
--- a/crates/http1/tests/exchanges.rs
+++ b/crates/http1/tests/exchanges.rs
@@ -28,15 +28,17 @@
 
 /// A peer that reads one request's head and writes `answer`, then closes if told to.
 async fn peer(answer: &'static [u8], closes: bool) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("loopback works");
+    let address = listener.local_addr().expect("loopback works");
     actix_rt::spawn(async move {
-        let (mut stream, _) = listener.accept().await.unwrap();
+        let (mut stream, _) = listener.accept().await.expect("loopback works");
         let mut buffer = [0; 4_096];
-        let _ = stream.read(&mut buffer).await.unwrap();
-        stream.write_all(answer).await.unwrap();
+        let _ = stream.read(&mut buffer).await.expect("loopback works");
+        stream.write_all(answer).await.expect("loopback works");
         if closes {
-            stream.shutdown().await.unwrap();
+            stream.shutdown().await.expect("loopback works");
         }
         std::future::pending::<()>().await;
     });
@@ -46,7 +48,7 @@
 async fn ask(address: SocketAddr) -> (Client, Result<http1::Answer, Failure>) {
     let mut client = Client::open(address, &PATIENCE, &http1::config())
         .await
-        .unwrap();
+        .expect("loopback works");
     let answer = client.send(RequestHead::default(), &Bytes::new()).await;
     (client, answer)
 }
@@ -150,19 +152,21 @@
 
 /// A connection with a server's end, on loopback.
 async fn pair() -> (TcpStream, Server) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let caller = TcpStream::connect(listener.local_addr().unwrap())
+    let listener = TcpListener::bind("127.0.0.1:0")
         .await
-        .unwrap();
-    let (stream, _) = listener.accept().await.unwrap();
-    let server = Server::new(stream, &PATIENCE, &http1::config()).unwrap();
+        .expect("loopback works");
+    let caller = TcpStream::connect(listener.local_addr().expect("loopback works"))
+        .await
+        .expect("loopback works");
+    let (stream, _) = listener.accept().await.expect("loopback works");
+    let server = Server::new(stream, &PATIENCE, &http1::config()).expect("loopback works");
     (caller, server)
 }
 
 async fn request(bytes: &[u8]) -> Result<http1::Arrival, Bad> {
     let (mut caller, mut server) = pair().await;
-    caller.write_all(bytes).await.unwrap();
-    caller.shutdown().await.unwrap();
+    caller.write_all(bytes).await.expect("loopback works");
+    caller.shutdown().await.expect("loopback works");
     server.request(&LIMITS).await
 }
 
