--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -4,7 +4,7 @@
 use memchr::memmem;
 
 /// Id of an event.
-pub(crate) type EventId = u64;
+pub type EventId = u64;
 
 /// Splits a stream of server-sent events.
 ///
@@ -12,7 +12,7 @@
 /// not be taken back when another engine goes on, and the caller would see half an event joined to
 /// the next; so only whole events leave here.
 #[derive(Debug, Default)]
-pub(crate) struct Splitter {
+pub struct Splitter {
     partial: BytesMut,
     last: Option<EventId>,
 }
@@ -24,7 +24,7 @@
 
 impl Splitter {
     /// A splitter of a stream that begins after this event.
-    pub(crate) fn after(last: Option<EventId>) -> Self {
+    pub fn after(last: Option<EventId>) -> Self {
         Self {
             partial: BytesMut::new(),
             last,
@@ -32,12 +32,12 @@
     }
 
     /// Id of the last whole event.
-    pub(crate) fn last(&self) -> Option<EventId> {
+    pub fn last(&self) -> Option<EventId> {
         self.last
     }
 
     /// Takes bytes and gives the whole events that they complete.
-    pub(crate) fn push(&mut self, bytes: &Bytes) -> Option<Bytes> {
+    pub fn push(&mut self, bytes: &Bytes) -> Option<Bytes> {
         if self.partial.is_empty() {
             return self.split(bytes);
         }
@@ -59,7 +59,7 @@
     }
 
     /// Bytes behind the last whole event.
-    pub(crate) fn rest(&mut self) -> Bytes {
+    pub fn rest(&mut self) -> Bytes {
         self.partial.split().freeze()
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,12 +6,12 @@
 mod attempt;
 pub mod command;
 mod daemon;
-mod events;
+pub mod events;
 mod follow;
 mod front;
 mod generate;
 mod instance;
-mod journal;
+pub mod journal;
 mod mesh;
 mod peers;
 mod phase;
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -260,8 +260,11 @@
     }
 }
 
+/// A header of a call.
+type Header<'a> = (&'static str, &'a str);
+
 /// Headers of a generation.
-pub(crate) const GENERATION: [(&'static str, &str); 3] = [
+pub(crate) const GENERATION: [Header; 3] = [
     ("model-name", "m"),
     ("token-count", "100,20"),
     ("prompt-prefix", "aa:80,bb:20"),
