--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -146,6 +146,13 @@
         let now = instance.now();
         let mut fleet = instance.fleet.borrow_mut();
         let sent = fleet.begin(&target.engine, target.work, target.rank, now);
+        log::info!(
+            id = asked.call.id.as_str(), engine = &*target.engine,
+            waited_ms:% = asked.waited().as_millis(), left_ms:% = asked.left().as_millis(),
+            expected_ms:% = target.expected.as_millis(), unread = target.unread, rank = target.rank,
+            configuration = instance.table.borrow().as_ref().map_or(0, |table| table.version);
+            "sent"
+        );
         if target.work > 0 {
             instance.stirred.notify_one();
         }
--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -6,7 +6,7 @@
 use adapter::settings::{self, Settings};
 use clap::{Parser, Subcommand};
 
-use crate::{daemon, journal};
+use crate::{daemon, explain, journal};
 
 /// Exit code when the settings have findings.
 const BAD_SETTINGS: u8 = 2;
@@ -27,6 +27,14 @@
         #[arg(long)]
         settings: Option<PathBuf>,
     },
+    /// Tells a request's way from the logs of instances, in order of time.
+    Explain {
+        /// Id of the request.
+        id: String,
+        /// Log files, one an instance.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// Checks settings and prints every finding with its place.
     Check {
         /// Settings file.
@@ -39,6 +47,7 @@
     pub fn run(self) -> ExitCode {
         match self.action {
             Action::Serve { settings } => serve(settings),
+            Action::Explain { id, logs } => explain(&id, &logs),
             Action::Check { settings } => match load(Some(settings)) {
                 Ok(_) => ExitCode::SUCCESS,
                 Err(code) => code,
@@ -47,6 +56,19 @@
     }
 }
 
+fn explain(id: &str, logs: &[PathBuf]) -> ExitCode {
+    match explain::read(id, logs) {
+        Ok(story) => {
+            print!("{}", story.text());
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("the logs cannot be read: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn load(path: Option<PathBuf>) -> Result<(PathBuf, Settings), ExitCode> {
     let Some(path) = path.or_else(settings::path) else {
         eprintln!("no settings file is named");
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -86,6 +86,7 @@
 pub(crate) fn init() {
     let environment = env_logger::Env::default().default_filter_or("info,actix_http=off");
     let mut builder = env_logger::Builder::from_env(environment);
+    builder.format_timestamp_millis();
     match Lines::new(io::stdout(), WAITING) {
         Ok(lines) => builder.target(env_logger::Target::Pipe(Box::new(lines))),
         Err(error) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod command;
 mod daemon;
 pub mod events;
+pub mod explain;
 mod follow;
 mod front;
 mod generate;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -87,7 +87,7 @@
     let ms = asked.waited().as_millis();
     match end {
         End::Answer(answered, _) => {
-            log::debug!(id = id, route = route, ms:% = ms, status = answered.reply.status; "answered");
+            log::info!(id = id, route = route, ms:% = ms, status = answered.reply.status; "answered");
         }
         End::NotRun { after, why } => {
             log::info!(id = id, route = route, ms:% = ms, after_ms:% = after.as_millis(), why = *why; "refused");
