Gather bodies in one place, and name the header that is missing

Cause: the front and the upstream client gathered a body's pieces by the same loop; a call with a key and without the number of its attempt was told that the key is missing; the load read its token from another variable than the daemon and tarragonctl. Change: gathered.rs serves both; attempt-required with its title; TARRAGON_ADMIN_TOKEN everywhere.

--- a/crates/entry/src/front/body.rs
+++ b/crates/entry/src/front/body.rs
@@ -4,10 +4,11 @@
 
 use actix_http::{Payload, header::HeaderMap};
 use actix_rt::time::timeout;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::StreamExt as _;
 
 use crate::front::problem::{Kind, Problem};
+use crate::gathered::{Gathered, TooLarge};
 
 /// Bounds of a body.
 #[derive(Clone, Copy, Debug)]
@@ -32,26 +33,11 @@
     if stated_length(headers).is_some_and(|length| length > bounds.size as u64) {
         return Err(too_large(bounds));
     }
-    let mut first = Bytes::new();
-    let mut whole = BytesMut::new();
+    let mut body = Gathered::new(bounds.size);
     while let Some(chunk) = next(payload, bounds).await? {
-        if first.len() + whole.len() + chunk.len() > bounds.size {
-            return Err(too_large(bounds));
-        }
-        if first.is_empty() && whole.is_empty() {
-            first = chunk;
-            continue;
-        }
-        if whole.is_empty() {
-            whole.extend_from_slice(&std::mem::take(&mut first));
-        }
-        whole.extend_from_slice(&chunk);
+        body.push(chunk).map_err(|TooLarge| too_large(bounds))?;
     }
-    Ok(if whole.is_empty() {
-        first
-    } else {
-        whole.freeze()
-    })
+    Ok(body.finish())
 }
 
 async fn next(payload: &mut Payload, bounds: Bounds) -> Result<Option<Bytes>, Problem> {
--- a/crates/entry/src/front/problem.rs
+++ b/crates/entry/src/front/problem.rs
@@ -36,6 +36,8 @@
     MethodNotAllowed,
     /// The entry needs an `Idempotency-Key`.
     KeyRequired,
+    /// An idempotency key came without the number of the attempt.
+    AttemptRequired,
     /// The `Idempotency-Key` belongs to another request.
     KeyReused,
     /// A call with this `Idempotency-Key` was sent before and its answer is not held here.
@@ -92,6 +94,11 @@
                 "key-required",
                 "An Idempotency-Key is required",
             ),
+            Self::AttemptRequired => (
+                S::BAD_REQUEST,
+                "attempt-required",
+                "An Idempotency-Attempt is required",
+            ),
             Self::KeyReused => (
                 S::UNPROCESSABLE_ENTITY,
                 "key-reused",
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod density;
 pub mod dispatch;
 pub mod front;
+pub mod gathered;
 pub mod hold;
 pub mod hooks;
 pub mod keys;
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -209,7 +209,7 @@
         },
         Decision::Conflict => Err(key_reused()),
         Decision::AttemptRequired => Err(Problem::unknown(
-            Kind::KeyRequired,
+            Kind::AttemptRequired,
             "calls of this entry need an Idempotency-Attempt",
         )),
         Decision::Refused { ran } => {
--- a/crates/entry/src/upstream/client.rs
+++ b/crates/entry/src/upstream/client.rs
@@ -10,11 +10,12 @@
 use actix_http::{BoxedPayloadStream, Method, Payload, StatusCode};
 use actix_rt::time::timeout;
 use awc::{Client as Http, ClientResponse};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::{FutureExt as _, Stream, StreamExt as _};
 use settings::sections::Upstream as Options;
 
 use crate::front::headers;
+use crate::gathered::{Gathered, TooLarge};
 use crate::upstream::failure::Failure;
 
 /// What to send where.
@@ -184,25 +185,11 @@
     ///
     /// The connection broke, or the body is larger than `limit` bytes.
     pub async fn whole(&mut self, limit: usize) -> Result<Bytes, Failure> {
-        let mut first = Bytes::new();
-        let mut whole = BytesMut::new();
+        let mut body = Gathered::new(limit);
         while let Some(chunk) = self.chunk().await? {
-            if first.len() + whole.len() + chunk.len() > limit {
-                return Err(Failure::TooLarge);
-            }
-            if first.is_empty() && whole.is_empty() {
-                first = chunk;
-                continue;
-            }
-            if whole.is_empty() {
-                whole.extend_from_slice(&std::mem::take(&mut first));
-            }
-            whole.extend_from_slice(&chunk);
+            body.push(chunk).map_err(|TooLarge| Failure::TooLarge)?;
         }
-        Ok(match whole.is_empty() {
-            true => first,
-            false => whole.freeze(),
-        })
+        Ok(body.finish())
     }
 }
 
--- a/crates/entry/tests/keyed.rs
+++ b/crates/entry/tests/keyed.rs
@@ -134,6 +134,11 @@
         .await
         .unwrap();
     assert_eq!(card.status, 200, "{card:?}");
+    // The title once named the header that was there instead of the one that was missing.
+    let unnumbered = caller.keyed("/kiosk/card", "f", None, "f").await.unwrap();
+    assert_eq!(unnumbered.status, 400);
+    let told = String::from_utf8_lossy(&unnumbered.body);
+    assert!(told.contains("attempt-required"), "{told}");
     let later = caller
         .keyed("/kiosk/card", "d", Some(2), "d")
         .await
--- a/crates/load/src/args.rs
+++ b/crates/load/src/args.rs
@@ -119,7 +119,7 @@
     /// Token of the administration API.
     #[arg(
         long,
-        env = "TARRAGON_TOKEN",
+        env = "TARRAGON_ADMIN_TOKEN",
         hide_env_values = true,
         default_value = ""
     )]
