--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -255,7 +255,7 @@
     let client = match instance.pool.take(instance, engine).await {
         Ok(client) => client,
         Err(failure) => {
-            log::debug!(engine = &*engine.id, failure:% = failure; "no connection");
+            log::info!(id = asked.call.id.as_str(), engine = &*engine.id, failure:% = failure; "no connection");
             return Tried::NotRun(NotRun::Unreachable);
         }
     };
