Say what an engine's own success is in one place, and drop what nothing uses

Cause: reading the change again. Plain calls and generations checked an engine's own success and the statuses that promise 'not run' by the same conditions, and each had its count of rejections; Fleet::count was used by nothing; a function of front.rs only called another; the topic of the instances, a name of the platform, stood outside platform/; the page of cells said 'late' where calls would be refused. Change: Reply::is_own_success and promises_not_run, records::INSTANCES, one REJECTIONS. Behaviour stays.

--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -126,7 +126,7 @@
         // What is begun now may not be finished in the time that is left.
         let refusal = Refusal {
             status: StatusCode::SERVICE_UNAVAILABLE,
-            id: arrival_id(&arrival),
+            id: adapter::ingress::id(&arrival.head),
             after: Some(CLOSING_AFTER),
             detail: "The instance is about to end.",
             ran: false,
@@ -142,10 +142,6 @@
     }
 }
 
-fn arrival_id(arrival: &http1::Arrival) -> Option<&str> {
-    adapter::ingress::id(&arrival.head)
-}
-
 /// When a caller may come back after an instance that ends refused it: at once, elsewhere.
 const CLOSING_AFTER: Duration = Duration::from_millis(10);
 
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -15,7 +15,7 @@
 
 use crate::attempt::{self, Answered, Asked, Avoid, Held, MOST, NotRun, Tried};
 use crate::instance::Instance;
-use crate::plain::{End, Finished, refuse_end, take_repeat};
+use crate::plain::{End, Finished, REJECTIONS, refuse_end, take_repeat};
 use crate::relay::{self, Relay, Times};
 
 /// How a call ended, as far as the connection to its caller goes on.
@@ -25,8 +25,6 @@
     Unserved(End),
 }
 
-/// Sends to engines that did not run the call, of one call.
-const REJECTIONS: u32 = 2;
 /// When a caller may come back after engines refused.
 const FULL_AFTER: Duration = Duration::from_millis(300);
 /// Time in which memory that nobody takes is freed.
@@ -320,7 +318,7 @@
             self.avoid.push(engine.clone());
             return self.failure(*answered, engine).await;
         }
-        if !(reply.signed && reply.named && !reply.encoded) {
+        if !reply.is_own_success() {
             held.note(Outcome::Failed);
             self.avoid.push(engine.clone());
             return self.lost("The engine's answer is not its own.");
@@ -362,7 +360,7 @@
         if self.relay.has_begun() {
             return Next::Done(Done::Broken);
         }
-        let end = if matches!(reply.status, 408 | 421 | 429 | 503) {
+        let end = if reply.promises_not_run() {
             End::Unknown("The engine failed.")
         } else {
             let head = answered.head;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use adapter::records::INSTANCES;
 use adapter::store::{Keyed, Offset, Store, Trouble};
 use bytes::Bytes;
 use clock::Moment;
@@ -24,8 +25,6 @@
 use crate::peers::{self, PARTS, Topic};
 use crate::{follow, recall};
 
-/// Topic in which instances register.
-const INSTANCES: &str = "keyed.instances";
 /// Pause between two frames while nothing is placed.
 const PACE: Duration = Duration::from_millis(100);
 /// Time for which placed calls are gathered into one frame.
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -39,7 +39,7 @@
 /// the time of some calls.
 const FULL_AFTER: Duration = Duration::from_millis(100);
 /// Sends to engines that did not run the call, of one call.
-const REJECTIONS: u32 = 2;
+pub(crate) const REJECTIONS: u32 = 2;
 /// Share of the target after which a call that may be repeated is taken to be stuck, where another
 /// attempt is left.
 const STUCK: f64 = 0.8;
@@ -167,8 +167,7 @@
 /// engine does not say so itself, it may have run, and a caller that trusts the status would have
 /// it run twice.
 fn judge(asked: &Asked, answered: Box<Finished>, body: Bytes) -> End {
-    let promises = matches!(answered.reply.status, 408 | 421 | 429 | 503);
-    if promises && asked.route.kind != Kind::Safe {
+    if answered.reply.promises_not_run() && asked.route.kind != Kind::Safe {
         return End::Unknown("The engine failed.");
     }
     End::Answer(answered, body)
@@ -227,7 +226,7 @@
     answered: Box<Answered>,
 ) -> One {
     let reply = &answered.reply;
-    if reply.is_success() && !(reply.signed && reply.named && !reply.encoded) {
+    if reply.is_success() && !reply.is_own_success() {
         log::info!(id = asked.call.id.as_str(), engine = &**engine; "a success that the engine did not sign");
         return One::Lost;
     }
--- a/crates/serving/src/cell.rs
+++ b/crates/serving/src/cell.rs
@@ -3,9 +3,10 @@
 //! Instances tell each other of every call that they place, so that none sends to an engine that
 //! another has just given a long prompt. Among all instances of a large fleet this costs each of
 //! them more with every other one, until it takes the link and the processor from the calls
-//! themselves. One notices it by answers that are late at small instances only. So in a large fleet the instances and engines of one data centre work together, and an engine elsewhere is used only
-//! where none of these is on time. Then what an instance sends and takes in does not grow
-//! with the fleet.
+//! themselves. One notices it by answers that are late at small instances only. So in a large fleet
+//! the instances and engines of one data centre work together, and an engine elsewhere is used only
+//! for calls that would be refused. Then what an instance sends and takes in does not grow with the
+//! fleet.
 
 use std::collections::BTreeMap;
 
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -307,13 +307,6 @@
         }
     }
 
-    /// How many engines of a service are ready, by stage.
-    pub fn count(&self, service: &ServiceName, stage: Stage) -> usize {
-        self.ready(service)
-            .filter(|engine| engine.record.stage == Some(stage))
-            .count()
-    }
-
     fn sweep(&mut self) {
         let parts = &mut self.parts;
         let by_short = &mut self.by_short;
