Open connections whose probes are less than a second apart

Cause: the kernel takes keep-alive times in whole seconds, cut off, and refuses zero. Found by the first process test that gives orders. Ruled out: the engine's side, which never saw a connection. Change: times are rounded up to whole seconds where the socket is set. Shown by: a_connection_with_quick_probes_opens fails before and passes after.

--- a/crates/http1/src/socket.rs
+++ b/crates/http1/src/socket.rs
@@ -42,14 +42,22 @@
 pub(crate) fn tune(stream: &TcpStream, patience: &Patience) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
+    let probe = whole_seconds(patience.probe);
     let probes = TcpKeepalive::new()
-        .with_time(patience.probe)
-        .with_interval(patience.probe)
+        .with_time(probe)
+        .with_interval(probe)
         .with_retries(patience.probes);
     socket.set_tcp_keepalive(&probes)?;
     socket.set_tcp_user_timeout(Some(patience.acknowledge))
 }
 
+/// The kernel takes times between probes in whole seconds, cut off, and refuses zero: a connection with a
+/// shorter time would not open at all.
+fn whole_seconds(time: Duration) -> Duration {
+    let seconds = time.as_secs() + u64::from(time.subsec_nanos() > 0);
+    Duration::from_secs(seconds.max(1))
+}
+
 /// What one try of a read or write did.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Step {
--- a/crates/http1/tests/exchanges.rs
+++ b/crates/http1/tests/exchanges.rs
@@ -119,6 +119,23 @@
     assert_matches!(answer, Err(Failure::Broken(_)));
 }
 
+/// Symptom: some calls to engines never get a connection, although the engine listens. Sequence: the patience
+/// of a connection has probes less than a second apart. Cause: the kernel takes whole seconds, and the
+/// time was cut to zero, which it refuses.
+#[actix_rt::test]
+async fn a_connection_with_quick_probes_opens() {
+    let address = peer(b"", false).await;
+    let quick = Patience {
+        probe: Duration::from_millis(400),
+        ..PATIENCE
+    };
+    assert!(
+        Client::open(address, &quick, &http1::config())
+            .await
+            .is_ok()
+    );
+}
+
 #[actix_rt::test]
 async fn a_connection_that_never_opened_sent_nothing() {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
