Order engines to read or to generate, by one instance at a time

Change: serving::roles plans (at least 45 in 100 generate, more once 0.7 of their slots fill at the peak; a tenth of slack; all at once without load, else a twelfth); serving::turn says whose turn it is, by a conditional append whose offset is the fencing token, with no lease to renew; gateway::roles orders; frames tell which engines change, and these get no calls. Orders are held to a clock that runs on while the machine is suspended. Engines that were not reached no longer count like engines that refused: a call gave up after three of them.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -14,6 +14,10 @@
     /// Monotonic time since the start of the process.
     fn now(&self) -> Moment;
 
+    /// As [`Clock::now`], but it also runs while the machine is suspended. What must not be done late
+    /// after a pause, like an order whose lease has lapsed meanwhile, is measured by it.
+    fn boot(&self) -> Moment;
+
     /// Wall-clock time, for people and for bucket names only; no decision of authority uses it.
     fn wall(&self) -> SystemTime;
 }
@@ -22,6 +26,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct System {
     start: Instant,
+    boot: Duration,
 }
 
 impl System {
@@ -29,6 +34,7 @@
     pub fn new() -> Self {
         Self {
             start: Instant::now(),
+            boot: since_boot(),
         }
     }
 }
@@ -44,15 +50,27 @@
         self.start.elapsed()
     }
 
+    fn boot(&self) -> Moment {
+        since_boot().saturating_sub(self.boot)
+    }
+
     fn wall(&self) -> SystemTime {
         SystemTime::now()
     }
 }
 
+/// Time since the machine started, with the time that it was suspended.
+fn since_boot() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    // The time since a start is never negative.
+    Duration::try_from(time).unwrap_or_default()
+}
+
 /// A clock that moves only when told to. Clones share the same time.
 #[derive(Clone, Debug, Default)]
 pub struct Manual {
     now: Rc<Cell<Moment>>,
+    suspended: Rc<Cell<Duration>>,
 }
 
 impl Manual {
@@ -61,6 +79,11 @@
         Self::default()
     }
 
+    /// Suspends the machine for some time.
+    pub fn suspend(&self, time: Duration) {
+        self.suspended.set(self.suspended.get() + time);
+    }
+
     /// Moves the time forward.
     pub fn advance(&self, by: Duration) {
         self.now.set(self.now.get() + by);
@@ -72,6 +95,10 @@
         self.now.get()
     }
 
+    fn boot(&self) -> Moment {
+        self.now.get() + self.suspended.get()
+    }
+
     fn wall(&self) -> SystemTime {
         SystemTime::UNIX_EPOCH + self.now.get()
     }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -232,6 +232,31 @@
     }
 }
 
+/// Engines that may refuse one call before its caller is refused; each costs a repeat.
+const REFUSALS: u32 = 2;
+/// Engines that one call may not reach before its caller is refused. When a part of the fleet ends at once,
+/// every call meets several of them within milliseconds, while the rest is well.
+const UNREACHED: u32 = 8;
+
+/// Sends of one call that came to nothing.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Rejections {
+    refused: u32,
+    unreached: u32,
+}
+
+impl Rejections {
+    /// Counts one more, which arrived at an engine or not. Says whether another engine may be tried.
+    pub(crate) fn may_go_on(&mut self, arrived: bool) -> bool {
+        if arrived {
+            self.refused += 1;
+        } else {
+            self.unreached += 1;
+        }
+        self.refused <= REFUSALS && self.unreached <= UNREACHED
+    }
+}
+
 /// An engine's answer whose body is still to come.
 pub(crate) struct Answered {
     pub head: ResponseHead,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -8,7 +8,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::instance::Instance;
-use crate::{follow, front, mesh, ready};
+use crate::{follow, front, mesh, ready, roles};
 
 /// Why the process cannot serve.
 #[derive(Clone, Copy, Debug)]
@@ -50,6 +50,7 @@
     actix_rt::spawn(ready::accept(instance.clone(), ready));
     follow::start(&instance);
     actix_rt::spawn(follow::sweep(instance.clone()));
+    actix_rt::spawn(roles::run(instance.clone()));
     mesh::start(&instance)
         .await
         .change_context(Failure::Listen)?;
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -13,9 +13,9 @@
 use serving::{Choice, EngineId, Zone};
 use tokio::time::{timeout, timeout_at};
 
-use crate::attempt::{self, Answered, Asked, Avoid, Held, MOST, NotRun, Tried};
+use crate::attempt::{self, Answered, Asked, Avoid, Held, MOST, NotRun, Rejections, Tried};
 use crate::instance::Instance;
-use crate::plain::{End, Finished, REJECTIONS, refuse_end, take_repeat};
+use crate::plain::{End, Finished, refuse_end, take_repeat};
 use crate::relay::{self, Relay, Times};
 
 /// How a call ended, as far as the connection to its caller goes on.
@@ -91,7 +91,7 @@
     sent: &'a Cell<bool>,
     avoid: Avoid,
     runs: u32,
-    rejections: u32,
+    rejections: Rejections,
     weights: Option<u64>,
     /// Whether the prompt may still be read at one engine for another.
     may_split: bool,
@@ -124,7 +124,7 @@
             sent,
             avoid: Avoid::new(),
             runs: 0,
-            rejections: 0,
+            rejections: Rejections::default(),
             weights: None,
             may_split: true,
         }
@@ -370,9 +370,9 @@
     }
 
     fn rejected(&mut self, arrived: bool) -> Next {
-        self.rejections += 1;
-        let few = self.rejections <= REJECTIONS;
-        if few && (!arrived || take_repeat(self.instance, self.asked)) {
+        if self.rejections.may_go_on(arrived)
+            && (!arrived || take_repeat(self.instance, self.asked))
+        {
             return Next::Again;
         }
         Next::Done(self.refused(FULL_AFTER, Refusal::TooMuchWork))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -22,3 +22,4 @@
 mod recall;
 mod relay;
 mod reply;
+mod roles;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -11,7 +11,7 @@
 use adapter::store::{Keyed, Offset, Store, Trouble};
 use bytes::Bytes;
 use clock::Moment;
-use serving::engine::{Job, Rank, Ticket, Work};
+use serving::engine::{Changing, Job, Rank, Stage, Ticket, Work};
 use serving::fleet::Change;
 use serving::hash;
 use serving::parts::Part;
@@ -106,6 +106,7 @@
             instance.note_parts(&engine, &[part]);
         }
     }
+    take_changing(instance, &frame, now);
     for news in frame.news {
         take_news(instance, news);
     }
@@ -150,6 +151,26 @@
     }
 }
 
+fn take_changing(instance: &Instance, frame: &Frame, now: Moment) {
+    let mut fleet = instance.fleet.borrow_mut();
+    for told in &frame.changing {
+        let Some(engine) = fleet.by_short(told.engine) else {
+            continue;
+        };
+        let stage = if told.reads {
+            Stage::Prefill
+        } else {
+            Stage::Decode
+        };
+        let changing = Changing {
+            stage,
+            since: now,
+            own: false,
+        };
+        fleet.change(&engine, changing);
+    }
+}
+
 fn take_news(instance: &Instance, news: News) {
     let topic = if news.configuration {
         Topic::Configuration
@@ -262,12 +283,14 @@
     }
     frame.read = peers.take_read(reads, now);
     frame.parts = peers.take_parts();
+    frame.changing = fleet.changing().map(told_changing).collect();
     let is_empty = frame.state.is_none()
         && frame.started.is_empty()
         && frame.read.is_empty()
         && frame.ended.is_empty()
         && frame.gone.is_empty()
-        && frame.parts.is_empty();
+        && frame.parts.is_empty()
+        && frame.changing.is_empty();
     (!is_empty).then_some(frame)
 }
 
@@ -298,6 +321,13 @@
     }
 }
 
+fn told_changing((engine, stage): (&EngineId, Stage)) -> wire::gateway::Changing {
+    wire::gateway::Changing {
+        engine: hash::short(engine),
+        reads: stage == Stage::Prefill,
+    }
+}
+
 fn state(instance: &Instance, fleet: &Fleet, knows: bool, now: Moment) -> State {
     let works = fleet.own();
     let works = works
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -219,6 +219,15 @@
         said.any(|said| said.order < order && said.is_fresh(now))
     }
 
+    /// Instances that have been heard of lately and come before `order`.
+    pub(crate) fn before(&self, order: u64, now: Moment) -> u32 {
+        let peers = self.by_address.values();
+        let before = peers
+            .filter_map(|(_, peer)| peer.as_ref())
+            .filter(|peer| peer.order < order && now.saturating_sub(peer.heard) < SILENT);
+        u32::try_from(before.count()).unwrap_or(u32::MAX)
+    }
+
     /// Registered instances, this one included.
     pub(crate) fn count(&self) -> usize {
         1 + self.by_address.len()
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -13,7 +13,7 @@
 use serving::{Choice, Kind};
 use tokio::time::{Instant, timeout_at};
 
-use crate::attempt::{self, Answered, Asked, Avoid, Held, MOST, NotRun, Tried};
+use crate::attempt::{self, Answered, Asked, Avoid, Held, MOST, NotRun, Rejections, Tried};
 use crate::instance::Instance;
 use crate::reply::{Refusal, refuse};
 
@@ -38,8 +38,6 @@
 /// When a caller may come back after all engines refused. One of them is likely to have room after
 /// the time of some calls.
 const FULL_AFTER: Duration = Duration::from_millis(100);
-/// Sends to engines that did not run the call, of one call.
-pub(crate) const REJECTIONS: u32 = 2;
 /// Share of the target after which a call that may be repeated is taken to be stuck, where another
 /// attempt is left.
 const STUCK: f64 = 0.8;
@@ -104,7 +102,7 @@
 async fn attempts(instance: &Rc<Instance>, asked: &Asked) -> End {
     let mut avoid = Avoid::new();
     let mut runs = 0;
-    let mut rejections = 0;
+    let mut rejections = Rejections::default();
     instance.budgets.borrow_mut().earn(&asked.service.name);
     loop {
         let target = match attempt::place(instance, asked, &avoid, false) {
@@ -133,9 +131,9 @@
             }
             One::Whole(answered, body) => return judge(asked, answered, body),
             One::NotRun(reason) => {
-                rejections += 1;
+                let arrived = reason.arrived();
                 let may =
-                    rejections <= REJECTIONS && (!reason.arrived() || take_repeat(instance, asked));
+                    rejections.may_go_on(arrived) && (!arrived || take_repeat(instance, asked));
                 if !may && runs == 0 {
                     return End::NotRun {
                         after: FULL_AFTER,
--- /dev/null
+++ b/crates/gateway/tests/roles.rs
@@ -0,0 +1,96 @@
+//! Orders to engines by a real gateway process.
+
+mod world;
+
+use floor::Engine;
+use floor::engine::Order;
+use world::{World, until};
+
+const PREFILL: usize = 4;
+const DECODE: usize = 10;
+
+async fn engines(world: &World) -> Vec<Engine> {
+    let mut engines = Vec::new();
+    for n in 0..PREFILL + DECODE {
+        let engine = Engine::start(&format!("e{n}")).await;
+        let stage = if n < PREFILL { "prefill" } else { "decode" };
+        engine.register(&world.store, "pool", "ready", Some(stage));
+        engines.push(engine);
+    }
+    engines
+}
+
+fn orders(engines: &[Engine]) -> Vec<Order> {
+    let orders = engines.iter().map(Engine::orders);
+    orders.flatten().collect()
+}
+
+/// Symptom: prompts wait while engines that generate are idle. Sequence: a fleet starts with a third of its
+/// engines reading. Cause: no instance told any engine otherwise.
+#[actix_rt::test]
+async fn idle_engines_are_ordered_to_read_under_a_claim() {
+    let world = World::bare().await;
+    let engines = engines(&world).await;
+    world.configure(1, "app");
+    world.until_ready(true).await;
+    until(async || orders(&engines).len() == 3).await;
+    let orders = orders(&engines);
+    for order in &orders {
+        assert_eq!(order.stage, "prefill");
+        assert_eq!(
+            (&order.holder, order.fence),
+            (&orders[0].holder, orders[0].fence)
+        );
+        assert!(order.fence > 0);
+    }
+    for engine in &engines {
+        assert!(
+            engine
+                .orders()
+                .iter()
+                .all(|order| order.instance == engine.id)
+        );
+    }
+}
+
+/// Symptom: engines that change refuse the calls of the instance that ordered it. Sequence: it orders, and
+/// places calls there before their records say that they change. Cause: an engine's record tells only
+/// what it did before.
+#[actix_rt::test]
+async fn no_call_goes_to_an_engine_that_changes() {
+    let world = World::bare().await;
+    let engines = engines(&world).await;
+    world.configure(1, "app");
+    world.until_ready(true).await;
+    until(async || orders(&engines).len() == 3).await;
+    for _ in 0..60 {
+        let id = world.fresh_id();
+        assert_eq!(world.generate("/stream/a", &id).await.status, 200);
+    }
+    let changing = engines.iter().filter(|engine| !engine.orders().is_empty());
+    for engine in changing {
+        assert!(
+            engine.got().iter().all(|got| got.id.is_empty()),
+            "{}",
+            engine.id
+        );
+    }
+}
+
+/// Symptom: calls are refused although most engines are well. Sequence: a part of the fleet ends at once;
+/// each call meets several of them before its place is tried. Cause: engines that were not reached
+/// counted like engines that refused.
+#[actix_rt::test]
+async fn a_call_passes_by_several_engines_that_have_just_ended() {
+    let (world, app, _pool) = World::start().await;
+    for n in 0..5 {
+        world.lost_engine(&format!("lost-{n}"), "app");
+    }
+    // One more call than connections that the engine serves at a time, so that the lost ones look idle.
+    for _ in 0..8 {
+        let id = world.fresh_id();
+        let answer = world.call("/once/a", &id, &[]).await;
+        assert_eq!(answer.status, 200, "{id}");
+        assert_eq!(app.runs(&id), 1);
+    }
+}
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -174,6 +174,15 @@
         self.store.put("keyed.op", "config", Some(&configuration));
     }
 
+    /// Registers an engine that has ended and whose record stands.
+    pub(crate) fn lost_engine(&self, id: &str, service: &str) {
+        let record = json!({
+            "service": service, "address": format!("127.0.0.1:{}", free_port()), "zone": "a",
+            "slots": 8, "state": "ready", "sequence": 1,
+        });
+        self.store.put("keyed.servers", id, Some(&record));
+    }
+
     pub(crate) async fn until_ready(&self, ready: bool) {
         until(async || {
             let ended = self.child.borrow_mut().try_wait();
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -88,6 +88,17 @@
     pub alone: bool,
 }
 
+/// A change that an engine has been ordered to make.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Changing {
+    /// What it will do.
+    pub stage: Stage,
+    /// When it was ordered, or heard of, on this instance's clock.
+    pub since: Moment,
+    /// Whether this instance ordered it.
+    pub own: bool,
+}
+
 /// An engine as this instance sees it.
 #[derive(Clone, Debug)]
 pub struct Engine {
@@ -97,6 +108,8 @@
     pub health: Health,
     /// Whether its record is gone; kept until its last call ends.
     pub gone: bool,
+    /// Set while it changes what it does.
+    pub changing: Option<Changing>,
     /// Time that work takes here against what the speed of its stage gives; 1 is as expected.
     pub pace: f64,
     pub(crate) calls: u32,
@@ -123,6 +136,7 @@
             record,
             health: Health::default(),
             gone: false,
+            changing: None,
             pace: 1.0,
             calls: 0,
             pending: SmallVec::new(),
@@ -131,6 +145,20 @@
         }
     }
 
+    /// What it does, or will do once it has changed.
+    pub fn stage_to_be(&self) -> Option<Stage> {
+        self.changing
+            .map_or(self.record.stage, |changing| Some(changing.stage))
+    }
+
+    /// Whether it takes new calls by its record, and none says that it has ended or changes.
+    pub fn takes_calls(&self) -> bool {
+        !self.gone
+            && !self.health.has_ended()
+            && self.changing.is_none()
+            && self.record.state == State::Ready
+    }
+
     /// This instance's work here.
     pub fn own(&self) -> Work {
         Work {
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -5,7 +5,7 @@
 
 use clock::Moment;
 
-use crate::engine::{Engine, Job, Pending, Rank, Record, Stage, State, Ticket, Work};
+use crate::engine::{Changing, Engine, Job, Pending, Rank, Record, Stage, State, Ticket, Work};
 use crate::health::Outcome;
 use crate::parts::{Part, Parts};
 use crate::speed::Speed;
@@ -18,6 +18,10 @@
 /// and two of these may be lost.
 const PEER_WORK_AGE: Duration = Duration::from_millis(3_200);
 
+/// Longest time that a change of what an engine does is waited for: its calls in hand end within
+/// some seconds, and the change itself takes three.
+const CHANGE: Duration = Duration::from_secs(12);
+
 /// A call that was sent to an engine, in the books.
 #[derive(Clone, Debug)]
 pub struct Sent {
@@ -69,6 +73,8 @@
                 let changed = engine.gone || engine.record != record;
                 engine.gone = false;
                 engine.record = record;
+                let done = |changing: &mut Changing| engine.record.stage == Some(changing.stage);
+                engine.changing.take_if(done);
                 changed
             }
             None => {
@@ -109,6 +115,12 @@
 
     /// Engines of a service that take new calls by their record.
     pub fn ready<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Engine> {
+        let engines = self.engines.values();
+        engines.filter(move |engine| engine.takes_calls() && engine.record.service == *service)
+    }
+
+    /// Engines of a service that take new calls, or will once they have changed.
+    pub fn standing<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Engine> {
         self.engines.values().filter(move |engine| {
             !engine.gone
                 && !engine.health.has_ended()
@@ -117,6 +129,32 @@
         })
     }
 
+    /// Takes in that an engine was ordered to change what it does. It gets no calls until its record
+    /// says that it has, or for [`CHANGE`].
+    pub fn change(&mut self, id: &str, changing: Changing) {
+        if let Some(engine) = self.engines.get_mut(id)
+            && engine.record.stage != Some(changing.stage)
+        {
+            engine.changing.get_or_insert(changing);
+        }
+    }
+
+    /// Takes in that an engine does not change after all.
+    pub fn change_failed(&mut self, id: &str) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            engine.changing = None;
+        }
+    }
+
+    /// Engines that this instance has ordered to change what they do.
+    pub fn changing(&self) -> impl Iterator<Item = (&EngineId, Stage)> {
+        let changing = self.engines.values().filter_map(|engine| {
+            let changing = engine.changing.filter(|changing| changing.own)?;
+            Some((&engine.record.id, changing.stage))
+        });
+        changing
+    }
+
     /// All engines.
     pub fn all(&self) -> impl Iterator<Item = &Engine> {
         self.engines.values()
@@ -282,8 +320,13 @@
         }
     }
 
-    /// Drops what silent instances said.
+    /// Drops what silent instances said, and orders that had no effect.
     pub fn fade(&mut self, now: Moment) {
+        for engine in self.engines.values_mut() {
+            engine
+                .changing
+                .take_if(|changing| now.saturating_sub(changing.since) > CHANGE);
+        }
         let heard = self.heard.iter();
         let silent = heard.filter(|(_, heard)| now.saturating_sub(**heard) > PEER_WORK_AGE);
         let silent: Vec<PeerId> = silent.map(|(peer, _)| *peer).collect();
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -1,7 +1,8 @@
 //! Decisions about calls on a fleet whose engines are told by records: which route a call takes
 //! ([`route`]), what is known of each engine and of the work before it ([`engine`]), which engine has
-//! read which part of a prompt ([`parts`]), where a call goes or why it is refused ([`place`]), and
-//! how often a service may be sent a call again ([`budget`]). It stands between the `gateway`
+//! read which part of a prompt ([`parts`]), where a call goes or why it is refused ([`place`]), how
+//! often a service may be sent a call again ([`budget`]), and which engines should read and which
+//! generate ([`roles`]). It stands between the `gateway`
 //! daemon, which carries the bytes, and the platform's adapter, which fills in these types. No I/O
 //! is done here; the moment is an argument. See `docs/design/placement.md`.
 
@@ -15,8 +16,10 @@
 pub mod parts;
 pub mod place;
 pub mod registry;
+pub mod roles;
 pub mod route;
 pub mod speed;
+pub mod turn;
 pub mod watch;
 
 pub use engine::{Record, Stage, State};
--- /dev/null
+++ b/crates/serving/src/roles.rs
@@ -0,0 +1,200 @@
+//! Which engines should read prompts and which should generate. The load that this answers: prompts of
+//! thousands of tokens with answers of some tens, so that engines which generate have most of their
+//! slots free while calls wait to be read. An engine that only reads is twice as fast at it, and the
+//! others then generate undisturbed. See `docs/design/platform.md`, "Roles".
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use clock::Moment;
+use smallvec::SmallVec;
+
+use crate::engine::{Engine, Stage};
+use crate::{EngineId, Fleet, ServiceName, Zone};
+
+/// One engine that should change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// The engine.
+    pub engine: EngineId,
+    /// What it should do.
+    pub stage: Stage,
+}
+
+/// What is changed at once.
+pub type Changes = SmallVec<[Change; 4]>;
+
+/// Engines that generate, at the least, of all. The fewer they are, the more streams each failing one
+/// takes along and the sooner the rest of them is full. Origin: measured on both of the users'
+/// deployments between 20 and 65 in 100, see `docs/MEASUREMENTS.md`.
+const LEAST_DECODE: f64 = 0.45;
+/// Engines that read, at the least, of all: the split that deployments start with.
+const LEAST_PREFILL: f64 = 0.35;
+/// Share of the slots of engines that generate up to which nothing speaks for more of them. Origin:
+/// measured; at 0.25 and 0.45 engines change back and forth with the mix, at a loss.
+const FILL: f64 = 0.7;
+/// The peak of the filled share is forgotten by half in this time. Mixes swing within seconds, and a
+/// change takes three.
+const HALF_LIFE: Duration = Duration::from_secs(5);
+/// Fewest engines that are worth a plan: of fewer, one that changes is too large a part.
+const FEWEST: usize = 6;
+/// Engines that a split may be off before it is changed, as a share of all; two at least. A change
+/// takes an engine away for seconds, so that chasing the last one costs more than it gains.
+const SLACK: f64 = 0.1;
+/// Engines that change at once under load, as a share of all; one at least.
+const AT_ONCE: f64 = 0.08;
+/// Time for which a split must be off before it is changed. What others have at engines is known a
+/// second after a start, and engines that are replaced come one after the other.
+const HOLD: Duration = Duration::from_secs(2);
+
+/// The plan for one service's engines.
+#[derive(Clone, Debug, Default)]
+pub struct Planner {
+    /// Peak of the share of slots filled at engines that generate, and when it was looked at.
+    fill: f64,
+    looked: Option<Moment>,
+    /// Since when the split has been off.
+    off: Option<Moment>,
+}
+
+/// Engines of a service as the plan sees them.
+struct Split<'a> {
+    decode: Vec<&'a Engine>,
+    prefill: Vec<&'a Engine>,
+    changing: usize,
+}
+
+impl<'a> Split<'a> {
+    fn new(fleet: &'a Fleet, service: &'a ServiceName) -> Self {
+        let mut split = Self {
+            decode: Vec::new(),
+            prefill: Vec::new(),
+            changing: 0,
+        };
+        for engine in fleet.standing(service) {
+            split.changing += usize::from(engine.changing.is_some());
+            match engine.stage_to_be() {
+                Some(Stage::Decode) => split.decode.push(engine),
+                Some(Stage::Prefill) => split.prefill.push(engine),
+                None => {}
+            }
+        }
+        split
+    }
+
+    fn count(&self) -> usize {
+        self.decode.len() + self.prefill.len()
+    }
+
+    /// Share of the slots that are taken at engines that generate in a data centre, or in all.
+    fn fill(&self, zone: Option<&Zone>) -> f64 {
+        let seen = |engine: &&&Engine| zone.is_none_or(|zone| engine.record.zone == *zone);
+        let (mut running, mut slots) = (0, 0);
+        for engine in self.decode.iter().filter(seen) {
+            running += engine.running();
+            slots += engine.record.slots;
+        }
+        f64::from(running) / f64::from(slots.max(1))
+    }
+}
+
+impl Planner {
+    /// What should change now. `zone` is set where only the work of one data centre is known.
+    ///
+    /// Without any load all that is off changes at once, since nobody waits for those engines.
+    pub fn plan(
+        &mut self,
+        fleet: &Fleet,
+        service: &ServiceName,
+        zone: Option<&Zone>,
+        now: Moment,
+    ) -> Changes {
+        let split = Split::new(fleet, service);
+        self.look(split.fill(zone), now);
+        let count = split.count();
+        let more = if count < FEWEST || split.prefill.is_empty() {
+            0
+        } else {
+            self.more_prefill(&split)
+        };
+        if more == 0 {
+            self.off = None;
+            return Changes::new();
+        }
+        let since = *self.off.get_or_insert(now);
+        if now.saturating_sub(since) < HOLD {
+            return Changes::new();
+        }
+        let room = if self.fill > 0.0 {
+            share(count, AT_ONCE).max(1).saturating_sub(split.changing)
+        } else {
+            usize::MAX
+        };
+        let (from, stage) = if more > 0 {
+            (split.decode, Stage::Prefill)
+        } else {
+            (split.prefill, Stage::Decode)
+        };
+        pick(from, more.unsigned_abs().min(room), stage)
+    }
+
+    fn look(&mut self, fill: f64, now: Moment) {
+        let past = self
+            .looked
+            .map_or(Duration::ZERO, |at| now.saturating_sub(at));
+        let kept = 0.5_f64.powf(past.as_secs_f64() / HALF_LIFE.as_secs_f64());
+        self.fill = fill.max(self.fill * kept);
+        if self.fill < 1e-3 {
+            self.fill = 0.0;
+        }
+        self.looked = Some(now);
+    }
+
+    /// Engines that should read beyond those that do, below zero if fewer; zero within the slack.
+    fn more_prefill(&self, split: &Split) -> isize {
+        let count = split.count();
+        let by_load = share(split.decode.len(), self.fill / FILL);
+        let most = count - share(count, LEAST_PREFILL);
+        let decode = share(count, LEAST_DECODE).max(by_load).min(most);
+        let more = split.decode.len().cast_signed() - decode.cast_signed();
+        let slack = share(count, SLACK).max(2);
+        if more.unsigned_abs() < slack { 0 } else { more }
+    }
+}
+
+fn share(count: usize, share: f64) -> usize {
+    #[allow(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss
+    )]
+    let part = (count as f64 * share).ceil() as usize;
+    part
+}
+
+/// The engines with the least to do, from the data centres that have the most of them, so that each
+/// keeps some of both.
+fn pick(mut from: Vec<&Engine>, most: usize, stage: Stage) -> Changes {
+    let mut left: BTreeMap<Zone, usize> = BTreeMap::new();
+    for engine in &from {
+        *left.entry(engine.record.zone.clone()).or_default() += 1;
+    }
+    from.retain(|engine| engine.changing.is_none() && engine.takes_calls());
+    let mut changes = Changes::new();
+    while changes.len() < most {
+        let best = from.iter().enumerate().min_by_key(|(_, engine)| {
+            let zone = left.get(&engine.record.zone).copied().unwrap_or_default();
+            (std::cmp::Reverse(zone), engine.running(), &engine.record.id)
+        });
+        let Some((at, _)) = best else { break };
+        let engine = from.swap_remove(at);
+        if let Some(left) = left.get_mut(&engine.record.zone) {
+            *left -= 1;
+        }
+        changes.push(Change {
+            engine: engine.record.id.clone(),
+            stage,
+        });
+    }
+    changes
+}
--- /dev/null
+++ b/crates/serving/src/turn.rs
@@ -0,0 +1,62 @@
+//! Whose turn it is to give engines orders. An instance that wants to appends a claim to a log on the
+//! condition that the log ends where it read to; the claim's offset is the fencing token of the
+//! orders that follow at once. Nobody holds a turn beyond that, so there is nothing to renew. See
+//! `docs/design/platform.md`, "Roles".
+
+use std::time::Duration;
+
+use clock::Moment;
+
+/// Place of a claim in the log; the fencing token of its orders.
+pub type Fence = u64;
+
+/// Orders leave within this time of the moment before their claim was sent, as measured by a clock that
+/// also runs while the machine is suspended. Some orders and the store's answer fit.
+pub const ORDERS: Duration = Duration::from_millis(700);
+
+/// Time that an order may be on its way after it left: to open a connection, and until the kernel gives
+/// an unacknowledged one up.
+const ON_THE_WAY: Duration = Duration::from_millis(800);
+
+/// A claim as it was read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Claim<'a> {
+    /// Where it stands.
+    pub fence: Fence,
+    /// The instance that made it.
+    pub holder: &'a str,
+}
+
+/// What one instance knows of the turns.
+#[derive(Clone, Debug)]
+pub struct Turns {
+    wait: Duration,
+    seen: Option<(Fence, Moment)>,
+}
+
+impl Turns {
+    /// Turns of different instances that must be `lease` apart.
+    pub fn new(lease: Duration) -> Self {
+        Self {
+            wait: lease + ORDERS + ON_THE_WAY,
+            seen: None,
+        }
+    }
+
+    /// Whether the instance `me` may claim after a read that showed `newest`.
+    ///
+    /// Two instances that order within one lease would each undo what the other one did, and one would
+    /// notice it by engines that change back and forth. The newest claim's own instance may claim
+    /// again at once; others wait from when they first saw it, which is never before it was made.
+    pub fn may_claim(&mut self, newest: Option<Claim>, me: &str, now: Moment) -> bool {
+        let Some(newest) = newest else {
+            return true;
+        };
+        let seen = match self.seen {
+            Some((fence, at)) if fence == newest.fence => at,
+            _ => now,
+        };
+        self.seen = Some((newest.fence, seen));
+        newest.holder == me || now.saturating_sub(seen) >= self.wait
+    }
+}
--- /dev/null
+++ b/crates/serving/tests/roles.rs
@@ -0,0 +1,142 @@
+//! Which engines change between reading and generating, and who may order it.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{fleet, id, ms, service};
+use serving::engine::Changing;
+use serving::roles::{Changes, Planner};
+use serving::turn::{Claim, Turns};
+use serving::{Fleet, Stage};
+
+/// A fleet of this many engines that read, `r0` and on, and that generate, `g0` and on.
+fn engines(prefill: usize, decode: usize) -> Fleet {
+    let reads: Vec<String> = (0..prefill).map(|n| format!("r{n}")).collect();
+    let generates: Vec<String> = (0..decode).map(|n| format!("g{n}")).collect();
+    let reads = reads.iter().map(|id| (id.as_str(), Stage::Prefill));
+    let generates = generates.iter().map(|id| (id.as_str(), Stage::Decode));
+    let all: Vec<(&str, Stage)> = reads.chain(generates).collect();
+    fleet(&all)
+}
+
+/// The plan once a split has been off for long enough.
+fn plan(fleet: &Fleet) -> Changes {
+    let mut planner = Planner::default();
+    let first = planner.plan(fleet, &service(), None, ms(0));
+    assert!(first.is_empty(), "a split that is off just now is left");
+    planner.plan(fleet, &service(), None, ms(2_000))
+}
+
+fn run(fleet: &mut Fleet, engine: &str, calls: u32) {
+    for _ in 0..calls {
+        fleet.begin(&id(engine), 0, 1, ms(0));
+    }
+}
+
+fn change(fleet: &mut Fleet, engine: &str, stage: Stage, now: u64) {
+    let since = ms(now);
+    let own = true;
+    fleet.change(&id(engine), Changing { stage, since, own });
+}
+
+/// Symptom: prompts wait while most slots are empty. Sequence: a fleet starts with a third of its engines
+/// reading. Cause: nobody asked whether the others have anything to do.
+#[test]
+fn before_any_load_more_than_half_read() {
+    let changes = plan(&engines(6, 12));
+    assert_eq!(changes.len(), 3);
+    assert!(changes.iter().all(|change| change.stage == Stage::Prefill));
+}
+
+#[test]
+fn a_split_that_is_nearly_right_is_left() {
+    assert!(plan(&engines(9, 9)).is_empty());
+    assert!(plan(&engines(8, 10)).is_empty());
+    assert!(plan(&engines(10, 8)).is_empty());
+}
+
+#[test]
+fn under_load_few_change_at_once_and_those_with_least_to_do() {
+    let mut fleet = engines(6, 12);
+    for engine in 0..12 {
+        run(&mut fleet, &format!("g{engine}"), 2 + engine);
+    }
+    run(&mut fleet, "g0", 9);
+    let changes = plan(&fleet);
+    let ids: Vec<&str> = changes.iter().map(|change| &*change.engine).collect();
+    assert_eq!(ids, ["g1", "g2"]);
+    change(&mut fleet, "g1", Stage::Prefill, 2_000);
+    change(&mut fleet, "g2", Stage::Prefill, 2_000);
+    assert!(plan(&fleet).is_empty(), "two are changing");
+}
+
+/// Symptom: answers crawl although prompts are read at once. Sequence: a mix of long answers follows one
+/// of long prompts. Cause: engines that had been given over to reading stayed there.
+#[test]
+fn engines_come_back_to_generate_when_slots_fill() {
+    let mut fleet = engines(9, 9);
+    for engine in 0..9 {
+        run(&mut fleet, &format!("g{engine}"), 60);
+    }
+    let changes = plan(&fleet);
+    assert_eq!(changes.len(), 2);
+    assert!(changes.iter().all(|change| change.stage == Stage::Decode));
+}
+
+#[test]
+fn a_peak_is_remembered_for_some_seconds() {
+    let mut fleet = engines(6, 12);
+    run(&mut fleet, "g0", 620);
+    let mut planner = Planner::default();
+    planner.plan(&fleet, &service(), None, ms(0));
+    let idle = engines(6, 12);
+    let soon = planner.plan(&idle, &service(), None, ms(2_500));
+    assert!(soon.is_empty());
+    let mut late = Changes::new();
+    for second in 3..40 {
+        late = planner.plan(&idle, &service(), None, Duration::from_secs(second));
+    }
+    assert_eq!(late.len(), 2);
+}
+
+#[test]
+fn a_small_service_is_left_alone() {
+    assert!(plan(&engines(1, 4)).is_empty());
+    assert!(plan(&engines(0, 18)).is_empty());
+}
+
+/// Symptom: calls get refusals from an engine that looks idle. Sequence: an engine is ordered to change; calls
+/// are placed there until it is done. Cause: only the one that ordered knew.
+#[test]
+fn an_engine_that_changes_gets_no_calls_until_it_is_done() {
+    let mut fleet = engines(1, 1);
+    let ready = |fleet: &Fleet| fleet.ready(&service()).count();
+    change(&mut fleet, "g0", Stage::Prefill, 0);
+    assert_eq!(ready(&fleet), 1);
+    fleet.put(common::record("g0", Some(Stage::Decode)));
+    assert_eq!(ready(&fleet), 1);
+    fleet.put(common::record("g0", Some(Stage::Prefill)));
+    assert_eq!(ready(&fleet), 2);
+    change(&mut fleet, "g0", Stage::Decode, 0);
+    fleet.fade(Duration::from_secs(60));
+    assert_eq!(ready(&fleet), 2, "an order that has no effect is forgotten");
+}
+
+/// Symptom: two instances order one engine back and forth. Sequence: one orders and is cut off; another one
+/// takes over at once. Cause: the time in which orders of the first may still arrive was not waited for.
+#[test]
+fn turns_of_different_instances_are_apart() {
+    let mut turns = Turns::new(ms(3_000));
+    let claim = |fence, holder| Some(Claim { fence, holder });
+    assert!(turns.may_claim(None, "a", ms(0)));
+    assert!(turns.may_claim(claim(7, "a"), "a", ms(0)));
+    assert!(!turns.may_claim(claim(7, "b"), "a", ms(10)));
+    assert!(!turns.may_claim(claim(7, "b"), "a", ms(3_100)));
+    assert!(
+        !turns.may_claim(claim(8, "b"), "a", ms(4_600)),
+        "it ordered once more"
+    );
+    assert!(!turns.may_claim(claim(8, "b"), "a", ms(9_000)));
+    assert!(turns.may_claim(claim(8, "b"), "a", ms(9_200)));
+}
