Soak real gateways under random faults, and judge what callers and engines see

Change: crate soak. The stand-ins got what operators and callers write, so that a test needs no word of the platform's of its own, and answer questions for parts.

--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -148,11 +148,10 @@
 
     /// Engines that this instance has ordered to change what they do.
     pub fn changing(&self) -> impl Iterator<Item = (&EngineId, Stage)> {
-        let changing = self.engines.values().filter_map(|engine| {
+        self.engines.values().filter_map(|engine| {
             let changing = engine.changing.filter(|changing| changing.own)?;
             Some((&engine.record.id, changing.stage))
-        });
-        changing
+        })
     }
 
     /// All engines.
--- /dev/null
+++ b/crates/soak/src/gateway.rs
@@ -0,0 +1,155 @@
+//! One gateway process: its settings file, its starts and ends.
+
+use std::fs::File;
+use std::io;
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+
+use floor::configuration::Settings;
+use rustix::process::{Pid, Signal, kill_process};
+
+/// A gateway and the files that it needs.
+#[derive(Debug)]
+pub struct Gateway {
+    /// Where callers are served.
+    pub front: SocketAddr,
+    /// Where it says whether it is ready.
+    pub ready: SocketAddr,
+    /// Starts so far.
+    pub starts: u32,
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+    /// Whether its present process is to end, so that its end is no finding.
+    may_end: bool,
+}
+
+/// Seconds from the request to end until the kill. Calls of a run end within three.
+const GRACE: u32 = 6;
+/// Repeats beyond the ratio; more than a run has calls that fail.
+const SLACK: u32 = 500;
+/// Milliseconds between orders of two instances; less than most faults last.
+const LEASE: u32 = 1_500;
+
+/// Addresses that nobody listens on, each given out once.
+#[derive(Debug)]
+pub struct Ports(pub u16);
+
+impl Ports {
+    /// The next one.
+    pub fn take(&mut self) -> SocketAddr {
+        loop {
+            self.0 += 1;
+            let address = SocketAddr::from(([127, 0, 0, 1], self.0));
+            if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+                return address;
+            }
+        }
+    }
+}
+
+impl Gateway {
+    /// Writes the settings of a gateway. It does not run yet.
+    ///
+    /// # Errors
+    ///
+    /// If the files cannot be written.
+    pub fn new(
+        program: &Path,
+        directory: &Path,
+        name: &str,
+        store: SocketAddr,
+        ports: &mut Ports,
+    ) -> io::Result<Self> {
+        let (front, ready, mesh) = (ports.take(), ports.take(), ports.take());
+        let settings = directory.join(format!("{name}.toml"));
+        let values = Settings {
+            name,
+            store,
+            front,
+            ready,
+            port: mesh.port(),
+            grace_s: GRACE,
+            slack: SLACK,
+            lease_ms: LEASE,
+        };
+        std::fs::write(&settings, values.text())?;
+        Ok(Self {
+            front,
+            ready,
+            starts: 0,
+            program: program.to_owned(),
+            log: directory.join(format!("{name}.log")),
+            settings,
+            child: None,
+            may_end: false,
+        })
+    }
+
+    /// Starts a process, if none runs.
+    ///
+    /// # Errors
+    ///
+    /// If it cannot be started.
+    pub fn start(&mut self) -> io::Result<()> {
+        if self.child.is_some() {
+            return Ok(());
+        }
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.program)
+            .args(["serve", "--settings"])
+            .arg(&self.settings)
+            .env("RUST_LOG", "info")
+            .stdin(Stdio::null())
+            .stderr(log.try_clone()?)
+            .stdout(log)
+            .spawn()?;
+        self.child = Some(child);
+        self.may_end = false;
+        self.starts += 1;
+        Ok(())
+    }
+
+    /// Sends a signal to the process, if one runs.
+    pub fn signal(&mut self, signal: Signal) {
+        if matches!(signal, Signal::KILL | Signal::TERM) {
+            self.may_end = true;
+        }
+        let pid = self.child.as_ref().map(Child::id);
+        let pid = pid.and_then(|id| Pid::from_raw(i32::try_from(id).ok()?));
+        if let Some(pid) = pid {
+            // It may have ended a moment ago.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Whether no process runs. `Err` tells how one ended that nobody asked to.
+    ///
+    /// # Errors
+    ///
+    /// The status of a process that ended by itself.
+    pub fn has_ended(&mut self) -> Result<bool, ExitStatus> {
+        let Some(child) = &mut self.child else {
+            return Ok(true);
+        };
+        match child.try_wait() {
+            Ok(Some(status)) => {
+                self.child = None;
+                if self.may_end { Ok(true) } else { Err(status) }
+            }
+            Ok(None) | Err(_) => Ok(false),
+        }
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        if let Some(child) = &mut self.child {
+            // A stopped process takes this signal, too.
+            drop(child.kill());
+            drop(child.wait());
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/history.rs
@@ -0,0 +1,130 @@
+//! What callers and back ends saw in a run.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use floor::engine::Order;
+
+use crate::plan::Fault;
+
+/// What a caller asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ask {
+    /// A plain call that may be repeated.
+    Safe,
+    /// A plain call that may run once.
+    Once,
+    /// A stream that may run once.
+    Stream,
+    /// A stream that may go on elsewhere.
+    Resume,
+    /// A plain call on the route that a version of the configuration brought.
+    Added(u64),
+}
+
+impl Ask {
+    /// Engines on which it may run.
+    pub fn attempts(self) -> usize {
+        match self {
+            Self::Once | Self::Stream => 1,
+            Self::Safe | Self::Resume | Self::Added(_) => 2,
+        }
+    }
+
+    /// Whether it is answered in events.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::Resume)
+    }
+
+    /// The service that may run it.
+    pub fn service(self) -> &'static str {
+        if self.is_stream() { "pool" } else { "app" }
+    }
+}
+
+/// How a call ended for its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum End {
+    /// An answer came, at least its head.
+    Answer {
+        /// Its status.
+        status: u16,
+        /// Whether it bears an engine's signature.
+        signed: bool,
+        /// Whether it says when to come back.
+        says_when: bool,
+        /// Its body, unless it ended early.
+        body: Option<Bytes>,
+    },
+    /// No connection opened.
+    NotConnected,
+    /// The connection ended without an answer.
+    Closed,
+    /// The caller left.
+    Left,
+}
+
+/// One call.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Its id.
+    pub id: String,
+    /// What it asked for.
+    pub ask: Ask,
+    /// The gateway, by its number.
+    pub gateway: usize,
+    /// Which start of the gateway it was sent to.
+    pub start: u32,
+    /// When it was sent, since callers began.
+    pub sent: Duration,
+    /// When it ended.
+    pub ended: Duration,
+    /// How.
+    pub end: End,
+}
+
+impl Call {
+    /// Whether it got a whole success.
+    pub fn is_served(&self) -> bool {
+        matches!(
+            self.end,
+            End::Answer {
+                status: 200,
+                body: Some(_),
+                ..
+            }
+        )
+    }
+}
+
+/// A request that reached an engine.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The engine.
+    pub engine: String,
+    /// Its service.
+    pub service: &'static str,
+    /// The request's id.
+    pub id: String,
+    /// Whether the engine began to work on it.
+    pub ran: bool,
+    /// Whether it bore a header that the caller had forged.
+    pub forged: bool,
+}
+
+/// All that was seen.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    /// Calls, in the order in which they ended.
+    pub calls: Vec<Call>,
+    /// Requests at engines; those of one engine in order of arrival.
+    pub runs: Vec<Run>,
+    /// Orders by engine, in order of arrival.
+    pub orders: Vec<(String, Order)>,
+    /// Processes that ended by themselves.
+    pub exits: Vec<String>,
+    /// States that did not come after the last fault.
+    pub missing: Vec<String>,
+    /// What was done.
+    pub faults: Vec<Fault>,
+}
--- /dev/null
+++ b/crates/soak/src/world.rs
@@ -0,0 +1,306 @@
+//! The processes, links and stand-ins of a run, and how faults begin and end there.
+
+use std::cell::RefCell;
+use std::io;
+use std::path::Path;
+use std::rc::Rc;
+
+use floor::configuration::{Route, configuration};
+use floor::engine::Act;
+use floor::{Engine, Store, store};
+use rustix::process::Signal;
+
+use crate::gateway::{Gateway, Ports};
+use crate::history::{History, Run};
+use crate::plan::{self, Kind, Link, Plan, Process};
+use crate::proxy::Proxy;
+
+/// An engine and the link to it.
+#[derive(Debug)]
+struct Place {
+    engine: Engine,
+    link: Proxy,
+    service: &'static str,
+    stage: Option<&'static str>,
+    /// Whether it has said that it leaves, or has ended.
+    left: bool,
+}
+
+/// A gateway process and the links at its two sides.
+#[derive(Debug)]
+pub struct Instance {
+    /// The process.
+    pub gateway: RefCell<Gateway>,
+    /// Between callers and it.
+    pub callers: Proxy,
+    store: Proxy,
+}
+
+/// All of a run.
+#[derive(Debug)]
+pub struct World {
+    store: Store,
+    /// The gateways.
+    pub instances: Vec<Instance>,
+    places: RefCell<Vec<Place>>,
+    version: RefCell<u64>,
+    /// What has been seen so far.
+    pub history: RefCell<History>,
+}
+
+/// Name of the topic with engines' records.
+const ENGINES: &str = "keyed.servers";
+/// Topics whose history is dropped.
+const TOPICS: [&str; 2] = [ENGINES, "keyed.op"];
+
+impl World {
+    /// Starts everything.
+    ///
+    /// # Errors
+    ///
+    /// If a process cannot be started.
+    pub async fn start(
+        plan: &Plan,
+        program: &Path,
+        directory: &Path,
+        ports: &mut Ports,
+    ) -> io::Result<Rc<Self>> {
+        let store = Store::start().await;
+        let mut instances = Vec::new();
+        for number in 0..plan.gateways {
+            let link = Proxy::start(store.address).await;
+            let name = format!("gateway-{number}");
+            let gateway = Gateway::new(program, directory, &name, link.address, ports)?;
+            let callers = Proxy::start(gateway.front).await;
+            instances.push(Instance {
+                gateway: RefCell::new(gateway),
+                callers,
+                store: link,
+            });
+        }
+        let world = Self {
+            store,
+            instances,
+            places: RefCell::default(),
+            version: RefCell::new(0),
+            history: RefCell::default(),
+        };
+        for _ in 0..plan.services {
+            world.add_engine("app", None).await;
+        }
+        for number in 0..plan.engines {
+            // A third of them read, as on the users' deployments.
+            let stage = if number % 3 == 1 { "prefill" } else { "decode" };
+            world.add_engine("pool", Some(stage)).await;
+        }
+        world.configure();
+        for instance in &world.instances {
+            instance.gateway.borrow_mut().start()?;
+        }
+        Ok(Rc::new(world))
+    }
+
+    /// The newest version of the configuration.
+    pub fn version(&self) -> u64 {
+        *self.version.borrow()
+    }
+
+    async fn add_engine(&self, service: &'static str, stage: Option<&'static str>) {
+        let id = format!("{service}-{}", self.places.borrow().len());
+        let engine = Engine::start(&id).await;
+        let link = Proxy::start(engine.address).await;
+        engine.register_at(link.address, &self.store, service, "ready", stage);
+        self.places.borrow_mut().push(Place {
+            engine,
+            link,
+            service,
+            stage,
+            left: false,
+        });
+    }
+
+    /// Writes a configuration with one route more.
+    fn configure(&self) {
+        let mut version = self.version.borrow_mut();
+        *version += 1;
+        let added: Vec<String> = (1..=*version).map(|v| format!("/added-{v}/")).collect();
+        let mut routes = vec![
+            route("/safe/", "safe", "app", 2, false),
+            route("/once/", "unsafe", "app", 1, false),
+            route("/stream/", "streaming", "pool", 1, false),
+            route("/resume/", "streaming", "pool", 2, true),
+        ];
+        routes.extend(
+            added
+                .iter()
+                .map(|prefix| route(prefix, "safe", "app", 2, false)),
+        );
+        let value = configuration(*version, &routes, &["app"]);
+        self.store.put("keyed.op", "config", Some(&value));
+    }
+
+    /// Begins a fault.
+    pub async fn begin(&self, kind: Kind) {
+        match kind {
+            Kind::Process(number, process) => self.signal(number, begin_signal(process)),
+            Kind::KillAll => {
+                for number in 0..self.instances.len() {
+                    self.signal(number, Signal::KILL);
+                }
+            }
+            Kind::Callers(number, link) => self.instances[number].callers.set(link),
+            Kind::StoreLink(number, link) => self.instances[number].store.set(link),
+            Kind::Store(fault) => self.store.fault(store_fault(fault)),
+            Kind::Compact => TOPICS.iter().for_each(|topic| self.store.compact(topic)),
+            Kind::EngineLink(number, link) => self.place(number, |place| place.link.set(link)),
+            Kind::Engine(number, trouble) => self.place(number, |p| p.engine.act(act(trouble))),
+            Kind::Leave(number) => self.leave(number).await,
+            Kind::Crash(number) => self.crash(number).await,
+            Kind::Configure => self.configure(),
+        }
+    }
+
+    /// Ends a fault that lasts.
+    pub fn end(&self, kind: Kind) {
+        match kind {
+            Kind::Process(number, Process::Pause) => self.signal(number, Signal::CONT),
+            Kind::Callers(number, _) => self.instances[number].callers.set(Link::Pass),
+            Kind::StoreLink(number, _) => self.instances[number].store.set(Link::Pass),
+            Kind::Store(_) => self.store.fault(store::Fault::None),
+            Kind::EngineLink(number, _) => self.place(number, |place| {
+                if !place.left {
+                    place.link.set(Link::Pass);
+                }
+            }),
+            Kind::Engine(number, _) => self.place(number, |place| place.engine.act(Act::Run)),
+            Kind::Leave(number) => self.unregister(number),
+            Kind::Crash(number) => self.unregister(number),
+            Kind::Process(..) | Kind::KillAll | Kind::Compact | Kind::Configure => {}
+        }
+    }
+
+    fn signal(&self, number: usize, signal: Signal) {
+        self.instances[number].gateway.borrow_mut().signal(signal);
+    }
+
+    fn place(&self, number: usize, change: impl FnOnce(&mut Place)) {
+        change(&mut self.places.borrow_mut()[number]);
+    }
+
+    /// Marks an engine as left. Gives its service and stage, unless it had left before.
+    fn mark_left(&self, number: usize) -> Option<(&'static str, Option<&'static str>)> {
+        let place = &mut self.places.borrow_mut()[number];
+        if std::mem::replace(&mut place.left, true) {
+            return None;
+        }
+        Some((place.service, place.stage))
+    }
+
+    async fn leave(&self, number: usize) {
+        if let Some((service, stage)) = self.mark_left(number) {
+            self.add_engine(service, stage).await;
+            self.place(number, |place| {
+                let engine = &place.engine;
+                engine.register_at(place.link.address, &self.store, service, "draining", stage);
+            });
+        }
+    }
+
+    async fn crash(&self, number: usize) {
+        if let Some((service, stage)) = self.mark_left(number) {
+            self.place(number, |place| place.link.set(Link::Reset));
+            self.add_engine(service, stage).await;
+        }
+    }
+
+    fn unregister(&self, number: usize) {
+        self.place(number, |place| {
+            self.store.put(ENGINES, &place.engine.id, None);
+        });
+    }
+
+    /// Starts processes that have ended, and notes those that ended by themselves.
+    ///
+    /// # Errors
+    ///
+    /// If one cannot be started.
+    pub fn restart(&self) -> io::Result<()> {
+        for (number, instance) in self.instances.iter().enumerate() {
+            let mut gateway = instance.gateway.borrow_mut();
+            match gateway.has_ended() {
+                Ok(false) => continue,
+                Ok(true) => {}
+                Err(status) => {
+                    let exit = format!("gateway-{number} ended by itself: {status}");
+                    self.history.borrow_mut().exits.push(exit);
+                }
+            }
+            gateway.start()?;
+        }
+        Ok(())
+    }
+
+    /// Takes what the engines saw into the history.
+    pub fn collect(&self) {
+        let mut history = self.history.borrow_mut();
+        for place in self.places.borrow().iter() {
+            let id = &place.engine.id;
+            let orders = place.engine.orders();
+            history
+                .orders
+                .extend(orders.into_iter().map(|order| (id.clone(), order)));
+            let got = place.engine.got();
+            history.runs.extend(got.into_iter().map(|got| Run {
+                engine: id.clone(),
+                service: place.service,
+                ran: got.ran,
+                forged: got.is_forged(),
+                id: got.id,
+            }));
+        }
+    }
+}
+
+fn route<'a>(
+    prefix: &'a str,
+    kind: &'a str,
+    service: &'a str,
+    attempts: u32,
+    resumable: bool,
+) -> Route<'a> {
+    Route {
+        prefix,
+        kind,
+        service,
+        attempts,
+        resumable,
+    }
+}
+
+fn begin_signal(process: Process) -> Signal {
+    match process {
+        Process::Pause => Signal::STOP,
+        Process::Kill => Signal::KILL,
+        Process::Stop => Signal::TERM,
+        Process::Reload => Signal::HUP,
+    }
+}
+
+fn store_fault(fault: plan::Store) -> store::Fault {
+    match fault {
+        plan::Store::Silent => store::Fault::Silent,
+        plan::Store::Busy => store::Fault::Busy,
+        plan::Store::Reset => store::Fault::Reset,
+    }
+}
+
+fn act(trouble: plan::Engine) -> Act {
+    match trouble {
+        plan::Engine::Full => Act::Full,
+        plan::Engine::LosesAnswers => Act::LoseAnswer,
+        plan::Engine::Cuts => Act::CutAfter(2),
+        plan::Engine::Crosses => Act::Crossed,
+        plan::Engine::Fails => Act::Fail(500),
+        plan::Engine::Hangs => Act::Hang,
+    }
+}
