Write the platform's words in its stand-ins only

Cause: tests of the gateway wrote configurations, settings, headers and records of the platform by themselves, so that its words stood outside platform/ (issue: the whole path). Change: the tests use what platform/standin has for the soak: configuration, settings, requests, and questions to what an engine got. No test's assertion changed; the one on forged headers now covers four of them and not one. Shown by: git grep for the platform's header names in crates/ finds none; tests of gateway, adapter and soak green.

--- a/crates/gateway/tests/beliefs.rs
+++ b/crates/gateway/tests/beliefs.rs
@@ -9,7 +9,7 @@
 use floor::Engine;
 use floor::engine::Act;
 use floor::store::Fault;
-use world::{GENERATION, World, ask, until};
+use world::{World, ask, generation, until};
 
 /// The status of a plain call with an id of its own.
 async fn status(world: &World, path: &str) -> u16 {
@@ -45,7 +45,8 @@
     pool.streams(30, Duration::from_millis(50));
     other.streams(30, Duration::from_millis(50));
     let mut caller = world.caller().await;
-    let streaming = ask(&mut caller, "/stream/a", "long", &GENERATION);
+    let headers = generation();
+    let streaming = ask(&mut caller, "/stream/a", "long", &headers);
     let leaving = async {
         until(async || pool.runs("long") == 1).await;
         other.register(&world.store, "pool", "ready", Some("decode"));
@@ -141,7 +142,8 @@
     let (world, _app, pool) = World::start().await;
     pool.streams(40, Duration::from_millis(50));
     let mut caller = world.caller().await;
-    let streaming = ask(&mut caller, "/stream/a", "long", &GENERATION);
+    let headers = generation();
+    let streaming = ask(&mut caller, "/stream/a", "long", &headers);
     let ending = async {
         until(async || pool.runs("long") == 1).await;
         world.signal("-TERM");
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use floor::Engine;
-use floor::engine::Act;
-use world::{GENERATION, World, ask, until};
+use floor::engine::{Act, Got};
+use floor::request::{self, FORGED, READS_ONLY};
+use world::{World, ask, ask_within, generation, until};
 
 #[actix_rt::test]
 async fn calls_of_every_kind_are_served() {
@@ -36,7 +37,9 @@
             format!("answer to {id}")
         );
         assert_eq!(
-            ask(&mut caller, "/stream/x", id, &GENERATION).await.status,
+            ask(&mut caller, "/stream/x", id, &generation())
+                .await
+                .status,
             200
         );
     }
@@ -153,8 +156,8 @@
     app.act(Act::Crossed);
     pool.act(Act::Crossed);
     // The engine sends nothing else, so the callers run out of time or get a failure.
-    let short = [("request-deadline", "300")];
-    let answer = world.call("/once/a", "u1", &short).await;
+    let mut caller = world.caller().await;
+    let answer = ask_within(&mut caller, "/once/a", "u1", 300, &[]).await;
     assert_ne!(answer.status, 200);
     assert!(!answer.text().contains("of another"));
 }
@@ -182,11 +185,7 @@
     })
     .await;
     let resumed = other.got();
-    assert!(
-        resumed
-            .iter()
-            .any(|got| got.header("last-event-id") == Some("2"))
-    );
+    assert!(resumed.iter().any(|got| got.resumes_after() == Some("2")));
 }
 
 #[actix_rt::test]
@@ -225,18 +224,13 @@
     let prefill = Engine::start("prefill-1").await;
     prefill.register(&world.store, "pool", "ready", Some("prefill"));
     let (world, _app, pool) = world.begin().await;
-    let forged = "127.0.0.1:1/forged";
     until(async || {
         // Parts that no engine has read, so that there is something to read.
         let id = world.fresh_id();
         let prefix = format!("aa{id}:40000,bb{id}:10000");
-        let headers = [
-            ("model-name", "m"),
-            ("token-count", "50000,20"),
-            ("prompt-prefix", prefix.as_str()),
-            ("kv-source", forged),
-            ("serving-stage", "prefill"),
-        ];
+        let mut headers = request::generation("50000,20", &prefix).to_vec();
+        headers.extend(FORGED);
+        headers.push(READS_ONLY);
         world.call("/stream/a", &id, &headers).await;
         !prefill.got().is_empty()
     })
@@ -245,11 +239,7 @@
     let generated = pool.got().into_iter().find(|got| got.id == read.id);
     let source = format!("{}/h{}", prefill.address, read.id);
     let generated = generated.expect("the call was generated");
-    assert_eq!(generated.header("kv-source"), Some(source.as_str()));
-    assert_eq!(generated.header("serving-stage"), None);
-    let got = pool.got();
-    assert!(
-        got.iter()
-            .all(|got| got.header("kv-source") != Some(forged))
-    );
+    assert_eq!(generated.memory(), Some(source.as_str()));
+    assert!(!generated.reads_only());
+    assert!(!pool.got().iter().any(Got::is_forged));
 }
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -8,12 +8,12 @@
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
-use actix_http::RequestHead;
-use actix_http::header::{HeaderName, HeaderValue};
 use bytes::Bytes;
+use floor::configuration::{Route, Settings};
+use floor::request::{self, Header, Seen};
 use floor::{Engine, Store};
 use http1::{Client, Failure, Patience};
-use serde_json::{Value, json};
+use serde_json::Value;
 use tempfile::NamedTempFile;
 
 /// Long, since these tests judge states and counts and no times.
@@ -54,6 +54,9 @@
     }
 }
 
+/// Milliseconds that callers wait.
+const DEADLINE: u32 = 20_000;
+
 /// First port that tests use; the kernel gives connections none below 32,768.
 const FIRST_PORT: u16 = 21_000;
 
@@ -73,54 +76,25 @@
     }
 }
 
-fn settings(store: SocketAddr, front: SocketAddr, ready: SocketAddr, port: u16) -> String {
-    format!(
-        r#"
-node = "front-a-1"
-ip = "127.0.0.1"
-zone = "a"
-port_range = [{port}, {port}]
-[listen]
-front = "{front}"
-ready = "{ready}"
-[bounds]
-drain_ms = 2000
-grace_s = 8
-config_apply_ms = 2000
-retry_budget_ratio = 0.2
-retry_budget_slack = 60000
-[platform]
-address = "{store}"
-"#
-    )
-}
+/// Repeats beyond the ratio: more than any test needs.
+const SLACK: u32 = 60_000;
 
 /// A configuration with a route of each kind; `app` is the service of plain calls.
 pub(crate) fn configuration(version: u64, app: &str) -> Value {
-    let route = |prefix: &str, kind: &str, service: &str, attempts: u32, resumable: bool| {
-        json!({
-            "name": prefix, "host": "h", "path_prefix": prefix, "kind": kind, "timeout_ms": 20_000,
-            "target_latency_ms": 5_000, "priority": 1, "service": service, "max_attempts": attempts,
-            "resumable": resumable, "gap_target_ms": 3_000,
-        })
+    let route = |prefix, kind, service, attempts, resumable| Route {
+        prefix,
+        kind,
+        service,
+        attempts,
+        resumable,
     };
-    json!({
-        "version": version,
-        "routes": [
-            route("/safe/", "safe", app, 2, false),
-            route("/once/", "unsafe", app, 1, false),
-            route("/stream/", "streaming", "pool", 1, false),
-            route("/resume/", "streaming", "pool", 2, true),
-        ],
-        "services": [
-            { "name": app, "max_conns": 50 },
-            { "name": "pool", "max_conns": 50, "engine": {
-                "slots": 8, "kv_capacity": 100_000, "kv_token_bytes": 1_000, "link_mbps": 100_000.0,
-                "handle_ttl_s": 5.0 } },
-        ],
-        "limits": { "max_header_bytes": 16_384, "max_body_bytes": 1_000_000,
-            "header_timeout_ms": 20_000, "idle_timeout_ms": 60_000 },
-    })
+    let routes = [
+        route("/safe/", "safe", app, 2, false),
+        route("/once/", "unsafe", app, 1, false),
+        route("/stream/", "streaming", "pool", 1, false),
+        route("/resume/", "streaming", "pool", 2, true),
+    ];
+    floor::configuration::configuration(version, &routes, &[app])
 }
 
 impl World {
@@ -129,9 +103,18 @@
         let store = Store::start().await;
         let front = SocketAddr::from(([127, 0, 0, 1], free_port()));
         let ready = SocketAddr::from(([127, 0, 0, 1], free_port()));
-        let text = settings(store.address, front, ready, free_port());
+        let settings = Settings {
+            name: "front-a-1",
+            store: store.address,
+            front,
+            ready,
+            port: free_port(),
+            grace_s: 8,
+            slack: SLACK,
+            lease_ms: 0,
+        };
         let mut file = NamedTempFile::new().expect("a scratch file can be made");
-        file.write_all(text.as_bytes())
+        file.write_all(settings.text().as_bytes())
             .expect("a scratch file can be written");
         let child = Command::new(env!("CARGO_BIN_EXE_tarragon-gateway"))
             .args(["serve", "--settings"])
@@ -176,11 +159,8 @@
 
     /// Registers an engine that has ended and whose record stands.
     pub(crate) fn lost_engine(&self, id: &str, service: &str) {
-        let record = json!({
-            "service": service, "address": format!("127.0.0.1:{}", free_port()), "zone": "a",
-            "slots": 8, "state": "ready", "sequence": 1,
-        });
-        self.store.put("keyed.servers", id, Some(&record));
+        let address = SocketAddr::from(([127, 0, 0, 1], free_port()));
+        floor::engine::register(&self.store, id, address, service, "ready", None);
     }
 
     pub(crate) async fn until_ready(&self, ready: bool) {
@@ -199,7 +179,9 @@
         let Ok(mut client) = Client::open(self.ready, &PATIENCE, &http1::config()).await else {
             return false;
         };
-        let answer = client.send(head("/readiness", &[]), &Bytes::new()).await;
+        let answer = client
+            .send(request::head("/readiness", &[]), &Bytes::new())
+            .await;
         answer.is_ok_and(|answer| answer.head.status.as_u16() == 200)
     }
 
@@ -217,12 +199,7 @@
     }
 
     /// Sends a call and reads its answer.
-    pub(crate) async fn call(
-        &self,
-        path: &str,
-        id: &str,
-        headers: &[(&'static str, &str)],
-    ) -> Answer {
+    pub(crate) async fn call(&self, path: &str, id: &str, headers: &[Header<'_>]) -> Answer {
         let mut caller = self.caller().await;
         ask(&mut caller, path, id, headers).await
     }
@@ -230,8 +207,7 @@
     /// Sends a generation of 100 tokens, whose parts no engine has read.
     pub(crate) async fn generate(&self, path: &str, id: &str) -> Answer {
         let prefix = format!("a{id}:80,b{id}:20");
-        let mut headers = GENERATION;
-        headers[2].1 = &prefix;
+        let headers = request::generation("100,20", &prefix);
         self.call(path, id, &headers).await
     }
 
@@ -269,28 +245,9 @@
     }
 }
 
-/// A header of a call.
-type Header<'a> = (&'static str, &'a str);
-
 /// Headers of a generation.
-pub(crate) const GENERATION: [Header; 3] = [
-    ("model-name", "m"),
-    ("token-count", "100,20"),
-    ("prompt-prefix", "aa:80,bb:20"),
-];
-
-pub(crate) fn head(path: &str, headers: &[(&'static str, &str)]) -> RequestHead {
-    let mut head = RequestHead::default();
-    head.uri = path.parse().expect("a path");
-    head.headers.insert(
-        HeaderName::from_static("host"),
-        HeaderValue::from_static("h"),
-    );
-    for (name, value) in headers {
-        let value = HeaderValue::from_str(value).expect("a header's value");
-        head.headers.append(HeaderName::from_static(name), value);
-    }
-    head
+pub(crate) fn generation() -> [Header<'static>; 3] {
+    request::generation("100,20", "aa:80,bb:20")
 }
 
 /// Sends a call on an open connection and reads its answer.
@@ -298,18 +255,27 @@
     caller: &mut Client,
     path: &str,
     id: &str,
-    headers: &[(&'static str, &str)],
+    headers: &[Header<'_>],
+) -> Answer {
+    ask_within(caller, path, id, DEADLINE, headers).await
+}
+
+/// As [`ask`], for a caller that waits for so many milliseconds.
+pub(crate) async fn ask_within(
+    caller: &mut Client,
+    path: &str,
+    id: &str,
+    deadline: u32,
+    headers: &[Header<'_>],
 ) -> Answer {
-    let mut all = vec![("request-id", id), ("request-deadline", "20000")];
-    all.extend_from_slice(headers);
-    let answer = caller.send(head(path, &all), &Bytes::new()).await;
+    let head = request::call(path, id, deadline, headers);
+    let answer = caller.send(head, &Bytes::new()).await;
     let answer = answer.expect("every call gets an answer");
-    let header = |name: &str| answer.head.headers.get(name);
-    let retry_after = header("retry-after").and_then(|value| value.to_str().ok());
+    let seen = Seen::from(&answer.head);
     Answer {
-        status: answer.head.status.as_u16(),
-        retry_after: retry_after.map(str::to_owned),
-        signed: header("response-signature").is_some(),
+        status: seen.status,
+        retry_after: seen.retry_after,
+        signed: seen.signed,
         body: caller.body(1 << 20).await,
     }
 }
