Serve metrics, and read a settings file that changes without a signal

The settings file's time and size are looked at once a second, and a reload takes the bound of repeats over. Shown by: two process tests (metrics.rs), each failing before.

--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -26,6 +26,9 @@
         /// Settings file; without it the platform's environment variable names it.
         #[arg(long)]
         settings: Option<PathBuf>,
+        /// Port of this instance at which metrics are served, under /metrics.
+        #[arg(long)]
+        metrics: Option<u16>,
     },
     /// Tells a request's way from the logs of instances, in order of time.
     Explain {
@@ -46,7 +49,7 @@
     /// Carries the command out.
     pub fn run(self) -> ExitCode {
         match self.action {
-            Action::Serve { settings } => serve(settings),
+            Action::Serve { settings, metrics } => serve(settings, metrics),
             Action::Explain { id, logs } => explain(&id, &logs),
             Action::Check { settings } => match load(Some(settings)) {
                 Ok(_) => ExitCode::SUCCESS,
@@ -85,13 +88,13 @@
     }
 }
 
-fn serve(path: Option<PathBuf>) -> ExitCode {
+fn serve(path: Option<PathBuf>, metrics: Option<u16>) -> ExitCode {
     journal::init();
     let (path, settings) = match load(path) {
         Ok(loaded) => loaded,
         Err(code) => return code,
     };
-    match daemon::run(path, settings) {
+    match daemon::run(path, settings, metrics) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!(error:% = error; "the daemon failed");
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -1,14 +1,15 @@
 //! Starts the tasks of a process and ends them.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::time::{Duration, SystemTime};
 
 use adapter::settings::{self, Settings};
 use error_stack::{Report, ResultExt as _};
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::instance::Instance;
-use crate::{follow, front, mesh, ready, roles};
+use crate::{follow, front, mesh, metrics, ready, roles};
 
 /// Why the process cannot serve.
 #[derive(Clone, Copy, Debug)]
@@ -29,11 +30,19 @@
 impl std::error::Error for Failure {}
 
 /// Serves until SIGTERM.
-pub(crate) fn run(path: PathBuf, settings: Settings) -> Result<(), Report<Failure>> {
-    actix_rt::System::new().block_on(serve(path, settings))
+pub(crate) fn run(
+    path: PathBuf,
+    settings: Settings,
+    port: Option<u16>,
+) -> Result<(), Report<Failure>> {
+    actix_rt::System::new().block_on(serve(path, settings, port))
 }
 
-async fn serve(path: PathBuf, settings: Settings) -> Result<(), Report<Failure>> {
+async fn serve(
+    path: PathBuf,
+    settings: Settings,
+    port: Option<u16>,
+) -> Result<(), Report<Failure>> {
     let mut terminate = signal(SignalKind::terminate()).change_context(Failure::Signals)?;
     let mut reload = signal(SignalKind::hangup()).change_context(Failure::Signals)?;
     let instance = Rc::new(Instance::new(settings));
@@ -48,16 +57,29 @@
     let ready = http1::listen(listen.ready).change_context(Failure::Listen)?;
     actix_rt::spawn(front::accept(instance.clone(), front));
     actix_rt::spawn(ready::accept(instance.clone(), ready));
+    if let Some(port) = port {
+        metrics::start(&instance, port);
+    }
     follow::start(&instance);
     actix_rt::spawn(follow::sweep(instance.clone()));
     actix_rt::spawn(roles::run(instance.clone()));
     mesh::start(&instance)
         .await
         .change_context(Failure::Listen)?;
+    let mut file = Stamp::of(&path);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
-            _ = reload.recv() => load_again(&instance, &path),
+            _ = reload.recv() => {
+                file = Stamp::of(&path);
+                load_again(&instance, &path);
+            }
+            () = tokio::time::sleep(FILE_PACE) => {
+                let now = Stamp::of(&path);
+                if std::mem::replace(&mut file, now) != now {
+                    load_again(&instance, &path);
+                }
+            }
         }
     }
     log::info!("asked to end");
@@ -66,11 +88,26 @@
     Ok(())
 }
 
+/// Pause between two looks whether the settings file has changed without a signal.
+const FILE_PACE: Duration = Duration::from_secs(1);
+
+/// By what a changed file is told from the one before. A file that cannot be looked at has none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Stamp(Option<(SystemTime, u64)>);
+
+impl Stamp {
+    fn of(path: &Path) -> Self {
+        let found = std::fs::metadata(path).ok();
+        Self(found.and_then(|found| Some((found.modified().ok()?, found.len()))))
+    }
+}
+
 /// Takes changed settings over. Addresses are bound already and stay; a file with findings leaves
 /// the settings in force.
-fn load_again(instance: &Instance, path: &std::path::Path) {
+fn load_again(instance: &Instance, path: &Path) {
     match settings::load(path) {
         Ok(settings) => {
+            instance.budgets.borrow_mut().bind(settings.bounds.repeats);
             *instance.settings.borrow_mut() = settings;
             log::info!("settings reloaded");
         }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -154,6 +154,7 @@
     }
 
     fn failed(&mut self, trouble: &Trouble) {
+        self.instance.metrics.store_failed();
         // Others must not rely on this instance while it cannot read.
         self.instance.last_read(self.topic).set(None);
         if self.failures == 0 {
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -15,7 +15,8 @@
 
 use crate::attempt::{self, Answered, Asked, Avoid, Held, MOST, NotRun, Rejections, Tried};
 use crate::instance::Instance;
-use crate::plain::{End, Finished, refuse_end, take_repeat};
+use crate::metrics;
+use crate::plain::{End, Finished, counted, refuse_end, take_repeat};
 use crate::relay::{self, Relay, Times};
 
 /// How a call ended, as far as the connection to its caller goes on.
@@ -48,7 +49,7 @@
             why: "No engine began in time.",
         }),
     };
-    tell(asked, &done);
+    tell(instance, asked, &done);
     match done {
         Done::Whole(_) => true,
         Done::Broken => false,
@@ -60,13 +61,19 @@
     }
 }
 
-fn tell(asked: &Asked, done: &Done) {
+fn tell(instance: &Instance, asked: &Asked, done: &Done) {
+    instance.metrics.stream(match done {
+        Done::Whole(_) => metrics::End::Served,
+        Done::Broken => metrics::End::Cut,
+        Done::Unserved(end) => counted(end),
+    });
     let id = asked.call.id.as_str();
     let route = asked.route.name.as_str();
     let ms = asked.waited().as_millis();
     match done {
         Done::Whole(times) => {
             let first = times.first.map(|first| first - asked.begun);
+            instance.metrics.first_event(first.unwrap_or_default());
             log::info!(
                 id = id, route = route, ms:% = ms,
                 first_ms:% = first.unwrap_or_default().as_millis(),
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -13,6 +13,7 @@
 use serving::{EngineId, Fleet, Record, Table, Zone, hash};
 use tokio::sync::Notify;
 
+use crate::metrics::Metrics;
 use crate::peers::{self, Peers, Topic};
 use crate::phase::Phase;
 use crate::pool::Pool;
@@ -40,6 +41,7 @@
     pub pool: Pool,
     pub peers: RefCell<Peers>,
     pub phase: Phase,
+    pub metrics: Metrics,
     /// Something happened of which the others should hear at once.
     pub stirred: Notify,
 }
@@ -67,6 +69,7 @@
             pool: Pool::default(),
             peers: RefCell::default(),
             phase: Phase::default(),
+            metrics: Metrics::default(),
             stirred: Notify::new(),
             settings: RefCell::new(settings),
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod instance;
 pub mod journal;
 mod mesh;
+mod metrics;
 mod peers;
 mod phase;
 mod plain;
--- a/crates/gateway/src/phase.rs
+++ b/crates/gateway/src/phase.rs
@@ -36,6 +36,11 @@
         self.closing.get()
     }
 
+    /// Calls in hand.
+    pub(crate) fn in_hand(&self) -> usize {
+        self.calls.get()
+    }
+
     /// Enters a call.
     pub(crate) fn begin(&self) -> InHand<'_> {
         self.calls.set(self.calls.get() + 1);
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -15,6 +15,7 @@
 
 use crate::attempt::{self, Answered, Asked, Avoid, Held, MOST, NotRun, Rejections, Tried};
 use crate::instance::Instance;
+use crate::metrics;
 use crate::reply::{Refusal, refuse};
 
 /// How a call ended.
@@ -46,7 +47,7 @@
 pub(crate) async fn answer(instance: &Rc<Instance>, asked: &Asked, writer: &mut Writer) -> bool {
     let end = timeout_at(asked.until, attempts(instance, asked)).await;
     let end = end.unwrap_or(End::Late);
-    tell(asked, &end);
+    tell(instance, asked, &end);
     let close = instance.phase.is_leaving();
     match end {
         End::Answer(answered, body) => {
@@ -79,7 +80,18 @@
     refuse(writer, refusal, close).await.is_ok()
 }
 
-fn tell(asked: &Asked, end: &End) {
+/// How an end is counted.
+pub(crate) fn counted(end: &End) -> metrics::End {
+    match end {
+        End::Answer(answered, _) if answered.reply.is_success() => metrics::End::Served,
+        End::Answer(..) | End::Unknown(_) => metrics::End::Failed,
+        End::NotRun { .. } => metrics::End::Refused,
+        End::Late => metrics::End::Late,
+    }
+}
+
+fn tell(instance: &Instance, asked: &Asked, end: &End) {
+    instance.metrics.plain(counted(end), asked.waited());
     let id = asked.call.id.as_str();
     let route = asked.route.name.as_str();
     let ms = asked.waited().as_millis();
--- a/crates/gateway/src/roles.rs
+++ b/crates/gateway/src/roles.rs
@@ -17,6 +17,7 @@
 
 use crate::attempt::{self, MOST};
 use crate::instance::Instance;
+use crate::metrics::Ordered;
 
 /// Pause between two looks at the split.
 const LOOK: Duration = Duration::from_millis(250);
@@ -234,6 +235,11 @@
             answer:? = answer;
             "ordered"
         );
+        self.instance.metrics.ordered(match answer {
+            None => Ordered::Unanswered,
+            Some(Answer::Accepted | Answer::Holds) => Ordered::Taken,
+            Some(_) => Ordered::Refused,
+        });
         if answer.is_some_and(|answer| !matches!(answer, Answer::Accepted | Answer::Holds)) {
             self.instance
                 .fleet
--- /dev/null
+++ b/crates/gateway/tests/metrics.rs
@@ -0,0 +1,43 @@
+//! What a process tells of itself.
+
+mod world;
+
+use floor::engine::Act;
+use world::{World, until};
+
+#[actix_rt::test]
+async fn calls_are_counted_by_how_they_ended() {
+    let (world, app, pool) = World::start().await;
+    world.call("/once/a", "a", &[]).await;
+    world.generate("/stream/a", "b").await;
+    app.act(Act::Full);
+    pool.act(Act::CutAfter(2));
+    world.call("/once/a", "c", &[]).await;
+    world.generate("/stream/a", "d").await;
+    let page = world.page().await;
+    for line in [
+        r#"tarragon_plain_calls_total{end="served"} 1"#,
+        r#"tarragon_plain_calls_total{end="refused"} 1"#,
+        r#"tarragon_streams_total{end="served"} 1"#,
+        r#"tarragon_streams_total{end="cut"} 1"#,
+        "tarragon_first_event_seconds_count 1",
+        "tarragon_configuration_version 1",
+        "tarragon_engines 2",
+        "tarragon_calls_in_hand 0",
+    ] {
+        assert!(page.lines().any(|found| found == line), "{line} in\n{page}");
+    }
+    assert!(page.ends_with("# EOF\n"));
+}
+
+/// Symptom: instances go on with limits that operators took back. Sequence: the settings file changes and no
+/// signal comes. Cause: only the signal was waited for.
+#[actix_rt::test]
+async fn a_settings_file_that_changes_without_a_signal_is_read() {
+    let (world, _app, _pool) = World::start().await;
+    let path = world.settings.path();
+    let text = std::fs::read_to_string(path).unwrap();
+    let before = world.log_lines("settings reloaded");
+    std::fs::write(path, text.replace("grace_s = 8", "grace_s = 12.5")).unwrap();
+    until(async || world.log_lines("settings reloaded") > before).await;
+}
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -33,7 +33,9 @@
     pub(crate) store: Store,
     pub(crate) front: SocketAddr,
     pub(crate) ready: SocketAddr,
+    pub(crate) metrics: SocketAddr,
     pub(crate) settings: NamedTempFile,
+    log: NamedTempFile,
     child: RefCell<Child>,
     ids: Cell<usize>,
 }
@@ -103,6 +105,7 @@
         let store = Store::start().await;
         let front = SocketAddr::from(([127, 0, 0, 1], free_port()));
         let ready = SocketAddr::from(([127, 0, 0, 1], free_port()));
+        let metrics = SocketAddr::from(([127, 0, 0, 1], free_port()));
         let settings = Settings {
             name: "front-a-1",
             store: store.address,
@@ -116,11 +119,17 @@
         let mut file = NamedTempFile::new().expect("a scratch file can be made");
         file.write_all(settings.text().as_bytes())
             .expect("a scratch file can be written");
+        let log = NamedTempFile::new().expect("a scratch file can be made");
         let child = Command::new(env!("CARGO_BIN_EXE_tarragon-gateway"))
-            .args(["serve", "--settings"])
+            .args([
+                "serve",
+                "--metrics",
+                &metrics.port().to_string(),
+                "--settings",
+            ])
             .arg(file.path())
-            .env("RUST_LOG", "warn")
-            .stdout(Stdio::null())
+            .env("RUST_LOG", "info")
+            .stdout(log.reopen().expect("a scratch file can be opened"))
             .stderr(Stdio::inherit())
             .spawn()
             .expect("the gateway starts");
@@ -128,7 +137,9 @@
             store,
             front,
             ready,
+            metrics,
             settings: file,
+            log,
             child: RefCell::new(child),
             ids: Cell::new(0),
         }
@@ -175,6 +186,24 @@
         .await;
     }
 
+    /// Lines of the process's log that say this.
+    pub(crate) fn log_lines(&self, what: &str) -> usize {
+        let log = std::fs::read_to_string(self.log.path());
+        let log = log.expect("the log can be read");
+        log.lines().filter(|line| line.contains(what)).count()
+    }
+
+    /// The page of metrics.
+    pub(crate) async fn page(&self) -> String {
+        let client = Client::open(self.metrics, &PATIENCE, &http1::config()).await;
+        let mut client = client.expect("metrics are served");
+        let head = request::head("/metrics", &[]);
+        let answer = client.send(head, &Bytes::new()).await;
+        assert_eq!(answer.expect("the page comes").head.status.as_u16(), 200);
+        let page = client.body(1 << 20).await.expect("the page is whole");
+        String::from_utf8(page.to_vec()).expect("the page is text")
+    }
+
     async fn is_ready(&self) -> bool {
         let Ok(mut client) = Client::open(self.ready, &PATIENCE, &http1::config()).await else {
             return false;
--- a/crates/serving/src/budget.rs
+++ b/crates/serving/src/budget.rs
@@ -39,6 +39,14 @@
         }
     }
 
+    /// Takes in a changed bound. What was earned under the one before is gone only if it changed.
+    pub fn bind(&mut self, bound: Bound) {
+        if self.bound != bound {
+            self.bound = bound;
+            self.services.clear();
+        }
+    }
+
     /// Takes in how many instances share the budgets. The share only ever shrinks: an instance that
     /// is not heard of may still send.
     pub fn shared_by(&mut self, instances: u32) {
