--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -377,6 +377,7 @@
     Demand {
         service: &asked.service.name,
         generation,
+        connections: u32::try_from(asked.service.connections).unwrap_or(u32::MAX),
         priority: asked.route.priority,
         target: asked
             .route
--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -37,6 +37,9 @@
         /// Log files, one an instance.
         #[arg(required = true)]
         logs: Vec<PathBuf>,
+        /// Writes JSON, for programs.
+        #[arg(long)]
+        json: bool,
     },
     /// Checks settings and prints every finding with its place.
     Check {
@@ -50,7 +53,7 @@
     pub fn run(self) -> ExitCode {
         match self.action {
             Action::Serve { settings, metrics } => serve(settings, metrics),
-            Action::Explain { id, logs } => explain(&id, &logs),
+            Action::Explain { id, logs, json } => explain(&id, &logs, json),
             Action::Check { settings } => match load(Some(settings)) {
                 Ok(_) => ExitCode::SUCCESS,
                 Err(code) => code,
@@ -59,10 +62,17 @@
     }
 }
 
-fn explain(id: &str, logs: &[PathBuf]) -> ExitCode {
-    match explain::read(id, logs) {
-        Ok(story) => {
-            print!("{}", story.text());
+fn explain(id: &str, logs: &[PathBuf], json: bool) -> ExitCode {
+    let told = explain::read(id, logs).and_then(|story| {
+        if json {
+            story.json().map_err(std::io::Error::from)
+        } else {
+            Ok(story.text())
+        }
+    });
+    match told {
+        Ok(text) => {
+            println!("{}", text.trim_end());
             ExitCode::SUCCESS
         }
         Err(error) => {
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -5,8 +5,11 @@
 use std::io;
 use std::path::{Path, PathBuf};
 
+use serde::Serialize;
+
 /// A line of a log that concerns a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Line {
     /// Time as it stands in the line.
     pub time: String,
@@ -18,6 +21,7 @@
 
 /// What the logs tell of a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Story {
     /// Lines with the request's id, in order of time.
     pub lines: Vec<Line>,
@@ -74,6 +78,15 @@
 }
 
 impl Story {
+    /// The story for programs.
+    ///
+    /// # Errors
+    ///
+    /// If the name of a file is no text.
+    pub fn json(&self) -> Result<String, serde_json::Error> {
+        serde_json::to_string_pretty(self)
+    }
+
     /// The story for people.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -319,6 +319,9 @@
         if instance.own_cell.replace(own_cell) != own_cell {
             log::info!(own_cell = own_cell, instances = instances; "engines of this data centre go first or not");
         }
+        if let Some(connections) = instance.table().and_then(|t| t.fewest_connections()) {
+            instance.pool.shared_by(connections, instances);
+        }
         let instances = u32::try_from(instances).unwrap_or(u32::MAX);
         instance.budgets.borrow_mut().shared_by(instances);
     }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,6 +1,6 @@
 //! Open connections to engines, kept for the next call.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -25,8 +25,11 @@
 /// A connection is not used again this long before the engine would close it: a request that
 /// crosses the close is lost.
 const MARGIN: Duration = Duration::from_millis(700);
-/// Idle connections kept to one engine. More were needed at once only in a burst.
+/// Idle connections kept to one engine at the most. More were needed at once only in a burst.
 const KEPT: usize = 8;
+/// All instances together keep at most one in this many of the connections that an engine takes, so that
+/// those which are idle do not keep calls away.
+const KEPT_SHARE: usize = 2;
 
 struct Idle {
     client: Client,
@@ -37,6 +40,8 @@
 #[derive(Default)]
 pub(crate) struct Pool {
     idle: RefCell<HashMap<EngineId, Vec<Idle>>>,
+    /// Connections that are not kept, of [`KEPT`].
+    forgone: Cell<usize>,
 }
 
 impl Pool {
@@ -78,7 +83,7 @@
         }
         let mut idle = self.idle.borrow_mut();
         let kept = idle.entry(engine.clone()).or_default();
-        if kept.len() >= KEPT {
+        while kept.len() + self.forgone.get() >= KEPT {
             kept.remove(0);
         }
         kept.push(Idle {
@@ -87,6 +92,12 @@
         });
     }
 
+    /// Takes in how many connections one engine takes of how many instances.
+    pub(crate) fn shared_by(&self, connections: usize, instances: usize) {
+        let share = connections / KEPT_SHARE / instances.max(1);
+        self.forgone.set(KEPT - share.clamp(1, KEPT));
+    }
+
     /// Closes connections whose time is over, and those to engines that have gone.
     pub(crate) fn sweep(&self, now: Moment, lives: impl Fn(&EngineId) -> bool) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/gateway/tests/explain.rs
+++ b/crates/gateway/tests/explain.rs
@@ -34,6 +34,9 @@
     assert!(story.beliefs["e1"].text.contains("state=Ready"));
     assert_eq!(story.dropped[&two], 7);
     assert!(story.text().contains("may be missing"));
+    let json: serde_json::Value = serde_json::from_str(&story.json().unwrap()).unwrap();
+    assert_eq!(json["lines"][0]["time"], "2026-07-13T01:15:44.100Z");
+    assert_eq!(json["dropped"][two.to_str().unwrap()], 7);
 }
 
 #[test]
--- a/crates/gateway/tests/journal.rs
+++ b/crates/gateway/tests/journal.rs
@@ -2,8 +2,9 @@
 
 use std::io::{self, Write};
 use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::Duration;
 
-use gateway::journal::Lines;
+use gateway::journal::{Admission, Budget, Lines};
 
 /// A sink that takes a line only when it is let.
 struct Gate {
@@ -54,3 +55,21 @@
     assert!(seen.iter().any(|line| line.contains("dropped count=")));
     assert!(seen.len() < 12, "{seen:?}");
 }
+
+/// Symptom: the line that explains a failed request is not in the log. Sequence: one kind of line repeats itself
+/// thousands of times a second and fills the queue. Cause: all kinds shared one bound.
+#[test]
+fn a_kind_of_line_that_repeats_itself_leaves_room_for_the_others() {
+    let mut budget = Budget::new(2);
+    let (often, seldom) = (("a.rs", 1), ("a.rs", 2));
+    let written = |dropped| Admission::Written { dropped };
+    let at = Duration::from_millis;
+    assert_eq!(budget.admit(often, at(0)), written(0));
+    assert_eq!(budget.admit(often, at(1)), written(0));
+    for ms in 2..50 {
+        assert_eq!(budget.admit(often, at(ms)), Admission::Dropped);
+    }
+    assert_eq!(budget.admit(seldom, at(50)), written(0));
+    assert_eq!(budget.admit(often, at(1_000)), written(48));
+    assert_eq!(budget.admit(often, at(1_001)), written(0));
+}
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -18,6 +18,8 @@
     pub service: &'a ServiceName,
     /// Set for calls to model engines.
     pub generation: Option<Generation<'a>>,
+    /// Connections that one engine of the service takes, of all instances together.
+    pub connections: u32,
     /// Its rank; 0 is the most urgent.
     pub priority: Rank,
     /// Time within which its first answer is on time.
@@ -129,8 +131,7 @@
 fn open<'a>(fleet: &'a Fleet, demand: &'a Demand, now: Moment) -> impl Iterator<Item = &'a Engine> {
     fleet.ready(demand.service).filter(move |engine| {
         let in_reach = !demand.own_cell || engine.record.zone == *demand.zone;
-        let open = engine.health.is_open(now) && !demand.avoid.contains(&engine.record.id);
-        in_reach && open
+        in_reach && engine.health.is_open(now) && takes(engine, demand)
     })
 }
 
@@ -138,7 +139,15 @@
 fn any<'a>(fleet: &'a Fleet, demand: &'a Demand) -> impl Iterator<Item = &'a Engine> {
     fleet
         .ready(demand.service)
-        .filter(|engine| !demand.avoid.contains(&engine.record.id))
+        .filter(|engine| takes(engine, demand))
+}
+
+/// Whether an engine may get a call, however it is.
+///
+/// An engine resets connections beyond those it takes from all instances, and a call that had been sent on
+/// one may have run. One notices it by resets of calls at the fullest engines of a burst.
+fn takes(engine: &Engine, demand: &Demand) -> bool {
+    engine.running() < demand.connections && !demand.avoid.contains(&engine.record.id)
 }
 
 fn plain(fleet: &Fleet, demand: &Demand, now: Moment) -> Choice {
--- a/crates/serving/src/route.rs
+++ b/crates/serving/src/route.rs
@@ -196,6 +196,14 @@
             .find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Connections that an engine of the service with the fewest takes.
+    pub fn fewest_connections(&self) -> Option<usize> {
+        self.services
+            .values()
+            .map(|service| service.connections)
+            .min()
+    }
+
     /// A service by name.
     pub fn service(&self, name: &str) -> Option<&Service> {
         self.services.get(name)
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -78,6 +78,7 @@
     Demand {
         service,
         generation,
+        connections: 360,
         priority: 1,
         target: ms(600),
         zone,
--- a/crates/serving/tests/place.rs
+++ b/crates/serving/tests/place.rs
@@ -4,9 +4,10 @@
 
 use assert_matches::assert_matches;
 use common::{demand, fleet, generation, id, ms, prompt, record, service, zone};
+use serving::engine::Work;
 use serving::health::Outcome;
 use serving::place::{self, Refusal, choose};
-use serving::{Choice, Fleet, Stage, State};
+use serving::{Choice, Demand, Fleet, Stage, State};
 
 const NOW: std::time::Duration = std::time::Duration::from_secs(10);
 
@@ -87,6 +88,35 @@
     );
 }
 
+/// Symptom: in a burst calls are reset at engines that are up. Sequence: several instances send to one engine
+/// until it has all the connections that it takes. Cause: each instance looked at its own connections only.
+#[test]
+fn an_engine_whose_connections_are_taken_gets_nothing_more() {
+    let mut fleet = fleet(&[("a", Stage::Decode), ("b", Stage::Decode)]);
+    fleet.reads(&id("a"), &prompt(&[(1, 9_000)]), 400_000, NOW);
+    let works = |calls| {
+        vec![(
+            id("a"),
+            Work {
+                calls,
+                ..Work::default()
+            },
+        )]
+    };
+    fleet.hear(1, works(359), NOW);
+    let choice = target(&fleet, &[(1, 9_000)]);
+    assert_matches!(choice, Choice::Direct(t) if &*t.engine == "b");
+    fleet.begin(&id("a"), 0, 1, NOW);
+    let (service, zone) = (service(), zone());
+    let parts = prompt(&[(1, 9_000)]);
+    let last = [id("b")];
+    let demand = Demand {
+        avoid: &last,
+        ..demand(&service, &zone, Some(generation(&parts)))
+    };
+    assert_matches!(choose(&fleet, &demand, NOW), Choice::Refuse { .. });
+}
+
 #[test]
 fn a_leaving_engine_gets_nothing() {
     let mut fleet = fleet(&[("a", Stage::Decode), ("b", Stage::Decode)]);
