--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -15,6 +15,7 @@
 use serving::fleet::Change;
 use serving::hash;
 use serving::parts::Part;
+use serving::spread::{self, Spread};
 use serving::{EngineId, Fleet};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
@@ -73,7 +74,10 @@
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((size, from)) => match Frame::decode(&buffer[..size]) {
-                Ok(frame) => {
+                Ok(mut frame) => {
+                    if frame.pass_on {
+                        pass_near(&instance, &socket, &mut frame);
+                    }
                     if !frame.pass_to.is_empty() {
                         pass_on(&socket, &frame);
                     }
@@ -234,6 +238,8 @@
     let mut earliest = Instant::now();
     let mut state_due = Instant::now();
     let mut states = 0;
+    // Instances that start together begin with different ones.
+    let mut turn: usize = rand::random_range(0..usize::MAX);
     loop {
         if timeout(PACE, instance.stirred.notified()).await.is_ok() {
             sleep(GATHER).await;
@@ -252,7 +258,13 @@
             states += 1;
         }
         let addressees = addressees(&instance, &frame, states, now);
-        let bytes = broadcast(&socket, &frame, &addressees);
+        let bytes = if frame.state.is_some() {
+            // A state is known by the address that it comes from.
+            broadcast(&socket, &frame, &addressees)
+        } else {
+            turn = turn.wrapping_add(1);
+            spread_out(&instance, &socket, frame, &addressees, turn)
+        };
         earliest = Instant::now() + instance.sending(bytes).mul_f64(1.0 / LINK_SHARE);
         greet(&instance, &socket);
     }
@@ -413,6 +425,35 @@
     SocketAddr::from((Ipv4Addr::from(ip), port))
 }
 
+/// Sends changes to several instances, to those of other data centres by way of one of each.
+fn spread_out(
+    instance: &Instance,
+    socket: &UdpSocket,
+    mut frame: Frame,
+    addressees: &[SocketAddr],
+    turn: usize,
+) -> usize {
+    let Spread { direct, passing } = {
+        let peers = instance.peers.borrow();
+        let placed = addressees
+            .iter()
+            .map(|address| (*address, peers.place(*address)));
+        let placed: Vec<_> = placed.collect();
+        spread::spread(&placed, hash::short(&instance.zone), turn)
+    };
+    let bytes = broadcast(socket, &frame, &direct);
+    frame.pass_on = true;
+    bytes + broadcast(socket, &frame, &passing)
+}
+
+/// Passes changes on to the other instances of this data centre.
+fn pass_near(instance: &Instance, socket: &UdpSocket, frame: &mut Frame) {
+    frame.pass_on = false;
+    let near = hash::short(&instance.zone);
+    let near = instance.peers.borrow().heard_of(Some(near), instance.now());
+    broadcast(socket, frame, &near);
+}
+
 /// Sends a frame to several instances. Gives the bytes that this put on the link.
 fn broadcast(socket: &UdpSocket, frame: &Frame, addressees: &[SocketAddr]) -> usize {
     let bytes = frame.encode_to_vec();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,6 +6,7 @@
 
 use clock::Moment;
 use serving::parts::Part;
+use serving::spread::Place;
 use serving::watch::Said;
 use serving::{EngineId, hash};
 use wire::gateway::{News, State, Ticket};
@@ -177,6 +178,11 @@
         heard.map(|(address, _)| *address).collect()
     }
 
+    /// The data centre of an instance, 0 where it is not known.
+    pub(crate) fn place(&self, address: SocketAddr) -> Place {
+        self.by_address.get(&address).map_or(0, |(place, _)| *place)
+    }
+
     /// Addresses of all registered instances.
     pub(crate) fn all(&self) -> Vec<SocketAddr> {
         self.by_address.keys().copied().collect()
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod roles;
 pub mod route;
 pub mod speed;
+pub mod spread;
 pub mod turn;
 pub mod usual;
 pub mod watch;
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -50,8 +50,8 @@
     }
 }
 
-/// Events of a stream; the stand-in's own number.
-const EVENTS: usize = 4;
+/// Events of a stream.
+pub const EVENTS: usize = 4;
 /// Time around a call in which an unplanned fault may have cut it. Kernels notice silent peers within
 /// seconds.
 const AFTERMATH: Duration = Duration::from_secs(8);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -143,6 +143,10 @@
 /// Mean time between two faults: they overlap more often than not.
 const BETWEEN: u64 = 700;
 
+/// Of this many seeds one has planned work only, during which no call may be cut. Among other faults
+/// nobody could tell what cut a call.
+const PLANNED: u64 = 3;
+
 impl Plan {
     /// Draws a plan. The same seed and length give the same plan.
     pub fn draw(seed: u64, length: Duration) -> Self {
@@ -150,6 +154,7 @@
         let gateways = rng.random_range(2..=4);
         let services = rng.random_range(2..=3);
         let engines = rng.random_range(3..=8);
+        let planned = seed.is_multiple_of(PLANNED);
         let count = (length.as_millis() / u128::from(BETWEEN)).max(1);
         let last = length.saturating_sub(LEAD).as_millis();
         let last = u64::try_from(last).unwrap_or(u64::MAX).max(1);
@@ -157,7 +162,11 @@
             .map(|_| Fault {
                 at: LEAD + Duration::from_millis(rng.random_range(0..last)),
                 lasts: Duration::from_millis(rng.random_range(SHORTEST..=LONGEST)),
-                kind: kind(&mut rng, gateways, services + engines),
+                kind: if planned {
+                    planned_kind(&mut rng, gateways, services + engines)
+                } else {
+                    kind(&mut rng, gateways, services + engines)
+                },
             })
             .collect();
         faults.sort_by_key(|fault| fault.at);
@@ -193,6 +202,16 @@
     }
 }
 
+fn planned_kind(rng: &mut StdRng, gateways: usize, engines: usize) -> Kind {
+    let gateway = rng.random_range(0..gateways);
+    match rng.random_range(0..6) {
+        0..=2 => Kind::Process(gateway, Process::Stop),
+        3 => Kind::Process(gateway, Process::Reload),
+        4 => Kind::Leave(rng.random_range(0..engines)),
+        _ => Kind::Configure,
+    }
+}
+
 fn link(rng: &mut StdRng) -> Link {
     let delay = Duration::from_millis(rng.random_range(5..400));
     pick(
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -4,12 +4,14 @@
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
+use std::time::Duration;
 
 use floor::configuration::{Route, configuration};
 use floor::engine::Act;
 use floor::{Engine, Store, store};
 use rustix::process::Signal;
 
+use crate::check;
 use crate::gateway::{Gateway, Ports};
 use crate::history::{History, Run};
 use crate::plan::{self, Kind, Link, Plan, Process};
@@ -48,6 +50,8 @@
     pub history: RefCell<History>,
 }
 
+/// Pause between two events, so that streams are under way whenever something happens.
+const PAUSE: Duration = Duration::from_millis(50);
 /// Name of the topic with engines' records.
 const ENGINES: &str = "keyed.servers";
 /// Topics whose history is dropped.
@@ -108,6 +112,7 @@
     async fn add_engine(&self, service: &'static str, stage: Option<&'static str>) {
         let id = format!("{service}-{}", self.places.borrow().len());
         let engine = Engine::start(&id).await;
+        engine.streams(check::EVENTS, PAUSE);
         let link = Proxy::start(engine.address).await;
         engine.register_at(link.address, &self.store, service, "ready", stage);
         self.places.borrow_mut().push(Place {
