--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use clap::{Parser, Subcommand};
-use soak::plan::Plan;
+use soak::plan::{Plan, Size};
 use soak::run::{self, Outcome, Places};
 
 /// Runs gateways between stand-ins under random faults and checks what callers and engines see.
@@ -22,6 +22,12 @@
     /// Seconds for which callers send.
     #[arg(long, global = true, default_value_t = 12)]
     seconds: u64,
+    /// Gateway processes; drawn by the seed without it.
+    #[arg(long, global = true)]
+    gateways: Option<usize>,
+    /// Engines that generate; drawn by the seed without it.
+    #[arg(long, global = true)]
+    engines: Option<usize>,
     #[command(subcommand)]
     action: Action,
 }
@@ -65,6 +71,11 @@
 /// Says whether every promise was kept.
 async fn act(command: &Command) -> io::Result<bool> {
     let length = Duration::from_secs(command.seconds);
+    let size = Size {
+        gateways: command.gateways,
+        engines: command.engines,
+    };
+    let draw = |seed| Plan::draw_sized(seed, length, size);
     let program = match &command.program {
         Some(program) => program.clone(),
         None => run::program(&std::env::current_exe()?)?,
@@ -75,12 +86,11 @@
     };
     match command.action {
         Action::Plan { seed } => {
-            let plan = Plan::draw(seed, length);
-            print_plan(&plan);
+            print_plan(&draw(seed));
             Ok(true)
         }
         Action::Run { seed, calm } => {
-            let mut plan = Plan::draw(seed, length);
+            let mut plan = draw(seed);
             if calm {
                 plan.faults.clear();
             }
@@ -96,7 +106,7 @@
         Action::Many { from, count } => {
             let mut failed = Vec::new();
             for seed in from..from + count {
-                let outcome = run::run(&Plan::draw(seed, length), &places).await?;
+                let outcome = run::run(&draw(seed), &places).await?;
                 print_outcome(&outcome);
                 if !outcome.findings.is_empty() {
                     failed.push(seed);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -134,6 +134,15 @@
     pub faults: Vec<Fault>,
 }
 
+/// Sizes that a plan is not left to draw.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Size {
+    /// Gateway processes.
+    pub gateways: Option<usize>,
+    /// Engines that generate.
+    pub engines: Option<usize>,
+}
+
 /// Time before the first fault, in which the processes serve.
 const LEAD: Duration = Duration::from_millis(800);
 /// Longest time that a fault lasts.
@@ -150,10 +159,17 @@
 impl Plan {
     /// Draws a plan. The same seed and length give the same plan.
     pub fn draw(seed: u64, length: Duration) -> Self {
+        Self::draw_sized(seed, length, Size::default())
+    }
+
+    /// Draws a plan for a world of a given size.
+    pub fn draw_sized(seed: u64, length: Duration, size: Size) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
-        let gateways = rng.random_range(2..=4);
+        let drawn = rng.random_range(2..=4);
+        let gateways = size.gateways.unwrap_or(drawn);
         let services = rng.random_range(2..=3);
-        let engines = rng.random_range(3..=8);
+        let drawn = rng.random_range(3..=8);
+        let engines = size.engines.unwrap_or(drawn);
         let planned = seed.is_multiple_of(PLANNED);
         let count = (length.as_millis() / u128::from(BETWEEN)).max(1);
         let last = length.saturating_sub(LEAD).as_millis();
