Order engines only where reading is scarce, and look only at engines that a state names

Change: the planner knows what is read (a fading mean of the work of all instances) against what the engines could read; below 0.2 nothing is ordered to read, and before any load at most eight engines change. The soak's engines carry orders out.

--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -1,11 +1,13 @@
 //! All engines, the work at each, and the parts that each has read.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use clock::Moment;
 
 use crate::engine::{Changing, Engine, Job, Pending, Rank, Record, Stage, State, Ticket, Work};
+use crate::flow::Flow;
 use crate::health::Outcome;
 use crate::parts::{Part, Parts};
 use crate::speed::Speed;
@@ -41,6 +43,11 @@
     speeds: HashMap<(ServiceName, Stage), Speed>,
     /// When each other instance was last heard of.
     heard: BTreeMap<PeerId, Moment>,
+    /// Engines at which each other instance has had work since it last told all. Without this every state of
+    /// every instance would cost a look at every engine.
+    at: HashMap<PeerId, Vec<EngineId>>,
+    /// Work of prompts sent by all instances, by service.
+    reading: HashMap<ServiceName, Flow>,
     changes: Vec<Change>,
 }
 
@@ -184,6 +191,10 @@
             if engine.record.stage.is_some() {
                 self.changes.push(Change::Started(id.clone(), job));
             }
+            if work > 0 {
+                let service = engine.record.service.clone();
+                self.reading.entry(service).or_default().add(work, now);
+            }
         }
         Sent {
             engine: id.clone(),
@@ -234,8 +245,10 @@
                 self.changes
                     .push(Change::Ended(sent.engine.clone(), sent.ticket));
             }
+            if engine.gone {
+                self.sweep();
+            }
         }
-        self.sweep();
     }
 
     /// What changed since the last question.
@@ -262,12 +275,22 @@
     /// none of its work.
     pub fn hear(&mut self, peer: PeerId, works: Vec<(EngineId, Work)>, now: Moment) {
         self.heard.insert(peer, now);
-        for engine in self.engines.values_mut() {
-            engine.others.remove(&peer);
-        }
+        self.clear(peer);
+        let mut at = Vec::with_capacity(works.len());
         for (id, work) in works {
             if let Some(engine) = self.engines.get_mut(&id) {
                 engine.others.insert(peer, work);
+                at.push(id);
+            }
+        }
+        self.at.insert(peer, at);
+    }
+
+    /// Drops all work of another instance.
+    fn clear(&mut self, peer: PeerId) {
+        for id in self.at.remove(&peer).unwrap_or_default() {
+            if let Some(engine) = self.engines.get_mut(&id) {
+                engine.others.remove(&peer);
             }
         }
     }
@@ -285,7 +308,13 @@
         let Some(engine) = self.engines.get_mut(id) else {
             return;
         };
-        let work = engine.others.entry(peer).or_default();
+        let work = match engine.others.entry(peer) {
+            Entry::Occupied(known) => known.into_mut(),
+            Entry::Vacant(new) => {
+                self.at.entry(peer).or_default().push(id.clone());
+                new.insert(Work::default())
+            }
+        };
         match change {
             Change::Gone(_) => engine.health.note(Outcome::Ended, now),
             Change::Started(_, job) => {
@@ -297,6 +326,8 @@
                 work.calls += 1;
                 if job.work > 0 {
                     work.jobs.push(*job);
+                    let service = engine.record.service.clone();
+                    self.reading.entry(service).or_default().add(job.work, now);
                 }
             }
             Change::Read(_, ticket, at) => {
@@ -314,9 +345,12 @@
     /// Drops what another instance said, because it has ended.
     pub fn forget_peer(&mut self, peer: PeerId) {
         self.heard.remove(&peer);
-        for engine in self.engines.values_mut() {
-            engine.others.remove(&peer);
-        }
+        self.clear(peer);
+    }
+
+    /// Tokens of work that all instances have had read lately, in a millisecond.
+    pub fn reading(&self, service: &ServiceName, now: Moment) -> f64 {
+        self.reading.get(service).map_or(0.0, |flow| flow.rate(now))
     }
 
     /// Drops what silent instances said, and orders that had no effect.
--- /dev/null
+++ b/crates/serving/src/flow.rs
@@ -0,0 +1,34 @@
+//! How much of something flows, as a mean that fades.
+
+use std::time::Duration;
+
+use clock::Moment;
+
+/// Time constant of the mean: longer than the waves of a mix that swings every 2.8 s, shorter than a change of
+/// engines pays back.
+const FADES: Duration = Duration::from_secs(4);
+
+/// A flow.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Flow {
+    sum: f64,
+    at: Moment,
+}
+
+impl Flow {
+    /// Adds an amount.
+    pub(crate) fn add(&mut self, amount: u32, now: Moment) {
+        self.sum = self.faded(now) + f64::from(amount);
+        self.at = now;
+    }
+
+    /// Amount in a millisecond.
+    pub(crate) fn rate(&self, now: Moment) -> f64 {
+        self.faded(now) / (FADES.as_secs_f64() * 1_000.0)
+    }
+
+    fn faded(&self, now: Moment) -> f64 {
+        let past = now.saturating_sub(self.at).as_secs_f64();
+        self.sum * (-past / FADES.as_secs_f64()).exp()
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cell;
 pub mod engine;
 pub mod fleet;
+mod flow;
 pub mod hash;
 pub mod health;
 pub mod line;
--- a/crates/serving/src/roles.rs
+++ b/crates/serving/src/roles.rs
@@ -47,14 +47,37 @@
 /// second after a start, and engines that are replaced come one after the other.
 const HOLD: Duration = Duration::from_secs(2);
 
+/// Share of what all engines could read at which reading is scarce. Below it calls hardly wait for each other, and
+/// every order is paid for.
+const SCARCE: f64 = 0.2;
+/// Engines that change before any load is known. On a small deployment these are all, and none changes under the
+/// first load; on a large one they cost little if the load never comes.
+const BLIND: usize = 8;
+
 /// The plan for one service's engines.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Planner {
     /// Peak of the share of slots filled at engines that generate, and when it was looked at.
     fill: f64,
     looked: Option<Moment>,
+    /// Peak of what is read, as a share of what all engines could read.
+    read: f64,
     /// Since when the split has been off.
     off: Option<Moment>,
+    /// Engines that may still change before any load is known.
+    blind: usize,
+}
+
+impl Default for Planner {
+    fn default() -> Self {
+        Self {
+            fill: 0.0,
+            looked: None,
+            read: 0.0,
+            off: None,
+            blind: BLIND,
+        }
+    }
 }
 
 /// Engines of a service as the plan sees them.
@@ -86,6 +109,13 @@
         self.decode.len() + self.prefill.len()
     }
 
+    /// Tokens of work that the engines of a data centre, or all, read in a millisecond.
+    fn speed(&self, fleet: &Fleet, zone: Option<&Zone>) -> f64 {
+        let all = self.decode.iter().chain(&self.prefill);
+        let seen = all.filter(|engine| zone.is_none_or(|zone| engine.record.zone == *zone));
+        seen.map(|engine| fleet.speed(engine).rate).sum()
+    }
+
     /// Share of the slots that are taken at engines that generate in a data centre, or in all.
     fn fill(&self, zone: Option<&Zone>) -> f64 {
         let seen = |engine: &&&Engine| zone.is_none_or(|zone| engine.record.zone == *zone);
@@ -110,7 +140,8 @@
         now: Moment,
     ) -> Changes {
         let split = Split::new(fleet, service);
-        self.look(split.fill(zone), now);
+        let read = fleet.reading(service, now) / split.speed(fleet, zone).max(1.0);
+        self.look(split.fill(zone), read, now);
         let count = split.count();
         let more = if count < FEWEST || split.prefill.is_empty() {
             0
@@ -125,28 +156,31 @@
         if now.saturating_sub(since) < HOLD {
             return Changes::new();
         }
-        let room = if self.fill > 0.0 {
-            share(count, AT_ONCE).max(1).saturating_sub(split.changing)
+        let is_idle = self.fill == 0.0 && self.read == 0.0;
+        let room = if is_idle {
+            self.blind
         } else {
-            usize::MAX
+            share(count, AT_ONCE).max(1).saturating_sub(split.changing)
         };
+        let room = room.min(more.unsigned_abs());
+        if is_idle {
+            self.blind -= room;
+        }
         let (from, stage) = if more > 0 {
             (split.decode, Stage::Prefill)
         } else {
             (split.prefill, Stage::Decode)
         };
-        pick(from, more.unsigned_abs().min(room), stage)
+        pick(from, room, stage)
     }
 
-    fn look(&mut self, fill: f64, now: Moment) {
+    fn look(&mut self, fill: f64, read: f64, now: Moment) {
         let past = self
             .looked
             .map_or(Duration::ZERO, |at| now.saturating_sub(at));
         let kept = 0.5_f64.powf(past.as_secs_f64() / HALF_LIFE.as_secs_f64());
-        self.fill = fill.max(self.fill * kept);
-        if self.fill < 1e-3 {
-            self.fill = 0.0;
-        }
+        self.fill = peak(self.fill * kept, fill);
+        self.read = peak(self.read * kept, read);
         self.looked = Some(now);
     }
 
@@ -158,10 +192,20 @@
         let decode = share(count, LEAST_DECODE).max(by_load).min(most);
         let more = split.decode.len().cast_signed() - decode.cast_signed();
         let slack = share(count, SLACK).max(2);
-        if more.unsigned_abs() < slack { 0 } else { more }
+        let is_known = self.fill > 0.0 || self.read > 0.0;
+        if more.unsigned_abs() < slack || (more > 0 && is_known && self.read < SCARCE) {
+            return 0;
+        }
+        more
     }
 }
 
+/// What is left of a peak, or what is there now. Very little counts as none.
+fn peak(left: f64, now: f64) -> f64 {
+    let peak = left.max(now);
+    if peak < 1e-3 { 0.0 } else { peak }
+}
+
 fn share(count: usize, share: f64) -> usize {
     #[allow(
         clippy::cast_precision_loss,
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -224,12 +224,39 @@
         });
     }
 
+    /// Lets engines do what they were ordered last.
+    fn carry_out_orders(&self) {
+        for place in self
+            .places
+            .borrow_mut()
+            .iter_mut()
+            .filter(|place| !place.left)
+        {
+            let Some(order) = place.engine.orders().pop() else {
+                continue;
+            };
+            let stage = if order.stage == "prefill" {
+                "prefill"
+            } else {
+                "decode"
+            };
+            if place.stage != Some(stage) {
+                place.stage = Some(stage);
+                let (address, service) = (place.link.address, place.service);
+                place
+                    .engine
+                    .register_at(address, &self.store, service, "ready", place.stage);
+            }
+        }
+    }
+
     /// Starts processes that have ended, and notes those that ended by themselves.
     ///
     /// # Errors
     ///
     /// If one cannot be started.
     pub fn restart(&self) -> io::Result<()> {
+        self.carry_out_orders();
         for (number, instance) in self.instances.iter().enumerate() {
             let mut gateway = instance.gateway.borrow_mut();
             match gateway.has_ended() {
