--- /dev/null
+++ b/crates/gateway/src/frame.rs
@@ -0,0 +1,114 @@
+//! What frames between instances hold, to and from the types of `serving`. Nothing is sent here; see
+//! [`crate::mesh`].
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use clock::Moment;
+use serving::engine::{Job, Rank, Stage, Ticket, Work};
+use serving::fleet::Change;
+use serving::{EngineId, hash};
+use wire::gateway::{Frame, Started};
+
+use crate::peers;
+
+/// The moment that was so long ago.
+pub(crate) fn before(now: Moment, age_ms: u32) -> Moment {
+    now.saturating_sub(Duration::from_millis(u64::from(age_ms)))
+}
+
+/// A prompt as another instance told it.
+pub(crate) fn job(job: &wire::gateway::Job, now: Moment) -> Job {
+    Job {
+        ticket: job.ticket,
+        sent: before(now, job.age_ms),
+        rank: Rank::try_from(job.rank).unwrap_or(Rank::MAX),
+        work: job.work,
+    }
+}
+
+/// A prompt as it is told.
+pub(crate) fn told_job(job: &Job, now: Moment) -> wire::gateway::Job {
+    wire::gateway::Job {
+        ticket: job.ticket,
+        work: job.work,
+        rank: u32::from(job.rank),
+        age_ms: peers::millis(job.sent, now),
+    }
+}
+
+/// The work at an engine as another instance told it.
+pub(crate) fn work(work: &wire::gateway::Work, now: Moment) -> Work {
+    Work {
+        calls: work.calls,
+        jobs: work.jobs.iter().map(|told| job(told, now)).collect(),
+    }
+}
+
+/// The work at an engine as it is told.
+pub(crate) fn told_work(engine: &EngineId, work: &Work, now: Moment) -> wire::gateway::Work {
+    wire::gateway::Work {
+        engine: hash::short(engine),
+        calls: work.calls,
+        jobs: work.jobs.iter().map(|job| told_job(job, now)).collect(),
+    }
+}
+
+fn ticket(engine: &EngineId, ticket: Ticket) -> wire::gateway::Ticket {
+    wire::gateway::Ticket {
+        engine: hash::short(engine),
+        ticket,
+        age_ms: 0,
+    }
+}
+
+/// Adds changes to a frame. Gives the prompts that were read, with their moments.
+pub(crate) fn add_changes(
+    frame: &mut Frame,
+    changes: Vec<Change>,
+    now: Moment,
+) -> Vec<(wire::gateway::Ticket, Moment)> {
+    let mut reads = Vec::new();
+    for change in changes {
+        match change {
+            // Prompts are told as long as they are recent.
+            Change::Started(_, job) if job.work > 0 => {}
+            Change::Started(engine, job) => frame.started.push(started(&engine, &job, now)),
+            Change::Read(engine, number, at) => reads.push((ticket(&engine, number), at)),
+            Change::Ended(engine, number) => frame.ended.push(ticket(&engine, number)),
+            Change::Gone(engine) => frame.gone.push(hash::short(&engine)),
+        }
+    }
+    reads
+}
+
+/// A prompt that was sent, as it is told.
+pub(crate) fn started(engine: &EngineId, job: &Job, now: Moment) -> Started {
+    Started {
+        engine: hash::short(engine),
+        job: Some(told_job(job, now)),
+    }
+}
+
+/// An engine that changes, as it is told.
+pub(crate) fn told_changing((engine, stage): (&EngineId, Stage)) -> wire::gateway::Changing {
+    wire::gateway::Changing {
+        engine: hash::short(engine),
+        reads: stage == Stage::Prefill,
+    }
+}
+
+/// An address in one number, if it fits.
+pub(crate) fn packed(address: SocketAddr) -> Option<u64> {
+    match address {
+        SocketAddr::V4(v4) => Some(u64::from(u32::from(*v4.ip())) << 16 | u64::from(v4.port())),
+        SocketAddr::V6(_) => None,
+    }
+}
+
+/// The address in a number.
+pub(crate) fn unpacked(packed: u64) -> SocketAddr {
+    #[allow(clippy::cast_possible_truncation)]
+    let (ip, port) = ((packed >> 16) as u32, packed as u16);
+    SocketAddr::from((Ipv4Addr::from(ip), port))
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,9 +6,11 @@
 mod attempt;
 pub mod command;
 mod daemon;
+mod discover;
 pub mod events;
 pub mod explain;
 mod follow;
+mod frame;
 mod front;
 mod generate;
 mod instance;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -3,28 +3,30 @@
 //! repair; instances find each other through the store.
 
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use adapter::records::INSTANCES;
-use adapter::store::{Keyed, Offset, Store, Trouble};
+use adapter::store::Keyed;
 use bytes::Bytes;
 use clock::Moment;
-use serving::engine::{Changing, Job, Rank, Stage, Ticket, Work};
+use serving::Fleet;
+use serving::engine::{Changing, Stage};
 use serving::fleet::Change;
 use serving::hash;
 use serving::parts::Part;
 use serving::spread::{self, Spread};
-use serving::{EngineId, Fleet};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use wire::Message as _;
-use wire::gateway::{Frame, News, Started, State};
+use wire::gateway::{Frame, News, State};
 
+use crate::frame::{
+    add_changes, before, job, packed, started, told_changing, told_work, unpacked, work,
+};
 use crate::instance::Instance;
 use crate::peers::{self, PARTS, Topic};
-use crate::{follow, recall};
+use crate::{discover, follow, recall};
 
 /// Pause between two frames while nothing is placed.
 const PACE: Duration = Duration::from_millis(100);
@@ -37,11 +39,6 @@
 const GATHER: Duration = Duration::from_millis(10);
 /// Pause between two frames that tell all. What a lost frame would have told is wrong for this long.
 const STATE_PACE: Duration = Duration::from_millis(700);
-/// Pause between two reads of the other instances. Each one that starts tells all that are registered
-/// of itself, so that a read finds only what was lost.
-const DISCOVERY: Duration = Duration::from_secs(60);
-/// Pause after a read that failed.
-const RETRY: Duration = Duration::from_millis(500);
 /// The same where the sender reads the store for the others, which rely on news of it.
 const READER_PACE: Duration = Duration::from_millis(450);
 /// Share of the instance's link that frames may take; what is beyond it waits and is gathered.
@@ -65,7 +62,7 @@
     actix_rt::spawn(listen(instance.clone(), socket.clone()));
     actix_rt::spawn(tell(instance.clone(), socket));
     actix_rt::spawn(recall::run(instance.clone()));
-    actix_rt::spawn(discover(instance.clone()));
+    actix_rt::spawn(discover::run(instance.clone()));
     Ok(())
 }
 
@@ -189,51 +186,6 @@
     follow::hear(instance, topic, &record);
 }
 
-fn before(now: Moment, age_ms: u32) -> Moment {
-    now.saturating_sub(Duration::from_millis(u64::from(age_ms)))
-}
-
-fn job(job: &wire::gateway::Job, now: Moment) -> Job {
-    Job {
-        ticket: job.ticket,
-        sent: before(now, job.age_ms),
-        rank: Rank::try_from(job.rank).unwrap_or(Rank::MAX),
-        work: job.work,
-    }
-}
-
-fn told_job(job: &Job, now: Moment) -> wire::gateway::Job {
-    wire::gateway::Job {
-        ticket: job.ticket,
-        work: job.work,
-        rank: u32::from(job.rank),
-        age_ms: peers::millis(job.sent, now),
-    }
-}
-
-fn work(work: &wire::gateway::Work, now: Moment) -> Work {
-    Work {
-        calls: work.calls,
-        jobs: work.jobs.iter().map(|told| job(told, now)).collect(),
-    }
-}
-
-fn told_work(engine: &EngineId, work: &Work, now: Moment) -> wire::gateway::Work {
-    wire::gateway::Work {
-        engine: hash::short(engine),
-        calls: work.calls,
-        jobs: work.jobs.iter().map(|job| told_job(job, now)).collect(),
-    }
-}
-
-fn ticket(engine: &EngineId, ticket: Ticket) -> wire::gateway::Ticket {
-    wire::gateway::Ticket {
-        engine: hash::short(engine),
-        ticket,
-        age_ms: 0,
-    }
-}
-
 async fn tell(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
     let mut earliest = Instant::now();
     let mut state_due = Instant::now();
@@ -306,40 +258,6 @@
     (!is_empty).then_some(frame)
 }
 
-/// Adds changes to a frame. Gives the prompts that were read, with their moments.
-fn add_changes(
-    frame: &mut Frame,
-    changes: Vec<Change>,
-    now: Moment,
-) -> Vec<(wire::gateway::Ticket, Moment)> {
-    let mut reads = Vec::new();
-    for change in changes {
-        match change {
-            // Prompts are told as long as they are recent.
-            Change::Started(_, job) if job.work > 0 => {}
-            Change::Started(engine, job) => frame.started.push(started(&engine, &job, now)),
-            Change::Read(engine, number, at) => reads.push((ticket(&engine, number), at)),
-            Change::Ended(engine, number) => frame.ended.push(ticket(&engine, number)),
-            Change::Gone(engine) => frame.gone.push(hash::short(&engine)),
-        }
-    }
-    reads
-}
-
-fn started(engine: &EngineId, job: &Job, now: Moment) -> Started {
-    Started {
-        engine: hash::short(engine),
-        job: Some(told_job(job, now)),
-    }
-}
-
-fn told_changing((engine, stage): (&EngineId, Stage)) -> wire::gateway::Changing {
-    wire::gateway::Changing {
-        engine: hash::short(engine),
-        reads: stage == Stage::Prefill,
-    }
-}
-
 fn state(instance: &Instance, fleet: &Fleet, knows: bool, now: Moment) -> State {
     let works = fleet.own();
     let works = works
@@ -412,19 +330,6 @@
     broadcast(socket, &frame, &rest);
 }
 
-fn packed(address: SocketAddr) -> Option<u64> {
-    match address {
-        SocketAddr::V4(v4) => Some(u64::from(u32::from(*v4.ip())) << 16 | u64::from(v4.port())),
-        SocketAddr::V6(_) => None,
-    }
-}
-
-fn unpacked(packed: u64) -> SocketAddr {
-    #[allow(clippy::cast_possible_truncation)]
-    let (ip, port) = ((packed >> 16) as u32, packed as u16);
-    SocketAddr::from((Ipv4Addr::from(ip), port))
-}
-
 /// Sends changes to several instances, to those of other data centres by way of one of each.
 fn spread_out(
     instance: &Instance,
@@ -495,64 +400,3 @@
     });
     reads.collect()
 }
-
-/// Registers this instance and reads the others, now and then.
-async fn discover(instance: Rc<Instance>) {
-    let address = instance.settings.borrow().store;
-    let mut store = Store::new(address, instance.codec.clone());
-    let mut next: Option<Offset> = None;
-    loop {
-        let read = match next {
-            None => register_and_read(&mut store, &instance).await,
-            Some(from) => store
-                .read(INSTANCES, from, Duration::ZERO)
-                .await
-                .map(|batch| (batch.records, batch.next)),
-        };
-        match read {
-            Ok((records, end)) => {
-                next = Some(end);
-                add_all(&instance, &records);
-                sleep(DISCOVERY).await;
-            }
-            Err(trouble) => {
-                log::debug!(trouble:% = trouble; "the other instances cannot be read");
-                if matches!(trouble, Trouble::Dropped(_)) {
-                    next = None;
-                }
-                sleep(RETRY).await;
-            }
-        }
-    }
-}
-
-fn add_all(instance: &Instance, records: &[Keyed]) {
-    let mut peers = instance.peers.borrow_mut();
-    let values = records.iter().filter_map(|record| record.value.as_ref());
-    let texts = values.filter_map(|value| std::str::from_utf8(value).ok());
-    let entries = texts.filter_map(|text| text.split_once(' '));
-    for (address, zone) in entries {
-        let Ok(address) = address.parse() else {
-            log::debug!(address = address; "a registered instance has no address");
-            continue;
-        };
-        if address != instance.address {
-            peers.add(address, hash::short(zone));
-        }
-    }
-}
-
-/// Registers first and reads then: of two instances that start at the same time, the one that
-/// registers last reads of the other one.
-async fn register_and_read(
-    store: &mut Store,
-    instance: &Instance,
-) -> Result<(Vec<Keyed>, Offset), Trouble> {
-    let key = instance.address.ip().to_string();
-    let value = format!("{} {}", instance.address, instance.zone);
-    store
-        .append(INSTANCES, &key, value.as_bytes(), None)
-        .await?;
-    let newest = store.newest(INSTANCES).await?;
-    Ok((newest.records, newest.end))
-}
