Answer short questions in one place

Readiness and metrics had the same loop over a listener; aside.rs has it once, and each gives its answer. No behaviour; tests of the gateway green.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -9,7 +9,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::instance::Instance;
-use crate::{follow, front, mesh, metrics, ready, roles};
+use crate::{aside, follow, front, mesh, metrics, ready, roles};
 
 /// Why the process cannot serve.
 #[derive(Clone, Copy, Debug)]
@@ -56,7 +56,7 @@
     let front = http1::listen(listen.front).change_context(Failure::Listen)?;
     let ready = http1::listen(listen.ready).change_context(Failure::Listen)?;
     actix_rt::spawn(front::accept(instance.clone(), front));
-    actix_rt::spawn(ready::accept(instance.clone(), ready));
+    actix_rt::spawn(aside::accept(instance.clone(), ready, ready::reply));
     if let Some(port) = port {
         metrics::start(&instance, port);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! and goes, `serving` decides, `http1` carries, and the modules here connect them on one thread.
 //! See [`docs/design/platform.md`](../../../docs/design/platform.md).
 
+mod aside;
 mod attempt;
 pub mod command;
 mod daemon;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -10,7 +10,6 @@
 use actix_http::header::{CONTENT_TYPE, HeaderValue};
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
-use http1::Server;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelValue, LabelValueEncoder};
 use prometheus_client::metrics::counter::Counter;
@@ -18,9 +17,8 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
-use tokio::net::{TcpListener, TcpStream};
 
-use crate::front::{CALLER, LIMITS};
+use crate::aside;
 use crate::instance::Instance;
 
 /// Path of the page.
@@ -203,36 +201,15 @@
 pub(crate) fn start(instance: &Rc<Instance>, port: u16) {
     let address = SocketAddr::new(instance.address.ip(), port);
     match http1::listen(address) {
-        Ok(listener) => drop(actix_rt::spawn(accept(instance.clone(), listener))),
+        Ok(listener) => drop(actix_rt::spawn(aside::accept(
+            instance.clone(),
+            listener,
+            reply,
+        ))),
         Err(error) => log::error!(address:% = address, error:% = error; "metrics are not served"),
     }
 }
 
-async fn accept(instance: Rc<Instance>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => drop(actix_rt::spawn(answer(instance.clone(), stream))),
-            Err(error) => crate::front::accept_failed(&error).await,
-        }
-    }
-}
-
-async fn answer(instance: Rc<Instance>, stream: TcpStream) {
-    let Ok(mut server) = Server::new(stream, &CALLER, &instance.codec) else {
-        return;
-    };
-    while server.wait(&LIMITS).await.is_ok() {
-        let Ok(arrival) = server.request(&LIMITS).await else {
-            return;
-        };
-        let (head, body) = reply(&instance, arrival.head.uri.path());
-        let (_, writer) = server.sides();
-        if writer.whole(head, body).await.is_err() || !writer.keeps_open() {
-            return;
-        }
-    }
-}
-
 fn reply(instance: &Instance, path: &str) -> (Response<()>, Bytes) {
     if path != PATH {
         return (Response::with_body(StatusCode::NOT_FOUND, ()), Bytes::new());
