--- a/crates/soak/src/gateway.rs
+++ b/crates/soak/src/gateway.rs
@@ -3,6 +3,7 @@
 use std::fs::File;
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 
@@ -34,20 +35,58 @@
 const LEASE: u32 = 1_500;
 
 /// Addresses that nobody listens on, each given out once.
-#[derive(Debug)]
-pub struct Ports(pub u16);
+///
+/// Processes that are started again need their ports back, while another soak beside this one looks for
+/// ports: it would find those of a process that has just ended, and the process would end by itself from then
+/// on. So ports are taken by blocks, and the first port of each is held for as long as the run lasts.
+#[derive(Debug, Default)]
+pub struct Ports {
+    next: u16,
+    end: u16,
+    /// The first port of each block.
+    held: Vec<TcpListener>,
+}
+
+/// Ports of a block.
+const BLOCK: u16 = 64;
+/// Ports that are given out; the kernel gives connections none below 32,768.
+const PORTS: Range<u16> = 22_016..32_704;
 
 impl Ports {
     /// The next one.
+    ///
+    /// # Panics
+    ///
+    /// If soaks hold all ports.
     pub fn take(&mut self) -> SocketAddr {
         loop {
-            self.0 += 1;
-            let address = SocketAddr::from(([127, 0, 0, 1], self.0));
+            if self.next == self.end {
+                self.take_block();
+            }
+            let address = loopback(self.next);
+            self.next += 1;
             if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
                 return address;
             }
         }
     }
+
+    fn take_block(&mut self) {
+        let firsts = PORTS.step_by(usize::from(BLOCK));
+        let mut free = firsts.filter_map(|first| TcpListener::bind(loopback(first)).ok());
+        let held = free.next().expect("a block of ports is free");
+        let first = held
+            .local_addr()
+            .expect("a bound socket has an address")
+            .port();
+        self.held.push(held);
+        self.next = first + 1;
+        self.end = first + BLOCK;
+    }
+}
+
+fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
 }
 
 impl Gateway {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -9,6 +9,9 @@
 use soak::plan::{Plan, Size};
 use soak::run::{self, Outcome, Places};
 
+/// Findings that are printed of one run; one cause often gives thousands.
+const SHOWN: usize = 20;
+
 /// Runs gateways between stand-ins under random faults and checks what callers and engines see.
 #[derive(Debug, Parser)]
 #[command(name = "tarragon-soak", version)]
@@ -141,7 +144,7 @@
         outcome.findings.len(),
         outcome.logs.display()
     );
-    for finding in &outcome.findings {
+    for finding in outcome.findings.iter().take(SHOWN) {
         println!("  {finding}");
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -20,12 +20,6 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// Looks at a state before it counts as missing: a minute, so that a busy machine gets there.
 const LOOKS: usize = 600;
-/// First port of a run; the kernel gives connections none below 32,768.
-const FIRST_PORT: u16 = 22_000;
-/// Ports that one run needs at the most.
-const PORTS: u64 = 40;
-/// Runs that may be side by side without sharing ports.
-const SIDE_BY_SIDE: u64 = 200;
 /// Smaller plans that are tried after a failure.
 const SMALLER: usize = 12;
 
@@ -59,9 +53,7 @@
 pub async fn run(plan: &Plan, places: &Places) -> io::Result<Outcome> {
     let logs = places.directory.join(format!("seed-{}", plan.seed));
     std::fs::create_dir_all(&logs)?;
-    // A seed's ports are its own, so that runs side by side do not take each other's.
-    let offset = (plan.seed % SIDE_BY_SIDE) * PORTS;
-    let mut ports = Ports(FIRST_PORT + u16::try_from(offset).unwrap_or_default());
+    let mut ports = Ports::default();
     let world = World::start(plan, &places.program, &logs, &mut ports).await?;
     let begun = Instant::now();
     let mut probe = Caller::new(&world, plan.seed, CALLERS, begun);
