Let a plan before any load stand until it is carried out

Cause: found by reading: each look at the split used up what may change before any load, so that an instance whose claim failed, or that waited for the one before it, had nothing left to order. Change: what may change is counted from the engines that read when the service was first seen, whoever ordered them. Shown by: a_plan_that_nobody_carries_out_stays, failing before. Refusals of orders tell their reason in words.

--- a/crates/gateway/src/roles.rs
+++ b/crates/gateway/src/roles.rs
@@ -2,6 +2,7 @@
 //! claim in the store sees to it that only one does at a time.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -48,11 +49,21 @@
     /// Another instance gave orders a moment ago.
     NotOurTurn,
     /// The store did not carry the claim out, or may have.
-    Store(#[allow(dead_code, reason = "told by its debug form in the log")] Trouble),
+    Store(Trouble),
     /// Another claim came first.
     Overtaken,
 }
 
+impl fmt::Display for Denied {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotOurTurn => f.write_str("another instance gave orders a moment ago"),
+            Self::Store(trouble) => trouble.fmt(f),
+            Self::Overtaken => f.write_str("another instance's claim came first"),
+        }
+    }
+}
+
 impl From<Trouble> for Denied {
     fn from(trouble: Trouble) -> Self {
         match trouble {
@@ -121,7 +132,7 @@
                 }
             }
             Err(denied) => {
-                log::info!(why:? = denied; "no orders may be given now");
+                log::info!(why:% = denied; "no orders may be given now");
                 RETRY
             }
         }
--- a/crates/serving/src/roles.rs
+++ b/crates/serving/src/roles.rs
@@ -55,7 +55,7 @@
 const BLIND: usize = 8;
 
 /// The plan for one service's engines.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Planner {
     /// Peak of the share of slots filled at engines that generate, and when it was looked at.
     fill: f64,
@@ -64,20 +64,8 @@
     read: f64,
     /// Since when the split has been off.
     off: Option<Moment>,
-    /// Engines that may still change before any load is known.
-    blind: usize,
-}
-
-impl Default for Planner {
-    fn default() -> Self {
-        Self {
-            fill: 0.0,
-            looked: None,
-            read: 0.0,
-            off: None,
-            blind: BLIND,
-        }
-    }
+    /// Engines that read when the service was first seen.
+    first: Option<usize>,
 }
 
 /// Engines of a service as the plan sees them.
@@ -131,7 +119,7 @@
 impl Planner {
     /// What should change now. `zone` is set where only the work of one data centre is known.
     ///
-    /// Without any load all that is off changes at once, since nobody waits for those engines.
+    /// Without any load up to [`BLIND`] engines change at once, since nobody waits for them.
     pub fn plan(
         &mut self,
         fleet: &Fleet,
@@ -143,6 +131,7 @@
         let read = fleet.reading(service, now) / split.speed(fleet, zone).max(1.0);
         self.look(split.fill(zone), read, now);
         let count = split.count();
+        let first = *self.first.get_or_insert(split.prefill.len());
         let more = if count < FEWEST || split.prefill.is_empty() {
             0
         } else {
@@ -158,14 +147,12 @@
         }
         let is_idle = self.fill == 0.0 && self.read == 0.0;
         let room = if is_idle {
-            self.blind
+            // Whoever ordered them: an instance that only waits must not use the room up.
+            BLIND.saturating_sub(split.prefill.len().abs_diff(first))
         } else {
             share(count, AT_ONCE).max(1).saturating_sub(split.changing)
         };
         let room = room.min(more.unsigned_abs());
-        if is_idle {
-            self.blind -= room;
-        }
         let (from, stage) = if more > 0 {
             (split.decode, Stage::Prefill)
         } else {
--- a/crates/serving/tests/roles.rs
+++ b/crates/serving/tests/roles.rs
@@ -131,6 +131,19 @@
     assert!(plan(&fleet).is_empty());
 }
 
+/// Symptom: a fleet keeps the split of its start although the store is well again. Sequence: the instance that
+/// plans cannot claim, or waits for another one. Cause: each look used up what may change before any load.
+#[test]
+fn a_plan_that_nobody_carries_out_stays() {
+    let fleet = engines(6, 12);
+    let mut planner = Planner::default();
+    planner.plan(&fleet, &service(), None, ms(0));
+    for look in 0..20 {
+        let changes = planner.plan(&fleet, &service(), None, ms(2_000 + look * 250));
+        assert_eq!(changes.len(), 3);
+    }
+}
+
 #[test]
 fn a_small_service_is_left_alone() {
     assert!(plan(&engines(1, 4)).is_empty());
