Count as changed before load only what was planned and does

Cause: on the grown sites nothing was ordered before traffic: engines register one after the other while the instances start, and the count of those that read when the service was first seen was that of a few; all that came later counted as changed. 12 orders went out 3.6 s into the first load instead. Change: the planner keeps the engines that it planned without load and counts those that read or will. Sixteen in place of eight: 28 are off at 140 engines, and what is left goes out under the first load.

--- a/crates/serving/src/roles.rs
+++ b/crates/serving/src/roles.rs
@@ -3,7 +3,7 @@
 //! slots free while calls wait to be read. An engine that only reads is twice as fast at it, and the
 //! others then generate undisturbed. See `docs/design/platform.md`, "Roles".
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use clock::Moment;
@@ -52,7 +52,7 @@
 const SCARCE: f64 = 0.2;
 /// Engines that change before any load is known. On a small deployment these are all, and none changes under the
 /// first load; on a large one they cost little if the load never comes.
-const BLIND: usize = 8;
+const BLIND: usize = 16;
 
 /// The plan for one service's engines.
 #[derive(Clone, Debug, Default)]
@@ -64,8 +64,8 @@
     read: f64,
     /// Since when the split has been off.
     off: Option<Moment>,
-    /// Engines that read when the service was first seen.
-    first: Option<usize>,
+    /// Engines that were to change before any load was known.
+    blind: BTreeSet<EngineId>,
 }
 
 /// Engines of a service as the plan sees them.
@@ -131,7 +131,6 @@
         let read = fleet.reading(service, now) / split.speed(fleet, zone).max(1.0);
         self.look(split.fill(zone), read, now);
         let count = split.count();
-        let first = *self.first.get_or_insert(split.prefill.len());
         let more = if count < FEWEST || split.prefill.is_empty() {
             0
         } else {
@@ -147,8 +146,7 @@
         }
         let is_idle = self.fill == 0.0 && self.read == 0.0;
         let room = if is_idle {
-            // Whoever ordered them: an instance that only waits must not use the room up.
-            BLIND.saturating_sub(split.prefill.len().abs_diff(first))
+            BLIND.saturating_sub(self.changed_blindly(fleet))
         } else {
             share(count, AT_ONCE).max(1).saturating_sub(split.changing)
         };
@@ -158,7 +156,22 @@
         } else {
             (split.prefill, Stage::Decode)
         };
-        pick(from, room, stage)
+        let changes = pick(from, room, stage);
+        if is_idle {
+            let ids = changes.iter().map(|change| change.engine.clone());
+            self.blind.extend(ids);
+        }
+        changes
+    }
+
+    /// Engines that were to change before any load was known and do, whoever ordered them. What was only
+    /// planned does not count: an instance that cannot claim, or waits for another one, would use it up.
+    fn changed_blindly(&self, fleet: &Fleet) -> usize {
+        let reads = |id: &&EngineId| {
+            let engine = fleet.get(id);
+            engine.is_some_and(|engine| engine.stage_to_be() == Some(Stage::Prefill))
+        };
+        self.blind.iter().filter(reads).count()
     }
 
     fn look(&mut self, fill: f64, read: f64, now: Moment) {
