Say in one place which engines stand

Found by reading the change: ready, standing, takes_calls and the picking of engines that change each repeated the same condition. An engine stands if its record says that it takes calls and nothing that it has ended; it takes calls if it stands and does not change. No behaviour.

--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -151,12 +151,14 @@
             .map_or(self.record.stage, |changing| Some(changing.stage))
     }
 
-    /// Whether it takes new calls by its record, and none says that it has ended or changes.
+    /// Whether it takes new calls, or will once it has changed: its record says so, and nothing that it has ended.
+    pub fn stands(&self) -> bool {
+        !self.gone && !self.health.has_ended() && self.record.state == State::Ready
+    }
+
+    /// Whether it takes new calls now.
     pub fn takes_calls(&self) -> bool {
-        !self.gone
-            && !self.health.has_ended()
-            && self.changing.is_none()
-            && self.record.state == State::Ready
+        self.stands() && self.changing.is_none()
     }
 
     /// This instance's work here.
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -6,7 +6,7 @@
 
 use clock::Moment;
 
-use crate::engine::{Changing, Engine, Job, Pending, Rank, Record, Stage, State, Ticket, Work};
+use crate::engine::{Changing, Engine, Job, Pending, Rank, Record, Stage, Ticket, Work};
 use crate::flow::Flow;
 use crate::health::Outcome;
 use crate::parts::{Part, Parts};
@@ -132,12 +132,8 @@
 
     /// Engines of a service that take new calls, or will once they have changed.
     pub fn standing<'a>(&'a self, service: &'a ServiceName) -> impl Iterator<Item = &'a Engine> {
-        self.engines.values().filter(move |engine| {
-            !engine.gone
-                && !engine.health.has_ended()
-                && engine.record.state == State::Ready
-                && engine.record.service == *service
-        })
+        let engines = self.engines.values();
+        engines.filter(move |engine| engine.stands() && engine.record.service == *service)
     }
 
     /// Takes in that an engine was ordered to change what it does. It gets no calls until its record
--- a/crates/serving/src/roles.rs
+++ b/crates/serving/src/roles.rs
@@ -223,7 +223,7 @@
     for engine in &from {
         *left.entry(engine.record.zone.clone()).or_default() += 1;
     }
-    from.retain(|engine| engine.changing.is_none() && engine.takes_calls());
+    from.retain(|engine| engine.takes_calls());
     let mut changes = Changes::new();
     while changes.len() < most {
         let best = from.iter().enumerate().min_by_key(|(_, engine)| {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -250,7 +250,8 @@
         }
     }
 
-    /// Starts processes that have ended, and notes those that ended by themselves.
+    /// Lets engines do what they were ordered, starts processes that have ended, and notes those that ended
+    /// by themselves.
     ///
     /// # Errors
     ///
