Receive signals from a process's first step on

Change: both signals are remembered by flags from the first step of serve; the daemon asks them once it listens itself.

--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -6,6 +6,7 @@
 use adapter::settings::{self, Settings};
 use clap::{Parser, Subcommand};
 
+use crate::signals::Early;
 use crate::{daemon, explain, journal};
 
 /// Exit code when the settings have findings.
@@ -99,12 +100,19 @@
 }
 
 fn serve(path: Option<PathBuf>, metrics: Option<u16>) -> ExitCode {
+    let early = match Early::new() {
+        Ok(early) => early,
+        Err(error) => {
+            eprintln!("signals cannot be received: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
     journal::init();
     let (path, settings) = match load(path) {
         Ok(loaded) => loaded,
         Err(code) => return code,
     };
-    match daemon::run(path, settings, metrics) {
+    match daemon::run(path, settings, metrics, &early) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!(error:% = error; "the daemon failed");
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -9,6 +9,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::instance::Instance;
+use crate::signals::Early;
 use crate::{aside, follow, front, mesh, metrics, ready, roles};
 
 /// Why the process cannot serve.
@@ -34,14 +35,16 @@
     path: PathBuf,
     settings: Settings,
     port: Option<u16>,
+    early: &Early,
 ) -> Result<(), Report<Failure>> {
-    actix_rt::System::new().block_on(serve(path, settings, port))
+    actix_rt::System::new().block_on(serve(path, settings, port, early))
 }
 
 async fn serve(
     path: PathBuf,
     settings: Settings,
     port: Option<u16>,
+    early: &Early,
 ) -> Result<(), Report<Failure>> {
     let mut terminate = signal(SignalKind::terminate()).change_context(Failure::Signals)?;
     let mut reload = signal(SignalKind::hangup()).change_context(Failure::Signals)?;
@@ -67,7 +70,10 @@
         .await
         .change_context(Failure::Listen)?;
     let mut file = Stamp::of(&path);
-    loop {
+    if early.is_reloaded() {
+        load_again(&instance, &path);
+    }
+    while !early.is_terminated() {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = reload.recv() => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,3 +27,4 @@
 mod relay;
 mod reply;
 mod roles;
+mod signals;
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -66,7 +66,7 @@
 ///
 /// A port that the kernel chooses and gives back may be given to another test or connection before the
 /// gateway binds it; the gateway then ends, and the test waits for its readiness in vain.
-fn free_port() -> u16 {
+pub(crate) fn free_port() -> u16 {
     static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
     loop {
         let port = NEXT.fetch_add(1, Ordering::Relaxed);
@@ -310,7 +310,7 @@
 }
 
 /// Waits for a state.
-pub(crate) async fn until(state: impl AsyncFn() -> bool) {
+pub(crate) async fn until(mut state: impl AsyncFnMut() -> bool) {
     for _ in 0..LOOKS {
         if state().await {
             return;
