Count what a prompt costs the streams beside it, learned from their pauses

Cause: prompts are read between the tokens of streams. The cost of a place counted what a prompt costs later prompts only.

Change: every pause between two events is laid against the time in which its engine had prompts to read (a fading straight line, as shares of the longest pause the route allows). The pause at an engine that never ceases to read, as a share of what is allowed, gives what a millisecond of reading costs each stream there: nothing up to half, all from the whole on.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One call and its attempts at engines, common to plain calls and generations.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use serving::engine::Record;
 use serving::fleet::Sent;
 use serving::health::Outcome;
+use serving::pauses::Mark;
 use serving::place::{Demand, Generation, Target};
 use serving::{Choice, EngineId, Route, Service, Table, Zone};
 use smallvec::SmallVec;
@@ -146,6 +148,8 @@
     unread: u32,
     begun: Instant,
     outcome: Option<Outcome>,
+    /// Where the stream was at its last event.
+    last: Cell<Option<Mark>>,
 }
 
 impl<'a> Held<'a> {
@@ -171,6 +175,20 @@
             unread: target.unread,
             begun: Instant::now(),
             outcome: None,
+            last: Cell::new(None),
+        }
+    }
+
+    /// An event of the stream is there.
+    pub(crate) fn event(&self) {
+        let now = self.instance.now();
+        let mut fleet = self.instance.fleet.borrow_mut();
+        match (self.last.get(), self.asked.route.gap) {
+            (Some(mut last), Some(longest)) => {
+                fleet.event(&self.sent.engine, &mut last, longest, now);
+                self.last.set(Some(last));
+            }
+            _ => self.last.set(fleet.mark(&self.sent.engine, now)),
         }
     }
 
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -122,7 +122,7 @@
     }
     let mut fleet = instance.fleet.borrow_mut();
     if let Some(replaced) = replaced {
-        fleet.forget_peer(replaced);
+        fleet.forget_peer(replaced, now);
     }
     let works = state.works.iter();
     let works = works.filter_map(|told| Some((fleet.by_short(told.engine)?, work(told, now))));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -95,6 +95,7 @@
             let Some(events) = self.splitter.push(&piece) else {
                 continue;
             };
+            held.event();
             if let Err(error) = self.write(answered, events).await {
                 return End::Gone(error);
             }
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -10,6 +10,7 @@
 use crate::fleet::PeerId;
 use crate::health::Health;
 use crate::line;
+use crate::pauses::Reading;
 use crate::{EngineId, ServiceName, Zone};
 
 /// Which half of a generation an engine does.
@@ -117,6 +118,8 @@
     pub(crate) others: BTreeMap<PeerId, Work>,
     /// When the last prompt that is known to be read was read.
     pub(crate) freed: Moment,
+    /// When it has had prompts to read.
+    pub(crate) reading: Reading,
 }
 
 /// Weight of one observation in [`Engine::pace`], where nothing was before the call.
@@ -142,6 +145,7 @@
             pending: SmallVec::new(),
             others: BTreeMap::new(),
             freed: Moment::ZERO,
+            reading: Reading::default(),
         }
     }
 
@@ -192,6 +196,14 @@
         line::read_in(&self.jobs(), self.freed, new, rate / self.pace)
     }
 
+    /// Takes in whether there are prompts to read from now on.
+    pub(crate) fn note_reading(&mut self, now: Moment) {
+        let own = self.pending.iter().any(|pending| pending.job.work > 0);
+        let reads = |work: &Work| work.jobs.iter().any(|job| job.work > 0);
+        let is_reading = own || self.others.values().any(reads);
+        self.reading.note(is_reading, now);
+    }
+
     /// Takes in that work took `took` milliseconds where `expected` were expected.
     pub(crate) fn observe(&mut self, expected: f64, took: f64, alone: bool) {
         if expected <= 0.0 {
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -10,6 +10,7 @@
 use crate::flow::Flow;
 use crate::health::Outcome;
 use crate::parts::{Part, Parts};
+use crate::pauses::{self, Mark, Pauses};
 use crate::speed::Speed;
 use crate::{EngineId, ServiceName, hash};
 
@@ -53,6 +54,8 @@
     /// Work of prompts sent by all instances, by service.
     reading: HashMap<ServiceName, Flow>,
     changes: Vec<Change>,
+    /// Pauses of streams, by service.
+    pauses: HashMap<ServiceName, Pauses>,
 }
 
 /// Something that changed in this instance's work at the engines.
@@ -194,6 +197,7 @@
                 expected,
                 alone,
             });
+            engine.note_reading(now);
             if engine.record.stage.is_some() {
                 self.changes.push(Change::Started(id.clone(), job));
             }
@@ -221,6 +225,7 @@
         if pending.job.work == 0 {
             return;
         }
+        engine.note_reading(now);
         self.changes
             .push(Change::Read(sent.engine.clone(), sent.ticket, now));
         let took = now.saturating_sub(pending.job.sent);
@@ -240,6 +245,7 @@
     pub fn end(&mut self, sent: &Sent, outcome: Option<Outcome>, now: Moment) {
         if let Some(engine) = self.engines.get_mut(&sent.engine) {
             engine.pending.retain(|p| p.job.ticket != sent.ticket);
+            engine.note_reading(now);
             engine.calls = engine.calls.saturating_sub(1);
             if engine.calls == 0 {
                 self.busy.remove(&sent.engine);
@@ -284,11 +290,12 @@
     /// none of its work.
     pub fn hear(&mut self, peer: PeerId, works: Vec<(EngineId, Work)>, now: Moment) {
         self.heard.insert(peer, now);
-        self.clear(peer);
+        self.clear(peer, now);
         let mut at = Vec::with_capacity(works.len());
         for (id, work) in works {
             if let Some(engine) = self.engines.get_mut(&id) {
                 engine.others.insert(peer, work);
+                engine.note_reading(now);
                 at.push(id);
             }
         }
@@ -296,10 +303,11 @@
     }
 
     /// Drops all work of another instance.
-    fn clear(&mut self, peer: PeerId) {
+    fn clear(&mut self, peer: PeerId, now: Moment) {
         for id in self.at.remove(&peer).unwrap_or_default() {
             if let Some(engine) = self.engines.get_mut(&id) {
                 engine.others.remove(&peer);
+                engine.note_reading(now);
             }
         }
     }
@@ -349,12 +357,42 @@
                 work.jobs.retain(|job| job.ticket != *ticket);
             }
         }
+        engine.note_reading(now);
+    }
+
+    /// Where a stream at an engine is now.
+    pub fn mark(&self, id: &EngineId, now: Moment) -> Option<Mark> {
+        let engine = self.engines.get(id)?;
+        let read = engine.reading.total(now);
+        Some(Mark { at: now, read })
+    }
+
+    /// Takes in that an event of a stream came, which may pause for `longest`.
+    pub fn event(&mut self, id: &EngineId, last: &mut Mark, longest: Duration, now: Moment) {
+        let Some(engine) = self.engines.get(id) else {
+            return;
+        };
+        let read = engine.reading.total(now);
+        let part = |time: Duration| time.as_secs_f64() / longest.as_secs_f64().max(1e-3);
+        let pauses = self.pauses.entry(engine.record.service.clone());
+        let pause = part(now.saturating_sub(last.at));
+        pauses
+            .or_default()
+            .observe(part(read.saturating_sub(last.read)), pause);
+        *last = Mark { at: now, read };
+    }
+
+    /// What each millisecond of reading costs each stream at an engine, in milliseconds.
+    pub(crate) fn strain(&self, engine: &Engine) -> f64 {
+        let pauses = self.pauses.get(&engine.record.service);
+        let beside = pauses.and_then(Pauses::beside_reading);
+        beside.map_or(0.0, |beside| pauses::strain(beside * engine.pace.max(1.0)))
     }
 
     /// Drops what another instance said, because it has ended.
-    pub fn forget_peer(&mut self, peer: PeerId) {
+    pub fn forget_peer(&mut self, peer: PeerId, now: Moment) {
         self.heard.remove(&peer);
-        self.clear(peer);
+        self.clear(peer, now);
     }
 
     /// Tokens of work that all instances have had read lately, in a millisecond.
@@ -377,7 +415,7 @@
         let silent = heard.filter(|(_, heard)| now.saturating_sub(**heard) > PEER_WORK_AGE);
         let silent: Vec<PeerId> = silent.map(|(peer, _)| *peer).collect();
         for peer in silent {
-            self.forget_peer(peer);
+            self.forget_peer(peer, now);
         }
     }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod health;
 pub mod line;
 pub mod parts;
+pub mod pauses;
 pub mod place;
 pub mod registry;
 pub mod roles;
--- /dev/null
+++ b/crates/serving/src/pauses.rs
@@ -0,0 +1,122 @@
+//! What reading a prompt does to the streams beside it. The load that this answers: long prompts in peaks
+//! beside streams of thousands of tokens, whose events hold many tokens each, so that a pause between two of
+//! them grows with every prompt that is read meanwhile. See `docs/design/placement.md`, "Streams".
+
+use std::time::Duration;
+
+use clock::Moment;
+
+/// When an engine has had prompts to read.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Reading {
+    is_reading: bool,
+    total: Duration,
+    share: f64,
+    at: Moment,
+}
+
+/// Time constant of [`Reading::share`]: about as long as the longer streams last, which is how long what
+/// they meet at an engine matters to them.
+const FADES: Duration = Duration::from_secs(4);
+
+impl Reading {
+    /// Takes in whether the engine has a prompt to read from now on.
+    pub(crate) fn note(&mut self, is_reading: bool, now: Moment) {
+        self.total = self.total(now);
+        self.share = self.share(now);
+        self.at = self.at.max(now);
+        self.is_reading = is_reading;
+    }
+
+    /// Time in which it has had some.
+    pub(crate) fn total(&self, now: Moment) -> Duration {
+        if self.is_reading {
+            self.total + now.saturating_sub(self.at)
+        } else {
+            self.total
+        }
+    }
+
+    /// Share of the last seconds in which it had some.
+    pub(crate) fn share(&self, now: Moment) -> f64 {
+        let past = now.saturating_sub(self.at).as_secs_f64();
+        let kept = (-past / FADES.as_secs_f64()).exp();
+        let now = if self.is_reading { 1.0 } else { 0.0 };
+        self.share * kept + now * (1.0 - kept)
+    }
+}
+
+/// Where a stream was when its last event came.
+#[derive(Clone, Copy, Debug)]
+pub struct Mark {
+    pub(crate) at: Moment,
+    pub(crate) read: Duration,
+}
+
+/// Pauses between events of one service's streams, against the time in which their engine had prompts to read.
+///
+/// All times are shares of the longest pause that the stream may have. A straight line through the pauses
+/// gives the pause of a stream beside which nothing is read, and how much reading adds to it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Pauses {
+    weight: f64,
+    read: f64,
+    pause: f64,
+    read_read: f64,
+    read_pause: f64,
+}
+
+/// What is left of earlier pauses with each new one: some hundred count, a second or two of an instance's
+/// streams under load.
+const KEPT: f64 = 1.0 - 1.0 / 400.0;
+/// Pauses that must have been seen before anything is said of them.
+const ENOUGH: f64 = 40.0;
+/// Least spread of the reading times through which a line is laid, as a variance.
+const LEAST_SPREAD: f64 = 1e-4;
+/// A pause that is longer than this tells of an engine that stands still, and not of reading.
+const LONGEST: f64 = 4.0;
+/// Share of a pause by which reading holds a stream up at the most. An engine makes a token after each chunk of a prompt,
+/// so that it never stands still.
+const MOST_ADDED: f64 = 0.95;
+
+impl Pauses {
+    /// Takes in one pause and the reading time in it.
+    pub(crate) fn observe(&mut self, read: f64, pause: f64) {
+        if pause > LONGEST {
+            return;
+        }
+        let add = |sum: &mut f64, value: f64| *sum = *sum * KEPT + value;
+        add(&mut self.weight, 1.0);
+        add(&mut self.read, read);
+        add(&mut self.pause, pause);
+        add(&mut self.read_read, read * read);
+        add(&mut self.read_pause, read * pause);
+    }
+
+    /// The pause of a stream at an engine that never ceases to read, as a share of what it may have.
+    pub(crate) fn beside_reading(&self) -> Option<f64> {
+        if self.weight < ENOUGH {
+            return None;
+        }
+        let (read, pause) = (self.read / self.weight, self.pause / self.weight);
+        let spread = self.read_read / self.weight - read * read;
+        if spread < LEAST_SPREAD {
+            return None;
+        }
+        let added = (self.read_pause / self.weight - read * pause) / spread;
+        let added = added.clamp(0.0, MOST_ADDED);
+        let alone = (pause - added * read).max(0.0);
+        // Reading goes on through the whole pause: pause = alone + added * pause.
+        Some(alone / (1.0 - added))
+    }
+}
+
+/// Share of their longest pause up to which streams lose nothing by reading: events come a little later than
+/// usual now and then, which takes the rest.
+const FREE: f64 = 0.5;
+
+/// How much a stream loses by reading, from nothing to a millisecond for each millisecond read, where its
+/// pauses beside reading are this share of what they may be.
+pub(crate) fn strain(beside_reading: f64) -> f64 {
+    ((beside_reading - FREE) / (1.0 - FREE)).clamp(0.0, 1.0)
+}
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -305,6 +305,7 @@
     let total = expected
         + READ_WEIGHT * reading
         + BLOCKING * reading * reading
+        + beside(fleet, engine, reading)
         + far(engine, demand)
         + spread(engine, size.prompt);
     Cost {
@@ -330,6 +331,14 @@
     millis(engine.read_in(new, fleet.speed(engine).rate))
 }
 
+/// What reading here costs the streams beside it, in milliseconds.
+fn beside(fleet: &Fleet, engine: &Engine, reading: f64) -> f64 {
+    if is_prefill(engine) {
+        return 0.0;
+    }
+    fleet.strain(engine) * reading * f64::from(engine.running())
+}
+
 fn far(engine: &Engine, demand: &Demand) -> f64 {
     if engine.record.zone == *demand.zone {
         0.0
--- /dev/null
+++ b/crates/serving/tests/pauses.rs
@@ -0,0 +1,96 @@
+//! What reading a prompt costs the streams beside it.
+
+mod common;
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use common::{demand, fleet, generation, id, ms, prompt, service, zone};
+use serving::place::choose;
+use serving::{Choice, Fleet, Stage};
+
+/// Longest pause that streams of these tests may have.
+const LONGEST: Duration = Duration::from_millis(150);
+/// Streams that run at engine `a`.
+const STREAMS: u32 = 10;
+/// Pauses from which a fleet learns, of either kind.
+const PAUSES: u64 = 60;
+
+/// A fleet of two engines that generate. Streams run at `a`, where the shared part was read; between two
+/// of their events there are `alone` without and `beside` with a prompt that is read all the while.
+fn learned(alone: Duration, beside: Duration) -> Fleet {
+    let mut fleet = fleet(&[("a", Stage::Decode), ("b", Stage::Decode)]);
+    let a = id("a");
+    fleet.reads(&a, &prompt(&[(7, 2_000)]), 400_000, ms(0));
+    for _ in 0..STREAMS {
+        fleet.begin(&a, 0, 1, ms(0));
+    }
+    let mut now = ms(0);
+    for _ in 0..PAUSES {
+        let mut last = fleet.mark(&a, now).expect("the engine is known");
+        now += alone;
+        fleet.event(&a, &mut last, LONGEST, now);
+        let read = fleet.begin(&a, 4_000, 0, now);
+        now += beside;
+        fleet.event(&a, &mut last, LONGEST, now);
+        fleet.end(&read, None, now);
+    }
+    fleet
+}
+
+/// Where a prompt goes of which `a` has read half.
+fn place(fleet: &Fleet) -> String {
+    let parts = prompt(&[(7, 2_000), (8, 2_000)]);
+    let (service, zone) = (service(), zone());
+    let demand = demand(&service, &zone, Some(generation(&parts)));
+    let choice = choose(fleet, &demand, ms(60_000));
+    match choice {
+        Choice::Direct(target) => target.engine.to_string(),
+        other => panic!("the prompt goes nowhere: {other:?}"),
+    }
+}
+
+/// Symptom: in a peak of long prompts most streams are late by one pause, and the longest never end in time, while
+/// every prompt is on time. Sequence: prompts are read at engines that generate, where their shared parts are; each
+/// holds all streams there up for as long as it is read. Cause: what a prompt costs was counted for other prompts only.
+#[test]
+fn a_prompt_avoids_streams_whose_pauses_it_would_make_too_long() {
+    let fleet = learned(ms(40), ms(145));
+    assert_eq!(place(&fleet), "b");
+}
+
+/// Symptom: prompts are read again at engines that lack their shared parts, and are late, while streams have time to
+/// spare. Cause: their delay was counted although it makes none of them late.
+#[test]
+fn a_prompt_does_not_mind_streams_that_have_room_in_their_pauses() {
+    let fleet = learned(ms(20), ms(60));
+    assert_eq!(place(&fleet), "a");
+}
+
+#[test]
+fn nothing_is_avoided_before_pauses_were_seen() {
+    let mut fleet = fleet(&[("a", Stage::Decode), ("b", Stage::Decode)]);
+    fleet.reads(&id("a"), &prompt(&[(7, 2_000)]), 400_000, ms(0));
+    for _ in 0..STREAMS {
+        fleet.begin(&id("a"), 0, 1, ms(0));
+    }
+    assert_eq!(place(&fleet), "a");
+}
+
+/// Symptom: all instances avoid engines after a pause of the whole fleet. Sequence: engines stand still for a second;
+/// every stream has one pause far beyond what reading can do. Cause: it was taken for the work of a prompt.
+#[test]
+fn a_pause_of_an_engine_that_stands_still_says_nothing_of_reading() {
+    let mut fleet = learned(ms(20), ms(60));
+    let a = id("a");
+    let mut now = ms(50_000);
+    for _ in 0..5 {
+        let mut last = fleet.mark(&a, now).expect("the engine is known");
+        let read = fleet.begin(&a, 4_000, 0, now);
+        now += ms(1_000);
+        fleet.event(&a, &mut last, LONGEST, now);
+        fleet.end(&read, None, now);
+    }
+    assert_eq!(place(&fleet), "a");
+    assert_matches!(fleet.mark(&id("none"), now), None);
+}
