Learn engines' setup and rate together, by a line through all sizes

Cause: the setup was learned from prompts of under 1,500 tokens of work, of which the new customer has nearly none, so that it stood at the assumed 80 ms where 5 are true.

Change: one fading line per service and stage through time against work (shared with the pauses of streams); what is assumed at first counts as two observations.

--- /dev/null
+++ b/crates/serving/src/fit.rs
@@ -0,0 +1,57 @@
+//! A straight line through observations that fade, for what is learned of engines on the way.
+
+/// Sums over observations of which earlier ones count less.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Fit {
+    weight: f64,
+    x: f64,
+    y: f64,
+    xx: f64,
+    xy: f64,
+}
+
+/// A straight line.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct Line {
+    /// Its value at zero.
+    pub base: f64,
+    /// What it rises by for each step of one.
+    pub slope: f64,
+}
+
+impl Fit {
+    /// Takes an observation in. `kept` is what is left of all earlier ones.
+    pub(crate) fn observe(&mut self, x: f64, y: f64, kept: f64) {
+        let add = |sum: &mut f64, value: f64| *sum = *sum * kept + value;
+        add(&mut self.weight, 1.0);
+        add(&mut self.x, x);
+        add(&mut self.y, y);
+        add(&mut self.xx, x * x);
+        add(&mut self.xy, x * y);
+    }
+
+    /// How many observations count, with faded ones in part.
+    pub(crate) fn weight(&self) -> f64 {
+        self.weight
+    }
+
+    /// The line with the least squares of distances, unless the observations lie within `least`, a variance, of
+    /// one place: then any slope would do.
+    pub(crate) fn line(&self, least: f64) -> Option<Line> {
+        let (x, y) = self.mean()?;
+        let spread = self.xx / self.weight - x * x;
+        if spread < least {
+            return None;
+        }
+        let slope = (self.xy / self.weight - x * y) / spread;
+        Some(Line {
+            base: y - slope * x,
+            slope,
+        })
+    }
+
+    /// The middle of the observations.
+    pub(crate) fn mean(&self) -> Option<(f64, f64)> {
+        (self.weight > 0.0).then(|| (self.x / self.weight, self.y / self.weight))
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod cell;
 pub mod engine;
+mod fit;
 pub mod fleet;
 mod flow;
 pub mod hash;
--- a/crates/serving/src/pauses.rs
+++ b/crates/serving/src/pauses.rs
@@ -6,6 +6,8 @@
 
 use clock::Moment;
 
+use crate::fit::Fit;
+
 /// When an engine has had prompts to read.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Reading {
@@ -59,11 +61,7 @@
 /// gives the pause of a stream beside which nothing is read, and how much reading adds to it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Pauses {
-    weight: f64,
-    read: f64,
-    pause: f64,
-    read_read: f64,
-    read_pause: f64,
+    seen: Fit,
 }
 
 /// What is left of earlier pauses with each new one: some hundred count, a second or two of an instance's
@@ -82,28 +80,18 @@
 impl Pauses {
     /// Takes in one pause and the reading time in it.
     pub(crate) fn observe(&mut self, read: f64, pause: f64) {
-        if pause > LONGEST {
-            return;
+        if pause <= LONGEST {
+            self.seen.observe(read, pause, KEPT);
         }
-        let add = |sum: &mut f64, value: f64| *sum = *sum * KEPT + value;
-        add(&mut self.weight, 1.0);
-        add(&mut self.read, read);
-        add(&mut self.pause, pause);
-        add(&mut self.read_read, read * read);
-        add(&mut self.read_pause, read * pause);
     }
 
     /// The pause of a stream at an engine that never ceases to read, as a share of what it may have.
     pub(crate) fn beside_reading(&self) -> Option<f64> {
-        if self.weight < ENOUGH {
-            return None;
-        }
-        let (read, pause) = (self.read / self.weight, self.pause / self.weight);
-        let spread = self.read_read / self.weight - read * read;
-        if spread < LEAST_SPREAD {
+        if self.seen.weight() < ENOUGH {
             return None;
         }
-        let added = (self.read_pause / self.weight - read * pause) / spread;
+        let (read, pause) = self.seen.mean()?;
+        let added = self.seen.line(LEAST_SPREAD)?.slope;
         let added = added.clamp(0.0, MOST_ADDED);
         let alone = (pause - added * read).max(0.0);
         // Reading goes on through the whole pause: pause = alone + added * pause.
--- a/crates/serving/src/speed.rs
+++ b/crates/serving/src/speed.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::engine::Stage;
+use crate::fit::Fit;
 
 /// Tokens of context behind which reading a token takes twice as long as at the beginning of a
 /// prompt. Attention grows with the context; large models on today's accelerators reach the
@@ -18,45 +19,49 @@
     work
 }
 
-/// Time of one stage's engines for work.
+/// Time of one stage's engines for work: a straight line through what was seen of it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Speed {
     /// Time before the first answer that no other call waits for, in milliseconds.
     pub setup: f64,
     /// Tokens of work in a millisecond.
     pub rate: f64,
+    /// Milliseconds against thousands of tokens of work.
+    seen: Fit,
 }
 
-/// Before anything is learned. Origin: between the speeds that deployments have named.
-const PREFILL: Speed = Speed {
-    setup: 80.0,
-    rate: 60.0,
-};
+/// Setup and rate before anything is learned. Origin: between the speeds that deployments have named.
+const PREFILL: (f64, f64) = (80.0, 60.0);
 /// An engine that generates reads at half the speed, between the tokens of other calls.
-const DECODE: Speed = Speed {
-    setup: 80.0,
-    rate: 26.0,
-};
-/// Weight of one observation.
-const WEIGHT: f64 = 0.04;
+const DECODE: (f64, f64) = (80.0, 26.0);
+/// What is left of earlier observations with each new one. Some tens count: few enough to follow engines that turn
+/// slow, enough to lay a line through them.
+const KEPT: f64 = 1.0 - 1.0 / 40.0;
+/// Works, in thousands of tokens, at which the speed before anything is learned counts as seen: one observation each,
+/// so that it yields to the first real ones.
+const ASSUMED: [f64; 2] = [1.0, 8.0];
+/// Least spread of the work through which a line is laid, as a variance in thousands of tokens.
+const LEAST_SPREAD: f64 = 0.25;
 /// Bounds of what is learned.
 const SETUP: (f64, f64) = (1.0, 400.0);
 /// As above, in tokens a millisecond.
 const RATE: (f64, f64) = (4.0, 1_000.0);
-/// Work below which an observation tells of the setup, and above which of the rate.
-const LITTLE: u32 = 1_500;
-/// As above.
-const MUCH: u32 = 3_000;
-/// One observation moves the estimate by this factor at most.
+/// One observation counts as at most this many times what was expected, or as little: an engine that stood still
+/// says nothing of the others' speed.
 const STEP: f64 = 3.0;
 
 impl Speed {
     /// The speed of a stage before anything is learned.
     pub fn new(stage: Stage) -> Self {
-        match stage {
+        let (setup, rate) = match stage {
             Stage::Prefill => PREFILL,
             Stage::Decode => DECODE,
+        };
+        let mut seen = Fit::default();
+        for work in ASSUMED {
+            seen.observe(work, setup + work * 1_000.0 / rate, KEPT);
         }
+        Self { setup, rate, seen }
     }
 
     /// Time for work, in milliseconds, without the setup.
@@ -67,18 +72,27 @@
     }
 
     /// Takes in how long an engine took that had nothing else before this work.
+    ///
+    /// The setup and the rate are learned together from work of all sizes. Each by itself from works of a certain size it
+    /// is not learned at all where no such work comes; one notices it by calls that are expected late, and yield
+    /// to others, while all engines stand idle.
     pub fn observe(&mut self, work: u32, took: Duration) {
         let took = took.as_secs_f64() * 1_000.0;
-        if work < LITTLE {
-            let setup = took - self.time(u64::from(work));
-            let setup = setup.clamp(self.setup / STEP, self.setup * STEP);
-            self.setup += WEIGHT * (setup - self.setup);
-            self.setup = self.setup.clamp(SETUP.0, SETUP.1);
-        } else if work > MUCH && took > self.setup {
-            let rate = f64::from(work) / (took - self.setup);
-            let rate = rate.clamp(self.rate / STEP, self.rate * STEP);
-            self.rate *= (rate / self.rate).powf(WEIGHT);
-            self.rate = self.rate.clamp(RATE.0, RATE.1);
+        let expected = self.setup + self.time(u64::from(work));
+        let took = took.clamp(expected / STEP, expected * STEP);
+        self.seen.observe(f64::from(work) / 1_000.0, took, KEPT);
+        if let Some(line) = self.seen.line(LEAST_SPREAD) {
+            let rate = if line.slope > 0.0 {
+                1_000.0 / line.slope
+            } else {
+                RATE.1
+            };
+            self.rate = rate.clamp(RATE.0, RATE.1);
+        }
+        // Of works of one size the rate is not known, but their time is.
+        if let Some((work, took)) = self.seen.mean() {
+            let setup = took - work * 1_000.0 / self.rate;
+            self.setup = setup.clamp(SETUP.0, SETUP.1);
         }
     }
 }
