Take a caller to have waited only if it waits less than new callers do

Cause: callers of the new customer have each a patience of their own, 85 to 100 in 100 of a common time (seen in Request-Deadline of first tries: 1,700 to 2,000 ms and 12,750 to 15,000). Whoever waited less than the most patient one was taken to have waited already, so that with a target of 200 ms most calls yielded as late from the first second on, and in the peak everything was late together.

Ruled out: the forecast (42 ms expected, 44 taken in calm after the line), the order at the engines.

Change: times are counted in eightieths of the longest; as most callers are new and their times spread evenly, the least of theirs lies as far below the middle as the longest above. Less than that has waited, by what it lacks to the middle.

--- a/crates/serving/src/usual.rs
+++ b/crates/serving/src/usual.rs
@@ -1,5 +1,6 @@
 //! How long a caller has waited before it came here. The load that this answers: callers that come back
-//! together after an outage or a refusal, among new ones. See `docs/design/placement.md`.
+//! together after an outage or a refusal, among new ones whose patience differs. See
+//! `docs/design/placement.md`.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -9,28 +10,109 @@
 /// A longest time that was not seen again for this long is forgotten: callers may have been given
 /// another one.
 const AGE: Duration = Duration::from_secs(60);
+/// Parts into which times up to the longest are counted. Of 1/80 of a caller's time it matters little whether it
+/// has passed.
+const STEPS: usize = 80;
+/// What is left of earlier callers with each new one: some hundred count, so that those who come back together after
+/// an outage stay the fewer.
+const KEPT: f64 = 1.0 - 1.0 / 500.0;
 
-/// The longest time that callers of each route wait.
+/// The times that callers of each route wait.
 #[derive(Clone, Debug, Default)]
 pub struct Usual {
-    longest: HashMap<String, (Duration, Moment)>,
+    routes: HashMap<String, Times>,
+}
+
+/// The times that callers of one route wait.
+#[derive(Clone, Debug)]
+struct Times {
+    longest: Duration,
+    /// When the longest was last seen.
+    seen: Moment,
+    /// Callers by their time, in parts of the longest.
+    counts: [f64; STEPS],
 }
 
 impl Usual {
     /// Takes in that a caller of a route waits for `left` more. Gives the time that it has waited
-    /// before, which is what it waits less than the most patient caller of late.
+    /// before.
     ///
     /// A caller that comes back has a new id and nothing that names its first try, but says how long it still
     /// waits. Taken for a new one it would keep its rank although it cannot be on time any more, and
-    /// make new calls late as well; one would notice it by late calls long after an outage.
+    /// make new calls late as well; one would notice it by late calls long after an outage. New ones differ, too, where each
+    /// has a patience of its own: taken for ones that have waited, most would yield from the beginning, and one
+    /// would notice it by ranks that say nothing. So a caller has waited only if it waits less than new ones do.
     pub fn waited(&mut self, route: &str, left: Duration, now: Moment) -> Duration {
-        let Some((longest, seen)) = self.longest.get_mut(route) else {
-            self.longest.insert(route.to_owned(), (left, now));
+        let Some(times) = self.routes.get_mut(route) else {
+            self.routes.insert(route.to_owned(), Times::new(left, now));
             return Duration::ZERO;
         };
-        if left >= *longest || now.saturating_sub(*seen) > AGE {
-            (*longest, *seen) = (left, now);
+        if left > times.longest || now.saturating_sub(times.seen) > AGE {
+            *times = Times::new(left, now);
+            return Duration::ZERO;
+        }
+        times.waited(left, now)
+    }
+}
+
+impl Times {
+    fn new(left: Duration, now: Moment) -> Self {
+        let mut times = Self {
+            longest: left,
+            seen: now,
+            counts: [0.0; STEPS],
+        };
+        times.count(left);
+        times
+    }
+
+    fn waited(&mut self, left: Duration, now: Moment) -> Duration {
+        if left == self.longest {
+            self.seen = now;
         }
-        longest.saturating_sub(left)
+        // Most callers are new ones, and their times spread evenly up to the longest: their middle is the middle of all,
+        // and their least lies as far below it as the longest above.
+        let middle = self.middle();
+        let least = middle.saturating_sub(self.longest - middle);
+        self.count(left);
+        if left + self.error() >= least {
+            return Duration::ZERO;
+        }
+        middle.saturating_sub(left)
+    }
+
+    fn count(&mut self, left: Duration) {
+        let part = left.as_secs_f64() / self.longest.as_secs_f64().max(1e-3);
+        #[allow(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            clippy::cast_precision_loss
+        )]
+        let step = (part * STEPS as f64) as usize;
+        for count in &mut self.counts {
+            *count *= KEPT;
+        }
+        self.counts[step.min(STEPS - 1)] += 1.0;
+    }
+
+    /// By how much the least time may be too long: the middle is rounded up, and counts twice.
+    #[allow(clippy::cast_possible_truncation)]
+    fn error(&self) -> Duration {
+        self.longest / (STEPS / 2) as u32
+    }
+
+    /// The time that half of the callers exceed, rounded up to a step.
+    fn middle(&self) -> Duration {
+        let half = self.counts.iter().sum::<f64>() / 2.0;
+        let mut above = 0.0;
+        let steps = self.counts.iter().enumerate().rev();
+        let mut reached = steps.skip_while(|(_, count)| {
+            above += **count;
+            above < half
+        });
+        let step = reached.next().map_or(STEPS, |(step, _)| step + 1);
+        #[allow(clippy::cast_precision_loss)]
+        let part = step as f64 / STEPS as f64;
+        self.longest.mul_f64(part)
     }
 }
--- a/crates/serving/tests/usual.rs
+++ b/crates/serving/tests/usual.rs
@@ -34,3 +34,40 @@
     assert_eq!(usual.waited("r", ms(4_000), ms(61_000)), Duration::ZERO);
     assert_eq!(usual.waited("r", ms(4_000), ms(62_000)), Duration::ZERO);
 }
+
+/// Symptom: at idle engines most calls yield to others, and in a peak all are late together. Sequence: each caller waits
+/// for between 85 and 100 in 100 of a common time, none has come before. Cause: whoever waited less than the most patient
+/// one was taken to have waited already, by more than the target of the call.
+#[test]
+fn callers_whose_patience_differs_have_not_waited() {
+    let mut usual = Usual::default();
+    let patience = |n: u64| ms(1_700 + n * 37 % 301);
+    for n in 0..200 {
+        usual.waited("r", patience(n), ms(n));
+    }
+    for n in 200..300 {
+        assert_eq!(usual.waited("r", patience(n), ms(n)), Duration::ZERO);
+    }
+    assert!(usual.waited("r", ms(1_200), ms(300)) > ms(500));
+}
+
+/// As above, while every third caller is one that comes back.
+#[test]
+fn those_who_come_back_are_told_from_those_with_less_patience() {
+    let mut usual = Usual::default();
+    let patience = |n: u64| ms(1_700 + n * 37 % 301);
+    let (mut new, mut back) = (0, 0);
+    for n in 0..600 {
+        let is_back = n % 3 == 0;
+        let left = if is_back {
+            patience(n) - ms(700)
+        } else {
+            patience(n)
+        };
+        let waited = usual.waited("r", left, ms(n)) > Duration::ZERO;
+        if n >= 300 && waited {
+            *(if is_back { &mut back } else { &mut new }) += 1;
+        }
+    }
+    assert_eq!((new, back), (0, 100));
+}
