Let calls that are late anyway wait rather than hold streams up

Cause: a prompt that cannot be on time anywhere was in as much haste as others, so it went to an engine that generates to be read some hundred milliseconds sooner, of no use to its caller, and held the streams there up.

Change: a millisecond of waiting counts 0.2 for a call that cannot be on time; what it costs others counts in full.

--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -112,6 +112,8 @@
 /// A call that cannot be on time yields to this many ranks of calls that can: its answer is worth the
 /// same a second later, and a long prompt that cannot be on time would make ten short ones late.
 const LATE: Rank = 4;
+/// Weight of a millisecond of waiting for a call that cannot be on time. Not nothing, since its caller leaves in the end.
+const LATE_HASTE: f64 = 0.2;
 /// Share of a caller's time within which the first answer must be expected.
 const IN_TIME: f64 = 0.9;
 /// Time told to a caller when no engine is known at all.
@@ -302,7 +304,7 @@
     let reading = speed.time(u64::from(work)) * engine.pace;
     let read = wait(fleet, engine, demand, work, now);
     let expected = speed.setup + slot_wait(engine) * engine.pace + read;
-    let total = expected
+    let total = haste(demand) * expected
         + READ_WEIGHT * reading
         + BLOCKING * reading * reading
         + beside(fleet, engine, reading)
@@ -331,6 +333,16 @@
     millis(engine.read_in(new, fleet.speed(engine).rate))
 }
 
+/// How much a millisecond of waiting counts for a call. One that cannot be on time is worth the same whenever its
+/// answer comes, so that it must not make others late to be there sooner.
+fn haste(demand: &Demand) -> f64 {
+    if demand.priority < LATE {
+        1.0
+    } else {
+        LATE_HASTE
+    }
+}
+
 /// What reading here costs the streams beside it, in milliseconds.
 fn beside(fleet: &Fleet, engine: &Engine, reading: f64) -> f64 {
     if is_prefill(engine) {
--- a/crates/serving/tests/pauses.rs
+++ b/crates/serving/tests/pauses.rs
@@ -7,7 +7,7 @@
 use assert_matches::assert_matches;
 use common::{demand, fleet, generation, id, ms, prompt, service, zone};
 use serving::place::choose;
-use serving::{Choice, Fleet, Stage};
+use serving::{Choice, Demand, Fleet, Stage};
 
 /// Longest pause that streams of these tests may have.
 const LONGEST: Duration = Duration::from_millis(150);
@@ -77,6 +77,29 @@
     assert_eq!(place(&fleet), "a");
 }
 
+/// Symptom: in a peak streams are late although the prompts beside them are, too. Sequence: a prompt cannot be on time
+/// anywhere; the engine that only reads has a long line, the one that generates has none; it goes there, a third of a
+/// second sooner and of no use, and holds the streams up. Cause: a call that is late anyway was in as much haste
+/// as others.
+#[test]
+fn a_prompt_that_is_late_anyway_waits_rather_than_hold_streams_up() {
+    let mut fleet = learned(ms(40), ms(110));
+    fleet.put(common::record("r", Some(Stage::Prefill)));
+    fleet.remove("b");
+    let now = ms(60_000);
+    for _ in 0..6 {
+        fleet.begin(&id("r"), 24_000, 0, now);
+    }
+    let parts = prompt(&[(9, 6_000)]);
+    let (service, zone) = (service(), zone());
+    let demand = Demand {
+        target: ms(100),
+        ..demand(&service, &zone, Some(generation(&parts)))
+    };
+    let choice = choose(&fleet, &demand, now);
+    assert_matches!(choice, Choice::Split { prefill, .. } if prefill.rank > 1);
+}
+
 /// Symptom: all instances avoid engines after a pause of the whole fleet. Sequence: engines stand still for a second;
 /// every stream has one pause far beyond what reading can do. Cause: it was taken for the work of a prompt.
 #[test]
