Refuse calls that yield by how much longer others like them waited

Cause: a call that cannot be on time yields to those that can, also to those which come later, but was expected after what is before it now.

Change: how much longer such calls wait than played forward is learned as a factor, also from those that are never read; it fades within seconds, since nothing is learned while all are refused. Their expected time, by which they are refused, counts it; where they are placed does not.

--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -55,6 +55,10 @@
 /// Urgency at an engine; 0 is first.
 pub type Rank = u8;
 
+/// Ranks by which a call that cannot be on time yields to calls that can: its answer is worth the same a second
+/// later, and a long prompt that cannot be on time would make ten short ones late.
+pub const LATE: Rank = 4;
+
 /// Number of a call in the books of the instance that sent it.
 pub type Ticket = u32;
 
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -6,9 +6,10 @@
 
 use clock::Moment;
 
-use crate::engine::{Changing, Engine, Job, Pending, Rank, Record, Stage, Ticket, Work};
+use crate::engine::{Changing, Engine, Job, LATE, Pending, Rank, Record, Stage, Ticket, Work};
 use crate::flow::Flow;
 use crate::health::Outcome;
+use crate::overrun::Overrun;
 use crate::parts::{Part, Parts};
 use crate::pauses::{self, Mark, Pauses};
 use crate::speed::Speed;
@@ -54,6 +55,8 @@
     /// Work of prompts sent by all instances, by service.
     reading: HashMap<ServiceName, Flow>,
     changes: Vec<Change>,
+    /// How much longer calls that yield wait, by service.
+    overruns: HashMap<ServiceName, Overrun>,
     /// Pauses of streams, by service.
     pauses: HashMap<ServiceName, Pauses>,
 }
@@ -238,11 +241,17 @@
         let setup = Duration::from_secs_f64(speed.setup / 1_000.0);
         engine.freed = engine.freed.max(now.saturating_sub(setup));
         let expected = pending.expected + setup;
+        if pending.job.rank >= LATE {
+            let overrun = self.overruns.entry(engine.record.service.clone());
+            let factor = took.as_secs_f64() / expected.as_secs_f64().max(1e-3);
+            overrun.or_default().observe(factor, now);
+        }
         engine.observe(expected.as_secs_f64(), took.as_secs_f64(), pending.alone);
     }
 
     /// Takes in that a call has ended.
     pub fn end(&mut self, sent: &Sent, outcome: Option<Outcome>, now: Moment) {
+        self.note_unread(sent, now);
         if let Some(engine) = self.engines.get_mut(&sent.engine) {
             engine.pending.retain(|p| p.job.ticket != sent.ticket);
             engine.note_reading(now);
@@ -266,6 +275,28 @@
         }
     }
 
+    /// Takes in how long a call that yields had waited if it ends before its prompt was read.
+    fn note_unread(&mut self, sent: &Sent, now: Moment) {
+        let Some(engine) = self.engines.get(&sent.engine) else {
+            return;
+        };
+        let yields = |pending: &&Pending| pending.job.rank >= LATE && pending.job.work > 0;
+        let own = engine.pending.iter().filter(yields);
+        let Some(pending) = own.clone().find(|p| p.job.ticket == sent.ticket) else {
+            return;
+        };
+        let expected = pending.expected.as_secs_f64() + self.speed(engine).setup / 1_000.0;
+        let took = now.saturating_sub(pending.job.sent).as_secs_f64();
+        let overrun = self.overruns.entry(engine.record.service.clone());
+        overrun.or_default().left(took / expected.max(1e-3), now);
+    }
+
+    /// How much longer than what is before it a call that yields waits, as a factor.
+    pub(crate) fn overrun(&self, service: &ServiceName, now: Moment) -> f64 {
+        let overrun = self.overruns.get(service);
+        overrun.map_or(1.0, |overrun| overrun.factor(now))
+    }
+
     /// What changed since the last question.
     pub fn take_changes(&mut self) -> Vec<Change> {
         std::mem::take(&mut self.changes)
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod hash;
 pub mod health;
 pub mod line;
+mod overrun;
 pub mod parts;
 pub mod pauses;
 pub mod place;
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -6,7 +6,7 @@
 
 use clock::Moment;
 
-use crate::engine::{Engine, Job, Rank, Stage};
+use crate::engine::{Engine, Job, LATE, Rank, Stage};
 use crate::parts::Part;
 use crate::route::Model;
 use crate::{EngineId, Fleet, ServiceName, Zone, hash, speed};
@@ -109,9 +109,6 @@
 /// Disadvantage of an engine in another data centre: the way there and back, and bytes between
 /// data centres that are paid for.
 const FAR: Duration = Duration::from_millis(6);
-/// A call that cannot be on time yields to this many ranks of calls that can: its answer is worth the
-/// same a second later, and a long prompt that cannot be on time would make ten short ones late.
-const LATE: Rank = 4;
 /// Weight of a millisecond of waiting for a call that cannot be on time. Not nothing, since its caller leaves in the end.
 const LATE_HASTE: f64 = 0.2;
 /// Share of a caller's time within which the first answer must be expected.
@@ -317,11 +314,23 @@
             unread,
             work,
             rank: demand.priority,
-            expected: from_millis(expected),
+            expected: from_millis(expected * overrun(fleet, demand, now)),
         },
     }
 }
 
+/// How much longer than what is before it a call waits.
+///
+/// Calls that can be on time go before one that cannot, also those which come later. Without these it is expected to be
+/// read as soon as what is there now is read; in a peak that never comes, its caller waits to the end for nothing, and
+/// one notices it by calls that fail while hardly any are refused.
+fn overrun(fleet: &Fleet, demand: &Demand, now: Moment) -> f64 {
+    if demand.priority < LATE {
+        return 1.0;
+    }
+    fleet.overrun(demand.service, now)
+}
+
 /// Time until work that is sent now is done, in milliseconds.
 fn wait(fleet: &Fleet, engine: &Engine, demand: &Demand, work: u32, now: Moment) -> f64 {
     let new = Job {
--- /dev/null
+++ b/crates/serving/tests/overrun.rs
@@ -0,0 +1,82 @@
+//! How long calls that yield are expected to wait.
+
+mod common;
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use common::{demand, fleet, generation, id, ms, prompt, service, zone};
+use serving::engine::{LATE, Rank};
+use serving::place::{Refusal, choose};
+use serving::{Choice, Demand, Fleet, Stage};
+
+/// Work of a prompt that one engine of these tests reads in 100 ms.
+const WORK: u32 = 6_000;
+/// Rank of calls that can be on time.
+const URGENT: Rank = 0;
+
+fn reads() -> Fleet {
+    fleet(&[("r", Stage::Prefill), ("d", Stage::Decode)])
+}
+
+/// A peak of two seconds: as many urgent prompts come as the engine reads, and ten calls a second yield until their
+/// callers leave.
+fn peak(fleet: &mut Fleet, from: Duration) {
+    let r = id("r");
+    let mut now = from;
+    for _ in 0..2 {
+        let yielding = [(); 10].map(|()| fleet.begin(&r, 600, LATE, now));
+        for _ in 0..10 {
+            let urgent = fleet.begin(&r, WORK, URGENT, now);
+            now += ms(100);
+            fleet.first(&urgent, now);
+            fleet.end(&urgent, None, now);
+        }
+        for call in yielding {
+            fleet.end(&call, None, now);
+        }
+    }
+}
+
+/// What becomes of a call that cannot be on time, behind one prompt, whose caller waits for 1.3 s more.
+fn late_call(fleet: &mut Fleet, now: Duration) -> Choice {
+    let before = fleet.begin(&id("r"), 20_000, LATE, now);
+    let parts = prompt(&[(1, 12_000)]);
+    let (service, zone) = (service(), zone());
+    let demand = Demand {
+        target: ms(10),
+        left: ms(1_300),
+        ..demand(&service, &zone, Some(generation(&parts)))
+    };
+    let choice = choose(fleet, &demand, now);
+    fleet.end(&before, None, now);
+    choice
+}
+
+/// Symptom: in a peak callers of late calls wait to the end and get nothing, while hardly one is refused. Sequence:
+/// a call that cannot be on time yields; it is expected after what is before it now; calls that can be on
+/// time keep coming and go first. Cause: what comes later was not expected.
+#[test]
+fn a_call_that_would_wait_to_the_end_is_refused_at_once() {
+    let mut fleet = reads();
+    assert_matches!(late_call(&mut fleet, ms(900)), Choice::Split { .. });
+    for second in 0..5 {
+        peak(&mut fleet, ms(1_000 + second * 2_000));
+    }
+    let choice = late_call(&mut fleet, ms(11_000));
+    assert_matches!(
+        choice,
+        Choice::Refuse { why: Refusal::TooMuchWork, after } if after > ms(0)
+    );
+}
+
+/// Symptom: after a peak every late call is refused although engines stand idle. Cause: only calls that are
+/// taken tell how long others wait, and none was taken.
+#[test]
+fn after_a_peak_calls_that_yieldingare_taken_again() {
+    let mut fleet = reads();
+    for second in 0..5 {
+        peak(&mut fleet, ms(1_000 + second * 2_000));
+    }
+    assert_matches!(late_call(&mut fleet, ms(20_000)), Choice::Split { .. });
+}
