--- a/crates/serving/tests/overrun.rs
+++ b/crates/serving/tests/overrun.rs
@@ -73,7 +73,7 @@
 /// Symptom: after a peak every late call is refused although engines stand idle. Cause: only calls that are
 /// taken tell how long others wait, and none was taken.
 #[test]
-fn after_a_peak_calls_that_yieldingare_taken_again() {
+fn after_a_peak_calls_that_yield_are_taken_again() {
     let mut fleet = reads();
     for second in 0..5 {
         peak(&mut fleet, ms(1_000 + second * 2_000));
