--- /dev/null
+++ b/crates/account/tests/account.rs
@@ -0,0 +1,125 @@
+//! Accounts of logs.
+
+use account::call::End;
+use account::tally::Account;
+use account::{plot, text};
+
+/// A line at a second of the same minute.
+fn line(second: f64, text: &str) -> String {
+    format!("[2026-07-13T01:15:{second:06.3}Z INFO  gateway::generate] {text}\n")
+}
+
+fn log() -> String {
+    [
+        line(1.0, "sent id=a engine=e expected_ms=40 unread=900 rank=0"),
+        line(
+            1.05,
+            "engine began id=a engine=e step=read ms=50 expected_ms=40 unread=900",
+        ),
+        line(
+            1.06,
+            "streamed id=a route=long ms=60 first_ms=60 target_ms=200 gap_ms=0 most_gap_ms=150 events=1 beside_ms=0",
+        ),
+        line(
+            2.0,
+            "engine began id=b engine=e step=read ms=900 expected_ms=400 unread=900",
+        ),
+        line(
+            2.1,
+            "streamed id=b route=long ms=960 first_ms=960 target_ms=200 gap_ms=0 most_gap_ms=150 events=1",
+        ),
+        line(
+            2.2,
+            "streamed id=c route=chat ms=960 first_ms=20 target_ms=200 gap_ms=170 most_gap_ms=150 events=9 beside_ms=300",
+        ),
+        line(
+            2.3,
+            "streamed id=d route=chat ms=960 first_ms=20 target_ms=200 gap_ms=170 most_gap_ms=150 events=9 beside_ms=10",
+        ),
+        line(
+            2.4,
+            "refused id=e route=long ms=1 after_ms=30 expected_ms=1900 left_ms=1800 unread=4 rank=4 engine=e why=There is too much work",
+        ),
+        line(
+            2.5,
+            "refused id=f route=long ms=1 after_ms=500 expected_ms=0 left_ms=1800 why=No engine takes the call.",
+        ),
+        line(3.0, "stream broken off id=g route=chat ms=9000 why=out of time"),
+        line(3.1, "stream broken off id=h route=chat ms=900 why=the engine failed"),
+        line(3.2, "sent id=i engine=e expected_ms=40"),
+        line(3.3, "answered id=j route=plain ms=30 status=200"),
+        line(3.4, "failed, may have run id=k route=plain ms=30 why=The engine's answer was lost."),
+        line(3.5, "out of time id=l route=plain ms=900"),
+    ]
+    .concat()
+}
+
+#[test]
+fn calls_are_counted_by_how_they_ended_and_why() {
+    let log = log();
+    let account = Account::new([log.as_str()]);
+    let count = |route: &str, end: End| account.routes[route].get(&end).copied().unwrap_or(0);
+    assert_eq!(count("long", End::OnTime), 1);
+    assert_eq!(count("long", End::LateRead), 1);
+    assert_eq!(count("long", End::RefusedForecast), 1);
+    assert_eq!(count("long", End::RefusedOther), 1);
+    assert_eq!(count("chat", End::LateBeside), 1);
+    assert_eq!(count("chat", End::LatePause), 1);
+    assert_eq!(count("chat", End::Left), 1);
+    assert_eq!(count("chat", End::Failed), 1);
+    assert_eq!(count("plain", End::OnTime), 1);
+    assert_eq!(count("plain", End::Failed), 1);
+    assert_eq!(count("plain", End::Left), 1);
+    assert_eq!(count("(no route)", End::Untold), 1);
+    let seconds: Vec<u32> = account
+        .seconds
+        .values()
+        .map(|ends| ends.values().sum())
+        .collect();
+    assert_eq!(seconds, [1, 5, 6]);
+}
+
+#[test]
+fn forecasts_are_held_against_what_came() {
+    let log = log();
+    let reads = Account::new([log.as_str()]).reads;
+    assert_eq!(
+        (reads.count, reads.expected, reads.took, reads.off),
+        (2, 440.0, 950.0, 510.0)
+    );
+}
+
+/// Symptom: calls look untold although their instances live. Cause: lines were dropped, and the account did not say so.
+#[test]
+fn dropped_lines_are_said() {
+    let log = [
+        log().as_str(),
+        "log lines were dropped count=7\n",
+        &line(4.0, "log lines were dropped line=9 count=5"),
+    ]
+    .concat();
+    let account = Account::new([log.as_str()]);
+    assert_eq!(account.dropped, 12);
+    assert!(text::tables(&account).contains("12 lines were dropped"));
+}
+
+#[test]
+fn what_is_no_log_gives_an_empty_account() {
+    let account = Account::new([
+        "",
+        "nothing\n[x] y=1\n[2026-07-13T99 I a] b c=1",
+        "\u{0}] [ = ",
+    ]);
+    assert!(account.routes.is_empty());
+    assert!(text::tables(&account).starts_with("route"));
+}
+
+#[test]
+fn seconds_are_drawn() {
+    let log = log();
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("a.svg");
+    plot::draw(&Account::new([log.as_str()]), &file).unwrap();
+    let svg = std::fs::read_to_string(file).unwrap();
+    assert!(svg.contains("late: beside"));
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -181,17 +181,17 @@
         }
     }
 
-    /// An event of the stream is there.
-    pub(crate) fn event(&self) {
+    /// An event of the stream is there. Gives the time since the one before in which the engine had prompts to read.
+    pub(crate) fn event(&self) -> Duration {
         let now = self.instance.now();
         let mut fleet = self.instance.fleet.borrow_mut();
-        match (self.last.get(), self.asked.route.gap) {
-            (Some(mut last), Some(longest)) => {
-                fleet.event(&self.sent.engine, &mut last, longest, now);
-                self.last.set(Some(last));
-            }
-            _ => self.last.set(fleet.mark(&self.sent.engine, now)),
-        }
+        let (Some(mut last), Some(longest)) = (self.last.get(), self.asked.route.gap) else {
+            self.last.set(fleet.mark(&self.sent.engine, now));
+            return Duration::ZERO;
+        };
+        let read = fleet.event(&self.sent.engine, &mut last, longest, now);
+        self.last.set(Some(last));
+        read
     }
 
     /// The first answer is there.
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -1,5 +1,6 @@
 //! Connections of callers: one request after the other, each watched for its caller's leaving.
 
+use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -134,14 +135,48 @@
         return refuse(writer, refusal, true).await.is_ok();
     }
     match Asked::new(instance, arrival) {
-        Ok(asked) if asked.route.kind.is_stream() => {
-            generate::answer(instance, &asked, writer).await
-        }
-        Ok(asked) => plain::answer(instance, &asked, writer).await,
+        Ok(asked) => answer(instance, &asked, writer).await,
         Err(refusal) => refuse(writer, refusal.as_refusal(), leaving).await.is_ok(),
     }
 }
 
+async fn answer(instance: &Rc<Instance>, asked: &Asked, writer: &mut http1::Writer) -> bool {
+    let waiting = Waiting {
+        asked,
+        is_answered: Cell::new(false),
+    };
+    let done = if asked.route.kind.is_stream() {
+        generate::answer(instance, asked, writer).await
+    } else {
+        plain::answer(instance, asked, writer).await
+    };
+    waiting.is_answered.set(true);
+    done
+}
+
+/// A caller that waits for its answer.
+///
+/// One that leaves ends everything that is done for its call, wherever that stands, so that no other line tells its end.
+/// Without this one the request could not be told from one whose instance was killed.
+struct Waiting<'a> {
+    asked: &'a Asked,
+    is_answered: Cell<bool>,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if self.is_answered.get() {
+            return;
+        }
+        let asked = self.asked;
+        log::info!(
+            id = asked.call.id.as_str(), route = asked.route.name.as_str(), ms:% = asked.waited().as_millis(),
+            left_ms:% = asked.left().as_millis();
+            "the caller left"
+        );
+    }
+}
+
 /// When a caller may come back after an instance that ends refused it: at once, elsewhere.
 const CLOSING_AFTER: Duration = Duration::from_millis(10);
 
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -16,13 +16,14 @@
 use crate::attempt::{self, Answered, Asked, Avoid, Held, MOST, NotRun, Rejections, Tried};
 use crate::instance::Instance;
 use crate::metrics;
-use crate::plain::{End, Finished, counted, refuse_end, take_repeat};
+use crate::plain::{End, Finished, counted, refuse_end, take_repeat, tell_refused};
 use crate::relay::{self, Relay, Times};
 
 /// How a call ended, as far as the connection to its caller goes on.
 enum Done {
     Whole(Times),
-    Broken,
+    /// What went out stays without its end, for this reason.
+    Broken(&'static str),
     Unserved(End),
 }
 
@@ -42,17 +43,18 @@
     let done = timeout_at(asked.until, run).await;
     let done = match done {
         Ok(done) => done,
-        Err(_) if writer.has_begun() => Done::Broken,
+        Err(_) if writer.has_begun() => Done::Broken("out of time"),
         Err(_) if sent.get() => Done::Unserved(End::Late),
         Err(_) => Done::Unserved(End::NotRun {
             after: FULL_AFTER,
             why: "No engine began in time.",
+            best: None,
         }),
     };
     tell(instance, asked, &done);
     match done {
         Done::Whole(_) => true,
-        Done::Broken => false,
+        Done::Broken(_) => false,
         Done::Unserved(End::Answer(finished, body)) => {
             let head = adapter::ingress::answer(&finished.head, close);
             writer.whole(head, body).await.is_ok()
@@ -64,7 +66,7 @@
 fn tell(instance: &Instance, asked: &Asked, done: &Done) {
     instance.metrics.stream(match done {
         Done::Whole(_) => metrics::End::Served,
-        Done::Broken => metrics::End::Cut,
+        Done::Broken(_) => metrics::End::Cut,
         Done::Unserved(end) => counted(end),
     });
     let id = asked.call.id.as_str();
@@ -78,15 +80,25 @@
                 id = id, route = route, ms:% = ms,
                 first_ms:% = first.unwrap_or_default().as_millis(),
                 target_ms:% = asked.route.target.as_millis(), gap_ms:% = times.gap.as_millis(),
+                most_gap_ms:% = asked.route.gap.unwrap_or_default().as_millis(), events = times.events,
+                beside_ms:% = times.beside.as_millis(),
                 rank = asked.route.priority;
                 "streamed"
             );
         }
-        Done::Broken => log::info!(id = id, route = route, ms:% = ms; "stream broken off"),
-        Done::Unserved(End::NotRun { after, why }) => {
-            log::info!(id = id, route = route, ms:% = ms, after_ms:% = after.as_millis(), why = *why; "refused");
+        Done::Broken(why) => {
+            log::info!(id = id, route = route, ms:% = ms, why = *why; "stream broken off");
+        }
+        Done::Unserved(End::NotRun { after, why, best }) => {
+            tell_refused(asked, *after, why, best.as_deref());
+        }
+        Done::Unserved(End::Unknown(why)) => {
+            log::info!(id = id, route = route, ms:% = ms, why = *why; "failed, may have run");
+        }
+        Done::Unserved(End::Late) => log::info!(id = id, route = route, ms:% = ms; "out of time"),
+        Done::Unserved(End::Answer(finished, _)) => {
+            log::info!(id = id, route = route, ms:% = ms, status = finished.reply.status; "answered");
         }
-        Done::Unserved(_) => log::info!(id = id, route = route, ms:% = ms; "failed"),
     }
 }
 
@@ -145,7 +157,7 @@
             {
                 Choice::Direct(target) => self.direct(&target).await,
                 Choice::Split { prefill, .. } => self.split(&prefill).await,
-                Choice::Refuse { after, why } => Next::Done(self.refused(after, why)),
+                Choice::Refuse { after, why, best } => Next::Done(self.refused(after, why, best)),
             };
             if let Next::Done(done) = next {
                 return done;
@@ -153,9 +165,9 @@
         }
     }
 
-    fn refused(&self, after: Duration, why: Refusal) -> Done {
+    fn refused(&self, after: Duration, why: Refusal, best: Option<Box<Target>>) -> Done {
         if self.relay.has_begun() {
-            return Done::Broken;
+            return Done::Broken("no further engine takes the call");
         }
         if self.runs > 0 {
             return Done::Unserved(End::Unknown("No further engine takes the call."));
@@ -164,7 +176,7 @@
             Refusal::NoEngine => "No engine takes the call.",
             Refusal::TooMuchWork => "There is too much work before this call.",
         };
-        Done::Unserved(End::NotRun { after, why })
+        Done::Unserved(End::NotRun { after, why, best })
     }
 
     /// Has the prompt read at one engine and generates at another. Whatever comes of it, the prompt is
@@ -342,7 +354,7 @@
             }
             relay::End::Gone(error) => {
                 log::debug!(id = self.asked.call.id.as_str(), error:% = error; "the caller has gone");
-                Next::Done(Done::Broken)
+                Next::Done(Done::Broken("the caller has gone"))
             }
             relay::End::Broken(failure) => {
                 log::info!(id = self.asked.call.id.as_str(), engine = &**engine, failure:% = failure, last:? = self.relay.last(); "the engine broke off");
@@ -367,7 +379,7 @@
             return Next::Again;
         }
         if self.relay.has_begun() {
-            return Next::Done(Done::Broken);
+            return Next::Done(Done::Broken("the engine failed"));
         }
         let end = if reply.promises_not_run() {
             End::Unknown("The engine failed.")
@@ -384,7 +396,7 @@
         {
             return Next::Again;
         }
-        Next::Done(self.refused(FULL_AFTER, Refusal::TooMuchWork))
+        Next::Done(self.refused(FULL_AFTER, Refusal::TooMuchWork, None))
     }
 
     fn lost(&mut self, why: &'static str) -> Next {
@@ -393,7 +405,7 @@
             return Next::Again;
         }
         if self.relay.has_begun() {
-            return Next::Done(Done::Broken);
+            return Next::Done(Done::Broken(why));
         }
         Next::Done(Done::Unserved(End::Unknown(why)))
     }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -23,7 +23,12 @@
     /// An engine's whole answer.
     Answer(Box<Finished>, Bytes),
     /// It has not run and will not.
-    NotRun { after: Duration, why: &'static str },
+    NotRun {
+        after: Duration,
+        why: &'static str,
+        /// The place that it would have had, where it was refused by a forecast.
+        best: Option<Box<Target>>,
+    },
     /// It may have run.
     Unknown(&'static str),
     /// Nobody waits any more; it may have run.
@@ -61,7 +66,9 @@
 /// Answers a call that no engine answered.
 pub(crate) async fn refuse_end(asked: &Asked, end: &End, writer: &mut Writer, close: bool) -> bool {
     let (status, after, detail, ran) = match end {
-        End::NotRun { after, why } => (StatusCode::SERVICE_UNAVAILABLE, Some(*after), *why, false),
+        End::NotRun { after, why, .. } => {
+            (StatusCode::SERVICE_UNAVAILABLE, Some(*after), *why, false)
+        }
         End::Unknown(why) => (StatusCode::BAD_GATEWAY, None, *why, true),
         End::Late | End::Answer(..) => (
             StatusCode::GATEWAY_TIMEOUT,
@@ -99,9 +106,7 @@
         End::Answer(answered, _) => {
             log::info!(id = id, route = route, ms:% = ms, status = answered.reply.status; "answered");
         }
-        End::NotRun { after, why } => {
-            log::info!(id = id, route = route, ms:% = ms, after_ms:% = after.as_millis(), why = *why; "refused");
-        }
+        End::NotRun { after, why, best } => tell_refused(asked, *after, why, best.as_deref()),
         End::Unknown(why) => {
             log::info!(id = id, route = route, ms:% = ms, why = *why; "failed, may have run");
         }
@@ -111,6 +116,18 @@
     }
 }
 
+/// Tells of a refusal, with what was expected where: else nobody can tell a long prompt from a full fleet.
+pub(crate) fn tell_refused(asked: &Asked, after: Duration, why: &str, best: Option<&Target>) {
+    let expected = best.map_or(Duration::ZERO, |best| best.expected);
+    log::info!(
+        id = asked.call.id.as_str(), route = asked.route.name.as_str(), ms:% = asked.waited().as_millis(),
+        after_ms:% = after.as_millis(), expected_ms:% = expected.as_millis(), left_ms:% = asked.left().as_millis(),
+        unread = best.map_or(0, |best| best.unread), rank = best.map_or(asked.route.priority, |best| best.rank),
+        engine = best.map_or("", |best| &*best.engine), why = why;
+        "refused"
+    );
+}
+
 async fn attempts(instance: &Rc<Instance>, asked: &Asked) -> End {
     let mut avoid = Avoid::new();
     let mut runs = 0;
@@ -127,6 +144,7 @@
                     End::NotRun {
                         after,
                         why: "No engine takes the call.",
+                        best: None,
                     }
                 };
             }
@@ -150,11 +168,13 @@
                     return End::NotRun {
                         after: FULL_AFTER,
                         why: "The engines are full.",
+                        best: None,
                     };
                 } else if !may {
                     return End::Unknown("The engines are full.");
                 }
             }
+            One::Late => return End::Late,
             One::Lost => {
                 runs += 1;
                 if !more || !take_repeat(instance, asked) {
@@ -187,6 +207,8 @@
     Whole(Box<Finished>, Bytes),
     NotRun(NotRun),
     Lost,
+    /// The caller's time ended before an answer was there.
+    Late,
 }
 
 async fn one(instance: &Rc<Instance>, asked: &Asked, target: &Target, more: bool) -> One {
@@ -215,7 +237,12 @@
             }
         }
     };
-    let result = timeout_at(until, whole).await.unwrap_or(One::Lost);
+    let result = timeout_at(until, whole).await;
+    let result = result.unwrap_or(if until < asked.until {
+        One::Lost
+    } else {
+        One::Late
+    });
     held.note(outcome(&result));
     result
 }
@@ -225,7 +252,7 @@
         One::Whole(answered, _) if answered.reply.status >= 500 => Outcome::Failed,
         One::Whole(..) => Outcome::Good,
         One::NotRun(why) => why.outcome(),
-        One::Lost => Outcome::Failed,
+        One::Lost | One::Late => Outcome::Failed,
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -39,6 +39,10 @@
     last: Option<Instant>,
     /// The longest pause between two.
     pub gap: Duration,
+    /// How many pieces with events there were.
+    pub events: u32,
+    /// Time in which the engine had prompts to read beside it.
+    pub beside: Duration,
 }
 
 impl Times {
@@ -48,6 +52,7 @@
             self.gap = self.gap.max(now - last);
         }
         self.last = Some(now);
+        self.events += 1;
     }
 }
 
@@ -95,7 +100,7 @@
             let Some(events) = self.splitter.push(&piece) else {
                 continue;
             };
-            held.event();
+            self.times.beside += held.event();
             if let Err(error) = self.write(answered, events).await {
                 return End::Gone(error);
             }
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -243,3 +243,39 @@
     assert!(!generated.reads_only());
     assert!(!pool.got().iter().any(Got::is_forged));
 }
+
+/// Symptom: a request ends nowhere in the logs. Sequence: its caller closes the connection while an engine works. Cause: what
+/// was done for it was dropped without a word.
+#[actix_rt::test]
+async fn a_caller_that_leaves_is_told_of() {
+    let (world, app, _pool) = World::start().await;
+    app.act(Act::Hang);
+    let mut caller = world.caller().await;
+    let head = floor::request::call("/once/a", "gone-1", 20_000, &[]);
+    let body = bytes::Bytes::new();
+    {
+        let asking = caller.send(head, &body);
+        tokio::select! {
+            _ = asking => panic!("the engine does not answer"),
+            () = until(async || app.runs("gone-1") == 1) => {}
+        }
+    }
+    drop(caller);
+    until(async || world.log_lines("the caller left id=gone-1") == 1).await;
+}
+
+/// Symptom: a call whose caller's time ended cannot be told from one whose answer an engine lost, in the log and by its
+/// status. Sequence: an engine works longer than the caller waits. Cause: the attempt's limit and the call's were the same
+/// moment, and the attempt's came first.
+#[actix_rt::test]
+async fn the_end_of_a_callers_time_is_no_lost_answer() {
+    let (world, app, _pool) = World::start().await;
+    app.act(Act::Hang);
+    for (path, id) in [("/once/a", "late-1"), ("/safe/a", "late-2")] {
+        let mut caller = world.caller().await;
+        let answer = ask_within(&mut caller, path, id, 400, &[]).await;
+        assert_eq!(answer.status, 504);
+        assert_eq!(world.log_lines(&format!("out of time id={id}")), 1);
+    }
+    assert_eq!(world.log_lines("answer lost"), 0);
+}
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -399,10 +399,17 @@
         Some(Mark { at: now, read })
     }
 
-    /// Takes in that an event of a stream came, which may pause for `longest`.
-    pub fn event(&mut self, id: &EngineId, last: &mut Mark, longest: Duration, now: Moment) {
+    /// Takes in that an event of a stream came, which may pause for `longest`. Gives the time since the last one in which
+    /// the engine had prompts to read.
+    pub fn event(
+        &mut self,
+        id: &EngineId,
+        last: &mut Mark,
+        longest: Duration,
+        now: Moment,
+    ) -> Duration {
         let Some(engine) = self.engines.get(id) else {
-            return;
+            return Duration::ZERO;
         };
         let read = engine.reading.total(now);
         let part = |time: Duration| time.as_secs_f64() / longest.as_secs_f64().max(1e-3);
@@ -411,7 +418,9 @@
         pauses
             .or_default()
             .observe(part(read.saturating_sub(last.read)), pause);
+        let beside = read.saturating_sub(last.read);
         *last = Mark { at: now, read };
+        beside
     }
 
     /// What each millisecond of reading costs each stream at an engine, in milliseconds.
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -72,6 +72,8 @@
         after: Duration,
         /// Why.
         why: Refusal,
+        /// The place that it would have had, for the log.
+        best: Option<Box<Target>>,
     },
 }
 
@@ -174,6 +176,7 @@
         None => Choice::Refuse {
             after: NO_ENGINE_AFTER,
             why: Refusal::NoEngine,
+            best: None,
         },
     }
 }
@@ -252,6 +255,7 @@
         return Choice::Refuse {
             after: NO_ENGINE_AFTER,
             why: Refusal::NoEngine,
+            best: None,
         };
     };
     let prefill = best(
@@ -519,6 +523,13 @@
     Choice::Refuse {
         after: expected - bound,
         why: Refusal::TooMuchWork,
+        best: match choice {
+            Choice::Direct(target)
+            | Choice::Split {
+                prefill: target, ..
+            } => Some(Box::new(target)),
+            Choice::Refuse { best, .. } => best,
+        },
     }
 }
 
--- a/crates/serving/tests/overrun.rs
+++ b/crates/serving/tests/overrun.rs
@@ -66,7 +66,7 @@
     let choice = late_call(&mut fleet, ms(11_000));
     assert_matches!(
         choice,
-        Choice::Refuse { why: Refusal::TooMuchWork, after } if after > ms(0)
+        Choice::Refuse { why: Refusal::TooMuchWork, after, .. } if after > ms(0)
     );
 }
 
--- a/crates/serving/tests/place.rs
+++ b/crates/serving/tests/place.rs
@@ -72,7 +72,7 @@
     let choice = target(&fleet, &[(1, 200_000)]);
     assert_matches!(
         choice,
-        Choice::Refuse { after, why: Refusal::TooMuchWork } if after > ms(0)
+        Choice::Refuse { after, why: Refusal::TooMuchWork, best: Some(_) } if after > ms(0)
     );
 }
 
