Receive signals in one place for both daemons, and hold SIGHUP in the soak until a program can take it

Cause: tarragon-entry had no handler for SIGHUP at all, and its others came after everything else had started.

Change: crate signals remembers SIGTERM, SIGINT and SIGHUP from the first step and hands them out later; the entry says that it reads settings at the start only. The soak waits for the handler (at most half a second) before it sends SIGHUP; how early that is, the gateway's own test holds.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -12,7 +12,7 @@
 use rand::RngExt as _;
 use routing::router::{self, Router};
 use settings::Settings;
-use tokio::signal::unix::{SignalKind, signal};
+use signals::{Early, Request, Signals};
 
 use crate::density::Densities;
 use crate::dispatch::Dispatch;
@@ -68,11 +68,12 @@
 /// # Errors
 ///
 /// The process could not start, or did not come to an orderly end.
-pub fn run(settings: Settings) -> Result<(), Report<Failure>> {
-    System::new().block_on(serve(settings))
+pub fn run(settings: Settings, early: Early) -> Result<(), Report<Failure>> {
+    System::new().block_on(serve(settings, early))
 }
 
-async fn serve(settings: Settings) -> Result<(), Report<Failure>> {
+async fn serve(settings: Settings, early: Early) -> Result<(), Report<Failure>> {
+    let mut signals = Signals::new(early).change_context(Failure::Signals)?;
     let shared = Arc::new(shared(settings)?);
     shared.control.set_hooks(hooks(&shared));
     let mut front = server::start(&shared).change_context(Failure::Bind)?;
@@ -85,10 +86,9 @@
     actix_rt::spawn(beat(Arc::clone(&shared)));
     actix_rt::spawn(tick(Arc::clone(&shared)));
     actix_rt::spawn(send_metrics(Arc::clone(&shared)));
-    let mut stop = Signals::new()?;
     tokio::select! {
         result = &mut front.server => return result.change_context(Failure::Server),
-        () = stop.received() => {}
+        () = stopped(&mut signals) => {}
     }
     actix_rt::spawn(front.server);
     stop_within(&shared, front.handle).await
@@ -194,26 +194,11 @@
     }
 }
 
-/// SIGTERM and SIGINT, which both ask for an orderly stop.
-struct Signals {
-    terminate: tokio::signal::unix::Signal,
-    interrupt: tokio::signal::unix::Signal,
-}
-
-impl Signals {
-    fn new() -> Result<Self, Report<Failure>> {
-        let open = |kind| signal(kind).change_context(Failure::Signals);
-        Ok(Self {
-            terminate: open(SignalKind::terminate())?,
-            interrupt: open(SignalKind::interrupt())?,
-        })
-    }
-
-    async fn received(&mut self) {
-        tokio::select! {
-            _ = self.terminate.recv() => {}
-            _ = self.interrupt.recv() => {}
-        }
+/// Waits until the process is asked to stop. A request to read settings again is answered by a line: one daemon
+/// that dies of what another one understands would take its callers along.
+async fn stopped(signals: &mut Signals) {
+    while signals.next().await == Request::Reload {
+        log::warn!("settings are read at the start only; start the process again to change them");
     }
 }
 
--- a/crates/entry/tests/stopping.rs
+++ b/crates/entry/tests/stopping.rs
@@ -66,3 +66,20 @@
         assert_eq!(ended.unwrap().code(), Some(0));
     }
 }
+
+// Symptom: an entry dies, and its callers' streams with it, when an operator asks all daemons to read their settings
+// again. Sequence: SIGHUP while a stream is in hand.
+// Cause: this daemon does not read settings again and had no handler, and without one SIGHUP ends a process.
+#[actix_rt::test]
+async fn sighup_ends_nothing() {
+    let mut fleet = Fleet::start(2, 1, 0).await;
+    fleet.add_entry();
+    fleet.ready().await;
+    let caller = fleet.caller(0, LIMA);
+    fleet.entries[0].signal("HUP");
+    let streamed = caller
+        .stream("kiosk", "after the signal", 200, usize::MAX)
+        .await;
+    assert!(streamed.done, "{streamed:?}");
+    assert!(fleet.entries[0].ended().is_none());
+}
--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -5,8 +5,8 @@
 
 use adapter::settings::{self, Settings};
 use clap::{Parser, Subcommand};
+use signals::Early;
 
-use crate::signals::Early;
 use crate::{daemon, explain, journal};
 
 /// Exit code when the settings have findings.
@@ -112,7 +112,7 @@
         Ok(loaded) => loaded,
         Err(code) => return code,
     };
-    match daemon::run(path, settings, metrics, &early) {
+    match daemon::run(path, settings, metrics, early) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!(error:% = error; "the daemon failed");
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -6,10 +6,9 @@
 
 use adapter::settings::{self, Settings};
 use error_stack::{Report, ResultExt as _};
-use tokio::signal::unix::{SignalKind, signal};
+use signals::{Early, Request, Signals};
 
 use crate::instance::Instance;
-use crate::signals::Early;
 use crate::{aside, follow, front, mesh, metrics, ready, roles};
 
 /// Why the process cannot serve.
@@ -30,12 +29,12 @@
 
 impl std::error::Error for Failure {}
 
-/// Serves until SIGTERM.
+/// Serves until SIGTERM or SIGINT.
 pub(crate) fn run(
     path: PathBuf,
     settings: Settings,
     port: Option<u16>,
-    early: &Early,
+    early: Early,
 ) -> Result<(), Report<Failure>> {
     actix_rt::System::new().block_on(serve(path, settings, port, early))
 }
@@ -44,10 +43,9 @@
     path: PathBuf,
     settings: Settings,
     port: Option<u16>,
-    early: &Early,
+    early: Early,
 ) -> Result<(), Report<Failure>> {
-    let mut terminate = signal(SignalKind::terminate()).change_context(Failure::Signals)?;
-    let mut reload = signal(SignalKind::hangup()).change_context(Failure::Signals)?;
+    let mut signals = Signals::new(early).change_context(Failure::Signals)?;
     let instance = Rc::new(Instance::new(settings));
     let listen = instance.settings.borrow().listen;
     log::info!(
@@ -70,16 +68,15 @@
         .await
         .change_context(Failure::Listen)?;
     let mut file = Stamp::of(&path);
-    if early.is_reloaded() {
-        load_again(&instance, &path);
-    }
-    while !early.is_terminated() {
+    loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = reload.recv() => {
-                file = Stamp::of(&path);
-                load_again(&instance, &path);
-            }
+            request = signals.next() => match request {
+                Request::Stop => break,
+                Request::Reload => {
+                    file = Stamp::of(&path);
+                    load_again(&instance, &path);
+                }
+            },
             () = tokio::time::sleep(FILE_PACE) => {
                 let now = Stamp::of(&path);
                 if std::mem::replace(&mut file, now) != now {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,4 +27,3 @@
 mod relay;
 mod reply;
 mod roles;
-mod signals;
--- a/crates/soak/src/gateway.rs
+++ b/crates/soak/src/gateway.rs
@@ -6,6 +6,7 @@
 use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
 
 use floor::configuration::Settings;
 use rustix::process::{Pid, Signal, kill_process};
@@ -34,6 +35,18 @@
 /// Milliseconds between orders of two instances; less than most faults last.
 const LEASE: u32 = 1_500;
 
+/// Looks for a handler, a pause apart; a program takes some milliseconds to its first line on a busy machine.
+const CAUGHT_LOOKS: usize = 500;
+const CAUGHT_PAUSE: Duration = Duration::from_millis(1);
+
+/// The signals that a process has handlers for, from its status, as a bit each.
+fn caught_signals(status: &str) -> Option<u64> {
+    let caught = status
+        .lines()
+        .find_map(|line| line.strip_prefix("SigCgt:"))?;
+    u64::from_str_radix(caught.trim(), 16).ok()
+}
+
 /// Addresses that nobody listens on, each given out once.
 ///
 /// Processes that are started again need their ports back, while another soak beside this one looks for
@@ -156,6 +169,9 @@
         if matches!(signal, Signal::KILL | Signal::TERM) {
             self.may_end = true;
         }
+        if signal == Signal::HUP {
+            self.wait_until_caught(signal);
+        }
         let pid = self.child.as_ref().map(Child::id);
         let pid = pid.and_then(|id| Pid::from_raw(i32::try_from(id).ok()?));
         if let Some(pid) = pid {
@@ -164,6 +180,25 @@
         }
     }
 
+    /// Waits until the process has a handler for a signal.
+    ///
+    /// Between the start of a process and the first line of its program lies a millisecond in which the system is at
+    /// work for it and no program can have handlers: SIGHUP ends any process then. What the program makes of it from its
+    /// first line on is what is checked here, and its own test holds how early that is.
+    fn wait_until_caught(&self, signal: Signal) {
+        let Some(child) = &self.child else { return };
+        let status = format!("/proc/{}/status", child.id());
+        let bit = 1_u64 << (signal.as_raw() - 1);
+        for _ in 0..CAUGHT_LOOKS {
+            let caught = std::fs::read_to_string(&status).ok();
+            let caught = caught.and_then(|status| caught_signals(&status));
+            if caught.is_none_or(|caught| caught & bit != 0) {
+                return;
+            }
+            std::thread::sleep(CAUGHT_PAUSE);
+        }
+    }
+
     /// Whether no process runs. `Err` tells how one ended that nobody asked to.
     ///
     /// # Errors
