--- a/crates/gateway/tests/beliefs.rs
+++ b/crates/gateway/tests/beliefs.rs
@@ -222,12 +222,14 @@
 /// another address; the gateway has connections to the one before. Cause: connections and beliefs were kept by name.
 #[actix_rt::test]
 async fn an_engine_that_starts_again_under_its_name_is_another_one() {
-    let (world, app, _pool) = World::start().await;
-    app.register_born(&world.store, "app", 1_000);
+    let (world, plain, _pool) = World::start().await;
+    world.store.put("keyed.servers", &plain.id, None);
+    let app = Engine::start_born("app-9", 1_000).await;
+    app.register(&world.store, "app", "ready", None);
     until(async || world.log_lines("born=1000") > 0).await;
     assert_eq!(status(&world, "/once/a").await, 200);
-    let again = Engine::start(&app.id).await;
-    again.register_born(&world.store, "app", 2_000);
+    let again = Engine::start_born(&app.id, 2_000).await;
+    again.register(&world.store, "app", "ready", None);
     until(async || world.log_lines("born=2000") > 0).await;
     let before = app.got().len();
     for _ in 0..5 {
@@ -235,7 +237,7 @@
     }
     assert_eq!(app.got().len(), before);
     // A heartbeat of the start before that comes late.
-    app.register_born(&world.store, "app", 1_000);
+    app.register(&world.store, "app", "ready", None);
     let other = Engine::start("app-3").await;
     other.register(&world.store, "app", "ready", None);
     until(async || world.log_lines("engine changed engine=app-3") > 0).await;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -85,6 +85,10 @@
     Leave(usize),
     /// An engine ends without a word; its record goes later, and a new one comes.
     Crash(usize),
+    /// An engine ends and starts again under its name, at another address.
+    Reborn(usize),
+    /// Another program writes entries among the engines' records, one of them in the place of an engine's.
+    Foreign(usize),
     /// A new configuration, with one route more.
     Configure,
 }
@@ -156,6 +160,12 @@
 /// nobody could tell what cut a call.
 const PLANNED: u64 = 3;
 
+/// Of this many seeds one has engines that start again under their names and entries of another writer beside its other
+/// faults.
+const RENEWED: u64 = 4;
+/// How many of these, half of either.
+const RENEWALS: usize = 4;
+
 impl Plan {
     /// Draws a plan. The same seed and length give the same plan.
     pub fn draw(seed: u64, length: Duration) -> Self {
@@ -185,6 +195,19 @@
                 },
             })
             .collect();
+        if !planned && seed % RENEWED == RENEWED - 1 {
+            // Drawn apart, so that the plans of other seeds stay as they were.
+            let mut rng = StdRng::seed_from_u64(!seed);
+            faults.extend((0..RENEWALS).map(|number| Fault {
+                at: LEAD + Duration::from_millis(rng.random_range(0..last)),
+                lasts: Duration::from_millis(rng.random_range(SHORTEST..=LONGEST)),
+                kind: if number % 2 == 0 {
+                    Kind::Reborn(rng.random_range(0..services + engines))
+                } else {
+                    Kind::Foreign(rng.random_range(0..services + engines))
+                },
+            }));
+        }
         faults.sort_by_key(|fault| fault.at);
         Self {
             seed,
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -10,6 +10,7 @@
 use floor::engine::Act;
 use floor::{Engine, Store, store};
 use rustix::process::Signal;
+use serde_json::json;
 
 use crate::check;
 use crate::gateway::{Gateway, Ports};
@@ -161,6 +162,8 @@
             Kind::Engine(number, trouble) => self.place(number, |p| p.engine.act(act(trouble))),
             Kind::Leave(number) => self.leave(number).await,
             Kind::Crash(number) => self.crash(number).await,
+            Kind::Reborn(number) => self.reborn(number).await,
+            Kind::Foreign(number) => self.write_foreign(number),
             Kind::Configure => self.configure(),
         }
     }
@@ -180,7 +183,12 @@
             Kind::Engine(number, _) => self.place(number, |place| place.engine.act(Act::Run)),
             Kind::Leave(number) => self.unregister(number),
             Kind::Crash(number) => self.unregister(number),
-            Kind::Process(..) | Kind::KillAll | Kind::Compact | Kind::Configure => {}
+            Kind::Foreign(number) => self.write_own(number),
+            Kind::Reborn(_)
+            | Kind::Process(..)
+            | Kind::KillAll
+            | Kind::Compact
+            | Kind::Configure => {}
         }
     }
 
@@ -218,6 +226,52 @@
         }
     }
 
+    /// The engine ends and another start of it registers under its name, which is where the first one is told from
+    /// it.
+    async fn reborn(&self, number: usize) {
+        let Some((service, stage)) = self.mark_left(number) else {
+            return;
+        };
+        let id = self.places.borrow()[number].engine.id.clone();
+        self.place(number, |place| place.link.set(Link::Reset));
+        // One that starts again has a later place than the start before.
+        let born = self.places.borrow().len() as u64;
+        let engine = Engine::start_born(&id, born).await;
+        engine.streams(check::EVENTS, PAUSE);
+        let link = Proxy::start(engine.address).await;
+        engine.register_at(link.address, &self.store, service, "ready", stage);
+        self.places.borrow_mut().push(Place {
+            engine,
+            link,
+            service,
+            stage,
+            left: false,
+        });
+    }
+
+    /// Writes what no engine writes, in a place of its own and over an engine's record.
+    fn write_foreign(&self, number: usize) {
+        let entry = json!({ "service": "app", "address": [10, 0, 0, 1], "state": "resting" });
+        self.store.put(ENGINES, "foreign", Some(&entry));
+        self.place(number, |place| {
+            if !place.left {
+                self.store.put(ENGINES, &place.engine.id, Some(&entry));
+            }
+        });
+    }
+
+    /// An engine writes its record again, as it does with each heartbeat.
+    fn write_own(&self, number: usize) {
+        self.place(number, |place| {
+            if !place.left {
+                let address = place.link.address;
+                place
+                    .engine
+                    .register_at(address, &self.store, place.service, "ready", place.stage);
+            }
+        });
+    }
+
     fn unregister(&self, number: usize) {
         self.place(number, |place| {
             self.store.put(ENGINES, &place.engine.id, None);
