--- a/crates/gateway/tests/signals.rs
+++ b/crates/gateway/tests/signals.rs
@@ -27,12 +27,12 @@
         let path = directory.path().join("node.toml");
         rustix::fs::mknodat(CWD, &path, FileType::Fifo, Mode::RUSR | Mode::WUSR, 0)
             .expect("a pipe can be made");
-        let child = Command::new(env!("CARGO_BIN_EXE_tarragon-gateway"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tarragon-gateway"));
+        command
             .args(["serve", "--settings"])
             .arg(&path)
-            .stdout(Stdio::null())
-            .spawn()
-            .expect("the gateway starts");
+            .stdout(Stdio::null());
+        let child = world::spawn(&mut command).expect("the gateway starts");
         // Opens only once the process reads the other end.
         let pipe = File::options().write(true).open(&path);
         Self {
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -2,10 +2,11 @@
 #![allow(dead_code)]
 
 use std::cell::{Cell, RefCell};
-use std::io::Write as _;
+use std::io::{self, Write as _};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -59,6 +60,19 @@
 /// Milliseconds that callers wait.
 const DEADLINE: u32 = 20_000;
 
+/// Held while a port is looked at and while a child starts.
+///
+/// Between its fork and its exec a child has copies of all sockets of this process, also of those by which another test
+/// has just seen that a port is free. Its gateway then finds the port in use and ends, and the test says so; of ports that
+/// were looked at while other threads started children one to three in a hundred could not be bound at once.
+static STARTING: Mutex<()> = Mutex::new(());
+
+/// Starts a child while no port is looked at.
+pub(crate) fn spawn(command: &mut Command) -> io::Result<Child> {
+    let _no_port_is_held = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
+    command.spawn()
+}
+
 /// First port that tests use; the kernel gives connections none below 32,768.
 const FIRST_PORT: u16 = 21_000;
 
@@ -68,6 +82,7 @@
 /// gateway binds it; the gateway then ends, and the test waits for its readiness in vain.
 pub(crate) fn free_port() -> u16 {
     static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    let _no_child_starts = STARTING.lock().unwrap_or_else(PoisonError::into_inner);
     loop {
         let port = NEXT.fetch_add(1, Ordering::Relaxed);
         let tcp = TcpListener::bind(("127.0.0.1", port));
@@ -120,7 +135,8 @@
         file.write_all(settings.text().as_bytes())
             .expect("a scratch file can be written");
         let log = NamedTempFile::new().expect("a scratch file can be made");
-        let child = Command::new(env!("CARGO_BIN_EXE_tarragon-gateway"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tarragon-gateway"));
+        command
             .args([
                 "serve",
                 "--metrics",
@@ -130,9 +146,8 @@
             .arg(file.path())
             .env("RUST_LOG", "info")
             .stdout(log.reopen().expect("a scratch file can be opened"))
-            .stderr(Stdio::inherit())
-            .spawn()
-            .expect("the gateway starts");
+            .stderr(Stdio::inherit());
+        let child = spawn(&mut command).expect("the gateway starts");
         Self {
             store,
             front,
@@ -248,7 +263,8 @@
 
     pub(crate) fn signal(&self, name: &str) {
         let pid = self.child.borrow().id().to_string();
-        let status = Command::new("kill").args([name, &pid]).status();
+        let kill = spawn(Command::new("kill").args([name, &pid]));
+        let status = kill.expect("signals can be sent").wait();
         assert!(status.expect("signals can be sent").success());
     }
 
