Drop what nothing reads of the reading times and the fit, and add engines of the soak in one place

The soak's two ways to put an engine behind a link and register it were nine equal lines; they are one function now.

--- a/crates/serving/src/fit.rs
+++ b/crates/serving/src/fit.rs
@@ -10,15 +10,6 @@
     xy: f64,
 }
 
-/// A straight line.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct Line {
-    /// Its value at zero.
-    pub base: f64,
-    /// What it rises by for each step of one.
-    pub slope: f64,
-}
-
 impl Fit {
     /// Takes an observation in. `kept` is what is left of all earlier ones.
     pub(crate) fn observe(&mut self, x: f64, y: f64, kept: f64) {
@@ -35,19 +26,15 @@
         self.weight
     }
 
-    /// The line with the least squares of distances, unless the observations lie within `least`, a variance, of
+    /// What the line rises by for each step of one: the line with the least squares of distances, unless the observations lie within `least`, a variance, of
     /// one place: then any slope would do.
-    pub(crate) fn line(&self, least: f64) -> Option<Line> {
+    pub(crate) fn slope(&self, least: f64) -> Option<f64> {
         let (x, y) = self.mean()?;
         let spread = self.xx / self.weight - x * x;
         if spread < least {
             return None;
         }
-        let slope = (self.xy / self.weight - x * y) / spread;
-        Some(Line {
-            base: y - slope * x,
-            slope,
-        })
+        Some((self.xy / self.weight - x * y) / spread)
     }
 
     /// The middle of the observations.
--- a/crates/serving/src/pauses.rs
+++ b/crates/serving/src/pauses.rs
@@ -13,19 +13,13 @@
 pub(crate) struct Reading {
     is_reading: bool,
     total: Duration,
-    share: f64,
     at: Moment,
 }
 
-/// Time constant of [`Reading::share`]: about as long as the longer streams last, which is how long what
-/// they meet at an engine matters to them.
-const FADES: Duration = Duration::from_secs(4);
-
 impl Reading {
     /// Takes in whether the engine has a prompt to read from now on.
     pub(crate) fn note(&mut self, is_reading: bool, now: Moment) {
         self.total = self.total(now);
-        self.share = self.share(now);
         self.at = self.at.max(now);
         self.is_reading = is_reading;
     }
@@ -38,14 +32,6 @@
             self.total
         }
     }
-
-    /// Share of the last seconds in which it had some.
-    pub(crate) fn share(&self, now: Moment) -> f64 {
-        let past = now.saturating_sub(self.at).as_secs_f64();
-        let kept = (-past / FADES.as_secs_f64()).exp();
-        let now = if self.is_reading { 1.0 } else { 0.0 };
-        self.share * kept + now * (1.0 - kept)
-    }
 }
 
 /// Where a stream was when its last event came.
@@ -91,7 +77,7 @@
             return None;
         }
         let (read, pause) = self.seen.mean()?;
-        let added = self.seen.line(LEAST_SPREAD)?.slope;
+        let added = self.seen.slope(LEAST_SPREAD)?;
         let added = added.clamp(0.0, MOST_ADDED);
         let alone = (pause - added * read).max(0.0);
         // Reading goes on through the whole pause: pause = alone + added * pause.
--- a/crates/serving/src/speed.rs
+++ b/crates/serving/src/speed.rs
@@ -81,12 +81,8 @@
         let expected = self.setup + self.time(u64::from(work));
         let took = took.clamp(expected / STEP, expected * STEP);
         self.seen.observe(f64::from(work) / 1_000.0, took, KEPT);
-        if let Some(line) = self.seen.line(LEAST_SPREAD) {
-            let rate = if line.slope > 0.0 {
-                1_000.0 / line.slope
-            } else {
-                RATE.1
-            };
+        if let Some(slope) = self.seen.slope(LEAST_SPREAD) {
+            let rate = if slope > 0.0 { 1_000.0 / slope } else { RATE.1 };
             self.rate = rate.clamp(RATE.0, RATE.1);
         }
         // Of works of one size the rate is not known, but their time is.
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -113,6 +113,11 @@
     async fn add_engine(&self, service: &'static str, stage: Option<&'static str>) {
         let id = format!("{service}-{}", self.places.borrow().len());
         let engine = Engine::start(&id).await;
+        self.add(engine, service, stage).await;
+    }
+
+    /// Puts an engine behind a link of its own and registers it.
+    async fn add(&self, engine: Engine, service: &'static str, stage: Option<&'static str>) {
         engine.streams(check::EVENTS, PAUSE);
         let link = Proxy::start(engine.address).await;
         engine.register_at(link.address, &self.store, service, "ready", stage);
@@ -237,16 +242,7 @@
         // One that starts again has a later place than the start before.
         let born = self.places.borrow().len() as u64;
         let engine = Engine::start_born(&id, born).await;
-        engine.streams(check::EVENTS, PAUSE);
-        let link = Proxy::start(engine.address).await;
-        engine.register_at(link.address, &self.store, service, "ready", stage);
-        self.places.borrow_mut().push(Place {
-            engine,
-            link,
-            service,
-            stage,
-            left: false,
-        });
+        self.add(engine, service, stage).await;
     }
 
     /// Writes what no engine writes, in a place of its own and over an engine's record.
