--- /dev/null
+++ b/crates/gateway/src/ask.rs
@@ -0,0 +1,371 @@
+//! Asks an instance that places calls where one goes, and answers those that ask this one. What placers know and why they are
+//! asked stands in [`serving::placer`].
+
+use std::cell::{OnceCell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serving::engine::{Job, Rank, Ticket};
+use serving::parts::{Part, Prompt};
+use serving::place::{self, Demand, Generation, Refusal, Target};
+use serving::{Choice, EngineId, Fleet, ServiceName, Zone, hash, placer};
+use smallvec::SmallVec;
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+use wire::Message as _;
+use wire::gateway::{self, Answer, Ask, Frame, Split, answer};
+
+use crate::instance::Instance;
+use crate::metrics::Asked;
+
+/// Time for one placer's answer. One of the same data centre answers within two milliseconds, one that is busy or far within
+/// ten; what is waited for one that does not answer is taken from a caller's time.
+const PATIENCE: Duration = Duration::from_millis(25);
+/// Placers that are asked for one call before this instance places it by what it knows itself.
+const QUESTIONS: usize = 3;
+
+/// Questions that this instance has asked and that are not answered.
+#[derive(Default)]
+pub(crate) struct Questions {
+    socket: OnceCell<Rc<UdpSocket>>,
+    open: RefCell<HashMap<Ticket, oneshot::Sender<Answer>>>,
+}
+
+impl Questions {
+    /// Takes in by which socket to ask.
+    pub(crate) fn bind(&self, socket: Rc<UdpSocket>) {
+        if self.socket.set(socket).is_err() {
+            log::error!("frames have two sockets, the first one is used");
+        }
+    }
+}
+
+/// What is known of a call that another instance placed.
+enum Placed {
+    /// It goes here.
+    Choice(Choice),
+    /// The placer knows too little, or names an engine that may not be used.
+    Declined,
+}
+
+/// Finds a place for a call: by what this instance knows if it is told of all calls, else by what one knows that is.
+pub(crate) async fn choose(instance: &Instance, demand: &Demand<'_>) -> Choice {
+    if let Some(choice) = ask(instance, demand, None).await {
+        return choice;
+    }
+    place::choose(&instance.fleet.borrow(), demand, instance.now())
+}
+
+/// The same for the engine that takes over a prompt that was read in a data centre.
+pub(crate) async fn decode(
+    instance: &Instance,
+    demand: &Demand<'_>,
+    read_in: &Zone,
+) -> Option<Target> {
+    match ask(instance, demand, Some(read_in)).await {
+        Some(Choice::Direct(target)) => Some(target),
+        Some(Choice::Refuse { .. }) => None,
+        Some(Choice::Split { .. }) | None => {
+            place::decode(&instance.fleet.borrow(), demand, read_in, instance.now())
+        }
+    }
+}
+
+/// What the first placer says that answers; nothing if this instance places calls itself, or none does.
+async fn ask(instance: &Instance, demand: &Demand<'_>, read_in: Option<&Zone>) -> Option<Choice> {
+    if instance.is_placing() {
+        return None;
+    }
+    let now = instance.now();
+    let order = {
+        let beginning = demand.generation.as_ref().and_then(|g| g.prompt.first());
+        let beginning = beginning.map_or(0, |part| part.id);
+        let placers = instance.placers.borrow();
+        placer::order(&placers.others, hash::short(&instance.zone), beginning)
+    };
+    let asked = order
+        .into_iter()
+        .filter(|address| instance.peers.borrow().answers(*address, now));
+    let asked: SmallVec<[SocketAddr; QUESTIONS]> = asked.take(QUESTIONS).collect();
+    for address in asked {
+        match ask_one(instance, address, demand, read_in).await {
+            Some(Placed::Choice(choice)) => {
+                instance.metrics.asked(Asked::Placed);
+                return Some(choice);
+            }
+            Some(Placed::Declined) => {
+                instance.metrics.asked(Asked::Declined);
+                log::debug!(placer:% = address; "a placer knows too little");
+            }
+            None => {
+                instance.metrics.asked(Asked::Silent);
+                log::info!(placer:% = address; "a placer does not answer");
+            }
+        }
+        instance.peers.borrow_mut().missed(address, instance.now());
+    }
+    None
+}
+
+async fn ask_one(
+    instance: &Instance,
+    address: SocketAddr,
+    demand: &Demand<'_>,
+    read_in: Option<&Zone>,
+) -> Option<Placed> {
+    let ticket = instance.fleet.borrow_mut().reserve();
+    let question = question(instance, ticket, demand, read_in);
+    let frame = Frame {
+        incarnation: instance.incarnation,
+        ask: Some(question),
+        ..Frame::default()
+    };
+    let (sender, receiver) = oneshot::channel();
+    let open = Open::new(&instance.questions, ticket, sender);
+    let socket = instance.questions.socket.get()?;
+    if let Err(error) = socket.try_send_to(&frame.encode_to_vec(), address) {
+        log::debug!(to:% = address, error:% = error; "a question could not be sent");
+        return None;
+    }
+    let answer = timeout(PATIENCE, receiver).await.ok()?.ok()?;
+    drop(open);
+    Some(placed(&instance.fleet.borrow(), demand, &answer))
+}
+
+/// A question that is open until this is dropped: its caller may leave while it is.
+struct Open<'a> {
+    questions: &'a Questions,
+    ticket: Ticket,
+}
+
+impl<'a> Open<'a> {
+    fn new(questions: &'a Questions, ticket: Ticket, sender: oneshot::Sender<Answer>) -> Self {
+        questions.open.borrow_mut().insert(ticket, sender);
+        Self { questions, ticket }
+    }
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.questions.open.borrow_mut().remove(&self.ticket);
+    }
+}
+
+fn question(instance: &Instance, ticket: Ticket, demand: &Demand, read_in: Option<&Zone>) -> Ask {
+    let now = instance.now();
+    let fleet = instance.fleet.borrow();
+    // What its own calls came to counts here as well: the way to an engine may be broken from this instance only.
+    let resting = fleet.ready(demand.service);
+    let resting = resting.filter(|engine| !engine.is_open(now));
+    let resting = resting.map(|engine| &engine.record.id);
+    let avoid = demand.avoid.iter().chain(resting);
+    Ask {
+        ticket,
+        service: demand.service.to_string(),
+        prompt: demand
+            .generation
+            .as_ref()
+            .map(|generation| gateway::Prompt {
+                pieces: generation.prompt.iter().map(piece).collect(),
+                tokens: generation.tokens,
+            }),
+        priority: u32::from(demand.priority),
+        target_ms: millis(demand.target),
+        left_ms: millis(demand.left),
+        zone: demand.zone.to_string(),
+        may_split: demand.may_split,
+        sending_us: micros(demand.sending),
+        avoid: avoid.map(|id| hash::short(id)).collect(),
+        read_in: read_in.map(ToString::to_string).unwrap_or_default(),
+    }
+}
+
+fn piece(part: &Part) -> gateway::Piece {
+    gateway::Piece {
+        part: part.id,
+        tokens: part.tokens,
+    }
+}
+
+fn placed(fleet: &Fleet, demand: &Demand, answer: &Answer) -> Placed {
+    let target = |told: &gateway::Target| target(fleet, demand, told, answer.ticket);
+    let choice = match &answer.choice {
+        Some(answer::Choice::Direct(told)) => target(told).map(Choice::Direct),
+        Some(answer::Choice::Split(split)) => {
+            let prefill = split.prefill.as_ref().and_then(target);
+            prefill.map(|prefill| Choice::Split {
+                prefill,
+                expected: Duration::from_micros(split.expected_us.into()),
+            })
+        }
+        Some(answer::Choice::Refusal(refusal)) => Some(Choice::Refuse {
+            after: Duration::from_millis(refusal.after_ms.into()),
+            why: if refusal.no_engine {
+                Refusal::NoEngine
+            } else {
+                Refusal::TooMuchWork
+            },
+            best: refusal.best.as_ref().and_then(target).map(Box::new),
+        }),
+        None => None,
+    };
+    choice.map_or(Placed::Declined, Placed::Choice)
+}
+
+/// The place that a placer named, if this instance knows nothing that speaks against it: it may know already that the engine
+/// leaves.
+fn target(
+    fleet: &Fleet,
+    demand: &Demand,
+    told: &gateway::Target,
+    ticket: Ticket,
+) -> Option<Target> {
+    let engine = fleet.by_short(told.engine)?;
+    let takes_calls = fleet
+        .get(&engine)
+        .is_some_and(serving::engine::Engine::takes_calls);
+    if !takes_calls || demand.avoid.contains(&engine) {
+        return None;
+    }
+    Some(Target {
+        engine,
+        unread: told.unread,
+        work: told.work,
+        rank: Rank::try_from(told.rank).unwrap_or(Rank::MAX),
+        expected: Duration::from_micros(told.expected_us.into()),
+        fetch: fleet.by_short(told.fetch),
+        ticket: Some(ticket),
+    })
+}
+
+/// Takes in a question or an answer of another instance. Gives what is to be answered.
+pub(crate) fn take(instance: &Instance, from: SocketAddr, frame: &Frame) -> Option<Frame> {
+    if let Some(answer) = &frame.answer {
+        let open = instance.questions.open.borrow_mut().remove(&answer.ticket);
+        if open.is_none_or(|open| open.send(*answer).is_err()) {
+            log::debug!(from:% = from; "an answer comes too late");
+        }
+    }
+    let question = frame.ask.as_ref()?;
+    let choice = answered(instance, frame.incarnation, question);
+    if choice.is_none() {
+        log::debug!(from:% = from; "a question cannot be answered");
+    }
+    Some(Frame {
+        incarnation: instance.incarnation,
+        answer: Some(Answer {
+            ticket: question.ticket,
+            choice,
+        }),
+        ..Frame::default()
+    })
+}
+
+/// Places a call of another instance and enters it in the books.
+fn answered(instance: &Instance, peer: u64, question: &Ask) -> Option<answer::Choice> {
+    if !instance.is_placing() || !instance.engines_known.get() {
+        return None;
+    }
+    let table = instance.table()?;
+    let service = ServiceName::from(question.service.as_str());
+    let known = table.service(&service)?;
+    let model = known.model.as_ref();
+    let prompt: Prompt = {
+        let pieces = question.prompt.iter().flat_map(|prompt| &prompt.pieces);
+        let part = |piece: &gateway::Piece| Part {
+            id: piece.part,
+            tokens: piece.tokens,
+        };
+        pieces.map(part).collect()
+    };
+    let tokens = question.prompt.as_ref().map(|prompt| prompt.tokens);
+    let generation = tokens.zip(model).map(|(tokens, model)| Generation {
+        model,
+        prompt: &prompt,
+        tokens,
+    });
+    let mut fleet = instance.fleet.borrow_mut();
+    let avoid = question
+        .avoid
+        .iter()
+        .filter_map(|short| fleet.by_short(*short));
+    let avoid: SmallVec<[EngineId; 4]> = avoid.collect();
+    let zone = Zone::from(question.zone.as_str());
+    let demand = Demand {
+        service: &service,
+        generation,
+        connections: u32::try_from(known.connections).unwrap_or(u32::MAX),
+        priority: Rank::try_from(question.priority).unwrap_or(Rank::MAX),
+        target: Duration::from_millis(question.target_ms.into()),
+        zone: &zone,
+        may_split: question.may_split,
+        sending: Duration::from_micros(question.sending_us.into()),
+        avoid: &avoid,
+        left: Duration::from_millis(question.left_ms.into()),
+    };
+    let now = instance.now();
+    let choice = if question.read_in.is_empty() {
+        place::choose(&fleet, &demand, now)
+    } else {
+        let read_in = Zone::from(question.read_in.as_str());
+        place::decode(&fleet, &demand, &read_in, now).map_or(NOWHERE, Choice::Direct)
+    };
+    if let Choice::Direct(target)
+    | Choice::Split {
+        prefill: target, ..
+    } = &choice
+    {
+        let job = Job {
+            ticket: question.ticket,
+            sent: now,
+            rank: target.rank,
+            work: target.work,
+        };
+        fleet.book(peer, &target.engine, job, now);
+    }
+    Some(told(&choice))
+}
+
+/// No engine takes a prompt over.
+const NOWHERE: Choice = Choice::Refuse {
+    after: Duration::ZERO,
+    why: Refusal::NoEngine,
+    best: None,
+};
+
+fn told(choice: &Choice) -> answer::Choice {
+    match choice {
+        Choice::Direct(target) => answer::Choice::Direct(told_target(target)),
+        Choice::Split { prefill, expected } => answer::Choice::Split(Split {
+            prefill: Some(told_target(prefill)),
+            expected_us: micros(*expected),
+        }),
+        Choice::Refuse { after, why, best } => answer::Choice::Refusal(gateway::Refusal {
+            after_ms: millis(*after),
+            no_engine: *why == Refusal::NoEngine,
+            best: best.as_deref().map(told_target),
+        }),
+    }
+}
+
+fn told_target(target: &Target) -> gateway::Target {
+    gateway::Target {
+        engine: hash::short(&target.engine),
+        unread: target.unread,
+        work: target.work,
+        rank: u32::from(target.rank),
+        expected_us: micros(target.expected),
+        fetch: target.fetch.as_deref().map_or(0, hash::short),
+    }
+}
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn micros(time: Duration) -> u32 {
+    u32::try_from(time.as_micros()).unwrap_or(u32::MAX)
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -19,6 +19,7 @@
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
+use crate::ask;
 use crate::front::NO_ROUTE;
 use crate::instance::Instance;
 use crate::reply::Refusal;
@@ -157,7 +158,7 @@
     pub(crate) fn new(instance: &'a Instance, asked: &'a Asked, target: &Target) -> Self {
         let now = instance.now();
         let mut fleet = instance.fleet.borrow_mut();
-        let sent = fleet.begin(&target.engine, target.work, target.rank, now);
+        let sent = fleet.begin(&target.engine, target.work, target.rank, target.ticket, now);
         log::info!(
             id = asked.call.id.as_str(), engine = &*target.engine,
             waited_ms:% = asked.waited().as_millis(), left_ms:% = asked.left().as_millis(),
@@ -367,23 +368,28 @@
 }
 
 /// Finds a place for a call.
-pub(crate) fn place(instance: &Instance, asked: &Asked, avoid: &Avoid, may_split: bool) -> Choice {
+pub(crate) async fn place(
+    instance: &Instance,
+    asked: &Asked,
+    avoid: &Avoid,
+    may_split: bool,
+) -> Choice {
     let demand = Demand {
         may_split,
         ..demand(instance, asked, avoid)
     };
-    serving::place::choose(&instance.fleet.borrow(), &demand, instance.now())
+    ask::choose(instance, &demand).await
 }
 
 /// Finds the engine that takes over a prompt that was read in a data centre.
-pub(crate) fn place_decode(
+pub(crate) async fn place_decode(
     instance: &Instance,
     asked: &Asked,
     avoid: &Avoid,
     source: &Zone,
 ) -> Option<Target> {
     let demand = demand(instance, asked, avoid);
-    serving::place::decode(&instance.fleet.borrow(), &demand, source, instance.now())
+    ask::decode(instance, &demand, source).await
 }
 
 fn demand<'a>(instance: &'a Instance, asked: &'a Asked, avoid: &'a Avoid) -> Demand<'a> {
@@ -404,7 +410,6 @@
             .target
             .saturating_sub(asked.before + asked.waited()),
         zone: &instance.zone,
-        own_cell: instance.own_cell.get(),
         may_split: true,
         sending: instance.sending(asked.body.len()),
         avoid,
--- a/crates/gateway/src/discover.rs
+++ b/crates/gateway/src/discover.rs
@@ -1,5 +1,6 @@
 //! Registers this instance in the store and finds the others there.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -50,16 +51,31 @@
     let mut peers = instance.peers.borrow_mut();
     let values = records.iter().filter_map(|record| record.value.as_ref());
     let texts = values.filter_map(|value| std::str::from_utf8(value).ok());
-    let entries = texts.filter_map(|text| text.split_once(' '));
-    for (address, zone) in entries {
-        let Ok(address) = address.parse() else {
-            log::debug!(address = address; "a registered instance has no address");
+    let now = instance.now();
+    for text in texts {
+        let Some((address, zone, order)) = entry(text) else {
+            log::debug!(entry = text; "a registered instance has no address");
             continue;
         };
         if address != instance.address {
-            peers.add(address, hash::short(zone));
+            peers.add(address, hash::short(zone), order, now);
         }
     }
+    drop(peers);
+    instance.greeting_due.set(true);
+    instance.stirred.notify_one();
+}
+
+/// Address, data centre and place in the common order of a registered instance.
+fn entry(text: &str) -> Option<(SocketAddr, &str, Option<u64>)> {
+    let (address, rest) = text.split_once(' ')?;
+    let address = address.parse().ok()?;
+    let with_order = rest.rsplit_once(' ');
+    let parsed = with_order.and_then(|(zone, order)| Some((zone, order.parse().ok()?)));
+    Some(match parsed {
+        Some((zone, order)) => (address, zone, Some(order)),
+        None => (address, rest, None),
+    })
 }
 
 /// Registers first and reads then: of two instances that start at the same time, the one that
@@ -69,7 +85,8 @@
     instance: &Instance,
 ) -> Result<(Vec<Keyed>, Offset), Trouble> {
     let key = instance.address.ip().to_string();
-    let value = format!("{} {}", instance.address, instance.zone);
+    let order = instance.order();
+    let value = format!("{} {} {order}", instance.address, instance.zone);
     store
         .append(INSTANCES, &key, value.as_bytes(), None)
         .await?;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -130,7 +130,9 @@
         let peers = instance.peers.borrow();
         let others = peers.said(self.topic);
         let order = instance.order();
-        self.watch.is_due(order, others, differs, instance.now())
+        let now = instance.now();
+        let rank = peers.rank(order, now);
+        self.watch.is_due(order, rank, others, differs, now)
     }
 
     async fn once(&mut self) -> Result<Read, Trouble> {
@@ -323,10 +325,6 @@
         }
         instance.pool.sweep(now, |id| fleet.get(id).is_some());
         let instances = instance.peers.borrow().count();
-        let own_cell = serving::cell::is_own(&fleet, &instance.zone, instances);
-        if instance.own_cell.replace(own_cell) != own_cell {
-            log::info!(own_cell = own_cell, instances = instances; "engines of this data centre go first or not");
-        }
         if let Some(connections) = instance.table().and_then(|t| t.fewest_connections()) {
             instance.pool.shared_by(connections, instances);
         }
--- a/crates/gateway/src/frame.rs
+++ b/crates/gateway/src/frame.rs
@@ -7,6 +7,7 @@
 use clock::Moment;
 use serving::engine::{Job, Rank, Stage, Ticket, Work};
 use serving::fleet::Change;
+use serving::health::Outcome;
 use serving::{EngineId, hash};
 use wire::gateway::{Frame, Started};
 
@@ -59,6 +60,29 @@
         engine: hash::short(engine),
         ticket,
         age_ms: 0,
+        outcome: wire::gateway::Outcome::None.into(),
+    }
+}
+
+/// What another instance told of a call that has ended.
+pub(crate) fn outcome(told: &wire::gateway::Ticket) -> Option<Outcome> {
+    match told.outcome() {
+        wire::gateway::Outcome::None => None,
+        wire::gateway::Outcome::Good => Some(Outcome::Good),
+        wire::gateway::Outcome::Full => Some(Outcome::Full),
+        wire::gateway::Outcome::Unreachable => Some(Outcome::Unreachable),
+        wire::gateway::Outcome::Failed => Some(Outcome::Failed),
+    }
+}
+
+/// What is told of a call that has ended. That its engine has ended is told by itself.
+fn told_outcome(outcome: Option<Outcome>) -> wire::gateway::Outcome {
+    match outcome {
+        None | Some(Outcome::Ended) => wire::gateway::Outcome::None,
+        Some(Outcome::Good) => wire::gateway::Outcome::Good,
+        Some(Outcome::Full) => wire::gateway::Outcome::Full,
+        Some(Outcome::Unreachable) => wire::gateway::Outcome::Unreachable,
+        Some(Outcome::Failed) => wire::gateway::Outcome::Failed,
     }
 }
 
@@ -75,7 +99,12 @@
             Change::Started(_, job) if job.work > 0 => {}
             Change::Started(engine, job) => frame.started.push(started(&engine, &job, now)),
             Change::Read(engine, number, at) => reads.push((ticket(&engine, number), at)),
-            Change::Ended(engine, number) => frame.ended.push(ticket(&engine, number)),
+            Change::Ended(engine, number, outcome) => {
+                frame.ended.push(wire::gateway::Ticket {
+                    outcome: told_outcome(outcome).into(),
+                    ..ticket(&engine, number)
+                });
+            }
             Change::Gone(engine) => frame.gone.push(hash::short(&engine)),
         }
     }
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -153,8 +153,9 @@
         let service = &self.asked.service.name;
         self.instance.budgets.borrow_mut().earn(service);
         loop {
-            let next = match attempt::place(self.instance, self.asked, &self.avoid, self.may_split)
-            {
+            let choice =
+                attempt::place(self.instance, self.asked, &self.avoid, self.may_split).await;
+            let next = match choice {
                 Choice::Direct(target) => self.direct(&target).await,
                 Choice::Split { prefill, .. } => self.split(&prefill).await,
                 Choice::Refuse { after, why, best } => Next::Done(self.refused(after, why, best)),
@@ -200,7 +201,7 @@
     async fn take_over(&mut self, memory: Memory, zone: &Zone) -> Next {
         let memory = Guard::new(self.instance, memory);
         loop {
-            let decode = attempt::place_decode(self.instance, self.asked, &self.avoid, zone);
+            let decode = attempt::place_decode(self.instance, self.asked, &self.avoid, zone).await;
             let Some(decode) = decode else {
                 return Next::Again;
             };
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -9,11 +9,13 @@
 use clock::{Clock as _, Moment, System};
 use serving::budget::Budgets;
 use serving::parts::Part;
+use serving::placer::{Member, Placers};
 use serving::registry::Registry;
 use serving::usual::Usual;
-use serving::{EngineId, Fleet, Record, Table, Zone, hash};
+use serving::{EngineId, Fleet, Table, Zone, hash};
 use tokio::sync::Notify;
 
+use crate::ask::Questions;
 use crate::metrics::Metrics;
 use crate::peers::{self, Peers, Topic};
 use crate::phase::Phase;
@@ -31,8 +33,12 @@
     pub table: RefCell<Option<Rc<Table>>>,
     pub fleet: RefCell<Fleet>,
     pub registry: RefCell<Registry>,
-    /// Whether engines of this data centre go first.
-    pub own_cell: Cell<bool>,
+    /// Who places calls.
+    pub placers: RefCell<Placers>,
+    /// Questions to other instances that are not answered yet.
+    pub questions: Questions,
+    /// Whether other instances should hear of this one soon.
+    pub greeting_due: Cell<bool>,
     /// When this instance last read each topic itself.
     pub configuration_read: Cell<Option<Moment>>,
     pub engines_read: Cell<Option<Moment>>,
@@ -62,7 +68,9 @@
             table: RefCell::default(),
             fleet: RefCell::default(),
             registry: RefCell::default(),
-            own_cell: Cell::new(false),
+            placers: RefCell::default(),
+            questions: Questions::default(),
+            greeting_due: Cell::new(true),
             configuration_read: Cell::new(None),
             engines_read: Cell::new(None),
             address: SocketAddr::new(settings.ip, settings.ports.0),
@@ -82,15 +90,38 @@
         self.clock.now()
     }
 
-    /// Whether an engine is in this instance's share of those that the instances of its cell tell
-    /// newcomers of.
-    pub(crate) fn has_share(&self, engine: &Record) -> bool {
-        if self.own_cell.get() && engine.zone != self.zone {
-            return false;
+    /// Whether this instance places calls itself.
+    pub(crate) fn is_placing(&self) -> bool {
+        self.placers.borrow().own
+    }
+
+    /// Whether an engine is in this instance's share, of all that place calls. Each engine is in the share of one, which
+    /// all compute alike from the instances that they know.
+    pub(crate) fn has_share(&self, engine: &EngineId) -> bool {
+        let weight = |address: SocketAddr| hash::number(&format!("{address} {engine}"));
+        let own = weight(self.address);
+        let placers = self.placers.borrow();
+        let mut others = placers.others.iter();
+        others.all(|(other, _)| weight(*other) <= own)
+    }
+
+    /// Looks who places calls now. Says whether this instance has begun to, or has ceased.
+    pub(crate) fn elect(&self) -> bool {
+        let own = Member {
+            address: self.address,
+            place: hash::short(&self.zone),
+            order: self.order(),
+            lives: true,
+        };
+        let now = self.now();
+        let mut placers = self.peers.borrow_mut().elect(&own, now);
+        placers.own &= !self.phase.is_leaving();
+        let before = self.placers.replace(placers);
+        let after = self.placers.borrow();
+        if before != *after {
+            log::info!(own = after.own, others = after.others.len(); "instances that place calls");
         }
-        let zone = self.own_cell.get().then(|| hash::short(&self.zone));
-        let peers = self.peers.borrow();
-        peers.is_share(self.address, zone, &engine.id)
+        before.own != after.own
     }
 
     /// This instance's place in the order in which instances read the store.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! See [`docs/design/platform.md`](../../../docs/design/platform.md).
 
 mod aside;
+mod ask;
 mod attempt;
 pub mod command;
 mod daemon;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -1,5 +1,5 @@
-//! What instances tell each other: their calls at engines, the parts that engines use, and what
-//! changed in the store. Frames are datagrams that replace each other, so that a lost one needs no
+//! What instances tell each other: their calls at engines and the parts that engines use, to those that place calls, and what
+//! changed in the store, to all. Frames are datagrams that replace each other, so that a lost one needs no
 //! repair; instances find each other through the store.
 
 use std::io;
@@ -15,18 +15,17 @@
 use serving::fleet::Change;
 use serving::hash;
 use serving::parts::Part;
-use serving::spread::{self, Spread};
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use wire::Message as _;
 use wire::gateway::{Frame, News, State};
 
 use crate::frame::{
-    add_changes, before, job, packed, started, told_changing, told_work, unpacked, work,
+    add_changes, before, job, outcome, packed, started, told_changing, told_work, unpacked, work,
 };
 use crate::instance::Instance;
 use crate::peers::{self, PARTS, Topic};
-use crate::{discover, follow, recall};
+use crate::{ask, discover, follow, recall};
 
 /// Pause between two frames while nothing is placed.
 const PACE: Duration = Duration::from_millis(100);
@@ -47,8 +46,6 @@
 const HEADERS: usize = 46;
 /// An instance whose last read of the store is younger, in milliseconds, reads it for the others.
 const READER_AGE: u32 = 2_000;
-/// Of this many states of any instance, one goes to all instances, so that all know who lives.
-const GREETING_PACE: u32 = 5;
 /// A prompt that was sent less than this long ago is told in every frame, so that the loss of one
 /// does not hide it.
 const RECENT: Duration = Duration::from_millis(250);
@@ -59,6 +56,7 @@
 pub(crate) async fn start(instance: &Rc<Instance>) -> io::Result<()> {
     let own = instance.address;
     let socket = Rc::new(UdpSocket::bind(own).await?);
+    instance.questions.bind(socket.clone());
     actix_rt::spawn(listen(instance.clone(), socket.clone()));
     actix_rt::spawn(tell(instance.clone(), socket));
     actix_rt::spawn(recall::run(instance.clone()));
@@ -71,13 +69,13 @@
     loop {
         match socket.recv_from(&mut buffer).await {
             Ok((size, from)) => match Frame::decode(&buffer[..size]) {
-                Ok(mut frame) => {
-                    if frame.pass_on {
-                        pass_near(&instance, &socket, &mut frame);
-                    }
+                Ok(frame) => {
                     if !frame.pass_to.is_empty() {
                         pass_on(&socket, &frame);
                     }
+                    if let Some(answer) = ask::take(&instance, from, &frame) {
+                        broadcast(&socket, &answer, &[from]);
+                    }
                     take(&instance, from, frame);
                 }
                 Err(error) => log::debug!(error:% = error; "a datagram is no frame"),
@@ -142,7 +140,7 @@
     });
     let ended = frame.ended.iter().filter_map(|ended| {
         let engine = fleet.by_short(ended.engine)?;
-        Some(Change::Ended(engine, ended.ticket))
+        Some(Change::Ended(engine, ended.ticket, outcome(ended)))
     });
     let gone = frame.gone.iter();
     let gone = gone.filter_map(|gone| Some(Change::Gone(fleet.by_short(*gone)?)));
@@ -189,9 +187,6 @@
 async fn tell(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
     let mut earliest = Instant::now();
     let mut state_due = Instant::now();
-    let mut states = 0;
-    // Instances that start together begin with different ones.
-    let mut turn: usize = rand::random_range(0..usize::MAX);
     loop {
         if timeout(PACE, instance.stirred.notified()).await.is_ok() {
             sleep(GATHER).await;
@@ -199,29 +194,44 @@
         sleep_until(earliest).await;
         let now = instance.now();
         instance.fleet.borrow_mut().fade(now);
+        let is_greeting = instance.greeting_due.take() | instance.elect();
         tell_news(&instance, &socket, now);
-        let is_state_due = Instant::now() >= state_due;
+        let is_state_due = is_greeting || Instant::now() >= state_due;
         let Some(frame) = next_frame(&instance, is_state_due, now) else {
             continue;
         };
         if is_state_due {
             let reads = frame.state.as_ref().is_some_and(reads_store);
             state_due = Instant::now() + if reads { READER_PACE } else { STATE_PACE };
-            states += 1;
         }
-        let addressees = addressees(&instance, &frame, states, now);
-        let bytes = if frame.state.is_some() {
-            // A state is known by the address that it comes from.
-            broadcast(&socket, &frame, &addressees)
-        } else {
-            turn = turn.wrapping_add(1);
-            spread_out(&instance, &socket, frame, &addressees, turn)
-        };
+        let bytes = send(&instance, &socket, frame);
         earliest = Instant::now() + instance.sending(bytes).mul_f64(1.0 / LINK_SHARE);
         greet(&instance, &socket);
     }
 }
 
+/// Sends a frame to those that place calls. Of a state, all others are told that its sender lives if it places calls or reads
+/// the store for them, also those that are silent: that is how instances hear of each other.
+fn send(instance: &Instance, socket: &UdpSocket, mut frame: Frame) -> usize {
+    let placers = instance.placers.borrow();
+    let placers: Vec<SocketAddr> = placers.others.iter().map(|(address, _)| *address).collect();
+    let bytes = broadcast(socket, &frame, &placers);
+    let Some(state) = &mut frame.state else {
+        return bytes;
+    };
+    if !(state.placing || reads_store(state)) {
+        return bytes;
+    }
+    state.works.clear();
+    frame.started.clear();
+    frame.read.clear();
+    frame.ended.clear();
+    frame.parts.clear();
+    let mut rest = instance.peers.borrow().all();
+    rest.retain(|address| !placers.contains(address));
+    bytes + broadcast(socket, &frame, &rest)
+}
+
 /// What is to be told now, if anything.
 fn next_frame(instance: &Instance, is_state_due: bool, now: Moment) -> Option<Frame> {
     let mut fleet = instance.fleet.borrow_mut();
@@ -234,10 +244,8 @@
     let mut reads = Vec::new();
     if is_state_due {
         // A state says all but this.
-        let gone = changes
-            .into_iter()
-            .filter(|change| matches!(change, Change::Gone(_)));
-        add_changes(&mut frame, gone.collect(), now);
+        let besides = changes.into_iter().filter(is_told_besides);
+        add_changes(&mut frame, besides.collect(), now);
         frame.state = Some(state(instance, &fleet, peers.knows, now));
     } else {
         let recent = fleet.recent(RECENT, now);
@@ -258,6 +266,11 @@
     (!is_empty).then_some(frame)
 }
 
+/// Whether a state does not say this.
+fn is_told_besides(change: &Change) -> bool {
+    matches!(change, Change::Gone(_) | Change::Ended(_, _, Some(_)))
+}
+
 fn state(instance: &Instance, fleet: &Fleet, knows: bool, now: Moment) -> State {
     let works = fleet.own();
     let works = works
@@ -272,25 +285,11 @@
         knows,
         zone: hash::short(&instance.zone),
         order: instance.order(),
+        leaving: instance.phase.is_leaving(),
+        placing: instance.is_placing(),
     }
 }
 
-/// Who gets a frame: the instances that use the same engines. States go to all now and then, and
-/// always where the sender reads the store for the others, also to instances that are silent: that is
-/// how instances hear of each other.
-fn addressees(instance: &Instance, frame: &Frame, states: u32, now: Moment) -> Vec<SocketAddr> {
-    let peers = instance.peers.borrow();
-    let own_cell = instance.own_cell.get();
-    let zone = own_cell.then(|| hash::short(&instance.zone));
-    let Some(state) = &frame.state else {
-        return peers.heard_of(zone, now);
-    };
-    if !own_cell || reads_store(state) || states.is_multiple_of(GREETING_PACE) {
-        return peers.all();
-    }
-    peers.heard_of(zone, now)
-}
-
 /// Whether an instance reads the store for the others.
 fn reads_store(state: &State) -> bool {
     let is_recent = |age: u32| age > 0 && age < READER_AGE;
@@ -330,35 +329,6 @@
     broadcast(socket, &frame, &rest);
 }
 
-/// Sends changes to several instances, to those of other data centres by way of one of each.
-fn spread_out(
-    instance: &Instance,
-    socket: &UdpSocket,
-    mut frame: Frame,
-    addressees: &[SocketAddr],
-    turn: usize,
-) -> usize {
-    let Spread { direct, passing } = {
-        let peers = instance.peers.borrow();
-        let placed = addressees
-            .iter()
-            .map(|address| (*address, peers.place(*address)));
-        let placed: Vec<_> = placed.collect();
-        spread::spread(&placed, hash::short(&instance.zone), turn)
-    };
-    let bytes = broadcast(socket, &frame, &direct);
-    frame.pass_on = true;
-    bytes + broadcast(socket, &frame, &passing)
-}
-
-/// Passes changes on to the other instances of this data centre.
-fn pass_near(instance: &Instance, socket: &UdpSocket, frame: &mut Frame) {
-    frame.pass_on = false;
-    let near = hash::short(&instance.zone);
-    let near = instance.peers.borrow().heard_of(Some(near), instance.now());
-    broadcast(socket, frame, &near);
-}
-
 /// Sends a frame to several instances. Gives the bytes that this put on the link.
 fn broadcast(socket: &UdpSocket, frame: &Frame, addressees: &[SocketAddr]) -> usize {
     let bytes = frame.encode_to_vec();
@@ -370,7 +340,7 @@
     (bytes.len() + HEADERS) * addressees.len()
 }
 
-/// Tells instances that have just started what the engines of this instance's share hold.
+/// Tells instances that have begun to place calls what the engines of this instance's share hold.
 fn greet(instance: &Instance, socket: &UdpSocket) {
     let newcomers = instance.peers.borrow_mut().take_newcomers();
     if newcomers.is_empty() {
@@ -385,14 +355,14 @@
         };
         broadcast(socket, &frame, &newcomers);
     }
-    log::info!(newcomers = newcomers.len(), parts = reads.len(); "told new instances what engines hold");
+    log::info!(newcomers = newcomers.len(), parts = reads.len(); "told new placers what engines hold");
 }
 
 fn share_of_parts(instance: &Instance) -> Vec<wire::gateway::Part> {
     let fleet = instance.fleet.borrow();
     let share = fleet
         .all()
-        .filter(|engine| instance.has_share(&engine.record));
+        .filter(|engine| instance.has_share(&engine.record.id));
     let reads = share.flat_map(|engine| {
         let id = &engine.record.id;
         let held = fleet.parts.held(id);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -54,6 +54,14 @@
     Unanswered,
 }
 
+/// What a question to an instance that places calls came to.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum Asked {
+    Placed,
+    Declined,
+    Silent,
+}
+
 macro_rules! labels {
     ($type:ident: $($value:ident = $text:literal),*) => {
         impl EncodeLabelValue for $type {
@@ -67,6 +75,7 @@
 }
 
 labels!(End: Served = "served", Refused = "refused", Failed = "failed", Late = "late", Cut = "cut");
+labels!(Asked: Placed = "placed", Declined = "declined", Silent = "silent");
 labels!(Ordered: Taken = "taken", Refused = "refused", Unanswered = "unanswered");
 
 /// Label names with one value each.
@@ -80,6 +89,7 @@
     plain_time: Histogram,
     first_time: Histogram,
     orders: Family<Labels<Ordered>, Counter>,
+    questions: Family<Labels<Asked>, Counter>,
     store_failures: Counter,
     configuration: Gauge,
     engines: Gauge,
@@ -96,6 +106,7 @@
             plain_time: Histogram::new(BUCKETS),
             first_time: Histogram::new(BUCKETS),
             orders: Family::default(),
+            questions: Family::default(),
             store_failures: Counter::default(),
             configuration: Gauge::default(),
             engines: Gauge::default(),
@@ -129,6 +140,11 @@
             self.first_time.clone(),
         );
         registry.register("orders", "Orders to engines", self.orders.clone());
+        registry.register(
+            "placement_questions",
+            "Questions to instances that place calls",
+            self.questions.clone(),
+        );
         registry.register(
             "store_failures",
             "Reads of the store that failed",
@@ -171,6 +187,11 @@
         self.orders.get_or_create(&[("answer", what)]).inc();
     }
 
+    /// An instance that places calls was asked.
+    pub(crate) fn asked(&self, what: Asked) {
+        self.questions.get_or_create(&[("answer", what)]).inc();
+    }
+
     /// A read of the store failed.
     pub(crate) fn store_failed(&self) {
         self.store_failures.inc();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,13 +6,17 @@
 
 use clock::Moment;
 use serving::parts::Part;
-use serving::spread::Place;
+use serving::placer::{Election, Member, Place, Placers};
 use serving::watch::Said;
 use serving::{EngineId, hash};
 use wire::gateway::{News, State, Ticket};
 
-/// An instance that was silent for this long is told of no changes, only of states.
+/// An instance that was silent for this long, or did not make itself known for this long after it was found registered, is
+/// taken to have ended.
 const SILENT: Duration = Duration::from_secs(3);
+/// Time for which an instance that did not answer a question is asked nothing: it may be paused or cut off, and each
+/// question costs a call some milliseconds.
+const MISSED: Duration = Duration::from_millis(1_000);
 /// Times that news of engines are told, since datagrams are lost.
 const TELLINGS: u8 = 2;
 /// Most parts in one frame.
@@ -35,22 +39,59 @@
 #[derive(Clone, Debug)]
 struct Peer {
     incarnation: u64,
-    order: u64,
     heard: Moment,
+    leaving: bool,
+    placing: bool,
+    knows: bool,
     configuration: u64,
     configuration_read: Option<Moment>,
     engines: u64,
     engines_read: Option<Moment>,
 }
 
+/// A registered instance.
+#[derive(Clone, Debug)]
+struct Registered {
+    place: Place,
+    /// Missing where only its address is known.
+    order: Option<u64>,
+    added: Moment,
+    /// What it last said.
+    peer: Option<Peer>,
+    /// When it last did not answer.
+    missed: Option<Moment>,
+}
+
+impl Registered {
+    fn is_heard(&self, now: Moment) -> bool {
+        let peer = self.peer.as_ref();
+        peer.is_some_and(|peer| now.saturating_sub(peer.heard) < SILENT)
+    }
+
+    /// As the election sees it. One that has fallen silent is none of its members.
+    fn member(&self, address: SocketAddr, now: Moment) -> Option<Member> {
+        let lives = match &self.peer {
+            Some(peer) if peer.leaving || !self.is_heard(now) => return None,
+            Some(_) => true,
+            None => now.saturating_sub(self.added) < SILENT,
+        };
+        Some(Member {
+            address,
+            place: self.place,
+            order: self.order?,
+            lives,
+        })
+    }
+}
+
 impl Peer {
-    fn said(&self, topic: Topic) -> Said {
+    fn said(&self, order: u64, topic: Topic) -> Said {
         let (knows, read) = match topic {
             Topic::Configuration => (self.configuration, self.configuration_read),
             Topic::Engines => (self.engines, self.engines_read),
         };
         Said {
-            order: self.order,
+            order,
             heard: self.heard,
             read,
             knows,
@@ -61,15 +102,14 @@
 /// All other instances.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
-    by_address: BTreeMap<SocketAddr, (u32, Option<Peer>)>,
+    by_address: BTreeMap<SocketAddr, Registered>,
+    election: Election,
     parts: Vec<(EngineId, Part)>,
     read_before: Vec<(Ticket, Moment)>,
     news: Vec<(News, u8)>,
     news_told: Option<Moment>,
     /// Whether this instance knows what engines hold.
     pub knows: bool,
-    /// Whether another instance that knew has been heard of.
-    told: bool,
     newcomers: Vec<SocketAddr>,
 }
 
@@ -162,25 +202,47 @@
         told
     }
 
-    /// Adds an instance that is registered, with the hash of its data centre.
-    pub(crate) fn add(&mut self, address: SocketAddr, zone: u32) {
-        self.by_address.entry(address).or_insert((zone, None));
+    /// Adds an instance that is registered, with the hash of its data centre and its place in the common order. Says whether it was
+    /// not known.
+    pub(crate) fn add(
+        &mut self,
+        address: SocketAddr,
+        place: Place,
+        order: Option<u64>,
+        now: Moment,
+    ) -> bool {
+        let is_new = !self.by_address.contains_key(&address);
+        let known = self.by_address.entry(address);
+        known.or_insert(Registered {
+            place,
+            order,
+            added: now,
+            peer: None,
+            missed: None,
+        });
+        is_new
     }
 
-    /// Addresses of the instances, or of those of a data centre, that have been heard of lately.
-    pub(crate) fn heard_of(&self, zone: Option<u32>, now: Moment) -> Vec<SocketAddr> {
-        let in_zone = |other: u32| zone.is_none_or(|zone| zone == other);
-        let is_heard = |peer: &Peer| now.saturating_sub(peer.heard) < SILENT;
-        let heard = self
-            .by_address
-            .iter()
-            .filter(|(_, (other, peer))| in_zone(*other) && peer.as_ref().is_some_and(is_heard));
-        heard.map(|(address, _)| *address).collect()
+    /// Who places calls now, as this instance sees it.
+    pub(crate) fn elect(&mut self, own: &Member, now: Moment) -> Placers {
+        let members = self.by_address.iter();
+        let members = members.filter_map(|(address, known)| known.member(*address, now));
+        let members: Vec<Member> = members.collect();
+        self.election.look(own, &members, now)
     }
 
-    /// The data centre of an instance, 0 where it is not known.
-    pub(crate) fn place(&self, address: SocketAddr) -> Place {
-        self.by_address.get(&address).map_or(0, |(place, _)| *place)
+    /// Takes in that an instance did not answer.
+    pub(crate) fn missed(&mut self, address: SocketAddr, now: Moment) {
+        if let Some(known) = self.by_address.get_mut(&address) {
+            known.missed = Some(now);
+        }
+    }
+
+    /// Whether an instance has answered lately, as far as it was asked.
+    pub(crate) fn answers(&self, address: SocketAddr, now: Moment) -> bool {
+        let known = self.by_address.get(&address);
+        let missed = known.and_then(|known| known.missed);
+        missed.is_none_or(|missed| now.saturating_sub(missed) >= MISSED)
     }
 
     /// Addresses of all registered instances.
@@ -196,14 +258,21 @@
         state: &State,
         now: Moment,
     ) -> Option<u64> {
-        let peer = peer(incarnation, state, now);
-        let entry = self.by_address.insert(from, (state.zone, Some(peer)));
-        let before = entry.and_then(|(_, peer)| peer);
-        let is_new = before
-            .as_ref()
-            .is_none_or(|before| before.incarnation != incarnation);
-        self.told |= state.knows;
-        if is_new && !state.knows && self.knows {
+        let known = self.by_address.entry(from).or_insert(Registered {
+            place: state.zone,
+            order: None,
+            added: now,
+            peer: None,
+            missed: None,
+        });
+        known.place = state.zone;
+        known.order = Some(state.order);
+        let before = known.peer.replace(peer(incarnation, state, now));
+        let learns = |placing: bool, knows: bool| placing && !knows;
+        let was_told = before.as_ref().is_some_and(|before| {
+            before.incarnation == incarnation && learns(before.placing, before.knows)
+        });
+        if self.knows && learns(state.placing, state.knows) && !was_told {
             self.newcomers.push(from);
         }
         let before = before.filter(|before| before.incarnation != incarnation)?;
@@ -212,11 +281,20 @@
 
     /// What the others said of their reading of a topic.
     pub(crate) fn said(&self, topic: Topic) -> impl Iterator<Item = Said> {
-        let peers = self
-            .by_address
-            .values()
-            .filter_map(|(_, peer)| peer.as_ref());
-        peers.map(move |peer| peer.said(topic))
+        let known = self.by_address.values();
+        known.filter_map(move |known| Some(known.peer.as_ref()?.said(known.order?, topic)))
+    }
+
+    /// Instances that come before `order` and may live, if any other instance is heard of at all.
+    pub(crate) fn rank(&self, order: u64, now: Moment) -> u32 {
+        let mut known = self.by_address.values();
+        if !known.clone().any(|known| known.is_heard(now)) {
+            return 0;
+        }
+        let may_live = |known: &&Registered| known.peer.is_none() || known.is_heard(now);
+        let before = |known: &Registered| known.order.is_some_and(|other| other < order);
+        let before = known.by_ref().filter(may_live).filter(|k| before(k));
+        u32::try_from(before.count()).unwrap_or(u32::MAX)
     }
 
     /// Whether a fresh reader of a topic comes before `order`.
@@ -227,10 +305,8 @@
 
     /// Instances that have been heard of lately and come before `order`.
     pub(crate) fn before(&self, order: u64, now: Moment) -> u32 {
-        let peers = self.by_address.values();
-        let before = peers
-            .filter_map(|(_, peer)| peer.as_ref())
-            .filter(|peer| peer.order < order && now.saturating_sub(peer.heard) < SILENT);
+        let heard = self.by_address.values().filter(|known| known.is_heard(now));
+        let before = heard.filter(|known| known.order.is_some_and(|other| other < order));
         u32::try_from(before.count()).unwrap_or(u32::MAX)
     }
 
@@ -239,25 +315,16 @@
         1 + self.by_address.len()
     }
 
-    /// Whether an instance that knows what engines hold has been heard of.
-    pub(crate) fn is_told(&self) -> bool {
-        self.told
+    /// Whether an instance that knows what engines hold is heard of.
+    pub(crate) fn is_told(&self, now: Moment) -> bool {
+        let mut heard = self.by_address.values().filter(|known| known.is_heard(now));
+        heard.any(|known| known.peer.as_ref().is_some_and(|peer| peer.knows))
     }
 
-    /// Instances that have just started, to be told what engines hold.
+    /// Instances that have begun to place calls, to be told what engines hold.
     pub(crate) fn take_newcomers(&mut self) -> Vec<SocketAddr> {
         std::mem::take(&mut self.newcomers)
     }
-
-    /// Whether an engine is in the share of the instance at `own`, among all instances or those of
-    /// its data centre. Each engine is in the share of one, which all compute alike from the
-    /// instances that they know.
-    pub(crate) fn is_share(&self, own: SocketAddr, zone: Option<u32>, engine: &EngineId) -> bool {
-        let weight = |address: SocketAddr| hash::number(&format!("{address} {engine}"));
-        let others = self.by_address.iter();
-        let mut others = others.filter(|(_, (other, _))| zone.is_none_or(|zone| zone == *other));
-        others.all(|(other, _)| weight(*other) <= weight(own))
-    }
 }
 
 /// A part at an engine, as it is told.
@@ -272,8 +339,10 @@
 fn peer(incarnation: u64, state: &State, now: Moment) -> Peer {
     Peer {
         incarnation,
-        order: state.order,
         heard: now,
+        leaving: state.leaving,
+        placing: state.placing,
+        knows: state.knows,
         configuration: state.configuration,
         configuration_read: moment(state.configuration_age_ms, now),
         engines: state.engines_digest,
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -134,7 +134,7 @@
     let mut rejections = Rejections::default();
     instance.budgets.borrow_mut().earn(&asked.service.name);
     loop {
-        let target = match attempt::place(instance, asked, &avoid, false) {
+        let target = match attempt::place(instance, asked, &avoid, false).await {
             Choice::Direct(target) => target,
             Choice::Split { prefill, .. } => prefill,
             Choice::Refuse { after, .. } => {
--- a/crates/gateway/src/recall.rs
+++ b/crates/gateway/src/recall.rs
@@ -33,23 +33,31 @@
     probes: 1,
 };
 
-/// Learns what engines hold, once.
+/// Learns what engines hold each time that this instance begins to place calls.
 pub(crate) async fn run(instance: Rc<Instance>) {
-    while !(instance.engines_known.get() && instance.table().is_some()) {
-        sleep(LOOK).await;
-    }
-    sleep(HEARSAY).await;
-    if !instance.peers.borrow().is_told() {
-        ask_share(&instance).await;
+    loop {
+        while !(instance.is_placing() && instance.engines_known.get() && instance.table().is_some())
+        {
+            sleep(LOOK).await;
+        }
+        sleep(HEARSAY).await;
+        let is_told = instance.peers.borrow().is_told(instance.now());
+        if !is_told {
+            ask_share(&instance).await;
+        }
+        instance.peers.borrow_mut().knows = true;
+        while instance.is_placing() {
+            sleep(LOOK).await;
+        }
+        instance.peers.borrow_mut().knows = false;
     }
-    instance.peers.borrow_mut().knows = true;
 }
 
 async fn ask_share(instance: &Rc<Instance>) {
     let engines: Vec<Record> = {
         let fleet = instance.fleet.borrow();
         let with_model = fleet.all().filter(|engine| engine.record.stage.is_some());
-        let share = with_model.filter(|engine| instance.has_share(&engine.record));
+        let share = with_model.filter(|engine| instance.has_share(&engine.record.id));
         share.map(|engine| engine.record.clone()).collect()
     };
     let mut known = 0;
--- a/crates/gateway/src/roles.rs
+++ b/crates/gateway/src/roles.rs
@@ -139,7 +139,8 @@
     }
 
     fn plan(&mut self, now: Moment) -> Changes {
-        if !self.instance.engines_known.get() {
+        // Others are not told of all work.
+        if !self.instance.engines_known.get() || !self.instance.is_placing() {
             return Changes::new();
         }
         let fleet = self.instance.fleet.borrow();
@@ -153,12 +154,10 @@
         let services = with_stage.map(|engine| engine.record.service.clone());
         let services: BTreeSet<ServiceName> = services.filter(is_known).collect();
         self.planners.retain(|name, _| services.contains(name));
-        let own_cell = self.instance.own_cell.get();
-        let zone = own_cell.then_some(&self.instance.zone);
         let mut changes = Changes::new();
         for service in services {
             let planner = self.planners.entry(service.clone()).or_default();
-            changes.extend(planner.plan(&fleet, &service, zone, now));
+            changes.extend(planner.plan(&fleet, &service, now));
         }
         changes
     }
--- a/crates/serving/src/cost.rs
+++ b/crates/serving/src/cost.rs
@@ -79,6 +79,7 @@
             rank: demand.priority,
             expected: from_millis(expected * overrun(fleet, demand, now)),
             fetch: fetch.from,
+            ticket: None,
         },
     }
 }
@@ -169,6 +170,7 @@
                 rank: demand.priority,
                 expected: from_millis(total),
                 fetch: None,
+                ticket: None,
             },
         }
     }))
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -9,7 +9,7 @@
 use smallvec::SmallVec;
 
 use crate::fleet::PeerId;
-use crate::health::Health;
+use crate::health::{Health, Told};
 use crate::line;
 use crate::pauses::Reading;
 use crate::{EngineId, ServiceName, Zone};
@@ -115,8 +115,10 @@
 pub struct Engine {
     /// What it says of itself.
     pub record: Record,
-    /// Outcomes of calls.
+    /// Outcomes of this instance's calls.
     pub health: Health,
+    /// Outcomes of the calls of others.
+    pub told: Told,
     /// Whether its record is gone; kept until its last call ends.
     pub gone: bool,
     /// Set while it changes what it does.
@@ -148,6 +150,7 @@
         Self {
             record,
             health: Health::default(),
+            told: Told::default(),
             gone: false,
             changing: None,
             pace: 1.0,
@@ -175,6 +178,16 @@
         self.stands() && self.changing.is_none()
     }
 
+    /// Whether nothing that calls came to speaks against one more now.
+    pub fn is_open(&self, now: Moment) -> bool {
+        self.health.is_open(now) && self.told.is_open(now)
+    }
+
+    /// Share of recent calls that failed, from 0 to 1.
+    pub fn failures(&self, now: Moment) -> f64 {
+        self.health.failures(now).max(self.told.failures(now))
+    }
+
     /// This instance's work here.
     pub fn own(&self) -> Work {
         Work {
--- a/crates/serving/src/fetch.rs
+++ b/crates/serving/src/fetch.rs
@@ -47,7 +47,7 @@
     let mut sources = Sources::new();
     for engine in fleet.ready(demand.service) {
         let kept = fleet.parts.kept(&engine.record.id, size.prompt);
-        if kept == 0 || !engine.health.is_open(now) {
+        if kept == 0 || !engine.is_open(now) {
             continue;
         }
         let near = |source: &&mut Source| source.engine.record.zone == engine.record.zone;
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -1,6 +1,5 @@
 //! All engines, the work at each, and the parts that each has read.
 
-use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,7 +13,9 @@
 use crate::parts::{Part, Parts};
 use crate::pauses::{self, Mark, Pauses};
 use crate::speed::Speed;
-use crate::{EngineId, ServiceName, hash};
+use crate::{EngineId, ServiceName, hash, line};
+
+mod told;
 
 /// Id of another instance.
 pub type PeerId = u64;
@@ -35,6 +36,13 @@
     ticket: Ticket,
 }
 
+/// A call that this instance placed for another one.
+#[derive(Clone, Debug)]
+struct Booked {
+    engine: EngineId,
+    pending: Pending,
+}
+
 /// The engines as this instance sees them.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
@@ -53,6 +61,8 @@
     busy: BTreeSet<EngineId>,
     /// Engines that change what they do.
     changing: BTreeSet<EngineId>,
+    /// Calls that this instance placed for others, until they are read or have ended.
+    booked: HashMap<(PeerId, Ticket), Booked>,
     /// Work of prompts sent by all instances, by service.
     reading: HashMap<ServiceName, Flow>,
     changes: Vec<Change>,
@@ -69,8 +79,8 @@
     Started(EngineId, Job),
     /// A prompt was read, at this moment.
     Read(EngineId, Ticket, Moment),
-    /// A call ended.
-    Ended(EngineId, Ticket),
+    /// A call ended, with what it tells of the engine.
+    Ended(EngineId, Ticket, Option<Outcome>),
     /// An engine has ended although its record stands.
     Gone(EngineId),
 }
@@ -178,33 +188,36 @@
         self.engines.values()
     }
 
-    /// Enters a call that is about to be sent, with the work that its prompt is there.
-    pub fn begin(&mut self, id: &EngineId, work: u32, rank: Rank, now: Moment) -> Sent {
+    /// A number for a call that another instance is asked to place, which enters it there by this number.
+    pub fn reserve(&mut self) -> Ticket {
         self.next_ticket = self.next_ticket.wrapping_add(1);
-        let ticket = self.next_ticket;
+        self.next_ticket
+    }
+
+    /// Enters a call that is about to be sent, with the work that its prompt is there. `ticket` is the number under
+    /// which the instance that placed it knows it already.
+    pub fn begin(
+        &mut self,
+        id: &EngineId,
+        work: u32,
+        rank: Rank,
+        ticket: Option<Ticket>,
+        now: Moment,
+    ) -> Sent {
+        let ticket = ticket.unwrap_or_else(|| self.reserve());
         let job = Job {
             ticket,
             sent: now,
             rank,
             work,
         };
-        let rate = self.engines.get(id).map_or(1.0, |e| self.speed(e).rate);
-        if let Some(engine) = self.engines.get_mut(id) {
-            let pace = std::mem::replace(&mut engine.pace, 1.0);
-            let expected = engine.read_in(job, rate);
-            engine.pace = pace;
-            let alone = engine.jobs().is_empty();
+        let pending = self.pending(id, job);
+        if let (Some(engine), Some(pending)) = (self.engines.get_mut(id), pending) {
             engine.calls += 1;
             self.busy.insert(id.clone());
-            engine.pending.push(Pending {
-                job,
-                expected,
-                alone,
-            });
+            engine.pending.push(pending);
             engine.note_reading(now);
-            if engine.record.stage.is_some() {
-                self.changes.push(Change::Started(id.clone(), job));
-            }
+            self.changes.push(Change::Started(id.clone(), job));
             if work > 0 {
                 let service = engine.record.service.clone();
                 self.reading.entry(service).or_default().add(work, now);
@@ -216,6 +229,18 @@
         }
     }
 
+    /// A prompt at an engine, with when it will be read if the engine keeps the pace of its stage.
+    fn pending(&self, id: &EngineId, job: Job) -> Option<Pending> {
+        let engine = self.engines.get(id)?;
+        let jobs = engine.jobs();
+        let rate = self.speed(engine).rate;
+        Some(Pending {
+            job,
+            expected: line::read_in(&jobs, engine.freed, job, rate),
+            alone: jobs.is_empty(),
+        })
+    }
+
     /// Takes in that the first answer of a call is there, so that its prompt has been read.
     pub fn first(&mut self, sent: &Sent, now: Moment) {
         let Some(engine) = self.engines.get_mut(&sent.engine) else {
@@ -232,7 +257,15 @@
         engine.note_reading(now);
         self.changes
             .push(Change::Read(sent.engine.clone(), sent.ticket, now));
-        let took = now.saturating_sub(pending.job.sent);
+        self.learn(&sent.engine, &pending, now);
+    }
+
+    /// Learns from when a prompt was read.
+    fn learn(&mut self, id: &EngineId, pending: &Pending, at: Moment) {
+        let Some(engine) = self.engines.get_mut(id) else {
+            return;
+        };
+        let took = at.saturating_sub(pending.job.sent);
         let stage = engine.record.stage.unwrap_or(Stage::Decode);
         let key = (engine.record.service.clone(), stage);
         let speed = self.speeds.entry(key).or_insert_with(|| Speed::new(stage));
@@ -240,12 +273,12 @@
             speed.observe(pending.job.work, took);
         }
         let setup = Duration::from_secs_f64(speed.setup / 1_000.0);
-        engine.freed = engine.freed.max(now.saturating_sub(setup));
+        engine.freed = engine.freed.max(at.saturating_sub(setup));
         let expected = pending.expected + setup;
         if pending.job.rank >= LATE {
             let overrun = self.overruns.entry(engine.record.service.clone());
             let factor = took.as_secs_f64() / expected.as_secs_f64().max(1e-3);
-            overrun.or_default().observe(factor, now);
+            overrun.or_default().observe(factor, at);
         }
         engine.observe(expected.as_secs_f64(), took.as_secs_f64(), pending.alone);
     }
@@ -266,10 +299,8 @@
                 }
                 engine.health.note(outcome, now);
             }
-            if engine.record.stage.is_some() {
-                self.changes
-                    .push(Change::Ended(sent.engine.clone(), sent.ticket));
-            }
+            let ended = Change::Ended(sent.engine.clone(), sent.ticket, outcome);
+            self.changes.push(ended);
             if engine.gone {
                 self.sweep();
             }
@@ -281,11 +312,21 @@
         let Some(engine) = self.engines.get(&sent.engine) else {
             return;
         };
-        let yields = |pending: &&Pending| pending.job.rank >= LATE && pending.job.work > 0;
-        let own = engine.pending.iter().filter(yields);
-        let Some(pending) = own.clone().find(|p| p.job.ticket == sent.ticket) else {
+        let mut own = engine.pending.iter();
+        let pending = own.find(|pending| pending.job.ticket == sent.ticket);
+        if let Some(pending) = pending.copied() {
+            self.unread(&sent.engine, &pending, now);
+        }
+    }
+
+    /// Takes in that a call ended before its prompt was read.
+    fn unread(&mut self, id: &EngineId, pending: &Pending, now: Moment) {
+        let Some(engine) = self.engines.get(id) else {
             return;
         };
+        if pending.job.rank < LATE || pending.job.work == 0 {
+            return;
+        }
         let expected = pending.expected.as_secs_f64() + self.speed(engine).setup / 1_000.0;
         let took = now.saturating_sub(pending.job.sent).as_secs_f64();
         let overrun = self.overruns.entry(engine.record.service.clone());
@@ -318,80 +359,6 @@
         !self.changes.is_empty()
     }
 
-    /// Takes in all that another instance has at the engines. Engines that it does not name have
-    /// none of its work.
-    pub fn hear(&mut self, peer: PeerId, works: Vec<(EngineId, Work)>, now: Moment) {
-        self.heard.insert(peer, now);
-        self.clear(peer, now);
-        let mut at = Vec::with_capacity(works.len());
-        for (id, work) in works {
-            if let Some(engine) = self.engines.get_mut(&id) {
-                engine.others.insert(peer, work);
-                engine.note_reading(now);
-                at.push(id);
-            }
-        }
-        self.at.insert(peer, at);
-    }
-
-    /// Drops all work of another instance.
-    fn clear(&mut self, peer: PeerId, now: Moment) {
-        for id in self.at.remove(&peer).unwrap_or_default() {
-            if let Some(engine) = self.engines.get_mut(&id) {
-                engine.others.remove(&peer);
-                engine.note_reading(now);
-            }
-        }
-    }
-
-    /// Takes in one change of another instance's work.
-    pub fn hear_change(&mut self, peer: PeerId, change: &Change, now: Moment) {
-        self.heard.insert(peer, now);
-        let (Change::Started(id, _)
-        | Change::Read(id, _, _)
-        | Change::Ended(id, _)
-        | Change::Gone(id)) = change;
-        let Some(setup) = self.engines.get(id).map(|e| self.speed(e).setup) else {
-            return;
-        };
-        let Some(engine) = self.engines.get_mut(id) else {
-            return;
-        };
-        let work = match engine.others.entry(peer) {
-            Entry::Occupied(known) => known.into_mut(),
-            Entry::Vacant(new) => {
-                self.at.entry(peer).or_default().push(id.clone());
-                new.insert(Work::default())
-            }
-        };
-        match change {
-            Change::Gone(_) => engine.health.note(Outcome::Ended, now),
-            Change::Started(_, job) => {
-                // Starts are told more than once.
-                let ticket = job.ticket;
-                if work.jobs.iter().any(|known| known.ticket == ticket) {
-                    return;
-                }
-                work.calls += 1;
-                if job.work > 0 {
-                    work.jobs.push(*job);
-                    let service = engine.record.service.clone();
-                    self.reading.entry(service).or_default().add(job.work, now);
-                }
-            }
-            Change::Read(_, ticket, at) => {
-                work.jobs.retain(|job| job.ticket != *ticket);
-                let setup = Duration::from_secs_f64(setup / 1_000.0);
-                engine.freed = engine.freed.max(at.saturating_sub(setup));
-            }
-            Change::Ended(_, ticket) => {
-                work.calls = work.calls.saturating_sub(1);
-                work.jobs.retain(|job| job.ticket != *ticket);
-            }
-        }
-        engine.note_reading(now);
-    }
-
     /// Where a stream at an engine is now.
     pub fn mark(&self, id: &EngineId, now: Moment) -> Option<Mark> {
         let engine = self.engines.get(id)?;
@@ -430,12 +397,6 @@
         beside.map_or(0.0, |beside| pauses::strain(beside * engine.pace.max(1.0)))
     }
 
-    /// Drops what another instance said, because it has ended.
-    pub fn forget_peer(&mut self, peer: PeerId, now: Moment) {
-        self.heard.remove(&peer);
-        self.clear(peer, now);
-    }
-
     /// Tokens of work that all instances have had read lately, in a millisecond.
     pub fn reading(&self, service: &ServiceName, now: Moment) -> f64 {
         self.reading.get(service).map_or(0.0, |flow| flow.rate(now))
@@ -458,6 +419,7 @@
         for peer in silent {
             self.forget_peer(peer, now);
         }
+        self.fade_booked(now);
     }
 
     /// What this instance has at the engines, for the others.
--- /dev/null
+++ b/crates/serving/src/fleet/told.rs
@@ -0,0 +1,154 @@
+//! What other instances tell of their calls, and the calls that this one places for them.
+
+use std::collections::btree_map::Entry;
+use std::time::Duration;
+
+use clock::Moment;
+
+use super::{Booked, Change, Fleet, PeerId};
+use crate::EngineId;
+use crate::engine::{Job, Ticket, Work};
+use crate::health::Outcome;
+
+/// Time after which a call that was placed for another instance is forgotten if nothing more was told of it. Longer than
+/// callers wait.
+const BOOKED: Duration = Duration::from_secs(20);
+
+impl Fleet {
+    /// Takes in all that another instance has at the engines. Engines that it does not name have
+    /// none of its work.
+    pub fn hear(&mut self, peer: PeerId, works: Vec<(EngineId, Work)>, now: Moment) {
+        self.heard.insert(peer, now);
+        self.clear(peer, now);
+        let mut at = Vec::with_capacity(works.len());
+        for (id, work) in works {
+            if let Some(engine) = self.engines.get_mut(&id) {
+                engine.others.insert(peer, work);
+                engine.note_reading(now);
+                at.push(id);
+            }
+        }
+        self.at.insert(peer, at);
+    }
+
+    /// Drops all work of another instance.
+    fn clear(&mut self, peer: PeerId, now: Moment) {
+        for id in self.at.remove(&peer).unwrap_or_default() {
+            if let Some(engine) = self.engines.get_mut(&id) {
+                engine.others.remove(&peer);
+                engine.note_reading(now);
+            }
+        }
+    }
+
+    /// Takes in one change of another instance's work.
+    pub fn hear_change(&mut self, peer: PeerId, change: &Change, now: Moment) {
+        self.heard.insert(peer, now);
+        match change {
+            Change::Started(id, job) => self.started(peer, id, *job, now),
+            Change::Read(id, ticket, at) => self.read(peer, id, *ticket, *at, now),
+            Change::Ended(id, ticket, outcome) => self.ended(peer, id, *ticket, *outcome, now),
+            Change::Gone(id) => {
+                if let Some(engine) = self.engines.get_mut(id) {
+                    engine.health.note(Outcome::Ended, now);
+                }
+            }
+        }
+    }
+
+    /// Enters a call that this instance has placed for another one, which will send it at once.
+    ///
+    /// The next call is placed with this one in mind, before its sender tells of it. What the sender tells later is not
+    /// counted again, and this instance learns from it as from its own calls: it places those of many, who see
+    /// few of them each.
+    pub fn book(&mut self, peer: PeerId, id: &EngineId, job: Job, now: Moment) {
+        let Some(pending) = self.pending(id, job) else {
+            return;
+        };
+        self.started(peer, id, job, now);
+        let engine = id.clone();
+        self.booked
+            .insert((peer, job.ticket), Booked { engine, pending });
+    }
+
+    fn started(&mut self, peer: PeerId, id: &EngineId, job: Job, now: Moment) {
+        let is_booked = self.booked.contains_key(&(peer, job.ticket));
+        let Some(engine) = self.engines.get_mut(id) else {
+            return;
+        };
+        let work = match engine.others.entry(peer) {
+            Entry::Occupied(known) => known.into_mut(),
+            Entry::Vacant(new) => {
+                self.at.entry(peer).or_default().push(id.clone());
+                new.insert(Work::default())
+            }
+        };
+        // Starts are told more than once.
+        if is_booked || work.jobs.iter().any(|known| known.ticket == job.ticket) {
+            return;
+        }
+        work.calls += 1;
+        if job.work > 0 {
+            work.jobs.push(job);
+            let service = engine.record.service.clone();
+            self.reading.entry(service).or_default().add(job.work, now);
+        }
+        engine.note_reading(now);
+    }
+
+    fn read(&mut self, peer: PeerId, id: &EngineId, ticket: Ticket, at: Moment, now: Moment) {
+        let Some(setup) = self.engines.get(id).map(|e| self.speed(e).setup) else {
+            return;
+        };
+        let Some(engine) = self.engines.get_mut(id) else {
+            return;
+        };
+        if let Some(work) = engine.others.get_mut(&peer) {
+            work.jobs.retain(|job| job.ticket != ticket);
+        }
+        let setup = Duration::from_secs_f64(setup / 1_000.0);
+        engine.freed = engine.freed.max(at.saturating_sub(setup));
+        engine.note_reading(now);
+        if let Some(Booked { engine, pending }) = self.booked.remove(&(peer, ticket))
+            && pending.job.work > 0
+        {
+            self.learn(&engine, &pending, at);
+        }
+    }
+
+    fn ended(
+        &mut self,
+        peer: PeerId,
+        id: &EngineId,
+        ticket: Ticket,
+        outcome: Option<Outcome>,
+        now: Moment,
+    ) {
+        if let Some(Booked { engine, pending }) = self.booked.remove(&(peer, ticket)) {
+            self.unread(&engine, &pending, now);
+        }
+        let Some(engine) = self.engines.get_mut(id) else {
+            return;
+        };
+        if let Some(work) = engine.others.get_mut(&peer) {
+            work.calls = work.calls.saturating_sub(1);
+            work.jobs.retain(|job| job.ticket != ticket);
+        }
+        if let Some(outcome) = outcome {
+            engine.told.note(peer, outcome, now);
+        }
+        engine.note_reading(now);
+    }
+
+    /// Forgets calls that were placed for others and of which nothing more was told.
+    pub(super) fn fade_booked(&mut self, now: Moment) {
+        let is_young = |booked: &Booked| now.saturating_sub(booked.pending.job.sent) < BOOKED;
+        self.booked.retain(|_, booked| is_young(booked));
+    }
+
+    /// Drops what another instance said, because it has ended.
+    pub fn forget_peer(&mut self, peer: PeerId, now: Moment) {
+        self.heard.remove(&peer);
+        self.clear(peer, now);
+    }
+}
--- a/crates/serving/src/health.rs
+++ b/crates/serving/src/health.rs
@@ -4,6 +4,8 @@
 
 use clock::Moment;
 
+use crate::fleet::PeerId;
+
 /// How a call ended, as far as it tells something of the engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -110,3 +112,49 @@
         self.until = now + rest;
     }
 }
+
+/// Time within which another instance must tell of a failure as well.
+const AGREES: Duration = Duration::from_secs(2);
+
+/// What other instances tell of their calls at one engine.
+///
+/// An instance that places the calls of many sees few answers itself: an engine that fails part of its calls would be chosen
+/// again for each of them. But an instance whose own link is cut fails everywhere, and would close every engine to all
+/// by its word; one would notice it by refusals while all engines are idle. So a failure counts only behind
+/// one that another instance told of.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Told {
+    health: Health,
+    failed: Option<(PeerId, Moment)>,
+}
+
+impl Told {
+    /// Whether a call may be sent here by what others tell.
+    pub fn is_open(&self, now: Moment) -> bool {
+        self.health.is_open(now)
+    }
+
+    /// Share of recent calls of others that failed, from 0 to 1.
+    pub fn failures(&self, now: Moment) -> f64 {
+        self.health.failures(now)
+    }
+
+    /// Takes in an outcome that another instance tells.
+    pub fn note(&mut self, peer: PeerId, outcome: Outcome, now: Moment) {
+        match outcome {
+            Outcome::Good | Outcome::Full => self.health.note(outcome, now),
+            Outcome::Failed | Outcome::Unreachable => self.failed(peer, now),
+            // Told by itself, and once.
+            Outcome::Ended => {}
+        }
+    }
+
+    fn failed(&mut self, peer: PeerId, now: Moment) {
+        let before = self.failed.replace((peer, now));
+        let agrees =
+            |(other, at): (PeerId, Moment)| other != peer && now.saturating_sub(at) <= AGREES;
+        if before.is_some_and(agrees) {
+            self.health.note(Outcome::Failed, now);
+        }
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -1,13 +1,12 @@
 //! Decisions about calls on a fleet whose engines are told by records: which route a call takes
 //! ([`route`]), what is known of each engine and of the work before it ([`engine`]), which engine has
 //! read which part of a prompt ([`parts`]), where a call goes or why it is refused ([`place`]), how
-//! often a service may be sent a call again ([`budget`]), and which engines should read and which
-//! generate ([`roles`]). It stands between the `gateway`
+//! often a service may be sent a call again ([`budget`]), which engines should read and which
+//! generate ([`roles`]), and which instances know enough to place calls ([`placer`]). It stands between the `gateway`
 //! daemon, which carries the bytes, and the platform's adapter, which fills in these types. No I/O
 //! is done here; the moment is an argument. See `docs/design/placement.md`.
 
 pub mod budget;
-pub mod cell;
 mod cost;
 pub mod engine;
 mod fetch;
@@ -21,11 +20,11 @@
 pub mod parts;
 pub mod pauses;
 pub mod place;
+pub mod placer;
 pub mod registry;
 pub mod roles;
 pub mod route;
 pub mod speed;
-pub mod spread;
 pub mod turn;
 pub mod usual;
 pub mod watch;
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -6,7 +6,7 @@
 
 use clock::Moment;
 
-use crate::engine::{Engine, LATE, Rank, Stage};
+use crate::engine::{Engine, LATE, Rank, Stage, Ticket};
 use crate::parts::Part;
 use crate::route::Model;
 use crate::{EngineId, Fleet, ServiceName, Zone, cost, fetch};
@@ -26,8 +26,6 @@
     pub target: Duration,
     /// This instance's data centre.
     pub zone: &'a Zone,
-    /// Whether engines of its own data centre go first; see [`crate::cell`].
-    pub own_cell: bool,
     /// Whether its prompt may be read at one engine for another one. A call whose prompt was read and
     /// then found no engine is not read once more: each further read counts as a repeat.
     pub may_split: bool,
@@ -100,6 +98,8 @@
     pub expected: Duration,
     /// Engine from which it fetches parts of the prompt.
     pub fetch: Option<EngineId>,
+    /// Number under which another instance that placed it has it in its books.
+    pub ticket: Option<Ticket>,
 }
 
 /// Share of a caller's time within which the first answer must be expected.
@@ -125,10 +125,9 @@
 }
 
 fn open<'a>(fleet: &'a Fleet, demand: &'a Demand, now: Moment) -> impl Iterator<Item = &'a Engine> {
-    fleet.ready(demand.service).filter(move |engine| {
-        let in_reach = !demand.own_cell || engine.record.zone == *demand.zone;
-        in_reach && engine.health.is_open(now) && takes(engine, demand)
-    })
+    fleet
+        .ready(demand.service)
+        .filter(move |engine| engine.is_open(now) && takes(engine, demand))
 }
 
 /// If every engine rests, the one that rests soonest over is better than none.
@@ -159,6 +158,7 @@
             rank: demand.priority,
             expected: Duration::ZERO,
             fetch: None,
+            ticket: None,
         }),
         None => Choice::Refuse {
             after: NO_ENGINE_AFTER,
@@ -176,26 +176,10 @@
     } else {
         0.1
     };
-    load + far + 4.0 * engine.health.failures(now)
+    load + far + 4.0 * engine.failures(now)
 }
 
 fn generate(fleet: &Fleet, demand: &Demand, size: &Generation, now: Moment) -> Choice {
-    if demand.own_cell {
-        // Of the work at engines elsewhere nothing is known, so that they always look idle: they are
-        // for calls that would be refused here.
-        let choice = in_reach(fleet, demand, size, now);
-        if !matches!(choice, Choice::Refuse { .. }) {
-            return choice;
-        }
-    }
-    let all = Demand {
-        own_cell: false,
-        ..*demand
-    };
-    in_reach(fleet, &all, size, now)
-}
-
-fn in_reach(fleet: &Fleet, demand: &Demand, size: &Generation, now: Moment) -> Choice {
     let choice = at_rank(fleet, demand, size, now);
     let choice = match expected(&choice) {
         Some(expected) if expected > demand.target => {
--- /dev/null
+++ b/crates/serving/src/placer.rs
@@ -0,0 +1,108 @@
+//! Which instances place calls, and who is asked.
+//!
+//! A place is good only if whoever chooses it knows what others have sent to the engine a moment ago. The load that
+//! this answers: hundreds of instances with a call or two a second each, most of whose prompts share parts. If
+//! each told all others of each of its calls, taking that in would cost it more with every other instance, until it takes the
+//! link and the processor from the calls; if each knew only a part of the fleet, the same shared parts would be read
+//! in every part of it. So few instances of each data centre know all engines and place, and the others ask one of
+//! them before they send. Nothing is agreed on and nothing is held: who places follows from who lives, in one
+//! order that all share, and a placer that is wrong, doubled or missing costs time and no call. See
+//! `docs/design/knowledge.md`.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use clock::Moment;
+
+/// Instances of a data centre that place calls. Two, so that the end of one leaves one that knows; each one more is told of
+/// every call as well, and may place a call in the moment before it hears of another one.
+pub const PLACERS: usize = 2;
+/// How much longer than the one before it an instance waits before it fills a vacancy, where it cannot know
+/// whether the one before it lives. A new placer makes itself known in less.
+const STEP: Duration = Duration::from_millis(150);
+
+/// Hash of a data centre's name.
+pub type Place = u32;
+
+/// An instance, as another one knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Where it listens for others.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub place: Place,
+    /// Its place in the common order; lower ones place first.
+    pub order: u64,
+    /// Whether it was heard of lately, or may have just started.
+    pub lives: bool,
+}
+
+/// Who places, as one instance sees it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Placers {
+    /// Whether the instance itself does.
+    pub own: bool,
+    /// Other instances that do.
+    pub others: Vec<(SocketAddr, Place)>,
+}
+
+/// How an instance follows who places.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Election {
+    vacant_since: Option<Moment>,
+    placing: bool,
+}
+
+impl Election {
+    /// Who places now. `others` are all that are registered and may live, in any order.
+    ///
+    /// An instance hears of placers only, so that of those before itself it mostly does not know whether they live. If
+    /// all filled a vacancy at once, a data centre would have as many placers as instances for a moment, and each
+    /// call would be told to all of them. So each waits for as long as those before it need.
+    pub fn look(&mut self, own: &Member, others: &[Member], now: Moment) -> Placers {
+        let mut living: Vec<&Member> = others.iter().filter(|other| other.lives).collect();
+        living.sort_unstable_by_key(|other| (other.place, other.order));
+        let near = living.iter().filter(|other| other.place == own.place);
+        let before = near.filter(|other| other.order < own.order).count();
+        self.placing = before < PLACERS && self.may_fill(own, others, now);
+        if before >= PLACERS {
+            self.vacant_since = None;
+        }
+        let mut placers = Placers {
+            own: self.placing,
+            others: Vec::new(),
+        };
+        for some in living.chunk_by(|a, b| a.place == b.place) {
+            let is_own = some.first().is_some_and(|first| first.place == own.place);
+            let seats = PLACERS - usize::from(is_own && self.placing);
+            let chosen = some.iter().take(seats);
+            placers
+                .others
+                .extend(chosen.map(|chosen| (chosen.address, chosen.place)));
+        }
+        placers
+    }
+
+    fn may_fill(&mut self, own: &Member, others: &[Member], now: Moment) -> bool {
+        let since = *self.vacant_since.get_or_insert(now);
+        let unknown = others
+            .iter()
+            .filter(|other| !other.lives && other.place == own.place && other.order < own.order);
+        let unknown = u32::try_from(unknown.count()).unwrap_or(u32::MAX);
+        self.placing || now.saturating_sub(since) >= STEP.saturating_mul(unknown)
+    }
+}
+
+/// In which order placers are asked for a call: those of the own data centre first, calls with one beginning the same one
+/// first, so that two that come at once are placed with each other in mind.
+pub fn order(placers: &[(SocketAddr, Place)], own: Place, beginning: u32) -> Vec<SocketAddr> {
+    let (mut near, mut far): (Vec<_>, Vec<_>) = placers.iter().partition(|(_, at)| *at == own);
+    for some in [&mut near, &mut far] {
+        if !some.is_empty() {
+            let first = beginning as usize % some.len();
+            some.rotate_left(first);
+        }
+    }
+    near.append(&mut far);
+    near.into_iter().map(|(address, _)| address).collect()
+}
--- a/crates/serving/src/roles.rs
+++ b/crates/serving/src/roles.rs
@@ -98,17 +98,15 @@
     }
 
     /// Tokens of work that the engines of a data centre, or all, read in a millisecond.
-    fn speed(&self, fleet: &Fleet, zone: Option<&Zone>) -> f64 {
+    fn speed(&self, fleet: &Fleet) -> f64 {
         let all = self.decode.iter().chain(&self.prefill);
-        let seen = all.filter(|engine| zone.is_none_or(|zone| engine.record.zone == *zone));
-        seen.map(|engine| fleet.speed(engine).rate).sum()
+        all.map(|engine| fleet.speed(engine).rate).sum()
     }
 
-    /// Share of the slots that are taken at engines that generate in a data centre, or in all.
-    fn fill(&self, zone: Option<&Zone>) -> f64 {
-        let seen = |engine: &&&Engine| zone.is_none_or(|zone| engine.record.zone == *zone);
+    /// Share of the slots that are taken at engines that generate.
+    fn fill(&self) -> f64 {
         let (mut running, mut slots) = (0, 0);
-        for engine in self.decode.iter().filter(seen) {
+        for engine in &self.decode {
             running += engine.running();
             slots += engine.record.slots;
         }
@@ -117,19 +115,13 @@
 }
 
 impl Planner {
-    /// What should change now. `zone` is set where only the work of one data centre is known.
+    /// What should change now.
     ///
     /// Without any load up to [`BLIND`] engines change at once, since nobody waits for them.
-    pub fn plan(
-        &mut self,
-        fleet: &Fleet,
-        service: &ServiceName,
-        zone: Option<&Zone>,
-        now: Moment,
-    ) -> Changes {
+    pub fn plan(&mut self, fleet: &Fleet, service: &ServiceName, now: Moment) -> Changes {
         let split = Split::new(fleet, service);
-        let read = fleet.reading(service, now) / split.speed(fleet, zone).max(1.0);
-        self.look(split.fill(zone), read, now);
+        let read = fleet.reading(service, now) / split.speed(fleet).max(1.0);
+        self.look(split.fill(), read, now);
         let count = split.count();
         let more = if count < FEWEST || split.prefill.is_empty() {
             0
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -12,7 +12,7 @@
 use clock::Moment;
 
 /// Instances that read although all is well. Two, so that the end of one leaves no gap.
-const WATCHERS: usize = 2;
+const WATCHERS: u32 = 2;
 /// A reader that has read within this time is fresh. It is the longest time from one answer of the
 /// store to the next and on to the frame that tells of it.
 const FRESH: Duration = Duration::from_millis(1_600);
@@ -20,6 +20,9 @@
 const HEARD: Duration = Duration::from_millis(1_300);
 /// A difference in what is known that lasts for this long is not on its way to be told.
 const DIFFERENCE: Duration = Duration::from_millis(700);
+/// How much longer than the one before it an instance waits before it reads as well, where too few are fresh. Others that
+/// live and come before it may be reading now, or are turned away as it would be.
+const STEP: Duration = Duration::from_millis(150);
 /// Pause between two reads for a difference.
 const CORRECTION: Duration = Duration::from_millis(1_000);
 
@@ -47,16 +50,22 @@
 /// Whether this instance reads one topic itself.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Watch {
+    lacks_since: Option<Moment>,
     differs_since: Option<Moment>,
     corrected: Option<Moment>,
 }
 
 impl Watch {
-    /// Whether the topic is to be read now. `differs` says whether what a fresh reader knows means
-    /// that something is missing here.
+    /// Whether the topic is to be read now. `rank` is how many instances come before this one and may live. `differs` says
+    /// whether what a fresh reader knows means that something is missing here.
+    ///
+    /// A store that is away makes all readers stale at once. If all instances read then, a large fleet would send
+    /// hundreds of calls a second to a store that comes back, each of them paid for. So one after the other joins, and
+    /// the first whose read succeeds tells all.
     pub fn is_due(
         &mut self,
         own_order: u64,
+        rank: u32,
         others: impl Iterator<Item = Said>,
         differs: impl Fn(u64) -> bool,
         now: Moment,
@@ -69,7 +78,18 @@
             difference |= differs(said.knows);
         }
         self.note(difference, now);
-        covered < WATCHERS || self.is_correction_due(now)
+        self.is_lacking(covered, rank, now) || self.is_correction_due(now)
+    }
+
+    fn is_lacking(&mut self, covered: u32, rank: u32, now: Moment) -> bool {
+        if covered >= WATCHERS {
+            self.lacks_since = None;
+            return false;
+        }
+        let since = *self.lacks_since.get_or_insert(now);
+        // Those that come first read anyway, and are among the ones before.
+        let behind = rank.saturating_sub(WATCHERS - 1);
+        now.saturating_sub(since) >= STEP.saturating_mul(behind)
     }
 
     fn note(&mut self, difference: bool, now: Moment) {
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -84,7 +84,6 @@
         priority: 1,
         target: ms(600),
         zone,
-        own_cell: false,
         may_split: true,
         sending: Duration::ZERO,
         avoid: &[],
--- /dev/null
+++ b/crates/serving/tests/placer.rs
@@ -0,0 +1,108 @@
+//! Which instances place calls, and who is asked.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use common::ms;
+use serving::placer::{Election, Member, PLACERS, Place, Placers, order};
+
+const NOW: Duration = Duration::from_secs(10);
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], number))
+}
+
+fn member(number: u16, place: Place, lives: bool) -> Member {
+    Member {
+        address: address(number),
+        place,
+        order: u64::from(number),
+        lives,
+    }
+}
+
+fn look(own: u16, others: &[Member]) -> Placers {
+    Election::default().look(&member(own, 1, true), others, NOW)
+}
+
+fn numbers(placers: &Placers) -> Vec<u16> {
+    placers
+        .others
+        .iter()
+        .map(|(address, _)| address.port())
+        .collect()
+}
+
+#[test]
+fn two_of_each_data_centre_place() {
+    let others = [1, 2, 3].map(|n| member(n, 1, true));
+    let far = [11, 12, 13].map(|n| member(n, 2, true));
+    let placers = look(9, &[&others[..], &far].concat());
+    assert!(!placers.own);
+    assert_eq!(numbers(&placers), [1, 2, 11, 12]);
+}
+
+/// A fleet of two instances a data centre is the one in which each places its own calls.
+#[test]
+fn in_a_small_fleet_all_place() {
+    let placers = look(
+        2,
+        &[member(1, 1, true), member(11, 2, true), member(12, 2, true)],
+    );
+    assert!(placers.own);
+    assert_eq!(numbers(&placers), [1, 11, 12]);
+}
+
+/// Symptom: each call is told to half of the fleet, for a second, whenever an instance ends. Sequence: a placer ends; of
+/// fifty others none hears of the rest. Cause: all filled the vacancy at once.
+#[test]
+fn a_vacancy_is_filled_by_one_after_the_other() {
+    let others: Vec<Member> = (2..50).map(|n| member(n, 1, false)).collect();
+    let with_one = [vec![member(1, 1, true)], others].concat();
+    let begins_after = |own: u16| {
+        let others: Vec<Member> = with_one
+            .iter()
+            .filter(|m| m.order != u64::from(own))
+            .copied()
+            .collect();
+        let mut election = Election::default();
+        let mut looks = (0..).step_by(50);
+        let begins = looks.find(|after| {
+            election
+                .look(&member(own, 1, true), &others, NOW + ms(*after))
+                .own
+        });
+        begins.expect("each begins in the end")
+    };
+    assert_eq!(begins_after(2), 0);
+    assert_eq!(begins_after(3), 150);
+    assert!(begins_after(40) > 5_000);
+}
+
+#[test]
+fn whoever_hears_of_better_ones_ceases() {
+    let mut election = Election::default();
+    let own = member(9, 1, true);
+    assert!(election.look(&own, &[], NOW).own);
+    let others = [1, 2].map(|n| member(n, 1, true));
+    assert!(!election.look(&own, &others, NOW + ms(100)).own);
+    assert_eq!(others.len(), PLACERS);
+}
+
+/// Symptom: calls of one data centre are placed blindly although all links are well. Sequence: both of its placers end at
+/// once. Cause: only those of the own data centre were asked.
+#[test]
+fn placers_of_other_data_centres_are_asked_after_the_own_ones() {
+    let placers = [
+        (address(1), 1),
+        (address(2), 1),
+        (address(11), 2),
+        (address(12), 2),
+    ];
+    let asked = |beginning| order(&placers, 1, beginning);
+    assert_eq!(asked(0), [1, 2, 11, 12].map(address));
+    assert_eq!(asked(1), [2, 1, 12, 11].map(address));
+    assert_eq!(order(&placers, 3, 0).len(), 4);
+}
--- a/crates/serving/tests/roles.rs
+++ b/crates/serving/tests/roles.rs
@@ -23,22 +23,22 @@
 /// The plan once a split has been off for long enough.
 fn plan(fleet: &Fleet) -> Changes {
     let mut planner = Planner::default();
-    let first = planner.plan(fleet, &service(), None, ms(0));
+    let first = planner.plan(fleet, &service(), ms(0));
     assert!(first.is_empty(), "a split that is off just now is left");
-    planner.plan(fleet, &service(), None, ms(2_000))
+    planner.plan(fleet, &service(), ms(2_000))
 }
 
 /// Has calls running at an engine whose prompts were read elsewhere.
 fn run(fleet: &mut Fleet, engine: &str, calls: u32) {
     for _ in 0..calls {
-        fleet.begin(&id(engine), 0, 1, ms(0));
+        fleet.begin(&id(engine), 0, 1, None, ms(0));
     }
 }
 
 /// Has so much work sent to engines that read as is scarce.
 fn read(fleet: &mut Fleet, now: u64) {
     for _ in 0..40 {
-        let sent = fleet.begin(&id("r0"), 60_000, 1, ms(now));
+        let sent = fleet.begin(&id("r0"), 60_000, 1, None, ms(now));
         fleet.end(&sent, None, ms(now));
     }
 }
@@ -99,14 +99,14 @@
     let mut fleet = engines(6, 12);
     run(&mut fleet, "g0", 620);
     let mut planner = Planner::default();
-    planner.plan(&fleet, &service(), None, ms(0));
+    planner.plan(&fleet, &service(), ms(0));
     let mut idle = engines(6, 12);
-    let soon = planner.plan(&idle, &service(), None, ms(2_500));
+    let soon = planner.plan(&idle, &service(), ms(2_500));
     assert!(soon.is_empty());
     let mut late = Changes::new();
     for second in 3..40 {
         read(&mut idle, second * 1_000);
-        late = planner.plan(&idle, &service(), None, Duration::from_secs(second));
+        late = planner.plan(&idle, &service(), Duration::from_secs(second));
     }
     assert_eq!(late.len(), 2);
 }
@@ -121,7 +121,7 @@
     let mut changed = 0;
     for step in 0..40 {
         let now = ms(step * 500);
-        for change in planner.plan(&fleet, &service(), None, now) {
+        for change in planner.plan(&fleet, &service(), now) {
             changed += 1;
             fleet.put(common::record(&change.engine, Some(change.stage)));
         }
@@ -137,9 +137,9 @@
 fn a_plan_that_nobody_carries_out_stays() {
     let fleet = engines(6, 12);
     let mut planner = Planner::default();
-    planner.plan(&fleet, &service(), None, ms(0));
+    planner.plan(&fleet, &service(), ms(0));
     for look in 0..20 {
-        let changes = planner.plan(&fleet, &service(), None, ms(2_000 + look * 250));
+        let changes = planner.plan(&fleet, &service(), ms(2_000 + look * 250));
         assert_eq!(changes.len(), 3);
     }
 }
@@ -149,10 +149,10 @@
 #[test]
 fn engines_that_come_later_use_nothing_up() {
     let mut planner = Planner::default();
-    planner.plan(&engines(2, 4), &service(), None, ms(0));
+    planner.plan(&engines(2, 4), &service(), ms(0));
     let fleet = engines(49, 91);
-    planner.plan(&fleet, &service(), None, ms(500));
-    let changes = planner.plan(&fleet, &service(), None, ms(2_500));
+    planner.plan(&fleet, &service(), ms(500));
+    let changes = planner.plan(&fleet, &service(), ms(2_500));
     assert_eq!(changes.len(), 16);
 }
 
--- a/crates/serving/tests/watch.rs
+++ b/crates/serving/tests/watch.rs
@@ -17,7 +17,12 @@
 }
 
 fn is_due(watch: &mut Watch, others: &[Said], now: u64) -> bool {
-    watch.is_due(OWN, others.iter().copied(), |theirs| theirs > 7, ms(now))
+    is_due_at(watch, 0, others, now)
+}
+
+fn is_due_at(watch: &mut Watch, rank: u32, others: &[Said], now: u64) -> bool {
+    let others = others.iter().copied();
+    watch.is_due(OWN, rank, others, |theirs| theirs > 7, ms(now))
 }
 
 #[test]
@@ -66,3 +71,32 @@
     assert!(!is_due(&mut watch, &at(10_900), 10_900));
     assert!(is_due(&mut watch, &at(11_900), 11_900));
 }
+
+/// Symptom: the store gets hundreds of calls a second from a fleet that it has turned away, and they are paid for. Sequence: the
+/// store is away for seconds; the readers grow stale; every instance reads for itself, again and again. Cause: whoever
+/// heard of no fresh reader read, whatever others were about to do.
+#[test]
+fn in_an_outage_one_instance_after_the_other_joins() {
+    let stale = [said(1, 9_900, None, 7), said(2, 9_900, None, 7)];
+    let reads_after = |rank: u32| {
+        let mut watch = Watch::default();
+        let tries = (0..).step_by(50);
+        let mut due = tries.filter(|after| is_due_at(&mut watch, rank, &stale, 10_000 + after));
+        due.next().expect("each joins in the end")
+    };
+    assert_eq!([0, 1, 2, 3].map(reads_after), [0, 0, 150, 300]);
+    assert!(reads_after(295) > 8_000);
+}
+
+#[test]
+fn a_fresh_reader_ends_the_wait_of_those_behind() {
+    let mut watch = Watch::default();
+    let stale = [said(1, 9_900, None, 7), said(2, 9_900, None, 7)];
+    assert!(!is_due_at(&mut watch, 10, &stale, 10_000));
+    let fresh = [
+        said(1, 11_000, Some(11_000), 7),
+        said(2, 11_000, Some(11_000), 7),
+    ];
+    assert!(!is_due_at(&mut watch, 10, &fresh, 11_100));
+    assert!(!is_due_at(&mut watch, 10, &stale, 12_000));
+}
