--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -42,7 +42,7 @@
         #[arg(long)]
         json: bool,
     },
-    /// Checks settings and prints every finding with its place.
+    /// Checks settings and prints every finding with its place, and names that are not known.
     Check {
         /// Settings file.
         settings: PathBuf,
@@ -55,10 +55,7 @@
         match self.action {
             Action::Serve { settings, metrics } => serve(settings, metrics),
             Action::Explain { id, logs, json } => explain(&id, &logs, json),
-            Action::Check { settings } => match load(Some(settings)) {
-                Ok(_) => ExitCode::SUCCESS,
-                Err(code) => code,
-            },
+            Action::Check { settings } => check(settings),
         }
     }
 }
@@ -83,6 +80,18 @@
     }
 }
 
+fn check(path: PathBuf) -> ExitCode {
+    if let Ok(text) = std::fs::read_to_string(&path) {
+        for name in settings::unknown(&text) {
+            println!("{name}: is not known, and passed over");
+        }
+    }
+    match load(Some(path)) {
+        Ok(_) => ExitCode::SUCCESS,
+        Err(code) => code,
+    }
+}
+
 fn load(path: Option<PathBuf>) -> Result<(PathBuf, Settings), ExitCode> {
     let Some(path) = path.or_else(settings::path) else {
         eprintln!("no settings file is named");
