Tell those that start what the store holds, and read it only for what is missing

Change: an instance reads who is registered, and registers only if it is not; it takes part in choosing who reads and places once it knows the others; whoever places calls tells newcomers of its data centre the configuration (small ones) and all engines; what differs is compared by the newest record known, so that what is on its way is no difference; a call at an instance that is being told waits for 300 ms at the most and is refused then with when to come back.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -58,8 +58,8 @@
     }
 }
 
-/// When a caller may come back to an instance that knows no configuration yet. Another instance is
-/// likely to know one.
+/// When a caller may come back to an instance that knows no configuration or no engines yet. Another instance is
+/// likely to know them.
 const UNKNOWING_AFTER: Duration = Duration::from_millis(200);
 
 impl Asked {
@@ -84,6 +84,14 @@
                 detail,
             )
         })?;
+        if !instance.engines_known.get() {
+            let detail = "No engines are known yet.";
+            return Err(unserved(
+                StatusCode::SERVICE_UNAVAILABLE,
+                Some(UNKNOWING_AFTER),
+                detail,
+            ));
+        }
         let path = arrival.head.uri.path();
         let route = table
             .find(&call.host, path)
--- a/crates/gateway/src/discover.rs
+++ b/crates/gateway/src/discover.rs
@@ -62,6 +62,7 @@
         }
     }
     drop(peers);
+    instance.is_registered.set(true);
     instance.greeting_due.set(true);
     instance.stirred.notify_one();
 }
@@ -78,8 +79,12 @@
     })
 }
 
-/// Registers first and reads then: of two instances that start at the same time, the one that
-/// registers last reads of the other one.
+/// Reads who is registered, and registers where this instance is not yet.
+///
+/// The store carries out one append of a topic after the other. If each instance registered at each start, the last of hundreds that
+/// are started again at once would know nobody for seconds; one would notice it by calls that are placed blindly long after
+/// such a restart. So only those register that are not, and they read on to what was registered meanwhile: of two
+/// instances that start at the same time, the one that registers last reads of the other one.
 async fn register_and_read(
     store: &mut Store,
     instance: &Instance,
@@ -87,6 +92,15 @@
     let key = instance.address.ip().to_string();
     let order = instance.order();
     let value = format!("{} {} {order}", instance.address, instance.zone);
+    // Nobody is registered then.
+    if !instance.settings.borrow().is_first_start {
+        let newest = store.newest(INSTANCES).await?;
+        let own = newest.records.iter().find(|record| record.key == key);
+        if own.is_some_and(|own| own.value.as_deref() == Some(value.as_bytes())) {
+            return Ok((newest.records, newest.end));
+        }
+        add_all(instance, &newest.records);
+    }
     store
         .append(INSTANCES, &key, value.as_bytes(), None)
         .await?;
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -27,10 +27,12 @@
 const RETRY: Duration = Duration::from_millis(200);
 /// Longest pause after calls that failed.
 const LONGEST_RETRY: Duration = Duration::from_millis(800);
+/// Pause between two looks whether the first read is due.
+const FIRST_LOOK: Duration = Duration::from_millis(10);
 /// Pause between two looks whether a read is due.
 const LOOK: Duration = Duration::from_millis(100);
-/// Time after the first read in which the others tell that they read.
-const HEAR_OUT: Duration = Duration::from_millis(1_500);
+/// Time after the start within which the other instances are known, if the store is well.
+const REGISTERED: Duration = Duration::from_millis(400);
 /// A reader that has not read for this long reads the newest records instead of all since: nearly
 /// all of them are heartbeats.
 const BACKLOG: Duration = Duration::from_secs(2);
@@ -51,8 +53,8 @@
     pace: Duration,
     next: Option<Offset>,
     due: Instant,
-    /// Whether the others have had time to tell that they read.
-    heard_out: bool,
+    /// When following began.
+    begun: Instant,
     failures: u32,
 }
 
@@ -73,7 +75,7 @@
             pace,
             next: None,
             due: Instant::now(),
-            heard_out: false,
+            begun: Instant::now(),
             failures: 0,
             instance,
         }
@@ -107,32 +109,34 @@
     }
 
     async fn wait_until_due(&mut self) {
-        if self.next.is_some() && !std::mem::replace(&mut self.heard_out, true) {
-            sleep(HEAR_OUT).await;
+        // Whoever does not know the others yet would take itself for the first.
+        while !self.instance.is_registered.get() && self.begun.elapsed() < REGISTERED {
+            sleep(FIRST_LOOK).await;
         }
-        while self.next.is_some() && !self.is_due() {
-            sleep(LOOK).await;
+        while !self.must_read() && !self.is_due() {
+            let has = self.instance.has(self.topic);
+            sleep(if has { LOOK } else { FIRST_LOOK }).await;
         }
         let now = self.instance.now();
         let last = self.instance.last_read(self.topic).get();
-        if last.is_some_and(|last| now.saturating_sub(last) > BACKLOG) {
+        if last.is_none_or(|last| now.saturating_sub(last) > BACKLOG) {
             self.next = None;
         }
     }
 
+    fn must_read(&self) -> bool {
+        self.topic == Topic::Configuration && self.instance.must_read.take()
+    }
+
     fn is_due(&mut self) -> bool {
         let instance = &self.instance;
         let own = instance.knows(self.topic);
-        let differs = |theirs: u64| match self.topic {
-            Topic::Configuration => theirs > own,
-            Topic::Engines => theirs != own,
-        };
         let peers = instance.peers.borrow();
         let others = peers.said(self.topic);
         let order = instance.order();
         let now = instance.now();
         let rank = peers.rank(order, now);
-        self.watch.is_due(order, rank, others, differs, now)
+        self.watch.is_due(order, rank, others, own, now)
     }
 
     async fn once(&mut self) -> Result<Read, Trouble> {
@@ -195,6 +199,15 @@
     }
 }
 
+fn news(topic: Topic, record: &Keyed) -> News {
+    News {
+        configuration: topic == Topic::Configuration,
+        offset: record.offset,
+        key: record.key.clone(),
+        value: record.value.as_ref().map(|value| value.to_vec()),
+    }
+}
+
 /// Tells the other instances of a record that changed something.
 ///
 /// Where another reader comes before this one, that one tells; what is lost of its news shows in the
@@ -207,12 +220,7 @@
     {
         return;
     }
-    instance.peers.borrow_mut().add_news(News {
-        configuration: topic == Topic::Configuration,
-        offset: record.offset,
-        key: record.key.clone(),
-        value: record.value.as_ref().map(|value| value.to_vec()),
-    });
+    instance.peers.borrow_mut().add_news(news(topic, record));
     instance.stirred.notify_one();
 }
 
@@ -225,7 +233,14 @@
         return false;
     };
     match records::table(value) {
-        Ok(table) => instance.configure(table, source),
+        Ok(table) => {
+            let is_new = instance.configure(table, source);
+            if is_new {
+                let news = news(Topic::Configuration, record);
+                instance.records.borrow_mut().put(news);
+            }
+            is_new
+        }
         Err(error) => {
             log::error!(offset = record.offset, error:% = error; "the configuration in force stays");
             false
@@ -256,9 +271,14 @@
 }
 
 fn take_all(instance: &Instance, registry: &mut Registry, records: &[Keyed]) {
+    let mut kept = instance.records.borrow_mut();
+    kept.clear_engines();
     for record in records {
         registry.is_news(&record.key, record.offset);
+        registry.reached(record.offset);
+        kept.put(news(Topic::Engines, record));
     }
+    drop(kept);
     let mut fleet = instance.fleet.borrow_mut();
     let engines: Vec<Record> = records
         .iter()
@@ -275,16 +295,24 @@
     if !registry.is_news(&record.key, record.offset) {
         return false;
     }
+    instance
+        .records
+        .borrow_mut()
+        .put(news(Topic::Engines, record));
     let mut fleet = instance.fleet.borrow_mut();
     if record.value.is_none() {
         let change = registry.remove(&mut fleet, &record.key, instance.now());
         if change != Change::None {
+            registry.reached(record.offset);
             log::info!(engine = record.key.as_str(), change:? = change; "engine's record is gone");
         }
         return change != Change::None;
     }
     let was_readable = !registry.is_unreadable(&record.key);
     let Some(engine) = engine(&mut fleet, registry, record) else {
+        if was_readable {
+            registry.reached(record.offset);
+        }
         return was_readable;
     };
     let state = engine.state;
@@ -292,6 +320,7 @@
     let born = engine.born;
     let changed = registry.put(&mut fleet, engine) == Change::Put;
     if changed {
+        registry.reached(record.offset);
         log::info!(engine = record.key.as_str(), state:? = state, stage:? = stage, born = born.unwrap_or_default(); "engine changed");
     }
     changed
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -9,8 +9,10 @@
 use http1::{Bad, Limits, Patience, Server};
 use serving::route;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep};
 
 use crate::instance::Instance;
+use crate::peers::Topic;
 use crate::reply::{Refusal, refuse};
 use crate::{attempt::Asked, generate, plain};
 
@@ -134,12 +136,31 @@
         };
         return refuse(writer, refusal, true).await.is_ok();
     }
+    until_known(instance).await;
     match Asked::new(instance, arrival) {
         Ok(asked) => answer(instance, &asked, writer).await,
         Err(refusal) => refuse(writer, refusal.as_refusal(), leaving).await.is_ok(),
     }
 }
 
+/// Longest time for which a call waits at an instance that has just started and is being told what the store holds. Most are told
+/// sooner; one that is not sends its callers elsewhere.
+const KNOWING: Duration = Duration::from_millis(300);
+/// Pause between two looks.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// Waits until the configuration and the engines are known, if not for long.
+///
+/// After a restart of all, a caller that is refused by one instance is refused by the next one, and many come back only once. One
+/// would notice it by refusals on all instances in the second after such a restart.
+async fn until_known(instance: &Instance) {
+    let until = Instant::now() + KNOWING;
+    let knows = || instance.has(Topic::Configuration) && instance.has(Topic::Engines);
+    while !knows() && Instant::now() < until {
+        sleep(LOOK).await;
+    }
+}
+
 async fn answer(instance: &Rc<Instance>, asked: &Asked, writer: &mut http1::Writer) -> bool {
     let waiting = Waiting {
         asked,
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -12,12 +12,14 @@
 use serving::placer::{Member, Placers};
 use serving::registry::Registry;
 use serving::usual::Usual;
+use serving::watch::Known;
 use serving::{EngineId, Fleet, Table, Zone, hash};
 use tokio::sync::Notify;
 
 use crate::ask::Questions;
 use crate::lent::Lent;
 use crate::metrics::Metrics;
+use crate::newcomers::Records;
 use crate::peers::{self, Peers, Topic};
 use crate::phase::Phase;
 use crate::pool::Pool;
@@ -45,8 +47,14 @@
     /// When this instance last read each topic itself.
     pub configuration_read: Cell<Option<Moment>>,
     pub engines_read: Cell<Option<Moment>>,
-    /// Whether the engines have been read once.
+    /// Whether all engines are known.
     pub engines_known: Cell<bool>,
+    /// The records of the store that are known, for those that start.
+    pub records: RefCell<Records>,
+    /// Whether the other instances have been read from the store.
+    pub is_registered: Cell<bool>,
+    /// Whether another instance said that the configuration is to be read.
+    pub must_read: Cell<bool>,
     pub budgets: RefCell<Budgets>,
     pub usual: RefCell<Usual>,
     pub pool: Pool,
@@ -79,6 +87,9 @@
             engines_read: Cell::new(None),
             address: SocketAddr::new(settings.ip, settings.ports.0),
             engines_known: Cell::new(false),
+            records: RefCell::default(),
+            is_registered: Cell::new(false),
+            must_read: Cell::new(false),
             budgets: RefCell::new(Budgets::new(settings.bounds.repeats, INSTANCES)),
             usual: RefCell::default(),
             pool: Pool::default(),
@@ -119,7 +130,8 @@
         };
         let now = self.now();
         let mut placers = self.peers.borrow_mut().elect(&own, now);
-        placers.own &= !self.phase.is_leaving();
+        // Whoever does not know the others yet would take itself for the first.
+        placers.own &= !self.phase.is_leaving() && self.is_registered.get();
         let before = self.placers.replace(placers);
         let after = self.placers.borrow();
         if before != *after {
@@ -153,10 +165,18 @@
     }
 
     /// What this instance knows of a topic, as instances compare it.
-    pub(crate) fn knows(&self, topic: Topic) -> u64 {
+    pub(crate) fn knows(&self, topic: Topic) -> Known {
         match topic {
-            Topic::Configuration => self.table().map_or(0, |table| table.version),
-            Topic::Engines => self.registry.borrow().digest(),
+            Topic::Configuration => peers::version(self.table().map_or(0, |table| table.version)),
+            Topic::Engines => self.registry.borrow().knows(),
+        }
+    }
+
+    /// Whether something of a topic is known at all.
+    pub(crate) fn has(&self, topic: Topic) -> bool {
+        match topic {
+            Topic::Configuration => self.table.borrow().is_some(),
+            Topic::Engines => self.engines_known.get(),
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod lent;
 mod mesh;
 mod metrics;
+mod newcomers;
 mod peers;
 mod phase;
 mod plain;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -25,7 +25,7 @@
 };
 use crate::instance::Instance;
 use crate::peers::{self, PARTS, Topic};
-use crate::{ask, discover, follow, recall};
+use crate::{ask, discover, follow, newcomers, recall};
 
 /// Pause between two frames while nothing is placed.
 const PACE: Duration = Duration::from_millis(100);
@@ -77,6 +77,11 @@
                     if let Some(answer) = ask::take(&instance, from, &frame) {
                         broadcast(&socket, &answer, &[from]);
                     }
+                    let state = frame.state.as_ref();
+                    let lacking = state.map(|state| newcomers::frames(&instance, state));
+                    for told in lacking.into_iter().flatten() {
+                        broadcast(&socket, &told, &[from]);
+                    }
                     take(&instance, from, frame);
                 }
                 Err(error) => log::debug!(error:% = error; "a datagram is no frame"),
@@ -113,12 +118,20 @@
     for news in frame.news {
         take_news(instance, news);
     }
+    know_all(instance, frame.all_engines);
+    if frame.read_configuration {
+        instance.must_read.set(true);
+    }
 }
 
 fn take_state(instance: &Instance, from: SocketAddr, peer: u64, state: &State, now: Moment) {
     let mut peers = instance.peers.borrow_mut();
     let replaced = peers.heard(from, peer, state, now);
     drop(peers);
+    // Others that are only told may lack what is missing here.
+    if reads_store(state) {
+        know_all(instance, state.engines_digest);
+    }
     if let Some(read) = peers::moment(state.engines_age_ms, now) {
         instance.registry.borrow_mut().heard(read);
     }
@@ -132,6 +145,14 @@
     fleet.hear(peer, works, now);
 }
 
+/// Takes in the digest of all engines, by which an instance that was told of them sees that none is missing.
+fn know_all(instance: &Instance, digest: u64) {
+    let own = instance.knows(Topic::Engines).digest;
+    if digest != 0 && own == digest && !instance.engines_known.replace(true) {
+        log::info!("all engines known, from another instance");
+    }
+}
+
 fn take_changes(instance: &Instance, frame: &Frame, now: Moment) {
     let mut fleet = instance.fleet.borrow_mut();
     let started = frame.started.iter().filter_map(|started| {
@@ -205,7 +226,8 @@
         instance.fleet.borrow_mut().fade(now);
         let is_greeting = instance.greeting_due.take() | instance.elect();
         tell_news(&instance, &socket, now);
-        let is_state_due = is_greeting || Instant::now() >= state_due;
+        let is_lacking = !(instance.has(Topic::Configuration) && instance.has(Topic::Engines));
+        let is_state_due = is_greeting || is_lacking || Instant::now() >= state_due;
         let mut bytes = report(&instance, &socket, now);
         if is_state_due {
             bytes += tell_open(&instance, &socket);
@@ -324,6 +346,7 @@
 }
 
 fn state(instance: &Instance, fleet: &Fleet, knows: bool, now: Moment) -> State {
+    let engines = instance.knows(Topic::Engines);
     let placing = instance.is_placing();
     let works = if placing { fleet.own() } else { Vec::new() };
     let works = works
@@ -332,7 +355,9 @@
     State {
         works: works.collect(),
         configuration: instance.table().map_or(0, |table| table.version),
-        engines_digest: instance.registry.borrow().digest(),
+        engines_digest: engines.digest,
+        engines_upto: engines.upto,
+        lacks_engines: !instance.has(Topic::Engines),
         configuration_age_ms: peers::age(instance.configuration_read.get(), now),
         engines_age_ms: peers::age(instance.engines_read.get(), now),
         knows,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,7 +7,7 @@
 use clock::Moment;
 use serving::parts::Part;
 use serving::placer::{Election, Member, Place, Placers};
-use serving::watch::Said;
+use serving::watch::{Known, Said};
 use serving::{EngineId, hash};
 use wire::gateway::{News, State, Ticket};
 
@@ -45,7 +45,7 @@
     knows: bool,
     configuration: u64,
     configuration_read: Option<Moment>,
-    engines: u64,
+    engines: Known,
     engines_read: Option<Moment>,
 }
 
@@ -87,7 +87,7 @@
 impl Peer {
     fn said(&self, order: u64, topic: Topic) -> Said {
         let (knows, read) = match topic {
-            Topic::Configuration => (self.configuration, self.configuration_read),
+            Topic::Configuration => (version(self.configuration), self.configuration_read),
             Topic::Engines => (self.engines, self.engines_read),
         };
         Said {
@@ -291,10 +291,14 @@
         known.filter_map(move |known| Some(known.peer.as_ref()?.said(known.order?, topic)))
     }
 
-    /// Instances that come before `order` and may live, if any other instance is heard of at all.
+    /// Instances that come before `order` and may live, if any other instance is heard of at all, or may have just started.
     pub(crate) fn rank(&self, order: u64, now: Moment) -> u32 {
         let mut known = self.by_address.values();
-        if !known.clone().any(|known| known.is_heard(now)) {
+        let is_new = |known: &Registered| now.saturating_sub(known.added) < SILENT;
+        if !known
+            .clone()
+            .any(|known| known.is_heard(now) || is_new(known))
+        {
             return 0;
         }
         let may_live = |known: &&Registered| known.peer.is_none() || known.is_heard(now);
@@ -333,6 +337,14 @@
     }
 }
 
+/// How far a version of the configuration goes.
+pub(crate) fn version(version: u64) -> Known {
+    Known {
+        upto: version,
+        digest: version,
+    }
+}
+
 /// A part at an engine, as it is told.
 pub(crate) fn told_part(engine: &EngineId, part: Part) -> wire::gateway::Part {
     wire::gateway::Part {
@@ -351,7 +363,10 @@
         knows: state.knows,
         configuration: state.configuration,
         configuration_read: moment(state.configuration_age_ms, now),
-        engines: state.engines_digest,
+        engines: Known {
+            upto: state.engines_upto,
+            digest: state.engines_digest,
+        },
         engines_read: moment(state.engines_age_ms, now),
     }
 }
--- a/crates/serving/src/registry.rs
+++ b/crates/serving/src/registry.rs
@@ -7,6 +7,7 @@
 use clock::Moment;
 
 use crate::engine::{Record, State};
+use crate::watch::Known;
 use crate::{EngineId, Fleet, hash};
 
 /// Silence of the store after which lapsed records are doubted.
@@ -29,6 +30,8 @@
     /// Digests of the records that stand, by name.
     known: BTreeMap<Name, u64>,
     offsets: BTreeMap<Name, u64>,
+    /// Offset of the newest record that changed something.
+    upto: u64,
     /// The last incarnation of each name, also once its record is gone.
     lives: BTreeMap<Name, Life>,
     /// Names whose records cannot be read.
@@ -86,11 +89,18 @@
         }
     }
 
-    /// A number that two instances share if they know the same records.
-    pub fn digest(&self) -> u64 {
-        self.known
-            .values()
-            .fold(0, |digest, record| digest ^ record)
+    /// How far the records are known. Two instances share the digest if they know the same ones.
+    pub fn knows(&self) -> Known {
+        let records = self.known.values();
+        Known {
+            upto: self.upto,
+            digest: records.fold(0, |digest, record| digest ^ record),
+        }
+    }
+
+    /// Takes in that the record at an offset changed something, or that all up to there have been read.
+    pub fn reached(&mut self, offset: u64) {
+        self.upto = self.upto.max(offset);
     }
 
     /// Takes in a record.
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -26,6 +26,15 @@
 /// Pause between two reads for a difference.
 const CORRECTION: Duration = Duration::from_millis(1_000);
 
+/// How far an instance knows a topic.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Known {
+    /// The newest record that changed something.
+    pub upto: u64,
+    /// Of all that it knows; equal ones know the same.
+    pub digest: u64,
+}
+
 /// What another instance said of its reading of one topic.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Said {
@@ -35,8 +44,8 @@
     pub heard: Moment,
     /// When it last read the topic itself, on this instance's clock.
     pub read: Option<Moment>,
-    /// What it knows: a version or a digest.
-    pub knows: u64,
+    /// What it knows.
+    pub knows: Known,
 }
 
 impl Said {
@@ -47,17 +56,25 @@
     }
 }
 
+/// Since when an instance has known no more than this, while a reader knows more.
+#[derive(Clone, Copy, Debug)]
+struct Behind {
+    upto: u64,
+    since: Moment,
+}
+
 /// Whether this instance reads one topic itself.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Watch {
     lacks_since: Option<Moment>,
-    differs_since: Option<Moment>,
+    behind: Option<Behind>,
+    gap_since: Option<Moment>,
     corrected: Option<Moment>,
 }
 
 impl Watch {
-    /// Whether the topic is to be read now. `rank` is how many instances come before this one and may live. `differs` says
-    /// whether what a fresh reader knows means that something is missing here.
+    /// Whether the topic is to be read now. `rank` is how many instances come before this one and may live, `own` is what this
+    /// one knows.
     ///
     /// A store that is away makes all readers stale at once. If all instances read then, a large fleet would send
     /// hundreds of calls a second to a store that comes back, each of them paid for. So one after the other joins, and
@@ -67,17 +84,18 @@
         own_order: u64,
         rank: u32,
         others: impl Iterator<Item = Said>,
-        differs: impl Fn(u64) -> bool,
+        own: Known,
         now: Moment,
     ) -> bool {
         let fresh = others.filter(|said| said.is_fresh(now) && said.order < own_order);
         let mut covered = 0;
-        let mut difference = false;
+        let mut newest: Option<Known> = None;
         for said in fresh {
             covered += 1;
-            difference |= differs(said.knows);
+            let is_more = newest.is_none_or(|newest| said.knows.upto > newest.upto);
+            newest = if is_more { Some(said.knows) } else { newest };
         }
-        self.note(difference, now);
+        self.compare(own, newest, now);
         self.is_lacking(covered, rank, now) || self.is_correction_due(now)
     }
 
@@ -92,18 +110,31 @@
         now.saturating_sub(since) >= STEP.saturating_mul(behind)
     }
 
-    fn note(&mut self, difference: bool, now: Moment) {
-        if difference {
-            self.differs_since.get_or_insert(now);
-        } else {
-            self.differs_since = None;
+    /// Compares with the reader that knows most. Two that read at different moments differ all the time while engines come and
+    /// go, and so does whoever has had news of the one and a state of the other: what is on its way is no difference.
+    fn compare(&mut self, own: Known, newest: Option<Known>, now: Moment) {
+        let Some(newest) = newest.filter(|newest| newest.digest != own.digest) else {
+            self.behind = None;
+            self.gap_since = None;
+            return;
+        };
+        if newest.upto <= own.upto {
+            self.behind = None;
+        } else if self.behind.is_none_or(|behind| behind.upto != own.upto) {
+            // As long as more comes, the rest is on its way.
+            self.behind = Some(Behind {
+                upto: own.upto,
+                since: now,
+            });
+        }
+        if newest.upto == own.upto {
+            self.gap_since.get_or_insert(now);
         }
     }
 
     fn is_correction_due(&mut self, now: Moment) -> bool {
-        let lasts = self
-            .differs_since
-            .is_some_and(|since| now.saturating_sub(since) >= DIFFERENCE);
+        let since = self.behind.map(|behind| behind.since).or(self.gap_since);
+        let lasts = since.is_some_and(|since| now.saturating_sub(since) >= DIFFERENCE);
         let rested = self
             .corrected
             .is_none_or(|at| now.saturating_sub(at) >= CORRECTION);
--- a/crates/serving/tests/registry.rs
+++ b/crates/serving/tests/registry.rs
@@ -81,9 +81,9 @@
 fn two_that_know_the_same_have_the_same_digest() {
     let (mut one, mut fleet) = known();
     let (other, _) = known();
-    assert_eq!(one.digest(), other.digest());
+    assert_eq!(one.knows().digest, other.knows().digest);
     one.remove(&mut fleet, "a", ms(1_100));
-    assert_ne!(one.digest(), other.digest());
+    assert_ne!(one.knows().digest, other.knows().digest);
 }
 
 #[test]
@@ -163,9 +163,9 @@
     let (mut registry, mut fleet) = known();
     registry.put(&mut fleet, start("e", 10));
     registry.put(&mut fleet, start("e", 20));
-    let digest = registry.digest();
+    let digest = registry.knows().digest;
     assert_eq!(registry.put(&mut fleet, start("e", 10)), Change::None);
-    assert_eq!(registry.digest(), digest);
+    assert_eq!(registry.knows().digest, digest);
     assert_eq!(at(&fleet, "e.20"), Some(0));
     assert_eq!(at(&fleet, "e.10"), None);
     registry.remove(&mut fleet, "e", ms(1_400));
--- a/crates/serving/tests/watch.rs
+++ b/crates/serving/tests/watch.rs
@@ -3,16 +3,24 @@
 mod common;
 
 use common::ms;
-use serving::watch::{Said, Watch};
+use serving::watch::{Known, Said, Watch};
 
 const OWN: u64 = 50;
 
+/// A version, of which equal ones say the same.
+fn known(version: u64) -> Known {
+    Known {
+        upto: version,
+        digest: version,
+    }
+}
+
 fn said(order: u64, heard: u64, read: Option<u64>, knows: u64) -> Said {
     Said {
         order,
         heard: ms(heard),
         read: read.map(ms),
-        knows,
+        knows: known(knows),
     }
 }
 
@@ -22,7 +30,7 @@
 
 fn is_due_at(watch: &mut Watch, rank: u32, others: &[Said], now: u64) -> bool {
     let others = others.iter().copied();
-    watch.is_due(OWN, rank, others, |theirs| theirs > 7, ms(now))
+    watch.is_due(OWN, rank, others, known(7), ms(now))
 }
 
 #[test]
@@ -100,3 +108,41 @@
     assert!(!is_due_at(&mut watch, 10, &fresh, 11_100));
     assert!(!is_due_at(&mut watch, 10, &stale, 12_000));
 }
+
+/// Symptom: every instance reads all engines' records, once a second, while engines are replaced. Sequence: engines come and go
+/// for seconds; news of each is told within half a second. Cause: instances compared by digests only, and two that know
+/// different moments differ.
+#[test]
+fn what_is_on_its_way_is_read_by_nobody() {
+    let mut watch = Watch::default();
+    for step in 0..100 {
+        let now = 10_000 + 100 * step;
+        // The readers know of a change each tenth of a second, this instance half a second later.
+        let readers = [
+            said(1, now, Some(now), step + 5),
+            said(2, now, Some(now), step + 4),
+        ];
+        let due = watch.is_due(OWN, 0, readers.into_iter(), known(step), ms(now));
+        assert!(!due, "at step {step}");
+    }
+}
+
+/// News that was lost shows once the rest has come, also if more follows.
+#[test]
+fn a_gap_is_read() {
+    let mut watch = Watch::default();
+    let mut due_at = None;
+    for step in 0..20 {
+        let now = 10_000 + 100 * step;
+        let reader = said(1, now, Some(now), step / 5);
+        let own = Known {
+            upto: step / 5,
+            digest: 1_000 + step / 5,
+        };
+        let others = [reader, said(2, now, Some(now), 0)];
+        if watch.is_due(OWN, 0, others.into_iter(), own, ms(now)) {
+            due_at = due_at.or(Some(now));
+        }
+    }
+    assert_eq!(due_at, Some(10_700));
+}
