--- a/crates/gateway/src/discover.rs
+++ b/crates/gateway/src/discover.rs
@@ -89,7 +89,7 @@
     store: &mut Store,
     instance: &Instance,
 ) -> Result<(Vec<Keyed>, Offset), Trouble> {
-    let key = instance.address.ip().to_string();
+    let key = instance.address.to_string();
     let order = instance.order();
     let value = format!("{} {} {order}", instance.address, instance.zone);
     // Nobody is registered then.
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -5,6 +5,7 @@
 use std::io::{self, Write as _};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
@@ -31,7 +32,7 @@
 
 /// A gateway, its store and its engines.
 pub(crate) struct World {
-    pub(crate) store: Store,
+    pub(crate) store: Rc<Store>,
     pub(crate) front: SocketAddr,
     pub(crate) ready: SocketAddr,
     pub(crate) metrics: SocketAddr,
@@ -57,6 +58,10 @@
     }
 }
 
+/// Rates of links, in megabits a second.
+const FAST: u32 = 1_000;
+const SLOW: u32 = 100;
+
 /// Milliseconds that callers wait.
 const DEADLINE: u32 = 20_000;
 
@@ -117,7 +122,20 @@
 impl World {
     /// Starts a store and a gateway that knows nothing yet.
     pub(crate) async fn bare() -> Self {
-        let store = Store::start().await;
+        Self::with(Rc::new(Store::start().await), FAST)
+    }
+
+    /// Starts another gateway on the same store.
+    pub(crate) fn beside(&self) -> Self {
+        Self::with(self.store.clone(), FAST)
+    }
+
+    /// Starts another gateway on the same store, whose slow link puts it last in the common order.
+    pub(crate) fn slow_beside(&self) -> Self {
+        Self::with(self.store.clone(), SLOW)
+    }
+
+    fn with(store: Rc<Store>, link_mbps: u32) -> Self {
         let front = SocketAddr::from(([127, 0, 0, 1], free_port()));
         let ready = SocketAddr::from(([127, 0, 0, 1], free_port()));
         let metrics = SocketAddr::from(([127, 0, 0, 1], free_port()));
@@ -132,8 +150,12 @@
             lease_ms: 0,
         };
         let mut file = NamedTempFile::new().expect("a scratch file can be made");
-        file.write_all(settings.text().as_bytes())
-            .expect("a scratch file can be written");
+        write!(
+            file,
+            "{}\n[limits]\nlink_mbps = {link_mbps}\n",
+            settings.text()
+        )
+        .expect("a scratch file can be written");
         let log = NamedTempFile::new().expect("a scratch file can be made");
         let mut command = Command::new(env!("CARGO_BIN_EXE_tarragon-gateway"));
         command
