Let the second reader tell what the first did not read, wait for all to register once, and prefer engines with a connection

Three causes of what was left of prices on the large site, measured one after the other. (1) Where the first reader of the store is cut off, the second one left to it what it had read, nobody told it, and all 295 read all engines in that second. (2) At the first start of all, registering takes 1.2 s for 295 instances, and after 0.4 s each took itself for alone and read. (3) An instance with two calls a second opened a connection for nearly every call, since engines that are alike were told apart by a hash of the prompt.

Change: what a reader leaves to the one before it is told after 0.45 s if that one does not know it by then (serving::watch); at the first start all are waited for; engines to which the sender has an idle connection cost 4 ms less, the round trip and accepting that it saves.

--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -189,6 +189,7 @@
         sending_us: micros(demand.sending),
         avoid: avoid.map(|id| hash::short(id)).collect(),
         read_in: read_in.map(ToString::to_string).unwrap_or_default(),
+        connected: demand.connected.iter().map(|id| hash::short(id)).collect(),
     }
 }
 
@@ -323,6 +324,9 @@
             .iter()
             .filter_map(|short| fleet.by_short(*short));
         let avoid: SmallVec<[EngineId; 4]> = avoid.collect();
+        let connected = question.connected.iter();
+        let connected = connected.filter_map(|short| fleet.by_short(*short));
+        let connected: Vec<EngineId> = connected.collect();
         let demand = Demand {
             service: &service,
             generation,
@@ -333,6 +337,7 @@
             may_split: question.may_split,
             sending: Duration::from_micros(question.sending_us.into()),
             avoid: &avoid,
+            connected: &connected,
             left: Duration::from_millis(question.left_ms.into()),
         };
         if question.read_in.is_empty() {
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -395,9 +395,10 @@
     avoid: &Avoid,
     may_split: bool,
 ) -> Choice {
+    let connected = instance.pool.connected(instance.now());
     let demand = Demand {
         may_split,
-        ..demand(instance, asked, avoid)
+        ..demand(instance, asked, avoid, &connected)
     };
     ask::choose(instance, &demand).await
 }
@@ -409,11 +410,17 @@
     avoid: &Avoid,
     source: &Zone,
 ) -> Option<Target> {
-    let demand = demand(instance, asked, avoid);
+    let connected = instance.pool.connected(instance.now());
+    let demand = demand(instance, asked, avoid, &connected);
     ask::decode(instance, &demand, source).await
 }
 
-fn demand<'a>(instance: &'a Instance, asked: &'a Asked, avoid: &'a Avoid) -> Demand<'a> {
+fn demand<'a>(
+    instance: &'a Instance,
+    asked: &'a Asked,
+    avoid: &'a Avoid,
+    connected: &'a [EngineId],
+) -> Demand<'a> {
     let generation = asked.call.generation.as_ref();
     let model = asked.service.model.as_ref();
     let generation = generation.zip(model).map(|(sizes, model)| Generation {
@@ -434,6 +441,7 @@
         may_split: true,
         sending: instance.sending(asked.body.len()),
         avoid,
+        connected,
         left: asked.first_left(),
     }
 }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -33,6 +33,8 @@
 const LOOK: Duration = Duration::from_millis(100);
 /// Time after the start within which the other instances are known, if the store is well.
 const REGISTERED: Duration = Duration::from_millis(400);
+/// The same where all instances start for the first time, and register one after the other.
+const ALL_REGISTERED: Duration = Duration::from_millis(3_000);
 /// A reader that has not read for this long reads the newest records instead of all since: nearly
 /// all of them are heartbeats.
 const BACKLOG: Duration = Duration::from_secs(2);
@@ -110,7 +112,13 @@
 
     async fn wait_until_due(&mut self) {
         // Whoever does not know the others yet would take itself for the first.
-        while !self.instance.is_registered.get() && self.begun.elapsed() < REGISTERED {
+        let is_first_start = self.instance.settings.borrow().is_first_start;
+        let within = if is_first_start {
+            ALL_REGISTERED
+        } else {
+            REGISTERED
+        };
+        while !self.instance.is_registered.get() && self.begun.elapsed() < within {
             sleep(FIRST_LOOK).await;
         }
         while !self.must_read() && !self.is_due() {
@@ -210,17 +218,22 @@
 
 /// Tells the other instances of a record that changed something.
 ///
-/// Where another reader comes before this one, that one tells; what is lost of its news shows in the
-/// versions and digests of both.
+/// Where another reader comes before this one, that one tells. It may lose the store before it has read the record; then
+/// all others would find themselves behind, and read. So the record is told a little later if that one does not know it by then.
 fn tell(instance: &Instance, topic: Topic, record: &Keyed) {
-    if instance
-        .peers
-        .borrow()
-        .has_reader_before(instance.order(), topic, instance.now())
-    {
-        return;
+    let news = news(topic, record);
+    let now = instance.now();
+    let upto = match topic {
+        Topic::Configuration => instance.knows(topic).upto,
+        Topic::Engines => record.offset,
+    };
+    let mut peers = instance.peers.borrow_mut();
+    if peers.has_reader_before(instance.order(), topic, now) {
+        peers.defer_news(news, upto, now);
+    } else {
+        peers.add_news(news);
     }
-    instance.peers.borrow_mut().add_news(news(topic, record));
+    drop(peers);
     instance.stirred.notify_one();
 }
 
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -375,7 +375,12 @@
 }
 
 fn tell_news(instance: &Instance, socket: &UdpSocket, now: Moment) {
-    let news = instance.peers.borrow_mut().take_news(now);
+    let order = instance.order();
+    let news = {
+        let mut peers = instance.peers.borrow_mut();
+        peers.take_over(order, now);
+        peers.take_news(now)
+    };
     if news.is_empty() {
         return;
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -7,7 +7,7 @@
 use clock::Moment;
 use serving::parts::Part;
 use serving::placer::{Election, Member, Place, Placers};
-use serving::watch::{Known, Said};
+use serving::watch::{Deferred, Known, Said};
 use serving::{EngineId, hash};
 use wire::gateway::{News, State, Ticket};
 
@@ -108,6 +108,8 @@
     read_before: Vec<(Ticket, Moment)>,
     news: Vec<(News, u8)>,
     news_told: Option<Moment>,
+    /// News that another reader is to tell.
+    deferred: Deferred<News>,
     /// Whether this instance knows what engines hold.
     pub knows: bool,
     newcomers: Vec<SocketAddr>,
@@ -182,6 +184,31 @@
         self.news.push((news, tellings));
     }
 
+    /// Notes a record that another reader is to tell, and how far whoever has read it knows the topic.
+    pub(crate) fn defer_news(&mut self, news: News, upto: u64, now: Moment) {
+        self.deferred.leave(news, upto, now);
+    }
+
+    /// Takes over what the readers before `order` do not know although they have had time to read it.
+    pub(crate) fn take_over(&mut self, order: u64, now: Moment) {
+        let mut deferred = std::mem::take(&mut self.deferred);
+        let known = |news: &News| {
+            let topic = if news.configuration {
+                Topic::Configuration
+            } else {
+                Topic::Engines
+            };
+            let before = self.said(topic).filter(|said| said.order < order);
+            let fresh = before.filter(|said| said.is_fresh(now));
+            fresh.map(|said| said.knows.upto).max()
+        };
+        let due = deferred.take(known, now);
+        self.deferred = deferred;
+        for news in due {
+            self.add_news(news);
+        }
+    }
+
     /// News for the next frame.
     pub(crate) fn take_news(&mut self, now: Moment) -> Vec<News> {
         let told = self.news_told;
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -57,6 +57,15 @@
         Client::open(engine.address, &ENGINE, &instance.codec).await
     }
 
+    /// Engines to which a connection is idle that can be used for a while.
+    pub(crate) fn connected(&self, now: Moment) -> Vec<EngineId> {
+        let idle = self.idle.borrow();
+        let usable = idle
+            .iter()
+            .filter(|(_, kept)| kept.iter().any(|idle| now < idle.until));
+        usable.map(|(engine, _)| engine.clone()).collect()
+    }
+
     /// The idle connection that was used last, which its engine will close last.
     fn reuse(&self, engine: &EngineId, now: Moment) -> Option<Client> {
         let mut idle = self.idle.borrow_mut();
--- a/crates/serving/src/cost.rs
+++ b/crates/serving/src/cost.rs
@@ -25,6 +25,9 @@
 /// Disadvantage of an engine in another data centre: the way there and back, and bytes between
 /// data centres that are paid for.
 const FAR: Duration = Duration::from_millis(6);
+/// What opening a connection costs: a round trip and the engine's accepting, and a place among the connections that it takes. An instance
+/// with a call or two a second would else open one for nearly every call, to engines that are alike.
+const CONNECT: Duration = Duration::from_millis(4);
 /// Weight of a millisecond of waiting for a call that cannot be on time. Not nothing, since its caller leaves in the end.
 const LATE_HASTE: f64 = 0.2;
 /// Spread of equal places: engines that cost nearly the same are ordered by the prompt, so that
@@ -69,6 +72,7 @@
         + BLOCKING * reading * reading
         + beside(fleet, engine, reading)
         + far(engine, demand)
+        + connect(engine, demand)
         + spread(engine, size.prompt);
     Cost {
         total,
@@ -133,6 +137,14 @@
     }
 }
 
+fn connect(engine: &Engine, demand: &Demand) -> f64 {
+    if demand.connected.contains(&engine.record.id) {
+        0.0
+    } else {
+        millis(CONNECT)
+    }
+}
+
 /// Calls beyond the slots wait for one to end; each is taken to need a tenth of a second.
 fn slot_wait(engine: &Engine) -> f64 {
     let over = (engine.running() + 1).saturating_sub(engine.record.slots);
@@ -159,8 +171,11 @@
         let far = engine.record.zone != *source;
         let way = if far { 2.0 * moved } else { moved };
         let batch = f64::from(engine.running()) + slot_wait(engine);
-        let total =
-            way + batch * engine.pace + wait(fleet, engine, demand, 0, now) + millis(HANDOVER);
+        let total = way
+            + batch * engine.pace
+            + wait(fleet, engine, demand, 0, now)
+            + connect(engine, demand)
+            + millis(HANDOVER);
         Cost {
             total,
             target: Target {
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -34,6 +34,8 @@
     pub sending: Duration,
     /// Engines that it must not go to again.
     pub avoid: &'a [EngineId],
+    /// Engines to which its sender has a connection that is idle.
+    pub connected: &'a [EngineId],
     /// Time that its caller still waits.
     pub left: Duration,
 }
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -145,3 +145,49 @@
         false
     }
 }
+
+/// Time after which a reader tells what the one before it does not know yet. Readers read more often than this, and
+/// tell how far they know in the same time.
+const DEFERRED: Duration = Duration::from_millis(450);
+
+/// What a reader leaves to the one before it to tell, which may lose the store before it has read it.
+///
+/// Then none would tell: every other instance would find itself behind, and read. One would notice it by a call to the
+/// store of each instance in the second in which a reader is cut off.
+#[derive(Clone, Debug)]
+pub struct Deferred<T>(Vec<Left<T>>);
+
+#[derive(Clone, Debug)]
+struct Left<T> {
+    what: T,
+    upto: u64,
+    since: Moment,
+}
+
+impl<T> Default for Deferred<T> {
+    fn default() -> Self {
+        Self(Vec::new())
+    }
+}
+
+impl<T> Deferred<T> {
+    /// Leaves something to the reader before. Whoever has read it knows the topic up to `upto`.
+    pub fn leave(&mut self, what: T, upto: u64, now: Moment) {
+        let since = now;
+        self.0.push(Left { what, upto, since });
+    }
+
+    /// What is to be told after all, since none of the readers before has read it in time. `knows` says how far the one of them
+    /// that is fresh and knows most knows the topic of something.
+    pub fn take(&mut self, knows: impl Fn(&T) -> Option<u64>, now: Moment) -> Vec<T> {
+        let mut due = Vec::new();
+        for left in std::mem::take(&mut self.0) {
+            if now.saturating_sub(left.since) < DEFERRED {
+                self.0.push(left);
+            } else if knows(&left.what).is_none_or(|upto| upto < left.upto) {
+                due.push(left.what);
+            }
+        }
+        due
+    }
+}
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -87,6 +87,7 @@
         may_split: true,
         sending: Duration::ZERO,
         avoid: &[],
+        connected: &[],
         left: ms(4_000),
     }
 }
--- a/crates/serving/tests/place.rs
+++ b/crates/serving/tests/place.rs
@@ -327,3 +327,23 @@
         assert_matches!(choice, Choice::Direct(t) if t.rank < LATE);
     }
 }
+
+/// Symptom: each call opens a connection of its own, and engines reset what is beyond those that they take. Sequence: a large
+/// fleet; each instance has a call a second. Cause: engines that are alike were told apart by a hash of the prompt only.
+#[test]
+fn of_engines_that_are_alike_one_with_a_connection_is_taken() {
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let fleet = fleet(&names.map(|name| (name, Stage::Decode)));
+    let (service, zone, parts) = (service(), zone(), prompt(&[(7, 100)]));
+    let choose = |connected: &[serving::EngineId]| {
+        let demand = Demand {
+            connected,
+            ..demand(&service, &zone, Some(generation(&parts)))
+        };
+        place::decode(&fleet, &demand, &zone, NOW).expect("there is one")
+    };
+    for name in names {
+        let connected = [id(name)];
+        assert_eq!(*choose(&connected).engine, *name);
+    }
+}
--- a/crates/serving/tests/watch.rs
+++ b/crates/serving/tests/watch.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::ms;
-use serving::watch::{Known, Said, Watch};
+use serving::watch::{Deferred, Known, Said, Watch};
 
 const OWN: u64 = 50;
 
@@ -146,3 +146,20 @@
     }
     assert_eq!(due_at, Some(10_700));
 }
+
+/// Symptom: every instance reads all engines' records in the second in which the first reader loses the store. Sequence: an engine leaves; the
+/// second reader reads it and leaves it to the first one to tell, which is turned away before it reads. Cause: nobody told it.
+#[test]
+fn what_the_first_reader_did_not_read_is_told_by_the_second() {
+    let mut deferred = Deferred::default();
+    deferred.leave("read by both", 10, ms(1_000));
+    deferred.leave("read by the second", 11, ms(1_100));
+    let first_knows = |_: &&str| Some(10);
+    assert!(deferred.take(first_knows, ms(1_300)).is_empty());
+    assert!(deferred.take(first_knows, ms(1_460)).is_empty());
+    assert_eq!(
+        deferred.take(first_knows, ms(1_600)),
+        ["read by the second"]
+    );
+    assert!(deferred.take(|_| None, ms(9_000)).is_empty());
+}
