--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -8,17 +8,16 @@
 use std::time::Duration;
 
 use serving::engine::{Rank, Ticket};
-use serving::parts::{Part, Prompt};
-use serving::place::{self, Demand, Generation, Refusal, Target};
-use serving::{Choice, EngineId, Fleet, ServiceName, Zone, hash, placer};
+use serving::parts::Part;
+use serving::place::{self, Demand, Refusal, Target};
+use serving::{Choice, Fleet, Zone, hash, placer};
 use smallvec::SmallVec;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 use wire::Message as _;
-use wire::gateway::{self, Answer, Ask, Frame, Split, answer};
+use wire::gateway::{self, Answer, Ask, Frame, answer};
 
-use crate::frame;
 use crate::instance::Instance;
 use crate::metrics::Asked;
 
@@ -252,153 +251,20 @@
     })
 }
 
-/// Takes in what became of calls that this instance placed for another one.
-pub(crate) fn take_lent(instance: &Instance, peer: u64, lent: &gateway::Lent) {
-    let now = instance.now();
-    let mut fleet = instance.fleet.borrow_mut();
-    for read in &lent.read {
-        fleet.lent_read(peer, read.ticket, frame::before(now, read.age_ms));
-    }
-    for ended in &lent.ended {
-        fleet.lent_ended(peer, ended.ticket, frame::outcome(ended.outcome()), now);
-    }
-    if lent.says_open {
-        fleet.lent_open(peer, &lent.open, now);
-    }
-    drop(fleet);
-    instance.stirred.notify_one();
-}
-
-/// Takes in a question or an answer of another instance. Gives what is to be answered.
-pub(crate) fn take(instance: &Instance, from: SocketAddr, frame: &Frame) -> Option<Frame> {
-    if let Some(answer) = &frame.answer {
-        let open = instance.questions.open.borrow_mut().remove(&answer.ticket);
-        if open.is_none_or(|open| open.send(*answer).is_err()) {
-            log::debug!(from:% = from; "an answer comes too late");
-        }
-    }
-    let question = frame.ask.as_ref()?;
-    let choice = answered(instance, frame.incarnation, question);
-    if choice.is_none() {
-        log::debug!(from:% = from; "a question cannot be answered");
-    }
-    Some(Frame {
-        incarnation: instance.incarnation,
-        answer: Some(Answer {
-            ticket: question.ticket,
-            choice,
-        }),
-        ..Frame::default()
-    })
-}
-
-/// Places a call of another instance and enters it in the books.
-fn answered(instance: &Instance, peer: u64, question: &Ask) -> Option<answer::Choice> {
-    if !instance.is_placing() || !instance.engines_known.get() {
-        return None;
-    }
-    let table = instance.table()?;
-    let service = ServiceName::from(question.service.as_str());
-    let known = table.service(&service)?;
-    let model = known.model.as_ref();
-    let prompt: Prompt = {
-        let pieces = question.prompt.iter().flat_map(|prompt| &prompt.pieces);
-        let part = |piece: &gateway::Piece| Part {
-            id: piece.part,
-            tokens: piece.tokens,
-        };
-        pieces.map(part).collect()
-    };
-    let tokens = question.prompt.as_ref().map(|prompt| prompt.tokens);
-    let generation = tokens.zip(model).map(|(tokens, model)| Generation {
-        model,
-        prompt: &prompt,
-        tokens,
-    });
-    let zone = Zone::from(question.zone.as_str());
-    let now = instance.now();
-    let choice = {
-        let fleet = instance.fleet.borrow();
-        let avoid = question
-            .avoid
-            .iter()
-            .filter_map(|short| fleet.by_short(*short));
-        let avoid: SmallVec<[EngineId; 4]> = avoid.collect();
-        let connected = question.connected.iter();
-        let connected = connected.filter_map(|short| fleet.by_short(*short));
-        let connected: Vec<EngineId> = connected.collect();
-        let demand = Demand {
-            service: &service,
-            generation,
-            connections: u32::try_from(known.connections).unwrap_or(u32::MAX),
-            priority: Rank::try_from(question.priority).unwrap_or(Rank::MAX),
-            target: Duration::from_millis(question.target_ms.into()),
-            zone: &zone,
-            may_split: question.may_split,
-            sending: Duration::from_micros(question.sending_us.into()),
-            avoid: &avoid,
-            connected: &connected,
-            left: Duration::from_millis(question.left_ms.into()),
-        };
-        if question.read_in.is_empty() {
-            place::choose(&fleet, &demand, now)
-        } else {
-            let read_in = Zone::from(question.read_in.as_str());
-            place::decode(&fleet, &demand, &read_in, now).map_or(NOWHERE, Choice::Direct)
-        }
-    };
-    if let Choice::Direct(target)
-    | Choice::Split {
-        prefill: target, ..
-    } = &choice
-    {
-        let mut fleet = instance.fleet.borrow_mut();
-        let ticket = question.ticket;
-        fleet.lend(peer, ticket, &target.engine, target.work, target.rank, now);
-        drop(fleet);
-        instance.uses(&target.engine, &prompt);
-        instance.stirred.notify_one();
-    }
-    Some(told(&choice))
-}
-
-/// No engine takes a prompt over.
-const NOWHERE: Choice = Choice::Refuse {
-    after: Duration::ZERO,
-    why: Refusal::NoEngine,
-    best: None,
-};
-
-fn told(choice: &Choice) -> answer::Choice {
-    match choice {
-        Choice::Direct(target) => answer::Choice::Direct(told_target(target)),
-        Choice::Split { prefill, expected } => answer::Choice::Split(Split {
-            prefill: Some(told_target(prefill)),
-            expected_us: micros(*expected),
-        }),
-        Choice::Refuse { after, why, best } => answer::Choice::Refusal(gateway::Refusal {
-            after_ms: millis(*after),
-            no_engine: *why == Refusal::NoEngine,
-            best: best.as_deref().map(told_target),
-        }),
-    }
-}
-
-fn told_target(target: &Target) -> gateway::Target {
-    gateway::Target {
-        engine: hash::short(&target.engine),
-        unread: target.unread,
-        work: target.work,
-        rank: u32::from(target.rank),
-        expected_us: micros(target.expected),
-        fetch: target.fetch.as_deref().map_or(0, hash::short),
+/// Takes in the answer of another instance.
+pub(crate) fn take(instance: &Instance, from: SocketAddr, answer: &Answer) {
+    let open = instance.questions.open.borrow_mut().remove(&answer.ticket);
+    if open.is_none_or(|open| open.send(*answer).is_err()) {
+        log::debug!(from:% = from; "an answer comes too late");
     }
 }
 
-fn millis(time: Duration) -> u32 {
+/// A time as it is told.
+pub(crate) fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
-fn micros(time: Duration) -> u32 {
+/// A short time as it is told.
+pub(crate) fn micros(time: Duration) -> u32 {
     u32::try_from(time.as_micros()).unwrap_or(u32::MAX)
 }
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -6,19 +6,23 @@
 use std::time::Duration;
 
 use adapter::upstream::{self, Memory, Sending};
-use bytes::Bytes;
-use http1::{Client, Patience, Writer};
+use http1::Writer;
 use serving::health::Outcome;
 use serving::place::{Refusal, Target};
 use serving::{Choice, EngineId, Zone};
-use tokio::time::{timeout, timeout_at};
+use tokio::time::timeout_at;
 
-use crate::attempt::{self, Answered, Asked, Avoid, Held, MOST, NotRun, Rejections, Tried};
+use crate::attempt::{self, Answered, Asked, Avoid, MOST, NotRun, Rejections, Tried};
+use crate::held::Held;
 use crate::instance::Instance;
 use crate::metrics;
 use crate::plain::{End, Finished, counted, refuse_end, take_repeat, tell_refused};
 use crate::relay::{self, Relay, Times};
 
+mod memory;
+
+use memory::Guard;
+
 /// How a call ended, as far as the connection to its caller goes on.
 enum Done {
     Whole(Times),
@@ -29,8 +33,6 @@
 
 /// When a caller may come back after engines refused.
 const FULL_AFTER: Duration = Duration::from_millis(300);
-/// Time in which memory that nobody takes is freed.
-const FREE: Duration = Duration::from_millis(500);
 
 /// Answers a call. Says whether the connection may be used on.
 pub(crate) async fn answer(instance: &Rc<Instance>, asked: &Asked, writer: &mut Writer) -> bool {
@@ -425,48 +427,3 @@
     Rejected,
     Lost,
 }
-
-/// Memory that is freed unless it was taken.
-struct Guard {
-    instance: Rc<Instance>,
-    memory: Memory,
-    taken: Cell<bool>,
-}
-
-impl Guard {
-    fn new(instance: &Rc<Instance>, memory: Memory) -> Self {
-        Self {
-            instance: instance.clone(),
-            memory,
-            taken: Cell::new(false),
-        }
-    }
-
-    fn taken(&self) {
-        self.taken.set(true);
-    }
-}
-
-impl Drop for Guard {
-    fn drop(&mut self) {
-        if !self.taken.get() {
-            actix_rt::spawn(free(self.instance.clone(), self.memory.clone()));
-        }
-    }
-}
-
-async fn free(instance: Rc<Instance>, memory: Memory) {
-    let patience = Patience {
-        connect: FREE,
-        acknowledge: FREE,
-        probe: FREE,
-        probes: 1,
-    };
-    let freeing = async {
-        let mut client = Client::open(memory.address, &patience, &instance.codec).await?;
-        client.send(upstream::free(&memory), &Bytes::new()).await
-    };
-    if !matches!(timeout(FREE, freeing).await, Ok(Ok(_))) {
-        log::debug!(handle = memory.handle.as_str(); "memory that nobody takes could not be freed, it lapses");
-    }
-}
--- /dev/null
+++ b/crates/gateway/src/heard.rs
@@ -0,0 +1,139 @@
+//! Takes in what other instances tell. What this one tells is in [`crate::mesh`].
+
+use std::net::SocketAddr;
+
+use adapter::store::Keyed;
+use bytes::Bytes;
+use clock::Moment;
+use serving::engine::{Changing, Stage};
+use serving::fleet::Change;
+use serving::parts::Part;
+use wire::gateway::{Frame, News, State};
+
+use crate::frame::{before, job, outcome, work};
+use crate::instance::Instance;
+use crate::peers::{self, Topic};
+use crate::{answer, ask, follow, mesh};
+
+/// Takes in a frame.
+pub(crate) fn take(instance: &Instance, from: SocketAddr, frame: Frame) {
+    let now = instance.now();
+    let peer = frame.incarnation;
+    if let Some(lent) = &frame.lent {
+        answer::take_lent(instance, peer, lent);
+    }
+    if let Some(answer) = &frame.answer {
+        ask::take(instance, from, answer);
+    }
+    if let Some(state) = &frame.state {
+        take_state(instance, from, peer, state, now);
+    }
+    take_changes(instance, &frame, now);
+    for part in &frame.parts {
+        let engine = instance.fleet.borrow().by_short(part.engine);
+        if let Some(engine) = engine {
+            let part = Part {
+                id: part.part,
+                tokens: part.tokens,
+            };
+            instance.note_parts(&engine, &[part]);
+        }
+    }
+    take_changing(instance, &frame, now);
+    for news in frame.news {
+        take_news(instance, news);
+    }
+    know_all(instance, frame.all_engines);
+    if frame.read_configuration {
+        instance.must_read.set(true);
+    }
+}
+
+fn take_state(instance: &Instance, from: SocketAddr, peer: u64, state: &State, now: Moment) {
+    let mut peers = instance.peers.borrow_mut();
+    let replaced = peers.heard(from, peer, state, now);
+    drop(peers);
+    // Others that are only told may lack what is missing here.
+    if mesh::reads_store(state) {
+        know_all(instance, state.engines_digest);
+    }
+    if let Some(read) = peers::moment(state.engines_age_ms, now) {
+        instance.registry.borrow_mut().heard(read);
+    }
+    let mut fleet = instance.fleet.borrow_mut();
+    if let Some(replaced) = replaced {
+        fleet.forget_peer(replaced, now);
+    }
+    let works = state.works.iter();
+    let works = works.filter_map(|told| Some((fleet.by_short(told.engine)?, work(told, now))));
+    let works = works.collect();
+    fleet.hear(peer, works, now);
+}
+
+/// Takes in the digest of all engines, by which an instance that was told of them sees that none is missing.
+fn know_all(instance: &Instance, digest: u64) {
+    let own = instance.knows(Topic::Engines).digest;
+    if digest != 0 && own == digest && !instance.engines_known.replace(true) {
+        log::info!("all engines known, from another instance");
+    }
+}
+
+fn take_changes(instance: &Instance, frame: &Frame, now: Moment) {
+    let mut fleet = instance.fleet.borrow_mut();
+    let started = frame.started.iter().filter_map(|started| {
+        let engine = fleet.by_short(started.engine)?;
+        Some(Change::Started(engine, job(started.job.as_ref()?, now)))
+    });
+    let read = frame.read.iter().filter_map(|read| {
+        let engine = fleet.by_short(read.engine)?;
+        Some(Change::Read(engine, read.ticket, before(now, read.age_ms)))
+    });
+    let ended = frame.ended.iter().filter_map(|ended| {
+        let engine = fleet.by_short(ended.engine)?;
+        Some(Change::Ended(
+            engine,
+            ended.ticket,
+            outcome(ended.outcome()),
+        ))
+    });
+    let gone = frame.gone.iter();
+    let gone = gone.filter_map(|gone| Some(Change::Gone(fleet.by_short(*gone)?)));
+    let changes: Vec<Change> = started.chain(read).chain(ended).chain(gone).collect();
+    for change in changes {
+        fleet.hear_change(frame.incarnation, &change, now);
+    }
+}
+
+fn take_changing(instance: &Instance, frame: &Frame, now: Moment) {
+    let mut fleet = instance.fleet.borrow_mut();
+    for told in &frame.changing {
+        let Some(engine) = fleet.by_short(told.engine) else {
+            continue;
+        };
+        let stage = if told.reads {
+            Stage::Prefill
+        } else {
+            Stage::Decode
+        };
+        let changing = Changing {
+            stage,
+            since: now,
+            own: false,
+        };
+        fleet.change(&engine, changing);
+    }
+}
+
+fn take_news(instance: &Instance, news: News) {
+    let topic = if news.configuration {
+        Topic::Configuration
+    } else {
+        Topic::Engines
+    };
+    let record = Keyed {
+        offset: news.offset,
+        key: news.key,
+        value: news.value.map(Bytes::from),
+    };
+    follow::hear(instance, topic, &record);
+}
--- /dev/null
+++ b/crates/gateway/src/held.rs
@@ -0,0 +1,111 @@
+//! A call at an engine, in the books for as long as it lasts.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serving::engine::Ticket;
+use serving::fleet::Sent;
+use serving::health::Outcome;
+use serving::pauses::Mark;
+use serving::place::Target;
+use tokio::time::Instant;
+
+use crate::attempt::Asked;
+use crate::instance::Instance;
+
+/// A call that is in an engine's books until this is dropped.
+pub(crate) struct Held<'a> {
+    instance: &'a Instance,
+    asked: &'a Asked,
+    sent: Sent,
+    expected: Duration,
+    unread: u32,
+    begun: Instant,
+    outcome: Option<Outcome>,
+    placed_by: Option<(SocketAddr, Ticket)>,
+    /// Where the stream was at its last event.
+    last: Cell<Option<Mark>>,
+}
+
+impl<'a> Held<'a> {
+    pub(crate) fn new(instance: &'a Instance, asked: &'a Asked, target: &Target) -> Self {
+        let now = instance.now();
+        let mut fleet = instance.fleet.borrow_mut();
+        let sent = fleet.begin(&target.engine, target.work, target.rank, now);
+        log::info!(
+            id = asked.call.id.as_str(), engine = &*target.engine,
+            waited_ms:% = asked.waited().as_millis(), left_ms:% = asked.left().as_millis(),
+            expected_ms:% = target.expected.as_millis(), unread = target.unread, rank = target.rank,
+            fetch = target.fetch.as_deref().unwrap_or_default(),
+            configuration = instance.table.borrow().as_ref().map_or(0, |table| table.version);
+            "sent"
+        );
+        if target.work > 0 {
+            instance.stirred.notify_one();
+        }
+        if let Some(placed_by) = target.placed_by {
+            instance.lent.begun(placed_by);
+        }
+        Self {
+            instance,
+            asked,
+            sent,
+            expected: target.expected,
+            unread: target.unread,
+            begun: Instant::now(),
+            outcome: None,
+            placed_by: target.placed_by,
+            last: Cell::new(None),
+        }
+    }
+
+    /// An event of the stream is there. Gives the time since the one before in which the engine had prompts to read.
+    pub(crate) fn event(&self) -> Duration {
+        let now = self.instance.now();
+        let mut fleet = self.instance.fleet.borrow_mut();
+        let (Some(mut last), Some(longest)) = (self.last.get(), self.asked.route.gap) else {
+            self.last.set(fleet.mark(&self.sent.engine, now));
+            return Duration::ZERO;
+        };
+        let read = fleet.event(&self.sent.engine, &mut last, longest, now);
+        self.last.set(Some(last));
+        read
+    }
+
+    /// The first answer is there.
+    pub(crate) fn first(&self, step: &str) {
+        let now = self.instance.now();
+        let mut fleet = self.instance.fleet.borrow_mut();
+        fleet.first(&self.sent, now);
+        if let Some(placed_by) = self.placed_by {
+            self.instance.lent.read(placed_by, now);
+            self.instance.stirred.notify_one();
+        }
+        let engine = fleet.get(&self.sent.engine);
+        log::info!(
+            id = self.asked.call.id.as_str(), engine = &*self.sent.engine, step = step,
+            ms:% = self.begun.elapsed().as_millis(), expected_ms:% = self.expected.as_millis(),
+            unread = self.unread, pace:? = engine.map(|engine| engine.pace),
+            stage:? = engine.map(|engine| engine.record.stage), running = engine.map_or(0, |e| e.running());
+            "engine began"
+        );
+    }
+
+    /// How the call ended, for the engine's health.
+    pub(crate) fn note(&mut self, outcome: Outcome) {
+        self.outcome = Some(outcome);
+    }
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        let now = self.instance.now();
+        let mut fleet = self.instance.fleet.borrow_mut();
+        fleet.end(&self.sent, self.outcome, now);
+        if let Some(placed_by) = self.placed_by {
+            self.instance.lent.ended(placed_by, self.outcome);
+            self.instance.stirred.notify_one();
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,6 +3,7 @@
 //! and goes, `serving` decides, `http1` carries, and the modules here connect them on one thread.
 //! See [`docs/design/platform.md`](../../../docs/design/platform.md).
 
+mod answer;
 mod aside;
 mod ask;
 mod attempt;
@@ -15,6 +16,8 @@
 mod frame;
 mod front;
 mod generate;
+mod heard;
+mod held;
 mod instance;
 pub mod journal;
 mod lent;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,22 +11,18 @@
 use serving::{EngineId, hash};
 use wire::gateway::{News, State, Ticket};
 
+mod news;
+
+pub(crate) use news::groups;
+
 /// An instance that was silent for this long, or did not make itself known for this long after it was found registered, is
 /// taken to have ended.
 const SILENT: Duration = Duration::from_secs(3);
 /// Time for which an instance that did not answer a question is asked nothing: it may be paused or cut off, and each
 /// question costs a call some milliseconds.
 const MISSED: Duration = Duration::from_millis(1_000);
-/// Times that news of engines are told, since datagrams are lost.
-const TELLINGS: u8 = 2;
 /// Most parts in one frame.
 pub(crate) const PARTS: usize = 128;
-/// Instances up to which news are sent to each directly.
-const DIRECT: usize = 12;
-/// Pause between two frames of news, which is gathered meanwhile.
-const NEWS_PACE: Duration = Duration::from_millis(350);
-/// Most bytes of news in one frame, unless a single record is larger.
-const NEWS_BYTES: usize = 8 * 1024;
 
 /// What the store holds that all instances follow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -123,20 +119,6 @@
     slow << 48 | hash::number(&address.to_string()) >> 16
 }
 
-/// Groups of instances that pass news on: the first of each group gets them and passes them to the
-/// rest, so that one slow link does not carry them to all.
-pub(crate) fn groups(
-    addresses: &[SocketAddr],
-) -> impl Iterator<Item = (SocketAddr, &[SocketAddr])> {
-    let size = if addresses.len() <= DIRECT {
-        1
-    } else {
-        addresses.len().isqrt() + 1
-    };
-    let groups = addresses.chunks(size);
-    groups.filter_map(|group| group.split_first().map(|(first, rest)| (*first, rest)))
-}
-
 impl Peers {
     /// Notes the parts of a prompt that an engine is about to use. Those that it has read before
     /// count as well: others must know what was used last to know what yields next.
@@ -171,80 +153,14 @@
         told.collect()
     }
 
-    /// Notes a record that changed, to be told.
-    ///
-    /// Of configurations only the newest is told, and not more often than [`NEWS_PACE`]: operators
-    /// that edit in quick succession would else take the links of small instances from calls.
-    pub(crate) fn add_news(&mut self, news: News) {
-        if news.configuration {
-            self.news.retain(|(known, _)| !known.configuration);
-        }
-        // A lost configuration shows in the versions that all tell, and is large to tell twice.
-        let tellings = if news.configuration { 1 } else { TELLINGS };
-        self.news.push((news, tellings));
-    }
-
-    /// Notes a record that another reader is to tell, and how far whoever has read it knows the topic.
-    pub(crate) fn defer_news(&mut self, news: News, upto: u64, now: Moment) {
-        self.deferred.leave(news, upto, now);
-    }
-
-    /// Takes over what the readers before `order` do not know although they have had time to read it.
-    pub(crate) fn take_over(&mut self, order: u64, now: Moment) {
-        let mut deferred = std::mem::take(&mut self.deferred);
-        let known = |news: &News| {
-            let topic = if news.configuration {
-                Topic::Configuration
-            } else {
-                Topic::Engines
-            };
-            let before = self.said(topic).filter(|said| said.order < order);
-            let fresh = before.filter(|said| said.is_fresh(now));
-            fresh.map(|said| said.knows.upto).max()
-        };
-        let due = deferred.take(known, now);
-        self.deferred = deferred;
-        for news in due {
-            self.add_news(news);
-        }
-    }
-
-    /// News for the next frame.
-    pub(crate) fn take_news(&mut self, now: Moment) -> Vec<News> {
-        let told = self.news_told;
-        if told.is_some_and(|told| now.saturating_sub(told) < NEWS_PACE) || self.news.is_empty() {
-            return Vec::new();
-        }
-        self.news_told = Some(now);
-        let mut bytes = 0;
-        let mut most = 0;
-        for (news, _) in &self.news {
-            bytes += news.value.as_ref().map_or(0, Vec::len);
-            if most > 0 && bytes > NEWS_BYTES {
-                break;
-            }
-            most += 1;
-        }
-        let mut told = Vec::with_capacity(most);
-        for (news, tellings) in self.news.drain(..most).collect::<Vec<_>>() {
-            told.push(news.clone());
-            if tellings > 1 {
-                self.news.push((news, tellings - 1));
-            }
-        }
-        told
-    }
-
-    /// Adds an instance that is registered, with the hash of its data centre and its place in the common order. Says whether it was
-    /// not known.
+    /// Adds an instance that is registered, with the hash of its data centre and its place in the common order.
     pub(crate) fn add(
         &mut self,
         address: SocketAddr,
         place: Place,
         order: Option<u64>,
         now: Moment,
-    ) -> bool {
-        let is_new = !self.by_address.contains_key(&address);
+    ) {
         let known = self.by_address.entry(address);
         known.or_insert(Registered {
             place,
@@ -253,7 +169,6 @@
             peer: None,
             missed: None,
         });
-        is_new
     }
 
     /// Who places calls now, as this instance sees it.
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -13,7 +13,8 @@
 use serving::{Choice, Kind};
 use tokio::time::{Instant, timeout_at};
 
-use crate::attempt::{self, Answered, Asked, Avoid, Held, MOST, NotRun, Rejections, Tried};
+use crate::attempt::{self, Answered, Asked, Avoid, MOST, NotRun, Rejections, Tried};
+use crate::held::Held;
 use crate::instance::Instance;
 use crate::metrics;
 use crate::reply::{Refusal, refuse};
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,8 +9,9 @@
 use http1::{Failure, Writer};
 use tokio::time::Instant;
 
-use crate::attempt::{Answered, Held};
+use crate::attempt::Answered;
 use crate::events::{EventId, Splitter};
+use crate::held::Held;
 
 /// How a stream from one engine ended.
 #[derive(Debug)]
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -11,11 +11,12 @@
 use crate::health::Outcome;
 use crate::overrun::Overrun;
 use crate::parts::{Part, Parts};
-use crate::pauses::{self, Mark, Pauses};
+use crate::pauses::Pauses;
 use crate::speed::Speed;
 use crate::{EngineId, ServiceName, hash, line};
 
 mod lent;
+mod streams;
 mod told;
 
 use lent::Lent;
@@ -342,44 +343,6 @@
         !self.changes.is_empty()
     }
 
-    /// Where a stream at an engine is now.
-    pub fn mark(&self, id: &EngineId, now: Moment) -> Option<Mark> {
-        let engine = self.engines.get(id)?;
-        let read = engine.reading.total(now);
-        Some(Mark { at: now, read })
-    }
-
-    /// Takes in that an event of a stream came, which may pause for `longest`. Gives the time since the last one in which
-    /// the engine had prompts to read.
-    pub fn event(
-        &mut self,
-        id: &EngineId,
-        last: &mut Mark,
-        longest: Duration,
-        now: Moment,
-    ) -> Duration {
-        let Some(engine) = self.engines.get(id) else {
-            return Duration::ZERO;
-        };
-        let read = engine.reading.total(now);
-        let part = |time: Duration| time.as_secs_f64() / longest.as_secs_f64().max(1e-3);
-        let pauses = self.pauses.entry(engine.record.service.clone());
-        let pause = part(now.saturating_sub(last.at));
-        pauses
-            .or_default()
-            .observe(part(read.saturating_sub(last.read)), pause);
-        let beside = read.saturating_sub(last.read);
-        *last = Mark { at: now, read };
-        beside
-    }
-
-    /// What each millisecond of reading costs each stream at an engine, in milliseconds.
-    pub(crate) fn strain(&self, engine: &Engine) -> f64 {
-        let pauses = self.pauses.get(&engine.record.service);
-        let beside = pauses.and_then(Pauses::beside_reading);
-        beside.map_or(0.0, |beside| pauses::strain(beside * engine.pace.max(1.0)))
-    }
-
     /// Tokens of work that all instances have had read lately, in a millisecond.
     pub fn reading(&self, service: &ServiceName, now: Moment) -> f64 {
         self.reading.get(service).map_or(0.0, |flow| flow.rate(now))
