Account for calls by data centre and by link, and tell of calls that are answered before they have a route

Cause: of 300 instances nobody could say from the logs which data centre or kind of machine served badly, and a call that came before configuration and engines were known, or that no route matched, left no line at all. The account has two more tables, by the name of the instance without its number and by the rate of its link, which the first line of a log tells now; it takes logs of single instances and logs with the instance before each line.

--- a/crates/account/src/call.rs
+++ b/crates/account/src/call.rs
@@ -75,6 +75,8 @@
 /// What is known of a call.
 #[derive(Clone, Debug, Default)]
 pub struct Call {
+    /// The instance that its caller reached.
+    pub instance: Option<String>,
     /// When its first line was written.
     pub at: Option<Duration>,
     /// Its route, where a line names it.
@@ -101,6 +103,7 @@
             "streamed" => self.end = Some(self.streamed(line)),
             "answered" => self.end = Some(answered(line)),
             "refused" => self.end = Some(refused(line)),
+            "answered at once" => self.end = Some(End::RefusedOther),
             "stream broken off" => self.end = Some(broken(line)),
             "out of time" | "the caller left" => self.end = Some(End::Left),
             "failed" | "failed, may have run" => self.end = Some(End::Failed),
--- a/crates/account/src/line.rs
+++ b/crates/account/src/line.rs
@@ -7,6 +7,8 @@
 pub struct Line<'a> {
     /// Time of day.
     pub at: Duration,
+    /// What stands before the line, where several logs are in one file: the instance that wrote it.
+    pub writer: Option<&'a str>,
     /// Text before the fields, with the module that wrote it.
     pub says: &'a str,
     fields: &'a str,
@@ -17,12 +19,13 @@
     /// text.
     pub fn read(text: &'a str) -> Option<Self> {
         let (head, rest) = text.split_once("] ")?;
-        let (_, head) = head.rsplit_once('[')?;
+        let (before, head) = head.rsplit_once('[')?;
         let time = head.split(' ').next()?;
         let first = rest.find('=')?;
         let start = rest[..first].rfind(' ')?;
         Some(Self {
             at: time_of_day(time)?,
+            writer: before.split_whitespace().next_back(),
             says: &rest[..start],
             fields: &rest[start + 1..],
         })
--- a/crates/account/src/text.rs
+++ b/crates/account/src/text.rs
@@ -14,6 +14,16 @@
     for (route, ends) in &account.routes {
         text.push_str(&row(route, ends));
     }
+    for (name, table) in [
+        ("data centre", &account.places),
+        ("link, Mbit/s", &account.links),
+    ] {
+        text.push('\n');
+        text.push_str(&head(name));
+        for (key, ends) in table {
+            text.push_str(&row(key, ends));
+        }
+    }
     text.push('\n');
     text.push_str(&head("second"));
     for (second, ends) in &account.seconds {
--- a/crates/account/tests/account.rs
+++ b/crates/account/tests/account.rs
@@ -123,3 +123,45 @@
     let svg = std::fs::read_to_string(file).unwrap();
     assert!(svg.contains("late: beside"));
 }
+
+#[test]
+fn calls_are_counted_by_data_centre_and_by_link() {
+    let started = |name: &str, link: u32| {
+        line(
+            0.5,
+            &format!("started instance={name} incarnation=1 link_mbps={link}"),
+        )
+    };
+    let answered = |id: &str| {
+        line(
+            1.0,
+            &format!("answered id={id} route=plain ms=30 status=200"),
+        )
+    };
+    let first = started("front-ate-1", 200) + &answered("a") + &answered("b");
+    let both = [started("front-ate-12", 20), answered("c")];
+    let second = both
+        .map(|line| format!("  1.5 front-ate-12 {line}"))
+        .concat();
+    let third = started("front-surco-3", 20) + &answered("d");
+    let third = third
+        + &line(
+            1.1,
+            "answered at once id=x status=404 after_ms=0 why=No route matches.",
+        );
+    let account = Account::new([first.as_str(), &second, &third]);
+    let count = |table: &std::collections::BTreeMap<String, account::tally::Ends>| {
+        let counts = table
+            .iter()
+            .map(|(key, ends)| (key.clone(), ends.values().sum()));
+        counts.collect::<Vec<(String, u32)>>()
+    };
+    assert_eq!(
+        count(&account.places),
+        [("front-ate".to_owned(), 3), ("front-surco".to_owned(), 1)]
+    );
+    assert_eq!(
+        count(&account.links),
+        [("20".to_owned(), 2), ("200".to_owned(), 2)]
+    );
+}
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -44,6 +44,14 @@
 }
 
 impl Unserved {
+    pub(crate) fn tell(&self) {
+        log::info!(
+            id = self.id.as_deref().unwrap_or_default(), status = self.status.as_u16(),
+            after_ms:% = self.after.unwrap_or_default().as_millis(), why = self.detail;
+            "answered at once"
+        );
+    }
+
     pub(crate) fn as_refusal(&self) -> Refusal<'_> {
         Refusal {
             status: self.status,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -50,7 +50,7 @@
     let listen = instance.settings.borrow().listen;
     log::info!(
         instance = instance.settings.borrow().instance.as_str(),
-        incarnation = instance.incarnation,
+        incarnation = instance.incarnation, link_mbps = instance.settings.borrow().link_mbps,
         front:% = listen.front;
         "started"
     );
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -139,7 +139,10 @@
     until_known(instance).await;
     match Asked::new(instance, arrival) {
         Ok(asked) => answer(instance, &asked, writer).await,
-        Err(refusal) => refuse(writer, refusal.as_refusal(), leaving).await.is_ok(),
+        Err(unserved) => {
+            unserved.tell();
+            refuse(writer, unserved.as_refusal(), leaving).await.is_ok()
+        }
     }
 }
 
