Forget calls that were placed and that nobody sends, and keep asking a placer that lags by one engine

Cause, found reading the diff: a placer enters a call as it answers. Where the answer comes too late, or names an engine that the sender knows to be leaving, nobody sends the call, and a sender with nothing else in that placer's books told it nothing more: the call stood there for as long as the sender lived, and its engine looked busy. Change: who was asked is told for three seconds which calls are in hand, which ends those that are not named. A placer that names an engine which may not be used is not rested for a second as a silent one is; another one is asked.

That what is not named ends is tested by told.rs (a_report_that_is_lost_is_made_good_by_the_next_state); that senders go on telling has no test of its own.

--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -1,5 +1,5 @@
-//! Asks an instance that places calls where one goes, and answers those that ask this one. What placers know and why they are
-//! asked stands in [`serving::placer`].
+//! Asks an instance that places calls where one goes. What placers know and why they are asked stands in [`serving::placer`]; the
+//! answering side is [`crate::answer`].
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
@@ -21,8 +21,8 @@
 use crate::instance::Instance;
 use crate::metrics::Asked;
 
-/// Time for one placer's answer. One of the same data centre answers within two milliseconds, one that is busy or far within
-/// ten; what is waited for one that does not answer is taken from a caller's time.
+/// Time for one placer's answer. The way there and back takes a few milliseconds at the most within a region; the rest is for one
+/// that is busy. What is waited for one that does not answer is taken from a caller's time.
 const PATIENCE: Duration = Duration::from_millis(25);
 /// Placers that are asked for one call before this instance places it by what it knows itself.
 const QUESTIONS: usize = 3;
@@ -55,8 +55,10 @@
 enum Placed {
     /// It goes here.
     Choice(Choice),
-    /// The placer knows too little, or names an engine that may not be used.
+    /// The placer knows too little.
     Declined,
+    /// It names an engine that may not be used.
+    Unusable,
 }
 
 /// Finds a place for a call: by what this instance knows if it is told of all calls, else by what one knows that is.
@@ -108,6 +110,12 @@
                 instance.metrics.asked(Asked::Declined);
                 log::debug!(placer:% = address; "a placer knows too little");
             }
+            Some(Placed::Unusable) => {
+                instance.metrics.asked(Asked::Declined);
+                log::debug!(placer:% = address; "a placer names an engine that may not be used");
+                // Another one may know already what this one does not.
+                continue;
+            }
             None => {
                 instance.metrics.asked(Asked::Silent);
                 log::info!(placer:% = address; "a placer does not answer");
@@ -131,6 +139,7 @@
         ask: Some(question),
         ..Frame::default()
     };
+    instance.lent.asked(address, instance.now());
     let (sender, receiver) = oneshot::channel();
     let open = Open::new(&instance.questions, ticket, sender);
     let socket = instance.questions.socket.get()?;
@@ -220,9 +229,9 @@
             },
             best: refusal.best.as_ref().and_then(target).map(Box::new),
         }),
-        None => None,
+        None => return Placed::Declined,
     };
-    choice.map_or(Placed::Declined, Placed::Choice)
+    choice.map_or(Placed::Unusable, Placed::Choice)
 }
 
 /// The place that a placer named, if this instance knows nothing that speaks against it: it may know already that the engine
--- a/crates/gateway/src/lent.rs
+++ b/crates/gateway/src/lent.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use clock::Moment;
 use serving::engine::Ticket;
@@ -17,8 +18,17 @@
     read: Vec<(Ticket, Moment)>,
     ended: Vec<(Ticket, Option<Outcome>)>,
     open: BTreeSet<Ticket>,
+    /// When it was last asked.
+    asked: Moment,
 }
 
+/// Time after a question for which its addressee is told which calls are in hand.
+///
+/// It may have placed a call whose answer came too late or was not followed, which stands in its books then while nobody
+/// sends it. One would notice it by engines that look busy and are idle. Longer than it waits before it takes a call that is
+/// not named for over.
+const ASKED: Duration = Duration::from_secs(3);
+
 impl Books {
     fn has_reports(&self) -> bool {
         !(self.read.is_empty() && self.ended.is_empty())
@@ -30,6 +40,12 @@
 pub(crate) struct Lent(RefCell<BTreeMap<SocketAddr, Books>>);
 
 impl Lent {
+    /// A placer is asked for a place.
+    pub(crate) fn asked(&self, placer: SocketAddr, now: Moment) {
+        let mut all = self.0.borrow_mut();
+        all.entry(placer).or_default().asked = now;
+    }
+
     /// A call is about to be sent where a placer said.
     pub(crate) fn begun(&self, (placer, ticket): (SocketAddr, Ticket)) {
         let mut all = self.0.borrow_mut();
@@ -58,8 +74,8 @@
             .collect()
     }
 
-    /// Those that have placed calls which are in hand, each with these calls. Whoever has none left is told so once.
-    pub(crate) fn take_open(&self) -> Vec<(SocketAddr, gateway::Lent)> {
+    /// Those that have placed calls which are in hand, or were asked a while ago, each with the calls in hand.
+    pub(crate) fn take_open(&self, now: Moment) -> Vec<(SocketAddr, gateway::Lent)> {
         let mut all = self.0.borrow_mut();
         let told = all.iter().map(|(placer, books)| {
             let open = gateway::Lent {
@@ -70,7 +86,10 @@
             (*placer, open)
         });
         let told = told.collect();
-        all.retain(|_, books| books.has_reports() || !books.open.is_empty());
+        let is_recent = |asked: Moment| now.saturating_sub(asked) < ASKED;
+        all.retain(|_, books| {
+            books.has_reports() || !books.open.is_empty() || is_recent(books.asked)
+        });
         told
     }
 }
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -105,7 +105,7 @@
         let is_state_due = is_greeting || is_lacking || Instant::now() >= state_due;
         let mut bytes = report(&instance, &socket, now);
         if is_state_due {
-            bytes += tell_open(&instance, &socket);
+            bytes += tell_open(&instance, &socket, now);
         }
         if let Some(frame) = next_frame(&instance, is_state_due, now) {
             if is_state_due {
@@ -125,8 +125,8 @@
 }
 
 /// Tells those that placed calls which are in hand, so that the loss of a report is made good.
-fn tell_open(instance: &Instance, socket: &UdpSocket) -> usize {
-    tell_lent(instance, socket, instance.lent.take_open())
+fn tell_open(instance: &Instance, socket: &UdpSocket, now: Moment) -> usize {
+    tell_lent(instance, socket, instance.lent.take_open(now))
 }
 
 fn tell_lent(
