--- a/crates/gateway/src/lent.rs
+++ b/crates/gateway/src/lent.rs
@@ -37,29 +37,29 @@
 
 /// Calls of this instance by who placed them.
 #[derive(Debug, Default)]
-pub(crate) struct Lent(RefCell<BTreeMap<SocketAddr, Books>>);
+pub struct Lent(RefCell<BTreeMap<SocketAddr, Books>>);
 
 impl Lent {
     /// A placer is asked for a place.
-    pub(crate) fn asked(&self, placer: SocketAddr, now: Moment) {
+    pub fn asked(&self, placer: SocketAddr, now: Moment) {
         let mut all = self.0.borrow_mut();
         all.entry(placer).or_default().asked = now;
     }
 
     /// A call is about to be sent where a placer said.
-    pub(crate) fn begun(&self, (placer, ticket): (SocketAddr, Ticket)) {
+    pub fn begun(&self, (placer, ticket): (SocketAddr, Ticket)) {
         let mut all = self.0.borrow_mut();
         all.entry(placer).or_default().open.insert(ticket);
     }
 
     /// Its prompt was read.
-    pub(crate) fn read(&self, (placer, ticket): (SocketAddr, Ticket), now: Moment) {
+    pub fn read(&self, (placer, ticket): (SocketAddr, Ticket), now: Moment) {
         let mut all = self.0.borrow_mut();
         all.entry(placer).or_default().read.push((ticket, now));
     }
 
     /// It has ended.
-    pub(crate) fn ended(&self, (placer, ticket): (SocketAddr, Ticket), outcome: Option<Outcome>) {
+    pub fn ended(&self, (placer, ticket): (SocketAddr, Ticket), outcome: Option<Outcome>) {
         let mut all = self.0.borrow_mut();
         let books = all.entry(placer).or_default();
         books.open.remove(&ticket);
@@ -67,7 +67,7 @@
     }
 
     /// Reports that were not told yet, by placer.
-    pub(crate) fn take_reports(&self, now: Moment) -> Vec<(SocketAddr, gateway::Lent)> {
+    pub fn take_reports(&self, now: Moment) -> Vec<(SocketAddr, gateway::Lent)> {
         let mut all = self.0.borrow_mut();
         let due = all.iter_mut().filter(|(_, books)| books.has_reports());
         due.map(|(placer, books)| (*placer, reports(books, now)))
@@ -75,7 +75,7 @@
     }
 
     /// Those that have placed calls which are in hand, or were asked a while ago, each with the calls in hand.
-    pub(crate) fn take_open(&self, now: Moment) -> Vec<(SocketAddr, gateway::Lent)> {
+    pub fn take_open(&self, now: Moment) -> Vec<(SocketAddr, gateway::Lent)> {
         let mut all = self.0.borrow_mut();
         let told = all.iter().map(|(placer, books)| {
             let open = gateway::Lent {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,7 +20,7 @@
 mod held;
 mod instance;
 pub mod journal;
-mod lent;
+pub mod lent;
 mod mesh;
 mod metrics;
 mod newcomers;
