Name calls that are placed for others remote calls, and what is told of them reports

No behaviour: a call that one instance enters for another was lent by it, which a reader had to be told. Frames change their field's name, not its number.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -15,17 +15,17 @@
 use crate::instance::Instance;
 
 /// Takes in what became of calls that this instance placed for another one.
-pub(crate) fn take_lent(instance: &Instance, peer: u64, lent: &gateway::Lent) {
+pub(crate) fn take_reports(instance: &Instance, peer: u64, reports: &gateway::Reports) {
     let now = instance.now();
     let mut fleet = instance.fleet.borrow_mut();
-    for read in &lent.read {
-        fleet.lent_read(peer, read.ticket, frame::before(now, read.age_ms));
+    for read in &reports.read {
+        fleet.first_for(peer, read.ticket, frame::before(now, read.age_ms));
     }
-    for ended in &lent.ended {
-        fleet.lent_ended(peer, ended.ticket, frame::outcome(ended.outcome()), now);
+    for ended in &reports.ended {
+        fleet.end_for(peer, ended.ticket, frame::outcome(ended.outcome()), now);
     }
-    if lent.says_open {
-        fleet.lent_open(peer, &lent.open, now);
+    if reports.says_open {
+        fleet.retain_for(peer, &reports.open, now);
     }
     drop(fleet);
     instance.stirred.notify_one();
@@ -110,7 +110,7 @@
     {
         let mut fleet = instance.fleet.borrow_mut();
         let ticket = question.ticket;
-        fleet.lend(peer, ticket, &target.engine, target.work, target.rank, now);
+        fleet.begin_for(peer, ticket, &target.engine, target.work, target.rank, now);
         drop(fleet);
         instance.uses(&target.engine, &prompt);
         instance.stirred.notify_one();
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -139,7 +139,7 @@
         ask: Some(question),
         ..Frame::default()
     };
-    instance.lent.asked(address, instance.now());
+    instance.reports.asked(address, instance.now());
     let (sender, receiver) = oneshot::channel();
     let open = Open::new(&instance.questions, ticket, sender);
     let socket = instance.questions.socket.get()?;
--- a/crates/gateway/src/heard.rs
+++ b/crates/gateway/src/heard.rs
@@ -19,8 +19,8 @@
 pub(crate) fn take(instance: &Instance, from: SocketAddr, frame: Frame) {
     let now = instance.now();
     let peer = frame.incarnation;
-    if let Some(lent) = &frame.lent {
-        answer::take_lent(instance, peer, lent);
+    if let Some(reports) = &frame.reports {
+        answer::take_reports(instance, peer, reports);
     }
     if let Some(answer) = &frame.answer {
         ask::take(instance, from, answer);
--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -45,7 +45,7 @@
             instance.stirred.notify_one();
         }
         if let Some(placed_by) = target.placed_by {
-            instance.lent.begun(placed_by);
+            instance.reports.begun(placed_by);
         }
         Self {
             instance,
@@ -79,7 +79,7 @@
         let mut fleet = self.instance.fleet.borrow_mut();
         fleet.first(&self.sent, now);
         if let Some(placed_by) = self.placed_by {
-            self.instance.lent.read(placed_by, now);
+            self.instance.reports.read(placed_by, now);
             self.instance.stirred.notify_one();
         }
         let engine = fleet.get(&self.sent.engine);
@@ -104,7 +104,7 @@
         let mut fleet = self.instance.fleet.borrow_mut();
         fleet.end(&self.sent, self.outcome, now);
         if let Some(placed_by) = self.placed_by {
-            self.instance.lent.ended(placed_by, self.outcome);
+            self.instance.reports.ended(placed_by, self.outcome);
             self.instance.stirred.notify_one();
         }
     }
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -17,12 +17,12 @@
 use tokio::sync::Notify;
 
 use crate::ask::Questions;
-use crate::lent::Lent;
 use crate::metrics::Metrics;
 use crate::newcomers::Records;
 use crate::peers::{self, Peers, Topic};
 use crate::phase::Phase;
 use crate::pool::Pool;
+use crate::reports::Reports;
 
 /// One process.
 pub(crate) struct Instance {
@@ -40,8 +40,8 @@
     pub placers: RefCell<Placers>,
     /// Questions to other instances that are not answered yet.
     pub questions: Questions,
-    /// Calls that others placed for this instance.
-    pub lent: Lent,
+    /// Calls that others placed for this instance, and what is to be reported of them.
+    pub reports: Reports,
     /// Whether other instances should hear of this one soon.
     pub greeting_due: Cell<bool>,
     /// When this instance last read each topic itself.
@@ -81,7 +81,7 @@
             registry: RefCell::default(),
             placers: RefCell::default(),
             questions: Questions::default(),
-            lent: Lent::default(),
+            reports: Reports::default(),
             greeting_due: Cell::new(true),
             configuration_read: Cell::new(None),
             engines_read: Cell::new(None),
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -121,23 +121,23 @@
 
 /// Reports to those that placed calls what became of them.
 fn report(instance: &Instance, socket: &UdpSocket, now: Moment) -> usize {
-    tell_lent(instance, socket, instance.lent.take_reports(now))
+    tell_reports(instance, socket, instance.reports.take_reports(now))
 }
 
 /// Tells those that placed calls which are in hand, so that the loss of a report is made good.
 fn tell_open(instance: &Instance, socket: &UdpSocket, now: Moment) -> usize {
-    tell_lent(instance, socket, instance.lent.take_open(now))
+    tell_reports(instance, socket, instance.reports.take_open(now))
 }
 
-fn tell_lent(
+fn tell_reports(
     instance: &Instance,
     socket: &UdpSocket,
-    told: Vec<(SocketAddr, wire::gateway::Lent)>,
+    told: Vec<(SocketAddr, wire::gateway::Reports)>,
 ) -> usize {
-    let told = told.into_iter().map(|(placer, lent)| {
+    let told = told.into_iter().map(|(placer, reports)| {
         let frame = Frame {
             incarnation: instance.incarnation,
-            lent: Some(lent),
+            reports: Some(reports),
             ..Frame::default()
         };
         broadcast(socket, &frame, &[placer])
--- a/crates/gateway/src/lent.rs
+++ b/crates/gateway/src/reports.rs
@@ -37,9 +37,9 @@
 
 /// Calls of this instance by who placed them.
 #[derive(Debug, Default)]
-pub struct Lent(RefCell<BTreeMap<SocketAddr, Books>>);
+pub struct Reports(RefCell<BTreeMap<SocketAddr, Books>>);
 
-impl Lent {
+impl Reports {
     /// A placer is asked for a place.
     pub fn asked(&self, placer: SocketAddr, now: Moment) {
         let mut all = self.0.borrow_mut();
@@ -67,21 +67,21 @@
     }
 
     /// Reports that were not told yet, by placer.
-    pub fn take_reports(&self, now: Moment) -> Vec<(SocketAddr, gateway::Lent)> {
+    pub fn take_reports(&self, now: Moment) -> Vec<(SocketAddr, gateway::Reports)> {
         let mut all = self.0.borrow_mut();
         let due = all.iter_mut().filter(|(_, books)| books.has_reports());
-        due.map(|(placer, books)| (*placer, reports(books, now)))
+        due.map(|(placer, books)| (*placer, drained(books, now)))
             .collect()
     }
 
     /// Those that have placed calls which are in hand, or were asked a while ago, each with the calls in hand.
-    pub fn take_open(&self, now: Moment) -> Vec<(SocketAddr, gateway::Lent)> {
+    pub fn take_open(&self, now: Moment) -> Vec<(SocketAddr, gateway::Reports)> {
         let mut all = self.0.borrow_mut();
         let told = all.iter().map(|(placer, books)| {
-            let open = gateway::Lent {
+            let open = gateway::Reports {
                 open: books.open.iter().copied().collect(),
                 says_open: true,
-                ..gateway::Lent::default()
+                ..gateway::Reports::default()
             };
             (*placer, open)
         });
@@ -94,7 +94,7 @@
     }
 }
 
-fn reports(books: &mut Books, now: Moment) -> gateway::Lent {
+fn drained(books: &mut Books, now: Moment) -> gateway::Reports {
     let read = books.read.drain(..).map(|(ticket, at)| Report {
         ticket,
         age_ms: peers::millis(at, now),
@@ -105,9 +105,9 @@
         outcome: frame::told_outcome(outcome).into(),
         ..Report::default()
     });
-    gateway::Lent {
+    gateway::Reports {
         read: read.collect(),
         ended: ended.collect(),
-        ..gateway::Lent::default()
+        ..gateway::Reports::default()
     }
 }
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -15,11 +15,11 @@
 use crate::speed::Speed;
 use crate::{EngineId, ServiceName, hash, line};
 
-mod lent;
+mod remote;
 mod streams;
 mod told;
 
-use lent::Lent;
+use remote::Remote;
 
 /// Id of another instance.
 pub type PeerId = u64;
@@ -59,7 +59,7 @@
     /// Engines that change what they do.
     changing: BTreeSet<EngineId>,
     /// Calls that this instance placed for others, by the numbers that they have there.
-    lent: HashMap<PeerId, HashMap<Ticket, Lent>>,
+    remote: HashMap<PeerId, HashMap<Ticket, Remote>>,
     /// Work of prompts sent by all instances, by service.
     reading: HashMap<ServiceName, Flow>,
     changes: Vec<Change>,
--- a/crates/serving/src/fleet/lent.rs
+++ b/crates/serving/src/fleet/remote.rs
@@ -15,7 +15,7 @@
 
 /// A call of another instance.
 #[derive(Clone, Debug)]
-pub(super) struct Lent {
+pub(super) struct Remote {
     sent: Sent,
     since: Moment,
 }
@@ -26,7 +26,7 @@
 
 impl Fleet {
     /// Enters a call of another instance, by the number that it has there.
-    pub fn lend(
+    pub fn begin_for(
         &mut self,
         peer: PeerId,
         ticket: Ticket,
@@ -37,28 +37,25 @@
     ) {
         self.heard.insert(peer, now);
         let sent = self.begin(id, work, rank, now);
-        let lent = Lent { sent, since: now };
-        self.lent.entry(peer).or_default().insert(ticket, lent);
+        let remote = Remote { sent, since: now };
+        self.remote.entry(peer).or_default().insert(ticket, remote);
     }
 
     /// Takes in that the prompt of another instance's call was read at a moment.
-    pub fn lent_read(&mut self, peer: PeerId, ticket: Ticket, at: Moment) {
-        let lent = self.lent.get(&peer).and_then(|lent| lent.get(&ticket));
-        if let Some(sent) = lent.map(|lent| lent.sent.clone()) {
+    pub fn first_for(&mut self, peer: PeerId, ticket: Ticket, at: Moment) {
+        let remote = self
+            .remote
+            .get(&peer)
+            .and_then(|remote| remote.get(&ticket));
+        if let Some(sent) = remote.map(|remote| remote.sent.clone()) {
             self.first(&sent, at);
         }
     }
 
     /// Takes in that another instance's call has ended.
-    pub fn lent_ended(
-        &mut self,
-        peer: PeerId,
-        ticket: Ticket,
-        outcome: Option<Outcome>,
-        now: Moment,
-    ) {
-        let lent = self.lent.get_mut(&peer);
-        let Some(Lent { sent, .. }) = lent.and_then(|lent| lent.remove(&ticket)) else {
+    pub fn end_for(&mut self, peer: PeerId, ticket: Ticket, outcome: Option<Outcome>, now: Moment) {
+        let remote = self.remote.get_mut(&peer);
+        let Some(Remote { sent, .. }) = remote.and_then(|remote| remote.remove(&ticket)) else {
             return;
         };
         // That an engine has ended is certain, whoever says it.
@@ -70,25 +67,25 @@
     }
 
     /// Takes in all calls that another instance has in hand of those that this one placed for it.
-    pub fn lent_open(&mut self, peer: PeerId, open: &[Ticket], now: Moment) {
-        let Some(lent) = self.lent.get(&peer) else {
+    pub fn retain_for(&mut self, peer: PeerId, open: &[Ticket], now: Moment) {
+        let Some(remote) = self.remote.get(&peer) else {
             return;
         };
         self.heard.insert(peer, now);
-        let is_settled = |lent: &Lent| now.saturating_sub(lent.since) > SETTLED;
-        let over = lent
+        let is_settled = |remote: &Remote| now.saturating_sub(remote.since) > SETTLED;
+        let over = remote
             .iter()
-            .filter(|(ticket, lent)| is_settled(lent) && !open.contains(ticket));
+            .filter(|(ticket, remote)| is_settled(remote) && !open.contains(ticket));
         let over: Vec<Ticket> = over.map(|(ticket, _)| *ticket).collect();
         for ticket in over {
-            self.lent_ended(peer, ticket, None, now);
+            self.end_for(peer, ticket, None, now);
         }
     }
 
     /// Ends all calls of an instance that has ended or fallen silent.
-    pub(super) fn end_all_lent(&mut self, peer: PeerId, now: Moment) {
-        for lent in self.lent.remove(&peer).into_iter().flatten() {
-            self.end(&lent.1.sent, None, now);
+    pub(super) fn end_all_for(&mut self, peer: PeerId, now: Moment) {
+        for remote in self.remote.remove(&peer).into_iter().flatten() {
+            self.end(&remote.1.sent, None, now);
         }
     }
 }
--- a/crates/serving/src/fleet/told.rs
+++ b/crates/serving/src/fleet/told.rs
@@ -116,6 +116,6 @@
     pub fn forget_peer(&mut self, peer: PeerId, now: Moment) {
         self.heard.remove(&peer);
         self.clear(peer, now);
-        self.end_all_lent(peer, now);
+        self.end_all_for(peer, now);
     }
 }
--- a/crates/serving/tests/told.rs
+++ b/crates/serving/tests/told.rs
@@ -28,7 +28,7 @@
 fn two_calls_that_come_at_once_are_placed_with_each_other_in_mind() {
     let mut fleet = fleet(&[("a", Stage::Decode), ("b", Stage::Decode)]);
     let first = chosen(&fleet);
-    fleet.lend(7, 1, &first, 10_000, 1, NOW);
+    fleet.begin_for(7, 1, &first, 10_000, 1, NOW);
     let second = chosen(&fleet);
     assert_ne!(first, second);
 }
@@ -36,11 +36,11 @@
 #[test]
 fn a_call_of_another_instance_ends_by_its_report() {
     let mut fleet = fleet(&[("a", Stage::Decode)]);
-    fleet.lend(7, 1, &id("a"), 10_000, 1, NOW);
-    fleet.lend(7, 2, &id("a"), 0, 1, NOW);
+    fleet.begin_for(7, 1, &id("a"), 10_000, 1, NOW);
+    fleet.begin_for(7, 2, &id("a"), 0, 1, NOW);
     assert_eq!(running(&fleet), 2);
-    fleet.lent_ended(7, 1, Some(Outcome::Good), NOW + ms(300));
-    fleet.lent_ended(7, 1, Some(Outcome::Good), NOW + ms(310));
+    fleet.end_for(7, 1, Some(Outcome::Good), NOW + ms(300));
+    fleet.end_for(7, 1, Some(Outcome::Good), NOW + ms(310));
     assert_eq!(running(&fleet), 1);
 }
 
@@ -49,18 +49,18 @@
 #[test]
 fn a_report_that_is_lost_is_made_good_by_the_next_state() {
     let mut fleet = fleet(&[("a", Stage::Decode)]);
-    fleet.lend(7, 1, &id("a"), 0, 1, NOW);
-    fleet.lend(7, 2, &id("a"), 0, 1, NOW);
-    fleet.lent_open(7, &[], NOW + ms(5));
+    fleet.begin_for(7, 1, &id("a"), 0, 1, NOW);
+    fleet.begin_for(7, 2, &id("a"), 0, 1, NOW);
+    fleet.retain_for(7, &[], NOW + ms(5));
     assert_eq!(running(&fleet), 2, "the sender may not know the place yet");
-    fleet.lent_open(7, &[2], NOW + ms(700));
+    fleet.retain_for(7, &[2], NOW + ms(700));
     assert_eq!(running(&fleet), 1);
 }
 
 #[test]
 fn calls_of_an_instance_that_falls_silent_are_forgotten() {
     let mut fleet = fleet(&[("a", Stage::Decode)]);
-    fleet.lend(7, 1, &id("a"), 0, 1, NOW);
+    fleet.begin_for(7, 1, &id("a"), 0, 1, NOW);
     fleet.fade(NOW + ms(3_000));
     assert_eq!(running(&fleet), 1);
     fleet.fade(NOW + ms(3_500));
@@ -76,10 +76,10 @@
     for number in 0..200 {
         let (peer, sent) = (u64::from(number), NOW + ms(1_000 * u64::from(number)));
         let work = if number % 2 == 0 { 2_000 } else { 10_000 };
-        fleet.lend(peer, number, &id("a"), work, 1, sent);
+        fleet.begin_for(peer, number, &id("a"), work, 1, sent);
         let at = sent + ms(10 + u64::from(work) / 100);
-        fleet.lent_read(peer, number, at);
-        fleet.lent_ended(peer, number, Some(Outcome::Good), at);
+        fleet.first_for(peer, number, at);
+        fleet.end_for(peer, number, Some(Outcome::Good), at);
     }
     let after = fleet.speed(fleet.get("a").expect("it is there"));
     assert!((after.rate - 100.0).abs() < 5.0, "{before:?} to {after:?}");
@@ -93,8 +93,8 @@
     let mut fleet = fleet(&[("a", Stage::Decode), ("b", Stage::Decode)]);
     let first = chosen(&fleet);
     for peer in 1..=3 {
-        fleet.lend(peer, 1, &first, 0, 1, NOW);
-        fleet.lent_ended(peer, 1, Some(Outcome::Failed), NOW);
+        fleet.begin_for(peer, 1, &first, 0, 1, NOW);
+        fleet.end_for(peer, 1, Some(Outcome::Failed), NOW);
     }
     assert_ne!(chosen(&fleet), first);
 }
