Join what the change wrote twice, and look at digests only where they can matter

Found reading the whole change once more; no behaviour meant to change. What is sent to all others is built from the three fields that it has instead of clearing five of a copy. Instances that begin to place calls are new placers, since newcomers are those that start.

Work done for nothing: each frame that came in summed the digests of all engines to compare them with a digest that nearly no frame has; it is looked at now only where a frame has one and the engines are not all known. States of instances that lack nothing no longer count ranks.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -4,14 +4,13 @@
 use std::time::Duration;
 
 use serving::engine::Rank;
-use serving::parts::{Part, Prompt};
+use serving::parts::Prompt;
 use serving::place::{self, Demand, Generation, Refusal, Target};
 use serving::{Choice, EngineId, ServiceName, Zone, hash};
 use smallvec::SmallVec;
 use wire::gateway::{self, Answer, Ask, Frame, Split, answer};
 
-use crate::ask::{micros, millis};
-use crate::frame;
+use crate::frame::{self, micros, millis};
 use crate::instance::Instance;
 
 /// Takes in what became of calls that this instance placed for another one.
@@ -39,12 +38,11 @@
         log::debug!(from:% = from; "a question cannot be answered");
     }
     Some(Frame {
-        incarnation: instance.incarnation,
         answer: Some(Answer {
             ticket: question.ticket,
             choice,
         }),
-        ..Frame::default()
+        ..instance.frame()
     })
 }
 
@@ -59,11 +57,7 @@
     let model = known.model.as_ref();
     let prompt: Prompt = {
         let pieces = question.prompt.iter().flat_map(|prompt| &prompt.pieces);
-        let part = |piece: &gateway::Piece| Part {
-            id: piece.part,
-            tokens: piece.tokens,
-        };
-        pieces.map(part).collect()
+        pieces.map(frame::part).collect()
     };
     let tokens = question.prompt.as_ref().map(|prompt| prompt.tokens);
     let generation = tokens.zip(model).map(|(tokens, model)| Generation {
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use serving::engine::{Rank, Ticket};
-use serving::parts::Part;
 use serving::place::{self, Demand, Refusal, Target};
 use serving::{Choice, Fleet, Zone, hash, placer};
 use smallvec::SmallVec;
@@ -18,6 +17,7 @@
 use wire::Message as _;
 use wire::gateway::{self, Answer, Ask, Frame, answer};
 
+use crate::frame::{micros, millis, piece};
 use crate::instance::Instance;
 use crate::metrics::Asked;
 
@@ -135,9 +135,8 @@
     let ticket = instance.questions.number();
     let question = question(instance, ticket, demand, read_in);
     let frame = Frame {
-        incarnation: instance.incarnation,
         ask: Some(question),
-        ..Frame::default()
+        ..instance.frame()
     };
     instance.reports.asked(address, instance.now());
     let (sender, receiver) = oneshot::channel();
@@ -201,13 +200,6 @@
     }
 }
 
-fn piece(part: &Part) -> gateway::Piece {
-    gateway::Piece {
-        part: part.id,
-        tokens: part.tokens,
-    }
-}
-
 fn placed(fleet: &Fleet, demand: &Demand, placer: SocketAddr, answer: &Answer) -> Placed {
     let placed_by = (placer, answer.ticket);
     let target = |told: &gateway::Target| target(fleet, demand, told, placed_by);
@@ -267,13 +259,3 @@
         log::debug!(from:% = from; "an answer comes too late");
     }
 }
-
-/// A time as it is told.
-pub(crate) fn millis(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
-
-/// A short time as it is told.
-pub(crate) fn micros(time: Duration) -> u32 {
-    u32::try_from(time.as_micros()).unwrap_or(u32::MAX)
-}
--- a/crates/gateway/src/frame.rs
+++ b/crates/gateway/src/frame.rs
@@ -8,10 +8,34 @@
 use serving::engine::{Job, Rank, Stage, Ticket, Work};
 use serving::fleet::Change;
 use serving::health::Outcome;
+use serving::parts::Part;
 use serving::{EngineId, hash};
-use wire::gateway::{Frame, Started};
+use wire::gateway::{Frame, Piece, Started};
 
-use crate::peers;
+/// A time as it is told.
+pub(crate) fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// A short time as it is told.
+pub(crate) fn micros(time: Duration) -> u32 {
+    u32::try_from(time.as_micros()).unwrap_or(u32::MAX)
+}
+
+/// Milliseconds since a moment, as they are told.
+pub(crate) fn since(moment: Moment, now: Moment) -> u32 {
+    millis(now.saturating_sub(moment))
+}
+
+/// An age as it is told: plus one, so that nothing is told apart from now.
+pub(crate) fn age(moment: Option<Moment>, now: Moment) -> u32 {
+    moment.map_or(0, |moment| since(moment, now).saturating_add(1))
+}
+
+/// The moment of which an age tells, on this instance's clock.
+pub(crate) fn moment(age_ms: u32, now: Moment) -> Option<Moment> {
+    Some(before(now, age_ms.checked_sub(1)?))
+}
 
 /// The moment that was so long ago.
 pub(crate) fn before(now: Moment, age_ms: u32) -> Moment {
@@ -34,7 +58,7 @@
         ticket: job.ticket,
         work: job.work,
         rank: u32::from(job.rank),
-        age_ms: peers::millis(job.sent, now),
+        age_ms: since(job.sent, now),
     }
 }
 
@@ -55,6 +79,22 @@
     }
 }
 
+/// A part of a prompt as it is told.
+pub(crate) fn piece(part: &Part) -> Piece {
+    Piece {
+        part: part.id,
+        tokens: part.tokens,
+    }
+}
+
+/// A part of a prompt as another instance told it.
+pub(crate) fn part(piece: &Piece) -> Part {
+    Part {
+        id: piece.part,
+        tokens: piece.tokens,
+    }
+}
+
 fn ticket(engine: &EngineId, ticket: Ticket) -> wire::gateway::Ticket {
     wire::gateway::Ticket {
         engine: hash::short(engine),
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -12,7 +12,6 @@
 use tokio::time::{Instant, sleep};
 
 use crate::instance::Instance;
-use crate::peers::Topic;
 use crate::reply::{Refusal, refuse};
 use crate::{attempt::Asked, generate, plain};
 
@@ -158,8 +157,7 @@
 /// would notice it by refusals on all instances in the second after such a restart.
 async fn until_known(instance: &Instance) {
     let until = Instant::now() + KNOWING;
-    let knows = || instance.has(Topic::Configuration) && instance.has(Topic::Engines);
-    while !knows() && Instant::now() < until {
+    while !instance.knows_all() && Instant::now() < until {
         sleep(LOOK).await;
     }
 }
--- a/crates/gateway/src/heard.rs
+++ b/crates/gateway/src/heard.rs
@@ -10,9 +10,9 @@
 use serving::parts::Part;
 use wire::gateway::{Frame, News, State};
 
-use crate::frame::{before, job, outcome, work};
+use crate::frame::{before, job, moment, outcome, work};
 use crate::instance::Instance;
-use crate::peers::{self, Topic};
+use crate::peers::Topic;
 use crate::{answer, ask, follow, mesh};
 
 /// Takes in a frame.
@@ -43,7 +43,7 @@
     for news in frame.news {
         take_news(instance, news);
     }
-    know_all(instance, frame.all_engines);
+    note_all_engines(instance, frame.all_engines);
     if frame.read_configuration {
         instance.must_read.set(true);
     }
@@ -55,9 +55,9 @@
     drop(peers);
     // Others that are only told may lack what is missing here.
     if mesh::reads_store(state) {
-        know_all(instance, state.engines_digest);
+        note_all_engines(instance, state.engines_digest);
     }
-    if let Some(read) = peers::moment(state.engines_age_ms, now) {
+    if let Some(read) = moment(state.engines_age_ms, now) {
         instance.registry.borrow_mut().heard(read);
     }
     let mut fleet = instance.fleet.borrow_mut();
@@ -71,9 +71,13 @@
 }
 
 /// Takes in the digest of all engines, by which an instance that was told of them sees that none is missing.
-fn know_all(instance: &Instance, digest: u64) {
-    let own = instance.knows(Topic::Engines).digest;
-    if digest != 0 && own == digest && !instance.engines_known.replace(true) {
+fn note_all_engines(instance: &Instance, digest: u64) {
+    // Looked at first: a digest is a sum over all engines, and most frames come when all are known.
+    if digest == 0 || instance.engines_known.get() {
+        return;
+    }
+    if instance.knows(Topic::Engines).digest == digest {
+        instance.engines_known.set(true);
         log::info!("all engines known, from another instance");
     }
 }
@@ -125,11 +129,7 @@
 }
 
 fn take_news(instance: &Instance, news: News) {
-    let topic = if news.configuration {
-        Topic::Configuration
-    } else {
-        Topic::Engines
-    };
+    let topic = Topic::of(&news);
     let record = Keyed {
         offset: news.offset,
         key: news.key,
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -15,6 +15,7 @@
 use serving::watch::Known;
 use serving::{EngineId, Fleet, Table, Zone, hash};
 use tokio::sync::Notify;
+use wire::gateway::Frame;
 
 use crate::ask::Questions;
 use crate::metrics::Metrics;
@@ -105,6 +106,14 @@
         self.clock.now()
     }
 
+    /// A frame that tells nothing yet.
+    pub(crate) fn frame(&self) -> Frame {
+        Frame {
+            incarnation: self.incarnation,
+            ..Frame::default()
+        }
+    }
+
     /// Whether this instance places calls itself.
     pub(crate) fn is_placing(&self) -> bool {
         self.placers.borrow().own
@@ -196,6 +205,11 @@
         }
     }
 
+    /// Whether all is known that calls need.
+    pub(crate) fn knows_all(&self) -> bool {
+        self.has(Topic::Configuration) && self.has(Topic::Engines)
+    }
+
     /// Takes in that an engine uses these parts for a call that this instance placed, to be told to the other placers.
     pub(crate) fn uses(&self, engine: &EngineId, parts: &[Part]) {
         self.note_parts(engine, parts);
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -16,7 +16,7 @@
 use wire::Message as _;
 use wire::gateway::{Frame, State};
 
-use crate::frame::{add_changes, packed, started, told_changing, told_work, unpacked};
+use crate::frame::{add_changes, age, packed, started, told_changing, told_work, unpacked};
 use crate::instance::Instance;
 use crate::peers::{self, PARTS, Topic};
 use crate::{answer, discover, heard, newcomers, recall};
@@ -101,12 +101,13 @@
         instance.fleet.borrow_mut().fade(now);
         let is_greeting = instance.greeting_due.take() | instance.elect();
         tell_news(&instance, &socket, now);
-        let is_lacking = !(instance.has(Topic::Configuration) && instance.has(Topic::Engines));
-        let is_state_due = is_greeting || is_lacking || Instant::now() >= state_due;
-        let mut bytes = report(&instance, &socket, now);
+        let is_state_due = is_greeting || !instance.knows_all() || Instant::now() >= state_due;
+        let mut reports = instance.reports.take_reports(now);
         if is_state_due {
-            bytes += tell_open(&instance, &socket, now);
+            // Makes the loss of a report good.
+            reports.extend(instance.reports.take_open(now));
         }
+        let mut bytes = tell_reports(&instance, &socket, reports);
         if let Some(frame) = next_frame(&instance, is_state_due, now) {
             if is_state_due {
                 let reads = frame.state.as_ref().is_some_and(reads_store);
@@ -119,26 +120,16 @@
     }
 }
 
-/// Reports to those that placed calls what became of them.
-fn report(instance: &Instance, socket: &UdpSocket, now: Moment) -> usize {
-    tell_reports(instance, socket, instance.reports.take_reports(now))
-}
-
-/// Tells those that placed calls which are in hand, so that the loss of a report is made good.
-fn tell_open(instance: &Instance, socket: &UdpSocket, now: Moment) -> usize {
-    tell_reports(instance, socket, instance.reports.take_open(now))
-}
-
+/// Tells those that placed calls what became of them.
 fn tell_reports(
     instance: &Instance,
     socket: &UdpSocket,
-    told: Vec<(SocketAddr, wire::gateway::Reports)>,
+    reports: Vec<(SocketAddr, wire::gateway::Reports)>,
 ) -> usize {
-    let told = told.into_iter().map(|(placer, reports)| {
+    let told = reports.into_iter().map(|(placer, reports)| {
         let frame = Frame {
-            incarnation: instance.incarnation,
             reports: Some(reports),
-            ..Frame::default()
+            ..instance.frame()
         };
         broadcast(socket, &frame, &[placer])
     });
@@ -148,7 +139,7 @@
 /// Sends a frame to those that should know. An instance that places calls tells all others that do of all that it placed, and the
 /// rest that it lives; so does one that reads the store, also to those that are silent: that is how instances hear of each
 /// other. Any other instance tells the placers of its data centre that it lives, and all once it has started.
-fn send(instance: &Instance, socket: &UdpSocket, mut frame: Frame, is_greeting: bool) -> usize {
+fn send(instance: &Instance, socket: &UdpSocket, frame: Frame, is_greeting: bool) -> usize {
     let placers = instance.placers.borrow();
     let own = hash::short(&instance.zone);
     let mut told = placers.others.clone();
@@ -157,17 +148,19 @@
     }
     let told: Vec<SocketAddr> = told.into_iter().map(|(address, _)| address).collect();
     let bytes = broadcast(socket, &frame, &told);
-    let Some(state) = &mut frame.state else {
+    let is_for_all = |state: &State| state.placing || reads_store(state);
+    let Some(state) = frame.state.filter(is_for_all) else {
         return bytes;
     };
-    if !(state.placing || reads_store(state)) {
-        return bytes;
-    }
-    state.works.clear();
-    frame.started.clear();
-    frame.read.clear();
-    frame.ended.clear();
-    frame.parts.clear();
+    let frame = Frame {
+        state: Some(State {
+            works: Vec::new(),
+            ..state
+        }),
+        gone: frame.gone,
+        changing: frame.changing,
+        ..instance.frame()
+    };
     let mut rest = instance.peers.borrow().all();
     rest.retain(|address| !told.contains(address));
     bytes + broadcast(socket, &frame, &rest)
@@ -177,10 +170,7 @@
 fn next_frame(instance: &Instance, is_state_due: bool, now: Moment) -> Option<Frame> {
     let mut fleet = instance.fleet.borrow_mut();
     let mut peers = instance.peers.borrow_mut();
-    let mut frame = Frame {
-        incarnation: instance.incarnation,
-        ..Frame::default()
-    };
+    let mut frame = instance.frame();
     let mut changes = fleet.take_changes();
     if !instance.is_placing() {
         // Those that placed its calls tell the others.
@@ -233,8 +223,8 @@
         engines_digest: engines.digest,
         engines_upto: engines.upto,
         lacks_engines: !instance.has(Topic::Engines),
-        configuration_age_ms: peers::age(instance.configuration_read.get(), now),
-        engines_age_ms: peers::age(instance.engines_read.get(), now),
+        configuration_age_ms: age(instance.configuration_read.get(), now),
+        engines_age_ms: age(instance.engines_read.get(), now),
         knows,
         zone: hash::short(&instance.zone),
         order: instance.order(),
@@ -263,10 +253,9 @@
     for (first, rest) in peers::groups(&all) {
         let pass_to = rest.iter().filter_map(|address| packed(*address));
         let frame = Frame {
-            incarnation: instance.incarnation,
             news: news.clone(),
             pass_to: pass_to.collect(),
-            ..Frame::default()
+            ..instance.frame()
         };
         broadcast(socket, &frame, &[first]);
     }
@@ -300,20 +289,19 @@
 
 /// Tells instances that have begun to place calls what the engines of this instance's share hold.
 fn greet(instance: &Instance, socket: &UdpSocket) {
-    let newcomers = instance.peers.borrow_mut().take_newcomers();
-    if newcomers.is_empty() {
+    let placers = instance.peers.borrow_mut().take_new_placers();
+    if placers.is_empty() {
         return;
     }
     let reads = share_of_parts(instance);
     for some in reads.chunks(PARTS) {
         let frame = Frame {
-            incarnation: instance.incarnation,
             parts: some.to_vec(),
-            ..Frame::default()
+            ..instance.frame()
         };
-        broadcast(socket, &frame, &newcomers);
+        broadcast(socket, &frame, &placers);
     }
-    log::info!(newcomers = newcomers.len(), parts = reads.len(); "told new placers what engines hold");
+    log::info!(placers = placers.len(), parts = reads.len(); "told new placers what engines hold");
 }
 
 fn share_of_parts(instance: &Instance) -> Vec<wire::gateway::Part> {
--- a/crates/gateway/src/newcomers.rs
+++ b/crates/gateway/src/newcomers.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeMap;
 
+use serving::hash;
 use wire::gateway::{Frame, News, State};
 
 use crate::instance::Instance;
@@ -45,15 +46,8 @@
 
 /// What an instance that sent this state is to be told, if it knows nothing of a topic.
 pub(crate) fn frames(instance: &Instance, state: &State) -> Vec<Frame> {
-    let (own, theirs) = (serving::hash::short(&instance.zone), state.zone);
-    let is_first = || {
-        instance
-            .peers
-            .borrow()
-            .rank(instance.order(), instance.now())
-            < FIRST
-    };
-    if !instance.is_placing() || !(own == theirs || state.placing && is_first()) {
+    let is_lacking = state.configuration == 0 || state.lacks_engines;
+    if !is_lacking || !instance.is_placing() || !is_to_tell(instance, state) {
         return Vec::new();
     }
     let mut frames = Vec::new();
@@ -85,6 +79,15 @@
     frames
 }
 
+/// Whether this instance, of those that place calls, tells the one that sent this state.
+fn is_to_tell(instance: &Instance, state: &State) -> bool {
+    let is_first = || {
+        let peers = instance.peers.borrow();
+        peers.rank(instance.order(), instance.now()) < FIRST
+    };
+    hash::short(&instance.zone) == state.zone || state.placing && is_first()
+}
+
 fn configuration(instance: &Instance, news: &News) -> Frame {
     if news
         .value
@@ -92,9 +95,8 @@
         .is_some_and(|value| value.len() > LARGEST)
     {
         return Frame {
-            incarnation: instance.incarnation,
             read_configuration: true,
-            ..Frame::default()
+            ..instance.frame()
         };
     }
     frame(instance, vec![news.clone()])
@@ -102,8 +104,7 @@
 
 fn frame(instance: &Instance, news: Vec<News>) -> Frame {
     Frame {
-        incarnation: instance.incarnation,
         news,
-        ..Frame::default()
+        ..instance.frame()
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -11,6 +11,8 @@
 use serving::{EngineId, hash};
 use wire::gateway::{News, State, Ticket};
 
+use crate::frame::{moment, since};
+
 mod news;
 
 pub(crate) use news::groups;
@@ -31,6 +33,17 @@
     Engines,
 }
 
+impl Topic {
+    /// What a record is of.
+    pub(crate) fn of(news: &News) -> Self {
+        if news.configuration {
+            Self::Configuration
+        } else {
+            Self::Engines
+        }
+    }
+}
+
 /// Another instance.
 #[derive(Clone, Debug)]
 struct Peer {
@@ -59,6 +72,16 @@
 }
 
 impl Registered {
+    fn new(place: Place, order: Option<u64>, now: Moment) -> Self {
+        Self {
+            place,
+            order,
+            added: now,
+            peer: None,
+            missed: None,
+        }
+    }
+
     fn is_heard(&self, now: Moment) -> bool {
         let peer = self.peer.as_ref();
         peer.is_some_and(|peer| now.saturating_sub(peer.heard) < SILENT)
@@ -81,6 +104,11 @@
 }
 
 impl Peer {
+    /// Whether it places calls and does not know yet what engines hold.
+    fn learns(&self) -> bool {
+        self.placing && !self.knows
+    }
+
     fn said(&self, order: u64, topic: Topic) -> Said {
         let (knows, read) = match topic {
             Topic::Configuration => (version(self.configuration), self.configuration_read),
@@ -108,7 +136,7 @@
     deferred: Deferred<News>,
     /// Whether this instance knows what engines hold.
     pub knows: bool,
-    newcomers: Vec<SocketAddr>,
+    new_placers: Vec<SocketAddr>,
 }
 
 /// The place of an instance in the order in which instances read the store: those with the fastest
@@ -147,7 +175,7 @@
         let before = std::mem::replace(&mut self.read_before, new.clone());
         let told = before.into_iter().chain(new);
         let told = told.map(|(ticket, at)| Ticket {
-            age_ms: millis(at, now),
+            age_ms: since(at, now),
             ..ticket
         });
         told.collect()
@@ -162,13 +190,7 @@
         now: Moment,
     ) {
         let known = self.by_address.entry(address);
-        known.or_insert(Registered {
-            place,
-            order,
-            added: now,
-            peer: None,
-            missed: None,
-        });
+        known.or_insert_with(|| Registered::new(place, order, now));
     }
 
     /// Who places calls now, as this instance sees it.
@@ -206,22 +228,18 @@
         state: &State,
         now: Moment,
     ) -> Option<u64> {
-        let known = self.by_address.entry(from).or_insert(Registered {
-            place: state.zone,
-            order: None,
-            added: now,
-            peer: None,
-            missed: None,
-        });
+        let known = self.by_address.entry(from);
+        let known = known.or_insert_with(|| Registered::new(state.zone, None, now));
         known.place = state.zone;
         known.order = Some(state.order);
-        let before = known.peer.replace(peer(incarnation, state, now));
-        let learns = |placing: bool, knows: bool| placing && !knows;
-        let was_told = before.as_ref().is_some_and(|before| {
-            before.incarnation == incarnation && learns(before.placing, before.knows)
-        });
-        if self.knows && learns(state.placing, state.knows) && !was_told {
-            self.newcomers.push(from);
+        let peer = peer(incarnation, state, now);
+        let learns = peer.learns();
+        let before = known.peer.replace(peer);
+        let was_told = before
+            .as_ref()
+            .is_some_and(|before| before.incarnation == incarnation && before.learns());
+        if self.knows && learns && !was_told {
+            self.new_placers.push(from);
         }
         let before = before.filter(|before| before.incarnation != incarnation)?;
         Some(before.incarnation)
@@ -235,18 +253,13 @@
 
     /// Instances that come before `order` and may live, if any other instance is heard of at all, or may have just started.
     pub(crate) fn rank(&self, order: u64, now: Moment) -> u32 {
-        let mut known = self.by_address.values();
         let is_new = |known: &Registered| now.saturating_sub(known.added) < SILENT;
-        if !known
-            .clone()
-            .any(|known| known.is_heard(now) || is_new(known))
-        {
-            return 0;
+        let mut known = self.by_address.values();
+        if known.any(|known| known.is_heard(now) || is_new(known)) {
+            self.count_before(order, |known| known.peer.is_none() || known.is_heard(now))
+        } else {
+            0
         }
-        let may_live = |known: &&Registered| known.peer.is_none() || known.is_heard(now);
-        let before = |known: &Registered| known.order.is_some_and(|other| other < order);
-        let before = known.by_ref().filter(may_live).filter(|k| before(k));
-        u32::try_from(before.count()).unwrap_or(u32::MAX)
     }
 
     /// Whether a fresh reader of a topic comes before `order`.
@@ -257,8 +270,12 @@
 
     /// Instances that have been heard of lately and come before `order`.
     pub(crate) fn before(&self, order: u64, now: Moment) -> u32 {
-        let heard = self.by_address.values().filter(|known| known.is_heard(now));
-        let before = heard.filter(|known| known.order.is_some_and(|other| other < order));
+        self.count_before(order, |known| known.is_heard(now))
+    }
+
+    fn count_before(&self, order: u64, counts: impl Fn(&Registered) -> bool) -> u32 {
+        let known = self.by_address.values().filter(|known| counts(known));
+        let before = known.filter(|known| known.order.is_some_and(|other| other < order));
         u32::try_from(before.count()).unwrap_or(u32::MAX)
     }
 
@@ -274,8 +291,8 @@
     }
 
     /// Instances that have begun to place calls, to be told what engines hold.
-    pub(crate) fn take_newcomers(&mut self) -> Vec<SocketAddr> {
-        std::mem::take(&mut self.newcomers)
+    pub(crate) fn take_new_placers(&mut self) -> Vec<SocketAddr> {
+        std::mem::take(&mut self.new_placers)
     }
 }
 
@@ -312,20 +329,3 @@
         engines_read: moment(state.engines_age_ms, now),
     }
 }
-
-/// An age as it is told: plus one, so that nothing is told apart from now.
-pub(crate) fn age(moment: Option<Moment>, now: Moment) -> u32 {
-    moment.map_or(0, |moment| millis(moment, now).saturating_add(1))
-}
-
-/// Milliseconds since a moment.
-pub(crate) fn millis(moment: Moment, now: Moment) -> u32 {
-    let age = now.saturating_sub(moment).as_millis();
-    u32::try_from(age).unwrap_or(u32::MAX)
-}
-
-/// The moment of which an age tells, on this instance's clock.
-pub(crate) fn moment(age_ms: u32, now: Moment) -> Option<Moment> {
-    let age = age_ms.checked_sub(1)?;
-    Some(now.saturating_sub(Duration::from_millis(u64::from(age))))
-}
--- a/crates/gateway/src/peers/news.rs
+++ b/crates/gateway/src/peers/news.rs
@@ -54,12 +54,7 @@
     pub(crate) fn take_over(&mut self, order: u64, now: Moment) {
         let mut deferred = std::mem::take(&mut self.deferred);
         let known = |news: &News| {
-            let topic = if news.configuration {
-                Topic::Configuration
-            } else {
-                Topic::Engines
-            };
-            let before = self.said(topic).filter(|said| said.order < order);
+            let before = self.said(Topic::of(news)).filter(|said| said.order < order);
             let fresh = before.filter(|said| said.is_fresh(now));
             fresh.map(|said| said.knows.upto).max()
         };
--- a/crates/gateway/src/ready.rs
+++ b/crates/gateway/src/ready.rs
@@ -17,6 +17,6 @@
 
 /// An instance is ready once it knows a configuration and the engines, until it is asked to end.
 fn is_ready(instance: &Instance) -> bool {
-    let knows = instance.table.borrow().is_some() && instance.engines_known.get();
+    let knows = instance.knows_all();
     knows && !instance.phase.is_leaving()
 }
--- a/crates/gateway/src/recall.rs
+++ b/crates/gateway/src/recall.rs
@@ -36,8 +36,7 @@
 /// Learns what engines hold each time that this instance begins to place calls.
 pub(crate) async fn run(instance: Rc<Instance>) {
     loop {
-        while !(instance.is_placing() && instance.engines_known.get() && instance.table().is_some())
-        {
+        while !(instance.is_placing() && instance.knows_all()) {
             sleep(LOOK).await;
         }
         sleep(HEARSAY).await;
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -10,7 +10,7 @@
 use serving::health::Outcome;
 use wire::gateway::{self, Report};
 
-use crate::{frame, peers};
+use crate::frame;
 
 /// What one placer is to be told.
 #[derive(Debug, Default)]
@@ -97,7 +97,7 @@
 fn drained(books: &mut Books, now: Moment) -> gateway::Reports {
     let read = books.read.drain(..).map(|(ticket, at)| Report {
         ticket,
-        age_ms: peers::millis(at, now),
+        age_ms: frame::since(at, now),
         ..Report::default()
     });
     let ended = books.ended.drain(..).map(|(ticket, outcome)| Report {
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -296,21 +296,11 @@
         let Some(engine) = self.engines.get(&sent.engine) else {
             return;
         };
-        let mut own = engine.pending.iter();
-        let pending = own.find(|pending| pending.job.ticket == sent.ticket);
-        if let Some(pending) = pending.copied() {
-            self.unread(&sent.engine, &pending, now);
-        }
-    }
-
-    /// Takes in that a call ended before its prompt was read.
-    fn unread(&mut self, id: &EngineId, pending: &Pending, now: Moment) {
-        let Some(engine) = self.engines.get(id) else {
+        let yields = |pending: &&Pending| pending.job.rank >= LATE && pending.job.work > 0;
+        let mut own = engine.pending.iter().filter(yields);
+        let Some(pending) = own.find(|pending| pending.job.ticket == sent.ticket) else {
             return;
         };
-        if pending.job.rank < LATE || pending.job.work == 0 {
-            return;
-        }
         let expected = pending.expected.as_secs_f64() + self.speed(engine).setup / 1_000.0;
         let took = now.saturating_sub(pending.job.sent).as_secs_f64();
         let overrun = self.overruns.entry(engine.record.service.clone());
@@ -338,11 +328,6 @@
             .collect()
     }
 
-    /// Whether something changed since then.
-    pub fn has_changes(&self) -> bool {
-        !self.changes.is_empty()
-    }
-
     /// Tokens of work that all instances have had read lately, in a millisecond.
     pub fn reading(&self, service: &ServiceName, now: Moment) -> f64 {
         self.reading.get(service).map_or(0.0, |flow| flow.rate(now))
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -173,8 +173,11 @@
 impl<T> Deferred<T> {
     /// Leaves something to the reader before. Whoever has read it knows the topic up to `upto`.
     pub fn leave(&mut self, what: T, upto: u64, now: Moment) {
-        let since = now;
-        self.0.push(Left { what, upto, since });
+        self.0.push(Left {
+            what,
+            upto,
+            since: now,
+        });
     }
 
     /// What is to be told after all, since none of the readers before has read it in time. `knows` says how far the one of them
