Log what broken calls share with their repeats

Three hypotheses: one call whose caller repeats it under new ids ends each engine that begins to run it, and nothing remembers it beyond its attempt; what we send ends engines (memory handed over, too much work); engines end by themselves and callers repeat what broke. Ends at engines that read the prompt themselves and at those that took it over speak against the second. Logs cannot tell the first from the third: ids are new with each repeat, and caller, path and body are in no line.

Change: lines of broken calls bear the caller's address and a fingerprint of caller, method, host, path and body (128 bits of a cryptographic hash, fields behind their lengths). It is made only for calls that broke. No behaviour changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,15 +1,18 @@
 //! One call and its attempts at engines, common to plain calls and generations.
 
-use std::net::SocketAddr;
+use std::cell::OnceCell;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::uri::PathAndQuery;
 use actix_http::{RequestHead, ResponseHead, StatusCode};
 use adapter::ingress::{self, Call};
 use adapter::upstream::{self, Reply, Sending};
 use bytes::Bytes;
 use http1::{Arrival, Client, Failure, Framing};
 use serving::engine::Record;
+use serving::fingerprint::{self, Fingerprint};
 use serving::health::Outcome;
 use serving::place::{Demand, Generation, Target};
 use serving::{Choice, EngineId, Route, Service, Table, Zone};
@@ -26,6 +29,9 @@
     pub head: RequestHead,
     pub body: Bytes,
     pub call: Call,
+    /// Where its connection comes from.
+    pub caller: IpAddr,
+    fingerprint: OnceCell<Fingerprint>,
     pub route: Rc<Route>,
     pub service: Service,
     /// When its caller, or the operator, no longer waits.
@@ -68,7 +74,11 @@
 const UNKNOWING_AFTER: Duration = Duration::from_millis(200);
 
 impl Asked {
-    pub(crate) fn new(instance: &Instance, arrival: Arrival) -> Result<Self, Unserved> {
+    pub(crate) fn new(
+        instance: &Instance,
+        arrival: Arrival,
+        caller: IpAddr,
+    ) -> Result<Self, Unserved> {
         let call = ingress::call(&arrival.head).map_err(|finding| Unserved {
             status: StatusCode::BAD_REQUEST,
             id: None,
@@ -118,9 +128,30 @@
             head: arrival.head,
             body: arrival.body,
             call,
+            caller,
+            fingerprint: OnceCell::new(),
         })
     }
 
+    /// What its repeats share with it. Made when it is first asked for, since few calls need it.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let uri = &self.head.uri;
+            fingerprint::of(&fingerprint::Request {
+                caller: self.caller,
+                method: self.head.method.as_str(),
+                host: &self.call.host,
+                path: uri.path_and_query().map_or("/", PathAndQuery::as_str),
+                body: &self.body,
+            })
+        })
+    }
+
+    /// [`Asked::fingerprint`] as logs and the store's keys have it.
+    pub(crate) fn fingerprint_text(&self) -> String {
+        format!("{:032x}", self.fingerprint())
+    }
+
     pub(crate) fn left(&self) -> Duration {
         self.until.saturating_duration_since(Instant::now())
     }
--- a/crates/gateway/src/front.rs
+++ b/crates/gateway/src/front.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::io;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -50,13 +51,13 @@
             () = instance.phase.closing() => return,
         };
         match accepted {
-            Ok((stream, _)) => drop(actix_rt::spawn(serve(instance.clone(), stream))),
+            Ok((stream, peer)) => drop(actix_rt::spawn(serve(instance.clone(), stream, peer.ip()))),
             Err(error) => accept_failed(&error).await,
         }
     }
 }
 
-async fn serve(instance: Rc<Instance>, stream: TcpStream) {
+async fn serve(instance: Rc<Instance>, stream: TcpStream, caller: IpAddr) {
     let Ok(mut server) = Server::new(stream, &CALLER, &instance.codec) else {
         return;
     };
@@ -67,7 +68,7 @@
             begun = server.wait(&limits) => if begun.is_err() { return },
             () = instance.phase.closing(), if !server.has_more() => return,
         }
-        if !one(&instance, &mut server, &limits).await {
+        if !one(&instance, &mut server, &limits, caller).await {
             return;
         }
     }
@@ -85,7 +86,12 @@
 }
 
 /// Serves one request. Says whether another may follow on the connection.
-async fn one(instance: &Rc<Instance>, server: &mut Server, limits: &Limits) -> bool {
+async fn one(
+    instance: &Rc<Instance>,
+    server: &mut Server,
+    limits: &Limits,
+    caller: IpAddr,
+) -> bool {
     let _in_hand = instance.phase.begin();
     let arrival = match server.request(limits).await {
         Ok(arrival) => arrival,
@@ -97,7 +103,7 @@
     let (reader, writer) = server.sides();
     tokio::select! {
         biased;
-        done = respond(instance, arrival, writer) => done && writer.keeps_open(),
+        done = respond(instance, arrival, caller, writer) => done && writer.keeps_open(),
         () = reader.gone() => false,
     }
 }
@@ -121,6 +127,7 @@
 async fn respond(
     instance: &Rc<Instance>,
     arrival: http1::Arrival,
+    caller: IpAddr,
     writer: &mut http1::Writer,
 ) -> bool {
     let leaving = instance.phase.is_leaving();
@@ -136,7 +143,7 @@
         return refuse(writer, refusal, true).await.is_ok();
     }
     until_known(instance).await;
-    match Asked::new(instance, arrival) {
+    match Asked::new(instance, arrival, caller) {
         Ok(asked) => answer(instance, &asked, writer).await,
         Err(unserved) => {
             unserved.tell();
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -252,7 +252,9 @@
                 };
             }
             Tried::Lost(failure) => {
-                log::info!(id = self.asked.call.id.as_str(), engine = &*engine.id, failure:% = failure; "the prompt's reading was lost");
+                log::info!(id = self.asked.call.id.as_str(), engine = &*engine.id, failure:% = failure,
+                    fingerprint = self.asked.fingerprint_text(), caller:% = self.asked.caller;
+                    "the prompt's reading was lost");
                 held.note(Outcome::Failed);
                 return Prompt::Lost;
             }
@@ -319,7 +321,9 @@
                 Generated::NotRun(why)
             }
             Tried::Lost(failure) => {
-                log::info!(id = self.asked.call.id.as_str(), engine = &*engine.id, failure:% = failure; "the engine's answer was lost");
+                log::info!(id = self.asked.call.id.as_str(), engine = &*engine.id, failure:% = failure,
+                    fingerprint = self.asked.fingerprint_text(), caller:% = self.asked.caller;
+                    "the engine's answer was lost");
                 held.note(Outcome::Failed);
                 self.avoid.push(target.engine.clone());
                 Generated::Next(self.lost("The engine's answer was lost."))
@@ -361,7 +365,9 @@
                 Next::Done(Done::Broken("the caller has gone"))
             }
             relay::End::Broken(failure) => {
-                log::info!(id = self.asked.call.id.as_str(), engine = &**engine, failure:% = failure, last:? = self.relay.last(); "the engine broke off");
+                log::info!(id = self.asked.call.id.as_str(), engine = &**engine, failure:% = failure, last:? = self.relay.last(),
+                    fingerprint = self.asked.fingerprint_text(), caller:% = self.asked.caller;
+                    "the engine broke off");
                 held.note(Outcome::Failed);
                 self.avoid.push(engine.clone());
                 self.lost("The engine broke off.")
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -233,7 +233,9 @@
             Tried::Answer(answered) => whole(instance, asked, &engine.id, answered).await,
             Tried::NotRun(why) => One::NotRun(why),
             Tried::Lost(failure) => {
-                log::info!(id = asked.call.id.as_str(), engine = &*engine.id, failure = failure.name(); "answer lost");
+                log::info!(id = asked.call.id.as_str(), engine = &*engine.id, failure = failure.name(),
+                    fingerprint = asked.fingerprint_text(), caller:% = asked.caller;
+                    "answer lost");
                 One::Lost
             }
         }
@@ -280,7 +282,9 @@
             One::Whole(Box::new(Finished { head, reply }), body)
         }
         Err(failure) => {
-            log::info!(id = asked.call.id.as_str(), engine = &**engine, failure:% = failure; "broken answer");
+            log::info!(id = asked.call.id.as_str(), engine = &**engine, failure:% = failure,
+                fingerprint = asked.fingerprint_text(), caller:% = asked.caller;
+                "broken answer");
             One::Lost
         }
     }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -10,6 +10,7 @@
 mod cost;
 pub mod engine;
 mod fetch;
+pub mod fingerprint;
 mod fit;
 pub mod fleet;
 mod flow;
--- /dev/null
+++ b/crates/serving/tests/fingerprint.rs
@@ -0,0 +1,56 @@
+//! A request keeps its fingerprint when it comes again, and shares it with no other one.
+
+use std::net::{IpAddr, Ipv4Addr};
+
+use proptest::prelude::*;
+use serving::fingerprint::{Request, of};
+
+const REQUEST: Request = Request {
+    caller: IpAddr::V4(Ipv4Addr::new(10, 0, 0, 1)),
+    method: "POST",
+    host: "h",
+    path: "/chat/1",
+    body: b"hello",
+};
+
+#[test]
+fn every_field_counts() {
+    let others = [
+        Request {
+            caller: IpAddr::V4(Ipv4Addr::new(10, 0, 0, 2)),
+            ..REQUEST
+        },
+        Request {
+            method: "PUT",
+            ..REQUEST
+        },
+        Request {
+            host: "i",
+            ..REQUEST
+        },
+        Request {
+            path: "/chat/2",
+            ..REQUEST
+        },
+        Request {
+            body: b"hello!",
+            ..REQUEST
+        },
+    ];
+    for other in others {
+        assert_ne!(of(&other), of(&REQUEST), "{other:?}");
+    }
+}
+
+proptest! {
+    /// A caller that moves bytes from one field to the next makes another request.
+    #[test]
+    fn fields_do_not_run_into_each_other(text in "[a-z/]{2,12}", cut in 1usize..12, other in 1usize..12) {
+        let at = |cut: usize| {
+            let (path, body) = text.split_at(cut.min(text.len() - 1));
+            of(&Request { path, body: body.as_bytes(), ..REQUEST })
+        };
+        let (cut, other) = (cut.min(text.len() - 1), other.min(text.len() - 1));
+        prop_assert_eq!(at(cut) == at(other), cut == other);
+    }
+}
