--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -277,6 +277,11 @@
         self.call(path, id, &headers).await
     }
 
+    /// Sends a generation that has the same prompt each time.
+    pub(crate) async fn generate_same(&self, path: &str, id: &str) -> Answer {
+        self.call(path, id, &generation()).await
+    }
+
     /// An id that no call has had.
     pub(crate) fn fresh_id(&self) -> String {
         self.ids.set(self.ids.get() + 1);
