Keep calls that end engines from them, at every instance

Cause: an instance knew a call for as long as its own attempt; a call that ends each engine which runs it began anew with each repeat, at whichever instance took it.

Change: an engine has ended if its address refuses connections right after an answer broke off; all calls that it had in hand are noted (serving::quarantine), told to all instances at once and once more, joined in any order, and compared by a digest in every state. A run that its engine outlives clears a call for that build of engines. Two ends: the call goes alone, to the engine with the fewest calls. Three: it is held, with 503 and a time, at every way to an engine. What is noted twice goes into the store beside the registered instances, which each instance that starts reads, at no further read. A held call is tried again after 30 s and after 10 min, by the one instance whose append the store takes.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -89,6 +89,7 @@
             avoid: &avoid,
             connected: &connected,
             left: Duration::from_millis(question.left_ms.into()),
+            alone: question.alone,
         };
         if question.read_in.is_empty() {
             place::choose(&fleet, &demand, now)
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -197,6 +197,7 @@
         avoid: avoid.map(|id| hash::short(id)).collect(),
         read_in: read_in.map(ToString::to_string).unwrap_or_default(),
         connected: demand.connected.iter().map(|id| hash::short(id)).collect(),
+        alone: demand.alone,
     }
 }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -14,15 +14,17 @@
 use serving::engine::Record;
 use serving::fingerprint::{self, Fingerprint};
 use serving::health::Outcome;
-use serving::place::{Demand, Generation, Target};
+use serving::place::{self, Demand, Generation, Target};
 use serving::{Choice, EngineId, Route, Service, Table, Zone};
 use smallvec::SmallVec;
 use tokio::time::Instant;
 
+use crate::admission::{self, Admission};
 use crate::ask;
 use crate::front::NO_ROUTE;
 use crate::instance::Instance;
 use crate::reply::Refusal;
+use crate::suspects::{self, Subject};
 
 /// A caller's request with all that was looked up for it.
 pub(crate) struct Asked {
@@ -147,9 +149,18 @@
         })
     }
 
-    /// [`Asked::fingerprint`] as logs and the store's keys have it.
+    /// [`Asked::fingerprint`] as logs have it.
     pub(crate) fn fingerprint_text(&self) -> String {
-        format!("{:032x}", self.fingerprint())
+        suspects::text(self.fingerprint())
+    }
+
+    /// What is remembered of it beyond its end.
+    pub(crate) fn subject(&self) -> Subject {
+        Subject {
+            id: self.call.id.clone(),
+            fingerprint: self.fingerprint(),
+            caller: self.caller,
+        }
     }
 
     pub(crate) fn left(&self) -> Duration {
@@ -335,14 +346,33 @@
     avoid: &Avoid,
     may_split: bool,
 ) -> Choice {
+    let admission = admission::admit(instance, asked).await;
+    if let Admission::Held(after) = admission {
+        return Choice::Refuse {
+            after,
+            why: place::Refusal::Held,
+            best: None,
+        };
+    }
+    let avoid = avoided(avoid, &admission);
     let connected = instance.pool.connected(instance.now());
     let demand = Demand {
         may_split,
-        ..demand(instance, asked, avoid, &connected)
+        alone: matches!(admission, Admission::Alone),
+        ..demand(instance, asked, &avoid, &connected)
     };
     ask::choose(instance, &demand).await
 }
 
+/// Engines that a call must not go to, with those that its admission excludes.
+fn avoided(avoid: &Avoid, admission: &Admission) -> Avoid {
+    let mut all = avoid.clone();
+    if let Admission::Avoiding(others) = admission {
+        all.extend(others.iter().cloned());
+    }
+    all
+}
+
 /// Finds the engine that takes over a prompt that was read in a data centre.
 pub(crate) async fn place_decode(
     instance: &Instance,
@@ -350,8 +380,13 @@
     avoid: &Avoid,
     source: &Zone,
 ) -> Option<Target> {
+    let admission = admission::admit_further(instance, asked);
+    if matches!(admission, Admission::Held(_)) {
+        return None;
+    }
+    let avoid = avoided(avoid, &admission);
     let connected = instance.pool.connected(instance.now());
-    let demand = demand(instance, asked, avoid, &connected);
+    let demand = demand(instance, asked, &avoid, &connected);
     ask::decode(instance, &demand, source).await
 }
 
@@ -383,6 +418,7 @@
         avoid,
         connected,
         left: asked.first_left(),
+        alone: false,
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/crashes.rs
@@ -0,0 +1,134 @@
+//! Tells the end of an engine from all else that cuts a call.
+//!
+//! A call whose connection breaks says little: a reset, a lost answer and a broken body leave their engine alive, and a silent link
+//! may hide one that works. An engine that has ended refuses connections, since nothing listens at its address until it is back
+//! seconds later. So a broken call has its engine tried with one connection, and only a refusal, or another engine that
+//! answers there, counts. One that said that it leaves has not crashed, whatever becomes of its last calls.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http1::{Client, Failure, Patience};
+use serving::EngineId;
+use serving::engine::{Record, State};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use crate::attempt::Asked;
+use crate::instance::Instance;
+
+/// Time for a connection to open, or to be refused.
+const CONNECT: Duration = Duration::from_millis(350);
+const PATIENCE: Patience = Patience {
+    connect: CONNECT,
+    acknowledge: CONNECT,
+    probe: CONNECT,
+    probes: 1,
+};
+/// Pause between two tries of an engine that is silent.
+const AGAIN: Duration = Duration::from_millis(300);
+/// Tries of an engine that is silent. Engines are back within some seconds; from then on, the address tells nothing of the one before.
+const TRIES: usize = 8;
+/// Longest time that a call which may end engines waits to know whether it has ended one more, before it is sent again.
+const KNOWING: Duration = Duration::from_millis(400);
+
+/// What one connection tells of an engine.
+enum Sign {
+    Ended,
+    Lives,
+    Silent,
+}
+
+/// Engines that are tried now, each with a word once it is known what became of it.
+#[derive(Debug, Default)]
+pub(crate) struct Crashes(RefCell<BTreeMap<EngineId, watch::Receiver<bool>>>);
+
+/// Takes in that an engine's answer to a call broke off. Returns once it is known whether the engine has ended, if that
+/// matters for what is done with the call next.
+pub(crate) async fn broke_off(instance: &Rc<Instance>, asked: &Asked, engine: &Record) {
+    let is_leaving = {
+        let fleet = instance.fleet.borrow();
+        let known = fleet.get(&engine.id);
+        known.is_none_or(|known| known.gone || known.record.state == State::Draining)
+    };
+    if is_leaving {
+        return;
+    }
+    let at = instance.now();
+    let mut known = known(instance, engine);
+    let noting = {
+        let (instance, engine) = (instance.clone(), engine.clone());
+        let subject = asked.subject();
+        let mut known = known.clone();
+        async move {
+            // A try that ends without a word is one that did not tell.
+            if known.wait_for(|ended| *ended).await.is_ok() {
+                instance.suspects.crashed(&subject, &engine, at);
+                instance.stirred.notify_one();
+            }
+        }
+    };
+    let noting = actix_rt::spawn(noting);
+    if instance.suspects.is_noted(asked) {
+        let is_told = async {
+            drop(known.wait_for(|ended| *ended).await);
+            drop(noting.await);
+        };
+        if timeout(KNOWING, is_told).await.is_err() {
+            log::debug!(engine = &*engine.id; "it is not known yet whether an engine has ended");
+        }
+    }
+}
+
+/// Says whether an engine has ended, once that is known. All calls that break at once share one try.
+fn known(instance: &Rc<Instance>, engine: &Record) -> watch::Receiver<bool> {
+    let mut tried = instance.crashes.0.borrow_mut();
+    if let Some(known) = tried.get(&engine.id) {
+        return known.clone();
+    }
+    let (tell, known) = watch::channel(false);
+    tried.insert(engine.id.clone(), known.clone());
+    let (instance, engine) = (instance.clone(), engine.clone());
+    actix_rt::spawn(async move {
+        if has_ended(&instance, &engine).await {
+            tell.send_replace(true);
+        }
+        instance.crashes.0.borrow_mut().remove(&engine.id);
+    });
+    known
+}
+
+async fn has_ended(instance: &Instance, engine: &Record) -> bool {
+    for _ in 0..TRIES {
+        match sign(instance, engine).await {
+            Sign::Ended => return true,
+            Sign::Lives => return false,
+            Sign::Silent => sleep(AGAIN).await,
+        }
+    }
+    false
+}
+
+async fn sign(instance: &Instance, engine: &Record) -> Sign {
+    let is_replaced = {
+        let fleet = instance.fleet.borrow();
+        let known = fleet.get(&engine.id);
+        known.is_some_and(|known| known.health.has_ended())
+    };
+    if is_replaced {
+        return Sign::Ended;
+    }
+    match Client::open(engine.address, &PATIENCE, &instance.codec).await {
+        Ok(client) => {
+            instance.pool.give(&engine.id, client, None, instance.now());
+            Sign::Lives
+        }
+        Err(Failure::NotSent(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            Sign::Ended
+        }
+        Err(_) => Sign::Silent,
+    }
+}
--- a/crates/gateway/src/discover.rs
+++ b/crates/gateway/src/discover.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use crate::instance::Instance;
+use crate::trials;
 
 /// Pause between two reads of the other instances. Each one that starts tells all that are registered
 /// of itself, so that a read finds only what was lost.
@@ -49,7 +50,10 @@
 
 fn add_all(instance: &Instance, records: &[Keyed]) {
     let mut peers = instance.peers.borrow_mut();
-    let values = records.iter().filter_map(|record| record.value.as_ref());
+    let others = records
+        .iter()
+        .filter(|record| !trials::take(instance, record));
+    let values = others.filter_map(|record| record.value.as_ref());
     let texts = values.filter_map(|value| std::str::from_utf8(value).ok());
     let now = instance.now();
     for text in texts {
--- a/crates/gateway/src/frame.rs
+++ b/crates/gateway/src/frame.rs
@@ -6,11 +6,13 @@
 
 use clock::Moment;
 use serving::engine::{Job, Rank, Stage, Ticket, Work};
+use serving::fingerprint::Fingerprint;
 use serving::fleet::Change;
 use serving::health::Outcome;
 use serving::parts::Part;
+use serving::quarantine::{Crash, Entry, Good};
 use serving::{EngineId, hash};
-use wire::gateway::{Frame, Piece, Started};
+use wire::gateway::{Frame, Piece, Started, Suspect};
 
 /// A time as it is told.
 pub(crate) fn millis(time: Duration) -> u32 {
@@ -169,6 +171,74 @@
     }
 }
 
+/// A call that may end engines, as it is told.
+pub(crate) fn told_suspect(call: Fingerprint, entry: &Entry, now: Moment) -> Suspect {
+    let crashes = entry.crashes.iter().map(|crash| wire::gateway::Crash {
+        engine: crash.engine,
+        build: crash.build,
+        age_ms: since(crash.at, now),
+    });
+    let good = entry.good.iter().map(|good| wire::gateway::Good {
+        build: good.build,
+        age_ms: since(good.at, now),
+    });
+    #[allow(clippy::cast_possible_truncation)]
+    let (high, low) = ((call >> 64) as u64, call as u64);
+    Suspect {
+        call_high: high,
+        call_low: low,
+        caller: entry.caller,
+        crashes: crashes.collect(),
+        good: good.collect(),
+        released_age_ms: age(entry.released, now),
+        trials: entry.trials,
+        tried_age_ms: age(entry.tried, now),
+        written_unix_ms: 0,
+    }
+}
+
+/// A call that may end engines, as another instance told it.
+pub(crate) fn suspect(told: &Suspect, now: Moment) -> (Fingerprint, Entry) {
+    let call = Fingerprint::from(told.call_high) << 64 | Fingerprint::from(told.call_low);
+    let crashes = told.crashes.iter().map(|crash| Crash {
+        engine: crash.engine,
+        build: crash.build,
+        at: before(now, crash.age_ms),
+    });
+    let good = told.good.iter().map(|good| Good {
+        build: good.build,
+        at: before(now, good.age_ms),
+    });
+    let entry = Entry {
+        caller: told.caller,
+        crashes: crashes.collect(),
+        good: good.collect(),
+        released: moment(told.released_age_ms, now),
+        trials: told.trials,
+        tried: moment(told.tried_age_ms, now),
+    };
+    (call, entry)
+}
+
+/// A call as the store has it, with the ages that it has by now. Clocks that differ by seconds move the end of a hold by as
+/// much.
+pub(crate) fn aged(written: Suspect, now_unix_ms: u64) -> Suspect {
+    let by = now_unix_ms.saturating_sub(written.written_unix_ms);
+    let by = u32::try_from(by).unwrap_or(u32::MAX);
+    let older = |age_ms: u32| age_ms.saturating_add(by);
+    let if_any = |age_ms: u32| if age_ms == 0 { 0 } else { older(age_ms) };
+    let mut aged = written;
+    for crash in &mut aged.crashes {
+        crash.age_ms = older(crash.age_ms);
+    }
+    for good in &mut aged.good {
+        good.age_ms = older(good.age_ms);
+    }
+    aged.released_age_ms = if_any(aged.released_age_ms);
+    aged.tried_age_ms = if_any(aged.tried_age_ms);
+    aged
+}
+
 /// An address in one number, if it fits.
 pub(crate) fn packed(address: SocketAddr) -> Option<u64> {
     match address {
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -7,12 +7,14 @@
 
 use adapter::upstream::{self, Memory, Sending};
 use http1::Writer;
+use serving::engine::Record;
 use serving::health::Outcome;
 use serving::place::{Refusal, Target};
 use serving::{Choice, EngineId, Zone};
 use tokio::time::timeout_at;
 
 use crate::attempt::{self, Answered, Asked, Avoid, MOST, NotRun, Rejections, Tried};
+use crate::crashes;
 use crate::held::Held;
 use crate::instance::Instance;
 use crate::metrics;
@@ -175,10 +177,7 @@
         if self.runs > 0 {
             return Done::Unserved(End::Unknown("No further engine takes the call."));
         }
-        let why = match why {
-            Refusal::NoEngine => "No engine takes the call.",
-            Refusal::TooMuchWork => "There is too much work before this call.",
-        };
+        let why = why.text();
         Done::Unserved(End::NotRun { after, why, best })
     }
 
@@ -256,6 +255,8 @@
                     fingerprint = self.asked.fingerprint_text(), caller:% = self.asked.caller;
                     "the prompt's reading was lost");
                 held.note(Outcome::Failed);
+                drop(held);
+                crashes::broke_off(self.instance, self.asked, &engine).await;
                 return Prompt::Lost;
             }
         };
@@ -263,6 +264,9 @@
             reply, mut client, ..
         } = *answered;
         let body = client.body(MOST).await;
+        if body.is_err() {
+            crashes::broke_off(self.instance, self.asked, &engine).await;
+        }
         let read = body.ok().filter(|_| reply.is_success());
         let Some(read) = read.and_then(|body| upstream::prompt_read(&body)) else {
             held.note(Outcome::Failed);
@@ -312,7 +316,7 @@
                 if let Some(memory) = memory {
                     memory.taken();
                 }
-                Generated::Next(self.pass(answered, &mut held, &engine.id).await)
+                Generated::Next(self.pass(answered, held, &engine).await)
             }
             Tried::NotRun(why) => {
                 self.sent.set(self.runs > 0);
@@ -325,6 +329,8 @@
                     fingerprint = self.asked.fingerprint_text(), caller:% = self.asked.caller;
                     "the engine's answer was lost");
                 held.note(Outcome::Failed);
+                drop(held);
+                crashes::broke_off(self.instance, self.asked, &engine).await;
                 self.avoid.push(target.engine.clone());
                 Generated::Next(self.lost("The engine's answer was lost."))
             }
@@ -334,8 +340,8 @@
     async fn pass(
         &mut self,
         mut answered: Box<Answered>,
-        held: &mut Held<'_>,
-        engine: &EngineId,
+        mut held: Held<'_>,
+        engine: &Record,
     ) -> Next {
         let reply = &answered.reply;
         if !reply.is_success() {
@@ -344,20 +350,26 @@
             } else {
                 Outcome::Good
             });
-            self.avoid.push(engine.clone());
-            return self.failure(*answered, engine).await;
+            self.instance
+                .suspects
+                .ended_well(self.asked, engine, self.instance.now());
+            self.avoid.push(engine.id.clone());
+            return self.failure(*answered, &engine.id).await;
         }
         if !reply.is_own_success() {
             held.note(Outcome::Failed);
-            self.avoid.push(engine.clone());
+            self.avoid.push(engine.id.clone());
             return self.lost("The engine's answer is not its own.");
         }
         self.weights = self.weights.or(reply.weights);
-        match self.relay.pass(&mut answered, held).await {
+        match self.relay.pass(&mut answered, &held).await {
             relay::End::Whole => {
                 held.note(Outcome::Good);
+                self.instance
+                    .suspects
+                    .ended_well(self.asked, engine, self.instance.now());
                 let Answered { client, reply, .. } = *answered;
-                attempt::give(self.instance, engine, client, &reply);
+                attempt::give(self.instance, &engine.id, client, &reply);
                 Next::Done(Done::Whole(self.relay.times()))
             }
             relay::End::Gone(error) => {
@@ -365,11 +377,13 @@
                 Next::Done(Done::Broken("the caller has gone"))
             }
             relay::End::Broken(failure) => {
-                log::info!(id = self.asked.call.id.as_str(), engine = &**engine, failure:% = failure, last:? = self.relay.last(),
+                log::info!(id = self.asked.call.id.as_str(), engine = &*engine.id, failure:% = failure, last:? = self.relay.last(),
                     fingerprint = self.asked.fingerprint_text(), caller:% = self.asked.caller;
                     "the engine broke off");
                 held.note(Outcome::Failed);
-                self.avoid.push(engine.clone());
+                drop(held);
+                crashes::broke_off(self.instance, self.asked, engine).await;
+                self.avoid.push(engine.id.clone());
                 self.lost("The engine broke off.")
             }
         }
--- a/crates/gateway/src/heard.rs
+++ b/crates/gateway/src/heard.rs
@@ -43,6 +43,9 @@
     for news in frame.news {
         take_news(instance, news);
     }
+    for suspect in &frame.suspects {
+        instance.suspects.hear(suspect, "instance", now);
+    }
     note_all_engines(instance, frame.all_engines);
     if frame.read_configuration {
         instance.must_read.set(true);
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -18,12 +18,14 @@
 use wire::gateway::Frame;
 
 use crate::ask::Questions;
+use crate::crashes::Crashes;
 use crate::metrics::Metrics;
 use crate::newcomers::Records;
 use crate::peers::{self, Peers, Topic};
 use crate::phase::Phase;
 use crate::pool::Pool;
 use crate::reports::Reports;
+use crate::suspects::Suspects;
 
 /// One process.
 pub(crate) struct Instance {
@@ -59,6 +61,10 @@
     pub budgets: RefCell<Budgets>,
     pub usual: RefCell<Usual>,
     pub pool: Pool,
+    /// Calls that end engines.
+    pub suspects: Suspects,
+    /// Engines of which it is being found out whether they have ended.
+    pub crashes: Crashes,
     pub peers: RefCell<Peers>,
     pub phase: Phase,
     pub metrics: Metrics,
@@ -94,6 +100,8 @@
             budgets: RefCell::new(Budgets::new(settings.bounds.repeats, INSTANCES)),
             usual: RefCell::default(),
             pool: Pool::default(),
+            suspects: Suspects::default(),
+            crashes: Crashes::default(),
             peers: RefCell::default(),
             phase: Phase::default(),
             metrics: Metrics::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,11 +3,13 @@
 //! and goes, `serving` decides, `http1` carries, and the modules here connect them on one thread.
 //! See [`docs/design/platform.md`](../../../docs/design/platform.md).
 
+mod admission;
 mod answer;
 mod aside;
 mod ask;
 mod attempt;
 pub mod command;
+mod crashes;
 mod daemon;
 mod discover;
 pub mod events;
@@ -33,3 +35,5 @@
 mod reply;
 pub mod reports;
 mod roles;
+mod suspects;
+mod trials;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -19,7 +19,7 @@
 use crate::frame::{add_changes, age, packed, started, told_changing, told_work, unpacked};
 use crate::instance::Instance;
 use crate::peers::{self, PARTS, Topic};
-use crate::{answer, discover, heard, newcomers, recall};
+use crate::{answer, discover, heard, newcomers, recall, suspects, trials};
 
 /// Pause between two frames while nothing is placed.
 const PACE: Duration = Duration::from_millis(100);
@@ -56,6 +56,7 @@
     actix_rt::spawn(tell(instance.clone(), socket));
     actix_rt::spawn(recall::run(instance.clone()));
     actix_rt::spawn(discover::run(instance.clone()));
+    actix_rt::spawn(trials::run(instance.clone()));
     Ok(())
 }
 
@@ -76,6 +77,10 @@
                     for told in lacking.into_iter().flatten() {
                         broadcast(&socket, &told, &[from]);
                     }
+                    let differs = state.and_then(|state| suspects::lacking(&instance, from, state));
+                    if let Some(told) = differs {
+                        broadcast(&socket, &told, &[from]);
+                    }
                     heard::take(&instance, from, frame);
                 }
                 Err(error) => log::debug!(error:% = error; "a datagram is no frame"),
@@ -101,6 +106,7 @@
         instance.fleet.borrow_mut().fade(now);
         let is_greeting = instance.greeting_due.take() | instance.elect();
         tell_news(&instance, &socket, now);
+        tell_suspects(&instance, &socket, now);
         let is_state_due = is_greeting || !instance.knows_all() || Instant::now() >= state_due;
         let mut reports = instance.reports.take_reports(now);
         if is_state_due {
@@ -230,6 +236,7 @@
         order: instance.order(),
         leaving: instance.phase.is_leaving(),
         placing,
+        suspects_digest: instance.suspects.digest(),
     }
 }
 
@@ -261,6 +268,19 @@
     }
 }
 
+/// Tells all others what is new of calls that end engines.
+fn tell_suspects(instance: &Instance, socket: &UdpSocket, now: Moment) {
+    let suspects = instance.suspects.take_news(now);
+    if suspects.is_empty() {
+        return;
+    }
+    let frame = Frame {
+        suspects,
+        ..instance.frame()
+    };
+    broadcast(socket, &frame, &instance.peers.borrow().all());
+}
+
 /// Passes news on to the rest of this instance's group.
 fn pass_on(socket: &UdpSocket, frame: &Frame) {
     let rest: Vec<SocketAddr> = frame
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -62,6 +62,13 @@
     Silent,
 }
 
+/// What is done with a call under which engines ended.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum Suspect {
+    Held,
+    Alone,
+}
+
 macro_rules! labels {
     ($type:ident: $($value:ident = $text:literal),*) => {
         impl EncodeLabelValue for $type {
@@ -76,6 +83,7 @@
 
 labels!(End: Served = "served", Refused = "refused", Failed = "failed", Late = "late", Cut = "cut");
 labels!(Asked: Placed = "placed", Declined = "declined", Silent = "silent");
+labels!(Suspect: Held = "held", Alone = "alone");
 labels!(Ordered: Taken = "taken", Refused = "refused", Unanswered = "unanswered");
 
 /// Label names with one value each.
@@ -91,6 +99,8 @@
     orders: Family<Labels<Ordered>, Counter>,
     questions: Family<Labels<Asked>, Counter>,
     store_failures: Counter,
+    held: Counter,
+    suspects: Family<Labels<Suspect>, Gauge>,
     configuration: Gauge,
     engines: Gauge,
     instances: Gauge,
@@ -108,6 +118,8 @@
             orders: Family::default(),
             questions: Family::default(),
             store_failures: Counter::default(),
+            held: Counter::default(),
+            suspects: Family::default(),
             configuration: Gauge::default(),
             engines: Gauge::default(),
             instances: Gauge::default(),
@@ -150,6 +162,16 @@
             "Reads of the store that failed",
             self.store_failures.clone(),
         );
+        registry.register(
+            "held_calls",
+            "Calls that were refused since engines had ended under them",
+            self.held.clone(),
+        );
+        registry.register(
+            "suspects",
+            "Calls under which engines ended, that are held or go alone",
+            self.suspects.clone(),
+        );
         registry.register(
             "configuration_version",
             "Version of the configuration in force; 0 before the first",
@@ -197,6 +219,11 @@
         self.store_failures.inc();
     }
 
+    /// A call was refused since engines had ended under it.
+    pub(crate) fn held(&self) {
+        self.held.inc();
+    }
+
     /// The page, with the present values of what is not counted as it happens.
     fn page(&self, instance: &Instance) -> Result<String, fmt::Error> {
         let version = instance.table().map_or(0, |table| table.version);
@@ -205,6 +232,11 @@
         let fleet = instance.fleet.borrow();
         let open = fleet.all().filter(|engine| engine.takes_calls()).count();
         self.engines.set(count(open));
+        let (held, alone) = instance.suspects.count();
+        for (suspect, number) in [(Suspect::Held, held), (Suspect::Alone, alone)] {
+            let gauge = self.suspects.get_or_create(&[("state", suspect)]);
+            gauge.set(count(number));
+        }
         self.instances.set(count(instance.peers.borrow().count()));
         self.in_hand.set(count(instance.phase.in_hand()));
         let mut page = String::new();
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -8,12 +8,14 @@
 use adapter::upstream::{Reply, Sending};
 use bytes::Bytes;
 use http1::Writer;
+use serving::engine::Record;
 use serving::health::Outcome;
 use serving::place::Target;
 use serving::{Choice, Kind};
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempt::{self, Answered, Asked, Avoid, MOST, NotRun, Rejections, Tried};
+use crate::crashes;
 use crate::held::Held;
 use crate::instance::Instance;
 use crate::metrics;
@@ -138,13 +140,13 @@
         let target = match attempt::place(instance, asked, &avoid, false).await {
             Choice::Direct(target) => target,
             Choice::Split { prefill, .. } => prefill,
-            Choice::Refuse { after, .. } => {
+            Choice::Refuse { after, why, .. } => {
                 return if runs > 0 {
                     End::Unknown("No further engine takes the call.")
                 } else {
                     End::NotRun {
                         after,
-                        why: "No engine takes the call.",
+                        why: why.text(),
                         best: None,
                     }
                 };
@@ -230,12 +232,13 @@
     };
     let whole = async {
         match attempt::send(instance, asked, &engine, &sending).await {
-            Tried::Answer(answered) => whole(instance, asked, &engine.id, answered).await,
+            Tried::Answer(answered) => whole(instance, asked, &engine, answered).await,
             Tried::NotRun(why) => One::NotRun(why),
             Tried::Lost(failure) => {
                 log::info!(id = asked.call.id.as_str(), engine = &*engine.id, failure = failure.name(),
                     fingerprint = asked.fingerprint_text(), caller:% = asked.caller;
                     "answer lost");
+                crashes::broke_off(instance, asked, &engine).await;
                 One::Lost
             }
         }
@@ -260,14 +263,14 @@
 }
 
 async fn whole(
-    instance: &Instance,
+    instance: &Rc<Instance>,
     asked: &Asked,
-    engine: &serving::EngineId,
+    engine: &Record,
     answered: Box<Answered>,
 ) -> One {
     let reply = &answered.reply;
     if reply.is_success() && !reply.is_own_success() {
-        log::info!(id = asked.call.id.as_str(), engine = &**engine; "a success that the engine did not sign");
+        log::info!(id = asked.call.id.as_str(), engine = &*engine.id; "a success that the engine did not sign");
         return One::Lost;
     }
     let Answered {
@@ -278,13 +281,15 @@
     } = *answered;
     match client.body(MOST).await {
         Ok(body) => {
-            attempt::give(instance, engine, client, &reply);
+            attempt::give(instance, &engine.id, client, &reply);
+            instance.suspects.ended_well(asked, engine, instance.now());
             One::Whole(Box::new(Finished { head, reply }), body)
         }
         Err(failure) => {
-            log::info!(id = asked.call.id.as_str(), engine = &**engine, failure:% = failure,
+            log::info!(id = asked.call.id.as_str(), engine = &*engine.id, failure:% = failure,
                 fingerprint = asked.fingerprint_text(), caller:% = asked.caller;
                 "broken answer");
+            crashes::broke_off(instance, asked, engine).await;
             One::Lost
         }
     }
--- /dev/null
+++ b/crates/gateway/src/trials.rs
@@ -0,0 +1,138 @@
+//! What of the calls that end engines goes through the platform's store: that they are held, which has to outlast all instances,
+//! and who tries one again, which has to be one instance.
+
+use std::rc::Rc;
+use std::time::{Duration, SystemTime};
+
+use adapter::records::INSTANCES;
+use adapter::store::{Keyed, Store, Trouble};
+use clock::Clock as _;
+use serving::fingerprint::Fingerprint;
+use serving::quarantine::Entry;
+use tokio::time::{sleep, timeout};
+use wire::Message as _;
+use wire::gateway::Suspect;
+
+use crate::attempt::Asked;
+use crate::frame;
+use crate::instance::Instance;
+use crate::suspects::text;
+
+/// Begins the keys of held calls. They stand beside the registered instances, which each instance that starts reads: it
+/// knows whom to hold back before it knows whom to ask, at no further call to the store.
+const PREFIX: &str = "held/";
+/// Pause between two looks whether something is to be written, and after a write that failed.
+const LOOK: Duration = Duration::from_millis(250);
+/// Longest time that a call waits for the word whether this instance may try it.
+const CLAIM: Duration = Duration::from_millis(400);
+
+/// The call that a record of the store is about, if it is about one.
+pub(crate) fn call_of(key: &str) -> Option<Fingerprint> {
+    Fingerprint::from_str_radix(key.strip_prefix(PREFIX)?, 16).ok()
+}
+
+/// Key of a call's record.
+pub(crate) fn key(call: Fingerprint) -> String {
+    format!("{PREFIX}{}", text(call))
+}
+
+/// A call's record.
+pub(crate) fn value(call: Fingerprint, entry: &Entry, instance: &Instance) -> Vec<u8> {
+    let suspect = frame::told_suspect(call, entry, instance.now());
+    let written = Suspect {
+        written_unix_ms: unix_ms(instance.clock.wall()),
+        ..suspect
+    };
+    written.encode_to_vec()
+}
+
+/// Milliseconds since the epoch.
+pub(crate) fn unix_ms(time: SystemTime) -> u64 {
+    let since = time.duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
+/// Takes in a record of the store, if it is about a call. Says whether it is.
+pub(crate) fn take(instance: &Instance, record: &Keyed) -> bool {
+    if call_of(&record.key).is_none() {
+        return false;
+    }
+    let Some(value) = &record.value else {
+        return true;
+    };
+    match Suspect::decode(&value[..]) {
+        Ok(suspect) => {
+            let aged = frame::aged(suspect, unix_ms(instance.clock.wall()));
+            instance.suspects.hear(&aged, "store", instance.now());
+        }
+        Err(error) => {
+            log::error!(key = record.key.as_str(), error:% = error; "the record of a held call cannot be read");
+        }
+    }
+    true
+}
+
+/// Writes what this instance saw of calls that end engines, and forgets those whose time is over, until the process ends.
+pub(crate) async fn run(instance: Rc<Instance>) {
+    let address = instance.settings.borrow().store;
+    let mut store = Store::new(address, instance.codec.clone());
+    loop {
+        sleep(LOOK).await;
+        instance.suspects.expire(instance.now());
+        for (call, entry) in instance.suspects.unwritten() {
+            let value = value(call, &entry, &instance);
+            match store.append(INSTANCES, &key(call), &value, None).await {
+                Ok(_) => instance.suspects.written(call, &entry),
+                Err(trouble) => {
+                    log::info!(fingerprint = text(call), trouble:% = trouble; "a held call could not be written yet");
+                    break;
+                }
+            }
+        }
+    }
+}
+
+/// Claims the trial of a held call for this instance. Says whether it may send the call.
+///
+/// Instances that tried it each by itself would end as many engines as there are of them. The claim is an append that the store
+/// carries out only if nobody has written since this instance read, so that of two claims one fails. Without the store
+/// nobody tries.
+pub(crate) async fn claim(instance: &Instance, asked: &Asked) -> bool {
+    match timeout(CLAIM, claim_at_store(instance, asked.fingerprint())).await {
+        Ok(Ok(is_claimed)) => is_claimed,
+        Ok(Err(trouble)) => {
+            log::info!(id = asked.call.id.as_str(), trouble:% = trouble; "no trial of a held call without the store");
+            false
+        }
+        Err(_) => {
+            log::info!(id = asked.call.id.as_str(); "no trial of a held call, the store takes too long");
+            false
+        }
+    }
+}
+
+async fn claim_at_store(instance: &Instance, call: Fingerprint) -> Result<bool, Trouble> {
+    let address = instance.settings.borrow().store;
+    let mut store = Store::new(address, instance.codec.clone());
+    let newest = store.newest(INSTANCES).await?;
+    for record in &newest.records {
+        take(instance, record);
+    }
+    if !instance.suspects.begin_trial(call, instance.now()) {
+        return Ok(false);
+    }
+    let Some(entry) = instance.suspects.get(call) else {
+        return Ok(false);
+    };
+    let value = value(call, &entry, instance);
+    match store
+        .append(INSTANCES, &key(call), &value, Some(newest.end))
+        .await
+    {
+        Ok(_) => Ok(true),
+        Err(Trouble::Moved(_)) => Ok(false),
+        Err(trouble) => Err(trouble),
+    }
+}
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -12,7 +12,8 @@
 use crate::health::{Health, Told};
 use crate::line;
 use crate::pauses::Reading;
-use crate::{EngineId, ServiceName, Zone};
+use crate::quarantine::Build;
+use crate::{EngineId, ServiceName, Zone, hash};
 
 /// Which half of a generation an engine does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -56,6 +57,16 @@
     pub stage: Option<Stage>,
     /// Version of its weights, where it has a model.
     pub weights: Option<u64>,
+    /// Version of its software, where it says so.
+    pub software: Option<Rc<str>>,
+}
+
+impl Record {
+    /// What it runs: a call that ends one build may run well on the next.
+    pub fn build(&self) -> Build {
+        let software = self.software.as_deref().unwrap_or_default();
+        hash::short(&format!("{software} {:?}", self.weights))
+    }
 }
 
 /// Urgency at an engine; 0 is first.
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -1,7 +1,8 @@
 //! Decisions about calls on a fleet whose engines are told by records: which route a call takes
 //! ([`route`]), what is known of each engine and of the work before it ([`engine`]), which engine has
 //! read which part of a prompt ([`parts`]), where a call goes or why it is refused ([`place`]), how
-//! often a service may be sent a call again ([`budget`]), which engines should read and which
+//! often a service may be sent a call again ([`budget`]), which calls end the engines that run them
+//! ([`quarantine`]), which engines should read and which
 //! generate ([`roles`]), and which instances know enough to place calls ([`placer`]). It stands between the `gateway`
 //! daemon, which carries the bytes, and the platform's adapter, which fills in these types. No I/O
 //! is done here; the moment is an argument. See `docs/design/placement.md`.
@@ -22,6 +23,7 @@
 pub mod pauses;
 pub mod place;
 pub mod placer;
+pub mod quarantine;
 pub mod registry;
 pub mod roles;
 pub mod route;
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -38,6 +38,8 @@
     pub connected: &'a [EngineId],
     /// Time that its caller still waits.
     pub left: Duration,
+    /// Whether it goes where the fewest calls run, since it may end its engine.
+    pub alone: bool,
 }
 
 /// The size of a generation.
@@ -84,6 +86,19 @@
     NoEngine,
     /// The work before it takes longer than its caller waits.
     TooMuchWork,
+    /// It ended the engines that ran it.
+    Held,
+}
+
+impl Refusal {
+    /// What a caller is told.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::NoEngine => "No engine takes the call.",
+            Self::TooMuchWork => "There is too much work before this call.",
+            Self::Held => "Engines that ran this call ended.",
+        }
+    }
 }
 
 /// A place for a call.
@@ -112,12 +127,33 @@
 /// Finds the place for a call.
 pub fn choose(fleet: &Fleet, demand: &Demand, now: Moment) -> Choice {
     let demand = in_time(demand);
+    if demand.alone {
+        return choose_alone(fleet, &demand, now);
+    }
     match &demand.generation {
         Some(generation) => generate(fleet, &demand, generation, now),
         None => plain(fleet, &demand, now),
     }
 }
 
+/// Finds the place of a call that may end its engine: where the fewest calls run, which also reads its prompt.
+fn choose_alone(fleet: &Fleet, demand: &Demand, now: Moment) -> Choice {
+    let quietest = {
+        let engines = open(fleet, demand, now).filter(|engine| !cost::is_prefill(engine));
+        engines.min_by_key(|engine| engine.running())
+    };
+    let others = fleet.ready(demand.service).map(|engine| &engine.record.id);
+    let others = others.filter(|id| quietest.is_some_and(|quietest| quietest.record.id != **id));
+    let avoid: Vec<EngineId> = demand.avoid.iter().chain(others).cloned().collect();
+    let demand = Demand {
+        avoid: &avoid,
+        may_split: false,
+        alone: false,
+        ..*demand
+    };
+    choose(fleet, &demand, now)
+}
+
 /// The demand at a rank of calls that can be on time. Ranks from [`LATE`] on are for those that cannot: a route whose
 /// calls an operator has put there would be taken for late on an idle fleet, and refused in the next peak.
 fn in_time<'a>(demand: &Demand<'a>) -> Demand<'a> {
--- /dev/null
+++ b/crates/serving/src/quarantine.rs
@@ -0,0 +1,334 @@
+//! Which calls end the engines that run them, and are kept from engines for a while.
+//!
+//! The load that this answers: a caller repeats, under new ids and at any instance, a call that ends each engine which begins to
+//! run it. Each time the engine's other calls are cut too, and it is away for seconds. One notices it by engines that end one
+//! after the other, each with one call in hand that had no event yet. An engine that ends does not say which of its calls ended
+//! it, so every call that it had in hand is noted; calls that only ran beside the fatal one run well the next time, which
+//! clears them. Nothing is agreed on: each instance tells all others what it saw, and what two know joins in any order. See
+//! `docs/design/quarantine.md`.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use clock::Moment;
+use smallvec::SmallVec;
+
+use crate::fingerprint::Fingerprint;
+use crate::hash;
+
+/// Hash of the software and the weights that an engine runs, as [`crate::engine::Record::build`] gives it.
+pub type Build = u32;
+
+/// Hash of a caller's address.
+pub type Caller = u32;
+
+/// Builds of engines; mostly one.
+pub type Builds = SmallVec<[Build; 2]>;
+
+/// The end of an engine that had a call in hand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// Hash of the engine's id, by which ends of several engines are told apart.
+    pub engine: u32,
+    /// What it ran.
+    pub build: Build,
+    /// When it ended.
+    pub at: Moment,
+}
+
+/// A run of a call that its engine outlived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Good {
+    /// What the engine ran.
+    pub build: Build,
+    /// When it ended.
+    pub at: Moment,
+}
+
+/// What is known of one call.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Entry {
+    /// Who sends it.
+    pub caller: Caller,
+    /// Ends of engines with it in hand.
+    pub crashes: SmallVec<[Crash; 4]>,
+    /// The last good run at each build.
+    pub good: SmallVec<[Good; 1]>,
+    /// When an operator let it go.
+    pub released: Option<Moment>,
+    /// Trials since it is held, and when the last one began.
+    pub trials: u32,
+    /// When the last one began.
+    pub tried: Option<Moment>,
+}
+
+/// What may be done with a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It goes where any call goes.
+    Clear,
+    /// It may have ended engines: it goes alone, where fewest calls are cut if it does so again.
+    Suspected,
+    /// It is kept from engines, but from those of builds on which it ran well.
+    Held {
+        /// Time until it may be tried.
+        after: Duration,
+        /// Builds on which it ran well.
+        well_on: Builds,
+    },
+    /// It may be tried, once and by one instance.
+    Due,
+}
+
+/// Engines that end with a call in hand, without a good run in between, until it is held.
+///
+/// At the first, a call is one of all that the engine had in hand. At the second, in a fleet of eleven engines one of
+/// which ends each 1.2 s, 4 in 100 repeats of innocent calls are in hand again; at the third 2 in 1,000. Each further one
+/// costs an engine for seconds and its neighbours' calls.
+pub const CRASHES: usize = 3;
+/// Crashes from which on a call goes alone.
+const ALONE: usize = 2;
+/// Trials of a held call. Each may end one more engine, and three calls in all may reach engines; the third is left for one that
+/// was on its way.
+const TRIALS: usize = 2;
+/// How long a call is held before each trial, and after the last one. The first is longer than engines take to be back and
+/// bounds how long an innocent call is kept from engines; the last is the time in which operators see to it.
+const HOLDS: [Duration; TRIALS + 1] = [
+    Duration::from_secs(30),
+    Duration::from_secs(10 * 60),
+    Duration::from_secs(24 * 60 * 60),
+];
+/// How long a call is remembered that is not held. Callers that repeat a call later do so by hand.
+const REMEMBERED: Duration = Duration::from_secs(10 * 60);
+/// A good run is a later one if it ended this much after the one known. What instances tell each other gets
+/// older on its way; without this bound one run would seem later each time that it is told.
+const LATER: Duration = Duration::from_secs(1);
+/// Crashes kept of one call; more add nothing.
+const KEPT: usize = 8;
+/// Calls remembered at the most, with some hundred bytes each.
+const MOST: usize = 1_024;
+/// Calls remembered of one caller at the most, so that none can have those of others forgotten.
+const MOST_OF_CALLER: usize = 64;
+
+impl Entry {
+    /// Crashes that nothing speaks against.
+    pub fn standing(&self) -> usize {
+        let standing = self.crashes.iter().filter(|crash| self.stands(crash));
+        standing.count()
+    }
+
+    /// When the last engine ended with it in hand.
+    pub fn last_crash(&self) -> Option<Moment> {
+        self.crashes.iter().map(|crash| crash.at).max()
+    }
+
+    /// Whether it is kept from engines, or was until its trial is due.
+    pub fn is_held(&self) -> bool {
+        self.standing() >= CRASHES
+    }
+
+    /// A run that ended well at the same build, or an operator's word, speaks against all crashes before it. A build that runs a call
+    /// well says nothing of another one that it ends.
+    fn stands(&self, crash: &Crash) -> bool {
+        let clears = |good: &Good| good.build == crash.build && good.at >= crash.at;
+        let is_released = self.released.is_some_and(|at| at >= crash.at);
+        !is_released && !self.good.iter().any(clears)
+    }
+
+    fn verdict(&self, now: Moment) -> Verdict {
+        let standing = self.standing();
+        if standing < CRASHES {
+            return if standing < ALONE {
+                Verdict::Clear
+            } else {
+                Verdict::Suspected
+            };
+        }
+        let after = self.held_until().saturating_sub(now);
+        if after.is_zero() && (self.trials as usize) < TRIALS {
+            return Verdict::Due;
+        }
+        let fatal = |build| {
+            self.crashes
+                .iter()
+                .any(|crash| crash.build == build && self.stands(crash))
+        };
+        let builds = self.good.iter().map(|good| good.build);
+        Verdict::Held {
+            after,
+            well_on: builds.filter(|build| !fatal(*build)).collect(),
+        }
+    }
+
+    fn held_until(&self) -> Moment {
+        let hold = HOLDS[(self.trials as usize).min(TRIALS)];
+        self.last_crash().max(self.tried).unwrap_or_default() + hold
+    }
+
+    fn touched(&self) -> Moment {
+        let good = self.good.iter().map(|good| good.at).max();
+        let all = [self.last_crash(), good, self.released, self.tried];
+        all.into_iter().flatten().max().unwrap_or_default()
+    }
+
+    fn is_over(&self, now: Moment) -> bool {
+        if self.is_held() {
+            self.trials as usize >= TRIALS && now >= self.held_until()
+        } else {
+            now.saturating_sub(self.touched()) >= REMEMBERED
+        }
+    }
+
+    fn crashed(&mut self, crash: Crash) -> bool {
+        let known = self
+            .crashes
+            .iter_mut()
+            .find(|known| known.engine == crash.engine);
+        if let Some(known) = known {
+            // It is told later than it was seen.
+            known.at = known.at.min(crash.at);
+            return false;
+        }
+        if self.crashes.len() >= KEPT {
+            self.crashes.remove(0);
+        }
+        self.crashes.push(crash);
+        true
+    }
+
+    fn ended_well(&mut self, good: Good) -> bool {
+        match self.good.iter_mut().find(|known| known.build == good.build) {
+            Some(known) if good.at < known.at + LATER => false,
+            Some(known) => {
+                known.at = good.at;
+                true
+            }
+            None => {
+                self.good.push(good);
+                true
+            }
+        }
+    }
+
+    fn join(&mut self, told: &Self) -> bool {
+        let mut is_news = false;
+        for crash in &told.crashes {
+            is_news |= self.crashed(*crash);
+        }
+        for good in &told.good {
+            is_news |= self.ended_well(*good);
+        }
+        let is_later = |at: Moment| self.released.is_none_or(|known| at >= known + LATER);
+        if told.released.is_some_and(is_later) {
+            self.released = told.released;
+            is_news = true;
+        }
+        if told.trials > self.trials {
+            self.trials = told.trials;
+            self.tried = told.tried;
+            is_news = true;
+        }
+        is_news
+    }
+}
+
+/// Calls that had engines end under them.
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    entries: BTreeMap<Fingerprint, Entry>,
+}
+
+impl Quarantine {
+    /// Whether no call is remembered, so that none needs a fingerprint.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// What is known of a call.
+    pub fn get(&self, call: Fingerprint) -> Option<&Entry> {
+        self.entries.get(&call)
+    }
+
+    /// What may be done with a call.
+    pub fn verdict(&self, call: Fingerprint, now: Moment) -> Verdict {
+        self.get(call)
+            .map_or(Verdict::Clear, |entry| entry.verdict(now))
+    }
+
+    /// Takes in that an engine ended with a call in hand. Says whether this is new.
+    pub fn crashed(&mut self, call: Fingerprint, caller: Caller, crash: Crash) -> bool {
+        self.entry(call, caller).crashed(crash)
+    }
+
+    /// Takes in that an engine outlived a run of a call. Says whether others should hear of it.
+    pub fn ended_well(&mut self, call: Fingerprint, good: Good) -> bool {
+        let entry = self.entries.get_mut(&call);
+        entry.is_some_and(|entry| entry.ended_well(good))
+    }
+
+    /// Takes in that a call is tried from now on. Says whether its trial is due, so that the one who asks may try it.
+    pub fn begin_trial(&mut self, call: Fingerprint, now: Moment) -> bool {
+        let entry = self.entries.get_mut(&call);
+        let Some(entry) = entry.filter(|entry| entry.verdict(now) == Verdict::Due) else {
+            return false;
+        };
+        entry.trials += 1;
+        entry.tried = Some(now);
+        true
+    }
+
+    /// Takes in that an operator lets a call go.
+    pub fn release(&mut self, call: Fingerprint, now: Moment) -> bool {
+        let entry = self.entries.get_mut(&call);
+        entry.map(|entry| entry.released = Some(now)).is_some()
+    }
+
+    /// Takes in what another instance knows of a call. Says whether something of it is new.
+    pub fn join(&mut self, call: Fingerprint, told: &Entry) -> bool {
+        self.entry(call, told.caller).join(told)
+    }
+
+    /// Calls that all must know: held ones, and those that are one crash short of it.
+    pub fn suspects(&self) -> impl Iterator<Item = (Fingerprint, &Entry)> {
+        let entries = self.entries.iter().map(|(call, entry)| (*call, entry));
+        entries.filter(|(_, entry)| entry.standing() >= ALONE)
+    }
+
+    /// Digest of what all must know. Two instances with the same one would judge all calls alike.
+    pub fn digest(&self) -> u64 {
+        self.suspects().fold(0, |digest, (call, entry)| {
+            let standing = entry.standing().min(CRASHES);
+            digest ^ hash::number(&format!("{call:x} {standing} {}", entry.trials))
+        })
+    }
+
+    /// Forgets calls whose time is over.
+    pub fn expire(&mut self, now: Moment) {
+        self.entries.retain(|_, entry| !entry.is_over(now));
+    }
+
+    /// The entry of a call, a new one if need be. What makes room for it is the least of the same caller's if that one has many,
+    /// else the least of all.
+    fn entry(&mut self, call: Fingerprint, caller: Caller) -> &mut Entry {
+        if !self.entries.contains_key(&call) {
+            let own = self.entries.values().filter(|entry| entry.caller == caller);
+            if own.count() >= MOST_OF_CALLER {
+                self.drop_least(|entry| entry.caller == caller);
+            } else if self.entries.len() >= MOST {
+                self.drop_least(|_| true);
+            }
+        }
+        self.entries.entry(call).or_insert_with(|| Entry {
+            caller,
+            ..Entry::default()
+        })
+    }
+
+    fn drop_least(&mut self, of: impl Fn(&Entry) -> bool) {
+        let all = self.entries.iter().filter(|(_, entry)| of(entry));
+        let least = all.min_by_key(|(_, entry)| (entry.standing(), entry.touched()));
+        if let Some(call) = least.map(|(call, _)| *call) {
+            self.entries.remove(&call);
+        }
+    }
+}
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -38,6 +38,7 @@
         state: State::Ready,
         stage,
         weights: Some(1),
+        software: Some(Rc::from("v1")),
     }
 }
 
