Test that a call which ends engines is the same from every address

Cause, shown by this test on the code as it is: the address of a connection is part of a call's fingerprint, and a caller's connections come from several.

--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -11,12 +11,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use floor::configuration::{Route, Settings};
+use floor::configuration::{HOST, Route, Settings};
 use floor::request::{self, Header, Seen};
 use floor::{Engine, Store};
 use http1::{Client, Failure, Patience};
 use serde_json::Value;
 use tempfile::NamedTempFile;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpSocket;
 
 /// Long, since these tests judge states and counts and no times.
 const PATIENCE: Patience = Patience {
@@ -282,6 +284,47 @@
         self.call(path, id, &generation()).await
     }
 
+    /// As [`World::generate_same`], on a connection from another address of this machine. Gives the status and whether it says when
+    /// to come back.
+    pub(crate) async fn generate_same_from(
+        &self,
+        from: [u8; 4],
+        path: &str,
+        id: &str,
+    ) -> (u16, bool) {
+        let socket = TcpSocket::new_v4().expect("a socket can be had");
+        let address = SocketAddr::from((from, 0));
+        socket
+            .bind(address)
+            .expect("all of 127.0.0.0/8 is this machine's");
+        let mut caller = socket
+            .connect(self.front)
+            .await
+            .expect("the gateway listens");
+        let mut text = format!("GET {path} HTTP/1.1\r\nhost: {HOST}\r\nconnection: close\r\n");
+        let ids = [("request-id", id), ("request-deadline", "20000")];
+        for (name, value) in ids.into_iter().chain(generation()) {
+            text.push_str(&format!("{name}: {value}\r\n"));
+        }
+        text.push_str("\r\n");
+        caller
+            .write_all(text.as_bytes())
+            .await
+            .expect("a request can be sent");
+        let mut answer = Vec::new();
+        // A stream that its engine broke off ends without its end.
+        drop(caller.read_to_end(&mut answer).await);
+        let answer = String::from_utf8_lossy(&answer).to_ascii_lowercase();
+        let status = answer
+            .split(' ')
+            .nth(1)
+            .and_then(|status| status.parse().ok());
+        (
+            status.expect("every call gets an answer"),
+            answer.contains("retry-after:"),
+        )
+    }
+
     /// An id that no call has had.
     pub(crate) fn fresh_id(&self) -> String {
         self.ids.set(self.ids.get() + 1);
