Try calls soon that had the same engines end, let operators see and release them, and soak all of it

Cause: nothing told the innocent one from the fatal one, since both had the same engines end and no run ended well in between. Ruled out: good runs of before, which nobody counts while nothing is noted; holding neither, with which the fatal one goes on. Change: calls that had the same three engines end are tried one after the other, a second apart, alone.

Whoever tells of a call that was cleared or released is told so, since a lost datagram would else leave it held there. tarragon-gateway held lists what the store has, release lets one go.

--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -5,9 +5,10 @@
 
 use adapter::settings::{self, Settings};
 use clap::{Parser, Subcommand};
+use serving::fingerprint::Fingerprint;
 use signals::Early;
 
-use crate::{daemon, explain, journal};
+use crate::{daemon, explain, journal, operate};
 
 /// Exit code when the settings have findings.
 const BAD_SETTINGS: u8 = 2;
@@ -42,6 +43,21 @@
         #[arg(long)]
         json: bool,
     },
+    /// Prints the calls that are held since engines ended under them, with their fingerprints.
+    Held {
+        /// Settings file of any instance; without it the platform's environment variable names it.
+        #[arg(long)]
+        settings: Option<PathBuf>,
+    },
+    /// Lets a held call go, at all instances within a minute.
+    Release {
+        /// Its fingerprint.
+        #[arg(value_parser = fingerprint)]
+        fingerprint: Fingerprint,
+        /// Settings file of any instance; without it the platform's environment variable names it.
+        #[arg(long)]
+        settings: Option<PathBuf>,
+    },
     /// Checks settings and prints every finding with its place, and names that are not known.
     Check {
         /// Settings file.
@@ -55,6 +71,18 @@
         match self.action {
             Action::Serve { settings, metrics } => serve(settings, metrics),
             Action::Explain { id, logs, json } => explain(&id, &logs, json),
+            Action::Held { settings } => operate(settings, async |settings| {
+                for line in operate::held(&settings).await? {
+                    println!("{line}");
+                }
+                Ok(())
+            }),
+            Action::Release {
+                fingerprint,
+                settings,
+            } => operate(settings, async |settings| {
+                operate::release(&settings, fingerprint).await
+            }),
             Action::Check { settings } => check(settings),
         }
     }
@@ -80,6 +108,27 @@
     }
 }
 
+fn fingerprint(text: &str) -> Result<Fingerprint, std::num::ParseIntError> {
+    Fingerprint::from_str_radix(text, 16)
+}
+
+fn operate(
+    path: Option<PathBuf>,
+    act: impl AsyncFnOnce(Settings) -> Result<(), operate::Failure>,
+) -> ExitCode {
+    let settings = match load(path) {
+        Ok((_, settings)) => settings,
+        Err(code) => return code,
+    };
+    match actix_rt::System::new().block_on(act(settings)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("{failure}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn check(path: PathBuf) -> ExitCode {
     if let Ok(text) = std::fs::read_to_string(&path) {
         for name in settings::unknown(&text) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod mesh;
 mod metrics;
 mod newcomers;
+mod operate;
 mod peers;
 mod phase;
 mod plain;
--- /dev/null
+++ b/crates/gateway/src/operate.rs
@@ -0,0 +1,100 @@
+//! What operators do about held calls, by way of the store: no instance is asked, and all of them read there.
+
+use std::fmt;
+
+use adapter::records::INSTANCES;
+use adapter::settings::Settings;
+use adapter::store::{Keyed, Store, Trouble};
+use clock::{Clock as _, Moment, System};
+use serving::fingerprint::Fingerprint;
+use serving::quarantine::Entry;
+use wire::Message as _;
+use wire::gateway::Suspect;
+
+use crate::suspects::text;
+use crate::{frame, trials};
+
+/// Why nothing was done.
+#[derive(Debug)]
+pub(crate) enum Failure {
+    /// The store gave no answer, or refused.
+    Store(Trouble),
+    /// The store has no such call.
+    Unknown,
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Store(trouble) => write!(f, "{trouble}"),
+            Self::Unknown => f.write_str("the store has no call with this fingerprint"),
+        }
+    }
+}
+
+impl From<Trouble> for Failure {
+    fn from(trouble: Trouble) -> Self {
+        Self::Store(trouble)
+    }
+}
+
+/// Moment that ages of records are counted back from: later than any of them.
+const NOW: Moment = Moment::from_secs(10 * 365 * 24 * 60 * 60);
+
+/// A line for each call that the store has, the ones that are held first.
+pub(crate) async fn held(settings: &Settings) -> Result<Vec<String>, Failure> {
+    let mut calls: Vec<(Fingerprint, Entry)> = read(&mut store(settings)).await?;
+    calls.sort_by_key(|(call, entry)| (!entry.is_held(), *call));
+    let lines = calls.iter().map(|(call, entry)| {
+        let state = if entry.is_held() { "held" } else { "let go" };
+        let last = NOW.saturating_sub(entry.last_crash().unwrap_or(NOW));
+        let (ended, trials) = (entry.standing(), entry.trials);
+        let call = text(*call);
+        format!(
+            "{call} {state} ended={ended} last_s={} trials={trials}",
+            last.as_secs()
+        )
+    });
+    Ok(lines.collect())
+}
+
+/// Lets a call go: ends of engines until now no longer count against it.
+pub(crate) async fn release(settings: &Settings, call: Fingerprint) -> Result<(), Failure> {
+    let mut store = store(settings);
+    let calls = read(&mut store).await?;
+    let known = calls.into_iter().find(|(other, _)| *other == call);
+    let (_, mut entry) = known.ok_or(Failure::Unknown)?;
+    entry.released = Some(NOW);
+    let released = Suspect {
+        written_unix_ms: trials::unix_ms(System::new().wall()),
+        ..frame::told_suspect(call, &entry, NOW)
+    };
+    let value = released.encode_to_vec();
+    store
+        .append(INSTANCES, &trials::key(call), &value, None)
+        .await?;
+    Ok(())
+}
+
+fn store(settings: &Settings) -> Store {
+    Store::new(settings.store, http1::config())
+}
+
+async fn read(store: &mut Store) -> Result<Vec<(Fingerprint, Entry)>, Failure> {
+    let newest = store.newest(INSTANCES).await?;
+    Ok(newest.records.iter().filter_map(known).collect())
+}
+
+fn known(record: &Keyed) -> Option<(Fingerprint, Entry)> {
+    trials::call_of(&record.key)?;
+    match Suspect::decode(&record.value.as_ref()?[..]) {
+        Ok(suspect) => {
+            let aged = frame::aged(suspect, trials::unix_ms(System::new().wall()));
+            Some(frame::suspect(&aged, NOW))
+        }
+        Err(error) => {
+            eprintln!("{}: cannot be read: {error}", record.key);
+            None
+        }
+    }
+}
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -25,8 +25,8 @@
 const TELLINGS: u8 = 2;
 /// Pause between two tellings, so that what loses the first does not lose the second.
 const PACE: Duration = Duration::from_millis(350);
-/// Most calls in one frame, a hundred bytes each.
-const MOST: usize = 128;
+/// Most calls in one frame, a hundred bytes each: a datagram of several packets is lost with any of them.
+const MOST: usize = 32;
 /// Pause between two answers to one instance that lacks something: the first may be on its way.
 const ANSWER_PACE: Duration = Duration::from_millis(600);
 
@@ -37,6 +37,15 @@
     due: Moment,
 }
 
+impl Telling {
+    fn new(now: Moment) -> Self {
+        Self {
+            left: TELLINGS,
+            due: now,
+        }
+    }
+}
+
 /// A call as it is remembered once it has ended.
 #[derive(Clone, Debug)]
 pub(crate) struct Subject {
@@ -146,6 +155,12 @@
             self.count_digest();
             self.note_held(call, was_held, source);
         }
+        // Whoever told this has missed that the call was cleared, or let go.
+        let standing = self.get(call).map_or(0, |known| known.standing());
+        if standing < entry.standing() {
+            let telling = Telling::new(now);
+            self.news.borrow_mut().entry(call).or_insert(telling);
+        }
     }
 
     /// Drops calls whose time is over.
@@ -216,11 +231,7 @@
     }
 
     fn news(&self, call: Fingerprint, now: Moment) {
-        let telling = Telling {
-            left: TELLINGS,
-            due: now,
-        };
-        self.news.borrow_mut().insert(call, telling);
+        self.news.borrow_mut().insert(call, Telling::new(now));
     }
 
     fn count_digest(&self) {
--- a/crates/gateway/tests/ending.rs
+++ b/crates/gateway/tests/ending.rs
@@ -276,6 +276,33 @@
     assert_eq!((prefill.reached(FATAL), pool.ended()), (read, ENDED));
 }
 
+/// Operators see which calls are held, and let one go whose cause is mended. An instance that starts reads of it and tells those that
+/// have missed it.
+#[actix_rt::test]
+async fn operators_see_held_calls_and_let_them_go() {
+    let (worlds, mut pool) = three_instances().await;
+    until_held(&worlds[0], &mut pool, FATAL).await;
+    until(async || is_kept(&worlds)).await;
+    let held = worlds[0].operate(&["held"]).await;
+    let line = held.lines().find(|line| line.contains(" held "));
+    let line = line.expect("a call is held");
+    assert!(line.contains("ended=3"), "{held}");
+    let fingerprint = line.split(' ').next().expect("a fingerprint comes first");
+    worlds[0].operate(&["release", fingerprint]).await;
+    assert!(worlds[0].operate(&["held"]).await.contains("let go"));
+    let reached = pool.reached(FATAL);
+    let newcomer = worlds[0].beside();
+    newcomer.until_ready(true).await;
+    for world in &worlds {
+        until(async || {
+            let answer = world.generate_same(FATAL, &world.fresh_id()).await;
+            answer.status != 503
+        })
+        .await;
+    }
+    assert!(pool.reached(FATAL) > reached);
+}
+
 /// Plain calls end engines as well as streams do.
 #[actix_rt::test]
 async fn a_plain_call_that_ends_engines_is_held() {
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -346,6 +346,22 @@
         assert!(status.expect("signals can be sent").success());
     }
 
+    /// Runs the program as an operator does, with this instance's settings. Gives what it prints.
+    pub(crate) async fn operate(&self, command: &[&str]) -> String {
+        let mut program = Command::new(env!("CARGO_BIN_EXE_tarragon-gateway"));
+        program
+            .args(command)
+            .arg("--settings")
+            .arg(self.settings.path());
+        program.stdout(Stdio::piped());
+        let child = spawn(&mut program).expect("the program starts");
+        // The store that it asks runs on this thread.
+        let ended = actix_rt::task::spawn_blocking(|| child.wait_with_output());
+        let output = ended.await.expect("it can be waited for").expect("it ends");
+        assert!(output.status.success(), "{output:?}");
+        String::from_utf8(output.stdout).expect("it prints text")
+    }
+
     /// Waits for the process to end. Says whether it ended well.
     pub(crate) async fn until_ended(&self) -> bool {
         for _ in 0..LOOKS {
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -98,6 +98,13 @@
     Duration::from_secs(10 * 60),
     Duration::from_secs(24 * 60 * 60),
 ];
+/// How long a call is held before its first trial where others had the same engines end: one of them is to blame at the most, and
+/// the rest would be kept from engines for nothing. They are tried one after the other, this far apart, each for longer than most calls
+/// run.
+///
+/// A call that many callers send runs at all engines at once. Where a fatal one ends three engines within a tenth of a second, none of its
+/// runs ends well in between; one would notice it by a route that is refused altogether for as long as the hold lasts.
+const ALIKE_HOLD: Duration = Duration::from_secs(1);
 /// How long a call is remembered that is not held. Callers that repeat a call later do so by hand.
 const REMEMBERED: Duration = Duration::from_secs(10 * 60);
 /// A good run that another instance tells of is a later one if it ended this much after the one known, or speaks against an end. What
@@ -135,7 +142,8 @@
         !is_released && !self.good.iter().any(clears)
     }
 
-    fn verdict(&self, now: Moment) -> Verdict {
+    /// What may be done with it if it is held for `hold` from its last crash or trial on.
+    fn verdict(&self, hold: Duration, now: Moment) -> Verdict {
         let standing = self.standing();
         if standing < CRASHES {
             return if standing < ALONE {
@@ -144,7 +152,7 @@
                 Verdict::Suspected
             };
         }
-        let after = self.held_until().saturating_sub(now);
+        let after = (self.held_since() + hold).saturating_sub(now);
         if after.is_zero() && (self.trials as usize) < TRIALS {
             return Verdict::Due;
         }
@@ -160,9 +168,19 @@
         }
     }
 
-    fn held_until(&self) -> Moment {
-        let hold = HOLDS[(self.trials as usize).min(TRIALS)];
-        self.last_crash().max(self.tried).unwrap_or_default() + hold
+    fn hold(&self) -> Duration {
+        HOLDS[(self.trials as usize).min(TRIALS)]
+    }
+
+    fn held_since(&self) -> Moment {
+        self.last_crash().max(self.tried).unwrap_or_default()
+    }
+
+    /// Whether it is held for ends of the same engines as another one.
+    fn is_alike(&self, other: &Self) -> bool {
+        let ended = |engine: u32| other.crashes.iter().any(|crash| crash.engine == engine);
+        let standing = self.crashes.iter().filter(|crash| self.stands(crash));
+        other.is_held() && standing.filter(|crash| ended(crash.engine)).count() >= CRASHES
     }
 
     fn touched(&self) -> Moment {
@@ -173,7 +191,7 @@
 
     fn is_over(&self, now: Moment) -> bool {
         if self.is_held() {
-            self.trials as usize >= TRIALS && now >= self.held_until()
+            self.trials as usize >= TRIALS && now >= self.held_since() + self.hold()
         } else {
             now.saturating_sub(self.touched()) >= REMEMBERED
         }
@@ -262,8 +280,10 @@
 
     /// What may be done with a call.
     pub fn verdict(&self, call: Fingerprint, now: Moment) -> Verdict {
-        self.get(call)
-            .map_or(Verdict::Clear, |entry| entry.verdict(now))
+        let Some(entry) = self.get(call) else {
+            return Verdict::Clear;
+        };
+        entry.verdict(self.hold(call, entry), now)
     }
 
     /// Takes in that an engine ended with a call in hand. Says whether this is new.
@@ -279,8 +299,10 @@
 
     /// Takes in that a call is tried from now on. Says whether its trial is due, so that the one who asks may try it.
     pub fn begin_trial(&mut self, call: Fingerprint, now: Moment) -> bool {
-        let entry = self.entries.get_mut(&call);
-        let Some(entry) = entry.filter(|entry| entry.verdict(now) == Verdict::Due) else {
+        if self.verdict(call, now) != Verdict::Due {
+            return false;
+        }
+        let Some(entry) = self.entries.get_mut(&call) else {
             return false;
         };
         entry.trials += 1;
@@ -318,6 +340,24 @@
         self.entries.retain(|_, entry| !entry.is_over(now));
     }
 
+    /// How long a held call is held. Those that are alike come one after the other, in an order that all instances share.
+    fn hold(&self, call: Fingerprint, entry: &Entry) -> Duration {
+        if entry.trials > 0 || !entry.is_held() {
+            return entry.hold();
+        }
+        let others = self.entries.iter().filter(|(other, _)| **other != call);
+        let alike = others.filter(|(_, other)| entry.is_alike(other));
+        let (mut count, mut before) = (0, 0);
+        for (other, _) in alike {
+            count += 1;
+            before += u32::from(*other < call);
+        }
+        if count == 0 {
+            return entry.hold();
+        }
+        (ALIKE_HOLD * (before + 1)).min(entry.hold())
+    }
+
     /// The entry of a call, a new one if need be. What makes room for it is the least of the same caller's if that one has many,
     /// else the least of all.
     fn entry(&mut self, call: Fingerprint, caller: Caller) -> &mut Entry {
--- a/crates/serving/tests/quarantine.rs
+++ b/crates/serving/tests/quarantine.rs
@@ -265,6 +265,36 @@
     }
 }
 
+/// A stream that all callers send ran at all three engines of a fleet when a fatal call ended these within 110 ms ("an engine ended
+/// with the call in hand ... ended=3" for both, 109 ms after the first end): none of its runs had ended well in between, and it was refused
+/// for 30 s. Both had the same engines end, so that one of them is innocent for certain.
+#[test]
+fn calls_that_had_the_same_engines_end_are_tried_soon_one_after_the_other() {
+    let mut quarantine = ended(3);
+    for engine in 1..=3 {
+        let at = u64::from(engine) * 1_000;
+        quarantine.crashed(CALL + 1, CALLER + 1, crash(engine, OLD, at));
+        quarantine.crashed(CALL + 2, CALLER + 1, crash(engine + 3, OLD, at));
+    }
+    let due =
+        |quarantine: &Quarantine, call, now| quarantine.verdict(call, ms(now)) == Verdict::Due;
+    assert!(due(&quarantine, CALL, 4_000));
+    assert!(!due(&quarantine, CALL + 1, 4_000));
+    assert!(due(&quarantine, CALL + 1, 5_000));
+    // That one had other engines end.
+    assert!(!due(&quarantine, CALL + 2, 32_900));
+    assert!(quarantine.begin_trial(CALL, ms(4_000)));
+    quarantine.crashed(CALL, CALLER, crash(9, OLD, 4_100));
+    assert!(quarantine.begin_trial(CALL + 1, ms(5_000)));
+    let good = Good {
+        build: OLD,
+        at: ms(5_300),
+    };
+    quarantine.ended_well(CALL + 1, good);
+    assert_eq!(quarantine.verdict(CALL + 1, ms(5_300)), Verdict::Clear);
+    assert!(is_held(&quarantine, 600_000));
+}
+
 /// Engines of a replay.
 const ENGINES: usize = 11;
 /// Calls a second, and how long each runs.
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -13,7 +13,7 @@
 
 use crate::history::{Ask, Call, End};
 use crate::plan;
-use crate::world::World;
+use crate::world::{FATAL, World};
 
 /// Time that a caller waits, as it tells the gateway.
 const DEADLINE: u32 = 3_000;
@@ -21,6 +21,8 @@
 const LEAVES: Duration = Duration::from_secs(5);
 /// Longest pause between two calls of one caller, in milliseconds.
 const PAUSE: u64 = 60;
+/// Longest pause between two repeats of the call that ends engines.
+const FATAL_PAUSE: u64 = 300;
 /// One call in this many bears forged headers, or is left early.
 const ONE_IN: u32 = 12;
 /// Largest answer, in bytes.
@@ -83,6 +85,17 @@
         }
     }
 
+    /// Sends the call that ends engines while its fault lasts.
+    pub async fn repeat_fatal(mut self, going: Rc<Going>) {
+        while going.0.get() {
+            if self.world.is_fatal.get() {
+                let number = self.rng.random_range(0..self.world.instances.len());
+                self.call(number, Ask::Fatal).await;
+            }
+            sleep(Duration::from_millis(self.rng.random_range(0..FATAL_PAUSE))).await;
+        }
+    }
+
     fn draw(&mut self) -> Ask {
         match self.rng.random_range(0..10) {
             0..=2 => Ask::Once,
@@ -157,6 +170,7 @@
         Ask::Once => "/once/x".to_owned(),
         Ask::Stream => "/stream/x".to_owned(),
         Ask::Resume => "/resume/x".to_owned(),
+        Ask::Fatal => FATAL.to_owned(),
         Ask::Added(version) => format!("/added-{version}/x"),
     }
 }
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::history::{Ask, Call, End, History};
+use crate::plan::Kind;
 
 /// What a run promised and did not keep.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -36,6 +37,8 @@
     NeverBack,
     /// Engines see one holder a fencing token, and tokens that do not fall.
     Orders,
+    /// A call that has ended three engines reaches no more than a few, and an innocent one is not held for it.
+    Held,
     /// No call is cut by planned work.
     PlannedWork,
     /// Processes run until they are asked to end.
@@ -70,6 +73,7 @@
     asked(history, &mut findings);
     never_back(history, &mut findings);
     orders(history, &mut findings);
+    held(history, &runs, &mut findings);
     let exits = history.exits.iter().map(|exit| (Promise::Lives, exit));
     let missing = history.missing.iter();
     let missing = missing.map(|missing| (Promise::Recovery, missing));
@@ -124,7 +128,7 @@
         return;
     }
     let promise = match call.ask {
-        Ask::Once | Ask::Stream => Promise::AtMostOnce,
+        Ask::Once | Ask::Stream | Ask::Fatal => Promise::AtMostOnce,
         Ask::Safe | Ask::Resume | Ask::Added(_) => Promise::Attempts,
     };
     let evidence = format!("{} {:?} ran {ran} times", call.id, call.ask);
@@ -221,6 +225,65 @@
     }
 }
 
+/// Engines that a call may end before it is held.
+const ENDS: usize = 3;
+/// Time within which all instances know what one of them does, and for which a fault at one or at the store excuses it.
+const KNOWN: Duration = Duration::from_secs(3);
+/// How often a call that ends engines may reach them after that, in trials.
+const TRIALS: usize = 3;
+/// Time after the end of an engine within which an innocent call may be held, since it cannot be told yet from the one to blame. A
+/// hold takes three times as long.
+const SOON: Duration = Duration::from_secs(10);
+/// What an answer says whose call is held.
+const HELD: &[u8] = b"Engines that ran this call ended.";
+
+fn held(history: &History, runs: &HashMap<&str, Vec<&str>>, findings: &mut Vec<Finding>) {
+    for call in history.calls.iter().filter(|call| call.ask != Ask::Fatal) {
+        let End::Answer {
+            body: Some(body), ..
+        } = &call.end
+        else {
+            continue;
+        };
+        let is_held = body.windows(HELD.len()).any(|some| some == HELD);
+        let just_ended = |end: &Duration| *end <= call.ended && call.sent <= *end + SOON;
+        if is_held && !history.ends.iter().any(just_ended) {
+            let evidence = format!("{} {:?} was held", call.id, call.ask);
+            find(findings, Promise::Held, evidence);
+        }
+    }
+    let Some(third) = history.ends.get(ENDS - 1) else {
+        return;
+    };
+    let later = history.calls.iter().filter(|call| {
+        call.ask == Ask::Fatal
+            && call.sent > *third + KNOWN
+            && runs.contains_key(call.id.as_str())
+            && is_in_touch(history, call)
+    });
+    let later: Vec<&str> = later.map(|call| call.id.as_str()).collect();
+    if later.len() > TRIALS {
+        let evidence = format!("ended {} engines, at last {later:?}", history.ends.len());
+        find(findings, Promise::Held, evidence);
+    }
+}
+
+/// Whether neither the store nor the gateway of a call had a fault that ended less than [`KNOWN`] before it.
+fn is_in_touch(history: &History, call: &Call) -> bool {
+    let concerns = |kind: Kind| match kind {
+        Kind::Process(number, _) | Kind::StoreLink(number, _) | Kind::Callers(number, _) => {
+            number == call.gateway
+        }
+        Kind::KillAll | Kind::Store(_) => true,
+        _ => false,
+    };
+    let mut faults = history.faults.iter();
+    !faults.any(|fault| {
+        let over = fault.at + fault.lasts + KNOWN;
+        concerns(fault.kind) && fault.at <= call.ended && call.sent <= over
+    })
+}
+
 fn orders(history: &History, findings: &mut Vec<Finding>) {
     let mut holders: HashMap<u64, HashSet<&str>> = HashMap::new();
     let mut highest: HashMap<&str, u64> = HashMap::new();
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -18,6 +18,8 @@
     Stream,
     /// A stream that may go on elsewhere.
     Resume,
+    /// A stream that ends each engine which runs it.
+    Fatal,
     /// A plain call on the route that a version of the configuration brought.
     Added(u64),
 }
@@ -26,14 +28,14 @@
     /// Engines on which it may run.
     pub fn attempts(self) -> usize {
         match self {
-            Self::Once | Self::Stream => 1,
+            Self::Once | Self::Stream | Self::Fatal => 1,
             Self::Safe | Self::Resume | Self::Added(_) => 2,
         }
     }
 
     /// Whether it is answered in events.
     pub fn is_stream(self) -> bool {
-        matches!(self, Self::Stream | Self::Resume)
+        matches!(self, Self::Stream | Self::Resume | Self::Fatal)
     }
 
     /// The service that may run it.
@@ -125,6 +127,8 @@
     pub exits: Vec<String>,
     /// States that did not come after the last fault.
     pub missing: Vec<String>,
+    /// When engines ended under the call that ends them, since callers began.
+    pub ends: Vec<Duration>,
     /// What was done.
     pub faults: Vec<Fault>,
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -19,6 +19,8 @@
     OneWay,
     /// Resets open connections and new ones.
     Reset,
+    /// Resets open connections and refuses new ones, since nothing listens there any more.
+    Refuse,
 }
 
 /// How an engine fails.
@@ -89,6 +91,9 @@
     Reborn(usize),
     /// Another program writes entries among the engines' records, one of them in the place of an engine's.
     Foreign(usize),
+    /// A caller sends a call that ends each engine which runs it, again and again. Engines are back under their names or new
+    /// ones.
+    Fatal,
     /// A new configuration, with one route more.
     Configure,
 }
@@ -163,7 +168,11 @@
 /// Of this many seeds one has engines that start again under their names and entries of another writer beside its other
 /// faults.
 const RENEWED: u64 = 4;
-/// How many of these, half of either.
+/// Of this many seeds one has a caller that sends a call which ends engines, beside its other faults.
+const FATAL: u64 = 4;
+/// Longest time until it begins.
+const FATAL_LEAD: u64 = 1_500;
+/// How many engines that start again and entries there are, half of either.
 const RENEWALS: usize = 4;
 
 impl Plan {
@@ -208,6 +217,16 @@
                 },
             }));
         }
+        if !planned && seed % FATAL == 1 {
+            // Drawn apart, for the same reason.
+            let mut rng = StdRng::seed_from_u64(seed.rotate_left(32));
+            let at = LEAD + Duration::from_millis(rng.random_range(0..FATAL_LEAD));
+            faults.push(Fault {
+                at,
+                lasts: length.saturating_sub(at),
+                kind: Kind::Fatal,
+            });
+        }
         faults.sort_by_key(|fault| fault.at);
         Self {
             seed,
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -40,7 +40,14 @@
             .expect("a bound socket has an address");
         let (link, seen) = watch::channel(Link::Pass);
         actix_rt::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            let mut refuses = seen.clone();
+            loop {
+                let accepted = tokio::select! {
+                    biased;
+                    () = until(&mut refuses, |link| link == Link::Refuse) => return,
+                    accepted = listener.accept() => accepted,
+                };
+                let Ok((stream, _)) = accepted else { return };
                 actix_rt::spawn(connection(stream, target, seen.clone()));
             }
         });
@@ -71,7 +78,7 @@
     let down = pump(far_read, near_write, link.clone(), Way::FromTarget);
     let broken = tokio::select! {
         (up, down) = async { tokio::join!(up, down) } => !(up && down),
-        () = until(&mut link, |link| link == Link::Reset) => true,
+        () = until(&mut link, |link| matches!(link, Link::Reset | Link::Refuse)) => true,
     };
     if broken {
         reset(near_end);
@@ -116,7 +123,7 @@
 fn passes(link: Link, way: Way) -> bool {
     match link {
         Link::Pass | Link::Delay(_) => true,
-        Link::Silent | Link::Reset => false,
+        Link::Silent | Link::Reset | Link::Refuse => false,
         Link::OneWay => way == Way::ToTarget,
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -64,8 +64,12 @@
         .map(|number| Caller::new(&world, plan.seed, number, begun))
         .map(|caller| actix_rt::spawn(caller.run(going.clone())))
         .collect();
+    world.begun.set(begun);
+    let fatal = Caller::new(&world, plan.seed, CALLERS + 1, begun);
+    let fatal = actix_rt::spawn(fatal.repeat_fatal(going.clone()));
     carry_out(&world, plan, begun).await?;
     going.stop();
+    fatal.await.map_err(io::Error::other)?;
     for caller in callers {
         caller.await.map_err(io::Error::other)?;
     }
@@ -107,6 +111,7 @@
     while Instant::now() < until {
         sleep_until(until.min(Instant::now() + LOOK)).await;
         world.restart()?;
+        world.replace_ended().await;
     }
     Ok(())
 }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -1,6 +1,6 @@
 //! The processes, links and stand-ins of a run, and how faults begin and end there.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
@@ -11,6 +11,7 @@
 use floor::{Engine, Store, store};
 use rustix::process::Signal;
 use serde_json::json;
+use tokio::time::Instant;
 
 use crate::check;
 use crate::gateway::{Gateway, Ports};
@@ -47,12 +48,22 @@
     pub instances: Vec<Instance>,
     places: RefCell<Vec<Place>>,
     version: RefCell<u64>,
+    /// Whether a caller sends the call that ends engines.
+    pub is_fatal: Cell<bool>,
+    /// When callers began.
+    pub begun: Cell<Instant>,
+    /// Records of engines that have ended, and when they lapse.
+    lapses: RefCell<Vec<(Instant, usize)>>,
     /// What has been seen so far.
     pub history: RefCell<History>,
 }
 
 /// Pause between two events, so that streams are under way whenever something happens.
 const PAUSE: Duration = Duration::from_millis(50);
+/// Path of the call that ends engines.
+pub const FATAL: &str = "/stream/fatal";
+/// Time until the record of an engine that has ended lapses.
+const LAPSE: Duration = Duration::from_millis(1_200);
 /// Name of the topic with engines' records.
 const ENGINES: &str = "keyed.servers";
 /// Topics whose history is dropped.
@@ -88,6 +99,9 @@
             instances,
             places: RefCell::default(),
             version: RefCell::new(0),
+            is_fatal: Cell::new(false),
+            begun: Cell::new(Instant::now()),
+            lapses: RefCell::default(),
             history: RefCell::default(),
         };
         for _ in 0..plan.services {
@@ -119,6 +133,7 @@
     /// Puts an engine behind a link of its own and registers it.
     async fn add(&self, engine: Engine, service: &'static str, stage: Option<&'static str>) {
         engine.streams(check::EVENTS, PAUSE);
+        engine.ends_on(FATAL);
         let link = Proxy::start(engine.address).await;
         engine.register_at(link.address, &self.store, service, "ready", stage);
         self.places.borrow_mut().push(Place {
@@ -169,6 +184,7 @@
             Kind::Crash(number) => self.crash(number).await,
             Kind::Reborn(number) => self.reborn(number).await,
             Kind::Foreign(number) => self.write_foreign(number),
+            Kind::Fatal => self.is_fatal.set(true),
             Kind::Configure => self.configure(),
         }
     }
@@ -189,6 +205,7 @@
             Kind::Leave(number) => self.unregister(number),
             Kind::Crash(number) => self.unregister(number),
             Kind::Foreign(number) => self.write_own(number),
+            Kind::Fatal => self.is_fatal.set(false),
             Kind::Reborn(_)
             | Kind::Process(..)
             | Kind::KillAll
@@ -238,13 +255,50 @@
             return;
         };
         let id = self.places.borrow()[number].engine.id.clone();
-        self.place(number, |place| place.link.set(Link::Reset));
+        self.place(number, |place| {
+            if !place.engine.has_ended() {
+                place.link.set(Link::Reset);
+            }
+        });
         // One that starts again has a later place than the start before.
         let born = self.places.borrow().len() as u64;
         let engine = Engine::start_born(&id, born).await;
         self.add(engine, service, stage).await;
     }
 
+    /// Starts engines in the place of those that a call has ended: one half under their names, the other under new ones.
+    pub async fn replace_ended(&self) {
+        let is_ended = |place: &Place| place.engine.has_ended() && !place.left;
+        let ended: Vec<usize> = {
+            let places = self.places.borrow();
+            let ended = places.iter().enumerate();
+            let ended = ended.filter(|(_, place)| is_ended(place));
+            ended.map(|(number, _)| number).collect()
+        };
+        for number in ended {
+            let at = self.begun.get().elapsed();
+            self.history.borrow_mut().ends.push(at);
+            self.place(number, |place| place.link.set(Link::Refuse));
+            if number.is_multiple_of(2) {
+                self.reborn(number).await;
+            } else if let Some((service, stage)) = self.mark_left(number) {
+                self.add_engine(service, stage).await;
+                let lapse = (Instant::now() + LAPSE, number);
+                self.lapses.borrow_mut().push(lapse);
+            }
+        }
+        let now = Instant::now();
+        let (due, rest) = {
+            let lapses = self.lapses.take();
+            lapses.into_iter().partition(|(at, _)| *at <= now)
+        };
+        let due: Vec<(Instant, usize)> = due;
+        self.lapses.replace(rest);
+        for (_, number) in due {
+            self.unregister(number);
+        }
+    }
+
     /// Writes what no engine writes, in a place of its own and over an engine's record.
     fn write_foreign(&self, number: usize) {
         let entry = json!({ "service": "app", "address": [10, 0, 0, 1], "state": "resting" });
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -226,3 +226,62 @@
         history.missing.push("gateway-0 serves nothing".to_owned());
     });
 }
+
+/// Three engines that end under a call, and four sends of it that reach one later, each a second after the one before.
+fn reached_after_three_ends(history: &mut History, from: u64) {
+    history.ends = [100, 200, 300].map(ms).to_vec();
+    for number in 0..4 {
+        let id = format!("fatal-{number}");
+        let mut sent = call(&id, Ask::Fatal, from + number * 1_000);
+        sent.end = End::Closed;
+        history
+            .runs
+            .push(ran(&id, Ask::Fatal, &format!("e{number}")));
+        history.calls.push(sent);
+    }
+    // What cuts a call that ends engines is no planned work.
+    history.faults = vec![Fault {
+        at: ms(50),
+        lasts: ms(20_000),
+        kind: Kind::Fatal,
+    }];
+}
+
+#[test]
+fn a_call_that_ends_engines_and_reaches_more_is_found() {
+    found(Promise::Held, |history| {
+        reached_after_three_ends(history, 4_000);
+    });
+}
+
+#[test]
+fn sends_before_all_can_know_or_from_where_a_fault_was_are_not() {
+    let mut history = good();
+    reached_after_three_ends(&mut history, 300);
+    assert_eq!(check::check(&history), Vec::<Finding>::new());
+    let mut history = good();
+    reached_after_three_ends(&mut history, 4_000);
+    history.faults.push(Fault {
+        at: ms(3_500),
+        lasts: ms(500),
+        kind: Kind::Process(0, Process::Kill),
+    });
+    assert_eq!(check::check(&history), Vec::<Finding>::new());
+}
+
+#[test]
+fn an_innocent_call_that_is_held_for_long_is_found() {
+    let hold = |history: &mut History, at: u64| {
+        history.ends = vec![ms(100)];
+        let mut held = call("held", Ask::Safe, at);
+        refuse(&mut held, 503, true);
+        if let End::Answer { body, .. } = &mut held.end {
+            *body = Some(Bytes::from("Engines that ran this call ended."));
+        }
+        history.calls.push(held);
+    };
+    found(Promise::Held, |history| hold(history, 11_000));
+    let mut history = good();
+    hold(&mut history, 5_000);
+    assert_eq!(check::check(&history), Vec::<Finding>::new());
+}
