--- /dev/null
+++ b/crates/serving/tests/replay/main.rs
@@ -0,0 +1,78 @@
+//! The load that the placement answers, replayed in simulated time against engines that read prompts one
+//! after the other: shared parts, long tails, and a mix that swings every 2.8 s. The same calls are placed
+//! in the ways that were weighed; what counts is the share of calls on time.
+
+#[path = "../common/mod.rs"]
+mod common;
+
+mod calls;
+mod engine;
+mod world;
+
+use calls::{calls, calls_with_outage};
+use world::{Way, World};
+
+fn on_time(way: Way) -> f64 {
+    let seeds = 1..=3;
+    let shares = seeds.map(|seed| World::new(way, &calls(seed)).run());
+    shares.sum::<f64>() / 3.0
+}
+
+/// The ways that were weighed. Share on time in one run: placed 0.986, least outstanding 0.602, by the
+/// prefix 0.500, DRILL 0.304, two choices 0.256, round robin 0.181; the others pay for shared parts
+/// that they have read again. The bound asserted is far below the difference.
+#[test]
+fn the_placement_serves_more_on_time_than_the_usual_ways() {
+    let placed = on_time(Way::Placed);
+    for way in [
+        Way::RoundRobin,
+        Way::LeastOutstanding,
+        Way::TwoChoices,
+        Way::Drill,
+        Way::PrefixHash,
+    ] {
+        let other = on_time(way);
+        println!("{way:?}: {other:.3}, placed: {placed:.3}");
+        assert!(
+            placed > other + 0.05,
+            "{way:?}: {other:.3}, placed: {placed:.3}"
+        );
+    }
+}
+
+#[test]
+fn instances_that_tell_each_other_serve_more_on_time() {
+    let placed = on_time(Way::Placed);
+    let alone = on_time(Way::Alone);
+    println!("alone: {alone:.3}, placed: {placed:.3}");
+    assert!(
+        placed > alone + 0.03,
+        "alone: {alone:.3}, placed: {placed:.3}"
+    );
+}
+
+#[test]
+fn telling_of_all_parts_serves_more_on_time_than_of_new_ones() {
+    let placed = on_time(Way::Placed);
+    let new = on_time(Way::NewParts);
+    println!("new parts: {new:.3}, placed: {placed:.3}");
+    assert!(placed >= new, "new parts: {new:.3}, placed: {placed:.3}");
+}
+
+/// Symptom: new calls are late for seconds after an outage. Sequence: instances are away; callers come back
+/// together, among new ones. Cause: those that came back kept their rank, though they could not be on time
+/// any more. The share is of new calls only; those that came back are served as well.
+#[test]
+fn new_calls_are_on_time_sooner_after_an_outage() {
+    let share = |way| {
+        let seeds = 1..=3;
+        let shares = seeds.map(|seed| World::new(way, &calls_with_outage(seed)).run());
+        shares.sum::<f64>() / 3.0
+    };
+    let (placed, all_new) = (share(Way::Placed), share(Way::AllNew));
+    println!("all new: {all_new:.3}, placed: {placed:.3}");
+    assert!(
+        placed > all_new,
+        "all new: {all_new:.3}, placed: {placed:.3}"
+    );
+}
