Account for logs line by line, and name the slowest tenth of the instances

Change: a log is read line by line; a call is counted when a line tells its end, where its log ends, or two minutes after its first line; calls are counted by instance, and the tenth that had them on time least often, one at least, stands in a table, the worst first.

--- a/crates/account/src/call.rs
+++ b/crates/account/src/call.rs
@@ -111,6 +111,11 @@
         }
     }
 
+    /// Whether a line told its end.
+    pub fn has_ended(&self) -> bool {
+        self.end.is_some()
+    }
+
     /// How it ended.
     pub fn end(&self) -> End {
         self.end.unwrap_or(End::Untold)
--- a/crates/account/src/main.rs
+++ b/crates/account/src/main.rs
@@ -1,5 +1,7 @@
 //! The command line of the account; see the library.
 
+use std::fs::File;
+use std::io::BufReader;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -21,17 +23,14 @@
 
 fn main() -> ExitCode {
     let command = Command::parse();
-    let mut logs = Vec::new();
+    let mut account = Account::default();
     for file in &command.logs {
-        match std::fs::read_to_string(file) {
-            Ok(log) => logs.push(log),
-            Err(error) => {
-                eprintln!("{} cannot be read: {error}", file.display());
-                return ExitCode::FAILURE;
-            }
+        let read = File::open(file).and_then(|log| account.add(BufReader::new(log)));
+        if let Err(error) = read {
+            eprintln!("{} cannot be read: {error}", file.display());
+            return ExitCode::FAILURE;
         }
     }
-    let account = Account::new(logs.iter().map(String::as_str));
     print!("{}", text::tables(&account));
     let Some(file) = &command.plot else {
         return ExitCode::SUCCESS;
--- a/crates/account/src/plot.rs
+++ b/crates/account/src/plot.rs
@@ -17,8 +17,9 @@
 ///
 /// If the file cannot be written.
 pub fn draw(account: &Account, file: &Path) -> Result<(), Box<dyn Error>> {
-    let last = account.seconds.keys().max().copied().unwrap_or_default();
-    let sums = account.seconds.values().map(|ends| ends.values().sum());
+    let last = account.by_second().map(|(second, _)| second).max();
+    let last = last.unwrap_or_default();
+    let sums = account.by_second().map(|(_, ends)| ends.values().sum());
     let most: u32 = sums.max().unwrap_or(1);
     let root = SVGBackend::new(file, SIZE).into_drawing_area();
     root.fill(&WHITE)?;
@@ -34,11 +35,11 @@
         .draw()?;
     for (number, end) in End::ALL.into_iter().enumerate() {
         let colour = Palette99::pick(number).to_rgba();
-        let bars = account.seconds.iter().map(|(second, ends)| {
+        let bars = account.by_second().map(|(second, ends)| {
             let below = ends.range(..end).map(|(_, count)| count).sum::<u32>();
             let count = ends.get(&end).copied().unwrap_or_default();
             Rectangle::new(
-                [(*second, below), (second + 1, below + count)],
+                [(second, below), (second + 1, below + count)],
                 colour.filled(),
             )
         });
--- a/crates/account/src/text.rs
+++ b/crates/account/src/text.rs
@@ -4,7 +4,7 @@
 use crate::tally::{Account, Ends, Forecast};
 
 /// Width of the first column.
-const FIRST: usize = 16;
+const FIRST: usize = 24;
 /// Width of the others.
 const OTHER: usize = 13;
 
@@ -26,10 +26,15 @@
     }
     text.push('\n');
     text.push_str(&head("second"));
-    for (second, ends) in &account.seconds {
+    for (second, ends) in account.by_second() {
         text.push_str(&row(&second.to_string(), ends));
     }
     text.push('\n');
+    text.push_str(&head("slowest tenth"));
+    for (instance, ends) in account.slowest() {
+        text.push_str(&row(instance, ends));
+    }
+    text.push('\n');
     text.push_str(&forecast("prompts read for another engine", &account.reads));
     text.push_str(&forecast("first events", &account.begins));
     if account.dropped > 0 {
--- a/crates/account/tests/account.rs
+++ b/crates/account/tests/account.rs
@@ -54,10 +54,15 @@
     .concat()
 }
 
+fn account<'a>(logs: impl IntoIterator<Item = &'a str>) -> Account {
+    let account = Account::new(logs.into_iter().map(str::as_bytes));
+    account.expect("text can be read")
+}
+
 #[test]
 fn calls_are_counted_by_how_they_ended_and_why() {
     let log = log();
-    let account = Account::new([log.as_str()]);
+    let account = account([log.as_str()]);
     let count = |route: &str, end: End| account.routes[route].get(&end).copied().unwrap_or(0);
     assert_eq!(count("long", End::OnTime), 1);
     assert_eq!(count("long", End::LateRead), 1);
@@ -82,7 +87,7 @@
 #[test]
 fn forecasts_are_held_against_what_came() {
     let log = log();
-    let reads = Account::new([log.as_str()]).reads;
+    let reads = account([log.as_str()]).reads;
     assert_eq!(
         (reads.count, reads.expected, reads.took, reads.off),
         (2, 440.0, 950.0, 510.0)
@@ -98,14 +103,14 @@
         &line(4.0, "log lines were dropped line=9 count=5"),
     ]
     .concat();
-    let account = Account::new([log.as_str()]);
+    let account = account([log.as_str()]);
     assert_eq!(account.dropped, 12);
     assert!(text::tables(&account).contains("12 lines were dropped"));
 }
 
 #[test]
 fn what_is_no_log_gives_an_empty_account() {
-    let account = Account::new([
+    let account = account([
         "",
         "nothing\n[x] y=1\n[2026-07-13T99 I a] b c=1",
         "\u{0}] [ = ",
@@ -119,7 +124,7 @@
     let log = log();
     let folder = tempfile::tempdir().unwrap();
     let file = folder.path().join("a.svg");
-    plot::draw(&Account::new([log.as_str()]), &file).unwrap();
+    plot::draw(&account([log.as_str()]), &file).unwrap();
     let svg = std::fs::read_to_string(file).unwrap();
     assert!(svg.contains("late: beside"));
 }
@@ -149,7 +154,7 @@
             1.1,
             "answered at once id=x status=404 after_ms=0 why=No route matches.",
         );
-    let account = Account::new([first.as_str(), &second, &third]);
+    let account = account([first.as_str(), &second, &third]);
     let count = |table: &std::collections::BTreeMap<String, account::tally::Ends>| {
         let counts = table
             .iter()
@@ -165,3 +170,41 @@
         [("20".to_owned(), 2), ("200".to_owned(), 2)]
     );
 }
+
+/// Lines of one instance, of which some calls are on time and the rest fail.
+fn instance(name: &str, on_time: u32, failed: u32) -> String {
+    let mut log = line(0.5, &format!("started instance={name} link_mbps=20"));
+    for call in 0..on_time + failed {
+        let status = if call < on_time { 200 } else { 500 };
+        let text = format!("answered id={name}-{call} route=plain ms=30 status={status}");
+        log.push_str(&line(1.0, &text));
+    }
+    log
+}
+
+#[test]
+fn the_slowest_tenth_of_instances_is_named() {
+    let names: Vec<String> = (0..20).map(|number| format!("front-a-{number}")).collect();
+    let logs = names.iter().zip(0..);
+    let logs: Vec<String> = logs
+        .map(|(name, failed)| instance(name, 40 - failed, failed))
+        .collect();
+    let account = account(logs.iter().map(String::as_str));
+    assert_eq!(account.instances.len(), 20);
+    let slowest: Vec<&str> = account.slowest().iter().map(|(name, _)| *name).collect();
+    assert_eq!(slowest, ["front-a-19", "front-a-18"]);
+    assert!(text::tables(&account).contains("front-a-19"));
+}
+
+/// Calls whose instance was killed stayed in memory until all logs were read, those of hundreds of instances at once.
+#[test]
+fn calls_that_no_line_ends_are_counted_where_their_log_ends() {
+    let killed = line(1.0, "sent id=a engine=e")
+        + &line(
+            1.1,
+            "an engine ended with the call in hand id=b engine=e ended=1",
+        );
+    let account = account([killed.as_str(), &log()]);
+    assert_eq!(account.instances["(no instance)"].values().sum::<u32>(), 13);
+    assert_eq!(account.routes["(no route)"][&End::Untold], 2);
+}
