Test that what was before the start of an instance keeps its order there

Found reading the change: what instances tell is aged on the clock of the one that hears it, which begins with its process, so that all that was before has one moment. A good run of long ago then clears the ends after it, at that instance, and at all others once it tells. The test fails on the code as it is: a call that ran well, then ended three engines and was held ends a fourth at an instance that has just started.

--- a/crates/gateway/tests/ending.rs
+++ b/crates/gateway/tests/ending.rs
@@ -203,6 +203,41 @@
     assert_eq!(pool.reached(FATAL), reached);
 }
 
+/// A call ran well, and then ended three engines. An instance that started after all of it took the good run and the ends for
+/// one moment, that of its start, and the call for cleared; what it told cleared the call for all.
+#[actix_rt::test]
+async fn what_was_before_the_start_of_an_instance_keeps_its_order() {
+    let (worlds, mut pool) = three_instances().await;
+    let first = &worlds[0];
+    until(async || {
+        first.generate_same(FATAL, &first.fresh_id()).await;
+        pool.ended() == 1
+    })
+    .await;
+    pool.replace(&first.store).await;
+    for engine in &pool.engines {
+        engine.ends_on("/stream/none");
+    }
+    until(async || {
+        first.generate_same(FATAL, &first.fresh_id()).await;
+        first.log_lines("a call that had engines end ran well") == 1
+    })
+    .await;
+    for engine in &pool.engines {
+        engine.ends_on(FATAL);
+    }
+    until_held(first, &mut pool, FATAL).await;
+    until(async || is_kept(&worlds)).await;
+    let newcomer = first.beside();
+    newcomer.until_ready(true).await;
+    let reached = pool.reached(FATAL);
+    for world in [&newcomer, first, &worlds[1]] {
+        let answer = world.generate_same(FATAL, &world.fresh_id()).await;
+        assert_eq!(answer.status, 503, "{answer:?}");
+    }
+    assert_eq!(pool.reached(FATAL), reached);
+}
+
 /// Instances that each try a held call by themselves end as many engines as there are instances. One claims the trial at the
 /// store, and a store that is away lets nobody try.
 #[actix_rt::test]
