--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -8,7 +8,7 @@
 
 use crate::attempt::Asked;
 use crate::instance::Instance;
-use crate::trials;
+use crate::{suspects, trials};
 
 /// How a call may go to an engine.
 pub(crate) enum Admission {
@@ -30,7 +30,7 @@
     if asked.on_trial.get() {
         return Admission::Alone;
     }
-    let admission = match instance.suspects.verdict(asked, instance.now()) {
+    let admission = match instance.suspects.verdict(asked, suspects::now(instance)) {
         Verdict::Due if trials::claim(instance, asked).await => {
             log::info!(id = asked.call.id.as_str(), fingerprint = asked.fingerprint_text(); "a held call is tried");
             asked.on_trial.set(true);
@@ -47,7 +47,7 @@
 
 /// As [`admit`], for a call that an engine has begun to serve already: no trial begins there.
 pub(crate) fn admit_further(instance: &Instance, asked: &Asked) -> Admission {
-    let verdict = instance.suspects.verdict(asked, instance.now());
+    let verdict = instance.suspects.verdict(asked, suspects::now(instance));
     judge(instance, asked, verdict)
 }
 
@@ -79,7 +79,7 @@
     let last = entry.last_crash().unwrap_or_default();
     log::info!(
         id = asked.call.id.as_str(), fingerprint = asked.fingerprint_text(), caller:% = asked.caller,
-        ended = entry.standing(), last_ms:% = instance.now().saturating_sub(last).as_millis(),
+        ended = entry.standing(), last_ms:% = suspects::now(instance).saturating_sub(last).as_millis(),
         trials = entry.trials, after_ms:% = after.as_millis();
         "held"
     );
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -20,6 +20,7 @@
 
 use crate::attempt::Asked;
 use crate::instance::Instance;
+use crate::suspects;
 
 /// Time for a connection to open, or to be refused.
 const CONNECT: Duration = Duration::from_millis(350);
@@ -76,7 +77,7 @@
     if is_leaving {
         return;
     }
-    let at = instance.now();
+    let at = suspects::now(instance);
     let call = asked.fingerprint();
     let matters =
         instance.suspects.is_noted(asked) || instance.crashes.open.borrow().contains(&call);
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -20,6 +20,7 @@
 use crate::metrics;
 use crate::plain::{End, Finished, counted, refuse_end, take_repeat, tell_refused};
 use crate::relay::{self, Relay, Times};
+use crate::suspects;
 
 mod memory;
 
@@ -352,7 +353,7 @@
             });
             self.instance
                 .suspects
-                .ended_well(self.asked, engine, self.instance.now());
+                .ended_well(self.asked, engine, suspects::now(self.instance));
             self.avoid.push(engine.id.clone());
             return self.failure(*answered, &engine.id).await;
         }
@@ -367,7 +368,7 @@
                 held.note(Outcome::Good);
                 self.instance
                     .suspects
-                    .ended_well(self.asked, engine, self.instance.now());
+                    .ended_well(self.asked, engine, suspects::now(self.instance));
                 let Answered { client, reply, .. } = *answered;
                 attempt::give(self.instance, &engine.id, client, &reply);
                 Next::Done(Done::Whole(self.relay.times()))
--- a/crates/gateway/src/heard.rs
+++ b/crates/gateway/src/heard.rs
@@ -13,7 +13,7 @@
 use crate::frame::{before, job, moment, outcome, work};
 use crate::instance::Instance;
 use crate::peers::Topic;
-use crate::{answer, ask, follow, mesh};
+use crate::{answer, ask, follow, mesh, suspects};
 
 /// Takes in a frame.
 pub(crate) fn take(instance: &Instance, from: SocketAddr, frame: Frame) {
@@ -44,7 +44,9 @@
         take_news(instance, news);
     }
     for suspect in &frame.suspects {
-        instance.suspects.hear(suspect, "instance", now);
+        instance
+            .suspects
+            .hear(suspect, "instance", suspects::now(instance));
     }
     note_all_engines(instance, frame.all_engines);
     if frame.read_configuration {
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -106,7 +106,7 @@
         instance.fleet.borrow_mut().fade(now);
         let is_greeting = instance.greeting_due.take() | instance.elect();
         tell_news(&instance, &socket, now);
-        tell_suspects(&instance, &socket, now);
+        tell_suspects(&instance, &socket);
         let is_state_due = is_greeting || !instance.knows_all() || Instant::now() >= state_due;
         let mut reports = instance.reports.take_reports(now);
         if is_state_due {
@@ -269,8 +269,8 @@
 }
 
 /// Tells all others what is new of calls that end engines.
-fn tell_suspects(instance: &Instance, socket: &UdpSocket, now: Moment) {
-    let suspects = instance.suspects.take_news(now);
+fn tell_suspects(instance: &Instance, socket: &UdpSocket) {
+    let suspects = instance.suspects.take_news(suspects::now(instance));
     if suspects.is_empty() {
         return;
     }
--- a/crates/gateway/src/operate.rs
+++ b/crates/gateway/src/operate.rs
@@ -11,7 +11,7 @@
 use wire::Message as _;
 use wire::gateway::Suspect;
 
-use crate::suspects::text;
+use crate::suspects::{START, text};
 use crate::{frame, trials};
 
 /// Why nothing was done.
@@ -38,8 +38,8 @@
     }
 }
 
-/// Moment that ages of records are counted back from: later than any of them.
-const NOW: Moment = Moment::from_secs(10 * 365 * 24 * 60 * 60);
+/// The present moment, from which ages of records are counted back.
+const NOW: Moment = START;
 
 /// A line for each call that the store has, the ones that are held first.
 pub(crate) async fn held(settings: &Settings) -> Result<Vec<String>, Failure> {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -20,6 +20,7 @@
 use crate::instance::Instance;
 use crate::metrics;
 use crate::reply::{Refusal, refuse};
+use crate::suspects;
 
 /// How a call ended.
 pub(crate) enum End {
@@ -282,7 +283,9 @@
     match client.body(MOST).await {
         Ok(body) => {
             attempt::give(instance, &engine.id, client, &reply);
-            instance.suspects.ended_well(asked, engine, instance.now());
+            instance
+                .suspects
+                .ended_well(asked, engine, suspects::now(instance));
             One::Whole(Box::new(Finished { head, reply }), body)
         }
         Err(failure) => {
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -30,6 +30,15 @@
 /// Pause between two answers to one instance that lacks something: the first may be on its way.
 const ANSWER_PACE: Duration = Duration::from_millis(600);
 
+/// The moment of this process's start on the clock by which calls are remembered. What instances and the store tell may be older than
+/// the process; it must keep its order, or a good run of long ago would clear the ends after it. Longer than a call is held.
+pub(crate) const START: Moment = Duration::from_secs(2 * 24 * 60 * 60);
+
+/// The present moment on the clock by which calls are remembered.
+pub(crate) fn now(instance: &Instance) -> Moment {
+    START + instance.now()
+}
+
 /// News that is still to be told.
 #[derive(Clone, Copy, Debug)]
 struct Telling {
@@ -271,7 +280,7 @@
     if state.suspects_digest == suspects.digest() || suspects.digest() == 0 {
         return None;
     }
-    let now = instance.now();
+    let now = now(instance);
     let is_placing = instance.is_placing();
     let told = {
         let quarantine = suspects.quarantine.borrow();
--- a/crates/gateway/src/trials.rs
+++ b/crates/gateway/src/trials.rs
@@ -16,7 +16,7 @@
 use crate::attempt::Asked;
 use crate::frame;
 use crate::instance::Instance;
-use crate::suspects::text;
+use crate::suspects::{self, text};
 
 /// Begins the keys of held calls. They stand beside the registered instances, which each instance that starts reads: it
 /// knows whom to hold back before it knows whom to ask, at no further call to the store.
@@ -38,7 +38,7 @@
 
 /// A call's record.
 pub(crate) fn value(call: Fingerprint, entry: &Entry, instance: &Instance) -> Vec<u8> {
-    let suspect = frame::told_suspect(call, entry, instance.now());
+    let suspect = frame::told_suspect(call, entry, suspects::now(instance));
     let written = Suspect {
         written_unix_ms: unix_ms(instance.clock.wall()),
         ..suspect
@@ -65,7 +65,9 @@
     match Suspect::decode(&value[..]) {
         Ok(suspect) => {
             let aged = frame::aged(suspect, unix_ms(instance.clock.wall()));
-            instance.suspects.hear(&aged, "store", instance.now());
+            instance
+                .suspects
+                .hear(&aged, "store", suspects::now(instance));
         }
         Err(error) => {
             log::error!(key = record.key.as_str(), error:% = error; "the record of a held call cannot be read");
@@ -80,7 +82,7 @@
     let mut store = Store::new(address, instance.codec.clone());
     loop {
         sleep(LOOK).await;
-        instance.suspects.expire(instance.now());
+        instance.suspects.expire(suspects::now(&instance));
         for (call, entry) in instance.suspects.unwritten() {
             let value = value(call, &entry, &instance);
             match store.append(INSTANCES, &key(call), &value, None).await {
@@ -123,7 +125,7 @@
     for record in &newest.records {
         take(instance, record);
     }
-    if !instance.suspects.begin_trial(call, instance.now()) {
+    if !instance.suspects.begin_trial(call, suspects::now(instance)) {
         return Ok(false);
     }
     let Some(entry) = instance.suspects.get(call) else {
