Report what organisations use, one report a window, fixed with the claim it is sent under

Ruled out: a second lease beside serving::turn; counts sent once (frames are lost); a report record beside the claim (two appends, and a claim that stands without it). Change: instances count requests by organisation and window of true time, and tell sums that only grow to the first three placers; whoever claims fixes all reports that are due in the claim itself, so that a successor finds and repeats them. Orders to engines and reports share one claim (gateway::claims, gateway::duties). Positions in the store carry its era, so that a store that comes back from a copy takes back nothing that is known: leavings, tokens, offsets; instances register again.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,6 +17,7 @@
 use serving::health::Outcome;
 use serving::organisation::Organisation;
 use serving::place::{self, Demand, Generation, Target};
+use serving::usage::Unix;
 use serving::{Choice, EngineId, Route, Service, Table, Zone};
 use smallvec::SmallVec;
 use tokio::time::Instant;
@@ -36,6 +37,8 @@
     /// Where its connection comes from.
     pub caller: IpAddr,
     fingerprint: OnceCell<Fingerprint>,
+    /// Whether it counts among what its organisation uses already.
+    counted: Cell<bool>,
     /// Whether this instance may send it although it is held, until an engine has got it.
     pub on_trial: Cell<bool>,
     pub route: Rc<Route>,
@@ -202,6 +205,7 @@
             call,
             caller,
             fingerprint: OnceCell::new(),
+            counted: Cell::new(false),
             on_trial: Cell::new(false),
         })
     }
@@ -238,6 +242,15 @@
         }
     }
 
+    /// Takes in that an engine began it at a moment. It counts once, however many engines it goes to.
+    pub(crate) fn began(&self, instance: &Instance, at: Unix) {
+        if let Some(organisation) = self.principal.organisation()
+            && !self.counted.replace(true)
+        {
+            instance.used(&organisation.name, at);
+        }
+    }
+
     /// Its rank: that of its organisation, which goes before that of its route.
     pub(crate) fn priority(&self) -> Rank {
         let organisation = self.principal.organisation();
@@ -371,6 +384,9 @@
         ..*sending
     };
     let head = upstream::request(&asked.head, &sending);
+    // Engines of plain calls begin what they get; those of streams, with the first event.
+    let sent = instance.unix();
+    let is_plain = !asked.route.kind.is_stream();
     match exchange(client, head, asked, &engine.name).await {
         Ok(answered) if answered.reply.was_not_run() => {
             let ended = answered.reply.is_misdirected();
@@ -378,11 +394,18 @@
             Tried::NotRun(if ended { NotRun::Ended } else { NotRun::Full })
         }
         Ok(answered) => {
+            if is_plain {
+                asked.began(instance, sent);
+            }
             asked.on_trial.set(false);
             Tried::Answer(Box::new(answered))
         }
         Err(failure) if failure.not_sent() => Tried::NotRun(NotRun::Unreachable),
         Err(failure) => {
+            // It may have run, and mostly has.
+            if is_plain {
+                asked.began(instance, sent);
+            }
             asked.on_trial.set(false);
             Tried::Lost(failure)
         }
--- /dev/null
+++ b/crates/gateway/src/claims.rs
@@ -0,0 +1,153 @@
+//! Claims of the right to order engines and to perform duties, in the store. [`serving::turn`] decides who may claim.
+
+use std::fmt;
+use std::time::Duration;
+
+use adapter::orders::{self, CLAIM, CLAIMS};
+use adapter::store::{self, Offset, Store, Trouble};
+use clock::{Clock as _, Moment, System};
+use serving::turn::{self, Fence, Turns};
+use serving::usage::Report;
+
+/// Why nothing may be ordered now.
+#[derive(Debug)]
+pub(crate) enum Denied {
+    /// Another instance did a moment ago.
+    NotOurTurn,
+    /// The store did not carry the claim out, or may have.
+    Store(Trouble),
+    /// Another claim came first.
+    Overtaken,
+}
+
+impl fmt::Display for Denied {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotOurTurn => f.write_str("another instance gave orders a moment ago"),
+            Self::Store(trouble) => trouble.fmt(f),
+            Self::Overtaken => f.write_str("another instance's claim came first"),
+        }
+    }
+}
+
+impl From<Trouble> for Denied {
+    fn from(trouble: Trouble) -> Self {
+        match trouble {
+            Trouble::Moved(_) => Self::Overtaken,
+            other => Self::Store(other),
+        }
+    }
+}
+
+/// The right to order and to perform duties, for a moment.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Grant {
+    pub(crate) fence: Fence,
+    /// On the clock that runs on while the machine is suspended.
+    until: Moment,
+}
+
+impl Grant {
+    /// Whether a call may still leave. A suspended machine would send one whose turn is long over.
+    pub(crate) fn holds(&self, clock: &System) -> bool {
+        clock.boot() < self.until
+    }
+
+    /// Time for which calls may still leave.
+    pub(crate) fn left(&self, clock: &System) -> Duration {
+        self.until.saturating_sub(clock.boot())
+    }
+}
+
+/// The log of claims as it was read, where this instance may claim.
+pub(crate) struct Standing {
+    end: Offset,
+    /// Reports that are fixed in the newest claim.
+    pub(crate) reports: Vec<Report>,
+}
+
+/// This instance's part in the log of claims.
+pub(crate) struct Claims {
+    store: Store,
+    turns: Turns,
+    clock: System,
+    /// Under which other instances know this one.
+    holder: String,
+    incarnation: u64,
+}
+
+impl Claims {
+    pub(crate) fn new(
+        store: Store,
+        lease: Duration,
+        clock: System,
+        holder: String,
+        incarnation: u64,
+    ) -> Self {
+        Self {
+            store,
+            turns: Turns::new(lease),
+            clock,
+            holder,
+            incarnation,
+        }
+    }
+
+    /// Takes in a claim of another instance, of which that one told.
+    pub(crate) fn heard(&mut self, fence: Fence) {
+        self.turns.heard(fence, self.clock.now());
+    }
+
+    /// Reads the newest claim, and looks whether this instance may claim after it.
+    pub(crate) async fn read(&mut self) -> Result<Standing, Denied> {
+        let newest = self.store.newest(CLAIMS).await?;
+        let record = newest.records.iter().find(|record| record.key == CLAIM);
+        let value = record.and_then(|record| record.value.as_ref());
+        let held = value.and_then(|value| match orders::Claim::read(value) {
+            Ok(claim) => Some(claim),
+            Err(error) => {
+                log::error!(error:% = error; "a claim cannot be read; it counts as another instance's");
+                None
+            }
+        });
+        let claim = record.map(|record| turn::Claim {
+            fence: fence(record.offset),
+            holder: held.as_ref().map_or("", |claim| &claim.holder),
+        });
+        let now = self.clock.now();
+        self.turns.heard_era(store::era(newest.end), now);
+        if !self.turns.may_claim(claim, &self.holder, now) {
+            return Err(Denied::NotOurTurn);
+        }
+        let reports = held.into_iter().flat_map(|claim| claim.reports);
+        Ok(Standing {
+            end: newest.end,
+            reports: reports.map(Report::from).collect(),
+        })
+    }
+
+    /// Claims, and fixes these reports with it: the store takes both or neither, and only if nobody has claimed since the log was read.
+    pub(crate) async fn claim(
+        &mut self,
+        standing: &Standing,
+        reports: &[Report],
+    ) -> Result<Grant, Denied> {
+        let until = self.clock.boot() + turn::ORDERS;
+        let claim = orders::Claim {
+            holder: self.holder.clone(),
+            incarnation: self.incarnation,
+            reports: reports.iter().map(Into::into).collect(),
+        };
+        let value = claim.bytes();
+        let at = Some(standing.end);
+        let offset = self.store.append(CLAIMS, CLAIM, &value, at).await?;
+        let fence = fence(offset);
+        log::info!(fence = fence, reports = reports.len(); "may give orders");
+        Ok(Grant { fence, until })
+    }
+}
+
+/// The fencing token of a claim. Tokens begin at 1.
+fn fence(offset: Offset) -> Fence {
+    offset + 1
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -9,7 +9,7 @@
 use signals::{Early, Request, Signals};
 
 use crate::instance::Instance;
-use crate::{aside, follow, front, mesh, metrics, ready, roles};
+use crate::{aside, duties, follow, front, mesh, metrics, ready};
 
 /// Why the process cannot serve.
 #[derive(Clone, Copy, Debug)]
@@ -63,7 +63,7 @@
     }
     follow::start(&instance);
     actix_rt::spawn(follow::sweep(instance.clone()));
-    actix_rt::spawn(roles::run(instance.clone()));
+    actix_rt::spawn(duties::run(instance.clone()));
     mesh::start(&instance)
         .await
         .change_context(Failure::Listen)?;
--- a/crates/gateway/src/discover.rs
+++ b/crates/gateway/src/discover.rs
@@ -7,7 +7,7 @@
 use adapter::records::INSTANCES;
 use adapter::store::{Keyed, Offset, Store, Trouble};
 use serving::hash;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::instance::Instance;
 use crate::trials;
@@ -15,6 +15,9 @@
 /// Pause between two reads of the other instances. Each one that starts tells all that are registered
 /// of itself, so that a read finds only what was lost.
 const DISCOVERY: Duration = Duration::from_secs(60);
+/// How much longer than the one before it an instance waits before it registers again in a store that has come back from an older copy:
+/// hundreds that did so at once would be turned away.
+const RETURN_STEP: Duration = Duration::from_millis(20);
 /// Pause after a read that failed.
 const RETRY: Duration = Duration::from_millis(500);
 
@@ -23,9 +26,10 @@
     let address = instance.settings.borrow().store;
     let mut store = Store::new(address, instance.codec.clone());
     let mut next: Option<Offset> = None;
+    let mut may_be_first = instance.settings.borrow().is_first_start;
     loop {
         let read = match next {
-            None => register_and_read(&mut store, &instance).await,
+            None => register_and_read(&mut store, &instance, may_be_first).await,
             Some(from) => store
                 .read(INSTANCES, from, Duration::ZERO)
                 .await
@@ -34,8 +38,15 @@
         match read {
             Ok((records, end)) => {
                 next = Some(end);
+                may_be_first = false;
                 add_all(&instance, &records);
-                sleep(DISCOVERY).await;
+                if timeout(DISCOVERY, instance.store_went_back.notified())
+                    .await
+                    .is_ok()
+                {
+                    sleep(RETURN_STEP * instance.rank()).await;
+                    next = None;
+                }
             }
             Err(trouble) => {
                 log::debug!(trouble:% = trouble; "the other instances cannot be read");
@@ -92,12 +103,13 @@
 async fn register_and_read(
     store: &mut Store,
     instance: &Instance,
+    may_be_first: bool,
 ) -> Result<(Vec<Keyed>, Offset), Trouble> {
     let key = instance.address.to_string();
     let order = instance.order();
     let value = format!("{} {} {order}", instance.address, instance.zone);
     // Nobody is registered then.
-    if !instance.settings.borrow().is_first_start {
+    if !may_be_first {
         let newest = store.newest(INSTANCES).await?;
         let own = newest.records.iter().find(|record| record.key == key);
         if own.is_some_and(|own| own.value.as_deref() == Some(value.as_bytes())) {
--- /dev/null
+++ b/crates/gateway/src/duties.rs
@@ -0,0 +1,218 @@
+//! What one instance at a time does for all: it orders engines to change what they do, reports what organisations use, and orders how
+//! many engines there are. Any instance may; a claim in the store sees to it that only one does at a time. See
+//! `docs/design/duties.md`.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::duties::Answer;
+use adapter::settings;
+use adapter::store::Store;
+use clock::Moment;
+use serving::roles::Changes;
+use serving::turn::Fence;
+use serving::usage::Report;
+use tokio::time::sleep;
+
+use crate::claims::{Claims, Denied, Grant};
+use crate::instance::Instance;
+use crate::metrics::Ordered;
+use crate::roles::Roles;
+use crate::usage::Platform;
+
+/// Pause between two looks at what is due.
+const LOOK: Duration = Duration::from_millis(250);
+/// Pause after a claim that did not succeed, or a call that was not answered or refused.
+const RETRY: Duration = Duration::from_millis(1_000);
+/// Pause after an engine refused an order: it carries out another one, or has ended, which takes seconds
+/// to show.
+const REFUSED: Duration = Duration::from_secs(4);
+/// How much longer than the instance before it an instance waits with its claim. The first one
+/// needs a fraction of it, so that the others see what it did and need no call to the store.
+const STAGGER: Duration = Duration::from_millis(2_500);
+/// Instances that wait for each other; all further ones wait as long as the last of these.
+const STAGGERED: u32 = 4;
+
+/// What is due now.
+struct Due {
+    changes: Changes,
+    reports: bool,
+}
+
+impl Due {
+    fn is_empty(&self) -> bool {
+        self.changes.is_empty() && !self.reports
+    }
+}
+
+struct Duties {
+    instance: Rc<Instance>,
+    roles: Roles,
+    claims: Claims,
+    /// Since when something has been due.
+    since: Option<Moment>,
+}
+
+/// Looks and does what is due, until the process is asked to end.
+pub(crate) async fn run(instance: Rc<Instance>) {
+    let (store, lease) = {
+        let settings = instance.settings.borrow();
+        (settings.store, settings.bounds.lease)
+    };
+    let claims = Claims::new(
+        Store::new(store, instance.codec.clone()),
+        lease,
+        instance.clock,
+        instance.address.to_string(),
+        instance.incarnation,
+    );
+    let mut duties = Duties {
+        roles: Roles::default(),
+        claims,
+        since: None,
+        instance,
+    };
+    while !duties.instance.phase.is_leaving() {
+        let pause = duties.look().await;
+        sleep(pause).await;
+    }
+}
+
+impl Duties {
+    /// Looks once, and does what is due. Gives the pause until the next look.
+    async fn look(&mut self) -> Duration {
+        self.claims.heard(self.instance.claim_heard.get());
+        let now = self.instance.now();
+        let due = self.due(now);
+        if due.is_empty() {
+            self.since = None;
+            return LOOK;
+        }
+        let since = *self.since.get_or_insert(now);
+        if now.saturating_sub(since) < self.patience(now) {
+            return LOOK;
+        }
+        match self.claim().await {
+            Ok(grant) => {
+                self.since = None;
+                self.perform(&due, grant).await
+            }
+            Err(denied) => {
+                log::info!(why:% = denied; "no orders may be given now");
+                RETRY
+            }
+        }
+    }
+
+    fn due(&mut self, now: Moment) -> Due {
+        let instance = &self.instance;
+        // Others are not told of all work.
+        let is_told = instance.engines_known.get() && instance.is_placing();
+        if !is_told {
+            return Due {
+                changes: Changes::new(),
+                reports: false,
+            };
+        }
+        let unix = instance.unix();
+        let mut ledger = instance.usage.borrow_mut();
+        if let Some(ledger) = ledger.as_mut() {
+            ledger.expire(unix);
+        }
+        Due {
+            changes: self.roles.plan(instance, now),
+            reports: ledger.as_ref().is_some_and(|ledger| ledger.is_due(unix)),
+        }
+    }
+
+    /// How long this instance leaves what is due to those before it in the common order.
+    fn patience(&self, now: Moment) -> Duration {
+        let peers = self.instance.peers.borrow();
+        let before = peers.before(self.instance.order(), now);
+        STAGGER * before.min(STAGGERED)
+    }
+
+    /// Claims the right to do it, and fixes what is to be reported with the claim.
+    async fn claim(&mut self) -> Result<Grant, Denied> {
+        let standing = self.claims.read().await?;
+        let reports = self.fix(standing.reports.clone());
+        let grant = self.claims.claim(&standing, &reports).await?;
+        self.instance.claimed.set(grant.fence);
+        Ok(grant)
+    }
+
+    fn fix(&self, reports: Vec<Report>) -> Vec<Report> {
+        let mut ledger = self.instance.usage.borrow_mut();
+        let Some(ledger) = ledger.as_mut() else {
+            return reports;
+        };
+        ledger.hear_fixed(reports);
+        ledger.fix(self.instance.unix());
+        ledger.fixed()
+    }
+
+    async fn perform(&mut self, due: &Due, grant: Grant) -> Duration {
+        let are_taken = self.report(grant).await;
+        let are_ordered = self
+            .roles
+            .order_all(&self.instance, &due.changes, grant)
+            .await;
+        match (are_ordered, are_taken) {
+            (false, _) => REFUSED,
+            (true, false) => RETRY,
+            (true, true) => LOOK,
+        }
+    }
+
+    /// Sends the reports that are fixed. Says whether all were taken.
+    async fn report(&self, grant: Grant) -> bool {
+        let instance = &self.instance;
+        let Some(duties) = instance.settings.borrow().duties else {
+            return true;
+        };
+        let unix = instance.unix();
+        let reports: Vec<Report> = {
+            let ledger = instance.usage.borrow();
+            let unsent = ledger.iter().flat_map(|ledger| ledger.unsent(unix));
+            unsent.cloned().collect()
+        };
+        let name = instance.settings.borrow().instance.clone();
+        let platform = platform(instance, &duties, &name, grant);
+        for report in reports {
+            let answer = platform.report(&report).await;
+            instance.metrics.reported(match answer {
+                None => Ordered::Unanswered,
+                Some(Answer::Taken) => Ordered::Taken,
+                Some(_) => Ordered::Refused,
+            });
+            if answer != Some(Answer::Taken) {
+                return false;
+            }
+            if let Some(ledger) = instance.usage.borrow_mut().as_mut() {
+                ledger.taken(report.window);
+            }
+        }
+        true
+    }
+}
+
+fn platform<'a>(
+    instance: &'a Instance,
+    duties: &settings::Duties,
+    name: &'a str,
+    grant: Grant,
+) -> Platform<'a> {
+    Platform {
+        address: duties.platform,
+        holder: name,
+        grant,
+        clock: &instance.clock,
+        codec: &instance.codec,
+    }
+}
+
+/// Takes in a claim of which another instance told.
+pub(crate) fn heard(instance: &Instance, fence: Fence) {
+    let newest = instance.claim_heard.get().max(fence);
+    instance.claim_heard.set(newest);
+}
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use adapter::records;
-use adapter::store::{Keyed, Offset, Store, Trouble};
+use adapter::store::{self, Keyed, Offset, Store, Trouble};
 use serving::registry::{Change, Registry};
 use serving::watch::Watch;
 use serving::{Fleet, Record};
@@ -152,6 +152,7 @@
         let Some(from) = self.next else {
             let newest = self.store.newest(name).await?;
             self.next = Some(newest.end);
+            self.instance.heard_era(store::era(newest.end));
             return Ok(Read::All(newest.records));
         };
         let batch = self.store.read(name, from, self.wait).await?;
@@ -219,6 +220,7 @@
 
 /// Takes in a record that another instance read.
 pub(crate) fn hear(instance: &Instance, topic: Topic, record: &Keyed) {
+    instance.heard_era(store::era(record.offset));
     match topic {
         Topic::Configuration => {
             take_configuration(instance, record, "instance");
--- a/crates/gateway/src/heard.rs
+++ b/crates/gateway/src/heard.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use adapter::store::Keyed;
+use adapter::store::{self, Keyed};
 use bytes::Bytes;
 use clock::Moment;
 use serving::engine::{Changing, Stage};
@@ -13,7 +13,7 @@
 use crate::frame::{before, job, moment, outcome, work};
 use crate::instance::Instance;
 use crate::peers::Topic;
-use crate::{answer, ask, follow, mesh, suspects};
+use crate::{answer, ask, duties, follow, mesh, suspects, usage};
 
 /// Takes in a frame.
 pub(crate) fn take(instance: &Instance, from: SocketAddr, frame: Frame) {
@@ -28,6 +28,9 @@
     if let Some(state) = &frame.state {
         take_state(instance, from, peer, state, now);
     }
+    if let Some(told) = frame.usage.clone() {
+        take_usage(instance, peer, told);
+    }
     take_work(instance, &frame, now);
     for part in &frame.parts {
         let engine = instance.fleet.borrow().by_short(part.engine);
@@ -58,6 +61,15 @@
     let mut peers = instance.peers.borrow_mut();
     let replaced = peers.heard(from, peer, state, now);
     drop(peers);
+    duties::heard(instance, state.claimed);
+    if let Some(ledger) = instance.usage.borrow_mut().as_mut() {
+        for window in &state.reported {
+            ledger.taken(*window);
+        }
+    }
+    if mesh::reads_store(state) {
+        instance.heard_era(store::era(state.engines_upto));
+    }
     // Others that are only told may lack what is missing here.
     if mesh::reads_store(state) {
         note_all_engines(instance, state.engines_digest);
@@ -70,6 +82,14 @@
     }
 }
 
+/// Takes in what another instance counted of the use by organisations.
+fn take_usage(instance: &Instance, peer: u64, told: wire::gateway::Usage) {
+    let mut ledger = instance.usage.borrow_mut();
+    if let Some(ledger) = ledger.as_mut() {
+        ledger.hear(peer, usage::heard(told), instance.unix());
+    }
+}
+
 /// Takes in the digest of all engines, by which an instance that was told of them sees that none is missing.
 fn note_all_engines(instance: &Instance, digest: u64) {
     // Looked at first: a digest is a sum over all engines, and most frames come when all are known.
--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -73,6 +73,12 @@
         read
     }
 
+    /// The engine has begun to generate.
+    pub(crate) fn generates(&self) {
+        self.asked.began(self.instance, self.instance.unix());
+        self.first("generate");
+    }
+
     /// The first answer is there.
     pub(crate) fn first(&self, step: &str) {
         let now = self.instance.now();
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -3,14 +3,18 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use adapter::settings::Settings;
+use adapter::store::Era;
 use clock::{Clock as _, Moment, System};
 use serving::budget::Budgets;
+use serving::organisation::Name;
 use serving::parts::Part;
 use serving::placer::{Member, Placers};
 use serving::registry::Registry;
+use serving::turn::Fence;
+use serving::usage::{Ledger, Unix, Window};
 use serving::usual::Usual;
 use serving::watch::{self, Known};
 use serving::{EngineId, Fleet, Table, Zone, hash};
@@ -39,6 +43,13 @@
     pub table: RefCell<Option<Rc<Table>>>,
     pub fleet: RefCell<Fleet>,
     pub registry: RefCell<Registry>,
+    /// What organisations use, where that is reported.
+    pub usage: RefCell<Option<Ledger>>,
+    /// Fencing token of the last claim that this instance made, and of the last one of others that it heard of.
+    pub claimed: Cell<Fence>,
+    pub claim_heard: Cell<Fence>,
+    /// True time when the process started.
+    started: Unix,
     /// Who places calls.
     pub placers: RefCell<Placers>,
     /// Questions to other instances that are not answered yet.
@@ -70,6 +81,10 @@
     pub metrics: Metrics,
     /// Something happened of which the others should hear at once.
     pub stirred: Notify,
+    /// How often the store had come back from an older copy when it was last heard of.
+    pub era: Cell<Option<Era>>,
+    /// The store has come back from an older copy.
+    pub store_went_back: Notify,
 }
 
 /// Instances assumed until the others have been heard of.
@@ -78,10 +93,17 @@
 impl Instance {
     pub(crate) fn new(settings: Settings) -> Self {
         let incarnation = rand::random();
+        let clock = System::new();
+        let started = unix(clock.wall());
+        let schedule = settings.duties.and_then(|duties| duties.usage);
         Self {
+            usage: RefCell::new(schedule.map(|schedule| Ledger::new(schedule, started))),
+            claimed: Cell::default(),
+            claim_heard: Cell::default(),
+            started,
             zone: Zone::from(settings.zone.as_str()),
             incarnation,
-            clock: System::new(),
+            clock,
             codec: http1::config(),
             table: RefCell::default(),
             fleet: RefCell::default(),
@@ -106,6 +128,8 @@
             phase: Phase::default(),
             metrics: Metrics::default(),
             stirred: Notify::new(),
+            era: Cell::new(None),
+            store_went_back: Notify::new(),
             settings: RefCell::new(settings),
         }
     }
@@ -114,6 +138,25 @@
         self.clock.now()
     }
 
+    /// True time, as it was when the process started and has gone on since. The time of day may be set meanwhile, and back again; windows of
+    /// true time would come twice or not at all.
+    pub(crate) fn unix(&self) -> Unix {
+        self.started + self.clock.boot()
+    }
+
+    /// Takes in that an engine began a request of an organisation.
+    pub(crate) fn used(&self, organisation: &Name, at: Unix) {
+        if let Some(ledger) = self.usage.borrow_mut().as_mut() {
+            ledger.began(organisation, at);
+        }
+    }
+
+    /// Windows whose use the platform has been told.
+    pub(crate) fn reported(&self) -> Vec<Window> {
+        let ledger = self.usage.borrow();
+        ledger.iter().flat_map(Ledger::all_taken).collect()
+    }
+
     /// A frame that tells nothing yet.
     pub(crate) fn frame(&self) -> Frame {
         Frame {
@@ -162,6 +205,11 @@
         peers::order(self.address, self.settings.borrow().link_mbps)
     }
 
+    /// Instances that come before this one in that order and may live.
+    pub(crate) fn rank(&self) -> u32 {
+        self.peers.borrow().rank(self.order(), self.now())
+    }
+
     /// Time that some bytes take this instance's link.
     pub(crate) fn sending(&self, bytes: usize) -> Duration {
         #[allow(clippy::cast_precision_loss)]
@@ -197,6 +245,30 @@
         }
     }
 
+    /// Takes in the era that the store, or what another instance tells of it, shows.
+    ///
+    /// What this process wrote since the copy was made is gone, and so is what others did.
+    pub(crate) fn heard_era(&self, era: Era) {
+        let before = self.era.get();
+        if before.is_some_and(|before| before >= era) {
+            return;
+        }
+        self.era.set(Some(era));
+        if before.is_none() {
+            return;
+        }
+        log::warn!(era = era; "the store has come back from an older copy");
+        let now = self.now();
+        self.registry.borrow_mut().went_back(now);
+        if let Some(ledger) = self.usage.borrow_mut().as_mut() {
+            ledger.went_back(self.unix());
+        }
+        if self.peers.borrow().before(self.order(), now) == 0 {
+            self.suspects.write_again();
+        }
+        self.store_went_back.notify_waiters();
+    }
+
     /// Whether the configuration in force is the newest, as far as that can be known: this instance or one that it hears of has read the
     /// store just now. Whoever is cut off may lack a key that was given out meanwhile, and what it refuses for ever would be
     /// served elsewhere.
@@ -257,3 +329,10 @@
         true
     }
 }
+
+/// Time since the Unix epoch.
+fn unix(time: SystemTime) -> Unix {
+    // A clock before the epoch shows nothing.
+    time.duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default()
+}
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -19,7 +19,7 @@
 use crate::frame::{add_changes, age, packed, started, told_changing, told_work, unpacked};
 use crate::instance::Instance;
 use crate::peers::{self, PARTS, Topic};
-use crate::{answer, discover, heard, newcomers, recall, suspects, trials};
+use crate::{answer, discover, heard, newcomers, recall, suspects, trials, usage};
 
 /// Pause between two frames while nothing is placed.
 const PACE: Duration = Duration::from_millis(100);
@@ -35,6 +35,10 @@
 const STATE_PACE: Duration = Duration::from_millis(700);
 /// The same where the sender reads the store for the others, which rely on news of it.
 const READER_PACE: Duration = Duration::from_millis(450);
+/// Pause between two tellings of what organisations use. What an instance counted since the last one goes with it when it is killed.
+const USAGE_PACE: Duration = Duration::from_millis(500);
+/// Instances that are told what organisations use: the one that reports it, and those that take over from it.
+const REPORTERS: usize = 3;
 /// Share of the instance's link that frames may take; what is beyond it waits and is gathered.
 const LINK_SHARE: f64 = 0.15;
 /// Bytes of a datagram's headers on the link.
@@ -96,6 +100,7 @@
 async fn tell(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
     let mut earliest = Instant::now();
     let mut state_due = Instant::now();
+    let mut usage_due = Instant::now();
     loop {
         let stirred = timeout(PACE, instance.stirred.notified()).await.is_ok();
         if stirred && instance.is_placing() {
@@ -114,6 +119,10 @@
             reports.extend(instance.reports.take_open(now));
         }
         let mut bytes = tell_reports(&instance, &socket, reports);
+        if Instant::now() >= usage_due {
+            usage_due = Instant::now() + USAGE_PACE;
+            bytes += tell_usage(&instance, &socket, now);
+        }
         if let Some(frame) = next_frame(&instance, is_state_due, now) {
             if is_state_due {
                 let reads = frame.state.as_ref().is_some_and(reads_store);
@@ -142,6 +151,23 @@
     told.sum()
 }
 
+/// Tells those that may report it what organisations use.
+fn tell_usage(instance: &Instance, socket: &UdpSocket, now: Moment) -> usize {
+    let mut ledger = instance.usage.borrow_mut();
+    let Some(ledger) = ledger.as_mut() else {
+        return 0;
+    };
+    let reporters = instance.peers.borrow().first_placers(REPORTERS, now);
+    if reporters.is_empty() {
+        return 0;
+    }
+    let frame = Frame {
+        usage: Some(usage::told(ledger.tell(instance.unix()))),
+        ..instance.frame()
+    };
+    broadcast(socket, &frame, &reporters)
+}
+
 /// Sends a frame to those that should know. An instance that places calls tells all others that do of all that it placed, and the
 /// rest that it lives; so does one that reads the store, also to those that are silent: that is how instances hear of each
 /// other. Any other instance tells the placers of its data centre that it lives, and all once it has started.
@@ -237,6 +263,8 @@
         leaving: instance.phase.is_leaving(),
         placing,
         suspects_digest: instance.suspects.digest(),
+        claimed: instance.claimed.get(),
+        reported: instance.reported(),
     }
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -97,6 +97,7 @@
     plain_time: Histogram,
     first_time: Histogram,
     orders: Family<Labels<Ordered>, Counter>,
+    reports: Family<Labels<Ordered>, Counter>,
     questions: Family<Labels<Asked>, Counter>,
     store_failures: Counter,
     held: Counter,
@@ -116,6 +117,7 @@
             plain_time: Histogram::new(BUCKETS),
             first_time: Histogram::new(BUCKETS),
             orders: Family::default(),
+            reports: Family::default(),
             questions: Family::default(),
             store_failures: Counter::default(),
             held: Counter::default(),
@@ -152,6 +154,11 @@
             self.first_time.clone(),
         );
         registry.register("orders", "Orders to engines", self.orders.clone());
+        registry.register(
+            "usage_reports",
+            "Reports of the use by organisations",
+            self.reports.clone(),
+        );
         registry.register(
             "placement_questions",
             "Questions to instances that place calls",
@@ -209,6 +216,11 @@
         self.orders.get_or_create(&[("answer", what)]).inc();
     }
 
+    /// The use of a window was reported.
+    pub(crate) fn reported(&self, what: Ordered) {
+        self.reports.get_or_create(&[("answer", what)]).inc();
+    }
+
     /// An instance that places calls was asked.
     pub(crate) fn asked(&self, what: Asked) {
         self.questions.get_or_create(&[("answer", what)]).inc();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -251,6 +251,19 @@
         known.filter_map(move |known| Some(known.peer.as_ref()?.said(known.order?, topic)))
     }
 
+    /// Instances that place calls and were heard of lately, the first ones of the common order.
+    pub(crate) fn first_placers(&self, most: usize, now: Moment) -> Vec<SocketAddr> {
+        let is_placing = |known: &Registered| known.peer.as_ref().is_some_and(|peer| peer.placing);
+        let known = self.by_address.iter();
+        let placing = known.filter(|(_, known)| known.is_heard(now) && is_placing(known));
+        let mut placing: Vec<_> = placing
+            .map(|(address, known)| (known.order, *address))
+            .collect();
+        placing.sort_unstable();
+        placing.truncate(most);
+        placing.into_iter().map(|(_, address)| address).collect()
+    }
+
     /// Instances that come before `order` and may live, if any other instance is heard of at all, or may have just started.
     pub(crate) fn rank(&self, order: u64, now: Moment) -> u32 {
         let is_new = |known: &Registered| now.saturating_sub(known.added) < SILENT;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -96,7 +96,7 @@
                 Err(failure) => return End::Broken(failure),
             };
             if std::mem::take(&mut first) {
-                held.first("generate");
+                held.generates();
             }
             let Some(events) = self.splitter.push(&piece) else {
                 continue;
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -183,6 +183,15 @@
         self.count_digest();
     }
 
+    /// Takes in that the store may have lost what it knew of held calls.
+    pub(crate) fn write_again(&self) {
+        let quarantine = self.quarantine.borrow();
+        let held = quarantine.suspects().filter(|(_, entry)| entry.is_held());
+        self.unwritten
+            .borrow_mut()
+            .extend(held.map(|(call, _)| call));
+    }
+
     /// Calls whose record in the store is behind, with what it should say.
     pub(crate) fn unwritten(&self) -> Vec<(Fingerprint, Entry)> {
         let quarantine = self.quarantine.borrow();
--- /dev/null
+++ b/crates/gateway/src/usage.rs
@@ -0,0 +1,122 @@
+//! Reports what organisations use. What is counted, told and fixed is decided in [`serving::usage`]; who reports, in
+//! [`crate::duties`].
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use adapter::duties::{self, Answer, Holder};
+use clock::System;
+use http1::{Client, Config, Failure, Patience};
+use serving::usage::{Report, Told};
+use tokio::time::timeout;
+use wire::gateway;
+
+use crate::attempt::MOST;
+use crate::claims::Grant;
+
+/// Time for the platform's answer to a call. It may be slow for seconds; a call that was not answered is made again, with the same content.
+const ANSWER: Duration = Duration::from_millis(1_000);
+/// A call that is not acknowledged by then is given up by the kernel, so that it does not arrive after another instance's.
+const PLATFORM: Patience = Patience {
+    connect: Duration::from_millis(250),
+    acknowledge: Duration::from_millis(400),
+    probe: Duration::from_millis(400),
+    probes: 1,
+};
+
+/// Calls the platform under a claim.
+pub(crate) struct Platform<'a> {
+    pub(crate) address: SocketAddr,
+    /// Name of this instance.
+    pub(crate) holder: &'a str,
+    pub(crate) grant: Grant,
+    pub(crate) clock: &'a System,
+    pub(crate) codec: &'a Config,
+}
+
+impl Platform<'_> {
+    /// Reports the use of a window. Gives nothing if the claim is over, or no answer came: the call may be carried out all the same.
+    pub(crate) async fn report(&self, report: &Report) -> Option<Answer> {
+        let (head, body) = duties::usage(self.address, self.as_holder(), report);
+        let answer = self.call(head, &body).await;
+        let requests: u32 = report.counts.values().sum();
+        log::info!(
+            window = report.window, organisations = report.counts.len(), requests = requests,
+            fence = self.grant.fence, answer:? = answer;
+            "use reported"
+        );
+        answer
+    }
+
+    /// Orders engines. Gives nothing as [`Platform::report`] does.
+    pub(crate) async fn order(&self, size: &duties::Size) -> Option<Answer> {
+        let (head, body) = duties::scale(self.address, self.as_holder(), size);
+        let answer = self.call(head, &body).await;
+        log::info!(
+            service = &*size.service, zone = &*size.zone, engines = size.engines,
+            reclaimable = size.reclaimable, fence = self.grant.fence, answer:? = answer;
+            "engines ordered"
+        );
+        answer
+    }
+
+    fn as_holder(&self) -> Holder<'_> {
+        Holder {
+            name: self.holder,
+            fence: self.grant.fence,
+        }
+    }
+
+    async fn call(&self, head: actix_http::RequestHead, body: &bytes::Bytes) -> Option<Answer> {
+        let sent = async {
+            let mut client = Client::open(self.address, &PLATFORM, self.codec).await?;
+            if !self.grant.holds(self.clock) {
+                return Ok(None);
+            }
+            let status = client.send(head, body).await?.head.status.as_u16();
+            client.body(MOST).await?;
+            Ok::<_, Failure>(Some(duties::answer(status)))
+        };
+        match timeout(ANSWER, sent).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(failure)) => {
+                log::info!(failure:% = failure; "the platform could not be called");
+                None
+            }
+            Err(_) => None,
+        }
+    }
+}
+
+/// Counts as they are told.
+pub(crate) fn told(told: Told) -> gateway::Usage {
+    let windows = told.counts.into_iter().map(|(window, counts)| {
+        let counts = counts.into_iter();
+        let counts = counts.map(|(organisation, begun)| gateway::UsageCount {
+            organisation: organisation.to_string(),
+            begun,
+        });
+        gateway::UsageWindow {
+            window,
+            counts: counts.collect(),
+        }
+    });
+    gateway::Usage {
+        present: told.present,
+        windows: windows.collect(),
+    }
+}
+
+/// Counts as another instance told them.
+pub(crate) fn heard(told: gateway::Usage) -> Told {
+    let windows = told.windows.into_iter().map(|told| {
+        let counts = told.counts.into_iter();
+        let counts = counts.map(|count| (Rc::from(count.organisation), count.begun));
+        (told.window, counts.collect())
+    });
+    Told {
+        present: told.present,
+        counts: windows.collect(),
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -2,7 +2,7 @@
 //! ([`route`]), what is known of each engine and of the work before it ([`engine`]), which engine has
 //! read which part of a prompt ([`parts`]), where a call goes or why it is refused ([`place`]), how
 //! often a service may be sent a call again ([`budget`]), which calls end the engines that run them
-//! ([`quarantine`]), who calls ([`organisation`]), which engines should read and which
+//! ([`quarantine`]), who calls ([`organisation`]), what they use ([`usage`]), which engines should read and which
 //! generate ([`roles`]), and which instances know enough to place calls ([`placer`]). It stands between the `gateway`
 //! daemon, which carries the bytes, and the platform's adapter, which fills in these types. No I/O
 //! is done here; the moment is an argument. See `docs/design/placement.md`.
@@ -30,6 +30,7 @@
 pub mod route;
 pub mod speed;
 pub mod turn;
+pub mod usage;
 pub mod usual;
 pub mod watch;
 
--- a/crates/serving/src/registry.rs
+++ b/crates/serving/src/registry.rs
@@ -6,7 +6,7 @@
 
 use clock::Moment;
 
-use crate::engine::{Record, State};
+use crate::engine::{Engine, Record, State};
 use crate::watch::Known;
 use crate::{EngineId, Fleet, hash};
 
@@ -15,6 +15,12 @@
 /// Time after the store's return within which engines that live are back.
 const RETURN: Duration = Duration::from_millis(2_200);
 
+/// Time after the store has come back from an older copy within which records there may be of before: engines renew theirs
+/// within it, and those of engines that have ended lapse.
+const STALE: Duration = Duration::from_secs(5);
+/// Time for which it is remembered that an engine's record is gone. A copy is some seconds old.
+const GONE: Duration = Duration::from_secs(60);
+
 /// Takes records over into the fleet.
 ///
 /// While the store is away, engines cannot renew their records, and all of them may lapse. An
@@ -36,6 +42,10 @@
     lives: BTreeMap<Name, Life>,
     /// Names whose records cannot be read.
     unreadable: BTreeSet<Name>,
+    /// Engines whose records are gone, and since when.
+    gone: BTreeMap<EngineId, Moment>,
+    /// Until when records may be of before what is known, since the store came back from an older copy.
+    stale_until: Moment,
 }
 
 /// Name of an engine on the platform.
@@ -73,6 +83,21 @@
         self.heard = now;
     }
 
+    /// Takes in that the store has come back from an older copy.
+    ///
+    /// What engines said since that copy was made is gone until they say it again: one that leaves stands there as ready, one that has
+    /// ended is back, and one that has just started is missing. An instance that believed the copy would send calls to the
+    /// first two and none to the third; one would notice it by calls at engines that had said they leave.
+    pub fn went_back(&mut self, now: Moment) {
+        self.doubt_until = now + RETURN;
+        self.stale_until = now + STALE;
+    }
+
+    /// Whether a record may be of before what is known.
+    fn may_be_stale(&self) -> bool {
+        self.heard < self.stale_until
+    }
+
     /// Whether news of a key are newer than what is known. The same record comes from the store
     /// and from several instances, in any order.
     pub fn is_news(&mut self, name: &str, offset: u64) -> bool {
@@ -109,8 +134,17 @@
     /// before would still count: handles and parts that are not there, calls that nobody runs, a health of its
     /// own. One notices it by calls to a new engine that wait for work which nobody does. So the start before is another engine,
     /// which is gone, and a record of it that comes late changes nothing.
-    pub fn put(&mut self, fleet: &mut Fleet, record: Record) -> Change {
+    pub fn put(&mut self, fleet: &mut Fleet, mut record: Record) -> Change {
         self.unreadable.remove(&record.name);
+        if self.may_be_stale() {
+            if self.gone.contains_key(&record.id) {
+                return Change::None;
+            }
+            let leaves = |engine: &Engine| engine.record.state == State::Draining;
+            if fleet.get(&record.id).is_some_and(leaves) {
+                record.state = State::Draining;
+            }
+        }
         if let Some(life) = self.lives.get(&record.name)
             && life.id != record.id
         {
@@ -152,6 +186,7 @@
             return Change::Doubted;
         }
         if fleet.remove(id) {
+            self.gone.insert(EngineId::from(id), now);
             Change::Removed
         } else {
             Change::None
@@ -199,6 +234,8 @@
 
     /// Removes engines whose time of doubt is over. Gives their ids.
     pub fn expire(&mut self, fleet: &mut Fleet, now: Moment) -> Vec<EngineId> {
+        self.gone
+            .retain(|_, since| now.saturating_sub(*since) < GONE);
         let over: Vec<EngineId> = self
             .doubted
             .iter()
--- a/crates/serving/src/turn.rs
+++ b/crates/serving/src/turn.rs
@@ -10,6 +10,9 @@
 /// Place of a claim in the log; the fencing token of its orders.
 pub type Fence = u64;
 
+/// How often the log has come back from an older copy.
+pub type Era = u64;
+
 /// Orders leave within this time of the moment before their claim was sent, as measured by a clock that
 /// also runs while the machine is suspended. Some orders and the store's answer fit.
 pub const ORDERS: Duration = Duration::from_millis(700);
@@ -32,6 +35,9 @@
 pub struct Turns {
     wait: Duration,
     seen: Option<(Fence, Moment)>,
+    /// Era of the log, and since when it is another one than this instance knew before.
+    era: Option<Era>,
+    went_back: Option<Moment>,
 }
 
 impl Turns {
@@ -40,6 +46,26 @@
         Self {
             wait: lease + ORDERS + ON_THE_WAY,
             seen: None,
+            era: None,
+            went_back: None,
+        }
+    }
+
+    /// Takes in how often the log has come back from an older copy.
+    ///
+    /// A claim of another instance may be gone with what was written since, and its orders may still be on their way, so that nobody may claim
+    /// by what the log says then until every such turn is over. Two instances that order within one lease would show it.
+    pub fn heard_era(&mut self, era: Era, now: Moment) {
+        if self.era.is_some_and(|known| known < era) {
+            self.went_back = Some(now);
+        }
+        self.era = self.era.max(Some(era));
+    }
+
+    /// Takes in a claim of another instance, of which that one told.
+    pub fn heard(&mut self, fence: Fence, now: Moment) {
+        if self.seen.is_none_or(|(known, _)| known < fence) {
+            self.seen = Some((fence, now));
         }
     }
 
@@ -49,6 +75,12 @@
     /// notice it by engines that change back and forth. The newest claim's own instance may claim
     /// again at once; others wait from when they first saw it, which is never before it was made.
     pub fn may_claim(&mut self, newest: Option<Claim>, me: &str, now: Moment) -> bool {
+        if self
+            .went_back
+            .is_some_and(|at| now.saturating_sub(at) < self.wait)
+        {
+            return false;
+        }
         let Some(newest) = newest else {
             return true;
         };
--- a/crates/serving/tests/registry.rs
+++ b/crates/serving/tests/registry.rs
@@ -202,3 +202,42 @@
     assert!(fleet.get("a").is_some());
     assert!(registry.unreadable(&mut fleet, "a"));
 }
+
+/// Symptom: calls go to an engine that had said it leaves, and to one that has ended. Sequence: both say so; the store comes back from a
+/// copy of before. Cause: what the copy says was believed over what was known.
+#[test]
+fn a_store_that_comes_back_from_a_copy_takes_back_no_leaving() {
+    let (mut registry, mut fleet) = known();
+    let ready = |name| record(name, Some(Stage::Decode));
+    let mut leaving = ready("a");
+    leaving.state = State::Draining;
+    registry.put(&mut fleet, leaving);
+    registry.remove(&mut fleet, "b", ms(1_200));
+    registry.heard(ms(1_500));
+    registry.went_back(ms(1_500));
+    registry.replace(&mut fleet, vec![ready("a"), ready("b")], ms(1_500));
+    assert_eq!(fleet.get("a").unwrap().record.state, State::Draining);
+    assert!(fleet.get("b").is_none());
+    // What is written once the copy's records have lapsed is an engine's own word.
+    registry.heard(ms(6_600));
+    registry.put(&mut fleet, ready("b"));
+    assert!(fleet.get("b").is_some());
+}
+
+/// Symptom: an engine that runs well gets no calls for a second, and neither do a dozen others. Sequence: they register; the store comes back
+/// from a copy of before. Cause: who is missing in the copy was taken for gone, although nobody had time to register again.
+#[test]
+fn an_engine_that_a_copy_lacks_is_doubted_and_not_gone() {
+    let (mut registry, mut fleet) = known();
+    registry.heard(ms(1_500));
+    registry.went_back(ms(1_500));
+    registry.replace(
+        &mut fleet,
+        vec![record("a", Some(Stage::Decode))],
+        ms(1_500),
+    );
+    assert!(fleet.get("b").is_some());
+    registry.put(&mut fleet, record("b", Some(Stage::Decode)));
+    assert!(registry.expire(&mut fleet, ms(4_000)).is_empty());
+    assert!(fleet.get("b").is_some());
+}
