Test duties, a store that goes back and organisations, and soak all three

Found on the way: engines of a data centre that has as many as it may were let go without others in their place (the replay of small room fails without the mend).

--- a/crates/serving/src/scaling.rs
+++ b/crates/serving/src/scaling.rs
@@ -149,7 +149,18 @@
         let zones: Vec<Zone> = self.sites.keys().cloned().collect();
         for zone in zones {
             let has = counts.get(&zone).copied().unwrap_or_default();
-            let wanted = self.wanted(&zone, range, now);
+            let mut wanted = self.wanted(&zone, range, now);
+            // Both kinds count together, and the others are let go only once these are there.
+            let room = range.max.saturating_sub(has.firm.max(wanted.firm));
+            wanted.reclaimable = wanted.reclaimable.min(room);
+            if has.firm > wanted.firm {
+                let found = self.sites.get(&zone).map_or(0, |site| site.found);
+                let found = found.min(range.max);
+                // Where there is no room for more, a few go first.
+                let ahead = if room == 0 { slack(found).max(1) } else { 0 };
+                let needed = found.saturating_sub(has.reclaimable + ahead);
+                wanted.firm = wanted.firm.max(needed).min(has.firm);
+            }
             orders.extend(self.look(&zone, true, wanted, has, range, now));
             let are_there = has.reclaimable + slack(wanted.reclaimable) >= wanted.reclaimable;
             let is_settled = now.saturating_sub(self.grown) >= SETTLES;
--- a/crates/serving/tests/scaling.rs
+++ b/crates/serving/tests/scaling.rs
@@ -121,7 +121,7 @@
     fn carry_out(&mut self) {
         for ((name, reclaimable), (engines, since)) in self.ordered.clone() {
             let there = self.of(&name, reclaimable);
-            let has = u32::try_from(there.len()).unwrap();
+            let has = u32::try_from(there.len()).expect("there are few");
             if has < engines && self.now >= since + BOOT {
                 self.add(&name, reclaimable, engines - has);
             }
@@ -252,9 +252,9 @@
     world.range.min = 4;
     world.range.max = 12;
     let mut planner = Planner::default();
-    world.run(&mut planner, 20);
+    world.run(&mut planner, 60);
     world.reclaim("a");
-    world.run(&mut planner, 20);
+    world.run(&mut planner, 60);
     for (_, order, _) in &world.log {
         assert!(order.engines <= 12, "{order:?}");
     }
@@ -265,6 +265,29 @@
     }
 }
 
+/// Symptom: no reclaimable engine is ever to be had. Sequence: a data centre has nearly as many engines as it may; more are ordered than it may have
+/// besides. Cause: the others go only once these are there.
+#[test]
+fn engines_come_in_steps_where_there_is_little_room() {
+    let mut world = World::new(20);
+    world.range.max = 30;
+    let mut planner = Planner::default();
+    for _ in 0..200 {
+        world.step(&mut planner);
+        for name in ZONES {
+            let (firm, cheap) = world.count(name);
+            assert!(
+                (20..=30).contains(&(firm + cheap)),
+                "{name}: {firm} {cheap}"
+            );
+        }
+    }
+    for name in ZONES {
+        let (firm, cheap) = world.count(name);
+        assert!(firm < 10 && cheap >= 20, "{name}: {firm} {cheap}");
+    }
+}
+
 #[test]
 fn nothing_is_ordered_where_reclaimable_engines_save_little_or_are_none() {
     for price in [None, Some(0.9)] {
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -13,7 +13,7 @@
 
 use crate::history::{Ask, Call, End};
 use crate::plan;
-use crate::world::{FATAL, World};
+use crate::world::{FATAL, ORGANISATIONS, World, key};
 
 /// Time that a caller waits, as it tells the gateway.
 const DEADLINE: u32 = 3_000;
@@ -25,6 +25,8 @@
 const FATAL_PAUSE: u64 = 300;
 /// One call in this many bears forged headers, or is left early.
 const ONE_IN: u32 = 12;
+/// One call that is to go on elsewhere in this many bears a key that nobody was given instead.
+const KEYLESS: u64 = 3;
 /// Largest answer, in bytes.
 const MOST: usize = 1 << 16;
 
@@ -55,6 +57,7 @@
 pub struct Caller {
     world: Rc<World>,
     name: String,
+    organisation: &'static str,
     begun: Instant,
     rng: StdRng,
     sent: u64,
@@ -68,6 +71,7 @@
         Self {
             world: world.clone(),
             name: format!("{:08x}{number:02x}", plan::mark(seed) >> 32),
+            organisation: ORGANISATIONS[usize::from(number % 2 == 1)],
             begun,
             rng: plan::callers(seed, number),
             sent: 0,
@@ -101,6 +105,7 @@
             0..=2 => Ask::Once,
             3 | 4 => Ask::Safe,
             5..=7 => Ask::Stream,
+            8 if self.sent % KEYLESS == 0 => Ask::Keyless,
             8 => Ask::Resume,
             _ => Ask::Added(self.rng.random_range(1..=self.world.version())),
         }
@@ -125,7 +130,7 @@
             LEAVES
         };
         let forged = self.rng.random_ratio(1, ONE_IN);
-        let asking = exchange(client, ask, &id, forged);
+        let asking = exchange(client, ask, &id, self.organisation, forged);
         let (end, client) = timeout(leaves, asking).await.unwrap_or((End::Left, None));
         self.kept = client.map(|client| (client, gateway, start));
         self.note(id, ask, gateway, start, sent, end.clone());
@@ -155,6 +160,7 @@
         self.world.history.borrow_mut().calls.push(Call {
             id,
             ask,
+            organisation: self.organisation,
             gateway,
             start,
             sent,
@@ -166,7 +172,7 @@
 
 fn path(ask: Ask) -> String {
     match ask {
-        Ask::Safe => "/safe/x".to_owned(),
+        Ask::Safe | Ask::Keyless => "/safe/x".to_owned(),
         Ask::Once => "/once/x".to_owned(),
         Ask::Stream => "/stream/x".to_owned(),
         Ask::Resume => "/resume/x".to_owned(),
@@ -176,9 +182,19 @@
 }
 
 /// Sends a call and reads its answer. Gives the connection back where it can be used on.
-async fn exchange(mut client: Client, ask: Ask, id: &str, forged: bool) -> (End, Option<Client>) {
+async fn exchange(
+    mut client: Client,
+    ask: Ask,
+    id: &str,
+    organisation: &str,
+    forged: bool,
+) -> (End, Option<Client>) {
     let parts = format!("a{id}:80,b{id}:20");
-    let mut headers = Vec::new();
+    let key = match ask {
+        Ask::Keyless => "nobody's".to_owned(),
+        _ => key(organisation),
+    };
+    let mut headers = vec![("key", key.as_str())];
     if ask.is_stream() {
         headers.extend(request::generation("100,20", &parts));
     }
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -4,6 +4,8 @@
 use std::fmt;
 use std::time::Duration;
 
+use floor::cloud;
+
 use crate::history::{Ask, Call, End, History};
 use crate::plan::Kind;
 
@@ -37,6 +39,8 @@
     NeverBack,
     /// Engines see one holder a fencing token, and tokens that do not fall.
     Orders,
+    /// The platform gets one report a window, and sees one holder a fencing token, and tokens of what it takes that do not fall.
+    Duties,
     /// A call that has ended three engines reaches no more than a few, and an innocent one is not held for it.
     Held,
     /// No call is cut by planned work.
@@ -72,6 +76,7 @@
     }
     asked(history, &mut findings);
     never_back(history, &mut findings);
+    duties(history, &mut findings);
     orders(history, &mut findings);
     held(history, &runs, &mut findings);
     let exits = history.exits.iter().map(|exit| (Promise::Lives, exit));
@@ -129,6 +134,7 @@
     }
     let promise = match call.ask {
         Ask::Once | Ask::Stream | Ask::Fatal => Promise::AtMostOnce,
+        Ask::Keyless => Promise::Asked,
         Ask::Safe | Ask::Resume | Ask::Added(_) => Promise::Attempts,
     };
     let evidence = format!("{} {:?} ran {ran} times", call.id, call.ask);
@@ -157,7 +163,7 @@
             let evidence = format!("{} got {status} without a time", call.id);
             find(findings, Promise::TrueRefusal, evidence);
         }
-        400..=407 if !matches!(call.ask, Ask::Added(_)) => {
+        400..=407 if !matches!(call.ask, Ask::Added(_) | Ask::Keyless) => {
             find(findings, Promise::NotDenied, evidence());
         }
         _ => {}
@@ -180,13 +186,13 @@
 }
 
 fn asked(history: &History, findings: &mut Vec<Finding>) {
-    let calls: HashMap<&str, Ask> = history
+    let calls: HashMap<&str, (Ask, &str)> = history
         .calls
         .iter()
-        .map(|call| (call.id.as_str(), call.ask))
+        .map(|call| (call.id.as_str(), (call.ask, call.organisation)))
         .collect();
     for run in &history.runs {
-        let Some(ask) = calls.get(run.id.as_str()) else {
+        let Some((ask, organisation)) = calls.get(run.id.as_str()) else {
             let evidence = format!("{} at {} was sent by nobody", run.id, run.engine);
             find(findings, Promise::Asked, evidence);
             continue;
@@ -195,6 +201,13 @@
             let evidence = format!("{} at {} bore a forged header", run.id, run.engine);
             find(findings, Promise::Asked, evidence);
         }
+        if run.organisation != *organisation {
+            let evidence = format!(
+                "{} of {organisation} told as of {}",
+                run.id, run.organisation
+            );
+            find(findings, Promise::Asked, evidence);
+        }
         if run.ran && run.service != ask.service() {
             let evidence = format!("{} {ask:?} ran at {}", run.id, run.engine);
             find(findings, Promise::Route, evidence);
@@ -284,6 +297,24 @@
     })
 }
 
+fn duties(history: &History, findings: &mut Vec<Finding>) {
+    let mut reports: HashMap<u64, &cloud::Call> = HashMap::new();
+    let mut holders: HashMap<u64, &str> = HashMap::new();
+    for call in &history.duties {
+        let window = call.body["window_seq"].as_u64().unwrap_or_default();
+        let before = *reports.entry(window).or_insert(call);
+        if before.body != call.body {
+            let evidence = format!("window {window}: {} and {}", before.body, call.body);
+            find(findings, Promise::Duties, evidence);
+        }
+        let holder = *holders.entry(call.fence).or_insert(&call.holder);
+        if holder != call.holder {
+            let evidence = format!("token {} of {holder} and {}", call.fence, call.holder);
+            find(findings, Promise::Duties, evidence);
+        }
+    }
+}
+
 fn orders(history: &History, findings: &mut Vec<Finding>) {
     let mut holders: HashMap<u64, HashSet<&str>> = HashMap::new();
     let mut highest: HashMap<&str, u64> = HashMap::new();
--- a/crates/soak/src/gateway.rs
+++ b/crates/soak/src/gateway.rs
@@ -8,7 +8,7 @@
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::Duration;
 
-use floor::configuration::Settings;
+use floor::configuration::{Duties, Settings};
 use rustix::process::{Pid, Signal, kill_process};
 
 /// A gateway and the files that it needs.
@@ -113,6 +113,7 @@
         directory: &Path,
         name: &str,
         store: SocketAddr,
+        duties: Duties,
         ports: &mut Ports,
     ) -> io::Result<Self> {
         let (front, ready, mesh) = (ports.take(), ports.take(), ports.take());
@@ -126,7 +127,7 @@
             grace_s: GRACE,
             slack: SLACK,
             lease_ms: LEASE,
-            duties: None,
+            duties: Some(duties),
         };
         std::fs::write(&settings, values.text())?;
         Ok(Self {
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use floor::cloud;
 use floor::engine::Order;
 
 use crate::plan::Fault;
@@ -20,6 +21,8 @@
     Resume,
     /// A stream that ends each engine which runs it.
     Fatal,
+    /// A plain call with a key that nobody was given.
+    Keyless,
     /// A plain call on the route that a version of the configuration brought.
     Added(u64),
 }
@@ -28,6 +31,7 @@
     /// Engines on which it may run.
     pub fn attempts(self) -> usize {
         match self {
+            Self::Keyless => 0,
             Self::Once | Self::Stream | Self::Fatal => 1,
             Self::Safe | Self::Resume | Self::Added(_) => 2,
         }
@@ -73,6 +77,8 @@
     pub id: String,
     /// What it asked for.
     pub ask: Ask,
+    /// Whose key it bore.
+    pub organisation: &'static str,
     /// The gateway, by its number.
     pub gateway: usize,
     /// Which start of the gateway it was sent to.
@@ -110,8 +116,10 @@
     pub id: String,
     /// Whether the engine began to work on it.
     pub ran: bool,
-    /// Whether it bore a header that the caller had forged.
+    /// Whether it bore a header that the caller had forged, or its key.
     pub forged: bool,
+    /// The organisation that the engine was told.
+    pub organisation: String,
 }
 
 /// All that was seen.
@@ -123,6 +131,8 @@
     pub runs: Vec<Run>,
     /// Orders by engine, in order of arrival.
     pub orders: Vec<(String, Order)>,
+    /// Calls to the platform's interface for duties, in order of arrival.
+    pub duties: Vec<cloud::Call>,
     /// Processes that ended by themselves.
     pub exits: Vec<String>,
     /// States that did not come after the last fault.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -64,6 +64,15 @@
     Reset,
 }
 
+/// What is wrong with the platform's interface for duties.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cloud {
+    /// It carries calls out and answers none.
+    Silent,
+    /// It refuses every call.
+    Busy,
+}
+
 /// One thing that happens.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -79,6 +88,10 @@
     Store(Store),
     /// The store forgets its history but the newest of each key.
     Compact,
+    /// The store comes back from a copy that was made when this began.
+    GoesBack,
+    /// The platform's interface for duties does not answer.
+    Cloud(Cloud),
     /// To the link between all gateways and an engine, by its number.
     EngineLink(usize, Link),
     /// To an engine.
@@ -170,6 +183,10 @@
 const RENEWED: u64 = 4;
 /// Of this many seeds one has a caller that sends a call which ends engines, beside its other faults.
 const FATAL: u64 = 4;
+/// Of this many seeds one has a store that comes back from copies, and an interface for duties that fails, beside its other faults.
+const COPIED: u64 = 4;
+/// How often either happens there.
+const COPIES: usize = 2;
 /// Longest time until it begins.
 const FATAL_LEAD: u64 = 1_500;
 /// How many engines that start again and entries there are, half of either.
@@ -227,6 +244,19 @@
                 kind: Kind::Fatal,
             });
         }
+        if !planned && seed % COPIED == COPIED / 2 {
+            // Drawn apart, for the same reason.
+            let mut rng = StdRng::seed_from_u64(seed.rotate_left(16));
+            faults.extend((0..2 * COPIES).map(|number| Fault {
+                at: LEAD + Duration::from_millis(rng.random_range(0..last)),
+                lasts: Duration::from_millis(rng.random_range(SHORTEST..=LONGEST)),
+                kind: match number % 4 {
+                    0 | 1 => Kind::GoesBack,
+                    2 => Kind::Cloud(Cloud::Silent),
+                    _ => Kind::Cloud(Cloud::Busy),
+                },
+            }));
+        }
         faults.sort_by_key(|fault| fault.at);
         Self {
             seed,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -112,6 +112,7 @@
         sleep_until(until.min(Instant::now() + LOOK)).await;
         world.restart()?;
         world.replace_ended().await;
+        world.rewrite_due();
     }
     Ok(())
 }
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -6,7 +6,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use floor::configuration::{Route, configuration};
+use floor::cloud::{self, Cloud};
+use floor::configuration::{Duties, Route, configuration};
 use floor::engine::Act;
 use floor::{Engine, Store, store};
 use rustix::process::Signal;
@@ -28,6 +29,10 @@
     stage: Option<&'static str>,
     /// Whether it has said that it leaves, or has ended.
     left: bool,
+    /// What it wrote last of itself; nothing once its record is gone.
+    wrote: Option<&'static str>,
+    /// Whether another start of it has its name.
+    is_replaced: bool,
 }
 
 /// A gateway process and the links at its two sides.
@@ -44,6 +49,11 @@
 #[derive(Debug)]
 pub struct World {
     store: Store,
+    cloud: Cloud,
+    /// What the store held when it was last copied.
+    copy: RefCell<Option<store::Copy>>,
+    /// When engines write again what a copy lacks.
+    rewrite: Cell<Option<Instant>>,
     /// The gateways.
     pub instances: Vec<Instance>,
     places: RefCell<Vec<Place>>,
@@ -62,6 +72,13 @@
 const PAUSE: Duration = Duration::from_millis(50);
 /// Path of the call that ends engines.
 pub const FATAL: &str = "/stream/fatal";
+/// Organisations of callers.
+pub const ORGANISATIONS: [&str; 2] = ["org-a", "org-b"];
+/// Length of a window whose use is reported, and time after its end within which that is due, in milliseconds.
+const WINDOW: u32 = 1_000;
+const LATE: u32 = 8_000;
+/// Time until an engine writes its record again.
+const HEARTBEAT: Duration = Duration::from_millis(400);
 /// Time until the record of an engine that has ended lapses.
 const LAPSE: Duration = Duration::from_millis(1_200);
 /// Name of the topic with engines' records.
@@ -82,11 +99,17 @@
         ports: &mut Ports,
     ) -> io::Result<Rc<Self>> {
         let store = Store::start().await;
+        let cloud = Cloud::start().await;
+        let duties = Duties {
+            address: cloud.address,
+            window_ms: WINDOW,
+            late_ms: LATE,
+        };
         let mut instances = Vec::new();
         for number in 0..plan.gateways {
             let link = Proxy::start(store.address).await;
             let name = format!("gateway-{number}");
-            let gateway = Gateway::new(program, directory, &name, link.address, ports)?;
+            let gateway = Gateway::new(program, directory, &name, link.address, duties, ports)?;
             let callers = Proxy::start(gateway.front).await;
             instances.push(Instance {
                 gateway: RefCell::new(gateway),
@@ -96,6 +119,9 @@
         }
         let world = Self {
             store,
+            cloud,
+            copy: RefCell::default(),
+            rewrite: Cell::new(None),
             instances,
             places: RefCell::default(),
             version: RefCell::new(0),
@@ -142,13 +168,19 @@
             service,
             stage,
             left: false,
+            wrote: Some("ready"),
+            is_replaced: false,
         });
     }
 
     /// Writes a configuration with one route more.
     fn configure(&self) {
-        let mut version = self.version.borrow_mut();
-        *version += 1;
+        *self.version.borrow_mut() += 1;
+        self.write_configuration();
+    }
+
+    fn write_configuration(&self) {
+        let version = self.version.borrow();
         let added: Vec<String> = (1..=*version).map(|v| format!("/added-{v}/")).collect();
         let mut routes = vec![
             route("/safe/", "safe", "app", 2, false),
@@ -161,7 +193,10 @@
                 .iter()
                 .map(|prefix| route(prefix, "safe", "app", 2, false)),
         );
-        let value = configuration(*version, &routes, &["app"]);
+        let mut value = configuration(*version, &routes, &["app"]);
+        let organisations =
+            ORGANISATIONS.map(|name| json!({ "name": name, "api_keys": [key(name)] }));
+        value["tenants"] = json!(organisations);
         self.store.put("keyed.op", "config", Some(&value));
     }
 
@@ -186,6 +221,8 @@
             Kind::Foreign(number) => self.write_foreign(number),
             Kind::Fatal => self.is_fatal.set(true),
             Kind::Configure => self.configure(),
+            Kind::GoesBack => drop(self.copy.replace(Some(self.store.copy()))),
+            Kind::Cloud(fault) => self.cloud.fault(cloud_fault(fault)),
         }
     }
 
@@ -206,6 +243,8 @@
             Kind::Crash(number) => self.unregister(number),
             Kind::Foreign(number) => self.write_own(number),
             Kind::Fatal => self.is_fatal.set(false),
+            Kind::GoesBack => self.go_back(),
+            Kind::Cloud(_) => self.cloud.fault(cloud::Fault::None),
             Kind::Reborn(_)
             | Kind::Process(..)
             | Kind::KillAll
@@ -214,6 +253,35 @@
         }
     }
 
+    /// The store comes back from its copy. The operator writes at once again what it lacks, engines with their next heartbeats.
+    fn go_back(&self) {
+        if let Some(copy) = self.copy.take() {
+            self.store.restore(copy);
+            self.write_configuration();
+            self.rewrite.set(Some(Instant::now() + HEARTBEAT));
+        }
+    }
+
+    /// Lets engines write again what the store lacks, once that is due.
+    pub fn rewrite_due(&self) {
+        if self.rewrite.get().is_none_or(|at| at > Instant::now()) {
+            return;
+        }
+        self.rewrite.set(None);
+        let places = self.places.borrow();
+        for place in places.iter().filter(|place| !place.is_replaced) {
+            let Some(state) = place.wrote else {
+                // Nothing renews what the copy has of it.
+                self.store.put(ENGINES, &place.engine.id, None);
+                continue;
+            };
+            let (address, service) = (place.link.address, place.service);
+            place
+                .engine
+                .register_at(address, &self.store, service, state, place.stage);
+        }
+    }
+
     fn signal(&self, number: usize, signal: Signal) {
         self.instances[number].gateway.borrow_mut().signal(signal);
     }
@@ -237,6 +305,7 @@
             self.place(number, |place| {
                 let engine = &place.engine;
                 engine.register_at(place.link.address, &self.store, service, "draining", stage);
+                place.wrote = Some("draining");
             });
         }
     }
@@ -260,6 +329,8 @@
                 place.link.set(Link::Reset);
             }
         });
+        // Its record is that of the new start from now on.
+        self.places.borrow_mut()[number].is_replaced = true;
         // One that starts again has a later place than the start before.
         let born = self.places.borrow().len() as u64;
         let engine = Engine::start_born(&id, born).await;
@@ -324,6 +395,7 @@
 
     fn unregister(&self, number: usize) {
         self.place(number, |place| {
+            place.wrote = None;
             self.store.put(ENGINES, &place.engine.id, None);
         });
     }
@@ -377,9 +449,10 @@
         Ok(())
     }
 
-    /// Takes what the engines saw into the history.
+    /// Takes what the engines and the platform saw into the history.
     pub fn collect(&self) {
         let mut history = self.history.borrow_mut();
+        history.duties = self.cloud.calls("/usage");
         for place in self.places.borrow().iter() {
             let id = &place.engine.id;
             let orders = place.engine.orders();
@@ -391,7 +464,8 @@
                 engine: id.clone(),
                 service: place.service,
                 ran: got.ran,
-                forged: got.is_forged(),
+                forged: got.is_forged() || got.header("key").is_some(),
+                organisation: got.header("tenant-id").unwrap_or_default().to_owned(),
                 id: got.id,
             }));
         }
@@ -414,6 +488,18 @@
     }
 }
 
+/// The key of an organisation.
+pub fn key(organisation: &str) -> String {
+    format!("key-of-{organisation}")
+}
+
+fn cloud_fault(fault: plan::Cloud) -> cloud::Fault {
+    match fault {
+        plan::Cloud::Silent => cloud::Fault::Silent,
+        plan::Cloud::Busy => cloud::Fault::Busy,
+    }
+}
+
 fn begin_signal(process: Process) -> Signal {
     match process {
         Process::Pause => Signal::STOP,
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -3,10 +3,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use floor::cloud;
 use floor::engine::Order;
+use serde_json::json;
 use soak::check::{self, Finding, Promise};
 use soak::history::{Ask, Call, End, History, Run};
 use soak::plan::{Fault, Kind, Process};
+use soak::world::ORGANISATIONS;
 
 const ASKS: [Ask; 5] = [
     Ask::Safe,
@@ -24,6 +27,7 @@
     Call {
         id: id.to_owned(),
         ask,
+        organisation: ORGANISATIONS[0],
         gateway: 0,
         start: 1,
         sent: ms(at),
@@ -44,6 +48,7 @@
         id: id.to_owned(),
         ran: true,
         forged: false,
+        organisation: ORGANISATIONS[0].to_owned(),
     }
 }
 
@@ -285,3 +290,41 @@
     hold(&mut history, 5_000);
     assert_eq!(check::check(&history), Vec::<Finding>::new());
 }
+
+fn report(fence: u64, holder: &str, count: u32) -> cloud::Call {
+    cloud::Call {
+        path: "/usage".to_owned(),
+        holder: holder.to_owned(),
+        fence,
+        body: json!({ "window_seq": 7, "counts": { "org-a": count } }),
+        taken: true,
+    }
+}
+
+#[test]
+fn two_reports_of_one_window_are_found() {
+    found(Promise::Duties, |history| {
+        history.duties = vec![report(1, "g0", 5), report(2, "g1", 6)];
+    });
+}
+
+#[test]
+fn a_token_of_two_holders_is_found() {
+    found(Promise::Duties, |history| {
+        history.duties = vec![report(1, "g0", 5), report(1, "g1", 5)];
+    });
+}
+
+#[test]
+fn a_call_that_is_told_as_another_organisations_is_found() {
+    found(Promise::Asked, |history| {
+        history.runs[0].organisation = ORGANISATIONS[1].to_owned();
+    });
+}
+
+#[test]
+fn a_call_without_a_key_that_runs_is_found() {
+    found(Promise::Asked, |history| {
+        history.calls[0].ask = Ask::Keyless;
+    });
+}
