Buy as many reclaimable engines as three tenths of the old price pay for

Hypothesis: cheap engines elsewhere bear that loss at less than dear ones. Change: a tenth of the others stays; of reclaimable ones as many as 0.3 of what was paid buys, 1.1 to 2 times as many as there were, in steps where there is little room.

--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use adapter::orders::{self, CLAIM, CLAIMS, Numbers};
-use adapter::store::{self, Offset, Store, Trouble};
+use adapter::store::{self, Era, Offset, Store, Trouble};
 use clock::{Clock as _, Moment, System};
 use serving::turn::{self, Fence, Turns};
 use serving::usage::Report;
@@ -80,10 +80,11 @@
         clock: System,
         holder: String,
         incarnation: u64,
+        is_first_start: bool,
     ) -> Self {
         Self {
             store,
-            turns: Turns::new(lease),
+            turns: Turns::new(lease, is_first_start),
             clock,
             holder,
             incarnation,
@@ -95,6 +96,11 @@
         self.turns.heard(fence, self.clock.now());
     }
 
+    /// Takes in the era of the store.
+    pub(crate) fn heard_era(&mut self, era: Era) {
+        self.turns.heard_era(era, self.clock.now());
+    }
+
     /// How long it is of no use to read.
     pub(crate) fn rests(&self) -> Duration {
         self.turns.rests(self.clock.now())
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -61,9 +61,13 @@
 
 /// Looks and does what is due, until the process is asked to end.
 pub(crate) async fn run(instance: Rc<Instance>) {
-    let (store, lease) = {
+    let (store, lease, is_first_start) = {
         let settings = instance.settings.borrow();
-        (settings.store, settings.bounds.lease)
+        (
+            settings.store,
+            settings.bounds.lease,
+            settings.is_first_start,
+        )
     };
     let claims = Claims::new(
         Store::new(store, instance.codec.clone()),
@@ -71,6 +75,7 @@
         instance.clock,
         instance.address.to_string(),
         instance.incarnation,
+        is_first_start,
     );
     let mut duties = Duties {
         roles: Roles::default(),
@@ -88,6 +93,9 @@
     /// Looks once, and does what is due. Gives the pause until the next look.
     async fn look(&mut self) -> Duration {
         self.claims.heard(self.instance.claim_heard.get());
+        if let Some(era) = self.instance.era.get() {
+            self.claims.heard_era(era);
+        }
         let now = self.instance.now();
         let due = self.due(now);
         if due.is_empty() {
--- a/crates/serving/src/scaling.rs
+++ b/crates/serving/src/scaling.rs
@@ -2,6 +2,7 @@
 //! whose engines cost a fifth where they may be reclaimed, all of a data centre at once. See `docs/design/engines-ordered.md`.
 
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use clock::Moment;
@@ -53,8 +54,12 @@
 /// Engines that are not reclaimable, as a part of what a data centre had when it was first seen. When all others are reclaimed
 /// everywhere, these go on.
 const FIRM: f64 = 0.1;
-/// Engines that are, as a part of the same. What goes in one data centre is left in the others.
-const RECLAIMABLE: f64 = 1.1;
+/// What is spent on engines that are, as a part of the price of what a data centre had. The cheaper they are the more there are, and the more
+/// are left when those of one or two data centres go.
+const SPENT: f64 = 0.3;
+/// Fewest and most of them that this may buy, as a part of how many there were. Fewer would not replace the others; more have little to
+/// do, and each holds parts of prompts that others hold as well.
+const RECLAIMABLE: RangeInclusive<f64> = 1.1..=2.0;
 /// Price up to which reclaimable engines are used at all: dearer ones do not pay for what they lose.
 const WORTH_IT: f64 = 0.7;
 /// Time without a further engine after which all that a deployment started with are known: some heartbeats.
@@ -149,18 +154,8 @@
         let zones: Vec<Zone> = self.sites.keys().cloned().collect();
         for zone in zones {
             let has = counts.get(&zone).copied().unwrap_or_default();
-            let mut wanted = self.wanted(&zone, range, now);
-            // Both kinds count together, and the others are let go only once these are there.
-            let room = range.max.saturating_sub(has.firm.max(wanted.firm));
-            wanted.reclaimable = wanted.reclaimable.min(room);
-            if has.firm > wanted.firm {
-                let found = self.sites.get(&zone).map_or(0, |site| site.found);
-                let found = found.min(range.max);
-                // Where there is no room for more, a few go first.
-                let ahead = if room == 0 { slack(found).max(1) } else { 0 };
-                let needed = found.saturating_sub(has.reclaimable + ahead);
-                wanted.firm = wanted.firm.max(needed).min(has.firm);
-            }
+            let wanted = self.wanted(&zone, range, now);
+            let wanted = self.step(&zone, wanted, has, range);
             orders.extend(self.look(&zone, true, wanted, has, range, now));
             let are_there = has.reclaimable + slack(wanted.reclaimable) >= wanted.reclaimable;
             let is_settled = now.saturating_sub(self.grown) >= SETTLES;
@@ -295,6 +290,28 @@
         }
     }
 
+    /// The next step from what a data centre has to what it should have. Both kinds count together, and engines that are not reclaimable
+    /// go only as far as there are others in their place.
+    fn step(&self, zone: &Zone, wanted: Count, has: Count, range: &Range) -> Count {
+        let room = range.max.saturating_sub(has.firm.max(wanted.firm));
+        let reclaimable = wanted.reclaimable.min(room);
+        if has.firm <= wanted.firm {
+            return Count {
+                reclaimable,
+                ..wanted
+            };
+        }
+        let found = self.sites.get(zone).map_or(0, |site| site.found);
+        let found = found.min(range.max);
+        // Where there is no room for more, a few go first.
+        let ahead = if room == 0 { slack(found).max(1) } else { 0 };
+        let needed = found.saturating_sub(has.reclaimable + ahead);
+        Count {
+            firm: wanted.firm.max(needed).min(has.firm),
+            reclaimable,
+        }
+    }
+
     fn subject(&mut self, zone: &Zone, reclaimable: bool) -> &mut Subject {
         let key = (zone.clone(), reclaimable);
         self.subjects.entry(key).or_default()
@@ -341,9 +358,11 @@
 /// Engines that a data centre should have while nothing is lost.
 fn usual(found: u32, range: &Range) -> Count {
     let firm = part(found, FIRM).clamp(range.min, range.max);
+    let bought = SPENT / range.reclaimable_price.unwrap_or(1.0);
+    let reclaimable = bought.clamp(*RECLAIMABLE.start(), *RECLAIMABLE.end());
     Count {
         firm,
-        reclaimable: part(found, RECLAIMABLE).min(range.max - firm),
+        reclaimable: part(found, reclaimable).min(range.max - firm),
     }
 }
 
--- a/crates/serving/src/turn.rs
+++ b/crates/serving/src/turn.rs
@@ -34,6 +34,7 @@
 #[derive(Clone, Debug)]
 pub struct Turns {
     wait: Duration,
+    is_first_start: bool,
     seen: Option<(Fence, Moment)>,
     /// Whether that claim is this instance's own.
     is_own: bool,
@@ -43,9 +44,10 @@
 }
 
 impl Turns {
-    /// Turns of different instances that must be `lease` apart.
-    pub fn new(lease: Duration) -> Self {
+    /// Turns of different instances that must be `lease` apart. `is_first_start` says that nobody can have claimed before this process began.
+    pub fn new(lease: Duration, is_first_start: bool) -> Self {
         Self {
+            is_first_start,
             wait: lease + ORDERS + ON_THE_WAY,
             seen: None,
             is_own: false,
@@ -57,9 +59,14 @@
     /// Takes in how often the log has come back from an older copy.
     ///
     /// A claim of another instance may be gone with what was written since, and its orders may still be on their way, so that nobody may claim
-    /// by what the log says then until every such turn is over. Two instances that order within one lease would show it.
+    /// by what the log says then until every such turn is over. Two instances that order within one lease would show it. Whoever has just
+    /// started cannot know whether the log went back a moment ago.
     pub fn heard_era(&mut self, era: Era, now: Moment) {
-        if self.era.is_some_and(|known| known < era) {
+        let went_back = match self.era {
+            Some(known) => known < era,
+            None => !self.is_first_start,
+        };
+        if went_back {
             self.went_back = Some(now);
         }
         self.era = self.era.max(Some(era));
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -105,7 +105,7 @@
             0..=2 => Ask::Once,
             3 | 4 => Ask::Safe,
             5..=7 => Ask::Stream,
-            8 if self.sent % KEYLESS == 0 => Ask::Keyless,
+            8 if self.sent.is_multiple_of(KEYLESS) => Ask::Keyless,
             8 => Ask::Resume,
             _ => Ask::Added(self.rng.random_range(1..=self.world.version())),
         }
