--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -92,7 +92,9 @@
 impl Duties {
     /// Looks once, and does what is due. Gives the pause until the next look.
     async fn look(&mut self) -> Duration {
-        self.claims.heard(self.instance.claim_heard.get());
+        if let Some(fence) = self.instance.claim_heard.get() {
+            self.claims.heard(fence);
+        }
         if let Some(era) = self.instance.era.get() {
             self.claims.heard_era(era);
         }
@@ -165,7 +167,7 @@
             sizes.numbers()
         };
         let grant = self.claims.claim(&standing, &reports, numbers).await?;
-        self.instance.claimed.set(grant.fence);
+        self.instance.claimed.set(Some(grant.fence));
         Ok(grant)
     }
 
@@ -271,10 +273,11 @@
 
 /// Takes in a claim of which another instance told, and what it ordered.
 pub(crate) fn heard(instance: &Instance, fence: Fence, numbers: &[gateway::Numbers]) {
-    if fence < instance.claim_heard.get().max(instance.claimed.get()) {
+    let known = instance.claim_heard.get().max(instance.claimed.get());
+    if fence == 0 || known.is_some_and(|known| fence < known) {
         return;
     }
-    instance.claim_heard.set(fence);
+    instance.claim_heard.set(Some(fence));
     let numbers: Vec<Numbers> = numbers.iter().map(heard_numbers).collect();
     let mut sizes = instance.sizes.borrow_mut();
     sizes.adopt(&numbers, instance.now());
@@ -283,7 +286,7 @@
 /// Numbers of engines that are to be told: those that this instance ordered, if nobody has claimed since.
 pub(crate) fn told(instance: &Instance) -> Vec<gateway::Numbers> {
     let own = instance.claimed.get();
-    if own == 0 || own < instance.claim_heard.get() {
+    if own.is_none() || own < instance.claim_heard.get() {
         return Vec::new();
     }
     let numbers = instance.sizes.borrow().numbers().into_iter();
--- a/crates/gateway/src/heard.rs
+++ b/crates/gateway/src/heard.rs
@@ -67,7 +67,8 @@
             ledger.taken(*window);
         }
     }
-    if mesh::reads_store(state) {
+    // A reader that has read nothing yet knows no era.
+    if mesh::reads_store(state) && state.engines_upto > 0 {
         instance.heard_era(store::era(state.engines_upto));
     }
     // Others that are only told may lack what is missing here.
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -49,8 +49,8 @@
     /// How many engines there should be.
     pub sizes: RefCell<Sizes>,
     /// Fencing token of the last claim that this instance made, and of the last one of others that it heard of.
-    pub claimed: Cell<Fence>,
-    pub claim_heard: Cell<Fence>,
+    pub claimed: Cell<Option<Fence>>,
+    pub claim_heard: Cell<Option<Fence>>,
     /// True time when the process started.
     started: Unix,
     /// Who places calls.
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -262,7 +262,7 @@
         leaving: instance.phase.is_leaving(),
         placing,
         suspects_digest: instance.suspects.digest(),
-        claimed: instance.claimed.get(),
+        claimed: instance.claimed.get().unwrap_or_default(),
         reported: instance.reported(),
         numbers: duties::told(instance),
     }
