Let operators see, fix and hold the numbers of engines that are ordered

Cause: nobody could see what was ordered and why, or stop it. Change: the wishes of operators lie in the log of claims, which whoever claims reads anyway; engines, hold, resume and fix of the command line; each order's log line says why (usual, stands in, missing, fixed). What cannot be read holds orders. Test: a process test holds, fixes, looks and lets go.

--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -3,8 +3,8 @@
 use std::fmt;
 use std::time::Duration;
 
-use adapter::orders::{self, CLAIM, CLAIMS, Numbers};
-use adapter::store::{self, Era, Offset, Store, Trouble};
+use adapter::orders::{self, CLAIM, CLAIMS, Numbers, WISHES, Wishes};
+use adapter::store::{self, Era, Keyed, Offset, Store, Trouble};
 use clock::{Clock as _, Moment, System};
 use serving::turn::{self, Fence, Turns};
 use serving::usage::Report;
@@ -61,6 +61,8 @@
     pub(crate) reports: Vec<Report>,
     /// Numbers of engines that others ordered last.
     pub(crate) numbers: Vec<Numbers>,
+    /// What operators wish.
+    pub(crate) wishes: Wishes,
 }
 
 /// This instance's part in the log of claims.
@@ -137,6 +139,7 @@
             end: newest.end,
             reports: reports.into_iter().map(Report::from).collect(),
             numbers,
+            wishes: wishes(&newest.records),
         })
     }
 
@@ -163,6 +166,21 @@
     }
 }
 
+/// What operators wish, as the log of claims has it.
+pub(crate) fn wishes(records: &[Keyed]) -> Wishes {
+    let record = records.iter().find(|record| record.key == WISHES);
+    let Some(value) = record.and_then(|record| record.value.as_ref()) else {
+        return Wishes::default();
+    };
+    Wishes::read(value).unwrap_or_else(|error| {
+        log::error!(error:% = error; "what operators wish cannot be read; no engines are ordered");
+        Wishes {
+            held: true,
+            ..Wishes::default()
+        }
+    })
+}
+
 /// The fencing token of a claim. Tokens begin at 1.
 fn fence(offset: Offset) -> Fence {
     offset + 1
--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+use adapter::orders::Fixed;
 use adapter::settings::{self, Settings};
 use clap::{Parser, Subcommand};
 use serving::fingerprint::Fingerprint;
@@ -58,6 +59,39 @@
         #[arg(long)]
         settings: Option<PathBuf>,
     },
+    /// Prints how many engines were ordered last, and what operators wish.
+    Engines {
+        /// Settings file of any instance; without it the platform's environment variable names it.
+        #[arg(long)]
+        settings: Option<PathBuf>,
+    },
+    /// Holds orders for engines at all instances: none are ordered until `resume`.
+    Hold {
+        /// Settings file of any instance; without it the platform's environment variable names it.
+        #[arg(long)]
+        settings: Option<PathBuf>,
+    },
+    /// Lets engines be ordered again.
+    Resume {
+        /// Settings file of any instance; without it the platform's environment variable names it.
+        #[arg(long)]
+        settings: Option<PathBuf>,
+    },
+    /// Fixes how many engines of one kind a service has in a data centre.
+    Fix {
+        /// The service.
+        service: String,
+        /// The data centre.
+        zone: String,
+        /// How many; without it the plan decides again.
+        engines: Option<u32>,
+        /// Those that may be reclaimed, instead of the others.
+        #[arg(long)]
+        reclaimable: bool,
+        /// Settings file of any instance; without it the platform's environment variable names it.
+        #[arg(long)]
+        settings: Option<PathBuf>,
+    },
     /// Checks settings and prints every finding with its place, and names that are not known.
     Check {
         /// Settings file.
@@ -83,6 +117,33 @@
             } => operate(settings, async |settings| {
                 operate::release(&settings, fingerprint).await
             }),
+            Action::Engines { settings } => operate(settings, async |settings| {
+                for line in operate::engines(&settings).await? {
+                    println!("{line}");
+                }
+                Ok(())
+            }),
+            Action::Hold { settings } => operate(settings, async |settings| {
+                operate::hold(&settings, true).await
+            }),
+            Action::Resume { settings } => operate(settings, async |settings| {
+                operate::hold(&settings, false).await
+            }),
+            Action::Fix {
+                service,
+                zone,
+                engines,
+                reclaimable,
+                settings,
+            } => operate(settings, async |settings| {
+                let fixed = Fixed {
+                    service,
+                    zone,
+                    reclaimable,
+                    engines: engines.unwrap_or_default(),
+                };
+                operate::fix(&settings, &fixed, engines.is_some()).await
+            }),
             Action::Check { settings } => check(settings),
         }
     }
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -11,6 +11,7 @@
 use adapter::store::Store;
 use clock::Moment;
 use serving::roles::Changes;
+use serving::scaling::Why;
 use serving::turn::Fence;
 use serving::usage::Report;
 use tokio::time::sleep;
@@ -160,6 +161,7 @@
         let reports = self.fix(std::mem::take(&mut standing.reports));
         let numbers = {
             let mut sizes = self.instance.sizes.borrow_mut();
+            sizes.wish(std::mem::take(&mut standing.wishes));
             // Later ones may have been told.
             if sizes.is_empty() {
                 sizes.adopt(&standing.numbers, self.instance.now());
@@ -205,8 +207,8 @@
         let mut are_had = true;
         // Planned anew, by what the claim before this one says that was ordered.
         let sizes = plan_sizes(instance);
-        for size in &sizes {
-            let answer = platform.order(size).await;
+        for (size, why) in &sizes {
+            let answer = platform.order(size, *why).await;
             instance.metrics.sized(counted(answer));
             let mut sizes = instance.sizes.borrow_mut();
             sizes.answered(size, answer, instance.now());
@@ -243,7 +245,7 @@
     }
 }
 
-fn plan_sizes(instance: &Instance) -> Vec<Size> {
+fn plan_sizes(instance: &Instance) -> Vec<(Size, Why)> {
     let now = instance.now();
     instance.sizes.borrow_mut().plan(instance, now)
 }
--- a/crates/gateway/src/operate.rs
+++ b/crates/gateway/src/operate.rs
@@ -1,7 +1,9 @@
-//! What operators do about held calls, by way of the store: no instance is asked, and all of them read there.
+//! What operators do about held calls and about the numbers of engines, by way of the store: no instance is asked, and those that
+//! have to know read there.
 
 use std::fmt;
 
+use adapter::orders::{CLAIM, CLAIMS, Claim, Fixed, WISHES, Wishes};
 use adapter::records::INSTANCES;
 use adapter::settings::Settings;
 use adapter::store::{Keyed, Store, Trouble};
@@ -12,7 +14,7 @@
 use wire::gateway::Suspect;
 
 use crate::suspects::{START, text};
-use crate::{frame, trials};
+use crate::{claims, frame, trials};
 
 /// Why nothing was done.
 #[derive(Debug)]
@@ -76,6 +78,77 @@
     Ok(())
 }
 
+/// A line for each number of engines that was ordered last, and for each that an operator fixed.
+pub(crate) async fn engines(settings: &Settings) -> Result<Vec<String>, Failure> {
+    let newest = store(settings).newest(CLAIMS).await?;
+    let record = newest.records.iter().find(|record| record.key == CLAIM);
+    let claim = record.and_then(|record| Claim::read(record.value.as_ref()?).ok());
+    let number = |ordered: Option<u32>| ordered.map_or("none".to_owned(), |n| n.to_string());
+    let numbers = claim
+        .iter()
+        .flat_map(|claim| &claim.numbers)
+        .map(|numbers| {
+            format!(
+                "{} {} began_with={} ordered={} ordered_reclaimable={}",
+                numbers.service,
+                numbers.zone,
+                numbers.found,
+                number(numbers.firm),
+                number(numbers.reclaimable)
+            )
+        });
+    let wishes = claims::wishes(&newest.records);
+    let held = wishes
+        .held
+        .then(|| "held: no engines are ordered".to_owned());
+    let fixed = wishes.fixed.iter().map(|fixed| {
+        let kind = kind(fixed.reclaimable);
+        format!(
+            "{} {} fixed {kind}={}",
+            fixed.service, fixed.zone, fixed.engines
+        )
+    });
+    Ok(numbers.chain(held).chain(fixed).collect())
+}
+
+fn kind(reclaimable: bool) -> &'static str {
+    if reclaimable { "reclaimable" } else { "others" }
+}
+
+/// Holds orders for engines, or lets them go on.
+pub(crate) async fn hold(settings: &Settings, held: bool) -> Result<(), Failure> {
+    change_wishes(settings, |wishes| wishes.held = held).await
+}
+
+/// Fixes a number of engines, or leaves it to the plan again.
+pub(crate) async fn fix(settings: &Settings, fixed: &Fixed, stands: bool) -> Result<(), Failure> {
+    let is_same = |other: &Fixed| {
+        (&other.service, &other.zone, other.reclaimable)
+            == (&fixed.service, &fixed.zone, fixed.reclaimable)
+    };
+    change_wishes(settings, |wishes| {
+        wishes.fixed.retain(|other| !is_same(other));
+        if stands {
+            wishes.fixed.push(fixed.clone());
+        }
+    })
+    .await
+}
+
+/// Changes what operators wish, unless another one does at the same moment.
+async fn change_wishes(
+    settings: &Settings,
+    change: impl FnOnce(&mut Wishes),
+) -> Result<(), Failure> {
+    let mut store = store(settings);
+    let newest = store.newest(CLAIMS).await?;
+    let mut wishes = claims::wishes(&newest.records);
+    change(&mut wishes);
+    let at = Some(newest.end);
+    store.append(CLAIMS, WISHES, &wishes.bytes(), at).await?;
+    Ok(())
+}
+
 fn store(settings: &Settings) -> Store {
     Store::new(settings.store, http1::config())
 }
--- a/crates/gateway/src/sizes.rs
+++ b/crates/gateway/src/sizes.rs
@@ -3,10 +3,10 @@
 use std::collections::BTreeMap;
 
 use adapter::duties::{Answer, Size};
-use adapter::orders::Numbers;
+use adapter::orders::{Numbers, Wishes};
 use clock::Moment;
-use serving::ServiceName;
-use serving::scaling::{Booked, Order, Planner};
+use serving::scaling::{Booked, Order, Planner, Why};
+use serving::{ServiceName, Zone};
 
 use crate::instance::Instance;
 
@@ -14,13 +14,14 @@
 #[derive(Default)]
 pub(crate) struct Sizes {
     planners: BTreeMap<ServiceName, Planner>,
+    wishes: Wishes,
 }
 
 impl Sizes {
     /// What should be ordered now.
-    pub(crate) fn plan(&mut self, instance: &Instance, now: Moment) -> Vec<Size> {
+    pub(crate) fn plan(&mut self, instance: &Instance, now: Moment) -> Vec<(Size, Why)> {
         let scales = instance.settings.borrow().duties.is_some_and(|d| d.scales);
-        let Some(table) = instance.table().filter(|_| scales) else {
+        let Some(table) = instance.table().filter(|_| scales && !self.wishes.held) else {
             return Vec::new();
         };
         let fleet = instance.fleet.borrow();
@@ -28,16 +29,32 @@
         for (service, range) in table.ranges() {
             let planner = self.planners.entry(service.clone()).or_default();
             let orders = planner.plan(&fleet, service, range, now);
-            sizes.extend(orders.into_iter().map(|order| Size {
-                service: service.clone(),
-                zone: order.zone,
-                engines: order.engines,
-                reclaimable: order.reclaimable,
-            }));
+            let orders = orders.into_iter();
+            sizes.extend(orders.map(|order| (size(service, &order), order.why)));
         }
         sizes
     }
 
+    /// Takes in what operators wish.
+    pub(crate) fn wish(&mut self, wishes: Wishes) {
+        if wishes == self.wishes {
+            return;
+        }
+        log::info!(held = wishes.held, fixed = wishes.fixed.len(); "an operator's wishes for the numbers of engines");
+        let mut fixed: BTreeMap<ServiceName, BTreeMap<(Zone, bool), u32>> = BTreeMap::new();
+        for one in &wishes.fixed {
+            let of_service = fixed.entry(one.service.as_str().into()).or_default();
+            of_service.insert((one.zone.as_str().into(), one.reclaimable), one.engines);
+        }
+        for (service, planner) in &mut self.planners {
+            planner.fix(fixed.remove(service).unwrap_or_default());
+        }
+        for (service, fixed) in fixed {
+            self.planners.entry(service).or_default().fix(fixed);
+        }
+        self.wishes = wishes;
+    }
+
     /// Whether nothing was ordered here or heard of.
     pub(crate) fn is_empty(&self) -> bool {
         let is_none = |numbers: &Numbers| numbers.firm.or(numbers.reclaimable).is_none();
@@ -74,6 +91,7 @@
             zone: size.zone.clone(),
             reclaimable: size.reclaimable,
             engines: size.engines,
+            why: Why::Usual,
         };
         match answer {
             Some(Answer::Taken) => planner.ordered(&order, now),
@@ -81,3 +99,12 @@
         }
     }
 }
+
+fn size(service: &ServiceName, order: &Order) -> Size {
+    Size {
+        service: service.clone(),
+        zone: order.zone.clone(),
+        engines: order.engines,
+        reclaimable: order.reclaimable,
+    }
+}
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -8,6 +8,7 @@
 use adapter::duties::{self, Answer, Holder};
 use clock::System;
 use http1::{Client, Config, Failure, Patience};
+use serving::scaling::Why;
 use serving::usage::{Report, Told};
 use tokio::time::timeout;
 use wire::gateway;
@@ -50,12 +51,12 @@
     }
 
     /// Orders engines. Gives nothing as [`Platform::report`] does.
-    pub(crate) async fn order(&self, size: &duties::Size) -> Option<Answer> {
+    pub(crate) async fn order(&self, size: &duties::Size, why: Why) -> Option<Answer> {
         let (head, body) = duties::scale(self.address, self.as_holder(), size);
         let answer = self.call(head, &body).await;
         log::info!(
             service = &*size.service, zone = &*size.zone, engines = size.engines,
-            reclaimable = size.reclaimable, fence = self.grant.fence, answer:? = answer;
+            reclaimable = size.reclaimable, why:? = why, fence = self.grant.fence, answer:? = answer;
             "engines ordered"
         );
         answer
--- a/crates/gateway/tests/duties.rs
+++ b/crates/gateway/tests/duties.rs
@@ -231,3 +231,46 @@
     .await;
     assert_tokens_rise(&cloud, "/scale");
 }
+
+/// An operator holds orders, fixes a number, and sees what was ordered.
+#[actix_rt::test]
+async fn an_operator_holds_and_fixes_numbers_of_engines() {
+    let (cloud, world, _app, _pool) = start().await;
+    let mut engines = Vec::new();
+    for n in 0..9 {
+        let engine = Engine::start(&format!("e{n}")).await;
+        engine.register(&world.store, "pool", "ready", Some("decode"));
+        engines.push(engine);
+    }
+    world.operate(&["hold"]).await;
+    configure(&world, 2, true);
+    until(async || world.log_lines_with("an operator's wishes", "held=true") == 1).await;
+    until(async || world.log_lines("may give orders") > 2).await;
+    assert!(cloud.calls("/scale").is_empty());
+    let zone = "a";
+    world
+        .operate(&["fix", "pool", zone, "7", "--reclaimable"])
+        .await;
+    world.operate(&["resume"]).await;
+    until(async || {
+        let calls = cloud.calls("/scale");
+        calls
+            .last()
+            .is_some_and(|call| call.body["desired"] == json!(7))
+    })
+    .await;
+    assert!(world.log_lines_with("engines ordered", "Fixed") > 0);
+    until(async || {
+        let seen = world.operate(&["engines"]).await;
+        seen.contains("pool a began_with=10") && seen.contains("fixed reclaimable=7")
+    })
+    .await;
+    world.operate(&["fix", "pool", zone, "--reclaimable"]).await;
+    until(async || {
+        let calls = cloud.calls("/scale");
+        calls
+            .last()
+            .is_some_and(|call| call.body["desired"] == json!(15))
+    })
+    .await;
+}
--- a/crates/serving/src/scaling.rs
+++ b/crates/serving/src/scaling.rs
@@ -33,6 +33,21 @@
     pub reclaimable: bool,
     /// How many there should be.
     pub engines: u32,
+    /// For what reason.
+    pub why: Why,
+}
+
+/// Why a number is ordered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// It is what a data centre should have while nothing is lost.
+    Usual,
+    /// Other data centres have lost their reclaimable engines.
+    StandsIn,
+    /// The data centre's reclaimable engines have been missing for long.
+    Missing,
+    /// An operator fixed it.
+    Fixed,
 }
 
 /// What is known of a data centre, for whoever orders next.
@@ -105,6 +120,13 @@
     stand_in: StandIn,
 }
 
+impl Site {
+    /// Whether it has engines for others.
+    fn stands_in(&self, now: Moment) -> bool {
+        self.lost.is_none() && now < self.stand_in.until
+    }
+}
+
 /// The plan for one service.
 #[derive(Clone, Debug, Default)]
 pub struct Planner {
@@ -113,6 +135,8 @@
     grown: Moment,
     /// Whether engines that the deployment started with were taken away.
     has_begun: bool,
+    /// Numbers that an operator fixed.
+    fixed: BTreeMap<(Zone, bool), u32>,
     subjects: BTreeMap<(Zone, bool), Subject>,
 }
 
@@ -166,6 +190,11 @@
         orders
     }
 
+    /// Takes in the numbers that an operator fixed, in place of those before.
+    pub fn fix(&mut self, fixed: BTreeMap<(Zone, bool), u32>) {
+        self.fixed = fixed;
+    }
+
     /// Takes in that a number was ordered.
     pub fn ordered(&mut self, order: &Order, now: Moment) {
         self.has_begun |= !order.reclaimable;
@@ -282,11 +311,27 @@
             .is_some_and(|since| now.saturating_sub(since) >= LONG);
         let firm = if is_long { site.found } else { usual.firm };
         let firm = firm.min(range.max);
-        let stands_in = site.lost.is_none() && now < site.stand_in.until;
-        let more = if stands_in { site.stand_in.engines } else { 0 };
+        let more = if site.stands_in(now) {
+            site.stand_in.engines
+        } else {
+            0
+        };
+        let reclaimable = usual.reclaimable + more;
+        let fixed = |reclaimable| self.fixed.get(&(zone.clone(), reclaimable)).copied();
+        let firm = fixed(false).unwrap_or(firm).min(range.max);
         Count {
             firm,
-            reclaimable: (usual.reclaimable + more).min(range.max - firm),
+            reclaimable: fixed(true).unwrap_or(reclaimable).min(range.max - firm),
+        }
+    }
+
+    fn why(&self, zone: &Zone, reclaimable: bool, now: Moment) -> Why {
+        let is_fixed = self.fixed.contains_key(&(zone.clone(), reclaimable));
+        match self.sites.get(zone) {
+            _ if is_fixed => Why::Fixed,
+            Some(site) if site.lost.is_some() && !reclaimable => Why::Missing,
+            Some(site) if site.stands_in(now) && reclaimable => Why::StandsIn,
+            _ => Why::Usual,
         }
     }
 
@@ -328,6 +373,7 @@
         now: Moment,
     ) -> Option<Order> {
         let (wanted, has) = (wanted.of(reclaimable), has.of(reclaimable));
+        let why = self.why(zone, reclaimable, now);
         let subject = self.subject(zone, reclaimable);
         let rests = |at: Moment| now.saturating_sub(at) < REFUSED;
         if subject.refused.is_some_and(rests) {
@@ -351,6 +397,7 @@
             zone: zone.clone(),
             reclaimable,
             engines: wanted,
+            why,
         })
     }
 }
