Count requests by organisation, and say which configuration refused a call at once

Cause: an operator could not see who uses how much at one instance, nor by which version a call got its 401. Change: a counter by organisation (of up to 1,000; beyond that one for all), the version in the line of a call that is answered at once.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -17,6 +17,7 @@
 use serving::health::Outcome;
 use serving::organisation::Organisation;
 use serving::place::{self, Demand, Generation, Target};
+use serving::route::Version;
 use serving::usage::Unix;
 use serving::{Choice, EngineId, Route, Service, Table, Zone};
 use smallvec::SmallVec;
@@ -105,13 +106,16 @@
     id: Option<String>,
     after: Option<Duration>,
     detail: &'static str,
+    /// Version of the configuration that decided it; 0 before the first.
+    configuration: Version,
 }
 
 impl Unserved {
     pub(crate) fn tell(&self) {
         log::info!(
             id = self.id.as_deref().unwrap_or_default(), status = self.status.as_u16(),
-            after_ms:% = self.after.unwrap_or_default().as_millis(), why = self.detail;
+            after_ms:% = self.after.unwrap_or_default().as_millis(), why = self.detail,
+            configuration = self.configuration;
             "answered at once"
         );
     }
@@ -137,17 +141,20 @@
         arrival: Arrival,
         caller: IpAddr,
     ) -> Result<Self, Unserved> {
+        let configuration = instance.table().map_or(0, |table| table.version);
         let call = ingress::call(&arrival.head).map_err(|finding| Unserved {
             status: StatusCode::BAD_REQUEST,
             id: None,
             after: None,
             detail: finding.text(),
+            configuration,
         })?;
         let unserved = |status, after, detail| Unserved {
             status,
             id: Some(call.id.clone()),
             after,
             detail,
+            configuration,
         };
         let table = instance.table().ok_or_else(|| {
             let detail = "No configuration is known yet.";
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -9,7 +9,7 @@
 use adapter::store::Era;
 use clock::{Clock as _, Moment, System};
 use serving::budget::Budgets;
-use serving::organisation::Name;
+use serving::organisation::{Directory, Name};
 use serving::parts::Part;
 use serving::placer::{Member, Placers};
 use serving::registry::Registry;
@@ -150,6 +150,12 @@
 
     /// Takes in that an engine began a request of an organisation.
     pub(crate) fn used(&self, organisation: &Name, at: Unix) {
+        let table = self.table.borrow();
+        let directory = table
+            .as_ref()
+            .and_then(|table| table.organisations.as_ref());
+        let known = directory.map_or(0, Directory::len);
+        self.metrics.begun(organisation, known);
         if let Some(ledger) = self.usage.borrow_mut().as_mut() {
             ledger.began(organisation, at);
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -31,6 +31,9 @@
     0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 2.0, 4.0, 8.0,
 ];
 
+/// Organisations up to which each has a count of its own; of more, all have one together.
+const ORGANISATIONS: usize = 1_000;
+
 /// How a call ended.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub(crate) enum End {
@@ -97,6 +100,7 @@
     plain_time: Histogram,
     first_time: Histogram,
     orders: Family<Labels<Ordered>, Counter>,
+    begun: Family<Labels<String>, Counter>,
     reports: Family<Labels<Ordered>, Counter>,
     sizes: Family<Labels<Ordered>, Counter>,
     questions: Family<Labels<Asked>, Counter>,
@@ -118,6 +122,7 @@
             plain_time: Histogram::new(BUCKETS),
             first_time: Histogram::new(BUCKETS),
             orders: Family::default(),
+            begun: Family::default(),
             reports: Family::default(),
             sizes: Family::default(),
             questions: Family::default(),
@@ -156,6 +161,11 @@
             self.first_time.clone(),
         );
         registry.register("orders", "Orders to engines", self.orders.clone());
+        registry.register(
+            "organisation_requests",
+            "Requests that engines began, by organisation",
+            self.begun.clone(),
+        );
         registry.register(
             "engine_orders",
             "Orders for how many engines there are",
@@ -228,6 +238,15 @@
         self.sizes.get_or_create(&[("answer", what)]).inc();
     }
 
+    /// An engine began a request of an organisation.
+    pub(crate) fn begun(&self, organisation: &str, known: usize) {
+        let is_named = known <= ORGANISATIONS;
+        let label = if is_named { organisation } else { "any" };
+        self.begun
+            .get_or_create(&[("organisation", label.to_owned())])
+            .inc();
+    }
+
     /// The use of a window was reported.
     pub(crate) fn reported(&self, what: Ordered) {
         self.reports.get_or_create(&[("answer", what)]).inc();
--- a/crates/gateway/tests/duties.rs
+++ b/crates/gateway/tests/duties.rs
@@ -115,6 +115,11 @@
     until(async || reported(&cloud) == expected).await;
     assert_one_report_a_window(&cloud);
     assert_tokens_rise(&cloud, "/usage");
+    let page = world.page().await;
+    assert!(
+        page.contains("tarragon_organisation_requests_total{organisation=\"a\"} 6"),
+        "{page}"
+    );
     // A key is a secret.
     for (_, key) in KEYS {
         assert_eq!(world.log_lines(key) + other.log_lines(key), 0);
--- a/crates/serving/src/organisation.rs
+++ b/crates/serving/src/organisation.rs
@@ -66,6 +66,7 @@
 pub struct Directory {
     salt: Salt,
     by_key: HashMap<Digest, Rc<Organisation>>,
+    organisations: usize,
 }
 
 impl Directory {
@@ -98,12 +99,26 @@
             }
         }
         if findings.is_empty() {
-            Ok(Self { salt, by_key })
+            Ok(Self {
+                salt,
+                by_key,
+                organisations: names.len(),
+            })
         } else {
             Err(findings)
         }
     }
 
+    /// How many organisations there are.
+    pub fn len(&self) -> usize {
+        self.organisations
+    }
+
+    /// Whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.organisations == 0
+    }
+
     /// The organisation that holds a key. It is looked up by its digest, so that how long this takes says nothing of how much of a wrong
     /// key is right.
     pub fn holder(&self, key: &[u8]) -> Option<&Rc<Organisation>> {
