Count a trial once its claim stands, release by the record's time, and delete old records of held calls

Cause: a trial was counted and told before its claim stood, so that an innocent call waited 10 min and not 30 s where the store failed the append; an operator's clock that is behind released too little; records under held/ were never deleted (one for each call ever held, read by each start). Tests: a trial whose claim does not stand (fails to compile before: there was no such step), old records deleted over a process. The operator's clock is not tested over processes. A trial whose engine refuses it, or whose caller leaves, is still used up.

--- a/crates/gateway/src/operate.rs
+++ b/crates/gateway/src/operate.rs
@@ -43,11 +43,22 @@
 /// The present moment, from which ages of records are counted back.
 const NOW: Moment = START;
 
+/// A call that the store has.
+struct Known {
+    call: Fingerprint,
+    entry: Entry,
+    /// The present time, in milliseconds since the Unix epoch, as far as this machine and the record tell.
+    ///
+    /// This machine's clock may be behind that of the instance which wrote the record. Ages that count from a time before the record was written would
+    /// let ends go that came before it, and not those that it tells of.
+    now_unix_ms: u64,
+}
+
 /// A line for each call that the store has, the ones that are held first.
 pub(crate) async fn held(settings: &Settings) -> Result<Vec<String>, Failure> {
-    let mut calls: Vec<(Fingerprint, Entry)> = read(&mut store(settings)).await?;
-    calls.sort_by_key(|(call, entry)| (!entry.is_held(), *call));
-    let lines = calls.iter().map(|(call, entry)| {
+    let mut calls: Vec<Known> = read(&mut store(settings)).await?;
+    calls.sort_by_key(|known| (!known.entry.is_held(), known.call));
+    let lines = calls.iter().map(|Known { call, entry, .. }| {
         let state = if entry.is_held() { "held" } else { "let go" };
         let last = NOW.saturating_sub(entry.last_crash().unwrap_or(NOW));
         let (ended, trials) = (entry.standing(), entry.trials);
@@ -64,12 +75,12 @@
 pub(crate) async fn release(settings: &Settings, call: Fingerprint) -> Result<(), Failure> {
     let mut store = store(settings);
     let calls = read(&mut store).await?;
-    let known = calls.into_iter().find(|(other, _)| *other == call);
-    let (_, mut entry) = known.ok_or(Failure::Unknown)?;
-    entry.released = Some(NOW);
+    let known = calls.into_iter().find(|known| known.call == call);
+    let mut known = known.ok_or(Failure::Unknown)?;
+    known.entry.released = Some(NOW);
     let released = Suspect {
-        written_unix_ms: trials::unix_ms(System::new().wall()),
-        ..frame::told_suspect(call, &entry, NOW)
+        written_unix_ms: known.now_unix_ms,
+        ..frame::told_suspect(call, &known.entry, NOW)
     };
     let value = released.encode_to_vec();
     store
@@ -153,17 +164,24 @@
     Store::new(settings.store, http1::config())
 }
 
-async fn read(store: &mut Store) -> Result<Vec<(Fingerprint, Entry)>, Failure> {
+async fn read(store: &mut Store) -> Result<Vec<Known>, Failure> {
     let newest = store.newest(INSTANCES).await?;
     Ok(newest.records.iter().filter_map(known).collect())
 }
 
-fn known(record: &Keyed) -> Option<(Fingerprint, Entry)> {
+fn known(record: &Keyed) -> Option<Known> {
     trials::call_of(&record.key)?;
     match Suspect::decode(&record.value.as_ref()?[..]) {
         Ok(suspect) => {
-            let aged = frame::aged(suspect, trials::unix_ms(System::new().wall()));
-            Some(frame::suspect(&aged, NOW))
+            let own = trials::unix_ms(System::new().wall());
+            let now_unix_ms = own.max(suspect.written_unix_ms + 1);
+            let aged = frame::aged(suspect, now_unix_ms);
+            let (call, entry) = frame::suspect(&aged, NOW);
+            Some(Known {
+                call,
+                entry,
+                now_unix_ms,
+            })
         }
         Err(error) => {
             eprintln!("{}: cannot be read: {error}", record.key);
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -70,6 +70,8 @@
     news: RefCell<BTreeMap<Fingerprint, Telling>>,
     /// Calls under which this instance saw engines end, and whose record in the store is behind.
     unwritten: RefCell<BTreeSet<Fingerprint>>,
+    /// Calls whose record in the store is so old that it holds nobody.
+    old: RefCell<BTreeSet<Fingerprint>>,
     answered: RefCell<BTreeMap<SocketAddr, Moment>>,
     digest: Cell<u64>,
 }
@@ -146,14 +148,16 @@
         }
     }
 
-    /// Takes in that this instance may try a held call. Says whether its trial is due.
-    pub(crate) fn begin_trial(&self, call: Fingerprint, now: Moment) -> bool {
-        let is_due = self.quarantine.borrow_mut().begin_trial(call, now);
-        if is_due {
-            self.news(call, now);
-            self.count_digest();
-        }
-        is_due
+    /// What is known of a held call once it is tried, if its trial is due.
+    pub(crate) fn trial(&self, call: Fingerprint, now: Moment) -> Option<Entry> {
+        self.quarantine.borrow().trial(call, now)
+    }
+
+    /// Takes in that this instance tries a held call, since its claim stands.
+    pub(crate) fn begun_trial(&self, call: Fingerprint, entry: &Entry, now: Moment) {
+        self.quarantine.borrow_mut().join(call, entry);
+        self.news(call, now);
+        self.count_digest();
     }
 
     /// Takes in what another instance told, or what stands in the store.
@@ -183,6 +187,16 @@
         self.count_digest();
     }
 
+    /// Takes in that the record of a call is so old that it holds nobody.
+    pub(crate) fn note_old(&self, call: Fingerprint) {
+        self.old.borrow_mut().insert(call);
+    }
+
+    /// A call whose record is to be deleted.
+    pub(crate) fn take_old(&self) -> Option<Fingerprint> {
+        self.old.borrow_mut().pop_first()
+    }
+
     /// Takes in that the store may have lost what it knew of held calls.
     pub(crate) fn write_again(&self) {
         let quarantine = self.quarantine.borrow();
--- a/crates/gateway/src/trials.rs
+++ b/crates/gateway/src/trials.rs
@@ -23,6 +23,9 @@
 const PREFIX: &str = "held/";
 /// Pause between two looks whether something is to be written, and after a write that failed.
 const LOOK: Duration = Duration::from_millis(250);
+/// Age of a record after which no call is held by it any more, by a clock that may be off by hours. Records that nobody deletes would
+/// stand in the store for ever, and each instance that starts reads all of them.
+const OLD: Duration = Duration::from_secs(2 * 24 * 60 * 60);
 /// Longest time that a call waits for the word whether this instance may try it.
 const CLAIM: Duration = Duration::from_millis(400);
 
@@ -56,15 +59,21 @@
 
 /// Takes in a record of the store, if it is about a call. Says whether it is.
 pub(crate) fn take(instance: &Instance, record: &Keyed) -> bool {
-    if call_of(&record.key).is_none() {
+    let Some(call) = call_of(&record.key) else {
         return false;
-    }
+    };
     let Some(value) = &record.value else {
         return true;
     };
     match Suspect::decode(&value[..]) {
         Ok(suspect) => {
-            let aged = frame::aged(suspect, unix_ms(instance.clock.wall()));
+            let now = unix_ms(instance.clock.wall());
+            let age = Duration::from_millis(now.saturating_sub(suspect.written_unix_ms));
+            if age > OLD {
+                instance.suspects.note_old(call);
+                return true;
+            }
+            let aged = frame::aged(suspect, now);
             instance
                 .suspects
                 .hear(&aged, "store", suspects::now(instance));
@@ -83,6 +92,14 @@
     loop {
         sleep(LOOK).await;
         instance.suspects.expire(suspects::now(&instance));
+        if instance
+            .peers
+            .borrow()
+            .before(instance.order(), instance.now())
+            == 0
+        {
+            delete_old(&instance, &mut store).await;
+        }
         for (call, entry) in instance.suspects.unwritten() {
             let value = value(call, &entry, &instance);
             match store.append(INSTANCES, &key(call), &value, None).await {
@@ -99,6 +116,25 @@
     }
 }
 
+/// Deletes records of calls that nobody holds any more, unless the call is known by now.
+async fn delete_old(instance: &Instance, store: &mut Store) {
+    while let Some(call) = instance.suspects.take_old() {
+        if instance.suspects.get(call).is_some() {
+            continue;
+        }
+        match store.append(INSTANCES, &key(call), &[], None).await {
+            Ok(_) => {
+                log::info!(fingerprint = text(call); "an old record of a held call is deleted")
+            }
+            Err(trouble) => {
+                log::info!(fingerprint = text(call), trouble:% = trouble; "an old record could not be deleted yet");
+                instance.suspects.note_old(call);
+                return;
+            }
+        }
+    }
+}
+
 /// Claims the trial of a held call for this instance. Says whether it may send the call.
 ///
 /// Instances that tried it each by itself would end as many engines as there are of them. The claim is an append that the store
@@ -125,10 +161,8 @@
     for record in &newest.records {
         take(instance, record);
     }
-    if !instance.suspects.begin_trial(call, suspects::now(instance)) {
-        return Ok(false);
-    }
-    let Some(entry) = instance.suspects.get(call) else {
+    let now = suspects::now(instance);
+    let Some(entry) = instance.suspects.trial(call, now) else {
         return Ok(false);
     };
     let value = value(call, &entry, instance);
@@ -136,7 +170,10 @@
         .append(INSTANCES, &key(call), &value, Some(newest.end))
         .await
     {
-        Ok(_) => Ok(true),
+        Ok(_) => {
+            instance.suspects.begun_trial(call, &entry, now);
+            Ok(true)
+        }
         Err(Trouble::Moved(_)) => Ok(false),
         Err(trouble) => Err(trouble),
     }
--- a/crates/gateway/tests/ending.rs
+++ b/crates/gateway/tests/ending.rs
@@ -2,11 +2,13 @@
 
 mod world;
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use floor::engine::Act;
 use floor::store::Fault;
 use floor::{Engine, Store};
+use wire::Message as _;
+use wire::gateway::Suspect;
 use world::{World, until};
 
 /// Time within which all instances know what one of them does: what callers are promised.
@@ -403,3 +405,32 @@
     assert_eq!(world.log_lines("an engine ended with the call in hand"), 0);
     until(async || world.generate_same(FATAL, &world.fresh_id()).await.status == 200).await;
 }
+
+/// Symptom: the store grows by a record for each call that was ever held, and each instance that starts reads all of them. Sequence: a call is held and comes
+/// no more; all that knew it restart. Cause: nobody deleted its record.
+#[actix_rt::test]
+async fn records_of_calls_that_nobody_holds_any_more_are_deleted() {
+    const OLD: &str = "held/0123456789abcdef0123456789abcdef";
+    const RECENT: &str = "held/00000000000000000000000000000007";
+    let world = World::bare().await;
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let now = now.expect("the epoch is over").as_millis();
+    let recent = Suspect {
+        call_low: 7,
+        written_unix_ms: u64::try_from(now).expect("it fits"),
+        ..Suspect::default()
+    };
+    let old = Suspect {
+        written_unix_ms: 1,
+        ..recent.clone()
+    };
+    for (key, suspect) in [(OLD, old), (RECENT, recent)] {
+        world
+            .store
+            .put_bytes("keyed.instances", key, suspect.encode_to_vec());
+    }
+    world.configure(1, "app");
+    let keys = || world.store.newest("keyed.instances");
+    until(async || !keys().iter().any(|key| key == OLD)).await;
+    assert!(keys().iter().any(|key| key == RECENT));
+}
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -297,17 +297,22 @@
         entry.is_some_and(|entry| entry.ended_well(good))
     }
 
-    /// Takes in that a call is tried from now on. Says whether its trial is due, so that the one who asks may try it.
-    pub fn begin_trial(&mut self, call: Fingerprint, now: Moment) -> bool {
+    /// What is known of a call once it is tried from now on, if its trial is due. Nothing is noted yet: a claim of the trial that does not stand
+    /// would have the call wait for the next one, twenty times as long.
+    pub fn trial(&self, call: Fingerprint, now: Moment) -> Option<Entry> {
         if self.verdict(call, now) != Verdict::Due {
-            return false;
+            return None;
         }
-        let Some(entry) = self.entries.get_mut(&call) else {
-            return false;
-        };
+        let mut entry = self.get(call)?.clone();
         entry.trials += 1;
         entry.tried = Some(now);
-        true
+        Some(entry)
+    }
+
+    /// Takes in that a call is tried from now on. Says whether its trial is due, so that the one who asks may try it.
+    pub fn begin_trial(&mut self, call: Fingerprint, now: Moment) -> bool {
+        let entry = self.trial(call, now);
+        entry.is_some_and(|entry| self.join(call, &entry))
     }
 
     /// Takes in that an operator lets a call go.
--- a/crates/serving/tests/quarantine.rs
+++ b/crates/serving/tests/quarantine.rs
@@ -131,6 +131,20 @@
     assert!(quarantine.is_empty());
 }
 
+/// Symptom: an innocent call waits for ten minutes where it should wait for thirty seconds. Sequence: an instance claims its trial, and the store does not
+/// carry the claim out. Cause: the trial was counted, and told, before the claim stood.
+#[test]
+fn a_trial_whose_claim_does_not_stand_is_none() {
+    let mut quarantine = ended(3);
+    assert!(quarantine.trial(CALL, ms(32_000)).is_none());
+    let entry = quarantine.trial(CALL, ms(33_000)).expect("it is due");
+    assert_eq!(entry.trials, 1);
+    assert_eq!(quarantine.verdict(CALL, ms(33_100)), Verdict::Due);
+    // Once the claim stands it is noted, by whoever reads it too.
+    assert!(quarantine.join(CALL, &entry));
+    assert!(is_held(&quarantine, 600_000));
+}
+
 #[test]
 fn a_trial_that_ends_well_lets_the_call_go() {
     let mut quarantine = ended(3);
