Tell of both halves of a generation in a refusal

Cause: a call that is read at one engine and generated at another was logged as refused with the reading's time only (34 ms expected, 1,717 left). Change: the whole time. The test fails without it. What an engine that came back says at its old address is still not asked for; the issue stays open.

--- a/crates/gateway/src/trials.rs
+++ b/crates/gateway/src/trials.rs
@@ -124,7 +124,7 @@
         }
         match store.append(INSTANCES, &key(call), &[], None).await {
             Ok(_) => {
-                log::info!(fingerprint = text(call); "an old record of a held call is deleted")
+                log::info!(fingerprint = text(call); "an old record of a held call is deleted");
             }
             Err(trouble) => {
                 log::info!(fingerprint = text(call), trouble:% = trouble; "an old record could not be deleted yet");
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -313,7 +313,7 @@
             Choice::Direct(target)
             | Choice::Split {
                 prefill: target, ..
-            } => Some(Box::new(target)),
+            } => Some(Box::new(Target { expected, ..target })),
             Choice::Refuse { best, .. } => best,
         },
     }
--- a/crates/serving/tests/place.rs
+++ b/crates/serving/tests/place.rs
@@ -76,6 +76,21 @@
     );
 }
 
+/// Symptom: on-call engineers read of calls that were refused for want of time though they were expected in 34 ms and had 1,717 left. Sequence: the engine that reads is
+/// idle, those that generate are full. Cause: the refusal told of the reading only.
+#[test]
+fn a_refusal_tells_of_both_halves() {
+    let mut fleet = fleet(&[("reads", Stage::Prefill), ("full", Stage::Decode)]);
+    for _ in 0..64 + 50 {
+        fleet.begin(&id("full"), 0, 1, NOW);
+    }
+    let choice = target(&fleet, &[(1, 3_000)]);
+    assert_matches!(
+        choice,
+        Choice::Refuse { best: Some(best), .. } if best.expected > ms(4_000)
+    );
+}
+
 #[test]
 fn without_an_engine_a_call_is_refused() {
     let choice = target(&Fleet::default(), &[(1, 100)]);
