Keep claims and what was ordered under them in a book of their own

Change: gateway::book holds what is known of claims; sizes get the table and the fleet passed in; usage no longer needs the attempts' limit. Behaviour is as before.

--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -6,22 +6,19 @@
 use std::time::Duration;
 
 use adapter::duties::{Answer, Size};
-use adapter::orders::Numbers;
 use adapter::settings;
 use adapter::store::Store;
 use clock::Moment;
 use serving::roles::Changes;
 use serving::scaling::Why;
-use serving::turn::Fence;
 use serving::usage::Report;
 use tokio::time::sleep;
-use wire::gateway;
 
 use crate::claims::{Claims, Denied, Grant};
 use crate::instance::Instance;
 use crate::metrics::Ordered;
 use crate::roles::Roles;
-use crate::usage::Platform;
+use crate::usage::{Platform, REPORTERS};
 
 /// Pause between two looks at what is due.
 const LOOK: Duration = Duration::from_millis(250);
@@ -36,9 +33,6 @@
 /// Instances that wait for each other; all further ones wait as long as the last of these.
 const STAGGERED: u32 = 4;
 
-/// Instances that are told what organisations use: the one that reports it, and those that take over from it.
-pub(crate) const REPORTERS: usize = 3;
-
 /// What is due now.
 struct Due {
     changes: Changes,
@@ -93,7 +87,7 @@
 impl Duties {
     /// Looks once, and does what is due. Gives the pause until the next look.
     async fn look(&mut self) -> Duration {
-        if let Some(fence) = self.instance.claim_heard.get() {
+        if let Some(fence) = self.instance.book.heard() {
             self.claims.heard(fence);
         }
         if let Some(era) = self.instance.era.get() {
@@ -160,7 +154,7 @@
         let mut standing = self.claims.read().await?;
         let reports = self.fix(std::mem::take(&mut standing.reports));
         let numbers = {
-            let mut sizes = self.instance.sizes.borrow_mut();
+            let mut sizes = self.instance.book.sizes();
             sizes.wish(std::mem::take(&mut standing.wishes));
             // Later ones may have been told.
             if sizes.is_empty() {
@@ -169,7 +163,7 @@
             sizes.numbers()
         };
         let grant = self.claims.claim(&standing, &reports, numbers).await?;
-        self.instance.claimed.set(Some(grant.fence));
+        self.instance.book.claimed(grant.fence);
         Ok(grant)
     }
 
@@ -210,7 +204,7 @@
         for (size, why) in &sizes {
             let answer = platform.order(size, *why).await;
             instance.metrics.sized(counted(answer));
-            let mut sizes = instance.sizes.borrow_mut();
+            let mut sizes = instance.book.sizes();
             sizes.answered(size, answer, instance.now());
             are_had &= answer == Some(Answer::Taken);
         }
@@ -246,8 +240,14 @@
 }
 
 fn plan_sizes(instance: &Instance) -> Vec<(Size, Why)> {
-    let now = instance.now();
-    instance.sizes.borrow_mut().plan(instance, now)
+    let duties = instance.settings.borrow().duties;
+    let table = instance
+        .table()
+        .filter(|_| duties.is_some_and(|duties| duties.scales));
+    table.map_or_else(Vec::new, |table| {
+        let fleet = instance.fleet.borrow();
+        instance.book.sizes().plan(&table, &fleet, instance.now())
+    })
 }
 
 fn counted(answer: Option<Answer>) -> Ordered {
@@ -272,42 +272,3 @@
         codec: &instance.codec,
     }
 }
-
-/// Takes in a claim of which another instance told, and what it ordered.
-pub(crate) fn heard(instance: &Instance, fence: Fence, numbers: &[gateway::Numbers]) {
-    let known = instance.claim_heard.get().max(instance.claimed.get());
-    if fence == 0 || known.is_some_and(|known| fence < known) {
-        return;
-    }
-    instance.claim_heard.set(Some(fence));
-    let numbers: Vec<Numbers> = numbers.iter().map(heard_numbers).collect();
-    let mut sizes = instance.sizes.borrow_mut();
-    sizes.adopt(&numbers, instance.now());
-}
-
-/// Numbers of engines that are to be told: those that this instance ordered, if nobody has claimed since.
-pub(crate) fn told(instance: &Instance) -> Vec<gateway::Numbers> {
-    let own = instance.claimed.get();
-    if own.is_none() || own < instance.claim_heard.get() {
-        return Vec::new();
-    }
-    let numbers = instance.sizes.borrow().numbers().into_iter();
-    let told = numbers.map(|numbers| gateway::Numbers {
-        service: numbers.service,
-        zone: numbers.zone,
-        found: numbers.found,
-        firm: numbers.firm,
-        reclaimable: numbers.reclaimable,
-    });
-    told.collect()
-}
-
-fn heard_numbers(told: &gateway::Numbers) -> Numbers {
-    Numbers {
-        service: told.service.clone(),
-        zone: told.zone.clone(),
-        found: told.found,
-        firm: told.firm,
-        reclaimable: told.reclaimable,
-    }
-}
--- a/crates/gateway/src/heard.rs
+++ b/crates/gateway/src/heard.rs
@@ -13,7 +13,7 @@
 use crate::frame::{before, job, moment, outcome, work};
 use crate::instance::Instance;
 use crate::peers::Topic;
-use crate::{answer, ask, duties, follow, mesh, suspects, usage};
+use crate::{answer, ask, follow, mesh, suspects, usage};
 
 /// Takes in a frame.
 pub(crate) fn take(instance: &Instance, from: SocketAddr, frame: Frame) {
@@ -61,7 +61,7 @@
     let mut peers = instance.peers.borrow_mut();
     let replaced = peers.heard(from, peer, state, now);
     drop(peers);
-    duties::heard(instance, state.claimed, &state.numbers);
+    instance.book.hear(state.claimed, &state.numbers, now);
     if let Some(ledger) = instance.usage.borrow_mut().as_mut() {
         for window in &state.reported {
             ledger.taken(*window);
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -13,7 +13,6 @@
 use serving::parts::Part;
 use serving::placer::{Member, Placers};
 use serving::registry::Registry;
-use serving::turn::Fence;
 use serving::usage::{Ledger, Unix, Window};
 use serving::usual::Usual;
 use serving::watch::{self, Known};
@@ -22,6 +21,7 @@
 use wire::gateway::Frame;
 
 use crate::ask::Questions;
+use crate::book::Book;
 use crate::crashes::Crashes;
 use crate::metrics::Metrics;
 use crate::newcomers::Records;
@@ -29,7 +29,6 @@
 use crate::phase::Phase;
 use crate::pool::Pool;
 use crate::reports::Reports;
-use crate::sizes::Sizes;
 use crate::suspects::Suspects;
 
 /// One process.
@@ -46,11 +45,8 @@
     pub registry: RefCell<Registry>,
     /// What organisations use, where that is reported.
     pub usage: RefCell<Option<Ledger>>,
-    /// How many engines there should be.
-    pub sizes: RefCell<Sizes>,
-    /// Fencing token of the last claim that this instance made, and of the last one of others that it heard of.
-    pub claimed: Cell<Option<Fence>>,
-    pub claim_heard: Cell<Option<Fence>>,
+    /// Claims, and what was ordered under them.
+    pub book: Book,
     /// True time when the process started.
     started: Unix,
     /// Who places calls.
@@ -101,9 +97,7 @@
         let schedule = settings.duties.and_then(|duties| duties.usage);
         Self {
             usage: RefCell::new(schedule.map(|schedule| Ledger::new(schedule, started))),
-            sizes: RefCell::default(),
-            claimed: Cell::default(),
-            claim_heard: Cell::default(),
+            book: Book::default(),
             started,
             zone: Zone::from(settings.zone.as_str()),
             incarnation,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod aside;
 mod ask;
 mod attempt;
+mod book;
 mod claims;
 pub mod command;
 mod crashes;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -16,10 +16,10 @@
 use wire::Message as _;
 use wire::gateway::{Frame, State};
 
-use crate::duties::{self, REPORTERS};
 use crate::frame::{add_changes, age, packed, started, told_changing, told_work, unpacked};
 use crate::instance::Instance;
 use crate::peers::{self, PARTS, Topic};
+use crate::usage::REPORTERS;
 use crate::{answer, discover, heard, newcomers, recall, suspects, trials, usage};
 
 /// Pause between two frames while nothing is placed.
@@ -244,6 +244,7 @@
 fn state(instance: &Instance, fleet: &Fleet, knows: bool, now: Moment) -> State {
     let engines = instance.knows(Topic::Engines);
     let placing = instance.is_placing();
+    let (claimed, numbers) = instance.book.told();
     let works = if placing { fleet.own() } else { Vec::new() };
     let works = works
         .iter()
@@ -262,9 +263,9 @@
         leaving: instance.phase.is_leaving(),
         placing,
         suspects_digest: instance.suspects.digest(),
-        claimed: instance.claimed.get().unwrap_or_default(),
+        claimed,
         reported: instance.reported(),
-        numbers: duties::told(instance),
+        numbers,
     }
 }
 
--- a/crates/gateway/src/sizes.rs
+++ b/crates/gateway/src/sizes.rs
@@ -6,9 +6,7 @@
 use adapter::orders::{Numbers, Wishes};
 use clock::Moment;
 use serving::scaling::{Booked, Order, Planner, Why};
-use serving::{ServiceName, Zone};
-
-use crate::instance::Instance;
+use serving::{Fleet, ServiceName, Table, Zone};
 
 /// Plans of all services.
 #[derive(Default)]
@@ -19,16 +17,14 @@
 
 impl Sizes {
     /// What should be ordered now.
-    pub(crate) fn plan(&mut self, instance: &Instance, now: Moment) -> Vec<(Size, Why)> {
-        let scales = instance.settings.borrow().duties.is_some_and(|d| d.scales);
-        let Some(table) = instance.table().filter(|_| scales && !self.wishes.held) else {
+    pub(crate) fn plan(&mut self, table: &Table, fleet: &Fleet, now: Moment) -> Vec<(Size, Why)> {
+        if self.wishes.held {
             return Vec::new();
-        };
-        let fleet = instance.fleet.borrow();
+        }
         let mut sizes = Vec::new();
         for (service, range) in table.ranges() {
             let planner = self.planners.entry(service.clone()).or_default();
-            let orders = planner.plan(&fleet, service, range, now);
+            let orders = planner.plan(fleet, service, range, now);
             let orders = orders.into_iter();
             sizes.extend(orders.map(|order| (size(service, &order), order.why)));
         }
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -13,9 +13,12 @@
 use tokio::time::timeout;
 use wire::gateway;
 
-use crate::attempt::MOST;
 use crate::claims::Grant;
 
+/// Instances that are told what organisations use: the one that reports it, and those that take over from it.
+pub(crate) const REPORTERS: usize = 3;
+/// Largest answer of the platform that is read, in bytes. What it says is in its status.
+const MOST: usize = 64 * 1024;
 /// Time for the platform's answer to a call. It may be slow for seconds; a call that was not answered is made again, with the same content.
 const ANSWER: Duration = Duration::from_millis(1_000);
 /// A call that is not acknowledged by then is given up by the kernel, so that it does not arrive after another instance's.
