Leave windows alone whose fixed reports cannot be read

Cause: a claim that cannot be read counted as one without reports, so that a window that it had fixed could be fixed anew with other counts. Change: it counts as a store that has forgotten them.

--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -57,8 +57,8 @@
 /// The log of claims as it was read, where this instance may claim.
 pub(crate) struct Standing {
     end: Offset,
-    /// Reports that are fixed in the newest claim.
-    pub(crate) reports: Vec<Report>,
+    /// Reports that are fixed in the newest claim; missing where it cannot be read.
+    pub(crate) reports: Option<Vec<Report>>,
     /// Numbers of engines that others ordered last.
     pub(crate) numbers: Vec<Numbers>,
     /// What operators wish.
@@ -129,15 +129,17 @@
         if !self.turns.may_claim(claim, &self.holder, now) {
             return Err(Denied::NotOurTurn);
         }
+        let is_unreadable = record.is_some() && held.is_none();
         let (reports, numbers) = held.map_or_else(Default::default, |claim| {
             // What this process ordered since its own claim stands there not yet.
             let is_own = claim.incarnation == self.incarnation;
             let numbers = if is_own { Vec::new() } else { claim.numbers };
             (claim.reports, numbers)
         });
+        let reports = reports.into_iter().map(Report::from).collect();
         Ok(Standing {
             end: newest.end,
-            reports: reports.into_iter().map(Report::from).collect(),
+            reports: (!is_unreadable).then_some(reports),
             numbers,
             wishes: wishes(&newest.records),
         })
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -152,7 +152,7 @@
     /// Claims the right to do it, and fixes what is to be reported with the claim.
     async fn claim(&mut self) -> Result<Grant, Denied> {
         let mut standing = self.claims.read().await?;
-        let reports = self.propose(std::mem::take(&mut standing.reports));
+        let reports = self.propose(standing.reports.take());
         let numbers = {
             let mut sizes = self.instance.book.sizes();
             sizes.wish(std::mem::take(&mut standing.wishes));
@@ -171,13 +171,17 @@
     }
 
     /// Reports for the claim, by those that the last one fixed.
-    fn propose(&self, fixed: Vec<Report>) -> Vec<Report> {
+    fn propose(&self, fixed: Option<Vec<Report>>) -> Vec<Report> {
+        let unix = self.instance.unix();
         let mut ledger = self.instance.usage.borrow_mut();
         let Some(ledger) = ledger.as_mut() else {
-            return fixed;
+            return fixed.unwrap_or_default();
         };
-        ledger.hear_fixed(fixed);
-        ledger.propose(self.instance.unix())
+        match fixed {
+            Some(fixed) => ledger.hear_fixed(fixed),
+            None => ledger.lost_fixed(unix),
+        }
+        ledger.propose(unix)
     }
 
     async fn perform(&mut self, due: &Due, grant: Grant) -> Duration {
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -265,7 +265,7 @@
         let now = self.now();
         self.registry.borrow_mut().went_back(now);
         if let Some(ledger) = self.usage.borrow_mut().as_mut() {
-            ledger.went_back(self.unix());
+            ledger.lost_fixed(self.unix());
         }
         if self.peers.borrow().before(self.order(), now) == 0 {
             self.suspects.write_again();
--- a/crates/serving/src/usage.rs
+++ b/crates/serving/src/usage.rs
@@ -200,11 +200,12 @@
         taken.map(|report| report.window)
     }
 
-    /// Takes in that the store has come back from an older copy: reports may have been fixed there that it has lost.
+    /// Takes in that reports may have been fixed that cannot be read any more: the store has come back from an older copy, or the newest claim
+    /// is no claim.
     ///
     /// Whoever fixed one knows it and sends it as it was. Anybody else would make another one of what it was told, and the
     /// platform would get two for one window. So windows that could have been fixed are left to whoever did.
-    pub fn went_back(&mut self, now: Unix) {
+    pub fn lost_fixed(&mut self, now: Unix) {
         self.since = now;
     }
 
--- a/crates/serving/tests/usage.rs
+++ b/crates/serving/tests/usage.rs
@@ -161,7 +161,7 @@
 fn a_window_that_may_have_been_fixed_before_the_store_went_back_is_left_alone() {
     let mut successor = ledger();
     successor.hear(1, told(FIRST + 1, FIRST, &[("a", 2)]), at(6_500));
-    successor.went_back(at(7_000));
+    successor.lost_fixed(at(7_000));
     assert!(!successor.is_due(at(7_100)));
     // The next window ended after that, so that nobody can have fixed it.
     successor.hear(1, told(FIRST + 2, FIRST + 1, &[("a", 3)]), at(10_500));
@@ -178,7 +178,7 @@
     let mut own = ledger();
     own.began(&name("a"), at(100));
     fix(&mut own, at(6_600));
-    own.went_back(at(6_700));
+    own.lost_fixed(at(6_700));
     assert_eq!(reports(&own, at(6_800))[0].counts, counts(&[("a", 1)]));
 }
 
@@ -325,7 +325,7 @@
                     let kept = world.log.len().saturating_sub(2);
                     world.log.truncate(kept);
                     for ledger in &mut ledgers {
-                        ledger.went_back(now);
+                        ledger.lost_fixed(now);
                     }
                 }
             }
