Leave data centres alone that start with more engines than they may have, and let engines go a few at a time

Change: a data centre that starts beyond the range is left alone; of others at most 60 engines go at once, in all data centres together.

--- a/crates/serving/src/scaling.rs
+++ b/crates/serving/src/scaling.rs
@@ -85,6 +85,9 @@
 const SHOWS: Duration = Duration::from_secs(3);
 /// Pause before what was not to be had is ordered again.
 const REFUSED: Duration = Duration::from_secs(3);
+/// Engines that are let go at once, in all data centres together. Each one that leaves is told to all instances, and gets no calls once they
+/// know; news of hundreds take seconds.
+const LET_GO: u32 = 60;
 /// Part of a number by which it may be off without an order.
 const SLACK: f64 = 0.15;
 /// Part of its reclaimable engines below which a data centre has lost them.
@@ -160,7 +163,8 @@
 impl Planner {
     /// What should be ordered now.
     ///
-    /// Reclaimable engines are ordered first, and the others let go once those are there, so that there are never fewer than before.
+    /// Reclaimable engines are ordered first, and the others let go once those are there, so that there are never fewer than before. A data centre
+    /// that starts with more than it may have is left alone: every order would take engines away that nobody asked to go.
     pub fn plan(
         &mut self,
         fleet: &Fleet,
@@ -175,21 +179,40 @@
         let counts = counts(fleet.standing(service));
         self.find(&counts, now);
         self.note_lost(&counts, range, now);
-        let zones: Vec<Zone> = self.sites.keys().cloned().collect();
+        let mut may_go = LET_GO.saturating_sub(self.leaving(&counts));
+        let is_within = |site: &Site| site.found <= range.max;
+        let sites = self.sites.iter().filter(|(_, site)| is_within(site));
+        let zones: Vec<Zone> = sites.map(|(zone, _)| zone.clone()).collect();
         for zone in zones {
             let has = counts.get(&zone).copied().unwrap_or_default();
             let wanted = self.wanted(&zone, range, now);
-            let wanted = self.step(&zone, wanted, has, range);
+            let mut wanted = self.step(&zone, wanted, has, range);
+            wanted.firm = wanted.firm.max(has.firm.saturating_sub(may_go));
             orders.extend(self.look(&zone, true, wanted, has, range, now));
             let are_there = has.reclaimable + slack(wanted.reclaimable) >= wanted.reclaimable;
             let is_settled = now.saturating_sub(self.grown) >= SETTLES;
             if has.firm < wanted.firm || (are_there && is_settled) {
-                orders.extend(self.look(&zone, false, wanted, has, range, now));
+                let order = self.look(&zone, false, wanted, has, range, now);
+                let gone = order
+                    .as_ref()
+                    .map_or(0, |_| has.firm.saturating_sub(wanted.firm));
+                may_go = may_go.saturating_sub(gone);
+                orders.extend(order);
             }
         }
         orders
     }
 
+    /// Engines that are still there though they were ordered away.
+    fn leaving(&self, counts: &BTreeMap<Zone, Count>) -> u32 {
+        let leaving = counts.iter().map(|(zone, count)| {
+            let subject = self.subjects.get(&(zone.clone(), false));
+            let ordered = subject.and_then(|subject| subject.ordered);
+            ordered.map_or(0, |(ordered, _)| count.firm.saturating_sub(ordered))
+        });
+        leaving.sum()
+    }
+
     /// Takes in the numbers that an operator fixed, in place of those before.
     pub fn fix(&mut self, fixed: BTreeMap<(Zone, bool), u32>) {
         self.fixed = fixed;
