--- a/crates/serving/src/scaling.rs
+++ b/crates/serving/src/scaling.rs
@@ -187,7 +187,9 @@
             let has = counts.get(&zone).copied().unwrap_or_default();
             let wanted = self.wanted(&zone, range, now);
             let mut wanted = self.step(&zone, wanted, has, range);
-            wanted.firm = wanted.firm.max(has.firm.saturating_sub(may_go));
+            // What was ordered to go already goes.
+            let stays = self.ordered_firm(&zone).unwrap_or(has.firm).min(has.firm);
+            wanted.firm = wanted.firm.max(stays.saturating_sub(may_go));
             orders.extend(self.look(&zone, true, wanted, has, range, now));
             let are_there = has.reclaimable + slack(wanted.reclaimable) >= wanted.reclaimable;
             let is_settled = now.saturating_sub(self.grown) >= SETTLES;
@@ -195,7 +197,7 @@
                 let order = self.look(&zone, false, wanted, has, range, now);
                 let gone = order
                     .as_ref()
-                    .map_or(0, |_| has.firm.saturating_sub(wanted.firm));
+                    .map_or(0, |_| stays.saturating_sub(wanted.firm));
                 may_go = may_go.saturating_sub(gone);
                 orders.extend(order);
             }
@@ -206,13 +208,18 @@
     /// Engines that are still there though they were ordered away.
     fn leaving(&self, counts: &BTreeMap<Zone, Count>) -> u32 {
         let leaving = counts.iter().map(|(zone, count)| {
-            let subject = self.subjects.get(&(zone.clone(), false));
-            let ordered = subject.and_then(|subject| subject.ordered);
-            ordered.map_or(0, |(ordered, _)| count.firm.saturating_sub(ordered))
+            let ordered = self.ordered_firm(zone);
+            ordered.map_or(0, |ordered| count.firm.saturating_sub(ordered))
         });
         leaving.sum()
     }
 
+    /// Engines that are not reclaimable, as they were ordered last.
+    fn ordered_firm(&self, zone: &Zone) -> Option<u32> {
+        let subject = self.subjects.get(&(zone.clone(), false))?;
+        Some(subject.ordered?.0)
+    }
+
     /// Takes in the numbers that an operator fixed, in place of those before.
     pub fn fix(&mut self, fixed: BTreeMap<(Zone, bool), u32>) {
         self.fixed = fixed;
--- a/crates/serving/tests/scaling.rs
+++ b/crates/serving/tests/scaling.rs
@@ -16,6 +16,7 @@
 /// What each data centre has of either kind in the end, of twenty engines: a tenth of them, and what three tenths of their price buy.
 const USUAL: (usize, usize) = (2, 34);
 const BOOT: Duration = Duration::from_secs(4);
+const LEAVES: Duration = Duration::from_millis(1_200);
 
 fn range() -> Range {
     Range {
@@ -131,7 +132,13 @@
             if has < engines && self.now >= since + BOOT {
                 self.add(&name, reclaimable, engines - has);
             }
-            for id in there.iter().skip(engines as usize) {
+            // An engine that leaves says so some time after it was told to.
+            let go = if self.now >= since + LEAVES {
+                engines as usize
+            } else {
+                there.len()
+            };
+            for id in there.iter().skip(go) {
                 self.fleet.remove(id);
             }
         }
@@ -298,6 +305,26 @@
         before = now;
     }
     assert_eq!(before, 30);
+    assert_never_called_back(&world);
+}
+
+/// Symptom: engines that were let go are paid for on. Sequence: those of one data centre are still there when those of the next are looked at. Cause: what had been
+/// ordered to go counted against what may go, and the order was taken back.
+#[test]
+fn what_was_let_go_is_not_called_back() {
+    let mut world = World::new(20);
+    world.run(&mut Planner::default(), 40);
+    assert_eq!(world.all_firm(), 6);
+    assert_never_called_back(&world);
+}
+
+fn assert_never_called_back(world: &World) {
+    for name in ZONES {
+        let firm = world.log.iter().map(|(_, order, _)| order);
+        let firm = firm.filter(|order| !order.reclaimable && &*order.zone == name);
+        let numbers: Vec<u32> = firm.map(|order| order.engines).collect();
+        assert!(numbers.is_sorted_by(|a, b| a > b), "{name}: {numbers:?}");
+    }
 }
 
 /// Symptom: no reclaimable engine is ever to be had. Sequence: a data centre has nearly as many engines as it may; more are ordered than it may have
