Log the rate limits that engines announce, and by which step a request goes to an engine

Cause: the logs of an incident could not tell whether a limit was not read, kept by each instance for itself, or kept on some paths only: no line named a limit, and lines of sends did not say which of five paths they took. Change: an answer's limit is decoded at the border into a checked rate and logged; 'sent' lines name the step. Nothing is decided by it yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -435,6 +435,9 @@
     for _ in 0..FOREIGN {
         let reply = upstream::reply(&answer.head, &asked.call.id, instance);
         if !reply.other {
+            if let Some(limit) = reply.limit {
+                log::info!(id = asked.call.id.as_str(), engine = instance, limit:% = limit; "the engine announces a rate limit");
+            }
             return Ok(Answered {
                 head: answer.head,
                 reply,
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -15,7 +15,7 @@
 
 use crate::attempt::{self, Answered, Asked, Avoid, MOST, NotRun, Rejections, Tried};
 use crate::crashes;
-use crate::held::Held;
+use crate::held::{Held, Step};
 use crate::instance::Instance;
 use crate::metrics;
 use crate::plain::{End, Finished, counted, refuse_end, take_repeat, tell_refused};
@@ -232,7 +232,7 @@
             return Prompt::Lost;
         };
         self.note_parts(target);
-        let mut held = Held::new(self.instance, self.asked, target);
+        let mut held = Held::new(self.instance, self.asked, target, Step::Read);
         let sending = Sending {
             instance: &engine.name,
             left: self.asked.left(),
@@ -299,7 +299,12 @@
             return Generated::NotRun(NotRun::Unreachable);
         };
         self.note_parts(target);
-        let mut held = Held::new(self.instance, self.asked, target);
+        let step = match memory {
+            Some(_) => Step::TakeOver,
+            None if self.relay.has_begun() => Step::Resume,
+            None => Step::Generate,
+        };
+        let mut held = Held::new(self.instance, self.asked, target, step);
         let sending = Sending {
             instance: &engine.name,
             left: self.asked.left(),
--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -14,6 +14,34 @@
 use crate::attempt::Asked;
 use crate::instance::Instance;
 
+/// What an engine is sent a call for.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Step {
+    /// To answer it as a whole.
+    Run,
+    /// To read its prompt for another engine.
+    Read,
+    /// To read its prompt and to generate.
+    Generate,
+    /// To generate from memory that another engine holds.
+    TakeOver,
+    /// To go on with a stream that another engine broke off.
+    Resume,
+}
+
+impl Step {
+    /// Its name in logs.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Run => "run",
+            Self::Read => "read",
+            Self::Generate => "generate",
+            Self::TakeOver => "take over",
+            Self::Resume => "resume",
+        }
+    }
+}
+
 /// A call that is in an engine's books until this is dropped.
 pub(crate) struct Held<'a> {
     instance: &'a Instance,
@@ -29,12 +57,17 @@
 }
 
 impl<'a> Held<'a> {
-    pub(crate) fn new(instance: &'a Instance, asked: &'a Asked, target: &Target) -> Self {
+    pub(crate) fn new(
+        instance: &'a Instance,
+        asked: &'a Asked,
+        target: &Target,
+        step: Step,
+    ) -> Self {
         let now = instance.now();
         let mut fleet = instance.fleet.borrow_mut();
         let sent = fleet.begin(&target.engine, target.work, target.rank, now);
         log::info!(
-            id = asked.call.id.as_str(), engine = &*target.engine,
+            id = asked.call.id.as_str(), engine = &*target.engine, step = step.name(),
             waited_ms:% = asked.waited().as_millis(), left_ms:% = asked.left().as_millis(),
             expected_ms:% = target.expected.as_millis(), unread = target.unread, rank = target.rank,
             fetch = target.fetch.as_deref().unwrap_or_default(),
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -16,7 +16,7 @@
 
 use crate::attempt::{self, Answered, Asked, Avoid, MOST, NotRun, Rejections, Tried};
 use crate::crashes;
-use crate::held::Held;
+use crate::held::{Held, Step};
 use crate::instance::Instance;
 use crate::metrics;
 use crate::reply::{Refusal, refuse};
@@ -219,7 +219,7 @@
     let Some(engine) = attempt::record(instance, &target.engine) else {
         return One::NotRun(NotRun::Unreachable);
     };
-    let mut held = Held::new(instance, asked, target);
+    let mut held = Held::new(instance, asked, target, Step::Run);
     let sending = Sending {
         instance: &engine.name,
         left: asked.left(),
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod route;
 pub mod scaling;
 pub mod speed;
+pub mod throttle;
 pub mod turn;
 pub mod usage;
 pub mod usual;
