Test that engines get no more requests than the rate limit that they announce

What it plays: three gateways, one of which asks the others for places, before an engine that announces 0.1 requests/s and others that can do all without it, on each of five ways: plain calls, prompts that are read apart, generations, memory that is taken over, streams that are resumed. Seen on this code: 54, 46, 60, 59 and 60 requests within 4 s, where 5.6 are allowed.

--- /dev/null
+++ b/crates/gateway/tests/limits.rs
@@ -0,0 +1,200 @@
+//! Rate limits that engines announce, kept by several gateways together.
+
+mod world;
+
+use std::time::Duration;
+
+use floor::engine::Act;
+use floor::{Engine, request};
+use tokio::time::{Instant, sleep};
+use world::{World, until};
+
+/// Time after an engine's first announcement from which its limit binds all instances.
+const KNOWN_EVERYWHERE: Duration = Duration::from_secs(3);
+/// Span of time in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Requests beyond one and a half times the limit that are allowed in a window.
+const ALLOWED_MORE: f64 = 5.0;
+/// Requests a second that a limited engine takes.
+const LIMIT: f64 = 0.1;
+/// Calls of each instance once all know the limit.
+const CALLS: usize = 20;
+
+/// Time that engines which generate take to read a prompt.
+const READING: Duration = Duration::from_millis(60);
+
+/// A way by which calls reach an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    /// Plain calls.
+    Run,
+    /// Prompts that are read for another engine.
+    Read,
+    /// Prompts that are read where their answers are generated.
+    Generate,
+    /// Memory of prompts that is taken over.
+    TakeOver,
+    /// Streams that go on after another engine broke them off.
+    Resume,
+}
+
+impl Way {
+    fn path(self) -> &'static str {
+        match self {
+            Self::Run => "/safe/",
+            Self::Resume => "/resume/",
+            Self::Read | Self::Generate | Self::TakeOver => "/stream/",
+        }
+    }
+
+    async fn call(self, world: &World) -> u16 {
+        let id = world.fresh_id();
+        // A prompt that no engine has read, and long enough to be read apart.
+        let prefix = format!("aa{id}:40000,bb{id}:10000");
+        let headers = match self {
+            Self::Run => Vec::new(),
+            _ => request::generation("50000,20", &prefix).to_vec(),
+        };
+        world.call(self.path(), &id, &headers).await.status
+    }
+}
+
+/// Three gateways, of which the last asks the others for places, that know the limit of an engine, and engines beside it that can
+/// do all without it.
+struct Setting {
+    worlds: [World; 3],
+    limited: Engine,
+    _others: Vec<Engine>,
+}
+
+impl Setting {
+    async fn start(way: Way) -> Self {
+        let first = World::bare().await;
+        let (service, stage) = match way {
+            Way::Run => ("app", None),
+            Way::Read => ("pool", Some("prefill")),
+            Way::Generate | Way::TakeOver | Way::Resume => ("pool", Some("decode")),
+        };
+        let mut engines = Engines::default();
+        // Of engines alike, the one with the first id is chosen.
+        let limited = engines.add(&first, "limited", service, stage).await;
+        if way == Way::Read {
+            let generating = engines.add(&first, "other-2", "pool", Some("decode")).await;
+            generating.reads_in(READING);
+        }
+        first.configure(1, "app");
+        first.until_ready(true).await;
+        let worlds = [first.beside(), first.slow_beside()];
+        let [second, third] = worlds;
+        let worlds = [first, second, third];
+        engines.until_known(&worlds).await;
+        limited.limit(Some(&LIMIT.to_string()));
+        announce(way, &worlds).await;
+        engines.add_rest(way, &worlds[0]).await;
+        if way == Way::TakeOver {
+            limited.reads_in(READING);
+        }
+        engines.until_known(&worlds).await;
+        Self {
+            worlds,
+            limited,
+            _others: engines.started,
+        }
+    }
+}
+
+/// Sends calls to all gateways until one has been told of the limit.
+async fn announce(way: Way, worlds: &[World; 3]) {
+    until(async || {
+        for world in worlds {
+            way.call(world).await;
+        }
+        let known = worlds.iter();
+        let known = known.map(|world| world.log_lines("announces a rate limit"));
+        known.sum::<usize>() > 0
+    })
+    .await;
+}
+
+#[derive(Default)]
+struct Engines {
+    started: Vec<Engine>,
+}
+
+impl Engines {
+    async fn add(&mut self, world: &World, id: &str, service: &str, stage: Option<&str>) -> Engine {
+        let engine = Engine::start(id).await;
+        engine.register(&world.store, service, "ready", stage);
+        self.started.push(engine.clone());
+        engine
+    }
+
+    /// Adds those that can do all without the limited one.
+    async fn add_rest(&mut self, way: Way, world: &World) {
+        self.add(world, "other-1", "app", None).await;
+        if way != Way::Read {
+            let generating = self.add(world, "other-2", "pool", Some("decode")).await;
+            generating.reads_in(READING);
+        }
+        if way == Way::TakeOver {
+            self.add(world, "other-3", "pool", Some("prefill")).await;
+        }
+        if way == Way::Resume {
+            let broken = self.add(world, "broken", "pool", Some("decode")).await;
+            broken.act(Act::CutAfter(1));
+        }
+    }
+
+    async fn until_known(&self, worlds: &[World; 3]) {
+        let all = format!("tarragon_engines {}\n", self.started.len());
+        for world in worlds {
+            world.until_ready(true).await;
+            until(async || world.page().await.contains(&all)).await;
+        }
+    }
+}
+
+/// The most requests that an engine got within one window.
+fn most_in_a_window(arrivals: &[Instant]) -> usize {
+    let windows = arrivals.iter().enumerate().map(|(first, from)| {
+        let within = arrivals[first..]
+            .iter()
+            .take_while(|at| **at - *from < WINDOW);
+        within.count()
+    });
+    windows.max().unwrap_or(0)
+}
+
+/// Guards against an engine in need that gets more requests than it announced to take, from several instances or on one
+/// of the ways to an engine that do not look at its limit.
+#[actix_rt::test]
+async fn engines_get_no_more_requests_than_the_limit_that_they_announce() {
+    let mut broken = Vec::new();
+    for way in [
+        Way::Run,
+        Way::Read,
+        Way::Generate,
+        Way::TakeOver,
+        Way::Resume,
+    ] {
+        let setting = Setting::start(way).await;
+        sleep(KNOWN_EVERYWHERE).await;
+        let before = setting.limited.arrivals().len();
+        for _ in 0..CALLS {
+            for world in &setting.worlds {
+                let status = way.call(world).await;
+                assert!(
+                    status == 200 || matches!(way, Way::Resume),
+                    "{way:?}: {status}"
+                );
+            }
+        }
+        let most = most_in_a_window(&setting.limited.arrivals()[before..]);
+        #[allow(clippy::cast_precision_loss)]
+        let is_kept = most as f64 <= 1.5 * LIMIT * WINDOW.as_secs_f64() + ALLOWED_MORE;
+        if !is_kept {
+            broken.push((way, most));
+        }
+    }
+    assert!(broken.is_empty(), "requests in a window: {broken:?}");
+}
