--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -98,14 +98,12 @@
             place::decode(&fleet, &demand, &read_in, now).map_or(NOWHERE, Choice::Direct)
         }
     };
-    if let Choice::Direct(target)
-    | Choice::Split {
-        prefill: target, ..
-    } = &choice
-    {
+    if let Some(target) = choice.target() {
         let mut fleet = instance.fleet.borrow_mut();
         let ticket = question.ticket;
-        fleet.begin_for(peer, ticket, &target.engine, target.work, target.rank, now);
+        let sent = now + target.wait;
+        fleet.begin_for(peer, ticket, &target.engine, target.work, target.rank, sent);
+        fleet.throttles.charge(&target.engine, now);
         drop(fleet);
         instance.uses(&target.engine, &prompt);
         instance.stirred.notify_one();
@@ -130,6 +128,7 @@
         Choice::Refuse { after, why, best } => answer::Choice::Refusal(gateway::Refusal {
             after_ms: millis(*after),
             no_engine: *why == Refusal::NoEngine,
+            limited: *why == Refusal::Limited,
             best: best.as_deref().map(told_target),
         }),
     }
@@ -141,6 +140,7 @@
         unread: target.unread,
         work: target.work,
         rank: u32::from(target.rank),
+        wait_ms: millis(target.wait),
         expected_us: micros(target.expected),
         fetch: target.fetch.as_deref().map_or(0, hash::short),
     }
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -19,6 +19,7 @@
 
 use crate::frame::{micros, millis, piece};
 use crate::instance::Instance;
+use crate::limits;
 use crate::metrics::Asked;
 
 /// Time for one placer's answer. The way there and back takes a few milliseconds at the most within a region; the rest is for one
@@ -66,7 +67,12 @@
     if let Some(choice) = ask(instance, demand, None).await {
         return choice;
     }
-    place::choose(&instance.fleet.borrow(), demand, instance.now())
+    let now = instance.now();
+    let choice = place::choose(&instance.fleet.borrow(), demand, now);
+    if let Some(target) = choice.target() {
+        limits::charge(instance, &target.engine);
+    }
+    choice
 }
 
 /// The same for the engine that takes over a prompt that was read in a data centre.
@@ -79,7 +85,10 @@
         Some(Choice::Direct(target)) => Some(target),
         Some(Choice::Refuse { .. }) => None,
         Some(Choice::Split { .. }) | None => {
-            place::decode(&instance.fleet.borrow(), demand, read_in, instance.now())
+            let now = instance.now();
+            let target = place::decode(&instance.fleet.borrow(), demand, read_in, now)?;
+            limits::charge(instance, &target.engine);
+            Some(target)
         }
     }
 }
@@ -215,10 +224,10 @@
         }
         Some(answer::Choice::Refusal(refusal)) => Some(Choice::Refuse {
             after: Duration::from_millis(refusal.after_ms.into()),
-            why: if refusal.no_engine {
-                Refusal::NoEngine
-            } else {
-                Refusal::TooMuchWork
+            why: match (refusal.no_engine, refusal.limited) {
+                (true, _) => Refusal::NoEngine,
+                (_, true) => Refusal::Limited,
+                _ => Refusal::TooMuchWork,
             },
             best: refusal.best.as_ref().and_then(target).map(Box::new),
         }),
@@ -247,6 +256,7 @@
         unread: told.unread,
         work: told.work,
         rank: Rank::try_from(told.rank).unwrap_or(Rank::MAX),
+        wait: Duration::from_millis(told.wait_ms.into()),
         expected: Duration::from_micros(told.expected_us.into()),
         fetch: fleet.by_short(told.fetch),
         placed_by: Some(placed_by),
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -27,6 +27,7 @@
 use crate::ask;
 use crate::front::NO_ROUTE;
 use crate::instance::Instance;
+use crate::limits;
 use crate::reply::Refusal;
 use crate::suspects::{self, Subject};
 
@@ -393,9 +394,13 @@
     };
     let head = upstream::request(&asked.head, &sending);
     // Engines of plain calls begin what they get; those of streams, with the first event.
-    let sent = instance.unix();
+    let (sent, sent_at) = (instance.unix(), instance.now());
     let is_plain = !asked.route.kind.is_stream();
-    match exchange(client, head, asked, &engine.name).await {
+    let exchanged = exchange(client, head, asked, &engine.name).await;
+    if let Ok(Answered { reply, .. }) = &exchanged {
+        limits::observe(instance, &engine.id, reply, sent_at);
+    }
+    match exchanged {
         Ok(answered) if answered.reply.was_not_run() => {
             let ended = answered.reply.is_misdirected();
             keep(instance, engine, answered).await;
@@ -435,9 +440,6 @@
     for _ in 0..FOREIGN {
         let reply = upstream::reply(&answer.head, &asked.call.id, instance);
         if !reply.other {
-            if let Some(limit) = reply.limit {
-                log::info!(id = asked.call.id.as_str(), engine = instance, limit:% = limit; "the engine announces a rate limit");
-            }
             return Ok(Answered {
                 head: answer.head,
                 reply,
@@ -465,13 +467,26 @@
     instance.pool.give(engine, client, reply.keep_alive, now);
 }
 
-/// Finds a place for a call.
+/// Finds a place for a call, and waits until the engine's rate limit lets it go there.
 pub(crate) async fn place(
     instance: &Instance,
     asked: &Asked,
     avoid: &Avoid,
     may_split: bool,
 ) -> Choice {
+    loop {
+        let choice = choose(instance, asked, avoid, may_split).await;
+        let Some(target) = choice.target() else {
+            limits::note_refusal(instance, &choice);
+            return choice;
+        };
+        if limits::wait(instance, asked, target).await {
+            return choice;
+        }
+    }
+}
+
+async fn choose(instance: &Instance, asked: &Asked, avoid: &Avoid, may_split: bool) -> Choice {
     let admission = admission::admit(instance, asked).await;
     if let Admission::Held(after) = admission {
         return Choice::Refuse {
@@ -499,7 +514,7 @@
     all
 }
 
-/// Finds the engine that takes over a prompt that was read in a data centre.
+/// Finds the engine that takes over a prompt that was read in a data centre, as [`place`] does.
 pub(crate) async fn place_decode(
     instance: &Instance,
     asked: &Asked,
@@ -512,8 +527,13 @@
     }
     let avoid = avoided(avoid, &admission);
     let connected = instance.pool.connected(instance.now());
-    let demand = demand(instance, asked, &avoid, &connected);
-    ask::decode(instance, &demand, source).await
+    loop {
+        let demand = demand(instance, asked, &avoid, &connected);
+        let target = ask::decode(instance, &demand, source).await?;
+        if limits::wait(instance, asked, &target).await {
+            return Some(target);
+        }
+    }
 }
 
 fn demand<'a>(
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -187,7 +187,7 @@
     async fn split(&mut self, prefill: &Target) -> Next {
         self.may_split = false;
         match self.read_prompt(prefill).await {
-            Prompt::Read(memory, zone) => self.take_over(memory, &zone).await,
+            Prompt::Read(memory, zone) => self.take_over(prefill, memory, &zone).await,
             Prompt::Rejected => {
                 self.avoid.push(prefill.engine.clone());
                 self.rejected(true)
@@ -200,8 +200,8 @@
     }
 
     /// Generates from memory that another engine holds, at the first engine that takes it over.
-    async fn take_over(&mut self, memory: Memory, zone: &Zone) -> Next {
-        let memory = Guard::new(self.instance, memory);
+    async fn take_over(&mut self, holder: &Target, memory: Memory, zone: &Zone) -> Next {
+        let memory = Guard::new(self.instance, holder.engine.clone(), memory);
         loop {
             let decode = attempt::place_decode(self.instance, self.asked, &self.avoid, zone).await;
             let Some(decode) = decode else {
--- a/crates/gateway/src/generate/memory.rs
+++ b/crates/gateway/src/generate/memory.rs
@@ -7,9 +7,11 @@
 use adapter::upstream::{self, Memory};
 use bytes::Bytes;
 use http1::{Client, Patience};
+use serving::EngineId;
 use tokio::time::timeout;
 
 use crate::instance::Instance;
+use crate::limits;
 
 /// Time in which memory that nobody takes is freed.
 const FREE: Duration = Duration::from_millis(500);
@@ -17,14 +19,16 @@
 /// Memory that is freed unless it was taken.
 pub(super) struct Guard {
     instance: Rc<Instance>,
+    holder: EngineId,
     pub(super) memory: Memory,
     taken: Cell<bool>,
 }
 
 impl Guard {
-    pub(super) fn new(instance: &Rc<Instance>, memory: Memory) -> Self {
+    pub(super) fn new(instance: &Rc<Instance>, holder: EngineId, memory: Memory) -> Self {
         Self {
             instance: instance.clone(),
+            holder,
             memory,
             taken: Cell::new(false),
         }
@@ -37,13 +41,15 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        if !self.taken.get() {
-            actix_rt::spawn(free(self.instance.clone(), self.memory.clone()));
+        // It lapses by itself at an engine that takes no more requests now.
+        if !self.taken.get() && limits::try_charge(&self.instance, &self.holder) {
+            let (instance, holder) = (self.instance.clone(), self.holder.clone());
+            actix_rt::spawn(free(instance, holder, self.memory.clone()));
         }
     }
 }
 
-async fn free(instance: Rc<Instance>, memory: Memory) {
+async fn free(instance: Rc<Instance>, holder: EngineId, memory: Memory) {
     let patience = Patience {
         connect: FREE,
         acknowledge: FREE,
@@ -54,7 +60,9 @@
         let mut client = Client::open(memory.address, &patience, &instance.codec).await?;
         client.send(upstream::free(&memory), &Bytes::new()).await
     };
-    if !matches!(timeout(FREE, freeing).await, Ok(Ok(_))) {
+    if let Ok(Ok(answer)) = timeout(FREE, freeing).await {
+        limits::note_announced(&instance, &holder, upstream::limit(&answer.head));
+    } else {
         log::debug!(handle = memory.handle.as_str(); "memory that nobody takes could not be freed, it lapses");
     }
 }
--- a/crates/gateway/src/heard.rs
+++ b/crates/gateway/src/heard.rs
@@ -13,7 +13,7 @@
 use crate::frame::{before, job, moment, outcome, work};
 use crate::instance::Instance;
 use crate::peers::Topic;
-use crate::{answer, ask, follow, mesh, suspects, usage};
+use crate::{answer, ask, follow, limits, mesh, suspects, usage};
 
 /// Takes in a frame.
 pub(crate) fn take(instance: &Instance, from: SocketAddr, frame: Frame) {
@@ -51,6 +51,7 @@
             .suspects
             .hear(suspect, "instance", suspects::now(instance));
     }
+    limits::receive(instance, &frame.rate_limits, now);
     note_all_engines(instance, frame.all_engines);
     if frame.read_configuration {
         instance.must_read.set(true);
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -11,7 +11,7 @@
 use serving::budget::Budgets;
 use serving::organisation::{Directory, Name};
 use serving::parts::Part;
-use serving::placer::{Member, Placers};
+use serving::placer::{self, Member, Placers};
 use serving::registry::Registry;
 use serving::usage::{Ledger, Unix, Window};
 use serving::usual::Usual;
@@ -177,11 +177,7 @@
     /// Whether an engine is in this instance's share, of all that place calls. Each engine is in the share of one, which
     /// all compute alike from the instances that they know.
     pub(crate) fn has_share(&self, engine: &EngineId) -> bool {
-        let weight = |address: SocketAddr| hash::number(&format!("{address} {engine}"));
-        let own = weight(self.address);
-        let placers = self.placers.borrow();
-        let mut others = placers.others.iter();
-        others.all(|(other, _)| weight(*other) <= own)
+        placer::rank(engine, self.address, &self.placers.borrow().others) == 0
     }
 
     /// Looks who places calls now. Says whether this instance has begun to, or has ceased.
@@ -198,6 +194,8 @@
         placers.own &= !self.phase.is_leaving() && self.is_registered.get();
         let before = self.placers.replace(placers);
         let after = self.placers.borrow();
+        let throttles = &mut self.fleet.borrow_mut().throttles;
+        throttles.divide(self.address, &after, now);
         if before != *after {
             log::info!(own = after.own, others = after.others.len(); "instances that place calls");
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod held;
 mod instance;
 pub mod journal;
+mod limits;
 mod mesh;
 mod metrics;
 mod newcomers;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -20,7 +20,7 @@
 use crate::instance::Instance;
 use crate::peers::{self, PARTS, Topic};
 use crate::usage::REPORTERS;
-use crate::{answer, discover, heard, newcomers, recall, suspects, trials, usage};
+use crate::{answer, discover, heard, limits, newcomers, recall, suspects, trials, usage};
 
 /// Pause between two frames while nothing is placed.
 const PACE: Duration = Duration::from_millis(100);
@@ -111,6 +111,7 @@
         let is_greeting = instance.greeting_due.take() | instance.elect();
         tell_news(&instance, &socket, now);
         tell_suspects(&instance, &socket);
+        announce_limits(&instance, &socket, now);
         let is_state_due = is_greeting || !instance.knows_all() || Instant::now() >= state_due;
         let mut reports = instance.reports.take_reports(now);
         if is_state_due {
@@ -190,6 +191,7 @@
         }),
         gone: frame.gone,
         changing: frame.changing,
+        rate_limits: frame.rate_limits,
         ..instance.frame()
     };
     let mut rest = instance.peers.borrow().all();
@@ -217,6 +219,7 @@
         let besides = changes.into_iter().filter(is_told_besides);
         add_changes(&mut frame, besides.collect(), now);
         frame.state = Some(state(instance, &fleet, peers.knows, now));
+        frame.rate_limits = limits::to_wire(fleet.throttles.repeated(), now);
     } else {
         let recent = fleet.recent(RECENT, now);
         let recent = recent.iter().map(|(engine, job)| started(engine, job, now));
@@ -310,6 +313,21 @@
     broadcast(socket, &frame, &instance.peers.borrow().all());
 }
 
+/// Announces to those that place calls which limits of engines have changed.
+fn announce_limits(instance: &Instance, socket: &UdpSocket, now: Moment) {
+    let changed = instance.fleet.borrow_mut().throttles.take_changed();
+    if changed.is_empty() {
+        return;
+    }
+    let frame = Frame {
+        rate_limits: limits::to_wire(changed, now),
+        ..instance.frame()
+    };
+    let placers = instance.placers.borrow();
+    let placers: Vec<SocketAddr> = placers.others.iter().map(|(address, _)| *address).collect();
+    broadcast(socket, &frame, &placers);
+}
+
 /// Passes news on to the rest of this instance's group.
 fn pass_on(socket: &UdpSocket, frame: &Frame) {
     let rest: Vec<SocketAddr> = frame
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -65,6 +65,13 @@
     Silent,
 }
 
+/// What a rate limit of an engine does to a call.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum Throttled {
+    Waited,
+    Refused,
+}
+
 /// What is done with a call under which engines ended.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub(crate) enum Suspect {
@@ -87,6 +94,7 @@
 labels!(End: Served = "served", Refused = "refused", Failed = "failed", Late = "late", Cut = "cut");
 labels!(Asked: Placed = "placed", Declined = "declined", Silent = "silent");
 labels!(Suspect: Held = "held", Alone = "alone");
+labels!(Throttled: Waited = "waited", Refused = "refused");
 labels!(Ordered: Taken = "taken", Refused = "refused", Unanswered = "unanswered");
 
 /// Label names with one value each.
@@ -106,6 +114,8 @@
     questions: Family<Labels<Asked>, Counter>,
     store_failures: Counter,
     held: Counter,
+    throttled: Family<Labels<Throttled>, Counter>,
+    limited: Gauge,
     suspects: Family<Labels<Suspect>, Gauge>,
     configuration: Gauge,
     engines: Gauge,
@@ -128,6 +138,8 @@
             questions: Family::default(),
             store_failures: Counter::default(),
             held: Counter::default(),
+            throttled: Family::default(),
+            limited: Gauge::default(),
             suspects: Family::default(),
             configuration: Gauge::default(),
             engines: Gauge::default(),
@@ -191,6 +203,16 @@
             "Calls that were refused since engines had ended under them",
             self.held.clone(),
         );
+        registry.register(
+            "throttled_calls",
+            "Calls that waited for the rate limit of an engine, or were refused by such limits",
+            self.throttled.clone(),
+        );
+        registry.register(
+            "limited_engines",
+            "Engines that announce a rate limit",
+            self.limited.clone(),
+        );
         registry.register(
             "suspects",
             "Calls under which engines ended, that are held or go alone",
@@ -267,6 +289,11 @@
         self.held.inc();
     }
 
+    /// A rate limit of an engine held a call up.
+    pub(crate) fn throttled(&self, what: Throttled) {
+        self.throttled.get_or_create(&[("outcome", what)]).inc();
+    }
+
     /// The page, with the present values of what is not counted as it happens.
     fn page(&self, instance: &Instance) -> Result<String, fmt::Error> {
         let version = instance.table().map_or(0, |table| table.version);
@@ -275,6 +302,7 @@
         let fleet = instance.fleet.borrow();
         let open = fleet.all().filter(|engine| engine.takes_calls()).count();
         self.engines.set(count(open));
+        self.limited.set(count(fleet.throttles.count()));
         let (held, alone) = instance.suspects.count();
         for (suspect, number) in [(Suspect::Held, held), (Suspect::Alone, alone)] {
             let gauge = self.suspects.get_or_create(&[("state", suspect)]);
--- a/crates/gateway/src/recall.rs
+++ b/crates/gateway/src/recall.rs
@@ -18,6 +18,7 @@
 
 use crate::attempt::MOST;
 use crate::instance::Instance;
+use crate::limits;
 
 /// Pause between two looks whether all is there that is needed.
 const LOOK: Duration = Duration::from_millis(50);
@@ -61,6 +62,10 @@
     };
     let mut known = 0;
     for engine in &engines {
+        // What an engine in need holds is learned from its calls.
+        if !limits::try_charge(instance, &engine.id) {
+            continue;
+        }
         match timeout(ANSWER, ask(instance, engine)).await {
             Ok(Some(parts)) => {
                 known += parts.len();
@@ -76,7 +81,8 @@
     let client = Client::open(engine.address, &PATIENCE, &instance.codec).await;
     let mut client = client.ok()?;
     let head = upstream::parts_request(engine.address);
-    client.send(head, &Bytes::new()).await.ok()?;
+    let answer = client.send(head, &Bytes::new()).await.ok()?;
+    limits::note_announced(instance, &engine.id, upstream::limit(&answer.head));
     let body = client.body(MOST).await.ok()?;
     upstream::parts(&body, engine.born)
 }
--- a/crates/gateway/src/roles.rs
+++ b/crates/gateway/src/roles.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use adapter::orders::{self, Answer};
+use adapter::upstream;
 use clock::Moment;
 use http1::{Client, Failure, Patience};
 use serving::engine::Changing;
@@ -15,6 +16,7 @@
 use crate::attempt::{self, MOST};
 use crate::claims::Grant;
 use crate::instance::Instance;
+use crate::limits;
 use crate::metrics::Ordered;
 
 /// Time for an engine's answer to an order.
@@ -135,7 +137,10 @@
     let holder = instance.address.to_string();
     let (head, body) = orders::change(engine, change.stage, &holder, fence);
     let mut client = Client::open(engine.address, &ENGINE, &instance.codec).await?;
-    let status = client.send(head, &body).await?.head.status.as_u16();
+    limits::charge(instance, &engine.id);
+    let answer = client.send(head, &body).await?;
+    limits::note_announced(instance, &engine.id, upstream::limit(&answer.head));
+    let status = answer.head.status.as_u16();
     client.body(MOST).await?;
     Ok(orders::answer(status))
 }
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -198,3 +198,87 @@
     }
     assert!(broken.is_empty(), "requests in a window: {broken:?}");
 }
+
+/// Three gateways that know the limit of the only engine of plain calls.
+async fn with_one_engine(limit: &str) -> ([World; 3], Engine) {
+    let (first, app, _pool) = World::start().await;
+    let worlds = [first.beside(), first.slow_beside()];
+    let [second, third] = worlds;
+    let worlds = [first, second, third];
+    for world in &worlds {
+        world.until_ready(true).await;
+        until(async || world.page().await.contains("tarragon_engines 2\n")).await;
+    }
+    app.limit(Some(limit));
+    until(async || {
+        for world in &worlds {
+            Way::Run.call(world).await;
+        }
+        limited(&worlds, 1).await
+    })
+    .await;
+    (worlds, app)
+}
+
+/// Whether each gateway knows of so many engines with a limit.
+async fn limited(worlds: &[World], count: usize) -> bool {
+    let line = format!("tarragon_limited_engines {count}\n");
+    for world in worlds {
+        if !world.page().await.contains(&line) {
+            return false;
+        }
+    }
+    true
+}
+
+/// Guards against calls that wait for an engine until their callers leave, and against refusals of calls that run.
+#[actix_rt::test]
+async fn calls_beyond_the_limits_of_all_engines_are_refused_truly_with_a_time() {
+    let (worlds, app) = with_one_engine("0.1").await;
+    let mut refused = 0;
+    for _ in 0..CALLS {
+        for world in &worlds {
+            let id = world.fresh_id();
+            let id = format!("{id}-{}", world.front.port());
+            let answer = world.call("/once/", &id, &[]).await;
+            if answer.status == 503 {
+                assert!(answer.retry_after.is_some());
+                assert!(answer.text().contains("rate limits are used up"));
+                assert_eq!(app.runs(&id), 0);
+                refused += 1;
+            } else {
+                assert_eq!((answer.status, app.runs(&id)), (200, 1));
+            }
+        }
+    }
+    // What takes ten seconds a call takes a few of them at the most.
+    assert!(refused > 2 * CALLS, "{refused}");
+}
+
+/// Guards against an engine that recovered and is still left aside.
+#[actix_rt::test]
+async fn an_engine_that_lifts_its_limit_gets_calls_again_from_all() {
+    let (worlds, app) = with_one_engine("2").await;
+    app.limit(None);
+    until(async || {
+        for world in &worlds {
+            Way::Run.call(world).await;
+        }
+        limited(&worlds, 0).await
+    })
+    .await;
+    for world in &worlds {
+        for _ in 0..CALLS {
+            assert_eq!(Way::Run.call(world).await, 200);
+        }
+    }
+}
+
+/// Guards against an instance that starts and learns of a limit only by its own answers.
+#[actix_rt::test]
+async fn an_instance_that_starts_is_told_of_limits() {
+    let (worlds, _app) = with_one_engine("0.1").await;
+    let newcomer = worlds[0].beside();
+    newcomer.until_ready(true).await;
+    until(async || limited(std::slice::from_ref(&newcomer), 1).await).await;
+}
--- a/crates/serving/src/cost.rs
+++ b/crates/serving/src/cost.rs
@@ -8,7 +8,7 @@
 use crate::engine::{Engine, Job, LATE, Stage};
 use crate::fetch::{self, Sources};
 use crate::parts::Part;
-use crate::place::{Demand, Generation, Target};
+use crate::place::{self, Demand, Generation, Target};
 use crate::{Fleet, Zone, hash, speed};
 
 /// Fixed time that handing a prompt's memory over takes, besides the bytes.
@@ -64,7 +64,9 @@
     let work = speed::work(unread, size.tokens);
     let reading = speed.time(u64::from(work)) * engine.pace;
     let read = wait(fleet, engine, demand, work, now);
-    let expected = speed.setup + slot_wait(engine) * engine.pace + fetch.takes + read;
+    let limit_wait = place::limit_wait(fleet, engine, demand, now).unwrap_or_default();
+    let expected =
+        millis(limit_wait) + speed.setup + slot_wait(engine) * engine.pace + fetch.takes + read;
     let copied = speed.time(u64::from(speed::work(fetch.tokens, size.tokens)));
     let total = haste(demand) * expected
         + COPY_WEIGHT * copied
@@ -81,6 +83,7 @@
             unread,
             work,
             rank: demand.priority,
+            wait: limit_wait,
             expected: from_millis(expected * overrun(fleet, demand, now)),
             fetch: fetch.from,
             placed_by: None,
@@ -171,7 +174,9 @@
         let far = engine.record.zone != *source;
         let way = if far { 2.0 * moved } else { moved };
         let batch = f64::from(engine.running()) + slot_wait(engine);
-        let total = way
+        let limit_wait = place::limit_wait(fleet, engine, demand, now).unwrap_or_default();
+        let total = millis(limit_wait)
+            + way
             + batch * engine.pace
             + wait(fleet, engine, demand, 0, now)
             + connect(engine, demand)
@@ -183,6 +188,7 @@
                 unread: 0,
                 work: 0,
                 rank: demand.priority,
+                wait: limit_wait,
                 expected: from_millis(total),
                 fetch: None,
                 placed_by: None,
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -13,6 +13,7 @@
 use crate::parts::{Part, Parts};
 use crate::pauses::Pauses;
 use crate::speed::Speed;
+use crate::throttle::Throttles;
 use crate::{EngineId, ServiceName, hash, line};
 
 mod remote;
@@ -47,6 +48,8 @@
     by_short: HashMap<u32, EngineId>,
     /// Which engine has read what.
     pub parts: Parts,
+    /// Rate limits that engines have announced.
+    pub throttles: Throttles,
     next_ticket: Ticket,
     speeds: HashMap<(ServiceName, Stage), Speed>,
     /// When each other instance was last heard of.
@@ -335,6 +338,7 @@
 
     /// Drops what silent instances said, and orders that had no effect.
     pub fn fade(&mut self, now: Moment) {
+        self.throttles.fade(now);
         let engines = &mut self.engines;
         self.changing.retain(|id| {
             let Some(engine) = engines.get_mut(id) else {
@@ -372,11 +376,13 @@
 
     fn sweep(&mut self) {
         let parts = &mut self.parts;
+        let throttles = &mut self.throttles;
         let by_short = &mut self.by_short;
         self.engines.retain(|id, engine| {
             let keep = !engine.gone || engine.calls > 0;
             if !keep {
                 parts.forget(id);
+                throttles.forget(id);
                 by_short.remove(&hash::short(id));
             }
             keep
--- a/crates/serving/src/fleet/remote.rs
+++ b/crates/serving/src/fleet/remote.rs
@@ -25,7 +25,7 @@
 const SETTLED: Duration = Duration::from_millis(500);
 
 impl Fleet {
-    /// Enters a call of another instance, by the number that it has there.
+    /// Enters a call of another instance that is sent at a moment, by the number that it has there.
     pub fn begin_for(
         &mut self,
         peer: PeerId,
@@ -33,11 +33,11 @@
         id: &EngineId,
         work: u32,
         rank: Rank,
-        now: Moment,
+        at: Moment,
     ) {
-        self.heard.insert(peer, now);
-        let sent = self.begin(id, work, rank, now);
-        let remote = Remote { sent, since: now };
+        self.heard.insert(peer, at);
+        let sent = self.begin(id, work, rank, at);
+        let remote = Remote { sent, since: at };
         self.remote.entry(peer).or_default().insert(ticket, remote);
     }
 
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -10,6 +10,7 @@
 use crate::engine::{Engine, LATE, Rank, Stage, Ticket};
 use crate::parts::Part;
 use crate::route::Model;
+use crate::throttle::Permit;
 use crate::{EngineId, Fleet, ServiceName, Zone, cost, fetch};
 
 /// A call that needs a place.
@@ -88,6 +89,21 @@
     TooMuchWork,
     /// It ended the engines that ran it.
     Held,
+    /// The engines take no more requests by the rate limits that they announce.
+    Limited,
+}
+
+impl Choice {
+    /// The engine that the call goes to next.
+    pub fn target(&self) -> Option<&Target> {
+        match self {
+            Self::Direct(target)
+            | Self::Split {
+                prefill: target, ..
+            } => Some(target),
+            Self::Refuse { .. } => None,
+        }
+    }
 }
 
 impl Refusal {
@@ -97,6 +113,7 @@
             Self::NoEngine => "No engine takes the call.",
             Self::TooMuchWork => "There is too much work before this call.",
             Self::Held => "Engines that ran this call ended.",
+            Self::Limited => "The engines' rate limits are used up.",
         }
     }
 }
@@ -112,7 +129,9 @@
     pub work: u32,
     /// Its urgency there.
     pub rank: Rank,
-    /// Time to its first answer.
+    /// Time after which it may be sent there, by the engine's rate limit.
+    pub wait: Duration,
+    /// Time to its first answer, with that wait.
     pub expected: Duration,
     /// Engine from which it fetches parts of the prompt.
     pub fetch: Option<EngineId>,
@@ -124,6 +143,11 @@
 const IN_TIME: f64 = 0.9;
 /// Time told to a caller when no engine is known at all.
 const NO_ENGINE_AFTER: Duration = Duration::from_millis(500);
+/// Longest wait for an engine's rate limit. Meanwhile the engine may leave, and the limit change.
+const MAX_LIMIT_WAIT: Duration = Duration::from_secs(2);
+/// Shortest time told to a caller whose call a rate limit keeps away.
+const MIN_LIMITED_AFTER: Duration = Duration::from_millis(100);
+
 /// Finds the place for a call.
 pub fn choose(fleet: &Fleet, demand: &Demand, now: Moment) -> Choice {
     let demand = in_time(demand);
@@ -166,56 +190,104 @@
 fn open<'a>(fleet: &'a Fleet, demand: &'a Demand, now: Moment) -> impl Iterator<Item = &'a Engine> {
     fleet
         .ready(demand.service)
-        .filter(move |engine| engine.is_open(now) && takes(engine, demand))
+        .filter(move |engine| engine.is_open(now) && takes(fleet, engine, demand, now))
 }
 
 /// If every engine rests, the one that rests soonest over is better than none.
-fn any<'a>(fleet: &'a Fleet, demand: &'a Demand) -> impl Iterator<Item = &'a Engine> {
+fn any<'a>(fleet: &'a Fleet, demand: &'a Demand, now: Moment) -> impl Iterator<Item = &'a Engine> {
     fleet
         .ready(demand.service)
-        .filter(|engine| takes(engine, demand))
+        .filter(move |engine| takes(fleet, engine, demand, now))
 }
 
 /// Whether an engine may get a call, however it is.
 ///
 /// An engine resets connections beyond those it takes from all instances, and a call that had been sent on
 /// one may have run. One notices it by resets of calls at the fullest engines of a burst.
-fn takes(engine: &Engine, demand: &Demand) -> bool {
-    engine.running() < demand.connections && !demand.avoid.contains(&engine.record.id)
+fn takes(fleet: &Fleet, engine: &Engine, demand: &Demand, now: Moment) -> bool {
+    engine.running() < demand.connections
+        && !demand.avoid.contains(&engine.record.id)
+        && limit_wait(fleet, engine, demand, now).is_some()
+}
+
+/// Time until an engine's rate limit lets a call go there, if that is soon enough for its caller.
+pub(crate) fn limit_wait(
+    fleet: &Fleet,
+    engine: &Engine,
+    demand: &Demand,
+    now: Moment,
+) -> Option<Duration> {
+    match fleet.throttles.permit(&engine.record.id, now) {
+        Permit::After(wait) => (wait <= longest_wait(demand)).then_some(wait),
+        Permit::Elsewhere(_) => None,
+    }
+}
+
+fn longest_wait(demand: &Demand) -> Duration {
+    demand.left.mul_f64(IN_TIME).min(MAX_LIMIT_WAIT)
+}
+
+/// The refusal of a call that no engine takes.
+fn refuse(fleet: &Fleet, demand: &Demand, now: Moment) -> Choice {
+    let engines = fleet
+        .ready(demand.service)
+        .filter(|engine| !demand.avoid.contains(&engine.record.id));
+    let waits = engines.filter_map(
+        |engine| match fleet.throttles.permit(&engine.record.id, now) {
+            Permit::After(wait) if wait.is_zero() => None,
+            Permit::After(wait) => Some(wait.saturating_sub(longest_wait(demand))),
+            Permit::Elsewhere(interval) => Some(interval),
+        },
+    );
+    let (after, why) = match waits.min() {
+        Some(wait) => (wait.max(MIN_LIMITED_AFTER), Refusal::Limited),
+        None => (NO_ENGINE_AFTER, Refusal::NoEngine),
+    };
+    Choice::Refuse {
+        after,
+        why,
+        best: None,
+    }
 }
 
 fn plain(fleet: &Fleet, demand: &Demand, now: Moment) -> Choice {
-    let cost = |engine: &&Engine| plain_cost(engine, demand, now);
+    let cost = |engine: &&Engine| plain_cost(fleet, engine, demand, now);
     let best = open(fleet, demand, now)
         .min_by(|a, b| cost(a).total_cmp(&cost(b)))
-        .or_else(|| any(fleet, demand).min_by(|a, b| cost(a).total_cmp(&cost(b))));
+        .or_else(|| any(fleet, demand, now).min_by(|a, b| cost(a).total_cmp(&cost(b))));
     match best {
         Some(engine) => Choice::Direct(Target {
             engine: engine.record.id.clone(),
             unread: 0,
             work: 0,
             rank: demand.priority,
+            wait: limit_wait(fleet, engine, demand, now).unwrap_or_default(),
             expected: Duration::ZERO,
             fetch: None,
             placed_by: None,
         }),
-        None => Choice::Refuse {
-            after: NO_ENGINE_AFTER,
-            why: Refusal::NoEngine,
-            best: None,
-        },
+        None => refuse(fleet, demand, now),
     }
 }
 
+/// Against which a wait is weighed for a call that is late already.
+const SHORTEST_TARGET: Duration = Duration::from_millis(10);
+
 /// Calls before this one, in units of the engine's slots, and what speaks against the engine.
-fn plain_cost(engine: &Engine, demand: &Demand, now: Moment) -> f64 {
+fn plain_cost(fleet: &Fleet, engine: &Engine, demand: &Demand, now: Moment) -> f64 {
     let load = f64::from(engine.running() + 1) / f64::from(engine.record.slots.max(1));
     let far = if engine.record.zone == *demand.zone {
         0.0
     } else {
         0.1
     };
-    load + far + 4.0 * engine.failures(now)
+    let wait = limit_wait(fleet, engine, demand, now).unwrap_or_default();
+    let late = wait.as_secs_f64()
+        / demand
+            .target
+            .as_secs_f64()
+            .max(SHORTEST_TARGET.as_secs_f64());
+    load + far + late + 4.0 * engine.failures(now)
 }
 
 fn generate(fleet: &Fleet, demand: &Demand, size: &Generation, now: Moment) -> Choice {
@@ -247,7 +319,7 @@
         .iter()
         .all(|e| e.record.stage == Some(Stage::Prefill))
     {
-        engines = any(fleet, demand).collect();
+        engines = any(fleet, demand, now).collect();
     }
     let sources = fetch::sources(fleet, demand, size, now);
     let direct = cost::best(
@@ -257,11 +329,7 @@
             .map(|e| cost::read(fleet, e, demand, size, &sources, now)),
     );
     let Some(direct) = direct else {
-        return Choice::Refuse {
-            after: NO_ENGINE_AFTER,
-            why: Refusal::NoEngine,
-            best: None,
-        };
+        return refuse(fleet, demand, now);
     };
     let prefill = cost::best(
         engines
@@ -293,7 +361,7 @@
     let size = demand.generation.as_ref()?;
     let mut engines: Vec<&Engine> = open(fleet, &demand, now).collect();
     if engines.iter().all(|engine| cost::is_prefill(engine)) {
-        engines = any(fleet, &demand).collect();
+        engines = any(fleet, &demand, now).collect();
     }
     cost::take_over(fleet, &engines, &demand, size, source, now).map(|cost| cost.target)
 }
--- a/crates/serving/src/placer.rs
+++ b/crates/serving/src/placer.rs
@@ -14,6 +14,8 @@
 
 use clock::Moment;
 
+use crate::{EngineId, hash};
+
 /// Instances of a data centre that place calls. Two, so that the end of one leaves one that knows; each one more is told of
 /// every call as well, and may place a call in the moment before it hears of another one.
 pub const PLACERS: usize = 2;
@@ -93,6 +95,15 @@
     }
 }
 
+/// Placers that come before one in the order of an engine. All compute it alike from those that they know, so that what is
+/// divided among placers needs no word between them.
+pub fn rank(engine: &EngineId, own: SocketAddr, others: &[(SocketAddr, Place)]) -> usize {
+    let weight = |address: SocketAddr| hash::number(&format!("{address} {engine}"));
+    let own = weight(own);
+    let before = others.iter().filter(|(other, _)| weight(*other) > own);
+    before.count()
+}
+
 /// In which order placers are asked for a call: those of the own data centre first, calls with one beginning the same one
 /// first, so that two that come at once are placed with each other in mind.
 pub fn order(placers: &[(SocketAddr, Place)], own: Place, beginning: u32) -> Vec<SocketAddr> {
--- a/crates/serving/src/throttle.rs
+++ b/crates/serving/src/throttle.rs
@@ -1,6 +1,19 @@
-//! Rate limits that engines announce.
+//! Rate limits that engines announce, divided among the instances that place calls.
+//!
+//! A limit binds all instances together, and nobody counts for all. So each limit is divided among a few of the placers, which every
+//! instance computes alike from who lives, as [`crate::placer`] does; an instance without a part leaves the engine to those that
+//! have one. Nothing is counted in common: a lost frame costs a moment of an old limit, and no requests beyond the new one.
+//! See `docs/design/rate-limits.md`.
 
+use std::collections::BTreeMap;
 use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use clock::Moment;
+
+use crate::EngineId;
+use crate::placer::{self, Placers};
 
 /// Requests a second that an engine takes from all instances together.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
@@ -34,3 +47,235 @@
         self.0.fmt(f)
     }
 }
+
+/// What an engine said of its limit, and when.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Announcement {
+    /// Its limit; nothing if it has none any more.
+    pub limit: Option<Rate>,
+    /// When it said so, on this instance's clock: the arrival of an answer that names a limit, the sending of a request whose answer
+    /// names none. Answers overtake each other, and one that left before the limit was set must not lift it.
+    pub at: Moment,
+}
+
+/// Instances that divide a limit of less than one request a second. More of them would leave each with a request in a minute, fewer
+/// would leave a service whose engines are all limited to one instance.
+const MIN_HOLDERS: usize = 2;
+/// Time for which an unused part of a limit is kept, beyond one request, so that calls which come unevenly can use it.
+const BURST: Duration = Duration::from_millis(500);
+/// Longest time between two requests of one instance. An engine that takes next to nothing says only in an answer that it takes
+/// more again.
+const MAX_INTERVAL: Duration = Duration::from_secs(10);
+/// Time for which a lifted limit is remembered, so that an older announcement which arrives late does not bring it back.
+const LIFTED_MEMORY: Duration = Duration::from_secs(10);
+
+/// One instance's part of a limit, as a token bucket that is kept as the time of the next request.
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    interval: Duration,
+    next: Moment,
+}
+
+impl Share {
+    /// An empty bucket.
+    fn new(per_second: f64, now: Moment) -> Self {
+        let interval = interval(per_second);
+        Self {
+            interval,
+            next: now + interval.max(BURST),
+        }
+    }
+
+    /// Time until one more request may leave.
+    fn wait(&self, now: Moment) -> Duration {
+        let burst = BURST.saturating_sub(self.interval);
+        self.next.saturating_sub(now + burst)
+    }
+
+    fn charge(&mut self, now: Moment) {
+        self.next = self.next.max(now) + self.interval;
+    }
+}
+
+fn interval(per_second: f64) -> Duration {
+    Duration::try_from_secs_f64(1.0 / per_second)
+        .map_or(MAX_INTERVAL, |time| time.min(MAX_INTERVAL))
+}
+
+#[derive(Clone, Debug)]
+struct Limit {
+    last: Announcement,
+    /// This instance's part, if it has one.
+    share: Option<Share>,
+}
+
+/// Whether a request may go to an engine, by the engine's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Permit {
+    /// After this time, which is zero if it may go at once.
+    After(Duration),
+    /// Not from this instance, which has no part of the limit. The engine takes one request in this time.
+    Elsewhere(Duration),
+}
+
+/// The limits of all engines.
+#[derive(Clone, Debug, Default)]
+pub struct Throttles {
+    limits: BTreeMap<EngineId, Limit>,
+    own: Option<SocketAddr>,
+    placers: Placers,
+    /// Engines whose limits have changed since the last question.
+    changed: Vec<EngineId>,
+}
+
+impl Throttles {
+    /// Divides all limits anew among those that place calls.
+    pub fn divide(&mut self, own: SocketAddr, placers: &Placers, now: Moment) {
+        if self.own == Some(own) && self.placers == *placers {
+            return;
+        }
+        self.own = Some(own);
+        self.placers = placers.clone();
+        let engines: Vec<EngineId> = self.limits.keys().cloned().collect();
+        for engine in engines {
+            self.update_share(&engine, now);
+        }
+    }
+
+    /// Merges what an engine said into what is known of it. Says whether its limit is another one now.
+    pub fn merge(&mut self, engine: &EngineId, said: Announcement, now: Moment) -> bool {
+        let before = self.limits.get(engine).map(|limit| limit.last);
+        if before.is_none() && said.limit.is_none()
+            || before.is_some_and(|before| before.at > said.at)
+        {
+            return false;
+        }
+        let limit = self.limits.entry(engine.clone()).or_insert(Limit {
+            last: said,
+            share: None,
+        });
+        limit.last = said;
+        let changed = before.and_then(|before| before.limit) != said.limit;
+        if changed {
+            self.update_share(engine, now);
+            if !self.changed.contains(engine) {
+                self.changed.push(engine.clone());
+            }
+        }
+        changed
+    }
+
+    /// Whether a request may go to an engine now.
+    pub fn permit(&self, engine: &str, now: Moment) -> Permit {
+        let Some((limit, rate)) = self.in_force(engine) else {
+            return Permit::After(Duration::ZERO);
+        };
+        match &limit.share {
+            Some(share) => Permit::After(share.wait(now)),
+            None => Permit::Elsewhere(interval(rate.per_second())),
+        }
+    }
+
+    /// Counts a request that is sent to an engine once [`Throttles::permit`] lets it go, or without its leave.
+    pub fn charge(&mut self, engine: &str, now: Moment) {
+        let limit = self.limits.get_mut(engine);
+        if let Some(share) = limit.and_then(|limit| limit.share.as_mut()) {
+            share.charge(now);
+        }
+    }
+
+    /// Requests a second that this instance may send to an engine, if the engine is limited.
+    pub fn share(&self, engine: &str) -> Option<f64> {
+        let (limit, _) = self.in_force(engine)?;
+        let share = limit.share.as_ref();
+        Some(share.map_or(0.0, |share| 1.0 / share.interval.as_secs_f64()))
+    }
+
+    /// Engines that are limited.
+    pub fn count(&self) -> usize {
+        let limits = self.limits.values();
+        limits.filter(|limit| limit.last.limit.is_some()).count()
+    }
+
+    /// What engines said whose limits have changed since the last question.
+    pub fn take_changed(&mut self) -> Vec<(EngineId, Announcement)> {
+        let changed = std::mem::take(&mut self.changed);
+        let said = changed.into_iter().filter_map(|engine| {
+            let last = self.limits.get(&engine)?.last;
+            Some((engine, last))
+        });
+        said.collect()
+    }
+
+    /// What engines said of which this instance is to tell the others again: each is told by one placer.
+    pub fn repeated(&self) -> Vec<(EngineId, Announcement)> {
+        let own = self.own.filter(|_| self.placers.own);
+        let Some(own) = own else {
+            return Vec::new();
+        };
+        let mine = self
+            .limits
+            .iter()
+            .filter(|(engine, _)| placer::rank(engine, own, &self.placers.others) == 0);
+        mine.map(|(engine, limit)| (engine.clone(), limit.last))
+            .collect()
+    }
+
+    /// Forgets limits that were lifted a while ago.
+    pub fn fade(&mut self, now: Moment) {
+        self.limits.retain(|_, limit| {
+            limit.last.limit.is_some() || now.saturating_sub(limit.last.at) < LIFTED_MEMORY
+        });
+    }
+
+    /// Forgets the limit of an engine that has gone.
+    pub fn forget(&mut self, engine: &str) {
+        self.limits.remove(engine);
+    }
+
+    fn in_force(&self, engine: &str) -> Option<(&Limit, Rate)> {
+        let limit = self.limits.get(engine)?;
+        Some((limit, limit.last.limit?))
+    }
+
+    fn update_share(&mut self, engine: &EngineId, now: Moment) {
+        let own_rate = |rate: Rate| self.own_rate(engine, rate);
+        let Some(limit) = self.limits.get(engine) else {
+            return;
+        };
+        let per_second = limit.last.limit.and_then(own_rate);
+        let before = limit.share;
+        let share = per_second.map(|per_second| match before {
+            // What has left under the limit before counts under the new one.
+            Some(before) => Share {
+                interval: interval(per_second),
+                ..before
+            },
+            None => Share::new(per_second, now),
+        });
+        if let Some(limit) = self.limits.get_mut(engine) {
+            limit.share = share;
+        }
+    }
+
+    /// Requests a second of a limit that are this instance's.
+    fn own_rate(&self, engine: &EngineId, limit: Rate) -> Option<f64> {
+        let own = self.own?;
+        let others = &self.placers.others;
+        let limit = limit.per_second();
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let holders = (limit as usize).saturating_add(MIN_HOLDERS);
+        #[allow(clippy::cast_precision_loss)]
+        let divided = |holders: usize| limit / holders as f64;
+        if self.placers.own {
+            let holders = holders.min(1 + others.len());
+            let rank = placer::rank(engine, own, others);
+            (rank < holders).then(|| divided(holders))
+        } else if others.is_empty() {
+            // The others are not known yet; some of them will be.
+            Some(divided(holders))
+        } else {
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/tests/throttle.rs
@@ -0,0 +1,297 @@
+//! Rate limits of engines, divided among instances.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use clock::Moment;
+use common::{demand, fleet, generation, id, ms, prompt, record, service, zone};
+use serving::place::{self, Refusal};
+use serving::placer::Placers;
+use serving::throttle::{Announcement, Permit, Rate, Throttles};
+use serving::{Choice, Fleet, Stage};
+
+const NOW: Moment = Duration::from_secs(10);
+/// Span of time in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+fn said(limit: impl Into<Option<f64>>, at: Moment) -> Announcement {
+    let limit: Option<f64> = limit.into();
+    Announcement {
+        limit: limit.map(|limit| Rate::try_from(limit).expect("a rate")),
+        at,
+    }
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], u16::try_from(number).expect("a port") + 1))
+}
+
+/// Those that place calls, as one of them sees it.
+fn placers(own: usize, all: &[usize]) -> Placers {
+    let others = all.iter().filter(|other| **other != own);
+    Placers {
+        own: all.contains(&own),
+        others: others.map(|other| (address(*other), 0)).collect(),
+    }
+}
+
+fn throttles(own: usize, all: &[usize]) -> Throttles {
+    let mut throttles = Throttles::default();
+    throttles.divide(address(own), &placers(own, all), Moment::ZERO);
+    throttles
+}
+
+/// Sends one request if the limit lets it go at once.
+fn send(throttles: &mut Throttles, now: Moment) -> bool {
+    let goes = throttles.permit("e", now) == Permit::After(Duration::ZERO);
+    if goes {
+        throttles.charge("e", now);
+    }
+    goes
+}
+
+/// Requests beyond what a limit allows in the fullest window; negative if there is room.
+fn excess(sent: &[Moment], limit: f64) -> f64 {
+    let windows = sent.iter().enumerate().map(|(first, from)| {
+        let within = sent[first..].iter().take_while(|at| **at < *from + WINDOW);
+        within.count()
+    });
+    let most = windows.max().unwrap_or(0);
+    f64::from(u32::try_from(most).expect("a count")) - (1.5 * limit * WINDOW.as_secs_f64() + 5.0)
+}
+
+#[test]
+fn a_number_that_is_no_rate_is_refused() {
+    for number in [-1.0, f64::NAN, f64::INFINITY] {
+        assert!(Rate::try_from(number).is_err(), "{number}");
+    }
+}
+
+/// Guards against instances that each keep to the whole limit, and against bursts of all after a lull.
+#[test]
+fn instances_together_keep_to_a_limit_under_any_load() {
+    for limit in [0.0, 0.1, 0.4, 1.0, 1.5, 1.7, 4.0, 12.5, 60.0] {
+        for count in [1, 2, 3, 6, 8, 10, 42] {
+            let all: Vec<usize> = (0..count).collect();
+            let mut instances: Vec<Throttles> =
+                all.iter().map(|own| throttles(*own, &all)).collect();
+            for instance in &mut instances {
+                instance.merge(&id("e"), said(limit, Moment::ZERO), Moment::ZERO);
+            }
+            let mut sent = Vec::new();
+            for now in (0..30_000).map(ms) {
+                // Eight seconds of load, eight without.
+                if now.as_secs() / 8 % 2 == 1 {
+                    continue;
+                }
+                for instance in &mut instances {
+                    if send(instance, now) {
+                        sent.push(now);
+                    }
+                }
+            }
+            let excess = excess(&sent, limit);
+            assert!(
+                excess <= 0.0,
+                "{limit}/s, {count} instances: {excess} too many"
+            );
+            // What all may send together is used.
+            let used = f64::from(u32::try_from(sent.len()).unwrap()) / 16.0;
+            assert!(
+                limit < 1.0 || used > 0.8 * limit,
+                "{limit}/s, {count}: {used}/s"
+            );
+        }
+    }
+}
+
+/// Guards against requests beyond the limit while instances come and go and each hears of it at another moment.
+#[test]
+fn instances_that_hear_late_of_others_keep_to_a_limit() {
+    for seed in 0..40_u64 {
+        let limit = [0.5, 1.5, 3.0, 9.0][usize::try_from(seed % 4).unwrap()];
+        let mut random = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1;
+        let mut draw = |below: u64| {
+            random ^= random << 13;
+            random ^= random >> 7;
+            random ^= random << 17;
+            random % below
+        };
+        let all: Vec<usize> = (0..8).collect();
+        let mut instances: Vec<Throttles> = all.iter().map(|own| throttles(*own, &all)).collect();
+        for instance in &mut instances {
+            instance.merge(&id("e"), said(limit, Moment::ZERO), Moment::ZERO);
+        }
+        // Which instances place calls, and when each hears of the newest change.
+        let mut placing = all.clone();
+        let mut hears: Vec<(Moment, Vec<usize>)> = vec![(Moment::ZERO, all.clone()); 8];
+        let mut sent = Vec::new();
+        for now in (0..40_000).map(ms) {
+            if now.as_millis() % 3_000 == 0 {
+                let one = usize::try_from(draw(8)).unwrap();
+                if placing.len() > 4 && placing.contains(&one) {
+                    placing.retain(|other| *other != one);
+                } else if !placing.contains(&one) {
+                    placing.push(one);
+                }
+                hears = (0..8)
+                    .map(|_| (now + ms(draw(1_000)), placing.clone()))
+                    .collect();
+            }
+            for own in 0..8 {
+                if hears[own].0 == now {
+                    let seen = placers(own, &hears[own].1);
+                    instances[own].divide(address(own), &seen, now);
+                }
+                if send(&mut instances[own], now) {
+                    sent.push(now);
+                }
+            }
+        }
+        let excess = excess(&sent, limit);
+        assert!(excess <= 0.0, "seed {seed}, {limit}/s: {excess} too many");
+    }
+}
+
+/// Guards against a limit that an answer lifts which had left the engine before the limit was set.
+#[test]
+fn only_an_answer_to_a_later_request_lifts_a_limit() {
+    let mut throttles = throttles(0, &[0]);
+    assert!(throttles.merge(&id("e"), said(1.0, ms(100)), ms(100)));
+    assert!(!throttles.merge(&id("e"), said(None, ms(90)), ms(110)));
+    assert_eq!(throttles.count(), 1);
+    assert!(throttles.merge(&id("e"), said(None, ms(120)), ms(150)));
+    assert_eq!(
+        throttles.permit("e", ms(150)),
+        Permit::After(Duration::ZERO)
+    );
+}
+
+/// Guards against a limit that comes back by what an instance tells late.
+#[test]
+fn a_lifted_limit_does_not_come_back_by_an_older_announcement() {
+    let mut throttles = throttles(0, &[0]);
+    throttles.merge(&id("e"), said(1.0, ms(100)), ms(100));
+    throttles.merge(&id("e"), said(None, ms(200)), ms(210));
+    throttles.fade(ms(900));
+    assert!(!throttles.merge(&id("e"), said(1.0, ms(150)), ms(900)));
+    assert_eq!(throttles.count(), 0);
+    assert!(throttles.merge(&id("e"), said(2.0, ms(300)), ms(900)));
+}
+
+#[test]
+fn what_engines_say_is_merged_alike_in_any_order() {
+    let all = [
+        said(1.0, ms(1)),
+        said(None, ms(2)),
+        said(3.0, ms(3)),
+        said(2.0, ms(2)),
+    ];
+    for first in 0..all.len() {
+        let mut throttles = throttles(0, &[0]);
+        for step in 0..all.len() {
+            throttles.merge(&id("e"), all[(first + step) % all.len()], ms(9));
+        }
+        let share = throttles.share("e").unwrap();
+        assert!((share - 3.0).abs() < 1e-6, "{share}");
+    }
+}
+
+/// Each limit is told again by exactly one of those that place calls.
+#[test]
+fn one_instance_repeats_a_limit() {
+    let all: Vec<usize> = (0..6).collect();
+    let repeating = all.iter().filter(|own| {
+        let mut throttles = throttles(**own, &all);
+        throttles.merge(&id("e"), said(1.5, ms(1)), ms(1));
+        throttles.repeated().len() == 1
+    });
+    assert_eq!(repeating.count(), 1);
+}
+
+fn limited(fleet: &mut Fleet, engine: &str, limit: f64) {
+    let all = placers(0, &[0]);
+    fleet.throttles.divide(address(0), &all, NOW);
+    fleet.throttles.merge(&id(engine), said(limit, NOW), NOW);
+}
+
+fn choose(fleet: &Fleet, left: Duration, now: Moment) -> Choice {
+    let (service, zone) = (service(), zone());
+    let parts = prompt(&[(1, 100)]);
+    let demand = serving::Demand {
+        left,
+        ..demand(&service, &zone, Some(generation(&parts)))
+    };
+    place::choose(fleet, &demand, now)
+}
+
+/// Guards against calls that all go to an engine in need because it has read their prompts.
+#[test]
+fn calls_go_round_an_engine_whose_limit_is_used_up() {
+    let mut fleet = fleet(&[("a", Stage::Decode), ("b", Stage::Decode)]);
+    fleet.reads(&id("a"), &prompt(&[(1, 100)]), 400_000, NOW);
+    assert_matches!(choose(&fleet, ms(4_000), NOW), Choice::Direct(t) if &*t.engine == "a");
+    limited(&mut fleet, "a", 0.5);
+    assert_matches!(choose(&fleet, ms(4_000), NOW), Choice::Direct(t) if &*t.engine == "b");
+    let later = NOW + ms(2_000);
+    assert_matches!(choose(&fleet, ms(4_000), later), Choice::Direct(t) if &*t.engine == "a" && t.wait.is_zero());
+}
+
+/// Guards against calls that are refused although the only engine takes them soon enough.
+#[test]
+fn a_call_waits_for_the_limit_of_the_only_engine() {
+    let mut fleet = fleet(&[("a", Stage::Decode)]);
+    limited(&mut fleet, "a", 4.0);
+    assert_matches!(choose(&fleet, ms(4_000), NOW), Choice::Direct(t) if t.wait > ms(0) && t.expected > t.wait);
+}
+
+/// Guards against calls that wait to their deadline for an engine that will not take them.
+#[test]
+fn a_call_that_no_limit_lets_go_in_time_is_refused_at_once() {
+    let mut fleet = fleet(&[("a", Stage::Decode)]);
+    limited(&mut fleet, "a", 0.5);
+    assert_matches!(
+        choose(&fleet, ms(300), NOW),
+        Choice::Refuse { after, why: Refusal::Limited, .. } if after > ms(1_000) && after < ms(2_000)
+    );
+    let mut plain = Fleet::default();
+    plain.put(record("p", None));
+    limited(&mut plain, "p", 0.5);
+    let (service, zone) = (service(), zone());
+    let demand = serving::Demand {
+        left: ms(300),
+        ..demand(&service, &zone, None)
+    };
+    assert_matches!(
+        place::choose(&plain, &demand, NOW),
+        Choice::Refuse { after, why: Refusal::Limited, .. } if after > ms(1_000)
+    );
+}
+
+/// Guards against memory that is handed to an engine in need.
+#[test]
+fn memory_is_taken_over_elsewhere_if_a_limit_is_used_up() {
+    let mut fleet = fleet(&[
+        ("a", Stage::Decode),
+        ("b", Stage::Decode),
+        ("r", Stage::Prefill),
+    ]);
+    limited(&mut fleet, "a", 0.2);
+    let (service, zone) = (service(), zone());
+    let parts = prompt(&[(1, 9_000)]);
+    let demand = demand(&service, &zone, Some(generation(&parts)));
+    let target = place::decode(&fleet, &demand, &zone, NOW).unwrap();
+    assert_eq!(&*target.engine, "b");
+}
+
+/// Guards against the limit of an engine that has gone binding another one, and against a list that only grows.
+#[test]
+fn the_limit_of_an_engine_that_has_gone_is_forgotten() {
+    let mut fleet = fleet(&[("a", Stage::Decode)]);
+    limited(&mut fleet, "a", 0.5);
+    fleet.remove("a");
+    assert_eq!(fleet.throttles.count(), 0);
+}
