Refuse calls that a rate limit would make late, and tell their callers when there is room

Cause: calls waited up to 2 s for a limit, so that the queue at each engine was as long and every call in it late; prompts were read for engines whose token was gone by then; all refused callers were told the same short time. Change: a call waits half of the time in which it is on time at the most; prompts are read apart only for engines without a limit; a refused caller is told the time in which the engines take what was refused before it. Two placers repeat a limit and all tell it to a new placer. The pure test shows a limit that nobody repeats: the instance that is to repeat it is new itself.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -68,7 +68,7 @@
     let zone = Zone::from(question.zone.as_str());
     let now = instance.now();
     let choice = {
-        let fleet = instance.fleet.borrow();
+        let mut fleet = instance.fleet.borrow_mut();
         let avoid = question
             .avoid
             .iter()
@@ -91,19 +91,20 @@
             left: Duration::from_millis(question.left_ms.into()),
             alone: question.alone,
         };
-        if question.read_in.is_empty() {
+        let mut choice = if question.read_in.is_empty() {
             place::choose(&fleet, &demand, now)
         } else {
             let read_in = Zone::from(question.read_in.as_str());
             place::decode(&fleet, &demand, &read_in, now).map_or(NOWHERE, Choice::Direct)
-        }
+        };
+        place::commit(&mut fleet, &service, &mut choice, now);
+        choice
     };
     if let Some(target) = choice.target() {
         let mut fleet = instance.fleet.borrow_mut();
         let ticket = question.ticket;
         let sent = now + target.wait;
         fleet.begin_for(peer, ticket, &target.engine, target.work, target.rank, sent);
-        fleet.throttles.charge(&target.engine, now);
         drop(fleet);
         instance.uses(&target.engine, &prompt);
         instance.stirred.notify_one();
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -68,10 +68,9 @@
         return choice;
     }
     let now = instance.now();
-    let choice = place::choose(&instance.fleet.borrow(), demand, now);
-    if let Some(target) = choice.target() {
-        limits::charge(instance, &target.engine);
-    }
+    let mut fleet = instance.fleet.borrow_mut();
+    let mut choice = place::choose(&fleet, demand, now);
+    place::commit(&mut fleet, demand.service, &mut choice, now);
     choice
 }
 
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -278,7 +278,12 @@
 #[actix_rt::test]
 async fn an_instance_that_starts_is_told_of_limits() {
     let (worlds, _app) = with_one_engine("0.1").await;
-    let newcomer = worlds[0].beside();
-    newcomer.until_ready(true).await;
-    until(async || limited(std::slice::from_ref(&newcomer), 1).await).await;
+    let mut newcomers = Vec::new();
+    // Some of them place calls in the stead of those that know.
+    for _ in 0..4 {
+        let newcomer = worlds[0].beside();
+        newcomer.until_ready(true).await;
+        newcomers.push(newcomer);
+        until(async || limited(&newcomers, 1).await).await;
+    }
 }
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -336,6 +336,18 @@
         self.reading.get(service).map_or(0.0, |flow| flow.rate(now))
     }
 
+    /// Counts a call that limits of a service's engines keep away. Gives the time after which its caller may come back.
+    pub(crate) fn defer(&mut self, service: &ServiceName, now: Moment) -> Duration {
+        let Self {
+            engines, throttles, ..
+        } = self;
+        let ready = engines
+            .values()
+            .filter(|engine| engine.takes_calls() && engine.record.service == *service);
+        let ready = ready.map(|engine| &engine.record.id);
+        throttles.defer(service, ready, now)
+    }
+
     /// Drops what silent instances said, and orders that had no effect.
     pub fn fade(&mut self, now: Moment) {
         self.throttles.fade(now);
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -143,8 +143,8 @@
 const IN_TIME: f64 = 0.9;
 /// Time told to a caller when no engine is known at all.
 const NO_ENGINE_AFTER: Duration = Duration::from_millis(500);
-/// Longest wait for an engine's rate limit. Meanwhile the engine may leave, and the limit change.
-const MAX_LIMIT_WAIT: Duration = Duration::from_secs(2);
+/// Share of the time in which a call is on time that it may wait for an engine's rate limit.
+const LIMIT_WAIT_SHARE: f64 = 0.5;
 /// Shortest time told to a caller whose call a rate limit keeps away.
 const MIN_LIMITED_AFTER: Duration = Duration::from_millis(100);
 
@@ -160,6 +160,23 @@
     }
 }
 
+/// Counts what was chosen for a call of a service against the limits of its engines. A call that limits keep away is told when to come
+/// back by what was refused before it.
+pub fn commit(fleet: &mut Fleet, service: &ServiceName, choice: &mut Choice, now: Moment) {
+    match choice {
+        Choice::Direct(target)
+        | Choice::Split {
+            prefill: target, ..
+        } => fleet.throttles.charge(&target.engine, now),
+        Choice::Refuse {
+            after,
+            why: Refusal::Limited,
+            ..
+        } => *after = fleet.defer(service, now).max(*after),
+        Choice::Refuse { .. } => {}
+    }
+}
+
 /// Finds the place of a call that may end its engine: where the fewest calls run, which also reads its prompt.
 fn choose_alone(fleet: &Fleet, demand: &Demand, now: Moment) -> Choice {
     let quietest = {
@@ -223,8 +240,10 @@
     }
 }
 
+/// A queue longer than this would make every call late in it, and serve no more of them.
 fn longest_wait(demand: &Demand) -> Duration {
-    demand.left.mul_f64(IN_TIME).min(MAX_LIMIT_WAIT)
+    let on_time = demand.target.mul_f64(LIMIT_WAIT_SHARE);
+    on_time.min(demand.left.mul_f64(IN_TIME))
 }
 
 /// The refusal of a call that no engine takes.
@@ -337,9 +356,14 @@
             .filter(|e| demand.may_split && cost::is_prefill(e))
             .map(|e| cost::read(fleet, e, demand, size, &sources, now)),
     );
+    // What a limit allows now may be used up once the prompt is read, which would be read in vain.
+    let unlimited = engines
+        .iter()
+        .filter(|engine| !fleet.throttles.is_limited(&engine.record.id));
+    let unlimited: Vec<&Engine> = unlimited.copied().collect();
     let split = prefill.and_then(|prefill| {
         let source = fleet.get(&prefill.target.engine)?;
-        let decode = cost::take_over(fleet, &engines, demand, size, &source.record.zone, now)?;
+        let decode = cost::take_over(fleet, &unlimited, demand, size, &source.record.zone, now)?;
         Some((prefill, decode))
     });
     match split {
--- a/crates/serving/src/throttle.rs
+++ b/crates/serving/src/throttle.rs
@@ -12,8 +12,8 @@
 
 use clock::Moment;
 
-use crate::EngineId;
-use crate::placer::{self, Placers};
+use crate::placer::{self, Place, Placers};
+use crate::{EngineId, ServiceName};
 
 /// Requests a second that an engine takes from all instances together.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
@@ -61,11 +61,15 @@
 /// Instances that divide a limit of less than one request a second. More of them would leave each with a request in a minute, fewer
 /// would leave a service whose engines are all limited to one instance.
 const MIN_HOLDERS: usize = 2;
+/// Placers that repeat a limit to all others. Two, so that the end of one, or one that is new, leaves one that knows.
+const REPEATERS: usize = 2;
 /// Time for which an unused part of a limit is kept, beyond one request, so that calls which come unevenly can use it.
 const BURST: Duration = Duration::from_millis(500);
 /// Longest time between two requests of one instance. An engine that takes next to nothing says only in an answer that it takes
 /// more again.
 const MAX_INTERVAL: Duration = Duration::from_secs(10);
+/// Longest time told to a caller whose call limits keep away. What engines announce may change in less.
+const MAX_DEFERRAL: Duration = Duration::from_secs(10);
 /// Time for which a lifted limit is remembered, so that an older announcement which arrives late does not bring it back.
 const LIFTED_MEMORY: Duration = Duration::from_secs(10);
 
@@ -122,6 +126,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Throttles {
     limits: BTreeMap<EngineId, Limit>,
+    /// By service, when its engines will have taken what this instance has refused for their limits.
+    refused_until: BTreeMap<ServiceName, Moment>,
     own: Option<SocketAddr>,
     placers: Placers,
     /// Engines whose limits have changed since the last question.
@@ -134,11 +140,18 @@
         if self.own == Some(own) && self.placers == *placers {
             return;
         }
+        let known = &self.placers.others;
+        let is_new = |other: &(SocketAddr, Place)| !known.contains(other);
+        let has_new = placers.others.iter().any(is_new);
         self.own = Some(own);
         self.placers = placers.clone();
         let engines: Vec<EngineId> = self.limits.keys().cloned().collect();
-        for engine in engines {
-            self.update_share(&engine, now);
+        for engine in &engines {
+            self.update_share(engine, now);
+        }
+        // A new placer knows no limits, and may be the one that is to repeat them.
+        if has_new && placers.own {
+            self.changed = engines;
         }
     }
 
@@ -184,6 +197,24 @@
         }
     }
 
+    /// Counts a call that is refused since engines of a service are limited. Gives the time in which they take as many calls as
+    /// were refused before it, so that callers come back one after the other, and not at all where they would be refused again.
+    pub fn defer<'a>(
+        &mut self,
+        service: &ServiceName,
+        engines: impl Iterator<Item = &'a EngineId>,
+        now: Moment,
+    ) -> Duration {
+        let rates = engines.filter_map(|engine| Some(self.in_force(engine)?.1.per_second()));
+        let instances = 1 + self.placers.others.len();
+        #[allow(clippy::cast_precision_loss)]
+        let own = rates.sum::<f64>() / instances as f64;
+        let until = self.refused_until.entry(service.clone()).or_default();
+        *until = (*until).max(now) + interval(own);
+        *until = (*until).min(now + MAX_DEFERRAL);
+        *until - now
+    }
+
     /// Requests a second that this instance may send to an engine, if the engine is limited.
     pub fn share(&self, engine: &str) -> Option<f64> {
         let (limit, _) = self.in_force(engine)?;
@@ -191,6 +222,11 @@
         Some(share.map_or(0.0, |share| 1.0 / share.interval.as_secs_f64()))
     }
 
+    /// Whether an engine is limited.
+    pub fn is_limited(&self, engine: &str) -> bool {
+        self.in_force(engine).is_some()
+    }
+
     /// Engines that are limited.
     pub fn count(&self) -> usize {
         let limits = self.limits.values();
@@ -207,7 +243,7 @@
         said.collect()
     }
 
-    /// What engines said of which this instance is to tell the others again: each is told by one placer.
+    /// What engines said of which this instance is to tell the others again: each is told by [`REPEATERS`] placers.
     pub fn repeated(&self) -> Vec<(EngineId, Announcement)> {
         let own = self.own.filter(|_| self.placers.own);
         let Some(own) = own else {
@@ -216,7 +252,7 @@
         let mine = self
             .limits
             .iter()
-            .filter(|(engine, _)| placer::rank(engine, own, &self.placers.others) == 0);
+            .filter(|(engine, _)| placer::rank(engine, own, &self.placers.others) < REPEATERS);
         mine.map(|(engine, limit)| (engine.clone(), limit.last))
             .collect()
     }
--- /dev/null
+++ b/crates/serving/tests/need.rs
@@ -0,0 +1,295 @@
+//! A service some or all of whose engines announce a rate limit, replayed in simulated time: calls come at random to eight
+//! instances, are placed, wait, are refused and come back once.
+
+#![allow(clippy::cast_precision_loss)]
+
+mod common;
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use clock::Moment;
+use common::{demand, fleet, generation, id, prompt, service, zone};
+use rand::rngs::SmallRng;
+use rand::{RngExt as _, SeedableRng as _};
+use serving::place::{self, Target};
+use serving::placer::Placers;
+use serving::throttle::{Announcement, Rate};
+use serving::{Choice, EngineId, Fleet, Stage};
+
+const INSTANCES: usize = 8;
+const PREFILL: usize = 8;
+const DECODE: usize = 10;
+/// Calls a second.
+const LOAD: f64 = 50.0;
+/// Requests a second that an engine in need takes.
+const LIMIT: f64 = 1.5;
+const TARGET: Duration = Duration::from_millis(500);
+const DEADLINE: Duration = Duration::from_secs(4);
+/// Time from sending a prompt to a prefill engine to its being read.
+const READING: Duration = Duration::from_millis(100);
+const LENGTH: Duration = Duration::from_secs(60);
+const WINDOW: Duration = Duration::from_secs(4);
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    /// A call comes, or comes back.
+    Arrive { call: usize, again: bool },
+    /// The prompt of a call has been read apart.
+    Read { call: usize },
+}
+
+struct Call {
+    at: Moment,
+    instance: usize,
+}
+
+#[derive(Default)]
+struct Outcome {
+    on_time: usize,
+    late: usize,
+    refused: usize,
+    /// Refused once more after they had come back as they were told.
+    refused_again: usize,
+    read_in_vain: usize,
+    /// When each engine got its requests.
+    requests: Vec<(EngineId, Moment)>,
+}
+
+struct World {
+    fleets: Vec<Fleet>,
+    calls: Vec<Call>,
+    events: BinaryHeap<Reverse<(Moment, Event)>>,
+    rng: SmallRng,
+    outcome: Outcome,
+}
+
+fn names() -> Vec<(String, Stage)> {
+    let prefill = (0..PREFILL).map(|n| (format!("p{n}"), Stage::Prefill));
+    let decode = (0..DECODE).map(|n| (format!("d{n}"), Stage::Decode));
+    prefill.chain(decode).collect()
+}
+
+impl World {
+    /// Engines whose number is below `limited` of every ten announce a limit.
+    fn new(seed: u64, limited: usize) -> Self {
+        let names = names();
+        let known: Vec<(&str, Stage)> = names.iter().map(|(n, s)| (n.as_str(), *s)).collect();
+        let address =
+            |n: usize| SocketAddr::from(([127, 0, 0, 1], u16::try_from(n).expect("a port") + 1));
+        let fleets = (0..INSTANCES).map(|own| {
+            let mut fleet = fleet(&known);
+            let placers = Placers {
+                own: true,
+                others: (0..INSTANCES)
+                    .filter(|other| *other != own)
+                    .map(|other| (address(other), 0))
+                    .collect(),
+            };
+            fleet.throttles.divide(address(own), &placers, Moment::ZERO);
+            for (number, (name, _)) in names.iter().enumerate() {
+                if number % 10 < limited {
+                    let said = Announcement {
+                        limit: Some(Rate::try_from(LIMIT).expect("a rate")),
+                        at: Moment::ZERO,
+                    };
+                    fleet.throttles.merge(&id(name), said, Moment::ZERO);
+                }
+            }
+            fleet
+        });
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut calls = Vec::new();
+        let mut at = 0.0;
+        while at < LENGTH.as_secs_f64() {
+            at += -(1.0 - rng.random::<f64>()).ln() / LOAD;
+            // Balancers spread connections unevenly.
+            let instance = rng
+                .random_range(0..INSTANCES)
+                .min(rng.random_range(0..INSTANCES * 2));
+            calls.push(Call {
+                at: Duration::from_secs_f64(at),
+                instance,
+            });
+        }
+        let events = calls.iter().enumerate();
+        let events = events.map(|(call, c)| Reverse((c.at, Event::Arrive { call, again: false })));
+        Self {
+            fleets: fleets.collect(),
+            events: events.collect(),
+            calls,
+            rng,
+            outcome: Outcome::default(),
+        }
+    }
+
+    fn run(mut self) -> Outcome {
+        while let Some(Reverse((now, event))) = self.events.pop() {
+            match event {
+                Event::Arrive { call, again } => self.arrive(call, again, now),
+                Event::Read { call } => self.read(call, now),
+            }
+        }
+        self.outcome
+    }
+
+    fn arrive(&mut self, call: usize, again: bool, now: Moment) {
+        if again {
+            self.calls[call].instance = self.rng.random_range(0..INSTANCES);
+        }
+        match self.choose(call, true, now) {
+            Choice::Direct(target) => self.send(call, &target, now),
+            Choice::Split { prefill, .. } => {
+                self.note(&prefill, now);
+                let read = now + prefill.wait + READING;
+                self.events.push(Reverse((read, Event::Read { call })));
+            }
+            Choice::Refuse { after, .. } => self.refuse(call, again, after, now),
+        }
+    }
+
+    fn choose(&mut self, call: usize, may_split: bool, now: Moment) -> Choice {
+        let (service, zone) = (service(), zone());
+        let waited = now.saturating_sub(self.calls[call].at);
+        let parts = prompt(&[(u32::try_from(call).expect("few calls"), 4_000)]);
+        let demand = serving::Demand {
+            may_split,
+            target: TARGET.saturating_sub(waited),
+            left: DEADLINE.saturating_sub(waited),
+            ..demand(&service, &zone, Some(generation(&parts)))
+        };
+        let fleet = &mut self.fleets[self.calls[call].instance];
+        let mut choice = place::choose(fleet, &demand, now);
+        place::commit(fleet, &service, &mut choice, now);
+        choice
+    }
+
+    fn read(&mut self, call: usize, now: Moment) {
+        let (service, zone) = (service(), zone());
+        let waited = now.saturating_sub(self.calls[call].at);
+        let parts = prompt(&[(u32::try_from(call).expect("few calls"), 4_000)]);
+        let demand = serving::Demand {
+            target: TARGET.saturating_sub(waited),
+            left: DEADLINE.saturating_sub(waited),
+            ..demand(&service, &zone, Some(generation(&parts)))
+        };
+        let fleet = &mut self.fleets[self.calls[call].instance];
+        if let Some(target) = place::decode(fleet, &demand, &zone, now) {
+            fleet.throttles.charge(&target.engine, now);
+            self.send(call, &target, now);
+            return;
+        }
+        self.outcome.read_in_vain += 1;
+        match self.choose(call, false, now) {
+            Choice::Direct(target) => self.send(call, &target, now),
+            _ => self.outcome.refused += 1,
+        }
+    }
+
+    fn note(&mut self, target: &Target, now: Moment) {
+        let sent = (target.engine.clone(), now + target.wait);
+        self.outcome.requests.push(sent);
+    }
+
+    fn send(&mut self, call: usize, target: &Target, now: Moment) {
+        self.note(target, now);
+        if now + target.expected <= self.calls[call].at + TARGET {
+            self.outcome.on_time += 1;
+        } else {
+            self.outcome.late += 1;
+        }
+    }
+
+    /// A caller comes back once, if it is told to come within a third of its time.
+    fn refuse(&mut self, call: usize, again: bool, after: Duration, now: Moment) {
+        let left = (self.calls[call].at + DEADLINE).saturating_sub(now);
+        if again || after > left / 3 {
+            self.outcome.refused += 1;
+            self.outcome.refused_again += usize::from(again);
+        } else {
+            let back = Event::Arrive { call, again: true };
+            self.events.push(Reverse((now + after, back)));
+        }
+    }
+}
+
+/// Requests that the engines of a stage got in a second, on average of those with a limit.
+fn use_of_limits(outcome: &Outcome, stage: Stage, limited: usize) -> f64 {
+    let names = names();
+    let names = names.iter().enumerate();
+    let names = names.filter(|(number, (_, other))| number % 10 < limited && *other == stage);
+    let engines: Vec<EngineId> = names.map(|(_, (name, _))| id(name)).collect();
+    let requests = outcome.requests.iter();
+    let requests = requests
+        .filter(|(engine, _)| engines.contains(engine))
+        .count();
+    requests as f64 / engines.len() as f64 / LENGTH.as_secs_f64()
+}
+
+/// The most requests that one engine with a limit got within a window.
+fn most_in_a_window(outcome: &Outcome, limited: usize) -> usize {
+    let names = names();
+    let names = names.iter().enumerate();
+    let names = names.filter(|(number, _)| number % 10 < limited);
+    let most = names.map(|(_, (name, _))| {
+        let requests = outcome.requests.iter();
+        let own = requests.filter(|(engine, _)| **engine == **name);
+        let mut at: Vec<Moment> = own.map(|(_, at)| *at).collect();
+        at.sort_unstable();
+        let windows = at.iter().enumerate().map(|(first, from)| {
+            let within = at[first..].iter().take_while(|at| **at < *from + WINDOW);
+            within.count()
+        });
+        windows.max().unwrap_or(0)
+    });
+    most.max().unwrap_or(0)
+}
+
+fn assert_kept(outcome: &Outcome, limited: usize) {
+    let most = most_in_a_window(outcome, limited);
+    assert!(
+        most as f64 <= 1.5 * LIMIT * WINDOW.as_secs_f64() + 5.0,
+        "{most}"
+    );
+}
+
+/// Guards against calls that wait or are refused for engines in need while others have room.
+#[test]
+fn engines_without_a_limit_serve_what_the_others_leave() {
+    for (seed, limited) in [(1, 2), (2, 5), (3, 8)] {
+        let outcome = World::new(seed, limited).run();
+        assert_eq!(
+            (outcome.late, outcome.refused),
+            (0, 0),
+            "{limited} of ten limited"
+        );
+        assert_kept(&outcome, limited);
+    }
+}
+
+/// Guards against queues in which every call is late, limits that are not used, prompts that are read in vain, and callers that come back
+/// only to be refused again.
+#[test]
+fn calls_are_on_time_up_to_the_limits_of_all_engines() {
+    for seed in 1..=5 {
+        let outcome = World::new(seed, 10).run();
+        assert_kept(&outcome, 10);
+        let used = use_of_limits(&outcome, Stage::Decode, 10);
+        assert!(used > 0.9 * LIMIT, "seed {seed}: {used} requests/s");
+        let served = outcome.on_time + outcome.late;
+        assert!(
+            outcome.on_time as f64 > 0.9 * served as f64,
+            "seed {seed}: {} of {served}",
+            outcome.on_time
+        );
+        assert_eq!(outcome.read_in_vain, 0, "seed {seed}");
+        assert!(
+            outcome.refused_again * 4 < outcome.refused,
+            "seed {seed}: {} of {}",
+            outcome.refused_again,
+            outcome.refused
+        );
+    }
+}
--- a/crates/serving/tests/throttle.rs
+++ b/crates/serving/tests/throttle.rs
@@ -200,16 +200,26 @@
     }
 }
 
-/// Each limit is told again by exactly one of those that place calls.
+/// Guards against a limit that all forget to tell those that start, and against one that all repeat.
 #[test]
-fn one_instance_repeats_a_limit() {
+fn two_instances_repeat_a_limit_and_all_tell_a_new_one() {
     let all: Vec<usize> = (0..6).collect();
-    let repeating = all.iter().filter(|own| {
-        let mut throttles = throttles(**own, &all);
-        throttles.merge(&id("e"), said(1.5, ms(1)), ms(1));
-        throttles.repeated().len() == 1
-    });
-    assert_eq!(repeating.count(), 1);
+    let mut instances: Vec<Throttles> = all.iter().map(|own| throttles(*own, &all)).collect();
+    for instance in &mut instances {
+        instance.merge(&id("e"), said(1.5, ms(1)), ms(1));
+        assert_eq!(instance.take_changed().len(), 1);
+    }
+    let repeating = instances
+        .iter()
+        .filter(|instance| instance.repeated().len() == 1);
+    assert_eq!(repeating.count(), 2);
+    let with_new: Vec<usize> = (0..7).collect();
+    for (own, instance) in instances.iter_mut().enumerate() {
+        instance.divide(address(own), &placers(own, &with_new), ms(2));
+        assert_eq!(instance.take_changed().len(), 1);
+        instance.divide(address(own), &placers(own, &all), ms(3));
+        assert!(instance.take_changed().is_empty());
+    }
 }
 
 fn limited(fleet: &mut Fleet, engine: &str, limit: f64) {
