Soak engines that announce rate limits, and judge that they are kept

Cause: no long run had engines that limit their requests. Change: in one seed of four, three engines announce 0.2 to 4 requests/s; requests of calls within 4 s are judged by the same bound as elsewhere, but for gateways that a fault concerns and links that hold requests up.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -6,7 +6,7 @@
 
 use floor::cloud;
 
-use crate::history::{Ask, Call, End, History};
+use crate::history::{Ask, Call, End, History, Run};
 use crate::plan::Kind;
 
 /// What a run promised and did not keep.
@@ -43,6 +43,8 @@
     Duties,
     /// A call that has ended three engines reaches no more than a few, and an innocent one is not held for it.
     Held,
+    /// Engines get no more requests than the rate limits that they announce allow.
+    RateLimits,
     /// No call is cut by planned work.
     PlannedWork,
     /// Processes run until they are asked to end.
@@ -79,6 +81,7 @@
     duties(history, &mut findings);
     orders(history, &mut findings);
     held(history, &runs, &mut findings);
+    rate_limits(history, &mut findings);
     let exits = history.exits.iter().map(|exit| (Promise::Lives, exit));
     let missing = history.missing.iter();
     let missing = missing.map(|missing| (Promise::Recovery, missing));
@@ -281,6 +284,61 @@
     }
 }
 
+/// Span of time in which requests to a limited engine are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Requests beyond one and a half times a limit that are allowed in it.
+const ALLOWED_MORE: f64 = 5.0;
+
+fn rate_limits(history: &History, findings: &mut Vec<Finding>) {
+    let calls = history.calls.iter();
+    let calls: HashMap<&str, &Call> = calls.map(|call| (call.id.as_str(), call)).collect();
+    for limit in &history.limits {
+        let bound = limit.from + KNOWN..=limit.until;
+        let counts = |run: &&Run| {
+            let call = calls.get(run.id.as_str());
+            run.engine == limit.engine
+                && bound.contains(&run.at)
+                && call.is_some_and(|call| is_in_touch(history, call))
+                && !was_held_up(history, run)
+        };
+        let mut at: Vec<Duration> = history
+            .runs
+            .iter()
+            .filter(counts)
+            .map(|run| run.at)
+            .collect();
+        at.sort_unstable();
+        let windows = at.iter().enumerate().map(|(first, from)| {
+            let within = at[first..]
+                .iter()
+                .take_while(|at| **at < *from + LIMIT_WINDOW);
+            within.count()
+        });
+        let most = windows.max().unwrap_or(0);
+        let taken = f64::from(limit.taken) / 10.0;
+        let allowed = 1.5 * taken * LIMIT_WINDOW.as_secs_f64() + ALLOWED_MORE;
+        #[allow(clippy::cast_precision_loss)]
+        if most as f64 > allowed {
+            let evidence = format!(
+                "{} takes {taken}/s and got {most} in {LIMIT_WINDOW:?}",
+                limit.engine
+            );
+            find(findings, Promise::RateLimits, evidence);
+        }
+    }
+}
+
+/// Whether the link to a run's engine had a fault shortly before it: requests that waited there come together.
+fn was_held_up(history: &History, run: &Run) -> bool {
+    let mut faults = history.faults.iter();
+    faults.any(|fault| {
+        let concerns = |number: usize| run.engine.ends_with(&format!("-{number}"));
+        matches!(fault.kind, Kind::EngineLink(number, _) if concerns(number))
+            && fault.at <= run.at
+            && run.at <= fault.at + fault.lasts + KNOWN
+    })
+}
+
 /// Whether neither the store nor the gateway of a call had a fault that ended less than [`KNOWN`] before it.
 fn is_in_touch(history: &History, call: &Call) -> bool {
     let concerns = |kind: Kind| match kind {
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -114,6 +114,8 @@
     pub service: &'static str,
     /// The request's id.
     pub id: String,
+    /// When it came, since callers began.
+    pub at: Duration,
     /// Whether the engine began to work on it.
     pub ran: bool,
     /// Whether it bore a header that the caller had forged, or its key.
@@ -122,6 +124,19 @@
     pub organisation: String,
 }
 
+/// A rate limit that an engine announced.
+#[derive(Clone, Debug)]
+pub struct Limit {
+    /// The engine.
+    pub engine: String,
+    /// Requests that it takes in ten seconds.
+    pub taken: u32,
+    /// When it began to announce it, since callers began.
+    pub from: Duration,
+    /// When it ceased to.
+    pub until: Duration,
+}
+
 /// All that was seen.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -139,6 +154,8 @@
     pub missing: Vec<String>,
     /// When engines ended under the call that ends them, since callers began.
     pub ends: Vec<Duration>,
+    /// Rate limits that engines announced.
+    pub limits: Vec<Limit>,
     /// What was done.
     pub faults: Vec<Fault>,
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -107,6 +107,8 @@
     /// A caller sends a call that ends each engine which runs it, again and again. Engines are back under their names or new
     /// ones.
     Fatal,
+    /// An engine announces that it takes so many requests in ten seconds.
+    Limit(usize, u32),
     /// A new configuration, with one route more.
     Configure,
 }
@@ -185,6 +187,12 @@
 const FATAL: u64 = 4;
 /// Of this many seeds one has a store that comes back from copies, and an interface for duties that fails, beside its other faults.
 const COPIED: u64 = 4;
+/// Of this many seeds one has engines that announce rate limits, beside its other faults.
+const LIMITED: u64 = 4;
+/// How many engines.
+const LIMITS: usize = 3;
+/// Requests in ten seconds that such an engine takes.
+const TAKEN: [u32; 4] = [2, 10, 15, 40];
 /// How often either happens there.
 const COPIES: usize = 2;
 /// Longest time until it begins.
@@ -257,6 +265,21 @@
                 },
             }));
         }
+        if !planned && seed.is_multiple_of(LIMITED) {
+            // Drawn apart, for the same reason.
+            let mut rng = StdRng::seed_from_u64(seed.rotate_left(48));
+            faults.extend((0..LIMITS).map(|_| {
+                let at = LEAD + Duration::from_millis(rng.random_range(0..FATAL_LEAD));
+                Fault {
+                    at,
+                    lasts: length.saturating_sub(at),
+                    kind: Kind::Limit(
+                        rng.random_range(0..services + engines),
+                        pick(&mut rng, &TAKEN),
+                    ),
+                }
+            }));
+        }
         faults.sort_by_key(|fault| fault.at);
         Self {
             seed,
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -16,7 +16,7 @@
 
 use crate::check;
 use crate::gateway::{Gateway, Ports};
-use crate::history::{History, Run};
+use crate::history::{History, Limit, Run};
 use crate::plan::{self, Kind, Link, Plan, Process};
 use crate::proxy::Proxy;
 
@@ -220,6 +220,7 @@
             Kind::Reborn(number) => self.reborn(number).await,
             Kind::Foreign(number) => self.write_foreign(number),
             Kind::Fatal => self.is_fatal.set(true),
+            Kind::Limit(number, taken) => self.limit(number, taken),
             Kind::Configure => self.configure(),
             Kind::GoesBack => drop(self.copy.replace(Some(self.store.copy()))),
             Kind::Cloud(fault) => self.cloud.fault(cloud_fault(fault)),
@@ -243,6 +244,7 @@
             Kind::Crash(number) => self.unregister(number),
             Kind::Foreign(number) => self.write_own(number),
             Kind::Fatal => self.is_fatal.set(false),
+            Kind::Limit(number, _) => self.lift_limit(number),
             Kind::GoesBack => self.go_back(),
             Kind::Cloud(_) => self.cloud.fault(cloud::Fault::None),
             Kind::Reborn(_)
@@ -282,6 +284,33 @@
         }
     }
 
+    fn limit(&self, number: usize, taken: u32) {
+        let from = self.begun.get().elapsed();
+        self.place(number, |place| {
+            place
+                .engine
+                .limit(Some(&(f64::from(taken) / 10.0).to_string()));
+            self.history.borrow_mut().limits.push(Limit {
+                engine: place.engine.id.clone(),
+                taken,
+                from,
+                until: Duration::MAX,
+            });
+        });
+    }
+
+    fn lift_limit(&self, number: usize) {
+        let until = self.begun.get().elapsed();
+        self.place(number, |place| {
+            place.engine.limit(None);
+            let mut history = self.history.borrow_mut();
+            let limits = history.limits.iter_mut();
+            for limit in limits.filter(|limit| limit.engine == place.engine.id) {
+                limit.until = limit.until.min(until);
+            }
+        });
+    }
+
     fn signal(&self, number: usize, signal: Signal) {
         self.instances[number].gateway.borrow_mut().signal(signal);
     }
@@ -463,6 +492,7 @@
             history.runs.extend(got.into_iter().map(|got| Run {
                 engine: id.clone(),
                 service: place.service,
+                at: got.at.saturating_duration_since(self.begun.get()),
                 ran: got.ran,
                 forged: got.is_forged() || got.header("key").is_some(),
                 organisation: got.header("tenant-id").unwrap_or_default().to_owned(),
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -7,7 +7,7 @@
 use floor::engine::Order;
 use serde_json::json;
 use soak::check::{self, Finding, Promise};
-use soak::history::{Ask, Call, End, History, Run};
+use soak::history::{Ask, Call, End, History, Limit, Run};
 use soak::plan::{Fault, Kind, Process};
 use soak::world::ORGANISATIONS;
 
@@ -46,6 +46,7 @@
         engine: engine.to_owned(),
         service: ask.service(),
         id: id.to_owned(),
+        at: Duration::ZERO,
         ran: true,
         forged: false,
         organisation: ORGANISATIONS[0].to_owned(),
@@ -328,3 +329,43 @@
         history.calls[0].ask = Ask::Keyless;
     });
 }
+
+/// A history in which one engine takes a request a second and gets so many, one each 200 ms.
+fn with_limit(count: u64) -> impl FnOnce(&mut History) {
+    move |history| {
+        history.limits.push(Limit {
+            engine: "e-3".to_owned(),
+            taken: 10,
+            from: ms(1_000),
+            until: ms(20_000),
+        });
+        for number in 0..count {
+            let (id, at) = (format!("limited-{number}"), 5_000 + number * 200);
+            history.calls.push(call(&id, Ask::Safe, at));
+            history.runs.push(Run {
+                at: ms(at),
+                ..ran(&id, Ask::Safe, "e-3")
+            });
+        }
+    }
+}
+
+#[test]
+fn more_requests_than_an_engine_takes_are_found() {
+    found(Promise::RateLimits, with_limit(12));
+    let mut history = good();
+    with_limit(11)(&mut history);
+    assert_eq!(check::check(&history), []);
+}
+
+#[test]
+fn requests_that_a_gateway_sent_after_a_pause_are_excused() {
+    let mut history = good();
+    with_limit(12)(&mut history);
+    history.faults.push(Fault {
+        at: ms(4_000),
+        lasts: ms(500),
+        kind: Kind::Process(0, Process::Pause),
+    });
+    assert_eq!(check::check(&history), []);
+}
