Tell at once that the store was read again, so that engines that left meanwhile are not doubted

A request reached an engine 2.1 and 3.2 s after it had left. Timeline: the store turns both readers away at 19.05 s; the next but one reads at 19.62 s, its state says so with the next pause only; another instance takes the gap of 1.4 s for an outage of the store, reads the records at 20.30 s, finds the engine's missing and doubts that it has gone, until 22.44 s. Cause: whoever becomes a reader did not say so at once. Change: the first read of an instance that was no fresh reader is told at once. Test: the decision; that a read of another counts as the store's word is tested already.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -8,7 +8,7 @@
 use adapter::records;
 use adapter::store::{self, Keyed, Offset, Store, Trouble};
 use serving::registry::{Change, Registry};
-use serving::watch::Watch;
+use serving::watch::{self, Watch};
 use serving::{Fleet, Record};
 use tokio::time::{Instant, sleep, sleep_until};
 use wire::gateway::News;
@@ -162,7 +162,11 @@
 
     fn succeeded(&mut self) {
         let now = self.instance.now();
-        self.instance.last_read(self.topic).set(Some(now));
+        let before = self.instance.last_read(self.topic).replace(Some(now));
+        if watch::is_resumption(before, now) {
+            self.instance.greeting_due.set(true);
+            self.instance.stirred.notify_one();
+        }
         if std::mem::take(&mut self.failures) > 0 {
             log::info!(topic = self.name(); "the store answers again");
         }
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -26,6 +26,14 @@
 /// Pause between two reads for a difference.
 const CORRECTION: Duration = Duration::from_millis(1_000);
 
+/// Whether a read is to be told at once, since its reader was not fresh before.
+///
+/// As long as the others hear of no fresh reader they take the store for away, and doubt that an engine has gone whose record lapses.
+/// Where it only turned the readers away, engines that left would get calls for seconds more.
+pub fn is_resumption(before: Option<Moment>, now: Moment) -> bool {
+    before.is_none_or(|before| now.saturating_sub(before) > FRESH)
+}
+
 /// How far an instance knows a topic.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Known {
--- a/crates/serving/tests/watch.rs
+++ b/crates/serving/tests/watch.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::ms;
-use serving::watch::{Deferred, Known, Said, Watch};
+use serving::watch::{Deferred, Known, Said, Watch, is_resumption};
 
 const OWN: u64 = 50;
 
@@ -163,3 +163,12 @@
     );
     assert!(deferred.take(|_| None, ms(9_000)).is_empty());
 }
+
+/// Guards against calls to engines that have left while the store turned its readers away: until another reader is heard of, the
+/// store counts as away and lapses are doubted.
+#[test]
+fn the_first_read_of_a_new_reader_is_told_at_once() {
+    assert!(is_resumption(None, ms(9_000)));
+    assert!(is_resumption(Some(ms(7_000)), ms(9_000)));
+    assert!(!is_resumption(Some(ms(8_600)), ms(9_000)));
+}
