--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,7 +1,7 @@
 //! One call and its attempts at engines, common to plain calls and generations.
 
 use std::cell::{Cell, OnceCell};
-use std::net::{IpAddr, SocketAddr};
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,15 +16,11 @@
 use serving::fingerprint::{self, Fingerprint};
 use serving::health::Outcome;
 use serving::organisation::Organisation;
-use serving::place::{self, Demand, Generation, Target};
 use serving::route::Version;
 use serving::usage::Unix;
-use serving::{Choice, EngineId, Route, Service, Table, Zone};
-use smallvec::SmallVec;
+use serving::{EngineId, Route, Service, Table};
 use tokio::time::Instant;
 
-use crate::admission::{self, Admission};
-use crate::ask;
 use crate::front::NO_ROUTE;
 use crate::instance::Instance;
 use crate::limits;
@@ -271,7 +267,7 @@
     }
 
     /// Time that the caller still waits for a first answer.
-    fn first_left(&self) -> Duration {
+    pub(crate) fn first_left(&self) -> Duration {
         if !self.route.kind.is_stream() {
             return self.left();
         }
@@ -297,9 +293,6 @@
     })
 }
 
-/// Engines that a call must not go to again.
-pub(crate) type Avoid = SmallVec<[EngineId; 4]>;
-
 /// What one attempt came to.
 pub(crate) enum Tried {
     /// An answer to this request, up to its head.
@@ -466,120 +459,3 @@
     let now = instance.now();
     instance.pool.give(engine, client, reply.keep_alive, now);
 }
-
-/// Finds a place for a call, and waits until the engine's rate limit lets it go there.
-pub(crate) async fn place(
-    instance: &Instance,
-    asked: &Asked,
-    avoid: &Avoid,
-    may_split: bool,
-) -> Choice {
-    loop {
-        let choice = choose(instance, asked, avoid, may_split).await;
-        let Some(target) = choice.target() else {
-            limits::note_refusal(instance, &choice);
-            return choice;
-        };
-        if limits::wait(instance, asked, target).await {
-            return choice;
-        }
-    }
-}
-
-async fn choose(instance: &Instance, asked: &Asked, avoid: &Avoid, may_split: bool) -> Choice {
-    let admission = admission::admit(instance, asked).await;
-    if let Admission::Held(after) = admission {
-        return Choice::Refuse {
-            after,
-            why: place::Refusal::Held,
-            best: None,
-        };
-    }
-    let avoid = avoided(avoid, &admission);
-    let connected = instance.pool.connected(instance.now());
-    let demand = Demand {
-        may_split,
-        alone: matches!(admission, Admission::Alone),
-        ..demand(instance, asked, &avoid, &connected)
-    };
-    ask::choose(instance, &demand).await
-}
-
-/// Engines that a call must not go to, with those that its admission excludes.
-fn avoided(avoid: &Avoid, admission: &Admission) -> Avoid {
-    let mut all = avoid.clone();
-    if let Admission::Avoiding(others) = admission {
-        all.extend(others.iter().cloned());
-    }
-    all
-}
-
-/// Finds the engine that takes over a prompt that was read in a data centre, as [`place`] does.
-pub(crate) async fn place_decode(
-    instance: &Instance,
-    asked: &Asked,
-    avoid: &Avoid,
-    reserved: Option<&EngineId>,
-    source: &Zone,
-) -> Option<Target> {
-    let admission = admission::admit_further(instance, asked);
-    if matches!(admission, Admission::Held(_)) {
-        return None;
-    }
-    let avoid = avoided(avoid, &admission);
-    let connected = instance.pool.connected(instance.now());
-    loop {
-        let demand = Demand {
-            reserved,
-            ..demand(instance, asked, &avoid, &connected)
-        };
-        let target = ask::decode(instance, &demand, source).await?;
-        if limits::wait(instance, asked, &target).await {
-            return Some(target);
-        }
-    }
-}
-
-fn demand<'a>(
-    instance: &'a Instance,
-    asked: &'a Asked,
-    avoid: &'a Avoid,
-    connected: &'a [EngineId],
-) -> Demand<'a> {
-    let generation = asked.call.generation.as_ref();
-    let model = asked.service.model.as_ref();
-    let generation = generation.zip(model).map(|(sizes, model)| Generation {
-        model,
-        prompt: &sizes.prompt,
-        tokens: sizes.tokens,
-    });
-    Demand {
-        service: &asked.service.name,
-        generation,
-        connections: u32::try_from(asked.service.connections).unwrap_or(u32::MAX),
-        priority: asked.priority(),
-        target: asked
-            .route
-            .target
-            .saturating_sub(asked.before + asked.waited()),
-        zone: &instance.zone,
-        may_split: true,
-        sending: instance.sending(asked.body.len()),
-        avoid,
-        connected,
-        left: asked.first_left(),
-        alone: false,
-        reserved: None,
-    }
-}
-
-/// The record of a chosen engine.
-pub(crate) fn record(instance: &Instance, id: &EngineId) -> Option<Record> {
-    let fleet = instance.fleet.borrow();
-    fleet.get(id).map(|engine| engine.record.clone())
-}
-
-/// Where an engine listens, if it is known.
-pub(crate) fn address(instance: &Instance, id: Option<&EngineId>) -> Option<SocketAddr> {
-    Some(record(instance, id?)?.address)
-}
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -13,11 +13,12 @@
 use serving::{Choice, EngineId, Zone};
 use tokio::time::timeout_at;
 
-use crate::attempt::{self, Answered, Asked, Avoid, MOST, NotRun, Rejections, Tried};
+use crate::attempt::{self, Answered, Asked, MOST, NotRun, Rejections, Tried};
 use crate::crashes;
 use crate::held::{Held, Step};
 use crate::instance::Instance;
 use crate::metrics;
+use crate::placement::{self, Avoid};
 use crate::plain::{End, Finished, counted, refuse_end, take_repeat, tell_refused};
 use crate::relay::{self, Relay, Times};
 use crate::suspects;
@@ -159,7 +160,7 @@
         self.instance.budgets.borrow_mut().earn(service);
         loop {
             let choice =
-                attempt::place(self.instance, self.asked, &self.avoid, self.may_split).await;
+                placement::place(self.instance, self.asked, &self.avoid, self.may_split).await;
             let next = match choice {
                 Choice::Direct(target) => self.direct(&target).await,
                 Choice::Split {
@@ -214,7 +215,8 @@
         loop {
             let (instance, asked) = (self.instance, self.asked);
             let decode =
-                attempt::place_decode(instance, asked, &self.avoid, reserved.as_ref(), zone).await;
+                placement::place_decode(instance, asked, &self.avoid, reserved.as_ref(), zone)
+                    .await;
             // What was reserved is used up by one attempt.
             reserved = None;
             let Some(decode) = decode else {
@@ -241,7 +243,7 @@
     }
 
     async fn read_prompt(&mut self, target: &Target) -> Prompt {
-        let Some(engine) = attempt::record(self.instance, &target.engine) else {
+        let Some(engine) = placement::record(self.instance, &target.engine) else {
             return Prompt::Lost;
         };
         self.note_parts(target);
@@ -251,7 +253,7 @@
             left: self.asked.left(),
             priority: Some(target.rank),
             prefill: true,
-            fetch: attempt::address(self.instance, target.fetch.as_ref()),
+            fetch: placement::address(self.instance, target.fetch.as_ref()),
             ..Sending::default()
         };
         let answered = match attempt::send(self.instance, self.asked, &engine, &sending).await {
@@ -307,7 +309,7 @@
     }
 
     async fn generate(&mut self, target: &Target, memory: Option<&Guard>) -> Generated {
-        let Some(engine) = attempt::record(self.instance, &target.engine) else {
+        let Some(engine) = placement::record(self.instance, &target.engine) else {
             self.avoid.push(target.engine.clone());
             return Generated::NotRun(NotRun::Unreachable);
         };
@@ -324,7 +326,7 @@
             priority: Some(target.rank),
             memory: memory.map(|guard| &guard.memory),
             resume_after: self.relay.last(),
-            fetch: attempt::address(self.instance, target.fetch.as_ref()),
+            fetch: placement::address(self.instance, target.fetch.as_ref()),
             weights: self.weights,
             ..Sending::default()
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod operate;
 mod peers;
 mod phase;
+mod placement;
 mod plain;
 mod pool;
 mod ready;
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -66,7 +66,12 @@
 
 fn merge(instance: &Instance, engine: &EngineId, said: Announcement, source: &str) {
     let now = instance.now();
-    let throttles = &mut instance.fleet.borrow_mut().throttles;
+    let mut fleet = instance.fleet.borrow_mut();
+    if fleet.get(engine).is_none() {
+        // Nothing would remove its limit again.
+        return;
+    }
+    let throttles = &mut fleet.throttles;
     if !throttles.merge(engine, said, now) {
         return;
     }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -14,11 +14,12 @@
 use serving::{Choice, Kind};
 use tokio::time::{Instant, timeout_at};
 
-use crate::attempt::{self, Answered, Asked, Avoid, MOST, NotRun, Rejections, Tried};
+use crate::attempt::{self, Answered, Asked, MOST, NotRun, Rejections, Tried};
 use crate::crashes;
 use crate::held::{Held, Step};
 use crate::instance::Instance;
 use crate::metrics;
+use crate::placement::{self, Avoid};
 use crate::reply::{Refusal, refuse};
 use crate::suspects;
 
@@ -138,7 +139,7 @@
     let mut rejections = Rejections::default();
     instance.budgets.borrow_mut().earn(&asked.service.name);
     loop {
-        let target = match attempt::place(instance, asked, &avoid, false).await {
+        let target = match placement::place(instance, asked, &avoid, false).await {
             Choice::Direct(target) => target,
             Choice::Split { prefill, .. } => prefill,
             Choice::Refuse { after, why, .. } => {
@@ -216,7 +217,7 @@
 }
 
 async fn one(instance: &Rc<Instance>, asked: &Asked, target: &Target, more: bool) -> One {
-    let Some(engine) = attempt::record(instance, &target.engine) else {
+    let Some(engine) = placement::record(instance, &target.engine) else {
         return One::NotRun(NotRun::Unreachable);
     };
     let mut held = Held::new(instance, asked, target, Step::Run);
--- a/crates/gateway/src/roles.rs
+++ b/crates/gateway/src/roles.rs
@@ -13,11 +13,12 @@
 use serving::{Record, ServiceName};
 use tokio::time::timeout;
 
-use crate::attempt::{self, MOST};
+use crate::attempt::MOST;
 use crate::claims::Grant;
 use crate::instance::Instance;
 use crate::limits;
 use crate::metrics::Ordered;
+use crate::placement;
 
 /// Time for an engine's answer to an order.
 const ANSWER: Duration = Duration::from_millis(400);
@@ -71,7 +72,7 @@
                 log::info!(fence = grant.fence; "the time for orders is over");
                 return taken;
             }
-            let Some(engine) = attempt::record(instance, &change.engine) else {
+            let Some(engine) = placement::record(instance, &change.engine) else {
                 continue;
             };
             match order(instance, &engine, change, grant.fence).await {
--- a/crates/serving/src/throttle.rs
+++ b/crates/serving/src/throttle.rs
@@ -281,13 +281,11 @@
         };
         let per_second = limit.last.limit.and_then(own_rate);
         let before = limit.share;
-        let share = per_second.map(|per_second| match before {
-            // What has left under the limit before counts under the new one.
-            Some(before) => Share {
-                interval: interval(per_second),
-                ..before
-            },
-            None => Share::new(per_second, now),
+        let share = per_second.map(|per_second| {
+            let empty = Share::new(per_second, now);
+            // What has left under the limit before counts under the new one, up to an empty bucket.
+            let next = before.map_or(empty.next, |before| before.next.min(empty.next));
+            Share { next, ..empty }
         });
         if let Some(limit) = self.limits.get_mut(engine) {
             limit.share = share;
--- a/crates/serving/tests/throttle.rs
+++ b/crates/serving/tests/throttle.rs
@@ -170,6 +170,16 @@
     );
 }
 
+/// Guards against an engine that takes calls again and is still left aside, for as long as its old limit would have it.
+#[test]
+fn a_limit_that_rises_is_used_at_once() {
+    let mut throttles = throttles(0, &[0]);
+    throttles.merge(&id("e"), said(0.0, ms(0)), ms(0));
+    throttles.charge("e", ms(0));
+    throttles.merge(&id("e"), said(10.0, ms(1_000)), ms(1_000));
+    assert_eq!(throttles.permit("e", ms(1_000)), Permit::After(ms(100)));
+}
+
 /// Guards against a limit that comes back by what an instance tells late.
 #[test]
 fn a_lifted_limit_does_not_come_back_by_an_older_announcement() {
