Keep the rule that a reserved engine is counted once in one place

Cause: both callers of the placement, and two replays, each left out the charge of an engine that had been reserved; deferring a refused call filtered the fleet again as 'ready' does; two tests counted windows alike, and one turned an array round to name its parts. Change: place::charge and place::commit know the reservation; the fleet hands over the sum of the limits; the tests share the count. No behaviour, bound or assertion changes. Tests of serving (need, throttle, place, replay) and gateway (limits, calls, placers), lint and format pass.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -99,12 +99,7 @@
             let read_in = Zone::from(question.read_in.as_str());
             place::decode(&fleet, &demand, &read_in, now).map_or(NOWHERE, Choice::Direct)
         };
-        let is_counted = choice
-            .target()
-            .is_some_and(|target| reserved.as_ref() == Some(&target.engine));
-        if !is_counted {
-            place::commit(&mut fleet, &service, &mut choice, now);
-        }
+        place::commit(&mut fleet, &demand, &mut choice, now);
         choice
     };
     if let Some(target) = choice.target() {
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -19,7 +19,6 @@
 
 use crate::frame::{micros, millis, piece};
 use crate::instance::Instance;
-use crate::limits;
 use crate::metrics::Asked;
 
 /// Time for one placer's answer. The way there and back takes a few milliseconds at the most within a region; the rest is for one
@@ -70,7 +69,7 @@
     let now = instance.now();
     let mut fleet = instance.fleet.borrow_mut();
     let mut choice = place::choose(&fleet, demand, now);
-    place::commit(&mut fleet, demand.service, &mut choice, now);
+    place::commit(&mut fleet, demand, &mut choice, now);
     choice
 }
 
@@ -85,10 +84,9 @@
         Some(Choice::Refuse { .. }) => None,
         Some(Choice::Split { .. }) | None => {
             let now = instance.now();
-            let target = place::decode(&instance.fleet.borrow(), demand, read_in, now)?;
-            if demand.reserved != Some(&target.engine) {
-                limits::charge(instance, &target.engine);
-            }
+            let mut fleet = instance.fleet.borrow_mut();
+            let target = place::decode(&fleet, demand, read_in, now)?;
+            place::charge(&mut fleet, demand, &target, now);
             Some(target)
         }
     }
--- a/crates/gateway/tests/limits.rs
+++ b/crates/gateway/tests/limits.rs
@@ -84,8 +84,7 @@
         }
         first.configure(1, "app");
         first.until_ready(true).await;
-        let worlds = [first.beside(), first.slow_beside()];
-        let [second, third] = worlds;
+        let (second, third) = (first.beside(), first.slow_beside());
         let worlds = [first, second, third];
         engines.until_known(&worlds).await;
         limited.limit(Some(&LIMIT.to_string()));
@@ -202,8 +201,7 @@
 /// Three gateways that know the limit of the only engine of plain calls.
 async fn with_one_engine(limit: &str) -> ([World; 3], Engine) {
     let (first, app, _pool) = World::start().await;
-    let worlds = [first.beside(), first.slow_beside()];
-    let [second, third] = worlds;
+    let (second, third) = (first.beside(), first.slow_beside());
     let worlds = [first, second, third];
     for world in &worlds {
         world.until_ready(true).await;
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -13,7 +13,7 @@
 use crate::parts::{Part, Parts};
 use crate::pauses::Pauses;
 use crate::speed::Speed;
-use crate::throttle::Throttles;
+use crate::throttle::{Rate, Throttles};
 use crate::{EngineId, ServiceName, hash, line};
 
 mod remote;
@@ -338,14 +338,11 @@
 
     /// Counts a call that limits of a service's engines keep away. Gives the time after which its caller may come back.
     pub(crate) fn defer(&mut self, service: &ServiceName, now: Moment) -> Duration {
-        let Self {
-            engines, throttles, ..
-        } = self;
-        let ready = engines
-            .values()
-            .filter(|engine| engine.takes_calls() && engine.record.service == *service);
-        let ready = ready.map(|engine| &engine.record.id);
-        throttles.defer(service, ready, now)
+        let limits = self
+            .ready(service)
+            .filter_map(|engine| self.throttles.limit(&engine.record.id));
+        let per_second = limits.map(Rate::per_second).sum();
+        self.throttles.defer(service, per_second, now)
     }
 
     /// Drops what silent instances said, and orders that had no effect.
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -165,11 +165,11 @@
     }
 }
 
-/// Counts what was chosen for a call of a service against the limits of its engines. A call that limits keep away is told when to come
+/// Counts what was chosen for a call against the limits of its engines. A call that limits keep away is told when to come
 /// back by what was refused before it.
-pub fn commit(fleet: &mut Fleet, service: &ServiceName, choice: &mut Choice, now: Moment) {
+pub fn commit(fleet: &mut Fleet, demand: &Demand, choice: &mut Choice, now: Moment) {
     match choice {
-        Choice::Direct(target) => fleet.throttles.charge(&target.engine, now),
+        Choice::Direct(target) => charge(fleet, demand, target, now),
         Choice::Split {
             prefill, reserved, ..
         } => {
@@ -182,11 +182,18 @@
             after,
             why: Refusal::Limited,
             ..
-        } => *after = fleet.defer(service, now).max(*after),
+        } => *after = fleet.defer(demand.service, now).max(*after),
         Choice::Refuse { .. } => {}
     }
 }
 
+/// Counts a call against the limit of its engine, unless that was done when the engine was reserved for it.
+pub fn charge(fleet: &mut Fleet, demand: &Demand, target: &Target, now: Moment) {
+    if demand.reserved != Some(&target.engine) {
+        fleet.throttles.charge(&target.engine, now);
+    }
+}
+
 /// Finds the place of a call that may end its engine: where the fewest calls run, which also reads its prompt.
 fn choose_alone(fleet: &Fleet, demand: &Demand, now: Moment) -> Choice {
     let quietest = {
@@ -383,7 +390,7 @@
             Choice::Split {
                 expected: prefill.target.expected + decode.target.expected,
                 prefill: prefill.target,
-                reserved: fleet.throttles.is_limited(&engine).then_some(engine),
+                reserved: fleet.throttles.limit(&engine).map(|_| engine),
             }
         }
         _ => Choice::Direct(direct.target),
--- a/crates/serving/src/throttle.rs
+++ b/crates/serving/src/throttle.rs
@@ -199,16 +199,11 @@
 
     /// Counts a call that is refused since engines of a service are limited. Gives the time in which they take as many calls as
     /// were refused before it, so that callers come back one after the other, and not at all where they would be refused again.
-    pub fn defer<'a>(
-        &mut self,
-        service: &ServiceName,
-        engines: impl Iterator<Item = &'a EngineId>,
-        now: Moment,
-    ) -> Duration {
-        let rates = engines.filter_map(|engine| Some(self.in_force(engine)?.1.per_second()));
+    /// `per_second` is what these engines take together.
+    pub fn defer(&mut self, service: &ServiceName, per_second: f64, now: Moment) -> Duration {
         let instances = 1 + self.placers.others.len();
         #[allow(clippy::cast_precision_loss)]
-        let own = rates.sum::<f64>() / instances as f64;
+        let own = per_second / instances as f64;
         let until = self.refused_until.entry(service.clone()).or_default();
         *until = (*until).max(now) + interval(own);
         *until = (*until).min(now + MAX_DEFERRAL);
@@ -222,9 +217,9 @@
         Some(share.map_or(0.0, |share| 1.0 / share.interval.as_secs_f64()))
     }
 
-    /// Whether an engine is limited.
-    pub fn is_limited(&self, engine: &str) -> bool {
-        self.in_force(engine).is_some()
+    /// The limit of an engine, if it has one.
+    pub fn limit(&self, engine: &str) -> Option<Rate> {
+        Some(self.in_force(engine)?.1)
     }
 
     /// Engines that are limited.
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -59,6 +59,15 @@
     Rc::from(id)
 }
 
+/// The most of these moments, in order, that lie within one window.
+pub(crate) fn most_within(at: &[Duration], window: Duration) -> usize {
+    let windows = at.iter().enumerate().map(|(first, from)| {
+        let within = at[first..].iter().take_while(|at| **at < *from + window);
+        within.count()
+    });
+    windows.max().unwrap_or(0)
+}
+
 /// Parts by id and tokens.
 pub(crate) fn prompt(parts: &[(u32, u32)]) -> Vec<Part> {
     let parts = parts.iter();
--- a/crates/serving/tests/need.rs
+++ b/crates/serving/tests/need.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use clock::Moment;
-use common::{demand, fleet, generation, id, prompt, service, zone};
+use common::{demand, fleet, generation, id, most_within, prompt, service, zone};
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
 use serving::place::{self, Target};
@@ -168,7 +168,7 @@
         };
         let fleet = &mut self.fleets[self.calls[call].instance];
         let mut choice = place::choose(fleet, &demand, now);
-        place::commit(fleet, &service, &mut choice, now);
+        place::commit(fleet, &demand, &mut choice, now);
         choice
     }
 
@@ -184,9 +184,7 @@
         };
         let fleet = &mut self.fleets[self.calls[call].instance];
         if let Some(target) = place::decode(fleet, &demand, &zone, now) {
-            if reserved != Some(&target.engine) {
-                fleet.throttles.charge(&target.engine, now);
-            }
+            place::charge(fleet, &demand, &target, now);
             self.send(call, &target, now);
             return;
         }
@@ -247,11 +245,7 @@
         let own = requests.filter(|(engine, _)| **engine == **name);
         let mut at: Vec<Moment> = own.map(|(_, at)| *at).collect();
         at.sort_unstable();
-        let windows = at.iter().enumerate().map(|(first, from)| {
-            let within = at[first..].iter().take_while(|at| **at < *from + WINDOW);
-            within.count()
-        });
-        windows.max().unwrap_or(0)
+        most_within(&at, WINDOW)
     });
     most.max().unwrap_or(0)
 }
--- a/crates/serving/tests/replay/world.rs
+++ b/crates/serving/tests/replay/world.rs
@@ -211,7 +211,7 @@
         let fleet = &mut self.fleets[call.instance];
         let time = Duration::from_micros(now);
         let mut choice = place::choose(fleet, &demand, time);
-        place::commit(fleet, &service, &mut choice, time);
+        place::commit(fleet, &demand, &mut choice, time);
         if let Choice::Split {
             reserved: Some(reserved),
             ..
@@ -336,9 +336,7 @@
                     // Its limits are used up, and it was not reserved.
                     return;
                 };
-                if reserved.as_ref() != Some(&target.engine) {
-                    fleet.throttles.charge(&target.engine, time);
-                }
+                place::charge(fleet, &demand, &target, time);
                 self.index(&target.engine)
             }
             _ => self.baseline(number, PREFILL),
--- a/crates/serving/tests/throttle.rs
+++ b/crates/serving/tests/throttle.rs
@@ -7,7 +7,7 @@
 
 use assert_matches::assert_matches;
 use clock::Moment;
-use common::{demand, fleet, generation, id, ms, prompt, record, service, zone};
+use common::{demand, fleet, generation, id, most_within, ms, prompt, record, service, zone};
 use serving::place::{self, Refusal};
 use serving::placer::Placers;
 use serving::throttle::{Announcement, Permit, Rate, Throttles};
@@ -55,11 +55,7 @@
 
 /// Requests beyond what a limit allows in the fullest window; negative if there is room.
 fn excess(sent: &[Moment], limit: f64) -> f64 {
-    let windows = sent.iter().enumerate().map(|(first, from)| {
-        let within = sent[first..].iter().take_while(|at| **at < *from + WINDOW);
-        within.count()
-    });
-    let most = windows.max().unwrap_or(0);
+    let most = most_within(sent, WINDOW);
     f64::from(u32::try_from(most).expect("a count")) - (1.5 * limit * WINDOW.as_secs_f64() + 5.0)
 }
 
