Count a trial of a held call only if another engine ends under it

What callers saw: a stream that all callers send was refused for 10 min after a fatal call had ended three engines within 110 ms. Cause: a trial counted as soon as it had begun. Change: an entry counts the trials under which one more engine ended; others are made again after the same time, alike calls after twice the time, eight of them at the most. So that a fatal call whose caller never waits is not tried eight times, a suspect whose caller leaves has its engine looked at half a second later.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -80,7 +80,7 @@
     log::info!(
         id = asked.call.id.as_str(), fingerprint = asked.fingerprint_text(), caller:% = asked.caller,
         ended = entry.standing(), last_ms:% = suspects::now(instance).saturating_sub(last).as_millis(),
-        trials = entry.trials, after_ms:% = after.as_millis();
+        trials = entry.trials, failed = entry.failed, after_ms:% = after.as_millis();
         "held"
     );
 }
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -38,6 +38,9 @@
 /// Tries of an engine that tells nothing, of which each takes as long as a connection may if its link is silent. Engines are back within
 /// some seconds; from then on, the address tells nothing of the one before.
 const TRIES: usize = 8;
+/// Time from a call's start at an engine within which the engine ends if it ends of the call. A caller that leaves sooner does not
+/// see it.
+const ENDING: Duration = Duration::from_millis(500);
 /// Longest time that a call which may end engines waits to know whether it has ended one more, before it is sent again.
 const KNOWING: Duration = Duration::from_millis(400);
 
@@ -69,12 +72,7 @@
 /// Takes in that an engine's answer to a call broke off. Returns once it is known whether the engine has ended, if that
 /// matters for what is done with the call next.
 pub(crate) async fn broke_off(instance: &Rc<Instance>, asked: &Asked, engine: &Record) {
-    let is_leaving = {
-        let fleet = instance.fleet.borrow();
-        let known = fleet.get(&engine.id);
-        known.is_none_or(|known| known.gone || known.record.state == State::Draining)
-    };
-    if is_leaving {
+    if is_leaving(instance, &engine.id) {
         return;
     }
     let at = suspects::now(instance);
@@ -108,6 +106,44 @@
     }
 }
 
+/// Takes in that a suspect was given up while an engine had it. Its caller sees no end of the engine any more, and without this a call
+/// whose caller never waits would end engines unseen.
+pub(crate) fn given_up(instance: &Rc<Instance>, asked: &Asked, engine: &EngineId) {
+    if !instance.suspects.is_noted(asked) || is_leaving(instance, engine) {
+        return;
+    }
+    let record = instance
+        .fleet
+        .borrow()
+        .get(engine)
+        .map(|known| known.record.clone());
+    let Some(record) = record else { return };
+    let (instance, subject) = (instance.clone(), asked.subject());
+    actix_rt::spawn(async move {
+        let at = suspects::now(&instance);
+        sleep(ENDING).await;
+        if is_leaving(&instance, &record.id) {
+            return;
+        }
+        // A try that ends without a word is one that did not tell.
+        if known(&instance, &record)
+            .wait_for(|ended| *ended)
+            .await
+            .is_ok()
+        {
+            instance.suspects.crashed(&subject, &record, at);
+            instance.stirred.notify_one();
+        }
+    });
+}
+
+/// Whether an engine is to leave or has left, so that its end says nothing of its calls.
+fn is_leaving(instance: &Instance, engine: &EngineId) -> bool {
+    let fleet = instance.fleet.borrow();
+    let known = fleet.get(engine);
+    known.is_none_or(|known| known.gone || known.record.state == State::Draining)
+}
+
 /// Says whether an engine has ended, once that is known. All calls that break at once share one try.
 fn known(instance: &Rc<Instance>, engine: &Record) -> watch::Receiver<bool> {
     let mut tried = instance.crashes.tried.borrow_mut();
--- a/crates/gateway/src/frame.rs
+++ b/crates/gateway/src/frame.rs
@@ -194,6 +194,7 @@
         trials: entry.trials,
         tried_age_ms: age(entry.tried, now),
         written_unix_ms: 0,
+        failed: entry.failed,
     }
 }
 
@@ -216,6 +217,7 @@
         released: moment(told.released_age_ms, now),
         trials: told.trials,
         tried: moment(told.tried_age_ms, now),
+        failed: told.failed,
     };
     (call, entry)
 }
--- a/crates/gateway/src/held.rs
+++ b/crates/gateway/src/held.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use serving::engine::Ticket;
@@ -12,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::attempt::Asked;
+use crate::crashes;
 use crate::instance::Instance;
 
 /// What an engine is sent a call for.
@@ -44,7 +46,7 @@
 
 /// A call that is in an engine's books until this is dropped.
 pub(crate) struct Held<'a> {
-    instance: &'a Instance,
+    instance: &'a Rc<Instance>,
     asked: &'a Asked,
     sent: Sent,
     expected: Duration,
@@ -58,7 +60,7 @@
 
 impl<'a> Held<'a> {
     pub(crate) fn new(
-        instance: &'a Instance,
+        instance: &'a Rc<Instance>,
         asked: &'a Asked,
         target: &Target,
         step: Step,
@@ -142,6 +144,10 @@
         let now = self.instance.now();
         let mut fleet = self.instance.fleet.borrow_mut();
         fleet.end(&self.sent, self.outcome, now);
+        drop(fleet);
+        if self.outcome.is_none() {
+            crashes::given_up(self.instance, self.asked, &self.sent.engine);
+        }
         if let Some(placed_by) = self.placed_by {
             self.instance.reports.ended(placed_by, self.outcome);
             self.instance.stirred.notify_one();
--- a/crates/gateway/tests/ending.rs
+++ b/crates/gateway/tests/ending.rs
@@ -271,6 +271,47 @@
     assert_eq!(pool.reached(FATAL), reached + 1);
 }
 
+/// Sends the call to an instance, leaves it once an engine has it, and ends that engine.
+async fn leave_and_end(world: &World, pool: &Pool, path: &str) {
+    let id = world.fresh_id();
+    let reached = || pool.engines.iter().find(|engine| engine.runs(&id) > 0);
+    tokio::select! {
+        answer = world.generate_same(path, &id) => panic!("engines do not answer: {answer:?}"),
+        () = until(async || reached().is_some()) => {}
+    }
+    until(async || world.log_lines(&format!("the caller left id={id}")) > 0).await;
+    reached().expect("an engine has it").end();
+}
+
+/// Guards against a call that ends engines unseen because its caller leaves first.
+#[actix_rt::test]
+async fn a_call_that_ends_engines_is_held_although_its_caller_leaves() {
+    let (worlds, pool) = three_instances().await;
+    let first = &worlds[0];
+    until(async || {
+        first.generate_same(FATAL, &first.fresh_id()).await;
+        pool.ended() == ENDED - 1
+    })
+    .await;
+    let noted = "an engine ended with the call in hand";
+    until(async || first.log_lines_with(noted, "ended=2") > 0).await;
+    for engine in &pool.engines {
+        engine.act(Act::Hang);
+    }
+    leave_and_end(first, &pool, FATAL).await;
+    // Nothing is sent meanwhile: a call that met the ended engine would tell its end.
+    until(async || first.log_lines_with(noted, "ended=3") > 0).await;
+    for world in &worlds {
+        until(async || {
+            let id = world.fresh_id();
+            let asked = world.generate_same(FATAL, &id);
+            let answer = tokio::time::timeout(KNOWN_EVERYWHERE, asked).await;
+            answer.is_ok_and(|answer| answer.status == 503 && answer.text().contains("ended"))
+        })
+        .await;
+    }
+}
+
 /// A stream that may go on elsewhere was sent to a further engine at once, before anyone knew that the one before had ended.
 /// One that has ended engines before waits for that.
 #[actix_rt::test]
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -56,10 +56,12 @@
     pub good: SmallVec<[Good; 1]>,
     /// When an operator let it go.
     pub released: Option<Moment>,
-    /// Trials since it is held, and when the last one began.
+    /// Trials begun while it was held.
     pub trials: u32,
-    /// When the last one began.
+    /// When the last trial began.
     pub tried: Option<Moment>,
+    /// Trials under which one more engine ended.
+    pub failed: u32,
 }
 
 /// What may be done with a call.
@@ -91,6 +93,9 @@
 /// Trials of a held call. Each may end one more engine, and three calls in all may reach engines; the third is left for one that
 /// was on its way.
 const TRIALS: usize = 2;
+/// Trials that may come to nothing: their caller leaves, their engine refuses the call or breaks off and lives, their instance
+/// is killed. Further ones count as failed, so that a call whose outcome is never seen ends a bounded number of engines.
+const MAX_INCONCLUSIVE: u32 = 8;
 /// How long a call is held before each trial, and after the last one. The first is longer than engines take to be back and
 /// bounds how long an innocent call is kept from engines; the last is the time in which operators see to it.
 const HOLDS: [Duration; TRIALS + 1] = [
@@ -153,7 +158,7 @@
             };
         }
         let after = (self.held_since() + hold).saturating_sub(now);
-        if after.is_zero() && (self.trials as usize) < TRIALS {
+        if after.is_zero() && self.spent() < TRIALS {
             return Verdict::Due;
         }
         let fatal = |build| {
@@ -168,8 +173,15 @@
         }
     }
 
+    /// Trials that count: one that comes to nothing says nothing of the call, and is made again.
+    fn spent(&self) -> usize {
+        let inconclusive = self.trials.saturating_sub(self.failed);
+        let counted = inconclusive.saturating_sub(MAX_INCONCLUSIVE);
+        (self.failed + counted) as usize
+    }
+
     fn hold(&self) -> Duration {
-        HOLDS[(self.trials as usize).min(TRIALS)]
+        HOLDS[self.spent().min(TRIALS)]
     }
 
     fn held_since(&self) -> Moment {
@@ -191,7 +203,7 @@
 
     fn is_over(&self, now: Moment) -> bool {
         if self.is_held() {
-            self.trials as usize >= TRIALS && now >= self.held_since() + self.hold()
+            self.spent() >= TRIALS && now >= self.held_since() + self.hold()
         } else {
             now.saturating_sub(self.touched()) >= REMEMBERED
         }
@@ -257,6 +269,10 @@
             self.tried = told.tried;
             is_news = true;
         }
+        if told.failed > self.failed {
+            self.failed = told.failed;
+            is_news = true;
+        }
         is_news
     }
 }
@@ -288,7 +304,13 @@
 
     /// Takes in that an engine ended with a call in hand. Says whether this is new.
     pub fn crashed(&mut self, call: Fingerprint, caller: Caller, crash: Crash) -> bool {
-        self.entry(call, caller).crashed(crash)
+        let entry = self.entry(call, caller);
+        let fails_trial = entry.is_held() && entry.tried.is_some_and(|tried| crash.at >= tried);
+        let is_new = entry.crashed(crash);
+        if is_new && fails_trial {
+            entry.failed = (entry.failed + 1).min(entry.trials);
+        }
+        is_new
     }
 
     /// Takes in that an engine outlived a run of a call. Says whether others should hear of it.
@@ -336,7 +358,11 @@
     pub fn digest(&self) -> u64 {
         self.suspects().fold(0, |digest, (call, entry)| {
             let standing = entry.standing().min(CRASHES);
-            digest ^ hash::number(&format!("{call:x} {standing} {}", entry.trials))
+            digest
+                ^ hash::number(&format!(
+                    "{call:x} {standing} {} {}",
+                    entry.trials, entry.failed
+                ))
         })
     }
 
@@ -347,7 +373,7 @@
 
     /// How long a held call is held. Those that are alike come one after the other, in an order that all instances share.
     fn hold(&self, call: Fingerprint, entry: &Entry) -> Duration {
-        if entry.trials > 0 || !entry.is_held() {
+        if entry.spent() > 0 || !entry.is_held() {
             return entry.hold();
         }
         let others = self.entries.iter().filter(|(other, _)| **other != call);
@@ -360,7 +386,10 @@
         if count == 0 {
             return entry.hold();
         }
-        (ALIKE_HOLD * (before + 1)).min(entry.hold())
+        // A trial may still run, so further ones come at growing distances.
+        let backoff = 2u32.saturating_pow(entry.trials);
+        let hold = ALIKE_HOLD.saturating_mul((before + 1).saturating_mul(backoff));
+        hold.min(entry.hold())
     }
 
     /// The entry of a call, a new one if need be. What makes room for it is the least of the same caller's if that one has many,
