--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -9,7 +9,7 @@
 use signals::{Early, Request, Signals};
 
 use crate::instance::Instance;
-use crate::{aside, duties, follow, front, mesh, metrics, ready};
+use crate::{duties, follow, front, mesh, metrics, ready, status};
 
 /// Why the process cannot serve.
 #[derive(Clone, Copy, Debug)]
@@ -57,7 +57,7 @@
     let front = http1::listen(listen.front).change_context(Failure::Listen)?;
     let ready = http1::listen(listen.ready).change_context(Failure::Listen)?;
     actix_rt::spawn(front::accept(instance.clone(), front));
-    actix_rt::spawn(aside::accept(instance.clone(), ready, ready::reply));
+    actix_rt::spawn(status::serve(instance.clone(), ready, ready::reply));
     if let Some(port) = port {
         metrics::start(&instance, port);
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,6 @@
 
 mod admission;
 mod answer;
-mod aside;
 mod ask;
 mod attempt;
 mod book;
@@ -42,6 +41,7 @@
 pub mod reports;
 mod roles;
 mod sizes;
+mod status;
 mod suspects;
 mod trials;
 mod usage;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,8 +18,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
-use crate::aside;
 use crate::instance::Instance;
+use crate::status;
 
 /// Path of the page.
 const PATH: &str = "/metrics";
@@ -325,7 +325,7 @@
 pub(crate) fn start(instance: &Rc<Instance>, port: u16) {
     let address = SocketAddr::new(instance.address.ip(), port);
     match http1::listen(address) {
-        Ok(listener) => drop(actix_rt::spawn(aside::accept(
+        Ok(listener) => drop(actix_rt::spawn(status::serve(
             instance.clone(),
             listener,
             reply,
--- a/crates/gateway/src/aside.rs
+++ b/crates/gateway/src/status.rs
@@ -1,4 +1,4 @@
-//! Short questions that are answered at once, on listeners of their own beside that of the callers.
+//! Serves status requests (readiness, metrics) on listeners of their own, apart from callers' traffic.
 
 use std::rc::Rc;
 
@@ -10,20 +10,24 @@
 use crate::front::{CALLER, LIMITS, accept_failed};
 use crate::instance::Instance;
 
-/// What a path is answered with.
-pub(crate) type Reply = fn(&Instance, &str) -> (Response<()>, Bytes);
+/// Maps the path of a status request to its response.
+pub(crate) type Handler = fn(&Instance, &str) -> (Response<()>, Bytes);
 
-/// Accepts questions until the process ends.
-pub(crate) async fn accept(instance: Rc<Instance>, listener: TcpListener, reply: Reply) {
+/// Accepts connections until the process ends.
+pub(crate) async fn serve(instance: Rc<Instance>, listener: TcpListener, handler: Handler) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => drop(actix_rt::spawn(answer(instance.clone(), stream, reply))),
+            Ok((stream, _)) => drop(actix_rt::spawn(serve_connection(
+                instance.clone(),
+                stream,
+                handler,
+            ))),
             Err(error) => accept_failed(&error).await,
         }
     }
 }
 
-async fn answer(instance: Rc<Instance>, stream: TcpStream, reply: Reply) {
+async fn serve_connection(instance: Rc<Instance>, stream: TcpStream, handler: Handler) {
     let Ok(mut server) = Server::new(stream, &CALLER, &instance.codec) else {
         return;
     };
@@ -31,7 +35,7 @@
         let Ok(arrival) = server.request(&LIMITS).await else {
             return;
         };
-        let (head, body) = reply(&instance, arrival.head.uri.path());
+        let (head, body) = handler(&instance, arrival.head.uri.path());
         let (_, writer) = server.sides();
         if writer.whole(head, body).await.is_err() || !writer.keeps_open() {
             return;
