--- a/crates/gateway/src/newcomers.rs
+++ b/crates/gateway/src/bootstrap.rs
@@ -1,8 +1,8 @@
-//! Tells instances that have just started what the store holds.
+//! Transfers the store's state to instances that have just started.
 //!
-//! After all processes were killed at once, each of them would read the configuration and all engines from the store; these
-//! calls are paid for, and share one rate. So few read, and whoever places calls tells those of its data centre that know
-//! nothing yet. One that is told nothing reads in the end, so that a lost datagram costs time only.
+//! Store reads are limited and paid for, so after a restart of the whole fleet only a few instances read. Placers send
+//! the configuration and the engines to instances of their data centre that lack them. An instance that receives nothing reads the
+//! store itself, so a lost datagram only costs time.
 
 use std::collections::BTreeMap;
 
@@ -12,23 +12,23 @@
 use crate::instance::Instance;
 use crate::peers::Topic;
 
-/// Most bytes of records in one datagram.
-const BYTES: usize = 8 * 1024;
-/// Largest configuration that is told. A larger one takes small links longer than the store's.
-const LARGEST: usize = 24 * 1024;
-/// Instances, by the common order, that tell placers of other data centres.
-const FIRST: u32 = 2;
+/// Record bytes from which on a datagram is full.
+const FRAME_BYTES: usize = 8 * 1024;
+/// Largest configuration that is transferred; a larger one is read from the store faster.
+const MAX_CONFIGURATION_BYTES: usize = 24 * 1024;
+/// Instances, in the common order, that transfer state to placers of other data centres.
+const SEEDERS: u32 = 2;
 
-/// Records of the store as they were read, so that they can be told.
+/// Copies of the store's records, kept for transfer.
 #[derive(Debug, Default)]
-pub(crate) struct Records {
+pub(crate) struct Snapshot {
     configuration: Option<News>,
     engines: BTreeMap<String, News>,
 }
 
-impl Records {
-    /// Keeps a record; one that was dropped goes.
-    pub(crate) fn put(&mut self, news: News) {
+impl Snapshot {
+    /// Stores a record, or removes it when its value is absent.
+    pub(crate) fn apply(&mut self, news: News) {
         if news.configuration {
             self.configuration = Some(news);
         } else if news.value.is_some() {
@@ -38,23 +38,23 @@
         }
     }
 
-    /// Forgets engines before all are read.
+    /// Removes all engines, before a full read.
     pub(crate) fn clear_engines(&mut self) {
         self.engines.clear();
     }
 }
 
-/// What an instance that sent this state is to be told, if it knows nothing of a topic.
-pub(crate) fn frames(instance: &Instance, state: &State) -> Vec<Frame> {
-    let is_lacking = state.configuration == 0 || state.lacks_engines;
-    if !is_lacking || !instance.is_placing() || !is_to_tell(instance, state) {
+/// Frames for a peer whose state shows that it lacks a topic; none if another instance serves it.
+pub(crate) fn transfer(instance: &Instance, state: &State) -> Vec<Frame> {
+    let lacks_topic = state.configuration == 0 || state.lacks_engines;
+    if !lacks_topic || !instance.is_placing() || !serves(instance, state) {
         return Vec::new();
     }
     let mut frames = Vec::new();
-    let records = instance.records.borrow();
+    let snapshot = instance.snapshot.borrow();
     if state.configuration == 0 {
         frames.extend(
-            records
+            snapshot
                 .configuration
                 .as_ref()
                 .map(|news| configuration(instance, news)),
@@ -63,10 +63,10 @@
     if state.lacks_engines && instance.has(Topic::Engines) {
         let mut some = Vec::new();
         let mut bytes = 0;
-        for news in records.engines.values() {
+        for news in snapshot.engines.values() {
             bytes += news.value.as_ref().map_or(0, Vec::len);
             some.push(news.clone());
-            if bytes > BYTES {
+            if bytes > FRAME_BYTES {
                 bytes = 0;
                 frames.push(frame(instance, std::mem::take(&mut some)));
             }
@@ -79,20 +79,20 @@
     frames
 }
 
-/// Whether this instance, of those that place calls, tells the one that sent this state.
-fn is_to_tell(instance: &Instance, state: &State) -> bool {
-    let is_first = || {
+/// Whether this placer is the one that transfers state to the peer.
+fn serves(instance: &Instance, state: &State) -> bool {
+    let is_seeder = || {
         let peers = instance.peers.borrow();
-        peers.rank(instance.order(), instance.now()) < FIRST
+        peers.rank(instance.order(), instance.now()) < SEEDERS
     };
-    hash::short(&instance.zone) == state.zone || state.placing && is_first()
+    hash::short(&instance.zone) == state.zone || state.placing && is_seeder()
 }
 
 fn configuration(instance: &Instance, news: &News) -> Frame {
     if news
         .value
         .as_ref()
-        .is_some_and(|value| value.len() > LARGEST)
+        .is_some_and(|value| value.len() > MAX_CONFIGURATION_BYTES)
     {
         return Frame {
             read_configuration: true,
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -280,7 +280,7 @@
             let is_new = instance.configure(table, source);
             if is_new {
                 let news = news(Topic::Configuration, record);
-                instance.records.borrow_mut().put(news);
+                instance.snapshot.borrow_mut().apply(news);
             }
             is_new
         }
@@ -314,12 +314,12 @@
 }
 
 fn take_all(instance: &Instance, registry: &mut Registry, records: &[Keyed]) {
-    let mut kept = instance.records.borrow_mut();
+    let mut kept = instance.snapshot.borrow_mut();
     kept.clear_engines();
     for record in records {
         registry.is_news(&record.key, record.offset);
         registry.reached(record.offset);
-        kept.put(news(Topic::Engines, record));
+        kept.apply(news(Topic::Engines, record));
     }
     drop(kept);
     let mut fleet = instance.fleet.borrow_mut();
@@ -339,9 +339,9 @@
         return false;
     }
     instance
-        .records
+        .snapshot
         .borrow_mut()
-        .put(news(Topic::Engines, record));
+        .apply(news(Topic::Engines, record));
     let mut fleet = instance.fleet.borrow_mut();
     if record.value.is_none() {
         let change = registry.remove(&mut fleet, &record.key, instance.now());
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -22,9 +22,9 @@
 
 use crate::ask::Questions;
 use crate::book::Book;
+use crate::bootstrap::Snapshot;
 use crate::crashes::Crashes;
 use crate::metrics::Metrics;
-use crate::newcomers::Records;
 use crate::peers::{self, Peers, Topic};
 use crate::phase::Phase;
 use crate::pool::Pool;
@@ -63,7 +63,7 @@
     /// Whether all engines are known.
     pub engines_known: Cell<bool>,
     /// The records of the store that are known, for those that start.
-    pub records: RefCell<Records>,
+    pub snapshot: RefCell<Snapshot>,
     /// Whether the other instances have been read from the store.
     pub is_registered: Cell<bool>,
     /// Whether another instance said that the configuration is to be read.
@@ -114,7 +114,7 @@
             engines_read: Cell::new(None),
             address: SocketAddr::new(settings.ip, settings.ports.0),
             engines_known: Cell::new(false),
-            records: RefCell::default(),
+            snapshot: RefCell::default(),
             is_registered: Cell::new(false),
             must_read: Cell::new(false),
             budgets: RefCell::new(Budgets::new(settings.bounds.repeats, INSTANCES)),
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -20,7 +20,7 @@
 use crate::instance::Instance;
 use crate::peers::{self, PARTS, Topic};
 use crate::usage::REPORTERS;
-use crate::{answer, discover, heard, limits, newcomers, recall, suspects, trials, usage};
+use crate::{answer, bootstrap, discover, heard, limits, recall, suspects, trials, usage};
 
 /// Pause between two frames while nothing is placed.
 const PACE: Duration = Duration::from_millis(100);
@@ -76,7 +76,7 @@
                         broadcast(&socket, &answer, &[from]);
                     }
                     let state = frame.state.as_ref();
-                    let lacking = state.map(|state| newcomers::frames(&instance, state));
+                    let lacking = state.map(|state| bootstrap::transfer(&instance, state));
                     for told in lacking.into_iter().flatten() {
                         broadcast(&socket, &told, &[from]);
                     }
