--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -96,11 +96,11 @@
     };
     let noting = actix_rt::spawn(noting);
     if matters {
-        let is_told = async {
+        let noted = async {
             drop(known.wait_for(|ended| *ended).await);
             drop(noting.await);
         };
-        if timeout(KNOWING, is_told).await.is_err() {
+        if timeout(KNOWING, noted).await.is_err() {
             log::debug!(engine = &*engine.id; "it is not known yet whether an engine has ended");
         }
     }
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -87,7 +87,7 @@
 impl Duties {
     /// Looks once, and does what is due. Gives the pause until the next look.
     async fn look(&mut self) -> Duration {
-        if let Some(fence) = self.instance.book.heard() {
+        if let Some(fence) = self.instance.claim_log.announced() {
             self.claims.heard(fence);
         }
         if let Some(era) = self.instance.era.get() {
@@ -118,8 +118,8 @@
     fn due(&mut self, now: Moment) -> Due {
         let instance = &self.instance;
         // Others are not told of all work.
-        let is_told = instance.engines_known.get() && instance.is_placing();
-        if !is_told {
+        let is_synced = instance.engines_known.get() && instance.is_placing();
+        if !is_synced {
             return Due {
                 changes: Changes::new(),
                 reports: false,
@@ -154,7 +154,7 @@
         let mut standing = self.claims.read().await?;
         let reports = self.propose(standing.reports.take());
         let numbers = {
-            let mut sizes = self.instance.book.sizes();
+            let mut sizes = self.instance.claim_log.target_sizes();
             sizes.wish(std::mem::take(&mut standing.wishes));
             // Later ones may have been told.
             if sizes.is_empty() {
@@ -163,7 +163,7 @@
             sizes.numbers()
         };
         let grant = self.claims.claim(&standing, &reports, numbers).await?;
-        self.instance.book.claimed(grant.fence);
+        self.instance.claim_log.record(grant.fence);
         if let Some(ledger) = self.instance.usage.borrow_mut().as_mut() {
             ledger.hear_fixed(reports);
         }
@@ -211,7 +211,7 @@
         for (size, why) in &sizes {
             let answer = platform.order(size, *why).await;
             instance.metrics.sized(counted(answer));
-            let mut sizes = instance.book.sizes();
+            let mut sizes = instance.claim_log.target_sizes();
             sizes.answered(size, answer, instance.now());
             are_had &= answer == Some(Answer::Taken);
         }
@@ -253,7 +253,10 @@
         .filter(|_| duties.is_some_and(|duties| duties.scales));
     table.map_or_else(Vec::new, |table| {
         let fleet = instance.fleet.borrow();
-        instance.book.sizes().plan(&table, &fleet, instance.now())
+        instance
+            .claim_log
+            .target_sizes()
+            .plan(&table, &fleet, instance.now())
     })
 }
 
--- a/crates/gateway/src/heard.rs
+++ b/crates/gateway/src/heard.rs
@@ -62,7 +62,7 @@
     let mut peers = instance.peers.borrow_mut();
     let replaced = peers.heard(from, peer, state, now);
     drop(peers);
-    instance.book.hear(state.claimed, &state.numbers, now);
+    instance.claim_log.merge(state.claimed, &state.numbers, now);
     if let Some(ledger) = instance.usage.borrow_mut().as_mut() {
         for window in &state.reported {
             ledger.taken(*window);
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -21,8 +21,8 @@
 use wire::gateway::Frame;
 
 use crate::ask::Questions;
-use crate::book::Book;
 use crate::bootstrap::Snapshot;
+use crate::claim_log::ClaimLog;
 use crate::crashes::Crashes;
 use crate::metrics::Metrics;
 use crate::peers::{self, Peers, Topic};
@@ -46,7 +46,7 @@
     /// What organisations use, where that is reported.
     pub usage: RefCell<Option<Ledger>>,
     /// Claims, and what was ordered under them.
-    pub book: Book,
+    pub claim_log: ClaimLog,
     /// True time when the process started.
     started: Unix,
     /// Who places calls.
@@ -97,7 +97,7 @@
         let schedule = settings.duties.and_then(|duties| duties.usage);
         Self {
             usage: RefCell::new(schedule.map(|schedule| Ledger::new(schedule, started))),
-            book: Book::default(),
+            claim_log: ClaimLog::default(),
             started,
             zone: Zone::from(settings.zone.as_str()),
             incarnation,
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -20,7 +20,7 @@
 use crate::instance::Instance;
 use crate::peers::{self, PARTS, Topic};
 use crate::usage::REPORTERS;
-use crate::{answer, bootstrap, discover, heard, limits, recall, suspects, trials, usage};
+use crate::{answer, bootstrap, discover, heard, limits, suspects, trials, usage, warmup};
 
 /// Pause between two frames while nothing is placed.
 const PACE: Duration = Duration::from_millis(100);
@@ -57,7 +57,7 @@
     instance.questions.bind(socket.clone());
     actix_rt::spawn(listen(instance.clone(), socket.clone()));
     actix_rt::spawn(tell(instance.clone(), socket));
-    actix_rt::spawn(recall::run(instance.clone()));
+    actix_rt::spawn(warmup::run(instance.clone()));
     actix_rt::spawn(discover::run(instance.clone()));
     actix_rt::spawn(trials::run(instance.clone()));
     Ok(())
@@ -247,7 +247,7 @@
 fn state(instance: &Instance, fleet: &Fleet, knows: bool, now: Moment) -> State {
     let engines = instance.knows(Topic::Engines);
     let placing = instance.is_placing();
-    let (claimed, numbers) = instance.book.told();
+    let (claimed, numbers) = instance.claim_log.snapshot();
     let works = if placing { fleet.own() } else { Vec::new() };
     let works = works
         .iter()
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -304,8 +304,8 @@
         1 + self.by_address.len()
     }
 
-    /// Whether an instance that knows what engines hold is heard of.
-    pub(crate) fn is_told(&self, now: Moment) -> bool {
+    /// Whether a live peer announces that it knows what engines hold.
+    pub(crate) fn has_warm_peer(&self, now: Moment) -> bool {
         let mut heard = self.by_address.values().filter(|known| known.is_heard(now));
         heard.any(|known| known.peer.as_ref().is_some_and(|peer| peer.knows))
     }
--- a/crates/gateway/src/sizes.rs
+++ b/crates/gateway/src/sizes.rs
@@ -73,8 +73,8 @@
             let Some(first) = some.first() else { continue };
             let service = ServiceName::from(first.service.as_str());
             let planner = self.planners.entry(service).or_default();
-            let book: Vec<Booked> = some.iter().map(Numbers::booked).collect();
-            planner.adopt(&book, now);
+            let booked: Vec<Booked> = some.iter().map(Numbers::booked).collect();
+            planner.adopt(&booked, now);
         }
     }
 
