Move gateway::ask and answer to placement::client and server

Names and comments only: Questions is Pending, QUESTIONS MAX_ATTEMPTS, PATIENCE RESPONSE_TIMEOUT, take on_answer and on_request, take_reports on_reports, told encode.

--- a/crates/gateway/src/heard.rs
+++ b/crates/gateway/src/heard.rs
@@ -13,17 +13,18 @@
 use crate::frame::{before, job, moment, outcome, work};
 use crate::instance::Instance;
 use crate::peers::Topic;
-use crate::{answer, ask, follow, limits, mesh, suspects, usage};
+use crate::placement::{client, server};
+use crate::{follow, limits, mesh, suspects, usage};
 
 /// Takes in a frame.
 pub(crate) fn take(instance: &Instance, from: SocketAddr, frame: Frame) {
     let now = instance.now();
     let peer = frame.incarnation;
     if let Some(reports) = &frame.reports {
-        answer::take_reports(instance, peer, reports);
+        server::on_reports(instance, peer, reports);
     }
     if let Some(answer) = &frame.answer {
-        ask::take(instance, from, answer);
+        client::on_answer(instance, from, answer);
     }
     if let Some(state) = &frame.state {
         take_state(instance, from, peer, state, now);
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -20,13 +20,13 @@
 use tokio::sync::Notify;
 use wire::gateway::Frame;
 
-use crate::ask::Questions;
 use crate::bootstrap::Snapshot;
 use crate::claim_log::ClaimLog;
 use crate::crashes::Crashes;
 use crate::metrics::Metrics;
 use crate::peers::{self, Peers, Topic};
 use crate::phase::Phase;
+use crate::placement::client::Pending;
 use crate::pool::Pool;
 use crate::reports::Reports;
 use crate::suspects::Suspects;
@@ -51,8 +51,8 @@
     started: Unix,
     /// Who places calls.
     pub placers: RefCell<Placers>,
-    /// Questions to other instances that are not answered yet.
-    pub questions: Questions,
+    /// Pending to other instances that are not answered yet.
+    pub pending: Pending,
     /// Calls that others placed for this instance, and what is to be reported of them.
     pub reports: Reports,
     /// Whether other instances should hear of this one soon.
@@ -107,7 +107,7 @@
             fleet: RefCell::default(),
             registry: RefCell::default(),
             placers: RefCell::default(),
-            questions: Questions::default(),
+            pending: Pending::default(),
             reports: Reports::default(),
             greeting_due: Cell::new(true),
             configuration_read: Cell::new(None),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,8 +4,6 @@
 //! See [`docs/design/platform.md`](../../../docs/design/platform.md).
 
 mod admission;
-mod answer;
-mod ask;
 mod attempt;
 mod bootstrap;
 mod claim_log;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -19,8 +19,9 @@
 use crate::frame::{add_changes, age, packed, started, told_changing, told_work, unpacked};
 use crate::instance::Instance;
 use crate::peers::{self, PARTS, Topic};
+use crate::placement::server;
 use crate::usage::REPORTERS;
-use crate::{answer, bootstrap, discover, heard, limits, suspects, trials, usage, warmup};
+use crate::{bootstrap, discover, heard, limits, suspects, trials, usage, warmup};
 
 /// Pause between two frames while nothing is placed.
 const PACE: Duration = Duration::from_millis(100);
@@ -54,7 +55,7 @@
 pub(crate) async fn start(instance: &Rc<Instance>) -> io::Result<()> {
     let own = instance.address;
     let socket = Rc::new(UdpSocket::bind(own).await?);
-    instance.questions.bind(socket.clone());
+    instance.pending.bind(socket.clone());
     actix_rt::spawn(listen(instance.clone(), socket.clone()));
     actix_rt::spawn(tell(instance.clone(), socket));
     actix_rt::spawn(warmup::run(instance.clone()));
@@ -72,7 +73,7 @@
                     if !frame.pass_to.is_empty() {
                         pass_on(&socket, &frame);
                     }
-                    if let Some(answer) = answer::take(&instance, from, &frame) {
+                    if let Some(answer) = server::on_request(&instance, from, &frame) {
                         broadcast(&socket, &answer, &[from]);
                     }
                     let state = frame.state.as_ref();
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -11,7 +11,10 @@
 use crate::admission::{self, Admission};
 use crate::attempt::Asked;
 use crate::instance::Instance;
-use crate::{ask, limits};
+use crate::limits;
+
+pub(crate) mod client;
+pub(crate) mod server;
 
 /// Engines that a call must not go to again.
 pub(crate) type Avoid = SmallVec<[EngineId; 4]>;
@@ -51,7 +54,7 @@
         alone: matches!(admission, Admission::Alone),
         ..demand(instance, asked, &avoid, &connected)
     };
-    ask::choose(instance, &demand).await
+    client::choose(instance, &demand).await
 }
 
 /// Engines that a call must not go to, with those that its admission excludes.
@@ -82,7 +85,7 @@
             reserved,
             ..demand(instance, asked, &avoid, &connected)
         };
-        let target = ask::decode(instance, &demand, source).await?;
+        let target = client::decode(instance, &demand, source).await?;
         if limits::wait(instance, asked, &target).await {
             return Some(target);
         }
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/placement/client.rs
@@ -1,5 +1,4 @@
-//! Asks an instance that places calls where one goes. What placers know and why they are asked stands in [`serving::placer`]; the
-//! answering side is [`crate::answer`].
+//! Requests placements from placers; see [`serving::placer`]. The serving side is [`crate::placement::server`].
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
@@ -21,29 +20,28 @@
 use crate::instance::Instance;
 use crate::metrics::Asked;
 
-/// Time for one placer's answer. The way there and back takes a few milliseconds at the most within a region; the rest is for one
-/// that is busy. What is waited for one that does not answer is taken from a caller's time.
-const PATIENCE: Duration = Duration::from_millis(25);
-/// Placers that are asked for one call before this instance places it by what it knows itself.
-const QUESTIONS: usize = 3;
+/// Time for one placer's response. It is taken from the caller's time.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(25);
+/// Placers that are tried for one call before this instance places it by its own state.
+const MAX_ATTEMPTS: usize = 3;
 
-/// Questions that this instance has asked and that are not answered.
+/// Placement requests that await their responses.
 #[derive(Default)]
-pub(crate) struct Questions {
+pub(crate) struct Pending {
     socket: OnceCell<Rc<UdpSocket>>,
-    open: RefCell<HashMap<Ticket, oneshot::Sender<Answer>>>,
-    asked: Cell<Ticket>,
+    waiting: RefCell<HashMap<Ticket, oneshot::Sender<Answer>>>,
+    last: Cell<Ticket>,
 }
 
-impl Questions {
-    /// The number of the next question, and of the call at whoever answers it.
-    fn number(&self) -> Ticket {
-        let number = self.asked.get().wrapping_add(1);
-        self.asked.set(number);
+impl Pending {
+    /// The ticket of the next request, which also names the call at its placer.
+    fn next_ticket(&self) -> Ticket {
+        let number = self.last.get().wrapping_add(1);
+        self.last.set(number);
         number
     }
 
-    /// Takes in by which socket to ask.
+    /// Sets the socket that requests are sent by.
     pub(crate) fn bind(&self, socket: Rc<UdpSocket>) {
         if self.socket.set(socket).is_err() {
             log::error!("frames have two sockets, the first one is used");
@@ -51,19 +49,19 @@
     }
 }
 
-/// What is known of a call that another instance placed.
+/// A placer's response.
 enum Placed {
-    /// It goes here.
+    /// A usable placement.
     Choice(Choice),
-    /// The placer knows too little.
+    /// The placer is not ready to place.
     Declined,
-    /// It names an engine that may not be used.
+    /// The engine may not be used.
     Unusable,
 }
 
-/// Finds a place for a call: by what this instance knows if it is told of all calls, else by what one knows that is.
+/// Places a call: at a placer, or by the state of this instance if it is one itself or none responds.
 pub(crate) async fn choose(instance: &Instance, demand: &Demand<'_>) -> Choice {
-    if let Some(choice) = ask(instance, demand, None).await {
+    if let Some(choice) = request(instance, demand, None).await {
         return choice;
     }
     let now = instance.now();
@@ -73,13 +71,13 @@
     choice
 }
 
-/// The same for the engine that takes over a prompt that was read in a data centre.
+/// As [`choose`], for the engine that generates from a prompt read in the given data centre.
 pub(crate) async fn decode(
     instance: &Instance,
     demand: &Demand<'_>,
     read_in: &Zone,
 ) -> Option<Target> {
-    match ask(instance, demand, Some(read_in)).await {
+    match request(instance, demand, Some(read_in)).await {
         Some(Choice::Direct(target)) => Some(target),
         Some(Choice::Refuse { .. }) => None,
         Some(Choice::Split { .. }) | None => {
@@ -92,8 +90,12 @@
     }
 }
 
-/// What the first placer says that answers; nothing if this instance places calls itself, or none does.
-async fn ask(instance: &Instance, demand: &Demand<'_>, read_in: Option<&Zone>) -> Option<Choice> {
+/// The first usable response; none if this instance is a placer, or no placer responds.
+async fn request(
+    instance: &Instance,
+    demand: &Demand<'_>,
+    read_in: Option<&Zone>,
+) -> Option<Choice> {
     if instance.is_placing() {
         return None;
     }
@@ -104,12 +106,12 @@
         let placers = instance.placers.borrow();
         placer::order(&placers.others, hash::short(&instance.zone), beginning)
     };
-    let asked = order
+    let candidates = order
         .into_iter()
         .filter(|address| instance.peers.borrow().answers(*address, now));
-    let asked: SmallVec<[SocketAddr; QUESTIONS]> = asked.take(QUESTIONS).collect();
-    for address in asked {
-        match ask_one(instance, address, demand, read_in).await {
+    let candidates: SmallVec<[SocketAddr; MAX_ATTEMPTS]> = candidates.take(MAX_ATTEMPTS).collect();
+    for address in candidates {
+        match request_one(instance, address, demand, read_in).await {
             Some(Placed::Choice(choice)) => {
                 instance.metrics.asked(Asked::Placed);
                 return Some(choice);
@@ -121,7 +123,7 @@
             Some(Placed::Unusable) => {
                 instance.metrics.asked(Asked::Declined);
                 log::debug!(placer:% = address; "a placer names an engine that may not be used");
-                // Another one may know already what this one does not.
+                // Another placer may have newer state.
                 continue;
             }
             None => {
@@ -134,54 +136,59 @@
     None
 }
 
-async fn ask_one(
+async fn request_one(
     instance: &Instance,
     address: SocketAddr,
     demand: &Demand<'_>,
     read_in: Option<&Zone>,
 ) -> Option<Placed> {
-    let ticket = instance.questions.number();
-    let question = question(instance, ticket, demand, read_in);
+    let ticket = instance.pending.next_ticket();
+    let request = encode(instance, ticket, demand, read_in);
     let frame = Frame {
-        ask: Some(question),
+        ask: Some(request),
         ..instance.frame()
     };
     instance.reports.asked(address, instance.now());
     let (sender, receiver) = oneshot::channel();
-    let open = Open::new(&instance.questions, ticket, sender);
-    let socket = instance.questions.socket.get()?;
+    let open = Open::new(&instance.pending, ticket, sender);
+    let socket = instance.pending.socket.get()?;
     if let Err(error) = socket.try_send_to(&frame.encode_to_vec(), address) {
         log::debug!(to:% = address, error:% = error; "a question could not be sent");
         return None;
     }
-    let answer = timeout(PATIENCE, receiver).await.ok()?.ok()?;
+    let answer = timeout(RESPONSE_TIMEOUT, receiver).await.ok()?.ok()?;
     drop(open);
-    Some(placed(&instance.fleet.borrow(), demand, address, &answer))
+    Some(decode_response(
+        &instance.fleet.borrow(),
+        demand,
+        address,
+        &answer,
+    ))
 }
 
-/// A question that is open until this is dropped: its caller may leave while it is.
+/// Removes a pending request when dropped: its caller may disconnect meanwhile.
 struct Open<'a> {
-    questions: &'a Questions,
+    pending: &'a Pending,
     ticket: Ticket,
 }
 
 impl<'a> Open<'a> {
-    fn new(questions: &'a Questions, ticket: Ticket, sender: oneshot::Sender<Answer>) -> Self {
-        questions.open.borrow_mut().insert(ticket, sender);
-        Self { questions, ticket }
+    fn new(pending: &'a Pending, ticket: Ticket, sender: oneshot::Sender<Answer>) -> Self {
+        pending.waiting.borrow_mut().insert(ticket, sender);
+        Self { pending, ticket }
     }
 }
 
 impl Drop for Open<'_> {
     fn drop(&mut self) {
-        self.questions.open.borrow_mut().remove(&self.ticket);
+        self.pending.waiting.borrow_mut().remove(&self.ticket);
     }
 }
 
-fn question(instance: &Instance, ticket: Ticket, demand: &Demand, read_in: Option<&Zone>) -> Ask {
+fn encode(instance: &Instance, ticket: Ticket, demand: &Demand, read_in: Option<&Zone>) -> Ask {
     let now = instance.now();
     let fleet = instance.fleet.borrow();
-    // What its own calls came to counts here as well: the way to an engine may be broken from this instance only.
+    // Health as seen from here counts too: the path to an engine may be broken from this instance only.
     let resting = fleet.ready(demand.service);
     let resting = resting.filter(|engine| !engine.is_open(now));
     let resting = resting.map(|engine| &engine.record.id);
@@ -210,9 +217,9 @@
     }
 }
 
-fn placed(fleet: &Fleet, demand: &Demand, placer: SocketAddr, answer: &Answer) -> Placed {
+fn decode_response(fleet: &Fleet, demand: &Demand, placer: SocketAddr, answer: &Answer) -> Placed {
     let placed_by = (placer, answer.ticket);
-    let target = |told: &gateway::Target| target(fleet, demand, told, placed_by);
+    let target = |told: &gateway::Target| decode_target(fleet, demand, told, placed_by);
     let choice = match &answer.choice {
         Some(answer::Choice::Direct(told)) => target(told).map(Choice::Direct),
         Some(answer::Choice::Split(split)) => {
@@ -237,9 +244,8 @@
     choice.map_or(Placed::Unusable, Placed::Choice)
 }
 
-/// The place that a placer named, if this instance knows nothing that speaks against it: it may know already that the engine
-/// leaves.
-fn target(
+/// The placer's target, unless this instance already knows that the engine leaves or must be avoided.
+fn decode_target(
     fleet: &Fleet,
     demand: &Demand,
     told: &gateway::Target,
@@ -264,10 +270,10 @@
     })
 }
 
-/// Takes in the answer of another instance.
-pub(crate) fn take(instance: &Instance, from: SocketAddr, answer: &Answer) {
-    let open = instance.questions.open.borrow_mut().remove(&answer.ticket);
-    if open.is_none_or(|open| open.send(*answer).is_err()) {
+/// Handles a placer's response.
+pub(crate) fn on_answer(instance: &Instance, from: SocketAddr, answer: &Answer) {
+    let waiting = instance.pending.waiting.borrow_mut().remove(&answer.ticket);
+    if waiting.is_none_or(|waiting| waiting.send(*answer).is_err()) {
         log::debug!(from:% = from; "an answer comes too late");
     }
 }
