Rename gateway::heard to receive, and what it calls to the field's verbs

Names and comments only: handlers are on_frame, on_state, on_usage, on_news and on_era, changes are applied, states merged; Registry::heard is store_answered, Fleet::hear_frame apply_frame.

--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -99,8 +99,8 @@
     }
 
     /// Takes in the era of the store.
-    pub(crate) fn heard_era(&mut self, era: Era) {
-        self.turns.heard_era(era, self.clock.now());
+    pub(crate) fn on_era(&mut self, era: Era) {
+        self.turns.on_era(era, self.clock.now());
     }
 
     /// How long it is of no use to read.
@@ -125,7 +125,7 @@
             holder: held.as_ref().map_or("", |claim| &claim.holder),
         });
         let now = self.clock.now();
-        self.turns.heard_era(store::era(newest.end), now);
+        self.turns.on_era(store::era(newest.end), now);
         if !self.turns.may_claim(claim, &self.holder, now) {
             return Err(Denied::NotOurTurn);
         }
--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -91,7 +91,7 @@
             self.claims.heard(fence);
         }
         if let Some(era) = self.instance.era.get() {
-            self.claims.heard_era(era);
+            self.claims.on_era(era);
         }
         let now = self.instance.now();
         let due = self.due(now);
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -152,7 +152,7 @@
         let Some(from) = self.next else {
             let newest = self.store.newest(name).await?;
             self.next = Some(newest.end);
-            self.instance.heard_era(store::era(newest.end));
+            self.instance.on_era(store::era(newest.end));
             return Ok(Read::All(newest.records));
         };
         let batch = self.store.read(name, from, self.wait).await?;
@@ -222,16 +222,16 @@
     }
 }
 
-/// Takes in a record that another instance read.
-pub(crate) fn hear(instance: &Instance, topic: Topic, record: &Keyed) {
-    instance.heard_era(store::era(record.offset));
+/// Applies a record of the store that a peer forwards.
+pub(crate) fn apply_update(instance: &Instance, topic: Topic, record: &Keyed) {
+    instance.on_era(store::era(record.offset));
     match topic {
         Topic::Configuration => {
             take_configuration(instance, record, "instance");
         }
         Topic::Engines => {
             let mut registry = instance.registry.borrow_mut();
-            registry.heard(instance.now());
+            registry.store_answered(instance.now());
             take_engine(instance, &mut registry, record);
         }
     }
@@ -297,7 +297,7 @@
     loop {
         let read = reader.read().await;
         let mut registry = instance.registry.borrow_mut();
-        registry.heard(instance.now());
+        registry.store_answered(instance.now());
         match read {
             Read::All(records) => take_all(&instance, &mut registry, &records),
             Read::More(records) => take_more(&instance, &mut registry, &records),
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -247,10 +247,10 @@
         }
     }
 
-    /// Takes in the era that the store, or what another instance tells of it, shows.
+    /// Applies the store's era, as read or as announced by a peer.
     ///
     /// What this process wrote since the copy was made is gone, and so is what others did.
-    pub(crate) fn heard_era(&self, era: Era) {
+    pub(crate) fn on_era(&self, era: Era) {
         let before = self.era.get();
         if before.is_some_and(|before| before >= era) {
             return;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -21,7 +21,7 @@
 use crate::peers::{self, PARTS, Topic};
 use crate::placement::server;
 use crate::usage::REPORTERS;
-use crate::{bootstrap, discover, heard, limits, suspects, trials, usage, warmup};
+use crate::{bootstrap, discover, limits, receive, suspects, trials, usage, warmup};
 
 /// Pause between two frames while nothing is placed.
 const PACE: Duration = Duration::from_millis(100);
@@ -85,7 +85,7 @@
                     if let Some(told) = differs {
                         broadcast(&socket, &told, &[from]);
                     }
-                    heard::take(&instance, from, frame);
+                    receive::on_frame(&instance, from, frame);
                 }
                 Err(error) => log::debug!(error:% = error; "a datagram is no frame"),
             },
@@ -163,7 +163,7 @@
         return 0;
     }
     let frame = Frame {
-        usage: Some(usage::told(ledger.tell(instance.unix()))),
+        usage: Some(usage::encode(ledger.tell(instance.unix()))),
         ..instance.frame()
     };
     broadcast(socket, &frame, &reporters)
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -220,8 +220,8 @@
         self.by_address.keys().copied().collect()
     }
 
-    /// Takes in the state of another instance. Gives the incarnation that it replaces.
-    pub(crate) fn heard(
+    /// Applies a peer's state. Returns the incarnation that it replaces.
+    pub(crate) fn on_state(
         &mut self,
         from: SocketAddr,
         incarnation: u64,
@@ -235,10 +235,10 @@
         let peer = peer(incarnation, state, now);
         let learns = peer.learns();
         let before = known.peer.replace(peer);
-        let was_told = before
+        let was_learning = before
             .as_ref()
             .is_some_and(|before| before.incarnation == incarnation && before.learns());
-        if self.knows && learns && !was_told {
+        if self.knows && learns && !was_learning {
             self.new_placers.push(from);
         }
         let before = before.filter(|before| before.incarnation != incarnation)?;
--- a/crates/gateway/src/heard.rs
+++ b/crates/gateway/src/receive.rs
@@ -1,4 +1,4 @@
-//! Takes in what other instances tell. What this one tells is in [`crate::mesh`].
+//! Dispatches frames received from peers. The sending side is [`crate::mesh`].
 
 use std::net::SocketAddr;
 
@@ -16,8 +16,8 @@
 use crate::placement::{client, server};
 use crate::{follow, limits, mesh, suspects, usage};
 
-/// Takes in a frame.
-pub(crate) fn take(instance: &Instance, from: SocketAddr, frame: Frame) {
+/// Dispatches a frame to the handlers of its parts.
+pub(crate) fn on_frame(instance: &Instance, from: SocketAddr, frame: Frame) {
     let now = instance.now();
     let peer = frame.incarnation;
     if let Some(reports) = &frame.reports {
@@ -27,12 +27,12 @@
         client::on_answer(instance, from, answer);
     }
     if let Some(state) = &frame.state {
-        take_state(instance, from, peer, state, now);
+        on_state(instance, from, peer, state, now);
     }
-    if let Some(told) = frame.usage.clone() {
-        take_usage(instance, peer, told);
+    if let Some(usage) = frame.usage.clone() {
+        on_usage(instance, peer, usage);
     }
-    take_work(instance, &frame, now);
+    apply_work(instance, &frame, now);
     for part in &frame.parts {
         let engine = instance.fleet.borrow().by_short(part.engine);
         if let Some(engine) = engine {
@@ -43,25 +43,25 @@
             instance.note_parts(&engine, &[part]);
         }
     }
-    take_changing(instance, &frame, now);
+    apply_stage_changes(instance, &frame, now);
     for news in frame.news {
-        take_news(instance, news);
+        on_news(instance, news);
     }
     for suspect in &frame.suspects {
         instance
             .suspects
-            .hear(suspect, "instance", suspects::now(instance));
+            .merge(suspect, "instance", suspects::now(instance));
     }
     limits::receive(instance, &frame.rate_limits, now);
-    note_all_engines(instance, frame.all_engines);
+    check_synced(instance, frame.all_engines);
     if frame.read_configuration {
         instance.must_read.set(true);
     }
 }
 
-fn take_state(instance: &Instance, from: SocketAddr, peer: u64, state: &State, now: Moment) {
+fn on_state(instance: &Instance, from: SocketAddr, peer: u64, state: &State, now: Moment) {
     let mut peers = instance.peers.borrow_mut();
-    let replaced = peers.heard(from, peer, state, now);
+    let replaced = peers.on_state(from, peer, state, now);
     drop(peers);
     instance.claim_log.merge(state.claimed, &state.numbers, now);
     if let Some(ledger) = instance.usage.borrow_mut().as_mut() {
@@ -69,33 +69,33 @@
             ledger.taken(*window);
         }
     }
-    // A reader that has read nothing yet knows no era.
+    // A reader that has not read yet knows no era.
     if mesh::reads_store(state) && state.engines_upto > 0 {
-        instance.heard_era(store::era(state.engines_upto));
+        instance.on_era(store::era(state.engines_upto));
     }
-    // Others that are only told may lack what is missing here.
+    // Peers that do not read may lack the same records as this instance.
     if mesh::reads_store(state) {
-        note_all_engines(instance, state.engines_digest);
+        check_synced(instance, state.engines_digest);
     }
     if let Some(read) = moment(state.engines_age_ms, now) {
-        instance.registry.borrow_mut().heard(read);
+        instance.registry.borrow_mut().store_answered(read);
     }
     if let Some(replaced) = replaced {
         instance.fleet.borrow_mut().forget_peer(replaced, now);
     }
 }
 
-/// Takes in what another instance counted of the use by organisations.
-fn take_usage(instance: &Instance, peer: u64, told: wire::gateway::Usage) {
+/// Merges a peer's usage counts.
+fn on_usage(instance: &Instance, peer: u64, usage: wire::gateway::Usage) {
     let mut ledger = instance.usage.borrow_mut();
     if let Some(ledger) = ledger.as_mut() {
-        ledger.hear(peer, usage::heard(told), instance.unix());
+        ledger.merge(peer, usage::decode(usage), instance.unix());
     }
 }
 
-/// Takes in the digest of all engines, by which an instance that was told of them sees that none is missing.
-fn note_all_engines(instance: &Instance, digest: u64) {
-    // Looked at first: a digest is a sum over all engines, and most frames come when all are known.
+/// Marks this instance as synced once its engines match the digest of an instance that knows all.
+fn check_synced(instance: &Instance, digest: u64) {
+    // Checked first, since computing the own digest visits all engines.
     if digest == 0 || instance.engines_known.get() {
         return;
     }
@@ -105,8 +105,8 @@
     }
 }
 
-/// Takes in the work at engines that a frame tells.
-fn take_work(instance: &Instance, frame: &Frame, now: Moment) {
+/// Applies a frame's changes of work at engines.
+fn apply_work(instance: &Instance, frame: &Frame, now: Moment) {
     let mut fleet = instance.fleet.borrow_mut();
     let started = frame.started.iter().filter_map(|started| {
         let engine = fleet.by_short(started.engine)?;
@@ -129,19 +129,20 @@
     let changes: Vec<Change> = started.chain(read).chain(ended).chain(gone).collect();
     let works = frame.state.as_ref().map(|state| {
         let works = state.works.iter();
-        let works = works.filter_map(|told| Some((fleet.by_short(told.engine)?, work(told, now))));
+        let works =
+            works.filter_map(|work_at| Some((fleet.by_short(work_at.engine)?, work(work_at, now))));
         works.collect()
     });
-    fleet.hear_frame(frame.incarnation, &changes, works, now);
+    fleet.apply_frame(frame.incarnation, &changes, works, now);
 }
 
-fn take_changing(instance: &Instance, frame: &Frame, now: Moment) {
+fn apply_stage_changes(instance: &Instance, frame: &Frame, now: Moment) {
     let mut fleet = instance.fleet.borrow_mut();
-    for told in &frame.changing {
-        let Some(engine) = fleet.by_short(told.engine) else {
+    for change in &frame.changing {
+        let Some(engine) = fleet.by_short(change.engine) else {
             continue;
         };
-        let stage = if told.reads {
+        let stage = if change.reads {
             Stage::Prefill
         } else {
             Stage::Decode
@@ -155,12 +156,12 @@
     }
 }
 
-fn take_news(instance: &Instance, news: News) {
+fn on_news(instance: &Instance, news: News) {
     let topic = Topic::of(&news);
     let record = Keyed {
         offset: news.offset,
         key: news.key,
         value: news.value.map(Bytes::from),
     };
-    follow::hear(instance, topic, &record);
+    follow::apply_update(instance, topic, &record);
 }
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -160,8 +160,8 @@
         self.count_digest();
     }
 
-    /// Takes in what another instance told, or what stands in the store.
-    pub(crate) fn hear(&self, told: &Suspect, source: &'static str, now: Moment) {
+    /// Merges a suspect from a peer or from the store.
+    pub(crate) fn merge(&self, told: &Suspect, source: &'static str, now: Moment) {
         let (call, entry) = frame::suspect(told, now);
         let was_held = self.is_held(call);
         if self.quarantine.borrow_mut().join(call, &entry) {
--- a/crates/gateway/src/trials.rs
+++ b/crates/gateway/src/trials.rs
@@ -76,7 +76,7 @@
             let aged = frame::aged(suspect, now);
             instance
                 .suspects
-                .hear(&aged, "store", suspects::now(instance));
+                .merge(&aged, "store", suspects::now(instance));
         }
         Err(error) => {
             log::error!(key = record.key.as_str(), error:% = error; "the record of a held call cannot be read");
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -93,9 +93,9 @@
     }
 }
 
-/// Counts as they are told.
-pub(crate) fn told(told: Told) -> gateway::Usage {
-    let windows = told.counts.into_iter().map(|(window, counts)| {
+/// Encodes counts for peers.
+pub(crate) fn encode(counts: Told) -> gateway::Usage {
+    let windows = counts.counts.into_iter().map(|(window, counts)| {
         let counts = counts.into_iter();
         let counts = counts.map(|(organisation, begun)| gateway::UsageCount {
             organisation: organisation.to_string(),
@@ -107,20 +107,20 @@
         }
     });
     gateway::Usage {
-        present: told.present,
+        present: counts.present,
         windows: windows.collect(),
     }
 }
 
-/// Counts as another instance told them.
-pub(crate) fn heard(told: gateway::Usage) -> Told {
-    let windows = told.windows.into_iter().map(|told| {
-        let counts = told.counts.into_iter();
+/// Decodes a peer's counts.
+pub(crate) fn decode(usage: gateway::Usage) -> Told {
+    let windows = usage.windows.into_iter().map(|window| {
+        let counts = window.counts.into_iter();
         let counts = counts.map(|count| (Rc::from(count.organisation), count.begun));
-        (told.window, counts.collect())
+        (window.window, counts.collect())
     });
     Told {
-        present: told.present,
+        present: usage.present,
         counts: windows.collect(),
     }
 }
--- a/crates/serving/src/fleet/told.rs
+++ b/crates/serving/src/fleet/told.rs
@@ -11,11 +11,11 @@
 use crate::health::Outcome;
 
 impl Fleet {
-    /// Takes in what one frame of another instance tells: what changed, and in some frames all that it has at the engines.
+    /// Applies a peer's frame: changes of its work and, in some frames, all of its work.
     ///
-    /// What changed comes first. A frame that tells all may name calls that have ended besides, for what they came to; counted off
-    /// what it tells, they would be counted off twice, and their engine would look idler than it is until the next such frame.
-    pub fn hear_frame(
+    /// Changes come first: a frame with all work also names calls that have ended, for their outcomes. Applied afterwards, these
+    /// would be subtracted twice and their engines would look idler than they are.
+    pub fn apply_frame(
         &mut self,
         peer: PeerId,
         changes: &[Change],
@@ -23,16 +23,15 @@
         now: Moment,
     ) {
         for change in changes {
-            self.hear_change(peer, change, now);
+            self.apply_change(peer, change, now);
         }
         if let Some(works) = works {
-            self.hear(peer, works, now);
+            self.apply_works(peer, works, now);
         }
     }
 
-    /// Takes in all that another instance has at the engines. Engines that it does not name have
-    /// none of its work.
-    pub fn hear(&mut self, peer: PeerId, works: Vec<(EngineId, Work)>, now: Moment) {
+    /// Replaces a peer's work at all engines. Engines that are not listed have none of it.
+    pub fn apply_works(&mut self, peer: PeerId, works: Vec<(EngineId, Work)>, now: Moment) {
         self.heard.insert(peer, now);
         self.clear(peer, now);
         let mut at = Vec::with_capacity(works.len());
@@ -46,7 +45,7 @@
         self.at.insert(peer, at);
     }
 
-    /// Drops all work of another instance.
+    /// Removes all work of a peer.
     fn clear(&mut self, peer: PeerId, now: Moment) {
         for id in self.at.remove(&peer).unwrap_or_default() {
             if let Some(engine) = self.engines.get_mut(&id) {
@@ -56,8 +55,8 @@
         }
     }
 
-    /// Takes in one change of another instance's work.
-    pub fn hear_change(&mut self, peer: PeerId, change: &Change, now: Moment) {
+    /// Applies one change of a peer's work.
+    pub fn apply_change(&mut self, peer: PeerId, change: &Change, now: Moment) {
         self.heard.insert(peer, now);
         match change {
             Change::Started(id, job) => self.started(peer, id, *job, now),
--- a/crates/serving/src/registry.rs
+++ b/crates/serving/src/registry.rs
@@ -72,8 +72,8 @@
 }
 
 impl Registry {
-    /// Takes in that the store answered this instance, or another one that tells of it.
-    pub fn heard(&mut self, now: Moment) {
+    /// Notes that the store answered this instance, or a peer that announces it.
+    pub fn store_answered(&mut self, now: Moment) {
         if now <= self.heard {
             return;
         }
--- a/crates/serving/src/turn.rs
+++ b/crates/serving/src/turn.rs
@@ -61,7 +61,7 @@
     /// A claim of another instance may be gone with what was written since, and its orders may still be on their way, so that nobody may claim
     /// by what the log says then until every such turn is over. Two instances that order within one lease would show it. Whoever has just
     /// started cannot know whether the log went back a moment ago.
-    pub fn heard_era(&mut self, era: Era, now: Moment) {
+    pub fn on_era(&mut self, era: Era, now: Moment) {
         let went_back = match self.era {
             Some(known) => known < era,
             None => !self.is_first_start,
--- a/crates/serving/src/usage.rs
+++ b/crates/serving/src/usage.rs
@@ -151,8 +151,8 @@
         }
     }
 
-    /// Takes in what another instance counted. Sums only grow, so that what comes late or twice changes nothing.
-    pub fn hear(&mut self, source: Source, told: Told, now: Unix) {
+    /// Merges a peer's counts. Sums only grow, so late and repeated counts change nothing.
+    pub fn merge(&mut self, source: Source, told: Told, now: Unix) {
         let counter = self.counters.entry(source).or_insert(Counter {
             present: told.present,
             heard: now,
--- a/crates/serving/tests/place.rs
+++ b/crates/serving/tests/place.rs
@@ -119,7 +119,7 @@
             },
         )]
     };
-    fleet.hear(1, works(359), NOW);
+    fleet.apply_works(1, works(359), NOW);
     let choice = target(&fleet, &[(1, 9_000)]);
     assert_matches!(choice, Choice::Direct(t) if &*t.engine == "b");
     fleet.begin(&id("a"), 0, 1, NOW);
@@ -212,13 +212,13 @@
         work: 40_000,
     };
     let change = serving::fleet::Change::Started(free.engine.clone(), job);
-    fleet.hear_change(9, &change, NOW);
+    fleet.apply_change(9, &change, NOW);
     // Told again, as every frame tells recent prompts.
-    fleet.hear_change(9, &change, NOW);
+    fleet.apply_change(9, &change, NOW);
     assert_eq!(fleet.get(&free.engine).unwrap().jobs().len(), 1);
     assert_matches!(target(&fleet, &[(1, 2_000)]), Choice::Direct(t) if t.engine != free.engine);
     let read = serving::fleet::Change::Read(free.engine.clone(), 1, NOW);
-    fleet.hear_change(9, &read, NOW);
+    fleet.apply_change(9, &read, NOW);
     assert_eq!(fleet.get(&free.engine).unwrap().jobs().len(), 0);
 }
 
@@ -229,7 +229,7 @@
         calls: 5,
         ..Default::default()
     };
-    fleet.hear(9, vec![(id("a"), work)], NOW);
+    fleet.apply_works(9, vec![(id("a"), work)], NOW);
     assert_eq!(fleet.get("a").unwrap().running(), 5);
     fleet.fade(NOW + ms(5_000));
     assert_eq!(fleet.get("a").unwrap().running(), 0);
--- a/crates/serving/tests/registry.rs
+++ b/crates/serving/tests/registry.rs
@@ -11,7 +11,7 @@
 
 fn known() -> (Registry, Fleet) {
     let (mut registry, mut fleet) = (Registry::default(), Fleet::default());
-    registry.heard(ms(1_000));
+    registry.store_answered(ms(1_000));
     registry.put(&mut fleet, record("a", Some(Stage::Decode)));
     registry.put(&mut fleet, record("b", Some(Stage::Decode)));
     (registry, fleet)
@@ -20,7 +20,7 @@
 #[test]
 fn a_record_that_lapses_takes_its_engine_away() {
     let (mut registry, mut fleet) = known();
-    registry.heard(ms(1_400));
+    registry.store_answered(ms(1_400));
     assert_eq!(registry.remove(&mut fleet, "a", ms(1_400)), Change::Removed);
     assert!(fleet.get("a").is_none());
 }
@@ -32,7 +32,7 @@
 #[test]
 fn lapses_right_after_an_outage_are_doubted() {
     let (mut registry, mut fleet) = known();
-    registry.heard(ms(5_000));
+    registry.store_answered(ms(5_000));
     assert_eq!(registry.remove(&mut fleet, "a", ms(5_010)), Change::Doubted);
     assert_eq!(registry.remove(&mut fleet, "b", ms(5_010)), Change::Doubted);
     registry.put(&mut fleet, record("a", Some(Stage::Decode)));
@@ -48,7 +48,7 @@
     let mut leaving = record("a", Some(Stage::Decode));
     leaving.state = State::Draining;
     registry.put(&mut fleet, leaving);
-    registry.heard(ms(5_000));
+    registry.store_answered(ms(5_000));
     assert_eq!(registry.remove(&mut fleet, "a", ms(5_010)), Change::Removed);
 }
 
@@ -60,7 +60,7 @@
 fn reads_of_other_instances_count_as_the_stores_word() {
     let (mut registry, mut fleet) = known();
     for at in (1_000..60_000).step_by(700) {
-        registry.heard(ms(at));
+        registry.store_answered(ms(at));
     }
     assert_eq!(
         registry.remove(&mut fleet, "a", ms(60_000)),
@@ -119,7 +119,7 @@
     registry.put(&mut fleet, start("e", 10));
     let sent = fleet.begin(&id("e.10"), 5_000, 0, ms(1_200));
     fleet.reads(&id("e.10"), &prompt(&[(7, 900)]), 400_000, ms(1_200));
-    fleet.hear(
+    fleet.apply_works(
         1,
         vec![(
             id("e.10"),
@@ -176,7 +176,7 @@
 fn a_doubted_engine_that_starts_again_is_not_doubted() {
     let (mut registry, mut fleet) = known();
     registry.put(&mut fleet, start("e", 10));
-    registry.heard(ms(5_000));
+    registry.store_answered(ms(5_000));
     assert_eq!(registry.remove(&mut fleet, "e", ms(5_010)), Change::Doubted);
     registry.put(&mut fleet, start("e", 20));
     assert!(registry.expire(&mut fleet, ms(9_000)).is_empty());
@@ -213,13 +213,13 @@
     leaving.state = State::Draining;
     registry.put(&mut fleet, leaving);
     registry.remove(&mut fleet, "b", ms(1_200));
-    registry.heard(ms(1_500));
+    registry.store_answered(ms(1_500));
     registry.went_back(ms(1_500));
     registry.replace(&mut fleet, vec![ready("a"), ready("b")], ms(1_500));
     assert_eq!(fleet.get("a").unwrap().record.state, State::Draining);
     assert!(fleet.get("b").is_none());
     // What is written once the copy's records have lapsed is an engine's own word.
-    registry.heard(ms(6_600));
+    registry.store_answered(ms(6_600));
     registry.put(&mut fleet, ready("b"));
     assert!(fleet.get("b").is_some());
 }
@@ -229,7 +229,7 @@
 #[test]
 fn an_engine_that_a_copy_lacks_is_doubted_and_not_gone() {
     let (mut registry, mut fleet) = known();
-    registry.heard(ms(1_500));
+    registry.store_answered(ms(1_500));
     registry.went_back(ms(1_500));
     registry.replace(
         &mut fleet,
--- a/crates/serving/tests/replay/world.rs
+++ b/crates/serving/tests/replay/world.rs
@@ -386,7 +386,7 @@
         let time = Duration::from_micros(now);
         let fleet = &mut self.fleets[instance];
         match told {
-            Told::Change(change) => fleet.hear_change(from as u64, &change, time),
+            Told::Change(change) => fleet.apply_change(from as u64, &change, time),
             Told::Parts(engine, parts) => fleet.reads(&engine, &parts, MODEL.memory_tokens, time),
         }
     }
--- a/crates/serving/tests/told.rs
+++ b/crates/serving/tests/told.rs
@@ -72,14 +72,14 @@
         work: 0,
     };
     let started = [1, 2].map(|ticket| Change::Started(id("a"), job(ticket)));
-    fleet.hear_frame(7, &started, None, NOW);
+    fleet.apply_frame(7, &started, None, NOW);
     assert_eq!(running(&fleet), 2);
     let ended = [Change::Ended(id("a"), 1, Some(Outcome::Good))];
     let left = Work {
         calls: 1,
         ..Work::default()
     };
-    fleet.hear_frame(7, &ended, Some(vec![(id("a"), left)]), NOW);
+    fleet.apply_frame(7, &ended, Some(vec![(id("a"), left)]), NOW);
     assert_eq!(running(&fleet), 1);
 }
 
--- a/crates/serving/tests/turn.rs
+++ b/crates/serving/tests/turn.rs
@@ -116,7 +116,7 @@
     fn new(tries: &'a [Try], restores: &[(Millis, usize)]) -> Self {
         let instance = |_: &&str| {
             let mut turns = Turns::new(Duration::from_millis(LEASE), true);
-            turns.heard_era(0, Duration::ZERO);
+            turns.on_era(0, Duration::ZERO);
             Instance { turns, asleep: 0 }
         };
         let mut world = Self {
@@ -181,7 +181,7 @@
         });
         let instance = &mut self.instances[one.who];
         let steady = Duration::from_millis(now - instance.asleep);
-        instance.turns.heard_era(era, steady);
+        instance.turns.on_era(era, steady);
         if !instance.turns.may_claim(newest, NAMES[one.who], steady) {
             return self.next_try(one.who, number + 1, now);
         }
--- a/crates/serving/tests/usage.rs
+++ b/crates/serving/tests/usage.rs
@@ -66,8 +66,8 @@
 fn a_window_is_fixed_with_what_all_counted_once_all_have_told() {
     let mut own = ledger();
     own.began(&name("a"), at(100));
-    own.hear(7, told(FIRST, FIRST, &[("a", 2), ("b", 1)]), at(4_900));
-    own.hear(7, told(FIRST + 1, FIRST, &[("a", 3), ("b", 1)]), at(5_400));
+    own.merge(7, told(FIRST, FIRST, &[("a", 2), ("b", 1)]), at(4_900));
+    own.merge(7, told(FIRST + 1, FIRST, &[("a", 3), ("b", 1)]), at(5_400));
     assert!(!own.is_due(at(5_400)), "what is on its way is waited for");
     assert!(own.is_due(at(6_600)));
     fix(&mut own, at(6_600));
@@ -80,9 +80,9 @@
 #[test]
 fn sums_that_come_late_or_twice_change_nothing() {
     let mut own = ledger();
-    own.hear(7, told(FIRST, FIRST, &[("a", 5)]), at(3_000));
-    own.hear(7, told(FIRST, FIRST, &[("a", 2)]), at(3_100));
-    own.hear(7, told(FIRST + 1, FIRST, &[("a", 5)]), at(5_100));
+    own.merge(7, told(FIRST, FIRST, &[("a", 5)]), at(3_000));
+    own.merge(7, told(FIRST, FIRST, &[("a", 2)]), at(3_100));
+    own.merge(7, told(FIRST + 1, FIRST, &[("a", 5)]), at(5_100));
     fix(&mut own, at(6_600));
     assert_eq!(reports(&own, at(6_600))[0].counts, counts(&[("a", 5)]));
 }
@@ -93,13 +93,13 @@
 fn an_instance_that_is_cut_off_for_a_moment_is_waited_for() {
     let mut own = ledger();
     for source in 0..5 {
-        own.hear(source, told(FIRST, FIRST, &[("a", 10)]), at(3_000));
+        own.merge(source, told(FIRST, FIRST, &[("a", 10)]), at(3_000));
     }
     for source in 1..5 {
-        own.hear(source, told(FIRST + 1, FIRST, &[("a", 10)]), at(9_900));
+        own.merge(source, told(FIRST + 1, FIRST, &[("a", 10)]), at(9_900));
     }
     assert!(!own.is_due(at(10_000)));
-    own.hear(0, told(FIRST + 1, FIRST, &[("a", 12)]), at(10_200));
+    own.merge(0, told(FIRST + 1, FIRST, &[("a", 12)]), at(10_200));
     assert!(own.is_due(at(10_200)));
     fix(&mut own, at(10_200));
     assert_eq!(reports(&own, at(10_200))[0].counts, counts(&[("a", 52)]));
@@ -110,10 +110,10 @@
 fn an_instance_that_does_not_come_back_is_not_waited_for_too_long() {
     let mut own = ledger();
     for source in 0..5 {
-        own.hear(source, told(FIRST, FIRST, &[("a", 10)]), at(3_000));
+        own.merge(source, told(FIRST, FIRST, &[("a", 10)]), at(3_000));
     }
     for source in 1..5 {
-        own.hear(source, told(FIRST + 2, FIRST, &[("a", 10)]), at(11_400));
+        own.merge(source, told(FIRST + 2, FIRST, &[("a", 10)]), at(11_400));
     }
     assert!(own.is_due(at(11_600)));
     fix(&mut own, at(11_600));
@@ -127,7 +127,7 @@
     let mut own = ledger();
     own.began(&name("a"), at(100));
     for source in 0..5 {
-        own.hear(source, told(FIRST, FIRST, &[("a", 10)]), at(3_000));
+        own.merge(source, told(FIRST, FIRST, &[("a", 10)]), at(3_000));
     }
     assert!(!own.is_due(at(12_000)));
     fix(&mut own, at(12_000));
@@ -142,7 +142,7 @@
     first.began(&name("a"), at(100));
     let fixed = fix(&mut first, at(6_600));
     let mut second = ledger();
-    second.hear(1, told(FIRST + 1, FIRST, &[("a", 2)]), at(6_500));
+    second.merge(1, told(FIRST + 1, FIRST, &[("a", 2)]), at(6_500));
     assert!(second.is_due(at(6_700)));
     second.hear_fixed(fixed);
     fix(&mut second, at(6_700));
@@ -150,7 +150,7 @@
     second.taken(FIRST);
     assert!(reports(&second, at(6_800)).is_empty());
     // What it learns of the window later changes nothing any more.
-    second.hear(1, told(FIRST + 1, FIRST, &[("a", 9)]), at(6_900));
+    second.merge(1, told(FIRST + 1, FIRST, &[("a", 9)]), at(6_900));
     fix(&mut second, at(7_000));
     assert!(reports(&second, at(7_000)).is_empty());
 }
@@ -160,11 +160,11 @@
 #[test]
 fn a_window_that_may_have_been_fixed_before_the_store_went_back_is_left_alone() {
     let mut successor = ledger();
-    successor.hear(1, told(FIRST + 1, FIRST, &[("a", 2)]), at(6_500));
+    successor.merge(1, told(FIRST + 1, FIRST, &[("a", 2)]), at(6_500));
     successor.lost_fixed(at(7_000));
     assert!(!successor.is_due(at(7_100)));
     // The next window ended after that, so that nobody can have fixed it.
-    successor.hear(1, told(FIRST + 2, FIRST + 1, &[("a", 3)]), at(10_500));
+    successor.merge(1, told(FIRST + 2, FIRST + 1, &[("a", 3)]), at(10_500));
     assert!(successor.is_due(at(11_600)));
     fix(&mut successor, at(11_600));
     let all = reports(&successor, at(11_600));
@@ -290,7 +290,7 @@
                     let told = ledgers[who].tell(now);
                     for (other, is_lost) in lost.into_iter().enumerate() {
                         if other != who && !is_lost {
-                            ledgers[other].hear(sources[who], told.clone(), now);
+                            ledgers[other].merge(sources[who], told.clone(), now);
                         }
                     }
                 }
