Take a port that closes late for no sign of life

What callers saw: a call that ends engines ended one more than it may. Cause: an engine whose answer broke off is tried with a connection, and one that outlived 30 ms counted as life. The run that was traced: the answer broke off at .355, the connection was alive at .387 and refused at .408. The port had closed between, later than the calls. Change: a connection has to outlive 350 ms, looked at every 10 ms, so that an end is known as soon as it closes; and a line in the log when an engine is taken to live. A suspect's repeat waits 0.35 s instead of 0.03 s where its engine broke off and lives.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -16,7 +16,7 @@
 use serving::engine::{Record, State};
 use serving::fingerprint::Fingerprint;
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::attempt::Asked;
 use crate::instance::Instance;
@@ -30,9 +30,11 @@
     probe: CONNECT,
     probes: 1,
 };
-/// Time within which a process that ends closes all its sockets. Its calls may be cut a moment before its port is closed, and a
-/// connection that opens in between says nothing until it has outlived this.
-const CLOSING: Duration = Duration::from_millis(30);
+/// Time within which a process that ends closes all its sockets, on a busy machine too. Its calls may be cut before its port is
+/// closed, and a connection that opens in between says nothing until it has outlived this.
+const SOCKETS_CLOSE: Duration = Duration::from_millis(350);
+/// Pause between two checks of such a connection.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Pause between two tries of an engine that is silent.
 const AGAIN: Duration = Duration::from_millis(20);
 /// Tries of an engine that tells nothing, of which each takes as long as a connection may if its link is silent. Engines are back within
@@ -166,7 +168,10 @@
     for _ in 0..TRIES {
         match sign(instance, engine).await {
             Sign::Ended => return true,
-            Sign::Lives => return false,
+            Sign::Lives => {
+                log::info!(engine = &*engine.id; "an engine whose answer broke off lives");
+                return false;
+            }
             Sign::Silent => sleep(AGAIN).await,
         }
     }
@@ -184,8 +189,7 @@
     }
     match Client::open(engine.address, &PATIENCE, &instance.codec).await {
         Ok(mut client) => {
-            sleep(CLOSING).await;
-            if !client.is_reusable() {
+            if !stays_open(&mut client).await {
                 return Sign::Silent;
             }
             instance.pool.give(&engine.id, client, None, instance.now());
@@ -197,3 +201,15 @@
         Err(_) => Sign::Silent,
     }
 }
+
+/// Whether a connection outlives the end of a process that was ending when it opened.
+async fn stays_open(client: &mut Client) -> bool {
+    let until = Instant::now() + SOCKETS_CLOSE;
+    while client.is_reusable() {
+        if Instant::now() >= until {
+            return true;
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+    false
+}
