--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -51,7 +51,7 @@
     started: Unix,
     /// Who places calls.
     pub placers: RefCell<Placers>,
-    /// Pending to other instances that are not answered yet.
+    /// Placement requests that await their responses.
     pub pending: Pending,
     /// Calls that others placed for this instance, and what is to be reported of them.
     pub reports: Reports,
@@ -62,7 +62,7 @@
     pub engines_read: Cell<Option<Moment>>,
     /// Whether all engines are known.
     pub engines_known: Cell<bool>,
-    /// The records of the store that are known, for those that start.
+    /// Copies of the store's records, for instances that start.
     pub snapshot: RefCell<Snapshot>,
     /// Whether the other instances have been read from the store.
     pub is_registered: Cell<bool>,
