Restore the help text of the placement_questions metric

What operators saw: 'Pending to instances that place calls' as the help of that metric. Cause: the rename of placement::client's Questions to Pending replaced the word by pattern and met the metric's field and text, too, which were to keep their names. Change: both are as before the rename. Found reading the diff; no test reads help texts.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -111,7 +111,7 @@
     begun: Family<Labels<String>, Counter>,
     reports: Family<Labels<Ordered>, Counter>,
     sizes: Family<Labels<Ordered>, Counter>,
-    pending: Family<Labels<Asked>, Counter>,
+    questions: Family<Labels<Asked>, Counter>,
     store_failures: Counter,
     held: Counter,
     throttled: Family<Labels<Throttled>, Counter>,
@@ -135,7 +135,7 @@
             begun: Family::default(),
             reports: Family::default(),
             sizes: Family::default(),
-            pending: Family::default(),
+            questions: Family::default(),
             store_failures: Counter::default(),
             held: Counter::default(),
             throttled: Family::default(),
@@ -190,8 +190,8 @@
         );
         registry.register(
             "placement_questions",
-            "Pending to instances that place calls",
-            self.pending.clone(),
+            "Questions to instances that place calls",
+            self.questions.clone(),
         );
         registry.register(
             "store_failures",
@@ -276,7 +276,7 @@
 
     /// An instance that places calls was asked.
     pub(crate) fn asked(&self, what: Asked) {
-        self.pending.get_or_create(&[("answer", what)]).inc();
+        self.questions.get_or_create(&[("answer", what)]).inc();
     }
 
     /// A read of the store failed.
