Note the end of an engine in one place, and look its record up by placement::record

Both ways on which a call loses its engine, an answer that breaks off and a caller that leaves, had the same wait and the same two steps; given_up cloned the record by itself. No change of behaviour.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use clock::Moment;
 use http1::{Client, Failure, Patience};
 use serving::EngineId;
 use serving::engine::{Record, State};
@@ -20,7 +21,8 @@
 
 use crate::attempt::Asked;
 use crate::instance::Instance;
-use crate::suspects;
+use crate::placement;
+use crate::suspects::{self, Subject};
 
 /// Time for a connection to open, or to be refused.
 const CONNECT: Duration = Duration::from_millis(350);
@@ -84,15 +86,10 @@
     instance.crashes.open.borrow_mut().push(call);
     let mut known = known(instance, engine);
     let noting = {
-        let (instance, engine) = (instance.clone(), engine.clone());
-        let subject = asked.subject();
-        let mut known = known.clone();
+        let (instance, engine, subject) = (instance.clone(), engine.clone(), asked.subject());
+        let known = known.clone();
         async move {
-            // A try that ends without a word is one that did not tell.
-            if known.wait_for(|ended| *ended).await.is_ok() {
-                instance.suspects.crashed(&subject, &engine, at);
-                instance.stirred.notify_one();
-            }
+            note_end(&instance, &subject, &engine, at, known).await;
             instance.crashes.close(call);
         }
     };
@@ -114,31 +111,35 @@
     if !instance.suspects.is_noted(asked) || is_leaving(instance, engine) {
         return;
     }
-    let record = instance
-        .fleet
-        .borrow()
-        .get(engine)
-        .map(|known| known.record.clone());
-    let Some(record) = record else { return };
+    let Some(engine) = placement::record(instance, engine) else {
+        return;
+    };
     let (instance, subject) = (instance.clone(), asked.subject());
     actix_rt::spawn(async move {
         let at = suspects::now(&instance);
         sleep(ENDING).await;
-        if is_leaving(&instance, &record.id) {
-            return;
-        }
-        // A try that ends without a word is one that did not tell.
-        if known(&instance, &record)
-            .wait_for(|ended| *ended)
-            .await
-            .is_ok()
-        {
-            instance.suspects.crashed(&subject, &record, at);
-            instance.stirred.notify_one();
+        if !is_leaving(&instance, &engine.id) {
+            let known = known(&instance, &engine);
+            note_end(&instance, &subject, &engine, at, known).await;
         }
     });
 }
 
+/// Notes the end of an engine under a call once it is known, if it has ended.
+async fn note_end(
+    instance: &Instance,
+    subject: &Subject,
+    engine: &Record,
+    at: Moment,
+    mut known: watch::Receiver<bool>,
+) {
+    // A try that ends without a word is one that did not tell.
+    if known.wait_for(|ended| *ended).await.is_ok() {
+        instance.suspects.crashed(subject, engine, at);
+        instance.stirred.notify_one();
+    }
+}
+
 /// Whether an engine is to leave or has left, so that its end says nothing of its calls.
 fn is_leaving(instance: &Instance, engine: &EngineId) -> bool {
     let fleet = instance.fleet.borrow();
