--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -26,12 +26,7 @@
 
 /// Time for a connection to open, or to be refused.
 const CONNECT: Duration = Duration::from_millis(350);
-const PATIENCE: Patience = Patience {
-    connect: CONNECT,
-    acknowledge: CONNECT,
-    probe: CONNECT,
-    probes: 1,
-};
+const PATIENCE: Patience = Patience::within(CONNECT);
 /// Time within which a process that ends closes all its sockets, on a busy machine too. Its calls may be cut before its port is
 /// closed, and a connection that opens in between says nothing until it has outlived this.
 const SOCKETS_CLOSE: Duration = Duration::from_millis(350);
--- a/crates/gateway/src/generate/memory.rs
+++ b/crates/gateway/src/generate/memory.rs
@@ -50,12 +50,7 @@
 }
 
 async fn free(instance: Rc<Instance>, holder: EngineId, memory: Memory) {
-    let patience = Patience {
-        connect: FREE,
-        acknowledge: FREE,
-        probe: FREE,
-        probes: 1,
-    };
+    let patience = Patience::within(FREE);
     let freeing = async {
         let mut client = Client::open(memory.address, &patience, &instance.codec).await?;
         client.send(upstream::free(&memory), &Bytes::new()).await
--- a/crates/gateway/src/warmup.rs
+++ b/crates/gateway/src/warmup.rs
@@ -26,12 +26,7 @@
 /// Time for one engine's response.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
 /// Shorter than for calls: a late response is of no use.
-const PATIENCE: Patience = Patience {
-    connect: RESPONSE_TIMEOUT,
-    acknowledge: RESPONSE_TIMEOUT,
-    probe: RESPONSE_TIMEOUT,
-    probes: 1,
-};
+const PATIENCE: Patience = Patience::within(RESPONSE_TIMEOUT);
 
 /// Warms up each time this instance becomes a placer.
 pub(crate) async fn run(instance: Rc<Instance>) {
--- a/crates/http1/src/socket.rs
+++ b/crates/http1/src/socket.rs
@@ -25,6 +25,18 @@
     pub probes: u32,
 }
 
+impl Patience {
+    /// The patience of an exchange that is of no use after `time`: each of its steps may take that long.
+    pub const fn within(time: Duration) -> Self {
+        Self {
+            connect: time,
+            acknowledge: time,
+            probe: time,
+            probes: 1,
+        }
+    }
+}
+
 /// Queue of connections that wait to be accepted.
 const BACKLOG: i32 = 512;
 
