--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -150,7 +150,7 @@
 const NO_ENGINE_AFTER: Duration = Duration::from_millis(500);
 /// Share of the time in which a call is on time that it may wait for an engine's rate limit.
 const LIMIT_WAIT_SHARE: f64 = 0.5;
-/// Shortest time told to a caller whose call a rate limit keeps away.
+/// Shortest `Retry-After` of a rejection by rate limits.
 const MIN_LIMITED_AFTER: Duration = Duration::from_millis(100);
 
 /// Finds the place for a call.
@@ -165,8 +165,8 @@
     }
 }
 
-/// Counts what was chosen for a call against the limits of its engines. A call that limits keep away is told when to come
-/// back by what was refused before it.
+/// Charges a placement to the rate limits of its engines. A rejection by rate limits gets its `Retry-After` from the rejections
+/// before it.
 pub fn commit(fleet: &mut Fleet, demand: &Demand, choice: &mut Choice, now: Moment) {
     match choice {
         Choice::Direct(target) => charge(fleet, demand, target, now),
@@ -322,11 +322,7 @@
         0.1
     };
     let wait = limit_wait(fleet, engine, demand, now).unwrap_or_default();
-    let late = wait.as_secs_f64()
-        / demand
-            .target
-            .as_secs_f64()
-            .max(SHORTEST_TARGET.as_secs_f64());
+    let late = wait.as_secs_f64() / demand.target.max(SHORTEST_TARGET).as_secs_f64();
     load + far + late + 4.0 * engine.failures(now)
 }
 
--- a/crates/serving/src/throttle.rs
+++ b/crates/serving/src/throttle.rs
@@ -68,7 +68,7 @@
 /// Longest time between two requests of one instance. An engine that takes next to nothing says only in an answer that it takes
 /// more again.
 const MAX_INTERVAL: Duration = Duration::from_secs(10);
-/// Longest time told to a caller whose call limits keep away. What engines announce may change in less.
+/// Longest `Retry-After` of a rejection by rate limits. What engines announce may change in less.
 const MAX_DEFERRAL: Duration = Duration::from_secs(10);
 /// Time for which a lifted limit is remembered, so that an older announcement which arrives late does not bring it back.
 const LIFTED_MEMORY: Duration = Duration::from_secs(10);
@@ -238,7 +238,7 @@
         said.collect()
     }
 
-    /// What engines said of which this instance is to tell the others again: each is told by [`REPEATERS`] placers.
+    /// Announcements that this instance repeats to all others. Each one is repeated by [`REPEATERS`] placers.
     pub fn repeated(&self) -> Vec<(EngineId, Announcement)> {
         let own = self.own.filter(|_| self.placers.own);
         let Some(own) = own else {
--- a/crates/serving/tests/need.rs
+++ b/crates/serving/tests/need.rs
@@ -209,7 +209,7 @@
         }
     }
 
-    /// A caller comes back once, if it is told to come within a third of its time.
+    /// A rejected caller retries once, if its `Retry-After` is within a third of its time.
     fn refuse(&mut self, call: usize, again: bool, after: Duration, now: Moment) {
         let left = (self.calls[call].at + DEADLINE).saturating_sub(now);
         if again || after > left / 3 {
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -129,7 +129,7 @@
 pub struct Limit {
     /// The engine.
     pub engine: String,
-    /// Requests that it takes in ten seconds.
+    /// The limit, in requests per ten seconds.
     pub taken: u32,
     /// When it began to announce it, since callers began.
     pub from: Duration,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -107,7 +107,7 @@
     /// A caller sends a call that ends each engine which runs it, again and again. Engines are back under their names or new
     /// ones.
     Fatal,
-    /// An engine announces that it takes so many requests in ten seconds.
+    /// An engine announces a rate limit, in requests per ten seconds.
     Limit(usize, u32),
     /// A new configuration, with one route more.
     Configure,
@@ -191,7 +191,7 @@
 const LIMITED: u64 = 4;
 /// How many engines.
 const LIMITS: usize = 3;
-/// Requests in ten seconds that such an engine takes.
+/// Their rate limits, in requests per ten seconds.
 const TAKEN: [u32; 4] = [2, 10, 15, 40];
 /// How often either happens there.
 const COPIES: usize = 2;
