Log where an instance learned of an engine's leaving, and when it doubts it

Callers saw nothing, and neither did the logs: no line told a leaving that is known and doubted from one that nobody announced. A read of all records logged only how many changed; a change did not name its source.

A counter counts changes by source. No decision changes. Tests of serving and gateway pass.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -79,6 +79,17 @@
     Alone,
 }
 
+/// Where an instance learned of a changed engine record.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum EngineSource {
+    /// The store's log.
+    Log,
+    /// A read of all records.
+    Snapshot,
+    /// Another instance.
+    Instance,
+}
+
 macro_rules! labels {
     ($type:ident: $($value:ident = $text:literal),*) => {
         impl EncodeLabelValue for $type {
@@ -95,6 +106,7 @@
 labels!(PlacementAnswer: Placed = "placed", Declined = "declined", Silent = "silent");
 labels!(Suspect: Held = "held", Alone = "alone");
 labels!(Throttled: Waited = "waited", Refused = "refused");
+labels!(EngineSource: Log = "log", Snapshot = "snapshot", Instance = "instance");
 labels!(OrderAnswer: Taken = "taken", Refused = "refused", Unanswered = "unanswered");
 
 /// One label name with its value.
@@ -113,6 +125,7 @@
     engine_orders: Family<Labels<OrderAnswer>, Counter>,
     placement_requests: Family<Labels<PlacementAnswer>, Counter>,
     store_failures: Counter,
+    engine_changes: Family<Labels<EngineSource>, Counter>,
     held_calls: Counter,
     throttled_calls: Family<Labels<Throttled>, Counter>,
     limited_engines: Gauge,
@@ -137,6 +150,7 @@
             engine_orders: Family::default(),
             placement_requests: Family::default(),
             store_failures: Counter::default(),
+            engine_changes: Family::default(),
             held_calls: Counter::default(),
             throttled_calls: Family::default(),
             limited_engines: Gauge::default(),
@@ -198,6 +212,11 @@
             "Reads of the store that failed",
             self.store_failures.clone(),
         );
+        registry.register(
+            "engine_changes",
+            "Changes of engine records, by where they were learned",
+            self.engine_changes.clone(),
+        );
         registry.register(
             "held_calls",
             "Calls that were refused since engines had ended under them",
@@ -281,6 +300,13 @@
             .inc();
     }
 
+    /// Counts a changed record of an engine.
+    pub(crate) fn engine_changed(&self, source: EngineSource) {
+        self.engine_changes
+            .get_or_create(&[("source", source)])
+            .inc();
+    }
+
     /// Counts a failed read of the store.
     pub(crate) fn store_read_failed(&self) {
         self.store_failures.inc();
--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -78,7 +78,7 @@
         check_synced(instance, state.engines_digest);
     }
     if let Some(read) = moment_from_age(state.engines_age_ms, now) {
-        instance.registry.borrow_mut().store_answered(read);
+        store_reader::on_store_answered(&mut instance.registry.borrow_mut(), read, "instance");
     }
     if let Some(replaced) = replaced {
         instance.fleet.borrow_mut().forget_peer(replaced, now);
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -7,6 +7,8 @@
 
 use adapter::records;
 use adapter::store::{self, KeyedRecord, Offset, Store, StoreError};
+use clock::Moment;
+use serving::engine::Engine;
 use serving::registry::{Change, Registry};
 use serving::watch::{self, Watch};
 use serving::{Fleet, Record};
@@ -14,6 +16,7 @@
 use wire::gateway::News;
 
 use crate::instance::Instance;
+use crate::metrics::EngineSource;
 use crate::peers::Topic;
 
 /// Longest wait of one read for a new configuration. Calls to the store are paid for, and peers
@@ -238,8 +241,8 @@
         }
         Topic::Engines => {
             let mut registry = instance.registry.borrow_mut();
-            registry.store_answered(instance.now());
-            apply_engine(instance, &mut registry, record);
+            on_store_answered(&mut registry, instance.now(), "instance");
+            apply_engine(instance, &mut registry, record, EngineSource::Instance);
         }
     }
 }
@@ -310,7 +313,7 @@
     loop {
         let read = reader.read().await;
         let mut registry = instance.registry.borrow_mut();
-        registry.store_answered(instance.now());
+        on_store_answered(&mut registry, instance.now(), "store");
         match read {
             Read::Snapshot(records) => apply_snapshot(&instance, &mut registry, &records),
             Read::Batch(records) => apply_batch(&instance, &mut registry, &records),
@@ -320,12 +323,19 @@
 
 fn apply_batch(instance: &Instance, registry: &mut Registry, records: &[KeyedRecord]) {
     for record in records {
-        if apply_engine(instance, registry, record) {
+        if apply_engine(instance, registry, record, EngineSource::Log) {
             announce(instance, Topic::Engines, record);
         }
     }
 }
 
+/// Records that the store answered at `read`, as seen by this instance itself or as announced.
+pub(crate) fn on_store_answered(registry: &mut Registry, read: Moment, source: &str) {
+    if let Some(silence) = registry.store_answered(read) {
+        log::info!(silence_ms:% = silence.as_millis(), source = source; "the store was silent; missing engine records are doubted");
+    }
+}
+
 fn apply_snapshot(instance: &Instance, registry: &mut Registry, records: &[KeyedRecord]) {
     let mut snapshot = instance.snapshot.borrow_mut();
     snapshot.clear_engines();
@@ -342,12 +352,50 @@
         .collect();
     let count = engines.len();
     let changes = registry.replace(&mut fleet, engines, instance.now());
-    instance.engines_known.set(true);
-    log::info!(engines = count, changes = changes; "all engines read");
+    drop(fleet);
+    let is_first = !instance.engines_known.replace(true);
+    log::info!(engines = count, changes = changes.len(); "all engines read");
+    if is_first {
+        return;
+    }
+    for (name, change) in &changes {
+        log_engine_change(instance, name, *change, EngineSource::Snapshot, 0);
+    }
+}
+
+/// Logs and counts a changed record of an engine, with its offset if that is known.
+fn log_engine_change(
+    instance: &Instance,
+    name: &str,
+    change: Change,
+    source: EngineSource,
+    offset: Offset,
+) {
+    instance.metrics.engine_changed(source);
+    let fleet = instance.fleet.borrow();
+    let mut engines = fleet.all();
+    let engine = engines.find(|engine| &*engine.record.name == name && !engine.record_gone);
+    match (change, engine) {
+        (Change::Put, Some(Engine { record, .. })) => {
+            log::info!(
+                engine = name, state:? = record.state, stage:? = record.stage,
+                born = record.started_ms.unwrap_or_default(), source:? = source, offset = offset;
+                "engine changed"
+            );
+        }
+        _ => {
+            log::info!(engine = name, change:? = change, source:? = source, offset = offset; "engine's record is gone");
+        }
+    }
 }
 
 /// Applies an engine's record. Returns whether it changed something.
-fn apply_engine(instance: &Instance, registry: &mut Registry, record: &KeyedRecord) -> bool {
+fn apply_engine(
+    instance: &Instance,
+    registry: &mut Registry,
+    record: &KeyedRecord,
+    source: EngineSource,
+) -> bool {
     if !registry.is_newer(&record.key, record.offset) {
         return false;
     }
@@ -358,9 +406,10 @@
     let mut fleet = instance.fleet.borrow_mut();
     if record.value.is_none() {
         let change = registry.remove(&mut fleet, &record.key, instance.now());
+        drop(fleet);
         if change != Change::None {
             registry.advance_to(record.offset);
-            log::info!(engine = record.key.as_str(), change:? = change; "engine's record is gone");
+            log_engine_change(instance, &record.key, change, source, record.offset);
         }
         return change != Change::None;
     }
@@ -371,15 +420,14 @@
         }
         return was_readable;
     };
-    let state = engine.state;
-    let stage = engine.stage;
-    let born = engine.started_ms;
-    let changed = registry.put(&mut fleet, engine) == Change::Put;
-    if changed {
-        registry.advance_to(record.offset);
-        log::info!(engine = record.key.as_str(), state:? = state, stage:? = stage, born = born.unwrap_or_default(); "engine changed");
+    let change = registry.put(&mut fleet, engine);
+    drop(fleet);
+    if change != Change::Put {
+        return false;
     }
-    changed
+    registry.advance_to(record.offset);
+    log_engine_change(instance, &record.key, change, source, record.offset);
+    true
 }
 
 /// Parses an engine's record. An invalid one is logged once, however often it is read.
--- a/crates/serving/src/registry.rs
+++ b/crates/serving/src/registry.rs
@@ -49,7 +49,7 @@
 }
 
 /// Name of an engine on the platform.
-type Name = Rc<str>;
+pub type Name = Rc<str>;
 
 /// One start of an engine.
 #[derive(Clone, Debug)]
@@ -72,17 +72,19 @@
 }
 
 impl Registry {
-    /// Records that the store answered this instance, or another instance that says so.
-    pub fn store_answered(&mut self, now: Moment) {
+    /// Records that the store answered this instance, or another instance that says so. Returns
+    /// how long the store had been silent if lapses are doubted because of it.
+    pub fn store_answered(&mut self, now: Moment) -> Option<Duration> {
         if now <= self.store_heard_at {
-            return;
+            return None;
         }
-        if now.saturating_sub(self.store_heard_at) > OUTAGE_SILENCE
-            && !self.store_heard_at.is_zero()
-        {
+        let silence = now.saturating_sub(self.store_heard_at);
+        let is_outage = silence > OUTAGE_SILENCE && !self.store_heard_at.is_zero();
+        if is_outage {
             self.doubt_until = now + RECOVERY_GRACE;
         }
         self.store_heard_at = now;
+        is_outage.then_some(silence)
     }
 
     /// Records that the store was restored from an older copy.
@@ -220,19 +222,27 @@
         self.unreadable.contains(name)
     }
 
-    /// Replaces all records; engines that are not listed are removed.
-    pub fn replace(&mut self, fleet: &mut Fleet, records: Vec<Record>, now: Moment) -> usize {
+    /// Replaces all records; engines that are not listed are removed. Returns what changed, by
+    /// name.
+    pub fn replace(
+        &mut self,
+        fleet: &mut Fleet,
+        records: Vec<Record>,
+        now: Moment,
+    ) -> Vec<(Name, Change)> {
         let listed: BTreeSet<Name> = records.iter().map(|record| record.name.clone()).collect();
-        let mut changes = 0;
+        let mut changes = Vec::new();
         for record in records {
-            changes += usize::from(self.put(fleet, record) != Change::None);
+            let name = record.name.clone();
+            changes.push((name, self.put(fleet, record)));
         }
         let unreadable = &self.unreadable;
         self.offsets
             .retain(|name, _| listed.contains(name) || unreadable.contains(name));
         for name in fleet.names() {
             if !listed.contains(&name) {
-                changes += usize::from(self.remove(fleet, &name, now) != Change::None);
+                let change = self.remove(fleet, &name, now);
+                changes.push((name, change));
             }
         }
         // Incarnations of removed names guard against late records, but must not accumulate for
@@ -240,6 +250,7 @@
         self.incarnations.retain(|name, incarnation| {
             listed.contains(name) || fleet.get(&incarnation.id).is_some()
         });
+        changes.retain(|(_, change)| *change != Change::None);
         changes
     }
 
--- a/crates/serving/tests/registry.rs
+++ b/crates/serving/tests/registry.rs
@@ -92,7 +92,7 @@
         vec![record("a", Some(Stage::Decode))],
         ms(1_100),
     );
-    assert_eq!(changes, 1);
+    assert_eq!(changes, [("b".into(), Change::Removed)]);
     assert!(fleet.get("b").is_none());
 }
 
