--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -62,8 +62,8 @@
 }
 
 /// Rates of links, in megabits per second.
-const FAST_LINK_MBPS: u32 = 1_000;
-const SLOW_LINK_MBPS: u32 = 100;
+pub(crate) const FAST_LINK_MBPS: u32 = 1_000;
+pub(crate) const SLOW_LINK_MBPS: u32 = 100;
 
 /// Deadline of a call.
 const DEADLINE_MS: u32 = 20_000;
@@ -126,31 +126,50 @@
 impl Gateway {
     /// Starts a store and a gateway that has no configuration yet.
     pub(crate) async fn start_unconfigured() -> Self {
-        Self::start_with(Rc::new(Store::start().await), FAST_LINK_MBPS, None)
+        let store = Rc::new(Store::start().await);
+        let address = store.address;
+        Self::start_with(store, address, FAST_LINK_MBPS, None)
     }
 
     /// Starts a store and a gateway that performs duties.
     pub(crate) async fn with_duties(duties: Duties) -> Self {
-        Self::start_with(Rc::new(Store::start().await), FAST_LINK_MBPS, Some(duties))
+        let store = Rc::new(Store::start().await);
+        let address = store.address;
+        Self::start_with(store, address, FAST_LINK_MBPS, Some(duties))
     }
 
     /// Starts another gateway on the same store.
     pub(crate) fn start_another(&self) -> Self {
-        Self::start_with(self.store.clone(), FAST_LINK_MBPS, self.duties)
+        self.start_another_at(self.store.address, FAST_LINK_MBPS)
     }
 
     /// Starts another gateway on the same store, whose slow link puts it last in the read order.
     pub(crate) fn start_another_on_slow_link(&self) -> Self {
-        Self::start_with(self.store.clone(), SLOW_LINK_MBPS, self.duties)
+        self.start_another_at(self.store.address, SLOW_LINK_MBPS)
     }
 
-    fn start_with(store: Rc<Store>, link_mbps: u32, duties: Option<Duties>) -> Self {
+    /// Starts another gateway that reaches the same store at another address.
+    pub(crate) fn start_another_at(&self, store: SocketAddr, link_mbps: u32) -> Self {
+        Self::start_with(self.store.clone(), store, link_mbps, self.duties)
+    }
+
+    /// Starts a gateway that reaches the store at this address.
+    pub(crate) fn start_unconfigured_at(store: Rc<Store>, address: SocketAddr) -> Self {
+        Self::start_with(store, address, FAST_LINK_MBPS, None)
+    }
+
+    fn start_with(
+        store: Rc<Store>,
+        store_address: SocketAddr,
+        link_mbps: u32,
+        duties: Option<Duties>,
+    ) -> Self {
         let front = SocketAddr::from(([127, 0, 0, 1], free_port()));
         let ready = SocketAddr::from(([127, 0, 0, 1], free_port()));
         let metrics = SocketAddr::from(([127, 0, 0, 1], free_port()));
         let settings = Settings {
             name: "front-a-1",
-            store: store.address,
+            store: store_address,
             front,
             ready,
             port: free_port(),
--- /dev/null
+++ b/crates/gateway/tests/leaving.rs
@@ -0,0 +1,130 @@
+//! Engines that leave while the store answers only some of the instances.
+
+mod harness;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use harness::{FAST_LINK_MBPS, Gateway, SLOW_LINK_MBPS, wait_until};
+use platform_standin::store::{Fault, Link};
+use platform_standin::{Engine, Store};
+
+/// Interval between two records of an engine.
+const HEARTBEAT: Duration = Duration::from_millis(100);
+
+const READER_LOST_STORE: &str = "the store does not answer topic=keyed.servers";
+const ALL_READ: &str = "all engines read";
+
+/// Three gateways, of which the third does not read the store while the others do, and engines
+/// that renew their records.
+struct Fleet {
+    gateways: [Gateway; 3],
+    /// The store as the two readers reach it.
+    readers_link: Link,
+    /// The store as the third gateway reaches it.
+    third_link: Link,
+    /// Serves plain calls, and is to leave.
+    app: Engine,
+    heartbeats: Rc<()>,
+}
+
+impl Fleet {
+    async fn start() -> Self {
+        let store = Rc::new(Store::start().await);
+        let (readers_link, third_link) = (store.open_link().await, store.open_link().await);
+        let first = Gateway::start_unconfigured_at(store.clone(), readers_link.address);
+        let (first, app, pool) = first.add_engines().await;
+        let other = Engine::start("app-2").await;
+        let heartbeats = Rc::new(());
+        let renewed = [(other.clone(), "app", None), (pool, "pool", Some("decode"))];
+        for (engine, service, stage) in renewed {
+            let (store, running) = (store.clone(), Rc::downgrade(&heartbeats));
+            actix_rt::spawn(async move {
+                while running.upgrade().is_some() {
+                    engine.register(&store, service, "ready", stage);
+                    tokio::time::sleep(HEARTBEAT).await;
+                }
+            });
+        }
+        let second = first.start_another_at(readers_link.address, FAST_LINK_MBPS);
+        let third = first.start_another_at(third_link.address, SLOW_LINK_MBPS);
+        let gateways = [first, second, third];
+        for gateway in &gateways {
+            gateway.wait_until_ready(true).await;
+            wait_until(async || knows_engines(gateway, 3).await).await;
+        }
+        Self {
+            gateways,
+            readers_link,
+            third_link,
+            app,
+            heartbeats,
+        }
+    }
+
+    /// Silences the store for the readers, and for the third gateway for good. `leave` happens
+    /// meanwhile. Returns once the readers have read all engines again.
+    async fn leave_unseen(&self, leave: impl FnOnce()) {
+        let [first, second, _] = &self.gateways;
+        let reads = [first, second].map(|reader| reader.count_log_lines(ALL_READ));
+        self.third_link.fault(Fault::Silent);
+        self.readers_link.fault(Fault::Silent);
+        wait_until(async || {
+            [first, second]
+                .iter()
+                .all(|reader| reader.count_log_lines(READER_LOST_STORE) > 0)
+        })
+        .await;
+        leave();
+        self.readers_link.fault(Fault::None);
+        wait_until(async || {
+            let again = [first, second].map(|reader| reader.count_log_lines(ALL_READ));
+            again[0] > reads[0] && again[1] > reads[1]
+        })
+        .await;
+    }
+}
+
+async fn knows_engines(gateway: &Gateway, count: usize) -> bool {
+    let page = gateway.metrics_page().await;
+    page.lines()
+        .any(|line| line == format!("tarragon_engines {count}"))
+}
+
+/// Sends calls that either engine may serve. Returns how many the leaving one received.
+async fn calls_to_leaving(gateway: &Gateway, app: &Engine) -> usize {
+    let before = app.received().len();
+    for _ in 0..20 {
+        let id = gateway.fresh_id();
+        assert_eq!(gateway.call("/once/a", &id, &[]).await.status, 200);
+    }
+    app.received().len() - before
+}
+
+/// Guards against calls, for two seconds, to an engine whose record went while only the readers
+/// could not reach the store: its absence was doubted as if no engine could have renewed its record.
+#[actix_rt::test]
+async fn an_engine_whose_record_went_unseen_while_others_renewed_theirs_gets_no_calls() {
+    let fleet = Fleet::start().await;
+    let store = fleet.gateways[0].store.clone();
+    let id = fleet.app.id.clone();
+    fleet
+        .leave_unseen(|| store.put("keyed.servers", &id, None))
+        .await;
+    assert_eq!(calls_to_leaving(&fleet.gateways[0], &fleet.app).await, 0);
+    drop(fleet.heartbeats);
+}
+
+/// Guards against calls to a leaving engine from instances that do not read the store: a reader
+/// that had lost the store learned of the leaving from all records at once, and announced nothing.
+#[actix_rt::test]
+async fn a_leaving_that_a_reader_finds_in_all_records_reaches_the_other_instances() {
+    let fleet = Fleet::start().await;
+    let store = fleet.gateways[0].store.clone();
+    fleet
+        .leave_unseen(|| fleet.app.register(&store, "app", "draining", None))
+        .await;
+    let third = &fleet.gateways[2];
+    wait_until(async || knows_engines(third, 2).await).await;
+    assert_eq!(calls_to_leaving(third, &fleet.app).await, 0);
+}
