Believe that an engine has left if others renewed their records meanwhile

Callers saw nothing; engines whose records had gone got requests for up to 3.3 s, where two seconds are allowed, at instances that had read so.

Cause: the first answer of the store after 1.2 s of silence starts a doubt of 2.2 s, in which missing records do not count, since an outage of the store lets the records of all engines lapse. The silence of this fleet's own readers was taken for an outage.

A reader now tells with its state where the log of engine records ended, and each instance knows how fast it grows. If it grew by two thirds of that during the silence, engines were renewing their records, and one that is missing has left. After an outage the log has a record and a deletion for each engine at the most, which is less. Without a known rate the doubt stays.

A test in the registry checks that lapses after an outage are doubted although deletions and returns make the log grow.

--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, SystemTime};
 
 use adapter::settings::Settings;
-use adapter::store::Era;
+use adapter::store::{Era, Offset};
 use clock::{Clock as _, Moment, System};
 use serving::budget::RepeatBudgets;
 use serving::organisation::{Directory, Name};
@@ -60,6 +60,8 @@
     /// When this instance last read each topic itself.
     pub configuration_read: Cell<Option<Moment>>,
     pub engines_read: Cell<Option<Moment>>,
+    /// Where the log of engine records ended when this instance last read it; 0 before that.
+    pub engines_end: Cell<Offset>,
     /// Whether all engines are known.
     pub engines_known: Cell<bool>,
     /// Copies of the store's records, for instances that start.
@@ -112,6 +114,7 @@
             greeting_due: Cell::new(true),
             configuration_read: Cell::new(None),
             engines_read: Cell::new(None),
+            engines_end: Cell::new(0),
             address: SocketAddr::new(settings.ip, settings.ports.0),
             engines_known: Cell::new(false),
             snapshot: RefCell::default(),
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -280,6 +280,7 @@
         configuration: instance.table().map_or(0, |table| table.version),
         engines_digest: engines.digest,
         engines_upto: engines.upto,
+        engines_end: instance.engines_end.get(),
         lacks_engines: !instance.has_topic(Topic::Engines),
         configuration_age_ms: encode_age(instance.configuration_read.get(), now),
         engines_age_ms: encode_age(instance.engines_read.get(), now),
--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -78,7 +78,8 @@
         check_synced(instance, state.engines_digest);
     }
     if let Some(read) = moment_from_age(state.engines_age_ms, now) {
-        store_reader::on_store_answered(&mut instance.registry.borrow_mut(), read, "instance");
+        let end = (state.engines_end > 0).then_some(state.engines_end);
+        store_reader::on_store_answered(&mut instance.registry.borrow_mut(), end, read, "instance");
     }
     if let Some(replaced) = replaced {
         instance.fleet.borrow_mut().forget_peer(replaced, now);
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -241,7 +241,7 @@
         }
         Topic::Engines => {
             let mut registry = instance.registry.borrow_mut();
-            on_store_answered(&mut registry, instance.now(), "instance");
+            on_store_answered(&mut registry, None, instance.now(), "instance");
             apply_engine(instance, &mut registry, record, EngineSource::Instance);
         }
     }
@@ -313,7 +313,8 @@
     loop {
         let read = reader.read().await;
         let mut registry = instance.registry.borrow_mut();
-        on_store_answered(&mut registry, instance.now(), "store");
+        on_store_answered(&mut registry, reader.next, instance.now(), "store");
+        instance.engines_end.set(reader.next.unwrap_or_default());
         match read {
             Read::Snapshot(records) => apply_snapshot(&instance, &mut registry, &records),
             Read::Batch(records) => apply_batch(&instance, &mut registry, &records),
@@ -329,10 +330,23 @@
     }
 }
 
-/// Records that the store answered at `read`, as seen by this instance itself or as announced.
-pub(crate) fn on_store_answered(registry: &mut Registry, read: Moment, source: &str) {
-    if let Some(silence) = registry.store_answered(read) {
-        log::info!(silence_ms:% = silence.as_millis(), source = source; "the store was silent; missing engine records are doubted");
+/// Records that the store answered at `read`, as seen by this instance itself or as announced, and
+/// where the log of engine records ended then, if that is known.
+pub(crate) fn on_store_answered(
+    registry: &mut Registry,
+    end: Option<Offset>,
+    read: Moment,
+    source: &str,
+) {
+    let silence = match end {
+        Some(end) => registry.store_read(end, read),
+        None => registry.store_answered(read),
+    };
+    if let Some(silence) = silence {
+        log::info!(
+            silence_ms:% = silence.duration.as_millis(), engines_renewed = silence.engines_renewed, source = source;
+            "the store was silent"
+        );
     }
 }
 
--- a/crates/gateway/tests/leaving.rs
+++ b/crates/gateway/tests/leaving.rs
@@ -2,6 +2,7 @@
 
 mod harness;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,6 +13,9 @@
 /// Interval between two records of an engine.
 const HEARTBEAT: Duration = Duration::from_millis(100);
 
+/// Records after which gateways know how often they are renewed.
+const KNOWN_HEARTBEATS: usize = 80;
+
 const READER_LOST_STORE: &str = "the store does not answer topic=keyed.servers";
 const ALL_READ: &str = "all engines read";
 
@@ -25,7 +29,8 @@
     third_link: Link,
     /// Serves plain calls, and is to leave.
     app: Engine,
-    heartbeats: Rc<()>,
+    /// Records that engines have written; they stop once this is dropped.
+    heartbeats: Rc<Cell<usize>>,
 }
 
 impl Fleet {
@@ -35,12 +40,13 @@
         let first = Gateway::start_unconfigured_at(store.clone(), readers_link.address);
         let (first, app, pool) = first.add_engines().await;
         let other = Engine::start("app-2").await;
-        let heartbeats = Rc::new(());
+        let heartbeats = Rc::new(Cell::new(0));
         let renewed = [(other.clone(), "app", None), (pool, "pool", Some("decode"))];
         for (engine, service, stage) in renewed {
             let (store, running) = (store.clone(), Rc::downgrade(&heartbeats));
             actix_rt::spawn(async move {
-                while running.upgrade().is_some() {
+                while let Some(written) = running.upgrade() {
+                    written.set(written.get() + 1);
                     engine.register(&store, service, "ready", stage);
                     tokio::time::sleep(HEARTBEAT).await;
                 }
@@ -53,6 +59,8 @@
             gateway.wait_until_ready(true).await;
             wait_until(async || knows_engines(gateway, 3).await).await;
         }
+        // The gateways know how often records are renewed.
+        wait_until(async || heartbeats.get() > KNOWN_HEARTBEATS).await;
         Self {
             gateways,
             readers_link,
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod hash;
 pub mod health;
 mod linear_fit;
+pub mod log_growth;
 pub mod organisation;
 mod overrun;
 pub mod parts;
--- a/crates/serving/src/registry.rs
+++ b/crates/serving/src/registry.rs
@@ -7,6 +7,7 @@
 use clock::Moment;
 
 use crate::engine::{Engine, Record, State};
+use crate::log_growth::LogGrowth;
 use crate::watch::TopicState;
 use crate::{EngineId, Fleet, hash};
 
@@ -27,10 +28,12 @@
 /// instance that believed this when the store returns would refuse every call for lack of engines
 /// for a second after the outage. So lapses within two seconds of a return are doubted, and their
 /// engines stay until that time is over. Engines that had announced that they leave are removed at
-/// once.
+/// once, and so are all missing ones if the store was silent to instances only: if the others
+/// renewed their records meanwhile, a missing one has left.
 #[derive(Debug, Default)]
 pub struct Registry {
     store_heard_at: Moment,
+    growth: LogGrowth,
     doubt_until: Moment,
     doubted: BTreeMap<EngineId, Moment>,
     /// Digests of the current records, by name.
@@ -58,6 +61,15 @@
     started_ms: Option<u64>,
 }
 
+/// A time in which no instance heard of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Silence {
+    /// How long it lasted.
+    pub duration: Duration,
+    /// Whether engines renewed their records meanwhile. If not, missing records are doubted.
+    pub engines_renewed: bool,
+}
+
 /// The effect of a record on the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -73,18 +85,33 @@
 
 impl Registry {
     /// Records that the store answered this instance, or another instance that says so. Returns
-    /// how long the store had been silent if lapses are doubted because of it.
-    pub fn store_answered(&mut self, now: Moment) -> Option<Duration> {
+    /// the silence before, if it was long enough for records to lapse.
+    pub fn store_answered(&mut self, now: Moment) -> Option<Silence> {
+        self.on_answer(now, false)
+    }
+
+    /// As [`Registry::store_answered`], for an answer that shows that the log of engine records
+    /// ended at the position `end`.
+    pub fn store_read(&mut self, end: u64, now: Moment) -> Option<Silence> {
+        let renewed = self.growth.was_steady(end, now);
+        self.growth.observe(end, now);
+        self.on_answer(now, renewed)
+    }
+
+    fn on_answer(&mut self, now: Moment, engines_renewed: bool) -> Option<Silence> {
         if now <= self.store_heard_at {
             return None;
         }
-        let silence = now.saturating_sub(self.store_heard_at);
-        let is_outage = silence > OUTAGE_SILENCE && !self.store_heard_at.is_zero();
-        if is_outage {
+        let duration = now.saturating_sub(self.store_heard_at);
+        let is_long = duration > OUTAGE_SILENCE && !self.store_heard_at.is_zero();
+        if is_long && !engines_renewed {
             self.doubt_until = now + RECOVERY_GRACE;
         }
         self.store_heard_at = now;
-        is_outage.then_some(silence)
+        is_long.then_some(Silence {
+            duration,
+            engines_renewed,
+        })
     }
 
     /// Records that the store was restored from an older copy.
--- a/crates/serving/tests/registry.rs
+++ b/crates/serving/tests/registry.rs
@@ -51,6 +51,44 @@
     assert_eq!(registry.remove(&mut fleet, "a", ms(5_010)), Change::Removed);
 }
 
+/// A registry of an instance that has read a log which grows by 20 records a second until 11 s.
+fn steady_registry() -> (Registry, Fleet) {
+    let (mut registry, mut fleet) = (Registry::default(), Fleet::default());
+    for at in (1_000..=11_000).step_by(400) {
+        registry.store_read(at / 50, ms(at));
+    }
+    registry.put(&mut fleet, record("a", Some(Stage::Decode)));
+    registry.put(&mut fleet, record("b", Some(Stage::Decode)));
+    (registry, fleet)
+}
+
+/// Guards against calls to engines that left while only the instances could not reach the store:
+/// the other engines renewed their records, as the growth of the log shows.
+#[test]
+fn a_record_that_went_while_others_were_renewed_is_believed_to_be_gone() {
+    let (mut registry, mut fleet) = steady_registry();
+    let silence = registry.store_read(14_000 / 50, ms(14_000));
+    assert!(silence.is_some_and(|silence| silence.engines_renewed));
+    assert_eq!(
+        registry.remove(&mut fleet, "a", ms(14_000)),
+        Change::Removed
+    );
+}
+
+/// Guards against refusing calls after an outage in which all records lapsed: the deletions and the
+/// first records of engines that are back make the log grow, but not by as much as heartbeats do.
+#[test]
+fn lapses_are_doubted_although_deletions_and_returns_make_the_log_grow() {
+    let (mut registry, mut fleet) = steady_registry();
+    let (engines, last) = (20, 11_000 / 50);
+    let silence = registry.store_read(last + 2 * engines, ms(15_500));
+    assert!(silence.is_some_and(|silence| !silence.engines_renewed));
+    assert_eq!(
+        registry.remove(&mut fleet, "a", ms(15_500)),
+        Change::Doubted
+    );
+}
+
 /// Guards against calls to leaving engines, for two seconds, from instances that do not read the
 /// store: they hear of changes only minutes apart, and each looked like the first answer after an
 /// outage because the reads of others did not count.
