Announce what a read of all records changes

Callers saw nothing; engines that had left got requests too late from instances that do not read the store, which knew nothing of it until they read themselves.

Cause: after a failed call a reader reads all records, and applied them without a word. The others found a difference 0.45 s (next state) + 0.7 s (grace) later and read; one that could not reach the store either never learned of it.

Changes of a read of all records are now announced as those of the log are. Of a deletion only its effect is known, so it is announced with the last position before the read's end, older than anything that the name gets afterwards; for the same reason a record older than a full read does not add an engine any more. A removal is announced once its reader believes it, and is not doubted again by those who hear of it; a doubted one is announced when the doubt ends. News does not count as an answer of the store: it arrives before the state that says how far the log has grown.

--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -2,6 +2,7 @@
 //! of its own, so that a slow read of one does not delay the other. Where enough other instances
 //! read and announce changes, this one does not read.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -241,7 +242,6 @@
         }
         Topic::Engines => {
             let mut registry = instance.registry.borrow_mut();
-            on_store_answered(&mut registry, None, instance.now(), "instance");
             apply_engine(instance, &mut registry, record, EngineSource::Instance);
         }
     }
@@ -316,7 +316,10 @@
         on_store_answered(&mut registry, reader.next, instance.now(), "store");
         instance.engines_end.set(reader.next.unwrap_or_default());
         match read {
-            Read::Snapshot(records) => apply_snapshot(&instance, &mut registry, &records),
+            Read::Snapshot(records) => {
+                let end = reader.next.unwrap_or_default();
+                apply_snapshot(&instance, &mut registry, &records, end);
+            }
             Read::Batch(records) => apply_batch(&instance, &mut registry, &records),
         }
     }
@@ -324,8 +327,10 @@
 
 fn apply_batch(instance: &Instance, registry: &mut Registry, records: &[KeyedRecord]) {
     for record in records {
-        if apply_engine(instance, registry, record, EngineSource::Log) {
-            announce(instance, Topic::Engines, record);
+        match apply_engine(instance, registry, record, EngineSource::Log) {
+            // Announced once it is believed.
+            Change::None | Change::Doubted => {}
+            Change::Put | Change::Removed => announce(instance, Topic::Engines, record),
         }
     }
 }
@@ -350,7 +355,14 @@
     }
 }
 
-fn apply_snapshot(instance: &Instance, registry: &mut Registry, records: &[KeyedRecord]) {
+/// Applies all records, as read at once when the log ended at `end`, and announces what changed: an
+/// instance reads them all after it has lost the store, and the others may have lost it too.
+fn apply_snapshot(
+    instance: &Instance,
+    registry: &mut Registry,
+    records: &[KeyedRecord],
+    end: Offset,
+) {
     let mut snapshot = instance.snapshot.borrow_mut();
     snapshot.clear_engines();
     for record in records {
@@ -359,6 +371,7 @@
         snapshot.apply(to_news(Topic::Engines, record));
     }
     drop(snapshot);
+    registry.read_all_up_to(end);
     let mut fleet = instance.fleet.borrow_mut();
     let engines: Vec<Record> = records
         .iter()
@@ -372,11 +385,31 @@
     if is_first {
         return;
     }
+    let by_name: HashMap<&str, &KeyedRecord> = records
+        .iter()
+        .map(|record| (record.key.as_str(), record))
+        .collect();
     for (name, change) in &changes {
         log_engine_change(instance, name, *change, EngineSource::Snapshot, 0);
+        match (change, by_name.get(&**name)) {
+            (Change::Put, Some(record)) => announce(instance, Topic::Engines, record),
+            // Older than any record that the name gets after this read.
+            (Change::Removed, _) => announce_removal(instance, name, end.saturating_sub(1)),
+            _ => {}
+        }
     }
 }
 
+/// Announces that an engine's record is gone.
+fn announce_removal(instance: &Instance, name: &str, offset: Offset) {
+    let deletion = KeyedRecord {
+        offset,
+        key: name.to_owned(),
+        value: None,
+    };
+    announce(instance, Topic::Engines, &deletion);
+}
+
 /// Logs and counts a changed record of an engine, with its offset if that is known.
 fn log_engine_change(
     instance: &Instance,
@@ -403,15 +436,15 @@
     }
 }
 
-/// Applies an engine's record. Returns whether it changed something.
+/// Applies an engine's record.
 fn apply_engine(
     instance: &Instance,
     registry: &mut Registry,
     record: &KeyedRecord,
     source: EngineSource,
-) -> bool {
+) -> Change {
     if !registry.is_newer(&record.key, record.offset) {
-        return false;
+        return Change::None;
     }
     instance
         .snapshot
@@ -419,29 +452,35 @@
         .apply(to_news(Topic::Engines, record));
     let mut fleet = instance.fleet.borrow_mut();
     if record.value.is_none() {
-        let change = registry.remove(&mut fleet, &record.key, instance.now());
+        let now = instance.now();
+        let change = match source {
+            EngineSource::Instance => registry.remove_announced(&mut fleet, &record.key, now),
+            EngineSource::Log | EngineSource::Snapshot => {
+                registry.remove(&mut fleet, &record.key, now)
+            }
+        };
         drop(fleet);
         if change != Change::None {
             registry.advance_to(record.offset);
             log_engine_change(instance, &record.key, change, source, record.offset);
         }
-        return change != Change::None;
+        return change;
     }
     let was_readable = !registry.is_unreadable(&record.key);
     let Some(engine) = decode_engine(&mut fleet, registry, record) else {
-        if was_readable {
-            registry.advance_to(record.offset);
+        if !was_readable {
+            return Change::None;
         }
-        return was_readable;
+        registry.advance_to(record.offset);
+        return Change::Removed;
     };
     let change = registry.put(&mut fleet, engine);
     drop(fleet);
-    if change != Change::Put {
-        return false;
+    if change == Change::Put {
+        registry.advance_to(record.offset);
+        log_engine_change(instance, &record.key, change, source, record.offset);
     }
-    registry.advance_to(record.offset);
-    log_engine_change(instance, &record.key, change, source, record.offset);
-    true
+    change
 }
 
 /// Parses an engine's record. An invalid one is logged once, however often it is read.
@@ -471,8 +510,12 @@
         sleep(SWEEP_INTERVAL).await;
         let now = instance.now();
         let mut fleet = instance.fleet.borrow_mut();
-        for engine in instance.registry.borrow_mut().expire(&mut fleet, now) {
-            log::info!(engine = &*engine; "engine has not come back, removed");
+        let expired = instance.registry.borrow_mut().expire(&mut fleet, now);
+        for engine in expired {
+            log::info!(engine = &*engine.name; "engine has not come back, removed");
+            if let Some(offset) = engine.offset {
+                announce_removal(&instance, &engine.name, offset);
+            }
         }
         instance.pool.sweep(now, |id| fleet.get(id).is_some());
         let instances = instance.peers.borrow().count();
--- a/crates/serving/src/registry.rs
+++ b/crates/serving/src/registry.rs
@@ -39,6 +39,9 @@
     /// Digests of the current records, by name.
     digests: BTreeMap<Name, u64>,
     offsets: BTreeMap<Name, u64>,
+    /// Position up to which all records have been read at once. Of a name that was not among them,
+    /// older records are outdated.
+    replaced_upto: u64,
     /// Offset of the newest record that changed something.
     upto: u64,
     /// The last incarnation of each name, also after its record is gone.
@@ -70,6 +73,15 @@
     pub engines_renewed: bool,
 }
 
+/// An engine that did not come back while its absence was doubted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Expired {
+    /// Its name.
+    pub name: Name,
+    /// Position up to which its records are known.
+    pub offset: Option<u64>,
+}
+
 /// The effect of a record on the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -139,6 +151,7 @@
                 *known = offset;
                 true
             }
+            None if offset < self.replaced_upto => false,
             None => {
                 self.offsets.insert(Name::from(name), offset);
                 true
@@ -146,6 +159,12 @@
         }
     }
 
+    /// Records that all records up to the position `end` have been read at once; those whose names
+    /// are not among them are gone. To be followed by [`Registry::replace`].
+    pub fn read_all_up_to(&mut self, end: u64) {
+        self.replaced_upto = self.replaced_upto.max(end);
+    }
+
     /// How far the records are known. Two instances that know the same records have the same
     /// digest.
     pub fn topic_state(&self) -> TopicState {
@@ -202,8 +221,24 @@
         }
     }
 
-    /// Applies the removal of a record.
+    /// Applies the removal of a record, as read from the store.
     pub fn remove(&mut self, fleet: &mut Fleet, name: &str, now: Moment) -> Change {
+        let doubt_until = self.doubt_until;
+        self.remove_or_doubt(fleet, name, doubt_until, now)
+    }
+
+    /// Applies the removal of a record that another instance read and does not doubt.
+    pub fn remove_announced(&mut self, fleet: &mut Fleet, name: &str, now: Moment) -> Change {
+        self.remove_or_doubt(fleet, name, Moment::ZERO, now)
+    }
+
+    fn remove_or_doubt(
+        &mut self,
+        fleet: &mut Fleet,
+        name: &str,
+        doubt_until: Moment,
+        now: Moment,
+    ) -> Change {
         self.digests.remove(name);
         self.unreadable.remove(name);
         let Some(id) = self
@@ -217,12 +252,13 @@
         let is_leaving = fleet
             .get(id)
             .is_some_and(|engine| engine.record.state == State::Draining);
-        if now < self.doubt_until && !is_leaving && fleet.get(id).is_some() {
+        if now < doubt_until && !is_leaving && fleet.get(id).is_some() {
             self.doubted
                 .entry(EngineId::from(id))
-                .or_insert(self.doubt_until);
+                .or_insert(doubt_until);
             return Change::Doubted;
         }
+        self.doubted.remove(id);
         if fleet.remove(id) {
             self.removed.insert(EngineId::from(id), now);
             Change::Removed
@@ -269,6 +305,10 @@
         for name in fleet.names() {
             if !listed.contains(&name) {
                 let change = self.remove(fleet, &name, now);
+                if change == Change::Doubted {
+                    let upto = self.replaced_upto.saturating_sub(1);
+                    self.offsets.insert(name.clone(), upto);
+                }
                 changes.push((name, change));
             }
         }
@@ -281,21 +321,23 @@
         changes
     }
 
-    /// Removes doubted engines whose time is over. Returns their ids.
-    pub fn expire(&mut self, fleet: &mut Fleet, now: Moment) -> Vec<EngineId> {
+    /// Removes doubted engines whose time is over, and returns them.
+    pub fn expire(&mut self, fleet: &mut Fleet, now: Moment) -> Vec<Expired> {
         self.removed
             .retain(|_, since| now.saturating_sub(*since) < REMOVED_RETENTION);
-        let expired: Vec<EngineId> = self
-            .doubted
-            .iter()
-            .filter(|(_, until)| now >= **until)
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in &expired {
-            self.doubted.remove(id);
-            fleet.remove(id);
+        let expired = self.doubted.iter().filter(|(_, until)| now >= **until);
+        let expired: Vec<EngineId> = expired.map(|(id, _)| id.clone()).collect();
+        let mut removed = Vec::new();
+        for id in expired {
+            self.doubted.remove(&id);
+            if let Some(engine) = fleet.get(&id) {
+                let name = engine.record.name.clone();
+                let offset = self.offsets.get(&name).copied();
+                removed.push(Expired { name, offset });
+            }
+            fleet.remove(&id);
         }
-        expired
+        removed
     }
 }
 
--- a/crates/serving/tests/registry.rs
+++ b/crates/serving/tests/registry.rs
@@ -285,3 +285,33 @@
     assert!(registry.expire(&mut fleet, ms(4_000)).is_empty());
     assert!(fleet.get("b").is_some());
 }
+
+/// Guards against reviving an engine by a late frame: a record that another instance had sent before
+/// all records were read counted as new, since its name was not among them.
+#[test]
+fn a_record_older_than_a_full_read_does_not_bring_its_engine_back() {
+    let (mut registry, mut fleet) = two_engines();
+    assert!(registry.is_newer("b", 7));
+    registry.read_all_up_to(20);
+    registry.replace(
+        &mut fleet,
+        vec![record("a", Some(Stage::Decode))],
+        ms(1_100),
+    );
+    assert!(!registry.is_newer("b", 8));
+    assert!(registry.is_newer("b", 20));
+}
+
+/// Guards against doubting a removal at every instance that hears of it: the one that read it has
+/// decided that already.
+#[test]
+fn a_removal_that_another_instance_believes_is_not_doubted() {
+    let (mut registry, mut fleet) = two_engines();
+    registry.store_answered(ms(5_000));
+    assert_eq!(registry.remove(&mut fleet, "a", ms(5_010)), Change::Doubted);
+    assert_eq!(
+        registry.remove_announced(&mut fleet, "a", ms(5_020)),
+        Change::Removed
+    );
+    assert!(registry.expire(&mut fleet, ms(9_000)).is_empty());
+}
