Tell all instances of leaving engines ahead of other news

Behind the records of 600 engines that start, a leaving came last.

Departures (an engine leaves, its record is gone) have an outbox of their own: a leaving takes four bytes, a deletion its name, so that a thousand fit into one frame; they are sent at once, again after 0.35 s, and wait for the bytes of such frames only. The record itself follows as news. An engine that has announced that it leaves is never taken back within the same start.

The new process test failed before: the third gateway knew all 600 records before it knew of the leaving.

--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -82,6 +82,8 @@
     pub metrics: Metrics,
     /// Notified when a change should be sent to the other instances at once.
     pub frame_due: Notify,
+    /// Notified when other instances should be told at once of engines that take no more calls.
+    pub departure_due: Notify,
     /// Last known era: how often the store was restored from an older copy.
     pub era: Cell<Option<Era>>,
     /// Notified when the store was restored from an older copy.
@@ -132,6 +134,7 @@
             lifecycle: Lifecycle::default(),
             metrics: Metrics::default(),
             frame_due: Notify::new(),
+            departure_due: Notify::new(),
             era: Cell::new(None),
             store_went_back: Notify::new(),
             settings: RefCell::new(settings),
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -21,7 +21,7 @@
     unpack_address,
 };
 use crate::instance::Instance;
-use crate::peers::{self, MAX_PARTS_PER_FRAME, Topic};
+use crate::peers::{self, Departure, MAX_PARTS_PER_FRAME, Topic};
 use crate::placement::server;
 use crate::usage::REPORTERS;
 use crate::{bootstrap, discovery, limits, quarantine_store, receive, suspects, usage, warmup};
@@ -61,7 +61,8 @@
     let socket = Rc::new(UdpSocket::bind(own).await?);
     instance.pending_placements.bind(socket.clone());
     actix_rt::spawn(listen(instance.clone(), socket.clone()));
-    actix_rt::spawn(send_loop(instance.clone(), socket));
+    actix_rt::spawn(send_loop(instance.clone(), socket.clone()));
+    actix_rt::spawn(send_departures(instance.clone(), socket));
     actix_rt::spawn(warmup::run(instance.clone()));
     actix_rt::spawn(discovery::run(instance.clone()));
     actix_rt::spawn(quarantine_store::run(instance.clone()));
@@ -312,15 +313,51 @@
     if news.is_empty() {
         return;
     }
+    let frame = Frame {
+        news,
+        ..instance.frame()
+    };
+    send_to_groups(instance, socket, &frame);
+}
+
+/// Sends a frame to all instances, through the first of each forwarding group. Returns the bytes put
+/// on the link.
+fn send_to_groups(instance: &Instance, socket: &UdpSocket, frame: &Frame) -> usize {
     let all = instance.peers.borrow().addresses();
-    for (first, rest) in peers::forwarding_groups(&all) {
+    let sent = peers::forwarding_groups(&all).map(|(first, rest)| {
         let pass_to = rest.iter().filter_map(|address| pack_address(*address));
         let frame = Frame {
-            news: news.clone(),
             pass_to: pass_to.collect(),
-            ..instance.frame()
+            ..frame.clone()
         };
-        broadcast(socket, &frame, &[first]);
+        broadcast(socket, &frame, &[first])
+    });
+    sent.sum()
+}
+
+/// Tells all instances of engines that take no more calls.
+///
+/// These frames wait for no others: hundreds of engines may start or be ordered down at once, and a
+/// call that is sent to one that leaves is lost when the engine ends.
+async fn send_departures(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
+    loop {
+        // Also wakes up for repetitions.
+        drop(timeout(IDLE_INTERVAL, instance.departure_due.notified()).await);
+        loop {
+            let departures = instance.peers.borrow_mut().take_departures(instance.now());
+            if departures.is_empty() {
+                break;
+            }
+            let mut frame = instance.frame();
+            for departure in departures {
+                match departure {
+                    Departure::Leaving(engine) => frame.leaving.push(engine),
+                    Departure::Removed(news) => frame.news.push(news),
+                }
+            }
+            let bytes = send_to_groups(&instance, &socket, &frame);
+            sleep(instance.transmission_time(bytes)).await;
+        }
     }
 }
 
@@ -352,7 +389,7 @@
     broadcast(socket, &frame, &placers);
 }
 
-/// Forwards updates to the rest of this instance's group.
+/// Forwards updates and departures to the rest of this instance's group.
 fn forward(socket: &UdpSocket, frame: &Frame) {
     let rest: Vec<SocketAddr> = frame
         .pass_to
@@ -362,6 +399,7 @@
     let frame = Frame {
         incarnation: frame.incarnation,
         news: frame.news.clone(),
+        leaving: frame.leaving.clone(),
         ..Frame::default()
     };
     broadcast(socket, &frame, &rest);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use clock::Moment;
+use serving::outbox::Outbox;
 use serving::parts::Part;
 use serving::placer::{Election, Member, Placers, ZoneHash};
 use serving::watch::{Deferred, ReaderReport, TopicState};
@@ -123,6 +124,15 @@
     }
 }
 
+/// An engine that takes no more calls.
+#[derive(Clone, Debug)]
+pub(crate) enum Departure {
+    /// It has announced that it leaves; this is the hash of its id.
+    Leaving(u32),
+    /// Its record is gone.
+    Removed(News),
+}
+
 /// All other instances.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
@@ -132,6 +142,8 @@
     last_completed_prefills: Vec<(Ticket, Moment)>,
     news: Vec<(News, u8)>,
     news_sent: Option<Moment>,
+    /// What other instances must know within a short time, because calls to these engines fail.
+    departures: Outbox<Departure>,
     /// Updates that another reader is to send.
     deferred: Deferred<News>,
     /// Whether this instance knows which parts engines have cached.
--- a/crates/gateway/src/peers/news.rs
+++ b/crates/gateway/src/peers/news.rs
@@ -6,12 +6,16 @@
 use clock::Moment;
 use wire::gateway::News;
 
-use super::{Peers, Topic};
+use super::{Departure, Peers, Topic};
 
 /// Times that an engine's record is sent, since datagrams are lost.
 const TRANSMISSIONS: u8 = 2;
 /// Interval between frames of updates, which are batched meanwhile.
 const NEWS_INTERVAL: Duration = Duration::from_millis(350);
+/// Bytes of an engine's hash in a frame.
+const HASH_BYTES: usize = 4;
+/// Bytes of a removed record in a frame besides its key.
+const REMOVAL_BYTES: usize = 20;
 /// Most bytes of updates in one frame, unless a single record is larger.
 const MAX_NEWS_BYTES: usize = 8 * 1024;
 /// Up to this many instances, updates are sent to each directly.
@@ -46,6 +50,21 @@
         self.news.push((news, transmissions));
     }
 
+    /// Queues an engine that takes no more calls. Unlike news, departures do not wait for the news
+    /// before them.
+    pub(crate) fn queue_departure(&mut self, departure: Departure, now: Moment) {
+        let bytes = match &departure {
+            Departure::Leaving(_) => HASH_BYTES,
+            Departure::Removed(news) => REMOVAL_BYTES + news.key.len(),
+        };
+        self.departures.push(departure, bytes, now);
+    }
+
+    /// Departures for the next frame.
+    pub(crate) fn take_departures(&mut self, now: Moment) -> Vec<Departure> {
+        self.departures.take(MAX_NEWS_BYTES, now)
+    }
+
     /// Leaves a record to another reader, with the position that the topic reaches with it.
     pub(crate) fn defer_news(&mut self, news: News, upto: u64, now: Moment) {
         self.deferred.defer(news, upto, now);
--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -44,6 +44,9 @@
         }
     }
     apply_stage_changes(instance, &frame, now);
+    for engine in frame.leaving {
+        on_leaving(instance, engine);
+    }
     for news in frame.news {
         on_news(instance, news);
     }
@@ -165,6 +168,17 @@
     }
 }
 
+/// Applies that an engine has announced that it leaves.
+fn on_leaving(instance: &Instance, engine: u32) {
+    let mut fleet = instance.fleet.borrow_mut();
+    let Some(engine) = fleet.by_hash(engine) else {
+        return;
+    };
+    if fleet.mark_leaving(&engine) {
+        log::info!(engine = &*engine, source = "instance"; "engine leaves");
+    }
+}
+
 fn on_news(instance: &Instance, news: News) {
     let topic = Topic::of(&news);
     let record = KeyedRecord {
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -12,13 +12,13 @@
 use serving::engine::Engine;
 use serving::registry::{Change, Registry};
 use serving::watch::{self, Waits, Watch};
-use serving::{Fleet, Record, State};
+use serving::{Fleet, Record, State, hash};
 use tokio::time::{Instant, sleep, sleep_until};
 use wire::gateway::News;
 
 use crate::instance::Instance;
 use crate::metrics::EngineSource;
-use crate::peers::Topic;
+use crate::peers::{Departure, Topic};
 
 /// Longest wait of one read for a new configuration. Calls to the store are paid for, and peers
 /// take a reader for stale that has had no response for somewhat longer.
@@ -260,33 +260,43 @@
     }
 }
 
-/// Whether a record takes an engine away, which has to be known everywhere within a short time.
-fn is_leaving(topic: Topic, record: &KeyedRecord) -> bool {
+/// What a record says of an engine that takes no more calls.
+fn departure(topic: Topic, record: &KeyedRecord) -> Option<Departure> {
+    if topic != Topic::Engines {
+        return None;
+    }
     let Some(value) = &record.value else {
-        return topic == Topic::Engines;
-    };
-    let engine = match topic {
-        Topic::Configuration => return false,
-        Topic::Engines => records::parse_engine(&record.key, value),
+        return Some(Departure::Removed(to_news(topic, record)));
     };
-    engine.is_ok_and(|engine| engine.state == State::Draining)
+    let engine = records::parse_engine(&record.key, value).ok()?;
+    let is_leaving = engine.state == State::Draining;
+    is_leaving.then(|| Departure::Leaving(hash::hash32(&engine.id)))
 }
 
 /// Announces a record that changed something to the other instances.
 ///
-/// If another reader comes before this one, that one announces what is not urgent. It may lose the store before it has
-/// read the record, and then all others would find themselves behind, and read. So this instance
-/// announces the record a little later if the other one does not know it by then.
+/// If another reader comes before this one, that one announces it. It may lose the store before it
+/// has read the record, and then all others would find themselves behind, and read. So this instance
+/// announces the record a little later if the other one does not know it by then. Departures do not
+/// wait for that.
 fn announce(instance: &Instance, topic: Topic, record: &KeyedRecord) {
-    let news = to_news(topic, record);
     let now = instance.now();
-    let upto = match topic {
-        Topic::Configuration => instance.known(topic).upto,
-        Topic::Engines => record.offset,
-    };
     let mut peers = instance.peers.borrow_mut();
-    let may_wait = !is_leaving(topic, record);
-    if may_wait && peers.has_reader_before(instance.order(), topic, now) {
+    let departure = departure(topic, record);
+    let is_removal = matches!(departure, Some(Departure::Removed(_)));
+    if let Some(departure) = departure {
+        peers.queue_departure(departure, now);
+        instance.departure_due.notify_one();
+    }
+    if is_removal {
+        return;
+    }
+    let news = to_news(topic, record);
+    if peers.has_reader_before(instance.order(), topic, now) {
+        let upto = match topic {
+            Topic::Configuration => instance.known(topic).upto,
+            Topic::Engines => record.offset,
+        };
         peers.defer_news(news, upto, now);
     } else {
         peers.queue_news(news);
--- a/crates/gateway/tests/leaving.rs
+++ b/crates/gateway/tests/leaving.rs
@@ -3,12 +3,13 @@
 mod harness;
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use harness::{FAST_LINK_MBPS, Gateway, SLOW_LINK_MBPS, wait_until};
 use platform_standin::store::{Fault, Link};
-use platform_standin::{Engine, Store};
+use platform_standin::{Engine, Store, engine};
 
 /// Interval between two records of an engine.
 const HEARTBEAT: Duration = Duration::from_millis(100);
@@ -16,6 +17,9 @@
 /// Records after which gateways know how often they are renewed.
 const KNOWN_HEARTBEATS: usize = 80;
 
+/// Engines that start at once.
+const STARTED: usize = 600;
+
 const READER_LOST_STORE: &str = "the store does not answer topic=keyed.servers";
 const ALL_READ: &str = "all engines read";
 
@@ -23,10 +27,8 @@
 /// that renew their records.
 struct Fleet {
     gateways: [Gateway; 3],
-    /// The store as the two readers reach it.
-    readers_link: Link,
-    /// The store as the third gateway reaches it.
-    third_link: Link,
+    /// The store as each gateway reaches it.
+    links: [Link; 3],
     /// Serves plain calls, and is to leave.
     app: Engine,
     /// Records that engines have written; they stop once this is dropped.
@@ -36,8 +38,12 @@
 impl Fleet {
     async fn start() -> Self {
         let store = Rc::new(Store::start().await);
-        let (readers_link, third_link) = (store.open_link().await, store.open_link().await);
-        let first = Gateway::start_unconfigured_at(store.clone(), readers_link.address);
+        let links = [
+            store.open_link().await,
+            store.open_link().await,
+            store.open_link().await,
+        ];
+        let first = Gateway::start_unconfigured_at(store.clone(), links[0].address);
         let (first, app, pool) = first.add_engines().await;
         let other = Engine::start("app-2").await;
         let heartbeats = Rc::new(Cell::new(0));
@@ -52,8 +58,8 @@
                 }
             });
         }
-        let second = first.start_another_at(readers_link.address, FAST_LINK_MBPS);
-        let third = first.start_another_at(third_link.address, SLOW_LINK_MBPS);
+        let second = first.start_another_at(links[1].address, FAST_LINK_MBPS);
+        let third = first.start_another_at(links[2].address, SLOW_LINK_MBPS);
         let gateways = [first, second, third];
         for gateway in &gateways {
             gateway.wait_until_ready(true).await;
@@ -63,8 +69,7 @@
         wait_until(async || heartbeats.get() > KNOWN_HEARTBEATS).await;
         Self {
             gateways,
-            readers_link,
-            third_link,
+            links,
             app,
             heartbeats,
         }
@@ -75,8 +80,9 @@
     async fn leave_unseen(&self, leave: impl FnOnce()) {
         let [first, second, _] = &self.gateways;
         let reads = [first, second].map(|reader| reader.count_log_lines(ALL_READ));
-        self.third_link.fault(Fault::Silent);
-        self.readers_link.fault(Fault::Silent);
+        for link in &self.links {
+            link.fault(Fault::Silent);
+        }
         wait_until(async || {
             [first, second]
                 .iter()
@@ -84,7 +90,9 @@
         })
         .await;
         leave();
-        self.readers_link.fault(Fault::None);
+        for link in &self.links[..2] {
+            link.fault(Fault::None);
+        }
         wait_until(async || {
             let again = [first, second].map(|reader| reader.count_log_lines(ALL_READ));
             again[0] > reads[0] && again[1] > reads[1]
@@ -136,3 +144,27 @@
     wait_until(async || knows_engines(third, 2).await).await;
     assert_eq!(calls_to_leaving(third, &fleet.app).await, 0);
 }
+
+/// Guards against news of a leaving that waits behind other news: records of hundreds of engines
+/// that start were sent in the order in which they came, some kilobytes at a time.
+#[actix_rt::test]
+async fn a_leaving_overtakes_news_of_engines_that_start() {
+    let fleet = Fleet::start().await;
+    let [first, _, third] = &fleet.gateways;
+    for link in &fleet.links[1..] {
+        link.fault(Fault::Silent);
+    }
+    for number in 0..STARTED {
+        let address = SocketAddr::from(([127, 0, 0, 1], 1));
+        let id = format!("start-{number}");
+        engine::register(&first.store, &id, address, "new", "ready", None);
+    }
+    wait_until(async || knows_engines(first, 3 + STARTED).await).await;
+    fleet.app.register(&first.store, "app", "draining", None);
+    wait_until(async || {
+        let of_record = third.count_log_lines_with("engine=app-1", "state=Draining");
+        of_record + third.count_log_lines("engine leaves engine=app-1") > 0
+    })
+    .await;
+    assert!(!knows_engines(third, 2 + STARTED).await);
+}
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -134,6 +134,8 @@
     pub peer_reports: PeerReports,
     /// Whether its record is gone. The engine is kept until its last call ends.
     pub record_gone: bool,
+    /// Whether it has announced that it leaves. It ends soon, so this is never taken back.
+    pub leaving: bool,
     /// Set while a stage change is in progress.
     pub stage_change: Option<StageChange>,
     /// Ratio of the observed reading time to the time expected from the speed of its stage.
@@ -161,6 +163,7 @@
     /// An engine without calls.
     pub fn new(record: Record) -> Self {
         Self {
+            leaving: record.state == State::Draining,
             record,
             health: Health::default(),
             peer_reports: PeerReports::default(),
@@ -181,10 +184,10 @@
             .map_or(self.record.stage, |change| Some(change.stage))
     }
 
-    /// Whether it takes new calls now or after its stage change: its record is ready, and it is not
-    /// known to have ended.
+    /// Whether it takes new calls now or after its stage change: its record is there, and it is
+    /// neither leaving nor known to have ended.
     pub fn is_active(&self) -> bool {
-        !self.record_gone && !self.health.has_ended() && self.record.state == State::Ready
+        !self.record_gone && !self.health.has_ended() && !self.leaving
     }
 
     /// Whether it takes new calls now.
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -8,7 +8,7 @@
 
 use crate::decaying_rate::DecayingRate;
 use crate::engine::{
-    Engine, Job, LATE_RANK, Pending, Rank, Record, Stage, StageChange, Ticket, Work,
+    Engine, Job, LATE_RANK, Pending, Rank, Record, Stage, StageChange, State, Ticket, Work,
 };
 use crate::health::Outcome;
 use crate::overrun::WaitOverrun;
@@ -103,6 +103,7 @@
             Some(engine) => {
                 let changed = engine.record_gone || engine.record != record;
                 engine.record_gone = false;
+                engine.leaving |= record.state == State::Draining;
                 engine.record = record;
                 let is_done = |change: &mut StageChange| engine.record.stage == Some(change.stage);
                 engine.stage_change.take_if(is_done);
@@ -117,6 +118,12 @@
         }
     }
 
+    /// Marks an engine as leaving. Returns whether that is new.
+    pub fn mark_leaving(&mut self, id: &str) -> bool {
+        let engine = self.engines.get_mut(id);
+        engine.is_some_and(|engine| !std::mem::replace(&mut engine.leaving, true))
+    }
+
     /// Marks an engine's record as gone. Returns whether anything changed.
     pub fn remove(&mut self, id: &str) -> bool {
         let Some(engine) = self.engines.get_mut(id) else {
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -22,6 +22,7 @@
 mod linear_fit;
 pub mod log_growth;
 pub mod organisation;
+pub mod outbox;
 mod overrun;
 pub mod parts;
 pub mod pauses;
--- a/crates/serving/src/registry.rs
+++ b/crates/serving/src/registry.rs
@@ -193,7 +193,7 @@
             if self.removed.contains_key(&record.id) {
                 return Change::None;
             }
-            let is_leaving = |engine: &Engine| engine.record.state == State::Draining;
+            let is_leaving = |engine: &Engine| engine.leaving;
             if fleet.get(&record.id).is_some_and(is_leaving) {
                 record.state = State::Draining;
             }
@@ -249,9 +249,7 @@
             return Change::None;
         };
         let id = &*id;
-        let is_leaving = fleet
-            .get(id)
-            .is_some_and(|engine| engine.record.state == State::Draining);
+        let is_leaving = fleet.get(id).is_some_and(|engine| engine.leaving);
         if now < doubt_until && !is_leaving && fleet.get(id).is_some() {
             self.doubted
                 .entry(EngineId::from(id))
