Soak: judge requests to engines that have announced that they leave

Callers saw nothing of the fault in the field, and no check of the soak looked for it: its plans let engines leave, and no invariant counted what reached them afterwards. One seed in five now lets two engines leave while the store is silent to all gateways but one, and calls sent later than 3 s after a leaving must not reach the engine, unless a fault concerned their own gateway.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -48,6 +48,8 @@
     Held,
     /// Engines get no more requests than the rate limits that they announce.
     RateLimits,
+    /// Engines that have announced that they leave get no more requests.
+    Leaving,
     /// Planned work cuts no call.
     PlannedWork,
     /// Processes run until they are told to exit.
@@ -85,6 +87,7 @@
     check_orders(history, &mut findings);
     check_quarantine(history, &engines, &mut findings);
     check_rate_limits(history, &mut findings);
+    check_leavings(history, &mut findings);
     let exits = history
         .unexpected_exits
         .iter()
@@ -370,6 +373,31 @@
     }
 }
 
+/// Calls sent later than [`PROPAGATION_TIME`] after an engine has announced that it leaves must not
+/// reach it, unless their own gateway had a fault. A fault at another one is no excuse: some gateways
+/// read the store for the others.
+fn check_leavings(history: &History, findings: &mut Vec<Finding>) {
+    let calls = history.calls.iter();
+    let calls: HashMap<&str, &Call> = calls.map(|call| (call.id.as_str(), call)).collect();
+    for leaving in &history.leavings {
+        let bound = leaving.at + PROPAGATION_TIME;
+        let late = history.engine_requests.iter().filter(|request| {
+            let call = calls.get(request.id.as_str());
+            request.engine == leaving.engine
+                && request.received_at > bound
+                && call.is_some_and(|call| call.sent_at > bound && is_free_of_faults(history, call))
+        });
+        let late: Vec<&str> = late.map(|request| request.id.as_str()).collect();
+        if !late.is_empty() {
+            let evidence = format!(
+                "{} left at {:?} and got {late:?}",
+                leaving.engine, leaving.at
+            );
+            report(findings, Invariant::Leaving, evidence);
+        }
+    }
+}
+
 /// Whether the link to the engine had a fault shortly before the request, since delayed requests
 /// arrive in a burst.
 fn was_delayed_by_link(history: &History, request: &EngineRequest) -> bool {
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -16,7 +16,7 @@
 
 use crate::check;
 use crate::gateway::{Gateway, PortAllocator};
-use crate::history::{EngineRequest, History, RateLimit};
+use crate::history::{EngineRequest, History, Leaving, RateLimit};
 use crate::plan::{self, FaultKind, LinkState, Plan, ProcessAction};
 use crate::proxy::Proxy;
 
@@ -349,6 +349,10 @@
                 let engine = &node.engine;
                 engine.register_at(node.link.address, &self.store, service, "draining", stage);
                 node.recorded_state = Some("draining");
+                self.history.borrow_mut().leavings.push(Leaving {
+                    engine: engine.id.clone(),
+                    at: self.callers_started.get().elapsed(),
+                });
             });
         }
     }
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -137,6 +137,15 @@
     pub until: Duration,
 }
 
+/// An engine's announcement that it leaves.
+#[derive(Clone, Debug)]
+pub struct Leaving {
+    /// The engine.
+    pub engine: String,
+    /// When it announced that, since the callers started.
+    pub at: Duration,
+}
+
 /// Everything observed in a run.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -156,6 +165,8 @@
     pub engine_ends: Vec<Duration>,
     /// Rate limits that engines announced.
     pub rate_limits: Vec<RateLimit>,
+    /// Engines that announced that they leave.
+    pub leavings: Vec<Leaving>,
     /// The faults that were injected.
     pub faults: Vec<Fault>,
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -196,6 +196,14 @@
 const RATE_LIMIT_COUNT: usize = 3;
 /// Rate limits to choose from, in requests per ten seconds.
 const RATES_PER_TEN_SECONDS: [u32; 4] = [2, 10, 15, 40];
+/// One seed in this many adds engines that leave while the store answers one gateway only.
+const UNSEEN_LEAVINGS_EVERY: u64 = 5;
+/// Number of engines that leave in such a plan.
+const UNSEEN_LEAVING_COUNT: usize = 2;
+/// Time from the silence of the store to the first leaving, and between two leavings.
+const UNSEEN_LEAVING_INTERVAL: Duration = Duration::from_millis(400);
+/// How long the store is silent in such a plan.
+const UNSEEN_LEAVING_SILENCE: Duration = Duration::from_millis(4_000);
 /// Number of restores, and of interface failures, in such a plan.
 const RESTORE_COUNT: usize = 2;
 /// Longest time after the warm-up until fatal calls and rate limits begin.
@@ -283,6 +291,11 @@
                 }
             }));
         }
+        if !planned && seed % UNSEEN_LEAVINGS_EVERY == UNSEEN_LEAVINGS_EVERY - 1 {
+            // A separate generator, for the same reason.
+            let mut rng = StdRng::seed_from_u64(seed.rotate_left(8));
+            faults.extend(unseen_leavings(&mut rng, gateways, services + engines));
+        }
         faults.sort_by_key(|fault| fault.at);
         Self {
             seed,
@@ -295,6 +308,26 @@
     }
 }
 
+/// Engines that leave while the store is silent to all gateways but one.
+fn unseen_leavings(rng: &mut StdRng, gateways: usize, engines: usize) -> Vec<Fault> {
+    let served = rng.random_range(0..gateways);
+    let at = WARM_UP + Duration::from_millis(rng.random_range(0..MAX_EARLY_START_MS));
+    let silenced = (0..gateways).filter(|gateway| *gateway != served);
+    let mut faults: Vec<Fault> = silenced
+        .map(|gateway| Fault {
+            at,
+            duration: UNSEEN_LEAVING_SILENCE,
+            kind: FaultKind::StoreLink(gateway, LinkState::Silent),
+        })
+        .collect();
+    faults.extend((1..=UNSEEN_LEAVING_COUNT as u32).map(|number| Fault {
+        at: at + UNSEEN_LEAVING_INTERVAL * number,
+        duration: UNSEEN_LEAVING_SILENCE,
+        kind: FaultKind::Leave(rng.random_range(0..engines)),
+    }));
+    faults
+}
+
 fn random_fault(rng: &mut StdRng, gateways: usize, engines: usize) -> FaultKind {
     let gateway = rng.random_range(0..gateways);
     let engine = rng.random_range(0..engines);
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -8,8 +8,8 @@
 use serde_json::json;
 use soak::check::{self, Finding, Invariant};
 use soak::cluster::ORGANISATIONS;
-use soak::history::{Call, CallOutcome, EngineRequest, History, RateLimit, RequestKind};
-use soak::plan::{Fault, FaultKind, ProcessAction};
+use soak::history::{Call, CallOutcome, EngineRequest, History, Leaving, RateLimit, RequestKind};
+use soak::plan::{Fault, FaultKind, LinkState, ProcessAction};
 
 const REQUEST_KINDS: [RequestKind; 5] = [
     RequestKind::Safe,
@@ -380,3 +380,39 @@
     });
     assert_eq!(check::check(&history), []);
 }
+
+fn with_leaving_engine(sent_at: u64) -> impl FnOnce(&mut History) {
+    move |history| {
+        history.leavings.push(Leaving {
+            engine: "e-3".to_owned(),
+            at: ms(1_000),
+        });
+        history.calls.push(call("late", RequestKind::Safe, sent_at));
+        history.engine_requests.push(EngineRequest {
+            received_at: ms(sent_at + 5),
+            ..executed("late", RequestKind::Safe, "e-3")
+        });
+    }
+}
+
+#[test]
+fn requests_to_an_engine_that_left_are_reported() {
+    assert_only_finding(Invariant::Leaving, with_leaving_engine(4_100));
+    let mut history = valid_history();
+    with_leaving_engine(3_900)(&mut history);
+    assert_eq!(check::check(&history), []);
+}
+
+#[test]
+fn only_a_fault_at_their_own_gateway_excuses_requests_to_an_engine_that_left() {
+    for (gateway, is_excused) in [(0, true), (1, false)] {
+        let mut history = valid_history();
+        with_leaving_engine(4_100)(&mut history);
+        history.faults.push(Fault {
+            at: ms(500),
+            duration: ms(3_000),
+            kind: FaultKind::StoreLink(gateway, LinkState::Silent),
+        });
+        assert_eq!(check::check(&history).is_empty(), is_excused);
+    }
+}
