--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -395,6 +395,7 @@
     }
     match exchanged {
         Ok(response) if response.reply.was_not_run() => {
+            log_refusal(instance, request, engine, &response.reply);
             let ended = response.reply.is_misdirected();
             drain_and_keep(instance, engine, response).await;
             AttemptResult::NotRun(if ended { NotRun::Ended } else { NotRun::Full })
@@ -418,6 +419,15 @@
     }
 }
 
+fn log_refusal(instance: &Instance, request: &Request, engine: &Record, reply: &Reply) {
+    instance.metrics.engine_refused(reply.retry_after.is_some());
+    log::info!(
+        id = request.call.id.as_str(), engine = &*engine.id, status = reply.status,
+        pause_ms:% = reply.retry_after.unwrap_or_default().as_millis(), leaving = reply.leaving;
+        "the engine turned the call away"
+    );
+}
+
 /// Reads responses until one belongs to this request.
 ///
 /// An engine may send a response twice, or late, where the next one is expected; the caller of the
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -72,6 +72,13 @@
     Refused,
 }
 
+/// Whether an engine that turns a call away names a time for which it wants no more.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum Pause {
+    Requested,
+    None,
+}
+
 /// Treatment of a call that crashed engines.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub(crate) enum Suspect {
@@ -107,6 +114,7 @@
 labels!(Suspect: Held = "held", Alone = "alone");
 labels!(Throttled: Waited = "waited", Refused = "refused");
 labels!(EngineSource: Log = "log", Snapshot = "snapshot", Instance = "instance");
+labels!(Pause: Requested = "requested", None = "none");
 labels!(OrderAnswer: Taken = "taken", Refused = "refused", Unanswered = "unanswered");
 
 /// One label name with its value.
@@ -126,6 +134,7 @@
     placement_requests: Family<Labels<PlacementAnswer>, Counter>,
     store_failures: Counter,
     engine_changes: Family<Labels<EngineSource>, Counter>,
+    engine_refusals: Family<Labels<Pause>, Counter>,
     held_calls: Counter,
     throttled_calls: Family<Labels<Throttled>, Counter>,
     limited_engines: Gauge,
@@ -151,6 +160,7 @@
             placement_requests: Family::default(),
             store_failures: Counter::default(),
             engine_changes: Family::default(),
+            engine_refusals: Family::default(),
             held_calls: Counter::default(),
             throttled_calls: Family::default(),
             limited_engines: Gauge::default(),
@@ -217,6 +227,11 @@
             "Changes of engine records, by where they were learned",
             self.engine_changes.clone(),
         );
+        registry.register(
+            "engine_refusals",
+            "Calls that engines turned away, by whether they want no more for a time",
+            self.engine_refusals.clone(),
+        );
         registry.register(
             "held_calls",
             "Calls that were refused since engines had ended under them",
@@ -307,6 +322,18 @@
             .inc();
     }
 
+    /// Counts a call that an engine turned away.
+    pub(crate) fn engine_refused(&self, names_pause: bool) {
+        let pause = if names_pause {
+            Pause::Requested
+        } else {
+            Pause::None
+        };
+        self.engine_refusals
+            .get_or_create(&[("pause", pause)])
+            .inc();
+    }
+
     /// Counts a failed read of the store.
     pub(crate) fn store_read_failed(&self) {
         self.store_failures.inc();
