Keep to what answers say of an engine's leaving, and tell all instances

Callers got whole answers; engines that had said in their answers that they leave got requests up to 7.2 s later, from the instances that had passed these on. Had an engine exited when it might, the requests would have been lost.

Cause: Server-Leaving was not read, and what an answer says of its engine ended with the answer. In the record the store was away for 13 s, so that the answers were the only sign: nine more requests went to the engine by two ways.

The announcements in answers to calls are observed at one place, those in answers to lists of parts, orders and freed memory at another. An engine that announces its leaving is marked for that start of it, whatever its record says; all instances are told at once by the frames that carry leavings read from the store, and placers repeat it with each state until the record agrees.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -21,9 +21,9 @@
 use serving::{EngineId, Route, Service, Table};
 use tokio::time::Instant;
 
+use crate::announcements;
 use crate::connection::NO_ROUTE_STATUS;
 use crate::instance::Instance;
-use crate::limits;
 use crate::refusal::Refusal;
 use crate::suspects::{self, Subject};
 
@@ -391,7 +391,7 @@
     let is_plain = !request.route.kind.is_stream();
     let exchanged = exchange(client, head, request, &engine.name).await;
     if let Ok(EngineResponse { reply, .. }) = &exchanged {
-        limits::observe(instance, &engine.id, reply, sent_at);
+        announcements::observe(instance, &engine.id, reply, sent_at);
     }
     match exchanged {
         Ok(response) if response.reply.was_not_run() => {
--- a/crates/gateway/src/generate/memory.rs
+++ b/crates/gateway/src/generate/memory.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 
 use crate::instance::Instance;
-use crate::limits;
+use crate::{announcements, limits};
 
 const KV_CACHE_FREE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -55,7 +55,7 @@
         client.send(upstream::free_kv(&memory), &Bytes::new()).await
     };
     if let Ok(Ok(answer)) = timeout(KV_CACHE_FREE_TIMEOUT, freeing).await {
-        limits::observe_announced(&instance, &holder, upstream::announced_limit(&answer.head));
+        announcements::observe_own(&instance, &holder, &answer.head);
     } else {
         log::debug!(handle = memory.handle.as_str(); "an unused KV cache could not be freed; it expires at its engine");
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`docs/design/platform.md`](../../../docs/design/platform.md).
 
 mod admission;
+mod announcements;
 mod attempt;
 mod bootstrap;
 mod claim_log;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -24,7 +24,9 @@
 use crate::peers::{self, Departure, MAX_PARTS_PER_FRAME, Topic};
 use crate::placement::server;
 use crate::usage::REPORTERS;
-use crate::{bootstrap, discovery, limits, quarantine_store, receive, suspects, usage, warmup};
+use crate::{
+    announcements, bootstrap, discovery, limits, quarantine_store, receive, suspects, usage, warmup,
+};
 
 /// Pause between frames while nothing is placed.
 const IDLE_INTERVAL: Duration = Duration::from_millis(100);
@@ -207,6 +209,7 @@
         gone: frame.gone,
         changing: frame.changing,
         rate_limits: frame.rate_limits,
+        leaving: frame.leaving,
         ..instance.frame()
     };
     let mut rest = instance.peers.borrow().addresses();
@@ -235,6 +238,7 @@
         add_changes(&mut frame, others.collect(), now);
         frame.state = Some(encode_state(instance, &fleet, peers.is_warm, now));
         frame.rate_limits = limits::to_wire(fleet.throttles.to_repeat(), now);
+        frame.leaving = announcements::leaving_to_repeat(&fleet);
     } else {
         let recent = fleet.recent_jobs(RESEND_WINDOW, now);
         let recent = recent
--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -14,7 +14,7 @@
 use crate::instance::Instance;
 use crate::peers::Topic;
 use crate::placement::{client, server};
-use crate::{limits, mesh, store_reader, suspects, usage};
+use crate::{announcements, limits, mesh, store_reader, suspects, usage};
 
 /// Dispatches a frame to the handlers of its parts.
 pub(crate) fn handle_frame(instance: &Instance, from: SocketAddr, frame: Frame) {
@@ -44,9 +44,7 @@
         }
     }
     apply_stage_changes(instance, &frame, now);
-    for engine in frame.leaving {
-        on_leaving(instance, engine);
-    }
+    announcements::merge_leaving_from_peer(instance, &frame.leaving);
     for news in frame.news {
         on_news(instance, news);
     }
@@ -168,17 +166,6 @@
     }
 }
 
-/// Applies that an engine has announced that it leaves.
-fn on_leaving(instance: &Instance, engine: u32) {
-    let mut fleet = instance.fleet.borrow_mut();
-    let Some(engine) = fleet.by_hash(engine) else {
-        return;
-    };
-    if fleet.mark_leaving(&engine) {
-        log::info!(engine = &*engine, source = "instance"; "engine leaves");
-    }
-}
-
 fn on_news(instance: &Instance, news: News) {
     let topic = Topic::of(&news);
     let record = KeyedRecord {
--- a/crates/gateway/src/roles.rs
+++ b/crates/gateway/src/roles.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use adapter::orders::{self, Answer};
-use adapter::upstream;
 use clock::Moment;
 use http1::{Client, Failure, TcpTimeouts};
 use serving::claim::Fence;
@@ -17,9 +16,9 @@
 use crate::attempt::MAX_BODY_BYTES;
 use crate::claims::Grant;
 use crate::instance::Instance;
-use crate::limits;
 use crate::metrics::OrderAnswer;
 use crate::placement;
+use crate::{announcements, limits};
 
 /// Time-out of an order.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -144,11 +143,7 @@
     let mut client = Client::open(engine.address, &ENGINE_PATIENCE, &instance.codec).await?;
     limits::charge(instance, &engine.id);
     let answer = client.send(head, &body).await?;
-    limits::observe_announced(
-        instance,
-        &engine.id,
-        upstream::announced_limit(&answer.head),
-    );
+    announcements::observe_own(instance, &engine.id, &answer.head);
     let status = answer.head.status.as_u16();
     client.body(MAX_BODY_BYTES).await?;
     Ok(orders::parse_answer(status))
--- a/crates/gateway/src/warmup.rs
+++ b/crates/gateway/src/warmup.rs
@@ -17,7 +17,7 @@
 
 use crate::attempt::MAX_BODY_BYTES;
 use crate::instance::Instance;
-use crate::limits;
+use crate::{announcements, limits};
 
 /// Pause between two checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -76,11 +76,7 @@
     let mut client = client.ok()?;
     let head = upstream::held_parts_request(engine.address);
     let response = client.send(head, &Bytes::new()).await.ok()?;
-    limits::observe_announced(
-        instance,
-        &engine.id,
-        upstream::announced_limit(&response.head),
-    );
+    announcements::observe_own(instance, &engine.id, &response.head);
     let body = client.body(MAX_BODY_BYTES).await.ok()?;
     upstream::parse_held_parts(&body, engine.started_ms)
 }
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -124,6 +124,15 @@
         engine.is_some_and(|engine| !std::mem::replace(&mut engine.leaving, true))
     }
 
+    /// Engines that leave although their records do not say so.
+    pub fn leaving_unrecorded(&self) -> impl Iterator<Item = &EngineId> {
+        let engines = self.engines.values();
+        let leaving = engines.filter(|engine| engine.leaving && !engine.record_gone);
+        leaving
+            .filter(|engine| engine.record.state == State::Ready)
+            .map(|engine| &engine.record.id)
+    }
+
     /// Marks an engine's record as gone. Returns whether anything changed.
     pub fn remove(&mut self, id: &str) -> bool {
         let Some(engine) = self.engines.get_mut(id) else {
