Send an engine nothing for as long as it asked for as it turned a call away

Callers were refused: over a tenth of three kinds of call, told to come back after 300 ms. Engines that had asked an instance for 3 s without requests got four and five from it in that time, where two are allowed.

Cause: Retry-After of an engine's refusal was not read. A refusal closed an engine for 50 ms, and an engine that turns calls away looks idle, so that one got more requests from second to second (5, 8, 16, 24) and refused them all; each cost a call one of its tries.

An engine is left out by the instance that it turned away until the time is over: on every way that a call goes, for lists of parts and freed memory, for calls that wait for a rate limit or a connection, and in questions to placers, which know only what engines asked of themselves. Where all engines that can answer want nothing, a call is refused at once with the time until the first of them takes calls again, up to 10 s.

--- a/crates/gateway/src/announcements.rs
+++ b/crates/gateway/src/announcements.rs
@@ -2,6 +2,8 @@
 //! gateway's own. The answer to one call decides where the next one goes, which mostly another
 //! instance places, so it must not end with the call. See `docs/design/rate-limits.md`.
 
+use std::time::Duration;
+
 use actix_http::ResponseHead;
 use adapter::upstream::{self, Reply};
 use clock::Moment;
@@ -20,6 +22,7 @@
     if reply.leaving {
         on_leaving(instance, engine);
     }
+    on_pause(instance, engine, reply.retry_after);
 }
 
 /// Applies the announcements in the response to a request of the gateway's own.
@@ -28,6 +31,17 @@
     if upstream::announces_leaving(head) {
         on_leaving(instance, engine);
     }
+    on_pause(instance, engine, upstream::requested_pause(head));
+}
+
+/// Sends an engine nothing for as long as it asked for as it turned a request away.
+///
+/// It asked this instance only: each one is turned away by itself, and others may have been served.
+fn on_pause(instance: &Instance, engine: &EngineId, pause: Option<Duration>) {
+    if let Some(pause) = pause {
+        let now = instance.now();
+        instance.fleet.borrow_mut().pause(engine, pause, now);
+    }
 }
 
 /// Tells all instances of an engine that has announced that it leaves. Its record may not say so for
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -381,6 +381,15 @@
             return AttemptResult::NotRun(NotRun::Unreachable);
         }
     };
+    // It may have asked for a pause while the connection was opened.
+    if instance
+        .fleet
+        .borrow()
+        .is_paused(&engine.id, instance.now())
+    {
+        log::info!(id = request.call.id.as_str(), engine = &*engine.id; "not sent, since the engine wants no requests now");
+        return AttemptResult::NotRun(NotRun::Unreachable);
+    }
     let sending = RequestOptions {
         caller: request.principal.as_caller(),
         ..*sending
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -455,7 +455,8 @@
         {
             return NextStep::Retry;
         }
-        NextStep::Done(self.refusal(REFUSED_RETRY_AFTER, Refusal::TooMuchWork, None))
+        let after = placement::retry_after(self.instance, self.request, REFUSED_RETRY_AFTER);
+        NextStep::Done(self.refusal(after, Refusal::TooMuchWork, None))
     }
 
     fn after_loss(&mut self, why: &'static str) -> NextStep {
--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -110,8 +110,10 @@
 /// it may.
 pub(crate) fn try_charge(instance: &Instance, engine: &EngineId) -> bool {
     let now = instance.now();
-    let throttles = &mut instance.fleet.borrow_mut().throttles;
-    let may_go = throttles.permit(engine, now) == Permit::After(Duration::ZERO);
+    let mut fleet = instance.fleet.borrow_mut();
+    let is_paused = fleet.is_paused(engine, now);
+    let throttles = &mut fleet.throttles;
+    let may_go = !is_paused && throttles.permit(engine, now) == Permit::After(Duration::ZERO);
     if may_go {
         throttles.charge(engine, now);
     }
@@ -131,8 +133,9 @@
     );
     sleep(target.limit_wait).await;
     let fleet = instance.fleet.borrow();
+    let now = instance.now();
     let engine = fleet.get(&target.engine);
-    engine.is_some_and(serving::engine::Engine::takes_calls)
+    engine.is_some_and(|engine| engine.takes_calls() && !engine.is_paused(now))
 }
 
 /// Counts a refusal caused by rate limits.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -2,6 +2,7 @@
 //! limit admits it. [`serving::place`] decides, at this instance or at a placer.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serving::engine::Record;
 use serving::place::{self, Demand, Generation, Target};
@@ -47,19 +48,39 @@
             best_target: None,
         };
     }
-    let avoid = with_excluded(avoid, &admission);
+    let avoid = with_excluded(instance, request, avoid, &admission);
     let connected = instance.pool.connected(instance.now());
     let demand = Demand {
         may_split,
         isolated: matches!(admission, Admission::Alone),
         ..demand(instance, request, &avoid, &connected)
     };
-    client::choose(instance, &demand).await
+    let mut choice = client::choose(instance, &demand).await;
+    let fleet = instance.fleet.borrow();
+    place::explain_refusal(&fleet, demand.service, &mut choice, instance.now());
+    choice
+}
+
+/// `Retry-After` of a call that engines have turned away: `usual`, unless all of them want no
+/// requests from this instance for longer.
+pub(crate) fn retry_after(instance: &Instance, request: &Request, usual: Duration) -> Duration {
+    let fleet = instance.fleet.borrow();
+    let left = place::pause_left(&fleet, &request.service.name, instance.now());
+    left.unwrap_or_default().max(usual)
 }
 
-/// Adds the engines that a call's admission excludes.
-fn with_excluded(avoid: &Avoid, admission: &Admission) -> Avoid {
+/// Adds the engines that a call's admission excludes, and those that want no requests from this
+/// instance. A placer is told to avoid them too: it knows only what engines asked of itself.
+fn with_excluded(
+    instance: &Instance,
+    request: &Request,
+    avoid: &Avoid,
+    admission: &Admission,
+) -> Avoid {
     let mut all = avoid.clone();
+    let fleet = instance.fleet.borrow();
+    let paused = fleet.paused(&request.service.name, instance.now());
+    all.extend(paused.map(|engine| engine.record.id.clone()));
     if let Admission::Excluding(others) = admission {
         all.extend(others.iter().cloned());
     }
@@ -79,9 +100,9 @@
     if matches!(admission, Admission::Held(_)) {
         return None;
     }
-    let avoid = with_excluded(avoid, &admission);
     let connected = instance.pool.connected(instance.now());
     loop {
+        let avoid = with_excluded(instance, request, avoid, &admission);
         let demand = Demand {
             reserved,
             ..demand(instance, request, &avoid, &connected)
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -192,7 +192,7 @@
                     failed_sends.count(arrived) && (!arrived || take_retry(instance, request));
                 if !may_continue && runs == 0 {
                     return End::NotRun {
-                        after: FULL_RETRY_AFTER,
+                        after: placement::retry_after(instance, request, FULL_RETRY_AFTER),
                         why: "The engines are full.",
                         best: None,
                     };
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -24,6 +24,10 @@
 
 use remote::RemoteCall;
 
+/// Longest pause that an engine may ask for. A longer one is more likely an error, and would leave
+/// the engine out for good.
+const MAX_PAUSE: Duration = Duration::from_secs(600);
+
 /// Id of another instance.
 pub type PeerId = u64;
 
@@ -124,6 +128,30 @@
         engine.is_some_and(|engine| !std::mem::replace(&mut engine.leaving, true))
     }
 
+    /// Records that an engine wants no requests from this instance for `pause`. A shorter pause does
+    /// not end a longer one, since answers overtake each other.
+    pub fn pause(&mut self, id: &str, pause: Duration, now: Moment) {
+        if let Some(engine) = self.engines.get_mut(id) {
+            let until = now + pause.min(MAX_PAUSE);
+            engine.paused_until = engine.paused_until.max(until);
+        }
+    }
+
+    /// Whether an engine wants no requests from this instance now.
+    pub fn is_paused(&self, id: &str, now: Moment) -> bool {
+        self.get(id).is_some_and(|engine| engine.is_paused(now))
+    }
+
+    /// Engines of a service that want no requests from this instance now.
+    pub fn paused<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        now: Moment,
+    ) -> impl Iterator<Item = &'a Engine> {
+        self.ready(service)
+            .filter(move |engine| engine.is_paused(now))
+    }
+
     /// Engines that leave although their records do not say so.
     pub fn leaving_unrecorded(&self) -> impl Iterator<Item = &EngineId> {
         let engines = self.engines.values();
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -97,6 +97,8 @@
     Held,
     /// The rate limits that the engines announce are used up.
     RateLimited,
+    /// The engines that are left want no requests from this instance for a time.
+    Paused,
 }
 
 impl Choice {
@@ -120,6 +122,7 @@
             Self::TooMuchWork => "There is too much work before this call.",
             Self::Held => "Engines that ran this call ended.",
             Self::RateLimited => "The engines' rate limits are used up.",
+            Self::Paused => "The engines accept no calls for a while.",
         }
     }
 }
@@ -151,6 +154,8 @@
 const NO_ENGINE_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Share of the latency target that a call may wait for an engine's rate limit.
 const LIMIT_WAIT_SHARE: f64 = 0.5;
+/// Longest `Retry-After` while engines want no requests from this instance: others may send to them.
+const MAX_PAUSE_RETRY_AFTER: Duration = Duration::from_secs(10);
 /// Shortest `Retry-After` of a rejection by rate limits.
 const MIN_RATE_LIMIT_RETRY_AFTER: Duration = Duration::from_millis(100);
 
@@ -166,6 +171,33 @@
     }
 }
 
+/// The time until an engine that can answer calls takes some again, if all such engines of a service
+/// want none from this instance now.
+pub fn pause_left(fleet: &Fleet, service: &ServiceName, now: Moment) -> Option<Duration> {
+    let answering = fleet
+        .ready(service)
+        .filter(|engine| !cost::is_prefill(engine));
+    let left = answering.map(|engine| engine.paused_until.saturating_sub(now));
+    let left = left.min()?.min(MAX_PAUSE_RETRY_AFTER);
+    (!left.is_zero()).then_some(left)
+}
+
+/// Gives a refusal for lack of engines its reason and time if engines want no requests from this
+/// instance. Placers do not know of that.
+pub fn explain_refusal(fleet: &Fleet, service: &ServiceName, choice: &mut Choice, now: Moment) {
+    if let Choice::Refuse {
+        reason,
+        retry_after,
+        ..
+    } = choice
+        && *reason == Refusal::NoEngine
+        && let Some(left) = pause_left(fleet, service, now)
+    {
+        *reason = Refusal::Paused;
+        *retry_after = left;
+    }
+}
+
 /// Charges a placement to the rate limits of its engines. The `Retry-After` of a refusal by rate
 /// limits grows with the refusals before it.
 pub fn commit(fleet: &mut Fleet, demand: &Demand, choice: &mut Choice, now: Moment) {
--- a/crates/serving/tests/place.rs
+++ b/crates/serving/tests/place.rs
@@ -385,3 +385,43 @@
     assert_matches!(choose(&fleet, &together, NOW), Choice::Direct(t) if &*t.engine == "a");
     assert_matches!(choose(&fleet, &alone, NOW), Choice::Direct(t) if &*t.engine == "b");
 }
+
+/// Guards against calls to an engine that wants none from this instance, and against leaving it out
+/// for longer than it asked or after a shorter request that overtook a longer one.
+#[test]
+fn an_engine_is_paused_for_the_longest_time_that_it_asked_for() {
+    let mut fleet = fleet(&[("a", Stage::Decode)]);
+    fleet.pause("a", ms(3_000), ms(1_000));
+    fleet.pause("a", ms(500), ms(1_100));
+    assert!(fleet.is_paused("a", ms(3_999)));
+    assert!(!fleet.is_paused("a", ms(4_000)));
+}
+
+/// Guards against callers that come back while no engine takes their calls: a refusal for lack of
+/// engines named half a second.
+#[test]
+fn a_refusal_during_pauses_names_the_first_end() {
+    let mut fleet = fleet(&[
+        ("a", Stage::Decode),
+        ("b", Stage::Decode),
+        ("p", Stage::Prefill),
+    ]);
+    let service = service();
+    let refused = || Choice::Refuse {
+        retry_after: ms(500),
+        reason: Refusal::NoEngine,
+        best_target: None,
+    };
+    fleet.pause("a", ms(3_000), ms(1_000));
+    let mut choice = refused();
+    place::explain_refusal(&fleet, &service, &mut choice, ms(1_000));
+    assert_eq!(choice, refused());
+    fleet.pause("b", ms(5_000), ms(1_000));
+    place::explain_refusal(&fleet, &service, &mut choice, ms(2_000));
+    let paused = Choice::Refuse {
+        retry_after: ms(2_000),
+        reason: Refusal::Paused,
+        best_target: None,
+    };
+    assert_eq!(choice, paused);
+}
