Look a changed engine up by id for its log line

The log line of a changed engine, as of late, searched all engines by name: each of 300 instances, for each of 3,000 engines that it hears of at its start. It asks the registry for the name's id now.

--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -417,7 +417,7 @@
         .map(|record| (record.key.as_str(), record))
         .collect();
     for (name, change) in &changes {
-        log_engine_change(instance, name, *change, EngineSource::Snapshot, 0);
+        log_engine_change(instance, registry, name, *change, EngineSource::Snapshot, 0);
         match (change, by_name.get(&**name)) {
             (Change::Put, Some(record)) => announce(instance, Topic::Engines, record),
             // Older than any record that the name gets after this read.
@@ -440,6 +440,7 @@
 /// Logs and counts a changed record of an engine, with its offset if that is known.
 fn log_engine_change(
     instance: &Instance,
+    registry: &Registry,
     name: &str,
     change: Change,
     source: EngineSource,
@@ -447,8 +448,7 @@
 ) {
     instance.metrics.engine_changed(source);
     let fleet = instance.fleet.borrow();
-    let mut engines = fleet.all();
-    let engine = engines.find(|engine| &*engine.record.name == name && !engine.record_gone);
+    let engine = registry.incarnation(name).and_then(|id| fleet.get(id));
     match (change, engine) {
         (Change::Put, Some(Engine { record, .. })) => {
             log::info!(
@@ -489,7 +489,14 @@
         drop(fleet);
         if change != Change::None {
             registry.advance_to(record.offset);
-            log_engine_change(instance, &record.key, change, source, record.offset);
+            log_engine_change(
+                instance,
+                registry,
+                &record.key,
+                change,
+                source,
+                record.offset,
+            );
         }
         return change;
     }
@@ -505,7 +512,14 @@
     drop(fleet);
     if change == Change::Put {
         registry.advance_to(record.offset);
-        log_engine_change(instance, &record.key, change, source, record.offset);
+        log_engine_change(
+            instance,
+            registry,
+            &record.key,
+            change,
+            source,
+            record.offset,
+        );
     }
     change
 }
--- a/crates/serving/src/registry.rs
+++ b/crates/serving/src/registry.rs
@@ -278,6 +278,12 @@
         self.unreadable.insert(Name::from(name))
     }
 
+    /// The last known incarnation of a name.
+    pub fn incarnation(&self, name: &str) -> Option<&EngineId> {
+        let incarnation = self.incarnations.get(name);
+        incarnation.map(|incarnation| &incarnation.id)
+    }
+
     /// Whether the newest entry of a name cannot be read.
     pub fn is_unreadable(&self, name: &str) -> bool {
         self.unreadable.contains(name)
