Soak: judge what engines get after they announced a leaving or asked for a pause

No check of the soak looked at either announcement, and its engines made none. An engine that leaves says so in its answers now: a gateway that has passed one on must send nothing there 3 s later, whatever the store does. In one seed of five two engines turn calls away and ask for 6 s: a gateway sends at most two requests from 3 s after its first refusal until the time is over. Restarts and stops of that gateway excuse it, nothing else.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -16,8 +16,8 @@
 
 use crate::check;
 use crate::gateway::{Gateway, PortAllocator};
-use crate::history::{EngineRequest, History, Leaving, RateLimit};
-use crate::plan::{self, FaultKind, LinkState, Plan, ProcessAction};
+use crate::history::{EngineRequest, History, Leaving, Pauses, RateLimit};
+use crate::plan::{self, FaultKind, LinkState, PAUSE, Plan, ProcessAction};
 use crate::proxy::Proxy;
 
 /// An engine stand-in and the proxy in front of it.
@@ -230,6 +230,7 @@
             FaultKind::Foreign(number) => self.write_foreign_records(number),
             FaultKind::Fatal => self.sends_fatal.set(true),
             FaultKind::Limit(number, rate) => self.announce_rate_limit(number, rate),
+            FaultKind::Pause(number) => self.ask_for_pauses(number),
             FaultKind::Configure => self.configure(),
             FaultKind::GoesBack => drop(self.backup.replace(Some(self.store.backup()))),
             FaultKind::Cloud(fault) => self.cloud.fault(cloud_fault(fault)),
@@ -256,6 +257,7 @@
             FaultKind::Foreign(number) => self.write_engine_record(number),
             FaultKind::Fatal => self.sends_fatal.set(false),
             FaultKind::Limit(number, _) => self.withdraw_rate_limit(number),
+            FaultKind::Pause(number) => self.end_pauses(number),
             FaultKind::GoesBack => self.restore_store(),
             FaultKind::Cloud(_) => self.cloud.fault(cloud::Fault::None),
             FaultKind::Reborn(_)
@@ -325,6 +327,34 @@
         });
     }
 
+    fn ask_for_pauses(&self, number: usize) {
+        let from = self.callers_started.get().elapsed();
+        self.with_engine(number, |node| {
+            node.engine.set_behaviour(Behaviour::Full);
+            node.engine
+                .request_pause(Some(&PAUSE.as_secs_f64().to_string()));
+            self.history.borrow_mut().pauses.push(Pauses {
+                engine: node.engine.id.clone(),
+                from,
+                until: Duration::MAX,
+                length: PAUSE,
+            });
+        });
+    }
+
+    fn end_pauses(&self, number: usize) {
+        let until = self.callers_started.get().elapsed();
+        self.with_engine(number, |node| {
+            node.engine.set_behaviour(Behaviour::Run);
+            node.engine.request_pause(None);
+            let mut history = self.history.borrow_mut();
+            let pauses = history.pauses.iter_mut();
+            for pauses in pauses.filter(|pauses| pauses.engine == node.engine.id) {
+                pauses.until = pauses.until.min(until);
+            }
+        });
+    }
+
     fn signal(&self, number: usize, signal: Signal) {
         self.instances[number].gateway.borrow_mut().signal(signal);
     }
@@ -349,6 +379,7 @@
                 let engine = &node.engine;
                 engine.register_at(node.link.address, &self.store, service, "draining", stage);
                 node.recorded_state = Some("draining");
+                engine.announce_leaving();
                 self.history.borrow_mut().leavings.push(Leaving {
                     engine: engine.id.clone(),
                     at: self.callers_started.get().elapsed(),
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -146,6 +146,19 @@
     pub at: Duration,
 }
 
+/// A time in which an engine turned all requests away and asked each sender for a pause.
+#[derive(Clone, Debug)]
+pub struct Pauses {
+    /// The engine.
+    pub engine: String,
+    /// When it began, since the callers started.
+    pub from: Duration,
+    /// When it ended.
+    pub until: Duration,
+    /// For how long it asked each sender to send nothing.
+    pub length: Duration,
+}
+
 /// Everything observed in a run.
 #[derive(Clone, Debug, Default)]
 pub struct History {
@@ -167,6 +180,8 @@
     pub rate_limits: Vec<RateLimit>,
     /// Engines that announced that they leave.
     pub leavings: Vec<Leaving>,
+    /// Engines that asked for pauses.
+    pub pauses: Vec<Pauses>,
     /// The faults that were injected.
     pub faults: Vec<Fault>,
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -109,10 +109,15 @@
     Fatal,
     /// An engine announces a rate limit, in requests per ten seconds.
     Limit(usize, u32),
+    /// An engine turns all calls away, and asks each sender for a pause of [`PAUSE`].
+    Pause(usize),
     /// A new configuration with an additional route.
     Configure,
 }
 
+/// Pause that engines ask for.
+pub const PAUSE: Duration = Duration::from_secs(6);
+
 /// A scheduled fault or piece of planned work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Fault {
@@ -204,6 +209,10 @@
 const UNSEEN_LEAVING_INTERVAL: Duration = Duration::from_millis(400);
 /// How long the store is silent in such a plan.
 const UNSEEN_LEAVING_SILENCE: Duration = Duration::from_millis(4_000);
+/// One seed in this many adds engines that ask for pauses.
+const PAUSES_EVERY: u64 = 5;
+/// Number of engines that ask for pauses in such a plan.
+const PAUSE_COUNT: usize = 2;
 /// Number of restores, and of interface failures, in such a plan.
 const RESTORE_COUNT: usize = 2;
 /// Longest time after the warm-up until fatal calls and rate limits begin.
@@ -296,6 +305,18 @@
             let mut rng = StdRng::seed_from_u64(seed.rotate_left(8));
             faults.extend(unseen_leavings(&mut rng, gateways, services + engines));
         }
+        if !planned && seed % PAUSES_EVERY == PAUSES_EVERY - 2 {
+            // A separate generator, for the same reason.
+            let mut rng = StdRng::seed_from_u64(seed.rotate_left(24));
+            faults.extend((0..PAUSE_COUNT).map(|_| {
+                let at = WARM_UP + Duration::from_millis(rng.random_range(0..MAX_EARLY_START_MS));
+                Fault {
+                    at,
+                    duration: duration.saturating_sub(at),
+                    kind: FaultKind::Pause(rng.random_range(0..services + engines)),
+                }
+            }));
+        }
         faults.sort_by_key(|fault| fault.at);
         Self {
             seed,
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -8,8 +8,10 @@
 use serde_json::json;
 use soak::check::{self, Finding, Invariant};
 use soak::cluster::ORGANISATIONS;
-use soak::history::{Call, CallOutcome, EngineRequest, History, Leaving, RateLimit, RequestKind};
-use soak::plan::{Fault, FaultKind, LinkState, ProcessAction};
+use soak::history::{
+    Call, CallOutcome, EngineRequest, History, Leaving, Pauses, RateLimit, RequestKind,
+};
+use soak::plan::{Fault, FaultKind, LinkState, ProcessAction, StoreFailure};
 
 const REQUEST_KINDS: [RequestKind; 5] = [
     RequestKind::Safe,
@@ -416,3 +418,66 @@
         assert_eq!(check::check(&history).is_empty(), is_excused);
     }
 }
+
+/// An engine leaves at 1 s, and answers a call of gateway 0 at 1.5 s and another one later.
+fn with_announced_leaving(sent_at: u64) -> impl FnOnce(&mut History) {
+    move |history| {
+        with_leaving_engine(sent_at)(history);
+        history.calls.push(call("first", RequestKind::Safe, 1_500));
+        history.engine_requests.push(EngineRequest {
+            received_at: ms(1_505),
+            ..executed("first", RequestKind::Safe, "e-3")
+        });
+        // The store is away, so that answers are the only sign.
+        history.faults.push(Fault {
+            at: ms(500),
+            duration: ms(9_000),
+            kind: FaultKind::Store(StoreFailure::Silent),
+        });
+    }
+}
+
+#[test]
+fn requests_after_an_announced_leaving_are_reported_although_the_store_is_away() {
+    assert_only_finding(Invariant::Leaving, with_announced_leaving(4_600));
+    let mut history = valid_history();
+    with_announced_leaving(4_400)(&mut history);
+    assert_eq!(check::check(&history), []);
+}
+
+/// An engine turns calls away from 1 s on, and asks for 6 s; gateway 0 sends `count` more.
+fn with_pauses(count: u64) -> impl FnOnce(&mut History) {
+    move |history| {
+        history.pauses.push(Pauses {
+            engine: "e-3".to_owned(),
+            from: ms(1_000),
+            until: ms(20_000),
+            length: ms(6_000),
+        });
+        for number in 0..=count {
+            let at = if number == 0 { 1_500 } else { 5_000 + number };
+            let id = format!("refused-{number}");
+            history.calls.push(call(&id, RequestKind::Safe, at));
+            history.engine_requests.push(EngineRequest {
+                received_at: ms(at),
+                executed: false,
+                ..executed(&id, RequestKind::Safe, "e-3")
+            });
+        }
+    }
+}
+
+#[test]
+fn requests_during_a_pause_are_reported() {
+    assert_only_finding(Invariant::Pauses, with_pauses(3));
+    for (count, restarts) in [(2, false), (3, true)] {
+        let mut history = valid_history();
+        with_pauses(count)(&mut history);
+        history.faults.extend(restarts.then_some(Fault {
+            at: ms(4_000),
+            duration: ms(500),
+            kind: FaultKind::Process(0, ProcessAction::Pause),
+        }));
+        assert_eq!(check::check(&history), []);
+    }
+}
