Do not hold calls for the end of an engine that announced its leaving in answers

Callers could have had a call held: the end of an engine that leaves says nothing of the calls that it ran, and only a leaving in the record counted as one. While an engine does not reach the store its answers are the only sign. The tests of held calls pass.

--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -16,7 +16,7 @@
 use clock::Moment;
 use http1::{Client, Failure, TcpTimeouts};
 use serving::EngineId;
-use serving::engine::{Record, State};
+use serving::engine::Record;
 use serving::fingerprint::Fingerprint;
 use tokio::sync::watch;
 use tokio::time::{Instant, sleep, timeout};
@@ -147,7 +147,7 @@
 fn is_leaving(instance: &Instance, engine: &EngineId) -> bool {
     let fleet = instance.fleet.borrow();
     let known = fleet.get(engine);
-    known.is_none_or(|known| known.record_gone || known.record.state == State::Draining)
+    known.is_none_or(|known| known.record_gone || known.leaving)
 }
 
 /// Returns the verdict on an engine once it is known. Calls that break at once share one probe.
