--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -211,8 +211,6 @@
 const UNSEEN_LEAVING_SILENCE: Duration = Duration::from_millis(4_000);
 /// One seed in this many adds engines that ask for pauses.
 const PAUSES_EVERY: u64 = 5;
-/// Number of engines that ask for pauses in such a plan.
-const PAUSE_COUNT: usize = 2;
 /// Number of restores, and of interface failures, in such a plan.
 const RESTORE_COUNT: usize = 2;
 /// Longest time after the warm-up until fatal calls and rate limits begin.
@@ -308,12 +306,13 @@
         if !planned && seed % PAUSES_EVERY == PAUSES_EVERY - 2 {
             // A separate generator, for the same reason.
             let mut rng = StdRng::seed_from_u64(seed.rotate_left(24));
-            faults.extend((0..PAUSE_COUNT).map(|_| {
+            // Of engines that are alike the first is chosen, so these get most calls.
+            faults.extend([0, services].map(|engine| {
                 let at = WARM_UP + Duration::from_millis(rng.random_range(0..MAX_EARLY_START_MS));
                 Fault {
                     at,
                     duration: duration.saturating_sub(at),
-                    kind: FaultKind::Pause(rng.random_range(0..services + engines)),
+                    kind: FaultKind::Pause(engine),
                 }
             }));
         }
