Announce only departures of a read of all records

Callers saw nothing.

Suspected cause, to be measured: after an outage many instances read all records, and each announced all that changed by it, some hundreds of bytes for each engine that starts. What has a bound is a leaving and a deletion, of some bytes each; these are announced, and the rest is learned as before, by comparing states. The tests of leaving engines pass.

--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -261,18 +261,25 @@
 }
 
 /// What a record says of an engine that takes no more calls.
-fn departure(topic: Topic, record: &KeyedRecord) -> Option<Departure> {
-    if topic != Topic::Engines {
-        return None;
-    }
+fn departure(record: &KeyedRecord) -> Option<Departure> {
     let Some(value) = &record.value else {
-        return Some(Departure::Removed(to_news(topic, record)));
+        return Some(Departure::Removed(to_news(Topic::Engines, record)));
     };
     let engine = records::parse_engine(&record.key, value).ok()?;
     let is_leaving = engine.state == State::Draining;
     is_leaving.then(|| Departure::Leaving(hash::hash32(&engine.id)))
 }
 
+/// Announces at once that an engine takes no more calls, if its record says so.
+fn announce_departure(instance: &Instance, record: &KeyedRecord) {
+    let Some(departure) = departure(record) else {
+        return;
+    };
+    let now = instance.now();
+    instance.peers.borrow_mut().queue_departure(departure, now);
+    instance.departure_due.notify_one();
+}
+
 /// Announces a record that changed something to the other instances.
 ///
 /// If another reader comes before this one, that one announces it. It may lose the store before it
@@ -280,23 +287,20 @@
 /// announces the record a little later if the other one does not know it by then. Departures do not
 /// wait for that.
 fn announce(instance: &Instance, topic: Topic, record: &KeyedRecord) {
-    let now = instance.now();
-    let mut peers = instance.peers.borrow_mut();
-    let departure = departure(topic, record);
-    let is_removal = matches!(departure, Some(Departure::Removed(_)));
-    if let Some(departure) = departure {
-        peers.queue_departure(departure, now);
-        instance.departure_due.notify_one();
-    }
-    if is_removal {
-        return;
+    if topic == Topic::Engines {
+        announce_departure(instance, record);
+        if record.value.is_none() {
+            return;
+        }
     }
     let news = to_news(topic, record);
+    let now = instance.now();
+    let upto = match topic {
+        Topic::Configuration => instance.known(topic).upto,
+        Topic::Engines => record.offset,
+    };
+    let mut peers = instance.peers.borrow_mut();
     if peers.has_reader_before(instance.order(), topic, now) {
-        let upto = match topic {
-            Topic::Configuration => instance.known(topic).upto,
-            Topic::Engines => record.offset,
-        };
         peers.defer_news(news, upto, now);
     } else {
         peers.queue_news(news);
@@ -382,8 +386,10 @@
     }
 }
 
-/// Applies all records, as read at once when the log ended at `end`, and announces what changed: an
-/// instance reads them all after it has lost the store, and the others may have lost it too.
+/// Applies all records, as read at once when the log ended at `end`, and announces the departures
+/// among them: an instance reads all records after it has lost the store, and the others may have
+/// lost it too. They learn of other changes by comparing states; after an outage many instances read
+/// all records, and would send each other hundreds of them.
 fn apply_snapshot(
     instance: &Instance,
     registry: &mut Registry,
@@ -419,7 +425,7 @@
     for (name, change) in &changes {
         log_engine_change(instance, registry, name, *change, EngineSource::Snapshot, 0);
         match (change, by_name.get(&**name)) {
-            (Change::Put, Some(record)) => announce(instance, Topic::Engines, record),
+            (Change::Put, Some(record)) => announce_departure(instance, record),
             // Older than any record that the name gets after this read.
             (Change::Removed, _) => announce_removal(instance, name, end.saturating_sub(1)),
             _ => {}
@@ -434,7 +440,7 @@
         key: name.to_owned(),
         value: None,
     };
-    announce(instance, Topic::Engines, &deletion);
+    announce_departure(instance, &deletion);
 }
 
 /// Logs and counts a changed record of an engine, with its offset if that is known.
