Index paused and leaving engines, and wake up for departures only when due

Callers saw nothing.

Suspected: each call looked at all engines for paused ones, each state for leaving ones, and the task that announces departures woke up ten times a second. Both are looked up in maps that are mostly empty, and the task sleeps until something is due.

--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -135,7 +135,8 @@
     let fleet = instance.fleet.borrow();
     let now = instance.now();
     let engine = fleet.get(&target.engine);
-    engine.is_some_and(|engine| engine.takes_calls() && !engine.is_paused(now))
+    let takes_calls = engine.is_some_and(serving::engine::Engine::takes_calls);
+    takes_calls && !fleet.is_paused(&target.engine, now)
 }
 
 /// Counts a refusal caused by rate limits.
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -345,8 +345,17 @@
 /// call that is sent to one that leaves is lost when the engine ends.
 async fn send_departures(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
     loop {
-        // Also wakes up for repetitions.
-        drop(timeout(IDLE_INTERVAL, instance.departure_due.notified()).await);
+        let due = instance.peers.borrow().departures_due(instance.now());
+        let repeat = async {
+            match due {
+                Some(due) => sleep(due).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = instance.departure_due.notified() => {}
+            () = repeat => {}
+        }
         loop {
             let departures = instance.peers.borrow_mut().take_departures(instance.now());
             if departures.is_empty() {
--- a/crates/gateway/src/peers/news.rs
+++ b/crates/gateway/src/peers/news.rs
@@ -60,6 +60,12 @@
         self.departures.push(departure, bytes, now);
     }
 
+    /// Time until departures are due; zero if some are.
+    pub(crate) fn departures_due(&self, now: Moment) -> Option<Duration> {
+        let due = self.departures.next_due()?;
+        Some(due.saturating_sub(now))
+    }
+
     /// Departures for the next frame.
     pub(crate) fn take_departures(&mut self, now: Moment) -> Vec<Departure> {
         self.departures.take(MAX_NEWS_BYTES, now)
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -48,7 +48,7 @@
             best_target: None,
         };
     }
-    let avoid = with_excluded(instance, request, avoid, &admission);
+    let avoid = with_excluded(instance, avoid, &admission);
     let connected = instance.pool.connected(instance.now());
     let demand = Demand {
         may_split,
@@ -71,16 +71,10 @@
 
 /// Adds the engines that a call's admission excludes, and those that want no requests from this
 /// instance. A placer is told to avoid them too: it knows only what engines asked of itself.
-fn with_excluded(
-    instance: &Instance,
-    request: &Request,
-    avoid: &Avoid,
-    admission: &Admission,
-) -> Avoid {
+fn with_excluded(instance: &Instance, avoid: &Avoid, admission: &Admission) -> Avoid {
     let mut all = avoid.clone();
     let fleet = instance.fleet.borrow();
-    let paused = fleet.paused(&request.service.name, instance.now());
-    all.extend(paused.map(|engine| engine.record.id.clone()));
+    all.extend(fleet.paused(instance.now()).cloned());
     if let Admission::Excluding(others) = admission {
         all.extend(others.iter().cloned());
     }
@@ -102,7 +96,7 @@
     }
     let connected = instance.pool.connected(instance.now());
     loop {
-        let avoid = with_excluded(instance, request, avoid, &admission);
+        let avoid = with_excluded(instance, avoid, &admission);
         let demand = Demand {
             reserved,
             ..demand(instance, request, &avoid, &connected)
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -136,9 +136,6 @@
     pub record_gone: bool,
     /// Whether it has announced that it leaves. It ends soon, so this is never taken back.
     pub leaving: bool,
-    /// Until when it wants no requests from this instance, as it said when it turned one away.
-    /// Others may still send to it.
-    pub paused_until: Moment,
     /// Set while a stage change is in progress.
     pub stage_change: Option<StageChange>,
     /// Ratio of the observed reading time to the time expected from the speed of its stage.
@@ -171,7 +168,6 @@
             health: Health::default(),
             peer_reports: PeerReports::default(),
             record_gone: false,
-            paused_until: Moment::ZERO,
             stage_change: None,
             slowdown: 1.0,
             own_calls: 0,
@@ -199,11 +195,6 @@
         self.is_active() && self.stage_change.is_none()
     }
 
-    /// Whether it wants no requests from this instance now.
-    pub fn is_paused(&self, now: Moment) -> bool {
-        now < self.paused_until
-    }
-
     /// Whether the outcomes of recent calls allow one more now.
     pub fn is_available(&self, now: Moment) -> bool {
         self.health.is_available(now) && self.peer_reports.is_available(now)
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -73,6 +73,11 @@
     /// Rate of prompt work sent by all instances, by service.
     work_rates: HashMap<ServiceName, DecayingRate>,
     changes: Vec<WorkChange>,
+    /// Engines that have announced that they leave, ahead of their records.
+    leaving: BTreeSet<EngineId>,
+    /// Until when engines want no requests from this instance, as they said when they turned one
+    /// away.
+    paused_until: BTreeMap<EngineId, Moment>,
     /// How much longer than expected late calls wait, by service.
     overruns: HashMap<ServiceName, WaitOverrun>,
     /// Pauses between stream events, by service.
@@ -124,41 +129,50 @@
 
     /// Marks an engine as leaving. Returns whether that is new.
     pub fn mark_leaving(&mut self, id: &str) -> bool {
-        let engine = self.engines.get_mut(id);
-        engine.is_some_and(|engine| !std::mem::replace(&mut engine.leaving, true))
+        let Some(engine) = self.engines.get_mut(id) else {
+            return false;
+        };
+        self.leaving.insert(engine.record.id.clone());
+        !std::mem::replace(&mut engine.leaving, true)
     }
 
-    /// Records that an engine wants no requests from this instance for `pause`. A shorter pause does
-    /// not end a longer one, since answers overtake each other.
+    /// Records that an engine wants no requests from this instance for `pause`, while others may send
+    /// to it. A shorter pause does not end a longer one, since answers overtake each other.
     pub fn pause(&mut self, id: &str, pause: Duration, now: Moment) {
-        if let Some(engine) = self.engines.get_mut(id) {
-            let until = now + pause.min(MAX_PAUSE);
-            engine.paused_until = engine.paused_until.max(until);
-        }
+        let Some((id, _)) = self.engines.get_key_value(id) else {
+            return;
+        };
+        let until = now + pause.min(MAX_PAUSE);
+        let known = self.paused_until.entry(id.clone()).or_default();
+        *known = until.max(*known);
     }
 
     /// Whether an engine wants no requests from this instance now.
     pub fn is_paused(&self, id: &str, now: Moment) -> bool {
-        self.get(id).is_some_and(|engine| engine.is_paused(now))
+        self.paused_until.get(id).is_some_and(|until| now < *until)
     }
 
-    /// Engines of a service that want no requests from this instance now.
-    pub fn paused<'a>(
-        &'a self,
-        service: &'a ServiceName,
-        now: Moment,
-    ) -> impl Iterator<Item = &'a Engine> {
-        self.ready(service)
-            .filter(move |engine| engine.is_paused(now))
+    /// How long an engine still wants no requests from this instance.
+    pub fn pause_left(&self, id: &str, now: Moment) -> Duration {
+        let until = self.paused_until.get(id).copied().unwrap_or_default();
+        until.saturating_sub(now)
+    }
+
+    /// Engines that want no requests from this instance now.
+    pub fn paused(&self, now: Moment) -> impl Iterator<Item = &EngineId> {
+        let paused = self.paused_until.iter();
+        paused
+            .filter(move |(_, until)| now < **until)
+            .map(|(id, _)| id)
     }
 
     /// Engines that leave although their records do not say so.
     pub fn leaving_unrecorded(&self) -> impl Iterator<Item = &EngineId> {
-        let engines = self.engines.values();
-        let leaving = engines.filter(|engine| engine.leaving && !engine.record_gone);
-        leaving
-            .filter(|engine| engine.record.state == State::Ready)
-            .map(|engine| &engine.record.id)
+        let is_ready = |id: &&EngineId| {
+            let engine = self.get(id);
+            engine.is_some_and(|engine| engine.record.state == State::Ready)
+        };
+        self.leaving.iter().filter(is_ready)
     }
 
     /// Marks an engine's record as gone. Returns whether anything changed.
@@ -404,6 +418,7 @@
     /// Drops the work of silent instances, and stage changes that did not happen in time.
     pub fn expire(&mut self, now: Moment) {
         self.throttles.forget_long_lifted_limits(now);
+        self.paused_until.retain(|_, until| now < *until);
         let engines = &mut self.engines;
         self.stage_changes.retain(|id| {
             let Some(engine) = engines.get_mut(id) else {
@@ -452,11 +467,14 @@
         let parts = &mut self.parts;
         let throttles = &mut self.throttles;
         let by_short_hash = &mut self.by_short_hash;
+        let (leaving, paused_until) = (&mut self.leaving, &mut self.paused_until);
         self.engines.retain(|id, engine| {
             let keep = !engine.record_gone || engine.own_calls > 0;
             if !keep {
                 parts.forget(id);
                 throttles.forget(id);
+                leaving.remove(id);
+                paused_until.remove(id);
                 by_short_hash.remove(&hash::hash32(id));
             }
             keep
--- a/crates/serving/src/outbox.rs
+++ b/crates/serving/src/outbox.rs
@@ -68,6 +68,12 @@
         batch
     }
 
+    /// When the next message is due.
+    pub fn next_due(&self) -> Option<Moment> {
+        let first = self.new.front().or(self.repeated.front());
+        first.map(|item| item.due)
+    }
+
     fn next(&mut self, room: usize, is_first: bool, now: Moment) -> Option<Item<T>> {
         let queue = if self.new.is_empty() {
             &mut self.repeated
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -177,7 +177,7 @@
     let answering = fleet
         .ready(service)
         .filter(|engine| !cost::is_prefill(engine));
-    let left = answering.map(|engine| engine.paused_until.saturating_sub(now));
+    let left = answering.map(|engine| fleet.pause_left(&engine.record.id, now));
     let left = left.min()?.min(MAX_PAUSE_RETRY_AFTER);
     (!left.is_zero()).then_some(left)
 }
