Split the records of engines from the store's reader, and checks of announcements

What applies and announces records of engines moves from store_reader to engine_records, and the soak's checks of announcements to a module of their own. No behaviour changes; log lines of changed engines name the new module.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod discovery;
 mod duties;
 mod engine_call;
+mod engine_records;
 pub mod events;
 pub mod explain;
 mod frame;
--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -14,7 +14,7 @@
 use crate::instance::Instance;
 use crate::peers::Topic;
 use crate::placement::{client, server};
-use crate::{announcements, limits, mesh, store_reader, suspects, usage};
+use crate::{announcements, engine_records, limits, mesh, store_reader, suspects, usage};
 
 /// Dispatches a frame to the handlers of its parts.
 pub(crate) fn handle_frame(instance: &Instance, from: SocketAddr, frame: Frame) {
@@ -80,7 +80,12 @@
     }
     if let Some(read) = moment_from_age(state.engines_age_ms, now) {
         let end = (state.engines_end > 0).then_some(state.engines_end);
-        store_reader::on_store_answered(&mut instance.registry.borrow_mut(), end, read, "instance");
+        engine_records::on_store_answered(
+            &mut instance.registry.borrow_mut(),
+            end,
+            read,
+            "instance",
+        );
     }
     if let Some(replaced) = replaced {
         instance.fleet.borrow_mut().forget_peer(replaced, now);
