Soak: a restart ends the pauses that an engine asked for; keep the measurements

Callers saw nothing. The log of a gateway shows 26 requests to the first start and 318 to the second.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -402,6 +402,8 @@
             return;
         };
         let id = self.engines.borrow()[number].engine.id.clone();
+        // The new start has asked for nothing.
+        self.end_pauses(number);
         self.with_engine(number, |node| {
             if !node.engine.has_stopped() {
                 node.link.set(LinkState::Reset);
