Decide registration, replicas of engines' records, and forwarding apart from input and output

Besides, two costs that grew with the engines: the digest of all records was computed anew at each look (10,000 entries, ten times a second), and each removal of an engine visited all engines.

--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -160,6 +160,11 @@
 const SLOWDOWN_SAMPLE_RANGE: (f64, f64) = (0.3, 8.0);
 
 impl Engine {
+    /// Whether this instance has calls there.
+    pub fn has_own_calls(&self) -> bool {
+        self.own_calls > 0
+    }
+
     /// An engine without calls.
     pub fn new(record: Record) -> Self {
         Self {
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -182,7 +182,7 @@
         };
         let changed = !engine.record_gone;
         engine.record_gone = true;
-        self.remove_unused();
+        self.remove_if_unused(id);
         changed
     }
 
@@ -353,7 +353,7 @@
             let ended = WorkChange::Ended(sent.engine.clone(), sent.ticket, outcome);
             self.changes.push(ended);
             if engine.record_gone {
-                self.remove_unused();
+                self.remove_if_unused(&sent.engine);
             }
         }
     }
@@ -463,21 +463,19 @@
         }
     }
 
-    fn remove_unused(&mut self) {
-        let parts = &mut self.parts;
-        let throttles = &mut self.throttles;
-        let by_short_hash = &mut self.by_short_hash;
-        let (leaving, paused_until) = (&mut self.leaving, &mut self.paused_until);
-        self.engines.retain(|id, engine| {
-            let keep = !engine.record_gone || engine.own_calls > 0;
-            if !keep {
-                parts.forget(id);
-                throttles.forget(id);
-                leaving.remove(id);
-                paused_until.remove(id);
-                by_short_hash.remove(&hash::hash32(id));
-            }
-            keep
-        });
+    /// Removes an engine whose record is gone, unless this instance has calls there.
+    fn remove_if_unused(&mut self, id: &str) {
+        let is_unused = |engine: &Engine| engine.record_gone && engine.own_calls == 0;
+        if !self.engines.get(id).is_some_and(is_unused) {
+            return;
+        }
+        let Some((id, _)) = self.engines.remove_entry(id) else {
+            return;
+        };
+        self.parts.forget(&id);
+        self.throttles.forget(&id);
+        self.leaving.remove(&id);
+        self.paused_until.remove(&id);
+        self.by_short_hash.remove(&hash::hash32(&id));
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -3,7 +3,8 @@
 //! ([`parts`]), where a call is placed or why it is refused ([`place`]), how often calls to a
 //! service may be repeated ([`budget`]), which calls crash engines ([`quarantine`]), who calls
 //! ([`organisation`]), what callers use ([`usage`]), which engines should prefill and which decode
-//! ([`roles`]), and which instances place calls ([`placer`]).
+//! ([`roles`]), which instances place calls ([`placer`]), how an instance joins the others
+//! ([`registration`]), and which instances hold the records of all engines ([`replication`]).
 //!
 //! The crate sits between the `gateway` daemon, which carries the bytes, and the platform's
 //! adapter, which fills in these types. It performs no I/O, and the current time is an argument.
@@ -14,6 +15,7 @@
 mod cost;
 mod decaying_rate;
 pub mod engine;
+pub mod fanout;
 mod fetch;
 pub mod fingerprint;
 pub mod fleet;
@@ -31,7 +33,9 @@
 pub mod prior_wait;
 pub mod quarantine;
 pub mod queue;
+pub mod registration;
 pub mod registry;
+pub mod replication;
 pub mod roles;
 pub mod route;
 pub mod scaling;
--- a/crates/serving/src/registry.rs
+++ b/crates/serving/src/registry.rs
@@ -38,6 +38,8 @@
     doubted: BTreeMap<EngineId, Moment>,
     /// Digests of the current records, by name.
     digests: BTreeMap<Name, u64>,
+    /// All of [`Self::digests`] combined.
+    digest: u64,
     offsets: BTreeMap<Name, u64>,
     /// Position up to which all records have been read at once. Of a name that was not among them,
     /// older records are outdated.
@@ -168,10 +170,35 @@
     /// How far the records are known. Two instances that know the same records have the same
     /// digest.
     pub fn topic_state(&self) -> TopicState {
-        let records = self.digests.values();
         TopicState {
             upto: self.upto,
-            digest: records.fold(0, |digest, record| digest ^ record),
+            digest: self.digest,
+        }
+    }
+
+    /// Number of engines with a record.
+    pub fn count(&self) -> usize {
+        self.digests.len()
+    }
+
+    /// Sets the digest of a name's current record; `None` if it has none.
+    fn set_digest(&mut self, name: &str, digest: Option<u64>) {
+        let before = match (digest, self.digests.get_mut(name)) {
+            (Some(digest), Some(known)) => std::mem::replace(known, digest),
+            (Some(digest), None) => self.digests.insert(Name::from(name), digest).unwrap_or(0),
+            (None, _) => self.digests.remove(name).unwrap_or(0),
+        };
+        self.digest ^= before ^ digest.unwrap_or(0);
+    }
+
+    /// Drops all that is known of a name, as if its record had never been read.
+    pub fn forget(&mut self, fleet: &mut Fleet, name: &str) {
+        self.set_digest(name, None);
+        self.offsets.remove(name);
+        self.unreadable.remove(name);
+        if let Some(known) = self.incarnations.remove(name) {
+            self.doubted.remove(&known.id);
+            fleet.remove(&known.id);
         }
     }
 
@@ -212,7 +239,7 @@
             started_ms: record.started_ms,
         };
         self.incarnations.insert(record.name.clone(), incarnation);
-        self.digests.insert(record.name.clone(), digest(&record));
+        self.set_digest(&record.name, Some(digest(&record)));
         self.doubted.remove(&record.id);
         if fleet.put(record) {
             Change::Put
@@ -239,7 +266,7 @@
         doubt_until: Moment,
         now: Moment,
     ) -> Change {
-        self.digests.remove(name);
+        self.set_digest(name, None);
         self.unreadable.remove(name);
         let Some(id) = self
             .incarnations
@@ -270,7 +297,7 @@
     /// The entry may have overwritten the record of an engine that is alive and writes it again
     /// within seconds; until then nothing says that the engine still exists.
     pub fn mark_unreadable(&mut self, fleet: &mut Fleet, name: &str) -> bool {
-        self.digests.remove(name);
+        self.set_digest(name, None);
         if let Some(known) = self.incarnations.get(name) {
             self.doubted.remove(&known.id);
             fleet.remove(&known.id);
