Register a fleet that starts through the first ones in the list

Nobody read the list, everybody took itself for the first, read 10,000 engines itself and placed calls by itself. What grows faster than the fleet's store: one append an instance in a line whose length is fixed.

Now a start of all is spread over 0.2 s behind a head start for fast links, whoever finds others in the list asks one of them, and that one writes all requests of 50 ms in one call. A failed append is looked up before it is repeated; pauses grow and have a random part. The same serves a store that comes back from an older copy, where each waited 20 ms times its rank, 20 s at 984 instances.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -7,17 +7,17 @@
 use adapter::records::INSTANCES_TOPIC;
 use adapter::store::{KeyedRecord, Offset, Store, StoreError};
 use serving::hash;
-use tokio::time::{sleep, timeout};
+use serving::registration::{Outcome, Registration, Step};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::instance::Instance;
-use crate::quarantine_store;
+use crate::{quarantine_store, registrar};
 
-/// Interval between reads of the other instances. An instance that starts greets all registered
-/// ones, so that a read finds only those whose greeting was lost.
+/// Interval between reads of the other instances. An instance that starts greets those that may
+/// carry a role, so that a read finds only the others and those whose greeting was lost.
 const READ_INTERVAL: Duration = Duration::from_secs(60);
-/// Time between the registrations of two instances in a store that was restored from an older copy:
-/// the store would reject hundreds at once.
-const REREGISTRATION_STAGGER: Duration = Duration::from_millis(20);
+/// The same after the registration: others may register at the same time.
+const SETTLE_INTERVAL: Duration = Duration::from_secs(2);
 /// Pause after a failed read.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -25,40 +25,162 @@
 pub(crate) async fn run(instance: Rc<Instance>) {
     let address = instance.settings.borrow().store;
     let mut store = Store::new(address, instance.codec.clone());
-    let mut next: Option<Offset> = None;
-    let mut may_be_first = instance.settings.borrow().is_first_start;
+    let mut is_crowded = instance.settings.borrow().is_first_start;
     loop {
-        let read = match next {
-            None => register_and_read(&mut store, &instance, may_be_first).await,
+        let next = register(&mut store, &instance, is_crowded).await;
+        follow(&mut store, &instance, next).await;
+        // All instances have lost their records, or their place in the list, at the same time.
+        is_crowded = true;
+    }
+}
+
+/// Registers this instance, unless it is registered, and reads the others. Returns the position from
+/// which to read on.
+async fn register(store: &mut Store, instance: &Rc<Instance>, is_crowded: bool) -> Offset {
+    let (mut registration, mut step) = if is_crowded {
+        Registration::crowded(instance.settings.borrow().link_mbps, rand::random())
+    } else {
+        Registration::alone()
+    };
+    let mut list = List::default();
+    loop {
+        let outcome = match step {
+            Step::Read(pause) => {
+                sleep(pause).await;
+                match list.read(store, instance).await {
+                    Ok(()) => Outcome::Listed {
+                        is_registered: list.has_own,
+                        others: &list.others,
+                    },
+                    Err(trouble) => {
+                        log::warn!(trouble:% = trouble; "the other instances cannot be read");
+                        Outcome::Unread
+                    }
+                }
+            }
+            Step::Append => match append(store, instance).await {
+                Ok(_) => Outcome::Written,
+                Err(trouble) => {
+                    log::warn!(trouble:% = trouble; "this instance could not be registered");
+                    Outcome::Unwritten
+                }
+            },
+            Step::Ask(other) => {
+                if registrar::request(instance, other).await {
+                    Outcome::Written
+                } else {
+                    log::info!(instance:% = other; "an instance did not register this one");
+                    Outcome::Unconfirmed
+                }
+            }
+            Step::Done => break,
+        };
+        // Those that start together may each have read a part only until they are registered.
+        if !is_crowded && matches!(outcome, Outcome::Listed { .. }) {
+            on_discovered(instance);
+        }
+        step = registration.next(outcome, rand::random());
+    }
+    on_discovered(instance);
+    log::info!(instances = list.others.len() + 1; "registered");
+    list.next.unwrap_or_default()
+}
+
+/// The list of instances as this one reads it while it registers.
+#[derive(Default)]
+struct List {
+    next: Option<Offset>,
+    has_own: bool,
+    /// The others, in the order common to all.
+    others: Vec<SocketAddr>,
+}
+
+impl List {
+    /// Reads all records, or those that were added since.
+    async fn read(&mut self, store: &mut Store, instance: &Instance) -> Result<(), StoreError> {
+        let read = match self.next {
             Some(from) => store
                 .read(INSTANCES_TOPIC, from, Duration::ZERO)
                 .await
                 .map(|batch| (batch.records, batch.next)),
+            None => store
+                .newest(INSTANCES_TOPIC)
+                .await
+                .map(|newest| (newest.records, newest.end)),
         };
-        match read {
-            Ok((records, end)) => {
-                next = Some(end);
-                may_be_first = false;
-                add_all(&instance, &records);
-                if timeout(READ_INTERVAL, instance.store_went_back.notified())
-                    .await
-                    .is_ok()
-                {
-                    sleep(REREGISTRATION_STAGGER * instance.rank()).await;
-                    next = None;
+        let (records, next) = match read {
+            Err(StoreError::OffsetOutOfRange(_)) => {
+                *self = Self::default();
+                return Err(StoreError::Refused("records were dropped".to_owned()));
+            }
+            other => other?,
+        };
+        self.next = Some(next);
+        let own = own_value(instance);
+        self.has_own |= records
+            .iter()
+            .any(|record| record.value.as_deref() == Some(own.as_bytes()));
+        add_all(instance, &records);
+        self.others = instance.peers.borrow().in_order();
+        Ok(())
+    }
+}
+
+/// Reads who registers later, until this instance has to register again.
+async fn follow(store: &mut Store, instance: &Instance, mut next: Offset) {
+    let settled = Instant::now() + SETTLE_INTERVAL;
+    let mut due = settled;
+    loop {
+        let wait = timeout_at(due, instance.instances_due.notified());
+        tokio::select! {
+            () = instance.store_went_back.notified() => return,
+            _ = wait => {}
+        }
+        match store.read(INSTANCES_TOPIC, next, Duration::ZERO).await {
+            Ok(batch) => {
+                next = batch.next;
+                due = next_read(settled);
+                if !batch.records.is_empty() {
+                    add_all(instance, &batch.records);
+                    on_discovered(instance);
                 }
             }
+            Err(StoreError::OffsetOutOfRange(_)) => match store.newest(INSTANCES_TOPIC).await {
+                Ok(newest) => {
+                    next = newest.end;
+                    due = next_read(settled);
+                    add_all(instance, &newest.records);
+                }
+                Err(trouble) => {
+                    log::debug!(trouble:% = trouble; "the other instances cannot be read");
+                    due = Instant::now() + RETRY_INTERVAL;
+                }
+            },
             Err(trouble) => {
                 log::debug!(trouble:% = trouble; "the other instances cannot be read");
-                if matches!(trouble, StoreError::OffsetOutOfRange(_)) {
-                    next = None;
-                }
-                sleep(RETRY_INTERVAL).await;
+                due = Instant::now() + RETRY_INTERVAL;
             }
         }
     }
 }
 
+/// When to read next after a read that succeeded.
+fn next_read(settled: Instant) -> Instant {
+    let now = Instant::now();
+    if now < settled {
+        settled
+    } else {
+        now + READ_INTERVAL
+    }
+}
+
+/// Lets the other tasks rely on the instances that are known.
+fn on_discovered(instance: &Instance) {
+    instance.peers_discovered.set(true);
+    instance.greeting_due.set(true);
+    instance.frame_due.notify_one();
+}
+
 fn add_all(instance: &Instance, records: &[KeyedRecord]) {
     let mut peers = instance.peers.borrow_mut();
     let others = records
@@ -76,10 +198,6 @@
             peers.register(address, hash::hash32(zone), order, now);
         }
     }
-    drop(peers);
-    instance.peers_discovered.set(true);
-    instance.greeting_due.set(true);
-    instance.frame_due.notify_one();
 }
 
 /// Address, data centre and read order of a registered instance.
@@ -94,32 +212,19 @@
     })
 }
 
-/// Registers this instance if it is not, and reads the registered ones.
-///
-/// The store handles appends to a topic one by one. If each instance registered at each start, the
-/// last of hundreds that restart together would know no other for seconds, and place calls blindly.
-/// So only instances that are not registered append, and they read again afterwards: of two that
-/// start together, the one that registers last reads the other.
-async fn register_and_read(
-    store: &mut Store,
-    instance: &Instance,
-    may_be_first: bool,
-) -> Result<(Vec<KeyedRecord>, Offset), StoreError> {
+/// The value of an instance's record.
+pub(crate) fn entry(address: SocketAddr, zone: &str, order: u64) -> String {
+    format!("{address} {zone} {order}")
+}
+
+fn own_value(instance: &Instance) -> String {
+    entry(instance.address, &instance.zone, instance.order())
+}
+
+async fn append(store: &mut Store, instance: &Instance) -> Result<Offset, StoreError> {
     let key = instance.address.to_string();
-    let order = instance.order();
-    let value = format!("{} {} {order}", instance.address, instance.zone);
-    // On a first start nobody is registered.
-    if !may_be_first {
-        let newest = store.newest(INSTANCES_TOPIC).await?;
-        let own = newest.records.iter().find(|record| record.key == key);
-        if own.is_some_and(|own| own.value.as_deref() == Some(value.as_bytes())) {
-            return Ok((newest.records, newest.end));
-        }
-        add_all(instance, &newest.records);
-    }
+    let value = own_value(instance);
     store
         .append(INSTANCES_TOPIC, &key, value.as_bytes(), None)
-        .await?;
-    let newest = store.newest(INSTANCES_TOPIC).await?;
-    Ok((newest.records, newest.end))
+        .await
 }
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -28,6 +28,7 @@
 use crate::peers::{self, Peers, Topic};
 use crate::placement::client::Pending;
 use crate::pool::Pool;
+use crate::registrar::Registrar;
 use crate::reports::Reports;
 use crate::suspects::Suspects;
 
@@ -88,6 +89,10 @@
     pub era: Cell<Option<Era>>,
     /// Notified when the store was restored from an older copy.
     pub store_went_back: Notify,
+    /// Notified when the list of instances should be read again.
+    pub instances_due: Notify,
+    /// Registrations of instances by others.
+    pub registrar: Registrar,
 }
 
 /// Number of instances assumed until the others are known.
@@ -137,6 +142,8 @@
             departure_due: Notify::new(),
             era: Cell::new(None),
             store_went_back: Notify::new(),
+            instances_due: Notify::new(),
+            registrar: Registrar::default(),
             settings: RefCell::new(settings),
         }
     }
@@ -208,6 +215,10 @@
         if before != *after {
             log::info!(own = after.includes_self, others = after.others.len(); "instances that place calls");
         }
+        if after.includes_self && !before.includes_self {
+            // A placer tells all others that it places, so it must know them.
+            self.instances_due.notify_one();
+        }
         before.includes_self != after.includes_self
     }
 
@@ -216,11 +227,6 @@
         peers::order(self.address, self.settings.borrow().link_mbps)
     }
 
-    /// Number of instances that precede this one in that order and may be alive.
-    pub(crate) fn rank(&self) -> u32 {
-        self.peers.borrow().rank(self.order(), self.now())
-    }
-
     /// Time to send `bytes` over this instance's link.
     pub(crate) fn transmission_time(&self, bytes: usize) -> Duration {
         #[allow(clippy::cast_precision_loss)]
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod readiness;
 mod receive;
 mod refusal;
+mod registrar;
 mod relay;
 pub mod reports;
 mod roles;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -25,7 +25,8 @@
 use crate::placement::server;
 use crate::usage::REPORTERS;
 use crate::{
-    announcements, bootstrap, discovery, limits, quarantine_store, receive, suspects, usage, warmup,
+    announcements, bootstrap, discovery, limits, quarantine_store, receive, registrar, suspects,
+    usage, warmup,
 };
 
 /// Pause between frames while nothing is placed.
@@ -64,7 +65,8 @@
     instance.pending_placements.bind(socket.clone());
     actix_rt::spawn(listen(instance.clone(), socket.clone()));
     actix_rt::spawn(send_loop(instance.clone(), socket.clone()));
-    actix_rt::spawn(send_departures(instance.clone(), socket));
+    actix_rt::spawn(send_departures(instance.clone(), socket.clone()));
+    actix_rt::spawn(registrar::run(instance.clone(), socket));
     actix_rt::spawn(warmup::run(instance.clone()));
     actix_rt::spawn(discovery::run(instance.clone()));
     actix_rt::spawn(quarantine_store::run(instance.clone()));
@@ -419,7 +421,7 @@
 }
 
 /// Sends a frame to several instances. Returns the bytes put on the link.
-fn broadcast(socket: &UdpSocket, frame: &Frame, recipients: &[SocketAddr]) -> usize {
+pub(crate) fn broadcast(socket: &UdpSocket, frame: &Frame, recipients: &[SocketAddr]) -> usize {
     let bytes = frame.encode_to_vec();
     for address in recipients {
         if let Err(error) = socket.try_send_to(&bytes, *address) {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -233,6 +233,17 @@
         missed.is_none_or(|missed| now.saturating_sub(missed) >= MISSED_BACKOFF)
     }
 
+    /// Addresses of all registered instances, in the common order.
+    pub(crate) fn in_order(&self) -> Vec<SocketAddr> {
+        let mut all: Vec<_> = self
+            .by_address
+            .iter()
+            .map(|(address, registered)| (registered.order.unwrap_or(u64::MAX), *address))
+            .collect();
+        all.sort_unstable();
+        all.into_iter().map(|(_, address)| address).collect()
+    }
+
     /// Addresses of all registered instances.
     pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
         self.by_address.keys().copied().collect()
--- a/crates/gateway/src/placement/client.rs
+++ b/crates/gateway/src/placement/client.rs
@@ -42,6 +42,20 @@
         number
     }
 
+    /// Sends a frame to another instance. Returns whether it could be sent.
+    pub(crate) fn send(&self, frame: &Frame, to: SocketAddr) -> bool {
+        let Some(socket) = self.socket.get() else {
+            return false;
+        };
+        match socket.try_send_to(&frame.encode_to_vec(), to) {
+            Ok(_) => true,
+            Err(error) => {
+                log::debug!(to:% = to, error:% = error; "a frame could not be sent");
+                false
+            }
+        }
+    }
+
     /// Sets the socket that requests are sent by.
     pub(crate) fn bind(&self, socket: Rc<UdpSocket>) {
         if self.socket.set(socket).is_err() {
@@ -166,9 +180,7 @@
         .placement_requested(address, instance.now());
     let (sender, receiver) = oneshot::channel();
     let open = PendingGuard::new(&instance.pending_placements, ticket, sender);
-    let socket = instance.pending_placements.socket.get()?;
-    if let Err(error) = socket.try_send_to(&frame.encode_to_vec(), address) {
-        log::debug!(to:% = address, error:% = error; "a question could not be sent");
+    if !instance.pending_placements.send(&frame, address) {
         return None;
     }
     let answer = timeout(RESPONSE_TIMEOUT, receiver).await.ok()?.ok()?;
--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -14,7 +14,9 @@
 use crate::instance::Instance;
 use crate::peers::Topic;
 use crate::placement::{client, server};
-use crate::{announcements, engine_records, limits, mesh, store_reader, suspects, usage};
+use crate::{
+    announcements, engine_records, limits, mesh, registrar, store_reader, suspects, usage,
+};
 
 /// Dispatches a frame to the handlers of its parts.
 pub(crate) fn handle_frame(instance: &Instance, from: SocketAddr, frame: Frame) {
@@ -26,6 +28,12 @@
     if let Some(answer) = &frame.answer {
         client::on_answer(instance, from, answer);
     }
+    if let Some(request) = &frame.register {
+        registrar::on_request(instance, from, request);
+    }
+    if frame.registered {
+        registrar::on_confirmed(instance);
+    }
     if let Some(state) = &frame.state {
         on_state(instance, from, peer, state, now);
     }
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -34,8 +34,11 @@
 /// Wait after the start for the discovery of the other instances, which completes within this time
 /// while the store is healthy.
 const DISCOVERY_TIMEOUT: Duration = Duration::from_millis(400);
-/// The same on a first start, where all instances register one after the other.
-const FIRST_START_DISCOVERY_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// The same on a first start, where all instances register.
+const FIRST_START_DISCOVERY_TIMEOUT: Duration = Duration::from_secs(6);
+/// Range of a random time that is added on a first start, so that instances that know no others do not
+/// all read the store at once.
+const FIRST_START_SPREAD: Duration = Duration::from_secs(6);
 /// A reader that has not read for this long reads the newest records instead of the whole backlog,
 /// which is nearly all heartbeats.
 const MAX_BACKLOG: Duration = Duration::from_secs(2);
@@ -58,6 +61,8 @@
     due: Instant,
     /// When the reader started.
     started: Instant,
+    /// Random number from 0 to 1, by which this reader's times differ from those of other instances.
+    spread: f64,
     failures: u32,
 }
 
@@ -83,6 +88,7 @@
             next: None,
             due: Instant::now(),
             started: Instant::now(),
+            spread: rand::random(),
             failures: 0,
             instance,
         }
@@ -119,7 +125,7 @@
         // An instance that does not know the others yet would take itself for the first.
         let is_first_start = self.instance.settings.borrow().is_first_start;
         let timeout = if is_first_start {
-            FIRST_START_DISCOVERY_TIMEOUT
+            FIRST_START_DISCOVERY_TIMEOUT + FIRST_START_SPREAD.mul_f64(self.spread)
         } else {
             DISCOVERY_TIMEOUT
         };
@@ -191,7 +197,9 @@
         }
         let pause = RETRY_INTERVAL * 2_u32.saturating_pow(self.failures.min(4));
         self.failures += 1;
-        self.due = Instant::now() + pause.min(MAX_RETRY_INTERVAL);
+        // Readers that failed together must not come back together.
+        let spread = 0.6 + 0.4 * rand::random::<f64>();
+        self.due = Instant::now() + pause.min(MAX_RETRY_INTERVAL).mul_f64(spread);
     }
 }
 
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -130,14 +130,21 @@
     pub(crate) async fn start_unconfigured() -> Self {
         let store = Rc::new(Store::start().await);
         let address = store.address;
-        Self::start_with(store, address, FAST_LINK_MBPS, None)
+        Self::start_with(store, address, FAST_LINK_MBPS, None, false)
+    }
+
+    /// Starts a store and gateways that are all started for the first time.
+    pub(crate) async fn start_first(count: usize) -> Vec<Self> {
+        let store = Rc::new(Store::start().await);
+        let start = |_| Self::start_with(store.clone(), store.address, FAST_LINK_MBPS, None, true);
+        (0..count).map(start).collect()
     }
 
     /// Starts a store and a gateway that performs duties.
     pub(crate) async fn with_duties(duties: Duties) -> Self {
         let store = Rc::new(Store::start().await);
         let address = store.address;
-        Self::start_with(store, address, FAST_LINK_MBPS, Some(duties))
+        Self::start_with(store, address, FAST_LINK_MBPS, Some(duties), false)
     }
 
     /// Starts another gateway on the same store.
@@ -152,12 +159,12 @@
 
     /// Starts another gateway that reaches the same store at another address.
     pub(crate) fn start_another_at(&self, store: SocketAddr, link_mbps: u32) -> Self {
-        Self::start_with(self.store.clone(), store, link_mbps, self.duties)
+        Self::start_with(self.store.clone(), store, link_mbps, self.duties, false)
     }
 
     /// Starts a gateway that reaches the store at this address.
     pub(crate) fn start_unconfigured_at(store: Rc<Store>, address: SocketAddr) -> Self {
-        Self::start_with(store, address, FAST_LINK_MBPS, None)
+        Self::start_with(store, address, FAST_LINK_MBPS, None, false)
     }
 
     fn start_with(
@@ -165,6 +172,7 @@
         store_address: SocketAddr,
         link_mbps: u32,
         duties: Option<Duties>,
+        is_first_start: bool,
     ) -> Self {
         let front = SocketAddr::from(([127, 0, 0, 1], free_port()));
         let ready = SocketAddr::from(([127, 0, 0, 1], free_port()));
@@ -183,7 +191,7 @@
         let mut file = NamedTempFile::new().expect("a scratch file can be created");
         write!(
             file,
-            "{}\n[limits]\nlink_mbps = {link_mbps}\n",
+            "bootstrap = {is_first_start}\n{}\n[limits]\nlink_mbps = {link_mbps}\n",
             settings.text()
         )
         .expect("a scratch file can be written");
--- /dev/null
+++ b/crates/gateway/tests/registration.rs
@@ -0,0 +1,34 @@
+//! How gateways that start together find each other.
+
+mod harness;
+
+use harness::{Gateway, wait_until};
+
+const GATEWAYS: usize = 12;
+
+/// Guards against a line of registrations that grows with the fleet: in a start of all, those that
+/// find others in the list are registered by these.
+#[actix_rt::test]
+async fn gateways_that_start_together_register_for_each_other() {
+    let gateways = Gateway::start_first(GATEWAYS).await;
+    let first = &gateways[0];
+    first.configure(1, "app");
+    first.register_ended_engine("app-1", "app");
+    for gateway in &gateways {
+        gateway.wait_until_ready(true).await;
+    }
+    wait_until(async || first.store.newest("keyed.instances").len() == GATEWAYS).await;
+    let by_others = gateways
+        .iter()
+        .map(|gateway| gateway.count_log_lines("registered other instances"));
+    assert!(by_others.sum::<usize>() > 0);
+    // All know all, also those that registered after them.
+    for gateway in &gateways {
+        wait_until(async || {
+            let page = gateway.metrics_page().await;
+            page.lines()
+                .any(|line| line == format!("tarragon_instances {GATEWAYS}"))
+        })
+        .await;
+    }
+}
