Keep all engines' records only where they fit, and send configurations compressed

Callers saw 404 for routes that had been in force for five seconds, and refusals for lack of engines. What grows faster than the fleet: instances times engines, in memory, transfers, news and reads of the store.

* Placers, readers and instances whose link takes all records in half a second hold them, once their number has settled for 2 s.
The others keep the records that placers send with their answers, as targets for 0.4 of drain_ms.
* A holder that fell behind is sent all by a placer; it reads the store if it still differs after 2 s.
Transfers are paced by the slower link and not begun anew with each state of the same newcomer.
* News of engines go to holders, by the slowest link among them; configurations are compressed, so that those with hundreds of routes fit into one datagram.

Two tests changed with what they relied on: news are faster than 8 KB in 0.35 s on fast links, so that leaving.rs takes a link of 3 Mbit/s; an instance that starts is ready before it has all records, so that placement.rs waits for these before it looks at their source. Watch::is_due takes an optional state.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -24,6 +24,7 @@
 use crate::announcements;
 use crate::connection::NO_ROUTE_STATUS;
 use crate::instance::Instance;
+use crate::peers::Topic;
 use crate::refusal::Refusal;
 use crate::suspects::{self, Subject};
 
@@ -161,7 +162,7 @@
                 detail,
             )
         })?;
-        if !instance.engines_known.get() {
+        if !instance.has_topic(Topic::Engines) {
             let detail = "No engines are known yet.";
             return Err(reject(
                 StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/gateway/src/bootstrap.rs
+++ b/crates/gateway/src/bootstrap.rs
@@ -5,13 +5,21 @@
 //! them. An instance that receives nothing reads the store itself, so a lost datagram only costs
 //! time.
 
+use std::cell::OnceCell;
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
 
-use serving::hash;
+use adapter::store::KeyedRecord;
+use serving::{hash, replication};
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
 use wire::gateway::{Frame, News, State};
 
 use crate::instance::Instance;
-use crate::peers::Topic;
+use crate::peers::{self, Topic};
+use crate::{mesh, store_reader};
 
 /// Record bytes from which on a datagram is full.
 const FRAME_BYTES: usize = 8 * 1024;
@@ -20,33 +28,95 @@
 /// Instances, first in the read order, that transfer state to placers of other data centres.
 const SEEDERS: u32 = 2;
 
+/// Share of the slower of two links that a transfer takes.
+const LINK_SHARE: f64 = 0.5;
+/// Least interval between the beginnings of two transfers to an instance, besides the time that they
+/// take: its next states may be on their way while it is served.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Copies of the store's records, kept for transfer.
 #[derive(Debug, Default)]
 pub(crate) struct Snapshot {
-    configuration: Option<News>,
+    configuration: Option<KeyedRecord>,
+    /// The configuration in the form that is sent.
+    configuration_news: OnceCell<News>,
     engines: BTreeMap<String, News>,
 }
 
 impl Snapshot {
-    /// Stores a record, or removes it when its value is absent.
+    /// Stores the configuration.
+    pub(crate) fn set_configuration(&mut self, record: KeyedRecord) {
+        self.configuration = Some(record);
+        self.configuration_news = OnceCell::new();
+    }
+
+    /// The configuration, as it is sent.
+    fn configuration(&self) -> Option<&News> {
+        let record = self.configuration.as_ref()?;
+        let news = || store_reader::to_news(Topic::Configuration, record);
+        Some(self.configuration_news.get_or_init(news))
+    }
+
+    /// Stores an engine's record, or removes it when its value is absent.
     pub(crate) fn apply(&mut self, news: News) {
-        if news.configuration {
-            self.configuration = Some(news);
-        } else if news.value.is_some() {
+        if news.value.is_some() {
             self.engines.insert(news.key.clone(), news);
         } else {
             self.engines.remove(&news.key);
         }
     }
 
+    /// An engine's record.
+    pub(crate) fn engine(&self, name: &str) -> Option<News> {
+        self.engines.get(name).cloned()
+    }
+
     /// Removes all engines, before a full read.
     pub(crate) fn clear_engines(&mut self) {
         self.engines.clear();
     }
 }
 
+/// Sends a peer what it lacks by its state, no faster than both links allow.
+pub(crate) fn serve(
+    instance: &Rc<Instance>,
+    socket: &Rc<UdpSocket>,
+    peer: SocketAddr,
+    state: &State,
+) {
+    let now = instance.now();
+    if !instance.peers.borrow().may_transfer(peer, now) {
+        return;
+    }
+    let frames = transfer(instance, state);
+    if frames.is_empty() {
+        return;
+    }
+    let engines = if state.lacks_engines {
+        engine_count(instance)
+    } else {
+        0
+    };
+    let link_mbps = peers::link_mbps(state.order);
+    let duration = replication::transfer_time(link_mbps, engines).mul_f64(1.0 / LINK_SHARE);
+    let repeat = now + REPEAT_INTERVAL + duration * 2;
+    instance.peers.borrow_mut().on_transfer(peer, repeat);
+    let (instance, socket) = (instance.clone(), socket.clone());
+    actix_rt::spawn(async move {
+        for frame in frames {
+            let bytes = mesh::broadcast(&socket, &frame, &[peer]);
+            let slower = instance.settings.borrow().link_mbps.min(link_mbps);
+            sleep(peers::transmission_time(bytes, slower).mul_f64(1.0 / LINK_SHARE)).await;
+        }
+    });
+}
+
+fn engine_count(instance: &Instance) -> usize {
+    instance.registry.borrow().count()
+}
+
 /// Frames for a peer whose state shows that it lacks a topic; none if another instance serves it.
-pub(crate) fn transfer(instance: &Instance, state: &State) -> Vec<Frame> {
+fn transfer(instance: &Instance, state: &State) -> Vec<Frame> {
     let lacks_topic = state.configuration == 0 || state.lacks_engines;
     if !lacks_topic || !instance.is_placing() || !serves(instance, state) {
         return Vec::new();
@@ -56,12 +126,16 @@
     if state.configuration == 0 {
         frames.extend(
             snapshot
-                .configuration
-                .as_ref()
+                .configuration()
                 .map(|news| configuration(instance, news)),
         );
     }
-    if state.lacks_engines && instance.has_topic(Topic::Engines) {
+    if state.lacks_engines && instance.engines_known.get() {
+        if !state.knows_placers && !state.placing {
+            // It may need fewer records than all, and decides once it knows how many there are.
+            frames.push(mesh::own_state(instance));
+            return frames;
+        }
         let mut batch = Vec::new();
         let mut bytes = 0;
         for news in snapshot.engines.values() {
--- a/crates/gateway/src/engine_records.rs
+++ b/crates/gateway/src/engine_records.rs
@@ -73,6 +73,7 @@
     let changes = registry.replace(&mut fleet, engines, instance.now());
     drop(fleet);
     let is_first = !instance.engines_known.replace(true);
+    instance.update_engine_scope();
     log::info!(engines = count, changes = changes.len(); "all engines read");
     if is_first {
         return;
@@ -112,6 +113,10 @@
     offset: Offset,
 ) {
     instance.metrics.engine_changed(source);
+    // While all records are transferred, each would be a line.
+    if instance.wants_engines.get() {
+        return;
+    }
     let fleet = instance.fleet.borrow();
     let engine = registry.incarnation(name).and_then(|id| fleet.get(id));
     match (change, engine) {
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -14,6 +14,7 @@
 use serving::placer::{self, Member, Placers};
 use serving::prior_wait::PriorWaits;
 use serving::registry::Registry;
+use serving::replication::{self, Growth};
 use serving::usage::{Ledger, UnixTime, Window};
 use serving::watch::{self, TopicState};
 use serving::{EngineId, Fleet, Table, Zone, hash};
@@ -23,6 +24,7 @@
 use crate::bootstrap::Snapshot;
 use crate::claim_log::ClaimLog;
 use crate::crash_detection::CrashDetection;
+use crate::engine_cache::EngineCache;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
 use crate::peers::{self, Peers, Topic};
@@ -65,6 +67,18 @@
     pub engines_end: Cell<Offset>,
     /// Whether all engines are known.
     pub engines_known: Cell<bool>,
+    /// Whether this instance keeps only the records of engines that placers chose for its calls.
+    pub is_caching: Cell<bool>,
+    /// Whether this instance needs the records of all engines and lacks some.
+    pub wants_engines: Cell<bool>,
+    /// Whether a placer that knows all engines was heard of lately.
+    pub knows_placers: Cell<bool>,
+    /// Until when it waits for other instances to send the records that it lacks.
+    pub transfer_awaited_until: Cell<Option<Moment>>,
+    /// How the number of engines grows.
+    engine_growth: Cell<Growth>,
+    /// The engines that placers chose, if it does.
+    pub engine_cache: EngineCache,
     /// Copies of the store's records, for instances that start.
     pub snapshot: RefCell<Snapshot>,
     /// Whether the other instances have been read from the store.
@@ -95,6 +109,10 @@
     pub registrar: Registrar,
 }
 
+/// Time after its last read of the engines' records for which an instance that read them in the place
+/// of others keeps them.
+const ENGINES_KEPT_AFTER_READ: Duration = Duration::from_secs(5);
+
 /// Number of instances assumed until the others are known.
 const ASSUMED_INSTANCES: u32 = 6;
 
@@ -124,6 +142,12 @@
             engines_end: Cell::new(0),
             address: SocketAddr::new(settings.ip, settings.ports.0),
             engines_known: Cell::new(false),
+            is_caching: Cell::new(false),
+            wants_engines: Cell::new(true),
+            knows_placers: Cell::new(false),
+            transfer_awaited_until: Cell::new(None),
+            engine_growth: Cell::default(),
+            engine_cache: EngineCache::default(),
             snapshot: RefCell::default(),
             peers_discovered: Cell::new(false),
             must_read_configuration: Cell::new(false),
@@ -209,6 +233,7 @@
         // An instance that does not know the others yet would take itself for the first.
         placers.includes_self &= !self.lifecycle.is_leaving() && self.peers_discovered.get();
         let before = self.placers.replace(placers);
+        self.update_engine_scope();
         let after = self.placers.borrow();
         let throttles = &mut self.fleet.borrow_mut().throttles;
         throttles.set_placers(self.address, &after, now);
@@ -222,6 +247,43 @@
         before.includes_self != after.includes_self
     }
 
+    /// Updates whether this instance keeps only the records of engines that placers chose, and whether
+    /// it wants all.
+    pub(crate) fn update_engine_scope(&self) {
+        let now = self.now();
+        let engines = self.peers.borrow().announced_engines(now);
+        let link_mbps = self.settings.borrow().link_mbps;
+        let may_take_all = |engines: usize| {
+            let mut growth = self.engine_growth.get();
+            let is_settled = growth.observe(engines, now);
+            self.engine_growth.set(growth);
+            is_settled && replication::holds_all(link_mbps, engines)
+        };
+        self.knows_placers.set(engines.is_some());
+        let wants_engines = self.is_placing() || engines.is_none_or(may_take_all);
+        self.wants_engines
+            .set(wants_engines && !self.engines_known.get());
+        let is_caching = !self.engines_known.get() && !self.is_placing() && engines.is_some();
+        if self.is_caching.replace(is_caching) != is_caching {
+            log::info!(caching = is_caching, engines = engines.unwrap_or_default(); "scope of the engines' records");
+        }
+    }
+
+    /// Whether this instance holds all records although it need not, and does not read them for
+    /// others.
+    pub(crate) fn may_drop_engines(&self) -> bool {
+        let now = self.now();
+        let is_reader = self
+            .engines_read
+            .get()
+            .is_some_and(|read| now.saturating_sub(read) < ENGINES_KEPT_AFTER_READ);
+        let engines = self.peers.borrow().announced_engines(now);
+        let link_mbps = self.settings.borrow().link_mbps;
+        !self.is_placing()
+            && !is_reader
+            && engines.is_some_and(|engines| !replication::may_hold_all(link_mbps, engines))
+    }
+
     /// This instance's place in the order in which instances read the store.
     pub(crate) fn order(&self) -> u64 {
         peers::order(self.address, self.settings.borrow().link_mbps)
@@ -229,9 +291,7 @@
 
     /// Time to send `bytes` over this instance's link.
     pub(crate) fn transmission_time(&self, bytes: usize) -> Duration {
-        #[allow(clippy::cast_precision_loss)]
-        let bits = bytes as f64 * 8.0;
-        Duration::from_secs_f64(bits / (self.settings.borrow().link_mbps * 1e6))
+        peers::transmission_time(bytes, self.settings.borrow().link_mbps)
     }
 
     pub(crate) fn table(&self) -> Option<Rc<Table>> {
@@ -256,11 +316,11 @@
         }
     }
 
-    /// Whether anything of a topic is known.
+    /// Whether what calls need of a topic is known.
     pub(crate) fn has_topic(&self, topic: Topic) -> bool {
         match topic {
             Topic::Configuration => self.table.borrow().is_some(),
-            Topic::Engines => self.engines_known.get(),
+            Topic::Engines => self.engines_known.get() || self.is_caching.get(),
         }
     }
 
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -9,19 +9,20 @@
 
 use clock::Moment;
 use serving::Fleet;
+use serving::fanout;
 use serving::fleet::WorkChange;
 use serving::hash;
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use wire::Message as _;
-use wire::gateway::{Frame, State};
+use wire::gateway::{Frame, News, State};
 
 use crate::frame::{
     add_changes, encode_age, encode_changing, encode_started, encode_work, pack_address,
     unpack_address,
 };
 use crate::instance::Instance;
-use crate::peers::{self, Departure, MAX_PARTS_PER_FRAME, Topic};
+use crate::peers::{self, Departure, MAX_PARTS_PER_FRAME, Peers, Topic};
 use crate::placement::server;
 use crate::usage::REPORTERS;
 use crate::{
@@ -86,9 +87,8 @@
                         broadcast(&socket, &answer, &[from]);
                     }
                     let state = frame.state.as_ref();
-                    let transfer = state.map(|state| bootstrap::transfer(&instance, state));
-                    for missing in transfer.into_iter().flatten() {
-                        broadcast(&socket, &missing, &[from]);
+                    if let Some(state) = state {
+                        bootstrap::serve(&instance, &socket, from, state);
                     }
                     let missing_suspects =
                         state.and_then(|state| suspects::missing_suspects(&instance, from, state));
@@ -270,6 +270,19 @@
     )
 }
 
+/// A frame with this instance's state, without its calls.
+pub(crate) fn own_state(instance: &Instance) -> Frame {
+    let is_warm = instance.peers.borrow().is_warm;
+    let state = encode_state(instance, &instance.fleet.borrow(), is_warm, instance.now());
+    Frame {
+        state: Some(State {
+            works: Vec::new(),
+            ..state
+        }),
+        ..instance.frame()
+    }
+}
+
 fn encode_state(instance: &Instance, fleet: &Fleet, is_warm: bool, now: Moment) -> State {
     let engines = instance.known(Topic::Engines);
     let placing = instance.is_placing();
@@ -288,7 +301,11 @@
         engines_digest: engines.digest,
         engines_upto: engines.upto,
         engines_end: instance.engines_end.get(),
-        lacks_engines: !instance.has_topic(Topic::Engines),
+        lacks_engines: instance.wants_engines.get()
+            || instance
+                .transfer_awaited_until
+                .get()
+                .is_some_and(|until| now < until),
         configuration_age_ms: encode_age(instance.configuration_read.get(), now),
         engines_age_ms: encode_age(instance.engines_read.get(), now),
         knows: is_warm,
@@ -300,6 +317,12 @@
         claimed,
         reported: instance.reported_windows(),
         numbers,
+        knows_placers: instance.knows_placers.get(),
+        engine_count: if instance.engines_known.get() {
+            u32::try_from(instance.registry.borrow().count()).unwrap_or(u32::MAX)
+        } else {
+            0
+        },
     }
 }
 
@@ -311,32 +334,62 @@
 
 fn send_news(instance: &Instance, socket: &UdpSocket, now: Moment) {
     let order = instance.order();
-    let news = {
-        let mut peers = instance.peers.borrow_mut();
-        peers.promote_deferred(order, now);
-        peers.take_news(now)
-    };
-    if news.is_empty() {
+    instance.peers.borrow_mut().promote_deferred(order, now);
+    if !instance.peers.borrow().is_news_due(now) {
         return;
     }
-    let frame = Frame {
-        news,
-        ..instance.frame()
+    let holders = {
+        let engines = instance.registry.borrow().count();
+        instance.peers.borrow().holders(engines)
     };
-    send_to_groups(instance, socket, &frame);
+    let frames = {
+        let mut peers = instance.peers.borrow_mut();
+        let max_bytes = news_budget(instance, &peers, &holders);
+        peers.take_news(max_bytes, now)
+    };
+    for news in frames {
+        let (configurations, engines): (Vec<News>, Vec<News>) =
+            news.into_iter().partition(|news| news.configuration);
+        let all = instance.peers.borrow().in_order();
+        for (news, recipients) in [(configurations, all), (engines, holders.clone())] {
+            if !news.is_empty() {
+                let frame = Frame {
+                    news,
+                    ..instance.frame()
+                };
+                send_to_groups(socket, &frame, recipients);
+            }
+        }
+    }
 }
 
-/// Sends a frame to all instances, through the first of each forwarding group. Returns the bytes put
-/// on the link.
-fn send_to_groups(instance: &Instance, socket: &UdpSocket, frame: &Frame) -> usize {
-    let all = instance.peers.borrow().addresses();
-    let sent = peers::forwarding_groups(&all).map(|(first, rest)| {
-        let pass_to = rest.iter().filter_map(|address| pack_address(*address));
+/// Bytes of engines' records that may be sent to their holders in one interval: they take a share of
+/// the slowest link of those that forward them.
+fn news_budget(instance: &Instance, peers: &Peers, holders: &[SocketAddr]) -> usize {
+    let own = instance.settings.borrow().link_mbps;
+    let slowest = peers.slowest_link(holders).min(own);
+    let bytes_per_second = slowest * 1e6 / 8.0 * LINK_SHARE;
+    #[allow(clippy::cast_precision_loss)]
+    let copies = fanout::group_size(holders.len()) as f64;
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let budget = (bytes_per_second * peers::NEWS_INTERVAL.as_secs_f64() / copies) as usize;
+    budget.max(peers::MAX_NEWS_BYTES)
+}
+
+/// Sends a frame to instances, which are given in the common order, through the first of each
+/// forwarding group. Returns the bytes put on the link.
+fn send_to_groups(socket: &UdpSocket, frame: &Frame, in_order: Vec<SocketAddr>) -> usize {
+    let groups = fanout::groups(in_order, rand::random());
+    let sent = groups.into_iter().map(|group| {
+        let pass_to = group
+            .rest
+            .iter()
+            .filter_map(|address| pack_address(*address));
         let frame = Frame {
             pass_to: pass_to.collect(),
             ..frame.clone()
         };
-        broadcast(socket, &frame, &[first])
+        broadcast(socket, &frame, &[group.first])
     });
     sent.sum()
 }
@@ -370,7 +423,8 @@
                     Departure::Removed(news) => frame.news.push(news),
                 }
             }
-            let bytes = send_to_groups(&instance, &socket, &frame);
+            let all = instance.peers.borrow().in_order();
+            let bytes = send_to_groups(&socket, &frame, all);
             sleep(instance.transmission_time(bytes)).await;
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,14 +9,14 @@
 use serving::parts::Part;
 use serving::placer::{Election, Member, Placers, ZoneHash};
 use serving::watch::{Deferred, ReaderReport, TopicState};
-use serving::{EngineId, hash};
+use serving::{EngineId, hash, replication};
 use wire::gateway::{News, State, Ticket};
 
 use crate::frame::{elapsed_ms, moment_from_age};
 
 mod news;
 
-pub(crate) use news::forwarding_groups;
+pub(crate) use news::{MAX_NEWS_BYTES, NEWS_INTERVAL};
 
 /// An instance that was silent for this long, or has not announced itself for this long after it
 /// was found registered, counts as ended.
@@ -57,6 +57,8 @@
     configuration_read: Option<Moment>,
     engines: TopicState,
     engines_read: Option<Moment>,
+    /// Number of engines if it knows all, else 0.
+    engine_count: usize,
 }
 
 /// A registered instance.
@@ -70,6 +72,8 @@
     peer: Option<Peer>,
     /// When it last did not respond.
     last_missed: Option<Moment>,
+    /// When what it lacks may be sent again.
+    next_transfer: Option<Moment>,
 }
 
 impl Registered {
@@ -80,6 +84,7 @@
             added: now,
             peer: None,
             last_missed: None,
+            next_transfer: None,
         }
     }
 
@@ -159,7 +164,58 @@
     slow << 48 | hash::hash64(&address.to_string()) >> 16
 }
 
+/// Bandwidth of the link of the instance with this place in the read order.
+pub(crate) fn link_mbps(order: u64) -> f64 {
+    let slow = u16::try_from(order >> 48).unwrap_or(u16::MAX);
+    f64::from(u16::MAX - slow)
+}
+
+/// Time to send `bytes` over a link.
+pub(crate) fn transmission_time(bytes: usize, link_mbps: f64) -> Duration {
+    #[allow(clippy::cast_precision_loss)]
+    let bits = bytes as f64 * 8.0;
+    Duration::from_secs_f64(bits / (link_mbps.max(0.1) * 1e6))
+}
+
 impl Peers {
+    /// Whether a transfer to a peer may begin.
+    pub(crate) fn may_transfer(&self, address: SocketAddr, now: Moment) -> bool {
+        let registered = self.by_address.get(&address);
+        let repeat = registered.and_then(|registered| registered.next_transfer);
+        repeat.is_none_or(|repeat| now >= repeat)
+    }
+
+    /// Notes that a transfer to a peer begins, which is not to be repeated before `repeat`.
+    pub(crate) fn on_transfer(&mut self, address: SocketAddr, repeat: Moment) {
+        if let Some(registered) = self.by_address.get_mut(&address) {
+            registered.next_transfer = Some(repeat);
+        }
+    }
+
+    /// Number of engines, as announced by placers that know all.
+    pub(crate) fn announced_engines(&self, now: Moment) -> Option<usize> {
+        let heard = self
+            .by_address
+            .values()
+            .filter(|registered| registered.is_heard(now));
+        let peers = heard.filter_map(|registered| registered.peer.as_ref());
+        let counts = peers.filter(|peer| peer.placing && peer.engine_count > 0);
+        counts.map(|peer| peer.engine_count).max()
+    }
+
+    /// Addresses of the instances that may hold the records of all of so many engines, in the common
+    /// order.
+    pub(crate) fn holders(&self, engines: usize) -> Vec<SocketAddr> {
+        let holds = |registered: &Registered| {
+            let by_link = registered
+                .order
+                .is_none_or(|order| replication::may_hold_all(link_mbps(order), engines));
+            let peer = registered.peer.as_ref();
+            by_link || peer.is_some_and(|peer| peer.placing || peer.engine_count > 0)
+        };
+        self.in_order_if(holds)
+    }
+
     /// Queues the parts of a prompt that an engine is about to use. Parts that it has already
     /// cached count as well: the order of last use decides which are evicted.
     pub(crate) fn queue_parts(&mut self, engine: &EngineId, prompt: &[Part]) {
@@ -233,11 +289,23 @@
         missed.is_none_or(|missed| now.saturating_sub(missed) >= MISSED_BACKOFF)
     }
 
+    /// Bandwidth of the slowest link among these instances.
+    pub(crate) fn slowest_link(&self, addresses: &[SocketAddr]) -> f64 {
+        let registered = addresses
+            .iter()
+            .filter_map(|address| self.by_address.get(address));
+        let links = registered.filter_map(|registered| Some(link_mbps(registered.order?)));
+        links.fold(f64::INFINITY, f64::min)
+    }
+
     /// Addresses of all registered instances, in the common order.
     pub(crate) fn in_order(&self) -> Vec<SocketAddr> {
-        let mut all: Vec<_> = self
-            .by_address
-            .iter()
+        self.in_order_if(|_| true)
+    }
+
+    fn in_order_if(&self, is_included: impl Fn(&Registered) -> bool) -> Vec<SocketAddr> {
+        let included = self.by_address.iter().filter(|(_, peer)| is_included(peer));
+        let mut all: Vec<_> = included
             .map(|(address, registered)| (registered.order.unwrap_or(u64::MAX), *address))
             .collect();
         all.sort_unstable();
@@ -399,5 +467,6 @@
             digest: state.engines_digest,
         },
         engines_read: moment_from_age(state.engines_age_ms, now),
+        engine_count: usize::try_from(state.engine_count).unwrap_or(usize::MAX),
     }
 }
--- a/crates/gateway/src/peers/news.rs
+++ b/crates/gateway/src/peers/news.rs
@@ -1,6 +1,5 @@
 //! Changed records of the store, queued for all instances.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use clock::Moment;
@@ -11,29 +10,13 @@
 /// Times that an engine's record is sent, since datagrams are lost.
 const TRANSMISSIONS: u8 = 2;
 /// Interval between frames of updates, which are batched meanwhile.
-const NEWS_INTERVAL: Duration = Duration::from_millis(350);
+pub(crate) const NEWS_INTERVAL: Duration = Duration::from_millis(350);
 /// Bytes of an engine's hash in a frame.
 const HASH_BYTES: usize = 4;
 /// Bytes of a removed record in a frame besides its key.
 const REMOVAL_BYTES: usize = 20;
 /// Most bytes of updates in one frame, unless a single record is larger.
-const MAX_NEWS_BYTES: usize = 8 * 1024;
-/// Up to this many instances, updates are sent to each directly.
-const MAX_DIRECT_PEERS: usize = 12;
-
-/// Groups of instances for forwarding updates: the first of each group receives them and forwards
-/// them to the rest, so that one slow link does not carry them to all.
-pub(crate) fn forwarding_groups(
-    addresses: &[SocketAddr],
-) -> impl Iterator<Item = (SocketAddr, &[SocketAddr])> {
-    let size = if addresses.len() <= MAX_DIRECT_PEERS {
-        1
-    } else {
-        addresses.len().isqrt() + 1
-    };
-    let groups = addresses.chunks(size);
-    groups.filter_map(|group| group.split_first().map(|(first, rest)| (*first, rest)))
-}
+pub(crate) const MAX_NEWS_BYTES: usize = 8 * 1024;
 
 impl Peers {
     /// Queues a changed record for sending.
@@ -94,31 +77,48 @@
         }
     }
 
-    /// Updates for the next frame.
-    pub(crate) fn take_news(&mut self, now: Moment) -> Vec<News> {
-        let last_sent = self.news_sent;
-        if last_sent.is_some_and(|last_sent| now.saturating_sub(last_sent) < NEWS_INTERVAL)
-            || self.news.is_empty()
-        {
-            return Vec::new();
-        }
+    /// Whether updates may be sent now.
+    pub(crate) fn is_news_due(&self, now: Moment) -> bool {
+        let is_early = |last_sent: Moment| now.saturating_sub(last_sent) < NEWS_INTERVAL;
+        !self.news.is_empty() && !self.news_sent.is_some_and(is_early)
+    }
+
+    /// Updates for the next frames, with at most `max_bytes` of records unless a single one is larger.
+    pub(crate) fn take_news(&mut self, max_bytes: usize, now: Moment) -> Vec<Vec<News>> {
         self.news_sent = Some(now);
-        let mut bytes = 0;
-        let mut count = 0;
-        for (news, _) in &self.news {
-            bytes += news.value.as_ref().map_or(0, Vec::len);
-            if count > 0 && bytes > MAX_NEWS_BYTES {
+        let mut room = max_bytes;
+        let mut frames = Vec::new();
+        let mut repeated = Vec::new();
+        while !self.news.is_empty() {
+            let count = self.frame_length();
+            let bytes: usize = self.news[..count].iter().map(|(news, _)| size(news)).sum();
+            if bytes > room && !frames.is_empty() {
                 break;
             }
-            count += 1;
+            room = room.saturating_sub(bytes);
+            let sent = self.news.drain(..count).collect::<Vec<_>>();
+            frames.push(sent.iter().map(|(news, _)| news.clone()).collect());
+            let remaining = sent
+                .into_iter()
+                .filter(|(_, transmissions)| *transmissions > 1);
+            repeated.extend(remaining.map(|(news, transmissions)| (news, transmissions - 1)));
         }
-        let mut batch = Vec::with_capacity(count);
-        for (news, transmissions) in self.news.drain(..count).collect::<Vec<_>>() {
-            batch.push(news.clone());
-            if transmissions > 1 {
-                self.news.push((news, transmissions - 1));
-            }
-        }
-        batch
+        self.news.extend(repeated);
+        frames
+    }
+
+    /// Number of queued updates that fit into one frame; at least one.
+    fn frame_length(&self) -> usize {
+        let mut bytes = 0;
+        let fits = self.news.iter().take_while(|(news, _)| {
+            bytes += size(news);
+            bytes <= MAX_NEWS_BYTES
+        });
+        fits.count().max(1)
     }
 }
+
+/// Bytes of an update's record.
+fn size(news: &News) -> usize {
+    news.value.as_ref().map_or(0, Vec::len)
+}
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -56,14 +56,20 @@
         ..demand(instance, request, &avoid, &connected)
     };
     let mut choice = client::choose(instance, &demand).await;
-    let fleet = instance.fleet.borrow();
-    place::explain_refusal(&fleet, demand.service, &mut choice, instance.now());
+    // Otherwise the engines known here are not all that might take the call.
+    if instance.engines_known.get() {
+        let fleet = instance.fleet.borrow();
+        place::explain_refusal(&fleet, demand.service, &mut choice, instance.now());
+    }
     choice
 }
 
 /// `Retry-After` of a call that engines have turned away: `usual`, unless all of them want no
 /// requests from this instance for longer.
 pub(crate) fn retry_after(instance: &Instance, request: &Request, usual: Duration) -> Duration {
+    if !instance.engines_known.get() {
+        return usual;
+    }
     let fleet = instance.fleet.borrow();
     let left = place::pause_left(&fleet, &request.service.name, instance.now());
     left.unwrap_or_default().max(usual)
--- a/crates/gateway/src/placement/client.rs
+++ b/crates/gateway/src/placement/client.rs
@@ -9,7 +9,7 @@
 
 use serving::engine::{Rank, Ticket};
 use serving::place::{self, Demand, Refusal, Target};
-use serving::{Choice, Fleet, Zone, hash, placer};
+use serving::{Choice, EngineId, Fleet, Zone, hash, placer};
 use smallvec::SmallVec;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
@@ -17,6 +17,7 @@
 use wire::Message as _;
 use wire::gateway::{self, Answer, Ask, Frame, answer};
 
+use crate::engine_cache;
 use crate::frame::{encode_part, to_micros, to_millis};
 use crate::instance::Instance;
 use crate::metrics::PlacementAnswer;
@@ -81,6 +82,11 @@
         return choice;
     }
     let now = instance.now();
+    let excluded = excluded_here(instance, demand);
+    let demand = &Demand {
+        excluded: &excluded,
+        ..*demand
+    };
     let mut fleet = instance.fleet.borrow_mut();
     let mut choice = place::choose(&fleet, demand, now);
     place::commit(&mut fleet, demand, &mut choice, now);
@@ -98,6 +104,11 @@
         Some(Choice::Refuse { .. }) => None,
         Some(Choice::Split { .. }) | None => {
             let now = instance.now();
+            let excluded = excluded_here(instance, demand);
+            let demand = &Demand {
+                excluded: &excluded,
+                ..*demand
+            };
             let mut fleet = instance.fleet.borrow_mut();
             let target = place::choose_decode(&fleet, demand, read_in, now)?;
             place::charge(&mut fleet, demand, &target, now);
@@ -106,6 +117,12 @@
     }
 }
 
+/// Engines that this instance must not choose by its own state.
+fn excluded_here(instance: &Instance, demand: &Demand) -> Vec<EngineId> {
+    let unconfirmed = engine_cache::unconfirmed(instance);
+    demand.excluded.iter().cloned().chain(unconfirmed).collect()
+}
+
 /// The first usable response; none if this instance is a placer, or no placer responds.
 async fn request(
     instance: &Instance,
@@ -242,6 +259,7 @@
         connected: demand.connected.iter().map(|id| hash::hash32(id)).collect(),
         alone: demand.isolated,
         reserved: demand.reserved.map_or(0, |id| hash::hash32(id)),
+        needs_records: instance.is_caching.get(),
     }
 }
 
@@ -286,9 +304,10 @@
     placed_by: (SocketAddr, Ticket),
 ) -> Option<Target> {
     let engine = fleet.by_hash(encoded.engine)?;
+    // Among many engines, two may have the same hash.
     let takes_calls = fleet
         .get(&engine)
-        .is_some_and(serving::engine::Engine::takes_calls);
+        .is_some_and(|engine| engine.takes_calls() && engine.record.service == *demand.service);
     if !takes_calls || demand.excluded.contains(&engine) {
         return None;
     }
--- a/crates/gateway/src/placement/server.rs
+++ b/crates/gateway/src/placement/server.rs
@@ -11,6 +11,7 @@
 use smallvec::SmallVec;
 use wire::gateway::{self, Answer, Ask, Frame, Split, answer};
 
+use crate::engine_cache;
 use crate::frame::{self, to_micros, to_millis};
 use crate::instance::Instance;
 
@@ -43,7 +44,13 @@
     if choice.is_none() {
         log::debug!(from:% = from; "a question cannot be answered");
     }
+    let news = if request.needs_records {
+        engine_cache::records_of(instance, choice.as_ref())
+    } else {
+        Vec::new()
+    };
     Some(Frame {
+        news,
         answer: Some(Answer {
             ticket: request.ticket,
             choice,
--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -15,7 +15,8 @@
 use crate::peers::Topic;
 use crate::placement::{client, server};
 use crate::{
-    announcements, engine_records, limits, mesh, registrar, store_reader, suspects, usage,
+    announcements, compression, engine_cache, engine_records, limits, mesh, registrar,
+    store_reader, suspects, usage,
 };
 
 /// Dispatches a frame to the handlers of its parts.
@@ -53,8 +54,9 @@
     }
     apply_stage_changes(instance, &frame, now);
     announcements::merge_leaving_from_peer(instance, &frame.leaving);
+    let is_chosen = frame.answer.is_some();
     for news in frame.news {
-        on_news(instance, news);
+        on_news(instance, news, is_chosen);
     }
     for suspect in &frame.suspects {
         instance
@@ -82,6 +84,9 @@
     if mesh::reads_store(state) && state.engines_upto > 0 {
         instance.on_era(store::era(state.engines_upto));
     }
+    if state.placing && !instance.engines_known.get() {
+        instance.update_engine_scope();
+    }
     // Peers that do not read may lack the same records as this instance.
     if mesh::reads_store(state) {
         check_synced(instance, state.engines_digest);
@@ -111,11 +116,12 @@
 /// Marks this instance as synced once its engines match the digest of an instance that knows all.
 fn check_synced(instance: &Instance, digest: u64) {
     // Checked first, since computing the own digest visits all engines.
-    if digest == 0 || instance.engines_known.get() {
+    if digest == 0 || !instance.wants_engines.get() {
         return;
     }
     if instance.known(Topic::Engines).digest == digest {
         instance.engines_known.set(true);
+        instance.update_engine_scope();
         log::info!("all engines known, from another instance");
     }
 }
@@ -179,12 +185,28 @@
     }
 }
 
-fn on_news(instance: &Instance, news: News) {
+/// Applies a record that another instance sent; `is_chosen` if it is of an engine that a placer chose
+/// for a call of this instance.
+fn on_news(instance: &Instance, news: News, is_chosen: bool) {
     let topic = Topic::of(&news);
+    let value = match news.value {
+        Some(value) if news.compressed => match compression::decompress(&value) {
+            Ok(value) => Some(value),
+            Err(error) => {
+                log::error!(offset = news.offset, error:% = error; "a record from another instance cannot be decompressed");
+                return;
+            }
+        },
+        value => value,
+    };
     let record = KeyedRecord {
         offset: news.offset,
         key: news.key,
-        value: news.value.map(Bytes::from),
+        value: value.map(Bytes::from),
     };
-    store_reader::apply_update(instance, topic, &record);
+    if is_chosen && instance.is_caching.get() {
+        engine_cache::on_chosen(instance, &record);
+    } else if engine_cache::accepts(instance, topic, &record) {
+        store_reader::apply_update(instance, topic, &record);
+    }
 }
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -7,14 +7,15 @@
 
 use adapter::records;
 use adapter::store::{self, KeyedRecord, Offset, Store, StoreError};
+use clock::Moment;
 use serving::watch::{self, Waits, Watch};
 use tokio::time::{Instant, sleep, sleep_until};
 use wire::gateway::News;
 
-use crate::engine_records;
 use crate::instance::Instance;
 use crate::metrics::EngineSource;
 use crate::peers::Topic;
+use crate::{compression, engine_cache, engine_records};
 
 /// Longest wait of one read for a new configuration. Calls to the store are paid for, and peers
 /// take a reader for stale that has had no response for somewhat longer.
@@ -39,6 +40,11 @@
 /// Range of a random time that is added on a first start, so that instances that know no others do not
 /// all read the store at once.
 const FIRST_START_SPREAD: Duration = Duration::from_secs(6);
+/// Time for which an instance that knows less than the readers waits for records from a placer before
+/// it reads them itself. A read of all records is large, and many fall behind at the same time.
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after such a wait within which the records are read from the store instead.
+const TRANSFER_RETRY_INTERVAL: Duration = Duration::from_secs(3);
 /// A reader that has not read for this long reads the newest records instead of the whole backlog,
 /// which is nearly all heartbeats.
 const MAX_BACKLOG: Duration = Duration::from_secs(2);
@@ -154,13 +160,34 @@
 
     fn is_due(&mut self) -> bool {
         let instance = &self.instance;
-        let own = instance.known(self.topic);
+        let is_partial = self.topic == Topic::Engines && instance.is_caching.get();
+        let own = (!is_partial).then(|| instance.known(self.topic));
         let peers = instance.peers.borrow();
         let others = peers.reader_states(self.topic);
         let order = instance.order();
         let now = instance.now();
         let rank = peers.rank(order, now);
-        self.watch.is_due(order, rank, others, own, now)
+        let is_due = self.watch.is_due(order, rank, others, own, now);
+        is_due
+            && !(self.watch.lacks_records_only()
+                && self.awaits_transfer(peers.announced_engines(now), now))
+    }
+
+    /// Whether records that this instance lacks are to be sent by another one, which announced
+    /// `engines`. If it still differs after that, records were deleted, and it reads.
+    fn awaits_transfer(&self, engines: Option<usize>, now: Moment) -> bool {
+        if self.topic != Topic::Engines || engines.is_none() || self.instance.is_placing() {
+            return false;
+        }
+        let until = &self.instance.transfer_awaited_until;
+        match until.get() {
+            Some(until) if now < until => true,
+            Some(until) if now.saturating_sub(until) < TRANSFER_RETRY_INTERVAL => false,
+            _ => {
+                until.set(Some(now + TRANSFER_TIMEOUT));
+                true
+            }
+        }
     }
 
     async fn read_once(&mut self) -> Result<Read, StoreError> {
@@ -256,11 +283,21 @@
 }
 
 pub(crate) fn to_news(topic: Topic, record: &KeyedRecord) -> News {
+    let configuration = topic == Topic::Configuration;
+    let value = record.value.as_ref();
+    let compressed = value.filter(|_| configuration).and_then(|value| {
+        compression::compress(value)
+            .inspect_err(
+                |error| log::error!(error:% = error; "the configuration cannot be compressed"),
+            )
+            .ok()
+    });
     News {
-        configuration: topic == Topic::Configuration,
+        configuration,
         offset: record.offset,
         key: record.key.clone(),
-        value: record.value.as_ref().map(|value| value.to_vec()),
+        compressed: compressed.is_some(),
+        value: compressed.or_else(|| value.map(|value| value.to_vec())),
     }
 }
 
@@ -305,8 +342,8 @@
         Ok(table) => {
             let is_new = instance.apply_configuration(table, source);
             if is_new {
-                let news = to_news(Topic::Configuration, record);
-                instance.snapshot.borrow_mut().apply(news);
+                let mut snapshot = instance.snapshot.borrow_mut();
+                snapshot.set_configuration(record.clone());
             }
             is_new
         }
@@ -356,6 +393,9 @@
                 engine_records::announce_removal(&instance, &engine.name, offset);
             }
         }
+        drop(fleet);
+        engine_cache::sweep(&instance);
+        let fleet = instance.fleet.borrow();
         instance.pool.sweep(now, |id| fleet.get(id).is_some());
         let instances = instance.peers.borrow().count();
         if let Some(connections) = instance.table().and_then(|t| t.fewest_connections()) {
--- a/crates/gateway/tests/leaving.rs
+++ b/crates/gateway/tests/leaving.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use harness::kinds::{KINDS, Setup};
-use harness::{FAST_LINK_MBPS, Gateway, SLOW_LINK_MBPS, wait_until};
+use harness::{FAST_LINK_MBPS, Gateway, wait_until};
 use platform_standin::store::{Fault, Link};
 use platform_standin::{Engine, Store, engine};
 
@@ -24,6 +24,8 @@
 
 /// Engines that start at once.
 const STARTED: usize = 600;
+/// A link that takes the news of so many engines in a second or more.
+const NARROW_LINK_MBPS: u32 = 3;
 
 const READER_LOST_STORE: &str = "the store does not answer topic=keyed.servers";
 const ALL_READ: &str = "all engines read";
@@ -64,7 +66,7 @@
             });
         }
         let second = first.start_another_at(links[1].address, FAST_LINK_MBPS);
-        let third = first.start_another_at(links[2].address, SLOW_LINK_MBPS);
+        let third = first.start_another_at(links[2].address, NARROW_LINK_MBPS);
         let gateways = [first, second, third];
         for gateway in &gateways {
             gateway.wait_until_ready(true).await;
--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -2,8 +2,12 @@
 
 mod harness;
 
+use std::time::Duration;
+
 use harness::{Gateway, wait_until};
 use platform_standin::Engine;
+use platform_standin::configuration::Route;
+use serde_json::json;
 
 /// Three gateways on one store, the third last in the read order, with an engine for plain calls
 /// and a decode engine.
@@ -70,9 +74,80 @@
     wait_until(async || {
         let last = first.start_another_on_slow_link();
         last.wait_until_ready(true).await;
+        wait_until(async || last.count_log_lines("all engines") == 1).await;
         let told = last.count_log_lines("all engines known, from another instance") == 1;
         told && last.count_log_lines("source=instance") == 1
             && last.count_log_lines("all engines read") == 0
     })
     .await;
 }
+
+/// More engines than an instance with a link of 1 Mbit/s holds.
+const MANY_ENGINES: usize = 400;
+
+/// Guards against state that grows with the engines at every instance: the records of ten thousand
+/// engines took the memory and the links of small machines.
+#[actix_rt::test]
+async fn an_instance_on_a_slow_link_serves_calls_without_the_records_of_all_engines() {
+    let ([first, _second, _third], [app, pool]) = three_gateways().await;
+    for number in 0..MANY_ENGINES {
+        first.register_ended_engine(&format!("idle-{number}"), "idle");
+    }
+    wait_until(async || first.count_log_lines("engine changed engine=idle-399") > 0).await;
+    let small = first.start_another_at(first.store.address, 1);
+    small.wait_until_ready(true).await;
+    // Longer than the number of engines takes to settle and all records to arrive.
+    for _ in 0..120 {
+        let id = small.fresh_id();
+        assert_eq!(small.generate("/stream/", &id).await.status, 200);
+        let id = small.fresh_id();
+        assert_eq!(small.call("/once/", &id, &[]).await.status, 200);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(small.count_log_lines("all engines known"), 0);
+    assert_eq!(small.count_log_lines("all engines read"), 0);
+    assert_eq!(small.count_log_lines("engine=idle-"), 0);
+    // An engine that leaves gets no further calls.
+    let other = Engine::start("pool-2").await;
+    other.register(&first.store, "pool", "ready", Some("decode"));
+    pool.register(&first.store, "pool", "draining", Some("decode"));
+    wait_until(async || {
+        let id = small.fresh_id();
+        small.generate("/stream/", &id).await;
+        other.run_count(&id) == 1
+    })
+    .await;
+    let before = pool.received().len();
+    for _ in 0..10 {
+        let id = small.fresh_id();
+        assert_eq!(small.generate("/stream/", &id).await.status, 200);
+    }
+    assert_eq!(pool.received().len(), before);
+    drop(app);
+}
+
+/// Guards against a thousand reads of a large configuration at once: one that exceeded a datagram was
+/// read from the store by each instance.
+#[actix_rt::test]
+async fn a_configuration_with_hundreds_of_routes_is_received_from_peers() {
+    let ([first, _second, third], _engines) = three_gateways().await;
+    let prefixes: Vec<String> = (0..400)
+        .map(|n| format!("/prefix{n}x{}/", n * 7_919))
+        .collect();
+    let routes = prefixes.iter().map(|prefix| Route {
+        prefix,
+        kind: "safe",
+        service: "app",
+        attempts: 2,
+        resumable: false,
+    });
+    let routes: Vec<Route> = routes.collect();
+    let large = platform_standin::configuration::configuration(7, &routes, &["app"]);
+    assert!(json!(large).to_string().len() > 60_000);
+    first.store.put("keyed.op", "config", Some(&large));
+    wait_until(async || third.call(&prefixes[399], "w", &[]).await.status == 200).await;
+    assert_eq!(
+        third.count_log_lines_with("configuration in force", "source=store"),
+        0
+    );
+}
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -131,6 +131,8 @@
     behind: Option<Behind>,
     mismatch_since: Option<Moment>,
     last_reread: Option<Moment>,
+    /// Whether the last read was due because too few others read.
+    is_short: bool,
 }
 
 impl Watch {
@@ -143,7 +145,7 @@
     }
 
     /// Whether the topic is to be read now. `rank` is the number of preceding instances that may be
-    /// alive, `own` is what this instance knows.
+    /// alive, `own` is what this instance knows, or [`None`] if it need not know all.
     ///
     /// A store that is away makes all readers stale at once. If all instances read then, a large
     /// fleet would send hundreds of calls per second to a returning store, each of them paid for.
@@ -153,7 +155,7 @@
         own_order: u64,
         rank: u32,
         others: impl Iterator<Item = ReaderReport>,
-        own: TopicState,
+        own: Option<TopicState>,
         now: Moment,
     ) -> bool {
         let max_age = self.waits.fresh_age;
@@ -166,8 +168,17 @@
             let is_newer = newest.is_none_or(|newest| report.state.upto > newest.upto);
             newest = if is_newer { Some(report.state) } else { newest };
         }
-        self.compare(own, newest, now);
-        self.is_short_of_readers(readers, rank, now) || self.is_reread_due(now)
+        if let Some(own) = own {
+            self.compare(own, newest, now);
+        }
+        self.is_short = self.is_short_of_readers(readers, rank, now);
+        self.is_short || self.is_reread_due(now)
+    }
+
+    /// Whether the last read was due only because this instance knows less than the readers, which
+    /// another instance can make up for.
+    pub fn lacks_records_only(&self) -> bool {
+        !self.is_short
     }
 
     fn is_short_of_readers(&mut self, covered: u32, rank: u32, now: Moment) -> bool {
--- a/crates/serving/tests/leaving_replay.rs
+++ b/crates/serving/tests/leaving_replay.rs
@@ -104,10 +104,13 @@
             if instance.call_since.is_none() && now >= instance.due && polls {
                 let rank = u32::try_from(index).expect("a small number");
                 let own = TopicState::default();
-                if instance
-                    .watch
-                    .is_due(index as u64, rank, reports.into_iter(), own, ms(now))
-                {
+                if instance.watch.is_due(
+                    index as u64,
+                    rank,
+                    reports.into_iter(),
+                    Some(own),
+                    ms(now),
+                ) {
                     instance.call_since = Some(now);
                     instance.due = now + READ_INTERVAL_MS;
                 }
--- a/crates/serving/tests/watch.rs
+++ b/crates/serving/tests/watch.rs
@@ -30,7 +30,7 @@
 
 fn is_due_at(watch: &mut Watch, rank: u32, others: &[ReaderReport], now: u64) -> bool {
     let others = others.iter().copied();
-    watch.is_due(OWN_ORDER, rank, others, state(7), ms(now))
+    watch.is_due(OWN_ORDER, rank, others, Some(state(7)), ms(now))
 }
 
 #[test]
@@ -121,7 +121,13 @@
             report(1, now, Some(now), step + 5),
             report(2, now, Some(now), step + 4),
         ];
-        let due = watch.is_due(OWN_ORDER, 0, readers.into_iter(), state(step), ms(now));
+        let due = watch.is_due(
+            OWN_ORDER,
+            0,
+            readers.into_iter(),
+            Some(state(step)),
+            ms(now),
+        );
         assert!(!due, "at step {step}");
     }
 }
@@ -139,7 +145,7 @@
             digest: 1_000 + step / 5,
         };
         let others = [reader, report(2, now, Some(now), 0)];
-        if watch.is_due(OWN_ORDER, 0, others.into_iter(), own, ms(now)) {
+        if watch.is_due(OWN_ORDER, 0, others.into_iter(), Some(own), ms(now)) {
             due_at = due_at.or(Some(now));
         }
     }
