--- a/crates/gateway/src/bootstrap.rs
+++ b/crates/gateway/src/bootstrap.rs
@@ -12,9 +12,10 @@
 use std::time::Duration;
 
 use adapter::store::KeyedRecord;
-use serving::{hash, replication};
+use serving::hash;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
+use wire::Message as _;
 use wire::gateway::{Frame, News, State};
 
 use crate::instance::Instance;
@@ -92,29 +93,20 @@
     if frames.is_empty() {
         return;
     }
-    let engines = if state.lacks_engines {
-        engine_count(instance)
-    } else {
-        0
-    };
-    let link_mbps = peers::link_mbps(state.order);
-    let duration = replication::transfer_time(link_mbps, engines).mul_f64(1.0 / LINK_SHARE);
+    let link_mbps = peers::link_mbps(state.order).min(instance.settings.borrow().link_mbps);
+    let pace = move |bytes| peers::transmission_time(bytes, link_mbps).mul_f64(1.0 / LINK_SHARE);
+    let duration = pace(frames.iter().map(Frame::encoded_len).sum());
     let repeat = now + REPEAT_INTERVAL + duration * 2;
     instance.peers.borrow_mut().on_transfer(peer, repeat);
-    let (instance, socket) = (instance.clone(), socket.clone());
+    let socket = socket.clone();
     actix_rt::spawn(async move {
         for frame in frames {
             let bytes = mesh::broadcast(&socket, &frame, &[peer]);
-            let slower = instance.settings.borrow().link_mbps.min(link_mbps);
-            sleep(peers::transmission_time(bytes, slower).mul_f64(1.0 / LINK_SHARE)).await;
+            sleep(pace(bytes)).await;
         }
     });
 }
 
-fn engine_count(instance: &Instance) -> usize {
-    instance.registry.borrow().count()
-}
-
 /// Frames for a peer whose state shows that it lacks a topic; none if another instance serves it.
 fn transfer(instance: &Instance, state: &State) -> Vec<Frame> {
     let lacks_topic = state.configuration == 0 || state.lacks_engines;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -9,20 +9,16 @@
 
 use clock::Moment;
 use serving::Fleet;
-use serving::fanout;
 use serving::fleet::WorkChange;
 use serving::hash;
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use wire::Message as _;
-use wire::gateway::{Frame, News, State};
+use wire::gateway::{Frame, State};
 
-use crate::frame::{
-    add_changes, encode_age, encode_changing, encode_started, encode_work, pack_address,
-    unpack_address,
-};
+use crate::frame::{add_changes, encode_age, encode_changing, encode_started, encode_work};
 use crate::instance::Instance;
-use crate::peers::{self, Departure, MAX_PARTS_PER_FRAME, Peers, Topic};
+use crate::peers::{self, MAX_PARTS_PER_FRAME, Topic};
 use crate::placement::server;
 use crate::usage::REPORTERS;
 use crate::{
@@ -30,6 +26,8 @@
     usage, warmup,
 };
 
+mod updates;
+
 /// Pause between frames while nothing is placed.
 const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which a placer batches calls into one frame. Other instances report to one placer per
@@ -66,7 +64,7 @@
     instance.pending_placements.bind(socket.clone());
     actix_rt::spawn(listen(instance.clone(), socket.clone()));
     actix_rt::spawn(send_loop(instance.clone(), socket.clone()));
-    actix_rt::spawn(send_departures(instance.clone(), socket.clone()));
+    actix_rt::spawn(updates::send_departures(instance.clone(), socket.clone()));
     actix_rt::spawn(registrar::run(instance.clone(), socket));
     actix_rt::spawn(warmup::run(instance.clone()));
     actix_rt::spawn(discovery::run(instance.clone()));
@@ -81,7 +79,7 @@
             Ok((size, from)) => match Frame::decode(&buffer[..size]) {
                 Ok(frame) => {
                     if !frame.pass_to.is_empty() {
-                        forward(&socket, &frame);
+                        updates::forward(&socket, &frame);
                     }
                     if let Some(answer) = server::on_request(&instance, from, &frame) {
                         broadcast(&socket, &answer, &[from]);
@@ -122,7 +120,7 @@
         let now = instance.now();
         instance.fleet.borrow_mut().expire(now);
         let is_greeting = instance.greeting_due.take() | instance.update_placers();
-        send_news(&instance, &socket, now);
+        updates::send_news(&instance, &socket, now);
         send_suspects(&instance, &socket);
         send_limits(&instance, &socket, now);
         let is_state_due = is_greeting || !instance.is_synced() || Instant::now() >= state_due;
@@ -332,104 +330,6 @@
     is_recent(state.configuration_age_ms) || is_recent(state.engines_age_ms)
 }
 
-fn send_news(instance: &Instance, socket: &UdpSocket, now: Moment) {
-    let order = instance.order();
-    instance.peers.borrow_mut().promote_deferred(order, now);
-    if !instance.peers.borrow().is_news_due(now) {
-        return;
-    }
-    let holders = {
-        let engines = instance.registry.borrow().count();
-        instance.peers.borrow().holders(engines)
-    };
-    let frames = {
-        let mut peers = instance.peers.borrow_mut();
-        let max_bytes = news_budget(instance, &peers, &holders);
-        peers.take_news(max_bytes, now)
-    };
-    for news in frames {
-        let (configurations, engines): (Vec<News>, Vec<News>) =
-            news.into_iter().partition(|news| news.configuration);
-        let all = instance.peers.borrow().in_order();
-        for (news, recipients) in [(configurations, all), (engines, holders.clone())] {
-            if !news.is_empty() {
-                let frame = Frame {
-                    news,
-                    ..instance.frame()
-                };
-                send_to_groups(socket, &frame, recipients);
-            }
-        }
-    }
-}
-
-/// Bytes of engines' records that may be sent to their holders in one interval: they take a share of
-/// the slowest link of those that forward them.
-fn news_budget(instance: &Instance, peers: &Peers, holders: &[SocketAddr]) -> usize {
-    let own = instance.settings.borrow().link_mbps;
-    let slowest = peers.slowest_link(holders).min(own);
-    let bytes_per_second = slowest * 1e6 / 8.0 * LINK_SHARE;
-    #[allow(clippy::cast_precision_loss)]
-    let copies = fanout::group_size(holders.len()) as f64;
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let budget = (bytes_per_second * peers::NEWS_INTERVAL.as_secs_f64() / copies) as usize;
-    budget.max(peers::MAX_NEWS_BYTES)
-}
-
-/// Sends a frame to instances, which are given in the common order, through the first of each
-/// forwarding group. Returns the bytes put on the link.
-fn send_to_groups(socket: &UdpSocket, frame: &Frame, in_order: Vec<SocketAddr>) -> usize {
-    let groups = fanout::groups(in_order, rand::random());
-    let sent = groups.into_iter().map(|group| {
-        let pass_to = group
-            .rest
-            .iter()
-            .filter_map(|address| pack_address(*address));
-        let frame = Frame {
-            pass_to: pass_to.collect(),
-            ..frame.clone()
-        };
-        broadcast(socket, &frame, &[group.first])
-    });
-    sent.sum()
-}
-
-/// Tells all instances of engines that take no more calls.
-///
-/// These frames wait for no others: hundreds of engines may start or be ordered down at once, and a
-/// call that is sent to one that leaves is lost when the engine ends.
-async fn send_departures(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
-    loop {
-        let due = instance.peers.borrow().departures_due(instance.now());
-        let repeat = async {
-            match due {
-                Some(due) => sleep(due).await,
-                None => std::future::pending().await,
-            }
-        };
-        tokio::select! {
-            () = instance.departure_due.notified() => {}
-            () = repeat => {}
-        }
-        loop {
-            let departures = instance.peers.borrow_mut().take_departures(instance.now());
-            if departures.is_empty() {
-                break;
-            }
-            let mut frame = instance.frame();
-            for departure in departures {
-                match departure {
-                    Departure::Leaving(engine) => frame.leaving.push(engine),
-                    Departure::Removed(news) => frame.news.push(news),
-                }
-            }
-            let all = instance.peers.borrow().in_order();
-            let bytes = send_to_groups(&socket, &frame, all);
-            sleep(instance.transmission_time(bytes)).await;
-        }
-    }
-}
-
 /// Sends changes of calls that crash engines to all others.
 fn send_suspects(instance: &Instance, socket: &UdpSocket) {
     let suspects = instance.suspects.take_news(suspects::now(instance));
@@ -458,22 +358,6 @@
     broadcast(socket, &frame, &placers);
 }
 
-/// Forwards updates and departures to the rest of this instance's group.
-fn forward(socket: &UdpSocket, frame: &Frame) {
-    let rest: Vec<SocketAddr> = frame
-        .pass_to
-        .iter()
-        .map(|packed| unpack_address(*packed))
-        .collect();
-    let frame = Frame {
-        incarnation: frame.incarnation,
-        news: frame.news.clone(),
-        leaving: frame.leaving.clone(),
-        ..Frame::default()
-    };
-    broadcast(socket, &frame, &rest);
-}
-
 /// Sends a frame to several instances. Returns the bytes put on the link.
 pub(crate) fn broadcast(socket: &UdpSocket, frame: &Frame, recipients: &[SocketAddr]) -> usize {
     let bytes = frame.encode_to_vec();
--- a/crates/serving/src/hash.rs
+++ b/crates/serving/src/hash.rs
@@ -7,8 +7,8 @@
     u64::from_le_bytes(first)
 }
 
-/// A 32-bit hash. Among a thousand engines two collide once in ten thousand days of new ids; the
-/// work of one is then counted at the other for a while.
+/// A 32-bit hash. Among a thousand engines two collide once in ten thousand days of new ids, among ten
+/// thousand once in about ninety; the work of one is then counted at the other for a while.
 pub fn hash32(text: &str) -> u32 {
     #[allow(clippy::cast_possible_truncation)]
     let short = hash64(text) as u32;
