Wait for the other instances before reading the store in a restart of all

The 0.4 s held only while a list is read in milliseconds. Now an instance waits 6 to 12 s, as in a first start: while the list cannot be read, nothing else of the store can.

--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -32,14 +32,14 @@
 const INITIAL_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Interval between checks whether a read is due.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Wait after the start for the discovery of the other instances, which completes within this time
-/// while the store is healthy.
-const DISCOVERY_TIMEOUT: Duration = Duration::from_millis(400);
-/// The same on a first start, where all instances register.
-const FIRST_START_DISCOVERY_TIMEOUT: Duration = Duration::from_secs(6);
-/// Range of a random time that is added on a first start, so that instances that know no others do not
-/// all read the store at once.
-const FIRST_START_SPREAD: Duration = Duration::from_secs(6);
+/// Wait after the start for the discovery of the other instances, by when an instance that knows no
+/// others reads the store itself. Far longer than a restart of all takes to read the list of
+/// instances: if each read all records then, the store would answer none in time. While the list
+/// cannot be read, neither can anything else of the store.
+const DISCOVERY_TIMEOUT: Duration = Duration::from_secs(6);
+/// Range of a random time that is added, so that instances that know no others do not all read the
+/// store at once.
+const DISCOVERY_SPREAD: Duration = Duration::from_secs(6);
 /// Time for which an instance that knows less than the readers waits for records from a placer before
 /// it reads them itself. A read of all records is large, and many fall behind at the same time.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -129,12 +129,7 @@
 
     async fn wait_until_due(&mut self) {
         // An instance that does not know the others yet would take itself for the first.
-        let is_first_start = self.instance.settings.borrow().is_first_start;
-        let timeout = if is_first_start {
-            FIRST_START_DISCOVERY_TIMEOUT + FIRST_START_SPREAD.mul_f64(self.spread)
-        } else {
-            DISCOVERY_TIMEOUT
-        };
+        let timeout = DISCOVERY_TIMEOUT + DISCOVERY_SPREAD.mul_f64(self.spread);
         while !self.instance.peers_discovered.get() && self.started.elapsed() < timeout {
             sleep(INITIAL_POLL_INTERVAL).await;
         }
