Test: let both placers know the new engine before the old one leaves

Traced by the logs of a repetition beside load: one placer knew the new engine, the other one only that the old one leaves, since a leaving overtakes the news of an engine that starts, and refused as no engine was left for it. That is allowed; the test's promise, that an instance without all records sends nothing to an engine that leaves, is asserted as before.

--- a/crates/gateway/tests/placement.rs
+++ b/crates/gateway/tests/placement.rs
@@ -89,7 +89,7 @@
 /// engines took the memory and the links of small machines.
 #[actix_rt::test]
 async fn an_instance_on_a_slow_link_serves_calls_without_the_records_of_all_engines() {
-    let ([first, _second, _third], [app, pool]) = three_gateways().await;
+    let ([first, second, _third], [app, pool]) = three_gateways().await;
     for number in 0..MANY_ENGINES {
         first.register_ended_engine(&format!("idle-{number}"), "idle");
     }
@@ -110,6 +110,10 @@
     // An engine that leaves gets no further calls.
     let other = Engine::start("pool-2").await;
     other.register(&first.store, "pool", "ready", Some("decode"));
+    // A leaving overtakes the news of an engine that starts.
+    for placer in [&first, &second] {
+        wait_until(async || placer.count_log_lines("engine changed engine=pool-2") > 0).await;
+    }
     pool.register(&first.store, "pool", "draining", Some("decode"));
     wait_until(async || {
         let id = small.fresh_id();
