--- a/crates/serving/src/cost.rs
+++ b/crates/serving/src/cost.rs
@@ -10,6 +10,7 @@
 use crate::fetch::{self, Sources};
 use crate::parts::Part;
 use crate::place::{self, Demand, Generation, Target};
+use crate::speed::Speed;
 use crate::{Fleet, Zone, hash, speed};
 
 /// Fixed overhead of handing a KV cache over to another engine.
@@ -66,7 +67,7 @@
     let prefill_tokens = plan.prefill_tokens;
     let work = speed::work(prefill_tokens, generation.tokens);
     let reading_ms = speed.millis(u64::from(work)) * engine.slowdown;
-    let read_delay_ms = read_delay(fleet, engine, demand, work, now);
+    let read_delay_ms = read_delay(engine, &speed, demand, work, now);
     let limit_wait = place::limit_wait(fleet, engine, demand, now).unwrap_or_default();
     let expected = millis(limit_wait)
         + speed.setup_ms
@@ -113,14 +114,14 @@
 }
 
 /// Time until the prompt has been read if it is sent now, in milliseconds.
-fn read_delay(fleet: &Fleet, engine: &Engine, demand: &Demand, work: u32, now: Moment) -> f64 {
+fn read_delay(engine: &Engine, speed: &Speed, demand: &Demand, work: u32, now: Moment) -> f64 {
     let new = Job {
         ticket: 0,
         sent_at: now,
         rank: demand.priority,
         work,
     };
-    millis(engine.time_until_read(new, fleet.speed(engine).tokens_per_ms))
+    millis(engine.time_until_read(new, speed.tokens_per_ms))
 }
 
 /// Weight of a millisecond of waiting. The answer of a late call is worth the same whenever it
@@ -135,10 +136,11 @@
 
 /// The delay that reading the prompt causes to the streams at the engine, in milliseconds.
 fn stream_cost(fleet: &Fleet, engine: &Engine, reading_ms: f64) -> f64 {
-    if is_prefill(engine) {
+    let streams = engine.running_calls();
+    if is_prefill(engine) || streams == 0 {
         return 0.0;
     }
-    fleet.stream_delay_per_ms(engine) * reading_ms * f64::from(engine.running_calls())
+    fleet.stream_delay_per_ms(engine) * reading_ms * f64::from(streams)
 }
 
 fn other_zone_cost(engine: &Engine, demand: &Demand) -> f64 {
@@ -166,7 +168,7 @@
 
 fn tie_break_cost(engine: &Engine, prompt: &[Part]) -> f64 {
     let first = prompt.first().map_or(0, |part| part.id);
-    millis(TIE_BREAK_COST) * hash::unit_interval(&format!("{first}{}", engine.record.id))
+    millis(TIE_BREAK_COST) * hash::combined_unit_interval(first, engine.id_hash)
 }
 
 /// The cheapest engine to take over a prompt's KV cache and generate.
@@ -192,7 +194,7 @@
         let total = millis(limit_wait)
             + path_ms
             + batch * engine.slowdown
-            + read_delay(fleet, engine, demand, 0, now)
+            + read_delay(engine, &fleet.speed(engine), demand, 0, now)
             + connect_cost(engine, demand)
             + millis(KV_HANDOVER);
         Cost {
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -128,6 +128,8 @@
 pub struct Engine {
     /// Its latest record.
     pub record: Record,
+    /// [`hash::hash32`] of its id.
+    pub(crate) id_hash: u32,
     /// Outcomes of this instance's calls.
     pub health: Health,
     /// Outcomes of other instances' calls.
@@ -169,6 +171,7 @@
     pub fn new(record: Record) -> Self {
         Self {
             leaving: record.state == State::Draining,
+            id_hash: hash::hash32(&record.id),
             record,
             health: Health::default(),
             peer_reports: PeerReports::default(),
@@ -241,12 +244,13 @@
     /// Time from now until a new job has been read, if the stage reads `rate` tokens of work per
     /// millisecond.
     pub fn time_until_read(&self, new: Job, rate: f64) -> Duration {
-        queue::time_until_read(
-            &self.pending_jobs(),
-            self.last_read_at,
-            new,
-            rate / self.slowdown,
-        )
+        let is_idle = self.pending.is_empty() && self.peer_work.is_empty();
+        let jobs = if is_idle {
+            SmallVec::new()
+        } else {
+            self.pending_jobs()
+        };
+        queue::time_until_read(&jobs, self.last_read_at, new, rate / self.slowdown)
     }
 
     /// Updates whether the engine has prompts to read.
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -57,7 +57,8 @@
     /// Rate limits announced by engines.
     pub throttles: Throttles,
     next_ticket: Ticket,
-    speeds: HashMap<(ServiceName, Stage), Speed>,
+    /// The learned speeds, a few in all, looked up for each engine that a call may go to.
+    speeds: Vec<(ServiceName, Stage, Speed)>,
     /// When each other instance was last heard from.
     peer_heard_at: BTreeMap<PeerId, Moment>,
     /// Engines at which each other instance has had work since it last reported all of it, so that
@@ -101,9 +102,12 @@
     /// The learned reading speed of an engine's stage.
     pub fn speed(&self, engine: &Engine) -> Speed {
         let stage = engine.record.stage.unwrap_or(Stage::Decode);
-        let key = (engine.record.service.clone(), stage);
-        let known = self.speeds.get(&key).copied();
-        known.unwrap_or_else(|| Speed::new(stage))
+        let service = &engine.record.service;
+        let known = self
+            .speeds
+            .iter()
+            .find(|(of, at, _)| *at == stage && of == service);
+        known.map_or_else(|| Speed::new(stage), |(_, _, speed)| *speed)
     }
 
     /// Adds or updates an engine by its record. Returns whether anything changed.
@@ -317,8 +321,17 @@
         };
         let took = at.saturating_sub(pending.job.sent_at);
         let stage = engine.record.stage.unwrap_or(Stage::Decode);
-        let key = (engine.record.service.clone(), stage);
-        let speed = self.speeds.entry(key).or_insert_with(|| Speed::new(stage));
+        let service = &engine.record.service;
+        let known = self
+            .speeds
+            .iter()
+            .position(|(of, at, _)| *at == stage && of == service);
+        let known = known.unwrap_or_else(|| {
+            self.speeds
+                .push((service.clone(), stage, Speed::new(stage)));
+            self.speeds.len() - 1
+        });
+        let speed = &mut self.speeds[known].2;
         if pending.was_idle {
             speed.observe(pending.job.work, took);
         }
--- a/crates/serving/src/hash.rs
+++ b/crates/serving/src/hash.rs
@@ -15,6 +15,17 @@
     short
 }
 
+/// Two 32-bit hashes combined and mapped to the range from 0 to 1: the finalizer of MurmurHash3. A
+/// placement combines them for each of thousands of engines.
+pub fn combined_unit_interval(first: u32, second: u32) -> f64 {
+    let mut mixed = u64::from(first) << 32 | u64::from(second);
+    mixed = (mixed ^ (mixed >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    mixed = (mixed ^ (mixed >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    #[allow(clippy::cast_possible_truncation)]
+    let high = ((mixed ^ (mixed >> 33)) >> 32) as u32;
+    f64::from(high) / f64::from(u32::MAX)
+}
+
 /// A hash mapped to the range from 0 to 1.
 pub fn unit_interval(text: &str) -> f64 {
     f64::from(hash32(text)) / f64::from(u32::MAX)
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -296,6 +296,7 @@
     now: Moment,
 ) -> Option<Duration> {
     match fleet.throttles.permit(&engine.record.id, now) {
+        Permit::After(wait) if wait.is_zero() => Some(wait),
         Permit::After(wait) => (wait <= max_limit_wait(demand)).then_some(wait),
         Permit::Elsewhere(_) => None,
     }
--- a/crates/serving/src/queue.rs
+++ b/crates/serving/src/queue.rs
@@ -22,6 +22,10 @@
 /// `freed` is when the engine is last known to have finished one; `rate` is in tokens of work per
 /// millisecond.
 pub fn time_until_read(jobs: &[Job], freed: Moment, new: Job, rate: f64) -> Duration {
+    if jobs.is_empty() {
+        let begun = freed.max(new.sent_at);
+        return (begun + read_time(new.work, rate)).saturating_sub(new.sent_at);
+    }
     let mut waiting: SmallVec<[Job; 16]> = SmallVec::from_slice(jobs);
     waiting.push(new);
     let mut at = freed;
