--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -77,7 +77,7 @@
     pub transfer_awaited_until: Cell<Option<Moment>>,
     /// How the number of engines grows.
     engine_growth: Cell<Growth>,
-    /// The engines that placers chose, if it does.
+    /// The engines that placers chose, while [`Self::is_caching`].
     pub engine_cache: EngineCache,
     /// Copies of the store's records, for instances that start.
     pub snapshot: RefCell<Snapshot>,
