--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -195,7 +195,7 @@
     if is_replaced {
         return ProbeResult::Ended;
     }
-    match Client::open(engine.address, &PATIENCE, &instance.codec).await {
+    match instance.connect(engine.address, &PATIENCE).await {
         Ok(mut client) => {
             if !stays_open(&mut client).await {
                 return ProbeResult::Silent;
--- a/crates/gateway/src/generate/memory.rs
+++ b/crates/gateway/src/generate/memory.rs
@@ -6,7 +6,7 @@
 
 use adapter::upstream::{self, KvLocation};
 use bytes::Bytes;
-use http1::{Client, TcpTimeouts};
+use http1::TcpTimeouts;
 use serving::EngineId;
 use tokio::time::timeout;
 
@@ -51,7 +51,7 @@
 async fn free(instance: Rc<Instance>, holder: EngineId, memory: KvLocation) {
     let patience = TcpTimeouts::within(KV_CACHE_FREE_TIMEOUT);
     let freeing = async {
-        let mut client = Client::open(memory.address, &patience, &instance.codec).await?;
+        let mut client = instance.connect(memory.address, &patience).await?;
         client.send(upstream::free_kv(&memory), &Bytes::new()).await
     };
     if let Ok(Ok(answer)) = timeout(KV_CACHE_FREE_TIMEOUT, freeing).await {
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -8,6 +8,7 @@
 use adapter::settings::Settings;
 use adapter::store::{Era, Offset};
 use clock::{Clock as _, Moment, System};
+use http1::{Client, Failure, TcpTimeouts};
 use serving::budget::RepeatBudgets;
 use serving::organisation::{Directory, Name};
 use serving::parts::Part;
@@ -201,6 +202,16 @@
         ledger.iter().flat_map(Ledger::taken_windows).collect()
     }
 
+    /// Opens a connection to an engine or to another instance, from the address under which this
+    /// instance is registered.
+    pub(crate) async fn connect(
+        &self,
+        peer: SocketAddr,
+        timeouts: &TcpTimeouts,
+    ) -> Result<Client, Failure> {
+        Client::open_from(self.address.ip(), peer, timeouts, &self.codec).await
+    }
+
     /// A frame without content.
     pub(crate) fn frame(&self) -> Frame {
         Frame {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 //! `docs/OPERATIONS.md`, section "Metrics", lists them.
 
 use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,6 +11,7 @@
 use actix_http::header::{CONTENT_TYPE, HeaderValue};
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
+use http1::Failure;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::{EncodeLabelValue, LabelValueEncoder};
 use prometheus_client::metrics::counter::Counter;
@@ -97,6 +99,15 @@
     Instance,
 }
 
+/// Result of opening a connection to an engine.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum Connect {
+    Opened,
+    Refused,
+    TimedOut,
+    Failed,
+}
+
 macro_rules! labels {
     ($type:ident: $($value:ident = $text:literal),*) => {
         impl EncodeLabelValue for $type {
@@ -115,6 +126,7 @@
 labels!(Throttled: Waited = "waited", Refused = "refused");
 labels!(EngineSource: Log = "log", Snapshot = "snapshot", Instance = "instance");
 labels!(Pause: Requested = "requested", None = "none");
+labels!(Connect: Opened = "opened", Refused = "refused", TimedOut = "timed_out", Failed = "failed");
 labels!(OrderAnswer: Taken = "taken", Refused = "refused", Unanswered = "unanswered");
 
 /// One label name with its value.
@@ -135,6 +147,7 @@
     store_failures: Counter,
     engine_changes: Family<Labels<EngineSource>, Counter>,
     engine_refusals: Family<Labels<Pause>, Counter>,
+    engine_connections: Family<Labels<Connect>, Counter>,
     held_calls: Counter,
     throttled_calls: Family<Labels<Throttled>, Counter>,
     limited_engines: Gauge,
@@ -161,6 +174,7 @@
             store_failures: Counter::default(),
             engine_changes: Family::default(),
             engine_refusals: Family::default(),
+            engine_connections: Family::default(),
             held_calls: Counter::default(),
             throttled_calls: Family::default(),
             limited_engines: Gauge::default(),
@@ -232,6 +246,11 @@
             "Calls that engines turned away, by whether they want no more for a time",
             self.engine_refusals.clone(),
         );
+        registry.register(
+            "engine_connections",
+            "Connections to engines, by whether they opened",
+            self.engine_connections.clone(),
+        );
         registry.register(
             "held_calls",
             "Calls that were refused since engines had ended under them",
@@ -322,6 +341,22 @@
             .inc();
     }
 
+    /// Counts an attempt to open a connection to an engine.
+    pub(crate) fn engine_connected(&self, failure: Option<&Failure>) {
+        let result = match failure {
+            None => Connect::Opened,
+            Some(Failure::NotSent(error)) => match error.kind() {
+                io::ErrorKind::ConnectionRefused => Connect::Refused,
+                io::ErrorKind::TimedOut => Connect::TimedOut,
+                _ => Connect::Failed,
+            },
+            Some(_) => Connect::Failed,
+        };
+        self.engine_connections
+            .get_or_create(&[("result", result)])
+            .inc();
+    }
+
     /// Counts a call that an engine turned away.
     pub(crate) fn engine_refused(&self, names_pause: bool) {
         let pause = if names_pause {
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -54,7 +54,9 @@
         if let Some(client) = self.reuse(&engine.id, instance.now()) {
             return Ok(client);
         }
-        Client::open(engine.address, &ENGINE_PATIENCE, &instance.codec).await
+        let opened = instance.connect(engine.address, &ENGINE_PATIENCE).await;
+        instance.metrics.engine_connected(opened.as_ref().err());
+        opened
     }
 
     /// Engines with an idle connection that stays usable for a while.
--- a/crates/gateway/src/roles.rs
+++ b/crates/gateway/src/roles.rs
@@ -6,7 +6,7 @@
 
 use adapter::orders::{self, Answer};
 use clock::Moment;
-use http1::{Client, Failure, TcpTimeouts};
+use http1::{Failure, TcpTimeouts};
 use serving::claim::Fence;
 use serving::engine::StageChange;
 use serving::roles::{Planner, RoleChange, RoleChanges};
@@ -140,7 +140,7 @@
 ) -> Result<Answer, Failure> {
     let holder = instance.address.to_string();
     let (head, body) = orders::stage_order(engine, change.stage, &holder, fence);
-    let mut client = Client::open(engine.address, &ENGINE_PATIENCE, &instance.codec).await?;
+    let mut client = instance.connect(engine.address, &ENGINE_PATIENCE).await?;
     limits::charge(instance, &engine.id);
     let answer = client.send(head, &body).await?;
     announcements::observe_own(instance, &engine.id, &answer.head);
--- a/crates/gateway/src/warmup.rs
+++ b/crates/gateway/src/warmup.rs
@@ -9,7 +9,7 @@
 
 use adapter::upstream;
 use bytes::Bytes;
-use http1::{Client, TcpTimeouts};
+use http1::TcpTimeouts;
 use serving::EngineId;
 use serving::engine::Record;
 use serving::parts::Part;
@@ -72,7 +72,7 @@
 }
 
 async fn query(instance: &Instance, engine: &Record) -> Option<Vec<Part>> {
-    let client = Client::open(engine.address, &PATIENCE, &instance.codec).await;
+    let client = instance.connect(engine.address, &PATIENCE).await;
     let mut client = client.ok()?;
     let head = upstream::held_parts_request(engine.address);
     let response = client.send(head, &Bytes::new()).await.ok()?;
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -5,7 +5,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::io::{self, Write as _};
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -41,6 +41,8 @@
     pub(crate) front: SocketAddr,
     pub(crate) ready: SocketAddr,
     pub(crate) metrics: SocketAddr,
+    /// Address that other gateways and engines see.
+    pub(crate) mesh: SocketAddr,
     pub(crate) settings: NamedTempFile,
     log: NamedTempFile,
     child: RefCell<Child>,
@@ -104,6 +106,14 @@
     }
 }
 
+/// An address for frames between gateways, on a loopback address of its own, by which engines tell
+/// gateways apart.
+pub(crate) fn free_mesh_address() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(1);
+    let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    SocketAddr::from(([127, 1, high, low], free_port()))
+}
+
 /// Retries allowed beyond the ratio: more than any test needs.
 const RETRY_SLACK: u32 = 60_000;
 
@@ -176,13 +186,14 @@
     ) -> Self {
         let front = SocketAddr::from(([127, 0, 0, 1], free_port()));
         let ready = SocketAddr::from(([127, 0, 0, 1], free_port()));
-        let metrics = SocketAddr::from(([127, 0, 0, 1], free_port()));
+        let mesh = free_mesh_address();
+        let metrics = SocketAddr::new(mesh.ip(), free_port());
         let settings = Settings {
             name: "front-a-1",
             store: store_address,
             front,
             ready,
-            port: free_port(),
+            mesh,
             grace_s: 8,
             retry_slack: RETRY_SLACK,
             lease_ms: 0,
@@ -215,6 +226,7 @@
             front,
             ready,
             metrics,
+            mesh,
             settings: file,
             log,
             child: RefCell::new(child),
@@ -306,6 +318,14 @@
         answer.is_ok_and(|answer| answer.head.status.as_u16() == 200)
     }
 
+    /// The address that engines see.
+    pub(crate) fn ip(&self) -> Ipv4Addr {
+        match self.mesh.ip() {
+            IpAddr::V4(ip) => ip,
+            IpAddr::V6(ip) => panic!("{ip} is no IPv4 address"),
+        }
+    }
+
     /// Opens a connection as a caller.
     pub(crate) async fn connect(&self) -> Client {
         let mut caller = Client::open(self.front, &PATIENCE, &http1::config()).await;
--- a/crates/gateway/tests/signals.rs
+++ b/crates/gateway/tests/signals.rs
@@ -73,7 +73,7 @@
         store: address(),
         front,
         ready: address(),
-        port: harness::free_port(),
+        mesh: harness::free_mesh_address(),
         grace_s: 8,
         retry_slack: 0,
         lease_ms: 0,
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -1,7 +1,7 @@
 //! A client connection that sends one request at a time.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
@@ -9,7 +9,7 @@
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead};
 use bytes::{Bytes, BytesMut};
 use tokio::io::Interest;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
@@ -67,7 +67,41 @@
         timeouts: &TcpTimeouts,
         config: &Config,
     ) -> Result<Self, Failure> {
-        let stream = connect(peer, timeouts).await.map_err(Failure::NotSent)?;
+        let connecting = TcpStream::connect(peer);
+        Self::open_with(connecting, peer, timeouts, config).await
+    }
+
+    /// Opens a connection from a local address, by which the peer recognizes this process.
+    ///
+    /// # Errors
+    ///
+    /// Always [`Failure::NotSent`].
+    pub async fn open_from(
+        local: IpAddr,
+        peer: SocketAddr,
+        timeouts: &TcpTimeouts,
+        config: &Config,
+    ) -> Result<Self, Failure> {
+        let connecting = async {
+            let socket = match local {
+                IpAddr::V4(_) => TcpSocket::new_v4()?,
+                IpAddr::V6(_) => TcpSocket::new_v6()?,
+            };
+            socket.bind(SocketAddr::new(local, 0))?;
+            socket.connect(peer).await
+        };
+        Self::open_with(connecting, peer, timeouts, config).await
+    }
+
+    async fn open_with(
+        connecting: impl Future<Output = io::Result<TcpStream>>,
+        peer: SocketAddr,
+        timeouts: &TcpTimeouts,
+        config: &Config,
+    ) -> Result<Self, Failure> {
+        let stream = connect(connecting, timeouts)
+            .await
+            .map_err(Failure::NotSent)?;
         Ok(Self {
             stream,
             received: BytesMut::new(),
@@ -313,8 +347,11 @@
     }
 }
 
-async fn connect(peer: SocketAddr, timeouts: &TcpTimeouts) -> io::Result<TcpStream> {
-    let stream = timeout(timeouts.connect, TcpStream::connect(peer))
+async fn connect(
+    connecting: impl Future<Output = io::Result<TcpStream>>,
+    timeouts: &TcpTimeouts,
+) -> io::Result<TcpStream> {
+    let stream = timeout(timeouts.connect, connecting)
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     set_options(&stream, timeouts)?;
--- a/crates/soak/src/gateway.rs
+++ b/crates/soak/src/gateway.rs
@@ -124,7 +124,7 @@
             store,
             front,
             ready,
-            port: mesh.port(),
+            mesh,
             grace_s: SHUTDOWN_GRACE_S,
             retry_slack: RETRY_SLACK,
             lease_ms: LEASE_MS,
