Let calls that may not be repeated outlast an engine's silence of a second

A sound engine may fall silent for a second or so and go on. A plain call that may run once ended with 502 1.0 s into a silence of 1.3 s of its engine: TCP_USER_TIMEOUT was 1 s, and on Linux it decides when bytes count as lost and when keepalive probes give up, whatever their count. Giving such a call up only loses it, since nobody may run it again.

Calls that may not be repeated now wait for 2.5 s without an acknowledgement; those that may are repeated elsewhere after 1 s as before, and callers leave streams after 2 s and more. The limit is set on the connection for each call and costs a system call only where it changes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -267,6 +267,11 @@
         own.unwrap_or(self.route.priority)
     }
 
+    /// Whether the call may run at several engines.
+    fn is_repeatable(&self) -> bool {
+        self.route.kind.is_idempotent() && self.route.max_attempts > 1
+    }
+
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
@@ -426,7 +431,7 @@
 ) -> AttemptResult {
     let target = Target::from(engine);
     let begun = instance.now();
-    let opened = engine_links::open(instance, &target).await;
+    let opened = engine_links::open(instance, &target, request.is_repeatable()).await;
     let failure = match opened {
         Ok(client) => return send_direct(instance, request, engine, sending, client).await,
         Err(failure) => failure,
--- a/crates/gateway/src/engine_links.rs
+++ b/crates/gateway/src/engine_links.rs
@@ -27,10 +27,15 @@
 /// Time limits of connections to engines.
 const ENGINE_PATIENCE: TcpTimeouts = TcpTimeouts {
     connect: Duration::from_millis(350),
-    acknowledge: Duration::from_millis(1_000),
+    acknowledge: REPEATABLE_PATIENCE,
     probe_interval: Duration::from_millis(1_000),
     probe_count: 1,
 };
+/// Silence of an engine after which a call is repeated at another one, if it may be.
+const REPEATABLE_PATIENCE: Duration = Duration::from_millis(1_000);
+/// Silence of an engine after which a call that may not be repeated is given up. An engine may be
+/// silent for a second or so and go on, and giving up before only loses the call.
+const UNREPEATABLE_PATIENCE: Duration = Duration::from_millis(2_500);
 /// For connections that only show whether a path works.
 const PROBE_PATIENCE: TcpTimeouts = TcpTimeouts {
     connect: Duration::from_millis(200),
@@ -122,7 +127,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct InvalidTarget;
 
-/// A connection to an engine: an idle one, or a new one.
+/// A connection to an engine, for a call that may be repeated or not: an idle one, or a new one.
 ///
 /// # Errors
 ///
@@ -130,11 +135,22 @@
 pub(crate) async fn open(
     instance: &Rc<Instance>,
     engine: &Target,
+    is_repeatable: bool,
 ) -> Result<Client, http1::Failure> {
-    match instance.pool.reuse(&engine.id, instance.now()) {
-        Some(client) => Ok(client),
-        None => open_new(instance, engine).await,
-    }
+    let idle = instance.pool.reuse(&engine.id, instance.now());
+    let mut client = match idle {
+        Some(client) => client,
+        None => open_new(instance, engine).await?,
+    };
+    let patience = if is_repeatable {
+        REPEATABLE_PATIENCE
+    } else {
+        UNREPEATABLE_PATIENCE
+    };
+    client
+        .set_acknowledge_timeout(patience)
+        .map_err(http1::Failure::NotSent)?;
+    Ok(client)
 }
 
 async fn open_new(instance: &Rc<Instance>, engine: &Target) -> Result<Client, http1::Failure> {
--- a/crates/gateway/src/forward/server.rs
+++ b/crates/gateway/src/forward/server.rs
@@ -159,7 +159,8 @@
     engine: &Target,
     arrival: &IncomingRequest,
 ) -> Result<Box<Response>, SendError> {
-    let opened = engine_links::open(instance, engine).await;
+    // Whether the call may be repeated is decided where its caller is.
+    let opened = engine_links::open(instance, engine, false).await;
     let Ok(mut client) = opened else {
         return Err(SendError::Declined(NotForwarded::Unreachable));
     };
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
 
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
@@ -13,7 +14,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
-use crate::socket::{Transfer, set_options, try_read, try_write};
+use crate::socket::{Transfer, set_acknowledge_timeout, set_options, try_read, try_write};
 use crate::{Config, Failure, TcpTimeouts};
 
 /// How the end of a response body is determined.
@@ -51,6 +52,7 @@
     state: State,
     eof: bool,
     peer: SocketAddr,
+    acknowledge: Duration,
 }
 
 /// Maximum number of bytes read ahead of the consumer.
@@ -109,6 +111,7 @@
             state: State::Idle(ClientCodec::new(config.clone())),
             eof: false,
             peer,
+            acknowledge: timeouts.acknowledge,
         })
     }
 
@@ -117,6 +120,20 @@
         self.peer
     }
 
+    /// Sets how long the peer may take to acknowledge what is sent from now on, and how long it may be
+    /// silent.
+    ///
+    /// # Errors
+    ///
+    /// If the socket is closed.
+    pub fn set_acknowledge_timeout(&mut self, limit: Duration) -> io::Result<()> {
+        if self.acknowledge != limit {
+            set_acknowledge_timeout(&self.stream, limit)?;
+            self.acknowledge = limit;
+        }
+        Ok(())
+    }
+
     /// Whether another request may be sent: the last response is complete, no bytes are left over,
     /// and the peer has neither closed the connection nor sent anything since.
     ///
--- a/crates/http1/src/socket.rs
+++ b/crates/http1/src/socket.rs
@@ -17,7 +17,8 @@
 pub struct TcpTimeouts {
     /// Time limit for opening a connection.
     pub connect: Duration,
-    /// Time limit for the acknowledgement of sent bytes.
+    /// Time limit for the acknowledgement of sent bytes. On Linux it also decides when keepalive probes
+    /// give up, whatever their count.
     pub acknowledge: Duration,
     /// Idle time before the first keepalive probe, and the time between probes.
     pub probe_interval: Duration,
@@ -63,6 +64,11 @@
     socket.set_tcp_user_timeout(Some(timeouts.acknowledge))
 }
 
+/// Changes [`TcpTimeouts::acknowledge`] of an open connection.
+pub(crate) fn set_acknowledge_timeout(stream: &TcpStream, limit: Duration) -> io::Result<()> {
+    SockRef::from(stream).set_tcp_user_timeout(Some(limit))
+}
+
 /// The kernel truncates the probe interval to whole seconds and rejects zero: with an interval
 /// below one second no connection would open.
 fn round_up_to_seconds(interval: Duration) -> Duration {
