Soak: isolate gateways from all engines, and judge first tries there

One seed of five cuts some or all but one of the gateways off from all engines, silently, by resets, or for new connections only. From 3 s on, calls at isolated gateways have to be served at least two thirds as often as those at the others, unless no more than 10 and one in 50 fail. Calls at gateways with a fault of their own are left out.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -10,6 +10,7 @@
 use crate::plan::FaultKind;
 
 mod announcements;
+mod isolation;
 
 /// An invariant that a run violated.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -54,6 +55,8 @@
     Leaving,
     /// Engines get no requests from a gateway for as long as they asked it for.
     Pauses,
+    /// Callers of gateways that reach no engine are served about as often as those of others.
+    Isolation,
     /// Planned work cuts no call.
     PlannedWork,
     /// Processes run until they are told to exit.
@@ -94,6 +97,7 @@
     announcements::check_leavings(history, &mut findings);
     announcements::check_announced_leavings(history, &mut findings);
     announcements::check_pauses(history, &mut findings);
+    isolation::check_isolation(history, &mut findings);
     let exits = history
         .unexpected_exits
         .iter()
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::net::Ipv4Addr;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,7 +10,7 @@
 use platform_standin::cloud::{self, Cloud};
 use platform_standin::configuration::{Duties, Route, configuration};
 use platform_standin::engine::Behaviour;
-use platform_standin::{Engine, Store, store};
+use platform_standin::{Cut, Engine, Store, store};
 use rustix::process::Signal;
 use serde_json::json;
 use tokio::time::Instant;
@@ -57,6 +58,8 @@
     /// The gateways.
     pub instances: Vec<Instance>,
     engines: RefCell<Vec<EngineNode>>,
+    /// Gateways that reach no engine.
+    isolated: RefCell<Vec<(usize, Cut)>>,
     version: RefCell<u64>,
     /// Whether a caller sends the call that crashes engines.
     pub sends_fatal: Cell<bool>,
@@ -106,10 +109,9 @@
             late_ms: USAGE_REPORT_DUE_MS,
         };
         let mut instances = Vec::new();
-        for number in 0..plan.gateways {
+        for number in 0..u8::try_from(plan.gateways).map_err(io::Error::other)? {
             let link = Proxy::start(store.address).await;
-            let name = format!("gateway-{number}");
-            let gateway = Gateway::new(program, directory, &name, link.address, duties, ports)?;
+            let gateway = Gateway::new(program, directory, number, link.address, duties, ports)?;
             let callers = Proxy::start(gateway.front).await;
             instances.push(Instance {
                 gateway: RefCell::new(gateway),
@@ -124,6 +126,7 @@
             register_again_at: Cell::new(None),
             instances,
             engines: RefCell::default(),
+            isolated: RefCell::default(),
             version: RefCell::new(0),
             sends_fatal: Cell::new(false),
             callers_started: Cell::new(Instant::now()),
@@ -166,6 +169,7 @@
         engine.set_stream(check::STREAM_EVENTS, EVENT_INTERVAL);
         engine.end_on_path(FATAL_PATH);
         let link = Proxy::start(engine.address).await;
+        self.cut_off(&link);
         engine.register_at(link.address, &self.store, service, "ready", stage);
         self.engines.borrow_mut().push(EngineNode {
             engine,
@@ -178,6 +182,24 @@
         });
     }
 
+    /// Cuts the paths from isolated gateways to an engine.
+    fn cut_off(&self, engine: &Proxy) {
+        let isolated = self.isolated.borrow();
+        let sources: Vec<Ipv4Addr> = isolated
+            .iter()
+            .map(|(number, _)| self.instances[*number].gateway.borrow().ip)
+            .collect();
+        let cut = isolated.first().map_or(Cut::Silent, |(_, cut)| *cut);
+        engine.cut_off(&sources, cut);
+    }
+
+    fn change_isolation(&self, change: impl FnOnce(&mut Vec<(usize, Cut)>)) {
+        change(&mut self.isolated.borrow_mut());
+        for node in self.engines.borrow().iter() {
+            self.cut_off(&node.link);
+        }
+    }
+
     /// Writes a configuration with an additional route.
     fn configure(&self) {
         *self.version.borrow_mut() += 1;
@@ -234,6 +256,9 @@
             FaultKind::Configure => self.configure(),
             FaultKind::GoesBack => drop(self.backup.replace(Some(self.store.backup()))),
             FaultKind::Cloud(fault) => self.cloud.fault(cloud_fault(fault)),
+            FaultKind::Isolation(number, cut) => {
+                self.change_isolation(|isolated| isolated.push((number, cut)));
+            }
         }
     }
 
@@ -260,6 +285,9 @@
             FaultKind::Pause(number) => self.end_pauses(number),
             FaultKind::GoesBack => self.restore_store(),
             FaultKind::Cloud(_) => self.cloud.fault(cloud::Fault::None),
+            FaultKind::Isolation(number, _) => {
+                self.change_isolation(|isolated| isolated.retain(|(other, _)| *other != number));
+            }
             FaultKind::Reborn(_)
             | FaultKind::Process(..)
             | FaultKind::KillAll
--- a/crates/soak/src/gateway.rs
+++ b/crates/soak/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::fs::File;
 use std::io;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
@@ -18,6 +18,8 @@
     pub front: SocketAddr,
     /// Address of the readiness check.
     pub ready: SocketAddr,
+    /// Address that engines see.
+    pub ip: Ipv4Addr,
     /// Number of starts so far.
     pub starts: u32,
     program: PathBuf,
@@ -112,12 +114,16 @@
     pub fn new(
         program: &Path,
         directory: &Path,
-        name: &str,
+        number: u8,
         store: SocketAddr,
         duties: Duties,
         ports: &mut PortAllocator,
     ) -> io::Result<Self> {
+        let name = &format!("gateway-{number}");
         let (front, ready, mesh) = (ports.allocate(), ports.allocate(), ports.allocate());
+        // Engines tell gateways apart by address.
+        let ip = Ipv4Addr::new(127, 2, 0, number + 1);
+        let mesh = SocketAddr::new(ip.into(), mesh.port());
         let settings = directory.join(format!("{name}.toml"));
         let values = Settings {
             name,
@@ -134,6 +140,7 @@
         Ok(Self {
             front,
             ready,
+            ip,
             starts: 0,
             program: program.to_owned(),
             log: directory.join(format!("{name}.log")),
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use platform_standin::Cut;
 use rand::rngs::StdRng;
 use rand::{Rng as _, RngExt as _, SeedableRng as _};
 
@@ -113,6 +114,8 @@
     Pause(usize),
     /// A new configuration with an additional route.
     Configure,
+    /// A gateway loses its paths to all engines, and keeps those to callers, store and gateways.
+    Isolation(usize, Cut),
 }
 
 /// Pause that engines ask for.
@@ -211,6 +214,8 @@
 const UNSEEN_LEAVING_SILENCE: Duration = Duration::from_millis(4_000);
 /// One seed in this many adds engines that ask for pauses.
 const PAUSES_EVERY: u64 = 5;
+/// One seed in this many adds gateways that lose their paths to all engines.
+const ISOLATIONS_EVERY: u64 = 5;
 /// Number of restores, and of interface failures, in such a plan.
 const RESTORE_COUNT: usize = 2;
 /// Longest time after the warm-up until fatal calls and rate limits begin.
@@ -316,6 +321,18 @@
                 }
             }));
         }
+        if !planned && seed % ISOLATIONS_EVERY == 2 {
+            // A separate generator, for the same reason.
+            let mut rng = StdRng::seed_from_u64(seed.rotate_left(40));
+            let isolated = rng.random_range(1..gateways);
+            let cut = pick(&mut rng, &[Cut::Silent, Cut::Reset, Cut::SilentNew]);
+            let at = WARM_UP + Duration::from_millis(rng.random_range(0..MAX_EARLY_START_MS));
+            faults.extend((0..isolated).map(|gateway| Fault {
+                at,
+                duration: duration.saturating_sub(at),
+                kind: FaultKind::Isolation(gateway, cut),
+            }));
+        }
         faults.sort_by_key(|fault| fault.at);
         Self {
             seed,
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,8 +1,10 @@
 //! TCP proxy on loopback whose behaviour can be changed at run time, for open and new connections.
 
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use platform_standin::Cut;
+use platform_standin::partition::Partition;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -17,6 +19,7 @@
     /// Address that it listens on.
     pub address: SocketAddr,
     link: watch::Sender<LinkState>,
+    partition: Partition,
 }
 
 /// Direction in which bytes are forwarded.
@@ -39,7 +42,10 @@
             .local_addr()
             .expect("a bound socket has an address");
         let (link, state) = watch::channel(LinkState::Pass);
+        let (partition, handle) = Partition::new(&listener).expect("a socket can be duplicated");
+        let own = partition.clone();
         actix_rt::spawn(async move {
+            let _open = handle;
             let mut refuses = state.clone();
             loop {
                 let accepted = tokio::select! {
@@ -48,10 +54,34 @@
                     accepted = listener.accept() => accepted,
                 };
                 let Ok((stream, _)) = accepted else { return };
-                actix_rt::spawn(forward_connection(stream, target, state.clone()));
+                let Ok(mut connection) = own.accept(&stream) else {
+                    continue;
+                };
+                let forwarding = forward_connection(stream, target, state.clone());
+                actix_rt::spawn(async move {
+                    tokio::select! {
+                        biased;
+                        () = connection.wait_for_reset() => {}
+                        () = forwarding => {}
+                    }
+                });
             }
         });
-        Self { address, link }
+        Self {
+            address,
+            link,
+            partition,
+        }
+    }
+
+    /// Cuts the paths from these addresses; all others pass.
+    ///
+    /// # Panics
+    ///
+    /// If the kernel refuses the filter that drops the packets.
+    pub fn cut_off(&self, sources: &[Ipv4Addr], cut: Cut) {
+        let set = self.partition.set(sources, cut);
+        set.expect("packets can be filtered");
     }
 
     /// Changes the behaviour of the link.
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use platform_standin::cloud;
 use platform_standin::engine::Order;
+use platform_standin::{Cut, cloud};
 use serde_json::json;
 use soak::check::{self, Finding, Invariant};
 use soak::cluster::ORGANISATIONS;
@@ -481,3 +481,46 @@
         assert_eq!(check::check(&history), []);
     }
 }
+
+/// Calls at two gateways, of which the first is isolated from 1 s on, with this many failures there.
+fn with_isolation(failed: u64) -> impl FnOnce(&mut History) {
+    move |history| {
+        history.faults.push(Fault {
+            at: ms(1_000),
+            duration: ms(9_000),
+            kind: FaultKind::Isolation(0, Cut::Silent),
+        });
+        for number in 0..60 {
+            for gateway in 0..2 {
+                let id = format!("isolated-{gateway}-{number}");
+                let mut call = call(&id, RequestKind::Safe, 4_100 + number * 50);
+                call.gateway = gateway;
+                if gateway == 0 && number < failed {
+                    refuse(&mut call, 503, true);
+                } else {
+                    let run = executed(&id, RequestKind::Safe, "e0");
+                    history.engine_requests.push(run);
+                }
+                history.calls.push(call);
+            }
+        }
+    }
+}
+
+#[test]
+fn calls_that_fail_at_isolated_gateways_only_are_reported() {
+    assert_only_finding(Invariant::Isolation, with_isolation(25));
+    for failed in [0, 11, 19] {
+        let mut history = valid_history();
+        with_isolation(failed)(&mut history);
+        assert_eq!(check::check(&history), [], "{failed} failed");
+    }
+    let mut history = valid_history();
+    with_isolation(25)(&mut history);
+    history.faults.push(Fault {
+        at: ms(3_000),
+        duration: ms(5_000),
+        kind: FaultKind::StoreLink(0, LinkState::Silent),
+    });
+    assert_eq!(check::check(&history), []);
+}
