Ask another instance before a refused connection counts as an engine's crash

In a cut that resets connections and refuses new ones, harmless calls were held at all eight instances: the calls in hand broke off, the probe of each engine was refused, and a refusal counted as proof that the engine had ended.

A refusal now means an end only if no other instance reaches the engine. The question opens a connection there and sends nothing; an instance that may have the same fault says so, and the next is asked, eight at most.

An instance that keeps only some engines' records assumes many, so that one engine that ends does not isolate it.

--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -23,8 +23,8 @@
 
 use crate::attempt::Request;
 use crate::instance::Instance;
-use crate::placement;
 use crate::suspects::{self, Subject};
+use crate::{engine_links, placement};
 
 /// Time for a connection to open or to be refused.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(350);
@@ -52,6 +52,8 @@
     Ended,
     Alive,
     Silent,
+    /// The path to it is broken.
+    Unknown,
 }
 
 /// Ongoing crash detection.
@@ -180,6 +182,7 @@
                 log::info!(engine = &*engine.id; "an engine whose answer broke off lives");
                 return false;
             }
+            ProbeResult::Unknown => return false,
             ProbeResult::Silent => sleep(RETRY_INTERVAL).await,
         }
     }
@@ -204,6 +207,11 @@
             ProbeResult::Alive
         }
         Err(Failure::NotSent(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            // A broken path of this instance's own may refuse connections too.
+            if engine_links::is_reached_by_others(instance, &engine.into()).await {
+                log::info!(engine = &*engine.id; "an engine that refuses connections is reached by another instance");
+                return ProbeResult::Unknown;
+            }
             ProbeResult::Ended
         }
         Err(_) => ProbeResult::Silent,
--- a/crates/gateway/src/engine_links.rs
+++ b/crates/gateway/src/engine_links.rs
@@ -14,14 +14,14 @@
 use http1::{Client, TcpTimeouts};
 use rand::seq::IteratorRandom as _;
 use serving::reachability::{
-    Cause, Failure, ForwardResult, Forwarder, Forwarders, MAX_FORWARDERS, Reachability,
+    Cause, Failure, ForwardResult, Forwarder, Forwarders, MAX_FORWARDERS, Path, Reachability,
 };
 use serving::{EngineId, Record, ServiceName};
 use smallvec::SmallVec;
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
-use crate::forward::PeerPool;
+use crate::forward::{self, PeerPool};
 use crate::instance::Instance;
 
 /// Time limits of connections to engines.
@@ -187,8 +187,17 @@
     opened
 }
 
+/// Number of a service's engines. An instance that keeps only some records assumes many.
+fn count_engines(instance: &Instance, service: &ServiceName) -> usize {
+    if instance.engines_known.get() {
+        instance.fleet.borrow().ready(service).count()
+    } else {
+        usize::MAX
+    }
+}
+
 fn on_opened(instance: &Instance, engine: &Target) {
-    let engines = instance.fleet.borrow().ready(&engine.service).count();
+    let engines = count_engines(instance, &engine.service);
     let now = instance.now();
     let mut state = instance.links.state.borrow_mut();
     let Some(since) = state.on_opened(&engine.id, &engine.service, engines, now) else {
@@ -200,7 +209,7 @@
 
 fn on_failed(instance: &Instance, engine: &Target, begun: Moment, failure: Failure) {
     let Target { id, service, .. } = engine;
-    let engines = instance.fleet.borrow().ready(service).count();
+    let engines = count_engines(instance, service);
     let now = instance.now();
     let mut state = instance.links.state.borrow_mut();
     if state.on_failed(id, service, begun, failure, engines, now) {
@@ -306,6 +315,42 @@
     join_all(probes).await;
 }
 
+/// Whether a new connection to an engine opens; `None` if it does not, and it may be this instance's own
+/// fault.
+pub(crate) async fn reaches(instance: &Rc<Instance>, engine: &Target) -> Option<bool> {
+    let begun = instance.now();
+    probe(instance, std::slice::from_ref(engine)).await;
+    if instance.links.state().path(&engine.id, &engine.service) == Path::Direct {
+        return Some(true);
+    }
+    let cause = find_cause(instance, engine, begun).await;
+    (cause == Cause::Engine).then_some(false)
+}
+
+/// Times that a few instances are asked whether an engine that refuses connections has ended.
+const MAX_ROUNDS: usize = 2;
+
+/// Whether another instance reaches an engine that refuses this one. The first answer of an instance
+/// that has no fault of its own counts.
+pub(crate) async fn is_reached_by_others(instance: &Instance, engine: &Target) -> bool {
+    let links = &instance.links;
+    for _ in 0..MAX_ROUNDS {
+        for peer in forwarders(instance, &engine.service) {
+            let connect =
+                async |peer, patience: &TcpTimeouts| instance.connect(peer, patience).await;
+            let answer =
+                forward::reaches(&links.peers, connect, peer, engine, instance.now()).await;
+            log::info!(engine = &*engine.id, instance:% = peer, reached:? = answer; "asked whether an engine is reached");
+            if let Some(is_reached) = answer {
+                return is_reached;
+            }
+            let now = instance.now();
+            links.on_forwarder(peer, &engine.service, ForwardResult::Isolated, now);
+        }
+    }
+    false
+}
+
 /// Probes engines that could not be reached, until the process ends.
 pub(crate) async fn run(instance: Rc<Instance>) {
     loop {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::header::{HOST, HeaderName, HeaderValue};
 use actix_http::{RequestHead, ResponseHead};
 use bytes::Bytes;
 use clock::Moment;
@@ -21,6 +21,8 @@
 
 /// Names the engine that a request is for; see [`Target`].
 const FORWARD_TO: HeaderName = HeaderName::from_static("tarragon-forward-to");
+/// Asks for a connection to the engine only; nothing is sent there.
+const CONNECT_ONLY: HeaderName = HeaderName::from_static("tarragon-connect-only");
 /// Says why a request was not sent on; missing in engines' responses.
 const NOT_FORWARDED: HeaderName = HeaderName::from_static("tarragon-not-forwarded");
 
@@ -132,6 +134,30 @@
     }
 }
 
+/// Asks an instance whether it reaches an engine. `None` if it does not know.
+pub(crate) async fn reaches(
+    pool: &PeerPool,
+    connect: impl AsyncFnOnce(SocketAddr, &TcpTimeouts) -> Result<Client, Failure>,
+    peer: SocketAddr,
+    engine: &Target,
+    now: Moment,
+) -> Option<bool> {
+    let mut head = RequestHead::default();
+    let headers = &mut head.headers;
+    headers.insert(HOST, HeaderValue::from_static("instance"));
+    headers.insert(CONNECT_ONLY, HeaderValue::from_static("1"));
+    match request(pool, connect, peer, engine, head, &Bytes::new(), now).await {
+        Forwarded::Response(mut response) => {
+            if response.client.body(0).await.is_ok() {
+                pool.put(response.client, now);
+            }
+            Some(true)
+        }
+        Forwarded::Declined(NotForwarded::Unreachable) => Some(false),
+        Forwarded::Declined(_) | Forwarded::Silent(_) | Forwarded::Lost(_) => None,
+    }
+}
+
 /// Asks an instance to send a request to an engine. `connect` opens a connection to it.
 pub(crate) async fn request(
     pool: &PeerPool,
--- a/crates/gateway/src/forward/server.rs
+++ b/crates/gateway/src/forward/server.rs
@@ -17,7 +17,7 @@
 
 use crate::connection::{CALLER_PATIENCE, accept_failed, limits};
 use crate::engine_links::Target;
-use crate::forward::{FORWARD_TO, NOT_FORWARDED, NotForwarded, Response};
+use crate::forward::{CONNECT_ONLY, FORWARD_TO, NOT_FORWARDED, NotForwarded, Response};
 use crate::instance::Instance;
 use crate::{announcements, engine_links};
 
@@ -81,6 +81,9 @@
         return false;
     };
     let _open = OpenGuard::new(&instance.forwarding);
+    if arrival.head.headers.contains_key(CONNECT_ONLY) {
+        return respond_whether_reached(instance, &engine, writer).await;
+    }
     let id = ingress::request_id(&arrival.head).unwrap_or_default();
     let sent = match check(instance, &engine) {
         Ok(()) => send(instance, &engine, arrival).await,
@@ -113,6 +116,24 @@
     }
 }
 
+/// Answers whether a connection to the engine opens.
+async fn respond_whether_reached(
+    instance: &Rc<Instance>,
+    engine: &Target,
+    writer: &mut Writer,
+) -> bool {
+    if instance.links.state().is_isolated(&engine.service) {
+        return refuse(NotForwarded::Isolated, writer).await;
+    }
+    match engine_links::reaches(instance, engine).await {
+        Some(true) => {}
+        Some(false) => return refuse(NotForwarded::Unreachable, writer).await,
+        None => return refuse(NotForwarded::Isolated, writer).await,
+    }
+    let response = actix_http::Response::with_body(StatusCode::NO_CONTENT, ());
+    writer.write_response(response, Bytes::new()).await.is_ok()
+}
+
 /// Why a request that was sent on has no response.
 enum SendError {
     /// It was not sent.
--- a/crates/gateway/tests/engine_links.rs
+++ b/crates/gateway/tests/engine_links.rs
@@ -175,6 +175,33 @@
     assert_eq!(answer.await.status, 200);
 }
 
+/// Guards against taking an engine for crashed that only one instance does not reach.
+#[actix_rt::test]
+async fn instances_tell_each_other_whether_they_reach_an_engine() {
+    let ([first, second], [app, _pool]) = two_gateways().await;
+    let timeouts = TcpTimeouts::within(Duration::from_secs(10));
+    let client = Client::open_from(second.mesh.ip(), first.mesh, &timeouts, &http1::config()).await;
+    let mut client = client.expect("an instance is let in");
+    let mut ask = async || {
+        let mut head = request::head("/", &[]);
+        let target = format!("{} app app-1", app.address);
+        let target = target.parse().expect("a header's value");
+        head.headers
+            .insert(HeaderName::from_static("tarragon-forward-to"), target);
+        let one = "1".parse().expect("a header's value");
+        head.headers
+            .insert(HeaderName::from_static("tarragon-connect-only"), one);
+        let answer = client.send(head, &Bytes::new()).await;
+        let status = answer.expect("a response").head.status.as_u16();
+        client.body(0).await.expect("no body");
+        status
+    };
+    assert_eq!(ask().await, 204);
+    app.stop();
+    wait_until(async || ask().await == 503).await;
+    assert_eq!(app.request_count("/"), 0);
+}
+
 /// Guards against sending an engine calls of others during a pause that it asked this instance for.
 #[actix_rt::test]
 async fn a_pause_binds_the_instance_that_forwards() {
