Log how engines frame their streams and what follows the last whole event

Three hypotheses stand for streams that are framed as complete and are not; the line of a whole stream tells none of them apart. It now says whether the end was told by a length, chunks or the end of the connection, and how many bytes followed the last whole event.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -6,7 +6,7 @@
 use actix_http::body::BodySize;
 use adapter::ingress;
 use bytes::Bytes;
-use http1::{Failure, Writer};
+use http1::{Failure, Framing, Writer};
 use tokio::time::Instant;
 
 use crate::attempt::EngineResponse;
@@ -17,13 +17,22 @@
 #[derive(Debug)]
 pub(crate) enum End {
     /// The stream is complete.
-    Whole,
+    Whole(Tail),
     /// The engine broke off.
     Broken(Failure),
     /// The caller has disconnected.
     Gone(io::Error),
 }
 
+/// How the response of an engine ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Tail {
+    /// How its end was determined.
+    pub framing: Framing,
+    /// Bytes after the last whole event.
+    pub partial_bytes: usize,
+}
+
 /// The stream to the caller.
 pub(crate) struct Relay<'a> {
     writer: &'a mut Writer,
@@ -128,8 +137,12 @@
 
     async fn finish(&mut self, response: &EngineResponse) -> End {
         let rest = self.splitter.rest();
+        let tail = Tail {
+            framing: response.framing,
+            partial_bytes: rest.len(),
+        };
         match self.end(response, rest).await {
-            Ok(()) => End::Whole,
+            Ok(()) => End::Whole(tail),
             Err(error) => End::Gone(error),
         }
     }
