Add failing tests of streams that their engine ends within an event

Of six ways to end a stream within its third event, callers see three as complete: chunks that are ended there, and an answer without a length whose connection is closed in an orderly way, whether or not the engine is done. The last two are one and the same on the wire. The same three pass through an instance that forwards them. Neither is resumed at another engine.

--- /dev/null
+++ b/crates/gateway/tests/broken_streams.rs
@@ -0,0 +1,137 @@
+//! Streams that their engine breaks off, by the way in which it frames and ends them.
+
+mod harness;
+
+use harness::{Gateway, generation, wait_until};
+use platform_standin::configuration::HOST;
+use platform_standin::engine::{Behaviour, BodyFraming, EarlyEnd};
+use platform_standin::{Cut, Ending, Engine};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
+
+/// An answer as it arrives at a caller, to the end of its connection.
+struct RawAnswer {
+    text: String,
+}
+
+impl RawAnswer {
+    /// Whether the body looks complete to a caller of HTTP/1.1.
+    fn has_last_chunk(&self) -> bool {
+        self.text.ends_with("\r\n0\r\n\r\n")
+    }
+
+    /// Whether it breaks off after the second event, as the engine's does.
+    fn breaks_off_after_two_events(&self) -> bool {
+        !self.has_last_chunk() && self.events() == ["1", "2"]
+    }
+
+    /// Ids of the events that arrived, in order.
+    fn events(&self) -> Vec<&str> {
+        let lines = self.text.lines();
+        lines.filter_map(|line| line.strip_prefix("id: ")).collect()
+    }
+}
+
+/// Sends a generation on a connection that serves only this call.
+async fn call_raw(gateway: &Gateway, path: &str, version: &str) -> RawAnswer {
+    let mut caller = TcpStream::connect(gateway.front)
+        .await
+        .expect("the gateway listens");
+    let id = gateway.fresh_id();
+    let mut text = format!("GET {path} {version}\r\nhost: {HOST}\r\nconnection: close\r\n");
+    let ids = [("request-id", id.as_str()), ("request-deadline", "20000")];
+    for (name, value) in ids.into_iter().chain(generation()) {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str("\r\n");
+    let sent = caller.write_all(text.as_bytes()).await;
+    sent.expect("a request can be sent");
+    let mut answer = Vec::new();
+    // The connection may be reset after the answer.
+    drop(caller.read_to_end(&mut answer).await);
+    RawAnswer {
+        text: String::from_utf8_lossy(&answer).into_owned(),
+    }
+}
+
+/// Ends a stream within its third event.
+fn end_within_event(ending: Ending) -> Behaviour {
+    Behaviour::EndEarly(EarlyEnd {
+        events: 2,
+        within_event: true,
+        ending,
+    })
+}
+
+/// Framings and endings of streams that end within an event.
+const CASES: [(BodyFraming, Ending); 6] = [
+    (BodyFraming::Delimited, Ending::Complete),
+    (BodyFraming::Delimited, Ending::Close),
+    (BodyFraming::Delimited, Ending::Reset),
+    (BodyFraming::UntilClose, Ending::Complete),
+    (BodyFraming::UntilClose, Ending::Close),
+    (BodyFraming::UntilClose, Ending::Reset),
+];
+
+/// The cases in which a caller does not see that its stream has been broken off.
+async fn undetected(gateway: &Gateway, pool: &Engine) -> Vec<(BodyFraming, Ending)> {
+    let mut undetected = Vec::new();
+    for (framing, ending) in CASES {
+        pool.set_framing(framing);
+        pool.set_behaviour(end_within_event(ending));
+        let answer = call_raw(gateway, "/stream/a", "HTTP/1.1").await;
+        if !answer.breaks_off_after_two_events() {
+            undetected.push((framing, ending));
+        }
+    }
+    undetected
+}
+
+/// Guards against passing half an event on, framed as the end of a complete stream.
+#[actix_rt::test]
+async fn streams_that_end_within_an_event_are_not_framed_as_complete() {
+    let (gateway, _app, pool) = Gateway::start().await;
+    assert_eq!(undetected(&gateway, &pool).await, []);
+}
+
+/// Guards against ending a stream that another engine could resume.
+#[actix_rt::test]
+async fn streams_that_end_within_an_event_resume_at_another_engine() {
+    let (gateway, _app, pool) = Gateway::start().await;
+    let other = Engine::start("pool-2").await;
+    other.register(&gateway.store, "pool", "ready", Some("decode"));
+    for (framing, ending) in CASES {
+        pool.set_framing(framing);
+        pool.set_behaviour(end_within_event(ending));
+        // Until the engine that breaks off is chosen first.
+        wait_until(async || {
+            let before = other.received().len();
+            let answer = call_raw(&gateway, "/resume/a", "HTTP/1.1").await;
+            assert!(answer.has_last_chunk(), "{framing:?} {ending:?}");
+            assert_eq!(
+                answer.events(),
+                ["1", "2", "3", "4"],
+                "{framing:?} {ending:?}"
+            );
+            let requests = other.received();
+            let mut resumed = requests[before..].iter();
+            resumed.any(|request| request.last_event_id() == Some("2"))
+        })
+        .await;
+    }
+}
+
+/// Guards against completing a broken stream at the instance that forwards it.
+#[actix_rt::test]
+async fn broken_streams_are_not_framed_as_complete_by_an_instance_that_forwards_them() {
+    let (isolated, _app, pool) = Gateway::start().await;
+    let other = isolated.start_another();
+    other.wait_until_ready(true).await;
+    pool.cut_off(&[isolated.ip()], Cut::Silent);
+    wait_until(async || {
+        let answer = isolated.generate("/stream/a", &isolated.fresh_id()).await;
+        answer.status == 200 && isolated.count_log_lines("no engine can be reached from here") > 0
+    })
+    .await;
+    assert_eq!(undetected(&isolated, &pool).await, []);
+}
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, timeout_at};
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
-use crate::socket::{Transfer, set_options, try_read, try_write};
+use crate::socket::{Transfer, reset_on_close, set_options, try_read, try_write};
 use crate::{Config, RequestError, TcpTimeouts};
 
 /// Limits on the size and the duration of a caller's requests.
@@ -278,6 +278,16 @@
         self.flush().await
     }
 
+    /// Makes the connection end with a reset once both halves are dropped. The caller then cannot take
+    /// its end for the end of a body without a length.
+    ///
+    /// # Errors
+    ///
+    /// If the socket is closed.
+    pub fn abort(&self) -> io::Result<()> {
+        reset_on_close(&self.stream)
+    }
+
     async fn write_continue(&mut self) -> io::Result<()> {
         self.unsent
             .extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
