Split event streams at any line terminator that their format allows

Callers of an engine that ends its lines with CR LF or CR got their whole stream at its end, in one piece, and a stream that broke off could not be resumed: events were told by two line feeds only, so all of it counted as a partial event.

The splitter looks for an empty line instead, whatever ends it. A chunk may end between CR and LF; the event is passed on with the CR, since waiting for the LF would delay each event of a stream that ends lines with CR by one event.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,7 +1,7 @@
 //! Splits a stream that may break off anywhere into whole events.
 
 use bytes::{Bytes, BytesMut};
-use memchr::memmem;
+use memchr::memchr2;
 
 /// Id of an event.
 pub type EventId = u64;
@@ -17,8 +17,6 @@
     last: Option<EventId>,
 }
 
-/// Terminator of an event.
-const END: &[u8] = b"\n\n";
 /// Prefix of the line with an event's id.
 const ID: &[u8] = b"id:";
 
@@ -47,11 +45,10 @@
     }
 
     fn split(&mut self, bytes: &Bytes) -> Option<Bytes> {
-        let Some(at) = memmem::rfind(bytes, END) else {
+        let Some(end) = last_event_end(bytes) else {
             self.partial.extend_from_slice(bytes);
             return None;
         };
-        let end = at + END.len();
         self.partial.extend_from_slice(&bytes[end..]);
         let whole = bytes.slice(..end);
         self.note(&whole);
@@ -64,7 +61,7 @@
     }
 
     fn note(&mut self, events: &[u8]) {
-        for line in events.split(|&byte| byte == b'\n').rev() {
+        for line in events.split(|byte| matches!(byte, b'\n' | b'\r')).rev() {
             if let Some(id) = id(line) {
                 self.last = Some(id);
                 return;
@@ -73,6 +70,32 @@
     }
 }
 
+/// Where the last whole event ends in bytes that begin with an event: after an empty line. Lines end
+/// with LF, CR LF or CR, as [the format](https://html.spec.whatwg.org/multipage/server-sent-events.html)
+/// allows.
+///
+/// A CR at the end may be half of a CR LF. Its LF then arrives as an empty line of its own, which ends
+/// no event.
+fn last_event_end(bytes: &[u8]) -> Option<usize> {
+    let mut line = 0;
+    let mut end = None;
+    while let Some(length) = memchr2(b'\r', b'\n', &bytes[line..]) {
+        let terminator = &bytes[line + length..];
+        let next = line
+            + length
+            + if terminator.starts_with(b"\r\n") {
+                2
+            } else {
+                1
+            };
+        if length == 0 {
+            end = Some(next);
+        }
+        line = next;
+    }
+    end
+}
+
 fn id(line: &[u8]) -> Option<EventId> {
     let value = line.strip_prefix(ID)?;
     std::str::from_utf8(value).ok()?.trim().parse().ok()
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -38,3 +38,38 @@
         assert_eq!(splitter.rest(), "id: 2\nda");
     }
 }
+
+/// Guards against holding a stream back to its end because its lines end with CR LF or CR.
+#[test]
+fn events_are_split_at_any_line_terminator() {
+    for line_end in ["\r\n", "\r"] {
+        let event = |id| format!("id: {id}{line_end}data: {id}{line_end}{line_end}");
+        let mut splitter = Splitter::after(None);
+        for id in 1..=3 {
+            let events = splitter.push(&Bytes::from(event(id)));
+            assert_eq!(events.as_deref(), Some(event(id).as_bytes()));
+            assert_eq!(splitter.last(), Some(id));
+        }
+    }
+}
+
+/// Guards against dropping or delaying bytes where a chunk ends within a line terminator.
+#[test]
+fn no_byte_is_lost_for_any_chunk_size_and_line_terminator() {
+    for line_end in ["\n", "\r\n", "\r"] {
+        let stream = "weight-versions: 2|id: 1|data: a||: comment||data: b||id: 3|data: c||";
+        let stream = stream.replace('|', line_end);
+        for size in 1..=stream.len() {
+            let mut splitter = Splitter::after(None);
+            let mut out = String::new();
+            for chunk in stream.as_bytes().chunks(size) {
+                if let Some(events) = splitter.push(&Bytes::copy_from_slice(chunk)) {
+                    out.push_str(std::str::from_utf8(&events).expect("events are text"));
+                }
+            }
+            assert_eq!(out, stream, "in pieces of {size}");
+            assert_eq!(splitter.last(), Some(3));
+            assert_eq!(splitter.rest(), "");
+        }
+    }
+}
