Break off a stream that its engine ends within an event

Callers saw: a body framed as complete whose last event is cut, with the engine's status and signature. Where the route allows it, the stream was not resumed either, and the engine's health counted a success.

Cause: the end of a stream was told by the framing of the engine's answer. With neither a length nor chunks that is the end of the connection, so an engine that crashes ends its answer as one that is done; bytes after the last whole event were passed on and the chunked answer to the caller was ended. Chunks that an engine ends within an event went the same way.

A response to a call on a streaming route is now complete if its framing is and if no part of an event follows the last whole one. The events tell that also where another instance turned the body without a length into chunks. Whole lines of comments may follow, and a response of another content type is told by its framing alone. A stream that is not complete is resumed or broken off as after a reset.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -96,6 +96,15 @@
     end
 }
 
+/// Whether bytes after the last whole event hold a part of another one. A reader drops whole lines of
+/// comments, which keep idle connections open.
+pub fn is_partial_event(rest: &[u8]) -> bool {
+    let is_terminator = |byte: &u8| matches!(byte, b'\r' | b'\n');
+    let ends_within_line = rest.last().is_some_and(|byte| !is_terminator(byte));
+    let mut lines = rest.split(is_terminator).filter(|line| !line.is_empty());
+    ends_within_line || lines.any(|line| !line.starts_with(b":"))
+}
+
 fn id(line: &[u8]) -> Option<EventId> {
     let value = line.strip_prefix(ID)?;
     std::str::from_utf8(value).ok()?.trim().parse().ok()
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -24,7 +24,7 @@
 use crate::plain::{
     End, NO_PATH_RETRY_AFTER, WholeAnswer, log_refused, metric_end, refuse_end, take_retry,
 };
-use crate::relay::{self, Relay, Tail, Times};
+use crate::relay::{self, Relay, Times};
 use crate::suspects;
 
 mod memory;
@@ -33,7 +33,7 @@
 
 /// How the stream to the caller ended.
 enum Stream {
-    Whole(Times, Tail),
+    Whole(Times),
     /// The stream began and ends incomplete, for this reason.
     Broken(&'static str),
     Unserved(End),
@@ -67,7 +67,7 @@
     };
     log_result(instance, request, &result);
     match result {
-        Stream::Whole(..) => true,
+        Stream::Whole(_) => true,
         Stream::Broken(_) => false,
         Stream::Unserved(End::Answer(response, body)) => {
             let head = adapter::ingress::relayed_head(&response.head, close);
@@ -79,7 +79,7 @@
 
 fn log_result(instance: &Instance, request: &Request, stream: &Stream) {
     instance.metrics.stream_ended(match stream {
-        Stream::Whole(..) => metrics::End::Served,
+        Stream::Whole(_) => metrics::End::Served,
         Stream::Broken(_) => metrics::End::Cut,
         Stream::Unserved(end) => metric_end(end),
     });
@@ -87,7 +87,7 @@
     let route = request.route.name.as_str();
     let ms = request.elapsed().as_millis();
     match stream {
-        Stream::Whole(times, tail) => {
+        Stream::Whole(times) => {
             let first = times.first.map(|first| first - request.started);
             instance.metrics.first_event(first.unwrap_or_default());
             log::info!(
@@ -96,7 +96,6 @@
                 target_ms:% = request.route.latency_target.as_millis(), gap_ms:% = times.longest_gap.as_millis(),
                 most_gap_ms:% = request.route.max_gap.unwrap_or_default().as_millis(), events = times.events,
                 beside_ms:% = times.beside_prefill.as_millis(),
-                framing:? = tail.framing, partial_bytes = tail.partial_bytes,
                 rank = request.priority(), organisation = request.principal.name();
                 "streamed"
             );
@@ -403,7 +402,7 @@
         }
         self.weights = self.weights.or(reply.weight_version);
         match self.relay.relay(&mut response, &engine_call).await {
-            relay::End::Whole(tail) => {
+            relay::End::Whole => {
                 engine_call.set_outcome(Outcome::Success);
                 self.instance.suspects.on_good_run(
                     self.request,
@@ -412,14 +411,14 @@
                 );
                 let EngineResponse { client, reply, .. } = *response;
                 attempt::return_to_pool(self.instance, &engine.id, client, &reply);
-                NextStep::Done(Stream::Whole(self.relay.times(), tail))
+                NextStep::Done(Stream::Whole(self.relay.times()))
             }
             relay::End::Gone(error) => {
                 log::debug!(id = self.request.call.id.as_str(), error:% = error; "the caller disconnected");
                 NextStep::Done(Stream::Broken("the caller has gone"))
             }
             relay::End::Broken(failure) => {
-                log::info!(id = self.request.call.id.as_str(), engine = &*engine.id, failure:% = failure, last:? = self.relay.last(),
+                log::info!(id = self.request.call.id.as_str(), engine = &*engine.id, failure:% = failure, framing:? = response.framing, last:? = self.relay.last(),
                     fingerprint = self.request.fingerprint_text(), caller:% = self.request.caller;
                     "the engine broke off");
                 engine_call.set_outcome(Outcome::Failed);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -3,36 +3,29 @@
 use std::io;
 use std::time::Duration;
 
+use actix_http::ResponseHead;
 use actix_http::body::BodySize;
+use actix_http::header::CONTENT_TYPE;
 use adapter::ingress;
 use bytes::Bytes;
-use http1::{Failure, Framing, Writer};
+use http1::{Failure, Writer};
 use tokio::time::Instant;
 
 use crate::attempt::EngineResponse;
 use crate::engine_call::EngineCall;
-use crate::events::{EventId, Splitter};
+use crate::events::{self, EventId, Splitter};
 
 /// How the stream of one engine ended.
 #[derive(Debug)]
 pub(crate) enum End {
     /// The stream is complete.
-    Whole(Tail),
+    Whole,
     /// The engine broke off.
     Broken(Failure),
     /// The caller has disconnected.
     Gone(io::Error),
 }
 
-/// How the response of an engine ended.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Tail {
-    /// How its end was determined.
-    pub framing: Framing,
-    /// Bytes after the last whole event.
-    pub partial_bytes: usize,
-}
-
 /// The stream to the caller.
 pub(crate) struct Relay<'a> {
     writer: &'a mut Writer,
@@ -135,14 +128,15 @@
         self.writer.write_head(head, BodySize::Stream).await
     }
 
+    /// Ends the caller's stream, unless the engine's ends within an event. Its framing does not tell: a
+    /// body without a length ends with its connection, also where the engine crashes.
     async fn finish(&mut self, response: &EngineResponse) -> End {
         let rest = self.splitter.rest();
-        let tail = Tail {
-            framing: response.framing,
-            partial_bytes: rest.len(),
-        };
+        if is_event_stream(&response.head) && events::is_partial_event(&rest) {
+            return End::Broken(Failure::Broken("the stream ends within an event"));
+        }
         match self.end(response, rest).await {
-            Ok(()) => End::Whole(tail),
+            Ok(()) => End::Whole,
             Err(error) => End::Gone(error),
         }
     }
@@ -155,3 +149,11 @@
         self.writer.finish().await
     }
 }
+
+/// Whether a response to a call on a streaming route has events, as it does unless it says otherwise.
+fn is_event_stream(head: &ResponseHead) -> bool {
+    head.headers.get(CONTENT_TYPE).is_none_or(|value| {
+        let media_type = value.as_bytes().split(|byte| *byte == b';').next();
+        media_type.is_some_and(|name| name.trim_ascii().eq_ignore_ascii_case(b"text/event-stream"))
+    })
+}
--- a/crates/gateway/tests/events.rs
+++ b/crates/gateway/tests/events.rs
@@ -1,7 +1,7 @@
 //! Reassembly of whole events from chunks.
 
 use bytes::Bytes;
-use gateway::events::Splitter;
+use gateway::events::{self, Splitter};
 
 /// Everything that a splitter returns for a stream cut into chunks of `size` bytes, and the
 /// splitter.
@@ -73,3 +73,17 @@
         }
     }
 }
+
+/// Guards against taking comments after the last event for a stream that was broken off.
+#[test]
+fn only_a_part_of_an_event_makes_a_stream_incomplete() {
+    for partial in ["id: 3", "id: 3\n", "data: c\r\n", ": commen", "\u{feff}"] {
+        assert!(events::is_partial_event(partial.as_bytes()), "{partial:?}");
+    }
+    for complete in ["", "\n", ": comment\n", ":\r\n: comment\r\n"] {
+        assert!(
+            !events::is_partial_event(complete.as_bytes()),
+            "{complete:?}"
+        );
+    }
+}
