End broken streams to callers of HTTP/1.0 with a reset

Callers of HTTP/1.0 got their streams in chunks, which they do not know, and a stream without chunks ends with its connection: one that broke off would have looked complete, as an engine's answer without a length did here.

The writer now sends such bodies without chunks and sets the connection to end with a reset until the body is finished. The kernel does that also where the process is killed.

The new test failed before on the first whole stream ("transfer-encoding: chunked" in the answer). It passes now, with engines of either framing and all endings.

--- a/crates/gateway/tests/broken_streams.rs
+++ b/crates/gateway/tests/broken_streams.rs
@@ -12,6 +12,7 @@
 /// An answer as it arrives at a caller, to the end of its connection.
 struct RawAnswer {
     text: String,
+    is_reset: bool,
 }
 
 impl RawAnswer {
@@ -49,10 +50,10 @@
     let sent = caller.write_all(text.as_bytes()).await;
     sent.expect("a request can be sent");
     let mut answer = Vec::new();
-    // The connection may be reset after the answer.
-    drop(caller.read_to_end(&mut answer).await);
+    let is_reset = caller.read_to_end(&mut answer).await.is_err();
     RawAnswer {
         text: String::from_utf8_lossy(&answer).into_owned(),
+        is_reset,
     }
 }
 
@@ -163,3 +164,26 @@
     assert!(answer.has_last_chunk());
     assert_eq!(answer.events(), ["1", "2", "3", "4"]);
 }
+
+/// Guards against chunks to a caller that knows none, and against a broken stream that looks complete
+/// to it since both end with the connection.
+#[actix_rt::test]
+async fn only_complete_streams_end_in_an_orderly_way_for_callers_of_http_1_0() {
+    let (gateway, _app, pool) = Gateway::start().await;
+    for (framing, ending) in CASES {
+        pool.set_framing(framing);
+        pool.set_behaviour(Behaviour::Run);
+        let answer = call_raw(&gateway, "/stream/a", "HTTP/1.0").await;
+        assert!(!answer.is_reset, "{framing:?} {ending:?}");
+        assert!(
+            !answer.text.contains("transfer-encoding"),
+            "{}",
+            answer.text
+        );
+        assert_eq!(answer.events(), ["1", "2", "3", "4"]);
+        assert!(answer.text.ends_with("4\n\n"), "{}", answer.text);
+        pool.set_behaviour(end_within_event(ending));
+        let answer = call_raw(&gateway, "/stream/a", "HTTP/1.0").await;
+        assert!(answer.is_reset, "{framing:?} {ending:?}");
+    }
+}
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -7,13 +7,13 @@
 
 use actix_http::body::BodySize;
 use actix_http::h1::{Codec, Message, MessageType};
-use actix_http::{Request, RequestHead, Response, StatusCode};
+use actix_http::{ConnectionType, Request, RequestHead, Response, StatusCode, Version};
 use bytes::{Bytes, BytesMut};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
-use crate::socket::{Transfer, reset_on_close, set_options, try_read, try_write};
+use crate::socket::{Transfer, set_options, set_reset_on_close, try_read, try_write};
 use crate::{Config, RequestError, TcpTimeouts};
 
 /// Limits on the size and the duration of a caller's requests.
@@ -58,6 +58,8 @@
     codec: Codec,
     unsent: BytesMut,
     head_written: bool,
+    /// Version of the current request.
+    version: Version,
 }
 
 /// Maximum number of bytes buffered of what a caller sends before its response is complete.
@@ -81,6 +83,7 @@
             codec: Codec::new(config.clone()),
             unsent: BytesMut::new(),
             head_written: false,
+            version: Version::HTTP_11,
         };
         Ok(Self { reader, writer })
     }
@@ -132,6 +135,7 @@
         };
         let head = owned_head(request);
         self.writer.head_written = false;
+        self.writer.version = head.version;
         Ok(IncomingRequest {
             head,
             body,
@@ -229,11 +233,20 @@
 
     /// Writes the head of a response; its body, if any, follows by [`Writer::write_chunk`].
     ///
+    /// Callers of HTTP/1.0 know no chunks, so a body of unknown size ends with their connection. Until
+    /// [`Writer::finish`] the connection is set to end with a reset, even if the process is killed, and
+    /// they cannot take a broken body for a complete one.
+    ///
     /// # Errors
     ///
     /// If the caller has disconnected.
-    pub async fn write_head(&mut self, head: Response<()>, size: BodySize) -> io::Result<()> {
+    pub async fn write_head(&mut self, mut head: Response<()>, size: BodySize) -> io::Result<()> {
         self.head_written = true;
+        if size == BodySize::Stream && self.version < Version::HTTP_11 {
+            head.head_mut().no_chunking(true);
+            head.head_mut().set_connection_type(ConnectionType::Close);
+            set_reset_on_close(&self.stream, true)?;
+        }
         self.codec
             .encode(Message::Item((head, size)), &mut self.unsent)?;
         self.flush().await
@@ -275,7 +288,11 @@
     /// If the caller has disconnected.
     pub async fn finish(&mut self) -> io::Result<()> {
         self.codec.encode(Message::Chunk(None), &mut self.unsent)?;
-        self.flush().await
+        self.flush().await?;
+        if self.version < Version::HTTP_11 {
+            set_reset_on_close(&self.stream, false)?;
+        }
+        Ok(())
     }
 
     /// Makes the connection end with a reset once both halves are dropped. The caller then cannot take
@@ -285,7 +302,7 @@
     ///
     /// If the socket is closed.
     pub fn abort(&self) -> io::Result<()> {
-        reset_on_close(&self.stream)
+        set_reset_on_close(&self.stream, true)
     }
 
     async fn write_continue(&mut self) -> io::Result<()> {
--- a/crates/http1/src/socket.rs
+++ b/crates/http1/src/socket.rs
@@ -69,9 +69,9 @@
     SockRef::from(stream).set_tcp_user_timeout(Some(limit))
 }
 
-/// Makes a connection end with a reset when it is closed.
-pub(crate) fn reset_on_close(stream: &TcpStream) -> io::Result<()> {
-    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+/// Sets whether a connection ends with a reset when it is closed.
+pub(crate) fn set_reset_on_close(stream: &TcpStream, resets: bool) -> io::Result<()> {
+    SockRef::from(stream).set_linger(resets.then_some(Duration::ZERO))
 }
 
 /// The kernel truncates the probe interval to whole seconds and rejects zero: with an interval
