Do not take a connection that ends before any event for a complete stream

Callers got a complete stream without events where an engine that frames its answer by the end of the connection ended after the head. No part of an event follows then, so nothing told it from a stream that is done.

An answer without a length needs an event to be complete. That holds through other instances too, which turn such a body into chunks and now say so in a header of their own response. An engine that has nothing left to resume and ends its answer in this way counts as broken too: the caller sees a stream without an end, rather than an end that may not be true.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -26,6 +26,9 @@
 /// Says why a request was not sent on; missing in engines' responses.
 const NOT_FORWARDED: HeaderName = HeaderName::from_static("tarragon-not-forwarded");
 
+/// Present if the body of the engine's response ended with its connection; it is passed back in chunks.
+const UNTIL_CLOSE: HeaderName = HeaderName::from_static("tarragon-until-close");
+
 /// Another instance is near, and asking the next one costs less than waiting.
 const PEER_PATIENCE: TcpTimeouts = TcpTimeouts {
     connect: Duration::from_millis(150),
@@ -180,12 +183,18 @@
     };
     head.headers.insert(FORWARD_TO, target);
     match client.send(head, body).await {
-        Ok(response) => match refusal(&response.head) {
-            None => Forwarded::Response(Box::new(Response {
-                head: response.head,
-                framing: response.framing,
-                client,
-            })),
+        Ok(mut response) => match refusal(&response.head) {
+            None => {
+                let is_until_close = response.head.headers.remove(UNTIL_CLOSE).next().is_some();
+                Forwarded::Response(Box::new(Response {
+                    framing: match is_until_close {
+                        true => Framing::UntilClose,
+                        false => response.framing,
+                    },
+                    head: response.head,
+                    client,
+                }))
+            }
             Some(why) => {
                 if client.body(0).await.is_ok() {
                     pool.put(client, now);
--- a/crates/gateway/src/forward/server.rs
+++ b/crates/gateway/src/forward/server.rs
@@ -17,7 +17,9 @@
 
 use crate::connection::{CALLER_PATIENCE, accept_failed, limits};
 use crate::engine_links::Target;
-use crate::forward::{CONNECT_ONLY, FORWARD_TO, NOT_FORWARDED, NotForwarded, Response};
+use crate::forward::{
+    CONNECT_ONLY, FORWARD_TO, NOT_FORWARDED, NotForwarded, Response, UNTIL_CLOSE,
+};
 use crate::instance::Instance;
 use crate::{announcements, engine_links};
 
@@ -212,7 +214,11 @@
     client: &mut Client,
     writer: &mut Writer,
 ) -> bool {
-    let head = ingress::relayed_head(head, false);
+    let mut head = ingress::relayed_head(head, false);
+    if framing == Framing::UntilClose {
+        let present = HeaderValue::from_static("1");
+        head.headers_mut().insert(UNTIL_CLOSE, present);
+    }
     if framing == Framing::Empty {
         return writer.write_response(head, Bytes::new()).await.is_ok();
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -8,7 +8,7 @@
 use actix_http::header::CONTENT_TYPE;
 use adapter::ingress;
 use bytes::Bytes;
-use http1::{Failure, Writer};
+use http1::{Failure, Framing, Writer};
 use tokio::time::Instant;
 
 use crate::attempt::EngineResponse;
@@ -95,10 +95,14 @@
         // The next engine sends the partial event of the previous one again.
         drop(self.splitter.rest());
         let mut first = true;
+        let events_before = self.times.events;
         loop {
             let chunk = match response.client.chunk().await {
                 Ok(Some(piece)) => piece,
-                Ok(None) => return self.finish(response).await,
+                Ok(None) => {
+                    let has_events = self.times.events > events_before;
+                    return self.finish(response, has_events).await;
+                }
                 Err(failure) => return End::Broken(failure),
             };
             if std::mem::take(&mut first) {
@@ -128,12 +132,18 @@
         self.writer.write_head(head, BodySize::Stream).await
     }
 
-    /// Ends the caller's stream, unless the engine's ends within an event. Its framing does not tell: a
-    /// body without a length ends with its connection, also where the engine crashes.
-    async fn finish(&mut self, response: &EngineResponse) -> End {
+    /// Ends the caller's stream, unless the engine's ends within an event or before its first one. Its
+    /// framing does not tell: a body without a length ends with its connection, also where the engine
+    /// crashes.
+    async fn finish(&mut self, response: &EngineResponse, has_events: bool) -> End {
         let rest = self.splitter.rest();
-        if is_event_stream(&response.head) && events::is_partial_event(&rest) {
-            return End::Broken(Failure::Broken("the stream ends within an event"));
+        if is_event_stream(&response.head) {
+            if events::is_partial_event(&rest) {
+                return End::Broken(Failure::Broken("the stream ends within an event"));
+            }
+            if !has_events && response.framing == Framing::UntilClose {
+                return End::Broken(Failure::Broken("the connection ends before an event"));
+            }
         }
         match self.end(response, rest).await {
             Ok(()) => End::Whole,
--- a/crates/gateway/tests/broken_streams.rs
+++ b/crates/gateway/tests/broken_streams.rs
@@ -141,9 +141,8 @@
     }
 }
 
-/// Guards against completing a broken stream at the instance that forwards it.
-#[actix_rt::test]
-async fn broken_streams_are_not_framed_as_complete_by_an_instance_that_forwards_them() {
+/// A gateway that reaches a decode engine only through another one, which is the second.
+async fn start_with_forwarding() -> (Gateway, Gateway, Engine) {
     let (isolated, _app, pool) = Gateway::start().await;
     let other = isolated.start_another();
     other.wait_until_ready(true).await;
@@ -153,6 +152,13 @@
         answer.status == 200 && isolated.count_log_lines("no engine can be reached from here") > 0
     })
     .await;
+    (isolated, other, pool)
+}
+
+/// Guards against completing a broken stream at the instance that forwards it.
+#[actix_rt::test]
+async fn broken_streams_are_not_framed_as_complete_by_an_instance_that_forwards_them() {
+    let (isolated, _other, pool) = start_with_forwarding().await;
     assert_eq!(undetected(&isolated, &pool).await, []);
 }
 
@@ -187,3 +193,19 @@
         assert!(answer.is_reset, "{framing:?} {ending:?}");
     }
 }
+
+/// Guards against a complete stream without events for a caller whose engine ends before its first one.
+#[actix_rt::test]
+async fn a_connection_that_ends_before_the_first_event_is_no_complete_stream() {
+    let (isolated, other, pool) = start_with_forwarding().await;
+    pool.set_framing(BodyFraming::UntilClose);
+    pool.set_behaviour(Behaviour::EndEarly(EarlyEnd {
+        events: 0,
+        within_event: false,
+        ending: Ending::Close,
+    }));
+    for gateway in [isolated, other] {
+        let answer = gateway.generate("/stream/a", &gateway.fresh_id()).await;
+        assert_eq!(answer.status, 502);
+    }
+}
