Test: answers to plain calls without a length are whole unless reset

Plain answers, prompts that are only read, lists of what engines hold, orders, usage reports and the store's answers are read to the end that their framing tells. JSON and records that end early fail to decode; of a plain answer without a length only a reset is told apart, as the platform's page has it, and this test shows that it is.

--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use harness::{Gateway, generation, send_call, send_call_within, wait_until};
-use platform_standin::Engine;
-use platform_standin::engine::{Behaviour, ReceivedRequest};
+use platform_standin::engine::{Behaviour, BodyFraming, EarlyEnd, ReceivedRequest};
 use platform_standin::request::{self, FORGED_HEADERS, PREFILL_ONLY};
+use platform_standin::{Ending, Engine};
 
 #[actix_rt::test]
 async fn calls_on_routes_of_every_kind_are_served() {
@@ -286,3 +286,24 @@
     }
     assert_eq!(gateway.count_log_lines("answer lost"), 0);
 }
+
+/// Guards against taking a reset within an answer without a length for the end of the answer.
+#[actix_rt::test]
+async fn answers_without_a_length_are_whole_unless_reset() {
+    let (gateway, app, _pool) = Gateway::start().await;
+    app.set_framing(BodyFraming::UntilClose);
+    for path in ["/once/a", "/safe/a"] {
+        let id = gateway.fresh_id();
+        let answer = gateway.call(path, &id, &[]).await;
+        assert_eq!(answer.text(), format!("answer to {id}"));
+    }
+    app.set_behaviour(Behaviour::EndEarly(EarlyEnd {
+        events: 0,
+        within_event: false,
+        ending: Ending::Reset,
+    }));
+    for path in ["/once/a", "/safe/a"] {
+        let answer = gateway.call(path, &gateway.fresh_id(), &[]).await;
+        assert_eq!(answer.status, 502);
+    }
+}
