Soak: engines whose answers have no length, and links that really reset

The links of the soak sent an orderly close before each reset, since dropping an owned half of a connection shuts it down. Links now borrow both halves, so that a peer sees a reset and nothing else, which is stricter for all other seeds too.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -9,7 +9,7 @@
 
 use platform_standin::cloud::{self, Cloud};
 use platform_standin::configuration::{Duties, Route, configuration};
-use platform_standin::engine::Behaviour;
+use platform_standin::engine::{Behaviour, BodyFraming};
 use platform_standin::{Cut, Engine, Store, store};
 use rustix::process::Signal;
 use serde_json::json;
@@ -61,6 +61,8 @@
     /// Gateways that reach no engine.
     isolated: RefCell<Vec<(usize, Cut)>>,
     version: RefCell<u64>,
+    /// How engines frame the bodies of their answers.
+    framing: Cell<BodyFraming>,
     /// Whether a caller sends the call that crashes engines.
     pub sends_fatal: Cell<bool>,
     /// When the callers started.
@@ -128,6 +130,7 @@
             engines: RefCell::default(),
             isolated: RefCell::default(),
             version: RefCell::new(0),
+            framing: Cell::default(),
             sends_fatal: Cell::new(false),
             callers_started: Cell::new(Instant::now()),
             expiring_records: RefCell::default(),
@@ -168,6 +171,7 @@
     ) {
         engine.set_stream(check::STREAM_EVENTS, EVENT_INTERVAL);
         engine.end_on_path(FATAL_PATH);
+        engine.set_framing(self.framing.get());
         let link = Proxy::start(engine.address).await;
         self.cut_off(&link);
         engine.register_at(link.address, &self.store, service, "ready", stage);
@@ -182,6 +186,13 @@
         });
     }
 
+    fn set_framing(&self, framing: BodyFraming) {
+        self.framing.set(framing);
+        for node in self.engines.borrow().iter() {
+            node.engine.set_framing(framing);
+        }
+    }
+
     /// Cuts the paths from isolated gateways to an engine.
     fn cut_off(&self, engine: &Proxy) {
         let isolated = self.isolated.borrow();
@@ -256,6 +267,7 @@
             FaultKind::Configure => self.configure(),
             FaultKind::GoesBack => drop(self.backup.replace(Some(self.store.backup()))),
             FaultKind::Cloud(fault) => self.cloud.fault(cloud_fault(fault)),
+            FaultKind::Unframed => self.set_framing(BodyFraming::UntilClose),
             FaultKind::Isolation(number, cut) => {
                 self.change_isolation(|isolated| isolated.push((number, cut)));
             }
@@ -285,6 +297,7 @@
             FaultKind::Pause(number) => self.end_pauses(number),
             FaultKind::GoesBack => self.restore_store(),
             FaultKind::Cloud(_) => self.cloud.fault(cloud::Fault::None),
+            FaultKind::Unframed => self.set_framing(BodyFraming::Delimited),
             FaultKind::Isolation(number, _) => {
                 self.change_isolation(|isolated| isolated.retain(|(other, _)| *other != number));
             }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -114,6 +114,8 @@
     Pause(usize),
     /// A new configuration with an additional route.
     Configure,
+    /// The answers of all engines have neither a length nor chunks and end with their connections.
+    Unframed,
     /// A gateway loses its paths to all engines, and keeps those to callers, store and gateways.
     Isolation(usize, Cut),
 }
@@ -216,6 +218,10 @@
 const PAUSES_EVERY: u64 = 5;
 /// One seed in this many adds gateways that lose their paths to all engines.
 const ISOLATIONS_EVERY: u64 = 5;
+/// One seed in this many adds engines whose answers end with their connections.
+const UNFRAMED_EVERY: u64 = 5;
+/// Number of engines that cut such answers in such a plan.
+const UNFRAMED_CUT_COUNT: usize = 2;
 /// Number of restores, and of interface failures, in such a plan.
 const RESTORE_COUNT: usize = 2;
 /// Longest time after the warm-up until fatal calls and rate limits begin.
@@ -333,6 +339,19 @@
                 kind: FaultKind::Isolation(gateway, cut),
             }));
         }
+        if !planned && seed % UNFRAMED_EVERY == 1 {
+            // A separate generator, for the same reason.
+            let mut rng = StdRng::seed_from_u64(seed.rotate_left(56));
+            let at = WARM_UP + Duration::from_millis(rng.random_range(0..MAX_EARLY_START_MS));
+            let duration = duration.saturating_sub(at);
+            let kind = FaultKind::Unframed;
+            faults.push(Fault { at, duration, kind });
+            faults.extend((0..UNFRAMED_CUT_COUNT).map(|_| {
+                let engine = services + rng.random_range(0..engines);
+                let kind = FaultKind::Engine(engine, EngineFailure::Cuts);
+                Fault { at, duration, kind }
+            }));
+        }
         faults.sort_by_key(|fault| fault.at);
         Self {
             seed,
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,5 +1,6 @@
 //! TCP proxy on loopback whose behaviour can be changed at run time, for open and new connections.
 
+use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
@@ -7,7 +8,7 @@
 use platform_standin::partition::Partition;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -91,66 +92,58 @@
 }
 
 async fn forward_connection(
-    near: TcpStream,
+    mut near: TcpStream,
     target: SocketAddr,
     mut link: watch::Receiver<LinkState>,
 ) {
     // With Nagle's algorithm small writes wait for acknowledgements, a delay that no plan asks for.
     drop(near.set_nodelay(true));
-    let near_end = SockRef::from(&near).try_clone();
     if *link.borrow() == LinkState::Reset {
-        return reset(near_end);
+        return reset_on_close(&near);
     }
-    let Ok(far) = TcpStream::connect(target).await else {
-        return reset(near_end);
+    let Ok(mut far) = TcpStream::connect(target).await else {
+        return reset_on_close(&near);
     };
     drop(far.set_nodelay(true));
-    let far_end = SockRef::from(&far).try_clone();
-    let (near_read, near_write) = near.into_split();
-    let (far_read, far_write) = far.into_split();
+    let (near_read, near_write) = near.split();
+    let (far_read, far_write) = far.split();
     let up = forward(near_read, far_write, link.clone(), Direction::ToTarget);
     let down = forward(far_read, near_write, link.clone(), Direction::FromTarget);
     let broken = tokio::select! {
-        (up, down) = async { tokio::join!(up, down) } => !(up && down),
+        result = async { tokio::try_join!(up, down) } => result.is_err(),
         () = wait_for_state(&mut link, |link| matches!(link, LinkState::Reset | LinkState::Refuse)) => true,
     };
     if broken {
-        reset(near_end);
-        reset(far_end);
+        reset_on_close(&near);
+        reset_on_close(&far);
     }
 }
 
-/// Closes the socket so that the peer sees a reset instead of an orderly close.
-fn reset(socket: std::io::Result<socket2::Socket>) {
-    if let Ok(socket) = socket {
-        drop(socket.set_linger(Some(Duration::ZERO)));
-        drop(socket.shutdown(std::net::Shutdown::Both));
-    }
+/// Makes the peer see a reset instead of an orderly close. A shutdown before, as by dropping an owned half,
+/// would send an orderly close first.
+fn reset_on_close(stream: &TcpStream) {
+    drop(SockRef::from(stream).set_linger(Some(Duration::ZERO)));
 }
 
-/// Forwards bytes. Returns whether the source closed in order.
+/// Forwards bytes until the source closes in an orderly way, and closes the destination alike.
 async fn forward(
-    mut from: OwnedReadHalf,
-    mut to: OwnedWriteHalf,
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
     mut link: watch::Receiver<LinkState>,
     direction: Direction,
-) -> bool {
+) -> io::Result<()> {
     let mut buffer = vec![0; 16 * 1024];
     loop {
-        let Ok(size) = from.read(&mut buffer).await else {
-            return false;
-        };
+        let size = from.read(&mut buffer).await?;
         wait_for_state(&mut link, |link| forwards(link, direction)).await;
         let delay = *link.borrow();
         if let LinkState::Delay(delay) = delay {
             tokio::time::sleep(delay).await;
         }
         if size == 0 {
-            return to.shutdown().await.is_ok();
-        }
-        if to.write_all(&buffer[..size]).await.is_err() {
-            return false;
+            return to.shutdown().await;
         }
+        to.write_all(&buffer[..size]).await?;
     }
 }
 
