Log the software version of engines, and which attempt a call resumes

The line of a call that is sent to an engine did not tell whether a stream went on at another software version, nor that it was one that its caller takes up again, which is what the hypotheses differ by.

--- a/crates/gateway/src/engine_call.rs
+++ b/crates/gateway/src/engine_call.rs
@@ -67,11 +67,15 @@
     ) -> Self {
         let now = instance.now();
         let mut fleet = instance.fleet.borrow_mut();
+        let software = fleet.get(&target.engine);
+        let software = software.and_then(|engine| engine.record.software.clone());
         let sent = fleet.begin_call(&target.engine, target.work, target.rank, now);
         log::info!(
             id = request.call.id.as_str(), engine = &*target.engine, step = step.name(),
             waited_ms:% = request.elapsed().as_millis(), left_ms:% = request.remaining().as_millis(),
             expected_ms:% = target.expected_latency.as_millis(), unread = target.prefill_tokens, rank = target.rank,
+            software = software.as_deref().unwrap_or_default(),
+            resumes = request.call.resumes.as_deref().unwrap_or_default(),
             fetch = target.fetch_from.as_deref().unwrap_or_default(),
             configuration = instance.table.borrow().as_ref().map_or(0, |table| table.version);
             "sent"
