Resume a broken stream only at engines of its software version

Callers saw, in one answer, events of two software versions of a service: a stream that its engine broke off was resumed at any other engine.

Cause: a placement knew of the weights that had to go on, and not of the software.

The engine whose first event is sent to the caller binds the engines that may generate after it: the demand carries its version to the placer that is asked, to the choice by own state, to reservations and to the engine that takes a prompt over. An instance does not use a placer's choice that ignores it. The prompt may still be read at any version.

--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -126,6 +126,8 @@
     runs: u32,
     failed_sends: FailedSends,
     weights: Option<u64>,
+    /// Software version of the engines that may go on with the stream, once it has begun.
+    software: Option<Rc<str>>,
     /// Whether prefill and decode may still run on different engines.
     may_split: bool,
 }
@@ -159,6 +161,7 @@
             runs: 0,
             failed_sends: FailedSends::default(),
             weights: None,
+            software: None,
             may_split: true,
         }
     }
@@ -170,8 +173,14 @@
             .borrow_mut()
             .record_first_attempt(service);
         loop {
-            let choice =
-                placement::place(self.instance, self.request, &self.avoid, self.may_split).await;
+            let choice = placement::place(
+                self.instance,
+                self.request,
+                &self.avoid,
+                self.may_split,
+                self.software.as_deref(),
+            )
+            .await;
             let next = match choice {
                 Choice::Direct(target) => self.direct(&target).await,
                 Choice::Split {
@@ -230,9 +239,15 @@
     ) -> NextStep {
         loop {
             let (instance, request) = (self.instance, self.request);
-            let decode =
-                placement::place_decode(instance, request, &self.avoid, reserved.as_ref(), zone)
-                    .await;
+            let decode = placement::place_decode(
+                instance,
+                request,
+                &self.avoid,
+                reserved.as_ref(),
+                zone,
+                self.software.as_deref(),
+            )
+            .await;
             // A reservation is good for one attempt.
             reserved = None;
             let Some(decode) = decode else {
@@ -331,6 +346,11 @@
             self.avoid.push(target.engine.clone());
             return GenerateResult::NotRun(NotRun::Unreachable);
         };
+        if !engine.continues(self.software.as_deref()) {
+            // Its record has changed since it was chosen.
+            self.avoid.push(target.engine.clone());
+            return GenerateResult::NotRun(NotRun::Unreachable);
+        }
         self.note_parts(target);
         let step = match memory {
             Some(_) => Step::TakeOver,
@@ -401,7 +421,11 @@
             return self.after_loss("The engine's answer is not its own.");
         }
         self.weights = self.weights.or(reply.weight_version);
-        match self.relay.relay(&mut response, &engine_call).await {
+        let end = self.relay.relay(&mut response, &engine_call).await;
+        if self.relay.has_begun() && self.software.is_none() {
+            self.software = Some(engine.software.clone().unwrap_or_default());
+        }
+        match end {
             relay::End::Whole => {
                 engine_call.set_outcome(Outcome::Success);
                 self.instance.suspects.on_good_run(
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -20,15 +20,17 @@
 /// Engines that a call must not go to again.
 pub(crate) type Avoid = SmallVec<[EngineId; 4]>;
 
-/// Finds an engine for a call, and waits until its rate limit admits the call.
+/// Finds an engine for a call, and waits until its rate limit admits the call. If the call goes on with
+/// a stream, `software` is the version of the engines that may.
 pub(crate) async fn place(
     instance: &Instance,
     request: &Request,
     avoid: &Avoid,
     may_split: bool,
+    software: Option<&str>,
 ) -> Choice {
     loop {
-        let choice = choose(instance, request, avoid, may_split).await;
+        let choice = choose(instance, request, avoid, may_split, software).await;
         let Some(target) = choice.target() else {
             limits::note_refusal(instance, &choice);
             return choice;
@@ -39,7 +41,13 @@
     }
 }
 
-async fn choose(instance: &Instance, request: &Request, avoid: &Avoid, may_split: bool) -> Choice {
+async fn choose(
+    instance: &Instance,
+    request: &Request,
+    avoid: &Avoid,
+    may_split: bool,
+    software: Option<&str>,
+) -> Choice {
     let admission = admission::admit(instance, request).await;
     if let Admission::Held(after) = admission {
         return Choice::Refuse {
@@ -53,6 +61,7 @@
     let demand = Demand {
         may_split,
         isolated: matches!(admission, Admission::Alone),
+        software,
         ..demand(instance, request, &avoid, &connected)
     };
     let mut choice = client::choose(instance, &demand).await;
@@ -95,6 +104,7 @@
     avoid: &Avoid,
     reserved: Option<&EngineId>,
     source: &Zone,
+    software: Option<&str>,
 ) -> Option<Target> {
     let admission = admission::admit_started(instance, request);
     if matches!(admission, Admission::Held(_)) {
@@ -105,6 +115,7 @@
         let avoid = with_excluded(instance, avoid, &admission);
         let demand = Demand {
             reserved,
+            software,
             ..demand(instance, request, &avoid, &connected)
         };
         let target = client::decode(instance, &demand, source).await?;
@@ -144,6 +155,7 @@
         time_left: request.first_answer_remaining(),
         isolated: false,
         reserved: None,
+        software: None,
     }
 }
 
--- a/crates/gateway/src/placement/client.rs
+++ b/crates/gateway/src/placement/client.rs
@@ -9,7 +9,7 @@
 
 use serving::engine::{Rank, Ticket};
 use serving::place::{self, Demand, Refusal, Target};
-use serving::{Choice, EngineId, Fleet, Zone, hash, placer};
+use serving::{Choice, EngineId, Fleet, Stage, Zone, hash, placer};
 use smallvec::SmallVec;
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
@@ -260,6 +260,7 @@
         alone: demand.isolated,
         reserved: demand.reserved.map_or(0, |id| hash::hash32(id)),
         needs_records: instance.is_caching.get(),
+        software: demand.software.map(str::to_owned),
     }
 }
 
@@ -308,7 +309,11 @@
     let takes_calls = fleet
         .get(&engine)
         .is_some_and(|engine| engine.takes_calls() && engine.record.service == *demand.service);
-    if !takes_calls || demand.excluded.contains(&engine) {
+    // A placer of an earlier release does not regard the version.
+    let is_unfit = fleet.get(&engine).is_some_and(|engine| {
+        engine.record.stage != Some(Stage::Prefill) && !engine.record.continues(demand.software)
+    });
+    if is_unfit || !takes_calls || demand.excluded.contains(&engine) {
         return None;
     }
     Some(Target {
--- a/crates/gateway/src/placement/server.rs
+++ b/crates/gateway/src/placement/server.rs
@@ -105,6 +105,7 @@
             time_left: Duration::from_millis(request.left_ms.into()),
             isolated: request.alone,
             reserved: reserved.as_ref(),
+            software: request.software.as_deref(),
         };
         let mut choice = if request.read_in.is_empty() {
             place::choose(&fleet, &demand, now)
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -158,7 +158,7 @@
         .borrow_mut()
         .record_first_attempt(&request.service.name);
     loop {
-        let target = match placement::place(instance, request, &avoid, false).await {
+        let target = match placement::place(instance, request, &avoid, false, None).await {
             Choice::Direct(target) => target,
             Choice::Split { prefill, .. } => prefill,
             Choice::Refuse {
--- a/crates/serving/src/cost.rs
+++ b/crates/serving/src/cost.rs
@@ -44,6 +44,11 @@
     pub target: Target,
 }
 
+/// Whether the engine may generate the answer, as far as its stage and software tell.
+pub(crate) fn may_generate(engine: &Engine, demand: &Demand) -> bool {
+    !is_prefill(engine) && engine.record.continues(demand.software)
+}
+
 pub(crate) fn is_prefill(engine: &Engine) -> bool {
     engine.record.stage == Some(Stage::Prefill)
 }
@@ -181,7 +186,7 @@
     now: Moment,
 ) -> Option<Cost> {
     let transfer_ms = fetch::transfer_ms(generation.model, generation.tokens);
-    let candidates = engines.iter().filter(|engine| !is_prefill(engine));
+    let candidates = engines.iter().filter(|engine| may_generate(engine, demand));
     cheapest(candidates.map(|engine| {
         let is_far = engine.record.zone != *source;
         let path_ms = if is_far {
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -69,6 +69,11 @@
         let software = self.software.as_deref().unwrap_or_default();
         hash::hash32(&format!("{software} {:?}", self.weights))
     }
+
+    /// Whether it may go on with a stream that engines of this software version began, if one did.
+    pub fn continues(&self, software: Option<&str>) -> bool {
+        software.is_none_or(|software| self.software.as_deref().unwrap_or_default() == software)
+    }
 }
 
 /// Scheduling rank at an engine; 0 is the most urgent.
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -7,7 +7,7 @@
 
 use clock::Moment;
 
-use crate::engine::{Engine, LATE_RANK, Rank, Stage, Ticket};
+use crate::engine::{Engine, LATE_RANK, Rank, Ticket};
 use crate::parts::Part;
 use crate::route::Model;
 use crate::throttle::Permit;
@@ -44,6 +44,9 @@
     pub isolated: bool,
     /// Engine with a rate limit at which a request has already been charged for it.
     pub reserved: Option<&'a EngineId>,
+    /// Software version of the engines that may generate, if the call goes on with a stream: what two
+    /// versions write does not fit together.
+    pub software: Option<&'a str>,
 }
 
 /// Prompt of a generation.
@@ -235,7 +238,8 @@
 /// prompt.
 fn choose_isolated(fleet: &Fleet, demand: &Demand, now: Moment) -> Choice {
     let least_busy = {
-        let engines = available(fleet, demand, now).filter(|engine| !cost::is_prefill(engine));
+        let engines =
+            available(fleet, demand, now).filter(|engine| cost::may_generate(engine, demand));
         engines.min_by_key(|engine| engine.running_calls())
     };
     let others = fleet.ready(demand.service).map(|engine| &engine.record.id);
@@ -319,7 +323,8 @@
 fn refuse(fleet: &Fleet, demand: &Demand, now: Moment) -> Choice {
     let engines = fleet
         .ready(demand.service)
-        .filter(|engine| !demand.excluded.contains(&engine.record.id));
+        .filter(|engine| !demand.excluded.contains(&engine.record.id))
+        .filter(|engine| engine.record.continues(demand.software));
     let waits = engines.filter_map(
         |engine| match fleet.throttles.permit(&engine.record.id, now) {
             Permit::After(wait) if wait.is_zero() => None,
@@ -407,17 +412,14 @@
 
 fn choose_at_rank(fleet: &Fleet, demand: &Demand, generation: &Generation, now: Moment) -> Choice {
     let mut engines: Vec<&Engine> = available(fleet, demand, now).collect();
-    if engines
-        .iter()
-        .all(|e| e.record.stage == Some(Stage::Prefill))
-    {
+    if !engines.iter().any(|e| cost::may_generate(e, demand)) {
         engines = admitting(fleet, demand, now).collect();
     }
     let sources = fetch::sources(fleet, demand, generation, now);
     let direct = cost::cheapest(
         engines
             .iter()
-            .filter(|e| !cost::is_prefill(e))
+            .filter(|e| cost::may_generate(e, demand))
             .map(|e| cost::prefill_cost(fleet, e, demand, generation, &sources, now)),
     );
     let Some(direct) = direct else {
@@ -465,7 +467,10 @@
         return Some(target);
     }
     let mut engines: Vec<&Engine> = available(fleet, &demand, now).collect();
-    if engines.iter().all(|engine| cost::is_prefill(engine)) {
+    if !engines
+        .iter()
+        .any(|engine| cost::may_generate(engine, &demand))
+    {
         engines = admitting(fleet, &demand, now).collect();
     }
     cost::decode_cost(fleet, &engines, &demand, generation, source, now).map(|cost| cost.target)
@@ -475,6 +480,9 @@
 fn reserved(fleet: &Fleet, demand: &Demand) -> Option<Target> {
     let reserved = demand.reserved.filter(|id| !demand.excluded.contains(id))?;
     let engine = fleet.get(reserved).filter(|engine| engine.takes_calls())?;
+    if !engine.record.continues(demand.software) {
+        return None;
+    }
     Some(Target {
         engine: engine.record.id.clone(),
         prefill_tokens: 0,
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -102,5 +102,6 @@
         time_left: ms(4_000),
         isolated: false,
         reserved: None,
+        software: None,
     }
 }
--- a/crates/serving/tests/place.rs
+++ b/crates/serving/tests/place.rs
@@ -7,7 +7,7 @@
 use serving::engine::{LATE_RANK, Work};
 use serving::health::Outcome;
 use serving::place::{self, Refusal, choose};
-use serving::{Choice, Demand, Fleet, Stage, State};
+use serving::{Choice, Demand, Fleet, Record, Stage, State};
 
 const NOW: std::time::Duration = std::time::Duration::from_secs(10);
 
@@ -425,3 +425,48 @@
     };
     assert_eq!(choice, paused);
 }
+
+/// Guards against resuming a stream at an engine of another software version than began it.
+#[test]
+fn a_stream_goes_on_only_at_engines_of_its_software_version() {
+    let mut fleet = fleet(&[("reader", Stage::Prefill), ("old", Stage::Decode)]);
+    fleet.put(Record {
+        software: Some("v2".into()),
+        ..record("new", Some(Stage::Decode))
+    });
+    // The other version would be chosen for its cached parts.
+    fleet.cache_parts(&id("new"), &prompt(&[(7, 13_000)]), 400_000, NOW);
+    let parts = prompt(&[(7, 13_000), (8, 3_000)]);
+    let (service, zone) = (service(), zone());
+    let resuming = |software| Demand {
+        software: Some(software),
+        ..demand(&service, &zone, Some(generation(&parts)))
+    };
+    for isolated in [false, true] {
+        let demand = Demand {
+            may_split: false,
+            isolated,
+            ..resuming("v1")
+        };
+        assert_matches!(choose(&fleet, &demand, NOW), Choice::Direct(t) if &*t.engine == "old");
+    }
+    let reserved = id("new");
+    let demand = Demand {
+        reserved: Some(&reserved),
+        ..resuming("v1")
+    };
+    let decode = place::choose_decode(&fleet, &demand, &zone, NOW);
+    assert_matches!(decode, Some(t) if &*t.engine == "old");
+    let choice = choose(&fleet, &resuming("v3"), NOW);
+    assert_matches!(
+        choice,
+        Choice::Refuse {
+            reason: Refusal::NoEngine,
+            ..
+        }
+    );
+    assert_matches!(
+        place::choose_decode(&fleet, &resuming("v3"), &zone, NOW),
+        None
+    );
+}
