Resume a caller's stream at the version that began it, at any instance

Callers that took a stream up again, at another instance or at the same one, got the rest of it from engines of another software version: `Last-Event-Id` was passed on to any engine, and `Resumes` was read nowhere.

While a service has several versions, the instance that begins a resumable stream tells three others, drawn by a hash of the attempt, before the first event is written; one that is asked to resume asks five. What nobody knows is refused with 503 while versions differ, and goes on at the only version otherwise.

The test of unknown streams used one id twice, which is known by the second time; it uses two now.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -290,10 +290,11 @@
     }
 }
 
-/// The service of a call. Routes with several pick by the request's id, so that every instance
-/// picks the same one.
+/// The service of a call. Routes with several pick by the id of the request that began it, so that every
+/// instance picks the same one.
 fn select_service(table: &Table, route: &Route, call: &Call) -> Service {
-    let drawn = serving::hash::unit_interval(&call.id).min(1.0 - f64::EPSILON);
+    let id = call.resumes.as_ref().unwrap_or(&call.id);
+    let drawn = serving::hash::unit_interval(id).min(1.0 - f64::EPSILON);
     let name = route.service(drawn);
     table.service(name).cloned().unwrap_or_else(|| Service {
         name: name.clone(),
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -9,6 +9,7 @@
 use http1::Writer;
 use serving::engine::Record;
 use serving::health::Outcome;
+use serving::origin::{self, Key};
 use serving::place::{Refusal, Target};
 use serving::{Choice, EngineId, Zone};
 use tokio::time::timeout_at;
@@ -168,6 +169,19 @@
 
     async fn run(mut self) -> Stream {
         let service = &self.request.service.name;
+        if self.request.call.resume_after.is_some() {
+            self.software = self
+                .instance
+                .resolve_stream(self.stream_key(), service)
+                .await;
+            if self.software.is_none() {
+                return Stream::Unserved(End::NotRun {
+                    after: REFUSED_RETRY_AFTER,
+                    why: "The software version that began the stream is not known.",
+                    best: None,
+                });
+            }
+        }
         self.instance
             .budgets
             .borrow_mut()
@@ -198,6 +212,16 @@
         }
     }
 
+    /// Identifies the stream over its caller's attempts.
+    fn stream_key(&self) -> Key {
+        let request = self.request;
+        let attempt = match request.call.resume_after {
+            Some(_) => request.call.resumes.as_deref().unwrap_or_default(),
+            None => &request.call.id,
+        };
+        origin::key(request.principal.name(), &request.service.name, attempt)
+    }
+
     fn refusal(&self, after: Duration, why: Refusal, best: Option<Box<Target>>) -> Stream {
         if self.relay.has_begun() {
             return Stream::Broken("no further engine takes the call");
@@ -421,9 +445,23 @@
             return self.after_loss("The engine's answer is not its own.");
         }
         self.weights = self.weights.or(reply.weight_version);
-        let end = self.relay.relay(&mut response, &engine_call).await;
-        if self.relay.has_begun() && self.software.is_none() {
-            self.software = Some(engine.software.clone().unwrap_or_default());
+        let software = engine.software.clone().unwrap_or_default();
+        let (key, request) = (self.stream_key(), self.request);
+        let on_begin = || {
+            // A caller takes up again only what may be resumed.
+            if request.route.kind.is_idempotent() {
+                let service = &request.service.name;
+                let time_left = request.remaining();
+                self.instance
+                    .begin_stream(key, service, &software, time_left);
+            }
+        };
+        let end = self
+            .relay
+            .relay(&mut response, &engine_call, on_begin)
+            .await;
+        if self.relay.has_begun() {
+            self.software.get_or_insert(software);
         }
         match end {
             relay::End::Whole => {
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -11,6 +11,7 @@
 use http1::{Client, Failure, TcpTimeouts};
 use serving::budget::RepeatBudgets;
 use serving::organisation::{Directory, Name};
+use serving::origin::{self, Key, Knowledge, Software};
 use serving::parts::Part;
 use serving::placer::{self, Member, Placers};
 use serving::prior_wait::PriorWaits;
@@ -18,9 +19,9 @@
 use serving::replication::{self, Growth};
 use serving::usage::{Ledger, UnixTime, Window};
 use serving::watch::{self, TopicState};
-use serving::{EngineId, Fleet, Table, Zone, hash};
+use serving::{EngineId, Fleet, ServiceName, Table, Zone, hash};
 use tokio::sync::Notify;
-use wire::gateway::Frame;
+use wire::gateway::{Frame, OriginRequest, OriginResponse};
 
 use crate::bootstrap::Snapshot;
 use crate::claim_log::ClaimLog;
@@ -29,6 +30,7 @@
 use crate::engine_links::EngineLinks;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
+use crate::origins::{self, Outgoing, StreamOrigins};
 use crate::peers::{self, Peers, Topic};
 use crate::placement::client::Pending;
 use crate::pool::Pool;
@@ -94,6 +96,8 @@
     pub links: EngineLinks,
     /// Number of requests being sent for other instances.
     pub forwarding: Cell<usize>,
+    /// Software versions that began streams.
+    pub origins: StreamOrigins,
     /// Calls that crash engines.
     pub suspects: Suspects,
     /// Ongoing crash detection.
@@ -165,6 +169,7 @@
             pool: Pool::default(),
             links: EngineLinks::default(),
             forwarding: Cell::new(0),
+            origins: StreamOrigins::default(),
             suspects: Suspects::default(),
             crash_detection: CrashDetection::default(),
             peers: RefCell::default(),
@@ -409,6 +414,105 @@
         self.peers.borrow_mut().queue_parts(engine, parts);
     }
 
+    /// Records that an engine of this software version begins a stream, or goes on with it, before its first
+    /// event is written.
+    pub(crate) fn begin_stream(
+        &self,
+        key: Key,
+        service: &ServiceName,
+        software: &Software,
+        time_left: Duration,
+    ) {
+        self.observe_versions();
+        let now = self.now();
+        let members = if self.origins.is_mixed(service, now) {
+            self.members()
+        } else {
+            Vec::new()
+        };
+        let begun = self
+            .origins
+            .begin(key, service, software, time_left, &members, now);
+        self.send_all(begun);
+    }
+
+    /// The software version that may go on with a stream, from what this instance and others know. `None`
+    /// if it is unknown.
+    pub(crate) async fn resolve_stream(&self, key: Key, service: &ServiceName) -> Option<Software> {
+        let own = self.stream_knowledge(key, service);
+        if own.software.is_some() {
+            return own.software;
+        }
+        let members = self.members().into_iter();
+        let mut others = origin::holders(key, members, origin::ASKED);
+        if self.is_caching.get() {
+            // A placer knows all engines.
+            let placers = self.placers.borrow();
+            others.extend(placers.others.first().map(|(address, _)| *address));
+        }
+        others.retain(|other| *other != self.address);
+        let send = |request: OriginRequest, to: SocketAddr| {
+            let frame = Frame {
+                origin_request: Some(request),
+                ..self.frame()
+            };
+            self.pending_placements.send(&frame, to);
+        };
+        let mut known = self.origins.ask(key, service, &others, send).await;
+        known.push(own);
+        origin::resolve(&known)
+    }
+
+    /// Answers another instance's question for a stream.
+    pub(crate) fn answer_origin(&self, request: &OriginRequest) -> OriginResponse {
+        let service = ServiceName::from(request.service.as_str());
+        let known = self.stream_knowledge(request.stream, &service);
+        origins::encode(request.ticket, &known)
+    }
+
+    /// Notes which services have engines of several software versions, and tells the holders of streams
+    /// that began before.
+    pub(crate) fn observe_versions(&self) {
+        let fleet = self.fleet.borrow();
+        let services = fleet.services();
+        let services = services.map(|service| (service, fleet.versions(service).nth(1).is_some()));
+        let notes = self
+            .origins
+            .observe(services, || self.members(), self.now());
+        self.send_all(notes);
+    }
+
+    /// Notes that a service has engines of several software versions, as a placer says.
+    pub(crate) fn on_mixed_versions(&self, service: &ServiceName) {
+        let mixed = std::iter::once((service, true));
+        let notes = self.origins.observe(mixed, || self.members(), self.now());
+        self.send_all(notes);
+    }
+
+    fn stream_knowledge(&self, key: Key, service: &ServiceName) -> Knowledge {
+        let fleet = self.fleet.borrow();
+        let knows_all = self.engines_known.get();
+        self.origins
+            .knowledge(key, service, &fleet, knows_all, self.now())
+    }
+
+    /// All registered instances, this one included.
+    fn members(&self) -> Vec<SocketAddr> {
+        let mut members = self.peers.borrow().addresses();
+        members.push(self.address);
+        members
+    }
+
+    fn send_all(&self, outgoing: Outgoing) {
+        for (to, frame) in outgoing.into_iter().filter(|(to, _)| *to != self.address) {
+            let frame = Frame {
+                incarnation: self.incarnation,
+                ..frame
+            };
+            self.pending_placements.send(&frame, to);
+        }
+    }
+
     /// Puts a configuration in force if it is newer than the current one.
     ///
     /// Overtaking reads, a lagging store and stale peers all deliver older versions; applying one
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod mesh;
 mod metrics;
 mod operator;
+mod origins;
 mod peers;
 mod placement;
 mod plain;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -87,6 +87,13 @@
                     if let Some(answer) = server::on_request(&instance, from, &frame) {
                         broadcast(&socket, &answer, &[from]);
                     }
+                    if let Some(request) = &frame.origin_request {
+                        let answer = Frame {
+                            origin_response: Some(instance.answer_origin(request)),
+                            ..instance.frame()
+                        };
+                        broadcast(&socket, &answer, &[from]);
+                    }
                     let state = frame.state.as_ref();
                     if let Some(state) = state {
                         bootstrap::serve(&instance, &socket, from, state);
@@ -122,6 +129,7 @@
         sleep_until(next_send).await;
         let now = instance.now();
         instance.fleet.borrow_mut().expire(now);
+        instance.observe_versions();
         let is_greeting = instance.greeting_due.take() | instance.update_placers();
         updates::send_news(&instance, &socket, now);
         send_suspects(&instance, &socket);
--- /dev/null
+++ b/crates/gateway/src/origins.rs
@@ -0,0 +1,200 @@
+//! Tells other instances which software version began a stream, and asks them; [`serving::origin`]
+//! decides.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use clock::Moment;
+use serving::origin::{self, Key, Knowledge, Note, Origins, Software};
+use serving::{Fleet, ServiceName};
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+use tokio::time::timeout;
+use wire::gateway::{Frame, OriginRequest, OriginResponse, StreamOrigin};
+
+use crate::frame::to_millis;
+
+/// Time for the answers of other instances. It is taken from the caller's time.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(25);
+/// Most streams in one frame.
+const MAX_STREAMS_PER_FRAME: usize = 64;
+
+/// Streams that this instance remembers, and its questions for those of others.
+#[derive(Default)]
+pub(crate) struct StreamOrigins {
+    streams: RefCell<Origins>,
+    waiting: RefCell<HashMap<u32, UnboundedSender<OriginResponse>>>,
+    last_ticket: Cell<u32>,
+}
+
+/// Frames to send, each to one instance.
+pub(crate) type Outgoing = Vec<(SocketAddr, Frame)>;
+
+impl StreamOrigins {
+    /// Records a stream that an engine of this version begins or goes on with. Returns what to send before
+    /// its first event is written.
+    pub(crate) fn begin(
+        &self,
+        key: Key,
+        service: &ServiceName,
+        software: &Software,
+        time_left: Duration,
+        members: &[SocketAddr],
+        now: Moment,
+    ) -> Outgoing {
+        let mut streams = self.streams.borrow_mut();
+        let note = streams.begin(key, service, software, time_left, now);
+        address_notes(note.as_slice(), members)
+    }
+
+    /// Records whether services have several versions. Returns what to send of the streams that began while
+    /// one of them had a single one.
+    pub(crate) fn observe<'a>(
+        &self,
+        services: impl Iterator<Item = (&'a ServiceName, bool)>,
+        members: impl FnOnce() -> Vec<SocketAddr>,
+        now: Moment,
+    ) -> Outgoing {
+        let mut streams = self.streams.borrow_mut();
+        streams.expire(now);
+        let mut notes = Vec::new();
+        for (service, is_mixed) in services {
+            if streams.observe_versions(service, is_mixed, now) {
+                notes.extend(streams.begun(service, now));
+            }
+        }
+        if notes.is_empty() {
+            return Outgoing::new();
+        }
+        address_notes(&notes, &members())
+    }
+
+    /// Whether a service has several versions, or had until lately.
+    pub(crate) fn is_mixed(&self, service: &ServiceName, now: Moment) -> bool {
+        self.streams.borrow().is_mixed(service, now)
+    }
+
+    /// What this instance knows of a stream. `knows_all` tells whether the fleet has all engines.
+    pub(crate) fn knowledge(
+        &self,
+        key: Key,
+        service: &ServiceName,
+        fleet: &Fleet,
+        knows_all: bool,
+        now: Moment,
+    ) -> Knowledge {
+        let streams = self.streams.borrow();
+        let mut versions = fleet.versions(service);
+        let sole = versions.next().filter(|_| knows_all).cloned();
+        let is_mixed = versions.next().is_some();
+        Knowledge {
+            software: streams.find(key, now),
+            is_mixed: is_mixed || streams.is_mixed(service, now),
+            sole: sole.filter(|_| !is_mixed),
+        }
+    }
+
+    /// Asks other instances for a stream. Returns once one knows it, all have answered, or the time is over.
+    pub(crate) async fn ask(
+        &self,
+        key: Key,
+        service: &ServiceName,
+        others: &[SocketAddr],
+        send: impl Fn(OriginRequest, SocketAddr),
+    ) -> Vec<Knowledge> {
+        let ticket = self.last_ticket.get().wrapping_add(1);
+        self.last_ticket.set(ticket);
+        let (sender, mut receiver) = unbounded_channel();
+        self.waiting.borrow_mut().insert(ticket, sender);
+        for other in others {
+            let request = OriginRequest {
+                ticket,
+                stream: key,
+                service: service.to_string(),
+            };
+            send(request, *other);
+        }
+        let mut known = Vec::new();
+        let answers = async {
+            while known.len() < others.len() {
+                let Some(response) = receiver.recv().await else {
+                    return;
+                };
+                known.push(decode(response));
+                if known.last().is_some_and(|known| known.software.is_some()) {
+                    return;
+                }
+            }
+        };
+        let is_silent = timeout(RESPONSE_TIMEOUT, answers).await.is_err();
+        self.waiting.borrow_mut().remove(&ticket);
+        if is_silent {
+            log::info!(asked = others.len(), answered = known.len(); "instances do not say where a stream began");
+        }
+        known
+    }
+
+    /// Handles streams that another instance began.
+    pub(crate) fn on_notes(&self, notes: &[StreamOrigin], now: Moment) {
+        let mut streams = self.streams.borrow_mut();
+        for note in notes {
+            let note = Note {
+                key: note.stream,
+                software: Software::from(note.software.as_str()),
+                lifetime: Duration::from_millis(note.lifetime_ms.into()),
+            };
+            streams.on_note(&note, now);
+        }
+    }
+
+    /// Handles the answer to a question.
+    pub(crate) fn on_response(&self, response: OriginResponse) {
+        let waiting = self.waiting.borrow();
+        let sender = waiting.get(&response.ticket);
+        if sender.is_none_or(|sender| sender.send(response).is_err()) {
+            log::debug!("the origin of a stream came too late");
+        }
+    }
+}
+
+/// Encodes what this instance knows, in answer to a question.
+pub(crate) fn encode(ticket: u32, known: &Knowledge) -> OriginResponse {
+    OriginResponse {
+        ticket,
+        software: known.software.as_deref().map(str::to_owned),
+        mixed: known.is_mixed,
+        sole: known.sole.as_deref().map(str::to_owned),
+    }
+}
+
+fn decode(response: OriginResponse) -> Knowledge {
+    Knowledge {
+        software: response.software.map(Software::from),
+        is_mixed: response.mixed,
+        sole: response.sole.map(Software::from),
+    }
+}
+
+/// Addresses notes to the holders of their streams.
+fn address_notes(notes: &[Note], members: &[SocketAddr]) -> Outgoing {
+    let mut by_holder: HashMap<SocketAddr, Vec<StreamOrigin>> = HashMap::new();
+    for note in notes {
+        for holder in origin::holders(note.key, members.iter().copied(), origin::HOLDERS) {
+            by_holder.entry(holder).or_default().push(StreamOrigin {
+                stream: note.key,
+                software: note.software.to_string(),
+                lifetime_ms: to_millis(note.lifetime),
+            });
+        }
+    }
+    let frames = by_holder.into_iter().flat_map(|(holder, notes)| {
+        let chunks = notes.chunks(MAX_STREAMS_PER_FRAME);
+        let frames = chunks.map(|notes| Frame {
+            origins: notes.to_vec(),
+            ..Frame::default()
+        });
+        frames.map(|frame| (holder, frame)).collect::<Vec<_>>()
+    });
+    frames.collect()
+}
--- a/crates/gateway/src/placement/client.rs
+++ b/crates/gateway/src/placement/client.rs
@@ -202,6 +202,9 @@
     }
     let answer = timeout(RESPONSE_TIMEOUT, receiver).await.ok()?.ok()?;
     drop(open);
+    if answer.mixed {
+        instance.on_mixed_versions(demand.service);
+    }
     Some(decode_answer(
         &instance.fleet.borrow(),
         demand,
--- a/crates/gateway/src/placement/server.rs
+++ b/crates/gateway/src/placement/server.rs
@@ -54,6 +54,9 @@
         answer: Some(Answer {
             ticket: request.ticket,
             choice,
+            mixed: instance
+                .origins
+                .is_mixed(&ServiceName::from(request.service.as_str()), instance.now()),
         }),
         ..instance.frame()
     })
--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -29,6 +29,10 @@
     if let Some(answer) = &frame.answer {
         client::on_answer(instance, from, answer);
     }
+    instance.origins.on_notes(&frame.origins, now);
+    if let Some(response) = frame.origin_response.clone() {
+        instance.origins.on_response(response);
+    }
     if let Some(request) = &frame.register {
         registrar::on_request(instance, from, request);
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -86,11 +86,13 @@
     }
 
     /// Relays an engine's events as they arrive. The first engine's response head is sent with its
-    /// first event, so that an engine which ends before that can still be replaced.
+    /// first event, so that an engine which ends before that can still be replaced; `on_begin` is called
+    /// before.
     pub(crate) async fn relay(
         &mut self,
         response: &mut EngineResponse,
         engine_call: &EngineCall<'_>,
+        on_begin: impl Fn(),
     ) -> End {
         // The next engine sends the partial event of the previous one again.
         drop(self.splitter.rest());
@@ -112,6 +114,9 @@
                 continue;
             };
             self.times.beside_prefill += engine_call.on_event();
+            if !self.has_begun() {
+                on_begin();
+            }
             if let Err(error) = self.write(response, events).await {
                 return End::Gone(error);
             }
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -184,13 +184,13 @@
 #[actix_rt::test]
 async fn a_stream_of_unknown_version_is_refused_only_while_versions_differ() {
     let (gateway, _app, pool) = Gateway::start().await;
-    let received = resume(&gateway, "u1", "unknown").await;
+    let received = resume(&gateway, "u1", "lost-1").await;
     assert!(received.is_complete, "{received:?}");
     let other = add_engine(&gateway, "pool-2", "v2").await;
     wait_until_mixed(&gateway, "w").await;
     for number in 0..STREAMS_PER_ROUND {
         let id = format!("v{number}");
-        let received = resume(&gateway, &id, "unknown").await;
+        let received = resume(&gateway, &id, "lost-2").await;
         assert_eq!(received.status, 503);
         assert_eq!(pool.run_count(&id) + other.run_count(&id), 0);
     }
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -11,6 +11,7 @@
     Engine, Job, LATE_RANK, Pending, Rank, Record, Stage, StageChange, State, Ticket, Work,
 };
 use crate::health::{Health, Outcome};
+use crate::origin::Software;
 use crate::overrun::WaitOverrun;
 use crate::parts::{CachedParts, Part};
 use crate::pauses::PauseModel;
@@ -56,6 +57,8 @@
     pub parts: CachedParts,
     /// Rate limits announced by engines.
     pub throttles: Throttles,
+    /// Number of engines by service and software version.
+    versions: HashMap<ServiceName, BTreeMap<Software, usize>>,
     next_ticket: Ticket,
     /// The learned speeds, a few in all, looked up for each engine that a call may go to.
     speeds: Vec<(ServiceName, Stage, Speed)>,
@@ -112,6 +115,17 @@
 
     /// Adds or updates an engine by its record. Returns whether anything changed.
     pub fn put(&mut self, record: Record) -> bool {
+        let before = self.engines.get(&record.id).map(|engine| &engine.record);
+        let is_counted = before.is_some_and(|before| {
+            before.software == record.software && before.service == record.service
+        });
+        if !is_counted {
+            let before = before.cloned();
+            self.count_version(&record);
+            before
+                .iter()
+                .for_each(|before| self.uncount_version(before));
+        }
         match self.engines.get_mut(&record.id) {
             Some(engine) => {
                 let changed = engine.record_gone || engine.record != record;
@@ -255,6 +269,39 @@
         self.engines.values()
     }
 
+    /// Software versions of a service's engines, including those that leave.
+    pub fn versions(&self, service: &ServiceName) -> impl Iterator<Item = &Software> {
+        let versions = self.versions.get(service);
+        versions.into_iter().flat_map(BTreeMap::keys)
+    }
+
+    /// Services that have engines.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.versions.keys()
+    }
+
+    fn count_version(&mut self, record: &Record) {
+        let versions = self.versions.entry(record.service.clone()).or_default();
+        let software = record.software.clone().unwrap_or_default();
+        *versions.entry(software).or_default() += 1;
+    }
+
+    fn uncount_version(&mut self, record: &Record) {
+        let Some(versions) = self.versions.get_mut(&record.service) else {
+            return;
+        };
+        let software = record.software.clone().unwrap_or_default();
+        if let Some(count) = versions.get_mut(&software) {
+            *count -= 1;
+            if *count == 0 {
+                versions.remove(&software);
+            }
+        }
+        if versions.is_empty() {
+            self.versions.remove(&record.service);
+        }
+    }
+
     /// Number of known engines.
     pub fn count(&self) -> usize {
         self.engines.len()
@@ -496,9 +543,10 @@
         if !self.engines.get(id).is_some_and(is_unused) {
             return;
         }
-        let Some((id, _)) = self.engines.remove_entry(id) else {
+        let Some((id, engine)) = self.engines.remove_entry(id) else {
             return;
         };
+        self.uncount_version(&engine.record);
         self.parts.forget(&id);
         self.throttles.forget(&id);
         self.leaving.remove(&id);
--- a/crates/serving/src/hash.rs
+++ b/crates/serving/src/hash.rs
@@ -15,14 +15,20 @@
     short
 }
 
-/// Two 32-bit hashes combined and mapped to the range from 0 to 1: the finalizer of MurmurHash3. A
-/// placement combines them for each of thousands of engines.
-pub fn combined_unit_interval(first: u32, second: u32) -> f64 {
-    let mut mixed = u64::from(first) << 32 | u64::from(second);
+/// Mixes the bits of a number: the finalizer of MurmurHash3.
+pub(crate) fn mix64(number: u64) -> u64 {
+    let mut mixed = number;
     mixed = (mixed ^ (mixed >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
     mixed = (mixed ^ (mixed >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    mixed ^ (mixed >> 33)
+}
+
+/// Two 32-bit hashes combined and mapped to the range from 0 to 1. A placement combines them for each of
+/// thousands of engines.
+pub fn combined_unit_interval(first: u32, second: u32) -> f64 {
+    let mixed = mix64(u64::from(first) << 32 | u64::from(second));
     #[allow(clippy::cast_possible_truncation)]
-    let high = ((mixed ^ (mixed >> 33)) >> 32) as u32;
+    let high = (mixed >> 32) as u32;
     f64::from(high) / f64::from(u32::MAX)
 }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -4,7 +4,8 @@
 //! service may be repeated ([`budget`]), which calls crash engines ([`quarantine`]), who calls
 //! ([`organisation`]), what callers use ([`usage`]), which engines should prefill and which decode
 //! ([`roles`]), which instances place calls ([`placer`]), how an instance joins the others
-//! ([`registration`]), and which instances hold the records of all engines ([`replication`]).
+//! ([`registration`]), which instances hold the records of all engines ([`replication`]), and which
+//! software version may go on with a stream ([`origin`]).
 //!
 //! The crate sits between the `gateway` daemon, which carries the bytes, and the platform's
 //! adapter, which fills in these types. It performs no I/O, and the current time is an argument.
@@ -24,6 +25,7 @@
 mod linear_fit;
 pub mod log_growth;
 pub mod organisation;
+pub mod origin;
 pub mod outbox;
 mod overrun;
 pub mod parts;
--- /dev/null
+++ b/crates/serving/src/origin.rs
@@ -0,0 +1,234 @@
+//! Which software version began each stream, so that a caller that resumes it elsewhere gets no events
+//! of another one.
+//!
+//! What two versions write does not fit together, and neither the engine nor the answer tells a second
+//! instance where the stream began. While a service has several versions, the instance that begins a
+//! stream tells a few others, drawn by a hash of the attempt that the caller will name; the one that
+//! resumes it asks them. A version that nobody knows is not guessed. See
+//! `docs/design/stream-versions.md`.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use clock::Moment;
+use smallvec::SmallVec;
+
+use crate::{ServiceName, hash};
+
+/// Identifies a stream by the attempt that began it, its service and its organisation.
+pub type Key = u64;
+
+/// Version of an engine's software.
+pub type Software = Rc<str>;
+
+/// Instances that are told of a stream.
+pub const HOLDERS: usize = 3;
+/// Instances that are asked for one. More than were told, since some may have come or gone since.
+pub const ASKED: usize = 5;
+/// Time for which a service counts as having several versions after the last of all but one has gone.
+/// Streams that began before may still be resumed.
+const MIXED_RETENTION: Duration = Duration::from_secs(30);
+/// Time for which a stream may be resumed after its caller has given up on the attempt.
+const RESUME_GRACE: Duration = Duration::from_secs(5);
+/// Most streams that are remembered; those that are forgotten first make room.
+const MAX_STREAMS: usize = 16_384;
+
+/// The key of the stream that an attempt began. Callers choose the ids of attempts, so that two
+/// organisations may use the same one.
+pub fn key(organisation: &str, service: &str, attempt: &str) -> Key {
+    hash::hash64(&format!("{organisation}\n{service}\n{attempt}"))
+}
+
+/// The instances that remember a stream, drawn from all. Each instance draws the same ones, and one that
+/// comes or goes changes at most one of them.
+pub fn holders(
+    key: Key,
+    members: impl Iterator<Item = SocketAddr>,
+    count: usize,
+) -> SmallVec<[SocketAddr; ASKED]> {
+    let mut drawn: SmallVec<[(u64, SocketAddr); ASKED]> = SmallVec::new();
+    for member in members {
+        let weight = hash::mix64(key ^ hash::mix64(address_bits(member)));
+        let at = drawn.partition_point(|(other, _)| *other > weight);
+        if at < count {
+            drawn.truncate(count - 1);
+            drawn.insert(at, (weight, member));
+        }
+    }
+    drawn.into_iter().map(|(_, member)| member).collect()
+}
+
+fn address_bits(address: SocketAddr) -> u64 {
+    let ip = match address.ip() {
+        IpAddr::V4(ip) => u64::from(ip.to_bits()),
+        IpAddr::V6(ip) => hash::hash64(&ip.to_string()),
+    };
+    ip << 16 ^ u64::from(address.port())
+}
+
+/// A stream that this instance remembers.
+#[derive(Clone, Debug)]
+struct Stream {
+    software: Software,
+    expires: Moment,
+    /// Its service, if this instance began it.
+    began: Option<ServiceName>,
+}
+
+/// A stream to tell its holders of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Note {
+    /// The stream.
+    pub key: Key,
+    /// The version that began it.
+    pub software: Software,
+    /// Time for which it is remembered.
+    pub lifetime: Duration,
+}
+
+/// What one instance knows of a stream and its service.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Knowledge {
+    /// The version that began the stream.
+    pub software: Option<Software>,
+    /// Whether the service has several versions, or had until lately.
+    pub is_mixed: bool,
+    /// The only version of the service, if the instance knows all engines and they have one.
+    pub sole: Option<Software>,
+}
+
+/// The version that may go on with a stream, from what the instances know that answered; this one is
+/// among them. `None` if it is unknown.
+pub fn resolve(known: &[Knowledge]) -> Option<Software> {
+    let agree = |versions: SmallVec<[&Software; ASKED]>| {
+        let first = *versions.first()?;
+        versions
+            .iter()
+            .all(|other| *other == first)
+            .then(|| first.clone())
+    };
+    let noted: SmallVec<[&Software; ASKED]> = known
+        .iter()
+        .filter_map(|known| known.software.as_ref())
+        .collect();
+    if !noted.is_empty() {
+        return agree(noted);
+    }
+    // Streams are noted while there are several versions, so one of them has been lost.
+    if known.iter().any(|known| known.is_mixed) {
+        return None;
+    }
+    agree(
+        known
+            .iter()
+            .filter_map(|known| known.sole.as_ref())
+            .collect(),
+    )
+}
+
+/// Streams that this instance remembers, and services with several versions.
+#[derive(Debug, Default)]
+pub struct Origins {
+    streams: HashMap<Key, Stream>,
+    by_expiry: BTreeSet<(Moment, Key)>,
+    mixed_until: HashMap<ServiceName, Moment>,
+}
+
+impl Origins {
+    /// Records whether a service has several versions now. Returns whether that is new.
+    pub fn observe_versions(&mut self, service: &ServiceName, is_mixed: bool, now: Moment) -> bool {
+        let was_mixed = self.is_mixed(service, now);
+        if is_mixed {
+            self.mixed_until
+                .insert(service.clone(), now + MIXED_RETENTION);
+        }
+        is_mixed && !was_mixed
+    }
+
+    /// Whether a service has several versions, or had until lately.
+    pub fn is_mixed(&self, service: &ServiceName, now: Moment) -> bool {
+        let until = self.mixed_until.get(service);
+        until.is_some_and(|until| now < *until)
+    }
+
+    /// Records a stream that this instance begins or resumes, whose caller waits for `time_left` at most.
+    /// Returns what to tell its holders, if its service has several versions.
+    pub fn begin(
+        &mut self,
+        key: Key,
+        service: &ServiceName,
+        software: &Software,
+        time_left: Duration,
+        now: Moment,
+    ) -> Option<Note> {
+        let note = Note {
+            key,
+            software: software.clone(),
+            lifetime: time_left + RESUME_GRACE,
+        };
+        self.insert(&note, Some(service.clone()), now);
+        self.is_mixed(service, now).then_some(note)
+    }
+
+    /// Records a stream that another instance began.
+    pub fn on_note(&mut self, note: &Note, now: Moment) {
+        self.insert(note, None, now);
+    }
+
+    /// Streams that this instance began at a service and that may still be resumed. Their holders were
+    /// told nothing while the service had one version.
+    pub fn begun(&self, service: &ServiceName, now: Moment) -> Vec<Note> {
+        let begun = self
+            .streams
+            .iter()
+            .filter(|(_, stream)| stream.began.as_ref() == Some(service) && now < stream.expires);
+        let notes = begun.map(|(key, stream)| Note {
+            key: *key,
+            software: stream.software.clone(),
+            lifetime: stream.expires - now,
+        });
+        notes.collect()
+    }
+
+    /// The version that began a stream.
+    pub fn find(&self, key: Key, now: Moment) -> Option<Software> {
+        let stream = self.streams.get(&key)?;
+        (now < stream.expires).then(|| stream.software.clone())
+    }
+
+    /// Forgets streams that cannot be resumed any more.
+    pub fn expire(&mut self, now: Moment) {
+        while self
+            .by_expiry
+            .first()
+            .is_some_and(|(expires, _)| *expires <= now)
+        {
+            self.forget_first();
+        }
+        self.mixed_until.retain(|_, until| now < *until);
+    }
+
+    fn insert(&mut self, note: &Note, began: Option<ServiceName>, now: Moment) {
+        let expires = now + note.lifetime;
+        let stream = Stream {
+            software: note.software.clone(),
+            expires,
+            began,
+        };
+        if let Some(before) = self.streams.insert(note.key, stream) {
+            self.by_expiry.remove(&(before.expires, note.key));
+        }
+        self.by_expiry.insert((expires, note.key));
+        if self.streams.len() > MAX_STREAMS {
+            self.forget_first();
+        }
+    }
+
+    fn forget_first(&mut self) {
+        if let Some((_, key)) = self.by_expiry.pop_first() {
+            self.streams.remove(&key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/serving/tests/origin.rs
@@ -0,0 +1,185 @@
+//! Memory of the software versions that began streams.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use common::{fleet, id, ms, record, service};
+use serving::origin::{self, ASKED, HOLDERS, Knowledge, Origins, Software};
+use serving::{Record, Stage};
+
+fn version(name: &str) -> Software {
+    Rc::from(name)
+}
+
+fn members(count: u8) -> Vec<SocketAddr> {
+    let members = 0..count;
+    let members = members.map(|number| SocketAddr::from(([10, 1, 0, number], 7_080)));
+    members.collect()
+}
+
+fn draw(key: u64, members: &[SocketAddr], count: usize) -> Vec<SocketAddr> {
+    origin::holders(key, members.iter().copied(), count).to_vec()
+}
+
+#[test]
+fn streams_are_spread_over_instances_that_all_draw_alike() {
+    let members = members(8);
+    let reversed: Vec<SocketAddr> = members.iter().rev().copied().collect();
+    let mut held: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+    for attempt in 0..800 {
+        let key = origin::key("", "pool", &attempt.to_string());
+        let holders = draw(key, &members, HOLDERS);
+        assert_eq!(holders.len(), HOLDERS);
+        assert_eq!(holders, draw(key, &reversed, HOLDERS));
+        assert_eq!(holders, draw(key, &members, ASKED)[..HOLDERS]);
+        for holder in holders {
+            *held.entry(holder).or_default() += 1;
+        }
+    }
+    assert!(
+        held.len() == 8 && held.values().all(|held| (200..400).contains(held)),
+        "{held:?}"
+    );
+}
+
+/// Guards against losing streams where an instance comes or goes between two tries of a caller.
+#[test]
+fn a_changed_member_leaves_all_other_holders_among_those_asked() {
+    let before = members(8);
+    let after = members(9);
+    for attempt in 0..100 {
+        let key = origin::key("", "pool", &attempt.to_string());
+        let told = draw(key, &before, HOLDERS);
+        let asked = draw(key, &after, ASKED);
+        assert!(told.iter().all(|holder| asked.contains(holder)));
+        let asked = draw(key, &before[1..], ASKED);
+        let left = told.iter().filter(|holder| **holder != before[0]);
+        assert!(left.clone().all(|holder| asked.contains(holder)));
+    }
+}
+
+#[test]
+fn organisations_and_services_may_use_the_same_attempt_ids() {
+    let key = origin::key("a", "pool", "1");
+    assert_ne!(key, origin::key("b", "pool", "1"));
+    assert_ne!(key, origin::key("a", "other", "1"));
+}
+
+/// Guards against costs while a service has one version, and against losing streams that began before
+/// the second one came.
+#[test]
+fn holders_are_told_only_while_versions_differ_and_then_of_earlier_streams_too() {
+    let service = service();
+    let mut origins = Origins::default();
+    assert!(!origins.observe_versions(&service, false, ms(0)));
+    assert_eq!(
+        origins.begin(1, &service, &version("v1"), ms(4_000), ms(0)),
+        None
+    );
+    assert!(origins.observe_versions(&service, true, ms(1_000)));
+    let begun = origins.begun(&service, ms(1_000));
+    assert_eq!(begun.len(), 1);
+    assert_eq!((begun[0].key, &*begun[0].software), (1, "v1"));
+    assert!(!origins.observe_versions(&service, true, ms(2_000)));
+    assert!(
+        origins
+            .begin(2, &service, &version("v2"), ms(4_000), ms(2_000))
+            .is_some()
+    );
+    // Streams of the version that has gone may still be resumed.
+    assert!(!origins.observe_versions(&service, false, ms(3_000)));
+    assert!(origins.is_mixed(&service, ms(31_000)));
+    assert!(!origins.is_mixed(&service, ms(33_000)));
+}
+
+#[test]
+fn streams_are_forgotten_once_their_callers_have_given_up() {
+    let service = service();
+    let mut origins = Origins::default();
+    origins.begin(1, &service, &version("v1"), ms(4_000), ms(0));
+    assert_eq!(origins.find(1, ms(8_000)), Some(version("v1")));
+    // It was resumed, so that its caller waits on.
+    origins.begin(1, &service, &version("v1"), ms(4_000), ms(8_000));
+    origins.expire(ms(10_000));
+    assert_eq!(origins.find(1, ms(16_000)), Some(version("v1")));
+    origins.expire(ms(18_000));
+    assert_eq!(origins.find(1, ms(18_000)), None);
+}
+
+/// Guards against memory that grows with the callers' attempts.
+#[test]
+fn the_number_of_remembered_streams_is_bounded() {
+    let service = service();
+    let mut origins = Origins::default();
+    for key in 0..40_000 {
+        origins.begin(key, &service, &version("v1"), ms(4_000), ms(key / 100));
+    }
+    let known = (0..40_000).filter(|key| origins.find(*key, ms(400)).is_some());
+    assert_eq!(known.count(), 16_384);
+    assert!(origins.find(39_999, ms(400)).is_some());
+}
+
+/// Guards against guessing where instances lost a stream, and against refusing where there is nothing to
+/// guess.
+#[test]
+fn a_version_is_told_by_a_note_or_by_being_the_only_one() {
+    let noted = |name| Knowledge {
+        software: Some(version(name)),
+        is_mixed: true,
+        sole: None,
+    };
+    let sole = |name| Knowledge {
+        sole: Some(version(name)),
+        ..Knowledge::default()
+    };
+    let mixed = Knowledge {
+        is_mixed: true,
+        ..Knowledge::default()
+    };
+    let unknown = Knowledge::default();
+    assert_eq!(
+        origin::resolve(&[mixed.clone(), noted("v1"), unknown.clone()]),
+        Some(version("v1"))
+    );
+    assert_eq!(
+        origin::resolve(&[sole("v1"), noted("v2")]),
+        Some(version("v2"))
+    );
+    assert_eq!(origin::resolve(&[noted("v1"), noted("v2")]), None);
+    assert_eq!(
+        origin::resolve(&[sole("v1"), sole("v1"), unknown.clone()]),
+        Some(version("v1"))
+    );
+    assert_eq!(origin::resolve(&[sole("v1"), mixed]), None);
+    assert_eq!(origin::resolve(&[sole("v1"), sole("v2")]), None);
+    assert_eq!(origin::resolve(&[unknown]), None);
+}
+
+/// Guards against taking a service for one of several versions after the last engine of all but one has
+/// gone, or the other way round.
+#[test]
+fn versions_of_a_service_follow_its_engines() {
+    let mut fleet = fleet(&[("a", Stage::Decode), ("b", Stage::Decode)]);
+    let new = |id| Record {
+        software: Some(version("v2")),
+        ..record(id, Some(Stage::Decode))
+    };
+    let versions = |fleet: &serving::Fleet| {
+        let service = service();
+        let versions = fleet.versions(&service).map(ToString::to_string);
+        versions.collect::<Vec<_>>()
+    };
+    assert_eq!(versions(&fleet), ["v1"]);
+    fleet.put(new("c"));
+    fleet.put(new("a"));
+    fleet.put(new("a"));
+    assert_eq!(versions(&fleet), ["v1", "v2"]);
+    fleet.remove(&id("b"));
+    assert_eq!(versions(&fleet), ["v2"]);
+    fleet.remove(&id("a"));
+    fleet.remove(&id("c"));
+    assert!(versions(&fleet).is_empty());
+}
