Soak: engines of two software versions, and callers that resume streams

In one seed of five, every second engine of the pool is replaced by one of another software version, so that both serve. Callers of resumable streams lose their connection midway in one of three, and take up what broke off at any gateway, with Resumes and Last-Event-Id. A stream must hold events of one version, as the events say, over all attempts; and resumed streams must go on at least half as often as new ones begin.

Checks were seen to find violations planted in a good history.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -1,18 +1,19 @@
 //! Callers: each sends calls one at a time and reuses its connection while it is open.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http1::{Client, Failure, TcpTimeouts};
 use platform_standin::request::{self, FORGED_HEADERS, ResponseSummary};
 use rand::RngExt as _;
 use rand::rngs::StdRng;
 use tokio::time::{Instant, sleep, timeout};
 
+use crate::check::{self, STREAM_EVENTS};
 use crate::cluster::{Cluster, FATAL_PATH, ORGANISATIONS, key};
-use crate::history::{Call, CallOutcome, RequestKind};
+use crate::history::{Call, CallOutcome, RequestKind, Resumption};
 use crate::plan;
 
 /// Deadline that a caller gives the gateway.
@@ -28,6 +29,14 @@
 const UNUSUAL_CALL_EVERY: u32 = 12;
 /// One resumable call in this many is replaced by a call with an unknown key.
 const KEYLESS_EVERY: u64 = 3;
+/// One resumable stream in this many loses its connection midway.
+const LOST_STREAM_EVERY: u32 = 3;
+/// Longest time after which such a stream loses its connection.
+const MAX_STREAM_MS: u64 = 200;
+/// Times that a caller resumes a stream.
+const MAX_RESUMPTIONS: usize = 3;
+/// Pause before a stream is resumed.
+const RESUME_PAUSE: Duration = Duration::from_millis(20);
 /// Largest body of an answer.
 const MAX_BODY_BYTES: usize = 1 << 16;
 
@@ -61,6 +70,8 @@
     organisation: &'static str,
     started: Instant,
     rng: StdRng,
+    /// Separate, so that what else the caller does stays as it is.
+    stream_rng: StdRng,
     calls_sent: u64,
     /// Open connection, with the gateway's index and number of starts.
     connection: Option<(Client, usize, u32)>,
@@ -75,6 +86,7 @@
             organisation: ORGANISATIONS[usize::from(number % 2 == 1)],
             started,
             rng: plan::caller_rng(seed, number),
+            stream_rng: plan::caller_rng(!seed, number),
             calls_sent: 0,
             connection: None,
         }
@@ -118,8 +130,28 @@
         }
     }
 
-    /// Sends a call and records its outcome.
+    /// Sends a call and records its outcome. Resumes a stream that breaks off, at any gateway.
     pub async fn call(&mut self, number: usize, kind: RequestKind) -> CallOutcome {
+        let (outcome, mut resumption) = self.send(number, kind, None).await;
+        for _ in 0..MAX_RESUMPTIONS {
+            let Some(resumes) = resumption else { break };
+            self.connection = None;
+            sleep(RESUME_PAUSE).await;
+            let gateways = self.cluster.instances.len();
+            let number = self.stream_rng.random_range(0..gateways);
+            (_, resumption) = self.send(number, kind, Some(resumes)).await;
+        }
+        outcome
+    }
+
+    /// Sends one attempt and records its outcome. Returns how to resume it, if it is a stream that began
+    /// and broke off.
+    async fn send(
+        &mut self,
+        number: usize,
+        kind: RequestKind,
+        resumes: Option<Resumption>,
+    ) -> (CallOutcome, Option<Resumption>) {
         self.calls_sent += 1;
         let id = format!("{}{:06x}", self.name, self.calls_sent);
         let sent = self.started.elapsed();
@@ -127,8 +159,19 @@
         let (client, gateway, start) = match self.connect(number).await {
             Ok(open) => open,
             Err(start) => {
-                self.record(id, kind, number, start, sent, CallOutcome::NotConnected);
-                return CallOutcome::NotConnected;
+                let outcome = CallOutcome::NotConnected;
+                let next = resumes.clone();
+                self.record(
+                    id,
+                    kind,
+                    number,
+                    start,
+                    sent,
+                    outcome.clone(),
+                    Bytes::new(),
+                    resumes,
+                );
+                return (outcome, next);
             }
         };
         let time_limit = if self.rng.random_ratio(1, UNUSUAL_CALL_EVERY) {
@@ -137,13 +180,38 @@
             CALL_TIMEOUT
         };
         let forged = self.rng.random_ratio(1, UNUSUAL_CALL_EVERY);
-        let response = exchange(client, kind, &id, self.organisation, forged);
+        let is_lost =
+            kind == RequestKind::Resume && self.stream_rng.random_ratio(1, LOST_STREAM_EVERY);
+        let time_limit = match is_lost {
+            true => Duration::from_millis(self.stream_rng.random_range(1..MAX_STREAM_MS)),
+            false => time_limit,
+        };
+        let received = RefCell::new(BytesMut::new());
+        let request = Request {
+            kind,
+            id: &id,
+            organisation: self.organisation,
+            forged,
+            resumes: resumes.as_ref(),
+        };
+        let response = exchange(client, &request, &received);
         let (outcome, client) = timeout(time_limit, response)
             .await
             .unwrap_or((CallOutcome::Left, None));
         self.connection = client.map(|client| (client, gateway, start));
-        self.record(id, kind, gateway, start, sent, outcome.clone());
-        outcome
+        let received = received.into_inner().freeze();
+        let next = next_resumption(kind, &id, &outcome, &received, resumes.as_ref());
+        self.record(
+            id,
+            kind,
+            gateway,
+            start,
+            sent,
+            outcome.clone(),
+            received,
+            resumes,
+        );
+        (outcome, next)
     }
 
     /// Closes the open connection.
@@ -165,6 +233,7 @@
             .map_err(|_| start)
     }
 
+    #[allow(clippy::too_many_arguments)]
     fn record(
         &self,
         id: String,
@@ -173,6 +242,8 @@
         start: u32,
         sent: Duration,
         outcome: CallOutcome,
+        received: Bytes,
+        resumes: Option<Resumption>,
     ) {
         self.cluster.history.borrow_mut().calls.push(Call {
             id,
@@ -183,6 +254,8 @@
             sent_at: sent,
             ended_at: self.started.elapsed(),
             outcome,
+            received,
+            resumes,
         });
     }
 }
@@ -198,14 +271,62 @@
     }
 }
 
-/// Sends a call and reads its answer. Returns the connection if it can be reused.
-async fn exchange(
-    mut client: Client,
+/// How to resume a stream after this attempt, if it broke off after an event.
+fn next_resumption(
     kind: RequestKind,
     id: &str,
-    organisation: &str,
+    outcome: &CallOutcome,
+    received: &Bytes,
+    resumes: Option<&Resumption>,
+) -> Option<Resumption> {
+    let is_over = matches!(
+        outcome,
+        CallOutcome::Answer {
+            status: 200,
+            body: Some(_),
+            ..
+        }
+    );
+    if kind != RequestKind::Resume || is_over {
+        return None;
+    }
+    let last = check::events(received).last().map(|event| event.number);
+    match (last, resumes) {
+        (Some(STREAM_EVENTS), _) => None,
+        (Some(after), Some(resumes)) => Some(Resumption {
+            first: resumes.first.clone(),
+            after,
+        }),
+        (Some(after), None) => Some(Resumption {
+            first: id.to_owned(),
+            after,
+        }),
+        (None, resumes) => resumes.cloned(),
+    }
+}
+
+/// A call to send.
+struct Request<'a> {
+    kind: RequestKind,
+    id: &'a str,
+    organisation: &'a str,
     forged: bool,
+    resumes: Option<&'a Resumption>,
+}
+
+/// Sends a call and reads its answer into `received`. Returns the connection if it can be reused.
+async fn exchange(
+    mut client: Client,
+    request: &Request<'_>,
+    received: &RefCell<BytesMut>,
 ) -> (CallOutcome, Option<Client>) {
+    let Request {
+        kind,
+        id,
+        organisation,
+        forged,
+        resumes,
+    } = *request;
     let parts = format!("a{id}:80,b{id}:20");
     let key = match kind {
         RequestKind::Keyless => "nobody's".to_owned(),
@@ -218,6 +339,11 @@
     if forged {
         headers.extend(FORGED_HEADERS);
     }
+    let after = resumes.map(|resumes| resumes.after.to_string());
+    if let (Some(resumes), Some(after)) = (resumes, &after) {
+        headers.push(("resumes", &resumes.first));
+        headers.push(("last-event-id", after));
+    }
     let head = request::call(&path(kind), id, DEADLINE_MS, &headers);
     let answer = match client.send(head, &Bytes::new()).await {
         Ok(answer) => answer,
@@ -238,7 +364,7 @@
         Err(_) => return (CallOutcome::Closed, None),
     };
     let summary = ResponseSummary::from(&answer.head);
-    let body = client.body(MAX_BODY_BYTES).await.ok();
+    let body = read_body(&mut client, received).await.ok();
     let client = body.is_some().then_some(client);
     let outcome = CallOutcome::Answer {
         status: summary.status,
@@ -248,3 +374,14 @@
     };
     (outcome, client)
 }
+
+/// Reads a body, of which `received` keeps what arrives even if it breaks off or the caller leaves.
+async fn read_body(client: &mut Client, received: &RefCell<BytesMut>) -> Result<Bytes, Failure> {
+    while let Some(chunk) = client.chunk().await? {
+        if received.borrow().len() + chunk.len() > MAX_BODY_BYTES {
+            return Err(Failure::Broken("the body is larger than allowed"));
+        }
+        received.borrow_mut().extend_from_slice(&chunk);
+    }
+    Ok(received.borrow().clone().freeze())
+}
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -7,10 +7,13 @@
 use platform_standin::cloud;
 
 use crate::history::{Call, CallOutcome, EngineRequest, History, RequestKind};
-use crate::plan::FaultKind;
+use crate::plan::{FaultKind, UPGRADED};
 
 mod announcements;
 mod isolation;
+mod versions;
+
+pub use versions::events;
 
 /// An invariant that a run violated.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -57,6 +60,10 @@
     Pauses,
     /// Callers of gateways that reach no engine are served about as often as those of others.
     Isolation,
+    /// A stream holds events of engines of one software version, over all attempts of its caller.
+    OneVersion,
+    /// Streams that callers resume go on about as often as new ones begin.
+    Resumed,
     /// Planned work cuts no call.
     PlannedWork,
     /// Processes run until they are told to exit.
@@ -98,6 +105,8 @@
     announcements::check_announced_leavings(history, &mut findings);
     announcements::check_pauses(history, &mut findings);
     isolation::check_isolation(history, &mut findings);
+    versions::check_versions(history, &mut findings);
+    versions::check_resumptions(history, &mut findings);
     let exits = history
         .unexpected_exits
         .iter()
@@ -135,10 +144,16 @@
 
 /// The body with which an engine answers a request.
 pub fn expected_body(kind: RequestKind, id: &str) -> String {
+    expected_rest(kind, id, 0)
+}
+
+/// The body with which an engine answers a request that resumes a stream after an event, or begins one.
+fn expected_rest(kind: RequestKind, id: &str, after: usize) -> String {
     if !kind.is_stream() {
         return format!("answer to {id}");
     }
-    let events = (1..=STREAM_EVENTS).map(|event| format!("id: {event}\ndata: {id} {event}\n\n"));
+    let events = after + 1..=STREAM_EVENTS;
+    let events = events.map(|event| format!("id: {event}\ndata: {id} {event}\n\n"));
     events.collect()
 }
 
@@ -152,8 +167,11 @@
     else {
         return;
     };
-    let expected = expected_body(call.kind, &call.id);
-    if *status == 200 && !(*signed && seen[..] == *expected.as_bytes()) {
+    let after = call.resumes.as_ref().map_or(0, |resumes| resumes.after);
+    let expected = expected_rest(call.kind, &call.id, after);
+    // Which versions may have written the events is checked apart.
+    let text = String::from_utf8_lossy(seen).replace(&format!(" {UPGRADED}\n"), "\n");
+    if *status == 200 && !(*signed && text == expected) {
         let seen = String::from_utf8_lossy(seen);
         let evidence = format!("{} {:?} got {seen:?}, signed: {signed}", call.id, call.kind);
         report(findings, Invariant::WholeOwnAnswer, evidence);
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -18,9 +18,12 @@
 use crate::check;
 use crate::gateway::{Gateway, PortAllocator};
 use crate::history::{EngineRequest, History, Leaving, Pauses, RateLimit};
-use crate::plan::{self, FaultKind, LinkState, PAUSE, Plan, ProcessAction};
+use crate::plan::{self, FaultKind, LinkState, PAUSE, Plan, ProcessAction, UPGRADED};
 use crate::proxy::Proxy;
 
+/// Service, stage and software version of an engine that is to be replaced.
+type Replaced = (&'static str, Option<&'static str>, &'static str);
+
 /// An engine stand-in and the proxy in front of it.
 #[derive(Debug)]
 struct EngineNode {
@@ -28,6 +31,8 @@
     link: Proxy,
     service: &'static str,
     stage: Option<&'static str>,
+    /// Version of its software.
+    software: &'static str,
     /// Whether it drains or has exited.
     has_left: bool,
     /// State in its newest record; `None` once the record has been removed.
@@ -75,6 +80,8 @@
 
 /// Interval between events, long enough that streams are open whenever a fault begins.
 const EVENT_INTERVAL: Duration = Duration::from_millis(50);
+/// Software version of engines at the start.
+const INITIAL_SOFTWARE: &str = "v1";
 /// Path of the call that crashes engines.
 pub const FATAL_PATH: &str = "/stream/fatal";
 /// Organisations of the callers.
@@ -137,12 +144,13 @@
             history: RefCell::default(),
         };
         for _ in 0..plan.services {
-            cluster.add_engine("app", None).await;
+            cluster.add_engine("app", None, INITIAL_SOFTWARE).await;
         }
         for number in 0..plan.engines {
             // A third of them do prefill, as in the users' deployments.
             let stage = if number % 3 == 1 { "prefill" } else { "decode" };
-            cluster.add_engine("pool", Some(stage)).await;
+            let stage = Some(stage);
+            cluster.add_engine("pool", stage, INITIAL_SOFTWARE).await;
         }
         cluster.configure();
         for instance in &cluster.instances {
@@ -156,10 +164,15 @@
         *self.version.borrow()
     }
 
-    async fn add_engine(&self, service: &'static str, stage: Option<&'static str>) {
+    async fn add_engine(
+        &self,
+        service: &'static str,
+        stage: Option<&'static str>,
+        software: &'static str,
+    ) {
         let id = format!("{service}-{}", self.engines.borrow().len());
         let engine = Engine::start(&id).await;
-        self.register_engine(engine, service, stage).await;
+        self.register_engine(engine, service, stage, software).await;
     }
 
     /// Puts an engine behind its own proxy and registers it.
@@ -168,7 +181,9 @@
         engine: Engine,
         service: &'static str,
         stage: Option<&'static str>,
+        software: &'static str,
     ) {
+        engine.set_software(software);
         engine.set_stream(check::STREAM_EVENTS, EVENT_INTERVAL);
         engine.end_on_path(FATAL_PATH);
         engine.set_framing(self.framing.get());
@@ -180,6 +195,7 @@
             link,
             service,
             stage,
+            software,
             has_left: false,
             recorded_state: Some("ready"),
             is_replaced: false,
@@ -257,7 +273,8 @@
             FaultKind::Engine(number, failure) => {
                 self.with_engine(number, |e| e.engine.set_behaviour(behaviour(failure)));
             }
-            FaultKind::Leave(number) => self.drain_engine(number).await,
+            FaultKind::Leave(number) => self.drain_engine(number, None).await,
+            FaultKind::Upgrade(number) => self.drain_engine(number, Some(UPGRADED)).await,
             FaultKind::Crash(number) => self.crash_engine(number).await,
             FaultKind::Reborn(number) => self.restart_engine(number).await,
             FaultKind::Foreign(number) => self.write_foreign_records(number),
@@ -289,7 +306,7 @@
             FaultKind::Engine(number, _) => {
                 self.with_engine(number, |node| node.engine.set_behaviour(Behaviour::Run));
             }
-            FaultKind::Leave(number) => self.unregister(number),
+            FaultKind::Leave(number) | FaultKind::Upgrade(number) => self.unregister(number),
             FaultKind::Crash(number) => self.unregister(number),
             FaultKind::Foreign(number) => self.write_engine_record(number),
             FaultKind::Fatal => self.sends_fatal.set(false),
@@ -404,18 +421,21 @@
         change(&mut self.engines.borrow_mut()[number]);
     }
 
-    /// Marks an engine as having left. Returns its service and stage unless it had left before.
-    fn mark_left(&self, number: usize) -> Option<(&'static str, Option<&'static str>)> {
+    /// Marks an engine as having left. Returns its service, stage and software version unless it had left
+    /// before.
+    fn mark_left(&self, number: usize) -> Option<Replaced> {
         let node = &mut self.engines.borrow_mut()[number];
         if std::mem::replace(&mut node.has_left, true) {
             return None;
         }
-        Some((node.service, node.stage))
+        Some((node.service, node.stage, node.software))
     }
 
-    async fn drain_engine(&self, number: usize) {
-        if let Some((service, stage)) = self.mark_left(number) {
-            self.add_engine(service, stage).await;
+    /// Announces that an engine drains, and replaces it by one of the same software version or another.
+    async fn drain_engine(&self, number: usize, upgrade: Option<&'static str>) {
+        if let Some((service, stage, software)) = self.mark_left(number) {
+            let software = upgrade.unwrap_or(software);
+            self.add_engine(service, stage, software).await;
             self.with_engine(number, |node| {
                 let engine = &node.engine;
                 engine.register_at(node.link.address, &self.store, service, "draining", stage);
@@ -430,16 +450,16 @@
     }
 
     async fn crash_engine(&self, number: usize) {
-        if let Some((service, stage)) = self.mark_left(number) {
+        if let Some((service, stage, software)) = self.mark_left(number) {
             self.with_engine(number, |node| node.link.set(LinkState::Reset));
-            self.add_engine(service, stage).await;
+            self.add_engine(service, stage, software).await;
         }
     }
 
     /// Ends an engine and registers a restart under its name, which gateways must tell from the old
     /// one.
     async fn restart_engine(&self, number: usize) {
-        let Some((service, stage)) = self.mark_left(number) else {
+        let Some((service, stage, software)) = self.mark_left(number) else {
             return;
         };
         let id = self.engines.borrow()[number].engine.id.clone();
@@ -455,7 +475,7 @@
         // The position in the list is the start timestamp, so that a restart has a later one.
         let timestamp = self.engines.borrow().len() as u64;
         let engine = Engine::start_with_timestamp(&id, timestamp).await;
-        self.register_engine(engine, service, stage).await;
+        self.register_engine(engine, service, stage, software).await;
     }
 
     /// Replaces engines that a call has crashed: those with an even index under the same name, the
@@ -474,8 +494,8 @@
             self.with_engine(number, |node| node.link.set(LinkState::Refuse));
             if number.is_multiple_of(2) {
                 self.restart_engine(number).await;
-            } else if let Some((service, stage)) = self.mark_left(number) {
-                self.add_engine(service, stage).await;
+            } else if let Some((service, stage, software)) = self.mark_left(number) {
+                self.add_engine(service, stage, software).await;
                 let lapse = (Instant::now() + RECORD_LIFETIME, number);
                 self.expiring_records.borrow_mut().push(lapse);
             }
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -89,6 +89,19 @@
     pub ended_at: Duration,
     /// How it ended.
     pub outcome: CallOutcome,
+    /// What arrived of its body, whole or not.
+    pub received: Bytes,
+    /// The stream that it resumes.
+    pub resumes: Option<Resumption>,
+}
+
+/// The stream that a call resumes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Resumption {
+    /// Id of the call that brought its first event.
+    pub first: String,
+    /// The last event that arrived.
+    pub after: usize,
 }
 
 impl Call {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -114,12 +114,17 @@
     Pause(usize),
     /// A new configuration with an additional route.
     Configure,
+    /// An engine announces that it drains, and one of the software version [`UPGRADED`] replaces it.
+    Upgrade(usize),
     /// The answers of all engines have neither a length nor chunks and end with their connections.
     Unframed,
     /// A gateway loses its paths to all engines, and keeps those to callers, store and gateways.
     Isolation(usize, Cut),
 }
 
+/// Software version to which engines are upgraded.
+pub const UPGRADED: &str = "v2";
+
 /// Pause that engines ask for.
 pub const PAUSE: Duration = Duration::from_secs(6);
 
@@ -149,6 +154,7 @@
             FaultKind::Process(_, ProcessAction::Stop | ProcessAction::Reload)
                 | FaultKind::Configure
                 | FaultKind::Leave(_)
+                | FaultKind::Upgrade(_)
         )
     }
 }
@@ -222,6 +228,10 @@
 const UNFRAMED_EVERY: u64 = 5;
 /// Number of engines that cut such answers in such a plan.
 const UNFRAMED_CUT_COUNT: usize = 2;
+/// One seed in this many upgrades a part of the engines.
+const UPGRADES_EVERY: u64 = 5;
+/// Time between two upgrades.
+const UPGRADE_INTERVAL: Duration = Duration::from_millis(400);
 /// Number of restores, and of interface failures, in such a plan.
 const RESTORE_COUNT: usize = 2;
 /// Longest time after the warm-up until fatal calls and rate limits begin.
@@ -352,6 +362,18 @@
                 Fault { at, duration, kind }
             }));
         }
+        if !planned && seed.is_multiple_of(UPGRADES_EVERY) {
+            // A separate generator, for the same reason.
+            let mut rng = StdRng::seed_from_u64(seed.rotate_left(4));
+            let first = WARM_UP + Duration::from_millis(rng.random_range(0..MAX_EARLY_START_MS));
+            // Engines of both stages stay on both versions.
+            let upgraded = (services..services + engines).step_by(2);
+            faults.extend(upgraded.zip(0..).map(|(engine, number)| Fault {
+                at: first + UPGRADE_INTERVAL * number,
+                duration: Duration::from_millis(rng.random_range(MIN_FAULT_MS..=MAX_FAULT_MS)),
+                kind: FaultKind::Upgrade(engine),
+            }));
+        }
         faults.sort_by_key(|fault| fault.at);
         Self {
             seed,
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -9,7 +9,7 @@
 use soak::check::{self, Finding, Invariant};
 use soak::cluster::ORGANISATIONS;
 use soak::history::{
-    Call, CallOutcome, EngineRequest, History, Leaving, Pauses, RateLimit, RequestKind,
+    Call, CallOutcome, EngineRequest, History, Leaving, Pauses, RateLimit, RequestKind, Resumption,
 };
 use soak::plan::{Fault, FaultKind, LinkState, ProcessAction, StoreFailure};
 
@@ -40,6 +40,8 @@
             says_when: false,
             body: Some(Bytes::from(check::expected_body(kind, id))),
         },
+        received: Bytes::from(check::expected_body(kind, id)),
+        resumes: None,
     }
 }
 
@@ -524,3 +526,81 @@
     });
     assert_eq!(check::check(&history), []);
 }
+
+/// Adds a call that brings some events of a stream, each by an engine of the given version, after those of
+/// the call that it resumes.
+fn add_stream(
+    history: &mut History,
+    id: &str,
+    events: &[(usize, &str)],
+    resumes: Option<Resumption>,
+) {
+    let text = events.iter().map(|(number, version)| {
+        let version = match *version {
+            "v1" => String::new(),
+            version => format!(" {version}"),
+        };
+        format!("id: {number}\ndata: {id} {number}{version}\n\n")
+    });
+    history.calls.push(Call {
+        outcome: CallOutcome::Left,
+        received: Bytes::from(text.collect::<String>()),
+        resumes,
+        ..call(id, RequestKind::Resume, 2_000)
+    });
+}
+
+fn resumption(first: &str, after: usize) -> Option<Resumption> {
+    Some(Resumption {
+        first: first.to_owned(),
+        after,
+    })
+}
+
+#[test]
+fn events_of_two_versions_in_one_stream_are_reported() {
+    assert_only_finding(Invariant::OneVersion, |history| {
+        add_stream(history, "a", &[(1, "v1"), (2, "v2")], None);
+    });
+    assert_only_finding(Invariant::OneVersion, |history| {
+        add_stream(history, "a", &[(1, "v2"), (2, "v2")], None);
+        add_stream(history, "b", &[], resumption("a", 2));
+        add_stream(history, "c", &[(3, "v1")], resumption("a", 2));
+    });
+    let mut history = valid_history();
+    add_stream(&mut history, "a", &[(1, "v2"), (2, "v2")], None);
+    add_stream(
+        &mut history,
+        "b",
+        &[(3, "v2"), (4, "v2")],
+        resumption("a", 2),
+    );
+    add_stream(&mut history, "c", &[(1, "v1")], None);
+    assert_eq!(check::check(&history), Vec::<Finding>::new());
+}
+
+#[test]
+fn resumed_streams_that_are_mostly_refused_are_reported() {
+    let add_resumed = |history: &mut History, refused: usize| {
+        history.faults.push(Fault {
+            at: ms(0),
+            duration: ms(1_000),
+            kind: FaultKind::Upgrade(0),
+        });
+        for number in 0..12 {
+            let mut resumed = call(&format!("r{number}"), RequestKind::Resume, 2_000);
+            resumed.resumes = resumption("c3", 4);
+            if number < refused {
+                refuse(&mut resumed, 503, true);
+            } else if let CallOutcome::Answer { body, .. } = &mut resumed.outcome {
+                *body = Some(Bytes::new());
+            }
+            resumed.received = Bytes::new();
+            history.calls.push(resumed);
+        }
+    };
+    assert_only_finding(Invariant::Resumed, |history| add_resumed(history, 7));
+    let mut history = valid_history();
+    add_resumed(&mut history, 6);
+    assert_eq!(check::check(&history), Vec::<Finding>::new());
+}
