Log and count streams that callers resume, and test more ways of it

A line and a metric tell of each stream that its caller resumes whether the version that began it is known; a refused one was a refusal like any other.

Process tests: the first instance paused (SIGSTOP) as well as killed, an instance that has just started, and streams that began before the second version came, whose first instance was killed since.

--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -169,18 +169,12 @@
 
     async fn run(mut self) -> Stream {
         let service = &self.request.service.name;
-        if self.request.call.resume_after.is_some() {
-            self.software = self
-                .instance
-                .resolve_stream(self.stream_key(), service)
-                .await;
-            if self.software.is_none() {
-                return Stream::Unserved(End::NotRun {
-                    after: REFUSED_RETRY_AFTER,
-                    why: "The software version that began the stream is not known.",
-                    best: None,
-                });
-            }
+        if self.request.call.resume_after.is_some() && !self.bind_resumed().await {
+            return Stream::Unserved(End::NotRun {
+                after: REFUSED_RETRY_AFTER,
+                why: "The software version that began the stream is not known.",
+                best: None,
+            });
         }
         self.instance
             .budgets
@@ -212,6 +206,25 @@
         }
     }
 
+    /// Binds a stream that the caller resumes to the software version that began it. Returns whether that
+    /// is known.
+    async fn bind_resumed(&mut self) -> bool {
+        let (instance, call) = (self.instance, &self.request.call);
+        let service = &self.request.service.name;
+        self.software = instance.resolve_stream(self.stream_key(), service).await;
+        log::info!(
+            id = call.id.as_str(), resumes = call.resumes.as_deref().unwrap_or_default(),
+            after = call.resume_after, software = self.software.as_deref().unwrap_or("unknown");
+            "resumed by its caller"
+        );
+        let is_known = self.software.is_some();
+        instance.metrics.stream_resumed(match is_known {
+            true => metrics::Origin::Known,
+            false => metrics::Origin::Unknown,
+        });
+        is_known
+    }
+
     /// Identifies the stream over its caller's attempts.
     fn stream_key(&self) -> Key {
         let request = self.request;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -67,6 +67,13 @@
     Silent,
 }
 
+/// Whether the software version is known that began a stream which a caller resumes.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum Origin {
+    Known,
+    Unknown,
+}
+
 /// Effect of an engine's rate limit on a call.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub(crate) enum Throttled {
@@ -131,6 +138,7 @@
 
 labels!(End: Served = "served", Refused = "refused", Failed = "failed", Late = "late", Cut = "cut");
 labels!(PlacementAnswer: Placed = "placed", Declined = "declined", Silent = "silent");
+labels!(Origin: Known = "known", Unknown = "unknown");
 labels!(Suspect: Held = "held", Alone = "alone");
 labels!(Throttled: Waited = "waited", Refused = "refused");
 labels!(EngineSource: Log = "log", Snapshot = "snapshot", Instance = "instance");
@@ -154,6 +162,7 @@
     usage_reports: Family<Labels<OrderAnswer>, Counter>,
     engine_orders: Family<Labels<OrderAnswer>, Counter>,
     placement_requests: Family<Labels<PlacementAnswer>, Counter>,
+    resumed_streams: Family<Labels<Origin>, Counter>,
     store_failures: Counter,
     engine_changes: Family<Labels<EngineSource>, Counter>,
     engine_refusals: Family<Labels<Pause>, Counter>,
@@ -183,6 +192,7 @@
             usage_reports: Family::default(),
             engine_orders: Family::default(),
             placement_requests: Family::default(),
+            resumed_streams: Family::default(),
             store_failures: Counter::default(),
             engine_changes: Family::default(),
             engine_refusals: Family::default(),
@@ -245,6 +255,11 @@
             "Questions to instances that place calls",
             self.placement_requests.clone(),
         );
+        registry.register(
+            "resumed_streams",
+            "Streams that callers resumed, by whether the version that began them is known",
+            self.resumed_streams.clone(),
+        );
         registry.register(
             "store_failures",
             "Reads of the store that failed",
@@ -358,6 +373,13 @@
             .inc();
     }
 
+    /// Counts a stream that a caller resumes.
+    pub(crate) fn stream_resumed(&self, origin: Origin) {
+        self.resumed_streams
+            .get_or_create(&[("origin", origin)])
+            .inc();
+    }
+
     /// Counts a changed record of an engine.
     pub(crate) fn engine_changed(&self, source: EngineSource) {
         self.engine_changes
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -165,20 +165,55 @@
 #[actix_rt::test]
 async fn a_stream_resumes_at_its_own_software_version_at_another_instance() {
     let ([first, second], _engines) = start_mixed().await;
-    for is_killed in [false, true] {
-        let began = round(&first, &format!("s-{is_killed}"), 2).await;
-        if is_killed {
-            first.signal("-KILL");
-        }
+    for signal in ["-CONT", "-STOP", "-KILL"] {
+        let began = round(&first, &format!("s{signal}"), 2).await;
+        first.signal(signal);
         let resumed = began.iter().map(async |(id, began)| {
             let received = resume(&second, &format!("r{id}"), id).await;
             assert!(received.is_complete, "{received:?}");
             assert_eq!(received.versions, [began.versions[0].as_str(); 2]);
         });
         join_all(resumed).await;
+        first.signal("-CONT");
     }
 }
 
+/// Guards against refusing or mixing streams at an instance that starts between two tries of a caller.
+#[actix_rt::test]
+async fn a_stream_resumes_at_its_own_software_version_at_a_new_instance() {
+    let ([first, _second], _engines) = start_mixed().await;
+    let began = round(&first, "s", 2).await;
+    let third = first.start_another();
+    third.wait_until_ready(true).await;
+    let resumed = began.iter().map(async |(id, began)| {
+        let received = resume(&third, &format!("r{id}"), id).await;
+        assert!(received.is_complete, "{received:?}");
+        assert_eq!(received.versions, [began.versions[0].as_str(); 2]);
+    });
+    join_all(resumed).await;
+}
+
+/// Guards against messages between instances while a service has one version, and against losing the
+/// streams that began before the second one came.
+#[actix_rt::test]
+async fn streams_that_began_before_the_second_version_came_resume_at_the_first() {
+    let (first, _app, pool) = Gateway::start().await;
+    pool.set_stream(4, EVENT_PAUSE);
+    let second = first.start_another();
+    second.wait_until_ready(true).await;
+    let began = round(&first, "s", 2).await;
+    add_engine(&first, "pool-2", "v2").await;
+    wait_until_mixed(&first, "w").await;
+    wait_until_mixed(&second, "x").await;
+    first.signal("-KILL");
+    let resumed = began.iter().map(async |(id, _)| {
+        let received = resume(&second, &format!("r{id}"), id).await;
+        assert!(received.is_complete, "{received:?}");
+        assert_eq!(received.versions, ["v1", "v1"]);
+    });
+    join_all(resumed).await;
+}
+
 /// Guards against guessing the version of a stream that no instance knows, and against refusing such
 /// streams where all engines have the same version.
 #[actix_rt::test]
