--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -9,7 +9,6 @@
 use http1::Writer;
 use serving::engine::Record;
 use serving::health::Outcome;
-use serving::origin::{self, Key};
 use serving::place::{Refusal, Target};
 use serving::{Choice, EngineId, Zone};
 use tokio::time::timeout_at;
@@ -22,15 +21,16 @@
 use crate::instance::Instance;
 use crate::metrics;
 use crate::placement::{self, Avoid};
-use crate::plain::{
-    End, NO_PATH_RETRY_AFTER, WholeAnswer, log_refused, metric_end, refuse_end, take_retry,
-};
+use crate::plain::{End, log_refused, metric_end, refuse_end};
 use crate::relay::{self, Relay, Times};
 use crate::suspects;
 
 mod memory;
+mod resume;
+mod retry;
 
 use memory::MemoryGuard;
+use retry::NextStep;
 
 /// How the stream to the caller ended.
 enum Stream {
@@ -133,12 +133,6 @@
     may_split: bool,
 }
 
-/// Next step after an attempt.
-enum NextStep {
-    Retry,
-    Done(Stream),
-}
-
 /// Result of an attempt to generate.
 enum GenerateResult {
     /// The engine did not run it.
@@ -206,35 +200,6 @@
         }
     }
 
-    /// Binds a stream that the caller resumes to the software version that began it. Returns whether that
-    /// is known.
-    async fn bind_resumed(&mut self) -> bool {
-        let (instance, call) = (self.instance, &self.request.call);
-        let service = &self.request.service.name;
-        self.software = instance.resolve_stream(self.stream_key(), service).await;
-        log::info!(
-            id = call.id.as_str(), resumes = call.resumes.as_deref().unwrap_or_default(),
-            after = call.resume_after, software = self.software.as_deref().unwrap_or("unknown");
-            "resumed by its caller"
-        );
-        let is_known = self.software.is_some();
-        instance.metrics.stream_resumed(match is_known {
-            true => metrics::Origin::Known,
-            false => metrics::Origin::Unknown,
-        });
-        is_known
-    }
-
-    /// Identifies the stream over its caller's attempts.
-    fn stream_key(&self) -> Key {
-        let request = self.request;
-        let attempt = match request.call.resume_after {
-            Some(_) => request.call.resumes.as_deref().unwrap_or_default(),
-            None => &request.call.id,
-        };
-        origin::key(request.principal.name(), &request.service.name, attempt)
-    }
-
     fn refusal(&self, after: Duration, why: Refusal, best: Option<Box<Target>>) -> Stream {
         if self.relay.has_begun() {
             return Stream::Broken("no further engine takes the call");
@@ -504,63 +469,6 @@
             }
         }
     }
-
-    /// Handles an engine's error response: retries elsewhere if the call allows it, else passes it
-    /// to the caller.
-    async fn after_failure(&mut self, mut response: EngineResponse, engine: &EngineId) -> NextStep {
-        let body = response.client.body(MAX_BODY_BYTES).await;
-        let reply = response.reply;
-        let Ok(body) = body else {
-            return self.after_loss("The engine's failure is broken.");
-        };
-        attempt::return_to_pool(self.instance, engine, response.client, &reply);
-        self.runs += 1;
-        if self.may_retry() {
-            return NextStep::Retry;
-        }
-        if self.relay.has_begun() {
-            return NextStep::Done(Stream::Broken("the engine failed"));
-        }
-        let end = if reply.promises_not_run() {
-            End::Unknown("The engine failed.")
-        } else {
-            let head = response.head;
-            End::Answer(Box::new(WholeAnswer { head, reply }), body)
-        };
-        NextStep::Done(Stream::Unserved(end))
-    }
-
-    fn after_rejection(&mut self, arrived: bool) -> NextStep {
-        if self.failed_sends.count(arrived) && (!arrived || take_retry(self.instance, self.request))
-        {
-            return NextStep::Retry;
-        }
-        let after = placement::retry_after(self.instance, self.request, REFUSED_RETRY_AFTER);
-        NextStep::Done(self.refusal(after, Refusal::TooMuchWork, None))
-    }
-
-    /// Another engine would not be reached either.
-    fn after_no_path(&self) -> NextStep {
-        NextStep::Done(self.refusal(NO_PATH_RETRY_AFTER, Refusal::Unreachable, None))
-    }
-
-    fn after_loss(&mut self, why: &'static str) -> NextStep {
-        self.runs += 1;
-        if self.may_retry() {
-            return NextStep::Retry;
-        }
-        if self.relay.has_begun() {
-            return NextStep::Done(Stream::Broken(why));
-        }
-        NextStep::Done(Stream::Unserved(End::Unknown(why)))
-    }
-
-    fn may_retry(&self) -> bool {
-        let route = &self.request.route;
-        route.kind.is_idempotent()
-            && self.runs < route.max_attempts
-            && take_retry(self.instance, self.request)
-    }
 }
 
 enum PrefillResult {
