Tell three instances of a stream besides the one that begins it

Of the three instances drawn for a stream the one that begins it could be one, and its end then left two that know. It tells three others now; an instance that is asked to resume draws from all, and five hold those three wherever it stands.

--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -425,14 +425,14 @@
     ) {
         self.observe_versions();
         let now = self.now();
-        let members = if self.origins.is_mixed(service, now) {
-            self.members()
+        let others = if self.origins.is_mixed(service, now) {
+            self.peers.borrow().addresses()
         } else {
             Vec::new()
         };
         let begun = self
             .origins
-            .begin(key, service, software, time_left, &members, now);
+            .begin(key, service, software, time_left, &others, now);
         self.send_all(begun);
     }
 
@@ -443,8 +443,9 @@
         if own.software.is_some() {
             return own.software;
         }
-        let members = self.members().into_iter();
-        let mut others = origin::holders(key, members, origin::ASKED);
+        let mut members = self.peers.borrow().addresses();
+        members.push(self.address);
+        let mut others = origin::holders(key, members.into_iter(), origin::ASKED);
         if self.is_caching.get() {
             // A placer knows all engines.
             let placers = self.placers.borrow();
@@ -478,14 +479,15 @@
         let services = services.map(|service| (service, fleet.versions(service).nth(1).is_some()));
         let notes = self
             .origins
-            .observe(services, || self.members(), self.now());
+            .observe(services, || self.peers.borrow().addresses(), self.now());
         self.send_all(notes);
     }
 
     /// Notes that a service has engines of several software versions, as a placer says.
     pub(crate) fn on_mixed_versions(&self, service: &ServiceName) {
         let mixed = std::iter::once((service, true));
-        let notes = self.origins.observe(mixed, || self.members(), self.now());
+        let others = || self.peers.borrow().addresses();
+        let notes = self.origins.observe(mixed, others, self.now());
         self.send_all(notes);
     }
 
@@ -496,15 +498,8 @@
             .knowledge(key, service, &fleet, knows_all, self.now())
     }
 
-    /// All registered instances, this one included.
-    fn members(&self) -> Vec<SocketAddr> {
-        let mut members = self.peers.borrow().addresses();
-        members.push(self.address);
-        members
-    }
-
     fn send_all(&self, outgoing: Outgoing) {
-        for (to, frame) in outgoing.into_iter().filter(|(to, _)| *to != self.address) {
+        for (to, frame) in outgoing {
             let frame = Frame {
                 incarnation: self.incarnation,
                 ..frame
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -40,12 +40,12 @@
         service: &ServiceName,
         software: &Software,
         time_left: Duration,
-        members: &[SocketAddr],
+        others: &[SocketAddr],
         now: Moment,
     ) -> Outgoing {
         let mut streams = self.streams.borrow_mut();
         let note = streams.begin(key, service, software, time_left, now);
-        address_notes(note.as_slice(), members)
+        address_notes(note.as_slice(), others)
     }
 
     /// Records whether services have several versions. Returns what to send of the streams that began while
@@ -53,7 +53,7 @@
     pub(crate) fn observe<'a>(
         &self,
         services: impl Iterator<Item = (&'a ServiceName, bool)>,
-        members: impl FnOnce() -> Vec<SocketAddr>,
+        others: impl FnOnce() -> Vec<SocketAddr>,
         now: Moment,
     ) -> Outgoing {
         let mut streams = self.streams.borrow_mut();
@@ -67,7 +67,7 @@
         if notes.is_empty() {
             return Outgoing::new();
         }
-        address_notes(&notes, &members())
+        address_notes(&notes, &others())
     }
 
     /// Whether a service has several versions, or had until lately.
@@ -176,11 +176,11 @@
     }
 }
 
-/// Addresses notes to the holders of their streams.
-fn address_notes(notes: &[Note], members: &[SocketAddr]) -> Outgoing {
+/// Addresses notes to the holders of their streams among the other instances.
+fn address_notes(notes: &[Note], others: &[SocketAddr]) -> Outgoing {
     let mut by_holder: HashMap<SocketAddr, Vec<StreamOrigin>> = HashMap::new();
     for note in notes {
-        for holder in origin::holders(note.key, members.iter().copied(), origin::HOLDERS) {
+        for holder in origin::holders(note.key, others.iter().copied(), origin::HOLDERS) {
             by_holder.entry(holder).or_default().push(StreamOrigin {
                 stream: note.key,
                 software: note.software.to_string(),
--- a/crates/serving/src/origin.rs
+++ b/crates/serving/src/origin.rs
@@ -23,9 +23,10 @@
 /// Version of an engine's software.
 pub type Software = Rc<str>;
 
-/// Instances that are told of a stream.
+/// Other instances that are told of a stream.
 pub const HOLDERS: usize = 3;
-/// Instances that are asked for one. More than were told, since some may have come or gone since.
+/// Instances that are asked for one. More than were told, since the one that began it may be drawn too, and
+/// another one may have come or gone since.
 pub const ASKED: usize = 5;
 /// Time for which a service counts as having several versions after the last of all but one has gone.
 /// Streams that began before may still be resumed.
@@ -41,7 +42,7 @@
     hash::hash64(&format!("{organisation}\n{service}\n{attempt}"))
 }
 
-/// The instances that remember a stream, drawn from all. Each instance draws the same ones, and one that
+/// The instances that remember a stream, drawn from `members`. Each instance draws the same ones, and one that
 /// comes or goes changes at most one of them.
 pub fn holders(
     key: Key,
--- a/crates/serving/tests/origin.rs
+++ b/crates/serving/tests/origin.rs
@@ -52,7 +52,8 @@
     let after = members(9);
     for attempt in 0..100 {
         let key = origin::key("", "pool", &attempt.to_string());
-        let told = draw(key, &before, HOLDERS);
+        // The instance that begins the stream tells others.
+        let told = draw(key, &before[..7], HOLDERS);
         let asked = draw(key, &after, ASKED);
         assert!(told.iter().all(|holder| asked.contains(holder)));
         let asked = draw(key, &before[1..], ASKED);
