--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -24,10 +24,36 @@
 #[derive(Default)]
 pub(crate) struct StreamOrigins {
     streams: RefCell<Origins>,
-    waiting: RefCell<HashMap<u32, UnboundedSender<OriginResponse>>>,
+    waiting: RefCell<Waiting>,
     last_ticket: Cell<u32>,
 }
 
+/// Questions that await answers, by ticket.
+type Waiting = HashMap<u32, UnboundedSender<OriginResponse>>;
+
+/// Removes a question when dropped: its caller may disconnect meanwhile.
+struct WaitingGuard<'a> {
+    waiting: &'a RefCell<Waiting>,
+    ticket: u32,
+}
+
+impl<'a> WaitingGuard<'a> {
+    fn new(
+        waiting: &'a RefCell<Waiting>,
+        ticket: u32,
+        sender: UnboundedSender<OriginResponse>,
+    ) -> Self {
+        waiting.borrow_mut().insert(ticket, sender);
+        Self { waiting, ticket }
+    }
+}
+
+impl Drop for WaitingGuard<'_> {
+    fn drop(&mut self) {
+        self.waiting.borrow_mut().remove(&self.ticket);
+    }
+}
+
 /// Frames to send, each to one instance.
 pub(crate) type Outgoing = Vec<(SocketAddr, Frame)>;
 
@@ -106,7 +132,7 @@
         let ticket = self.last_ticket.get().wrapping_add(1);
         self.last_ticket.set(ticket);
         let (sender, mut receiver) = unbounded_channel();
-        self.waiting.borrow_mut().insert(ticket, sender);
+        let _open = WaitingGuard::new(&self.waiting, ticket, sender);
         for other in others {
             let request = OriginRequest {
                 ticket,
@@ -128,7 +154,6 @@
             }
         };
         let is_silent = timeout(RESPONSE_TIMEOUT, answers).await.is_err();
-        self.waiting.borrow_mut().remove(&ticket);
         if is_silent {
             log::info!(asked = others.len(), answered = known.len(); "instances do not say where a stream began");
         }
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -160,18 +160,19 @@
             Ok(open) => open,
             Err(start) => {
                 let outcome = CallOutcome::NotConnected;
-                let next = resumes.clone();
-                self.record(
+                self.cluster.history.borrow_mut().calls.push(Call {
                     id,
                     kind,
-                    number,
-                    start,
-                    sent,
-                    outcome.clone(),
-                    Bytes::new(),
-                    resumes,
-                );
-                return (outcome, next);
+                    organisation: self.organisation,
+                    gateway: number,
+                    gateway_start: start,
+                    sent_at: sent,
+                    ended_at: self.started.elapsed(),
+                    outcome: outcome.clone(),
+                    received: Bytes::new(),
+                    resumes: resumes.clone(),
+                });
+                return (outcome, resumes);
             }
         };
         let time_limit = if self.rng.random_ratio(1, UNUSUAL_CALL_EVERY) {
@@ -201,16 +202,18 @@
         self.connection = client.map(|client| (client, gateway, start));
         let received = received.into_inner().freeze();
         let next = next_resumption(kind, &id, &outcome, &received, resumes.as_ref());
-        self.record(
+        self.cluster.history.borrow_mut().calls.push(Call {
             id,
             kind,
+            organisation: self.organisation,
             gateway,
-            start,
-            sent,
-            outcome.clone(),
+            gateway_start: start,
+            sent_at: sent,
+            ended_at: self.started.elapsed(),
+            outcome: outcome.clone(),
             received,
             resumes,
-        );
+        });
         (outcome, next)
     }
 
@@ -232,32 +235,6 @@
             .map(|client| (client, number, start))
             .map_err(|_| start)
     }
-
-    #[allow(clippy::too_many_arguments)]
-    fn record(
-        &self,
-        id: String,
-        kind: RequestKind,
-        gateway: usize,
-        start: u32,
-        sent: Duration,
-        outcome: CallOutcome,
-        received: Bytes,
-        resumes: Option<Resumption>,
-    ) {
-        self.cluster.history.borrow_mut().calls.push(Call {
-            id,
-            kind,
-            organisation: self.organisation,
-            gateway,
-            gateway_start: start,
-            sent_at: sent,
-            ended_at: self.started.elapsed(),
-            outcome,
-            received,
-            resumes,
-        });
-    }
 }
 
 fn path(kind: RequestKind) -> String {
