Soak: list a seed whose isolated gateway is served far worse

Seed 6037 (two gateways, one without links to engines, engines that lose answers) has a finding each time: the isolated gateway serves 22 to 55 of 106 to 146 calls, the other one 65 to 88 of as many; 970 calls of a run are refused with "No engine can be reached.". Not traced further; the logs show that the only instance that could forward declines as unreachable, and that a lost answer, too, keeps it from being asked for two seconds.

--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::time::Duration;
 
+use soak::check::Finding;
 use soak::plan::Plan;
 use soak::run::{self, Paths};
 
@@ -18,24 +19,33 @@
     assert_ne!(plan.faults, Plan::generate(6, DURATION).faults);
 }
 
+/// Guards against refusing all calls of a gateway without links to engines because an engine behind the only
+/// other gateway loses answers.
+#[actix_rt::test]
+async fn isolated_gateway_is_served_while_an_engine_loses_answers() {
+    let plan = Plan::generate(6037, Duration::from_secs(12));
+    assert_eq!(findings(&plan).await, []);
+}
+
 #[actix_rt::test]
 async fn listed_seeds_have_no_findings() {
+    let seeds = SEEDS.lines().filter(|line| !line.starts_with('#'));
+    for line in seeds {
+        let seed = line.split_whitespace().next().expect("a seed");
+        let seed = seed.parse().expect("a number");
+        let findings = findings(&Plan::generate(seed, DURATION)).await;
+        assert!(findings.is_empty(), "seed {seed}: {findings:?}");
+    }
+}
+
+/// Runs a plan and returns its findings.
+async fn findings(plan: &Plan) -> Vec<Finding> {
     let directory = tempfile::tempdir().expect("a scratch folder can be made");
     let beside = Path::new(env!("CARGO_BIN_EXE_tarragon-soak"));
     let paths = Paths {
         program: run::gateway_program(beside).expect("the gateway is built"),
         directory: directory.path().to_owned(),
     };
-    let seeds = SEEDS.lines().filter(|line| !line.starts_with('#'));
-    for line in seeds {
-        let seed = line.split_whitespace().next().expect("a seed");
-        let seed = seed.parse().expect("a number");
-        let result = run::run(&Plan::generate(seed, DURATION), &paths).await;
-        let result = result.expect("the run can be carried out");
-        assert!(
-            result.findings.is_empty(),
-            "seed {seed}: {:?}",
-            result.findings
-        );
-    }
+    let result = run::run(plan, &paths).await;
+    result.expect("the run can be carried out").findings
 }
