Log which prompt parts a broken call shares with others

A series of ends under calls that are no repeats left no trace of what the calls have in common: lines of broken calls bear a fingerprint of the whole request only. Nothing decides by them yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use http1::{Client, Failure, Framing, IncomingRequest};
 use serving::engine::{Rank, Record};
-use serving::fingerprint::{self, Fingerprint};
+use serving::fingerprint::{self, Fingerprint, PartFingerprints};
 use serving::health::Outcome;
 use serving::organisation::Organisation;
 use serving::reachability::{Cause, ForwardResult, Path};
@@ -40,6 +40,7 @@
     /// Address that the connection comes from.
     pub caller: IpAddr,
     fingerprint: OnceCell<Fingerprint>,
+    shared_parts: OnceCell<PartFingerprints>,
     /// Whether it is already counted in its organisation's usage.
     is_counted: Cell<bool>,
     /// Whether this instance may send it although it is held; cleared once an engine has received
@@ -214,6 +215,7 @@
             call,
             caller,
             fingerprint: OnceCell::new(),
+            shared_parts: OnceCell::new(),
             is_counted: Cell::new(false),
             is_trial: Cell::new(false),
         })
@@ -242,6 +244,19 @@
         suspects::fingerprint_text(self.fingerprint())
     }
 
+    /// The parts that its prompt may share with others. Computed on first use, as the fingerprint.
+    pub(crate) fn shared_parts(&self) -> &[Fingerprint] {
+        self.shared_parts
+            .get_or_init(|| ingress::shared_parts(&self.head))
+    }
+
+    /// [`Request::shared_parts`] in the form that logs use.
+    pub(crate) fn shared_parts_text(&self) -> String {
+        let parts = self.shared_parts().iter().copied();
+        let parts: Vec<String> = parts.map(suspects::fingerprint_text).collect();
+        parts.join(",")
+    }
+
     /// What crash detection keeps of the request after it has ended.
     pub(crate) fn subject(&self) -> Subject {
         Subject {
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -387,7 +387,7 @@
             }
             AttemptResult::Lost(failure) => {
                 log::info!(id = self.request.call.id.as_str(), engine = &*engine.id, failure:% = failure,
-                    fingerprint = self.request.fingerprint_text(), caller:% = self.request.caller;
+                    fingerprint = self.request.fingerprint_text(), parts = self.request.shared_parts_text(), caller:% = self.request.caller;
                     "the engine's answer was lost");
                 engine_call.set_outcome(Outcome::Failed);
                 drop(engine_call);
@@ -459,7 +459,7 @@
             }
             relay::End::Broken(failure) => {
                 log::info!(id = self.request.call.id.as_str(), engine = &*engine.id, failure:% = failure, framing:? = response.framing, last:? = self.relay.last(),
-                    fingerprint = self.request.fingerprint_text(), caller:% = self.request.caller;
+                    fingerprint = self.request.fingerprint_text(), parts = self.request.shared_parts_text(), caller:% = self.request.caller;
                     "the engine broke off");
                 engine_call.set_outcome(Outcome::Failed);
                 drop(engine_call);
--- a/crates/serving/tests/fingerprint.rs
+++ b/crates/serving/tests/fingerprint.rs
@@ -2,7 +2,7 @@
 
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use serving::fingerprint::{Request, of};
+use serving::fingerprint::{Request, of, of_part};
 
 /// Fixed, so that every run checks the same cases.
 const SEED: u64 = 29;
@@ -44,6 +44,15 @@
     }
 }
 
+#[test]
+fn parts_are_told_apart_by_model_and_id() {
+    let part = of_part("m", "5c1e07a2");
+    assert_eq!(of_part("m", "005C1E07A2"), part);
+    for (model, id) in [("n", "5c1e07a2"), ("m", "5c1e07a3"), ("m5", "c1e07a2")] {
+        assert_ne!(of_part(model, id), part, "{model} {id}");
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(SEED), failure_persistence: None, ..ProptestConfig::default() })]
     /// Moving bytes from one field to the next changes the fingerprint.
