Add a failing test of requests that share a part which ends engines

Three instances get requests that have one part of their prompts in common, and beside each a sound one of the same caller and first part. The stand-in of an engine ends when it begins to generate after a prompt with a given part, other than the last.

--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -4,8 +4,9 @@
 
 use std::time::{Duration, SystemTime};
 
-use harness::{Gateway, wait_until};
+use harness::{Gateway, Response, wait_until};
 use platform_standin::engine::Behaviour;
+use platform_standin::request::generation_headers;
 use platform_standin::store::Fault;
 use platform_standin::{Engine, Store};
 use wire::Message as _;
@@ -26,6 +27,17 @@
 /// Path of the call that crashes engines.
 const FATAL_PATH: &str = "/stream/fatal";
 
+/// Part of prompts after which engines crash when they begin to generate.
+const FATAL_PART: &str = "fa7a1";
+/// First part of the prompts of one caller, with the fatal part and without it.
+const FIRST_PART: &str = "c0ffee";
+/// Prefix of the paths of requests with the fatal part. No two are alike.
+const FATAL_PART_PATH: &str = "/stream/shares-";
+/// Crashes after which all instances must know a part.
+const CRASHES_UNTIL_PART_IS_KNOWN: usize = 5;
+/// Requests with the fatal part that callers send, faster than engines are replaced.
+const FATAL_PART_REQUESTS: usize = 30;
+
 /// Engines that are replaced when they crash, as by a supervisor.
 struct Pool {
     engines: Vec<Engine>,
@@ -48,6 +60,7 @@
         self.started += 1;
         let engine = Engine::start(&format!("pool-{}", self.started + 1)).await;
         engine.end_on_path(FATAL_PATH);
+        engine.end_on_part(FATAL_PART);
         engine.register(store, "pool", "ready", Some("decode"));
         self.engines.push(engine);
     }
@@ -112,6 +125,7 @@
 async fn three_instances() -> ([Gateway; 3], Pool) {
     let (first, _app, other) = Gateway::start().await;
     other.end_on_path(FATAL_PATH);
+    other.end_on_part(FATAL_PART);
     let mut pool = Pool::start(&first.store).await;
     pool.engines.push(other);
     let (second, third) = (first.start_another(), first.start_another_on_slow_link());
@@ -125,6 +139,40 @@
     (gateways, pool)
 }
 
+/// Sends a request that has the fatal part and, but for its caller and its first part, nothing in
+/// common with others.
+async fn send_with_fatal_part(gateway: &Gateway, number: usize) -> Response {
+    let prompt = format!("{FIRST_PART}:40,{FATAL_PART}:40,a{number:x}:20");
+    let headers = generation_headers("100,20", &prompt);
+    let path = format!("{FATAL_PART_PATH}{number}");
+    gateway.call(&path, &gateway.fresh_id(), &headers).await
+}
+
+/// Sends a request of the same caller and first part that harms no engine.
+async fn send_sound(gateway: &Gateway, number: usize) -> Response {
+    let prompt = format!("{FIRST_PART}:40,5e551{number:x}:40,b{number:x}:20");
+    let headers = generation_headers("100,20", &prompt);
+    let path = format!("/stream/sound-{number}");
+    gateway.call(&path, &gateway.fresh_id(), &headers).await
+}
+
+/// Sends requests with the fatal part, each beside a sound one, to one instance after the other until
+/// the part must be known to all.
+async fn crash_by_part(gateways: &[Gateway], pool: &mut Pool) {
+    for number in 0..FATAL_PART_REQUESTS {
+        if pool.crashed() >= CRASHES_UNTIL_PART_IS_KNOWN {
+            break;
+        }
+        let gateway = &gateways[number % gateways.len()];
+        let _ = tokio::join!(
+            send_with_fatal_part(gateway, number),
+            send_sound(gateway, number)
+        );
+        pool.replace(&gateways[0].store).await;
+    }
+    tokio::time::sleep(KNOWN_EVERYWHERE).await;
+}
+
 fn assert_held(repeats: &Repeats) {
     let (answers, reached_when_known) = (&repeats.answers, repeats.reached_when_known);
     assert!(
@@ -177,6 +225,32 @@
     assert_held(&repeats);
 }
 
+/// Guards against requests that share a part of their prompts, and are no repeats of each other,
+/// crashing one engine each.
+#[actix_rt::test]
+async fn requests_that_share_a_fatal_part_are_held_at_every_instance() {
+    let (gateways, mut pool) = three_instances().await;
+    crash_by_part(&gateways, &mut pool).await;
+    let reached = pool.reached(FATAL_PART_PATH);
+    let mut answers = Vec::new();
+    for number in FATAL_PART_REQUESTS..2 * FATAL_PART_REQUESTS {
+        let gateway = &gateways[number % gateways.len()];
+        let answer = send_with_fatal_part(gateway, number).await;
+        answers.push((answer.status, answer.retry_after.is_some()));
+        pool.replace(&gateways[0].store).await;
+    }
+    let reached_when_known = pool.reached(FATAL_PART_PATH) - reached;
+    assert!(
+        reached_when_known <= MAX_TRIALS,
+        "reached engines {reached_when_known} times more, {answers:?}"
+    );
+    assert_eq!(answers.last(), Some(&(503, true)), "{answers:?}");
+    for (number, gateway) in gateways.iter().enumerate() {
+        let answer = send_sound(gateway, 2 * FATAL_PART_REQUESTS + number).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+}
+
 /// Whether one of the instances has written to the store that the call is held.
 fn is_stored(gateways: &[Gateway]) -> bool {
     let line = "the store knows of a call that ends engines";
