Hold calls that share a part of their prompts which crashes engines

Cause: quarantine knows a call by its whole content, and no two of these requests are alike, so each was noted with one end and none was held. What is remembered of a crash had been tied to one way in which calls come again.

Evidence: beside each end exactly one call had the head of its answer and no event, each with another fingerprint; the test of three instances failed with 16 of 30 later requests at engines.

Change: the parts of a prompt but the last are suspects of the same table as calls. A part has a crash for each engine that ended before it had written 100 ms of an answer after a prompt with that part. An engine that has written for 100 ms, or all of a shorter answer, clears the parts of that prompt for its build. Crashes within 50 ms count once, since a rack may be their cause. At three, calls with the part are held. A part is not held for the crashes of one held call, nor for those of a held part that comes later in prompts, so that the first part of nine calls in ten does not share the blame. Each of its two trials counts, whatever becomes of it.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -1,14 +1,17 @@
-//! Decides whether a call may go to an engine now, given the engines that crashed while running it.
-//! Every dispatch to an engine asks first: first sends, retries, prefill, KV cache transfers and
-//! streams that resume elsewhere.
+//! Decides whether a call may go to an engine now, given the engines that crashed while running it or
+//! others with a part of its prompt. Every dispatch to an engine asks first: first sends, retries,
+//! prefill, KV cache transfers and streams that resume elsewhere.
 
 use std::time::Duration;
 
-use serving::EngineId;
-use serving::quarantine::{Builds, Verdict};
+use serving::fingerprint::Fingerprint;
+use serving::place::Refusal;
+use serving::quarantine::{Builds, Judgement, Verdict};
+use serving::{Choice, EngineId};
 
 use crate::attempt::Request;
 use crate::instance::Instance;
+use crate::suspects::fingerprint_text;
 use crate::{quarantine_store, suspects};
 
 /// How a call may be dispatched.
@@ -19,8 +22,31 @@
     Alone,
     /// To any engine except these, which run builds that it has not run well on.
     Excluding(Vec<EngineId>),
-    /// Not now; retry after this time.
-    Held(Duration),
+    /// Not now; retry after the given time.
+    Held(Hold),
+}
+
+/// Why a call is held, and for how long.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Hold {
+    /// The call itself or a part of its prompt.
+    suspect: Fingerprint,
+    is_part: bool,
+    after: Duration,
+}
+
+impl Hold {
+    /// The refusal of the call.
+    pub(crate) fn refusal(&self) -> Choice {
+        Choice::Refuse {
+            retry_after: self.after,
+            reason: match self.is_part {
+                true => Refusal::PartHeld,
+                false => Refusal::Held,
+            },
+            best_target: None,
+        }
+    }
 }
 
 /// Retry-after while another instance tries the call, or while the store does not say who may.
@@ -32,41 +58,53 @@
     if request.is_trial.get() {
         return Admission::Alone;
     }
-    let admission = match instance.suspects.verdict(request, suspects::now(instance)) {
-        Verdict::TrialDue if quarantine_store::claim_trial(instance, request).await => {
-            log::info!(id = request.call.id.as_str(), fingerprint = request.fingerprint_text(); "a held call is tried");
-            request.is_trial.set(true);
-            Admission::Alone
-        }
-        Verdict::TrialDue => Admission::Held(TRIAL_RETRY_AFTER),
-        decided => admission_for(instance, request, decided),
-    };
-    if let Admission::Held(after) = &admission {
-        log_held(instance, request, *after);
+    let judgement = instance.suspects.judge(request, suspects::now(instance));
+    if let Some(Judgement { suspect, verdict }) = &judgement
+        && *verdict == Verdict::TrialDue
+        && quarantine_store::claim_trial(instance, request, *suspect).await
+    {
+        log::info!(id = request.call.id.as_str(), fingerprint = fingerprint_text(*suspect); "a held call is tried");
+        request.is_trial.set(true);
+        return Admission::Alone;
     }
-    admission
+    admission_for(instance, request, judgement)
 }
 
-/// As [`admit`], for a call that an engine has already begun to serve; starts no trial.
-pub(crate) fn admit_started(instance: &Instance, request: &Request) -> Admission {
-    let verdict = instance.suspects.verdict(request, suspects::now(instance));
-    admission_for(instance, request, verdict)
+/// As [`admit`], for a call that was admitted before or that an engine has already begun to serve;
+/// starts no trial.
+pub(crate) fn admit_again(instance: &Instance, request: &Request) -> Admission {
+    if request.is_trial.get() {
+        return Admission::Alone;
+    }
+    let now = suspects::now(instance);
+    admission_for(instance, request, instance.suspects.judge(request, now))
 }
 
-fn admission_for(instance: &Instance, request: &Request, verdict: Verdict) -> Admission {
-    match verdict {
-        Verdict::Clear => Admission::Unrestricted,
-        Verdict::Suspected => Admission::Alone,
-        Verdict::TrialDue => Admission::Held(TRIAL_RETRY_AFTER),
-        Verdict::Held {
-            after,
-            good_builds: well_on,
-        } if well_on.is_empty() => Admission::Held(after),
-        Verdict::Held {
-            good_builds: well_on,
-            ..
-        } => Admission::Excluding(engines_with_other_builds(instance, request, &well_on)),
-    }
+fn admission_for(
+    instance: &Instance,
+    request: &Request,
+    judgement: Option<Judgement>,
+) -> Admission {
+    let Some(Judgement { suspect, verdict }) = judgement else {
+        return Admission::Unrestricted;
+    };
+    let after = match verdict {
+        Verdict::Clear => return Admission::Unrestricted,
+        Verdict::Suspected => return Admission::Alone,
+        Verdict::Held { good_builds, .. } if !good_builds.is_empty() => {
+            let others = engines_with_other_builds(instance, request, &good_builds);
+            return Admission::Excluding(others);
+        }
+        Verdict::TrialDue => TRIAL_RETRY_AFTER,
+        Verdict::Held { after, .. } => after,
+    };
+    let hold = Hold {
+        suspect,
+        is_part: suspect != request.fingerprint(),
+        after,
+    };
+    log_held(instance, request, &hold);
+    Admission::Held(hold)
 }
 
 /// Engines of the call's service that run a build not in `builds`.
@@ -82,17 +120,14 @@
     others.map(|engine| engine.record.id.clone()).collect()
 }
 
-fn log_held(instance: &Instance, request: &Request, after: Duration) {
+fn log_held(instance: &Instance, request: &Request, hold: &Hold) {
     instance.metrics.call_held();
-    let entry = instance
-        .suspects
-        .get(request.fingerprint())
-        .unwrap_or_default();
+    let entry = instance.suspects.get(hold.suspect).unwrap_or_default();
     let last = entry.last_crash().unwrap_or_default();
     log::info!(
-        id = request.call.id.as_str(), fingerprint = request.fingerprint_text(), caller:% = request.caller,
+        id = request.call.id.as_str(), fingerprint = fingerprint_text(hold.suspect), part = hold.is_part, caller:% = request.caller,
         ended = entry.uncleared_crashes(), last_ms:% = suspects::now(instance).saturating_sub(last).as_millis(),
-        trials = entry.trials, failed = entry.failed_trials, after_ms:% = after.as_millis();
+        trials = entry.trials, failed = entry.failed_trials, after_ms:% = hold.after.as_millis();
         "held"
     );
 }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -20,9 +20,11 @@
 use serving::route::Version;
 use serving::usage::UnixTime;
 use serving::{EngineId, Route, Service, Table};
+use smallvec::SmallVec;
 use tokio::time::Instant;
 
 use crate::connection::NO_ROUTE_STATUS;
+use crate::engine_call::Progress;
 use crate::engine_links::Target;
 use crate::forward::{self, Forwarded, NotForwarded};
 use crate::instance::Instance;
@@ -137,6 +139,8 @@
 /// Retry-after from an instance that knows no configuration or no engines yet. Another instance is
 /// likely to know them.
 const UNSYNCED_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Parts of a prompt that quarantine looks at, which bounds the work for one call.
+const MAX_TRACKED_PARTS: usize = 16;
 
 impl Request {
     pub(crate) fn new(
@@ -246,8 +250,18 @@
 
     /// The parts that its prompt may share with others. Computed on first use, as the fingerprint.
     pub(crate) fn shared_parts(&self) -> &[Fingerprint] {
-        self.shared_parts
-            .get_or_init(|| ingress::shared_parts(&self.head))
+        self.shared_parts.get_or_init(|| {
+            let mut parts = ingress::shared_parts(&self.head);
+            parts.truncate(MAX_TRACKED_PARTS);
+            parts
+        })
+    }
+
+    /// What quarantine may know of it: itself and the parts of its prompt.
+    pub(crate) fn suspects(&self) -> SmallVec<[Fingerprint; 5]> {
+        let own = [self.fingerprint()];
+        let parts = self.shared_parts().iter().copied();
+        own.into_iter().chain(parts).collect()
     }
 
     /// [`Request::shared_parts`] in the form that logs use.
@@ -257,11 +271,17 @@
         parts.join(",")
     }
 
-    /// What crash detection keeps of the request after it has ended.
-    pub(crate) fn subject(&self) -> Subject {
+    /// What crash detection keeps of the request after it has ended, given how far an engine was
+    /// with it.
+    pub(crate) fn subject(&self, progress: Progress) -> Subject {
+        let parts = match progress {
+            Progress::Starting => self.shared_parts(),
+            Progress::Prefilling | Progress::Writing => &[],
+        };
         Subject {
             id: self.call.id.clone(),
             fingerprint: self.fingerprint(),
+            parts: parts.into(),
             caller: self.caller,
         }
     }
--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -22,6 +22,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::attempt::Request;
+use crate::engine_call::Progress;
 use crate::instance::Instance;
 use crate::suspects::{self, Subject};
 use crate::{engine_links, placement};
@@ -80,18 +81,20 @@
     instance: &Rc<Instance>,
     request: &Request,
     engine: &Record,
+    progress: Progress,
 ) {
     if is_leaving(instance, &engine.id) {
         return;
     }
     let at = suspects::now(instance);
     let call = request.fingerprint();
-    let must_wait = instance.suspects.has_crashes(request)
+    let must_wait = instance.suspects.may_be_held_next(request)
         || instance.crash_detection.pending.borrow().contains(&call);
     instance.crash_detection.pending.borrow_mut().push(call);
     let mut verdict = probe(instance, engine);
     let recording = {
-        let (instance, engine, subject) = (instance.clone(), engine.clone(), request.subject());
+        let (instance, engine, subject) =
+            (instance.clone(), engine.clone(), request.subject(progress));
         let verdict = verdict.clone();
         async move {
             record_crash(&instance, &subject, &engine, at, verdict).await;
@@ -112,14 +115,19 @@
 
 /// Handles a suspect that was abandoned while an engine had it. Its caller no longer sees the
 /// engine end; without this, a call whose caller never waits could crash engines undetected.
-pub(crate) fn on_abandoned(instance: &Rc<Instance>, request: &Request, engine: &EngineId) {
+pub(crate) fn on_abandoned(
+    instance: &Rc<Instance>,
+    request: &Request,
+    engine: &EngineId,
+    progress: Progress,
+) {
     if !instance.suspects.has_crashes(request) || is_leaving(instance, engine) {
         return;
     }
     let Some(engine) = placement::record(instance, engine) else {
         return;
     };
-    let (instance, subject) = (instance.clone(), request.subject());
+    let (instance, subject) = (instance.clone(), request.subject(progress));
     actix_rt::spawn(async move {
         let at = suspects::now(&instance);
         sleep(CRASH_WINDOW).await;
--- a/crates/gateway/src/engine_call.rs
+++ b/crates/gateway/src/engine_call.rs
@@ -13,8 +13,8 @@
 use tokio::time::Instant;
 
 use crate::attempt::Request;
-use crate::crash_detection;
 use crate::instance::Instance;
+use crate::{crash_detection, placement, suspects};
 
 /// What an engine is asked to do for a call.
 #[derive(Clone, Copy, Debug)]
@@ -44,6 +44,22 @@
     }
 }
 
+/// How far an engine is with a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Progress {
+    /// It prefills the prompt for another engine.
+    Prefilling,
+    /// It has not begun to write, or just now. A part of the prompt that crashes engines as they
+    /// begin to write does it here.
+    Starting,
+    /// It writes.
+    Writing,
+}
+
+/// An engine that crashes as it begins to write ends within this time of its first event, which may
+/// have left it already.
+const WRITING_START_TIME: Duration = Duration::from_millis(100);
+
 /// A call that counts as work of its engine until this is dropped.
 pub(crate) struct EngineCall<'a> {
     instance: &'a Rc<Instance>,
@@ -54,6 +70,11 @@
     started: Instant,
     outcome: Option<Outcome>,
     placed_by: Option<(SocketAddr, Ticket)>,
+    step: Step,
+    /// When the first event arrived.
+    first_event: Cell<Option<Instant>>,
+    /// Whether its engine is known to write.
+    is_writing: Cell<bool>,
     /// State of the pause accounting at the last event.
     last_event: Cell<Option<StreamMark>>,
 }
@@ -95,6 +116,9 @@
             started: Instant::now(),
             outcome: None,
             placed_by: target.placed_by,
+            step,
+            first_event: Cell::new(None),
+            is_writing: Cell::new(false),
             last_event: Cell::new(None),
         }
     }
@@ -102,6 +126,7 @@
     /// Records an event of the stream. Returns the part of the time since the last one in which the
     /// engine had prompts to prefill.
     pub(crate) fn on_event(&self) -> Duration {
+        self.observe_writing();
         let now = self.instance.now();
         let mut fleet = self.instance.fleet.borrow_mut();
         let (Some(mut last), Some(longest)) = (self.last_event.get(), self.request.route.max_gap)
@@ -115,6 +140,35 @@
         read
     }
 
+    /// Records that the engine survived the start of the call once it has written for a while.
+    fn observe_writing(&self) {
+        let now = Instant::now();
+        let first = self.first_event.get().unwrap_or(now);
+        self.first_event.set(Some(first));
+        if !self.is_writing.get() && now.duration_since(first) >= WRITING_START_TIME {
+            self.is_writing.set(true);
+            self.on_parts_survived();
+        }
+    }
+
+    /// Records that the engine survived the parts of the call's prompt.
+    pub(crate) fn on_parts_survived(&self) {
+        if let Some(engine) = placement::record(self.instance, &self.sent.engine) {
+            let now = suspects::now(self.instance);
+            let suspects = &self.instance.suspects;
+            suspects.on_parts_survived(self.request, &engine, now);
+        }
+    }
+
+    /// How far the engine is with the call.
+    pub(crate) fn progress(&self) -> Progress {
+        match self.step {
+            Step::Prefill => Progress::Prefilling,
+            _ if self.is_writing.get() => Progress::Writing,
+            _ => Progress::Starting,
+        }
+    }
+
     /// The engine has begun to decode.
     pub(crate) fn on_generation_started(&self) {
         self.request
@@ -154,7 +208,8 @@
         fleet.end_call(&self.sent, self.outcome, now);
         drop(fleet);
         if self.outcome.is_none() {
-            crash_detection::on_abandoned(self.instance, self.request, &self.sent.engine);
+            let progress = self.progress();
+            crash_detection::on_abandoned(self.instance, self.request, &self.sent.engine, progress);
         }
         if let Some(placed_by) = self.placed_by {
             self.instance.reports.call_ended(placed_by, self.outcome);
--- a/crates/gateway/src/frame.rs
+++ b/crates/gateway/src/frame.rs
@@ -10,7 +10,7 @@
 use serving::fleet::WorkChange;
 use serving::health::Outcome;
 use serving::parts::Part;
-use serving::quarantine::{Crash, Entry, GoodRun};
+use serving::quarantine::{Crash, Entry, GoodRun, Kind};
 use serving::{EngineId, hash};
 use wire::gateway::{Frame, Piece, Started, Suspect};
 
@@ -203,6 +203,10 @@
         tried_age_ms: encode_age(entry.last_trial, now),
         written_unix_ms: 0,
         failed: entry.failed_trials,
+        part_place: match entry.kind {
+            Kind::Call => 0,
+            Kind::Part { position } => position.saturating_add(1),
+        },
     }
 }
 
@@ -218,7 +222,9 @@
         build: good.build,
         at: moment_before(now, good.age_ms),
     });
+    let position = encoded.part_place.checked_sub(1);
     let entry = Entry {
+        kind: position.map_or(Kind::Call, |position| Kind::Part { position }),
         caller: encoded.caller,
         crashes: crashes.collect(),
         good_runs: good.collect(),
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -306,8 +306,7 @@
                     fingerprint = self.request.fingerprint_text(), caller:% = self.request.caller;
                     "the prompt's reading was lost");
                 engine_call.set_outcome(Outcome::Failed);
-                drop(engine_call);
-                crash_detection::on_broken_response(self.instance, self.request, &engine).await;
+                self.on_broken(engine_call, &engine).await;
                 return PrefillResult::Lost;
             }
         };
@@ -316,7 +315,9 @@
         } = *response;
         let body = client.body(MAX_BODY_BYTES).await;
         if body.is_err() {
-            crash_detection::on_broken_response(self.instance, self.request, &engine).await;
+            let progress = engine_call.progress();
+            crash_detection::on_broken_response(self.instance, self.request, &engine, progress)
+                .await;
         }
         let read = body.ok().filter(|_| reply.is_success());
         let Some(read) = read.and_then(|body| upstream::parse_prefill_result(&body)) else {
@@ -390,14 +391,20 @@
                     fingerprint = self.request.fingerprint_text(), parts = self.request.shared_parts_text(), caller:% = self.request.caller;
                     "the engine's answer was lost");
                 engine_call.set_outcome(Outcome::Failed);
-                drop(engine_call);
-                crash_detection::on_broken_response(self.instance, self.request, &engine).await;
+                self.on_broken(engine_call, &engine).await;
                 self.avoid.push(target.engine.clone());
                 GenerateResult::Next(self.after_loss("The engine's answer was lost."))
             }
         }
     }
 
+    /// Ends a call whose engine broke off, and finds out whether the engine has ended.
+    async fn on_broken(&self, engine_call: EngineCall<'_>, engine: &Record) {
+        let progress = engine_call.progress();
+        drop(engine_call);
+        crash_detection::on_broken_response(self.instance, self.request, engine, progress).await;
+    }
+
     async fn relay_response(
         &mut self,
         mut response: Box<EngineResponse>,
@@ -449,6 +456,7 @@
                     engine,
                     suspects::now(self.instance),
                 );
+                engine_call.on_parts_survived();
                 let EngineResponse { client, reply, .. } = *response;
                 attempt::return_to_pool(self.instance, &engine.id, client, &reply);
                 NextStep::Done(Stream::Whole(self.relay.times()))
@@ -462,8 +470,7 @@
                     fingerprint = self.request.fingerprint_text(), parts = self.request.shared_parts_text(), caller:% = self.request.caller;
                     "the engine broke off");
                 engine_call.set_outcome(Outcome::Failed);
-                drop(engine_call);
-                crash_detection::on_broken_response(self.instance, self.request, engine).await;
+                self.on_broken(engine_call, engine).await;
                 self.avoid.push(engine.id.clone());
                 self.after_loss("The engine broke off.")
             }
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -11,7 +11,7 @@
 use adapter::store::{KeyedRecord, Store, StoreError};
 use clock::{Clock as _, Moment, System};
 use serving::fingerprint::Fingerprint;
-use serving::quarantine::Entry;
+use serving::quarantine::{Entry, Quarantine};
 use wire::Message as _;
 use wire::gateway::Suspect;
 
@@ -58,17 +58,23 @@
     now_unix_ms: u64,
 }
 
-/// A line for each call in the store, held ones first.
+/// A line for each call and each part of prompts in the store, held ones first.
 pub(crate) async fn list_held(settings: &Settings) -> Result<Vec<String>, Failure> {
     let mut calls: Vec<StoredCall> = read_calls(&mut store(settings)).await?;
-    calls.sort_by_key(|stored| (!stored.entry.is_held(), stored.call));
+    let mut quarantine = Quarantine::default();
+    for StoredCall { call, entry, .. } in &calls {
+        quarantine.merge(*call, entry);
+    }
+    calls.sort_by_key(|stored| (!quarantine.is_held(stored.call), stored.call));
     let lines = calls.iter().map(|StoredCall { call, entry, .. }| {
-        let state = if entry.is_held() { "held" } else { "let go" };
+        let is_held = quarantine.is_held(*call);
+        let state = if is_held { "held" } else { "let go" };
+        let kind = if entry.is_part() { "part" } else { "call" };
         let last = NOW.saturating_sub(entry.last_crash().unwrap_or(NOW));
         let (ended, trials) = (entry.uncleared_crashes(), entry.trials);
         let call = fingerprint_text(*call);
         format!(
-            "{call} {state} ended={ended} last_s={} trials={trials}",
+            "{call} {state} ended={ended} last_s={} trials={trials} kind={kind}",
             last.as_secs()
         )
     });
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -36,7 +36,11 @@
             return choice;
         };
         if limits::wait(instance, request, target).await {
-            return choice;
+            // The placement and the wait may have taken as long as it takes to hear of crashes.
+            return match admission::admit_again(instance, request) {
+                Admission::Held(hold) => hold.refusal(),
+                _ => choice,
+            };
         }
     }
 }
@@ -49,12 +53,8 @@
     software: Option<&str>,
 ) -> Choice {
     let admission = admission::admit(instance, request).await;
-    if let Admission::Held(after) = admission {
-        return Choice::Refuse {
-            retry_after: after,
-            reason: place::Refusal::Held,
-            best_target: None,
-        };
+    if let Admission::Held(hold) = admission {
+        return hold.refusal();
     }
     let avoid = with_excluded(instance, avoid, &admission);
     let connected = instance.pool.connected(instance.now());
@@ -106,12 +106,12 @@
     source: &Zone,
     software: Option<&str>,
 ) -> Option<Target> {
-    let admission = admission::admit_started(instance, request);
-    if matches!(admission, Admission::Held(_)) {
-        return None;
-    }
     let connected = instance.pool.connected(instance.now());
     loop {
+        let admission = admission::admit_again(instance, request);
+        if matches!(admission, Admission::Held(_)) {
+            return None;
+        }
         let avoid = with_excluded(instance, avoid, &admission);
         let demand = Demand {
             reserved,
@@ -120,7 +120,8 @@
         };
         let target = client::decode(instance, &demand, source).await?;
         if limits::wait(instance, request, &target).await {
-            return Some(target);
+            let admission = admission::admit_again(instance, request);
+            return (!matches!(admission, Admission::Held(_))).then_some(target);
         }
     }
 }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -18,7 +18,7 @@
     self, AttemptResult, EngineResponse, FailedSends, MAX_BODY_BYTES, NotRun, Request,
 };
 use crate::crash_detection;
-use crate::engine_call::{EngineCall, Step};
+use crate::engine_call::{EngineCall, Progress, Step};
 use crate::instance::Instance;
 use crate::metrics;
 use crate::placement::{self, Avoid};
@@ -284,7 +284,8 @@
                 log::info!(id = request.call.id.as_str(), engine = &*engine.id, failure = failure.name(),
                     fingerprint = request.fingerprint_text(), caller:% = request.caller;
                     "answer lost");
-                crash_detection::on_broken_response(instance, request, &engine).await;
+                crash_detection::on_broken_response(instance, request, &engine, Progress::Starting)
+                    .await;
                 AttemptEnd::Lost
             }
         }
@@ -337,7 +338,8 @@
             log::info!(id = request.call.id.as_str(), engine = &*engine.id, failure:% = failure,
                 fingerprint = request.fingerprint_text(), caller:% = request.caller;
                 "broken answer");
-            crash_detection::on_broken_response(instance, request, engine).await;
+            crash_detection::on_broken_response(instance, request, engine, Progress::Starting)
+                .await;
             AttemptEnd::Lost
         }
     }
--- a/crates/gateway/src/quarantine_store.rs
+++ b/crates/gateway/src/quarantine_store.rs
@@ -139,18 +139,17 @@
     }
 }
 
-/// Claims the trial of a held call for this instance. Returns whether it may send the call.
+/// Claims the trial of a held call or part for this instance. Returns whether it may send the call.
 ///
 /// If each instance tried it on its own, as many engines would crash as there are instances. The
 /// store appends the claim only if nothing was written since this instance read, so that of two
 /// claims one fails. Without the store, no instance tries.
-pub(crate) async fn claim_trial(instance: &Instance, request: &Request) -> bool {
-    match timeout(
-        CLAIM_TIMEOUT,
-        claim_at_store(instance, request.fingerprint()),
-    )
-    .await
-    {
+pub(crate) async fn claim_trial(
+    instance: &Instance,
+    request: &Request,
+    suspect: Fingerprint,
+) -> bool {
+    match timeout(CLAIM_TIMEOUT, claim_at_store(instance, suspect)).await {
         Ok(Ok(is_claimed)) => is_claimed,
         Ok(Err(trouble)) => {
             log::info!(id = request.call.id.as_str(), trouble:% = trouble; "no trial of a held call without the store");
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -567,10 +567,12 @@
         gateway.store.put("keyed.servers", &leaving.id, None);
         pool.register(&gateway.store, "pool", "ready", Some("decode"));
     }
-    assert_eq!(
-        gateway.count_log_lines("an engine ended with the call in hand"),
-        0
-    );
+    for noted in [
+        "an engine ended with the call in hand",
+        "an engine ended that was to begin a call with the part",
+    ] {
+        assert_eq!(gateway.count_log_lines(noted), 0);
+    }
     wait_until(async || {
         gateway
             .generate_same_prompt(FATAL_PATH, &gateway.fresh_id())
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -98,6 +98,8 @@
     TooMuchWork,
     /// It crashed the engines that ran it, and is held.
     Held,
+    /// A part of its prompt is held, since it crashed the engines that ran calls with it.
+    PartHeld,
     /// The rate limits that the engines announce are used up.
     RateLimited,
     /// The engines that are left want no requests from this instance for a time.
@@ -126,6 +128,7 @@
             Self::NoEngine => "No engine takes the call.",
             Self::TooMuchWork => "There is too much work before this call.",
             Self::Held => "Engines that ran this call ended.",
+            Self::PartHeld => "Engines that ran calls with a part of this prompt ended.",
             Self::RateLimited => "The engines' rate limits are used up.",
             Self::Paused => "The engines accept no calls for a while.",
             Self::Unreachable => "No engine can be reached.",
--- a/crates/serving/src/quarantine/entry.rs
+++ b/crates/serving/src/quarantine/entry.rs
@@ -1,5 +1,6 @@
-//! What is known of one call, and how it is judged by that alone.
+//! What is known of one suspect, and how it is judged by that alone.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use clock::Moment;
@@ -14,7 +15,20 @@
 /// Builds of engines; usually one.
 pub type Builds = SmallVec<[Build; 2]>;
 
-/// The end of an engine with a call in progress.
+/// What a suspect is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Kind {
+    /// A call that its caller repeats.
+    #[default]
+    Call,
+    /// A part that prompts of different calls share.
+    Part {
+        /// Its place in them, from 0.
+        position: u32,
+    },
+}
+
+/// The end of an engine with a suspect in progress.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Crash {
     /// Hash of the engine's id, to tell the ends of several engines apart.
@@ -34,12 +48,14 @@
     pub at: Moment,
 }
 
-/// What is known of one call.
+/// What is known of one suspect.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Entry {
-    /// The caller that sends it.
+    /// What it is.
+    pub kind: Kind,
+    /// The caller that sends it, or that sent a part first.
     pub caller: Caller,
-    /// Engines that ended with the call in progress.
+    /// Engines that ended with it in progress.
     pub crashes: SmallVec<[Crash; 4]>,
     /// The last good run on each build.
     pub good_runs: SmallVec<[GoodRun; 1]>,
@@ -53,7 +69,7 @@
     pub failed_trials: u32,
 }
 
-/// How a call may be placed.
+/// How a call may be placed, as far as one suspect in it is concerned.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
     /// Like any other call.
@@ -79,7 +95,7 @@
 /// costs an engine for seconds, and its neighbours' calls.
 pub const HOLD_CRASHES: usize = 3;
 /// Uncleared crashes after which a call is isolated.
-pub(super) const ISOLATE_CRASHES: usize = 2;
+const ISOLATE_CRASHES: usize = 2;
 /// Trials of a held call. Each may crash one more engine, and three calls in all may reach engines;
 /// the third is left for one that was on its way.
 const MAX_TRIALS: usize = 2;
@@ -101,7 +117,11 @@
 /// it clears a crash. Times shift later with each report between instances; without this bound one
 /// run would clear ever later crashes.
 const MIN_LATER: Duration = Duration::from_secs(1);
-/// Crashes kept per call; more add nothing.
+/// Crashes of engines within this time may have one cause, such as the loss of a rack, and count once
+/// against a part of prompts. A part can be in progress at many engines at once, a repeated call is
+/// sent again only after its first answer.
+const SHARED_CAUSE_TIME: Duration = Duration::from_millis(50);
+/// Crashes kept per suspect; more add nothing.
 const MAX_CRASHES: usize = 8;
 impl Entry {
     /// Number of crashes that have not been cleared.
@@ -115,29 +135,81 @@
         self.crashes.iter().map(|crash| crash.at).max()
     }
 
-    /// Whether it is held, or was until its trial became due.
-    pub fn is_held(&self) -> bool {
-        self.uncleared_crashes() >= HOLD_CRASHES
+    /// Whether it is a part of prompts.
+    pub fn is_part(&self) -> bool {
+        matches!(self.kind, Kind::Part { .. })
+    }
+
+    /// Number of uncleared crashes that count against it.
+    pub fn evidence(&self) -> usize {
+        self.evidence_beyond(&BTreeSet::new())
+    }
+
+    /// Whether it is one crash short of being held, or closer.
+    pub fn is_suspect(&self) -> bool {
+        self.evidence() >= ISOLATE_CRASHES
+    }
+
+    /// [`Entry::evidence`] without the crashes of engines that other suspects account for.
+    pub(super) fn evidence_beyond(&self, explained: &BTreeSet<u32>) -> usize {
+        let uncleared = self.crashes.iter().filter(|crash| self.is_uncleared(crash));
+        let counted = uncleared.filter(|crash| !explained.contains(&crash.engine));
+        if !self.is_part() {
+            return counted.count();
+        }
+        let mut times: SmallVec<[Moment; MAX_CRASHES]> = counted.map(|crash| crash.at).collect();
+        times.sort_unstable();
+        count_apart(&times, SHARED_CAUSE_TIME)
+    }
+
+    /// Its place in prompts if it is a part of them.
+    pub(super) fn position(&self) -> Option<u32> {
+        match self.kind {
+            Kind::Call => None,
+            Kind::Part { position } => Some(position),
+        }
+    }
+
+    /// Whether all uncleared crashes of a part are its own, too.
+    pub(super) fn has_crashes_of(&self, part: &Self) -> bool {
+        let own: BTreeSet<u32> = self.uncleared_engines().collect();
+        part.uncleared_engines().all(|engine| own.contains(&engine))
+    }
+
+    /// Engines whose crashes have not been cleared.
+    pub(super) fn uncleared_engines(&self) -> impl Iterator<Item = u32> {
+        let uncleared = self.crashes.iter().filter(|crash| self.is_uncleared(crash));
+        uncleared.map(|crash| crash.engine)
+    }
+
+    /// Engines whose crashes an operator's release clears.
+    pub(super) fn released_engines(&self) -> impl Iterator<Item = u32> {
+        let released = self.crashes.iter().filter(|crash| self.is_released(crash));
+        released.map(|crash| crash.engine)
+    }
+
+    fn is_released(&self, crash: &Crash) -> bool {
+        self.released.is_some_and(|at| at >= crash.at)
     }
 
     /// Whether a crash stands. A good run on the same build, or a release by an operator, clears
     /// all crashes before it; a good run on one build says nothing about another.
     pub(super) fn is_uncleared(&self, crash: &Crash) -> bool {
         let clears = |good: &GoodRun| good.build == crash.build && good.at >= crash.at;
-        let is_released = self.released.is_some_and(|at| at >= crash.at);
-        !is_released && !self.good_runs.iter().any(clears)
+        !self.is_released(crash) && !self.good_runs.iter().any(clears)
     }
 
-    /// The verdict if it is held for `hold` after its last crash or trial.
-    pub(super) fn verdict(&self, hold: Duration, now: Moment) -> Verdict {
-        let crashes = self.uncleared_crashes();
-        if crashes < HOLD_CRASHES {
-            return if crashes < ISOLATE_CRASHES {
-                Verdict::Clear
-            } else {
-                Verdict::Suspected
-            };
+    /// The verdict while it is not held. A part is not isolated: nine calls in ten may have it.
+    pub(super) fn verdict_unless_held(&self) -> Verdict {
+        if self.is_part() || !self.is_suspect() {
+            Verdict::Clear
+        } else {
+            Verdict::Suspected
         }
+    }
+
+    /// The verdict if it is held for `hold` after its last crash or trial.
+    pub(super) fn verdict_while_held(&self, hold: Duration, now: Moment) -> Verdict {
         let after = (self.held_since() + hold).saturating_sub(now);
         if after.is_zero() && self.counted_trials() < MAX_TRIALS {
             return Verdict::TrialDue;
@@ -154,8 +226,12 @@
         }
     }
 
-    /// Number of trials that count: inconclusive ones are repeated.
+    /// Number of trials that count. Inconclusive trials of a call are repeated; those of a part count
+    /// whatever becomes of them, since its callers are many and each may leave.
     pub(super) fn counted_trials(&self) -> usize {
+        if self.is_part() {
+            return self.trials as usize;
+        }
         let inconclusive = self.trials.saturating_sub(self.failed_trials);
         let counted = inconclusive.saturating_sub(MAX_INCONCLUSIVE);
         (self.failed_trials + counted) as usize
@@ -169,15 +245,12 @@
         self.last_crash().max(self.last_trial).unwrap_or_default()
     }
 
-    /// Whether it is held for crashes of the same engines as another call.
+    /// Whether the crashes for which it is held are those of another call, too.
     pub(super) fn shares_crashes(&self, other: &Self) -> bool {
         let crashed_there = |engine: u32| other.crashes.iter().any(|crash| crash.engine == engine);
         let uncleared = self.crashes.iter().filter(|crash| self.is_uncleared(crash));
-        other.is_held()
-            && uncleared
-                .filter(|crash| crashed_there(crash.engine))
-                .count()
-                >= HOLD_CRASHES
+        let shared = uncleared.filter(|crash| crashed_there(crash.engine));
+        shared.count() >= HOLD_CRASHES
     }
 
     pub(super) fn last_event(&self) -> Moment {
@@ -186,8 +259,8 @@
         all.into_iter().flatten().max().unwrap_or_default()
     }
 
-    pub(super) fn is_expired(&self, now: Moment) -> bool {
-        if self.is_held() {
+    pub(super) fn is_expired(&self, is_held: bool, now: Moment) -> bool {
+        if is_held {
             self.counted_trials() >= MAX_TRIALS && now >= self.held_since() + self.hold()
         } else {
             now.saturating_sub(self.last_event()) >= RETENTION
@@ -268,3 +341,16 @@
         is_news
     }
 }
+
+/// Number of moments, in order of time, that lie at least `least` after the last one counted.
+fn count_apart(times: &[Moment], least: Duration) -> usize {
+    let mut last: Option<Moment> = None;
+    let mut count = 0;
+    for at in times {
+        if last.is_none_or(|last| *at >= last + least) {
+            last = Some(*at);
+            count += 1;
+        }
+    }
+    count
+}
--- a/crates/serving/tests/quarantine.rs
+++ b/crates/serving/tests/quarantine.rs
@@ -9,7 +9,7 @@
 use rand::rngs::StdRng;
 use serving::fingerprint::Fingerprint;
 use serving::hash;
-use serving::quarantine::{Crash, Entry, GoodRun, HOLD_CRASHES, Quarantine, Verdict};
+use serving::quarantine::{Crash, Entry, GoodRun, HOLD_CRASHES, Kind, Quarantine, Verdict};
 
 const CALL: Fingerprint = 7;
 const CALLER: u32 = 1;
@@ -265,6 +265,7 @@
     let crashes = prop::collection::vec((0u32..6, 0u32..2, 0u64..20_000), 0..4);
     let good = prop::option::of((0u32..2, 0u64..20_000));
     (crashes, good, 0u32..3, 0u32..3).prop_map(|(crashes, good, trials, failed)| Entry {
+        kind: Kind::Call,
         caller: CALLER,
         crashes: crashes
             .into_iter()
