Soak: calls that share a part which crashes engines, beside sound ones

In one seed of four a caller sends streams of which no two are alike and all have one part of their prompts in common; engines end as they begin one. A second caller sends sound streams of the same first part. Judged: sends later than 3 s after the fifth end that reach engines, from gateways that no fault concerns, are three at the most; of the sound ones, more than 6 s after it, no more than half are held. Both were seen in planted histories. The checks of quarantine move to a module of their own.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::check::{self, STREAM_EVENTS};
-use crate::cluster::{Cluster, FATAL_PATH, ORGANISATIONS, key};
+use crate::cluster::{Cluster, FATAL_PART, FATAL_PATH, FIRST_PART, ORGANISATIONS, key};
 use crate::history::{Call, CallOutcome, RequestKind, Resumption};
 use crate::plan;
 
@@ -23,7 +23,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest pause between two calls of a caller.
 const MAX_PAUSE_MS: u64 = 60;
-/// Longest pause between two repeats of the call that crashes engines.
+/// Longest pause between two calls that crash engines, or of the same first part as such calls.
 const MAX_FATAL_PAUSE_MS: u64 = 300;
 /// One call in this many carries forged headers, and one in as many is abandoned early.
 const UNUSUAL_CALL_EVERY: u32 = 12;
@@ -105,12 +105,17 @@
         }
     }
 
-    /// Sends the call that crashes engines while its fault lasts.
-    pub async fn repeat_fatal(mut self, running: Rc<Running>) {
+    /// Sends calls of one kind while `is_active` says so.
+    pub async fn run_while(
+        mut self,
+        running: Rc<Running>,
+        kind: RequestKind,
+        is_active: impl Fn(&Cluster) -> bool,
+    ) {
         while running.0.get() {
-            if self.cluster.sends_fatal.get() {
+            if is_active(&self.cluster) {
                 let number = self.rng.random_range(0..self.cluster.instances.len());
-                self.call(number, RequestKind::Fatal).await;
+                self.call(number, kind).await;
             }
             sleep(Duration::from_millis(
                 self.rng.random_range(0..MAX_FATAL_PAUSE_MS),
@@ -237,13 +242,14 @@
     }
 }
 
-fn path(kind: RequestKind) -> String {
+fn path(kind: RequestKind, id: &str) -> String {
     match kind {
         RequestKind::Safe | RequestKind::Keyless => "/safe/x".to_owned(),
         RequestKind::Once => "/once/x".to_owned(),
         RequestKind::Stream => "/stream/x".to_owned(),
         RequestKind::Resume => "/resume/x".to_owned(),
         RequestKind::Fatal => FATAL_PATH.to_owned(),
+        RequestKind::FatalPart | RequestKind::FirstPart => format!("/stream/{id}"),
         RequestKind::Added(version) => format!("/added-{version}/x"),
     }
 }
@@ -304,7 +310,11 @@
         forged,
         resumes,
     } = *request;
-    let parts = format!("a{id}:80,b{id}:20");
+    let parts = match kind {
+        RequestKind::FatalPart => format!("{FIRST_PART}:40,{FATAL_PART}:40,b{id}:20"),
+        RequestKind::FirstPart => format!("{FIRST_PART}:40,a{id}:40,b{id}:20"),
+        _ => format!("a{id}:80,b{id}:20"),
+    };
     let key = match kind {
         RequestKind::Keyless => "nobody's".to_owned(),
         _ => key(organisation),
@@ -321,7 +331,7 @@
         headers.push(("resumes", &resumes.first));
         headers.push(("last-event-id", after));
     }
-    let head = request::call(&path(kind), id, DEADLINE_MS, &headers);
+    let head = request::call(&path(kind, id), id, DEADLINE_MS, &headers);
     let answer = match client.send(head, &Bytes::new()).await {
         Ok(answer) => answer,
         Err(Failure::Broken(why)) => {
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -11,6 +11,7 @@
 
 mod announcements;
 mod isolation;
+mod quarantine;
 mod versions;
 
 pub use versions::events;
@@ -49,8 +50,8 @@
     /// The platform gets one report for each window, sees one holder for each fencing token, and
     /// accepts tokens that never decrease.
     Duties,
-    /// A call that crashed three engines reaches only a few more, and no innocent call is
-    /// quarantined for it.
+    /// A call that crashed three engines, or calls with a part that crashed five, reach only a few
+    /// more, and no innocent call is quarantined for it.
     Held,
     /// Engines get no more requests than the rate limits that they announce.
     RateLimits,
@@ -99,7 +100,7 @@
     check_configuration_versions(history, &mut findings);
     check_usage_reports(history, &mut findings);
     check_orders(history, &mut findings);
-    check_quarantine(history, &engines, &mut findings);
+    quarantine::check(history, &engines, &mut findings);
     check_rate_limits(history, &mut findings);
     announcements::check_leavings(history, &mut findings);
     announcements::check_announced_leavings(history, &mut findings);
@@ -183,7 +184,11 @@
         return;
     }
     let invariant = match call.kind {
-        RequestKind::Once | RequestKind::Stream | RequestKind::Fatal => Invariant::AtMostOnce,
+        RequestKind::Once
+        | RequestKind::Stream
+        | RequestKind::Fatal
+        | RequestKind::FatalPart
+        | RequestKind::FirstPart => Invariant::AtMostOnce,
         RequestKind::Keyless => Invariant::Asked,
         RequestKind::Safe | RequestKind::Resume | RequestKind::Added(_) => Invariant::Attempts,
     };
@@ -299,64 +304,9 @@
     }
 }
 
-/// Number of engines that a call may crash before it is quarantined.
-const ENDS_BEFORE_QUARANTINE: usize = 3;
 /// Time for a change at one instance to reach all others, and time for which a fault at an instance
 /// or the store still excuses the instance.
 const PROPAGATION_TIME: Duration = Duration::from_secs(3);
-/// Number of trials on engines that a quarantined call may get.
-const MAX_TRIALS: usize = 3;
-/// Time after the crash of an engine in which an innocent call may be quarantined, since it cannot
-/// yet be told from the cause. A quarantine lasts three times as long.
-const SUSPICION_TIME: Duration = Duration::from_secs(10);
-/// Text in the answer to a quarantined call.
-const QUARANTINE_MESSAGE: &[u8] = b"Engines that ran this call ended.";
-
-fn check_quarantine(
-    history: &History,
-    engines: &HashMap<&str, Vec<&str>>,
-    findings: &mut Vec<Finding>,
-) {
-    for call in history
-        .calls
-        .iter()
-        .filter(|call| call.kind != RequestKind::Fatal)
-    {
-        let CallOutcome::Answer {
-            body: Some(body), ..
-        } = &call.outcome
-        else {
-            continue;
-        };
-        let is_quarantined = body
-            .windows(QUARANTINE_MESSAGE.len())
-            .any(|some| some == QUARANTINE_MESSAGE);
-        let just_ended =
-            |end: &Duration| *end <= call.ended_at && call.sent_at <= *end + SUSPICION_TIME;
-        if is_quarantined && !history.engine_ends.iter().any(just_ended) {
-            let evidence = format!("{} {:?} was held", call.id, call.kind);
-            report(findings, Invariant::Held, evidence);
-        }
-    }
-    let Some(third) = history.engine_ends.get(ENDS_BEFORE_QUARANTINE - 1) else {
-        return;
-    };
-    let later = history.calls.iter().filter(|call| {
-        call.kind == RequestKind::Fatal
-            && call.sent_at > *third + PROPAGATION_TIME
-            && engines.contains_key(call.id.as_str())
-            && is_free_of_faults(history, call)
-    });
-    let later: Vec<&str> = later.map(|call| call.id.as_str()).collect();
-    if later.len() > MAX_TRIALS {
-        let evidence = format!(
-            "ended {} engines, at last {later:?}",
-            history.engine_ends.len()
-        );
-        report(findings, Invariant::Held, evidence);
-    }
-}
-
 /// Window in which requests to an engine with a rate limit are counted.
 const RATE_LIMIT_WINDOW: Duration = Duration::from_secs(4);
 /// Requests allowed in the window beyond one and a half times the limit.
--- a/crates/soak/src/check/isolation.rs
+++ b/crates/soak/src/check/isolation.rs
@@ -50,7 +50,10 @@
         let is_counted = call.sent_at >= from
             && call.ended_at <= until
             && call.outcome != CallOutcome::Left
-            && !matches!(call.kind, RequestKind::Fatal | RequestKind::Keyless)
+            && !matches!(
+                call.kind,
+                RequestKind::Fatal | RequestKind::FatalPart | RequestKind::Keyless
+            )
             && !is_disturbed(call, faults);
         if !is_counted {
             continue;
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -70,6 +70,8 @@
     framing: Cell<BodyFraming>,
     /// Whether a caller sends the call that crashes engines.
     pub sends_fatal: Cell<bool>,
+    /// Whether callers send prompts with the part that crashes engines, and sound ones beside them.
+    pub sends_fatal_part: Cell<bool>,
     /// When the callers started.
     pub callers_started: Cell<Instant>,
     /// Engines that crashed, with the time at which their records expire.
@@ -84,6 +86,10 @@
 const INITIAL_SOFTWARE: &str = "v1";
 /// Path of the call that crashes engines.
 pub const FATAL_PATH: &str = "/stream/fatal";
+/// Part of prompts that crashes engines.
+pub const FATAL_PART: &str = "fa7a1";
+/// First part of the prompts of one caller, with the fatal part or without it.
+pub const FIRST_PART: &str = "c0ffee";
 /// Organisations of the callers.
 pub const ORGANISATIONS: [&str; 2] = ["org-a", "org-b"];
 /// Length of a window for usage reports, and time after its end when the report is due.
@@ -139,6 +145,7 @@
             version: RefCell::new(0),
             framing: Cell::default(),
             sends_fatal: Cell::new(false),
+            sends_fatal_part: Cell::new(false),
             callers_started: Cell::new(Instant::now()),
             expiring_records: RefCell::default(),
             history: RefCell::default(),
@@ -186,6 +193,7 @@
         engine.set_software(software);
         engine.set_stream(check::STREAM_EVENTS, EVENT_INTERVAL);
         engine.end_on_path(FATAL_PATH);
+        engine.end_on_part(FATAL_PART);
         engine.set_framing(self.framing.get());
         let link = Proxy::start(engine.address).await;
         self.cut_off(&link);
@@ -279,6 +287,7 @@
             FaultKind::Reborn(number) => self.restart_engine(number).await,
             FaultKind::Foreign(number) => self.write_foreign_records(number),
             FaultKind::Fatal => self.sends_fatal.set(true),
+            FaultKind::FatalPart => self.sends_fatal_part.set(true),
             FaultKind::Limit(number, rate) => self.announce_rate_limit(number, rate),
             FaultKind::Pause(number) => self.ask_for_pauses(number),
             FaultKind::Configure => self.configure(),
@@ -310,6 +319,7 @@
             FaultKind::Crash(number) => self.unregister(number),
             FaultKind::Foreign(number) => self.write_engine_record(number),
             FaultKind::Fatal => self.sends_fatal.set(false),
+            FaultKind::FatalPart => self.sends_fatal_part.set(false),
             FaultKind::Limit(number, _) => self.withdraw_rate_limit(number),
             FaultKind::Pause(number) => self.end_pauses(number),
             FaultKind::GoesBack => self.restore_store(),
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -21,6 +21,10 @@
     Resume,
     /// A stream that crashes each engine that runs it.
     Fatal,
+    /// A stream after a prompt with a part that crashes each engine which begins it. No two are alike.
+    FatalPart,
+    /// A stream of the same caller and first part that harms no engine.
+    FirstPart,
     /// A plain call with a key that no organisation has.
     Keyless,
     /// A plain call on the route that this version of the configuration added.
@@ -32,14 +36,17 @@
     pub fn max_attempts(self) -> usize {
         match self {
             Self::Keyless => 0,
-            Self::Once | Self::Stream | Self::Fatal => 1,
+            Self::Once | Self::Stream | Self::Fatal | Self::FatalPart | Self::FirstPart => 1,
             Self::Safe | Self::Resume | Self::Added(_) => 2,
         }
     }
 
     /// Whether its answer is a stream of events.
     pub fn is_stream(self) -> bool {
-        matches!(self, Self::Stream | Self::Resume | Self::Fatal)
+        match self {
+            Self::Stream | Self::Resume | Self::Fatal | Self::FatalPart | Self::FirstPart => true,
+            Self::Safe | Self::Once | Self::Keyless | Self::Added(_) => false,
+        }
     }
 
     /// The service that its route leads to.
@@ -187,7 +194,7 @@
     pub unexpected_exits: Vec<String>,
     /// Probes that got no success in time, before the first fault or after the last one.
     pub failed_probes: Vec<String>,
-    /// When engines crashed under [`RequestKind::Fatal`], since the callers started.
+    /// When engines crashed under [`RequestKind::Fatal`] or [`RequestKind::FatalPart`], since the callers started.
     pub engine_ends: Vec<Duration>,
     /// Rate limits that engines announced.
     pub rate_limits: Vec<RateLimit>,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -108,6 +108,9 @@
     /// A caller repeats a call that crashes each engine that runs it. Engines restart under their
     /// old names or under new ones.
     Fatal,
+    /// A caller sends calls whose prompts share a part that crashes each engine which begins to
+    /// generate after it, beside sound calls of the same first part.
+    FatalPart,
     /// An engine announces a rate limit, in requests per ten seconds.
     Limit(usize, u32),
     /// An engine turns all calls away, and asks each sender for a pause of [`PAUSE`].
@@ -203,6 +206,8 @@
 const RESTARTS_EVERY: u64 = 4;
 /// One seed in this many adds a caller whose call crashes engines.
 const FATAL_EVERY: u64 = 4;
+/// One seed in this many adds a caller whose prompts share a part that crashes engines.
+const FATAL_PART_EVERY: u64 = 4;
 /// One seed in this many adds restores of the store from backups, and failures of the interface for
 /// usage reports.
 const RESTORES_EVERY: u64 = 4;
@@ -291,6 +296,16 @@
                 kind: FaultKind::Fatal,
             });
         }
+        if !planned && seed % FATAL_PART_EVERY == FATAL_PART_EVERY - 1 {
+            // A separate generator, for the same reason.
+            let mut rng = StdRng::seed_from_u64(seed.rotate_left(12));
+            let at = WARM_UP + Duration::from_millis(rng.random_range(0..MAX_EARLY_START_MS));
+            faults.push(Fault {
+                at,
+                duration: duration.saturating_sub(at),
+                kind: FaultKind::FatalPart,
+            });
+        }
         if !planned && seed % RESTORES_EVERY == RESTORES_EVERY / 2 {
             // A separate generator, for the same reason.
             let mut rng = StdRng::seed_from_u64(seed.rotate_left(16));
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -65,12 +65,22 @@
         .map(|caller| actix_rt::spawn(caller.run(running.clone())))
         .collect();
     cluster.callers_started.set(started);
-    let fatal = Caller::new(&cluster, plan.seed, CALLERS + 1, started);
-    let fatal = actix_rt::spawn(fatal.repeat_fatal(running.clone()));
+    let fatal = |number, kind, is_active: fn(&Cluster) -> bool| {
+        let caller = Caller::new(&cluster, plan.seed, CALLERS + number, started);
+        actix_rt::spawn(caller.run_while(running.clone(), kind, is_active))
+    };
+    let fatal = [
+        fatal(1, RequestKind::Fatal, |cluster| cluster.sends_fatal.get()),
+        fatal(2, RequestKind::FatalPart, |cluster| {
+            cluster.sends_fatal_part.get()
+        }),
+        fatal(3, RequestKind::FirstPart, |cluster| {
+            cluster.sends_fatal_part.get()
+        }),
+    ];
     apply_faults(&cluster, plan, started).await?;
     running.stop();
-    fatal.await.map_err(io::Error::other)?;
-    for caller in callers {
+    for caller in callers.into_iter().chain(fatal) {
         caller.await.map_err(io::Error::other)?;
     }
     probe_gateways(&cluster, &mut probe, "after the last fault").await?;
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -274,6 +274,62 @@
     });
 }
 
+/// Adds five crashes by a part, and four later calls with it, 1 s apart, that reach an engine.
+fn add_calls_with_fatal_part(history: &mut History, from: u64) {
+    history.engine_ends = [100, 200, 300, 400, 500].map(ms).to_vec();
+    for number in 0..4 {
+        let id = format!("part-{number}");
+        let mut sent = call(&id, RequestKind::FatalPart, from + number * 1_000);
+        sent.outcome = CallOutcome::Closed;
+        let received = executed(&id, RequestKind::FatalPart, &format!("e{number}"));
+        history.engine_requests.push(received);
+        history.calls.push(sent);
+    }
+    // An unplanned fault, so that these cut calls are no finding of their own.
+    history.faults = vec![Fault {
+        at: ms(50),
+        duration: ms(20_000),
+        kind: FaultKind::FatalPart,
+    }];
+}
+
+#[test]
+fn calls_with_a_fatal_part_that_reach_more_engines_are_reported() {
+    assert_only_finding(Invariant::Held, |history| {
+        add_calls_with_fatal_part(history, 4_000);
+    });
+    let mut history = valid_history();
+    add_calls_with_fatal_part(&mut history, 400);
+    assert_eq!(check::check(&history), Vec::<Finding>::new());
+}
+
+#[test]
+fn held_calls_of_the_same_first_part_are_reported() {
+    let hold = |history: &mut History, held: usize| {
+        history.engine_ends = [100, 200, 300, 400, 500].map(ms).to_vec();
+        for number in 0..20 {
+            let id = format!("sound-{number}");
+            let mut sent = call(&id, RequestKind::FirstPart, 7_000 + number * 100);
+            let is_held = number < held as u64;
+            if is_held {
+                refuse(&mut sent, 503, true);
+            } else {
+                let received = executed(&id, RequestKind::FirstPart, "e");
+                history.engine_requests.push(received);
+            }
+            if let (true, CallOutcome::Answer { body, .. }) = (is_held, &mut sent.outcome) {
+                let text = "Engines that ran calls with a part of this prompt ended.";
+                *body = Some(Bytes::from(text));
+            }
+            history.calls.push(sent);
+        }
+    };
+    assert_only_finding(Invariant::Held, |history| hold(history, 11));
+    let mut history = valid_history();
+    hold(&mut history, 10);
+    assert_eq!(check::check(&history), Vec::<Finding>::new());
+}
+
 #[test]
 fn fatal_calls_before_propagation_or_near_a_fault_are_allowed() {
     let mut history = valid_history();
