--- a/crates/serving/tests/quarantine_parts.rs
+++ b/crates/serving/tests/quarantine_parts.rs
@@ -668,6 +668,22 @@
                 ..base.clone()
             },
         ),
+        (
+            "984 instances",
+            Case {
+                sources: vec![
+                    fatal(20.0),
+                    Source {
+                        per_second: 300.0,
+                        ..sound()
+                    },
+                ],
+                instances: 984,
+                engines: 200,
+                duration: 12_000,
+                ..base.clone()
+            },
+        ),
     ];
     for (name, case) in cases {
         check_fatal(name, &case);
