Tell the crashes of a part from those of calls that ran beside it

It had been in progress at three ends of engines under a fatal part.

Cause: a call was held for its crashes whatever accounted for them, and a part was not held if any held call had all its crashes, even one without the part. So a call that is always in progress took the blame, and hid the part: the new test shows the part clear and the call held.

Change: a crash of a part names the call that had it there. A part is not held while all its crashes came with one call; calls are not held for the crashes of held parts.

--- a/crates/gateway/src/frame.rs
+++ b/crates/gateway/src/frame.rs
@@ -185,6 +185,7 @@
         engine: crash.engine,
         build: crash.build,
         age_ms: elapsed_ms(crash.at, now),
+        call: crash.call,
     });
     let good = entry.good_runs.iter().map(|good| wire::gateway::Good {
         build: good.build,
@@ -217,6 +218,7 @@
         engine: crash.engine,
         build: crash.build,
         at: moment_before(now, crash.age_ms),
+        call: crash.call,
     });
     let good = encoded.good.iter().map(|good| GoodRun {
         build: good.build,
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -156,6 +156,7 @@
             engine: hash::hash32(&engine.id),
             build: engine.build(),
             at,
+            call: 0,
         };
         let caller = hash::hash32(&subject.caller.to_string());
         let call = subject.fingerprint;
@@ -167,6 +168,10 @@
                 "an engine ended with the call in hand"
             );
         }
+        let crash = Crash {
+            call: hash::hash32(&fingerprint_text(call)),
+            ..crash
+        };
         for (part, position) in subject.parts.iter().zip(0..) {
             let record = |quarantine: &mut Quarantine| {
                 quarantine.record_part_crash(*part, position, caller, crash)
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -21,7 +21,9 @@
 
 mod entry;
 
-pub use entry::{Build, Builds, Caller, Crash, Entry, GoodRun, HOLD_CRASHES, Kind, Verdict};
+pub use entry::{
+    Build, Builds, Caller, Crash, Entry, GoodRun, HOLD_CRASHES, Kind, SEVERAL_CALLS, Verdict,
+};
 
 /// How long a call is held before its first trial if other calls saw the same engines crash: at
 /// most one of them is to blame, and the rest would be held for nothing. They are tried one after
@@ -257,26 +259,32 @@
         }
     }
 
-    /// Decides what is held. An engine that ended has one cause, but all parts of the prompts of the
-    /// calls that it was about to run have a crash more. So a part is not held for the crashes of one
-    /// held call, nor for those of held parts that come later in prompts, which fewer prompts have,
-    /// nor for those of which an operator has released another suspect.
+    /// Decides what is held. An engine that ended has one cause, but all calls that it ran have a crash
+    /// more, and so have all parts of those that it was about to run. A part is not held for the crashes
+    /// of one call, nor for those of held parts that come later in prompts, which fewer prompts have,
+    /// nor for those of which an operator has released another suspect. A call is not held for the
+    /// crashes of held parts.
     fn update_held(&mut self) {
         let candidates = self.entries.iter();
         let candidates = candidates.filter(|(_, entry)| entry.evidence() >= HOLD_CRASHES);
         let (mut parts, calls): (Vec<_>, Vec<_>) =
             candidates.partition(|(_, entry)| entry.is_part());
         parts.sort_by_key(|(suspect, entry)| (Reverse(entry.position()), **suspect));
-        let mut held: BTreeSet<Fingerprint> = calls.iter().map(|(call, _)| **call).collect();
         let released = self.entries.values().flat_map(Entry::released_engines);
         let mut explained: BTreeSet<u32> = released.collect();
+        let mut held = BTreeSet::new();
+        let mut crashed_by_parts = BTreeSet::new();
         for (suspect, part) in parts {
-            let is_of_one_call = calls.iter().any(|(_, call)| call.has_crashes_of(part));
-            if !is_of_one_call && part.evidence_beyond(&explained) >= HOLD_CRASHES {
+            if !part.is_of_one_call() && part.evidence_beyond(&explained) >= HOLD_CRASHES {
                 held.insert(*suspect);
                 explained.extend(part.uncleared_engines());
+                crashed_by_parts.extend(part.uncleared_engines());
             }
         }
+        let calls = calls
+            .into_iter()
+            .filter(|(_, call)| call.evidence_beyond(&crashed_by_parts) >= HOLD_CRASHES);
+        held.extend(calls.map(|(suspect, _)| *suspect));
         self.held = held;
     }
 
--- a/crates/serving/src/quarantine/entry.rs
+++ b/crates/serving/src/quarantine/entry.rs
@@ -37,8 +37,13 @@
     pub build: Build,
     /// When the engine ended.
     pub at: Moment,
+    /// For a part of prompts, hash of the call that had it there, or [`SEVERAL_CALLS`].
+    pub call: u32,
 }
 
+/// Stands for several calls with a part that an engine was about to run as it ended.
+pub const SEVERAL_CALLS: u32 = u32::MAX;
+
 /// A run of a call that its engine survived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct GoodRun {
@@ -170,10 +175,11 @@
         }
     }
 
-    /// Whether all uncleared crashes of a part are its own, too.
-    pub(super) fn has_crashes_of(&self, part: &Self) -> bool {
-        let own: BTreeSet<u32> = self.uncleared_engines().collect();
-        part.uncleared_engines().all(|engine| own.contains(&engine))
+    /// Whether all crashes of a part came with one call, which accounts for them itself.
+    pub(super) fn is_of_one_call(&self) -> bool {
+        let mut calls = self.crashes.iter().filter(|crash| self.is_uncleared(crash));
+        let first = calls.next().map(|crash| crash.call);
+        first.is_some_and(|first| first != SEVERAL_CALLS && calls.all(|crash| crash.call == first))
     }
 
     /// Engines whose crashes have not been cleared.
@@ -275,7 +281,11 @@
         if let Some(known) = known {
             // Reports shift a crash to a later time.
             known.at = known.at.min(crash.at);
-            return false;
+            let is_news = known.call != crash.call && known.call != SEVERAL_CALLS;
+            if is_news {
+                known.call = SEVERAL_CALLS;
+            }
+            return is_news;
         }
         if self.crashes.len() >= MAX_CRASHES {
             self.crashes.remove(0);
--- a/crates/serving/tests/quarantine.rs
+++ b/crates/serving/tests/quarantine.rs
@@ -28,6 +28,7 @@
         engine,
         build,
         at: ms(at),
+        call: 0,
     }
 }
 
@@ -375,6 +376,104 @@
     assert!(is_held(&quarantine, 600_000));
 }
 
+/// Crashes of three engines a second apart, each as it was about to begin another call with a part.
+fn crash_with_part(quarantine: &mut Quarantine, part: Fingerprint) {
+    for engine in 1..=3 {
+        let call = CALL + 100 + u128::from(engine);
+        let crash = Crash {
+            call: engine,
+            ..crash(engine, OLD, u64::from(engine) * 1_000)
+        };
+        quarantine.record_crash(call, CALLER, crash);
+        quarantine.record_part_crash(part, 1, CALLER, crash);
+    }
+}
+
+/// Guards against refusing a call that all callers send for 30 s because it was in progress whenever
+/// a part of other calls crashed an engine.
+#[test]
+fn a_call_in_progress_at_the_crashes_of_a_held_part_is_not_held() {
+    let mut quarantine = after_crashes(3);
+    let part = CALL + 1;
+    crash_with_part(&mut quarantine, part);
+    assert!(matches!(
+        quarantine.verdict(part, ms(3_500)),
+        Verdict::Held { .. }
+    ));
+    assert_eq!(quarantine.verdict(CALL, ms(3_500)), Verdict::Suspected);
+    for engine in 4..=6 {
+        quarantine.record_crash(CALL, CALLER, crash(engine, OLD, u64::from(engine) * 1_000));
+    }
+    assert!(is_held(&quarantine, 6_500));
+}
+
+/// Guards against holding a part that others share for the crashes of one call that is repeated.
+#[test]
+fn a_part_is_not_held_for_the_crashes_of_one_call() {
+    let mut quarantine = after_crashes(3);
+    let part = CALL + 1;
+    for engine in 1..=3 {
+        let crash = Crash {
+            call: 9,
+            ..crash(engine, OLD, u64::from(engine) * 1_000)
+        };
+        quarantine.record_part_crash(part, 0, CALLER, crash);
+    }
+    assert!(is_held(&quarantine, 3_500));
+    assert_eq!(quarantine.verdict(part, ms(3_500)), Verdict::Clear);
+    let crash = Crash {
+        call: 10,
+        ..crash(4, OLD, 4_000)
+    };
+    quarantine.record_part_crash(part, 0, CALLER, crash);
+    assert!(matches!(
+        quarantine.verdict(part, ms(4_500)),
+        Verdict::Held { .. }
+    ));
+}
+
+/// Guards against refusing all calls with the first part of nine calls in ten: it was there at all
+/// crashes of a part that comes later, and no call with it alone had begun in between.
+#[test]
+fn an_earlier_part_is_not_held_for_the_crashes_of_a_later_one() {
+    let mut quarantine = Quarantine::default();
+    let (first, later) = (CALL, CALL + 1);
+    for engine in 1..=3 {
+        let crash = Crash {
+            call: engine,
+            ..crash(engine, OLD, u64::from(engine) * 1_000)
+        };
+        quarantine.record_part_crash(first, 0, CALLER, crash);
+        quarantine.record_part_crash(later, 1, CALLER, crash);
+    }
+    assert_eq!(quarantine.verdict(first, ms(3_500)), Verdict::Clear);
+    assert!(matches!(
+        quarantine.verdict(later, ms(3_500)),
+        Verdict::Held { .. }
+    ));
+    // Crashes without the later part are its own.
+    for engine in 4..=6 {
+        let crash = Crash {
+            call: engine,
+            ..crash(engine, OLD, u64::from(engine) * 1_000)
+        };
+        quarantine.record_part_crash(first, 0, CALLER, crash);
+    }
+    assert!(is_held(&quarantine, 6_500));
+}
+
+/// Guards against a part that is tried again and again because the callers of its trials leave.
+#[test]
+fn a_held_part_is_tried_twice_whatever_becomes_of_the_trials() {
+    let mut quarantine = Quarantine::default();
+    crash_with_part(&mut quarantine, CALL);
+    let hour = 3_600_000;
+    let trials = (3_000..20 * hour)
+        .step_by(1_000)
+        .filter(|now| quarantine.begin_trial(CALL, ms(*now)));
+    assert_eq!(trials.count(), 2);
+}
+
 /// Engines of the replay.
 const ENGINES: usize = 11;
 /// Calls per second, and the duration of each in milliseconds.
--- a/crates/serving/tests/quarantine_parts.rs
+++ b/crates/serving/tests/quarantine_parts.rs
@@ -352,6 +352,7 @@
             engine,
             build: BUILD,
             at: at(ended_at),
+            call: 0,
         };
         let quarantine = &mut self.quarantines[run.instance];
         let mut changed = Vec::new();
@@ -359,6 +360,10 @@
             changed.push(run.call);
         }
         if !run.has_written {
+            let crash = Crash {
+                call: u32::try_from(run.call).expect("calls are few"),
+                ..crash
+            };
             for (part, position) in run.parts.iter().zip(0..) {
                 if quarantine.record_part_crash(*part, position, CALLER, crash) {
                     changed.push(*part);
@@ -668,6 +673,22 @@
                 ..base.clone()
             },
         ),
+        (
+            "beside one call that all callers send",
+            Case {
+                sources: vec![
+                    fatal(20.0),
+                    Source {
+                        per_second: 40.0,
+                        is_one_call: true,
+                        ..sound()
+                    },
+                ],
+                engines: 4,
+                restart_time: 300,
+                ..base.clone()
+            },
+        ),
         (
             "984 instances",
             Case {
