--- a/crates/soak/tests/seeds.rs
+++ b/crates/soak/tests/seeds.rs
@@ -27,6 +27,14 @@
     assert_eq!(findings(&plan).await, []);
 }
 
+/// Guards against refusing nearly all calls of two gateways without links to engines while a part of prompts
+/// crashes engines, though a third gateway reaches them.
+#[actix_rt::test]
+async fn isolated_gateways_are_served_while_a_part_crashes_engines() {
+    let plan = Plan::generate(7147, Duration::from_secs(12));
+    assert_eq!(findings(&plan).await, []);
+}
+
 #[actix_rt::test]
 async fn listed_seeds_have_no_findings() {
     let seeds = SEEDS.lines().filter(|line| !line.starts_with('#'));
