--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -251,6 +251,67 @@
     }
 }
 
+/// Sends requests with the fatal part to an instance until one is refused for it.
+async fn send_until_part_is_held(gateway: &Gateway, pool: &mut Pool, numbers: &mut usize) {
+    wait_until(async || {
+        *numbers += 1;
+        let answer = send_with_fatal_part(gateway, *numbers).await;
+        pool.replace(&gateway.store).await;
+        answer.status == 503 && answer.text().contains("part")
+    })
+    .await;
+}
+
+/// Guards against a fatal part that crashes engines again after a power loss of all instances.
+#[actix_rt::test]
+async fn a_held_part_stays_held_after_all_instances_are_killed() {
+    let (gateways, mut pool) = three_instances().await;
+    let mut numbers = 0;
+    send_until_part_is_held(&gateways[0], &mut pool, &mut numbers).await;
+    wait_until(async || is_stored(&gateways)).await;
+    let reached = pool.reached(FATAL_PART_PATH);
+    for gateway in &gateways {
+        gateway.signal("-KILL");
+    }
+    let (next, last) = (
+        gateways[0].start_another(),
+        gateways[0].start_another_on_slow_link(),
+    );
+    for gateway in [&next, &last] {
+        gateway.wait_until_ready(true).await;
+        numbers += 1;
+        let answer = send_with_fatal_part(gateway, numbers).await;
+        assert_eq!(answer.status, 503, "{answer:?}");
+        let answer = send_sound(gateway, numbers).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+    assert_eq!(pool.reached(FATAL_PART_PATH), reached);
+}
+
+/// Guards against sending prompts with a held part to engines that only prefill them: each such call
+/// reaches an engine too.
+#[actix_rt::test]
+async fn calls_with_a_held_part_are_not_prefilled() {
+    let (gateways, mut pool) = three_instances().await;
+    let prefill = Engine::start("prefill-1").await;
+    prefill.register(&gateways[0].store, "pool", "ready", Some("prefill"));
+    let mut numbers = 0;
+    send_until_part_is_held(&gateways[0], &mut pool, &mut numbers).await;
+    let prefilled = prefill.request_count(FATAL_PART_PATH);
+    for gateway in &gateways {
+        wait_until(async || {
+            numbers += 1;
+            let prompt = format!("{FIRST_PART}:20000,{FATAL_PART}:20000,a{numbers:x}:10000");
+            let headers = generation_headers("50000,20", &prompt);
+            let path = format!("{FATAL_PART_PATH}{numbers}");
+            let answer = gateway.call(&path, &gateway.fresh_id(), &headers).await;
+            answer.status == 503
+        })
+        .await;
+    }
+    assert_eq!(prefill.request_count(FATAL_PART_PATH), prefilled);
+}
+
 /// Whether one of the instances has written to the store that the call is held.
 fn is_stored(gateways: &[Gateway]) -> bool {
     let line = "the store knows of a call that ends engines";
--- a/crates/serving/tests/quarantine.rs
+++ b/crates/serving/tests/quarantine.rs
@@ -9,7 +9,9 @@
 use rand::rngs::StdRng;
 use serving::fingerprint::Fingerprint;
 use serving::hash;
-use serving::quarantine::{Crash, Entry, GoodRun, HOLD_CRASHES, Kind, Quarantine, Verdict};
+use serving::quarantine::{
+    Crash, Entry, GoodRun, HOLD_CRASHES, Judgement, Kind, Quarantine, Verdict,
+};
 
 const CALL: Fingerprint = 7;
 const CALLER: u32 = 1;
@@ -462,6 +464,27 @@
     assert!(is_held(&quarantine, 6_500));
 }
 
+/// Guards against keeping a part that crashes engines of one build from those of another.
+#[test]
+fn a_part_goes_to_engines_of_the_build_on_which_it_ran_well() {
+    let mut quarantine = Quarantine::default();
+    crash_with_part(&mut quarantine, CALL);
+    let good = GoodRun {
+        build: NEW,
+        at: ms(2_500),
+    };
+    quarantine.record_good_run(CALL, good);
+    let judgement = quarantine.judge(&[CALL + 50, CALL], ms(3_500));
+    let Some(Judgement {
+        suspect: CALL,
+        verdict: Verdict::Held { good_builds, .. },
+    }) = judgement
+    else {
+        panic!("the part is not held: {judgement:?}");
+    };
+    assert_eq!(good_builds.as_slice(), [NEW]);
+}
+
 /// Guards against a part that is tried again and again because the callers of its trials leave.
 #[test]
 fn a_held_part_is_tried_twice_whatever_becomes_of_the_trials() {
