--- a/crates/serving/tests/quarantine_parts.rs
+++ b/crates/serving/tests/quarantine_parts/replay.rs
@@ -1,5 +1,4 @@
-//! Replays of engines that end, with a part of prompts to blame or not, at instances that tell each
-//! other what they see.
+//! Instances, engines and calls of a replay, in steps of a millisecond.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -29,16 +28,7 @@
 const KNOWN_WITHIN: u64 = 3_000;
 /// Crashes after which that time begins.
 const CRASHES_UNTIL_KNOWN: usize = 5;
-/// Requests that may reach engines after that time.
-const MAX_LATER_REQUESTS: usize = 3;
 
-/// What the prompts of some calls share, in order.
-const FIRST: Fingerprint = 1;
-const FATAL: Fingerprint = 2;
-const OTHER_FATAL: Fingerprint = 3;
-const THIRD: Fingerprint = 4;
-const OTHER_FIRST: Fingerprint = 5;
-const RARE: Fingerprint = 6;
 /// Parts of sessions are numbered from here.
 const SESSIONS: Fingerprint = 1_000;
 /// Calls are numbered from here.
@@ -46,22 +36,22 @@
 
 /// A stream of calls.
 #[derive(Clone, Debug)]
-struct Source {
+pub(crate) struct Source {
     /// Mean number of calls per second.
-    per_second: f64,
+    pub(crate) per_second: f64,
     /// When it begins and ends.
-    from: u64,
-    until: u64,
+    pub(crate) from: u64,
+    pub(crate) until: u64,
     /// Parts of the prompts, without the last. Part 0 stands for one of [`Source::sessions`].
-    parts: Vec<Fingerprint>,
+    pub(crate) parts: Vec<Fingerprint>,
     /// Number of parts that take the place of part 0.
-    sessions: u32,
+    pub(crate) sessions: u32,
     /// Whether all calls are repeats of one.
-    is_one_call: bool,
+    pub(crate) is_one_call: bool,
     /// Whether its calls end their engines, whatever their parts.
-    is_fatal: bool,
+    pub(crate) is_fatal: bool,
     /// Whether it comes to the first instance only.
-    at_one_instance: bool,
+    pub(crate) at_one_instance: bool,
 }
 
 impl Default for Source {
@@ -70,7 +60,7 @@
             per_second: 20.0,
             from: 0,
             until: u64::MAX,
-            parts: vec![FIRST],
+            parts: Vec::new(),
             sessions: 0,
             is_one_call: false,
             is_fatal: false,
@@ -81,31 +71,31 @@
 
 /// A replay.
 #[derive(Clone, Debug)]
-struct Case {
-    sources: Vec<Source>,
-    fatal_parts: Vec<Fingerprint>,
-    instances: usize,
-    engines: usize,
+pub(crate) struct Case {
+    pub(crate) sources: Vec<Source>,
+    pub(crate) fatal_parts: Vec<Fingerprint>,
+    pub(crate) instances: usize,
+    pub(crate) engines: usize,
     /// Time until an engine is back.
-    restart_time: u64,
+    pub(crate) restart_time: u64,
     /// Mean time between ends of engines for reasons of their own; 0 for none.
-    crash_interval: u64,
+    pub(crate) crash_interval: u64,
     /// Moments at which this many engines end together.
-    together: Vec<(u64, usize)>,
+    pub(crate) together: Vec<(u64, usize)>,
     /// Whether trials can be claimed, and what is known survives [`Case::killed_at`].
-    store: bool,
+    pub(crate) store: bool,
     /// When all instances are killed and start again.
-    killed_at: Option<u64>,
+    pub(crate) killed_at: Option<u64>,
     /// Percentage of messages that are lost.
-    lost: u32,
-    duration: u64,
+    pub(crate) lost: u32,
+    pub(crate) duration: u64,
 }
 
 impl Default for Case {
     fn default() -> Self {
         Self {
             sources: Vec::new(),
-            fatal_parts: vec![FATAL],
+            fatal_parts: Vec::new(),
             instances: 6,
             engines: 12,
             restart_time: 1_500,
@@ -146,28 +136,28 @@
 
 /// What became of the calls of a source.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Count {
-    sent: usize,
-    reached: usize,
-    refused: usize,
+pub(crate) struct Count {
+    pub(crate) sent: usize,
+    pub(crate) reached: usize,
+    pub(crate) refused: usize,
     /// Those of them that came after all instances knew of the fatal parts.
-    sent_later: usize,
-    reached_later: usize,
-    refused_later: usize,
+    pub(crate) sent_later: usize,
+    pub(crate) reached_later: usize,
+    pub(crate) refused_later: usize,
 }
 
 /// Result of a replay.
 #[derive(Debug, Default)]
-struct Outcome {
-    counts: Vec<Count>,
+pub(crate) struct Outcome {
+    pub(crate) counts: Vec<Count>,
     /// Ends of engines under fatal parts.
-    crashes: Vec<u64>,
+    pub(crate) crashes: Vec<u64>,
     /// Parts that were held although they are not fatal, and for how long.
-    wrongly_held: BTreeMap<Fingerprint, u64>,
-    messages: usize,
+    pub(crate) wrongly_held: BTreeMap<Fingerprint, u64>,
+    pub(crate) messages: usize,
 }
 
-struct Replay {
+pub(crate) struct Replay {
     case: Case,
     rng: StdRng,
     quarantines: Vec<Quarantine>,
@@ -187,7 +177,8 @@
 }
 
 impl Replay {
-    fn new(case: &Case, seed: u64) -> Self {
+    /// Prepares a replay.
+    pub(crate) fn new(case: &Case, seed: u64) -> Self {
         let counts = vec![Count::default(); case.sources.len()];
         Self {
             case: case.clone(),
@@ -212,7 +203,8 @@
         self.events.insert((at, self.scheduled), event);
     }
 
-    fn run(mut self) -> Outcome {
+    /// Replays the case to its end.
+    pub(crate) fn run(mut self) -> Outcome {
         for now in 0..self.case.duration {
             self.send_calls(now);
             while let Some(next) = self.events.first_entry() {
@@ -495,303 +487,3 @@
         }
     }
 }
-
-/// Calls with the fatal part.
-fn fatal(per_second: f64) -> Source {
-    Source {
-        per_second,
-        from: 2_000,
-        parts: vec![FIRST, FATAL],
-        ..Source::default()
-    }
-}
-
-/// Sound calls of the same first part, each in one of many sessions.
-fn sound() -> Source {
-    Source {
-        parts: vec![FIRST, 0],
-        sessions: 200,
-        ..Source::default()
-    }
-}
-
-const SEEDS: u64 = 3;
-
-/// Replays a case whose first source has fatal parts, and whose second has none.
-fn check_fatal(name: &str, case: &Case) {
-    for seed in 1..=SEEDS {
-        let outcome = Replay::new(case, seed).run();
-        let Outcome {
-            counts,
-            crashes,
-            wrongly_held,
-            messages,
-        } = &outcome;
-        println!(
-            "{name} seed {seed}: {} engines ended, {counts:?}, wrongly held {wrongly_held:?}, {messages} messages",
-            crashes.len()
-        );
-        assert!(
-            counts[0].reached_later <= MAX_LATER_REQUESTS,
-            "{name} seed {seed}: {counts:?}"
-        );
-        assert!(crashes.len() >= 3, "{name} seed {seed}: no engine ended");
-        let sound = counts[1];
-        assert!(
-            sound.refused_later * 10 <= sound.sent_later,
-            "{name} seed {seed}: {sound:?}, {wrongly_held:?}"
-        );
-    }
-}
-
-/// Guards against fatal parts that go on to crash engines because of where they stand in prompts, how
-/// often and where they come, or what happens beside them.
-#[test]
-fn fatal_parts_are_held_and_sound_calls_are_not() {
-    let base = Case {
-        sources: vec![fatal(20.0), sound()],
-        ..Case::default()
-    };
-    let with_first = |source: Source| Case {
-        sources: vec![source, sound()],
-        ..base.clone()
-    };
-    let cases = [
-        ("middle part, 20 a second", base.clone()),
-        ("middle part, 1 a second", with_first(fatal(1.0))),
-        ("middle part, one in 5 s", with_first(fatal(0.2))),
-        (
-            "last but one of four parts",
-            with_first(Source {
-                parts: vec![FIRST, THIRD, FATAL],
-                ..fatal(20.0)
-            }),
-        ),
-        (
-            "first part; the sound calls have another",
-            Case {
-                sources: vec![
-                    Source {
-                        parts: vec![FATAL, 0],
-                        sessions: 50,
-                        ..fatal(20.0)
-                    },
-                    Source {
-                        parts: vec![OTHER_FIRST, 0],
-                        sessions: 200,
-                        ..sound()
-                    },
-                ],
-                ..base.clone()
-            },
-        ),
-        (
-            "at one instance",
-            with_first(Source {
-                at_one_instance: true,
-                ..fatal(20.0)
-            }),
-        ),
-        (
-            "two fatal parts",
-            Case {
-                sources: vec![
-                    fatal(10.0),
-                    sound(),
-                    Source {
-                        parts: vec![FIRST, OTHER_FATAL],
-                        ..fatal(10.0)
-                    },
-                ],
-                fatal_parts: vec![FATAL, OTHER_FATAL],
-                ..base.clone()
-            },
-        ),
-        (
-            "beside a fatal call",
-            Case {
-                sources: vec![
-                    fatal(5.0),
-                    sound(),
-                    Source {
-                        parts: vec![FIRST, RARE],
-                        is_one_call: true,
-                        is_fatal: true,
-                        ..fatal(2.0)
-                    },
-                ],
-                ..base.clone()
-            },
-        ),
-        (
-            "beside engines that end together",
-            Case {
-                together: vec![(3_000, 4), (9_000, 5), (20_000, 6)],
-                ..base.clone()
-            },
-        ),
-        (
-            "beside ends of other causes",
-            Case {
-                crash_interval: 1_200,
-                ..base.clone()
-            },
-        ),
-        (
-            "engines back after 6 s",
-            Case {
-                restart_time: 6_000,
-                ..base.clone()
-            },
-        ),
-        (
-            "a fifth of the messages lost",
-            Case {
-                lost: 20,
-                ..base.clone()
-            },
-        ),
-        (
-            "the store away",
-            Case {
-                store: false,
-                ..base.clone()
-            },
-        ),
-        (
-            "all instances killed",
-            Case {
-                killed_at: Some(8_000),
-                ..base.clone()
-            },
-        ),
-        (
-            "forty instances",
-            Case {
-                instances: 40,
-                engines: 60,
-                ..base.clone()
-            },
-        ),
-        (
-            "beside one call that all callers send",
-            Case {
-                sources: vec![
-                    fatal(20.0),
-                    Source {
-                        per_second: 40.0,
-                        is_one_call: true,
-                        ..sound()
-                    },
-                ],
-                engines: 4,
-                restart_time: 300,
-                ..base.clone()
-            },
-        ),
-        (
-            "984 instances",
-            Case {
-                sources: vec![
-                    fatal(20.0),
-                    Source {
-                        per_second: 300.0,
-                        ..sound()
-                    },
-                ],
-                instances: 984,
-                engines: 200,
-                duration: 12_000,
-                ..base.clone()
-            },
-        ),
-    ];
-    for (name, case) in cases {
-        check_fatal(name, &case);
-    }
-}
-
-/// Refused calls allowed of a thousand where no part is to blame.
-const MAX_REFUSED_PER_THOUSAND: usize = 2;
-
-/// Guards against holding parts that were about to run as engines ended for reasons of their own.
-#[test]
-fn parts_without_blame_are_rarely_held() {
-    let rare = Source {
-        per_second: 0.1,
-        parts: vec![FIRST, RARE],
-        ..Source::default()
-    };
-    // Its first calls are in progress when engines end together.
-    let new = Source {
-        from: 9_950,
-        ..Source {
-            per_second: 200.0,
-            parts: vec![FIRST, THIRD],
-            ..Source::default()
-        }
-    };
-    let ordinary = Case {
-        sources: vec![
-            Source {
-                per_second: 40.0,
-                ..sound()
-            },
-            rare.clone(),
-        ],
-        fatal_parts: Vec::new(),
-        ..Case::default()
-    };
-    let cases = [
-        (
-            "an end each 1.2 s for ten minutes",
-            Case {
-                crash_interval: 1_200,
-                duration: 600_000,
-                ..ordinary.clone()
-            },
-        ),
-        (
-            "a new part as five engines end together",
-            Case {
-                sources: vec![sound(), rare.clone(), new],
-                together: vec![(10_000, 5)],
-                ..ordinary.clone()
-            },
-        ),
-        (
-            "all engines end together, twice",
-            Case {
-                together: vec![(10_000, 12), (20_000, 12)],
-                ..ordinary.clone()
-            },
-        ),
-        (
-            "a third of the engines ends each second",
-            Case {
-                together: (5..30).map(|second| (second * 1_000, 4)).collect(),
-                ..ordinary.clone()
-            },
-        ),
-    ];
-    for (name, case) in cases {
-        for seed in 1..=SEEDS {
-            let outcome = Replay::new(&case, seed).run();
-            let Outcome {
-                counts,
-                wrongly_held,
-                messages,
-                ..
-            } = &outcome;
-            println!(
-                "{name} seed {seed}: {counts:?}, wrongly held {wrongly_held:?}, {messages} messages"
-            );
-            let sent: usize = counts.iter().map(|count| count.sent).sum();
-            let refused: usize = counts.iter().map(|count| count.refused).sum();
-            assert!(
-                refused * 1_000 <= sent * MAX_REFUSED_PER_THOUSAND,
-                "{name} seed {seed}: {counts:?}, {wrongly_held:?}"
-            );
-        }
-    }
-}
