--- a/crates/serving/src/quarantine/entry.rs
+++ b/crates/serving/src/quarantine/entry.rs
@@ -92,7 +92,7 @@
     TrialDue,
 }
 
-/// Uncleared crashes after which a call is held.
+/// Uncleared crashes after which a suspect is held.
 ///
 /// At the first crash, a call is one of all that the engine was running. In a replay of half-second
 /// calls on eleven engines, one of which ends every 1.2 s for reasons of its own, 4 in 100 innocent
@@ -101,14 +101,14 @@
 pub const HOLD_CRASHES: usize = 3;
 /// Uncleared crashes after which a call is isolated.
 const ISOLATE_CRASHES: usize = 2;
-/// Trials of a held call. Each may crash one more engine, and three calls in all may reach engines;
+/// Trials of a held suspect. Each may crash one more engine, and three calls in all may reach engines;
 /// the third is left for one that was on its way.
 const MAX_TRIALS: usize = 2;
 /// Inconclusive trials that are tolerated: the caller leaves, the engine refuses the call or breaks
 /// off and survives, or the instance is killed. Further ones count as failed, so that a call whose
 /// outcome is never seen crashes a bounded number of engines.
 const MAX_INCONCLUSIVE: u32 = 8;
-/// How long a call is held before each trial, and after the last one. The first is longer than
+/// How long a suspect is held before each trial, and after the last one. The first is longer than
 /// engines take to return, and bounds how long an innocent call is kept from engines; the last
 /// leaves operators time to act.
 const HOLD_DURATIONS: [Duration; MAX_TRIALS + 1] = [
@@ -116,7 +116,7 @@
     Duration::from_secs(10 * 60),
     Duration::from_secs(24 * 60 * 60),
 ];
-/// How long a call that is not held is remembered. Later repeats are made by hand.
+/// How long a suspect that is not held is remembered. Later repeats are made by hand.
 const RETENTION: Duration = Duration::from_secs(10 * 60);
 /// Least time by which a reported good run must be later than the known one to count as new, unless
 /// it clears a crash. Times shift later with each report between instances; without this bound one
@@ -128,6 +128,7 @@
 const SHARED_CAUSE_TIME: Duration = Duration::from_millis(50);
 /// Crashes kept per suspect; more add nothing.
 const MAX_CRASHES: usize = 8;
+
 impl Entry {
     /// Number of crashes that have not been cleared.
     pub fn uncleared_crashes(&self) -> usize {
