Ask the successor for the concluded orders in the takeover tests

The test of a late order waited 90 s for two concluded orders at entry 0 and saw one, once, beside a second run of all tests.

The test now asks the successor, which has folded every record, for the same numbers and verdicts.

--- a/crates/entry/tests/takeover.rs
+++ b/crates/entry/tests/takeover.rs
@@ -131,8 +131,9 @@
 }
 
 /// Stops the holder while its order is in flight, lets the successor conclude the order, and then
-/// lets the order arrive and the holder continue.
-async fn stopped_past_its_lease(options: &[&str]) -> Fleet {
+/// lets the order arrive and the holder continue. Also returns the successor: the old holder may
+/// have restored a snapshot, which does not list concluded orders.
+async fn stopped_past_its_lease(options: &[&str]) -> (Fleet, usize) {
     let (mut fleet, _) = Fleet::for_changes(2, 2).await;
     let mut all = vec!["--time-scale", "3"];
     all.extend(options);
@@ -171,7 +172,7 @@
     }
     load.wait_for_streams(3).await;
     load.assert_complete().await;
-    fleet
+    (fleet, other)
 }
 
 /// As in `stopped_past_its_lease`, with an engine that checks fencing tokens: an order of a process
@@ -179,7 +180,7 @@
 /// concluding it.
 #[actix_rt::test]
 async fn a_late_order_has_no_effect_at_an_engine_that_checks_fences() {
-    let fleet = stopped_past_its_lease(&[]).await;
+    let (fleet, _) = stopped_past_its_lease(&[]).await;
     fleet.assert_orders_begun("engine-1", 0).await;
     // Any other order of the old holder has a lower fencing token than the cancellation.
     let mut stray = set_role("engine-1", "prefill");
@@ -196,20 +197,20 @@
 /// prevents the first case; the second cannot be prevented and must be detected and repaired.
 #[actix_rt::test]
 async fn late_order_at_an_engine_that_ignores_fences_is_detected_and_repaired() {
-    let mut fleet = stopped_past_its_lease(&["--ignore-fence"]).await;
+    let (mut fleet, successor) = stopped_past_its_lease(&["--ignore-fence"]).await;
     fleet.assert_orders_begun("engine-1", 0).await;
     // A concluded order sets the engine's desired state.
     fleet
         .request_change(0, &set_role("engine-1", "prefill"))
         .await;
-    fleet.concluded(0, "engine-1", 2).await;
+    fleet.concluded(successor, "engine-1", 2).await;
     let options = ["--ignore-fence", "--time-scale", "3", "--role", "prefill"];
     fleet.restart_engine(0, &options);
     let mut stray = set_role("engine-1", "decode");
     stray["order"] = json!(1);
     stray["fence"] = json!(1);
     assert_eq!(fleet.stray_order("engine-1", &stray).await, 202);
-    let ends = fleet.concluded(0, "engine-1", 3).await;
+    let ends = fleet.concluded(successor, "engine-1", 3).await;
     assert_eq!(ends[0], "done");
     assert_eq!(fleet.engine_state("engine-1").await["role"], "prefill");
     let holder = fleet.holder(&[0, 1]).await;
