--- a/crates/gateway/src/engine_links.rs
+++ b/crates/gateway/src/engine_links.rs
@@ -13,9 +13,8 @@
 use futures_util::future::join_all;
 use http1::{Client, TcpTimeouts};
 use rand::seq::IteratorRandom as _;
-use serving::reachability::{
-    Cause, Failure, ForwardResult, Forwarder, Forwarders, MAX_FORWARDERS, Path, Reachability,
-};
+use serving::forwarders::{ForwardResult, Forwarder, Forwarders, MAX_FORWARDERS};
+use serving::reachability::{Cause, Failure, Path, Reachability};
 use serving::{EngineId, Record, ServiceName};
 use smallvec::SmallVec;
 use tokio::sync::Notify;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use clock::Moment;
+use serving::forwarders::Forwarder;
 use serving::outbox::Outbox;
 use serving::parts::Part;
 use serving::placer::{Election, Member, Placers, ZoneHash};
-use serving::reachability::Forwarder;
 use serving::watch::{Deferred, ReaderReport, TopicState};
 use serving::{EngineId, Zone, hash, replication};
 use wire::gateway::{News, State, Ticket};
--- /dev/null
+++ b/crates/serving/src/forwarders.rs
@@ -0,0 +1,141 @@
+//! Other instances that send calls to engines which this instance does not reach: whom to ask, and in
+//! which order. See `docs/design/engine-links.md`.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use clock::Moment;
+use smallvec::SmallVec;
+
+use crate::{ServiceName, hash};
+
+/// Instances that are asked to send one call before it is refused.
+pub const MAX_FORWARDERS: usize = 4;
+/// Of these, how many of the instance's own data centre, as long as none is known to reach engines. The
+/// whole data centre may be cut off.
+const MAX_UNPROVEN_NEAR: usize = 2;
+/// Time for which an instance that could not send a call is not asked again.
+const FORWARDER_BACKOFF: Duration = Duration::from_secs(2);
+/// Time for which one that sent a call is preferred.
+const PROVEN_TIME: Duration = Duration::from_secs(5);
+
+/// Another instance that may send calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Forwarder {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Whether it is in the same data centre.
+    pub near: bool,
+}
+
+/// What an instance that was asked to send a call did.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ForwardResult {
+    /// It sent the call.
+    Sent,
+    /// It reaches no engine of the service.
+    Isolated,
+    /// It does not send to this engine now, and may send to others.
+    EngineUnavailable,
+    /// It sends no calls now, or did not answer.
+    Failed,
+}
+
+/// What is known of the instances that were asked to send calls. Which engines one reaches may differ
+/// by service.
+#[derive(Clone, Debug, Default)]
+pub struct Forwarders {
+    sent: HashMap<(SocketAddr, ServiceName), Moment>,
+    isolated: HashMap<(SocketAddr, ServiceName), Moment>,
+    failed: HashMap<SocketAddr, Moment>,
+}
+
+/// Place of an instance among those to ask; the lowest comes first.
+type ForwarderRank = (bool, bool, u64);
+
+impl Forwarders {
+    /// The instances to ask for an engine of a service, in this order. Each instance has an order of
+    /// its own, which spreads the calls of many over all.
+    pub fn order(
+        &self,
+        own: SocketAddr,
+        service: &ServiceName,
+        candidates: &[Forwarder],
+        now: Moment,
+    ) -> SmallVec<[SocketAddr; MAX_FORWARDERS]> {
+        let mut ranked: Vec<(ForwarderRank, SocketAddr)> = candidates
+            .iter()
+            .filter(|other| !self.is_avoided(other.address, service, now))
+            .map(|other| (self.rank(own, service, other, now), other.address))
+            .collect();
+        ranked.sort_unstable();
+        let mut unproven_near = 0;
+        let is_surplus = |((is_unproven, is_far, _), _): &(ForwarderRank, SocketAddr)| {
+            let counts = *is_unproven && !*is_far;
+            unproven_near += usize::from(counts);
+            counts && unproven_near > MAX_UNPROVEN_NEAR
+        };
+        // Those beyond the limit come last: there may be nobody else.
+        let (last, first): (Vec<_>, Vec<_>) = ranked.into_iter().partition(is_surplus);
+        let all = first.into_iter().chain(last);
+        all.take(MAX_FORWARDERS)
+            .map(|(_, address)| address)
+            .collect()
+    }
+
+    fn rank(
+        &self,
+        own: SocketAddr,
+        service: &ServiceName,
+        other: &Forwarder,
+        now: Moment,
+    ) -> ForwarderRank {
+        let key = (other.address, service.clone());
+        let sent = self.sent.get(&key);
+        let is_proven = sent.is_some_and(|at| now.saturating_sub(*at) < PROVEN_TIME);
+        let place = hash::hash64(&format!("{own} {}", other.address));
+        (!is_proven, !other.near, place)
+    }
+
+    fn is_avoided(&self, address: SocketAddr, service: &ServiceName, now: Moment) -> bool {
+        let is_recent = |at: &Moment| now.saturating_sub(*at) < FORWARDER_BACKOFF;
+        let isolated = self.isolated.get(&(address, service.clone()));
+        self.failed.get(&address).is_some_and(is_recent) || isolated.is_some_and(is_recent)
+    }
+
+    /// Records what an instance did with a call to a service.
+    pub fn record(
+        &mut self,
+        address: SocketAddr,
+        service: &ServiceName,
+        result: ForwardResult,
+        now: Moment,
+    ) {
+        let key = (address, service.clone());
+        match result {
+            ForwardResult::Sent => {
+                self.failed.remove(&address);
+                self.isolated.remove(&key);
+                self.sent.insert(key, now);
+            }
+            ForwardResult::EngineUnavailable => {}
+            ForwardResult::Isolated => {
+                self.sent.remove(&key);
+                self.isolated.insert(key, now);
+            }
+            ForwardResult::Failed => {
+                self.sent.remove(&key);
+                self.failed.insert(address, now);
+            }
+        }
+    }
+
+    /// Forgets what is too old to matter.
+    pub fn expire(&mut self, now: Moment) {
+        let age = |at: &Moment| now.saturating_sub(*at);
+        self.sent.retain(|_, at| age(at) < PROVEN_TIME);
+        self.isolated.retain(|_, at| age(at) < FORWARDER_BACKOFF);
+        self.failed.retain(|_, at| age(at) < FORWARDER_BACKOFF);
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -20,6 +20,7 @@
 mod fetch;
 pub mod fingerprint;
 pub mod fleet;
+pub mod forwarders;
 pub mod hash;
 pub mod health;
 mod linear_fit;
--- a/crates/serving/tests/reachability.rs
+++ b/crates/serving/tests/reachability.rs
@@ -1,12 +1,9 @@
-//! Which engines an instance reaches, and whom it asks to send calls to the others.
+//! Which engines an instance reaches.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use clock::Moment;
-use serving::reachability::{
-    Cause, Failure, ForwardResult, Forwarder, Forwarders, Path, Reachability,
-};
+use serving::reachability::{Cause, Failure, Path, Reachability};
 use serving::{EngineId, ServiceName};
 
 const ENGINES: usize = 22;
@@ -182,68 +179,3 @@
 fn service() -> ServiceName {
     ServiceName::from("pool")
 }
-
-fn address(number: u8) -> SocketAddr {
-    SocketAddr::from(([10, 0, 0, number], 7_380))
-}
-
-fn candidates(near: u8, far: u8) -> Vec<Forwarder> {
-    (1..=near + far)
-        .map(|number| Forwarder {
-            address: address(number),
-            near: number <= near,
-        })
-        .collect()
-}
-
-/// Guards against asking only instances of a data centre that is cut off as a whole.
-#[test]
-fn instances_of_other_data_centres_are_asked_too() {
-    let order =
-        Forwarders::default().order(address(99), &service(), &candidates(10, 10), at(1_000));
-    assert_eq!(order.len(), 4);
-    assert!(order[..2].iter().all(|asked| *asked <= address(10)));
-    assert!(order[2..].iter().all(|asked| *asked > address(10)));
-}
-
-#[test]
-fn the_instance_that_sent_a_call_is_asked_first() {
-    let mut forwarders = Forwarders::default();
-    forwarders.record(address(1), &service(), ForwardResult::Failed, at(900));
-    forwarders.record(address(15), &service(), ForwardResult::Sent, at(900));
-    let order = forwarders.order(address(99), &service(), &candidates(10, 10), at(1_000));
-    assert_eq!(order[0], address(15));
-    assert!(!order.contains(&address(1)));
-    let later = forwarders.order(address(99), &service(), &candidates(1, 0), at(3_000));
-    assert_eq!(later.as_slice(), [address(1)]);
-}
-
-/// Guards against asking an instance again and again that reaches the engines of other services only.
-#[test]
-fn an_instance_that_lacks_a_service_is_asked_for_others_only() {
-    let mut forwarders = Forwarders::default();
-    let other = ServiceName::from("app");
-    forwarders.record(address(1), &other, ForwardResult::Sent, at(900));
-    forwarders.record(address(1), &service(), ForwardResult::Isolated, at(950));
-    let all = candidates(2, 0);
-    let order = forwarders.order(address(99), &service(), &all, at(1_000));
-    assert_eq!(order.as_slice(), [address(2)]);
-    let order = forwarders.order(address(99), &other, &all, at(1_000));
-    assert_eq!(order[0], address(1));
-}
-
-/// Guards against the calls of many isolated instances that all go to the same one.
-#[test]
-fn isolated_instances_spread_their_calls() {
-    let all = candidates(30, 0);
-    let mut asked = [0; 31];
-    for own in 100..=255 {
-        let order = Forwarders::default().order(address(own), &service(), &all, at(1_000));
-        let [.., number] = match order[0] {
-            SocketAddr::V4(first) => first.ip().octets(),
-            SocketAddr::V6(_) => unreachable!("all addresses are of version 4"),
-        };
-        asked[usize::from(number)] += 1;
-    }
-    assert!(asked.iter().all(|count| *count <= 14), "{asked:?}");
-}
