--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -414,6 +414,8 @@
     pub reply: Reply,
     pub framing: Framing,
     pub client: Client,
+    /// Whether the connection is the engine's or another instance's.
+    pub path: Path,
 }
 
 /// Responses to other requests that are skipped on one connection before it is given up.
@@ -520,6 +522,7 @@
     let exchanged = exchange(client, head, request, &engine.name).await;
     match &exchanged {
         Ok(EngineResponse { reply, .. }) => {
+            instance.links.on_received(&engine.service, instance.now());
             announcements::observe(instance, &engine.id, reply, sent_at);
         }
         Err(failure) => engine_links::on_lost(instance, &engine.into(), sent_at, failure),
@@ -541,8 +544,8 @@
 ) -> AttemptResult {
     let target = Target::from(engine);
     let begun = instance.now();
-    let mut reaches_others = false;
-    for peer in engine_links::forwarders(instance, &engine.service) {
+    let mut reaches_others = instance.links.is_declined(&engine.id, begun);
+    for peer in engine_links::forwarders(instance, &target) {
         let (sent, sent_at) = (instance.unix(), instance.now());
         if sent_at.saturating_sub(begun) > FORWARD_ATTEMPTS_TIME {
             break;
@@ -559,10 +562,13 @@
         let forwarded = forwarded.await;
         log_forwarded(instance, request, engine, peer, &forwarded);
         let result = forward_result(&forwarded);
-        instance
-            .links
-            .on_forwarder(peer, &engine.service, result, instance.now());
-        reaches_others |= result == ForwardResult::EngineUnavailable;
+        let now = instance.now();
+        let links = &instance.links;
+        links.on_forwarder(peer, &engine.id, &engine.service, result, now);
+        reaches_others |= matches!(
+            result,
+            ForwardResult::EngineUnreachable | ForwardResult::EngineUnavailable
+        );
         match forwarded {
             Forwarded::Response(response) => {
                 let exchanged = forwarded_response(request, engine, *response);
@@ -589,12 +595,14 @@
     match forwarded {
         Forwarded::Response(_) => ForwardResult::Sent,
         Forwarded::Declined(NotForwarded::Isolated) => ForwardResult::Isolated,
-        Forwarded::Declined(NotForwarded::Unreachable | NotForwarded::Unavailable) => {
-            ForwardResult::EngineUnavailable
-        }
-        Forwarded::Declined(NotForwarded::Busy) | Forwarded::Silent(_) | Forwarded::Lost(_) => {
-            ForwardResult::Failed
-        }
+        Forwarded::Declined(NotForwarded::Unreachable) => ForwardResult::EngineUnreachable,
+        // The instance closes the connection if the engine gives it no answer. If the instance has
+        // ended itself, the next connection to it will fail.
+        Forwarded::Declined(NotForwarded::Unavailable)
+        | Forwarded::Lost(Failure::Closed | Failure::Broken(_)) => ForwardResult::EngineUnavailable,
+        Forwarded::Declined(NotForwarded::Busy)
+        | Forwarded::Silent(_)
+        | Forwarded::Lost(Failure::NotSent(_) | Failure::NoResponse(_)) => ForwardResult::Failed,
     }
 }
 
@@ -612,6 +620,7 @@
         reply,
         framing: response.framing,
         client: response.client,
+        path: Path::Forwarded,
     })
 }
 
@@ -700,6 +709,7 @@
                 reply,
                 framing: answer.framing,
                 client,
+                path: Path::Direct,
             });
         }
         log::info!(id = request.call.id.as_str(); "skipped a response to another request");
@@ -728,6 +738,11 @@
     if instance.peers.borrow().is_instance(client.peer()) {
         instance.links.peers.put(client, now);
     } else {
+        // The body was read to its end just now.
+        let fleet = instance.fleet.borrow();
+        if let Some(known) = fleet.get(engine) {
+            instance.links.on_received(&known.record.service, now);
+        }
         instance.pool.put(engine, client, reply.keep_alive, now);
     }
 }
--- a/crates/gateway/src/engine_call.rs
+++ b/crates/gateway/src/engine_call.rs
@@ -123,6 +123,13 @@
         }
     }
 
+    /// Records bytes that the engine sent on a connection of this instance.
+    pub(crate) fn on_received(&self) {
+        let service = &self.request.service.name;
+        let now = self.instance.now();
+        self.instance.links.on_received(service, now);
+    }
+
     /// Records an event of the stream. Returns the part of the time since the last one in which the
     /// engine had prompts to prefill.
     pub(crate) fn on_event(&self) -> Duration {
--- a/crates/gateway/src/engine_links.rs
+++ b/crates/gateway/src/engine_links.rs
@@ -14,13 +14,15 @@
 use http1::{Client, TcpTimeouts};
 use rand::seq::IteratorRandom as _;
 use serving::forwarders::{ForwardResult, Forwarder, Forwarders, MAX_FORWARDERS};
-use serving::reachability::{Cause, Failure, Path, Reachability};
+use serving::reachability::{
+    Attempt, Cause, Failure, Origin, Path, Reachability, Report, Verdict, WITNESSES,
+};
 use serving::{EngineId, Record, ServiceName};
 use smallvec::SmallVec;
 use tokio::sync::Notify;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
-use crate::forward::{self, PeerPool};
+use crate::forward::{self, PeerPool, Reach};
 use crate::instance::Instance;
 
 /// Time limits of connections to engines.
@@ -44,16 +46,34 @@
 const PROBE_POLL_INTERVAL: Duration = Duration::from_millis(250);
 /// Engines probed at a time.
 const MAX_PROBES: usize = 2;
-/// Other engines that are connected to, to find out whose fault a failed connection is.
-const WITNESSES: usize = 2;
+/// Time after which a connection that has not opened makes this instance draw witnesses, so that these
+/// have answered by the time it fails.
+const SLOW_CONNECT: Duration = Duration::from_millis(150);
+/// Engines drawn first after a refused connection. Most often one of them opens, and the others can be
+/// spared: a refusal costs no time.
+const FIRST_WITNESSES: usize = 2;
+/// Engines of other services that are drawn if the service itself has too few. They tell whether this
+/// instance has any path.
+const FOREIGN_WITNESSES: usize = 2;
+/// Engines of a service that other instances are asked about. If a quarter of the service has terminated,
+/// all of them have once in 256 times.
+const MAX_DISPUTED: usize = 4;
+/// Time after which other instances count as unable to tell whether engines are reached.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Engines assumed at least while this instance keeps only some records.
+const MIN_ASSUMED_ENGINES: usize = 3;
 
 /// This instance's paths to engines, and to instances that have others.
 #[derive(Default)]
 pub(crate) struct EngineLinks {
     state: RefCell<Reachability>,
     forwarders: RefCell<Forwarders>,
-    /// Notified when this instance has become isolated.
-    isolated: Notify,
+    /// Notified when connections that have not opened yet should be given up.
+    given_up: Notify,
+    /// Services from which this instance may be isolated, until other instances are asked.
+    suspected: RefCell<BTreeSet<ServiceName>>,
+    /// Notified when there are any.
+    suspicion_due: Notify,
     /// Services of which engines are being connected to as witnesses.
     asks_witnesses: RefCell<BTreeSet<ServiceName>>,
     /// Notified when they have answered.
@@ -67,16 +87,27 @@
         self.state.borrow()
     }
 
-    /// Records what another instance did with a call to a service.
+    /// Records what another instance did with a call to an engine.
     pub(crate) fn on_forwarder(
         &self,
         address: SocketAddr,
+        engine: &EngineId,
         service: &ServiceName,
         result: ForwardResult,
         now: Moment,
     ) {
         let mut forwarders = self.forwarders.borrow_mut();
-        forwarders.record(address, service, result, now);
+        forwarders.record(address, engine, service, result, now);
+    }
+
+    /// Whether another instance lately declined to send to this engine alone.
+    pub(crate) fn is_declined(&self, engine: &EngineId, now: Moment) -> bool {
+        self.forwarders.borrow().is_declined(engine, now)
+    }
+
+    /// Records bytes of an engine on a connection of this instance.
+    pub(crate) fn on_received(&self, service: &ServiceName, now: Moment) {
+        self.state.borrow_mut().on_received(service, now);
     }
 }
 
@@ -153,17 +184,23 @@
 }
 
 async fn open_new(instance: &Rc<Instance>, engine: &Target) -> Result<Client, http1::Failure> {
-    let mut connecting = pin!(connect(instance, engine, &ENGINE_PATIENCE));
+    let mut connecting = pin!(connect(instance, engine, &ENGINE_PATIENCE, Origin::Choice));
+    let mut slow = pin!(sleep(SLOW_CONNECT));
+    let mut is_slow = false;
     loop {
-        let isolated = instance.links.isolated.notified();
+        let given_up = instance.links.given_up.notified();
         tokio::select! {
             biased;
             opened = &mut connecting => return opened,
-            () = isolated => {
-                if instance.links.state().is_isolated(&engine.service) {
+            () = given_up => {
+                if instance.links.state().gives_up(&engine.service) {
                     return Err(http1::Failure::NotSent(io::ErrorKind::NetworkUnreachable.into()));
                 }
             }
+            () = &mut slow, if !is_slow => {
+                is_slow = true;
+                draw_witnesses(instance, engine, Failure::Silent);
+            }
         }
     }
 }
@@ -172,6 +209,7 @@
     instance: &Rc<Instance>,
     engine: &Target,
     patience: &TcpTimeouts,
+    origin: Origin,
 ) -> Result<Client, http1::Failure> {
     let begun = instance.now();
     let opened = instance.connect(engine.address, patience).await;
@@ -179,19 +217,29 @@
     match &opened {
         Ok(_) => on_opened(instance, engine),
         Err(http1::Failure::NotSent(error)) if error.kind() == io::ErrorKind::TimedOut => {
-            on_failed(instance, engine, begun, Failure::Silent);
+            on_timed_out(instance, engine, begun, origin);
+        }
+        Err(_) => {
+            let failure = Failure::Refused;
+            let attempt = Attempt {
+                begun,
+                failure,
+                origin,
+            };
+            on_failed(instance, engine, attempt);
         }
-        Err(_) => on_failed(instance, engine, begun, Failure::Refused),
     }
     opened
 }
 
-/// Number of a service's engines. An instance that keeps only some records assumes many.
+/// Number of a service's engines that can be connected to. An instance that keeps only some records
+/// assumes a few at least.
 fn count_engines(instance: &Instance, service: &ServiceName) -> usize {
+    let known = instance.fleet.borrow().ready(service).count();
     if instance.engines_known.get() {
-        instance.fleet.borrow().ready(service).count()
+        known
     } else {
-        usize::MAX
+        known.max(MIN_ASSUMED_ENGINES)
     }
 }
 
@@ -206,15 +254,29 @@
     instance.metrics.set_isolated(state.is_isolated_from_any());
 }
 
-fn on_failed(instance: &Instance, engine: &Target, begun: Moment, failure: Failure) {
+/// Notes an engine that was silent for too long. All time-outs of engines are recorded here.
+fn on_timed_out(instance: &Instance, engine: &Target, begun: Moment, origin: Origin) {
+    let failure = Failure::Silent;
+    let attempt = Attempt {
+        begun,
+        failure,
+        origin,
+    };
+    on_failed(instance, engine, attempt);
+}
+
+fn on_failed(instance: &Instance, engine: &Target, attempt: Attempt) {
     let Target { id, service, .. } = engine;
     let engines = count_engines(instance, service);
     let now = instance.now();
-    let mut state = instance.links.state.borrow_mut();
-    if state.on_failed(id, service, begun, failure, engines, now) {
-        let failed: Vec<EngineId> = state.unreachable(service).cloned().collect();
-        drop(state);
-        on_isolated(instance, service, failure, &failed);
+    let links = &instance.links;
+    let mut state = links.state.borrow_mut();
+    if state.on_failed(id, service, attempt, engines, now) {
+        links.suspected.borrow_mut().insert(service.clone());
+        links.suspicion_due.notify_one();
+        if state.gives_up(service) {
+            links.given_up.notify_waiters();
+        }
     }
 }
 
@@ -222,12 +284,15 @@
 ///
 /// Idle connections are closed, since a call sent on one would be lost. What time-outs said of the
 /// engines' health is forgotten, so that these get calls at once.
-fn on_isolated(instance: &Instance, service: &ServiceName, failure: Failure, failed: &[EngineId]) {
+fn on_isolated(instance: &Instance, service: &ServiceName, failure: Failure, report: Report) {
+    let state = instance.links.state();
+    let failed: Vec<EngineId> = state.unreachable(service).cloned().collect();
+    drop(state);
     let mut fleet = instance.fleet.borrow_mut();
     let names: Vec<&str> = failed.iter().map(|engine| &**engine).collect();
     log::warn!(
         service = &**service, failure:? = failure, engines = names.join(" "),
-        known = fleet.ready(service).count();
+        known = fleet.ready(service).count(), others:? = report;
         "no engine can be reached from here"
     );
     instance.metrics.set_isolated(true);
@@ -235,12 +300,12 @@
         instance.pool.remove(&engine.record.id);
     }
     if failure == Failure::Silent {
-        for engine in failed {
+        for engine in &failed {
             fleet.reset_health(engine);
         }
     }
     drop(fleet);
-    instance.links.isolated.notify_waiters();
+    instance.links.given_up.notify_waiters();
 }
 
 /// Notes a connection that was used at `sent_at` and gave no answer.
@@ -250,64 +315,105 @@
     sent_at: Moment,
     failure: &http1::Failure,
 ) {
-    let http1::Failure::NoResponse(error) = failure else {
-        return;
-    };
-    // An engine that ends resets its connections; only silence says something of the path.
-    if error.kind() == io::ErrorKind::TimedOut {
-        instance.pool.remove(&engine.id);
-        on_failed(instance, engine, sent_at, Failure::Silent);
+    match failure {
+        http1::Failure::NoResponse(error) if error.kind() == io::ErrorKind::TimedOut => {
+            instance.pool.remove(&engine.id);
+            on_timed_out(instance, engine, sent_at, Origin::Choice);
+        }
+        // The engine's host has sent a reset or a close, so the path worked until then.
+        http1::Failure::NoResponse(_) | http1::Failure::Closed | http1::Failure::Broken(_) => {
+            instance.links.on_received(&engine.service, instance.now());
+        }
+        http1::Failure::NotSent(_) => {}
     }
 }
 
-/// Whose fault it is that a connection begun at `begun` did not open. Unless it is known, other
-/// engines of the service are connected to.
+/// Whose fault it is that a connection begun at `begun` did not open. Unless it is known, engines of
+/// the service are drawn and connected to.
 pub(crate) async fn find_cause(instance: &Rc<Instance>, engine: &Target, begun: Moment) -> Cause {
-    let cause = instance.links.state().cause(&engine.service, begun);
+    let links = &instance.links;
+    let (id, service) = (&engine.id, &engine.service);
+    let cause = links.state().cause(id, service, begun);
     if cause != Cause::Unclear {
         return cause;
     }
-    let links = &instance.links;
-    let asked = links.witnesses_asked.notified();
-    if links
-        .asks_witnesses
-        .borrow_mut()
-        .insert(engine.service.clone())
-    {
-        // Callers come and go; the question is everyone's.
-        let (instance, engine) = (instance.clone(), engine.clone());
-        actix_rt::spawn(async move {
-            ask_witnesses(&instance, &engine).await;
-            let links = &instance.links;
-            links.asks_witnesses.borrow_mut().remove(&engine.service);
-            links.witnesses_asked.notify_waiters();
-        });
+    let is_silent = links.state().is_silent(id);
+    let failure = match is_silent {
+        true => Failure::Silent,
+        false => Failure::Refused,
+    };
+    draw_witnesses(instance, engine, failure);
+    loop {
+        let asked = links.witnesses_asked.notified();
+        if !links.asks_witnesses.borrow().contains(service) {
+            return links.state().cause(id, service, begun);
+        }
+        asked.await;
     }
-    asked.await;
-    instance.links.state().cause(&engine.service, begun)
 }
 
-async fn ask_witnesses(instance: &Rc<Instance>, failed: &Target) {
-    let witnesses: SmallVec<[Target; WITNESSES]> = {
-        let fleet = instance.fleet.borrow();
-        let state = instance.links.state.borrow();
-        let lost: Vec<&EngineId> = state.unreachable(&failed.service).collect();
-        let others = fleet
-            .ready(&failed.service)
-            .filter(|engine| !lost.contains(&&engine.record.id));
-        let drawn = others.sample(&mut rand::rng(), WITNESSES);
-        drawn
-            .into_iter()
-            .map(|engine| Target::from(&engine.record))
-            .collect()
+/// Connects to engines drawn at random, unless the service's are being connected to already.
+fn draw_witnesses(instance: &Rc<Instance>, engine: &Target, failure: Failure) {
+    let mut asking = instance.links.asks_witnesses.borrow_mut();
+    if !asking.insert(engine.service.clone()) {
+        return;
+    }
+    // Callers come and go; the question is everyone's.
+    let (instance, engine) = (instance.clone(), engine.clone());
+    actix_rt::spawn(async move {
+        ask_witnesses(&instance, &engine, failure).await;
+        let links = &instance.links;
+        links.asks_witnesses.borrow_mut().remove(&engine.service);
+        links.witnesses_asked.notify_waiters();
+    });
+}
+
+async fn ask_witnesses(instance: &Rc<Instance>, failed: &Target, failure: Failure) {
+    let begun = instance.now();
+    let counts: &[usize] = match failure {
+        Failure::Refused => &[FIRST_WITNESSES, WITNESSES - FIRST_WITNESSES],
+        Failure::Silent => &[WITNESSES],
     };
-    probe(instance, &witnesses).await;
+    for &count in counts {
+        let witnesses = draw(instance, failed, count);
+        connect_to_all(instance, &witnesses, Origin::Draw).await;
+        let cause = instance
+            .links
+            .state()
+            .cause(&failed.id, &failed.service, begun);
+        if cause != Cause::Unclear {
+            return;
+        }
+    }
+}
+
+/// Engines of the service that have not failed, drawn at random, and of others if there are too few.
+fn draw(instance: &Instance, failed: &Target, count: usize) -> SmallVec<[Target; WITNESSES]> {
+    let fleet = instance.fleet.borrow();
+    let state = instance.links.state();
+    let lost: Vec<&EngineId> = state.unreachable(&failed.service).collect();
+    let others = fleet.ready(&failed.service);
+    let others =
+        others.filter(|engine| engine.record.id != failed.id && !lost.contains(&&engine.record.id));
+    let mut drawn = others.sample(&mut rand::rng(), count);
+    if drawn.len() < count {
+        let foreign = fleet.all().filter(|engine| {
+            engine.takes_calls()
+                && engine.record.service != failed.service
+                && state.path(&engine.record.id, &engine.record.service) == Path::Direct
+        });
+        drawn.extend(foreign.sample(&mut rand::rng(), FOREIGN_WITNESSES));
+    }
+    drawn
+        .into_iter()
+        .map(|engine| Target::from(&engine.record))
+        .collect()
 }
 
 /// Opens a connection to each of these engines, and keeps it for calls.
-async fn probe(instance: &Rc<Instance>, engines: &[Target]) {
+async fn connect_to_all(instance: &Rc<Instance>, engines: &[Target], origin: Origin) {
     let probes = engines.iter().map(async |engine| {
-        if let Ok(client) = connect(instance, engine, &PROBE_PATIENCE).await {
+        if let Ok(client) = connect(instance, engine, &PROBE_PATIENCE, origin).await {
             instance.pool.put(&engine.id, client, None, instance.now());
         }
     });
@@ -318,7 +424,8 @@
 /// fault.
 pub(crate) async fn reaches(instance: &Rc<Instance>, engine: &Target) -> Option<bool> {
     let begun = instance.now();
-    probe(instance, std::slice::from_ref(engine)).await;
+    let engines = std::slice::from_ref(engine);
+    connect_to_all(instance, engines, Origin::Choice).await;
     if instance.links.state().path(&engine.id, &engine.service) == Path::Direct {
         return Some(true);
     }
@@ -332,22 +439,79 @@
 /// Whether another instance reaches an engine that refuses this one. The first answer of an instance
 /// that has no fault of its own counts.
 pub(crate) async fn is_reached_by_others(instance: &Instance, engine: &Target) -> bool {
+    ask_others(instance, engine).await.unwrap_or(false)
+}
+
+/// Whether another instance reaches an engine; `None` if none can tell.
+async fn ask_others(instance: &Instance, engine: &Target) -> Option<bool> {
     let links = &instance.links;
+    let mut asked = BTreeSet::new();
     for _ in 0..MAX_ROUNDS {
-        for peer in forwarders(instance, &engine.service) {
+        for peer in forwarders(instance, engine) {
+            if !asked.insert(peer) {
+                continue;
+            }
             let connect =
                 async |peer, patience: &TcpTimeouts| instance.connect(peer, patience).await;
             let answer =
                 forward::reaches(&links.peers, connect, peer, engine, instance.now()).await;
-            log::info!(engine = &*engine.id, instance:% = peer, reached:? = answer; "asked whether an engine is reached");
-            if let Some(is_reached) = answer {
-                return is_reached;
-            }
+            log::info!(engine = &*engine.id, instance:% = peer, answer:? = answer; "asked whether an engine is reached");
             let now = instance.now();
-            links.on_forwarder(peer, &engine.service, ForwardResult::Isolated, now);
+            let result = match answer {
+                Reach::Reached => return Some(true),
+                Reach::NotReached => return Some(false),
+                Reach::Unknown => continue,
+                Reach::Isolated => ForwardResult::Isolated,
+                Reach::Silent => ForwardResult::Failed,
+            };
+            links.on_forwarder(peer, &engine.id, &engine.service, result, now);
         }
     }
-    false
+    None
+}
+
+/// Asks other instances about services from which this one may be isolated, until the process ends.
+pub(crate) async fn resolve_suspicions(instance: Rc<Instance>) {
+    loop {
+        instance.links.suspicion_due.notified().await;
+        for service in instance.links.suspected.take() {
+            actix_rt::spawn(resolve_suspicion(instance.clone(), service));
+        }
+    }
+}
+
+async fn resolve_suspicion(instance: Rc<Instance>, service: ServiceName) {
+    let disputed: SmallVec<[Target; MAX_DISPUTED]> = {
+        let fleet = instance.fleet.borrow();
+        let state = instance.links.state();
+        let disputed = state.disputed(&service).into_iter();
+        let known = disputed.filter_map(|engine| Some(Target::from(&fleet.get(engine)?.record)));
+        known.take(MAX_DISPUTED).collect()
+    };
+    let questions = disputed.iter().map(|engine| ask_others(&instance, engine));
+    let answers = timeout(REPORT_TIMEOUT, join_all(questions)).await;
+    let answers = answers.unwrap_or_default();
+    let report = if answers.contains(&Some(true)) {
+        Report::Reached
+    } else if answers.contains(&Some(false)) {
+        Report::NotReached
+    } else {
+        Report::Unknown
+    };
+    let mut state = instance.links.state.borrow_mut();
+    let verdict = state.on_report(&service, report, instance.now());
+    drop(state);
+    match verdict {
+        Verdict::Isolated(failure) => on_isolated(&instance, &service, failure, report),
+        Verdict::Engines => {
+            let names: Vec<&str> = disputed.iter().map(|engine| &*engine.id).collect();
+            log::info!(
+                service = &*service, engines = names.join(" "), others:? = report;
+                "engines fail while the paths from here work"
+            );
+        }
+    }
+    instance.metrics.path_suspected(report, verdict);
 }
 
 /// Probes engines that could not be reached, until the process ends.
@@ -363,7 +527,7 @@
             due.filter_map(|engine| Some(Target::from(&fleet.get(&engine)?.record)))
                 .collect()
         };
-        probe(&instance, &due).await;
+        connect_to_all(&instance, &due, Origin::Choice).await;
         let is_isolated = instance.links.state().is_isolated_from_any();
         instance.metrics.set_isolated(is_isolated);
         instance.links.peers.sweep(now);
@@ -371,13 +535,14 @@
     }
 }
 
-/// The instances to ask to send a call to a service, in this order.
+/// The instances to ask to send a call to an engine, in this order.
 pub(crate) fn forwarders(
     instance: &Instance,
-    service: &ServiceName,
+    engine: &Target,
 ) -> SmallVec<[SocketAddr; MAX_FORWARDERS]> {
     let now = instance.now();
     let candidates: Vec<Forwarder> = instance.peers.borrow().forwarders(&instance.zone, now);
     let forwarders = instance.links.forwarders.borrow();
-    forwarders.order(instance.address, service, &candidates, now)
+    let (own, service) = (instance.address, &engine.service);
+    forwarders.order(own, &engine.id, service, &candidates, now)
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -137,14 +137,28 @@
     }
 }
 
-/// Asks an instance whether it reaches an engine. `None` if it does not know.
+/// Whether another instance reaches an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reach {
+    Reached,
+    /// It reaches other engines of the service.
+    NotReached,
+    /// It may have a fault of its own.
+    Unknown,
+    /// It reaches no engine of the service.
+    Isolated,
+    /// It could not be asked.
+    Silent,
+}
+
+/// Asks an instance whether it reaches an engine.
 pub(crate) async fn reaches(
     pool: &PeerPool,
     connect: impl AsyncFnOnce(SocketAddr, &TcpTimeouts) -> Result<Client, Failure>,
     peer: SocketAddr,
     engine: &Target,
     now: Moment,
-) -> Option<bool> {
+) -> Reach {
     let mut head = RequestHead::default();
     let headers = &mut head.headers;
     headers.insert(HOST, HeaderValue::from_static("instance"));
@@ -154,10 +168,12 @@
             if response.client.body(0).await.is_ok() {
                 pool.put(response.client, now);
             }
-            Some(true)
+            Reach::Reached
         }
-        Forwarded::Declined(NotForwarded::Unreachable) => Some(false),
-        Forwarded::Declined(_) | Forwarded::Silent(_) | Forwarded::Lost(_) => None,
+        Forwarded::Declined(NotForwarded::Unreachable) => Reach::NotReached,
+        Forwarded::Declined(NotForwarded::Isolated) => Reach::Isolated,
+        Forwarded::Declined(NotForwarded::Unavailable | NotForwarded::Busy) => Reach::Unknown,
+        Forwarded::Silent(_) | Forwarded::Lost(_) => Reach::Silent,
     }
 }
 
--- a/crates/gateway/src/forward/server.rs
+++ b/crates/gateway/src/forward/server.rs
@@ -100,7 +100,8 @@
             } = *response;
             log::info!(id = id, engine = &*engine.id, from:% = from, status = head.status.as_u16(); "sent for another instance");
             let reply = upstream::parse_reply(&head, id, "");
-            let is_complete = pass_back(&head, framing, &mut client, writer).await;
+            let on_chunk = || instance.links.on_received(&engine.service, instance.now());
+            let is_complete = pass_back(&head, framing, &mut client, on_chunk, writer).await;
             if is_complete && framing != Framing::UntilClose {
                 let now = instance.now();
                 instance.pool.put(&engine.id, client, reply.keep_alive, now);
@@ -127,10 +128,14 @@
     if instance.links.state().is_isolated(&engine.service) {
         return refuse(NotForwarded::Isolated, writer).await;
     }
+    if instance.links.state().is_suspected(&engine.service) {
+        return refuse(NotForwarded::Unavailable, writer).await;
+    }
     match engine_links::reaches(instance, engine).await {
         Some(true) => {}
         Some(false) => return refuse(NotForwarded::Unreachable, writer).await,
-        None => return refuse(NotForwarded::Isolated, writer).await,
+        // It is not certain, so calls may still be sent from here.
+        None => return refuse(NotForwarded::Unavailable, writer).await,
     }
     let response = actix_http::Response::with_body(StatusCode::NO_CONTENT, ());
     writer.write_response(response, Bytes::new()).await.is_ok()
@@ -161,11 +166,20 @@
     }
     // A request is forwarded once; this instance would need a third one.
     if links.path(&engine.id, &engine.service) == Path::Forwarded {
-        return Err(NotForwarded::Unreachable);
+        return Err(why_unreachable(instance, engine));
     }
     is_available(instance, &engine.id)
 }
 
+/// Why an engine that could not be reached gets no requests from here: its own fault, or one that may be
+/// this instance's.
+fn why_unreachable(instance: &Instance, engine: &Target) -> NotForwarded {
+    match instance.links.state().is_at_fault(&engine.id) {
+        true => NotForwarded::Unreachable,
+        false => NotForwarded::Unavailable,
+    }
+}
+
 /// Whether the engine takes requests from this instance, as far as it is known here. An engine's
 /// pause holds for the instance that sends, whoever has the caller.
 fn is_available(instance: &Instance, engine: &EngineId) -> Result<(), NotForwarded> {
@@ -185,7 +199,7 @@
     // Whether the call may be repeated is decided where its caller is.
     let opened = engine_links::open(instance, engine, false).await;
     let Ok(mut client) = opened else {
-        return Err(SendError::Declined(NotForwarded::Unreachable));
+        return Err(SendError::Declined(why_unreachable(instance, engine)));
     };
     // It may have asked for a pause while the connection was opened.
     is_available(instance, &engine.id).map_err(SendError::Declined)?;
@@ -193,6 +207,7 @@
     let sent_at = instance.now();
     match client.send(head, &arrival.body).await {
         Ok(response) => {
+            instance.links.on_received(&engine.service, instance.now());
             announcements::observe_own(instance, &engine.id, &response.head);
             Ok(Box::new(Response {
                 head: response.head,
@@ -212,6 +227,7 @@
     head: &ResponseHead,
     framing: Framing,
     client: &mut Client,
+    on_chunk: impl Fn(),
     writer: &mut Writer,
 ) -> bool {
     let mut head = ingress::relayed_head(head, false);
@@ -228,6 +244,7 @@
     loop {
         match client.chunk().await {
             Ok(Some(chunk)) => {
+                on_chunk();
                 if writer.write_chunk(chunk).await.is_err() {
                     return false;
                 }
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -65,6 +65,7 @@
     instance.pending_placements.bind(socket.clone());
     actix_rt::spawn(forward::server::run(instance.clone(), forwarding));
     actix_rt::spawn(engine_links::run(instance.clone()));
+    actix_rt::spawn(engine_links::resolve_suspicions(instance.clone()));
     actix_rt::spawn(listen(instance.clone(), socket.clone()));
     actix_rt::spawn(send_loop(instance.clone(), socket.clone()));
     actix_rt::spawn(updates::send_departures(instance.clone(), socket.clone()));
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
+use serving::reachability::{Report, Verdict};
 
 use crate::instance::Instance;
 use crate::status;
@@ -124,6 +125,15 @@
     Lost,
 }
 
+/// What a suspected loss of paths turned out to be.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+enum Suspicion {
+    Isolated,
+    Engines,
+    /// No other instance could tell, so the engines are taken for the cause.
+    Unknown,
+}
+
 macro_rules! labels {
     ($type:ident: $($value:ident = $text:literal),*) => {
         impl EncodeLabelValue for $type {
@@ -145,6 +155,7 @@
 labels!(Pause: Requested = "requested", None = "none");
 labels!(Connect: Opened = "opened", Refused = "refused", TimedOut = "timed_out", Failed = "failed");
 labels!(ForwardAnswer: Sent = "sent", Declined = "declined", Silent = "silent", Lost = "lost");
+labels!(Suspicion: Isolated = "isolated", Engines = "engines", Unknown = "unknown");
 labels!(OrderAnswer: Taken = "taken", Refused = "refused", Unanswered = "unanswered");
 
 /// One label name with its value.
@@ -169,6 +180,7 @@
     engine_connections: Family<Labels<Connect>, Counter>,
     forward_requests: Family<Labels<ForwardAnswer>, Counter>,
     isolated: Gauge,
+    path_suspicions: Family<Labels<Suspicion>, Counter>,
     held_calls: Counter,
     throttled_calls: Family<Labels<Throttled>, Counter>,
     limited_engines: Gauge,
@@ -199,6 +211,7 @@
             engine_connections: Family::default(),
             forward_requests: Family::default(),
             isolated: Gauge::default(),
+            path_suspicions: Family::default(),
             held_calls: Counter::default(),
             throttled_calls: Family::default(),
             limited_engines: Gauge::default(),
@@ -290,6 +303,11 @@
             "1 while no engine can be reached from this instance",
             self.isolated.clone(),
         );
+        registry.register(
+            "path_suspicions",
+            "Suspected losses of this instance's paths to engines",
+            self.path_suspicions.clone(),
+        );
         registry.register(
             "held_calls",
             "Calls that were refused since engines had ended under them",
@@ -415,6 +433,18 @@
         self.isolated.set(i64::from(is_isolated));
     }
 
+    /// Counts a suspected loss of paths, by what other instances said and what followed.
+    pub(crate) fn path_suspected(&self, report: Report, verdict: Verdict) {
+        let result = match (verdict, report) {
+            (Verdict::Isolated(_), _) => Suspicion::Isolated,
+            (Verdict::Engines, Report::Unknown) => Suspicion::Unknown,
+            (Verdict::Engines, _) => Suspicion::Engines,
+        };
+        self.path_suspicions
+            .get_or_create(&[("result", result)])
+            .inc();
+    }
+
     /// Counts a call that an engine turned away.
     pub(crate) fn engine_refused(&self, names_pause: bool) {
         let pause = if names_pause {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,6 +9,7 @@
 use adapter::ingress;
 use bytes::Bytes;
 use http1::{Failure, Framing, Writer};
+use serving::reachability::Path;
 use tokio::time::Instant;
 
 use crate::attempt::EngineResponse;
@@ -107,6 +108,9 @@
                 }
                 Err(failure) => return End::Broken(failure),
             };
+            if response.path == Path::Direct {
+                engine_call.on_received();
+            }
             if std::mem::take(&mut first) {
                 engine_call.on_generation_started();
             }
--- a/crates/serving/src/forwarders.rs
+++ b/crates/serving/src/forwarders.rs
@@ -1,14 +1,14 @@
 //! Other instances that send calls to engines which this instance does not reach: whom to ask, and in
 //! which order. See `docs/design/engine-links.md`.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use clock::Moment;
 use smallvec::SmallVec;
 
-use crate::{ServiceName, hash};
+use crate::{EngineId, ServiceName, hash};
 
 /// Instances that are asked to send one call before it is refused.
 pub const MAX_FORWARDERS: usize = 4;
@@ -17,6 +17,8 @@
 const MAX_UNPROVEN_NEAR: usize = 2;
 /// Time for which an instance that could not send a call is not asked again.
 const FORWARDER_BACKOFF: Duration = Duration::from_secs(2);
+/// Time for which an instance that does not reach an engine is not asked for this engine again.
+const ENGINE_BACKOFF: Duration = Duration::from_secs(1);
 /// Time for which one that sent a call is preferred.
 const PROVEN_TIME: Duration = Duration::from_secs(5);
 
@@ -36,7 +38,9 @@
     Sent,
     /// It reaches no engine of the service.
     Isolated,
-    /// It does not send to this engine now, and may send to others.
+    /// It does not reach this engine, and may reach others.
+    EngineUnreachable,
+    /// It does not send to this engine now, or the engine gave it no answer.
     EngineUnavailable,
     /// It sends no calls now, or did not answer.
     Failed,
@@ -48,6 +52,8 @@
 pub struct Forwarders {
     sent: HashMap<(SocketAddr, ServiceName), Moment>,
     isolated: HashMap<(SocketAddr, ServiceName), Moment>,
+    /// By engine, the instances that do not reach it.
+    declined: BTreeMap<EngineId, HashMap<SocketAddr, Moment>>,
     failed: HashMap<SocketAddr, Moment>,
 }
 
@@ -60,6 +66,7 @@
     pub fn order(
         &self,
         own: SocketAddr,
+        engine: &str,
         service: &ServiceName,
         candidates: &[Forwarder],
         now: Moment,
@@ -67,6 +74,7 @@
         let mut ranked: Vec<(ForwarderRank, SocketAddr)> = candidates
             .iter()
             .filter(|other| !self.is_avoided(other.address, service, now))
+            .filter(|other| !self.has_declined(other.address, engine, now))
             .map(|other| (self.rank(own, service, other, now), other.address))
             .collect();
         ranked.sort_unstable();
@@ -98,16 +106,30 @@
         (!is_proven, !other.near, place)
     }
 
+    fn has_declined(&self, address: SocketAddr, engine: &str, now: Moment) -> bool {
+        let declined = self.declined.get(engine);
+        let at = declined.and_then(|declined| declined.get(&address));
+        at.is_some_and(|at| now.saturating_sub(*at) < ENGINE_BACKOFF)
+    }
+
+    /// Whether any instance lately said that it does not reach this engine, but may reach others.
+    pub fn is_declined(&self, engine: &str, now: Moment) -> bool {
+        let declined = self.declined.get(engine);
+        let mut times = declined.into_iter().flat_map(HashMap::values);
+        times.any(|at| now.saturating_sub(*at) < ENGINE_BACKOFF)
+    }
+
     fn is_avoided(&self, address: SocketAddr, service: &ServiceName, now: Moment) -> bool {
         let is_recent = |at: &Moment| now.saturating_sub(*at) < FORWARDER_BACKOFF;
         let isolated = self.isolated.get(&(address, service.clone()));
         self.failed.get(&address).is_some_and(is_recent) || isolated.is_some_and(is_recent)
     }
 
-    /// Records what an instance did with a call to a service.
+    /// Records what an instance did with a call to an engine of a service.
     pub fn record(
         &mut self,
         address: SocketAddr,
+        engine: &EngineId,
         service: &ServiceName,
         result: ForwardResult,
         now: Moment,
@@ -119,6 +141,10 @@
                 self.isolated.remove(&key);
                 self.sent.insert(key, now);
             }
+            ForwardResult::EngineUnreachable => {
+                let declined = self.declined.entry(engine.clone()).or_default();
+                declined.insert(address, now);
+            }
             ForwardResult::EngineUnavailable => {}
             ForwardResult::Isolated => {
                 self.sent.remove(&key);
@@ -137,5 +163,9 @@
         self.sent.retain(|_, at| age(at) < PROVEN_TIME);
         self.isolated.retain(|_, at| age(at) < FORWARDER_BACKOFF);
         self.failed.retain(|_, at| age(at) < FORWARDER_BACKOFF);
+        self.declined.retain(|_, declined| {
+            declined.retain(|_, at| age(at) < ENGINE_BACKOFF);
+            !declined.is_empty()
+        });
     }
 }
--- a/crates/serving/src/reachability.rs
+++ b/crates/serving/src/reachability.rs
@@ -2,8 +2,9 @@
 //!
 //! An instance can lose its own paths to engines that everybody else reaches, to all of them or to
 //! those of one service. An engine's health says nothing of that: it is kept for each engine, as if
-//! engines failed independently. Here, failures of several engines of a service in a row, with none
-//! reached since the first of them began, show that the cause is the instance's own path. See
+//! engines failed independently. Engines also terminate together, and calls prefer them then, since
+//! they look idle. So failures of calls only raise the question. The answer comes from engines that
+//! are drawn at random, from bytes that engines sent, and from other instances. See
 //! `docs/design/engine-links.md`.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,9 +15,12 @@
 
 use crate::{EngineId, ServiceName};
 
-/// Engines of a service that must fail in a row before the instance counts as isolated from it. Two
-/// engines may well end at the same time; the third one was tried only because of the others.
-const ISOLATION_ENGINES: usize = 3;
+/// Engines of a service, drawn at random, that must all fail before a lost path is suspected. If half
+/// of the service has terminated, all of them fail once in 256 draws; if a quarter has, once in 65,000.
+pub const WITNESSES: usize = 8;
+/// Time after a wrong suspicion in which the service is not suspected again, so that other instances
+/// are asked at most twice a second.
+const SUSPICION_INTERVAL: Duration = Duration::from_millis(500);
 /// Engines of a service that must be reached again before the instance no longer counts as isolated.
 const RECOVERY_ENGINES: usize = 2;
 /// Services from which an instance must be isolated before it counts as isolated from all.
@@ -48,44 +52,107 @@
     Silent,
 }
 
+/// Why a connection was opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// The engine was chosen, for a call or a probe.
+    Choice,
+    /// The engine was drawn at random, to find out whose fault another failure is.
+    Draw,
+}
+
+/// A connection that did not open, or fell silent after that.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Attempt {
+    /// When it was begun, or when the request that was not acknowledged was sent.
+    pub begun: Moment,
+    /// How it failed.
+    pub failure: Failure,
+    /// Why the engine was connected to.
+    pub origin: Origin,
+}
+
 /// What a failed connection shows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Cause {
     /// Other engines of the service can be reached, so it is this engine or the path to it alone.
     Engine,
-    /// None has been reached since; a connection to another engine will tell.
+    /// Nothing shows it yet; connections to engines drawn at random will tell.
     Unclear,
-    /// This instance reaches no engine of the service.
+    /// Probably, or certainly, this instance reaches no engine of the service.
     Isolation,
 }
 
+/// What other instances say of engines that this instance does not reach.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Report {
+    /// At least one of the engines is reached by another instance.
+    Reached,
+    /// Instances that reach other engines of the service do not reach these either.
+    NotReached,
+    /// No instance can tell.
+    Unknown,
+}
+
+/// What became of a suspicion.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The instance is isolated from the service; how its connections failed.
+    Isolated(Failure),
+    /// The engines are at fault, or the path works again.
+    Engines,
+}
+
 /// An engine that this instance could not reach.
 #[derive(Clone, Debug)]
 struct Unreachable {
     service: ServiceName,
-    /// When the connection that failed last was begun.
-    begun: Moment,
-    failure: Failure,
+    /// The attempt that failed last.
+    attempt: Attempt,
+    /// Whether the failure is known to be the engine's fault.
+    is_explained: bool,
     next_probe: Moment,
     probes: u32,
 }
 
+/// How sure the instance is that it is isolated.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Other instances are being asked.
+    Suspected,
+    Concluded,
+}
+
 /// Isolation from a service.
 #[derive(Clone, Debug)]
 struct Isolation {
+    stage: Stage,
     since: Moment,
+    /// When the first of the attempts was begun that led to it.
+    first_begun: Moment,
     /// Whether all failures were immediate.
     refused: bool,
     /// Engines that were reached meanwhile.
     reached: BTreeSet<EngineId>,
 }
 
+impl Isolation {
+    /// Whether a call may try its own path first: nothing is certain, and a failure costs no time.
+    fn prefers_own_path(&self) -> bool {
+        self.stage == Stage::Suspected && self.refused
+    }
+}
+
 /// The paths from this instance to the engines.
 #[derive(Clone, Debug, Default)]
 pub struct Reachability {
     unreachable: BTreeMap<EngineId, Unreachable>,
     last_opened: BTreeMap<ServiceName, Moment>,
+    /// When an engine of the service last sent anything, on any connection.
+    last_received: BTreeMap<ServiceName, Moment>,
     isolated: BTreeMap<ServiceName, Isolation>,
+    /// When a suspicion was last found to be wrong.
+    refuted: BTreeMap<ServiceName, Moment>,
 }
 
 impl Reachability {
@@ -95,7 +162,7 @@
             return Path::Forwarded;
         }
         let is_lost = match self.isolated.get(service) {
-            Some(isolation) => !isolation.reached.contains(engine),
+            Some(isolation) => !isolation.prefers_own_path() && !isolation.reached.contains(engine),
             None => self.is_isolated_from_all(),
         };
         if is_lost {
@@ -105,27 +172,42 @@
         }
     }
 
-    /// Whether this instance reaches no engine of a service.
+    /// Whether this instance is known to reach no engine of a service.
     pub fn is_isolated(&self, service: &str) -> bool {
-        self.isolated.contains_key(service) || self.is_isolated_from_all()
+        let isolation = self.isolated.get(service);
+        isolation.is_some_and(|isolation| isolation.stage == Stage::Concluded)
+            || self.is_isolated_from_all()
+    }
+
+    /// Whether it may be so that this instance reaches no engine of a service, and others are being
+    /// asked.
+    pub fn is_suspected(&self, service: &str) -> bool {
+        let isolation = self.isolated.get(service);
+        isolation.is_some_and(|isolation| isolation.stage == Stage::Suspected)
+    }
+
+    /// Whether connections to the service that have not opened yet should be given up.
+    pub fn gives_up(&self, service: &str) -> bool {
+        let isolation = self.isolated.get(service);
+        isolation.is_some_and(|isolation| !isolation.prefers_own_path())
+            || self.is_isolated_from_all()
     }
 
     /// Whether this instance is isolated from any service.
     pub fn is_isolated_from_any(&self) -> bool {
-        !self.isolated.is_empty()
+        self.concluded().next().is_some()
+    }
+
+    fn concluded(&self) -> impl Iterator<Item = &Isolation> {
+        let isolated = self.isolated.values();
+        isolated.filter(|isolation| isolation.stage == Stage::Concluded)
     }
 
     /// Whether it is isolated from several services and has reached no engine at all since.
     fn is_isolated_from_all(&self) -> bool {
-        let last_opened = self.last_opened.values().max();
-        let last_isolated = self
-            .isolated
-            .values()
-            .map(|isolation| isolation.since)
-            .max();
-        let has_opened_since = last_opened.zip(last_isolated);
-        self.isolated.len() >= ISOLATION_SERVICES
-            && has_opened_since.is_none_or(|(opened, isolated)| *opened < isolated)
+        let last_isolated = self.concluded().map(|isolation| isolation.since).max();
+        self.concluded().count() >= ISOLATION_SERVICES
+            && last_isolated.is_some_and(|isolated| !self.has_any_answered_since(isolated))
     }
 
     /// Whether a call may be sent on this instance's own path although no other instance sends it: the
@@ -146,22 +228,83 @@
         opened.is_some_and(|opened| *opened >= begun)
     }
 
-    /// What a connection to the service that was begun at `begun` and failed shows by now.
-    pub fn cause(&self, service: &str, begun: Moment) -> Cause {
+    /// Whether an engine of the service has sent anything after `begun`.
+    fn has_received_since(&self, service: &str, begun: Moment) -> bool {
+        let received = self.last_received.get(service);
+        received.is_some_and(|received| *received >= begun)
+    }
+
+    /// Whether an engine of any service was connected to, or has sent anything, after `begun`.
+    fn has_any_answered_since(&self, begun: Moment) -> bool {
+        let mut answers = self.last_opened.values().chain(self.last_received.values());
+        answers.any(|at| *at >= begun)
+    }
+
+    /// Whether the path to the service has worked since a failed attempt began.
+    ///
+    /// A time-out of an engine drawn at random is outweighed by opened connections only: a fault on
+    /// the way may let open connections live on and stop new ones.
+    fn is_outweighed(&self, service: &str, attempt: &Attempt) -> bool {
+        let is_drawn_timeout = attempt.origin == Origin::Draw && attempt.failure == Failure::Silent;
+        self.has_opened_since(service, attempt.begun)
+            || !is_drawn_timeout && self.has_received_since(service, attempt.begun)
+    }
+
+    /// What a connection to an engine that was begun at `begun` and failed shows by now.
+    pub fn cause(&self, engine: &str, service: &str, begun: Moment) -> Cause {
         if self.isolated.contains_key(service) {
             Cause::Isolation
-        } else if self.has_opened_since(service, begun) {
+        } else if self.has_opened_since(service, begun)
+            || !self.is_silent(engine) && self.has_received_since(service, begun)
+        {
             Cause::Engine
         } else {
             Cause::Unclear
         }
     }
 
+    /// Whether the last connection to an engine that could not be reached has timed out.
+    pub fn is_silent(&self, engine: &str) -> bool {
+        let lost = self.unreachable.get(engine);
+        lost.is_some_and(|lost| lost.attempt.failure == Failure::Silent)
+    }
+
+    /// Whether an engine could not be reached and the path to others of its service has worked since.
+    pub fn is_at_fault(&self, engine: &str) -> bool {
+        self.unreachable.get(engine).is_some_and(|lost| {
+            !self.isolated.contains_key(&lost.service)
+                && (lost.is_explained || self.is_outweighed(&lost.service, &lost.attempt))
+        })
+    }
+
     /// Engines of a service that could not be reached.
     pub fn unreachable(&self, service: &str) -> impl Iterator<Item = &EngineId> {
+        self.lost(service).map(|(engine, _)| engine)
+    }
+
+    fn lost(&self, service: &str) -> impl Iterator<Item = (&EngineId, &Unreachable)> {
         let lost = self.unreachable.iter();
         lost.filter(move |(_, lost)| &*lost.service == service)
-            .map(|(engine, _)| engine)
+    }
+
+    /// Engines of a service to ask other instances about: those drawn at random first, since the others
+    /// may have been chosen because they had terminated.
+    pub fn disputed(&self, service: &str) -> Vec<&EngineId> {
+        let mut lost: Vec<_> = self.lost(service).collect();
+        lost.sort_by_key(|(_, lost)| (lost.attempt.origin == Origin::Choice, lost.is_explained));
+        lost.into_iter().map(|(engine, _)| engine).collect()
+    }
+
+    /// Records bytes that an engine of a service sent.
+    pub fn on_received(&mut self, service: &ServiceName, now: Moment) {
+        match self.last_received.get_mut(service) {
+            Some(last) => *last = now,
+            None => drop(self.last_received.insert(service.clone(), now)),
+        }
+        let isolation = self.isolated.get(service);
+        if isolation.is_some_and(Isolation::prefers_own_path) {
+            self.isolated.remove(service);
+        }
     }
 
     /// Records a connection that opened. `engines` is the number of engines of the service. Returns
@@ -176,6 +319,10 @@
         self.unreachable.remove(engine);
         self.last_opened.insert(service.clone(), now);
         let isolation = self.isolated.get_mut(service)?;
+        if isolation.stage == Stage::Suspected {
+            self.isolated.remove(service);
+            return None;
+        }
         isolation.reached.insert(engine.clone());
         if isolation.reached.len() < RECOVERY_ENGINES.min(engines) {
             return None;
@@ -190,57 +337,99 @@
         Some(since)
     }
 
-    /// Records a connection that was begun at `begun` and did not open, or fell silent after that.
-    /// `engines` is the number of engines of the service. Returns whether the instance has become
-    /// isolated from the service by it.
+    /// Records a failed attempt. `engines` is the number of engines of the service. Returns whether
+    /// isolation from the service is suspected by it, so that other instances should be asked about
+    /// the [disputed](Self::disputed) engines.
     pub fn on_failed(
         &mut self,
         engine: &EngineId,
         service: &ServiceName,
-        begun: Moment,
-        failure: Failure,
+        attempt: Attempt,
         engines: usize,
         now: Moment,
     ) -> bool {
-        let first_probe = now + MIN_PROBE_INTERVAL;
         let lost = self.unreachable.entry(engine.clone());
         let lost = lost.or_insert_with(|| Unreachable {
             service: service.clone(),
-            begun,
-            failure,
-            next_probe: first_probe,
+            attempt,
+            is_explained: false,
+            next_probe: now + MIN_PROBE_INTERVAL,
             probes: 0,
         });
-        lost.begun = lost.begun.max(begun);
-        lost.failure = failure;
+        if attempt.begun >= lost.attempt.begun {
+            lost.attempt = attempt;
+            lost.is_explained = false;
+        }
         if let Some(isolation) = self.isolated.get_mut(service) {
             isolation.reached.remove(engine);
-            isolation.refused &= failure == Failure::Refused;
+            isolation.refused &= attempt.failure == Failure::Refused;
             return false;
         }
-        let evidence = self.failures_in_a_row(service, now);
-        let is_isolated = evidence.len() >= ISOLATION_ENGINES.min(engines);
-        if is_isolated {
-            let refused = evidence.iter().all(|failure| *failure == Failure::Refused);
-            let isolation = Isolation {
-                since: now,
-                refused,
-                reached: BTreeSet::new(),
-            };
-            self.isolated.insert(service.clone(), isolation);
+        let refuted = self.refuted.get(service);
+        if refuted.is_some_and(|at| now.saturating_sub(*at) < SUSPICION_INTERVAL) {
+            return false;
         }
-        is_isolated
+        let Some(isolation) = self.suspicion(service, engines, now) else {
+            return false;
+        };
+        self.isolated.insert(service.clone(), isolation);
+        true
     }
 
-    /// How the engines failed that were tried since a connection to the service opened last.
-    fn failures_in_a_row(&self, service: &str, now: Moment) -> SmallVec<[Failure; 8]> {
-        let lost = self.unreachable.values();
-        let of_service = lost.filter(|lost| &*lost.service == service);
-        let evidence = of_service.filter(|lost| {
-            !self.has_opened_since(service, lost.begun)
-                && now.saturating_sub(lost.begun) <= EVIDENCE_WINDOW
+    /// The isolation that the failures suggest: enough engines drawn at random have failed, or there is
+    /// no engine left to draw, and nothing has shown since that the path works.
+    fn suspicion(&self, service: &ServiceName, engines: usize, now: Moment) -> Option<Isolation> {
+        let evidence = self.lost(service).map(|(_, lost)| lost).filter(|lost| {
+            !lost.is_explained
+                && now.saturating_sub(lost.attempt.begun) <= EVIDENCE_WINDOW
+                && !self.is_outweighed(service, &lost.attempt)
         });
-        evidence.map(|lost| lost.failure).collect()
+        let evidence: SmallVec<[&Attempt; 16]> = evidence.map(|lost| &lost.attempt).collect();
+        let drawn = evidence.iter().filter(|lost| lost.origin == Origin::Draw);
+        let is_enough = drawn.count() >= WITNESSES || self.lost(service).count() >= engines;
+        let first_begun = evidence.iter().map(|lost| lost.begun).min()?;
+        is_enough.then(|| Isolation {
+            stage: Stage::Suspected,
+            since: now,
+            first_begun,
+            refused: evidence.iter().all(|lost| lost.failure == Failure::Refused),
+            reached: BTreeSet::new(),
+        })
+    }
+
+    /// Decides a suspicion by what other instances say.
+    ///
+    /// If none can tell, refusals were sent by the engines' hosts, and answers of other services show
+    /// that this instance has paths; only silence of everything is a loss of its own.
+    pub fn on_report(&mut self, service: &ServiceName, report: Report, now: Moment) -> Verdict {
+        let Some(isolation) = self.isolated.get(service) else {
+            return Verdict::Engines;
+        };
+        let failure = match isolation.refused {
+            true => Failure::Refused,
+            false => Failure::Silent,
+        };
+        let is_own_loss = match report {
+            Report::Reached => true,
+            Report::NotReached => false,
+            Report::Unknown => {
+                !isolation.refused && !self.has_any_answered_since(isolation.first_begun)
+            }
+        };
+        if is_own_loss {
+            if let Some(isolation) = self.isolated.get_mut(service) {
+                isolation.stage = Stage::Concluded;
+                isolation.since = now;
+            }
+            return Verdict::Isolated(failure);
+        }
+        self.isolated.remove(service);
+        self.refuted.insert(service.clone(), now);
+        let lost = self.unreachable.values_mut();
+        for lost in lost.filter(|lost| lost.service == *service) {
+            lost.is_explained = true;
+        }
+        Verdict::Engines
     }
 
     /// Engines to which a connection should be opened now, at most `count`, so that no caller's call
--- a/crates/serving/tests/forwarders.rs
+++ b/crates/serving/tests/forwarders.rs
@@ -4,8 +4,14 @@
 use std::time::Duration;
 
 use clock::Moment;
-use serving::ServiceName;
 use serving::forwarders::{ForwardResult, Forwarder, Forwarders};
+use serving::{EngineId, ServiceName};
+
+const ENGINE: &str = "engine-1";
+
+fn engine() -> EngineId {
+    EngineId::from(ENGINE)
+}
 
 fn at(ms: u64) -> Moment {
     Duration::from_millis(ms)
@@ -31,8 +37,13 @@
 /// Guards against asking only instances of a data centre that is cut off as a whole.
 #[test]
 fn instances_of_other_data_centres_are_asked_too() {
-    let order =
-        Forwarders::default().order(address(99), &service(), &candidates(10, 10), at(1_000));
+    let order = Forwarders::default().order(
+        address(99),
+        ENGINE,
+        &service(),
+        &candidates(10, 10),
+        at(1_000),
+    );
     assert_eq!(order.len(), 4);
     assert!(order[..2].iter().all(|asked| *asked <= address(10)));
     assert!(order[2..].iter().all(|asked| *asked > address(10)));
@@ -41,12 +52,36 @@
 #[test]
 fn the_instance_that_sent_a_call_is_asked_first() {
     let mut forwarders = Forwarders::default();
-    forwarders.record(address(1), &service(), ForwardResult::Failed, at(900));
-    forwarders.record(address(15), &service(), ForwardResult::Sent, at(900));
-    let order = forwarders.order(address(99), &service(), &candidates(10, 10), at(1_000));
+    forwarders.record(
+        address(1),
+        &engine(),
+        &service(),
+        ForwardResult::Failed,
+        at(900),
+    );
+    forwarders.record(
+        address(15),
+        &engine(),
+        &service(),
+        ForwardResult::Sent,
+        at(900),
+    );
+    let order = forwarders.order(
+        address(99),
+        ENGINE,
+        &service(),
+        &candidates(10, 10),
+        at(1_000),
+    );
     assert_eq!(order[0], address(15));
     assert!(!order.contains(&address(1)));
-    let later = forwarders.order(address(99), &service(), &candidates(1, 0), at(3_000));
+    let later = forwarders.order(
+        address(99),
+        ENGINE,
+        &service(),
+        &candidates(1, 0),
+        at(3_000),
+    );
     assert_eq!(later.as_slice(), [address(1)]);
 }
 
@@ -55,12 +90,18 @@
 fn an_instance_that_lacks_a_service_is_asked_for_others_only() {
     let mut forwarders = Forwarders::default();
     let other = ServiceName::from("app");
-    forwarders.record(address(1), &other, ForwardResult::Sent, at(900));
-    forwarders.record(address(1), &service(), ForwardResult::Isolated, at(950));
+    forwarders.record(address(1), &engine(), &other, ForwardResult::Sent, at(900));
+    forwarders.record(
+        address(1),
+        &engine(),
+        &service(),
+        ForwardResult::Isolated,
+        at(950),
+    );
     let all = candidates(2, 0);
-    let order = forwarders.order(address(99), &service(), &all, at(1_000));
+    let order = forwarders.order(address(99), ENGINE, &service(), &all, at(1_000));
     assert_eq!(order.as_slice(), [address(2)]);
-    let order = forwarders.order(address(99), &other, &all, at(1_000));
+    let order = forwarders.order(address(99), ENGINE, &other, &all, at(1_000));
     assert_eq!(order[0], address(1));
 }
 
@@ -70,7 +111,7 @@
     let all = candidates(30, 0);
     let mut asked = [0; 31];
     for own in 100..=255 {
-        let order = Forwarders::default().order(address(own), &service(), &all, at(1_000));
+        let order = Forwarders::default().order(address(own), ENGINE, &service(), &all, at(1_000));
         let [.., number] = match order[0] {
             SocketAddr::V4(first) => first.ip().octets(),
             SocketAddr::V6(_) => unreachable!("all addresses are of version 4"),
@@ -79,3 +120,18 @@
     }
     assert!(asked.iter().all(|count| *count <= 14), "{asked:?}");
 }
+
+/// Guards against asking an instance for each call again that has just said that it does not reach the
+/// engine.
+#[test]
+fn an_instance_that_does_not_reach_an_engine_is_asked_for_others_only() {
+    let mut forwarders = Forwarders::default();
+    let declined = ForwardResult::EngineUnreachable;
+    forwarders.record(address(1), &engine(), &service(), declined, at(900));
+    let all = candidates(1, 0);
+    let order = |engine, now| forwarders.order(address(99), engine, &service(), &all, at(now));
+    assert!(order(ENGINE, 1_000).is_empty());
+    assert!(forwarders.is_declined(ENGINE, at(1_000)));
+    assert_eq!(order("engine-2", 1_000).as_slice(), [address(1)]);
+    assert_eq!(order(ENGINE, 1_900).as_slice(), [address(1)]);
+}
--- a/crates/serving/tests/reachability.rs
+++ b/crates/serving/tests/reachability.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use clock::Moment;
-use serving::reachability::{Cause, Failure, Path, Reachability};
+use serving::reachability::{
+    Attempt, Cause, Failure, Origin, Path, Reachability, Report, Verdict, WITNESSES,
+};
 use serving::{EngineId, ServiceName};
 
 const ENGINES: usize = 22;
@@ -21,44 +23,116 @@
     since.is_some()
 }
 
+fn attempt(begun: u64, failure: Failure, origin: Origin) -> Attempt {
+    Attempt {
+        begun: at(begun),
+        failure,
+        origin,
+    }
+}
+
 /// A connection that timed out after 350 ms. Returns what it shows.
-fn timed_out(links: &mut Reachability, number: usize, begun: u64) -> Cause {
+fn timed_out_as(links: &mut Reachability, number: usize, begun: u64, origin: Origin) -> Cause {
     let (engine, service) = (engine(number), service());
-    let ended = at(begun + 350);
-    links.on_failed(
-        &engine,
-        &service,
-        at(begun),
-        Failure::Silent,
-        ENGINES,
-        ended,
-    );
-    links.cause(&service, at(begun))
+    let attempt = attempt(begun, Failure::Silent, origin);
+    links.on_failed(&engine, &service, attempt, ENGINES, at(begun + 350));
+    links.cause(&engine, &service, at(begun))
+}
+
+fn timed_out(links: &mut Reachability, number: usize, begun: u64) -> Cause {
+    timed_out_as(links, number, begun, Origin::Choice)
 }
 
 fn path(links: &Reachability, number: usize) -> Path {
     links.path(&engine(number), &service())
 }
 
+/// An instance whose drawn engines have all timed out.
+fn suspicious() -> Reachability {
+    let mut links = Reachability::default();
+    opened(&mut links, 0, 900);
+    for number in 0..WITNESSES {
+        timed_out_as(&mut links, number, 1_000, Origin::Draw);
+    }
+    links
+}
+
+/// An instance that has lost its paths to the three engines of a service.
 fn isolated() -> Reachability {
     let mut links = Reachability::default();
     opened(&mut links, 0, 900);
     for number in 0..3 {
-        timed_out(&mut links, number, 1_000);
+        let failed = attempt(1_000, Failure::Silent, Origin::Choice);
+        links.on_failed(&engine(number), &service(), failed, 3, at(1_350));
     }
+    let verdict = links.on_report(&service(), Report::Reached, at(1_350));
+    assert_eq!(verdict, Verdict::Isolated(Failure::Silent));
     links
 }
 
 /// Guards against paying a time-out for each engine when the path to all of them is gone.
 #[test]
-fn three_engines_that_fail_in_a_row_isolate_the_instance() {
+fn drawn_engines_that_all_fail_make_calls_take_another_way() {
     let mut links = Reachability::default();
     opened(&mut links, 0, 900);
-    assert_eq!(timed_out(&mut links, 1, 1_000), Cause::Unclear);
-    assert_eq!(timed_out(&mut links, 2, 1_050), Cause::Unclear);
-    assert_eq!(path(&links, 7), Path::Direct);
-    assert_eq!(timed_out(&mut links, 3, 1_100), Cause::Isolation);
-    assert_eq!(path(&links, 7), Path::Forwarded);
+    assert_eq!(timed_out(&mut links, 21, 1_000), Cause::Unclear);
+    for number in 1..WITNESSES {
+        let cause = timed_out_as(&mut links, number, 1_000, Origin::Draw);
+        assert_eq!(cause, Cause::Unclear);
+    }
+    assert_eq!(path(&links, 15), Path::Direct);
+    let cause = timed_out_as(&mut links, WITNESSES, 1_000, Origin::Draw);
+    assert_eq!(cause, Cause::Isolation);
+    assert_eq!(path(&links, 15), Path::Forwarded);
+    assert!(!links.is_isolated(&service()));
+    links.on_report(&service(), Report::Reached, at(1_360));
+    assert!(links.is_isolated(&service()));
+}
+
+/// Guards against a conclusion from calls, which prefer engines that have just terminated.
+#[test]
+fn failed_calls_alone_raise_no_suspicion() {
+    let mut links = Reachability::default();
+    for number in 0..ENGINES - 1 {
+        assert_eq!(timed_out(&mut links, number, 1_000), Cause::Unclear);
+    }
+    assert_eq!(path(&links, ENGINES - 1), Path::Direct);
+}
+
+/// Guards against asking others again and again about engines that terminated.
+#[test]
+fn a_refuted_suspicion_is_not_raised_again_by_the_same_failures() {
+    let mut links = suspicious();
+    let verdict = links.on_report(&service(), Report::NotReached, at(1_360));
+    assert_eq!(verdict, Verdict::Engines);
+    assert_eq!(path(&links, 15), Path::Direct);
+    timed_out(&mut links, 20, 1_700);
+    assert!(!links.is_suspected(&service()));
+}
+
+/// Guards against a connection that is open and silent, which proves no path, and against a fault
+/// that stops new connections only.
+#[test]
+fn bytes_outweigh_refusals_and_not_the_silence_of_drawn_engines() {
+    for (failure, is_suspected) in [(Failure::Refused, false), (Failure::Silent, true)] {
+        let mut links = Reachability::default();
+        for number in 0..WITNESSES {
+            links.on_received(&service(), at(1_010));
+            let attempt = attempt(1_000, failure, Origin::Draw);
+            links.on_failed(&engine(number), &service(), attempt, ENGINES, at(1_200));
+        }
+        assert_eq!(links.is_suspected(&service()), is_suspected, "{failure:?}");
+    }
+    let mut links = Reachability::default();
+    links.on_received(&service(), at(999));
+    for number in 0..WITNESSES {
+        let attempt = attempt(1_000, Failure::Refused, Origin::Draw);
+        links.on_failed(&engine(number), &service(), attempt, ENGINES, at(1_200));
+    }
+    assert!(links.is_suspected(&service()));
+    assert_eq!(path(&links, 20), Path::Direct);
+    links.on_received(&service(), at(1_201));
+    assert!(!links.is_suspected(&service()));
 }
 
 /// Guards against taking engines that fail together for a fault of the instance's own path.
@@ -89,7 +163,9 @@
     let mut links = isolated();
     let (app, other) = (ServiceName::from("app"), ServiceName::from("other"));
     let app_engine = EngineId::from("app-1");
-    links.on_failed(&app_engine, &app, at(1_000), Failure::Silent, 1, at(1_400));
+    let failed = attempt(1_000, Failure::Silent, Origin::Choice);
+    assert!(links.on_failed(&app_engine, &app, failed, 1, at(1_400)));
+    links.on_report(&app, Report::Reached, at(1_400));
     assert_eq!(links.path("other-1", &other), Path::Forwarded);
     assert!(links.is_isolated(&other));
     links.on_opened(&EngineId::from("other-2"), &other, 5, at(1_500));
@@ -102,7 +178,10 @@
 fn the_only_engine_that_fails_isolates_the_instance() {
     let mut links = Reachability::default();
     let (engine, service) = (engine(0), service());
-    assert!(links.on_failed(&engine, &service, at(1_000), Failure::Silent, 1, at(1_350)));
+    let failed = attempt(1_000, Failure::Silent, Origin::Choice);
+    assert!(links.on_failed(&engine, &service, failed, 1, at(1_350)));
+    let verdict = links.on_report(&service, Report::Unknown, at(1_350));
+    assert_eq!(verdict, Verdict::Isolated(Failure::Silent));
     assert_eq!(
         links.on_opened(&engine, &service, 1, at(2_000)),
         Some(at(1_350))
@@ -113,22 +192,18 @@
 #[test]
 fn engines_are_tried_directly_while_failures_cost_no_time() {
     let mut links = Reachability::default();
-    for number in 0..3 {
-        let engine = engine(number);
-        links.on_failed(
-            &engine,
-            &service(),
-            at(1_000),
-            Failure::Refused,
-            ENGINES,
-            at(1_001),
-        );
+    for number in 0..WITNESSES {
+        let attempt = attempt(1_000, Failure::Refused, Origin::Draw);
+        links.on_failed(&engine(number), &service(), attempt, ENGINES, at(1_001));
     }
+    assert_eq!(path(&links, 20), Path::Direct);
+    links.on_report(&service(), Report::Reached, at(1_002));
+    assert_eq!(path(&links, 20), Path::Forwarded);
     assert!(links.is_isolated(&service()));
-    assert!(links.may_try(&engine(3), &service()));
+    assert!(links.may_try(&engine(20), &service()));
     assert!(!links.may_try(&engine(2), &service()));
-    timed_out(&mut links, 4, 1_010);
-    assert!(!links.may_try(&engine(3), &service()));
+    timed_out(&mut links, 21, 1_010);
+    assert!(!links.may_try(&engine(20), &service()));
 }
 
 /// Guards against failures of long ago that add up.
--- a/crates/serving/tests/reachability_cases.rs
+++ b/crates/serving/tests/reachability_cases.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use clock::Moment;
-use serving::reachability::{Cause, Failure, Reachability};
+use serving::reachability::{Attempt, Cause, Failure, Origin, Reachability, Report, WITNESSES};
 use serving::{EngineId, ServiceName};
 
 /// Calls that are sent at the same moment. The engines that just terminated look idle, so these get
@@ -39,6 +39,8 @@
     case: Case,
     links: Reachability,
     now: u64,
+    /// When other instances were asked first.
+    suspected_at: Option<u64>,
     /// When the service counted as isolated.
     isolated_at: Option<u64>,
 }
@@ -65,6 +67,7 @@
             case,
             links,
             now: STARTED_MS,
+            suspected_at: None,
             isolated_at: None,
         }
     }
@@ -76,7 +79,7 @@
     }
 
     /// Opens connections begun at `begun` to these engines, which time out after `timeout` ms.
-    fn connect(&mut self, numbers: &[usize], begun: u64, timeout: u64) {
+    fn connect(&mut self, numbers: &[usize], begun: u64, timeout: u64, origin: Origin) {
         for &number in numbers {
             let (id, service) = (engine(number), service());
             let engines = self.case.engines;
@@ -95,30 +98,62 @@
                 1
             };
             self.now = self.now.max(begun + took);
-            let (begun, now) = (at(begun), at(self.now));
-            self.links
-                .on_failed(&id, &service, begun, failure, engines, now);
-            self.note_isolation();
+            let attempt = Attempt {
+                begun: at(begun),
+                failure,
+                origin,
+            };
+            let now = at(self.now);
+            if self.links.on_failed(&id, &service, attempt, engines, now) {
+                self.suspected_at.get_or_insert(self.now);
+                self.links.on_report(&service, self.report(), now);
+            }
+            if self.links.is_isolated(&service) {
+                self.isolated_at.get_or_insert(self.now);
+            }
         }
     }
 
-    fn note_isolation(&mut self) {
-        if self.links.is_isolated(&service()) {
-            self.isolated_at.get_or_insert(self.now);
+    /// What instances with good paths say of the disputed engines.
+    fn report(&self) -> Report {
+        let reaches = |number| number >= self.case.ended;
+        let disputed = self.links.disputed(&service());
+        let mut numbers = (0..self.case.engines).filter(|number| {
+            let id = engine(*number);
+            disputed[..disputed.len().min(4)].contains(&&id)
+        });
+        if numbers.any(reaches) {
+            Report::Reached
+        } else if self.case.ended < self.case.engines {
+            Report::NotReached
+        } else {
+            Report::Unknown
         }
     }
 
-    /// Sends calls at the same moment to the first engines, and asks witnesses if nothing else tells
+    /// Sends calls at the same moment to the first engines, and draws witnesses if nothing else tells
     /// whose fault it is that they fail.
     fn send_calls(&mut self) {
+        if self.now == STARTED_MS && self.fault(0) == Some(Fault::Reset) {
+            // Calls go on with new connections after the open ones were reset.
+            self.links.on_received(&service(), at(self.now));
+            self.now += 1;
+        }
         let begun = self.now;
+        if self.case.lost.is_none() {
+            self.links.on_received(&ServiceName::from("app"), at(begun));
+        }
         let calls: Vec<usize> = (0..self.case.engines.min(CALLS)).collect();
-        self.connect(&calls, begun, CALL_TIMEOUT_MS);
-        if self.links.cause(&service(), at(begun)) == Cause::Unclear {
+        self.connect(&calls, begun, CALL_TIMEOUT_MS, Origin::Choice);
+        if self.links.cause(&engine(0), &service(), at(begun)) == Cause::Unclear {
             let engines = self.case.engines;
-            let stride = (engines / 2).max(1);
-            let drawn: Vec<usize> = (CALLS..engines).rev().step_by(stride).take(2).collect();
-            self.connect(&drawn, self.now, WITNESS_TIMEOUT_MS);
+            let stride = ((engines - calls.len()) / WITNESSES).max(1);
+            let drawn: Vec<usize> = (calls.len()..engines)
+                .rev()
+                .step_by(stride)
+                .take(WITNESSES)
+                .collect();
+            self.connect(&drawn, self.now, WITNESS_TIMEOUT_MS, Origin::Draw);
         }
     }
 
