--- a/crates/gateway/tests/engine_links.rs
+++ b/crates/gateway/tests/engine_links.rs
@@ -175,6 +175,20 @@
     assert_eq!(answer.await.status, 200);
 }
 
+/// Guards against refusing all calls of an isolated instance while the only other one takes its leave, which
+/// it does for seconds with good paths.
+#[actix_rt::test]
+async fn a_leaving_instance_sends_calls_for_others_until_it_closes() {
+    let ([isolated, other], engines) = two_gateways().await;
+    for engine in &engines {
+        engine.cut_off(&[isolated.ip()], Cut::Silent);
+    }
+    wait_until(async || send_each_kind(&isolated).await == 4).await;
+    other.signal("-TERM");
+    other.wait_until_ready(false).await;
+    assert_eq!(send_each_kind(&isolated).await, 4);
+}
+
 /// Guards against taking an engine for crashed that only one instance does not reach.
 #[actix_rt::test]
 async fn instances_tell_each_other_whether_they_reach_an_engine() {
