Send calls for isolated instances while leaving, and ask restarted ones soon

Cause: the only gateway with paths was asked to end. For the 2.6 s until it closed it served its own callers and declined all others as busy; then it restarted, and was left alone for 2 s more, since a refused connection counted like one that timed out.

Change: a leaving instance sends calls for others until it closes. Since a long stream may be cut off by its end, it is asked after all others. An instance that refuses at once is asked again after 0.25 s.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -600,9 +600,11 @@
         // ended itself, the next connection to it will fail.
         Forwarded::Declined(NotForwarded::Unavailable)
         | Forwarded::Lost(Failure::Closed | Failure::Broken(_)) => ForwardResult::EngineUnavailable,
-        Forwarded::Declined(NotForwarded::Busy)
-        | Forwarded::Silent(_)
-        | Forwarded::Lost(Failure::NotSent(_) | Failure::NoResponse(_)) => ForwardResult::Failed,
+        Forwarded::Declined(NotForwarded::Busy) => ForwardResult::Busy,
+        Forwarded::Silent(failure) if !forward::is_timeout(failure) => ForwardResult::Busy,
+        Forwarded::Silent(_) | Forwarded::Lost(Failure::NotSent(_) | Failure::NoResponse(_)) => {
+            ForwardResult::Failed
+        }
     }
 }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,6 +6,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -173,6 +174,7 @@
         Forwarded::Declined(NotForwarded::Unreachable) => Reach::NotReached,
         Forwarded::Declined(NotForwarded::Isolated) => Reach::Isolated,
         Forwarded::Declined(NotForwarded::Unavailable | NotForwarded::Busy) => Reach::Unknown,
+        Forwarded::Silent(failure) if !is_timeout(&failure) => Reach::Unknown,
         Forwarded::Silent(_) | Forwarded::Lost(_) => Reach::Silent,
     }
 }
@@ -222,6 +224,11 @@
     }
 }
 
+/// Whether a connection did not open in time, rather than being refused.
+pub(crate) fn is_timeout(failure: &Failure) -> bool {
+    matches!(failure, Failure::NotSent(error) if error.kind() == io::ErrorKind::TimedOut)
+}
+
 fn refusal(head: &ResponseHead) -> Option<NotForwarded> {
     let why = head.headers.get(NOT_FORWARDED)?;
     let mut known = NotForwarded::ALL.into_iter();
--- a/crates/gateway/src/forward/server.rs
+++ b/crates/gateway/src/forward/server.rs
@@ -157,7 +157,7 @@
 /// Whether this instance may send a request to the engine now.
 fn check(instance: &Instance, engine: &Target) -> Result<(), NotForwarded> {
     let is_full = instance.forwarding.get() > MAX_FORWARDED;
-    if is_full || instance.lifecycle.is_leaving() {
+    if is_full || instance.lifecycle.is_closing() {
         return Err(NotForwarded::Busy);
     }
     let links = instance.links.state();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -431,16 +431,16 @@
     pub(crate) fn forwarders(&self, zone: &Zone, now: Moment) -> Vec<Forwarder> {
         let place = hash::hash32(zone);
         // Most instances announce themselves only to some, so silence says nothing of the others.
-        let is_usable = |registered: &Registered| {
+        let is_leaving = |registered: &Registered| {
             let peer = registered.peer.as_ref();
-            !peer.is_some_and(|peer| peer.leaving)
+            peer.is_some_and(|peer| peer.leaving)
         };
-        let usable = self.by_address.iter().filter(|(address, registered)| {
-            is_usable(registered) && self.is_responsive(**address, now)
-        });
+        let usable = self.by_address.iter();
+        let usable = usable.filter(|(address, _)| self.is_responsive(**address, now));
         let forwarders = usable.map(|(address, registered)| Forwarder {
             address: *address,
             near: registered.place == place,
+            leaving: is_leaving(registered),
         });
         forwarders.collect()
     }
--- a/crates/serving/src/forwarders.rs
+++ b/crates/serving/src/forwarders.rs
@@ -17,6 +17,9 @@
 const MAX_UNPROVEN_NEAR: usize = 2;
 /// Time for which an instance that could not send a call is not asked again.
 const FORWARDER_BACKOFF: Duration = Duration::from_secs(2);
+/// Time for which an instance that refused at once is not asked again. It may be restarting, and nobody
+/// else may have paths.
+const BUSY_BACKOFF: Duration = Duration::from_millis(250);
 /// Time for which an instance that does not reach an engine is not asked for this engine again.
 const ENGINE_BACKOFF: Duration = Duration::from_secs(1);
 /// Time for which one that sent a call is preferred.
@@ -29,6 +32,8 @@
     pub address: SocketAddr,
     /// Whether it is in the same data centre.
     pub near: bool,
+    /// Whether it is about to end. It is asked last.
+    pub leaving: bool,
 }
 
 /// What an instance that was asked to send a call did.
@@ -42,7 +47,9 @@
     EngineUnreachable,
     /// It does not send to this engine now, or the engine gave it no answer.
     EngineUnavailable,
-    /// It sends no calls now, or did not answer.
+    /// It sends no calls now, and said so at once or accepts no connections.
+    Busy,
+    /// It did not answer.
     Failed,
 }
 
@@ -54,11 +61,12 @@
     isolated: HashMap<(SocketAddr, ServiceName), Moment>,
     /// By engine, the instances that do not reach it.
     declined: BTreeMap<EngineId, HashMap<SocketAddr, Moment>>,
+    busy: HashMap<SocketAddr, Moment>,
     failed: HashMap<SocketAddr, Moment>,
 }
 
 /// Place of an instance among those to ask; the lowest comes first.
-type ForwarderRank = (bool, bool, u64);
+type ForwarderRank = (bool, bool, bool, u64);
 
 impl Forwarders {
     /// The instances to ask for an engine of a service, in this order. Each instance has an order of
@@ -79,7 +87,7 @@
             .collect();
         ranked.sort_unstable();
         let mut unproven_near = 0;
-        let is_surplus = |((is_unproven, is_far, _), _): &(ForwarderRank, SocketAddr)| {
+        let is_surplus = |((_, is_unproven, is_far, _), _): &(ForwarderRank, SocketAddr)| {
             let counts = *is_unproven && !*is_far;
             unproven_near += usize::from(counts);
             counts && unproven_near > MAX_UNPROVEN_NEAR
@@ -103,7 +111,7 @@
         let sent = self.sent.get(&key);
         let is_proven = sent.is_some_and(|at| now.saturating_sub(*at) < PROVEN_TIME);
         let place = hash::hash64(&format!("{own} {}", other.address));
-        (!is_proven, !other.near, place)
+        (other.leaving, !is_proven, !other.near, place)
     }
 
     fn has_declined(&self, address: SocketAddr, engine: &str, now: Moment) -> bool {
@@ -121,6 +129,10 @@
 
     fn is_avoided(&self, address: SocketAddr, service: &ServiceName, now: Moment) -> bool {
         let is_recent = |at: &Moment| now.saturating_sub(*at) < FORWARDER_BACKOFF;
+        let busy = self.busy.get(&address);
+        if busy.is_some_and(|at| now.saturating_sub(*at) < BUSY_BACKOFF) {
+            return true;
+        }
         let isolated = self.isolated.get(&(address, service.clone()));
         self.failed.get(&address).is_some_and(is_recent) || isolated.is_some_and(is_recent)
     }
@@ -150,6 +162,10 @@
                 self.sent.remove(&key);
                 self.isolated.insert(key, now);
             }
+            ForwardResult::Busy => {
+                self.sent.remove(&key);
+                self.busy.insert(address, now);
+            }
             ForwardResult::Failed => {
                 self.sent.remove(&key);
                 self.failed.insert(address, now);
@@ -163,6 +179,7 @@
         self.sent.retain(|_, at| age(at) < PROVEN_TIME);
         self.isolated.retain(|_, at| age(at) < FORWARDER_BACKOFF);
         self.failed.retain(|_, at| age(at) < FORWARDER_BACKOFF);
+        self.busy.retain(|_, at| age(at) < BUSY_BACKOFF);
         self.declined.retain(|_, declined| {
             declined.retain(|_, at| age(at) < ENGINE_BACKOFF);
             !declined.is_empty()
--- a/crates/serving/tests/forwarders.rs
+++ b/crates/serving/tests/forwarders.rs
@@ -30,6 +30,7 @@
         .map(|number| Forwarder {
             address: address(number),
             near: number <= near,
+            leaving: false,
         })
         .collect()
 }
@@ -135,3 +136,27 @@
     assert_eq!(order("engine-2", 1_000).as_slice(), [address(1)]);
     assert_eq!(order(ENGINE, 1_900).as_slice(), [address(1)]);
 }
+
+/// Guards against leaving the only instance with paths alone for seconds after it has restarted.
+#[test]
+fn an_instance_that_refuses_at_once_is_asked_again_soon() {
+    let mut forwarders = Forwarders::default();
+    let result = ForwardResult::Busy;
+    forwarders.record(address(1), &engine(), &service(), result, at(1_000));
+    let all = candidates(1, 0);
+    let order = |now| forwarders.order(address(99), ENGINE, &service(), &all, at(now));
+    assert!(order(1_200).is_empty());
+    assert_eq!(order(1_250).as_slice(), [address(1)]);
+}
+
+/// Guards against calls that are cut off by the end of an instance while another one stays.
+#[test]
+fn leaving_instances_are_asked_last() {
+    let mut all = candidates(2, 1);
+    for other in &mut all[..2] {
+        other.leaving = true;
+    }
+    let order = Forwarders::default().order(address(99), ENGINE, &service(), &all, at(1_000));
+    assert_eq!(order[0], address(3));
+    assert_eq!(order.len(), 3);
+}
