Split attempts into sending a request and drawing conclusions

What the outcome of an attempt means for the call, its engine, the instances that were asked to send it and its connection moves unchanged into conclusion.rs.

--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -13,9 +13,8 @@
 use serving::{Choice, EngineId, Zone};
 use tokio::time::timeout_at;
 
-use crate::attempt::{
-    self, AttemptResult, EngineResponse, FailedSends, MAX_BODY_BYTES, NotRun, Request,
-};
+use crate::attempt::{self, EngineResponse, MAX_BODY_BYTES, Request};
+use crate::conclusion::{self, AttemptResult, FailedSends, NotRun};
 use crate::crash_detection;
 use crate::engine_call::{EngineCall, Step};
 use crate::instance::Instance;
@@ -326,7 +325,7 @@
         };
         engine_call.on_first_answer("read");
         engine_call.set_outcome(Outcome::Success);
-        attempt::return_to_pool(self.instance, &engine.id, client, &reply);
+        conclusion::return_to_pool(self.instance, &engine.id, client, &reply);
         self.weights = self.weights.or(read.weight_version);
         let memory = KvLocation {
             address: engine.address,
@@ -458,7 +457,7 @@
                 );
                 engine_call.on_parts_survived();
                 let EngineResponse { client, reply, .. } = *response;
-                attempt::return_to_pool(self.instance, &engine.id, client, &reply);
+                conclusion::return_to_pool(self.instance, &engine.id, client, &reply);
                 NextStep::Done(Stream::Whole(self.relay.times()))
             }
             relay::End::Gone(error) => {
--- a/crates/gateway/src/generate/retry.rs
+++ b/crates/gateway/src/generate/retry.rs
@@ -4,7 +4,8 @@
 use serving::place::Refusal;
 
 use super::{REFUSED_RETRY_AFTER, Run, Stream};
-use crate::attempt::{self, EngineResponse, MAX_BODY_BYTES};
+use crate::attempt::{EngineResponse, MAX_BODY_BYTES};
+use crate::conclusion;
 use crate::placement;
 use crate::plain::{End, NO_PATH_RETRY_AFTER, WholeAnswer, take_retry};
 
@@ -27,7 +28,7 @@
         let Ok(body) = body else {
             return self.after_loss("The engine's failure is broken.");
         };
-        attempt::return_to_pool(self.instance, engine, response.client, &reply);
+        conclusion::return_to_pool(self.instance, engine, response.client, &reply);
         self.runs += 1;
         if self.may_retry() {
             return NextStep::Retry;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod claims;
 pub mod command;
 mod compression;
+mod conclusion;
 mod connection;
 mod crash_detection;
 mod daemon;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -14,9 +14,8 @@
 use serving::{Choice, Kind};
 use tokio::time::{Instant, timeout_at};
 
-use crate::attempt::{
-    self, AttemptResult, EngineResponse, FailedSends, MAX_BODY_BYTES, NotRun, Request,
-};
+use crate::attempt::{self, EngineResponse, MAX_BODY_BYTES, Request};
+use crate::conclusion::{self, AttemptResult, FailedSends, NotRun};
 use crate::crash_detection;
 use crate::engine_call::{EngineCall, Progress, Step};
 use crate::instance::Instance;
@@ -328,7 +327,7 @@
     } = *response;
     match client.body(MAX_BODY_BYTES).await {
         Ok(body) => {
-            attempt::return_to_pool(instance, &engine.id, client, &reply);
+            conclusion::return_to_pool(instance, &engine.id, client, &reply);
             instance
                 .suspects
                 .on_good_run(request, engine, suspects::now(instance));
