Ask a restarted instance to send calls at once

Cause: the process before it had missed a placement request, or had declined, and was left alone for that for up to 2 s. Its next incarnation is another process.

Change: a new incarnation clears what the former one missed and declined.

--- a/crates/gateway/src/engine_links.rs
+++ b/crates/gateway/src/engine_links.rs
@@ -100,6 +100,11 @@
         forwarders.record(address, engine, service, result, now);
     }
 
+    /// Forgets what is known of an instance that has restarted.
+    pub(crate) fn on_restarted(&self, address: SocketAddr) {
+        self.forwarders.borrow_mut().on_restarted(address);
+    }
+
     /// Whether another instance lately declined to send to this engine alone.
     pub(crate) fn is_declined(&self, engine: &EngineId, now: Moment) -> bool {
         self.forwarders.borrow().is_declined(engine, now)
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -340,6 +340,8 @@
             self.new_placers.push(from);
         }
         let before = before.filter(|before| before.incarnation != incarnation)?;
+        // What the process before it missed says nothing of this one.
+        registered.last_missed = None;
         Some(before.incarnation)
     }
 
--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -78,6 +78,9 @@
     let mut peers = instance.peers.borrow_mut();
     let replaced = peers.on_state(from, peer, state, now);
     drop(peers);
+    if replaced.is_some() {
+        instance.links.on_restarted(from);
+    }
     instance.claim_log.merge(state.claimed, &state.numbers, now);
     if let Some(ledger) = instance.usage.borrow_mut().as_mut() {
         for window in &state.reported {
--- a/crates/serving/src/forwarders.rs
+++ b/crates/serving/src/forwarders.rs
@@ -173,6 +173,16 @@
         }
     }
 
+    /// Forgets what is known of an instance that has restarted.
+    pub fn on_restarted(&mut self, address: SocketAddr) {
+        self.busy.remove(&address);
+        self.failed.remove(&address);
+        self.isolated.retain(|(other, _), _| *other != address);
+        for declined in self.declined.values_mut() {
+            declined.remove(&address);
+        }
+    }
+
     /// Forgets what is too old to matter.
     pub fn expire(&mut self, now: Moment) {
         let age = |at: &Moment| now.saturating_sub(*at);
--- a/crates/serving/tests/forwarders.rs
+++ b/crates/serving/tests/forwarders.rs
@@ -160,3 +160,25 @@
     assert_eq!(order[0], address(3));
     assert_eq!(order.len(), 3);
 }
+
+/// Guards against leaving an instance alone for what the process before it answered or missed.
+#[test]
+fn a_restarted_instance_is_asked_at_once() {
+    let results = [
+        ForwardResult::Isolated,
+        ForwardResult::EngineUnreachable,
+        ForwardResult::Busy,
+        ForwardResult::Failed,
+    ];
+    for result in results {
+        let mut forwarders = Forwarders::default();
+        forwarders.record(address(1), &engine(), &service(), result, at(1_000));
+        let all = candidates(1, 0);
+        let order = |forwarders: &Forwarders| {
+            forwarders.order(address(99), ENGINE, &service(), &all, at(1_001))
+        };
+        assert!(order(&forwarders).is_empty(), "{result:?}");
+        forwarders.on_restarted(address(1));
+        assert_eq!(order(&forwarders).as_slice(), [address(1)], "{result:?}");
+    }
+}
