Keep connections between instances open until the process ends

A leaving instance is asked to send calls until it closes. At that moment it closed connections between two requests, also new ones of which no request had been read, so a request that crossed the close was lost with its fate unknown. It now declines such requests as busy.

Tests: engines that have terminated together isolate nobody, at two gateways with ten ended engines beside one that lives; the table of cases also checks that nobody is asked where some engines live, and that a lost path is concluded as soon as it is suspected where others reach the engines.

Tried and reverted: sending calls for others also after that, if their deadline fits into the rest of the grace time.

--- a/crates/gateway/src/forward/server.rs
+++ b/crates/gateway/src/forward/server.rs
@@ -50,10 +50,10 @@
     };
     loop {
         let limits = limits(&instance);
-        tokio::select! {
-            biased;
-            received = server.wait_for_request(&limits) => if received.is_err() { return },
-            () = instance.lifecycle.wait_for_closing(), if !server.has_more() => return,
+        // An instance that closes the connection instead of declining a request would leave the call's
+        // fate unknown, so connections stay open until the process ends.
+        if server.wait_for_request(&limits).await.is_err() {
+            return;
         }
         let _in_hand = instance.lifecycle.enter();
         let Ok(arrival) = server.read_request(&limits).await else {
--- a/crates/gateway/tests/engine_links.rs
+++ b/crates/gateway/tests/engine_links.rs
@@ -7,6 +7,7 @@
 
 use actix_http::header::HeaderName;
 use bytes::Bytes;
+use futures_util::future::join_all;
 use harness::{Gateway, send_call, wait_until};
 use http1::{Client, TcpTimeouts};
 use platform_standin::engine::Behaviour;
@@ -175,6 +176,32 @@
     assert_eq!(answer.await.status, 200);
 }
 
+/// Guards against taking engines that terminated together, and were chosen first, for a lost path.
+#[actix_rt::test]
+async fn engines_that_terminated_together_isolate_nobody() {
+    let ([first, second], [app, _pool]) = two_gateways().await;
+    for number in 0..10 {
+        first.register_ended_engine(&format!("app-0{number}"), "app");
+    }
+    let gateways = [&first, &second];
+    for gateway in gateways {
+        wait_until(async || gateway.metrics_page().await.contains("tarragon_engines 12")).await;
+        for _ in 0..DETECTION_ROUNDS {
+            let calls = (0..12).map(|_| async {
+                let id = gateway.fresh_id();
+                gateway.call("/safe/", &id, &[]).await
+            });
+            join_all(calls).await;
+        }
+    }
+    for gateway in gateways {
+        let lost = gateway.count_log_lines("no engine can be reached from here");
+        assert_eq!(lost, 0);
+        assert_eq!(send_each_kind(gateway).await, 4);
+    }
+    assert!(app.request_count("/safe/") > 0);
+}
+
 /// Guards against refusing all calls of an isolated instance while the only other one takes its leave, which
 /// it does for seconds with good paths.
 #[actix_rt::test]
--- a/crates/serving/tests/reachability_cases.rs
+++ b/crates/serving/tests/reachability_cases.rs
@@ -157,12 +157,23 @@
         }
     }
 
-    fn run(mut self) -> Option<u64> {
+    /// Runs a few rounds of calls.
+    fn run(mut self) -> Self {
         for _ in 0..4 {
             self.send_calls();
         }
+        self
+    }
+
+    /// Milliseconds until the service counted as isolated.
+    fn isolated_after(&self) -> Option<u64> {
         self.isolated_at.map(|at| at - STARTED_MS)
     }
+
+    /// Milliseconds until calls took another way, or tried their own path knowing that it may be lost.
+    fn suspected_after(&self) -> Option<u64> {
+        self.suspected_at.map(|at| at - STARTED_MS)
+    }
 }
 
 const FAULTS: [Fault; 3] = [Fault::Refused, Fault::Reset, Fault::Silent];
@@ -192,7 +203,12 @@
 #[test]
 fn engines_that_terminate_together_do_not_isolate_the_instance() {
     for case in cases(&[None]) {
-        assert_eq!(World::new(case).run(), None, "{case:?}");
+        let world = World::new(case).run();
+        assert_eq!(world.isolated_after(), None, "{case:?}");
+        // Others are asked only where all engines that there are to draw have terminated.
+        if case.engines > WITNESSES && case.ended < case.engines {
+            assert_eq!(world.suspected_after(), None, "{case:?}");
+        }
     }
 }
 
@@ -204,7 +220,9 @@
         if case.ended == case.engines {
             continue;
         }
-        let isolated = World::new(case).run();
+        let world = World::new(case).run();
+        let (isolated, suspected) = (world.isolated_after(), world.suspected_after());
+        assert_eq!(isolated, suspected, "{case:?}");
         let limit = CALL_TIMEOUT_MS + WITNESS_TIMEOUT_MS;
         assert!(
             isolated.is_some_and(|after| after <= limit),
