Ignore a late answer about a path that is already decided

Two questions about one service may overlap. The answer to the first one, if it came after the second one had shown that the path is lost, ended the isolation. A report now decides only an open suspicion.

Drawing witnesses compared each engine of the service with each one that had failed, 25 million comparisons (worked out) with 10,000 engines of which a quarter has ended; it looks them up now.

--- a/crates/gateway/src/engine_links.rs
+++ b/crates/gateway/src/engine_links.rs
@@ -396,10 +396,9 @@
 fn draw(instance: &Instance, failed: &Target, count: usize) -> SmallVec<[Target; WITNESSES]> {
     let fleet = instance.fleet.borrow();
     let state = instance.links.state();
-    let lost: Vec<&EngineId> = state.unreachable(&failed.service).collect();
-    let others = fleet.ready(&failed.service);
-    let others =
-        others.filter(|engine| engine.record.id != failed.id && !lost.contains(&&engine.record.id));
+    let others = fleet
+        .ready(&failed.service)
+        .filter(|engine| engine.record.id != failed.id && !state.is_unreachable(&engine.record.id));
     let mut drawn = others.sample(&mut rand::rng(), count);
     if drawn.len() < count {
         let foreign = fleet.all().filter(|engine| {
@@ -508,6 +507,7 @@
     drop(state);
     match verdict {
         Verdict::Isolated(failure) => on_isolated(&instance, &service, failure, report),
+        Verdict::Settled => {}
         Verdict::Engines => {
             let names: Vec<&str> = disputed.iter().map(|engine| &*engine.id).collect();
             log::info!(
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -132,6 +132,8 @@
     Engines,
     /// No other instance could tell, so the engines are taken for the cause.
     Unknown,
+    /// A connection opened before others had answered.
+    Settled,
 }
 
 macro_rules! labels {
@@ -155,7 +157,7 @@
 labels!(Pause: Requested = "requested", None = "none");
 labels!(Connect: Opened = "opened", Refused = "refused", TimedOut = "timed_out", Failed = "failed");
 labels!(ForwardAnswer: Sent = "sent", Declined = "declined", Silent = "silent", Lost = "lost");
-labels!(Suspicion: Isolated = "isolated", Engines = "engines", Unknown = "unknown");
+labels!(Suspicion: Isolated = "isolated", Engines = "engines", Unknown = "unknown", Settled = "settled");
 labels!(OrderAnswer: Taken = "taken", Refused = "refused", Unanswered = "unanswered");
 
 /// One label name with its value.
@@ -439,6 +441,7 @@
             (Verdict::Isolated(_), _) => Suspicion::Isolated,
             (Verdict::Engines, Report::Unknown) => Suspicion::Unknown,
             (Verdict::Engines, _) => Suspicion::Engines,
+            (Verdict::Settled, _) => Suspicion::Settled,
         };
         self.path_suspicions
             .get_or_create(&[("result", result)])
--- a/crates/serving/src/reachability.rs
+++ b/crates/serving/src/reachability.rs
@@ -99,8 +99,10 @@
 pub enum Verdict {
     /// The instance is isolated from the service; how its connections failed.
     Isolated(Failure),
-    /// The engines are at fault, or the path works again.
+    /// The engines are at fault.
     Engines,
+    /// Nothing was suspected any more.
+    Settled,
 }
 
 /// An engine that this instance could not reach.
@@ -263,6 +265,11 @@
         }
     }
 
+    /// Whether an engine could not be reached when it was tried last.
+    pub fn is_unreachable(&self, engine: &str) -> bool {
+        self.unreachable.contains_key(engine)
+    }
+
     /// Whether the last connection to an engine that could not be reached has timed out.
     pub fn is_silent(&self, engine: &str) -> bool {
         let lost = self.unreachable.get(engine);
@@ -402,8 +409,11 @@
     /// If none can tell, refusals were sent by the engines' hosts, and answers of other services show
     /// that this instance has paths; only silence of everything is a loss of its own.
     pub fn on_report(&mut self, service: &ServiceName, report: Report, now: Moment) -> Verdict {
-        let Some(isolation) = self.isolated.get(service) else {
-            return Verdict::Engines;
+        // A connection may have opened meanwhile, and an earlier question may have been answered late.
+        let isolation = self.isolated.get(service);
+        let suspected = isolation.filter(|isolation| isolation.stage == Stage::Suspected);
+        let Some(isolation) = suspected else {
+            return Verdict::Settled;
         };
         let failure = match isolation.refused {
             true => Failure::Refused,
--- a/crates/serving/tests/reachability.rs
+++ b/crates/serving/tests/reachability.rs
@@ -110,6 +110,15 @@
     assert!(!links.is_suspected(&service()));
 }
 
+/// Guards against a late answer to an earlier question that ends an isolation.
+#[test]
+fn a_report_after_the_conclusion_changes_nothing() {
+    let mut links = isolated();
+    let verdict = links.on_report(&service(), Report::NotReached, at(1_400));
+    assert_eq!(verdict, Verdict::Settled);
+    assert!(links.is_isolated(&service()));
+}
+
 /// Guards against a connection that is open and silent, which proves no path, and against a fault
 /// that stops new connections only.
 #[test]
