Let engines end together in the soak

One seed in six without planned work only lets every second engine for generation fall silent for all gateways at once. No gateway may log that it has lost its paths, unless the plan cuts gateways off.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -61,6 +61,8 @@
     Pauses,
     /// Callers of gateways that reach no engine are served about as often as those of others.
     Isolation,
+    /// No gateway with good paths concludes that it has lost them while engines end together.
+    Paths,
     /// A stream holds events of engines of one software version, over all attempts of its caller.
     OneVersion,
     /// Streams that callers resume go on about as often as new ones begin.
@@ -106,6 +108,7 @@
     announcements::check_announced_leavings(history, &mut findings);
     announcements::check_pauses(history, &mut findings);
     isolation::check_isolation(history, &mut findings);
+    isolation::check_conclusions(history, &mut findings);
     versions::check_versions(history, &mut findings);
     versions::check_resumptions(history, &mut findings);
     let exits = history
--- a/crates/soak/src/check/isolation.rs
+++ b/crates/soak/src/check/isolation.rs
@@ -1,4 +1,5 @@
-//! Checks that callers of gateways without paths to engines are served as callers of others are.
+//! Checks that callers of gateways without paths to engines are served as callers of others are, and that
+//! no gateway takes others' faults for lost paths.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -75,6 +76,21 @@
     }
 }
 
+/// Reports gateways that take engines which end together for lost paths of their own.
+pub(super) fn check_conclusions(history: &History, findings: &mut Vec<Finding>) {
+    let has = |is_kind: fn(&FaultKind) -> bool| {
+        let mut kinds = history.faults.iter().map(|fault| &fault.kind);
+        kinds.any(is_kind)
+    };
+    let end_together = has(|kind| matches!(kind, FaultKind::EndTogether));
+    let lose_paths = has(|kind| matches!(kind, FaultKind::Isolation(..)));
+    if end_together && !lose_paths {
+        for line in &history.lost_paths {
+            report(findings, Invariant::Paths, line.clone());
+        }
+    }
+}
+
 /// Whether a fault of the call's own gateway explains its outcome.
 fn is_disturbed(call: &Call, faults: &[Fault]) -> bool {
     let concerns = |fault: &&Fault| match fault.kind {
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -65,6 +65,8 @@
     engines: RefCell<Vec<EngineNode>>,
     /// Gateways that reach no engine.
     isolated: RefCell<Vec<(usize, Cut)>>,
+    /// Engines that ended together.
+    ended_together: RefCell<Vec<usize>>,
     version: RefCell<u64>,
     /// How engines frame the bodies of their answers.
     framing: Cell<BodyFraming>,
@@ -142,6 +144,7 @@
             instances,
             engines: RefCell::default(),
             isolated: RefCell::default(),
+            ended_together: RefCell::default(),
             version: RefCell::new(0),
             framing: Cell::default(),
             sends_fatal: Cell::new(false),
@@ -297,6 +300,7 @@
             FaultKind::Isolation(number, cut) => {
                 self.change_isolation(|isolated| isolated.push((number, cut)));
             }
+            FaultKind::EndTogether => self.end_together().await,
         }
     }
 
@@ -328,6 +332,11 @@
             FaultKind::Isolation(number, _) => {
                 self.change_isolation(|isolated| isolated.retain(|(other, _)| *other != number));
             }
+            FaultKind::EndTogether => {
+                for number in self.ended_together.take() {
+                    self.unregister(number);
+                }
+            }
             FaultKind::Reborn(_)
             | FaultKind::Process(..)
             | FaultKind::KillAll
@@ -466,6 +475,32 @@
         }
     }
 
+    /// Makes every second engine for generation silent for all gateways at once, and replaces it.
+    async fn end_together(&self) {
+        let sources = self.instances.iter();
+        let sources: Vec<Ipv4Addr> = sources
+            .map(|instance| instance.gateway.borrow().ip)
+            .collect();
+        let ending: Vec<usize> = {
+            let engines = self.engines.borrow();
+            let living = engines
+                .iter()
+                .enumerate()
+                .filter(|(_, node)| node.service == "pool" && !node.has_left);
+            let numbers = living.map(|(number, _)| number);
+            numbers.step_by(2).collect()
+        };
+        let mut replaced = Vec::new();
+        for &number in &ending {
+            replaced.extend(self.mark_left(number));
+            self.with_engine(number, |node| node.link.cut_off(&sources, Cut::Silent));
+        }
+        *self.ended_together.borrow_mut() = ending;
+        for (service, stage, software) in replaced {
+            self.add_engine(service, stage, software).await;
+        }
+    }
+
     /// Ends an engine and registers a restart under its name, which gateways must tell from the old
     /// one.
     async fn restart_engine(&self, number: usize) {
--- a/crates/soak/src/gateway.rs
+++ b/crates/soak/src/gateway.rs
@@ -25,6 +25,8 @@
     program: PathBuf,
     settings: PathBuf,
     log: PathBuf,
+    /// Length of the log before this run; earlier runs of the seed have written to it.
+    log_start: usize,
     child: Option<Child>,
     /// Whether the current process was told to exit, so that its exit is not a finding.
     exit_expected: bool,
@@ -137,19 +139,34 @@
             duties: Some(duties),
         };
         std::fs::write(&settings, values.text())?;
+        let log = directory.join(format!("{name}.log"));
+        let log_start = std::fs::read(&log).map_or(0, |earlier| earlier.len());
         Ok(Self {
             front,
             ready,
             ip,
             starts: 0,
             program: program.to_owned(),
-            log: directory.join(format!("{name}.log")),
+            log,
+            log_start,
             settings,
             child: None,
             exit_expected: false,
         })
     }
 
+    /// Lines of this run's log that contain a text.
+    ///
+    /// # Errors
+    ///
+    /// If the log cannot be read.
+    pub fn log_lines(&self, text: &str) -> io::Result<Vec<String>> {
+        let log = std::fs::read(&self.log)?;
+        let log = String::from_utf8_lossy(log.get(self.log_start..).unwrap_or_default());
+        let lines = log.lines().filter(|line| line.contains(text));
+        Ok(lines.map(str::to_owned).collect())
+    }
+
     /// Starts the process unless it runs.
     ///
     /// # Errors
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -202,6 +202,8 @@
     pub leavings: Vec<Leaving>,
     /// Engines that asked for pauses.
     pub pauses: Vec<Pauses>,
+    /// Log lines by which gateways concluded that they had lost their paths to engines.
+    pub lost_paths: Vec<String>,
     /// The faults that were injected.
     pub faults: Vec<Fault>,
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -123,6 +123,8 @@
     Unframed,
     /// A gateway loses its paths to all engines, and keeps those to callers, store and gateways.
     Isolation(usize, Cut),
+    /// Every second engine for generation falls silent for all gateways at once, and is replaced.
+    EndTogether,
 }
 
 /// Software version to which engines are upgraded.
@@ -229,6 +231,8 @@
 const PAUSES_EVERY: u64 = 5;
 /// One seed in this many adds gateways that lose their paths to all engines.
 const ISOLATIONS_EVERY: u64 = 5;
+/// One seed in this many adds engines that end together.
+const JOINT_ENDS_EVERY: u64 = 6;
 /// One seed in this many adds engines whose answers end with their connections.
 const UNFRAMED_EVERY: u64 = 5;
 /// Number of engines that cut such answers in such a plan.
@@ -364,6 +368,16 @@
                 kind: FaultKind::Isolation(gateway, cut),
             }));
         }
+        if !planned && seed % JOINT_ENDS_EVERY == 4 {
+            // A separate generator, for the same reason.
+            let mut rng = StdRng::seed_from_u64(seed.rotate_left(36));
+            let at = WARM_UP + Duration::from_millis(rng.random_range(0..MAX_EARLY_START_MS));
+            faults.push(Fault {
+                at,
+                duration: Duration::from_millis(MAX_FAULT_MS),
+                kind: FaultKind::EndTogether,
+            });
+        }
         if !planned && seed % UNFRAMED_EVERY == 1 {
             // A separate generator, for the same reason.
             let mut rng = StdRng::seed_from_u64(seed.rotate_left(56));
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -16,6 +16,8 @@
 
 /// Number of callers in a run.
 const CALLERS: u64 = 12;
+/// What a gateway logs when it concludes that it has lost its paths to the engines of a service.
+const LOST_PATHS: &str = "no engine can be reached from here";
 /// Interval between two polls of a state.
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Polls before a probe fails: a minute in all, to allow for a busy machine.
@@ -85,6 +87,10 @@
     }
     probe_gateways(&cluster, &mut probe, "after the last fault").await?;
     cluster.collect_history();
+    for instance in &cluster.instances {
+        let lines = instance.gateway.borrow().log_lines(LOST_PATHS)?;
+        cluster.history.borrow_mut().lost_paths.extend(lines);
+    }
     let mut history = cluster.history.take();
     history.faults.clone_from(&plan.faults);
     let findings = check(&history);
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -583,6 +583,27 @@
     assert_eq!(check::check(&history), []);
 }
 
+#[test]
+fn lost_paths_are_reported_while_engines_end_together_and_none_was_lost() {
+    let with_conclusion = |history: &mut History| {
+        history.lost_paths.push("no engine".to_owned());
+        history.faults.push(Fault {
+            at: ms(1_000),
+            duration: ms(4_000),
+            kind: FaultKind::EndTogether,
+        });
+    };
+    assert_only_finding(Invariant::Paths, with_conclusion);
+    let mut history = valid_history();
+    with_conclusion(&mut history);
+    history.faults.push(Fault {
+        at: ms(1_000),
+        duration: ms(500),
+        kind: FaultKind::Isolation(0, Cut::Silent),
+    });
+    assert_eq!(check::check(&history), []);
+}
+
 /// Adds a call that brings some events of a stream, each by an engine of the given version, after those of
 /// the call that it resumes.
 fn add_stream(
