Exchange organisations' usage between placers

Placers learn the organisation of a call with its request and announce the usage that they counted with their states, so that an organisation is measured over all instances. A request that is refused as over share says so, and the line `refused` names the organisation before `why`.

Organisations and services that the configuration does not name, and rates that no sum of usage can have, are ignored. An instance that places by its own state because no placer answers limits nobody.

--- a/crates/gateway/src/engine_call.rs
+++ b/crates/gateway/src/engine_call.rs
@@ -14,7 +14,7 @@
 
 use crate::attempt::Request;
 use crate::instance::Instance;
-use crate::{crash_detection, placement, suspects};
+use crate::{crash_detection, placement, shares, suspects};
 
 /// What an engine is asked to do for a call.
 #[derive(Clone, Copy, Debug)]
@@ -91,6 +91,13 @@
         let software = fleet.get(&target.engine);
         let software = software.and_then(|engine| engine.record.software.clone());
         let sent = fleet.begin_call(&target.engine, target.work, target.rank, now);
+        // The placer of a call charges it.
+        if target.placed_by.is_none()
+            && instance.is_placing()
+            && let Some(organisation) = shares::organisation_of(request)
+        {
+            fleet.charge_call(&sent, organisation, target.expected_latency, now);
+        }
         log::info!(
             id = request.call.id.as_str(), engine = &*target.engine, step = step.name(),
             waited_ms:% = request.elapsed().as_millis(), left_ms:% = request.remaining().as_millis(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -46,6 +46,7 @@
 mod relay;
 pub mod reports;
 mod roles;
+mod shares;
 mod status;
 mod store_reader;
 mod suspects;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -23,7 +23,7 @@
 use crate::usage::REPORTERS;
 use crate::{
     announcements, bootstrap, discovery, engine_links, forward, limits, quarantine_store, receive,
-    registrar, suspects, usage, warmup,
+    registrar, shares, suspects, usage, warmup,
 };
 
 mod updates;
@@ -248,6 +248,9 @@
         let others = changes.into_iter().filter(is_missing_from_state);
         add_changes(&mut frame, others.collect(), now);
         frame.state = Some(encode_state(instance, &fleet, peers.is_warm, now));
+        if instance.is_placing() {
+            frame.organisation_uses = shares::encode(fleet.shares.announce(now));
+        }
         frame.rate_limits = limits::to_wire(fleet.throttles.to_repeat(), now);
         frame.leaving = announcements::leaving_to_repeat(&fleet);
     } else {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -12,7 +12,7 @@
 use crate::admission::{self, Admission};
 use crate::attempt::Request;
 use crate::instance::Instance;
-use crate::limits;
+use crate::{limits, shares};
 
 pub(crate) mod client;
 pub(crate) mod server;
@@ -157,6 +157,7 @@
         isolated: false,
         reserved: None,
         software: None,
+        organisation: shares::organisation_of(request),
     }
 }
 
--- a/crates/gateway/src/placement/client.rs
+++ b/crates/gateway/src/placement/client.rs
@@ -85,6 +85,8 @@
     let excluded = excluded_here(instance, demand);
     let demand = &Demand {
         excluded: &excluded,
+        // Only placers know what organisations use.
+        organisation: demand.organisation.filter(|_| instance.is_placing()),
         ..*demand
     };
     let mut fleet = instance.fleet.borrow_mut();
@@ -264,6 +266,7 @@
         reserved: demand.reserved.map_or(0, |id| hash::hash32(id)),
         needs_records: instance.is_caching.get(),
         software: demand.software.map(str::to_owned),
+        organisation: demand.organisation.unwrap_or_default(),
     }
 }
 
@@ -287,9 +290,10 @@
         }
         Some(answer::Choice::Refusal(refusal)) => Some(Choice::Refuse {
             retry_after: Duration::from_millis(refusal.after_ms.into()),
-            reason: match (refusal.no_engine, refusal.limited) {
-                (true, _) => Refusal::NoEngine,
-                (_, true) => Refusal::RateLimited,
+            reason: match refusal {
+                refusal if refusal.no_engine => Refusal::NoEngine,
+                refusal if refusal.limited => Refusal::RateLimited,
+                refusal if refusal.over_share => Refusal::OverShare,
                 _ => Refusal::TooMuchWork,
             },
             best_target: refusal.best.as_ref().and_then(target).map(Box::new),
--- a/crates/gateway/src/placement/server.rs
+++ b/crates/gateway/src/placement/server.rs
@@ -14,6 +14,7 @@
 use crate::engine_cache;
 use crate::frame::{self, to_micros, to_millis};
 use crate::instance::Instance;
+use crate::shares;
 
 /// Applies the outcomes of calls that this instance placed for a peer.
 pub(crate) fn on_reports(instance: &Instance, peer: u64, reports: &gateway::Reports) {
@@ -82,6 +83,7 @@
         tokens,
     });
     let zone = Zone::from(request.zone.as_str());
+    let organisation = shares::known_organisation(instance, request.organisation);
     let now = instance.now();
     let choice = {
         let mut fleet = instance.fleet.borrow_mut();
@@ -109,6 +111,7 @@
             isolated: request.alone,
             reserved: reserved.as_ref(),
             software: request.software.as_deref(),
+            organisation,
         };
         let mut choice = if request.read_in.is_empty() {
             place::choose(&fleet, &demand, now)
@@ -124,6 +127,9 @@
         let ticket = request.ticket;
         let sent = now + target.limit_wait;
         fleet.begin_remote_call(peer, ticket, &target.engine, target.work, target.rank, sent);
+        if let Some(organisation) = organisation {
+            fleet.charge_remote_call(peer, ticket, organisation, target.expected_latency, sent);
+        }
         drop(fleet);
         instance.announce_parts(&target.engine, &prompt);
         instance.frame_due.notify_one();
@@ -158,6 +164,7 @@
             after_ms: to_millis(*after),
             no_engine: *why == Refusal::NoEngine,
             limited: *why == Refusal::RateLimited,
+            over_share: *why == Refusal::OverShare,
             best: best.as_deref().map(encode_target),
         }),
     }
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -144,7 +144,7 @@
         id = request.call.id.as_str(), route = request.route.name.as_str(), ms:% = request.elapsed().as_millis(),
         after_ms:% = after.as_millis(), expected_ms:% = expected.as_millis(), left_ms:% = request.remaining().as_millis(),
         unread = best.map_or(0, |best| best.prefill_tokens), rank = best.map_or(request.priority(), |best| best.rank),
-        engine = best.map_or("", |best| &*best.engine), why = why;
+        engine = best.map_or("", |best| &*best.engine), organisation = request.principal.name(), why = why;
         "refused"
     );
 }
--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -15,7 +15,7 @@
 use crate::peers::Topic;
 use crate::placement::{client, server};
 use crate::{
-    announcements, compression, engine_cache, engine_records, limits, mesh, registrar,
+    announcements, compression, engine_cache, engine_records, limits, mesh, registrar, shares,
     store_reader, suspects, usage,
 };
 
@@ -67,6 +67,7 @@
             .suspects
             .merge(suspect, "instance", suspects::now(instance));
     }
+    shares::merge_from_peer(instance, peer, &frame.organisation_uses, now);
     limits::merge_from_peer(instance, &frame.rate_limits, now);
     check_synced(instance, frame.all_engines);
     if frame.read_configuration {
