Charge calls of a service before the first has ended

A slot was charged for as long as calls usually hold one, and for nothing before any call had ended. At engines that answer nothing, usage then showed nobody, and no organisation was over its share. Until a call has ended, 100 ms are charged.

cargo test -p serving passes.

--- a/crates/serving/src/shares/usage.rs
+++ b/crates/serving/src/shares/usage.rs
@@ -15,6 +15,10 @@
 /// Weight of one call in the typical time for which a slot is held.
 const HOLD_WEIGHT: f64 = 0.05;
 
+/// Time for which a slot is taken to be held before the first call has ended: at engines that answer
+/// nothing, usage still shows who sends the most.
+const INITIAL_HOLD_MS: f64 = 100.0;
+
 /// The part of usage that is left after a time.
 pub(super) fn decay(age: Duration) -> f64 {
     (-age.as_secs_f64() / TIME_CONSTANT.as_secs_f64()).exp()
@@ -61,9 +65,8 @@
 }
 
 impl Hold {
-    /// Zero until a call has ended.
     pub(super) fn typical_ms(&self, stage: Option<Stage>) -> f64 {
-        self.typical_ms[index(stage)].unwrap_or_default()
+        self.typical_ms[index(stage)].unwrap_or(INITIAL_HOLD_MS)
     }
 
     pub(super) fn observe(&mut self, stage: Option<Stage>, hold_ms: f64) {
