Test that a heavy organisation leaves places to others

A process-level test: one organisation holds all slots of the only engine of a service, its next calls are refused as over its share, and the log line names it; calls of another one are served meanwhile.

--- a/crates/gateway/tests/organisations.rs
+++ b/crates/gateway/tests/organisations.rs
@@ -4,12 +4,14 @@
 
 use std::time::Duration;
 
-use harness::{Gateway, configuration, generation, wait_until};
+use harness::{Gateway, configuration, generation, send_call, wait_until};
 use platform_standin::Engine;
-use platform_standin::engine::ReceivedRequest;
+use platform_standin::engine::{Behaviour, ReceivedRequest};
 use serde_json::{Value, json};
 
 const KEY: &str = "key-of-a-7f3c";
+/// Slots of an engine.
+const SLOTS: usize = 8;
 
 fn configuration_with(version: u64, organisations: &Value) -> Value {
     let mut configuration = configuration(version, "app");
@@ -157,3 +159,33 @@
     assert_eq!(status(&other, "/once/a", Some(KEY)).await, 200);
     assert_eq!(status(&other, "/once/a", Some("unknown")).await, 401);
 }
+
+/// One organisation's calls hold all slots of a service's only engine. When organisations had no
+/// shares, its next calls took the places that others needed.
+#[actix_rt::test]
+async fn a_heavy_organisation_is_refused_as_over_its_share_while_others_are_served() {
+    let (gateway, app, _pool) = start().await;
+    configure(
+        &gateway,
+        2,
+        &json!([{ "name": "heavy", "api_keys": ["h"] }, { "name": "light", "api_keys": ["l"] }]),
+    );
+    wait_until(async || status(&gateway, "/once/a", Some("l")).await == 200).await;
+    app.set_behaviour(Behaviour::Hang);
+    for _ in 0..SLOTS {
+        let mut caller = gateway.connect().await;
+        let id = gateway.fresh_id();
+        actix_rt::spawn(async move {
+            send_call(&mut caller, "/once/a", &id, &[("key", "h")]).await;
+        });
+    }
+    wait_until(async || app.received().len() > SLOTS).await;
+    app.set_behaviour(Behaviour::Run);
+    wait_until(async || {
+        assert_eq!(status(&gateway, "/once/a", Some("l")).await, 200);
+        status(&gateway, "/once/a", Some("h")).await == 503
+    })
+    .await;
+    let reason = "organisation=heavy why=The organisation uses more than its share";
+    assert!(gateway.count_log_lines(reason) > 0);
+}
