Bound the wait that calls over share may join

At 10 times the usual load of a whole deployment, 29 of 100 calls of light organisations were late. Their prompts waited for what heavy calls already had being read, and reading took twice the forecast. Prompts are not preempted, and a placer does not see what others admitted in the last tens of milliseconds.

A call of an organisation over its share is now admitted only where its forecast wait, without its own reading, is at most a quarter of its latency target: half of the wait that counts as contention, so that it stays below that also where a forecast is half of what reading takes.

The replay gains engines that read slower or faster than forecast, callers that retry after a refusal, and plain calls (4 engines of 6 slots, 60 ms each).

cargo test -p serving and clippy of its targets pass.

--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -214,8 +214,8 @@
     }
 }
 
-/// Charges a placement to the rate limits of its engines, and records what it shows about contention. The `Retry-After` of a refusal by rate
-/// limits grows with the refusals before it.
+/// Charges a placement to the rate limits of its engines, and records what it shows about contention.
+/// The `Retry-After` of a refusal by rate limits grows with the refusals before it.
 pub fn commit(fleet: &mut Fleet, demand: &Demand, choice: &mut Choice, now: Moment) {
     if let Some(organisation) = demand.organisation {
         fleet.shares.arrive(demand.service, organisation, now);
--- a/crates/serving/src/place/contention.rs
+++ b/crates/serving/src/place/contention.rs
@@ -7,7 +7,7 @@
 use super::{Choice, Demand, Refusal, Target, cost};
 use crate::Fleet;
 use crate::engine::Engine;
-use crate::shares::Standing;
+use crate::shares::{CONTENDED_WAIT_SHARE, Standing};
 
 /// The time to retry if the call's organisation is over its share and the call may be refused for
 /// that.
@@ -38,8 +38,14 @@
 /// engine is idle, and refusing the call would leave it so.
 const IDLE_WAIT_SHARE: f64 = 0.05;
 
+/// Share of the latency target that a call over share may wait, half of what counts as contention: a
+/// prompt that is being read is not preempted, forecasts have been half of what reading took, and
+/// several placers admit calls before they see each other's. In replays, calls of light organisations
+/// were more often on time than with the whole, and more was served.
+const OVER_SHARE_WAIT_SHARE: f64 = CONTENDED_WAIT_SHARE / 2.0;
+
 /// Whether a call that is placed behind those of others will be on time although more of them arrive
-/// before it is read.
+/// before it is read, and makes no queue in which others would be late.
 pub(super) fn is_on_time(
     fleet: &Fleet,
     demand: &Demand,
@@ -47,12 +53,12 @@
     expected: Duration,
     now: Moment,
 ) -> bool {
-    if expected > demand.latency_target {
+    let waited = waited_share(fleet, demand, choice);
+    if expected > demand.latency_target || waited > OVER_SHARE_WAIT_SHARE {
         return false;
     }
     let stretch = fleet.shares.stretch(demand.service, now);
-    expected.mul_f64(stretch) <= demand.latency_target
-        || waited_share(fleet, demand, choice) <= IDLE_WAIT_SHARE
+    expected.mul_f64(stretch) <= demand.latency_target || waited <= IDLE_WAIT_SHARE
 }
 
 /// Whether an engine would begin to run a call at once.
--- a/crates/serving/src/shares.rs
+++ b/crates/serving/src/shares.rs
@@ -67,7 +67,7 @@
 /// Time after the last sign of contention for which a service counts as contended.
 const CONTENTION_TIME: Duration = Duration::from_secs(1);
 /// Share of its latency target that a call must wait to show contention.
-const CONTENDED_WAIT_SHARE: f64 = 0.5;
+pub(crate) const CONTENDED_WAIT_SHARE: f64 = 0.5;
 /// Age after which a placer's announcement is dropped, as its work at engines is.
 const ANNOUNCEMENT_AGE: Duration = Duration::from_millis(3_200);
 /// Time for which a water level is kept: it changes slowly, and computing it sorts all usage.
--- a/crates/serving/tests/shares_replay.rs
+++ b/crates/serving/tests/shares_replay.rs
@@ -9,11 +9,12 @@
 use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Duration;
 
-use common::{demand, fleet, generation, id, ms, prompt, service, zone};
+use common::{demand, fleet, generation, id, ms, prompt, record, service, zone};
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
+use serving::engine::Record;
 use serving::fleet::{SentCall, WorkChange};
-use serving::place::{self, Demand};
+use serving::place::{self, Choice, Demand};
 use serving::shares::Use;
 use serving::{EngineId, Fleet, Stage};
 
@@ -26,6 +27,13 @@
 const GENERATING: Duration = Duration::from_millis(300);
 const CALLS_PER_SECOND: f64 = 50.0;
 const KNEE: f64 = 4.0;
+/// Slots, running time, latency target and calls per second of all engines, in replays of plain calls.
+const PLAIN_SLOTS: usize = 6;
+const PLAIN_RUNNING: Duration = Duration::from_millis(60);
+const PLAIN_TARGET: Duration = Duration::from_millis(300);
+const PLAIN_CALLS_PER_SECOND: f64 = 400.0;
+/// Tries of a caller that is refused and comes back at the time that it is told.
+const TRIES: usize = 3;
 const LIGHT: u64 = 45;
 const HEAVY: u64 = 1_000;
 const TRAFFIC: Duration = Duration::from_secs(14);
@@ -34,8 +42,9 @@
 
 #[derive(Clone)]
 enum Event {
-    Arrive(usize),
+    Arrive(usize, usize),
     ReadNext(usize),
+    Ran(usize, usize),
     Answer(usize),
     End(usize),
     Leave(usize),
@@ -48,12 +57,15 @@
     at: Duration,
     organisation: u64,
     placer: usize,
+    /// Until when the answer to its last try is on time.
+    latest: Duration,
 }
 
 #[derive(Default)]
 struct Engine {
     queue: Vec<(u8, Duration, usize)>,
     free_at: Duration,
+    running: usize,
 }
 
 /// Calls on time and all calls of an organisation.
@@ -68,11 +80,19 @@
     payloads: Vec<Event>,
     counts: BTreeMap<u64, Count>,
     names_organisations: bool,
+    is_plain: bool,
+    /// Tries of each call.
+    tries: usize,
+    /// Reading time of each engine relative to what the placers expect at first.
+    paces: [f64; 4],
 }
 
 fn calls(load: f64, placers: usize, heavy: &[(u64, f64)], light: u64) -> Vec<Call> {
+    calls_at(load / KNEE * CALLS_PER_SECOND, placers, heavy, light)
+}
+
+fn calls_at(rate: f64, placers: usize, heavy: &[(u64, f64)], light: u64) -> Vec<Call> {
     let mut rng = SmallRng::seed_from_u64(5);
-    let rate = load / KNEE * CALLS_PER_SECOND;
     let mut at = Duration::ZERO;
     let mut calls = Vec::new();
     while at < TRAFFIC {
@@ -88,6 +108,7 @@
         calls.push(Call {
             at,
             organisation,
+            latest: Duration::ZERO,
             placer: rng.random_range(0..placers),
         });
     }
@@ -106,9 +127,12 @@
             payloads: Vec::new(),
             counts: BTreeMap::new(),
             names_organisations: true,
+            is_plain: false,
+            tries: 1,
+            paces: [1.0; 4],
         };
         for number in 0..world.calls.len() {
-            world.schedule(world.calls[number].at, Event::Arrive(number));
+            world.schedule(world.calls[number].at, Event::Arrive(number, 1));
         }
         world.schedule(ms(700), Event::Announce);
         world
@@ -122,8 +146,14 @@
     fn run(mut self) -> BTreeMap<u64, Count> {
         while let Some(Reverse((now, index))) = self.events.pop() {
             match self.payloads[index].clone() {
-                Event::Arrive(number) => self.arrive(number, now),
+                Event::Arrive(number, attempt) => self.arrive(number, attempt, now),
                 Event::ReadNext(engine) => self.read_next(engine, now),
+                Event::Ran(engine, number) => {
+                    self.engines[engine].running -= 1;
+                    self.answer(number, now);
+                    self.end(number, now);
+                    self.read_next(engine, now);
+                }
                 Event::Answer(number) => self.answer(number, now),
                 Event::End(number) => self.end(number, now),
                 Event::Leave(number) => self.leave(number, now),
@@ -140,10 +170,10 @@
         self.counts
     }
 
-    fn arrive(&mut self, number: usize, now: Duration) {
+    fn arrive(&mut self, number: usize, attempt: usize, now: Duration) {
         let call = &self.calls[number];
         let (placer, organisation) = (call.placer, call.organisation);
-        if now >= WARMUP {
+        if call.at >= WARMUP && attempt == 1 {
             self.counts.entry(organisation).or_default().1 += 1;
         }
         let (service, zone) = (service(), zone());
@@ -152,12 +182,24 @@
         let demand = Demand {
             organisation: self.names_organisations.then_some(organisation),
             may_split: false,
-            ..demand(&service, &zone, Some(generation(&parts)))
+            latency_target: self.target(),
+            ..demand(
+                &service,
+                &zone,
+                (!self.is_plain).then(|| generation(&parts)),
+            )
         };
         let fleet = &mut self.fleets[placer];
         let mut choice = place::choose(fleet, &demand, now);
         place::commit(fleet, &demand, &mut choice, now);
         let Some(target) = choice.target() else {
+            let Choice::Refuse { retry_after, .. } = choice else {
+                return;
+            };
+            if attempt < self.tries {
+                self.calls[number].latest = now + retry_after + self.target();
+                self.schedule(now + retry_after, Event::Arrive(number, attempt + 1));
+            }
             return;
         };
         let sent = fleet.begin_call(&target.engine, target.work, target.rank, now);
@@ -174,14 +216,24 @@
 
     fn read_next(&mut self, at: usize, now: Duration) {
         let engine = &mut self.engines[at];
+        if self.is_plain {
+            let free = (PLAIN_SLOTS - engine.running).min(engine.queue.len());
+            engine.running += free;
+            let begun: Vec<_> = engine.queue.drain(..free).collect();
+            for (_, _, number) in begun {
+                self.schedule(now + PLAIN_RUNNING, Event::Ran(at, number));
+            }
+            return;
+        }
         if engine.free_at > now || engine.queue.is_empty() {
             return;
         }
         let next = engine.queue.iter().min().copied().expect("a queue");
         engine.queue.retain(|queued| *queued != next);
-        engine.free_at = now + READING;
-        self.schedule(now + READING, Event::ReadNext(at));
-        self.schedule(now + READING + SETUP, Event::Answer(next.2));
+        let reading = READING.mul_f64(self.paces[at]);
+        engine.free_at = now + reading;
+        self.schedule(now + reading, Event::ReadNext(at));
+        self.schedule(now + reading + SETUP, Event::Answer(next.2));
     }
 
     fn answer(&mut self, number: usize, now: Duration) {
@@ -191,11 +243,17 @@
         let placer = *placer;
         self.fleets[placer].prompt_read(sent, now);
         let call = &self.calls[number];
-        if call.at >= WARMUP && now <= call.at + ms(600) {
+        if call.at >= WARMUP && now <= call.latest.max(call.at + self.target()) {
             self.counts.entry(call.organisation).or_default().0 += 1;
         }
         self.share_changes(placer, now);
-        self.schedule(now + GENERATING, Event::End(number));
+        if !self.is_plain {
+            self.schedule(now + GENERATING, Event::End(number));
+        }
+    }
+
+    fn target(&self) -> Duration {
+        if self.is_plain { PLAIN_TARGET } else { ms(600) }
     }
 
     fn end(&mut self, number: usize, now: Duration) {
@@ -270,10 +328,15 @@
 fn replay(load: f64, placers: usize, names_organisations: bool) -> BTreeMap<u64, Count> {
     let mut world = World::new(calls(load, placers, &[(HEAVY, 0.75)], LIGHT), placers);
     world.names_organisations = names_organisations;
+    run(world, &format!("{load} times, {names_organisations}"))
+}
+
+fn run(world: World, name: &str) -> BTreeMap<u64, Count> {
+    let placers = world.fleets.len();
     let counts = world.run();
     let (light, worst, heavy, served) = outcome(&counts);
     println!(
-        "{placers} placers, {load} times, organisations {names_organisations}: light {light:.3}, \
+        "{placers} placers, {name}: light {light:.3}, \
          worst tenth {worst:.3}, heavy {heavy:.3}, {served:.1} per s"
     );
     counts
@@ -293,6 +356,53 @@
     }
 }
 
+/// Guards against calls over share that make others wait at engines that are slower than forecast,
+/// and against callers that come back after a refusal. With a wait of half the latency target, and
+/// engines that take 1.4 times as long, the worst tenth had 0.650 on time.
+#[test]
+fn light_organisations_are_on_time_at_engines_of_unknown_pace_and_with_retries() {
+    let cases = [
+        (TRIES, [1.0; 4]),
+        (1, [0.5, 1.0, 1.0, 2.0]),
+        (1, [1.4; 4]),
+        (1, [1.0, 1.0, 2.0, 2.0]),
+    ];
+    for (tries, paces) in cases {
+        for (placers, load) in [(1, 6.0), (1, 10.0), (6, 6.0), (6, 10.0)] {
+            let mut world = World::new(calls(load, placers, &[(HEAVY, 0.75)], LIGHT), placers);
+            (world.tries, world.paces) = (tries, paces);
+            let name = format!("{load} times, {tries} tries, {paces:?}");
+            let (light, worst, _, served) = outcome(&run(world, &name));
+            assert!(light >= 0.95 && worst >= 0.8, "{light}, {worst}");
+            let capacity = paces.iter().map(|pace| CALLS_PER_SECOND / 4.0 / pace);
+            assert!(served >= 0.8 * capacity.sum::<f64>(), "{served} per second");
+        }
+    }
+}
+
+/// Guards against plain calls of a heavy organisation that take the slots others need, and against
+/// slots that are left free while it is refused.
+#[test]
+fn light_organisations_get_slots_of_plain_engines() {
+    for (placers, load) in [(1, 6.0), (1, 10.0), (6, 6.0), (6, 10.0)] {
+        let rate = load / KNEE * PLAIN_CALLS_PER_SECOND;
+        let calls = calls_at(rate, placers, &[(HEAVY, 0.75)], LIGHT);
+        let mut world = World::new(calls, placers);
+        world.is_plain = true;
+        for fleet in &mut world.fleets {
+            for engine in ENGINES {
+                fleet.put(Record {
+                    slots: u32::try_from(PLAIN_SLOTS).expect("few slots"),
+                    ..record(engine, None)
+                });
+            }
+        }
+        let (light, worst, _, served) = outcome(&run(world, &format!("{load} times, plain")));
+        assert!(light >= 0.95 && worst >= 0.95, "{light}, {worst}");
+        assert!(served >= 0.9 * PLAIN_CALLS_PER_SECOND, "{served}");
+    }
+}
+
 /// Guards against limits on engines that have capacity for all.
 #[test]
 fn nothing_changes_while_engines_are_not_contended() {
