Show organisations' shares in metrics, logs and a command

An operator who was told of refused callers could not see which organisations were over their share, of which service, nor what others had meanwhile.

`tarragon-gateway shares LOG...` sums these lines up from the logs of several instances, without calling one.

--- a/crates/gateway/src/command.rs
+++ b/crates/gateway/src/command.rs
@@ -9,7 +9,7 @@
 use serving::fingerprint::Fingerprint;
 use signals::EarlySignals;
 
-use crate::{daemon, explain, logging, operator};
+use crate::{daemon, explain, logging, operator, shares_report};
 
 /// Exit code for invalid settings.
 const BAD_SETTINGS: u8 = 2;
@@ -44,6 +44,12 @@
         #[arg(long)]
         json: bool,
     },
+    /// Prints for each organisation what became of its calls, and the services that were contended.
+    Shares {
+        /// Log files, one per instance.
+        #[arg(required = true)]
+        logs: Vec<PathBuf>,
+    },
     /// Prints the calls that are held because engines crashed while running them, with their
     /// fingerprints.
     Held {
@@ -106,6 +112,9 @@
         match self.action {
             Action::Serve { settings, metrics } => serve(settings, metrics),
             Action::Explain { id, logs, json } => explain(&id, &logs, json),
+            Action::Shares { logs } => {
+                print(shares_report::read(&logs).map(|report| report.text()))
+            }
             Action::Held { settings } => operate(settings, async |settings| {
                 for line in operator::list_held(&settings).await? {
                     println!("{line}");
@@ -158,6 +167,10 @@
             Ok(trace.text())
         }
     });
+    print(result)
+}
+
+fn print(result: std::io::Result<String>) -> ExitCode {
     match result {
         Ok(text) => {
             println!("{}", text.trim_end());
--- a/crates/gateway/src/explain.rs
+++ b/crates/gateway/src/explain.rs
@@ -115,7 +115,7 @@
 }
 
 /// Parses a line as `env_logger` writes it: the time in brackets, with the level and the module.
-fn parse_line(file: &Path, text: &str) -> Line {
+pub(crate) fn parse_line(file: &Path, text: &str) -> Line {
     let (head, rest) = text.split_once("] ").unwrap_or(("", text));
     let head = head.rsplit_once('[').map_or(head, |(_, head)| head);
     let time = head.split(' ').next().unwrap_or_default();
@@ -127,7 +127,7 @@
 }
 
 /// The value of a field of a line.
-fn field<'a>(text: &'a str, name: &str) -> Option<&'a str> {
+pub(crate) fn field<'a>(text: &'a str, name: &str) -> Option<&'a str> {
     let mut words = text.split(' ');
     words.find_map(|word| word.strip_prefix(name)?.strip_prefix('='))
 }
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -112,7 +112,11 @@
         }
         Stream::Unserved(End::Late) => log::info!(id = id, route = route, ms:% = ms; "out of time"),
         Stream::Unserved(End::Answer(response, _)) => {
-            log::info!(id = id, route = route, ms:% = ms, status = response.reply.status; "answered");
+            log::info!(
+                id = id, route = route, ms:% = ms, status = response.reply.status,
+                organisation = request.principal.name();
+                "answered"
+            );
         }
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod reports;
 mod roles;
 mod shares;
+pub mod shares_report;
 mod status;
 mod store_reader;
 mod suspects;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -119,6 +119,7 @@
     let mut next_send = Instant::now();
     let mut state_due = Instant::now();
     let mut usage_due = Instant::now();
+    let mut shares_log_due = Instant::now();
     loop {
         let was_notified = timeout(IDLE_INTERVAL, instance.frame_due.notified())
             .await
@@ -145,6 +146,10 @@
             usage_due = Instant::now() + USAGE_INTERVAL;
             bytes += send_usage(&instance, &socket, now);
         }
+        if is_state_due && Instant::now() >= shares_log_due && shares::log_contended(&instance, now)
+        {
+            shares_log_due = Instant::now() + shares::LOG_INTERVAL;
+        }
         if let Some(frame) = next_frame(&instance, is_state_due, now) {
             if is_state_due {
                 let reads = frame.state.as_ref().is_some_and(reads_store);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -172,6 +172,8 @@
     held_calls: Counter,
     throttled_calls: Family<Labels<Throttled>, Counter>,
     limited_engines: Gauge,
+    refusals_over_share: Family<Labels<String>, Counter>,
+    organisations_over_share: Family<Labels<String>, Gauge>,
     suspects: Family<Labels<Suspect>, Gauge>,
     configuration_version: Gauge,
     engines: Gauge,
@@ -202,6 +204,8 @@
             held_calls: Counter::default(),
             throttled_calls: Family::default(),
             limited_engines: Gauge::default(),
+            refusals_over_share: Family::default(),
+            organisations_over_share: Family::default(),
             suspects: Family::default(),
             configuration_version: Gauge::default(),
             engines: Gauge::default(),
@@ -305,6 +309,16 @@
             "Engines that announce a rate limit",
             self.limited_engines.clone(),
         );
+        registry.register(
+            "refusals_over_share",
+            "Calls refused because their organisation is over its share of a contended service",
+            self.refusals_over_share.clone(),
+        );
+        registry.register(
+            "organisations_over_share",
+            "Organisations over their share of a contended service, as placers know it",
+            self.organisations_over_share.clone(),
+        );
         registry.register(
             "suspects",
             "Calls under which engines ended, that are held or go alone",
@@ -444,6 +458,13 @@
             .inc();
     }
 
+    /// Counts a call that is refused because its organisation is over its share.
+    pub(crate) fn refused_over_share(&self, service: &str) {
+        self.refusals_over_share
+            .get_or_create(&[("service", service.to_owned())])
+            .inc();
+    }
+
     /// Renders the page, after setting the gauges to the present values.
     fn render(&self, instance: &Instance) -> Result<String, fmt::Error> {
         let version = instance.table().map_or(0, |table| table.version);
@@ -454,6 +475,12 @@
         self.engines.set(gauge_value(open));
         self.limited_engines
             .set(gauge_value(fleet.throttles.count()));
+        for (service, count) in fleet.shares.over_counts(instance.now()) {
+            let gauge = self
+                .organisations_over_share
+                .get_or_create(&[("service", service.to_string())]);
+            gauge.set(gauge_value(count));
+        }
         let (held, alone) = instance.suspects.count();
         for (suspect, number) in [(Suspect::Held, held), (Suspect::Alone, alone)] {
             let gauge = self.suspects.get_or_create(&[("state", suspect)]);
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -33,6 +33,7 @@
         let choice = choose(instance, request, avoid, may_split, software).await;
         let Some(target) = choice.target() else {
             limits::note_refusal(instance, &choice);
+            shares::note_refusal(instance, &request.service.name, &choice);
             return choice;
         };
         if limits::wait(instance, request, target).await {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -124,7 +124,11 @@
     let ms = request.elapsed().as_millis();
     match end {
         End::Answer(response, _) => {
-            log::info!(id = id, route = route, ms:% = ms, status = response.reply.status; "answered");
+            log::info!(
+                id = id, route = route, ms:% = ms, status = response.reply.status,
+                organisation = request.principal.name();
+                "answered"
+            );
         }
         End::NotRun { after, why, best } => log_refused(request, *after, why, best.as_deref()),
         End::Unknown(why) => {
--- a/crates/serving/src/shares.rs
+++ b/crates/serving/src/shares.rs
@@ -49,6 +49,17 @@
     pub rest_count: u32,
 }
 
+/// A contended service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Contention {
+    /// The service.
+    pub service: ServiceName,
+    /// Water level in milliseconds of engine time per second.
+    pub level: f64,
+    /// The organisations above it that are known by id, with their usage, largest first.
+    pub over: Vec<(Id, f64)>,
+}
+
 /// What a call costs its organisation.
 #[derive(Clone, Debug)]
 pub struct Cost {
@@ -289,10 +300,25 @@
     pub fn over_counts(&self, now: Moment) -> Vec<(ServiceName, usize)> {
         let services = self.services.iter();
         services
-            .map(|(name, service)| (name.clone(), service.count_over(now)))
+            .map(|(name, service)| {
+                let counts = service.over(now).into_iter();
+                let count = counts.map(|(_, _, count)| count as usize).sum();
+                (name.clone(), count)
+            })
             .collect()
     }
 
+    /// The contended services, by name.
+    pub fn contended(&self, now: Moment) -> Vec<Contention> {
+        let services = self.services.iter();
+        let contended = services.filter(|(_, service)| service.is_contended(now));
+        let mut contended: Vec<Contention> = contended
+            .map(|(name, service)| service.contention(name, now))
+            .collect();
+        contended.sort_by(|a, b| a.service.cmp(&b.service));
+        contended
+    }
+
     fn service(&mut self, name: &ServiceName) -> Option<&mut Service> {
         if !self.services.contains_key(name) {
             if self.services.len() >= MAX_SERVICES {
@@ -401,18 +427,31 @@
         })
     }
 
-    fn count_over(&self, now: Moment) -> usize {
+    /// Usage of the organisations over their share, with how many have it.
+    fn over(&self, now: Moment) -> Vec<(Id, f64, u32)> {
         if !self.is_contended(now) {
-            return 0;
+            return Vec::new();
         }
         let level = self.level(now);
         let all = self.all(now);
         let lightest = all.iter().map(|(_, rate, _)| *rate);
         let lightest = lightest.fold(f64::INFINITY, f64::min);
-        let over = all
-            .iter()
-            .filter(|(_, rate, _)| *rate > level && *rate > lightest);
-        over.map(|(_, _, count)| *count as usize).sum()
+        let over = all.iter().copied();
+        over.filter(|(_, rate, _)| *rate > level && *rate > lightest)
+            .collect()
+    }
+
+    fn contention(&self, name: &ServiceName, now: Moment) -> Contention {
+        let over = self.over(now).into_iter();
+        // Id 0 stands for several that a placer summed up.
+        let named = over.filter(|(id, _, _)| *id != 0);
+        let mut over: Vec<(Id, f64)> = named.map(|(id, rate, _)| (id, rate)).collect();
+        over.sort_unstable_by(|a, b| b.1.total_cmp(&a.1));
+        Contention {
+            service: name.clone(),
+            level: self.level(now),
+            over,
+        }
     }
 }
 
