Test shares while placers end and start

Replays a placer that is away for 2 s and one that is away for 4.5 s, longer than its usage is kept, while one organisation floods; their calls go to others, and the new ones know nothing.

--- a/crates/serving/tests/shares_replay.rs
+++ b/crates/serving/tests/shares_replay.rs
@@ -13,7 +13,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt as _, SeedableRng as _};
 use serving::engine::Record;
-use serving::fleet::{SentCall, WorkChange};
+use serving::fleet::{PeerId, SentCall, WorkChange};
 use serving::place::{self, Choice, Demand};
 use serving::shares::Use;
 use serving::{EngineId, Fleet, Stage};
@@ -48,9 +48,11 @@
     Answer(usize),
     End(usize),
     Leave(usize),
-    Changes(usize, usize, Vec<WorkChange>),
-    Uses(usize, usize, Vec<Use>),
+    Changes(PeerId, usize, Vec<WorkChange>),
+    Uses(PeerId, usize, Vec<Use>),
     Announce,
+    StopPlacer(usize),
+    StartPlacer(usize),
 }
 
 struct Call {
@@ -72,10 +74,13 @@
 type Count = (usize, usize);
 
 struct World {
-    fleets: Vec<Fleet>,
+    /// By placer; `None` while it does not run.
+    fleets: Vec<Option<Fleet>>,
+    /// Ids of the placers, which are new with each start.
+    peers: Vec<PeerId>,
     engines: Vec<Engine>,
     calls: Vec<Call>,
-    sent: BTreeMap<usize, (usize, SentCall)>,
+    sent: BTreeMap<usize, (PeerId, SentCall)>,
     events: BinaryHeap<Reverse<(Duration, usize)>>,
     payloads: Vec<Event>,
     counts: BTreeMap<u64, Count>,
@@ -119,7 +124,8 @@
     fn new(calls: Vec<Call>, placers: usize) -> Self {
         let known = ENGINES.map(|name| (name, Stage::Decode));
         let mut world = Self {
-            fleets: (0..placers).map(|_| fleet(&known)).collect(),
+            fleets: (0..placers).map(|_| Some(fleet(&known))).collect(),
+            peers: (1..=placers as PeerId).collect(),
             engines: ENGINES.iter().map(|_| Engine::default()).collect(),
             calls,
             sent: BTreeMap::new(),
@@ -158,11 +164,25 @@
                 Event::End(number) => self.end(number, now),
                 Event::Leave(number) => self.leave(number, now),
                 Event::Changes(from, to, changes) => {
-                    self.fleets[to].apply_frame(from as u64 + 1, &changes, None, now);
+                    if let Some(fleet) = &mut self.fleets[to] {
+                        fleet.apply_frame(from, &changes, None, now);
+                    }
                 }
                 Event::Uses(from, to, uses) => {
-                    let ignored = self.fleets[to].shares.merge(from as u64 + 1, &uses, now);
-                    assert_eq!(ignored, 0);
+                    if let Some(fleet) = &mut self.fleets[to] {
+                        assert_eq!(fleet.shares.merge(from, &uses, now), 0);
+                    }
+                }
+                Event::StopPlacer(placer) => self.fleets[placer] = None,
+                Event::StartPlacer(placer) => {
+                    let known = ENGINES.map(|name| (name, Stage::Decode));
+                    self.fleets[placer] = Some(fleet(&known));
+                    let stopped = self.peers[placer];
+                    self.peers[placer] += 1_000;
+                    // The first message of the new one names the one that it replaces.
+                    for fleet in self.fleets.iter_mut().flatten() {
+                        fleet.forget_peer(stopped, now);
+                    }
                 }
                 Event::Announce => self.announce(now),
             }
@@ -172,7 +192,10 @@
 
     fn arrive(&mut self, number: usize, attempt: usize, now: Duration) {
         let call = &self.calls[number];
-        let (placer, organisation) = (call.placer, call.organisation);
+        let organisation = call.organisation;
+        let mut nearest = (call.placer..self.fleets.len()).chain(0..call.placer);
+        let placer = nearest.find(|placer| self.fleets[*placer].is_some());
+        let placer = placer.expect("a placer that runs");
         if call.at >= WARMUP && attempt == 1 {
             self.counts.entry(organisation).or_default().1 += 1;
         }
@@ -189,7 +212,7 @@
                 (!self.is_plain).then(|| generation(&parts)),
             )
         };
-        let fleet = &mut self.fleets[placer];
+        let fleet = self.fleets[placer].as_mut().expect("a placer that runs");
         let mut choice = place::choose(fleet, &demand, now);
         place::commit(fleet, &demand, &mut choice, now);
         let Some(target) = choice.target() else {
@@ -208,7 +231,7 @@
         }
         let engine = index(&target.engine);
         self.engines[engine].queue.push((target.rank, now, number));
-        self.sent.insert(number, (placer, sent));
+        self.sent.insert(number, (self.peers[placer], sent));
         self.share_changes(placer, now);
         self.read_next(engine, now);
         self.schedule(now + demand.time_left, Event::Leave(number));
@@ -237,16 +260,14 @@
     }
 
     fn answer(&mut self, number: usize, now: Duration) {
-        let Some((placer, sent)) = &self.sent.get(&number) else {
+        let Some((peer, sent)) = self.sent.get(&number).cloned() else {
             return;
         };
-        let placer = *placer;
-        self.fleets[placer].prompt_read(sent, now);
+        self.report(peer, now, |fleet| fleet.prompt_read(&sent, now));
         let call = &self.calls[number];
         if call.at >= WARMUP && now <= call.latest.max(call.at + self.target()) {
             self.counts.entry(call.organisation).or_default().0 += 1;
         }
-        self.share_changes(placer, now);
         if !self.is_plain {
             self.schedule(now + GENERATING, Event::End(number));
         }
@@ -257,8 +278,18 @@
     }
 
     fn end(&mut self, number: usize, now: Duration) {
-        if let Some((placer, sent)) = self.sent.remove(&number) {
-            self.fleets[placer].end_call(&sent, None, now);
+        if let Some((peer, sent)) = self.sent.remove(&number) {
+            self.report(peer, now, |fleet| fleet.end_call(&sent, None, now));
+        }
+    }
+
+    /// Tells the placer of a call, if it still runs.
+    fn report(&mut self, peer: PeerId, now: Duration, change: impl FnOnce(&mut Fleet)) {
+        let mut peers = self.peers.iter();
+        if let Some(placer) = peers.position(|known| *known == peer)
+            && let Some(fleet) = &mut self.fleets[placer]
+        {
+            change(fleet);
             self.share_changes(placer, now);
         }
     }
@@ -275,17 +306,26 @@
     }
 
     fn share_changes(&mut self, from: usize, now: Duration) {
-        let changes = self.fleets[from].take_changes();
+        let Some(fleet) = &mut self.fleets[from] else {
+            return;
+        };
+        let changes = fleet.take_changes();
         for to in (0..self.fleets.len()).filter(|to| *to != from) {
-            self.schedule(now + ms(12), Event::Changes(from, to, changes.clone()));
+            let changes = Event::Changes(self.peers[from], to, changes.clone());
+            self.schedule(now + ms(12), changes);
         }
     }
 
     fn announce(&mut self, now: Duration) {
         for from in 0..self.fleets.len() {
-            let uses = self.fleets[from].shares.announce(now);
+            let Some(fleet) = &mut self.fleets[from] else {
+                continue;
+            };
+            fleet.expire(now);
+            let uses = fleet.shares.announce(now);
             for to in (0..self.fleets.len()).filter(|to| *to != from) {
-                self.schedule(now + ms(2), Event::Uses(from, to, uses.clone()));
+                let uses = Event::Uses(self.peers[from], to, uses.clone());
+                self.schedule(now + ms(2), uses);
             }
         }
         if now < TRAFFIC {
@@ -389,7 +429,7 @@
         let calls = calls_at(rate, placers, &[(HEAVY, 0.75)], LIGHT);
         let mut world = World::new(calls, placers);
         world.is_plain = true;
-        for fleet in &mut world.fleets {
+        for fleet in world.fleets.iter_mut().flatten() {
             for engine in ENGINES {
                 fleet.put(Record {
                     slots: u32::try_from(PLAIN_SLOTS).expect("few slots"),
@@ -403,6 +443,26 @@
     }
 }
 
+/// Guards against placers that double a share, or lose it, when they end and start: one is away for
+/// less and one for more than the time after which its usage is dropped.
+#[test]
+fn shares_hold_while_placers_end_and_start() {
+    for load in [6.0, 10.0] {
+        let undisturbed = outcome(&replay(load, 6, true));
+        let mut world = World::new(calls(load, 6, &[(HEAVY, 0.75)], LIGHT), 6);
+        for (placer, stop, start) in [(0, 6_000, 8_000), (1, 7_000, 11_500)] {
+            world.schedule(ms(stop), Event::StopPlacer(placer));
+            world.schedule(ms(start), Event::StartPlacer(placer));
+        }
+        let (light, worst, heavy, served) =
+            outcome(&run(world, &format!("{load} times, restarts")));
+        assert!(light >= 0.9 && worst >= 0.8, "{light}, {worst}");
+        assert!(served >= 0.8 * CALLS_PER_SECOND, "{served} per second");
+        let change = heavy / undisturbed.2;
+        assert!((0.75..1.25).contains(&change), "{heavy} of the heavy one");
+    }
+}
+
 /// Guards against limits on engines that have capacity for all.
 #[test]
 fn nothing_changes_while_engines_are_not_contended() {
