Bound the announced usage of all services together

A placer announced up to 64 organisations for each service. With more than some 40 services of that many, its state would have outgrown the 48 KB that receivers read, and its work at engines would have been lost with it. At most 512 organisations are now listed for all services together; the others are summed up as before.

--- a/crates/serving/src/shares.rs
+++ b/crates/serving/src/shares.rs
@@ -20,7 +20,7 @@
 mod stretch;
 mod usage;
 
-pub use level::MAX_ANNOUNCED;
+pub use level::{MAX_ANNOUNCED, MAX_ANNOUNCED_IN_ALL};
 use stretch::Stretch;
 use usage::{Hold, Usage};
 
@@ -264,9 +264,10 @@
 
     /// The usage that this instance has counted itself, for the other placers.
     pub fn announce(&self, now: Moment) -> Vec<Use> {
+        let listed = level::listed(self.services.len());
         let services = self.services.iter();
         services
-            .map(|(name, service)| level::summarize(name, &service.own, now))
+            .map(|(name, service)| level::summarize(name, &service.own, listed, now))
             .collect()
     }
 
--- a/crates/serving/src/shares/level.rs
+++ b/crates/serving/src/shares/level.rs
@@ -11,6 +11,9 @@
 
 /// Organisations that an announcement lists for each service; the others are summed up.
 pub const MAX_ANNOUNCED: usize = 64;
+/// Organisations listed for all services together. An entry has 16 bytes, and a datagram of more than
+/// 48 KB, which also contains the placer's work at engines, is lost as a whole.
+pub const MAX_ANNOUNCED_IN_ALL: usize = 512;
 /// Share of all usage that has to go while a service is contended.
 const CUT_SHARE: f64 = 0.1;
 /// Largest rate that an announcement may contain: all of 100,000 engines.
@@ -40,12 +43,22 @@
     0.0
 }
 
-/// The active organisations' usage: the largest, and a sum of the rest.
-pub(super) fn summarize(service: &ServiceName, own: &HashMap<Id, Usage>, now: Moment) -> Use {
+/// Organisations to list for each of so many services.
+pub(super) fn listed(services: usize) -> usize {
+    (MAX_ANNOUNCED_IN_ALL / services.max(1)).clamp(1, MAX_ANNOUNCED)
+}
+
+/// The active organisations' usage: the `listed` largest, and a sum of the rest.
+pub(super) fn summarize(
+    service: &ServiceName,
+    own: &HashMap<Id, Usage>,
+    listed: usize,
+    now: Moment,
+) -> Use {
     let active = own.iter().filter(|(_, usage)| usage.is_active(now));
     let mut largest: Vec<(Id, f64)> = active.map(|(id, usage)| (*id, usage.rate(now))).collect();
     largest.sort_unstable_by(|a, b| b.1.total_cmp(&a.1).then(a.0.cmp(&b.0)));
-    let rest = largest.split_off(largest.len().min(MAX_ANNOUNCED));
+    let rest = largest.split_off(largest.len().min(listed));
     Use {
         service: service.clone(),
         largest,
--- a/crates/serving/tests/shares.rs
+++ b/crates/serving/tests/shares.rs
@@ -9,7 +9,7 @@
 use serving::engine::LATE_RANK;
 use serving::organisation;
 use serving::place::{self, Refusal};
-use serving::shares::{MAX_ANNOUNCED, Shares, Standing, Use};
+use serving::shares::{MAX_ANNOUNCED, MAX_ANNOUNCED_IN_ALL, Shares, Standing, Use};
 use serving::{Choice, Demand, Fleet, Stage};
 
 const NOW: Duration = Duration::from_secs(100);
@@ -268,3 +268,23 @@
     fleet.end_call(&sent, None, NOW);
     assert!(usage(&fleet).abs() < 1e-6);
 }
+
+/// Guards against a datagram that grows with the number of services until it is lost, and with it
+/// the placer's work at engines.
+#[test]
+fn announcements_of_many_services_stay_small() {
+    let mut shares = Shares::default();
+    for number in 0..100 {
+        let service = std::rc::Rc::from(format!("service-{number}"));
+        for organisation in 1..=1_000 {
+            shares.charge(&service, organisation, organisation as f64, NOW);
+        }
+    }
+    let uses = shares.announce(NOW);
+    let listed = uses.iter().map(|used| used.largest.len());
+    assert!(listed.sum::<usize>() <= MAX_ANNOUNCED_IN_ALL);
+    for used in uses {
+        assert_eq!(used.largest[0].0, 1_000);
+        assert_eq!(used.largest.len() + used.rest_count as usize, 1_000);
+    }
+}
