--- a/crates/gateway/src/engine_call.rs
+++ b/crates/gateway/src/engine_call.rs
@@ -96,7 +96,7 @@
             && instance.is_placing()
             && let Some(organisation) = shares::organisation_of(request)
         {
-            fleet.charge_call(&sent, organisation, now);
+            fleet.charge_call(&sent, organisation, target.expected_latency, now);
         }
         log::info!(
             id = request.call.id.as_str(), engine = &*target.engine, step = step.name(),
--- a/crates/gateway/src/placement/server.rs
+++ b/crates/gateway/src/placement/server.rs
@@ -128,7 +128,7 @@
         let sent = now + target.limit_wait;
         fleet.begin_remote_call(peer, ticket, &target.engine, target.work, target.rank, sent);
         if let Some(organisation) = organisation {
-            fleet.charge_remote_call(peer, ticket, organisation, sent);
+            fleet.charge_remote_call(peer, ticket, organisation, target.expected_latency, sent);
         }
         drop(fleet);
         instance.announce_parts(&target.engine, &prompt);
--- a/crates/serving/src/cost.rs
+++ b/crates/serving/src/cost.rs
@@ -129,11 +129,6 @@
     millis(engine.time_until_read(new, speed.tokens_per_ms))
 }
 
-/// Time until the engine begins to read a prompt that is sent now.
-pub(crate) fn read_wait(fleet: &Fleet, engine: &Engine, demand: &Demand, now: Moment) -> Duration {
-    from_millis(read_delay(engine, &fleet.speed(engine), demand, 0, now))
-}
-
 /// Weight of a millisecond of waiting. The answer of a late call is worth the same whenever it
 /// comes, so a late call must not delay others to be read sooner.
 fn wait_weight(demand: &Demand) -> f64 {
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -348,19 +348,29 @@
         }
     }
 
-    /// Charges a call that was just sent to the organisation that it is for.
-    pub fn charge_call(&mut self, sent: &SentCall, organisation: organisation::Id, now: Moment) {
+    /// Charges a call that was just sent to the organisation that it is for. `expected` is the
+    /// forecast of its first answer.
+    pub fn charge_call(
+        &mut self,
+        sent: &SentCall,
+        organisation: organisation::Id,
+        expected: Duration,
+        now: Moment,
+    ) {
         let Some(engine) = self.engines.get(&sent.engine) else {
             return;
         };
         let mut pending = engine.pending.iter();
         let pending = pending.find(|pending| pending.job.ticket == sent.ticket);
-        let work = pending.map_or(0, |pending| pending.job.work);
+        let job = pending.map(|pending| pending.job);
+        let work = job.map_or(0, |job| job.work);
+        let is_behind = job.is_some_and(|job| work > 0 && job.rank == LATE_RANK - 1);
         let cost = Cost {
             service: engine.record.service.clone(),
             stage: engine.record.stage,
             slots: engine.record.slots,
             reading_ms: self.speed(engine).millis(u64::from(work)),
+            forecast: is_behind.then_some(expected),
         };
         self.shares.begin(sent.ticket, organisation, cost, now);
     }
--- a/crates/serving/src/fleet/remote.rs
+++ b/crates/serving/src/fleet/remote.rs
@@ -52,12 +52,13 @@
         peer: PeerId,
         ticket: Ticket,
         organisation: organisation::Id,
+        expected: Duration,
         now: Moment,
     ) {
         let remote = self.remote_calls.get(&peer);
         if let Some(remote) = remote.and_then(|remote| remote.get(&ticket)) {
             let sent = remote.sent.clone();
-            self.charge_call(&sent, organisation, now);
+            self.charge_call(&sent, organisation, expected, now);
         }
     }
 
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use clock::Moment;
-use smallvec::SmallVec;
 
 use crate::engine::{Engine, LATE_RANK, Rank, Ticket};
 use crate::parts::Part;
@@ -411,14 +410,14 @@
     if let Some(retry_after) = contention::over_share(fleet, demand, now) {
         return choose_over_share(fleet, demand, generation, retry_after, now);
     }
-    let choice = choose_at_rank(fleet, demand, generation, None, now);
+    let choice = choose_at_rank(fleet, demand, generation, now);
     let choice = match expected_latency(&choice) {
         Some(expected) if expected > demand.latency_target => {
             let late = Demand {
                 priority: demand.priority.saturating_add(LATE_RANK),
                 ..*demand
             };
-            choose_at_rank(fleet, &late, generation, None, now)
+            choose_at_rank(fleet, &late, generation, now)
         }
         _ => choice,
     };
@@ -438,10 +437,9 @@
         priority: demand.priority.max(LATE_RANK - 1),
         ..*demand
     };
-    let preferred_wait = contention::max_wait(demand);
-    let choice = choose_at_rank(fleet, &last, generation, Some(preferred_wait), now);
+    let choice = choose_at_rank(fleet, &last, generation, now);
     match expected_latency(&choice) {
-        Some(expected) if !contention::is_admitted(fleet, &last, &choice, expected, now) => {
+        Some(expected) if !contention::is_on_time(fleet, &last, &choice, expected, now) => {
             contention::refuse(retry_after, into_best_target(choice, expected))
         }
         _ => refuse_if_late(choice, demand),
@@ -458,37 +456,26 @@
     }
 }
 
-/// Chooses the cheapest engines. Of those that would read the prompt, the ones that begin within
-/// `preferred_wait` go first: a cheaper one with a queue may leave them idle.
-fn choose_at_rank(
-    fleet: &Fleet,
-    demand: &Demand,
-    generation: &Generation,
-    preferred_wait: Option<Duration>,
-    now: Moment,
-) -> Choice {
+fn choose_at_rank(fleet: &Fleet, demand: &Demand, generation: &Generation, now: Moment) -> Choice {
     let mut engines: Vec<&Engine> = available(fleet, demand, now).collect();
     if !engines.iter().any(|e| cost::may_generate(e, demand)) {
         engines = admitting(fleet, demand, now).collect();
     }
     let sources = fetch::sources(fleet, demand, generation, now);
-    let begins_soon = |engine: &&&Engine| {
-        preferred_wait.is_none_or(|wait| cost::read_wait(fleet, engine, demand, now) <= wait)
-    };
-    let cheapest = |readers: SmallVec<[&Engine; 16]>| {
-        let cost = |e: &&Engine| cost::prefill_cost(fleet, e, demand, generation, &sources, now);
-        let soon = readers.iter().filter(begins_soon).map(cost);
-        cost::cheapest(soon).or_else(|| cost::cheapest(readers.iter().map(cost)))
-    };
-    let all = engines.iter().copied();
-    let direct = cheapest(all.filter(|e| cost::may_generate(e, demand)).collect());
+    let direct = cost::cheapest(
+        engines
+            .iter()
+            .filter(|e| cost::may_generate(e, demand))
+            .map(|e| cost::prefill_cost(fleet, e, demand, generation, &sources, now)),
+    );
     let Some(direct) = direct else {
         return refuse(fleet, demand, now);
     };
-    let all = engines.iter().copied();
-    let prefill = cheapest(
-        all.filter(|e| demand.may_split && cost::is_prefill(e))
-            .collect(),
+    let prefill = cost::cheapest(
+        engines
+            .iter()
+            .filter(|e| demand.may_split && cost::is_prefill(e))
+            .map(|e| cost::prefill_cost(fleet, e, demand, generation, &sources, now)),
     );
     let split = prefill.and_then(|prefill| {
         let source = fleet.get(&prefill.target.engine)?;
--- a/crates/serving/src/place/contention.rs
+++ b/crates/serving/src/place/contention.rs
@@ -7,7 +7,7 @@
 use super::{Choice, Demand, Refusal, Target, cost};
 use crate::Fleet;
 use crate::engine::Engine;
-use crate::shares::Standing;
+use crate::shares::{CONTENDED_WAIT_SHARE, Standing};
 
 /// The time to retry if the call's organisation is over its share and the call may be refused for
 /// that.
@@ -34,29 +34,31 @@
     }
 }
 
-/// Share of the latency target that a call over share may wait for its prompt to be begun. An engine
-/// does not preempt a prompt that it reads, and placers do not see what others have admitted in the
-/// last tens of milliseconds, so longer queues of such calls make those of others late. In replays of
-/// prompts of mixed length, a half had light organisations late at 10 times the usual load.
-const OVER_SHARE_WAIT_SHARE: f64 = 1.0 / 16.0;
+/// Share of the latency target up to which a wait behind the calls of others counts as none: the
+/// engine is idle, and refusing the call would leave it so.
+const IDLE_WAIT_SHARE: f64 = 0.05;
 
-/// Longest wait of a call over share.
-pub(super) fn max_wait(demand: &Demand) -> Duration {
-    demand.latency_target.mul_f64(OVER_SHARE_WAIT_SHARE)
-}
+/// Share of the latency target that a call over share may wait, half of what counts as contention: a
+/// prompt that is being read is not preempted, forecasts have been half of what reading took, and
+/// several placers admit calls before they see each other's. In replays, calls of light organisations
+/// were more often on time than with the whole, and more was served.
+const OVER_SHARE_WAIT_SHARE: f64 = CONTENDED_WAIT_SHARE / 2.0;
 
-/// Whether a call that is placed behind those of others is begun soon and will be on time.
-pub(super) fn is_admitted(
+/// Whether a call that is placed behind those of others will be on time although more of them arrive
+/// before it is read, and makes no queue in which others would be late.
+pub(super) fn is_on_time(
     fleet: &Fleet,
     demand: &Demand,
     choice: &Choice,
     expected: Duration,
     now: Moment,
 ) -> bool {
-    let reader = choice.target().and_then(|target| fleet.get(&target.engine));
-    expected <= demand.latency_target
-        && reader
-            .is_some_and(|engine| cost::read_wait(fleet, engine, demand, now) <= max_wait(demand))
+    let waited = waited_share(fleet, demand, choice);
+    if expected > demand.latency_target || waited > OVER_SHARE_WAIT_SHARE {
+        return false;
+    }
+    let stretch = fleet.shares.stretch(demand.service, now);
+    expected.mul_f64(stretch) <= demand.latency_target || waited <= IDLE_WAIT_SHARE
 }
 
 /// Whether an engine would begin to run a call at once.
--- a/crates/serving/src/shares.rs
+++ b/crates/serving/src/shares.rs
@@ -17,9 +17,11 @@
 use crate::{ServiceName, hash};
 
 mod level;
+mod stretch;
 mod usage;
 
 pub use level::{MAX_ANNOUNCED, MAX_ANNOUNCED_IN_ALL};
+use stretch::Stretch;
 use usage::{Hold, Usage};
 
 /// What an organisation may take of a service.
@@ -69,12 +71,14 @@
     pub slots: u32,
     /// Time that reading its prompt takes, in milliseconds.
     pub reading_ms: f64,
+    /// Forecast of its first answer, if it was placed behind the calls of others.
+    pub forecast: Option<Duration>,
 }
 
 /// Time after the last sign of contention for which a service counts as contended.
 const CONTENTION_TIME: Duration = Duration::from_secs(1);
 /// Share of its latency target that a call must wait to show contention.
-const CONTENDED_WAIT_SHARE: f64 = 0.5;
+pub(crate) const CONTENDED_WAIT_SHARE: f64 = 0.5;
 /// Age after which a placer's announcement is dropped, as its work at engines is.
 const ANNOUNCEMENT_AGE: Duration = Duration::from_millis(3_200);
 /// Time for which a water level is kept: it changes slowly, and computing it sorts all usage.
@@ -107,6 +111,7 @@
     pruned_at: Option<Moment>,
     peers: BTreeMap<PeerId, Announcement>,
     holds: Hold,
+    stretch: Stretch,
     contended_at: Option<Moment>,
     /// The last water level, and when it was computed.
     level: Cell<Option<(Moment, f64)>>,
@@ -213,6 +218,19 @@
             return;
         }
         call.holds_since = Some(at);
+        if let (Some(forecast), Some(service)) = (
+            call.cost.forecast,
+            self.services.get_mut(&call.cost.service),
+        ) {
+            let took = at.saturating_sub(call.begun_at);
+            service.stretch.observe(ratio(took, forecast), at);
+        }
+    }
+
+    /// The factor by which calls that are placed behind others wait longer than forecast.
+    pub(crate) fn stretch(&self, service: &ServiceName, now: Moment) -> f64 {
+        let known = self.services.get(service);
+        known.map_or(1.0, |service| service.stretch.ratio(now))
     }
 
     /// Corrects the cost of a call that has ended.
@@ -223,6 +241,13 @@
         let Some(service) = self.services.get_mut(&call.cost.service) else {
             return;
         };
+        if let (None, Some(forecast)) = (call.holds_since, call.cost.forecast) {
+            // Its caller has left.
+            let ratio = ratio(now.saturating_sub(call.begun_at), forecast);
+            if ratio > service.stretch.ratio(now) {
+                service.stretch.observe(ratio, now);
+            }
+        }
         let held = call.holds_since.map(|since| now.saturating_sub(since));
         let hold_ms = held.map(|held| held.as_secs_f64() * 1_000.0);
         if let Some(hold_ms) = hold_ms {
@@ -431,6 +456,10 @@
     }
 }
 
+fn ratio(took: Duration, forecast: Duration) -> f64 {
+    took.as_secs_f64() / forecast.as_secs_f64().max(1e-3)
+}
+
 /// Time after which usage has decayed to the level, if it is a `ratio` of it now. Spread, so that
 /// the callers of an organisation do not return together.
 fn retry_after(ratio: f64, organisation: Id, now: Moment) -> Duration {
