--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -23,7 +23,7 @@
 use crate::usage::REPORTERS;
 use crate::{
     announcements, bootstrap, discovery, engine_links, forward, limits, quarantine_store, receive,
-    registrar, suspects, usage, warmup,
+    registrar, shares, suspects, usage, warmup,
 };
 
 mod updates;
@@ -120,6 +120,7 @@
     let mut next_send = Instant::now();
     let mut state_due = Instant::now();
     let mut usage_due = Instant::now();
+    let mut shares_log_due = Instant::now();
     loop {
         let was_notified = timeout(IDLE_INTERVAL, instance.frame_due.notified())
             .await
@@ -146,6 +147,10 @@
             usage_due = Instant::now() + USAGE_INTERVAL;
             bytes += send_usage(&instance, &socket, now);
         }
+        if is_state_due && Instant::now() >= shares_log_due && shares::log_contended(&instance, now)
+        {
+            shares_log_due = Instant::now() + shares::LOG_INTERVAL;
+        }
         if let Some(frame) = next_frame(&instance, is_state_due, now) {
             if is_state_due {
                 let reads = frame.state.as_ref().is_some_and(reads_store);
@@ -249,6 +254,9 @@
         let others = changes.into_iter().filter(is_missing_from_state);
         add_changes(&mut frame, others.collect(), now);
         frame.state = Some(encode_state(instance, &fleet, peers.is_warm, now));
+        if instance.is_placing() {
+            frame.organisation_uses = shares::encode(fleet.shares.announce(now));
+        }
         frame.rate_limits = limits::to_wire(fleet.throttles.to_repeat(), now);
         frame.leaving = announcements::leaving_to_repeat(&fleet);
     } else {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -12,7 +12,7 @@
 use crate::admission::{self, Admission};
 use crate::attempt::Request;
 use crate::instance::Instance;
-use crate::limits;
+use crate::{limits, shares};
 
 pub(crate) mod client;
 pub(crate) mod server;
@@ -33,6 +33,7 @@
         let choice = choose(instance, request, avoid, may_split, software).await;
         let Some(target) = choice.target() else {
             limits::note_refusal(instance, &choice);
+            shares::note_refusal(instance, &request.service.name, &choice);
             return choice;
         };
         if limits::wait(instance, request, target).await {
@@ -157,6 +158,7 @@
         isolated: false,
         reserved: None,
         software: None,
+        organisation: shares::organisation_of(request),
     }
 }
 
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -123,7 +123,11 @@
     let ms = request.elapsed().as_millis();
     match end {
         End::Answer(response, _) => {
-            log::info!(id = id, route = route, ms:% = ms, status = response.reply.status; "answered");
+            log::info!(
+                id = id, route = route, ms:% = ms, status = response.reply.status,
+                organisation = request.principal.name();
+                "answered"
+            );
         }
         End::NotRun { after, why, best } => log_refused(request, *after, why, best.as_deref()),
         End::Unknown(why) => {
@@ -143,7 +147,7 @@
         id = request.call.id.as_str(), route = request.route.name.as_str(), ms:% = request.elapsed().as_millis(),
         after_ms:% = after.as_millis(), expected_ms:% = expected.as_millis(), left_ms:% = request.remaining().as_millis(),
         unread = best.map_or(0, |best| best.prefill_tokens), rank = best.map_or(request.priority(), |best| best.rank),
-        engine = best.map_or("", |best| &*best.engine), why = why;
+        engine = best.map_or("", |best| &*best.engine), organisation = request.principal.name(), why = why;
         "refused"
     );
 }
