Measure load only while most instances are heard of

An instance that is cut off from the others, but not from the store, sees hardly any calls, may claim, and would order engines away that the others need. It forgets the measured load until it hears of half of the registered instances again, and then needs a whole window before it orders fewer.

tarragon_needed_engines shows the measured need of each service at the instances that plan.

--- a/crates/gateway/src/duties.rs
+++ b/crates/gateway/src/duties.rs
@@ -253,10 +253,10 @@
         .filter(|_| duties.is_some_and(|duties| duties.scaling));
     table.map_or_else(Vec::new, |table| {
         let fleet = instance.fleet.borrow();
-        instance
-            .claim_log
-            .target_sizes()
-            .plan(&table, &fleet, instance.now())
+        let now = instance.now();
+        let knows_most_calls = instance.peers.borrow().hears_most(now);
+        let mut sizes = instance.claim_log.target_sizes();
+        sizes.plan(&table, &fleet, knows_most_calls, now)
     })
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -175,6 +175,7 @@
     suspects: Family<Labels<Suspect>, Gauge>,
     configuration_version: Gauge,
     engines: Gauge,
+    needed_engines: Family<Labels<String>, Gauge>,
     instances: Gauge,
     open_calls: Gauge,
 }
@@ -205,6 +206,7 @@
             suspects: Family::default(),
             configuration_version: Gauge::default(),
             engines: Gauge::default(),
+            needed_engines: Family::default(),
             instances: Gauge::default(),
             open_calls: Gauge::default(),
         };
@@ -316,6 +318,11 @@
             self.configuration_version.clone(),
         );
         registry.register("engines", "Engines that take calls", self.engines.clone());
+        registry.register(
+            "needed_engines",
+            "Engines that the measured load of a service needs; 0 while it is not known",
+            self.needed_engines.clone(),
+        );
         registry.register("instances", "Instances known", self.instances.clone());
         registry.register(
             "calls_in_hand",
@@ -452,6 +459,12 @@
         let fleet = instance.fleet.borrow();
         let open = fleet.all().filter(|engine| engine.takes_calls()).count();
         self.engines.set(gauge_value(open));
+        for (service, needed) in instance.claim_log.target_sizes().needed(instance.now()) {
+            let labels = [("service", service.to_string())];
+            self.needed_engines
+                .get_or_create(&labels)
+                .set(i64::from(needed));
+        }
         self.limited_engines
             .set(gauge_value(fleet.throttles.count()));
         let (held, alone) = instance.suspects.count();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -396,6 +396,14 @@
         }
     }
 
+    /// Whether at least half of the other registered instances were heard of lately. An instance
+    /// that is cut off from them knows only a part of the calls.
+    pub(crate) fn hears_most(&self, now: Moment) -> bool {
+        let registered = self.by_address.values();
+        let heard = registered.filter(|registered| registered.is_heard(now));
+        2 * heard.count() >= self.by_address.len()
+    }
+
     /// Whether a fresh reader of a topic comes before `order`.
     pub(crate) fn has_reader_before(&self, order: u64, topic: Topic, now: Moment) -> bool {
         let mut readers = self.reader_states(topic);
--- a/crates/gateway/src/pool_sizes.rs
+++ b/crates/gateway/src/pool_sizes.rs
@@ -25,11 +25,22 @@
 }
 
 impl PoolSizes {
-    /// Orders that are due now.
-    pub(crate) fn plan(&mut self, table: &Table, fleet: &Fleet, now: Moment) -> Vec<Target> {
+    /// Orders that are due now. The load counts only while this instance knows the calls of most
+    /// others.
+    pub(crate) fn plan(
+        &mut self,
+        table: &Table,
+        fleet: &Fleet,
+        knows_most_calls: bool,
+        now: Moment,
+    ) -> Vec<Target> {
         for (service, _) in table.ranges() {
             let planner = self.planners.entry(service.clone()).or_default();
-            planner.observe(fleet, service, now);
+            if knows_most_calls {
+                planner.observe(fleet, service, now);
+            } else {
+                planner.forget_load();
+            }
         }
         if self.wishes.held {
             return Vec::new();
@@ -88,6 +99,12 @@
         numbers.collect()
     }
 
+    /// Engines that the measured load of each service needs; 0 while it is not known.
+    pub(crate) fn needed(&self, now: Moment) -> impl Iterator<Item = (&ServiceName, u32)> {
+        let planners = self.planners.iter();
+        planners.map(move |(service, planner)| (service, needed(planner, now).unwrap_or_default()))
+    }
+
     /// Adopts the numbers that others ordered.
     pub(crate) fn adopt(&mut self, numbers: &[EngineCounts], now: Moment) {
         for group in numbers.chunk_by(|one, next| one.service == next.service) {
--- a/crates/serving/src/scaling.rs
+++ b/crates/serving/src/scaling.rs
@@ -273,6 +273,11 @@
         self.load.observe(fleet, service, now);
     }
 
+    /// Forgets the measured load, because the calls of many instances are not known.
+    pub fn forget_load(&mut self) {
+        self.load = Load::default();
+    }
+
     /// The engines that the measured load needs, if it is known.
     pub fn need(&self, now: Moment) -> Option<Need> {
         self.load.need(now)
--- a/crates/serving/tests/scaling_load.rs
+++ b/crates/serving/tests/scaling_load.rs
@@ -195,6 +195,19 @@
     );
 }
 
+/// Guards against shrinking by the load of one instance alone: it was cut off from the others, but
+/// not from the store, and saw hardly any calls.
+#[test]
+fn a_forgotten_load_is_measured_anew_before_numbers_fall() {
+    let (mut world, mut planner) = loaded(QUIET);
+    world.run(&mut planner, 24);
+    let before = ordered(&world);
+    planner.forget_load();
+    assert_eq!(planner.need(world.now), None);
+    world.run(&mut planner, 7);
+    assert_eq!(ordered(&world), before);
+}
+
 /// Guards against prices that shut a data centre out, or a planner that stops at one of them.
 #[test]
 fn invalid_prices_are_ignored() {
