Leave the time until an answer arrives out of the load

What operators saw: the need of a deployment was computed as 133 to 162 engines, while 58 are known to carry its load.

Cause: an engine counted as reading from the moment a prompt was sent until its first answer had arrived. That includes the setup time (handover, first step, both directions of the path), learned beside the reading speed and as long as the reading of a short prompt. Spread over many engines, each prompt has a setup of its own, so that more engines showed more load. On top, half of an engine's time was taken as its limit.

Change: one learned setup is subtracted each time that an engine has nothing left to read, at most half of the time with unread prompts, since the setup is an estimate.

The need has not been measured on a whole deployment again.

--- a/crates/serving/src/pauses.rs
+++ b/crates/serving/src/pauses.rs
@@ -14,6 +14,10 @@
 pub(crate) struct ReadActivity {
     is_reading: bool,
     total: Duration,
+    /// Number of times that the last prompt was read.
+    ended_periods: u32,
+    /// When that last happened.
+    ended_at: Option<Moment>,
     at: Moment,
 }
 
@@ -22,9 +26,21 @@
     pub(crate) fn set(&mut self, is_reading: bool, now: Moment) {
         self.total = self.total(now);
         self.at = self.at.max(now);
+        if self.is_reading && !is_reading {
+            self.ended_periods = self.ended_periods.wrapping_add(1);
+            self.ended_at = Some(now);
+        } else if is_reading && !self.is_reading && self.ended_at == Some(now) {
+            // All work of another instance was replaced by what it announces.
+            self.ended_periods = self.ended_periods.wrapping_sub(1);
+        }
         self.is_reading = is_reading;
     }
 
+    /// Number of periods with prompts to read that have ended.
+    pub(crate) fn ended_periods(&self) -> u32 {
+        self.ended_periods
+    }
+
     /// Total time with prompts to read.
     pub(crate) fn total(&self, now: Moment) -> Duration {
         if self.is_reading {
