Order fewer engines also while a data centre has lost its own

A data centre whose engines are reclaimed was lost or stood in for nearly all the time, and the number fell only while none was.

The lost one's order need not be accepted for the next step, so that it gets its part of the present number and not of the initial one. Others stand in only as far as they do not carry need and reserve by themselves, once a whole window has been measured.

A data centre that lost its engines within 7 s of an order for fewer counted as waiting for that order, and its engines as serving. Only an order for more is waited for now. In the simulated deployment an order for fewer no longer delays engines that are booting, which a platform would not do either.

Not measured on a whole deployment.

--- a/crates/serving/src/scaling.rs
+++ b/crates/serving/src/scaling.rs
@@ -138,10 +138,22 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct OrderState {
     ordered: Option<(u32, Moment)>,
+    /// When a larger number than before was last ordered. An order for fewer is no reason to wait
+    /// for engines that boot.
+    raised_at: Moment,
     refused_at: Option<Moment>,
     off_since: Option<Moment>,
 }
 
+impl OrderState {
+    fn set_ordered(&mut self, engines: u32, now: Moment) {
+        if self.ordered.is_none_or(|(before, _)| before < engines) {
+            self.raised_at = now;
+        }
+        self.ordered = Some((engines, now));
+    }
+}
+
 /// Additional engines that a data centre has to stand in for others.
 #[derive(Clone, Copy, Debug, Default)]
 struct StandIn {
@@ -307,10 +319,9 @@
     pub fn record_order(&mut self, order: &Order, now: Moment) {
         self.has_begun |= !order.reclaimable;
         let order_state = self.order_state(&order.zone, order.reclaimable);
-        *order_state = OrderState {
-            ordered: Some((order.engines, now)),
-            ..OrderState::default()
-        };
+        order_state.set_ordered(order.engines, now);
+        order_state.refused_at = None;
+        order_state.off_since = None;
     }
 
     /// Records that an order was refused, or that its outcome is unknown.
@@ -352,7 +363,7 @@
                 let order_state = self.order_state(&state.zone, reclaimable);
                 let is_known = order_state.ordered.map(|(known, _)| known) == engines;
                 if let Some(engines) = engines.filter(|_| !is_known) {
-                    order_state.ordered = Some((engines, now));
+                    order_state.set_ordered(engines, now);
                 }
             }
         }
@@ -384,8 +395,10 @@
             let has = counts.get(zone).map_or(0, |count| count.reclaimable);
             let ordered = self.order_states.get(&(zone.clone(), true));
             let is_awaited = ordered
-                .and_then(|order_state| order_state.ordered)
-                .is_none_or(|(_, at)| now.saturating_sub(at) < range.boot + LISTING_DELAY);
+                .filter(|order_state| order_state.ordered.is_some())
+                .is_none_or(|order_state| {
+                    now.saturating_sub(order_state.raised_at) < range.boot + LISTING_DELAY
+                });
             if f64::from(has) >= f64::from(usual) * LOST_SHARE {
                 plan.lost_since = None;
             } else if plan.lost_since.is_some() || !is_awaited {
@@ -398,6 +411,11 @@
         if missing == 0 || others == 0 {
             return;
         }
+        let limit = self.stand_in_limit(counts, range, now);
+        let missing = limit.map_or(missing, |limit| missing.min(limit));
+        if missing == 0 {
+            return;
+        }
         let stand_in = StandIn {
             engines: missing.div_ceil(others),
             until: now + STAND_IN_TIME,
--- a/crates/serving/src/scaling/load_plan.rs
+++ b/crates/serving/src/scaling/load_plan.rs
@@ -55,6 +55,15 @@
         allotments.map(|allotment| allotment.max).sum()
     }
 
+    /// Engines planned in data centres that have not lost theirs.
+    fn remaining(&self) -> u32 {
+        let remaining = self
+            .allotments
+            .iter()
+            .filter(|allotment| !allotment.is_lost);
+        remaining.map(|allotment| allotment.engines).sum()
+    }
+
     /// Reclaimable engines that carry the load, also after the loss of a data centre's.
     fn required(&self, need: &Need) -> f64 {
         let constant = f64::from(self.constant);
@@ -96,7 +105,9 @@
         } else if need.is_whole && self.may_shrink(&present, range, now) {
             let least_drop = ceil_share(total, MIN_DROP).max(1);
             let largest_drop = ceil_share(total, MAX_DROP).min(MAX_LEAVING);
-            let goal = wanted.max(floor);
+            // Engines that are lost at present do not count as carrying any load.
+            let lost = total - present.remaining();
+            let goal = wanted.max(floor) + kept_lost(wanted.max(floor), lost, total);
             if goal + least_drop > total {
                 return;
             }
@@ -107,10 +118,13 @@
         if next == total {
             return;
         }
+        allocation::allocate(&mut present.allotments, next);
         if next < total {
+            if present.remaining() < wanted {
+                return;
+            }
             self.shrunk_at = now;
         }
-        allocation::allocate(&mut present.allotments, next);
         for allotment in present.allotments {
             if let Some(plan) = self.zones.get_mut(&allotment.zone)
                 && plan.target(range).reclaimable != allotment.engines
@@ -120,18 +134,34 @@
         }
     }
 
-    /// Whether fewer engines may be planned: the last step was ordered, and none are missing.
+    /// Engines that may stand in for lost ones, by the measured load; `None` while it is not known.
+    /// None are needed while the data centres that have not lost theirs carry it.
+    pub(super) fn stand_in_limit(
+        &self,
+        counts: &BTreeMap<Zone, Count>,
+        range: &Range,
+        now: Moment,
+    ) -> Option<u32> {
+        let need = self.load.need(now).filter(|need| need.is_whole)?;
+        let present = self.present(counts, range);
+        // A settled plan is larger than wanted by up to the least drop.
+        let carrying = present.required(&need) * (1.0 + MARGIN) / (1.0 - MIN_DROP);
+        Some(ceil(carrying + 1.0).saturating_sub(present.remaining()))
+    }
+
+    /// Whether fewer engines may be planned: the last step was ordered wherever engines are to be
+    /// had.
     fn may_shrink(&self, present: &Present, range: &Range, now: Moment) -> bool {
         let is_ordered = |allotment: &Allotment| {
+            if allotment.is_lost {
+                return true;
+            }
+            let wanted = self.wanted(&allotment.zone, range, now).reclaimable;
             let state = self.order_states.get(&(allotment.zone.clone(), true));
             let ordered = state.and_then(|state| state.ordered);
-            ordered.is_some_and(|(engines, _)| engines == allotment.engines)
+            ordered.is_some_and(|(engines, _)| engines == wanted)
         };
-        let is_whole = self.zones.values().all(|plan| {
-            plan.initial_engines > range.max || (plan.lost_since.is_none() && !plan.stands_in(now))
-        });
-        is_whole
-            && now.saturating_sub(self.shrunk_at) >= STEP_INTERVAL
+        now.saturating_sub(self.shrunk_at) >= STEP_INTERVAL
             && present.allotments.iter().all(is_ordered)
     }
 
@@ -176,6 +206,13 @@
     }
 }
 
+/// Engines planned for data centres that have lost theirs, beside `remaining` elsewhere, in the same
+/// proportion as at present.
+fn kept_lost(remaining: u32, lost: u32, total: u32) -> u32 {
+    let present = total.saturating_sub(lost).max(1);
+    ceil(f64::from(remaining) * f64::from(lost) / f64::from(present))
+}
+
 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
 fn ceil(number: f64) -> u32 {
     number.ceil() as u32
--- a/crates/serving/tests/common/deployment.rs
+++ b/crates/serving/tests/common/deployment.rs
@@ -38,6 +38,9 @@
     pub(crate) range: Range,
     /// The numbers ordered, and since when.
     pub(crate) ordered: BTreeMap<(Zone, bool), (u32, Duration)>,
+    /// When each number was last ordered to rise: an order for fewer does not delay engines that
+    /// are booting.
+    raised: BTreeMap<(Zone, bool), Duration>,
     /// Data centres where no reclaimable engine is available.
     pub(crate) unavailable: Vec<&'static str>,
     /// All orders, and whether they were accepted.
@@ -55,6 +58,7 @@
             now: ms(0),
             range: range(),
             ordered: BTreeMap::new(),
+            raised: BTreeMap::new(),
             unavailable: Vec::new(),
             log: Vec::new(),
             next: 0,
@@ -125,7 +129,10 @@
             } else {
                 planner.record_order(&order, self.now);
                 let key = (order.zone.clone(), order.reclaimable);
-                self.ordered.insert(key, (order.engines, self.now));
+                let before = self.ordered.insert(key.clone(), (order.engines, self.now));
+                if before.is_none_or(|(before, _)| before <= order.engines) {
+                    self.raised.insert(key, self.now);
+                }
             }
             self.log.push((self.now, order, !is_dry));
         }
@@ -161,7 +168,8 @@
         for ((name, reclaimable), (engines, since)) in self.ordered.clone() {
             let there = self.engines_of(&name, reclaimable);
             let has = u32::try_from(there.len()).expect("the number of engines fits");
-            if has < engines && self.now >= since + BOOT {
+            let raised = self.raised[&(name.clone(), reclaimable)];
+            if has < engines && self.now >= raised + BOOT {
                 self.add(&name, reclaimable, engines - has);
             }
             // An engine leaves some time after it was ordered to.
