Read how long a leaving engine still has

What operators saw: an engine that the platform takes away showed only as `engine changed` with a state, without the time that it had.

Change: `leaves_ms` of a draining engine's record becomes a checked type, a notice of 0 to ten minutes. `engine leaves` is logged with the notice. The first notice is kept: it shrinks with each renewal of the record, and each would have been a change to log and announce at all instances.

Nothing else uses the notice. Leaving engines get no new calls, as before, and the planner counted them as gone already. Fetching what only they cache is left: the engine that fetches does so once it begins the prompt, and the gateway cannot bound when that request reaches the leaving one.

--- a/crates/gateway/src/engine_records.rs
+++ b/crates/gateway/src/engine_records.rs
@@ -126,6 +126,10 @@
                 born = record.started_ms.unwrap_or_default(), source:? = source, offset = offset;
                 "engine changed"
             );
+            if record.state == State::Draining {
+                let leaves_ms = record.notice.map(|notice| notice.duration().as_millis());
+                log::info!(engine = name, reclaimable = record.reclaimable, leaves_ms:? = leaves_ms; "engine leaves");
+            }
         }
         _ => {
             log::info!(engine = name, change:? = change, source:? = source, offset = offset; "engine's record is gone");
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -1,6 +1,7 @@
 //! State of one engine: its record, its queued work and its speed.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -33,6 +34,46 @@
     Draining,
 }
 
+/// Time that a leaving engine still has, as of its record. The record may be read later, so this is
+/// the longest that is left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Notice(Duration);
+
+/// Longest notice. A longer one is a time of day or another unit.
+const MAX_NOTICE: Duration = Duration::from_secs(600);
+
+/// A time that cannot be a [`Notice`], in milliseconds: negative, not finite or above ten minutes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct InvalidNotice(pub f64);
+
+impl fmt::Display for InvalidNotice {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ms is not between 0 and ten minutes", self.0)
+    }
+}
+
+impl std::error::Error for InvalidNotice {}
+
+impl Notice {
+    /// The time that was left.
+    pub fn duration(self) -> Duration {
+        self.0
+    }
+}
+
+impl TryFrom<f64> for Notice {
+    type Error = InvalidNotice;
+
+    /// Checks a number of milliseconds.
+    fn try_from(ms: f64) -> Result<Self, InvalidNotice> {
+        let time = Duration::try_from_secs_f64(ms / 1_000.0).map_err(|_| InvalidNotice(ms))?;
+        if time > MAX_NOTICE {
+            return Err(InvalidNotice(ms));
+        }
+        Ok(Self(time))
+    }
+}
+
 /// What an engine registers about itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Record {
@@ -61,6 +102,8 @@
     pub software: Option<Rc<str>>,
     /// Whether the platform may reclaim it, together with all such engines of its data centre.
     pub reclaimable: bool,
+    /// How long it stays, if it leaves and said so.
+    pub notice: Option<Notice>,
 }
 
 impl Record {
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -114,7 +114,10 @@
     }
 
     /// Adds or updates an engine by its record. Returns whether anything changed.
-    pub fn put(&mut self, record: Record) -> bool {
+    ///
+    /// The first notice of a leaving engine is kept. It shrinks with each renewal of the record,
+    /// which would otherwise be a change to log and announce each time.
+    pub fn put(&mut self, mut record: Record) -> bool {
         let before = self.engines.get(&record.id).map(|engine| &engine.record);
         let is_counted = before.is_some_and(|before| {
             before.software == record.software && before.service == record.service
@@ -128,6 +131,7 @@
         }
         match self.engines.get_mut(&record.id) {
             Some(engine) => {
+                record.notice = engine.record.notice.or(record.notice);
                 let changed = engine.record_gone || engine.record != record;
                 engine.record_gone = false;
                 engine.leaving |= record.state == State::Draining;
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -42,6 +42,7 @@
         weights: Some(1),
         software: Some(Rc::from("v1")),
         reclaimable: false,
+        notice: None,
     }
 }
 
--- a/crates/serving/tests/registry.rs
+++ b/crates/serving/tests/registry.rs
@@ -315,3 +315,21 @@
     );
     assert!(registry.expire(&mut fleet, ms(9_000)).is_empty());
 }
+
+/// Guards against an announcement and a log line for each heartbeat of a leaving engine, at all
+/// instances: the time that it still has shrinks with each.
+#[test]
+fn the_time_that_a_leaving_engine_still_has_is_no_change() {
+    let mut fleet = Fleet::default();
+    let leaving = |ms: Option<f64>| Record {
+        state: State::Draining,
+        notice: ms.map(|ms| ms.try_into().expect("it is valid")),
+        ..record("e1", None)
+    };
+    assert!(fleet.put(leaving(Some(5_000.0))));
+    assert!(!fleet.put(leaving(Some(4_000.0))));
+    assert!(!fleet.put(leaving(None)));
+    let engine = fleet.get("e1").expect("it is known");
+    assert_eq!(engine.record, leaving(Some(5_000.0)));
+    assert!(!engine.takes_calls());
+}
