Test that the number of engines falls under light load

What is guarded: a gateway process that measures a load of one call at a time orders fewer than the regular fifteen reclaimable engines, goes on while two of them leave, one with an invalid time, and sends these no calls.

--- a/crates/gateway/tests/duties.rs
+++ b/crates/gateway/tests/duties.rs
@@ -3,6 +3,7 @@
 mod harness;
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use harness::{Gateway, configuration, generation, wait_until};
 use platform_standin::cloud::{Call, Fault};
@@ -14,6 +15,10 @@
 const WINDOW_MS: u32 = 1_500;
 const LATE_MS: u32 = 8_000;
 
+/// Length of streams that keep an engine busy while a test waits.
+const STREAM_EVENTS: usize = 10;
+const EVENT_PAUSE: Duration = Duration::from_millis(100);
+
 const KEYS: [(&str, &str); 2] = [("a", "key-of-a"), ("b", "key-of-b")];
 
 fn configure(gateway: &Gateway, version: u64, autoscale: bool) {
@@ -244,6 +249,73 @@
     assert_tokens_rise(&cloud, "/scale");
 }
 
+/// Calls that keep an engine busy all the time need few engines. Guards against paying for the
+/// regular number all day, and against calls to engines that leave since they are not needed.
+#[actix_rt::test]
+async fn the_number_of_engines_falls_under_light_load() {
+    let (cloud, gateway, _app, pool) = start().await;
+    let mut engines = vec![pool];
+    for n in 0..9 {
+        let engine = Engine::start(&format!("e{n}")).await;
+        engine.register(&gateway.store, "pool", "ready", Some("decode"));
+        engines.push(engine);
+    }
+    configure(&gateway, 2, true);
+    let ordered = || {
+        let calls = cloud.calls("/scale").into_iter();
+        let mut orders = calls.filter(|call| call.body["spot"] == json!(true) && call.taken);
+        orders
+            .next_back()
+            .and_then(|call| call.body["desired"].as_u64())
+    };
+    wait_until(async || ordered() == Some(15)).await;
+    let mut reclaimable = Vec::new();
+    for n in 0..15 {
+        let engine = Engine::start(&format!("r{n}")).await;
+        engine.register_reclaimable(&gateway.store, "pool", "decode");
+        reclaimable.push(engine);
+    }
+    for engine in engines.iter().chain(&reclaimable) {
+        engine.set_stream(STREAM_EVENTS, EVENT_PAUSE);
+    }
+    let calls = async {
+        loop {
+            send_calls(&gateway, 0, 1).await;
+        }
+    };
+    let falls = async {
+        wait_until(async || ordered().is_some_and(|engines| engines < 15)).await;
+        let desired = ordered().unwrap_or_default();
+        let desired = usize::try_from(desired).expect("it fits");
+        for (engine, leaves_ms) in reclaimable[desired..]
+            .iter()
+            .zip([json!(30_000), json!(-5)])
+        {
+            engine.register_leaving(&gateway.store, "pool", "decode", &leaves_ms);
+        }
+        wait_until(async || gateway.count_log_lines("engine leaves") == 2).await;
+        let counts = || {
+            reclaimable[desired..desired + 2]
+                .iter()
+                .map(|engine| engine.received().len())
+        };
+        let before: Vec<usize> = counts().collect();
+        wait_until(async || ordered().is_some_and(|engines| engines < desired as u64)).await;
+        assert!(counts().eq(before));
+    };
+    tokio::select! {
+        () = calls => {}
+        () = falls => {}
+    }
+    assert!(gateway.count_log_lines_with("engines ordered", "Load") > 0);
+    assert_eq!(
+        gateway.count_log_lines_with("engine leaves", "leaves_ms=Some(30000)"),
+        1
+    );
+    assert!(gateway.count_log_lines("remaining time of an engine is invalid") > 0);
+    assert_tokens_rise(&cloud, "/scale");
+}
+
 /// An operator suspends orders, fixes a number, and sees what was ordered.
 #[actix_rt::test]
 async fn an_operator_suspends_orders_and_fixes_numbers_of_engines() {
