Keep enough engines that a loss leaves calls their targets

Cause: the reserve let the engines that remain after a loss be busy for 0.9 of their time in the mean, which was enough as long as setup times counted as load. Without these it leaves nothing for peaks and for the parts that only the lost engines cached. And while a data centre was lost, the number fell below that up to which the others stand in, so that the next look ordered stand-ins for what had just been ordered away.

Change: 0.7 after a loss, as at the peak. While a data centre is lost, the number falls only as far as nothing stands in: to 1.28 times what is required and one more, the most that a settled plan has.

Each test was seen to fail again, also without the new lower bound while a data centre is lost.

Not measured on a whole deployment.

--- a/crates/serving/src/scaling/load_plan.rs
+++ b/crates/serving/src/scaling/load_plan.rs
@@ -25,8 +25,9 @@
 /// callers' cached prompts when the load returns.
 const FLOOR_SHARE: f64 = 0.2;
 /// Utilisation that the remaining engines may have in the mean after a data centre has lost its
-/// reclaimable engines, until others stand in for them.
-const LOSS_UTILISATION: f64 = 0.9;
+/// reclaimable engines. Calls must still meet their targets, since others stand in only after a boot
+/// time, and the prompt parts that only the lost ones cached are read again meanwhile.
+const LOSS_UTILISATION: f64 = 0.7;
 /// Largest share of reclaimable engines for whose loss the reserve is computed. With one or two data
 /// centres the loss of more cannot be made up for by more engines of the same kind.
 const MAX_LOSS_SHARE: f64 = 0.6;
@@ -64,6 +65,21 @@
         remaining.map(|allotment| allotment.engines).sum()
     }
 
+    /// Engines up to which others stand in for lost ones, and to which the number falls beside lost
+    /// ones: as many as a settled plan has, which exceeds what is wanted by up to the least drop.
+    fn carrying(&self, need: &Need) -> u32 {
+        ceil(self.required(need) * (1.0 + MARGIN) / (1.0 - MIN_DROP) + 1.0)
+    }
+
+    /// Engines that must be planned where none are lost before the number falls.
+    fn least_remaining(&self, need: &Need, wanted: u32) -> u32 {
+        if self.allotments.iter().any(|allotment| allotment.is_lost) {
+            self.carrying(need)
+        } else {
+            wanted
+        }
+    }
+
     /// Reclaimable engines that carry the load, also after the loss of a data centre's.
     fn required(&self, need: &Need) -> f64 {
         let constant = f64::from(self.constant);
@@ -107,7 +123,8 @@
             let largest_drop = ceil_share(total, MAX_DROP).min(MAX_LEAVING);
             // Engines that are lost at present do not count as carrying any load.
             let lost = total - present.remaining();
-            let goal = wanted.max(floor) + kept_lost(wanted.max(floor), lost, total);
+            let least = present.least_remaining(&need, wanted);
+            let goal = least.max(floor) + kept_lost(least.max(floor), lost, total);
             if goal + least_drop > total {
                 return;
             }
@@ -120,7 +137,7 @@
         }
         allocation::allocate(&mut present.allotments, next);
         if next < total {
-            if present.remaining() < wanted {
+            if present.remaining() < present.least_remaining(&need, wanted) {
                 return;
             }
             self.shrunk_at = now;
@@ -144,9 +161,7 @@
     ) -> Option<u32> {
         let need = self.load.need(now).filter(|need| need.is_whole)?;
         let present = self.present(counts, range);
-        // A settled plan is larger than wanted by up to the least drop.
-        let carrying = present.required(&need) * (1.0 + MARGIN) / (1.0 - MIN_DROP);
-        Some(ceil(carrying + 1.0).saturating_sub(present.remaining()))
+        Some(present.carrying(&need).saturating_sub(present.remaining()))
     }
 
     /// Whether fewer engines may be planned: the last step was ordered wherever engines are to be
