--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,6 +6,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -137,14 +138,28 @@
     }
 }
 
-/// Asks an instance whether it reaches an engine. `None` if it does not know.
+/// Whether another instance reaches an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Reach {
+    Reached,
+    /// It reaches other engines of the service.
+    NotReached,
+    /// It may have a fault of its own.
+    Unknown,
+    /// It reaches no engine of the service.
+    Isolated,
+    /// It could not be asked.
+    Silent,
+}
+
+/// Asks an instance whether it reaches an engine.
 pub(crate) async fn reaches(
     pool: &PeerPool,
     connect: impl AsyncFnOnce(SocketAddr, &TcpTimeouts) -> Result<Client, Failure>,
     peer: SocketAddr,
     engine: &Target,
     now: Moment,
-) -> Option<bool> {
+) -> Reach {
     let mut head = RequestHead::default();
     let headers = &mut head.headers;
     headers.insert(HOST, HeaderValue::from_static("instance"));
@@ -154,10 +169,13 @@
             if response.client.body(0).await.is_ok() {
                 pool.put(response.client, now);
             }
-            Some(true)
+            Reach::Reached
         }
-        Forwarded::Declined(NotForwarded::Unreachable) => Some(false),
-        Forwarded::Declined(_) | Forwarded::Silent(_) | Forwarded::Lost(_) => None,
+        Forwarded::Declined(NotForwarded::Unreachable) => Reach::NotReached,
+        Forwarded::Declined(NotForwarded::Isolated) => Reach::Isolated,
+        Forwarded::Declined(NotForwarded::Unavailable | NotForwarded::Busy) => Reach::Unknown,
+        Forwarded::Silent(failure) if !is_timeout(&failure) => Reach::Unknown,
+        Forwarded::Silent(_) | Forwarded::Lost(_) => Reach::Silent,
     }
 }
 
@@ -206,6 +224,11 @@
     }
 }
 
+/// Whether a connection did not open in time, rather than being refused.
+pub(crate) fn is_timeout(failure: &Failure) -> bool {
+    matches!(failure, Failure::NotSent(error) if error.kind() == io::ErrorKind::TimedOut)
+}
+
 fn refusal(head: &ResponseHead) -> Option<NotForwarded> {
     let why = head.headers.get(NOT_FORWARDED)?;
     let mut known = NotForwarded::ALL.into_iter();
