--- a/crates/gateway/src/pool_sizes.rs
+++ b/crates/gateway/src/pool_sizes.rs
@@ -9,6 +9,14 @@
 use serving::scaling::{Order, Planner, Reason, ZoneState};
 use serving::{Fleet, ServiceName, Table, Zone};
 
+/// A number of engines to order.
+pub(crate) struct Target {
+    pub(crate) size: EngineTarget,
+    pub(crate) reason: Reason,
+    /// Engines of the whole service that the measured load needs.
+    pub(crate) needed: Option<u32>,
+}
+
 /// Planners by service.
 #[derive(Default)]
 pub(crate) struct PoolSizes {
@@ -17,13 +25,23 @@
 }
 
 impl PoolSizes {
-    /// Orders that are due now.
+    /// Orders that are due now. The load counts only while this instance knows the calls of most
+    /// others.
     pub(crate) fn plan(
         &mut self,
         table: &Table,
         fleet: &Fleet,
+        knows_most_calls: bool,
         now: Moment,
-    ) -> Vec<(EngineTarget, Reason)> {
+    ) -> Vec<Target> {
+        for (service, _) in table.ranges() {
+            let planner = self.planners.entry(service.clone()).or_default();
+            if knows_most_calls {
+                planner.observe(fleet, service, now);
+            } else {
+                planner.forget_load();
+            }
+        }
         if self.wishes.held {
             return Vec::new();
         }
@@ -31,8 +49,12 @@
         for (service, range) in table.ranges() {
             let planner = self.planners.entry(service.clone()).or_default();
             let orders = planner.plan(fleet, service, range, now);
-            let orders = orders.into_iter();
-            sizes.extend(orders.map(|order| (to_size(service, &order), order.reason)));
+            let needed = needed(planner, now);
+            sizes.extend(orders.into_iter().map(|order| Target {
+                size: to_size(service, &order),
+                reason: order.reason,
+                needed,
+            }));
         }
         sizes
     }
@@ -63,19 +85,26 @@
     /// Whether no order is known, of this instance or others.
     pub(crate) fn is_empty(&self) -> bool {
         let is_none = |numbers: &EngineCounts| numbers.firm.or(numbers.reclaimable).is_none();
-        self.last_ordered_counts().iter().all(is_none)
+        self.last_ordered_counts(Moment::ZERO).iter().all(is_none)
     }
 
-    /// Includes the numbers that the deployment started with.
-    pub(crate) fn last_ordered_counts(&self) -> Vec<EngineCounts> {
+    /// Includes the numbers that the deployment started with, and the need as measured now.
+    pub(crate) fn last_ordered_counts(&self, now: Moment) -> Vec<EngineCounts> {
         let planners = self.planners.iter();
         let numbers = planners.flat_map(|(service, planner)| {
+            let needed = needed(planner, now);
             let book = planner.zone_states().into_iter();
-            book.map(|booked| EngineCounts::from_booked(service, &booked))
+            book.map(move |booked| EngineCounts::from_booked(service, &booked, needed))
         });
         numbers.collect()
     }
 
+    /// Engines that the measured load of each service needs; 0 while it is not known.
+    pub(crate) fn needed(&self, now: Moment) -> impl Iterator<Item = (&ServiceName, u32)> {
+        let planners = self.planners.iter();
+        planners.map(move |(service, planner)| (service, needed(planner, now).unwrap_or_default()))
+    }
+
     /// Adopts the numbers that others ordered.
     pub(crate) fn adopt(&mut self, numbers: &[EngineCounts], now: Moment) {
         for group in numbers.chunk_by(|one, next| one.service == next.service) {
@@ -105,6 +134,13 @@
     }
 }
 
+/// Engines that the measured load needs.
+#[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn needed(planner: &Planner, now: Moment) -> Option<u32> {
+    let need = planner.need(now)?;
+    Some(need.engines.ceil() as u32)
+}
+
 fn to_size(service: &ServiceName, order: &Order) -> EngineTarget {
     EngineTarget {
         service: service.clone(),
--- a/crates/serving/tests/common/mod.rs
+++ b/crates/serving/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Engines and calls shared by several tests.
 #![allow(dead_code, missing_docs)]
 
+pub(crate) mod deployment;
+
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -40,6 +42,7 @@
         weights: Some(1),
         software: Some(Rc::from("v1")),
         reclaimable: false,
+        notice: None,
     }
 }
 
