Count no time-out that the own link or event loop may have caused

Callers saw calls go through other instances over a saturated link: with 125 requests of 5.8 KB a second on 10 Mbit/s, handshakes with engines wait behind the instance's own bodies and time out, and three of them in a row were taken for lost paths.

serving::congestion keeps, for four seconds, how long own bytes wait for the link, how late the event loop ran, and the shortest round trip to any peer. A silence counts as the instance's own if one of the three accounts for a quarter of it. Without answers from anyone the link is not taken to be full unless its own queue says so, since lost paths look alike.

The kernel's counts of unsent bytes are not read: SIOCOUTQ and TCP_INFO have no safe interface in the libraries of the workspace, which forbids unsafe code. http1 counts what the kernel accepted instead, and the queue follows from the link's rate.

Such a time-out is not recorded as a lost path (engine_links), counts for nothing in the engine's health nor in reports to placers (engine_call), does not send the call through another instance (attempt), and a refusal counts as a crash only if the others that are asked could have answered in time (crash_detection). Refusals and resets count as before.

No load was measured.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -473,6 +473,10 @@
         Err(failure) => failure,
     };
     log::info!(id = request.call.id.as_str(), engine = &*engine.id, failure:% = failure; "no connection");
+    if failure.is_time_out() && instance.own_load.explains_silence(begun) {
+        // Other instances are reached over the same link.
+        return AttemptResult::NotRun(NotRun::Unsent);
+    }
     let cause = engine_links::find_cause(instance, &target, begun).await;
     if cause == Cause::Engine && has_alternative(instance, engine) {
         return AttemptResult::NotRun(NotRun::Unreachable);
--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -216,10 +216,15 @@
         }
         Err(Failure::NotSent(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
             // A broken path of this instance's own may refuse connections too.
+            let asked = instance.now();
             if engine_links::is_reached_by_others(instance, &engine.into()).await {
                 log::info!(engine = &*engine.id; "an engine that refuses connections is reached by another instance");
                 return ProbeResult::Unknown;
             }
+            if instance.own_load.explains_silence(asked) {
+                // The others may have answered too late for this instance.
+                return ProbeResult::Silent;
+            }
             ProbeResult::Ended
         }
         Err(_) => ProbeResult::Silent,
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -9,7 +9,7 @@
 use signals::{EarlySignals, Request, Signals};
 
 use crate::instance::Instance;
-use crate::{connection, duties, mesh, metrics, readiness, status, store_reader};
+use crate::{connection, duties, mesh, metrics, own_load, readiness, status, store_reader};
 
 /// Why the process cannot serve.
 #[derive(Clone, Copy, Debug)]
@@ -56,6 +56,7 @@
     );
     let front = http1::listen(listen.front).change_context(Failure::Listen)?;
     let ready = http1::listen(listen.ready).change_context(Failure::Listen)?;
+    actix_rt::spawn(own_load::run(instance.own_load.clone()));
     actix_rt::spawn(connection::accept(instance.clone(), front));
     actix_rt::spawn(status::serve(instance.clone(), ready, readiness::reply));
     if let Some(port) = port {
@@ -114,6 +115,7 @@
                 .budgets
                 .borrow_mut()
                 .set_limit(settings.bounds.retry_budget);
+            instance.own_load.set_link(settings.link_mbps);
             *instance.settings.borrow_mut() = settings;
             log::info!("settings reloaded");
         }
--- a/crates/gateway/src/engine_call.rs
+++ b/crates/gateway/src/engine_call.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use http1::Failure;
 use serving::engine::Ticket;
 use serving::fleet::SentCall;
 use serving::health::Outcome;
@@ -69,6 +70,8 @@
     unread: u32,
     started: Instant,
     outcome: Option<Outcome>,
+    /// Whether the engine is not to blame for the outcome.
+    is_own_fault: bool,
     placed_by: Option<(SocketAddr, Ticket)>,
     step: Step,
     /// When the first event arrived.
@@ -115,6 +118,7 @@
             unread: target.prefill_tokens,
             started: Instant::now(),
             outcome: None,
+            is_own_fault: false,
             placed_by: target.placed_by,
             step,
             first_event: Cell::new(None),
@@ -199,6 +203,23 @@
     pub(crate) fn set_outcome(&mut self, outcome: impl Into<Option<Outcome>>) {
         self.outcome = outcome.into();
     }
+
+    /// Sets the outcome of a call whose answer was lost.
+    pub(crate) fn set_lost(&mut self, failure: &Failure) {
+        if failure.is_time_out() {
+            self.set_timed_out();
+        } else {
+            self.set_outcome(Outcome::Failed);
+        }
+    }
+
+    /// Sets the outcome of a call without an answer in time, which counts for nothing while this
+    /// instance's own load may have caused it.
+    pub(crate) fn set_timed_out(&mut self) {
+        let begun = self.instance.now().saturating_sub(self.started.elapsed());
+        self.is_own_fault = self.instance.own_load.explains_silence(begun);
+        self.outcome = (!self.is_own_fault).then_some(Outcome::Failed);
+    }
 }
 
 impl Drop for EngineCall<'_> {
@@ -207,7 +228,7 @@
         let mut fleet = self.instance.fleet.borrow_mut();
         fleet.end_call(&self.sent, self.outcome, now);
         drop(fleet);
-        if self.outcome.is_none() {
+        if self.outcome.is_none() && !self.is_own_fault {
             let progress = self.progress();
             crash_detection::on_abandoned(self.instance, self.request, &self.sent.engine, progress);
         }
--- a/crates/gateway/src/engine_links.rs
+++ b/crates/gateway/src/engine_links.rs
@@ -177,6 +177,12 @@
     let begun = instance.now();
     let opened = instance.connect(engine.address, patience).await;
     instance.metrics.engine_connected(opened.as_ref().err());
+    let is_time_out = opened.as_ref().is_err_and(http1::Failure::is_time_out);
+    if !is_time_out {
+        instance.own_load.on_round_trip(engine.address, begun);
+    } else if instance.own_load.explains_silence(begun) {
+        return opened;
+    }
     match &opened {
         Ok(_) => on_opened(instance, engine),
         Err(http1::Failure::NotSent(error)) if error.kind() == io::ErrorKind::TimedOut => {
@@ -255,7 +261,7 @@
         return;
     };
     // An engine that ends resets its connections; only silence says something of the path.
-    if error.kind() == io::ErrorKind::TimedOut {
+    if error.kind() == io::ErrorKind::TimedOut && !instance.own_load.explains_silence(sent_at) {
         instance.pool.remove(&engine.id);
         on_failed(instance, engine, sent_at, Failure::Silent);
     }
@@ -305,21 +311,27 @@
     probe(instance, &witnesses).await;
 }
 
-/// Opens a connection to each of these engines, and keeps it for calls.
-async fn probe(instance: &Rc<Instance>, engines: &[Target]) {
+/// Opens a connection to each of these engines, and keeps it for calls. Returns how many opened.
+async fn probe(instance: &Rc<Instance>, engines: &[Target]) -> usize {
     let probes = engines.iter().map(async |engine| {
-        if let Ok(client) = connect(instance, engine, &PROBE_PATIENCE).await {
+        let opened = connect(instance, engine, &PROBE_PATIENCE).await;
+        let is_open = opened.is_ok();
+        if let Ok(client) = opened {
             instance.pool.put(&engine.id, client, None, instance.now());
         }
+        usize::from(is_open)
     });
-    join_all(probes).await;
+    join_all(probes).await.into_iter().sum()
 }
 
 /// Whether a new connection to an engine opens; `None` if it does not, and it may be this instance's own
 /// fault.
 pub(crate) async fn reaches(instance: &Rc<Instance>, engine: &Target) -> Option<bool> {
     let begun = instance.now();
-    probe(instance, std::slice::from_ref(engine)).await;
+    let is_open = probe(instance, std::slice::from_ref(engine)).await > 0;
+    if !is_open && instance.own_load.explains_silence(begun) {
+        return None;
+    }
     if instance.links.state().path(&engine.id, &engine.service) == Path::Direct {
         return Some(true);
     }
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -305,7 +305,7 @@
                 log::info!(id = self.request.call.id.as_str(), engine = &*engine.id, failure:% = failure,
                     fingerprint = self.request.fingerprint_text(), caller:% = self.request.caller;
                     "the prompt's reading was lost");
-                engine_call.set_outcome(Outcome::Failed);
+                engine_call.set_lost(&failure);
                 self.on_broken(engine_call, &engine).await;
                 return PrefillResult::Lost;
             }
@@ -390,7 +390,7 @@
                 log::info!(id = self.request.call.id.as_str(), engine = &*engine.id, failure:% = failure,
                     fingerprint = self.request.fingerprint_text(), parts = self.request.shared_parts_text(), caller:% = self.request.caller;
                     "the engine's answer was lost");
-                engine_call.set_outcome(Outcome::Failed);
+                engine_call.set_lost(&failure);
                 self.on_broken(engine_call, &engine).await;
                 self.avoid.push(target.engine.clone());
                 GenerateResult::Next(self.after_loss("The engine's answer was lost."))
@@ -469,7 +469,7 @@
                 log::info!(id = self.request.call.id.as_str(), engine = &*engine.id, failure:% = failure, framing:? = response.framing, last:? = self.relay.last(),
                     fingerprint = self.request.fingerprint_text(), parts = self.request.shared_parts_text(), caller:% = self.request.caller;
                     "the engine broke off");
-                engine_call.set_outcome(Outcome::Failed);
+                engine_call.set_lost(&failure);
                 self.on_broken(engine_call, engine).await;
                 self.avoid.push(engine.id.clone());
                 self.after_loss("The engine broke off.")
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -31,6 +31,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
 use crate::origins::{self, Outgoing, StreamOrigins};
+use crate::own_load::OwnLoad;
 use crate::peers::{self, Peers, Topic};
 use crate::placement::client::Pending;
 use crate::pool::Pool;
@@ -94,6 +95,8 @@
     pub pool: Pool,
     /// Paths to engines.
     pub links: EngineLinks,
+    /// Load of the own link and event loop.
+    pub own_load: Rc<OwnLoad>,
     /// Number of requests being sent for other instances.
     pub forwarding: Cell<usize>,
     /// Software versions that began streams.
@@ -168,6 +171,7 @@
             usual: RefCell::default(),
             pool: Pool::default(),
             links: EngineLinks::default(),
+            own_load: Rc::new(OwnLoad::new(clock, settings.link_mbps)),
             forwarding: Cell::new(0),
             origins: StreamOrigins::default(),
             suspects: Suspects::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod metrics;
 mod operator;
 mod origins;
+mod own_load;
 mod peers;
 mod placement;
 mod plain;
--- a/crates/gateway/src/placement/client.rs
+++ b/crates/gateway/src/placement/client.rs
@@ -200,7 +200,9 @@
     if !instance.pending_placements.send(&frame, address) {
         return None;
     }
+    let sent_at = instance.now();
     let answer = timeout(RESPONSE_TIMEOUT, receiver).await.ok()?.ok()?;
+    instance.own_load.on_round_trip(address, sent_at);
     drop(open);
     if answer.mixed {
         instance.on_mixed_versions(demand.service);
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -7,7 +7,7 @@
 use adapter::ingress;
 use adapter::upstream::{Reply, RequestOptions};
 use bytes::Bytes;
-use http1::Writer;
+use http1::{Failure, Writer};
 use serving::engine::Record;
 use serving::health::Outcome;
 use serving::place::{self, Target};
@@ -215,7 +215,7 @@
                 }
             }
             AttemptEnd::Late => return End::Late,
-            AttemptEnd::Lost => {
+            AttemptEnd::Lost | AttemptEnd::Stuck => {
                 runs += 1;
                 if !may_retry || !take_retry(instance, request) {
                     return End::Unknown("The engine's answer was lost.");
@@ -249,10 +249,22 @@
     Whole(Box<WholeAnswer>, Bytes),
     NotRun(NotRun),
     Lost,
+    /// Without an answer for so long that another engine is tried.
+    Stuck,
     /// The caller's time ended before a response.
     Late,
 }
 
+impl AttemptEnd {
+    fn lost(failure: &Failure) -> Self {
+        if failure.is_time_out() {
+            Self::Stuck
+        } else {
+            Self::Lost
+        }
+    }
+}
+
 async fn attempt_once(
     instance: &Rc<Instance>,
     request: &Request,
@@ -286,17 +298,20 @@
                     "answer lost");
                 crash_detection::on_broken_response(instance, request, &engine, Progress::Starting)
                     .await;
-                AttemptEnd::Lost
+                AttemptEnd::lost(&failure)
             }
         }
     };
     let result = timeout_at(until, exchange).await;
     let result = result.unwrap_or(if until < request.deadline {
-        AttemptEnd::Lost
+        AttemptEnd::Stuck
     } else {
         AttemptEnd::Late
     });
-    engine_call.set_outcome(outcome(&result));
+    match result {
+        AttemptEnd::Stuck | AttemptEnd::Late => engine_call.set_timed_out(),
+        _ => engine_call.set_outcome(outcome(&result)),
+    }
     result
 }
 
@@ -305,7 +320,7 @@
         AttemptEnd::Whole(response, _) if response.reply.status >= 500 => Some(Outcome::Failed),
         AttemptEnd::Whole(..) => Some(Outcome::Success),
         AttemptEnd::NotRun(why) => why.outcome(),
-        AttemptEnd::Lost | AttemptEnd::Late => Some(Outcome::Failed),
+        AttemptEnd::Lost | AttemptEnd::Stuck | AttemptEnd::Late => Some(Outcome::Failed),
     }
 }
 
@@ -340,7 +355,7 @@
                 "broken answer");
             crash_detection::on_broken_response(instance, request, engine, Progress::Starting)
                 .await;
-            AttemptEnd::Lost
+            AttemptEnd::lost(&failure)
         }
     }
 }
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
+use crate::failure::SILENT_WITHIN_BODY;
 use crate::socket::{Transfer, set_acknowledge_timeout, set_options, try_read, try_write};
 use crate::{Config, Failure, TcpTimeouts};
 
@@ -206,9 +207,13 @@
             if self.eof {
                 return self.finish_at_eof();
             }
-            if self.transfer().await.is_err() {
+            if let Err(error) = self.transfer().await {
                 self.state = State::Unusable;
-                return Err(Failure::Broken("the connection was reset within the body"));
+                return Err(if error.kind() == io::ErrorKind::TimedOut {
+                    Failure::Broken(SILENT_WITHIN_BODY)
+                } else {
+                    Failure::Broken("the connection was reset within the body")
+                });
             }
         }
     }
--- a/crates/http1/src/failure.rs
+++ b/crates/http1/src/failure.rs
@@ -3,6 +3,9 @@
 use std::fmt;
 use std::io;
 
+/// Detail of a body whose peer fell silent.
+pub(crate) const SILENT_WITHIN_BODY: &str = "the connection timed out within the body";
+
 /// Why an exchange with a peer returned no complete response.
 #[derive(Debug)]
 pub enum Failure {
@@ -22,6 +25,17 @@
         matches!(self, Self::NotSent(_))
     }
 
+    /// Whether the peer was silent for as long as it might be.
+    pub fn is_time_out(&self) -> bool {
+        match self {
+            Self::NotSent(error) | Self::NoResponse(error) => {
+                error.kind() == io::ErrorKind::TimedOut
+            }
+            Self::Broken(detail) => *detail == SILENT_WITHIN_BODY,
+            Self::Closed => false,
+        }
+    }
+
     /// Name of the variant for logs.
     pub fn name(&self) -> &'static str {
         match self {
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -12,7 +12,7 @@
 pub use client::{Client, Framing, ResponseStart};
 pub use failure::{Failure, RequestError};
 pub use server::{IncomingRequest, Limits, Reader, Server, Writer};
-pub use socket::{TcpTimeouts, listen};
+pub use socket::{TcpTimeouts, Traffic, listen, traffic};
 
 /// Configuration of the `actix_http` codec, shared by all connections of a thread.
 pub type Config = actix_http::ServiceConfig;
--- a/crates/http1/src/socket.rs
+++ b/crates/http1/src/socket.rs
@@ -1,5 +1,6 @@
 //! Socket options, and non-blocking reads and writes.
 
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -89,6 +90,24 @@
     Eof,
 }
 
+/// Bytes that connections of a thread have received and sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Bytes read from sockets.
+    pub received: u64,
+    /// Bytes that the kernel has accepted to send.
+    pub sent: u64,
+}
+
+thread_local! {
+    static TRAFFIC: Cell<Traffic> = const { Cell::new(Traffic { received: 0, sent: 0 }) };
+}
+
+/// The traffic of all connections of this thread since it started.
+pub fn traffic() -> Traffic {
+    TRAFFIC.get()
+}
+
 /// Buffer space reserved for reads, in bytes.
 const READ_RESERVE: usize = 8 * 1024;
 
@@ -99,7 +118,14 @@
     }
     match stream.try_read_buf(buffer) {
         Ok(0) => Ok(Transfer::Eof),
-        Ok(_) => Ok(Transfer::Progress),
+        Ok(n) => {
+            let before = TRAFFIC.get();
+            TRAFFIC.set(Traffic {
+                received: before.received + n as u64,
+                ..before
+            });
+            Ok(Transfer::Progress)
+        }
         Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(Transfer::WouldBlock),
         Err(error) => Err(error),
     }
@@ -111,6 +137,11 @@
         Ok(0) => Ok(Transfer::Eof),
         Ok(n) => {
             buffer.advance(n);
+            let before = TRAFFIC.get();
+            TRAFFIC.set(Traffic {
+                sent: before.sent + n as u64,
+                ..before
+            });
             Ok(Transfer::Progress)
         }
         Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(Transfer::WouldBlock),
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -4,8 +4,9 @@
 //! service may be repeated ([`budget`]), which calls crash engines ([`quarantine`]), who calls
 //! ([`organisation`]), what callers use ([`usage`]), which engines should prefill and which decode
 //! ([`roles`]), which instances place calls ([`placer`]), how an instance joins the others
-//! ([`registration`]), which instances hold the records of all engines ([`replication`]), and which
-//! software version may go on with a stream ([`origin`]).
+//! ([`registration`]), which instances hold the records of all engines ([`replication`]), which
+//! software version may go on with a stream ([`origin`]), and whether a time-out is due to this
+//! instance's own link or event loop ([`congestion`]).
 //!
 //! The crate sits between the `gateway` daemon, which carries the bytes, and the platform's
 //! adapter, which fills in these types. It performs no I/O, and the current time is an argument.
@@ -13,6 +14,7 @@
 
 pub mod budget;
 pub mod claim;
+pub mod congestion;
 mod cost;
 mod decaying_rate;
 pub mod engine;
@@ -23,6 +25,7 @@
 pub mod hash;
 pub mod health;
 mod linear_fit;
+mod link_queue;
 pub mod log_growth;
 pub mod organisation;
 pub mod origin;
