Test that connections beyond what the link carries are closed unread

Twenty calls of 20 KB arrive at once at a gateway with a link of 1 Mbit/s, on which their bodies take over three seconds in each direction. Their callers should be told at once to try elsewhere, those that were read should be served, a kept connection should stay usable, and new ones be accepted again soon. On a link of 1 Gbit/s the same burst is accepted.

Fails: all twenty are read.

--- a/crates/gateway/tests/own_load.rs
+++ b/crates/gateway/tests/own_load.rs
@@ -4,7 +4,9 @@
 
 use actix_http::Method;
 use bytes::Bytes;
+use futures_util::future::join_all;
 use harness::{Gateway, send_call, wait_until};
+use http1::Client;
 use platform_standin::engine::Behaviour;
 use platform_standin::{Cut, request};
 
@@ -12,8 +14,77 @@
 const NARROW_LINK_MBPS: u32 = 1;
 const LARGE_BODY: usize = 200_000;
 
+/// Calls that come at once, each on a connection of its own, and their size: together they take over
+/// three seconds on the narrow link, and half a percent of that on a fast one.
+const BURST: usize = 20;
+const BURST_BODY: usize = 20_000;
+
 const ISOLATED: &str = "no engine can be reached from here";
 
+/// Sends a call with a body. Returns the status, or `None` if the connection was closed instead.
+async fn post(caller: &mut Client, id: &str, bytes: usize) -> Option<u16> {
+    let mut head = request::call("/once/", id, 20_000, &[]);
+    head.method = Method::POST;
+    let body = Bytes::from(vec![b'x'; bytes]);
+    let answer = caller.send(head, &body).await;
+    answer.ok().map(|answer| answer.head.status.as_u16())
+}
+
+/// Sends a burst. Returns how many calls were served, and how many connections were closed unread.
+async fn send_burst(gateway: &Gateway) -> (usize, usize) {
+    let calls = (0..BURST).map(async |_| {
+        let mut caller = gateway.connect().await;
+        post(&mut caller, &gateway.fresh_id(), BURST_BODY).await
+    });
+    let answers = join_all(calls).await;
+    let count = |status| answers.iter().filter(|answer| **answer == status).count();
+    (count(Some(200)), count(None))
+}
+
+async fn closed_unread(gateway: &Gateway) -> usize {
+    let page = gateway.metrics_page().await;
+    let counter = r#"tarragon_connections_closed_unread_total{reason="link"} "#;
+    let mut lines = page.lines();
+    let line = lines.find_map(|line| line.strip_prefix(counter));
+    line.map_or(0, |count| count.parse().expect("it is a number"))
+}
+
+/// Guards against reading more requests than the own link carries, whose callers then wait instead of
+/// trying elsewhere, and against losing those that were read.
+#[actix_rt::test]
+async fn connections_beyond_what_the_link_carries_are_closed_unread() {
+    let (first, app, _pool) = Gateway::start().await;
+    let gateway = first.start_another_at(first.store.address, NARROW_LINK_MBPS);
+    gateway.wait_until_ready(true).await;
+    let mut kept = gateway.connect().await;
+    let id = gateway.fresh_id();
+    assert_eq!(post(&mut kept, &id, 1).await, Some(200));
+    kept.body(1 << 20).await.expect("the response is whole");
+    let before = app.request_count("/once/");
+    let (served, closed) = send_burst(&gateway).await;
+    assert!(served > 0 && closed > 0, "{served} served, {closed} closed");
+    assert_eq!(served + closed, BURST);
+    assert_eq!(app.request_count("/once/") - before, served);
+    assert_eq!(closed_unread(&gateway).await, closed);
+    assert_eq!(gateway.count_log_lines("connections are closed unread"), 1);
+    let id = gateway.fresh_id();
+    assert_eq!(post(&mut kept, &id, 1).await, Some(200));
+    wait_until(async || {
+        let mut caller = gateway.connect().await;
+        post(&mut caller, &gateway.fresh_id(), 1).await == Some(200)
+    })
+    .await;
+    wait_until(async || gateway.count_log_lines("connections are accepted again") == 1).await;
+}
+
+/// Guards against an instance closing connections whose requests it can carry.
+#[actix_rt::test]
+async fn a_burst_within_what_the_link_carries_is_accepted() {
+    let (gateway, _app, _pool) = Gateway::start().await;
+    assert_eq!(send_burst(&gateway).await, (BURST, 0));
+    assert_eq!(closed_unread(&gateway).await, 0);
+}
+
 /// Guards against taking time-outs while the own link is full for lost paths to the engines, and
 /// against overlooking lost paths once it is empty.
 #[actix_rt::test]
@@ -28,13 +99,7 @@
     app.cut_off(&[gateway.ip()], Cut::SilentNew);
     app.set_behaviour(Behaviour::Hang);
     let id = gateway.fresh_id();
-    let mut head = request::head(
-        "/once/",
-        &[("request-id", id.as_str()), ("request-deadline", "20000")],
-    );
-    head.method = Method::POST;
-    let body = Bytes::from(vec![b'x'; LARGE_BODY]);
-    let mut hanging = Box::pin(large.send(head, &body));
+    let mut hanging = Box::pin(post(&mut large, &id, LARGE_BODY));
     tokio::select! {
         _ = &mut hanging => panic!("the engine does not answer"),
         () = wait_until(async || app.run_count(&id) == 1) => {}
