Close connections unread beyond what the instance can carry

Callers of a small instance that got all connections of a data centre waited behind each other's bodies: at 125 requests of 17 KB a second, each sent to two engines, a link of 10 Mbit/s is asked for over three times its rate, and nearly everything is late.

serving::intake decides on each connection. What it will probably cause is charged when it is accepted, at the mean of recent requests and the bytes that each byte of a request caused in either direction, and corrected once the request has been read. Charges drain at 0.8 of the link's rate. Connections are closed while that takes over half of the shortest latency target, until it takes a quarter. The same limits hold for the delay of all answers while the link is in use and for the standing delay of the event loop; 0.9 of the descriptors and half of the memory for requests in hand close the intake as well.

connection::accept closes such connections unread; kept ones go on. tarragon_connections_closed_unread_total counts them by reason; the log has one line when such a period begins and one when it ends.

Ran: the failing test passes; tests of serving::intake, adapter and gateway.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -4,6 +4,7 @@
 use std::cell::Cell;
 use std::io;
 use std::net::IpAddr;
+use std::os::fd::AsRawFd as _;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::instance::Instance;
+use crate::own_load::Admitted;
 use crate::refusal::{Refusal, refuse};
 use crate::{attempt::Request, generate, plain};
 
@@ -53,13 +55,23 @@
             () = instance.lifecycle.wait_for_closing() => return,
         };
         match accepted {
-            Ok((stream, peer)) => drop(actix_rt::spawn(serve(instance.clone(), stream, peer.ip()))),
+            Ok((stream, peer)) => match instance.own_load.admit(stream.as_raw_fd()) {
+                Ok(admitted) => drop(actix_rt::spawn(serve(
+                    instance.clone(),
+                    stream,
+                    peer.ip(),
+                    admitted,
+                ))),
+                // The platform sends the caller's next try to another instance.
+                Err(reason) => instance.metrics.connection_closed_unread(reason),
+            },
             Err(error) => accept_failed(&error).await,
         }
     }
 }
 
-async fn serve(instance: Rc<Instance>, stream: TcpStream, caller: IpAddr) {
+async fn serve(instance: Rc<Instance>, stream: TcpStream, caller: IpAddr, admitted: Admitted) {
+    let mut admitted = Some(admitted);
     let Ok(mut server) = Server::new(stream, &CALLER_PATIENCE, &instance.codec) else {
         return;
     };
@@ -70,7 +82,7 @@
             received = server.wait_for_request(&limits) => if received.is_err() { return },
             () = instance.lifecycle.wait_for_closing(), if !server.has_more() => return,
         }
-        if !serve_request(&instance, &mut server, &limits, caller).await {
+        if !serve_request(&instance, &mut server, &limits, caller, &mut admitted).await {
             return;
         }
     }
@@ -93,6 +105,7 @@
     server: &mut Server,
     limits: &Limits,
     caller: IpAddr,
+    admitted: &mut Option<Admitted>,
 ) -> bool {
     let _in_hand = instance.lifecycle.enter();
     let arrival = match server.read_request(limits).await {
@@ -102,6 +115,8 @@
             return false;
         }
     };
+    let load = &instance.own_load;
+    let _load = load.on_request(arrival.body.len(), admitted.take());
     let (reader, writer) = server.split();
     tokio::select! {
         biased;
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -115,7 +115,7 @@
                 .budgets
                 .borrow_mut()
                 .set_limit(settings.bounds.retry_budget);
-            instance.own_load.set_link(settings.link_mbps);
+            instance.own_load.set_limits(&settings);
             *instance.settings.borrow_mut() = settings;
             log::info!("settings reloaded");
         }
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -171,7 +171,7 @@
             usual: RefCell::default(),
             pool: Pool::default(),
             links: EngineLinks::default(),
-            own_load: Rc::new(OwnLoad::new(clock, settings.link_mbps)),
+            own_load: Rc::new(OwnLoad::new(clock, &settings)),
             forwarding: Cell::new(0),
             origins: StreamOrigins::default(),
             suspects: Suspects::default(),
@@ -527,6 +527,8 @@
             version = table.version, before = before.unwrap_or_default(), source = source;
             "configuration in force"
         );
+        self.own_load
+            .set_latency_target(table.shortest_latency_target());
         *current = Some(Rc::new(table));
         true
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
+use serving::intake::Reason;
 
 use crate::instance::Instance;
 use crate::status;
@@ -124,6 +125,28 @@
     Lost,
 }
 
+/// Why a connection was closed unread.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum ClosedUnread {
+    Link,
+    Delay,
+    EventLoop,
+    Descriptors,
+    Memory,
+}
+
+impl From<Reason> for ClosedUnread {
+    fn from(reason: Reason) -> Self {
+        match reason {
+            Reason::Link => Self::Link,
+            Reason::Delay => Self::Delay,
+            Reason::EventLoop => Self::EventLoop,
+            Reason::Descriptors => Self::Descriptors,
+            Reason::Memory => Self::Memory,
+        }
+    }
+}
+
 macro_rules! labels {
     ($type:ident: $($value:ident = $text:literal),*) => {
         impl EncodeLabelValue for $type {
@@ -145,6 +168,7 @@
 labels!(Pause: Requested = "requested", None = "none");
 labels!(Connect: Opened = "opened", Refused = "refused", TimedOut = "timed_out", Failed = "failed");
 labels!(ForwardAnswer: Sent = "sent", Declined = "declined", Silent = "silent", Lost = "lost");
+labels!(ClosedUnread: Link = "link", Delay = "delay", EventLoop = "event_loop", Descriptors = "descriptors", Memory = "memory");
 labels!(OrderAnswer: Taken = "taken", Refused = "refused", Unanswered = "unanswered");
 
 /// One label name with its value.
@@ -168,6 +192,7 @@
     engine_refusals: Family<Labels<Pause>, Counter>,
     engine_connections: Family<Labels<Connect>, Counter>,
     forward_requests: Family<Labels<ForwardAnswer>, Counter>,
+    closed_unread: Family<Labels<ClosedUnread>, Counter>,
     isolated: Gauge,
     held_calls: Counter,
     throttled_calls: Family<Labels<Throttled>, Counter>,
@@ -198,6 +223,7 @@
             engine_refusals: Family::default(),
             engine_connections: Family::default(),
             forward_requests: Family::default(),
+            closed_unread: Family::default(),
             isolated: Gauge::default(),
             held_calls: Counter::default(),
             throttled_calls: Family::default(),
@@ -285,6 +311,11 @@
             "Requests to other instances to send a call to its engine",
             self.forward_requests.clone(),
         );
+        registry.register(
+            "connections_closed_unread",
+            "Connections of callers that were closed unread, by the limit that was reached",
+            self.closed_unread.clone(),
+        );
         registry.register(
             "isolated",
             "1 while no engine can be reached from this instance",
@@ -410,6 +441,14 @@
             .inc();
     }
 
+    /// Counts a connection that was closed unread.
+    pub(crate) fn connection_closed_unread(&self, reason: Reason) {
+        let reason = ClosedUnread::from(reason);
+        self.closed_unread
+            .get_or_create(&[("reason", reason)])
+            .inc();
+    }
+
     /// Sets whether no engine can be reached from this instance.
     pub(crate) fn set_isolated(&self, is_isolated: bool) {
         self.isolated.set(i64::from(is_isolated));
--- a/crates/gateway/src/own_load.rs
+++ b/crates/gateway/src/own_load.rs
@@ -1,14 +1,18 @@
-//! Measures what this instance's own link and event loop are busy with. [`serving::congestion`]
-//! decides what that says of a time-out.
+//! Measures this instance's own load: its link, event loop, descriptors and requests in hand.
+//! [`serving::congestion`] decides what it says of a time-out, [`serving::intake`] whether callers'
+//! connections are accepted. See `docs/design/intake.md`.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
 use std::rc::Rc;
 use std::time::Duration;
 
+use adapter::settings::Settings;
 use clock::{Clock as _, Moment, System};
 use http1::Traffic;
 use serving::congestion::{Cause, Congestion};
+use serving::intake::{Charge, Intake, Limits, Load, Reason};
 use tokio::time::sleep;
 
 /// Interval at which the traffic and the event loop's delay are observed.
@@ -18,32 +22,141 @@
 const TIMER_RESOLUTION: Duration = Duration::from_millis(2);
 /// Shortest time between two log lines of time-outs that are due to this instance.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
+/// Time without a connection closed unread after which a period of such ends, for the log.
+const QUIET_TIME: Duration = Duration::from_secs(1);
+/// Part of the shortest latency target that a request may wait for the own link or processor.
+const MAX_WAIT_SHARE: f64 = 0.5;
+/// Bounds of that wait. The timer's interval is the least that can be measured; a connection to an
+/// engine times out after twice the upper bound.
+const WAIT_BOUNDS: (Duration, Duration) = (OBSERVATION_INTERVAL, Duration::from_millis(150));
+/// Size of a request's head, of which the parser keeps no count.
+const ASSUMED_HEAD_BYTES: u64 = 512;
+/// Memory of a request beside its body: buffers of its connections, and its task.
+const REQUEST_OVERHEAD_BYTES: u64 = 32 * 1024;
 
-/// The load of this instance's own link and event loop.
+/// Consecutive connections closed unread.
+#[derive(Clone, Copy, Debug)]
+struct Period {
+    begun: Moment,
+    last: Moment,
+    connections: usize,
+}
+
+/// The load of this instance.
 pub(crate) struct OwnLoad {
     clock: System,
-    /// Bytes that the link carries per second in one direction.
-    rate: Cell<f64>,
+    limits: Cell<Limits>,
     seen: Cell<Traffic>,
     congestion: RefCell<Congestion>,
+    intake: RefCell<Intake>,
+    /// Connections accepted whose first request has not been read, and requests in hand.
+    unread: Cell<usize>,
+    requests: Cell<usize>,
+    /// Memory of the requests in hand, in bytes.
+    memory: Cell<u64>,
+    period: Cell<Option<Period>>,
     last_logged: Cell<Option<Moment>>,
 }
 
+/// An accepted connection until its first request has been read.
+pub(crate) struct Admitted {
+    load: Rc<OwnLoad>,
+    charge: Charge,
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        self.load.unread.set(self.load.unread.get() - 1);
+    }
+}
+
+/// A request in hand until this is dropped.
+pub(crate) struct RequestGuard<'a> {
+    load: &'a OwnLoad,
+    memory: u64,
+}
+
+impl Drop for RequestGuard<'_> {
+    fn drop(&mut self) {
+        self.load.requests.set(self.load.requests.get() - 1);
+        self.load.memory.set(self.load.memory.get() - self.memory);
+    }
+}
+
 impl OwnLoad {
-    pub(crate) fn new(clock: System, link_mbps: f64) -> Self {
-        let load = Self {
+    pub(crate) fn new(clock: System, settings: &Settings) -> Self {
+        Self {
             clock,
-            rate: Cell::new(0.0),
+            limits: Cell::new(limits(settings, WAIT_BOUNDS.1)),
             seen: Cell::new(http1::traffic()),
             congestion: RefCell::default(),
+            intake: RefCell::default(),
+            unread: Cell::new(0),
+            requests: Cell::new(0),
+            memory: Cell::new(0),
+            period: Cell::new(None),
             last_logged: Cell::new(None),
-        };
-        load.set_link(link_mbps);
-        load
+        }
+    }
+
+    pub(crate) fn set_limits(&self, settings: &Settings) {
+        let max_wait = self.limits.get().max_wait;
+        self.limits.set(limits(settings, max_wait));
     }
 
-    pub(crate) fn set_link(&self, link_mbps: f64) {
-        self.rate.set(link_mbps.max(0.1) * 1e6 / 8.0);
+    /// Sets how long requests may wait here, from the shortest latency target of a route.
+    pub(crate) fn set_latency_target(&self, target: Option<Duration>) {
+        let (least, most) = WAIT_BOUNDS;
+        let wait = target.map_or(most, |target| target.mul_f64(MAX_WAIT_SHARE));
+        self.limits.set(Limits {
+            max_wait: wait.clamp(least, most),
+            ..self.limits.get()
+        });
+    }
+
+    /// Decides on an accepted connection.
+    ///
+    /// The kernel gives each new descriptor the lowest free number, so that at least as many are
+    /// open.
+    ///
+    /// # Errors
+    ///
+    /// The reason to close it unread.
+    pub(crate) fn admit(self: &Rc<Self>, descriptor: RawFd) -> Result<Admitted, Reason> {
+        self.observe_traffic();
+        let now = self.clock.now();
+        let load = self.load(u64::try_from(descriptor).ok(), now);
+        let admitted = self
+            .intake
+            .borrow_mut()
+            .admit(&self.limits.get(), &load, now);
+        match admitted {
+            Ok(charge) => {
+                self.unread.set(self.unread.get() + 1);
+                Ok(Admitted {
+                    load: self.clone(),
+                    charge,
+                })
+            }
+            Err(reason) => {
+                self.on_closed(reason, &load, now);
+                Err(reason)
+            }
+        }
+    }
+
+    /// Records a request that has been read. `admitted` is given for the first of a connection.
+    pub(crate) fn on_request(&self, body: usize, admitted: Option<Admitted>) -> RequestGuard<'_> {
+        let body = body as u64;
+        let charged = admitted.map_or(Charge::default(), |admitted| admitted.charge);
+        let (limits, now) = (self.limits.get(), self.clock.now());
+        let bytes = ASSUMED_HEAD_BYTES + body;
+        let mut intake = self.intake.borrow_mut();
+        intake.on_request(bytes, charged, &limits, now);
+        let memory = REQUEST_OVERHEAD_BYTES + body;
+        self.requests.set(self.requests.get() + 1);
+        self.memory.set(self.memory.get() + memory);
+        RequestGuard { load: self, memory }
     }
 
     /// Records the time until a peer answered.
@@ -60,12 +173,60 @@
         let now = self.clock.now();
         let cause = self.congestion.borrow().explains_silence(begun, now);
         if let Some(cause) = cause {
-            self.log(cause, begun, now);
+            self.log_silence(cause, begun, now);
         }
         cause.is_some()
     }
 
-    fn log(&self, cause: Cause, begun: Moment, now: Moment) {
+    fn load(&self, descriptors: Option<u64>, now: Moment) -> Load {
+        let congestion = self.congestion.borrow();
+        Load {
+            round_trip_delay: congestion.round_trip_delay(now),
+            event_loop_delay: congestion.event_loop_delay(now),
+            descriptors,
+            requests: self.unread.get() + self.requests.get(),
+            memory: self.memory.get(),
+        }
+    }
+
+    fn on_closed(&self, reason: Reason, load: &Load, now: Moment) {
+        let before = self.period.get();
+        let period = before.unwrap_or(Period {
+            begun: now,
+            last: now,
+            connections: 0,
+        });
+        self.period.set(Some(Period {
+            last: now,
+            connections: period.connections + 1,
+            ..period
+        }));
+        if before.is_none() {
+            let wait = self.intake.borrow().link_wait(&self.limits.get(), now);
+            log::warn!(
+                reason:? = reason, link_ms:% = wait.as_millis(), answers_ms:% = load.round_trip_delay.as_millis(),
+                event_loop_ms:% = load.event_loop_delay.as_millis(), descriptors = load.descriptors.unwrap_or_default(),
+                in_hand = load.requests, bytes = load.memory;
+                "connections are closed unread"
+            );
+        }
+    }
+
+    /// Ends the period of closed connections for the log once none has been closed for a while.
+    fn end_period(&self, now: Moment) {
+        let Some(period) = self.period.get() else {
+            return;
+        };
+        if now.saturating_sub(period.last) >= QUIET_TIME {
+            self.period.set(None);
+            log::info!(
+                closed = period.connections, after_ms:% = period.last.saturating_sub(period.begun).as_millis();
+                "connections are accepted again"
+            );
+        }
+    }
+
+    fn log_silence(&self, cause: Cause, begun: Moment, now: Moment) {
         let is_due = |last| now.saturating_sub(last) >= LOG_INTERVAL;
         if self.last_logged.get().is_none_or(is_due) {
             self.last_logged.set(Some(now));
@@ -79,9 +240,24 @@
     fn observe_traffic(&self) {
         let traffic = http1::traffic();
         let seen = self.seen.replace(traffic);
-        let (sent, now) = (traffic.sent - seen.sent, self.clock.now());
-        let mut congestion = self.congestion.borrow_mut();
-        congestion.on_sent(sent, self.rate.get(), now);
+        let sent = traffic.sent - seen.sent;
+        let now = self.clock.now();
+        let rate = self.limits.get().bytes_per_second;
+        self.congestion.borrow_mut().on_sent(sent, rate, now);
+        // Between requests, the traffic is that of the store and of other instances.
+        if self.requests.get() > 0 {
+            let received = traffic.received - seen.received;
+            self.intake.borrow_mut().on_traffic(sent, received, now);
+        }
+    }
+}
+
+fn limits(settings: &Settings, max_wait: Duration) -> Limits {
+    Limits {
+        bytes_per_second: settings.link_mbps.max(0.1) * 1e6 / 8.0,
+        descriptors: settings.max_descriptors as u64,
+        memory: settings.memory,
+        max_wait,
     }
 }
 
@@ -94,5 +270,6 @@
         let now = load.clock.now();
         let late = now.saturating_sub(due + TIMER_RESOLUTION);
         load.congestion.borrow_mut().on_iteration(late, now);
+        load.end_period(now);
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -5,8 +5,8 @@
 //! ([`organisation`]), what callers use ([`usage`]), which engines should prefill and which decode
 //! ([`roles`]), which instances place calls ([`placer`]), how an instance joins the others
 //! ([`registration`]), which instances hold the records of all engines ([`replication`]), which
-//! software version may go on with a stream ([`origin`]), and whether a time-out is due to this
-//! instance's own link or event loop ([`congestion`]).
+//! software version may go on with a stream ([`origin`]), whether a time-out is due to this instance's
+//! own link or event loop ([`congestion`]), and whether it accepts another connection ([`intake`]).
 //!
 //! The crate sits between the `gateway` daemon, which carries the bytes, and the platform's
 //! adapter, which fills in these types. It performs no I/O, and the current time is an argument.
@@ -24,6 +24,7 @@
 pub mod fleet;
 pub mod hash;
 pub mod health;
+pub mod intake;
 mod linear_fit;
 mod link_queue;
 pub mod log_growth;
--- a/crates/serving/src/route.rs
+++ b/crates/serving/src/route.rs
@@ -170,6 +170,12 @@
 }
 
 impl Table {
+    /// The shortest latency target of a route, if there is a route.
+    pub fn shortest_latency_target(&self) -> Option<Duration> {
+        let routes = self.hosts.values().flatten();
+        routes.map(|route| route.latency_target).min()
+    }
+
     /// A table of routes by host, and of services.
     pub fn new(
         version: Version,
