Test that a full link gets each body once

A generation whose prompt is read at one engine for another sends its body twice. While the own link is full, it should go to one engine that reads and generates.

--- a/crates/gateway/tests/own_load.rs
+++ b/crates/gateway/tests/own_load.rs
@@ -8,7 +8,7 @@
 use harness::{Gateway, send_call, wait_until};
 use http1::Client;
 use platform_standin::engine::Behaviour;
-use platform_standin::{Cut, request};
+use platform_standin::{Cut, Engine, request};
 
 /// A link on which [`LARGE_BODY`] takes over a second.
 const NARROW_LINK_MBPS: u32 = 1;
@@ -77,6 +77,32 @@
     wait_until(async || gateway.count_log_lines("connections are accepted again") == 1).await;
 }
 
+/// Guards against sending a body to two engines over a full link, where one of them can serve the call
+/// alone.
+#[actix_rt::test]
+async fn a_body_is_sent_once_while_the_own_link_is_full() {
+    let (first, _app, decode) = Gateway::start().await;
+    let prefill = Engine::start("pool-2").await;
+    prefill.register(&first.store, "pool", "ready", Some("prefill"));
+    let gateway = first.start_another_at(first.store.address, NARROW_LINK_MBPS);
+    gateway.wait_until_ready(true).await;
+    let [mut large, mut small] = [gateway.connect().await, gateway.connect().await];
+    // Whether the prompt of another generation is read at an engine of its own.
+    let mut is_split = async || {
+        let id = gateway.fresh_id();
+        let parts = format!("a{id}:40000,b{id}:10000");
+        let headers = request::generation_headers("50000,20", &parts);
+        let answer = send_call(&mut small, "/stream/", &id, &headers).await;
+        assert_eq!((answer.status, decode.run_count(&id)), (200, 1));
+        prefill.received().iter().any(|read| read.id == id)
+    };
+    wait_until(async || is_split().await).await;
+    let status = post(&mut large, &gateway.fresh_id(), LARGE_BODY).await;
+    assert_eq!(status, Some(200));
+    assert!(!is_split().await);
+    wait_until(async || is_split().await).await;
+}
+
 /// Guards against an instance closing connections whose requests it can carry.
 #[actix_rt::test]
 async fn a_burst_within_what_the_link_carries_is_accepted() {
