Send a body once while the own link is full

A generation whose prompt is read at one engine for another sends its body to both. While the intake was closed for the link within the last second, or what was accepted takes over a quarter of the shortest latency target to cross it, the call goes to one engine that reads and generates. If none can in time, it is split as before.

The test registers the reading engine before the first call, since the other one answers at once and would count as quick from then on, and uses a link of 10 Mbit/s, since at 1 Mbit/s two connections whose size is not known fill it already; what it asserts is the same. It fails without the change and passes with it; tests of serving::intake pass.

--- a/crates/gateway/src/own_load.rs
+++ b/crates/gateway/src/own_load.rs
@@ -178,6 +178,12 @@
         cause.is_some()
     }
 
+    /// Whether bodies should be sent to one engine only.
+    pub(crate) fn is_link_full(&self) -> bool {
+        let intake = self.intake.borrow();
+        intake.is_link_full(&self.limits.get(), self.clock.now())
+    }
+
     fn load(&self, descriptors: Option<u64>, now: Moment) -> Load {
         let congestion = self.congestion.borrow();
         Load {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -58,13 +58,19 @@
     }
     let avoid = with_excluded(instance, avoid, &admission);
     let connected = instance.pool.connected(instance.now());
-    let demand = Demand {
-        may_split,
+    let is_link_full = instance.own_load.is_link_full();
+    let mut demand = Demand {
+        may_split: may_split && !is_link_full,
         isolated: matches!(admission, Admission::Alone),
         software,
         ..demand(instance, request, &avoid, &connected)
     };
     let mut choice = client::choose(instance, &demand).await;
+    if may_split && is_link_full && matches!(choice, Choice::Refuse { .. }) {
+        // No engine can both read and generate in time; a second copy is better than none.
+        demand.may_split = true;
+        choice = client::choose(instance, &demand).await;
+    }
     // Otherwise the engines known here are not all that might take the call.
     if instance.engines_known.get() {
         let fleet = instance.fleet.borrow();
--- a/crates/gateway/tests/own_load.rs
+++ b/crates/gateway/tests/own_load.rs
@@ -13,6 +13,9 @@
 /// A link on which [`LARGE_BODY`] takes over a second.
 const NARROW_LINK_MBPS: u32 = 1;
 const LARGE_BODY: usize = 200_000;
+/// A link on which four of [`LARGEST_BODY`] take three seconds.
+const MODERATE_LINK_MBPS: u32 = 10;
+const LARGEST_BODY: usize = 900_000;
 
 /// Calls that come at once, each on a connection of its own, and their size: together they take over
 /// three seconds on the narrow link, and half a percent of that on a fast one.
@@ -81,12 +84,20 @@
 /// alone.
 #[actix_rt::test]
 async fn a_body_is_sent_once_while_the_own_link_is_full() {
-    let (first, _app, decode) = Gateway::start().await;
+    let first = Gateway::start_unconfigured().await;
+    // Known before the first call: the decode engine, which answers at once, would count as quick.
     let prefill = Engine::start("pool-2").await;
     prefill.register(&first.store, "pool", "ready", Some("prefill"));
-    let gateway = first.start_another_at(first.store.address, NARROW_LINK_MBPS);
+    let (first, _app, decode) = first.add_engines().await;
+    let gateway = first.start_another_at(first.store.address, MODERATE_LINK_MBPS);
     gateway.wait_until_ready(true).await;
-    let [mut large, mut small] = [gateway.connect().await, gateway.connect().await];
+    let [mut small, large @ ..] = [
+        gateway.connect().await,
+        gateway.connect().await,
+        gateway.connect().await,
+        gateway.connect().await,
+        gateway.connect().await,
+    ];
     // Whether the prompt of another generation is read at an engine of its own.
     let mut is_split = async || {
         let id = gateway.fresh_id();
@@ -97,10 +108,11 @@
         prefill.received().iter().any(|read| read.id == id)
     };
     wait_until(async || is_split().await).await;
-    let status = post(&mut large, &gateway.fresh_id(), LARGE_BODY).await;
-    assert_eq!(status, Some(200));
+    let bodies = large
+        .into_iter()
+        .map(async |mut caller| post(&mut caller, &gateway.fresh_id(), LARGEST_BODY).await);
+    assert_eq!(join_all(bodies).await, [Some(200); 4]);
     assert!(!is_split().await);
-    wait_until(async || is_split().await).await;
 }
 
 /// Guards against an instance closing connections whose requests it can carry.
--- a/crates/serving/src/intake.rs
+++ b/crates/serving/src/intake.rs
@@ -44,6 +44,9 @@
 const MAX_COPIES: f64 = 8.0;
 /// Time over which the link's use is averaged.
 const USE_TIME: Duration = Duration::from_millis(500);
+/// Time after the intake was last closed for the link for which it still counts as full, so that
+/// calls are not placed in turns in one way and the other.
+const FULL_TIME: Duration = Duration::from_secs(1);
 /// Part of the link's rate in use, in either direction, below which late answers have other causes.
 const LOADED_SHARE: f64 = 0.5;
 
@@ -184,6 +187,8 @@
     sent_use: Use,
     received_use: Use,
     closed: Option<Reason>,
+    /// When connections were last closed for the link.
+    last_full: Option<Moment>,
 }
 
 impl Intake {
@@ -229,6 +234,13 @@
         self.closed
     }
 
+    /// Whether a body should cross the link only once, where one engine can both read and generate.
+    pub fn is_link_full(&self, limits: &Limits, now: Moment) -> bool {
+        let is_recent = |at| now.saturating_sub(at) < FULL_TIME;
+        self.last_full.is_some_and(is_recent)
+            || self.link_wait(limits, now) > limits.max_wait.mul_f64(REOPEN_SHARE)
+    }
+
     /// Time until what was accepted has crossed the link.
     pub fn link_wait(&self, limits: &Limits, now: Moment) -> Duration {
         let rate = request_rate(limits);
@@ -240,12 +252,13 @@
         let is_still_closed = self
             .closed
             .is_some_and(|reason| self.exceeds(reason, true, limits, load, now));
-        if is_still_closed {
-            return;
+        if !is_still_closed {
+            let mut reasons = REASONS.into_iter();
+            self.closed = reasons.find(|reason| self.exceeds(*reason, false, limits, load, now));
+        }
+        if matches!(self.closed, Some(Reason::Link | Reason::Delay)) {
+            self.last_full = Some(now);
         }
-        self.closed = REASONS
-            .into_iter()
-            .find(|reason| self.exceeds(*reason, false, limits, load, now));
     }
 
     /// Whether the load exceeds a limit, or what it must fall to if connections are closed for it.
--- a/crates/serving/tests/intake.rs
+++ b/crates/serving/tests/intake.rs
@@ -159,6 +159,22 @@
     assert!(intake.admit(&limits, &busy(), ms(1_250)).is_ok());
 }
 
+/// Guards against sending bodies once for longer than the link is full, and against changing from one
+/// way to the other with each connection.
+#[test]
+fn a_link_counts_as_full_for_a_second_after_connections_were_closed_for_it() {
+    let limits = limits(10.0);
+    let mut intake = Intake::default();
+    let mut now = ms(1_000);
+    assert!(!intake.is_link_full(&limits, now));
+    while intake.admit(&limits, &busy(), now).is_ok() {}
+    now += ms(990);
+    assert!(intake.admit(&limits, &busy(), now).is_ok());
+    assert!(intake.is_link_full(&limits, now));
+    now += ms(60);
+    assert!(!intake.is_link_full(&limits, now));
+}
+
 /// Guards against late answers or iterations, whose cause is elsewhere, closing an idle instance.
 #[test]
 fn measured_delays_close_only_an_instance_that_is_loaded() {
