Admit only as many unread requests as the link receives in time

Callers of an instance whose link was full in the receiving direction waited until their own limit: connections were accepted, and their bodies trickled in. Charges of unread requests had drained by the computed rate, the kernel accepted up to its backlog each time the listener was opened again, and an accepted connection was never given up.

While the link is in use, unread connections count at the mean size of recent requests until they have been read, and the listener is closed as soon as they take longer than the longest wait to be received, before another connection is accepted. After a closed period it opens with a backlog of 16, for a second. A connection whose request has not been read after 300 ms is closed while the link is the reason.

Not measured yet.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -2,6 +2,7 @@
 //! disconnects.
 
 use std::cell::Cell;
+use std::future::pending;
 use std::io;
 use std::net::{IpAddr, SocketAddr};
 use std::os::fd::AsRawFd as _;
@@ -9,12 +10,13 @@
 use std::time::Duration;
 
 use actix_http::StatusCode;
-use http1::{Limits, RequestError, Server, TcpTimeouts};
+use http1::{IncomingRequest, Limits, RequestError, Server, TcpTimeouts};
 use serving::route;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::instance::Instance;
+use crate::lifecycle::CallGuard;
 use crate::own_load::Admitted;
 use crate::refusal::{Refusal, refuse};
 use crate::{attempt::Request, generate, plain};
@@ -49,9 +51,14 @@
 /// whose connection is refused goes to another instance at once, even while the balancer still
 /// lists this one.
 pub(crate) async fn accept(instance: Rc<Instance>, mut listener: TcpListener) {
+    let mut reopened_at: Option<Instant> = None;
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
+            () = raise_backlog(&listener, reopened_at), if reopened_at.is_some() => {
+                reopened_at = None;
+                continue;
+            }
             () = instance.lifecycle.wait_for_closing() => return,
         };
         let (stream, peer) = match accepted {
@@ -61,33 +68,49 @@
                 continue;
             }
         };
-        let reason = match instance.own_load.admit(stream.as_raw_fd()) {
+        match instance.own_load.admit(stream.as_raw_fd()) {
             Ok(admitted) => {
                 let serving = serve(instance.clone(), stream, peer.ip(), admitted);
                 drop(actix_rt::spawn(serving));
-                continue;
             }
             // The platform sends the caller's next try to another instance.
-            Err(reason) => reason,
-        };
-        instance.metrics.connection_closed_unread(reason);
-        if !reason.is_relieved_by_refusing() {
-            continue;
+            Err(reason) => instance.metrics.connection_closed_unread(reason),
         }
+        let Some(reason) = instance.own_load.refusal_reason() else {
+            continue;
+        };
         let Ok(address) = listener.local_addr() else {
             continue;
         };
-        drop((stream, listener));
+        instance.own_load.on_closed(reason, 0, None);
+        drop(listener);
         tokio::select! {
             reopened = reopen(&instance, address) => listener = reopened,
             () = instance.lifecycle.wait_for_closing() => return,
         }
+        reopened_at = Some(Instant::now());
     }
 }
 
 /// Interval between checks whether connections are accepted again.
 const REOPEN_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Connections that may wait to be accepted after the listener was closed. Each sends up to ten
+/// packets of its request, whether it is admitted or not. Fewer would drop handshakes, whose callers
+/// repeat them after a second, while the process waits a tenth of a second for the processor.
+const REOPENED_BACKLOG: i32 = 16;
+/// Time without closing the listener after which the backlog is raised again.
+const REOPENED_TIME: Duration = Duration::from_secs(1);
+
+async fn raise_backlog(listener: &TcpListener, reopened_at: Option<Instant>) {
+    if let Some(at) = reopened_at {
+        sleep_until(at + REOPENED_TIME).await;
+    }
+    if let Err(error) = http1::set_backlog(listener, http1::BACKLOG) {
+        log::warn!(error:% = error; "the backlog cannot be changed");
+    }
+}
+
 /// Waits without a listener until the load allows connections again.
 ///
 /// A caller sends up to ten packets of its request before it sees that a connection was closed
@@ -96,10 +119,10 @@
 async fn reopen(instance: &Instance, address: SocketAddr) -> TcpListener {
     loop {
         sleep(REOPEN_POLL_INTERVAL).await;
-        if instance.own_load.is_closed() {
+        if instance.own_load.refusal_reason().is_some() {
             continue;
         }
-        match http1::listen(address) {
+        match http1::listen_with_backlog(address, REOPENED_BACKLOG) {
             Ok(listener) => return listener,
             Err(error) => accept_failed(&error).await,
         }
@@ -113,12 +136,24 @@
     };
     loop {
         let limits = limits(&instance);
-        tokio::select! {
+        let overdue = async {
+            match &admitted {
+                Some(admitted) => admitted.wait_until_overdue().await,
+                None => pending().await,
+            }
+        };
+        let (_in_hand, arrival) = tokio::select! {
             biased;
-            received = server.wait_for_request(&limits) => if received.is_err() { return },
-            () = instance.lifecycle.wait_for_closing(), if !server.has_more() => return,
-        }
-        if !serve_request(&instance, &mut server, &limits, caller, &mut admitted).await {
+            read = read_request(&instance, &mut server, &limits) => match read {
+                Some(read) => read,
+                None => return,
+            },
+            reason = overdue => {
+                instance.metrics.connection_closed_unread(reason);
+                return;
+            }
+        };
+        if !serve_request(&instance, &mut server, arrival, caller, admitted.take()).await {
             return;
         }
     }
@@ -135,24 +170,37 @@
     })
 }
 
+/// Reads a request, if another one comes. The guard marks it as in hand.
+async fn read_request<'a>(
+    instance: &'a Instance,
+    server: &mut Server,
+    limits: &Limits,
+) -> Option<(CallGuard<'a>, IncomingRequest)> {
+    tokio::select! {
+        biased;
+        received = server.wait_for_request(limits) => received.ok()?,
+        () = instance.lifecycle.wait_for_closing(), if !server.has_more() => return None,
+    }
+    let in_hand = instance.lifecycle.enter();
+    match server.read_request(limits).await {
+        Ok(arrival) => Some((in_hand, arrival)),
+        Err(bad) => {
+            refuse_malformed(server, bad).await;
+            None
+        }
+    }
+}
+
 /// Serves one request. Returns whether another may follow on the connection.
 async fn serve_request(
     instance: &Rc<Instance>,
     server: &mut Server,
-    limits: &Limits,
+    arrival: IncomingRequest,
     caller: IpAddr,
-    admitted: &mut Option<Admitted>,
+    admitted: Option<Admitted>,
 ) -> bool {
-    let _in_hand = instance.lifecycle.enter();
-    let arrival = match server.read_request(limits).await {
-        Ok(arrival) => arrival,
-        Err(bad) => {
-            refuse_malformed(server, bad).await;
-            return false;
-        }
-    };
     let load = &instance.own_load;
-    let _load = load.on_request(arrival.body.len(), admitted.take());
+    let _load = load.on_request(arrival.body.len(), admitted);
     let (reader, writer) = server.split();
     tokio::select! {
         biased;
@@ -179,7 +227,7 @@
 /// Responds to a request. Returns whether the response is complete.
 async fn respond(
     instance: &Rc<Instance>,
-    arrival: http1::IncomingRequest,
+    arrival: IncomingRequest,
     caller: IpAddr,
     writer: &mut http1::Writer,
 ) -> bool {
--- a/crates/gateway/src/own_load.rs
+++ b/crates/gateway/src/own_load.rs
@@ -12,7 +12,7 @@
 use clock::{Clock as _, Moment, System};
 use http1::Traffic;
 use serving::congestion::{Cause, Congestion};
-use serving::intake::{Charge, Intake, Limits, Load, Reason};
+use serving::intake::{Charge, Intake, Limits, Load, Reason, UNREAD_TIME};
 use tokio::time::sleep;
 
 /// Interval at which the traffic and the event loop's delay are observed.
@@ -29,6 +29,8 @@
 /// Bounds of that wait. The timer's interval is the least that can be measured; a connection to an
 /// engine times out after twice the upper bound.
 const WAIT_BOUNDS: (Duration, Duration) = (OBSERVATION_INTERVAL, Duration::from_millis(150));
+/// Interval between checks whether an unread connection should be closed.
+const OVERDUE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Size of a request's head, of which the parser keeps no count.
 const ASSUMED_HEAD_BYTES: u64 = 512;
 /// Memory of a request beside its body: buffers of its connections, and its task.
@@ -49,8 +51,10 @@
     seen: Cell<Traffic>,
     congestion: RefCell<Congestion>,
     intake: RefCell<Intake>,
-    /// Connections accepted whose first request has not been read, and requests in hand.
+    /// Connections accepted within [`UNREAD_TIME`] whose first request has not been read, older ones,
+    /// and requests in hand.
     unread: Cell<usize>,
+    idle: Cell<usize>,
     requests: Cell<usize>,
     /// Memory of the requests in hand, in bytes.
     memory: Cell<u64>,
@@ -62,14 +66,42 @@
 pub(crate) struct Admitted {
     load: Rc<OwnLoad>,
     charge: Charge,
+    is_idle: Cell<bool>,
+}
+
+impl Admitted {
+    /// Completes when the connection should be closed because its request would be read too late.
+    pub(crate) async fn wait_until_overdue(&self) -> Reason {
+        sleep(UNREAD_TIME).await;
+        loop {
+            if let Some(reason) = self.load.refusal_reason() {
+                self.load.on_closed(reason, 1, None);
+                return reason;
+            }
+            if !self.is_idle.replace(true) {
+                decrement(&self.load.unread);
+                self.load.idle.set(self.load.idle.get() + 1);
+            }
+            sleep(OVERDUE_POLL_INTERVAL).await;
+        }
+    }
 }
 
 impl Drop for Admitted {
     fn drop(&mut self) {
-        self.load.unread.set(self.load.unread.get() - 1);
+        let load = &self.load;
+        decrement(if self.is_idle.get() {
+            &load.idle
+        } else {
+            &load.unread
+        });
     }
 }
 
+fn decrement(count: &Cell<usize>) {
+    count.set(count.get() - 1);
+}
+
 /// A request in hand until this is dropped.
 pub(crate) struct RequestGuard<'a> {
     load: &'a OwnLoad,
@@ -92,6 +124,7 @@
             congestion: RefCell::default(),
             intake: RefCell::default(),
             unread: Cell::new(0),
+            idle: Cell::new(0),
             requests: Cell::new(0),
             memory: Cell::new(0),
             period: Cell::new(None),
@@ -116,11 +149,21 @@
 
     /// Whether connections are closed unread now.
     pub(crate) fn is_closed(&self) -> bool {
+        self.closed().is_some()
+    }
+
+    /// Why connections should be refused now, if refusing them relieves what is short.
+    pub(crate) fn refusal_reason(&self) -> Option<Reason> {
+        self.closed()
+            .filter(|reason| reason.is_relieved_by_refusing())
+    }
+
+    fn closed(&self) -> Option<Reason> {
         let now = self.clock.now();
         let load = self.load(None, now);
         let mut intake = self.intake.borrow_mut();
         intake.update(&self.limits.get(), &load, now);
-        intake.closed().is_some()
+        intake.closed()
     }
 
     /// Decides on an accepted connection.
@@ -145,10 +188,11 @@
                 Ok(Admitted {
                     load: self.clone(),
                     charge,
+                    is_idle: Cell::new(false),
                 })
             }
             Err(reason) => {
-                self.on_closed(reason, &load, now);
+                self.on_closed(reason, 1, load.descriptors);
                 Err(reason)
             }
         }
@@ -199,12 +243,15 @@
             round_trip_delay: congestion.round_trip_delay(now),
             event_loop_delay: congestion.event_loop_delay(now),
             descriptors,
-            requests: self.unread.get() + self.requests.get(),
+            requests: self.unread.get() + self.idle.get() + self.requests.get(),
+            unread: self.unread.get(),
             memory: self.memory.get(),
         }
     }
 
-    fn on_closed(&self, reason: Reason, load: &Load, now: Moment) {
+    /// Records that the listener was closed, or this many connections unread.
+    pub(crate) fn on_closed(&self, reason: Reason, connections: usize, descriptors: Option<u64>) {
+        let now = self.clock.now();
         let before = self.period.get();
         let period = before.unwrap_or(Period {
             begun: now,
@@ -213,15 +260,16 @@
         });
         self.period.set(Some(Period {
             last: now,
-            connections: period.connections + 1,
+            connections: period.connections + connections,
             ..period
         }));
         if before.is_none() {
             let wait = self.intake.borrow().link_wait(&self.limits.get(), now);
+            let load = self.load(descriptors, now);
             log::warn!(
                 reason:? = reason, link_ms:% = wait.as_millis(), answers_ms:% = load.round_trip_delay.as_millis(),
                 event_loop_ms:% = load.event_loop_delay.as_millis(), descriptors = load.descriptors.unwrap_or_default(),
-                in_hand = load.requests, bytes = load.memory;
+                unread = load.unread, in_hand = load.requests, bytes = load.memory;
                 "connections are closed unread"
             );
         }
@@ -232,7 +280,12 @@
         let Some(period) = self.period.get() else {
             return;
         };
-        if now.saturating_sub(period.last) >= QUIET_TIME {
+        if self.refusal_reason().is_some() {
+            self.period.set(Some(Period {
+                last: now,
+                ..period
+            }));
+        } else if now.saturating_sub(period.last) >= QUIET_TIME {
             self.period.set(None);
             log::info!(
                 closed = period.connections, after_ms:% = period.last.saturating_sub(period.begun).as_millis();
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -326,6 +326,12 @@
         }
     }
 
+    /// Opens a connection as a caller, unless it is refused.
+    pub(crate) async fn try_connect(&self) -> Option<Client> {
+        let caller = Client::open(self.front, &PATIENCE, &http1::config()).await;
+        caller.ok()
+    }
+
     /// Opens a connection as a caller.
     pub(crate) async fn connect(&self) -> Client {
         let mut caller = Client::open(self.front, &PATIENCE, &http1::config()).await;
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -12,7 +12,9 @@
 pub use client::{Client, Framing, ResponseStart};
 pub use failure::{Failure, RequestError};
 pub use server::{IncomingRequest, Limits, Reader, Server, Writer};
-pub use socket::{TcpTimeouts, Traffic, listen, traffic};
+pub use socket::{
+    BACKLOG, TcpTimeouts, Traffic, listen, listen_with_backlog, set_backlog, traffic,
+};
 
 /// Configuration of the `actix_http` codec, shared by all connections of a thread.
 pub type Config = actix_http::ServiceConfig;
--- a/crates/http1/src/socket.rs
+++ b/crates/http1/src/socket.rs
@@ -40,18 +40,28 @@
 }
 
 /// Maximum number of connections that wait to be accepted.
-const BACKLOG: i32 = 512;
+pub const BACKLOG: i32 = 512;
 
 /// Listens on `address`, even while connections of an earlier process are in `TIME_WAIT`.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    listen_with_backlog(address, BACKLOG)
+}
+
+/// As [`listen`], with at most `backlog` connections that wait to be accepted.
+pub fn listen_with_backlog(address: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
+    socket.listen(backlog)?;
     TcpListener::from_std(socket.into())
 }
 
+/// Changes the number of connections that may wait to be accepted.
+pub fn set_backlog(listener: &TcpListener, backlog: i32) -> io::Result<()> {
+    SockRef::from(listener).listen(backlog)
+}
+
 /// Sets the socket options of an open connection.
 pub(crate) fn set_options(stream: &TcpStream, timeouts: &TcpTimeouts) -> io::Result<()> {
     stream.set_nodelay(true)?;
--- a/crates/serving/src/intake.rs
+++ b/crates/serving/src/intake.rs
@@ -49,6 +49,14 @@
 const FULL_TIME: Duration = Duration::from_secs(1);
 /// Part of the link's rate in use, in either direction, below which late answers have other causes.
 const LOADED_SHARE: f64 = 0.5;
+/// The same, below which unread connections are taken to be idle rather than waiting for the link.
+/// It is less, since what is sent on connections that were closed unread is not measured.
+const UNREAD_LOADED_SHARE: f64 = 0.25;
+
+/// Time after which an accepted connection whose first request has not been read is closed while the
+/// link is full, and counts as idle otherwise. Callers give up unread requests after a second, when
+/// their next try is too late.
+pub const UNREAD_TIME: Duration = Duration::from_millis(300);
 
 /// Why connections are closed unread.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -106,6 +114,8 @@
     pub descriptors: Option<u64>,
     /// Requests in hand, and connections whose first request has not been read.
     pub requests: usize,
+    /// Those of the connections that were accepted within [`UNREAD_TIME`].
+    pub unread: usize,
     /// Memory of the requests in hand, in bytes.
     pub memory: u64,
 }
@@ -281,9 +291,13 @@
         let reopen = |share| if is_closed { share } else { 1.0 };
         let max_wait = limits.max_wait.mul_f64(reopen(REOPEN_SHARE));
         match reason {
-            Reason::Link => self.link_wait(limits, now) > max_wait,
+            Reason::Link => {
+                self.link_wait(limits, now) > max_wait
+                    || self.unread_wait(load, limits, now) > max_wait
+            }
             Reason::Delay => {
-                load.requests > 0 && load.round_trip_delay > max_wait && self.is_loaded(limits, now)
+                let is_late = load.requests > 0 && load.round_trip_delay > max_wait;
+                is_late && self.is_loaded(LOADED_SHARE, limits, now)
             }
             // Without requests in hand, something else than callers takes the processor.
             Reason::EventLoop => load.requests > 0 && load.event_loop_delay > max_wait,
@@ -298,10 +312,20 @@
         }
     }
 
-    fn is_loaded(&self, limits: &Limits, now: Moment) -> bool {
+    /// Time until the requests of unread connections have been received. Their charges have drained
+    /// if the link carries less than is assumed, or also carries what refused callers send.
+    fn unread_wait(&self, load: &Load, limits: &Limits, now: Moment) -> Duration {
+        if !self.is_loaded(UNREAD_LOADED_SHARE, limits, now) {
+            return Duration::ZERO;
+        }
+        let bytes = to_f64(load.unread as u64) * self.totals.mean_bytes();
+        Duration::from_secs_f64(bytes / request_rate(limits))
+    }
+
+    fn is_loaded(&self, share: f64, limits: &Limits, now: Moment) -> bool {
         let sent = self.sent_use.bytes_per_second(now);
         let most = sent.max(self.received_use.bytes_per_second(now));
-        most >= LOADED_SHARE * limits.bytes_per_second
+        most >= share * limits.bytes_per_second
     }
 
     fn bounded_charge(&self, bytes: f64, limits: &Limits) -> Charge {
--- a/crates/serving/tests/intake.rs
+++ b/crates/serving/tests/intake.rs
@@ -175,6 +175,32 @@
     assert!(!intake.is_link_full(&limits, now));
 }
 
+/// Guards against requests of accepted connections waiting behind each other in the receiving
+/// direction, after their charges have drained, and against idle connections closing an idle instance.
+#[test]
+fn unread_connections_close_an_instance_whose_link_is_in_use() {
+    let limits = limits(10.0);
+    let mut intake = Intake::default();
+    let unread = |unread| Load { unread, ..busy() };
+    assert!(intake.admit(&limits, &unread(1_000), ms(900)).is_ok());
+    for step in 0..100 {
+        let now = ms(1_000 + 20 * step);
+        intake.on_traffic(0, 16_000, now);
+        let charge = intake.admit(&limits, &busy(), now).unwrap_or_default();
+        intake.on_request(8_000, charge, &limits, now);
+    }
+    // Seven of 8,000 bytes take 56 ms, as a megabyte a second is left for requests.
+    let now = ms(3_300);
+    assert!(intake.admit(&limits, &unread(7), now).is_ok());
+    let now = ms(3_400);
+    assert_eq!(intake.admit(&limits, &unread(8), now), Err(Reason::Link));
+    // Between the two limits, it stays as it is.
+    assert_eq!(intake.admit(&limits, &unread(4), now), Err(Reason::Link));
+    assert!(intake.admit(&limits, &unread(3), now).is_ok());
+    let now = ms(5_000);
+    assert!(intake.admit(&limits, &unread(1_000), now).is_ok());
+}
+
 /// Guards against late answers or iterations, whose cause is elsewhere, closing an idle instance.
 #[test]
 fn measured_delays_close_only_an_instance_that_is_loaded() {
