Refuse requests that the full link made late

A request whose body had crossed the full link for longer than its latency target was placed and sent, and made those behind it late. While the link is full, a request that waited longer than the longest wait for it, and cannot be on time after what is queued to be sent, is refused at once without having run. Requests that are late because of their own size alone are served as before. Not measured yet.

--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -21,7 +21,7 @@
 use crate::instance::Instance;
 use crate::metrics;
 use crate::placement::{self, Avoid};
-use crate::plain::{End, log_refused, metric_end, refuse_end};
+use crate::plain::{self, End, log_refused, metric_end, refuse_end};
 use crate::relay::{self, Relay, Times};
 use crate::suspects;
 
@@ -52,6 +52,9 @@
     let close = instance.lifecycle.is_leaving() || instance.own_load.is_closed();
     let sent = Cell::new(false);
     let run = async {
+        if let Some(end) = plain::refuse_late(instance, request) {
+            return Stream::Unserved(end);
+        }
         let relay = Relay::new(writer, request.call.resume_after, close);
         Run::new(instance, request, relay, &sent).run().await
     };
--- a/crates/gateway/src/own_load.rs
+++ b/crates/gateway/src/own_load.rs
@@ -237,6 +237,17 @@
         intake.is_link_full(&self.limits.get(), self.clock.now())
     }
 
+    /// Whether a request with a body of this size was received too late over the own link to be
+    /// answered within `target`.
+    pub(crate) fn is_too_late(&self, elapsed: Duration, body: usize, target: Duration) -> bool {
+        let limits = self.limits.get();
+        let bytes = ASSUMED_HEAD_BYTES + body as u64;
+        #[allow(clippy::cast_precision_loss)]
+        let transmission = Duration::from_secs_f64(bytes as f64 / limits.bytes_per_second);
+        let intake = self.intake.borrow();
+        intake.is_too_late(elapsed, transmission, target, &limits, self.clock.now())
+    }
+
     fn load(&self, descriptors: Option<u64>, now: Moment) -> Load {
         let congestion = self.congestion.borrow();
         Load {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -51,6 +51,8 @@
 /// Retry-after once all engines refused. One of them is likely to have room after a few calls'
 /// time.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Retry-after of a call that the own link made late: at once, at another instance.
+const LATE_RETRY_AFTER: Duration = Duration::from_millis(10);
 /// Retry-after while no engine can be reached: the time after which the paths are looked at again.
 pub(crate) const NO_PATH_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Share of the route's target after which an attempt of a call that may be retried counts as
@@ -149,7 +151,22 @@
     );
 }
 
+/// Refuses a call that was received too late to be answered on time, before it is placed.
+pub(crate) fn refuse_late(instance: &Instance, request: &Request) -> Option<End> {
+    let target = request.route.latency_target;
+    let target = target.saturating_sub(request.waited_before);
+    let is_late = (instance.own_load).is_too_late(request.elapsed(), request.body.len(), target);
+    is_late.then_some(End::NotRun {
+        after: LATE_RETRY_AFTER,
+        why: "The request was received too late.",
+        best: None,
+    })
+}
+
 async fn run_attempts(instance: &Rc<Instance>, request: &Request) -> End {
+    if let Some(end) = refuse_late(instance, request) {
+        return end;
+    }
     let mut avoid = Avoid::new();
     let mut runs = 0;
     let mut failed_sends = FailedSends::default();
--- a/crates/serving/src/intake.rs
+++ b/crates/serving/src/intake.rs
@@ -259,6 +259,23 @@
             || self.link_wait(limits, now) > limits.max_wait.mul_f64(REOPEN_SHARE)
     }
 
+    /// Whether a request cannot be answered within `target` any more because of the own link, after
+    /// `elapsed` since its first byte. Its caller's next try may be on time, and others are not kept
+    /// waiting by a late one. `transmission` is the time that it takes to receive it alone: large
+    /// requests are late everywhere.
+    pub fn is_too_late(
+        &self,
+        elapsed: Duration,
+        transmission: Duration,
+        target: Duration,
+        limits: &Limits,
+        now: Moment,
+    ) -> bool {
+        let is_delayed_here =
+            self.is_link_full(limits, now) && elapsed > transmission + limits.max_wait;
+        is_delayed_here && elapsed + self.sent.wait(request_rate(limits), now) > target
+    }
+
     /// Time until what was accepted has crossed the link.
     pub fn link_wait(&self, limits: &Limits, now: Moment) -> Duration {
         let rate = request_rate(limits);
--- a/crates/serving/tests/intake.rs
+++ b/crates/serving/tests/intake.rs
@@ -201,6 +201,27 @@
     assert!(intake.admit(&limits, &unread(1_000), now).is_ok());
 }
 
+/// Guards against sending requests that were received too late, and against refusing those that are
+/// large or for which the own link is not the cause.
+#[test]
+fn a_request_that_the_full_link_made_late_is_too_late() {
+    let limits = limits(10.0);
+    let mut intake = Intake::default();
+    let now = ms(1_000);
+    let is_too_late = |intake: &Intake, elapsed, transmission, now| {
+        intake.is_too_late(ms(elapsed), ms(transmission), ms(250), &limits, now)
+    };
+    assert!(!is_too_late(&intake, 300, 10, now));
+    while intake.admit(&limits, &busy(), now).is_ok() {}
+    assert!(is_too_late(&intake, 300, 10, now));
+    // What was accepted before takes 60 ms or more to be sent.
+    assert!(is_too_late(&intake, 195, 10, now));
+    assert!(!is_too_late(&intake, 150, 10, now));
+    assert!(!is_too_late(&intake, 300, 250, now));
+    assert!(!is_too_late(&intake, 195, 10, ms(1_500)));
+    assert!(!is_too_late(&intake, 300, 10, ms(3_000)));
+}
+
 /// Guards against late answers or iterations, whose cause is elsewhere, closing an idle instance.
 #[test]
 fn measured_delays_close_only_an_instance_that_is_loaded() {
