Let a request wait a quarter of the shortest target at a time

A request waits for its own link up to four times: to be received, for the connection to an engine, to be sent there, and for its answer. With half of the shortest latency target for each, the sum was twice the target. While the link is full bodies are sent once, so that a quarter fits. Not measured in a fleet.

--- a/crates/gateway/src/own_load.rs
+++ b/crates/gateway/src/own_load.rs
@@ -24,8 +24,10 @@
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Time without a connection closed unread after which a period of such ends, for the log.
 const QUIET_TIME: Duration = Duration::from_secs(1);
-/// Part of the shortest latency target that a request may wait for the own link or processor.
-const MAX_WAIT_SHARE: f64 = 0.5;
+/// Part of the shortest latency target that a request may wait for the own link or processor at a
+/// time. It waits up to four times: to be received, for the connection to an engine, to be sent there,
+/// and for the answer to be sent.
+const MAX_WAIT_SHARE: f64 = 0.25;
 /// Bounds of that wait. The timer's interval is the least that can be measured; a connection to an
 /// engine times out after twice the upper bound.
 const WAIT_BOUNDS: (Duration, Duration) = (OBSERVATION_INTERVAL, Duration::from_millis(150));
--- a/crates/serving/tests/intake.rs
+++ b/crates/serving/tests/intake.rs
@@ -112,21 +112,24 @@
             bytes,
             copies,
         };
-        let outcome = play(arrivals, &limits(10.0));
-        let (least, most) = (0.65, 0.9);
-        assert!(
-            (least..most).contains(&outcome.used) && outcome.closed > 0,
-            "{per_second} of {bytes}: {outcome:?}"
-        );
-        // Second copies come on top of what was accepted last.
-        assert!(
-            outcome.longest_wait < 3 * limits(10.0).max_wait,
-            "{outcome:?}"
-        );
-        assert!(
-            outcome.accepted >= outcome.periods as u64,
-            "{per_second} of {bytes}: {outcome:?}"
-        );
+        for max_wait in [60, 30] {
+            let limits = Limits {
+                max_wait: ms(max_wait),
+                ..limits(10.0)
+            };
+            let outcome = play(arrivals, &limits);
+            let (least, most) = (0.65, 0.9);
+            assert!(
+                (least..most).contains(&outcome.used) && outcome.closed > 0,
+                "{per_second} of {bytes}: {outcome:?}"
+            );
+            // Second copies come on top of what was accepted last.
+            assert!(outcome.longest_wait < ms(180), "{outcome:?}");
+            assert!(
+                outcome.accepted >= outcome.periods as u64,
+                "{per_second} of {bytes}: {outcome:?}"
+            );
+        }
     }
 }
 
