Test that a request on a kept connection closes the listener

A large request on a kept connection filled the link, and the listener stayed open until the next connection was accepted. The test fails: no period of closed connections begins within 600 polls.

--- a/crates/gateway/tests/own_load.rs
+++ b/crates/gateway/tests/own_load.rs
@@ -119,6 +119,19 @@
     wait_until(async || is_kept_after_call(&gateway).await == Some(true)).await;
 }
 
+/// Guards against accepting connections while a request on a kept one fills the link.
+#[actix_rt::test]
+async fn a_request_on_a_kept_connection_closes_the_listener() {
+    let (first, _app, _pool) = Gateway::start().await;
+    let gateway = first.start_another_at(first.store.address, MODERATE_LINK_MBPS);
+    gateway.wait_until_ready(true).await;
+    let mut kept = connect_kept(&gateway).await;
+    assert_eq!(gateway.count_log_lines(CLOSED), 0);
+    let answer = post(&mut kept, &gateway.fresh_id(), LARGEST_BODY).await;
+    assert_eq!(answer, Some(200));
+    wait_until(async || gateway.count_log_lines(CLOSED) == 1).await;
+}
+
 /// Guards against the load staying on kept connections, which are not refused.
 #[actix_rt::test]
 async fn kept_connections_are_asked_to_close_while_the_own_link_is_full() {
