Close the listener as soon as a request fills the link

The listener was closed only after a further connection had been accepted, so that a request that was read larger than it was charged, or came on a kept connection, let one more caller send its body. The accept loop is now notified when a request fills the link.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -53,28 +53,16 @@
 pub(crate) async fn accept(instance: Rc<Instance>, mut listener: TcpListener) {
     let mut reopened_at: Option<Instant> = None;
     loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, peer)) => admit(&instance, stream, peer.ip()),
+                Err(error) => accept_failed(&error).await,
+            },
+            () = instance.own_load.wait_until_filled() => {}
             () = raise_backlog(&listener, reopened_at), if reopened_at.is_some() => {
                 reopened_at = None;
-                continue;
             }
             () = instance.lifecycle.wait_for_closing() => return,
-        };
-        let (stream, peer) = match accepted {
-            Ok(accepted) => accepted,
-            Err(error) => {
-                accept_failed(&error).await;
-                continue;
-            }
-        };
-        match instance.own_load.admit(stream.as_raw_fd()) {
-            Ok(admitted) => {
-                let serving = serve(instance.clone(), stream, peer.ip(), admitted);
-                drop(actix_rt::spawn(serving));
-            }
-            // The platform sends the caller's next try to another instance.
-            Err(reason) => instance.metrics.connection_closed_unread(reason),
         }
         let Some(reason) = instance.own_load.refusal_reason() else {
             continue;
@@ -95,6 +83,18 @@
 /// Interval between checks whether connections are accepted again.
 const REOPEN_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Serves an accepted connection, or closes it unread: the platform sends the caller's next try to
+/// another instance.
+fn admit(instance: &Rc<Instance>, stream: TcpStream, caller: IpAddr) {
+    match instance.own_load.admit(stream.as_raw_fd()) {
+        Ok(admitted) => {
+            let serving = serve(instance.clone(), stream, caller, admitted);
+            drop(actix_rt::spawn(serving));
+        }
+        Err(reason) => instance.metrics.connection_closed_unread(reason),
+    }
+}
+
 /// Connections that may wait to be accepted after the listener was closed. Each sends up to ten
 /// packets of its request, whether it is admitted or not. Fewer would drop handshakes, whose callers
 /// repeat them after a second, while the process waits a tenth of a second for the processor.
--- a/crates/gateway/src/own_load.rs
+++ b/crates/gateway/src/own_load.rs
@@ -13,6 +13,7 @@
 use http1::Traffic;
 use serving::congestion::{Cause, Congestion};
 use serving::intake::{Charge, Intake, Limits, Load, Reason, UNREAD_TIME};
+use tokio::sync::Notify;
 use tokio::time::sleep;
 
 /// Interval at which the traffic and the event loop's delay are observed.
@@ -62,6 +63,7 @@
     memory: Cell<u64>,
     period: Cell<Option<Period>>,
     last_logged: Cell<Option<Moment>>,
+    filled: Notify,
 }
 
 /// An accepted connection until its first request has been read.
@@ -131,6 +133,7 @@
             memory: Cell::new(0),
             period: Cell::new(None),
             last_logged: Cell::new(None),
+            filled: Notify::new(),
         }
     }
 
@@ -206,14 +209,24 @@
         let charged = admitted.map_or(Charge::default(), |admitted| admitted.charge);
         let (limits, now) = (self.limits.get(), self.clock.now());
         let bytes = ASSUMED_HEAD_BYTES + body;
-        let mut intake = self.intake.borrow_mut();
-        intake.on_request(bytes, charged, &limits, now);
+        self.intake
+            .borrow_mut()
+            .on_request(bytes, charged, &limits, now);
+        if self.refusal_reason().is_some() {
+            self.filled.notify_one();
+        }
         let memory = REQUEST_OVERHEAD_BYTES + body;
         self.requests.set(self.requests.get() + 1);
         self.memory.set(self.memory.get() + memory);
         RequestGuard { load: self, memory }
     }
 
+    /// Waits for a request that fills the link: one on a kept connection, or a larger one than was
+    /// charged.
+    pub(crate) async fn wait_until_filled(&self) {
+        self.filled.notified().await;
+    }
+
     /// Records the time until a peer answered.
     pub(crate) fn on_round_trip(&self, peer: SocketAddr, begun: Moment) {
         let now = self.clock.now();
