--- a/crates/gateway/src/own_load.rs
+++ b/crates/gateway/src/own_load.rs
@@ -80,6 +80,8 @@
         loop {
             if let Some(reason) = self.load.refusal_reason() {
                 self.load.on_closed(reason, 1, None);
+                let now = self.load.clock.now();
+                self.load.congestion.borrow_mut().on_overdue(now);
                 return reason;
             }
             if !self.is_idle.replace(true) {
--- a/crates/serving/src/congestion.rs
+++ b/crates/serving/src/congestion.rs
@@ -26,6 +26,9 @@
 const FULL_LINK_DELAY: Duration = Duration::from_millis(250);
 /// Peers whose answers must all be late before the own link is the likely cause.
 const LATE_PEERS: usize = 2;
+/// Connections of callers whose requests did not arrive in time before the receiving direction of the
+/// own link is the likely cause: single callers may send slowly, or nothing.
+const OVERDUE_CONNECTIONS: usize = 3;
 /// Time over which the delay of all answers, or of all iterations of the event loop, is standing.
 const STANDING: Duration = Duration::from_millis(400);
 /// Iterations of the event loop without which nothing is known of its delay.
@@ -45,6 +48,8 @@
     Link,
     /// The event loop ran late.
     EventLoop,
+    /// Requests of several callers do not arrive over the full link.
+    Receiving,
 }
 
 /// Observations of a short time.
@@ -57,6 +62,8 @@
     late: Duration,
     shortest_late: Duration,
     iterations: usize,
+    /// Connections whose requests did not arrive in time.
+    overdue: usize,
     /// Shortest round trip to the first peer, and to any other.
     round_trip: Option<(SocketAddr, Duration)>,
     other_round_trip: Option<Duration>,
@@ -70,6 +77,7 @@
             late: Duration::ZERO,
             shortest_late: Duration::MAX,
             iterations: 0,
+            overdue: 0,
             round_trip: None,
             other_round_trip: None,
         }
@@ -133,6 +141,12 @@
         slot.iterations += 1;
     }
 
+    /// Records a connection that was closed because its request did not arrive in time while the link
+    /// was full.
+    pub fn on_overdue(&mut self, now: Moment) {
+        self.slot(now).overdue += 1;
+    }
+
     /// Records the time until a peer answered, such as the opening of a connection. A refusal is an
     /// answer, a time-out is not.
     pub fn on_round_trip(&mut self, peer: SocketAddr, took: Duration, now: Moment) {
@@ -150,8 +164,8 @@
 
     /// What of this instance's own may have caused a silence that began at `begun`, if anything.
     ///
-    /// Without answers from anyone the own link is not taken to be full, unless its queue says so:
-    /// lost paths look alike.
+    /// Without answers from anyone the own link is not taken to be full, unless its queue or callers'
+    /// requests that do not arrive say so: lost paths to engines look alike.
     pub fn explains_silence(&self, begun: Moment, now: Moment) -> Option<Cause> {
         let silence = now.saturating_sub(begun);
         let share = silence.mul_f64(EXPLAINED_SHARE).max(MIN_EXPLANATION);
@@ -163,6 +177,9 @@
         if slots().map(|slot| slot.late).sum::<Duration>() >= share {
             return Some(Cause::EventLoop);
         }
+        if slots().map(|slot| slot.overdue).sum::<usize>() >= OVERDUE_CONNECTIONS {
+            return Some(Cause::Receiving);
+        }
         let delay = self.shortest_delay_since(begun)?;
         (delay >= bound).then_some(Cause::Link)
     }
--- a/crates/serving/tests/congestion.rs
+++ b/crates/serving/tests/congestion.rs
@@ -94,3 +94,18 @@
     congestion.on_iteration(ms(40), ms(1_400));
     assert_eq!(congestion.event_loop_delay(ms(1_410)), ms(40));
 }
+
+/// Guards against taking answers that a full receiving direction drops for lost paths, and against
+/// single slow callers concealing lost paths.
+#[test]
+fn requests_that_do_not_arrive_explain_silence() {
+    let mut congestion = Congestion::default();
+    for overdue in 0..3 {
+        let cause = congestion.explains_silence(ms(1_000), ms(1_350));
+        assert_eq!(cause, None, "{overdue} connections");
+        congestion.on_overdue(ms(1_100 + 10 * overdue));
+    }
+    let cause = congestion.explains_silence(ms(1_000), ms(1_350));
+    assert_eq!(cause, Some(Cause::Receiving));
+    assert_eq!(congestion.explains_silence(ms(1_300), ms(1_650)), None);
+}
