--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -155,6 +155,8 @@
     Engines,
     /// No other instance could tell, so the engines are taken for the cause.
     Unknown,
+    /// A connection opened before others had answered.
+    Settled,
 }
 
 macro_rules! labels {
@@ -179,7 +181,7 @@
 labels!(Connect: Opened = "opened", Refused = "refused", TimedOut = "timed_out", Failed = "failed");
 labels!(ForwardAnswer: Sent = "sent", Declined = "declined", Silent = "silent", Lost = "lost");
 labels!(ClosedUnread: Link = "link", Delay = "delay", EventLoop = "event_loop", Descriptors = "descriptors", Memory = "memory");
-labels!(Suspicion: Isolated = "isolated", Engines = "engines", Unknown = "unknown");
+labels!(Suspicion: Isolated = "isolated", Engines = "engines", Unknown = "unknown", Settled = "settled");
 labels!(OrderAnswer: Taken = "taken", Refused = "refused", Unanswered = "unanswered");
 
 /// One label name with its value.
@@ -478,6 +480,7 @@
             (Verdict::Isolated(_), _) => Suspicion::Isolated,
             (Verdict::Engines, Report::Unknown) => Suspicion::Unknown,
             (Verdict::Engines, _) => Suspicion::Engines,
+            (Verdict::Settled, _) => Suspicion::Settled,
         };
         self.path_suspicions
             .get_or_create(&[("result", result)])
