--- a/crates/gateway/src/own_load.rs
+++ b/crates/gateway/src/own_load.rs
@@ -25,13 +25,13 @@
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Time without a connection closed unread after which a period of such ends, for the log.
 const QUIET_TIME: Duration = Duration::from_secs(1);
-/// Part of the shortest latency target that a request may wait for the own link or processor at a
-/// time. It waits up to four times: to be received, for the connection to an engine, to be sent there,
-/// and for the answer to be sent.
-const MAX_WAIT_SHARE: f64 = 0.25;
+/// Longest wait for the own link or processor, as a share of the shortest latency target. A request
+/// waits up to four times, so that a quarter would keep every call on time; that refuses connections
+/// in bursts which an instance carries within the targets of most calls.
+const MAX_WAIT_SHARE: f64 = 1.0;
 /// Bounds of that wait. The timer's interval is the least that can be measured; a connection to an
-/// engine times out after twice the upper bound.
-const WAIT_BOUNDS: (Duration, Duration) = (OBSERVATION_INTERVAL, Duration::from_millis(150));
+/// engine times out soon after the upper bound.
+const WAIT_BOUNDS: (Duration, Duration) = (OBSERVATION_INTERVAL, Duration::from_millis(300));
 /// Interval between checks whether an unread connection should be closed.
 const OVERDUE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Size of a request's head, of which the parser keeps no count.
