--- a/crates/gateway/src/engine_links.rs
+++ b/crates/gateway/src/engine_links.rs
@@ -219,6 +219,12 @@
     let begun = instance.now();
     let opened = instance.connect(engine.address, patience).await;
     instance.metrics.engine_connected(opened.as_ref().err());
+    let is_time_out = opened.as_ref().is_err_and(http1::Failure::is_time_out);
+    if !is_time_out {
+        instance.own_load.on_round_trip(engine.address, begun);
+    } else if instance.own_load.explains_silence(begun) {
+        return opened;
+    }
     match &opened {
         Ok(_) => on_opened(instance, engine),
         Err(http1::Failure::NotSent(error)) if error.kind() == io::ErrorKind::TimedOut => {
@@ -322,6 +328,9 @@
 ) {
     match failure {
         http1::Failure::NoResponse(error) if error.kind() == io::ErrorKind::TimedOut => {
+            if instance.own_load.explains_silence(sent_at) {
+                return;
+            }
             instance.pool.remove(&engine.id);
             on_timed_out(instance, engine, sent_at, Origin::Choice);
         }
@@ -414,14 +423,17 @@
         .collect()
 }
 
-/// Opens a connection to each of these engines, and keeps it for calls.
-async fn connect_to_all(instance: &Rc<Instance>, engines: &[Target], origin: Origin) {
+/// Opens a connection to each of these engines, and keeps it for calls. Returns how many opened.
+async fn connect_to_all(instance: &Rc<Instance>, engines: &[Target], origin: Origin) -> usize {
     let probes = engines.iter().map(async |engine| {
-        if let Ok(client) = connect(instance, engine, &PROBE_PATIENCE, origin).await {
+        let opened = connect(instance, engine, &PROBE_PATIENCE, origin).await;
+        let is_open = opened.is_ok();
+        if let Ok(client) = opened {
             instance.pool.put(&engine.id, client, None, instance.now());
         }
+        usize::from(is_open)
     });
-    join_all(probes).await;
+    join_all(probes).await.into_iter().sum()
 }
 
 /// Whether a new connection to an engine opens; `None` if it does not, and it may be this instance's own
@@ -429,7 +441,10 @@
 pub(crate) async fn reaches(instance: &Rc<Instance>, engine: &Target) -> Option<bool> {
     let begun = instance.now();
     let engines = std::slice::from_ref(engine);
-    connect_to_all(instance, engines, Origin::Choice).await;
+    let is_open = connect_to_all(instance, engines, Origin::Choice).await > 0;
+    if !is_open && instance.own_load.explains_silence(begun) {
+        return None;
+    }
     if instance.links.state().path(&engine.id, &engine.service) == Path::Direct {
         return Some(true);
     }
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -20,7 +20,7 @@
 use crate::instance::Instance;
 use crate::metrics;
 use crate::placement::{self, Avoid};
-use crate::plain::{End, log_refused, metric_end, refuse_end};
+use crate::plain::{self, End, log_refused, metric_end, refuse_end};
 use crate::relay::{self, Relay, Times};
 use crate::suspects;
 
@@ -48,9 +48,12 @@
     request: &Request,
     writer: &mut Writer,
 ) -> bool {
-    let close = instance.lifecycle.is_leaving();
+    let close = instance.lifecycle.is_leaving() || instance.own_load.is_closed();
     let sent = Cell::new(false);
     let run = async {
+        if let Some(end) = plain::refuse_late(instance, request) {
+            return Stream::Unserved(end);
+        }
         let relay = Relay::new(writer, request.call.resume_after, close);
         Run::new(instance, request, relay, &sent).run().await
     };
@@ -308,7 +311,7 @@
                 log::info!(id = self.request.call.id.as_str(), engine = &*engine.id, failure:% = failure,
                     fingerprint = self.request.fingerprint_text(), caller:% = self.request.caller;
                     "the prompt's reading was lost");
-                engine_call.set_outcome(Outcome::Failed);
+                engine_call.set_lost(&failure);
                 self.on_broken(engine_call, &engine).await;
                 return PrefillResult::Lost;
             }
@@ -393,7 +396,7 @@
                 log::info!(id = self.request.call.id.as_str(), engine = &*engine.id, failure:% = failure,
                     fingerprint = self.request.fingerprint_text(), parts = self.request.shared_parts_text(), caller:% = self.request.caller;
                     "the engine's answer was lost");
-                engine_call.set_outcome(Outcome::Failed);
+                engine_call.set_lost(&failure);
                 self.on_broken(engine_call, &engine).await;
                 self.avoid.push(target.engine.clone());
                 GenerateResult::Next(self.after_loss("The engine's answer was lost."))
@@ -472,7 +475,7 @@
                 log::info!(id = self.request.call.id.as_str(), engine = &*engine.id, failure:% = failure, framing:? = response.framing, last:? = self.relay.last(),
                     fingerprint = self.request.fingerprint_text(), parts = self.request.shared_parts_text(), caller:% = self.request.caller;
                     "the engine broke off");
-                engine_call.set_outcome(Outcome::Failed);
+                engine_call.set_lost(&failure);
                 self.on_broken(engine_call, engine).await;
                 self.avoid.push(engine.id.clone());
                 self.after_loss("The engine broke off.")
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,6 +19,7 @@
 use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
+use serving::intake::Reason;
 use serving::reachability::{Report, Verdict};
 
 use crate::instance::Instance;
@@ -125,6 +126,28 @@
     Lost,
 }
 
+/// Why a connection was closed unread.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum ClosedUnread {
+    Link,
+    Delay,
+    EventLoop,
+    Descriptors,
+    Memory,
+}
+
+impl From<Reason> for ClosedUnread {
+    fn from(reason: Reason) -> Self {
+        match reason {
+            Reason::Link => Self::Link,
+            Reason::Delay => Self::Delay,
+            Reason::EventLoop => Self::EventLoop,
+            Reason::Descriptors => Self::Descriptors,
+            Reason::Memory => Self::Memory,
+        }
+    }
+}
+
 /// What a suspected loss of paths turned out to be.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 enum Suspicion {
@@ -157,6 +180,7 @@
 labels!(Pause: Requested = "requested", None = "none");
 labels!(Connect: Opened = "opened", Refused = "refused", TimedOut = "timed_out", Failed = "failed");
 labels!(ForwardAnswer: Sent = "sent", Declined = "declined", Silent = "silent", Lost = "lost");
+labels!(ClosedUnread: Link = "link", Delay = "delay", EventLoop = "event_loop", Descriptors = "descriptors", Memory = "memory");
 labels!(Suspicion: Isolated = "isolated", Engines = "engines", Unknown = "unknown", Settled = "settled");
 labels!(OrderAnswer: Taken = "taken", Refused = "refused", Unanswered = "unanswered");
 
@@ -181,6 +205,7 @@
     engine_refusals: Family<Labels<Pause>, Counter>,
     engine_connections: Family<Labels<Connect>, Counter>,
     forward_requests: Family<Labels<ForwardAnswer>, Counter>,
+    closed_unread: Family<Labels<ClosedUnread>, Counter>,
     isolated: Gauge,
     path_suspicions: Family<Labels<Suspicion>, Counter>,
     held_calls: Counter,
@@ -215,6 +240,7 @@
             engine_refusals: Family::default(),
             engine_connections: Family::default(),
             forward_requests: Family::default(),
+            closed_unread: Family::default(),
             isolated: Gauge::default(),
             path_suspicions: Family::default(),
             held_calls: Counter::default(),
@@ -306,6 +332,11 @@
             "Requests to other instances to send a call to its engine",
             self.forward_requests.clone(),
         );
+        registry.register(
+            "connections_closed_unread",
+            "Connections of callers that were closed unread, by the limit that was reached",
+            self.closed_unread.clone(),
+        );
         registry.register(
             "isolated",
             "1 while no engine can be reached from this instance",
@@ -451,6 +482,14 @@
             .inc();
     }
 
+    /// Counts a connection that was closed unread.
+    pub(crate) fn connection_closed_unread(&self, reason: Reason) {
+        let reason = ClosedUnread::from(reason);
+        self.closed_unread
+            .get_or_create(&[("reason", reason)])
+            .inc();
+    }
+
     /// Sets whether no engine can be reached from this instance.
     pub(crate) fn set_isolated(&self, is_isolated: bool) {
         self.isolated.set(i64::from(is_isolated));
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -7,7 +7,7 @@
 use adapter::ingress;
 use adapter::upstream::{Reply, RequestOptions};
 use bytes::Bytes;
-use http1::Writer;
+use http1::{Failure, Writer};
 use serving::engine::Record;
 use serving::health::Outcome;
 use serving::place::{self, Target};
@@ -50,6 +50,8 @@
 /// Retry-after once all engines refused. One of them is likely to have room after a few calls'
 /// time.
 const FULL_RETRY_AFTER: Duration = Duration::from_millis(100);
+/// Retry-after of a call that the own link made late: at once, at another instance.
+const LATE_RETRY_AFTER: Duration = Duration::from_millis(10);
 /// Retry-after while no engine can be reached: the time after which the paths are looked at again.
 pub(crate) const NO_PATH_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Share of the route's target after which an attempt of a call that may be retried counts as
@@ -65,7 +67,7 @@
     let end = timeout_at(request.deadline, run_attempts(instance, request)).await;
     let end = end.unwrap_or(End::Late);
     log_end(instance, request, &end);
-    let close = instance.lifecycle.is_leaving();
+    let close = instance.lifecycle.is_leaving() || instance.own_load.is_closed();
     match end {
         End::Answer(response, body) => {
             let head = ingress::relayed_head(&response.head, close);
@@ -152,7 +154,22 @@
     );
 }
 
+/// Refuses a call that was received too late to be answered on time, before it is placed.
+pub(crate) fn refuse_late(instance: &Instance, request: &Request) -> Option<End> {
+    let target = request.route.latency_target;
+    let target = target.saturating_sub(request.waited_before);
+    let is_late = (instance.own_load).is_too_late(request.elapsed(), request.body.len(), target);
+    is_late.then_some(End::NotRun {
+        after: LATE_RETRY_AFTER,
+        why: "The request was received too late.",
+        best: None,
+    })
+}
+
 async fn run_attempts(instance: &Rc<Instance>, request: &Request) -> End {
+    if let Some(end) = refuse_late(instance, request) {
+        return end;
+    }
     let mut avoid = Avoid::new();
     let mut runs = 0;
     let mut failed_sends = FailedSends::default();
@@ -218,7 +235,7 @@
                 }
             }
             AttemptEnd::Late => return End::Late,
-            AttemptEnd::Lost => {
+            AttemptEnd::Lost | AttemptEnd::Stuck => {
                 runs += 1;
                 if !may_retry || !take_retry(instance, request) {
                     return End::Unknown("The engine's answer was lost.");
@@ -252,10 +269,22 @@
     Whole(Box<WholeAnswer>, Bytes),
     NotRun(NotRun),
     Lost,
+    /// Without an answer for so long that another engine is tried.
+    Stuck,
     /// The caller's time ended before a response.
     Late,
 }
 
+impl AttemptEnd {
+    fn lost(failure: &Failure) -> Self {
+        if failure.is_time_out() {
+            Self::Stuck
+        } else {
+            Self::Lost
+        }
+    }
+}
+
 async fn attempt_once(
     instance: &Rc<Instance>,
     request: &Request,
@@ -289,17 +318,20 @@
                     "answer lost");
                 crash_detection::on_broken_response(instance, request, &engine, Progress::Starting)
                     .await;
-                AttemptEnd::Lost
+                AttemptEnd::lost(&failure)
             }
         }
     };
     let result = timeout_at(until, exchange).await;
     let result = result.unwrap_or(if until < request.deadline {
-        AttemptEnd::Lost
+        AttemptEnd::Stuck
     } else {
         AttemptEnd::Late
     });
-    engine_call.set_outcome(outcome(&result));
+    match result {
+        AttemptEnd::Stuck | AttemptEnd::Late => engine_call.set_timed_out(),
+        _ => engine_call.set_outcome(outcome(&result)),
+    }
     result
 }
 
@@ -308,7 +340,7 @@
         AttemptEnd::Whole(response, _) if response.reply.status >= 500 => Some(Outcome::Failed),
         AttemptEnd::Whole(..) => Some(Outcome::Success),
         AttemptEnd::NotRun(why) => why.outcome(),
-        AttemptEnd::Lost | AttemptEnd::Late => Some(Outcome::Failed),
+        AttemptEnd::Lost | AttemptEnd::Stuck | AttemptEnd::Late => Some(Outcome::Failed),
     }
 }
 
@@ -343,7 +375,7 @@
                 "broken answer");
             crash_detection::on_broken_response(instance, request, engine, Progress::Starting)
                 .await;
-            AttemptEnd::Lost
+            AttemptEnd::lost(&failure)
         }
     }
 }
--- a/crates/http1/src/socket.rs
+++ b/crates/http1/src/socket.rs
@@ -1,5 +1,6 @@
 //! Socket options, and non-blocking reads and writes.
 
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -39,18 +40,28 @@
 }
 
 /// Maximum number of connections that wait to be accepted.
-const BACKLOG: i32 = 512;
+pub const BACKLOG: i32 = 512;
 
 /// Listens on `address`, even while connections of an earlier process are in `TIME_WAIT`.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    listen_with_backlog(address, BACKLOG)
+}
+
+/// As [`listen`], with at most `backlog` connections that wait to be accepted.
+pub fn listen_with_backlog(address: SocketAddr, backlog: i32) -> io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
+    socket.listen(backlog)?;
     TcpListener::from_std(socket.into())
 }
 
+/// Changes the number of connections that may wait to be accepted.
+pub fn set_backlog(listener: &TcpListener, backlog: i32) -> io::Result<()> {
+    SockRef::from(listener).listen(backlog)
+}
+
 /// Sets the socket options of an open connection.
 pub(crate) fn set_options(stream: &TcpStream, timeouts: &TcpTimeouts) -> io::Result<()> {
     stream.set_nodelay(true)?;
@@ -89,6 +100,24 @@
     Eof,
 }
 
+/// Bytes that connections of a thread have received and sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// Bytes read from sockets.
+    pub received: u64,
+    /// Bytes that the kernel has accepted to send.
+    pub sent: u64,
+}
+
+thread_local! {
+    static TRAFFIC: Cell<Traffic> = const { Cell::new(Traffic { received: 0, sent: 0 }) };
+}
+
+/// The traffic of all connections of this thread since it started.
+pub fn traffic() -> Traffic {
+    TRAFFIC.get()
+}
+
 /// Buffer space reserved for reads, in bytes.
 const READ_RESERVE: usize = 8 * 1024;
 
@@ -99,7 +128,14 @@
     }
     match stream.try_read_buf(buffer) {
         Ok(0) => Ok(Transfer::Eof),
-        Ok(_) => Ok(Transfer::Progress),
+        Ok(n) => {
+            let before = TRAFFIC.get();
+            TRAFFIC.set(Traffic {
+                received: before.received + n as u64,
+                ..before
+            });
+            Ok(Transfer::Progress)
+        }
         Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(Transfer::WouldBlock),
         Err(error) => Err(error),
     }
@@ -111,6 +147,11 @@
         Ok(0) => Ok(Transfer::Eof),
         Ok(n) => {
             buffer.advance(n);
+            let before = TRAFFIC.get();
+            TRAFFIC.set(Traffic {
+                sent: before.sent + n as u64,
+                ..before
+            });
             Ok(Transfer::Progress)
         }
         Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(Transfer::WouldBlock),
