Learn each engine's speed from the time in which it worked

Callers got engines that were forecast to be as quick as others though they take 2.4 times as long: the factor of an engine was learned from the whole time since a prompt was sent, queue included, with a weight of 0.04 to 0.15, and only from prompts that the placer had placed itself.

A prompt now counts from the end of the previous one at its engine, or from being sent to an idle engine, less the setup. Prompts that other placers report count as well. Samples are taken 50 ms after the first answer, when the predecessors are known; those beside a prompt of unknown end are left out. The absolute time per unit of work is kept for each engine, so that factors do not drift with the service's mean. The slowdown by occupied slots is learned per service for engines that generate, and the wait for a slot goes by the mean time of a call instead of 100 ms.

Plain engines: the response time of successful calls gives the factor, and a call goes where its expected response time is lowest. Reports of ended calls carry their age, in a field that earlier releases leave at 0.

tests/reports.rs passes the moment of the end and checks the reported age in addition.

--- a/crates/gateway/src/engine_call.rs
+++ b/crates/gateway/src/engine_call.rs
@@ -189,7 +189,7 @@
         log::info!(
             id = self.request.call.id.as_str(), engine = &*self.sent.engine, step = step,
             ms:% = self.started.elapsed().as_millis(), expected_ms:% = self.expected.as_millis(),
-            unread = self.unread, pace:? = engine.map(|engine| engine.slowdown),
+            unread = self.unread, pace:? = engine.map(|engine| (fleet.slowdown(engine, now) * 100.0).round() / 100.0),
             stage:? = engine.map(|engine| engine.record.stage), running = engine.map_or(0, |e| e.running_calls());
             "engine began"
         );
@@ -212,7 +212,9 @@
             crash_detection::on_abandoned(self.instance, self.request, &self.sent.engine, progress);
         }
         if let Some(placed_by) = self.placed_by {
-            self.instance.reports.call_ended(placed_by, self.outcome);
+            self.instance
+                .reports
+                .call_ended(placed_by, self.outcome, now);
             self.instance.frame_due.notify_one();
         }
     }
--- a/crates/gateway/src/placement/server.rs
+++ b/crates/gateway/src/placement/server.rs
@@ -27,7 +27,7 @@
             peer,
             ended.ticket,
             frame::decode_outcome(ended.outcome()),
-            now,
+            frame::moment_before(now, ended.age_ms),
         );
     }
     if reports.says_open {
--- a/crates/gateway/src/reports.rs
+++ b/crates/gateway/src/reports.rs
@@ -16,7 +16,7 @@
 #[derive(Debug, Default)]
 struct PlacerReports {
     read: Vec<(Ticket, Moment)>,
-    ended: Vec<(Ticket, Option<Outcome>)>,
+    ended: Vec<(Ticket, Option<Outcome>, Moment)>,
     open: BTreeSet<Ticket>,
     /// When it last got a placement request.
     last_requested: Moment,
@@ -59,11 +59,16 @@
     }
 
     /// Notes that a call has ended.
-    pub fn call_ended(&self, (placer, ticket): (SocketAddr, Ticket), outcome: Option<Outcome>) {
+    pub fn call_ended(
+        &self,
+        (placer, ticket): (SocketAddr, Ticket),
+        outcome: Option<Outcome>,
+        now: Moment,
+    ) {
         let mut all = self.0.borrow_mut();
         let reports = all.entry(placer).or_default();
         reports.open.remove(&ticket);
-        reports.ended.push((ticket, outcome));
+        reports.ended.push((ticket, outcome, now));
     }
 
     /// Takes the unsent reports, by placer.
@@ -100,10 +105,10 @@
         age_ms: frame::elapsed_ms(at, now),
         ..Report::default()
     });
-    let ended = reports.ended.drain(..).map(|(ticket, outcome)| Report {
+    let ended = reports.ended.drain(..).map(|(ticket, outcome, at)| Report {
         ticket,
+        age_ms: frame::elapsed_ms(at, now),
         outcome: frame::encode_outcome(outcome).into(),
-        ..Report::default()
     });
     gateway::Reports {
         read: read.collect(),
--- a/crates/gateway/tests/reports.rs
+++ b/crates/gateway/tests/reports.rs
@@ -30,7 +30,7 @@
         own.call_started((placer(port), ticket));
     }
     own.prompt_read((placer(1), 10), ms(5));
-    own.call_ended((placer(1), 10), Some(Outcome::Success));
+    own.call_ended((placer(1), 10), Some(Outcome::Success), ms(6));
     let reports = own.take_reports(ms(8));
     assert_eq!(reports.len(), 1, "the other one has nothing to be told");
     let (to, reports_sent) = &reports[0];
@@ -38,9 +38,10 @@
         (
             to.port(),
             reports_sent.read[0].age_ms,
-            reports_sent.ended[0].ticket
+            reports_sent.ended[0].ticket,
+            reports_sent.ended[0].age_ms
         ),
-        (1, 3, 10)
+        (1, 3, 10, 2)
     );
     assert!(own.take_reports(ms(9)).is_empty());
     assert_eq!(open_calls(&own, ms(700)), [(1, vec![11]), (2, vec![12])]);
--- a/crates/serving/src/cost.rs
+++ b/crates/serving/src/cost.rs
@@ -10,7 +10,6 @@
 use crate::fetch::{self, Sources};
 use crate::parts::Part;
 use crate::place::{self, Demand, Generation, Target};
-use crate::speed::Speed;
 use crate::{Fleet, Zone, hash, speed};
 
 /// Fixed overhead of handing a KV cache over to another engine.
@@ -34,6 +33,9 @@
 /// Weight of a millisecond of waiting for a call that cannot be on time. Not zero, since its caller
 /// leaves eventually.
 const LATE_WAIT_WEIGHT: f64 = 0.2;
+/// Time between two calls that end at a full engine, in milliseconds, before any has been seen to
+/// end.
+const INITIAL_SLOT_INTERVAL_MS: f64 = 100.0;
 /// Range of the tie break: engines of nearly equal cost are ordered by a hash of the prompt, so
 /// that instances that do not know each other's calls choose alike.
 const TIE_BREAK_COST: Duration = Duration::from_millis(10);
@@ -68,15 +70,16 @@
     now: Moment,
 ) -> Cost {
     let speed = fleet.speed(engine);
-    let plan = fetch::quickest_prefill(fleet, engine, generation, sources, &speed);
+    let slowdown = fleet.slowdown(engine, now);
+    let plan = fetch::quickest_prefill(fleet, engine, generation, sources, &speed, slowdown);
     let prefill_tokens = plan.prefill_tokens;
     let work = speed::work(prefill_tokens, generation.tokens);
-    let reading_ms = speed.millis(u64::from(work)) * engine.slowdown;
-    let read_delay_ms = read_delay(engine, &speed, demand, work, now);
+    let reading_ms = speed.millis(u64::from(work)) * slowdown;
+    let read_delay_ms = read_delay(engine, speed.tokens_per_ms / slowdown, demand, work, now);
     let limit_wait = place::limit_wait(fleet, engine, demand, now).unwrap_or_default();
     let expected = millis(limit_wait)
         + speed.setup_ms
-        + slot_wait(engine) * engine.slowdown
+        + slot_wait(fleet, engine) * slowdown
         + plan.transfer_ms
         + read_delay_ms;
     let copied_ms = speed.millis(u64::from(speed::work(
@@ -87,7 +90,7 @@
         + COPY_WEIGHT * copied_ms
         + READ_WEIGHT * reading_ms
         + BLOCKING_WEIGHT * reading_ms * reading_ms
-        + stream_cost(fleet, engine, reading_ms)
+        + stream_cost(fleet, engine, reading_ms, now)
         + other_zone_cost(engine, demand)
         + connect_cost(engine, demand)
         + tie_break_cost(engine, generation.prompt);
@@ -119,14 +122,14 @@
 }
 
 /// Time until the prompt has been read if it is sent now, in milliseconds.
-fn read_delay(engine: &Engine, speed: &Speed, demand: &Demand, work: u32, now: Moment) -> f64 {
+fn read_delay(engine: &Engine, rate: f64, demand: &Demand, work: u32, now: Moment) -> f64 {
     let new = Job {
         ticket: 0,
         sent_at: now,
         rank: demand.priority,
         work,
     };
-    millis(engine.time_until_read(new, speed.tokens_per_ms))
+    millis(engine.time_until_read(new, rate))
 }
 
 /// Weight of a millisecond of waiting. The answer of a late call is worth the same whenever it
@@ -140,12 +143,12 @@
 }
 
 /// The delay that reading the prompt causes to the streams at the engine, in milliseconds.
-fn stream_cost(fleet: &Fleet, engine: &Engine, reading_ms: f64) -> f64 {
+fn stream_cost(fleet: &Fleet, engine: &Engine, reading_ms: f64, now: Moment) -> f64 {
     let streams = engine.running_calls();
     if is_prefill(engine) || streams == 0 {
         return 0.0;
     }
-    fleet.stream_delay_per_ms(engine) * reading_ms * f64::from(streams)
+    fleet.stream_delay_per_ms(engine, now) * reading_ms * f64::from(streams)
 }
 
 fn other_zone_cost(engine: &Engine, demand: &Demand) -> f64 {
@@ -164,11 +167,18 @@
     }
 }
 
-/// Wait for a slot. Each call beyond the slots waits for another one to end, which is taken to need
-/// 100 ms.
-fn slot_wait(engine: &Engine) -> f64 {
-    let excess = (engine.running_calls() + 1).saturating_sub(engine.record.slots);
-    100.0 * f64::from(excess)
+/// Wait for a slot at an engine of mean speed, in milliseconds. Each call beyond the slots waits for
+/// another one to end. The slots together end one in the mean time of a call divided by their
+/// number.
+fn slot_wait(fleet: &Fleet, engine: &Engine) -> f64 {
+    let slots = engine.record.slots;
+    let excess = (engine.running_calls() + 1).saturating_sub(slots);
+    if excess == 0 {
+        return 0.0;
+    }
+    let mean = fleet.mean_call_ms(&engine.record.service);
+    let interval = mean.map_or(INITIAL_SLOT_INTERVAL_MS, |ms| ms / f64::from(slots.max(1)));
+    interval * f64::from(excess)
 }
 
 fn tie_break_cost(engine: &Engine, prompt: &[Part]) -> f64 {
@@ -194,12 +204,14 @@
         } else {
             transfer_ms
         };
-        let batch = f64::from(engine.running_calls()) + slot_wait(engine);
+        let slowdown = fleet.slowdown(engine, now);
+        let rate = fleet.speed(engine).tokens_per_ms / slowdown;
+        let batch = f64::from(engine.running_calls()) + slot_wait(fleet, engine);
         let limit_wait = place::limit_wait(fleet, engine, demand, now).unwrap_or_default();
         let total = millis(limit_wait)
             + path_ms
-            + batch * engine.slowdown
-            + read_delay(engine, &fleet.speed(engine), demand, 0, now)
+            + batch * slowdown
+            + read_delay(engine, rate, demand, 0, now)
             + connect_cost(engine, demand)
             + millis(KV_HANDOVER);
         Cost {
--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -10,6 +10,7 @@
 
 use crate::fleet::PeerId;
 use crate::health::{Health, PeerReports};
+use crate::pace::{Pace, Timeline};
 use crate::pauses::ReadActivity;
 use crate::quarantine::Build;
 use crate::queue;
@@ -111,10 +112,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Pending {
     pub job: Job,
-    /// Expected time until it is read, at the speed of its stage.
+    /// Expected time until it is read, at the engine's speed.
     pub expected_read_time: Duration,
-    /// Whether no earlier prompt was known to be queued.
-    pub was_idle: bool,
 }
 
 /// A stage change that an engine has been ordered to make.
@@ -145,8 +144,10 @@
     pub leaving: bool,
     /// Set while a stage change is in progress.
     pub stage_change: Option<StageChange>,
-    /// Ratio of the observed reading time to the time expected from the speed of its stage.
-    pub slowdown: f64,
+    /// Its time per unit of work: of prompts at an engine of a model, of calls at others. See
+    /// [`crate::Fleet::slowdown`].
+    pub pace: Pace,
+    pub(crate) timeline: Timeline,
     pub(crate) own_calls: u32,
     pub(crate) pending: SmallVec<[Pending; 8]>,
     pub(crate) peer_work: BTreeMap<PeerId, Work>,
@@ -156,16 +157,6 @@
     pub(crate) reading: ReadActivity,
 }
 
-/// Weight of one sample in [`Engine::slowdown`] if the engine was idle before the call.
-const SLOWDOWN_WEIGHT: f64 = 0.15;
-/// Weight of one sample if prompts were queued: prompts that others sent just before are not known
-/// yet, so the wait says little about the engine's speed.
-const QUEUED_SLOWDOWN_WEIGHT: f64 = 0.04;
-/// Bounds of [`Engine::slowdown`], so that a single outlier does not shut an engine out.
-const SLOWDOWN_RANGE: (f64, f64) = (0.25, 12.0);
-/// Bounds of a single sample, for the same reason.
-const SLOWDOWN_SAMPLE_RANGE: (f64, f64) = (0.3, 8.0);
-
 impl Engine {
     /// Whether this instance has calls there.
     pub fn has_own_calls(&self) -> bool {
@@ -182,7 +173,8 @@
             peer_reports: PeerReports::default(),
             record_gone: false,
             stage_change: None,
-            slowdown: 1.0,
+            pace: Pace::default(),
+            timeline: Timeline::default(),
             own_calls: 0,
             pending: SmallVec::new(),
             peer_work: BTreeMap::new(),
@@ -234,6 +226,16 @@
         self.own_calls + peer_calls.sum::<u32>()
     }
 
+    /// Number of calls beyond its slots.
+    pub fn waiting_calls(&self) -> u32 {
+        self.running_calls().saturating_sub(self.record.slots)
+    }
+
+    /// Share of its slots that are occupied, above one if calls wait for a slot.
+    pub fn occupancy(&self) -> f64 {
+        f64::from(self.running_calls()) / f64::from(self.record.slots.max(1))
+    }
+
     /// Unread prompts of all instances, oldest first.
     pub fn pending_jobs(&self) -> SmallVec<[Job; 16]> {
         let own = self.pending.iter().map(|pending| pending.job);
@@ -246,7 +248,7 @@
         jobs
     }
 
-    /// Time from now until a new job has been read, if the stage reads `rate` tokens of work per
+    /// Time from now until a new job has been read, if the engine reads `rate` tokens of work per
     /// millisecond.
     pub fn time_until_read(&self, new: Job, rate: f64) -> Duration {
         let is_idle = self.pending.is_empty() && self.peer_work.is_empty();
@@ -255,7 +257,7 @@
         } else {
             self.pending_jobs()
         };
-        queue::time_until_read(&jobs, self.last_read_at, new, rate / self.slowdown)
+        queue::time_until_read(&jobs, self.last_read_at, new, rate)
     }
 
     /// Updates whether the engine has prompts to read.
@@ -265,20 +267,4 @@
         let is_reading = own || self.peer_work.values().any(reads);
         self.reading.set(is_reading, now);
     }
-
-    /// Updates the slowdown by a prompt that took `took` where `expected` was expected, in the same
-    /// unit.
-    pub(crate) fn observe_slowdown(&mut self, expected: f64, took: f64, was_idle: bool) {
-        if expected <= 0.0 {
-            return;
-        }
-        let weight = if was_idle {
-            SLOWDOWN_WEIGHT
-        } else {
-            QUEUED_SLOWDOWN_WEIGHT
-        };
-        let ratio = (took / expected).clamp(SLOWDOWN_SAMPLE_RANGE.0, SLOWDOWN_SAMPLE_RANGE.1);
-        let next = self.slowdown * (ratio / self.slowdown).powf(weight);
-        self.slowdown = next.clamp(SLOWDOWN_RANGE.0, SLOWDOWN_RANGE.1);
-    }
 }
--- a/crates/serving/src/fetch.rs
+++ b/crates/serving/src/fetch.rs
@@ -78,6 +78,7 @@
     generation: &Generation,
     sources: &Sources,
     speed: &Speed,
+    slowdown: f64,
 ) -> PrefillPlan {
     let cached_tokens = fleet
         .parts
@@ -91,7 +92,7 @@
     };
     let total_ms = |plan: &PrefillPlan| {
         let work = speed::work(plan.prefill_tokens, generation.tokens);
-        plan.transfer_ms + speed.millis(u64::from(work)) * engine.slowdown
+        plan.transfer_ms + speed.millis(u64::from(work)) * slowdown
     };
     let plans = sources
         .iter()
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -1,28 +1,28 @@
 //! All known engines with the work at each and the prompt parts that each caches.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
 use clock::Moment;
 
 use crate::decaying_rate::DecayingRate;
-use crate::engine::{
-    Engine, Job, LATE_RANK, Pending, Rank, Record, Stage, StageChange, State, Ticket, Work,
-};
+use crate::engine::{Engine, Job, Pending, Rank, Record, Stage, StageChange, State, Ticket, Work};
 use crate::health::{Health, Outcome};
 use crate::origin::Software;
 use crate::overrun::WaitOverrun;
+use crate::pace::StageModel;
 use crate::parts::{CachedParts, Part};
 use crate::pauses::PauseModel;
-use crate::speed::Speed;
 use crate::throttle::{Rate, Throttles};
 use crate::{EngineId, ServiceName, hash, queue};
 
+mod learning;
 mod peer_work;
 mod remote;
 mod streams;
 
+use learning::CallTimes;
 use remote::RemoteCall;
 
 /// Longest pause that an engine may ask for. A longer one is more likely an error, and would leave
@@ -46,6 +46,9 @@
     /// The engine that it was sent to.
     pub engine: EngineId,
     ticket: Ticket,
+    sent_at: Moment,
+    /// Calls that waited for a slot at the engine, this one included.
+    waiting_calls: u32,
 }
 
 /// The engines as known to this instance.
@@ -60,8 +63,13 @@
     /// Number of engines by service and software version.
     versions: HashMap<ServiceName, BTreeMap<Software, usize>>,
     next_ticket: Ticket,
-    /// The learned speeds, a few in all, looked up for each engine that a call may go to.
-    speeds: Vec<(ServiceName, Stage, Speed)>,
+    /// What is learned of the engines of a stage, a few in all, looked up for each engine that a
+    /// call may go to.
+    models: Vec<(ServiceName, Stage, StageModel)>,
+    /// Times of calls, by service.
+    call_times: HashMap<ServiceName, CallTimes>,
+    /// Engines with prompts whose times are not learned from yet, and since when.
+    unsettled: VecDeque<(EngineId, Moment)>,
     /// When each other instance was last heard from.
     peer_heard_at: BTreeMap<PeerId, Moment>,
     /// Engines at which each other instance has had work since it last reported all of it, so that
@@ -102,17 +110,6 @@
 }
 
 impl Fleet {
-    /// The learned reading speed of an engine's stage.
-    pub fn speed(&self, engine: &Engine) -> Speed {
-        let stage = engine.record.stage.unwrap_or(Stage::Decode);
-        let service = &engine.record.service;
-        let known = self
-            .speeds
-            .iter()
-            .find(|(of, at, _)| *at == stage && of == service);
-        known.map_or_else(|| Speed::new(stage), |(_, _, speed)| *speed)
-    }
-
     /// Adds or updates an engine by its record. Returns whether anything changed.
     pub fn put(&mut self, record: Record) -> bool {
         let before = self.engines.get(&record.id).map(|engine| &engine.record);
@@ -126,6 +123,11 @@
                 .iter()
                 .for_each(|before| self.uncount_version(before));
         }
+        if let Some(from) = self.engines.get(&record.id).map(|known| known.record.stage)
+            && from != record.stage
+        {
+            self.change_pace(&record.id, from, record.stage);
+        }
         match self.engines.get_mut(&record.id) {
             Some(engine) => {
                 let changed = engine.record_gone || engine.record != record;
@@ -318,6 +320,7 @@
 
     /// Records a call that is about to be sent, with the work that its prompt is at this engine.
     pub fn begin_call(&mut self, id: &EngineId, work: u32, rank: Rank, now: Moment) -> SentCall {
+        self.settle_samples(now);
         self.next_ticket = self.next_ticket.wrapping_add(1);
         let ticket = self.next_ticket;
         let job = Job {
@@ -341,18 +344,19 @@
         SentCall {
             engine: id.clone(),
             ticket,
+            sent_at: now,
+            waiting_calls: self.engines.get(id).map_or(0, Engine::waiting_calls),
         }
     }
 
-    /// A job at an engine, with its expected reading time at the speed of the engine's stage.
+    /// A job at an engine, with its expected reading time.
     fn pending_call(&self, id: &EngineId, job: Job) -> Option<Pending> {
         let engine = self.engines.get(id)?;
         let jobs = engine.pending_jobs();
-        let rate = self.speed(engine).tokens_per_ms;
+        let rate = self.reading_rate(engine, job.sent_at);
         Some(Pending {
             job,
             expected_read_time: queue::time_until_read(&jobs, engine.last_read_at, job, rate),
-            was_idle: jobs.is_empty(),
         })
     }
 
@@ -373,44 +377,18 @@
         self.changes
             .push(WorkChange::Read(sent.engine.clone(), sent.ticket, now));
         self.learn(&sent.engine, &pending, now);
-    }
-
-    /// Learns speed, slowdown and overrun from a prompt that has been read.
-    fn learn(&mut self, id: &EngineId, pending: &Pending, at: Moment) {
-        let Some(engine) = self.engines.get_mut(id) else {
-            return;
-        };
-        let took = at.saturating_sub(pending.job.sent_at);
-        let stage = engine.record.stage.unwrap_or(Stage::Decode);
-        let service = &engine.record.service;
-        let known = self
-            .speeds
-            .iter()
-            .position(|(of, at, _)| *at == stage && of == service);
-        let known = known.unwrap_or_else(|| {
-            self.speeds
-                .push((service.clone(), stage, Speed::new(stage)));
-            self.speeds.len() - 1
-        });
-        let speed = &mut self.speeds[known].2;
-        if pending.was_idle {
-            speed.observe(pending.job.work, took);
-        }
-        let setup = Duration::from_secs_f64(speed.setup_ms / 1_000.0);
-        engine.last_read_at = engine.last_read_at.max(at.saturating_sub(setup));
-        let expected = pending.expected_read_time + setup;
-        if pending.job.rank >= LATE_RANK {
-            let overrun = self.overruns.entry(engine.record.service.clone());
-            let factor = took.as_secs_f64() / expected.as_secs_f64().max(1e-3);
-            overrun.or_default().observe(factor, at);
-        }
-        engine.observe_slowdown(expected.as_secs_f64(), took.as_secs_f64(), pending.was_idle);
+        self.settle_samples(now);
     }
 
     /// Records that a call has ended.
     pub fn end_call(&mut self, sent: &SentCall, outcome: Option<Outcome>, now: Moment) {
         self.learn_from_unread(sent, now);
+        self.learn_from_call(sent, outcome, now);
         if let Some(engine) = self.engines.get_mut(&sent.engine) {
+            let mut unread = engine.pending.iter().map(|pending| pending.job);
+            if let Some(job) = unread.find(|job| job.ticket == sent.ticket && job.work > 0) {
+                engine.timeline.prompt_lost(job, now);
+            }
             engine.pending.retain(|p| p.job.ticket != sent.ticket);
             engine.update_reading(now);
             engine.own_calls = engine.own_calls.saturating_sub(1);
@@ -432,31 +410,6 @@
         }
     }
 
-    /// Learns from how long a late call had waited if it ends before its prompt was read.
-    fn learn_from_unread(&mut self, sent: &SentCall, now: Moment) {
-        let Some(engine) = self.engines.get(&sent.engine) else {
-            return;
-        };
-        let is_late = |pending: &&Pending| pending.job.rank >= LATE_RANK && pending.job.work > 0;
-        let mut own = engine.pending.iter().filter(is_late);
-        let Some(pending) = own.find(|pending| pending.job.ticket == sent.ticket) else {
-            return;
-        };
-        let expected =
-            pending.expected_read_time.as_secs_f64() + self.speed(engine).setup_ms / 1_000.0;
-        let took = now.saturating_sub(pending.job.sent_at).as_secs_f64();
-        let overrun = self.overruns.entry(engine.record.service.clone());
-        overrun
-            .or_default()
-            .observe_abandoned(took / expected.max(1e-3), now);
-    }
-
-    /// The factor by which late calls wait longer than the work queued before them takes.
-    pub(crate) fn wait_overrun(&self, service: &ServiceName, now: Moment) -> f64 {
-        let overrun = self.overruns.get(service);
-        overrun.map_or(1.0, |overrun| overrun.factor(now))
-    }
-
     /// Returns the changes since the last call.
     pub fn take_changes(&mut self) -> Vec<WorkChange> {
         std::mem::take(&mut self.changes)
--- a/crates/serving/src/fleet/peer_work.rs
+++ b/crates/serving/src/fleet/peer_work.rs
@@ -1,9 +1,7 @@
 //! Work that other placing instances report.
 
-use std::collections::btree_map::Entry;
-use std::time::Duration;
-
 use clock::Moment;
+use std::collections::btree_map::Entry;
 
 use super::{Fleet, PeerId, WorkChange};
 use crate::EngineId;
@@ -36,26 +34,44 @@
     /// it.
     pub fn apply_all_work(&mut self, peer: PeerId, works: Vec<(EngineId, Work)>, now: Moment) {
         self.peer_heard_at.insert(peer, now);
-        self.clear_peer_work(peer, now);
+        let mut former = self.clear_peer_work(peer, now);
         let mut engines = Vec::with_capacity(works.len());
         for (id, work) in works {
             if let Some(engine) = self.engines.get_mut(&id) {
+                let is_open = |(at, job): &(EngineId, Job)| {
+                    *at == id && work.jobs.iter().any(|open| open.ticket == job.ticket)
+                };
+                former.retain(|job| !is_open(job));
                 engine.peer_work.insert(peer, work);
                 engine.update_reading(now);
                 engines.push(id);
             }
         }
         self.peer_engines.insert(peer, engines);
+        // The reports of their ends are lost.
+        self.lose_prompts(former, now);
     }
 
-    /// Removes all work of another instance.
-    fn clear_peer_work(&mut self, peer: PeerId, now: Moment) {
+    /// Removes all work of another instance. Returns its unread prompts.
+    fn clear_peer_work(&mut self, peer: PeerId, now: Moment) -> Vec<(EngineId, Job)> {
+        let mut unread = Vec::new();
         for id in self.peer_engines.remove(&peer).unwrap_or_default() {
             if let Some(engine) = self.engines.get_mut(&id) {
-                engine.peer_work.remove(&peer);
+                let work = engine.peer_work.remove(&peer).unwrap_or_default();
+                unread.extend(work.jobs.into_iter().map(|job| (id.clone(), job)));
                 engine.update_reading(now);
             }
         }
+        unread
+    }
+
+    /// Records prompts whose ends remain unknown.
+    fn lose_prompts(&mut self, prompts: Vec<(EngineId, Job)>, now: Moment) {
+        for (id, job) in prompts {
+            if let Some(engine) = self.engines.get_mut(&id) {
+                engine.timeline.prompt_lost(job, now);
+            }
+        }
     }
 
     /// Applies one change of another instance's work.
@@ -101,18 +117,19 @@
     }
 
     fn read(&mut self, peer: PeerId, id: &EngineId, ticket: Ticket, at: Moment, now: Moment) {
-        let Some(setup) = self.engines.get(id).map(|e| self.speed(e).setup_ms) else {
-            return;
-        };
         let Some(engine) = self.engines.get_mut(id) else {
             return;
         };
-        if let Some(work) = engine.peer_work.get_mut(&peer) {
-            work.jobs.retain(|job| job.ticket != ticket);
-        }
-        let setup = Duration::from_secs_f64(setup / 1_000.0);
-        engine.last_read_at = engine.last_read_at.max(at.saturating_sub(setup));
+        let work = engine.peer_work.get_mut(&peer);
+        let job = work.and_then(|work| {
+            let index = work.jobs.iter().position(|job| job.ticket == ticket)?;
+            Some(work.jobs.remove(index))
+        });
         engine.update_reading(now);
+        if let Some(job) = job {
+            self.observe_read(id, job, at, now);
+            self.settle_samples(now);
+        }
     }
 
     fn ended(
@@ -128,7 +145,10 @@
         };
         if let Some(work) = engine.peer_work.get_mut(&peer) {
             work.calls = work.calls.saturating_sub(1);
-            work.jobs.retain(|job| job.ticket != ticket);
+            if let Some(index) = work.jobs.iter().position(|job| job.ticket == ticket) {
+                let job = work.jobs.remove(index);
+                engine.timeline.prompt_lost(job, now);
+            }
         }
         if let Some(outcome) = outcome {
             engine.peer_reports.record(peer, outcome, now);
@@ -139,7 +159,8 @@
     /// Removes an instance that has ended, with its work and the calls placed for it.
     pub fn forget_peer(&mut self, peer: PeerId, now: Moment) {
         self.peer_heard_at.remove(&peer);
-        self.clear_peer_work(peer, now);
+        let unread = self.clear_peer_work(peer, now);
+        self.lose_prompts(unread, now);
         self.end_remote_calls(peer, now);
     }
 }
--- a/crates/serving/src/fleet/remote.rs
+++ b/crates/serving/src/fleet/remote.rs
@@ -68,6 +68,7 @@
         let Some(RemoteCall { sent, .. }) = remote.and_then(|remote| remote.remove(&ticket)) else {
             return;
         };
+        self.learn_from_call(&sent, outcome, now);
         // The end of an engine is certain, whoever reports it.
         let certain = outcome.filter(|outcome| *outcome == Outcome::Ended);
         self.end_call(&sent, certain, now);
--- a/crates/serving/src/fleet/streams.rs
+++ b/crates/serving/src/fleet/streams.rs
@@ -42,11 +42,11 @@
     }
 
     /// Delay of each stream at an engine per millisecond of reading, in milliseconds.
-    pub(crate) fn stream_delay_per_ms(&self, engine: &Engine) -> f64 {
+    pub(crate) fn stream_delay_per_ms(&self, engine: &Engine, now: Moment) -> f64 {
         let pauses = self.pauses.get(&engine.record.service);
         let pause = pauses.and_then(PauseModel::pause_while_reading);
         pause.map_or(0.0, |pause| {
-            pauses::stream_delay(pause * engine.slowdown.max(1.0))
+            pauses::stream_delay(pause * self.slowdown(engine, now).max(1.0))
         })
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod origin;
 pub mod outbox;
 mod overrun;
+pub mod pace;
 pub mod parts;
 pub mod pauses;
 pub mod place;
--- a/crates/serving/src/place.rs
+++ b/crates/serving/src/place.rs
@@ -369,10 +369,15 @@
 /// Lower bound of the latency target that a wait is compared with, for calls that are already late.
 const MIN_LATENCY_TARGET: Duration = Duration::from_millis(10);
 
-/// The load of an engine in units of its slots, plus penalties for distance, rate-limit wait and
-/// failures.
+/// The expected response time of an engine as a multiple of its service's mean, plus penalties for
+/// load, distance, rate-limit wait and failures.
+///
+/// A call beyond the slots waits for a slot at the engine's own pace. Below the slots, load is what
+/// the engine may be found to have more of: other instances place calls that are not known yet.
 fn plain_cost(fleet: &Fleet, engine: &Engine, demand: &Demand, now: Moment) -> f64 {
     let load = f64::from(engine.running_calls() + 1) / f64::from(engine.record.slots.max(1));
+    let response = fleet.slowdown(engine, now) * load.max(1.0);
+    let load = load * fleet.slowdown(engine, now);
     let distance = if engine.record.zone == *demand.zone {
         0.0
     } else {
@@ -380,7 +385,7 @@
     };
     let wait = limit_wait(fleet, engine, demand, now).unwrap_or_default();
     let lateness = wait.as_secs_f64() / demand.latency_target.max(MIN_LATENCY_TARGET).as_secs_f64();
-    load + distance + lateness + 4.0 * engine.failures(now)
+    response + load + distance + lateness + 4.0 * engine.failures(now)
 }
 
 fn choose_generation(
