Learn engine speeds from decaying sums of work and busy time

Callers were sent in piles to engines that only looked fast: two short prompts that share a step end together, and the second one's interval was taken for a sample of the speed. Single intervals also consist of report delays to a good part.

Each engine now has decaying sums of work and of the time in which it was busy with it, over 2 s on a prior of 150 ms at its lasting speed, which has the same form over 4 s on a prior of 120 ms at the service's. The service has such sums over all its engines, so that a rate learned from few idle prompts does not count in the forecast. Work read while an earlier prompt still waits is held until that one's end is known, and left out if it never is. Factors are clamped to 0.4 to 2.5 of the service's. The rate and setup come from idle prompts again. Dropped: samples of single prompts, deviations in a row, delayed settlement, even times by engine and the curve over occupied slots. Calls at plain engines use the same sums of response times.

Tests changed, since sums over seconds react over seconds: a stall must show by a fifth after three prompts and be gone 3 s after it (was: most of it, after two prompts); one outlier is bounded by the clamp and gone within 8 s (was: moves an engine by 10 %); a stall without further prompts is forgotten after 15 s (was 5 s); an engine without samples is within 2 % of its service's mean, which is learned now. Plain choices are made while the calls are fresh.

--- a/crates/serving/src/engine.rs
+++ b/crates/serving/src/engine.rs
@@ -10,7 +10,7 @@
 
 use crate::fleet::PeerId;
 use crate::health::{Health, PeerReports};
-use crate::pace::{Pace, Timeline};
+use crate::pace::{OpenInterval, Pace};
 use crate::pauses::ReadActivity;
 use crate::quarantine::Build;
 use crate::queue;
@@ -114,6 +114,8 @@
     pub job: Job,
     /// Expected time until it is read, at the engine's speed.
     pub expected_read_time: Duration,
+    /// Whether no earlier prompt was known to be queued.
+    pub was_idle: bool,
 }
 
 /// A stage change that an engine has been ordered to make.
@@ -147,7 +149,7 @@
     /// Its time per unit of work: of prompts at an engine of a model, of calls at others. See
     /// [`crate::Fleet::slowdown`].
     pub pace: Pace,
-    pub(crate) timeline: Timeline,
+    pub(crate) open_interval: OpenInterval,
     pub(crate) own_calls: u32,
     pub(crate) pending: SmallVec<[Pending; 8]>,
     pub(crate) peer_work: BTreeMap<PeerId, Work>,
@@ -174,7 +176,7 @@
             record_gone: false,
             stage_change: None,
             pace: Pace::default(),
-            timeline: Timeline::default(),
+            open_interval: OpenInterval::default(),
             own_calls: 0,
             pending: SmallVec::new(),
             peer_work: BTreeMap::new(),
@@ -260,6 +262,31 @@
         queue::time_until_read(&jobs, self.last_read_at, new, rate)
     }
 
+    /// Records that a prompt has been read. Returns the work and the milliseconds in which the engine
+    /// was busy with it, once both are known.
+    ///
+    /// The engine was busy all the time since the previous end if another prompt was waiting; else
+    /// since the oldest prompt was sent. An earlier prompt that still waits may have taken most of
+    /// the time, and its report be late or lost.
+    pub(crate) fn end_interval(&mut self, job: Job, end: Moment) -> Option<(f64, f64)> {
+        let jobs = self.pending_jobs();
+        let mut waiting = jobs.iter().filter(|job| job.work > 0);
+        let is_before = |waiting: &Job| (waiting.rank, waiting.sent_at) < (job.rank, job.sent_at);
+        let is_overtaking = waiting.clone().any(is_before);
+        let oldest = waiting
+            .next()
+            .map_or(job.sent_at, |waiting| waiting.sent_at.min(job.sent_at));
+        let begun = self.last_read_at.max(oldest);
+        self.last_read_at = self.last_read_at.max(end);
+        self.open_interval.work += f64::from(job.work);
+        self.open_interval.busy_ms += end.saturating_sub(begun).as_secs_f64() * 1_000.0;
+        if is_overtaking {
+            return None;
+        }
+        let interval = std::mem::take(&mut self.open_interval);
+        (!interval.lost_prompt).then_some((interval.work, interval.busy_ms))
+    }
+
     /// Updates whether the engine has prompts to read.
     pub(crate) fn update_reading(&mut self, now: Moment) {
         let own = self.pending.iter().any(|pending| pending.job.work > 0);
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -1,6 +1,6 @@
 //! All known engines with the work at each and the prompt parts that each caches.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -68,8 +68,6 @@
     models: Vec<(ServiceName, Stage, StageModel)>,
     /// Times of calls, by service.
     call_times: HashMap<ServiceName, CallTimes>,
-    /// Engines with prompts whose times are not learned from yet, and since when.
-    unsettled: VecDeque<(EngineId, Moment)>,
     /// When each other instance was last heard from.
     peer_heard_at: BTreeMap<PeerId, Moment>,
     /// Engines at which each other instance has had work since it last reported all of it, so that
@@ -320,7 +318,6 @@
 
     /// Records a call that is about to be sent, with the work that its prompt is at this engine.
     pub fn begin_call(&mut self, id: &EngineId, work: u32, rank: Rank, now: Moment) -> SentCall {
-        self.settle_samples(now);
         self.next_ticket = self.next_ticket.wrapping_add(1);
         let ticket = self.next_ticket;
         let job = Job {
@@ -357,6 +354,7 @@
         Some(Pending {
             job,
             expected_read_time: queue::time_until_read(&jobs, engine.last_read_at, job, rate),
+            was_idle: jobs.is_empty(),
         })
     }
 
@@ -377,7 +375,6 @@
         self.changes
             .push(WorkChange::Read(sent.engine.clone(), sent.ticket, now));
         self.learn(&sent.engine, &pending, now);
-        self.settle_samples(now);
     }
 
     /// Records that a call has ended.
@@ -386,9 +383,8 @@
         self.learn_from_call(sent, outcome, now);
         if let Some(engine) = self.engines.get_mut(&sent.engine) {
             let mut unread = engine.pending.iter().map(|pending| pending.job);
-            if let Some(job) = unread.find(|job| job.ticket == sent.ticket && job.work > 0) {
-                engine.timeline.prompt_lost(job, now);
-            }
+            engine.open_interval.lost_prompt |=
+                unread.any(|job| job.ticket == sent.ticket && job.work > 0);
             engine.pending.retain(|p| p.job.ticket != sent.ticket);
             engine.update_reading(now);
             engine.own_calls = engine.own_calls.saturating_sub(1);
--- a/crates/serving/src/fleet/learning.rs
+++ b/crates/serving/src/fleet/learning.rs
@@ -8,7 +8,7 @@
 use super::{Fleet, SentCall};
 use crate::engine::{Engine, Job, LATE_RANK, Pending, Stage};
 use crate::health::Outcome;
-use crate::pace::{self, MeanTime, Sample, StageModel};
+use crate::pace::{MeanTime, StageModel};
 use crate::speed::Speed;
 use crate::{EngineId, ServiceName};
 
@@ -28,16 +28,15 @@
     }
 
     /// The time that an engine takes as a multiple of its service's mean: for prompts at an engine
-    /// of a model, with the slots that are occupied now; for calls at others.
+    /// of a model, for calls at others.
     pub fn slowdown(&self, engine: &Engine, now: Moment) -> f64 {
         let service = &engine.record.service;
         let Some(stage) = engine.record.stage else {
             let mean = self.mean_call_ms(service);
             return mean.map_or(1.0, |mean| engine.pace.factor(mean, now));
         };
-        self.model(service, stage).map_or(1.0, |model| {
-            engine.pace.factor(model.mean_ms(), now) * curve_factor(model, engine)
-        })
+        self.model(service, stage)
+            .map_or(1.0, |model| model.factor(&engine.pace, now))
     }
 
     /// Tokens of work that an engine reads per millisecond.
@@ -61,15 +60,23 @@
         let mut models = self.models.iter();
         let known = models.position(|(of, at, _)| *at == stage && of == service);
         known.unwrap_or_else(|| {
-            let model = StageModel::new(Speed::new(stage));
-            self.models.push((service.clone(), stage, model));
+            self.models
+                .push((service.clone(), stage, StageModel::new(stage)));
             self.models.len() - 1
         })
     }
 
     /// Learns from a prompt of this instance that has been read.
     pub(super) fn learn(&mut self, id: &EngineId, pending: &Pending, at: Moment) {
-        self.observe_read(id, pending.job, at, at);
+        let Some(engine) = self.engines.get(id) else {
+            return;
+        };
+        if pending.was_idle {
+            let index = self.model_index(&engine.record.service.clone(), stage(engine));
+            let took = at.saturating_sub(pending.job.sent_at);
+            self.models[index].2.speed.observe(pending.job.work, took);
+        }
+        self.observe_read(id, pending.job, at);
         let Some(engine) = self.engines.get(id) else {
             return;
         };
@@ -82,77 +89,22 @@
         }
     }
 
-    /// Records that a prompt of any instance was read at a moment, which is known from now on.
-    pub(super) fn observe_read(&mut self, id: &EngineId, job: Job, at: Moment, now: Moment) {
-        let Some(setup_ms) = self.engines.get(id).map(|e| self.speed(e).setup_ms) else {
-            return;
-        };
-        let Some(engine) = self.engines.get_mut(id) else {
-            return;
-        };
-        let freed_at = at.saturating_sub(duration(setup_ms));
-        engine.last_read_at = engine.last_read_at.max(freed_at);
-        if job.work > 0 {
-            engine.timeline.prompt_read(job, at, now);
-            self.unsettled.push_back((id.clone(), now));
-        }
-    }
-
-    /// Learns from the prompts whose predecessors at their engines are known by now.
-    pub(super) fn settle_samples(&mut self, now: Moment) {
-        while let Some((id, since)) = self.unsettled.front() {
-            if now.saturating_sub(*since) < pace::SETTLE_TIME {
-                return;
-            }
-            let id = id.clone();
-            self.unsettled.pop_front();
-            let Some(setup_ms) = self.engines.get(&id).map(|e| self.speed(e).setup_ms) else {
-                continue;
-            };
-            let Some(engine) = self.engines.get_mut(&id) else {
-                continue;
-            };
-            let waiting = engine.pending_jobs();
-            let samples = engine.timeline.settle(&waiting, duration(setup_ms), now);
-            for sample in &samples {
-                self.learn_from_sample(&id, sample);
-            }
-        }
-    }
-
-    fn learn_from_sample(&mut self, id: &EngineId, sample: &Sample) {
+    /// Records that a prompt of any instance was read at a moment.
+    pub(super) fn observe_read(&mut self, id: &EngineId, job: Job, at: Moment) {
         let Some(engine) = self.engines.get(id) else {
             return;
         };
         let (service, stage) = (engine.record.service.clone(), stage(engine));
+        let end = at.saturating_sub(duration(self.speed(engine).setup_ms));
         let index = self.model_index(&service, stage);
-        let model = &mut self.models[index].2;
         let Some(engine) = self.engines.get_mut(id) else {
             return;
         };
-        let mean_ms = model.mean_ms();
-        let curve = curve_factor(model, engine);
-        let factor = engine.pace.factor(mean_ms, sample.at);
-        if sample.was_idle {
-            let took = sample.at.saturating_sub(sample.job.sent_at);
-            model.observe_idle(sample.job.work, took, factor * curve);
-            if !model.knows_setup() {
-                return;
-            }
-        }
-        if !sample.was_idle {
-            model.observe_queued(sample.job.work, sample.took, factor * curve);
-        }
-        let work = f64::from(sample.job.work);
-        let took_ms = sample.took.as_secs_f64() * 1_000.0;
-        if stage == Stage::Decode {
-            let ratio = took_ms / (work * mean_ms * factor);
-            model.curve.observe(engine.occupancy(), ratio);
-        }
-        let mean_ms = work * mean_ms;
-        engine
-            .pace
-            .observe(work, took_ms / curve, mean_ms, sample.at);
+        let Some((work, busy_ms)) = engine.end_interval(job, end) else {
+            return;
+        };
+        engine.pace.observe(work, busy_ms, at);
+        self.models[index].2.observe(work, busy_ms, at);
     }
 
     /// Learns from the time of a call that has ended. Failures are no samples: an engine that fails
@@ -174,10 +126,8 @@
         let took_ms = now.saturating_sub(sent.sent_at).as_secs_f64() * 1_000.0 / (1.0 + queue);
         let times = self.call_times.entry(engine.record.service.clone());
         let times = times.or_default();
-        if engine.record.stage.is_none()
-            && let Some(mean_ms) = times.all.ms()
-        {
-            engine.pace.observe(1.0, took_ms, mean_ms, now);
+        if engine.record.stage.is_none() && times.all.ms().is_some() {
+            engine.pace.observe(1.0, took_ms, now);
         }
         times.all.observe(took_ms);
     }
@@ -230,15 +180,6 @@
     engine.record.stage.unwrap_or(Stage::Decode)
 }
 
-/// The factor of the occupied slots. An engine that only reads prompts reads one after the other,
-/// however many wait.
-fn curve_factor(model: &StageModel, engine: &Engine) -> f64 {
-    match engine.record.stage {
-        Some(Stage::Decode) => model.curve.factor(engine.occupancy()),
-        _ => 1.0,
-    }
-}
-
 fn duration(ms: f64) -> Duration {
     Duration::from_secs_f64(ms / 1_000.0)
 }
--- a/crates/serving/src/fleet/peer_work.rs
+++ b/crates/serving/src/fleet/peer_work.rs
@@ -49,7 +49,7 @@
         }
         self.peer_engines.insert(peer, engines);
         // The reports of their ends are lost.
-        self.lose_prompts(former, now);
+        self.lose_prompts(former);
     }
 
     /// Removes all work of another instance. Returns its unread prompts.
@@ -66,10 +66,10 @@
     }
 
     /// Records prompts whose ends remain unknown.
-    fn lose_prompts(&mut self, prompts: Vec<(EngineId, Job)>, now: Moment) {
-        for (id, job) in prompts {
+    fn lose_prompts(&mut self, prompts: Vec<(EngineId, Job)>) {
+        for (id, _) in prompts {
             if let Some(engine) = self.engines.get_mut(&id) {
-                engine.timeline.prompt_lost(job, now);
+                engine.open_interval.lost_prompt = true;
             }
         }
     }
@@ -127,8 +127,7 @@
         });
         engine.update_reading(now);
         if let Some(job) = job {
-            self.observe_read(id, job, at, now);
-            self.settle_samples(now);
+            self.observe_read(id, job, at.min(now));
         }
     }
 
@@ -145,10 +144,9 @@
         };
         if let Some(work) = engine.peer_work.get_mut(&peer) {
             work.calls = work.calls.saturating_sub(1);
-            if let Some(index) = work.jobs.iter().position(|job| job.ticket == ticket) {
-                let job = work.jobs.remove(index);
-                engine.timeline.prompt_lost(job, now);
-            }
+            let unread = work.jobs.len();
+            work.jobs.retain(|job| job.ticket != ticket);
+            engine.open_interval.lost_prompt |= work.jobs.len() < unread;
         }
         if let Some(outcome) = outcome {
             engine.peer_reports.record(peer, outcome, now);
@@ -160,7 +158,7 @@
     pub fn forget_peer(&mut self, peer: PeerId, now: Moment) {
         self.peer_heard_at.remove(&peer);
         let unread = self.clear_peer_work(peer, now);
-        self.lose_prompts(unread, now);
+        self.lose_prompts(unread);
         self.end_remote_calls(peer, now);
     }
 }
--- a/crates/serving/src/linear_fit.rs
+++ b/crates/serving/src/linear_fit.rs
@@ -37,15 +37,6 @@
         Some((self.xy / self.weight - x * y) / variance)
     }
 
-    /// Slope of the least-squares line of these observations and of others whose line has the same
-    /// slope and passes through the origin.
-    pub(crate) fn common_slope(&self, through_origin: &Self, min_variance: f64) -> Option<f64> {
-        let (x, y) = self.mean()?;
-        let xx = self.xx - self.weight * x * x + through_origin.xx;
-        let xy = self.xy - self.weight * x * y + through_origin.xy;
-        (xx >= min_variance * (self.weight + through_origin.weight)).then(|| xy / xx)
-    }
-
     /// Weighted mean of the observations.
     pub(crate) fn mean(&self) -> Option<(f64, f64)> {
         (self.weight > 0.0).then(|| (self.x / self.weight, self.y / self.weight))
--- a/crates/serving/src/speed.rs
+++ b/crates/serving/src/speed.rs
@@ -27,10 +27,8 @@
     pub setup_ms: f64,
     /// Tokens of work per millisecond.
     pub tokens_per_ms: f64,
-    /// Milliseconds by thousands of tokens of work, of prompts at idle engines.
+    /// Milliseconds by thousands of tokens of work.
     observations: LinearFit,
-    /// The same without the setup, of prompts that were read after another one.
-    queued: LinearFit,
 }
 
 /// Initial setup and rate of prefill engines, between the speeds that deployments report.
@@ -69,7 +67,6 @@
             setup_ms,
             tokens_per_ms,
             observations,
-            queued: LinearFit::default(),
         }
     }
 
@@ -91,25 +88,7 @@
         let took = took_ms.clamp(expected / MAX_SAMPLE_RATIO, expected * MAX_SAMPLE_RATIO);
         self.observations
             .observe(f64::from(work) / 1_000.0, took, RETAINED);
-        self.update();
-    }
-
-    /// Records how long an engine read this work after another prompt, without the setup.
-    ///
-    /// At engines that are never idle these determine the rate; the few prompts that are read at
-    /// once then determine the setup alone.
-    pub(crate) fn observe_queued(&mut self, work: u32, took: Duration) {
-        let expected = self.millis(u64::from(work));
-        let took_ms = took.as_secs_f64() * 1_000.0;
-        let took_ms = took_ms.clamp(expected / MAX_SAMPLE_RATIO, expected * MAX_SAMPLE_RATIO);
-        self.queued
-            .observe(f64::from(work) / 1_000.0, took_ms, RETAINED);
-        self.update();
-    }
-
-    fn update(&mut self) {
-        let slope = self.observations.common_slope(&self.queued, MIN_VARIANCE);
-        if let Some(slope) = slope {
+        if let Some(slope) = self.observations.slope(MIN_VARIANCE) {
             let rate = if slope > 0.0 {
                 1_000.0 / slope
             } else {
--- a/crates/serving/tests/replay/calls.rs
+++ b/crates/serving/tests/replay/calls.rs
@@ -31,6 +31,8 @@
 /// Learned speeds are compared from here on, at engines that have read this many prompts.
 pub(crate) const CHECKED_FROM: Micros = 8_000_000;
 pub(crate) const MIN_READ_COUNT: usize = 70;
+/// Ratio to the truth up to which a learned speed holds.
+pub(crate) const SPEED_TOLERANCE: f64 = 1.25;
 /// Start and end of the outage.
 pub(crate) const OUTAGE: (Micros, Micros) = (8_000_000, 10_000_000);
 /// Time within which all callers come back after it.
