--- a/crates/serving/src/shares.rs
+++ b/crates/serving/src/shares.rs
@@ -75,10 +75,14 @@
     pub forecast: Option<Duration>,
 }
 
-/// Time after the last sign of contention for which a service counts as contended.
+/// Time after the last sign of contention for which a service counts as contended, and over which
+/// calls are counted for that.
 const CONTENTION_TIME: Duration = Duration::from_secs(1);
 /// Share of its latency target that a call must wait to show contention.
 pub(crate) const CONTENDED_WAIT_SHARE: f64 = 0.5;
+/// Share of the calls of late that must show contention. In the waves of an ordinary mix a few calls
+/// wait at times; refusing others for them would serve fewer.
+const CONTENDED_CALLS_SHARE: f64 = 0.15;
 /// Age after which a placer's announcement is dropped, as its work at engines is.
 const ANNOUNCEMENT_AGE: Duration = Duration::from_millis(3_200);
 /// Time for which a water level is kept: it changes slowly, and computing it sorts all usage.
@@ -104,6 +108,28 @@
     open: HashMap<Ticket, OpenCall>,
 }
 
+/// Decaying counts of the calls of late, and of those that showed contention.
+#[derive(Clone, Copy, Debug, Default)]
+struct Waits {
+    calls: f64,
+    contended: f64,
+    updated_at: Moment,
+}
+
+impl Waits {
+    fn add(&mut self, is_contended: bool, now: Moment) {
+        let past = now.saturating_sub(self.updated_at).as_secs_f64();
+        let retained = (-past / CONTENTION_TIME.as_secs_f64()).exp();
+        self.calls = self.calls * retained + 1.0;
+        self.contended = self.contended * retained + f64::from(u8::from(is_contended));
+        self.updated_at = now;
+    }
+
+    fn share(&self) -> f64 {
+        self.contended / self.calls.max(1.0)
+    }
+}
+
 #[derive(Clone, Debug, Default)]
 struct Service {
     own: HashMap<Id, Usage>,
@@ -112,6 +138,7 @@
     peers: BTreeMap<PeerId, Announcement>,
     holds: Hold,
     stretch: Stretch,
+    waits: Waits,
     contended_at: Option<Moment>,
     /// The last water level, and when it was computed.
     level: Cell<Option<(Moment, f64)>>,
@@ -182,9 +209,11 @@
 
     /// Records the wait that a placement forecasts, as a share of the call's latency target.
     pub fn observe_wait(&mut self, service: &ServiceName, share: f64, now: Moment) {
-        if share > CONTENDED_WAIT_SHARE
-            && let Some(service) = self.service(service)
-        {
+        let Some(service) = self.service(service) else {
+            return;
+        };
+        service.waits.add(share > CONTENDED_WAIT_SHARE, now);
+        if service.waits.share() > CONTENDED_CALLS_SHARE {
             service.contended_at = Some(now);
         }
     }
