--- a/crates/serving/src/shares.rs
+++ b/crates/serving/src/shares.rs
@@ -82,7 +82,7 @@
 pub(crate) const CONTENDED_WAIT_SHARE: f64 = 0.5;
 /// Share of the calls of late that must show contention. In the waves of an ordinary mix a few calls
 /// wait at times; refusing others for them would serve fewer.
-const CONTENDED_CALLS_SHARE: f64 = 0.15;
+const CONTENDED_CALLS_SHARE: f64 = 0.03;
 /// Age after which a placer's announcement is dropped, as its work at engines is.
 const ANNOUNCEMENT_AGE: Duration = Duration::from_millis(3_200);
 /// Time for which a water level is kept: it changes slowly, and computing it sorts all usage.
