--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -170,7 +170,7 @@
     })
 }
 
-/// Reads a request, if another one comes. The guard marks it as in hand.
+/// Reads a request, if another one comes. The guard marks it as in progress.
 async fn read_request<'a>(
     instance: &'a Instance,
     server: &mut Server,
--- a/crates/gateway/src/own_load.rs
+++ b/crates/gateway/src/own_load.rs
@@ -1,4 +1,4 @@
-//! Measures this instance's own load: its link, event loop, descriptors and requests in hand.
+//! Measures this instance's own load: its link, event loop, descriptors and requests in progress.
 //! [`serving::congestion`] decides what it says of a time-out, [`serving::intake`] whether callers'
 //! connections are accepted. See `docs/design/intake.md`.
 
@@ -55,11 +55,11 @@
     congestion: RefCell<Congestion>,
     intake: RefCell<Intake>,
     /// Connections accepted within [`UNREAD_TIME`] whose first request has not been read, older ones,
-    /// and requests in hand.
+    /// and requests in progress.
     unread: Cell<usize>,
     idle: Cell<usize>,
     requests: Cell<usize>,
-    /// Memory of the requests in hand, in bytes.
+    /// Memory of the requests in progress, in bytes.
     memory: Cell<u64>,
     period: Cell<Option<Period>>,
     last_logged: Cell<Option<Moment>>,
@@ -108,7 +108,7 @@
     count.set(count.get() - 1);
 }
 
-/// A request in hand until this is dropped.
+/// A request in progress until this is dropped.
 pub(crate) struct RequestGuard<'a> {
     load: &'a OwnLoad,
     memory: u64,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -398,7 +398,7 @@
         }
     }
 
-    /// Whether at least half of the other registered instances were heard of lately. An instance
+    /// Whether at least half of the other registered instances sent a frame lately. An instance
     /// that is cut off from them knows only a part of the calls.
     pub(crate) fn hears_most(&self, now: Moment) -> bool {
         let registered = self.by_address.values();
--- a/crates/serving/src/congestion.rs
+++ b/crates/serving/src/congestion.rs
@@ -184,13 +184,13 @@
         (delay >= bound).then_some(Cause::Link)
     }
 
-    /// Time that all answers of late took beyond the paths' own; zero if none is known.
+    /// Time that all recent answers took beyond the paths' own; zero if none is known.
     pub fn round_trip_delay(&self, now: Moment) -> Duration {
         let since = now.saturating_sub(STANDING);
         self.shortest_delay_since(since).unwrap_or_default()
     }
 
-    /// Time by which all iterations of the event loop of late began late.
+    /// Time by which all recent iterations of the event loop began late.
     pub fn event_loop_delay(&self, now: Moment) -> Duration {
         let slots = || self.slots_since(now.saturating_sub(STANDING));
         let iterations: usize = slots().map(|slot| slot.iterations).sum();
--- a/crates/serving/src/intake.rs
+++ b/crates/serving/src/intake.rs
@@ -25,7 +25,7 @@
 const REOPEN_DESCRIPTORS_SHARE: f64 = 0.9;
 /// Part of the descriptors that may be open. The rest is for engines, the store and other instances.
 const DESCRIPTORS_SHARE: f64 = 0.9;
-/// Part of the memory that requests in hand may take.
+/// Part of the memory that requests in progress may take.
 const REQUESTS_MEMORY_SHARE: f64 = 0.5;
 /// Least size that is assumed of a request before it has been read, in bytes: small ones may be
 /// followed by large ones.
@@ -69,7 +69,7 @@
     EventLoop,
     /// Most descriptors are open.
     Descriptors,
-    /// The requests in hand take much of the memory.
+    /// The requests in progress take much of the memory.
     Memory,
 }
 
@@ -105,18 +105,18 @@
 /// What is measured of this instance.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
-    /// Delay of all answers of late, [`crate::congestion::Congestion::round_trip_delay`].
+    /// Delay of all recent answers, [`crate::congestion::Congestion::round_trip_delay`].
     pub round_trip_delay: Duration,
-    /// Delay of all iterations of the event loop of late,
+    /// Delay of all recent iterations of the event loop,
     /// [`crate::congestion::Congestion::event_loop_delay`].
     pub event_loop_delay: Duration,
     /// Open descriptors, if known.
     pub descriptors: Option<u64>,
-    /// Requests in hand, and connections whose first request has not been read.
+    /// Requests in progress, and connections whose first request has not been read.
     pub requests: usize,
     /// Those of the connections that were accepted within [`UNREAD_TIME`].
     pub unread: usize,
-    /// Memory of the requests in hand, in bytes.
+    /// Memory of the requests in progress, in bytes.
     pub memory: u64,
 }
 
@@ -316,7 +316,7 @@
                 let is_late = load.requests > 0 && load.round_trip_delay > max_wait;
                 is_late && self.is_loaded(LOADED_SHARE, limits, now)
             }
-            // Without requests in hand, something else than callers takes the processor.
+            // Without requests in progress, something else than callers takes the processor.
             Reason::EventLoop => load.requests > 0 && load.event_loop_delay > max_wait,
             Reason::Descriptors => load.descriptors.map_or(is_closed, |open| {
                 let share = DESCRIPTORS_SHARE * reopen(REOPEN_DESCRIPTORS_SHARE);
--- a/crates/serving/src/shares.rs
+++ b/crates/serving/src/shares.rs
@@ -80,7 +80,7 @@
 const CONTENTION_TIME: Duration = Duration::from_secs(1);
 /// Share of its latency target that a call must wait to show contention.
 pub(crate) const CONTENDED_WAIT_SHARE: f64 = 0.5;
-/// Share of the calls of late that must show contention. In the waves of an ordinary mix a few calls
+/// Share of recent calls that must show contention. In the waves of an ordinary mix a few calls
 /// wait at times; refusing others for them would serve fewer.
 const CONTENDED_CALLS_SHARE: f64 = 0.03;
 /// Age after which a placer's announcement is dropped, as its work at engines is.
@@ -108,7 +108,7 @@
     open: HashMap<Ticket, OpenCall>,
 }
 
-/// Decaying counts of the calls of late, and of those that showed contention.
+/// Decaying counts of recent calls, and of those that showed contention.
 #[derive(Clone, Copy, Debug, Default)]
 struct Waits {
     calls: f64,
