Compute exponential decay in one place

The shares' waits, usage and stretch and the intake's link use had written again what the rate of prompt work and the overrun of late calls already compute: the part of a quantity that is left after a time. All six call one function now. No change of behaviour: the expression is the same.

--- a/crates/serving/src/decaying_rate.rs
+++ b/crates/serving/src/decaying_rate.rs
@@ -8,6 +8,11 @@
 /// than the time in which a role change pays off.
 const TIME_CONSTANT: Duration = Duration::from_secs(4);
 
+/// The part of a decaying quantity that is left after a time.
+pub(crate) fn retained(age: Duration, time_constant: Duration) -> f64 {
+    (-age.as_secs_f64() / time_constant.as_secs_f64()).exp()
+}
+
 /// A decaying sum of amounts.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct DecayingRate {
@@ -28,7 +33,6 @@
     }
 
     fn decayed(&self, now: Moment) -> f64 {
-        let past = now.saturating_sub(self.updated_at).as_secs_f64();
-        self.sum * (-past / TIME_CONSTANT.as_secs_f64()).exp()
+        self.sum * retained(now.saturating_sub(self.updated_at), TIME_CONSTANT)
     }
 }
--- a/crates/serving/src/intake.rs
+++ b/crates/serving/src/intake.rs
@@ -13,6 +13,7 @@
 
 use clock::Moment;
 
+use crate::decaying_rate::retained;
 use crate::link_queue::LinkQueue;
 
 /// Part of the link's rate that requests may use. The rest is for frames between instances, which
@@ -187,8 +188,7 @@
     }
 
     fn bytes_left(&self, now: Moment) -> f64 {
-        let age = now.saturating_sub(self.at).as_secs_f64();
-        self.bytes * (-age / USE_TIME.as_secs_f64()).exp()
+        self.bytes * retained(now.saturating_sub(self.at), USE_TIME)
     }
 
     fn bytes_per_second(&self, now: Moment) -> f64 {
--- a/crates/serving/src/overrun.rs
+++ b/crates/serving/src/overrun.rs
@@ -6,6 +6,8 @@
 
 use clock::Moment;
 
+use crate::decaying_rate::retained;
+
 /// Ratio of observed to simulated waiting time, at least one.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct WaitOverrun {
@@ -45,7 +47,6 @@
     }
 
     fn decayed(&self, now: Moment) -> f64 {
-        let past = now.saturating_sub(self.updated_at).as_secs_f64();
-        self.log * (-past / TIME_CONSTANT.as_secs_f64()).exp()
+        self.log * retained(now.saturating_sub(self.updated_at), TIME_CONSTANT)
     }
 }
--- a/crates/serving/src/shares.rs
+++ b/crates/serving/src/shares.rs
@@ -11,6 +11,7 @@
 
 use clock::Moment;
 
+use crate::decaying_rate::retained;
 use crate::engine::{Stage, Ticket};
 use crate::fleet::PeerId;
 use crate::organisation::Id;
@@ -118,8 +119,7 @@
 
 impl Waits {
     fn add(&mut self, is_contended: bool, now: Moment) {
-        let past = now.saturating_sub(self.updated_at).as_secs_f64();
-        let retained = (-past / CONTENTION_TIME.as_secs_f64()).exp();
+        let retained = retained(now.saturating_sub(self.updated_at), CONTENTION_TIME);
         self.calls = self.calls * retained + 1.0;
         self.contended = self.contended * retained + f64::from(u8::from(is_contended));
         self.updated_at = now;
--- a/crates/serving/src/shares/stretch.rs
+++ b/crates/serving/src/shares/stretch.rs
@@ -5,6 +5,8 @@
 
 use clock::Moment;
 
+use crate::decaying_rate::retained;
+
 /// The ratio of waiting time to forecast that most calls keep to, at least one.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Stretch {
@@ -42,7 +44,6 @@
     }
 
     fn decayed(&self, now: Moment) -> f64 {
-        let past = now.saturating_sub(self.updated_at).as_secs_f64();
-        self.log * (-past / TIME_CONSTANT.as_secs_f64()).exp()
+        self.log * retained(now.saturating_sub(self.updated_at), TIME_CONSTANT)
     }
 }
--- a/crates/serving/src/shares/usage.rs
+++ b/crates/serving/src/shares/usage.rs
@@ -4,6 +4,7 @@
 
 use clock::Moment;
 
+use crate::decaying_rate::retained;
 use crate::engine::Stage;
 
 /// Time constant of usage: several calls of an organisation fall into it, and an organisation that
@@ -21,7 +22,7 @@
 
 /// The part of usage that is left after a time.
 pub(super) fn decay(age: Duration) -> f64 {
-    (-age.as_secs_f64() / TIME_CONSTANT.as_secs_f64()).exp()
+    retained(age, TIME_CONSTANT)
 }
 
 /// A decaying sum of engine time.
