--- a/review/standins/src/bin/review-1.rs
+++ b/review/standins/src/bin/review-1.rs
@@ -8,10 +8,9 @@
 
 use platform_standin::{Engine, Store};
 use review_standins::{
-    BROKEN, COULD_NOT_RUN, Folder, Gateway, HELD, HOST, Log, Received, has_trouble, request,
-    run_case, wait_until,
+    BROKEN, COULD_NOT_RUN, Folder, Gateway, HELD, Log, ask_configuration, ask_text, events,
+    has_trouble, request, run_case, wait_until,
 };
-use serde_json::json;
 use tokio::time::sleep;
 
 /// Streams that are under way when the processes are killed.
@@ -28,40 +27,6 @@
 /// More streams than this with events of two versions break the rule.
 const ALLOWED: usize = 2;
 
-/// An event as a requester sees it: its number and the version that wrote it.
-fn events(received: &Received) -> Vec<(usize, String)> {
-    let data = received.body.split("\n\n").filter_map(|event| {
-        let data = event.lines().find_map(|line| line.strip_prefix("data: "))?;
-        let mut words = data.split(' ').skip(1);
-        let number = words.next()?.parse().ok()?;
-        Some((number, words.next().unwrap_or("v1").to_owned()))
-    });
-    data.collect()
-}
-
-fn text(id: &str, left: Duration, more: &str) -> String {
-    format!(
-        "POST /ask/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nModel-Name: m\r\nToken-Count: 1460,25\r\n\
-         Prompt-Prefix: 5c1e07a2:350,{id}:1110\r\nRequest-Deadline: {}\r\n{more}Content-Length: 2\r\n\r\n",
-        left.as_millis()
-    )
-}
-
-fn configuration() -> serde_json::Value {
-    json!({
-        "version": 7,
-        "routes": [{
-            "name": "ask", "host": HOST, "path_prefix": "/ask/", "kind": "streaming", "timeout_ms": 8000,
-            "target_latency_ms": 500, "priority": 1, "service": "llm", "max_attempts": 2, "resumable": true,
-            "gap_target_ms": 300,
-        }],
-        "services": [{ "name": "llm", "max_conns": 300, "engine": {
-            "slots": 8, "kv_capacity": 441_967, "kv_token_bytes": 35_136, "link_mbps": 330_000.0, "handle_ttl_s": 5.0 } }],
-        "limits": { "max_header_bytes": 16_384, "max_body_bytes": 4_194_304, "header_timeout_ms": 5_000,
-            "idle_timeout_ms": 15_000 },
-    })
-}
-
 async fn engine(store: &Store, id: &str, software: &'static str) -> Engine {
     let engine = Engine::start(id).await;
     engine.set_software(software);
@@ -88,7 +53,7 @@
     let log = Rc::new(RefCell::new(Log::create(&folder)?));
     let note = |text: &str| log.borrow_mut().line(text);
     let store = Store::start().await;
-    store.put("keyed.op", "config", Some(&configuration()));
+    store.put("keyed.op", "config", Some(&ask_configuration()));
     let old = [
         engine(&store, "i-old-1", "v1").await,
         engine(&store, "i-old-2", "v1").await,
@@ -116,7 +81,7 @@
         let (to, running) = (gateways[number % 3].front, running.clone());
         let id = format!("{:016x}", 0x5eed_0000 + number);
         streams.push(actix_rt::spawn(async move {
-            let received = request(to, &text(&id, TIME_BUDGET, ""), b"{}", TIME_BUDGET).await;
+            let received = request(to, &ask_text(&id, TIME_BUDGET, ""), b"{}", TIME_BUDGET).await;
             running.set(running.get() - 1);
             (id, received)
         }));
@@ -186,7 +151,7 @@
             }
             let more = format!("Last-Event-Id: {last}\r\nResumes: {id}\r\n");
             let again = format!("{id}-2");
-            let received = request(front, &text(&again, left, &more), b"{}", left).await;
+            let received = request(front, &ask_text(&again, left, &more), b"{}", left).await;
             (id, versions, Some(received))
         }));
     }
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -369,3 +369,39 @@
     };
     std::process::exit(code);
 }
+
+/// An event as a requester sees it: its number and the version that wrote it.
+pub fn events(received: &Received) -> Vec<(usize, String)> {
+    let data = received.body.split("\n\n").filter_map(|event| {
+        let data = event.lines().find_map(|line| line.strip_prefix("data: "))?;
+        let mut words = data.split(' ').skip(1);
+        let number = words.next()?.parse().ok()?;
+        Some((number, words.next().unwrap_or("v1").to_owned()))
+    });
+    data.collect()
+}
+
+/// A request on the route of [`ask_configuration`], without its body of two bytes.
+pub fn ask_text(id: &str, left: Duration, more: &str) -> String {
+    format!(
+        "POST /ask/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nModel-Name: m\r\nToken-Count: 1460,25\r\n\
+         Prompt-Prefix: 5c1e07a2:350,{id}:1110\r\nRequest-Deadline: {}\r\n{more}Content-Length: 2\r\n\r\n",
+        left.as_millis()
+    )
+}
+
+/// A manifest with one resumable streaming route, with the figures of `kiosk-ask` on the sheet.
+pub fn ask_configuration() -> serde_json::Value {
+    serde_json::json!({
+        "version": 7,
+        "routes": [{
+            "name": "ask", "host": HOST, "path_prefix": "/ask/", "kind": "streaming", "timeout_ms": 8000,
+            "target_latency_ms": 500, "priority": 1, "service": "llm", "max_attempts": 2, "resumable": true,
+            "gap_target_ms": 300,
+        }],
+        "services": [{ "name": "llm", "max_conns": 300, "engine": {
+            "slots": 8, "kv_capacity": 441_967, "kv_token_bytes": 35_136, "link_mbps": 330_000.0, "handle_ttl_s": 5.0 } }],
+        "limits": { "max_header_bytes": 16_384, "max_body_bytes": 4_194_304, "header_timeout_ms": 5_000,
+            "idle_timeout_ms": 15_000 },
+    })
+}
