review: a request that ends engines is not held if they go dark or end between events

Cause: an engine counts as ended only if its address refuses a connection or another engine answers there, so that one that goes dark never does (gateway::crash_detection); and the end of the channel after a whole event of an answer without a length counts as a good run, which clears the request. Nothing is fixed.

--- a/review/standins/src/bin/review-1.rs
+++ b/review/standins/src/bin/review-1.rs
@@ -158,7 +158,9 @@
     for stream in resumed {
         let (id, mut versions, received) = stream.await.unwrap_or_default();
         let Some(received) = received else {
-            note(&format!("{id}: not taken up again, no node was ready in time"));
+            note(&format!(
+                "{id}: not taken up again, no node was ready in time"
+            ));
             continue;
         };
         let seen = events(&received);
@@ -176,7 +178,11 @@
         note(&format!(
             "{}: {} requests ran, {} orders",
             engine.id,
-            engine.received().iter().filter(|request| request.ran).count(),
+            engine
+                .received()
+                .iter()
+                .filter(|request| request.ran)
+                .count(),
             engine.orders().len()
         ));
     }
@@ -203,7 +209,10 @@
 impl Ready {
     async fn asked(&self) -> bool {
         let text = "GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n";
-        request(self.ready, text, b"", Duration::from_millis(500)).await.status == 200
+        request(self.ready, text, b"", Duration::from_millis(500))
+            .await
+            .status
+            == 200
     }
 }
 
--- a/review/standins/src/bin/review-2.rs
+++ b/review/standins/src/bin/review-2.rs
@@ -1,76 +1,124 @@
-//! One gateway freezes while streams are under way there. Meanwhile an engine of another software version
-//! starts beside those that serve. Requesters abandon the silent streams and take them up elsewhere.
+//! A request ends each engine that begins to run it, and is sent again and again. In the first part the
+//! engines' machines go dark; in the second one their processes end between two events of answers that have
+//! neither a length nor chunks.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::path::PathBuf;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use platform_standin::{Engine, Store};
+use platform_standin::Store;
+use review_standins::engine::{End, Engine, Plan};
 use review_standins::{
-    BROKEN, COULD_NOT_RUN, Folder, Gateway, HELD, Log, Received, ask_configuration, ask_text,
-    events, has_trouble, request, run_case, wait_until,
+    BROKEN, COULD_NOT_RUN, Folder, Gateway, HELD, HOST, Log, events, has_trouble, request,
+    run_case, wait_until,
 };
-use tokio::time::{sleep, timeout};
+use serde_json::json;
+use tokio::time::sleep;
 
-/// Streams under way at the machine that freezes; the rule counts from twelve on.
-const STREAMS: usize = 16;
-const LEAST: usize = 12;
-/// Events of a stream and the pause between two of them: 6 s in all.
-const EVENTS: usize = 20;
-const PAUSE: Duration = Duration::from_millis(300);
+const ENGINES: usize = 8;
+/// Events of a stream and the pause between two of them: 2 s in all.
+const EVENTS: usize = 10;
+const PAUSE: Duration = Duration::from_millis(200);
 /// Time budget of a requester, and time-out of the route.
-const TIME_BUDGET: Duration = Duration::from_millis(8_000);
-/// Gap after which a requester abandons a stream: the longest of two seconds, four times the objective
-/// (500 ms) and eight times the pause that the sheet allows (300 ms).
-const GAP: Duration = Duration::from_millis(2_400);
-/// How long the machine stands still.
-const FREEZE: Duration = Duration::from_millis(4_000);
+const TIME_BUDGET: Duration = Duration::from_millis(4_000);
+/// Requesters of sound streams.
+const SOUND: usize = 10;
+/// The request that ends engines: its path and its pause before it comes again.
+const FATAL_PATH: &str = "/sort/report-17";
+const FATAL_PAUSE: Duration = Duration::from_millis(1_000);
+/// Time until an engine that has ended is back.
+const DOWN: Duration = Duration::from_millis(4_000);
+/// `stable_window_ms`.
+const STABLE_WINDOW: Duration = Duration::from_millis(3_000);
+/// Retries that may reach engines later than that after the third crash.
+const ALLOWED: usize = 3;
+/// How long requesters send.
+const LENGTH: Duration = Duration::from_secs(30);
 
-/// A stream until it ends or has been silent for `GAP`, or, without the disruption, until `give_up`.
-async fn begin(to: std::net::SocketAddr, id: &str, give_up: Option<Instant>) -> Received {
-    use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-    let mut bytes = Vec::new();
-    let text = ask_text(id, TIME_BUDGET, "");
-    if let Ok(mut stream) = tokio::net::TcpStream::connect(to).await {
-        let _ = stream.write_all(text.as_bytes()).await;
-        let _ = stream.write_all(b"{}").await;
-        loop {
-            if review_standins::parse(&bytes).complete {
-                break;
-            }
-            let left = give_up.map_or(GAP, |at| at.saturating_duration_since(Instant::now()));
-            match timeout(left, stream.read_buf(&mut bytes)).await {
-                Ok(Ok(1..)) => {}
-                _ => break,
-            }
-        }
-    }
-    review_standins::parse(&bytes)
+fn configuration() -> serde_json::Value {
+    json!({
+        "version": 7,
+        "routes": [{
+            "name": "sort", "host": HOST, "path_prefix": "/sort/", "kind": "streaming", "timeout_ms": 4000,
+            "target_latency_ms": 600, "priority": 0, "service": "llm", "max_attempts": 1, "resumable": false,
+            "gap_target_ms": 300,
+        }],
+        "services": [{ "name": "llm", "max_conns": 300, "engine": {
+            "slots": 8, "kv_capacity": 441_967, "kv_token_bytes": 35_136, "link_mbps": 330_000.0, "handle_ttl_s": 5.0 } }],
+        "limits": { "max_header_bytes": 16_384, "max_body_bytes": 4_194_304, "header_timeout_ms": 5_000,
+            "idle_timeout_ms": 15_000 },
+    })
 }
 
-async fn add_engine(store: &Store, id: &str, software: &'static str) -> Engine {
-    let engine = Engine::start(id).await;
-    engine.set_software(software);
-    engine.set_stream(EVENTS, PAUSE);
-    engine.register(store, "llm", "ready", Some("decode"));
-    engine
+fn text(path: &str, id: &str, part: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nModel-Name: m\r\nToken-Count: 9190,7\r\n\
+         Prompt-Prefix: 5c1e07a2:6300,{part}:2890\r\nRequest-Deadline: {}\r\nContent-Length: 2\r\n\r\n",
+        TIME_BUDGET.as_millis()
+    )
 }
 
 async fn run(folder: PathBuf) -> std::io::Result<i32> {
-    let temporary = Folder::create("2")?;
-    let log = RefCell::new(Log::create(&folder)?);
+    let log = Rc::new(RefCell::new(Log::create(&folder)?));
+    let mut is_broken = false;
+    for (number, end, in_chunks) in [(1, End::Dark, true), (2, End::Crash, false)] {
+        let end = if has_trouble() { end } else { End::Never };
+        // For comparison: a process that ends with its answers in chunks, which is noticed.
+        let in_chunks = in_chunks || std::env::var("CHUNKS").as_deref() == Ok("1");
+        log.borrow_mut().line(&format!(
+            "part {number}: {end:?}, answers in chunks: {in_chunks}"
+        ));
+        match part(number, end, in_chunks, &log).await? {
+            BROKEN => is_broken = true,
+            HELD => {}
+            other => return Ok(other),
+        }
+    }
+    Ok(if is_broken { BROKEN } else { HELD })
+}
+
+/// Plays one part with gateways, a store and engines of its own.
+async fn part(
+    number: u8,
+    end: End,
+    in_chunks: bool,
+    log: &Rc<RefCell<Log>>,
+) -> std::io::Result<i32> {
+    let temporary = Folder::create(&format!("2-{number}"))?;
     let note = |text: &str| log.borrow_mut().line(text);
     let store = Store::start().await;
-    store.put("keyed.op", "config", Some(&ask_configuration()));
+    store.put("keyed.op", "config", Some(&configuration()));
+    let mut gateways = Vec::new();
+    for machine in 1..=3 {
+        gateways.push(Gateway::new(
+            &temporary.0,
+            machine,
+            20 + number,
+            store.address,
+        )?);
+    }
+    let ip = |gateway: &Gateway| match gateway.front.ip() {
+        std::net::IpAddr::V4(ip) => ip,
+        std::net::IpAddr::V6(_) => std::net::Ipv4Addr::LOCALHOST,
+    };
+    let plan = Rc::new(Plan {
+        store: store.clone(),
+        service: "llm",
+        events: EVENTS,
+        pause: PAUSE,
+        fatal_path: FATAL_PATH,
+        end,
+        in_chunks,
+        down: DOWN,
+        gateways: gateways.iter().map(ip).collect(),
+    });
     let mut engines = Vec::new();
-    for id in ["i-old-1", "i-old-2", "i-old-3", "i-old-4"] {
-        engines.push(add_engine(&store, id, "v1").await);
+    for number in 1..=ENGINES {
+        engines.push(Engine::start(&plan, &format!("i-{number}")).await?);
     }
-    let mut gateways = Vec::new();
-    for number in 1..=3 {
-        let mut gateway = Gateway::new(&temporary.0, number, 2, store.address)?;
+    for gateway in &mut gateways {
         gateway.start()?;
-        gateways.push(gateway);
     }
     for gateway in &gateways {
         if !wait_until(Duration::from_secs(15), async || gateway.is_ready().await).await {
@@ -78,117 +126,93 @@
             return Ok(COULD_NOT_RUN);
         }
     }
-    // Longer than `stable_window_ms`: all machines are in touch.
     sleep(Duration::from_secs(4)).await;
-    note("3 gateways have been ready for 4 s; 4 engines of version v1 serve");
+    note(&format!(
+        "3 gateways have been ready for 4 s; {ENGINES} engines serve; {end:?}"
+    ));
 
-    let began = Instant::now();
-    let first = gateways[0].front;
-    let give_up = (!has_trouble()).then(|| began + Duration::from_millis(1_500) + GAP);
-    let mut streams = Vec::new();
-    for number in 0..STREAMS {
-        let id = format!("{:016x}", 0x5eed_1000 + number);
-        streams.push(actix_rt::spawn(async move {
-            let received = begin(first, &id, give_up).await;
-            (id, received)
+    let fronts: Vec<_> = gateways.iter().map(|gateway| gateway.front).collect();
+    let is_over = Rc::new(Cell::new(false));
+    // Requesters of sound streams, no two alike.
+    let mut sound = Vec::new();
+    for number in 0..SOUND {
+        let (fronts, is_over) = (fronts.clone(), is_over.clone());
+        sound.push(actix_rt::spawn(async move {
+            let mut outcomes = Vec::new();
+            while !is_over.get() {
+                let id = format!("{:016x}", 0x5000_0000 + number * 4096 + outcomes.len());
+                let to = fronts[(number + outcomes.len()) % fronts.len()];
+                let path = format!("/sort/{id}");
+                let received = request(to, &text(&path, &id, &id), b"{}", TIME_BUDGET).await;
+                let seen = events(&received).len();
+                outcomes.push((id, seen));
+                sleep(Duration::from_millis(100)).await;
+            }
+            outcomes
         }));
     }
-    sleep(Duration::from_millis(1_500)).await;
-    note(&format!("{STREAMS} streams are under way at {}", gateways[0].name));
-    if has_trouble() {
-        gateways[0].signal("STOP");
-        note("that machine freezes");
+    // The fatal request comes again a second after it got no whole answer, at the next machine.
+    let began = Instant::now();
+    let mut sent = Vec::new();
+    while began.elapsed() < LENGTH {
+        let id = format!("{:016x}", 0xfa7a_0000_u64 + sent.len() as u64);
+        let at = Instant::now();
+        let to = fronts[sent.len() % fronts.len()];
+        let received = request(to, &text(FATAL_PATH, &id, "0badf00d"), b"{}", TIME_BUDGET).await;
+        note(&format!(
+            "fatal {id}: sent at {:.3} to {to}, status {}, {} bytes, after {:.3} s",
+            (at - began).as_secs_f64(),
+            received.status,
+            received.body.len(),
+            at.elapsed().as_secs_f64()
+        ));
+        sent.push((id, at));
+        sleep(FATAL_PAUSE).await;
+    }
+    is_over.set(true);
+    let mut outcomes = Vec::new();
+    for requester in sound {
+        outcomes.extend(requester.await.unwrap_or_default());
     }
-    sleep(Duration::from_millis(1_000)).await;
-    engines.push(add_engine(&store, "i-new-1", "v2").await);
-    note("an engine of version v2 has started beside them");
 
-    // Requesters notice the silence, and take their streams up at the other machines; as many new streams
-    // begin there.
-    let mut resumed = Vec::new();
-    let mut fresh = Vec::new();
-    let mut whole = 0;
-    for (number, stream) in streams.into_iter().enumerate() {
-        let (id, received) = stream.await.unwrap_or_default();
-        let seen = events(&received);
-        let last = seen.last().map_or(0, |(number, _)| *number);
+    let mut crashes = Vec::new();
+    for engine in &engines {
+        for run in engine.runs.borrow().iter().filter(|run| run.is_fatal) {
+            crashes.push((run.at, engine.id.clone(), run.id.clone()));
+        }
+    }
+    crashes.sort();
+    for (at, engine, id) in &crashes {
         note(&format!(
-            "{id}: status {}, {last} events, complete {}",
-            received.status, received.complete
+            "{engine} ended at {:.3} under {id}",
+            (*at - began).as_secs_f64()
         ));
-        whole += usize::from(received.complete);
-        if last == 0 || received.complete {
-            continue;
-        }
-        let to = gateways[1 + number % 2].front;
-        let left = TIME_BUDGET.saturating_sub(began.elapsed());
-        let more = format!("Last-Event-Id: {last}\r\nResumes: {id}\r\n");
-        let again = ask_text(&format!("{id}-2"), left, &more);
-        resumed.push(actix_rt::spawn(async move {
-            (id, last, request(to, &again, b"{}", left).await)
-        }));
-        let new = format!("{:016x}", 0x5eed_2000 + number);
-        let text = ask_text(&new, TIME_BUDGET, "");
-        fresh.push(actix_rt::spawn(async move {
-            (new, request(to, &text, b"{}", TIME_BUDGET).await)
-        }));
     }
-    let thaw = FREEZE.saturating_sub(began.elapsed().saturating_sub(Duration::from_millis(1_500)));
-    let thawing = async {
-        sleep(thaw).await;
-        if has_trouble() {
-            gateways[0].signal("CONT");
-            note("the machine goes on");
-        }
-    };
-    let collecting = async {
-        let (mut taken_up, mut gone_on, mut new, mut begun) = (0, 0, 0, 0);
-        for stream in resumed {
-            let (id, last, received) = stream.await.unwrap_or_default();
-            let seen = events(&received);
-            let after = received.head.lines().find(|line| line.starts_with("retry-after"));
-            note(&format!(
-                "{id}: taken up again after {last}: status {}, {} events, complete {} {}",
-                received.status,
-                seen.len(),
-                received.complete,
-                after.unwrap_or_default()
-            ));
-            taken_up += 1;
-            gone_on += usize::from(!seen.is_empty());
-        }
-        for stream in fresh {
-            let (id, received) = stream.await.unwrap_or_default();
-            let seen = events(&received);
-            note(&format!(
-                "{id}: new: status {}, {} events, complete {}",
-                received.status,
-                seen.len(),
-                received.complete
-            ));
-            new += 1;
-            begun += usize::from(!seen.is_empty());
-        }
-        (taken_up, gone_on, new, begun)
-    };
-    let (_, (taken_up, gone_on, new, begun)) = tokio::join!(thawing, collecting);
-    let serving = engines.iter().filter(|engine| engine.id.starts_with("i-old"));
+    let cut: Vec<String> = engines
+        .iter()
+        .flat_map(|engine| engine.cut.borrow().clone())
+        .collect();
+    let lost = outcomes
+        .iter()
+        .filter(|(id, events)| cut.contains(id) && *events < EVENTS);
+    let lost = lost.count();
+    let whole = outcomes.iter().filter(|(_, events)| *events == EVENTS);
     note(&format!(
-        "{} engines of version v1 serve, {} streams were whole",
-        serving.filter(|engine| !engine.has_stopped()).count(),
-        whole
+        "{} sound streams, {} with all events; {lost} were running at engines that ended, and were cut",
+        outcomes.len(),
+        whole.count()
     ));
+    let third = crashes.get(2).map(|(at, ..)| *at);
+    let is_late = |at: Instant| third.is_some_and(|third| at > third + STABLE_WINDOW);
+    let late = sent
+        .iter()
+        .filter(|(id, at)| is_late(*at) && crashes.iter().any(|(_, _, ran)| ran == id));
+    let late = late.count();
     note(&format!(
-        "of {taken_up} streams that were taken up again {gone_on} went on; of {new} new streams {begun} began"
+        "{} engines ended; {late} retries reached engines later than 3 s after the third, {ALLOWED} are allowed",
+        crashes.len()
     ));
-    // Shares compared without division: gone_on / taken_up < (begun / new) / 2.
-    Ok(if taken_up < LEAST || begun == 0 {
-        COULD_NOT_RUN
-    } else if 2 * gone_on * new < begun * taken_up {
-        BROKEN
-    } else {
-        HELD
-    })
+    Ok(if late > ALLOWED { BROKEN } else { HELD })
 }
 
 fn main() {
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -1,6 +1,8 @@
 //! What the scripts of the review share: gateway processes with the settings of a small deployment,
 //! requesters, and the record of a run.
 
+pub mod engine;
+
 use std::fs::File;
 use std::io::{self, Write as _};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
@@ -10,6 +12,7 @@
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::{sleep, timeout};
 
 /// Exit codes of a script.
@@ -243,7 +246,10 @@
                 .starts_with("HTTP/1.1 200")
                 .then_some(())
         };
-        matches!(timeout(Duration::from_millis(500), asked).await, Ok(Some(())))
+        matches!(
+            timeout(Duration::from_millis(500), asked).await,
+            Ok(Some(()))
+        )
     }
 }
 
@@ -285,8 +291,7 @@
         let Ok(mut stream) = TcpStream::connect(to).await else {
             return;
         };
-        if stream.write_all(text.as_bytes()).await.is_err()
-            || stream.write_all(body).await.is_err()
+        if stream.write_all(text.as_bytes()).await.is_err() || stream.write_all(body).await.is_err()
         {
             return;
         }
@@ -353,8 +358,24 @@
 pub fn run_case(run: impl AsyncFnOnce(PathBuf) -> io::Result<i32>) {
     let folder = std::env::args_os().nth(1).map(PathBuf::from);
     let case = async {
-        let run = run(folder.unwrap_or_default());
-        timeout(LIMIT, run).await
+        let run = timeout(LIMIT, run(folder.unwrap_or_default()));
+        let mut terminated = signal(SignalKind::terminate()).ok();
+        let mut interrupted = signal(SignalKind::interrupt()).ok();
+        let asked_to_end = async {
+            match (&mut terminated, &mut interrupted) {
+                (Some(terminated), Some(interrupted)) => {
+                    tokio::select! {
+                        _ = terminated.recv() => {}
+                        _ = interrupted.recv() => {}
+                    }
+                }
+                _ => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            result = run => result.map_err(|_| "the case took too long"),
+            () = asked_to_end => Err("the case was asked to end"),
+        }
     };
     let code = match actix_rt::System::new().block_on(case) {
         Ok(Ok(code)) => code,
@@ -362,8 +383,8 @@
             eprintln!("the case could not run: {error}");
             COULD_NOT_RUN
         }
-        Err(_) => {
-            eprintln!("the case took too long");
+        Err(why) => {
+            eprintln!("{why}");
             COULD_NOT_RUN
         }
     };
