--- a/review/standins/src/bin/review-1.rs
+++ b/review/standins/src/bin/review-1.rs
@@ -15,13 +15,15 @@
 
 /// Streams that are under way when the processes are killed.
 const STREAMS: usize = 10;
-/// Events of a stream and the pause between two of them: 4.8 s in all.
-const EVENTS: usize = 16;
+/// Events of a stream and the pause between two of them: 6 s in all.
+const EVENTS: usize = 20;
 const PAUSE: Duration = Duration::from_millis(300);
 /// Time budget of a requester, and time-out of the route.
 const TIME_BUDGET: Duration = Duration::from_millis(8_000);
 /// Time for which an engine serves after its report that it leaves: `drain_ms`.
 const DRAIN: Duration = Duration::from_millis(2_000);
+/// Time between two replacements of a release.
+const GAP: Duration = Duration::from_millis(1_000);
 /// Time between the kill and the start of the processes.
 const DOWN: Duration = Duration::from_millis(1_000);
 /// More streams than this with events of two versions break the rule.
@@ -59,7 +61,7 @@
         engine(&store, "i-old-2", "v1").await,
     ];
     let mut gateways = Vec::new();
-    for number in 1..=3 {
+    for number in 1..=6 {
         let mut gateway = Gateway::new(&temporary.0, number, 1, store.address)?;
         gateway.start()?;
         gateways.push(gateway);
@@ -71,14 +73,14 @@
         }
     }
     sleep(Duration::from_secs(2)).await;
-    note("3 gateways are ready; 2 engines of version v1 serve");
+    note("6 gateways are ready; 2 engines of version v1 serve");
 
     // Ten requesters begin a stream each.
     let began = Instant::now();
     let running = Rc::new(Cell::new(STREAMS));
     let mut streams = Vec::new();
     for number in 0..STREAMS {
-        let (to, running) = (gateways[number % 3].front, running.clone());
+        let (to, running) = (gateways[number % 6].front, running.clone());
         let id = format!("{:016x}", 0x5eed_0000 + number);
         streams.push(actix_rt::spawn(async move {
             let received = request(to, &ask_text(&id, TIME_BUDGET, ""), b"{}", TIME_BUDGET).await;
@@ -105,11 +107,11 @@
             is_idle,
             log.clone(),
         )));
-        sleep(Duration::from_millis(700)).await;
+        sleep(GAP).await;
     }
 
     // The disruption: all processes are killed, and started again a second later.
-    sleep(Duration::from_millis(1_400)).await;
+    sleep(Duration::from_millis(1_200)).await;
     if has_trouble() {
         for gateway in &mut gateways {
             gateway.kill();
@@ -139,7 +141,7 @@
             continue;
         }
         // The requester's one further try, at a node that is ready, within its time budget.
-        let target = &gateways[resumed.len() % 3];
+        let target = &gateways[resumed.len() % 6];
         let (front, ready) = (target.front, target.ready);
         let ready = Ready { ready };
         let versions: Vec<String> = versions.into_iter().map(str::to_owned).collect();
--- a/review/standins/src/bin/review-3.rs
+++ b/review/standins/src/bin/review-3.rs
@@ -24,7 +24,7 @@
 /// (500 ms) and eight times the pause that the sheet allows (300 ms).
 const GAP: Duration = Duration::from_millis(2_400);
 /// How long the machine stands still.
-const FREEZE: Duration = Duration::from_millis(4_000);
+const FREEZE: Duration = Duration::from_millis(3_500);
 
 /// A stream until it ends or has been silent for `GAP`, or, without the disruption, until `give_up`.
 async fn begin(to: std::net::SocketAddr, id: &str, give_up: Option<Instant>) -> Received {
@@ -67,7 +67,7 @@
         engines.push(add_engine(&store, id, "v1").await);
     }
     let mut gateways = Vec::new();
-    for number in 1..=3 {
+    for number in 1..=6 {
         let mut gateway = Gateway::new(&temporary.0, number, 3, store.address)?;
         gateway.start()?;
         gateways.push(gateway);
@@ -80,7 +80,7 @@
     }
     // Longer than `stable_window_ms`: all machines are in touch.
     sleep(Duration::from_secs(4)).await;
-    note("3 gateways have been ready for 4 s; 4 engines of version v1 serve");
+    note("6 gateways have been ready for 4 s; 4 engines of version v1 serve");
 
     let began = Instant::now();
     let first = gateways[0].front;
@@ -123,7 +123,7 @@
         if last == 0 || received.complete {
             continue;
         }
-        let to = gateways[1 + number % 2].front;
+        let to = gateways[1 + number % 5].front;
         let left = TIME_BUDGET.saturating_sub(began.elapsed());
         let more = format!("Last-Event-Id: {last}\r\nResumes: {id}\r\n");
         let again = ask_text(&format!("{id}-2"), left, &more);
