Log why a resumed stream is taken for one of a version, or refused

Whether an instance had remembered the stream, the list of engines was believed, instances disagreed or nobody knew the engines could not be told apart.

Change: `resumed by its caller` has `basis`; tarragon_resumed_streams_total counts apart what rests on the service having one version only. serving::origin::resolve returns the evidence or the reason; what it decides is unchanged, and its test compares evidence and reason as well.

--- a/crates/gateway/src/generate/resume.rs
+++ b/crates/gateway/src/generate/resume.rs
@@ -1,6 +1,6 @@
 //! Streams that their callers resume.
 
-use serving::origin::{self, Key};
+use serving::origin::{self, Evidence, Key, Software, Unresolved};
 
 use super::Run;
 use crate::metrics;
@@ -11,18 +11,16 @@
     pub(super) async fn bind_resumed(&mut self) -> bool {
         let (instance, call) = (self.instance, &self.request.call);
         let service = &self.request.service.name;
-        self.software = instance.resolve_stream(self.stream_key(), service).await;
+        let resolved = instance.resolve_stream(self.stream_key(), service).await;
+        let (origin, basis) = describe(&resolved);
+        self.software = resolved.ok().map(|(software, _)| software);
         log::info!(
             id = call.id.as_str(), resumes = call.resumes.as_deref().unwrap_or_default(),
-            after = call.resume_after, software = self.software.as_deref().unwrap_or("unknown");
+            after = call.resume_after, software = self.software.as_deref().unwrap_or("unknown"), basis = basis;
             "resumed by its caller"
         );
-        let is_known = self.software.is_some();
-        instance.metrics.stream_resumed(match is_known {
-            true => metrics::Origin::Known,
-            false => metrics::Origin::Unknown,
-        });
-        is_known
+        instance.metrics.stream_resumed(origin);
+        self.software.is_some()
     }
 
     /// Identifies the stream over its caller's attempts.
@@ -35,3 +33,16 @@
         origin::key(request.principal.name(), &request.service.name, attempt)
     }
 }
+
+/// Label and text of where a version is known from, or why it is not.
+fn describe(
+    resolved: &Result<(Software, Evidence), Unresolved>,
+) -> (metrics::Origin, &'static str) {
+    match resolved {
+        Ok((_, Evidence::Note)) => (metrics::Origin::Known, "noted"),
+        Ok((_, Evidence::OnlyVersion)) => (metrics::Origin::OnlyVersion, "only version"),
+        Err(Unresolved::Conflicting) => (metrics::Origin::Unknown, "conflicting"),
+        Err(Unresolved::SeveralVersions) => (metrics::Origin::Unknown, "several versions"),
+        Err(Unresolved::Unknown) => (metrics::Origin::Unknown, "engines not known"),
+    }
+}
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -11,7 +11,7 @@
 use http1::{Client, Failure, TcpTimeouts};
 use serving::budget::RepeatBudgets;
 use serving::organisation::{Directory, Name};
-use serving::origin::{self, Key, Knowledge, Software};
+use serving::origin::{self, Evidence, Key, Knowledge, Software, Unresolved};
 use serving::parts::Part;
 use serving::placer::{self, Member, Placers};
 use serving::prior_wait::PriorWaits;
@@ -440,12 +440,15 @@
         self.send_all(begun);
     }
 
-    /// The software version that may go on with a stream, from what this instance and others know. `None`
-    /// if it is unknown.
-    pub(crate) async fn resolve_stream(&self, key: Key, service: &ServiceName) -> Option<Software> {
+    /// The software version that may go on with a stream, from what this instance and others know.
+    pub(crate) async fn resolve_stream(
+        &self,
+        key: Key,
+        service: &ServiceName,
+    ) -> Result<(Software, Evidence), Unresolved> {
         let own = self.stream_knowledge(key, service);
-        if own.software.is_some() {
-            return own.software;
+        if let Some(software) = own.software {
+            return Ok((software, Evidence::Note));
         }
         let mut members = self.peers.borrow().addresses();
         members.push(self.address);
--- a/crates/gateway/src/metrics/labels.rs
+++ b/crates/gateway/src/metrics/labels.rs
@@ -39,7 +39,10 @@
 /// Whether the software version is known that began a stream which a caller resumes.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub(crate) enum Origin {
+    /// An instance remembers the stream.
     Known,
+    /// No instance does, but the service has and had one version only.
+    OnlyVersion,
     Unknown,
 }
 
@@ -140,7 +143,7 @@
 
 labels!(End: Served = "served", Refused = "refused", Failed = "failed", Late = "late", Cut = "cut");
 labels!(PlacementAnswer: Placed = "placed", Declined = "declined", Silent = "silent");
-labels!(Origin: Known = "known", Unknown = "unknown");
+labels!(Origin: Known = "known", OnlyVersion = "only_version", Unknown = "unknown");
 labels!(Suspect: Held = "held", Alone = "alone");
 labels!(Throttled: Waited = "waited", Refused = "refused");
 labels!(EngineSource: Log = "log", Snapshot = "snapshot", Instance = "instance");
--- a/crates/serving/src/origin.rs
+++ b/crates/serving/src/origin.rs
@@ -100,33 +100,58 @@
     pub sole: Option<Software>,
 }
 
+/// Why a version may go on with a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Evidence {
+    /// An instance remembers that it began the stream.
+    Note,
+    /// It is the only one that the service has and had.
+    OnlyVersion,
+}
+
+/// Why the version that began a stream is not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unresolved {
+    /// Instances disagree.
+    Conflicting,
+    /// The service has several versions, or had until lately, and no instance remembers the stream.
+    SeveralVersions,
+    /// No instance that answered knows all engines of the service.
+    Unknown,
+}
+
 /// The version that may go on with a stream, from what the instances know that answered; this one is
-/// among them. `None` if it is unknown.
-pub fn resolve(known: &[Knowledge]) -> Option<Software> {
-    let agree = |versions: SmallVec<[&Software; ASKED]>| {
-        let first = *versions.first()?;
-        versions
-            .iter()
-            .all(|other| *other == first)
-            .then(|| first.clone())
-    };
-    let noted: SmallVec<[&Software; ASKED]> = known
-        .iter()
-        .filter_map(|known| known.software.as_ref())
-        .collect();
-    if !noted.is_empty() {
-        return agree(noted);
+/// among them.
+///
+/// # Errors
+///
+/// If it is not known which version began the stream.
+pub fn resolve(known: &[Knowledge]) -> Result<(Software, Evidence), Unresolved> {
+    let noted = known.iter().filter_map(|known| known.software.as_ref());
+    if let Some(software) = agreed(noted)? {
+        return Ok((software, Evidence::Note));
     }
     // Streams are noted while there are several versions, so one of them has been lost.
     if known.iter().any(|known| known.is_mixed) {
-        return None;
+        return Err(Unresolved::SeveralVersions);
+    }
+    let sole = known.iter().filter_map(|known| known.sole.as_ref());
+    let software = agreed(sole)?.ok_or(Unresolved::Unknown)?;
+    Ok((software, Evidence::OnlyVersion))
+}
+
+/// The version that all of these are; `None` if there are none.
+fn agreed<'a>(
+    mut versions: impl Iterator<Item = &'a Software>,
+) -> Result<Option<Software>, Unresolved> {
+    let Some(first) = versions.next() else {
+        return Ok(None);
+    };
+    if versions.all(|other| other == first) {
+        Ok(Some(first.clone()))
+    } else {
+        Err(Unresolved::Conflicting)
     }
-    agree(
-        known
-            .iter()
-            .filter_map(|known| known.sole.as_ref())
-            .collect(),
-    )
 }
 
 /// Streams that this instance remembers, and services with several versions.
--- a/crates/serving/tests/origin.rs
+++ b/crates/serving/tests/origin.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use common::{fleet, id, ms, record, service};
-use serving::origin::{self, ASKED, HOLDERS, Knowledge, Origins, Software};
+use serving::origin::{self, ASKED, Evidence, HOLDERS, Knowledge, Origins, Software, Unresolved};
 use serving::{Record, Stage};
 
 fn version(name: &str) -> Software {
@@ -143,20 +143,29 @@
     let unknown = Knowledge::default();
     assert_eq!(
         origin::resolve(&[mixed.clone(), noted("v1"), unknown.clone()]),
-        Some(version("v1"))
+        Ok((version("v1"), Evidence::Note))
     );
     assert_eq!(
         origin::resolve(&[sole("v1"), noted("v2")]),
-        Some(version("v2"))
+        Ok((version("v2"), Evidence::Note))
+    );
+    assert_eq!(
+        origin::resolve(&[noted("v1"), noted("v2")]),
+        Err(Unresolved::Conflicting)
     );
-    assert_eq!(origin::resolve(&[noted("v1"), noted("v2")]), None);
     assert_eq!(
         origin::resolve(&[sole("v1"), sole("v1"), unknown.clone()]),
-        Some(version("v1"))
+        Ok((version("v1"), Evidence::OnlyVersion))
+    );
+    assert_eq!(
+        origin::resolve(&[sole("v1"), mixed]),
+        Err(Unresolved::SeveralVersions)
+    );
+    assert_eq!(
+        origin::resolve(&[sole("v1"), sole("v2")]),
+        Err(Unresolved::Conflicting)
     );
-    assert_eq!(origin::resolve(&[sole("v1"), mixed]), None);
-    assert_eq!(origin::resolve(&[sole("v1"), sole("v2")]), None);
-    assert_eq!(origin::resolve(&[unknown]), None);
+    assert_eq!(origin::resolve(&[unknown]), Err(Unresolved::Unknown));
 }
 
 /// Guards against taking a service for one of several versions after the last engine of all but one has
