Refuse streams whose version an instance that starts cannot know

Cause: what a service's versions were before was kept in the memory of instances only. One that starts lists engines of one version, and took that for the whole story (`Knowledge::sole`). The same cause without a kill: an instance that is frozen while both versions serve, and a service whose engines of the first version have all gone before the second one comes, never see two versions at once, so nothing marked the service as mixed.

A change of the list is a change, whether both were ever listed together or not. The versions are recorded in the store when they change, beside the list of instances, which every instance reads before the engines: one append a change by the first of those that read the engines, no further read. An instance that starts believes the list if the record names the same version and has done so for 30 s, or if no instance was registered before it. Otherwise it concludes nothing for 30 s; if the record differs it says that there were several. Until then streams are announced to their holders as they begin.

Why it works: an error refuses and never mixes. A change that could not be written leaves a record that differs from the list; one that a copy of the store has taken back too. Clocks that differ by some seconds are covered by 30 s against streams of 8 to 13 s.

Tests: version_history (eight), software_versions (two: both versions and all killed, one version and all killed). The first of the two fails on the code before: the stream is resumed with 200 at v2. The other one passes there, and guards the opposite fault. origin's test of holders is as before, with versions listed by name in place of a flag.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::instance::Instance;
-use crate::{quarantine_store, registrar};
+use crate::{quarantine_store, registrar, version_records};
 
 /// Interval between reads of the other instances. An instance that starts greets those that may
 /// carry a role, so that a read finds only the others and those whose greeting was lost.
@@ -120,7 +120,10 @@
         self.has_own |= records
             .iter()
             .any(|record| record.value.as_deref() == Some(own.as_bytes()));
-        add_all(instance, &records);
+        let listed = add_all(instance, &records);
+        let mut versions = instance.origins.versions.borrow_mut();
+        versions.on_instances_listed(listed == 0, instance.now());
+        drop(versions);
         self.others = instance.peers.borrow().in_order();
         Ok(())
     }
@@ -181,23 +184,29 @@
     instance.frame_due.notify_one();
 }
 
-fn add_all(instance: &Instance, records: &[KeyedRecord]) {
-    let mut peers = instance.peers.borrow_mut();
-    let others = records
-        .iter()
-        .filter(|record| !quarantine_store::apply_record(instance, record));
+/// Applies records of the list of instances. Returns how many instances they name.
+fn add_all(instance: &Instance, records: &[KeyedRecord]) -> usize {
+    let (now, unix) = (instance.now(), instance.unix());
+    let mut versions = instance.origins.versions.borrow_mut();
+    let others = records.iter().filter(|record| {
+        !quarantine_store::apply_record(instance, record)
+            && !version_records::apply(&mut versions, record, now, unix)
+    });
     let values = others.filter_map(|record| record.value.as_ref());
     let texts = values.filter_map(|value| std::str::from_utf8(value).ok());
-    let now = instance.now();
+    let mut peers = instance.peers.borrow_mut();
+    let mut count = 0;
     for text in texts {
         let Some((address, zone, order)) = parse_entry(text) else {
             log::debug!(entry = text; "the record of a registered instance cannot be parsed");
             continue;
         };
+        count += 1;
         if address != instance.address {
             peers.register(address, hash::hash32(zone), order, now);
         }
     }
+    count
 }
 
 /// Address, data centre and read order of a registered instance.
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -18,6 +18,7 @@
 use serving::registry::Registry;
 use serving::replication::{self, Growth};
 use serving::usage::{Ledger, UnixTime, Window};
+use serving::version_history::{Record, VersionHistory};
 use serving::watch::{self, TopicState};
 use serving::{EngineId, Fleet, ServiceName, Table, Zone, hash};
 use tokio::sync::Notify;
@@ -173,7 +174,7 @@
             links: EngineLinks::default(),
             own_load: Rc::new(OwnLoad::new(clock, &settings)),
             forwarding: Cell::new(0),
-            origins: StreamOrigins::default(),
+            origins: StreamOrigins::new(VersionHistory::new(settings.is_first_start)),
             suspects: Suspects::default(),
             crash_detection: CrashDetection::default(),
             peers: RefCell::default(),
@@ -367,6 +368,7 @@
         log::warn!(era = era; "the store has come back from an older copy");
         let now = self.now();
         self.registry.borrow_mut().store_rolled_back(now);
+        self.origins.versions.borrow_mut().store_rolled_back();
         if let Some(ledger) = self.usage.borrow_mut().as_mut() {
             ledger.fixed_reports_lost(self.unix());
         }
@@ -428,15 +430,10 @@
         time_left: Duration,
     ) {
         self.observe_versions();
-        let now = self.now();
-        let others = if self.origins.is_mixed(service, now) {
-            self.peers.borrow().addresses()
-        } else {
-            Vec::new()
-        };
+        let (others, now) = (|| self.peers.borrow().addresses(), self.now());
         let begun = self
             .origins
-            .begin(key, service, software, time_left, &others, now);
+            .begin(key, service, software, time_left, others, now);
         self.send_all(begun);
     }
 
@@ -478,31 +475,40 @@
         origins::encode(request.ticket, &known)
     }
 
-    /// Notes which services have engines of several software versions, and tells the holders of streams
-    /// that began before.
+    /// Notes which software versions the engines of services have, and tells the holders of streams that
+    /// began before.
     pub(crate) fn observe_versions(&self) {
-        let fleet = self.fleet.borrow();
-        let services = fleet.services();
-        let services = services.map(|service| (service, fleet.versions(service).nth(1).is_some()));
-        let notes = self
-            .origins
-            .observe(services, || self.peers.borrow().addresses(), self.now());
+        let others = || self.peers.borrow().addresses();
+        let (fleet, now) = (self.fleet.borrow(), self.now());
+        let notes = self.origins.observe(&fleet, others, now, self.unix());
         self.send_all(notes);
     }
 
     /// Notes that a service has engines of several software versions, as a placer says.
     pub(crate) fn on_mixed_versions(&self, service: &ServiceName) {
-        let mixed = std::iter::once((service, true));
-        let others = || self.peers.borrow().addresses();
-        let notes = self.origins.observe(mixed, others, self.now());
+        let (others, now) = (|| self.peers.borrow().addresses(), self.now());
+        let notes = self.origins.on_several_versions(service, others, now);
         self.send_all(notes);
     }
 
+    /// Records of software versions that this instance has to write: it is the first of those that read the
+    /// engines from the store.
+    pub(crate) fn versions_to_record(&self) -> Vec<Record> {
+        let (now, order) = (self.now(), self.order());
+        let read = self.engines_read.get().filter(|_| self.engines_known.get());
+        let is_reader = read.is_some_and(|read| now.saturating_sub(read) <= watch::FRESH_AGE);
+        let peers = self.peers.borrow();
+        if is_reader && !peers.has_reader_before(order, Topic::Engines, now) {
+            self.origins.versions.borrow().unrecorded(now)
+        } else {
+            Vec::new()
+        }
+    }
+
     fn stream_knowledge(&self, key: Key, service: &ServiceName) -> Knowledge {
-        let fleet = self.fleet.borrow();
+        self.observe_versions();
         let knows_all = self.engines_known.get();
-        self.origins
-            .knowledge(key, service, &fleet, knows_all, self.now())
+        self.origins.knowledge(key, service, knows_all, self.now())
     }
 
     fn send_all(&self, outgoing: Outgoing) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -54,4 +54,5 @@
 mod store_reader;
 mod suspects;
 mod usage;
+mod version_records;
 mod warmup;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use adapter::store::Store;
 use clock::Moment;
 use serving::Fleet;
 use serving::fleet::WorkChange;
@@ -23,7 +24,7 @@
 use crate::usage::REPORTERS;
 use crate::{
     announcements, bootstrap, discovery, engine_links, forward, limits, quarantine_store, receive,
-    registrar, shares, suspects, usage, warmup,
+    registrar, shares, suspects, usage, version_records, warmup,
 };
 
 mod updates;
@@ -73,9 +74,20 @@
     actix_rt::spawn(warmup::run(instance.clone()));
     actix_rt::spawn(discovery::run(instance.clone()));
     actix_rt::spawn(quarantine_store::run(instance.clone()));
+    actix_rt::spawn(record_versions(instance.clone()));
     Ok(())
 }
 
+async fn record_versions(instance: Rc<Instance>) {
+    let store = Store::new(instance.settings.borrow().store, instance.codec.clone());
+    let unrecorded = || instance.versions_to_record();
+    let on_written = |record| {
+        let mut versions = instance.origins.versions.borrow_mut();
+        versions.on_recorded(record);
+    };
+    version_records::run(store, unrecorded, on_written).await;
+}
+
 async fn listen(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -1,5 +1,5 @@
-//! Tells other instances which software version began a stream, and asks them; [`serving::origin`]
-//! decides.
+//! Tells other instances which software version began a stream, and asks them; [`serving::origin`] and
+//! [`serving::version_history`] decide.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -8,6 +8,8 @@
 
 use clock::Moment;
 use serving::origin::{self, Key, Knowledge, Note, Origins, Software};
+use serving::usage::UnixTime;
+use serving::version_history::VersionHistory;
 use serving::{Fleet, ServiceName};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::time::timeout;
@@ -23,6 +25,7 @@
 /// Streams that this instance remembers, and its questions for those of others.
 #[derive(Default)]
 pub(crate) struct StreamOrigins {
+    pub(crate) versions: RefCell<VersionHistory>,
     streams: RefCell<Origins>,
     waiting: RefCell<Waiting>,
     last_ticket: Cell<u32>,
@@ -58,6 +61,13 @@
 pub(crate) type Outgoing = Vec<(SocketAddr, Frame)>;
 
 impl StreamOrigins {
+    pub(crate) fn new(versions: VersionHistory) -> Self {
+        Self {
+            versions: RefCell::new(versions),
+            ..Self::default()
+        }
+    }
+
     /// Records a stream that an engine of this version begins or goes on with. Returns what to send before
     /// its first event is written.
     pub(crate) fn begin(
@@ -66,30 +76,59 @@
         service: &ServiceName,
         software: &Software,
         time_left: Duration,
-        others: &[SocketAddr],
+        others: impl FnOnce() -> Vec<SocketAddr>,
         now: Moment,
     ) -> Outgoing {
+        let is_settled = self.versions.borrow().is_settled(service, now);
         let mut streams = self.streams.borrow_mut();
-        let note = streams.begin(key, service, software, time_left, now);
-        address_notes(note.as_slice(), others)
+        let note = streams.begin(key, service, software, time_left, is_settled, now);
+        note.map_or_else(Outgoing::new, |note| address_notes(&[note], &others()))
     }
 
-    /// Records whether services have several versions. Returns what to send of the streams that began while
-    /// one of them had a single one.
-    pub(crate) fn observe<'a>(
+    /// Records the versions of all services. Returns what to send of streams that began while there seemed
+    /// to be one.
+    pub(crate) fn observe(
         &self,
-        services: impl Iterator<Item = (&'a ServiceName, bool)>,
+        fleet: &Fleet,
         others: impl FnOnce() -> Vec<SocketAddr>,
         now: Moment,
+        unix: UnixTime,
     ) -> Outgoing {
-        let mut streams = self.streams.borrow_mut();
-        streams.expire(now);
-        let mut notes = Vec::new();
-        for (service, is_mixed) in services {
-            if streams.observe_versions(service, is_mixed, now) {
-                notes.extend(streams.begun(service, now));
-            }
+        self.streams.borrow_mut().expire(now);
+        let mut versions = self.versions.borrow_mut();
+        let services = fleet.services();
+        let unsettled = services
+            .filter(|service| versions.observe(service, fleet.versions(service), now, unix));
+        let unsettled: Vec<&ServiceName> = unsettled.collect();
+        self.announce_begun(&unsettled, others, now)
+    }
+
+    /// Records that a service has several versions, as another instance says. Returns the same as
+    /// [`Self::observe`].
+    pub(crate) fn on_several_versions(
+        &self,
+        service: &ServiceName,
+        others: impl FnOnce() -> Vec<SocketAddr>,
+        now: Moment,
+    ) -> Outgoing {
+        if self.versions.borrow_mut().on_several(service, now) {
+            self.announce_begun(&[service], others, now)
+        } else {
+            Outgoing::new()
         }
+    }
+
+    fn announce_begun(
+        &self,
+        services: &[&ServiceName],
+        others: impl FnOnce() -> Vec<SocketAddr>,
+        now: Moment,
+    ) -> Outgoing {
+        let streams = self.streams.borrow();
+        let begun = services
+            .iter()
+            .flat_map(|service| streams.begun(service, now));
+        let notes: Vec<Note> = begun.collect();
         if notes.is_empty() {
             return Outgoing::new();
         }
@@ -98,26 +137,23 @@
 
     /// Whether a service has several versions, or had until lately.
     pub(crate) fn is_mixed(&self, service: &ServiceName, now: Moment) -> bool {
-        self.streams.borrow().is_mixed(service, now)
+        self.versions.borrow().has_several(service, now)
     }
 
-    /// What this instance knows of a stream. `knows_all` tells whether the fleet has all engines.
+    /// What this instance knows of a stream. `knows_all` tells whether it knows all engines.
     pub(crate) fn knowledge(
         &self,
         key: Key,
         service: &ServiceName,
-        fleet: &Fleet,
         knows_all: bool,
         now: Moment,
     ) -> Knowledge {
-        let streams = self.streams.borrow();
-        let mut versions = fleet.versions(service);
-        let sole = versions.next().filter(|_| knows_all).cloned();
-        let is_mixed = versions.next().is_some();
+        let versions = self.versions.borrow();
+        let sole = versions.sole(service, now).filter(|_| knows_all);
         Knowledge {
-            software: streams.find(key, now),
-            is_mixed: is_mixed || streams.is_mixed(service, now),
-            sole: sole.filter(|_| !is_mixed),
+            software: self.streams.borrow().find(key, now),
+            is_mixed: versions.has_several(service, now),
+            sole: sole.cloned(),
         }
     }
 
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -230,3 +230,66 @@
         assert_eq!(pool.run_count(&id) + other.run_count(&id), 0);
     }
 }
+
+/// Waits until the store knows the software versions of both services.
+async fn wait_until_recorded(gateway: &Gateway) {
+    wait_until(async || {
+        let keys = gateway.store.newest("keyed.instances");
+        let recorded = keys.iter().filter(|key| key.starts_with("versions/"));
+        recorded.count() == 2
+    })
+    .await;
+}
+
+/// Guards against resuming streams at another version after all instances have ended, where its engines are
+/// the only ones left.
+#[actix_rt::test]
+async fn a_stream_is_not_resumed_at_another_version_after_all_instances_ended() {
+    let (first, _app, pool) = Gateway::start().await;
+    pool.set_stream(4, EVENT_PAUSE);
+    wait_until_recorded(&first).await;
+    let second = first.start_another();
+    second.wait_until_ready(true).await;
+    let began = round(&first, "s", 2).await;
+    let new = add_engine(&first, "pool-2", "v2").await;
+    wait_until_mixed(&first, "w").await;
+    first.store.put("keyed.servers", "pool-1", None);
+    pool.stop();
+    first.signal("-KILL");
+    second.signal("-KILL");
+    let third = first.start_another();
+    third.wait_until_ready(true).await;
+    for (id, _) in &began {
+        let again = format!("r{id}");
+        let received = resume(&third, &again, id).await;
+        assert_eq!(received.status, 503, "{received:?}");
+        assert_eq!(new.run_count(&again), 0);
+    }
+    let received = stream(&third, "n", &[], usize::MAX).await;
+    assert!(received.is_complete, "{received:?}");
+    assert_eq!(received.versions, ["v2"; 4]);
+}
+
+/// Guards against refusing streams after all instances have ended, where all engines have the same version
+/// and had it before.
+#[actix_rt::test]
+async fn a_stream_resumes_after_all_instances_ended_where_there_is_one_version() {
+    let (first, _app, pool) = Gateway::start().await;
+    pool.set_stream(4, EVENT_PAUSE);
+    wait_until_recorded(&first).await;
+    let second = first.start_another();
+    second.wait_until_ready(true).await;
+    let began = round(&first, "s", 2).await;
+    // One engine is replaced by one of the same version meanwhile.
+    add_engine(&first, "pool-2", "v1").await;
+    first.store.put("keyed.servers", "pool-1", None);
+    pool.stop();
+    first.signal("-KILL");
+    second.signal("-KILL");
+    let third = first.start_another();
+    third.wait_until_ready(true).await;
+    for (id, _) in &began {
+        let received = resume(&third, &format!("r{id}"), id).await;
+        assert!(received.is_complete, "{received:?}");
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -5,7 +5,8 @@
 //! ([`organisation`]), how organisations divide contended engines ([`shares`]), what callers use ([`usage`]), which engines should prefill and which decode
 //! ([`roles`]), which instances place calls ([`placer`]), how an instance joins the others
 //! ([`registration`]), which instances hold the records of all engines ([`replication`]), which
-//! software version may go on with a stream ([`origin`]), whether a time-out is due to this instance's
+//! software version may go on with a stream ([`origin`]) and which ones a service had lately
+//! ([`version_history`]), whether a time-out is due to this instance's
 //! own link or event loop ([`congestion`]), and whether it accepts another connection ([`intake`]).
 //!
 //! The crate sits between the `gateway` daemon, which carries the bytes, and the platform's
@@ -51,6 +52,7 @@
 pub mod speed;
 pub mod throttle;
 pub mod usage;
+pub mod version_history;
 pub mod watch;
 
 pub use engine::{Record, Stage, State};
--- a/crates/serving/src/origin.rs
+++ b/crates/serving/src/origin.rs
@@ -2,10 +2,12 @@
 //! of another one.
 //!
 //! What two versions write does not fit together, and neither the engine nor the answer tells a second
-//! instance where the stream began. While a service has several versions, the instance that begins a
-//! stream tells a few others, drawn by a hash of the attempt that the caller will name; the one that
-//! resumes it asks them. A version that nobody knows is not guessed. See
+//! instance where the stream began. Unless a service has and had one version only ([`version_history`]), the
+//! instance that begins a stream tells a few others, drawn by a hash of the attempt that the caller will
+//! name; the one that resumes it asks them. A version that nobody knows is not guessed. See
 //! `docs/design/stream-versions.md`.
+//!
+//! [`version_history`]: crate::version_history
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::{IpAddr, SocketAddr};
@@ -28,9 +30,6 @@
 /// Instances that are asked for one. More than were told, since the one that began it may be drawn too, and
 /// another one may have come or gone since.
 pub const ASKED: usize = 5;
-/// Time for which a service counts as having several versions after the last of all but one has gone.
-/// Streams that began before may still be resumed.
-const MIXED_RETENTION: Duration = Duration::from_secs(30);
 /// Time for which a stream may be resumed after its caller has given up on the attempt.
 const RESUME_GRACE: Duration = Duration::from_secs(5);
 /// Most streams that are remembered; those that are forgotten first make room.
@@ -96,7 +95,8 @@
     pub software: Option<Software>,
     /// Whether the service has several versions, or had until lately.
     pub is_mixed: bool,
-    /// The only version of the service, if the instance knows all engines and they have one.
+    /// The version at which all streams of the service began, if the instance knows all engines and what
+    /// they were before.
     pub sole: Option<Software>,
 }
 
@@ -116,7 +116,7 @@
     Conflicting,
     /// The service has several versions, or had until lately, and no instance remembers the stream.
     SeveralVersions,
-    /// No instance that answered knows all engines of the service.
+    /// No instance that answered knows which versions the service has and had.
     Unknown,
 }
 
@@ -131,7 +131,7 @@
     if let Some(software) = agreed(noted)? {
         return Ok((software, Evidence::Note));
     }
-    // Streams are noted while there are several versions, so one of them has been lost.
+    // Streams are noted while there are several versions, so the note of this one has been lost.
     if known.iter().any(|known| known.is_mixed) {
         return Err(Unresolved::SeveralVersions);
     }
@@ -154,39 +154,24 @@
     }
 }
 
-/// Streams that this instance remembers, and services with several versions.
+/// Streams that this instance remembers.
 #[derive(Debug, Default)]
 pub struct Origins {
     streams: HashMap<Key, Stream>,
     by_expiry: BTreeSet<(Moment, Key)>,
-    mixed_until: HashMap<ServiceName, Moment>,
 }
 
 impl Origins {
-    /// Records whether a service has several versions now. Returns whether that is new.
-    pub fn observe_versions(&mut self, service: &ServiceName, is_mixed: bool, now: Moment) -> bool {
-        let was_mixed = self.is_mixed(service, now);
-        if is_mixed {
-            self.mixed_until
-                .insert(service.clone(), now + MIXED_RETENTION);
-        }
-        is_mixed && !was_mixed
-    }
-
-    /// Whether a service has several versions, or had until lately.
-    pub fn is_mixed(&self, service: &ServiceName, now: Moment) -> bool {
-        let until = self.mixed_until.get(service);
-        until.is_some_and(|until| now < *until)
-    }
-
     /// Records a stream that this instance begins or resumes, whose caller waits for `time_left` at most.
-    /// Returns what to tell its holders, if its service has several versions.
+    /// Returns what to tell its holders, unless all streams of its service began at one version
+    /// (`is_settled`).
     pub fn begin(
         &mut self,
         key: Key,
         service: &ServiceName,
         software: &Software,
         time_left: Duration,
+        is_settled: bool,
         now: Moment,
     ) -> Option<Note> {
         let note = Note {
@@ -195,7 +180,7 @@
             lifetime: time_left + RESUME_GRACE,
         };
         self.insert(&note, Some(service.clone()), now);
-        self.is_mixed(service, now).then_some(note)
+        (!is_settled).then_some(note)
     }
 
     /// Records a stream that another instance began.
@@ -233,7 +218,6 @@
         {
             self.forget_first();
         }
-        self.mixed_until.retain(|_, until| now < *until);
     }
 
     fn insert(&mut self, note: &Note, began: Option<ServiceName>, now: Moment) {
--- /dev/null
+++ b/crates/serving/src/version_history.rs
@@ -0,0 +1,231 @@
+//! Which software versions the engines of each service have had lately.
+//!
+//! The list of engines shows the versions of now. Whether a stream may have begun at another one depends on the
+//! past, which an instance that has just started has not seen. So the versions of each service are recorded in
+//! the platform's store when they change, and an instance believes the list of its start only if the record
+//! agrees with it. Where that is missing it concludes nothing until all streams from before its start have
+//! ended. See `docs/design/stream-versions.md`.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use clock::Moment;
+use smallvec::SmallVec;
+
+use crate::ServiceName;
+use crate::origin::Software;
+use crate::usage::UnixTime;
+
+/// Time for which streams of a version that has gone may still be resumed. It covers clocks that differ by
+/// some seconds, since the time of a change is recorded for other instances.
+pub const RETENTION: Duration = Duration::from_secs(30);
+
+/// Software versions of a service's engines, in order.
+pub type Versions = SmallVec<[Software; 2]>;
+
+/// The versions of a service, as the store keeps them.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// The service.
+    pub service: ServiceName,
+    /// Its versions. At least one.
+    pub versions: Versions,
+    /// When the service came to have these; zero if it had none before.
+    pub changed: UnixTime,
+}
+
+#[derive(Clone, Debug)]
+struct Service {
+    /// Versions when engines were listed last.
+    listed: Versions,
+    changed: UnixTime,
+    /// Until when streams of several versions may be resumed.
+    several_until: Moment,
+    /// Until when this instance cannot tell.
+    unknown_until: Moment,
+}
+
+/// The versions of all services, as far as this instance knows.
+#[derive(Debug, Default)]
+pub struct VersionHistory {
+    services: HashMap<ServiceName, Service>,
+    /// What the store holds, as far as this instance has read or written it.
+    recorded: HashMap<ServiceName, Record>,
+    /// Whether no stream can have begun before this instance started.
+    is_first: bool,
+    has_listed_instances: bool,
+    /// When engines were listed first.
+    watching_since: Option<Moment>,
+}
+
+impl VersionHistory {
+    /// The history at the start of an instance. `is_first` tells that the whole system starts for the first
+    /// time.
+    pub fn new(is_first: bool) -> Self {
+        Self {
+            is_first,
+            ..Self::default()
+        }
+    }
+
+    /// Applies the list of instances, when it is first read. If it names none, this one is the first of all.
+    pub fn on_instances_listed(&mut self, is_empty: bool, now: Moment) {
+        if std::mem::replace(&mut self.has_listed_instances, true) || !is_empty {
+            return;
+        }
+        self.is_first = true;
+        for service in self.services.values_mut() {
+            service.unknown_until = service.unknown_until.min(now);
+        }
+    }
+
+    /// Applies what the store holds of a service.
+    pub fn on_record(&mut self, record: Record, now: Moment, unix: UnixTime) {
+        let known = self.services.get_mut(&record.service);
+        if let Some(known) = known.filter(|known| now < known.unknown_until) {
+            known.apply(&record, now, unix);
+        }
+        self.on_recorded(record);
+    }
+
+    /// Notes what the store holds of a service since this instance wrote it.
+    pub fn on_recorded(&mut self, record: Record) {
+        self.recorded.insert(record.service.clone(), record);
+    }
+
+    /// Notes that the store was restored from a copy, which may lack what it held.
+    pub fn store_rolled_back(&mut self) {
+        self.recorded.clear();
+    }
+
+    /// Records that the store lacks, or holds with other versions. None of services of which this instance
+    /// does not know how long they have had their versions: others may.
+    pub fn unrecorded(&self, now: Moment) -> Vec<Record> {
+        let known = self.services.iter();
+        let known =
+            known.filter(|(_, known)| !known.listed.is_empty() && now >= known.unknown_until);
+        let differing = known.filter(|(service, known)| {
+            let recorded = self.recorded.get(*service);
+            recorded.is_none_or(|recorded| recorded.versions != known.listed)
+        });
+        let records = differing.map(|(service, known)| Record {
+            service: service.clone(),
+            versions: known.listed.clone(),
+            changed: known.changed,
+        });
+        records.collect()
+    }
+
+    /// Records the versions of a service's engines, in order, as they are listed now. Returns whether streams
+    /// that began before need to be announced: the service was settled until now, and is no more.
+    pub fn observe<'a>(
+        &mut self,
+        service: &ServiceName,
+        listed: impl Iterator<Item = &'a Software>,
+        now: Moment,
+        unix: UnixTime,
+    ) -> bool {
+        let listed: Versions = listed.cloned().collect();
+        if listed.is_empty() {
+            return false;
+        }
+        let was_settled = self.is_settled(service, now);
+        match self.services.get_mut(service) {
+            Some(known) => {
+                if known.listed != listed {
+                    known.listed = listed;
+                    known.changed = unix;
+                    known.several_until = now + RETENTION;
+                } else if known.listed.len() > 1 {
+                    known.several_until = now + RETENTION;
+                }
+            }
+            None => {
+                let known = self.first_listed(service, listed, now, unix);
+                self.services.insert(service.clone(), known);
+            }
+        }
+        was_settled && !self.is_settled(service, now)
+    }
+
+    /// Records that another instance sees several versions of a service. Returns the same as
+    /// [`Self::observe`].
+    pub fn on_several(&mut self, service: &ServiceName, now: Moment) -> bool {
+        let was_settled = self.is_settled(service, now);
+        let known = self.services.entry(service.clone());
+        let known = known.or_insert_with(|| Service::new(Versions::new()));
+        known.several_until = now + RETENTION;
+        was_settled
+    }
+
+    /// Whether a service has several versions, or had until lately.
+    pub fn has_several(&self, service: &ServiceName, now: Moment) -> bool {
+        let known = self.services.get(service);
+        known.is_some_and(|known| now < known.several_until)
+    }
+
+    /// Whether all streams of a service that may be resumed began at the version that it has now.
+    pub fn is_settled(&self, service: &ServiceName, now: Moment) -> bool {
+        let known = self.services.get(service);
+        known.is_none_or(|known| now >= known.several_until && now >= known.unknown_until)
+    }
+
+    /// The version at which all streams of a service began that may be resumed.
+    pub fn sole(&self, service: &ServiceName, now: Moment) -> Option<&Software> {
+        let known = self.services.get(service)?;
+        known
+            .listed
+            .first()
+            .filter(|_| self.is_settled(service, now))
+    }
+
+    fn first_listed(
+        &mut self,
+        service: &ServiceName,
+        listed: Versions,
+        now: Moment,
+        unix: UnixTime,
+    ) -> Service {
+        let watching_since = *self.watching_since.get_or_insert(now);
+        let mut known = Service::new(listed);
+        if known.listed.len() > 1 {
+            known.several_until = now + RETENTION;
+        }
+        if self.is_first {
+            return known;
+        }
+        match self.recorded.get(service) {
+            Some(record) => known.apply(record, now, unix),
+            // A service whose engines come later had none before.
+            None if now >= watching_since + RETENTION => {}
+            None => {
+                known.changed = unix;
+                known.unknown_until = watching_since + RETENTION;
+            }
+        }
+        known
+    }
+}
+
+impl Service {
+    fn new(listed: Versions) -> Self {
+        Self {
+            listed,
+            changed: UnixTime::ZERO,
+            several_until: Moment::ZERO,
+            unknown_until: Moment::ZERO,
+        }
+    }
+
+    /// Compares the list of engines with the store's record from before.
+    fn apply(&mut self, record: &Record, now: Moment, unix: UnixTime) {
+        self.unknown_until = now;
+        let is_unchanged = record.versions == self.listed;
+        self.changed = if is_unchanged { record.changed } else { unix };
+        if !self.changed.is_zero() {
+            let elapsed = unix.saturating_sub(self.changed);
+            let several_until = now + RETENTION.saturating_sub(elapsed);
+            self.several_until = self.several_until.max(several_until);
+        }
+    }
+}
--- a/crates/serving/tests/origin.rs
+++ b/crates/serving/tests/origin.rs
@@ -8,6 +8,7 @@
 
 use common::{fleet, id, ms, record, service};
 use serving::origin::{self, ASKED, Evidence, HOLDERS, Knowledge, Origins, Software, Unresolved};
+use serving::version_history::VersionHistory;
 use serving::{Record, Stage};
 
 fn version(name: &str) -> Software {
@@ -74,36 +75,41 @@
 #[test]
 fn holders_are_told_only_while_versions_differ_and_then_of_earlier_streams_too() {
     let service = service();
+    let mut versions = VersionHistory::new(true);
     let mut origins = Origins::default();
-    assert!(!origins.observe_versions(&service, false, ms(0)));
-    assert_eq!(
-        origins.begin(1, &service, &version("v1"), ms(4_000), ms(0)),
-        None
-    );
-    assert!(origins.observe_versions(&service, true, ms(1_000)));
+    let mut observe = |listed: &[&str], at| {
+        let listed: Vec<Software> = listed.iter().map(|name| version(name)).collect();
+        let is_new = versions.observe(&service, listed.iter(), at, at);
+        (is_new, versions.is_settled(&service, at))
+    };
+    let (is_new, is_settled) = observe(&["v1"], ms(0));
+    assert!(!is_new);
+    let v1 = version("v1");
+    let note = origins.begin(1, &service, &v1, ms(4_000), is_settled, ms(0));
+    assert_eq!(note, None);
+    assert_eq!(observe(&["v1", "v2"], ms(1_000)), (true, false));
     let begun = origins.begun(&service, ms(1_000));
     assert_eq!(begun.len(), 1);
     assert_eq!((begun[0].key, &*begun[0].software), (1, "v1"));
-    assert!(!origins.observe_versions(&service, true, ms(2_000)));
-    assert!(
-        origins
-            .begin(2, &service, &version("v2"), ms(4_000), ms(2_000))
-            .is_some()
-    );
+    let (is_new, is_settled) = observe(&["v1", "v2"], ms(2_000));
+    assert!(!is_new);
+    let v2 = version("v2");
+    let note = origins.begin(2, &service, &v2, ms(4_000), is_settled, ms(2_000));
+    assert!(note.is_some());
     // Streams of the version that has gone may still be resumed.
-    assert!(!origins.observe_versions(&service, false, ms(3_000)));
-    assert!(origins.is_mixed(&service, ms(31_000)));
-    assert!(!origins.is_mixed(&service, ms(33_000)));
+    assert_eq!(observe(&["v2"], ms(3_000)), (false, false));
+    assert!(versions.has_several(&service, ms(31_000)));
+    assert!(!versions.has_several(&service, ms(33_000)));
 }
 
 #[test]
 fn streams_are_forgotten_once_their_callers_have_given_up() {
     let service = service();
     let mut origins = Origins::default();
-    origins.begin(1, &service, &version("v1"), ms(4_000), ms(0));
+    origins.begin(1, &service, &version("v1"), ms(4_000), true, ms(0));
     assert_eq!(origins.find(1, ms(8_000)), Some(version("v1")));
     // It was resumed, so that its caller waits on.
-    origins.begin(1, &service, &version("v1"), ms(4_000), ms(8_000));
+    origins.begin(1, &service, &version("v1"), ms(4_000), true, ms(8_000));
     origins.expire(ms(10_000));
     assert_eq!(origins.find(1, ms(16_000)), Some(version("v1")));
     origins.expire(ms(18_000));
@@ -116,7 +122,8 @@
     let service = service();
     let mut origins = Origins::default();
     for key in 0..40_000 {
-        origins.begin(key, &service, &version("v1"), ms(4_000), ms(key / 100));
+        let now = ms(key / 100);
+        origins.begin(key, &service, &version("v1"), ms(4_000), true, now);
     }
     let known = (0..40_000).filter(|key| origins.find(*key, ms(400)).is_some());
     assert_eq!(known.count(), 16_384);
--- /dev/null
+++ b/crates/serving/tests/version_history.rs
@@ -0,0 +1,201 @@
+//! Which software versions a service had lately, at instances that start, wake or go on.
+
+mod common;
+
+use std::rc::Rc;
+use std::slice;
+use std::time::Duration;
+
+use clock::Moment;
+use common::{ms, service};
+use serving::origin::Software;
+use serving::version_history::{RETENTION, Record, VersionHistory, Versions};
+
+/// True time at which the instances of these tests start.
+const STARTED: Duration = Duration::from_secs(1_800_000_000);
+
+fn versions(names: &[&str]) -> Versions {
+    names.iter().map(|name| Software::from(*name)).collect()
+}
+
+fn record(names: &[&str], changed: Duration) -> Record {
+    Record {
+        service: service(),
+        versions: versions(names),
+        changed,
+    }
+}
+
+/// An instance with its history.
+struct Instance(VersionHistory);
+
+impl Instance {
+    /// One that starts while other instances are registered and the store holds `recorded`.
+    fn start(recorded: Option<Record>) -> Self {
+        let mut history = VersionHistory::new(false);
+        history.on_instances_listed(false, ms(0));
+        if let Some(record) = recorded {
+            history.on_record(record, ms(0), STARTED);
+        }
+        Self(history)
+    }
+
+    /// Lists engines of these versions. Returns whether streams that began before are to be announced.
+    fn list(&mut self, names: &[&str], at: Moment) -> bool {
+        let listed = versions(names);
+        self.0.observe(&service(), listed.iter(), at, STARTED + at)
+    }
+
+    fn sole(&self, at: Moment) -> Option<String> {
+        self.0.sole(&service(), at).map(ToString::to_string)
+    }
+
+    fn unrecorded(&self, at: Moment) -> Vec<Record> {
+        self.0.unrecorded(at)
+    }
+
+    fn has_several(&self, at: Moment) -> bool {
+        self.0.has_several(&service(), at)
+    }
+}
+
+/// Guards against taking the list of a start for the whole story, and against refusing where the store tells
+/// that nothing has changed.
+#[test]
+fn an_instance_that_starts_believes_a_list_only_if_the_store_agrees_with_it() {
+    let long_ago = STARTED - RETENTION;
+    let lately = STARTED - ms(5_000);
+    let ahead = STARTED + ms(4_000);
+    let both = ["v1", "v2"];
+    let cases = [
+        ("never changed", Some(record(&["v1"], ms(0))), true),
+        ("unchanged", Some(record(&["v1"], long_ago)), true),
+        ("another one left", Some(record(&both, lately)), false),
+        ("both served", Some(record(&both, long_ago)), false),
+        ("replaced", Some(record(&["v2"], long_ago)), false),
+        ("changed lately", Some(record(&["v1"], lately)), false),
+        ("a clock ahead", Some(record(&["v1"], ahead)), false),
+        ("nothing recorded", None, false),
+    ];
+    for (name, recorded, is_believed) in cases {
+        let mut instance = Instance::start(recorded);
+        instance.list(&["v1"], ms(100));
+        let expected = is_believed.then(|| "v1".to_owned());
+        assert_eq!(instance.sole(ms(100)), expected, "{name}");
+        let is_settled = instance.0.is_settled(&service(), ms(100));
+        assert_eq!(is_settled, is_believed, "{name}");
+        let later = ms(100) + RETENTION;
+        assert_eq!(instance.sole(later), Some("v1".to_owned()), "{name}");
+    }
+}
+
+/// Guards against refusals by all, now or after their ends, because of one instance that has just started.
+#[test]
+fn an_instance_without_a_record_knows_of_no_several_versions_and_records_none() {
+    let mut instance = Instance::start(None);
+    instance.list(&["v1"], ms(100));
+    assert!(!instance.has_several(ms(100)));
+    assert_eq!(instance.sole(ms(100)), None);
+    // Another one may know for how long, and its record must not be replaced by a younger one.
+    assert!(instance.unrecorded(ms(100)).is_empty());
+    let later = ms(100) + RETENTION;
+    let since = record(&["v1"], STARTED + ms(100));
+    assert_eq!(instance.unrecorded(later), [since]);
+}
+
+#[test]
+fn nothing_began_before_the_first_instance_of_all() {
+    let mut first = Instance(VersionHistory::new(true));
+    first.list(&["v1"], ms(100));
+    assert_eq!(first.sole(ms(100)).as_deref(), Some("v1"));
+    assert_eq!(first.unrecorded(ms(100)), [record(&["v1"], ms(0))]);
+
+    // The list of instances may be read after the engines.
+    let mut alone = Instance(VersionHistory::new(false));
+    alone.list(&["v1"], ms(100));
+    assert_eq!(alone.sole(ms(100)), None);
+    alone.0.on_instances_listed(true, ms(200));
+    assert_eq!(alone.sole(ms(200)).as_deref(), Some("v1"));
+
+    // What is added to the list later says nothing of those before.
+    let mut later = Instance::start(None);
+    later.0.on_instances_listed(true, ms(50));
+    later.list(&["v1"], ms(100));
+    assert_eq!(later.sole(ms(100)), None);
+}
+
+/// Guards against refusing everything where the record arrives after the engines.
+#[test]
+fn a_record_that_is_read_late_settles_what_was_unknown() {
+    let mut instance = Instance::start(None);
+    instance.list(&["v1"], ms(100));
+    let recorded = record(&["v1"], ms(0));
+    instance.0.on_record(recorded.clone(), ms(300), STARTED);
+    assert_eq!(instance.sole(ms(300)).as_deref(), Some("v1"));
+
+    let mut instance = Instance::start(None);
+    instance.list(&["v2"], ms(100));
+    instance.0.on_record(recorded, ms(300), STARTED);
+    assert!(instance.has_several(ms(300)));
+}
+
+/// Guards against mixing where an instance was frozen while both versions served, or all engines of the first
+/// had ended before the second one came.
+#[test]
+fn versions_that_follow_each_other_without_overlap_count_as_several() {
+    let mut instance = Instance(VersionHistory::new(true));
+    instance.list(&["v1"], ms(0));
+    instance.list(&[], ms(60_000));
+    assert_eq!(instance.sole(ms(60_000)).as_deref(), Some("v1"));
+    assert!(instance.list(&["v2"], ms(61_000)));
+    assert_eq!(instance.sole(ms(61_000)), None);
+    assert!(instance.has_several(ms(90_000)));
+    assert_eq!(instance.sole(ms(91_000)).as_deref(), Some("v2"));
+}
+
+/// Guards against mixing after a rollback.
+#[test]
+fn a_version_that_comes_back_is_believed_once_streams_of_the_other_have_ended() {
+    let mut instance = Instance(VersionHistory::new(true));
+    instance.list(&["v1"], ms(0));
+    assert!(instance.list(&["v1", "v2"], ms(40_000)));
+    assert!(!instance.list(&["v1"], ms(45_000)));
+    let changed = record(&["v1"], STARTED + ms(45_000));
+    assert_eq!(instance.unrecorded(ms(45_000)), [changed]);
+    assert_eq!(instance.sole(ms(74_999)), None);
+    assert_eq!(instance.sole(ms(75_000)).as_deref(), Some("v1"));
+}
+
+#[test]
+fn a_service_that_comes_later_has_no_streams_from_before() {
+    let mut instance = Instance::start(None);
+    let other = Rc::from("other");
+    let listed = versions(&["v1"]);
+    instance.0.observe(&other, listed.iter(), ms(0), STARTED);
+    let at = RETENTION;
+    instance.list(&["v2"], at);
+    assert_eq!(instance.sole(at).as_deref(), Some("v2"));
+}
+
+/// Guards against writes that repeat what the store holds, and against leaving it behind.
+#[test]
+fn versions_are_recorded_when_they_change_and_after_the_store_went_back() {
+    let mut instance = Instance::start(Some(record(&["v1"], ms(0))));
+    assert!(instance.unrecorded(ms(400)).is_empty());
+    instance.list(&["v1"], ms(100));
+    assert!(instance.unrecorded(ms(400)).is_empty());
+    instance.list(&["v1", "v2"], ms(200));
+    let changed = record(&["v1", "v2"], STARTED + ms(200));
+    assert_eq!(instance.unrecorded(ms(400)), slice::from_ref(&changed));
+    // Another instance wrote it.
+    let unix = STARTED + ms(300);
+    instance.0.on_record(changed.clone(), ms(300), unix);
+    assert!(instance.unrecorded(ms(400)).is_empty());
+    instance.0.store_rolled_back();
+    assert_eq!(instance.unrecorded(ms(400)), [changed]);
+    // A placer says that there are several, and not which.
+    let mut caching = Instance::start(None);
+    assert!(caching.0.on_several(&service(), ms(0)));
+    assert!(!caching.0.on_several(&service(), ms(10)));
+    assert!(caching.unrecorded(ms(20)).is_empty());
+}
