Copy where streams began to two other instances beforehand

Cause: while a service has one version nobody is told where its streams begin. As a second one comes the instance that began them tells the holders, and only it can. One that is frozen, killed or cut off from the others at that moment never does; the others see two versions, and refuse what nobody knows. Ruled out: answers that were lost or late.

Change: an instance copies the streams that it begins to two others, gathered for 250 ms. As a second version comes they tell the holders in its place. A backup acknowledges; one that is silent for 0.6 s is replaced, and the new one, or a process that was started anew at the same address, gets all that may still be resumed (serving::backups). tarragon_remembered_streams counts the own streams, the copies and the notes.

Why it works: what is known is known of each stream, so that an unknown one is refused as before, and nothing is concluded from who is silent. What is lost with an instance is what it began in its last 250 ms. Holders and questions stay as they were, so the resuming instance needs not know who began a stream.

Ways weighed: docs/design/stream-versions.md.

The line over an older test of software_versions says no more that there are no messages while a service has one version; its assertions are unchanged.

--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -11,18 +11,17 @@
 use http1::{Client, Failure, TcpTimeouts};
 use serving::budget::RepeatBudgets;
 use serving::organisation::{Directory, Name};
-use serving::origin::{self, Evidence, Key, Knowledge, Software, Unresolved};
 use serving::parts::Part;
 use serving::placer::{self, Member, Placers};
 use serving::prior_wait::PriorWaits;
 use serving::registry::Registry;
 use serving::replication::{self, Growth};
 use serving::usage::{Ledger, UnixTime, Window};
-use serving::version_history::{Record, VersionHistory};
+use serving::version_history::VersionHistory;
 use serving::watch::{self, TopicState};
-use serving::{EngineId, Fleet, ServiceName, Table, Zone, hash};
+use serving::{EngineId, Fleet, Table, Zone, hash};
 use tokio::sync::Notify;
-use wire::gateway::{Frame, OriginRequest, OriginResponse};
+use wire::gateway::Frame;
 
 use crate::bootstrap::Snapshot;
 use crate::claim_log::ClaimLog;
@@ -31,7 +30,7 @@
 use crate::engine_links::EngineLinks;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::Metrics;
-use crate::origins::{self, Outgoing, StreamOrigins};
+use crate::origins::StreamOrigins;
 use crate::own_load::OwnLoad;
 use crate::peers::{self, Peers, Topic};
 use crate::placement::client::Pending;
@@ -40,6 +39,8 @@
 use crate::reports::Reports;
 use crate::suspects::Suspects;
 
+mod streams;
+
 /// State of the process.
 pub(crate) struct Instance {
     pub settings: RefCell<Settings>,
@@ -420,107 +421,6 @@
         self.peers.borrow_mut().queue_parts(engine, parts);
     }
 
-    /// Records that an engine of this software version begins a stream, or goes on with it, before its first
-    /// event is written.
-    pub(crate) fn begin_stream(
-        &self,
-        key: Key,
-        service: &ServiceName,
-        software: &Software,
-        time_left: Duration,
-    ) {
-        self.observe_versions();
-        let (others, now) = (|| self.peers.borrow().addresses(), self.now());
-        let begun = self
-            .origins
-            .begin(key, service, software, time_left, others, now);
-        self.send_all(begun);
-    }
-
-    /// The software version that may go on with a stream, from what this instance and others know.
-    pub(crate) async fn resolve_stream(
-        &self,
-        key: Key,
-        service: &ServiceName,
-    ) -> Result<(Software, Evidence), Unresolved> {
-        let own = self.stream_knowledge(key, service);
-        if let Some(software) = own.software {
-            return Ok((software, Evidence::Note));
-        }
-        let mut members = self.peers.borrow().addresses();
-        members.push(self.address);
-        let mut others = origin::holders(key, members.into_iter(), origin::ASKED);
-        if self.is_caching.get() {
-            // A placer knows all engines.
-            let placers = self.placers.borrow();
-            others.extend(placers.others.first().map(|(address, _)| *address));
-        }
-        others.retain(|other| *other != self.address);
-        let send = |request: OriginRequest, to: SocketAddr| {
-            let frame = Frame {
-                origin_request: Some(request),
-                ..self.frame()
-            };
-            self.pending_placements.send(&frame, to);
-        };
-        let mut known = self.origins.ask(key, service, &others, send).await;
-        known.push(own);
-        origin::resolve(&known)
-    }
-
-    /// Answers another instance's question for a stream.
-    pub(crate) fn answer_origin(&self, request: &OriginRequest) -> OriginResponse {
-        let service = ServiceName::from(request.service.as_str());
-        let known = self.stream_knowledge(request.stream, &service);
-        origins::encode(request.ticket, &known)
-    }
-
-    /// Notes which software versions the engines of services have, and tells the holders of streams that
-    /// began before.
-    pub(crate) fn observe_versions(&self) {
-        let others = || self.peers.borrow().addresses();
-        let (fleet, now) = (self.fleet.borrow(), self.now());
-        let notes = self.origins.observe(&fleet, others, now, self.unix());
-        self.send_all(notes);
-    }
-
-    /// Notes that a service has engines of several software versions, as a placer says.
-    pub(crate) fn on_mixed_versions(&self, service: &ServiceName) {
-        let (others, now) = (|| self.peers.borrow().addresses(), self.now());
-        let notes = self.origins.on_several_versions(service, others, now);
-        self.send_all(notes);
-    }
-
-    /// Records of software versions that this instance has to write: it is the first of those that read the
-    /// engines from the store.
-    pub(crate) fn versions_to_record(&self) -> Vec<Record> {
-        let (now, order) = (self.now(), self.order());
-        let read = self.engines_read.get().filter(|_| self.engines_known.get());
-        let is_reader = read.is_some_and(|read| now.saturating_sub(read) <= watch::FRESH_AGE);
-        let peers = self.peers.borrow();
-        if is_reader && !peers.has_reader_before(order, Topic::Engines, now) {
-            self.origins.versions.borrow().unrecorded(now)
-        } else {
-            Vec::new()
-        }
-    }
-
-    fn stream_knowledge(&self, key: Key, service: &ServiceName) -> Knowledge {
-        self.observe_versions();
-        let knows_all = self.engines_known.get();
-        self.origins.knowledge(key, service, knows_all, self.now())
-    }
-
-    fn send_all(&self, outgoing: Outgoing) {
-        for (to, frame) in outgoing {
-            let frame = Frame {
-                incarnation: self.incarnation,
-                ..frame
-            };
-            self.pending_placements.send(&frame, to);
-        }
-    }
-
     /// Puts a configuration in force if it is newer than the current one.
     ///
     /// Overtaking reads, a lagging store and stale peers all deliver older versions; applying one
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -144,6 +144,7 @@
         let now = instance.now();
         instance.fleet.borrow_mut().expire(now);
         instance.observe_versions();
+        instance.copy_streams();
         let is_greeting = instance.greeting_due.take() | instance.update_placers();
         updates::send_news(&instance, &socket, now);
         send_suspects(&instance, &socket);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -29,7 +29,7 @@
 use labels::Suspicion;
 pub(crate) use labels::{
     ClosedUnread, Connect, End, EngineSource, ForwardAnswer, OrderAnswer, Origin, Pause,
-    PlacementAnswer, Suspect, Throttled,
+    PlacementAnswer, Remembered, Suspect, Throttled,
 };
 
 /// Path of the page.
@@ -75,6 +75,7 @@
     refusals_over_share: Family<Labels<String>, Counter>,
     organisations_over_share: Family<Labels<String>, Gauge>,
     suspects: Family<Labels<Suspect>, Gauge>,
+    remembered_streams: Family<Labels<Remembered>, Gauge>,
     configuration_version: Gauge,
     engines: Gauge,
     needed_engines: Family<Labels<String>, Gauge>,
@@ -110,6 +111,7 @@
             refusals_over_share: Family::default(),
             organisations_over_share: Family::default(),
             suspects: Family::default(),
+            remembered_streams: Family::default(),
             configuration_version: Gauge::default(),
             engines: Gauge::default(),
             needed_engines: Family::default(),
@@ -238,6 +240,11 @@
             "Calls under which engines ended, that are held or go alone",
             self.suspects.clone(),
         );
+        registry.register(
+            "remembered_streams",
+            "Streams of which this instance knows which software version began them",
+            self.remembered_streams.clone(),
+        );
         registry.register(
             "configuration_version",
             "Version of the configuration in force; 0 before the first",
@@ -432,6 +439,16 @@
             let gauge = self.suspects.get_or_create(&[("state", suspect)]);
             gauge.set(gauge_value(number));
         }
+        let streams = instance.origins.counts();
+        let sources = [
+            (Remembered::Own, streams.own),
+            (Remembered::Backup, streams.backup),
+            (Remembered::Noted, streams.noted),
+        ];
+        for (source, number) in sources {
+            let gauge = self.remembered_streams.get_or_create(&[("source", source)]);
+            gauge.set(gauge_value(number));
+        }
         self.instances
             .set(gauge_value(instance.peers.borrow().count()));
         self.open_calls
--- a/crates/gateway/src/metrics/labels.rs
+++ b/crates/gateway/src/metrics/labels.rs
@@ -60,6 +60,17 @@
     None,
 }
 
+/// Where an instance knows from which software version began a stream.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub(crate) enum Remembered {
+    /// It began the stream.
+    Own,
+    /// It keeps a copy for the instance that did.
+    Backup,
+    /// It was told as a holder.
+    Noted,
+}
+
 /// Treatment of a call that crashed engines.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub(crate) enum Suspect {
@@ -144,6 +155,7 @@
 labels!(End: Served = "served", Refused = "refused", Failed = "failed", Late = "late", Cut = "cut");
 labels!(PlacementAnswer: Placed = "placed", Declined = "declined", Silent = "silent");
 labels!(Origin: Known = "known", OnlyVersion = "only_version", Unknown = "unknown");
+labels!(Remembered: Own = "own", Backup = "backup", Noted = "noted");
 labels!(Suspect: Held = "held", Alone = "alone");
 labels!(Throttled: Waited = "waited", Refused = "refused");
 labels!(EngineSource: Log = "log", Snapshot = "snapshot", Instance = "instance");
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -7,26 +7,30 @@
 use std::time::Duration;
 
 use clock::Moment;
-use serving::origin::{self, Key, Knowledge, Note, Origins, Software};
+use serving::backups::{Backups, Scope};
+use serving::origin::{self, Batch, Counts, Key, Knowledge, Note, Origins, Software};
 use serving::usage::UnixTime;
 use serving::version_history::VersionHistory;
 use serving::{Fleet, ServiceName};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::time::timeout;
-use wire::gateway::{Frame, OriginRequest, OriginResponse, StreamOrigin};
+use wire::gateway::{Frame, OriginRequest, OriginResponse, StreamBatch, StreamOrigin};
 
 use crate::frame::to_millis;
 
 /// Time for the answers of other instances. It is taken from the caller's time.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(25);
-/// Most streams in one frame.
+/// Most streams in one frame of notes.
 const MAX_STREAMS_PER_FRAME: usize = 64;
+/// Most streams in one frame of copies, which name their version once.
+const MAX_STREAMS_PER_BATCH: usize = 256;
 
 /// Streams that this instance remembers, and its questions for those of others.
 #[derive(Default)]
 pub(crate) struct StreamOrigins {
     pub(crate) versions: RefCell<VersionHistory>,
     streams: RefCell<Origins>,
+    backups: RefCell<Backups>,
     waiting: RefCell<Waiting>,
     last_ticket: Cell<u32>,
 }
@@ -100,7 +104,7 @@
         let unsettled = services
             .filter(|service| versions.observe(service, fleet.versions(service), now, unix));
         let unsettled: Vec<&ServiceName> = unsettled.collect();
-        self.announce_begun(&unsettled, others, now)
+        self.announce(&unsettled, others, now)
     }
 
     /// Records that a service has several versions, as another instance says. Returns the same as
@@ -112,29 +116,97 @@
         now: Moment,
     ) -> Outgoing {
         if self.versions.borrow_mut().on_several(service, now) {
-            self.announce_begun(&[service], others, now)
+            self.announce(&[service], others, now)
         } else {
             Outgoing::new()
         }
     }
 
-    fn announce_begun(
+    fn announce(
         &self,
         services: &[&ServiceName],
         others: impl FnOnce() -> Vec<SocketAddr>,
         now: Moment,
     ) -> Outgoing {
         let streams = self.streams.borrow();
-        let begun = services
+        let notes = services
             .iter()
-            .flat_map(|service| streams.begun(service, now));
-        let notes: Vec<Note> = begun.collect();
+            .flat_map(|service| streams.unannounced(service, now));
+        let notes: Vec<Note> = notes.collect();
         if notes.is_empty() {
             return Outgoing::new();
         }
+        log::info!(streams = notes.len(); "other instances are told where streams began");
         address_notes(&notes, &others())
     }
 
+    /// Copies for the backups of this instance, whose address is `own`. Empty until they are due.
+    pub(crate) fn copies(
+        &self,
+        own: SocketAddr,
+        others: impl FnOnce() -> Vec<SocketAddr>,
+        now: Moment,
+    ) -> Outgoing {
+        let mut backups = self.backups.borrow_mut();
+        if !backups.is_due(now) {
+            return Outgoing::new();
+        }
+        let recipients = backups.recipients(own, &others(), now);
+        let mut streams = self.streams.borrow_mut();
+        let new = encode_batches(&streams.take_uncopied(now));
+        let mut copies = Outgoing::new();
+        for (to, scope) in recipients {
+            let batches = match scope {
+                Scope::New => new.clone(),
+                Scope::All => encode_batches(&streams.all_own(now)),
+            };
+            if !batches.is_empty() {
+                backups.on_sent(to, now);
+            }
+            copies.extend(batches.into_iter().map(|batch| {
+                let frame = Frame {
+                    begun: vec![batch],
+                    ..Frame::default()
+                };
+                (to, frame)
+            }));
+        }
+        copies
+    }
+
+    /// Keeps copies of streams that another instance began. Returns what to send to the holders of those that
+    /// need to be known already.
+    pub(crate) fn on_copies(
+        &self,
+        batches: &[StreamBatch],
+        others: impl FnOnce() -> Vec<SocketAddr>,
+        now: Moment,
+    ) -> Outgoing {
+        let versions = self.versions.borrow();
+        let mut streams = self.streams.borrow_mut();
+        let notes = batches.iter().flat_map(|batch| {
+            let batch = decode_batch(batch);
+            let is_settled = versions.is_settled(&batch.service, now);
+            streams.on_batch(&batch, is_settled, now)
+        });
+        let notes: Vec<Note> = notes.collect();
+        if notes.is_empty() {
+            return Outgoing::new();
+        }
+        address_notes(&notes, &others())
+    }
+
+    /// Handles a backup's acknowledgement of a copy.
+    pub(crate) fn on_copy_received(&self, from: SocketAddr, incarnation: u64) {
+        let mut backups = self.backups.borrow_mut();
+        backups.on_acknowledged(from, incarnation);
+    }
+
+    /// Numbers of streams that this instance remembers.
+    pub(crate) fn counts(&self) -> Counts {
+        self.streams.borrow().counts()
+    }
+
     /// Whether a service has several versions, or had until lately.
     pub(crate) fn is_mixed(&self, service: &ServiceName, now: Moment) -> bool {
         self.versions.borrow().has_several(service, now)
@@ -237,6 +309,30 @@
     }
 }
 
+/// Encodes batches, none too large for a frame.
+fn encode_batches(batches: &[Batch]) -> Vec<StreamBatch> {
+    let encoded = batches.iter().flat_map(|batch| {
+        let chunks = batch.streams.chunks(MAX_STREAMS_PER_BATCH);
+        chunks.map(|streams| StreamBatch {
+            service: batch.service.to_string(),
+            software: batch.software.to_string(),
+            streams: streams.iter().map(|(key, _)| *key).collect(),
+            lifetimes_ms: streams.iter().map(|(_, left)| to_millis(*left)).collect(),
+        })
+    });
+    encoded.collect()
+}
+
+fn decode_batch(batch: &StreamBatch) -> Batch {
+    let lifetimes = batch.lifetimes_ms.iter();
+    let lifetimes = lifetimes.map(|ms| Duration::from_millis((*ms).into()));
+    Batch {
+        service: ServiceName::from(batch.service.as_str()),
+        software: Software::from(batch.software.as_str()),
+        streams: batch.streams.iter().copied().zip(lifetimes).collect(),
+    }
+}
+
 /// Addresses notes to the holders of their streams among the other instances.
 fn address_notes(notes: &[Note], others: &[SocketAddr]) -> Outgoing {
     let mut by_holder: HashMap<SocketAddr, Vec<StreamOrigin>> = HashMap::new();
--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -30,6 +30,12 @@
         client::on_answer(instance, from, answer);
     }
     instance.origins.on_notes(&frame.origins, now);
+    if !frame.begun.is_empty() {
+        instance.on_stream_copies(from, &frame.begun);
+    }
+    if frame.begun_received {
+        instance.origins.on_copy_received(from, peer);
+    }
     if let Some(response) = frame.origin_response.clone() {
         instance.origins.on_response(response);
     }
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -193,8 +193,7 @@
     join_all(resumed).await;
 }
 
-/// Guards against messages between instances while a service has one version, and against losing the
-/// streams that began before the second one came.
+/// Guards against losing the streams that began before the second version came.
 #[actix_rt::test]
 async fn streams_that_began_before_the_second_version_came_resume_at_the_first() {
     let (first, _app, pool) = Gateway::start().await;
@@ -293,3 +292,40 @@
         assert!(received.is_complete, "{received:?}");
     }
 }
+
+/// Waits until a gateway keeps copies of so many streams that others began.
+async fn wait_until_copied(gateway: &Gateway, count: usize) {
+    let line = format!("tarragon_remembered_streams{{source=\"backup\"}} {count}\n");
+    wait_until(async || gateway.metrics_page().await.contains(&line)).await;
+}
+
+/// Guards against losing the streams of an instance that is frozen or killed before a second version comes,
+/// and has told nobody where they began.
+#[actix_rt::test]
+async fn streams_of_an_instance_that_is_gone_as_the_second_version_comes_resume_at_the_first() {
+    for signal in ["-STOP", "-KILL"] {
+        let (first, _app, pool) = Gateway::start().await;
+        pool.set_stream(4, EVENT_PAUSE);
+        wait_until_recorded(&first).await;
+        let (second, third) = (first.start_another(), first.start_another());
+        for gateway in [&second, &third] {
+            gateway.wait_until_ready(true).await;
+        }
+        let began = round(&first, "s", 2).await;
+        for gateway in [&second, &third] {
+            wait_until_copied(gateway, STREAMS_PER_ROUND).await;
+        }
+        first.signal(signal);
+        add_engine(&first, "pool-2", "v2").await;
+        wait_until_mixed(&second, "w").await;
+        wait_until_mixed(&third, "x").await;
+        let resumed = began.iter().enumerate().map(async |(number, (id, _))| {
+            let gateway = [&second, &third][number % 2];
+            let received = resume(gateway, &format!("r{id}"), id).await;
+            assert!(received.is_complete, "{received:?}");
+            assert_eq!(received.versions, ["v1", "v1"]);
+        });
+        join_all(resumed).await;
+        first.signal("-CONT");
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -6,13 +6,14 @@
 //! ([`roles`]), which instances place calls ([`placer`]), how an instance joins the others
 //! ([`registration`]), which instances hold the records of all engines ([`replication`]), which
 //! software version may go on with a stream ([`origin`]) and which ones a service had lately
-//! ([`version_history`]), whether a time-out is due to this instance's
+//! ([`version_history`]), which instances keep copies of where streams began ([`backups`]), whether a time-out is due to this instance's
 //! own link or event loop ([`congestion`]), and whether it accepts another connection ([`intake`]).
 //!
 //! The crate sits between the `gateway` daemon, which carries the bytes, and the platform's
 //! adapter, which fills in these types. It performs no I/O, and the current time is an argument.
 //! See `docs/design/placement.md`.
 
+pub mod backups;
 pub mod budget;
 pub mod claim;
 pub mod congestion;
--- a/crates/serving/src/origin.rs
+++ b/crates/serving/src/origin.rs
@@ -73,8 +73,50 @@
 struct Stream {
     software: Software,
     expires: Moment,
-    /// Its service, if this instance began it.
-    began: Option<ServiceName>,
+    source: Source,
+}
+
+/// Numbers of streams that an instance remembers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Those that it began.
+    pub own: usize,
+    /// Copies for the instances that began them.
+    pub backup: usize,
+    /// Those that it was told of as a holder.
+    pub noted: usize,
+}
+
+/// Where an instance knows a stream from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Source {
+    /// It began the stream, of this service.
+    Own(ServiceName),
+    /// It keeps a copy for the instance that began the stream.
+    Backup(ServiceName),
+    /// It is one of the holders, who are asked.
+    Note,
+}
+
+impl Source {
+    /// The service of a stream that this instance announces to the holders, once they need to know.
+    fn announced(&self) -> Option<&ServiceName> {
+        match self {
+            Self::Own(service) | Self::Backup(service) => Some(service),
+            Self::Note => None,
+        }
+    }
+}
+
+/// Streams that began at the same version of a service, copied to a backup.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Batch {
+    /// The service.
+    pub service: ServiceName,
+    /// The version.
+    pub software: Software,
+    /// The streams, each with the time for which it is remembered.
+    pub streams: Vec<(Key, Duration)>,
 }
 
 /// A stream to tell its holders of.
@@ -159,6 +201,8 @@
 pub struct Origins {
     streams: HashMap<Key, Stream>,
     by_expiry: BTreeSet<(Moment, Key)>,
+    /// Own streams that have not been copied to the backups.
+    uncopied: Vec<Key>,
 }
 
 impl Origins {
@@ -179,23 +223,56 @@
             software: software.clone(),
             lifetime: time_left + RESUME_GRACE,
         };
-        self.insert(&note, Some(service.clone()), now);
-        (!is_settled).then_some(note)
+        self.insert(&note, Source::Own(service.clone()), now);
+        if is_settled {
+            self.uncopied.push(key);
+            None
+        } else {
+            Some(note)
+        }
     }
 
     /// Records a stream that another instance began.
     pub fn on_note(&mut self, note: &Note, now: Moment) {
-        self.insert(note, None, now);
+        self.insert(note, Source::Note, now);
     }
 
-    /// Streams that this instance began at a service and that may still be resumed. Their holders were
-    /// told nothing while the service had one version.
-    pub fn begun(&self, service: &ServiceName, now: Moment) -> Vec<Note> {
-        let begun = self
-            .streams
+    /// Records streams that another instance began and copied to this one. Returns what to tell their holders,
+    /// unless all streams of their service began at one version (`is_settled`).
+    pub fn on_batch(&mut self, batch: &Batch, is_settled: bool, now: Moment) -> Vec<Note> {
+        let notes = batch.streams.iter().map(|(key, lifetime)| Note {
+            key: *key,
+            software: batch.software.clone(),
+            lifetime: *lifetime,
+        });
+        let notes: Vec<Note> = notes.collect();
+        for note in &notes {
+            self.insert(note, Source::Backup(batch.service.clone()), now);
+        }
+        if is_settled { Vec::new() } else { notes }
+    }
+
+    /// Own streams that began since the last call and may still be resumed.
+    pub fn take_uncopied(&mut self, now: Moment) -> Vec<Batch> {
+        let uncopied = std::mem::take(&mut self.uncopied);
+        let streams = uncopied
             .iter()
-            .filter(|(_, stream)| stream.began.as_ref() == Some(service) && now < stream.expires);
-        let notes = begun.map(|(key, stream)| Note {
+            .filter_map(|key| self.streams.get_key_value(key));
+        batches(streams, now)
+    }
+
+    /// All own streams that may still be resumed.
+    pub fn all_own(&self, now: Moment) -> Vec<Batch> {
+        batches(self.streams.iter(), now)
+    }
+
+    /// Streams of a service that may still be resumed, and that this instance began or keeps a copy of. Their
+    /// holders were told nothing while the service had one version.
+    pub fn unannounced(&self, service: &ServiceName, now: Moment) -> Vec<Note> {
+        let streams = self.streams.iter().filter(|(_, stream)| {
+            stream.source.announced() == Some(service) && now < stream.expires
+        });
+        let notes = streams.map(|(key, stream)| Note {
             key: *key,
             software: stream.software.clone(),
             lifetime: stream.expires - now,
@@ -209,6 +286,19 @@
         (now < stream.expires).then(|| stream.software.clone())
     }
 
+    /// Numbers of remembered streams.
+    pub fn counts(&self) -> Counts {
+        let mut counts = Counts::default();
+        for stream in self.streams.values() {
+            match stream.source {
+                Source::Own(_) => counts.own += 1,
+                Source::Backup(_) => counts.backup += 1,
+                Source::Note => counts.noted += 1,
+            }
+        }
+        counts
+    }
+
     /// Forgets streams that cannot be resumed any more.
     pub fn expire(&mut self, now: Moment) {
         while self
@@ -220,12 +310,12 @@
         }
     }
 
-    fn insert(&mut self, note: &Note, began: Option<ServiceName>, now: Moment) {
+    fn insert(&mut self, note: &Note, source: Source, now: Moment) {
         let expires = now + note.lifetime;
         let stream = Stream {
             software: note.software.clone(),
             expires,
-            began,
+            source,
         };
         if let Some(before) = self.streams.insert(note.key, stream) {
             self.by_expiry.remove(&(before.expires, note.key));
@@ -242,3 +332,25 @@
         }
     }
 }
+
+/// The own ones among these streams that may still be resumed, by service and version.
+fn batches<'a>(streams: impl Iterator<Item = (&'a Key, &'a Stream)>, now: Moment) -> Vec<Batch> {
+    let mut batches: Vec<Batch> = Vec::new();
+    for (key, stream) in streams.filter(|(_, stream)| now < stream.expires) {
+        let Source::Own(service) = &stream.source else {
+            continue;
+        };
+        let lifetime = stream.expires - now;
+        let same =
+            |batch: &&mut Batch| batch.service == *service && batch.software == stream.software;
+        match batches.iter_mut().find(same) {
+            Some(batch) => batch.streams.push((*key, lifetime)),
+            None => batches.push(Batch {
+                service: service.clone(),
+                software: stream.software.clone(),
+                streams: vec![(*key, lifetime)],
+            }),
+        }
+    }
+    batches
+}
--- a/crates/serving/tests/origin.rs
+++ b/crates/serving/tests/origin.rs
@@ -88,9 +88,9 @@
     let note = origins.begin(1, &service, &v1, ms(4_000), is_settled, ms(0));
     assert_eq!(note, None);
     assert_eq!(observe(&["v1", "v2"], ms(1_000)), (true, false));
-    let begun = origins.begun(&service, ms(1_000));
-    assert_eq!(begun.len(), 1);
-    assert_eq!((begun[0].key, &*begun[0].software), (1, "v1"));
+    let unannounced = origins.unannounced(&service, ms(1_000));
+    assert_eq!(unannounced.len(), 1);
+    assert_eq!((unannounced[0].key, &*unannounced[0].software), (1, "v1"));
     let (is_new, is_settled) = observe(&["v1", "v2"], ms(2_000));
     assert!(!is_new);
     let v2 = version("v2");
