Look for an instance in the test of registration after a restore

It takes any record of the list of instances for a registration. Records of software versions lie there now, and one may be written into the restored store before the instance has noticed the restore; the test then went on too early.

Change: it waits for a key that is an address. That is stricter: neither a record of versions nor one of a held call counts any more. Its other assertions are unchanged.

--- a/crates/gateway/tests/store_restore.rs
+++ b/crates/gateway/tests/store_restore.rs
@@ -3,6 +3,8 @@
 
 mod harness;
 
+use std::net::SocketAddr;
+
 use harness::{Gateway, wait_until};
 use serde_json::json;
 
@@ -93,7 +95,10 @@
     let app = platform_standin::Engine::start("app-1").await;
     app.register(&gateway.store, "app", "ready", None);
     gateway.wait_until_ready(true).await;
-    let registered = async || !gateway.store.newest("keyed.instances").is_empty();
+    let registered = async || {
+        let keys = gateway.store.newest("keyed.instances");
+        keys.iter().any(|key| key.parse::<SocketAddr>().is_ok())
+    };
     wait_until(registered).await;
     gateway.store.restore(empty);
     assert!(gateway.store.newest("keyed.instances").is_empty());
