Believe an old list of engines only if another instance answers

Instance::is_current, which asked that of the configuration, asks it of either topic.

Why it keeps the opposite rule: while only the store is away the others answer, and streams go on; an instance that is the last one alive reads the store itself.

Tests: origin (an_old_list_is_believed_only_if_another_instance_answers; fails without the condition), software_versions (an_instance_that_is_cut_off_guesses_no_version: 200 while the other one answers, 503 once it is frozen too).

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -186,7 +186,7 @@
             .find(&call.host, path)
             .ok_or_else(|| reject(NO_ROUTE_STATUS, None, "No route matches."))?;
         let principal = Principal::of(&table, route, &arrival.head).ok_or_else(|| {
-            if instance.is_current() {
+            if instance.is_current(Topic::Configuration) {
                 reject(
                     StatusCode::UNAUTHORIZED,
                     None,
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -379,17 +379,17 @@
         self.store_went_back.notify_waiters();
     }
 
-    /// Whether the configuration in force is the newest, as far as can be known: this instance or a
-    /// peer has just read the store. A partitioned instance may lack a key that was issued
-    /// meanwhile, and would reject for good what others serve.
-    pub(crate) fn is_current(&self) -> bool {
+    /// Whether what is known of a topic is the newest, as far as can be known: this instance or a peer has
+    /// just read the store. A partitioned instance may lack a key that was issued meanwhile, and would
+    /// reject for good what others serve; or an engine of another software version.
+    pub(crate) fn is_current(&self, topic: Topic) -> bool {
         let now = self.now();
         let is_recent = |read: Moment| now.saturating_sub(read) <= watch::FRESH_AGE;
-        let own = self.configuration_read.get();
+        let own = self.last_read(topic).get();
         let peers = self.peers.borrow();
         own.is_some_and(is_recent)
             || peers
-                .reader_states(Topic::Configuration)
+                .reader_states(topic)
                 .any(|reader| reader.is_fresh(now))
     }
 
--- a/crates/gateway/src/instance/streams.rs
+++ b/crates/gateway/src/instance/streams.rs
@@ -56,9 +56,8 @@
             };
             self.pending_placements.send(&frame, to);
         };
-        let mut known = self.origins.ask(key, service, &others, send).await;
-        known.push(own);
-        origin::resolve(&known)
+        let known = self.origins.ask(key, service, &others, send).await;
+        origin::resolve(&own, &known, self.is_current(Topic::Engines))
     }
 
     /// Answers another instance's question for a stream.
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use harness::{Gateway, wait_until};
+use harness::{FAST_LINK_MBPS, Gateway, wait_until};
 use platform_standin::configuration::HOST;
 use platform_standin::engine::{Behaviour, EarlyEnd};
+use platform_standin::store::Fault;
 use platform_standin::{Ending, Engine, request};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
@@ -329,3 +330,29 @@
         first.signal("-CONT");
     }
 }
+
+/// Guards against mixing at an instance that has been cut off from the store and all others since before a
+/// second version came, and against refusing streams where only the store is away.
+#[actix_rt::test]
+async fn an_instance_that_is_cut_off_guesses_no_version() {
+    let (first, _app, pool) = Gateway::start().await;
+    pool.set_stream(4, EVENT_PAUSE);
+    wait_until_recorded(&first).await;
+    let link = first.store.open_link().await;
+    let second = first.start_another_at(link.address, FAST_LINK_MBPS);
+    second.wait_until_ready(true).await;
+    link.fault(Fault::Silent);
+    wait_until(async || second.count_log_lines("the store does not answer") > 0).await;
+    let received = resume(&second, "u1", "lost-1").await;
+    assert!(received.is_complete, "{received:?}");
+    first.signal("-STOP");
+    let mut number = 0;
+    wait_until(async || {
+        number += 1;
+        let id = format!("u2-{number}");
+        resume(&second, &id, &format!("lost-{id}")).await.status == 503
+    })
+    .await;
+    assert!(second.count_log_lines_with("resumed by its caller", "basis=engines not known") > 0);
+    first.signal("-CONT");
+}
--- a/crates/serving/src/origin.rs
+++ b/crates/serving/src/origin.rs
@@ -162,23 +162,31 @@
     Unknown,
 }
 
-/// The version that may go on with a stream, from what the instances know that answered; this one is
-/// among them.
+/// The version that may go on with a stream, from what this instance knows and the others that answered.
+/// `is_current` tells whether its list of engines is as new as the store's: while nobody answers, it may have
+/// been cut off since an older one, and other versions may have come.
 ///
 /// # Errors
 ///
 /// If it is not known which version began the stream.
-pub fn resolve(known: &[Knowledge]) -> Result<(Software, Evidence), Unresolved> {
-    let noted = known.iter().filter_map(|known| known.software.as_ref());
-    if let Some(software) = agreed(noted)? {
+pub fn resolve(
+    own: &Knowledge,
+    others: &[Knowledge],
+    is_current: bool,
+) -> Result<(Software, Evidence), Unresolved> {
+    let known = || others.iter().chain([own]);
+    if let Some(software) = agreed(known().filter_map(|known| known.software.as_ref()))? {
         return Ok((software, Evidence::Note));
     }
     // Streams are noted while there are several versions, so the note of this one has been lost.
-    if known.iter().any(|known| known.is_mixed) {
+    if known().any(|known| known.is_mixed) {
         return Err(Unresolved::SeveralVersions);
     }
-    let sole = known.iter().filter_map(|known| known.sole.as_ref());
-    let software = agreed(sole)?.ok_or(Unresolved::Unknown)?;
+    if others.is_empty() && !is_current {
+        return Err(Unresolved::Unknown);
+    }
+    let software = agreed(known().filter_map(|known| known.sole.as_ref()))?;
+    let software = software.ok_or(Unresolved::Unknown)?;
     Ok((software, Evidence::OnlyVersion))
 }
 
--- a/crates/serving/tests/origin.rs
+++ b/crates/serving/tests/origin.rs
@@ -148,31 +148,59 @@
         ..Knowledge::default()
     };
     let unknown = Knowledge::default();
+    let resolve = |known: &[Knowledge]| {
+        let (own, others) = known.split_first().expect("this instance is among them");
+        origin::resolve(own, others, true)
+    };
     assert_eq!(
-        origin::resolve(&[mixed.clone(), noted("v1"), unknown.clone()]),
+        resolve(&[mixed.clone(), noted("v1"), unknown.clone()]),
         Ok((version("v1"), Evidence::Note))
     );
     assert_eq!(
-        origin::resolve(&[sole("v1"), noted("v2")]),
+        resolve(&[sole("v1"), noted("v2")]),
         Ok((version("v2"), Evidence::Note))
     );
     assert_eq!(
-        origin::resolve(&[noted("v1"), noted("v2")]),
+        resolve(&[noted("v1"), noted("v2")]),
         Err(Unresolved::Conflicting)
     );
     assert_eq!(
-        origin::resolve(&[sole("v1"), sole("v1"), unknown.clone()]),
+        resolve(&[sole("v1"), sole("v1"), unknown.clone()]),
         Ok((version("v1"), Evidence::OnlyVersion))
     );
     assert_eq!(
-        origin::resolve(&[sole("v1"), mixed]),
+        resolve(&[sole("v1"), mixed]),
         Err(Unresolved::SeveralVersions)
     );
     assert_eq!(
-        origin::resolve(&[sole("v1"), sole("v2")]),
+        resolve(&[sole("v1"), sole("v2")]),
         Err(Unresolved::Conflicting)
     );
-    assert_eq!(origin::resolve(&[unknown]), Err(Unresolved::Unknown));
+    assert_eq!(resolve(&[unknown]), Err(Unresolved::Unknown));
+}
+
+/// Guards against mixing at an instance that has been cut off since before the second version came, and
+/// against refusing all while the store is away.
+#[test]
+fn an_old_list_is_believed_only_if_another_instance_answers() {
+    let sole = Knowledge {
+        sole: Some(version("v1")),
+        ..Knowledge::default()
+    };
+    let silent = Knowledge::default();
+    let is_resolved = |others: &[Knowledge], is_current| {
+        let resolved = origin::resolve(&sole, others, is_current);
+        resolved == Ok((version("v1"), Evidence::OnlyVersion))
+    };
+    assert!(is_resolved(&[], true));
+    assert!(is_resolved(std::slice::from_ref(&silent), false));
+    assert!(!is_resolved(&[], false));
+    let noted = Knowledge {
+        software: Some(version("v1")),
+        ..Knowledge::default()
+    };
+    let resolved = origin::resolve(&noted, &[], false);
+    assert_eq!(resolved, Ok((version("v1"), Evidence::Note)));
 }
 
 /// Guards against taking a service for one of several versions after the last engine of all but one has
