Release another version and take it back in the soak, beside kills of all

Its callers gave a stream up within 60 ms once nobody listened, its gateways were started as if others had run before them, no version came back, and kills of all beside a release were rare.

Change: one seed of seven upgrades all engines for generation and takes that back, with a gateway frozen and one cut off from the store since before, and all gateways killed during both. Callers try to resume a stream for 2.5 s, and attempts that reach nobody do not count among the three. A gateway's settings say at its first start that the system starts for the first time, as the platform does.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -37,6 +37,10 @@
 const MAX_RESUMPTIONS: usize = 3;
 /// Pause before a stream is resumed.
 const RESUME_PAUSE: Duration = Duration::from_millis(20);
+/// Further pause after a gateway that is down.
+const DOWN_PAUSE: Duration = Duration::from_millis(80);
+/// Time for which a caller tries to resume a stream.
+const MAX_RESUME_TIME: Duration = Duration::from_millis(2_500);
 /// Largest body of an answer.
 const MAX_BODY_BYTES: usize = 1 << 16;
 
@@ -138,13 +142,22 @@
     /// Sends a call and records its outcome. Resumes a stream that breaks off, at any gateway.
     pub async fn call(&mut self, number: usize, kind: RequestKind) -> CallOutcome {
         let (outcome, mut resumption) = self.send(number, kind, None).await;
-        for _ in 0..MAX_RESUMPTIONS {
-            let Some(resumes) = resumption else { break };
+        let (broke_off, mut attempts) = (Instant::now(), 0);
+        while let Some(resumes) = resumption.take()
+            && attempts < MAX_RESUMPTIONS
+            && broke_off.elapsed() < MAX_RESUME_TIME
+        {
             self.connection = None;
             sleep(RESUME_PAUSE).await;
             let gateways = self.cluster.instances.len();
             let number = self.stream_rng.random_range(0..gateways);
-            (_, resumption) = self.send(number, kind, Some(resumes)).await;
+            let (outcome, next) = self.send(number, kind, Some(resumes)).await;
+            // While all gateways are down, nobody can resume anything.
+            match outcome {
+                CallOutcome::NotConnected | CallOutcome::Closed => sleep(DOWN_PAUSE).await,
+                CallOutcome::Answer { .. } | CallOutcome::Left => attempts += 1,
+            }
+            resumption = next;
         }
         outcome
     }
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -67,6 +67,8 @@
     isolated: RefCell<Vec<(usize, Cut)>>,
     /// Engines that ended together.
     ended_together: RefCell<Vec<usize>>,
+    /// Engines that a rollback replaces.
+    rolled_back: RefCell<Vec<usize>>,
     version: RefCell<u64>,
     /// How engines frame the bodies of their answers.
     framing: Cell<BodyFraming>,
@@ -145,6 +147,7 @@
             engines: RefCell::default(),
             isolated: RefCell::default(),
             ended_together: RefCell::default(),
+            rolled_back: RefCell::default(),
             version: RefCell::new(0),
             framing: Cell::default(),
             sends_fatal: Cell::new(false),
@@ -301,6 +304,7 @@
                 self.change_isolation(|isolated| isolated.push((number, cut)));
             }
             FaultKind::EndTogether => self.end_together().await,
+            FaultKind::Rollback => self.roll_back().await,
         }
     }
 
@@ -337,6 +341,11 @@
                     self.unregister(number);
                 }
             }
+            FaultKind::Rollback => {
+                for number in self.rolled_back.take() {
+                    self.unregister(number);
+                }
+            }
             FaultKind::Reborn(_)
             | FaultKind::Process(..)
             | FaultKind::KillAll
@@ -468,6 +477,20 @@
         }
     }
 
+    /// Replaces all engines of the upgraded software version by ones of the version before.
+    async fn roll_back(&self) {
+        let upgraded: Vec<usize> = {
+            let engines = self.engines.borrow();
+            let engines = engines.iter().enumerate();
+            let upgraded = engines.filter(|(_, node)| node.software == UPGRADED && !node.has_left);
+            upgraded.map(|(number, _)| number).collect()
+        };
+        for &number in &upgraded {
+            self.drain_engine(number, Some(INITIAL_SOFTWARE)).await;
+        }
+        *self.rolled_back.borrow_mut() = upgraded;
+    }
+
     async fn crash_engine(&self, number: usize) {
         if let Some((service, stage, software)) = self.mark_left(number) {
             self.with_engine(number, |node| node.link.set(LinkState::Reset));
--- a/crates/soak/src/gateway.rs
+++ b/crates/soak/src/gateway.rs
@@ -24,6 +24,7 @@
     pub starts: u32,
     program: PathBuf,
     settings: PathBuf,
+    settings_text: String,
     log: PathBuf,
     /// Length of the log before this run; earlier runs of the seed have written to it.
     log_start: usize,
@@ -108,11 +109,11 @@
 }
 
 impl Gateway {
-    /// Writes the settings of a gateway without starting it.
+    /// Prepares a gateway without starting it.
     ///
     /// # Errors
     ///
-    /// If the files cannot be written.
+    /// If its log cannot be read.
     pub fn new(
         program: &Path,
         directory: &Path,
@@ -138,7 +139,6 @@
             lease_ms: LEASE_MS,
             duties: Some(duties),
         };
-        std::fs::write(&settings, values.text())?;
         let log = directory.join(format!("{name}.log"));
         let log_start = std::fs::read(&log).map_or(0, |earlier| earlier.len());
         Ok(Self {
@@ -150,6 +150,7 @@
             log,
             log_start,
             settings,
+            settings_text: values.text(),
             child: None,
             exit_expected: false,
         })
@@ -171,11 +172,15 @@
     ///
     /// # Errors
     ///
-    /// If the process cannot be started.
+    /// If its settings cannot be written or the process cannot be started.
     pub fn start(&mut self) -> io::Result<()> {
         if self.child.is_some() {
             return Ok(());
         }
+        // As the platform does: only the first start of all is the whole system's.
+        let is_first = self.starts == 0;
+        let settings = format!("bootstrap = {is_first}\n{}", self.settings_text);
+        std::fs::write(&self.settings, settings)?;
         let log = File::options().create(true).append(true).open(&self.log)?;
         let child = Command::new(&self.program)
             .args(["serve", "--settings"])
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -119,6 +119,9 @@
     Configure,
     /// An engine announces that it drains, and one of the software version [`UPGRADED`] replaces it.
     Upgrade(usize),
+    /// All engines of the software version [`UPGRADED`] announce that they drain, and ones of the version
+    /// before replace them.
+    Rollback,
     /// The answers of all engines have neither a length nor chunks and end with their connections.
     Unframed,
     /// A gateway loses its paths to all engines, and keeps those to callers, store and gateways.
@@ -160,6 +163,7 @@
                 | FaultKind::Configure
                 | FaultKind::Leave(_)
                 | FaultKind::Upgrade(_)
+                | FaultKind::Rollback
         )
     }
 }
@@ -241,6 +245,13 @@
 const UPGRADES_EVERY: u64 = 5;
 /// Time between two upgrades.
 const UPGRADE_INTERVAL: Duration = Duration::from_millis(400);
+/// One seed in this many releases another software version to all engines for generation and takes it
+/// back, while a gateway is frozen, another one is cut off from the store and all are killed.
+const ROLLBACKS_EVERY: u64 = 7;
+/// Time from the freeze to the first upgrade of such a plan, and between two upgrades.
+const RELEASE_INTERVAL: Duration = Duration::from_millis(250);
+/// Time from the kill of all to the rollback.
+const ROLLBACK_DELAY: Duration = Duration::from_millis(1_500);
 /// Number of restores, and of interface failures, in such a plan.
 const RESTORE_COUNT: usize = 2;
 /// Longest time after the warm-up until fatal calls and rate limits begin.
@@ -403,6 +414,11 @@
                 kind: FaultKind::Upgrade(engine),
             }));
         }
+        if !planned && seed % ROLLBACKS_EVERY == 3 {
+            // A separate generator, for the same reason.
+            let mut rng = StdRng::seed_from_u64(seed.rotate_left(28));
+            faults.extend(release_and_back(&mut rng, gateways, services, engines));
+        }
         faults.sort_by_key(|fault| fault.at);
         Self {
             seed,
@@ -435,6 +451,45 @@
     faults
 }
 
+/// Upgrades of all engines for generation and their rollback, each beside a kill of all gateways. One gateway
+/// is frozen and one is cut off from the store since before the first upgrade.
+fn release_and_back(
+    rng: &mut StdRng,
+    gateways: usize,
+    services: usize,
+    engines: usize,
+) -> Vec<Fault> {
+    let start = WARM_UP + Duration::from_millis(rng.random_range(0..MAX_EARLY_START_MS));
+    let fault = |at: Duration, duration_ms, kind| Fault {
+        at,
+        duration: Duration::from_millis(duration_ms),
+        kind,
+    };
+    let frozen = rng.random_range(0..gateways);
+    let cut_off = (frozen + 1) % gateways;
+    let freeze = FaultKind::Process(frozen, ProcessAction::Pause);
+    let cut = FaultKind::StoreLink(cut_off, LinkState::Silent);
+    let mut faults = vec![
+        fault(start, rng.random_range(800..2_500), freeze),
+        fault(start, rng.random_range(800..2_500), cut),
+    ];
+    let mut at = start;
+    for engine in services..services + engines {
+        at += RELEASE_INTERVAL;
+        let kind = FaultKind::Upgrade(engine);
+        faults.push(fault(at, rng.random_range(300..1_200), kind));
+    }
+    let killed = start + Duration::from_millis(rng.random_range(600..2_500));
+    let rollback = killed.max(at) + ROLLBACK_DELAY;
+    let killed_again = rollback + Duration::from_millis(rng.random_range(100..1_200));
+    faults.extend([
+        fault(killed, 0, FaultKind::KillAll),
+        fault(rollback, rng.random_range(300..1_200), FaultKind::Rollback),
+        fault(killed_again, 0, FaultKind::KillAll),
+    ]);
+    faults
+}
+
 fn random_fault(rng: &mut StdRng, gateways: usize, engines: usize) -> FaultKind {
     let gateway = rng.random_range(0..gateways);
     let engine = rng.random_range(0..engines);
