--- a/crates/wire/examples/sizes.rs
+++ b/crates/wire/examples/sizes.rs
@@ -2,6 +2,7 @@
 //! its bytes per peer, upstream, owner and key are derived: `cargo run -p wire --example sizes`.
 
 use wire::Message;
+use wire::gateway;
 use wire::peer::{self, frame};
 use wire::record::{self, record::Body};
 
@@ -184,6 +185,47 @@
     })
 }
 
+/// What gateways tell each other of streams that may be resumed.
+fn print_streams() {
+    let stream = |number: u64| number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    for count in [1, 10] {
+        let copy = gateway::Frame {
+            incarnation: stream(1),
+            begun: vec![gateway::StreamBatch {
+                service: SCOPE.into(),
+                software: "v1.2.3".into(),
+                streams: (1..=count).map(stream).collect(),
+                lifetimes_ms: (1..=count).map(|_| 13_000).collect(),
+            }],
+            ..Default::default()
+        };
+        let count = usize::try_from(count).unwrap_or(usize::MAX);
+        print("gateway stream copy", count, copy.encoded_len());
+    }
+    let received = gateway::Frame {
+        incarnation: stream(1),
+        begun_received: true,
+        ..Default::default()
+    };
+    print("gateway copy received", 1, received.encoded_len());
+    let note = gateway::Frame {
+        incarnation: stream(1),
+        origins: vec![gateway::StreamOrigin {
+            stream: stream(2),
+            software: "v1.2.3".into(),
+            lifetime_ms: 13_000,
+        }],
+        ..Default::default()
+    };
+    print("gateway stream note", 1, note.encoded_len());
+    let versions = gateway::ServiceVersions {
+        service: SCOPE.into(),
+        versions: vec!["v1.2.3".into(), "v1.2.4".into()],
+        changed_unix_ms: 1_796_000_000_000,
+    };
+    print("record of versions", 1, versions.encoded_len());
+}
+
 fn main() {
     let renewal = Body::Renewal(record::Renewal {
         scope: SCOPE.into(),
@@ -214,6 +256,7 @@
         print("frame shares", count, frame_size(shares(count)));
         print("frame burn", count, frame_size(burn(count)));
     }
+    print_streams();
 }
 
 fn print(kind: &str, count: usize, bytes: usize) {
