Judge in the soak only what the loss of all gateways leaves known

The record that an upgrade ends was that of an engine which had crashed and started again under its name meanwhile; its removal took the last engine that generates from the list. A record under a name is the restart's from then on, and stays. The rule counts instances that callers may rely on, which ones that were killed within 3 s are not. Resumptions within 3 s after a kill of all are not counted; the share, the least number and all other streams are as before. A planted history has both sides of that bound.

--- a/crates/soak/src/check/versions.rs
+++ b/crates/soak/src/check/versions.rs
@@ -2,6 +2,7 @@
 //! go on.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use super::{Finding, Invariant, report};
 use crate::history::{Call, CallOutcome, History, RequestKind};
@@ -14,6 +15,10 @@
 /// Share of the new streams' success at least which resumed ones must have.
 const RESUMED_SHARE: f64 = 0.5;
 
+/// Time after the loss of all gateways in which none of them is one that callers may rely on: what had begun
+/// before is known to nobody.
+const LOSS_OF_ALL: Duration = Duration::from_secs(3);
+
 /// An event of a stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
@@ -81,6 +86,7 @@
             continue;
         }
         let count = match call.resumes {
+            Some(_) if follows_loss_of_all(history, call.sent_at) => continue,
             Some(_) => &mut resumed,
             None => &mut new,
         };
@@ -95,3 +101,12 @@
         report(findings, Invariant::Resumed, evidence);
     }
 }
+
+/// Whether all gateways were killed shortly before this moment.
+fn follows_loss_of_all(history: &History, at: Duration) -> bool {
+    let mut kills = history
+        .faults
+        .iter()
+        .filter(|fault| fault.kind == FaultKind::KillAll);
+    kills.any(|kill| kill.at <= at && at < kill.at + LOSS_OF_ALL)
+}
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -602,8 +602,12 @@
         });
     }
 
+    /// Removes an engine's record, unless it is that of a restart under the same name by now.
     fn unregister(&self, number: usize) {
         self.with_engine(number, |node| {
+            if node.is_replaced {
+                return;
+            }
             node.recorded_state = None;
             self.store.put(ENGINE_TOPIC, &node.engine.id, None);
         });
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -680,4 +680,18 @@
     let mut history = valid_history();
     add_resumed(&mut history, 6);
     assert_eq!(check::check(&history), Vec::<Finding>::new());
+    let kill_all = |at| Fault {
+        at: ms(at),
+        duration: ms(0),
+        kind: FaultKind::KillAll,
+    };
+    // What the loss of all leaves unknown has to be refused, and nothing else.
+    let mut history = valid_history();
+    history.faults.push(kill_all(1_500));
+    add_resumed(&mut history, 12);
+    assert_eq!(check::check(&history), Vec::<Finding>::new());
+    assert_only_finding(Invariant::Resumed, |history| {
+        history.faults.push(kill_all(2_001));
+        add_resumed(history, 7);
+    });
 }
