Address notes of no streams in one place, and share the set-up of two tests

Three callers of address_notes each asked whether there was anything to address, so that the list of instances is not copied in vain; address_notes does now, and takes the list as a closure. The two process tests that end all instances have their set-up and the ends in functions of their own; their assertions are unchanged. No change of behaviour.

--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -86,7 +86,7 @@
         let is_settled = self.versions.borrow().is_settled(service, now);
         let mut streams = self.streams.borrow_mut();
         let note = streams.begin(key, service, software, time_left, is_settled, now);
-        note.map_or_else(Outgoing::new, |note| address_notes(&[note], &others()))
+        address_notes(note.as_slice(), others)
     }
 
     /// Records the versions of all services. Returns what to send of streams that began while there seemed
@@ -133,11 +133,10 @@
             .iter()
             .flat_map(|service| streams.unannounced(service, now));
         let notes: Vec<Note> = notes.collect();
-        if notes.is_empty() {
-            return Outgoing::new();
+        if !notes.is_empty() {
+            log::info!(streams = notes.len(); "other instances are told where streams began");
         }
-        log::info!(streams = notes.len(); "other instances are told where streams began");
-        address_notes(&notes, &others())
+        address_notes(&notes, others)
     }
 
     /// Copies for the backups of this instance, whose address is `own`. Empty until they are due.
@@ -190,10 +189,7 @@
             streams.on_batch(&batch, is_settled, now)
         });
         let notes: Vec<Note> = notes.collect();
-        if notes.is_empty() {
-            return Outgoing::new();
-        }
-        address_notes(&notes, &others())
+        address_notes(&notes, others)
     }
 
     /// Handles a backup's acknowledgement of a copy.
@@ -334,7 +330,11 @@
 }
 
 /// Addresses notes to the holders of their streams among the other instances.
-fn address_notes(notes: &[Note], others: &[SocketAddr]) -> Outgoing {
+fn address_notes(notes: &[Note], others: impl FnOnce() -> Vec<SocketAddr>) -> Outgoing {
+    if notes.is_empty() {
+        return Outgoing::new();
+    }
+    let others = others();
     let mut by_holder: HashMap<SocketAddr, Vec<StreamOrigin>> = HashMap::new();
     for note in notes {
         for holder in origin::holders(note.key, others.iter().copied(), origin::HOLDERS) {
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -241,24 +241,37 @@
     .await;
 }
 
-/// Guards against resuming streams at another version after all instances have ended, where its engines are
-/// the only ones left.
-#[actix_rt::test]
-async fn a_stream_is_not_resumed_at_another_version_after_all_instances_ended() {
-    let (first, _app, pool) = Gateway::start().await;
+/// Two gateways before one engine of each service, whose versions the store knows.
+async fn start_recorded() -> ([Gateway; 2], [Engine; 2]) {
+    let (first, app, pool) = Gateway::start().await;
     pool.set_stream(4, EVENT_PAUSE);
     wait_until_recorded(&first).await;
     let second = first.start_another();
     second.wait_until_ready(true).await;
+    ([first, second], [app, pool])
+}
+
+/// Ends the engine `pool-1` and all gateways, and starts another gateway.
+async fn replace_all(gateways: [&Gateway; 2], pool: &Engine) -> Gateway {
+    gateways[0].store.put("keyed.servers", "pool-1", None);
+    pool.stop();
+    for gateway in gateways {
+        gateway.signal("-KILL");
+    }
+    let next = gateways[0].start_another();
+    next.wait_until_ready(true).await;
+    next
+}
+
+/// Guards against resuming streams at another version after all instances have ended, where its engines are
+/// the only ones left.
+#[actix_rt::test]
+async fn a_stream_is_not_resumed_at_another_version_after_all_instances_ended() {
+    let ([first, second], [_app, pool]) = start_recorded().await;
     let began = round(&first, "s", 2).await;
     let new = add_engine(&first, "pool-2", "v2").await;
     wait_until_mixed(&first, "w").await;
-    first.store.put("keyed.servers", "pool-1", None);
-    pool.stop();
-    first.signal("-KILL");
-    second.signal("-KILL");
-    let third = first.start_another();
-    third.wait_until_ready(true).await;
+    let third = replace_all([&first, &second], &pool).await;
     for (id, _) in &began {
         let again = format!("r{id}");
         let received = resume(&third, &again, id).await;
@@ -274,20 +287,11 @@
 /// and had it before.
 #[actix_rt::test]
 async fn a_stream_resumes_after_all_instances_ended_where_there_is_one_version() {
-    let (first, _app, pool) = Gateway::start().await;
-    pool.set_stream(4, EVENT_PAUSE);
-    wait_until_recorded(&first).await;
-    let second = first.start_another();
-    second.wait_until_ready(true).await;
+    let ([first, second], [_app, pool]) = start_recorded().await;
     let began = round(&first, "s", 2).await;
     // One engine is replaced by one of the same version meanwhile.
     add_engine(&first, "pool-2", "v1").await;
-    first.store.put("keyed.servers", "pool-1", None);
-    pool.stop();
-    first.signal("-KILL");
-    second.signal("-KILL");
-    let third = first.start_another();
-    third.wait_until_ready(true).await;
+    let third = replace_all([&first, &second], &pool).await;
     for (id, _) in &began {
         let received = resume(&third, &format!("r{id}"), id).await;
         assert!(received.is_complete, "{received:?}");
