--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod http;
 mod long_budget;
+mod nothing_left;
 mod store;
 
 use std::path::PathBuf;
@@ -32,6 +33,7 @@
     };
     let code = match name.as_str() {
         "endless-event" => endless_event::run(&root, &directory, &record, trouble),
+        "nothing-left" => nothing_left::run(&root, &directory, &record, trouble),
         "long-budget" => long_budget::run(&root, &directory, &record, trouble),
         "early-answer" => early_answer::run(&root, &directory, &record, trouble),
         _ => deployment::NOT_RUN,
