--- a/review/standins-2/src/deployment.rs
+++ b/review/standins-2/src/deployment.rs
@@ -328,6 +328,8 @@
     pub born: u64,
     /// Whether it is a model engine that makes tokens.
     pub decodes: bool,
+    /// Version of its software.
+    pub version: &'static str,
 }
 
 impl Entry {
@@ -339,10 +341,10 @@
         };
         format!(
             concat!(
-                r#"{{"service":"{}","address":"{}","zone":"ate","version":"v1","slots":48,"state":"{}","#,
+                r#"{{"service":"{}","address":"{}","zone":"ate","version":"{}","slots":48,"state":"{}","#,
                 r#"{}"cold_left_ms":0,"sequence":0,"born":{}}}"#
             ),
-            self.service, self.address, state, stage, self.born
+            self.service, self.address, self.version, state, stage, self.born
         )
     }
 
--- a/review/standins-2/src/early_answer.rs
+++ b/review/standins-2/src/early_answer.rs
@@ -94,6 +94,7 @@
             address: line.trim().parse().ok()?,
             born: unix_ms(),
             decodes: false,
+            version: "v1",
         };
         let begun = begun.clone();
         thread::spawn(move || {
--- a/review/standins-2/src/endless_event.rs
+++ b/review/standins-2/src/endless_event.rs
@@ -106,6 +106,7 @@
             address: engine::listen(Arc::new(behaviour)),
             born: unix_ms(),
             decodes: is_model,
+            version: "v1",
         };
         registrations.push(entry.register(&store));
     }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -2,6 +2,7 @@
 //! subcommand; `run.sh` of the case starts it.
 #![allow(dead_code)]
 
+mod advertised;
 mod deployment;
 mod early_answer;
 mod endless_event;
@@ -32,6 +33,7 @@
         return ExitCode::from(deployment::NOT_RUN);
     };
     let code = match name.as_str() {
+        "advertised" => advertised::run(&root, &directory, &record, trouble),
         "endless-event" => endless_event::run(&root, &directory, &record, trouble),
         "nothing-left" => nothing_left::run(&root, &directory, &record, trouble),
         "long-budget" => long_budget::run(&root, &directory, &record, trouble),
