--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -7,7 +7,7 @@
 [ -x "$program" ] && [ -x "$root/target/release/tarragon-gateway" ] || exit 2
 scratch=$(mktemp -d) || exit 2
 trap 'rm -rf "$scratch"' EXIT
-timeout -k 5 110 "$program" advertised "$root" "$scratch" "$here/record.txt"
+timeout -k 5 110 "$program" long-budget "$root" "$scratch" "$here/record.txt"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
