--- a/review/standins-2/src/advertised.rs
+++ b/review/standins-2/src/advertised.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use crate::deployment::{
-    BROKEN, Entry, Gateway, HELD, HOST, NOT_RUN, Place, Record, Registration, manifest, plain_route, plain_service,
-    unix_ms,
+    BROKEN, Entry, Gateway, HELD, HOST, NOT_RUN, Place, Record, Registration, manifest,
+    plain_route, plain_service, unix_ms,
 };
 use crate::engine;
 use crate::http::{Connection, End, Head};
@@ -27,11 +27,16 @@
 /// Headers of an answer beside its length.
 fn answer(connection: &mut Connection, id: &str, is_new: bool) -> bool {
     let signature = format!("s.{id}");
-    let mut headers = vec![("Request-Id", id), ("Response-Signature", signature.as_str())];
+    let mut headers = vec![
+        ("Request-Id", id),
+        ("Response-Signature", signature.as_str()),
+    ];
     if is_new {
         headers.extend([("Connection", "Upgrade"), ("Upgrade", "websocket")]);
     }
-    connection.answer("200 OK", &headers, whole_body(id, is_new).as_bytes()).is_ok()
+    connection
+        .answer("200 OK", &headers, whole_body(id, is_new).as_bytes())
+        .is_ok()
 }
 
 fn whole_body(id: &str, is_new: bool) -> String {
@@ -39,7 +44,8 @@
 }
 
 fn start(number: usize, is_new: bool, store: &Store) -> (Entry, Registration) {
-    let behaviour = move |connection: &mut Connection, _: &Head, id: &str| answer(connection, id, is_new);
+    let behaviour =
+        move |connection: &mut Connection, _: &Head, id: &str| answer(connection, id, is_new);
     let entry = Entry {
         id: format!("i-{}{number}", if is_new { "new" } else { "old" }),
         service: "app".to_owned(),
@@ -62,8 +68,14 @@
         cloud: None,
     };
     let routes = [plain_route("/auth/", "unsafe", "app", 1)];
-    store.put("keyed.op", "config", manifest(1, &routes, &[plain_service("app")]).as_bytes());
-    let mut old: Vec<(Entry, Registration)> = (0..ENGINES).map(|number| start(number, false, &store)).collect();
+    store.put(
+        "keyed.op",
+        "config",
+        manifest(1, &routes, &[plain_service("app")]).as_bytes(),
+    );
+    let mut old: Vec<(Entry, Registration)> = (0..ENGINES)
+        .map(|number| start(number, false, &store))
+        .collect();
     let Ok(gateway) = Gateway::start(root, directory, &place) else {
         record.line("the gateway could not be started");
         return NOT_RUN;
@@ -84,7 +96,11 @@
                 record.line(&format!("engine i-new{number} of version v2 starts"));
                 thread::sleep(REPLACEMENT_GAP);
                 registration.stop();
-                store.put("keyed.servers", &entry.id, entry.value("draining").as_bytes());
+                store.put(
+                    "keyed.servers",
+                    &entry.id,
+                    entry.value("draining").as_bytes(),
+                );
                 record.line(&format!("engine {} of version v1 drains", entry.id));
                 let store = store.clone();
                 thread::spawn(move || {
@@ -100,7 +116,9 @@
         let id = format!("{:016x}", 0x1b00_0000_0000_0000_u64 + number as u64);
         match call(&gateway, number, &id) {
             Some((200, signed, body)) => {
-                let is_whole = [false, true].iter().any(|is_new| body == whole_body(&id, *is_new));
+                let is_whole = [false, true]
+                    .iter()
+                    .any(|is_new| body == whole_body(&id, *is_new));
                 if is_whole {
                     whole += 1;
                 } else {
@@ -142,5 +160,11 @@
     let answer = connection.read_head().ok()??;
     let (body, end) = connection.read_body(&answer);
     let signed = answer.header("response-signature").is_some();
-    (end == End::Complete).then(|| (answer.status(), signed, String::from_utf8_lossy(&body).into_owned()))
+    (end == End::Complete).then(|| {
+        (
+            answer.status(),
+            signed,
+            String::from_utf8_lossy(&body).into_owned(),
+        )
+    })
 }
--- a/review/standins-2/src/deployment.rs
+++ b/review/standins-2/src/deployment.rs
@@ -67,7 +67,10 @@
 pub fn free_port(ip: Ipv4Addr) -> u16 {
     for _ in 0..100 {
         let tcp = TcpListener::bind((ip, 0)).expect("loopback has a free port");
-        let port = tcp.local_addr().expect("a bound socket has an address").port();
+        let port = tcp
+            .local_addr()
+            .expect("a bound socket has an address")
+            .port();
         if UdpSocket::bind((ip, port)).is_ok() {
             return port;
         }
@@ -161,10 +164,18 @@
 
 /// Sends a signal to a process that this test started.
 pub fn signal(process: u32, name: &str) {
-    let _ = Command::new("kill").args([&format!("-{name}"), &process.to_string()]).status();
+    let _ = Command::new("kill")
+        .args([&format!("-{name}"), &process.to_string()])
+        .status();
 }
 
-fn settings_text(place: &Place, ip: Ipv4Addr, port: u16, front: SocketAddr, ready: SocketAddr) -> String {
+fn settings_text(
+    place: &Place,
+    ip: Ipv4Addr,
+    port: u16,
+    front: SocketAddr,
+    ready: SocketAddr,
+) -> String {
     let Place {
         name,
         zone,
@@ -311,7 +322,9 @@
 
 /// A service of plain calls.
 pub fn plain_service(name: &str) -> String {
-    format!(r#"{{"name":"{name}","health_path":"/health","max_conns":96,"protocol":"h1","tls":false}}"#)
+    format!(
+        r#"{{"name":"{name}","health_path":"/health","max_conns":96,"protocol":"h1","tls":false}}"#
+    )
 }
 
 /// An engine's record that is written each heartbeat until this is dropped.
--- a/review/standins-2/src/early_answer.rs
+++ b/review/standins-2/src/early_answer.rs
@@ -10,7 +10,8 @@
 use std::time::Duration;
 
 use crate::deployment::{
-    BROKEN, Entry, Gateway, HELD, HOST, NOT_RUN, Place, Record, Registration, manifest, plain_route, plain_service, unix_ms,
+    BROKEN, Entry, Gateway, HELD, HOST, NOT_RUN, Place, Record, Registration, manifest,
+    plain_route, plain_service, unix_ms,
 };
 use crate::http::{Connection, End};
 use crate::store::Store;
@@ -36,7 +37,12 @@
 pub fn engine(arguments: &[String]) {
     let crashes = arguments.first().is_some_and(|word| word == "crash");
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
-    println!("{}", listener.local_addr().expect("a bound socket has an address"));
+    println!(
+        "{}",
+        listener
+            .local_addr()
+            .expect("a bound socket has an address")
+    );
     let _ = std::io::stdout().flush();
     for stream in listener.incoming().flatten() {
         thread::spawn(move || {
@@ -60,7 +66,9 @@
                 thread::sleep(Duration::from_secs(60));
                 return;
             }
-            let size = head.header("content-length").and_then(|size| size.parse().ok());
+            let size = head
+                .header("content-length")
+                .and_then(|size| size.parse().ok());
             let read = connection.read_sized(size.unwrap_or(0));
             if read.is_ok() {
                 let _ = connection.write(&answer[SENT_BYTES..]);
@@ -78,7 +86,12 @@
 
 impl EngineProcess {
     /// Starts one. The id of each request that it begins to answer goes to `begun`, with its number.
-    fn start(number: usize, crashes: bool, store: &Store, begun: &Sender<(usize, String)>) -> Option<Self> {
+    fn start(
+        number: usize,
+        crashes: bool,
+        store: &Store,
+        begun: &Sender<(usize, String)>,
+    ) -> Option<Self> {
         let program = std::env::current_exe().ok()?;
         let mut child = Command::new(program)
             .args(["early-engine", if crashes { "crash" } else { "sound" }])
@@ -127,7 +140,11 @@
         cloud: None,
     };
     let routes = [plain_route("/auth/", "unsafe", "app", 1)];
-    store.put("keyed.op", "config", manifest(1, &routes, &[plain_service("app")]).as_bytes());
+    store.put(
+        "keyed.op",
+        "config",
+        manifest(1, &routes, &[plain_service("app")]).as_bytes(),
+    );
     let Ok(gateway) = Gateway::start(root, directory, &place) else {
         record.line("the gateway could not be started");
         return NOT_RUN;
@@ -147,20 +164,25 @@
             record.line("the gateway is not ready");
             return NOT_RUN;
         }
-        let Some((place, is_broken)) = call(&gateway, &mut engines, &begins, round, record, trouble) else {
+        let Some((place, is_broken)) =
+            call(&gateway, &mut engines, &begins, round, record, trouble)
+        else {
             continue;
         };
         begun_answers += 1;
         broken += usize::from(is_broken);
         if trouble {
             // It is back as another engine.
-            let Some(engine) = EngineProcess::start(ENGINES + round, trouble, &store, &begun) else {
+            let Some(engine) = EngineProcess::start(ENGINES + round, trouble, &store, &begun)
+            else {
                 return NOT_RUN;
             };
             engines[place] = engine;
         }
     }
-    record.line(&format!("{broken} of {begun_answers} answers were cut and looked complete"));
+    record.line(&format!(
+        "{broken} of {begun_answers} answers were cut and looked complete"
+    ));
     match (broken, begun_answers) {
         (1.., _) => BROKEN,
         (0, answers) if answers >= ROUNDS / 2 => HELD,
@@ -184,15 +206,23 @@
     let head = format!(
         "POST /auth/{round} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nRequest-Deadline: 1500\r\nContent-Length: {REQUEST_BYTES}\r\n\r\n"
     );
-    record.line(&format!("caller: POST /auth/{round}, id {id}, {REQUEST_BYTES} bytes"));
+    record.line(&format!(
+        "caller: POST /auth/{round}, id {id}, {REQUEST_BYTES} bytes"
+    ));
     let mut writer = caller;
     let sending = thread::spawn(move || {
         let _ = writer.write(head.as_bytes());
         let _ = writer.write(&vec![b'x'; REQUEST_BYTES]);
     });
     let Ok((number, line)) = begins.recv_timeout(Duration::from_secs(2)) else {
-        let status = reader.read_head().ok().flatten().map_or(0, |answer| answer.status());
-        record.line(&format!("caller: no engine has begun to answer; status {status}"));
+        let status = reader
+            .read_head()
+            .ok()
+            .flatten()
+            .map_or(0, |answer| answer.status());
+        record.line(&format!(
+            "caller: no engine has begun to answer; status {status}"
+        ));
         return None;
     };
     let place = engines.iter().position(|engine| engine.number == number)?;
--- a/review/standins-2/src/endless_event.rs
+++ b/review/standins-2/src/endless_event.rs
@@ -8,8 +8,8 @@
 use std::time::{Duration, Instant};
 
 use crate::deployment::{
-    BROKEN, Entry, Gateway, HELD, HOST, NOT_RUN, Place, Record, Registration, manifest, model_service, plain_route,
-    plain_service, stream_route, unix_ms,
+    BROKEN, Entry, Gateway, HELD, HOST, NOT_RUN, Place, Record, Registration, manifest,
+    model_service, plain_route, plain_service, stream_route, unix_ms,
 };
 use crate::engine;
 use crate::http::{Connection, End};
@@ -31,7 +31,10 @@
 
 /// Sends the stream of the chosen request: pieces of 64 KB, as whole events if it is `sound`.
 fn long_stream(connection: &mut Connection, id: &str, sound: bool, sent: &AtomicU64) -> bool {
-    if connection.write(engine::stream_head(id).as_bytes()).is_err() {
+    if connection
+        .write(engine::stream_head(id).as_bytes())
+        .is_err()
+    {
         return false;
     }
     let begun = Instant::now();
@@ -61,7 +64,9 @@
 fn short_stream(connection: &mut Connection, id: &str) -> bool {
     let mut bytes = engine::stream_head(id).into_bytes();
     for event in 1..=4 {
-        bytes.extend(engine::chunk(format!("id: {event}\ndata: {id} {event}\n\n").as_bytes()));
+        bytes.extend(engine::chunk(
+            format!("id: {event}\ndata: {id} {event}\n\n").as_bytes(),
+        ));
     }
     bytes.extend_from_slice(b"0\r\n\r\n");
     connection.write(&bytes).is_ok()
@@ -78,9 +83,16 @@
         bootstrap: true,
         cloud: None,
     };
-    let routes = [stream_route("/ask/", "pool", 1, false), plain_route("/auth/", "unsafe", "app", 1)];
+    let routes = [
+        stream_route("/ask/", "pool", 1, false),
+        plain_route("/auth/", "unsafe", "app", 1),
+    ];
     let services = [model_service("pool"), plain_service("app")];
-    store.put("keyed.op", "config", manifest(1, &routes, &services).as_bytes());
+    store.put(
+        "keyed.op",
+        "config",
+        manifest(1, &routes, &services).as_bytes(),
+    );
     let sent = Arc::new(AtomicU64::new(0));
     let ran = Arc::new(AtomicU64::new(0));
     let mut registrations: Vec<Registration> = Vec::new();
@@ -123,18 +135,31 @@
         let mut connection = ask(&gateway, &format!("{number:016x}"));
         connection.as_mut().is_some_and(|connection| {
             let head = connection.read_head().ok().flatten();
-            head.is_some_and(|head| head.status() == 200 && connection.read_body(&head).1 == End::Complete)
+            head.is_some_and(|head| {
+                head.status() == 200 && connection.read_body(&head).1 == End::Complete
+            })
         })
     });
-    record.line(&format!("callers: {} of {SOUND_STREAMS} sound streams came whole", whole.count()));
+    record.line(&format!(
+        "callers: {} of {SOUND_STREAMS} sound streams came whole",
+        whole.count()
+    ));
     let Some(mut stream) = ask(&gateway, CHOSEN) else {
         return NOT_RUN;
     };
     // Its caller reads what comes.
-    thread::spawn(move || while matches!(stream.fill(), Ok(count) if count > 0) { stream.received.clear() });
+    thread::spawn(move || {
+        while matches!(stream.fill(), Ok(count) if count > 0) {
+            stream.received.clear()
+        }
+    });
     record.line(&format!(
         "caller: POST /ask/, id {CHOSEN}; its engine answers with {}",
-        if trouble { "bytes that are no events" } else { "long events" }
+        if trouble {
+            "bytes that are no events"
+        } else {
+            "long events"
+        }
     ));
     thread::sleep(Duration::from_secs(1));
     let verdict = judge(&gateway, record);
@@ -142,7 +167,11 @@
     record.line(&format!(
         "engine: {} bytes of the stream sent; balancer: readiness {}; other engines ran {} calls",
         sent.load(Ordering::Relaxed),
-        if ready { "200" } else { "no answer within 0.5 s" },
+        if ready {
+            "200"
+        } else {
+            "no answer within 0.5 s"
+        },
         ran.load(Ordering::Relaxed)
     ));
     verdict
@@ -170,7 +199,9 @@
         callers.push(thread::spawn(move || {
             let begun = Instant::now();
             let status = call(front, number).unwrap_or(0);
-            let mut times = times.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+            let mut times = times
+                .lock()
+                .unwrap_or_else(std::sync::PoisonError::into_inner);
             times.push((number, status, begun.elapsed()));
         }));
         thread::sleep(CALL_INTERVAL);
@@ -178,22 +209,36 @@
     for caller in callers {
         let _ = caller.join();
     }
-    let times = times.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let times = times
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner);
     for (number, status, took) in times.iter() {
         let answer = match status {
             0 => "no answer".to_owned(),
             status => format!("status {status}"),
         };
-        record.line(&format!("caller: POST /auth/{number}: {answer} after {:.2} s", took.as_secs_f64()));
+        record.line(&format!(
+            "caller: POST /auth/{number}: {answer} after {:.2} s",
+            took.as_secs_f64()
+        ));
     }
-    let open = times.iter().filter(|(_, status, took)| *status == 0 || *took > ROUTE_TIMEOUT);
+    let open = times
+        .iter()
+        .filter(|(_, status, took)| *status == 0 || *took > ROUTE_TIMEOUT);
     let open: Vec<_> = open.collect();
-    let late = open.iter().filter(|(_, status, took)| *status == 0 || *took > ROUTE_TIMEOUT + GRACE).count();
+    let late = open
+        .iter()
+        .filter(|(_, status, took)| *status == 0 || *took > ROUTE_TIMEOUT + GRACE)
+        .count();
     record.line(&format!(
         "{} of {CALLS} calls were unanswered at their route's timeout_ms, {late} of these half a second later",
         open.len()
     ));
-    if open.len() >= 8 && 2 * late > open.len() { BROKEN } else { HELD }
+    if open.len() >= 8 && 2 * late > open.len() {
+        BROKEN
+    } else {
+        HELD
+    }
 }
 
 /// A call that waits for 4 s. Returns the status of its answer.
--- a/review/standins-2/src/engine.rs
+++ b/review/standins-2/src/engine.rs
@@ -12,7 +12,9 @@
 /// Listens on loopback and answers each request by `behaviour`.
 pub fn listen(behaviour: Arc<Behaviour>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
-    let address = listener.local_addr().expect("a bound socket has an address");
+    let address = listener
+        .local_addr()
+        .expect("a bound socket has an address");
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let behaviour = behaviour.clone();
@@ -33,8 +35,13 @@
 /// A whole answer of a sound engine.
 pub fn answer(connection: &mut Connection, id: &str) -> bool {
     let signature = format!("s.{id}");
-    let headers = [("Request-Id", id), ("Response-Signature", signature.as_str())];
-    connection.answer("200 OK", &headers, format!("answer to {id}").as_bytes()).is_ok()
+    let headers = [
+        ("Request-Id", id),
+        ("Response-Signature", signature.as_str()),
+    ];
+    connection
+        .answer("200 OK", &headers, format!("answer to {id}").as_bytes())
+        .is_ok()
 }
 
 /// The head of a stream in chunks.
@@ -61,5 +68,9 @@
     head.header("serving-stage")?;
     let body = format!("{{\"kv_handle\":\"h{id}\",\"tokens\":1460,\"version\":1}}");
     let headers = [("Request-Id", id), ("Content-Type", "application/json")];
-    Some(connection.answer("200 OK", &headers, body.as_bytes()).is_ok())
+    Some(
+        connection
+            .answer("200 OK", &headers, body.as_bytes())
+            .is_ok(),
+    )
 }
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -75,14 +75,18 @@
     /// Reads a head; `None` if the peer closes before it.
     pub fn read_head(&mut self) -> io::Result<Option<Head>> {
         loop {
-            let end = self.received.windows(4).position(|four| four == b"\r\n\r\n");
+            let end = self
+                .received
+                .windows(4)
+                .position(|four| four == b"\r\n\r\n");
             if let Some(end) = end {
                 let text = String::from_utf8_lossy(&self.received[..end]).into_owned();
                 self.received.drain(..end + 4);
                 let mut lines = text.split("\r\n");
                 let first = lines.next().unwrap_or_default().to_owned();
                 let headers = lines.filter_map(|line| line.split_once(':'));
-                let headers = headers.map(|(name, value)| (name.to_owned(), value.trim().to_owned()));
+                let headers =
+                    headers.map(|(name, value)| (name.to_owned(), value.trim().to_owned()));
                 return Ok(Some(Head {
                     first,
                     headers: headers.collect(),
@@ -107,7 +111,10 @@
     /// Reads the body of an answer by its framing, as far as it comes.
     pub fn read_body(&mut self, head: &Head) -> (Vec<u8>, End) {
         let mut body = Vec::new();
-        if let Some(size) = head.header("content-length").and_then(|size| size.parse().ok()) {
+        if let Some(size) = head
+            .header("content-length")
+            .and_then(|size| size.parse().ok())
+        {
             while self.received.len() < size {
                 if !matches!(self.fill(), Ok(count) if count > 0) {
                     return (std::mem::take(&mut self.received), End::Broken);
@@ -161,7 +168,9 @@
         let Some(head) = self.read_head()? else {
             return Ok(None);
         };
-        let size = head.header("content-length").and_then(|size| size.parse().ok());
+        let size = head
+            .header("content-length")
+            .and_then(|size| size.parse().ok());
         let body = match size {
             Some(size) => self.read_sized(size)?,
             None if head.header("transfer-encoding").is_some() => self.read_body(&head).0,
@@ -175,7 +184,12 @@
     }
 
     /// Writes an answer with a length.
-    pub fn answer(&mut self, status: &str, headers: &[(&str, &str)], body: &[u8]) -> io::Result<()> {
+    pub fn answer(
+        &mut self,
+        status: &str,
+        headers: &[(&str, &str)],
+        body: &[u8],
+    ) -> io::Result<()> {
         let mut text = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n", body.len());
         for (name, value) in headers {
             text.push_str(&format!("{name}: {value}\r\n"));
--- a/review/standins-2/src/nothing_left.rs
+++ b/review/standins-2/src/nothing_left.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 
 use crate::deployment::{
-    BROKEN, Entry, Gateway, HELD, HOST, NOT_RUN, Place, Record, Registration, manifest, model_service, plain_route,
-    plain_service, stream_route, unix_ms,
+    BROKEN, Entry, Gateway, HELD, HOST, NOT_RUN, Place, Record, Registration, manifest,
+    model_service, plain_route, plain_service, stream_route, unix_ms,
 };
 use crate::engine;
 use crate::http::{Connection, End, Head};
@@ -25,12 +25,20 @@
 
 /// A stream of four events, or what is left of it after `Last-Event-Id`.
 fn stream(connection: &mut Connection, head: &Head, id: &str) -> bool {
-    let after = head.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+    let after = head
+        .header("last-event-id")
+        .and_then(|id| id.parse().ok())
+        .unwrap_or(0);
     if after >= EVENTS {
-        let answer = format!("HTTP/1.1 204 No Content\r\nRequest-Id: {id}\r\nResponse-Signature: s.{id}\r\n\r\n");
+        let answer = format!(
+            "HTTP/1.1 204 No Content\r\nRequest-Id: {id}\r\nResponse-Signature: s.{id}\r\n\r\n"
+        );
         return connection.write(answer.as_bytes()).is_ok();
     }
-    if connection.write(engine::stream_head(id).as_bytes()).is_err() {
+    if connection
+        .write(engine::stream_head(id).as_bytes())
+        .is_err()
+    {
         return false;
     }
     for event in after + 1..=EVENTS {
@@ -51,7 +59,8 @@
         let (Ok((caller, _)), Ok(way)) = (listener.accept(), TcpStream::connect(gateway)) else {
             return;
         };
-        let (Ok(mut to_caller), Ok(mut from_caller)) = (caller.try_clone(), caller.try_clone()) else {
+        let (Ok(mut to_caller), Ok(mut from_caller)) = (caller.try_clone(), caller.try_clone())
+        else {
             return;
         };
         let Ok(mut to_gateway) = way.try_clone() else {
@@ -62,7 +71,10 @@
         let last = format!("id: {EVENTS}\n");
         while matches!(way.fill(), Ok(count) if count > 0) {
             let passed = std::io::Write::write_all(&mut to_caller, &way.received);
-            let is_last = way.received.windows(last.len()).any(|part| part == last.as_bytes());
+            let is_last = way
+                .received
+                .windows(last.len())
+                .any(|part| part == last.as_bytes());
             way.received.clear();
             if is_last || passed.is_err() {
                 break;
@@ -84,9 +96,16 @@
         bootstrap: true,
         cloud: None,
     };
-    let routes = [stream_route("/ask/", "pool", 2, true), plain_route("/auth/", "unsafe", "app", 1)];
+    let routes = [
+        stream_route("/ask/", "pool", 2, true),
+        plain_route("/auth/", "unsafe", "app", 1),
+    ];
     let services = [model_service("pool"), plain_service("app")];
-    store.put("keyed.op", "config", manifest(1, &routes, &services).as_bytes());
+    store.put(
+        "keyed.op",
+        "config",
+        manifest(1, &routes, &services).as_bytes(),
+    );
     let ran = Arc::new(AtomicU64::new(0));
     let mut registrations: Vec<Registration> = Vec::new();
     for number in 0..6 {
@@ -139,15 +158,25 @@
 /// One requester: a stream, taken up again if its channel is reset, and an unsafe call on the channel that it
 /// has then. Returns whether that channel brought bytes that are no answer.
 fn requester(gateway: &Gateway, round: usize, is_reset: bool, record: &Record) -> Option<bool> {
-    let way = if is_reset { resetting_way(gateway.front)? } else { gateway.front };
+    let way = if is_reset {
+        resetting_way(gateway.front)?
+    } else {
+        gateway.front
+    };
     let mut channel = Connection::open(way, Duration::from_secs(4)).ok()?;
     let first = format!("5b{round:014x}");
     let (events, end) = ask(&mut channel, &first, "")?;
-    record.line(&format!("requester {round}: POST /ask/, id {first}: {events} events, then {end}"));
+    record.line(&format!(
+        "requester {round}: POST /ask/, id {first}: {events} events, then {end}"
+    ));
     if is_reset {
         channel = Connection::open(gateway.front, Duration::from_secs(4)).ok()?;
         let again = format!("5c{round:014x}");
-        let (events, end) = ask(&mut channel, &again, &format!("Last-Event-Id: {EVENTS}\r\nResumes: {first}\r\n"))?;
+        let (events, end) = ask(
+            &mut channel,
+            &again,
+            &format!("Last-Event-Id: {EVENTS}\r\nResumes: {first}\r\n"),
+        )?;
         record.line(&format!(
             "requester {round}: takes it up on a new channel, Last-Event-Id {EVENTS}: {events} events, {end}"
         ));
@@ -162,7 +191,8 @@
             break;
         }
     }
-    let begin = String::from_utf8_lossy(&channel.received[..channel.received.len().min(24)]).into_owned();
+    let begin =
+        String::from_utf8_lossy(&channel.received[..channel.received.len().min(24)]).into_owned();
     let is_answer = channel.received.starts_with(b"HTTP/1.1 200 ");
     record.line(&format!("requester {round}: POST /auth/{round} on the same channel: what comes begins with {begin:?}"));
     Some(!is_answer)
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -30,7 +30,9 @@
     /// Listens on another loopback address.
     pub fn listen(&self) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
-        let address = listener.local_addr().expect("a bound socket has an address");
+        let address = listener
+            .local_addr()
+            .expect("a bound socket has an address");
         let store = self.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -44,7 +46,11 @@
     /// Writes a record as the operator or an engine does.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
         let mut state = self.state.0.lock().unwrap_or_else(PoisonError::into_inner);
-        state.topics.entry(topic.to_owned()).or_default().append(key, value);
+        state
+            .topics
+            .entry(topic.to_owned())
+            .or_default()
+            .append(key, value);
         self.state.1.notify_all();
     }
 
@@ -52,9 +58,16 @@
         while let Ok(Some((head, body))) = connection.read_request() {
             let target = head.target().to_owned();
             let (path, query) = target.split_once('?').unwrap_or((&target, ""));
-            let query: BTreeMap<&str, &str> = query.split('&').filter_map(|pair| pair.split_once('=')).collect();
+            let query: BTreeMap<&str, &str> = query
+                .split('&')
+                .filter_map(|pair| pair.split_once('='))
+                .collect();
             let topic = query.get("topic").copied().unwrap_or_default();
-            let number = |name: &str| query.get(name).and_then(|value| value.parse::<usize>().ok());
+            let number = |name: &str| {
+                query
+                    .get(name)
+                    .and_then(|value| value.parse::<usize>().ok())
+            };
             let (status, body) = match path {
                 "/log-append" => self.append(topic, number("at"), &body),
                 "/log-newest" => self.newest(topic, query.get("after").copied()),
@@ -64,7 +77,10 @@
                 }
                 _ => ("404 Not Found", Vec::new()),
             };
-            if connection.answer(status, &[("Store-Era", "1")], &body).is_err() {
+            if connection
+                .answer(status, &[("Store-Era", "1")], &body)
+                .is_err()
+            {
                 return;
             }
         }
@@ -75,7 +91,10 @@
         let topic = state.topics.entry(topic.to_owned()).or_default();
         let offset = topic.records.len();
         if at.is_some_and(|at| at != offset) {
-            return ("412 Precondition Failed", format!("{{\"end\":{offset}}}").into_bytes());
+            return (
+                "412 Precondition Failed",
+                format!("{{\"end\":{offset}}}").into_bytes(),
+            );
         }
         while body.len() > 4 {
             let size = u32::from_be_bytes([body[0], body[1], body[2], body[3]]) as usize;
@@ -87,20 +106,32 @@
         }
         let end = topic.records.len();
         self.state.1.notify_all();
-        ("200 OK", format!("{{\"offset\":{offset},\"end\":{end}}}").into_bytes())
+        (
+            "200 OK",
+            format!("{{\"offset\":{offset},\"end\":{end}}}").into_bytes(),
+        )
     }
 
     fn newest(&self, topic: &str, after: Option<&str>) -> (&'static str, Vec<u8>) {
         let mut state = self.state.0.lock().unwrap_or_else(PoisonError::into_inner);
         let topic = state.topics.entry(topic.to_owned()).or_default();
-        let later = topic.newest.iter().filter(|(key, _)| after.is_none_or(|after| key.as_str() > after));
+        let later = topic
+            .newest
+            .iter()
+            .filter(|(key, _)| after.is_none_or(|after| key.as_str() > after));
         let items: Vec<String> = later
             .map(|(key, (offset, value))| {
-                format!("{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}", base64(value))
+                format!(
+                    "{{\"key\":\"{key}\",\"value\":\"{}\",\"offset\":{offset}}}",
+                    base64(value)
+                )
             })
             .collect();
         let end = topic.records.len();
-        let body = format!("{{\"items\":[{}],\"has_more\":false,\"end\":{end}}}", items.join(","));
+        let body = format!(
+            "{{\"items\":[{}],\"has_more\":false,\"end\":{end}}}",
+            items.join(",")
+        );
         ("200 OK", body.into_bytes())
     }
 
@@ -148,7 +179,11 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let padded = [chunk[0], *chunk.get(1).unwrap_or(&0), *chunk.get(2).unwrap_or(&0)];
+        let padded = [
+            chunk[0],
+            *chunk.get(1).unwrap_or(&0),
+            *chunk.get(2).unwrap_or(&0),
+        ];
         let bits = u32::from_be_bytes([0, padded[0], padded[1], padded[2]]);
         for place in 0..4 {
             if place <= chunk.len() {
