Take no body for whole whose connection was reset while its request was being sent

Cause: on a reset the socket is writable and readable at once. Client::transfer wrote first, and dropped the error of the write because the response may still be in the receive buffer. The kernel reports an error once, so the read after it ended in an orderly way, which ends a body without a length.

Evidence: the regression test waits on the socket with a part of the request unsent, and then resets. It fails before the change (the body is "abc", complete; three of three runs) and passes after it.

Change: the client keeps the error of a write. Where the connection ends, it decides: a body without a length is broken by any error but a broken pipe, which is what a write gets after the peer's orderly close; a connection that ends before the head has no answer rather than being closed by its peer. A failed write no longer ends an exchange before the receive buffer was read. A connection with a failed write is not reused.

Why it works: each error that the kernel reports is either kept or returned, so that an end without one is orderly. The opposite fault has a test as well: a peer that rejects early, with and without a length, closed or reset, is heard whole.

--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -50,6 +50,8 @@
     stream: TcpStream,
     received: BytesMut,
     unsent: BytesMut,
+    /// Why the rest of the request could not be sent.
+    write_error: Option<io::Error>,
     state: State,
     eof: bool,
     peer: SocketAddr,
@@ -109,6 +111,7 @@
             stream,
             received: BytesMut::new(),
             unsent: BytesMut::new(),
+            write_error: None,
             state: State::Idle(ClientCodec::new(config.clone())),
             eof: false,
             peer,
@@ -143,7 +146,8 @@
     /// finds all cases but those in which the peer acts while the request is being sent.
     pub fn is_reusable(&mut self) -> bool {
         let idle = matches!(self.state, State::Idle(_));
-        if !idle || self.eof || !self.received.is_empty() || !self.unsent.is_empty() {
+        let has_failed = self.eof || self.write_error.is_some();
+        if !idle || has_failed || !self.received.is_empty() || !self.unsent.is_empty() {
             return false;
         }
         matches!(
@@ -209,11 +213,7 @@
             }
             if let Err(error) = self.transfer().await {
                 self.state = State::Unusable;
-                return Err(if error.kind() == io::ErrorKind::TimedOut {
-                    Failure::Broken(SILENT_WITHIN_BODY)
-                } else {
-                    Failure::Broken("the connection was reset within the body")
-                });
+                return Err(broken_within_body(&error));
             }
         }
     }
@@ -275,10 +275,12 @@
 
     async fn receive_head(&mut self) -> Result<(), Failure> {
         if self.eof {
-            return Err(if self.received.is_empty() {
-                Failure::Closed
-            } else {
-                Failure::Broken("the answer ends within its head")
+            return Err(match self.connection_error() {
+                _ if !self.received.is_empty() => {
+                    Failure::Broken("the answer ends within its head")
+                }
+                Some(error) => Failure::NoResponse(error),
+                None => Failure::Closed,
             });
         }
         self.transfer().await.map_err(Failure::NoResponse)
@@ -334,11 +336,23 @@
 
     fn finish_at_eof(&mut self) -> Result<Option<Bytes>, Failure> {
         match std::mem::replace(&mut self.state, State::Unusable) {
-            State::UntilClose => Ok(None),
+            State::UntilClose => match self.connection_error() {
+                Some(error) => Err(broken_within_body(&error)),
+                None => Ok(None),
+            },
             _ => Err(Failure::Broken("the connection ends within the body")),
         }
     }
 
+    /// The error that ended the connection before the peer closed it, if a write has consumed it: the
+    /// kernel reports an error once, and a read after it looks like an orderly end.
+    ///
+    /// A write after an orderly end fails as well, with an error of its own.
+    fn connection_error(&mut self) -> Option<io::Error> {
+        let error = self.write_error.take()?;
+        (error.kind() != io::ErrorKind::BrokenPipe).then_some(error)
+    }
+
     /// Waits until the socket is readable or writable, then sends unsent bytes and receives
     /// available ones. Both, because a peer may respond before it has read the whole request.
     async fn transfer(&mut self) -> io::Result<()> {
@@ -349,15 +363,14 @@
             (false, false) => Interest::WRITABLE,
         };
         let ready = self.stream.ready(interest).await?;
-        if ready.is_writable() && !self.unsent.is_empty() {
-            let result = try_write(&self.stream, &mut self.unsent);
-            if let Err(error) = result {
-                self.unsent.clear();
-                // The response may be in the receive buffer although the peer accepts no more bytes.
-                if !ready.is_readable() {
-                    return Err(error);
-                }
-            }
+        if ready.is_writable()
+            && !self.unsent.is_empty()
+            && let Err(error) = try_write(&self.stream, &mut self.unsent)
+        {
+            // The response may be in the receive buffer although the peer accepts no more bytes, so its
+            // end is left to a read.
+            self.unsent.clear();
+            self.write_error = Some(error);
         }
         if ready.is_readable() || ready.is_read_closed() {
             match try_read(&self.stream, &mut self.received)? {
@@ -369,6 +382,13 @@
     }
 }
 
+fn broken_within_body(error: &io::Error) -> Failure {
+    Failure::Broken(match error.kind() {
+        io::ErrorKind::TimedOut => SILENT_WITHIN_BODY,
+        _ => "the connection was reset within the body",
+    })
+}
+
 async fn connect(
     connecting: impl Future<Output = io::Result<TcpStream>>,
     timeouts: &TcpTimeouts,
--- a/crates/http1/tests/exchanges.rs
+++ b/crates/http1/tests/exchanges.rs
@@ -168,6 +168,69 @@
     assert!(!client.is_reusable());
 }
 
+/// A request body that the socket buffers do not hold, so that a part stays unsent.
+const LARGE_BODY_BYTES: usize = 64 << 20;
+
+/// How a peer ends the connection on which it responded before it had read the request.
+#[derive(Clone, Copy, Debug)]
+enum EarlyEnd {
+    /// With a reset.
+    Reset,
+    /// In an orderly way; what the client still sends is answered with a reset.
+    Close,
+}
+
+/// Reads the body of an early response whose connection ends while the client waits for more of it,
+/// with a part of the request unsent.
+async fn read_early_response(response: &'static [u8], end: EarlyEnd) -> Result<Bytes, Failure> {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("loopback works");
+    let address = listener.local_addr().expect("loopback works");
+    let mut client = Client::open(address, &TIMEOUTS, &http1::config())
+        .await
+        .expect("loopback works");
+    let (mut stream, _) = listener.accept().await.expect("loopback works");
+    let mut head = RequestHead::default();
+    head.method = actix_http::Method::POST;
+    let body = Bytes::from(vec![b'x'; LARGE_BODY_BYTES]);
+    stream.write_all(response).await.expect("loopback works");
+    client.send(head, &body).await.expect("loopback works");
+    let end_connection = async {
+        // Bytes that the peer has not read make its close a reset.
+        if matches!(end, EarlyEnd::Close) {
+            stream.shutdown().await.expect("loopback works");
+        }
+        drop(stream);
+    };
+    // The client is polled first, and waits on its socket when the connection ends.
+    let (body, ()) = tokio::join!(client.body(MAX_BODY_BYTES), end_connection);
+    assert!(!client.is_reusable());
+    body
+}
+
+const EARLY_UNTIL_CLOSE: &[u8] = b"HTTP/1.1 200 OK\r\n\r\nabc";
+
+/// Guards against taking a part of a body for the whole one where the write of the rest of the request
+/// consumes the error of a reset, and the read after it sees an orderly end.
+#[actix_rt::test]
+async fn early_response_without_a_length_that_a_reset_cuts_is_broken() {
+    let body = read_early_response(EARLY_UNTIL_CLOSE, EarlyEnd::Reset).await;
+    assert_matches!(body, Err(Failure::Broken(_)));
+}
+
+/// Guards against dropping the whole response of a peer that rejects a request before it has read it.
+#[actix_rt::test]
+async fn early_response_that_is_complete_survives_the_end_of_its_connection() {
+    let body = read_early_response(EARLY_UNTIL_CLOSE, EarlyEnd::Close).await;
+    assert_eq!(body.unwrap(), "abc");
+    let with_length = b"HTTP/1.1 413 Too Large\r\ncontent-length: 3\r\n\r\nabc";
+    for end in [EarlyEnd::Reset, EarlyEnd::Close] {
+        let body = read_early_response(with_length, end).await;
+        assert_eq!(body.unwrap(), "abc", "{end:?}");
+    }
+}
+
 /// A caller's stream and the server connection that accepted it, on loopback.
 async fn connected_pair() -> (TcpStream, Server) {
     let listener = TcpListener::bind("127.0.0.1:0")
