Write no body behind a response that cannot have one

Cause: that a response has no body was known to the client of http1, not to its Writer. The relay wrote each success as a body of unknown size; the codec left the framing out of the head of a 204, and still wrote the last chunk. A 304, and a body given to write_response, are alike.

Change: http1::framing decides from the request's method and the status whether a response may have a body. The client and the Writer ask it; the Writer writes no body where it may not. A connection whose bodiless response names a length is not reused, since the codec would read the next head as that body.

Why it works: all responses pass through these two functions of the Writer, so that a handler that does not know of the case cannot err.

Tests, each failing before: what follows the head for 204, 304 and HEAD, in pieces and in one, HTTP/1.0 and 1.1; a resumed stream with nothing left and the next call on its connection, at a gateway with paths to the engine and at one that goes through another; the connection of a 204 with a length.

--- a/crates/gateway/tests/broken_streams.rs
+++ b/crates/gateway/tests/broken_streams.rs
@@ -209,3 +209,54 @@
         assert_eq!(answer.status, 502);
     }
 }
+
+/// Resumes a stream after its last event, and sends another call on the same connection. Returns what
+/// arrives, to the end of the connection.
+async fn resume_and_call(gateway: &Gateway, resumes: &str) -> String {
+    let mut caller = TcpStream::connect(gateway.front)
+        .await
+        .expect("the gateway listens");
+    let (first, second) = (gateway.fresh_id(), gateway.fresh_id());
+    let sizes = request::generation_headers("100,20", "aa:80,bb:20");
+    let resumed = [("last-event-id", "4"), ("resumes", resumes)];
+    let mut resume = format!("GET /resume/a HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: {first}\r\n");
+    for (name, value) in sizes.into_iter().chain(resumed) {
+        resume.push_str(&format!("{name}: {value}\r\n"));
+    }
+    resume.push_str("\r\n");
+    let call = format!(
+        "GET /safe/a HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: {second}\r\nconnection: close\r\n\r\n"
+    );
+    let mut text = String::new();
+    for request in [resume, call] {
+        let sent = caller.write_all(request.as_bytes()).await;
+        sent.expect("a request can be sent");
+        while !text.contains("\r\n\r\n") {
+            let mut bytes = [0; 4_096];
+            let read = caller.read(&mut bytes).await;
+            let read = read.expect("the connection is open");
+            assert_ne!(read, 0, "the connection ended after {text:?}");
+            text.push_str(&String::from_utf8_lossy(&bytes[..read]));
+        }
+    }
+    let rest = caller.read_to_string(&mut text).await;
+    rest.expect("the connection closes in an orderly way");
+    text
+}
+
+/// Guards against the end of a body behind a response that has none, which precedes the next response on
+/// its connection.
+#[actix_rt::test]
+async fn a_resumed_stream_with_nothing_left_is_followed_by_the_next_response() {
+    let (isolated, other, pool) = start_with_forwarding().await;
+    pool.set_behaviour(Behaviour::NothingLeft);
+    for gateway in [isolated, other] {
+        let begun = gateway.fresh_id();
+        let whole = gateway.generate("/resume/a", &begun).await;
+        assert_eq!(whole.status, 200);
+        let text = resume_and_call(&gateway, &begun).await;
+        let (first, rest) = text.split_once("\r\n\r\n").expect("a whole head");
+        assert!(first.starts_with("HTTP/1.1 204 "), "{text}");
+        assert!(rest.starts_with("HTTP/1.1 200 "), "{text}");
+    }
+}
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -15,6 +15,7 @@
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
 use crate::failure::SILENT_WITHIN_BODY;
+use crate::framing::allows_body;
 use crate::socket::{Transfer, set_acknowledge_timeout, set_options, try_read, try_write};
 use crate::{Config, Failure, TcpTimeouts};
 
@@ -54,6 +55,8 @@
     write_error: Option<io::Error>,
     state: State,
     eof: bool,
+    /// Method of the current request.
+    method: Method,
     peer: SocketAddr,
     acknowledge: Duration,
 }
@@ -114,6 +117,7 @@
             write_error: None,
             state: State::Idle(ClientCodec::new(config.clone())),
             eof: false,
+            method: Method::GET,
             peer,
             acknowledge: timeouts.acknowledge,
         })
@@ -169,12 +173,12 @@
         let State::Idle(mut codec) = std::mem::replace(&mut self.state, State::Unusable) else {
             return Err(Failure::Broken("the connection is not idle"));
         };
-        let bodiless = head.method == Method::HEAD;
+        self.method = head.method.clone();
         self.encode_request(&mut codec, head, body)
             .map_err(Failure::NoResponse)?;
         loop {
             if let Some(response) = self.decode_head(&mut codec)? {
-                return self.start_body(response, codec, bodiless);
+                return self.start_body(response, codec);
             }
             self.receive_head().await?;
         }
@@ -192,7 +196,7 @@
         };
         loop {
             if let Some(response) = self.decode_head(&mut codec)? {
-                return self.start_body(response, codec, false);
+                return self.start_body(response, codec);
             }
             self.receive_head().await?;
         }
@@ -290,14 +294,14 @@
         &mut self,
         head: ResponseHead,
         codec: ClientCodec,
-        bodiless: bool,
     ) -> Result<ResponseStart, Failure> {
-        let framing = framing(&head, &codec, bodiless);
-        let keep_alive = codec.keep_alive();
+        let framing = framing(&self.method, &head, &codec);
+        // A codec that expects a body all the same would read the next head as one.
+        let may_continue = codec.keep_alive() && codec.message_type() == MessageType::None;
         self.state = match framing {
             Framing::Delimited => State::Body(codec.into_payload_codec()),
             Framing::UntilClose => State::UntilClose,
-            Framing::Empty if keep_alive => State::Idle(codec),
+            Framing::Empty if may_continue => State::Idle(codec),
             Framing::Empty => State::Unusable,
         };
         Ok(ResponseStart { head, framing })
@@ -406,9 +410,8 @@
 
 /// The codec treats a response with neither a length nor chunks as one without a body; in HTTP/1.1
 /// its body extends to the end of the connection. Without this a caller would get an empty body.
-fn framing(head: &ResponseHead, codec: &ClientCodec, bodiless: bool) -> Framing {
-    let code = head.status.as_u16();
-    if bodiless || code == 204 || code == 304 {
+fn framing(method: &Method, head: &ResponseHead, codec: &ClientCodec) -> Framing {
+    if !allows_body(method, head.status) {
         return Framing::Empty;
     }
     let delimited =
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod failure;
+mod framing;
 mod server;
 mod socket;
 
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -7,12 +7,13 @@
 
 use actix_http::body::BodySize;
 use actix_http::h1::{Codec, Message, MessageType};
-use actix_http::{ConnectionType, Request, RequestHead, Response, StatusCode, Version};
+use actix_http::{ConnectionType, Method, Request, RequestHead, Response, StatusCode, Version};
 use bytes::{Bytes, BytesMut};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout_at};
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
+use crate::framing::allows_body;
 use crate::socket::{Transfer, set_options, set_reset_on_close, try_read, try_write};
 use crate::{Config, RequestError, TcpTimeouts};
 
@@ -58,6 +59,8 @@
     codec: Codec,
     unsent: BytesMut,
     head_written: bool,
+    /// Method of the current request.
+    method: Method,
     /// Version of the current request.
     version: Version,
 }
@@ -83,6 +86,7 @@
             codec: Codec::new(config.clone()),
             unsent: BytesMut::new(),
             head_written: false,
+            method: Method::GET,
             version: Version::HTTP_11,
         };
         Ok(Self { reader, writer })
@@ -135,6 +139,7 @@
         };
         let head = owned_head(request);
         self.writer.head_written = false;
+        self.writer.method = head.method.clone();
         self.writer.version = head.version;
         Ok(IncomingRequest {
             head,
@@ -231,7 +236,8 @@
         self.codec.keep_alive()
     }
 
-    /// Writes the head of a response; its body, if any, follows by [`Writer::write_chunk`].
+    /// Writes the head of a response; its body, if any, follows by [`Writer::write_chunk`]. A response
+    /// that can't have a body gets none, whatever is written of it.
     ///
     /// Callers of HTTP/1.0 know no chunks, so a body of unknown size ends with their connection. Until
     /// [`Writer::finish`] the connection is set to end with a reset, even if the process is killed, and
@@ -242,6 +248,7 @@
     /// If the caller has disconnected.
     pub async fn write_head(&mut self, mut head: Response<()>, size: BodySize) -> io::Result<()> {
         self.head_written = true;
+        let size = self.allowed_size(&head, size);
         if size == BodySize::Stream && self.version < Version::HTTP_11 {
             head.head_mut().no_chunking(true);
             head.head_mut().set_connection_type(ConnectionType::Close);
@@ -259,7 +266,7 @@
     /// If the caller has disconnected.
     pub async fn write_response(&mut self, head: Response<()>, body: Bytes) -> io::Result<()> {
         self.head_written = true;
-        let size = BodySize::Sized(body.len() as u64);
+        let size = self.allowed_size(&head, BodySize::Sized(body.len() as u64));
         self.codec
             .encode(Message::Item((head, size)), &mut self.unsent)?;
         if !body.is_empty() {
@@ -305,6 +312,15 @@
         set_reset_on_close(&self.stream, true)
     }
 
+    /// The codec omits the framing of a body from the head of a response that can't have one, and would
+    /// still write the body.
+    fn allowed_size(&self, head: &Response<()>, size: BodySize) -> BodySize {
+        match allows_body(&self.method, head.status()) {
+            true => size,
+            false => BodySize::None,
+        }
+    }
+
     async fn write_continue(&mut self) -> io::Result<()> {
         self.unsent
             .extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
--- a/crates/http1/tests/exchanges.rs
+++ b/crates/http1/tests/exchanges.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use actix_http::body::BodySize;
 use actix_http::{RequestHead, Response, StatusCode};
 use assert_matches::assert_matches;
 use bytes::Bytes;
@@ -325,3 +326,69 @@
     }
     server.read_request(&LIMITS).await.unwrap();
 }
+
+/// What a caller receives when a handler writes this response, with a body of unknown size or in one
+/// piece.
+async fn written(request: &str, status: StatusCode, in_pieces: bool) -> String {
+    let (mut caller, mut server) = connected_pair().await;
+    let sent = caller.write_all(request.as_bytes()).await;
+    sent.expect("loopback works");
+    server.read_request(&LIMITS).await.expect("it is whole");
+    let (_, writer) = server.split();
+    let head = Response::with_body(status, ());
+    let body = Bytes::from_static(b"abc");
+    let done = if in_pieces {
+        let begun = writer.write_head(head, BodySize::Stream).await;
+        begun.expect("loopback works");
+        writer.write_chunk(body).await.expect("loopback works");
+        writer.finish().await
+    } else {
+        writer.write_response(head, body).await
+    };
+    done.expect("loopback works");
+    drop(server);
+    let mut received = String::new();
+    let read = caller.read_to_string(&mut received).await;
+    read.expect("the connection closes in an orderly way");
+    received
+}
+
+/// Guards against bytes behind a response without a body, which a caller takes for its next response.
+#[actix_rt::test]
+async fn responses_that_have_no_body_end_with_their_head() {
+    let get = "GET / HTTP/1.1\r\nhost: h\r\n\r\n";
+    let old = "GET / HTTP/1.0\r\nhost: h\r\n\r\n";
+    let head = "HEAD / HTTP/1.1\r\nhost: h\r\n\r\n";
+    let cases = [
+        (get, StatusCode::NO_CONTENT),
+        (get, StatusCode::NOT_MODIFIED),
+        (old, StatusCode::NO_CONTENT),
+        (head, StatusCode::OK),
+        (head, StatusCode::BAD_GATEWAY),
+    ];
+    for (request, status) in cases {
+        for in_pieces in [true, false] {
+            let received = written(request, status, in_pieces).await;
+            let (_, rest) = received.split_once("\r\n\r\n").expect("a whole head");
+            assert_eq!(rest, "", "{request:?} {status} {in_pieces}");
+        }
+    }
+    for in_pieces in [true, false] {
+        let received = written(get, StatusCode::OK, in_pieces).await;
+        assert!(received.contains("abc"), "{received}");
+    }
+}
+
+/// Guards against the next head being read as the body of a response that has none but names its length.
+#[actix_rt::test]
+async fn connection_whose_bodiless_response_names_a_body_is_not_reusable() {
+    let address = peer(
+        b"HTTP/1.1 204 No Content\r\ncontent-length: 3\r\n\r\n",
+        false,
+    )
+    .await;
+    let (mut client, response) = send_request(address).await;
+    assert_eq!(response.unwrap().framing, Framing::Empty);
+    assert_eq!(client.body(MAX_BODY_BYTES).await.unwrap(), "");
+    assert!(!client.is_reusable());
+}
