Bound events, search each byte of them once, and give other tasks their turn

Cause: the splitter joined each piece to all that had come since the last whole event and searched it from the start, so that 25 MB took the whole process; nothing bounded what it kept; and a task whose socket always has bytes never lets others run, its own time-out included.

Change: the splitter goes on where its last search ended. Pieces that a client takes and reads of callers' bytes consume the runtime's budget of their task. The entry's rewriter of events, which has the bound already, searches each byte once as well.

Why it works: what one stream costs is linear in its bytes and ends at the bound, and no loop over a peer's bytes goes on for more than 128 steps before others have their turn.

Tests: bodies of bytes, data lines and comment lines without end, in both framings and through another instance, beside calls of others; a long stream of whole events. A task beside a body that always has pieces ready gets no turn before, and does after.

--- a/crates/entry/src/stream/sse.rs
+++ b/crates/entry/src/stream/sse.rs
@@ -43,6 +43,8 @@
     stream: String,
     next: EventNumber,
     buffer: BytesMut,
+    /// Bytes of the buffer in which no event ends.
+    searched: usize,
 }
 
 impl EventRewriter {
@@ -52,6 +54,7 @@
             stream: stream.to_owned(),
             next,
             buffer: BytesMut::new(),
+            searched: 0,
         }
     }
 
@@ -63,6 +66,7 @@
     /// Drops a partial event; a new connection starts at the beginning of an event.
     pub fn reconnect(&mut self) {
         self.buffer.clear();
+        self.searched = 0;
     }
 
     /// Takes a chunk from the engine and returns the complete events. Events that the caller has
@@ -78,13 +82,15 @@
         self.buffer.extend_from_slice(chunk);
         let mut out = Vec::with_capacity(self.buffer.len() + location.len());
         let mut relayed = Relayed::default();
-        while let Some(end) = event_end(&self.buffer) {
+        while let Some(end) = event_end(&self.buffer, self.searched) {
+            self.searched = 0;
             if let Err(error) = self.rewrite_event(end, location, &mut out, &mut relayed) {
                 self.next = before;
                 return Err(error);
             }
             self.buffer.advance(end);
         }
+        self.searched = self.buffer.len();
         if self.buffer.len() > MAX_EVENT_BYTES {
             return Err(EventError::Malformed);
         }
@@ -138,9 +144,10 @@
     out.extend_from_slice(body);
 }
 
-/// Length of the first event, including the empty line that ends it.
-fn event_end(bytes: &[u8]) -> Option<usize> {
-    let mut from = 0;
+/// Length of the first event, including the empty line that ends it. None ends in the first `searched`
+/// bytes.
+fn event_end(bytes: &[u8], searched: usize) -> Option<usize> {
+    let mut from = searched;
     loop {
         let newline = from + memchr(b'\n', &bytes[from..])?;
         let line_is_empty = newline == 0 || bytes[newline - 1] == b'\n';
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -14,9 +14,14 @@
 #[derive(Debug, Default)]
 pub struct Splitter {
     partial: BytesMut,
+    search: Search,
     last: Option<EventId>,
 }
 
+/// Largest event that is passed on, in bytes. Events carry a few tokens; an engine that sends more
+/// without the end of an event has broken off or is spoilt, and an instance has many streams.
+pub const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Prefix of the line with an event's id.
 const ID: &[u8] = b"id:";
 
@@ -24,8 +29,8 @@
     /// A splitter for a stream that begins after this event.
     pub fn after(last: Option<EventId>) -> Self {
         Self {
-            partial: BytesMut::new(),
             last,
+            ..Self::default()
         }
     }
 
@@ -34,29 +39,30 @@
         self.last
     }
 
-    /// Takes bytes and returns the whole events that they complete.
-    pub fn push(&mut self, bytes: &Bytes) -> Option<Bytes> {
-        if self.partial.is_empty() {
-            return self.split(bytes);
-        }
-        self.partial.extend_from_slice(bytes);
-        let joined = self.partial.split().freeze();
-        self.split(&joined)
+    /// Number of bytes after the last whole event, which are kept. They have no limit here.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
     }
 
-    fn split(&mut self, bytes: &Bytes) -> Option<Bytes> {
-        let Some(end) = last_event_end(bytes) else {
+    /// Takes bytes and returns the whole events that they complete.
+    pub fn push(&mut self, bytes: &Bytes) -> Option<Bytes> {
+        let whole = if self.partial.is_empty() {
+            let end = self.search.last_event_end(bytes);
+            self.partial
+                .extend_from_slice(&bytes[end.unwrap_or_default()..]);
+            bytes.slice(..end?)
+        } else {
             self.partial.extend_from_slice(bytes);
-            return None;
+            let end = self.search.last_event_end(&self.partial)?;
+            self.partial.split_to(end).freeze()
         };
-        self.partial.extend_from_slice(&bytes[end..]);
-        let whole = bytes.slice(..end);
         self.note(&whole);
         Some(whole)
     }
 
     /// Removes and returns the bytes after the last whole event.
     pub fn rest(&mut self) -> Bytes {
+        self.search = Search::default();
         self.partial.split().freeze()
     }
 
@@ -70,30 +76,53 @@
     }
 }
 
-/// Where the last whole event ends in bytes that begin with an event: after an empty line. Lines end
-/// with LF, CR LF or CR, as [the format](https://html.spec.whatwg.org/multipage/server-sent-events.html)
-/// allows.
-///
-/// A CR at the end may be half of a CR LF. Its LF then arrives as an empty line of its own, which ends
-/// no event.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let mut line = 0;
-    let mut end = None;
-    while let Some(length) = memchr2(b'\r', b'\n', &bytes[line..]) {
-        let terminator = &bytes[line + length..];
-        let next = line
-            + length
-            + if terminator.starts_with(b"\r\n") {
-                2
-            } else {
-                1
+/// Search for the ends of events in bytes that arrive in pieces. Each byte is looked at once, so that an
+/// event in many pieces costs no more than one in few.
+#[derive(Clone, Copy, Debug, Default)]
+struct Search {
+    /// Start of the line that has not ended.
+    line: usize,
+    /// Where to go on; there is no line terminator between `line` and this.
+    next: usize,
+}
+
+impl Search {
+    /// Where the last whole event ends in bytes that begin with an event: after an empty line. The bytes
+    /// up to there are to be removed before the next search. Lines end with LF, CR LF or CR, as
+    /// [the format](https://html.spec.whatwg.org/multipage/server-sent-events.html) allows.
+    ///
+    /// A CR at the end may be half of a CR LF. After an empty line its LF then arrives as an empty line of
+    /// its own, which ends no event.
+    fn last_event_end(&mut self, bytes: &[u8]) -> Option<usize> {
+        let mut end = None;
+        while let Some(length) = memchr2(b'\r', b'\n', &bytes[self.next..]) {
+            let terminator = self.next + length;
+            let is_empty = terminator == self.line;
+            let after = match &bytes[terminator..] {
+                [b'\r'] if !is_empty => {
+                    self.next = terminator;
+                    return self.rebase(end);
+                }
+                [b'\r', b'\n', ..] => terminator + 2,
+                _ => terminator + 1,
             };
-        if length == 0 {
-            end = Some(next);
+            if is_empty {
+                end = Some(after);
+            }
+            self.line = after;
+            self.next = after;
         }
-        line = next;
+        self.next = bytes.len();
+        self.rebase(end)
+    }
+
+    /// Counts from the end of the last event, up to which the bytes are removed.
+    fn rebase(&mut self, end: Option<usize>) -> Option<usize> {
+        let removed = end.unwrap_or_default();
+        self.line -= removed;
+        self.next -= removed;
+        end
     }
-    end
 }
 
 /// Whether bytes after the last whole event hold a part of another one. A reader drops whole lines of
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -12,7 +12,7 @@
 use serving::reachability::Path;
 use tokio::time::Instant;
 
-use crate::attempt::EngineResponse;
+use crate::attempt::{EngineResponse, MAX_BODY_BYTES};
 use crate::engine_call::EngineCall;
 use crate::events::{self, EventId, Splitter};
 
@@ -99,6 +99,10 @@
         drop(self.splitter.rest());
         let mut first = true;
         let events_before = self.times.events;
+        let max_partial_bytes = match is_event_stream(&response.head) {
+            true => events::MAX_EVENT_BYTES,
+            false => MAX_BODY_BYTES,
+        };
         loop {
             let chunk = match response.client.chunk().await {
                 Ok(Some(piece)) => piece,
@@ -115,6 +119,9 @@
                 engine_call.on_generation_started();
             }
             let Some(events) = self.splitter.push(&chunk) else {
+                if self.splitter.partial_bytes() > max_partial_bytes {
+                    return End::Broken(Failure::Broken("an event is larger than allowed"));
+                }
                 continue;
             };
             self.times.beside_prefill += engine_call.on_event();
--- /dev/null
+++ b/crates/gateway/tests/endless_responses.rs
@@ -0,0 +1,75 @@
+//! Engines whose responses have no end, beside sound ones that others call.
+
+mod harness;
+
+use harness::{Gateway, wait_until};
+use platform_standin::engine::{Behaviour, BodyFraming};
+use platform_standin::{Cut, Engine};
+
+/// Bodies that hold no whole event, however long they are.
+const BODIES: [&str; 3] = ["x", "data: x\n", ": comment\n"];
+
+/// Calls of others while an engine floods.
+const OTHER_CALLS: usize = 5;
+
+/// Calls an engine that floods on a streaming route, and another one meanwhile. Panics if the other calls
+/// are not served, or if the stream does not end as a broken one.
+async fn flood(gateway: &Gateway, pool: &Engine, body: &'static str, framing: BodyFraming) {
+    pool.set_framing(framing);
+    pool.set_behaviour(Behaviour::Flood(body));
+    let others = async {
+        for _ in 0..OTHER_CALLS {
+            let answer = gateway.call("/safe/a", &gateway.fresh_id(), &[]).await;
+            assert_eq!(answer.status, 200, "beside {body:?} {framing:?}");
+        }
+    };
+    let id = gateway.fresh_id();
+    let (answer, ()) = tokio::join!(gateway.generate("/stream/a", &id), others);
+    assert_eq!(answer.status, 502, "{body:?} {framing:?}");
+}
+
+/// Guards against keeping the bytes of an event without end, and searching them again with each piece, until
+/// nobody else is served.
+#[actix_rt::test]
+async fn others_are_served_beside_an_event_without_end() {
+    let (gateway, _app, pool) = Gateway::start().await;
+    for framing in [BodyFraming::Delimited, BodyFraming::UntilClose] {
+        for body in BODIES {
+            flood(&gateway, &pool, body, framing).await;
+        }
+    }
+    let broken_off = gateway.count_log_lines("an event is larger than allowed");
+    assert_eq!(broken_off, 2 * BODIES.len());
+}
+
+/// Guards against the same where the bytes come through another instance.
+#[actix_rt::test]
+async fn others_are_served_beside_an_event_without_end_from_another_instance() {
+    let (isolated, _app, pool) = Gateway::start().await;
+    let other = isolated.start_another();
+    other.wait_until_ready(true).await;
+    pool.cut_off(&[isolated.ip()], Cut::Silent);
+    wait_until(async || {
+        let answer = isolated.generate("/stream/a", &isolated.fresh_id()).await;
+        answer.status == 200 && isolated.count_log_lines("no engine can be reached from here") > 0
+    })
+    .await;
+    flood(&isolated, &pool, "data: x\n", BodyFraming::Delimited).await;
+    let answer = other.call("/safe/a", &other.fresh_id(), &[]).await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(
+        isolated.count_log_lines("an event is larger than allowed"),
+        1
+    );
+}
+
+/// Guards against breaking off a stream that is long but has whole events.
+#[actix_rt::test]
+async fn a_long_stream_of_whole_events_is_passed_on() {
+    let (gateway, _app, pool) = Gateway::start().await;
+    pool.set_stream(3_000, std::time::Duration::ZERO);
+    pool.set_line_end("\r\n");
+    let answer = gateway.generate("/stream/a", &gateway.fresh_id()).await;
+    assert_eq!(answer.status, 200);
+    assert_eq!(answer.text().matches("id: ").count(), 3_000);
+}
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -11,6 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use tokio::io::Interest;
 use tokio::net::{TcpSocket, TcpStream};
+use tokio::task::consume_budget;
 use tokio::time::timeout;
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
@@ -209,6 +210,9 @@
     /// [`Failure::Broken`] if the body ends early.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, Failure> {
         loop {
+            // A socket that always has bytes never makes its reader wait, and other tasks and time-outs
+            // would get no turn.
+            consume_budget().await;
             if let Some(decoded) = self.decode_chunk()? {
                 return Ok(decoded);
             }
@@ -287,6 +291,7 @@
                 None => Failure::Closed,
             });
         }
+        consume_budget().await;
         self.transfer().await.map_err(Failure::NoResponse)
     }
 
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -10,6 +10,7 @@
 use actix_http::{ConnectionType, Method, Request, RequestHead, Response, StatusCode, Version};
 use bytes::{Bytes, BytesMut};
 use tokio::net::TcpStream;
+use tokio::task::consume_budget;
 use tokio::time::{Instant, timeout_at};
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
@@ -194,7 +195,12 @@
 impl Reader {
     async fn fill(&mut self, deadline: Instant) -> Result<(), RequestError> {
         loop {
-            match timeout_at(deadline, self.stream.readable()).await {
+            // A socket that always has bytes would give other tasks no turn, nor the time-out.
+            let readable = async {
+                consume_budget().await;
+                self.stream.readable().await
+            };
+            match timeout_at(deadline, readable).await {
                 Err(_) => return Err(RequestError::TimedOut),
                 Ok(Err(_)) => return Err(RequestError::Disconnected),
                 Ok(Ok(())) => {}
--- a/crates/http1/tests/exchanges.rs
+++ b/crates/http1/tests/exchanges.rs
@@ -232,6 +232,20 @@
     }
 }
 
+/// Guards against a body that always has bytes ready taking the turns of all other tasks.
+#[actix_rt::test]
+async fn other_tasks_get_a_turn_while_a_body_arrives() {
+    let begin = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let bytes = begin.to_owned() + &"1\r\na\r\n".repeat(4_000);
+    let (mut client, response) = send_request(peer(bytes.leak().as_bytes(), false).await).await;
+    response.unwrap();
+    let other = actix_rt::spawn(async {});
+    for _ in 0..2_000 {
+        assert_eq!(client.chunk().await.unwrap().unwrap(), "a");
+    }
+    assert!(other.is_finished());
+}
+
 /// A caller's stream and the server connection that accepted it, on loopback.
 async fn connected_pair() -> (TcpStream, Server) {
     let listener = TcpListener::bind("127.0.0.1:0")
