Let no caller's time budget end the calls of others

Cause: serving::prior_wait subtracts the median of the callers' budgets from the longest. The median was a product of floating-point numbers, which is rounded to above the longest for times of some months and more, and the difference of durations panics. The panic leaves the longest in place, so that each later call meets it. The deadline itself was ruled out: the patient caller is served.

Change: the median is a multiple of an eightieth of the longest, in whole numbers, and the rest saturates.

Why it works: no step can leave the range of durations, whatever callers state; a property test (seed fixed) drives the estimate with times from none to the largest and round each power of two.

Tests, each failing before: a year, 2^63 and 2^64 - 1 ms, then usual budgets; the property; calls over sockets after such a caller.

--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -307,3 +307,18 @@
         assert_eq!(answer.status, 502);
     }
 }
+
+/// Guards against a caller that waits for a year, or longer than numbers can say, closing its route to all
+/// others for a minute.
+#[actix_rt::test]
+async fn others_are_answered_after_a_caller_that_waits_for_a_year() {
+    let (gateway, _app, _pool) = Gateway::start().await;
+    for patient in [31_535_999_975, u64::MAX] {
+        for deadline in [patient, 1_500, 600] {
+            let mut caller = gateway.connect().await;
+            let id = gateway.fresh_id();
+            let answer = send_call_within(&mut caller, "/once/a", &id, deadline, &[]).await;
+            assert_eq!(answer.status, 200, "{deadline} after {patient}");
+        }
+    }
+}
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -70,7 +70,7 @@
 pub(crate) const SLOW_LINK_MBPS: u32 = 100;
 
 /// Deadline of a call.
-const DEADLINE_MS: u32 = 20_000;
+const DEADLINE_MS: u64 = 20_000;
 
 /// Held while a port is checked and while a child starts.
 ///
@@ -478,7 +478,7 @@
     caller: &mut Client,
     path: &str,
     id: &str,
-    deadline: u32,
+    deadline: u64,
     headers: &[Header<'_>],
 ) -> Response {
     let head = request::call(path, id, deadline, headers);
--- a/crates/serving/src/prior_wait.rs
+++ b/crates/serving/src/prior_wait.rs
@@ -11,7 +11,7 @@
 /// another timeout.
 const LONGEST_MAX_AGE: Duration = Duration::from_secs(60);
 /// Buckets for times up to the longest. A resolution of 1/80 of a caller's time is sufficient.
-const BUCKETS: usize = 80;
+const BUCKETS: u16 = 80;
 /// Decay of earlier callers with each new one: the last few hundred count, so that those who come
 /// back after an outage remain the minority.
 const RETAINED: f64 = 1.0 - 1.0 / 500.0;
@@ -29,7 +29,7 @@
     /// When the longest was last seen.
     longest_seen_at: Moment,
     /// Weighted number of callers per bucket, as a share of the longest.
-    counts: [f64; BUCKETS],
+    counts: [f64; BUCKETS as usize],
 }
 
 impl PriorWaits {
@@ -61,7 +61,7 @@
         let mut waits = Self {
             longest: left,
             longest_seen_at: now,
-            counts: [0.0; BUCKETS],
+            counts: [0.0; BUCKETS as usize],
         };
         waits.count(left);
         waits
@@ -74,9 +74,9 @@
         // Most callers are new, and their times are spread evenly up to the longest: the median of
         // all is theirs, and their least lies as far below it as the longest lies above.
         let median = self.median();
-        let least = median.saturating_sub(self.longest - median);
+        let least = median.saturating_sub(self.longest.saturating_sub(median));
         self.count(left);
-        if left + self.bucket_error() >= least {
+        if left.saturating_add(self.bucket_error()) >= least {
             return Duration::ZERO;
         }
         median.saturating_sub(left)
@@ -84,36 +84,30 @@
 
     fn count(&mut self, left: Duration) {
         let share = left.as_secs_f64() / self.longest.as_secs_f64().max(1e-3);
-        #[allow(
-            clippy::cast_possible_truncation,
-            clippy::cast_sign_loss,
-            clippy::cast_precision_loss
-        )]
-        let bucket = (share * BUCKETS as f64) as usize;
+        #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+        let bucket = (share * f64::from(BUCKETS)) as usize;
         for count in &mut self.counts {
             *count *= RETAINED;
         }
-        self.counts[bucket.min(BUCKETS - 1)] += 1.0;
+        self.counts[bucket.min(self.counts.len() - 1)] += 1.0;
     }
 
     /// Possible error of the least time: the median is rounded up, and counts twice.
-    #[allow(clippy::cast_possible_truncation)]
     fn bucket_error(&self) -> Duration {
-        self.longest / (BUCKETS / 2) as u32
+        self.longest / u32::from(BUCKETS / 2)
     }
 
     /// Median of the remaining times, rounded up to a bucket.
     fn median(&self) -> Duration {
         let half = self.counts.iter().sum::<f64>() / 2.0;
         let mut above = 0.0;
-        let buckets = self.counts.iter().enumerate().rev();
+        let buckets = (1..=BUCKETS).zip(&self.counts).rev();
         let mut reached = buckets.skip_while(|(_, count)| {
             above += **count;
             above < half
         });
-        let bucket = reached.next().map_or(BUCKETS, |(step, _)| step + 1);
-        #[allow(clippy::cast_precision_loss)]
-        let share = bucket as f64 / BUCKETS as f64;
-        self.longest.mul_f64(share)
+        let bucket = reached.next().map_or(BUCKETS, |(bucket, _)| bucket);
+        // Never longer than the longest, which a product of floating-point numbers may be.
+        self.longest / u32::from(BUCKETS) * u32::from(bucket)
     }
 }
--- a/crates/serving/tests/prior_wait.rs
+++ b/crates/serving/tests/prior_wait.rs
@@ -5,8 +5,13 @@
 use std::time::Duration;
 
 use common::ms;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use serving::prior_wait::PriorWaits;
 
+/// Fixed, so that every run checks the same cases.
+const SEED: u64 = 8;
+
 #[test]
 fn a_caller_that_waits_less_than_others_has_waited_before() {
     let mut usual = PriorWaits::default();
@@ -71,3 +76,45 @@
     }
     assert_eq!((new, back), (0, 100));
 }
+
+/// Guards against a panic for every later caller of a route, after one that waits for so long that
+/// floating-point numbers do not hold its time.
+#[test]
+fn a_caller_that_waits_for_a_year_harms_no_other() {
+    for patient in [31_535_999_975, 1 << 63, u64::MAX] {
+        let mut usual = PriorWaits::default();
+        assert_eq!(usual.estimate("r", ms(patient), ms(0)), Duration::ZERO);
+        for n in 1..100 {
+            usual.estimate("r", ms(1_500), ms(n));
+        }
+        assert_eq!(usual.estimate("r", ms(1_500), ms(100)), Duration::ZERO);
+    }
+}
+
+/// Times from none to the longest that there is, and around each power of two.
+fn any_time() -> impl Strategy<Value = Duration> {
+    let power = (0..64_u32, -2..=2_i64).prop_map(|(power, off)| {
+        let millis = 1_u64 << power;
+        ms(millis.saturating_add_signed(off))
+    });
+    prop_oneof![
+        power,
+        any::<u64>().prop_map(ms),
+        (0..10_000_u64).prop_map(ms),
+        Just(Duration::ZERO),
+        Just(Duration::MAX),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(SEED), failure_persistence: None, ..ProptestConfig::default() })]
+    /// Guards against a panic, and an estimate beyond any caller's time, for whatever times callers state.
+    #[test]
+    fn estimates_are_within_the_times_that_callers_state(callers in prop::collection::vec((any_time(), any_time()), 1..60)) {
+        let mut usual = PriorWaits::default();
+        let longest = callers.iter().map(|(left, _)| *left).max().unwrap_or_default();
+        for (left, now) in callers {
+            prop_assert!(usual.estimate("r", left, now) <= longest);
+        }
+    }
+}
--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -17,7 +17,7 @@
 use crate::plan;
 
 /// Deadline that a caller gives the gateway.
-const DEADLINE_MS: u32 = 3_000;
+const DEADLINE_MS: u64 = 3_000;
 /// Time until a caller gives up: the deadline plus the time that a late answer takes on a busy
 /// machine.
 const CALL_TIMEOUT: Duration = Duration::from_secs(5);
