Give up responses and requests whose framing has no end

Seen: a peer may send bytes that are no response without end, in a head or a body. Others were served; the link paid.

Cause: the bounds hold for what is kept. What the codec decodes and drops at once counted nowhere.

Change: the client counts bytes since the last head or piece of a body; above 128 KiB before a head, or 64 KiB of framing within a body, the response is broken. A caller's body likewise, with the bound of a head and 400. Interim responses that have a body or switch protocols are broken, since what follows is no head.

Why it works: each byte either belongs to a head or a body, which have bounds, or counts against this one.

Tests: eight forms of endless responses, two of requests, two interim responses with a body. Before the change the first are read to their end (64 MiB), the second until the time is over (408), and the third panics in a debug build.

--- a/crates/gateway/tests/endless_responses.rs
+++ b/crates/gateway/tests/endless_responses.rs
@@ -2,6 +2,7 @@
 
 mod harness;
 
+use futures_util::future::join_all;
 use harness::{Gateway, wait_until};
 use platform_standin::engine::{Behaviour, BodyFraming};
 use platform_standin::{Cut, Engine};
@@ -63,6 +64,29 @@
     );
 }
 
+/// Calls that engines flood at the same time, and the memory of a small instance.
+const FLOODED_CALLS: usize = 20;
+const MEMORY_MIB: u64 = 260;
+
+/// Guards against an instance that ends for lack of memory because many of its engines' responses have no
+/// end.
+#[actix_rt::test]
+async fn many_responses_without_end_fit_into_memory() {
+    let (gateway, app, pool) = Gateway::start().await;
+    for engine in [&app, &pool] {
+        engine.set_behaviour(Behaviour::Flood("data: x\n"));
+    }
+    for path in ["/stream/a", "/once/a"] {
+        let calls = (0..FLOODED_CALLS).map(|_| async {
+            let answer = gateway.generate(path, &gateway.fresh_id()).await;
+            assert_eq!(answer.status, 502, "{path}");
+        });
+        join_all(calls).await;
+        let peak = gateway.peak_memory_mib();
+        assert!(peak <= MEMORY_MIB, "{path}: {peak} MiB");
+    }
+}
+
 /// Guards against breaking off a stream that is long but has whole events.
 #[actix_rt::test]
 async fn a_long_stream_of_whole_events_is_passed_on() {
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -7,7 +7,7 @@
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead};
+use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use tokio::io::Interest;
 use tokio::net::{TcpSocket, TcpStream};
@@ -56,6 +56,8 @@
     write_error: Option<io::Error>,
     state: State,
     eof: bool,
+    /// Bytes received since the last head or piece of a body.
+    overhead: usize,
     /// Method of the current request.
     method: Method,
     peer: SocketAddr,
@@ -64,6 +66,10 @@
 
 /// Maximum number of bytes read ahead of the consumer.
 const READ_AHEAD_BYTES: usize = 256 * 1024;
+/// Maximum number of bytes before the end of a response's head, interim responses included.
+const MAX_HEAD_BYTES: usize = 128 * 1024;
+/// Maximum number of bytes of a body's framing between two pieces of the body, and after the last one.
+const MAX_FRAMING_BYTES: usize = 64 * 1024;
 
 impl Client {
     /// Opens a connection.
@@ -118,6 +124,7 @@
             write_error: None,
             state: State::Idle(ClientCodec::new(config.clone())),
             eof: false,
+            overhead: 0,
             method: Method::GET,
             peer,
             acknowledge: timeouts.acknowledge,
@@ -214,11 +221,16 @@
             // would get no turn.
             consume_budget().await;
             if let Some(decoded) = self.decode_chunk()? {
+                self.overhead = 0;
                 return Ok(decoded);
             }
             if self.eof {
                 return self.finish_at_eof();
             }
+            if self.overhead > MAX_FRAMING_BYTES {
+                self.state = State::Unusable;
+                return Err(Failure::Broken("the body's framing is larger than allowed"));
+            }
             if let Err(error) = self.transfer().await {
                 self.state = State::Unusable;
                 return Err(broken_within_body(&error));
@@ -275,13 +287,16 @@
                 .decode(&mut self.received)
                 .map_err(|_| Failure::Broken("these bytes are no answer"))?;
             match head {
-                Some(head) if head.status.is_informational() => {}
+                Some(head) if head.status.is_informational() => check_interim(&head, codec)?,
                 other => return Ok(other),
             }
         }
     }
 
     async fn receive_head(&mut self) -> Result<(), Failure> {
+        if self.overhead > MAX_HEAD_BYTES {
+            return Err(Failure::Broken("the answer's head is larger than allowed"));
+        }
         if self.eof {
             return Err(match self.connection_error() {
                 _ if !self.received.is_empty() => {
@@ -300,6 +315,7 @@
         head: ResponseHead,
         codec: ClientCodec,
     ) -> Result<ResponseStart, Failure> {
+        self.overhead = 0;
         let framing = framing(&self.method, &head, &codec);
         // A codec that expects a body all the same would read the next head as one.
         let may_continue = codec.keep_alive() && codec.message_type() == MessageType::None;
@@ -382,15 +398,25 @@
             self.write_error = Some(error);
         }
         if ready.is_readable() || ready.is_read_closed() {
+            let before = self.received.len();
             match try_read(&self.stream, &mut self.received)? {
                 Transfer::Eof => self.eof = true,
                 Transfer::Progress | Transfer::WouldBlock => {}
             }
+            self.overhead += self.received.len() - before;
         }
         Ok(())
     }
 }
 
+/// No request asks for another protocol, and no other interim response may have a body.
+fn check_interim(head: &ResponseHead, codec: &ClientCodec) -> Result<(), Failure> {
+    if head.status == StatusCode::SWITCHING_PROTOCOLS || codec.message_type() != MessageType::None {
+        return Err(Failure::Broken("the answer switches to another protocol"));
+    }
+    Ok(())
+}
+
 fn broken_within_body(error: &io::Error) -> Failure {
     Failure::Broken(match error.kind() {
         io::ErrorKind::TimedOut => SILENT_WITHIN_BODY,
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -178,12 +178,22 @@
         deadline: Instant,
     ) -> Result<Bytes, RequestError> {
         let mut body = BytesMut::new();
+        // Bytes received since the last piece of the body.
+        let mut overhead = 0;
         loop {
             match self.writer.codec.decode(&mut self.reader.received) {
-                Ok(Some(Message::Chunk(Some(chunk)))) => body.extend_from_slice(&chunk),
+                Ok(Some(Message::Chunk(Some(chunk)))) => {
+                    body.extend_from_slice(&chunk);
+                    overhead = 0;
+                }
                 Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
                 Ok(Some(Message::Item(_))) | Err(_) => return Err(RequestError::Malformed),
-                Ok(None) => self.reader.fill(deadline).await?,
+                Ok(None) if overhead > limits.head => return Err(RequestError::Malformed),
+                Ok(None) => {
+                    let before = self.reader.received.len();
+                    self.reader.fill(deadline).await?;
+                    overhead += self.reader.received.len() - before;
+                }
             }
             if body.len() > limits.body {
                 return Err(RequestError::BodyTooLarge);
--- a/crates/http1/tests/exchanges.rs
+++ b/crates/http1/tests/exchanges.rs
@@ -232,6 +232,76 @@
     }
 }
 
+/// Size of responses and requests that should be given up long before their end.
+const ENDLESS_BYTES: usize = 64 << 20;
+
+/// Bytes that begin as given and go on with repetitions of `repeated`.
+fn endless(begin: &str, repeated: &str) -> &'static [u8] {
+    let bytes = begin.to_owned() + &repeated.repeat(ENDLESS_BYTES / repeated.len());
+    bytes.leak().as_bytes()
+}
+
+/// The first failure of an exchange with a peer that writes these bytes.
+async fn exchange_failure(bytes: &'static [u8]) -> Failure {
+    let (mut client, response) = send_request(flooding_peer(bytes).await).await;
+    match response {
+        Err(failure) => failure,
+        Ok(_) => loop {
+            match client.chunk().await {
+                Ok(Some(_)) => {}
+                Ok(None) => panic!("the body has no end"),
+                Err(failure) => return failure,
+            }
+        },
+    }
+}
+
+/// A peer on a thread of its own, which writes until its connection ends.
+async fn flooding_peer(bytes: &'static [u8]) -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback works");
+    let address = listener.local_addr().expect("loopback works");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("loopback works");
+        // The client gives up before the end.
+        drop(std::io::Write::write_all(&mut stream, bytes));
+    });
+    address
+}
+
+/// Guards against reading bytes that are no response for as long as a call waits.
+#[actix_rt::test]
+async fn responses_whose_framing_has_no_end_are_broken() {
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let heads = [
+        ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+        ("HTTP/1.1 200 OK\r\n", "a: b\r\n"),
+        ("HTTP/1.1 200 OK\r\na: ", "b"),
+        ("HTTP/1.1 200 ", "O"),
+        ("", "\r\n"),
+    ];
+    let bodies = ["3;", "3\r\nabc\r\n3;", "0\r\na: "].map(|body| chunked.to_owned() + body);
+    let bodies = bodies.iter().map(|begin| (begin.as_str(), "b"));
+    for (begin, repeated) in heads.into_iter().chain(bodies) {
+        let failure = exchange_failure(endless(begin, repeated)).await;
+        assert_matches!(failure, Failure::Broken(detail) => {
+            assert!(!detail.contains("ends within"), "{begin:?} {repeated:?}: {detail}");
+        });
+    }
+}
+
+/// Guards against taking what follows an interim response with a body for a head.
+#[actix_rt::test]
+async fn interim_responses_with_a_body_are_broken() {
+    for interim in [
+        "101 Switching Protocols\r\nupgrade: websocket\r\nconnection: upgrade",
+        "100 Continue\r\ncontent-length: 3",
+    ] {
+        let bytes = format!("HTTP/1.1 {interim}\r\n\r\nabcHTTP/1.1 200 OK\r\n\r\n");
+        let (_, response) = send_request(peer(bytes.leak().as_bytes(), true).await).await;
+        assert_matches!(response, Err(Failure::Broken(_)), "{interim}");
+    }
+}
+
 /// Guards against a body that always has bytes ready taking the turns of all other tasks.
 #[actix_rt::test]
 async fn other_tasks_get_a_turn_while_a_body_arrives() {
@@ -246,6 +316,22 @@
     assert!(other.is_finished());
 }
 
+/// Guards against reading a caller's bytes that belong to no body until its time is over.
+#[actix_rt::test]
+async fn requests_whose_framing_has_no_end_are_malformed() {
+    let begin = "POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n";
+    for begin in ["3;", "0\r\na: "].map(|body| begin.to_owned() + body) {
+        let (mut caller, mut server) = connected_pair().await;
+        let writing = caller.write_all(endless(&begin, "b"));
+        tokio::select! {
+            written = writing => panic!("the request was read to its end: {written:?}"),
+            request = server.read_request(&LIMITS) => {
+                assert_eq!(request.unwrap_err(), RequestError::Malformed);
+            }
+        }
+    }
+}
+
 /// A caller's stream and the server connection that accepted it, on loopback.
 async fn connected_pair() -> (TcpStream, Server) {
     let listener = TcpListener::bind("127.0.0.1:0")
