Take a record of software versions from before a restore of the store for none

Looking for ways in which the record of versions and the list of engines agree and are both wrong found one.

Seen in a process test: a second version comes, streams begin there, all instances are killed and the store comes back from a copy of some seconds before. A new instance answers 200 and goes on at the first version.

Cause: the record and the list lie in the same store, so that a copy ages both alike. Instances that live through a restore write the record again; if none does, nothing tells that it is old.

Change: the record names the store's era in which it was written. One of an earlier era is ignored, as if there were none: an instance that starts concludes nothing for 30 s and announces the streams that begin meanwhile. VersionHistory learns the era with each read of the list of instances, before its records are applied; that replaces store_rolled_back.

Why it works: a record of the present era was written after the restore, by an instance that had read the engines then and knows for how long their versions have been the same. What errs refuses.

Tests, each failing without the comparison of eras: the table of starts, the replay, the process test. The opposite fault passed before and passes: a store from a copy whose records were written again, then all instances killed, one version: all streams go on. The first test of rewriting after a restore now also guards against a write of the earlier era that arrives late.

Not mended, as the design says: a version that comes and goes within half a second.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use adapter::records::INSTANCES_TOPIC;
-use adapter::store::{KeyedRecord, Offset, Store, StoreError};
+use adapter::store::{self, KeyedRecord, Offset, Store, StoreError};
 use serving::hash;
 use serving::registration::{Outcome, Registration, Step};
 use tokio::time::{Instant, sleep, timeout_at};
@@ -120,7 +120,7 @@
         self.has_own |= records
             .iter()
             .any(|record| record.value.as_deref() == Some(own.as_bytes()));
-        let listed = add_all(instance, &records);
+        let listed = add_all(instance, &records, next);
         let mut versions = instance.origins.versions.borrow_mut();
         versions.on_instances_listed(listed == 0, instance.now());
         drop(versions);
@@ -144,7 +144,7 @@
                 next = batch.next;
                 due = next_read(settled);
                 if !batch.records.is_empty() {
-                    add_all(instance, &batch.records);
+                    add_all(instance, &batch.records, next);
                     on_discovered(instance);
                 }
             }
@@ -152,7 +152,7 @@
                 Ok(newest) => {
                     next = newest.end;
                     due = next_read(settled);
-                    add_all(instance, &newest.records);
+                    add_all(instance, &newest.records, next);
                 }
                 Err(trouble) => {
                     log::debug!(trouble:% = trouble; "the other instances cannot be read");
@@ -184,10 +184,12 @@
     instance.frame_due.notify_one();
 }
 
-/// Applies records of the list of instances. Returns how many instances they name.
-fn add_all(instance: &Instance, records: &[KeyedRecord]) -> usize {
+/// Applies records of the list of instances that were read up to a position. Returns how many instances they
+/// name.
+fn add_all(instance: &Instance, records: &[KeyedRecord], upto: Offset) -> usize {
     let (now, unix) = (instance.now(), instance.unix());
     let mut versions = instance.origins.versions.borrow_mut();
+    versions.on_store_era(store::era(upto));
     let others = records.iter().filter(|record| {
         !quarantine_store::apply_record(instance, record)
             && !version_records::apply(&mut versions, record, now, unix)
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -363,13 +363,13 @@
             return;
         }
         self.era.set(Some(era));
+        self.origins.versions.borrow_mut().on_store_era(era);
         if before.is_none() {
             return;
         }
         log::warn!(era = era; "the store has come back from an older copy");
         let now = self.now();
         self.registry.borrow_mut().store_rolled_back(now);
-        self.origins.versions.borrow_mut().store_rolled_back();
         if let Some(ledger) = self.usage.borrow_mut().as_mut() {
             ledger.fixed_reports_lost(self.unix());
         }
--- a/crates/gateway/src/version_records.rs
+++ b/crates/gateway/src/version_records.rs
@@ -82,6 +82,7 @@
         service: record.service.to_string(),
         versions: record.versions.iter().map(ToString::to_string).collect(),
         changed_unix_ms: u64::try_from(record.changed.as_millis()).unwrap_or(u64::MAX),
+        era: record.era,
     };
     (key, versions.encode_to_vec())
 }
@@ -92,5 +93,6 @@
         service: Rc::from(versions.service),
         versions: names.map(|name| Software::from(name.as_str())).collect(),
         changed: UnixTime::from_millis(versions.changed_unix_ms),
+        era: versions.era,
     }
 }
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -298,6 +298,31 @@
     }
 }
 
+/// Guards against resuming streams at another version after all instances have ended, where the store has come
+/// back from a copy whose engines and record of versions both lack the one that began them.
+#[actix_rt::test]
+async fn a_stream_is_not_resumed_at_another_version_after_all_ended_beside_a_store_restore() {
+    let ([first, second], [_app, pool]) = start_recorded().await;
+    let copy = first.store.backup();
+    let new = add_engine(&first, "pool-2", "v2").await;
+    wait_until_mixed(&first, "w").await;
+    let began = round(&first, "s", 2).await;
+    for gateway in [&first, &second] {
+        gateway.signal("-KILL");
+    }
+    first.store.restore(copy);
+    let third = first.start_another();
+    third.wait_until_ready(true).await;
+    for (id, _) in &began {
+        let again = format!("r{id}");
+        let received = resume(&third, &again, id).await;
+        assert_eq!(received.status, 503, "{received:?}");
+        assert_eq!(pool.run_count(&again) + new.run_count(&again), 0);
+    }
+    let received = stream(&third, "n", &[], usize::MAX).await;
+    assert!(received.is_complete, "{received:?}");
+}
+
 /// Waits until a gateway keeps copies of so many streams that others began.
 async fn wait_until_copied(gateway: &Gateway, count: usize) {
     let line = format!("tarragon_remembered_streams{{source=\"backup\"}} {count}\n");
--- a/crates/serving/src/version_history.rs
+++ b/crates/serving/src/version_history.rs
@@ -20,6 +20,9 @@
 /// some seconds, since the time of a change is recorded for other instances.
 pub const RETENTION: Duration = Duration::from_secs(30);
 
+/// How often the store has been restored from an older copy.
+pub type Era = u64;
+
 /// Software versions of a service's engines, in order.
 pub type Versions = SmallVec<[Software; 2]>;
 
@@ -32,6 +35,8 @@
     pub versions: Versions,
     /// When the service came to have these; zero if it had none before.
     pub changed: UnixTime,
+    /// The store's era in which this was written.
+    pub era: Era,
 }
 
 #[derive(Clone, Debug)]
@@ -51,6 +56,8 @@
     services: HashMap<ServiceName, Service>,
     /// What the store holds, as far as this instance has read or written it.
     recorded: HashMap<ServiceName, Record>,
+    /// The store's era.
+    era: Era,
     /// Whether no stream can have begun before this instance started.
     is_first: bool,
     has_listed_instances: bool,
@@ -79,8 +86,13 @@
         }
     }
 
-    /// Applies what the store holds of a service.
+    /// Applies what the store holds of a service, unless it was written in an earlier era. Such a record may
+    /// come from the copy from which the store was restored, like the list of engines: both may lack the same
+    /// versions, and agree with each other.
     pub fn on_record(&mut self, record: Record, now: Moment, unix: UnixTime) {
+        if record.era < self.era {
+            return;
+        }
         let known = self.services.get_mut(&record.service);
         if let Some(known) = known.filter(|known| now < known.unknown_until) {
             known.apply(&record, now, unix);
@@ -90,12 +102,18 @@
 
     /// Notes what the store holds of a service since this instance wrote it.
     pub fn on_recorded(&mut self, record: Record) {
-        self.recorded.insert(record.service.clone(), record);
+        if record.era >= self.era {
+            self.recorded.insert(record.service.clone(), record);
+        }
     }
 
-    /// Notes that the store was restored from a copy, which may lack what it held.
-    pub fn store_rolled_back(&mut self) {
-        self.recorded.clear();
+    /// Applies the store's era, to be called before records that were read in it. In a new one the records of
+    /// earlier ones may be lost, and are to be written again.
+    pub fn on_store_era(&mut self, era: Era) {
+        if era > self.era {
+            self.era = era;
+            self.recorded.retain(|_, record| record.era >= era);
+        }
     }
 
     /// Records that the store lacks, or holds with other versions. None of services of which this instance
@@ -112,6 +130,7 @@
             service: service.clone(),
             versions: known.listed.clone(),
             changed: known.changed,
+            era: self.era,
         });
         records.collect()
     }
--- a/crates/serving/tests/stream_versions_replay.rs
+++ b/crates/serving/tests/stream_versions_replay.rs
@@ -10,7 +10,7 @@
 use common::{ms, service};
 use serving::backups::{Backups, COPY_INTERVAL, Scope};
 use serving::origin::{self, ASKED, Batch, HOLDERS, Key, Knowledge, Note, Origins, Software};
-use serving::version_history::{Record, VersionHistory, Versions};
+use serving::version_history::{Era, Record, VersionHistory, Versions};
 
 const STARTED: Duration = Duration::from_secs(1_800_000_000);
 const SIZES: [u8; 3] = [2, 6, 90];
@@ -47,6 +47,8 @@
     now: Moment,
     listed: Versions,
     recorded: Option<Record>,
+    /// The store's era.
+    era: Era,
     /// Version at which each stream began.
     begun: Vec<Software>,
 }
@@ -61,6 +63,7 @@
             now: ms(0),
             listed: Versions::new(),
             recorded: None,
+            era: 0,
             begun: Vec::new(),
         };
         fleet.list(&["v1"]);
@@ -184,6 +187,7 @@
         let (now, unix) = (self.now, STARTED + self.now);
         let mut instance = Instance::new(u8::try_from(number).expect("a small fleet"), false);
         instance.incarnation = self.instances[number].incarnation + 1;
+        instance.versions.on_store_era(self.era);
         instance.versions.on_instances_listed(false, now);
         if let Some(record) = self.recorded.clone() {
             instance.versions.on_record(record, now, unix);
@@ -192,6 +196,16 @@
         self.step(number);
     }
 
+    /// Ends all instances, restores the store from a copy with these engines and this record, and starts the
+    /// instances again.
+    fn restart_all_on_copy(&mut self, listed: Versions, recorded: Option<Record>) {
+        (0..self.instances.len()).for_each(|number| self.freeze(number));
+        self.listed = listed;
+        self.recorded = recorded;
+        self.era += 1;
+        self.restart_all();
+    }
+
     fn restart_all(&mut self) {
         let all = 0..self.instances.len();
         all.clone().for_each(|number| self.freeze(number));
@@ -255,7 +269,7 @@
 /// Guards against mixing and against refusing, each of which a mend of the other may bring back.
 #[test]
 fn streams_go_on_at_their_version_or_are_refused_where_what_was_known_is_lost() {
-    let cases: [Case; 15] = [
+    let cases: [Case; 17] = [
         ("one version", |_| (), GoesOn),
         (
             "a second version",
@@ -370,6 +384,28 @@
             },
             Refused,
         ),
+        (
+            "all started anew with a copy of the store from before the second version",
+            |fleet| {
+                let (listed, recorded) = (fleet.listed.clone(), fleet.recorded.clone());
+                fleet.list(&["v1", "v2"]);
+                fleet.begin(0, "v2");
+                fleet.restart_all_on_copy(listed, recorded);
+            },
+            Refused,
+        ),
+        (
+            "a copy of the store, recorded again by those that live",
+            |fleet| {
+                fleet.era += 1;
+                for instance in &mut fleet.instances {
+                    instance.versions.on_store_era(fleet.era);
+                }
+                fleet.run(1_000);
+                fleet.restart_all();
+            },
+            GoesOn,
+        ),
     ];
     for size in SIZES {
         for (name, play, expected) in &cases {
--- a/crates/serving/tests/version_history.rs
+++ b/crates/serving/tests/version_history.rs
@@ -9,11 +9,14 @@
 use clock::Moment;
 use common::{ms, service};
 use serving::origin::Software;
-use serving::version_history::{RETENTION, Record, VersionHistory, Versions};
+use serving::version_history::{Era, RETENTION, Record, VersionHistory, Versions};
 
 /// True time at which the instances of these tests start.
 const STARTED: Duration = Duration::from_secs(1_800_000_000);
 
+/// Era of the store at the start.
+const ERA: Era = 3;
+
 fn versions(names: &[&str]) -> Versions {
     names.iter().map(|name| Software::from(*name)).collect()
 }
@@ -23,6 +26,7 @@
         service: service(),
         versions: versions(names),
         changed,
+        era: ERA,
     }
 }
 
@@ -30,14 +34,28 @@
 struct Instance(VersionHistory);
 
 impl Instance {
+    /// The first one of all.
+    fn first() -> Self {
+        let mut history = VersionHistory::new(true);
+        history.on_store_era(ERA);
+        Self(history)
+    }
+
+    /// One that starts and has not read the list of instances.
+    fn start_unlisted() -> Self {
+        let mut history = VersionHistory::new(false);
+        history.on_store_era(ERA);
+        Self(history)
+    }
+
     /// One that starts while other instances are registered and the store holds `recorded`.
     fn start(recorded: Option<Record>) -> Self {
-        let mut history = VersionHistory::new(false);
-        history.on_instances_listed(false, ms(0));
+        let mut instance = Self::start_unlisted();
+        instance.0.on_instances_listed(false, ms(0));
         if let Some(record) = recorded {
-            history.on_record(record, ms(0), STARTED);
+            instance.0.on_record(record, ms(0), STARTED);
         }
-        Self(history)
+        instance
     }
 
     /// Lists engines of these versions. Returns whether streams that began before are to be announced.
@@ -76,6 +94,14 @@
         ("changed lately", Some(record(&["v1"], lately)), false),
         ("a clock ahead", Some(record(&["v1"], ahead)), false),
         ("nothing recorded", None, false),
+        (
+            "from a copy of the store",
+            Some(Record {
+                era: ERA - 1,
+                ..record(&["v1"], long_ago)
+            }),
+            false,
+        ),
     ];
     for (name, recorded, is_believed) in cases {
         let mut instance = Instance::start(recorded);
@@ -105,13 +131,13 @@
 
 #[test]
 fn nothing_began_before_the_first_instance_of_all() {
-    let mut first = Instance(VersionHistory::new(true));
+    let mut first = Instance::first();
     first.list(&["v1"], ms(100));
     assert_eq!(first.sole(ms(100)).as_deref(), Some("v1"));
     assert_eq!(first.unrecorded(ms(100)), [record(&["v1"], ms(0))]);
 
     // The list of instances may be read after the engines.
-    let mut alone = Instance(VersionHistory::new(false));
+    let mut alone = Instance::start_unlisted();
     alone.list(&["v1"], ms(100));
     assert_eq!(alone.sole(ms(100)), None);
     alone.0.on_instances_listed(true, ms(200));
@@ -143,7 +169,7 @@
 /// had ended before the second one came.
 #[test]
 fn versions_that_follow_each_other_without_overlap_count_as_several() {
-    let mut instance = Instance(VersionHistory::new(true));
+    let mut instance = Instance::first();
     instance.list(&["v1"], ms(0));
     instance.list(&[], ms(60_000));
     assert_eq!(instance.sole(ms(60_000)).as_deref(), Some("v1"));
@@ -156,7 +182,7 @@
 /// Guards against mixing after a rollback.
 #[test]
 fn a_version_that_comes_back_is_believed_once_streams_of_the_other_have_ended() {
-    let mut instance = Instance(VersionHistory::new(true));
+    let mut instance = Instance::first();
     instance.list(&["v1"], ms(0));
     assert!(instance.list(&["v1", "v2"], ms(40_000)));
     assert!(!instance.list(&["v1"], ms(45_000)));
@@ -191,8 +217,15 @@
     let unix = STARTED + ms(300);
     instance.0.on_record(changed.clone(), ms(300), unix);
     assert!(instance.unrecorded(ms(400)).is_empty());
-    instance.0.store_rolled_back();
-    assert_eq!(instance.unrecorded(ms(400)), [changed]);
+    instance.0.on_store_era(ERA + 1);
+    let again = Record {
+        era: ERA + 1,
+        ..changed
+    };
+    assert_eq!(instance.unrecorded(ms(400)), slice::from_ref(&again));
+    // A write from before arrives.
+    instance.0.on_recorded(record(&["v1", "v2"], again.changed));
+    assert_eq!(instance.unrecorded(ms(400)), [again]);
     // A placer says that there are several, and not which.
     let mut caching = Instance::start(None);
     assert!(caching.0.on_several(&service(), ms(0)));
--- a/crates/wire/examples/sizes.rs
+++ b/crates/wire/examples/sizes.rs
@@ -222,6 +222,7 @@
         service: SCOPE.into(),
         versions: vec!["v1.2.3".into(), "v1.2.4".into()],
         changed_unix_ms: 1_796_000_000_000,
+        era: 1,
     };
     print("record of versions", 1, versions.encoded_len());
 }
