--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -322,3 +322,19 @@
         }
     }
 }
+
+/// Guards against an engine's answer being lost because it says that its connection is kept for longer than
+/// clocks can say.
+#[actix_rt::test]
+async fn calls_are_answered_where_an_engine_keeps_its_connection_for_ever() {
+    let (gateway, app, _pool) = Gateway::start().await;
+    app.announce_keep_alive("timeout=18446744073709551615");
+    // The sum with the gateway's own clock overflows after two seconds.
+    for _ in 0..60 {
+        let id = gateway.fresh_id();
+        let answer = gateway.call("/once/a", &id, &[]).await;
+        assert_eq!(answer.text(), format!("answer to {id}"));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(app.request_count("/once/"), 60);
+}
