--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -409,10 +409,11 @@
     }
 }
 
-/// No request asks for another protocol, and no other interim response may have a body.
+/// What follows an interim response is the next head, unless it switches protocols, which no request asks
+/// for, or names a body, which it may not have.
 fn check_interim(head: &ResponseHead, codec: &ClientCodec) -> Result<(), Failure> {
     if head.status == StatusCode::SWITCHING_PROTOCOLS || codec.message_type() != MessageType::None {
-        return Err(Failure::Broken("the answer switches to another protocol"));
+        return Err(Failure::Broken("no head follows the interim answer"));
     }
     Ok(())
 }
