Count a read of the store from its request

An instance that was stopped for a moment, or had no processor, answered a key that had just been issued with 401 for up to 1.6 s after it woke, and passed for one that had just read the engines.

Cause: a read counted from the moment at which its answer was processed. An answer that lay in the socket while the process was stopped seemed to be new, though it shows the store from before.

A read now counts from its request, or, if the store had no record for as long as it was asked to wait, from the end of that wait: what it shows was true then at the earliest.

The test fails before (401 in place of 503, one second after an instance stopped for 1.4 s woke) and passes now. The store's silence is measured by the same moments.

--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -113,9 +113,10 @@
             sleep_until(self.due).await;
             self.wait_until_due().await;
             self.due = Instant::now() + self.interval;
+            let asked = self.instance.now();
             match self.read_once().await {
                 Ok(read) => {
-                    self.on_success();
+                    self.on_success(self.as_of(asked, &read));
                     return read;
                 }
                 Err(StoreError::OffsetOutOfRange(first)) => {
@@ -198,10 +199,19 @@
         Ok(Read::Batch(batch.records))
     }
 
-    fn on_success(&mut self) {
-        let now = self.instance.now();
-        let before = self.instance.last_read(self.topic).replace(Some(now));
-        if watch::is_resumption(before, now) {
+    /// The moment up to which a read shows all records. The answer may have waited in the socket, if this
+    /// process was stopped or had no processor, so it counts from the request.
+    fn as_of(&self, asked: Moment, read: &Read) -> Moment {
+        match read {
+            // The store had no record for as long as it was asked to wait for one.
+            Read::Batch(records) if records.is_empty() => asked + self.max_wait,
+            _ => asked,
+        }
+    }
+
+    fn on_success(&mut self, as_of: Moment) {
+        let before = self.instance.last_read(self.topic).replace(Some(as_of));
+        if watch::is_resumption(before, as_of) {
             self.instance.greeting_due.set(true);
             self.instance.frame_due.notify_one();
         }
@@ -360,7 +370,9 @@
     loop {
         let read = reader.read().await;
         let mut registry = instance.registry.borrow_mut();
-        engine_records::on_store_answered(&mut registry, reader.next, instance.now(), "store");
+        if let Some(as_of) = instance.last_read(topic).get() {
+            engine_records::on_store_answered(&mut registry, reader.next, as_of, "store");
+        }
         instance.engines_end.set(reader.next.unwrap_or_default());
         match read {
             Read::Snapshot(records) => {
--- a/crates/gateway/tests/organisations.rs
+++ b/crates/gateway/tests/organisations.rs
@@ -2,11 +2,13 @@
 
 mod harness;
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use harness::{Gateway, configuration, generation, send_call, wait_until};
-use platform_standin::Engine;
 use platform_standin::engine::{Behaviour, ReceivedRequest};
+use platform_standin::store::Fault;
+use platform_standin::{Engine, Store};
 use serde_json::{Value, json};
 
 const KEY: &str = "key-of-a-7f3c";
@@ -28,7 +30,10 @@
 }
 
 async fn start() -> (Gateway, Engine, Engine) {
-    let gateway = Gateway::start_unconfigured().await;
+    add_engines(Gateway::start_unconfigured().await).await
+}
+
+async fn add_engines(gateway: Gateway) -> (Gateway, Engine, Engine) {
     configure(&gateway, 1, &json!([{ "name": "a", "api_keys": [KEY] }]));
     let app = Engine::start("app-1").await;
     let pool = Engine::start("pool-1").await;
@@ -195,3 +200,25 @@
     assert!(page.contains(r#"tarragon_organisations_over_share{service="app"}"#));
     wait_until(async || gateway.count_log_lines("shares service=app level=") > 0).await;
 }
+
+/// Guards against refusing a new key for good at an instance that was stopped, because the store's answer from
+/// before waited in its socket and seems to be new.
+#[actix_rt::test]
+async fn an_answer_that_waited_while_the_instance_was_stopped_is_not_taken_for_new() {
+    let store = Rc::new(Store::start().await);
+    let link = store.open_link().await;
+    let gateway = Gateway::start_unconfigured_at(store, link.address);
+    let (gateway, _app, _pool) = add_engines(gateway).await;
+    wait_until(async || status(&gateway, "/once/a", Some("unknown")).await == 401).await;
+    gateway.signal("-STOP");
+    // The read in flight is answered.
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    link.fault(Fault::Silent);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    gateway.signal("-CONT");
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    for _ in 0..10 {
+        assert_eq!(status(&gateway, "/once/a", Some("unknown")).await, 503);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
