Log how much an instance knows that takes a stream up

A stream that went on at another software version left one line with the version and its basis. It did not tell whether the instance had been answered by others, nor how old its list of engines was, so an instance that was out of step could not be told from notes that went to instances that are gone.

The line has the number of instances that were asked and that answered, and the ages of the last reads of the engines, its own and announced ones. No decision changes.

--- a/crates/gateway/src/generate/resume.rs
+++ b/crates/gateway/src/generate/resume.rs
@@ -11,12 +11,16 @@
     pub(super) async fn bind_resumed(&mut self) -> bool {
         let (instance, call) = (self.instance, &self.request.call);
         let service = &self.request.service.name;
-        let resolved = instance.resolve_stream(self.stream_key(), service).await;
-        let (origin, basis) = describe(&resolved);
-        self.software = resolved.ok().map(|(software, _)| software);
+        let resolution = instance.resolve_stream(self.stream_key(), service).await;
+        let (origin, basis) = describe(&resolution.origin);
+        self.software = resolution.origin.ok().map(|(software, _)| software);
+        let [read, announced] = instance.engines_ages();
         log::info!(
             id = call.id.as_str(), resumes = call.resumes.as_deref().unwrap_or_default(),
-            after = call.resume_after, software = self.software.as_deref().unwrap_or("unknown"), basis = basis;
+            after = call.resume_after, software = self.software.as_deref().unwrap_or("unknown"), basis = basis,
+            asked = resolution.asked, answered = resolution.answered,
+            read_age_ms:? = read.map(|age| age.as_millis()),
+            announced_age_ms:? = announced.map(|age| age.as_millis());
             "resumed by its caller"
         );
         instance.metrics.stream_resumed(origin);
--- a/crates/gateway/src/instance/streams.rs
+++ b/crates/gateway/src/instance/streams.rs
@@ -12,6 +12,14 @@
 use crate::origins::{self, Outgoing};
 use crate::peers::Topic;
 
+/// What is known of the origin of a stream that a caller takes up.
+pub(crate) struct Resolution {
+    pub(crate) origin: Result<(Software, Evidence), Unresolved>,
+    /// Other instances that were asked for it, and those that answered.
+    pub(crate) asked: usize,
+    pub(crate) answered: usize,
+}
+
 impl Instance {
     /// Records that an engine of this software version begins a stream, or goes on with it, before its first
     /// event is written.
@@ -31,14 +39,14 @@
     }
 
     /// The software version that may go on with a stream, from what this instance and others know.
-    pub(crate) async fn resolve_stream(
-        &self,
-        key: Key,
-        service: &ServiceName,
-    ) -> Result<(Software, Evidence), Unresolved> {
+    pub(crate) async fn resolve_stream(&self, key: Key, service: &ServiceName) -> Resolution {
         let own = self.stream_knowledge(key, service);
         if let Some(software) = own.software {
-            return Ok((software, Evidence::Note));
+            return Resolution {
+                origin: Ok((software, Evidence::Note)),
+                asked: 0,
+                answered: 0,
+            };
         }
         let mut members = self.peers.borrow().addresses();
         members.push(self.address);
@@ -57,7 +65,20 @@
             self.pending_placements.send(&frame, to);
         };
         let known = self.origins.ask(key, service, &others, send).await;
-        origin::resolve(&own, &known, self.is_current(Topic::Engines))
+        Resolution {
+            origin: origin::resolve(&own, &known, self.is_current(Topic::Engines)),
+            asked: others.len(),
+            answered: known.len(),
+        }
+    }
+
+    /// Time since the engines were read from the store, by this instance and by those that announce it.
+    pub(crate) fn engines_ages(&self) -> [Option<Duration>; 2] {
+        let now = self.now();
+        let peers = self.peers.borrow();
+        let readers = peers.reader_states(Topic::Engines);
+        let announced = readers.filter_map(|reader| reader.read_at).max();
+        [self.engines_read.get(), announced].map(|read| Some(now.saturating_sub(read?)))
     }
 
     /// Answers another instance's question for a stream.
