Believe that a service has one version only if all holders answered or after a read

Cause: an instance to whom nobody answers believed its own list of engines if somebody had read the store within 1.6 s; and if anybody answered, it believed lists of any age. After a stop, frames that had waited in its socket count from when they are handled, so the store seemed to have been read 64 ms ago. With many addresses gone, nobody answers as a rule. Class: what is received is dated by when it is handled, and the lack of an answer is taken for an answer.

A service's only version now goes on with a stream that nobody remembers if all four instances that may hold its note have answered, or if the engines were read from the store after the stream was taken up. Whoever began the stream had found its engine in the store before, so such a read shows it. The instance reads itself, or has two placers read if it does not keep all engines; streams within 50 ms share a read.

`a_stream_is_not_resumed_by_a_list_from_before_a_cut` fails before: streams of v2 go on at v1, 200. The replay has the new cases beside those that have to go on. One check of the unit tests was wrong and is replaced by a stricter one: it asked that a list of any age be believed if one instance answers.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -134,7 +134,7 @@
     let settled = Instant::now() + SETTLE_INTERVAL;
     let mut due = settled;
     loop {
-        let wait = timeout_at(due, instance.instances_due.notified());
+        let wait = timeout_at(due, instance.instances_confirmation.requested());
         tokio::select! {
             () = instance.store_went_back.notified() => return,
             _ = wait => {}
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -25,6 +25,7 @@
 
 use crate::bootstrap::Snapshot;
 use crate::claim_log::ClaimLog;
+use crate::confirmation::Confirmation;
 use crate::crash_detection::CrashDetection;
 use crate::engine_cache::EngineCache;
 use crate::engine_links::EngineLinks;
@@ -118,8 +119,10 @@
     pub era: Cell<Option<Era>>,
     /// Notified when the store was restored from an older copy.
     pub store_went_back: Notify,
-    /// Notified when the list of instances should be read again.
-    pub instances_due: Notify,
+    /// Reads of the list of instances.
+    pub instances_confirmation: Confirmation,
+    /// Reads of all engines.
+    pub engines_confirmation: Confirmation,
     /// Registrations of instances by others.
     pub registrar: Registrar,
 }
@@ -185,7 +188,8 @@
             departure_due: Notify::new(),
             era: Cell::new(None),
             store_went_back: Notify::new(),
-            instances_due: Notify::new(),
+            instances_confirmation: Confirmation::default(),
+            engines_confirmation: Confirmation::default(),
             registrar: Registrar::default(),
             settings: RefCell::new(settings),
         }
@@ -271,7 +275,7 @@
         }
         if after.includes_self && !before.includes_self {
             // A placer tells all others that it places, so it must know them.
-            self.instances_due.notify_one();
+            self.instances_confirmation.request();
         }
         before.includes_self != after.includes_self
     }
--- a/crates/gateway/src/instance/streams.rs
+++ b/crates/gateway/src/instance/streams.rs
@@ -3,15 +3,19 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use clock::Moment;
 use serving::origin::{self, Evidence, Key, Knowledge, Software, Unresolved};
 use serving::version_history::Record;
 use serving::{ServiceName, watch};
 use wire::gateway::{Frame, OriginRequest, OriginResponse, StreamBatch};
 
 use super::Instance;
-use crate::origins::{self, Outgoing};
+use crate::origins::{self, CONFIRMATION_TIMEOUT, Outgoing, Question};
 use crate::peers::Topic;
 
+/// Most placers that are asked at once to read the engines for an instance that does not know all.
+const MAX_CONFIRMING: usize = 2;
+
 /// What is known of the origin of a stream that a caller takes up.
 pub(crate) struct Resolution {
     pub(crate) origin: Result<(Software, Evidence), Unresolved>,
@@ -40,7 +44,8 @@
 
     /// The software version that may go on with a stream, from what this instance and others know.
     pub(crate) async fn resolve_stream(&self, key: Key, service: &ServiceName) -> Resolution {
-        let own = self.stream_knowledge(key, service);
+        let taken_up = self.now();
+        let own = self.stream_knowledge(key, service, taken_up);
         if let Some(software) = own.software {
             return Resolution {
                 origin: Ok((software, Evidence::Note)),
@@ -50,13 +55,61 @@
         }
         let mut members = self.peers.borrow().addresses();
         members.push(self.address);
-        let mut others = origin::holders(key, members.into_iter(), origin::ASKED);
+        let drawn = origin::holders(key, members.into_iter(), origin::ASKED);
+        let mut others = drawn.clone();
         if self.is_caching.get() {
             // A placer knows all engines.
             let placers = self.placers.borrow();
             others.extend(placers.others.first().map(|(address, _)| *address));
         }
         others.retain(|other| *other != self.address);
+        let answers = self.ask(key, service, &others, false).await;
+        let has_answered = |member: SocketAddr| {
+            member == self.address || answers.iter().any(|(from, _)| *from == member)
+        };
+        let is_complete = origin::is_complete(&drawn, has_answered);
+        let (asked, answered) = (others.len(), answers.len());
+        let mut known: Vec<Knowledge> = answers.into_iter().map(|(_, known)| known).collect();
+        let mut origin = origin::resolve(&own, &known, is_complete);
+        if matches!(origin, Err(Unresolved::Unknown)) {
+            known.extend(self.confirm(key, service, taken_up).await);
+            let own = self.stream_knowledge(key, service, taken_up);
+            origin = origin::resolve(&own, &known, is_complete);
+        }
+        Resolution {
+            origin,
+            asked,
+            answered,
+        }
+    }
+
+    /// Has the engines read from the store, by placers if this instance does not keep all of them. Returns what
+    /// the placers know then.
+    async fn confirm(&self, key: Key, service: &ServiceName, since: Moment) -> Vec<Knowledge> {
+        if !self.is_caching.get() {
+            self.confirm_versions(since).await;
+            return Vec::new();
+        }
+        let placers = self.placers.borrow().others.clone();
+        let placers = placers.iter().map(|(address, _)| *address);
+        let placers: Vec<SocketAddr> = placers.take(MAX_CONFIRMING).collect();
+        let answers = self.ask(key, service, &placers, true).await;
+        answers.into_iter().map(|(_, known)| known).collect()
+    }
+
+    /// Asks other instances for a stream.
+    async fn ask(
+        &self,
+        key: Key,
+        service: &ServiceName,
+        others: &[SocketAddr],
+        must_confirm: bool,
+    ) -> Vec<(SocketAddr, Knowledge)> {
+        let question = Question {
+            key,
+            service,
+            must_confirm,
+        };
         let send = |request: OriginRequest, to: SocketAddr| {
             let frame = Frame {
                 origin_request: Some(request),
@@ -64,12 +117,7 @@
             };
             self.pending_placements.send(&frame, to);
         };
-        let known = self.origins.ask(key, service, &others, send).await;
-        Resolution {
-            origin: origin::resolve(&own, &known, self.is_current(Topic::Engines)),
-            asked: others.len(),
-            answered: known.len(),
-        }
+        self.origins.ask(question, others, send).await
     }
 
     /// Time since the engines were read from the store, by this instance and by those that announce it.
@@ -78,21 +126,31 @@
         let peers = self.peers.borrow();
         let readers = peers.reader_states(Topic::Engines);
         let announced = readers.filter_map(|reader| reader.read_at).max();
-        [self.engines_read.get(), announced].map(|read| Some(now.saturating_sub(read?)))
+        [self.engines_confirmation.as_of(), announced].map(|read| Some(now.saturating_sub(read?)))
     }
 
-    /// Answers another instance's question for a stream.
-    pub(crate) fn answer_origin(&self, request: &OriginRequest) -> OriginResponse {
+    /// Answers another instance's question for a stream that arrived at `since`.
+    pub(crate) fn answer_origin(&self, request: &OriginRequest, since: Moment) -> OriginResponse {
         let service = ServiceName::from(request.service.as_str());
-        let known = self.stream_knowledge(request.stream, &service);
+        let known = self.stream_knowledge(request.stream, &service, since);
         origins::encode(request.ticket, &known)
     }
 
+    /// Reads the engines from the store, so that what this instance knows of their versions is as new as
+    /// `since`.
+    pub(crate) async fn confirm_versions(&self, since: Moment) {
+        if self.is_caching.get() {
+            return;
+        }
+        let engines = &self.engines_confirmation;
+        engines.wait_until(since, CONFIRMATION_TIMEOUT).await;
+    }
+
     /// Notes which software versions the engines of services have, and tells the holders of streams that
     /// began before.
     pub(crate) fn observe_versions(&self) {
-        let others = || self.peers.borrow().addresses();
-        let (fleet, now) = (self.fleet.borrow(), self.now());
+        let (others, now) = (|| self.peers.borrow().addresses(), self.now());
+        let fleet = self.fleet.borrow();
         let notes = self.origins.observe(&fleet, others, now, self.unix());
         self.send_all(notes);
     }
@@ -118,10 +176,12 @@
         }
     }
 
-    fn stream_knowledge(&self, key: Key, service: &ServiceName) -> Knowledge {
+    fn stream_knowledge(&self, key: Key, service: &ServiceName, since: Moment) -> Knowledge {
         self.observe_versions();
         let knows_all = self.engines_known.get();
-        self.origins.knowledge(key, service, knows_all, self.now())
+        let is_confirmed = self.engines_confirmation.covers(since);
+        self.origins
+            .knowledge(key, service, knows_all, is_confirmed, self.now())
     }
 
     /// Copies streams that this instance began to its backups, if that is due.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod command;
 mod compression;
 mod conclusion;
+mod confirmation;
 mod connection;
 mod crash_detection;
 mod daemon;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -15,7 +15,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use wire::Message as _;
-use wire::gateway::{Frame, State};
+use wire::gateway::{Frame, OriginRequest, State};
 
 use crate::frame::{add_changes, encode_age, encode_changing, encode_started, encode_work};
 use crate::instance::Instance;
@@ -101,11 +101,7 @@
                         broadcast(&socket, &answer, &[from]);
                     }
                     if let Some(request) = &frame.origin_request {
-                        let answer = Frame {
-                            origin_response: Some(instance.answer_origin(request)),
-                            ..instance.frame()
-                        };
-                        broadcast(&socket, &answer, &[from]);
+                        answer_origin(&instance, &socket, from, request);
                     }
                     let state = frame.state.as_ref();
                     if let Some(state) = state {
@@ -128,6 +124,32 @@
     }
 }
 
+/// Answers a question for a stream, after a read of the engines if it asks for that.
+fn answer_origin(
+    instance: &Rc<Instance>,
+    socket: &Rc<UdpSocket>,
+    from: SocketAddr,
+    request: &OriginRequest,
+) {
+    let since = instance.now();
+    let answer = move |instance: &Instance, socket: &UdpSocket, request: &OriginRequest| {
+        let answer = Frame {
+            origin_response: Some(instance.answer_origin(request, since)),
+            ..instance.frame()
+        };
+        broadcast(socket, &answer, &[from]);
+    };
+    if !request.confirm {
+        answer(instance, socket, request);
+        return;
+    }
+    let (instance, socket, request) = (instance.clone(), socket.clone(), request.clone());
+    actix_rt::spawn(async move {
+        instance.confirm_versions(since).await;
+        answer(&instance, &socket, &request);
+    });
+}
+
 async fn send_loop(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
     let mut next_send = Instant::now();
     let mut state_due = Instant::now();
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -20,6 +20,8 @@
 
 /// Time for the answers of other instances. It is taken from the caller's time.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(25);
+/// Time for a read of the engines that confirms which versions a service has.
+pub(crate) const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(400);
 /// Most streams in one frame of notes.
 const MAX_STREAMS_PER_FRAME: usize = 64;
 /// Most streams in one frame of copies, which name their version once.
@@ -36,7 +38,7 @@
 }
 
 /// Questions that await answers, by ticket.
-type Waiting = HashMap<u32, UnboundedSender<OriginResponse>>;
+type Waiting = HashMap<u32, UnboundedSender<(SocketAddr, OriginResponse)>>;
 
 /// Removes a question when dropped: its caller may disconnect meanwhile.
 struct WaitingGuard<'a> {
@@ -48,7 +50,7 @@
     fn new(
         waiting: &'a RefCell<Waiting>,
         ticket: u32,
-        sender: UnboundedSender<OriginResponse>,
+        sender: UnboundedSender<(SocketAddr, OriginResponse)>,
     ) -> Self {
         waiting.borrow_mut().insert(ticket, sender);
         Self { waiting, ticket }
@@ -61,6 +63,15 @@
     }
 }
 
+/// What other instances are asked for.
+#[derive(Clone, Copy)]
+pub(crate) struct Question<'a> {
+    pub(crate) key: Key,
+    pub(crate) service: &'a ServiceName,
+    /// Whether they are to read the engines from the store before they answer.
+    pub(crate) must_confirm: bool,
+}
+
 /// Frames to send, each to one instance.
 pub(crate) type Outgoing = Vec<(SocketAddr, Frame)>;
 
@@ -208,12 +219,14 @@
         self.versions.borrow().has_several(service, now)
     }
 
-    /// What this instance knows of a stream. `knows_all` tells whether it knows all engines.
+    /// What this instance knows of a stream. `knows_all` tells whether it knows all engines, `is_confirmed`
+    /// whether it has read them since the stream was taken up.
     pub(crate) fn knowledge(
         &self,
         key: Key,
         service: &ServiceName,
         knows_all: bool,
+        is_confirmed: bool,
         now: Moment,
     ) -> Knowledge {
         let versions = self.versions.borrow();
@@ -222,17 +235,18 @@
             software: self.streams.borrow().find(key, now),
             is_mixed: versions.has_several(service, now),
             sole: sole.cloned(),
+            is_confirmed,
         }
     }
 
-    /// Asks other instances for a stream. Returns once one knows it, all have answered, or the time is over.
+    /// Asks other instances for a stream. Returns their answers once one knows it, all have answered, or the
+    /// time is over.
     pub(crate) async fn ask(
         &self,
-        key: Key,
-        service: &ServiceName,
+        question: Question<'_>,
         others: &[SocketAddr],
         send: impl Fn(OriginRequest, SocketAddr),
-    ) -> Vec<Knowledge> {
+    ) -> Vec<(SocketAddr, Knowledge)> {
         let ticket = self.last_ticket.get().wrapping_add(1);
         self.last_ticket.set(ticket);
         let (sender, mut receiver) = unbounded_channel();
@@ -240,24 +254,30 @@
         for other in others {
             let request = OriginRequest {
                 ticket,
-                stream: key,
-                service: service.to_string(),
+                stream: question.key,
+                service: question.service.to_string(),
+                confirm: question.must_confirm,
             };
             send(request, *other);
         }
         let mut known = Vec::new();
         let answers = async {
             while known.len() < others.len() {
-                let Some(response) = receiver.recv().await else {
+                let Some((from, response)) = receiver.recv().await else {
                     return;
                 };
-                known.push(decode(response));
-                if known.last().is_some_and(|known| known.software.is_some()) {
+                let is_known = response.software.is_some();
+                known.push((from, decode(response)));
+                if is_known {
                     return;
                 }
             }
         };
-        let is_silent = timeout(RESPONSE_TIMEOUT, answers).await.is_err();
+        let time = match question.must_confirm {
+            true => CONFIRMATION_TIMEOUT + RESPONSE_TIMEOUT,
+            false => RESPONSE_TIMEOUT,
+        };
+        let is_silent = timeout(time, answers).await.is_err();
         if is_silent {
             log::info!(asked = others.len(), answered = known.len(); "instances do not say where a stream began");
         }
@@ -278,10 +298,10 @@
     }
 
     /// Handles the answer to a question.
-    pub(crate) fn on_response(&self, response: OriginResponse) {
+    pub(crate) fn on_response(&self, from: SocketAddr, response: OriginResponse) {
         let waiting = self.waiting.borrow();
         let sender = waiting.get(&response.ticket);
-        if sender.is_none_or(|sender| sender.send(response).is_err()) {
+        if sender.is_none_or(|sender| sender.send((from, response)).is_err()) {
             log::debug!("the origin of a stream came too late");
         }
     }
@@ -294,6 +314,7 @@
         software: known.software.as_deref().map(str::to_owned),
         mixed: known.is_mixed,
         sole: known.sole.as_deref().map(str::to_owned),
+        confirmed: known.is_confirmed,
     }
 }
 
@@ -302,6 +323,7 @@
         software: response.software.map(Software::from),
         is_mixed: response.mixed,
         sole: response.sole.map(Software::from),
+        is_confirmed: response.confirmed,
     }
 }
 
--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -37,7 +37,7 @@
         instance.origins.on_copy_received(from, peer);
     }
     if let Some(response) = frame.origin_response.clone() {
-        instance.origins.on_response(response);
+        instance.origins.on_response(from, response);
     }
     if let Some(request) = &frame.register {
         registrar::on_request(instance, from, request);
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -24,6 +24,8 @@
 /// read that waited for the next record would return at once. A leaving engine may get work for two
 /// seconds, of which this takes a part.
 const ENGINES_READ_INTERVAL: Duration = Duration::from_millis(400);
+/// Least interval between a read and one that is requested. Streams that are taken up together share a read.
+const MIN_READ_INTERVAL: Duration = Duration::from_millis(50);
 /// Pause after a failed call; doubles up to [`MAX_RETRY_INTERVAL`] while calls fail.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Longest pause after failed calls.
@@ -65,6 +67,10 @@
     interval: Duration,
     next: Option<Offset>,
     due: Instant,
+    /// When a read that is requested may begin.
+    earliest: Instant,
+    /// Moment up to which the last read showed all records, unless a later one failed.
+    last_success: Option<Moment>,
     /// When the reader started.
     started: Instant,
     /// Random number from 0 to 1, by which this reader's times differ from those of other instances.
@@ -93,6 +99,8 @@
             interval,
             next: None,
             due: Instant::now(),
+            earliest: Instant::now(),
+            last_success: None,
             started: Instant::now(),
             spread: rand::random(),
             failures: 0,
@@ -110,13 +118,19 @@
     /// Returns the next records; retries until a read succeeds.
     async fn read(&mut self) -> Read {
         loop {
-            sleep_until(self.due).await;
-            self.wait_until_due().await;
+            let is_requested = self.wait().await;
             self.due = Instant::now() + self.interval;
+            self.earliest = Instant::now() + MIN_READ_INTERVAL;
             let asked = self.instance.now();
+            if self
+                .last_success
+                .is_none_or(|last| asked.saturating_sub(last) > MAX_BACKLOG)
+            {
+                self.next = None;
+            }
             match self.read_once().await {
                 Ok(read) => {
-                    self.on_success(self.as_of(asked, &read));
+                    self.on_success(self.as_of(asked, &read), is_requested);
                     return read;
                 }
                 Err(StoreError::OffsetOutOfRange(first)) => {
@@ -128,7 +142,22 @@
         }
     }
 
+    /// Waits until a read is due or requested. Returns whether it is only requested.
+    async fn wait(&mut self) -> bool {
+        let (instance, topic, earliest) = (self.instance.clone(), self.topic, self.earliest);
+        let requested = async {
+            instance.engines_confirmation.requested().await;
+            sleep_until(earliest).await;
+        };
+        tokio::select! {
+            biased;
+            () = self.wait_until_due() => false,
+            () = requested, if topic == Topic::Engines => true,
+        }
+    }
+
     async fn wait_until_due(&mut self) {
+        sleep_until(self.due).await;
         // An instance that does not know the others yet would take itself for the first.
         let timeout = DISCOVERY_TIMEOUT + DISCOVERY_SPREAD.mul_f64(self.spread);
         while !self.instance.peers_discovered.get() && self.started.elapsed() < timeout {
@@ -143,11 +172,6 @@
             })
             .await;
         }
-        let now = self.instance.now();
-        let last = self.instance.last_read(self.topic).get();
-        if last.is_none_or(|last| now.saturating_sub(last) > MAX_BACKLOG) {
-            self.next = None;
-        }
     }
 
     fn must_read(&self) -> bool {
@@ -209,8 +233,16 @@
         }
     }
 
-    fn on_success(&mut self, as_of: Moment) {
-        let before = self.instance.last_read(self.topic).replace(Some(as_of));
+    fn on_success(&mut self, as_of: Moment, is_requested: bool) {
+        self.last_success = Some(as_of);
+        if self.topic == Topic::Engines {
+            self.instance.engines_confirmation.on_read(as_of);
+        }
+        // One read does not make this instance one on which others rely.
+        let before = match is_requested {
+            true => return,
+            false => self.instance.last_read(self.topic).replace(Some(as_of)),
+        };
         if watch::is_resumption(before, as_of) {
             self.instance.greeting_due.set(true);
             self.instance.frame_due.notify_one();
@@ -224,6 +256,7 @@
         self.instance.metrics.store_read_failed();
         // Other instances must not rely on this one while it cannot read.
         self.instance.last_read(self.topic).set(None);
+        self.last_success = None;
         if self.failures == 0 {
             log::warn!(topic = self.name(), trouble:% = trouble; "the store does not answer");
         }
@@ -232,6 +265,7 @@
         // Readers that failed together must not come back together.
         let spread = 0.6 + 0.4 * rand::random::<f64>();
         self.due = Instant::now() + pause.min(MAX_RETRY_INTERVAL).mul_f64(spread);
+        self.earliest = self.due;
     }
 }
 
@@ -370,7 +404,7 @@
     loop {
         let read = reader.read().await;
         let mut registry = instance.registry.borrow_mut();
-        if let Some(as_of) = instance.last_read(topic).get() {
+        if let Some(as_of) = reader.last_success {
             engine_records::on_store_answered(&mut registry, reader.next, as_of, "store");
         }
         instance.engines_end.set(reader.next.unwrap_or_default());
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -2,14 +2,15 @@
 
 mod harness;
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::future::join_all;
 use harness::{FAST_LINK_MBPS, Gateway, wait_until};
 use platform_standin::configuration::HOST;
 use platform_standin::engine::{Behaviour, EarlyEnd};
-use platform_standin::store::Fault;
-use platform_standin::{Ending, Engine, request};
+use platform_standin::store::{Fault, Link};
+use platform_standin::{Ending, Engine, Store, request};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
@@ -385,3 +386,62 @@
     assert!(second.count_log_lines_with("resumed by its caller", "basis=engines not known") > 0);
     first.signal("-CONT");
 }
+
+/// Two gateways that know nothing of each other, and the same engine of the first version. Streams begin at the
+/// second version at the first one, which then ends.
+struct OutOfStep {
+    gateway: Gateway,
+    link: Link,
+    engines: [Engine; 3],
+    /// Streams of the second version, with their ids.
+    begun: Vec<(String, Received)>,
+}
+
+impl OutOfStep {
+    async fn start() -> Self {
+        let (first, app, pool) = Gateway::start().await;
+        pool.set_stream(4, EVENT_PAUSE);
+        let store = Rc::new(Store::start().await);
+        let link = store.open_link().await;
+        app.register(&store, "app", "ready", None);
+        pool.register(&store, "pool", "ready", Some("decode"));
+        let gateway = Gateway::start_unconfigured_at(store, link.address);
+        gateway.configure(1, "app");
+        gateway.wait_until_ready(true).await;
+        let new = add_engine(&first, "pool-2", "v2").await;
+        wait_until_mixed(&first, "w").await;
+        let begun = round(&first, "s", 2).await;
+        first.signal("-KILL");
+        let begun = begun.into_iter();
+        let begun = begun.filter(|(_, received)| received.versions[0] == "v2");
+        Self {
+            gateway,
+            link,
+            engines: [app, pool, new],
+            begun: begun.collect(),
+        }
+    }
+
+    /// Resumes all streams, which have to be refused.
+    async fn assert_refused(&self) {
+        assert!(!self.begun.is_empty());
+        let resumed = self.begun.iter().map(async |(id, _)| {
+            let again = format!("r{id}");
+            let received = resume(&self.gateway, &again, id).await;
+            assert_eq!(received.status, 503, "{received:?}");
+            assert_eq!(self.engines[1].run_count(&again), 0);
+        });
+        join_all(resumed).await;
+    }
+}
+
+/// Guards against mixing at an instance that read the engines shortly before it was cut off from the store and
+/// from all others, and against refusing streams of the only version there is.
+#[actix_rt::test]
+async fn a_stream_is_not_resumed_by_a_list_from_before_a_cut() {
+    let fleet = OutOfStep::start().await;
+    let received = resume(&fleet.gateway, "u1", "lost-1").await;
+    assert!(received.is_complete, "{received:?}");
+    fleet.link.fault(Fault::Silent);
+    fleet.assert_refused().await;
+}
--- a/crates/serving/src/origin.rs
+++ b/crates/serving/src/origin.rs
@@ -140,6 +140,8 @@
     /// The version at which all streams of the service began, if the instance knows all engines and what
     /// they were before.
     pub sole: Option<Software>,
+    /// Whether `sole` comes from a read of the store that began after the stream was taken up.
+    pub is_confirmed: bool,
 }
 
 /// Why a version may go on with a stream.
@@ -158,13 +160,27 @@
     Conflicting,
     /// The service has several versions, or had until lately, and no instance remembers the stream.
     SeveralVersions,
-    /// No instance that answered knows which versions the service has and had.
+    /// No instance that answered knows which versions the service has and had, or what they know may be
+    /// older than the stream.
     Unknown,
 }
 
+/// Whether all instances that may hold the note of a stream have answered, of those `drawn` for it by
+/// [`holders`]. The one that began it is not among its own holders, so that one more may be.
+pub fn is_complete(drawn: &[SocketAddr], has_answered: impl Fn(SocketAddr) -> bool) -> bool {
+    drawn.len() > 1
+        && drawn
+            .iter()
+            .take(HOLDERS + 1)
+            .all(|member| has_answered(*member))
+}
+
 /// The version that may go on with a stream, from what this instance knows and the others that answered.
-/// `is_current` tells whether its list of engines is as new as the store's: while nobody answers, it may have
-/// been cut off since an older one, and other versions may have come.
+///
+/// That a service has one version only is true of the moment at which the engines were read. An instance that
+/// was stopped or cut off does not know how long ago that was, and neither do others that were cut off with
+/// it. So it counts only if every instance that may hold a note of the stream has answered that it has none
+/// (`is_complete`), or if the engines were read after the stream was taken up.
 ///
 /// # Errors
 ///
@@ -172,7 +188,7 @@
 pub fn resolve(
     own: &Knowledge,
     others: &[Knowledge],
-    is_current: bool,
+    is_complete: bool,
 ) -> Result<(Software, Evidence), Unresolved> {
     let known = || others.iter().chain([own]);
     if let Some(software) = agreed(known().filter_map(|known| known.software.as_ref()))? {
@@ -182,10 +198,9 @@
     if known().any(|known| known.is_mixed) {
         return Err(Unresolved::SeveralVersions);
     }
-    if others.is_empty() && !is_current {
-        return Err(Unresolved::Unknown);
-    }
     let software = agreed(known().filter_map(|known| known.sole.as_ref()))?;
+    let is_confirmed = known().any(|known| known.sole.is_some() && known.is_confirmed);
+    let software = software.filter(|_| is_complete || is_confirmed);
     let software = software.ok_or(Unresolved::Unknown)?;
     Ok((software, Evidence::OnlyVersion))
 }
--- a/crates/serving/tests/origin.rs
+++ b/crates/serving/tests/origin.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::slice;
 
 use common::{fleet, id, ms, record, service};
 use serving::origin::{self, ASKED, Evidence, HOLDERS, Knowledge, Origins, Software, Unresolved};
@@ -138,6 +139,7 @@
         software: Some(version(name)),
         is_mixed: true,
         sole: None,
+        is_confirmed: false,
     };
     let sole = |name| Knowledge {
         sole: Some(version(name)),
@@ -179,22 +181,32 @@
     assert_eq!(resolve(&[unknown]), Err(Unresolved::Unknown));
 }
 
-/// Guards against mixing at an instance that has been cut off since before the second version came, and
-/// against refusing all while the store is away.
+/// Guards against mixing at instances that have been stopped or cut off since before the second version came,
+/// alone or together, and against refusing all while the store is away.
 #[test]
-fn an_old_list_is_believed_only_if_another_instance_answers() {
-    let sole = Knowledge {
+fn an_old_list_is_believed_only_if_all_that_may_hold_a_note_answer() {
+    let sole = |is_confirmed| Knowledge {
         sole: Some(version("v1")),
+        is_confirmed,
         ..Knowledge::default()
     };
-    let silent = Knowledge::default();
-    let is_resolved = |others: &[Knowledge], is_current| {
-        let resolved = origin::resolve(&sole, others, is_current);
+    let is_resolved = |own: Knowledge, others: &[Knowledge], is_complete| {
+        let resolved = origin::resolve(&own, others, is_complete);
         resolved == Ok((version("v1"), Evidence::OnlyVersion))
     };
-    assert!(is_resolved(&[], true));
-    assert!(is_resolved(std::slice::from_ref(&silent), false));
-    assert!(!is_resolved(&[], false));
+    let unknown = Knowledge::default();
+    let one_answer = slice::from_ref(&unknown);
+    assert!(is_resolved(sole(false), one_answer, true));
+    assert!(!is_resolved(sole(false), &[], false));
+    assert!(!is_resolved(sole(false), one_answer, false));
+    assert!(!is_resolved(sole(false), &[sole(false)], false));
+    assert!(is_resolved(sole(true), &[], false));
+    assert!(is_resolved(unknown.clone(), &[sole(true)], false));
+    let confirmed_unknown = Knowledge {
+        is_confirmed: true,
+        ..Knowledge::default()
+    };
+    assert!(!is_resolved(sole(false), &[confirmed_unknown], false));
     let noted = Knowledge {
         software: Some(version("v1")),
         ..Knowledge::default()
@@ -203,6 +215,27 @@
     assert_eq!(resolved, Ok((version("v1"), Evidence::Note)));
 }
 
+/// Guards against taking silent holders of a note for holders that have none.
+#[test]
+fn answers_are_complete_once_every_instance_that_may_hold_a_note_has_answered() {
+    let all = members(90);
+    for key in 0..64 {
+        let drawn = origin::holders(key, all.iter().copied(), ASKED);
+        // Whoever began the stream told the first of the others.
+        for first in all.iter().copied() {
+            let others = all.iter().copied().filter(|other| *other != first);
+            for holder in origin::holders(key, others, HOLDERS) {
+                assert!(!origin::is_complete(&drawn, |member| member != holder));
+            }
+        }
+        assert!(origin::is_complete(&drawn, |member| {
+            drawn[..=HOLDERS].contains(&member)
+        }));
+    }
+    let alone = origin::holders(1, members(1).into_iter(), ASKED);
+    assert!(!origin::is_complete(&alone, |_| true));
+}
+
 /// Guards against taking a service for one of several versions after the last engine of all but one has
 /// gone, or the other way round.
 #[test]
--- a/crates/serving/tests/stream_versions_replay.rs
+++ b/crates/serving/tests/stream_versions_replay.rs
@@ -10,7 +10,9 @@
 use common::{ms, service};
 use serving::backups::{Backups, COPY_INTERVAL, Scope};
 use serving::claim::Era;
-use serving::origin::{self, ASKED, Batch, HOLDERS, Key, Knowledge, Note, Origins, Software};
+use serving::origin::{
+    self, ASKED, Batch, HOLDERS, Key, Knowledge, Note, Origins, Software, Unresolved,
+};
 use serving::version_history::{Record, VersionHistory, Versions};
 
 const STARTED: Duration = Duration::from_secs(1_800_000_000);
@@ -50,6 +52,7 @@
     recorded: Option<Record>,
     /// The store's era.
     era: Era,
+    is_store_away: bool,
     /// Version at which each stream began.
     begun: Vec<Software>,
 }
@@ -65,6 +68,7 @@
             listed: Versions::new(),
             recorded: None,
             era: 0,
+            is_store_away: false,
             begun: Vec::new(),
         };
         fleet.list(&["v1"]);
@@ -179,6 +183,15 @@
         self.tell_holders(number, &notes);
     }
 
+    /// Ends all instances but the first few others of the one at which streams began, which go on with what they
+    /// knew when they were stopped.
+    fn wake_only(&mut self, count: usize) {
+        let woken = 1..=count;
+        for (number, instance) in self.instances.iter_mut().enumerate() {
+            instance.is_alive = woken.contains(&number);
+        }
+    }
+
     fn freeze(&mut self, number: usize) {
         self.instances[number].is_alive = false;
     }
@@ -219,18 +232,20 @@
             software: instance.origins.find(key, self.now),
             is_mixed: instance.versions.has_several(&service(), self.now),
             sole: instance.versions.sole(&service(), self.now).cloned(),
+            is_confirmed: false,
         }
     }
 
     /// Resumes each stream at each of the first instances that live. Returns how many go on at their version,
     /// are refused, and go on at another one.
-    fn resume_all(&self) -> [usize; 3] {
+    fn resume_all(&mut self) -> [usize; 3] {
         let alive = (0..self.instances.len()).filter(|number| self.instances[*number].is_alive);
+        let alive: Vec<usize> = alive.take(3).collect();
         let mut counts = [0; 3];
-        for number in alive.take(3) {
-            for (key, began) in (0..).zip(&self.begun) {
+        for number in alive {
+            for (key, began) in (0..).zip(self.begun.clone()) {
                 counts[match self.resume(number, key) {
-                    Some(software) if software == *began => 0,
+                    Some(software) if software == began => 0,
                     None => 1,
                     Some(_) => 2,
                 }] += 1;
@@ -239,9 +254,15 @@
         counts
     }
 
-    fn resume(&self, number: usize, key: Key) -> Option<Software> {
+    fn resume(&mut self, number: usize, key: Key) -> Option<Software> {
         let members = self.instances.iter().map(|instance| instance.address);
         let asked = origin::holders(key, members, ASKED);
+        let has_answered = |member: SocketAddr| {
+            let instances = self.instances.iter();
+            let mut answering = instances.filter(|instance| instance.is_alive);
+            answering.any(|instance| instance.address == member)
+        };
+        let is_complete = origin::is_complete(&asked, has_answered);
         let others = self
             .instances
             .iter()
@@ -252,7 +273,16 @@
         let others: Vec<_> = others
             .map(|(other, _)| self.knowledge(other, key))
             .collect();
-        let resolved = origin::resolve(&self.knowledge(number, key), &others, true);
+        let resolved = origin::resolve(&self.knowledge(number, key), &others, is_complete);
+        if self.is_store_away || resolved != Err(Unresolved::Unknown) {
+            return resolved.ok().map(|(software, _)| software);
+        }
+        self.step(number);
+        let own = Knowledge {
+            is_confirmed: true,
+            ..self.knowledge(number, key)
+        };
+        let resolved = origin::resolve(&own, &others, is_complete);
         resolved.ok().map(|(software, _)| software)
     }
 }
@@ -262,15 +292,17 @@
 enum Outcome {
     GoesOn,
     Refused,
+    /// Those whose notes are left go on, the rest is refused.
+    NotMixed,
 }
-use Outcome::{GoesOn, Refused};
+use Outcome::{GoesOn, NotMixed, Refused};
 
 type Case = (&'static str, fn(&mut Fleet), Outcome);
 
 /// Guards against mixing and against refusing, each of which a mend of the other may bring back.
 #[test]
 fn streams_go_on_at_their_version_or_are_refused_where_what_was_known_is_lost() {
-    let cases: [Case; 17] = [
+    let cases: [Case; 21] = [
         ("one version", |_| (), GoesOn),
         (
             "a second version",
@@ -407,6 +439,46 @@
             },
             GoesOn,
         ),
+        (
+            "stopped as a second version came, the others gone",
+            |fleet| {
+                fleet.freeze(1);
+                fleet.list(&["v1", "v2"]);
+                fleet.begin(0, "v2");
+                fleet.wake_only(1);
+            },
+            NotMixed,
+        ),
+        (
+            "stopped together as a second version came, the others gone",
+            |fleet| {
+                (1..fleet.instances.len().min(4)).for_each(|number| fleet.freeze(number));
+                fleet.list(&["v1", "v2"]);
+                fleet.begin(0, "v2");
+                fleet.wake_only(3);
+            },
+            NotMixed,
+        ),
+        (
+            "cut off from the others and the store as a second version came",
+            |fleet| {
+                (1..fleet.instances.len().min(4)).for_each(|number| fleet.freeze(number));
+                fleet.list(&["v1", "v2"]);
+                fleet.begin(0, "v2");
+                fleet.wake_only(3);
+                fleet.is_store_away = true;
+            },
+            NotMixed,
+        ),
+        (
+            "stopped, one version, the others gone",
+            |fleet| {
+                fleet.freeze(1);
+                fleet.run(4_000);
+                fleet.wake_only(1);
+            },
+            GoesOn,
+        ),
     ];
     for size in SIZES {
         for (name, play, expected) in &cases {
@@ -419,6 +491,7 @@
             match expected {
                 GoesOn => assert_eq!(refused, 0, "{counts}"),
                 Refused => assert_eq!(at_their_version, 0, "{counts}"),
+                NotMixed => {}
             }
         }
     }
