Conclude nothing from a list of engines with a gap before it until the records are read

Callers who took streams up at an instance that had been stopped for more than 2 s, while a second software version came, began these streams and went again, got events of both versions.

Cause: an instance took the list that it reads after a gap for a continuation of the one before. The store's record of each service's versions, which is there for instances that start, was not consulted by those that wake. Class: two observations are taken for all that was between them.

An instance now notes up to when its list was as new as the store's, by its own reads or those that others announce. Two such moments more than 2 s apart leave a gap: as after a start, it concludes nothing for 30 s, or until the records of versions from after the gap are read, which is due at once and reads only what was added.

`a_stream_is_not_resumed_at_an_instance_that_was_stopped_while_its_version_came_and_went` fails before: streams of v2 go on at v1, 200. The replay has the case, and one that has to go on: stopped, one version.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -6,6 +6,7 @@
 
 use adapter::records::INSTANCES_TOPIC;
 use adapter::store::{self, KeyedRecord, Offset, Store, StoreError};
+use clock::Moment;
 use serving::hash;
 use serving::registration::{Outcome, Registration, Step};
 use tokio::time::{Instant, sleep, timeout_at};
@@ -139,6 +140,7 @@
             () = instance.store_went_back.notified() => return,
             _ = wait => {}
         }
+        let asked = instance.now();
         match store.read(INSTANCES_TOPIC, next, Duration::ZERO).await {
             Ok(batch) => {
                 next = batch.next;
@@ -147,12 +149,14 @@
                     add_all(instance, &batch.records, next);
                     on_discovered(instance);
                 }
+                on_records_current(instance, asked);
             }
             Err(StoreError::OffsetOutOfRange(_)) => match store.newest(INSTANCES_TOPIC).await {
                 Ok(newest) => {
                     next = newest.end;
                     due = next_read(settled);
                     add_all(instance, &newest.records, next);
+                    on_records_current(instance, asked);
                 }
                 Err(trouble) => {
                     log::debug!(trouble:% = trouble; "the other instances cannot be read");
@@ -167,6 +171,14 @@
     }
 }
 
+/// Lets the other tasks rely on what the records said at `as_of`.
+fn on_records_current(instance: &Instance, as_of: Moment) {
+    let (now, unix) = (instance.now(), instance.unix());
+    let mut versions = instance.origins.versions.borrow_mut();
+    versions.on_records_current(as_of, now, unix);
+    instance.instances_confirmation.on_read(as_of);
+}
+
 /// When to read next after a read that succeeded.
 fn next_read(settled: Instant) -> Instant {
     let now = Instant::now();
--- a/crates/gateway/src/instance/streams.rs
+++ b/crates/gateway/src/instance/streams.rs
@@ -144,17 +144,41 @@
         }
         let engines = &self.engines_confirmation;
         engines.wait_until(since, CONFIRMATION_TIMEOUT).await;
+        self.observe_versions();
+        let gap_end = self.origins.versions.borrow().gap_end();
+        if let Some(gap_end) = gap_end {
+            let records = &self.instances_confirmation;
+            records.wait_until(gap_end, CONFIRMATION_TIMEOUT).await;
+        }
     }
 
     /// Notes which software versions the engines of services have, and tells the holders of streams that
     /// began before.
     pub(crate) fn observe_versions(&self) {
         let (others, now) = (|| self.peers.borrow().addresses(), self.now());
+        if let Some(as_of) = self.engines_as_of(now) {
+            let mut versions = self.origins.versions.borrow_mut();
+            if versions.on_list_current(as_of, now) {
+                log::info!(
+                    "engines may have come and gone unseen; the recorded software versions are read"
+                );
+                self.instances_confirmation.request();
+            }
+        }
         let fleet = self.fleet.borrow();
         let notes = self.origins.observe(&fleet, others, now, self.unix());
         self.send_all(notes);
     }
 
+    /// The last moment at which the store was read by this instance or by one that announces what it reads.
+    fn engines_as_of(&self, now: Moment) -> Option<Moment> {
+        let peers = self.peers.borrow();
+        let readers = peers.reader_states(Topic::Engines);
+        let readers = readers.filter(|reader| reader.is_fresh(now));
+        let announced = readers.filter_map(|reader| reader.read_at).max();
+        announced.max(self.engines_confirmation.as_of())
+    }
+
     /// Notes that a service has engines of several software versions, as a placer says.
     pub(crate) fn on_mixed_versions(&self, service: &ServiceName) {
         let (others, now) = (|| self.peers.borrow().addresses(), self.now());
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -3,7 +3,7 @@
 mod harness;
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use futures_util::future::join_all;
 use harness::{FAST_LINK_MBPS, Gateway, wait_until};
@@ -13,6 +13,8 @@
 use platform_standin::{Ending, Engine, Store, request};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
+use wire::Message as _;
+use wire::gateway::ServiceVersions;
 
 /// Time between two events, in which a caller can lose its connection.
 const EVENT_PAUSE: Duration = Duration::from_millis(30);
@@ -445,3 +447,34 @@
     fleet.link.fault(Fault::Silent);
     fleet.assert_refused().await;
 }
+
+/// Guards against mixing at an instance that was stopped while a second version came, began streams and went.
+#[actix_rt::test]
+async fn a_stream_is_not_resumed_at_an_instance_that_was_stopped_while_its_version_came_and_went() {
+    let fleet = OutOfStep::start().await;
+    let (gateway, new) = (&fleet.gateway, &fleet.engines[2]);
+    wait_until_recorded(gateway).await;
+    gateway.signal("-STOP");
+    new.register(&gateway.store, "pool", "ready", Some("decode"));
+    gateway.store.put("keyed.servers", &new.id, None);
+    let versions = ServiceVersions {
+        service: "pool".to_owned(),
+        versions: vec!["v1".to_owned()],
+        changed_unix_ms: unix_ms(),
+        era: 0,
+    };
+    let key = format!("versions/{:016x}", serving::hash::hash64("pool"));
+    gateway
+        .store
+        .put_bytes("keyed.instances", &key, versions.encode_to_vec());
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    gateway.signal("-CONT");
+    let calls = gateway.store.calls();
+    wait_until(async || gateway.store.calls() > calls + 4).await;
+    fleet.assert_refused().await;
+}
+
+fn unix_ms() -> u64 {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/serving/src/version_history.rs
+++ b/crates/serving/src/version_history.rs
@@ -21,6 +21,10 @@
 /// some seconds, since the time of a change is recorded for other instances.
 pub const RETENTION: Duration = Duration::from_secs(30);
 
+/// Longest time between two moments at which the list of engines was as new as the store's. A version that
+/// came and went in a longer one may have begun streams.
+const MAX_GAP: Duration = Duration::from_secs(2);
+
 /// Software versions of a service's engines, in order.
 pub type Versions = SmallVec<[Software; 2]>;
 
@@ -61,6 +65,11 @@
     has_listed_instances: bool,
     /// When engines were listed first.
     watching_since: Option<Moment>,
+    /// Last moment at which the list of engines was as new as the store's.
+    listed_as_of: Option<Moment>,
+    /// End of a gap before which versions may have come and gone, until the store's records from after it are
+    /// known.
+    gap_end: Option<Moment>,
 }
 
 impl VersionHistory {
@@ -114,6 +123,40 @@
         }
     }
 
+    /// Applies that the list of engines was as new as the store's at `as_of`. If that is long after the last
+    /// such moment, other versions may have come and gone unseen, and nothing is concluded until the store's
+    /// records from after it are known. Returns whether these are to be read.
+    pub fn on_list_current(&mut self, as_of: Moment, now: Moment) -> bool {
+        let latest = self.listed_as_of.max(Some(as_of));
+        let before = std::mem::replace(&mut self.listed_as_of, latest);
+        if before.is_none_or(|before| as_of.saturating_sub(before) <= MAX_GAP) {
+            return false;
+        }
+        self.gap_end = Some(as_of);
+        for service in self.services.values_mut() {
+            service.unknown_until = service.unknown_until.max(now + RETENTION);
+        }
+        true
+    }
+
+    /// End of a gap in what this instance has seen, if the store's records from after it are to be read.
+    pub fn gap_end(&self) -> Option<Moment> {
+        self.gap_end
+    }
+
+    /// Applies that the store's records were read up to `as_of`, after [`Self::on_record`] for each of them.
+    pub fn on_records_current(&mut self, as_of: Moment, now: Moment, unix: UnixTime) {
+        if self.gap_end.take_if(|end| *end <= as_of).is_none() {
+            return;
+        }
+        for (name, known) in &mut self.services {
+            let record = self.recorded.get(name);
+            if let Some(record) = record.filter(|_| now < known.unknown_until) {
+                known.apply(record, now, unix);
+            }
+        }
+    }
+
     /// Records that the store lacks, or holds with other versions. None of services of which this instance
     /// does not know how long they have had their versions: others may.
     pub fn unrecorded(&self, now: Moment) -> Vec<Record> {
--- a/crates/serving/tests/stream_versions_replay.rs
+++ b/crates/serving/tests/stream_versions_replay.rs
@@ -98,6 +98,12 @@
     fn step(&mut self, number: usize) {
         let (now, unix) = (self.now, STARTED + self.now);
         let instance = &mut self.instances[number];
+        if instance.versions.on_list_current(now, now) {
+            if let Some(record) = self.recorded.clone() {
+                instance.versions.on_record(record, now, unix);
+            }
+            instance.versions.on_records_current(now, now, unix);
+        }
         let listed = self.listed.iter();
         let notes = match instance.versions.observe(&service(), listed, now, unix) {
             true => instance.origins.unannounced(&service(), now),
@@ -302,7 +308,7 @@
 /// Guards against mixing and against refusing, each of which a mend of the other may bring back.
 #[test]
 fn streams_go_on_at_their_version_or_are_refused_where_what_was_known_is_lost() {
-    let cases: [Case; 21] = [
+    let cases: [Case; 22] = [
         ("one version", |_| (), GoesOn),
         (
             "a second version",
@@ -470,6 +476,18 @@
             },
             NotMixed,
         ),
+        (
+            "stopped until the second version had gone again, the others gone",
+            |fleet| {
+                fleet.freeze(1);
+                fleet.list(&["v1", "v2"]);
+                fleet.begin(0, "v2");
+                fleet.list(&["v1"]);
+                fleet.run(2_000);
+                fleet.wake_only(1);
+            },
+            NotMixed,
+        ),
         (
             "stopped, one version, the others gone",
             |fleet| {
--- a/crates/serving/tests/version_history.rs
+++ b/crates/serving/tests/version_history.rs
@@ -233,3 +233,42 @@
     assert!(!caching.0.on_several(&service(), ms(10)));
     assert!(caching.unrecorded(ms(20)).is_empty());
 }
+
+/// Guards against mixing at an instance that was stopped or cut off while another version came, began streams and
+/// went, and against refusing for 30 s after each stop.
+#[test]
+fn a_list_after_a_gap_is_believed_only_if_the_records_after_it_agree() {
+    let at = |seconds: u64| ms(seconds * 1_000);
+    let woken = |records: &[Record], read_at: Moment| {
+        let mut instance = Instance::start(Some(record(&["v1"], Duration::ZERO)));
+        instance.list(&["v1"], at(1));
+        assert!(!instance.0.on_list_current(at(1), at(1)));
+        assert!(!instance.0.on_list_current(at(3), at(3)));
+        assert_eq!(instance.sole(at(3)).as_deref(), Some("v1"));
+        assert!(instance.0.on_list_current(at(6), at(6)));
+        instance.list(&["v1"], at(6));
+        assert_eq!(instance.0.gap_end(), Some(at(6)));
+        assert_eq!(instance.sole(at(6)), None);
+        for record in records {
+            instance.0.on_record(record.clone(), at(6), STARTED + at(6));
+        }
+        instance
+            .0
+            .on_records_current(read_at, at(7), STARTED + at(7));
+        instance
+    };
+    let unchanged = woken(&[], at(6));
+    assert_eq!(unchanged.sole(at(7)).as_deref(), Some("v1"));
+    assert_eq!(unchanged.0.gap_end(), None);
+    let read_before = woken(&[], at(5));
+    assert_eq!(read_before.sole(at(35)), None);
+    assert_eq!(read_before.sole(at(36)).as_deref(), Some("v1"));
+    let came_and_went = [
+        record(&["v1", "v2"], STARTED + at(4)),
+        record(&["v1"], STARTED + at(5)),
+    ];
+    let changed = woken(&came_and_went, at(6));
+    assert_eq!(changed.sole(at(7)), None);
+    assert!(changed.has_several(at(34)));
+    assert_eq!(changed.sole(at(36)).as_deref(), Some("v1"));
+}
