Remove instances that have gone for good from the list of instances

Cause: the list names all that ever registered. Of the instances that are told where a stream began, and of those that are asked, most no longer exist. The shares of connections and repeats are divided among them as well. Class: membership without an end.

An instance that has not been heard for 10 s is removed by the first placer of its data centre, which hears all there, with one append for all that are due, and a frame tells the others. Nobody can tell that an instance has gone for good, so one that was only stopped or cut off loses little: it is known again with its first frame, registers once it reads its removal, and stays for 10 min then.

The new test of the list waits in vain if the removals are not started, and passes with them.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -1,5 +1,6 @@
 //! Registers this instance in the store and discovers the others there.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -150,13 +151,24 @@
                     on_discovered(instance);
                 }
                 on_records_current(instance, asked);
+                if is_removed(instance.address, &batch.records) {
+                    return;
+                }
             }
             Err(StoreError::OffsetOutOfRange(_)) => match store.newest(INSTANCES_TOPIC).await {
                 Ok(newest) => {
                     next = newest.end;
                     due = next_read(settled);
                     add_all(instance, &newest.records, next);
+                    let listed = newest.records.iter();
+                    let listed = listed.filter_map(|record| record.key.parse().ok());
+                    let listed: BTreeSet<SocketAddr> = listed.collect();
+                    let now = instance.now();
+                    instance.peers.borrow_mut().retain_listed(&listed, now);
                     on_records_current(instance, asked);
+                    if !listed.contains(&instance.address) {
+                        return;
+                    }
                 }
                 Err(trouble) => {
                     log::debug!(trouble:% = trouble; "the other instances cannot be read");
@@ -179,6 +191,13 @@
     instance.instances_confirmation.on_read(as_of);
 }
 
+/// Whether the last of these records about an instance removes it.
+fn is_removed(address: SocketAddr, records: &[KeyedRecord]) -> bool {
+    let key = address.to_string();
+    let last = records.iter().rfind(|record| record.key == key);
+    last.is_some_and(|record| record.value.is_none())
+}
+
 /// When to read next after a read that succeeded.
 fn next_read(settled: Instant) -> Instant {
     let now = Instant::now();
@@ -206,17 +225,26 @@
         !quarantine_store::apply_record(instance, record)
             && !version_records::apply(&mut versions, record, now, unix)
     });
-    let values = others.filter_map(|record| record.value.as_ref());
-    let texts = values.filter_map(|value| std::str::from_utf8(value).ok());
     let mut peers = instance.peers.borrow_mut();
+    let mut eviction = instance.eviction.borrow_mut();
     let mut count = 0;
-    for text in texts {
+    for record in others {
+        let Some(value) = &record.value else {
+            if let Ok(address) = record.key.parse() {
+                peers.remove(address, now);
+            }
+            continue;
+        };
+        let Ok(text) = std::str::from_utf8(value) else {
+            continue;
+        };
         let Some((address, zone, order)) = parse_entry(text) else {
             log::debug!(entry = text; "the record of a registered instance cannot be parsed");
             continue;
         };
         count += 1;
         if address != instance.address {
+            eviction.on_registered(address, now);
             peers.register(address, hash::hash32(zone), order, now);
         }
     }
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -10,6 +10,7 @@
 use clock::{Clock as _, Moment, System};
 use http1::{Client, Failure, TcpTimeouts};
 use serving::budget::RepeatBudgets;
+use serving::eviction::Eviction;
 use serving::organisation::{Directory, Name};
 use serving::parts::Part;
 use serving::placer::{self, Member, Placers};
@@ -40,6 +41,7 @@
 use crate::reports::Reports;
 use crate::suspects::Suspects;
 
+mod members;
 mod streams;
 
 /// State of the process.
@@ -109,6 +111,8 @@
     /// Ongoing crash detection.
     pub crash_detection: CrashDetection,
     pub peers: RefCell<Peers>,
+    /// Instances that have gone for good.
+    pub eviction: RefCell<Eviction>,
     pub lifecycle: Lifecycle,
     pub metrics: Metrics,
     /// Notified when a change should be sent to the other instances at once.
@@ -182,6 +186,7 @@
             suspects: Suspects::default(),
             crash_detection: CrashDetection::default(),
             peers: RefCell::default(),
+            eviction: RefCell::default(),
             lifecycle: Lifecycle::default(),
             metrics: Metrics::default(),
             frame_due: Notify::new(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod engine_links;
 mod engine_records;
 pub mod events;
+mod eviction;
 pub mod explain;
 mod forward;
 mod frame;
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -23,8 +23,8 @@
 use crate::placement::server;
 use crate::usage::REPORTERS;
 use crate::{
-    announcements, bootstrap, discovery, engine_links, forward, limits, quarantine_store, receive,
-    registrar, shares, suspects, usage, version_records, warmup,
+    announcements, bootstrap, discovery, engine_links, eviction, forward, limits, quarantine_store,
+    receive, registrar, shares, suspects, usage, version_records, warmup,
 };
 
 mod updates;
@@ -70,6 +70,7 @@
     actix_rt::spawn(listen(instance.clone(), socket.clone()));
     actix_rt::spawn(send_loop(instance.clone(), socket.clone()));
     actix_rt::spawn(updates::send_departures(instance.clone(), socket.clone()));
+    actix_rt::spawn(evict_members(instance.clone(), socket.clone()));
     actix_rt::spawn(registrar::run(instance.clone(), socket));
     actix_rt::spawn(warmup::run(instance.clone()));
     actix_rt::spawn(discovery::run(instance.clone()));
@@ -88,6 +89,16 @@
     version_records::run(store, unrecorded, on_written).await;
 }
 
+async fn evict_members(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
+    let store = Store::new(instance.settings.borrow().store, instance.codec.clone());
+    let due = || instance.gone_members();
+    let on_removed = |gone: &[SocketAddr]| {
+        let frame = instance.on_members_removed(gone);
+        broadcast(&socket, &frame, &instance.peers.borrow().addresses());
+    };
+    eviction::run(store, due, on_removed).await;
+}
+
 async fn listen(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,6 +15,7 @@
 
 use crate::frame::{elapsed_ms, moment_from_age};
 
+mod members;
 mod news;
 
 pub(crate) use news::{MAX_NEWS_BYTES, NEWS_INTERVAL};
--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -45,6 +45,9 @@
     if frame.registered {
         registrar::on_confirmed(instance);
     }
+    for evicted in &frame.evicted {
+        instance.on_evicted(*evicted);
+    }
     if let Some(state) = &frame.state {
         on_state(instance, from, peer, state, now);
     }
--- a/crates/gateway/tests/registration.rs
+++ b/crates/gateway/tests/registration.rs
@@ -2,6 +2,8 @@
 
 mod harness;
 
+use std::net::SocketAddr;
+
 use harness::{Gateway, wait_until};
 
 const GATEWAYS: usize = 12;
@@ -32,3 +34,34 @@
         .await;
     }
 }
+
+/// Guards against a list that names each instance that was ever replaced, and against losing one that was only
+/// stopped.
+#[actix_rt::test]
+async fn an_instance_that_is_gone_leaves_the_list_and_one_that_was_stopped_comes_back() {
+    let gateways = Gateway::start_first(4).await;
+    let first = &gateways[0];
+    first.configure(1, "app");
+    first.register_ended_engine("app-1", "app");
+    for gateway in &gateways {
+        gateway.wait_until_ready(true).await;
+    }
+    let listed = || {
+        let keys = first.store.newest("keyed.instances");
+        let listed = keys.iter().filter(|key| key.parse::<SocketAddr>().is_ok());
+        listed.count()
+    };
+    wait_until(async || listed() == 4).await;
+    gateways[2].signal("-STOP");
+    gateways[3].signal("-KILL");
+    wait_until(async || listed() == 2).await;
+    gateways[2].signal("-CONT");
+    wait_until(async || listed() == 3).await;
+    for gateway in &gateways[..3] {
+        wait_until(async || {
+            let page = gateway.metrics_page().await;
+            page.lines().any(|line| line == "tarragon_instances 3")
+        })
+        .await;
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -20,6 +20,7 @@
 mod cost;
 mod decaying_rate;
 pub mod engine;
+pub mod eviction;
 pub mod fanout;
 mod fetch;
 pub mod fingerprint;
