Let requested reads of the engines leave due ones in their place

While streams were taken up about every 0.1 s, a reader's own reads counted as requested ones, so it passed for an instance that does not read: a change of versions was not recorded in 100 such streams. A store that answers after 350 ms made readers look stale, and others read in their place. A requested read at an instance whose earlier reads failed left the count of failures, one at its start did not wait for the others to be known, and an answer cut at its largest size counted as all there is.

A read of a reader counts as such whoever asked for it. Readers announce a read from its answer unless that took over 0.5 s; what is decided by it still counts from the request. A read counts as whole once it reached the end that the store names (read in the code, not played: the stand-in has no largest size).

`a_change_of_versions_is_recorded_while_streams_are_taken_up` fails before.

--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -127,6 +127,8 @@
     pub instances_confirmation: Confirmation,
     /// Reads of all engines.
     pub engines_confirmation: Confirmation,
+    /// Reads of the configuration.
+    pub configuration_confirmation: Confirmation,
     /// Registrations of instances by others.
     pub registrar: Registrar,
 }
@@ -195,6 +197,7 @@
             store_went_back: Notify::new(),
             instances_confirmation: Confirmation::default(),
             engines_confirmation: Confirmation::default(),
+            configuration_confirmation: Confirmation::default(),
             registrar: Registrar::default(),
             settings: RefCell::new(settings),
         }
@@ -344,6 +347,14 @@
         }
     }
 
+    /// What this instance has read of a topic itself, and when.
+    pub(crate) fn confirmation(&self, topic: Topic) -> &Confirmation {
+        match topic {
+            Topic::Configuration => &self.configuration_confirmation,
+            Topic::Engines => &self.engines_confirmation,
+        }
+    }
+
     /// State of a topic, in the form in which instances compare it.
     pub(crate) fn known(&self, topic: Topic) -> TopicState {
         match topic {
@@ -390,11 +401,11 @@
 
     /// Whether what is known of a topic is the newest, as far as can be known: this instance or a peer has
     /// just read the store. A partitioned instance may lack a key that was issued meanwhile, and would
-    /// reject for good what others serve; or an engine of another software version.
+    /// reject for good what others serve.
     pub(crate) fn is_current(&self, topic: Topic) -> bool {
         let now = self.now();
         let is_recent = |read: Moment| now.saturating_sub(read) <= watch::FRESH_AGE;
-        let own = self.last_read(topic).get();
+        let own = self.confirmation(topic).as_of();
         let peers = self.peers.borrow();
         own.is_some_and(is_recent)
             || peers
--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use adapter::records;
-use adapter::store::{self, KeyedRecord, Offset, Store, StoreError};
+use adapter::store::{self, Batch, KeyedRecord, Offset, Store, StoreError};
 use clock::Moment;
 use serving::watch::{self, Waits, Watch};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -71,17 +71,25 @@
     earliest: Instant,
     /// Moment up to which the last read showed all records, unless a later one failed.
     last_success: Option<Moment>,
-    /// When the reader started.
-    started: Instant,
-    /// Random number from 0 to 1, by which this reader's times differ from those of other instances.
-    spread: f64,
+    /// When this instance reads though it does not know the others.
+    discovery_end: Instant,
     failures: u32,
 }
 
 /// Result of one read.
 enum Read {
     Snapshot(Vec<KeyedRecord>),
-    Batch(Vec<KeyedRecord>),
+    Batch(Batch),
+}
+
+impl Read {
+    /// Whether nothing is left to read.
+    fn is_whole(&self) -> bool {
+        match self {
+            Self::Snapshot(_) => true,
+            Self::Batch(batch) => batch.is_whole,
+        }
+    }
 }
 
 impl Reader {
@@ -101,8 +109,9 @@
             due: Instant::now(),
             earliest: Instant::now(),
             last_success: None,
-            started: Instant::now(),
-            spread: rand::random(),
+            discovery_end: Instant::now()
+                + DISCOVERY_TIMEOUT
+                + DISCOVERY_SPREAD.mul_f64(rand::random()),
             failures: 0,
             instance,
         }
@@ -130,7 +139,11 @@
             }
             match self.read_once().await {
                 Ok(read) => {
-                    self.on_success(self.as_of(asked, &read), is_requested);
+                    let as_of = self.as_of(asked, &read);
+                    if read.is_whole() {
+                        self.instance.confirmation(self.topic).on_read(as_of);
+                    }
+                    self.on_success(as_of, is_requested);
                     return read;
                 }
                 Err(StoreError::OffsetOutOfRange(first)) => {
@@ -145,7 +158,9 @@
     /// Waits until a read is due or requested. Returns whether it is only requested.
     async fn wait(&mut self) -> bool {
         let (instance, topic, earliest) = (self.instance.clone(), self.topic, self.earliest);
+        let discovery_end = self.discovery_end;
         let requested = async {
+            wait_for_discovery(&instance, discovery_end).await;
             instance.engines_confirmation.requested().await;
             sleep_until(earliest).await;
         };
@@ -158,11 +173,7 @@
 
     async fn wait_until_due(&mut self) {
         sleep_until(self.due).await;
-        // An instance that does not know the others yet would take itself for the first.
-        let timeout = DISCOVERY_TIMEOUT + DISCOVERY_SPREAD.mul_f64(self.spread);
-        while !self.instance.peers_discovered.get() && self.started.elapsed() < timeout {
-            sleep(INITIAL_POLL_INTERVAL).await;
-        }
+        wait_for_discovery(&self.instance, self.discovery_end).await;
         while !self.must_read() && !self.is_due() {
             let has_state = self.instance.has_topic(self.topic);
             sleep(if has_state {
@@ -220,7 +231,7 @@
         };
         let batch = self.store.read(name, from, self.max_wait).await?;
         self.next = Some(batch.next);
-        Ok(Read::Batch(batch.records))
+        Ok(Read::Batch(batch))
     }
 
     /// The moment up to which a read shows all records. The answer may have waited in the socket, if this
@@ -228,28 +239,30 @@
     fn as_of(&self, asked: Moment, read: &Read) -> Moment {
         match read {
             // The store had no record for as long as it was asked to wait for one.
-            Read::Batch(records) if records.is_empty() => asked + self.max_wait,
+            Read::Batch(batch) if batch.records.is_empty() => asked + self.max_wait,
             _ => asked,
         }
     }
 
     fn on_success(&mut self, as_of: Moment, is_requested: bool) {
         self.last_success = Some(as_of);
-        if self.topic == Topic::Engines {
-            self.instance.engines_confirmation.on_read(as_of);
+        if std::mem::take(&mut self.failures) > 0 {
+            log::info!(topic = self.name(); "the store answers again");
         }
-        // One read does not make this instance one on which others rely.
-        let before = match is_requested {
-            true => return,
-            false => self.instance.last_read(self.topic).replace(Some(as_of)),
-        };
-        if watch::is_resumption(before, as_of) {
+        let read_at = watch::announced_read(as_of, self.instance.now());
+        let last_read = self.instance.last_read(self.topic);
+        let is_reader = last_read
+            .get()
+            .is_some_and(|last| read_at.saturating_sub(last) <= MAX_BACKLOG);
+        // One requested read does not make this instance one on which others rely.
+        if is_requested && !is_reader {
+            return;
+        }
+        let before = last_read.replace(Some(read_at));
+        if watch::is_resumption(before, read_at) {
             self.instance.greeting_due.set(true);
             self.instance.frame_due.notify_one();
         }
-        if std::mem::take(&mut self.failures) > 0 {
-            log::info!(topic = self.name(); "the store answers again");
-        }
     }
 
     fn on_failure(&mut self, trouble: &StoreError) {
@@ -269,11 +282,23 @@
     }
 }
 
+/// Waits until the other instances are known, or `end`. An instance that does not know them would take itself for
+/// the first.
+async fn wait_for_discovery(instance: &Instance, end: Instant) {
+    while !instance.peers_discovered.get() && Instant::now() < end {
+        sleep(INITIAL_POLL_INTERVAL).await;
+    }
+}
+
 async fn follow_configuration(instance: Rc<Instance>) {
     let topic = Topic::Configuration;
     let mut reader = Reader::new(instance.clone(), topic, CONFIGURATION_WAIT, Duration::ZERO);
     loop {
-        let (Read::Snapshot(records) | Read::Batch(records)) = reader.read().await;
+        let read = reader.read().await;
+        let records = match read {
+            Read::Snapshot(records) => records,
+            Read::Batch(batch) => batch.records,
+        };
         for record in records {
             let Some(record) = seal(record) else {
                 continue;
@@ -413,7 +438,9 @@
                 let end = reader.next.unwrap_or_default();
                 engine_records::apply_snapshot(&instance, &mut registry, &records, end);
             }
-            Read::Batch(records) => engine_records::apply_batch(&instance, &mut registry, &records),
+            Read::Batch(batch) => {
+                engine_records::apply_batch(&instance, &mut registry, &batch.records);
+            }
         }
     }
 }
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -474,6 +474,38 @@
     fleet.assert_refused().await;
 }
 
+/// Guards against starving the reads on which others rely, while streams that are taken up ask for reads of their
+/// own: an instance that does not pass for a reader records no change of versions.
+#[actix_rt::test]
+async fn a_change_of_versions_is_recorded_while_streams_are_taken_up() {
+    let (gateway, _app, pool) = Gateway::start().await;
+    pool.set_stream(4, EVENT_PAUSE);
+    wait_until_recorded(&gateway).await;
+    let mut number = 0;
+    let mut take_up = async |count: usize| {
+        for _ in 0..count {
+            number += 1;
+            let received = resume(&gateway, &format!("u{number}"), &format!("lost-{number}")).await;
+            assert!(received.is_complete, "{received:?}");
+        }
+    };
+    let line = "the store knows the software versions of a service";
+    take_up(30).await;
+    let before = gateway.count_log_lines(line);
+    let new = Engine::start("app-2").await;
+    new.set_software("v2");
+    new.register(&gateway.store, "app", "ready", None);
+    for _ in 0..20 {
+        take_up(5).await;
+        if gateway.count_log_lines(line) > before {
+            return;
+        }
+    }
+    // Control: without streams that are taken up, it does.
+    wait_until(async || gateway.count_log_lines(line) > before).await;
+    panic!("the second version is recorded only once no streams are taken up");
+}
+
 fn unix_ms() -> u64 {
     let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
--- a/crates/serving/src/watch.rs
+++ b/crates/serving/src/watch.rs
@@ -35,6 +35,17 @@
     before.is_none_or(|before| now.saturating_sub(before) > FRESH_AGE)
 }
 
+/// Longest time of a slow answer.
+const MAX_ANSWER_TIME: Duration = Duration::from_millis(500);
+
+/// When an instance announces that it has read, whose answer shows the records up to `as_of` and was handled now.
+///
+/// Readers read at intervals that begin with an answer, so a slow store must not make them seem late. But a process
+/// that was stopped handles answers from before.
+pub fn announced_read(as_of: Moment, now: Moment) -> Moment {
+    now.min(as_of + MAX_ANSWER_TIME)
+}
+
 /// How far an instance knows the records of a topic.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TopicState {
--- a/crates/serving/tests/watch.rs
+++ b/crates/serving/tests/watch.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::ms;
-use serving::watch::{Deferred, ReaderReport, TopicState, Watch, is_resumption};
+use serving::watch::{Deferred, ReaderReport, TopicState, Watch, announced_read, is_resumption};
 
 const OWN_ORDER: u64 = 50;
 
@@ -178,3 +178,12 @@
     assert!(is_resumption(Some(ms(7_000)), ms(9_000)));
     assert!(!is_resumption(Some(ms(8_600)), ms(9_000)));
 }
+
+/// Guards against a slow store making readers seem late, so that more and more instances read it, and against a
+/// reader that was stopped passing for one that has just read.
+#[test]
+fn a_read_is_announced_from_its_answer_unless_that_took_too_long() {
+    let asked = ms(1_000);
+    assert_eq!(announced_read(asked, asked + ms(450)), asked + ms(450));
+    assert_eq!(announced_read(asked, asked + ms(3_000)), asked + ms(500));
+}
