Conclude nothing about software versions from old lists, old records or a restored store

And two ways in which the gap refused or lost what it need not: after an outage with a restore nobody wrote the records that all waited for, so that all streams were refused for 30 s; and streams from before a gap were never announced if the second version came in it.

Class: what one looked at is taken for what is. A list older than 2 s, and for 2.2 s the list of a restored store, names no only version. A record that differs, or tells of a change, counts at whoever reads it, but not before it was read after a gap. A change that left the same names is written. After a gap without a record the one who writes records writes what it knew. Streams count as unannounced until a second version is seen, however the service came to be unsettled.

Reads after a gap are spread over 2 ms an instance.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -100,6 +100,7 @@
 impl List {
     /// Reads all records, or those that were added since.
     async fn read(&mut self, store: &mut Store, instance: &Instance) -> Result<(), StoreError> {
+        let asked = instance.now();
         let read = match self.next {
             Some(from) => store
                 .read(INSTANCES_TOPIC, from, Duration::ZERO)
@@ -126,6 +127,7 @@
         let mut versions = instance.origins.versions.borrow_mut();
         versions.on_instances_listed(listed == 0, instance.now());
         drop(versions);
+        on_records_current(instance, asked);
         self.others = instance.peers.borrow().in_order();
         Ok(())
     }
@@ -220,7 +222,7 @@
 fn add_all(instance: &Instance, records: &[KeyedRecord], upto: Offset) -> usize {
     let (now, unix) = (instance.now(), instance.unix());
     let mut versions = instance.origins.versions.borrow_mut();
-    versions.on_store_era(store::era(upto));
+    versions.on_store_era(store::era(upto), now);
     let others = records.iter().filter(|record| {
         !quarantine_store::apply_record(instance, record)
             && !version_records::apply(&mut versions, record, now, unix)
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -383,7 +383,10 @@
             return;
         }
         self.era.set(Some(era));
-        self.origins.versions.borrow_mut().on_store_era(era);
+        self.origins
+            .versions
+            .borrow_mut()
+            .on_store_era(era, self.now());
         if before.is_none() {
             return;
         }
--- a/crates/gateway/src/instance/streams.rs
+++ b/crates/gateway/src/instance/streams.rs
@@ -6,13 +6,15 @@
 use clock::Moment;
 use serving::origin::{self, Evidence, Key, Knowledge, Software, Unresolved};
 use serving::version_history::Record;
-use serving::{ServiceName, watch};
+use serving::{ServiceName, hash, watch};
 use wire::gateway::{Frame, OriginRequest, OriginResponse, StreamBatch};
 
 use super::Instance;
 use crate::origins::{self, CONFIRMATION_TIMEOUT, Outgoing, Question};
 use crate::peers::Topic;
 
+/// Mean time between two instances that read the same records after the same gap.
+const READ_SPACING: Duration = Duration::from_millis(2);
 /// Most placers that are asked at once to read the engines for an instance that does not know all.
 const MAX_CONFIRMING: usize = 2;
 
@@ -145,10 +147,9 @@
         let engines = &self.engines_confirmation;
         engines.wait_until(since, CONFIRMATION_TIMEOUT).await;
         self.observe_versions();
-        let gap_end = self.origins.versions.borrow().gap_end();
-        if let Some(gap_end) = gap_end {
+        if self.origins.versions.borrow().has_gap() {
             let records = &self.instances_confirmation;
-            records.wait_until(gap_end, CONFIRMATION_TIMEOUT).await;
+            records.wait_until(self.now(), CONFIRMATION_TIMEOUT).await;
         }
     }
 
@@ -158,7 +159,8 @@
         let (others, now) = (|| self.peers.borrow().addresses(), self.now());
         if let Some(as_of) = self.engines_as_of(now) {
             let mut versions = self.origins.versions.borrow_mut();
-            if versions.on_list_current(as_of, now) {
+            versions.on_list_current(as_of, now);
+            if versions.records_due(self.records_delay(), now) {
                 log::info!(
                     "engines may have come and gone unseen; the recorded software versions are read"
                 );
@@ -170,6 +172,14 @@
         self.send_all(notes);
     }
 
+    /// Delay of a read that all instances make after the same gap, so that a store that returns is not read by
+    /// all at once.
+    fn records_delay(&self) -> Duration {
+        let instances = u32::try_from(self.peers.borrow().count()).unwrap_or(u32::MAX);
+        let number = u32::from(hash::hash32(&self.address.to_string()) as u16);
+        READ_SPACING.saturating_mul(instances) * number / u32::from(u16::MAX)
+    }
+
     /// The last moment at which the store was read by this instance or by one that announces what it reads.
     fn engines_as_of(&self, now: Moment) -> Option<Moment> {
         let peers = self.peers.borrow();
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -266,9 +266,10 @@
                 let Some((from, response)) = receiver.recv().await else {
                     return;
                 };
-                let is_known = response.software.is_some();
+                let is_confirmed = response.confirmed && response.sole.is_some();
+                let is_answer = response.software.is_some() || is_confirmed;
                 known.push((from, decode(response)));
-                if is_known {
+                if is_answer {
                     return;
                 }
             }
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -506,6 +506,47 @@
     panic!("the second version is recorded only once no streams are taken up");
 }
 
+/// Panics unless one of some streams that nobody remembers goes on, each a moment after the one before.
+async fn assert_taken_up_soon(gateway: &Gateway) {
+    for number in 0..40 {
+        let received = resume(gateway, &format!("u{number}"), &format!("lost-{number}")).await;
+        if received.is_complete {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("all streams are refused");
+}
+
+/// Guards against refusing the streams of the only version after the store was away for some seconds and has come
+/// back from a copy.
+#[actix_rt::test]
+async fn a_stream_of_the_only_version_resumes_after_the_store_came_back_from_a_copy() {
+    let (gateway, _app, pool) = Gateway::start().await;
+    pool.set_stream(4, EVENT_PAUSE);
+    wait_until_recorded(&gateway).await;
+    let copy = gateway.store.backup();
+    gateway.store.fault(Fault::Silent);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    gateway.store.restore(copy);
+    gateway.store.fault(Fault::None);
+    let line = "the store has come back from an older copy";
+    wait_until(async || gateway.count_log_lines(line) > 0).await;
+    assert_taken_up_soon(&gateway).await;
+}
+
+/// The same where the store comes back with all that it had.
+#[actix_rt::test]
+async fn a_stream_of_the_only_version_resumes_after_the_store_was_away() {
+    let (gateway, _app, pool) = Gateway::start().await;
+    pool.set_stream(4, EVENT_PAUSE);
+    wait_until_recorded(&gateway).await;
+    gateway.store.fault(Fault::Silent);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    gateway.store.fault(Fault::None);
+    assert_taken_up_soon(&gateway).await;
+}
+
 fn unix_ms() -> u64 {
     let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
--- a/crates/serving/src/version_history.rs
+++ b/crates/serving/src/version_history.rs
@@ -21,9 +21,14 @@
 /// some seconds, since the time of a change is recorded for other instances.
 pub const RETENTION: Duration = Duration::from_secs(30);
 
-/// Longest time between two moments at which the list of engines was as new as the store's. A version that
-/// came and went in a longer one may have begun streams.
+/// Longest time since the list of engines was as new as the store's, and between two such moments. In a longer
+/// one another version may have come, begun streams and gone.
 const MAX_GAP: Duration = Duration::from_secs(2);
+/// Time after the store was restored from a copy within which engines and instances have written again what the
+/// copy lacks.
+const RESTORE_GRACE: Duration = Duration::from_millis(2_200);
+/// Interval between reads of the records that a gap makes necessary.
+const RECORDS_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Software versions of a service's engines, in order.
 pub type Versions = SmallVec<[Software; 2]>;
@@ -50,6 +55,10 @@
     several_until: Moment,
     /// Until when this instance cannot tell.
     unknown_until: Moment,
+    /// Whether it cannot tell because of a gap, and the store's records from after it do not name the service.
+    lacks_record: bool,
+    /// Whether streams may have begun of which the holders were told nothing.
+    has_unannounced: bool,
 }
 
 /// The versions of all services, as far as this instance knows.
@@ -70,6 +79,10 @@
     /// End of a gap before which versions may have come and gone, until the store's records from after it are
     /// known.
     gap_end: Option<Moment>,
+    /// When the records were last said to be due.
+    records_requested: Option<Moment>,
+    /// Until when the list of engines may lack what a restored store has lost.
+    restored_until: Moment,
 }
 
 impl VersionHistory {
@@ -100,72 +113,113 @@
         if record.era < self.era {
             return;
         }
-        let known = self.services.get_mut(&record.service);
-        if let Some(known) = known.filter(|known| now < known.unknown_until) {
+        // A record that was read before a gap says nothing of it.
+        if self.gap_end.is_none()
+            && let Some(known) = self.services.get_mut(&record.service)
+        {
             known.apply(&record, now, unix);
         }
-        self.on_recorded(record);
+        self.recorded.insert(record.service.clone(), record);
     }
 
     /// Notes what the store holds of a service since this instance wrote it.
     pub fn on_recorded(&mut self, record: Record) {
-        if record.era >= self.era {
-            self.recorded.insert(record.service.clone(), record);
+        if record.era < self.era {
+            return;
         }
+        let known = self.services.get_mut(&record.service);
+        if let Some(known) = known.filter(|known| known.lacks_record) {
+            known.lacks_record = false;
+            known.unknown_until = Moment::ZERO;
+            self.end_gap();
+        }
+        self.recorded.insert(record.service.clone(), record);
     }
 
     /// Applies the store's era, to be called before records that were read in it. In a new one the records of
-    /// earlier ones may be lost, and are to be written again.
-    pub fn on_store_era(&mut self, era: Era) {
+    /// earlier ones may be lost, and are to be written again; until then the list of engines may lack versions
+    /// that have begun streams.
+    pub fn on_store_era(&mut self, era: Era, now: Moment) {
         if era > self.era {
             self.era = era;
             self.recorded.retain(|_, record| record.era >= era);
+            if !self.services.is_empty() {
+                self.restored_until = now + RESTORE_GRACE;
+            }
         }
     }
 
     /// Applies that the list of engines was as new as the store's at `as_of`. If that is long after the last
     /// such moment, other versions may have come and gone unseen, and nothing is concluded until the store's
-    /// records from after it are known. Returns whether these are to be read.
-    pub fn on_list_current(&mut self, as_of: Moment, now: Moment) -> bool {
+    /// records from after it are known.
+    pub fn on_list_current(&mut self, as_of: Moment, now: Moment) {
         let latest = self.listed_as_of.max(Some(as_of));
         let before = std::mem::replace(&mut self.listed_as_of, latest);
-        if before.is_none_or(|before| as_of.saturating_sub(before) <= MAX_GAP) {
-            return false;
+        if before.is_some_and(|before| as_of.saturating_sub(before) > MAX_GAP) {
+            self.begin_gap(as_of, now);
         }
-        self.gap_end = Some(as_of);
+    }
+
+    fn begin_gap(&mut self, end: Moment, now: Moment) {
+        self.gap_end = self.gap_end.max(Some(end));
+        self.records_requested = None;
         for service in self.services.values_mut() {
             service.unknown_until = service.unknown_until.max(now + RETENTION);
+            service.lacks_record = false;
         }
-        true
     }
 
-    /// End of a gap in what this instance has seen, if the store's records from after it are to be read.
-    pub fn gap_end(&self) -> Option<Moment> {
-        self.gap_end
+    /// Whether nothing is concluded because of a gap, until the store's records from after it are known.
+    pub fn has_gap(&self) -> bool {
+        self.gap_end.is_some()
+    }
+
+    /// Whether the store's records are to be read now because of a gap, `delay` after its end.
+    pub fn records_due(&mut self, delay: Duration, now: Moment) -> bool {
+        let is_over = self.gap_end.is_some_and(|end| now >= end + delay);
+        let is_requested = self
+            .records_requested
+            .is_some_and(|at| now.saturating_sub(at) < RECORDS_INTERVAL);
+        if is_over && !is_requested {
+            self.records_requested = Some(now);
+            return true;
+        }
+        false
     }
 
     /// Applies that the store's records were read up to `as_of`, after [`Self::on_record`] for each of them.
     pub fn on_records_current(&mut self, as_of: Moment, now: Moment, unix: UnixTime) {
-        if self.gap_end.take_if(|end| *end <= as_of).is_none() {
+        if self.gap_end.is_none_or(|end| as_of < end) {
             return;
         }
         for (name, known) in &mut self.services {
-            let record = self.recorded.get(name);
-            if let Some(record) = record.filter(|_| now < known.unknown_until) {
-                known.apply(record, now, unix);
+            match self.recorded.get(name) {
+                Some(record) => known.apply(record, now, unix),
+                // Nobody has written one in this era: whoever is to write records writes what it knew.
+                None => known.lacks_record = now < known.unknown_until,
             }
         }
+        self.end_gap();
+    }
+
+    fn end_gap(&mut self) {
+        if self.services.values().all(|known| !known.lacks_record) {
+            self.gap_end = None;
+        }
     }
 
     /// Records that the store lacks, or holds with other versions. None of services of which this instance
-    /// does not know how long they have had their versions: others may.
+    /// does not know how long they have had their versions: others may. If it knew until a gap, and nobody has
+    /// written a record after that, it writes what it knew.
     pub fn unrecorded(&self, now: Moment) -> Vec<Record> {
+        let is_restored = now >= self.restored_until;
+        let may_record =
+            |known: &Service| now >= known.unknown_until || (known.lacks_record && is_restored);
         let known = self.services.iter();
-        let known =
-            known.filter(|(_, known)| !known.listed.is_empty() && now >= known.unknown_until);
+        let known = known.filter(|(_, known)| !known.listed.is_empty() && may_record(known));
         let differing = known.filter(|(service, known)| {
             let recorded = self.recorded.get(*service);
-            recorded.is_none_or(|recorded| recorded.versions != known.listed)
+            recorded.is_none_or(|recorded| known.differs_from(recorded))
         });
         let records = differing.map(|(service, known)| Record {
             service: service.clone(),
@@ -189,7 +243,6 @@
         if listed.is_empty() {
             return false;
         }
-        let was_settled = self.is_settled(service, now);
         match self.services.get_mut(service) {
             Some(known) => {
                 if known.listed != listed {
@@ -205,17 +258,28 @@
                 self.services.insert(service.clone(), known);
             }
         }
-        was_settled && !self.is_settled(service, now)
+        self.take_unannounced(service, now)
+    }
+
+    /// Whether streams of a service are to be announced now, which has come to have several versions.
+    fn take_unannounced(&mut self, service: &ServiceName, now: Moment) -> bool {
+        let is_settled = self.is_settled(service, now);
+        let Some(known) = self.services.get_mut(service) else {
+            return false;
+        };
+        known.has_unannounced |= is_settled;
+        now < known.several_until && std::mem::take(&mut known.has_unannounced)
     }
 
     /// Records that another instance sees several versions of a service. Returns the same as
     /// [`Self::observe`].
     pub fn on_several(&mut self, service: &ServiceName, now: Moment) -> bool {
-        let was_settled = self.is_settled(service, now);
+        let is_settled = self.is_settled(service, now);
         let known = self.services.entry(service.clone());
         let known = known.or_insert_with(|| Service::new(Versions::new()));
+        known.has_unannounced |= is_settled;
         known.several_until = now + RETENTION;
-        was_settled
+        self.take_unannounced(service, now)
     }
 
     /// Whether a service has several versions, or had until lately.
@@ -230,8 +294,13 @@
         known.is_none_or(|known| now >= known.several_until && now >= known.unknown_until)
     }
 
-    /// The version at which all streams of a service began that may be resumed.
+    /// The version at which all streams of a service began that may be resumed. None if the list of engines may
+    /// be older than another version.
     pub fn sole(&self, service: &ServiceName, now: Moment) -> Option<&Software> {
+        let is_old = |as_of: Moment| now.saturating_sub(as_of) > MAX_GAP;
+        if now < self.restored_until || self.listed_as_of.is_some_and(is_old) {
+            return None;
+        }
         let known = self.services.get(service)?;
         known
             .listed
@@ -274,12 +343,20 @@
             changed: UnixTime::ZERO,
             several_until: Moment::ZERO,
             unknown_until: Moment::ZERO,
+            lacks_record: false,
+            has_unannounced: true,
         }
     }
 
+    /// Whether a record names other versions, or misses that others came and went.
+    fn differs_from(&self, record: &Record) -> bool {
+        record.versions != self.listed || self.changed > record.changed + MAX_GAP
+    }
+
     /// Compares the list of engines with the store's record from before.
     fn apply(&mut self, record: &Record, now: Moment, unix: UnixTime) {
         self.unknown_until = now;
+        self.lacks_record = false;
         let is_unchanged = record.versions == self.listed;
         self.changed = if is_unchanged { record.changed } else { unix };
         if !self.changed.is_zero() {
--- a/crates/serving/tests/stream_versions_replay.rs
+++ b/crates/serving/tests/stream_versions_replay.rs
@@ -98,7 +98,8 @@
     fn step(&mut self, number: usize) {
         let (now, unix) = (self.now, STARTED + self.now);
         let instance = &mut self.instances[number];
-        if instance.versions.on_list_current(now, now) {
+        instance.versions.on_list_current(now, now);
+        if instance.versions.records_due(Duration::ZERO, now) {
             if let Some(record) = self.recorded.clone() {
                 instance.versions.on_record(record, now, unix);
             }
@@ -207,7 +208,7 @@
         let (now, unix) = (self.now, STARTED + self.now);
         let mut instance = Instance::new(u8::try_from(number).expect("a small fleet"), false);
         instance.incarnation = self.instances[number].incarnation + 1;
-        instance.versions.on_store_era(self.era);
+        instance.versions.on_store_era(self.era, now);
         instance.versions.on_instances_listed(false, now);
         if let Some(record) = self.recorded.clone() {
             instance.versions.on_record(record, now, unix);
@@ -438,7 +439,7 @@
             |fleet| {
                 fleet.era += 1;
                 for instance in &mut fleet.instances {
-                    instance.versions.on_store_era(fleet.era);
+                    instance.versions.on_store_era(fleet.era, fleet.now);
                 }
                 fleet.run(1_000);
                 fleet.restart_all();
@@ -514,3 +515,46 @@
         }
     }
 }
+
+/// Guards against mixing where most instances are cut off from the store, and from those that begin streams at a
+/// second version: all that may hold a note answer, and none of them was told.
+#[test]
+fn a_stream_does_not_go_on_by_lists_from_before_a_cut_though_all_holders_answer() {
+    for (size, cut_off) in [(6, 2), (90, 30)] {
+        let mut fleet = Fleet::start(size);
+        (cut_off..fleet.instances.len()).for_each(|number| fleet.freeze(number));
+        fleet.list(&["v1", "v2"]);
+        fleet.begin(0, "v2");
+        fleet.run(5_000);
+        for (number, instance) in fleet.instances.iter_mut().enumerate() {
+            instance.is_alive = number >= cut_off;
+        }
+        fleet.is_store_away = true;
+        let [_, _, mixed] = fleet.resume_all();
+        assert_eq!(mixed, 0, "{size} instances");
+    }
+}
+
+/// Guards against mixing at instances that are told neither by the store, which has come back from a copy, nor by
+/// the holders, which have gone with the instance that began the streams.
+#[test]
+fn a_stream_does_not_go_on_by_a_copy_of_the_store_that_lacks_its_version() {
+    for size in SIZES {
+        let mut fleet = Fleet::start(size);
+        fleet.run(60_000);
+        // Reads of this instance come less than two seconds before and after.
+        fleet.freeze(1);
+        let listed = fleet.listed.clone();
+        fleet.list(&["v1", "v2"]);
+        fleet.begin(0, "v2");
+        fleet.era += 1;
+        fleet.listed = listed;
+        fleet.wake_only(1);
+        let now = fleet.now;
+        fleet.instances[1].versions.on_store_era(fleet.era, now);
+        fleet.recorded = None;
+        fleet.run(500);
+        let [_, _, mixed] = fleet.resume_all();
+        assert_eq!(mixed, 0, "{size} instances");
+    }
+}
--- a/crates/serving/tests/version_history.rs
+++ b/crates/serving/tests/version_history.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::slice;
 use std::time::Duration;
@@ -38,14 +39,14 @@
     /// The first one of all.
     fn first() -> Self {
         let mut history = VersionHistory::new(true);
-        history.on_store_era(ERA);
+        history.on_store_era(ERA, ms(0));
         Self(history)
     }
 
     /// One that starts and has not read the list of instances.
     fn start_unlisted() -> Self {
         let mut history = VersionHistory::new(false);
-        history.on_store_era(ERA);
+        history.on_store_era(ERA, ms(0));
         Self(history)
     }
 
@@ -65,6 +66,15 @@
         self.0.observe(&service(), listed.iter(), at, STARTED + at)
     }
 
+    /// Keeps the list of engines as new as the store's.
+    fn follow(&mut self, times: RangeInclusive<Moment>) {
+        let mut now = *times.start();
+        while now <= *times.end() {
+            self.0.on_list_current(now, now);
+            now += ms(1_000);
+        }
+    }
+
     fn sole(&self, at: Moment) -> Option<String> {
         self.0.sole(&service(), at).map(ToString::to_string)
     }
@@ -218,7 +228,7 @@
     let unix = STARTED + ms(300);
     instance.0.on_record(changed.clone(), ms(300), unix);
     assert!(instance.unrecorded(ms(400)).is_empty());
-    instance.0.on_store_era(ERA + 1);
+    instance.0.on_store_era(ERA + 1, ms(300));
     let again = Record {
         era: ERA + 1,
         ..changed
@@ -242,12 +252,14 @@
     let woken = |records: &[Record], read_at: Moment| {
         let mut instance = Instance::start(Some(record(&["v1"], Duration::ZERO)));
         instance.list(&["v1"], at(1));
-        assert!(!instance.0.on_list_current(at(1), at(1)));
-        assert!(!instance.0.on_list_current(at(3), at(3)));
+        instance.0.on_list_current(at(1), at(1));
+        instance.0.on_list_current(at(3), at(3));
+        assert!(!instance.0.has_gap());
         assert_eq!(instance.sole(at(3)).as_deref(), Some("v1"));
-        assert!(instance.0.on_list_current(at(6), at(6)));
+        instance.0.on_list_current(at(6), at(6));
+        assert!(instance.0.records_due(Duration::ZERO, at(6)));
         instance.list(&["v1"], at(6));
-        assert_eq!(instance.0.gap_end(), Some(at(6)));
+        assert!(instance.0.has_gap());
         assert_eq!(instance.sole(at(6)), None);
         for record in records {
             instance.0.on_record(record.clone(), at(6), STARTED + at(6));
@@ -259,16 +271,139 @@
     };
     let unchanged = woken(&[], at(6));
     assert_eq!(unchanged.sole(at(7)).as_deref(), Some("v1"));
-    assert_eq!(unchanged.0.gap_end(), None);
-    let read_before = woken(&[], at(5));
+    assert!(!unchanged.0.has_gap());
+    let mut read_before = woken(&[], at(5));
+    read_before.follow(at(6)..=at(35));
     assert_eq!(read_before.sole(at(35)), None);
     assert_eq!(read_before.sole(at(36)).as_deref(), Some("v1"));
     let came_and_went = [
         record(&["v1", "v2"], STARTED + at(4)),
         record(&["v1"], STARTED + at(5)),
     ];
-    let changed = woken(&came_and_went, at(6));
+    let mut changed = woken(&came_and_went, at(6));
     assert_eq!(changed.sole(at(7)), None);
+    changed.follow(at(6)..=at(35));
     assert!(changed.has_several(at(34)));
     assert_eq!(changed.sole(at(36)).as_deref(), Some("v1"));
 }
+
+/// Guards against a record of the only version, after a second one came and went that could not be written:
+/// an instance that starts would go on with its streams at the first.
+#[test]
+fn a_version_that_went_before_it_was_recorded_is_known_to_an_instance_that_starts() {
+    let mut instance = Instance::first();
+    instance.list(&["v1"], ms(0));
+    for record in instance.unrecorded(ms(500)) {
+        instance.0.on_recorded(record);
+    }
+    let mut recorded = record(&["v1"], ms(0));
+    let away = ms(0) + 2 * RETENTION;
+    instance.list(&["v1", "v2"], away);
+    instance.list(&["v1"], away + ms(1_500));
+    if let Some(written) = instance.unrecorded(away + ms(2_000)).pop() {
+        recorded = written;
+    }
+    let start = away + ms(3_000);
+    let mut history = VersionHistory::new(false);
+    history.on_store_era(ERA, start);
+    history.on_instances_listed(false, start);
+    history.on_record(recorded, start, STARTED + start);
+    let mut next = Instance(history);
+    next.list(&["v1"], start);
+    assert_eq!(next.sole(start), None);
+}
+
+/// Guards against refusing all streams for 30 s where the store has come back from a copy after some seconds:
+/// all instances have the same gap, and none of them writes the records that all wait for.
+#[test]
+fn a_store_that_comes_back_from_a_copy_leaves_the_only_version_known() {
+    let mut instance = Instance::first();
+    instance.list(&["v1"], ms(0));
+    instance.0.on_list_current(ms(0), ms(0));
+    for record in instance.unrecorded(ms(500)) {
+        instance.0.on_recorded(record);
+    }
+    let back = ms(0) + 2 * RETENTION;
+    instance
+        .0
+        .on_list_current(back - ms(2_500), back - ms(2_500));
+    instance.0.on_store_era(ERA + 1, back);
+    instance.0.on_list_current(back, back);
+    instance.list(&["v1"], back);
+    instance.0.on_records_current(back, back, STARTED + back);
+    let mut now = back;
+    while now < back + ms(5_000) {
+        now += ms(500);
+        instance.0.on_list_current(now, now);
+        for record in instance.unrecorded(now) {
+            instance.0.on_recorded(record);
+        }
+    }
+    assert_eq!(instance.sole(now), Some("v1".to_owned()));
+}
+
+/// Guards against taking records that were read before a gap for those from after it.
+#[test]
+fn a_record_that_was_read_before_a_gap_does_not_end_it() {
+    let mut instance = Instance::first();
+    instance.list(&["v1"], ms(0));
+    instance.0.on_list_current(ms(0), ms(0));
+    let end = ms(60_000);
+    instance.0.on_list_current(end - ms(3_000), end - ms(3_000));
+    instance
+        .0
+        .on_records_current(end - ms(3_000), end, STARTED + end);
+    instance.0.on_list_current(end, end);
+    assert_eq!(instance.sole(end), None);
+    // The answer to a read of the list of instances that was asked for before the gap.
+    instance
+        .0
+        .on_record(record(&["v1"], ms(0)), end, STARTED + end);
+    instance
+        .0
+        .on_records_current(end - ms(2_000), end, STARTED + end);
+    assert!(instance.0.has_gap());
+    assert_eq!(instance.sole(end), None);
+}
+
+/// Guards against telling nobody of the streams from before an outage of the store in which a second version came:
+/// their holders know nothing once the instances that began them have gone.
+#[test]
+fn streams_from_before_a_gap_are_announced_as_the_second_version_is_listed_after_it() {
+    let mut instance = Instance::first();
+    instance.list(&["v1"], ms(0));
+    instance.0.on_list_current(ms(0), ms(0));
+    assert!(instance.0.is_settled(&service(), ms(500)));
+    let mut is_announced = false;
+    for at in [3_000, 3_100, 3_500, 4_000].map(ms) {
+        instance.0.on_list_current(at, at);
+        if instance.0.records_due(Duration::ZERO, at) {
+            is_announced |= instance.list(&["v1", "v2"], at);
+            let recorded = record(&["v1", "v2"], STARTED + at);
+            instance.0.on_record(recorded, at, STARTED + at);
+            instance.0.on_records_current(at, at, STARTED + at);
+        }
+        is_announced |= instance.list(&["v1", "v2"], at);
+    }
+    assert!(is_announced);
+}
+
+/// Guards against passing over, and writing over, the store's record of a version that came and went between two
+/// reads of the engines.
+#[test]
+fn a_record_of_a_version_that_was_never_listed_here_is_believed() {
+    let mut instance = Instance::first();
+    instance.list(&["v1"], ms(0));
+    for record in instance.unrecorded(ms(500)) {
+        instance.0.on_recorded(record);
+    }
+    let now = 2 * RETENTION;
+    let recorded = record(&["v1", "v2"], STARTED + now - ms(1_000));
+    instance.0.on_record(recorded, now, STARTED + now);
+    instance.list(&["v1"], now);
+    for record in instance.unrecorded(now) {
+        let changed = STARTED + now - record.changed;
+        assert!(changed < RETENTION, "changed {changed:?} ago");
+    }
+    assert_eq!(instance.sole(now), None);
+}
