Read on past records that hold no readable key

Another writer left a record whose key is not UTF-8, or one too short to hold a key, among those of the engines. Gateways no longer learned of engines that came or left after it: calls went to engines that had left, and none to new ones. A gateway that reads the list of instances, or claims, would stop in the same way.

Cause: decoding one record failed the whole read, so the reader asked from the same position for ever.

Seen before the change in all four processes of the two tests, which play 51 odd records at once (numbers at and over the limits, 400 digits, ports out of range, nesting 20,000 deep, 200 KB of zeros, empty keys, keys of 255 bytes). The others of these records do no harm; they are parsed and name no engine.

A read that found only such records does not count as one that found none: it did not wait for one.

--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -114,9 +114,10 @@
             self.wait_until_due().await;
             self.due = Instant::now() + self.interval;
             let asked = self.instance.now();
+            let from = self.next;
             match self.read_once().await {
                 Ok(read) => {
-                    self.on_success(self.as_of(asked, &read));
+                    self.on_success(self.as_of(asked, from));
                     return read;
                 }
                 Err(StoreError::OffsetOutOfRange(first)) => {
@@ -199,13 +200,15 @@
         Ok(Read::Batch(batch.records))
     }
 
-    /// The moment up to which a read shows all records. The answer may have waited in the socket, if this
-    /// process was stopped or had no processor, so it counts from the request.
-    fn as_of(&self, asked: Moment, read: &Read) -> Moment {
-        match read {
-            // The store had no record for as long as it was asked to wait for one.
-            Read::Batch(records) if records.is_empty() => asked + self.max_wait,
-            _ => asked,
+    /// The moment up to which a read from a position shows all records. The answer may have waited in
+    /// the socket, if this process was stopped or had no processor, so it counts from the request.
+    fn as_of(&self, asked: Moment, from: Option<Offset>) -> Moment {
+        // The store had no record for as long as it was asked to wait for one.
+        let had_none = from.is_some() && from == self.next;
+        if had_none {
+            asked + self.max_wait
+        } else {
+            asked
         }
     }
 
--- /dev/null
+++ b/crates/gateway/tests/odd_entries.rs
@@ -0,0 +1,152 @@
+//! Gateway processes beside entries of another writer among those of the engines.
+
+mod harness;
+
+use harness::{Gateway, wait_until};
+use platform_standin::{Engine, Store};
+
+const TOPIC: &str = "keyed.servers";
+/// Bytes of a value of which a few fill a page of the newest records.
+const LARGE_VALUE_BYTES: usize = 200 * 1024;
+
+/// An engine's record as text, with one field replaced or added.
+fn entry(field: &str, value: &str) -> Vec<u8> {
+    let mut fields = vec![
+        ("service", r#""app""#),
+        ("address", r#""127.0.0.1:9""#),
+        ("zone", r#""a""#),
+        ("slots", "8"),
+        ("state", r#""ready""#),
+    ];
+    fields.retain(|(name, _)| *name != field);
+    fields.push((field, value));
+    let fields = fields
+        .iter()
+        .map(|(name, value)| format!(r#""{name}":{value}"#));
+    format!("{{{}}}", fields.collect::<Vec<_>>().join(",")).into_bytes()
+}
+
+/// Content of a record.
+fn record(key: &[u8], value: &[u8]) -> Vec<u8> {
+    let size = u8::try_from(key.len()).expect("a key has at most 255 bytes");
+    [&[size], key, value].concat()
+}
+
+/// Contents of records that name no engine.
+fn odd_records() -> Vec<Vec<u8>> {
+    let digits = "9".repeat(400);
+    let numbers = [
+        "-1",
+        "1.5",
+        "1e300",
+        "1e400",
+        "18446744073709551616",
+        &digits,
+    ];
+    let mut values = Vec::new();
+    for number in numbers {
+        for field in ["slots", "born", "sequence"] {
+            values.push(entry(field, number));
+        }
+    }
+    for port in ["0", "-1", "65536", "70000", "", &digits] {
+        values.push(entry("address", &format!(r#""127.0.0.1:{port}""#)));
+    }
+    for depth in [200, 20_000] {
+        let (open, close) = ("[".repeat(depth), "]".repeat(depth));
+        values.push(format!("{open}{close}").into_bytes());
+        values.push(open.clone().into_bytes());
+        values.push(r#"{"a":"#.repeat(depth).into_bytes());
+        for field in ["models", "leaves_ms"] {
+            values.push(entry(field, &format!("{open}{close}")));
+        }
+    }
+    values.push(vec![0; LARGE_VALUE_BYTES]);
+    values.push(vec![0xff, 0xfe]);
+    values.push(entry("zone", &format!("[{}]", "1,".repeat(100_000))));
+    let named = values.iter().enumerate();
+    let named = named.map(|(n, value)| record(format!("odd-{n}").as_bytes(), value));
+    let usual = entry("zone", r#""a""#);
+    let keys: [&[u8]; 6] = [
+        b"",
+        b"a b#&%/\"",
+        b"\xff\xfe",
+        b"app-\xc3",
+        b"\n",
+        &[b'k'; 255],
+    ];
+    let keyed = keys.iter().map(|key| record(key, b"[1]"));
+    let unreadable_keys = keys[..5].iter().map(|key| record(key, &usual));
+    // Without a key, and with a shorter one than the length says.
+    let without_key = [vec![], vec![9], vec![200, b'a', b'b']];
+    named
+        .chain(keyed)
+        .chain(unreadable_keys)
+        .chain(without_key)
+        .collect()
+}
+
+fn put_odd_records(store: &Store) {
+    for content in odd_records() {
+        store.put_record(TOPIC, content);
+    }
+}
+
+/// Waits until a call of this gateway reaches an engine.
+async fn wait_until_used(gateway: &Gateway, engine: &Engine) {
+    gateway.wait_until_ready(true).await;
+    wait_until(async || {
+        let id = gateway.fresh_id();
+        gateway.call("/safe/a", &id, &[]).await;
+        engine.run_count(&id) == 1
+    })
+    .await;
+}
+
+/// Replaces one engine of the service for plain calls by a new one, and waits until the gateways use only
+/// that one.
+async fn replace(gateways: &[&Gateway], old: &Engine, name: &str) -> Engine {
+    let store = &gateways[0].store;
+    let new = Engine::start(name).await;
+    new.register(store, "app", "ready", None);
+    store.put(TOPIC, &old.id, None);
+    for gateway in gateways {
+        wait_until_used(gateway, &new).await;
+        wait_until(async || {
+            let before = old.received().len();
+            for _ in 0..10 {
+                let id = gateway.fresh_id();
+                gateway.call("/safe/a", &id, &[]).await;
+            }
+            old.received().len() == before
+        })
+        .await;
+        gateway.wait_until_ready(true).await;
+    }
+    new
+}
+
+/// Guards against a reader that stays at an entry that it cannot read.
+#[actix_rt::test]
+async fn engines_are_followed_after_odd_entries() {
+    let (gateway, app, _pool) = Gateway::start().await;
+    put_odd_records(&gateway.store);
+    let second = replace(&[&gateway], &app, "app-2").await;
+    put_odd_records(&gateway.store);
+    replace(&[&gateway], &second, "app-3").await;
+}
+
+/// Guards against instances that learn of no engine since a peer cannot send an entry.
+#[actix_rt::test]
+async fn engines_are_followed_through_a_peer_after_odd_entries() {
+    let (gateway, app, _pool) = Gateway::start().await;
+    let others: Vec<Gateway> = (0..3)
+        .map(|_| gateway.start_another_on_slow_link())
+        .collect();
+    for other in &others {
+        wait_until_used(other, &app).await;
+    }
+    let all: Vec<&Gateway> = std::iter::once(&gateway).chain(&others).collect();
+    put_odd_records(&gateway.store);
+    replace(&all, &app, "app-2").await;
+}
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -666,7 +666,7 @@
     for (key, suspect) in [(OLD_KEY, old), (RECENT_KEY, recent)] {
         gateway
             .store
-            .put_bytes("keyed.instances", key, suspect.encode_to_vec());
+            .put_bytes("keyed.instances", key, &suspect.encode_to_vec());
     }
     gateway.configure(1, "app");
     let keys = || gateway.store.newest("keyed.instances");
