--- a/crates/gateway/tests/odd_entries.rs
+++ b/crates/gateway/tests/odd_entries.rs
@@ -126,6 +126,16 @@
     new
 }
 
+/// Guards against a gateway that reads nothing at its start since one entry cannot be read.
+#[actix_rt::test]
+async fn engines_are_followed_with_odd_entries_before_the_first_start() {
+    let gateway = Gateway::start_unconfigured().await;
+    put_odd_records(&gateway.store);
+    let (gateway, app, _pool) = gateway.add_engines().await;
+    let another = gateway.start_another();
+    replace(&[&gateway, &another], &app, "app-2").await;
+}
+
 /// Guards against a reader that stays at an entry that it cannot read.
 #[actix_rt::test]
 async fn engines_are_followed_after_odd_entries() {
@@ -150,3 +160,27 @@
     put_odd_records(&gateway.store);
     replace(&all, &app, "app-2").await;
 }
+
+/// Guards against a gateway that cannot read a store restored from a copy with odd entries.
+#[actix_rt::test]
+async fn engines_are_followed_after_a_store_restore_with_odd_entries() {
+    let (gateway, app, _pool) = Gateway::start().await;
+    put_odd_records(&gateway.store);
+    let copy = gateway.store.backup();
+    let second = replace(&[&gateway], &app, "app-2").await;
+    gateway.store.restore(copy);
+    second.register(&gateway.store, "app", "ready", None);
+    put_odd_records(&gateway.store);
+    replace(&[&gateway], &second, "app-3").await;
+}
+
+/// Guards against a gateway that reads nothing at its start since one value among the newest records is not
+/// in base64.
+#[actix_rt::test]
+async fn engines_are_followed_beside_a_value_that_cannot_be_decoded() {
+    let gateway = Gateway::start_unconfigured().await;
+    gateway.store.put_bytes(TOPIC, "odd", b"[1]");
+    gateway.store.replace_value(TOPIC, "odd", "!");
+    let (gateway, app, _pool) = gateway.add_engines().await;
+    replace(&[&gateway], &app, "app-2").await;
+}
