--- a/crates/gateway/tests/odd_entries.rs
+++ b/crates/gateway/tests/odd_entries.rs
@@ -184,3 +184,31 @@
     let (gateway, app, _pool) = gateway.add_engines().await;
     replace(&[&gateway], &app, "app-2").await;
 }
+
+/// Guards against a gateway that reads one page again and again, or none, since the last key of a page does
+/// not stand for itself in a URI.
+#[actix_rt::test]
+async fn engines_are_followed_with_a_page_that_ends_at_an_odd_key() {
+    let keys: [&[u8]; 9] = [
+        b"#",
+        b" ",
+        b"%",
+        b"&",
+        b"+",
+        b"A=",
+        b"\"",
+        b"app\xc3\xa9",
+        b"a\xff",
+    ];
+    for key in keys {
+        let gateway = Gateway::start_unconfigured().await;
+        // With those before it, the entry at the key fills a page.
+        let before = (0..5).map(|n| format!("\u{1}{n}").into_bytes());
+        for key in before.chain([key.to_vec()]) {
+            let content = record(&key, &vec![0; LARGE_VALUE_BYTES]);
+            gateway.store.put_record(TOPIC, content);
+        }
+        let (gateway, app, _pool) = gateway.add_engines().await;
+        replace(&[&gateway], &app, "app-2").await;
+    }
+}
