--- a/crates/gateway/tests/odd_entries.rs
+++ b/crates/gateway/tests/odd_entries.rs
@@ -212,3 +212,21 @@
         replace(&[&gateway], &app, "app-2").await;
     }
 }
+
+/// Guards against an engine whose own records count as those of an earlier start, since another writer's
+/// entry under its key named one in the far future.
+#[actix_rt::test]
+async fn an_engine_is_used_again_after_an_entry_with_a_start_that_is_too_large() {
+    let (gateway, app, _pool) = Gateway::start().await;
+    for start in [u64::MAX, 1_785_000_000_123_000] {
+        let odd = entry("born", &start.to_string());
+        gateway.store.put_bytes(TOPIC, &app.id, &odd);
+        let is_odd = "engine=app-1 state=Ready";
+        let names_none = "an entry names no engine";
+        let lines = || gateway.count_log_lines(is_odd) + gateway.count_log_lines(names_none);
+        let before = lines();
+        wait_until(async || lines() > before).await;
+        app.register(&gateway.store, "app", "ready", None);
+        wait_until_used(&gateway, &app).await;
+    }
+}
