Send no entry that is too large for a datagram

An entry of another writer with 200 KB among those of the engines went whole into the datagrams between instances, which take 48 KB: the datagram was not sent, and with it the other records of a transfer. Instances that do not read the store learned of it only by reading the store themselves (seen in the logs of three gateways beside the reader); one that looked like an engine's was used as one.

An entry above 24 KB, half a datagram, names no engine, and goes to other instances without its content, which names none either: an older record of its key does not stay in force there.

That a transfer loses the records beside such an entry was read in the code and not played.

--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -7,6 +7,7 @@
 
 use adapter::records;
 use adapter::store::{self, KeyedRecord, Offset, Store, StoreError};
+use bytes::Bytes;
 use clock::Moment;
 use serving::watch::{self, Waits, Watch};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -49,6 +50,8 @@
 /// which is nearly all heartbeats.
 const MAX_BACKLOG: Duration = Duration::from_secs(2);
 
+static NO_CONTENT: Bytes = Bytes::new();
+
 /// Starts the readers.
 pub(crate) fn start(instance: &Rc<Instance>) {
     actix_rt::spawn(follow_configuration(instance.clone()));
@@ -290,9 +293,16 @@
     }
 }
 
+/// A record as it is sent to other instances. An entry that is too large to be an engine's goes without its
+/// content, which names no engine either: it would not fit into a datagram.
 pub(crate) fn to_news(topic: Topic, record: &KeyedRecord) -> News {
     let configuration = topic == Topic::Configuration;
-    let value = record.value.as_ref();
+    let is_oversized =
+        |value: &Bytes| !configuration && value.len() > records::MAX_ENGINE_RECORD_BYTES;
+    let value = match &record.value {
+        Some(value) if is_oversized(value) => Some(&NO_CONTENT),
+        value => value.as_ref(),
+    };
     let compressed = value.filter(|_| configuration).and_then(|value| {
         compression::compress(value)
             .inspect_err(
--- a/crates/gateway/tests/odd_entries.rs
+++ b/crates/gateway/tests/odd_entries.rs
@@ -230,3 +230,21 @@
         wait_until_used(&gateway, &app).await;
     }
 }
+
+/// Guards against instances that stay without the engines among which one's record is too large for a
+/// datagram.
+#[actix_rt::test]
+async fn a_peer_learns_of_an_entry_that_is_too_large_for_a_datagram() {
+    let (gateway, app, _pool) = Gateway::start().await;
+    let other = gateway.start_another_on_slow_link();
+    wait_until_used(&other, &app).await;
+    let second = Engine::start("app-2").await;
+    second.register(&gateway.store, "app", "ready", None);
+    let odd = entry("zone", &format!("{:?}", "a".repeat(LARGE_VALUE_BYTES)));
+    gateway.store.put_bytes(TOPIC, &app.id, &odd);
+    for gateway in [&gateway, &other] {
+        wait_until_used(gateway, &second).await;
+        let names_none = "an entry names no engine";
+        wait_until(async || gateway.count_log_lines(names_none) == 1).await;
+    }
+}
