Add up numbers at the limits of their types

Numbers that are valid but as large as their type (the slots of two engines, two weights of a route, the window or counts of a report in a claim, the trials of a held call) overflowed where they are added or compared. With overflow checks the process ends; without, as the program is built for use, a full pool of engines looks empty, all calls go to one service, or a report is dropped early.

Slots and weights are summed as floating-point numbers, the others saturate. Two sums without a test of their own are changed alike: the logged number of requests of a report, and the time of an operator's release.

--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -192,7 +192,7 @@
     match Suspect::decode(&record.value.as_ref()?[..]) {
         Ok(suspect) => {
             let own = quarantine_store::unix_ms(System::new().wall_time());
-            let now_unix_ms = own.max(suspect.written_unix_ms + 1);
+            let now_unix_ms = own.max(suspect.written_unix_ms.saturating_add(1));
             let aged = frame::with_current_ages(suspect, now_unix_ms);
             let (call, entry) = frame::decode_suspect(&aged, NOW);
             Some(StoredCall {
--- a/crates/gateway/src/usage.rs
+++ b/crates/gateway/src/usage.rs
@@ -47,7 +47,7 @@
     pub(crate) async fn report(&self, report: &Report) -> Option<Answer> {
         let (head, body) = duties::usage_call(self.address, self.as_holder(), report);
         let answer = self.call(head, &body).await;
-        let requests: u32 = report.counts.values().sum();
+        let requests: u64 = report.counts.values().copied().map(u64::from).sum();
         log::info!(
             window = report.window, organisations = report.counts.len(), requests = requests,
             fence = self.grant.fence, answer:? = answer;
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -163,7 +163,7 @@
         let is_trial_failed = was_held && entry.last_trial.is_some_and(|tried| crash.at >= tried);
         let is_new = entry.add_crash(crash);
         if is_new && is_trial_failed {
-            entry.failed_trials = (entry.failed_trials + 1).min(entry.trials);
+            entry.failed_trials = entry.failed_trials.saturating_add(1).min(entry.trials);
         }
         self.on_changed(suspect);
         is_new
@@ -189,7 +189,7 @@
             return None;
         }
         let mut entry = self.get(call)?.clone();
-        entry.trials += 1;
+        entry.trials = entry.trials.saturating_add(1);
         entry.last_trial = Some(now);
         Some(entry)
     }
--- a/crates/serving/src/quarantine/entry.rs
+++ b/crates/serving/src/quarantine/entry.rs
@@ -241,7 +241,7 @@
         }
         let inconclusive = self.trials.saturating_sub(self.failed_trials);
         let counted = inconclusive.saturating_sub(MAX_INCONCLUSIVE);
-        (self.failed_trials + counted) as usize
+        self.failed_trials.saturating_add(counted) as usize
     }
 
     pub(super) fn hold(&self) -> Duration {
--- a/crates/serving/src/roles.rs
+++ b/crates/serving/src/roles.rs
@@ -105,12 +105,12 @@
 
     /// Share of filled slots on generating engines.
     fn fill(&self) -> f64 {
-        let (mut running, mut slots) = (0, 0);
+        let (mut running, mut slots) = (0.0, 0.0);
         for engine in &self.decode {
-            running += engine.running_calls();
-            slots += engine.record.slots;
+            running += f64::from(engine.running_calls());
+            slots += f64::from(engine.record.slots);
         }
-        f64::from(running) / f64::from(slots.max(1))
+        running / f64::max(slots, 1.0)
     }
 }
 
--- a/crates/serving/src/route.rs
+++ b/crates/serving/src/route.rs
@@ -91,8 +91,8 @@
 
     /// The service for a call, by a random number from 0 to 1.
     pub fn service(&self, drawn: f64) -> &ServiceName {
-        let sum: u32 = self.shares.iter().map(|share| share.weight).sum();
-        let mut remaining = drawn * f64::from(sum);
+        let weights = self.shares.iter().map(|share| f64::from(share.weight));
+        let mut remaining = drawn * weights.sum::<f64>();
         for share in &self.shares {
             remaining -= f64::from(share.weight);
             if remaining < 0.0 {
--- a/crates/serving/src/usage.rs
+++ b/crates/serving/src/usage.rs
@@ -252,7 +252,7 @@
         self.final_updates_left
             .retain(|window, _| *window >= oldest);
         self.fixed
-            .retain(|window, _| *window + RETAINED_WINDOWS >= oldest);
+            .retain(|window, _| window.saturating_add(RETAINED_WINDOWS) >= oldest);
         let (schedule, deadline) = (self.schedule, self.schedule.deadline);
         self.peers
             .retain(|_, peer| now.saturating_sub(peer.heard_at) < schedule.length * 2 + deadline);
@@ -295,8 +295,9 @@
             return false;
         }
         let mut peers = self.peers.values();
-        let has_final_counts =
-            |peer: &Peer| peer.current_window > window || peer.current_window + 1 < window;
+        let has_final_counts = |peer: &Peer| {
+            peer.current_window > window || peer.current_window.saturating_add(1) < window
+        };
         peers.all(has_final_counts) || now >= self.schedule.complete_by(window)
     }
 
@@ -305,7 +306,8 @@
         let mut sum = self.own.get(&window).cloned().unwrap_or_default();
         let peer_counts = self.peer_counts.get(&window).into_iter().flatten();
         for (organisation, count) in peer_counts.flat_map(|(_, counts)| counts) {
-            *sum.entry(organisation.clone()).or_default() += count;
+            let sum = sum.entry(organisation.clone()).or_default();
+            *sum = sum.saturating_add(*count);
         }
         sum
     }
--- a/crates/serving/tests/quarantine.rs
+++ b/crates/serving/tests/quarantine.rs
@@ -67,6 +67,24 @@
     );
 }
 
+/// Guards against the end of the process by a record with numbers of trials at the limit of their type.
+#[test]
+fn a_call_with_the_largest_numbers_of_trials_is_held_and_tried() {
+    for failed_trials in [0, u32::MAX - 9, u32::MAX] {
+        let mut quarantine = after_crashes(3);
+        let mut entry = quarantine.get(CALL).expect("it is known").clone();
+        entry.trials = u32::MAX;
+        entry.failed_trials = failed_trials;
+        entry.last_trial = Some(ms(3_500));
+        quarantine.merge(CALL, &entry);
+        quarantine.record_crash(CALL, CALLER, crash(9, NEW, 4_000));
+        assert!(is_held(&quarantine, 5_000));
+        let later = ms(10 * 24 * 60 * 60 * 1_000);
+        let tried = quarantine.next_trial(CALL, later);
+        assert!(tried.is_none_or(|tried| tried.trials == u32::MAX));
+    }
+}
+
 /// Each instance with the call in progress reports the crash, twice. If each report counted, one
 /// crash could hold a call that several instances had sent there.
 #[test]
--- a/crates/serving/tests/roles.rs
+++ b/crates/serving/tests/roles.rs
@@ -197,3 +197,18 @@
     assert!(!turns.may_claim(claim(8, "b"), "a", ms(9_000)));
     assert!(turns.may_claim(claim(8, "b"), "a", ms(9_200)));
 }
+
+/// Guards against a sum of slots that overflows, by which full engines look empty or the process ends.
+#[test]
+fn engines_with_the_largest_number_of_slots_are_planned_for() {
+    let mut fleet = engines(6, 12);
+    let mut large = fleet.get("g0").expect("it is registered").record.clone();
+    for name in ["g0", "g1"] {
+        large.id = id(name);
+        large.name = id(name);
+        large.slots = u32::MAX;
+        fleet.put(large.clone());
+    }
+    run_calls(&mut fleet, "g2", 2);
+    assert!(!settled_plan(&fleet).is_empty());
+}
--- a/crates/serving/tests/route.rs
+++ b/crates/serving/tests/route.rs
@@ -50,6 +50,14 @@
     assert_eq!(to_y.count(), 100);
 }
 
+/// Guards against weights whose sum overflows, by which all calls go to one service or the process ends.
+#[test]
+fn the_largest_weights_share_evenly() {
+    let route = route("/", &[("x", u32::MAX), ("y", u32::MAX)]);
+    let to_y = (0..1_000).filter(|n| &**route.service(f64::from(*n) / 1_000.0) == "y");
+    assert_eq!(to_y.count(), 500);
+}
+
 #[test]
 fn event_timeout_is_four_targets_eight_pauses_or_two_seconds() {
     assert_eq!(route("/", &[]).event_timeout(), ms(3_200));
--- a/crates/serving/tests/usage.rs
+++ b/crates/serving/tests/usage.rs
@@ -340,3 +340,26 @@
         }
     }
 }
+
+/// Guards against the end of the process by a report, an update or counts at the limits of their types, as
+/// another writer's claim or a peer may hold them.
+#[test]
+fn the_largest_windows_and_counts_are_kept_apart_from_others() {
+    let mut ledger = ledger();
+    ledger.merge_fixed(vec![Report {
+        window: Window::MAX,
+        counts: counts(&[("a", u32::MAX)]),
+        taken: true,
+    }]);
+    for source in [1, 2] {
+        let update = update(Window::MAX, FIRST, &[("a", u32::MAX)]);
+        ledger.merge(source, update, at(8_000));
+    }
+    ledger.expire(at(8_000));
+    let proposed = ledger.propose(at(9_000));
+    let first = proposed.iter().find(|report| report.window == FIRST);
+    assert_eq!(
+        first.map(|report| &report.counts),
+        Some(&counts(&[("a", u32::MAX)]))
+    );
+}
