Bound the expected time of a call

A call with a prompt of the largest number of tokens ended its task at a gateway whose configuration names the largest number of bytes a token: the expected time of the transfer is longer than a duration can be, which ends the task with and without overflow checks.

The test fails before ("cannot convert float seconds to Duration") and passes now; it also places such prompts with a usual configuration, which did not fail. Not played over processes.

--- a/crates/serving/src/cost.rs
+++ b/crates/serving/src/cost.rs
@@ -222,6 +222,14 @@
     time.as_secs_f64() * 1_000.0
 }
 
+/// Longest time that a call is expected to take. Sizes of a configuration may make it longer than any duration.
+const MAX_EXPECTED_MS: f64 = 86_400_000.0;
+
 fn from_millis(time: f64) -> Duration {
-    Duration::from_secs_f64(time.max(0.0) / 1_000.0)
+    let bounded = if time > 0.0 {
+        time.min(MAX_EXPECTED_MS)
+    } else {
+        0.0
+    };
+    Duration::from_secs_f64(bounded / 1_000.0)
 }
--- a/crates/serving/tests/place.rs
+++ b/crates/serving/tests/place.rs
@@ -470,3 +470,35 @@
         None
     );
 }
+
+/// Guards against the end of the process by a time that no duration can hold: a configuration with the largest
+/// number of bytes a token, and a call with the largest number of tokens.
+#[test]
+fn a_call_is_placed_whatever_its_prompt_and_its_caches_size() {
+    let largest = serving::route::Model {
+        kv_bytes_per_token: u64::MAX,
+        link_mbps: 0.0,
+        ..common::MODEL
+    };
+    for model in [common::MODEL, largest] {
+        for parts in [prompt(&[(1, 9_000)]), prompt(&[(1, u32::MAX)])] {
+            let (service, zone) = (service(), zone());
+            let generation = serving::place::Generation {
+                model: &model,
+                ..generation(&parts)
+            };
+            for stages in [
+                [Stage::Decode, Stage::Decode],
+                [Stage::Prefill, Stage::Decode],
+            ] {
+                let mut fleet = fleet(&[("a", stages[0]), ("b", stages[1])]);
+                fleet.cache_parts(&id("a"), &parts, u64::MAX, NOW);
+                let choice = choose(&fleet, &demand(&service, &zone, Some(generation)), NOW);
+                assert_matches!(
+                    choice,
+                    Choice::Direct(_) | Choice::Split { .. } | Choice::Refuse { .. }
+                );
+            }
+        }
+    }
+}
