--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -103,6 +103,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(400);
 /// Time until the record of a crashed engine expires.
 const RECORD_LIFETIME: Duration = Duration::from_millis(1_200);
+/// Nesting of an entry of another writer.
+const FOREIGN_DEPTH: usize = 20_000;
 /// Topic with the records of engines.
 const ENGINE_TOPIC: &str = "keyed.servers";
 /// Topics to compact.
@@ -580,9 +582,16 @@
         }
     }
 
-    /// Writes an entry that no engine writes, under a key of its own and over an engine's record.
+    /// Writes entries that no engine writes: some that hold no readable key, one that is deeply nested, and
+    /// one under a key of its own and over an engine's record.
     fn write_foreign_records(&self, number: usize) {
         let entry = json!({ "service": "app", "address": [10, 0, 0, 1], "state": "resting" });
+        for content in [&b""[..], b"\x09", b"\x02\xff\xfe{}"] {
+            self.store.put_record(ENGINE_TOPIC, content.to_vec());
+        }
+        let nested = "[".repeat(FOREIGN_DEPTH);
+        self.store
+            .put_bytes(ENGINE_TOPIC, "a b#", nested.as_bytes());
         self.store.put(ENGINE_TOPIC, "foreign", Some(&entry));
         self.with_engine(number, |node| {
             if !node.has_left {
