--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -7,6 +7,7 @@
 
 use adapter::records;
 use adapter::store::{self, Batch, KeyedRecord, Offset, Store, StoreError};
+use bytes::Bytes;
 use clock::Moment;
 use serving::watch::{self, Waits, Watch};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -51,6 +52,8 @@
 /// which is nearly all heartbeats.
 const MAX_BACKLOG: Duration = Duration::from_secs(2);
 
+static NO_CONTENT: Bytes = Bytes::new();
+
 /// Starts the readers.
 pub(crate) fn start(instance: &Rc<Instance>) {
     actix_rt::spawn(follow_configuration(instance.clone()));
@@ -137,9 +140,10 @@
             {
                 self.next = None;
             }
+            let from = self.next;
             match self.read_once().await {
                 Ok(read) => {
-                    let as_of = self.as_of(asked, &read);
+                    let as_of = self.as_of(asked, from);
                     if read.is_whole() {
                         self.instance.confirmation(self.topic).on_read(as_of);
                     }
@@ -234,13 +238,15 @@
         Ok(Read::Batch(batch))
     }
 
-    /// The moment up to which a read shows all records. The answer may have waited in the socket, if this
-    /// process was stopped or had no processor, so it counts from the request.
-    fn as_of(&self, asked: Moment, read: &Read) -> Moment {
-        match read {
-            // The store had no record for as long as it was asked to wait for one.
-            Read::Batch(batch) if batch.records.is_empty() => asked + self.max_wait,
-            _ => asked,
+    /// The moment up to which a read from a position shows all records. The answer may have waited in
+    /// the socket, if this process was stopped or had no processor, so it counts from the request.
+    fn as_of(&self, asked: Moment, from: Option<Offset>) -> Moment {
+        // The store had no record for as long as it was asked to wait for one.
+        let had_none = from.is_some() && from == self.next;
+        if had_none {
+            asked + self.max_wait
+        } else {
+            asked
         }
     }
 
@@ -346,9 +352,16 @@
     }
 }
 
+/// A record as it is sent to other instances. An entry that is too large to be an engine's goes without its
+/// content, which names no engine either: it would not fit into a datagram.
 pub(crate) fn to_news(topic: Topic, record: &KeyedRecord) -> News {
     let configuration = topic == Topic::Configuration;
-    let value = record.value.as_ref();
+    let is_oversized =
+        |value: &Bytes| !configuration && value.len() > records::MAX_ENGINE_RECORD_BYTES;
+    let value = match &record.value {
+        Some(value) if is_oversized(value) => Some(&NO_CONTENT),
+        value => value.as_ref(),
+    };
     let compressed = value.filter(|_| configuration).and_then(|value| {
         compression::compress(value)
             .inspect_err(
