Look whether an engine lives before its stream without a length ends

A caller got the first events of a stream and an answer framed as complete where the process of the engine had ended between two events; a stream that another engine could resume was not resumed.

Cause: an answer with neither a length nor chunks ends with its connection, and the kernel closes the connections of a process that has read all that was sent to it in an orderly way. Nothing in the stream tells, and the engine was not looked at. It was known and left, since a probe has to last for as long as a process takes to close its sockets.

A stream whose connection closes after a whole event counts as complete once its engine is known to live, by the probe that tells crashed engines from others. Events go on as before; only the end of the body waits, for 0.4 s and for half of the time left at the most. An engine that has ended has broken the stream off. Engines that announce that they leave are not probed, nor those that another instance reaches.

Two of the three new tests fail before (the stream of one event is complete; it is not resumed) and pass now; the third holds that streams of engines that live stay complete.

--- a/crates/gateway/src/crash_detection.rs
+++ b/crates/gateway/src/crash_detection.rs
@@ -45,7 +45,8 @@
 /// An engine that a call crashes ends within this time of the call's start there. A caller that
 /// leaves sooner does not see it.
 const CRASH_WINDOW: Duration = Duration::from_millis(500);
-/// Longest wait, before a suspect is sent again, for the verdict whether it crashed another engine.
+/// Longest wait for the verdict whether an engine has crashed, before a suspect is sent again or a stream counts
+/// as complete.
 const MAX_VERDICT_WAIT: Duration = Duration::from_millis(400);
 
 /// What one probe shows of an engine.
@@ -113,6 +114,18 @@
     }
 }
 
+/// Whether an engine has crashed whose connection closed in an orderly way, as a kernel closes those of a
+/// process that has ended. Waits for at most `limit` until that is known.
+pub(crate) async fn has_crashed(instance: &Rc<Instance>, engine: &Record, limit: Duration) -> bool {
+    if is_leaving(instance, &engine.id) {
+        return false;
+    }
+    let mut verdict = probe(instance, engine);
+    let ended = verdict.wait_for(|ended| *ended);
+    let ended = timeout(limit.min(MAX_VERDICT_WAIT), ended).await;
+    ended.is_ok_and(|ended| ended.is_ok())
+}
+
 /// Handles a suspect that was abandoned while an engine had it. Its caller no longer sees the
 /// engine end; without this, a call whose caller never waits could crash engines undetected.
 pub(crate) fn on_abandoned(
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -24,6 +24,7 @@
 use crate::relay::{self, Relay, Times};
 use crate::suspects;
 
+mod close;
 mod memory;
 mod resume;
 mod retry;
@@ -467,10 +468,10 @@
                 conclusion::return_to_pool(self.instance, &engine.id, client, &reply);
                 NextStep::Done(Stream::Whole(self.relay.times()))
             }
-            relay::End::Gone(error) => {
-                log::debug!(id = self.request.call.id.as_str(), error:% = error; "the caller disconnected");
-                NextStep::Done(Stream::Broken("the caller has gone"))
+            relay::End::Closed(rest) => {
+                self.after_close(*response, rest, engine_call, engine).await
             }
+            relay::End::Gone(error) => self.after_disconnect(&error),
             relay::End::Broken(failure) => {
                 log::info!(id = self.request.call.id.as_str(), engine = &*engine.id, failure:% = failure, framing:? = response.framing, last:? = self.relay.last(),
                     fingerprint = self.request.fingerprint_text(), parts = self.request.shared_parts_text(), caller:% = self.request.caller;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,6 +21,9 @@
 pub(crate) enum End {
     /// The stream is complete.
     Whole,
+    /// The engine's connection closed in an orderly way after a whole event, and the body has no other end. What
+    /// follows that event, if anything, completes the stream.
+    Closed(Bytes),
     /// The engine broke off.
     Broken(Failure),
     /// The caller has disconnected.
@@ -157,10 +160,18 @@
             if events::is_partial_event(&rest) {
                 return End::Broken(Failure::Broken("the stream ends within an event"));
             }
-            if !has_events && response.framing == Framing::UntilClose {
-                return End::Broken(Failure::Broken("the connection ends before an event"));
+            if response.framing == Framing::UntilClose {
+                return match has_events {
+                    true => End::Closed(rest),
+                    false => End::Broken(Failure::Broken("the connection ends before an event")),
+                };
             }
         }
+        self.complete(response, rest).await
+    }
+
+    /// Ends the caller's stream after these bytes.
+    pub(crate) async fn complete(&mut self, response: &EngineResponse, rest: Bytes) -> End {
         match self.end(response, rest).await {
             Ok(()) => End::Whole,
             Err(error) => End::Gone(error),
--- a/crates/gateway/tests/broken_streams.rs
+++ b/crates/gateway/tests/broken_streams.rs
@@ -180,6 +180,47 @@
     }
 }
 
+/// Ends with its first event, between two events.
+const END_AFTER_EVENT: Behaviour = Behaviour::EndEarly(EarlyEnd {
+    events: 1,
+    within_event: false,
+    ending: Ending::Stop,
+});
+
+/// Guards against taking the end of an engine between two events for that of its stream.
+#[actix_rt::test]
+async fn a_stream_without_length_whose_engine_ends_between_events_is_not_complete() {
+    let (gateway, _app, pool) = Gateway::start().await;
+    pool.set_framing(BodyFraming::UntilClose);
+    pool.set_behaviour(END_AFTER_EVENT);
+    let answer = call_raw(&gateway, "/stream/a", "HTTP/1.1").await;
+    assert_eq!(answer.events(), ["1"]);
+    assert!(!answer.has_last_chunk(), "{}", answer.text);
+}
+
+/// Guards against ending a stream that another engine could resume.
+#[actix_rt::test]
+async fn a_stream_without_length_whose_engine_ends_between_events_resumes() {
+    let (gateway, engines) = start_with_two_engines("\n").await;
+    for engine in &engines {
+        engine.set_framing(BodyFraming::UntilClose);
+        engine.set_behaviour(END_AFTER_EVENT);
+    }
+    let answer = call_raw(&gateway, "/resume/a", "HTTP/1.1").await;
+    assert_eq!(answer.events(), ["1", "2", "3", "4"]);
+    assert!(answer.has_last_chunk(), "{}", answer.text);
+}
+
+/// Guards against breaking streams off that their engines completed.
+#[actix_rt::test]
+async fn a_stream_without_length_of_an_engine_that_lives_is_complete() {
+    let (gateway, _app, pool) = Gateway::start().await;
+    pool.set_framing(BodyFraming::UntilClose);
+    let answer = call_raw(&gateway, "/stream/a", "HTTP/1.1").await;
+    assert_eq!(answer.events(), ["1", "2", "3", "4"]);
+    assert!(answer.has_last_chunk(), "{}", answer.text);
+}
+
 /// Guards against a complete stream without events for a caller whose engine ends before its first one.
 #[actix_rt::test]
 async fn a_connection_that_ends_before_the_first_event_is_no_complete_stream() {
