Pass events on only if their ids increase

A caller got events 1, 2, 1, 2, 3, 4 in one answer, framed as complete, where an engine broke a stream off and the one that was to resume it began anew; and events without ids twice, since there is nothing to resume them after.

Cause: the id of the last whole event was read to be sent on, and not compared with those that follow. The order of the events was the engine's word alone.

Ids are compared over all engines of a stream, and with the `Last-Event-Id` of a caller on routes that may be resumed. Where they do not increase, the engine has broken the stream off after the last one in order. A stream is not begun again once data without an id, or a body of another media type, was sent in part.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -16,14 +16,24 @@
     partial: BytesMut,
     search: Search,
     last: Option<EventId>,
+    /// Whether an event with data has been returned.
+    has_data: bool,
+    /// Whether lines are no fields of events.
+    is_plain: bool,
 }
 
+/// The ids of events do not increase: some come twice, or those of another run follow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OutOfOrder;
+
 /// Largest event that is passed on, in bytes. Events carry a few tokens; an engine that sends more
 /// without the end of an event has broken off or is spoilt, and an instance has many streams.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// Prefix of the line with an event's id.
 const ID: &[u8] = b"id:";
+/// Prefix of the lines with its data.
+const DATA: &[u8] = b"data";
 
 impl Splitter {
     /// A splitter for a stream that begins after this event.
@@ -34,30 +44,53 @@
         }
     }
 
+    /// Begins the answer of another engine, which sends the partial event of the one before again. A plain one
+    /// has no events, and is split at empty lines all the same.
+    pub fn begin(&mut self, is_plain: bool) {
+        drop(self.rest());
+        self.is_plain = is_plain;
+    }
+
     /// Id of the last whole event.
     pub fn last(&self) -> Option<EventId> {
         self.last
     }
 
+    /// Whether a stream that broke off can go on after the last whole event: it has an id, or there was none.
+    pub fn is_resumable(&self) -> bool {
+        self.last.is_some() || !self.has_data
+    }
+
     /// Number of bytes after the last whole event, which are kept. They have no limit here.
     pub fn partial_bytes(&self) -> usize {
         self.partial.len()
     }
 
     /// Takes bytes and returns the whole events that they complete.
-    pub fn push(&mut self, bytes: &Bytes) -> Option<Bytes> {
-        let whole = if self.partial.is_empty() {
+    ///
+    /// # Errors
+    ///
+    /// If their ids do not increase, over all engines of the stream. A caller that had some of them would
+    /// have to tell which ones to drop.
+    pub fn push(&mut self, bytes: &Bytes) -> Result<Option<Bytes>, OutOfOrder> {
+        let Some(whole) = self.split(bytes) else {
+            return Ok(None);
+        };
+        self.note(&whole)?;
+        Ok(Some(whole))
+    }
+
+    fn split(&mut self, bytes: &Bytes) -> Option<Bytes> {
+        if self.partial.is_empty() {
             let end = self.search.last_event_end(bytes);
             self.partial
                 .extend_from_slice(&bytes[end.unwrap_or_default()..]);
-            bytes.slice(..end?)
+            Some(bytes.slice(..end?))
         } else {
             self.partial.extend_from_slice(bytes);
             let end = self.search.last_event_end(&self.partial)?;
-            self.partial.split_to(end).freeze()
-        };
-        self.note(&whole);
-        Some(whole)
+            Some(self.partial.split_to(end).freeze())
+        }
     }
 
     /// Removes and returns the bytes after the last whole event.
@@ -66,13 +99,21 @@
         self.partial.split().freeze()
     }
 
-    fn note(&mut self, events: &[u8]) {
-        for line in events.split(|byte| matches!(byte, b'\n' | b'\r')).rev() {
-            if let Some(id) = id(line) {
-                self.last = Some(id);
-                return;
+    fn note(&mut self, events: &[u8]) -> Result<(), OutOfOrder> {
+        if self.is_plain {
+            return Ok(());
+        }
+        let mut last = self.last;
+        for line in events.split(|byte| matches!(byte, b'\n' | b'\r')) {
+            self.has_data |= line.starts_with(DATA);
+            let Some(id) = id(line) else { continue };
+            if last.is_some_and(|last| id <= last) {
+                return Err(OutOfOrder);
             }
+            last = Some(id);
         }
+        self.last = last;
+        Ok(())
     }
 }
 
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -55,7 +55,9 @@
         if let Some(end) = plain::refuse_late(instance, request) {
             return Stream::Unserved(end);
         }
-        let relay = Relay::new(writer, request.call.resume_after, close);
+        let is_resumable = request.route.kind.is_idempotent();
+        let after = request.call.resume_after.filter(|_| is_resumable);
+        let relay = Relay::new(writer, after, close);
         Run::new(instance, request, relay, &sent).run().await
     };
     let result = timeout_at(request.deadline, run).await;
@@ -373,7 +375,7 @@
             remaining: self.request.remaining(),
             priority: Some(target.rank),
             kv_source: memory.map(|guard| &guard.memory),
-            resume_after: self.relay.last(),
+            resume_after: self.relay.last().or(self.request.call.resume_after),
             fetch_from: placement::address(self.instance, target.fetch_from.as_ref()),
             weight_version: self.weights,
             ..RequestOptions::default()
--- a/crates/gateway/src/generate/retry.rs
+++ b/crates/gateway/src/generate/retry.rs
@@ -73,6 +73,7 @@
     pub(super) fn may_retry(&self) -> bool {
         let route = &self.request.route;
         route.kind.is_idempotent()
+            && self.relay.is_resumable()
             && self.runs < route.max_attempts
             && take_retry(self.instance, self.request)
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -34,6 +34,8 @@
 pub(crate) struct Relay<'a> {
     writer: &'a mut Writer,
     splitter: Splitter,
+    /// Whether what was sent to the caller are events.
+    has_events_only: bool,
     close: bool,
     times: Times,
 }
@@ -69,6 +71,7 @@
         Self {
             writer,
             splitter: Splitter::after(after),
+            has_events_only: true,
             close,
             times: Times::default(),
         }
@@ -84,6 +87,11 @@
         self.writer.has_written_head()
     }
 
+    /// Whether another engine can go on where the last one broke off.
+    pub(crate) fn is_resumable(&self) -> bool {
+        !self.has_begun() || (self.has_events_only && self.splitter.is_resumable())
+    }
+
     /// Id of the last event sent to the caller.
     pub(crate) fn last(&self) -> Option<EventId> {
         self.splitter.last()
@@ -98,11 +106,11 @@
         engine_call: &EngineCall<'_>,
         on_begin: impl Fn(),
     ) -> End {
-        // The next engine sends the partial event of the previous one again.
-        drop(self.splitter.rest());
+        let has_events = is_event_stream(&response.head);
+        self.splitter.begin(!has_events);
         let mut first = true;
         let events_before = self.times.events;
-        let max_partial_bytes = match is_event_stream(&response.head) {
+        let max_partial_bytes = match has_events {
             true => events::MAX_EVENT_BYTES,
             false => MAX_BODY_BYTES,
         };
@@ -110,8 +118,8 @@
             let chunk = match response.client.chunk().await {
                 Ok(Some(piece)) => piece,
                 Ok(None) => {
-                    let has_events = self.times.events > events_before;
-                    return self.finish(response, has_events).await;
+                    let has_begun = self.times.events > events_before;
+                    return self.finish(response, has_begun).await;
                 }
                 Err(failure) => return End::Broken(failure),
             };
@@ -121,7 +129,10 @@
             if std::mem::take(&mut first) {
                 engine_call.on_generation_started();
             }
-            let Some(events) = self.splitter.push(&chunk) else {
+            let Ok(events) = self.splitter.push(&chunk) else {
+                return End::Broken(Failure::Broken("the ids of its events do not increase"));
+            };
+            let Some(events) = events else {
                 if self.splitter.partial_bytes() > max_partial_bytes {
                     return End::Broken(Failure::Broken("an event is larger than allowed"));
                 }
@@ -139,6 +150,7 @@
 
     async fn write(&mut self, response: &EngineResponse, events: Bytes) -> io::Result<()> {
         self.begin(response).await?;
+        self.has_events_only &= is_event_stream(&response.head);
         self.times.note(Instant::now());
         self.writer.write_chunk(events).await
     }
@@ -154,14 +166,14 @@
     /// Ends the caller's stream, unless the engine's ends within an event or before its first one. Its
     /// framing does not tell: a body without a length ends with its connection, also where the engine
     /// crashes.
-    async fn finish(&mut self, response: &EngineResponse, has_events: bool) -> End {
+    async fn finish(&mut self, response: &EngineResponse, has_begun: bool) -> End {
         let rest = self.splitter.rest();
         if is_event_stream(&response.head) {
             if events::is_partial_event(&rest) {
                 return End::Broken(Failure::Broken("the stream ends within an event"));
             }
             if response.framing == Framing::UntilClose {
-                return match has_events {
+                return match has_begun {
                     true => End::Closed(rest),
                     false => End::Broken(Failure::Broken("the connection ends before an event")),
                 };
--- a/crates/gateway/tests/broken_streams.rs
+++ b/crates/gateway/tests/broken_streams.rs
@@ -237,6 +237,35 @@
     }
 }
 
+/// Guards against events that come twice, or whose ids go back, where an engine begins a stream anew that it
+/// should resume.
+#[actix_rt::test]
+async fn a_stream_whose_ids_go_back_breaks_off_before_them() {
+    let (gateway, engines) = start_with_two_engines("\n").await;
+    for (framing, ending) in CASES {
+        for engine in &engines {
+            engine.set_framing(framing);
+            engine.set_behaviour(Behaviour::BeginAnew(EarlyEnd {
+                events: 2,
+                within_event: true,
+                ending,
+            }));
+        }
+        let answer = call_raw(&gateway, "/resume/a", "HTTP/1.1").await;
+        assert!(answer.breaks_off_after_two_events(), "{}", answer.text);
+    }
+}
+
+/// Guards against sending events once more whose ids, without which nothing can go on after them, are missing.
+#[actix_rt::test]
+async fn a_stream_without_ids_is_not_begun_again_after_its_first_event() {
+    let (gateway, engines) = start_with_two_engines("\n").await;
+    engines.iter().for_each(Engine::omit_ids);
+    let answer = call_raw(&gateway, "/resume/a", "HTTP/1.1").await;
+    assert_eq!(answer.text.matches("data: ").count(), 2, "{}", answer.text);
+    assert!(!answer.has_last_chunk());
+}
+
 /// Resumes a stream after its last event, and sends another call on the same connection. Returns what
 /// arrives, to the end of the connection.
 async fn resume_and_call(gateway: &Gateway, resumes: &str) -> String {
