Number questions of a process from a random number on

A stream that had begun at one software version went on at another one, at an instance that had started again a second before, while another instance woke from a pause: `basis=noted`, and nobody had noted that version. Found by a soak run of six gateways.

Cause: questions between instances are numbered by process from 1, and an answer bears only the number. An instance that stood still answers what the former process had asked, at the same address, and its answer is taken for that to the new process's question of the same number. Requests for placements are numbered in the same way.

Both are numbered from a random number on.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -53,6 +53,7 @@
 mod status;
 mod store_reader;
 mod suspects;
+mod tickets;
 mod usage;
 mod version_records;
 mod warmup;
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -1,7 +1,7 @@
 //! Tells other instances which software version began a stream, and asks them; [`serving::origin`] and
 //! [`serving::version_history`] decide.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -17,6 +17,7 @@
 use wire::gateway::{Frame, OriginRequest, OriginResponse, StreamBatch, StreamOrigin};
 
 use crate::frame::to_millis;
+use crate::tickets::Tickets;
 
 /// Time for the answers of other instances. It is taken from the caller's time.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(25);
@@ -32,7 +33,7 @@
     streams: RefCell<Origins>,
     backups: RefCell<Backups>,
     waiting: RefCell<Waiting>,
-    last_ticket: Cell<u32>,
+    tickets: Tickets,
 }
 
 /// Questions that await answers, by ticket.
@@ -233,8 +234,7 @@
         others: &[SocketAddr],
         send: impl Fn(OriginRequest, SocketAddr),
     ) -> Vec<Knowledge> {
-        let ticket = self.last_ticket.get().wrapping_add(1);
-        self.last_ticket.set(ticket);
+        let ticket = self.tickets.next();
         let (sender, mut receiver) = unbounded_channel();
         let _open = WaitingGuard::new(&self.waiting, ticket, sender);
         for other in others {
--- a/crates/gateway/src/placement/client.rs
+++ b/crates/gateway/src/placement/client.rs
@@ -1,7 +1,7 @@
 //! Requests placements from placers; see [`serving::placer`]. The serving side is
 //! [`crate::placement::server`].
 
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::{OnceCell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -21,6 +21,7 @@
 use crate::frame::{encode_part, to_micros, to_millis};
 use crate::instance::Instance;
 use crate::metrics::PlacementAnswer;
+use crate::tickets::Tickets;
 
 /// Time for one placer's response. It is taken from the caller's time.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(25);
@@ -32,17 +33,10 @@
 pub(crate) struct Pending {
     socket: OnceCell<Rc<UdpSocket>>,
     waiting: RefCell<HashMap<Ticket, oneshot::Sender<Answer>>>,
-    last: Cell<Ticket>,
+    tickets: Tickets,
 }
 
 impl Pending {
-    /// The ticket of the next request, which also names the call at its placer.
-    fn next_ticket(&self) -> Ticket {
-        let number = self.last.get().wrapping_add(1);
-        self.last.set(number);
-        number
-    }
-
     /// Sends a frame to another instance. Returns whether it could be sent.
     pub(crate) fn send(&self, frame: &Frame, to: SocketAddr) -> bool {
         let Some(socket) = self.socket.get() else {
@@ -188,7 +182,8 @@
     demand: &Demand<'_>,
     read_in: Option<&Zone>,
 ) -> Option<PlacementResult> {
-    let ticket = instance.pending_placements.next_ticket();
+    // It also names the call at its placer.
+    let ticket = instance.pending_placements.tickets.next();
     let request = encode(instance, ticket, demand, read_in);
     let frame = Frame {
         ask: Some(request),
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod kinds;
 
 use std::cell::{Cell, RefCell};
+use std::fs::OpenOptions;
 use std::io::{self, Write as _};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::process::{Child, Command, Stdio};
@@ -207,19 +208,7 @@
         )
         .expect("a scratch file can be written");
         let log = NamedTempFile::new().expect("a scratch file can be created");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_tarragon-gateway"));
-        command
-            .args([
-                "serve",
-                "--metrics",
-                &metrics.port().to_string(),
-                "--settings",
-            ])
-            .arg(file.path())
-            .env("RUST_LOG", "info")
-            .stdout(log.reopen().expect("a scratch file can be opened"))
-            .stderr(Stdio::inherit());
-        let child = spawn(&mut command).expect("the gateway starts");
+        let child = start_process(&file, metrics, &log);
         Self {
             store,
             duties,
@@ -234,6 +223,14 @@
         }
     }
 
+    /// Kills the process and starts another one with the same settings, at the same addresses.
+    pub(crate) async fn restart(&self) {
+        self.signal("-KILL");
+        self.wait_until_ended().await;
+        *self.child.borrow_mut() = start_process(&self.settings, self.metrics, &self.log);
+        self.wait_until_ready(true).await;
+    }
+
     /// Starts a store, a gateway, an engine for plain calls and a decode engine, and waits until
     /// the gateway is ready.
     pub(crate) async fn start() -> (Self, Engine, Engine) {
@@ -476,6 +473,25 @@
     }
 }
 
+/// Starts the program, which appends to the log.
+fn start_process(settings: &NamedTempFile, metrics: SocketAddr, log: &NamedTempFile) -> Child {
+    let mut appending = OpenOptions::new();
+    let log = appending.append(true).open(log.path());
+    let mut command = Command::new(env!("CARGO_BIN_EXE_tarragon-gateway"));
+    command
+        .args([
+            "serve",
+            "--metrics",
+            &metrics.port().to_string(),
+            "--settings",
+        ])
+        .arg(settings.path())
+        .env("RUST_LOG", "info")
+        .stdout(log.expect("a scratch file can be opened"))
+        .stderr(Stdio::inherit());
+    spawn(&mut command).expect("the gateway starts")
+}
+
 impl Drop for Gateway {
     fn drop(&mut self) {
         // The process may have ended already.
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -12,6 +12,7 @@
 use platform_standin::{Ending, Engine, request};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 
 /// Time between two events, in which a caller can lose its connection.
 const EVENT_PAUSE: Duration = Duration::from_millis(30);
@@ -385,3 +386,51 @@
     assert!(second.count_log_lines_with("resumed by its caller", "basis=engines not known") > 0);
     first.signal("-CONT");
 }
+
+/// Guards against taking another instance's answer to a question of the former process at an address for one to
+/// a question of its own, which gives a stream the version of another one.
+#[actix_rt::test]
+async fn a_restarted_instance_takes_no_answers_to_questions_of_the_process_before() {
+    let ([first, second], _engines) = start_mixed().await;
+    let mut began = Vec::new();
+    for number in 0..4 {
+        began.extend(round(&first, &format!("s{number}"), 2).await);
+    }
+    let (v1, v2): (Vec<_>, Vec<_>) = began
+        .iter()
+        .partition(|(_, began)| began.versions[0] == "v1");
+    first.signal("-STOP");
+    second.restart().await;
+    let asked = v2.iter().map(async |(id, _)| {
+        let received = resume(&second, &format!("a{id}"), id).await;
+        assert_eq!(received.status, 503, "{received:?}");
+    });
+    join_all(asked).await;
+    second.restart().await;
+    let wake = async {
+        // The first questions are open by then.
+        sleep(EVENT_PAUSE).await;
+        first.signal("-CONT");
+    };
+    let ask = async {
+        for some in v1.chunks(4) {
+            let resumed = some.iter().map(async |(id, _)| {
+                let received = resume(&second, &format!("r{id}"), id).await;
+                assert!(
+                    !received.versions.contains(&"v2".to_owned()),
+                    "{received:?}"
+                );
+            });
+            join_all(resumed).await;
+        }
+    };
+    tokio::join!(ask, wake);
+    let (id, _) = v1[0];
+    let mut number = 0;
+    wait_until(async || {
+        number += 1;
+        let received = resume(&second, &format!("l{number}"), id).await;
+        received.versions == ["v1", "v1"]
+    })
+    .await;
+}
