Break streams off at any byte in the soak, and judge what arrived of them

The soak judged the events of answers that are complete, and of no others; engines broke streams off after two events, always at the same byte. A missing, repeated or foreign event before a break went unseen.

What arrives of a stream that breaks off, or that its caller leaves, must now be the beginning of the answer to that call. One seed in ten adds engines that break streams off after any number of bytes or answer twice, resets of links and connections, and gateways that stand still or are killed, while callers send nothing but streams that may be resumed.

Two tests of checks were bound to a stream of four events; they make theirs from the number of events, and cover more ways to spoil one (missing, twice, swapped, of a later place), whole and broken off.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -129,6 +129,9 @@
     }
 
     fn draw_kind(&mut self) -> RequestKind {
+        if self.cluster.sends_streams.get() {
+            return RequestKind::Resume;
+        }
         match self.rng.random_range(0..10) {
             0..=2 => RequestKind::Once,
             3 | 4 => RequestKind::Safe,
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -94,6 +94,7 @@
     for call in &history.calls {
         let executions = engines.get(call.id.as_str()).map_or(0, Vec::len);
         check_answer(call, &mut findings);
+        check_pieces(call, &mut findings);
         check_attempts(call, executions, &mut findings);
         check_refusal(call, executions, &mut findings);
         check_planned_work(call, executions, history, &mut findings);
@@ -182,6 +183,28 @@
     }
 }
 
+/// What arrived of a stream that broke off, or that its caller left, must be the beginning of the answer to its
+/// own request, without a missing or a repeated piece. A line that has not ended may name a version in part.
+fn check_pieces(call: &Call, findings: &mut Vec<Finding>) {
+    let is_part = match &call.outcome {
+        CallOutcome::Answer { status, body, .. } => *status == 200 && body.is_none(),
+        CallOutcome::Left => call.received.starts_with(b"id: "),
+        CallOutcome::NotConnected | CallOutcome::Closed => false,
+    };
+    if !is_part || !call.kind.is_stream() {
+        return;
+    }
+    let after = call.resumes.as_ref().map_or(0, |resumes| resumes.after);
+    let expected = expected_rest(call.kind, &call.id, after);
+    let text = String::from_utf8_lossy(&call.received);
+    let lines = text.rfind('\n').map_or("", |end| &text[..=end]);
+    let lines = lines.replace(&format!(" {UPGRADED}\n"), "\n");
+    if !expected.starts_with(&lines) {
+        let evidence = format!("{} {:?} began with {text:?}", call.id, call.kind);
+        report(findings, Invariant::WholeOwnAnswer, evidence);
+    }
+}
+
 fn check_attempts(call: &Call, executions: usize, findings: &mut Vec<Finding>) {
     if executions <= call.kind.max_attempts() {
         return;
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -76,6 +76,8 @@
     pub sends_fatal: Cell<bool>,
     /// Whether callers send prompts with the part that crashes engines, and sound ones beside them.
     pub sends_fatal_part: Cell<bool>,
+    /// Whether callers send streams that may be resumed, and nothing else.
+    pub sends_streams: Cell<bool>,
     /// When the callers started.
     pub callers_started: Cell<Instant>,
     /// Engines that crashed, with the time at which their records expire.
@@ -152,6 +154,7 @@
             framing: Cell::default(),
             sends_fatal: Cell::new(false),
             sends_fatal_part: Cell::new(false),
+            sends_streams: Cell::new(false),
             callers_started: Cell::new(Instant::now()),
             expiring_records: RefCell::default(),
             history: RefCell::default(),
@@ -294,6 +297,7 @@
             FaultKind::Foreign(number) => self.write_foreign_records(number),
             FaultKind::Fatal => self.sends_fatal.set(true),
             FaultKind::FatalPart => self.sends_fatal_part.set(true),
+            FaultKind::Streams => self.sends_streams.set(true),
             FaultKind::Limit(number, rate) => self.announce_rate_limit(number, rate),
             FaultKind::Pause(number) => self.ask_for_pauses(number),
             FaultKind::Configure => self.configure(),
@@ -328,6 +332,7 @@
             FaultKind::Foreign(number) => self.write_engine_record(number),
             FaultKind::Fatal => self.sends_fatal.set(false),
             FaultKind::FatalPart => self.sends_fatal_part.set(false),
+            FaultKind::Streams => self.sends_streams.set(false),
             FaultKind::Limit(number, _) => self.withdraw_rate_limit(number),
             FaultKind::Pause(number) => self.end_pauses(number),
             FaultKind::GoesBack => self.restore_store(),
@@ -741,6 +746,8 @@
         plan::EngineFailure::Full => Behaviour::Full,
         plan::EngineFailure::LosesAnswers => Behaviour::CloseUnanswered,
         plan::EngineFailure::Cuts => Behaviour::CutAfter(2),
+        plan::EngineFailure::CutsAtByte(bytes, ending) => Behaviour::CutAtByte(bytes, ending),
+        plan::EngineFailure::AnswersTwice(pause) => Behaviour::AnswerTwice(pause),
         plan::EngineFailure::Crosses => Behaviour::AnswerOther,
         plan::EngineFailure::Fails => Behaviour::Fail(500),
         plan::EngineFailure::Hangs => Behaviour::Hang,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -3,10 +3,12 @@
 use std::fmt;
 use std::time::Duration;
 
-use platform_standin::Cut;
+use platform_standin::{Cut, Ending};
 use rand::rngs::StdRng;
 use rand::{Rng as _, RngExt as _, SeedableRng as _};
 
+mod streams;
+
 /// State of a link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkState {
@@ -33,6 +35,10 @@
     LosesAnswers,
     /// It closes streams early.
     Cuts,
+    /// It breaks streams off after this many bytes, by a reset or an orderly end.
+    CutsAtByte(usize, Ending),
+    /// It sends each answer once more, after a pause.
+    AnswersTwice(Duration),
     /// It answers with the response to another request.
     Crosses,
     /// It runs calls and answers 500.
@@ -124,6 +130,8 @@
     Rollback,
     /// The answers of all engines have neither a length nor chunks and end with their connections.
     Unframed,
+    /// Callers send streams that may be resumed, and nothing else.
+    Streams,
     /// A gateway loses its paths to all engines, and keeps those to callers, store and gateways.
     Isolation(usize, Cut),
     /// Every second engine for generation falls silent for all gateways at once, and is replaced.
@@ -241,6 +249,9 @@
 const UNFRAMED_EVERY: u64 = 5;
 /// Number of engines that cut such answers in such a plan.
 const UNFRAMED_CUT_COUNT: usize = 2;
+/// One seed in this many adds engines that break streams off anywhere, answer twice, and callers that send
+/// streams only.
+const BROKEN_STREAMS_EVERY: u64 = 10;
 /// One seed in this many upgrades a part of the engines.
 const UPGRADES_EVERY: u64 = 5;
 /// Time between two upgrades.
@@ -402,6 +413,12 @@
                 Fault { at, duration, kind }
             }));
         }
+        if !planned && seed.is_multiple_of(BROKEN_STREAMS_EVERY) {
+            // A separate generator, for the same reason.
+            let mut rng = StdRng::seed_from_u64(seed.rotate_left(20));
+            let sizes = (gateways, services, engines);
+            faults.extend(streams::broken(&mut rng, sizes, duration));
+        }
         if !planned && seed.is_multiple_of(UPGRADES_EVERY) {
             // A separate generator, for the same reason.
             let mut rng = StdRng::seed_from_u64(seed.rotate_left(4));
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -99,18 +99,56 @@
     });
 }
 
+/// Text of the stream of the call `c2` with these events.
+fn stream_of(events: impl IntoIterator<Item = usize>) -> Bytes {
+    let events = events.into_iter();
+    let events = events.map(|event| format!("id: {event}\ndata: c2 {event}\n\n"));
+    Bytes::from(events.collect::<String>())
+}
+
+/// All events of a stream, with one of them missing, twice, out of order or of a later place.
+fn spoilt_streams() -> [Vec<usize>; 4] {
+    let all = || (1..=check::STREAM_EVENTS).collect::<Vec<_>>();
+    let [mut missing, mut twice, mut swapped, mut replaced] = [all(), all(), all(), all()];
+    missing.remove(2);
+    twice.insert(2, 2);
+    swapped.swap(1, 2);
+    replaced[2] = 4;
+    [missing, twice, swapped, replaced]
+}
+
 #[test]
 fn missing_or_repeated_stream_event_is_reported() {
-    for events in [[1, 2, 4, 4], [1, 2, 2, 3]] {
+    for events in spoilt_streams() {
         assert_only_finding(Invariant::WholeOwnAnswer, |history| {
-            let events = events.map(|event| format!("id: {event}\ndata: c2 {event}\n\n"));
             if let CallOutcome::Answer { body, .. } = &mut history.calls[2].outcome {
-                *body = Some(Bytes::from(events.concat()));
+                *body = Some(stream_of(events));
             }
         });
     }
 }
 
+#[test]
+fn missing_or_repeated_event_before_a_break_is_reported() {
+    for events in spoilt_streams() {
+        assert_only_finding(Invariant::WholeOwnAnswer, |history| {
+            history.calls[2].outcome = CallOutcome::Left;
+            history.calls[2].received = stream_of(events.into_iter().take(5));
+        });
+    }
+}
+
+#[test]
+fn beginning_of_a_stream_is_no_finding() {
+    let whole = stream_of(1..=check::STREAM_EVENTS);
+    for end in 0..whole.len() {
+        let mut history = valid_history();
+        history.calls[2].outcome = CallOutcome::Left;
+        history.calls[2].received = whole.slice(..end);
+        assert_eq!(check::check(&history), [], "{end} bytes");
+    }
+}
+
 #[test]
 fn unsigned_success_is_reported() {
     assert_only_finding(Invariant::WholeOwnAnswer, |history| {
@@ -666,7 +704,7 @@
         });
         for number in 0..12 {
             let mut resumed = call(&format!("r{number}"), RequestKind::Resume, 2_000);
-            resumed.resumes = resumption("c3", 4);
+            resumed.resumes = resumption("c3", check::STREAM_EVENTS);
             if number < refused {
                 refuse(&mut resumed, 503, true);
             } else if let CallOutcome::Answer { body, .. } = &mut resumed.outcome {
