--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -24,6 +24,7 @@
 use crate::relay::{self, Relay, Times};
 use crate::suspects;
 
+mod close;
 mod memory;
 mod resume;
 mod retry;
@@ -54,7 +55,9 @@
         if let Some(end) = plain::refuse_late(instance, request) {
             return Stream::Unserved(end);
         }
-        let relay = Relay::new(writer, request.call.resume_after, close);
+        let is_resumable = request.route.kind.is_idempotent();
+        let after = request.call.resume_after.filter(|_| is_resumable);
+        let relay = Relay::new(writer, after, close);
         Run::new(instance, request, relay, &sent).run().await
     };
     let result = timeout_at(request.deadline, run).await;
@@ -372,7 +375,7 @@
             remaining: self.request.remaining(),
             priority: Some(target.rank),
             kv_source: memory.map(|guard| &guard.memory),
-            resume_after: self.relay.last(),
+            resume_after: self.relay.last().or(self.request.call.resume_after),
             fetch_from: placement::address(self.instance, target.fetch_from.as_ref()),
             weight_version: self.weights,
             ..RequestOptions::default()
@@ -467,10 +470,10 @@
                 conclusion::return_to_pool(self.instance, &engine.id, client, &reply);
                 NextStep::Done(Stream::Whole(self.relay.times()))
             }
-            relay::End::Gone(error) => {
-                log::debug!(id = self.request.call.id.as_str(), error:% = error; "the caller disconnected");
-                NextStep::Done(Stream::Broken("the caller has gone"))
+            relay::End::Closed(rest) => {
+                self.after_close(*response, rest, engine_call, engine).await
             }
+            relay::End::Gone(error) => self.after_disconnect(&error),
             relay::End::Broken(failure) => {
                 log::info!(id = self.request.call.id.as_str(), engine = &*engine.id, failure:% = failure, framing:? = response.framing, last:? = self.relay.last(),
                     fingerprint = self.request.fingerprint_text(), parts = self.request.shared_parts_text(), caller:% = self.request.caller;
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -13,6 +13,7 @@
 use platform_standin::{Ending, Engine, Store, request};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 use wire::Message as _;
 use wire::gateway::ServiceVersions;
 
@@ -466,7 +467,7 @@
     let key = format!("versions/{:016x}", serving::hash::hash64("pool"));
     gateway
         .store
-        .put_bytes("keyed.instances", &key, versions.encode_to_vec());
+        .put_bytes("keyed.instances", &key, &versions.encode_to_vec());
     tokio::time::sleep(Duration::from_millis(2_500)).await;
     gateway.signal("-CONT");
     let calls = gateway.store.calls();
@@ -551,3 +552,51 @@
     let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
 }
+
+/// Guards against taking another instance's answer to a question of the former process at an address for one to
+/// a question of its own, which gives a stream the version of another one.
+#[actix_rt::test]
+async fn a_restarted_instance_takes_no_answers_to_questions_of_the_process_before() {
+    let ([first, second], _engines) = start_mixed().await;
+    let mut began = Vec::new();
+    for number in 0..4 {
+        began.extend(round(&first, &format!("s{number}"), 2).await);
+    }
+    let (v1, v2): (Vec<_>, Vec<_>) = began
+        .iter()
+        .partition(|(_, began)| began.versions[0] == "v1");
+    first.signal("-STOP");
+    second.restart().await;
+    let asked = v2.iter().map(async |(id, _)| {
+        let received = resume(&second, &format!("a{id}"), id).await;
+        assert_eq!(received.status, 503, "{received:?}");
+    });
+    join_all(asked).await;
+    second.restart().await;
+    let wake = async {
+        // The first questions are open by then.
+        sleep(EVENT_PAUSE).await;
+        first.signal("-CONT");
+    };
+    let ask = async {
+        for some in v1.chunks(4) {
+            let resumed = some.iter().map(async |(id, _)| {
+                let received = resume(&second, &format!("r{id}"), id).await;
+                assert!(
+                    !received.versions.contains(&"v2".to_owned()),
+                    "{received:?}"
+                );
+            });
+            join_all(resumed).await;
+        }
+    };
+    tokio::join!(ask, wake);
+    let (id, _) = v1[0];
+    let mut number = 0;
+    wait_until(async || {
+        number += 1;
+        let received = resume(&second, &format!("l{number}"), id).await;
+        received.versions == ["v1", "v1"]
+    })
+    .await;
+}
