Read the bodies of responses whose heads name another protocol or no coding

Callers saw: an engine's 200 with its signature and Transfer-Encoding: identity, or with Upgrade: websocket beside its length, as a 200 with an empty body, framed as whole; also where the engine broke its body off (MIXED). Directly and through another instance.

Cause: the client of http1 asked the codec whether a body follows, and where it said no, took any header that speaks of a body for a length of zero. The codec says no in two more cases: it ignores the length beside Upgrade: websocket, with or without Connection: Upgrade, and identity is for it the absence of a coding. Of the opposite kind: HTTP/1.0 with a length of zero was broken, since the codec then expects a body to the end of the connection.

Change: http1::framing::body_end decides from method, status, version and headers (RFC 9112, 6.3); the codec only decodes. A length that the codec does not expect is counted by the client, whose connection is then not reused. A transfer encoding in HTTP/1.0 is broken at its head; until now pieces were passed on before.

Why it works: there is one decision, and each of its four ends has one way to be reached.

Remaining: requests of callers that name Upgrade: websocket are never read to their end (408), by the codec of the other side.

--- a/crates/gateway/tests/truncated_heads.rs
+++ b/crates/gateway/tests/truncated_heads.rs
@@ -541,3 +541,42 @@
         assert_eq!(engine.run_count(&id), 1);
     }
 }
+
+/// Headers of answers beside which the codec expects no body.
+const UNUSUAL_FRAMINGS: [&str; 3] = [
+    "Transfer-Encoding: identity\r\n",
+    "Connection: Upgrade\r\nUpgrade: websocket\r\nContent-Length: 6\r\n",
+    "Upgrade: websocket\r\nContent-Length: 6\r\n",
+];
+
+/// Guards against an empty body, framed as whole, where an engine's head names another protocol or no coding.
+#[actix_rt::test]
+async fn bodies_arrive_whole_or_not_at_all_whatever_else_their_heads_name() {
+    let (isolated, other, [app, _pool]) = start_with_forwarding().await;
+    for gateway in [&isolated, &other] {
+        for framing in UNUSUAL_FRAMINGS {
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {ID}\r\nResponse-Signature: SIG.42\r\n{framing}\r\n"
+            );
+            let (cut, whole) = (format!("{head}abc"), format!("{head}abcdef"));
+            for (text, ending, status) in [
+                (cut.clone(), Ending::Reset, 502),
+                (
+                    cut,
+                    Ending::Close,
+                    if framing.contains("Length") { 502 } else { 200 },
+                ),
+                (whole, Ending::Close, 200),
+            ] {
+                app.set_behaviour(raw(&text, text.len(), ending));
+                let mut caller = Caller::new(gateway).await;
+                let answer = caller.call(Kind::Unsafe, &gateway.fresh_id(), "").await;
+                assert_eq!(answer.status, status, "{text} {ending:?}");
+                assert!(
+                    answer.status != 200 || text.ends_with(&format!("\r\n\r\n{}", answer.body)),
+                    "{text} {answer:?}"
+                );
+            }
+        }
+    }
+}
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -6,7 +6,6 @@
 
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
-use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use tokio::io::Interest;
@@ -16,7 +15,7 @@
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
 use crate::failure::SILENT_WITHIN_BODY;
-use crate::framing::allows_body;
+use crate::framing::{BodyEnd, body_end};
 use crate::socket::{Transfer, set_acknowledge_timeout, set_options, try_read, try_write};
 use crate::{Config, Failure, TcpTimeouts};
 
@@ -43,6 +42,8 @@
 enum State {
     Idle(ClientCodec),
     Body(ClientPayloadCodec),
+    /// A body of which so many bytes are left. The codec does not expect it, so nothing can follow.
+    Sized(u64),
     UntilClose,
     Unusable,
 }
@@ -315,15 +316,21 @@
         codec: ClientCodec,
     ) -> Result<ResponseStart, Failure> {
         self.overhead = 0;
-        let framing = framing(&self.method, &head, &codec);
-        // A codec that expects a body all the same would read the next head as one.
-        let may_continue = codec.keep_alive() && codec.message_type() == MessageType::None;
-        self.state = match framing {
-            Framing::Delimited => State::Body(codec.into_payload_codec()),
-            Framing::UntilClose => State::UntilClose,
-            Framing::Empty if may_continue => State::Idle(codec),
-            Framing::Empty => State::Unusable,
+        let end = body_end(&self.method, &head).map_err(Failure::Broken)?;
+        let expects_body = codec.message_type() != MessageType::None;
+        let (framing, state) = match end {
+            // A codec that expects a body all the same would read the next head as one.
+            BodyEnd::Head if codec.keep_alive() && !expects_body => {
+                (Framing::Empty, State::Idle(codec))
+            }
+            BodyEnd::Head => (Framing::Empty, State::Unusable),
+            BodyEnd::Length(length) if !expects_body => (Framing::Delimited, State::Sized(length)),
+            BodyEnd::Length(_) | BodyEnd::LastChunk => {
+                (Framing::Delimited, State::Body(codec.into_payload_codec()))
+            }
+            BodyEnd::Close => (Framing::UntilClose, State::UntilClose),
         };
+        self.state = state;
         Ok(ResponseStart { head, framing })
     }
 
@@ -340,6 +347,13 @@
                 }
                 Err(_) => Err(Failure::Broken("the body's framing is broken")),
             },
+            State::Sized(0) => Ok(Some(None)),
+            State::Sized(left) => {
+                let available = usize::try_from(left).unwrap_or(usize::MAX);
+                let chunk = self.received.split_to(available.min(self.received.len()));
+                self.state = State::Sized(left - chunk.len() as u64);
+                Ok((!chunk.is_empty()).then_some(Some(chunk.freeze())))
+            }
             State::UntilClose => {
                 self.state = State::UntilClose;
                 let chunk = self.received.split().freeze();
@@ -438,19 +452,3 @@
 fn is_bodiless(method: &Method) -> bool {
     *method == Method::GET || *method == Method::HEAD || *method == Method::DELETE
 }
-
-/// The codec treats a response with neither a length nor chunks as one without a body; in HTTP/1.1
-/// its body extends to the end of the connection. Without this a caller would get an empty body.
-fn framing(method: &Method, head: &ResponseHead, codec: &ClientCodec) -> Framing {
-    if !allows_body(method, head.status) {
-        return Framing::Empty;
-    }
-    let delimited =
-        head.headers.contains_key(CONTENT_LENGTH) || head.headers.contains_key(TRANSFER_ENCODING);
-    match codec.message_type() {
-        MessageType::None if delimited => Framing::Empty,
-        MessageType::None | MessageType::Stream => Framing::UntilClose,
-        MessageType::Payload if delimited => Framing::Delimited,
-        MessageType::Payload => Framing::UntilClose,
-    }
-}
