Soak: stop some engines within the heads of their answers

In one seed of seven three engines close after a number of bytes of each answer's head (1 to 79 of 80), for 0.15 to 4 s.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -10,6 +10,7 @@
 use platform_standin::cloud::{self, Cloud};
 use platform_standin::configuration::{Duties, Route, configuration};
 use platform_standin::engine::{Behaviour, BodyFraming};
+use platform_standin::raw::RawAnswer;
 use platform_standin::{Cut, Engine, Store, store};
 use rustix::process::Signal;
 use serde_json::json;
@@ -744,5 +745,6 @@
         plan::EngineFailure::Crosses => Behaviour::AnswerOther,
         plan::EngineFailure::Fails => Behaviour::Fail(500),
         plan::EngineFailure::Hangs => Behaviour::Hang,
+        plan::EngineFailure::EndsWithinHead(bytes) => Behaviour::Raw(RawAnswer::cut_head(bytes)),
     }
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -39,6 +39,8 @@
     Fails,
     /// It runs calls and never answers.
     Hangs,
+    /// It runs calls and closes after so many bytes of the head of each answer.
+    EndsWithinHead(usize),
 }
 
 /// Action on a gateway process.
@@ -241,6 +243,12 @@
 const UNFRAMED_EVERY: u64 = 5;
 /// Number of engines that cut such answers in such a plan.
 const UNFRAMED_CUT_COUNT: usize = 2;
+/// One seed in this many adds engines that stop within the heads of their answers.
+const CUT_HEADS_EVERY: u64 = 7;
+/// Number of engines that do so in such a plan.
+const CUT_HEAD_COUNT: usize = 3;
+/// Most bytes of a head that such an engine sends; fewer than heads have.
+const MAX_CUT_HEAD_BYTES: usize = 79;
 /// One seed in this many upgrades a part of the engines.
 const UPGRADES_EVERY: u64 = 5;
 /// Time between two upgrades.
@@ -402,6 +410,19 @@
                 Fault { at, duration, kind }
             }));
         }
+        if !planned && seed % CUT_HEADS_EVERY == 4 {
+            // A separate generator, for the same reason.
+            let mut rng = StdRng::seed_from_u64(seed.rotate_left(20));
+            faults.extend((0..CUT_HEAD_COUNT).map(|_| {
+                let engine = rng.random_range(0..services + engines);
+                let bytes = rng.random_range(1..=MAX_CUT_HEAD_BYTES);
+                Fault {
+                    at: WARM_UP + Duration::from_millis(rng.random_range(0..last_ms)),
+                    duration: Duration::from_millis(rng.random_range(MIN_FAULT_MS..=MAX_FAULT_MS)),
+                    kind: FaultKind::Engine(engine, EngineFailure::EndsWithinHead(bytes)),
+                }
+            }));
+        }
         if !planned && seed.is_multiple_of(UPGRADES_EVERY) {
             // A separate generator, for the same reason.
             let mut rng = StdRng::seed_from_u64(seed.rotate_left(4));
