Date datagrams by when they can have arrived

An instance that was stopped while its only reading peer's frames waited in its socket, and the peer then ended, answered calls with an unknown key with 401 when it went on. 401 is final, and a key that had been issued meanwhile is served by the others.

Cause: a frame was dated by when it is handled, and the reads of the store that it tells of by the same moment. What waited for seconds passed for new.

The test stops the instance, kills the peer 1.5 s later and lets the instance go on after 3.5 s.

A datagram now arrived when its socket was last seen empty, unless that was at most 100 ms ago, by a check that asks the kernel: after a stop the runtime's timers run before it has learned of what waits. Reads and reports of peers and their limits of engines count from then. Whether a peer is there still counts from when its frame is handled: otherwise an instance would take its own stop for the silence of all others.

--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -6,6 +6,7 @@
 use adapter::upstream::{AnnouncedLimit, Reply};
 use clock::Moment;
 use serving::place::{Refusal, Target};
+use serving::receipt::Receipt;
 use serving::throttle::{Announcement, Permit, Rate};
 use serving::{Choice, EngineId, hash};
 use tokio::time::sleep;
@@ -46,7 +47,7 @@
 }
 
 /// Merges limits that another instance announces.
-pub(crate) fn merge_from_peer(instance: &Instance, limits: &[RateLimit], now: Moment) {
+pub(crate) fn merge_from_peer(instance: &Instance, limits: &[RateLimit], receipt: Receipt) {
     for limit in limits {
         let engine = instance.fleet.borrow().by_hash(limit.engine);
         let Some(engine) = engine else {
@@ -58,7 +59,7 @@
         };
         let announcement = Announcement {
             limit: rate,
-            at: frame::moment_before(now, limit.age_ms),
+            at: frame::moment_before(receipt.arrived, limit.age_ms),
         };
         merge(instance, &engine, announcement, "instance");
     }
--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -27,8 +27,11 @@
     registrar, shares, suspects, usage, version_records, warmup,
 };
 
+mod inbox;
 mod updates;
 
+use inbox::{Datagram, DatagramInbox};
+
 /// Pause between frames while nothing is placed.
 const IDLE_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which a placer batches calls into one frame. Other instances report to one placer per
@@ -61,13 +64,14 @@
 /// Starts the tasks that send and receive.
 pub(crate) async fn start(instance: &Rc<Instance>) -> io::Result<()> {
     let own = instance.address;
-    let socket = Rc::new(UdpSocket::bind(own).await?);
+    let inbox = DatagramInbox::bind(own, instance.clock)?;
+    let socket = inbox.socket.clone();
     let forwarding = http1::listen(own)?;
     instance.pending_placements.bind(socket.clone());
     actix_rt::spawn(forward::server::run(instance.clone(), forwarding));
     actix_rt::spawn(engine_links::run(instance.clone()));
     actix_rt::spawn(engine_links::resolve_suspicions(instance.clone()));
-    actix_rt::spawn(listen(instance.clone(), socket.clone()));
+    actix_rt::spawn(listen(instance.clone(), inbox));
     actix_rt::spawn(send_loop(instance.clone(), socket.clone()));
     actix_rt::spawn(updates::send_departures(instance.clone(), socket.clone()));
     actix_rt::spawn(registrar::run(instance.clone(), socket));
@@ -88,11 +92,16 @@
     version_records::run(store, unrecorded, on_written).await;
 }
 
-async fn listen(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
+async fn listen(instance: Rc<Instance>, mut inbox: DatagramInbox) {
+    let socket = inbox.socket.clone();
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        match socket.recv_from(&mut buffer).await {
-            Ok((size, from)) => match Frame::decode(&buffer[..size]) {
+        match inbox.receive(&mut buffer).await {
+            Ok(Datagram {
+                size,
+                from,
+                receipt,
+            }) => match Frame::decode(&buffer[..size]) {
                 Ok(frame) => {
                     if !frame.pass_to.is_empty() {
                         updates::forward(&socket, &frame);
@@ -116,7 +125,7 @@
                     if let Some(missing) = missing_suspects {
                         broadcast(&socket, &missing, &[from]);
                     }
-                    receive::handle_frame(&instance, from, frame);
+                    receive::handle_frame(&instance, from, frame, receipt);
                 }
                 Err(error) => log::debug!(error:% = error; "a datagram cannot be decoded"),
             },
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,6 +9,7 @@
 use serving::outbox::Outbox;
 use serving::parts::Part;
 use serving::placer::{Election, Member, Placers, ZoneHash};
+use serving::receipt::Receipt;
 use serving::watch::{Deferred, ReaderReport, TopicState};
 use serving::{EngineId, Zone, hash, replication};
 use wire::gateway::{News, State, Ticket};
@@ -50,7 +51,10 @@
 #[derive(Clone, Debug)]
 struct Peer {
     incarnation: u64,
+    /// When its last state was handled.
     last_heard: Moment,
+    /// When that state arrived.
+    arrived: Moment,
     leaving: bool,
     placing: bool,
     is_warm: bool,
@@ -123,7 +127,7 @@
         };
         ReaderReport {
             order,
-            heard_at: self.last_heard,
+            heard_at: self.arrived,
             read_at: read,
             state: knows,
         }
@@ -324,13 +328,14 @@
         from: SocketAddr,
         incarnation: u64,
         state: &State,
-        now: Moment,
+        receipt: Receipt,
     ) -> Option<u64> {
         let registered = self.by_address.entry(from);
-        let registered = registered.or_insert_with(|| Registered::new(state.zone, None, now));
+        let registered =
+            registered.or_insert_with(|| Registered::new(state.zone, None, receipt.handled));
         registered.place = state.zone;
         registered.order = Some(state.order);
-        let peer = decode_peer(incarnation, state, now);
+        let peer = decode_peer(incarnation, state, receipt);
         let needs_seeding = peer.needs_seeding();
         let before = registered.peer.replace(peer);
         let needed_seeding = before
@@ -492,20 +497,21 @@
     }
 }
 
-fn decode_peer(incarnation: u64, state: &State, now: Moment) -> Peer {
+fn decode_peer(incarnation: u64, state: &State, receipt: Receipt) -> Peer {
     Peer {
         incarnation,
-        last_heard: now,
+        last_heard: receipt.handled,
+        arrived: receipt.arrived,
         leaving: state.leaving,
         placing: state.placing,
         is_warm: state.knows,
         configuration: state.configuration,
-        configuration_read: moment_from_age(state.configuration_age_ms, now),
+        configuration_read: moment_from_age(state.configuration_age_ms, receipt.arrived),
         engines: TopicState {
             upto: state.engines_upto,
             digest: state.engines_digest,
         },
-        engines_read: moment_from_age(state.engines_age_ms, now),
+        engines_read: moment_from_age(state.engines_age_ms, receipt.arrived),
         engine_count: usize::try_from(state.engine_count).unwrap_or(usize::MAX),
     }
 }
--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -8,6 +8,7 @@
 use serving::engine::{Stage, StageChange};
 use serving::fleet::WorkChange;
 use serving::parts::Part;
+use serving::receipt::Receipt;
 use wire::gateway::{Frame, News, State};
 
 use crate::frame::{decode_job, decode_outcome, decode_work, moment_before, moment_from_age};
@@ -20,8 +21,8 @@
 };
 
 /// Dispatches a frame to the handlers of its parts.
-pub(crate) fn handle_frame(instance: &Instance, from: SocketAddr, frame: Frame) {
-    let now = instance.now();
+pub(crate) fn handle_frame(instance: &Instance, from: SocketAddr, frame: Frame, receipt: Receipt) {
+    let now = receipt.handled;
     let peer = frame.incarnation;
     if let Some(reports) = &frame.reports {
         server::on_reports(instance, peer, reports);
@@ -46,7 +47,7 @@
         registrar::on_confirmed(instance);
     }
     if let Some(state) = &frame.state {
-        on_state(instance, from, peer, state, now);
+        on_state(instance, from, peer, state, receipt);
     }
     if let Some(usage) = frame.usage.clone() {
         on_usage(instance, peer, usage);
@@ -74,16 +75,17 @@
             .merge(suspect, "instance", suspects::now(instance));
     }
     shares::merge_from_peer(instance, peer, &frame.organisation_uses, now);
-    limits::merge_from_peer(instance, &frame.rate_limits, now);
+    limits::merge_from_peer(instance, &frame.rate_limits, receipt);
     check_synced(instance, frame.all_engines);
     if frame.read_configuration {
         instance.must_read_configuration.set(true);
     }
 }
 
-fn on_state(instance: &Instance, from: SocketAddr, peer: u64, state: &State, now: Moment) {
+fn on_state(instance: &Instance, from: SocketAddr, peer: u64, state: &State, receipt: Receipt) {
+    let now = receipt.handled;
     let mut peers = instance.peers.borrow_mut();
-    let replaced = peers.on_state(from, peer, state, now);
+    let replaced = peers.on_state(from, peer, state, receipt);
     drop(peers);
     if replaced.is_some() {
         instance.links.on_restarted(from);
@@ -105,7 +107,7 @@
     if mesh::reads_store(state) {
         check_synced(instance, state.engines_digest);
     }
-    if let Some(read) = moment_from_age(state.engines_age_ms, now) {
+    if let Some(read) = moment_from_age(state.engines_age_ms, receipt.arrived) {
         let end = (state.engines_end > 0).then_some(state.engines_end);
         engine_records::on_store_answered(
             &mut instance.registry.borrow_mut(),
--- a/crates/gateway/tests/organisations.rs
+++ b/crates/gateway/tests/organisations.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use harness::{Gateway, configuration, generation, send_call, wait_until};
+use harness::{Gateway, SLOW_LINK_MBPS, configuration, generation, send_call, wait_until};
 use platform_standin::engine::{Behaviour, ReceivedRequest};
 use platform_standin::store::Fault;
 use platform_standin::{Engine, Store};
@@ -222,3 +222,27 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// Guards against refusing a new key for good at an instance that was stopped, because the frames of a peer
+/// that has ended since waited in its socket and its reads seem to be new.
+#[actix_rt::test]
+async fn frames_that_waited_while_the_instance_was_stopped_are_not_taken_for_new() {
+    let (reader, _app, _pool) = start().await;
+    reader.wait_until_ready(true).await;
+    let link = reader.store.open_link().await;
+    let gateway = reader.start_another_at(link.address, SLOW_LINK_MBPS);
+    gateway.wait_until_ready(true).await;
+    link.fault(Fault::Silent);
+    wait_until(async || gateway.count_log_lines("the store does not answer") > 0).await;
+    wait_until(async || status(&gateway, "/once/a", Some("unknown")).await == 401).await;
+    gateway.signal("-STOP");
+    // States of the peer arrive.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    reader.signal("-KILL");
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    gateway.signal("-CONT");
+    for _ in 0..20 {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        assert_eq!(status(&gateway, "/once/a", Some("unknown")).await, 503);
+    }
+}
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod quarantine;
 pub mod queue;
 pub mod reachability;
+pub mod receipt;
 pub mod registration;
 pub mod registry;
 pub mod replication;
