Date limits in answers by when they can have arrived

An engine that had limited itself to 50 requests a second and then to 2 was held to 50 again by all instances, until its next answer: one that had been stopped between told them so when it went on.

Cause: the newest limit wins, and a limit in an answer was dated by when the answer is handled. The answer had waited in the stopped instance's socket.

The test lets an answer with the limit of 50 wait at a stopped instance while another one learns of 2.

Answers on connections are dated by rounds of the event loop: what had arrived before a timer's last run but one was handled before the last one.

--- a/crates/gateway/src/limits.rs
+++ b/crates/gateway/src/limits.rs
@@ -40,7 +40,7 @@
     if let AnnouncedLimit::Rate(rate) = limit {
         let announcement = Announcement {
             limit: Some(rate),
-            at: instance.now(),
+            at: instance.own_load.arrival(),
         };
         merge(instance, engine, announcement, "answer");
     }
--- a/crates/gateway/src/own_load.rs
+++ b/crates/gateway/src/own_load.rs
@@ -13,6 +13,7 @@
 use http1::Traffic;
 use serving::congestion::{Cause, Congestion};
 use serving::intake::{Charge, Intake, Limits, Load, Reason, UNREAD_TIME};
+use serving::receipt::Rounds;
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
@@ -53,6 +54,7 @@
     limits: Cell<Limits>,
     seen: Cell<Traffic>,
     congestion: RefCell<Congestion>,
+    rounds: Cell<Rounds>,
     intake: RefCell<Intake>,
     /// Connections accepted within [`UNREAD_TIME`] whose first request has not been read, older ones,
     /// and requests in progress.
@@ -128,6 +130,7 @@
             limits: Cell::new(limits(settings, WAIT_BOUNDS.1)),
             seen: Cell::new(http1::traffic()),
             congestion: RefCell::default(),
+            rounds: Cell::default(),
             intake: RefCell::default(),
             unread: Cell::new(0),
             idle: Cell::new(0),
@@ -236,6 +239,12 @@
         self.congestion.borrow_mut().on_round_trip(peer, took, now);
     }
 
+    /// When bytes arrived that are being handled. They waited if this process was stopped or had no
+    /// processor.
+    pub(crate) fn arrival(&self) -> Moment {
+        self.rounds.get().arrival(self.clock.now())
+    }
+
     /// Whether this instance itself may have caused a silence that began at `begun`. It says nothing
     /// of an engine or a path then.
     pub(crate) fn explains_silence(&self, begun: Moment) -> bool {
@@ -365,6 +374,9 @@
         load.observe_traffic();
         let now = load.clock.now();
         let late = now.saturating_sub(due + TIMER_RESOLUTION);
+        let mut rounds = load.rounds.get();
+        rounds.on_round(now);
+        load.rounds.set(rounds);
         load.congestion.borrow_mut().on_iteration(late, now);
         load.end_period(now);
     }
--- a/crates/gateway/tests/rate_limits.rs
+++ b/crates/gateway/tests/rate_limits.rs
@@ -169,3 +169,41 @@
         wait_until(async || all_know_limited(&newcomers, 1).await).await;
     }
 }
+
+/// Guards against replacing an engine's limit by an older one, because an answer waited in the socket of an
+/// instance that was stopped.
+#[actix_rt::test]
+async fn an_answer_that_waited_does_not_restore_an_older_limit() {
+    let (gateway, _app, pool) = Gateway::start().await;
+    let stopped = gateway.start_another();
+    stopped.wait_until_ready(true).await;
+    wait_until(async || {
+        let page = stopped.metrics_page().await;
+        page.contains("tarragon_engines 2\n")
+    })
+    .await;
+    pool.set_prefill_time(Duration::from_millis(400));
+    pool.announce_limit(Some("50"));
+    let waiting = async {
+        let answer = stopped.generate("/stream/a", &stopped.fresh_id()).await;
+        assert_eq!(answer.status, 200);
+    };
+    let replaced = async {
+        wait_until(async || pool.request_count("/stream/") > 0).await;
+        stopped.signal("-STOP");
+        sleep(Duration::from_millis(600)).await;
+        pool.set_prefill_time(Duration::ZERO);
+        pool.announce_limit(Some("2"));
+        let id = gateway.fresh_id();
+        assert_eq!(gateway.generate("/stream/b", &id).await.status, 200);
+        wait_until(async || gateway.count_log_lines("limit=2 ") == 1).await;
+        let before = gateway.count_log_lines("limit=50 ");
+        stopped.signal("-CONT");
+        before
+    };
+    let ((), before) = tokio::join!(waiting, replaced);
+    // Limits are told at once.
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(gateway.count_log_lines("limit=50 "), before);
+    wait_until(async || stopped.count_log_lines("limit=2 ") > 0).await;
+}
--- a/crates/serving/src/receipt.rs
+++ b/crates/serving/src/receipt.rs
@@ -52,6 +52,26 @@
     pub handled: Moment,
 }
 
+/// Rounds of the event loop, seen by a timer that is set anew in each. Bytes on connections are dated by them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Rounds {
+    last: Moment,
+    before: Moment,
+}
+
+impl Rounds {
+    /// Notes that the timer's task runs.
+    pub fn on_round(&mut self, now: Moment) {
+        self.before = std::mem::replace(&mut self.last, now);
+    }
+
+    /// When bytes arrived that are handled at `now`. What had arrived before the last round but one was
+    /// handled before the last one, since tasks run in the order in which they are woken.
+    pub fn arrival(&self, now: Moment) -> Moment {
+        arrival(self.before, now)
+    }
+}
+
 /// When something arrived that is handled at `now` and had not arrived at `absent_at`.
 fn arrival(absent_at: Moment, now: Moment) -> Moment {
     if now.saturating_sub(absent_at) <= MAX_USUAL_WAIT {
