Look at the sockets once more before a time limit counts

An instance that was stopped for longer than a call that may be repeated may take at an engine (four fifths of its route's target) gave the engine up when it went on, counted it as failed and sent the call to a second one, although the answer had been there all the time.

Cause: a wait for the kernel's events that a stop interrupts ends without events. The runtime then runs the timers that are due, before it has learned what the sockets hold, so that the own stop passes for the engine's silence.

The test stops an instance for 4.6 s while a call is at an engine that answers after 0.5 s.

At a deadline of an attempt or of a whole call, the runtime gets one round to ask the kernel, and the answer is looked at once more. An engine that is silent costs one round more.

--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -11,7 +11,6 @@
 use serving::health::Outcome;
 use serving::place::{Refusal, Target};
 use serving::{Choice, EngineId, Zone};
-use tokio::time::timeout_at;
 
 use crate::attempt::{self, EngineResponse, MAX_BODY_BYTES, Request};
 use crate::conclusion::{self, AttemptResult, FailedSends, NotRun};
@@ -19,6 +18,7 @@
 use crate::engine_call::{EngineCall, Step};
 use crate::instance::Instance;
 use crate::metrics;
+use crate::overdue::timeout_at;
 use crate::placement::{self, Avoid};
 use crate::plain::{self, End, log_refused, metric_end, refuse_end};
 use crate::relay::{self, Relay, Times};
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod metrics;
 mod operator;
 mod origins;
+mod overdue;
 mod own_load;
 mod peers;
 mod placement;
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -12,7 +12,7 @@
 use serving::health::Outcome;
 use serving::place::{self, Target};
 use serving::{Choice, Kind};
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use crate::attempt::{self, EngineResponse, MAX_BODY_BYTES, Request};
 use crate::conclusion::{self, AttemptResult, FailedSends, NotRun};
@@ -20,6 +20,7 @@
 use crate::engine_call::{EngineCall, Progress, Step};
 use crate::instance::Instance;
 use crate::metrics;
+use crate::overdue::timeout_at;
 use crate::placement::{self, Avoid};
 use crate::refusal::{Refusal, refuse};
 use crate::suspects;
