Don't take an own stop for the silence of all others

An instance that was stopped for more than three seconds took the place of the instances that place calls when it went on, in two of five stops: it placed calls by what it had known before, told all others so, and had no one before it in the order of duties.

Cause: silence was counted up to now, and the runtime's timers may run before the frames that waited are handled. All others seemed to have ended for one round of the event loop.

Silence counts up to the last moment at which the socket for frames was seen empty. Only whether most instances are heard, without which no engines are ordered, still counts it up to now, which errs towards ordering none.

--- a/crates/gateway/src/mesh.rs
+++ b/crates/gateway/src/mesh.rs
@@ -96,7 +96,8 @@
     let socket = inbox.socket.clone();
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        match inbox.receive(&mut buffer).await {
+        let on_empty = |at| instance.peers.borrow_mut().on_listened(at);
+        match inbox.receive(&mut buffer, on_empty).await {
             Ok(Datagram {
                 size,
                 from,
--- a/crates/gateway/src/mesh/inbox.rs
+++ b/crates/gateway/src/mesh/inbox.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use clock::{Clock as _, System};
+use clock::{Clock as _, Moment, System};
 use serving::receipt::{EMPTY_CHECK_INTERVAL, Inbox, Receipt};
 use tokio::net::UdpSocket;
 use tokio::task::coop;
@@ -39,13 +39,18 @@
         })
     }
 
-    /// Waits for the next datagram.
-    pub(super) async fn receive(&mut self, buffer: &mut [u8]) -> io::Result<Datagram> {
+    /// Waits for the next datagram. `on_empty` is called with each moment at which there was none.
+    pub(super) async fn receive(
+        &mut self,
+        buffer: &mut [u8],
+        on_empty: impl Fn(Moment),
+    ) -> io::Result<Datagram> {
         coop::consume_budget().await;
         loop {
             if let Some(datagram) = self.try_receive(buffer)? {
                 return Ok(datagram);
             }
+            on_empty(self.inbox.empty_at());
             if let Ok(ready) = timeout(EMPTY_CHECK_INTERVAL, self.socket.readable()).await {
                 ready?;
             }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -147,6 +147,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     by_address: BTreeMap<SocketAddr, Registered>,
+    /// When all frames that had arrived were handled.
+    listened_until: Moment,
     election: Election,
     parts: Vec<(EngineId, Part)>,
     last_completed_prefills: Vec<(Ticket, Moment)>,
@@ -183,6 +185,17 @@
 }
 
 impl Peers {
+    /// Notes that all frames that had arrived by `at` are handled.
+    pub(crate) fn on_listened(&mut self, at: Moment) {
+        self.listened_until = at;
+    }
+
+    /// The moment up to which silence counts. What arrived while this process was stopped may not have been
+    /// handled yet, and the others would all seem to have ended.
+    fn listened(&self, now: Moment) -> Moment {
+        now.min(self.listened_until)
+    }
+
     /// Whether a transfer to a peer may begin.
     pub(crate) fn may_transfer(&self, address: SocketAddr, now: Moment) -> bool {
         let registered = self.by_address.get(&address);
@@ -199,6 +212,7 @@
 
     /// Number of engines, as announced by placers that know all.
     pub(crate) fn announced_engines(&self, now: Moment) -> Option<usize> {
+        let now = self.listened(now);
         let heard = self
             .by_address
             .values()
@@ -275,7 +289,9 @@
     /// The current placers, as this instance sees them.
     pub(crate) fn elect(&mut self, own: &Member, now: Moment) -> Placers {
         let members = self.by_address.iter();
-        let members = members.filter_map(|(address, registered)| registered.member(*address, now));
+        let listened = self.listened(now);
+        let members =
+            members.filter_map(|(address, registered)| registered.member(*address, listened));
         let members: Vec<Member> = members.collect();
         self.election.update(own, &members, now)
     }
@@ -365,6 +381,7 @@
 
     /// Placers that were heard of lately, the first `count` in the read order.
     pub(crate) fn first_placers(&self, count: usize, now: Moment) -> Vec<SocketAddr> {
+        let now = self.listened(now);
         let is_placing =
             |registered: &Registered| registered.peer.as_ref().is_some_and(|peer| peer.placing);
         let registered = self.by_address.iter();
@@ -380,6 +397,7 @@
 
     /// Number of placers that were heard of lately and come before `order`.
     pub(crate) fn placers_before(&self, order: u64, now: Moment) -> usize {
+        let now = self.listened(now);
         let is_placing =
             |registered: &Registered| registered.peer.as_ref().is_some_and(|peer| peer.placing);
         let count = self.count_before(order, |registered| {
@@ -391,6 +409,7 @@
     /// Number of instances that come before `order` and may be alive; 0 unless another instance was
     /// heard of lately or may have just started.
     pub(crate) fn rank(&self, order: u64, now: Moment) -> u32 {
+        let now = self.listened(now);
         let is_new =
             |registered: &Registered| now.saturating_sub(registered.added) < SILENCE_TIMEOUT;
         let mut registered = self.by_address.values();
@@ -419,6 +438,7 @@
 
     /// Number of instances that were heard of lately and come before `order`.
     pub(crate) fn live_before(&self, order: u64, now: Moment) -> u32 {
+        let now = self.listened(now);
         self.count_before(order, |registered| registered.is_heard(now))
     }
 
@@ -467,6 +487,7 @@
 
     /// Whether a live peer announces that it knows which parts engines have cached.
     pub(crate) fn has_warm_peer(&self, now: Moment) -> bool {
+        let now = self.listened(now);
         let mut heard = self
             .by_address
             .values()
--- a/crates/serving/src/receipt.rs
+++ b/crates/serving/src/receipt.rs
@@ -32,6 +32,11 @@
         self.empty_at = self.empty_at.max(checked);
     }
 
+    /// When the socket was last seen empty, so that all that had arrived was handled.
+    pub fn empty_at(&self) -> Moment {
+        self.empty_at
+    }
+
     /// Dates a datagram that is handled at `now`.
     pub fn receipt(&self, now: Moment) -> Receipt {
         Receipt {
