--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -7,7 +7,8 @@
 //! ([`registration`]), which instances hold the records of all engines ([`replication`]), which
 //! software version may go on with a stream ([`origin`]) and which ones a service had lately
 //! ([`version_history`]), which instances keep copies of where streams began ([`backups`]), whether a time-out is due to this instance's
-//! own link or event loop ([`congestion`]), and whether it accepts another connection ([`intake`]).
+//! own link or event loop ([`congestion`]), whether it accepts another connection ([`intake`]), and from
+//! when what it receives counts ([`receipt`]).
 //!
 //! The crate sits between the `gateway` daemon, which carries the bytes, and the platform's
 //! adapter, which fills in these types. It performs no I/O, and the current time is an argument.
--- a/crates/serving/src/throttle.rs
+++ b/crates/serving/src/throttle.rs
@@ -55,8 +55,9 @@
     /// The limit; `None` if it was lifted.
     pub limit: Option<Rate>,
     /// When it was announced, by this instance's clock: the arrival of an answer that names a
-    /// limit, which may be long before it is handled, or the sending of a request whose answer names none. Answers may overtake each other,
-    /// and one that left before the limit was set must not lift it.
+    /// limit, which may be long before it is handled, or the sending of a request whose answer names
+    /// none. Answers may overtake each other, and one that left before the limit was set must not
+    /// lift it.
     pub at: Moment,
 }
 
