--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,6 +9,7 @@
 use serving::outbox::Outbox;
 use serving::parts::Part;
 use serving::placer::{Election, Member, Placers, ZoneHash};
+use serving::receipt::Receipt;
 use serving::watch::{Deferred, ReaderReport, TopicState};
 use serving::{EngineId, Zone, hash, replication};
 use wire::gateway::{News, State, Ticket};
@@ -51,7 +52,10 @@
 #[derive(Clone, Debug)]
 struct Peer {
     incarnation: u64,
+    /// When its last state was handled.
     last_heard: Moment,
+    /// When that state arrived.
+    arrived: Moment,
     leaving: bool,
     placing: bool,
     is_warm: bool,
@@ -124,7 +128,7 @@
         };
         ReaderReport {
             order,
-            heard_at: self.last_heard,
+            heard_at: self.arrived,
             read_at: read,
             state: knows,
         }
@@ -144,6 +148,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     by_address: BTreeMap<SocketAddr, Registered>,
+    /// When all frames that had arrived were handled.
+    listened_until: Moment,
     election: Election,
     parts: Vec<(EngineId, Part)>,
     last_completed_prefills: Vec<(Ticket, Moment)>,
@@ -180,6 +186,17 @@
 }
 
 impl Peers {
+    /// Notes that all frames that had arrived by `at` are handled.
+    pub(crate) fn on_listened(&mut self, at: Moment) {
+        self.listened_until = at;
+    }
+
+    /// The moment up to which silence counts. What arrived while this process was stopped may not have been
+    /// handled yet, and the others would all seem to have ended.
+    fn listened(&self, now: Moment) -> Moment {
+        now.min(self.listened_until)
+    }
+
     /// Whether a transfer to a peer may begin.
     pub(crate) fn may_transfer(&self, address: SocketAddr, now: Moment) -> bool {
         let registered = self.by_address.get(&address);
@@ -196,6 +213,7 @@
 
     /// Number of engines, as announced by placers that know all.
     pub(crate) fn announced_engines(&self, now: Moment) -> Option<usize> {
+        let now = self.listened(now);
         let heard = self
             .by_address
             .values()
@@ -272,7 +290,9 @@
     /// The current placers, as this instance sees them.
     pub(crate) fn elect(&mut self, own: &Member, now: Moment) -> Placers {
         let members = self.by_address.iter();
-        let members = members.filter_map(|(address, registered)| registered.member(*address, now));
+        let listened = self.listened(now);
+        let members =
+            members.filter_map(|(address, registered)| registered.member(*address, listened));
         let members: Vec<Member> = members.collect();
         self.election.update(own, &members, now)
     }
@@ -325,13 +345,14 @@
         from: SocketAddr,
         incarnation: u64,
         state: &State,
-        now: Moment,
+        receipt: Receipt,
     ) -> Option<u64> {
         let registered = self.by_address.entry(from);
-        let registered = registered.or_insert_with(|| Registered::new(state.zone, None, now));
+        let registered =
+            registered.or_insert_with(|| Registered::new(state.zone, None, receipt.handled));
         registered.place = state.zone;
         registered.order = Some(state.order);
-        let peer = decode_peer(incarnation, state, now);
+        let peer = decode_peer(incarnation, state, receipt);
         let needs_seeding = peer.needs_seeding();
         let before = registered.peer.replace(peer);
         let needed_seeding = before
@@ -361,6 +382,7 @@
 
     /// Placers that were heard of lately, the first `count` in the read order.
     pub(crate) fn first_placers(&self, count: usize, now: Moment) -> Vec<SocketAddr> {
+        let now = self.listened(now);
         let is_placing =
             |registered: &Registered| registered.peer.as_ref().is_some_and(|peer| peer.placing);
         let registered = self.by_address.iter();
@@ -376,6 +398,7 @@
 
     /// Number of placers that were heard of lately and come before `order`.
     pub(crate) fn placers_before(&self, order: u64, now: Moment) -> usize {
+        let now = self.listened(now);
         let is_placing =
             |registered: &Registered| registered.peer.as_ref().is_some_and(|peer| peer.placing);
         let count = self.count_before(order, |registered| {
@@ -387,6 +410,7 @@
     /// Number of instances that come before `order` and may be alive; 0 unless another instance was
     /// heard of lately or may have just started.
     pub(crate) fn rank(&self, order: u64, now: Moment) -> u32 {
+        let now = self.listened(now);
         let is_new =
             |registered: &Registered| now.saturating_sub(registered.added) < SILENCE_TIMEOUT;
         let mut registered = self.by_address.values();
@@ -415,6 +439,7 @@
 
     /// Number of instances that were heard of lately and come before `order`.
     pub(crate) fn live_before(&self, order: u64, now: Moment) -> u32 {
+        let now = self.listened(now);
         self.count_before(order, |registered| registered.is_heard(now))
     }
 
@@ -463,6 +488,7 @@
 
     /// Whether a live peer announces that it knows which parts engines have cached.
     pub(crate) fn has_warm_peer(&self, now: Moment) -> bool {
+        let now = self.listened(now);
         let mut heard = self
             .by_address
             .values()
@@ -493,20 +519,21 @@
     }
 }
 
-fn decode_peer(incarnation: u64, state: &State, now: Moment) -> Peer {
+fn decode_peer(incarnation: u64, state: &State, receipt: Receipt) -> Peer {
     Peer {
         incarnation,
-        last_heard: now,
+        last_heard: receipt.handled,
+        arrived: receipt.arrived,
         leaving: state.leaving,
         placing: state.placing,
         is_warm: state.knows,
         configuration: state.configuration,
-        configuration_read: moment_from_age(state.configuration_age_ms, now),
+        configuration_read: moment_from_age(state.configuration_age_ms, receipt.arrived),
         engines: TopicState {
             upto: state.engines_upto,
             digest: state.engines_digest,
         },
-        engines_read: moment_from_age(state.engines_age_ms, now),
+        engines_read: moment_from_age(state.engines_age_ms, receipt.arrived),
         engine_count: usize::try_from(state.engine_count).unwrap_or(usize::MAX),
     }
 }
