Test odd records in the other topics that gateways read

51 odd records and 12 values under the keys of this system's own records (numbers at their limits, impossible addresses, unreadable bytes, nesting) stand in the topics of instances, orders and the operator before the first start, while running, and when a third gateway starts. All gateways start, go on and follow engines.

Claims are read by duties, which the test does not enable.

--- a/crates/gateway/tests/odd_entries.rs
+++ b/crates/gateway/tests/odd_entries.rs
@@ -4,6 +4,8 @@
 
 use harness::{Gateway, wait_until};
 use platform_standin::{Engine, Store};
+use wire::Message as _;
+use wire::gateway::{ServiceVersions, Suspect};
 
 const TOPIC: &str = "keyed.servers";
 /// Bytes of a value of which a few fill a page of the newest records.
@@ -248,3 +250,76 @@
         wait_until(async || gateway.count_log_lines(names_none) == 1).await;
     }
 }
+
+/// Values that may stand under the keys of this system's own records.
+fn odd_values() -> Vec<Vec<u8>> {
+    let versions = ServiceVersions {
+        service: "app".to_owned(),
+        versions: vec![String::new(); 1_000],
+        changed_unix_ms: u64::MAX,
+        era: u64::MAX,
+    };
+    let suspect = Suspect {
+        call_high: u64::MAX,
+        call_low: u64::MAX,
+        trials: u32::MAX,
+        failed: u32::MAX,
+        released_age_ms: u32::MAX,
+        written_unix_ms: u64::MAX,
+        part_place: u32::MAX,
+        ..Suspect::default()
+    };
+    let text = [
+        "127.0.0.1:9 a 18446744073709551615",
+        "127.0.0.1:9 a 18446744073709551616",
+        "[::1]:9 a 1",
+        "0.0.0.0:0 a 1",
+        "255.255.255.255:65535 a 1",
+        r#"{"holder":"a","incarnation":1,"reports":[{"window":18446744073709551615,"counts":{"o":4294967295},"taken":false}]}"#,
+        r#"{"held":true,"fixed":[{"service":"app","zone":"a","reclaimable":true,"engines":4294967295}]}"#,
+        r#"{"version":18446744073709551616}"#,
+    ];
+    let mut values: Vec<Vec<u8>> = text.iter().map(|text| text.as_bytes().to_vec()).collect();
+    values.extend([
+        versions.encode_to_vec(),
+        suspect.encode_to_vec(),
+        vec![0xff],
+    ]);
+    values.push("[".repeat(20_000).into_bytes());
+    values
+}
+
+/// Guards against a gateway that does not start, stops following or ends since a record of another writer
+/// stands in one of the other topics that it reads.
+#[actix_rt::test]
+async fn gateways_start_and_serve_beside_odd_records_in_other_topics() {
+    let gateway = Gateway::start_unconfigured().await;
+    let put_all = || {
+        for topic in ["keyed.instances", "keyed.orders", "keyed.op"] {
+            for content in odd_records() {
+                gateway.store.put_record(topic, content);
+            }
+            for value in odd_values() {
+                for key in ["stage", "operator", "held/ff", "versions/ff", "127.0.0.1:9"] {
+                    gateway.store.put_bytes(topic, key, &value);
+                    gateway
+                        .store
+                        .put_bytes(topic, &format!("{key}{}", value.len()), &value);
+                }
+            }
+        }
+    };
+    put_all();
+    let app = Engine::start("app-1").await;
+    app.register(&gateway.store, "app", "ready", None);
+    gateway.configure(1, "app");
+    let another = gateway.start_another();
+    let second = replace(&[&gateway, &another], &app, "app-2").await;
+    put_all();
+    for value in odd_values() {
+        gateway.store.put_bytes("keyed.op", "config", &value);
+    }
+    let third = gateway.start_another();
+    gateway.configure(2, "app");
+    replace(&[&gateway, &another, &third], &second, "app-3").await;
+}
