Read requests that offer to change to WebSocket by their length

Callers saw: a request with Upgrade: websocket, with a length or without a body, is never read to its end and is answered 408 after the time for a head (20 s by default in tests; the configuration's header_timeout_ms). With Connection: Upgrade beside chunks it was read, and the connection closed behind a response that said "connection: upgrade".

The codec takes all that follows such a head for the other protocol, up to the end of the connection, whether or not the offer is accepted, which it never is here.

Evidence: the test fails before (TimedOut for a GET and for a POST of three bytes) and passes after it.

Change: http1::Server reads such a request by its length (none: no body), within the limit of bodies, and its response announces that the connection closes, since the codec cannot read a further request.

Why it works: the codec still rejects heads that contradict each other, and chunks go through it as before.

Tested: http1 and the gateway's tests of calls, broken streams, truncated heads and engine links.

--- a/crates/http1/src/framing.rs
+++ b/crates/http1/src/framing.rs
@@ -54,7 +54,8 @@
     })
 }
 
-fn length(headers: &HeaderMap) -> Result<Option<u64>, &'static str> {
+/// The length that headers name.
+pub(crate) fn length(headers: &HeaderMap) -> Result<Option<u64>, &'static str> {
     let Some(value) = headers.get(CONTENT_LENGTH) else {
         return Ok(None);
     };
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -14,7 +14,7 @@
 use tokio::time::{Instant, timeout_at};
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
-use crate::framing::allows_body;
+use crate::framing::{allows_body, length};
 use crate::socket::{Transfer, set_options, set_reset_on_close, try_read, try_write};
 use crate::{Config, RequestError, TcpTimeouts};
 
@@ -64,6 +64,8 @@
     method: Method,
     /// Version of the current request.
     version: Version,
+    /// Whether the connection closes after the response.
+    closes: bool,
 }
 
 /// Maximum number of bytes buffered of what a caller sends before its response is complete.
@@ -89,6 +91,7 @@
             head_written: false,
             method: Method::GET,
             version: Version::HTTP_11,
+            closes: false,
         };
         Ok(Self { reader, writer })
     }
@@ -134,9 +137,18 @@
                 .await
                 .map_err(|_| RequestError::Disconnected)?;
         }
-        let body = match self.writer.codec.message_type() {
+        // The codec expects another protocol behind an offer to change to it, which is never accepted.
+        let message = self.writer.codec.message_type();
+        self.writer.closes = message == MessageType::Stream || request.head().upgrade();
+        let body = match message {
             MessageType::None => Bytes::new(),
-            MessageType::Payload | MessageType::Stream => self.read_body(limits, deadline).await?,
+            MessageType::Payload => self.read_body(limits, deadline).await?,
+            MessageType::Stream => {
+                let length = length(&request.head().headers);
+                let length = length.map_err(|_| RequestError::Malformed)?;
+                self.read_sized_body(length.unwrap_or_default(), limits, deadline)
+                    .await?
+            }
         };
         let head = owned_head(request);
         self.writer.head_written = false;
@@ -172,6 +184,22 @@
         }
     }
 
+    async fn read_sized_body(
+        &mut self,
+        length: u64,
+        limits: &Limits,
+        deadline: Instant,
+    ) -> Result<Bytes, RequestError> {
+        let length = usize::try_from(length).unwrap_or(usize::MAX);
+        if length > limits.body {
+            return Err(RequestError::BodyTooLarge);
+        }
+        while self.reader.received.len() < length {
+            self.reader.fill(deadline).await?;
+        }
+        Ok(self.reader.received.split_to(length).freeze())
+    }
+
     async fn read_body(
         &mut self,
         limits: &Limits,
@@ -270,6 +298,7 @@
             head.head_mut().set_connection_type(ConnectionType::Close);
             set_reset_on_close(&self.stream, true)?;
         }
+        self.announce_close(&mut head);
         self.codec
             .encode(Message::Item((head, size)), &mut self.unsent)?;
         self.flush().await
@@ -280,8 +309,9 @@
     /// # Errors
     ///
     /// If the caller has disconnected.
-    pub async fn write_response(&mut self, head: Response<()>, body: Bytes) -> io::Result<()> {
+    pub async fn write_response(&mut self, mut head: Response<()>, body: Bytes) -> io::Result<()> {
         self.head_written = true;
+        self.announce_close(&mut head);
         let size = self.allowed_size(&head, BodySize::Sized(body.len() as u64));
         self.codec
             .encode(Message::Item((head, size)), &mut self.unsent)?;
@@ -337,6 +367,12 @@
         }
     }
 
+    fn announce_close(&self, head: &mut Response<()>) {
+        if self.closes {
+            head.head_mut().set_connection_type(ConnectionType::Close);
+        }
+    }
+
     async fn write_continue(&mut self) -> io::Result<()> {
         self.unsent
             .extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
--- a/crates/http1/tests/exchanges.rs
+++ b/crates/http1/tests/exchanges.rs
@@ -360,6 +360,45 @@
     assert_eq!(request.head.uri.to_string(), "/a?b=c");
 }
 
+/// Guards against waiting for the end of a connection where a request offers to change its protocol.
+#[actix_rt::test]
+async fn request_that_names_another_protocol_is_read_and_its_connection_closed() {
+    let upgrade = "host: h\r\nconnection: upgrade\r\nupgrade: websocket\r\n";
+    for (request, body) in [
+        (format!("GET /a HTTP/1.1\r\n{upgrade}\r\n"), ""),
+        (
+            format!("POST /a HTTP/1.1\r\n{upgrade}content-length: 3\r\n\r\nabcde"),
+            "abc",
+        ),
+        (
+            format!(
+                "POST /a HTTP/1.1\r\n{upgrade}transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+            ),
+            "abc",
+        ),
+    ] {
+        let (mut caller, mut server) = connected_pair().await;
+        let sent = caller.write_all(request.as_bytes()).await;
+        sent.expect("loopback works");
+        let read = server.read_request(&LIMITS).await;
+        assert_eq!(read.expect("it is whole").body, body, "{request}");
+        let (_, writer) = server.split();
+        let head = Response::with_body(StatusCode::OK, ());
+        let written = writer.write_response(head, Bytes::new()).await;
+        written.expect("loopback works");
+        assert!(!writer.keep_alive(), "{request}");
+        drop(server);
+        let mut received = Vec::new();
+        let read = caller.read_to_end(&mut received).await;
+        read.expect("the connection closes in an orderly way");
+        let received = String::from_utf8_lossy(&received).to_ascii_lowercase();
+        assert!(received.contains("connection: close"), "{received}");
+    }
+    let too_large = format!("POST /a HTTP/1.1\r\n{upgrade}content-length: 4097\r\n\r\n");
+    let refused = receive(too_large.as_bytes()).await;
+    assert_eq!(refused.unwrap_err(), RequestError::BodyTooLarge);
+}
+
 #[actix_rt::test]
 async fn invalid_requests_are_rejected_with_their_reason() {
     let length_and_chunked = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n";
