Count no cut answer of the store as a wait in which it had no record

An answer without a length that ends behind its first 16 bytes looked like an empty one, whose read counts from the end of its wait. A read counts as empty only if it reached the end that the store names.

--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -143,7 +143,7 @@
             let from = self.next;
             match self.read_once().await {
                 Ok(read) => {
-                    let as_of = self.as_of(asked, from);
+                    let as_of = self.as_of(asked, from, &read);
                     if read.is_whole() {
                         self.instance.confirmation(self.topic).on_read(as_of);
                     }
@@ -240,9 +240,9 @@
 
     /// The moment up to which a read from a position shows all records. The answer may have waited in
     /// the socket, if this process was stopped or had no processor, so it counts from the request.
-    fn as_of(&self, asked: Moment, from: Option<Offset>) -> Moment {
+    fn as_of(&self, asked: Moment, from: Option<Offset>, read: &Read) -> Moment {
         // The store had no record for as long as it was asked to wait for one.
-        let had_none = from.is_some() && from == self.next;
+        let had_none = from.is_some() && from == self.next && read.is_whole();
         if had_none {
             asked + self.max_wait
         } else {
