Soak: keep the heads that engines stop within in a file of their own

A time in a test and the spelling of a header name in another one are simpler; nothing else changes.

--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -458,10 +458,11 @@
     gateway.signal("-STOP");
     new.register(&gateway.store, "pool", "ready", Some("decode"));
     gateway.store.put("keyed.servers", &new.id, None);
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     let versions = ServiceVersions {
         service: "pool".to_owned(),
         versions: vec!["v1".to_owned()],
-        changed_unix_ms: unix_ms(),
+        changed_unix_ms: now.map_or(0, |now| now.as_millis() as u64),
         era: 0,
     };
     let key = format!("versions/{:016x}", serving::hash::hash64("pool"));
@@ -548,11 +549,6 @@
     assert_taken_up_soon(&gateway).await;
 }
 
-fn unix_ms() -> u64 {
-    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    u64::try_from(now.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Guards against taking another instance's answer to a question of the former process at an address for one to
 /// a question of its own, which gives a stream the version of another one.
 #[actix_rt::test]
--- a/crates/gateway/tests/truncated_heads.rs
+++ b/crates/gateway/tests/truncated_heads.rs
@@ -188,7 +188,7 @@
 fn heads(kind: Kind) -> Vec<String> {
     let framing = kind.framing();
     let head = format!(
-        "HTTP/1.1 200 OK\r\nRequest-Id: {ID}\r\nResponse-Signature: SIG.42\r\n{framing}\r\n"
+        "HTTP/1.1 200 OK\r\nRequest-Id: {ID}\r\nresponse-signature: SIG.42\r\n{framing}\r\n"
     );
     let folded = head.replace(": ", ":\r\n ");
     let interim = format!(
@@ -492,7 +492,7 @@
     gateway.wait_until_ready(true).await;
     let body = "x".repeat(EARLY_BODY_BYTES);
     let whole =
-        format!("HTTP/1.1 200 OK\r\nRequest-Id: {ID}\r\nResponse-Signature: SIG.42\r\n\r\nwhole");
+        format!("HTTP/1.1 200 OK\r\nRequest-Id: {ID}\r\nresponse-signature: SIG.42\r\n\r\nwhole");
     let mut caller = Caller::new(&gateway).await;
     for head in heads(Kind::Unsafe) {
         for cut in cuts(&head).into_iter().step_by(5) {
@@ -556,7 +556,7 @@
     for gateway in [&isolated, &other] {
         for framing in UNUSUAL_FRAMINGS {
             let head = format!(
-                "HTTP/1.1 200 OK\r\nRequest-Id: {ID}\r\nResponse-Signature: SIG.42\r\n{framing}\r\n"
+                "HTTP/1.1 200 OK\r\nRequest-Id: {ID}\r\nresponse-signature: SIG.42\r\n{framing}\r\n"
             );
             let (cut, whole) = (format!("{head}abc"), format!("{head}abcdef"));
             for (text, ending, status) in [
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -7,6 +7,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng as _, RngExt as _, SeedableRng as _};
 
+mod heads;
 mod streams;
 
 /// State of a link.
@@ -256,10 +257,6 @@
 const BROKEN_STREAMS_EVERY: u64 = 10;
 /// One seed in this many adds engines that stop within the heads of their answers.
 const CUT_HEADS_EVERY: u64 = 7;
-/// Number of engines that do so in such a plan.
-const CUT_HEAD_COUNT: usize = 3;
-/// Most bytes of a head that such an engine sends; fewer than heads have.
-const MAX_CUT_HEAD_BYTES: usize = 79;
 /// One seed in this many upgrades a part of the engines.
 const UPGRADES_EVERY: u64 = 5;
 /// Time between two upgrades.
@@ -430,15 +427,7 @@
         if !planned && seed % CUT_HEADS_EVERY == 4 {
             // A separate generator, for the same reason.
             let mut rng = StdRng::seed_from_u64(seed.rotate_left(20));
-            faults.extend((0..CUT_HEAD_COUNT).map(|_| {
-                let engine = rng.random_range(0..services + engines);
-                let bytes = rng.random_range(1..=MAX_CUT_HEAD_BYTES);
-                Fault {
-                    at: WARM_UP + Duration::from_millis(rng.random_range(0..last_ms)),
-                    duration: Duration::from_millis(rng.random_range(MIN_FAULT_MS..=MAX_FAULT_MS)),
-                    kind: FaultKind::Engine(engine, EngineFailure::EndsWithinHead(bytes)),
-                }
-            }));
+            faults.extend(heads::cut(&mut rng, services + engines, last_ms));
         }
         if !planned && seed.is_multiple_of(UPGRADES_EVERY) {
             // A separate generator, for the same reason.
