Blame no call whose stream looks whole for the end of its engine

Cause: since the end of an engine is told from the end of its stream without a length, a stream whose events had all arrived was blamed for an engine that another call crashed within the next moments, and its good run counted only after the verdict, up to 0.4 s later, while innocent calls clear themselves by good runs.

The run counts at once, as it did before, and the call is not blamed; only the stream's end waits for the verdict.

--- a/crates/gateway/src/generate/close.rs
+++ b/crates/gateway/src/generate/close.rs
@@ -25,10 +25,14 @@
         engine: &Record,
     ) -> NextStep {
         let (instance, request) = (self.instance, self.request);
-        let progress = engine_call.progress();
         engine_call.set_outcome(Outcome::Success);
         // It no longer takes the engine's capacity.
         drop(engine_call);
+        // The stream looks whole. An engine that ends at this moment runs other calls too, so this one is not blamed.
+        let now = suspects::now(instance);
+        let suspects = &instance.suspects;
+        suspects.on_good_run(request, engine, now);
+        suspects.on_parts_survived(request, engine, now);
         // A verdict that comes later than the caller's deadline is of no use.
         let limit = request.remaining() / 2;
         // Another instance's path says nothing to a probe from here.
@@ -36,14 +40,9 @@
         if is_direct && crash_detection::has_crashed(instance, engine, limit).await {
             log::info!(id = request.call.id.as_str(), engine = &*engine.id, last:? = self.relay.last();
                 "the engine has ended with its stream");
-            crash_detection::on_broken_response(instance, request, engine, progress).await;
             self.avoid.push(engine.id.clone());
             return self.after_loss("The engine ended.");
         }
-        let now = suspects::now(instance);
-        let suspects = &instance.suspects;
-        suspects.on_good_run(request, engine, now);
-        suspects.on_parts_survived(request, engine, now);
         match self.relay.complete(&response, rest).await {
             relay::End::Gone(error) => self.after_disconnect(&error),
             _ => NextStep::Done(Stream::Whole(self.relay.times())),
