Work out the delay of reading the records only where there is a gap

Each stream that begins asked how long to wait before the recorded software versions are read after a gap: the own address written out and hashed, and all peers counted, also where there is no gap and the answer is never used.

The gap is looked at first. Behaviour is the same: without a gap nothing is due. Formatting and lints of the gateway pass, and ten tests of software_versions; the whole script was not run on it.

--- a/crates/gateway/src/instance/streams.rs
+++ b/crates/gateway/src/instance/streams.rs
@@ -160,7 +160,7 @@
         if let Some(as_of) = self.engines_as_of(now) {
             let mut versions = self.origins.versions.borrow_mut();
             versions.on_list_current(as_of, now);
-            if versions.records_due(self.records_delay(), now) {
+            if versions.has_gap() && versions.records_due(self.records_delay(), now) {
                 log::info!(
                     "engines may have come and gone unseen; the recorded software versions are read"
                 );
