Print the end of a gateway's log beside the failure of its test

A process test that fails in a whole run left nothing but the state that was not reached: the log is a temporary file that goes with the test. The last 400 lines of each gateway are printed when its test panics.

--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -36,6 +36,9 @@
 const MAX_POLLS: usize = 600;
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Lines of a gateway's log that are printed when a test fails.
+const MAX_LOG_LINES: usize = 400;
+
 /// A gateway process, and its store.
 pub(crate) struct Gateway {
     pub(crate) store: Rc<Store>,
@@ -522,12 +525,28 @@
     spawn(&mut command).expect("the gateway starts")
 }
 
+impl Gateway {
+    /// Prints the last lines of the log beside a failure.
+    fn print_log(&self) {
+        let log = std::fs::read_to_string(self.log.path()).unwrap_or_default();
+        let lines: Vec<&str> = log.lines().collect();
+        let first = lines.len().saturating_sub(MAX_LOG_LINES);
+        eprintln!("last lines of the log of the gateway at {}:", self.mesh);
+        for line in &lines[first..] {
+            eprintln!("{line}");
+        }
+    }
+}
+
 impl Drop for Gateway {
     fn drop(&mut self) {
         // The process may have ended already.
         let mut child = self.child.borrow_mut();
         drop(child.kill());
         drop(child.wait());
+        if std::thread::panicking() {
+            self.print_log();
+        }
     }
 }
 
