Let engines leave one after the other in the test of harmless ends

Cause: the test registered pool-1 as draining and as ready again within some 10 ms, six times. An engine that leaves does so for good under its start, so pool-1 takes no call once an instance has read one of these records. Instances read every 400 ms, and the six rounds take 50 ms, so this happened only if a read fell among them. In all other runs the instance knew nothing of the engines that were to leave: the calls ran at pool-1, and the second half of the test showed nothing.

Now pool-1's record is gone first, each engine that leaves is known as ready before the call and as leaving before it stops, and its call must have begun there and have been cut.

--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -603,30 +603,30 @@
         }
     }
     pool.set_behaviour(Behaviour::Run);
+    gateway.store.put("keyed.servers", &pool.id, None);
+    wait_until(async || {
+        gateway.count_log_lines_with("engine's record is gone", "engine=pool-1") > 0
+    })
+    .await;
     for number in 0..2 * CRASHES_UNTIL_HELD {
         let leaving = Engine::start(&format!("leaving-{number}")).await;
         leaving.set_stream(1_000, Duration::from_millis(20));
+        let is_known_as = |state| {
+            let line = format!("engine={} state={state}", leaving.id);
+            gateway.count_log_lines(&line) > 0
+        };
         leaving.register(&gateway.store, "pool", "ready", Some("decode"));
-        pool.register(&gateway.store, "pool", "draining", Some("decode"));
+        wait_until(async || is_known_as("Ready")).await;
         let id = gateway.fresh_id();
-        wait_until(async || leaving.request_count("/stream/none") > 0 || {
-            let asked = async { gateway.generate_same_prompt(FATAL_PATH, &id).await };
-            let until_sent = wait_until(async || leaving.run_count(&id) > 0);
-            tokio::select! {
-                _ = asked => {}
-                () = async {
-                    until_sent.await;
-                    leaving.register(&gateway.store, "pool", "draining", Some("decode"));
-                    wait_until(async || gateway.count_log_lines(&format!("engine=leaving-{number} state=Draining")) > 0).await;
-                    leaving.stop();
-                    std::future::pending::<()>().await;
-                } => {}
-            }
-            true
-        })
-        .await;
+        let leave = async {
+            wait_until(async || leaving.run_count(&id) > 0).await;
+            leaving.register(&gateway.store, "pool", "draining", Some("decode"));
+            wait_until(async || is_known_as("Draining")).await;
+            leaving.stop();
+        };
+        let (answer, ()) = tokio::join!(gateway.generate_same_prompt(FATAL_PATH, &id), leave);
+        assert!(answer.status == 200 && answer.body.is_err(), "{answer:?}");
         gateway.store.put("keyed.servers", &leaving.id, None);
-        pool.register(&gateway.store, "pool", "ready", Some("decode"));
     }
     for noted in [
         "an engine ended with the call in hand",
@@ -634,6 +634,7 @@
     ] {
         assert_eq!(gateway.count_log_lines(noted), 0);
     }
+    pool.register(&gateway.store, "pool", "ready", Some("decode"));
     wait_until(async || {
         gateway
             .generate_same_prompt(FATAL_PATH, &gateway.fresh_id())
