Believe no records from before a gap of a service that is first listed after it

Found by a review that had not seen the work, as two unit tests that fail before: an instance that is stopped between its first read of the recorded software versions and its first list of engines names v1 as the only version (left Some("v1"), right None); so does one that lists a service for the first time while it knows of a gap, by a record from before the gap, by the lack of one, or since it was the first of all. If another version came, began streams and went meanwhile, callers that take these up there get events of v1 behind events of v2 (ORDER). Not played with processes.

Cause: a gap marked the services that were listed before it, and only a second list could end one. What was read before the gap was taken for what is.

The one that writes records after a gap writes what it knew of services that it did know before, not of those that it had just come to list.

--- a/crates/serving/src/version_history.rs
+++ b/crates/serving/src/version_history.rs
@@ -55,6 +55,8 @@
     several_until: Moment,
     /// Until when this instance cannot tell.
     unknown_until: Moment,
+    /// Whether it could tell before the gap.
+    was_known: bool,
     /// Whether it cannot tell because of a gap, and the store's records from after it do not name the service.
     lacks_record: bool,
     /// Whether streams may have begun of which the holders were told nothing.
@@ -76,6 +78,8 @@
     watching_since: Option<Moment>,
     /// Last moment at which the list of engines was as new as the store's.
     listed_as_of: Option<Moment>,
+    /// Up to when the store's records were read last.
+    recorded_as_of: Option<Moment>,
     /// End of a gap before which versions may have come and gone, until the store's records from after it are
     /// known.
     gap_end: Option<Moment>,
@@ -155,15 +159,21 @@
     pub fn on_list_current(&mut self, as_of: Moment, now: Moment) {
         let latest = self.listed_as_of.max(Some(as_of));
         let before = std::mem::replace(&mut self.listed_as_of, latest);
+        // The first list is compared with records that were read before it.
+        let before = before.or(self.recorded_as_of);
         if before.is_some_and(|before| as_of.saturating_sub(before) > MAX_GAP) {
             self.begin_gap(as_of, now);
         }
     }
 
     fn begin_gap(&mut self, end: Moment, now: Moment) {
+        let is_first = self.gap_end.is_none();
         self.gap_end = self.gap_end.max(Some(end));
         self.records_requested = None;
         for service in self.services.values_mut() {
+            if is_first {
+                service.was_known = now >= service.unknown_until;
+            }
             service.unknown_until = service.unknown_until.max(now + RETENTION);
             service.lacks_record = false;
         }
@@ -189,6 +199,7 @@
 
     /// Applies that the store's records were read up to `as_of`, after [`Self::on_record`] for each of them.
     pub fn on_records_current(&mut self, as_of: Moment, now: Moment, unix: UnixTime) {
+        self.recorded_as_of = self.recorded_as_of.max(Some(as_of));
         if self.gap_end.is_none_or(|end| as_of < end) {
             return;
         }
@@ -196,7 +207,7 @@
             match self.recorded.get(name) {
                 Some(record) => known.apply(record, now, unix),
                 // Nobody has written one in this era: whoever is to write records writes what it knew.
-                None => known.lacks_record = now < known.unknown_until,
+                None => known.lacks_record = known.was_known && now < known.unknown_until,
             }
         }
         self.end_gap();
@@ -320,6 +331,12 @@
         if known.listed.len() > 1 {
             known.several_until = now + RETENTION;
         }
+        // Neither the records nor that nobody came before this instance says anything of the gap.
+        if self.gap_end.is_some() {
+            known.changed = unix;
+            known.unknown_until = now + RETENTION;
+            return known;
+        }
         if self.is_first {
             return known;
         }
@@ -343,6 +360,7 @@
             changed: UnixTime::ZERO,
             several_until: Moment::ZERO,
             unknown_until: Moment::ZERO,
+            was_known: false,
             lacks_record: false,
             has_unannounced: true,
         }
--- a/crates/serving/tests/version_history.rs
+++ b/crates/serving/tests/version_history.rs
@@ -407,3 +407,42 @@
     }
     assert_eq!(instance.sole(now), None);
 }
+
+/// Guards against mixing at an instance that is stopped between its first read of the records and its first list
+/// of engines: another version came, began streams and went meanwhile, and the records were read before it.
+#[test]
+fn a_first_list_long_after_the_records_is_not_believed_by_them() {
+    let mut instance = Instance::start(Some(record(&["v1"], Duration::ZERO)));
+    instance.0.on_records_current(ms(0), ms(0), STARTED);
+    let woken = ms(10_000);
+    instance.0.on_list_current(woken, woken);
+    instance.list(&["v1"], woken);
+    assert_eq!(instance.sole(woken), None);
+}
+
+/// Guards against mixing after a gap in which engines of a service were listed for the first time: what was recorded
+/// before the gap, or that nothing was listed before it, says nothing of the versions that came and went in it.
+#[test]
+fn a_service_that_came_within_a_gap_is_not_believed_until_the_records_are_read() {
+    let instances = [
+        ("the first of all", Instance::first()),
+        ("no record", Instance::start(None)),
+        (
+            "a record from before",
+            Instance::start(Some(record(&["v1"], Duration::ZERO))),
+        ),
+    ];
+    let woken = RETENTION + ms(10_000);
+    let believed = instances.into_iter().filter_map(|(name, mut instance)| {
+        let other = Rc::from("other");
+        let listed = versions(&["v1"]);
+        instance.0.observe(&other, listed.iter(), ms(0), STARTED);
+        instance.follow(ms(0)..=RETENTION);
+        instance.0.on_list_current(woken, woken);
+        instance.list(&["v1"], woken);
+        assert!(instance.0.has_gap());
+        instance.sole(woken).map(|_| name)
+    });
+    let believed: Vec<&str> = believed.collect();
+    assert_eq!(believed, [""; 0]);
+}
