Take no instance for the first of all beside recorded software versions

An instance that finds an empty list of instances took itself for the first of all, and went on with every stream at the version that is listed, whatever the records beside the list said. That was true as long as nobody left the list; since instances that have gone for good are removed from it, it can be empty while their streams may still be resumed: all of them stopped and removed, or instances that hear only themselves and remove each other. Not played with processes.

A record of any era beside the empty list shows that somebody was there, so the records decide as at any other start: one that agrees with the list and is old enough lets streams go on at once.

--- a/crates/serving/src/version_history.rs
+++ b/crates/serving/src/version_history.rs
@@ -74,6 +74,8 @@
     /// Whether no stream can have begun before this instance started.
     is_first: bool,
     has_listed_instances: bool,
+    /// Whether the store has held records, of whatever era.
+    has_found_records: bool,
     /// When engines were listed first.
     watching_since: Option<Moment>,
     /// Last moment at which the list of engines was as new as the store's.
@@ -99,9 +101,11 @@
         }
     }
 
-    /// Applies the list of instances, when it is first read. If it names none, this one is the first of all.
+    /// Applies the list of instances, when it is first read. If it names none and no record was beside it, this
+    /// one is the first of all. Those that wrote the records may have left the list.
     pub fn on_instances_listed(&mut self, is_empty: bool, now: Moment) {
-        if std::mem::replace(&mut self.has_listed_instances, true) || !is_empty {
+        let is_listed = std::mem::replace(&mut self.has_listed_instances, true);
+        if is_listed || !is_empty || self.has_found_records {
             return;
         }
         self.is_first = true;
@@ -114,6 +118,7 @@
     /// come from the copy from which the store was restored, like the list of engines: both may lack the same
     /// versions, and agree with each other.
     pub fn on_record(&mut self, record: Record, now: Moment, unix: UnixTime) {
+        self.has_found_records = true;
         if record.era < self.era {
             return;
         }
--- a/crates/serving/tests/version_history.rs
+++ b/crates/serving/tests/version_history.rs
@@ -446,3 +446,17 @@
     let believed: Vec<&str> = believed.collect();
     assert_eq!(believed, [""; 0]);
 }
+
+/// Guards against taking an instance for the first of all because the list of instances is empty: all can have left
+/// it, and the records beside it tell of versions that began streams.
+#[test]
+fn an_instance_beside_recorded_versions_is_not_the_first_of_all() {
+    let lately = STARTED - ms(2_000);
+    let mut instance = Instance::start_unlisted();
+    instance
+        .0
+        .on_record(record(&["v1", "v2"], lately), ms(0), STARTED);
+    instance.0.on_instances_listed(true, ms(0));
+    instance.list(&["v1"], ms(100));
+    assert_eq!(instance.sole(ms(100)), None);
+}
