Take streams that callers do not name for streams that nobody remembers

Cause: the key of such a stream was made of the empty name, so all of an organisation and service shared one. The first of them that went on while there was one version was noted under it, and that note decided for all others.

Such a stream has the key of its own attempt now, under which a later one may name it, and the lack of a note says nothing of it: it goes on only at a service's only version, after a read of the engines that began after it was taken up, and is refused while there are several.

--- a/crates/gateway/src/generate/resume.rs
+++ b/crates/gateway/src/generate/resume.rs
@@ -1,5 +1,6 @@
 //! Streams that their callers resume.
 
+use adapter::ingress::Call;
 use serving::origin::{self, Evidence, Key, Software, Unresolved};
 
 use super::Run;
@@ -11,7 +12,10 @@
     pub(super) async fn bind_resumed(&mut self) -> bool {
         let (instance, call) = (self.instance, &self.request.call);
         let service = &self.request.service.name;
-        let resolution = instance.resolve_stream(self.stream_key(), service).await;
+        let is_named = named_attempt(call).is_some();
+        let resolution = instance
+            .resolve_stream(self.stream_key(), service, is_named)
+            .await;
         let (origin, basis) = describe(&resolution.origin);
         self.software = resolution.origin.ok().map(|(software, _)| software);
         let [read, announced] = instance.engines_ages();
@@ -30,14 +34,17 @@
     /// Identifies the stream over its caller's attempts.
     pub(super) fn stream_key(&self) -> Key {
         let request = self.request;
-        let attempt = match request.call.resume_after {
-            Some(_) => request.call.resumes.as_deref().unwrap_or_default(),
-            None => &request.call.id,
-        };
+        let attempt = named_attempt(&request.call).unwrap_or(&request.call.id);
         origin::key(request.principal.name(), &request.service.name, attempt)
     }
 }
 
+/// The attempt that began a stream, if its caller resumes it and names one.
+fn named_attempt(call: &Call) -> Option<&str> {
+    let resumes = call.resume_after.and(call.resumes.as_deref());
+    resumes.filter(|attempt| !attempt.is_empty())
+}
+
 /// Label and text of where a version is known from, or why it is not.
 fn describe(
     resolved: &Result<(Software, Evidence), Unresolved>,
--- a/crates/gateway/src/instance/streams.rs
+++ b/crates/gateway/src/instance/streams.rs
@@ -44,8 +44,14 @@
         self.send_all(begun);
     }
 
-    /// The software version that may go on with a stream, from what this instance and others know.
-    pub(crate) async fn resolve_stream(&self, key: Key, service: &ServiceName) -> Resolution {
+    /// The software version that may go on with a stream, from what this instance and others know. Nobody has a
+    /// note of one whose caller does not name the attempt that began it (`is_named`).
+    pub(crate) async fn resolve_stream(
+        &self,
+        key: Key,
+        service: &ServiceName,
+        is_named: bool,
+    ) -> Resolution {
         let taken_up = self.now();
         let own = self.stream_knowledge(key, service, taken_up);
         if let Some(software) = own.software {
@@ -69,7 +75,7 @@
         let has_answered = |member: SocketAddr| {
             member == self.address || answers.iter().any(|(from, _)| *from == member)
         };
-        let is_complete = origin::is_complete(&drawn, has_answered);
+        let is_complete = is_named && origin::is_complete(&drawn, has_answered);
         let (asked, answered) = (others.len(), answers.len());
         let mut known: Vec<Knowledge> = answers.into_iter().map(|(_, known)| known).collect();
         let mut origin = origin::resolve(&own, &known, is_complete);
