End no gap by a read of the records that was cut at its largest size

The instance took a stream up that nobody remembered and went on with it at the listed version (left 200, right 503; with streams begun at v2, events of v1; ORDER).

Cause: the list of instances was taken as read up to now after each answer, without a look at whether the answer held all that there was, and the rest was left for a minute.

--- a/crates/gateway/src/discovery.rs
+++ b/crates/gateway/src/discovery.rs
@@ -105,13 +105,13 @@
             Some(from) => store
                 .read(INSTANCES_TOPIC, from, Duration::ZERO)
                 .await
-                .map(|batch| (batch.records, batch.next)),
+                .map(|batch| (batch.records, batch.next, batch.is_whole)),
             None => store
                 .newest(INSTANCES_TOPIC)
                 .await
-                .map(|newest| (newest.records, newest.end)),
+                .map(|newest| (newest.records, newest.end, true)),
         };
-        let (records, next) = match read {
+        let (records, next, is_whole) = match read {
             Err(StoreError::OffsetOutOfRange(_)) => {
                 *self = Self::default();
                 return Err(StoreError::Refused("records were dropped".to_owned()));
@@ -127,7 +127,9 @@
         let mut versions = instance.origins.versions.borrow_mut();
         versions.on_instances_listed(listed == 0, instance.now());
         drop(versions);
-        on_records_current(instance, asked);
+        if is_whole {
+            on_records_current(instance, asked);
+        }
         self.others = instance.peers.borrow().in_order();
         Ok(())
     }
@@ -146,13 +148,21 @@
         let asked = instance.now();
         match store.read(INSTANCES_TOPIC, next, Duration::ZERO).await {
             Ok(batch) => {
+                let has_advanced = batch.next > next;
                 next = batch.next;
-                due = next_read(settled);
                 if !batch.records.is_empty() {
                     add_all(instance, &batch.records, next);
                     on_discovered(instance);
                 }
-                on_records_current(instance, asked);
+                if batch.is_whole {
+                    on_records_current(instance, asked);
+                }
+                // What is left of a long answer is read at once.
+                due = if batch.is_whole || !has_advanced {
+                    next_read(settled)
+                } else {
+                    Instant::now()
+                };
                 if is_removed(instance.address, &batch.records) {
                     return;
                 }
