Keep what is known of a stream that went on when its first part is told of

An instance that took a stream up remembers it for as long as its caller waits. Once a second version came, the instance that had begun the stream, or its backup, told of the first part with the time that was left of that one, and this replaced the rest: the stream was forgotten after 5 s in place of 13, and no longer copied or announced. Its caller is refused at the next take-up (LOST).

What is told later extends the memory of a stream and never shortens it, and does not replace what the instance itself began, or keeps for the one that did.

--- a/crates/serving/src/origin.rs
+++ b/crates/serving/src/origin.rs
@@ -106,6 +106,15 @@
             Self::Note => None,
         }
     }
+
+    /// How near the one that tells of a stream is to the engine that runs it.
+    fn rank(&self) -> u8 {
+        match self {
+            Self::Own(_) => 2,
+            Self::Backup(_) => 1,
+            Self::Note => 0,
+        }
+    }
 }
 
 /// Streams that began at the same version of a service, copied to a backup.
@@ -334,16 +343,22 @@
     }
 
     fn insert(&mut self, note: &Note, source: Source, now: Moment) {
-        let expires = now + note.lifetime;
-        let stream = Stream {
+        let mut stream = Stream {
             software: note.software.clone(),
-            expires,
+            expires: now + note.lifetime,
             source,
         };
-        if let Some(before) = self.streams.insert(note.key, stream) {
+        if let Some(before) = self.streams.remove(&note.key) {
             self.by_expiry.remove(&(before.expires, note.key));
+            // What is told of a stream's first part may arrive after it went on elsewhere or here.
+            let expires = before.expires.max(stream.expires);
+            if now < before.expires && before.source.rank() > stream.source.rank() {
+                stream = before;
+            }
+            stream.expires = expires;
         }
-        self.by_expiry.insert((expires, note.key));
+        self.by_expiry.insert((stream.expires, note.key));
+        self.streams.insert(note.key, stream);
         if self.streams.len() > MAX_STREAMS {
             self.forget_first();
         }
--- a/crates/serving/tests/origin.rs
+++ b/crates/serving/tests/origin.rs
@@ -261,3 +261,34 @@
     fleet.remove(&id("c"));
     assert!(versions(&fleet).is_empty());
 }
+
+/// Guards against forgetting a stream that went on here because another instance tells of its first part, whose caller
+/// waits for less time.
+#[test]
+fn an_older_note_does_not_shorten_the_memory_of_a_stream_that_went_on() {
+    let (service, v1) = (service(), version("v1"));
+    let older = origin::Note {
+        key: 1,
+        software: v1.clone(),
+        lifetime: ms(5_000),
+    };
+    let batch = origin::Batch {
+        service: service.clone(),
+        software: v1.clone(),
+        streams: vec![(1, ms(5_000))],
+    };
+    let tell: [(&str, &dyn Fn(&mut Origins)); 2] = [
+        ("noted", &|origins| origins.on_note(&older, ms(100))),
+        ("copied", &|origins| {
+            origins.on_batch(&batch, true, ms(100));
+        }),
+    ];
+    for (name, tell) in tell {
+        let mut origins = Origins::default();
+        origins.begin(1, &service, &v1, ms(8_000), true, ms(0));
+        tell(&mut origins);
+        assert_eq!(origins.find(1, ms(10_000)), Some(v1.clone()), "{name}");
+        let own = origins.all_own(ms(4_000));
+        assert_eq!(own.len(), 1, "{name}: it is no longer an own stream");
+    }
+}
