Keep backups over an own stop

An instance that is stopped for 0.6 s between a copy of its streams and the acknowledgement, which waits in the socket, took both backups for silent and left them out for a minute. In a fleet of two or three it then copies to nobody, and the streams are lost with it (LOST); in a larger one all streams go to two others once more.

The time by which a copy is late by more than an interval is this instance's own and does not count as silence. A backup that is silent while copies go out in time is replaced as before.

--- a/crates/serving/src/backups.rs
+++ b/crates/serving/src/backups.rs
@@ -22,6 +22,8 @@
 /// Time without an acknowledgement after which another backup is chosen. It leaves room for a copy that is
 /// lost on the way.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(600);
+/// Longest delay of a copy by which this instance may be late. In a longer one it was stopped.
+const MAX_USUAL_DELAY: Duration = COPY_INTERVAL;
 /// Time for which a silent instance is not chosen again.
 const SILENCE_BACKOFF: Duration = Duration::from_secs(60);
 
@@ -67,7 +69,16 @@
         others: &[SocketAddr],
         now: Moment,
     ) -> SmallVec<[(SocketAddr, Scope); BACKUPS]> {
+        let due = self.copied.map_or(now, |copied| copied + COPY_INTERVAL);
         self.copied = Some(now);
+        // Acknowledgements may have waited for as long as this instance was late.
+        let own_delay = now.saturating_sub(due);
+        if own_delay > MAX_USUAL_DELAY {
+            let waiting = self.chosen.iter_mut();
+            for since in waiting.filter_map(|backup| backup.unacknowledged_since.as_mut()) {
+                *since += own_delay;
+            }
+        }
         self.silent_until.retain(|_, until| now < *until);
         let silent_until = &mut self.silent_until;
         self.chosen.retain(|backup| {
--- a/crates/serving/tests/backups.rs
+++ b/crates/serving/tests/backups.rs
@@ -149,3 +149,18 @@
     let mut late = Origins::default();
     assert_eq!(late.on_batch(batch, false, ms(200)).len(), 2);
 }
+
+/// Guards against taking the own stop for the silence of the backups: their acknowledgements wait in the socket while
+/// this instance is stopped, and a small fleet has no others to turn to for a minute.
+#[test]
+fn backups_are_kept_over_a_stop_of_this_instance() {
+    let others = others(2);
+    let mut instance = Instance::default();
+    let first = instance.copy(&others, |_| Some(1), ms(0));
+    // Stopped before it handles the acknowledgements of the next copy.
+    instance.copy(&others, |_| None, ms(250));
+    let woken = instance.0.recipients(address(0), &others, ms(10_250));
+    let woken: Vec<SocketAddr> = woken.iter().map(|(to, _)| *to).collect();
+    let expected: Vec<SocketAddr> = first.iter().map(|(to, _)| *to).collect();
+    assert_eq!(woken, expected);
+}
