Let no good run that waited clear a crash that came after it

What callers saw: an instance that had been stopped took the reports of others that waited in its socket for as young as they were when it handled them. A call that ran well, and crashed an engine a second later, seemed to have run well just now: the crash counted as cleared, and so a call that crashes engines could reach more of them than it may (BUDGET).

Crashes, good runs and releases in a frame were all dated from the frame's handling. Now what clears counts from the frame's arrival, and a crash that stands from its handling, so that each errs towards holding. A crash that the sender took for cleared moves with what clears it: within one report the order is known. A release that is repeated within a second counts if it clears a crash, as good runs did already; else one that waited with its crash, and was dated before it, would be ignored when it is repeated with its true age.

That a stopped process does so was not played.

--- a/crates/gateway/src/quarantine_store.rs
+++ b/crates/gateway/src/quarantine_store.rs
@@ -77,7 +77,7 @@
             let aged = frame::with_current_ages(suspect, now);
             instance
                 .suspects
-                .merge(&aged, "store", suspects::now(instance));
+                .merge(&aged, "store", Duration::ZERO, suspects::now(instance));
         }
         Err(error) => {
             log::error!(key = record.key.as_str(), error:% = error; "the record of a held call cannot be read");
--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -73,9 +73,8 @@
         on_news(instance, news, is_chosen);
     }
     for suspect in &frame.suspects {
-        instance
-            .suspects
-            .merge(suspect, "instance", suspects::now(instance));
+        let (max_wait, now) = (receipt.max_wait(), suspects::now(instance));
+        instance.suspects.merge(suspect, "instance", max_wait, now);
     }
     shares::merge_from_peer(instance, peer, &frame.organisation_uses, now);
     limits::merge_from_peer(instance, &frame.rate_limits, receipt);
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -254,9 +254,16 @@
         self.update_digest();
     }
 
-    /// Merges a suspect from a peer or from the store.
-    pub(crate) fn merge(&self, suspect: &Suspect, source: &'static str, now: Moment) {
+    /// Merges a suspect from a peer or from the store, which may have waited for up to `max_wait`.
+    pub(crate) fn merge(
+        &self,
+        suspect: &Suspect,
+        source: &'static str,
+        max_wait: Duration,
+        now: Moment,
+    ) {
         let (suspect, entry) = frame::decode_suspect(suspect, now);
+        let entry = entry.after_wait(max_wait);
         let held_before = self.held();
         if self.quarantine.borrow_mut().merge(suspect, &entry) {
             self.update_digest();
--- a/crates/serving/src/quarantine/entry.rs
+++ b/crates/serving/src/quarantine/entry.rs
@@ -130,6 +130,23 @@
 const MAX_CRASHES: usize = 8;
 
 impl Entry {
+    /// What is known by this entry if it may have waited for up to `max_wait` until it was handled, from which
+    /// its dates count. What clears crashes counts as early as possible, and crashes that stand as late: a good run
+    /// from before must not clear a crash that came after it. What its sender took for cleared stays so.
+    pub fn after_wait(mut self, max_wait: Duration) -> Self {
+        let standing: SmallVec<[u32; MAX_CRASHES]> = self.uncleared_engines().collect();
+        let cleared = self
+            .crashes
+            .iter_mut()
+            .filter(|crash| !standing.contains(&crash.engine));
+        let cleared = cleared.map(|crash| &mut crash.at);
+        let good_runs = self.good_runs.iter_mut().map(|good| &mut good.at);
+        for at in cleared.chain(good_runs).chain(&mut self.released) {
+            *at = at.saturating_sub(max_wait);
+        }
+        self
+    }
+
     /// Number of crashes that have not been cleared.
     pub fn uncleared_crashes(&self) -> usize {
         let uncleared = self.crashes.iter().filter(|crash| self.is_uncleared(crash));
@@ -320,11 +337,22 @@
             return true;
         }
         let clears = |crash: &Crash| crash.build == good.build && crash.at <= good.at;
-        let is_needed = self
-            .crashes
-            .iter()
-            .any(|crash| self.is_uncleared(crash) && clears(crash));
-        is_needed && self.add_good_run(good)
+        self.has_uncleared(clears) && self.add_good_run(good)
+    }
+
+    /// Merges a release that another instance reported. Returns whether it is news.
+    fn merge_release(&mut self, at: Moment) -> bool {
+        let is_later = self.released.is_none_or(|known| at >= known + MIN_LATER);
+        let is_news = is_later || self.has_uncleared(|crash| crash.at <= at);
+        if is_news {
+            self.released = Some(at);
+        }
+        is_news
+    }
+
+    fn has_uncleared(&self, is_meant: impl Fn(&Crash) -> bool) -> bool {
+        let mut crashes = self.crashes.iter();
+        crashes.any(|crash| self.is_uncleared(crash) && is_meant(crash))
     }
 
     pub(super) fn merge(&mut self, other: &Self) -> bool {
@@ -335,10 +363,8 @@
         for good in &other.good_runs {
             is_news |= self.merge_good_run(*good);
         }
-        let is_later = |at: Moment| self.released.is_none_or(|known| at >= known + MIN_LATER);
-        if other.released.is_some_and(is_later) {
-            self.released = other.released;
-            is_news = true;
+        if let Some(released) = other.released {
+            is_news |= self.merge_release(released);
         }
         if other.trials > self.trials {
             self.trials = other.trials;
--- a/crates/serving/src/receipt.rs
+++ b/crates/serving/src/receipt.rs
@@ -57,6 +57,13 @@
     pub handled: Moment,
 }
 
+impl Receipt {
+    /// Longest time for which it may have waited.
+    pub fn max_wait(&self) -> Duration {
+        self.handled.saturating_sub(self.arrived)
+    }
+}
+
 /// Rounds of the event loop, seen by a timer that is set anew in each. Bytes on connections are dated by them.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Rounds {
