Report no window by counts that waited while the reporting instance was stopped

What an organisation saw: a report of usage that lacks what other instances counted during a stop of the instance that reports. Reports are final.

After the stop, the updates from before it waited in the socket. Each made its sender count as heard just now, so that most peers seemed to be there, and the wait for the last counts of a window was over by the clock: the instance fixed the report from what it had known before.

A peer is heard now when its update arrived, by the same receipt as the other frames. Until newer updates are handled the instance doesn't hear most, and fixes nothing. An update that was overtaken doesn't make its peer older.

serving/tests/usage.rs, with a manual clock and updates dated as the gateway does: an_instance_that_was_stopped_fixes_no_report_by_updates_that_waited fails with updates dated by their handling ("assertion failed: !own.is_due"), and with a date that goes back (the second "own.is_due"). With the change the 15 tests of usage pass, and the gateway's targets duties (8) and roles (3). That a stopped process does so was not played.

--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -53,7 +53,7 @@
         on_state(instance, from, peer, state, receipt);
     }
     if let Some(usage) = frame.usage.clone() {
-        on_usage(instance, peer, usage);
+        on_usage(instance, peer, usage, receipt);
     }
     apply_work(instance, &frame, now);
     for part in &frame.parts {
@@ -123,11 +123,12 @@
     }
 }
 
-/// Merges a peer's usage counts.
-fn on_usage(instance: &Instance, peer: u64, usage: wire::gateway::Usage) {
+/// Merges a peer's usage counts. Those that waited may lack what the peer has counted since.
+fn on_usage(instance: &Instance, peer: u64, usage: wire::gateway::Usage, receipt: Receipt) {
+    let arrived = instance.unix().saturating_sub(receipt.max_wait());
     let mut ledger = instance.usage.borrow_mut();
     if let Some(ledger) = ledger.as_mut() {
-        ledger.merge(peer, usage::decode(usage), instance.unix());
+        ledger.merge(peer, usage::decode(usage), arrived);
     }
 }
 
--- a/crates/serving/src/usage.rs
+++ b/crates/serving/src/usage.rs
@@ -157,16 +157,16 @@
         }
     }
 
-    /// Merges another instance's counts. They only grow, so late and repeated updates change
-    /// nothing.
-    pub fn merge(&mut self, source: Source, update: CountUpdate, now: UnixTime) {
+    /// Merges another instance's counts, which arrived at `arrived`. They only grow, so late and repeated
+    /// updates change nothing.
+    pub fn merge(&mut self, source: Source, update: CountUpdate, arrived: UnixTime) {
         let peer = self.peers.entry(source).or_insert(Peer {
             current_window: update.current_window,
-            heard_at: now,
+            heard_at: arrived,
         });
         peer.current_window = peer.current_window.max(update.current_window);
-        peer.heard_at = now;
-        let oldest = self.oldest_open(now);
+        peer.heard_at = peer.heard_at.max(arrived);
+        let oldest = self.oldest_open(arrived);
         for (window, counts) in update.counts {
             if window < oldest || window > update.current_window {
                 continue;
--- a/crates/serving/tests/usage.rs
+++ b/crates/serving/tests/usage.rs
@@ -4,9 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use clock::Clock as _;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use serving::organisation::Name;
+use serving::receipt::Inbox;
 use serving::usage::{CountUpdate, Counts, Ledger, Report, Schedule, Window};
 
 /// Fixed, so that every run checks the same cases.
@@ -137,6 +139,34 @@
     assert!(reports(&own, at(12_000)).is_empty());
 }
 
+/// Guards against a report without what others counted while the reporting instance was stopped: their updates
+/// from before waited in its socket, and seemed to be new.
+#[test]
+fn an_instance_that_was_stopped_fixes_no_report_by_updates_that_waited() {
+    let clock = clock::Manual::new();
+    let unix = |moment: Duration| at(0) + moment;
+    let mut own = ledger();
+    let mut inbox = Inbox::new(clock.now());
+    let on_update = |own: &mut Ledger, inbox: &Inbox, current_window| {
+        let now = clock.now();
+        let arrived = unix(now).saturating_sub(inbox.receipt(now).max_wait());
+        own.merge(7, update(current_window, FIRST, &[("a", 2)]), arrived);
+    };
+    clock.advance(Duration::from_millis(3_000));
+    inbox.on_empty(clock.now());
+    // Stopped until all windows are past their wait for counts.
+    clock.advance(Duration::from_millis(9_000));
+    on_update(&mut own, &inbox, FIRST);
+    assert!(!own.is_due(unix(clock.now())));
+    inbox.on_empty(clock.now());
+    clock.advance(Duration::from_millis(500));
+    inbox.on_empty(clock.now());
+    on_update(&mut own, &inbox, FIRST + 2);
+    // An older update that was overtaken makes the peer no older.
+    own.merge(7, update(FIRST, FIRST, &[]), at(3_000));
+    assert!(own.is_due(unix(clock.now())));
+}
+
 /// Guards against two reports of one window: an instance fixes and sends a report and ends before
 /// the answer, and its successor, which knows slightly more, makes a report of its own.
 #[test]
