Start no trial of a held call when its claim was answered late

What engines saw: an instance that was stopped between its claim of a trial and the answer sent the call however late it went on.

The claim's time limit was the runtime's timer alone, which doesn't count if the answer is seen first. The claim is now looked at by the clock as well: a trial that was claimed more than 400 ms ago, counted from before the append, doesn't start. It is recorded, as the store has it.

serving/tests/quarantine.rs, with a manual clock: a_trial_whose_claim_was_answered_late_does_not_start fails if every claim counts, as before ("assertion failed: !entry.may_start_trial"). A stop of a process in this place was not played.

--- a/crates/gateway/src/quarantine_store.rs
+++ b/crates/gateway/src/quarantine_store.rs
@@ -8,7 +8,7 @@
 use adapter::store::{KeyedRecord, Store, StoreError};
 use clock::Clock as _;
 use serving::fingerprint::Fingerprint;
-use serving::quarantine::Entry;
+use serving::quarantine::{Entry, TRIAL_CLAIM_TIMEOUT};
 use tokio::time::{sleep, timeout};
 use wire::Message as _;
 use wire::gateway::Suspect;
@@ -27,8 +27,6 @@
 /// Age after which a record holds no call any more, even by a clock that is off by hours. Without
 /// deletion the records would pile up, and every starting instance reads them all.
 const MAX_RECORD_AGE: Duration = Duration::from_secs(2 * 24 * 60 * 60);
-/// Longest wait of a call for the claim of its trial.
-const CLAIM_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// The fingerprint in a record's key; `None` for other records.
 pub(crate) fn call_of(key: &str) -> Option<Fingerprint> {
@@ -149,7 +147,7 @@
     request: &Request,
     suspect: Fingerprint,
 ) -> bool {
-    match timeout(CLAIM_TIMEOUT, claim_at_store(instance, suspect)).await {
+    match timeout(TRIAL_CLAIM_TIMEOUT, claim_at_store(instance, suspect)).await {
         Ok(Ok(is_claimed)) => is_claimed,
         Ok(Err(trouble)) => {
             log::info!(id = request.call.id.as_str(), trouble:% = trouble; "no trial of a held call without the store");
@@ -180,7 +178,8 @@
     {
         Ok(_) => {
             instance.suspects.on_trial_claimed(call, &entry, now);
-            Ok(true)
+            // The answer may have waited while this process was stopped.
+            Ok(entry.may_start_trial(suspects::now(instance)))
         }
         Err(StoreError::EndMismatch(_)) => Ok(false),
         Err(trouble) => Err(trouble),
--- a/crates/serving/src/quarantine.rs
+++ b/crates/serving/src/quarantine.rs
@@ -22,7 +22,8 @@
 mod entry;
 
 pub use entry::{
-    Build, Builds, Caller, Crash, Entry, GoodRun, HOLD_CRASHES, Kind, SEVERAL_CALLS, Verdict,
+    Build, Builds, Caller, Crash, Entry, GoodRun, HOLD_CRASHES, Kind, SEVERAL_CALLS,
+    TRIAL_CLAIM_TIMEOUT, Verdict,
 };
 
 /// How long a call is held before its first trial if other calls saw the same engines crash: at
--- a/crates/serving/src/quarantine/entry.rs
+++ b/crates/serving/src/quarantine/entry.rs
@@ -126,6 +126,9 @@
 /// against a part of prompts. A part can be in progress at many engines at once, a repeated call is
 /// sent again only after its first answer.
 const SHARED_CAUSE_TIME: Duration = Duration::from_millis(50);
+/// Longest time from the request for the claim of a trial until the trial starts. One that starts later may run
+/// beside the next one, at another instance.
+pub const TRIAL_CLAIM_TIMEOUT: Duration = Duration::from_millis(400);
 /// Crashes kept per suspect; more add nothing.
 const MAX_CRASHES: usize = 8;
 
@@ -250,6 +253,13 @@
         }
     }
 
+    /// Whether the trial that it was claimed with may still start.
+    pub fn may_start_trial(&self, now: Moment) -> bool {
+        let elapsed = |tried| now.saturating_sub(tried);
+        self.last_trial
+            .is_some_and(|tried| elapsed(tried) < TRIAL_CLAIM_TIMEOUT)
+    }
+
     /// Number of trials that count. Inconclusive trials of a call are repeated; those of a part count
     /// whatever becomes of them, since its callers are many and each may leave.
     pub(super) fn counted_trials(&self) -> usize {
--- a/crates/serving/tests/quarantine.rs
+++ b/crates/serving/tests/quarantine.rs
@@ -185,6 +185,19 @@
     assert!(is_held(&quarantine, 62_900));
 }
 
+/// Guards against a trial beside the next instance's: the instance was stopped between its claim and the answer.
+#[test]
+fn a_trial_whose_claim_was_answered_late_does_not_start() {
+    let clock = clock::Manual::new();
+    clock.advance(ms(33_000));
+    let quarantine = after_crashes(3);
+    let entry = quarantine.next_trial(CALL, clock.now()).unwrap();
+    clock.advance(ms(100));
+    assert!(entry.may_start_trial(clock.now()));
+    clock.advance(ms(1_000));
+    assert!(!entry.may_start_trial(clock.now()));
+}
+
 /// Guards against holding an innocent call for 10 min because the caller of its trial left.
 #[test]
 fn an_inconclusive_trial_is_repeated() {
