Ask a placer anew when its answer is older than a placement counts

What callers saw: an instance that was stopped while it asked for a placement took the answer however old it was, and sent the call to an engine that had left meanwhile (DRAIN). The records that came with the answer counted as confirmed from their handling, for 0.4 of drain_ms once more. Or it took its own stop for the placer's silence, and asked it nothing for a second.

An answer is now dated by its question, as reads of the store are, and the records by the frame's arrival; both count for 0.4 of drain_ms (serving::placer::is_current). Once a question is older, neither its answer nor its lack says anything: the placer is asked anew, once, and isn't put off. After shorter stops it is, as before: an instance with no processor time would else ask for each call that it places.

serving/tests/placer.rs, with a manual clock: a_placement_that_waited_through_a_stop_does_not_count fails with the date of handling ("assertion failed: !is_current(inbox.receipt(now).handled, ..)"). With the change the 6 tests of placer pass, and the 11 of the gateway's targets leaving, placement and stopped_instances. That the gateway passes these dates is read; a stop within the 25 ms of a question was not played.

--- a/crates/gateway/src/engine_cache.rs
+++ b/crates/gateway/src/engine_cache.rs
@@ -12,8 +12,8 @@
 
 use adapter::store::KeyedRecord;
 use clock::Moment;
-use serving::EngineId;
 use serving::registry::Name;
+use serving::{EngineId, placer};
 use wire::gateway::{News, answer};
 
 use crate::engine_records;
@@ -21,8 +21,6 @@
 use crate::metrics::EngineSource;
 use crate::peers::Topic;
 
-/// Share of the bound for leaving engines for which an engine is used after a placer chose it.
-const USABLE_SHARE: f64 = 0.4;
 /// Time for which an engine's record is kept after a placer last chose it, so that connections to it
 /// can be reused.
 const RETENTION: Duration = Duration::from_secs(30);
@@ -31,12 +29,13 @@
 #[derive(Default)]
 pub(crate) struct EngineCache(RefCell<HashMap<Name, Moment>>);
 
-/// Applies the record of an engine that a placer chose.
-pub(crate) fn on_chosen(instance: &Instance, record: &KeyedRecord) {
+/// Applies the record of an engine that a placer chose, which arrived at `arrived`.
+pub(crate) fn on_chosen(instance: &Instance, record: &KeyedRecord, arrived: Moment) {
     let mut registry = instance.registry.borrow_mut();
     engine_records::apply_engine(instance, &mut registry, record, EngineSource::Instance);
     let mut chosen = instance.engine_cache.0.borrow_mut();
-    chosen.insert(Name::from(record.key.as_str()), instance.now());
+    let at = chosen.entry(Name::from(record.key.as_str())).or_default();
+    *at = arrived.max(*at);
 }
 
 /// Engines that no placer has chosen lately, which may have left since.
@@ -45,16 +44,11 @@
         return Vec::new();
     }
     let now = instance.now();
-    let usable = instance
-        .settings
-        .borrow()
-        .bounds
-        .drain
-        .mul_f64(USABLE_SHARE);
+    let drain = instance.settings.borrow().bounds.drain;
     let chosen = instance.engine_cache.0.borrow();
     let is_usable = |name: &Name| {
         let at = chosen.get(name);
-        at.is_some_and(|at| now.saturating_sub(*at) < usable)
+        at.is_some_and(|at| placer::is_current(*at, drain, now))
     };
     let fleet = instance.fleet.borrow();
     let unusable = fleet.all().filter(|engine| !is_usable(&engine.record.name));
--- a/crates/gateway/src/placement/client.rs
+++ b/crates/gateway/src/placement/client.rs
@@ -67,6 +67,8 @@
     Declined,
     /// The engine may not be used.
     Unusable,
+    /// This instance was stopped since it asked, so that neither an answer nor its lack says anything.
+    Outdated,
 }
 
 /// Places a call: at a placer, or by the state of this instance if it is one itself or none
@@ -140,7 +142,12 @@
         .filter(|address| instance.peers.borrow().is_responsive(*address, now));
     let candidates: SmallVec<[SocketAddr; MAX_ATTEMPTS]> = candidates.take(MAX_ATTEMPTS).collect();
     for address in candidates {
-        match request_one(instance, address, demand, read_in).await {
+        let mut result = request_one(instance, address, demand, read_in).await;
+        if matches!(result, Some(PlacementResult::Outdated)) {
+            log::info!(placer:% = address; "a placer is asked anew, since this instance was late");
+            result = request_one(instance, address, demand, read_in).await;
+        }
+        match result {
             Some(PlacementResult::Choice(choice)) => {
                 instance
                     .metrics
@@ -161,6 +168,12 @@
                 // Another placer may have newer state.
                 continue;
             }
+            Some(PlacementResult::Outdated) => {
+                instance
+                    .metrics
+                    .placement_requested(PlacementAnswer::Silent);
+                continue;
+            }
             None => {
                 instance
                     .metrics
@@ -198,7 +211,12 @@
         return None;
     }
     let sent_at = instance.now();
-    let answer = timeout(RESPONSE_TIMEOUT, receiver).await.ok()?.ok()?;
+    let answer = timeout(RESPONSE_TIMEOUT, receiver).await;
+    let drain = instance.settings.borrow().bounds.drain;
+    if !placer::is_current(sent_at, drain, instance.now()) {
+        return Some(PlacementResult::Outdated);
+    }
+    let answer = answer.ok()?.ok()?;
     instance.own_load.on_round_trip(address, sent_at);
     drop(open);
     if answer.mixed {
--- a/crates/gateway/src/receive.rs
+++ b/crates/gateway/src/receive.rs
@@ -68,9 +68,9 @@
     }
     apply_stage_changes(instance, &frame, now);
     announcements::merge_leaving_from_peer(instance, &frame.leaving);
-    let is_chosen = frame.answer.is_some();
+    let chosen = frame.answer.is_some().then_some(receipt.arrived);
     for news in frame.news {
-        on_news(instance, news, is_chosen);
+        on_news(instance, news, chosen);
     }
     for suspect in &frame.suspects {
         let (max_wait, now) = (receipt.max_wait(), suspects::now(instance));
@@ -204,9 +204,9 @@
     }
 }
 
-/// Applies a record that another instance sent; `is_chosen` if it is of an engine that a placer chose
-/// for a call of this instance.
-fn on_news(instance: &Instance, news: News, is_chosen: bool) {
+/// Applies a record that another instance sent; `chosen` is when it arrived if it is of an engine that a placer
+/// chose for a call of this instance.
+fn on_news(instance: &Instance, news: News, chosen: Option<Moment>) {
     let topic = Topic::of(&news);
     let value = match news.value {
         Some(value) if news.compressed => match compression::decompress(&value) {
@@ -223,8 +223,8 @@
         key: news.key,
         value: value.map(Bytes::from),
     };
-    if is_chosen && instance.is_caching.get() {
-        engine_cache::on_chosen(instance, &record);
+    if let Some(arrived) = chosen.filter(|_| instance.is_caching.get()) {
+        engine_cache::on_chosen(instance, &record, arrived);
     } else if engine_cache::accepts(instance, topic, &record) {
         store_reader::apply_update(instance, topic, &record);
     }
--- a/crates/serving/src/placer.rs
+++ b/crates/serving/src/placer.rs
@@ -22,6 +22,8 @@
 /// Additional delay per preceding instance before an instance fills a vacancy, if it cannot know
 /// whether the preceding ones are alive. A new placer announces itself in less.
 const VACANCY_STEP: Duration = Duration::from_millis(150);
+/// Share of the bound for leaving engines for which a placement counts.
+const CURRENT_SHARE: f64 = 0.4;
 
 /// Hash of a data centre's name.
 pub type ZoneHash = u32;
@@ -125,3 +127,9 @@
     own_zone.append(&mut other_zones);
     own_zone.into_iter().map(|(address, _)| address).collect()
 }
+
+/// Whether a placement still counts that was true at `chosen`, if an engine that leaves must get no more requests
+/// after `drain`.
+pub fn is_current(chosen: Moment, drain: Duration, now: Moment) -> bool {
+    now.saturating_sub(chosen) < drain.mul_f64(CURRENT_SHARE)
+}
--- a/crates/serving/tests/placer.rs
+++ b/crates/serving/tests/placer.rs
@@ -5,8 +5,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use clock::Clock as _;
 use common::ms;
-use serving::placer::{Election, Member, PLACERS_PER_ZONE, Placers, ZoneHash, ask_order};
+use serving::placer::{
+    Election, Member, PLACERS_PER_ZONE, Placers, ZoneHash, ask_order, is_current,
+};
+use serving::receipt::Inbox;
 
 const NOW: Duration = Duration::from_secs(10);
 
@@ -107,3 +111,20 @@
     assert_eq!(asked(1), [2, 1, 12, 11].map(address));
     assert_eq!(ask_order(&placers, 3, 0).len(), 4);
 }
+
+/// Guards against calls to an engine that left while the instance was stopped, by a placement that waited.
+#[test]
+fn a_placement_that_waited_through_a_stop_does_not_count() {
+    let drain = ms(2_000);
+    let clock = clock::Manual::new();
+    let inbox = Inbox::new(clock.now());
+    let asked = clock.now();
+    clock.advance(ms(20));
+    let now = clock.now();
+    assert!(is_current(asked, drain, now));
+    assert!(is_current(inbox.receipt(now).arrived, drain, now));
+    clock.advance(ms(2_500));
+    let now = clock.now();
+    assert!(!is_current(asked, drain, now));
+    assert!(!is_current(inbox.receipt(now).arrived, drain, now));
+}
