Don't blame engines for a stop that the event loop has not noticed yet

What callers saw: after a stop, connections that had waited to open through it may count as timed out, and so against their engines and the paths there. Time-outs for which the instance itself is the cause are left out, but it knew of the stop only once its own timer had run, which could be just after the others.

An iteration of the event loop that is overdue and has not run yet now counts as late, since it was due or since the silence began. All that looks for an own cause of a silence gets it: openings, lost connections, and probes of engines that may have ended.

serving/tests/congestion.rs: an_iteration_that_is_overdue_and_has_not_run_explains_silence fails without that ("left: None, right: Some(EventLoop)"). In which order the timers run after a stop was not played.

Left: a connection that opened during the stop may still be given up and opened anew.

--- a/crates/gateway/src/own_load.rs
+++ b/crates/gateway/src/own_load.rs
@@ -369,11 +369,12 @@
 /// Observes the traffic and the event loop until the process ends.
 pub(crate) async fn run(load: Rc<OwnLoad>) {
     loop {
-        let due = load.clock.now() + OBSERVATION_INTERVAL;
+        let due = load.clock.now() + OBSERVATION_INTERVAL + TIMER_RESOLUTION;
+        load.congestion.borrow_mut().expect_iteration(due);
         sleep(OBSERVATION_INTERVAL).await;
         load.observe_traffic();
         let now = load.clock.now();
-        let late = now.saturating_sub(due + TIMER_RESOLUTION);
+        let late = now.saturating_sub(due);
         let mut rounds = load.rounds.get();
         rounds.on_round(now);
         load.rounds.set(rounds);
--- a/crates/serving/src/congestion.rs
+++ b/crates/serving/src/congestion.rs
@@ -122,6 +122,8 @@
     queue: LinkQueue,
     slots: VecDeque<Slot>,
     usual: Usual,
+    /// When the next iteration of the event loop is due.
+    next_iteration: Option<Moment>,
 }
 
 impl Congestion {
@@ -133,8 +135,14 @@
         slot.wait = slot.wait.max(wait);
     }
 
+    /// Records when the next iteration of the event loop is due.
+    pub fn expect_iteration(&mut self, due: Moment) {
+        self.next_iteration = Some(due);
+    }
+
     /// Records that an iteration of the event loop began this much late.
     pub fn on_iteration(&mut self, late: Duration, now: Moment) {
+        self.next_iteration = None;
         let slot = self.slot(now);
         slot.late += late;
         slot.shortest_late = slot.shortest_late.min(late);
@@ -174,7 +182,8 @@
         if slots().map(|slot| slot.wait).max() >= Some(bound) {
             return Some(Cause::Queue);
         }
-        if slots().map(|slot| slot.late).sum::<Duration>() >= share {
+        let late: Duration = slots().map(|slot| slot.late).sum();
+        if late + self.overdue_iteration(begun, now) >= share {
             return Some(Cause::EventLoop);
         }
         if slots().map(|slot| slot.overdue).sum::<usize>() >= OVERDUE_CONNECTIONS {
@@ -184,6 +193,13 @@
         (delay >= bound).then_some(Cause::Link)
     }
 
+    /// Time since `begun` for which an iteration of the event loop has been overdue that has not run yet. After a
+    /// stop, what waited for it may run first.
+    fn overdue_iteration(&self, begun: Moment, now: Moment) -> Duration {
+        let due = self.next_iteration.unwrap_or(now);
+        now.saturating_sub(due.max(begun))
+    }
+
     /// Time that all recent answers took beyond the paths' own; zero if none is known.
     pub fn round_trip_delay(&self, now: Moment) -> Duration {
         let since = now.saturating_sub(STANDING);
--- a/crates/serving/tests/congestion.rs
+++ b/crates/serving/tests/congestion.rs
@@ -95,6 +95,23 @@
     assert_eq!(congestion.event_loop_delay(ms(1_410)), ms(40));
 }
 
+/// Guards against time-outs that are seen after a stop before the event loop's own timer is.
+#[test]
+fn an_iteration_that_is_overdue_and_has_not_run_explains_silence() {
+    let mut congestion = Congestion::default();
+    congestion.expect_iteration(ms(1_020));
+    let silence = |congestion: &Congestion| congestion.explains_silence(ms(1_000), ms(1_350));
+    assert_eq!(silence(&congestion), Some(Cause::EventLoop));
+    // An iteration that is not due yet, or only just, explains nothing.
+    congestion.expect_iteration(ms(1_360));
+    assert_eq!(silence(&congestion), None);
+    congestion.expect_iteration(ms(1_330));
+    assert_eq!(silence(&congestion), None);
+    // What was late before the silence began does not count.
+    congestion.expect_iteration(ms(900));
+    assert_eq!(congestion.explains_silence(ms(1_340), ms(1_350)), None);
+}
+
 /// Guards against taking answers that a full receiving direction drops for lost paths, and against
 /// single slow callers concealing lost paths.
 #[test]
