Send no order to an engine once the claim is over

What engines saw: an instance that was stopped while its connection to an engine opened could send the order when it went on, although its claim was over and another instance had ordered since (ONE). Its right was looked at before the connection was opened only; orders to the platform have it looked at once it is open.

Orders to engines are now treated the same.

The model in serving/tests/claim.rs takes the check to be made as the order is sent; its comments now say that this is once the connection is open. Played with the check before that, as the gateway had it, orders_of_different_instances_are_a_lease_apart fails: orders of two holders 43 ms apart ("[(6392, 1, 2), (6435, 0, 1)]"), where a lease of 3,000 ms is due. That is a trial on the model; no test of the gateway fails before and passes after, since no stop can be placed while a connection opens on loopback.

--- a/crates/gateway/src/roles.rs
+++ b/crates/gateway/src/roles.rs
@@ -7,7 +7,6 @@
 use adapter::orders::{self, Answer};
 use clock::Moment;
 use http1::{Failure, TcpTimeouts};
-use serving::claim::Fence;
 use serving::engine::StageChange;
 use serving::roles::{Planner, RoleChange, RoleChanges};
 use serving::{Record, ServiceName};
@@ -75,7 +74,7 @@
             let Some(engine) = placement::record(instance, &change.engine) else {
                 continue;
             };
-            match order(instance, &engine, change, grant.fence).await {
+            match order(instance, &engine, change, grant).await {
                 Some(Answer::Superseded) => return false,
                 Some(Answer::Busy | Answer::Refused(_)) => none_refused = false,
                 Some(Answer::Accepted | Answer::Holds) | None => {}
@@ -90,7 +89,7 @@
     instance: &Instance,
     engine: &Record,
     change: &RoleChange,
-    fence: Fence,
+    grant: Grant,
 ) -> Option<Answer> {
     let changing = StageChange {
         stage: change.stage,
@@ -105,16 +104,16 @@
             .map_or(0, |engine| engine.running_calls())
     };
     instance.frame_due.notify_one();
-    let answer = timeout(ANSWER_TIMEOUT, send(instance, engine, change, fence)).await;
+    let answer = timeout(ANSWER_TIMEOUT, send(instance, engine, change, grant)).await;
     let answer = answer.ok().and_then(|sent| match sent {
-        Ok(answer) => Some(answer),
+        Ok(answer) => answer,
         Err(failure) => {
             log::info!(engine = &*engine.id, failure:% = failure; "the order failed");
             None
         }
     });
     log::info!(
-        engine = &*engine.id, stage:? = change.stage, fence = fence, running = running,
+        engine = &*engine.id, stage:? = change.stage, fence = grant.fence, running = running,
         answer:? = answer;
         "ordered"
     );
@@ -132,19 +131,23 @@
     answer
 }
 
+/// Sends an order. Returns `None` if the claim is over once the connection is open.
 async fn send(
     instance: &Instance,
     engine: &Record,
     change: &RoleChange,
-    fence: Fence,
-) -> Result<Answer, Failure> {
+    grant: Grant,
+) -> Result<Option<Answer>, Failure> {
     let holder = instance.address.to_string();
-    let (head, body) = orders::stage_order(engine, change.stage, &holder, fence);
+    let (head, body) = orders::stage_order(engine, change.stage, &holder, grant.fence);
     let mut client = instance.connect(engine.address, &ENGINE_PATIENCE).await?;
+    if !grant.is_valid(&instance.clock) {
+        return Ok(None);
+    }
     limits::charge(instance, &engine.id);
     let answer = client.send(head, &body).await?;
     announcements::observe_own(instance, &engine.id, &answer.head);
     let status = answer.head.status.as_u16();
     client.body(MAX_BODY_BYTES).await?;
-    Ok(orders::parse_answer(status))
+    Ok(Some(orders::parse_answer(status)))
 }
--- a/crates/serving/tests/claim.rs
+++ b/crates/serving/tests/claim.rs
@@ -34,7 +34,7 @@
     append_delay: Millis,
     /// From then until the answer arrives; `None` if it is lost.
     answer_delay: Option<Millis>,
-    /// Time for which the machine is suspended before the order.
+    /// Time for which the machine is suspended while the connection for the order opens.
     suspended: Millis,
     /// From sending the order to its arrival.
     order_transit: Millis,
@@ -236,7 +236,7 @@
 
     fn order(&mut self, number: usize, fence: Fence, sent: Millis, now: Millis) {
         let attempt = &self.attempts[number];
-        // Measured by the clock that also runs while the machine is suspended.
+        // Checked once the connection is open, by the clock that also runs while the machine is suspended.
         if now - sent < u64::try_from(ORDER_WINDOW.as_millis()).expect("the window fits") {
             self.arrivals
                 .push((now + attempt.order_transit, fence, attempt.instance));
