Resume no stream at an engine that has restarted at another version

What callers saw: events of v1 and v2 in one answer, and in a stream over two tries, where an engine had started again under its name and address with another software version and its new record was not there yet.

Cause: the version of a record is taken for that of the process that answers. Target-Instance names the engine, which is the same after a restart, and an answer to a call tells neither version nor start. Class: what one looked at is taken for what is.

Evidence: restarted_engines, real gateways and an engine that restarts at its address. The two tests of serving's origin were not run without the change.

Change: before a stream is resumed, within one answer or for a caller, the engine is asked on the same connection when it started (/report); one that started at another time gets nothing, and the recorded one has ended. A connection is asked once. A stream that begins is not preceded by the question unless the engines were read more than 2 s ago and the connection is newer. Its note is corrected instead: the instance that began it keeps engine and moment, and once the next record of that name has another version and an earlier start, the holders and backups are told that the version is uncertain, which late copies do not undo.

Why it works: a connection leads to one process, so what it says of its start holds for the stream sent on it. A stream that was noted wrongly began after the new start, by the engine's own word; clocks may differ by 1 s.

An engine that tells no start, or whose rate limit has no room, is believed as before, so that streams go on.

Not covered: streams that the restarted engine began are resumed at the old version until its record is read, or if the instance that began them is killed before; calls through another instance ask nothing.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -34,7 +34,7 @@
 use crate::peers::Topic;
 use crate::refusal::Refusal;
 use crate::suspects::{self, Subject};
-use crate::{announcements, engine_links};
+use crate::{announcements, engine_links, identity};
 
 /// A caller's request with everything that was looked up for it.
 pub(crate) struct Request {
@@ -430,7 +430,7 @@
     request: &Request,
     engine: &Record,
     sending: &RequestOptions<'_>,
-    client: Client,
+    mut client: Client,
 ) -> AttemptResult {
     // It may have asked for a pause while the connection was opened.
     if instance
@@ -441,6 +441,14 @@
         log::info!(id = request.call.id.as_str(), engine = &*engine.id; "not sent, since the engine wants no requests now");
         return AttemptResult::NotRun(NotRun::Unreachable);
     }
+    // Prompts may be read at any software version.
+    if !sending.prefill_only {
+        let resumes = sending.resume_after.is_some();
+        let confirmed = identity::confirm(instance, request, engine, resumes, &mut client);
+        if let Err(why) = confirmed.await {
+            return AttemptResult::NotRun(why);
+        }
+    }
     let head = engine_head(request, sending);
     let (sent, sent_at) = (instance.unix(), instance.now());
     let exchanged = exchange(client, head, request, &engine.name).await;
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -363,6 +363,10 @@
             self.avoid.push(target.engine.clone());
             return GenerateResult::NotRun(NotRun::Unreachable);
         }
+        if self.relay.has_begun() && self.instance.origins.is_uncertain(self.stream_key()) {
+            let end = Stream::Broken("the software version that began the stream is not known");
+            return GenerateResult::Next(NextStep::Done(end));
+        }
         self.note_parts(target);
         let step = match memory {
             Some(_) => Step::TakeOver,
@@ -444,10 +448,8 @@
         let on_begin = || {
             // A caller takes up again only what may be resumed.
             if request.route.kind.is_idempotent() {
-                let service = &request.service.name;
                 let time_left = request.remaining();
-                self.instance
-                    .begin_stream(key, service, &software, time_left);
+                self.instance.begin_stream(key, engine, time_left);
             }
         };
         let end = self
--- a/crates/gateway/src/generate/resume.rs
+++ b/crates/gateway/src/generate/resume.rs
@@ -45,6 +45,7 @@
     match resolved {
         Ok((_, Evidence::Note)) => (metrics::Origin::Known, "noted"),
         Ok((_, Evidence::OnlyVersion)) => (metrics::Origin::OnlyVersion, "only version"),
+        Err(Unresolved::Restarted) => (metrics::Origin::Unknown, "engine restarted"),
         Err(Unresolved::Conflicting) => (metrics::Origin::Unknown, "conflicting"),
         Err(Unresolved::SeveralVersions) => (metrics::Origin::Unknown, "several versions"),
         Err(Unresolved::Unknown) => (metrics::Origin::Unknown, "engines not known"),
--- a/crates/gateway/src/instance/streams.rs
+++ b/crates/gateway/src/instance/streams.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use clock::Moment;
+use serving::engine::Record;
 use serving::origin::{self, Evidence, Key, Knowledge, Software, Unresolved};
-use serving::version_history::Record;
+use serving::version_history;
 use serving::{ServiceName, hash, watch};
 use wire::gateway::{Frame, OriginRequest, OriginResponse, StreamBatch};
 
@@ -27,20 +28,16 @@
 }
 
 impl Instance {
-    /// Records that an engine of this software version begins a stream, or goes on with it, before its first
-    /// event is written.
-    pub(crate) fn begin_stream(
-        &self,
-        key: Key,
-        service: &ServiceName,
-        software: &Software,
-        time_left: Duration,
-    ) {
+    /// Records that an engine begins a stream, or goes on with it, before its first event is written.
+    pub(crate) fn begin_stream(&self, key: Key, engine: &Record, time_left: Duration) {
         self.observe_versions();
         let (others, now) = (|| self.peers.borrow().addresses(), self.now());
+        let software = engine.software.clone().unwrap_or_default();
+        let service = &engine.service;
         let begun = self
             .origins
-            .begin(key, service, software, time_left, others, now);
+            .begin(key, service, &software, time_left, others, now);
+        self.origins.on_engine(key, &engine.id, self.unix());
         self.send_all(begun);
     }
 
@@ -48,9 +45,9 @@
     pub(crate) async fn resolve_stream(&self, key: Key, service: &ServiceName) -> Resolution {
         let taken_up = self.now();
         let own = self.stream_knowledge(key, service, taken_up);
-        if let Some(software) = own.software {
+        if own.software.is_some() {
             return Resolution {
-                origin: Ok((software, Evidence::Note)),
+                origin: origin::resolve(&own, &[], false),
                 asked: 0,
                 answered: 0,
             };
@@ -167,6 +164,8 @@
                 self.instances_confirmation.request();
             }
         }
+        let restarts = self.fleet.borrow_mut().take_restarts();
+        self.send_all(self.origins.on_restarts(&restarts, others, now));
         let fleet = self.fleet.borrow();
         let notes = self.origins.observe(&fleet, others, now, self.unix());
         self.send_all(notes);
@@ -181,7 +180,7 @@
     }
 
     /// The last moment at which the store was read by this instance or by one that announces what it reads.
-    fn engines_as_of(&self, now: Moment) -> Option<Moment> {
+    pub(crate) fn engines_as_of(&self, now: Moment) -> Option<Moment> {
         let peers = self.peers.borrow();
         let readers = peers.reader_states(Topic::Engines);
         let readers = readers.filter(|reader| reader.is_fresh(now));
@@ -198,7 +197,7 @@
 
     /// Records of software versions that this instance has to write: it is the first of those that read the
     /// engines from the store.
-    pub(crate) fn versions_to_record(&self) -> Vec<Record> {
+    pub(crate) fn versions_to_record(&self) -> Vec<version_history::Record> {
         let (now, order) = (self.now(), self.order());
         let read = self.engines_read.get().filter(|_| self.engines_known.get());
         let is_reader = read.is_some_and(|read| now.saturating_sub(read) <= watch::FRESH_AGE);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,6 +28,7 @@
 mod forward;
 mod frame;
 mod generate;
+mod identity;
 mod instance;
 mod lifecycle;
 mod limits;
--- a/crates/gateway/src/origins.rs
+++ b/crates/gateway/src/origins.rs
@@ -8,10 +8,11 @@
 
 use clock::Moment;
 use serving::backups::{Backups, Scope};
+use serving::fleet::Restart;
 use serving::origin::{self, Batch, Counts, Key, Knowledge, Note, Origins, Software};
 use serving::usage::UnixTime;
 use serving::version_history::VersionHistory;
-use serving::{Fleet, ServiceName};
+use serving::{EngineId, Fleet, ServiceName};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 use tokio::time::timeout;
 use wire::gateway::{Frame, OriginRequest, OriginResponse, StreamBatch, StreamOrigin};
@@ -134,6 +135,35 @@
         }
     }
 
+    /// Records which engine began a stream, or goes on with it, and when.
+    pub(crate) fn on_engine(&self, key: Key, engine: &EngineId, at: UnixTime) {
+        self.streams.borrow_mut().on_engine(key, engine, at);
+    }
+
+    /// Records that engines have started again. Returns what to send of streams that the new processes may have
+    /// begun.
+    pub(crate) fn on_restarts(
+        &self,
+        restarts: &[Restart],
+        others: impl FnOnce() -> Vec<SocketAddr>,
+        now: Moment,
+    ) -> Outgoing {
+        let mut streams = self.streams.borrow_mut();
+        let notes = restarts
+            .iter()
+            .flat_map(|restart| streams.on_restart(restart, now));
+        let notes: Vec<Note> = notes.collect();
+        if !notes.is_empty() {
+            log::info!(streams = notes.len(); "engines had started again before they began streams");
+        }
+        address_notes(&notes, others)
+    }
+
+    /// Whether the version of a stream's engine has turned out to be uncertain.
+    pub(crate) fn is_uncertain(&self, key: Key) -> bool {
+        self.streams.borrow().is_uncertain(key)
+    }
+
     fn announce(
         &self,
         services: &[&ServiceName],
--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod kinds;
+pub(crate) mod streams;
 
 use std::cell::{Cell, RefCell};
 use std::fs::OpenOptions;
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -11,7 +11,7 @@
 use tokio::io::Interest;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::consume_budget;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
 use crate::failure::SILENT_WITHIN_BODY;
@@ -63,6 +63,9 @@
     method: Method,
     peer: SocketAddr,
     acknowledge: Duration,
+    opened_at: Instant,
+    /// Whether the caller has found out which process the peer is.
+    is_identified: bool,
 }
 
 /// Maximum number of bytes read ahead of the consumer.
@@ -129,6 +132,8 @@
             method: Method::GET,
             peer,
             acknowledge: timeouts.acknowledge,
+            opened_at: Instant::now(),
+            is_identified: false,
         })
     }
 
@@ -137,6 +142,21 @@
         self.peer
     }
 
+    /// Time since the connection was opened. Its peer is the same process all the while.
+    pub fn age(&self) -> Duration {
+        self.opened_at.elapsed()
+    }
+
+    /// Whether [`Client::set_identified`] was called.
+    pub fn is_identified(&self) -> bool {
+        self.is_identified
+    }
+
+    /// Records that the peer is the process that the caller takes it for.
+    pub fn set_identified(&mut self) {
+        self.is_identified = true;
+    }
+
     /// Sets how long the peer may take to acknowledge what is sent from now on, and how long it may be
     /// silent.
     ///
--- a/crates/serving/src/fleet.rs
+++ b/crates/serving/src/fleet.rs
@@ -23,9 +23,11 @@
 
 mod peer_work;
 mod remote;
+mod restarts;
 mod streams;
 
 use remote::RemoteCall;
+pub use restarts::Restart;
 
 /// Longest pause that an engine may ask for. A longer one is more likely an error, and would leave
 /// the engine out for good.
@@ -81,6 +83,7 @@
     /// Rate of prompt work sent by all instances, by service.
     work_rates: HashMap<ServiceName, DecayingRate>,
     changes: Vec<WorkChange>,
+    restarts: Vec<Restart>,
     /// Engines that have announced that they leave, ahead of their records.
     leaving: BTreeSet<EngineId>,
     /// Until when engines want no requests from this instance, as they said when they turned one
--- a/crates/serving/src/origin.rs
+++ b/crates/serving/src/origin.rs
@@ -17,7 +17,9 @@
 use clock::Moment;
 use smallvec::SmallVec;
 
-use crate::{ServiceName, hash};
+use crate::fleet::Restart;
+use crate::usage::UnixTime;
+use crate::{EngineId, ServiceName, hash};
 
 /// Identifies a stream by the attempt that began it, its service and its organisation.
 pub type Key = u64;
@@ -35,6 +37,25 @@
 /// Most streams that are remembered; those that are forgotten first make room.
 const MAX_STREAMS: usize = 16_384;
 
+/// Noted in place of a version for a stream whose engine may have started again, with another version, before it
+/// began the stream.
+const UNCERTAIN: &str = "?";
+/// Time by which the clocks of engines and instances may differ.
+const MAX_CLOCK_DIFFERENCE: Duration = Duration::from_secs(1);
+/// Age of a list of engines up to which engines that have started again are taken to be in it.
+const MAX_LIST_AGE: Duration = Duration::from_secs(2);
+
+/// Whether an engine has to be asked when it started before a stream is sent on a connection to it that was
+/// `opened` then. The engines were last read at `as_of`.
+///
+/// An engine that starts again with another version keeps its name and address, and its record follows later.
+/// A stream that it resumes would be mixed at once. One that it begins is corrected once the record is there,
+/// unless that takes long.
+pub fn must_identify(resumes: bool, opened: Moment, as_of: Option<Moment>, now: Moment) -> bool {
+    let is_recent = |as_of| opened <= as_of || now.saturating_sub(as_of) <= MAX_LIST_AGE;
+    resumes || !as_of.is_some_and(is_recent)
+}
+
 /// The key of the stream that an attempt began. Callers choose the ids of attempts, so that two
 /// organisations may use the same one.
 pub fn key(organisation: &str, service: &str, attempt: &str) -> Key {
@@ -74,6 +95,8 @@
     software: Software,
     expires: Moment,
     source: Source,
+    /// The engine that began it and when, if this instance sent it.
+    begun: Option<(EngineId, UnixTime)>,
 }
 
 /// Numbers of streams that an instance remembers.
@@ -156,6 +179,8 @@
 /// Why the version that began a stream is not known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Unresolved {
+    /// The engine had started again by then, perhaps with another version.
+    Restarted,
     /// Instances disagree.
     Conflicting,
     /// The service has several versions, or had until lately, and no instance remembers the stream.
@@ -192,7 +217,10 @@
 ) -> Result<(Software, Evidence), Unresolved> {
     let known = || others.iter().chain([own]);
     if let Some(software) = agreed(known().filter_map(|known| known.software.as_ref()))? {
-        return Ok((software, Evidence::Note));
+        return match &*software {
+            UNCERTAIN => Err(Unresolved::Restarted),
+            _ => Ok((software, Evidence::Note)),
+        };
     }
     // Streams are noted while there are several versions, so the note of this one has been lost.
     if known().any(|known| known.is_mixed) {
@@ -255,6 +283,44 @@
         }
     }
 
+    /// Records which engine began an own stream, or goes on with it, and when.
+    pub fn on_engine(&mut self, key: Key, engine: &EngineId, at: UnixTime) {
+        if let Some(stream) = self.streams.get_mut(&key) {
+            stream.begun = Some((engine.clone(), at));
+        }
+    }
+
+    /// Records that an engine has started again. Returns what to tell the holders of those own streams that the
+    /// new process may have begun, with another version than was noted.
+    pub fn on_restart(&mut self, restart: &Restart, now: Moment) -> Vec<Note> {
+        let earliest = restart.started.saturating_sub(MAX_CLOCK_DIFFERENCE);
+        let mut notes = Vec::new();
+        for (key, stream) in &mut self.streams {
+            let is_affected = |(engine, at): &(EngineId, UnixTime)| {
+                *engine == restart.engine && *at >= earliest && now < stream.expires
+            };
+            if stream.software == restart.software
+                || !stream.begun.as_ref().is_some_and(is_affected)
+            {
+                continue;
+            }
+            stream.software = Software::from(UNCERTAIN);
+            self.uncopied.push(*key);
+            notes.push(Note {
+                key: *key,
+                software: stream.software.clone(),
+                lifetime: stream.expires - now,
+            });
+        }
+        notes
+    }
+
+    /// Whether the version that began a stream has turned out to be uncertain.
+    pub fn is_uncertain(&self, key: Key) -> bool {
+        let stream = self.streams.get(&key);
+        stream.is_some_and(|stream| &*stream.software == UNCERTAIN)
+    }
+
     /// Records a stream that another instance began.
     pub fn on_note(&mut self, note: &Note, now: Moment) {
         self.insert(note, Source::Note, now);
@@ -335,10 +401,16 @@
 
     fn insert(&mut self, note: &Note, source: Source, now: Moment) {
         let expires = now + note.lifetime;
+        // A copy of what was noted first may arrive late.
+        let software = match self.is_uncertain(note.key) {
+            true => Software::from(UNCERTAIN),
+            false => note.software.clone(),
+        };
         let stream = Stream {
-            software: note.software.clone(),
+            software,
             expires,
             source,
+            begun: None,
         };
         if let Some(before) = self.streams.insert(note.key, stream) {
             self.by_expiry.remove(&(before.expires, note.key));
--- a/crates/serving/src/registry.rs
+++ b/crates/serving/src/registry.rs
@@ -233,6 +233,7 @@
             }
             self.doubted.remove(&known.id);
             fleet.remove(&known.id);
+            fleet.on_restart(known.id.clone(), &record);
         }
         let incarnation = Incarnation {
             id: record.id.clone(),
--- a/crates/serving/tests/origin.rs
+++ b/crates/serving/tests/origin.rs
@@ -8,7 +8,10 @@
 use std::slice;
 
 use common::{fleet, id, ms, record, service};
-use serving::origin::{self, ASKED, Evidence, HOLDERS, Knowledge, Origins, Software, Unresolved};
+use serving::fleet::Restart;
+use serving::origin::{
+    self, ASKED, Evidence, HOLDERS, Knowledge, Note, Origins, Software, Unresolved,
+};
 use serving::version_history::VersionHistory;
 use serving::{Record, Stage};
 
@@ -261,3 +264,56 @@
     fleet.remove(&id("c"));
     assert!(versions(&fleet).is_empty());
 }
+
+/// Guards against resuming at the version of an engine's former record what the engine began after a restart,
+/// and against refusing what it began before.
+#[test]
+fn streams_that_a_restarted_engine_may_have_begun_are_uncertain_whatever_arrives_later() {
+    let (service, v1) = (service(), version("v1"));
+    let mut origins = Origins::default();
+    for (key, engine, at) in [(1, "a", 8_000), (2, "a", 10_500), (3, "b", 10_500)] {
+        origins.begin(key, &service, &v1, ms(4_000), true, ms(0));
+        origins.on_engine(key, &id(engine), ms(at));
+    }
+    let restart = |software| Restart {
+        engine: id("a"),
+        software: version(software),
+        started: ms(10_000),
+    };
+    assert_eq!(origins.on_restart(&restart("v1"), ms(0)), []);
+    let notes = origins.on_restart(&restart("v2"), ms(0));
+    let keys: Vec<u64> = notes.iter().map(|note| note.key).collect();
+    assert_eq!(keys, [2]);
+    let mut holder = Origins::default();
+    holder.on_note(&notes[0], ms(0));
+    holder.on_note(
+        &Note {
+            software: v1.clone(),
+            ..notes[0].clone()
+        },
+        ms(0),
+    );
+    let resolve = |origins: &Origins, key| {
+        let known = Knowledge {
+            software: origins.find(key, ms(0)),
+            ..Knowledge::default()
+        };
+        origin::resolve(&known, &[], true)
+    };
+    assert_eq!(resolve(&origins, 1), Ok((v1, Evidence::Note)));
+    assert_eq!(resolve(&origins, 2), Err(Unresolved::Restarted));
+    assert_eq!(resolve(&holder, 2), Err(Unresolved::Restarted));
+}
+
+/// Guards against a question for every stream, and against going on at an engine that may have restarted.
+#[test]
+fn engines_are_asked_for_their_start_before_streams_that_depend_on_it_only() {
+    let asks = |resumes, opened, as_of: Option<u64>, now| {
+        origin::must_identify(resumes, ms(opened), as_of.map(ms), ms(now))
+    };
+    assert!(asks(true, 9_000, Some(9_900), 10_000));
+    assert!(!asks(false, 9_950, Some(9_900), 10_000));
+    assert!(!asks(false, 9_000, Some(9_500), 20_000));
+    assert!(asks(false, 10_000, Some(9_500), 20_000));
+    assert!(asks(false, 10_000, None, 20_000));
+}
