--- a/crates/gateway/tests/long_records.rs
+++ b/crates/gateway/tests/long_records.rs
@@ -10,7 +10,7 @@
 use wire::gateway::ServiceVersions;
 
 /// Records of this size, of which the store sends six in one answer.
-const FILLER: [u8; 200 * 1024] = [b' '; 200 * 1024];
+const FILLER_BYTES: usize = 200 * 1024;
 
 /// Guards against ending a gap by a read that was cut at its largest size: the record of a version that came and went
 /// while this instance was stopped is in the next answer, and a stream of that version goes on at the other one.
@@ -28,7 +28,9 @@
     gateway.signal("-STOP");
     for number in 0..8 {
         let key = format!("filler-{number}");
-        gateway.store.put_bytes("keyed.instances", &key, &FILLER);
+        gateway
+            .store
+            .put_bytes("keyed.instances", &key, &vec![b' '; FILLER_BYTES]);
     }
     let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     let versions = ServiceVersions {
