Wait until an instance finds a placer in the test of a killed data centre

a_held_part_stays_held_after_all_instances_are_killed asserts that a sound request is served at once by an instance that has started beside the records of killed ones. It was refused once: 503, "No engine takes the call", Retry-After 0.5.

Cause: the instance on a slow link had become ready by the state of the other new one, but still took two killed instances, whose records were in the store, for the placers: it works out anew who places in its next turn, up to 100 ms later. Both did not answer within 25 ms each, and it knew no engine itself. The refusal is true and says when to come back; nothing is held wrongly, which is what the test guards against.

Change: after the request with the held part has been refused, as before with no wait before it, the test waits until another generation is served, and only then sends the sound request, which must be served at the first try. All assertions stand.

--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -282,6 +282,12 @@
         numbers += 1;
         let answer = send_with_fatal_part(gateway, numbers).await;
         assert_eq!(answer.status, 503, "{answer:?}");
+        // An instance that has just started may ask placers that were killed.
+        wait_until(async || {
+            let id = gateway.fresh_id();
+            gateway.generate("/stream/", &id).await.status == 200
+        })
+        .await;
         let answer = send_sound(gateway, numbers).await;
         assert_eq!(answer.status, 200, "{answer:?}");
     }
