--- a/crates/serving/tests/origin.rs
+++ b/crates/serving/tests/origin.rs
@@ -269,6 +269,7 @@
 /// waits for less time.
 #[test]
 fn an_older_note_does_not_shorten_the_memory_of_a_stream_that_went_on() {
+    type Tell<'a> = Box<dyn Fn(&mut Origins) + 'a>;
     let (service, v1) = (service(), version("v1"));
     let older = origin::Note {
         key: 1,
@@ -280,11 +281,17 @@
         software: v1.clone(),
         streams: vec![(1, ms(5_000))],
     };
-    let tell: [(&str, &dyn Fn(&mut Origins)); 2] = [
-        ("noted", &|origins| origins.on_note(&older, ms(100))),
-        ("copied", &|origins| {
-            origins.on_batch(&batch, true, ms(100));
-        }),
+    let tell: [(&str, Tell); 2] = [
+        (
+            "noted",
+            Box::new(|origins| origins.on_note(&older, ms(100))),
+        ),
+        (
+            "copied",
+            Box::new(|origins| {
+                origins.on_batch(&batch, true, ms(100));
+            }),
+        ),
     ];
     for (name, tell) in tell {
         let mut origins = Origins::default();
