Let requested reads of the engines leave due ones where they are

After both readers of the engines were killed, an instance to which callers took streams up all the time never took their place: nobody read for the others, and no change of software versions was recorded, so that what instances that start believe is older for as long (ORDER).

Cause: let a due read go before a requested one, but each requested read still put the due one off by its interval. Only a due read moves the next one now.

--- a/crates/gateway/src/store_reader.rs
+++ b/crates/gateway/src/store_reader.rs
@@ -131,7 +131,9 @@
     async fn read(&mut self) -> Read {
         loop {
             let is_requested = self.wait().await;
-            self.due = Instant::now() + self.interval;
+            if !is_requested {
+                self.due = Instant::now() + self.interval;
+            }
             self.earliest = Instant::now() + MIN_READ_INTERVAL;
             let asked = self.instance.now();
             if self
