Resume a stream at the weights that its last event named

What callers saw: a stream whose engine took later weights while it ran, and broke off, went on at an engine of the earlier ones: the version of the weights went back within one answer.

Cause: Expected-Version of a resumed stream came from the head of the first answer. An event at which the version changes names the new one, and this line was not read. Engines of the later weights turned the call away with 421, and one of the earlier took it.

Change: the splitter of events keeps the version that the last event to name one names, and a resume expects that one.

Why it works: only whole events that were passed on are looked at, which are those after which the stream is resumed.

A stream that its caller takes up expects no version, as before: the caller names none, and what it has is not known here.

--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -16,6 +16,8 @@
     partial: BytesMut,
     search: Search,
     last: Option<EventId>,
+    /// Version of the weights that wrote the last whole event, if an event has named one.
+    weights: Option<u64>,
     /// Whether an event with data has been returned.
     has_data: bool,
     /// Whether lines are no fields of events.
@@ -32,6 +34,8 @@
 
 /// Prefix of the line with an event's id.
 const ID: &[u8] = b"id:";
+/// Prefix of the line with the version of the weights, in an event at which it changes.
+const WEIGHTS: &[u8] = b"weight-versions:";
 /// Prefix of the lines with its data.
 const DATA: &[u8] = b"data";
 
@@ -56,6 +60,11 @@
         self.last
     }
 
+    /// Version of the model weights that the last event to name one names.
+    pub fn weights(&self) -> Option<u64> {
+        self.weights
+    }
+
     /// Whether a stream that broke off can go on after the last whole event: it has an id, or there was none.
     pub fn is_resumable(&self) -> bool {
         self.last.is_some() || !self.has_data
@@ -106,7 +115,8 @@
         let mut last = self.last;
         for line in events.split(|byte| matches!(byte, b'\n' | b'\r')) {
             self.has_data |= line.starts_with(DATA);
-            let Some(id) = id(line) else { continue };
+            self.weights = number(line, WEIGHTS).or(self.weights);
+            let Some(id) = number(line, ID) else { continue };
             if last.is_some_and(|last| id <= last) {
                 return Err(OutOfOrder);
             }
@@ -175,7 +185,7 @@
     ends_within_line || lines.any(|line| !line.starts_with(b":"))
 }
 
-fn id(line: &[u8]) -> Option<EventId> {
-    let value = line.strip_prefix(ID)?;
+fn number(line: &[u8], prefix: &[u8]) -> Option<u64> {
+    let value = line.strip_prefix(prefix)?;
     std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/crates/gateway/src/generate.rs
+++ b/crates/gateway/src/generate.rs
@@ -456,6 +456,7 @@
             .relay
             .relay(&mut response, &engine_call, on_begin)
             .await;
+        self.weights = self.relay.weights().or(self.weights);
         if self.relay.has_begun() {
             self.software.get_or_insert(software);
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -97,6 +97,11 @@
         self.splitter.last()
     }
 
+    /// Version of the model weights that the last event to name one names.
+    pub(crate) fn weights(&self) -> Option<u64> {
+        self.splitter.weights()
+    }
+
     /// Relays an engine's events as they arrive. The first engine's response head is sent with its
     /// first event, so that an engine which ends before that can still be replaced; `on_begin` is called
     /// before.
