Wait for the records of both parts in the test of a killed data centre

a_held_part_stays_held_after_all_instances_are_killed failed twice more: once it never saw that the store knows of the held part, and once a sound request was refused for a held part after the start of new instances.

Cause: the test looked for a line that the store knows of some call or part with three crashes, exactly. Requests share two parts, and each part is recorded by an append of its own. In the first case a fourth crash came before the appends, whose lines said ended=4 (both), so the wait ended after 600 polls. In the second the instances were killed between the two appends: the store had three crashes of the part that sound requests share, and two of the fatal one, so the shared part was held. A loss of all instances within that millisecond or so can hold the wrong part for some 30 s; the test does not promise otherwise, nor does the product.

Change: the test reads which fingerprints the store knows with three crashes or more, and waits for both parts before it kills. The other users of the wait take three or more as well. All assertions stand.

--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -321,11 +321,17 @@
         .await;
     }
 
-    /// Number of log lines that contain `text`.
-    pub(crate) fn count_log_lines(&self, text: &str) -> usize {
+    /// Log lines that contain `text`.
+    pub(crate) fn log_lines(&self, text: &str) -> Vec<String> {
         let log = std::fs::read_to_string(self.log.path());
         let log = log.expect("the log can be read");
-        log.lines().filter(|line| line.contains(text)).count()
+        let lines = log.lines().filter(|line| line.contains(text));
+        lines.map(str::to_owned).collect()
+    }
+
+    /// Number of log lines that contain `text`.
+    pub(crate) fn count_log_lines(&self, text: &str) -> usize {
+        self.log_lines(text).len()
     }
 
     /// Number of log lines that contain both texts.
--- a/crates/gateway/tests/quarantine.rs
+++ b/crates/gateway/tests/quarantine.rs
@@ -2,6 +2,7 @@
 
 mod harness;
 
+use std::collections::BTreeSet;
 use std::time::{Duration, SystemTime};
 
 use harness::{Gateway, Response, wait_until};
@@ -268,7 +269,8 @@
     let (gateways, mut pool) = three_instances().await;
     let mut numbers = 0;
     send_until_part_is_held(&gateways[0], &mut pool, &mut numbers).await;
-    wait_until(async || is_stored(&gateways)).await;
+    // Which of the parts is held follows from the crashes of both.
+    wait_until(async || stored(&gateways).len() == 2).await;
     let reached = pool.reached(FATAL_PART_PATH);
     for gateway in &gateways {
         gateway.signal("-KILL");
@@ -318,13 +320,22 @@
     assert_eq!(prefill.request_count(FATAL_PART_PATH), prefilled);
 }
 
-/// Whether one of the instances has written to the store that the call is held.
+/// Whether the instances have written to the store that a call is held.
 fn is_stored(gateways: &[Gateway]) -> bool {
+    !stored(gateways).is_empty()
+}
+
+/// Fingerprints of the calls and parts of which the instances have written to the store that they are held.
+fn stored(gateways: &[Gateway]) -> BTreeSet<String> {
     let line = "the store knows of a call that ends engines";
-    let ended = format!("ended={CRASHES_UNTIL_HELD}");
-    gateways
-        .iter()
-        .any(|gateway| gateway.count_log_lines_with(line, &ended) > 0)
+    let written = gateways.iter().flat_map(|gateway| gateway.log_lines(line));
+    let held = written.filter_map(|line| {
+        let (call, ended) = line.split_once(" ended=")?;
+        let ended: usize = ended.trim().parse().ok()?;
+        let (_, fingerprint) = call.split_once("fingerprint=")?;
+        (ended >= CRASHES_UNTIL_HELD).then(|| fingerprint.to_owned())
+    });
+    held.collect()
 }
 
 /// Sends the call to an instance until it is refused as held.
