Wait for the log line of a refused stream in the test of a cut-off instance

an_instance_that_is_cut_off_guesses_no_version failed once beside load: the stream was refused as it must be, but the line that names the reason was not in the log. A thread writes the log, possibly after the response; no line of that request had been written when the test looked. It now waits for the line, which must appear.

--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -286,7 +286,9 @@
         resume(&second, &id, &format!("lost-{id}")).await.status == 503
     })
     .await;
-    assert!(second.count_log_lines_with("resumed by its caller", "basis=engines not known") > 0);
+    // A thread writes the line, possibly after the response.
+    let basis = "basis=engines not known";
+    wait_until(async || second.count_log_lines_with("resumed by its caller", basis) > 0).await;
     first.signal("-CONT");
 }
 
