Give streams that callers resume the rank of new ones

Callers saw: in a peak, while engines are replaced and end, streams that are taken up again get 503, "There is too much work before this call.", while two thirds of the new ones begin.

Cause: a caller that states less time than new ones do is taken to have waited for its first answer. One that resumes a stream has spent that time on the events before, so the target of an event that it has counted as missed: it yielded four ranks, was expected behind all new calls that would still come, and was refused, the more surely with each further try.

Change: `PriorWaits::estimate` is told what the caller awaits. For the next event it has waited for nothing yet, and its time says nothing about the patience of new callers. The target is that of a new call, since it came back: with a shorter one it would yield to new calls in any lasting queue, with a longer one new calls starve behind it. What would outlast its caller is refused at once as before, and a further try has no worse rank than the one before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -16,6 +16,7 @@
 use serving::fingerprint::{self, Fingerprint, PartFingerprints};
 use serving::forwarders::ForwardResult;
 use serving::organisation::Organisation;
+use serving::prior_wait::Awaited;
 use serving::reachability::{Cause, Path};
 use serving::route::Version;
 use serving::usage::UnixTime;
@@ -56,7 +57,7 @@
     /// When the caller's deadline or the route's time-out ends.
     pub deadline: Instant,
     pub started: Instant,
-    /// Time that the caller had waited before it sent this request.
+    /// Time that the caller had waited for its first answer before it sent this request.
     pub waited_before: Duration,
 }
 
@@ -207,7 +208,7 @@
             .map_or(route.timeout, |d| d.min(route.timeout));
         let before = call.deadline.map_or(Duration::ZERO, |left| {
             let mut usual = instance.usual.borrow_mut();
-            usual.estimate(&route.name, left, instance.now())
+            usual.estimate(&route.name, left, awaited(route, &call), instance.now())
         });
         Ok(Self {
             deadline: arrival.started_at + timeout,
@@ -327,6 +328,14 @@
     }
 }
 
+/// What the caller of a call waits for.
+fn awaited(route: &Route, call: &Call) -> Awaited {
+    match call.resume_after {
+        Some(_) if route.kind.is_resumable() => Awaited::NextEvent,
+        _ => Awaited::FirstAnswer,
+    }
+}
+
 /// The service of a call. Routes with several pick by the id of the request that began it, so that every
 /// instance picks the same one.
 fn select_service(table: &Table, route: &Route, call: &Call) -> Service {
--- a/crates/serving/src/prior_wait.rs
+++ b/crates/serving/src/prior_wait.rs
@@ -16,6 +16,15 @@
 /// back after an outage remain the minority.
 const RETAINED: f64 = 1.0 - 1.0 / 500.0;
 
+/// What a caller waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Awaited {
+    /// The first answer, since its first attempt.
+    FirstAnswer,
+    /// The next event of a stream that it resumes, since this attempt: the first event has come.
+    NextEvent,
+}
+
 /// The remaining times of callers, by route.
 #[derive(Clone, Debug, Default)]
 pub struct PriorWaits {
@@ -42,7 +51,21 @@
     /// new callers may differ in patience; if shorter ones were treated as returning, most calls
     /// would yield from the start and ranks would mean nothing. So a caller has waited only if it
     /// waits less than new callers do.
-    pub fn estimate(&mut self, route: &str, left: Duration, now: Moment) -> Duration {
+    ///
+    /// A caller that resumes a stream has waited for nothing yet. It states less time than new ones,
+    /// which it has spent on the events before; taken for waiting, it would yield to all new calls and
+    /// be refused in a peak, again and again, and what was written for it would be lost. It says
+    /// nothing about the times of new callers.
+    pub fn estimate(
+        &mut self,
+        route: &str,
+        left: Duration,
+        awaited: Awaited,
+        now: Moment,
+    ) -> Duration {
+        if awaited == Awaited::NextEvent {
+            return Duration::ZERO;
+        }
         let Some(waits) = self.routes.get_mut(route) else {
             self.routes
                 .insert(route.to_owned(), RouteWaits::new(left, now));
--- a/crates/serving/src/route.rs
+++ b/crates/serving/src/route.rs
@@ -33,6 +33,11 @@
         matches!(self, Self::Safe | Self::Stream { resumable: true })
     }
 
+    /// Whether another engine may go on with a stream after an event.
+    pub fn is_resumable(self) -> bool {
+        matches!(self, Self::Stream { resumable: true })
+    }
+
     /// Whether answers are streams of events.
     pub fn is_stream(self) -> bool {
         matches!(self, Self::Stream { .. })
