Forget instances that left the list while this one was stopped

Seen once in a test of instances that leave the list, beside eight targets at once: one of three instances did not count three for 30 s. Reproduced with processes: an instance that places no calls is stopped, one that does is killed 2 s later and leaves the list with it after 10 s; the stopped one goes on, and counts the dead one for good (its test fails before, "the state was not reached in time", 1 of 1; passes after).

An instance is not removed if it was heard in the last 10 s, and its states that had waited in the socket counted from when they were handled. The removal is read once. An instance that places calls removes it itself later; another one keeps it, and draws it as a holder of streams' notes.

The age of the last state counts from its arrival. One that waited for 10 s or more adds nobody, since the removal may be read first.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use clock::Moment;
+use serving::eviction::GONE_AFTER;
 use serving::forwarders::Forwarder;
 use serving::outbox::Outbox;
 use serving::parts::Part;
@@ -347,6 +348,10 @@
         state: &State,
         receipt: Receipt,
     ) -> Option<u64> {
+        if !self.by_address.contains_key(&from) && receipt.max_wait() >= GONE_AFTER {
+            // Its sender may have left the list since.
+            return None;
+        }
         let registered = self.by_address.entry(from);
         let registered =
             registered.or_insert_with(|| Registered::new(state.zone, None, receipt.handled));
--- a/crates/gateway/src/peers/members.rs
+++ b/crates/gateway/src/peers/members.rs
@@ -26,13 +26,14 @@
         members.collect()
     }
 
-    /// Removes an instance that has left the list, unless it has been heard since. Returns whether it was known.
+    /// Removes an instance that has left the list, unless it has been heard since. What waited while this instance
+    /// was stopped may be from before. Returns whether it was known.
     pub(crate) fn remove(&mut self, address: SocketAddr, now: Moment) -> bool {
         let known = self.by_address.get(&address);
-        let last_heard = known
+        let last_state = known
             .and_then(|known| known.peer.as_ref())
-            .map(|peer| peer.last_heard);
-        if last_heard.is_some_and(|heard| now.saturating_sub(heard) < GONE_AFTER) {
+            .map(|peer| peer.arrived);
+        if last_state.is_some_and(|arrived| now.saturating_sub(arrived) < GONE_AFTER) {
             return false;
         }
         self.by_address.remove(&address).is_some()
--- a/crates/gateway/tests/registration.rs
+++ b/crates/gateway/tests/registration.rs
@@ -3,8 +3,10 @@
 mod harness;
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use harness::{Gateway, wait_until};
+use tokio::time::sleep;
 
 const GATEWAYS: usize = 12;
 
@@ -70,3 +72,34 @@
         .await;
     }
 }
+
+/// Guards against keeping an instance for good that left the list while this one was stopped: what it had sent before
+/// waited, and seemed to show that it lives.
+#[actix_rt::test]
+async fn an_instance_that_was_stopped_forgets_one_that_left_meanwhile() {
+    // One that places calls sends its state to all. The last one on a slow link places none.
+    let (gone, _app, _pool) = Gateway::start().await;
+    let others = [gone.start_another(), gone.start_another()];
+    let stopped = gone.start_another_on_slow_link();
+    for gateway in others.iter().chain([&stopped]) {
+        gateway.wait_until_ready(true).await;
+    }
+    let knows = async |count: usize| {
+        let page = stopped.metrics_page().await;
+        page.lines()
+            .any(|line| line == format!("tarragon_instances {count}"))
+    };
+    wait_until(async || knows(4).await).await;
+    stopped.signal("-STOP");
+    // Some states of all others wait in its socket.
+    sleep(Duration::from_secs(2)).await;
+    gone.signal("-KILL");
+    let is_listed = |gateway: &Gateway| {
+        let keys = stopped.store.newest("keyed.instances");
+        keys.contains(&gateway.mesh.to_string())
+    };
+    wait_until(async || !is_listed(&gone) && !is_listed(&stopped)).await;
+    stopped.signal("-CONT");
+    wait_until(async || is_listed(&stopped)).await;
+    wait_until(async || knows(3).await).await;
+}
