Write the record of a version that came and went in one place

Two process tests of the gateway built the same record of software versions line by line. The test support that both use for streams writes it now. long_records 1 of 1 and software_versions 16 of 16 pass, formatting and lints of the gateway too.

--- a/crates/gateway/tests/harness/streams.rs
+++ b/crates/gateway/tests/harness/streams.rs
@@ -1,12 +1,14 @@
 //! Streams of a route that may be resumed, as callers see them.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use futures_util::future::join_all;
 use platform_standin::configuration::HOST;
-use platform_standin::{Engine, request};
+use platform_standin::{Engine, Store, request};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
+use wire::Message as _;
+use wire::gateway::ServiceVersions;
 
 use super::{Gateway, wait_until};
 
@@ -112,3 +114,16 @@
     })
     .await;
 }
+
+/// Writes what an instance records when another version of the pool's engines has come and gone just now.
+pub(crate) fn record_changed_versions(store: &Store) {
+    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    let versions = ServiceVersions {
+        service: "pool".to_owned(),
+        versions: vec!["v1".to_owned()],
+        changed_unix_ms: now.map_or(0, |now| now.as_millis() as u64),
+        era: 0,
+    };
+    let key = format!("versions/{:016x}", serving::hash::hash64("pool"));
+    store.put_bytes("keyed.instances", &key, &versions.encode_to_vec());
+}
--- a/crates/gateway/tests/long_records.rs
+++ b/crates/gateway/tests/long_records.rs
@@ -2,12 +2,11 @@
 
 mod harness;
 
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
+use harness::streams::record_changed_versions;
 use harness::{Gateway, generation, wait_until};
 use tokio::time::sleep;
-use wire::Message as _;
-use wire::gateway::ServiceVersions;
 
 /// Records of this size, of which the store sends six in one answer.
 const FILLER_BYTES: usize = 200 * 1024;
@@ -32,17 +31,7 @@
             .store
             .put_bytes("keyed.instances", &key, &vec![b' '; FILLER_BYTES]);
     }
-    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    let versions = ServiceVersions {
-        service: "pool".to_owned(),
-        versions: vec!["v1".to_owned()],
-        changed_unix_ms: now.map_or(0, |now| now.as_millis() as u64),
-        era: 0,
-    };
-    let key = format!("versions/{:016x}", serving::hash::hash64("pool"));
-    gateway
-        .store
-        .put_bytes("keyed.instances", &key, &versions.encode_to_vec());
+    record_changed_versions(&gateway.store);
     sleep(Duration::from_millis(2_500)).await;
     gateway.signal("-CONT");
     let calls = gateway.store.calls();
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -3,18 +3,18 @@
 mod harness;
 
 use std::rc::Rc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 use futures_util::future::join_all;
 use harness::streams::{EVENT_PAUSE, Received, STREAMS_PER_ROUND};
-use harness::streams::{add_engine, resume, round, stream, wait_until_mixed};
+use harness::streams::{
+    add_engine, record_changed_versions, resume, round, stream, wait_until_mixed,
+};
 use harness::{FAST_LINK_MBPS, Gateway, wait_until};
 use platform_standin::engine::{Behaviour, EarlyEnd};
 use platform_standin::store::{Fault, Link};
 use platform_standin::{Ending, Engine, Store};
 use tokio::time::sleep;
-use wire::Message as _;
-use wire::gateway::ServiceVersions;
 
 /// Two gateways, with two engines of each software version.
 async fn start_mixed() -> ([Gateway; 2], Vec<Engine>) {
@@ -360,17 +360,7 @@
     gateway.signal("-STOP");
     new.register(&gateway.store, "pool", "ready", Some("decode"));
     gateway.store.put("keyed.servers", &new.id, None);
-    let now = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    let versions = ServiceVersions {
-        service: "pool".to_owned(),
-        versions: vec!["v1".to_owned()],
-        changed_unix_ms: now.map_or(0, |now| now.as_millis() as u64),
-        era: 0,
-    };
-    let key = format!("versions/{:016x}", serving::hash::hash64("pool"));
-    gateway
-        .store
-        .put_bytes("keyed.instances", &key, &versions.encode_to_vec());
+    record_changed_versions(&gateway.store);
     tokio::time::sleep(Duration::from_millis(2_500)).await;
     gateway.signal("-CONT");
     let calls = gateway.store.calls();
