Test clients that hold much and finish little

What callers saw: clients that the platform doesn't control ended an instance, which ran out of memory. They sent many large bodies at once, most of them all but the end, and stayed open.

Each test checks that the process lives, that its peak of resident memory and its descriptors stay within the machine's, and that an ordinary call is answered while the clients are there and another one once they are gone; none checks a time or a share. Crowd and bounds come from the machine in the settings and stay as they are here.

--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -77,6 +77,13 @@
 pub(crate) const FAST_LINK_MBPS: u32 = 1_000;
 pub(crate) const SLOW_LINK_MBPS: u32 = 100;
 
+/// What a machine allows its process.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Machine {
+    pub memory_mb: u64,
+    pub max_descriptors: usize,
+}
+
 /// Deadline of a call.
 const DEADLINE_MS: u64 = 20_000;
 
@@ -128,13 +135,29 @@
     pub(crate) async fn start_unconfigured() -> Self {
         let store = Rc::new(Store::start().await);
         let address = store.address;
-        Self::start_with(store, address, FAST_LINK_MBPS, None, false)
+        Self::start_with(store, address, &link(FAST_LINK_MBPS), None, false)
+    }
+
+    /// Starts a store and a gateway on such a machine, without a configuration.
+    pub(crate) async fn start_on(machine: Machine) -> Self {
+        let store = Rc::new(Store::start().await);
+        let address = store.address;
+        Self::start_with(store, address, &limits(machine), None, false)
+    }
+
+    /// Starts another gateway on the same store, on such a machine.
+    pub(crate) fn start_another_on(&self, machine: Machine) -> Self {
+        let store = self.store.clone();
+        Self::start_with(store, self.store.address, &limits(machine), None, false)
     }
 
     /// Starts a store and gateways that are all started for the first time.
     pub(crate) async fn start_first(count: usize) -> Vec<Self> {
         let store = Rc::new(Store::start().await);
-        let start = |_| Self::start_with(store.clone(), store.address, FAST_LINK_MBPS, None, true);
+        let start = |_| {
+            let limits = link(FAST_LINK_MBPS);
+            Self::start_with(store.clone(), store.address, &limits, None, true)
+        };
         (0..count).map(start).collect()
     }
 
@@ -142,7 +165,7 @@
     pub(crate) async fn with_duties(duties: Duties) -> Self {
         let store = Rc::new(Store::start().await);
         let address = store.address;
-        Self::start_with(store, address, FAST_LINK_MBPS, Some(duties), false)
+        Self::start_with(store, address, &link(FAST_LINK_MBPS), Some(duties), false)
     }
 
     /// Starts another gateway on the same store.
@@ -157,18 +180,24 @@
 
     /// Starts another gateway that reaches the same store at another address.
     pub(crate) fn start_another_at(&self, store: SocketAddr, link_mbps: u32) -> Self {
-        Self::start_with(self.store.clone(), store, link_mbps, self.duties, false)
+        Self::start_with(
+            self.store.clone(),
+            store,
+            &link(link_mbps),
+            self.duties,
+            false,
+        )
     }
 
     /// Starts a gateway that reaches the store at this address.
     pub(crate) fn start_unconfigured_at(store: Rc<Store>, address: SocketAddr) -> Self {
-        Self::start_with(store, address, FAST_LINK_MBPS, None, false)
+        Self::start_with(store, address, &link(FAST_LINK_MBPS), None, false)
     }
 
     fn start_with(
         store: Rc<Store>,
         store_address: SocketAddr,
-        link_mbps: u32,
+        limits: &str,
         duties: Option<Duties>,
         is_first_start: bool,
     ) -> Self {
@@ -190,7 +219,7 @@
         let mut file = NamedTempFile::new().expect("a scratch file can be created");
         write!(
             file,
-            "bootstrap = {is_first_start}\n{}\n[limits]\nlink_mbps = {link_mbps}\n",
+            "bootstrap = {is_first_start}\n{}\n[limits]\n{limits}\n",
             settings.text()
         )
         .expect("a scratch file can be written");
@@ -415,6 +444,17 @@
         format!("f{}", self.ids.get())
     }
 
+    /// Number of open descriptors of the process.
+    pub(crate) fn open_descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.borrow().id());
+        std::fs::read_dir(path).expect("the process runs").count()
+    }
+
+    /// Whether the process has not ended.
+    pub(crate) fn is_alive(&self) -> bool {
+        matches!(self.child.borrow_mut().try_wait(), Ok(None))
+    }
+
     /// Largest resident memory of the process so far, in MiB.
     pub(crate) fn peak_memory_mib(&self) -> u64 {
         let path = format!("/proc/{}/status", self.child.borrow().id());
@@ -466,6 +506,21 @@
     }
 }
 
+/// Lines of settings for a machine's link.
+fn link(mbps: u32) -> String {
+    format!("link_mbps = {mbps}")
+}
+
+/// Lines of settings for a machine with a fast link.
+fn limits(machine: Machine) -> String {
+    let Machine {
+        memory_mb,
+        max_descriptors,
+    } = machine;
+    let link = link(FAST_LINK_MBPS);
+    format!("{link}\nmemory_mb = {memory_mb}\nmax_fds = {max_descriptors}")
+}
+
 /// Starts the program, which appends to the log.
 fn start_process(settings: &NamedTempFile, metrics: SocketAddr, log: &NamedTempFile) -> Child {
     let mut appending = OpenOptions::new();
