Refuse a body whose announced length is over the limit unread

What callers saw: a client that announces a terabyte kept a connection until max_body_bytes had been read and copied, and was asked for its body (100 Continue) where it offered to wait. 100 such clients that stop one byte short of the limit took 129 MB on a machine of 64, and one that sends nothing got 408 after the time for a request.

Cause: the length was compared only where a request offers another protocol; elsewhere the body was counted as it came.

Change: read_request looks at the length before it asks for the body or reads it. The refusal names the request, and the connection is closed. What the client has sent meanwhile is read and dropped, up to 4 MB and a second, since a connection closed with unread bytes is reset and the reset may overtake the refusal.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -184,8 +184,8 @@
     let in_hand = instance.lifecycle.enter();
     match server.read_request(limits).await {
         Ok(arrival) => Some((in_hand, arrival)),
-        Err(bad) => {
-            refuse_malformed(server, bad).await;
+        Err(why) => {
+            refuse_unread(server, why).await;
             None
         }
     }
@@ -209,19 +209,27 @@
     }
 }
 
-async fn refuse_malformed(server: &mut Server, bad: RequestError) {
-    let Some(status) = bad.status() else { return };
-    log::info!(status = status.as_u16(), why:? = bad; "a request cannot be read");
+/// Bytes and time for which a caller whose body is refused may go on sending, until it reads the refusal.
+const MAX_DRAINED_BYTES: usize = 4 * 1024 * 1024;
+const DRAIN_TIME: Duration = Duration::from_secs(1);
+
+/// Refuses a request that could not be read. The connection is closed then.
+async fn refuse_unread(server: &mut Server, why: RequestError) {
+    let Some(status) = why.status() else { return };
+    let id = server.refused_head().and_then(adapter::ingress::request_id);
+    let id = id.map(str::to_owned);
+    log::info!(id = id.as_deref().unwrap_or_default(), status = status.as_u16(), why:? = why; "a request cannot be read");
     let (_, writer) = server.split();
     let refusal = Refusal {
         status,
-        id: None,
+        id: id.as_deref(),
         retry_after: None,
         detail: "The request cannot be read.",
         may_have_run: false,
     };
-    // The caller may have disconnected; the connection is closed either way.
-    drop(refuse(writer, refusal, true).await);
+    if refuse(writer, refusal, true).await.is_ok() && why.leaves_body_unread() {
+        server.drain(MAX_DRAINED_BYTES, DRAIN_TIME).await;
+    }
 }
 
 /// Responds to a request. Returns whether the response is complete.
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -3,12 +3,14 @@
 
 use std::future::pending;
 use std::io;
+use std::net::Shutdown;
 use std::time::Duration;
 
 use actix_http::body::BodySize;
 use actix_http::h1::{Codec, Message, MessageType};
 use actix_http::{ConnectionType, Method, Request, RequestHead, Response, StatusCode, Version};
 use bytes::{Bytes, BytesMut};
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::task::consume_budget;
 use tokio::time::{Instant, timeout_at};
@@ -46,6 +48,8 @@
 pub struct Server {
     reader: Reader,
     writer: Writer,
+    /// Head of the last request, if its body could not be read.
+    refused: Option<RequestHead>,
 }
 
 /// The reading half; while a request is served it detects that the caller disconnects.
@@ -93,7 +97,11 @@
             version: Version::HTTP_11,
             closes: false,
         };
-        Ok(Self { reader, writer })
+        Ok(Self {
+            reader,
+            writer,
+            refused: None,
+        })
     }
 
     /// Both halves, for concurrent use.
@@ -130,35 +138,79 @@
     pub async fn read_request(&mut self, limits: &Limits) -> Result<IncomingRequest, RequestError> {
         let started_at = Instant::now();
         let deadline = started_at + limits.head_time;
+        self.refused = None;
         let request = self.read_head(limits, deadline).await?;
-        if request.head().expect() {
-            self.writer
-                .write_continue()
-                .await
-                .map_err(|_| RequestError::Disconnected)?;
-        }
         // The codec expects another protocol behind an offer to change to it, which is never accepted.
         let message = self.writer.codec.message_type();
+        let expects_continue = request.head().expect();
         self.writer.closes = message == MessageType::Stream || request.head().upgrade();
-        let body = match message {
-            MessageType::None => Bytes::new(),
-            MessageType::Payload => self.read_body(limits, deadline).await?,
-            MessageType::Stream => {
-                let length = length(&request.head().headers);
-                let length = length.map_err(|_| RequestError::Malformed)?;
-                self.read_sized_body(length.unwrap_or_default(), limits, deadline)
-                    .await?
-            }
-        };
-        let head = owned_head(request);
         self.writer.head_written = false;
+        let head = owned_head(request);
         self.writer.method = head.method.clone();
         self.writer.version = head.version;
-        Ok(IncomingRequest {
-            head,
-            body,
-            started_at,
-        })
+        let body = self.read_body(message, &head, expects_continue, limits, deadline);
+        match body.await {
+            Ok(body) => Ok(IncomingRequest {
+                head,
+                body,
+                started_at,
+            }),
+            Err(error) => {
+                self.refused = Some(head);
+                Err(error)
+            }
+        }
+    }
+
+    /// The head of the last request, if its body could not be read.
+    pub fn refused_head(&self) -> Option<&RequestHead> {
+        self.refused.as_ref()
+    }
+
+    async fn read_body(
+        &mut self,
+        message: MessageType,
+        head: &RequestHead,
+        expects_continue: bool,
+        limits: &Limits,
+        deadline: Instant,
+    ) -> Result<Bytes, RequestError> {
+        let length = length(&head.headers).map_err(|_| RequestError::Malformed)?;
+        let length = length.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
+        if length.is_some_and(|length| length > limits.body) {
+            return Err(RequestError::BodyTooLarge);
+        }
+        if expects_continue {
+            let written = self.writer.write_continue().await;
+            written.map_err(|_| RequestError::Disconnected)?;
+        }
+        match message {
+            MessageType::None => Ok(Bytes::new()),
+            MessageType::Payload => self.read_payload(limits, deadline).await,
+            MessageType::Stream => {
+                let length = length.unwrap_or_default();
+                self.read_sized_body(length, deadline).await
+            }
+        }
+    }
+
+    /// Ends the sending direction, then reads and discards what the caller still sends, up to a number of
+    /// bytes and a time.
+    ///
+    /// A connection that is closed with unread bytes ends with a reset, which may overtake the response.
+    pub async fn drain(&mut self, max_bytes: usize, limit: Duration) {
+        if self.writer.shutdown().is_err() {
+            return;
+        }
+        let deadline = Instant::now() + limit;
+        let mut drained = 0;
+        while drained < max_bytes {
+            self.reader.received.clear();
+            if self.reader.fill(deadline).await.is_err() {
+                return;
+            }
+            drained += self.reader.received.len();
+        }
     }
 
     async fn read_head(
@@ -186,21 +238,16 @@
 
     async fn read_sized_body(
         &mut self,
-        length: u64,
-        limits: &Limits,
+        length: usize,
         deadline: Instant,
     ) -> Result<Bytes, RequestError> {
-        let length = usize::try_from(length).unwrap_or(usize::MAX);
-        if length > limits.body {
-            return Err(RequestError::BodyTooLarge);
-        }
         while self.reader.received.len() < length {
             self.reader.fill(deadline).await?;
         }
         Ok(self.reader.received.split_to(length).freeze())
     }
 
-    async fn read_body(
+    async fn read_payload(
         &mut self,
         limits: &Limits,
         deadline: Instant,
@@ -358,6 +405,10 @@
         set_reset_on_close(&self.stream, true)
     }
 
+    fn shutdown(&self) -> io::Result<()> {
+        SockRef::from(&*self.stream).shutdown(Shutdown::Write)
+    }
+
     /// The codec omits the framing of a body from the head of a response that can't have one, and would
     /// still write the body.
     fn allowed_size(&self, head: &Response<()>, size: BodySize) -> BodySize {
@@ -402,6 +453,11 @@
 }
 
 impl RequestError {
+    /// Whether the caller may still be sending a body that is not read.
+    pub fn leaves_body_unread(self) -> bool {
+        self == Self::BodyTooLarge
+    }
+
     /// The status of the response to the caller; `None` if the caller has disconnected.
     pub fn status(self) -> Option<StatusCode> {
         match self {
