Count what a connection holds from its first byte

What callers saw: an instance that ran out of memory, and ended with all calls in hand, while clients held bodies and heads that they did not finish. 100 bodies of 1 MB took 120 to 135 MB on a machine of 64 MB, however they were sent; 400 unfinished heads of 110 KB took 71 MB.

Cause: own_load counted a request once it was complete. What Server::read_request held before was counted nowhere, and nothing was closed for it.

Change: Server accounts for its receive buffer and its body before it allocates them, and is refused what there is no room for. serving::memory decides: all connections hold half of memory_mb at most, those over 128 KiB three quarters of that, and connections that have waited for their callers for a second are closed for others. A body of a known length counts as a whole from its head on. A refusal is a 503 with the request's id and Retry-After. Buffers are allocated to their size instead of doubling beside the body.

Why it works: every byte of a caller's request is granted by one decision that knows the sum. Tried first: buffers that grow by 8 KiB, with which the test of heads still failed (65 MB, 32 MB counted): the steps left free space between them. Two sizes do not.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -11,10 +11,13 @@
 
 use actix_http::StatusCode;
 use http1::{IncomingRequest, Limits, RequestError, Server, TcpTimeouts};
+use serving::intake::Reason;
+use serving::memory::Shortage;
 use serving::route;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::connection_memory::Holder;
 use crate::instance::Instance;
 use crate::lifecycle::CallGuard;
 use crate::own_load::Admitted;
@@ -86,9 +89,18 @@
 /// Serves an accepted connection, or closes it unread: the platform sends the caller's next try to
 /// another instance.
 fn admit(instance: &Rc<Instance>, stream: TcpStream, caller: IpAddr) {
-    match instance.own_load.admit(stream.as_raw_fd()) {
-        Ok(admitted) => {
-            let serving = serve(instance.clone(), stream, caller, admitted);
+    let load = &instance.own_load;
+    let admitted = load.admit(stream.as_raw_fd()).and_then(|admitted| {
+        let holder = Holder::open(&instance.connection_memory);
+        let holder = holder.map_err(|Shortage| {
+            load.on_closed(Reason::Memory, 1, None);
+            Reason::Memory
+        })?;
+        Ok((admitted, holder))
+    });
+    match admitted {
+        Ok((admitted, holder)) => {
+            let serving = serve(instance.clone(), stream, caller, admitted, holder);
             drop(actix_rt::spawn(serving));
         }
         Err(reason) => instance.metrics.connection_closed_unread(reason),
@@ -129,12 +141,20 @@
     }
 }
 
-async fn serve(instance: Rc<Instance>, stream: TcpStream, caller: IpAddr, admitted: Admitted) {
+async fn serve(
+    instance: Rc<Instance>,
+    stream: TcpStream,
+    caller: IpAddr,
+    admitted: Admitted,
+    holder: Rc<Holder>,
+) {
     let mut admitted = Some(admitted);
-    let Ok(mut server) = Server::new(stream, &CALLER_PATIENCE, &instance.codec) else {
+    let Ok(server) = Server::new(stream, &CALLER_PATIENCE, &instance.codec) else {
         return;
     };
+    let mut server = server.with_account(holder.account());
     loop {
+        holder.set_waiting(true);
         let limits = limits(&instance);
         let overdue = async {
             match &admitted {
@@ -152,7 +172,12 @@
                 instance.metrics.connection_closed_unread(reason);
                 return;
             }
+            () = holder.wait_until_evicted() => {
+                instance.metrics.connection_closed_unread(Reason::Memory);
+                return;
+            }
         };
+        holder.set_waiting(false);
         if !serve_request(&instance, &mut server, arrival, caller, admitted.take()).await {
             return;
         }
@@ -213,6 +238,9 @@
 const MAX_DRAINED_BYTES: usize = 4 * 1024 * 1024;
 const DRAIN_TIME: Duration = Duration::from_secs(1);
 
+/// Retry-after of a request for which there is no memory here. Another instance is likely to have some.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(200);
+
 /// Refuses a request that could not be read. The connection is closed then.
 async fn refuse_unread(server: &mut Server, why: RequestError) {
     let Some(status) = why.status() else { return };
@@ -220,11 +248,18 @@
     let id = id.map(str::to_owned);
     log::info!(id = id.as_deref().unwrap_or_default(), status = status.as_u16(), why:? = why; "a request cannot be read");
     let (_, writer) = server.split();
+    let (retry_after, detail) = match why {
+        RequestError::NoMemory => (
+            Some(MEMORY_RETRY_AFTER),
+            "There is no memory for the request now.",
+        ),
+        _ => (None, "The request cannot be read."),
+    };
     let refusal = Refusal {
         status,
         id: id.as_deref(),
-        retry_after: None,
-        detail: "The request cannot be read.",
+        retry_after,
+        detail,
         may_have_run: false,
     };
     if refuse(writer, refusal, true).await.is_ok() && why.leaves_body_unread() {
--- /dev/null
+++ b/crates/gateway/src/connection_memory.rs
@@ -0,0 +1,114 @@
+//! Memory that connections hold for their callers. [`serving::memory`] decides how much that may be; see
+//! `docs/design/intake.md`, "Memory".
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use clock::{Clock as _, System};
+use http1::Account;
+use serving::memory::{HolderId, Holders, Shortage};
+use tokio::sync::Notify;
+
+/// Memory of a connection beside what it has received: its task and what the runtime keeps of its socket.
+const CONNECTION_BYTES: usize = 16 * 1024;
+
+/// Memory that connections share.
+pub(crate) struct ConnectionMemory {
+    clock: System,
+    /// The machine's memory, in bytes.
+    machine_bytes: Cell<u64>,
+    holders: RefCell<Holders>,
+    evictions: RefCell<HashMap<HolderId, Rc<Notify>>>,
+}
+
+impl ConnectionMemory {
+    pub(crate) fn new(clock: System, machine_bytes: u64) -> Self {
+        Self {
+            clock,
+            machine_bytes: Cell::new(machine_bytes),
+            holders: RefCell::default(),
+            evictions: RefCell::default(),
+        }
+    }
+
+    pub(crate) fn set_machine_bytes(&self, bytes: u64) {
+        self.machine_bytes.set(bytes);
+    }
+
+    fn resize(&self, id: HolderId, bytes: usize) -> Result<(), Shortage> {
+        let machine = self.machine_bytes.get();
+        let mut holders = self.holders.borrow_mut();
+        let evicted = holders.resize(id, bytes as u64, machine, self.clock.now())?;
+        let mut evictions = self.evictions.borrow_mut();
+        for other in evicted {
+            if let Some(eviction) = evictions.remove(&other) {
+                eviction.notify_one();
+            }
+        }
+        Ok(())
+    }
+}
+
+/// What one connection holds, until this is dropped.
+pub(crate) struct Holder {
+    memory: Rc<ConnectionMemory>,
+    id: HolderId,
+    received: Cell<usize>,
+    evicted: Rc<Notify>,
+}
+
+impl Holder {
+    /// Accounts for a connection that has been accepted.
+    pub(crate) fn open(memory: &Rc<ConnectionMemory>) -> Result<Rc<Self>, Shortage> {
+        let id = memory.holders.borrow_mut().add();
+        let evicted = Rc::new(Notify::new());
+        memory.evictions.borrow_mut().insert(id, evicted.clone());
+        let holder = Self {
+            memory: memory.clone(),
+            id,
+            received: Cell::new(0),
+            evicted,
+        };
+        holder.resize().map(|()| Rc::new(holder))
+    }
+
+    /// Accounts for what the connection receives.
+    pub(crate) fn account(self: &Rc<Self>) -> Account {
+        let holder = self.clone();
+        Account {
+            resize: Box::new(move |bytes| {
+                let before = holder.received.replace(bytes);
+                let is_granted = holder.resize().is_ok();
+                if !is_granted {
+                    holder.received.set(before);
+                }
+                is_granted
+            }),
+        }
+    }
+
+    /// Sets whether the connection waits for its caller. It may be closed for others then.
+    pub(crate) fn set_waiting(&self, is_waiting: bool) {
+        let since = is_waiting.then(|| self.memory.clock.now());
+        let mut holders = self.memory.holders.borrow_mut();
+        holders.set_waiting(self.id, since);
+    }
+
+    /// Completes when the connection has to be closed for others.
+    pub(crate) async fn wait_until_evicted(&self) {
+        self.evicted.notified().await;
+    }
+
+    fn resize(&self) -> Result<(), Shortage> {
+        let bytes = CONNECTION_BYTES + self.received.get();
+        self.memory.resize(self.id, bytes)
+    }
+}
+
+impl Drop for Holder {
+    fn drop(&mut self) {
+        self.memory.holders.borrow_mut().remove(self.id);
+        self.memory.evictions.borrow_mut().remove(&self.id);
+    }
+}
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -116,6 +116,9 @@
                 .borrow_mut()
                 .set_limit(settings.bounds.retry_budget);
             instance.own_load.set_limits(&settings);
+            instance
+                .connection_memory
+                .set_machine_bytes(settings.memory);
             *instance.settings.borrow_mut() = settings;
             log::info!("settings reloaded");
         }
--- a/crates/gateway/src/instance.rs
+++ b/crates/gateway/src/instance.rs
@@ -27,6 +27,7 @@
 use crate::bootstrap::Snapshot;
 use crate::claim_log::ClaimLog;
 use crate::confirmation::Confirmation;
+use crate::connection_memory::ConnectionMemory;
 use crate::crash_detection::CrashDetection;
 use crate::engine_cache::EngineCache;
 use crate::engine_links::EngineLinks;
@@ -102,6 +103,7 @@
     pub links: EngineLinks,
     /// Load of the own link and event loop.
     pub own_load: Rc<OwnLoad>,
+    pub connection_memory: Rc<ConnectionMemory>,
     /// Number of requests being sent for other instances.
     pub forwarding: Cell<usize>,
     /// Software versions that began streams.
@@ -183,6 +185,7 @@
             pool: Pool::default(),
             links: EngineLinks::default(),
             own_load: Rc::new(OwnLoad::new(clock, &settings)),
+            connection_memory: Rc::new(ConnectionMemory::new(clock, settings.memory)),
             forwarding: Cell::new(0),
             origins: StreamOrigins::new(VersionHistory::new(settings.is_first_start)),
             suspects: Suspects::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod conclusion;
 mod confirmation;
 mod connection;
+mod connection_memory;
 mod crash_detection;
 mod daemon;
 mod discovery;
--- a/crates/http1/src/failure.rs
+++ b/crates/http1/src/failure.rs
@@ -73,4 +73,6 @@
     HeadTooLarge,
     /// The body is larger than allowed.
     BodyTooLarge,
+    /// There is no memory for it now.
+    NoMemory,
 }
--- a/crates/http1/src/lib.rs
+++ b/crates/http1/src/lib.rs
@@ -4,12 +4,15 @@
 //! platform's adapter use them, since a pooling client hides this; see
 //! [`docs/design/platform.md`](../../../docs/design/platform.md), "Connections".
 
+mod account;
+mod body;
 mod client;
 mod failure;
 mod framing;
 mod server;
 mod socket;
 
+pub use account::Account;
 pub use client::{Client, Framing, ResponseStart};
 pub use failure::{Failure, RequestError};
 pub use server::{IncomingRequest, Limits, Reader, Server, Writer};
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -4,6 +4,7 @@
 use std::future::pending;
 use std::io;
 use std::net::Shutdown;
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::body::BodySize;
@@ -16,6 +17,8 @@
 use tokio::time::{Instant, timeout_at};
 use tokio_util::codec::{Decoder as _, Encoder as _};
 
+use crate::account::{Account, Held};
+use crate::body::Body;
 use crate::framing::{allows_body, length};
 use crate::socket::{Transfer, set_options, set_reset_on_close, try_read, try_write};
 use crate::{Config, RequestError, TcpTimeouts};
@@ -54,13 +57,14 @@
 
 /// The reading half; while a request is served it detects that the caller disconnects.
 pub struct Reader {
-    stream: std::rc::Rc<TcpStream>,
+    stream: Rc<TcpStream>,
     received: BytesMut,
+    held: Rc<Held>,
 }
 
 /// The writing half.
 pub struct Writer {
-    stream: std::rc::Rc<TcpStream>,
+    stream: Rc<TcpStream>,
     codec: Codec,
     unsent: BytesMut,
     head_written: bool,
@@ -74,6 +78,9 @@
 
 /// Maximum number of bytes buffered of what a caller sends before its response is complete.
 const READ_AHEAD_BYTES: usize = 64 * 1024;
+/// Buffer space for a read, and the least for which no new buffer is allocated.
+const READ_BYTES: usize = 8 * 1024;
+const MIN_READ_BYTES: usize = 2 * 1024;
 
 impl Server {
     /// Wraps an accepted connection.
@@ -83,10 +90,11 @@
     /// If the socket options cannot be set because the socket is already closed.
     pub fn new(stream: TcpStream, timeouts: &TcpTimeouts, config: &Config) -> io::Result<Self> {
         set_options(&stream, timeouts)?;
-        let stream = std::rc::Rc::new(stream);
+        let stream = Rc::new(stream);
         let reader = Reader {
             stream: stream.clone(),
             received: BytesMut::new(),
+            held: Rc::default(),
         };
         let writer = Writer {
             stream,
@@ -104,6 +112,14 @@
         })
     }
 
+    /// Accounts from now on for what the connection holds: what has been received, and the body of the
+    /// current request until the next one is waited for.
+    #[must_use]
+    pub fn with_account(mut self, account: Account) -> Self {
+        self.reader.held = Rc::new(Held::new(account));
+        self
+    }
+
     /// Both halves, for concurrent use.
     pub fn split(&mut self) -> (&mut Reader, &mut Writer) {
         (&mut self.reader, &mut self.writer)
@@ -120,10 +136,12 @@
     ///
     /// [`RequestError::Disconnected`] if none arrives.
     pub async fn wait_for_request(&mut self, limits: &Limits) -> Result<(), RequestError> {
+        self.reader.held.set_body(0);
+        self.reader.release_buffer();
         let deadline = Instant::now() + limits.idle;
         while self.reader.received.is_empty() {
             self.reader
-                .fill(deadline)
+                .fill(limits.head, deadline)
                 .await
                 .map_err(|_| RequestError::Disconnected)?;
         }
@@ -156,6 +174,7 @@
                 started_at,
             }),
             Err(error) => {
+                self.reader.held.set_body(0);
                 self.refused = Some(head);
                 Err(error)
             }
@@ -186,10 +205,10 @@
         }
         match message {
             MessageType::None => Ok(Bytes::new()),
-            MessageType::Payload => self.read_payload(limits, deadline).await,
+            MessageType::Payload => self.read_payload(length, limits, deadline).await,
             MessageType::Stream => {
                 let length = length.unwrap_or_default();
-                self.read_sized_body(length, deadline).await
+                self.read_sized_body(length, limits, deadline).await
             }
         }
     }
@@ -206,7 +225,7 @@
         let mut drained = 0;
         while drained < max_bytes {
             self.reader.received.clear();
-            if self.reader.fill(deadline).await.is_err() {
+            if self.reader.fill(READ_BYTES, deadline).await.is_err() {
                 return;
             }
             drained += self.reader.received.len();
@@ -231,7 +250,7 @@
                 }
                 Ok(Some(Message::Chunk(_))) | Err(_) => return Err(RequestError::Malformed),
                 Ok(None) if buffered > limits.head => return Err(RequestError::HeadTooLarge),
-                Ok(None) => self.reader.fill(deadline).await?,
+                Ok(None) => self.reader.fill(limits.head, deadline).await?,
             }
         }
     }
@@ -239,46 +258,53 @@
     async fn read_sized_body(
         &mut self,
         length: usize,
+        limits: &Limits,
         deadline: Instant,
     ) -> Result<Bytes, RequestError> {
-        while self.reader.received.len() < length {
-            self.reader.fill(deadline).await?;
+        let held = self.reader.held.clone();
+        let mut body = Body::new(&held, Some(length), length)?;
+        loop {
+            let missing = length - body.len();
+            let available = missing.min(self.reader.received.len());
+            body.push(&self.reader.received.split_to(available))?;
+            if available == missing {
+                return Ok(body.into_bytes());
+            }
+            self.reader.fill(limits.head, deadline).await?;
         }
-        Ok(self.reader.received.split_to(length).freeze())
     }
 
     async fn read_payload(
         &mut self,
+        length: Option<usize>,
         limits: &Limits,
         deadline: Instant,
     ) -> Result<Bytes, RequestError> {
-        let mut body = BytesMut::new();
+        let held = self.reader.held.clone();
+        let mut body = Body::new(&held, length, limits.body)?;
         // Bytes received since the last piece of the body.
         let mut overhead = 0;
         loop {
             match self.writer.codec.decode(&mut self.reader.received) {
                 Ok(Some(Message::Chunk(Some(chunk)))) => {
-                    body.extend_from_slice(&chunk);
+                    body.push(&chunk)?;
                     overhead = 0;
                 }
-                Ok(Some(Message::Chunk(None))) => return Ok(body.freeze()),
+                Ok(Some(Message::Chunk(None))) => return Ok(body.into_bytes()),
                 Ok(Some(Message::Item(_))) | Err(_) => return Err(RequestError::Malformed),
                 Ok(None) if overhead > limits.head => return Err(RequestError::Malformed),
                 Ok(None) => {
                     let before = self.reader.received.len();
-                    self.reader.fill(deadline).await?;
+                    self.reader.fill(limits.head, deadline).await?;
                     overhead += self.reader.received.len() - before;
                 }
             }
-            if body.len() > limits.body {
-                return Err(RequestError::BodyTooLarge);
-            }
         }
     }
 }
 
 impl Reader {
-    async fn fill(&mut self, deadline: Instant) -> Result<(), RequestError> {
+    async fn fill(&mut self, max_kept: usize, deadline: Instant) -> Result<(), RequestError> {
         loop {
             // A socket that always has bytes would give other tasks no turn, nor the time-out.
             let readable = async {
@@ -290,6 +316,9 @@
                 Ok(Err(_)) => return Err(RequestError::Disconnected),
                 Ok(Ok(())) => {}
             }
+            if !self.make_room(max_kept) {
+                return Err(RequestError::NoMemory);
+            }
             match try_read(&self.stream, &mut self.received) {
                 Ok(Transfer::Progress) => return Ok(()),
                 Ok(Transfer::WouldBlock) => {}
@@ -298,6 +327,36 @@
         }
     }
 
+    /// Makes room in the buffer for a read. Returns whether there is memory for it.
+    ///
+    /// A buffer that is too small for what has to be kept grows to its final size at once: many that grow
+    /// step by step leave as much free space between them.
+    fn make_room(&mut self, max_kept: usize) -> bool {
+        let kept = self.received.len();
+        if self.received.capacity() - kept >= MIN_READ_BYTES {
+            return true;
+        }
+        let capacity = match kept + MIN_READ_BYTES <= READ_BYTES {
+            true => READ_BYTES,
+            false => kept.max(max_kept) + READ_BYTES,
+        };
+        if !self.held.set_received(capacity) {
+            return false;
+        }
+        let mut larger = BytesMut::with_capacity(capacity);
+        larger.extend_from_slice(&self.received);
+        self.received = larger;
+        true
+    }
+
+    /// Frees the buffer if nothing is in it.
+    fn release_buffer(&mut self) {
+        if self.received.is_empty() {
+            self.received = BytesMut::new();
+            self.held.set_received(0);
+        }
+    }
+
     /// Completes when the caller has closed the connection. Until then buffers what it sends, up to
     /// a limit; beyond that the future never completes.
     pub async fn closed(&mut self) {
@@ -308,6 +367,9 @@
             if self.stream.readable().await.is_err() {
                 return;
             }
+            if !self.make_room(READ_AHEAD_BYTES) {
+                return pending().await;
+            }
             match try_read(&self.stream, &mut self.received) {
                 Ok(Transfer::Progress | Transfer::WouldBlock) => {}
                 Ok(Transfer::Eof) | Err(_) => return,
@@ -455,7 +517,7 @@
 impl RequestError {
     /// Whether the caller may still be sending a body that is not read.
     pub fn leaves_body_unread(self) -> bool {
-        self == Self::BodyTooLarge
+        matches!(self, Self::BodyTooLarge | Self::NoMemory)
     }
 
     /// The status of the response to the caller; `None` if the caller has disconnected.
@@ -466,6 +528,7 @@
             Self::Malformed => Some(StatusCode::BAD_REQUEST),
             Self::HeadTooLarge => Some(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE),
             Self::BodyTooLarge => Some(StatusCode::PAYLOAD_TOO_LARGE),
+            Self::NoMemory => Some(StatusCode::SERVICE_UNAVAILABLE),
         }
     }
 }
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -33,6 +33,7 @@
 mod linear_fit;
 mod link_queue;
 pub mod log_growth;
+pub mod memory;
 pub mod organisation;
 pub mod origin;
 pub mod outbox;
--- a/crates/settings/src/page.rs
+++ b/crates/settings/src/page.rs
@@ -20,6 +20,18 @@
 Keys under `policy` override, on this instance and for trials only, what the catalogue's pools say:
 `policy.choice` (`round-robin`, `random`, `least-outstanding`, `two-choices`, `drill`, `scan`, `prefix-hash`,
 `affinity`) for all pools, and `policy.transfer` (`false` keeps prefill and decode on one engine).
+
+## Limits of the gateway
+
+They follow from the platform's settings and configuration; none has a key of its own.
+
+| limit | follows from | value | beyond it |
+| --- | --- | --- | --- |
+| what all connections hold | `limits.memory_mb` | half of it; three quarters of that for connections that hold over 128 KiB | connections that have waited for their callers for a second are closed; else 503 with `Retry-After`, or the new connection is closed unread |
+| a connection without a request | | counts as 16 KiB | |
+| a body of a known length | its length | counts as a whole from its head on | as the first line |
+| a body announced over the limit | `max_body_bytes` | | 413, unread |
+| what a refused caller may still send | | 4 MiB within a second | the connection is closed |
 ";
 
 /// Renders the text of `docs/SETTINGS.md`.
