Bound what calls from other instances hold

What callers saw: an instance without paths to engines sends the calls of its callers through others, and with 100 bodies of 1 MB that are not finished the one that it sends through took 131 MB on a machine of 64.

Cause: the server for other instances reads with the same limits as for callers, on up to 256 connections, and passed neither the intake nor the account of connections.

Change: its connections account for what they receive. A request without room is declined as busy, so that the asking instance knows that it was not sent and asks another one. Their connections are accepted in any case and never closed for others, since that would leave the fate of a call unknown.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -235,8 +235,8 @@
 }
 
 /// Bytes and time for which a caller whose body is refused may go on sending, until it reads the refusal.
-const MAX_DRAINED_BYTES: usize = 4 * 1024 * 1024;
-const DRAIN_TIME: Duration = Duration::from_secs(1);
+pub(crate) const MAX_DRAINED_BYTES: usize = 4 * 1024 * 1024;
+pub(crate) const DRAIN_TIME: Duration = Duration::from_secs(1);
 
 /// Retry-after of a request for which there is no memory here. Another instance is likely to have some.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(200);
--- a/crates/gateway/src/connection_memory.rs
+++ b/crates/gateway/src/connection_memory.rs
@@ -54,23 +54,36 @@
 pub(crate) struct Holder {
     memory: Rc<ConnectionMemory>,
     id: HolderId,
+    /// What it holds before anything has been received.
+    least: usize,
     received: Cell<usize>,
     evicted: Rc<Notify>,
 }
 
 impl Holder {
-    /// Accounts for a connection that has been accepted.
+    /// Accounts for a caller's connection.
     pub(crate) fn open(memory: &Rc<ConnectionMemory>) -> Result<Rc<Self>, Shortage> {
+        let holder = Self::new(memory, CONNECTION_BYTES);
+        holder.resize().map(|()| Rc::new(holder))
+    }
+
+    /// Accounts for a connection of another instance. There are few, and to close one leaves the fate of a
+    /// call unknown, so it is accepted in any case.
+    pub(crate) fn open_for_peer(memory: &Rc<ConnectionMemory>) -> Rc<Self> {
+        Rc::new(Self::new(memory, 0))
+    }
+
+    fn new(memory: &Rc<ConnectionMemory>, least: usize) -> Self {
         let id = memory.holders.borrow_mut().add();
         let evicted = Rc::new(Notify::new());
         memory.evictions.borrow_mut().insert(id, evicted.clone());
-        let holder = Self {
+        Self {
             memory: memory.clone(),
             id,
+            least,
             received: Cell::new(0),
             evicted,
-        };
-        holder.resize().map(|()| Rc::new(holder))
+        }
     }
 
     /// Accounts for what the connection receives.
@@ -101,7 +114,7 @@
     }
 
     fn resize(&self) -> Result<(), Shortage> {
-        let bytes = CONNECTION_BYTES + self.received.get();
+        let bytes = self.least + self.received.get();
         self.memory.resize(self.id, bytes)
     }
 }
--- a/crates/gateway/src/forward/server.rs
+++ b/crates/gateway/src/forward/server.rs
@@ -10,12 +10,13 @@
 use actix_http::{ResponseHead, StatusCode};
 use adapter::{ingress, upstream};
 use bytes::Bytes;
-use http1::{Client, Failure, Framing, IncomingRequest, Server, Writer};
+use http1::{Client, Failure, Framing, IncomingRequest, RequestError, Server, Writer};
 use serving::EngineId;
 use serving::reachability::Path;
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::connection::{CALLER_PATIENCE, accept_failed, limits};
+use crate::connection::{CALLER_PATIENCE, DRAIN_TIME, MAX_DRAINED_BYTES, accept_failed, limits};
+use crate::connection_memory::Holder;
 use crate::engine_links::Target;
 use crate::forward::{
     CONNECT_ONLY, FORWARD_TO, NOT_FORWARDED, NotForwarded, Response, UNTIL_CLOSE,
@@ -44,10 +45,12 @@
 
 async fn serve(instance: Rc<Instance>, stream: TcpStream) {
     let from = stream.peer_addr().map(|peer| peer.ip());
-    let (Ok(mut server), Ok(from)) = (Server::new(stream, &CALLER_PATIENCE, &instance.codec), from)
+    let (Ok(server), Ok(from)) = (Server::new(stream, &CALLER_PATIENCE, &instance.codec), from)
     else {
         return;
     };
+    let holder = Holder::open_for_peer(&instance.connection_memory);
+    let mut server = server.with_account(holder.account());
     loop {
         let limits = limits(&instance);
         // An instance that closes the connection instead of declining a request would leave the call's
@@ -56,8 +59,14 @@
             return;
         }
         let _in_hand = instance.lifecycle.enter();
-        let Ok(arrival) = server.read_request(&limits).await else {
-            return;
+        let arrival = match server.read_request(&limits).await {
+            Ok(arrival) => arrival,
+            Err(why) => {
+                if why == RequestError::NoMemory {
+                    decline_unread(&mut server).await;
+                }
+                return;
+            }
         };
         let (reader, writer) = server.split();
         let is_complete = tokio::select! {
@@ -71,6 +80,15 @@
     }
 }
 
+/// Declines a request for which there is no memory. The connection is closed then.
+async fn decline_unread(server: &mut Server) {
+    log::info!("a request of another instance is declined for want of memory");
+    let (_, writer) = server.split();
+    if refuse(NotForwarded::Busy, writer).await {
+        server.drain(MAX_DRAINED_BYTES, DRAIN_TIME).await;
+    }
+}
+
 /// Sends one request on and passes the response back. Returns whether the response is complete.
 async fn respond(
     instance: &Rc<Instance>,
