Bound what status requests hold

What callers saw: nothing at first; 100 clients that leave bodies of 1 MB unfinished at the address of the readiness check took 121 MB on a machine of 64, which ends the instance with all its calls.

Cause: the status addresses read requests with the limits of callers before a configuration, bodies of up to 4 MB, and passed no account.

--- a/crates/settings/src/page.rs
+++ b/crates/settings/src/page.rs
@@ -31,6 +31,7 @@
 | a connection without a request | | counts as 16 KiB | |
 | a body of a known length | its length | counts as a whole from its head on | as the first line |
 | a body announced over the limit | `max_body_bytes` | | 413, unread |
+| the body of a request at `listen.ready` or at the metrics address | | 1 KiB | 413, unread |
 | what a refused caller may still send | | 4 MiB within a second | the connection is closed |
 ";
 
