Count answers that callers do not read

What callers saw: 40 callers that request answers of 4 MB and do not read them took 73 to 132 MB of a machine of 64 MB, which ends the instance with the calls of all others.

Cause: an engine's whole answer, up to 8 MB, was read into memory without limit for all callers together, and encoding copied it: both lasted for as long as the caller acknowledges something within five seconds.

Change: an answer is accounted for before it is read, with its announced length if it has one. Without room it stays in the engine's connection until there is some, up to the call's deadline; the call may have run, so it is not refused. A connection whose caller does not read counts as waiting, so that it is closed for others after a second while memory is short. 64 KiB of an answer are encoded at a time.

Not bounded by this: events of a stream, one at a time, of up to the largest size of an event.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -28,6 +28,7 @@
     AttemptResult, NotRun, conclude, forward_result, log_forwarded, without_path,
 };
 use crate::connection::NO_ROUTE_STATUS;
+use crate::connection_memory::Holder;
 use crate::engine_call::Progress;
 use crate::engine_links::Target;
 use crate::forward::{self, Forwarded};
@@ -44,6 +45,8 @@
     pub call: Call,
     /// Address that the connection comes from.
     pub caller: IpAddr,
+    /// Accounts for what the call holds.
+    holder: Rc<Holder>,
     fingerprint: OnceCell<Fingerprint>,
     shared_parts: OnceCell<PartFingerprints>,
     /// Whether it is already counted in its organisation's usage.
@@ -150,6 +153,7 @@
         instance: &Instance,
         arrival: IncomingRequest,
         caller: IpAddr,
+        holder: Rc<Holder>,
     ) -> Result<Self, Rejection> {
         let configuration = instance.table().map_or(0, |table| table.version);
         let call = ingress::parse_call(&arrival.head).map_err(|finding| Rejection {
@@ -221,6 +225,7 @@
             body: arrival.body,
             call,
             caller,
+            holder,
             fingerprint: OnceCell::new(),
             shared_parts: OnceCell::new(),
             is_counted: Cell::new(false),
@@ -298,6 +303,12 @@
         }
     }
 
+    /// Reads the body of an answer that is held until the caller has it.
+    pub(crate) async fn read_answer(&self, client: &mut Client) -> Result<Bytes, Failure> {
+        let reserve = async |bytes| self.holder.reserve_answer(bytes).await;
+        client.body_within(MAX_BODY_BYTES, reserve).await
+    }
+
     /// The organisation's rank if it has one, else the route's.
     pub(crate) fn priority(&self) -> Rank {
         let organisation = self.principal.organisation();
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -178,7 +178,16 @@
             }
         };
         holder.set_waiting(false);
-        if !serve_request(&instance, &mut server, arrival, caller, admitted.take()).await {
+        if !serve_request(
+            &instance,
+            &mut server,
+            arrival,
+            caller,
+            admitted.take(),
+            &holder,
+        )
+        .await
+        {
             return;
         }
     }
@@ -223,15 +232,22 @@
     arrival: IncomingRequest,
     caller: IpAddr,
     admitted: Option<Admitted>,
+    holder: &Rc<Holder>,
 ) -> bool {
     let load = &instance.own_load;
     let _load = load.on_request(arrival.body.len(), admitted);
     let (reader, writer) = server.split();
-    tokio::select! {
+    let is_kept = tokio::select! {
         biased;
-        done = respond(instance, arrival, caller, writer) => done && writer.keep_alive(),
+        done = respond(instance, arrival, caller, holder, writer) => done && writer.keep_alive(),
         () = reader.closed() => false,
-    }
+        () = holder.wait_until_evicted() => {
+            log::info!(caller:% = caller; "an answer that is not read is dropped for want of memory");
+            false
+        }
+    };
+    holder.release_answer();
+    is_kept
 }
 
 /// Bytes and time for which a caller whose body is refused may go on sending, until it reads the refusal.
@@ -272,6 +288,7 @@
     instance: &Rc<Instance>,
     arrival: IncomingRequest,
     caller: IpAddr,
+    holder: &Rc<Holder>,
     writer: &mut http1::Writer,
 ) -> bool {
     let leaving = instance.lifecycle.is_leaving();
@@ -287,7 +304,7 @@
         return refuse(writer, refusal, true).await.is_ok();
     }
     wait_until_synced(instance).await;
-    match Request::new(instance, arrival, caller) {
+    match Request::new(instance, arrival, caller, holder.clone()) {
         Ok(request) => answer(instance, &request, writer).await,
         Err(rejection) => {
             rejection.log();
--- a/crates/gateway/src/connection_memory.rs
+++ b/crates/gateway/src/connection_memory.rs
@@ -4,15 +4,20 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use clock::{Clock as _, System};
 use http1::Account;
 use serving::memory::{HolderId, Holders, Shortage};
 use tokio::sync::Notify;
+use tokio::time::sleep;
 
 /// Memory of a connection beside what it has received: its task and what the runtime keeps of its socket.
 const CONNECTION_BYTES: usize = 16 * 1024;
 
+/// Interval between checks whether there is room for an answer.
+const ROOM_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Memory that connections share.
 pub(crate) struct ConnectionMemory {
     clock: System,
@@ -57,6 +62,7 @@
     /// What it holds before anything has been received.
     least: usize,
     received: Cell<usize>,
+    answer: Cell<usize>,
     evicted: Rc<Notify>,
 }
 
@@ -82,25 +88,37 @@
             id,
             least,
             received: Cell::new(0),
+            answer: Cell::new(0),
             evicted,
         }
     }
 
     /// Accounts for what the connection receives.
     pub(crate) fn account(self: &Rc<Self>) -> Account {
-        let holder = self.clone();
+        let (holder, writing) = (self.clone(), self.clone());
         Account {
-            resize: Box::new(move |bytes| {
-                let before = holder.received.replace(bytes);
-                let is_granted = holder.resize().is_ok();
-                if !is_granted {
-                    holder.received.set(before);
-                }
-                is_granted
-            }),
+            resize: Box::new(move |bytes| holder.set(&holder.received, bytes).is_ok()),
+            set_blocked: Box::new(move |is_blocked| writing.set_waiting(is_blocked)),
         }
     }
 
+    /// Waits until there is room for an engine's answer of this size. What is not read from the engine
+    /// meanwhile is held by nobody.
+    pub(crate) async fn reserve_answer(&self, bytes: usize) {
+        while self.set(&self.answer, bytes).is_err() {
+            sleep(ROOM_POLL_INTERVAL).await;
+        }
+    }
+
+    /// Frees what the answer took.
+    pub(crate) fn release_answer(&self) {
+        let released = self.set(&self.answer, 0);
+        debug_assert!(
+            released.is_ok() || self.is_evicted(),
+            "less is always granted"
+        );
+    }
+
     /// Sets whether the connection waits for its caller. It may be closed for others then.
     pub(crate) fn set_waiting(&self, is_waiting: bool) {
         let since = is_waiting.then(|| self.memory.clock.now());
@@ -113,8 +131,17 @@
         self.evicted.notified().await;
     }
 
+    fn is_evicted(&self) -> bool {
+        !self.memory.evictions.borrow().contains_key(&self.id)
+    }
+
+    fn set(&self, part: &Cell<usize>, bytes: usize) -> Result<(), Shortage> {
+        let before = part.replace(bytes);
+        self.resize().inspect_err(|Shortage| part.set(before))
+    }
+
     fn resize(&self) -> Result<(), Shortage> {
-        let bytes = self.least + self.received.get();
+        let bytes = self.least + self.received.get() + self.answer.get();
         self.memory.resize(self.id, bytes)
     }
 }
--- a/crates/gateway/src/generate/retry.rs
+++ b/crates/gateway/src/generate/retry.rs
@@ -4,7 +4,7 @@
 use serving::place::Refusal;
 
 use super::{REFUSED_RETRY_AFTER, Run, Stream};
-use crate::attempt::{EngineResponse, MAX_BODY_BYTES};
+use crate::attempt::EngineResponse;
 use crate::conclusion;
 use crate::placement;
 use crate::plain::{End, NO_PATH_RETRY_AFTER, WholeAnswer, take_retry};
@@ -23,7 +23,7 @@
         mut response: EngineResponse,
         engine: &EngineId,
     ) -> NextStep {
-        let body = response.client.body(MAX_BODY_BYTES).await;
+        let body = self.request.read_answer(&mut response.client).await;
         let reply = response.reply;
         let Ok(body) = body else {
             return self.after_loss("The engine's failure is broken.");
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -14,7 +14,7 @@
 use serving::{Choice, Kind};
 use tokio::time::Instant;
 
-use crate::attempt::{self, EngineResponse, MAX_BODY_BYTES, Request};
+use crate::attempt::{self, EngineResponse, Request};
 use crate::conclusion::{self, AttemptResult, FailedSends, NotRun};
 use crate::crash_detection;
 use crate::engine_call::{EngineCall, Progress, Step};
@@ -362,7 +362,7 @@
         mut client,
         ..
     } = *response;
-    match client.body(MAX_BODY_BYTES).await {
+    match request.read_answer(&mut client).await {
         Ok(body) => {
             conclusion::return_to_pool(instance, &engine.id, client, &reply);
             instance
--- a/crates/http1/src/account.rs
+++ b/crates/http1/src/account.rs
@@ -7,6 +7,8 @@
     /// Called before the connection holds another number of bytes. Returns whether it may; it always may
     /// hold fewer.
     pub resize: Box<dyn Fn(usize) -> bool>,
+    /// Called when writing begins to wait for the peer to read, and when it goes on.
+    pub set_blocked: Box<dyn Fn(bool)>,
 }
 
 /// Bytes that a connection holds.
@@ -50,4 +52,10 @@
         }
         is_granted
     }
+
+    pub(crate) fn set_blocked(&self, is_blocked: bool) {
+        if let Some(account) = &self.account {
+            (account.set_blocked)(is_blocked);
+        }
+    }
 }
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -61,6 +61,8 @@
     overhead: usize,
     /// Method of the current request.
     method: Method,
+    /// Announced length of the current response's body.
+    length: Option<u64>,
     peer: SocketAddr,
     acknowledge: Duration,
     opened_at: Instant,
@@ -130,6 +132,7 @@
             eof: false,
             overhead: 0,
             method: Method::GET,
+            length: None,
             peer,
             acknowledge: timeouts.acknowledge,
             opened_at: Instant::now(),
@@ -255,21 +258,37 @@
     ///
     /// As [`Client::chunk`], and [`Failure::Broken`] if the body exceeds `max_bytes`.
     pub async fn body(&mut self, max_bytes: usize) -> Result<Bytes, Failure> {
+        self.body_within(max_bytes, async |_| {}).await
+    }
+
+    /// As [`Client::body`]. Waits for `reserve` before this number of bytes is allocated for the body.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::body`].
+    pub async fn body_within(
+        &mut self,
+        max_bytes: usize,
+        reserve: impl AsyncFn(usize),
+    ) -> Result<Bytes, Failure> {
         let Some(first) = self.chunk().await? else {
             return Ok(Bytes::new());
         };
         let Some(second) = self.chunk().await? else {
             return Ok(first);
         };
-        let mut body = BytesMut::from(&first[..]);
-        body.extend_from_slice(&second);
+        let announced = usize::try_from(self.length.unwrap_or_default()).unwrap_or(usize::MAX);
+        let mut body = Vec::new();
+        for piece in [&first, &second] {
+            extend(&mut body, piece, announced.min(max_bytes), &reserve).await;
+        }
         while let Some(chunk) = self.chunk().await? {
             if body.len() + chunk.len() > max_bytes {
                 return Err(Failure::Broken("the body is larger than allowed"));
             }
-            body.extend_from_slice(&chunk);
+            extend(&mut body, &chunk, 0, &reserve).await;
         }
-        Ok(body.freeze())
+        Ok(body.into())
     }
 
     fn encode_request(
@@ -337,6 +356,10 @@
     ) -> Result<ResponseStart, Failure> {
         self.overhead = 0;
         let end = body_end(&self.method, &head).map_err(Failure::Broken)?;
+        self.length = match end {
+            BodyEnd::Length(length) => Some(length),
+            _ => None,
+        };
         let expects_body = codec.message_type() != MessageType::None;
         let (framing, state) = match end {
             // A codec that expects a body all the same would read the next head as one.
@@ -442,6 +465,17 @@
     }
 }
 
+/// Appends a piece to a body, which is allocated with at least so many bytes.
+async fn extend(body: &mut Vec<u8>, piece: &[u8], min_bytes: usize, reserve: impl AsyncFn(usize)) {
+    let length = body.len() + piece.len();
+    if length > body.capacity() {
+        let capacity = length.max(2 * body.capacity()).max(min_bytes);
+        reserve(capacity).await;
+        body.reserve_exact(capacity - body.len());
+    }
+    body.extend_from_slice(piece);
+}
+
 /// What follows an interim response is the next head, unless it switches protocols, which no request asks
 /// for, or names a body, which it may not have.
 fn check_interim(head: &ResponseHead, codec: &ClientCodec) -> Result<(), Failure> {
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -65,6 +65,7 @@
 /// The writing half.
 pub struct Writer {
     stream: Rc<TcpStream>,
+    held: Rc<Held>,
     codec: Codec,
     unsent: BytesMut,
     head_written: bool,
@@ -81,6 +82,8 @@
 /// Buffer space for a read, and the least for which no new buffer is allocated.
 const READ_BYTES: usize = 8 * 1024;
 const MIN_READ_BYTES: usize = 2 * 1024;
+/// Part of a whole response that is encoded at a time.
+const WRITE_BYTES: usize = 64 * 1024;
 
 impl Server {
     /// Wraps an accepted connection.
@@ -98,6 +101,7 @@
         };
         let writer = Writer {
             stream,
+            held: Rc::default(),
             codec: Codec::new(config.clone()),
             unsent: BytesMut::new(),
             head_written: false,
@@ -116,7 +120,9 @@
     /// current request until the next one is waited for.
     #[must_use]
     pub fn with_account(mut self, account: Account) -> Self {
-        self.reader.held = Rc::new(Held::new(account));
+        let held = Rc::new(Held::new(account));
+        self.reader.held = held.clone();
+        self.writer.held = held;
         self
     }
 
@@ -418,15 +424,24 @@
     /// # Errors
     ///
     /// If the caller has disconnected.
-    pub async fn write_response(&mut self, mut head: Response<()>, body: Bytes) -> io::Result<()> {
+    pub async fn write_response(
+        &mut self,
+        mut head: Response<()>,
+        mut body: Bytes,
+    ) -> io::Result<()> {
         self.head_written = true;
         self.announce_close(&mut head);
         let size = self.allowed_size(&head, BodySize::Sized(body.len() as u64));
         self.codec
             .encode(Message::Item((head, size)), &mut self.unsent)?;
-        if !body.is_empty() {
+        // The codec copies, so that a caller that does not read would hold the body twice.
+        while !body.is_empty() {
+            let piece = body.split_to(body.len().min(WRITE_BYTES));
             self.codec
-                .encode(Message::Chunk(Some(body)), &mut self.unsent)?;
+                .encode(Message::Chunk(Some(piece)), &mut self.unsent)?;
+            if !body.is_empty() {
+                self.flush().await?;
+            }
         }
         self.codec.encode(Message::Chunk(None), &mut self.unsent)?;
         self.flush().await
@@ -496,7 +511,11 @@
         while !self.unsent.is_empty() {
             match try_write(&self.stream, &mut self.unsent)? {
                 Transfer::Progress => {}
-                Transfer::WouldBlock => self.stream.writable().await?,
+                Transfer::WouldBlock => {
+                    self.held.set_blocked(true);
+                    self.stream.writable().await?;
+                    self.held.set_blocked(false);
+                }
                 Transfer::Eof => return Err(io::ErrorKind::WriteZero.into()),
             }
         }
--- a/crates/settings/src/page.rs
+++ b/crates/settings/src/page.rs
@@ -30,6 +30,7 @@
 | what all connections hold | `limits.memory_mb` | half of it; three quarters of that for connections that hold over 128 KiB | connections that have waited for their callers for a second are closed; else 503 with `Retry-After`, or the new connection is closed unread |
 | a connection without a request | | counts as 16 KiB | |
 | a body of a known length | its length | counts as a whole from its head on | as the first line |
+| a whole answer of an engine | its length | counts until its caller has read it | it is read from the engine once there is room, within the call's deadline |
 | a body announced over the limit | `max_body_bytes` | | 413, unread |
 | the body of a request at `listen.ready` or at the metrics address | | 1 KiB | 413, unread |
 | what a refused caller may still send | | 4 MiB within a second | the connection is closed |
