Give the test of early answers a link that its bodies fit on

It sends bodies of 300 KB, one a millisecond, over a link that its settings state as 1,000 Mbit/s, so that the intake closes the listener for the link, as it should, and the test's next connection is refused. In a run of the whole target the other tests slow it down and it passes.

What it guards is the framing of early answers, not the intake.

--- a/crates/gateway/tests/truncated_heads.rs
+++ b/crates/gateway/tests/truncated_heads.rs
@@ -20,6 +20,8 @@
 
 /// Size of a body of which an engine has read nothing when it answers: more than its kernel takes.
 const EARLY_BODY_BYTES: usize = 300_000;
+/// A link that carries whatever loopback does, so that no body is too much for it.
+const LOOPBACK_LINK_MBPS: u32 = 1_000_000;
 
 /// Calls after one whose prefill was lost, so that its engine gets prompts again.
 const SOUND_CALLS: usize = 6;
@@ -478,7 +480,8 @@
 /// Guards against the same where the rest of the request is still being sent.
 #[actix_rt::test]
 async fn early_answers_cut_within_their_head_fail() {
-    let gateway = Gateway::start_unconfigured().await;
+    let first = Gateway::start_unconfigured().await;
+    let gateway = first.start_another_at(first.store.address, LOOPBACK_LINK_MBPS);
     let engine = EarlyEngine::start().await;
     engine::register(
         &gateway.store,
