Keep one copy of a body that is sent to an engine

What callers saw: memory of twice what they had sent, for as long as an engine does not read. On a machine of 48 MB, 100 bodies of 1 MB to an engine that reads nothing took 51.4 MB.

Cause: Client::send encoded the whole body into its send buffer, beside the body that the call keeps for a retry. The account of connections counts one of the two.

Change: the client keeps a reference to the body and encodes 64 KB of it at a time. A request whose engine has answered early is no longer copied at all beyond the pieces that were sent.

Measured: bodies_that_an_engine_does_not_read_fit_into_memory, new, fails before (51.4 MB) and passes after.

--- a/crates/gateway/tests/hostile_clients.rs
+++ b/crates/gateway/tests/hostile_clients.rs
@@ -9,7 +9,7 @@
 use futures_util::future::join_all;
 use harness::{Gateway, Machine, configuration, wait_until};
 use platform_standin::configuration::HOST;
-use platform_standin::engine::Behaviour;
+use platform_standin::engine::{Behaviour, register};
 use platform_standin::raw::RawAnswer;
 use platform_standin::{Ending, Engine};
 use serde_json::json;
@@ -24,6 +24,12 @@
     max_descriptors: 512,
 };
 
+/// A machine on which two copies of what connections may hold do not fit.
+const SMALL_MACHINE: Machine = Machine {
+    memory_mb: 48,
+    ..MACHINE
+};
+
 /// Largest legal body, in bytes.
 const MAX_BODY_BYTES: usize = 1_000_000;
 /// Clients at once. Their bodies take 1.5 times the machine's memory.
@@ -57,7 +63,11 @@
 
 /// An instance on [`MACHINE`] with an engine for plain calls and one for streams.
 async fn start() -> (Gateway, Engine, Engine) {
-    let started = Gateway::start_on(MACHINE).await.add_engines().await;
+    start_on(MACHINE).await
+}
+
+async fn start_on(machine: Machine) -> (Gateway, Engine, Engine) {
+    let started = Gateway::start_on(machine).await.add_engines().await;
     configure(&started.0).await;
     started
 }
@@ -179,14 +189,18 @@
 }
 
 fn assert_fits(gateway: &Gateway, descriptors: usize) {
+    assert_fits_on(MACHINE, gateway, descriptors);
+}
+
+fn assert_fits_on(machine: Machine, gateway: &Gateway, descriptors: usize) {
     assert!(gateway.is_alive());
     let peak = gateway.peak_memory_mib() * 1024 * 1024;
     assert!(
-        peak <= MACHINE.memory_mb * 1_000_000,
+        peak <= machine.memory_mb * 1_000_000,
         "{peak} bytes at the peak"
     );
     assert!(
-        descriptors <= MACHINE.max_descriptors,
+        descriptors <= machine.max_descriptors,
         "{descriptors} descriptors"
     );
 }
@@ -402,6 +416,39 @@
     wait_until(async || is_answered(&gateway).await).await;
 }
 
+/// Guards against keeping a second copy of each body while an engine does not read what it is sent.
+#[actix_rt::test]
+async fn bodies_that_an_engine_does_not_read_fit_into_memory() {
+    let _turn = TURN.acquire().await;
+    let (gateway, app, _pool) = start_on(SMALL_MACHINE).await;
+    let engine = TcpSocket::new_v4().expect("a socket can be created");
+    engine
+        .set_recv_buffer_size(SMALL_BUFFER_BYTES)
+        .expect("the size of a buffer can be set");
+    let address = SocketAddr::from(([127, 0, 0, 1], harness::free_port()));
+    engine.bind(address).expect("the port is free");
+    let _engine = engine.listen(1_024).expect("the port is free");
+    // The only one for calls, so that all bodies are sent to it.
+    app.register(&gateway.store, "app", "draining", None);
+    register(&gateway.store, "silent-1", address, "app", "ready", None);
+    let request = |client| {
+        let length = MAX_BODY_BYTES;
+        let lines = format!("request-deadline: 5000\r\ncontent-length: {length}\r\n");
+        let mut request = head(&format!("c{client}"), &lines);
+        request.resize(request.len() + length - 1, b'x');
+        request
+    };
+    let crowd = Crowd {
+        finishing: 1,
+        ..crowd(&gateway, &request, b"x", MAX_BODY_BYTES * 2)
+    };
+    crowd.send().await;
+    assert_fits_on(SMALL_MACHINE, &gateway, gateway.open_descriptors());
+    let sound = Engine::start("app-2").await;
+    sound.register(&gateway.store, "app", "ready", None);
+    wait_until(async || is_answered(&gateway).await).await;
+}
+
 /// Guards against an instance that ends for lack of memory while calls from another instance, which
 /// has taken them from such clients, are not finished.
 #[actix_rt::test]
--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -53,6 +53,8 @@
     stream: TcpStream,
     received: BytesMut,
     unsent: BytesMut,
+    /// The part of the request's body that is not in `unsent` yet.
+    unsent_body: Bytes,
     /// Why the rest of the request could not be sent.
     write_error: Option<io::Error>,
     state: State,
@@ -72,6 +74,8 @@
 
 /// Maximum number of bytes read ahead of the consumer.
 const READ_AHEAD_BYTES: usize = 256 * 1024;
+/// Part of a request's body that is encoded at a time.
+const WRITE_BYTES: usize = 64 * 1024;
 /// Maximum number of bytes before the end of a response's head, interim responses included.
 const MAX_HEAD_BYTES: usize = 128 * 1024;
 /// Maximum number of bytes of a body's framing between two pieces of the body, and after the last one.
@@ -127,6 +131,7 @@
             stream,
             received: BytesMut::new(),
             unsent: BytesMut::new(),
+            unsent_body: Bytes::new(),
             write_error: None,
             state: State::Idle(ClientCodec::new(config.clone())),
             eof: false,
@@ -305,12 +310,19 @@
         };
         let message = (RequestHeadType::from(head), size);
         codec.encode(Message::Item(message), &mut self.unsent)?;
-        if !body.is_empty() {
-            codec.encode(Message::Chunk(Some(body.clone())), &mut self.unsent)?;
-        }
+        self.unsent_body = body.clone();
+        self.encode_body();
         Ok(())
     }
 
+    /// Encodes the next piece of the body. All of it would be a second copy, for as long as the peer does
+    /// not read. A body of a known length is sent as it is.
+    fn encode_body(&mut self) {
+        let length = self.unsent_body.len().min(WRITE_BYTES);
+        self.unsent
+            .extend_from_slice(&self.unsent_body.split_to(length));
+    }
+
     async fn receive_response(&mut self, mut codec: ClientCodec) -> Result<ResponseStart, Failure> {
         loop {
             if let Some(response) = self.decode_head(&mut codec)? {
@@ -451,8 +463,12 @@
             // The response may be in the receive buffer although the peer accepts no more bytes, so its
             // end is left to a read.
             self.unsent.clear();
+            self.unsent_body.clear();
             self.write_error = Some(error);
         }
+        if self.unsent.is_empty() {
+            self.encode_body();
+        }
         if ready.is_readable() || ready.is_read_closed() {
             let before = self.received.len();
             match try_read(&self.stream, &mut self.received)? {
