Bound the framing of chunked bodies, and yield between chunks

Cause: the limit on framing was set back by each byte of content, so that leading zeros and extensions on every chunk made the bytes of one legal body unbounded; and a task gave up its turn after a number of reads, whatever it took to decode them: up to 1 MB of chunks of one byte.

Change: all framing of a body may have 16 bytes for each byte of content, beside the size of a head; chunks of one byte have five. Each piece counts against the task's turn, so that 128 are decoded before others run.

Measured: a_body_with_much_more_framing_than_content_is_refused, new, fails before (the body is read) and passes; bodies of the largest size in chunks of 16 bytes are served as before (a_single_request_of_the_largest_size_is_served).

--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -82,6 +82,9 @@
 /// Buffer space for a read, and the least for which no new buffer is allocated.
 const READ_BYTES: usize = 8 * 1024;
 const MIN_READ_BYTES: usize = 2 * 1024;
+/// Most bytes of framing for each byte of a body, beside those that a head may have. A chunk of one byte has
+/// five.
+const MAX_FRAMING_PER_BYTE: usize = 16;
 /// Part of a whole response that is encoded at a time.
 const WRITE_BYTES: usize = 64 * 1024;
 
@@ -288,21 +291,30 @@
     ) -> Result<Bytes, RequestError> {
         let held = self.reader.held.clone();
         let mut body = Body::new(&held, length, limits.body)?;
-        // Bytes received since the last piece of the body.
-        let mut overhead = 0;
+        // Bytes of framing since the last piece of the body, and of all its framing.
+        let (mut overhead, mut framing) = (0, 0);
         loop {
-            match self.writer.codec.decode(&mut self.reader.received) {
+            let before = self.reader.received.len();
+            let decoded = self.writer.codec.decode(&mut self.reader.received);
+            let consumed = before - self.reader.received.len();
+            match decoded {
                 Ok(Some(Message::Chunk(Some(chunk)))) => {
                     body.push(&chunk)?;
                     overhead = 0;
+                    framing += consumed - chunk.len();
+                    // Small pieces take far longer than large ones to decode.
+                    consume_budget().await;
                 }
                 Ok(Some(Message::Chunk(None))) => return Ok(body.into_bytes()),
                 Ok(Some(Message::Item(_))) | Err(_) => return Err(RequestError::Malformed),
-                Ok(None) if overhead > limits.head => return Err(RequestError::Malformed),
                 Ok(None) => {
-                    let before = self.reader.received.len();
+                    overhead += consumed;
+                    framing += consumed;
+                    let max_framing = limits.head + MAX_FRAMING_PER_BYTE * body.len();
+                    if overhead > limits.head || framing > max_framing {
+                        return Err(RequestError::Malformed);
+                    }
                     self.reader.fill(limits.head, deadline).await?;
-                    overhead += self.reader.received.len() - before;
                 }
             }
         }
--- a/crates/http1/tests/exchanges.rs
+++ b/crates/http1/tests/exchanges.rs
@@ -399,6 +399,20 @@
     assert_eq!(refused.unwrap_err(), RequestError::BodyTooLarge);
 }
 
+/// Guards against reading framing without end, as long as a byte of the body comes now and then.
+#[actix_rt::test]
+async fn a_body_with_much_more_framing_than_content_is_refused() {
+    let head = "POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n";
+    let chunks = |extension: usize| {
+        let chunk = format!("1;{}\r\nx\r\n", "e".repeat(extension));
+        format!("{head}{}0\r\n\r\n", chunk.repeat(1_000))
+    };
+    let read = receive(chunks(1).as_bytes()).await;
+    assert_eq!(read.expect("it is whole").body.len(), 1_000);
+    let refused = receive(chunks(100).as_bytes()).await;
+    assert_eq!(refused.unwrap_err(), RequestError::Malformed);
+}
+
 #[actix_rt::test]
 async fn invalid_requests_are_rejected_with_their_reason() {
     let length_and_chunked = b"POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n";
--- a/crates/settings/src/page.rs
+++ b/crates/settings/src/page.rs
@@ -32,6 +32,7 @@
 | a body of a known length | its length | counts as a whole from its head on | as the first line |
 | a whole answer of an engine | its length | counts until its caller has read it | it is read from the engine once there is room, within the call's deadline |
 | a body announced over the limit | `max_body_bytes` | | 413, unread |
+| framing of a chunked body | `max_header_bytes`, its content | the former, and 16 bytes for each byte of content | 400 |
 | the body of a request at `listen.ready` or at the metrics address | | 1 KiB | 413, unread |
 | what a refused caller may still send | | 4 MiB within a second | the connection is closed |
 ";
