Charge connections by the usual size of requests, not by outliers

Cause: a new connection is charged the mean of some fifty recent requests, and two of 4 MB raise the mean from 4 to some 800 KB, so that each connection, idle ones too, closes the listener for as long as four waits take to drain.

Change: a request counts for eight times the mean at most in what is expected of the next. A lasting change of sizes is still learned, within some thirty requests. What a request is charged once it has been read stays its own size.

Measured: connections_are_accepted_long_after_two_very_large_requests, new, fails before ("1: Err(Link)") and passes; the other 8 tests of the intake pass.

--- a/crates/serving/src/intake.rs
+++ b/crates/serving/src/intake.rs
@@ -36,6 +36,9 @@
 const MAX_CHARGED_WAITS: f64 = 4.0;
 /// Weight that the totals of earlier requests keep with each new one: some fifty requests count.
 const KEPT_WEIGHT: f64 = 0.98;
+/// A request counts for at most this many times the mean in what is assumed of the next ones. Otherwise a few
+/// of the largest legal size would let every connection pass for one, and keep all others out.
+const MAX_MEAN_RATIO: f64 = 8.0;
 /// Totals before the first request: as if every prompt were sent to two engines.
 const INITIAL_REQUESTS: f64 = 8.0;
 const INITIAL_REQUEST_BYTES: f64 = 4_096.0;
@@ -133,6 +136,8 @@
 struct Totals {
     requests: f64,
     request_bytes: f64,
+    /// As `request_bytes`, with outliers cut to [`MAX_MEAN_RATIO`].
+    expected_bytes: f64,
     sent: f64,
     received: f64,
 }
@@ -143,6 +148,7 @@
         Self {
             requests: INITIAL_REQUESTS,
             request_bytes,
+            expected_bytes: request_bytes,
             sent: INITIAL_COPIES * request_bytes,
             received: INITIAL_COPIES * request_bytes,
         }
@@ -151,6 +157,8 @@
 
 impl Totals {
     fn add(&mut self, bytes: f64) {
+        let expected = bytes.min(MAX_MEAN_RATIO * self.mean_bytes());
+        self.expected_bytes = KEPT_WEIGHT * self.expected_bytes + expected;
         self.requests = KEPT_WEIGHT * self.requests + 1.0;
         self.request_bytes = KEPT_WEIGHT * self.request_bytes + bytes;
         self.sent *= KEPT_WEIGHT;
@@ -158,7 +166,7 @@
     }
 
     fn mean_bytes(&self) -> f64 {
-        (self.request_bytes / self.requests.max(1.0)).max(MIN_EXPECTED_BYTES)
+        (self.expected_bytes / self.requests.max(1.0)).max(MIN_EXPECTED_BYTES)
     }
 
     /// What a request of this size causes in each direction.
--- a/crates/serving/tests/intake.rs
+++ b/crates/serving/tests/intake.rs
@@ -279,3 +279,20 @@
     assert_eq!(admit(10, 50_000_000), Err(Reason::Memory));
     assert_eq!(admit(10, 39_000_000), Ok(()));
 }
+
+/// Guards against a few of the largest legal requests that make each idle connection count as one of them.
+#[test]
+fn connections_are_accepted_long_after_two_very_large_requests() {
+    let limits = limits(10.0);
+    let mut intake = Intake::default();
+    for second in 0..2 {
+        let now = ms(second * 1_000);
+        let charge = intake.admit(&limits, &busy(), now);
+        let charge = charge.expect("the link is free");
+        intake.on_request(4_000_000, charge, &limits, now);
+    }
+    for idle in 0..3 {
+        let admitted = intake.admit(&limits, &busy(), ms(60_000 + idle));
+        assert!(admitted.is_ok(), "{idle}: {admitted:?}");
+    }
+}
