Bound the bodies and answers that an entry holds

What callers saw: the same as at the gateway, at the project's own interface: 100 callers with bodies of 1 MiB that stop short of their end took 165 to 223 MB, with nothing that would have stopped more of them (8,192 connections, 8 MiB each).

Cause: each body and each whole answer has a limit, their sum had none.

Change: limits.memory (512 MiB) bounds what bodies and whole answers take together, over all threads. A reservation lives as long as the body is used anywhere (Bytes::from_owner) and counts its copies. An announced length is reserved before it is read. A body without room is refused with 503 and Retry-After, not run; an answer waits for room in the upstream's connection, up to the call's deadline. Large ones leave a quarter to small ones.

--- a/crates/entry/src/admin/handler.rs
+++ b/crates/entry/src/admin/handler.rs
@@ -125,9 +125,10 @@
     let bounds = Bounds {
         max_bytes: MAX_BODY,
         idle_timeout: shared.settings.limits.body_time,
+        copies: 1,
     };
     let mut payload = request.take_payload();
-    let bytes = body::read(request.headers(), &mut payload, bounds).await?;
+    let bytes = body::read(request.headers(), &mut payload, bounds, &shared.memory).await?;
     String::from_utf8(bytes.into())
         .map_err(|error| Problem::not_run(Kind::BadRequest, error.to_string()))
 }
--- a/crates/entry/src/body_buffer.rs
+++ b/crates/entry/src/body_buffer.rs
@@ -24,13 +24,18 @@
         }
     }
 
+    /// Number of bytes received so far.
+    pub fn size(&self) -> usize {
+        self.first.len() + self.joined.len()
+    }
+
     /// Appends a chunk.
     ///
     /// # Errors
     ///
     /// [`TooLarge`] if the body would exceed the limit.
     pub fn push(&mut self, piece: Bytes) -> Result<(), TooLarge> {
-        if self.first.len() + self.joined.len() + piece.len() > self.limit {
+        if self.size() + piece.len() > self.limit {
             return Err(TooLarge);
         }
         if self.first.is_empty() && self.joined.is_empty() {
--- a/crates/entry/src/completion.rs
+++ b/crates/entry/src/completion.rs
@@ -168,7 +168,9 @@
         }
     };
     let limit = proxied.worker.shared.settings.limits.answer;
-    let body = actix_rt::time::timeout(proxied.remaining(), answer.read_all(limit))
+    let memory = proxied.worker.shared.memory.clone();
+    let read = answer.read_whole(limit, &memory);
+    let body = actix_rt::time::timeout(proxied.remaining(), read)
         .await
         .map_err(|_| Failure::TimedOut)??;
     guard.disarm();
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -18,6 +18,7 @@
 use crate::front::{request_id, server};
 use crate::held_answers::HeldAnswers;
 use crate::hooks::hooks;
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::{self, Metric, Metrics};
 use crate::policy::Overrides;
 use crate::process::pause_detector::{PauseDetector, TICK_INTERVAL};
@@ -116,6 +117,7 @@
         id_generator: request_id::IdGenerator::new(random.random()),
         event_ids: event_id::Mint::new(&secret, settings.resume.time),
         held_answers: Mutex::new(HeldAnswers::new(settings.hold.bytes)),
+        memory: MemoryBudget::new(settings.limits.memory),
         token_estimator: TokenEstimator::default(),
         metrics: Metrics::new(),
         burn: Mutex::default(),
--- a/crates/entry/src/front/handler.rs
+++ b/crates/entry/src/front/handler.rs
@@ -29,6 +29,11 @@
 use crate::shared::Worker;
 use crate::token_estimator::TokenEstimator;
 
+/// Copies of a call's body: as it was received, and in the buffer of the upstream's connection.
+const CALL_COPIES: usize = 2;
+/// Copies of a completion's body, which is also written anew for the engine.
+const COMPLETION_COPIES: usize = 3;
+
 /// Answers one request.
 pub async fn handle(worker: Rc<Worker>, request: Request) -> Response<BoxBody> {
     let mut response = match request.path() {
@@ -176,7 +181,8 @@
         if self.method != Method::POST {
             return self.refuse(wrong_method("POST"));
         }
-        let body = match self.body(self.worker.shared.settings.limits.body).await {
+        let limit = self.worker.shared.settings.limits.body;
+        let body = match self.body(limit, COMPLETION_COPIES).await {
             Ok(body) => body,
             Err(problem) => return self.refuse(problem),
         };
@@ -226,7 +232,7 @@
         self.record.set_entry(entry);
         let limit = self.worker.shared.settings.limits.body;
         let limit = limit.min(usize::try_from(entry.max_body).unwrap_or(usize::MAX));
-        let body = match self.body(limit).await {
+        let body = match self.body(limit, CALL_COPIES).await {
             Ok(body) => body,
             Err(problem) => return self.refuse(problem),
         };
@@ -236,12 +242,14 @@
         }
     }
 
-    async fn body(&mut self, limit: usize) -> Result<Bytes, Problem> {
+    async fn body(&mut self, limit: usize, copies: usize) -> Result<Bytes, Problem> {
+        let memory = &self.worker.shared.memory;
         let bounds = Bounds {
             max_bytes: limit,
             idle_timeout: self.worker.shared.settings.limits.body_time,
+            copies,
         };
-        body::read(&self.headers, &mut self.payload, bounds).await
+        body::read(&self.headers, &mut self.payload, bounds, memory).await
     }
 
     fn into_proxied(
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod held_answers;
 pub mod hooks;
 pub mod keys;
+pub mod memory_budget;
 pub mod metrics;
 pub mod plain;
 pub mod policy;
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -85,7 +85,9 @@
         return Ok(ServiceAnswer::Body { answer, length });
     }
     let limit = proxied.worker.shared.settings.limits.answer;
-    let body = actix_rt::time::timeout(proxied.remaining(), answer.read_all(limit))
+    let memory = proxied.worker.shared.memory.clone();
+    let read = answer.read_whole(limit, &memory);
+    let body = actix_rt::time::timeout(proxied.remaining(), read)
         .await
         .map_err(|_| Failure::TimedOut)??;
     Ok(ServiceAnswer::Whole(Reply::Whole {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -13,6 +13,7 @@
 use crate::dispatcher::Dispatcher;
 use crate::front::request_id;
 use crate::held_answers::HeldAnswers;
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::Metrics;
 use crate::policy::Overrides;
 use crate::process::pause_detector::PauseDetector;
@@ -46,6 +47,8 @@
     pub resumed: ResumedStreams,
     /// Answers held for repeated calls.
     pub held_answers: Mutex<HeldAnswers>,
+    /// Memory for bodies of requests and whole answers.
+    pub memory: Arc<MemoryBudget>,
     /// Estimates the bytes per token of prompts.
     pub token_estimator: TokenEstimator,
     /// Metrics.
--- a/crates/entry/src/upstream/client.rs
+++ b/crates/entry/src/upstream/client.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use actix_http::error::PayloadError;
@@ -15,7 +16,9 @@
 use settings::sections::Upstream as Options;
 
 use crate::body_buffer::{BodyBuffer, TooLarge};
+use crate::front::body::content_length;
 use crate::front::headers;
+use crate::memory_budget::{MemoryBudget, ROOM_POLL_INTERVAL, Reservation, Shortage};
 use crate::upstream::failure::Failure;
 
 /// A request to an upstream.
@@ -208,6 +211,38 @@
         }
         Ok(body.finish())
     }
+
+    /// As [`Answer::read_all`], for an answer that is passed on whole. Waits until there is memory for it;
+    /// meanwhile it stays in the upstream's connection.
+    ///
+    /// # Errors
+    ///
+    /// As [`Answer::read_all`].
+    pub async fn read_whole(
+        &mut self,
+        limit: usize,
+        memory: &Arc<MemoryBudget>,
+    ) -> Result<Bytes, Failure> {
+        let mut memory = memory.open(ANSWER_COPIES);
+        let announced = content_length(self.headers()).unwrap_or_default();
+        let announced = usize::try_from(announced).unwrap_or(usize::MAX);
+        reserve(&mut memory, announced.min(limit)).await;
+        let mut body = BodyBuffer::new(limit);
+        while let Some(chunk) = self.chunk().await? {
+            reserve(&mut memory, body.size() + chunk.len()).await;
+            body.push(chunk).map_err(|TooLarge| Failure::TooLarge)?;
+        }
+        Ok(memory.attach(body.finish()))
+    }
+}
+
+/// Copies of a whole answer: as it was received, and in the buffer of the caller's connection.
+const ANSWER_COPIES: usize = 2;
+
+async fn reserve(memory: &mut Reservation, size: usize) {
+    while memory.grow(size) == Err(Shortage) {
+        actix_rt::time::sleep(ROOM_POLL_INTERVAL).await;
+    }
 }
 
 impl std::fmt::Debug for Answer {
--- a/crates/entry/tests/fleet/process.rs
+++ b/crates/entry/tests/fleet/process.rs
@@ -92,6 +92,21 @@
         self.child.wait().unwrap()
     }
 
+    /// Largest resident memory so far, in bytes.
+    pub(crate) fn peak_memory(&self) -> usize {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).unwrap();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
+        kib.unwrap().parse::<usize>().unwrap() * 1_024
+    }
+
+    /// Number of open descriptors.
+    pub(crate) fn open_descriptors(&self) -> usize {
+        let path = format!("/proc/{}/fd", self.child.id());
+        std::fs::read_dir(path).unwrap().count()
+    }
+
     /// The exit status, if the process has exited.
     pub(crate) fn ended(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().unwrap()
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -135,6 +135,8 @@
     pub body: usize,
     /// `limits.answer`, in bytes.
     pub answer: usize,
+    /// `limits.memory`, in bytes.
+    pub memory: usize,
     /// `limits.head`, in bytes.
     pub head: usize,
     /// `limits.head_time`.
--- a/crates/settings/src/sections/read.rs
+++ b/crates/settings/src/sections/read.rs
@@ -15,6 +15,9 @@
 /// second, so a shorter limit may have expired when a connection begins.
 const MIN_HTTP_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Largest bodies that memory has to hold, for the copies of one beside small ones.
+const BODIES_IN_MEMORY: usize = 5;
+
 /// Minimum length of the secret that authenticates event ids.
 const MIN_SECRET_BYTES: usize = 16;
 
@@ -150,6 +153,7 @@
         deadline: reader.duration("limits.deadline"),
         body: reader.size("limits.body"),
         answer: reader.size("limits.answer"),
+        memory: reader.size("limits.memory"),
         head: reader.size("limits.head"),
         head_time: reader.duration("limits.head_time"),
         body_time: reader.duration("limits.body_time"),
@@ -176,6 +180,12 @@
             "shutdown.balancer must be shorter than shutdown.limit, or no time is left for open requests",
         );
     }
+    if settings.limits.body.saturating_mul(BODIES_IN_MEMORY) > settings.limits.memory {
+        reader.report_contradiction(
+            "limits.memory",
+            "limits.memory must be at least five times limits.body, or the largest body never fits",
+        );
+    }
     if settings.limits.head_time < MIN_HTTP_TIMEOUT {
         reader.report_contradiction("limits.head_time", "limits.head_time must be at least 1s");
     }
--- a/crates/settings/src/table/rows.rs
+++ b/crates/settings/src/table/rows.rs
@@ -206,6 +206,12 @@
         "16MiB",
         "Largest whole answer of an upstream that is buffered or held.",
     ),
+    with_default(
+        "limits.memory",
+        ValueKind::Size,
+        "512MiB",
+        "Memory that bodies of requests and whole answers take together, with their copies (2 of a call's and of an answer, 3 of a completion's); those over 128KiB take three quarters of it at most. A body without room is refused with 503 and `Retry-After`; an answer waits for it, up to the call's deadline.",
+    ),
     with_default(
         "limits.head",
         ValueKind::Size,
