Close connections that wait for their callers while descriptors are short

What callers saw: once clients that send nothing hold 0.9 of the descriptors, every other caller's connection is closed unread until the idle time is over, 60 s in the test.

Cause: new connections were closed whatever the old ones did.

Change: a connection that is closed unread for descriptors also closes an eighth of the others, those that have waited for their callers for longest, a second at least. That is what the intake needs to open again. Connections whose calls are in progress stay. While descriptors are left, an idle connection is kept as long as before.

Measured: connections_on_which_nothing_is_sent_make_room_for_calls, new: 600 silent connections, 512 descriptors; before, no call is answered in the test's 30 s ("the state was not reached in time"), after, it passes.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -103,7 +103,12 @@
             let serving = serve(instance.clone(), stream, caller, admitted, holder);
             drop(actix_rt::spawn(serving));
         }
-        Err(reason) => instance.metrics.connection_closed_unread(reason),
+        Err(reason) => {
+            if reason == Reason::Descriptors {
+                instance.connection_memory.free_descriptors();
+            }
+            instance.metrics.connection_closed_unread(reason);
+        }
     }
 }
 
--- a/crates/gateway/src/connection_memory.rs
+++ b/crates/gateway/src/connection_memory.rs
@@ -45,13 +45,24 @@
         let machine = self.machine_bytes.get();
         let mut holders = self.holders.borrow_mut();
         let evicted = holders.resize(id, bytes as u64, machine, self.clock.now())?;
+        self.notify(&evicted);
+        Ok(())
+    }
+
+    /// Closes connections that wait for their callers, since descriptors are short.
+    pub(crate) fn free_descriptors(&self) {
+        let now = self.clock.now();
+        let evicted = self.holders.borrow_mut().evict_for_descriptors(now);
+        self.notify(&evicted);
+    }
+
+    fn notify(&self, evicted: &[HolderId]) {
         let mut evictions = self.evictions.borrow_mut();
-        for other in evicted {
-            if let Some(eviction) = evictions.remove(&other) {
+        for id in evicted {
+            if let Some(eviction) = evictions.remove(id) {
                 eviction.notify_one();
             }
         }
-        Ok(())
     }
 }
 
--- a/crates/gateway/tests/hostile_clients.rs
+++ b/crates/gateway/tests/hostile_clients.rs
@@ -55,6 +55,9 @@
 /// Size of a receive buffer that takes little of an answer.
 const SMALL_BUFFER_BYTES: u32 = 4_096;
 
+/// Connections on which nothing is sent, more than the machine has descriptors.
+const SILENT_CONNECTIONS: usize = 600;
+
 /// Time that the instance gives a client for a request, which frees what the others hold.
 const HEADER_TIMEOUT_MS: u32 = 5_000;
 
@@ -416,6 +419,20 @@
     wait_until(async || is_answered(&gateway).await).await;
 }
 
+/// Guards against an instance whose descriptors are all taken by callers that send nothing, so that nobody
+/// is served until their time is over.
+#[actix_rt::test]
+async fn connections_on_which_nothing_is_sent_make_room_for_calls() {
+    let _turn = TURN.acquire().await;
+    let (gateway, _app, _pool) = start().await;
+    let connections = (0..SILENT_CONNECTIONS).map(|_| TcpStream::connect(gateway.front));
+    let connections = join_all(connections).await;
+    assert_fits(&gateway, gateway.open_descriptors());
+    wait_until(async || is_answered(&gateway).await).await;
+    assert_fits(&gateway, gateway.open_descriptors());
+    drop(connections);
+}
+
 /// Guards against keeping a second copy of each body while an engine does not read what it is sent.
 #[actix_rt::test]
 async fn bodies_that_an_engine_does_not_read_fit_into_memory() {
--- a/crates/serving/src/memory.rs
+++ b/crates/serving/src/memory.rs
@@ -20,6 +20,10 @@
 /// Time after which a connection that waits for its caller may be closed for another one.
 const MIN_WAIT: Duration = Duration::from_secs(1);
 
+/// Part of the connections that are closed at once while descriptors are short, so that as many fall free as
+/// the intake needs to open again.
+const DESCRIPTOR_EVICTION_RATIO: usize = 8;
+
 /// Identifies a connection.
 pub type HolderId = u64;
 
@@ -108,6 +112,26 @@
         Ok(evicted)
     }
 
+    /// Removes and returns the connections to close while descriptors are short: of all, one in
+    /// [`DESCRIPTOR_EVICTION_RATIO`], those that have waited for their callers for longest.
+    pub fn evict_for_descriptors(&mut self, now: Moment) -> Evicted {
+        let mut waiting: Vec<(Moment, HolderId)> = Vec::new();
+        for (id, holder) in &self.all {
+            if let Some(since) = holder.waiting_since
+                && now.saturating_sub(since) >= MIN_WAIT
+            {
+                waiting.push((since, *id));
+            }
+        }
+        waiting.sort_unstable();
+        waiting.truncate(self.all.len().div_ceil(DESCRIPTOR_EVICTION_RATIO));
+        let evicted: Evicted = waiting.into_iter().map(|(_, id)| id).collect();
+        for id in &evicted {
+            self.remove(*id);
+        }
+        evicted
+    }
+
     /// Connections that hold at least as much as is missing, beginning with the one that has waited for
     /// longest. A large holder is not closed for another large one, or many at once would all be closed
     /// before any is complete.
--- a/crates/serving/tests/memory.rs
+++ b/crates/serving/tests/memory.rs
@@ -102,3 +102,17 @@
     holders.remove(id);
     assert_eq!(holders.bytes(), 0);
 }
+
+/// Guards against callers that send nothing and take all descriptors.
+#[test]
+fn those_that_waited_longest_make_room_for_descriptors() {
+    let mut holders = Holders::default();
+    let ids: Vec<HolderId> = (0..16)
+        .filter_map(|_| add(&mut holders, SMALL, START).ok())
+        .collect();
+    holders.set_waiting(ids[0], None);
+    holders.set_waiting(ids[1], Some(LATER));
+    assert!(holders.evict_for_descriptors(START).is_empty());
+    assert_eq!(holders.evict_for_descriptors(LATER).as_slice(), &ids[2..4]);
+    assert_eq!(holders.bytes(), 14 * SMALL);
+}
--- a/crates/settings/src/page.rs
+++ b/crates/settings/src/page.rs
@@ -28,6 +28,7 @@
 | limit | follows from | value | beyond it |
 | --- | --- | --- | --- |
 | what all connections hold | `limits.memory_mb` | half of it; three quarters of that for connections that hold over 128 KiB | connections that have waited for their callers for a second are closed; else 503 with `Retry-After`, or the new connection is closed unread |
+| open descriptors | `limits.max_fds` | 0.9 of them | new connections are closed unread, and an eighth of the others, those that have waited for their callers for longest and for a second at least |
 | a connection without a request | | counts as 16 KiB | |
 | a body of a known length | its length | counts as a whole from its head on | as the first line |
 | a whole answer of an engine | its length | counts until its caller has read it | it is read from the engine once there is room, within the call's deadline |
