Bound the time for which charges keep the listener closed

Cause: requests on kept connections are charged while the intake is closed, without limit, and the listener stays closed until all charges have drained at the link's rate.

Change: charges together take at most eight of the longest waits to drain, up to 2.4 s and under a second at a target of 120 ms. What really waits for the link shows in the measured delays, which close the intake as before.

While such callers are there, ordinary ones still share the link with them: open.

--- a/crates/serving/src/intake.rs
+++ b/crates/serving/src/intake.rs
@@ -34,6 +34,9 @@
 /// One request is charged for at most this many times the longest wait. A larger one shares the link
 /// with others for the rest of its time, instead of keeping them out.
 const MAX_CHARGED_WAITS: f64 = 4.0;
+/// All charges together take at most this many times the longest wait to drain. Requests on kept connections
+/// are charged while the intake is closed, and it would stay closed long after their callers have gone.
+const MAX_QUEUED_WAITS: f64 = 8.0;
 /// Weight that the totals of earlier requests keep with each new one: some fifty requests count.
 const KEPT_WEIGHT: f64 = 0.98;
 /// A request counts for at most this many times the mean in what is assumed of the next ones. Otherwise a few
@@ -366,6 +369,9 @@
         let rate = request_rate(limits);
         self.sent.charge(charge.sent, rate, now);
         self.received.charge(charge.received, rate, now);
+        let most = MAX_QUEUED_WAITS * limits.max_wait.as_secs_f64() * rate;
+        self.sent.truncate(most);
+        self.received.truncate(most);
     }
 }
 
--- a/crates/serving/src/link_queue.rs
+++ b/crates/serving/src/link_queue.rs
@@ -28,6 +28,11 @@
         self.at = self.at.max(now);
     }
 
+    /// Drops what is beyond this number of bytes.
+    pub(crate) fn truncate(&mut self, bytes: f64) {
+        self.bytes = self.bytes.min(bytes);
+    }
+
     /// Time until what is queued now has been sent.
     pub(crate) fn wait(&self, rate: f64, now: Moment) -> Duration {
         let seconds = self.bytes_left(rate, now) / rate.max(1.0);
--- a/crates/serving/tests/intake.rs
+++ b/crates/serving/tests/intake.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use serving::intake::{Intake, Limits, Load, Reason};
+use serving::intake::{Charge, Intake, Limits, Load, Reason};
 
 const fn ms(time: u64) -> Duration {
     Duration::from_millis(time)
@@ -296,3 +296,19 @@
         assert!(admitted.is_ok(), "{idle}: {admitted:?}");
     }
 }
+
+/// Guards against an intake that stays closed for seconds after callers that sent many small requests on
+/// their connections have gone.
+#[test]
+fn connections_are_accepted_soon_after_a_flood_on_kept_connections() {
+    let limits = limits(10.0);
+    let mut intake = Intake::default();
+    for request in 0..10_000 {
+        let now = Duration::from_micros(request);
+        intake.on_request(600, Charge::default(), &limits, now);
+    }
+    let refused = intake.admit(&limits, &busy(), ms(10));
+    assert_eq!(refused, Err(Reason::Link));
+    let admitted = intake.admit(&limits, &busy(), ms(1_010));
+    assert!(admitted.is_ok(), "{admitted:?}");
+}
