Keep connections of other instances while their answers are not read

What callers would have seen: a call through another instance that fails as lost, and bytes that nobody counts.

Cause: a connection whose peer does not read counted as waiting, whoever the peer is, so that one of another instance could be removed from the account for others, although it is not closed for them: its task doesn't look for it.

Change: only connections of callers count as waiting.

Measured: hostile_clients (16), engine_links (14), calls (19) pass.

--- a/crates/gateway/src/connection_memory.rs
+++ b/crates/gateway/src/connection_memory.rs
@@ -70,8 +70,8 @@
 pub(crate) struct Holder {
     memory: Rc<ConnectionMemory>,
     id: HolderId,
-    /// What it holds before anything has been received.
-    least: usize,
+    /// Whether it is a caller's connection, which may be closed for others.
+    is_caller: bool,
     received: Cell<usize>,
     answer: Cell<usize>,
     evicted: Rc<Notify>,
@@ -80,24 +80,24 @@
 impl Holder {
     /// Accounts for a caller's connection.
     pub(crate) fn open(memory: &Rc<ConnectionMemory>) -> Result<Rc<Self>, Shortage> {
-        let holder = Self::new(memory, CONNECTION_BYTES);
+        let holder = Self::new(memory, true);
         holder.resize().map(|()| Rc::new(holder))
     }
 
     /// Accounts for a connection of another instance. There are few, and to close one leaves the fate of a
     /// call unknown, so it is accepted in any case.
     pub(crate) fn open_for_peer(memory: &Rc<ConnectionMemory>) -> Rc<Self> {
-        Rc::new(Self::new(memory, 0))
+        Rc::new(Self::new(memory, false))
     }
 
-    fn new(memory: &Rc<ConnectionMemory>, least: usize) -> Self {
+    fn new(memory: &Rc<ConnectionMemory>, is_caller: bool) -> Self {
         let id = memory.holders.borrow_mut().add();
         let evicted = Rc::new(Notify::new());
         memory.evictions.borrow_mut().insert(id, evicted.clone());
         Self {
             memory: memory.clone(),
             id,
-            least,
+            is_caller,
             received: Cell::new(0),
             answer: Cell::new(0),
             evicted,
@@ -132,7 +132,8 @@
 
     /// Sets whether the connection waits for its caller. It may be closed for others then.
     pub(crate) fn set_waiting(&self, is_waiting: bool) {
-        let since = is_waiting.then(|| self.memory.clock.now());
+        let may_yield = is_waiting && self.is_caller;
+        let since = may_yield.then(|| self.memory.clock.now());
         let mut holders = self.memory.holders.borrow_mut();
         holders.set_waiting(self.id, since);
     }
@@ -152,7 +153,8 @@
     }
 
     fn resize(&self) -> Result<(), Shortage> {
-        let bytes = self.least + self.received.get() + self.answer.get();
+        let own = if self.is_caller { CONNECTION_BYTES } else { 0 };
+        let bytes = own + self.received.get() + self.answer.get();
         self.memory.resize(self.id, bytes)
     }
 }
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -376,7 +376,7 @@
     }
 
     /// Completes when the caller has closed the connection. Until then buffers what it sends, up to
-    /// a limit; beyond that the future never completes.
+    /// a limit; beyond that, or without memory, the future never completes.
     pub async fn closed(&mut self) {
         loop {
             if self.received.len() >= READ_AHEAD_BYTES {
--- a/crates/serving/src/memory.rs
+++ b/crates/serving/src/memory.rs
@@ -19,7 +19,6 @@
 const MAX_SMALL_BYTES: u64 = 128 * 1024;
 /// Time after which a connection that waits for its caller may be closed for another one.
 const MIN_WAIT: Duration = Duration::from_secs(1);
-
 /// Part of the connections that are closed at once while descriptors are short, so that as many fall free as
 /// the intake needs to open again.
 const DESCRIPTOR_EVICTION_RATIO: usize = 8;
