Hold no engine liable for an answer that waited for memory here

What callers would have seen: engines that count as failed while other callers don't read their answers, and calls that go elsewhere for it. Found by reading, not shown by a run.

Cause: an answer without room stays in its engine's connection, and the call may run out of its time, which counts against the engine unless this instance's own load explains it.

Change: a call whose answer has waited for room counts for nothing when its time is over.

Measured: hostile_clients (16), engine_links (14), calls (19) pass.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -303,6 +303,11 @@
         }
     }
 
+    /// Whether the answer has had to wait for memory.
+    pub(crate) fn has_waited_for_memory(&self) -> bool {
+        self.holder.has_waited()
+    }
+
     /// Reads the body of an answer that is held until the caller has it.
     pub(crate) async fn read_answer(&self, client: &mut Client) -> Result<Bytes, Failure> {
         let reserve = async |bytes| self.holder.reserve_answer(bytes).await;
--- a/crates/gateway/src/connection_memory.rs
+++ b/crates/gateway/src/connection_memory.rs
@@ -74,6 +74,8 @@
     is_caller: bool,
     received: Cell<usize>,
     answer: Cell<usize>,
+    /// Whether the current answer has had to wait for room.
+    has_waited: Cell<bool>,
     evicted: Rc<Notify>,
 }
 
@@ -100,6 +102,7 @@
             is_caller,
             received: Cell::new(0),
             answer: Cell::new(0),
+            has_waited: Cell::new(false),
             evicted,
         }
     }
@@ -117,12 +120,19 @@
     /// meanwhile is held by nobody.
     pub(crate) async fn reserve_answer(&self, bytes: usize) {
         while self.set(&self.answer, bytes).is_err() {
+            self.has_waited.set(true);
             sleep(ROOM_POLL_INTERVAL).await;
         }
     }
 
+    /// Whether the current answer has had to wait for room. Its time says nothing of the engine then.
+    pub(crate) fn has_waited(&self) -> bool {
+        self.has_waited.get()
+    }
+
     /// Frees what the answer took.
     pub(crate) fn release_answer(&self) {
+        self.has_waited.set(false);
         let released = self.set(&self.answer, 0);
         debug_assert!(
             released.is_ok() || self.is_evicted(),
--- a/crates/gateway/src/engine_call.rs
+++ b/crates/gateway/src/engine_call.rs
@@ -231,7 +231,8 @@
     /// instance's own load may have caused it.
     pub(crate) fn set_timed_out(&mut self) {
         let begun = self.instance.now().saturating_sub(self.started.elapsed());
-        self.is_own_fault = self.instance.own_load.explains_silence(begun);
+        self.is_own_fault =
+            self.request.has_waited_for_memory() || self.instance.own_load.explains_silence(begun);
         self.outcome = (!self.is_own_fault).then_some(Outcome::Failed);
     }
 }
