Reject settings of an entry in which the largest answer never fits

What operators would have seen: calls with a whole answer that run out of their time, or bodies refused for ever, at an entry whose limits.memory is small. Found by reading, not shown by a run.

Cause: an answer waits for room up to the call's deadline, and one that is larger than three quarters of limits.memory never gets any; held answers keep their memory for hold.time. Only the largest body was checked.

Change: limits.memory must be five times limits.body, three times limits.answer and four times hold.bytes; `check` says so. The tests of clients at an entry set the two further limits, with crowd and bounds as they were.

--- a/crates/entry/tests/hostile_clients.rs
+++ b/crates/entry/tests/hostile_clients.rs
@@ -22,6 +22,8 @@
 const MAX_BODY_BYTES: usize = 1 << 20;
 const BODY: &str = "limits.body=1MiB";
 const BODY_TIME: &str = "limits.body_time=5s";
+const ANSWER: &str = "limits.answer=2MiB";
+const HELD: &str = "hold.bytes=2MiB";
 /// Clients at once. Their bodies take 1.6 times the machine's memory.
 const CLIENTS: usize = 100;
 /// One client in so many sends its request to the end.
@@ -37,7 +39,7 @@
 
 async fn start() -> Fleet {
     let mut fleet = Fleet::start(0, 1, 0).await;
-    for setting in [MEMORY, BODY, BODY_TIME] {
+    for setting in [MEMORY, BODY, BODY_TIME, ANSWER, HELD] {
         fleet.settings.push(setting.to_owned());
     }
     fleet.add_entry();
--- a/crates/settings/src/sections/read.rs
+++ b/crates/settings/src/sections/read.rs
@@ -15,8 +15,11 @@
 /// second, so a shorter limit may have expired when a connection begins.
 const MIN_HTTP_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Largest bodies that memory has to hold, for the copies of one beside small ones.
+/// Times that memory has to exceed a body, a whole answer and all held answers, so that the largest fits with
+/// its copies into the part that is left to large ones.
 const BODIES_IN_MEMORY: usize = 5;
+const ANSWERS_IN_MEMORY: usize = 3;
+const HELD_IN_MEMORY: usize = 4;
 
 /// Minimum length of the secret that authenticates event ids.
 const MIN_SECRET_BYTES: usize = 16;
@@ -180,10 +183,15 @@
             "shutdown.balancer must be shorter than shutdown.limit, or no time is left for open requests",
         );
     }
-    if settings.limits.body.saturating_mul(BODIES_IN_MEMORY) > settings.limits.memory {
+    let needs = [
+        settings.limits.body.saturating_mul(BODIES_IN_MEMORY),
+        settings.limits.answer.saturating_mul(ANSWERS_IN_MEMORY),
+        settings.hold.bytes.saturating_mul(HELD_IN_MEMORY),
+    ];
+    if needs.iter().any(|need| *need > settings.limits.memory) {
         reader.report_contradiction(
             "limits.memory",
-            "limits.memory must be at least five times limits.body, or the largest body never fits",
+            "limits.memory must be at least five times limits.body, three times limits.answer and four times hold.bytes, or the largest never fit",
         );
     }
     if settings.limits.head_time < MIN_HTTP_TIMEOUT {
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -66,6 +66,40 @@
     );
 }
 
+/// Guards against memory in which the largest body, answer or held answers never fit.
+#[test]
+fn memory_must_hold_the_largest_of_what_it_is_for() {
+    for (key, least) in [
+        (
+            "limits:\n  body: 10MiB\n  answer: 1MiB\nhold:\n  bytes: 1MiB\n",
+            50,
+        ),
+        (
+            "limits:\n  body: 1MiB\n  answer: 10MiB\nhold:\n  bytes: 1MiB\n",
+            30,
+        ),
+        (
+            "limits:\n  body: 1MiB\n  answer: 1MiB\nhold:\n  bytes: 10MiB\n",
+            40,
+        ),
+    ] {
+        let with_memory = |mebibytes: usize| {
+            let memory = format!("limits:\n  memory: {mebibytes}MiB\n");
+            check(&format!(
+                "{MINIMAL}{}",
+                key.replacen("limits:\n", &memory, 1)
+            ))
+        };
+        assert!(with_memory(least).is_ok(), "{key}");
+        let findings = with_memory(least - 1).unwrap_err().0;
+        let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
+        assert!(
+            lines.iter().all(|line| line.contains("limits.memory")),
+            "{lines:?}"
+        );
+    }
+}
+
 #[test]
 fn overrides_replace_the_file_and_the_environment_replaces_both() {
     let mut source = Source::from_yaml(MINIMAL);
