Let the kernel assign the port of the engine that reads nothing

Trace: free_port checks a port with a socket that may reuse an address whose earlier connections are in TIME_WAIT, since targets before it had the same ports; the test's own socket may not, and binding it fails. Other tests give these ports to processes, which may.

The test binds port 0 and holds the port from then on.

--- a/crates/gateway/tests/hostile_clients.rs
+++ b/crates/gateway/tests/hostile_clients.rs
@@ -442,9 +442,11 @@
     engine
         .set_recv_buffer_size(SMALL_BUFFER_BYTES)
         .expect("the size of a buffer can be set");
-    let address = SocketAddr::from(([127, 0, 0, 1], harness::free_port()));
-    engine.bind(address).expect("the port is free");
-    let _engine = engine.listen(1_024).expect("the port is free");
+    engine
+        .bind(SocketAddr::from(([127, 0, 0, 1], 0)))
+        .expect("the kernel assigns a port");
+    let address = engine.local_addr().expect("the kernel assigns a port");
+    let _engine = engine.listen(1_024).expect("the port is held");
     // The only one for calls, so that all bodies are sent to it.
     app.register(&gateway.store, "app", "draining", None);
     register(&gateway.store, "silent-1", address, "app", "ready", None);
