Send all bodies of the test to the engine that reads nothing

The silent engine is the only one of its service from the start, and the gateway is ready before the bodies are sent. Crowd and bounds are as before.

--- a/crates/gateway/tests/hostile_clients.rs
+++ b/crates/gateway/tests/hostile_clients.rs
@@ -437,7 +437,7 @@
 #[actix_rt::test]
 async fn bodies_that_an_engine_does_not_read_fit_into_memory() {
     let _turn = TURN.acquire().await;
-    let (gateway, app, _pool) = start_on(SMALL_MACHINE).await;
+    let gateway = Gateway::start_on(SMALL_MACHINE).await;
     let engine = TcpSocket::new_v4().expect("a socket can be created");
     engine
         .set_recv_buffer_size(SMALL_BUFFER_BYTES)
@@ -448,8 +448,12 @@
     let address = engine.local_addr().expect("the kernel assigns a port");
     let _engine = engine.listen(1_024).expect("the port is held");
     // The only one for calls, so that all bodies are sent to it.
-    app.register(&gateway.store, "app", "draining", None);
     register(&gateway.store, "silent-1", address, "app", "ready", None);
+    let pool = Engine::start("pool-1").await;
+    pool.register(&gateway.store, "pool", "ready", Some("decode"));
+    gateway.configure(1, "app");
+    gateway.wait_until_ready(true).await;
+    configure(&gateway).await;
     let request = |client| {
         let length = MAX_BODY_BYTES;
         let lines = format!("request-deadline: 5000\r\ncontent-length: {length}\r\n");
