Test further places that hold what hostile clients send

`heads_that_an_engine_does_not_read_fit_into_memory` passes and guards the copy that is sent to an engine. Tried and not kept, since it passed: 300 clients that send 400 KB of small requests in a row and read nothing.

--- a/crates/gateway/tests/harness/mod.rs
+++ b/crates/gateway/tests/harness/mod.rs
@@ -1,6 +1,7 @@
 //! A gateway process with simulated platform services and engines.
 #![allow(dead_code)]
 
+pub(crate) mod crowd;
 pub(crate) mod kinds;
 mod ports;
 mod process;
@@ -343,7 +344,8 @@
         String::from_utf8(page.to_vec()).expect("the page is text")
     }
 
-    async fn is_ready(&self) -> bool {
+    /// Whether it answers a new connection that it is ready.
+    pub(crate) async fn is_ready(&self) -> bool {
         let Ok(mut client) = Client::open(self.ready, &PATIENCE, &http1::config()).await else {
             return false;
         };
--- a/crates/gateway/tests/hostile_clients.rs
+++ b/crates/gateway/tests/hostile_clients.rs
@@ -2,27 +2,20 @@
 
 mod harness;
 
-use std::cell::Cell;
-use std::io;
 use std::net::{IpAddr, SocketAddr};
+use std::time::Duration;
 
 use futures_util::future::join_all;
-use harness::{Gateway, Machine, configuration, wait_until};
-use platform_standin::configuration::HOST;
-use platform_standin::engine::{Behaviour, register};
-use platform_standin::raw::RawAnswer;
-use platform_standin::{Ending, Engine};
-use serde_json::json;
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::{TcpSocket, TcpStream};
-use tokio::sync::Semaphore;
-use tokio::task::yield_now;
-
-/// The machine of the instance. What the process holds at its peak, and its descriptors, stay within it.
-const MACHINE: Machine = Machine {
-    memory_mb: 64,
-    max_descriptors: 512,
+use harness::crowd::{
+    Crowd, MACHINE, MAX_BODY_BYTES, TURN, assert_fits, assert_fits_on, assert_withstands,
+    configure, head, is_answered, read_status, sized, slow_socket, start,
 };
+use harness::{Gateway, Machine, wait_until};
+use platform_standin::Engine;
+use platform_standin::engine::register;
+use platform_standin::request::generation_headers;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::{TcpListener, TcpStream};
 
 /// A machine on which two copies of what connections may hold do not fit.
 const SMALL_MACHINE: Machine = Machine {
@@ -30,8 +23,6 @@
     ..MACHINE
 };
 
-/// Largest legal body, in bytes.
-const MAX_BODY_BYTES: usize = 1_000_000;
 /// Clients at once. Their bodies take 1.5 times the machine's memory.
 const CLIENTS: usize = 100;
 /// One client in so many sends its request to the end.
@@ -44,56 +35,21 @@
 const ANNOUNCED_BYTES: u64 = 1 << 40;
 const SENT_BYTES: usize = 4 * MAX_BODY_BYTES;
 
-/// Largest legal head, in bytes. Heads at once, which are legal but for their end.
-const MAX_HEAD_BYTES: usize = 120_000;
+/// Heads at once, which are legal but for their end.
 const HEADS: usize = 400;
 const HEAD_BYTES: usize = 110_000;
 
-/// Callers that do not read their answers, and the size of an answer.
-const IDLE_READERS: usize = 40;
-const ANSWER_BYTES: usize = 4_000_000;
-/// Size of a receive buffer that takes little of an answer.
-const SMALL_BUFFER_BYTES: u32 = 4_096;
+/// Size of a small body behind a large head.
+const SMALL_BODY_BYTES: usize = 30_000;
+
+/// Generations one after the other, and the parts that each one's prompt names. Their lengths are zero, so
+/// that no number of them fills an engine's memory.
+const GENERATIONS: usize = 400;
+const PARTS: usize = 7_000;
 
 /// Connections on which nothing is sent, more than the machine has descriptors.
 const SILENT_CONNECTIONS: usize = 600;
 
-/// Time that the instance gives a client for a request, which frees what the others hold.
-const HEADER_TIMEOUT_MS: u32 = 5_000;
-
-/// One test at a time: each measures the memory of its processes under the load of its own clients.
-static TURN: Semaphore = Semaphore::const_new(1);
-
-/// An instance on [`MACHINE`] with an engine for plain calls and one for streams.
-async fn start() -> (Gateway, Engine, Engine) {
-    start_on(MACHINE).await
-}
-
-async fn start_on(machine: Machine) -> (Gateway, Engine, Engine) {
-    let started = Gateway::start_on(machine).await.add_engines().await;
-    configure(&started.0).await;
-    started
-}
-
-async fn configure(gateway: &Gateway) {
-    let mut limited = configuration(2, "app");
-    limited["limits"]["max_body_bytes"] = json!(MAX_BODY_BYTES);
-    limited["limits"]["max_header_bytes"] = json!(MAX_HEAD_BYTES);
-    limited["limits"]["header_timeout_ms"] = json!(HEADER_TIMEOUT_MS);
-    gateway.store.put("keyed.op", "config", Some(&limited));
-    wait_until(async || gateway.count_log_lines_with("configuration in force", "version=2") == 1)
-        .await;
-}
-
-/// The head of a call with these further header lines.
-fn head(id: &str, lines: &str) -> Vec<u8> {
-    format!("POST /once/ HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: {id}\r\n{lines}\r\n").into_bytes()
-}
-
-fn sized(id: &str, length: u64) -> Vec<u8> {
-    head(id, &format!("content-length: {length}\r\n"))
-}
-
 /// A body in chunks of this size, without the last one.
 fn chunks(size: usize) -> Vec<u8> {
     let mut body = Vec::new();
@@ -105,109 +61,6 @@
     body
 }
 
-/// Clients that stay open until the instance answers or closes their connections.
-struct Crowd<'a> {
-    to: SocketAddr,
-    from: Option<IpAddr>,
-    clients: usize,
-    /// The first part of the request of the client with this number.
-    request: &'a dyn Fn(usize) -> Vec<u8>,
-    /// The rest, which one client in `finishing` sends once all have sent their first part.
-    rest: &'a [u8],
-    finishing: usize,
-    /// Size of the pieces, between which the others send theirs.
-    piece_bytes: usize,
-}
-
-impl Crowd<'_> {
-    async fn connect(&self) -> io::Result<TcpStream> {
-        let socket = TcpSocket::new_v4()?;
-        if let Some(from) = self.from {
-            socket.bind(SocketAddr::new(from, 0))?;
-        }
-        socket.connect(self.to).await
-    }
-
-    /// Sends all requests, and waits until each has been answered or its connection was closed. Returns
-    /// the beginnings of the answers.
-    async fn send(&self) -> Vec<String> {
-        let waiting = Cell::new(self.clients);
-        let clients = (0..self.clients).map(|client| self.send_one(client, &waiting));
-        let answers = join_all(clients).await;
-        answers.into_iter().flatten().collect()
-    }
-
-    /// A connection that is refused or closed is what the instance may do to such a client.
-    async fn send_one(&self, client: usize, waiting: &Cell<usize>) -> Option<String> {
-        let mut connection = self.connect().await;
-        let request = (self.request)(client);
-        for piece in request.chunks(self.piece_bytes) {
-            if let Ok(open) = &mut connection
-                && let Err(error) = open.write_all(piece).await
-            {
-                connection = Err(error);
-            }
-            yield_now().await;
-        }
-        waiting.set(waiting.get() - 1);
-        wait_until(async || waiting.get() == 0).await;
-        let mut connection = connection.ok()?;
-        if client.is_multiple_of(self.finishing) {
-            // The answer may have come before.
-            drop(connection.write_all(self.rest).await);
-        }
-        let mut answer = [0; 1_024];
-        let received = connection.read(&mut answer).await.ok()?;
-        Some(String::from_utf8_lossy(&answer[..received]).to_ascii_lowercase())
-    }
-}
-
-/// Whether a call is answered by the engine. It may be refused while the crowd is there.
-async fn is_answered(gateway: &Gateway) -> bool {
-    let Some(mut caller) = gateway.try_connect().await else {
-        return false;
-    };
-    let head = platform_standin::request::call("/safe/a", &gateway.fresh_id(), 20_000, &[]);
-    let answer = caller.send(head, &bytes::Bytes::new()).await;
-    answer.is_ok_and(|answer| answer.head.status.as_u16() == 200)
-}
-
-/// Sends the crowd's requests. Panics unless the instance stays within its machine, answers an ordinary
-/// call while the crowd is there, and another one afterwards.
-async fn assert_withstands(gateway: &Gateway, crowd: &Crowd<'_>) -> Vec<String> {
-    let most = Cell::new(0);
-    let ordinary = async {
-        wait_until(async || {
-            most.set(most.get().max(gateway.open_descriptors()));
-            is_answered(gateway).await
-        })
-        .await;
-    };
-    let (answers, ()) = tokio::join!(crowd.send(), ordinary);
-    most.set(most.get().max(gateway.open_descriptors()));
-    assert_fits(gateway, most.get());
-    wait_until(async || is_answered(gateway).await).await;
-    assert_fits(gateway, gateway.open_descriptors());
-    answers
-}
-
-fn assert_fits(gateway: &Gateway, descriptors: usize) {
-    assert_fits_on(MACHINE, gateway, descriptors);
-}
-
-fn assert_fits_on(machine: Machine, gateway: &Gateway, descriptors: usize) {
-    assert!(gateway.is_alive());
-    let peak = gateway.peak_memory_mib() * 1024 * 1024;
-    assert!(
-        peak <= machine.memory_mb * 1_000_000,
-        "{peak} bytes at the peak"
-    );
-    assert!(
-        descriptors <= machine.max_descriptors,
-        "{descriptors} descriptors"
-    );
-}
-
 fn crowd<'a>(
     gateway: &Gateway,
     request: &'a dyn Fn(usize) -> Vec<u8>,
@@ -239,14 +92,6 @@
     request
 }
 
-/// The first line of an answer without its reason.
-async fn read_status(caller: &mut TcpStream) -> String {
-    let mut status = [0; 12];
-    let read = caller.read_exact(&mut status).await;
-    read.expect("it is answered");
-    String::from_utf8_lossy(&status).into_owned()
-}
-
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
 /// Guards against an instance that ends for lack of memory while large bodies are not finished.
@@ -387,36 +232,45 @@
     assert_withstands(&gateway, &crowd).await;
 }
 
-/// Guards against an instance that ends for lack of memory while callers do not read their answers.
+/// Guards against a head that counts for nothing any more once its body is being read.
 #[actix_rt::test]
-async fn answers_that_are_not_read_fit_into_memory() {
+async fn heads_with_unfinished_bodies_fit_into_memory() {
     let _turn = TURN.acquire().await;
-    let (gateway, app, _pool) = start().await;
-    let head = format!("HTTP/1.1 404 Not Found\r\ncontent-length: {ANSWER_BYTES}\r\n\r\n");
-    app.set_behaviour(Behaviour::Raw(RawAnswer {
-        text: head + &"x".repeat(ANSWER_BYTES),
-        piece_bytes: 2 * ANSWER_BYTES,
-        ending: Ending::Complete,
-    }));
-    let callers = (0..IDLE_READERS).map(async |caller| {
-        let socket = TcpSocket::new_v4().expect("a socket can be created");
-        socket
-            .set_recv_buffer_size(SMALL_BUFFER_BYTES)
-            .expect("the size of a buffer can be set");
-        let mut connection = socket.connect(gateway.front).await.ok()?;
-        let request = sized(&format!("r{caller}"), 0);
-        connection.write_all(&request).await.ok()?;
-        // The first byte shows that the instance has an answer to send.
-        connection.read_exact(&mut [0]).await.ok()?;
-        Some(connection)
-    });
-    let connections = join_all(callers).await;
-    app.set_behaviour(Behaviour::Run);
-    let descriptors = gateway.open_descriptors();
-    wait_until(async || is_answered(&gateway).await).await;
-    assert_fits(&gateway, descriptors);
-    drop(connections);
-    wait_until(async || is_answered(&gateway).await).await;
+    let (gateway, _app, _pool) = start().await;
+    let request = |client| {
+        let filling = "x".repeat(HEAD_BYTES);
+        let lines = format!("filling: {filling}\r\ncontent-length: {SMALL_BODY_BYTES}\r\n");
+        let mut request = head(&format!("c{client}"), &lines);
+        request.resize(request.len() + SMALL_BODY_BYTES - 1, b'x');
+        request
+    };
+    let crowd = Crowd {
+        clients: HEADS,
+        ..crowd(&gateway, &request, b"x", HEAD_BYTES / PIECES)
+    };
+    assert_withstands(&gateway, &crowd).await;
+}
+
+/// Guards against remembering any number of prompts' parts for engines, which have room for few.
+#[actix_rt::test]
+async fn prompts_of_many_parts_fit_into_memory() {
+    let _turn = TURN.acquire().await;
+    let (gateway, _app, pool) = start().await;
+    let other = gateway.start_another_on(MACHINE);
+    other.wait_until_ready(true).await;
+    pool.set_stream(1, Duration::ZERO);
+    for generation in 0..GENERATIONS {
+        let parts = (0..PARTS).map(|part| format!("{:x}:0,", generation * PARTS + part));
+        let parts: String = parts.collect();
+        let headers = generation_headers("100,20", &parts);
+        let id = gateway.fresh_id();
+        let answer = gateway.call("/stream/a", &id, &headers).await;
+        assert_eq!(answer.status, 200);
+    }
+    for instance in [&gateway, &other] {
+        assert_fits(instance, instance.open_descriptors());
+        wait_until(async || is_answered(instance).await).await;
+    }
 }
 
 /// Guards against an instance whose descriptors are all taken by callers that send nothing, so that nobody
@@ -433,27 +287,40 @@
     drop(connections);
 }
 
-/// Guards against keeping a second copy of each body while an engine does not read what it is sent.
-#[actix_rt::test]
-async fn bodies_that_an_engine_does_not_read_fit_into_memory() {
-    let _turn = TURN.acquire().await;
+/// An instance on [`SMALL_MACHINE`], and the engine for its plain calls, which reads nothing.
+async fn start_with_silent_engine() -> (Gateway, TcpListener, Engine) {
     let gateway = Gateway::start_on(SMALL_MACHINE).await;
-    let engine = TcpSocket::new_v4().expect("a socket can be created");
-    engine
-        .set_recv_buffer_size(SMALL_BUFFER_BYTES)
-        .expect("the size of a buffer can be set");
+    let engine = slow_socket();
     engine
         .bind(SocketAddr::from(([127, 0, 0, 1], 0)))
         .expect("the kernel assigns a port");
     let address = engine.local_addr().expect("the kernel assigns a port");
-    let _engine = engine.listen(1_024).expect("the port is held");
-    // The only one for calls, so that all bodies are sent to it.
+    let engine = engine.listen(1_024).expect("the port is held");
+    // The only one for calls, so that all are sent to it.
     register(&gateway.store, "silent-1", address, "app", "ready", None);
     let pool = Engine::start("pool-1").await;
     pool.register(&gateway.store, "pool", "ready", Some("decode"));
     gateway.configure(1, "app");
     gateway.wait_until_ready(true).await;
     configure(&gateway).await;
+    (gateway, engine, pool)
+}
+
+/// Sends the crowd's requests to an engine that reads nothing. Panics unless the instance stays within
+/// [`SMALL_MACHINE`] and answers an ordinary call once there is a sound engine.
+async fn assert_withstands_silent_engine(gateway: &Gateway, crowd: &Crowd<'_>) {
+    crowd.send().await;
+    assert_fits_on(SMALL_MACHINE, gateway, gateway.open_descriptors());
+    let sound = Engine::start("app-2").await;
+    sound.register(&gateway.store, "app", "ready", None);
+    wait_until(async || is_answered(gateway).await).await;
+}
+
+/// Guards against keeping a second copy of each body while an engine does not read what it is sent.
+#[actix_rt::test]
+async fn bodies_that_an_engine_does_not_read_fit_into_memory() {
+    let _turn = TURN.acquire().await;
+    let (gateway, _silent, _pool) = start_with_silent_engine().await;
     let request = |client| {
         let length = MAX_BODY_BYTES;
         let lines = format!("request-deadline: 5000\r\ncontent-length: {length}\r\n");
@@ -465,11 +332,24 @@
         finishing: 1,
         ..crowd(&gateway, &request, b"x", MAX_BODY_BYTES * 2)
     };
-    crowd.send().await;
-    assert_fits_on(SMALL_MACHINE, &gateway, gateway.open_descriptors());
-    let sound = Engine::start("app-2").await;
-    sound.register(&gateway.store, "app", "ready", None);
-    wait_until(async || is_answered(&gateway).await).await;
+    assert_withstands_silent_engine(&gateway, &crowd).await;
+}
+
+/// Guards against keeping uncounted copies of heads while an engine does not read what it is sent.
+#[actix_rt::test]
+async fn heads_that_an_engine_does_not_read_fit_into_memory() {
+    let _turn = TURN.acquire().await;
+    let (gateway, _silent, _pool) = start_with_silent_engine().await;
+    let request = |client| {
+        let filling = "x".repeat(HEAD_BYTES);
+        let lines = format!("request-deadline: 5000\r\nfilling: {filling}\r\n");
+        head(&format!("c{client}"), &lines)
+    };
+    let crowd = Crowd {
+        clients: HEADS,
+        ..crowd(&gateway, &request, b"", HEAD_BYTES / PIECES)
+    };
+    assert_withstands_silent_engine(&gateway, &crowd).await;
 }
 
 /// Guards against an instance that ends for lack of memory while calls from another instance, which
@@ -496,6 +376,23 @@
     assert_withstands(&gateway, &crowd).await;
 }
 
+/// Guards against status addresses that take all descriptors of the process, so that neither calls nor the
+/// platform's probes are answered.
+#[actix_rt::test]
+async fn connections_at_the_status_addresses_leave_descriptors_for_calls() {
+    let _turn = TURN.acquire().await;
+    let (gateway, _app, _pool) = start().await;
+    let mut open = Vec::new();
+    for to in [gateway.ready, gateway.metrics] {
+        let connections = (0..SILENT_CONNECTIONS).map(|_| TcpStream::connect(to));
+        open.extend(join_all(connections).await);
+        assert_fits(&gateway, gateway.open_descriptors());
+        wait_until(async || is_answered(&gateway).await).await;
+        wait_until(async || gateway.is_ready().await).await;
+        assert_fits(&gateway, gateway.open_descriptors());
+    }
+}
+
 /// Guards against an instance that ends for lack of memory because of bodies on its status addresses.
 #[actix_rt::test]
 async fn unfinished_status_requests_fit_into_memory() {
