Bound the parts of prompts that are remembered for engines

What callers saw: an instance ends for lack of memory after some hundred small generations of one caller. With 400 whose prompts name 7,000 parts of length 0, both instances of the test held 268 MB on machines of 64, and grew with each further one.

Cause: an instance remembers which parts each engine has cached, until they exceed the engine's KV cache. Parts that a caller gives no length take nothing of it, so none was ever evicted. Each part was also queued for the other instances, at any number; 128 leave with a frame.

The unit test parts_without_a_length_are_evicted_as_small_ones_are fails without the change (1,000 parts remembered). Tests of serving pass.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -30,6 +30,8 @@
 const MISSED_BACKOFF: Duration = Duration::from_millis(1_000);
 /// Most parts in one frame.
 pub(crate) const MAX_PARTS_PER_FRAME: usize = 128;
+/// Most parts that wait for a frame. Others hear nothing of those beyond, and estimate without them.
+const MAX_QUEUED_PARTS: usize = 32 * MAX_PARTS_PER_FRAME;
 
 /// The topics of the store that all instances follow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -240,8 +242,9 @@
     /// Queues the parts of a prompt that an engine is about to use. Parts that it has already
     /// cached count as well: the order of last use decides which are evicted.
     pub(crate) fn queue_parts(&mut self, engine: &EngineId, prompt: &[Part]) {
+        let room = MAX_QUEUED_PARTS.saturating_sub(self.parts.len());
         let parts = prompt.iter().map(|part| (engine.clone(), *part));
-        self.parts.extend(parts);
+        self.parts.extend(parts.take(room));
     }
 
     /// Drops the queued parts, when this instance does not place calls.
--- a/crates/serving/src/parts.rs
+++ b/crates/serving/src/parts.rs
@@ -34,17 +34,28 @@
 #[derive(Clone, Debug, Default)]
 struct EngineCache {
     parts: HashMap<PartId, (Moment, u32)>,
+    /// What the parts occupy together.
     tokens: u64,
 }
 
 /// Share of an engine's KV cache that is assumed to hold parts; running calls occupy the rest.
 const PARTS_SHARE: f64 = 0.9;
+/// Most parts of a prompt that are looked at. Callers may name as many as fit into a head, and each one is
+/// remembered and told to other instances.
+pub const MAX_PROMPT_PARTS: usize = 128;
+/// Least number of tokens that a part takes of a KV cache, which is allocated in blocks.
+const MIN_PART_TOKENS: u32 = 16;
+
+/// Tokens of an engine's KV cache that a part takes.
+fn occupied(tokens: u32) -> u64 {
+    u64::from(tokens.max(MIN_PART_TOKENS))
+}
 
 impl EngineCache {
     fn touch(&mut self, part: Part, now: Moment, capacity: u64) {
         let previous = self.parts.insert(part.id, (now, part.tokens));
-        let previous_tokens = previous.map_or(0, |(_, tokens)| u64::from(tokens));
-        self.tokens = self.tokens + u64::from(part.tokens) - previous_tokens;
+        let previous_tokens = previous.map_or(0, |(_, tokens)| occupied(tokens));
+        self.tokens = self.tokens + occupied(part.tokens) - previous_tokens;
         if self.tokens > capacity {
             self.evict(capacity);
         }
@@ -64,7 +75,7 @@
                 break;
             }
             self.parts.remove(&id);
-            self.tokens -= u64::from(tokens);
+            self.tokens -= occupied(tokens);
         }
     }
 }
--- a/crates/serving/tests/place.rs
+++ b/crates/serving/tests/place.rs
@@ -57,6 +57,18 @@
     assert_eq!(fleet.parts.cached_tokens(&id("a"), &prompt(&[(2, 300)])), 0);
 }
 
+/// Guards against remembering any number of parts that a caller gives no length.
+#[test]
+fn parts_without_a_length_are_evicted_as_small_ones_are() {
+    let mut fleet = fleet(&[("a", Stage::Decode)]);
+    for part in 0..1_000 {
+        fleet.cache_parts(&id("a"), &prompt(&[(part, 0)]), 1_600, ms(u64::from(part)));
+    }
+    let remembered = fleet.parts.cached_parts(&id("a"));
+    assert!(remembered.len() <= 100, "{} parts", remembered.len());
+    assert_eq!(remembered.last().map(|part| part.id), Some(999));
+}
+
 /// Guards against queueing calls that cannot be on time at the rank of their class: short calls of
 /// less urgent classes waited behind each of them, and were late on a fleet that was half idle.
 #[test]
