Count a head until its request is served

What callers saw: an instance ends for lack of memory while callers send whole heads of legal size and stop short of the end of a small body. With 400 heads of 110 KB and bodies of 30 KB, an instance on a machine of 64 MB held 83 and 84 MB.

Cause: the values of a head are parts of the buffer that it was read into, which lives as long as the request. The connection accounted for its current receive buffer only, so that the head counted for nothing once the body needed another one.

Change: the buffer becomes the head's part of the account when the head has been read, and is given back when the next request is waited for. It becomes the receive buffer again if no other one was allocated, so that ordinary requests count as before.

Why it works: each allocation that a connection keeps is in exactly one part, from the read that fills it to the request's end.

--- a/crates/http1/src/account.rs
+++ b/crates/http1/src/account.rs
@@ -15,7 +15,10 @@
 #[derive(Default)]
 pub(crate) struct Held {
     account: Option<Account>,
+    /// The receive buffer, unless a head shares it.
     received: Cell<usize>,
+    /// The buffer that the current request's head shares.
+    head: Cell<usize>,
     body: Cell<usize>,
 }
 
@@ -32,6 +35,23 @@
         self.set(&self.received, bytes)
     }
 
+    /// Keeps the receive buffer for a head that has been read, whose values are parts of it. It may also
+    /// be filled further until another one is allocated.
+    pub(crate) fn keep_head(&self) {
+        self.head.set(self.received.replace(0));
+    }
+
+    /// Frees the buffer of the head, or makes it the receive buffer again if no other one was allocated.
+    pub(crate) fn release_head(&self) {
+        let head = self.head.replace(0);
+        if self.received.get() == 0 {
+            self.received.set(head);
+        } else {
+            // Less is granted, unless the connection is about to be closed.
+            self.report();
+        }
+    }
+
     /// Sets the size of the body. Returns whether it may have this size.
     pub(crate) fn set_body(&self, bytes: usize) -> bool {
         self.set(&self.body, bytes)
@@ -42,17 +62,20 @@
         if before == bytes {
             return true;
         }
-        let total = self.received.get() + self.body.get();
-        let is_granted = self
-            .account
-            .as_ref()
-            .is_none_or(|account| (account.resize)(total));
+        let is_granted = self.report();
         if !is_granted {
             part.set(before);
         }
         is_granted
     }
 
+    /// Reports the sum of all parts. Returns whether it is granted.
+    fn report(&self) -> bool {
+        let total = self.received.get() + self.head.get() + self.body.get();
+        let account = self.account.as_ref();
+        account.is_none_or(|account| (account.resize)(total))
+    }
+
     pub(crate) fn set_blocked(&self, is_blocked: bool) {
         if let Some(account) = &self.account {
             (account.set_blocked)(is_blocked);
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -145,7 +145,9 @@
     ///
     /// [`RequestError::Disconnected`] if none arrives.
     pub async fn wait_for_request(&mut self, limits: &Limits) -> Result<(), RequestError> {
+        self.refused = None;
         self.reader.held.set_body(0);
+        self.reader.held.release_head();
         self.reader.release_buffer();
         let deadline = Instant::now() + limits.idle;
         while self.reader.received.is_empty() {
@@ -165,7 +167,6 @@
     pub async fn read_request(&mut self, limits: &Limits) -> Result<IncomingRequest, RequestError> {
         let started_at = Instant::now();
         let deadline = started_at + limits.head_time;
-        self.refused = None;
         let request = self.read_head(limits, deadline).await?;
         // The codec expects another protocol behind an offer to change to it, which is never accepted.
         let message = self.writer.codec.message_type();
@@ -250,6 +251,7 @@
             let buffered = self.reader.received.len();
             match self.writer.codec.decode(&mut self.reader.received) {
                 Ok(Some(Message::Item(request))) => {
+                    self.reader.held.keep_head();
                     let size = buffered - self.reader.received.len();
                     return if size > limits.head {
                         Err(RequestError::HeadTooLarge)
