Limit the connections at the status addresses

What callers saw: with enough silent connections at the address of the platform's probes, or at that of the metrics, the process has no descriptors left, so that neither calls nor probes are answered. 600 of them took 547 descriptors on a machine of 512.

Cause: these listeners accepted without a limit. The intake closes connections at 0.9 of the descriptors, but only callers'.

Change: 64 connections at a time to each of the two. A further one is accepted all the same, and one on which nothing has been served yet is closed for it, the oldest first, or else the least recently used one.

Why it works: whoever sends nothing is the first to be closed, so that a probe's connection that has been used stays, and a new one is always accepted.

--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -1,13 +1,17 @@
 //! Serves status requests (readiness, metrics) on listeners of their own, apart from callers'
 //! traffic.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::Response;
 use bytes::Bytes;
 use http1::{Limits, RequestError, Server};
+use serving::connection_limit::{Connections, Id};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
 use crate::connection::{CALLER_PATIENCE, accept_failed};
 use crate::connection_memory::Holder;
@@ -24,34 +28,100 @@
 /// Maps the path of a status request to its response.
 pub(crate) type Handler = fn(&Instance, &str) -> (Response<()>, Bytes);
 
+/// Connections to a listener at a time. The platform and operators need a few.
+const MAX_CONNECTIONS: usize = 64;
+
 /// Accepts connections until the process ends.
 pub(crate) async fn serve(instance: Rc<Instance>, listener: TcpListener, handler: Handler) {
+    let open = Rc::new(Open::new());
     loop {
         match listener.accept().await {
             Ok((stream, _)) => drop(actix_rt::spawn(serve_connection(
                 instance.clone(),
                 stream,
                 handler,
+                Opened::new(&open),
             ))),
             Err(error) => accept_failed(&error).await,
         }
     }
 }
 
-async fn serve_connection(instance: Rc<Instance>, stream: TcpStream, handler: Handler) {
-    let opened = Server::new(stream, &CALLER_PATIENCE, &instance.codec);
-    let (Ok(server), Ok(holder)) = (opened, Holder::open(&instance.connection_memory)) else {
+/// The open connections to a listener; [`serving::connection_limit`] decides which ones stay.
+struct Open {
+    connections: RefCell<Connections>,
+    evictions: RefCell<HashMap<Id, Rc<Notify>>>,
+}
+
+impl Open {
+    fn new() -> Self {
+        Self {
+            connections: RefCell::new(Connections::new(MAX_CONNECTIONS)),
+            evictions: RefCell::default(),
+        }
+    }
+}
+
+/// One of them, until this is dropped.
+struct Opened {
+    all: Rc<Open>,
+    id: Id,
+    evicted: Rc<Notify>,
+}
+
+impl Opened {
+    fn new(all: &Rc<Open>) -> Self {
+        let (id, to_close) = all.connections.borrow_mut().add();
+        let mut evictions = all.evictions.borrow_mut();
+        if let Some(eviction) = to_close.and_then(|other| evictions.remove(&other)) {
+            eviction.notify_one();
+        }
+        let evicted = Rc::new(Notify::new());
+        evictions.insert(id, evicted.clone());
+        Self {
+            all: all.clone(),
+            id,
+            evicted,
+        }
+    }
+
+    fn on_served(&self) {
+        self.all.connections.borrow_mut().on_served(self.id);
+    }
+}
+
+impl Drop for Opened {
+    fn drop(&mut self) {
+        self.all.connections.borrow_mut().remove(self.id);
+        self.all.evictions.borrow_mut().remove(&self.id);
+    }
+}
+
+async fn serve_connection(
+    instance: Rc<Instance>,
+    stream: TcpStream,
+    handler: Handler,
+    opened: Opened,
+) {
+    let server = Server::new(stream, &CALLER_PATIENCE, &instance.codec);
+    let (Ok(server), Ok(holder)) = (server, Holder::open(&instance.connection_memory)) else {
         return;
     };
     holder.set_waiting(true);
     let mut server = server.with_account(holder.account());
     tokio::select! {
-        () = serve_requests(&instance, &mut server, handler) => {}
+        () = serve_requests(&instance, &mut server, handler, &opened) => {}
         () = holder.wait_until_evicted() => {}
+        () = opened.evicted.notified() => {}
     }
 }
 
-async fn serve_requests(instance: &Instance, server: &mut Server, handler: Handler) {
+async fn serve_requests(
+    instance: &Instance,
+    server: &mut Server,
+    handler: Handler,
+    opened: &Opened,
+) {
     while server.wait_for_request(&LIMITS).await.is_ok() {
         let arrival = match server.read_request(&LIMITS).await {
             Ok(arrival) => arrival,
@@ -62,6 +132,7 @@
         if writer.write_response(head, body).await.is_err() || !writer.keep_alive() {
             return;
         }
+        opened.on_served();
     }
 }
 
--- a/crates/serving/src/lib.rs
+++ b/crates/serving/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod budget;
 pub mod claim;
 pub mod congestion;
+pub mod connection_limit;
 mod cost;
 mod decaying_rate;
 pub mod engine;
