Free the buffers of what connections have sent

What callers saw: an instance ends for lack of memory while many connections are kept after large answers.

Cause: a connection kept the buffer from which its last answer was sent, some 100 KB once an answer was large, and accounted for none of it. A connection to an engine kept that of its last request in the same way.

Change: a buffer that has been sent is freed, at a caller's connection if more than 8 KiB were written from it.

Why it works: an idle connection holds no buffer of what it has sent beyond 8 KiB, which the 16 KiB that it counts as include.

Tests of http1 and answers_that_are_not_read_fit_into_memory pass.

--- a/crates/http1/src/client.rs
+++ b/crates/http1/src/client.rs
@@ -467,6 +467,8 @@
             self.write_error = Some(error);
         }
         if self.unsent.is_empty() {
+            // An idle connection would keep the buffer of its last request.
+            self.unsent = BytesMut::new();
             self.encode_body();
         }
         if ready.is_readable() || ready.is_read_closed() {
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -87,6 +87,8 @@
 const MAX_FRAMING_PER_BYTE: usize = 16;
 /// Part of a whole response that is encoded at a time.
 const WRITE_BYTES: usize = 64 * 1024;
+/// Largest write whose buffer is kept for the next one.
+const MAX_KEPT_BYTES: usize = 8 * 1024;
 
 impl Server {
     /// Wraps an accepted connection.
@@ -522,6 +524,7 @@
     }
 
     async fn flush(&mut self) -> io::Result<()> {
+        let is_large = self.unsent.len() > MAX_KEPT_BYTES;
         while !self.unsent.is_empty() {
             match try_write(&self.stream, &mut self.unsent)? {
                 Transfer::Progress => {}
@@ -533,6 +536,9 @@
                 Transfer::Eof => return Err(io::ErrorKind::WriteZero.into()),
             }
         }
+        if is_large {
+            self.unsent = BytesMut::new();
+        }
         Ok(())
     }
 }
