Count large events of streams until their callers have read them

What callers saw: an instance ends for lack of memory while callers do not read streams whose events are large. With 40 streams of events of 500 KB, an instance on a machine of 64 MB held 67 and 68 MB.

Cause: an event, up to 1 MiB, lay in the relay and once more in the buffer that is sent, and neither counted for the connection.

Change: a part of a body of unknown size is encoded 64 KiB at a time, as whole bodies are. An event that has more than 16 KiB counts from its first bytes until it is sent; without room it waits in the engine's connection. It counts as the largest event at once when it exceeds 48 KiB, since streams that reserved step by step would all wait for the next step of one another.

Why it works: what a stream holds beyond the 16 KiB that each connection counts as is reserved before it is received.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -15,6 +15,7 @@
 use serving::engine::{Rank, Record};
 use serving::fingerprint::{self, Fingerprint, PartFingerprints};
 use serving::forwarders::ForwardResult;
+use serving::memory;
 use serving::organisation::Organisation;
 use serving::prior_wait::Awaited;
 use serving::reachability::{Cause, Path};
@@ -314,6 +315,19 @@
         client.body_within(MAX_BODY_BYTES, reserve).await
     }
 
+    /// Waits until there is room for a part of a stream that is passed on whole and has at most so many bytes.
+    pub(crate) async fn reserve_event(&self, bytes: usize, max_bytes: usize) {
+        let bytes = memory::event_reservation(bytes, max_bytes);
+        if bytes > 0 {
+            self.holder.reserve_answer(bytes).await;
+        }
+    }
+
+    /// Frees what parts of a stream took, once the caller has them.
+    pub(crate) fn release_events(&self) {
+        self.holder.release_answer();
+    }
+
     /// The organisation's rank if it has one, else the route's.
     pub(crate) fn priority(&self) -> Rank {
         let organisation = self.principal.organisation();
--- a/crates/gateway/src/connection_memory.rs
+++ b/crates/gateway/src/connection_memory.rs
@@ -132,6 +132,9 @@
 
     /// Frees what the answer took.
     pub(crate) fn release_answer(&self) {
+        if self.answer.get() == 0 {
+            return;
+        }
         self.has_waited.set(false);
         let released = self.set(&self.answer, 0);
         debug_assert!(
--- a/crates/gateway/src/engine_call.rs
+++ b/crates/gateway/src/engine_call.rs
@@ -141,6 +141,11 @@
         self.instance.links.on_received(service, now);
     }
 
+    /// The call's request.
+    pub(crate) fn request(&self) -> &'a Request {
+        self.request
+    }
+
     /// Records an event of the stream. Returns the part of the time since the last one in which the
     /// engine had prompts to prefill.
     pub(crate) fn on_event(&self) -> Duration {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -134,6 +134,9 @@
             if std::mem::take(&mut first) {
                 engine_call.on_generation_started();
             }
+            let held = self.splitter.partial_bytes() + chunk.len();
+            let request = engine_call.request();
+            request.reserve_event(held, max_partial_bytes).await;
             let Ok(events) = self.splitter.push(&chunk) else {
                 return End::Broken(Failure::Broken("the ids of its events do not increase"));
             };
@@ -150,6 +153,7 @@
             if let Err(error) = self.write(response, events).await {
                 return End::Gone(error);
             }
+            request.release_events();
         }
     }
 
--- a/crates/http1/src/server.rs
+++ b/crates/http1/src/server.rs
@@ -450,7 +450,14 @@
         let size = self.allowed_size(&head, BodySize::Sized(body.len() as u64));
         self.codec
             .encode(Message::Item((head, size)), &mut self.unsent)?;
-        // The codec copies, so that a caller that does not read would hold the body twice.
+        self.encode_pieces(&mut body).await?;
+        self.codec.encode(Message::Chunk(None), &mut self.unsent)?;
+        self.flush().await
+    }
+
+    /// Encodes a part of the body, and sends all but its last piece. The codec copies, so that a caller
+    /// that does not read would hold it twice.
+    async fn encode_pieces(&mut self, body: &mut Bytes) -> io::Result<()> {
         while !body.is_empty() {
             let piece = body.split_to(body.len().min(WRITE_BYTES));
             self.codec
@@ -459,18 +466,16 @@
                 self.flush().await?;
             }
         }
-        self.codec.encode(Message::Chunk(None), &mut self.unsent)?;
-        self.flush().await
+        Ok(())
     }
 
-    /// Writes a chunk of a body of unknown size.
+    /// Writes a part of a body of unknown size, in as many chunks as it takes.
     ///
     /// # Errors
     ///
     /// If the caller has disconnected.
-    pub async fn write_chunk(&mut self, chunk: Bytes) -> io::Result<()> {
-        self.codec
-            .encode(Message::Chunk(Some(chunk)), &mut self.unsent)?;
+    pub async fn write_chunk(&mut self, mut chunk: Bytes) -> io::Result<()> {
+        self.encode_pieces(&mut chunk).await?;
         self.flush().await
     }
 
--- a/crates/serving/src/memory.rs
+++ b/crates/serving/src/memory.rs
@@ -29,6 +29,25 @@
 /// Connections to close, since another one needs their memory.
 pub type Evicted = SmallVec<[HolderId; 4]>;
 
+/// Largest part of a stream that a connection has room for beside its own, in bytes.
+const MAX_UNCOUNTED_EVENT_BYTES: usize = 16 * 1024;
+/// Largest part of a stream for which a connection stays a small holder, in bytes.
+const MAX_SMALL_EVENT_BYTES: usize = 48 * 1024;
+
+/// Memory to reserve for a part of a stream that is passed on whole: its bytes, and those that are being
+/// sent. A stream reserves at most twice for a part of up to `max_bytes`: many that reserved step by step
+/// would all wait for one another.
+pub fn event_reservation(bytes: usize, max_bytes: usize) -> usize {
+    let while_sent = 2 * MAX_SMALL_EVENT_BYTES;
+    if bytes <= MAX_UNCOUNTED_EVENT_BYTES {
+        0
+    } else if bytes <= MAX_SMALL_EVENT_BYTES {
+        while_sent
+    } else {
+        max_bytes + while_sent
+    }
+}
+
 /// There is no room for what a connection would hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shortage;
--- a/crates/serving/tests/memory.rs
+++ b/crates/serving/tests/memory.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use serving::memory::{Evicted, HolderId, Holders, Shortage};
+use serving::memory::{Evicted, HolderId, Holders, Shortage, event_reservation};
 
 /// A machine on which connections may hold 50 MB, and large ones fill 37.5 MB of it.
 const MACHINE: u64 = 100_000_000;
@@ -116,3 +116,16 @@
     assert_eq!(holders.evict_for_descriptors(LATER).as_slice(), &ids[2..4]);
     assert_eq!(holders.bytes(), 14 * SMALL);
 }
+
+/// Guards against streams that reserve memory step by step, and all wait for the next step of one another.
+#[test]
+fn a_stream_reserves_all_that_an_event_may_need_once_it_is_large() {
+    let max_bytes = 1 << 20;
+    let reserved = |bytes| event_reservation(bytes, max_bytes);
+    assert_eq!(reserved(8 * 1024), 0);
+    let small = reserved(32 * 1024);
+    assert!(small >= 2 * 32 * 1024 && (small as u64) < SMALL * 3);
+    let large = reserved(64 * 1024);
+    assert!(large > max_bytes);
+    assert_eq!(reserved(max_bytes), large);
+}
