Read from an entry's callers 8 KiB at a turn

What callers saw: an entry ends for lack of memory while many callers send bodies in small chunks.

Cause: the HTTP library reads as much as its buffer has room for, decodes it, and doubles the buffer whenever a part of a chunk is left over at its end. A read then fills the larger buffer. Each connection reached 256 KiB, also those whose calls had been refused and whose bodies were only drained: 26 MB of 39 MB on the heap at the peak, by a heap profile.

Change: callers' connections are read through a stream that gives at most 8 KiB before the library has decoded them, and the reservation for a body that is being received falls from 384 to 96 KiB.

Why it works: the buffer never needs more than a turn's bytes and what was left over, 16 KiB, whatever callers send.

Tried and not kept: the same stream without a limit on a single read (70 MB, since the larger buffer was filled at once), and bodies in segments of 16 KiB (68 MB with that stream, 36 MB with this one, which is not needed for the bound).

--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -2,6 +2,7 @@
 
 pub mod body;
 pub mod caller;
+pub mod caller_stream;
 pub mod deadline;
 pub mod handler;
 pub mod headers;
--- a/crates/entry/src/front/body.rs
+++ b/crates/entry/src/front/body.rs
@@ -9,6 +9,7 @@
 use futures_util::StreamExt as _;
 
 use crate::body_buffer::{BodyBuffer, TooLarge};
+use crate::front::caller_stream::MAX_READ_BYTES;
 use crate::front::problem::{Kind, Problem};
 use crate::memory_budget::{MemoryBudget, Shortage};
 
@@ -24,9 +25,9 @@
     pub copies: usize,
 }
 
-/// What the HTTP library holds of a body that is being received: a read buffer of up to 128 KiB, which
-/// doubles as it grows, and a queue of pieces, which takes several times their size if they are small.
-const RECEIVE_BYTES: usize = 384 * 1024;
+/// What the HTTP library holds of a body that is being received: its read buffer, which doubles as it grows,
+/// and a queue of pieces, which takes several times their size if they are small.
+const RECEIVE_BYTES: usize = 12 * MAX_READ_BYTES;
 
 /// `Retry-After` of a call for whose body there is no memory.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(200);
--- a/crates/entry/src/front/server.rs
+++ b/crates/entry/src/front/server.rs
@@ -1,18 +1,20 @@
 //! The HTTP servers for callers and operators.
 
 use std::convert::Infallible;
+use std::future::ready;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
 
+use actix_http::error::DispatchError;
 use actix_http::{HttpService, KeepAlive, Request};
 use actix_server::{GracefulShutdownSignal, Server, ServerBuilder, ServerHandle};
-use actix_service::{fn_factory, fn_service};
-
+use actix_service::{ServiceFactoryExt as _, fn_factory, fn_service};
 use tokio::net::TcpSocket;
 
 use crate::admin;
+use crate::front::caller_stream::CallerStream;
 use crate::front::handler::handle;
 use crate::shared::{Shared, Worker};
 
@@ -94,11 +96,10 @@
         let limits = &shared.settings.limits;
         let worker = Worker::new(Arc::clone(&shared));
         let stopping = stopping.clone();
-        HttpService::build()
+        let http = HttpService::build()
             .keep_alive(KeepAlive::Timeout(shared.settings.listen.keep_alive))
             .client_request_timeout(limits.head_time)
             .client_disconnect_timeout(limits.head_time)
-            .tcp_nodelay(true)
             // Treats a half-closed connection as a disconnect; otherwise the request would continue
             // and its stream would never be cancelled.
             .h1_allow_half_closed(false)
@@ -114,8 +115,9 @@
                         async move { Ok::<_, Infallible>(handle(worker, request).await) }
                     }))
                 }
-            }))
-            .tcp()
+            }));
+        let open = |stream| ready(CallerStream::open(stream).map_err(DispatchError::Io));
+        fn_service(open).and_then(http)
     })
 }
 
