Name the places of a status listener's connections

`Open` and `Opened` did not say which is which: a listener has `Slots`, and a connection takes a `Slot`. The fixtures of the tests of clients that don't behave get the lines that say what they do. No change of behaviour; the test of the status addresses passes.

--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -33,27 +33,27 @@
 
 /// Accepts connections until the process ends.
 pub(crate) async fn serve(instance: Rc<Instance>, listener: TcpListener, handler: Handler) {
-    let open = Rc::new(Open::new());
+    let slots = Rc::new(Slots::new());
     loop {
         match listener.accept().await {
             Ok((stream, _)) => drop(actix_rt::spawn(serve_connection(
                 instance.clone(),
                 stream,
                 handler,
-                Opened::new(&open),
+                Slot::take(&slots),
             ))),
             Err(error) => accept_failed(&error).await,
         }
     }
 }
 
-/// The open connections to a listener; [`serving::connection_limit`] decides which ones stay.
-struct Open {
+/// The connections that a listener may have; [`serving::connection_limit`] decides which ones stay.
+struct Slots {
     connections: RefCell<Connections>,
     evictions: RefCell<HashMap<Id, Rc<Notify>>>,
 }
 
-impl Open {
+impl Slots {
     fn new() -> Self {
         Self {
             connections: RefCell::new(Connections::new(MAX_CONNECTIONS)),
@@ -62,15 +62,16 @@
     }
 }
 
-/// One of them, until this is dropped.
-struct Opened {
-    all: Rc<Open>,
+/// The place of one connection, until this is dropped.
+struct Slot {
+    all: Rc<Slots>,
     id: Id,
     evicted: Rc<Notify>,
 }
 
-impl Opened {
-    fn new(all: &Rc<Open>) -> Self {
+impl Slot {
+    /// Takes a place. Another connection is closed for it if none is free.
+    fn take(all: &Rc<Slots>) -> Self {
         let (id, to_close) = all.connections.borrow_mut().add();
         let mut evictions = all.evictions.borrow_mut();
         if let Some(eviction) = to_close.and_then(|other| evictions.remove(&other)) {
@@ -90,19 +91,14 @@
     }
 }
 
-impl Drop for Opened {
+impl Drop for Slot {
     fn drop(&mut self) {
         self.all.connections.borrow_mut().remove(self.id);
         self.all.evictions.borrow_mut().remove(&self.id);
     }
 }
 
-async fn serve_connection(
-    instance: Rc<Instance>,
-    stream: TcpStream,
-    handler: Handler,
-    opened: Opened,
-) {
+async fn serve_connection(instance: Rc<Instance>, stream: TcpStream, handler: Handler, slot: Slot) {
     let server = Server::new(stream, &CALLER_PATIENCE, &instance.codec);
     let (Ok(server), Ok(holder)) = (server, Holder::open(&instance.connection_memory)) else {
         return;
@@ -110,18 +106,13 @@
     holder.set_waiting(true);
     let mut server = server.with_account(holder.account());
     tokio::select! {
-        () = serve_requests(&instance, &mut server, handler, &opened) => {}
+        () = serve_requests(&instance, &mut server, handler, &slot) => {}
         () = holder.wait_until_evicted() => {}
-        () = opened.evicted.notified() => {}
+        () = slot.evicted.notified() => {}
     }
 }
 
-async fn serve_requests(
-    instance: &Instance,
-    server: &mut Server,
-    handler: Handler,
-    opened: &Opened,
-) {
+async fn serve_requests(instance: &Instance, server: &mut Server, handler: Handler, slot: &Slot) {
     while server.wait_for_request(&LIMITS).await.is_ok() {
         let arrival = match server.read_request(&LIMITS).await {
             Ok(arrival) => arrival,
@@ -132,7 +123,7 @@
         if writer.write_response(head, body).await.is_err() || !writer.keep_alive() {
             return;
         }
-        opened.on_served();
+        slot.on_served();
     }
 }
 
--- a/crates/gateway/tests/harness/crowd.rs
+++ b/crates/gateway/tests/harness/crowd.rs
@@ -37,12 +37,14 @@
     start_on(MACHINE).await
 }
 
+/// As [`start`], on another machine.
 pub(crate) async fn start_on(machine: Machine) -> (Gateway, Engine, Engine) {
     let started = Gateway::start_on(machine).await.add_engines().await;
     configure(&started.0).await;
     started
 }
 
+/// Puts the limits of these tests in force.
 pub(crate) async fn configure(gateway: &Gateway) {
     let mut limited = configuration(2, "app");
     limited["limits"]["max_body_bytes"] = json!(MAX_BODY_BYTES);
@@ -58,6 +60,7 @@
     format!("POST /once/ HTTP/1.1\r\nhost: {HOST}\r\nrequest-id: {id}\r\n{lines}\r\n").into_bytes()
 }
 
+/// The head of a call whose body has this length.
 pub(crate) fn sized(id: &str, length: u64) -> Vec<u8> {
     head(id, &format!("content-length: {length}\r\n"))
 }
@@ -168,10 +171,12 @@
     answers
 }
 
+/// Panics unless the process lives, and what it held at its peak and its descriptors fit into [`MACHINE`].
 pub(crate) fn assert_fits(gateway: &Gateway, descriptors: usize) {
     assert_fits_on(MACHINE, gateway, descriptors);
 }
 
+/// As [`assert_fits`], for another machine.
 pub(crate) fn assert_fits_on(machine: Machine, gateway: &Gateway, descriptors: usize) {
     assert!(gateway.is_alive());
     let peak = gateway.peak_memory_mib() * 1024 * 1024;
