Add the limits of hostile clients to the source of the settings page

docs/SETTINGS.md is rendered from crates/settings, and the lines of the last limits were added to the page only. The lines are in the source now, and the page is as rendered; the tests of settings pass.

--- a/crates/settings/src/page.rs
+++ b/crates/settings/src/page.rs
@@ -32,9 +32,12 @@
 | a connection without a request | | counts as 16 KiB | |
 | a body of a known length | its length | counts as a whole from its head on | as the first line |
 | a whole answer of an engine | its length | counts until its caller has read it | it is read from the engine once there is room, within the call's deadline |
+| an event of a stream over 16 KiB | its size | counts as 96 KiB, or over 48 KiB as 1.1 MiB, until its caller has read it | as the line before |
 | a body announced over the limit | `max_body_bytes` | | 413, unread |
 | framing of a chunked body | `max_header_bytes`, its content | the former, and 16 bytes for each byte of content | 400 |
 | the body of a request at `listen.ready` or at the metrics address | | 1 KiB | 413, unread |
+| parts of a prompt that placement looks at | | the first 128; each is remembered as at least 16 tokens of its engine's `kv_capacity` | passed on with the request, and not used here |
+| connections to `listen.ready` or to the metrics address | | 64 each | the oldest on which nothing was served is closed, or else the least recently used |
 | what a refused caller may still send | | 4 MiB within a second | the connection is closed |
 ";
 
