Reset the wait for memory of an answer that never got room

What callers saw: nothing so far; found on reading the change. An answer that waited for room until its call's time was over leaves nothing to release, and the release returned before it reset that the answer had waited. On a connection that is kept, the next call's time-out would then be laid to this instance and not to its engine, until an answer got room there.

Cause: the early return for answers without memory stood before the reset.

Measured: hostile_readers (3), hostile_clients (19), calls (19), endless_responses (4) and broken_streams (12) pass, and formatting and the lints of the gateway. No test shows the fault.

--- a/crates/gateway/src/connection_memory.rs
+++ b/crates/gateway/src/connection_memory.rs
@@ -132,10 +132,10 @@
 
     /// Frees what the answer took.
     pub(crate) fn release_answer(&self) {
+        self.has_waited.set(false);
         if self.answer.get() == 0 {
             return;
         }
-        self.has_waited.set(false);
         let released = self.set(&self.answer, 0);
         debug_assert!(
             released.is_ok() || self.is_evicted(),
